--- /dev/null
+++ b/crates/api/src/commands/callers.rs
@@ -0,0 +1,317 @@
+//! Callers' requests: reads them, has the relay serve them, and writes the answer plain or streamed.
+
+use crate::credentials::{CallerCredentials, caller_credentials, secret_matches};
+use crate::errors::{body_error_reply, error_reply, failure_body, failure_reply};
+use crate::relay::RelayApi;
+use crate::wire::{self, AnswerBody, AnswerChoice, AnswerForm, AnswerMessage, ChatRequest, CompletionRequest, Usage};
+use bytes::Bytes;
+use futures::StreamExt;
+use futures::channel::mpsc;
+use hyper::body::Incoming;
+use hyper::header::HeaderValue;
+use hyper::http::request::Parts;
+use hyper::{HeaderMap, StatusCode};
+use saddlerelay_http::body::{Reply, json, parse_json, parts, read_whole};
+use saddlerelay_http::sse;
+use saddlerelay_platform::Platform;
+use saddlerelay_platform::backend::Backends;
+use saddlerelay_types::identity::{IdempotencyKey, ModelName, WeightVersion};
+use saddlerelay_types::request::{
+    AnswerPart, CallerRequest, ExecutionOutcome, FailureCode, FinishReason, Generation, Priority, Repeatability,
+    RequestFailure, RequestKey, VersionSpan,
+};
+
+/// What an answer's parts have in common.
+#[derive(Clone)]
+struct AnswerHead {
+    form: AnswerForm,
+    id: String,
+    created: u64,
+    model: String,
+    prompt_words: u32,
+}
+
+/// What a request asks for beyond the form's own fields.
+struct Asked {
+    form: AnswerForm,
+    model: String,
+    prompt: String,
+    max_tokens: Option<u32>,
+    seed: Option<u64>,
+    stream: bool,
+    choices: u32,
+}
+
+/// `POST /v1/chat/completions`.
+pub async fn chat<P: Platform, B: Backends>(api: &RelayApi<P, B>, head: &Parts, body: Incoming) -> Reply {
+    let bytes = match read_whole(body).await {
+        Ok(bytes) => bytes,
+        Err(error) => return body_error_reply(&error),
+    };
+    match parse_json::<ChatRequest>(&bytes) {
+        Ok(request) => {
+            let asked = Asked {
+                form: AnswerForm::Chat,
+                prompt: wire::chat_prompt(&request.messages),
+                model: request.model,
+                max_tokens: request.max_completion_tokens.or(request.max_tokens),
+                seed: request.seed,
+                stream: request.stream,
+                choices: request.n.unwrap_or(1),
+            };
+            serve(api, &head.headers, asked).await
+        }
+        Err(error) => body_error_reply(&error),
+    }
+}
+
+/// `POST /v1/completions`.
+pub async fn completion<P: Platform, B: Backends>(api: &RelayApi<P, B>, head: &Parts, body: Incoming) -> Reply {
+    let bytes = match read_whole(body).await {
+        Ok(bytes) => bytes,
+        Err(error) => return body_error_reply(&error),
+    };
+    match parse_json::<CompletionRequest>(&bytes) {
+        Ok(request) => {
+            let asked = Asked {
+                form: AnswerForm::Completion,
+                prompt: request.prompt,
+                model: request.model,
+                max_tokens: request.max_tokens,
+                seed: request.seed,
+                stream: request.stream,
+                choices: request.n.unwrap_or(1),
+            };
+            serve(api, &head.headers, asked).await
+        }
+        Err(error) => body_error_reply(&error),
+    }
+}
+
+async fn serve<P: Platform, B: Backends>(api: &RelayApi<P, B>, headers: &HeaderMap, asked: Asked) -> Reply {
+    let credentials = match check_credentials(api, headers) {
+        Ok(credentials) => credentials,
+        Err(reply) => return reply,
+    };
+    let stream = asked.stream;
+    let answer_head = AnswerHead {
+        form: asked.form,
+        id: format!("saddlerelay-{:016x}", api.platform.random()),
+        created: api.platform.unix_milliseconds() / 1000,
+        model: asked.model.clone(),
+        prompt_words: asked.prompt.split_whitespace().count() as u32,
+    };
+    let request = match caller_request(api, headers, credentials, asked) {
+        Ok(request) => request,
+        Err(message) => return failure_reply(&invalid(message)),
+    };
+    let answer = api.relay.serve(request);
+    if stream { streamed(answer_head, answer, api).await } else { plain(answer_head, answer).await }
+}
+
+fn invalid(message: String) -> RequestFailure {
+    RequestFailure::new(ExecutionOutcome::NotExecuted, FailureCode::InvalidRequest, message, 0)
+}
+
+/// Who asks, if the tenant's secret allows it. An unknown tenant is left for the relay to refuse.
+pub fn check_credentials<P: Platform, B: Backends>(
+    api: &RelayApi<P, B>,
+    headers: &HeaderMap,
+) -> Result<CallerCredentials, Reply> {
+    let refuse = |message: &str| error_reply(StatusCode::UNAUTHORIZED, "unauthorized", message, 0);
+    let Some(credentials) = caller_credentials(headers) else {
+        return Err(refuse("give `Authorization: Bearer TENANT:CALLER:SECRET`"));
+    };
+    let digest = api.relay.tenant(&credentials.tenant).and_then(|tenant| tenant.caller_secret_digest);
+    match digest {
+        Some(digest) if !secret_matches(&credentials.secret, &digest) => Err(refuse("the secret is wrong")),
+        _ => Ok(credentials),
+    }
+}
+
+fn caller_request<P: Platform, B: Backends>(
+    api: &RelayApi<P, B>,
+    headers: &HeaderMap,
+    credentials: CallerCredentials,
+    asked: Asked,
+) -> Result<CallerRequest, String> {
+    if asked.choices != 1 {
+        return Err("`n` must be 1".to_string());
+    }
+    if asked.max_tokens == Some(0) {
+        return Err("`max_tokens` must be at least 1".to_string());
+    }
+    let not_repeatable = flag(headers, wire::NOT_REPEATABLE_HEADER)?;
+    let key = request_key(headers, not_repeatable)?;
+    let class = api.relay.tenant(&credentials.tenant).map(|tenant| tenant.caller_class);
+    let deadline = number(headers, wire::DEADLINE_HEADER)?.unwrap_or(wire::DEFAULT_DEADLINE_MILLISECONDS);
+    Ok(CallerRequest {
+        tenant: credentials.tenant,
+        caller: credentials.caller,
+        model: ModelName(asked.model),
+        prompt: asked.prompt,
+        max_tokens: asked.max_tokens.unwrap_or(wire::DEFAULT_MAX_TOKENS),
+        seed: asked.seed.unwrap_or_else(|| default_seed(api, key.is_some())),
+        key,
+        repeatability: if not_repeatable { Repeatability::NotRepeatable } else { Repeatability::Repeatable },
+        priority: class_of(headers, class.unwrap_or(Priority::Interactive))?,
+        deadline_milliseconds: deadline,
+    })
+}
+
+/// A keyed resend must be the same request, so its seed is fixed when none is given.
+fn default_seed<P: Platform, B: Backends>(api: &RelayApi<P, B>, keyed: bool) -> u64 {
+    if keyed { 0 } else { api.platform.random() }
+}
+
+fn text<'a>(headers: &'a HeaderMap, name: &str) -> Result<Option<&'a str>, String> {
+    let value = headers.get(name).map(|value| value.to_str());
+    value.transpose().map_err(|_| format!("header `{name}` is not a text"))
+}
+
+fn number(headers: &HeaderMap, name: &str) -> Result<Option<u64>, String> {
+    let parsed = text(headers, name)?.map(str::parse);
+    parsed.transpose().map_err(|_| format!("header `{name}` is not a whole number"))
+}
+
+fn flag(headers: &HeaderMap, name: &str) -> Result<bool, String> {
+    match text(headers, name)? {
+        None | Some("false") => Ok(false),
+        Some("true") => Ok(true),
+        Some(other) => Err(format!("header `{name}` is `{other}`, not `true` or `false`")),
+    }
+}
+
+/// A key counts only with its expiry: without one a service that forgets keys cannot tell an old key from a new one.
+fn request_key(headers: &HeaderMap, not_repeatable: bool) -> Result<Option<RequestKey>, String> {
+    let key = text(headers, wire::KEY_HEADER)?;
+    let expires_at = number(headers, wire::KEY_EXPIRES_HEADER)?;
+    match (key, expires_at) {
+        (Some(key), Some(expires_at)) => Ok(Some(RequestKey { key: IdempotencyKey::new(key), expires_at })),
+        (Some(_), None) if not_repeatable => Err(format!(
+            "header `{}` is missing: Unix milliseconds, at most one hour ahead, the same on each resend",
+            wire::KEY_EXPIRES_HEADER
+        )),
+        _ => Ok(None),
+    }
+}
+
+fn class_of(headers: &HeaderMap, class: Priority) -> Result<Priority, String> {
+    match text(headers, wire::CLASS_HEADER)? {
+        None => Ok(class),
+        Some("interactive") => Ok(class.max(Priority::Interactive)),
+        Some("batch") => Ok(class.max(Priority::Batch)),
+        Some(other) => Err(format!("header `{}` is `{other}`, not `interactive` or `batch`", wire::CLASS_HEADER)),
+    }
+}
+
+async fn plain(head: AnswerHead, mut answer: mpsc::UnboundedReceiver<AnswerPart>) -> Reply {
+    let mut generation = Generation::empty();
+    while let Some(part) = answer.next().await {
+        match part {
+            AnswerPart::Tokens { tokens, text, version } => generation.extend(&tokens, &text, version),
+            AnswerPart::End(finish) => {
+                generation.finish = finish;
+                return whole_answer(&head, &generation);
+            }
+            AnswerPart::Failed(failure) => return failure_reply(&failure),
+        }
+    }
+    failure_reply(&cut_off())
+}
+
+fn cut_off() -> RequestFailure {
+    let message = "the answer was cut off".to_string();
+    RequestFailure::new(ExecutionOutcome::Unknown, FailureCode::EngineFailed, message, 0)
+}
+
+fn whole_answer(head: &AnswerHead, generation: &Generation) -> Reply {
+    let (message, text) = match head.form {
+        AnswerForm::Chat => (Some(AnswerMessage { role: Some("assistant"), content: generation.text.clone() }), None),
+        AnswerForm::Completion => (None, Some(generation.text.clone())),
+    };
+    let choice = AnswerChoice { index: 0, message, delta: None, text, finish_reason: Some(generation.finish) };
+    let completion_tokens = generation.tokens.len() as u32;
+    let usage = Usage {
+        prompt_tokens: head.prompt_words,
+        completion_tokens,
+        total_tokens: head.prompt_words + completion_tokens,
+    };
+    let body = AnswerBody {
+        id: head.id.clone(),
+        object: head.form.whole_object(),
+        created: head.created,
+        model: head.model.clone(),
+        choices: vec![choice],
+        usage: Some(usage),
+        weight_versions: generation.versions.clone(),
+    };
+    let mut reply = json(StatusCode::OK, &body);
+    let versions: Vec<String> = generation.versions.iter().map(|span| span.version.to_string()).collect();
+    if let Ok(value) = HeaderValue::from_str(&versions.join(",")) {
+        reply.headers_mut().insert(wire::VERSIONS_HEADER, value);
+    }
+    reply
+}
+
+/// Waits for the first part, so that an early failure still has its status, and then streams.
+async fn streamed<P: Platform, B: Backends>(
+    head: AnswerHead,
+    mut answer: mpsc::UnboundedReceiver<AnswerPart>,
+    api: &RelayApi<P, B>,
+) -> Reply {
+    let first = match answer.next().await {
+        Some(AnswerPart::Failed(failure)) => return failure_reply(&failure),
+        Some(part) => part,
+        None => return failure_reply(&cut_off()),
+    };
+    let (events, body) = mpsc::unbounded();
+    api.platform.spawn(async move {
+        let mut next = Some(first);
+        while let Some(part) = next {
+            let last = !matches!(part, AnswerPart::Tokens { .. });
+            if !send_part(&head, part, &events) || last {
+                return;
+            }
+            next = answer.next().await;
+        }
+        // The relay's task ended without an end: the missing `[DONE]` tells the caller.
+    });
+    parts(sse::CONTENT_TYPE, body)
+}
+
+/// Sends one part; `false` when the caller is gone.
+fn send_part(head: &AnswerHead, part: AnswerPart, events: &mpsc::UnboundedSender<Bytes>) -> bool {
+    match part {
+        AnswerPart::Tokens { tokens, text, version } => {
+            let span = VersionSpan { version, tokens: tokens.len() as u32 };
+            events.unbounded_send(sse::event(&part_body(head, text, Some(span), None))).is_ok()
+        }
+        AnswerPart::End(finish) => {
+            let end = sse::event(&part_body(head, String::new(), None, Some(finish)));
+            events.unbounded_send(end).is_ok() && events.unbounded_send(sse::done()).is_ok()
+        }
+        AnswerPart::Failed(failure) => events.unbounded_send(sse::event(&failure_body(&failure))).is_ok(),
+    }
+}
+
+fn part_body(head: &AnswerHead, text: String, span: Option<VersionSpan>, finish: Option<FinishReason>) -> AnswerBody {
+    let (delta, text) = match head.form {
+        AnswerForm::Chat => (Some(AnswerMessage { role: Some("assistant"), content: text }), None),
+        AnswerForm::Completion => (None, Some(text)),
+    };
+    AnswerBody {
+        id: head.id.clone(),
+        object: head.form.part_object(),
+        created: head.created,
+        model: head.model.clone(),
+        choices: vec![AnswerChoice { index: 0, message: None, delta, text, finish_reason: finish }],
+        usage: None,
+        weight_versions: span.into_iter().collect(),
+    }
+}
+
+/// The versions of an answer, oldest first.
+pub fn versions_of(generation: &Generation) -> Vec<WeightVersion> {
+    generation.versions.iter().map(|span| span.version).collect()
+}
--- /dev/null
+++ b/crates/api/src/commands/mod.rs
@@ -0,0 +1,5 @@
+//! Changes over HTTP.
+
+pub mod callers;
+pub mod control;
+pub mod trainers;
--- /dev/null
+++ b/crates/api/src/commands/trainers.rs
@@ -0,0 +1,118 @@
+//! Trainers' calls.
+
+use crate::commands::callers::check_credentials;
+use crate::errors::{body_error_reply, error_reply, name_of};
+use crate::relay::RelayApi;
+use crate::wire::{OpenStepBody, OpenTrainerBody, PublishBody};
+use hyper::StatusCode;
+use hyper::body::Incoming;
+use hyper::http::request::Parts;
+use saddlerelay_http::body::{Reply, json, parse_json, read_whole};
+use saddlerelay_platform::Platform;
+use saddlerelay_platform::backend::Backends;
+use saddlerelay_relay::commands::trainers::TrainerError;
+use saddlerelay_types::identity::{Incarnation, Position, TenantId};
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+
+/// When to send an undecided call again, in milliseconds.
+const RETRY_MILLISECONDS: u64 = 200;
+
+/// Samples brought when a fetch names no limit.
+const DEFAULT_FETCH_LIMIT: u32 = 64;
+
+/// The tenant of the path, if the caller's credentials are its.
+fn authorize<P: Platform, B: Backends>(api: &RelayApi<P, B>, head: &Parts, tenant: &str) -> Result<TenantId, Reply> {
+    let credentials = check_credentials(api, &head.headers)?;
+    if credentials.tenant.as_str() != tenant {
+        let message = "the credentials are another tenant's";
+        return Err(error_reply(StatusCode::UNAUTHORIZED, "unauthorized", message, 0));
+    }
+    Ok(credentials.tenant)
+}
+
+async fn read<T: DeserializeOwned>(body: Incoming) -> Result<T, Reply> {
+    let bytes = read_whole(body).await.map_err(|error| body_error_reply(&error))?;
+    parse_json(&bytes).map_err(|error| body_error_reply(&error))
+}
+
+fn answer<T: Serialize>(outcome: Result<T, TrainerError>) -> Reply {
+    match outcome {
+        Ok(value) => json(StatusCode::OK, &value),
+        Err(TrainerError::Refused(refusal)) => {
+            let code = name_of(&refusal);
+            error_reply(StatusCode::CONFLICT, &code, format!("refused: {code}"), 0)
+        }
+        Err(TrainerError::Unavailable) => {
+            let message = "not decided in time; send the same call again";
+            error_reply(StatusCode::SERVICE_UNAVAILABLE, "undecided", message, RETRY_MILLISECONDS)
+        }
+    }
+}
+
+/// `POST /v1/trainers/TENANT/open`.
+pub async fn open<P: Platform, B: Backends>(api: &RelayApi<P, B>, head: &Parts, tenant: &str, body: Incoming) -> Reply {
+    let opened = async {
+        let tenant = authorize(api, head, tenant)?;
+        let body: OpenTrainerBody = read(body).await?;
+        Ok(answer(api.relay.open_trainer(tenant, body.incarnation).await))
+    };
+    opened.await.unwrap_or_else(|refusal| refusal)
+}
+
+/// `POST /v1/trainers/TENANT/steps`.
+pub async fn open_step<P: Platform, B: Backends>(
+    api: &RelayApi<P, B>,
+    head: &Parts,
+    tenant: &str,
+    body: Incoming,
+) -> Reply {
+    let opened = async {
+        let tenant = authorize(api, head, tenant)?;
+        let body: OpenStepBody = read(body).await?;
+        Ok(answer(api.relay.open_step(tenant, body.incarnation, body.request).await))
+    };
+    opened.await.unwrap_or_else(|refusal| refusal)
+}
+
+/// `POST /v1/trainers/TENANT/versions`.
+pub async fn publish<P: Platform, B: Backends>(
+    api: &RelayApi<P, B>,
+    head: &Parts,
+    tenant: &str,
+    body: Incoming,
+) -> Reply {
+    let published = async {
+        let tenant = authorize(api, head, tenant)?;
+        let body: PublishBody = read(body).await?;
+        Ok(answer(api.relay.publish(tenant, body.incarnation, body.version, body.cursor).await))
+    };
+    published.await.unwrap_or_else(|refusal| refusal)
+}
+
+/// `GET /v1/trainers/TENANT/samples?incarnation=I&cursor=C&limit=L`.
+pub async fn fetch<P: Platform, B: Backends>(api: &RelayApi<P, B>, head: &Parts, tenant: &str) -> Reply {
+    let fetched = async {
+        let tenant = authorize(api, head, tenant)?;
+        let query = head.uri.query().unwrap_or_default();
+        let incarnation = Incarnation(required(query, "incarnation")?);
+        let cursor = Position(required(query, "cursor")?);
+        let limit = parameter(query, "limit")?.map_or(DEFAULT_FETCH_LIMIT, |limit| limit as u32);
+        Ok(answer(api.relay.fetch(tenant, incarnation, cursor, limit).await))
+    };
+    fetched.await.unwrap_or_else(|refusal| refusal)
+}
+
+fn parameter(query: &str, name: &str) -> Result<Option<u64>, Reply> {
+    let mut pairs = query.split('&').filter_map(|pair| pair.split_once('='));
+    let Some((_, value)) = pairs.find(|(key, _)| *key == name) else {
+        return Ok(None);
+    };
+    let message = format!("parameter `{name}` is not a whole number");
+    value.parse().map(Some).map_err(|_| error_reply(StatusCode::BAD_REQUEST, "invalid_parameter", message, 0))
+}
+
+fn required(query: &str, name: &str) -> Result<u64, Reply> {
+    let message = format!("parameter `{name}` is missing");
+    parameter(query, name)?.ok_or_else(|| error_reply(StatusCode::BAD_REQUEST, "missing_parameter", message, 0))
+}
--- /dev/null
+++ b/crates/api/src/control.rs
@@ -0,0 +1,96 @@
+//! A control process's routes: the administration API.
+
+use crate::commands;
+use crate::credentials::{bearer, constant_time_equal};
+use crate::errors::{error_reply, not_found};
+use crate::queries;
+use hyper::body::Incoming;
+use hyper::{Method, Request, StatusCode};
+use saddlerelay_control::node::ControlNode;
+use saddlerelay_control_client::ControlClient;
+use saddlerelay_http::body::Reply;
+use saddlerelay_http::server::HttpHandler;
+use saddlerelay_platform::Platform;
+use saddlerelay_platform::backend::Backends;
+use saddlerelay_telemetry::ring::RingSink;
+use saddlerelay_types::configuration::ObjectName;
+use saddlerelay_types::identity::{EngineId, TemplateId, TenantId};
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::sync::Arc;
+
+/// The HTTP face of a control process.
+pub struct ControlApi<P: Platform, B: Backends> {
+    /// The process's own replica.
+    pub node: ControlNode<P, B>,
+    /// A client of the whole group.
+    pub client: ControlClient<P>,
+    /// Where the process's replica listens for peers.
+    pub peer_address: SocketAddr,
+    /// The operators' token.
+    pub operator_token: String,
+    /// The machine.
+    pub platform: P,
+    /// The process's log.
+    pub log: Option<Arc<RingSink>>,
+}
+
+impl<P: Platform, B: Backends> HttpHandler for ControlApi<P, B> {
+    async fn handle(self: Rc<Self>, request: Request<Incoming>) -> Reply {
+        let (head, body) = request.into_parts();
+        let path = head.uri.path().to_string();
+        let segments: Vec<&str> = path.trim_matches('/').split('/').collect();
+        match segments.as_slice() {
+            ["healthz"] => return queries::health(),
+            ["readyz"] => return queries::readiness(self.node.replica().is_ready()),
+            ["metrics"] => return queries::control::metrics(&self),
+            _ => {}
+        }
+        let token = bearer(&head.headers).unwrap_or_default();
+        if !constant_time_equal(token.as_bytes(), self.operator_token.as_bytes()) {
+            let message = "give `Authorization: Bearer OPERATOR_TOKEN`";
+            return error_reply(StatusCode::UNAUTHORIZED, "unauthorized", message, 0);
+        }
+        let [api, version, rest @ ..] = segments.as_slice() else {
+            return not_found();
+        };
+        if (*api, *version) != ("admin", "v1") {
+            return not_found();
+        }
+        self.administer(&head, rest, body).await
+    }
+}
+
+impl<P: Platform, B: Backends> ControlApi<P, B> {
+    async fn administer(&self, head: &hyper::http::request::Parts, path: &[&str], body: Incoming) -> Reply {
+        if let Some(name) = object_name(path) {
+            return match head.method {
+                Method::GET => queries::control::object(self, name).await,
+                Method::PUT => commands::control::put_object(self, head, name, body).await,
+                Method::DELETE => commands::control::delete_object(self, head, name).await,
+                _ => not_found(),
+            };
+        }
+        match (&head.method, path) {
+            (&Method::GET, ["configuration"]) => queries::control::objects(self).await,
+            (&Method::GET, ["engines"]) => queries::control::engines(self).await,
+            (&Method::GET, ["relays"]) => queries::control::relays(self).await,
+            (&Method::GET, ["group"]) => queries::control::group(self).await,
+            (&Method::GET, ["trainers", tenant]) => queries::control::trainer(self, TenantId::new(*tenant)).await,
+            (&Method::POST, ["engines", engine, "drain"]) => {
+                commands::control::drain_engine(self, EngineId::new(*engine)).await
+            }
+            (&Method::POST, ["initialize"]) => commands::control::initialize(self).await,
+            (&Method::POST, ["dump-log"]) => commands::control::dump_log(self),
+            _ => not_found(),
+        }
+    }
+}
+
+fn object_name(path: &[&str]) -> Option<ObjectName> {
+    match path {
+        ["templates", id] => Some(ObjectName::Template(TemplateId::new(*id))),
+        ["tenants", id] => Some(ObjectName::Tenant(TenantId::new(*id))),
+        _ => None,
+    }
+}
--- /dev/null
+++ b/crates/api/src/credentials.rs
@@ -0,0 +1,43 @@
+//! Who asks: bearer tokens of callers, trainers and operators.
+
+use hyper::HeaderMap;
+use hyper::header::AUTHORIZATION;
+use saddlerelay_types::identity::{CallerId, TenantId};
+use sha2::{Digest, Sha256};
+
+/// A caller's or trainer's credentials: `tenant:caller:secret`, the secret being optional.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct CallerCredentials {
+    /// The tenant.
+    pub tenant: TenantId,
+    /// The application.
+    pub caller: CallerId,
+    /// The secret; empty when none was given.
+    pub secret: String,
+}
+
+/// The bearer token of a request.
+pub fn bearer(headers: &HeaderMap) -> Option<&str> {
+    headers.get(AUTHORIZATION)?.to_str().ok()?.strip_prefix("Bearer ")
+}
+
+/// Reads a caller's credentials.
+pub fn caller_credentials(headers: &HeaderMap) -> Option<CallerCredentials> {
+    let mut parts = bearer(headers)?.splitn(3, ':');
+    let tenant = TenantId::new(parts.next().filter(|tenant| !tenant.is_empty())?);
+    let caller = CallerId::new(parts.next().unwrap_or("default"));
+    Some(CallerCredentials { tenant, caller, secret: parts.next().unwrap_or_default().to_string() })
+}
+
+/// Whether `secret` has the SHA-256 `digest`, in hexadecimal.
+pub fn secret_matches(secret: &str, digest: &str) -> bool {
+    let computed: String = Sha256::digest(secret.as_bytes()).iter().map(|byte| format!("{byte:02x}")).collect();
+    constant_time_equal(computed.as_bytes(), digest.to_ascii_lowercase().as_bytes())
+}
+
+/// Compares without telling by its time where the difference is.
+pub fn constant_time_equal(left: &[u8], right: &[u8]) -> bool {
+    let same_length = left.len() == right.len();
+    let difference = left.iter().zip(right).fold(0, |difference, (a, b)| difference | (a ^ b));
+    same_length && difference == 0
+}
--- /dev/null
+++ b/crates/api/src/errors.rs
@@ -0,0 +1,139 @@
+//! Error answers, in the OpenAI protocol's shape.
+
+use crate::wire::OUTCOME_HEADER;
+use hyper::StatusCode;
+use hyper::header::{HeaderValue, RETRY_AFTER};
+use saddlerelay_http::body::{BodyError, Reply, json};
+use saddlerelay_types::request::{ExecutionOutcome, FailureCode, RequestFailure};
+use serde::Serialize;
+
+/// Header with the exact time to wait: `Retry-After` only counts whole seconds.
+pub const RETRY_AFTER_MILLISECONDS_HEADER: &str = "retry-after-ms";
+
+/// The `error` of an error answer.
+#[derive(Clone, Debug, Serialize)]
+pub struct ErrorDetail {
+    /// For people.
+    pub message: String,
+    /// The kind, as public client libraries know it.
+    #[serde(rename = "type")]
+    pub kind: &'static str,
+    /// For machines.
+    pub code: String,
+    /// The parameter at fault, if one is.
+    pub param: Option<String>,
+    /// What is known of the execution.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub execution: Option<ExecutionOutcome>,
+    /// When to come back; zero when a resend cannot help.
+    pub retry_after_ms: u64,
+}
+
+/// An error answer.
+#[derive(Clone, Debug, Serialize)]
+pub struct ErrorBody {
+    /// The error.
+    pub error: ErrorDetail,
+}
+
+fn status(code: FailureCode) -> StatusCode {
+    match code {
+        FailureCode::Overloaded => StatusCode::TOO_MANY_REQUESTS,
+        FailureCode::NotReady | FailureCode::Stopping | FailureCode::NoEngine | FailureCode::Undecided => {
+            StatusCode::SERVICE_UNAVAILABLE
+        }
+        FailureCode::DeadlineExceeded => StatusCode::GATEWAY_TIMEOUT,
+        FailureCode::UnknownTenant | FailureCode::UnknownModel => StatusCode::NOT_FOUND,
+        FailureCode::KeyReused => StatusCode::UNPROCESSABLE_ENTITY,
+        FailureCode::KeyExpired | FailureCode::KeySealed | FailureCode::EarlierAttemptLost => StatusCode::CONFLICT,
+        FailureCode::EngineFailed => StatusCode::BAD_GATEWAY,
+        FailureCode::InvalidRequest => StatusCode::BAD_REQUEST,
+    }
+}
+
+fn kind(status: StatusCode) -> &'static str {
+    match status {
+        StatusCode::TOO_MANY_REQUESTS => "rate_limit_error",
+        StatusCode::UNAUTHORIZED => "authentication_error",
+        StatusCode::NOT_FOUND => "not_found_error",
+        _ if status.is_server_error() => "server_error",
+        _ => "invalid_request_error",
+    }
+}
+
+/// The text form of a serializable name.
+pub fn name_of(value: &impl Serialize) -> String {
+    match serde_json::to_value(value) {
+        Ok(serde_json::Value::String(name)) => name,
+        _ => String::new(),
+    }
+}
+
+/// The body of a failed request.
+pub fn failure_body(failure: &RequestFailure) -> ErrorBody {
+    let detail = ErrorDetail {
+        message: failure.message.clone(),
+        kind: kind(status(failure.code)),
+        code: name_of(&failure.code),
+        param: None,
+        execution: Some(failure.outcome),
+        retry_after_ms: failure.retry_after_milliseconds,
+    };
+    ErrorBody { error: detail }
+}
+
+/// The answer to a failed request.
+pub fn failure_reply(failure: &RequestFailure) -> Reply {
+    let mut reply = json(status(failure.code), &failure_body(failure));
+    if let Ok(value) = HeaderValue::from_str(&name_of(&failure.outcome)) {
+        reply.headers_mut().insert(OUTCOME_HEADER, value);
+    }
+    add_retry_after(&mut reply, failure.retry_after_milliseconds);
+    reply
+}
+
+/// Tells when to come back.
+pub fn add_retry_after(reply: &mut Reply, milliseconds: u64) {
+    if milliseconds == 0 {
+        return;
+    }
+    let headers = reply.headers_mut();
+    headers.insert(RETRY_AFTER, HeaderValue::from(milliseconds.div_ceil(1000)));
+    headers.insert(RETRY_AFTER_MILLISECONDS_HEADER, HeaderValue::from(milliseconds));
+}
+
+/// An error that is not about an execution.
+pub fn error_reply(status: StatusCode, code: &str, message: impl Into<String>, retry_after_ms: u64) -> Reply {
+    let detail = ErrorDetail {
+        message: message.into(),
+        kind: kind(status),
+        code: code.to_string(),
+        param: None,
+        execution: None,
+        retry_after_ms,
+    };
+    let mut reply = json(status, &ErrorBody { error: detail });
+    add_retry_after(&mut reply, retry_after_ms);
+    reply
+}
+
+/// The answer to a request whose body cannot be read: nothing of it ran.
+pub fn body_error_reply(error: &BodyError) -> Reply {
+    let invalid = |message: String| {
+        failure_reply(&RequestFailure::new(ExecutionOutcome::NotExecuted, FailureCode::InvalidRequest, message, 0))
+    };
+    match error {
+        BodyError::TooLarge => {
+            let mut reply = invalid("the body is too large".to_string());
+            *reply.status_mut() = StatusCode::PAYLOAD_TOO_LARGE;
+            reply
+        }
+        BodyError::Lost => invalid("the body broke off".to_string()),
+        BodyError::Malformed(reason) => invalid(format!("the body is not as expected: {reason}")),
+    }
+}
+
+/// The answer where nothing is.
+pub fn not_found() -> Reply {
+    error_reply(StatusCode::NOT_FOUND, "no_such_path", "nothing is served under this path and method", 0)
+}
--- /dev/null
+++ b/crates/api/src/queries/control.rs
@@ -0,0 +1,140 @@
+//! Operators' reads.
+
+use crate::control::ControlApi;
+use crate::errors::{error_reply, not_found};
+use hyper::StatusCode;
+use hyper::header::{ETAG, HeaderValue};
+use saddlerelay_control_client::ControlError;
+use saddlerelay_http::body::{Reply, json, whole};
+use saddlerelay_platform::Platform;
+use saddlerelay_platform::backend::Backends;
+use saddlerelay_telemetry::metrics::{CONTENT_TYPE, MetricSet};
+use saddlerelay_types::configuration::{ObjectName, ObjectState};
+use saddlerelay_types::identity::{Revision, TenantId};
+use saddlerelay_types::membership::RelayView;
+use saddlerelay_types::protocol::{Query, QueryAnswer};
+use serde::Serialize;
+use std::time::Duration;
+
+/// Time limit of a read.
+const QUERY_LIMIT: Duration = Duration::from_secs(4);
+
+/// When to ask again, in milliseconds.
+pub const RETRY_MILLISECONDS: u64 = 300;
+
+/// Every object with the configuration's revision.
+#[derive(Serialize)]
+struct ObjectsBody {
+    revision: Revision,
+    objects: Vec<ObjectState>,
+}
+
+/// Every relay, and the revision that all of them act on.
+#[derive(Serialize)]
+struct RelaysBody {
+    revision: Revision,
+    revision_in_force: Revision,
+    relays: Vec<RelayView>,
+}
+
+/// The answer when the control group did not decide.
+pub fn control_error(error: &ControlError) -> Reply {
+    match error {
+        ControlError::Unavailable => {
+            let message = "no leader answered in time; a change may or may not be accepted, send it again with its key";
+            error_reply(StatusCode::SERVICE_UNAVAILABLE, "undecided", message, RETRY_MILLISECONDS)
+        }
+        ControlError::Refused(reason) => {
+            error_reply(StatusCode::SERVICE_UNAVAILABLE, "refused", reason.clone(), RETRY_MILLISECONDS)
+        }
+    }
+}
+
+/// The entity tag of a revision.
+pub fn entity_tag(revision: Revision) -> String {
+    format!("\"{revision}\"")
+}
+
+/// An object with its revision as entity tag.
+pub fn object_reply(status: StatusCode, state: &ObjectState) -> Reply {
+    let mut reply = json(status, state);
+    if let Ok(tag) = HeaderValue::from_str(&entity_tag(state.revision)) {
+        reply.headers_mut().insert(ETAG, tag);
+    }
+    reply
+}
+
+async fn query<P: Platform, B: Backends>(api: &ControlApi<P, B>, query: Query) -> Result<QueryAnswer, Reply> {
+    api.client.query(query, QUERY_LIMIT).await.map_err(|error| control_error(&error))
+}
+
+/// `GET /admin/v1/templates/ID` and `/admin/v1/tenants/ID`.
+pub async fn object<P: Platform, B: Backends>(api: &ControlApi<P, B>, name: ObjectName) -> Reply {
+    match query(api, Query::Object(name)).await {
+        Ok(QueryAnswer::Object(Some(state))) if state.value.is_some() => object_reply(StatusCode::OK, &state),
+        Ok(_) => not_found(),
+        Err(reply) => reply,
+    }
+}
+
+/// `GET /admin/v1/configuration`.
+pub async fn objects<P: Platform, B: Backends>(api: &ControlApi<P, B>) -> Reply {
+    match query(api, Query::Objects).await {
+        Ok(QueryAnswer::Objects(revision, objects)) => json(StatusCode::OK, &ObjectsBody { revision, objects }),
+        Ok(_) => not_found(),
+        Err(reply) => reply,
+    }
+}
+
+/// `GET /admin/v1/engines`.
+pub async fn engines<P: Platform, B: Backends>(api: &ControlApi<P, B>) -> Reply {
+    match query(api, Query::Engines).await {
+        Ok(QueryAnswer::Engines(engines)) => json(StatusCode::OK, &engines),
+        Ok(_) => not_found(),
+        Err(reply) => reply,
+    }
+}
+
+/// `GET /admin/v1/relays`.
+pub async fn relays<P: Platform, B: Backends>(api: &ControlApi<P, B>) -> Reply {
+    match query(api, Query::Relays).await {
+        Ok(QueryAnswer::Relays(revision, relays)) => {
+            let oldest = relays.iter().map(|relay| relay.revision).min();
+            let body = RelaysBody { revision, revision_in_force: oldest.unwrap_or(revision), relays };
+            json(StatusCode::OK, &body)
+        }
+        Ok(_) => not_found(),
+        Err(reply) => reply,
+    }
+}
+
+/// `GET /admin/v1/group`.
+pub async fn group<P: Platform, B: Backends>(api: &ControlApi<P, B>) -> Reply {
+    match query(api, Query::Group).await {
+        Ok(QueryAnswer::Group(group)) => json(StatusCode::OK, &group),
+        Ok(_) => not_found(),
+        Err(reply) => reply,
+    }
+}
+
+/// `GET /admin/v1/trainers/TENANT`.
+pub async fn trainer<P: Platform, B: Backends>(api: &ControlApi<P, B>, tenant: TenantId) -> Reply {
+    match query(api, Query::Trainer(tenant)).await {
+        Ok(QueryAnswer::Trainer(Some(trainer))) => json(StatusCode::OK, &trainer),
+        Ok(_) => not_found(),
+        Err(reply) => reply,
+    }
+}
+
+/// Metrics.
+pub fn metrics<P: Platform, B: Backends>(api: &ControlApi<P, B>) -> Reply {
+    let replica = api.node.replica();
+    let view = replica.view();
+    let committed = view.as_ref().map_or(0, |view| view.committed);
+    let text = MetricSet::new()
+        .gauge("ready", "1 while the replica takes part in its group", i64::from(replica.is_ready()))
+        .gauge("leader", "1 while the replica leads and holds the lease", i64::from(replica.leading_term().is_some()))
+        .gauge("committed", "Last committed log index, on the leader", committed as i64)
+        .encode();
+    whole(StatusCode::OK, CONTENT_TYPE, text)
+}
--- /dev/null
+++ b/crates/checker/src/check.rs
@@ -0,0 +1,304 @@
+//! The checks: one function for each promise.
+
+use crate::measures::measure;
+use crate::record::{CallerResult, Record};
+use crate::report::{Counts, Promise, Report, Violation};
+use saddlerelay_types::configuration::ConfigurationOutcome;
+use saddlerelay_types::identity::{EngineId, Position, TenantId};
+use saddlerelay_types::request::{ExecutionOutcome, FailureCode};
+use saddlerelay_types::rollout::SampleId;
+use std::collections::{BTreeMap, BTreeSet};
+
+/// Limits that the promises name only as "a few seconds".
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Limits {
+    /// From when an engine leaves until it may get no new work, in milliseconds.
+    pub leaving: u64,
+    /// From when a configuration is accepted until it must be in force, in milliseconds.
+    pub configuration: u64,
+    /// Whether every opened step must be wholly received by the end.
+    pub all_samples: bool,
+}
+
+impl Default for Limits {
+    fn default() -> Self {
+        Self { leaving: 3_000, configuration: 4_000, all_samples: true }
+    }
+}
+
+/// Whether a change was accepted.
+pub fn is_accepted(outcome: &ConfigurationOutcome) -> bool {
+    matches!(outcome, ConfigurationOutcome::Accepted(_))
+}
+
+/// Checks a whole run.
+pub fn check(records: &[Record], limits: &Limits) -> Report {
+    let mut ordered = records.to_vec();
+    ordered.sort_by_key(time_of);
+    let records = &ordered;
+    let mut report = Report { measures: measure(records), ..Report::default() };
+    check_callers(records, &mut report);
+    check_samples(records, limits, &mut report);
+    check_staleness(records, limits, &mut report);
+    check_leaving(records, limits, &mut report);
+    check_changes(records, &mut report);
+    check_probes(records, limits, &mut report);
+    count_rest(records, &mut report.counts);
+    report
+}
+
+fn time_of(record: &Record) -> u64 {
+    match record {
+        Record::Execution { at, .. }
+        | Record::Leaving { at, .. }
+        | Record::EngineStarted { at, .. }
+        | Record::Swap { at, .. }
+        | Record::ServedUnconfirmed { at, .. }
+        | Record::StepOpened { at, .. }
+        | Record::SampleReceived { at, .. }
+        | Record::Trained { at, .. }
+        | Record::Published { at, .. }
+        | Record::Fault { at, .. } => *at,
+        Record::Caller { to, .. } | Record::Change { to, .. } | Record::Probe { to, .. } => *to,
+    }
+}
+
+fn violate(report: &mut Report, promise: Promise, detail: String) {
+    report.violations.push(Violation { promise, detail });
+}
+
+/// How often engines admitted each prompt.
+fn executions(records: &[Record]) -> BTreeMap<&str, u64> {
+    let mut counts = BTreeMap::new();
+    for record in records {
+        if let Record::Execution { prompt, .. } = record {
+            *counts.entry(prompt.as_str()).or_default() += 1;
+        }
+    }
+    counts
+}
+
+fn check_callers(records: &[Record], report: &mut Report) {
+    let executions = executions(records);
+    let only_planned_stops = records.iter().all(|record| !matches!(record, Record::Fault { planned: false, .. }));
+    for record in records {
+        match record {
+            Record::Caller { prompt, repeatable, result, broken, .. } => {
+                if only_planned_stops && *broken > 0 {
+                    violate(report, Promise::PlannedStop, format!("{prompt}: broken off {broken} times"));
+                }
+                let ran = executions.get(prompt.as_str()).copied().unwrap_or(0);
+                check_caller(prompt, *repeatable, ran, result, report);
+            }
+            Record::ServedUnconfirmed { engine, .. } => {
+                violate(report, Promise::SampleVersions, format!("{engine} admitted work with no confirmed version"));
+            }
+            _ => {}
+        }
+    }
+}
+
+fn check_caller(prompt: &str, repeatable: bool, ran: u64, result: &CallerResult, report: &mut Report) {
+    report.counts.requests += 1;
+    if !repeatable {
+        report.counts.non_repeatable += 1;
+        if ran > 1 {
+            report.counts.non_repeatable_doubled += 1;
+            violate(report, Promise::AtMostOnce, format!("{prompt}: ran {ran} times"));
+        }
+    }
+    match result {
+        CallerResult::Answered { fault } => {
+            report.counts.answered += 1;
+            if let Some(fault) = fault {
+                violate(report, Promise::WholeAnswers, format!("{prompt}: {fault}"));
+            }
+            if ran == 0 {
+                violate(report, Promise::WholeAnswers, format!("{prompt}: answered, but no engine ran it"));
+            }
+        }
+        CallerResult::Failed { outcome, code, told_when } => {
+            count_failure(*outcome, &mut report.counts);
+            if *outcome == ExecutionOutcome::NotExecuted && ran > 0 {
+                violate(report, Promise::NotExecuted, format!("{prompt}: told not executed, ran {ran} times"));
+            }
+            if should_tell_when(*code) && !told_when {
+                violate(report, Promise::RetryAfter, format!("{prompt}: refused with {code:?}, not told when"));
+            }
+        }
+        CallerResult::Lost => report.counts.lost += 1,
+    }
+}
+
+fn should_tell_when(code: FailureCode) -> bool {
+    matches!(
+        code,
+        FailureCode::NotReady
+            | FailureCode::Stopping
+            | FailureCode::Overloaded
+            | FailureCode::NoEngine
+            | FailureCode::Undecided
+    )
+}
+
+fn count_failure(outcome: ExecutionOutcome, counts: &mut Counts) {
+    match outcome {
+        ExecutionOutcome::NotExecuted => counts.not_executed += 1,
+        ExecutionOutcome::Unknown => counts.unknown += 1,
+        ExecutionOutcome::FailedWhileExecuting => counts.failed_while_executing += 1,
+    }
+}
+
+fn check_samples(records: &[Record], limits: &Limits, report: &mut Report) {
+    let mut received: BTreeSet<&SampleId> = BTreeSet::new();
+    let mut next: BTreeMap<&TenantId, Position> = BTreeMap::new();
+    for record in records {
+        let Record::SampleReceived { tenant, position, sample, fault, .. } = record else {
+            continue;
+        };
+        report.counts.samples_delivered += 1;
+        if !received.insert(sample) {
+            report.counts.samples_duplicated += 1;
+            violate(report, Promise::ExactlyOnce, format!("{sample}: received again"));
+        }
+        let expected = next.entry(tenant).or_insert(Position(1));
+        if *position != *expected {
+            violate(report, Promise::ExactlyOnce, format!("{sample}: at position {position}, not {expected}"));
+        }
+        *expected = position.next();
+        if let Some(fault) = fault {
+            violate(report, Promise::SampleVersions, format!("{sample}: {fault}"));
+        }
+    }
+    let expected: u64 = records.iter().map(samples_opened).sum();
+    report.counts.samples_expected = expected;
+    report.counts.samples_missing = expected.saturating_sub(received.len() as u64);
+    if limits.all_samples && report.counts.samples_missing > 0 {
+        let detail = format!("{} of {expected} samples never received", report.counts.samples_missing);
+        violate(report, Promise::ExactlyOnce, detail);
+    }
+}
+
+fn samples_opened(record: &Record) -> u64 {
+    match record {
+        Record::StepOpened { samples, .. } => u64::from(*samples),
+        _ => 0,
+    }
+}
+
+/// The loosest bound that an honest system may still act on: the newest ones accepted within the limit, and the one
+/// before them.
+fn check_staleness(records: &[Record], limits: &Limits, report: &mut Report) {
+    let mut bounds: BTreeMap<&TenantId, Vec<(u64, u64)>> = BTreeMap::new();
+    for record in records {
+        match record {
+            Record::Change { to, staleness_bound: Some((tenant, bound)), outcome, .. } if is_accepted(outcome) => {
+                bounds.entry(tenant).or_default().push((*to, *bound));
+            }
+            Record::SampleReceived { at, tenant, sample, oldest, published, .. } => {
+                let Some(bound) = bounds.get(tenant).and_then(|bounds| loosest_bound(bounds, *at, limits)) else {
+                    continue;
+                };
+                let behind = published.0.saturating_sub(oldest.0);
+                if behind > bound {
+                    report.counts.samples_stale += 1;
+                    violate(report, Promise::Staleness, format!("{sample}: {behind} versions old, bound {bound}"));
+                }
+            }
+            _ => {}
+        }
+    }
+}
+
+fn loosest_bound(bounds: &[(u64, u64)], at: u64, limits: &Limits) -> Option<u64> {
+    let settled = bounds.iter().rposition(|(accepted, _)| accepted + limits.configuration <= at).unwrap_or(0);
+    bounds[settled..].iter().map(|(_, bound)| *bound).max()
+}
+
+fn check_leaving(records: &[Record], limits: &Limits, report: &mut Report) {
+    let mut leaving: BTreeMap<&EngineId, u64> = BTreeMap::new();
+    for record in records {
+        match record {
+            Record::Leaving { at, engine } => {
+                leaving.entry(engine).or_insert(*at);
+            }
+            Record::EngineStarted { engine, .. } => {
+                leaving.remove(engine);
+            }
+            Record::Execution { at, engine, prompt, .. } => {
+                let late = leaving.get(engine).filter(|since| *at > *since + limits.leaving);
+                if let Some(since) = late {
+                    let detail = format!("{engine}: new work ({prompt}) {} ms after it began to leave", at - since);
+                    violate(report, Promise::Leaving, detail);
+                }
+            }
+            _ => {}
+        }
+    }
+}
+
+/// Exactly one of the changes that name the same revision of an object wins, and a key has one answer.
+fn check_changes(records: &[Record], report: &mut Report) {
+    let mut winners: BTreeMap<(&str, u64), &str> = BTreeMap::new();
+    let mut answers: BTreeMap<&str, &ConfigurationOutcome> = BTreeMap::new();
+    for record in records {
+        let Record::Change { object, key, expected, outcome, .. } = record else {
+            continue;
+        };
+        if let Some(first) = answers.insert(key, outcome)
+            && first != outcome
+        {
+            violate(report, Promise::Configuration, format!("key {key}: answered {first:?}, then {outcome:?}"));
+        }
+        if !is_accepted(outcome) {
+            continue;
+        }
+        report.counts.changes_accepted += 1;
+        if let Some(expected) = expected
+            && let Some(other) = winners.insert((object, expected.0), key)
+            && other != key
+        {
+            let detail = format!("{object} at revision {expected}: both {other} and {key} were accepted");
+            violate(report, Promise::Configuration, detail);
+        }
+    }
+}
+
+/// A relay that may act, acts on a configuration accepted longer ago than the limit, and never on an earlier one than
+/// any it was seen to act on.
+fn check_probes(records: &[Record], limits: &Limits, report: &mut Report) {
+    let mut accepted: Vec<(u64, u64)> = Vec::new();
+    let mut seen: BTreeMap<&str, u64> = BTreeMap::new();
+    for record in records {
+        match record {
+            Record::Change { to, probe: Some(probe), outcome, .. } if is_accepted(outcome) => {
+                accepted.push((*to, *probe));
+            }
+            Record::Probe { from, relay, value: Some(value), .. } => {
+                let due = accepted.iter().filter(|(at, _)| at + limits.configuration <= *from);
+                let due = due.map(|(_, probe)| *probe).max().unwrap_or(0);
+                if *value < due {
+                    let detail = format!("{relay}: acts on {value} when {due} is overdue");
+                    violate(report, Promise::Configuration, detail);
+                }
+                let newest = seen.entry(relay).or_insert(*value);
+                if value < newest {
+                    violate(report, Promise::Configuration, format!("{relay}: went back from {newest} to {value}"));
+                }
+                *newest = (*newest).max(*value);
+            }
+            _ => {}
+        }
+    }
+}
+
+fn count_rest(records: &[Record], counts: &mut Counts) {
+    for record in records {
+        match record {
+            Record::Execution { .. } => counts.executions += 1,
+            Record::Published { .. } => counts.versions_published += 1,
+            Record::Fault { .. } => counts.faults += 1,
+            _ => {}
+        }
+    }
+}
--- /dev/null
+++ b/crates/checker/src/measures.rs
@@ -0,0 +1,170 @@
+//! What the users measure: trainer idle time, staleness, latency, time to force, time of a weight swap.
+
+use crate::record::{CallerResult, Record};
+use hdrhistogram::Histogram;
+use saddlerelay_types::request::Priority;
+use serde::{Deserialize, Serialize};
+use std::collections::BTreeMap;
+
+/// Percentiles in milliseconds.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct Percentiles {
+    /// How many values.
+    pub count: u64,
+    /// Half are at most this.
+    pub p50: u64,
+    /// 95 in 100 are at most this.
+    pub p95: u64,
+    /// 99 in 100 are at most this.
+    pub p99: u64,
+    /// The largest.
+    pub max: u64,
+}
+
+/// One trainer's measures.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct TrainerMeasures {
+    /// Share of its time that it waited for samples.
+    pub idle_fraction: f64,
+    /// Mean staleness of its samples, in versions.
+    pub staleness_mean: f64,
+    /// Largest staleness.
+    pub staleness_max: u64,
+    /// Steps trained.
+    pub steps: u64,
+}
+
+/// A run's measures.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct Measures {
+    /// By tenant.
+    pub trainers: BTreeMap<String, TrainerMeasures>,
+    /// Whole answers' time by caller class.
+    pub latency: BTreeMap<String, Percentiles>,
+    /// Time to the first token by caller class.
+    pub first_token: BTreeMap<String, Percentiles>,
+    /// From a change's acceptance until every relay that acts was seen to act on it.
+    pub configuration_in_force: Percentiles,
+    /// From a publication until an engine has loaded the version.
+    pub weight_swap: Percentiles,
+}
+
+/// Percentiles of `values`.
+pub fn percentiles(values: impl IntoIterator<Item = u64>) -> Percentiles {
+    let Ok(mut histogram) = Histogram::<u64>::new(3) else {
+        return Percentiles::default();
+    };
+    for value in values {
+        histogram.saturating_record(value.max(1));
+    }
+    Percentiles {
+        count: histogram.len(),
+        p50: histogram.value_at_quantile(0.50),
+        p95: histogram.value_at_quantile(0.95),
+        p99: histogram.value_at_quantile(0.99),
+        max: histogram.max(),
+    }
+}
+
+/// The name of a caller class in reports.
+pub fn class_name(class: Priority) -> &'static str {
+    match class {
+        Priority::Interactive => "interactive",
+        Priority::Batch => "batch",
+        Priority::Rollout => "rollout",
+    }
+}
+
+/// Measures of a whole run.
+pub fn measure(records: &[Record]) -> Measures {
+    Measures {
+        trainers: trainers(records),
+        latency: latencies(records, |from, to, _| Some(to - from)),
+        first_token: latencies(records, |_, _, first_token_after| first_token_after),
+        configuration_in_force: percentiles(times_to_force(records)),
+        weight_swap: percentiles(swap_times(records)),
+    }
+}
+
+fn trainers(records: &[Record]) -> BTreeMap<String, TrainerMeasures> {
+    let mut times: BTreeMap<String, (u64, u64, u64)> = BTreeMap::new();
+    let mut staleness: BTreeMap<String, Vec<u64>> = BTreeMap::new();
+    for record in records {
+        match record {
+            Record::Trained { tenant, waited, trained, .. } => {
+                let time = times.entry(tenant.to_string()).or_default();
+                *time = (time.0 + waited, time.1 + trained, time.2 + 1);
+            }
+            Record::SampleReceived { tenant, oldest, published, .. } => {
+                let behind = published.0.saturating_sub(oldest.0);
+                staleness.entry(tenant.to_string()).or_default().push(behind);
+            }
+            _ => {}
+        }
+    }
+    let measure = |(tenant, (waited, trained, steps)): (String, (u64, u64, u64))| {
+        let behind = staleness.get(&tenant).cloned().unwrap_or_default();
+        let measures = TrainerMeasures {
+            idle_fraction: waited as f64 / (waited + trained).max(1) as f64,
+            staleness_mean: behind.iter().sum::<u64>() as f64 / behind.len().max(1) as f64,
+            staleness_max: behind.iter().copied().max().unwrap_or(0),
+            steps,
+        };
+        (tenant, measures)
+    };
+    times.into_iter().map(measure).collect()
+}
+
+fn latencies(
+    records: &[Record],
+    value: impl Fn(u64, u64, Option<u64>) -> Option<u64>,
+) -> BTreeMap<String, Percentiles> {
+    let mut by_class: BTreeMap<String, Vec<u64>> = BTreeMap::new();
+    for record in records {
+        if let Record::Caller { from, to, class, first_token_after, result: CallerResult::Answered { .. }, .. } = record
+            && let Some(value) = value(*from, *to, *first_token_after)
+        {
+            by_class.entry(class_name(*class).to_string()).or_default().push(value);
+        }
+    }
+    by_class.into_iter().map(|(class, values)| (class, percentiles(values))).collect()
+}
+
+/// For each probe value: from its acceptance until the last relay was first seen on it or a later one.
+fn times_to_force(records: &[Record]) -> Vec<u64> {
+    let accepted = records.iter().filter_map(|record| match record {
+        Record::Change { to, probe: Some(probe), outcome, .. } if crate::check::is_accepted(outcome) => {
+            Some((*probe, *to))
+        }
+        _ => None,
+    });
+    let seen_after = |probe: u64| {
+        let mut first_seen: BTreeMap<&str, u64> = BTreeMap::new();
+        for record in records {
+            if let Record::Probe { to, relay, value: Some(value), .. } = record
+                && *value >= probe
+            {
+                first_seen.entry(relay).or_insert(*to);
+            }
+        }
+        first_seen.into_values().max()
+    };
+    accepted.filter_map(|(probe, at)| Some(seen_after(probe)?.saturating_sub(at))).collect()
+}
+
+fn swap_times(records: &[Record]) -> Vec<u64> {
+    let mut published: BTreeMap<u64, u64> = BTreeMap::new();
+    let mut times = Vec::new();
+    for record in records {
+        match record {
+            Record::Published { at, version, .. } => {
+                published.entry(version.0).or_insert(*at);
+            }
+            Record::Swap { at, version, loaded: Some(true), .. } => {
+                times.extend(published.get(&version.0).map(|from| at.saturating_sub(*from)));
+            }
+            _ => {}
+        }
+    }
+    times
+}
--- /dev/null
+++ b/crates/command-line/src/admin.rs
@@ -0,0 +1,200 @@
+//! `saddlerelay admin`: a client of the administration API and nothing more.
+
+use crate::table::table;
+use crate::{CommandError, Exit};
+use hyper::{Method, StatusCode};
+use lexopt::prelude::*;
+use saddlerelay_http::client::{WholeResponse, call};
+use serde_json::Value as Json;
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+
+/// What the command line says.
+#[derive(Default)]
+struct AdminArguments {
+    address: Option<SocketAddr>,
+    token: String,
+    json: bool,
+    if_match: Option<u64>,
+    if_absent: bool,
+    key: Option<String>,
+    words: Vec<String>,
+}
+
+/// One call of the API and how its answer is shown.
+struct ApiCall {
+    method: Method,
+    path: String,
+    body: Vec<u8>,
+    columns: &'static [(&'static str, &'static str)],
+    /// The member of the answer that holds the rows; empty when the answer itself does.
+    rows: &'static str,
+}
+
+const MEMBER_COLUMNS: &[(&str, &str)] = &[
+    ("REPLICA", "id"),
+    ("ADDRESS", "address"),
+    ("VOTER", "voter"),
+    ("MATCHED", "matched"),
+    ("HEARD MS AGO", "heard_milliseconds_ago"),
+];
+const RELAY_COLUMNS: &[(&str, &str)] = &[
+    ("RELAY", "description.name"),
+    ("ZONE", "description.zone"),
+    ("ADDRESS", "description.address"),
+    ("REVISION", "revision"),
+    ("RENEWED MS AGO", "renewed_milliseconds_ago"),
+];
+const ENGINE_COLUMNS: &[(&str, &str)] = &[
+    ("ENGINE", "description.id"),
+    ("ZONE", "description.zone"),
+    ("MODEL", "description.model"),
+    ("SLOTS", "description.slots"),
+    ("AVAILABILITY", "availability"),
+    ("WEIGHTS", "weights.state"),
+    ("VERSION", "weights.version"),
+];
+const OBJECT_COLUMNS: &[(&str, &str)] = &[("NAME", "name"), ("REVISION", "revision"), ("VALUE", "value")];
+
+/// Runs an administration command.
+pub fn run(parser: &mut lexopt::Parser) -> Result<(), CommandError> {
+    let arguments = parse(parser)?;
+    let address =
+        arguments.address.ok_or_else(|| CommandError::new(Exit::Usage, "flag --address IP:PORT is missing"))?;
+    let runtime =
+        compio::runtime::Runtime::new().map_err(|error| CommandError::new(Exit::Failed, error.to_string()))?;
+    runtime.block_on(async {
+        for api_call in api_calls(&arguments)? {
+            let response = send(address, &arguments, &api_call).await?;
+            show(&arguments, &api_call, &response)?;
+        }
+        Ok(())
+    })
+}
+
+fn parse(parser: &mut lexopt::Parser) -> Result<AdminArguments, CommandError> {
+    let mut arguments = AdminArguments::default();
+    while let Some(argument) = parser.next()? {
+        match argument {
+            Long("address") => arguments.address = Some(parser.value()?.parse()?),
+            Long("token") => arguments.token = parser.value()?.string()?,
+            Long("token-file") => arguments.token = read_token(&PathBuf::from(parser.value()?))?,
+            Long("json") => arguments.json = true,
+            Long("if-match") => arguments.if_match = Some(parser.value()?.parse()?),
+            Long("if-absent") => arguments.if_absent = true,
+            Long("key") => arguments.key = Some(parser.value()?.string()?),
+            Value(word) => arguments.words.push(word.string()?),
+            other => return Err(other.unexpected().into()),
+        }
+    }
+    Ok(arguments)
+}
+
+fn read_token(file: &Path) -> Result<String, CommandError> {
+    let text = std::fs::read_to_string(file)
+        .map_err(|error| CommandError::new(Exit::Usage, format!("{}: {error}", file.display())))?;
+    Ok(text.trim().to_string())
+}
+
+fn get(path: &str, columns: &'static [(&'static str, &'static str)], rows: &'static str) -> ApiCall {
+    ApiCall { method: Method::GET, path: path.to_string(), body: Vec::new(), columns, rows }
+}
+
+fn post(path: String) -> ApiCall {
+    ApiCall { method: Method::POST, path, body: Vec::new(), columns: &[], rows: "" }
+}
+
+fn api_calls(arguments: &AdminArguments) -> Result<Vec<ApiCall>, CommandError> {
+    let words: Vec<&str> = arguments.words.iter().map(String::as_str).collect();
+    let group = || get("group", MEMBER_COLUMNS, "replicas");
+    let relays = || get("relays", RELAY_COLUMNS, "relays");
+    let engines = || get("engines", ENGINE_COLUMNS, "");
+    let calls = match words.as_slice() {
+        ["initialize"] => vec![post("initialize".to_string())],
+        ["dump-log"] => vec![post("dump-log".to_string())],
+        ["status"] => vec![group(), relays(), engines()],
+        ["members"] => vec![group()],
+        ["relays"] => vec![relays()],
+        ["engines"] => vec![engines()],
+        ["templates" | "tenants"] => vec![get("configuration", OBJECT_COLUMNS, "objects")],
+        ["trainer", tenant] => vec![get(&format!("trainers/{tenant}"), &[], "")],
+        ["drain", engine] => vec![post(format!("engines/{engine}/drain"))],
+        [kind @ ("template" | "tenant"), "get", id] => vec![get(&format!("{kind}s/{id}"), &[], "")],
+        [kind @ ("template" | "tenant"), "delete", id] => {
+            vec![ApiCall { method: Method::DELETE, ..get(&format!("{kind}s/{id}"), &[], "") }]
+        }
+        [kind @ ("template" | "tenant"), "put", id, file] => {
+            let body = read_object(Path::new(file))?;
+            vec![ApiCall { method: Method::PUT, body, ..get(&format!("{kind}s/{id}"), &[], "") }]
+        }
+        _ => return Err(CommandError::new(Exit::Usage, "no such administration command; see saddlerelay --help")),
+    };
+    Ok(calls)
+}
+
+/// A template or tenant as JSON.
+fn read_object(file: &Path) -> Result<Vec<u8>, CommandError> {
+    let refuse = |reason: String| CommandError::new(Exit::Usage, format!("{}: {reason}", file.display()));
+    let text = std::fs::read_to_string(file).map_err(|error| refuse(error.to_string()))?;
+    if file.extension().is_some_and(|extension| extension == "json") {
+        return Ok(text.into_bytes());
+    }
+    let value: toml::Table = text.parse().map_err(|error: toml::de::Error| refuse(error.to_string()))?;
+    serde_json::to_vec(&value).map_err(|error| refuse(error.to_string()))
+}
+
+async fn send(
+    address: SocketAddr,
+    arguments: &AdminArguments,
+    api_call: &ApiCall,
+) -> Result<WholeResponse, CommandError> {
+    let authorization = format!("Bearer {}", arguments.token);
+    let if_match = arguments.if_match.map(|revision| format!("\"{revision}\""));
+    let mut headers = vec![("authorization", authorization.as_str())];
+    if let Some(if_match) = &if_match {
+        headers.push(("if-match", if_match));
+    }
+    if arguments.if_absent {
+        headers.push(("if-none-match", "*"));
+    }
+    if let Some(key) = &arguments.key {
+        headers.push(("idempotency-key", key));
+    }
+    let path = format!("/admin/v1/{}", api_call.path);
+    let response = call(address, api_call.method.clone(), &path, &headers, api_call.body.clone()).await;
+    response.map_err(|error| CommandError::new(Exit::TryAgain, format!("{address}: {error}")))
+}
+
+fn show(arguments: &AdminArguments, api_call: &ApiCall, response: &WholeResponse) -> Result<(), CommandError> {
+    let text = String::from_utf8_lossy(&response.body).into_owned();
+    if !response.status.is_success() {
+        let again = response.status == StatusCode::SERVICE_UNAVAILABLE;
+        let exit = if again { Exit::TryAgain } else { Exit::Refused };
+        return Err(CommandError::new(exit, format!("{}: {text}", response.status)));
+    }
+    let answer: Json = serde_json::from_slice(&response.body).unwrap_or(Json::String(text));
+    if arguments.json || api_call.columns.is_empty() {
+        println!("{}", serde_json::to_string_pretty(&answer).unwrap_or_default());
+        return Ok(());
+    }
+    let rows = if api_call.rows.is_empty() { &answer } else { &answer[api_call.rows] };
+    let empty = Vec::new();
+    print!("{}", table(wanted_rows(arguments, rows.as_array().unwrap_or(&empty)).as_slice(), api_call.columns));
+    for name in ["term", "committed", "revision", "revision_in_force"] {
+        if let Some(value) = answer.get(name) {
+            println!("{name}: {value}");
+        }
+    }
+    println!();
+    Ok(())
+}
+
+/// `templates` and `tenants` each show their own kind.
+fn wanted_rows(arguments: &AdminArguments, rows: &[Json]) -> Vec<Json> {
+    let kind = match arguments.words.first().map(String::as_str) {
+        Some("templates") => "template",
+        Some("tenants") => "tenant",
+        _ => return rows.to_vec(),
+    };
+    rows.iter().filter(|row| row["name"].get(kind).is_some()).cloned().collect()
+}
--- /dev/null
+++ b/crates/command-line/src/lib.rs
@@ -0,0 +1,144 @@
+//! The command line: `serve`, `check-config` and `admin`.
+
+pub mod admin;
+pub mod serve;
+pub mod table;
+
+use lexopt::prelude::*;
+use std::ffi::OsString;
+use std::fmt;
+use std::path::{Path, PathBuf};
+
+/// Help text.
+pub const HELP: &str = "\
+saddlerelay: a rollout service for reinforcement learning
+
+  saddlerelay serve --config FILE         run a relay or a control replica
+  saddlerelay check-config FILE           check a settings file and tell everything that is wrong with it
+  saddlerelay admin --address IP:PORT (--token TOKEN | --token-file FILE) [--json] COMMAND
+      initialize                          form a new control group of the replica at this address
+      status                              the group, the relays and the configuration in force
+      members | relays | engines          each of them
+      templates | tenants                 list the configuration
+      template|tenant get ID
+      template|tenant put ID FILE [--if-match REVISION | --if-absent] [--key KEY]
+      template|tenant delete ID [--if-match REVISION] [--key KEY]
+      trainer ID                          where a tenant's trainer stands
+      drain ENGINE                        give an engine no new work until it starts anew
+      dump-log                            write the process's log ring to its data folder
+  saddlerelay --help | --version
+
+FILE of `put` is TOML, or JSON when its name ends in .json.
+
+Exit codes: 0 done; 1 failed while running; 2 the command line is wrong; 3 the settings are wrong;
+            4 the administration API refused; 5 undecided or unreachable, try again.
+";
+
+/// How a command ends.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Exit {
+    /// Done.
+    Done = 0,
+    /// Failed while running.
+    Failed = 1,
+    /// The command line is wrong.
+    Usage = 2,
+    /// The settings are wrong.
+    Settings = 3,
+    /// The administration API refused.
+    Refused = 4,
+    /// Undecided or unreachable.
+    TryAgain = 5,
+}
+
+/// A failed command: what to tell, and how to end.
+#[derive(Debug)]
+pub struct CommandError {
+    /// How to end.
+    pub exit: Exit,
+    /// What to tell.
+    pub message: String,
+}
+
+impl CommandError {
+    /// An error with this end.
+    pub fn new(exit: Exit, message: impl Into<String>) -> Self {
+        Self { exit, message: message.into() }
+    }
+}
+
+impl fmt::Display for CommandError {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        formatter.write_str(&self.message)
+    }
+}
+
+impl From<lexopt::Error> for CommandError {
+    fn from(error: lexopt::Error) -> Self {
+        Self::new(Exit::Usage, format!("{error}; see saddlerelay --help"))
+    }
+}
+
+/// Runs the command that `arguments` name, without the program's own name.
+pub fn run(arguments: Vec<OsString>) -> Exit {
+    match try_run(arguments) {
+        Ok(()) => Exit::Done,
+        Err(error) => {
+            eprintln!("saddlerelay: {error}");
+            error.exit
+        }
+    }
+}
+
+fn try_run(arguments: Vec<OsString>) -> Result<(), CommandError> {
+    let mut parser = lexopt::Parser::from_args(arguments);
+    match parser.next()? {
+        Some(Long("help") | Short('h')) => {
+            print!("{HELP}");
+            Ok(())
+        }
+        Some(Long("version") | Short('V')) => {
+            println!("saddlerelay {}", env!("CARGO_PKG_VERSION"));
+            Ok(())
+        }
+        Some(Value(command)) if command == "serve" => serve::serve(&config_flag(&mut parser)?),
+        Some(Value(command)) if command == "check-config" => check_config(&mut parser),
+        Some(Value(command)) if command == "admin" => admin::run(&mut parser),
+        Some(other) => Err(other.unexpected().into()),
+        None => Err(CommandError::new(Exit::Usage, "name a command; see saddlerelay --help")),
+    }
+}
+
+fn config_flag(parser: &mut lexopt::Parser) -> Result<PathBuf, CommandError> {
+    let mut config = None;
+    while let Some(argument) = parser.next()? {
+        match argument {
+            Long("config") => config = Some(PathBuf::from(parser.value()?)),
+            other => return Err(other.unexpected().into()),
+        }
+    }
+    config.ok_or_else(|| CommandError::new(Exit::Usage, "flag --config FILE is missing"))
+}
+
+fn check_config(parser: &mut lexopt::Parser) -> Result<(), CommandError> {
+    let file = match parser.next()? {
+        Some(Value(file)) => PathBuf::from(file),
+        _ => return Err(CommandError::new(Exit::Usage, "name a settings file")),
+    };
+    if let Some(other) = parser.next()? {
+        return Err(other.unexpected().into());
+    }
+    read_settings(&file)?;
+    println!("{}: ok", file.display());
+    Ok(())
+}
+
+/// Reads a settings file; the error names the file and everything that is wrong in it.
+pub fn read_settings(file: &Path) -> Result<saddlerelay_settings::Settings, CommandError> {
+    let text = std::fs::read_to_string(file)
+        .map_err(|error| CommandError::new(Exit::Settings, format!("{}: {error}", file.display())))?;
+    saddlerelay_settings::parse(&text).map_err(|errors| {
+        let lines: Vec<String> = errors.iter().map(|error| format!("{}: {error}", file.display())).collect();
+        CommandError::new(Exit::Settings, lines.join("\n"))
+    })
+}
--- /dev/null
+++ b/crates/command-line/src/serve.rs
@@ -0,0 +1,129 @@
+//! Wires a process together and runs it until it is told to stop.
+
+use crate::{CommandError, Exit, read_settings};
+use compio::net::TcpListener;
+use saddlerelay_api::control::ControlApi;
+use saddlerelay_api::relay::RelayApi;
+use saddlerelay_control::node::ControlNode;
+use saddlerelay_control_client::ControlClient;
+use saddlerelay_engine_client::{BackendAddresses, HttpBackends};
+use saddlerelay_platform::Platform;
+use saddlerelay_platform_compio::CompioPlatform;
+use saddlerelay_relay::{Relay, RelayOptions};
+use saddlerelay_replication::ReplicaOptions;
+use saddlerelay_settings::{ControlSettings, RelaySettings, Role, Settings};
+use saddlerelay_telemetry::ring::RingSink;
+use std::net::SocketAddr;
+use std::path::Path;
+use std::rc::Rc;
+use std::sync::Arc;
+
+const SIGINT: i32 = 2;
+const SIGTERM: i32 = 15;
+
+fn failed(error: impl std::fmt::Display) -> CommandError {
+    CommandError::new(Exit::Failed, error.to_string())
+}
+
+/// Runs the process that the settings in `file` describe.
+pub fn serve(file: &Path) -> Result<(), CommandError> {
+    let settings = read_settings(file)?;
+    let folder = &settings.data_folder;
+    std::fs::create_dir_all(folder).map_err(|error| failed(format!("{}: {error}", folder.display())))?;
+    let log = saddlerelay_telemetry::log::set_up(folder).map_err(failed)?;
+    let runtime = compio::runtime::Runtime::new().map_err(failed)?;
+    let ended = runtime.block_on(run(settings, log.clone()));
+    if let Err(error) = &ended {
+        spdlog::error!("the process ends: {}", error);
+    }
+    ended
+}
+
+async fn run(settings: Settings, log: Arc<RingSink>) -> Result<(), CommandError> {
+    let platform = CompioPlatform::new(settings.data_folder.clone());
+    let addresses = BackendAddresses { scorer: settings.scorer, platform: settings.platform };
+    let backends = HttpBackends::new(addresses).map_err(failed)?;
+    spdlog::info!("start", kv: { name = settings.name.as_str(), zone = settings.zone.as_str() });
+    match settings.role.clone() {
+        Role::Relay(relay) => run_relay(settings, relay, platform, backends).await,
+        Role::Control(control) => run_control(settings, control, platform, backends, log).await,
+    }
+}
+
+async fn listen(address: SocketAddr) -> Result<TcpListener, CommandError> {
+    TcpListener::bind(address).await.map_err(|error| failed(format!("cannot listen on {address}: {error}")))
+}
+
+async fn run_relay(
+    settings: Settings,
+    relay: RelaySettings,
+    platform: CompioPlatform,
+    backends: HttpBackends,
+) -> Result<(), CommandError> {
+    let options = RelayOptions {
+        name: settings.name,
+        zone: settings.zone,
+        address: settings.http_address,
+        control: settings.control,
+        secret: settings.shared_secret,
+        policy: relay.policy,
+        config: relay.config,
+    };
+    let listener = listen(settings.http_address).await?;
+    let relay = Relay::start(platform.clone(), backends, options).await.map_err(failed)?;
+    let api = RelayApi { relay: relay.clone(), platform: platform.clone() };
+    platform.spawn(saddlerelay_http::server::serve(listener, Rc::new(api)));
+    wait_for_stop().await;
+    spdlog::info!("planned stop", kv: { in_progress = relay.in_progress() });
+    let drained = relay.drain().await;
+    flush_answers().await;
+    if drained { Ok(()) } else { Err(failed("requests were still in progress at the drain limit")) }
+}
+
+async fn run_control(
+    settings: Settings,
+    control: ControlSettings,
+    platform: CompioPlatform,
+    backends: HttpBackends,
+    log: Arc<RingSink>,
+) -> Result<(), CommandError> {
+    let options = ReplicaOptions {
+        address: control.peer_address,
+        peers: settings.control.clone(),
+        secret: settings.shared_secret.clone(),
+        config: control.replication,
+    };
+    let http_listener = listen(settings.http_address).await?;
+    let peer_listener = platform.listen(control.peer_address).await;
+    let peer_listener =
+        peer_listener.map_err(|error| failed(format!("cannot listen on {}: {error}", control.peer_address)))?;
+    let node = ControlNode::start(platform.clone(), backends, control.config, options).await.map_err(failed)?;
+    let handler = Rc::new(node.clone());
+    let secret = settings.shared_secret.clone();
+    platform.spawn(saddlerelay_rpc::server::serve(platform.clone(), peer_listener, secret, handler));
+    let api = ControlApi {
+        node: node.clone(),
+        client: ControlClient::new(platform.clone(), &settings.control, &settings.shared_secret),
+        peer_address: control.peer_address,
+        operator_token: control.operator_token,
+        platform: platform.clone(),
+        log: Some(log),
+    };
+    platform.spawn(saddlerelay_http::server::serve(http_listener, Rc::new(api)));
+    wait_for_stop().await;
+    let handed_over = node.hand_over().await;
+    spdlog::info!("planned stop", kv: { handed_over = handed_over });
+    flush_answers().await;
+    Ok(())
+}
+
+async fn wait_for_stop() {
+    let terminate = std::pin::pin!(compio::signal::unix::signal(SIGTERM));
+    let interrupt = std::pin::pin!(compio::signal::unix::signal(SIGINT));
+    futures::future::select(terminate, interrupt).await;
+}
+
+/// Answers that are complete may still be on their way to the sockets.
+async fn flush_answers() {
+    compio::time::sleep(std::time::Duration::from_millis(200)).await;
+}
--- /dev/null
+++ b/crates/control-client/src/lib.rs
@@ -0,0 +1,143 @@
+//! Finds the control group's leader and calls it.
+//!
+//! Every command is safe to send again: changes carry a key or a revision, claims an arrival, samples an attempt,
+//! assignments a sequence. A call whose answer is lost is therefore repeated until its time runs out.
+
+use saddlerelay_platform::Platform;
+use saddlerelay_rpc::client::Client;
+use saddlerelay_types::protocol::{
+    Command, CommandOutcome, ControlReply, ControlRequest, Query, QueryAnswer, RenewReply, RenewRequest,
+};
+use std::cell::{Cell, RefCell};
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+/// The longest wait for one replica's answer before another is tried.
+const ATTEMPT_LIMIT: Duration = Duration::from_millis(1200);
+
+/// Pause after a replica that does not lead and knows no leader.
+const RETRY_PAUSE: Duration = Duration::from_millis(40);
+
+/// Why a call brought no outcome.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum ControlError {
+    /// No leader answered in time. A command may or may not be committed.
+    Unavailable,
+    /// The leader refused; nothing was done.
+    Refused(String),
+}
+
+struct Inner<P> {
+    platform: P,
+    replicas: RefCell<Vec<Client<P>>>,
+    current: Cell<usize>,
+    secret: String,
+}
+
+/// Calls the control group. Clones share connections.
+pub struct ControlClient<P> {
+    inner: Rc<Inner<P>>,
+}
+
+impl<P> Clone for ControlClient<P> {
+    fn clone(&self) -> Self {
+        Self { inner: self.inner.clone() }
+    }
+}
+
+impl<P: Platform> ControlClient<P> {
+    /// A client of the group whose replicas listen at `addresses`.
+    pub fn new(platform: P, addresses: &[SocketAddr], secret: &str) -> Self {
+        let client = |address: &SocketAddr| Client::new(platform.clone(), *address, secret);
+        let replicas = RefCell::new(addresses.iter().map(client).collect());
+        let inner = Inner { platform: platform.clone(), replicas, current: Cell::new(0), secret: secret.to_string() };
+        Self { inner: Rc::new(inner) }
+    }
+
+    /// Commits a command, trying for at most `limit`.
+    pub async fn execute(&self, command: Command, limit: Duration) -> Result<CommandOutcome, ControlError> {
+        match self.call_leader(&ControlRequest::Execute(command), limit).await? {
+            ControlReply::Executed(outcome) => Ok(outcome),
+            other => Err(unexpected(other)),
+        }
+    }
+
+    /// Reads the committed state, trying for at most `limit`.
+    pub async fn query(&self, query: Query, limit: Duration) -> Result<QueryAnswer, ControlError> {
+        match self.call_leader(&ControlRequest::Query(query), limit).await? {
+            ControlReply::Answer(answer) => Ok(answer),
+            other => Err(unexpected(other)),
+        }
+    }
+
+    /// Renews a relay's lease, trying for at most `limit`.
+    pub async fn renew(&self, renewal: RenewRequest, limit: Duration) -> Result<RenewReply, ControlError> {
+        match self.call_leader(&ControlRequest::Renew(renewal), limit).await? {
+            ControlReply::Renewed(reply) => Ok(reply),
+            other => Err(unexpected(other)),
+        }
+    }
+
+    /// Asks the replica at `address` to form a new group.
+    pub async fn initialize(&self, address: SocketAddr, limit: Duration) -> Result<(), ControlError> {
+        let client = Client::new(self.inner.platform.clone(), address, &self.inner.secret);
+        let answer = client.call(bitcode::encode(&ControlRequest::Initialize), limit).await;
+        let reply = answer.ok().and_then(|bytes| bitcode::decode::<ControlReply>(&bytes).ok());
+        match reply {
+            Some(ControlReply::Executed(_)) => Ok(()),
+            Some(other) => Err(unexpected(other)),
+            None => Err(ControlError::Unavailable),
+        }
+    }
+
+    async fn call_leader(&self, request: &ControlRequest, limit: Duration) -> Result<ControlReply, ControlError> {
+        let deadline = self.inner.platform.monotonic() + limit;
+        let body = bitcode::encode(request);
+        loop {
+            let left = deadline.saturating_sub(self.inner.platform.monotonic());
+            if left.is_zero() {
+                return Err(ControlError::Unavailable);
+            }
+            let replica = self.current_replica();
+            let answer = replica.call(body.clone(), left.min(ATTEMPT_LIMIT)).await;
+            match answer.ok().and_then(|bytes| bitcode::decode(&bytes).ok()) {
+                Some(ControlReply::NotLeader { leader: Some(leader) }) if leader != replica.address() => {
+                    self.choose(leader);
+                }
+                Some(ControlReply::NotLeader { .. } | ControlReply::Undecided) | None => {
+                    self.choose_next();
+                    self.inner.platform.sleep(RETRY_PAUSE).await;
+                }
+                Some(reply) => return Ok(reply),
+            }
+        }
+    }
+
+    fn current_replica(&self) -> Client<P> {
+        let replicas = self.inner.replicas.borrow();
+        replicas[self.inner.current.get() % replicas.len()].clone()
+    }
+
+    fn choose_next(&self) {
+        self.inner.current.set(self.inner.current.get() + 1);
+    }
+
+    /// Turns to the replica at `address`, also one that the settings do not name.
+    fn choose(&self, address: SocketAddr) {
+        let mut replicas = self.inner.replicas.borrow_mut();
+        let known = replicas.iter().position(|replica| replica.address() == address);
+        let index = known.unwrap_or(replicas.len());
+        if known.is_none() {
+            replicas.push(Client::new(self.inner.platform.clone(), address, &self.inner.secret));
+        }
+        self.inner.current.set(index);
+    }
+}
+
+fn unexpected(reply: ControlReply) -> ControlError {
+    match reply {
+        ControlReply::Refused(reason) => ControlError::Refused(reason),
+        _ => ControlError::Refused("the answer does not fit the request".to_string()),
+    }
+}
--- /dev/null
+++ b/crates/control/src/commands/mod.rs
@@ -0,0 +1,21 @@
+//! Changes of the replicated state, one module for each kind. Nothing here reads a clock or draws a random number.
+
+pub mod claims;
+pub mod configuration;
+pub mod membership;
+pub mod rollouts;
+
+use crate::state::ControlState;
+use saddlerelay_types::protocol::{Command, CommandOutcome, LogCommand};
+
+/// Applies one committed command.
+pub fn apply(state: &mut ControlState, entry: LogCommand) -> CommandOutcome {
+    state.time = state.time.max(entry.time);
+    state.claims.drop_expired(state.time);
+    match entry.command {
+        Command::Configuration(change) => CommandOutcome::Configuration(configuration::apply(state, change)),
+        Command::Claim(command) => CommandOutcome::Claim(claims::apply(state, command)),
+        Command::Rollout(command) => rollouts::apply(state, command),
+        Command::Membership(command) => membership::apply(state, command),
+    }
+}
--- /dev/null
+++ b/crates/control/src/config.rs
@@ -0,0 +1,36 @@
+//! Timing of the control group's own work.
+
+use std::time::Duration;
+
+/// Limits of leases, polling and weight rollouts.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct ControlConfig {
+    /// How long a relay may act on its configuration after it sent a renewal.
+    pub relay_lease: Duration,
+    /// Silence after which a relay is declared lost; longer than the lease.
+    pub relay_loss: Duration,
+    /// Pause between looks at the relays.
+    pub relay_check_interval: Duration,
+    /// Pause between polls of one engine.
+    pub engine_poll_interval: Duration,
+    /// Time limit of one poll.
+    pub engine_poll_limit: Duration,
+    /// Failed polls in a row after which an engine is unreachable.
+    pub engine_poll_failures: u32,
+    /// Pause between reads of the platform's machine list.
+    pub platform_interval: Duration,
+}
+
+impl Default for ControlConfig {
+    fn default() -> Self {
+        Self {
+            relay_lease: Duration::from_millis(2000),
+            relay_loss: Duration::from_millis(4000),
+            relay_check_interval: Duration::from_millis(250),
+            engine_poll_interval: Duration::from_millis(250),
+            engine_poll_limit: Duration::from_millis(600),
+            engine_poll_failures: 3,
+            platform_interval: Duration::from_millis(500),
+        }
+    }
+}
--- /dev/null
+++ b/crates/control/src/lib.rs
@@ -0,0 +1,12 @@
+//! The control group: configuration, claims, rollouts and membership on a replicated log.
+//!
+//! `state` holds the data, `commands` changes it from committed log entries, `queries` reads it, and `tasks` are what
+//! the leader does on its own: polling engines, rolling out weights and watching relays.
+
+pub mod commands;
+pub mod config;
+pub mod machine;
+pub mod node;
+pub mod queries;
+pub mod state;
+pub mod tasks;
--- /dev/null
+++ b/crates/control/src/machine.rs
@@ -0,0 +1,36 @@
+//! The replicated state as replication's state machine.
+
+use crate::commands;
+use crate::state::ControlState;
+use saddlerelay_replication::StateMachine;
+use saddlerelay_types::protocol::{CommandOutcome, LogCommand};
+
+/// Applies committed commands to [`ControlState`].
+#[derive(Default)]
+pub struct ControlMachine {
+    state: ControlState,
+}
+
+impl ControlMachine {
+    /// The state.
+    pub fn state(&self) -> &ControlState {
+        &self.state
+    }
+}
+
+impl StateMachine for ControlMachine {
+    type Outcome = CommandOutcome;
+
+    fn apply(&mut self, command: &[u8]) -> CommandOutcome {
+        let command: LogCommand = bitcode::decode(command).expect("the log holds only what a leader encoded");
+        commands::apply(&mut self.state, command)
+    }
+
+    fn snapshot(&self) -> Vec<u8> {
+        bitcode::encode(&self.state)
+    }
+
+    fn restore(&mut self, bytes: &[u8]) {
+        self.state = bitcode::decode(bytes).expect("a snapshot passed its checksum");
+    }
+}
--- /dev/null
+++ b/crates/control/src/node.rs
@@ -0,0 +1,221 @@
+//! A control process: one replica of the group, answering peers, relays and operators.
+
+use crate::commands::rollouts;
+use crate::config::ControlConfig;
+use crate::machine::ControlMachine;
+use crate::queries;
+use crate::state::ControlState;
+use crate::tasks::relays::RenewalTable;
+use crate::tasks::{engines, machines, relays};
+use saddlerelay_platform::Platform;
+use saddlerelay_platform::backend::Backends;
+use saddlerelay_replication::storage::StorageError;
+use saddlerelay_replication::{ProposeError, Replica, ReplicaOptions};
+use saddlerelay_rpc::server::Handler;
+use saddlerelay_types::identity::{Incarnation, Revision};
+use saddlerelay_types::protocol::{
+    Command, CommandOutcome, ControlReply, ControlRequest, LogCommand, MembershipCommand, Query, QueryAnswer,
+    RenewReply, RenewRequest, RolloutCommand,
+};
+use std::cell::RefCell;
+use std::rc::Rc;
+
+/// A control process. Clones are the same process.
+pub struct ControlNode<P: Platform, B: Backends> {
+    pub(crate) inner: Rc<Inner<P, B>>,
+}
+
+pub(crate) struct Inner<P: Platform, B: Backends> {
+    pub platform: P,
+    pub backends: B,
+    pub config: ControlConfig,
+    pub replica: Replica<P, ControlMachine>,
+    pub renewals: RefCell<RenewalTable>,
+}
+
+impl<P: Platform, B: Backends> Clone for ControlNode<P, B> {
+    fn clone(&self) -> Self {
+        Self { inner: self.inner.clone() }
+    }
+}
+
+impl<P: Platform, B: Backends> ControlNode<P, B> {
+    /// Opens the replica and starts every task. The caller serves the node's handler on a listener.
+    pub async fn start(
+        platform: P,
+        backends: B,
+        config: ControlConfig,
+        options: ReplicaOptions,
+    ) -> Result<Self, StorageError> {
+        let replica = Replica::open(platform.clone(), options, ControlMachine::default()).await?;
+        replica.start();
+        let renewals = RefCell::default();
+        let inner = Rc::new(Inner { platform: platform.clone(), backends, config, replica, renewals });
+        let node = Self { inner };
+        platform.spawn(relays::watch(node.clone()));
+        platform.spawn(engines::manage(node.clone()));
+        platform.spawn(machines::follow(node.clone()));
+        Ok(node)
+    }
+
+    /// The replica.
+    pub fn replica(&self) -> &Replica<P, ControlMachine> {
+        &self.inner.replica
+    }
+
+    /// Hands leadership over, as before a planned stop.
+    pub async fn hand_over(&self) -> bool {
+        self.inner.replica.hand_over().await
+    }
+
+    /// Reads the committed state, if this replica leads.
+    pub(crate) fn read<T>(&self, read: impl FnOnce(&ControlState) -> T) -> Option<T> {
+        self.inner.replica.read(|machine| read(machine.state()))
+    }
+
+    /// Commits a command with this machine's clock.
+    pub(crate) async fn commit(&self, command: Command) -> Result<CommandOutcome, ProposeError> {
+        let time = self.inner.platform.unix_milliseconds();
+        self.inner.replica.propose(bitcode::encode(&LogCommand { time, command })).await
+    }
+
+    /// Answers a request.
+    pub async fn answer(&self, request: ControlRequest) -> ControlReply {
+        match request {
+            ControlRequest::Replication(bytes) => self.answer_replica(&bytes).await,
+            ControlRequest::Renew(renewal) => self.renew(renewal).await,
+            ControlRequest::Execute(command) => self.execute(command).await,
+            ControlRequest::Query(query) => self.query(&query),
+            ControlRequest::Initialize => self.initialize().await,
+        }
+    }
+
+    async fn answer_replica(&self, bytes: &[u8]) -> ControlReply {
+        match bitcode::decode(bytes) {
+            Ok(request) => {
+                let reply = self.inner.replica.handle(request).await;
+                ControlReply::Replication(bitcode::encode(&reply))
+            }
+            Err(_) => ControlReply::Refused("malformed replication message".to_string()),
+        }
+    }
+
+    async fn initialize(&self) -> ControlReply {
+        match self.inner.replica.initialize().await {
+            Ok(true) => ControlReply::Executed(CommandOutcome::Applied(true)),
+            Ok(false) => ControlReply::Refused("this replica already belongs to a group".to_string()),
+            Err(error) => ControlReply::Refused(error.to_string()),
+        }
+    }
+
+    fn not_leader(&self) -> ControlReply {
+        ControlReply::NotLeader { leader: self.inner.replica.leader_address() }
+    }
+
+    async fn execute(&self, command: Command) -> ControlReply {
+        if let Some(idle) = self.read(|state| idle_outcome(state, &command)) {
+            match idle {
+                Some(outcome) => return ControlReply::Executed(outcome),
+                None => return self.execute_by_commit(command).await,
+            }
+        }
+        self.not_leader()
+    }
+
+    async fn execute_by_commit(&self, command: Command) -> ControlReply {
+        match self.commit(command).await {
+            Ok(outcome) => ControlReply::Executed(outcome),
+            Err(ProposeError::NotLeader(leader)) => ControlReply::NotLeader { leader },
+            Err(ProposeError::Overloaded) => ControlReply::Refused("too many proposals wait".to_string()),
+            Err(ProposeError::Undecided) => ControlReply::Undecided,
+        }
+    }
+
+    fn query(&self, query: &Query) -> ControlReply {
+        let answer = self.read(|state| {
+            queries::answer(state, query).or_else(|| match query {
+                Query::Relays => {
+                    let now = self.inner.platform.monotonic();
+                    let views = self.inner.renewals.borrow().views(state, now);
+                    Some(QueryAnswer::Relays(state.configuration.revision(), views))
+                }
+                _ => self.inner.replica.view().map(QueryAnswer::Group),
+            })
+        });
+        match answer.flatten() {
+            Some(answer) => ControlReply::Answer(answer),
+            None => self.not_leader(),
+        }
+    }
+
+    async fn renew(&self, renewal: RenewRequest) -> ControlReply {
+        let relay = renewal.relay.incarnation;
+        let standing = self.read(|state| (state.members.is_live(relay), state.members.is_lost(relay)));
+        let Some((live, lost)) = standing else {
+            return self.not_leader();
+        };
+        let joined = live || !lost && self.admit_relay(&renewal).await;
+        if joined {
+            let now = self.inner.platform.monotonic();
+            self.inner.renewals.borrow_mut().record(relay, now, renewal.configuration);
+        } else if !lost && self.inner.replica.leading_term().is_none() {
+            return self.not_leader();
+        }
+        match self.read(|state| self.renewal_reply(state, &renewal)) {
+            Some(reply) => ControlReply::Renewed(reply),
+            None => self.not_leader(),
+        }
+    }
+
+    async fn admit_relay(&self, renewal: &RenewRequest) -> bool {
+        let command = Command::Membership(MembershipCommand::RelayJoined(renewal.relay.clone()));
+        matches!(self.commit(command).await, Ok(CommandOutcome::Applied(true)))
+    }
+
+    fn renewal_reply(&self, state: &ControlState, renewal: &RenewRequest) -> RenewReply {
+        RenewReply {
+            fenced: !state.members.is_live(renewal.relay.incarnation),
+            lease_milliseconds: self.inner.config.relay_lease.as_millis() as u64,
+            configuration: queries::configuration::update_after(&state.configuration, renewal.configuration),
+            engine_revision: state.members.engine_revision(),
+            engines: state.members.engines_changed_after(renewal.engines),
+            targets: queries::weights::targets(state),
+            relay_count: state.members.relays().len() as u32,
+        }
+    }
+
+    /// The configuration revision that every relay with a live lease acts on.
+    pub fn revision_in_force(&self) -> Option<Revision> {
+        let now = self.inner.platform.monotonic();
+        let lease = self.inner.config.relay_lease;
+        let newest = self.read(|state| state.configuration.revision())?;
+        let oldest = self.inner.renewals.borrow().oldest_revision(now, lease);
+        Some(oldest.unwrap_or(newest))
+    }
+
+    /// Whether `relay` may act, as this leader knows.
+    pub fn relay_is_live(&self, relay: Incarnation) -> Option<bool> {
+        self.read(|state| state.members.is_live(relay))
+    }
+}
+
+/// The outcome of a command that would change nothing, so that polling costs no log entries.
+fn idle_outcome(state: &ControlState, command: &Command) -> Option<CommandOutcome> {
+    match command {
+        Command::Rollout(RolloutCommand::Fetch { tenant, incarnation, cursor, .. }) => {
+            let idle = rollouts::fetch_is_idle(state, tenant, *incarnation, *cursor);
+            idle.then(|| rollouts::empty_delivery(state, tenant)).flatten()
+        }
+        Command::Rollout(RolloutCommand::Assign { relay, sequence, .. }) => {
+            rollouts::assign_is_idle(state, *relay, *sequence).then(|| CommandOutcome::Assigned(Vec::new()))
+        }
+        _ => None,
+    }
+}
+
+impl<P: Platform, B: Backends> Handler for ControlNode<P, B> {
+    async fn handle(self: Rc<Self>, body: Vec<u8>) -> Option<Vec<u8>> {
+        let request = bitcode::decode(&body).ok()?;
+        Some(bitcode::encode(&self.answer(request).await))
+    }
+}
--- /dev/null
+++ b/crates/control/src/queries/mod.rs
@@ -0,0 +1,24 @@
+//! Reads of the replicated state. Nothing here changes it.
+
+pub mod configuration;
+pub mod weights;
+
+use crate::state::ControlState;
+use saddlerelay_types::protocol::{Query, QueryAnswer};
+
+/// Answers a query that the state alone can answer; `None` for those about the group or relays.
+pub fn answer(state: &ControlState, query: &Query) -> Option<QueryAnswer> {
+    match query {
+        Query::Object(name) => Some(QueryAnswer::Object(state.configuration.object(name).cloned())),
+        Query::Objects => {
+            let objects = state.configuration.live_objects().cloned().collect();
+            Some(QueryAnswer::Objects(state.configuration.revision(), objects))
+        }
+        Query::Engines => Some(QueryAnswer::Engines(state.members.engines().cloned().collect())),
+        Query::Trainer(tenant) => {
+            let trainer = state.rollouts.trainers.get(tenant);
+            Some(QueryAnswer::Trainer(trainer.map(|trainer| trainer.state.clone())))
+        }
+        Query::Relays | Query::Group => None,
+    }
+}
--- /dev/null
+++ b/crates/control/src/tasks/mod.rs
@@ -0,0 +1,5 @@
+//! What a leading control process does on its own.
+
+pub mod engines;
+pub mod machines;
+pub mod relays;
--- /dev/null
+++ b/crates/engine-client/src/lib.rs
@@ -0,0 +1,171 @@
+//! Calls engines, scorers and the platform over HTTP.
+//!
+//! Generations go over a hyper connection of their own: a failed connect proves that nothing was sent, and dropping
+//! the stream closes the connection, which cancels the generation. Everything else goes through cyper's pool.
+
+pub mod wire;
+
+use cyper::Client;
+use futures::channel::mpsc;
+use hyper::{Method, StatusCode};
+use saddlerelay_http::body::{parse_json, read_whole};
+use saddlerelay_http::client::{Connection, HttpError};
+use saddlerelay_http::sse::{DONE, EventReader};
+use saddlerelay_platform::backend::{BackendError, Backends, EngineConnection, StreamEvent};
+use saddlerelay_types::engine::{EngineChunk, EngineDescription, EngineOrder, EngineRequest, EngineStatus};
+use saddlerelay_types::membership::PlatformMachine;
+use saddlerelay_types::request::Generation;
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+use std::net::SocketAddr;
+use wire::{CompletionChunk, CompletionRequest, ScoreReply, ScoreRequest};
+
+/// Where the other back ends are.
+#[derive(Clone, Debug)]
+pub struct BackendAddresses {
+    /// The scorer, if samples are scored.
+    pub scorer: Option<SocketAddr>,
+    /// The platform's machine list, if there is one.
+    pub platform: Option<SocketAddr>,
+}
+
+/// Makes the calls.
+#[derive(Clone)]
+pub struct HttpBackends {
+    client: Client,
+    addresses: BackendAddresses,
+}
+
+impl HttpBackends {
+    /// Back ends at `addresses`.
+    pub fn new(addresses: BackendAddresses) -> Result<Self, cyper::Error> {
+        Ok(Self { client: Client::builder().no_proxy().build()?, addresses })
+    }
+
+    async fn get<T: DeserializeOwned>(&self, address: SocketAddr, path: &str) -> Result<T, BackendError> {
+        let request = self.client.get(format!("http://{address}{path}")).map_err(unknown)?;
+        let response = request.send().await.map_err(unknown)?;
+        let status = response.status();
+        let body = response.bytes().await.map_err(unknown)?;
+        decode(status, &body)
+    }
+
+    async fn post<T: DeserializeOwned>(
+        &self,
+        address: SocketAddr,
+        path: &str,
+        body: &impl Serialize,
+    ) -> Result<T, BackendError> {
+        let json = serde_json::to_vec(body).map_err(unknown)?;
+        let request = self.client.post(format!("http://{address}{path}")).map_err(unknown)?;
+        let request = request.header("content-type", "application/json").map_err(unknown)?;
+        let response = request.body(json).send().await.map_err(unknown)?;
+        let status = response.status();
+        let body = response.bytes().await.map_err(unknown)?;
+        decode(status, &body)
+    }
+}
+
+fn unknown(error: impl std::fmt::Display) -> BackendError {
+    BackendError::Unknown(error.to_string())
+}
+
+fn decode<T: DeserializeOwned>(status: StatusCode, body: &[u8]) -> Result<T, BackendError> {
+    if !status.is_success() {
+        return Err(BackendError::Refused(format!("{status}: {}", String::from_utf8_lossy(body))));
+    }
+    parse_json(body).map_err(|error| BackendError::Unknown(format!("{error:?}")))
+}
+
+impl Backends for HttpBackends {
+    type Connection = HttpEngineConnection;
+
+    async fn connect(&self, engine: &EngineDescription) -> Result<HttpEngineConnection, BackendError> {
+        let connection = Connection::open(engine.address).await;
+        let connection = connection.map_err(|error| BackendError::NotSent(error.to_string()))?;
+        Ok(HttpEngineConnection { connection, model: engine.model.as_str().to_string() })
+    }
+
+    async fn status(&self, engine: &EngineDescription) -> Result<EngineStatus, BackendError> {
+        self.get(engine.address, wire::STATUS_PATH).await
+    }
+
+    async fn order(&self, engine: &EngineDescription, order: EngineOrder) -> Result<(), BackendError> {
+        self.post::<serde_json::Value>(engine.address, wire::ORDER_PATH, &order).await.map(drop)
+    }
+
+    async fn score(&self, prompt: &str, generation: &Generation) -> Result<i64, BackendError> {
+        let Some(scorer) = self.addresses.scorer else {
+            return Ok(0);
+        };
+        let request = ScoreRequest { prompt: prompt.to_string(), text: generation.text.clone() };
+        let reply: ScoreReply = self.post(scorer, wire::SCORE_PATH, &request).await?;
+        Ok(reply.reward_milli)
+    }
+
+    async fn machines(&self) -> Result<Vec<PlatformMachine>, BackendError> {
+        match self.addresses.platform {
+            Some(platform) => self.get(platform, wire::MACHINES_PATH).await,
+            None => Ok(Vec::new()),
+        }
+    }
+}
+
+/// A connection to an engine.
+pub struct HttpEngineConnection {
+    connection: Connection,
+    model: String,
+}
+
+impl EngineConnection for HttpEngineConnection {
+    async fn generate(mut self, request: EngineRequest) -> Result<mpsc::UnboundedReceiver<StreamEvent>, BackendError> {
+        let attempt_id = request.attempt_id;
+        let body = serde_json::to_vec(&CompletionRequest::new(self.model, request)).map_err(unknown)?;
+        let response = self.connection.send(Method::POST, wire::COMPLETIONS_PATH, &[], body).await;
+        let response = response.map_err(|error| match error {
+            HttpError::NotSent(reason) => BackendError::NotSent(reason),
+            HttpError::Lost(reason) => BackendError::Unknown(reason),
+        })?;
+        let status = response.status();
+        if !status.is_success() {
+            return Err(refusal(status, response).await);
+        }
+        let (events, stream) = mpsc::unbounded();
+        let reader = EventReader::new(response.into_body());
+        compio::runtime::spawn(read_events(self.connection, reader, attempt_id, events)).detach();
+        Ok(stream)
+    }
+}
+
+/// An engine proves with its own words that it did not admit a request; any other error leaves that open.
+async fn refusal(status: StatusCode, response: hyper::Response<hyper::body::Incoming>) -> BackendError {
+    let body = read_whole(response.into_body()).await.unwrap_or_default();
+    let text = format!("{status}: {}", String::from_utf8_lossy(&body));
+    let refused = parse_json::<wire::ErrorReply>(&body).is_ok_and(|reply| reply.error.admitted == Some(false));
+    if refused { BackendError::Refused(text) } else { BackendError::Unknown(text) }
+}
+
+/// Passes events on until the stream ends, or its receiver is dropped, which the next event notices. The connection
+/// closes with this task.
+async fn read_events(
+    connection: Connection,
+    mut reader: EventReader,
+    attempt_id: u64,
+    events: mpsc::UnboundedSender<StreamEvent>,
+) {
+    while let Some(data) = reader.next().await {
+        if data == DONE || events.unbounded_send(read_event(&data, attempt_id)).is_err() {
+            break;
+        }
+    }
+    drop(connection);
+}
+
+fn read_event(data: &str, attempt_id: u64) -> StreamEvent {
+    let chunk: CompletionChunk =
+        serde_json::from_str(data).map_err(|error| BackendError::Unknown(format!("unreadable chunk: {error}")))?;
+    if chunk.attempt_id != attempt_id {
+        return Err(BackendError::Unknown("a chunk of another request".to_string()));
+    }
+    Ok(EngineChunk::from(chunk))
+}
--- /dev/null
+++ b/crates/fleet/src/command_line.rs
@@ -0,0 +1,115 @@
+//! The fleet's command line.
+
+use crate::run::{RunOptions, run};
+use crate::summary;
+use anyhow::{Context, Result, bail};
+use lexopt::prelude::*;
+use saddlerelay_scenarios::{builtin, deployment};
+use std::ffi::OsString;
+use std::path::PathBuf;
+use std::process::ExitCode;
+use std::time::Duration;
+
+/// Help text.
+pub const HELP: &str = "\
+saddlerelay-fleet: runs a whole deployment as processes on this machine
+
+  demo                      a small deployment under load for about 15 s
+  run  --deployment andino|fund --scenario NAME [--duration 20s] [--report FILE] [--policy NAME] [--keep]
+  run  --list               the scenarios
+
+Exit code 0 when no promise was broken, 1 otherwise.
+";
+
+/// Load of a demonstration.
+const DEMO_SECONDS: u64 = 15;
+
+/// Runs the command that `arguments` name, without the program's own name.
+pub fn main(arguments: Vec<OsString>) -> ExitCode {
+    let first = arguments.first().and_then(|word| word.to_str()).unwrap_or_default().to_string();
+    let rest = arguments.get(1..).unwrap_or_default().to_vec();
+    let outcome = match first.as_str() {
+        "run-product" => return ExitCode::from(saddlerelay_command_line::run(rest) as u8),
+        "run-standin" => saddlerelay_standins::http::process::run(rest).map(|()| true),
+        "demo" => demo(),
+        "run" => run_command(rest),
+        "" | "--help" | "-h" => {
+            print!("{HELP}");
+            Ok(true)
+        }
+        other => Err(anyhow::anyhow!("there is no command `{other}`; see --help")),
+    };
+    match outcome {
+        Ok(true) => ExitCode::SUCCESS,
+        Ok(false) => ExitCode::FAILURE,
+        Err(error) => {
+            eprintln!("saddlerelay-fleet: {error:#}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+/// Runs a future on a runtime of its own.
+pub fn block_on<T>(future: impl Future<Output = Result<T>>) -> Result<T> {
+    compio::runtime::Runtime::new()?.block_on(future)
+}
+
+fn demo() -> Result<bool> {
+    let options = RunOptions {
+        scenario: builtin::scenario("steady").context("the scenario `steady` is missing")?,
+        deployment: Some(deployment::demo()),
+        duration: Some(Duration::from_secs(DEMO_SECONDS)),
+        relay_settings: String::new(),
+        progress: true,
+        keep: false,
+    };
+    let result = block_on(run(options))?;
+    print!("{}", summary::table(&result));
+    Ok(result.report.violations.is_empty())
+}
+
+fn run_command(arguments: Vec<OsString>) -> Result<bool> {
+    let mut parser = lexopt::Parser::from_args(arguments);
+    let (mut deployment_name, mut scenario, mut duration, mut report) = (None, None, None, None);
+    let (mut relay_settings, mut keep) = (String::new(), false);
+    while let Some(argument) = parser.next()? {
+        match argument {
+            Long("list") => {
+                for scenario in builtin::scenarios() {
+                    println!("{:<24} {}", scenario.name, scenario.about);
+                }
+                return Ok(true);
+            }
+            Long("deployment") => deployment_name = Some(parser.value()?.string()?),
+            Long("scenario") => scenario = Some(parser.value()?.string()?),
+            Long("duration") => duration = Some(parse_duration(&parser.value()?.string()?)?),
+            // A fleet's faults are its scenario's; the seed is part of the simulator's command line and is taken here
+            // so that both can be called alike.
+            Long("seed") => drop(parser.value()?),
+            Long("report") => report = Some(PathBuf::from(parser.value()?)),
+            Long("policy") => relay_settings = format!("policy = \"{}\"", parser.value()?.string()?),
+            Long("keep") => keep = true,
+            other => return Err(other.unexpected().into()),
+        }
+    }
+    let scenario = scenario.context("flag --scenario NAME is missing; see --list")?;
+    let scenario = builtin::scenario(&scenario).with_context(|| format!("there is no scenario `{scenario}`"))?;
+    let deployment = match deployment_name {
+        Some(name) => Some(deployment::by_name(&name).with_context(|| format!("there is no deployment `{name}`"))?),
+        None => None,
+    };
+    let result = block_on(run(RunOptions { scenario, deployment, duration, relay_settings, progress: true, keep }))?;
+    if let Some(file) = report {
+        std::fs::write(&file, serde_json::to_vec_pretty(&summary::json_report(&result))?)?;
+    }
+    print!("{}", summary::table(&result));
+    Ok(result.report.violations.is_empty())
+}
+
+fn parse_duration(text: &str) -> Result<Duration> {
+    let seconds = text.strip_suffix('s').unwrap_or(text);
+    match seconds.parse() {
+        Ok(seconds) => Ok(Duration::from_secs(seconds)),
+        Err(_) => bail!("`{text}` is not a number of seconds, such as 20s"),
+    }
+}
--- /dev/null
+++ b/crates/fleet/src/faults.rs
@@ -0,0 +1,196 @@
+//! Causes faults in a running fleet.
+
+use crate::launch::Fleet;
+use anyhow::Result;
+use hyper::Method;
+use saddlerelay_checker::record::Record;
+use saddlerelay_http::client::call;
+use saddlerelay_platform::Platform;
+use saddlerelay_platform_compio::CompioPlatform;
+use saddlerelay_scenarios::trace::{Fault, FaultKind, Target};
+use saddlerelay_standins::http::access::HttpAccess;
+use saddlerelay_standins::http::engine::{FAULTS_PATH, FaultBody, LEAVE_PATH};
+use saddlerelay_standins::operators::Operator;
+use saddlerelay_standins::recorder::Recorder;
+use saddlerelay_types::configuration::{ParameterName, ParameterValue};
+use std::cell::RefCell;
+use std::rc::Rc;
+use std::time::Duration;
+
+/// How long a planned stop may take.
+const PLANNED_STOP_LIMIT: Duration = Duration::from_secs(60);
+
+/// A fleet that faults and the run share.
+pub type SharedFleet = Rc<RefCell<Fleet>>;
+
+/// What causing faults needs.
+#[derive(Clone)]
+pub struct FaultContext {
+    /// The fleet.
+    pub fleet: SharedFleet,
+    /// The clock.
+    pub platform: CompioPlatform,
+    /// Where faults are recorded.
+    pub recorder: Recorder,
+    /// An operator.
+    pub operator: Operator<CompioPlatform, HttpAccess>,
+}
+
+/// Whether the fleet can cause this fault. Cuts between zones and full disks are the simulator's.
+pub fn is_possible(kind: &FaultKind) -> bool {
+    !matches!(kind, FaultKind::CutZone { .. } | FaultKind::FullDisk { .. })
+}
+
+/// Causes one fault and waits until it is over.
+pub async fn cause(context: FaultContext, fault: Fault) -> Result<()> {
+    context.platform.sleep(Duration::from_millis(fault.at_ms)).await;
+    let planned = matches!(fault.kind, FaultKind::PlannedStop { .. });
+    let at = context.platform.unix_milliseconds();
+    context.recorder.record(Record::Fault { at, what: format!("{:?}", fault.kind), planned });
+    match fault.kind {
+        FaultKind::Crash { target, restart_after_ms } => crash(&context, &target, restart_after_ms, false).await,
+        FaultKind::LoseDisk { target, restart_after_ms } => crash(&context, &target, restart_after_ms, true).await,
+        FaultKind::Freeze { target, for_ms } => freeze(&context, &target, for_ms).await,
+        FaultKind::PlannedStop { target, restart_after_ms } => stop(&context, &target, restart_after_ms).await,
+        FaultKind::EngineLeaves { place } => tell_engine(&context, place, LEAVE_PATH, None).await,
+        FaultKind::MachineLeaves { place } => machine_leaves(&context, place).await,
+        FaultKind::FailSwap { place } => {
+            engine_fault(&context, place, FaultBody { fail_next_swap: true, ..FaultBody::default() }).await
+        }
+        FaultKind::BreakStream { place } => {
+            engine_fault(&context, place, FaultBody { break_next_stream: true, ..FaultBody::default() }).await
+        }
+        FaultKind::DuplicateChunks { place } => {
+            engine_fault(&context, place, FaultBody { duplicate_chunks: true, ..FaultBody::default() }).await
+        }
+        FaultKind::SlowEngine { place, factor } => {
+            engine_fault(&context, place, FaultBody { slowness: factor, ..FaultBody::default() }).await
+        }
+        FaultKind::SetStaleness { tenant, bound } => set_staleness(&context, tenant, bound).await,
+        FaultKind::CutZone { .. } | FaultKind::FullDisk { .. } => Ok(()),
+    }
+}
+
+/// The name of the process that a fault hits.
+async fn name_of(context: &FaultContext, target: &Target) -> Option<String> {
+    match target {
+        Target::Leader => {
+            // The borrow ends before the wait: the plan is not changed while the fleet runs.
+            let group = leader_place(context).await?;
+            Some(format!("control-{group}"))
+        }
+        Target::Control { place } => Some(format!("control-{place}")),
+        Target::Relay { place } => Some(format!("relay-{place}")),
+        Target::Engine { place } => {
+            let fleet = context.fleet.borrow();
+            fleet.plan.engines.get(*place as usize).map(|engine| engine.id.to_string())
+        }
+        Target::Trainer { place } => {
+            let fleet = context.fleet.borrow();
+            let mut trainers = fleet.plan.deployment.tenants.iter().filter(|tenant| tenant.trainer.is_some());
+            trainers.nth(*place as usize).map(|tenant| format!("trainer-{}", tenant.id))
+        }
+        Target::Scorer => Some("scorer".to_string()),
+    }
+}
+
+async fn leader_place(context: &FaultContext) -> Option<usize> {
+    let (peers, http) = {
+        let fleet = context.fleet.borrow();
+        (fleet.plan.control_peers.clone(), fleet.plan.control_http.clone())
+    };
+    let authorization = format!("Bearer {}", crate::deploy::OPERATOR_TOKEN);
+    for control in http {
+        let headers = [("authorization", authorization.as_str())];
+        let asked = call(control, Method::GET, "/admin/v1/group", &headers, Vec::new());
+        let Ok(Ok(response)) = compio::time::timeout(Duration::from_secs(2), asked).await else {
+            continue;
+        };
+        let Ok(view) = serde_json::from_slice::<saddlerelay_types::protocol::GroupView>(&response.body) else {
+            continue;
+        };
+        let leader = view.replicas.iter().find(|replica| replica.id == view.leader)?;
+        return peers.iter().position(|peer| *peer == leader.address);
+    }
+    None
+}
+
+async fn crash(context: &FaultContext, target: &Target, restart_after_ms: u64, lose_disk: bool) -> Result<()> {
+    let Some(name) = name_of(context, target).await else {
+        return Ok(());
+    };
+    let child = context.fleet.borrow_mut().children.remove(&name);
+    let Some(mut child) = child else {
+        return Ok(());
+    };
+    child.kill();
+    if lose_disk {
+        let folder = context.fleet.borrow().plan.data_folder(&name);
+        std::fs::remove_dir_all(folder)?;
+    }
+    context.platform.sleep(Duration::from_millis(restart_after_ms)).await;
+    context.fleet.borrow_mut().start_child(&child.spec)
+}
+
+async fn freeze(context: &FaultContext, target: &Target, for_ms: u64) -> Result<()> {
+    let Some(name) = name_of(context, target).await else {
+        return Ok(());
+    };
+    let act = |action: fn(&crate::process::RunningChild)| {
+        if let Some(child) = context.fleet.borrow().children.get(&name) {
+            action(child);
+        }
+    };
+    act(crate::process::RunningChild::freeze);
+    context.platform.sleep(Duration::from_millis(for_ms)).await;
+    act(crate::process::RunningChild::thaw);
+    Ok(())
+}
+
+async fn stop(context: &FaultContext, target: &Target, restart_after_ms: u64) -> Result<()> {
+    let Some(name) = name_of(context, target).await else {
+        return Ok(());
+    };
+    let child = context.fleet.borrow_mut().children.remove(&name);
+    let Some(mut child) = child else {
+        return Ok(());
+    };
+    child.ask_to_stop();
+    let ended = child.wait(PLANNED_STOP_LIMIT).await;
+    anyhow::ensure!(ended == Some(true), "{name}: the planned stop ended with {ended:?}");
+    context.platform.sleep(Duration::from_millis(restart_after_ms)).await;
+    context.fleet.borrow_mut().start_child(&child.spec)
+}
+
+async fn tell_engine(context: &FaultContext, place: u32, path: &str, body: Option<FaultBody>) -> Result<()> {
+    let address = context.fleet.borrow().plan.engines[place as usize].address;
+    let body = serde_json::to_vec(&body.unwrap_or_default())?;
+    // An engine that is down at that moment has its fault already.
+    let _ = call(address, Method::POST, path, &[], body).await;
+    Ok(())
+}
+
+async fn engine_fault(context: &FaultContext, place: u32, body: FaultBody) -> Result<()> {
+    tell_engine(context, place, FAULTS_PATH, Some(body)).await
+}
+
+async fn machine_leaves(context: &FaultContext, place: u32) -> Result<()> {
+    let (engine, machines, platform) = {
+        let mut fleet = context.fleet.borrow_mut();
+        fleet.machines[place as usize].leaving = true;
+        (fleet.plan.engines[place as usize].id.clone(), fleet.machines.clone(), fleet.plan.platform)
+    };
+    call(platform, Method::PUT, "/machines", &[], serde_json::to_vec(&machines)?).await?;
+    // The list shows it after its lag: that is when the platform says it.
+    context.platform.sleep(crate::deploy::PLATFORM_LAG).await;
+    context.recorder.record(Record::Leaving { at: context.platform.unix_milliseconds(), engine });
+    Ok(())
+}
+
+async fn set_staleness(context: &FaultContext, place: u32, bound: u64) -> Result<()> {
+    let tenant = context.fleet.borrow().plan.deployment.tenants[place as usize].clone();
+    let mut values = tenant.values();
+    values.insert(ParameterName::StalenessBound, ParameterValue::Integer(bound as i64));
+    context.operator.put_tenant(&tenant.id, values, None).await;
+    Ok(())
+}
--- /dev/null
+++ b/crates/fleet/src/launch.rs
@@ -0,0 +1,133 @@
+//! Brings a deployment up.
+
+use crate::deploy::{OPERATOR_TOKEN, Plan};
+use crate::process::{ChildSpec, RunningChild};
+use anyhow::{Context, Result, bail};
+use hyper::Method;
+use saddlerelay_http::client::call;
+use saddlerelay_standins::http::access::HttpAccess;
+use saddlerelay_types::membership::PlatformMachine;
+use saddlerelay_types::protocol::GroupView;
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+/// Time limit for the deployment to come up.
+const START_LIMIT: Duration = Duration::from_secs(40);
+/// Pause between looks at whether something is up.
+const START_POLL: Duration = Duration::from_millis(50);
+
+/// A deployment that runs.
+pub struct Fleet {
+    /// Its processes' addresses and files.
+    pub plan: Plan,
+    /// Its processes, by name.
+    pub children: BTreeMap<String, RunningChild>,
+    /// The machines as the platform was last told.
+    pub machines: Vec<PlatformMachine>,
+}
+
+impl Fleet {
+    /// Starts everything but the load, and waits until every relay is ready and every control replica votes.
+    pub async fn start(plan: Plan) -> Result<Self> {
+        let machines = plan.engines.iter().map(|engine| PlatformMachine { engine: engine.clone(), leaving: false });
+        let mut fleet = Self { machines: machines.collect(), children: BTreeMap::new(), plan };
+        fleet.start_all(fleet.plan.services())?;
+        fleet.start_all((0..fleet.plan.engines.len()).map(|place| fleet.plan.engine(place)).collect())?;
+        fleet.start_all((0..fleet.plan.control_peers.len()).map(|place| fleet.plan.control(place)).collect())?;
+        fleet.tell_platform().await?;
+        fleet.initialize().await?;
+        fleet.start_all((0..fleet.plan.relays.len()).map(|place| fleet.plan.relay(place)).collect())?;
+        fleet.wait_until_up().await?;
+        Ok(fleet)
+    }
+
+    fn start_all(&mut self, specs: Vec<ChildSpec>) -> Result<()> {
+        specs.iter().try_for_each(|spec| self.start_child(spec))
+    }
+
+    /// Starts a child, or starts it again.
+    pub fn start_child(&mut self, spec: &ChildSpec) -> Result<()> {
+        let child = RunningChild::start(spec)?;
+        self.children.insert(spec.name.clone(), child);
+        Ok(())
+    }
+
+    /// Gives the platform its list of machines.
+    pub async fn tell_platform(&self) -> Result<()> {
+        let body = serde_json::to_vec(&self.machines)?;
+        let platform = self.plan.platform;
+        wait_for("the platform", || async { call(platform, Method::PUT, "/machines", &[], body.clone()).await.is_ok() })
+            .await
+    }
+
+    async fn initialize(&self) -> Result<()> {
+        let first = self.plan.control_http[0];
+        let authorization = format!("Bearer {OPERATOR_TOKEN}");
+        wait_for("the first control replica", || async {
+            let headers = [("authorization", authorization.as_str())];
+            let response = call(first, Method::POST, "/admin/v1/initialize", &headers, Vec::new()).await;
+            response.is_ok_and(|response| response.status.is_success())
+        })
+        .await
+    }
+
+    async fn wait_until_up(&self) -> Result<()> {
+        let replicas = self.plan.control_peers.len();
+        wait_for("every control replica's vote", || async {
+            let group = self.group().await;
+            group.is_some_and(|group| group.replicas.iter().filter(|replica| replica.voter).count() == replicas)
+        })
+        .await?;
+        for relay in &self.plan.relays {
+            wait_for("a relay", || is_ready(*relay)).await?;
+        }
+        Ok(())
+    }
+
+    /// The control group, as its leader sees it.
+    pub async fn group(&self) -> Option<GroupView> {
+        let authorization = format!("Bearer {OPERATOR_TOKEN}");
+        for control in &self.plan.control_http {
+            let headers = [("authorization", authorization.as_str())];
+            let asked = call(*control, Method::GET, "/admin/v1/group", &headers, Vec::new());
+            let Ok(Ok(response)) = compio::time::timeout(Duration::from_secs(2), asked).await else {
+                continue;
+            };
+            if let Ok(view) = serde_json::from_slice(&response.body) {
+                return Some(view);
+            }
+        }
+        None
+    }
+
+    /// The place of the leading control replica.
+    pub async fn leader_place(&self) -> Option<usize> {
+        let group = self.group().await?;
+        let leader = group.replicas.iter().find(|replica| replica.id == group.leader)?;
+        self.plan.control_peers.iter().position(|address| *address == leader.address)
+    }
+
+    /// Access to the deployment as callers, trainers and operators have it.
+    pub fn access(&self) -> HttpAccess {
+        HttpAccess::new(self.plan.relays.clone(), self.plan.control_http.clone(), OPERATOR_TOKEN.to_string())
+    }
+}
+
+/// Whether the process at `address` takes new work.
+pub async fn is_ready(address: SocketAddr) -> bool {
+    let response = call(address, Method::GET, "/readyz", &[], Vec::new()).await;
+    response.is_ok_and(|response| response.status.is_success())
+}
+
+/// Waits until `condition` holds.
+pub async fn wait_for<F: Future<Output = bool>>(what: &str, condition: impl Fn() -> F) -> Result<()> {
+    let deadline = Instant::now() + START_LIMIT;
+    while Instant::now() < deadline {
+        if compio::time::timeout(START_LIMIT, condition()).await.context("no answer")? {
+            return Ok(());
+        }
+        compio::time::sleep(START_POLL).await;
+    }
+    bail!("{what} did not come up within {START_LIMIT:?}")
+}
--- /dev/null
+++ b/crates/fleet/src/process.rs
@@ -0,0 +1,149 @@
+//! Child processes: started, stopped, frozen, killed, and always reaped.
+
+use anyhow::{Context, Result};
+use rustix::process::{Pid, Signal, kill_process};
+use std::fs::File;
+use std::path::{Path, PathBuf};
+use std::process::{Child, Command, Stdio};
+use std::time::{Duration, Instant};
+
+/// Pause between looks at whether a child has ended.
+const WAIT_POLL: Duration = Duration::from_millis(20);
+
+/// Which program a child runs. Both are inside the fleet's own executable, so that one build is enough.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Program {
+    /// The product.
+    Product,
+    /// A stand-in.
+    StandIn,
+}
+
+/// The word on the fleet's command line that makes it run a program.
+pub fn program_word(program: Program) -> &'static str {
+    match program {
+        Program::Product => "run-product",
+        Program::StandIn => "run-standin",
+    }
+}
+
+/// How a child is started, and started again.
+#[derive(Clone, Debug)]
+pub struct ChildSpec {
+    /// Its name in logs and reports.
+    pub name: String,
+    /// The program.
+    pub program: Program,
+    /// Its arguments.
+    pub arguments: Vec<String>,
+    /// Where its output goes.
+    pub output: PathBuf,
+}
+
+/// A running child; killed and reaped when dropped.
+pub struct RunningChild {
+    /// How it was started.
+    pub spec: ChildSpec,
+    child: Child,
+}
+
+impl RunningChild {
+    /// Starts a child.
+    pub fn start(spec: &ChildSpec) -> Result<Self> {
+        let executable = std::env::current_exe().context("cannot find the fleet's own executable")?;
+        let output = File::options().create(true).append(true).open(&spec.output);
+        let output = output.with_context(|| format!("cannot write {}", spec.output.display()))?;
+        let child = Command::new(executable)
+            .arg(program_word(spec.program))
+            .args(&spec.arguments)
+            .stdin(Stdio::null())
+            .stdout(output.try_clone()?)
+            .stderr(output)
+            .spawn()
+            .with_context(|| format!("cannot start {}", spec.name))?;
+        Ok(Self { spec: spec.clone(), child })
+    }
+
+    /// The process's number.
+    pub fn id(&self) -> u32 {
+        self.child.id()
+    }
+
+    fn signal(&self, signal: Signal) {
+        let pid = Pid::from_raw(self.child.id() as i32);
+        if let Some(pid) = pid {
+            // A child that has already ended needs no signal.
+            let _ = kill_process(pid, signal);
+        }
+    }
+
+    /// Asks for an orderly stop.
+    pub fn ask_to_stop(&self) {
+        self.signal(Signal::TERM);
+    }
+
+    /// Makes it stand still.
+    pub fn freeze(&self) {
+        self.signal(Signal::STOP);
+    }
+
+    /// Lets it go on.
+    pub fn thaw(&self) {
+        self.signal(Signal::CONT);
+    }
+
+    /// Kills it at once.
+    pub fn kill(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+
+    /// Whether it has ended, and how.
+    pub fn ended(&mut self) -> Option<bool> {
+        self.child.try_wait().ok().flatten().map(|status| status.success())
+    }
+
+    /// Waits until it has ended, for at most `limit`. Returns whether it ended well.
+    pub async fn wait(&mut self, limit: Duration) -> Option<bool> {
+        let deadline = Instant::now() + limit;
+        loop {
+            let ended = self.ended();
+            if ended.is_some() || Instant::now() >= deadline {
+                return ended;
+            }
+            compio::time::sleep(WAIT_POLL).await;
+        }
+    }
+
+    /// Resident memory in bytes and processor time in milliseconds so far.
+    pub fn usage(&self) -> Option<(u64, u64)> {
+        let folder = PathBuf::from(format!("/proc/{}", self.child.id()));
+        Some((resident_bytes(&folder)?, processor_milliseconds(&folder)?))
+    }
+}
+
+fn resident_bytes(folder: &Path) -> Option<u64> {
+    let status = std::fs::read_to_string(folder.join("status")).ok()?;
+    let line = status.lines().find_map(|line| line.strip_prefix("VmRSS:"))?;
+    let kilobytes: u64 = line.trim().trim_end_matches("kB").trim().parse().ok()?;
+    Some(kilobytes * 1024)
+}
+
+/// Ticks in a second, as the operating system counts processor time towards programs.
+const TICKS_PER_SECOND: u64 = 100;
+
+fn processor_milliseconds(folder: &Path) -> Option<u64> {
+    let stat = std::fs::read_to_string(folder.join("stat")).ok()?;
+    let after_name = stat.rsplit_once(')')?.1;
+    let fields: Vec<&str> = after_name.split_whitespace().collect();
+    let user: u64 = fields.get(11)?.parse().ok()?;
+    let system: u64 = fields.get(12)?.parse().ok()?;
+    Some((user + system) * 1000 / TICKS_PER_SECOND)
+}
+
+impl Drop for RunningChild {
+    fn drop(&mut self) {
+        self.thaw();
+        self.kill();
+    }
+}
--- /dev/null
+++ b/crates/fleet/src/run.rs
@@ -0,0 +1,213 @@
+//! Runs one scenario on a fleet: load, faults, orderly end, check.
+
+use crate::deploy::Plan;
+use crate::faults::{self, FaultContext, SharedFleet};
+use crate::launch::Fleet;
+use anyhow::{Context, Result};
+use saddlerelay_checker::check::check;
+use saddlerelay_checker::record::Record;
+use saddlerelay_checker::report::Report;
+use saddlerelay_platform::Platform;
+use saddlerelay_platform_compio::CompioPlatform;
+use saddlerelay_scenarios::deployment::{self, Deployment};
+use saddlerelay_scenarios::trace::Scenario;
+use saddlerelay_standins::http::records::read_records;
+use saddlerelay_standins::operators::{Operator, probe_relays, race_changes};
+use saddlerelay_standins::recorder::Recorder;
+use std::cell::{Cell, RefCell};
+use std::collections::BTreeMap;
+use std::path::{Path, PathBuf};
+use std::rc::Rc;
+use std::time::Duration;
+
+/// Mean time between operators' races.
+const CHANGE_INTERVAL: Duration = Duration::from_millis(700);
+/// Time between probes of each relay.
+const PROBE_INTERVAL: Duration = Duration::from_millis(100);
+/// How long trainers and callers may take to end what they began.
+const END_LIMIT: Duration = Duration::from_secs(90);
+/// Pause between progress lines.
+const PROGRESS_INTERVAL: Duration = Duration::from_secs(1);
+
+/// How a run is made.
+pub struct RunOptions {
+    /// The scenario.
+    pub scenario: Scenario,
+    /// Instead of the scenario's own deployment.
+    pub deployment: Option<Deployment>,
+    /// Instead of the scenario's own duration.
+    pub duration: Option<Duration>,
+    /// More relay settings.
+    pub relay_settings: String,
+    /// Whether to print a progress line.
+    pub progress: bool,
+    /// Whether to keep the run's folder.
+    pub keep: bool,
+}
+
+/// What one process used.
+#[derive(Clone, Debug, serde::Serialize)]
+pub struct Usage {
+    /// Resident memory in bytes at the end of the load.
+    pub resident_bytes: u64,
+    /// Processor time in milliseconds.
+    pub processor_milliseconds: u64,
+}
+
+/// What a run brought.
+pub struct RunResult {
+    /// The report.
+    pub report: Report,
+    /// What each process used.
+    pub usage: BTreeMap<String, Usage>,
+    /// Seconds of load.
+    pub seconds: f64,
+}
+
+/// A new folder for one run.
+pub fn run_folder() -> PathBuf {
+    let unique = fastrand::u64(..);
+    std::env::temp_dir().join(format!("saddlerelay-fleet-{}-{unique:08x}", std::process::id()))
+}
+
+/// Runs a scenario.
+pub async fn run(options: RunOptions) -> Result<RunResult> {
+    let folder = run_folder();
+    let result = run_in(&options, &folder).await;
+    let clean = result.as_ref().is_ok_and(|result| result.report.violations.is_empty());
+    if clean && !options.keep {
+        std::fs::remove_dir_all(&folder)?;
+    } else {
+        eprintln!("the run's files are in {}", folder.display());
+    }
+    result
+}
+
+async fn run_in(options: &RunOptions, folder: &Path) -> Result<RunResult> {
+    let scenario = &options.scenario;
+    let named = deployment::by_name(&scenario.deployment);
+    let deployment = options.deployment.clone().or(named).context("the scenario's deployment does not exist")?;
+    let duration = options.duration.unwrap_or(Duration::from_millis(scenario.duration_ms));
+    let platform = CompioPlatform::new(folder.to_path_buf());
+    let fleet = Fleet::start(Plan::new(deployment, folder, &options.relay_settings)?).await?;
+    let own_records: Rc<RefCell<Vec<Record>>> = Rc::default();
+    let sink = own_records.clone();
+    let recorder = Recorder::new(move |record| sink.borrow_mut().push(record));
+    let operator = |name: &str| Operator {
+        platform: platform.clone(),
+        access: fleet.access(),
+        recorder: recorder.clone(),
+        name: name.to_string(),
+    };
+    let (first, second) = (operator("first"), operator("second"));
+    for tenant in &fleet.plan.deployment.tenants {
+        first.set_up(&tenant.id, tenant.values()).await;
+    }
+    let stop = Rc::new(Cell::new(false));
+    let access = fleet.access();
+    let probes = probe_relays(platform.clone(), access, recorder.clone(), PROBE_INTERVAL, stop.clone());
+    platform.spawn(probes);
+    let races = compio::runtime::spawn(race_changes(first.clone(), second, CHANGE_INTERVAL, stop.clone()));
+    let fleet: SharedFleet = Rc::new(RefCell::new(fleet));
+    start_load(&fleet)?;
+    let context = FaultContext { fleet: fleet.clone(), platform: platform.clone(), recorder, operator: first };
+    let running: Vec<_> = scenario
+        .faults
+        .iter()
+        .filter(|fault| faults::is_possible(&fault.kind))
+        .map(|fault| compio::runtime::spawn(faults::cause(context.clone(), fault.clone())))
+        .collect();
+    let usage_before = usage(&fleet);
+    wait_with_progress(&platform, duration, options.progress, &scenario.name).await;
+    for fault in running {
+        fault.await.map_err(|_| anyhow::anyhow!("a fault's task failed"))??;
+    }
+    let usage = usage_since(&usage(&fleet), &usage_before);
+    end_load(&fleet).await;
+    stop.set(true);
+    let _ = races.await;
+    let mut records = own_records.borrow().clone();
+    records.extend(collect_records(folder)?);
+    let mut report = check(&records, &scenario.limits());
+    scenario.judge(&mut report);
+    Ok(RunResult { report, usage, seconds: duration.as_secs_f64() })
+}
+
+fn start_load(fleet: &SharedFleet) -> Result<()> {
+    let mut fleet = fleet.borrow_mut();
+    let mut specs = Vec::new();
+    for tenant in &fleet.plan.deployment.tenants {
+        if let Some(load) = &tenant.trainer {
+            specs.push(fleet.plan.trainer(tenant, load)?);
+        }
+        specs.extend(tenant.callers.iter().map(|load| fleet.plan.callers(tenant, load)));
+    }
+    specs.iter().try_for_each(|spec| fleet.start_child(spec))
+}
+
+fn is_load(name: &str) -> bool {
+    name.starts_with("trainer-") || name.starts_with("callers-")
+}
+
+async fn end_load(fleet: &SharedFleet) {
+    let mut load = Vec::new();
+    {
+        let mut fleet = fleet.borrow_mut();
+        let names: Vec<String> = fleet.children.keys().filter(|name| is_load(name)).cloned().collect();
+        for name in names {
+            load.extend(fleet.children.remove(&name));
+        }
+    }
+    load.iter().for_each(crate::process::RunningChild::ask_to_stop);
+    for child in &mut load {
+        if child.wait(END_LIMIT).await.is_none() {
+            eprintln!("{} did not end in time", child.spec.name);
+        }
+    }
+}
+
+async fn wait_with_progress(platform: &CompioPlatform, duration: Duration, progress: bool, name: &str) {
+    let started = platform.monotonic();
+    loop {
+        let passed = platform.monotonic().saturating_sub(started);
+        if passed >= duration {
+            break;
+        }
+        if progress {
+            eprint!("\r{name}: {:>3} of {} s under load", passed.as_secs(), duration.as_secs());
+        }
+        platform.sleep(PROGRESS_INTERVAL.min(duration - passed)).await;
+    }
+    if progress {
+        eprintln!("\r{name}: {} s under load done; waiting for what is under way", duration.as_secs());
+    }
+}
+
+fn usage(fleet: &SharedFleet) -> BTreeMap<String, Usage> {
+    let fleet = fleet.borrow();
+    let used = |(name, child): (&String, &crate::process::RunningChild)| {
+        let (resident_bytes, processor_milliseconds) = child.usage()?;
+        Some((name.clone(), Usage { resident_bytes, processor_milliseconds }))
+    };
+    fleet.children.iter().filter_map(used).collect()
+}
+
+fn usage_since(now: &BTreeMap<String, Usage>, before: &BTreeMap<String, Usage>) -> BTreeMap<String, Usage> {
+    let difference = |(name, usage): (&String, &Usage)| {
+        let earlier = before.get(name).map_or(0, |before| before.processor_milliseconds);
+        let processor_milliseconds = usage.processor_milliseconds.saturating_sub(earlier);
+        (name.clone(), Usage { processor_milliseconds, ..usage.clone() })
+    };
+    now.iter().map(difference).collect()
+}
+
+fn collect_records(folder: &Path) -> Result<Vec<Record>> {
+    let mut records = Vec::new();
+    for entry in std::fs::read_dir(folder)? {
+        let path = entry?.path();
+        if path.extension().is_some_and(|extension| extension == "records") {
+            records.extend(read_records(&path)?);
+        }
+    }
+    Ok(records)
+}
--- /dev/null
+++ b/crates/http/src/client.rs
@@ -0,0 +1,98 @@
+//! Calls a server over a connection of its own, so that a failed connect is told from a lost request.
+
+use crate::body::{BodyError, read_whole};
+use bytes::Bytes;
+use compio::net::TcpStream;
+use cyper_core::HyperStream;
+use http_body_util::Full;
+use hyper::body::Incoming;
+use hyper::client::conn::http1::{self, SendRequest};
+use hyper::header::{CONTENT_TYPE, HOST};
+use hyper::{Method, Request, Response, StatusCode};
+use std::fmt;
+use std::net::SocketAddr;
+
+/// Why a call failed.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum HttpError {
+    /// No connection: nothing was sent.
+    NotSent(String),
+    /// The request may have been received.
+    Lost(String),
+}
+
+impl fmt::Display for HttpError {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::NotSent(reason) => write!(formatter, "not sent: {reason}"),
+            Self::Lost(reason) => write!(formatter, "lost: {reason}"),
+        }
+    }
+}
+
+impl std::error::Error for HttpError {}
+
+/// An open connection for one request.
+pub struct Connection {
+    sender: SendRequest<Full<Bytes>>,
+    address: SocketAddr,
+}
+
+/// A whole response.
+pub struct WholeResponse {
+    /// The status.
+    pub status: StatusCode,
+    /// The headers.
+    pub headers: hyper::HeaderMap,
+    /// The body.
+    pub body: Bytes,
+}
+
+impl Connection {
+    /// Connects to `address`.
+    pub async fn open(address: SocketAddr) -> Result<Self, HttpError> {
+        let stream = TcpStream::connect(address).await.map_err(|error| HttpError::NotSent(error.to_string()))?;
+        stream.set_nodelay(true).map_err(|error| HttpError::NotSent(error.to_string()))?;
+        let handshake = http1::handshake(HyperStream::new_plain(stream)).await;
+        let (sender, connection) = handshake.map_err(|error| HttpError::NotSent(error.to_string()))?;
+        compio::runtime::spawn(async move {
+            // Its error reaches the request that waits for an answer.
+            let _ = connection.await;
+        })
+        .detach();
+        Ok(Self { sender, address })
+    }
+
+    /// Sends a request with `headers` and returns the response with its body still to come.
+    pub async fn send(
+        &mut self,
+        method: Method,
+        path: &str,
+        headers: &[(&str, &str)],
+        body: impl Into<Bytes>,
+    ) -> Result<Response<Incoming>, HttpError> {
+        let mut builder = Request::builder().method(method).uri(path).header(HOST, self.address.to_string());
+        builder = builder.header(CONTENT_TYPE, "application/json");
+        for (name, value) in headers {
+            builder = builder.header(*name, *value);
+        }
+        let request = builder.body(Full::new(body.into()));
+        let request = request.map_err(|error| HttpError::NotSent(error.to_string()))?;
+        self.sender.send_request(request).await.map_err(|error| HttpError::Lost(error.to_string()))
+    }
+}
+
+/// Connects, sends one request and reads the whole response.
+pub async fn call(
+    address: SocketAddr,
+    method: Method,
+    path: &str,
+    headers: &[(&str, &str)],
+    body: impl Into<Bytes>,
+) -> Result<WholeResponse, HttpError> {
+    let mut connection = Connection::open(address).await?;
+    let response = connection.send(method, path, headers, body).await?;
+    let (head, body) = response.into_parts();
+    let body = read_whole(body).await.map_err(|error: BodyError| HttpError::Lost(format!("{error:?}")))?;
+    Ok(WholeResponse { status: head.status, headers: head.headers, body })
+}
--- /dev/null
+++ b/crates/http/src/sse.rs
@@ -0,0 +1,58 @@
+//! Server-sent events: lines of `data: …`, each followed by an empty line.
+
+use bytes::Bytes;
+use http_body_util::BodyExt;
+use hyper::body::Incoming;
+use serde::Serialize;
+
+/// The data of the last event of a whole stream.
+pub const DONE: &str = "[DONE]";
+
+/// Content type of an event stream.
+pub const CONTENT_TYPE: &str = "text/event-stream";
+
+const DATA_PREFIX: &str = "data: ";
+
+/// One event with `value` as JSON.
+pub fn event(value: &impl Serialize) -> Bytes {
+    let json = serde_json::to_string(value).unwrap_or_default();
+    Bytes::from(format!("{DATA_PREFIX}{json}\n\n"))
+}
+
+/// The last event of a whole stream.
+pub fn done() -> Bytes {
+    Bytes::from(format!("{DATA_PREFIX}{DONE}\n\n"))
+}
+
+/// Reads events from a response body.
+pub struct EventReader {
+    body: Incoming,
+    received: Vec<u8>,
+}
+
+impl EventReader {
+    /// Reads from `body`.
+    pub fn new(body: Incoming) -> Self {
+        Self { body, received: Vec::new() }
+    }
+
+    /// The data of the next event; `None` when the body ended or broke off.
+    pub async fn next(&mut self) -> Option<String> {
+        loop {
+            if let Some(data) = self.take_event() {
+                return Some(data);
+            }
+            let frame = self.body.frame().await?.ok()?;
+            if let Some(bytes) = frame.data_ref() {
+                self.received.extend_from_slice(bytes);
+            }
+        }
+    }
+
+    fn take_event(&mut self) -> Option<String> {
+        let end = self.received.windows(2).position(|pair| pair == b"\n\n")?;
+        let event: Vec<u8> = self.received.drain(..end + 2).collect();
+        let text = String::from_utf8_lossy(&event[..end]).into_owned();
+        Some(text.strip_prefix(DATA_PREFIX).unwrap_or(&text).to_string())
+    }
+}
--- /dev/null
+++ b/crates/platform-compio/src/disk.rs
@@ -0,0 +1,89 @@
+//! Files in one data folder.
+
+use compio::BufResult;
+use compio::fs::{File, OpenOptions};
+use compio::io::AsyncWriteAtExt;
+use futures::lock::Mutex;
+use saddlerelay_platform::Disk;
+use std::collections::BTreeMap;
+use std::io;
+use std::path::PathBuf;
+use std::rc::Rc;
+
+struct Appender {
+    file: File,
+    length: u64,
+}
+
+/// The folder. Clones share open files.
+#[derive(Clone)]
+pub struct FolderDisk {
+    folder: Rc<PathBuf>,
+    appenders: Rc<Mutex<BTreeMap<String, Appender>>>,
+}
+
+impl FolderDisk {
+    /// Files under `folder`, which must exist.
+    pub fn new(folder: PathBuf) -> Self {
+        Self { folder: Rc::new(folder), appenders: Rc::default() }
+    }
+
+    async fn open_appender(&self, name: &str) -> io::Result<Appender> {
+        let path = self.folder.join(name);
+        let new = !path.exists();
+        let file = OpenOptions::new().write(true).create(true).open(path).await?;
+        if new {
+            self.sync_folder().await?;
+        }
+        let length = file.metadata().await?.len();
+        Ok(Appender { file, length })
+    }
+
+    async fn sync_folder(&self) -> io::Result<()> {
+        File::open(self.folder.as_path()).await?.sync_all().await
+    }
+}
+
+impl Disk for FolderDisk {
+    async fn read(&self, file: &str) -> io::Result<Option<Vec<u8>>> {
+        match compio::fs::read(self.folder.join(file)).await {
+            Ok(bytes) => Ok(Some(bytes)),
+            Err(error) if error.kind() == io::ErrorKind::NotFound => Ok(None),
+            Err(error) => Err(error),
+        }
+    }
+
+    async fn append(&self, file: &str, bytes: Vec<u8>) -> io::Result<()> {
+        let mut appenders = self.appenders.lock().await;
+        if !appenders.contains_key(file) {
+            let opened = self.open_appender(file).await?;
+            appenders.insert(file.to_string(), opened);
+        }
+        let appender = appenders.get_mut(file).expect("the file was just opened");
+        let count = bytes.len() as u64;
+        let BufResult(written, _) = appender.file.write_all_at(bytes, appender.length).await;
+        written?;
+        appender.length += count;
+        Ok(())
+    }
+
+    async fn sync(&self, file: &str) -> io::Result<()> {
+        let appenders = self.appenders.lock().await;
+        match appenders.get(file) {
+            Some(appender) => appender.file.sync_data().await,
+            None => Ok(()),
+        }
+    }
+
+    async fn replace(&self, file: &str, bytes: Vec<u8>) -> io::Result<()> {
+        let mut appenders = self.appenders.lock().await;
+        let temporary = self.folder.join(format!("{file}.new"));
+        let mut new_file = File::create(&temporary).await?;
+        let BufResult(written, _) = new_file.write_all_at(bytes, 0).await;
+        written?;
+        new_file.sync_all().await?;
+        appenders.remove(file);
+        compio::fs::rename(&temporary, self.folder.join(file)).await?;
+        self.sync_folder().await
+    }
+}
--- /dev/null
+++ b/crates/platform-compio/src/lib.rs
@@ -0,0 +1,77 @@
+//! The platform seam on a real machine, by compio.
+
+pub mod clock;
+pub mod connection;
+pub mod disk;
+
+use clock::Clock;
+use compio::net::{TcpListener, TcpStream};
+use connection::{TcpFrameListener, TcpFrameReceiver, TcpFrameSender};
+use disk::FolderDisk;
+use saddlerelay_platform::Platform;
+use std::cell::RefCell;
+use std::future::Future;
+use std::io;
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::rc::Rc;
+use std::time::Duration;
+
+/// This machine. Clones share the clock, the random numbers and the data folder.
+#[derive(Clone)]
+pub struct CompioPlatform {
+    clock: Rc<Clock>,
+    random: Rc<RefCell<fastrand::Rng>>,
+    disk: FolderDisk,
+}
+
+impl CompioPlatform {
+    /// A platform whose files live under `data_folder`, which must exist.
+    pub fn new(data_folder: PathBuf) -> Self {
+        Self {
+            clock: Rc::new(Clock::new()),
+            random: Rc::new(RefCell::new(fastrand::Rng::new())),
+            disk: FolderDisk::new(data_folder),
+        }
+    }
+}
+
+impl Platform for CompioPlatform {
+    type Sender = TcpFrameSender;
+    type Receiver = TcpFrameReceiver;
+    type Listener = TcpFrameListener;
+    type Disk = FolderDisk;
+
+    fn monotonic(&self) -> Duration {
+        self.clock.monotonic()
+    }
+
+    fn unix_milliseconds(&self) -> u64 {
+        clock::unix_time().as_millis() as u64
+    }
+
+    fn sleep(&self, duration: Duration) -> impl Future<Output = ()> + 'static {
+        compio::time::sleep(duration)
+    }
+
+    fn spawn(&self, task: impl Future<Output = ()> + 'static) {
+        compio::runtime::spawn(task).detach();
+    }
+
+    fn random(&self) -> u64 {
+        self.random.borrow_mut().u64(..)
+    }
+
+    async fn connect(&self, address: SocketAddr) -> io::Result<(TcpFrameSender, TcpFrameReceiver)> {
+        let stream = TcpStream::connect(address).await?;
+        connection::split(stream)
+    }
+
+    async fn listen(&self, address: SocketAddr) -> io::Result<TcpFrameListener> {
+        Ok(TcpFrameListener::new(TcpListener::bind(address).await?))
+    }
+
+    fn disk(&self) -> FolderDisk {
+        self.disk.clone()
+    }
+}
--- /dev/null
+++ b/crates/relay/src/commands/mod.rs
@@ -0,0 +1,5 @@
+//! What a relay does for callers, trainers and samples.
+
+pub mod callers;
+pub mod samples;
+pub mod trainers;
--- /dev/null
+++ b/crates/relay/src/lease.rs
@@ -0,0 +1,81 @@
+//! Renews the configuration lease and stores each new configuration before it is acted on.
+
+use crate::relay::Relay;
+use bitcode::{Decode, Encode};
+use saddlerelay_platform::backend::Backends;
+use saddlerelay_platform::{Disk, Platform};
+use saddlerelay_types::configuration::{ConfigurationUpdate, ObjectState};
+use saddlerelay_types::identity::{Incarnation, Revision};
+use saddlerelay_types::protocol::{RenewReply, RenewRequest};
+use std::io;
+use std::time::Duration;
+
+const CONFIGURATION_FILE: &str = "configuration";
+
+/// The newest configuration acted on, as stored.
+#[derive(Clone, Debug, Encode, Decode)]
+struct StoredConfiguration {
+    revision: Revision,
+    objects: Vec<ObjectState>,
+}
+
+impl<P: Platform, B: Backends> Relay<P, B> {
+    /// Reads the stored configuration: the relay never acts on an older one.
+    pub(crate) async fn load_configuration(&self) -> io::Result<()> {
+        let Some(bytes) = self.inner.platform.disk().read(CONFIGURATION_FILE).await? else {
+            return Ok(());
+        };
+        let stored: StoredConfiguration = bitcode::decode(&bytes)
+            .map_err(|_| io::Error::new(io::ErrorKind::InvalidData, "file `configuration` is damaged"))?;
+        let objects = stored.objects.into_iter().map(|object| (object.name.clone(), object)).collect();
+        self.inner.view.borrow_mut().set_configuration(stored.revision, objects);
+        Ok(())
+    }
+
+    /// Renews the lease until the process ends.
+    pub(crate) async fn keep_lease(self) {
+        let config = self.inner.options.config.clone();
+        loop {
+            let sent_at = self.inner.platform.monotonic();
+            let renewal = self.renewal();
+            let incarnation = renewal.relay.incarnation;
+            if let Ok(reply) = self.inner.control.renew(renewal, config.renew_limit).await {
+                self.take_renewal(reply, sent_at, incarnation).await;
+            }
+            self.inner.platform.sleep(config.renew_interval).await;
+        }
+    }
+
+    fn renewal(&self) -> RenewRequest {
+        let view = self.inner.view.borrow();
+        RenewRequest { relay: self.description(), configuration: view.revision(), engines: view.engine_revision() }
+    }
+
+    async fn take_renewal(&self, reply: RenewReply, sent_at: Duration, incarnation: Incarnation) {
+        if reply.fenced {
+            self.start_anew(incarnation);
+            return;
+        }
+        if self.store_configuration(&reply.configuration).await {
+            self.inner.view.borrow_mut().renew(reply, sent_at);
+        }
+    }
+
+    /// Stores and adopts a configuration. `false` when it would go back or the disk refuses: the lease then runs out.
+    async fn store_configuration(&self, update: &ConfigurationUpdate) -> bool {
+        let known = self.inner.view.borrow().revision();
+        if update.revision == known && !update.whole {
+            return true;
+        }
+        let Some(objects) = self.inner.view.borrow().updated_objects(update) else {
+            return false;
+        };
+        let stored = StoredConfiguration { revision: update.revision, objects: objects.values().cloned().collect() };
+        let bytes = bitcode::encode(&stored);
+        if self.inner.platform.disk().replace(CONFIGURATION_FILE, bytes).await.is_err() {
+            return false;
+        }
+        self.inner.view.borrow_mut().set_configuration(update.revision, objects);
+        true
+    }
+}
--- /dev/null
+++ b/crates/relay/src/queries/mod.rs
@@ -0,0 +1,28 @@
+//! Reads of the relay's view.
+
+use crate::relay::Relay;
+use saddlerelay_platform::Platform;
+use saddlerelay_platform::backend::Backends;
+use saddlerelay_types::configuration::TenantParameters;
+use saddlerelay_types::identity::{ModelName, Revision, TenantId};
+
+impl<P: Platform, B: Backends> Relay<P, B> {
+    /// The models that tenants are served by.
+    pub fn models(&self) -> Vec<ModelName> {
+        let view = self.inner.view.borrow();
+        let mut models: Vec<ModelName> = view.tenants().map(|(_, tenant)| tenant.model.clone()).collect();
+        models.sort();
+        models.dedup();
+        models
+    }
+
+    /// A tenant's parameters.
+    pub fn tenant(&self, tenant: &TenantId) -> Option<TenantParameters> {
+        self.inner.view.borrow().tenant(tenant).cloned()
+    }
+
+    /// The configuration revision acted on.
+    pub fn revision(&self) -> Revision {
+        self.inner.view.borrow().revision()
+    }
+}
--- /dev/null
+++ b/crates/replication/src/config.rs
@@ -0,0 +1,61 @@
+//! Timing and size limits of replication.
+
+use std::time::Duration;
+
+/// Limits; every replica of a group uses the same.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct ReplicationConfig {
+    /// Pause between heartbeats to one peer.
+    pub heartbeat_interval: Duration,
+    /// Shortest silence after which a replica seeks votes, and for which it refuses votes to others.
+    pub election_timeout: Duration,
+    /// Random part added to the election timeout.
+    pub election_jitter: Duration,
+    /// How long a quorum's answers let a leader serve reads; below `election_timeout` by the clock error allowed.
+    pub lease: Duration,
+    /// Time limit of one message between replicas.
+    pub call_limit: Duration,
+    /// Entries applied since the last snapshot that cause the next.
+    pub snapshot_entries: u64,
+    /// Bytes logged since the last snapshot that cause the next.
+    pub snapshot_bytes: u64,
+    /// Entries kept before a snapshot, so that replicas a little behind need none.
+    pub trailing_entries: u64,
+    /// Most entries in one message.
+    pub entries_per_message: usize,
+    /// Most proposals waiting to be written.
+    pub proposal_queue: usize,
+    /// Voters wanted; further joiners stay learners.
+    pub target_voters: usize,
+}
+
+impl Default for ReplicationConfig {
+    fn default() -> Self {
+        Self {
+            heartbeat_interval: Duration::from_millis(100),
+            election_timeout: Duration::from_millis(1000),
+            election_jitter: Duration::from_millis(500),
+            lease: Duration::from_millis(800),
+            call_limit: Duration::from_millis(1000),
+            snapshot_entries: 4096,
+            snapshot_bytes: 16 * 1024 * 1024,
+            trailing_entries: 256,
+            entries_per_message: 256,
+            proposal_queue: 16_384,
+            target_voters: 5,
+        }
+    }
+}
+
+impl ReplicationConfig {
+    /// Why these limits cannot be used together, or `None`.
+    pub fn error(&self) -> Option<&'static str> {
+        if self.lease >= self.election_timeout {
+            return Some("the leader lease must be shorter than the election timeout");
+        }
+        if self.heartbeat_interval * 3 > self.lease {
+            return Some("the lease must cover three heartbeats");
+        }
+        None
+    }
+}
--- /dev/null
+++ b/crates/replication/src/election.rs
@@ -0,0 +1,183 @@
+//! Elections: pre-vote, votes, and the end of a leadership that lost its quorum.
+
+use crate::message::{Header, ReplicaReply, ReplicaRequest};
+use crate::replica::Replica;
+use crate::state::{Role, StateMachine};
+use crate::wal::WalRecord;
+use futures::StreamExt;
+use futures::stream::FuturesUnordered;
+use saddlerelay_platform::Platform;
+use saddlerelay_types::identity::ReplicaId;
+use std::time::Duration;
+
+/// How often the election timer is looked at.
+const ELECTION_TICK: Duration = Duration::from_millis(50);
+
+impl<P: Platform, S: StateMachine> Replica<P, S> {
+    pub(crate) async fn run_elections(self) {
+        loop {
+            self.inner.platform.sleep(ELECTION_TICK).await;
+            self.end_lost_leadership();
+            if self.election_is_due() {
+                self.clone().campaign(false).await;
+            }
+        }
+    }
+
+    fn end_lost_leadership(&self) {
+        let now = self.inner.platform.monotonic();
+        let mut state = self.inner.state.borrow_mut();
+        let Some(leadership) = state.leadership() else {
+            return;
+        };
+        let contact = state.quorum_answered_at(now).unwrap_or(leadership.since);
+        if now >= contact + self.inner.options.config.election_timeout {
+            state.become_follower();
+            state.leader = None;
+            self.reset_election_timer(&mut state);
+            drop(state);
+            self.inner.changed.notify();
+        }
+    }
+
+    fn election_is_due(&self) -> bool {
+        let state = self.inner.state.borrow();
+        let due = self.inner.platform.monotonic() >= state.election_at;
+        let able = state.membership().is_voter(state.identity.id) && !state.storage_failed && !state.stopping;
+        due && able && state.leadership().is_none()
+    }
+
+    /// Seeks votes; with `transfer`, at the old leader's request and without a pre-vote.
+    pub(crate) async fn campaign(self, transfer: bool) {
+        self.reset_election_timer(&mut self.inner.state.borrow_mut());
+        let next_term = self.inner.state.borrow().term + 1;
+        if !transfer && !self.collect_votes(next_term, true, false).await {
+            return;
+        }
+        let Some(term) = self.enter_next_term(next_term).await else {
+            return;
+        };
+        if self.collect_votes(term, false, transfer).await {
+            self.lead(term).await;
+        }
+    }
+
+    /// Votes for itself in `next_term`; `None` when the term has moved on or the disk refuses.
+    async fn enter_next_term(&self, next_term: u64) -> Option<u64> {
+        let mut storage = self.inner.storage.lock().await;
+        let own = {
+            let state = self.inner.state.borrow();
+            let stale = state.term + 1 != next_term || state.leadership().is_some() || state.stopping;
+            (!stale).then_some(state.identity.id)?
+        };
+        let record = WalRecord::HardState { term: next_term, voted_for: Some(own) };
+        if storage.append(&[record]).await.is_err() {
+            self.fail_storage();
+            return None;
+        }
+        let mut state = self.inner.state.borrow_mut();
+        state.term = next_term;
+        state.voted_for = Some(own);
+        state.role = Role::Candidate;
+        state.leader = None;
+        Some(next_term)
+    }
+
+    /// Whether a quorum gives, or with `pre_vote` would give, its vote in `term`.
+    async fn collect_votes(&self, term: u64, pre_vote: bool, transfer: bool) -> bool {
+        let (own, peers, quorum, last_index, last_term) = {
+            let state = self.inner.state.borrow();
+            let own = state.identity.id;
+            let others = state.membership().voters().filter(|member| member.id != own);
+            let peers: Vec<_> = others.map(|member| (member.id, member.address)).collect();
+            (own, peers, state.membership().quorum(), state.log.last_index(), state.log.last_term())
+        };
+        let mut given = usize::from(self.inner.state.borrow().membership().is_voter(own));
+        let ask = |(id, address)| {
+            let header = self.header(id, term);
+            let request = ReplicaRequest::Vote { header, pre_vote, transfer, last_index, last_term };
+            async move { self.send(address, &request, self.inner.options.config.call_limit).await }
+        };
+        let mut answers: FuturesUnordered<_> = peers.into_iter().map(ask).collect();
+        while given < quorum {
+            match answers.next().await {
+                Some(Some(ReplicaReply::Vote { granted: true, .. })) => given += 1,
+                Some(Some(ReplicaReply::Vote { term: seen, granted: false })) => self.observe_term(seen).await,
+                Some(_) => {}
+                None => return false,
+            }
+        }
+        let state = self.inner.state.borrow();
+        pre_vote || state.term == term && matches!(state.role, Role::Candidate)
+    }
+
+    /// Follows a term higher than this replica's own.
+    pub(crate) async fn observe_term(&self, term: u64) {
+        if term <= self.inner.state.borrow().term {
+            return;
+        }
+        let mut storage = self.inner.storage.lock().await;
+        if term <= self.inner.state.borrow().term {
+            return;
+        }
+        if storage.append(&[WalRecord::HardState { term, voted_for: None }]).await.is_err() {
+            self.fail_storage();
+            return;
+        }
+        let mut state = self.inner.state.borrow_mut();
+        state.term = term;
+        state.voted_for = None;
+        state.leader = None;
+        state.become_follower();
+        drop(state);
+        self.inner.changed.notify();
+    }
+
+    /// Answers a candidate whose log ends with `(term, index)`.
+    pub(crate) async fn answer_vote(
+        &self,
+        header: Header,
+        pre_vote: bool,
+        transfer: bool,
+        candidate_end: (u64, u64),
+    ) -> ReplicaReply {
+        let mut storage = self.inner.storage.lock().await;
+        let refusal = {
+            let state = self.inner.state.borrow();
+            let now = self.inner.platform.monotonic();
+            let silent = now >= state.leader_heard_at + self.inner.options.config.election_timeout;
+            let leaderless = silent && state.leadership().is_none();
+            let own_end = (state.log.last_term(), state.log.last_index());
+            let free = header.term > state.term || state.voted_for.is_none() || state.voted_for == Some(header.from);
+            let current = if pre_vote { header.term > state.term } else { header.term >= state.term && free };
+            let granted = (leaderless || transfer) && current && candidate_end >= own_end;
+            (!granted).then_some(ReplicaReply::Vote { term: state.term, granted: false })
+        };
+        if let Some(refusal) = refusal {
+            return refusal;
+        }
+        if pre_vote {
+            return ReplicaReply::Vote { term: header.term, granted: true };
+        }
+        let record = WalRecord::HardState { term: header.term, voted_for: Some(header.from) };
+        if storage.append(&[record]).await.is_err() {
+            self.fail_storage();
+            return ReplicaReply::Refused;
+        }
+        self.record_vote(header.term, header.from);
+        ReplicaReply::Vote { term: header.term, granted: true }
+    }
+
+    fn record_vote(&self, term: u64, candidate: ReplicaId) {
+        let mut state = self.inner.state.borrow_mut();
+        if term > state.term {
+            state.become_follower();
+            state.leader = None;
+        }
+        state.term = term;
+        state.voted_for = Some(candidate);
+        self.reset_election_timer(&mut state);
+        drop(state);
+        self.inner.changed.notify();
+    }
+}
--- /dev/null
+++ b/crates/replication/src/follower.rs
@@ -0,0 +1,133 @@
+//! Following a leader: appending its entries and installing its snapshots.
+
+use crate::log::{LogEntry, MemoryLog};
+use crate::message::{Header, ReplicaReply, Snapshot};
+use crate::replica::Replica;
+use crate::state::{State, StateMachine};
+use crate::wal::WalRecord;
+use saddlerelay_platform::Platform;
+
+impl<P: Platform, S: StateMachine> Replica<P, S> {
+    pub(crate) async fn append_entries(
+        &self,
+        header: Header,
+        previous_index: u64,
+        previous_term: u64,
+        entries: Vec<LogEntry>,
+        commit: u64,
+    ) -> ReplicaReply {
+        let mut storage = self.inner.storage.lock().await;
+        let own_term = self.inner.state.borrow().term;
+        if header.term < own_term {
+            return ReplicaReply::Append { term: own_term, accepted: false, index: 0 };
+        }
+        let mut records = new_term_record(header.term, own_term);
+        let last_sent = previous_index + entries.len() as u64;
+        let checked = {
+            let mut state = self.inner.state.borrow_mut();
+            self.hear_leader(&mut state, &header);
+            missing_entries(&state, previous_index, previous_term, entries)
+        };
+        if let Ok(missing) = &checked {
+            records.extend(missing.iter().cloned().map(WalRecord::Entry));
+        }
+        if !records.is_empty() && storage.append(&records).await.is_err() {
+            self.fail_storage();
+            return ReplicaReply::Refused;
+        }
+        let mut state = self.inner.state.borrow_mut();
+        enter_term(&mut state, &header);
+        match checked {
+            Err(index) => ReplicaReply::Append { term: header.term, accepted: false, index },
+            Ok(missing) => {
+                take_entries(&mut state, missing, last_sent, commit);
+                ReplicaReply::Append { term: header.term, accepted: true, index: last_sent }
+            }
+        }
+    }
+
+    pub(crate) async fn install_snapshot(&self, header: Header, snapshot: Snapshot) -> ReplicaReply {
+        let mut storage = self.inner.storage.lock().await;
+        let (own_term, applied) = {
+            let state = self.inner.state.borrow();
+            (state.term, state.applied)
+        };
+        if header.term < own_term {
+            return ReplicaReply::Append { term: own_term, accepted: false, index: 0 };
+        }
+        self.hear_leader(&mut self.inner.state.borrow_mut(), &header);
+        if snapshot.index <= applied {
+            return ReplicaReply::Append { term: header.term, accepted: true, index: applied };
+        }
+        let voted_for = self.inner.state.borrow().voted_for.filter(|_| header.term == own_term);
+        let written = match storage.write_snapshot(&snapshot).await {
+            Ok(()) => storage.rewrite(header.term, voted_for, &[]).await,
+            Err(error) => Err(error),
+        };
+        if written.is_err() {
+            self.fail_storage();
+            return ReplicaReply::Refused;
+        }
+        let mut state = self.inner.state.borrow_mut();
+        enter_term(&mut state, &header);
+        state.machine.restore(&snapshot.state);
+        state.log = MemoryLog::new(snapshot.index, snapshot.term, snapshot.membership);
+        state.synced = snapshot.index;
+        state.commit = snapshot.index;
+        state.applied = snapshot.index;
+        state.snapshot_index = snapshot.index;
+        state.applied_bytes_since_snapshot = 0;
+        ReplicaReply::Append { term: header.term, accepted: true, index: snapshot.index }
+    }
+
+    fn hear_leader(&self, state: &mut State<S>, header: &Header) {
+        state.leader_heard_at = self.inner.platform.monotonic();
+        if header.term >= state.term {
+            state.leader = Some(header.from);
+        }
+        self.reset_election_timer(state);
+    }
+}
+
+fn new_term_record(term: u64, own_term: u64) -> Vec<WalRecord> {
+    let newer = term > own_term;
+    newer.then_some(WalRecord::HardState { term, voted_for: None }).into_iter().collect()
+}
+
+fn enter_term<S: StateMachine>(state: &mut State<S>, header: &Header) {
+    if header.term > state.term {
+        state.term = header.term;
+        state.voted_for = None;
+    }
+    state.leader = Some(header.from);
+    state.become_follower();
+}
+
+/// The sent entries that are not held yet, or the index from which the leader should try.
+fn missing_entries<S: StateMachine>(
+    state: &State<S>,
+    previous_index: u64,
+    previous_term: u64,
+    entries: Vec<LogEntry>,
+) -> Result<Vec<LogEntry>, u64> {
+    let base = state.log.base_index();
+    if previous_index > state.log.last_index() {
+        return Err(state.log.last_index());
+    }
+    if previous_index >= base && state.log.term_at(previous_index) != Some(previous_term) {
+        return Err(previous_index.saturating_sub(1).min(state.commit.max(base)));
+    }
+    let held = |entry: &LogEntry| entry.index <= base || state.log.term_at(entry.index) == Some(entry.term);
+    let first_missing = entries.iter().position(|entry| !held(entry));
+    Ok(first_missing.map_or_else(Vec::new, |first| entries[first..].to_vec()))
+}
+
+fn take_entries<S: StateMachine>(state: &mut State<S>, missing: Vec<LogEntry>, last_sent: u64, commit: u64) {
+    for entry in missing {
+        assert!(entry.index > state.commit, "a committed entry is never replaced");
+        state.synced = entry.index;
+        state.log.push(entry);
+    }
+    state.commit = state.commit.max(commit.min(last_sent));
+    state.apply_committed();
+}
--- /dev/null
+++ b/crates/replication/src/lib.rs
@@ -0,0 +1,21 @@
+//! A replicated log: terms, pre-vote, leader lease, quorum commit after sync, snapshots, learners and membership
+//! changes of one replica at a time.
+//!
+//! The protocol is Raft's (Ongaro and Ousterhout, 2014) with pre-vote, leader leases and leadership transfer. Node code
+//! is written as tasks: one for elections, one that writes proposals, one for each peer while leading.
+
+pub mod config;
+mod election;
+mod follower;
+mod leader;
+pub mod log;
+pub mod membership;
+pub mod message;
+mod replica;
+pub mod signal;
+mod state;
+pub mod storage;
+pub mod wal;
+
+pub use replica::{ProposeError, Replica, ReplicaOptions};
+pub use state::StateMachine;
--- /dev/null
+++ b/crates/replication/src/log.rs
@@ -0,0 +1,136 @@
+//! The log in memory.
+
+use crate::membership::Membership;
+use bitcode::{Decode, Encode};
+
+/// One entry.
+#[derive(Clone, Debug, PartialEq, Eq, Encode, Decode)]
+pub struct LogEntry {
+    /// Place in the log, from 1 without gaps.
+    pub index: u64,
+    /// The term that wrote it.
+    pub term: u64,
+    /// What it carries.
+    pub payload: EntryPayload,
+}
+
+/// What an entry carries.
+#[derive(Clone, Debug, PartialEq, Eq, Encode, Decode)]
+pub enum EntryPayload {
+    /// Nothing: a new leader's first entry.
+    Empty,
+    /// A command of the state machine.
+    Command(Vec<u8>),
+    /// A new membership, in force from the moment it is written.
+    Membership(Membership),
+}
+
+impl EntryPayload {
+    /// Approximate size in bytes.
+    pub fn size(&self) -> u64 {
+        match self {
+            Self::Command(bytes) => bytes.len() as u64 + 32,
+            _ => 256,
+        }
+    }
+}
+
+/// Entries after a base index, with the memberships they bring into force.
+#[derive(Clone, Debug, Default)]
+pub struct MemoryLog {
+    base_index: u64,
+    base_term: u64,
+    entries: Vec<LogEntry>,
+    memberships: Vec<(u64, Membership)>,
+}
+
+impl MemoryLog {
+    /// A log that starts after a snapshot.
+    pub fn new(base_index: u64, base_term: u64, membership: Membership) -> Self {
+        Self { base_index, base_term, entries: Vec::new(), memberships: vec![(base_index, membership)] }
+    }
+
+    /// The last index before the entries held.
+    pub fn base_index(&self) -> u64 {
+        self.base_index
+    }
+
+    /// The last index.
+    pub fn last_index(&self) -> u64 {
+        self.base_index + self.entries.len() as u64
+    }
+
+    /// The term of the last entry.
+    pub fn last_term(&self) -> u64 {
+        self.entries.last().map_or(self.base_term, |entry| entry.term)
+    }
+
+    /// The term at `index`, if it is held.
+    pub fn term_at(&self, index: u64) -> Option<u64> {
+        if index == self.base_index {
+            return Some(self.base_term);
+        }
+        self.entry(index).map(|entry| entry.term)
+    }
+
+    /// The entry at `index`, if it is held.
+    pub fn entry(&self, index: u64) -> Option<&LogEntry> {
+        let offset = index.checked_sub(self.base_index + 1)?;
+        self.entries.get(offset as usize)
+    }
+
+    /// Up to `limit` entries from `first` on, if `first` is held or next.
+    pub fn entries_from(&self, first: u64, limit: usize) -> Option<Vec<LogEntry>> {
+        let offset = first.checked_sub(self.base_index + 1)? as usize;
+        let held = self.entries.get(offset..)?;
+        Some(held.iter().take(limit).cloned().collect())
+    }
+
+    /// Appends `entry`, dropping what it replaces.
+    pub fn push(&mut self, entry: LogEntry) {
+        self.truncate(entry.index - 1);
+        assert_eq!(entry.index, self.last_index() + 1, "a log has no gaps");
+        if let EntryPayload::Membership(membership) = &entry.payload {
+            self.memberships.push((entry.index, membership.clone()));
+        }
+        self.entries.push(entry);
+    }
+
+    /// Drops every entry after `last`.
+    pub fn truncate(&mut self, last: u64) {
+        let keep = last.saturating_sub(self.base_index) as usize;
+        self.entries.truncate(keep);
+        self.memberships.retain(|(index, _)| *index <= last.max(self.base_index));
+    }
+
+    /// Drops every entry up to `index`.
+    pub fn compact(&mut self, index: u64) {
+        let Some(term) = self.term_at(index) else {
+            return;
+        };
+        let membership = self.membership_at(index).clone();
+        let drop_count = (index - self.base_index) as usize;
+        self.entries.drain(..drop_count);
+        self.base_index = index;
+        self.base_term = term;
+        self.memberships.retain(|(at, _)| *at > index);
+        self.memberships.insert(0, (index, membership));
+    }
+
+    /// The newest membership, committed or not.
+    pub fn membership(&self) -> &Membership {
+        &self.memberships.last().expect("a log always has a membership").1
+    }
+
+    /// The index that brought the newest membership.
+    pub fn membership_index(&self) -> u64 {
+        self.memberships.last().expect("a log always has a membership").0
+    }
+
+    /// The membership in force at `index`.
+    pub fn membership_at(&self, index: u64) -> &Membership {
+        let mut newest_first = self.memberships.iter().rev();
+        let found = newest_first.find(|(at, _)| *at <= index);
+        &found.unwrap_or(&self.memberships[0]).1
+    }
+}
--- /dev/null
+++ b/crates/replication/src/membership.rs
@@ -0,0 +1,70 @@
+//! The replicas of a group.
+
+use bitcode::{Decode, Encode};
+use saddlerelay_types::identity::ReplicaId;
+use std::net::SocketAddr;
+
+/// One replica.
+#[derive(Clone, Debug, PartialEq, Eq, Encode, Decode)]
+pub struct Member {
+    /// Made with its disk; a replica with an empty disk is another member.
+    pub id: ReplicaId,
+    /// Where it listens.
+    pub address: SocketAddr,
+    /// Whether it counts towards quorums.
+    pub voter: bool,
+}
+
+/// The replicas in force from one log entry on.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Encode, Decode)]
+pub struct Membership {
+    /// The members.
+    pub members: Vec<Member>,
+}
+
+impl Membership {
+    /// The voters.
+    pub fn voters(&self) -> impl Iterator<Item = &Member> {
+        self.members.iter().filter(|member| member.voter)
+    }
+
+    /// How many voters make a quorum.
+    pub fn quorum(&self) -> usize {
+        self.voters().count() / 2 + 1
+    }
+
+    /// The member with this identifier.
+    pub fn member(&self, id: ReplicaId) -> Option<&Member> {
+        self.members.iter().find(|member| member.id == id)
+    }
+
+    /// Whether `id` votes.
+    pub fn is_voter(&self, id: ReplicaId) -> bool {
+        self.member(id).is_some_and(|member| member.voter)
+    }
+
+    /// This membership with `member` as a learner.
+    pub fn with_learner(&self, id: ReplicaId, address: SocketAddr) -> Self {
+        let mut members = self.members.clone();
+        members.push(Member { id, address, voter: false });
+        Self { members }
+    }
+
+    /// This membership with `id` as a voter.
+    pub fn with_voter(&self, id: ReplicaId) -> Self {
+        let promote = |member: &Member| Member { voter: member.voter || member.id == id, ..member.clone() };
+        Self { members: self.members.iter().map(promote).collect() }
+    }
+
+    /// This membership without `id`.
+    pub fn without(&self, id: ReplicaId) -> Self {
+        Self { members: self.members.iter().filter(|member| member.id != id).cloned().collect() }
+    }
+
+    /// The largest value that a quorum of voters has reached, where `reached` tells each voter's own value.
+    pub fn quorum_value<T: Ord + Copy>(&self, reached: impl Fn(ReplicaId) -> T) -> Option<T> {
+        let mut values: Vec<T> = self.voters().map(|member| reached(member.id)).collect();
+        values.sort_unstable_by(|left, right| right.cmp(left));
+        values.get(self.quorum() - 1).copied()
+    }
+}
--- /dev/null
+++ b/crates/replication/src/message.rs
@@ -0,0 +1,108 @@
+//! Messages between replicas.
+
+use crate::log::LogEntry;
+use crate::membership::Membership;
+use bitcode::{Decode, Encode};
+use saddlerelay_types::identity::ReplicaId;
+use std::net::SocketAddr;
+
+/// Who speaks to whom. A message for another identity or group is refused.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Encode, Decode)]
+pub struct Header {
+    /// The group, drawn when it was initialised.
+    pub group: u64,
+    /// The sender.
+    pub from: ReplicaId,
+    /// The receiver as the sender knows it.
+    pub to: ReplicaId,
+    /// The sender's term.
+    pub term: u64,
+}
+
+/// A request to a replica.
+#[derive(Clone, Debug, PartialEq, Eq, Encode, Decode)]
+pub enum ReplicaRequest {
+    /// Asks for a vote, or whether one would be given.
+    Vote {
+        /// Sender and receiver.
+        header: Header,
+        /// Only asks; the term is the one that would be campaigned in.
+        pre_vote: bool,
+        /// The old leader asked for this election, so that its lease does not stand against it.
+        transfer: bool,
+        /// The candidate's last entry.
+        last_index: u64,
+        /// The term of the candidate's last entry.
+        last_term: u64,
+    },
+    /// Appends entries; a heartbeat when there are none.
+    Append {
+        /// Sender and receiver.
+        header: Header,
+        /// Index of the entry before the first.
+        previous_index: u64,
+        /// Term of the entry before the first.
+        previous_term: u64,
+        /// The entries.
+        entries: Vec<LogEntry>,
+        /// The leader's commit index.
+        commit: u64,
+    },
+    /// Replaces the receiver's state.
+    InstallSnapshot {
+        /// Sender and receiver.
+        header: Header,
+        /// The snapshot.
+        snapshot: Snapshot,
+    },
+    /// The leader stops: the receiver should campaign now.
+    TakeOver {
+        /// Sender and receiver.
+        header: Header,
+    },
+    /// A replica with an empty disk asks to be added.
+    Join {
+        /// Its identifier.
+        id: ReplicaId,
+        /// Where it listens.
+        address: SocketAddr,
+    },
+}
+
+/// A replica's answer.
+#[derive(Clone, Debug, PartialEq, Eq, Encode, Decode)]
+pub enum ReplicaReply {
+    /// Of a vote request.
+    Vote {
+        /// The voter's term.
+        term: u64,
+        /// Whether the vote is given.
+        granted: bool,
+    },
+    /// Of an append or a snapshot.
+    Append {
+        /// The receiver's term.
+        term: u64,
+        /// Whether the receiver now holds the entries, synced.
+        accepted: bool,
+        /// When accepted the last index held; otherwise where to try next.
+        index: u64,
+    },
+    /// The request was taken.
+    Taken,
+    /// The request is for another replica or group, or the disk has failed.
+    Refused,
+}
+
+/// State up to an index.
+#[derive(Clone, Debug, PartialEq, Eq, Encode, Decode)]
+pub struct Snapshot {
+    /// Last entry included.
+    pub index: u64,
+    /// Its term.
+    pub term: u64,
+    /// The membership at that entry.
+    pub membership: Membership,
+    /// The state machine's own bytes.
+    pub state: Vec<u8>,
+}
--- /dev/null
+++ b/crates/replication/src/replica.rs
@@ -0,0 +1,316 @@
+//! A replica's public face: opening, proposing, reading and answering messages.
+
+use crate::config::ReplicationConfig;
+use crate::log::EntryPayload;
+use crate::membership::{Member, Membership};
+use crate::message::{Header, ReplicaReply, ReplicaRequest};
+use crate::signal::Signal;
+use crate::state::{Role, State, StateMachine};
+use crate::storage::{Identity, Storage, StorageError};
+use futures::channel::{mpsc, oneshot};
+use futures::lock::Mutex;
+use saddlerelay_platform::Platform;
+use saddlerelay_rpc::client::Client;
+use saddlerelay_types::identity::ReplicaId;
+use saddlerelay_types::protocol::{ControlReply, ControlRequest, GroupView, ReplicaView};
+use std::cell::RefCell;
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+/// How a replica is started.
+#[derive(Clone, Debug)]
+pub struct ReplicaOptions {
+    /// Where this replica listens.
+    pub address: SocketAddr,
+    /// Where the group's replicas listen; this one's own address may be among them.
+    pub peers: Vec<SocketAddr>,
+    /// The deployment's shared secret.
+    pub secret: String,
+    /// Limits.
+    pub config: ReplicationConfig,
+}
+
+/// Why a proposal brought no outcome.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ProposeError {
+    /// This replica does not lead; nothing was written.
+    NotLeader(Option<SocketAddr>),
+    /// Too many proposals wait; nothing was written.
+    Overloaded,
+    /// The proposal may or may not be committed later.
+    Undecided,
+}
+
+pub(crate) struct Proposal<O> {
+    pub payload: EntryPayload,
+    pub sender: Option<oneshot::Sender<O>>,
+}
+
+pub(crate) struct Inner<P: Platform, S: StateMachine> {
+    pub platform: P,
+    pub options: ReplicaOptions,
+    pub state: RefCell<State<S>>,
+    pub storage: Mutex<Storage<P::Disk>>,
+    pub proposals: RefCell<mpsc::Sender<Proposal<S::Outcome>>>,
+    proposal_queue: RefCell<Option<mpsc::Receiver<Proposal<S::Outcome>>>>,
+    /// New entries, a new leader or a new membership.
+    pub changed: Signal,
+    clients: RefCell<BTreeMap<SocketAddr, Client<P>>>,
+}
+
+/// One replica of a group. Clones are the same replica.
+pub struct Replica<P: Platform, S: StateMachine> {
+    pub(crate) inner: Rc<Inner<P, S>>,
+}
+
+impl<P: Platform, S: StateMachine> Clone for Replica<P, S> {
+    fn clone(&self) -> Self {
+        Self { inner: self.inner.clone() }
+    }
+}
+
+impl<P: Platform, S: StateMachine> Replica<P, S> {
+    /// Opens the replica's files and restores its state; `start` makes it take part.
+    pub async fn open(platform: P, options: ReplicaOptions, mut machine: S) -> Result<Self, StorageError> {
+        let new_id = ReplicaId(platform.random().max(1));
+        let (storage, recovered) = Storage::open(platform.disk(), new_id).await?;
+        let snapshot_index = recovered.log.base_index();
+        if let Some(snapshot) = &recovered.snapshot {
+            machine.restore(&snapshot.state);
+        }
+        let now = platform.monotonic();
+        let state = State {
+            identity: recovered.identity,
+            term: recovered.term,
+            voted_for: recovered.voted_for,
+            role: Role::Follower,
+            leader: None,
+            leader_heard_at: now,
+            election_at: now + options.config.election_timeout + platform.jitter(options.config.election_jitter),
+            synced: recovered.log.last_index(),
+            log: recovered.log,
+            commit: snapshot_index,
+            applied: snapshot_index,
+            applied_bytes_since_snapshot: 0,
+            snapshot_index,
+            machine,
+            waiting: BTreeMap::new(),
+            storage_failed: false,
+            stopping: false,
+        };
+        let (proposals, proposal_queue) = mpsc::channel(options.config.proposal_queue);
+        let inner = Inner {
+            platform,
+            options,
+            state: RefCell::new(state),
+            storage: Mutex::new(storage),
+            proposals: RefCell::new(proposals),
+            proposal_queue: RefCell::new(Some(proposal_queue)),
+            changed: Signal::default(),
+            clients: RefCell::default(),
+        };
+        Ok(Self { inner: Rc::new(inner) })
+    }
+
+    /// Starts the replica's tasks. Called once.
+    pub fn start(&self) {
+        let queue = self.inner.proposal_queue.borrow_mut().take().expect("a replica is started once");
+        let platform = &self.inner.platform;
+        platform.spawn(self.clone().run_elections());
+        platform.spawn(self.clone().write_proposals(queue));
+        platform.spawn(self.clone().manage_membership());
+        platform.spawn(self.clone().maintain_storage());
+        platform.spawn(self.clone().join_group());
+    }
+
+    /// Commits `command` and returns its outcome.
+    pub async fn propose(&self, command: Vec<u8>) -> Result<S::Outcome, ProposeError> {
+        if !self.accepts_proposals() {
+            return Err(ProposeError::NotLeader(self.leader_address()));
+        }
+        let (sender, outcome) = oneshot::channel();
+        let proposal = Proposal { payload: EntryPayload::Command(command), sender: Some(sender) };
+        let queued = self.inner.proposals.borrow_mut().try_send(proposal);
+        if queued.is_err() {
+            return Err(ProposeError::Overloaded);
+        }
+        outcome.await.map_err(|_| ProposeError::Undecided)
+    }
+
+    fn accepts_proposals(&self) -> bool {
+        let state = self.inner.state.borrow();
+        let open = state.leadership().is_some_and(|leadership| !leadership.handing_over);
+        open && !state.storage_failed
+    }
+
+    /// Reads the committed state, if this replica leads and holds the lease.
+    pub fn read<T>(&self, read: impl FnOnce(&S) -> T) -> Option<T> {
+        let now = self.inner.platform.monotonic();
+        let state = self.inner.state.borrow();
+        state.may_serve(now, &self.inner.options.config).then(|| read(&state.machine))
+    }
+
+    /// The term, if this replica leads and holds the lease.
+    pub fn leading_term(&self) -> Option<u64> {
+        let now = self.inner.platform.monotonic();
+        let state = self.inner.state.borrow();
+        state.may_serve(now, &self.inner.options.config).then_some(state.term)
+    }
+
+    /// The leader's address, if another replica is known to lead.
+    pub fn leader_address(&self) -> Option<SocketAddr> {
+        let state = self.inner.state.borrow();
+        let leader = state.leader.filter(|leader| *leader != state.identity.id)?;
+        state.address_of(leader)
+    }
+
+    /// This replica's identifier.
+    pub fn id(&self) -> ReplicaId {
+        self.inner.state.borrow().identity.id
+    }
+
+    /// Whether the replica takes part: it knows a leader that was heard within an election timeout, or leads.
+    pub fn is_ready(&self) -> bool {
+        let now = self.inner.platform.monotonic();
+        let state = self.inner.state.borrow();
+        let config = &self.inner.options.config;
+        let follows = state.leader.is_some() && now < state.leader_heard_at + config.election_timeout;
+        !state.storage_failed && (follows || state.may_serve(now, config))
+    }
+
+    /// The group as this leader sees it.
+    pub fn view(&self) -> Option<GroupView> {
+        let now = self.inner.platform.monotonic();
+        let state = self.inner.state.borrow();
+        let leadership = state.leadership()?;
+        let own = state.identity.id;
+        let replica = |member: &Member| {
+            let progress = leadership.progress.get(&member.id).copied().unwrap_or_default();
+            let since = progress.answered_sent_at.map_or(now, |at| now.saturating_sub(at));
+            let is_own = member.id == own;
+            ReplicaView {
+                id: member.id,
+                address: member.address,
+                voter: member.voter,
+                matched: if is_own { state.synced } else { progress.matched },
+                heard_milliseconds_ago: if is_own { 0 } else { since.as_millis() as u64 },
+            }
+        };
+        let replicas = state.membership().members.iter().map(replica).collect();
+        Some(GroupView { term: state.term, leader: own, committed: state.commit, replicas })
+    }
+
+    /// Forms a new group of this replica alone. Refused once the replica belongs to a group.
+    pub async fn initialize(&self) -> Result<bool, StorageError> {
+        let mut storage = self.inner.storage.lock().await;
+        let identity = self.inner.state.borrow().identity;
+        if identity.group.is_some() {
+            return Ok(false);
+        }
+        let identity = Identity { group: Some(self.inner.platform.random()), ..identity };
+        let own = Member { id: identity.id, address: self.inner.options.address, voter: true };
+        let membership = Membership { members: vec![own] };
+        let payload = EntryPayload::Membership(membership);
+        let entry = crate::log::LogEntry { index: 1, term: 0, payload };
+        storage.append(&[crate::wal::WalRecord::Entry(entry.clone())]).await?;
+        storage.write_identity(identity).await?;
+        let mut state = self.inner.state.borrow_mut();
+        state.identity = identity;
+        state.log.push(entry);
+        state.synced = 1;
+        Ok(true)
+    }
+
+    /// Answers another replica.
+    pub async fn handle(&self, request: ReplicaRequest) -> ReplicaReply {
+        if self.inner.state.borrow().storage_failed {
+            return ReplicaReply::Refused;
+        }
+        match request {
+            ReplicaRequest::Join { id, address } => self.add_learner(id, address),
+            ReplicaRequest::Vote { header, pre_vote, transfer, last_index, last_term } => {
+                if !self.is_for_this_replica(&header) {
+                    return ReplicaReply::Refused;
+                }
+                self.answer_vote(header, pre_vote, transfer, (last_term, last_index)).await
+            }
+            ReplicaRequest::Append { header, previous_index, previous_term, entries, commit } => {
+                if !self.accepts_leader(&header).await {
+                    return ReplicaReply::Refused;
+                }
+                self.append_entries(header, previous_index, previous_term, entries, commit).await
+            }
+            ReplicaRequest::InstallSnapshot { header, snapshot } => {
+                if !self.accepts_leader(&header).await {
+                    return ReplicaReply::Refused;
+                }
+                self.install_snapshot(header, snapshot).await
+            }
+            ReplicaRequest::TakeOver { header } => {
+                if !self.is_for_this_replica(&header) {
+                    return ReplicaReply::Refused;
+                }
+                self.inner.platform.spawn(self.clone().campaign(true));
+                ReplicaReply::Taken
+            }
+        }
+    }
+
+    fn is_for_this_replica(&self, header: &Header) -> bool {
+        let identity = self.inner.state.borrow().identity;
+        header.to == identity.id && identity.group == Some(header.group)
+    }
+
+    /// Like `is_for_this_replica`, but a replica without a group takes the group of the first leader that adds it.
+    async fn accepts_leader(&self, header: &Header) -> bool {
+        let identity = self.inner.state.borrow().identity;
+        if header.to != identity.id {
+            return false;
+        }
+        if identity.group.is_some() {
+            return identity.group == Some(header.group);
+        }
+        let adopted = Identity { group: Some(header.group), ..identity };
+        let mut storage = self.inner.storage.lock().await;
+        if storage.write_identity(adopted).await.is_err() {
+            return false;
+        }
+        self.inner.state.borrow_mut().identity = adopted;
+        true
+    }
+
+    pub(crate) async fn send(
+        &self,
+        address: SocketAddr,
+        request: &ReplicaRequest,
+        limit: Duration,
+    ) -> Option<ReplicaReply> {
+        let client = self.client(address);
+        let body = bitcode::encode(&ControlRequest::Replication(bitcode::encode(request)));
+        let answer = client.call(body, limit).await.ok()?;
+        match bitcode::decode(&answer).ok()? {
+            ControlReply::Replication(bytes) => bitcode::decode(&bytes).ok(),
+            _ => None,
+        }
+    }
+
+    fn client(&self, address: SocketAddr) -> Client<P> {
+        let mut clients = self.inner.clients.borrow_mut();
+        let new = || Client::new(self.inner.platform.clone(), address, &self.inner.options.secret);
+        clients.entry(address).or_insert_with(new).clone()
+    }
+
+    pub(crate) fn header(&self, to: ReplicaId, term: u64) -> Header {
+        let identity = self.inner.state.borrow().identity;
+        Header { group: identity.group.unwrap_or_default(), from: identity.id, to, term }
+    }
+
+    pub(crate) fn reset_election_timer(&self, state: &mut State<S>) {
+        let config = &self.inner.options.config;
+        let platform = &self.inner.platform;
+        let wait = config.election_timeout + platform.jitter(config.election_jitter);
+        state.election_at = platform.monotonic() + wait;
+    }
+}
--- /dev/null
+++ b/crates/replication/src/state.rs
@@ -0,0 +1,193 @@
+//! A replica's state in memory.
+
+use crate::config::ReplicationConfig;
+use crate::log::{EntryPayload, MemoryLog};
+use crate::membership::Membership;
+use crate::message::Snapshot;
+use crate::storage::Identity;
+use futures::channel::oneshot;
+use saddlerelay_types::identity::ReplicaId;
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+/// What the log's commands act on. Every replica applies the same commands in the same order, so `apply` may use
+/// nothing but the state and the command.
+pub trait StateMachine: 'static {
+    /// What a command brings.
+    type Outcome: 'static;
+    /// Applies a committed command.
+    fn apply(&mut self, command: &[u8]) -> Self::Outcome;
+    /// The whole state as bytes.
+    fn snapshot(&self) -> Vec<u8>;
+    /// Replaces the state with one that `snapshot` gave.
+    fn restore(&mut self, bytes: &[u8]);
+}
+
+/// What a leader knows of one peer.
+#[derive(Clone, Copy, Debug, Default)]
+pub(crate) struct Progress {
+    /// The next entry to send.
+    pub next: u64,
+    /// The last entry the peer holds, synced.
+    pub matched: u64,
+    /// When the newest message that the peer answered was sent.
+    pub answered_sent_at: Option<Duration>,
+}
+
+/// A leader's own state.
+pub(crate) struct Leadership {
+    /// The empty entry that opened the term.
+    pub first_index: u64,
+    /// When the term began here.
+    pub since: Duration,
+    /// Per peer.
+    pub progress: BTreeMap<ReplicaId, Progress>,
+    /// Leadership is being handed over: no new proposals.
+    pub handing_over: bool,
+}
+
+pub(crate) enum Role {
+    Follower,
+    Candidate,
+    Leader(Leadership),
+}
+
+pub(crate) struct Waiting<O> {
+    pub term: u64,
+    pub sender: oneshot::Sender<O>,
+}
+
+pub(crate) struct State<S: StateMachine> {
+    pub identity: Identity,
+    pub term: u64,
+    pub voted_for: Option<ReplicaId>,
+    pub role: Role,
+    /// The leader of `term`, once known.
+    pub leader: Option<ReplicaId>,
+    /// When a leader was last heard, or the start: votes are refused for an election timeout after it.
+    pub leader_heard_at: Duration,
+    /// When this replica will seek votes.
+    pub election_at: Duration,
+    pub log: MemoryLog,
+    /// The last entry on this replica's own disk.
+    pub synced: u64,
+    pub commit: u64,
+    pub applied: u64,
+    pub applied_bytes_since_snapshot: u64,
+    pub snapshot_index: u64,
+    pub machine: S,
+    pub waiting: BTreeMap<u64, Waiting<S::Outcome>>,
+    /// The disk refused a write; the replica takes part in nothing until it is repaired.
+    pub storage_failed: bool,
+    pub stopping: bool,
+}
+
+impl<S: StateMachine> State<S> {
+    pub fn leadership(&self) -> Option<&Leadership> {
+        match &self.role {
+            Role::Leader(leadership) => Some(leadership),
+            _ => None,
+        }
+    }
+
+    pub fn leadership_mut(&mut self) -> Option<&mut Leadership> {
+        match &mut self.role {
+            Role::Leader(leadership) => Some(leadership),
+            _ => None,
+        }
+    }
+
+    pub fn leads_term(&self, term: u64) -> bool {
+        self.term == term && self.leadership().is_some()
+    }
+
+    pub fn membership(&self) -> &Membership {
+        self.log.membership()
+    }
+
+    pub fn address_of(&self, id: ReplicaId) -> Option<SocketAddr> {
+        self.membership().member(id).map(|member| member.address)
+    }
+
+    /// Stops leading or campaigning; waiting proposals become undecided.
+    pub fn become_follower(&mut self) {
+        self.role = Role::Follower;
+        self.waiting.clear();
+    }
+
+    /// The time up to which a quorum has answered this leader.
+    pub fn quorum_answered_at(&self, now: Duration) -> Option<Duration> {
+        let leadership = self.leadership()?;
+        let own = self.identity.id;
+        let answered = |id: ReplicaId| {
+            let progress = leadership.progress.get(&id);
+            if id == own { Some(now) } else { progress.and_then(|progress| progress.answered_sent_at) }
+        };
+        self.membership().quorum_value(answered).flatten()
+    }
+
+    /// Whether this replica leads, has committed in its term and holds the lease. A leader that hands over serves no
+    /// more reads: its successor's election does not wait for the lease.
+    pub fn may_serve(&self, now: Duration, config: &ReplicationConfig) -> bool {
+        let Some(leadership) = self.leadership() else {
+            return false;
+        };
+        let answered = self.quorum_answered_at(now);
+        let leased = answered.is_some_and(|at| now < at + config.lease);
+        leased && self.applied >= leadership.first_index && !leadership.handing_over && !self.storage_failed
+    }
+
+    /// Commits what a quorum holds.
+    pub fn advance_commit(&mut self) {
+        let Some(leadership) = self.leadership() else {
+            return;
+        };
+        let own = self.identity.id;
+        let held = |id: ReplicaId| {
+            let progress = leadership.progress.get(&id);
+            if id == own { self.synced } else { progress.map_or(0, |progress| progress.matched) }
+        };
+        let Some(index) = self.membership().quorum_value(held) else {
+            return;
+        };
+        if index > self.commit && self.log.term_at(index) == Some(self.term) {
+            self.commit = index;
+            self.apply_committed();
+        }
+    }
+
+    /// Applies committed entries and answers their proposers.
+    pub fn apply_committed(&mut self) {
+        while self.applied < self.commit {
+            let Some(entry) = self.log.entry(self.applied + 1) else {
+                return;
+            };
+            let (index, term) = (entry.index, entry.term);
+            self.applied_bytes_since_snapshot += entry.payload.size();
+            self.applied = index;
+            let outcome = match &entry.payload {
+                EntryPayload::Command(command) => Some(self.machine.apply(command)),
+                EntryPayload::Empty | EntryPayload::Membership(_) => None,
+            };
+            let waiting = self.waiting.remove(&index);
+            if let (Some(outcome), Some(waiting)) = (outcome, waiting)
+                && waiting.term == term
+            {
+                // The proposer may have given up.
+                let _ = waiting.sender.send(outcome);
+            }
+        }
+    }
+
+    /// The state at the last applied entry.
+    pub fn snapshot(&self) -> Snapshot {
+        let index = self.applied;
+        Snapshot {
+            index,
+            term: self.log.term_at(index).unwrap_or_default(),
+            membership: self.log.membership_at(index).clone(),
+            state: self.machine.snapshot(),
+        }
+    }
+}
