--- /dev/null
+++ b/crates/replication/src/storage.rs
@@ -0,0 +1,186 @@
+//! A replica's files: its identity, its snapshot and its write-ahead log.
+
+use crate::log::{LogEntry, MemoryLog};
+use crate::membership::Membership;
+use crate::message::Snapshot;
+use crate::wal::{self, WalRecord};
+use bitcode::{Decode, Encode};
+use saddlerelay_platform::Disk;
+use saddlerelay_types::identity::ReplicaId;
+use std::fmt;
+use std::io;
+
+const IDENTITY_FILE: &str = "identity";
+const SNAPSHOT_FILE: &str = "snapshot";
+const WAL_FILE: &str = "wal";
+
+/// Why a replica's files cannot be used.
+#[derive(Debug)]
+pub enum StorageError {
+    /// The operating system refused.
+    Io(io::Error),
+    /// A file is damaged in a place that may have been acknowledged. The replica must not start: give it an empty data
+    /// folder, and it joins as a new member.
+    Corrupt {
+        /// The file.
+        file: &'static str,
+        /// Byte offset of the damage.
+        offset: usize,
+    },
+}
+
+impl fmt::Display for StorageError {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Io(error) => write!(formatter, "{error}"),
+            Self::Corrupt { file, offset } => write!(
+                formatter,
+                "file `{file}` is corrupt at byte {offset}; start this replica with an empty data folder to rejoin"
+            ),
+        }
+    }
+}
+
+impl std::error::Error for StorageError {}
+
+impl From<io::Error> for StorageError {
+    fn from(error: io::Error) -> Self {
+        Self::Io(error)
+    }
+}
+
+/// Who this replica is, made when its disk is first written.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Encode, Decode)]
+pub struct Identity {
+    /// The replica.
+    pub id: ReplicaId,
+    /// The group it belongs to, once it does.
+    pub group: Option<u64>,
+}
+
+/// What the files held at start.
+pub struct Recovered {
+    /// Who this replica is.
+    pub identity: Identity,
+    /// Its term.
+    pub term: u64,
+    /// Its vote in that term.
+    pub voted_for: Option<ReplicaId>,
+    /// The log after the snapshot.
+    pub log: MemoryLog,
+    /// The snapshot, if there is one.
+    pub snapshot: Option<Snapshot>,
+    /// Bytes of a torn write that were cut off.
+    pub torn_bytes: usize,
+}
+
+/// Writes the files. Only its owner's lock holder uses it.
+pub struct Storage<D> {
+    disk: D,
+    /// A failed append may have left part of a record; the log must be rewritten before the next append.
+    damaged: bool,
+}
+
+impl<D: Disk> Storage<D> {
+    /// Opens the files, making an identity if the disk is empty.
+    pub async fn open(disk: D, new_id: ReplicaId) -> Result<(Self, Recovered), StorageError> {
+        let identity = read_framed::<Identity, D>(&disk, IDENTITY_FILE).await?;
+        let snapshot = read_framed::<Snapshot, D>(&disk, SNAPSHOT_FILE).await?;
+        let wal_bytes = disk.read(WAL_FILE).await?.unwrap_or_default();
+        let content = wal::read(&wal_bytes)
+            .map_err(|wal::WalError::Corrupt { offset }| StorageError::Corrupt { file: WAL_FILE, offset })?;
+        let mut storage = Self { disk, damaged: false };
+        let identity = match identity {
+            Some(identity) => identity,
+            None => {
+                let identity = Identity { id: new_id, group: None };
+                storage.write_identity(identity).await?;
+                identity
+            }
+        };
+        let torn_bytes = content.torn_bytes;
+        let recovered = rebuild(identity, snapshot, content.records, torn_bytes);
+        if torn_bytes > 0 {
+            let whole = wal_bytes[..wal_bytes.len() - torn_bytes].to_vec();
+            storage.disk.replace(WAL_FILE, whole).await?;
+        }
+        Ok((storage, recovered))
+    }
+
+    /// Writes who this replica is.
+    pub async fn write_identity(&mut self, identity: Identity) -> Result<(), StorageError> {
+        let bytes = wal::frame(&bitcode::encode(&identity));
+        Ok(self.disk.replace(IDENTITY_FILE, bytes).await?)
+    }
+
+    /// Whether an append failed and the log must be rewritten.
+    pub fn is_damaged(&self) -> bool {
+        self.damaged
+    }
+
+    /// Appends records and makes them last.
+    pub async fn append(&mut self, records: &[WalRecord]) -> Result<(), StorageError> {
+        if self.damaged {
+            return Err(io::Error::other("an earlier write failed").into());
+        }
+        let bytes: Vec<u8> = records.iter().flat_map(wal::encode).collect();
+        let written = self.append_bytes(bytes).await;
+        self.damaged = written.is_err();
+        written
+    }
+
+    async fn append_bytes(&self, bytes: Vec<u8>) -> Result<(), StorageError> {
+        self.disk.append(WAL_FILE, bytes).await?;
+        Ok(self.disk.sync(WAL_FILE).await?)
+    }
+
+    /// Replaces the log with `entries`, for example after a snapshot.
+    pub async fn rewrite(
+        &mut self,
+        term: u64,
+        voted_for: Option<ReplicaId>,
+        entries: &[LogEntry],
+    ) -> Result<(), StorageError> {
+        let mut bytes = wal::encode(&WalRecord::HardState { term, voted_for });
+        for entry in entries {
+            bytes.extend(wal::encode(&WalRecord::Entry(entry.clone())));
+        }
+        self.disk.replace(WAL_FILE, bytes).await?;
+        self.damaged = false;
+        Ok(())
+    }
+
+    /// Replaces the snapshot.
+    pub async fn write_snapshot(&mut self, snapshot: &Snapshot) -> Result<(), StorageError> {
+        let bytes = wal::frame(&bitcode::encode(snapshot));
+        Ok(self.disk.replace(SNAPSHOT_FILE, bytes).await?)
+    }
+}
+
+async fn read_framed<T: bitcode::DecodeOwned, D: Disk>(
+    disk: &D,
+    file: &'static str,
+) -> Result<Option<T>, StorageError> {
+    let Some(bytes) = disk.read(file).await? else {
+        return Ok(None);
+    };
+    let corrupt = || StorageError::Corrupt { file, offset: 0 };
+    let body = wal::unframe(&bytes).ok().flatten().ok_or_else(corrupt)?;
+    bitcode::decode(body).map(Some).map_err(|_| corrupt())
+}
+
+fn rebuild(identity: Identity, snapshot: Option<Snapshot>, records: Vec<WalRecord>, torn_bytes: usize) -> Recovered {
+    let mut log = match &snapshot {
+        Some(snapshot) => MemoryLog::new(snapshot.index, snapshot.term, snapshot.membership.clone()),
+        None => MemoryLog::new(0, 0, Membership::default()),
+    };
+    let (mut term, mut voted_for) = (0, None);
+    for record in records {
+        match record {
+            WalRecord::HardState { term: new_term, voted_for: vote } => (term, voted_for) = (new_term, vote),
+            WalRecord::Entry(entry) if entry.index > log.base_index() => log.push(entry),
+            WalRecord::Entry(_) => {}
+        }
+    }
+    Recovered { identity, term, voted_for, log, snapshot, torn_bytes }
+}
--- /dev/null
+++ b/crates/rpc/src/client.rs
@@ -0,0 +1,151 @@
+//! The calling side: one task for each peer owns the connection to it.
+
+use crate::frame::{Envelope, Hello};
+use futures::channel::{mpsc, oneshot};
+use futures::{StreamExt, future};
+use saddlerelay_platform::timeout::timeout;
+use saddlerelay_platform::{FrameReceiver, FrameSender, Platform};
+use std::cell::{Cell, RefCell};
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+/// The longest that a connection attempt may take.
+pub const CONNECT_LIMIT: Duration = Duration::from_millis(1000);
+
+/// Why a call brought no answer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum CallError {
+    /// No connection; the request was not sent.
+    NotSent,
+    /// The connection was lost or the time ran out after the request may have been sent.
+    Unknown,
+}
+
+type Pending = Rc<RefCell<BTreeMap<u64, oneshot::Sender<Vec<u8>>>>>;
+
+struct Link {
+    generation: u64,
+    outgoing: mpsc::UnboundedSender<Vec<u8>>,
+    pending: Pending,
+}
+
+struct Inner<P> {
+    platform: P,
+    address: SocketAddr,
+    secret: String,
+    next_id: Cell<u64>,
+    next_generation: Cell<u64>,
+    link: RefCell<Option<Link>>,
+}
+
+/// Calls one peer. Clones share the connection.
+pub struct Client<P> {
+    inner: Rc<Inner<P>>,
+}
+
+impl<P> Clone for Client<P> {
+    fn clone(&self) -> Self {
+        Self { inner: self.inner.clone() }
+    }
+}
+
+impl<P: Platform> Client<P> {
+    /// A client that connects on its first call.
+    pub fn new(platform: P, address: SocketAddr, secret: &str) -> Self {
+        let inner = Inner {
+            platform,
+            address,
+            secret: secret.to_string(),
+            next_id: Cell::new(1),
+            next_generation: Cell::new(1),
+            link: RefCell::new(None),
+        };
+        Self { inner: Rc::new(inner) }
+    }
+
+    /// The peer's address.
+    pub fn address(&self) -> SocketAddr {
+        self.inner.address
+    }
+
+    /// Sends `body` and waits for the answer for at most `limit`.
+    pub async fn call(&self, body: Vec<u8>, limit: Duration) -> Result<Vec<u8>, CallError> {
+        let exchange = self.exchange(body);
+        timeout(&self.inner.platform, limit, exchange).await.unwrap_or(Err(CallError::Unknown))
+    }
+
+    async fn exchange(&self, body: Vec<u8>) -> Result<Vec<u8>, CallError> {
+        if self.inner.link.borrow().is_none() {
+            self.open_link().await?;
+        }
+        let id = self.inner.next_id.replace(self.inner.next_id.get() + 1);
+        let (answer_sender, answer) = oneshot::channel();
+        let frame = bitcode::encode(&Envelope { id, body });
+        let queued = match self.inner.link.borrow().as_ref() {
+            Some(link) => {
+                link.pending.borrow_mut().insert(id, answer_sender);
+                link.outgoing.unbounded_send(frame).is_ok()
+            }
+            None => false,
+        };
+        if !queued {
+            return Err(CallError::NotSent);
+        }
+        answer.await.map_err(|_| CallError::Unknown)
+    }
+
+    async fn open_link(&self) -> Result<(), CallError> {
+        let platform = &self.inner.platform;
+        let connection = timeout(platform, CONNECT_LIMIT, platform.connect(self.inner.address)).await;
+        let (sender, receiver) = connection.and_then(Result::ok).ok_or(CallError::NotSent)?;
+        if self.inner.link.borrow().is_some() {
+            return Ok(());
+        }
+        let (outgoing, queue) = mpsc::unbounded();
+        let pending: Pending = Rc::default();
+        let generation = self.inner.next_generation.replace(self.inner.next_generation.get() + 1);
+        *self.inner.link.borrow_mut() = Some(Link { generation, outgoing, pending: pending.clone() });
+        let client = self.clone();
+        platform.spawn(async move {
+            let write = write_frames(sender, queue, Hello::new(&client.inner.secret));
+            let read = read_answers(receiver, pending.clone());
+            future::select(std::pin::pin!(write), std::pin::pin!(read)).await;
+            client.drop_link(generation);
+            pending.borrow_mut().clear();
+        });
+        Ok(())
+    }
+
+    fn drop_link(&self, generation: u64) {
+        let mut link = self.inner.link.borrow_mut();
+        if link.as_ref().is_some_and(|link| link.generation == generation) {
+            *link = None;
+        }
+    }
+}
+
+async fn write_frames(mut sender: impl FrameSender, mut queue: mpsc::UnboundedReceiver<Vec<u8>>, hello: Hello) {
+    if sender.send(bitcode::encode(&hello)).await.is_err() {
+        return;
+    }
+    while let Some(frame) = queue.next().await {
+        if sender.send(frame).await.is_err() {
+            return;
+        }
+    }
+}
+
+async fn read_answers(mut receiver: impl FrameReceiver, pending: Pending) {
+    while let Ok(Some(frame)) = receiver.receive().await {
+        let Ok(envelope) = bitcode::decode::<Envelope>(&frame) else {
+            return;
+        };
+        let waiting = pending.borrow_mut().remove(&envelope.id);
+        if let Some(waiting) = waiting {
+            // The caller may have given up: its answer is dropped.
+            let _ = waiting.send(envelope.body);
+        }
+    }
+}
--- /dev/null
+++ b/crates/scenarios/src/deployment.rs
@@ -0,0 +1,263 @@
+//! Both users' deployments at the sizes of their brief, and a small one for a demonstration.
+
+use saddlerelay_types::configuration::{ParameterName, ParameterValue};
+use saddlerelay_types::identity::{ModelName, TenantId};
+use saddlerelay_types::request::Priority;
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+/// Engines that hold the same model.
+#[derive(Clone, Debug, PartialEq)]
+pub struct EngineGroup {
+    /// The model.
+    pub model: ModelName,
+    /// How many engines.
+    pub count: u32,
+    /// Sequences each runs at once.
+    pub slots: u32,
+    /// Time of one token when a sequence runs alone.
+    pub token_time: Duration,
+}
+
+/// A tenant's trainer.
+#[derive(Clone, Debug, PartialEq)]
+pub struct TrainerLoad {
+    /// Prompts in a step.
+    pub prompts: u32,
+    /// Samples for each prompt.
+    pub group_size: u32,
+    /// Most tokens in a sample.
+    pub max_tokens: u32,
+    /// Time to train on a step.
+    pub train_time: Duration,
+    /// Steps opened ahead.
+    pub steps_ahead: u64,
+}
+
+/// A tenant's callers.
+#[derive(Clone, Debug, PartialEq)]
+pub struct CallerLoad {
+    /// The application's name.
+    pub name: String,
+    /// The callers' class.
+    pub class: Priority,
+    /// Mean time between requests.
+    pub interval: Duration,
+    /// Most tokens in an answer.
+    pub max_tokens: u32,
+    /// Time allowed for an answer.
+    pub deadline: Duration,
+    /// Share of requests that must run at most once, in percent.
+    pub not_repeatable_percent: u64,
+    /// Prompt prefixes the requests share.
+    pub prefixes: u64,
+}
+
+/// A tenant.
+#[derive(Clone, Debug, PartialEq)]
+pub struct TenantLoad {
+    /// The tenant.
+    pub id: TenantId,
+    /// The model that serves it.
+    pub model: ModelName,
+    /// Versions a sample may be behind.
+    pub staleness_bound: u64,
+    /// How much trainer idle time counts.
+    pub idle_weight: i64,
+    /// How much staleness counts.
+    pub staleness_weight: i64,
+    /// Its trainer, if it has one.
+    pub trainer: Option<TrainerLoad>,
+    /// Its callers.
+    pub callers: Vec<CallerLoad>,
+}
+
+impl TenantLoad {
+    /// The tenant's parameters as operators set them.
+    pub fn values(&self) -> BTreeMap<ParameterName, ParameterValue> {
+        BTreeMap::from([
+            (ParameterName::Model, ParameterValue::Text(self.model.to_string())),
+            (ParameterName::StalenessBound, ParameterValue::Integer(self.staleness_bound as i64)),
+            (ParameterName::IdleWeight, ParameterValue::Integer(self.idle_weight)),
+            (ParameterName::StalenessWeight, ParameterValue::Integer(self.staleness_weight)),
+        ])
+    }
+}
+
+/// A deployment.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Deployment {
+    /// Its name.
+    pub name: String,
+    /// Its zones.
+    pub zones: Vec<String>,
+    /// One-way time between zones.
+    pub zone_delay: Duration,
+    /// One-way time to callers and trainers.
+    pub client_delay: Duration,
+    /// Control replicas, spread over the zones.
+    pub control: u32,
+    /// Relays, spread over the zones.
+    pub relays: u32,
+    /// Engines, spread over the zones.
+    pub engines: Vec<EngineGroup>,
+    /// Tenants.
+    pub tenants: Vec<TenantLoad>,
+    /// Time for which the weight store is busy with one engine's fetch.
+    pub fetch_time: Duration,
+}
+
+const ANDINO_MODEL: &str = "kinetia-llm";
+const ANDINO_CLINIC_MODEL: &str = "planweb";
+const FUND_MODEL: &str = "atelier-modele";
+const FUND_PRICE_MODEL: &str = "guichet-prix";
+
+fn engines(model: &str, count: u32, slots: u32) -> EngineGroup {
+    EngineGroup { model: ModelName::new(model), count, slots, token_time: Duration::from_millis(4) }
+}
+
+/// Andino Exercise Plan, Lima.
+pub fn andino() -> Deployment {
+    let trainer = TrainerLoad {
+        prompts: 8,
+        group_size: 8,
+        max_tokens: 320,
+        train_time: Duration::from_millis(1200),
+        steps_ahead: 1,
+    };
+    let therapists = CallerLoad {
+        name: "therapists".to_string(),
+        class: Priority::Interactive,
+        interval: Duration::from_millis(60),
+        max_tokens: 48,
+        deadline: Duration::from_secs(10),
+        not_repeatable_percent: 30,
+        prefixes: 12,
+    };
+    let drafts = CallerLoad {
+        name: "note-drafts".to_string(),
+        interval: Duration::from_millis(200),
+        max_tokens: 96,
+        not_repeatable_percent: 0,
+        ..therapists.clone()
+    };
+    Deployment {
+        name: "andino".to_string(),
+        zones: ["miraflores", "san-isidro", "surco"].map(String::from).to_vec(),
+        zone_delay: Duration::from_micros(500),
+        client_delay: Duration::from_millis(3),
+        control: 5,
+        relays: 3,
+        engines: vec![engines(ANDINO_MODEL, 9, 8), engines(ANDINO_CLINIC_MODEL, 3, 8)],
+        tenants: vec![
+            TenantLoad {
+                id: TenantId::new("plan-training"),
+                model: ModelName::new(ANDINO_MODEL),
+                staleness_bound: 2,
+                idle_weight: 70,
+                staleness_weight: 30,
+                trainer: Some(trainer),
+                callers: vec![drafts],
+            },
+            TenantLoad {
+                id: TenantId::new("clinic"),
+                model: ModelName::new(ANDINO_CLINIC_MODEL),
+                staleness_bound: 0,
+                idle_weight: 50,
+                staleness_weight: 50,
+                trainer: None,
+                callers: vec![therapists],
+            },
+        ],
+        fetch_time: Duration::from_millis(60),
+    }
+}
+
+/// The Dakar fund co-operative.
+pub fn fund() -> Deployment {
+    let trainer = TrainerLoad {
+        prompts: 12,
+        group_size: 6,
+        max_tokens: 256,
+        train_time: Duration::from_millis(1000),
+        steps_ahead: 1,
+    };
+    let tellers = CallerLoad {
+        name: "tellers".to_string(),
+        class: Priority::Interactive,
+        interval: Duration::from_millis(50),
+        max_tokens: 24,
+        deadline: Duration::from_secs(8),
+        not_repeatable_percent: 60,
+        prefixes: 6,
+    };
+    let members = CallerLoad {
+        name: "members".to_string(),
+        interval: Duration::from_millis(80),
+        not_repeatable_percent: 0,
+        ..tellers.clone()
+    };
+    let drafts = CallerLoad {
+        name: "notice-drafts".to_string(),
+        class: Priority::Batch,
+        interval: Duration::from_millis(300),
+        max_tokens: 96,
+        not_repeatable_percent: 0,
+        ..tellers.clone()
+    };
+    Deployment {
+        name: "fund".to_string(),
+        zones: ["plateau", "almadies", "rufisque"].map(String::from).to_vec(),
+        zone_delay: Duration::from_millis(1),
+        client_delay: Duration::from_millis(3),
+        control: 5,
+        relays: 3,
+        engines: vec![engines(FUND_MODEL, 11, 8), engines(FUND_PRICE_MODEL, 3, 8)],
+        tenants: vec![
+            TenantLoad {
+                id: TenantId::new("notice-training"),
+                model: ModelName::new(FUND_MODEL),
+                staleness_bound: 1,
+                idle_weight: 30,
+                staleness_weight: 70,
+                trainer: Some(trainer),
+                callers: vec![drafts],
+            },
+            TenantLoad {
+                id: TenantId::new("prices"),
+                model: ModelName::new(FUND_PRICE_MODEL),
+                staleness_bound: 0,
+                idle_weight: 50,
+                staleness_weight: 50,
+                trainer: None,
+                callers: vec![tellers, members],
+            },
+        ],
+        fetch_time: Duration::from_millis(60),
+    }
+}
+
+/// Andino with fewer engines and smaller steps, for a demonstration.
+pub fn demo() -> Deployment {
+    let mut deployment = andino();
+    deployment.name = "demo".to_string();
+    deployment.engines[0].count = 5;
+    deployment.engines[1].count = 2;
+    if let Some(trainer) = &mut deployment.tenants[0].trainer {
+        trainer.prompts = 4;
+        trainer.group_size = 4;
+        trainer.max_tokens = 160;
+        trainer.train_time = Duration::from_millis(800);
+    }
+    deployment
+}
+
+/// The deployment with this name.
+pub fn by_name(name: &str) -> Option<Deployment> {
+    match name {
+        "andino" => Some(andino()),
+        "fund" => Some(fund()),
+        "demo" => Some(demo()),
+        _ => None,
+    }
+}
--- /dev/null
+++ b/crates/scenarios/src/lib.rs
@@ -0,0 +1,5 @@
+//! Deployments and scenarios shared by the simulator and the fleet.
+
+pub mod builtin;
+pub mod deployment;
+pub mod trace;
--- /dev/null
+++ b/crates/settings/src/lib.rs
@@ -0,0 +1,12 @@
+//! Settings files in TOML: typed, checked as a whole, unknown keys refused.
+//!
+//! `types` has the settings with their defaults and units, `reader` takes values out of a file and collects every error,
+//! and `parse` does both for a whole file.
+
+pub mod parse;
+pub mod reader;
+pub mod types;
+
+pub use parse::parse;
+pub use reader::SettingError;
+pub use types::{ControlSettings, RelaySettings, Role, Settings};
--- /dev/null
+++ b/crates/settings/src/parse.rs
@@ -0,0 +1,145 @@
+//! Reads a whole settings file.
+
+use crate::reader::{Section, SettingError};
+use crate::types::{ControlSettings, RelaySettings, Role, Settings};
+use saddlerelay_control::config::ControlConfig;
+use saddlerelay_policies::PolicyName;
+use saddlerelay_relay::config::RelayConfig;
+use saddlerelay_replication::config::ReplicationConfig;
+use saddlerelay_types::identity::Zone;
+use std::path::PathBuf;
+use toml::Table;
+
+const SHORTEST_SECRET: usize = 16;
+
+/// Reads settings, or tells everything that is wrong with them.
+pub fn parse(text: &str) -> Result<Settings, Vec<SettingError>> {
+    let table: Table = text.parse().map_err(|error: toml::de::Error| {
+        vec![SettingError { key: "(file)".to_string(), value: None, reason: error.to_string() }]
+    })?;
+    let mut errors = Vec::new();
+    let mut root = Section::new("", table, &mut errors);
+    let role = root.text("role", 1);
+    let tables = [root.take_table("relay"), root.take_table("control_process"), root.take_table("replication")];
+    let name = root.text("name", 1);
+    let zone = Zone(root.text("zone", 1));
+    let data_folder = PathBuf::from(root.text("data_folder", 1));
+    let http_address = root.address("http_address");
+    let control = root.addresses("control");
+    let shared_secret = root.text("shared_secret", SHORTEST_SECRET);
+    let scorer = root.optional_address("scorer");
+    let platform = root.optional_address("platform");
+    if !matches!(role.as_str(), "" | "relay" | "control") {
+        root.refuse("role", Some(format!("\"{role}\"")), "is not `relay` or `control`");
+    }
+    root.end();
+    let role = parse_role(&role, tables, &control, &mut errors);
+    let settings = Settings { name, zone, data_folder, http_address, control, shared_secret, scorer, platform, role };
+    if errors.is_empty() { Ok(settings) } else { Err(errors) }
+}
+
+fn parse_role(
+    role: &str,
+    tables: [Table; 3],
+    control: &[std::net::SocketAddr],
+    errors: &mut Vec<SettingError>,
+) -> Role {
+    let [relay, process, replication] = tables;
+    if role == "control" {
+        refuse_section("relay", &relay, errors);
+        Role::Control(parse_control(process, replication, control, errors))
+    } else {
+        refuse_section("control_process", &process, errors);
+        refuse_section("replication", &replication, errors);
+        Role::Relay(parse_relay(relay, errors))
+    }
+}
+
+fn refuse_section(name: &str, table: &Table, errors: &mut Vec<SettingError>) {
+    if !table.is_empty() {
+        let reason = "belongs to the other role".to_string();
+        errors.push(SettingError { key: name.to_string(), value: None, reason });
+    }
+}
+
+fn parse_relay(table: Table, errors: &mut Vec<SettingError>) -> RelaySettings {
+    let default = RelayConfig::default();
+    let mut section = Section::new("relay", table, errors);
+    let policy_name = section.optional_text("policy").unwrap_or_else(|| "prefix-affinity".to_string());
+    let policy = PolicyName::parse(&policy_name).unwrap_or_else(|| {
+        let names: Vec<&str> = PolicyName::ALL.iter().map(|policy| policy.as_str()).collect();
+        section.refuse("policy", Some(format!("\"{policy_name}\"")), format!("is not one of {}", names.join(", ")));
+        PolicyName::PrefixAffinity
+    });
+    let config = RelayConfig {
+        renew_interval: section.milliseconds("renew_interval_ms", default.renew_interval, 50..=1_000),
+        renew_limit: section.milliseconds("renew_limit_ms", default.renew_limit, 100..=5_000),
+        rollout_interval: section.milliseconds("rollout_interval_ms", default.rollout_interval, 10..=5_000),
+        rollout_batch: section.number("rollout_batch", u64::from(default.rollout_batch), 1..=1_024) as u32,
+        connect_limit: section.milliseconds("connect_limit_ms", default.connect_limit, 10..=10_000),
+        chunk_limit: section.milliseconds("chunk_limit_ms", default.chunk_limit, 100..=120_000),
+        engine_wait: section.milliseconds("engine_wait_ms", default.engine_wait, 0..=60_000),
+        claim_limit: section.milliseconds("claim_limit_ms", default.claim_limit, 100..=30_000),
+        attempts: section.number("attempts", u64::from(default.attempts), 1..=20) as u32,
+        engine_in_flight_percent: section.number(
+            "engine_in_flight_percent",
+            u64::from(default.engine_in_flight_percent),
+            10..=1_000,
+        ) as u32,
+        fetch_wait: section.milliseconds("fetch_wait_ms", default.fetch_wait, 0..=30_000),
+        drain_limit: section.milliseconds("drain_limit_ms", default.drain_limit, 1_000..=3_600_000),
+    };
+    section.end();
+    RelaySettings { policy, config }
+}
+
+fn parse_control(
+    process: Table,
+    replication: Table,
+    control: &[std::net::SocketAddr],
+    errors: &mut Vec<SettingError>,
+) -> ControlSettings {
+    let default = ControlConfig::default();
+    let mut section = Section::new("control_process", process, errors);
+    let peer_address = section.address("peer_address");
+    if !control.contains(&peer_address) {
+        section.refuse("peer_address", Some(format!("\"{peer_address}\"")), "is not among the `control` addresses");
+    }
+    let operator_token = section.text("operator_token", SHORTEST_SECRET);
+    let config = ControlConfig {
+        relay_lease: section.milliseconds("relay_lease_ms", default.relay_lease, 500..=10_000),
+        relay_loss: section.milliseconds("relay_loss_ms", default.relay_loss, 1_000..=60_000),
+        engine_poll_interval: section.milliseconds("engine_poll_interval_ms", default.engine_poll_interval, 50..=5_000),
+        engine_poll_limit: section.milliseconds("engine_poll_limit_ms", default.engine_poll_limit, 50..=5_000),
+        engine_poll_failures: section.number("engine_poll_failures", u64::from(default.engine_poll_failures), 1..=100)
+            as u32,
+        platform_interval: section.milliseconds("platform_interval_ms", default.platform_interval, 50..=10_000),
+        relay_check_interval: default.relay_check_interval,
+    };
+    if config.relay_loss <= config.relay_lease {
+        section.refuse("relay_loss_ms", None, "must be longer than `relay_lease_ms`");
+    }
+    section.end();
+    let replication = parse_replication(replication, errors);
+    ControlSettings { peer_address, operator_token, config, replication }
+}
+
+fn parse_replication(table: Table, errors: &mut Vec<SettingError>) -> ReplicationConfig {
+    let default = ReplicationConfig::default();
+    let mut section = Section::new("replication", table, errors);
+    let config = ReplicationConfig {
+        heartbeat_interval: section.milliseconds("heartbeat_ms", default.heartbeat_interval, 10..=5_000),
+        election_timeout: section.milliseconds("election_timeout_ms", default.election_timeout, 100..=30_000),
+        election_jitter: section.milliseconds("election_jitter_ms", default.election_jitter, 10..=30_000),
+        lease: section.milliseconds("lease_ms", default.lease, 50..=30_000),
+        snapshot_entries: section.number("snapshot_entries", default.snapshot_entries, 16..=10_000_000),
+        snapshot_bytes: section.number("snapshot_bytes", default.snapshot_bytes, 65_536..=1 << 40),
+        target_voters: section.number("voters", default.target_voters as u64, 1..=9) as usize,
+        ..default
+    };
+    if let Some(reason) = config.error() {
+        section.refuse("lease_ms", None, reason);
+    }
+    section.end();
+    config
+}
--- /dev/null
+++ b/crates/standins/src/http/services.rs
@@ -0,0 +1,80 @@
+//! A scorer, and the platform's lagging list of machines.
+
+use crate::tokens;
+use hyper::body::Incoming;
+use hyper::{Method, Request, StatusCode};
+use saddlerelay_engine_client::wire::{MACHINES_PATH, SCORE_PATH, ScoreReply, ScoreRequest};
+use saddlerelay_http::body::{Reply, json, parse_json, read_whole, whole};
+use saddlerelay_http::server::HttpHandler;
+use saddlerelay_types::membership::PlatformMachine;
+use std::cell::RefCell;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+/// The reward of a text: the same for the same text.
+pub fn reward_of(text: &str) -> i64 {
+    tokens::tokens_of(text).map_or(0, |tokens| tokens.len() as i64 * 10)
+}
+
+/// Scores samples after a while.
+pub struct Scorer {
+    /// How long a score takes.
+    pub time: Duration,
+}
+
+impl HttpHandler for Scorer {
+    async fn handle(self: Rc<Self>, request: Request<Incoming>) -> Reply {
+        if request.uri().path() != SCORE_PATH {
+            return whole(StatusCode::NOT_FOUND, "text/plain", "no such path\n");
+        }
+        let body = read_whole(request.into_body()).await.unwrap_or_default();
+        let Ok(asked) = parse_json::<ScoreRequest>(&body) else {
+            return whole(StatusCode::BAD_REQUEST, "text/plain", "malformed\n");
+        };
+        compio::time::sleep(self.time).await;
+        json(StatusCode::OK, &ScoreReply { reward_milli: reward_of(&asked.text) })
+    }
+}
+
+/// The platform: its list shows a change only after a lag.
+pub struct MachineList {
+    lag: Duration,
+    versions: RefCell<Vec<(Instant, Vec<PlatformMachine>)>>,
+}
+
+impl MachineList {
+    /// A list that shows changes after `lag`.
+    pub fn new(lag: Duration) -> Self {
+        Self { lag, versions: RefCell::default() }
+    }
+
+    fn set(&self, machines: Vec<PlatformMachine>) {
+        let mut versions = self.versions.borrow_mut();
+        let first = versions.is_empty();
+        let shown_at = if first { Instant::now() } else { Instant::now() + self.lag };
+        versions.push((shown_at, machines));
+    }
+
+    fn shown(&self) -> Vec<PlatformMachine> {
+        let now = Instant::now();
+        let versions = self.versions.borrow();
+        let shown = versions.iter().rev().find(|(shown_at, _)| *shown_at <= now);
+        shown.map(|(_, machines)| machines.clone()).unwrap_or_default()
+    }
+}
+
+impl HttpHandler for MachineList {
+    async fn handle(self: Rc<Self>, request: Request<Incoming>) -> Reply {
+        if request.uri().path() != MACHINES_PATH {
+            return whole(StatusCode::NOT_FOUND, "text/plain", "no such path\n");
+        }
+        if request.method() == Method::PUT {
+            let body = read_whole(request.into_body()).await.unwrap_or_default();
+            let Ok(machines) = parse_json(&body) else {
+                return whole(StatusCode::BAD_REQUEST, "text/plain", "malformed\n");
+            };
+            self.set(machines);
+        }
+        json(StatusCode::OK, &self.shown())
+    }
+}
--- /dev/null
+++ b/crates/standins/src/http/weights.rs
@@ -0,0 +1,82 @@
+//! The weight store: rate-limited, one fetch after another.
+
+use crate::engine::WeightSource;
+use crate::trainer::WeightSink;
+use hyper::body::Incoming;
+use hyper::{Method, Request, StatusCode};
+use saddlerelay_http::body::{Reply, json, whole};
+use saddlerelay_http::client::call;
+use saddlerelay_http::server::HttpHandler;
+use saddlerelay_types::identity::{ModelName, TenantId, WeightVersion};
+use std::cell::{Cell, RefCell};
+use std::collections::BTreeSet;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+/// The store.
+pub struct WeightStore {
+    versions: RefCell<BTreeSet<(String, u64)>>,
+    /// When the store is done with every fetch taken so far.
+    busy_until: Cell<Instant>,
+    fetch_time: Duration,
+}
+
+impl WeightStore {
+    /// A store whose rate allows one fetch in `fetch_time`.
+    pub fn new(fetch_time: Duration) -> Self {
+        Self { versions: RefCell::default(), busy_until: Cell::new(Instant::now()), fetch_time }
+    }
+}
+
+impl HttpHandler for WeightStore {
+    async fn handle(self: Rc<Self>, request: Request<Incoming>) -> Reply {
+        let path = request.uri().path().trim_matches('/').to_string();
+        let Some((model, version)) = path.strip_prefix("weights/").and_then(|rest| rest.split_once('/')) else {
+            return whole(StatusCode::NOT_FOUND, "text/plain", "no such path\n");
+        };
+        let Ok(version) = version.parse::<u64>() else {
+            return whole(StatusCode::BAD_REQUEST, "text/plain", "no such version\n");
+        };
+        let name = (model.to_string(), version);
+        if request.method() == Method::PUT {
+            self.versions.borrow_mut().insert(name);
+            return json(StatusCode::OK, &version);
+        }
+        if !self.versions.borrow().contains(&name) {
+            return whole(StatusCode::NOT_FOUND, "text/plain", "no such version\n");
+        }
+        let done = self.busy_until.get().max(Instant::now()) + self.fetch_time;
+        self.busy_until.set(done);
+        compio::time::sleep(done.saturating_duration_since(Instant::now())).await;
+        json(StatusCode::OK, &version)
+    }
+}
+
+/// A client of the store.
+#[derive(Clone)]
+pub struct HttpWeights {
+    /// The store.
+    pub address: SocketAddr,
+    /// The model whose versions a trainer stores.
+    pub model: ModelName,
+}
+
+impl HttpWeights {
+    async fn send(&self, method: Method, model: &ModelName, version: WeightVersion) -> bool {
+        let path = format!("/weights/{model}/{version}");
+        call(self.address, method, &path, &[], Vec::new()).await.is_ok_and(|response| response.status.is_success())
+    }
+}
+
+impl WeightSource for HttpWeights {
+    async fn fetch(&self, model: ModelName, version: WeightVersion) -> bool {
+        self.send(Method::GET, &model, version).await
+    }
+}
+
+impl WeightSink for HttpWeights {
+    async fn store(&self, _tenant: TenantId, version: WeightVersion) -> bool {
+        self.send(Method::PUT, &self.model, version).await
+    }
+}
--- /dev/null
+++ b/crates/telemetry/src/metrics.rs
@@ -0,0 +1,52 @@
+//! Metrics in the standard text format, gathered when they are asked for.
+
+use prometheus_client::encoding::text::encode;
+use prometheus_client::metrics::counter::Counter;
+use prometheus_client::metrics::gauge::Gauge;
+use prometheus_client::registry::Registry;
+
+/// Content type of the text format.
+pub const CONTENT_TYPE: &str = "application/openmetrics-text; version=1.0.0; charset=utf-8";
+
+/// Values gathered for one answer.
+pub struct MetricSet {
+    registry: Registry,
+}
+
+impl Default for MetricSet {
+    fn default() -> Self {
+        Self::new()
+    }
+}
+
+impl MetricSet {
+    /// An empty set; every name gets the prefix `saddlerelay`.
+    pub fn new() -> Self {
+        Self { registry: Registry::with_prefix("saddlerelay") }
+    }
+
+    /// Adds a count that only rises while the process lives.
+    pub fn counter(mut self, name: &str, help: &str, value: u64) -> Self {
+        let counter: Counter = Counter::default();
+        counter.inc_by(value);
+        self.registry.register(name, help, counter);
+        self
+    }
+
+    /// Adds a value that rises and falls.
+    pub fn gauge(mut self, name: &str, help: &str, value: i64) -> Self {
+        let gauge: Gauge = Gauge::default();
+        gauge.set(value);
+        self.registry.register(name, help, gauge);
+        self
+    }
+
+    /// The set as text.
+    pub fn encode(&self) -> String {
+        let mut text = String::new();
+        match encode(&mut text, &self.registry) {
+            Ok(()) => text,
+            Err(error) => error.to_string(),
+        }
+    }
+}
--- /dev/null
+++ b/crates/types/src/lib.rs
@@ -0,0 +1,12 @@
+//! Domain types and internal messages shared by every saddlerelay process.
+//!
+//! This crate holds data only: no I/O, no clocks, no tasks. Every other crate depends on it.
+
+pub mod claim;
+pub mod configuration;
+pub mod engine;
+pub mod identity;
+pub mod membership;
+pub mod protocol;
+pub mod request;
+pub mod rollout;
