--- a/crates/fleet/src/run.rs
+++ b/crates/fleet/src/run.rs
@@ -2,7 +2,7 @@
 
 use crate::deploy::Plan;
 use crate::faults::{self, FaultContext, SharedFleet};
-use crate::launch::Fleet;
+use crate::launch::{Fleet, wait_for};
 use anyhow::{Context, Result};
 use saddlerelay_checker::check::check;
 use saddlerelay_checker::record::Record;
@@ -11,6 +11,7 @@
 use saddlerelay_platform_compio::CompioPlatform;
 use saddlerelay_scenarios::deployment::{self, Deployment};
 use saddlerelay_scenarios::trace::Scenario;
+use saddlerelay_standins::access::Access;
 use saddlerelay_standins::http::records::read_records;
 use saddlerelay_standins::operators::{Operator, probe_relays, race_changes};
 use saddlerelay_standins::recorder::Recorder;
@@ -103,6 +104,7 @@
     for tenant in &fleet.plan.deployment.tenants {
         first.set_up(&tenant.id, tenant.values()).await;
     }
+    wait_until_in_force(&fleet).await?;
     let stop = Rc::new(Cell::new(false));
     let access = fleet.access();
     let probes = probe_relays(platform.clone(), access, recorder.clone(), PROBE_INTERVAL, stop.clone());
@@ -133,6 +135,20 @@
     Ok(RunResult { report, usage, seconds: duration.as_secs_f64() })
 }
 
+/// Waits until every relay serves every tenant's model.
+async fn wait_until_in_force(fleet: &Fleet) -> Result<()> {
+    let access = fleet.access();
+    let wanted: Vec<_> = fleet.plan.deployment.tenants.iter().map(|tenant| tenant.model.clone()).collect();
+    for relay in 0..access.relays() {
+        wait_for("a relay's configuration", || async {
+            let models = access.models(relay).await.unwrap_or_default();
+            wanted.iter().all(|model| models.contains(model))
+        })
+        .await?;
+    }
+    Ok(())
+}
+
 fn start_load(fleet: &SharedFleet) -> Result<()> {
     let mut fleet = fleet.borrow_mut();
     let mut specs = Vec::new();
--- a/crates/scenarios/src/deployment.rs
+++ b/crates/scenarios/src/deployment.rs
@@ -261,3 +261,21 @@
         _ => None,
     }
 }
+
+/// The deployment with fewer engines, smaller steps and rarer requests, so that many seeds can be run.
+pub fn compact(mut deployment: Deployment) -> Deployment {
+    for (place, group) in deployment.engines.iter_mut().enumerate() {
+        group.count = if place == 0 { 4 } else { 2 };
+    }
+    for tenant in &mut deployment.tenants {
+        if let Some(trainer) = &mut tenant.trainer {
+            trainer.prompts = 4;
+            trainer.group_size = 4;
+            trainer.max_tokens = 120;
+        }
+        for callers in &mut tenant.callers {
+            callers.interval *= 4;
+        }
+    }
+    deployment
+}
--- /dev/null
+++ b/crates/simulator/src/cluster.rs
@@ -0,0 +1,404 @@
+//! A deployment in the machine room: starts and restarts its processes.
+
+use crate::backends::{Services, SimBackends, SimWeights, serve_engine, serve_services};
+use crate::platform::SimPlatform;
+use crate::service::{SimAccess, serve_operators, serve_relay};
+use crate::world::{Process, World};
+use saddlerelay_checker::record::Record;
+use saddlerelay_control::config::ControlConfig;
+use saddlerelay_control::node::ControlNode;
+use saddlerelay_control_client::ControlClient;
+use saddlerelay_platform::Platform;
+use saddlerelay_policies::PolicyName;
+use saddlerelay_relay::config::RelayConfig;
+use saddlerelay_relay::{Relay, RelayOptions};
+use saddlerelay_replication::ReplicaOptions;
+use saddlerelay_replication::config::ReplicationConfig;
+use saddlerelay_scenarios::deployment::{Deployment, TenantLoad};
+use saddlerelay_standins::callers::UnderWay;
+use saddlerelay_standins::engine::{Engine, EngineOptions};
+use saddlerelay_standins::operators::Operator;
+use saddlerelay_standins::recorder::Recorder;
+use saddlerelay_standins::trainer::{StopFlag, TrainerEnd, TrainerOptions, run_trainer};
+use saddlerelay_types::engine::EngineDescription;
+use saddlerelay_types::identity::{EngineId, Zone};
+use saddlerelay_types::membership::PlatformMachine;
+use std::cell::{Cell, RefCell};
+use std::collections::BTreeMap;
+use std::net::{Ipv4Addr, SocketAddr};
+use std::rc::Rc;
+use std::time::Duration;
+
+const SECRET: &str = "simulated-secret";
+const SCORE_TIME: Duration = Duration::from_millis(15);
+const PREFILL_TIME: Duration = Duration::from_millis(40);
+const SWAP_PAUSE: Duration = Duration::from_millis(120);
+const REPORT_LAG: Duration = Duration::from_millis(200);
+const CACHED_PREFIXES: usize = 8;
+const QUEUE_LIMIT: usize = 64;
+/// Largest error of a control machine's wall clock, in milliseconds.
+const CLOCK_ERROR: u64 = 400;
+
+const CONTROL_PORT: u16 = 1_000;
+const CONTROL_HTTP_PORT: u16 = 2_000;
+const RELAY_PORT: u16 = 3_000;
+const ENGINE_PORT: u16 = 4_000;
+const SCORER_PORT: u16 = 5_000;
+const PLATFORM_PORT: u16 = 5_001;
+
+fn address(base: u16, place: usize) -> SocketAddr {
+    SocketAddr::from((Ipv4Addr::LOCALHOST, base + place as u16))
+}
+
+/// The running parts of a process that faults act on.
+#[derive(Clone)]
+pub enum Running {
+    /// A control replica, once it has opened its disk.
+    Control(Rc<RefCell<Option<ControlNode<SimPlatform, SimBackends>>>>),
+    /// A relay, once it has opened its disk.
+    Relay(Rc<RefCell<Option<Relay<SimPlatform, SimBackends>>>>),
+    /// An engine.
+    Engine(Engine<SimPlatform, SimWeights>),
+    /// Nothing that faults act on besides the process.
+    Other,
+}
+
+/// A process and its running parts.
+#[derive(Clone)]
+pub struct Member {
+    /// The process.
+    pub process: Rc<Process>,
+    /// Its parts.
+    pub running: Running,
+}
+
+/// The deployment.
+pub struct Cluster {
+    /// The machine room.
+    pub world: Rc<World>,
+    /// What is deployed.
+    pub deployment: Deployment,
+    /// The policy of relays.
+    pub policy: PolicyName,
+    /// Everything that stand-ins saw.
+    pub records: Rc<RefCell<Vec<Record>>>,
+    /// Processes by name.
+    pub members: RefCell<BTreeMap<String, Member>>,
+    /// The scorer's and the platform's state.
+    pub services: Services,
+    /// The engines.
+    pub engines: Vec<EngineDescription>,
+    /// Tells trainers and callers to end.
+    pub stop: StopFlag,
+    /// Trainers that have ended.
+    pub trainers_ended: Rc<Cell<usize>>,
+    /// Requests under way.
+    pub under_way: UnderWay,
+    weights: SimWeights,
+    client: Rc<Process>,
+}
+
+impl Cluster {
+    /// Prepares a deployment; nothing is started yet.
+    pub fn new(world: Rc<World>, deployment: Deployment, policy: PolicyName) -> Rc<Self> {
+        let zones = deployment.zones.len();
+        world.network.set_delays(zones, deployment.zone_delay, deployment.client_delay);
+        let client = world.start_process("client", zones, 0);
+        let platform = SimPlatform { world: world.clone(), process: client.clone() };
+        let weights = SimWeights::new(platform, deployment.fetch_time);
+        Rc::new(Self {
+            engines: describe_engines(&deployment),
+            world,
+            policy,
+            records: Rc::default(),
+            members: RefCell::default(),
+            services: Services::default(),
+            stop: Rc::default(),
+            trainers_ended: Rc::default(),
+            under_way: Rc::default(),
+            weights,
+            client,
+            deployment,
+        })
+    }
+
+    /// Where stand-ins put what they saw.
+    pub fn recorder(&self) -> Recorder {
+        let records = self.records.clone();
+        Recorder::new(move |record| records.borrow_mut().push(record))
+    }
+
+    /// The clients' machine.
+    pub fn client_platform(&self) -> SimPlatform {
+        SimPlatform { world: self.world.clone(), process: self.client.clone() }
+    }
+
+    fn platform(&self, process: &Rc<Process>) -> SimPlatform {
+        SimPlatform { world: self.world.clone(), process: process.clone() }
+    }
+
+    /// Access as clients have it, from `platform`.
+    pub fn access(&self, platform: SimPlatform) -> SimAccess {
+        SimAccess {
+            platform,
+            relays: Rc::new((0..self.deployment.relays as usize).map(|place| address(RELAY_PORT, place)).collect()),
+            control: Rc::new(
+                (0..self.deployment.control as usize).map(|place| address(CONTROL_HTTP_PORT, place)).collect(),
+            ),
+            next_control: Rc::default(),
+        }
+    }
+
+    /// An operator.
+    pub fn operator(&self, name: &str) -> Operator<SimPlatform, SimAccess> {
+        let platform = self.client_platform();
+        Operator {
+            access: self.access(platform.clone()),
+            platform,
+            recorder: self.recorder(),
+            name: name.to_string(),
+        }
+    }
+
+    fn zone(&self, place: usize) -> usize {
+        place % self.deployment.zones.len()
+    }
+
+    fn control_addresses(&self) -> Vec<SocketAddr> {
+        (0..self.deployment.control as usize).map(|place| address(CONTROL_PORT, place)).collect()
+    }
+
+    fn backends(&self, platform: &SimPlatform) -> SimBackends {
+        SimBackends {
+            platform: platform.clone(),
+            scorer: address(SCORER_PORT, 0),
+            machine_list: address(PLATFORM_PORT, 0),
+        }
+    }
+
+    fn insert(&self, name: String, process: Rc<Process>, running: Running) {
+        self.members.borrow_mut().insert(name, Member { process, running });
+    }
+
+    /// Starts a control replica.
+    pub fn start_control(&self, place: usize) {
+        let name = format!("control-{place}");
+        let clock_error = (self.world.random() % (2 * CLOCK_ERROR)) as i64 - CLOCK_ERROR as i64;
+        let process = self.world.start_process(&name, self.zone(place), clock_error);
+        let platform = self.platform(&process);
+        let node = Rc::new(RefCell::new(None));
+        let options = ReplicaOptions {
+            address: address(CONTROL_PORT, place),
+            peers: self.control_addresses(),
+            secret: SECRET.to_string(),
+            config: ReplicationConfig { snapshot_entries: 400, trailing_entries: 50, ..ReplicationConfig::default() },
+        };
+        let task = run_control(platform.clone(), self.backends(&platform), options, place, node.clone());
+        self.world.spawn(&process, task);
+        self.insert(name, process, Running::Control(node));
+    }
+
+    /// Starts a relay.
+    pub fn start_relay(&self, place: usize) {
+        let name = format!("relay-{place}");
+        let process = self.world.start_process(&name, self.zone(place), 0);
+        let platform = self.platform(&process);
+        let relay = Rc::new(RefCell::new(None));
+        let options = RelayOptions {
+            name: name.clone(),
+            zone: Zone::new(&self.deployment.zones[self.zone(place)]),
+            address: address(RELAY_PORT, place),
+            control: self.control_addresses(),
+            secret: SECRET.to_string(),
+            policy: self.policy,
+            config: RelayConfig::default(),
+        };
+        self.world.spawn(&process, run_relay(platform.clone(), self.backends(&platform), options, relay.clone()));
+        self.insert(name, process, Running::Relay(relay));
+    }
+
+    /// Starts an engine.
+    pub fn start_engine(&self, place: usize) {
+        let description = self.engines[place].clone();
+        let group = self.deployment.engines.iter().find(|group| group.model == description.model);
+        let name = format!("engine-{place}");
+        let process = self.world.start_process(&name, self.zone(place), 0);
+        let platform = self.platform(&process);
+        let options = EngineOptions {
+            token_time: group.map_or(Duration::ZERO, |group| group.token_time),
+            prefill_time: PREFILL_TIME,
+            cached_prefixes: CACHED_PREFIXES,
+            swap_pause: SWAP_PAUSE,
+            report_lag: REPORT_LAG,
+            queue_limit: QUEUE_LIMIT,
+            description,
+        };
+        let engine_address = options.description.address;
+        let engine = Engine::start(platform.clone(), options, self.weights.clone(), self.recorder());
+        self.world.spawn(&process, serve_engine(platform, engine_address, engine.clone()));
+        self.insert(name, process, Running::Engine(engine));
+    }
+
+    /// Starts the scorer.
+    pub fn start_scorer(&self) {
+        self.services.score_time.set(SCORE_TIME);
+        let process = self.world.start_process("scorer", 0, 0);
+        let platform = self.platform(&process);
+        self.world.spawn(&process, serve_services(platform, address(SCORER_PORT, 0), self.services.clone()));
+        self.insert("scorer".to_string(), process, Running::Other);
+    }
+
+    /// Starts the platform's list of machines.
+    pub fn start_platform(&self) {
+        let machine = |engine: &EngineDescription| PlatformMachine { engine: engine.clone(), leaving: false };
+        *self.services.machines.borrow_mut() = self.engines.iter().map(machine).collect();
+        let process = self.world.start_process("platform", 0, 0);
+        let platform = self.platform(&process);
+        self.world.spawn(&process, serve_services(platform, address(PLATFORM_PORT, 0), self.services.clone()));
+        self.insert("platform".to_string(), process, Running::Other);
+    }
+
+    /// Tenants with a trainer.
+    pub fn training_tenants(&self) -> Vec<TenantLoad> {
+        self.deployment.tenants.iter().filter(|tenant| tenant.trainer.is_some()).cloned().collect()
+    }
+
+    /// Starts the trainer of the tenant at this place among those with a trainer.
+    pub fn start_trainer(&self, place: usize) {
+        let tenants = self.training_tenants();
+        let Some((tenant, load)) = tenants.get(place).and_then(|tenant| Some((tenant, tenant.trainer.clone()?))) else {
+            return;
+        };
+        let name = format!("trainer-{place}");
+        let process = self.world.start_process(&name, self.deployment.zones.len(), 0);
+        let platform = self.platform(&process);
+        let options = TrainerOptions {
+            tenant: tenant.id.clone(),
+            prompts: load.prompts,
+            group_size: load.group_size,
+            max_tokens: load.max_tokens,
+            train_time: load.train_time,
+            steps_ahead: load.steps_ahead,
+        };
+        let trainer = run_trainer(
+            platform.clone(),
+            self.access(platform),
+            self.weights.clone(),
+            self.recorder(),
+            options,
+            self.stop.clone(),
+        );
+        let ended = self.trainers_ended.clone();
+        self.world.spawn(&process, async move {
+            if trainer.await == TrainerEnd::Finished {
+                ended.set(ended.get() + 1);
+            }
+        });
+        self.insert(name, process, Running::Other);
+    }
+
+    /// Starts everything but the load.
+    pub fn start_all(&self) {
+        self.start_scorer();
+        self.start_platform();
+        (0..self.engines.len()).for_each(|place| self.start_engine(place));
+        (0..self.deployment.control as usize).for_each(|place| self.start_control(place));
+        (0..self.deployment.relays as usize).for_each(|place| self.start_relay(place));
+    }
+
+    /// The processes' member with this name.
+    pub fn member(&self, name: &str) -> Option<Member> {
+        self.members.borrow().get(name).cloned()
+    }
+
+    /// The place of the control replica that leads.
+    pub fn leader_place(&self) -> Option<usize> {
+        (0..self.deployment.control as usize).find(|place| {
+            let member = self.member(&format!("control-{place}"));
+            match member.map(|member| member.running) {
+                Some(Running::Control(node)) => {
+                    node.borrow().as_ref().is_some_and(|node| node.replica().leading_term().is_some())
+                }
+                _ => false,
+            }
+        })
+    }
+
+    /// How many control replicas vote, as the leader sees it.
+    pub fn voters(&self) -> usize {
+        let leader = self.leader_place().and_then(|place| self.member(&format!("control-{place}")));
+        match leader.map(|member| member.running) {
+            Some(Running::Control(node)) => {
+                let view = node.borrow().as_ref().and_then(|node| node.replica().view());
+                view.map_or(0, |view| view.replicas.iter().filter(|replica| replica.voter).count())
+            }
+            _ => 0,
+        }
+    }
+
+    /// Whether every relay takes requests.
+    pub fn relays_ready(&self) -> bool {
+        (0..self.deployment.relays).all(|place| {
+            let member = self.member(&format!("relay-{place}"));
+            match member.map(|member| member.running) {
+                Some(Running::Relay(relay)) => relay.borrow().as_ref().is_some_and(Relay::is_ready),
+                _ => false,
+            }
+        })
+    }
+}
+
+async fn run_control(
+    platform: SimPlatform,
+    backends: SimBackends,
+    options: ReplicaOptions,
+    place: usize,
+    slot: Rc<RefCell<Option<ControlNode<SimPlatform, SimBackends>>>>,
+) {
+    let (own, peers, secret) = (options.address, options.peers.clone(), options.secret.clone());
+    let Ok(listener) = platform.listen(own).await else {
+        return;
+    };
+    let opened = ControlNode::start(platform.clone(), backends, ControlConfig::default(), options).await;
+    let node = match opened {
+        Ok(node) => node,
+        Err(error) => panic!("control-{place}: {error}"),
+    };
+    let handler = Rc::new(node.clone());
+    platform.spawn(saddlerelay_rpc::server::serve(platform.clone(), listener, secret.clone(), handler));
+    let client = ControlClient::new(platform.clone(), &peers, &secret);
+    platform.spawn(serve_operators(platform.clone(), address(CONTROL_HTTP_PORT, place), client));
+    *slot.borrow_mut() = Some(node);
+}
+
+async fn run_relay(
+    platform: SimPlatform,
+    backends: SimBackends,
+    options: RelayOptions,
+    slot: Rc<RefCell<Option<Relay<SimPlatform, SimBackends>>>>,
+) {
+    let own = options.address;
+    let relay = match Relay::start(platform.clone(), backends, options).await {
+        Ok(relay) => relay,
+        Err(error) => panic!("a relay did not start: {error}"),
+    };
+    *slot.borrow_mut() = Some(relay.clone());
+    serve_relay(platform, own, relay).await;
+}
+
+fn describe_engines(deployment: &Deployment) -> Vec<EngineDescription> {
+    let mut engines = Vec::new();
+    for group in &deployment.engines {
+        for _ in 0..group.count {
+            let place = engines.len();
+            engines.push(EngineDescription {
+                id: EngineId(format!("engine-{place}")),
+                address: address(ENGINE_PORT, place),
+                zone: Zone::new(&deployment.zones[place % deployment.zones.len()]),
+                model: group.model.clone(),
+                slots: group.slots,
+            });
+        }
+    }
+    engines
+}
--- /dev/null
+++ b/crates/simulator/src/faults.rs
@@ -0,0 +1,232 @@
+//! Causes faults in a simulated deployment, and draws random ones.
+
+use crate::cluster::{Cluster, Member, Running};
+use fastrand::Rng;
+use saddlerelay_checker::record::Record;
+use saddlerelay_platform::Platform;
+use saddlerelay_scenarios::trace::{Fault, FaultKind, Target};
+use saddlerelay_standins::engine::EngineFaults;
+use saddlerelay_types::configuration::{ParameterName, ParameterValue};
+use std::rc::Rc;
+use std::time::Duration;
+
+/// How long the platform's list lags.
+const PLATFORM_LAG: Duration = Duration::from_millis(800);
+/// Longest time of a randomly drawn fault, in milliseconds.
+const LONGEST_FAULT: u64 = 6_000;
+
+/// Causes one fault and waits until it is over. The caller starts it at its time.
+pub async fn cause(cluster: Rc<Cluster>, kind: FaultKind) {
+    let platform = cluster.client_platform();
+    let planned = matches!(kind, FaultKind::PlannedStop { .. });
+    let what = format!("{kind:?}");
+    cluster.recorder().record(Record::Fault { at: platform.unix_milliseconds(), what, planned });
+    let sleep = |milliseconds| platform.sleep(Duration::from_millis(milliseconds));
+    match kind {
+        FaultKind::Crash { target, restart_after_ms } => {
+            if let Some(name) = kill(&cluster, &target) {
+                sleep(restart_after_ms).await;
+                restart(&cluster, &name);
+            }
+        }
+        FaultKind::LoseDisk { target, restart_after_ms } => {
+            if let Some(name) = kill(&cluster, &target) {
+                cluster.world.disks.lose(&name);
+                sleep(restart_after_ms).await;
+                restart(&cluster, &name);
+            }
+        }
+        FaultKind::Freeze { target, for_ms } => {
+            if let Some((_, member)) = find(&cluster, &target) {
+                member.process.freeze();
+                sleep(for_ms).await;
+                member.process.thaw();
+            }
+        }
+        FaultKind::CutZone { zone, for_ms, one_way } => {
+            cluster.world.network.cut(zone as usize, one_way);
+            sleep(for_ms).await;
+            cluster.world.network.heal(zone as usize);
+        }
+        FaultKind::FullDisk { target, for_ms } => {
+            if let Some((name, _)) = find(&cluster, &target) {
+                cluster.world.disks.set_full(&name, true);
+                sleep(for_ms).await;
+                cluster.world.disks.set_full(&name, false);
+            }
+        }
+        FaultKind::PlannedStop { target, restart_after_ms } => {
+            stop_orderly(&cluster, &target).await;
+            sleep(restart_after_ms).await;
+            if let Some(name) = name_of(&cluster, &target) {
+                restart(&cluster, &name);
+            }
+        }
+        FaultKind::EngineLeaves { place } => {
+            if let Some(Running::Engine(engine)) = engine(&cluster, place) {
+                engine.leave();
+            }
+        }
+        FaultKind::MachineLeaves { place } => {
+            sleep(PLATFORM_LAG.as_millis() as u64).await;
+            cluster.services.machines.borrow_mut()[place as usize].leaving = true;
+            let engine = cluster.engines[place as usize].id.clone();
+            cluster.recorder().record(Record::Leaving { at: platform.unix_milliseconds(), engine });
+        }
+        FaultKind::FailSwap { place } => {
+            set_engine_faults(&cluster, place, EngineFaults { fail_next_swap: true, ..EngineFaults::default() });
+        }
+        FaultKind::BreakStream { place } => {
+            set_engine_faults(&cluster, place, EngineFaults { break_next_stream: true, ..EngineFaults::default() });
+        }
+        FaultKind::DuplicateChunks { place } => {
+            set_engine_faults(&cluster, place, EngineFaults { duplicate_chunks: true, ..EngineFaults::default() });
+        }
+        FaultKind::SlowEngine { place, factor } => {
+            set_engine_faults(&cluster, place, EngineFaults { slowness: factor, ..EngineFaults::default() });
+        }
+        FaultKind::SetStaleness { tenant, bound } => {
+            let tenant = cluster.deployment.tenants[tenant as usize].clone();
+            let mut values = tenant.values();
+            values.insert(ParameterName::StalenessBound, ParameterValue::Integer(bound as i64));
+            cluster.operator("staleness").put_tenant(&tenant.id, values, None).await;
+        }
+    }
+}
+
+fn name_of(cluster: &Cluster, target: &Target) -> Option<String> {
+    match target {
+        Target::Leader => cluster.leader_place().map(|place| format!("control-{place}")),
+        Target::Control { place } => Some(format!("control-{place}")),
+        Target::Relay { place } => Some(format!("relay-{place}")),
+        Target::Engine { place } => Some(format!("engine-{place}")),
+        Target::Trainer { place } => Some(format!("trainer-{place}")),
+        Target::Scorer => Some("scorer".to_string()),
+    }
+}
+
+fn find(cluster: &Cluster, target: &Target) -> Option<(String, Member)> {
+    let name = name_of(cluster, target)?;
+    let member = cluster.member(&name)?;
+    Some((name, member))
+}
+
+fn engine(cluster: &Cluster, place: u32) -> Option<Running> {
+    cluster.member(&format!("engine-{place}")).map(|member| member.running)
+}
+
+fn set_engine_faults(cluster: &Cluster, place: u32, faults: EngineFaults) {
+    if let Some(Running::Engine(engine)) = engine(cluster, place) {
+        engine.set_faults(faults);
+    }
+}
+
+/// Kills a process; of what it had not synced, only some beginning is left.
+fn kill(cluster: &Cluster, target: &Target) -> Option<String> {
+    let (name, member) = find(cluster, target)?;
+    if !member.process.is_alive() {
+        return None;
+    }
+    member.process.kill();
+    cluster.world.disks.crash(&name, || cluster.world.random());
+    Some(name)
+}
+
+fn restart(cluster: &Cluster, name: &str) {
+    if cluster.member(name).is_some_and(|member| member.process.is_alive()) {
+        return;
+    }
+    let (role, place) = name.rsplit_once('-').unwrap_or((name, "0"));
+    let place: usize = place.parse().unwrap_or(0);
+    match role {
+        "control" => cluster.start_control(place),
+        "relay" => cluster.start_relay(place),
+        "engine" => cluster.start_engine(place),
+        "trainer" => cluster.start_trainer(place),
+        "scorer" => cluster.start_scorer(),
+        _ => {}
+    }
+}
+
+async fn stop_orderly(cluster: &Rc<Cluster>, target: &Target) {
+    let Some((name, member)) = find(cluster, target) else {
+        return;
+    };
+    let (done, ended) = futures::channel::oneshot::channel();
+    let running = member.running.clone();
+    // In the process itself, so that it stands still with it.
+    cluster.world.spawn(&member.process, async move {
+        match running {
+            Running::Control(node) => {
+                let node = node.borrow().clone();
+                if let Some(node) = node {
+                    node.hand_over().await;
+                }
+            }
+            Running::Relay(relay) => {
+                let relay = relay.borrow().clone();
+                if let Some(relay) = relay {
+                    relay.drain().await;
+                }
+            }
+            Running::Engine(_) | Running::Other => {}
+        }
+        let _ = done.send(());
+    });
+    let _ = ended.await;
+    // Answers that are complete are still on their way.
+    cluster.client_platform().sleep(Duration::from_millis(200)).await;
+    member.process.kill();
+    cluster.world.disks.crash(&name, || cluster.world.random());
+}
+
+/// Draws faults for a run: singly, two at once, and one right after another's repair. A quorum of control disks stays.
+pub fn draw(random: &mut Rng, cluster: &Cluster, count: u32, duration_ms: u64) -> Vec<Fault> {
+    let mut faults = Vec::new();
+    let mut disks_lost = 0;
+    let mut at_ms = 1_000;
+    for _ in 0..count {
+        let longest = LONGEST_FAULT.min(duration_ms / 3);
+        let length = 200 + random.u64(..longest);
+        let kind = draw_kind(random, cluster, length, &mut disks_lost);
+        faults.push(Fault { at_ms, kind });
+        at_ms += match random.u32(..3) {
+            0 => 0,
+            1 => length + 50,
+            _ => random.u64(..duration_ms / u64::from(count.max(1))),
+        };
+        at_ms = at_ms.min(duration_ms);
+    }
+    faults
+}
+
+fn draw_kind(random: &mut Rng, cluster: &Cluster, length: u64, disks_lost: &mut u32) -> FaultKind {
+    let deployment = &cluster.deployment;
+    let control = Target::Control { place: random.u32(..deployment.control) };
+    let relay = Target::Relay { place: random.u32(..deployment.relays) };
+    let engine_place = random.u32(..cluster.engines.len() as u32);
+    let engine = Target::Engine { place: engine_place };
+    match random.u32(..18) {
+        0 => FaultKind::Crash { target: Target::Leader, restart_after_ms: length },
+        1 => FaultKind::Crash { target: control, restart_after_ms: length },
+        2 => FaultKind::Crash { target: relay, restart_after_ms: length },
+        3 => FaultKind::Crash { target: engine, restart_after_ms: length },
+        4 => FaultKind::Crash { target: Target::Trainer { place: 0 }, restart_after_ms: length },
+        5 => FaultKind::Crash { target: Target::Scorer, restart_after_ms: length },
+        6 => FaultKind::Freeze { target: Target::Leader, for_ms: length },
+        7 => FaultKind::Freeze { target: relay, for_ms: length },
+        8 => FaultKind::Freeze { target: engine, for_ms: length },
+        9 => FaultKind::CutZone { zone: random.u32(..deployment.zones.len() as u32), for_ms: length, one_way: false },
+        10 => FaultKind::CutZone { zone: random.u32(..deployment.zones.len() as u32), for_ms: length, one_way: true },
+        11 if *disks_lost == 0 => {
+            *disks_lost += 1;
+            FaultKind::LoseDisk { target: control, restart_after_ms: length }
+        }
+        12 => FaultKind::FailSwap { place: engine_place },
+        13 => FaultKind::BreakStream { place: engine_place },
+        14 => FaultKind::DuplicateChunks { place: engine_place },
+        15 => FaultKind::SlowEngine { place: engine_place, factor: 4 },
+        16 => FaultKind::FullDisk { target: control, for_ms: length },
+        _ => FaultKind::PlannedStop { target: relay, restart_after_ms: length },
+    }
+}
--- /dev/null
+++ b/crates/simulator/src/network.rs
@@ -0,0 +1,253 @@
+//! Connections between processes: ordered like TCP's, with delays, and held back while their zones are cut off.
+
+use crate::world::{Event, Process, World};
+use futures::channel::mpsc;
+use saddlerelay_platform::{FrameListener, FrameReceiver, FrameSender};
+use std::cell::{Cell, RefCell};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::future::poll_fn;
+use std::io;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::task::{Poll, Waker};
+use std::time::Duration;
+
+/// Time inside one zone.
+const LOCAL_DELAY: Duration = Duration::from_micros(100);
+
+type Accepted = (SimSender, SimReceiver);
+
+struct Listening {
+    process: Rc<Process>,
+    queue: mpsc::UnboundedSender<Accepted>,
+}
+
+/// The network between the zones.
+#[derive(Default)]
+pub struct Network {
+    listeners: RefCell<BTreeMap<SocketAddr, Listening>>,
+    /// Pairs of zones between which nothing passes, in the order of travel.
+    cuts: RefCell<BTreeSet<(usize, usize)>>,
+    held: RefCell<Vec<Rc<Pipe>>>,
+    zone_delay: Cell<Duration>,
+    client_delay: Cell<Duration>,
+    zones: Cell<usize>,
+}
+
+impl Network {
+    /// Sets the delays; the clients' zone is beyond the last.
+    pub fn set_delays(&self, zones: usize, zone_delay: Duration, client_delay: Duration) {
+        self.zones.set(zones);
+        self.zone_delay.set(zone_delay);
+        self.client_delay.set(client_delay);
+    }
+
+    fn delay(&self, from: usize, to: usize) -> Duration {
+        let clients = self.zones.get();
+        if from == to {
+            LOCAL_DELAY
+        } else if from == clients || to == clients {
+            self.client_delay.get()
+        } else {
+            self.zone_delay.get()
+        }
+    }
+
+    fn is_cut(&self, from: usize, to: usize) -> bool {
+        self.cuts.borrow().contains(&(from, to))
+    }
+
+    /// Cuts a zone off from the other zones, or only what it sends.
+    pub fn cut(&self, zone: usize, one_way: bool) {
+        let mut cuts = self.cuts.borrow_mut();
+        for other in (0..self.zones.get()).filter(|other| *other != zone) {
+            cuts.insert((zone, other));
+            if !one_way {
+                cuts.insert((other, zone));
+            }
+        }
+    }
+
+    /// Heals every cut of a zone; what was held back arrives.
+    pub fn heal(&self, zone: usize) {
+        self.cuts.borrow_mut().retain(|(from, to)| *from != zone && *to != zone);
+        let held = std::mem::take(&mut *self.held.borrow_mut());
+        for pipe in held {
+            pipe.release();
+        }
+    }
+}
+
+/// What travels.
+enum Parcel {
+    Frame(Vec<u8>),
+    End,
+}
+
+/// One direction of a connection.
+struct Pipe {
+    world: Rc<World>,
+    from: usize,
+    to: usize,
+    last_arrival: Cell<Duration>,
+    held: RefCell<VecDeque<Parcel>>,
+    arrived: RefCell<VecDeque<Vec<u8>>>,
+    ended: Cell<bool>,
+    reader_gone: Cell<bool>,
+    reader: RefCell<Option<Waker>>,
+}
+
+impl Pipe {
+    fn new(world: &Rc<World>, from: usize, to: usize) -> Rc<Self> {
+        Rc::new(Self {
+            world: world.clone(),
+            from,
+            to,
+            last_arrival: Cell::default(),
+            held: RefCell::default(),
+            arrived: RefCell::default(),
+            ended: Cell::default(),
+            reader_gone: Cell::default(),
+            reader: RefCell::default(),
+        })
+    }
+
+    fn send(self: &Rc<Self>, parcel: Parcel) {
+        if self.world.network.is_cut(self.from, self.to) || !self.held.borrow().is_empty() {
+            self.hold(parcel);
+            return;
+        }
+        let delay = self.world.network.delay(self.from, self.to);
+        let jitter = self.world.jitter(delay / 2);
+        // A stream keeps its order.
+        let at = (self.world.clock.now() + delay + jitter).max(self.last_arrival.get());
+        self.last_arrival.set(at);
+        let pipe = self.clone();
+        self.world.clock.schedule(at, Event::Call(Box::new(move || pipe.arrive(parcel))));
+    }
+
+    fn hold(self: &Rc<Self>, parcel: Parcel) {
+        self.held.borrow_mut().push_back(parcel);
+        self.world.network.held.borrow_mut().push(self.clone());
+    }
+
+    fn release(self: &Rc<Self>) {
+        let held = std::mem::take(&mut *self.held.borrow_mut());
+        held.into_iter().for_each(|parcel| self.send(parcel));
+    }
+
+    /// What was on its way when a cut came is held back too.
+    fn arrive(self: Rc<Self>, parcel: Parcel) {
+        if self.world.network.is_cut(self.from, self.to) || !self.held.borrow().is_empty() {
+            self.hold(parcel);
+            return;
+        }
+        match parcel {
+            Parcel::Frame(frame) => self.arrived.borrow_mut().push_back(frame),
+            Parcel::End => self.ended.set(true),
+        }
+        let reader = self.reader.borrow_mut().take();
+        if let Some(reader) = reader {
+            reader.wake();
+        }
+    }
+}
+
+/// Sends frames.
+pub struct SimSender {
+    pipe: Rc<Pipe>,
+}
+
+/// Receives frames.
+pub struct SimReceiver {
+    pipe: Rc<Pipe>,
+}
+
+/// Accepts connections.
+pub struct SimListener {
+    queue: mpsc::UnboundedReceiver<Accepted>,
+}
+
+impl FrameSender for SimSender {
+    async fn send(&mut self, frame: Vec<u8>) -> io::Result<()> {
+        if self.pipe.reader_gone.get() {
+            return Err(io::ErrorKind::BrokenPipe.into());
+        }
+        self.pipe.send(Parcel::Frame(frame));
+        Ok(())
+    }
+}
+
+impl Drop for SimSender {
+    fn drop(&mut self) {
+        self.pipe.send(Parcel::End);
+    }
+}
+
+impl FrameReceiver for SimReceiver {
+    async fn receive(&mut self) -> io::Result<Option<Vec<u8>>> {
+        poll_fn(|context| {
+            if let Some(frame) = self.pipe.arrived.borrow_mut().pop_front() {
+                return Poll::Ready(Ok(Some(frame)));
+            }
+            if self.pipe.ended.get() {
+                return Poll::Ready(Ok(None));
+            }
+            *self.pipe.reader.borrow_mut() = Some(context.waker().clone());
+            Poll::Pending
+        })
+        .await
+    }
+}
+
+impl Drop for SimReceiver {
+    fn drop(&mut self) {
+        self.pipe.reader_gone.set(true);
+    }
+}
+
+impl FrameListener for SimListener {
+    type Sender = SimSender;
+    type Receiver = SimReceiver;
+
+    async fn accept(&mut self) -> io::Result<Accepted> {
+        use futures::StreamExt;
+        match self.queue.next().await {
+            Some(accepted) => Ok(accepted),
+            None => std::future::pending().await,
+        }
+    }
+}
+
+/// Listens on `address` for `process`.
+pub fn listen(world: &World, process: &Rc<Process>, address: SocketAddr) -> SimListener {
+    let (queue, accepted) = mpsc::unbounded();
+    let listening = Listening { process: process.clone(), queue };
+    world.network.listeners.borrow_mut().insert(address, listening);
+    SimListener { queue: accepted }
+}
+
+/// Connects `process` to `address`. While the way is cut, nothing comes back.
+pub async fn connect(world: &Rc<World>, process: &Rc<Process>, address: SocketAddr) -> io::Result<Accepted> {
+    let refused = || io::Error::from(io::ErrorKind::ConnectionRefused);
+    let zone_of_listener = |world: &World| {
+        let listeners = world.network.listeners.borrow();
+        listeners.get(&address).map(|listening| listening.process.zone)
+    };
+    let Some(to) = zone_of_listener(world) else {
+        return Err(refused());
+    };
+    let from = process.zone;
+    let round_trip = world.network.delay(from, to) * 2;
+    crate::world::Sleep::new(world.clock.clone(), world.clock.now() + round_trip).await;
+    if world.network.is_cut(from, to) || world.network.is_cut(to, from) {
+        return std::future::pending().await;
+    }
+    let listeners = world.network.listeners.borrow();
+    let listening = listeners.get(&address).filter(|listening| listening.process.is_alive()).ok_or_else(refused)?;
+    let there = Pipe::new(world, from, to);
+    let back = Pipe::new(world, to, from);
+    let accepted = (SimSender { pipe: back.clone() }, SimReceiver { pipe: there.clone() });
+    listening.queue.unbounded_send(accepted).map_err(|_| refused())?;
+    Ok((SimSender { pipe: there }, SimReceiver { pipe: back }))
+}
--- /dev/null
+++ b/crates/simulator/src/platform.rs
@@ -0,0 +1,60 @@
+//! The platform seam in the simulator.
+
+use crate::disk::SimDisk;
+use crate::network::{self, SimListener, SimReceiver, SimSender};
+use crate::world::{Process, START_UNIX_MILLISECONDS, Sleep, World};
+use saddlerelay_platform::Platform;
+use std::future::Future;
+use std::io;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+/// The machine as one process sees it.
+#[derive(Clone)]
+pub struct SimPlatform {
+    /// The machine room.
+    pub world: Rc<World>,
+    /// The process.
+    pub process: Rc<Process>,
+}
+
+impl Platform for SimPlatform {
+    type Sender = SimSender;
+    type Receiver = SimReceiver;
+    type Listener = SimListener;
+    type Disk = SimDisk;
+
+    fn monotonic(&self) -> Duration {
+        self.world.clock.now()
+    }
+
+    fn unix_milliseconds(&self) -> u64 {
+        let true_time = START_UNIX_MILLISECONDS + self.world.clock.now().as_millis() as u64;
+        true_time.saturating_add_signed(self.process.clock_error)
+    }
+
+    fn sleep(&self, duration: Duration) -> impl Future<Output = ()> + 'static {
+        Sleep::new(self.world.clock.clone(), self.world.clock.now() + duration)
+    }
+
+    fn spawn(&self, task: impl Future<Output = ()> + 'static) {
+        self.world.spawn(&self.process, task);
+    }
+
+    fn random(&self) -> u64 {
+        self.world.random()
+    }
+
+    async fn connect(&self, address: SocketAddr) -> io::Result<(SimSender, SimReceiver)> {
+        network::connect(&self.world, &self.process, address).await
+    }
+
+    async fn listen(&self, address: SocketAddr) -> io::Result<SimListener> {
+        Ok(network::listen(&self.world, &self.process, address))
+    }
+
+    fn disk(&self) -> SimDisk {
+        SimDisk::new(self.world.clone(), self.process.clone())
+    }
+}
--- /dev/null
+++ b/crates/simulator/src/run.rs
@@ -0,0 +1,206 @@
+//! Runs one scenario with one seed, and checks it.
+
+use crate::cluster::{Cluster, Running};
+use crate::faults;
+use crate::world::World;
+use anyhow::{Context, Result};
+use fastrand::Rng;
+use futures::executor::LocalPool;
+use saddlerelay_checker::check::check;
+use saddlerelay_checker::report::{Promise, Report, Violation};
+use saddlerelay_platform::Platform;
+use saddlerelay_policies::PolicyName;
+use saddlerelay_scenarios::deployment::{self, Deployment};
+use saddlerelay_scenarios::trace::{Fault, Scenario};
+use saddlerelay_standins::callers::{self, CallerOptions};
+use saddlerelay_standins::operators::{probe_relays, race_changes};
+use std::cell::Cell;
+use std::rc::Rc;
+use std::time::Duration;
+
+/// Virtual time for a deployment to come up.
+const START_LIMIT: Duration = Duration::from_secs(60);
+/// Virtual time for everything under way to end once faults are over.
+const END_LIMIT: Duration = Duration::from_secs(180);
+const CHANGE_INTERVAL: Duration = Duration::from_millis(900);
+const PROBE_INTERVAL: Duration = Duration::from_millis(150);
+/// Makes the draws of faults independent of the world's.
+const FAULT_SEED: u64 = 0x5EED_FA17;
+
+/// What one run brought.
+pub struct RunOutcome {
+    /// The report.
+    pub report: Report,
+    /// Hash of every record: the same seed gives the same.
+    pub trace_hash: u64,
+    /// Events that happened.
+    pub events: u64,
+    /// Virtual time that passed.
+    pub virtual_time: Duration,
+    /// The faults that were caused, the drawn ones included.
+    pub faults: Vec<Fault>,
+}
+
+/// Runs `scenario` with `seed`.
+pub fn run(scenario: &Scenario, seed: u64, policy: PolicyName) -> Result<RunOutcome> {
+    let deployment = deployment::by_name(&scenario.deployment).context("the scenario's deployment does not exist")?;
+    run_on(scenario, deployment::compact(deployment), seed, policy)
+}
+
+/// Runs `scenario` with `seed` on another deployment.
+pub fn run_on(scenario: &Scenario, deployment: Deployment, seed: u64, policy: PolicyName) -> Result<RunOutcome> {
+    let (world, mut pool) = World::new(seed);
+    let cluster = Cluster::new(world.clone(), deployment, policy);
+    bring_up(&cluster, &world, &mut pool)?;
+    let duration = Duration::from_millis(scenario.duration_ms);
+    let races_ended = start_load(&cluster);
+    let mut random = Rng::with_seed(seed ^ FAULT_SEED);
+    let mut all_faults = scenario.faults.clone();
+    all_faults.extend(faults::draw(&mut random, &cluster, scenario.random_faults, scenario.duration_ms));
+    let faults_running = start_faults(&cluster, &all_faults);
+    let load_ends = world.clock.now() + duration;
+    world.run(&mut pool, load_ends, || false);
+    let limit = world.clock.now() + END_LIMIT;
+    let faults_ended = world.run(&mut pool, limit, || faults_running.get() == 0);
+    cluster.stop.set(true);
+    let trainers = cluster.training_tenants().len();
+    let all_ended = || {
+        cluster.trainers_ended.get() >= trainers && cluster.under_way.get() == 0 && races_ended.get()
+    };
+    let limit = world.clock.now() + END_LIMIT;
+    let ended = faults_ended && world.run(&mut pool, limit, all_ended);
+    let records = cluster.records.borrow().clone();
+    let mut report = check(&records, &scenario.limits());
+    scenario.judge(&mut report);
+    if !ended {
+        let detail = format!(
+            "did not end: {} of {trainers} trainers ended, {} requests under way, races ended: {}",
+            cluster.trainers_ended.get(),
+            cluster.under_way.get(),
+            races_ended.get()
+        );
+        report.violations.push(Violation { promise: Promise::StatedOutcome, detail });
+    }
+    let trace_hash = xxhash_rust::xxh3::xxh3_64(format!("{records:?}").as_bytes());
+    Ok(RunOutcome { report, trace_hash, events: world.events(), virtual_time: world.clock.now(), faults: all_faults })
+}
+
+fn bring_up(cluster: &Rc<Cluster>, world: &Rc<World>, pool: &mut LocalPool) -> Result<()> {
+    cluster.start_all();
+    let initialized = Rc::new(Cell::new(false));
+    initialize(cluster, initialized.clone());
+    let replicas = cluster.deployment.control as usize;
+    let up = world.run(pool, START_LIMIT, || {
+        initialized.get() && cluster.voters() == replicas && cluster.relays_ready()
+    });
+    anyhow::ensure!(up, "the deployment did not come up: {} voters", cluster.voters());
+    let configured = Rc::new(Cell::new(false));
+    configure(cluster, configured.clone());
+    let limit = world.clock.now() + START_LIMIT;
+    let in_force = world.run(pool, limit, || configured.get() && is_in_force(cluster));
+    anyhow::ensure!(in_force, "the configuration did not come into force");
+    Ok(())
+}
+
+fn initialize(cluster: &Rc<Cluster>, done: Rc<Cell<bool>>) {
+    let cluster = cluster.clone();
+    let platform = cluster.client_platform();
+    platform.clone().spawn(async move {
+        while !done.get() {
+            platform.sleep(Duration::from_millis(50)).await;
+            let Some(Running::Control(node)) = cluster.member("control-0").map(|member| member.running) else {
+                continue;
+            };
+            let node = node.borrow().clone();
+            if let Some(node) = node {
+                done.set(node.replica().initialize().await.unwrap_or(false));
+            }
+        }
+    });
+}
+
+fn configure(cluster: &Rc<Cluster>, done: Rc<Cell<bool>>) {
+    let operator = cluster.operator("setup");
+    let tenants = cluster.deployment.tenants.clone();
+    cluster.client_platform().spawn(async move {
+        for tenant in &tenants {
+            operator.set_up(&tenant.id, tenant.values()).await;
+        }
+        done.set(true);
+    });
+}
+
+fn is_in_force(cluster: &Cluster) -> bool {
+    (0..cluster.deployment.relays).all(|place| {
+        let member = cluster.member(&format!("relay-{place}"));
+        match member.map(|member| member.running) {
+            Some(Running::Relay(relay)) => relay.borrow().as_ref().is_some_and(|relay| {
+                cluster.deployment.tenants.iter().all(|tenant| relay.tenant(&tenant.id).is_some())
+            }),
+            _ => false,
+        }
+    })
+}
+
+/// Starts trainers, callers, racing operators and probes. Returns whether the races have ended.
+fn start_load(cluster: &Rc<Cluster>) -> Rc<Cell<bool>> {
+    let platform = cluster.client_platform();
+    (0..cluster.training_tenants().len()).for_each(|place| cluster.start_trainer(place));
+    for tenant in &cluster.deployment.tenants {
+        for load in &tenant.callers {
+            let options = CallerOptions {
+                tenant: tenant.id.clone(),
+                name: load.name.clone(),
+                model: tenant.model.clone(),
+                class: load.class,
+                interval: load.interval,
+                max_tokens: load.max_tokens,
+                deadline: load.deadline,
+                not_repeatable_percent: load.not_repeatable_percent,
+                prefixes: load.prefixes,
+            };
+            let access = cluster.access(platform.clone());
+            let (stop, under_way) = (cluster.stop.clone(), cluster.under_way.clone());
+            platform.spawn(callers::run_callers(
+                platform.clone(),
+                access,
+                cluster.recorder(),
+                options,
+                stop,
+                under_way,
+            ));
+        }
+    }
+    let probes = probe_relays(
+        platform.clone(),
+        cluster.access(platform.clone()),
+        cluster.recorder(),
+        PROBE_INTERVAL,
+        cluster.stop.clone(),
+    );
+    platform.spawn(probes);
+    let ended = Rc::new(Cell::new(false));
+    let races =
+        race_changes(cluster.operator("first"), cluster.operator("second"), CHANGE_INTERVAL, cluster.stop.clone());
+    let flag = ended.clone();
+    platform.spawn(async move {
+        races.await;
+        flag.set(true);
+    });
+    ended
+}
+
+/// Starts every fault at its time. Returns how many are not over.
+fn start_faults(cluster: &Rc<Cluster>, faults: &[Fault]) -> Rc<Cell<usize>> {
+    let running = Rc::new(Cell::new(faults.len()));
+    let platform = cluster.client_platform();
+    for fault in faults.iter().cloned() {
+        let (cluster, own, running) = (cluster.clone(), platform.clone(), running.clone());
+        platform.spawn(async move {
+            own.sleep(Duration::from_millis(fault.at_ms)).await;
+            faults::cause(cluster, fault.kind).await;
+            running.set(running.get() - 1);
+        });
+    }
+    running
+}
--- /dev/null
+++ b/crates/simulator/src/service.rs
@@ -0,0 +1,243 @@
+//! The product's interfaces towards callers, trainers and operators on the simulated network.
+
+use crate::backends::SimBackends;
+use crate::network::{SimReceiver, SimSender};
+use crate::platform::SimPlatform;
+use bitcode::{Decode, Encode};
+use futures::StreamExt;
+use saddlerelay_control_client::ControlClient;
+use saddlerelay_platform::{FrameListener, FrameReceiver, FrameSender, Platform};
+use saddlerelay_relay::Relay;
+use saddlerelay_relay::commands::trainers::TrainerError;
+use saddlerelay_standins::access::{Access, CallerAnswer, TrainerCallError};
+use saddlerelay_types::configuration::{ConfigurationChange, ConfigurationOutcome};
+use saddlerelay_types::identity::{Incarnation, ModelName, Position, TenantId, WeightVersion};
+use saddlerelay_types::protocol::{Command, CommandOutcome, TrainerRefusal};
+use saddlerelay_types::request::{AnswerPart, CallerRequest, Generation};
+use saddlerelay_types::rollout::{DeliveryBatch, StepRequest, TrainerState};
+use std::cell::Cell;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+/// Time limit of a change, as in the administration API.
+const CHANGE_LIMIT: Duration = Duration::from_secs(5);
+
+/// A call to a relay.
+#[derive(Encode, Decode)]
+enum RelayCall {
+    Ask(CallerRequest),
+    Models,
+    Open(TenantId, Incarnation),
+    Step(TenantId, Incarnation, StepRequest),
+    Fetch(TenantId, Incarnation, Position, u32),
+    Publish(TenantId, Incarnation, WeightVersion, Position),
+}
+
+/// A relay's answer; a request is followed by parts.
+#[derive(Encode, Decode)]
+enum RelayAnswer {
+    Part(AnswerPart),
+    Models(Option<Vec<ModelName>>),
+    Trainer(Result<TrainerState, Option<TrainerRefusal>>),
+    Delivery(Result<DeliveryBatch, Option<TrainerRefusal>>),
+}
+
+fn trainer_error(error: TrainerError) -> Option<TrainerRefusal> {
+    match error {
+        TrainerError::Refused(refusal) => Some(refusal),
+        TrainerError::Unavailable => None,
+    }
+}
+
+/// Serves a relay until its process ends.
+pub async fn serve_relay(platform: SimPlatform, address: SocketAddr, relay: Relay<SimPlatform, SimBackends>) {
+    let Ok(mut listener) = platform.listen(address).await else {
+        return;
+    };
+    while let Ok((sender, receiver)) = listener.accept().await {
+        platform.spawn(serve_relay_call(relay.clone(), sender, receiver));
+    }
+}
+
+async fn serve_relay_call(relay: Relay<SimPlatform, SimBackends>, mut sender: SimSender, mut receiver: SimReceiver) {
+    let Ok(Some(frame)) = receiver.receive().await else {
+        return;
+    };
+    let Ok(call) = bitcode::decode::<RelayCall>(&frame) else {
+        return;
+    };
+    let answer = match call {
+        RelayCall::Ask(request) => {
+            let mut parts = relay.serve(request);
+            while let Some(part) = parts.next().await {
+                if sender.send(bitcode::encode(&RelayAnswer::Part(part))).await.is_err() {
+                    return;
+                }
+            }
+            return;
+        }
+        RelayCall::Models => RelayAnswer::Models(relay.is_ready().then(|| relay.models())),
+        RelayCall::Open(tenant, incarnation) => {
+            RelayAnswer::Trainer(relay.open_trainer(tenant, incarnation).await.map_err(trainer_error))
+        }
+        RelayCall::Step(tenant, incarnation, request) => {
+            RelayAnswer::Trainer(relay.open_step(tenant, incarnation, request).await.map_err(trainer_error))
+        }
+        RelayCall::Fetch(tenant, incarnation, cursor, limit) => {
+            RelayAnswer::Delivery(relay.fetch(tenant, incarnation, cursor, limit).await.map_err(trainer_error))
+        }
+        RelayCall::Publish(tenant, incarnation, version, cursor) => {
+            RelayAnswer::Trainer(relay.publish(tenant, incarnation, version, cursor).await.map_err(trainer_error))
+        }
+    };
+    // A caller that is gone misses the answer.
+    let _ = sender.send(bitcode::encode(&answer)).await;
+}
+
+/// Serves operators' changes on a control process until it ends.
+pub async fn serve_operators(platform: SimPlatform, address: SocketAddr, client: ControlClient<SimPlatform>) {
+    let Ok(mut listener) = platform.listen(address).await else {
+        return;
+    };
+    while let Ok((mut sender, mut receiver)) = listener.accept().await {
+        let client = client.clone();
+        platform.spawn(async move {
+            let Ok(Some(frame)) = receiver.receive().await else {
+                return;
+            };
+            let Ok(change) = bitcode::decode::<ConfigurationChange>(&frame) else {
+                return;
+            };
+            let outcome = client.execute(Command::Configuration(change), CHANGE_LIMIT).await;
+            let answer = match outcome {
+                Ok(CommandOutcome::Configuration(outcome)) => Some(outcome),
+                _ => None,
+            };
+            let _ = sender.send(bitcode::encode(&answer)).await;
+        });
+    }
+}
+
+/// Reaches the product as a client process does.
+#[derive(Clone)]
+pub struct SimAccess {
+    /// The client process.
+    pub platform: SimPlatform,
+    /// The relays.
+    pub relays: Rc<Vec<SocketAddr>>,
+    /// The control processes towards operators.
+    pub control: Rc<Vec<SocketAddr>>,
+    /// The control process to ask next.
+    pub next_control: Rc<Cell<usize>>,
+}
+
+impl SimAccess {
+    async fn call(&self, relay: usize, call: &RelayCall) -> Option<RelayAnswer> {
+        let (mut sender, mut receiver) = self.platform.connect(self.relays[relay]).await.ok()?;
+        sender.send(bitcode::encode(call)).await.ok()?;
+        let frame = receiver.receive().await.ok().flatten()?;
+        bitcode::decode(&frame).ok()
+    }
+
+    async fn trainer_call(&self, relay: usize, call: &RelayCall) -> Result<TrainerState, TrainerCallError> {
+        match self.call(relay, call).await {
+            Some(RelayAnswer::Trainer(Ok(state))) => Ok(state),
+            Some(RelayAnswer::Trainer(Err(Some(refusal)))) => Err(TrainerCallError::Refused(refusal)),
+            _ => Err(TrainerCallError::Again),
+        }
+    }
+}
+
+impl Access for SimAccess {
+    fn relays(&self) -> usize {
+        self.relays.len()
+    }
+
+    async fn ask(&self, relay: usize, request: &CallerRequest) -> CallerAnswer {
+        let from = self.platform.monotonic();
+        let Ok((mut sender, mut receiver)) = self.platform.connect(self.relays[relay]).await else {
+            return CallerAnswer::NotSent;
+        };
+        if sender.send(bitcode::encode(&RelayCall::Ask(request.clone()))).await.is_err() {
+            return CallerAnswer::Lost;
+        }
+        let mut generation = Generation::empty();
+        let mut first_token_after = None;
+        while let Ok(Some(frame)) = receiver.receive().await {
+            match bitcode::decode(&frame) {
+                Ok(RelayAnswer::Part(AnswerPart::Tokens { tokens, text, version })) => {
+                    first_token_after.get_or_insert(self.platform.monotonic() - from);
+                    generation.extend(&tokens, &text, version);
+                }
+                Ok(RelayAnswer::Part(AnswerPart::End(finish))) => {
+                    generation.finish = finish;
+                    return CallerAnswer::Whole { generation, first_token_after };
+                }
+                Ok(RelayAnswer::Part(AnswerPart::Failed(failure))) => return CallerAnswer::Failed(failure),
+                _ => return CallerAnswer::Lost,
+            }
+        }
+        CallerAnswer::Lost
+    }
+
+    async fn models(&self, relay: usize) -> Option<Vec<ModelName>> {
+        match self.call(relay, &RelayCall::Models).await {
+            Some(RelayAnswer::Models(models)) => models,
+            _ => None,
+        }
+    }
+
+    async fn open_trainer(
+        &self,
+        relay: usize,
+        tenant: &TenantId,
+        incarnation: Incarnation,
+    ) -> Result<TrainerState, TrainerCallError> {
+        self.trainer_call(relay, &RelayCall::Open(tenant.clone(), incarnation)).await
+    }
+
+    async fn open_step(
+        &self,
+        relay: usize,
+        tenant: &TenantId,
+        incarnation: Incarnation,
+        request: &StepRequest,
+    ) -> Result<TrainerState, TrainerCallError> {
+        self.trainer_call(relay, &RelayCall::Step(tenant.clone(), incarnation, request.clone())).await
+    }
+
+    async fn fetch(
+        &self,
+        relay: usize,
+        tenant: &TenantId,
+        incarnation: Incarnation,
+        cursor: Position,
+        limit: u32,
+    ) -> Result<DeliveryBatch, TrainerCallError> {
+        match self.call(relay, &RelayCall::Fetch(tenant.clone(), incarnation, cursor, limit)).await {
+            Some(RelayAnswer::Delivery(Ok(batch))) => Ok(batch),
+            Some(RelayAnswer::Delivery(Err(Some(refusal)))) => Err(TrainerCallError::Refused(refusal)),
+            _ => Err(TrainerCallError::Again),
+        }
+    }
+
+    async fn publish(
+        &self,
+        relay: usize,
+        tenant: &TenantId,
+        incarnation: Incarnation,
+        version: WeightVersion,
+        cursor: Position,
+    ) -> Result<TrainerState, TrainerCallError> {
+        self.trainer_call(relay, &RelayCall::Publish(tenant.clone(), incarnation, version, cursor)).await
+    }
+
+    async fn change(&self, change: &ConfigurationChange) -> Option<ConfigurationOutcome> {
+        let place = self.next_control.replace(self.next_control.get() + 1) % self.control.len();
+        let (mut sender, mut receiver) = self.platform.connect(self.control[place]).await.ok()?;
+        sender.send(bitcode::encode(change)).await.ok()?;
+        let frame = receiver.receive().await.ok().flatten()?;
+        bitcode::decode::<Option<ConfigurationOutcome>>(&frame).ok().flatten()
+    }
+}
--- /dev/null
+++ b/crates/simulator/src/world.rs
@@ -0,0 +1,260 @@
+//! The virtual clock, the executor, and processes.
+
+use crate::disk::DiskTable;
+use crate::network::Network;
+use fastrand::Rng;
+use futures::executor::{LocalPool, LocalSpawner};
+use futures::task::LocalSpawnExt;
+use std::cell::{Cell, RefCell};
+use std::collections::BTreeMap;
+use std::future::Future;
+use std::pin::Pin;
+use std::rc::Rc;
+use std::task::{Context, Poll, Waker};
+use std::time::Duration;
+
+/// The wall clock at the start of every run, in Unix milliseconds.
+pub const START_UNIX_MILLISECONDS: u64 = 1_700_000_000_000;
+
+/// What happens at a point in time.
+pub enum Event {
+    /// A task that slept goes on.
+    Wake(Waker),
+    /// Something else.
+    Call(Box<dyn FnOnce()>),
+}
+
+/// The virtual clock with its agenda.
+#[derive(Default)]
+pub struct Clock {
+    now: Cell<Duration>,
+    sequence: Cell<u64>,
+    agenda: RefCell<BTreeMap<(Duration, u64), Event>>,
+}
+
+impl Clock {
+    /// Time since the start.
+    pub fn now(&self) -> Duration {
+        self.now.get()
+    }
+
+    /// Puts an event on the agenda; returns its key.
+    pub fn schedule(&self, at: Duration, event: Event) -> (Duration, u64) {
+        let sequence = self.sequence.get();
+        self.sequence.set(sequence + 1);
+        let key = (at.max(self.now.get()), sequence);
+        self.agenda.borrow_mut().insert(key, event);
+        key
+    }
+
+    fn cancel(&self, key: (Duration, u64)) {
+        self.agenda.borrow_mut().remove(&key);
+    }
+
+    /// Moves to the earliest event; `None` when the agenda is empty.
+    fn take_next(&self) -> Option<Event> {
+        let ((at, _), event) = self.agenda.borrow_mut().pop_first()?;
+        self.now.set(at);
+        Some(event)
+    }
+}
+
+/// Waits on the virtual clock.
+pub struct Sleep {
+    clock: Rc<Clock>,
+    until: Duration,
+    key: Option<(Duration, u64)>,
+}
+
+impl Sleep {
+    /// Waits until `until`.
+    pub fn new(clock: Rc<Clock>, until: Duration) -> Self {
+        Self { clock, until, key: None }
+    }
+}
+
+impl Future for Sleep {
+    type Output = ();
+
+    fn poll(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<()> {
+        if let Some(key) = self.key.take() {
+            self.clock.cancel(key);
+        }
+        if self.clock.now() >= self.until {
+            return Poll::Ready(());
+        }
+        let key = self.clock.schedule(self.until, Event::Wake(context.waker().clone()));
+        self.key = Some(key);
+        Poll::Pending
+    }
+}
+
+impl Drop for Sleep {
+    fn drop(&mut self) {
+        if let Some(key) = self.key.take() {
+            self.clock.cancel(key);
+        }
+    }
+}
+
+/// One start of a process.
+pub struct Process {
+    /// Its name; a process started again keeps it, and with it its disk.
+    pub name: String,
+    /// Its zone's place; the clients' is beyond the last zone.
+    pub zone: usize,
+    /// How far its wall clock is off, in milliseconds.
+    pub clock_error: i64,
+    alive: Cell<bool>,
+    frozen: Cell<bool>,
+    next_task: Cell<u64>,
+    tasks: RefCell<BTreeMap<u64, Waker>>,
+}
+
+impl Process {
+    /// Whether it has not been killed.
+    pub fn is_alive(&self) -> bool {
+        self.alive.get()
+    }
+
+    fn wake_tasks(&self) {
+        let wakers: Vec<Waker> = self.tasks.borrow().values().cloned().collect();
+        wakers.into_iter().for_each(Waker::wake);
+    }
+
+    /// Ends every task where it stands.
+    pub fn kill(&self) {
+        self.alive.set(false);
+        self.wake_tasks();
+    }
+
+    /// Stands still: no task goes on, though time does.
+    pub fn freeze(&self) {
+        self.frozen.set(true);
+    }
+
+    /// Goes on.
+    pub fn thaw(&self) {
+        self.frozen.set(false);
+        self.wake_tasks();
+    }
+}
+
+/// A task of a process.
+struct Task {
+    process: Rc<Process>,
+    id: u64,
+    future: Option<Pin<Box<dyn Future<Output = ()>>>>,
+}
+
+impl Future for Task {
+    type Output = ();
+
+    fn poll(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<()> {
+        let process = self.process.clone();
+        if !process.is_alive() {
+            self.future = None;
+            return Poll::Ready(());
+        }
+        process.tasks.borrow_mut().insert(self.id, context.waker().clone());
+        if process.frozen.get() {
+            return Poll::Pending;
+        }
+        let Some(future) = self.future.as_mut() else {
+            return Poll::Ready(());
+        };
+        let polled = future.as_mut().poll(context);
+        if polled.is_ready() || !process.is_alive() {
+            self.future = None;
+            process.tasks.borrow_mut().remove(&self.id);
+            return Poll::Ready(());
+        }
+        Poll::Pending
+    }
+}
+
+/// The machine room.
+pub struct World {
+    /// The clock.
+    pub clock: Rc<Clock>,
+    /// Connections.
+    pub network: Network,
+    /// Disks by process name.
+    pub disks: DiskTable,
+    random: RefCell<Rng>,
+    spawner: LocalSpawner,
+    events: Cell<u64>,
+}
+
+impl World {
+    /// A machine room whose every random choice follows from `seed`, with the executor that runs it.
+    pub fn new(seed: u64) -> (Rc<Self>, LocalPool) {
+        let pool = LocalPool::new();
+        let world = Self {
+            clock: Rc::default(),
+            network: Network::default(),
+            disks: DiskTable::default(),
+            random: RefCell::new(Rng::with_seed(seed)),
+            spawner: pool.spawner(),
+            events: Cell::new(0),
+        };
+        (Rc::new(world), pool)
+    }
+
+    /// A random number.
+    pub fn random(&self) -> u64 {
+        self.random.borrow_mut().u64(..)
+    }
+
+    /// A random duration below `limit`.
+    pub fn jitter(&self, limit: Duration) -> Duration {
+        Duration::from_nanos(self.random() % limit.as_nanos().max(1) as u64)
+    }
+
+    /// How many events have happened.
+    pub fn events(&self) -> u64 {
+        self.events.get()
+    }
+
+    /// A new process.
+    pub fn start_process(&self, name: &str, zone: usize, clock_error: i64) -> Rc<Process> {
+        Rc::new(Process {
+            name: name.to_string(),
+            zone,
+            clock_error,
+            alive: Cell::new(true),
+            frozen: Cell::new(false),
+            next_task: Cell::new(0),
+            tasks: RefCell::default(),
+        })
+    }
+
+    /// Runs a task in a process.
+    pub fn spawn(&self, process: &Rc<Process>, future: impl Future<Output = ()> + 'static) {
+        let id = process.next_task.replace(process.next_task.get() + 1);
+        let task = Task { process: process.clone(), id, future: Some(Box::pin(future)) };
+        // The executor lives as long as the run.
+        let _ = self.spawner.spawn_local(task);
+    }
+
+    /// Runs until `done`, or until nothing is left to happen or `limit` has passed. Returns whether `done` came.
+    pub fn run(&self, pool: &mut LocalPool, limit: Duration, done: impl Fn() -> bool) -> bool {
+        loop {
+            pool.run_until_stalled();
+            if done() {
+                return true;
+            }
+            if self.clock.now() >= limit {
+                return false;
+            }
+            let Some(event) = self.clock.take_next() else {
+                return false;
+            };
+            self.events.set(self.events.get() + 1);
+            match event {
+                Event::Wake(waker) => waker.wake(),
+                Event::Call(call) => call(),
+            }
+        }
+    }
+}
--- a/crates/types/src/request.rs
+++ b/crates/types/src/request.rs
@@ -36,7 +36,7 @@
 }
 
 /// One generation asked for by a caller, as the relay understands it.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Encode, Decode)]
 pub struct CallerRequest {
     /// The tenant whose settings apply.
     pub tenant: TenantId,
@@ -189,7 +189,7 @@
 }
 
 /// One piece of an answer on its way to a caller.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Encode, Decode)]
 pub enum AnswerPart {
     /// Further tokens and the version that made them.
     Tokens {
