Add scenarios for each promise and for random faults

Change: 25 traces: crashes, freezes, cuts, lost and full disks, failed swaps, orderly stops, engines that leave, tightened bounds, trainer restarts.

--- a/crates/scenarios/src/builtin.rs
+++ b/crates/scenarios/src/builtin.rs
@@ -2,7 +2,33 @@
 
 use crate::trace::Scenario;
 
-const TRACES: &[&str] = &[include_str!("../../../traces/steady.toml")];
+const TRACES: &[&str] = &[
+    include_str!("../../../traces/steady.toml"),
+    include_str!("../../../traces/steady-fund.toml"),
+    include_str!("../../../traces/leader-crash.toml"),
+    include_str!("../../../traces/leader-freeze.toml"),
+    include_str!("../../../traces/leader-cut.toml"),
+    include_str!("../../../traces/zone-cut-one-way.toml"),
+    include_str!("../../../traces/zones-cut-in-turn.toml"),
+    include_str!("../../../traces/control-disk-lost.toml"),
+    include_str!("../../../traces/quorum-restart.toml"),
+    include_str!("../../../traces/full-disk.toml"),
+    include_str!("../../../traces/relay-crash.toml"),
+    include_str!("../../../traces/relay-freeze.toml"),
+    include_str!("../../../traces/relay-behind.toml"),
+    include_str!("../../../traces/engine-crash.toml"),
+    include_str!("../../../traces/engine-faults.toml"),
+    include_str!("../../../traces/partial-swap.toml"),
+    include_str!("../../../traces/planned-stop-relays.toml"),
+    include_str!("../../../traces/planned-stop-control.toml"),
+    include_str!("../../../traces/engine-leaves.toml"),
+    include_str!("../../../traces/staleness-tightened.toml"),
+    include_str!("../../../traces/trainer-crash.toml"),
+    include_str!("../../../traces/trainer-freeze.toml"),
+    include_str!("../../../traces/double-fault.toml"),
+    include_str!("../../../traces/random.toml"),
+    include_str!("../../../traces/random-fund.toml"),
+];
 
 /// Every scenario.
 pub fn scenarios() -> Vec<Scenario> {
