Tell a damaged log from a torn one, and never seal a key that may have run

(1) A changed byte in a record's length that then pointed beyond the end of the file passed for a torn write, so that records after it, already acknowledged, would have been cut off in silence. (2) A repeatable keyed request whose first relay was lost could be granted to a resend, which sent nothing and sealed the key: its caller was told "not executed" of a request that had run. Ruled out: for (1), that the checksum over length and body suffices: it cannot be checked when the body seems to be missing. For (2), a fault of the relay: it seals only what it did not send; the log knew of the earlier grant and forgot it. Change: the record's length has a checksum of its own, and zeros up to the end of the file count as torn. A claim remembers whether an earlier arrival was granted it; such a claim ends as lost, not sealed. A late copy of an abandoned arrival's command is not granted again. Stand-in callers put keys on a quarter of their repeatable requests too. Linter findings mended and unused functions removed.

--- a/crates/api/src/commands/callers.rs
+++ b/crates/api/src/commands/callers.rs
@@ -1,7 +1,7 @@
 //! Callers' requests: reads them, has the relay serve them, and writes the answer plain or streamed.
 
 use crate::credentials::{CallerCredentials, caller_credentials, secret_matches};
-use crate::errors::{body_error_reply, error_reply, failure_body, failure_reply};
+use crate::errors::{Refusal, body_error_reply, error_reply, failure_body, failure_reply};
 use crate::relay::RelayApi;
 use crate::wire::{self, AnswerBody, AnswerChoice, AnswerForm, AnswerMessage, ChatRequest, CompletionRequest, Usage};
 use bytes::Bytes;
@@ -15,7 +15,7 @@
 use saddlerelay_http::sse;
 use saddlerelay_platform::Platform;
 use saddlerelay_platform::backend::Backends;
-use saddlerelay_types::identity::{IdempotencyKey, ModelName, WeightVersion};
+use saddlerelay_types::identity::{IdempotencyKey, ModelName};
 use saddlerelay_types::request::{
     AnswerPart, CallerRequest, ExecutionOutcome, FailureCode, FinishReason, Generation, Priority, Repeatability,
     RequestFailure, RequestKey, VersionSpan,
@@ -91,7 +91,7 @@
 async fn serve<P: Platform, B: Backends>(api: &RelayApi<P, B>, headers: &HeaderMap, asked: Asked) -> Reply {
     let credentials = match check_credentials(api, headers) {
         Ok(credentials) => credentials,
-        Err(reply) => return reply,
+        Err(refusal) => return *refusal,
     };
     let stream = asked.stream;
     let answer_head = AnswerHead {
@@ -117,8 +117,8 @@
 pub fn check_credentials<P: Platform, B: Backends>(
     api: &RelayApi<P, B>,
     headers: &HeaderMap,
-) -> Result<CallerCredentials, Reply> {
-    let refuse = |message: &str| error_reply(StatusCode::UNAUTHORIZED, "unauthorized", message, 0);
+) -> Result<CallerCredentials, Refusal> {
+    let refuse = |message: &str| Box::new(error_reply(StatusCode::UNAUTHORIZED, "unauthorized", message, 0));
     let Some(credentials) = caller_credentials(headers) else {
         return Err(refuse("give `Authorization: Bearer TENANT:CALLER:SECRET`"));
     };
@@ -310,8 +310,3 @@
         weight_versions: span.into_iter().collect(),
     }
 }
-
-/// The versions of an answer, oldest first.
-pub fn versions_of(generation: &Generation) -> Vec<WeightVersion> {
-    generation.versions.iter().map(|span| span.version).collect()
-}
--- a/crates/api/src/commands/trainers.rs
+++ b/crates/api/src/commands/trainers.rs
@@ -1,7 +1,7 @@
 //! Trainers' calls.
 
 use crate::commands::callers::check_credentials;
-use crate::errors::{body_error_reply, error_reply, name_of};
+use crate::errors::{Refusal, body_error_reply, error_reply, name_of};
 use crate::relay::RelayApi;
 use crate::wire::{OpenStepBody, OpenTrainerBody, PublishBody};
 use hyper::StatusCode;
@@ -22,18 +22,18 @@
 const DEFAULT_FETCH_LIMIT: u32 = 64;
 
 /// The tenant of the path, if the caller's credentials are its.
-fn authorize<P: Platform, B: Backends>(api: &RelayApi<P, B>, head: &Parts, tenant: &str) -> Result<TenantId, Reply> {
+fn authorize<P: Platform, B: Backends>(api: &RelayApi<P, B>, head: &Parts, tenant: &str) -> Result<TenantId, Refusal> {
     let credentials = check_credentials(api, &head.headers)?;
     if credentials.tenant.as_str() != tenant {
         let message = "the credentials are another tenant's";
-        return Err(error_reply(StatusCode::UNAUTHORIZED, "unauthorized", message, 0));
+        return Err(Box::new(error_reply(StatusCode::UNAUTHORIZED, "unauthorized", message, 0)));
     }
     Ok(credentials.tenant)
 }
 
-async fn read<T: DeserializeOwned>(body: Incoming) -> Result<T, Reply> {
-    let bytes = read_whole(body).await.map_err(|error| body_error_reply(&error))?;
-    parse_json(&bytes).map_err(|error| body_error_reply(&error))
+async fn read<T: DeserializeOwned>(body: Incoming) -> Result<T, Refusal> {
+    let bytes = read_whole(body).await.map_err(|error| Box::new(body_error_reply(&error)))?;
+    parse_json(&bytes).map_err(|error| Box::new(body_error_reply(&error)))
 }
 
 fn answer<T: Serialize>(outcome: Result<T, TrainerError>) -> Reply {
@@ -57,7 +57,7 @@
         let body: OpenTrainerBody = read(body).await?;
         Ok(answer(api.relay.open_trainer(tenant, body.incarnation).await))
     };
-    opened.await.unwrap_or_else(|refusal| refusal)
+    opened.await.unwrap_or_else(|refusal: Refusal| *refusal)
 }
 
 /// `POST /v1/trainers/TENANT/steps`.
@@ -72,7 +72,7 @@
         let body: OpenStepBody = read(body).await?;
         Ok(answer(api.relay.open_step(tenant, body.incarnation, body.request).await))
     };
-    opened.await.unwrap_or_else(|refusal| refusal)
+    opened.await.unwrap_or_else(|refusal: Refusal| *refusal)
 }
 
 /// `POST /v1/trainers/TENANT/versions`.
@@ -87,7 +87,7 @@
         let body: PublishBody = read(body).await?;
         Ok(answer(api.relay.publish(tenant, body.incarnation, body.version, body.cursor).await))
     };
-    published.await.unwrap_or_else(|refusal| refusal)
+    published.await.unwrap_or_else(|refusal: Refusal| *refusal)
 }
 
 /// `GET /v1/trainers/TENANT/samples?incarnation=I&cursor=C&limit=L`.
@@ -100,19 +100,20 @@
         let limit = parameter(query, "limit")?.map_or(DEFAULT_FETCH_LIMIT, |limit| limit as u32);
         Ok(answer(api.relay.fetch(tenant, incarnation, cursor, limit).await))
     };
-    fetched.await.unwrap_or_else(|refusal| refusal)
+    fetched.await.unwrap_or_else(|refusal: Refusal| *refusal)
 }
 
-fn parameter(query: &str, name: &str) -> Result<Option<u64>, Reply> {
+fn parameter(query: &str, name: &str) -> Result<Option<u64>, Refusal> {
     let mut pairs = query.split('&').filter_map(|pair| pair.split_once('='));
     let Some((_, value)) = pairs.find(|(key, _)| *key == name) else {
         return Ok(None);
     };
     let message = format!("parameter `{name}` is not a whole number");
-    value.parse().map(Some).map_err(|_| error_reply(StatusCode::BAD_REQUEST, "invalid_parameter", message, 0))
+    value.parse().map(Some).map_err(|_| Box::new(error_reply(StatusCode::BAD_REQUEST, "invalid_parameter", message, 0)))
 }
 
-fn required(query: &str, name: &str) -> Result<u64, Reply> {
+fn required(query: &str, name: &str) -> Result<u64, Refusal> {
     let message = format!("parameter `{name}` is missing");
-    parameter(query, name)?.ok_or_else(|| error_reply(StatusCode::BAD_REQUEST, "missing_parameter", message, 0))
+    parameter(query, name)?
+        .ok_or_else(|| Box::new(error_reply(StatusCode::BAD_REQUEST, "missing_parameter", message, 0)))
 }
--- a/crates/api/src/errors.rs
+++ b/crates/api/src/errors.rs
@@ -82,6 +82,9 @@
     ErrorBody { error: detail }
 }
 
+/// A request's final answer when it goes no further.
+pub type Refusal = Box<Reply>;
+
 /// The answer to a failed request.
 pub fn failure_reply(failure: &RequestFailure) -> Reply {
     let mut reply = json(status(failure.code), &failure_body(failure));
--- a/crates/control/src/commands/claims.rs
+++ b/crates/control/src/commands/claims.rs
@@ -21,22 +21,28 @@
         return ClaimOutcome::HolderFenced;
     }
     match standing(state, &request) {
-        Standing::Free => {
-            put(state, request, ClaimPhase::Running);
+        Standing::Free { earlier_grant } => {
+            put(state, request, earlier_grant, ClaimPhase::Running);
             ClaimOutcome::Granted
         }
-        Standing::HeldByThisArrival => ClaimOutcome::Granted,
+        Standing::HeldByThisArrival { .. } => ClaimOutcome::Granted,
         Standing::Settled(outcome) => outcome,
     }
 }
 
-/// Makes sure that the key never runs. The arrival that holds the claim may seal it only if it sent nothing.
+/// Makes sure that the key never runs. The arrival that holds the claim may seal it only if it sent nothing. Where an
+/// earlier arrival may have run, there is nothing to prove: the claim ends as lost.
 fn seal(state: &mut ControlState, request: ClaimRequest) -> ClaimOutcome {
     match standing(state, &request) {
-        Standing::Free | Standing::HeldByThisArrival => {
-            put(state, request, ClaimPhase::Sealed);
+        Standing::Free { earlier_grant: false } | Standing::HeldByThisArrival { earlier_grant: false } => {
+            put(state, request, false, ClaimPhase::Sealed);
             ClaimOutcome::Sealed
         }
+        Standing::Free { .. } => ClaimOutcome::Lost,
+        Standing::HeldByThisArrival { .. } => {
+            put(state, request, true, ClaimPhase::Lost);
+            ClaimOutcome::Lost
+        }
         Standing::Settled(outcome) => outcome,
     }
 }
@@ -66,10 +72,16 @@
 }
 
 enum Standing {
-    /// The key may be granted or sealed.
-    Free,
+    /// The key may be granted.
+    Free {
+        /// Whether an arrival before this one was granted it and may have run.
+        earlier_grant: bool,
+    },
     /// The asking arrival already holds the claim.
-    HeldByThisArrival,
+    HeldByThisArrival {
+        /// Whether an arrival before this one was granted it and may have run.
+        earlier_grant: bool,
+    },
     /// The key is decided, or held by another arrival.
     Settled(ClaimOutcome),
 }
@@ -80,28 +92,33 @@
         return Standing::Settled(ClaimOutcome::KeyExpired);
     }
     let Some(claim) = state.claims.get(&request.key) else {
-        return Standing::Free;
+        return Standing::Free { earlier_grant: false };
     };
     if claim.digest != request.digest || claim.expires_at != request.expires_at {
         return Standing::Settled(ClaimOutcome::DigestMismatch);
     }
     match &claim.phase {
-        ClaimPhase::Running if claim.arrival == request.arrival => Standing::HeldByThisArrival,
+        ClaimPhase::Running if claim.arrival == request.arrival => {
+            Standing::HeldByThisArrival { earlier_grant: claim.earlier_grant }
+        }
         ClaimPhase::Running => Standing::Settled(ClaimOutcome::Running),
         ClaimPhase::Finished(result) => Standing::Settled(ClaimOutcome::Finished(result.clone())),
-        ClaimPhase::Lost if claim.repeatability == Repeatability::Repeatable => Standing::Free,
+        // A late copy of the command that was granted before must not hold the claim again: nobody would run it.
+        ClaimPhase::Lost if claim.arrival == request.arrival => Standing::Settled(ClaimOutcome::Lost),
+        ClaimPhase::Lost if claim.repeatability == Repeatability::Repeatable => Standing::Free { earlier_grant: true },
         ClaimPhase::Lost => Standing::Settled(ClaimOutcome::Lost),
         ClaimPhase::Sealed => Standing::Settled(ClaimOutcome::Sealed),
     }
 }
 
-fn put(state: &mut ControlState, request: ClaimRequest, phase: ClaimPhase) {
+fn put(state: &mut ControlState, request: ClaimRequest, earlier_grant: bool, phase: ClaimPhase) {
     let claim = Claim {
         digest: request.digest,
         expires_at: request.expires_at,
         holder: request.holder,
         arrival: request.arrival,
         repeatability: request.repeatability,
+        earlier_grant,
         phase,
     };
     state.claims.put(request.key, claim);
--- a/crates/control/src/node.rs
+++ b/crates/control/src/node.rs
@@ -12,7 +12,6 @@
 use saddlerelay_replication::storage::StorageError;
 use saddlerelay_replication::{ProposeError, Replica, ReplicaOptions};
 use saddlerelay_rpc::server::Handler;
-use saddlerelay_types::identity::{Incarnation, Revision};
 use saddlerelay_types::protocol::{
     Command, CommandOutcome, ControlReply, ControlRequest, LogCommand, MembershipCommand, Query, QueryAnswer,
     RenewReply, RenewRequest, RolloutCommand,
@@ -183,20 +182,6 @@
             relay_count: state.members.relays().len() as u32,
         }
     }
-
-    /// The configuration revision that every relay with a live lease acts on.
-    pub fn revision_in_force(&self) -> Option<Revision> {
-        let now = self.inner.platform.monotonic();
-        let lease = self.inner.config.relay_lease;
-        let newest = self.read(|state| state.configuration.revision())?;
-        let oldest = self.inner.renewals.borrow().oldest_revision(now, lease);
-        Some(oldest.unwrap_or(newest))
-    }
-
-    /// Whether `relay` may act, as this leader knows.
-    pub fn relay_is_live(&self, relay: Incarnation) -> Option<bool> {
-        self.read(|state| state.members.is_live(relay))
-    }
 }
 
 /// The outcome of a command that would change nothing, so that polling costs no log entries.
--- a/crates/control/src/queries/weights.rs
+++ b/crates/control/src/queries/weights.rs
@@ -5,6 +5,9 @@
 use saddlerelay_types::protocol::ModelTarget;
 use std::collections::BTreeMap;
 
+/// Share of staleness when no tenant weighs either measure.
+const EVEN_SHARE_PERCENT: u32 = 50;
+
 /// The newest published version of each model that has a trainer, or the version a tenant pins.
 pub fn targets(state: &ControlState) -> Vec<ModelTarget> {
     let mut targets: BTreeMap<ModelName, WeightVersion> = BTreeMap::new();
@@ -28,5 +31,5 @@
         staleness += parameters.staleness_weight;
         total += parameters.staleness_weight + parameters.idle_weight;
     }
-    if total == 0 { 50 } else { staleness * 100 / total }
+    (staleness * 100).checked_div(total).unwrap_or(EVEN_SHARE_PERCENT)
 }
--- a/crates/control/src/state/claims.rs
+++ b/crates/control/src/state/claims.rs
@@ -38,6 +38,8 @@
     pub arrival: u64,
     /// Whether it may be granted again after its holder is lost.
     pub repeatability: Repeatability,
+    /// Whether an earlier arrival was granted it too and may have run: it can no longer be proved not to have.
+    pub earlier_grant: bool,
     /// Where it stands.
     pub phase: ClaimPhase,
 }
--- a/crates/http/src/body.rs
+++ b/crates/http/src/body.rs
@@ -1,10 +1,9 @@
 //! Bodies: whole, JSON, or a stream of parts.
 
 use bytes::Bytes;
+use futures::Stream;
 use futures::channel::mpsc;
-use futures::{Stream, StreamExt};
-use http_body_util::combinators::UnsyncBoxBody;
-use http_body_util::{BodyExt, Full, Limited, StreamBody};
+use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::{Body, Frame};
 use hyper::header::{CONTENT_TYPE, HeaderValue};
 use hyper::{Response, StatusCode};
@@ -103,8 +102,3 @@
 pub fn parse_json<T: DeserializeOwned>(bytes: &[u8]) -> Result<T, BodyError> {
     serde_json::from_slice(bytes).map_err(|error| BodyError::Malformed(error.to_string()))
 }
-
-/// A boxed body from a stream, for tests and stand-ins that send to a client.
-pub fn boxed_stream(stream: impl Stream<Item = Bytes> + Send + 'static) -> UnsyncBoxBody<Bytes, Infallible> {
-    StreamBody::new(stream.map(|bytes| Ok(Frame::data(bytes)))).boxed_unsync()
-}
--- a/crates/relay/src/dispatch.rs
+++ b/crates/relay/src/dispatch.rs
@@ -16,6 +16,9 @@
 /// Pause before looking for an able engine again.
 const ENGINE_WAIT_INTERVAL: Duration = Duration::from_millis(20);
 
+/// Share of staleness when a tenant weighs neither measure.
+const EVEN_SHARE_PERCENT: u32 = 50;
+
 /// One generation to run.
 #[derive(Clone, Debug)]
 pub struct GenerationWork {
@@ -150,7 +153,7 @@
         let view = self.inner.view.borrow();
         let weights = view.tenant(tenant).map(|tenant| (tenant.staleness_weight, tenant.idle_weight));
         let (staleness, idle) = weights.unwrap_or((1, 1));
-        if staleness + idle == 0 { 50 } else { staleness * 100 / (staleness + idle) }
+        (staleness * 100).checked_div(staleness + idle).unwrap_or(EVEN_SHARE_PERCENT)
     }
 
     /// Engines that can take the work now.
--- a/crates/replication/src/wal.rs
+++ b/crates/replication/src/wal.rs
@@ -1,13 +1,17 @@
-//! The write-ahead log's file format: records of length, checksum and body.
+//! The write-ahead log's file format: records of length, checksum of the length, checksum of the body, and body.
 //!
-//! An incomplete last record is a torn write, which was never acknowledged, and is cut off. A whole record whose
-//! checksum is wrong is corruption: it may have been acknowledged, so the file is refused.
+//! An incomplete last record is a torn write, which was never acknowledged, and is cut off; so are zeros up to the end
+//! of the file, which a file system may leave after a crash. A whole header or body whose checksum is wrong is
+//! corruption: it may have been acknowledged, so the file is refused. The length has a checksum of its own, or a
+//! damaged one that points beyond the end of the file would pass for a torn write.
 
 use crate::log::LogEntry;
 use bitcode::{Decode, Encode};
 use saddlerelay_types::identity::ReplicaId;
 
-const HEADER_BYTES: usize = 8;
+const LENGTH_BYTES: usize = 4;
+const CHECKSUM_BYTES: usize = 4;
+const HEADER_BYTES: usize = LENGTH_BYTES + 2 * CHECKSUM_BYTES;
 
 /// One record.
 #[derive(Clone, Debug, PartialEq, Eq, Encode, Decode)]
@@ -42,11 +46,13 @@
     pub torn_bytes: usize,
 }
 
-/// Frames `body` with its length and checksum.
+/// Frames `body` with its length and checksums.
 pub fn frame(body: &[u8]) -> Vec<u8> {
+    let length = (body.len() as u32).to_le_bytes();
     let mut bytes = Vec::with_capacity(HEADER_BYTES + body.len());
-    bytes.extend_from_slice(&(body.len() as u32).to_le_bytes());
-    bytes.extend_from_slice(&checksum(body).to_le_bytes());
+    bytes.extend_from_slice(&length);
+    bytes.extend_from_slice(&length_checksum(length).to_le_bytes());
+    bytes.extend_from_slice(&crc32fast::hash(body).to_le_bytes());
     bytes.extend_from_slice(body);
     bytes
 }
@@ -56,26 +62,34 @@
     frame(&bitcode::encode(record))
 }
 
-/// The length is part of the checksum, so that a zeroed header is not a valid empty record.
-fn checksum(body: &[u8]) -> u32 {
-    let mut hasher = crc32fast::Hasher::new();
-    hasher.update(&(body.len() as u32).to_le_bytes());
-    hasher.update(body);
-    hasher.finalize()
+/// Inverted, so that a header of zeros is not a valid one.
+fn length_checksum(length: [u8; LENGTH_BYTES]) -> u32 {
+    !crc32fast::hash(&length)
+}
+
+fn number(bytes: &[u8]) -> u32 {
+    u32::from_le_bytes(bytes.try_into().expect("four bytes"))
 }
 
 /// One framed body at the start of `bytes`: `Ok(None)` when it is torn.
 pub fn unframe(bytes: &[u8]) -> Result<Option<&[u8]>, WalError> {
+    let corrupt = Err(WalError::Corrupt { offset: 0 });
+    if bytes.iter().all(|byte| *byte == 0) {
+        return Ok(None);
+    }
     let Some(header) = bytes.get(..HEADER_BYTES) else {
         return Ok(None);
     };
-    let length = u32::from_le_bytes(header[..4].try_into().expect("four bytes")) as usize;
-    let expected = u32::from_le_bytes(header[4..].try_into().expect("four bytes"));
-    let Some(body) = bytes.get(HEADER_BYTES..HEADER_BYTES + length) else {
+    let (length, checksums) = header.split_at(LENGTH_BYTES);
+    let (of_length, of_body) = checksums.split_at(CHECKSUM_BYTES);
+    if length_checksum(length.try_into().expect("four bytes")) != number(of_length) {
+        return corrupt;
+    }
+    let Some(body) = bytes.get(HEADER_BYTES..HEADER_BYTES + number(length) as usize) else {
         return Ok(None);
     };
-    if checksum(body) != expected {
-        return Err(WalError::Corrupt { offset: 0 });
+    if crc32fast::hash(body) != number(of_body) {
+        return corrupt;
     }
     Ok(Some(body))
 }
--- /dev/null
+++ b/crates/replication/tests/wal.rs
@@ -0,0 +1,96 @@
+//! The log file: what was synced is read back; torn writes are cut off; damage is refused, never dropped in silence.
+
+use quickcheck::{Arbitrary, Gen, QuickCheck, TestResult};
+use saddlerelay_replication::log::{EntryPayload, LogEntry};
+use saddlerelay_replication::wal::{self, WalError, WalRecord};
+use saddlerelay_types::identity::ReplicaId;
+
+#[derive(Clone, Debug)]
+struct Record(WalRecord);
+
+impl Arbitrary for Record {
+    fn arbitrary(generator: &mut Gen) -> Self {
+        let term = u64::arbitrary(generator) % 100;
+        if bool::arbitrary(generator) {
+            let voted_for = Option::<u64>::arbitrary(generator).map(ReplicaId);
+            return Self(WalRecord::HardState { term, voted_for });
+        }
+        let payload = match u8::arbitrary(generator) % 3 {
+            0 => EntryPayload::Empty,
+            _ => EntryPayload::Command(Vec::arbitrary(generator)),
+        };
+        Self(WalRecord::Entry(LogEntry { index: u64::arbitrary(generator) % 1_000, term, payload }))
+    }
+}
+
+fn records(records: &[Record]) -> Vec<WalRecord> {
+    records.iter().map(|record| record.0.clone()).collect()
+}
+
+fn file(records: &[Record]) -> Vec<u8> {
+    records.iter().flat_map(|record| wal::encode(&record.0)).collect()
+}
+
+fn check<T: quickcheck::Testable>(property: T) {
+    QuickCheck::new().rng(Gen::from_size_and_seed(20, 7)).tests(2_000).quickcheck(property);
+}
+
+#[test]
+fn what_was_written_is_read_back() {
+    fn holds(written: Vec<Record>) -> bool {
+        let content = wal::read(&file(&written)).expect("an undamaged file");
+        content.records == records(&written) && content.torn_bytes == 0
+    }
+    check(holds as fn(Vec<Record>) -> bool);
+}
+
+#[test]
+fn a_file_cut_short_keeps_every_whole_record_and_tells_what_is_torn() {
+    fn holds(written: Vec<Record>, cut: usize) -> bool {
+        let bytes = file(&written);
+        let cut = cut % (bytes.len() + 1);
+        let content = wal::read(&bytes[..cut]).expect("a torn file is not a damaged one");
+        let whole: usize = content.records.iter().map(|record| wal::encode(record).len()).sum();
+        records(&written).starts_with(&content.records) && whole + content.torn_bytes == cut
+    }
+    check(holds as fn(Vec<Record>, usize) -> bool);
+}
+
+/// A file system may have made the file longer without having written its end.
+#[test]
+fn zeros_at_the_end_are_a_torn_write() {
+    fn holds(written: Vec<Record>, zeros: u8) -> bool {
+        let mut bytes = file(&written);
+        bytes.extend(vec![0; usize::from(zeros)]);
+        let content = wal::read(&bytes).expect("a torn file is not a damaged one");
+        content.records == records(&written) && content.torn_bytes == usize::from(zeros)
+    }
+    check(holds as fn(Vec<Record>, u8) -> bool);
+}
+
+/// Any changed byte of a synced record is noticed, also one in a length: a length that points beyond the end of the file
+/// must not pass for a torn write, or acknowledged records would be dropped.
+#[test]
+fn a_changed_byte_is_refused() {
+    fn holds(written: Vec<Record>, place: usize, change: u8) -> TestResult {
+        let mut bytes = file(&written);
+        if bytes.is_empty() || change == 0 {
+            return TestResult::discard();
+        }
+        let place = place % bytes.len();
+        bytes[place] ^= change;
+        let refused = matches!(wal::read(&bytes), Err(WalError::Corrupt { offset }) if offset <= place);
+        TestResult::from_bool(refused)
+    }
+    check(holds as fn(Vec<Record>, usize, u8) -> TestResult);
+}
+
+#[test]
+fn foreign_bytes_never_panic() {
+    fn holds(bytes: Vec<u8>) -> bool {
+        // Any answer will do, as long as there is one.
+        let _ = wal::read(&bytes);
+        true
+    }
+    check(holds as fn(Vec<u8>) -> bool);
+}
--- a/crates/simulator/src/backends.rs
+++ b/crates/simulator/src/backends.rs
@@ -205,10 +205,7 @@
 }
 
 impl EngineConnection for SimEngineConnection {
-    async fn generate(
-        mut self,
-        request: EngineRequest,
-    ) -> Result<mpsc::UnboundedReceiver<StreamEvent>, BackendError> {
+    async fn generate(mut self, request: EngineRequest) -> Result<mpsc::UnboundedReceiver<StreamEvent>, BackendError> {
         self.sender.send(bitcode::encode(&EngineCall::Generate(request))).await.map_err(|_| lost())?;
         match receive(&mut self.receiver).await {
             Some(EngineAnswer::Admitted) => {}
--- a/crates/simulator/src/cluster.rs
+++ b/crates/simulator/src/cluster.rs
@@ -152,12 +152,7 @@
     /// An operator.
     pub fn operator(&self, name: &str) -> Operator<SimPlatform, SimAccess> {
         let platform = self.client_platform();
-        Operator {
-            access: self.access(platform.clone()),
-            platform,
-            recorder: self.recorder(),
-            name: name.to_string(),
-        }
+        Operator { access: self.access(platform.clone()), platform, recorder: self.recorder(), name: name.to_string() }
     }
 
     fn zone(&self, place: usize) -> usize {
--- a/crates/simulator/src/command_line.rs
+++ b/crates/simulator/src/command_line.rs
@@ -105,9 +105,7 @@
 fn chosen(arguments: &Arguments) -> Result<Vec<Scenario>> {
     match arguments.scenario.as_deref() {
         None | Some("all") => Ok(builtin::scenarios()),
-        Some(name) => {
-            Ok(vec![builtin::scenario(name).with_context(|| format!("there is no scenario `{name}`"))?])
-        }
+        Some(name) => Ok(vec![builtin::scenario(name).with_context(|| format!("there is no scenario `{name}`"))?]),
     }
 }
 
--- a/crates/simulator/src/run.rs
+++ b/crates/simulator/src/run.rs
@@ -64,9 +64,7 @@
     let faults_ended = world.run(&mut pool, limit, || faults_running.get() == 0);
     cluster.stop.set(true);
     let trainers = cluster.training_tenants().len();
-    let all_ended = || {
-        cluster.trainers_ended.get() >= trainers && cluster.under_way.get() == 0 && races_ended.get()
-    };
+    let all_ended = || cluster.trainers_ended.get() >= trainers && cluster.under_way.get() == 0 && races_ended.get();
     let limit = world.clock.now() + END_LIMIT;
     let ended = faults_ended && world.run(&mut pool, limit, all_ended);
     let records = cluster.records.borrow().clone();
@@ -90,9 +88,8 @@
     let initialized = Rc::new(Cell::new(false));
     initialize(cluster, initialized.clone());
     let replicas = cluster.deployment.control as usize;
-    let up = world.run(pool, START_LIMIT, || {
-        initialized.get() && cluster.voters() == replicas && cluster.relays_ready()
-    });
+    let up =
+        world.run(pool, START_LIMIT, || initialized.get() && cluster.voters() == replicas && cluster.relays_ready());
     anyhow::ensure!(up, "the deployment did not come up: {} voters", cluster.voters());
     let configured = Rc::new(Cell::new(false));
     configure(cluster, configured.clone());
--- a/crates/standins/src/callers.rs
+++ b/crates/standins/src/callers.rs
@@ -23,6 +23,9 @@
 /// How much longer than its deadline a caller waits before it takes an answer for lost.
 const PATIENCE: Duration = Duration::from_secs(2);
 
+/// Share of the repeatable requests that carry a key all the same, in percent.
+const KEYED_PERCENT: u64 = 25;
+
 /// How long a key is accepted.
 const KEY_LIFETIME: Duration = Duration::from_secs(600);
 
@@ -89,6 +92,7 @@
 
 fn make_request<P: Platform>(platform: &P, options: &CallerOptions, number: u64) -> CallerRequest {
     let once = platform.random() % 100 < options.not_repeatable_percent;
+    let keyed = once || platform.random() % 100 < KEYED_PERCENT;
     let prefix = platform.random() % options.prefixes.max(1);
     let unique = platform.random();
     let prompt = format!("{} prefix {prefix} {} request {number}-{unique:x}", "context ".repeat(40), options.name);
@@ -104,7 +108,7 @@
         prompt,
         max_tokens: options.max_tokens,
         seed: number,
-        key: once.then_some(key),
+        key: keyed.then_some(key),
         repeatability: if once { Repeatability::NotRepeatable } else { Repeatability::Repeatable },
         priority: options.class,
         deadline_milliseconds: options.deadline.as_millis() as u64,
