Test the parts, the interfaces and real processes under faults

Cause: nothing but simulated runs stood behind the promises, and the checker itself had no test that showed it can fail. Ruled out: that a flaky fleet test is a fault of the product. Two failures came up while the tests were written: samples "never received" after a trainer's restart, and deployments that did not come up beside others. The trainer had been asked to stop before it handled the signal, and died of it; ports found free by binding to zero were taken by other fleets or by outgoing connections before their process started. Fleets take ports in locked blocks below the range of outgoing connections, and ask a child to stop only once it can be asked.

--- /dev/null
+++ b/crates/checker/tests/check.rs
@@ -0,0 +1,255 @@
+//! The checker finds each broken promise. One record is wrong in each test; without it the same run is clean.
+
+use saddlerelay_checker::check::{Limits, check};
+use saddlerelay_checker::record::{CallerResult, Record};
+use saddlerelay_checker::report::Promise;
+use saddlerelay_types::configuration::{ConfigurationOutcome, ObjectName, ObjectState};
+use saddlerelay_types::identity::{EngineId, Position, Revision, StepNumber, TenantId, WeightVersion};
+use saddlerelay_types::request::{ExecutionOutcome, FailureCode, Priority};
+use saddlerelay_types::rollout::SampleId;
+
+fn execution(at: u64, prompt: &str) -> Record {
+    Record::Execution {
+        at,
+        engine: EngineId::new("engine-1"),
+        prompt: prompt.to_string(),
+        attempt_id: at,
+        resumed: 0,
+        priority: Priority::Interactive,
+    }
+}
+
+fn caller(prompt: &str, repeatable: bool, result: CallerResult) -> Record {
+    Record::Caller {
+        from: 100,
+        to: 200,
+        tenant: TenantId::new("prices"),
+        class: Priority::Interactive,
+        prompt: prompt.to_string(),
+        repeatable,
+        sends: 1,
+        broken: 0,
+        first_token_after: Some(10),
+        result,
+    }
+}
+
+fn answered() -> CallerResult {
+    CallerResult::Answered { fault: None }
+}
+
+fn failed(outcome: ExecutionOutcome, code: FailureCode, told_when: bool) -> CallerResult {
+    CallerResult::Failed { outcome, code, told_when }
+}
+
+fn sample(position: u64, member: u32, oldest: u64, published: u64) -> Record {
+    let tenant = TenantId::new("notice-training");
+    Record::SampleReceived {
+        at: 300 + position,
+        tenant: tenant.clone(),
+        position: Position(position),
+        sample: SampleId { tenant, step: StepNumber(1), prompt: 0, member },
+        oldest: WeightVersion(oldest),
+        published: WeightVersion(published),
+        fault: None,
+    }
+}
+
+fn change(at: u64, key: &str, expected: u64, outcome: ConfigurationOutcome) -> Record {
+    Record::Change {
+        from: at,
+        to: at,
+        object: "tenant probe".to_string(),
+        key: key.to_string(),
+        expected: Some(Revision(expected)),
+        outcome,
+        staleness_bound: None,
+        probe: None,
+    }
+}
+
+fn accepted_bound(at: u64, bound: u64) -> Record {
+    Record::Change {
+        from: at,
+        to: at,
+        object: "tenant notice-training".to_string(),
+        key: format!("bound-{at}"),
+        expected: None,
+        outcome: ConfigurationOutcome::Accepted(Revision(at)),
+        staleness_bound: Some((TenantId::new("notice-training"), bound)),
+        probe: None,
+    }
+}
+
+fn accepted_probe(at: u64, probe: u64) -> Record {
+    Record::Change {
+        from: at,
+        to: at,
+        object: "tenant probe".to_string(),
+        key: format!("probe-{at}"),
+        expected: None,
+        outcome: ConfigurationOutcome::Accepted(Revision(probe)),
+        staleness_bound: None,
+        probe: Some(probe),
+    }
+}
+
+fn probe(at: u64, value: Option<u64>) -> Record {
+    Record::Probe { from: at, to: at, relay: "relay-1".to_string(), value }
+}
+
+fn step(samples: u32) -> Record {
+    Record::StepOpened { at: 250, tenant: TenantId::new("notice-training"), step: StepNumber(1), samples }
+}
+
+fn promises(records: &[Record]) -> Vec<Promise> {
+    let mut promises: Vec<_> =
+        check(records, &Limits::default()).violations.iter().map(|violation| violation.promise).collect();
+    promises.dedup();
+    promises
+}
+
+#[test]
+fn an_honest_run_is_clean() {
+    let records = [
+        execution(110, "a"),
+        caller("a", false, answered()),
+        caller("b", false, failed(ExecutionOutcome::NotExecuted, FailureCode::Overloaded, true)),
+        accepted_bound(1, 1),
+        step(2),
+        sample(1, 0, 2, 3),
+        sample(2, 1, 3, 3),
+        change(400, "k1", 1, ConfigurationOutcome::Accepted(Revision(2))),
+        accepted_probe(500, 7),
+        probe(600, None),
+        probe(5_000, Some(7)),
+    ];
+    assert_eq!(promises(&records), []);
+}
+
+#[test]
+fn a_request_that_must_run_once_and_ran_twice() {
+    let records = [execution(110, "a"), execution(120, "a"), caller("a", false, answered())];
+    assert_eq!(promises(&records), [Promise::AtMostOnce]);
+    let repeatable = [execution(110, "a"), execution(120, "a"), caller("a", true, answered())];
+    assert_eq!(promises(&repeatable), []);
+}
+
+#[test]
+fn told_not_executed_but_ran() {
+    let told = failed(ExecutionOutcome::NotExecuted, FailureCode::NoEngine, true);
+    assert_eq!(promises(&[execution(110, "a"), caller("a", true, told.clone())]), [Promise::NotExecuted]);
+    assert_eq!(promises(&[caller("a", true, told)]), []);
+}
+
+/// The engine runs it long after the caller was told: the proof must hold for ever.
+#[test]
+fn told_not_executed_and_ran_afterwards() {
+    let told = failed(ExecutionOutcome::NotExecuted, FailureCode::NoEngine, true);
+    assert_eq!(promises(&[caller("a", false, told), execution(90_000, "a")]), [Promise::NotExecuted]);
+}
+
+#[test]
+fn an_answer_that_is_not_whole_or_that_nobody_made() {
+    let faulty = CallerResult::Answered { fault: Some("another request's tokens".to_string()) };
+    assert_eq!(promises(&[execution(110, "a"), caller("a", true, faulty)]), [Promise::WholeAnswers]);
+    assert_eq!(promises(&[caller("a", true, answered())]), [Promise::WholeAnswers]);
+}
+
+#[test]
+fn a_refusal_that_does_not_tell_when_to_come_back() {
+    let told = failed(ExecutionOutcome::NotExecuted, FailureCode::Overloaded, false);
+    assert_eq!(promises(&[caller("a", true, told)]), [Promise::RetryAfter]);
+}
+
+#[test]
+fn a_sample_received_twice_out_of_order_or_never() {
+    let twice = [step(1), sample(1, 0, 1, 1), sample(2, 0, 1, 1)];
+    assert_eq!(promises(&twice), [Promise::ExactlyOnce]);
+    let gap = [step(2), sample(1, 0, 1, 1), sample(3, 1, 1, 1)];
+    assert_eq!(promises(&gap), [Promise::ExactlyOnce]);
+    assert_eq!(promises(&[step(2), sample(1, 0, 1, 1)]), [Promise::ExactlyOnce]);
+}
+
+#[test]
+fn a_sample_older_than_its_bound() {
+    assert_eq!(promises(&[accepted_bound(1, 1), step(1), sample(1, 0, 1, 3)]), [Promise::Staleness]);
+}
+
+/// A tightened bound counts once it must be in force, not before.
+#[test]
+fn a_tightened_bound_counts_from_its_limit_on() {
+    let late = |at| match sample(1, 0, 1, 3) {
+        Record::SampleReceived { tenant, position, sample, oldest, published, fault, .. } => {
+            Record::SampleReceived { at, tenant, position, sample, oldest, published, fault }
+        }
+        other => other,
+    };
+    let bounds = [accepted_bound(1, 2), accepted_bound(1_000, 1)];
+    assert_eq!(promises(&[bounds[0].clone(), bounds[1].clone(), step(1), late(2_000)]), []);
+    assert_eq!(promises(&[bounds[0].clone(), bounds[1].clone(), step(1), late(5_001)]), [Promise::Staleness]);
+}
+
+#[test]
+fn a_sample_that_names_versions_that_did_not_make_it() {
+    let mut wrong = sample(1, 0, 1, 1);
+    if let Record::SampleReceived { fault, .. } = &mut wrong {
+        *fault = Some("names version 2, tokens show 1".to_string());
+    }
+    assert_eq!(promises(&[step(1), wrong]), [Promise::SampleVersions]);
+}
+
+#[test]
+fn new_work_for_an_engine_that_left_more_than_the_limit_ago() {
+    let leaving = Record::Leaving { at: 100, engine: EngineId::new("engine-1") };
+    let started = Record::EngineStarted { at: 2_000, engine: EngineId::new("engine-1") };
+    let limit = Limits::default().leaving;
+    let late = [leaving.clone(), execution(101 + limit, "a"), caller("a", true, answered())];
+    assert_eq!(promises(&late), [Promise::Leaving]);
+    let early = [leaving.clone(), execution(100 + limit, "a"), caller("a", true, answered())];
+    assert_eq!(promises(&early), []);
+    let anew = [leaving, started, execution(101 + limit, "a"), caller("a", true, answered())];
+    assert_eq!(promises(&anew), []);
+}
+
+#[test]
+fn a_planned_stop_that_breaks_a_request_off() {
+    let mut broken_off = caller("a", true, answered());
+    if let Record::Caller { broken, .. } = &mut broken_off {
+        *broken = 1;
+    }
+    let stop = |planned| Record::Fault { at: 50, what: "stop".to_string(), planned };
+    assert_eq!(promises(&[stop(true), execution(110, "a"), broken_off.clone()]), [Promise::PlannedStop]);
+    assert_eq!(promises(&[stop(false), execution(110, "a"), broken_off]), []);
+}
+
+#[test]
+fn two_changes_accepted_over_the_same_revision_or_two_answers_under_one_key() {
+    let accepted = |revision| ConfigurationOutcome::Accepted(Revision(revision));
+    let both = [change(1, "k1", 4, accepted(5)), change(2, "k2", 4, accepted(6))];
+    assert_eq!(promises(&both), [Promise::Configuration]);
+    let state = ObjectState { name: ObjectName::Tenant(TenantId::new("probe")), revision: Revision(5), value: None };
+    let one_lost = [change(1, "k1", 4, accepted(5)), change(2, "k2", 4, ConfigurationOutcome::RevisionMismatch(state))];
+    assert_eq!(promises(&one_lost), []);
+    let answers = [change(1, "k1", 4, accepted(5)), change(2, "k1", 4, accepted(6))];
+    assert_eq!(promises(&answers), [Promise::Configuration]);
+}
+
+#[test]
+fn a_relay_that_acts_on_an_overdue_or_an_earlier_configuration() {
+    let limit = Limits::default().configuration;
+    let overdue = [accepted_probe(100, 1), accepted_probe(200, 2), probe(200 + limit, Some(1))];
+    assert_eq!(promises(&overdue), [Promise::Configuration]);
+    let in_time = [accepted_probe(100, 1), accepted_probe(200, 2), probe(199 + limit, Some(1))];
+    assert_eq!(promises(&in_time), []);
+    let back = [accepted_probe(100, 1), accepted_probe(200, 2), probe(300, Some(2)), probe(400, Some(1))];
+    assert_eq!(promises(&back), [Promise::Configuration]);
+    let fenced = [accepted_probe(100, 1), accepted_probe(200, 2), probe(200 + limit, None)];
+    assert_eq!(promises(&fenced), []);
+}
+
+#[test]
+fn work_for_an_engine_without_a_confirmed_version() {
+    let served = Record::ServedUnconfirmed { at: 10, engine: EngineId::new("engine-1") };
+    assert_eq!(promises(&[served]), [Promise::SampleVersions]);
+}
--- a/crates/fleet/src/command_line.rs
+++ b/crates/fleet/src/command_line.rs
@@ -1,9 +1,11 @@
 //! The fleet's command line.
 
+use crate::process::own_executable;
 use crate::run::{RunOptions, run};
 use crate::summary;
 use anyhow::{Context, Result, bail};
 use lexopt::prelude::*;
+use saddlerelay_checker::check::Limits;
 use saddlerelay_scenarios::{builtin, deployment};
 use std::ffi::OsString;
 use std::path::PathBuf;
@@ -57,6 +59,8 @@
 fn demo() -> Result<bool> {
     let options = RunOptions {
         scenario: builtin::scenario("steady").context("the scenario `steady` is missing")?,
+        executable: own_executable()?,
+        limits: Limits::default(),
         deployment: Some(deployment::demo()),
         duration: Some(Duration::from_secs(DEMO_SECONDS)),
         relay_settings: String::new(),
@@ -98,7 +102,17 @@
         Some(name) => Some(deployment::by_name(&name).with_context(|| format!("there is no deployment `{name}`"))?),
         None => None,
     };
-    let result = block_on(run(RunOptions { scenario, deployment, duration, relay_settings, progress: true, keep }))?;
+    let options = RunOptions {
+        executable: own_executable()?,
+        limits: scenario.limits(),
+        scenario,
+        deployment,
+        duration,
+        relay_settings,
+        progress: true,
+        keep,
+    };
+    let result = block_on(run(options))?;
     if let Some(file) = report {
         std::fs::write(&file, serde_json::to_vec_pretty(&summary::json_report(&result))?)?;
     }
--- a/crates/fleet/src/deploy.rs
+++ b/crates/fleet/src/deploy.rs
@@ -1,6 +1,6 @@
 //! The processes of a deployment: addresses, settings files and command lines.
 
-use crate::ports::free_addresses;
+use crate::ports::PortBlock;
 use crate::process::{ChildSpec, Program};
 use anyhow::Result;
 use saddlerelay_scenarios::deployment::{CallerLoad, Deployment, TenantLoad, TrainerLoad};
@@ -24,6 +24,8 @@
 pub struct Plan {
     /// The deployment.
     pub deployment: Deployment,
+    /// The fleet's executable.
+    pub executable: PathBuf,
     /// The folder of the run.
     pub folder: PathBuf,
     /// The weight store's address.
@@ -42,14 +44,16 @@
     pub relays: Vec<SocketAddr>,
     /// More settings for relays, as lines of their `[relay]` section.
     pub relay_settings: String,
+    _ports: PortBlock,
 }
 
 impl Plan {
     /// Finds addresses for `deployment` and writes settings files into `folder`.
-    pub fn new(deployment: Deployment, folder: &Path, relay_settings: &str) -> Result<Self> {
+    pub fn new(deployment: Deployment, executable: &Path, folder: &Path, relay_settings: &str) -> Result<Self> {
         let engine_count: u32 = deployment.engines.iter().map(|group| group.count).sum();
         let (control, relays) = (deployment.control as usize, deployment.relays as usize);
-        let mut addresses = free_addresses(3 + engine_count as usize + 2 * control + relays)?.into_iter();
+        let ports = PortBlock::take(3 + engine_count as usize + 2 * control + relays)?;
+        let mut addresses = ports.addresses.clone().into_iter();
         let mut take = |count: usize| addresses.by_ref().take(count).collect::<Vec<_>>();
         let services = take(3);
         let engine_addresses = take(engine_count as usize);
@@ -61,8 +65,10 @@
             control_peers: take(control),
             control_http: take(control),
             relays: take(relays),
+            executable: executable.to_path_buf(),
             folder: folder.to_path_buf(),
             relay_settings: relay_settings.to_string(),
+            _ports: ports,
             deployment,
         };
         std::fs::create_dir_all(folder)?;
@@ -120,7 +126,7 @@
 
     fn spec(&self, name: &str, program: Program, arguments: Vec<String>) -> ChildSpec {
         let output = self.folder.join(format!("{name}.output"));
-        ChildSpec { name: name.to_string(), program, arguments, output }
+        ChildSpec { name: name.to_string(), executable: self.executable.clone(), program, arguments, output }
     }
 
     fn product(&self, role: &str, place: usize) -> ChildSpec {
--- a/crates/fleet/src/faults.rs
+++ b/crates/fleet/src/faults.rs
@@ -1,6 +1,6 @@
 //! Causes faults in a running fleet.
 
-use crate::launch::Fleet;
+use crate::launch::{Fleet, leader_place};
 use anyhow::Result;
 use hyper::Method;
 use saddlerelay_checker::record::Record;
@@ -76,8 +76,12 @@
     match target {
         Target::Leader => {
             // The borrow ends before the wait: the plan is not changed while the fleet runs.
-            let group = leader_place(context).await?;
-            Some(format!("control-{group}"))
+            let (http, peers) = {
+                let fleet = context.fleet.borrow();
+                (fleet.plan.control_http.clone(), fleet.plan.control_peers.clone())
+            };
+            let place = leader_place(&http, &peers).await?;
+            Some(format!("control-{place}"))
         }
         Target::Control { place } => Some(format!("control-{place}")),
         Target::Relay { place } => Some(format!("relay-{place}")),
@@ -94,27 +98,6 @@
     }
 }
 
-async fn leader_place(context: &FaultContext) -> Option<usize> {
-    let (peers, http) = {
-        let fleet = context.fleet.borrow();
-        (fleet.plan.control_peers.clone(), fleet.plan.control_http.clone())
-    };
-    let authorization = format!("Bearer {}", crate::deploy::OPERATOR_TOKEN);
-    for control in http {
-        let headers = [("authorization", authorization.as_str())];
-        let asked = call(control, Method::GET, "/admin/v1/group", &headers, Vec::new());
-        let Ok(Ok(response)) = compio::time::timeout(Duration::from_secs(2), asked).await else {
-            continue;
-        };
-        let Ok(view) = serde_json::from_slice::<saddlerelay_types::protocol::GroupView>(&response.body) else {
-            continue;
-        };
-        let leader = view.replicas.iter().find(|replica| replica.id == view.leader)?;
-        return peers.iter().position(|peer| *peer == leader.address);
-    }
-    None
-}
-
 async fn crash(context: &FaultContext, target: &Target, restart_after_ms: u64, lose_disk: bool) -> Result<()> {
     let Some(name) = name_of(context, target).await else {
         return Ok(());
@@ -155,7 +138,7 @@
     let Some(mut child) = child else {
         return Ok(());
     };
-    child.ask_to_stop();
+    child.ask_to_stop().await;
     let ended = child.wait(PLANNED_STOP_LIMIT).await;
     anyhow::ensure!(ended == Some(true), "{name}: the planned stop ended with {ended:?}");
     context.platform.sleep(Duration::from_millis(restart_after_ms)).await;
--- a/crates/fleet/src/launch.rs
+++ b/crates/fleet/src/launch.rs
@@ -14,6 +14,8 @@
 
 /// Time limit for the deployment to come up.
 const START_LIMIT: Duration = Duration::from_secs(40);
+/// Time limit of one question about the control group.
+const GROUP_LIMIT: Duration = Duration::from_secs(2);
 /// Pause between looks at whether something is up.
 const START_POLL: Duration = Duration::from_millis(50);
 
@@ -75,7 +77,7 @@
     async fn wait_until_up(&self) -> Result<()> {
         let replicas = self.plan.control_peers.len();
         wait_for("every control replica's vote", || async {
-            let group = self.group().await;
+            let group = control_group(&self.plan.control_http).await;
             group.is_some_and(|group| group.replicas.iter().filter(|replica| replica.voter).count() == replicas)
         })
         .await?;
@@ -85,35 +87,35 @@
         Ok(())
     }
 
-    /// The control group, as its leader sees it.
-    pub async fn group(&self) -> Option<GroupView> {
-        let authorization = format!("Bearer {OPERATOR_TOKEN}");
-        for control in &self.plan.control_http {
-            let headers = [("authorization", authorization.as_str())];
-            let asked = call(*control, Method::GET, "/admin/v1/group", &headers, Vec::new());
-            let Ok(Ok(response)) = compio::time::timeout(Duration::from_secs(2), asked).await else {
-                continue;
-            };
-            if let Ok(view) = serde_json::from_slice(&response.body) {
-                return Some(view);
-            }
-        }
-        None
-    }
-
-    /// The place of the leading control replica.
-    pub async fn leader_place(&self) -> Option<usize> {
-        let group = self.group().await?;
-        let leader = group.replicas.iter().find(|replica| replica.id == group.leader)?;
-        self.plan.control_peers.iter().position(|address| *address == leader.address)
-    }
-
     /// Access to the deployment as callers, trainers and operators have it.
     pub fn access(&self) -> HttpAccess {
         HttpAccess::new(self.plan.relays.clone(), self.plan.control_http.clone(), OPERATOR_TOKEN.to_string())
     }
 }
 
+/// The control group, as its leader sees it.
+pub async fn control_group(control_http: &[SocketAddr]) -> Option<GroupView> {
+    let authorization = format!("Bearer {OPERATOR_TOKEN}");
+    for control in control_http {
+        let headers = [("authorization", authorization.as_str())];
+        let asked = call(*control, Method::GET, "/admin/v1/group", &headers, Vec::new());
+        let Ok(Ok(response)) = compio::time::timeout(GROUP_LIMIT, asked).await else {
+            continue;
+        };
+        if let Ok(view) = serde_json::from_slice(&response.body) {
+            return Some(view);
+        }
+    }
+    None
+}
+
+/// The place of the leading control replica among `control_peers`.
+pub async fn leader_place(control_http: &[SocketAddr], control_peers: &[SocketAddr]) -> Option<usize> {
+    let group = control_group(control_http).await?;
+    let leader = group.replicas.iter().find(|replica| replica.id == group.leader)?;
+    control_peers.iter().position(|address| *address == leader.address)
+}
+
 /// Whether the process at `address` takes new work.
 pub async fn is_ready(address: SocketAddr) -> bool {
     let response = call(address, Method::GET, "/readyz", &[], Vec::new()).await;
--- a/crates/fleet/src/process.rs
+++ b/crates/fleet/src/process.rs
@@ -7,6 +7,9 @@
 use std::process::{Child, Command, Stdio};
 use std::time::{Duration, Instant};
 
+/// How long a child that has only just started may take until it can be asked to stop.
+const STOP_READY_LIMIT: Duration = Duration::from_secs(20);
+
 /// Pause between looks at whether a child has ended.
 const WAIT_POLL: Duration = Duration::from_millis(20);
 
@@ -27,11 +30,18 @@
     }
 }
 
+/// The executable that is running now.
+pub fn own_executable() -> Result<PathBuf> {
+    std::env::current_exe().context("cannot find the fleet's own executable")
+}
+
 /// How a child is started, and started again.
 #[derive(Clone, Debug)]
 pub struct ChildSpec {
     /// Its name in logs and reports.
     pub name: String,
+    /// The fleet's executable, which holds every program.
+    pub executable: PathBuf,
     /// The program.
     pub program: Program,
     /// Its arguments.
@@ -50,10 +60,9 @@
 impl RunningChild {
     /// Starts a child.
     pub fn start(spec: &ChildSpec) -> Result<Self> {
-        let executable = std::env::current_exe().context("cannot find the fleet's own executable")?;
         let output = File::options().create(true).append(true).open(&spec.output);
         let output = output.with_context(|| format!("cannot write {}", spec.output.display()))?;
-        let child = Command::new(executable)
+        let child = Command::new(&spec.executable)
             .arg(program_word(spec.program))
             .args(&spec.arguments)
             .stdin(Stdio::null())
@@ -77,11 +86,23 @@
         }
     }
 
-    /// Asks for an orderly stop.
-    pub fn ask_to_stop(&self) {
+    /// Asks for an orderly stop, once the process is ready to be asked: one that has only just started would die of it.
+    pub async fn ask_to_stop(&mut self) {
+        let deadline = Instant::now() + STOP_READY_LIMIT;
+        while !self.catches_stop() && self.ended().is_none() && Instant::now() < deadline {
+            compio::time::sleep(WAIT_POLL).await;
+        }
         self.signal(Signal::TERM);
     }
 
+    /// Whether the process handles the signal that asks for an orderly stop, as the operating system tells.
+    fn catches_stop(&self) -> bool {
+        let status = std::fs::read_to_string(format!("/proc/{}/status", self.child.id())).unwrap_or_default();
+        let mask = status.lines().find_map(|line| line.strip_prefix("SigCgt:"));
+        let mask = mask.and_then(|mask| u64::from_str_radix(mask.trim(), 16).ok()).unwrap_or_default();
+        mask & (1 << (Signal::TERM.as_raw() - 1)) != 0
+    }
+
     /// Makes it stand still.
     pub fn freeze(&self) {
         self.signal(Signal::STOP);
--- a/crates/fleet/src/run.rs
+++ b/crates/fleet/src/run.rs
@@ -4,7 +4,7 @@
 use crate::faults::{self, FaultContext, SharedFleet};
 use crate::launch::{Fleet, wait_for};
 use anyhow::{Context, Result};
-use saddlerelay_checker::check::check;
+use saddlerelay_checker::check::{Limits, check};
 use saddlerelay_checker::record::Record;
 use saddlerelay_checker::report::Report;
 use saddlerelay_platform::Platform;
@@ -34,6 +34,10 @@
 pub struct RunOptions {
     /// The scenario.
     pub scenario: Scenario,
+    /// The fleet's executable.
+    pub executable: PathBuf,
+    /// What is checked against.
+    pub limits: Limits,
     /// Instead of the scenario's own deployment.
     pub deployment: Option<Deployment>,
     /// Instead of the scenario's own duration.
@@ -90,7 +94,7 @@
     let deployment = options.deployment.clone().or(named).context("the scenario's deployment does not exist")?;
     let duration = options.duration.unwrap_or(Duration::from_millis(scenario.duration_ms));
     let platform = CompioPlatform::new(folder.to_path_buf());
-    let fleet = Fleet::start(Plan::new(deployment, folder, &options.relay_settings)?).await?;
+    let fleet = Fleet::start(Plan::new(deployment, &options.executable, folder, &options.relay_settings)?).await?;
     let own_records: Rc<RefCell<Vec<Record>>> = Rc::default();
     let sink = own_records.clone();
     let recorder = Recorder::new(move |record| sink.borrow_mut().push(record));
@@ -130,7 +134,7 @@
     let _ = races.await;
     let mut records = own_records.borrow().clone();
     records.extend(collect_records(folder)?);
-    let mut report = check(&records, &scenario.limits());
+    let mut report = check(&records, &options.limits);
     scenario.judge(&mut report);
     Ok(RunResult { report, usage, seconds: duration.as_secs_f64() })
 }
@@ -174,7 +178,9 @@
             load.extend(fleet.children.remove(&name));
         }
     }
-    load.iter().for_each(crate::process::RunningChild::ask_to_stop);
+    for child in &mut load {
+        child.ask_to_stop().await;
+    }
     for child in &mut load {
         if child.wait(END_LIMIT).await.is_none() {
             eprintln!("{} did not end in time", child.spec.name);
--- a/crates/scenarios/src/deployment.rs
+++ b/crates/scenarios/src/deployment.rs
@@ -252,6 +252,17 @@
     deployment
 }
 
+/// One control replica, two relays and two engines of one model, for tests of an interface.
+pub fn smallest() -> Deployment {
+    let mut deployment = fund();
+    deployment.name = "smallest".to_string();
+    deployment.control = 1;
+    deployment.relays = 2;
+    deployment.engines = vec![engines(FUND_PRICE_MODEL, 2, 8)];
+    deployment.tenants.retain(|tenant| tenant.trainer.is_none());
+    deployment
+}
+
 /// The deployment with this name.
 pub fn by_name(name: &str) -> Option<Deployment> {
     match name {
--- /dev/null
+++ b/crates/simulator/tests/scenarios.rs
@@ -0,0 +1,69 @@
+//! Every scenario of the repository, in virtual time with fixed seeds.
+
+use saddlerelay_policies::PolicyName;
+use saddlerelay_scenarios::builtin::{scenario, scenarios};
+use saddlerelay_scenarios::trace::Scenario;
+use saddlerelay_simulator::run::run;
+use std::sync::Mutex;
+use std::sync::atomic::{AtomicUsize, Ordering};
+
+const SEEDS: std::ops::Range<u64> = 0..4;
+const THREADS: usize = 8;
+
+#[test]
+fn no_scenario_breaks_a_promise() {
+    let scenarios = scenarios();
+    let runs: Vec<(&Scenario, u64)> =
+        scenarios.iter().flat_map(|scenario| SEEDS.map(move |seed| (scenario, seed))).collect();
+    let next = AtomicUsize::new(0);
+    let broken = Mutex::new(Vec::new());
+    std::thread::scope(|scope| {
+        for _ in 0..THREADS {
+            scope.spawn(|| {
+                while let Some((scenario, seed)) = runs.get(next.fetch_add(1, Ordering::Relaxed)) {
+                    let outcome = run(scenario, *seed, PolicyName::PrefixAffinity);
+                    let violations = outcome.map(|outcome| outcome.report.violations);
+                    if violations.as_ref().map_or(true, |violations| !violations.is_empty()) {
+                        broken.lock().expect("no run panicked").push((scenario.name.clone(), *seed, violations));
+                    }
+                }
+            });
+        }
+    });
+    let broken = broken.into_inner().expect("no run panicked");
+    assert!(broken.is_empty(), "{broken:#?}");
+}
+
+#[test]
+fn the_same_seed_gives_the_same_run_and_another_seed_another() {
+    let random = scenario("random").expect("the scenario exists");
+    let hash = |seed| run(&random, seed, PolicyName::PrefixAffinity).expect("it ran").trace_hash;
+    assert_eq!(hash(5), hash(5));
+    assert_ne!(hash(5), hash(6));
+}
+
+#[test]
+fn every_policy_keeps_the_promises() {
+    let steady = scenario("double-fault").expect("the scenario exists");
+    for policy in PolicyName::ALL {
+        let outcome = run(&steady, 1, policy).expect("it ran");
+        assert_eq!(outcome.report.violations, [], "{}", policy.as_str());
+    }
+}
+
+/// A stated outcome that is missed is told: a run cannot pass by doing nothing.
+#[test]
+fn a_missed_outcome_is_a_violation() {
+    let mut steady = scenario("steady").expect("the scenario exists");
+    steady.outcome.versions_published = 1_000;
+    let outcome = run(&steady, 1, PolicyName::PrefixAffinity).expect("it ran");
+    assert_eq!(outcome.report.violations.len(), 1);
+}
+
+#[test]
+fn traces_are_written_and_read_back_alike() {
+    for scenario in scenarios() {
+        let text = scenario.write().expect("a trace can be written");
+        assert_eq!(Scenario::parse(&text).expect("what was written can be read"), scenario);
+    }
+}
