--- a/crates/command-line/src/serve.rs
+++ b/crates/command-line/src/serve.rs
@@ -7,6 +7,7 @@
 use saddlerelay_control::node::ControlNode;
 use saddlerelay_control_client::ControlClient;
 use saddlerelay_engine_client::{BackendAddresses, HttpBackends};
+use saddlerelay_http::server::{Shutdown, serve_until};
 use saddlerelay_platform::Platform;
 use saddlerelay_platform_compio::CompioPlatform;
 use saddlerelay_relay::{Relay, RelayOptions};
@@ -17,10 +18,14 @@
 use std::path::Path;
 use std::rc::Rc;
 use std::sync::Arc;
+use std::time::Duration;
 
 const SIGINT: i32 = 2;
 const SIGTERM: i32 = 15;
 
+/// How long the last answers of a planned stop may take to reach their callers.
+const CLOSE_LIMIT: Duration = Duration::from_secs(10);
+
 fn failed(error: impl std::fmt::Display) -> CommandError {
     CommandError::new(Exit::Failed, error.to_string())
 }
@@ -72,12 +77,14 @@
     let listener = listen(settings.http_address).await?;
     let relay = Relay::start(platform.clone(), backends, options).await.map_err(failed)?;
     let api = RelayApi { relay: relay.clone(), platform: platform.clone() };
-    platform.spawn(saddlerelay_http::server::serve(listener, Rc::new(api)));
+    let shutdown = Shutdown::default();
+    platform.spawn(serve_until(listener, Rc::new(api), shutdown.clone()));
     wait_for_stop().await;
     spdlog::info!("planned stop", kv: { in_progress = relay.in_progress() });
+    // Whoever asks meanwhile is told at once to go elsewhere.
     let drained = relay.drain().await;
-    flush_answers().await;
-    if drained { Ok(()) } else { Err(failed("requests were still in progress at the drain limit")) }
+    let closed = shutdown.close(CLOSE_LIMIT).await;
+    if drained && closed { Ok(()) } else { Err(failed("requests were still in progress at the drain limit")) }
 }
 
 async fn run_control(
@@ -109,11 +116,12 @@
         platform: platform.clone(),
         log: Some(log),
     };
-    platform.spawn(saddlerelay_http::server::serve(http_listener, Rc::new(api)));
+    let shutdown = Shutdown::default();
+    platform.spawn(serve_until(http_listener, Rc::new(api), shutdown.clone()));
     wait_for_stop().await;
     let handed_over = node.hand_over().await;
     spdlog::info!("planned stop", kv: { handed_over = handed_over });
-    flush_answers().await;
+    shutdown.close(CLOSE_LIMIT).await;
     Ok(())
 }
 
@@ -122,8 +130,3 @@
     let interrupt = std::pin::pin!(compio::signal::unix::signal(SIGINT));
     futures::future::select(terminate, interrupt).await;
 }
-
-/// Answers that are complete may still be on their way to the sockets.
-async fn flush_answers() {
-    compio::time::sleep(std::time::Duration::from_millis(200)).await;
-}
--- a/crates/control/src/commands/rollouts.rs
+++ b/crates/control/src/commands/rollouts.rs
@@ -314,6 +314,16 @@
     }
 }
 
+/// Whether any sample waits for a relay.
+pub fn samples_are_pending(state: &ControlState) -> bool {
+    state.rollouts.trainers.values().any(|trainer| !trainer.pending.is_empty())
+}
+
+/// Whether any sample waits for its trainer to fetch it.
+pub fn samples_are_ready(state: &ControlState) -> bool {
+    state.rollouts.trainers.values().any(|trainer| !trainer.ready.is_empty())
+}
+
 /// Whether a fetch would change nothing and bring nothing.
 pub fn fetch_is_idle(state: &ControlState, tenant: &TenantId, incarnation: Incarnation, cursor: Position) -> bool {
     let Some(trainer) = state.rollouts.trainers.get(tenant) else {
@@ -326,7 +336,7 @@
 /// Whether an assignment would hand out nothing.
 pub fn assign_is_idle(state: &ControlState, relay: Incarnation, sequence: u64) -> bool {
     let resent = state.rollouts.assignments.get(&relay).is_some_and(|last| last.sequence >= sequence);
-    !resent && state.rollouts.trainers.values().all(|trainer| trainer.pending.is_empty())
+    !resent && !samples_are_pending(state)
 }
 
 /// A delivery of nothing.
--- a/crates/control/src/config.rs
+++ b/crates/control/src/config.rs
@@ -19,6 +19,9 @@
     pub engine_poll_failures: u32,
     /// Pause between reads of the platform's machine list.
     pub platform_interval: Duration,
+    /// How long the leader keeps a relay's question for samples, or a trainer's, open while there is nothing to answer.
+    /// Shorter than the time after which a client of the group tries another replica.
+    pub idle_wait: Duration,
 }
 
 impl Default for ControlConfig {
@@ -31,6 +34,7 @@
             engine_poll_limit: Duration::from_millis(600),
             engine_poll_failures: 3,
             platform_interval: Duration::from_millis(500),
+            idle_wait: Duration::from_millis(800),
         }
     }
 }
--- a/crates/control/src/node.rs
+++ b/crates/control/src/node.rs
@@ -9,6 +9,8 @@
 use crate::tasks::{engines, machines, relays};
 use saddlerelay_platform::Platform;
 use saddlerelay_platform::backend::Backends;
+use saddlerelay_platform::signal::Signal;
+use saddlerelay_platform::timeout::timeout;
 use saddlerelay_replication::storage::StorageError;
 use saddlerelay_replication::{ProposeError, Replica, ReplicaOptions};
 use saddlerelay_rpc::server::Handler;
@@ -18,6 +20,10 @@
 };
 use std::cell::RefCell;
 use std::rc::Rc;
+use std::time::Duration;
+
+/// Longest pause between the end of a wait for samples and the look for them.
+const WAKE_SPREAD: Duration = Duration::from_millis(10);
 
 /// A control process. Clones are the same process.
 pub struct ControlNode<P: Platform, B: Backends> {
@@ -30,6 +36,10 @@
     pub config: ControlConfig,
     pub replica: Replica<P, ControlMachine>,
     pub renewals: RefCell<RenewalTable>,
+    /// Samples wait for a relay.
+    pub samples_pending: Signal,
+    /// Samples wait for their trainer.
+    pub samples_ready: Signal,
 }
 
 impl<P: Platform, B: Backends> Clone for ControlNode<P, B> {
@@ -49,7 +59,15 @@
         let replica = Replica::open(platform.clone(), options, ControlMachine::default()).await?;
         replica.start();
         let renewals = RefCell::default();
-        let inner = Rc::new(Inner { platform: platform.clone(), backends, config, replica, renewals });
+        let inner = Rc::new(Inner {
+            platform: platform.clone(),
+            backends,
+            config,
+            replica,
+            renewals,
+            samples_pending: Signal::default(),
+            samples_ready: Signal::default(),
+        });
         let node = Self { inner };
         platform.spawn(relays::watch(node.clone()));
         platform.spawn(engines::manage(node.clone()));
@@ -75,7 +93,26 @@
     /// Commits a command with this machine's clock.
     pub(crate) async fn commit(&self, command: Command) -> Result<CommandOutcome, ProposeError> {
         let time = self.inner.platform.unix_milliseconds();
-        self.inner.replica.propose(bitcode::encode(&LogCommand { time, command })).await
+        let may_move_samples = matches!(
+            command,
+            Command::Rollout(_)
+                | Command::Membership(MembershipCommand::RelayLost(_) | MembershipCommand::RelayJoined(_))
+        );
+        let outcome = self.inner.replica.propose(bitcode::encode(&LogCommand { time, command })).await;
+        if may_move_samples {
+            self.tell_waiting();
+        }
+        outcome
+    }
+
+    /// Wakes relays and trainers whose questions for samples are kept open, where there is something for them.
+    fn tell_waiting(&self) {
+        if self.read(rollouts::samples_are_pending) == Some(true) {
+            self.inner.samples_pending.notify();
+        }
+        if self.read(rollouts::samples_are_ready) == Some(true) {
+            self.inner.samples_ready.notify();
+        }
     }
 
     /// Answers a request.
@@ -111,14 +148,35 @@
         ControlReply::NotLeader { leader: self.inner.replica.leader_address() }
     }
 
+    /// Commits a command. One that would change nothing is kept open for a while, so that relays and trainers need not
+    /// ask again and again, and costs no log entry.
     async fn execute(&self, command: Command) -> ControlReply {
-        if let Some(idle) = self.read(|state| idle_outcome(state, &command)) {
-            match idle {
-                Some(outcome) => return ControlReply::Executed(outcome),
-                None => return self.execute_by_commit(command).await,
+        let until = self.inner.platform.monotonic() + self.inner.config.idle_wait;
+        loop {
+            let awaited = self.awaited(&command);
+            let seen = awaited.count();
+            let outcome = match self.read(|state| idle_outcome(state, &command)) {
+                None => return self.not_leader(),
+                Some(None) => return self.execute_by_commit(command).await,
+                Some(Some(outcome)) => outcome,
+            };
+            let left = until.saturating_sub(self.inner.platform.monotonic());
+            if left.is_zero() {
+                return ControlReply::Executed(outcome);
             }
+            timeout(&self.inner.platform, left, awaited.changed(seen)).await;
+            // Those woken together do not all ask for the same samples: most find them taken when they look again.
+            let spread = self.inner.platform.jitter(WAKE_SPREAD);
+            self.inner.platform.sleep(spread).await;
+        }
+    }
+
+    /// What a command that would change nothing waits for.
+    fn awaited(&self, command: &Command) -> &Signal {
+        match command {
+            Command::Rollout(RolloutCommand::Fetch { .. }) => &self.inner.samples_ready,
+            _ => &self.inner.samples_pending,
         }
-        self.not_leader()
     }
 
     async fn execute_by_commit(&self, command: Command) -> ControlReply {
--- a/crates/fleet/src/command_line.rs
+++ b/crates/fleet/src/command_line.rs
@@ -2,6 +2,7 @@
 
 use crate::process::own_executable;
 use crate::run::{RunOptions, run};
+use crate::scale;
 use crate::summary;
 use anyhow::{Context, Result, bail};
 use lexopt::prelude::*;
@@ -19,6 +20,8 @@
   demo                      a small deployment under load for about 15 s
   run  --deployment andino|fund --scenario NAME [--duration 20s] [--report FILE] [--policy NAME] [--keep]
   run  --list               the scenarios
+  scale [--series relays|engines|claims|answers|whole] [--report FILE]
+                            slopes of the control group's and relays' own costs, with hollow relays and engines
 
 Exit code 0 when no promise was broken, 1 otherwise.
 ";
@@ -33,7 +36,9 @@
     let outcome = match first.as_str() {
         "run-product" => return ExitCode::from(saddlerelay_command_line::run(rest) as u8),
         "run-standin" => saddlerelay_standins::http::process::run(rest).map(|()| true),
+        "run-hollow" => scale::hollow::run(rest).map(|()| true),
         "demo" => demo(),
+        "scale" => scale_command(rest),
         "run" => run_command(rest),
         "" | "--help" | "-h" => {
             print!("{HELP}");
@@ -120,6 +125,24 @@
     Ok(result.report.violations.is_empty())
 }
 
+fn scale_command(arguments: Vec<OsString>) -> Result<bool> {
+    let mut parser = lexopt::Parser::from_args(arguments);
+    let (mut series, mut report) = (None, None);
+    while let Some(argument) = parser.next()? {
+        match argument {
+            Long("series") => series = Some(parser.value()?.string()?),
+            Long("report") => report = Some(PathBuf::from(parser.value()?)),
+            other => return Err(other.unexpected().into()),
+        }
+    }
+    let measured = block_on(scale::run(series.as_deref()))?;
+    if let Some(file) = report {
+        std::fs::write(&file, serde_json::to_vec_pretty(&measured)?)?;
+    }
+    anyhow::ensure!(!measured.is_empty(), "there is no such series");
+    Ok(true)
+}
+
 fn parse_duration(text: &str) -> Result<Duration> {
     let seconds = text.strip_suffix('s').unwrap_or(text);
     match seconds.parse() {
--- a/crates/fleet/src/deploy.rs
+++ b/crates/fleet/src/deploy.rs
@@ -16,7 +16,7 @@
 /// How long a score takes.
 const SCORE_TIME: Duration = Duration::from_millis(15);
 /// Secret of the fleet's own processes.
-const SHARED_SECRET: &str = "fleet-shared-secret-0123456789";
+pub const SHARED_SECRET: &str = "fleet-shared-secret-0123456789";
 /// Token of the fleet's operators.
 pub const OPERATOR_TOKEN: &str = "fleet-operator-token-0123456789";
 
@@ -44,6 +44,8 @@
     pub relays: Vec<SocketAddr>,
     /// More settings for relays, as lines of their `[relay]` section.
     pub relay_settings: String,
+    /// Whether all engines are hollow and share one process.
+    pub hollow_engines: bool,
     _ports: PortBlock,
 }
 
@@ -68,6 +70,7 @@
             executable: executable.to_path_buf(),
             folder: folder.to_path_buf(),
             relay_settings: relay_settings.to_string(),
+            hollow_engines: false,
             _ports: ports,
             deployment,
         };
--- a/crates/fleet/src/launch.rs
+++ b/crates/fleet/src/launch.rs
@@ -2,6 +2,8 @@
 
 use crate::deploy::{OPERATOR_TOKEN, Plan};
 use crate::process::{ChildSpec, RunningChild};
+use crate::scale::hollow::HollowPlan;
+use crate::scale::point::hollow_spec;
 use anyhow::{Context, Result, bail};
 use hyper::Method;
 use saddlerelay_http::client::call;
@@ -35,7 +37,7 @@
         let machines = plan.engines.iter().map(|engine| PlatformMachine { engine: engine.clone(), leaving: false });
         let mut fleet = Self { machines: machines.collect(), children: BTreeMap::new(), plan };
         fleet.start_all(fleet.plan.services())?;
-        fleet.start_all((0..fleet.plan.engines.len()).map(|place| fleet.plan.engine(place)).collect())?;
+        fleet.start_all(fleet.engine_specs()?)?;
         fleet.start_all((0..fleet.plan.control_peers.len()).map(|place| fleet.plan.control(place)).collect())?;
         fleet.tell_platform().await?;
         fleet.initialize().await?;
@@ -44,6 +46,16 @@
         Ok(fleet)
     }
 
+    fn engine_specs(&self) -> Result<Vec<ChildSpec>> {
+        let plan = &self.plan;
+        if !plan.hollow_engines {
+            return Ok((0..plan.engines.len()).map(|place| plan.engine(place)).collect());
+        }
+        let hollow =
+            HollowPlan { engines: plan.engines.clone(), data_folder: plan.folder.clone(), ..HollowPlan::default() };
+        Ok(vec![hollow_spec(plan, "hollow-engines", &hollow)?])
+    }
+
     fn start_all(&mut self, specs: Vec<ChildSpec>) -> Result<()> {
         specs.iter().try_for_each(|spec| self.start_child(spec))
     }
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -9,4 +9,5 @@
 pub mod ports;
 pub mod process;
 pub mod run;
+pub mod scale;
 pub mod summary;
--- a/crates/fleet/src/process.rs
+++ b/crates/fleet/src/process.rs
@@ -20,6 +20,8 @@
     Product,
     /// A stand-in.
     StandIn,
+    /// Hollow engines or relays.
+    Hollow,
 }
 
 /// The word on the fleet's command line that makes it run a program.
@@ -27,6 +29,7 @@
     match program {
         Program::Product => "run-product",
         Program::StandIn => "run-standin",
+        Program::Hollow => "run-hollow",
     }
 }
 
--- /dev/null
+++ b/crates/fleet/src/scale/hollow.rs
@@ -0,0 +1,282 @@
+//! Hollow processes: many engines or relays in one process, for scale runs.
+//!
+//! Hollow engines are the stand-in's, without a prompt to work on. Hollow relays are the product's own relays without
+//! their HTTP side: they hold leases, store configurations and ask for samples as every relay does. They may commit
+//! claims at a given rate, as keyed requests would.
+
+use anyhow::{Context, Result, bail};
+use compio::net::TcpListener;
+use hdrhistogram::Histogram;
+use lexopt::prelude::*;
+use saddlerelay_engine_client::{BackendAddresses, HttpBackends};
+use saddlerelay_http::server::serve;
+use saddlerelay_platform::Platform;
+use saddlerelay_platform_compio::CompioPlatform;
+use saddlerelay_policies::PolicyName;
+use saddlerelay_relay::config::RelayConfig;
+use saddlerelay_relay::{Relay, RelayOptions};
+use saddlerelay_standins::engine::{Engine, EngineOptions, WeightSource};
+use saddlerelay_standins::http::engine::EngineServer;
+use saddlerelay_standins::recorder::Recorder;
+use saddlerelay_types::claim::{ClaimKey, ClaimRequest, ClaimResult};
+use saddlerelay_types::engine::EngineDescription;
+use saddlerelay_types::identity::{
+    BodyDigest, CallerId, IdempotencyKey, Incarnation, ModelName, TenantId, WeightVersion, Zone,
+};
+use saddlerelay_types::membership::RelayDescription;
+use saddlerelay_types::protocol::{ClaimCommand, Command, CommandOutcome, MembershipCommand};
+use saddlerelay_types::request::{Generation, Repeatability};
+use serde::{Deserialize, Serialize};
+use std::cell::RefCell;
+use std::ffi::OsString;
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+/// Time that a hollow engine takes to fetch weights.
+const FETCH_TIME: Duration = Duration::from_millis(200);
+/// Time for which it stands still to swap them.
+const SWAP_PAUSE: Duration = Duration::from_millis(100);
+/// Pause between writes of the statistics.
+const STATISTICS_INTERVAL: Duration = Duration::from_millis(500);
+/// How long a claim's key is accepted, in milliseconds.
+const KEY_LIFETIME: u64 = 600_000;
+/// Time limit of a claim's commit.
+const CLAIM_LIMIT: Duration = Duration::from_secs(5);
+
+/// What hollow relays have done so far.
+#[derive(Clone, Debug, Default, Serialize, Deserialize)]
+pub struct Statistics {
+    /// Bytes exchanged with the control group by all hollow relays.
+    pub bytes: u64,
+    /// Frames exchanged.
+    pub frames: u64,
+    /// Claims granted and finished.
+    pub claims: u64,
+    /// Claims not decided in time.
+    pub claims_failed: u64,
+    /// Half of the grants took at most this, in microseconds.
+    pub grant_p50: u64,
+    /// Of a hundred grants, 99 took at most this, in microseconds.
+    pub grant_p99: u64,
+}
+
+/// How hollow processes are started.
+#[derive(Clone, Debug, Default, Serialize, Deserialize)]
+pub struct HollowPlan {
+    /// Engines to run.
+    pub engines: Vec<EngineDescription>,
+    /// Relays to run.
+    pub relays: usize,
+    /// Zones they are spread over.
+    pub zones: Vec<Zone>,
+    /// The control replicas.
+    pub control: Vec<SocketAddr>,
+    /// The deployment's secret.
+    pub secret: String,
+    /// Claims a second, all relays together.
+    pub claims_per_second: u64,
+    /// Tokens in each claim's answer.
+    pub answer_tokens: u32,
+    /// Where relays keep their files.
+    pub data_folder: PathBuf,
+    /// Where relays write their statistics.
+    pub statistics: PathBuf,
+}
+
+/// Runs the hollow processes of the plan in the file that `arguments` name, until killed.
+pub fn run(arguments: Vec<OsString>) -> Result<()> {
+    let mut parser = lexopt::Parser::from_args(arguments);
+    let file = match parser.next()? {
+        Some(Value(file)) => PathBuf::from(file),
+        _ => bail!("name a plan"),
+    };
+    let plan: HollowPlan = serde_json::from_slice(&std::fs::read(&file)?).context("the plan is malformed")?;
+    compio::runtime::Runtime::new()?.block_on(async {
+        run_engines(&plan).await?;
+        run_relays(&plan).await?;
+        std::future::pending().await
+    })
+}
+
+/// Weights that take a while and never fail.
+#[derive(Clone)]
+struct InstantWeights(CompioPlatform);
+
+impl WeightSource for InstantWeights {
+    async fn fetch(&self, _model: ModelName, _version: WeightVersion) -> bool {
+        self.0.sleep(FETCH_TIME).await;
+        true
+    }
+}
+
+async fn run_engines(plan: &HollowPlan) -> Result<()> {
+    let platform = CompioPlatform::new(plan.data_folder.clone());
+    for description in plan.engines.iter().cloned() {
+        let listener = TcpListener::bind(description.address).await?;
+        let options = EngineOptions {
+            token_time: Duration::ZERO,
+            prefill_time: Duration::ZERO,
+            cached_prefixes: 1,
+            swap_pause: SWAP_PAUSE,
+            report_lag: Duration::ZERO,
+            queue_limit: 0,
+            description,
+        };
+        let weights = InstantWeights(platform.clone());
+        let engine = Engine::start(platform.clone(), options, weights, Recorder::new(drop));
+        platform.spawn(serve(listener, Rc::new(EngineServer { engine })));
+    }
+    Ok(())
+}
+
+async fn run_relays(plan: &HollowPlan) -> Result<()> {
+    let mut relays = Vec::new();
+    for place in 0..plan.relays {
+        relays.push(start_relay(plan, place).await?);
+    }
+    if relays.is_empty() {
+        return Ok(());
+    }
+    let claims = Rc::new(RefCell::new(ClaimTimes::new()?));
+    let relays = Rc::new(relays);
+    if plan.claims_per_second > 0 {
+        let (relays, claims, plan) = (relays.clone(), claims.clone(), plan.clone());
+        compio::runtime::spawn(commit_claims(plan, relays, claims)).detach();
+    }
+    let file = plan.statistics.clone();
+    compio::runtime::spawn(async move {
+        loop {
+            // A run that reads half a file reads it again.
+            let _ = write_statistics(&file, &relays, &claims.borrow());
+            compio::time::sleep(STATISTICS_INTERVAL).await;
+        }
+    })
+    .detach();
+    Ok(())
+}
+
+/// One hollow relay and the machine it counts its traffic on.
+struct HollowRelay {
+    platform: CompioPlatform,
+    relay: Relay<CompioPlatform, HttpBackends>,
+}
+
+async fn start_relay(plan: &HollowPlan, place: usize) -> Result<HollowRelay> {
+    let name = format!("hollow-{place}");
+    let folder = plan.data_folder.join(&name);
+    std::fs::create_dir_all(&folder)?;
+    let platform = CompioPlatform::new(folder);
+    let backends = HttpBackends::new(BackendAddresses { scorer: None, platform: None })?;
+    let options = RelayOptions {
+        zone: plan.zones[place % plan.zones.len()].clone(),
+        name,
+        address: SocketAddr::from(([127, 0, 0, 1], 1)),
+        control: plan.control.clone(),
+        secret: plan.secret.clone(),
+        policy: PolicyName::PrefixAffinity,
+        config: RelayConfig::default(),
+    };
+    let relay = Relay::start(platform.clone(), backends, options).await?;
+    Ok(HollowRelay { platform, relay })
+}
+
+struct ClaimTimes {
+    grants: Histogram<u64>,
+    done: u64,
+    failed: u64,
+}
+
+impl ClaimTimes {
+    fn new() -> Result<Self> {
+        Ok(Self { grants: Histogram::new(3)?, done: 0, failed: 0 })
+    }
+}
+
+/// Commits claims at the plan's rate, through one relay after another.
+async fn commit_claims(plan: HollowPlan, relays: Rc<Vec<HollowRelay>>, times: Rc<RefCell<ClaimTimes>>) {
+    let holder = Incarnation(fastrand::u64(..));
+    join_as_holder(&relays[0].relay, holder).await;
+    let interval = Duration::from_secs(1) / plan.claims_per_second as u32;
+    let started = Instant::now();
+    for number in 0u64.. {
+        let due = interval * number as u32;
+        compio::time::sleep(due.saturating_sub(started.elapsed())).await;
+        let (relays, times) = (relays.clone(), times.clone());
+        let place = number as usize % relays.len();
+        compio::runtime::spawn(async move {
+            let claimed = commit_claim(&relays[place], holder, number, plan.answer_tokens, &times).await;
+            let mut times = times.borrow_mut();
+            times.done += u64::from(claimed.is_some());
+            times.failed += u64::from(claimed.is_none());
+        })
+        .detach();
+    }
+}
+
+/// Claims need a live holder; this one is declared lost again after its silence, and joins anew.
+async fn join_as_holder(relay: &Relay<CompioPlatform, HttpBackends>, incarnation: Incarnation) {
+    let description = RelayDescription {
+        name: "claims".to_string(),
+        incarnation,
+        zone: Zone::new("none"),
+        address: SocketAddr::from(([127, 0, 0, 1], 1)),
+    };
+    let command = Command::Membership(MembershipCommand::RelayJoined(description));
+    // Without it every claim fails, which the statistics show.
+    let _ = relay.control().execute(command, CLAIM_LIMIT).await;
+}
+
+async fn commit_claim(
+    hollow: &HollowRelay,
+    holder: Incarnation,
+    number: u64,
+    answer_tokens: u32,
+    times: &RefCell<ClaimTimes>,
+) -> Option<()> {
+    let key = ClaimKey {
+        tenant: TenantId::new("prices"),
+        caller: CallerId::new("tellers"),
+        key: IdempotencyKey(format!("redemption-{holder}-{number}")),
+    };
+    let request = ClaimRequest {
+        key: key.clone(),
+        digest: BodyDigest::of(&number.to_le_bytes()),
+        expires_at: hollow.platform.unix_milliseconds() + KEY_LIFETIME,
+        holder,
+        arrival: number,
+        repeatability: Repeatability::NotRepeatable,
+    };
+    let control = hollow.relay.control();
+    let asked = Instant::now();
+    let granted = control.execute(Command::Claim(ClaimCommand::Acquire(request)), CLAIM_LIMIT).await.ok()?;
+    if !matches!(granted, CommandOutcome::Claim(saddlerelay_types::claim::ClaimOutcome::Granted)) {
+        return None;
+    }
+    times.borrow_mut().grants.saturating_record(asked.elapsed().as_micros() as u64);
+    let mut generation = Generation::empty();
+    let tokens: Vec<u32> = (0..answer_tokens).collect();
+    generation.extend(&tokens, &"word ".repeat(answer_tokens as usize), WeightVersion(1));
+    let result = ClaimResult::Answered(generation);
+    let finish = ClaimCommand::Finish { key, arrival: number, result };
+    control.execute(Command::Claim(finish), CLAIM_LIMIT).await.ok().map(drop)
+}
+
+fn write_statistics(file: &Path, relays: &[HollowRelay], claims: &ClaimTimes) -> Result<()> {
+    let mut statistics = Statistics {
+        claims: claims.done,
+        claims_failed: claims.failed,
+        grant_p50: claims.grants.value_at_quantile(0.5),
+        grant_p99: claims.grants.value_at_quantile(0.99),
+        ..Statistics::default()
+    };
+    for hollow in relays {
+        let traffic = hollow.platform.traffic();
+        statistics.bytes += traffic.sent_bytes + traffic.received_bytes;
+        statistics.frames += traffic.sent_frames + traffic.received_frames;
+    }
+    let temporary = file.with_extension("new");
+    std::fs::write(&temporary, serde_json::to_vec(&statistics)?)?;
+    Ok(std::fs::rename(temporary, file)?)
+}
--- a/crates/platform-compio/src/connection.rs
+++ b/crates/platform-compio/src/connection.rs
@@ -3,15 +3,21 @@
 use compio::BufResult;
 use compio::io::{AsyncRead, AsyncWriteExt};
 use compio::net::{TcpListener, TcpStream};
-use saddlerelay_platform::{FrameListener, FrameReceiver, FrameSender, MAX_FRAME_BYTES};
+use saddlerelay_platform::{FrameListener, FrameReceiver, FrameSender, MAX_FRAME_BYTES, Traffic};
+use std::cell::Cell;
 use std::io;
+use std::rc::Rc;
 
 const LENGTH_BYTES: usize = 4;
 const READ_BYTES: usize = 64 * 1024;
 
+/// Counts what a process exchanges with its peers.
+pub type TrafficCounter = Rc<Cell<Traffic>>;
+
 /// Sends frames.
 pub struct TcpFrameSender {
     stream: TcpStream,
+    traffic: TrafficCounter,
 }
 
 /// Receives frames.
@@ -22,26 +28,39 @@
     /// How many of `received` belong to frames already given out.
     taken: usize,
     scratch: Vec<u8>,
+    traffic: TrafficCounter,
 }
 
 /// Accepts connections.
 pub struct TcpFrameListener {
     listener: TcpListener,
+    traffic: TrafficCounter,
 }
 
-/// The two halves of `stream`.
-pub fn split(stream: TcpStream) -> io::Result<(TcpFrameSender, TcpFrameReceiver)> {
+/// The two halves of `stream`, whose frames `traffic` counts.
+pub fn split(stream: TcpStream, traffic: &TrafficCounter) -> io::Result<(TcpFrameSender, TcpFrameReceiver)> {
     stream.set_nodelay(true)?;
     let (read, write) = stream.into_split();
-    let receiver =
-        TcpFrameReceiver { stream: read, received: Vec::new(), taken: 0, scratch: Vec::with_capacity(READ_BYTES) };
-    Ok((TcpFrameSender { stream: write }, receiver))
+    let receiver = TcpFrameReceiver {
+        stream: read,
+        received: Vec::new(),
+        taken: 0,
+        scratch: Vec::with_capacity(READ_BYTES),
+        traffic: traffic.clone(),
+    };
+    Ok((TcpFrameSender { stream: write, traffic: traffic.clone() }, receiver))
+}
+
+fn count(traffic: &TrafficCounter, change: impl FnOnce(&mut Traffic)) {
+    let mut counted = traffic.get();
+    change(&mut counted);
+    traffic.set(counted);
 }
 
 impl TcpFrameListener {
     /// Accepts from `listener`.
-    pub fn new(listener: TcpListener) -> Self {
-        Self { listener }
+    pub fn new(listener: TcpListener, traffic: TrafficCounter) -> Self {
+        Self { listener, traffic }
     }
 }
 
@@ -51,7 +70,7 @@
 
     async fn accept(&mut self) -> io::Result<(TcpFrameSender, TcpFrameReceiver)> {
         let (stream, _) = self.listener.accept().await?;
-        split(stream)
+        split(stream, &self.traffic)
     }
 }
 
@@ -63,6 +82,10 @@
         let mut bytes = Vec::with_capacity(LENGTH_BYTES + frame.len());
         bytes.extend_from_slice(&(frame.len() as u32).to_le_bytes());
         bytes.extend_from_slice(&frame);
+        count(&self.traffic, |traffic| {
+            traffic.sent_bytes += bytes.len() as u64;
+            traffic.sent_frames += 1;
+        });
         let BufResult(result, _) = self.stream.write_all(bytes).await;
         result
     }
@@ -84,6 +107,10 @@
         };
         let frame = frame.to_vec();
         self.taken += LENGTH_BYTES + length;
+        count(&self.traffic, |traffic| {
+            traffic.received_bytes += (LENGTH_BYTES + length) as u64;
+            traffic.received_frames += 1;
+        });
         Ok(Some(frame))
     }
 }
--- a/crates/platform-compio/src/lib.rs
+++ b/crates/platform-compio/src/lib.rs
@@ -6,9 +6,9 @@
 
 use clock::Clock;
 use compio::net::{TcpListener, TcpStream};
-use connection::{TcpFrameListener, TcpFrameReceiver, TcpFrameSender};
+use connection::{TcpFrameListener, TcpFrameReceiver, TcpFrameSender, TrafficCounter};
 use disk::FolderDisk;
-use saddlerelay_platform::Platform;
+use saddlerelay_platform::{Platform, Traffic};
 use std::cell::RefCell;
 use std::future::Future;
 use std::io;
@@ -23,6 +23,7 @@
     clock: Rc<Clock>,
     random: Rc<RefCell<fastrand::Rng>>,
     disk: FolderDisk,
+    traffic: TrafficCounter,
 }
 
 impl CompioPlatform {
@@ -32,6 +33,7 @@
             clock: Rc::new(Clock::new()),
             random: Rc::new(RefCell::new(fastrand::Rng::new())),
             disk: FolderDisk::new(data_folder),
+            traffic: TrafficCounter::default(),
         }
     }
 }
@@ -64,11 +66,15 @@
 
     async fn connect(&self, address: SocketAddr) -> io::Result<(TcpFrameSender, TcpFrameReceiver)> {
         let stream = TcpStream::connect(address).await?;
-        connection::split(stream)
+        connection::split(stream, &self.traffic)
     }
 
     async fn listen(&self, address: SocketAddr) -> io::Result<TcpFrameListener> {
-        Ok(TcpFrameListener::new(TcpListener::bind(address).await?))
+        Ok(TcpFrameListener::new(TcpListener::bind(address).await?, self.traffic.clone()))
+    }
+
+    fn traffic(&self) -> Traffic {
+        self.traffic.get()
     }
 
     fn disk(&self) -> FolderDisk {
--- a/crates/platform-compio/tests/frames.rs
+++ b/crates/platform-compio/tests/frames.rs
@@ -16,7 +16,7 @@
 async fn listen() -> (TcpFrameListener, SocketAddr) {
     let listener = compio::net::TcpListener::bind("127.0.0.1:0").await.expect("a free port");
     let address = listener.local_addr().expect("an address");
-    (TcpFrameListener::new(listener), address)
+    (TcpFrameListener::new(listener, Default::default()), address)
 }
 
 fn platform() -> CompioPlatform {
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -4,6 +4,7 @@
 #![allow(async_fn_in_trait)]
 
 pub mod backend;
+pub mod signal;
 pub mod timeout;
 
 use std::future::Future;
@@ -48,6 +49,20 @@
     async fn replace(&self, file: &str, bytes: Vec<u8>) -> io::Result<()>;
 }
 
+/// What a process has exchanged with saddlerelay's own processes since it started. Bytes are those of frames, without
+/// the network's own headers.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Traffic {
+    /// Bytes sent.
+    pub sent_bytes: u64,
+    /// Frames sent.
+    pub sent_frames: u64,
+    /// Bytes received.
+    pub received_bytes: u64,
+    /// Frames received.
+    pub received_frames: u64,
+}
+
 /// A machine as a process sees it.
 pub trait Platform: Clone + 'static {
     /// Sending half of a connection made here.
@@ -76,6 +91,11 @@
     /// The process's disk.
     fn disk(&self) -> Self::Disk;
 
+    /// What has been exchanged with peers so far, where the platform counts it.
+    fn traffic(&self) -> Traffic {
+        Traffic::default()
+    }
+
     /// A random duration below `limit`.
     fn jitter(&self, limit: Duration) -> Duration {
         let nanoseconds = limit.as_nanos().max(1) as u64;
--- a/crates/relay/src/commands/samples.rs
+++ b/crates/relay/src/commands/samples.rs
@@ -56,6 +56,8 @@
         sequence += 1;
         let incarnation = relay.inner.incarnation.get();
         let command = RolloutCommand::Assign { relay: incarnation, sequence, limit: room };
+        // Counted as running: a planned stop waits for the samples that the answer may bring.
+        let _asking = Running::begin(&relay);
         // A lost answer is asked for again: the same sequence brings the same samples.
         let mut outcome = Err(());
         while outcome.is_err() && relay.inner.incarnation.get() == incarnation {
--- a/crates/relay/src/commands/trainers.rs
+++ b/crates/relay/src/commands/trainers.rs
@@ -12,9 +12,6 @@
 /// Time limit of a trainer's call to the control group.
 const CALL_LIMIT: Duration = Duration::from_secs(5);
 
-/// Pause between looks for samples while a fetch waits.
-const FETCH_INTERVAL: Duration = Duration::from_millis(25);
-
 /// Why a trainer's call failed.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum TrainerError {
@@ -86,7 +83,6 @@
             if !batch.samples.is_empty() || give_up {
                 return Ok(batch);
             }
-            self.inner.platform.sleep(FETCH_INTERVAL).await;
         }
     }
 }
--- a/crates/replication/src/lib.rs
+++ b/crates/replication/src/lib.rs
@@ -12,7 +12,6 @@
 pub mod membership;
 pub mod message;
 mod replica;
-pub mod signal;
 mod state;
 pub mod storage;
 pub mod wal;
--- a/crates/scenarios/src/builtin.rs
+++ b/crates/scenarios/src/builtin.rs
@@ -22,6 +22,8 @@
     include_str!("../../../traces/planned-stop-relays.toml"),
     include_str!("../../../traces/planned-stop-control.toml"),
     include_str!("../../../traces/engine-leaves.toml"),
+    include_str!("../../../traces/engine-leaves-unseen.toml"),
+    include_str!("../../../traces/no-engine.toml"),
     include_str!("../../../traces/staleness-tightened.toml"),
     include_str!("../../../traces/trainer-crash.toml"),
     include_str!("../../../traces/trainer-freeze.toml"),
--- a/crates/settings/src/parse.rs
+++ b/crates/settings/src/parse.rs
@@ -115,6 +115,7 @@
             as u32,
         platform_interval: section.milliseconds("platform_interval_ms", default.platform_interval, 50..=10_000),
         relay_check_interval: default.relay_check_interval,
+        idle_wait: default.idle_wait,
     };
     if config.relay_loss <= config.relay_lease {
         section.refuse("relay_loss_ms", None, "must be longer than `relay_lease_ms`");
--- a/crates/simulator/src/cluster.rs
+++ b/crates/simulator/src/cluster.rs
@@ -2,7 +2,7 @@
 
 use crate::backends::{Services, SimBackends, SimWeights, serve_engine, serve_services};
 use crate::platform::SimPlatform;
-use crate::service::{SimAccess, serve_operators, serve_relay};
+use crate::service::{Shutdown, SimAccess, serve_operators, serve_relay};
 use crate::world::{Process, World};
 use saddlerelay_checker::record::Record;
 use saddlerelay_control::config::ControlConfig;
@@ -14,6 +14,7 @@
 use saddlerelay_relay::{Relay, RelayOptions};
 use saddlerelay_replication::ReplicaOptions;
 use saddlerelay_replication::config::ReplicationConfig;
+use saddlerelay_replication::storage::StorageError;
 use saddlerelay_scenarios::deployment::{Deployment, TenantLoad};
 use saddlerelay_standins::callers::UnderWay;
 use saddlerelay_standins::engine::{Engine, EngineOptions};
@@ -39,6 +40,9 @@
 /// Largest error of a control machine's wall clock, in milliseconds.
 const CLOCK_ERROR: u64 = 400;
 
+/// Pause before a process that could not open its disk is started again.
+const SUPERVISOR_PAUSE: Duration = Duration::from_millis(500);
+
 const CONTROL_PORT: u16 = 1_000;
 const CONTROL_HTTP_PORT: u16 = 2_000;
 const RELAY_PORT: u16 = 3_000;
@@ -56,7 +60,7 @@
     /// A control replica, once it has opened its disk.
     Control(Rc<RefCell<Option<ControlNode<SimPlatform, SimBackends>>>>),
     /// A relay, once it has opened its disk.
-    Relay(Rc<RefCell<Option<Relay<SimPlatform, SimBackends>>>>),
+    Relay(Rc<RefCell<Option<Relay<SimPlatform, SimBackends>>>>, Shutdown),
     /// An engine.
     Engine(Engine<SimPlatform, SimWeights>),
     /// Nothing that faults act on besides the process.
@@ -208,8 +212,10 @@
             policy: self.policy,
             config: RelayConfig::default(),
         };
-        self.world.spawn(&process, run_relay(platform.clone(), self.backends(&platform), options, relay.clone()));
-        self.insert(name, process, Running::Relay(relay));
+        let shutdown = Shutdown::default();
+        let task = run_relay(platform.clone(), self.backends(&platform), options, relay.clone(), shutdown.clone());
+        self.world.spawn(&process, task);
+        self.insert(name, process, Running::Relay(relay, shutdown));
     }
 
     /// Starts an engine.
@@ -336,7 +342,7 @@
         (0..self.deployment.relays).all(|place| {
             let member = self.member(&format!("relay-{place}"));
             match member.map(|member| member.running) {
-                Some(Running::Relay(relay)) => relay.borrow().as_ref().is_some_and(Relay::is_ready),
+                Some(Running::Relay(relay, _)) => relay.borrow().as_ref().is_some_and(Relay::is_ready),
                 _ => false,
             }
         })
@@ -354,10 +360,14 @@
     let Ok(listener) = platform.listen(own).await else {
         return;
     };
-    let opened = ControlNode::start(platform.clone(), backends, ControlConfig::default(), options).await;
-    let node = match opened {
-        Ok(node) => node,
-        Err(error) => panic!("control-{place}: {error}"),
+    let node = loop {
+        let config = ControlConfig::default();
+        match ControlNode::start(platform.clone(), backends.clone(), config, options.clone()).await {
+            Ok(node) => break node,
+            // The process ends and whoever supervises it starts it again.
+            Err(StorageError::Io(_)) => platform.sleep(SUPERVISOR_PAUSE).await,
+            Err(error) => panic!("control-{place}: {error}"),
+        }
     };
     let handler = Rc::new(node.clone());
     platform.spawn(saddlerelay_rpc::server::serve(platform.clone(), listener, secret.clone(), handler));
@@ -371,14 +381,17 @@
     backends: SimBackends,
     options: RelayOptions,
     slot: Rc<RefCell<Option<Relay<SimPlatform, SimBackends>>>>,
+    shutdown: Shutdown,
 ) {
     let own = options.address;
-    let relay = match Relay::start(platform.clone(), backends, options).await {
-        Ok(relay) => relay,
-        Err(error) => panic!("a relay did not start: {error}"),
+    let relay = loop {
+        match Relay::start(platform.clone(), backends.clone(), options.clone()).await {
+            Ok(relay) => break relay,
+            Err(_) => platform.sleep(SUPERVISOR_PAUSE).await,
+        }
     };
     *slot.borrow_mut() = Some(relay.clone());
-    serve_relay(platform, own, relay).await;
+    serve_relay(platform, own, relay, shutdown).await;
 }
 
 fn describe_engines(deployment: &Deployment) -> Vec<EngineDescription> {
--- a/crates/simulator/src/command_line.rs
+++ b/crates/simulator/src/command_line.rs
@@ -149,7 +149,7 @@
             if seed >= arguments.seeds.end {
                 return;
             }
-            let outcome = run(scenario, seed, arguments.policy);
+            let outcome = run_caught(scenario, seed, arguments.policy);
             let mut tally = tally.lock().unwrap_or_else(|poisoned| poisoned.into_inner());
             record(&mut tally, seed, outcome);
         }
@@ -164,6 +164,12 @@
     tally
 }
 
+/// A run whose panic, a broken invariant, counts against its seed and ends nothing else.
+fn run_caught(scenario: &Scenario, seed: u64, policy: PolicyName) -> Result<RunOutcome> {
+    let caught = std::panic::catch_unwind(|| run(scenario, seed, policy));
+    caught.unwrap_or_else(|_| bail!("the run panicked: an invariant is broken"))
+}
+
 fn record(tally: &mut Tally, seed: u64, outcome: Result<RunOutcome>) {
     match outcome {
         Ok(outcome) => {
--- a/crates/simulator/src/faults.rs
+++ b/crates/simulator/src/faults.rs
@@ -1,6 +1,7 @@
 //! Causes faults in a simulated deployment, and draws random ones.
 
 use crate::cluster::{Cluster, Member, Running};
+use crate::platform::SimPlatform;
 use fastrand::Rng;
 use saddlerelay_checker::record::Record;
 use saddlerelay_platform::Platform;
@@ -154,6 +155,7 @@
     };
     let (done, ended) = futures::channel::oneshot::channel();
     let running = member.running.clone();
+    let platform = SimPlatform { world: cluster.world.clone(), process: member.process.clone() };
     // In the process itself, so that it stands still with it.
     cluster.world.spawn(&member.process, async move {
         match running {
@@ -163,10 +165,11 @@
                     node.hand_over().await;
                 }
             }
-            Running::Relay(relay) => {
+            Running::Relay(relay, shutdown) => {
                 let relay = relay.borrow().clone();
                 if let Some(relay) = relay {
                     relay.drain().await;
+                    shutdown.close(&platform).await;
                 }
             }
             Running::Engine(_) | Running::Other => {}
--- a/crates/simulator/src/network.rs
+++ b/crates/simulator/src/network.rs
@@ -12,10 +12,17 @@
 use std::task::{Poll, Waker};
 use std::time::Duration;
 
+/// Connections in a thousand whose first packet is lost.
+const LOST_HANDSHAKES: u64 = 20;
+
+/// Longest time until a lost first packet is sent again.
+const HANDSHAKE_RESEND: Duration = Duration::from_millis(1000);
+
 /// Time inside one zone.
 const LOCAL_DELAY: Duration = Duration::from_micros(100);
 
-type Accepted = (SimSender, SimReceiver);
+/// Both halves of a connection.
+pub type Accepted = (SimSender, SimReceiver);
 
 struct Listening {
     process: Rc<Process>,
@@ -206,6 +213,13 @@
     }
 }
 
+impl SimListener {
+    /// A connection that is made and not accepted yet.
+    pub fn backlog(&mut self) -> Option<Accepted> {
+        self.queue.try_recv().ok()
+    }
+}
+
 impl FrameListener for SimListener {
     type Sender = SimSender;
     type Receiver = SimReceiver;
@@ -227,6 +241,11 @@
     SimListener { queue: accepted }
 }
 
+/// The time that a lost first packet adds to a connection, mostly none.
+fn lost_handshake(world: &World) -> Duration {
+    if world.random() % 1000 < LOST_HANDSHAKES { world.jitter(HANDSHAKE_RESEND) } else { Duration::ZERO }
+}
+
 /// Connects `process` to `address`. While the way is cut, nothing comes back.
 pub async fn connect(world: &Rc<World>, process: &Rc<Process>, address: SocketAddr) -> io::Result<Accepted> {
     let refused = || io::Error::from(io::ErrorKind::ConnectionRefused);
@@ -238,7 +257,7 @@
         return Err(refused());
     };
     let from = process.zone;
-    let round_trip = world.network.delay(from, to) * 2;
+    let round_trip = world.network.delay(from, to) * 2 + lost_handshake(world);
     crate::world::Sleep::new(world.clock.clone(), world.clock.now() + round_trip).await;
     if world.network.is_cut(from, to) || world.network.is_cut(to, from) {
         return std::future::pending().await;
--- a/crates/simulator/src/run.rs
+++ b/crates/simulator/src/run.rs
@@ -131,7 +131,7 @@
     (0..cluster.deployment.relays).all(|place| {
         let member = cluster.member(&format!("relay-{place}"));
         match member.map(|member| member.running) {
-            Some(Running::Relay(relay)) => relay.borrow().as_ref().is_some_and(|relay| {
+            Some(Running::Relay(relay, _)) => relay.borrow().as_ref().is_some_and(|relay| {
                 cluster.deployment.tenants.iter().all(|tenant| relay.tenant(&tenant.id).is_some())
             }),
             _ => false,
--- a/crates/simulator/src/service.rs
+++ b/crates/simulator/src/service.rs
@@ -5,7 +5,9 @@
 use crate::platform::SimPlatform;
 use bitcode::{Decode, Encode};
 use futures::StreamExt;
+use futures::future::{self, Either};
 use saddlerelay_control_client::ControlClient;
+use saddlerelay_platform::signal::Signal;
 use saddlerelay_platform::{FrameListener, FrameReceiver, FrameSender, Platform};
 use saddlerelay_relay::Relay;
 use saddlerelay_relay::commands::trainers::TrainerError;
@@ -17,12 +19,16 @@
 use saddlerelay_types::rollout::{DeliveryBatch, StepRequest, TrainerState};
 use std::cell::Cell;
 use std::net::SocketAddr;
+use std::pin::pin;
 use std::rc::Rc;
 use std::time::Duration;
 
 /// Time limit of a change, as in the administration API.
 const CHANGE_LIMIT: Duration = Duration::from_secs(5);
 
+/// Pause between looks at whether every call has ended.
+const CLOSE_POLL: Duration = Duration::from_millis(10);
+
 /// A call to a relay.
 #[derive(Encode, Decode)]
 enum RelayCall {
@@ -50,13 +56,51 @@
     }
 }
 
-/// Serves a relay until its process ends.
-pub async fn serve_relay(platform: SimPlatform, address: SocketAddr, relay: Relay<SimPlatform, SimBackends>) {
+/// Ends a relay's service in an orderly way, as the product's HTTP server does. Clones share it.
+#[derive(Clone, Default)]
+pub struct Shutdown {
+    closing: Rc<Signal>,
+    open: Rc<Cell<usize>>,
+}
+
+impl Shutdown {
+    /// Stops accepting and waits until every call in progress has ended.
+    pub async fn close(&self, platform: &SimPlatform) {
+        self.closing.notify();
+        platform.sleep(CLOSE_POLL).await;
+        while self.open.get() > 0 {
+            platform.sleep(CLOSE_POLL).await;
+        }
+    }
+}
+
+/// Serves a relay until `shutdown` is closed; connections in the backlog then are still served.
+pub async fn serve_relay(
+    platform: SimPlatform,
+    address: SocketAddr,
+    relay: Relay<SimPlatform, SimBackends>,
+    shutdown: Shutdown,
+) {
     let Ok(mut listener) = platform.listen(address).await else {
         return;
     };
-    while let Ok((sender, receiver)) = listener.accept().await {
-        platform.spawn(serve_relay_call(relay.clone(), sender, receiver));
+    let start = |(sender, receiver)| {
+        let (relay, open) = (relay.clone(), shutdown.open.clone());
+        open.set(open.get() + 1);
+        platform.spawn(async move {
+            serve_relay_call(relay, sender, receiver).await;
+            open.set(open.get() - 1);
+        });
+    };
+    loop {
+        match future::select(pin!(listener.accept()), pin!(shutdown.closing.changed(0))).await {
+            Either::Left((Ok(accepted), _)) => start(accepted),
+            Either::Left((Err(_), _)) => return,
+            Either::Right(_) => break,
+        }
+    }
+    while let Some(accepted) = listener.backlog() {
+        start(accepted);
     }
 }
 
--- a/crates/standins/src/callers.rs
+++ b/crates/standins/src/callers.rs
@@ -26,6 +26,12 @@
 /// Share of the repeatable requests that carry a key all the same, in percent.
 const KEYED_PERCENT: u64 = 25;
 
+/// Share of the requests with a key that are sent to two relays at nearly the same time, in percent.
+const DOUBLED_PERCENT: u64 = 10;
+
+/// Longest time between the two copies.
+const DOUBLED_WITHIN: Duration = Duration::from_millis(60);
+
 /// How long a key is accepted.
 const KEY_LIFETIME: Duration = Duration::from_secs(600);
 
@@ -81,7 +87,8 @@
         number += 1;
         let request = make_request(&platform, &options, number);
         under_way.set(under_way.get() + 1);
-        let task = ask(platform.clone(), access.clone(), recorder.clone(), request);
+        let doubled = request.key.is_some() && platform.random() % 100 < DOUBLED_PERCENT;
+        let task = ask(platform.clone(), access.clone(), recorder.clone(), request, doubled);
         let under_way = under_way.clone();
         platform.spawn(async move {
             task.await;
@@ -121,22 +128,44 @@
     ResendAfter(Duration),
 }
 
-/// Sends one request, resends as told, and records its end.
-pub async fn ask<P: Platform, A: Access>(platform: P, access: A, recorder: Recorder, request: CallerRequest) {
+/// Sends one request, resends as told, and records its end. With `doubled` a second copy goes to any relay soon after the
+/// first, as a proxy that repeats what it believes lost would send it; a whole answer to either must be right.
+async fn ask<P: Platform, A: Access>(
+    platform: P,
+    access: A,
+    recorder: Recorder,
+    request: CallerRequest,
+    doubled: bool,
+) {
     let from = platform.monotonic();
     let from_unix = platform.unix_milliseconds();
+    let copy = request.clone();
     let mut asked = Asked { request, from, sends: 0, broken: 0, first_token_after: None };
-    let result = loop {
-        let relay = platform.random() as usize % access.relays().max(1);
-        let limit = Duration::from_millis(asked.request.deadline_milliseconds) + PATIENCE;
-        asked.sends += 1;
-        let answer = timeout(&platform, limit, access.ask(relay, &asked.request)).await.unwrap_or(CallerAnswer::Lost);
-        asked.broken += u32::from(answer == CallerAnswer::Lost);
-        match next(&platform, &mut asked, answer) {
-            Next::End(result) => break result,
-            Next::ResendAfter(pause) => platform.sleep(pause).await,
+    let first = async {
+        loop {
+            let answer = send(&platform, &access, &asked.request).await;
+            asked.sends += 1;
+            asked.broken += u32::from(answer == CallerAnswer::Lost);
+            match next(&platform, &mut asked, answer) {
+                Next::End(result) => break result,
+                Next::ResendAfter(pause) => platform.sleep(pause).await,
+            }
         }
     };
+    let second = async {
+        if !doubled {
+            return None;
+        }
+        platform.sleep(platform.jitter(DOUBLED_WITHIN)).await;
+        match send(&platform, &access, &copy).await {
+            CallerAnswer::Whole { generation, .. } => answer_fault(&copy, &generation),
+            _ => None,
+        }
+    };
+    let (mut result, second_fault) = futures::future::join(first, second).await;
+    if second_fault.is_some() {
+        result = CallerResult::Answered { fault: second_fault };
+    }
     recorder.record(Record::Caller {
         from: from_unix,
         to: platform.unix_milliseconds(),
@@ -151,6 +180,12 @@
     });
 }
 
+async fn send<P: Platform, A: Access>(platform: &P, access: &A, request: &CallerRequest) -> CallerAnswer {
+    let relay = platform.random() as usize % access.relays().max(1);
+    let limit = Duration::from_millis(request.deadline_milliseconds) + PATIENCE;
+    timeout(platform, limit, access.ask(relay, request)).await.unwrap_or(CallerAnswer::Lost)
+}
+
 fn next<P: Platform>(platform: &P, asked: &mut Asked, answer: CallerAnswer) -> Next {
     let can_resend = asked.sends < MOST_SENDS;
     match answer {
--- a/crates/standins/src/trainer.rs
+++ b/crates/standins/src/trainer.rs
@@ -7,6 +7,7 @@
 use crate::recorder::Recorder;
 use crate::tokens;
 use bitcode::{Decode, Encode};
+use futures::channel::oneshot;
 use saddlerelay_checker::record::Record;
 use saddlerelay_platform::timeout::timeout;
 use saddlerelay_platform::{Disk, Platform};
@@ -167,8 +168,47 @@
         self.recorder.record(Record::StepOpened { at: self.platform.unix_milliseconds(), tenant, step, samples });
     }
 
+    /// Trains and publishes. The next samples are asked for meanwhile: what comes before the publication is received,
+    /// what comes later is received only if its epoch is not from before it.
     async fn train(&mut self, waited: Duration) -> Result<(), TrainerRefusal> {
+        let mut early = self.start_fetch();
         self.platform.sleep(self.options.train_time).await;
+        let before = early.try_recv().ok().flatten();
+        let answered = before.is_some();
+        self.receive_answer(before).await?;
+        self.publish(waited).await?;
+        if !answered {
+            self.receive_answer(early.await.ok()).await?;
+        }
+        Ok(())
+    }
+
+    /// Asks for samples without waiting for the answer.
+    fn start_fetch(&self) -> oneshot::Receiver<FetchAnswer> {
+        let (sender, answer) = oneshot::channel();
+        let (platform, access, tenant) = (self.platform.clone(), self.access.clone(), self.options.tenant.clone());
+        let (relay, incarnation, cursor) = (self.relay, self.incarnation(), self.saved.cursor);
+        let limit = self.step_size() as u32;
+        self.platform.spawn(async move {
+            let call = access.fetch(relay, &tenant, incarnation, cursor, limit);
+            let answered = timeout(&platform, CALL_LIMIT, call).await.unwrap_or(Err(TrainerCallError::Again));
+            // A trainer that has ended needs no answer.
+            let _ = sender.send(answered);
+        });
+        answer
+    }
+
+    /// Receives what an early fetch brought, if it brought anything.
+    async fn receive_answer(&mut self, answer: Option<FetchAnswer>) -> Result<(), TrainerRefusal> {
+        match answer {
+            Some(Ok(batch)) => self.receive(batch).await,
+            Some(Err(TrainerCallError::Refused(refusal))) => return Err(refusal),
+            Some(Err(TrainerCallError::Again)) | None => {}
+        }
+        Ok(())
+    }
+
+    async fn publish(&mut self, waited: Duration) -> Result<(), TrainerRefusal> {
         self.saved.buffered -= self.step_size();
         self.saved.trained_steps += 1;
         let version = self.saved.published.next();
@@ -294,6 +334,8 @@
     }
 }
 
+type FetchAnswer = Result<DeliveryBatch, TrainerCallError>;
+
 enum Call {
     Open,
     Step(StepNumber),
--- a/crates/telemetry/src/metrics.rs
+++ b/crates/telemetry/src/metrics.rs
@@ -4,6 +4,7 @@
 use prometheus_client::metrics::counter::Counter;
 use prometheus_client::metrics::gauge::Gauge;
 use prometheus_client::registry::Registry;
+use saddlerelay_platform::Traffic;
 
 /// Content type of the text format.
 pub const CONTENT_TYPE: &str = "application/openmetrics-text; version=1.0.0; charset=utf-8";
@@ -41,6 +42,14 @@
         self
     }
 
+    /// Adds what the process has exchanged with saddlerelay's own processes.
+    pub fn traffic(self, traffic: Traffic) -> Self {
+        self.counter("peer_sent_bytes", "Bytes of frames sent to peers", traffic.sent_bytes)
+            .counter("peer_sent_frames", "Frames sent to peers", traffic.sent_frames)
+            .counter("peer_received_bytes", "Bytes of frames received from peers", traffic.received_bytes)
+            .counter("peer_received_frames", "Frames received from peers", traffic.received_frames)
+    }
+
     /// The set as text.
     pub fn encode(&self) -> String {
         let mut text = String::new();
