Watch for two control replicas that would answer reads at once

Without the lease a leader that stood still answers reads until its election task has run. Change: the simulator looks, after every event and at the moment a process goes on, whether two control replicas would answer reads; that is a violation.

--- a/crates/scenarios/src/trace.rs
+++ b/crates/scenarios/src/trace.rs
@@ -174,6 +174,9 @@
     pub deployment: String,
     /// Milliseconds of load.
     pub duration_ms: u64,
+    /// Connections in a thousand whose first packet is lost and sent again up to a second later. Simulator only.
+    #[serde(default = "default_lost_handshakes")]
+    pub lost_handshakes: u64,
     /// Random faults drawn on top.
     #[serde(default)]
     pub random_faults: u32,
@@ -188,6 +191,10 @@
     pub outcome: Outcome,
 }
 
+fn default_lost_handshakes() -> u64 {
+    20
+}
+
 impl Scenario {
     /// Reads a trace.
     pub fn parse(text: &str) -> Result<Self, toml::de::Error> {
--- a/crates/simulator/src/cluster.rs
+++ b/crates/simulator/src/cluster.rs
@@ -98,6 +98,8 @@
     pub trainers_ended: Rc<Cell<usize>>,
     /// Requests under way.
     pub under_way: UnderWay,
+    /// When two control replicas would first have answered reads at once.
+    pub two_leaders_at: Cell<Option<Duration>>,
     weights: SimWeights,
     client: Rc<Process>,
 }
@@ -120,6 +122,7 @@
             stop: Rc::default(),
             trainers_ended: Rc::default(),
             under_way: Rc::default(),
+            two_leaders_at: Cell::new(None),
             weights,
             client,
             deployment,
@@ -325,6 +328,23 @@
         })
     }
 
+    /// Notes when two control replicas would both answer reads at this instant: one of them would answer from the past.
+    pub fn watch_leaders(&self) {
+        let serves = |place: &u32| {
+            let member = self.member(&format!("control-{place}"));
+            let able = member.filter(|member| member.process.is_alive() && !member.process.is_frozen());
+            match able.map(|member| member.running) {
+                Some(Running::Control(node)) => {
+                    node.borrow().as_ref().is_some_and(|node| node.replica().leading_term().is_some())
+                }
+                _ => false,
+            }
+        };
+        if (0..self.deployment.control).filter(serves).count() > 1 && self.two_leaders_at.get().is_none() {
+            self.two_leaders_at.set(Some(self.world.clock.now()));
+        }
+    }
+
     /// How many control replicas vote, as the leader sees it.
     pub fn voters(&self) -> usize {
         let leader = self.leader_place().and_then(|place| self.member(&format!("control-{place}")));
--- a/crates/simulator/src/faults.rs
+++ b/crates/simulator/src/faults.rs
@@ -42,6 +42,8 @@
                 member.process.freeze();
                 sleep(for_ms).await;
                 member.process.thaw();
+                // Before any of its tasks has gone on.
+                cluster.watch_leaders();
             }
         }
         FaultKind::CutZone { zone, for_ms, one_way } => {
--- a/crates/simulator/src/network.rs
+++ b/crates/simulator/src/network.rs
@@ -12,9 +12,6 @@
 use std::task::{Poll, Waker};
 use std::time::Duration;
 
-/// Connections in a thousand whose first packet is lost.
-const LOST_HANDSHAKES: u64 = 20;
-
 /// Longest time until a lost first packet is sent again.
 const HANDSHAKE_RESEND: Duration = Duration::from_millis(1000);
 
@@ -39,6 +36,8 @@
     zone_delay: Cell<Duration>,
     client_delay: Cell<Duration>,
     zones: Cell<usize>,
+    /// Connections in a thousand whose first packet is lost.
+    pub lost_handshakes: Cell<u64>,
 }
 
 impl Network {
@@ -243,7 +242,11 @@
 
 /// The time that a lost first packet adds to a connection, mostly none.
 fn lost_handshake(world: &World) -> Duration {
-    if world.random() % 1000 < LOST_HANDSHAKES { world.jitter(HANDSHAKE_RESEND) } else { Duration::ZERO }
+    if world.random() % 1000 < world.network.lost_handshakes.get() {
+        world.jitter(HANDSHAKE_RESEND)
+    } else {
+        Duration::ZERO
+    }
 }
 
 /// Connects `process` to `address`. While the way is cut, nothing comes back.
--- a/crates/simulator/src/run.rs
+++ b/crates/simulator/src/run.rs
@@ -52,6 +52,7 @@
     let (world, mut pool) = World::new(seed);
     let cluster = Cluster::new(world.clone(), deployment, policy);
     bring_up(&cluster, &world, &mut pool)?;
+    world.network.lost_handshakes.set(scenario.lost_handshakes);
     let duration = Duration::from_millis(scenario.duration_ms);
     let races_ended = start_load(&cluster);
     let mut random = Rng::with_seed(seed ^ FAULT_SEED);
@@ -59,9 +60,13 @@
     all_faults.extend(faults::draw(&mut random, &cluster, scenario.random_faults, scenario.duration_ms));
     let faults_running = start_faults(&cluster, &all_faults);
     let load_ends = world.clock.now() + duration;
-    world.run(&mut pool, load_ends, || false);
+    let watching = |done: bool| {
+        cluster.watch_leaders();
+        done
+    };
+    world.run(&mut pool, load_ends, || watching(false));
     let limit = world.clock.now() + END_LIMIT;
-    let faults_ended = world.run(&mut pool, limit, || faults_running.get() == 0);
+    let faults_ended = world.run(&mut pool, limit, || watching(faults_running.get() == 0));
     cluster.stop.set(true);
     let trainers = cluster.training_tenants().len();
     let all_ended = || cluster.trainers_ended.get() >= trainers && cluster.under_way.get() == 0 && races_ended.get();
@@ -70,6 +75,10 @@
     let records = cluster.records.borrow().clone();
     let mut report = check(&records, &scenario.limits());
     scenario.judge(&mut report);
+    if let Some(at) = cluster.two_leaders_at.get() {
+        let detail = format!("two control replicas would both answer reads at {at:?}");
+        report.violations.push(Violation { promise: Promise::Configuration, detail });
+    }
     if !ended {
         let detail = format!(
             "did not end: {} of {trainers} trainers ended, {} requests under way, races ended: {}",
--- a/crates/simulator/src/world.rs
+++ b/crates/simulator/src/world.rs
@@ -117,6 +117,11 @@
         self.alive.get()
     }
 
+    /// Whether it stands still.
+    pub fn is_frozen(&self) -> bool {
+        self.frozen.get()
+    }
+
     fn wake_tasks(&self) {
         let wakers: Vec<Waker> = self.tasks.borrow().values().cloned().collect();
         wakers.into_iter().for_each(Waker::wake);
