Tell relays at once, follow publications at once, start samples on fresh weights

Cause: on the co-operative's deployment the trainer waited 43 % of its time and samples were 0.90 versions behind, whatever the routing policy. Samples began right after a publication on engines that still had the old weights, and the long ones among them were thrown away at the next. Relays learned of a publication up to 400 ms late, the control group looked at engines every 250 ms, and the next wave waited for that. Ruled out: routing (all four policies within 1 point of each other) and slots (66 were free for 41 samples/s). The simulator restarted the wrong replica after a planned stop of the leader; a trainer killed between saving and recording lost a receipt's record.

--- a/crates/checker/src/check.rs
+++ b/crates/checker/src/check.rs
@@ -35,6 +35,7 @@
 pub fn check(records: &[Record], limits: &Limits) -> Report {
     let mut ordered = records.to_vec();
     ordered.sort_by_key(time_of);
+    drop_repeated_receipts(&mut ordered);
     let records = &ordered;
     let mut report = Report { measures: measure(records), ..Report::default() };
     check_callers(records, &mut report);
@@ -47,6 +48,16 @@
     report
 }
 
+/// A trainer that was killed between saving what it received and recording it records the same receipt again, to the
+/// millisecond. A sample received again has a later time, and stays.
+fn drop_repeated_receipts(records: &mut Vec<Record>) {
+    let mut seen = BTreeSet::new();
+    records.retain(|record| match record {
+        Record::SampleReceived { at, position, sample, .. } => seen.insert((*at, *position, sample.clone())),
+        _ => true,
+    });
+}
+
 fn time_of(record: &Record) -> u64 {
     match record {
         Record::Execution { at, .. }
--- a/crates/checker/src/measures.rs
+++ b/crates/checker/src/measures.rs
@@ -7,7 +7,7 @@
 use std::collections::BTreeMap;
 
 /// Percentiles in milliseconds.
-#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct Percentiles {
     /// How many values.
     pub count: u64,
--- a/crates/checker/tests/check.rs
+++ b/crates/checker/tests/check.rs
@@ -171,6 +171,11 @@
     assert_eq!(promises(&[step(2), sample(1, 0, 1, 1)]), [Promise::ExactlyOnce]);
 }
 
+#[test]
+fn a_receipt_that_is_recorded_again_unchanged_is_one_receipt() {
+    assert_eq!(promises(&[step(1), sample(1, 0, 1, 1), sample(1, 0, 1, 1)]), []);
+}
+
 #[test]
 fn a_sample_older_than_its_bound() {
     assert_eq!(promises(&[accepted_bound(1, 1), step(1), sample(1, 0, 1, 3)]), [Promise::Staleness]);
--- a/crates/control/src/config.rs
+++ b/crates/control/src/config.rs
@@ -19,6 +19,10 @@
     pub engine_poll_failures: u32,
     /// Pause between reads of the platform's machine list.
     pub platform_interval: Duration,
+    /// How long the leader keeps a relay's renewal open while it would bring nothing new: the pace of renewals.
+    pub renewal_wait: Duration,
+    /// How long changes are gathered before they are told to the relays.
+    pub news_interval: Duration,
     /// How long the leader keeps a relay's question for samples, or a trainer's, open while there is nothing to answer.
     /// Shorter than the time after which a client of the group tries another replica.
     pub idle_wait: Duration,
@@ -34,6 +38,8 @@
             engine_poll_limit: Duration::from_millis(600),
             engine_poll_failures: 3,
             platform_interval: Duration::from_millis(500),
+            renewal_wait: Duration::from_millis(400),
+            news_interval: Duration::from_millis(40),
             idle_wait: Duration::from_millis(800),
         }
     }
--- a/crates/control/src/node.rs
+++ b/crates/control/src/node.rs
@@ -36,6 +36,10 @@
     pub config: ControlConfig,
     pub replica: Replica<P, ControlMachine>,
     pub renewals: RefCell<RenewalTable>,
+    /// Relays would act differently if they were told the newest state.
+    pub news: Signal,
+    /// A trainer has published.
+    pub published: Signal,
     /// Samples wait for a relay.
     pub samples_pending: Signal,
     /// Samples wait for their trainer.
@@ -65,6 +69,8 @@
             config,
             replica,
             renewals,
+            news: Signal::default(),
+            published: Signal::default(),
             samples_pending: Signal::default(),
             samples_ready: Signal::default(),
         });
@@ -93,12 +99,20 @@
     /// Commits a command with this machine's clock.
     pub(crate) async fn commit(&self, command: Command) -> Result<CommandOutcome, ProposeError> {
         let time = self.inner.platform.unix_milliseconds();
+        let may_be_news = may_be_news(&command);
+        let is_publication = matches!(command, Command::Rollout(RolloutCommand::Publish { .. }));
         let may_move_samples = matches!(
             command,
             Command::Rollout(_)
                 | Command::Membership(MembershipCommand::RelayLost(_) | MembershipCommand::RelayJoined(_))
         );
         let outcome = self.inner.replica.propose(bitcode::encode(&LogCommand { time, command })).await;
+        if may_be_news {
+            self.inner.news.notify();
+        }
+        if is_publication {
+            self.inner.published.notify();
+        }
         if may_move_samples {
             self.tell_waiting();
         }
@@ -218,9 +232,25 @@
         } else if !lost && self.inner.replica.leading_term().is_none() {
             return self.not_leader();
         }
-        match self.read(|state| self.renewal_reply(state, &renewal)) {
-            Some(reply) => ControlReply::Renewed(reply),
-            None => self.not_leader(),
+        self.renewal_answer(&renewal).await
+    }
+
+    /// Answers a renewal as soon as there is something new, or after a while. Changes that come close together are told
+    /// together.
+    async fn renewal_answer(&self, renewal: &RenewRequest) -> ControlReply {
+        let until = self.inner.platform.monotonic() + self.inner.config.renewal_wait;
+        loop {
+            let seen = self.inner.news.count();
+            let Some(reply) = self.read(|state| self.renewal_reply(state, renewal)) else {
+                return self.not_leader();
+            };
+            let left = until.saturating_sub(self.inner.platform.monotonic());
+            if left.is_zero() || reply.brings_news(renewal) {
+                return ControlReply::Renewed(reply);
+            }
+            if timeout(&self.inner.platform, left, self.inner.news.changed(seen)).await.is_some() {
+                self.inner.platform.sleep(self.inner.config.news_interval).await;
+            }
         }
     }
 
@@ -242,6 +272,16 @@
     }
 }
 
+/// Whether a command may change what relays act on.
+fn may_be_news(command: &Command) -> bool {
+    match command {
+        Command::Configuration(_) => true,
+        Command::Membership(change) => !matches!(change, MembershipCommand::DrawFence),
+        Command::Rollout(change) => matches!(change, RolloutCommand::Publish { .. }),
+        Command::Claim(_) => false,
+    }
+}
+
 /// The outcome of a command that would change nothing, so that polling costs no log entries.
 fn idle_outcome(state: &ControlState, command: &Command) -> Option<CommandOutcome> {
     match command {
--- a/crates/control/src/tasks/engines.rs
+++ b/crates/control/src/tasks/engines.rs
@@ -11,7 +11,7 @@
 use saddlerelay_types::membership::{EngineAvailability, EngineObservation, EngineRecord};
 use saddlerelay_types::protocol::{Command, CommandOutcome, MembershipCommand, ModelTarget};
 use std::cell::RefCell;
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -27,10 +27,17 @@
 /// Share added to a wave when only staleness counts, in percent.
 const STALENESS_WAVE_PERCENT: usize = 50;
 
+/// Looks at the engines in one poll interval: an engine that loads weights is polled at each of them.
+const LOOKS_PER_POLL: u32 = 5;
+
+/// Most engines that are polled at each look, so that a large rollout does not multiply the polls.
+const MOST_CLOSE_POLLS: usize = 64;
+
 /// What polling knows of one engine.
 #[derive(Default)]
 struct Poll {
     under_way: bool,
+    due_at: Duration,
     failures: u32,
     status: Option<EngineStatus>,
 }
@@ -40,6 +47,8 @@
 /// Fences drawn and orders given in this term.
 #[derive(Default)]
 struct Orders {
+    /// Engines that were loading weights at the last look.
+    loading: BTreeSet<EngineId>,
     fences: BTreeMap<ModelName, (WeightVersion, Fence)>,
     given_at: BTreeMap<EngineId, (WeightVersion, Duration)>,
 }
@@ -49,8 +58,11 @@
     let polls = Polls::default();
     let mut orders = Orders::default();
     let mut managed_term = 0;
+    let look_interval = node.inner.config.engine_poll_interval / LOOKS_PER_POLL;
     loop {
-        node.inner.platform.sleep(node.inner.config.engine_poll_interval).await;
+        // A publication is followed at once.
+        let seen = node.inner.published.count();
+        timeout(&node.inner.platform, look_interval, node.inner.published.changed(seen)).await;
         let Some(term) = node.inner.replica.leading_term() else {
             continue;
         };
@@ -60,19 +72,28 @@
             orders = Orders::default();
         }
         let engines = node.read(|state| state.members.engines().cloned().collect::<Vec<_>>()).unwrap_or_default();
-        start_polls(&node, &polls, &engines);
+        start_polls(&node, &polls, &engines, &orders.loading);
         record_changes(&node, &polls, &engines).await;
         roll_out(&node, &polls, &mut orders).await;
     }
 }
 
-fn start_polls<P: Platform, B: Backends>(node: &ControlNode<P, B>, polls: &Polls, engines: &[EngineRecord]) {
+fn start_polls<P: Platform, B: Backends>(
+    node: &ControlNode<P, B>,
+    polls: &Polls,
+    engines: &[EngineRecord],
+    loading: &BTreeSet<EngineId>,
+) {
+    let now = node.inner.platform.monotonic();
+    let close: BTreeSet<&EngineId> = loading.iter().take(MOST_CLOSE_POLLS).collect();
     for engine in engines {
         let id = engine.description.id.clone();
         let mut table = polls.borrow_mut();
+        let is_close = close.contains(&id);
         let poll = table.entry(id).or_default();
-        if !poll.under_way {
+        if !poll.under_way && (is_close || now >= poll.due_at) {
             poll.under_way = true;
+            poll.due_at = now + node.inner.config.engine_poll_interval;
             node.inner.platform.spawn(poll_engine(node.clone(), polls.clone(), engine.description.clone()));
         }
     }
@@ -135,9 +156,12 @@
 
 /// Orders the next wave of every model to load its target version.
 async fn roll_out<P: Platform, B: Backends>(node: &ControlNode<P, B>, polls: &Polls, orders: &mut Orders) {
+    orders.loading.clear();
     for target in node.read(weights::targets).unwrap_or_default() {
         let now = node.inner.platform.monotonic();
         let wave = node.read(|state| next_wave(state, &target, &polls.borrow(), orders, now)).unwrap_or_default();
+        orders.loading.extend(wave.loading);
+        let wave = wave.next;
         if wave.is_empty() {
             continue;
         }
@@ -145,6 +169,7 @@
             continue;
         };
         for engine in wave {
+            orders.loading.insert(engine.id.clone());
             orders.given_at.insert(engine.id.clone(), (target.version, now));
             let order = EngineOrder { fence, action: EngineAction::LoadWeights(target.version) };
             node.inner.platform.spawn(give_order(node.clone(), engine, order));
@@ -152,6 +177,15 @@
     }
 }
 
+/// Where a model's engines stand with its target version.
+#[derive(Default)]
+struct Wave {
+    /// Those that load it now.
+    loading: Vec<EngineId>,
+    /// Those to order next.
+    next: Vec<EngineDescription>,
+}
+
 /// Engines to order now: a broken engine first, and no more at once than the wave allows.
 fn next_wave(
     state: &ControlState,
@@ -159,7 +193,7 @@
     polls: &BTreeMap<EngineId, Poll>,
     orders: &Orders,
     now: Duration,
-) -> Vec<EngineDescription> {
+) -> Wave {
     let serves = |engine: &&EngineRecord| {
         engine.description.model == target.model && engine.availability == EngineAvailability::Available
     };
@@ -173,14 +207,16 @@
         recent || fetching || engine.weights == WeightState::Loading(target.version)
     };
     let lacking: Vec<&&EngineRecord> = engines.iter().filter(lacks).collect();
-    let loading = lacking.iter().filter(|engine| under_way(engine)).count();
+    let loading: Vec<EngineId> =
+        lacking.iter().filter(|engine| under_way(engine)).map(|engine| engine.description.id.clone()).collect();
     let staleness_share = weights::staleness_share_percent(state, &target.model) as usize;
     let percent = SMALLEST_WAVE_PERCENT + staleness_share * STALENESS_WAVE_PERCENT / 100;
     let wave = (engines.len() * percent).div_ceil(100).max(1);
     let mut waiting: Vec<&&EngineRecord> = lacking.into_iter().filter(|engine| !under_way(engine)).collect();
     waiting.sort_by_key(|engine| (engine.weights != WeightState::Broken, engine.description.id.clone()));
-    let room = wave.saturating_sub(loading);
-    waiting.into_iter().take(room).map(|engine| engine.description.clone()).collect()
+    let room = wave.saturating_sub(loading.len());
+    let next = waiting.into_iter().take(room).map(|engine| engine.description.clone()).collect();
+    Wave { loading, next }
 }
 
 /// The fence of the orders for `target`: drawn once for each new target, so that an older order is refused.
--- a/crates/fleet/src/command_line.rs
+++ b/crates/fleet/src/command_line.rs
@@ -1,5 +1,6 @@
 //! The fleet's command line.
 
+use crate::experiment::{self, Experiment};
 use crate::process::own_executable;
 use crate::run::{RunOptions, run};
 use crate::scale;
@@ -20,12 +21,19 @@
   demo                      a small deployment under load for about 15 s
   run  --deployment andino|fund --scenario NAME [--duration 20s] [--report FILE] [--policy NAME] [--keep]
   run  --list               the scenarios
+  experiment [--seeds FROM..TO] [--scenario NAME] [--duration 60s] [--threads N] [--plot FILE.svg] [--report FILE]
+                            routing policies side by side on both deployments, in virtual time
   scale [--series relays|engines|claims|answers|whole] [--report FILE]
                             slopes of the control group's and relays' own costs, with hollow relays and engines
 
 Exit code 0 when no promise was broken, 1 otherwise.
 ";
 
+/// Seeds, virtual milliseconds of load and runs at once of an experiment.
+const EXPERIMENT_SEEDS: u64 = 8;
+const EXPERIMENT_MILLISECONDS: u64 = 60_000;
+const EXPERIMENT_THREADS: usize = 6;
+
 /// Load of a demonstration.
 const DEMO_SECONDS: u64 = 15;
 
@@ -38,6 +46,7 @@
         "run-standin" => saddlerelay_standins::http::process::run(rest).map(|()| true),
         "run-hollow" => scale::hollow::run(rest).map(|()| true),
         "demo" => demo(),
+        "experiment" => experiment_command(rest),
         "scale" => scale_command(rest),
         "run" => run_command(rest),
         "" | "--help" | "-h" => {
@@ -125,6 +134,43 @@
     Ok(result.report.violations.is_empty())
 }
 
+fn experiment_command(arguments: Vec<OsString>) -> Result<bool> {
+    let mut parser = lexopt::Parser::from_args(arguments);
+    let (mut plot, mut report) = (None, None);
+    let mut experiment = Experiment {
+        seeds: 0..EXPERIMENT_SEEDS,
+        scenario: None,
+        duration_ms: EXPERIMENT_MILLISECONDS,
+        threads: EXPERIMENT_THREADS,
+    };
+    while let Some(argument) = parser.next()? {
+        match argument {
+            Long("seeds") => {
+                let text = parser.value()?.string()?;
+                let (from, to) = text.split_once("..").context("seeds are given as FROM..TO")?;
+                experiment.seeds = from.parse()?..to.parse()?;
+            }
+            Long("scenario") => experiment.scenario = Some(parser.value()?.string()?),
+            Long("duration") => {
+                experiment.duration_ms = parse_duration(&parser.value()?.string()?)?.as_millis() as u64;
+            }
+            Long("threads") => experiment.threads = parser.value()?.parse()?,
+            Long("plot") => plot = Some(PathBuf::from(parser.value()?)),
+            Long("report") => report = Some(PathBuf::from(parser.value()?)),
+            other => return Err(other.unexpected().into()),
+        }
+    }
+    let rows = experiment::run(&experiment)?;
+    print!("{}", experiment::table(&rows));
+    if let Some(file) = plot {
+        experiment::plot::write(&rows, &file)?;
+    }
+    if let Some(file) = report {
+        std::fs::write(&file, serde_json::to_vec_pretty(&rows)?)?;
+    }
+    Ok(rows.iter().all(|row| row.violations == 0))
+}
+
 fn scale_command(arguments: Vec<OsString>) -> Result<bool> {
     let mut parser = lexopt::Parser::from_args(arguments);
     let (mut series, mut report) = (None, None);
--- /dev/null
+++ b/crates/fleet/src/experiment/mod.rs
@@ -0,0 +1,179 @@
+//! Policies side by side: the product's own node code in virtual time, both deployments at their full size, several
+//! seeds. The same seed brings every policy the same arrivals.
+
+pub mod plot;
+
+use anyhow::{Context, Result};
+use saddlerelay_checker::measures::Measures;
+use saddlerelay_policies::PolicyName;
+use saddlerelay_scenarios::{builtin, deployment};
+use saddlerelay_simulator::run::run_on;
+use serde::Serialize;
+use std::ops::Range;
+use std::sync::Mutex;
+use std::sync::atomic::{AtomicUsize, Ordering};
+
+/// Deployments compared, with the scenario that gives their load.
+const DEPLOYMENTS: [(&str, &str); 2] = [("andino", "steady"), ("fund", "steady-fund")];
+
+/// What an experiment compares.
+#[derive(Clone, Debug)]
+pub struct Experiment {
+    /// Seeds; each is one run of every policy on every deployment.
+    pub seeds: Range<u64>,
+    /// A scenario instead of each deployment's steady one.
+    pub scenario: Option<String>,
+    /// Virtual milliseconds of load.
+    pub duration_ms: u64,
+    /// Runs at once.
+    pub threads: usize,
+}
+
+/// Mean, least and greatest over seeds.
+#[derive(Clone, Copy, Debug, Serialize)]
+pub struct Spread {
+    /// Mean.
+    pub mean: f64,
+    /// Least.
+    pub least: f64,
+    /// Greatest.
+    pub greatest: f64,
+}
+
+impl Spread {
+    fn of(values: &[f64]) -> Self {
+        let mean = values.iter().sum::<f64>() / values.len().max(1) as f64;
+        let least = values.iter().copied().fold(f64::INFINITY, f64::min);
+        let greatest = values.iter().copied().fold(f64::NEG_INFINITY, f64::max);
+        Self { mean, least, greatest }
+    }
+}
+
+/// One policy on one deployment.
+#[derive(Clone, Debug, Serialize)]
+pub struct Row {
+    /// The deployment.
+    pub deployment: String,
+    /// The policy.
+    pub policy: String,
+    /// Share of time that the trainer waited for samples, in percent.
+    pub idle: Spread,
+    /// Versions that received samples were behind, on average.
+    pub staleness: Spread,
+    /// Training steps.
+    pub steps: Spread,
+    /// Milliseconds to the first token of interactive answers, 99 of 100.
+    pub first_token_p99: Spread,
+    /// Milliseconds to whole interactive answers, half of them.
+    pub answer_p50: Spread,
+    /// Milliseconds to whole interactive answers, 99 of 100.
+    pub answer_p99: Spread,
+    /// Broken promises in all runs.
+    pub violations: usize,
+}
+
+/// One run's place in the experiment.
+#[derive(Clone, Copy)]
+struct Job {
+    deployment: usize,
+    policy: PolicyName,
+    seed: u64,
+}
+
+struct Finished {
+    job: Job,
+    measures: Measures,
+    violations: usize,
+}
+
+/// Runs the experiment.
+pub fn run(experiment: &Experiment) -> Result<Vec<Row>> {
+    let mut jobs = Vec::new();
+    for deployment in 0..DEPLOYMENTS.len() {
+        for policy in PolicyName::ALL {
+            jobs.extend(experiment.seeds.clone().map(|seed| Job { deployment, policy, seed }));
+        }
+    }
+    let next = AtomicUsize::new(0);
+    let finished = Mutex::new(Vec::new());
+    std::thread::scope(|scope| {
+        for _ in 0..experiment.threads.max(1) {
+            scope.spawn(|| {
+                while let Some(job) = jobs.get(next.fetch_add(1, Ordering::Relaxed)) {
+                    let outcome = run_job(experiment, *job);
+                    finished.lock().unwrap_or_else(|poisoned| poisoned.into_inner()).push(outcome);
+                }
+            });
+        }
+    });
+    let finished = finished.into_inner().unwrap_or_else(|poisoned| poisoned.into_inner());
+    let finished: Vec<Finished> = finished.into_iter().collect::<Result<_>>()?;
+    let mut rows = Vec::new();
+    for (place, (name, _)) in DEPLOYMENTS.iter().enumerate() {
+        for policy in PolicyName::ALL {
+            let runs: Vec<&Finished> =
+                finished.iter().filter(|run| run.job.deployment == place && run.job.policy == policy).collect();
+            rows.push(row(name, policy, &runs));
+        }
+    }
+    Ok(rows)
+}
+
+fn run_job(experiment: &Experiment, job: Job) -> Result<Finished> {
+    let (name, steady) = DEPLOYMENTS[job.deployment];
+    let deployment = deployment::by_name(name).context("the deployment does not exist")?;
+    let scenario = experiment.scenario.as_deref().unwrap_or(steady);
+    let mut scenario = builtin::scenario(scenario).with_context(|| format!("there is no scenario `{scenario}`"))?;
+    scenario.duration_ms = experiment.duration_ms;
+    let outcome = run_on(&scenario, deployment, job.seed, job.policy)?;
+    Ok(Finished { job, measures: outcome.report.measures, violations: outcome.report.violations.len() })
+}
+
+fn row(deployment: &str, policy: PolicyName, runs: &[&Finished]) -> Row {
+    let spread = |value: &dyn Fn(&Measures) -> f64| {
+        let values: Vec<f64> = runs.iter().map(|run| value(&run.measures)).collect();
+        Spread::of(&values)
+    };
+    let trainer = |measures: &Measures, value: &dyn Fn(&saddlerelay_checker::measures::TrainerMeasures) -> f64| {
+        measures.trainers.values().map(value).sum::<f64>() / measures.trainers.len().max(1) as f64
+    };
+    let interactive = |measures: &Measures| measures.latency.get("interactive").copied().unwrap_or_default();
+    let first = |measures: &Measures| measures.first_token.get("interactive").copied().unwrap_or_default();
+    Row {
+        deployment: deployment.to_string(),
+        policy: policy.as_str().to_string(),
+        idle: spread(&|measures| trainer(measures, &|trainer| trainer.idle_fraction * 100.0)),
+        staleness: spread(&|measures| trainer(measures, &|trainer| trainer.staleness_mean)),
+        steps: spread(&|measures| trainer(measures, &|trainer| trainer.steps as f64)),
+        first_token_p99: spread(&|measures| first(measures).p99 as f64),
+        answer_p50: spread(&|measures| interactive(measures).p50 as f64),
+        answer_p99: spread(&|measures| interactive(measures).p99 as f64),
+        violations: runs.iter().map(|run| run.violations).sum(),
+    }
+}
+
+/// The rows as a table for people, in Markdown.
+pub fn table(rows: &[Row]) -> String {
+    let mut text = String::from(
+        "| deployment | policy | trainer idle % | staleness, versions | steps | first token p99 ms | answer p50 ms | answer p99 ms | violations |\n\
+         |---|---|---|---|---|---|---|---|---|\n",
+    );
+    let cell = |spread: &Spread, digits: usize| {
+        format!("{:.digits$} ({:.digits$}-{:.digits$})", spread.mean, spread.least, spread.greatest)
+    };
+    for row in rows {
+        text += &format!(
+            "| {} | {} | {} | {} | {} | {} | {} | {} | {} |\n",
+            row.deployment,
+            row.policy,
+            cell(&row.idle, 1),
+            cell(&row.staleness, 2),
+            cell(&row.steps, 0),
+            cell(&row.first_token_p99, 0),
+            cell(&row.answer_p50, 0),
+            cell(&row.answer_p99, 0),
+            row.violations
+        );
+    }
+    text
+}
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -4,6 +4,7 @@
 
 pub mod command_line;
 pub mod deploy;
+pub mod experiment;
 pub mod faults;
 pub mod launch;
 pub mod ports;
--- a/crates/relay/src/commands/callers.rs
+++ b/crates/relay/src/commands/callers.rs
@@ -8,7 +8,7 @@
 use saddlerelay_platform::backend::Backends;
 use saddlerelay_types::claim::{ClaimKey, ClaimOutcome, ClaimRequest, ClaimResult};
 use saddlerelay_types::configuration::TenantParameters;
-use saddlerelay_types::identity::{BodyDigest, Incarnation};
+use saddlerelay_types::identity::{BodyDigest, Incarnation, WeightVersion};
 use saddlerelay_types::protocol::{ClaimCommand, Command, CommandOutcome};
 use saddlerelay_types::request::{
     AnswerPart, CallerRequest, ExecutionOutcome, FailureCode, Generation, Repeatability, RequestFailure, RequestKey,
@@ -103,8 +103,10 @@
             priority: request.priority,
             repeatability: request.repeatability,
             incarnation,
+            begun: self.inner.platform.monotonic(),
             deadline,
             attempts: self.inner.options.config.attempts,
+            oldest_useful_version: WeightVersion(0),
         }
     }
 
--- a/crates/relay/src/commands/samples.rs
+++ b/crates/relay/src/commands/samples.rs
@@ -126,8 +126,10 @@
         priority: Priority::Rollout,
         repeatability: Repeatability::Repeatable,
         incarnation,
+        begun: relay.inner.platform.monotonic(),
         deadline: relay.inner.platform.monotonic() + SAMPLE_LIMIT,
         attempts: SAMPLE_ATTEMPTS,
+        oldest_useful_version: assignment.oldest_useful_version,
     };
     relay.dispatch(&work, None).await.ok()
 }
--- a/crates/relay/src/config.rs
+++ b/crates/relay/src/config.rs
@@ -5,7 +5,7 @@
 /// Timing and sizes.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct RelayConfig {
-    /// Pause between lease renewals.
+    /// Pause before the next renewal after one that failed. Otherwise the control group sets the pace.
     pub renew_interval: Duration,
     /// Time limit of one renewal.
     pub renew_limit: Duration,
@@ -19,6 +19,9 @@
     pub chunk_limit: Duration,
     /// How long a request waits for any engine to become able to take it.
     pub engine_wait: Duration,
+    /// How long a sample waits, after it was begun, for an engine with newer weights than the oldest its trainer can
+    /// use.
+    pub newer_weights_wait: Duration,
     /// Time limit of a claim's commit.
     pub claim_limit: Duration,
     /// Most engines tried for one caller's request.
@@ -38,9 +41,10 @@
             renew_limit: Duration::from_millis(1500),
             rollout_interval: Duration::from_millis(50),
             rollout_batch: 64,
-            connect_limit: Duration::from_millis(500),
+            connect_limit: Duration::from_millis(150),
             chunk_limit: Duration::from_secs(5),
             engine_wait: Duration::from_millis(1500),
+            newer_weights_wait: Duration::from_millis(1500),
             claim_limit: Duration::from_secs(4),
             attempts: 5,
             engine_in_flight_percent: 300,
--- a/crates/relay/src/dispatch.rs
+++ b/crates/relay/src/dispatch.rs
@@ -1,6 +1,7 @@
 //! Runs one generation on engines: chooses, connects, streams, and resumes elsewhere when an engine fails.
 
 use crate::relay::Relay;
+use crate::view::View;
 use futures::StreamExt;
 use futures::channel::mpsc;
 use saddlerelay_platform::Platform;
@@ -38,10 +39,14 @@
     pub repeatability: Repeatability,
     /// The relay incarnation under which it was begun.
     pub incarnation: Incarnation,
+    /// When it was begun, on the relay's clock.
+    pub begun: Duration,
     /// When to give up, on the relay's clock.
     pub deadline: Duration,
     /// Most engines to try.
     pub attempts: u32,
+    /// The oldest version that its trainer could still use when it was handed out; zero for callers.
+    pub oldest_useful_version: WeightVersion,
 }
 
 /// Why a generation did not become whole.
@@ -121,7 +126,9 @@
     /// The engine to try next, waiting a little when none is able.
     async fn wait_for_engine(&self, progress: &Progress<'_>) -> Option<EngineDescription> {
         let config = &self.inner.options.config;
-        let give_up = (self.inner.platform.monotonic() + config.engine_wait).min(progress.work.deadline);
+        let rollout = progress.work.priority == Priority::Rollout;
+        let patience = if rollout { config.engine_wait + config.newer_weights_wait } else { config.engine_wait };
+        let give_up = (self.inner.platform.monotonic() + patience).min(progress.work.deadline);
         loop {
             if let Some(engine) = self.choose_engine(progress) {
                 return Some(engine);
@@ -161,7 +168,7 @@
         let now = self.inner.platform.monotonic();
         let view = self.inner.view.borrow();
         let rollout = work.priority == Priority::Rollout;
-        let oldest = if rollout { view.oldest_useful_version(&work.tenant) } else { WeightVersion(0) };
+        let oldest = if rollout { self.oldest_to_start_on(&view, work, now) } else { WeightVersion(0) };
         let share = view.tenant(&work.tenant).map_or(100, |tenant| tenant.rollout_share_percent);
         let relay_count = view.relay_count();
         let limit_percent = self.inner.options.config.engine_in_flight_percent;
@@ -189,6 +196,16 @@
         candidates
     }
 
+    /// The oldest version on which a sample is started. One that is started on the oldest version its trainer can use
+    /// is thrown away at the next publication unless it ends before; so it waits, for a while after a publication, for
+    /// an engine that has taken newer weights.
+    fn oldest_to_start_on(&self, view: &View, work: &GenerationWork, now: Duration) -> WeightVersion {
+        let useful = view.oldest_useful_version(&work.tenant).max(work.oldest_useful_version);
+        let bound = view.tenant(&work.tenant).map_or(0, |tenant| tenant.staleness_bound);
+        let patient = now < work.begun + self.inner.options.config.newer_weights_wait;
+        if bound > 0 && useful > WeightVersion(0) && patient { useful.next() } else { useful }
+    }
+
     async fn attempt(&self, progress: &mut Progress<'_>, engine: &EngineDescription) -> Result<(), AttemptFailure> {
         let work = progress.work;
         let rollout = work.priority == Priority::Rollout;
--- a/crates/relay/src/lease.rs
+++ b/crates/relay/src/lease.rs
@@ -10,6 +10,9 @@
 use std::io;
 use std::time::Duration;
 
+/// Pause between renewals that each bring something new.
+const SHORTEST_PAUSE: Duration = Duration::from_millis(10);
+
 const CONFIGURATION_FILE: &str = "configuration";
 
 /// The newest configuration acted on, as stored.
@@ -39,26 +42,37 @@
             let sent_at = self.inner.platform.monotonic();
             let renewal = self.renewal();
             let incarnation = renewal.relay.incarnation;
-            if let Ok(reply) = self.inner.control.renew(renewal, config.renew_limit).await {
-                self.take_renewal(reply, sent_at, incarnation).await;
-            }
-            self.inner.platform.sleep(config.renew_interval).await;
+            let renewed = match self.inner.control.renew(renewal, config.renew_limit).await {
+                Ok(reply) => self.take_renewal(reply, sent_at, incarnation).await,
+                Err(_) => false,
+            };
+            // The control group sets the pace: it answers at once when there is something new, and later when not.
+            let pause = if renewed { SHORTEST_PAUSE } else { config.renew_interval };
+            self.inner.platform.sleep(pause).await;
         }
     }
 
     fn renewal(&self) -> RenewRequest {
         let view = self.inner.view.borrow();
-        RenewRequest { relay: self.description(), configuration: view.revision(), engines: view.engine_revision() }
+        RenewRequest {
+            relay: self.description(),
+            configuration: view.revision(),
+            engines: view.engine_revision(),
+            targets: view.targets(),
+        }
     }
 
-    async fn take_renewal(&self, reply: RenewReply, sent_at: Duration, incarnation: Incarnation) {
+    /// Acts on an answer from now on; `false` when it cannot.
+    async fn take_renewal(&self, reply: RenewReply, sent_at: Duration, incarnation: Incarnation) -> bool {
         if reply.fenced {
             self.start_anew(incarnation);
-            return;
+            return false;
         }
-        if self.store_configuration(&reply.configuration).await {
+        let stored = self.store_configuration(&reply.configuration).await;
+        if stored {
             self.inner.view.borrow_mut().renew(reply, sent_at);
         }
+        stored
     }
 
     /// Stores and adopts a configuration. `false` when it would go back or the disk refuses: the lease then runs out.
--- a/crates/relay/src/view.rs
+++ b/crates/relay/src/view.rs
@@ -34,6 +34,13 @@
         self.engine_revision
     }
 
+    /// The targets, in the order in which the control group gives them.
+    pub fn targets(&self) -> Vec<ModelTarget> {
+        let target =
+            |(model, version): (&ModelName, &WeightVersion)| ModelTarget { model: model.clone(), version: *version };
+        self.targets.iter().map(target).collect()
+    }
+
     /// Whether the relay may act on this view.
     pub fn is_leased(&self, now: Duration) -> bool {
         now < self.lease_until
--- a/crates/settings/src/parse.rs
+++ b/crates/settings/src/parse.rs
@@ -79,6 +79,7 @@
         connect_limit: section.milliseconds("connect_limit_ms", default.connect_limit, 10..=10_000),
         chunk_limit: section.milliseconds("chunk_limit_ms", default.chunk_limit, 100..=120_000),
         engine_wait: section.milliseconds("engine_wait_ms", default.engine_wait, 0..=60_000),
+        newer_weights_wait: section.milliseconds("newer_weights_wait_ms", default.newer_weights_wait, 0..=600_000),
         claim_limit: section.milliseconds("claim_limit_ms", default.claim_limit, 100..=30_000),
         attempts: section.number("attempts", u64::from(default.attempts), 1..=20) as u32,
         engine_in_flight_percent: section.number(
@@ -115,6 +116,8 @@
             as u32,
         platform_interval: section.milliseconds("platform_interval_ms", default.platform_interval, 50..=10_000),
         relay_check_interval: default.relay_check_interval,
+        renewal_wait: section.milliseconds("renewal_wait_ms", default.renewal_wait, 50..=1_000),
+        news_interval: section.milliseconds("news_interval_ms", default.news_interval, 1..=1_000),
         idle_wait: default.idle_wait,
     };
     if config.relay_loss <= config.relay_lease {
--- a/crates/simulator/src/command_line.rs
+++ b/crates/simulator/src/command_line.rs
@@ -1,11 +1,11 @@
 //! The simulator's command line.
 
-use crate::run::{RunOutcome, run};
+use crate::run::{RunOutcome, run, run_on};
 use anyhow::{Context, Result, bail};
 use lexopt::prelude::*;
 use saddlerelay_policies::PolicyName;
-use saddlerelay_scenarios::builtin;
 use saddlerelay_scenarios::trace::Scenario;
+use saddlerelay_scenarios::{builtin, deployment};
 use std::ffi::OsString;
 use std::ops::Range;
 use std::process::ExitCode;
@@ -19,7 +19,9 @@
 
   run --scenario NAME|all --seeds FROM..TO [--threads N] [--policy NAME]
   replay FILE [--seed N]      run a trace from a file
-  show --scenario NAME --seed N   the faults, violations, counts and measures of one run, as JSON
+  show --scenario NAME --seed N [--full-size] [--records FILE]
+                              the faults, violations, counts and measures of one run, as JSON; with --full-size on
+                              the whole deployment; what the stand-ins saw goes to FILE, one JSON object on each line
   list                        the scenarios
 
 Exit code 0 when no promise was broken, 1 otherwise. The same seed gives the same trace hash.
@@ -45,6 +47,8 @@
     seeds: Range<u64>,
     threads: usize,
     policy: PolicyName,
+    full_size: bool,
+    records: Option<String>,
 }
 
 fn try_main(arguments: Vec<OsString>) -> Result<bool> {
@@ -76,6 +80,8 @@
         seeds: 0..1,
         threads: DEFAULT_THREADS,
         policy: PolicyName::PrefixAffinity,
+        full_size: false,
+        records: None,
     };
     while let Some(argument) = parser.next()? {
         match argument {
@@ -85,6 +91,8 @@
                 let seed: u64 = parser.value()?.parse()?;
                 arguments.seeds = seed..seed + 1;
             }
+            Long("full-size") => arguments.full_size = true,
+            Long("records") => arguments.records = Some(parser.value()?.string()?),
             Long("threads") => arguments.threads = parser.value()?.parse()?,
             Long("policy") => {
                 let name = parser.value()?.string()?;
@@ -198,11 +206,27 @@
 
 fn show(arguments: &Arguments) -> Result<bool> {
     let scenario = chosen(arguments)?.into_iter().next().context("name a scenario")?;
-    let outcome = run(&scenario, arguments.seeds.start, arguments.policy)?;
+    let seed = arguments.seeds.start;
+    let outcome = match deployment::by_name(&scenario.deployment).filter(|_| arguments.full_size) {
+        Some(deployment) => run_on(&scenario, deployment, seed, arguments.policy)?,
+        None => run(&scenario, seed, arguments.policy)?,
+    };
     print_outcome(&outcome)?;
+    if let Some(file) = &arguments.records {
+        write_records(&outcome, file)?;
+    }
     Ok(outcome.report.violations.is_empty())
 }
 
+fn write_records(outcome: &RunOutcome, file: &str) -> Result<()> {
+    let mut text = String::new();
+    for record in &outcome.records {
+        text += &serde_json::to_string(record)?;
+        text.push('\n');
+    }
+    Ok(std::fs::write(file, text)?)
+}
+
 fn replay(arguments: &Arguments) -> Result<bool> {
     let file = arguments.file.as_ref().context("name a trace file")?;
     let scenario = Scenario::parse(&std::fs::read_to_string(file)?)?;
--- a/crates/simulator/src/faults.rs
+++ b/crates/simulator/src/faults.rs
@@ -59,9 +59,8 @@
             }
         }
         FaultKind::PlannedStop { target, restart_after_ms } => {
-            stop_orderly(&cluster, &target).await;
-            sleep(restart_after_ms).await;
-            if let Some(name) = name_of(&cluster, &target) {
+            if let Some(name) = stop_orderly(&cluster, &target).await {
+                sleep(restart_after_ms).await;
                 restart(&cluster, &name);
             }
         }
@@ -151,10 +150,9 @@
     }
 }
 
-async fn stop_orderly(cluster: &Rc<Cluster>, target: &Target) {
-    let Some((name, member)) = find(cluster, target) else {
-        return;
-    };
+/// Stops a process in an orderly way and returns its name: who leads is another one afterwards.
+async fn stop_orderly(cluster: &Rc<Cluster>, target: &Target) -> Option<String> {
+    let (name, member) = find(cluster, target)?;
     let (done, ended) = futures::channel::oneshot::channel();
     let running = member.running.clone();
     let platform = SimPlatform { world: cluster.world.clone(), process: member.process.clone() };
@@ -183,6 +181,7 @@
     cluster.client_platform().sleep(Duration::from_millis(200)).await;
     member.process.kill();
     cluster.world.disks.crash(&name, || cluster.world.random());
+    Some(name)
 }
 
 /// Draws faults for a run: singly, two at once, and one right after another's repair. A quorum of control disks stays.
--- a/crates/simulator/src/run.rs
+++ b/crates/simulator/src/run.rs
@@ -7,6 +7,7 @@
 use fastrand::Rng;
 use futures::executor::LocalPool;
 use saddlerelay_checker::check::check;
+use saddlerelay_checker::record::Record;
 use saddlerelay_checker::report::{Promise, Report, Violation};
 use saddlerelay_platform::Platform;
 use saddlerelay_policies::PolicyName;
@@ -37,6 +38,8 @@
     pub events: u64,
     /// Virtual time that passed.
     pub virtual_time: Duration,
+    /// Everything that the stand-ins saw.
+    pub records: Vec<Record>,
     /// The faults that were caused, the drawn ones included.
     pub faults: Vec<Fault>,
 }
@@ -89,7 +92,14 @@
         report.violations.push(Violation { promise: Promise::StatedOutcome, detail });
     }
     let trace_hash = xxhash_rust::xxh3::xxh3_64(format!("{records:?}").as_bytes());
-    Ok(RunOutcome { report, trace_hash, events: world.events(), virtual_time: world.clock.now(), faults: all_faults })
+    Ok(RunOutcome {
+        report,
+        trace_hash,
+        events: world.events(),
+        virtual_time: world.clock.now(),
+        records,
+        faults: all_faults,
+    })
 }
 
 fn bring_up(cluster: &Rc<Cluster>, world: &Rc<World>, pool: &mut LocalPool) -> Result<()> {
--- a/crates/standins/src/trainer.rs
+++ b/crates/standins/src/trainer.rs
@@ -59,6 +59,8 @@
     trained_steps: u64,
     /// Samples received and not trained on yet.
     buffered: u64,
+    /// The newest receipts as JSON: a trainer killed between saving and recording them records them again, unchanged.
+    receipts: Vec<String>,
 }
 
 /// Tells a trainer to open no more steps.
@@ -97,6 +99,7 @@
     let mut saved: Saved = bytes.and_then(|bytes| bitcode::decode(&bytes).ok()).unwrap_or_default();
     saved.incarnation += 1;
     let mut trainer = Trainer { platform, access, sink, recorder, options, saved, relay: 0 };
+    trainer.record_receipts();
     trainer.save().await;
     let outcome = trainer.run(&stop).await;
     if outcome.is_err() { TrainerEnd::Fenced } else { TrainerEnd::Finished }
@@ -254,16 +257,21 @@
         };
         self.saved.cursor = last;
         self.saved.buffered += fresh.len() as u64;
+        let receipts = fresh.iter().map(|delivered| self.receipt(delivered));
+        self.saved.receipts = receipts.filter_map(|receipt| serde_json::to_string(&receipt).ok()).collect();
         self.save().await;
-        for delivered in &fresh {
-            self.record_sample(delivered);
-        }
+        self.record_receipts();
+    }
+
+    fn record_receipts(&self) {
+        let receipts = self.saved.receipts.iter().filter_map(|receipt| serde_json::from_str(receipt).ok());
+        receipts.for_each(|receipt| self.recorder.record(receipt));
     }
 
-    fn record_sample(&self, delivered: &DeliveredSample) {
+    fn receipt(&self, delivered: &DeliveredSample) -> Record {
         let generation = &delivered.payload.generation;
         let versions = generation.tokens.iter().map(|token| tokens::version_of(*token));
-        self.recorder.record(Record::SampleReceived {
+        Record::SampleReceived {
             at: self.platform.unix_milliseconds(),
             tenant: self.options.tenant.clone(),
             position: delivered.position,
@@ -271,7 +279,7 @@
             oldest: versions.min().unwrap_or_default(),
             published: self.saved.published,
             fault: self.sample_fault(delivered),
-        });
+        }
     }
 
     fn sample_fault(&self, delivered: &DeliveredSample) -> Option<String> {
--- a/crates/types/src/protocol.rs
+++ b/crates/types/src/protocol.rs
@@ -56,6 +56,8 @@
     pub configuration: Revision,
     /// The engine-list revision it acts on.
     pub engines: u64,
+    /// The targets it acts on.
+    pub targets: Vec<ModelTarget>,
 }
 
 /// The answer to a lease renewal.
@@ -77,6 +79,14 @@
     pub relay_count: u32,
 }
 
+impl RenewReply {
+    /// Whether the relay that sent `renewal` would act differently after this answer.
+    pub fn brings_news(&self, renewal: &RenewRequest) -> bool {
+        let configuration = self.configuration.whole || self.configuration.revision != renewal.configuration;
+        self.fenced || configuration || self.engine_revision != renewal.engines || self.targets != renewal.targets
+    }
+}
+
 /// The version a model's engines should run.
 #[derive(Clone, Debug, PartialEq, Eq, Encode, Decode, Serialize, Deserialize)]
 pub struct ModelTarget {
