Record runs as traces and replay them; measure what a relay adds

Cause: traces could list arrivals, but nothing wrote or read them, so a run of real processes could not be replayed; and no figure said what a relay costs a request. Change: callers' records name the application and the prefix; fleet and simulator write a run's faults and arrivals as a trace, and the simulator replays them. `bench` asks the same generation of an engine directly and through a relay, in turn; `up` keeps a small deployment running to try its interfaces. An open question for samples no longer counts as a request in progress. The fleet itself does not replay arrivals; the simulator does.

--- a/bin/saddlerelay-fleet/tests/faults.rs
+++ b/bin/saddlerelay-fleet/tests/faults.rs
@@ -26,6 +26,7 @@
         relay_settings: String::new(),
         progress: false,
         keep: false,
+        record: None,
     };
     let result = block_on(run(options)).expect("the run came to its end");
     assert_eq!(result.report.violations, [], "{name}");
--- a/crates/checker/src/record.rs
+++ b/crates/checker/src/record.rs
@@ -1,7 +1,7 @@
 //! What stand-ins saw. Times are milliseconds on one clock that all stand-ins of a run share.
 
 use saddlerelay_types::configuration::ConfigurationOutcome;
-use saddlerelay_types::identity::{EngineId, Position, Revision, StepNumber, TenantId, WeightVersion};
+use saddlerelay_types::identity::{CallerId, EngineId, Position, Revision, StepNumber, TenantId, WeightVersion};
 use saddlerelay_types::request::{ExecutionOutcome, FailureCode, Priority};
 use saddlerelay_types::rollout::SampleId;
 use serde::{Deserialize, Serialize};
@@ -89,6 +89,10 @@
         tenant: TenantId,
         /// The caller's class.
         class: Priority,
+        /// The application.
+        caller: CallerId,
+        /// Which prompt prefix it shares with others.
+        prefix: u64,
         /// The prompt, which names the request.
         prompt: String,
         /// Whether it may run again.
--- a/crates/checker/tests/check.rs
+++ b/crates/checker/tests/check.rs
@@ -4,7 +4,7 @@
 use saddlerelay_checker::record::{CallerResult, Record};
 use saddlerelay_checker::report::Promise;
 use saddlerelay_types::configuration::{ConfigurationOutcome, ObjectName, ObjectState};
-use saddlerelay_types::identity::{EngineId, Position, Revision, StepNumber, TenantId, WeightVersion};
+use saddlerelay_types::identity::{CallerId, EngineId, Position, Revision, StepNumber, TenantId, WeightVersion};
 use saddlerelay_types::request::{ExecutionOutcome, FailureCode, Priority};
 use saddlerelay_types::rollout::SampleId;
 
@@ -25,6 +25,8 @@
         to: 200,
         tenant: TenantId::new("prices"),
         class: Priority::Interactive,
+        caller: CallerId::new("tellers"),
+        prefix: 0,
         prompt: prompt.to_string(),
         repeatable,
         sends: 1,
--- a/crates/fleet/src/command_line.rs
+++ b/crates/fleet/src/command_line.rs
@@ -1,10 +1,12 @@
 //! The fleet's command line.
 
+use crate::bench;
 use crate::experiment::{self, Experiment};
 use crate::process::own_executable;
 use crate::run::{RunOptions, run};
 use crate::scale;
 use crate::summary;
+use crate::up;
 use anyhow::{Context, Result, bail};
 use lexopt::prelude::*;
 use saddlerelay_checker::check::Limits;
@@ -19,10 +21,13 @@
 saddlerelay-fleet: runs a whole deployment as processes on this machine
 
   demo                      a small deployment under load for about 15 s
+  up                        the same deployment without load, until Ctrl-C, to try its interfaces
   run  --deployment andino|fund --scenario NAME [--duration 20s] [--report FILE] [--policy NAME] [--keep]
+       [--record TRACE]
   run  --list               the scenarios
   experiment [--seeds FROM..TO] [--scenario NAME] [--duration 60s] [--threads N] [--plot FILE.svg] [--report FILE]
                             routing policies side by side on both deployments, in virtual time
+  bench                     what a relay adds to a request, and requests for each second of a core
   scale [--series relays|engines|claims|answers|whole] [--report FILE]
                             slopes of the control group's and relays' own costs, with hollow relays and engines
 
@@ -46,6 +51,11 @@
         "run-standin" => saddlerelay_standins::http::process::run(rest).map(|()| true),
         "run-hollow" => scale::hollow::run(rest).map(|()| true),
         "demo" => demo(),
+        "up" => block_on(up::run(deployment::demo())).map(|()| true),
+        "bench" => block_on(bench::run()).map(|table| {
+            print!("{table}");
+            true
+        }),
         "experiment" => experiment_command(rest),
         "scale" => scale_command(rest),
         "run" => run_command(rest),
@@ -80,6 +90,7 @@
         relay_settings: String::new(),
         progress: true,
         keep: false,
+        record: None,
     };
     let result = block_on(run(options))?;
     print!("{}", summary::table(&result));
@@ -89,7 +100,7 @@
 fn run_command(arguments: Vec<OsString>) -> Result<bool> {
     let mut parser = lexopt::Parser::from_args(arguments);
     let (mut deployment_name, mut scenario, mut duration, mut report) = (None, None, None, None);
-    let (mut relay_settings, mut keep) = (String::new(), false);
+    let (mut relay_settings, mut keep, mut record) = (String::new(), false, None);
     while let Some(argument) = parser.next()? {
         match argument {
             Long("list") => {
@@ -101,12 +112,12 @@
             Long("deployment") => deployment_name = Some(parser.value()?.string()?),
             Long("scenario") => scenario = Some(parser.value()?.string()?),
             Long("duration") => duration = Some(parse_duration(&parser.value()?.string()?)?),
-            // A fleet's faults are its scenario's; the seed is part of the simulator's command line and is taken here
-            // so that both can be called alike.
+            // Real processes follow no seed: it is taken so that fleet and simulator can be called alike.
             Long("seed") => drop(parser.value()?),
             Long("report") => report = Some(PathBuf::from(parser.value()?)),
             Long("policy") => relay_settings = format!("policy = \"{}\"", parser.value()?.string()?),
             Long("keep") => keep = true,
+            Long("record") => record = Some(PathBuf::from(parser.value()?)),
             other => return Err(other.unexpected().into()),
         }
     }
@@ -125,6 +136,7 @@
         relay_settings,
         progress: true,
         keep,
+        record,
     };
     let result = block_on(run(options))?;
     if let Some(file) = report {
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -2,6 +2,7 @@
 //!
 //! The fleet starts the processes; the product's own processes start none. Every child is ended with the run.
 
+pub mod bench;
 pub mod command_line;
 pub mod deploy;
 pub mod experiment;
@@ -12,3 +13,4 @@
 pub mod run;
 pub mod scale;
 pub mod summary;
+pub mod up;
--- a/crates/fleet/src/run.rs
+++ b/crates/fleet/src/run.rs
@@ -10,8 +10,10 @@
 use saddlerelay_platform::Platform;
 use saddlerelay_platform_compio::CompioPlatform;
 use saddlerelay_scenarios::deployment::{self, Deployment};
+use saddlerelay_scenarios::recording;
 use saddlerelay_scenarios::trace::Scenario;
 use saddlerelay_standins::access::Access;
+use saddlerelay_standins::http::access::HttpAccess;
 use saddlerelay_standins::http::records::read_records;
 use saddlerelay_standins::operators::{Operator, probe_relays, race_changes};
 use saddlerelay_standins::recorder::Recorder;
@@ -48,6 +50,8 @@
     pub progress: bool,
     /// Whether to keep the run's folder.
     pub keep: bool,
+    /// Where to write the run's faults and arrivals as a trace.
+    pub record: Option<PathBuf>,
 }
 
 /// What one process used.
@@ -98,12 +102,7 @@
     let own_records: Rc<RefCell<Vec<Record>>> = Rc::default();
     let sink = own_records.clone();
     let recorder = Recorder::new(move |record| sink.borrow_mut().push(record));
-    let operator = |name: &str| Operator {
-        platform: platform.clone(),
-        access: fleet.access(),
-        recorder: recorder.clone(),
-        name: name.to_string(),
-    };
+    let operator = |name| new_operator(&fleet, &platform, &recorder, name);
     let (first, second) = (operator("first"), operator("second"));
     for tenant in &fleet.plan.deployment.tenants {
         first.set_up(&tenant.id, tenant.values()).await;
@@ -115,6 +114,7 @@
     platform.spawn(probes);
     let races = compio::runtime::spawn(race_changes(first.clone(), second, CHANGE_INTERVAL, stop.clone()));
     let fleet: SharedFleet = Rc::new(RefCell::new(fleet));
+    let started_at = platform.unix_milliseconds();
     start_load(&fleet)?;
     let context = FaultContext { fleet: fleet.clone(), platform: platform.clone(), recorder, operator: first };
     let running: Vec<_> = scenario
@@ -134,13 +134,30 @@
     let _ = races.await;
     let mut records = own_records.borrow().clone();
     records.extend(collect_records(folder)?);
+    if let Some(file) = &options.record {
+        let faults = scenario.faults.iter().filter(|fault| faults::is_possible(&fault.kind)).cloned().collect();
+        let run = Scenario { faults, duration_ms: duration.as_millis() as u64, ..scenario.clone() };
+        let trace = recording::recorded(&run, &fleet.borrow().plan.deployment, &records, started_at);
+        std::fs::write(file, trace.write()?)?;
+    }
     let mut report = check(&records, &options.limits);
     scenario.judge(&mut report);
     Ok(RunResult { report, usage, seconds: duration.as_secs_f64() })
 }
 
+/// An operator of the fleet.
+pub fn new_operator(
+    fleet: &Fleet,
+    platform: &CompioPlatform,
+    recorder: &Recorder,
+    name: &str,
+) -> Operator<CompioPlatform, HttpAccess> {
+    let (platform, access, recorder) = (platform.clone(), fleet.access(), recorder.clone());
+    Operator { platform, access, recorder, name: name.to_string() }
+}
+
 /// Waits until every relay serves every tenant's model.
-async fn wait_until_in_force(fleet: &Fleet) -> Result<()> {
+pub async fn wait_until_in_force(fleet: &Fleet) -> Result<()> {
     let access = fleet.access();
     let wanted: Vec<_> = fleet.plan.deployment.tenants.iter().map(|tenant| tenant.model.clone()).collect();
     for relay in 0..access.relays() {
--- a/crates/relay/src/commands/samples.rs
+++ b/crates/relay/src/commands/samples.rs
@@ -56,8 +56,8 @@
         sequence += 1;
         let incarnation = relay.inner.incarnation.get();
         let command = RolloutCommand::Assign { relay: incarnation, sequence, limit: room };
-        // Counted as running: a planned stop waits for the samples that the answer may bring.
-        let _asking = Running::begin(&relay);
+        // A planned stop waits for the samples that the answer may bring.
+        relay.inner.asking_for_samples.set(true);
         // A lost answer is asked for again: the same sequence brings the same samples.
         let mut outcome = Err(());
         while outcome.is_err() && relay.inner.incarnation.get() == incarnation {
@@ -69,6 +69,7 @@
                 relay.inner.platform.spawn(run_sample(running, assignment, incarnation));
             }
         }
+        relay.inner.asking_for_samples.set(false);
     }
 }
 
--- a/crates/relay/src/relay.rs
+++ b/crates/relay/src/relay.rs
@@ -72,6 +72,8 @@
     pub retries: RefCell<RetryBudget>,
     pub stopping: Cell<bool>,
     pub samples_running: Cell<u32>,
+    /// A question for samples is under way; its answer may bring some.
+    pub asking_for_samples: Cell<bool>,
     pub counters: RefCell<RelayCounters>,
 }
 
@@ -100,6 +102,7 @@
             retries: RefCell::new(RetryBudget::new(platform.monotonic())),
             stopping: Cell::new(false),
             samples_running: Cell::new(0),
+            asking_for_samples: Cell::new(false),
             counters: RefCell::default(),
             backends,
             options,
@@ -162,7 +165,7 @@
         self.inner.stopping.set(true);
         let deadline = self.inner.platform.monotonic() + self.inner.options.config.drain_limit;
         while self.inner.platform.monotonic() < deadline {
-            if self.in_progress() == 0 {
+            if self.in_progress() == 0 && !self.inner.asking_for_samples.get() {
                 return true;
             }
             self.inner.platform.sleep(DRAIN_INTERVAL).await;
--- a/crates/scenarios/src/lib.rs
+++ b/crates/scenarios/src/lib.rs
@@ -2,4 +2,5 @@
 
 pub mod builtin;
 pub mod deployment;
+pub mod recording;
 pub mod trace;
--- a/crates/simulator/src/command_line.rs
+++ b/crates/simulator/src/command_line.rs
@@ -19,9 +19,10 @@
 
   run --scenario NAME|all --seeds FROM..TO [--threads N] [--policy NAME]
   replay FILE [--seed N]      run a trace from a file
-  show --scenario NAME --seed N [--full-size] [--records FILE]
+  show --scenario NAME --seed N [--full-size] [--records FILE] [--record TRACE]
                               the faults, violations, counts and measures of one run, as JSON; with --full-size on
-                              the whole deployment; what the stand-ins saw goes to FILE, one JSON object on each line
+                              the whole deployment; what the stand-ins saw goes to FILE, one JSON object on each line,
+                              and the run's faults and arrivals as a trace to be replayed to TRACE
   list                        the scenarios
 
 Exit code 0 when no promise was broken, 1 otherwise. The same seed gives the same trace hash.
@@ -49,6 +50,7 @@
     policy: PolicyName,
     full_size: bool,
     records: Option<String>,
+    record: Option<String>,
 }
 
 fn try_main(arguments: Vec<OsString>) -> Result<bool> {
@@ -82,6 +84,7 @@
         policy: PolicyName::PrefixAffinity,
         full_size: false,
         records: None,
+        record: None,
     };
     while let Some(argument) = parser.next()? {
         match argument {
@@ -92,6 +95,7 @@
                 arguments.seeds = seed..seed + 1;
             }
             Long("full-size") => arguments.full_size = true,
+            Long("record") => arguments.record = Some(parser.value()?.string()?),
             Long("records") => arguments.records = Some(parser.value()?.string()?),
             Long("threads") => arguments.threads = parser.value()?.parse()?,
             Long("policy") => {
@@ -215,6 +219,9 @@
     if let Some(file) = &arguments.records {
         write_records(&outcome, file)?;
     }
+    if let Some(file) = &arguments.record {
+        std::fs::write(file, outcome.recorded.write()?)?;
+    }
     Ok(outcome.report.violations.is_empty())
 }
 
--- a/crates/simulator/src/run.rs
+++ b/crates/simulator/src/run.rs
@@ -11,8 +11,9 @@
 use saddlerelay_checker::report::{Promise, Report, Violation};
 use saddlerelay_platform::Platform;
 use saddlerelay_policies::PolicyName;
-use saddlerelay_scenarios::deployment::{self, Deployment};
-use saddlerelay_scenarios::trace::{Fault, Scenario};
+use saddlerelay_scenarios::deployment::{self, CallerLoad, Deployment, TenantLoad};
+use saddlerelay_scenarios::recording;
+use saddlerelay_scenarios::trace::{Arrival, Fault, Scenario};
 use saddlerelay_standins::callers::{self, CallerOptions};
 use saddlerelay_standins::operators::{probe_relays, race_changes};
 use std::cell::Cell;
@@ -40,6 +41,8 @@
     pub virtual_time: Duration,
     /// Everything that the stand-ins saw.
     pub records: Vec<Record>,
+    /// The scenario with the run's faults and arrivals, to be replayed.
+    pub recorded: Scenario,
     /// The faults that were caused, the drawn ones included.
     pub faults: Vec<Fault>,
 }
@@ -57,7 +60,8 @@
     bring_up(&cluster, &world, &mut pool)?;
     world.network.lost_handshakes.set(scenario.lost_handshakes);
     let duration = Duration::from_millis(scenario.duration_ms);
-    let races_ended = start_load(&cluster);
+    let started_at = cluster.client_platform().unix_milliseconds();
+    let races_ended = start_load(&cluster, scenario);
     let mut random = Rng::with_seed(seed ^ FAULT_SEED);
     let mut all_faults = scenario.faults.clone();
     all_faults.extend(faults::draw(&mut random, &cluster, scenario.random_faults, scenario.duration_ms));
@@ -92,8 +96,11 @@
         report.violations.push(Violation { promise: Promise::StatedOutcome, detail });
     }
     let trace_hash = xxhash_rust::xxh3::xxh3_64(format!("{records:?}").as_bytes());
+    let with_faults = Scenario { faults: all_faults.clone(), random_faults: 0, ..scenario.clone() };
+    let recorded = recording::recorded(&with_faults, &cluster.deployment, &records, started_at);
     Ok(RunOutcome {
         report,
+        recorded,
         trace_hash,
         events: world.events(),
         virtual_time: world.clock.now(),
@@ -159,33 +166,13 @@
 }
 
 /// Starts trainers, callers, racing operators and probes. Returns whether the races have ended.
-fn start_load(cluster: &Rc<Cluster>) -> Rc<Cell<bool>> {
+fn start_load(cluster: &Rc<Cluster>, scenario: &Scenario) -> Rc<Cell<bool>> {
     let platform = cluster.client_platform();
     (0..cluster.training_tenants().len()).for_each(|place| cluster.start_trainer(place));
-    for tenant in &cluster.deployment.tenants {
-        for load in &tenant.callers {
-            let options = CallerOptions {
-                tenant: tenant.id.clone(),
-                name: load.name.clone(),
-                model: tenant.model.clone(),
-                class: load.class,
-                interval: load.interval,
-                max_tokens: load.max_tokens,
-                deadline: load.deadline,
-                not_repeatable_percent: load.not_repeatable_percent,
-                prefixes: load.prefixes,
-            };
-            let access = cluster.access(platform.clone());
-            let (stop, under_way) = (cluster.stop.clone(), cluster.under_way.clone());
-            platform.spawn(callers::run_callers(
-                platform.clone(),
-                access,
-                cluster.recorder(),
-                options,
-                stop,
-                under_way,
-            ));
-        }
+    if scenario.arrivals.is_empty() {
+        start_callers(cluster);
+    } else {
+        start_arrivals(cluster, &scenario.arrivals);
     }
     let probes = probe_relays(
         platform.clone(),
@@ -206,6 +193,57 @@
     ended
 }
 
+fn caller_options(tenant: &TenantLoad, load: &CallerLoad) -> CallerOptions {
+    CallerOptions {
+        tenant: tenant.id.clone(),
+        name: load.name.clone(),
+        model: tenant.model.clone(),
+        class: load.class,
+        interval: load.interval,
+        max_tokens: load.max_tokens,
+        deadline: load.deadline,
+        not_repeatable_percent: load.not_repeatable_percent,
+        prefixes: load.prefixes,
+    }
+}
+
+/// Callers that follow their deployment's rates.
+fn start_callers(cluster: &Rc<Cluster>) {
+    let platform = cluster.client_platform();
+    for tenant in &cluster.deployment.tenants {
+        for load in &tenant.callers {
+            let access = cluster.access(platform.clone());
+            let (stop, under_way) = (cluster.stop.clone(), cluster.under_way.clone());
+            let options = caller_options(tenant, load);
+            let callers = callers::run_callers(platform.clone(), access, cluster.recorder(), options, stop, under_way);
+            platform.spawn(callers);
+        }
+    }
+}
+
+/// Recorded requests, each at its time. One of a tenant or caller that the deployment lacks is passed over.
+fn start_arrivals(cluster: &Rc<Cluster>, arrivals: &[Arrival]) {
+    let platform = cluster.client_platform();
+    for (number, arrival) in arrivals.iter().cloned().enumerate() {
+        let tenant = cluster.deployment.tenants.get(arrival.tenant as usize);
+        let Some((tenant, load)) =
+            tenant.and_then(|tenant| Some((tenant, tenant.callers.get(arrival.caller as usize)?)))
+        else {
+            continue;
+        };
+        let options = caller_options(tenant, load);
+        let (cluster, own) = (cluster.clone(), platform.clone());
+        platform.spawn(async move {
+            own.sleep(Duration::from_millis(arrival.at_ms)).await;
+            let under_way = cluster.under_way.clone();
+            under_way.set(under_way.get() + 1);
+            let access = cluster.access(own.clone());
+            callers::run_arrival(own, access, cluster.recorder(), options, number as u64, &arrival).await;
+            under_way.set(under_way.get() - 1);
+        });
+    }
+}
+
 /// Starts every fault at its time. Returns how many are not over.
 fn start_faults(cluster: &Rc<Cluster>, faults: &[Fault]) -> Rc<Cell<usize>> {
     let running = Rc::new(Cell::new(faults.len()));
--- a/crates/simulator/tests/scenarios.rs
+++ b/crates/simulator/tests/scenarios.rs
@@ -60,6 +60,20 @@
     assert_eq!(outcome.report.violations.len(), 1);
 }
 
+/// A recorded run can be replayed: the same faults, and the same number of requests of each caller.
+#[test]
+fn a_recorded_run_is_replayed() {
+    let scenario = scenario("double-fault").expect("the scenario exists");
+    let first = run(&scenario, 3, PolicyName::PrefixAffinity).expect("it ran");
+    let text = first.recorded.write().expect("a trace can be written");
+    let trace = Scenario::parse(&text).expect("what was written can be read");
+    assert_eq!(trace.arrivals.len() as u64, first.report.counts.requests);
+    let replayed = run(&trace, 4, PolicyName::PrefixAffinity).expect("it ran");
+    assert_eq!(replayed.report.counts.requests, first.report.counts.requests);
+    assert_eq!(replayed.report.counts.non_repeatable, first.report.counts.non_repeatable);
+    assert_eq!(replayed.report.violations, []);
+}
+
 #[test]
 fn traces_are_written_and_read_back_alike() {
     for scenario in scenarios() {
--- a/crates/standins/src/callers.rs
+++ b/crates/standins/src/callers.rs
@@ -6,6 +6,7 @@
 use saddlerelay_checker::record::{CallerResult, Record};
 use saddlerelay_platform::Platform;
 use saddlerelay_platform::timeout::timeout;
+use saddlerelay_scenarios::trace::Arrival;
 use saddlerelay_types::identity::{CallerId, IdempotencyKey, ModelName, TenantId};
 use saddlerelay_types::request::{
     CallerRequest, ExecutionOutcome, Generation, Priority, Repeatability, RequestFailure, RequestKey,
@@ -70,7 +71,28 @@
     first_token_after: Option<u64>,
 }
 
-/// Sends requests until `stop` is set. `first_number` makes the prompts of several callers differ.
+/// What a request is drawn or recorded to be.
+#[derive(Clone, Copy, Debug)]
+struct Drawn {
+    once: bool,
+    prefix: u64,
+}
+
+/// Sends one recorded request.
+pub async fn run_arrival<P: Platform, A: Access>(
+    platform: P,
+    access: A,
+    recorder: Recorder,
+    options: CallerOptions,
+    number: u64,
+    arrival: &Arrival,
+) {
+    let drawn = Drawn { once: arrival.once, prefix: arrival.prefix };
+    let request = make_request(&platform, &options, number, drawn);
+    ask(platform, access, recorder, Asking { request, prefix: drawn.prefix, doubled: false }).await;
+}
+
+/// Sends requests until `stop` is set.
 pub async fn run_callers<P: Platform, A: Access>(
     platform: P,
     access: A,
@@ -85,10 +107,15 @@
         let pause = options.interval / 2 + platform.jitter(options.interval);
         platform.sleep(pause).await;
         number += 1;
-        let request = make_request(&platform, &options, number);
+        let drawn = Drawn {
+            once: platform.random() % 100 < options.not_repeatable_percent,
+            prefix: platform.random() % options.prefixes.max(1),
+        };
+        let request = make_request(&platform, &options, number, drawn);
         under_way.set(under_way.get() + 1);
         let doubled = request.key.is_some() && platform.random() % 100 < DOUBLED_PERCENT;
-        let task = ask(platform.clone(), access.clone(), recorder.clone(), request, doubled);
+        let asking = Asking { request, prefix: drawn.prefix, doubled };
+        let task = ask(platform.clone(), access.clone(), recorder.clone(), asking);
         let under_way = under_way.clone();
         platform.spawn(async move {
             task.await;
@@ -97,10 +124,9 @@
     }
 }
 
-fn make_request<P: Platform>(platform: &P, options: &CallerOptions, number: u64) -> CallerRequest {
-    let once = platform.random() % 100 < options.not_repeatable_percent;
+fn make_request<P: Platform>(platform: &P, options: &CallerOptions, number: u64, drawn: Drawn) -> CallerRequest {
+    let Drawn { once, prefix } = drawn;
     let keyed = once || platform.random() % 100 < KEYED_PERCENT;
-    let prefix = platform.random() % options.prefixes.max(1);
     let unique = platform.random();
     let prompt = format!("{} prefix {prefix} {} request {number}-{unique:x}", "context ".repeat(40), options.name);
     let lifetime = KEY_LIFETIME.as_millis() as u64;
@@ -128,15 +154,17 @@
     ResendAfter(Duration),
 }
 
-/// Sends one request, resends as told, and records its end. With `doubled` a second copy goes to any relay soon after the
-/// first, as a proxy that repeats what it believes lost would send it; a whole answer to either must be right.
-async fn ask<P: Platform, A: Access>(
-    platform: P,
-    access: A,
-    recorder: Recorder,
+/// A request with how it is sent.
+struct Asking {
     request: CallerRequest,
+    prefix: u64,
     doubled: bool,
-) {
+}
+
+/// Sends one request, resends as told, and records its end. With `doubled` a second copy goes to any relay soon after the
+/// first, as a proxy that repeats what it believes lost would send it; a whole answer to either must be right.
+async fn ask<P: Platform, A: Access>(platform: P, access: A, recorder: Recorder, asking: Asking) {
+    let Asking { request, prefix, doubled } = asking;
     let from = platform.monotonic();
     let from_unix = platform.unix_milliseconds();
     let copy = request.clone();
@@ -171,6 +199,8 @@
         to: platform.unix_milliseconds(),
         tenant: asked.request.tenant.clone(),
         class: asked.request.priority,
+        caller: asked.request.caller.clone(),
+        prefix,
         prompt: asked.request.prompt.clone(),
         repeatable: asked.request.repeatability == Repeatability::Repeatable,
         sends: asked.sends,
