--- a/crates/fleet/src/faults.rs
+++ b/crates/fleet/src/faults.rs
@@ -60,6 +60,9 @@
         FaultKind::BreakStream { place } => {
             engine_fault(&context, place, FaultBody { break_next_stream: true, ..FaultBody::default() }).await
         }
+        FaultKind::LoseChunk { place } => {
+            engine_fault(&context, place, FaultBody { lose_chunk: true, ..FaultBody::default() }).await
+        }
         FaultKind::DuplicateChunks { place } => {
             engine_fault(&context, place, FaultBody { duplicate_chunks: true, ..FaultBody::default() }).await
         }
--- a/crates/scenarios/src/trace.rs
+++ b/crates/scenarios/src/trace.rs
@@ -98,6 +98,11 @@
         /// The engine's place.
         place: u32,
     },
+    /// The engine's next stream loses a chunk out of its middle.
+    LoseChunk {
+        /// The engine's place.
+        place: u32,
+    },
     /// The engine sends chunks twice from now on.
     DuplicateChunks {
         /// The engine's place.
--- a/crates/simulator/src/faults.rs
+++ b/crates/simulator/src/faults.rs
@@ -81,6 +81,9 @@
         FaultKind::BreakStream { place } => {
             set_engine_faults(&cluster, place, EngineFaults { break_next_stream: true, ..EngineFaults::default() });
         }
+        FaultKind::LoseChunk { place } => {
+            set_engine_faults(&cluster, place, EngineFaults { lose_chunk: true, ..EngineFaults::default() });
+        }
         FaultKind::DuplicateChunks { place } => {
             set_engine_faults(&cluster, place, EngineFaults { duplicate_chunks: true, ..EngineFaults::default() });
         }
--- a/crates/standins/src/engine.rs
+++ b/crates/standins/src/engine.rs
@@ -64,6 +64,8 @@
     pub break_next_stream: bool,
     /// Sends every chunk twice.
     pub duplicate_chunks: bool,
+    /// Loses one chunk out of the middle of the next stream.
+    pub lose_chunk: bool,
 }
 
 /// Why a request was not admitted.
@@ -389,6 +391,10 @@
             self.inner.state.borrow_mut().faults.break_next_stream = false;
             return false;
         }
+        if sequence > 0 && faults.lose_chunk && chunk.finish.is_none() {
+            self.inner.state.borrow_mut().faults.lose_chunk = false;
+            return true;
+        }
         if faults.duplicate_chunks && chunk.finish.is_none() && chunks.unbounded_send(chunk.clone()).is_err() {
             return false;
         }
--- a/crates/standins/src/http/engine.rs
+++ b/crates/standins/src/http/engine.rs
@@ -35,6 +35,8 @@
     pub break_next_stream: bool,
     /// See [`EngineFaults::duplicate_chunks`].
     pub duplicate_chunks: bool,
+    /// See [`EngineFaults::lose_chunk`].
+    pub lose_chunk: bool,
 }
 
 impl From<FaultBody> for EngineFaults {
@@ -45,6 +47,7 @@
             refuse: body.refuse,
             break_next_stream: body.break_next_stream,
             duplicate_chunks: body.duplicate_chunks,
+            lose_chunk: body.lose_chunk,
         }
     }
 }
