Bring more failures about; prefer a prefix's engine less; split the leader

The default policy keeps to a prefix's engine only within 0.15 of the least loaded, not 0.25 of the mean.

--- a/crates/control/tests/claims.rs
+++ b/crates/control/tests/claims.rs
@@ -1,43 +1,26 @@
 //! Claims: at most one run under a key, and "not executed" only as a proof.
 
+mod common;
+
+use common::{NOW, join, lose};
 use quickcheck::{Arbitrary, Gen, QuickCheck};
 use saddlerelay_control::commands;
 use saddlerelay_control::state::ControlState;
 use saddlerelay_control::state::claims::MAX_KEY_LIFETIME_MILLISECONDS;
 use saddlerelay_types::claim::{ClaimKey, ClaimOutcome, ClaimRequest, ClaimResult};
-use saddlerelay_types::identity::{BodyDigest, CallerId, IdempotencyKey, Incarnation, TenantId, Zone};
-use saddlerelay_types::membership::RelayDescription;
-use saddlerelay_types::protocol::{ClaimCommand, Command, CommandOutcome, LogCommand, MembershipCommand};
+use saddlerelay_types::identity::{BodyDigest, CallerId, IdempotencyKey, Incarnation, TenantId};
+use saddlerelay_types::protocol::{ClaimCommand, Command, CommandOutcome, LogCommand};
 use saddlerelay_types::request::{Generation, Repeatability};
 
-const NOW: u64 = 1_000_000;
 const EXPIRY: u64 = NOW + 600_000;
 
-fn apply(state: &mut ControlState, time: u64, command: Command) -> CommandOutcome {
-    commands::apply(state, LogCommand { time, command })
-}
-
 fn claim(state: &mut ControlState, time: u64, command: ClaimCommand) -> ClaimOutcome {
-    match apply(state, time, Command::Claim(command)) {
+    match commands::apply(state, LogCommand { time, command: Command::Claim(command) }) {
         CommandOutcome::Claim(outcome) => outcome,
         other => panic!("a claim command brought {other:?}"),
     }
 }
 
-fn join(state: &mut ControlState, incarnation: u64) {
-    let description = RelayDescription {
-        name: format!("relay-{incarnation}"),
-        incarnation: Incarnation(incarnation),
-        zone: Zone::new("surco"),
-        address: ([127, 0, 0, 1], 1).into(),
-    };
-    apply(state, NOW, Command::Membership(MembershipCommand::RelayJoined(description)));
-}
-
-fn lose(state: &mut ControlState, incarnation: u64) {
-    apply(state, NOW, Command::Membership(MembershipCommand::RelayLost(Incarnation(incarnation))));
-}
-
 fn state_with_relays() -> ControlState {
     let mut state = ControlState::default();
     join(&mut state, 1);
--- /dev/null
+++ b/crates/control/tests/common/mod.rs
@@ -0,0 +1,31 @@
+//! Relays that come and go in the replicated state.
+
+use saddlerelay_control::commands;
+use saddlerelay_control::state::ControlState;
+use saddlerelay_types::identity::{Incarnation, Zone};
+use saddlerelay_types::membership::RelayDescription;
+use saddlerelay_types::protocol::{Command, CommandOutcome, LogCommand, MembershipCommand};
+
+/// The leader's clock in these tests, in Unix milliseconds.
+pub const NOW: u64 = 1_000_000;
+
+/// Applies a command at [`NOW`].
+pub fn apply(state: &mut ControlState, command: Command) -> CommandOutcome {
+    commands::apply(state, LogCommand { time: NOW, command })
+}
+
+/// A relay starts.
+pub fn join(state: &mut ControlState, incarnation: u64) {
+    let description = RelayDescription {
+        name: format!("relay-{incarnation}"),
+        incarnation: Incarnation(incarnation),
+        zone: Zone::new("surco"),
+        address: ([127, 0, 0, 1], 1).into(),
+    };
+    apply(state, Command::Membership(MembershipCommand::RelayJoined(description)));
+}
+
+/// A relay is declared lost.
+pub fn lose(state: &mut ControlState, incarnation: u64) {
+    apply(state, Command::Membership(MembershipCommand::RelayLost(Incarnation(incarnation))));
+}
--- a/crates/control/tests/rollouts.rs
+++ b/crates/control/tests/rollouts.rs
@@ -1,28 +1,23 @@
 //! The ledger of samples: each reaches its trainer once, none is too old, whatever is late, lost or sent again.
 
+mod common;
+
+use common::{apply, join, lose};
 use quickcheck::{Arbitrary, Gen, QuickCheck};
-use saddlerelay_control::commands;
 use saddlerelay_control::state::ControlState;
 use saddlerelay_types::configuration::{
     ConfigurationChange, ObjectName, ObjectValue, ParameterName, ParameterValue, Template, Tenant,
 };
 use saddlerelay_types::identity::{
-    DeliveryEpoch, Incarnation, Position, StepNumber, TemplateId, TenantId, WeightVersion, Zone,
-};
-use saddlerelay_types::membership::RelayDescription;
-use saddlerelay_types::protocol::{
-    Command, CommandOutcome, LogCommand, MembershipCommand, RolloutCommand, TrainerRefusal,
+    DeliveryEpoch, Incarnation, Position, StepNumber, TemplateId, TenantId, WeightVersion,
 };
+use saddlerelay_types::protocol::{Command, CommandOutcome, RolloutCommand, TrainerRefusal};
 use saddlerelay_types::request::{FinishReason, Generation, VersionSpan};
 use saddlerelay_types::rollout::{DeliveryBatch, SampleAssignment, SampleId, SamplePayload, StepRequest};
 use std::collections::{BTreeMap, BTreeSet};
 
 const BOUND: u64 = 1;
 
-fn apply(state: &mut ControlState, command: Command) -> CommandOutcome {
-    commands::apply(state, LogCommand { time: 1, command })
-}
-
 fn rollout(state: &mut ControlState, command: RolloutCommand) -> CommandOutcome {
     apply(state, Command::Rollout(command))
 }
@@ -42,16 +37,6 @@
     }
 }
 
-fn join(state: &mut ControlState, incarnation: u64) {
-    let description = RelayDescription {
-        name: format!("relay-{incarnation}"),
-        incarnation: Incarnation(incarnation),
-        zone: Zone::new("surco"),
-        address: ([127, 0, 0, 1], 1).into(),
-    };
-    apply(state, Command::Membership(MembershipCommand::RelayJoined(description)));
-}
-
 fn new_state() -> ControlState {
     let mut state = ControlState::default();
     configure(&mut state, BOUND);
@@ -122,7 +107,7 @@
     open(&mut state, 1);
     open_step(&mut state, 1, 1);
     let late = assign(&mut state, 1, 1, 1).remove(0);
-    apply(&mut state, Command::Membership(MembershipCommand::RelayLost(Incarnation(1))));
+    lose(&mut state, 1);
     let again = assign(&mut state, 2, 1, 1).remove(0);
     assert_eq!(again.sample, late.sample);
     assert!(!complete(&mut state, &late, 0));
@@ -285,8 +270,7 @@
             Step::Complete { .. } => {}
             Step::LoseRelay { relay } => {
                 let place = usize::from(relay);
-                let lost = Incarnation(self.relays[place]);
-                apply(&mut self.state, Command::Membership(MembershipCommand::RelayLost(lost)));
+                lose(&mut self.state, self.relays[place]);
                 self.relays[place] = self.next_relay;
                 self.sequences[place] = 0;
                 join(&mut self.state, self.next_relay);
--- a/crates/fleet/src/faults.rs
+++ b/crates/fleet/src/faults.rs
@@ -38,7 +38,7 @@
 
 /// Whether the fleet can cause this fault. Cuts between zones and full disks are the simulator's.
 pub fn is_possible(kind: &FaultKind) -> bool {
-    !matches!(kind, FaultKind::CutZone { .. } | FaultKind::FullDisk { .. })
+    !matches!(kind, FaultKind::CutZone { .. } | FaultKind::DeafenZone { .. } | FaultKind::FullDisk { .. })
 }
 
 /// Causes one fault and waits until it is over.
@@ -70,7 +70,7 @@
             engine_fault(&context, place, FaultBody { slowness: factor, ..FaultBody::default() }).await
         }
         FaultKind::SetStaleness { tenant, bound } => set_staleness(&context, tenant, bound).await,
-        FaultKind::CutZone { .. } | FaultKind::FullDisk { .. } => Ok(()),
+        FaultKind::CutZone { .. } | FaultKind::DeafenZone { .. } | FaultKind::FullDisk { .. } => Ok(()),
     }
 }
 
--- a/crates/policies/src/prefix_affinity.rs
+++ b/crates/policies/src/prefix_affinity.rs
@@ -8,8 +8,8 @@
 use crate::{Candidate, Policy, RoutingRequest};
 use saddlerelay_types::request::Priority;
 
-/// How far above the mean utilization an engine may be and still be preferred for its cache.
-const LOAD_SLACK: f64 = 0.25;
+/// How far above the least utilization an engine may be and still be preferred for its cache.
+const LOAD_SLACK: f64 = 0.15;
 
 /// Share of the tenant's weight on staleness from which rollouts keep to the newest version.
 const NEWEST_VERSION_SHARE_PERCENT: u32 = 50;
@@ -21,8 +21,8 @@
     fn choose(&self, request: &RoutingRequest<'_>, candidates: &[Candidate], random: u64) -> Option<usize> {
         let allowed = allowed_places(request, candidates);
         let chosen: Vec<Candidate> = allowed.iter().map(|place| candidates[*place].clone()).collect();
-        let mean = chosen.iter().map(Candidate::utilization).sum::<f64>() / chosen.len().max(1) as f64;
-        let limit = mean + LOAD_SLACK;
+        let least = chosen.iter().map(Candidate::utilization).fold(f64::INFINITY, f64::min);
+        let limit = least + LOAD_SLACK;
         let hash = request.prefix_hash();
         let within_limit = (0..chosen.len()).filter(|place| chosen[*place].utilization() < limit);
         let preferred = within_limit.max_by_key(|place| rendezvous_weight(hash, &chosen[*place]));
--- a/crates/replication/src/leader.rs
+++ b/crates/replication/src/leader.rs
@@ -10,7 +10,7 @@
 use futures::{FutureExt, StreamExt, future};
 use saddlerelay_platform::Platform;
 use saddlerelay_types::identity::ReplicaId;
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::pin::pin;
 use std::time::Duration;
@@ -21,24 +21,12 @@
 /// Pause between looks at the membership.
 const MEMBERSHIP_INTERVAL: Duration = Duration::from_millis(200);
 
-/// Pause between looks at whether a snapshot or a repair is due.
-const MAINTENANCE_INTERVAL: Duration = Duration::from_millis(250);
-
 /// Pause between requests to be added to a group.
 const JOIN_INTERVAL: Duration = Duration::from_millis(500);
 
 /// How many entries behind a learner may be when it is made a voter.
 const CAUGHT_UP_ENTRIES: u64 = 64;
 
-/// Pause between looks for a successor that holds the whole log.
-const SUCCESSOR_POLL: Duration = Duration::from_millis(5);
-
-/// How long one successor may take to answer that it takes over.
-const TAKE_OVER_LIMIT: Duration = Duration::from_millis(200);
-
-/// How long a planned stop waits for its successor.
-const HAND_OVER_LIMIT: Duration = Duration::from_secs(3);
-
 impl<P: Platform, S: StateMachine> Replica<P, S> {
     /// Begins to lead `term`.
     pub(crate) async fn lead(&self, term: u64) {
@@ -249,114 +237,6 @@
             }
         }
     }
-
-    /// Hands leadership over before a planned stop. Returns whether this replica no longer leads.
-    pub async fn hand_over(&self) -> bool {
-        let deadline = self.inner.platform.monotonic() + HAND_OVER_LIMIT;
-        self.inner.state.borrow_mut().stopping = true;
-        let mut asked = BTreeSet::new();
-        while self.inner.platform.monotonic() < deadline && self.stop_proposals() {
-            let Some((successor, address, term)) = self.choose_successor(&asked) else {
-                self.inner.platform.sleep(SUCCESSOR_POLL).await;
-                continue;
-            };
-            // Nobody leads meanwhile: one that is slow to answer is passed over.
-            asked.insert(successor);
-            let request = ReplicaRequest::TakeOver { header: self.header(successor, term) };
-            self.send(address, &request, TAKE_OVER_LIMIT).await;
-            self.inner.platform.sleep(self.inner.options.config.heartbeat_interval).await;
-        }
-        self.inner.state.borrow().leadership().is_none()
-    }
-
-    /// Takes no further proposals; `false` when this replica does not lead.
-    fn stop_proposals(&self) -> bool {
-        let mut state = self.inner.state.borrow_mut();
-        let leadership = state.leadership_mut();
-        leadership.map(|leadership| leadership.handing_over = true).is_some()
-    }
-
-    /// A voter that holds the whole log, or it would not be elected: first among those not asked yet, the one heard last.
-    fn choose_successor(&self, asked: &BTreeSet<ReplicaId>) -> Option<(ReplicaId, SocketAddr, u64)> {
-        let state = self.inner.state.borrow();
-        let own = state.identity.id;
-        let term = state.term;
-        let known = state.leadership()?.progress.clone();
-        let last_index = state.log.last_index();
-        let progress = |member: &Member| known.get(&member.id).copied().unwrap_or_default();
-        let others = state.membership().voters().filter(|member| member.id != own);
-        let whole = others.filter(|member| progress(member).matched >= last_index);
-        let best = whole.max_by_key(|member| (!asked.contains(&member.id), progress(member).answered_sent_at))?;
-        Some((best.id, best.address, term))
-    }
-
-    /// Takes snapshots when they are due, and repairs a disk that refused a write once it can be written again.
-    pub(crate) async fn maintain_storage(self) {
-        loop {
-            self.inner.platform.sleep(MAINTENANCE_INTERVAL).await;
-            if self.inner.state.borrow().storage_failed {
-                self.repair_storage().await;
-            } else if self.snapshot_is_due() {
-                self.take_snapshot().await;
-            }
-        }
-    }
-
-    fn snapshot_is_due(&self) -> bool {
-        let state = self.inner.state.borrow();
-        let config = &self.inner.options.config;
-        let entries = state.applied - state.snapshot_index;
-        entries >= config.snapshot_entries || entries > 0 && state.applied_bytes_since_snapshot >= config.snapshot_bytes
-    }
-
-    async fn take_snapshot(&self) {
-        let mut storage = self.inner.storage.lock().await;
-        let snapshot = self.inner.state.borrow().snapshot();
-        if storage.write_snapshot(&snapshot).await.is_err() {
-            self.fail_storage();
-            return;
-        }
-        let (term, voted_for, entries) = {
-            let mut state = self.inner.state.borrow_mut();
-            let keep_from = snapshot.index.saturating_sub(self.inner.options.config.trailing_entries);
-            let base = state.log.base_index().max(keep_from);
-            state.log.compact(base);
-            state.snapshot_index = snapshot.index;
-            state.applied_bytes_since_snapshot = 0;
-            let entries = state.log.entries_from(base + 1, usize::MAX).unwrap_or_default();
-            (state.term, state.voted_for, entries)
-        };
-        if storage.rewrite(term, voted_for, &entries).await.is_err() {
-            self.fail_storage();
-        }
-    }
-
-    /// The disk refused a write: take part in nothing until it is repaired.
-    pub(crate) fn fail_storage(&self) {
-        let mut state = self.inner.state.borrow_mut();
-        state.storage_failed = true;
-        state.become_follower();
-        drop(state);
-        self.inner.changed.notify();
-    }
-
-    /// Rewrites the log with the entries that are known to be on disk.
-    async fn repair_storage(&self) {
-        let mut storage = self.inner.storage.lock().await;
-        let (term, voted_for, entries, synced) = {
-            let state = self.inner.state.borrow();
-            let synced = state.synced;
-            let held = state.log.entries_from(state.log.base_index() + 1, usize::MAX).unwrap_or_default();
-            let kept = held.into_iter().filter(|entry| entry.index <= synced).collect::<Vec<_>>();
-            (state.term, state.voted_for, kept, synced)
-        };
-        if storage.rewrite(term, voted_for, &entries).await.is_err() {
-            return;
-        }
-        let mut state = self.inner.state.borrow_mut();
-        state.log.truncate(synced);
-        state.storage_failed = false;
-    }
 }
 
 /// Gives every member progress, starting at the end of the log; returns the peers that had none.
--- a/crates/replication/src/lib.rs
+++ b/crates/replication/src/lib.rs
@@ -7,8 +7,10 @@
 pub mod config;
 mod election;
 mod follower;
+mod handover;
 mod leader;
 pub mod log;
+mod maintenance;
 pub mod membership;
 pub mod message;
 mod replica;
--- /dev/null
+++ b/crates/replication/src/maintenance.rs
@@ -0,0 +1,79 @@
+//! Snapshots, and the repair of a disk that refused a write.
+
+use crate::replica::Replica;
+use crate::state::StateMachine;
+use saddlerelay_platform::Platform;
+use std::time::Duration;
+
+/// Pause between looks at whether a snapshot or a repair is due.
+const MAINTENANCE_INTERVAL: Duration = Duration::from_millis(250);
+
+impl<P: Platform, S: StateMachine> Replica<P, S> {
+    /// Takes snapshots when they are due, and repairs a disk that refused a write once it can be written again.
+    pub(crate) async fn maintain_storage(self) {
+        loop {
+            self.inner.platform.sleep(MAINTENANCE_INTERVAL).await;
+            if self.inner.state.borrow().storage_failed {
+                self.repair_storage().await;
+            } else if self.snapshot_is_due() {
+                self.take_snapshot().await;
+            }
+        }
+    }
+
+    fn snapshot_is_due(&self) -> bool {
+        let state = self.inner.state.borrow();
+        let config = &self.inner.options.config;
+        let entries = state.applied - state.snapshot_index;
+        entries >= config.snapshot_entries || entries > 0 && state.applied_bytes_since_snapshot >= config.snapshot_bytes
+    }
+
+    async fn take_snapshot(&self) {
+        let mut storage = self.inner.storage.lock().await;
+        let snapshot = self.inner.state.borrow().snapshot();
+        if storage.write_snapshot(&snapshot).await.is_err() {
+            self.fail_storage();
+            return;
+        }
+        let (term, voted_for, entries) = {
+            let mut state = self.inner.state.borrow_mut();
+            let keep_from = snapshot.index.saturating_sub(self.inner.options.config.trailing_entries);
+            let base = state.log.base_index().max(keep_from);
+            state.log.compact(base);
+            state.snapshot_index = snapshot.index;
+            state.applied_bytes_since_snapshot = 0;
+            let entries = state.log.entries_from(base + 1, usize::MAX).unwrap_or_default();
+            (state.term, state.voted_for, entries)
+        };
+        if storage.rewrite(term, voted_for, &entries).await.is_err() {
+            self.fail_storage();
+        }
+    }
+
+    /// The disk refused a write: take part in nothing until it is repaired.
+    pub(crate) fn fail_storage(&self) {
+        let mut state = self.inner.state.borrow_mut();
+        state.storage_failed = true;
+        state.become_follower();
+        drop(state);
+        self.inner.changed.notify();
+    }
+
+    /// Rewrites the log with the entries that are known to be on disk.
+    async fn repair_storage(&self) {
+        let mut storage = self.inner.storage.lock().await;
+        let (term, voted_for, entries, synced) = {
+            let state = self.inner.state.borrow();
+            let synced = state.synced;
+            let held = state.log.entries_from(state.log.base_index() + 1, usize::MAX).unwrap_or_default();
+            let kept = held.into_iter().filter(|entry| entry.index <= synced).collect::<Vec<_>>();
+            (state.term, state.voted_for, kept, synced)
+        };
+        if storage.rewrite(term, voted_for, &entries).await.is_err() {
+            return;
+        }
+        let mut state = self.inner.state.borrow_mut();
+        state.log.truncate(synced);
+        state.storage_failed = false;
+    }
+}
--- a/crates/scenarios/src/builtin.rs
+++ b/crates/scenarios/src/builtin.rs
@@ -10,6 +10,7 @@
     include_str!("../../../traces/leader-cut.toml"),
     include_str!("../../../traces/lagging-candidates.toml"),
     include_str!("../../../traces/zone-cut-one-way.toml"),
+    include_str!("../../../traces/zone-deaf.toml"),
     include_str!("../../../traces/zones-cut-in-turn.toml"),
     include_str!("../../../traces/control-disk-lost.toml"),
     include_str!("../../../traces/quorum-restart.toml"),
--- a/crates/scenarios/src/trace.rs
+++ b/crates/scenarios/src/trace.rs
@@ -71,6 +71,13 @@
         /// Whether what the zone is sent still arrives.
         one_way: bool,
     },
+    /// A zone hears nothing from the others, which still hear it.
+    DeafenZone {
+        /// The zone's place.
+        zone: u32,
+        /// For how long.
+        for_ms: u64,
+    },
     /// A process is asked to stop in an orderly way and starts again.
     PlannedStop {
         /// Who.
--- a/crates/simulator/src/faults.rs
+++ b/crates/simulator/src/faults.rs
@@ -51,6 +51,11 @@
             sleep(for_ms).await;
             cluster.world.network.heal(zone as usize);
         }
+        FaultKind::DeafenZone { zone, for_ms } => {
+            cluster.world.network.deafen(zone as usize);
+            sleep(for_ms).await;
+            cluster.world.network.heal(zone as usize);
+        }
         FaultKind::FullDisk { target, for_ms } => {
             if let Some((name, _)) = find(&cluster, &target) {
                 cluster.world.disks.set_full(&name, true);
@@ -213,7 +218,7 @@
     let relay = Target::Relay { place: random.u32(..deployment.relays) };
     let engine_place = random.u32(..cluster.engines.len() as u32);
     let engine = Target::Engine { place: engine_place };
-    match random.u32(..18) {
+    match random.u32(..19) {
         0 => FaultKind::Crash { target: Target::Leader, restart_after_ms: length },
         1 => FaultKind::Crash { target: control, restart_after_ms: length },
         2 => FaultKind::Crash { target: relay, restart_after_ms: length },
@@ -233,6 +238,7 @@
         13 => FaultKind::BreakStream { place: engine_place },
         14 => FaultKind::DuplicateChunks { place: engine_place },
         15 => FaultKind::SlowEngine { place: engine_place, factor: 4 },
+        17 => FaultKind::DeafenZone { zone: random.u32(..deployment.zones.len() as u32), for_ms: length },
         16 => FaultKind::FullDisk { target: control, for_ms: length },
         _ => FaultKind::PlannedStop { target: relay, restart_after_ms: length },
     }
--- a/crates/simulator/src/network.rs
+++ b/crates/simulator/src/network.rs
@@ -74,6 +74,12 @@
         }
     }
 
+    /// Cuts off what a zone is sent from the other zones.
+    pub fn deafen(&self, zone: usize) {
+        let others = (0..self.zones.get()).filter(|other| *other != zone);
+        self.cuts.borrow_mut().extend(others.map(|other| (other, zone)));
+    }
+
     /// Heals every cut of a zone; what was held back arrives.
     pub fn heal(&self, zone: usize) {
         self.cuts.borrow_mut().retain(|(from, to)| *from != zone && *to != zone);
