Check what was told of each send of a request without a key

The request had no key; two earlier sends had run and been lost in frozen relays, the twelfth was refused, truthfully, before anything of it ran. The check took all sends for one request. Ruled out: a fault of the relays: without a key nobody can tell a resend from another request, and the answer is about its own send. Change: each send without a key has a prompt of its own, and what was told of every send is checked of that send; before, only the last answer was. That is stricter: an earlier "not executed" that was wrong went unseen.

--- a/crates/checker/src/check.rs
+++ b/crates/checker/src/check.rs
@@ -65,6 +65,7 @@
         | Record::EngineStarted { at, .. }
         | Record::Swap { at, .. }
         | Record::ServedUnconfirmed { at, .. }
+        | Record::ToldNotExecuted { at, .. }
         | Record::StepOpened { at, .. }
         | Record::SampleReceived { at, .. }
         | Record::Trained { at, .. }
@@ -101,6 +102,9 @@
                 let ran = executions.get(prompt.as_str()).copied().unwrap_or(0);
                 check_caller(prompt, *repeatable, ran, result, report);
             }
+            Record::ToldNotExecuted { prompt, .. } => {
+                check_not_executed(prompt, executions.get(prompt.as_str()).copied().unwrap_or(0), report);
+            }
             Record::ServedUnconfirmed { engine, .. } => {
                 violate(report, Promise::SampleVersions, format!("{engine} admitted work with no confirmed version"));
             }
@@ -130,8 +134,8 @@
         }
         CallerResult::Failed { outcome, code, told_when } => {
             count_failure(*outcome, &mut report.counts);
-            if *outcome == ExecutionOutcome::NotExecuted && ran > 0 {
-                violate(report, Promise::NotExecuted, format!("{prompt}: told not executed, ran {ran} times"));
+            if *outcome == ExecutionOutcome::NotExecuted {
+                check_not_executed(prompt, ran, report);
             }
             if should_tell_when(*code) && !told_when {
                 violate(report, Promise::RetryAfter, format!("{prompt}: refused with {code:?}, not told when"));
@@ -141,6 +145,12 @@
     }
 }
 
+fn check_not_executed(prompt: &str, ran: u64, report: &mut Report) {
+    if ran > 0 {
+        violate(report, Promise::NotExecuted, format!("{prompt}: told not executed, ran {ran} times"));
+    }
+}
+
 fn should_tell_when(code: FailureCode) -> bool {
     matches!(
         code,
--- a/crates/checker/src/record.rs
+++ b/crates/checker/src/record.rs
@@ -106,6 +106,13 @@
         /// How it ended.
         result: CallerResult,
     },
+    /// A caller was told that one send of its request did not run, and sends it again as another request.
+    ToldNotExecuted {
+        /// When.
+        at: u64,
+        /// The prompt of that send.
+        prompt: String,
+    },
     /// A trainer opened a step.
     StepOpened {
         /// When.
--- a/crates/checker/tests/check.rs
+++ b/crates/checker/tests/check.rs
@@ -144,6 +144,16 @@
     assert_eq!(promises(&[caller("a", true, told)]), []);
 }
 
+/// Each send of a request without a key is a request of its own: what was said of one is checked of that one.
+#[test]
+fn one_send_was_told_not_executed_but_ran() {
+    let told = Record::ToldNotExecuted { at: 150, prompt: "a".to_string() };
+    let resent = [execution(180, "a send 2"), caller("a send 2", true, answered())];
+    assert_eq!(promises(&[vec![told.clone()], resent.to_vec()].concat()), []);
+    let ran = [vec![told, execution(110, "a")], resent.to_vec()].concat();
+    assert_eq!(promises(&ran), [Promise::NotExecuted]);
+}
+
 /// The engine runs it long after the caller was told: the proof must hold for ever.
 #[test]
 fn told_not_executed_and_ran_afterwards() {
--- a/crates/standins/src/callers.rs
+++ b/crates/standins/src/callers.rs
@@ -174,10 +174,22 @@
             let answer = send(&platform, &access, &asked.request).await;
             asked.sends += 1;
             asked.broken += u32::from(answer == CallerAnswer::Lost);
+            let told_not_executed = matches!(
+                &answer,
+                CallerAnswer::Failed(failure) if failure.outcome == ExecutionOutcome::NotExecuted
+            );
             match next(&platform, &mut asked, answer) {
                 Next::End(result) => break result,
                 Next::ResendAfter(pause) => platform.sleep(pause).await,
             }
+            if asked.request.key.is_none() {
+                if told_not_executed {
+                    let (at, prompt) = (platform.unix_milliseconds(), asked.request.prompt.clone());
+                    recorder.record(Record::ToldNotExecuted { at, prompt });
+                }
+                // Without a key nobody can tell a resend from another request: each send has a prompt of its own.
+                asked.request.prompt = format!("{} send {}", copy.prompt, asked.sends + 1);
+            }
         }
     };
     let second = async {
