Say what a commit may change in one place

Cause: reading the control node as a newcomer: a commit worked out three flags of its own to know whom to wake, and two functions told the waiting. `admin trainer` of one that never opened answered "no such path". Change: `Effects` says for each command what it may change that somebody waits for. The administration API names a trainer that never opened.

--- a/crates/api/src/queries/control.rs
+++ b/crates/api/src/queries/control.rs
@@ -121,7 +121,7 @@
 pub async fn trainer<P: Platform, B: Backends>(api: &ControlApi<P, B>, tenant: TenantId) -> Reply {
     match query(api, Query::Trainer(tenant)).await {
         Ok(QueryAnswer::Trainer(Some(trainer))) => json(StatusCode::OK, &trainer),
-        Ok(_) => not_found(),
+        Ok(_) => error_reply(StatusCode::NOT_FOUND, "not_open", "the tenant's trainer has never opened", 0),
         Err(reply) => reply,
     }
 }
--- a/crates/control/src/node.rs
+++ b/crates/control/src/node.rs
@@ -96,35 +96,26 @@
         self.inner.replica.read(|machine| read(machine.state()))
     }
 
-    /// Commits a command with this machine's clock.
+    /// Commits a command with this machine's clock, and wakes whoever waits for what it may have changed.
     pub(crate) async fn commit(&self, command: Command) -> Result<CommandOutcome, ProposeError> {
         let time = self.inner.platform.unix_milliseconds();
-        let may_be_news = may_be_news(&command);
-        let is_publication = matches!(command, Command::Rollout(RolloutCommand::Publish { .. }));
-        let may_move_samples = matches!(
-            command,
-            Command::Rollout(_)
-                | Command::Membership(MembershipCommand::RelayLost(_) | MembershipCommand::RelayJoined(_))
-        );
+        let effects = Effects::of(&command);
         let outcome = self.inner.replica.propose(bitcode::encode(&LogCommand { time, command })).await;
-        if may_be_news {
+        self.wake_waiting(effects);
+        outcome
+    }
+
+    fn wake_waiting(&self, effects: Effects) {
+        if effects.news {
             self.inner.news.notify();
         }
-        if is_publication {
+        if effects.publication {
             self.inner.published.notify();
         }
-        if may_move_samples {
-            self.tell_waiting();
-        }
-        outcome
-    }
-
-    /// Wakes relays and trainers whose questions for samples are kept open, where there is something for them.
-    fn tell_waiting(&self) {
-        if self.read(rollouts::samples_are_pending) == Some(true) {
+        if effects.samples && self.read(rollouts::samples_are_pending) == Some(true) {
             self.inner.samples_pending.notify();
         }
-        if self.read(rollouts::samples_are_ready) == Some(true) {
+        if effects.samples && self.read(rollouts::samples_are_ready) == Some(true) {
             self.inner.samples_ready.notify();
         }
     }
@@ -272,13 +263,29 @@
     }
 }
 
-/// Whether a command may change what relays act on.
-fn may_be_news(command: &Command) -> bool {
-    match command {
-        Command::Configuration(_) => true,
-        Command::Membership(change) => !matches!(change, MembershipCommand::DrawFence),
-        Command::Rollout(change) => matches!(change, RolloutCommand::Publish { .. }),
-        Command::Claim(_) => false,
+/// What a command may change that somebody waits for.
+#[derive(Clone, Copy, Debug)]
+struct Effects {
+    /// What relays act on.
+    news: bool,
+    /// The version that engines should run.
+    publication: bool,
+    /// Which samples wait for a relay or for their trainer.
+    samples: bool,
+}
+
+impl Effects {
+    fn of(command: &Command) -> Self {
+        let publication = matches!(command, Command::Rollout(RolloutCommand::Publish { .. }));
+        let (news, samples) = match command {
+            Command::Configuration(_) => (true, false),
+            Command::Membership(MembershipCommand::DrawFence) => (false, false),
+            Command::Membership(MembershipCommand::RelayLost(_) | MembershipCommand::RelayJoined(_)) => (true, true),
+            Command::Membership(_) => (true, false),
+            Command::Rollout(_) => (publication, true),
+            Command::Claim(_) => (false, false),
+        };
+        Self { news, publication, samples }
     }
 }
 
