Set a fleet's deployment up in one place; drop what nothing uses

Cause: reading the whole change again. Change: configure() serves all three; the rest is removed. Behaviour is the same.

--- a/crates/control/src/tasks/relays.rs
+++ b/crates/control/src/tasks/relays.rs
@@ -43,12 +43,6 @@
         state.members.relays().iter().filter_map(view).collect()
     }
 
-    /// The oldest revision that a relay with a live lease acts on.
-    pub fn oldest_revision(&self, now: Duration, lease: Duration) -> Option<Revision> {
-        let live = self.renewals.values().filter(|renewal| now < renewal.at + lease);
-        live.map(|renewal| renewal.revision).min()
-    }
-
     /// Forgets relays that are gone and starts the silence of those not heard in this term.
     fn follow(&mut self, term: u64, relays: &[Incarnation], now: Duration) {
         if self.term != term {
--- a/crates/fleet/src/bench.rs
+++ b/crates/fleet/src/bench.rs
@@ -4,7 +4,7 @@
 use crate::deploy::Plan;
 use crate::launch::Fleet;
 use crate::process::own_executable;
-use crate::run::{new_operator, run_folder, wait_until_in_force};
+use crate::run::{configure, new_operator, run_folder};
 use anyhow::{Context, Result, ensure};
 use futures::StreamExt;
 use hdrhistogram::Histogram;
@@ -60,10 +60,7 @@
     let fleet = Fleet::start(Plan::new(fast_engines(), &own_executable()?, folder, "")?).await?;
     let platform = CompioPlatform::new(folder.to_path_buf());
     let operator = new_operator(&fleet, &platform, &Recorder::new(drop), "bench");
-    for tenant in &fleet.plan.deployment.tenants {
-        operator.set_up(&tenant.id, tenant.values()).await;
-    }
-    wait_until_in_force(&fleet).await?;
+    configure(&fleet, &operator).await?;
     let engine = fleet.plan.engines[0].clone();
     let backends = HttpBackends::new(BackendAddresses { scorer: None, platform: None })?;
     let access = fleet.access();
--- a/crates/fleet/src/run.rs
+++ b/crates/fleet/src/run.rs
@@ -104,10 +104,7 @@
     let recorder = Recorder::new(move |record| sink.borrow_mut().push(record));
     let operator = |name| new_operator(&fleet, &platform, &recorder, name);
     let (first, second) = (operator("first"), operator("second"));
-    for tenant in &fleet.plan.deployment.tenants {
-        first.set_up(&tenant.id, tenant.values()).await;
-    }
-    wait_until_in_force(&fleet).await?;
+    configure(&fleet, &first).await?;
     let stop = Rc::new(Cell::new(false));
     let access = fleet.access();
     let probes = probe_relays(platform.clone(), access, recorder.clone(), PROBE_INTERVAL, stop.clone());
@@ -156,8 +153,16 @@
     Operator { platform, access, recorder, name: name.to_string() }
 }
 
+/// Puts the deployment's tenants, and waits until they are in force on every relay.
+pub async fn configure(fleet: &Fleet, operator: &Operator<CompioPlatform, HttpAccess>) -> Result<()> {
+    for tenant in &fleet.plan.deployment.tenants {
+        operator.set_up(&tenant.id, tenant.values()).await;
+    }
+    wait_until_in_force(fleet).await
+}
+
 /// Waits until every relay serves every tenant's model.
-pub async fn wait_until_in_force(fleet: &Fleet) -> Result<()> {
+async fn wait_until_in_force(fleet: &Fleet) -> Result<()> {
     let access = fleet.access();
     let wanted: Vec<_> = fleet.plan.deployment.tenants.iter().map(|tenant| tenant.model.clone()).collect();
     for relay in 0..access.relays() {
--- a/crates/fleet/src/up.rs
+++ b/crates/fleet/src/up.rs
@@ -3,7 +3,7 @@
 use crate::deploy::{OPERATOR_TOKEN, Plan};
 use crate::launch::Fleet;
 use crate::process::own_executable;
-use crate::run::{new_operator, run_folder, wait_until_in_force};
+use crate::run::{configure, new_operator, run_folder};
 use anyhow::{Context, Result};
 use saddlerelay_platform_compio::CompioPlatform;
 use saddlerelay_scenarios::deployment::Deployment;
@@ -18,10 +18,7 @@
     let fleet = Fleet::start(Plan::new(deployment, &own_executable()?, &folder, "")?).await?;
     let platform = CompioPlatform::new(folder.clone());
     let operator = new_operator(&fleet, &platform, &Recorder::new(drop), "setup");
-    for tenant in &fleet.plan.deployment.tenants {
-        operator.set_up(&tenant.id, tenant.values()).await;
-    }
-    wait_until_in_force(&fleet).await?;
+    configure(&fleet, &operator).await?;
     print!("{}", description(&fleet, &folder));
     compio::signal::unix::signal(SIGINT).await.context("cannot wait for Ctrl-C")?;
     drop(fleet);
