--- a/crates/api/src/commands/callers.rs
+++ b/crates/api/src/commands/callers.rs
@@ -13,8 +13,8 @@
 use hyper::{HeaderMap, StatusCode};
 use saddlerelay_http::body::{Reply, json, parse_json, parts, read_whole};
 use saddlerelay_http::sse;
-use saddlerelay_platform::Platform;
-use saddlerelay_platform::backend::Backends;
+use saddlerelay_runtime::Runtime;
+use saddlerelay_runtime::backend::Backends;
 use saddlerelay_types::identity::{IdempotencyKey, ModelName};
 use saddlerelay_types::request::{
     AnswerPart, CallerRequest, ExecutionOutcome, FailureCode, FinishReason, Generation, Priority, Repeatability,
@@ -43,7 +43,7 @@
 }
 
 /// `POST /v1/chat/completions`.
-pub async fn chat<P: Platform, B: Backends>(api: &RelayApi<P, B>, head: &Parts, body: Incoming) -> Reply {
+pub async fn chat<P: Runtime, B: Backends>(api: &RelayApi<P, B>, head: &Parts, body: Incoming) -> Reply {
     let bytes = match read_whole(body).await {
         Ok(bytes) => bytes,
         Err(error) => return body_error_reply(&error),
@@ -66,7 +66,7 @@
 }
 
 /// `POST /v1/completions`.
-pub async fn completion<P: Platform, B: Backends>(api: &RelayApi<P, B>, head: &Parts, body: Incoming) -> Reply {
+pub async fn completion<P: Runtime, B: Backends>(api: &RelayApi<P, B>, head: &Parts, body: Incoming) -> Reply {
     let bytes = match read_whole(body).await {
         Ok(bytes) => bytes,
         Err(error) => return body_error_reply(&error),
@@ -88,7 +88,7 @@
     }
 }
 
-async fn serve<P: Platform, B: Backends>(api: &RelayApi<P, B>, headers: &HeaderMap, asked: Asked) -> Reply {
+async fn serve<P: Runtime, B: Backends>(api: &RelayApi<P, B>, headers: &HeaderMap, asked: Asked) -> Reply {
     let credentials = match check_credentials(api, headers) {
         Ok(credentials) => credentials,
         Err(refusal) => return *refusal,
@@ -114,7 +114,7 @@
 }
 
 /// Who asks, if the tenant's secret allows it. An unknown tenant is left for the relay to refuse.
-pub fn check_credentials<P: Platform, B: Backends>(
+pub fn check_credentials<P: Runtime, B: Backends>(
     api: &RelayApi<P, B>,
     headers: &HeaderMap,
 ) -> Result<CallerCredentials, Refusal> {
@@ -129,7 +129,7 @@
     }
 }
 
-fn caller_request<P: Platform, B: Backends>(
+fn caller_request<P: Runtime, B: Backends>(
     api: &RelayApi<P, B>,
     headers: &HeaderMap,
     credentials: CallerCredentials,
@@ -160,7 +160,7 @@
 }
 
 /// A keyed resend must be the same request, so its seed is fixed when none is given.
-fn default_seed<P: Platform, B: Backends>(api: &RelayApi<P, B>, keyed: bool) -> u64 {
+fn default_seed<P: Runtime, B: Backends>(api: &RelayApi<P, B>, keyed: bool) -> u64 {
     if keyed { 0 } else { api.platform.random() }
 }
 
@@ -255,7 +255,7 @@
 }
 
 /// Waits for the first part, so that an early failure still has its status, and then streams.
-async fn streamed<P: Platform, B: Backends>(
+async fn streamed<P: Runtime, B: Backends>(
     head: AnswerHead,
     mut answer: mpsc::UnboundedReceiver<AnswerPart>,
     api: &RelayApi<P, B>,
--- a/crates/api/src/commands/control.rs
+++ b/crates/api/src/commands/control.rs
@@ -9,8 +9,8 @@
 use hyper::http::request::Parts;
 use hyper::{HeaderMap, StatusCode};
 use saddlerelay_http::body::{Reply, json, parse_json, read_whole};
-use saddlerelay_platform::Platform;
-use saddlerelay_platform::backend::Backends;
+use saddlerelay_runtime::Runtime;
+use saddlerelay_runtime::backend::Backends;
 use saddlerelay_types::configuration::{
     ConfigurationChange, ConfigurationOutcome, ObjectName, ObjectValue, ParameterError,
 };
@@ -36,7 +36,7 @@
 }
 
 /// `PUT /admin/v1/templates/ID` and `/admin/v1/tenants/ID`.
-pub async fn put_object<P: Platform, B: Backends>(
+pub async fn put_object<P: Runtime, B: Backends>(
     api: &ControlApi<P, B>,
     head: &Parts,
     name: ObjectName,
@@ -57,11 +57,11 @@
 }
 
 /// `DELETE /admin/v1/templates/ID` and `/admin/v1/tenants/ID`.
-pub async fn delete_object<P: Platform, B: Backends>(api: &ControlApi<P, B>, head: &Parts, name: ObjectName) -> Reply {
+pub async fn delete_object<P: Runtime, B: Backends>(api: &ControlApi<P, B>, head: &Parts, name: ObjectName) -> Reply {
     change(api, head, name, None).await
 }
 
-async fn change<P: Platform, B: Backends>(
+async fn change<P: Runtime, B: Backends>(
     api: &ControlApi<P, B>,
     head: &Parts,
     name: ObjectName,
@@ -123,7 +123,7 @@
 }
 
 /// `POST /admin/v1/engines/ID/drain`: the engine gets no new work until it starts anew.
-pub async fn drain_engine<P: Platform, B: Backends>(api: &ControlApi<P, B>, id: EngineId) -> Reply {
+pub async fn drain_engine<P: Runtime, B: Backends>(api: &ControlApi<P, B>, id: EngineId) -> Reply {
     let engines = match api.client.query(Query::Engines, CHANGE_LIMIT).await {
         Ok(QueryAnswer::Engines(engines)) => engines,
         Ok(_) => return not_found(),
@@ -146,7 +146,7 @@
 }
 
 /// `POST /admin/v1/initialize`: forms a new group of this process's replica alone.
-pub async fn initialize<P: Platform, B: Backends>(api: &ControlApi<P, B>) -> Reply {
+pub async fn initialize<P: Runtime, B: Backends>(api: &ControlApi<P, B>) -> Reply {
     match api.node.replica().initialize().await {
         Ok(true) => json(StatusCode::OK, &"initialized"),
         Ok(false) => {
@@ -158,7 +158,7 @@
 }
 
 /// `POST /admin/v1/dump-log`: writes the log ring to the data folder.
-pub fn dump_log<P: Platform, B: Backends>(api: &ControlApi<P, B>) -> Reply {
+pub fn dump_log<P: Runtime, B: Backends>(api: &ControlApi<P, B>) -> Reply {
     match api.log.as_ref().map(|log| log.write_out()) {
         Some(Ok(path)) => json(StatusCode::OK, &path.display().to_string()),
         Some(Err(error)) => error_reply(StatusCode::INTERNAL_SERVER_ERROR, "storage", error.to_string(), 0),
--- a/crates/api/src/commands/trainers.rs
+++ b/crates/api/src/commands/trainers.rs
@@ -8,9 +8,9 @@
 use hyper::body::Incoming;
 use hyper::http::request::Parts;
 use saddlerelay_http::body::{Reply, json, parse_json, read_whole};
-use saddlerelay_platform::Platform;
-use saddlerelay_platform::backend::Backends;
 use saddlerelay_relay::commands::trainers::TrainerError;
+use saddlerelay_runtime::Runtime;
+use saddlerelay_runtime::backend::Backends;
 use saddlerelay_types::identity::{Incarnation, Position, TenantId};
 use serde::Serialize;
 use serde::de::DeserializeOwned;
@@ -22,7 +22,7 @@
 const DEFAULT_FETCH_LIMIT: u32 = 64;
 
 /// The tenant of the path, if the caller's credentials are its.
-fn authorize<P: Platform, B: Backends>(api: &RelayApi<P, B>, head: &Parts, tenant: &str) -> Result<TenantId, Refusal> {
+fn authorize<P: Runtime, B: Backends>(api: &RelayApi<P, B>, head: &Parts, tenant: &str) -> Result<TenantId, Refusal> {
     let credentials = check_credentials(api, &head.headers)?;
     if credentials.tenant.as_str() != tenant {
         let message = "the credentials are another tenant's";
@@ -51,7 +51,7 @@
 }
 
 /// `POST /v1/trainers/TENANT/open`.
-pub async fn open<P: Platform, B: Backends>(api: &RelayApi<P, B>, head: &Parts, tenant: &str, body: Incoming) -> Reply {
+pub async fn open<P: Runtime, B: Backends>(api: &RelayApi<P, B>, head: &Parts, tenant: &str, body: Incoming) -> Reply {
     let opened = async {
         let tenant = authorize(api, head, tenant)?;
         let body: OpenTrainerBody = read(body).await?;
@@ -61,7 +61,7 @@
 }
 
 /// `POST /v1/trainers/TENANT/steps`.
-pub async fn open_step<P: Platform, B: Backends>(
+pub async fn open_step<P: Runtime, B: Backends>(
     api: &RelayApi<P, B>,
     head: &Parts,
     tenant: &str,
@@ -76,7 +76,7 @@
 }
 
 /// `POST /v1/trainers/TENANT/versions`.
-pub async fn publish<P: Platform, B: Backends>(
+pub async fn publish<P: Runtime, B: Backends>(
     api: &RelayApi<P, B>,
     head: &Parts,
     tenant: &str,
@@ -91,7 +91,7 @@
 }
 
 /// `GET /v1/trainers/TENANT/samples?incarnation=I&cursor=C&limit=L`.
-pub async fn fetch<P: Platform, B: Backends>(api: &RelayApi<P, B>, head: &Parts, tenant: &str) -> Reply {
+pub async fn fetch<P: Runtime, B: Backends>(api: &RelayApi<P, B>, head: &Parts, tenant: &str) -> Reply {
     let fetched = async {
         let tenant = authorize(api, head, tenant)?;
         let query = head.uri.query().unwrap_or_default();
--- a/crates/api/src/control.rs
+++ b/crates/api/src/control.rs
@@ -10,8 +10,8 @@
 use saddlerelay_control_client::ControlClient;
 use saddlerelay_http::body::Reply;
 use saddlerelay_http::server::HttpHandler;
-use saddlerelay_platform::Platform;
-use saddlerelay_platform::backend::Backends;
+use saddlerelay_runtime::Runtime;
+use saddlerelay_runtime::backend::Backends;
 use saddlerelay_telemetry::ring::RingSink;
 use saddlerelay_types::configuration::ObjectName;
 use saddlerelay_types::identity::{EngineId, TemplateId, TenantId};
@@ -20,7 +20,7 @@
 use std::sync::Arc;
 
 /// The HTTP face of a control process.
-pub struct ControlApi<P: Platform, B: Backends> {
+pub struct ControlApi<P: Runtime, B: Backends> {
     /// The process's own replica.
     pub node: ControlNode<P, B>,
     /// A client of the whole group.
@@ -35,7 +35,7 @@
     pub log: Option<Arc<RingSink>>,
 }
 
-impl<P: Platform, B: Backends> HttpHandler for ControlApi<P, B> {
+impl<P: Runtime, B: Backends> HttpHandler for ControlApi<P, B> {
     async fn handle(self: Rc<Self>, request: Request<Incoming>) -> Reply {
         let (head, body) = request.into_parts();
         let path = head.uri.path().to_string();
@@ -61,7 +61,7 @@
     }
 }
 
-impl<P: Platform, B: Backends> ControlApi<P, B> {
+impl<P: Runtime, B: Backends> ControlApi<P, B> {
     async fn administer(&self, head: &hyper::http::request::Parts, path: &[&str], body: Incoming) -> Reply {
         if let Some(name) = object_name(path) {
             return match head.method {
--- a/crates/api/src/queries/control.rs
+++ b/crates/api/src/queries/control.rs
@@ -6,8 +6,8 @@
 use hyper::header::{ETAG, HeaderValue};
 use saddlerelay_control_client::ControlError;
 use saddlerelay_http::body::{Reply, json, whole};
-use saddlerelay_platform::Platform;
-use saddlerelay_platform::backend::Backends;
+use saddlerelay_runtime::Runtime;
+use saddlerelay_runtime::backend::Backends;
 use saddlerelay_telemetry::metrics::{CONTENT_TYPE, MetricSet};
 use saddlerelay_types::configuration::{ObjectName, ObjectState};
 use saddlerelay_types::identity::{Revision, TenantId};
@@ -64,12 +64,12 @@
     reply
 }
 
-async fn query<P: Platform, B: Backends>(api: &ControlApi<P, B>, query: Query) -> Result<QueryAnswer, Reply> {
+async fn query<P: Runtime, B: Backends>(api: &ControlApi<P, B>, query: Query) -> Result<QueryAnswer, Reply> {
     api.client.query(query, QUERY_LIMIT).await.map_err(|error| control_error(&error))
 }
 
 /// `GET /admin/v1/templates/ID` and `/admin/v1/tenants/ID`.
-pub async fn object<P: Platform, B: Backends>(api: &ControlApi<P, B>, name: ObjectName) -> Reply {
+pub async fn object<P: Runtime, B: Backends>(api: &ControlApi<P, B>, name: ObjectName) -> Reply {
     match query(api, Query::Object(name)).await {
         Ok(QueryAnswer::Object(Some(state))) if state.value.is_some() => object_reply(StatusCode::OK, &state),
         Ok(_) => not_found(),
@@ -78,7 +78,7 @@
 }
 
 /// `GET /admin/v1/configuration`.
-pub async fn objects<P: Platform, B: Backends>(api: &ControlApi<P, B>) -> Reply {
+pub async fn objects<P: Runtime, B: Backends>(api: &ControlApi<P, B>) -> Reply {
     match query(api, Query::Objects).await {
         Ok(QueryAnswer::Objects(revision, objects)) => json(StatusCode::OK, &ObjectsBody { revision, objects }),
         Ok(_) => not_found(),
@@ -87,7 +87,7 @@
 }
 
 /// `GET /admin/v1/engines`.
-pub async fn engines<P: Platform, B: Backends>(api: &ControlApi<P, B>) -> Reply {
+pub async fn engines<P: Runtime, B: Backends>(api: &ControlApi<P, B>) -> Reply {
     match query(api, Query::Engines).await {
         Ok(QueryAnswer::Engines(engines)) => json(StatusCode::OK, &engines),
         Ok(_) => not_found(),
@@ -96,7 +96,7 @@
 }
 
 /// `GET /admin/v1/relays`.
-pub async fn relays<P: Platform, B: Backends>(api: &ControlApi<P, B>) -> Reply {
+pub async fn relays<P: Runtime, B: Backends>(api: &ControlApi<P, B>) -> Reply {
     match query(api, Query::Relays).await {
         Ok(QueryAnswer::Relays(revision, relays)) => {
             let oldest = relays.iter().map(|relay| relay.revision).min();
@@ -109,7 +109,7 @@
 }
 
 /// `GET /admin/v1/group`.
-pub async fn group<P: Platform, B: Backends>(api: &ControlApi<P, B>) -> Reply {
+pub async fn group<P: Runtime, B: Backends>(api: &ControlApi<P, B>) -> Reply {
     match query(api, Query::Group).await {
         Ok(QueryAnswer::Group(group)) => json(StatusCode::OK, &group),
         Ok(_) => not_found(),
@@ -118,7 +118,7 @@
 }
 
 /// `GET /admin/v1/trainers/TENANT`.
-pub async fn trainer<P: Platform, B: Backends>(api: &ControlApi<P, B>, tenant: TenantId) -> Reply {
+pub async fn trainer<P: Runtime, B: Backends>(api: &ControlApi<P, B>, tenant: TenantId) -> Reply {
     match query(api, Query::Trainer(tenant)).await {
         Ok(QueryAnswer::Trainer(Some(trainer))) => json(StatusCode::OK, &trainer),
         Ok(_) => error_reply(StatusCode::NOT_FOUND, "not_open", "the tenant's trainer has never opened", 0),
@@ -127,7 +127,7 @@
 }
 
 /// Metrics.
-pub fn metrics<P: Platform, B: Backends>(api: &ControlApi<P, B>) -> Reply {
+pub fn metrics<P: Runtime, B: Backends>(api: &ControlApi<P, B>) -> Reply {
     let replica = api.node.replica();
     let view = replica.view();
     let committed = view.as_ref().map_or(0, |view| view.committed);
--- a/crates/api/src/queries/relay.rs
+++ b/crates/api/src/queries/relay.rs
@@ -5,12 +5,12 @@
 use crate::wire::{ModelEntry, ModelList};
 use hyper::StatusCode;
 use saddlerelay_http::body::{Reply, json, whole};
-use saddlerelay_platform::Platform;
-use saddlerelay_platform::backend::Backends;
+use saddlerelay_runtime::Runtime;
+use saddlerelay_runtime::backend::Backends;
 use saddlerelay_telemetry::metrics::{CONTENT_TYPE, MetricSet};
 
 /// The models that tenants are served by; refused while the relay may not act on its configuration.
-pub fn models<P: Platform, B: Backends>(api: &RelayApi<P, B>) -> Reply {
+pub fn models<P: Runtime, B: Backends>(api: &RelayApi<P, B>) -> Reply {
     if !api.relay.is_ready() {
         return readiness(false);
     }
@@ -20,7 +20,7 @@
 }
 
 /// Metrics.
-pub fn metrics<P: Platform, B: Backends>(api: &RelayApi<P, B>) -> Reply {
+pub fn metrics<P: Runtime, B: Backends>(api: &RelayApi<P, B>) -> Reply {
     let counters = api.relay.counters();
     let text = MetricSet::new()
         .counter("requests", "Callers' requests taken", counters.requests)
--- a/crates/api/src/relay.rs
+++ b/crates/api/src/relay.rs
@@ -7,20 +7,20 @@
 use hyper::{Method, Request};
 use saddlerelay_http::body::Reply;
 use saddlerelay_http::server::HttpHandler;
-use saddlerelay_platform::Platform;
-use saddlerelay_platform::backend::Backends;
 use saddlerelay_relay::Relay;
+use saddlerelay_runtime::Runtime;
+use saddlerelay_runtime::backend::Backends;
 use std::rc::Rc;
 
 /// The HTTP face of a relay.
-pub struct RelayApi<P: Platform, B: Backends> {
+pub struct RelayApi<P: Runtime, B: Backends> {
     /// The relay.
     pub relay: Relay<P, B>,
     /// The machine.
     pub platform: P,
 }
 
-impl<P: Platform, B: Backends> HttpHandler for RelayApi<P, B> {
+impl<P: Runtime, B: Backends> HttpHandler for RelayApi<P, B> {
     async fn handle(self: Rc<Self>, request: Request<Incoming>) -> Reply {
         let (head, body) = request.into_parts();
         let path = head.uri.path().to_string();
--- a/crates/command-line/src/serve.rs
+++ b/crates/command-line/src/serve.rs
@@ -8,10 +8,10 @@
 use saddlerelay_control_client::ControlClient;
 use saddlerelay_engine_client::{BackendAddresses, HttpBackends};
 use saddlerelay_http::server::{Shutdown, serve_until};
-use saddlerelay_platform::Platform;
-use saddlerelay_platform_compio::CompioPlatform;
 use saddlerelay_relay::{Relay, RelayOptions};
 use saddlerelay_replication::ReplicaOptions;
+use saddlerelay_runtime::Runtime;
+use saddlerelay_runtime_compio::CompioRuntime;
 use saddlerelay_settings::{ControlSettings, RelaySettings, Role, Settings};
 use saddlerelay_telemetry::ring::RingSink;
 use std::net::SocketAddr;
@@ -45,7 +45,7 @@
 }
 
 async fn run(settings: Settings, log: Arc<RingSink>) -> Result<(), CommandError> {
-    let platform = CompioPlatform::new(settings.data_folder.clone());
+    let platform = CompioRuntime::new(settings.data_folder.clone());
     let addresses = BackendAddresses { scorer: settings.scorer, platform: settings.platform };
     let backends = HttpBackends::new(addresses).map_err(failed)?;
     spdlog::info!("start", kv: { name = settings.name.as_str(), zone = settings.zone.as_str() });
@@ -62,7 +62,7 @@
 async fn run_relay(
     settings: Settings,
     relay: RelaySettings,
-    platform: CompioPlatform,
+    platform: CompioRuntime,
     backends: HttpBackends,
 ) -> Result<(), CommandError> {
     let options = RelayOptions {
@@ -90,7 +90,7 @@
 async fn run_control(
     settings: Settings,
     control: ControlSettings,
-    platform: CompioPlatform,
+    platform: CompioRuntime,
     backends: HttpBackends,
     log: Arc<RingSink>,
 ) -> Result<(), CommandError> {
--- a/crates/control-client/src/lib.rs
+++ b/crates/control-client/src/lib.rs
@@ -3,8 +3,8 @@
 //! Every command is safe to send again: changes carry a key or a revision, claims an arrival, samples an attempt,
 //! assignments a sequence. A call whose answer is lost is therefore repeated until its time runs out.
 
-use saddlerelay_platform::Platform;
 use saddlerelay_rpc::client::Client;
+use saddlerelay_runtime::Runtime;
 use saddlerelay_types::protocol::{
     Command, CommandOutcome, ControlReply, ControlRequest, Query, QueryAnswer, RenewReply, RenewRequest,
 };
@@ -46,7 +46,7 @@
     }
 }
 
-impl<P: Platform> ControlClient<P> {
+impl<P: Runtime> ControlClient<P> {
     /// A client of the group whose replicas listen at `addresses`.
     pub fn new(platform: P, addresses: &[SocketAddr], secret: &str) -> Self {
         let client = |address: &SocketAddr| Client::new(platform.clone(), *address, secret);
--- a/crates/control/src/node.rs
+++ b/crates/control/src/node.rs
@@ -7,13 +7,13 @@
 use crate::state::ControlState;
 use crate::tasks::relays::RenewalTable;
 use crate::tasks::{engines, machines, relays};
-use saddlerelay_platform::Platform;
-use saddlerelay_platform::backend::Backends;
-use saddlerelay_platform::signal::Signal;
-use saddlerelay_platform::timeout::timeout;
 use saddlerelay_replication::storage::StorageError;
 use saddlerelay_replication::{ProposeError, Replica, ReplicaOptions};
 use saddlerelay_rpc::server::Handler;
+use saddlerelay_runtime::Runtime;
+use saddlerelay_runtime::backend::Backends;
+use saddlerelay_runtime::signal::Signal;
+use saddlerelay_runtime::timeout::timeout;
 use saddlerelay_types::protocol::{
     Command, CommandOutcome, ControlReply, ControlRequest, LogCommand, MembershipCommand, Query, QueryAnswer,
     RenewReply, RenewRequest, RolloutCommand,
@@ -26,11 +26,11 @@
 const WAKE_SPREAD: Duration = Duration::from_millis(10);
 
 /// A control process. Clones are the same process.
-pub struct ControlNode<P: Platform, B: Backends> {
+pub struct ControlNode<P: Runtime, B: Backends> {
     pub(crate) inner: Rc<Inner<P, B>>,
 }
 
-pub(crate) struct Inner<P: Platform, B: Backends> {
+pub(crate) struct Inner<P: Runtime, B: Backends> {
     pub platform: P,
     pub backends: B,
     pub config: ControlConfig,
@@ -46,13 +46,13 @@
     pub samples_ready: Signal,
 }
 
-impl<P: Platform, B: Backends> Clone for ControlNode<P, B> {
+impl<P: Runtime, B: Backends> Clone for ControlNode<P, B> {
     fn clone(&self) -> Self {
         Self { inner: self.inner.clone() }
     }
 }
 
-impl<P: Platform, B: Backends> ControlNode<P, B> {
+impl<P: Runtime, B: Backends> ControlNode<P, B> {
     /// Opens the replica and starts every task. The caller serves the node's handler on a listener.
     pub async fn start(
         platform: P,
@@ -303,7 +303,7 @@
     }
 }
 
-impl<P: Platform, B: Backends> Handler for ControlNode<P, B> {
+impl<P: Runtime, B: Backends> Handler for ControlNode<P, B> {
     async fn handle(self: Rc<Self>, body: Vec<u8>) -> Option<Vec<u8>> {
         let request = bitcode::decode(&body).ok()?;
         Some(bitcode::encode(&self.answer(request).await))
--- a/crates/control/src/tasks/engines.rs
+++ b/crates/control/src/tasks/engines.rs
@@ -3,9 +3,9 @@
 use crate::node::ControlNode;
 use crate::queries::weights;
 use crate::state::ControlState;
-use saddlerelay_platform::Platform;
-use saddlerelay_platform::backend::Backends;
-use saddlerelay_platform::timeout::timeout;
+use saddlerelay_runtime::Runtime;
+use saddlerelay_runtime::backend::Backends;
+use saddlerelay_runtime::timeout::timeout;
 use saddlerelay_types::engine::{EngineAction, EngineDescription, EngineOrder, EngineStatus, WeightState};
 use saddlerelay_types::identity::{EngineId, Fence, ModelName, WeightVersion};
 use saddlerelay_types::membership::{EngineAvailability, EngineObservation, EngineRecord};
@@ -54,7 +54,7 @@
 }
 
 /// Manages engines while this process leads.
-pub async fn manage<P: Platform, B: Backends>(node: ControlNode<P, B>) {
+pub async fn manage<P: Runtime, B: Backends>(node: ControlNode<P, B>) {
     let polls = Polls::default();
     let mut orders = Orders::default();
     let mut managed_term = 0;
@@ -78,7 +78,7 @@
     }
 }
 
-fn start_polls<P: Platform, B: Backends>(
+fn start_polls<P: Runtime, B: Backends>(
     node: &ControlNode<P, B>,
     polls: &Polls,
     engines: &[EngineRecord],
@@ -99,7 +99,7 @@
     }
 }
 
-async fn poll_engine<P: Platform, B: Backends>(node: ControlNode<P, B>, polls: Polls, engine: EngineDescription) {
+async fn poll_engine<P: Runtime, B: Backends>(node: ControlNode<P, B>, polls: Polls, engine: EngineDescription) {
     let limit = node.inner.config.engine_poll_limit;
     let answer = timeout(&node.inner.platform, limit, node.inner.backends.status(&engine)).await;
     let status = answer.and_then(Result::ok).filter(|status| status.id == engine.id);
@@ -117,7 +117,7 @@
     }
 }
 
-async fn record_changes<P: Platform, B: Backends>(node: &ControlNode<P, B>, polls: &Polls, engines: &[EngineRecord]) {
+async fn record_changes<P: Runtime, B: Backends>(node: &ControlNode<P, B>, polls: &Polls, engines: &[EngineRecord]) {
     let limit = node.inner.config.engine_poll_failures;
     let changed: Vec<EngineObservation> = {
         let table = polls.borrow();
@@ -155,7 +155,7 @@
 }
 
 /// Orders the next wave of every model to load its target version.
-async fn roll_out<P: Platform, B: Backends>(node: &ControlNode<P, B>, polls: &Polls, orders: &mut Orders) {
+async fn roll_out<P: Runtime, B: Backends>(node: &ControlNode<P, B>, polls: &Polls, orders: &mut Orders) {
     orders.loading.clear();
     for target in node.read(weights::targets).unwrap_or_default() {
         let now = node.inner.platform.monotonic();
@@ -220,7 +220,7 @@
 }
 
 /// The fence of the orders for `target`: drawn once for each new target, so that an older order is refused.
-async fn fence_for<P: Platform, B: Backends>(
+async fn fence_for<P: Runtime, B: Backends>(
     node: &ControlNode<P, B>,
     orders: &mut Orders,
     target: &ModelTarget,
@@ -240,6 +240,6 @@
 }
 
 /// A failed order shows in the engine's report and is repeated.
-async fn give_order<P: Platform, B: Backends>(node: ControlNode<P, B>, engine: EngineDescription, order: EngineOrder) {
+async fn give_order<P: Runtime, B: Backends>(node: ControlNode<P, B>, engine: EngineDescription, order: EngineOrder) {
     let _ = timeout(&node.inner.platform, ORDER_LIMIT, node.inner.backends.order(&engine, order)).await;
 }
--- a/crates/control/src/tasks/machines.rs
+++ b/crates/control/src/tasks/machines.rs
@@ -1,14 +1,14 @@
 //! Follows the platform's list of machines: new engines are registered, leaving ones get no new work.
 
 use crate::node::ControlNode;
-use saddlerelay_platform::Platform;
-use saddlerelay_platform::backend::Backends;
-use saddlerelay_platform::timeout::timeout;
+use saddlerelay_runtime::Runtime;
+use saddlerelay_runtime::backend::Backends;
+use saddlerelay_runtime::timeout::timeout;
 use saddlerelay_types::membership::{EngineAvailability, EngineObservation, PlatformMachine};
 use saddlerelay_types::protocol::{Command, MembershipCommand};
 
 /// Reads the list while this process leads.
-pub async fn follow<P: Platform, B: Backends>(node: ControlNode<P, B>) {
+pub async fn follow<P: Runtime, B: Backends>(node: ControlNode<P, B>) {
     let interval = node.inner.config.platform_interval;
     loop {
         node.inner.platform.sleep(interval).await;
@@ -25,7 +25,7 @@
     }
 }
 
-fn changes<P: Platform, B: Backends>(node: &ControlNode<P, B>, machines: &[PlatformMachine]) -> Vec<MembershipCommand> {
+fn changes<P: Runtime, B: Backends>(node: &ControlNode<P, B>, machines: &[PlatformMachine]) -> Vec<MembershipCommand> {
     let commands = node.read(|state| {
         let mut commands = Vec::new();
         let mut leaving = Vec::new();
--- a/crates/control/src/tasks/relays.rs
+++ b/crates/control/src/tasks/relays.rs
@@ -2,8 +2,8 @@
 
 use crate::node::ControlNode;
 use crate::state::ControlState;
-use saddlerelay_platform::Platform;
-use saddlerelay_platform::backend::Backends;
+use saddlerelay_runtime::Runtime;
+use saddlerelay_runtime::backend::Backends;
 use saddlerelay_types::identity::{Incarnation, Revision};
 use saddlerelay_types::membership::RelayView;
 use saddlerelay_types::protocol::{Command, MembershipCommand};
@@ -62,7 +62,7 @@
 }
 
 /// Declares relays lost while this process leads.
-pub async fn watch<P: Platform, B: Backends>(node: ControlNode<P, B>) {
+pub async fn watch<P: Runtime, B: Backends>(node: ControlNode<P, B>) {
     let config = node.inner.config.clone();
     loop {
         node.inner.platform.sleep(config.relay_check_interval).await;
--- a/crates/engine-client/src/lib.rs
+++ b/crates/engine-client/src/lib.rs
@@ -11,7 +11,7 @@
 use saddlerelay_http::body::{parse_json, read_whole};
 use saddlerelay_http::client::{Connection, HttpError};
 use saddlerelay_http::sse::{DONE, EventReader};
-use saddlerelay_platform::backend::{BackendError, Backends, EngineConnection, StreamEvent};
+use saddlerelay_runtime::backend::{BackendError, Backends, EngineConnection, StreamEvent};
 use saddlerelay_types::engine::{EngineChunk, EngineDescription, EngineOrder, EngineRequest, EngineStatus};
 use saddlerelay_types::membership::PlatformMachine;
 use saddlerelay_types::request::Generation;
--- a/crates/fleet/src/bench.rs
+++ b/crates/fleet/src/bench.rs
@@ -9,9 +9,9 @@
 use futures::StreamExt;
 use hdrhistogram::Histogram;
 use saddlerelay_engine_client::{BackendAddresses, HttpBackends};
-use saddlerelay_platform::Platform;
-use saddlerelay_platform::backend::{Backends, EngineConnection};
-use saddlerelay_platform_compio::CompioPlatform;
+use saddlerelay_runtime::Runtime;
+use saddlerelay_runtime::backend::{Backends, EngineConnection};
+use saddlerelay_runtime_compio::CompioRuntime;
 use saddlerelay_scenarios::deployment::{Deployment, smallest};
 use saddlerelay_standins::access::{Access, CallerAnswer};
 use saddlerelay_standins::http::access::HttpAccess;
@@ -58,7 +58,7 @@
 
 async fn measure(folder: &std::path::Path) -> Result<String> {
     let fleet = Fleet::start(Plan::new(fast_engines(), &own_executable()?, folder, "")?).await?;
-    let platform = CompioPlatform::new(folder.to_path_buf());
+    let platform = CompioRuntime::new(folder.to_path_buf());
     let operator = new_operator(&fleet, &platform, &Recorder::new(drop), "bench");
     configure(&fleet, &operator).await?;
     let engine = fleet.plan.engines[0].clone();
@@ -103,7 +103,7 @@
     anyhow::bail!("the engine's stream broke off")
 }
 
-fn request(fleet: &Fleet, platform: &CompioPlatform, number: u64, once: bool) -> CallerRequest {
+fn request(fleet: &Fleet, platform: &CompioRuntime, number: u64, once: bool) -> CallerRequest {
     let tenant = &fleet.plan.deployment.tenants[0];
     let key = RequestKey {
         key: IdempotencyKey(format!("bench-{number}")),
@@ -131,7 +131,7 @@
 }
 
 /// Requests a second through one relay, and how many its one core would carry.
-async fn throughput(fleet: &Fleet, platform: &CompioPlatform, access: &HttpAccess) -> Result<String> {
+async fn throughput(fleet: &Fleet, platform: &CompioRuntime, access: &HttpAccess) -> Result<String> {
     let relay = fleet.children.get("relay-0").context("the relay runs")?;
     let before = relay.usage().context("the relay's usage")?.1;
     let started = Instant::now();
--- a/crates/fleet/src/faults.rs
+++ b/crates/fleet/src/faults.rs
@@ -5,8 +5,8 @@
 use hyper::Method;
 use saddlerelay_checker::record::Record;
 use saddlerelay_http::client::call;
-use saddlerelay_platform::Platform;
-use saddlerelay_platform_compio::CompioPlatform;
+use saddlerelay_runtime::Runtime;
+use saddlerelay_runtime_compio::CompioRuntime;
 use saddlerelay_scenarios::trace::{Fault, FaultKind, Target};
 use saddlerelay_standins::http::access::HttpAccess;
 use saddlerelay_standins::http::engine::{FAULTS_PATH, FaultBody, LEAVE_PATH};
@@ -29,11 +29,11 @@
     /// The fleet.
     pub fleet: SharedFleet,
     /// The clock.
-    pub platform: CompioPlatform,
+    pub platform: CompioRuntime,
     /// Where faults are recorded.
     pub recorder: Recorder,
     /// An operator.
-    pub operator: Operator<CompioPlatform, HttpAccess>,
+    pub operator: Operator<CompioRuntime, HttpAccess>,
 }
 
 /// Whether the fleet can cause this fault. Cuts between zones and full disks are the simulator's.
--- a/crates/fleet/src/run.rs
+++ b/crates/fleet/src/run.rs
@@ -7,8 +7,8 @@
 use saddlerelay_checker::check::{Limits, check};
 use saddlerelay_checker::record::Record;
 use saddlerelay_checker::report::Report;
-use saddlerelay_platform::Platform;
-use saddlerelay_platform_compio::CompioPlatform;
+use saddlerelay_runtime::Runtime;
+use saddlerelay_runtime_compio::CompioRuntime;
 use saddlerelay_scenarios::deployment::{self, Deployment};
 use saddlerelay_scenarios::recording;
 use saddlerelay_scenarios::trace::Scenario;
@@ -97,7 +97,7 @@
     let named = deployment::by_name(&scenario.deployment);
     let deployment = options.deployment.clone().or(named).context("the scenario's deployment does not exist")?;
     let duration = options.duration.unwrap_or(Duration::from_millis(scenario.duration_ms));
-    let platform = CompioPlatform::new(folder.to_path_buf());
+    let platform = CompioRuntime::new(folder.to_path_buf());
     let fleet = Fleet::start(Plan::new(deployment, &options.executable, folder, &options.relay_settings)?).await?;
     let own_records: Rc<RefCell<Vec<Record>>> = Rc::default();
     let sink = own_records.clone();
@@ -145,16 +145,16 @@
 /// An operator of the fleet.
 pub fn new_operator(
     fleet: &Fleet,
-    platform: &CompioPlatform,
+    platform: &CompioRuntime,
     recorder: &Recorder,
     name: &str,
-) -> Operator<CompioPlatform, HttpAccess> {
+) -> Operator<CompioRuntime, HttpAccess> {
     let (platform, access, recorder) = (platform.clone(), fleet.access(), recorder.clone());
     Operator { platform, access, recorder, name: name.to_string() }
 }
 
 /// Puts the deployment's tenants, and waits until they are in force on every relay.
-pub async fn configure(fleet: &Fleet, operator: &Operator<CompioPlatform, HttpAccess>) -> Result<()> {
+pub async fn configure(fleet: &Fleet, operator: &Operator<CompioRuntime, HttpAccess>) -> Result<()> {
     for tenant in &fleet.plan.deployment.tenants {
         operator.set_up(&tenant.id, tenant.values()).await;
     }
@@ -210,7 +210,7 @@
     }
 }
 
-async fn wait_with_progress(platform: &CompioPlatform, duration: Duration, progress: bool, name: &str) {
+async fn wait_with_progress(platform: &CompioRuntime, duration: Duration, progress: bool, name: &str) {
     let started = platform.monotonic();
     loop {
         let passed = platform.monotonic().saturating_sub(started);
--- a/crates/fleet/src/scale/hollow.rs
+++ b/crates/fleet/src/scale/hollow.rs
@@ -10,11 +10,11 @@
 use lexopt::prelude::*;
 use saddlerelay_engine_client::{BackendAddresses, HttpBackends};
 use saddlerelay_http::server::serve;
-use saddlerelay_platform::Platform;
-use saddlerelay_platform_compio::CompioPlatform;
 use saddlerelay_policies::PolicyName;
 use saddlerelay_relay::config::RelayConfig;
 use saddlerelay_relay::{Relay, RelayOptions};
+use saddlerelay_runtime::Runtime;
+use saddlerelay_runtime_compio::CompioRuntime;
 use saddlerelay_standins::engine::{Engine, EngineOptions, WeightSource};
 use saddlerelay_standins::http::engine::EngineServer;
 use saddlerelay_standins::recorder::Recorder;
@@ -102,7 +102,7 @@
 
 /// Weights that take a while and never fail.
 #[derive(Clone)]
-struct InstantWeights(CompioPlatform);
+struct InstantWeights(CompioRuntime);
 
 impl WeightSource for InstantWeights {
     async fn fetch(&self, _model: ModelName, _version: WeightVersion) -> bool {
@@ -112,7 +112,7 @@
 }
 
 async fn run_engines(plan: &HollowPlan) -> Result<()> {
-    let platform = CompioPlatform::new(plan.data_folder.clone());
+    let platform = CompioRuntime::new(plan.data_folder.clone());
     for description in plan.engines.iter().cloned() {
         let listener = TcpListener::bind(description.address).await?;
         let options = EngineOptions {
@@ -159,15 +159,15 @@
 
 /// One hollow relay and the machine it counts its traffic on.
 struct HollowRelay {
-    platform: CompioPlatform,
-    relay: Relay<CompioPlatform, HttpBackends>,
+    platform: CompioRuntime,
+    relay: Relay<CompioRuntime, HttpBackends>,
 }
 
 async fn start_relay(plan: &HollowPlan, place: usize) -> Result<HollowRelay> {
     let name = format!("hollow-{place}");
     let folder = plan.data_folder.join(&name);
     std::fs::create_dir_all(&folder)?;
-    let platform = CompioPlatform::new(folder);
+    let platform = CompioRuntime::new(folder);
     let backends = HttpBackends::new(BackendAddresses { scorer: None, platform: None })?;
     let options = RelayOptions {
         zone: plan.zones[place % plan.zones.len()].clone(),
@@ -216,7 +216,7 @@
 }
 
 /// Claims need a live holder; this one is declared lost again after its silence, and joins anew.
-async fn join_as_holder(relay: &Relay<CompioPlatform, HttpBackends>, incarnation: Incarnation) {
+async fn join_as_holder(relay: &Relay<CompioRuntime, HttpBackends>, incarnation: Incarnation) {
     let description = RelayDescription {
         name: "claims".to_string(),
         incarnation,
--- a/crates/fleet/src/up.rs
+++ b/crates/fleet/src/up.rs
@@ -5,7 +5,7 @@
 use crate::process::own_executable;
 use crate::run::{configure, new_operator, run_folder};
 use anyhow::{Context, Result};
-use saddlerelay_platform_compio::CompioPlatform;
+use saddlerelay_runtime_compio::CompioRuntime;
 use saddlerelay_scenarios::deployment::Deployment;
 use saddlerelay_standins::recorder::Recorder;
 
@@ -16,7 +16,7 @@
 pub async fn run(deployment: Deployment) -> Result<()> {
     let folder = run_folder();
     let fleet = Fleet::start(Plan::new(deployment, &own_executable()?, &folder, "")?).await?;
-    let platform = CompioPlatform::new(folder.clone());
+    let platform = CompioRuntime::new(folder.clone());
     let operator = new_operator(&fleet, &platform, &Recorder::new(drop), "setup");
     configure(&fleet, &operator).await?;
     print!("{}", description(&fleet, &folder));
--- a/crates/http/src/server.rs
+++ b/crates/http/src/server.rs
@@ -7,7 +7,7 @@
 use hyper::body::Incoming;
 use hyper::service::service_fn;
 use hyper::{Request, server::conn::http1};
-use saddlerelay_platform::signal::Signal;
+use saddlerelay_runtime::signal::Signal;
 use std::cell::Cell;
 use std::convert::Infallible;
 use std::future::Future;
--- a/crates/relay/src/admission.rs
+++ b/crates/relay/src/admission.rs
@@ -1,8 +1,8 @@
 //! Admission: a limit on requests at once and a bounded queue for each tenant, most urgent first.
 
 use futures::channel::oneshot;
-use saddlerelay_platform::Platform;
-use saddlerelay_platform::timeout::timeout;
+use saddlerelay_runtime::Runtime;
+use saddlerelay_runtime::timeout::timeout;
 use saddlerelay_types::identity::TenantId;
 use saddlerelay_types::request::Priority;
 use std::cell::RefCell;
@@ -74,7 +74,7 @@
 }
 
 /// A place among the running requests, given back when dropped.
-pub struct Permit<P: Platform> {
+pub struct Permit<P: Runtime> {
     admission: Admission,
     platform: P,
     tenant: TenantId,
@@ -84,7 +84,7 @@
 
 impl Admission {
     /// Waits for a place, for at most `deadline`. Refuses at once what cannot be served in time.
-    pub async fn admit<P: Platform>(
+    pub async fn admit<P: Runtime>(
         &self,
         platform: &P,
         tenant: &TenantId,
@@ -138,7 +138,7 @@
     }
 }
 
-impl<P: Platform> Drop for Permit<P> {
+impl<P: Runtime> Drop for Permit<P> {
     fn drop(&mut self) {
         let mut gates = self.admission.gates.borrow_mut();
         let Some(gate) = gates.get_mut(&self.tenant) else {
--- a/crates/relay/src/commands/callers.rs
+++ b/crates/relay/src/commands/callers.rs
@@ -4,8 +4,8 @@
 use crate::dispatch::{DispatchFailure, GenerationWork};
 use crate::relay::Relay;
 use futures::channel::mpsc;
-use saddlerelay_platform::Platform;
-use saddlerelay_platform::backend::Backends;
+use saddlerelay_runtime::Runtime;
+use saddlerelay_runtime::backend::Backends;
 use saddlerelay_types::claim::{ClaimKey, ClaimOutcome, ClaimRequest, ClaimResult};
 use saddlerelay_types::configuration::TenantParameters;
 use saddlerelay_types::identity::{BodyDigest, Incarnation, WeightVersion};
@@ -33,7 +33,7 @@
     request: ClaimRequest,
 }
 
-impl<P: Platform, B: Backends> Relay<P, B> {
+impl<P: Runtime, B: Backends> Relay<P, B> {
     /// Serves a request. The last part is [`AnswerPart::End`] or [`AnswerPart::Failed`]; a stream without either is cut.
     pub fn serve(&self, request: CallerRequest) -> mpsc::UnboundedReceiver<AnswerPart> {
         let (parts, answer) = mpsc::unbounded();
--- a/crates/relay/src/commands/samples.rs
+++ b/crates/relay/src/commands/samples.rs
@@ -2,9 +2,9 @@
 
 use crate::dispatch::GenerationWork;
 use crate::relay::Relay;
-use saddlerelay_platform::Platform;
-use saddlerelay_platform::backend::Backends;
-use saddlerelay_platform::timeout::timeout;
+use saddlerelay_runtime::Runtime;
+use saddlerelay_runtime::backend::Backends;
+use saddlerelay_runtime::timeout::timeout;
 use saddlerelay_types::identity::{Incarnation, ModelName, TenantId};
 use saddlerelay_types::protocol::{Command, CommandOutcome, RolloutCommand};
 use saddlerelay_types::request::{Generation, Priority, Repeatability};
@@ -27,9 +27,9 @@
 const SAMPLE_ATTEMPTS: u32 = 8;
 
 /// Counts a sample as running until dropped.
-struct Running<P: Platform, B: Backends>(Relay<P, B>);
+struct Running<P: Runtime, B: Backends>(Relay<P, B>);
 
-impl<P: Platform, B: Backends> Running<P, B> {
+impl<P: Runtime, B: Backends> Running<P, B> {
     fn begin(relay: &Relay<P, B>) -> Self {
         let running = &relay.inner.samples_running;
         running.set(running.get() + 1);
@@ -37,7 +37,7 @@
     }
 }
 
-impl<P: Platform, B: Backends> Drop for Running<P, B> {
+impl<P: Runtime, B: Backends> Drop for Running<P, B> {
     fn drop(&mut self) {
         let running = &self.0.inner.samples_running;
         running.set(running.get() - 1);
@@ -45,7 +45,7 @@
 }
 
 /// Asks for samples while there is room on engines, until the process ends.
-pub(crate) async fn run_samples<P: Platform, B: Backends>(relay: Relay<P, B>) {
+pub(crate) async fn run_samples<P: Runtime, B: Backends>(relay: Relay<P, B>) {
     let mut sequence = 0;
     loop {
         relay.inner.platform.sleep(relay.inner.options.config.rollout_interval).await;
@@ -73,7 +73,7 @@
     }
 }
 
-fn room_for_samples<P: Platform, B: Backends>(relay: &Relay<P, B>) -> u32 {
+fn room_for_samples<P: Runtime, B: Backends>(relay: &Relay<P, B>) -> u32 {
     let tenants: Vec<(TenantId, ModelName)> = {
         let view = relay.inner.view.borrow();
         view.tenants().map(|(id, tenant)| (id.clone(), tenant.model.clone())).collect()
@@ -90,7 +90,7 @@
     total.min(relay.inner.options.config.rollout_batch)
 }
 
-async fn run_sample<P: Platform, B: Backends>(
+async fn run_sample<P: Runtime, B: Backends>(
     running: Running<P, B>,
     assignment: SampleAssignment,
     incarnation: Incarnation,
@@ -110,7 +110,7 @@
     relay.count(|counters| counters.samples += 1);
 }
 
-async fn generate<P: Platform, B: Backends>(
+async fn generate<P: Runtime, B: Backends>(
     relay: &Relay<P, B>,
     assignment: &SampleAssignment,
     incarnation: Incarnation,
@@ -136,7 +136,7 @@
 }
 
 /// Asks the scorer until it answers, or the relay loses its incarnation.
-async fn score<P: Platform, B: Backends>(
+async fn score<P: Runtime, B: Backends>(
     relay: &Relay<P, B>,
     prompt: &str,
     generation: &Generation,
@@ -154,7 +154,7 @@
 }
 
 /// Commits until it is decided, or the relay loses its incarnation and with it the sample.
-async fn commit<P: Platform, B: Backends>(relay: &Relay<P, B>, command: RolloutCommand, incarnation: Incarnation) {
+async fn commit<P: Runtime, B: Backends>(relay: &Relay<P, B>, command: RolloutCommand, incarnation: Incarnation) {
     while relay.inner.incarnation.get() == incarnation {
         let decided = relay.inner.control.execute(Command::Rollout(command.clone()), COMMIT_LIMIT).await;
         if decided.is_ok() {
--- a/crates/relay/src/commands/trainers.rs
+++ b/crates/relay/src/commands/trainers.rs
@@ -2,8 +2,8 @@
 
 use crate::relay::Relay;
 use saddlerelay_control_client::ControlError;
-use saddlerelay_platform::Platform;
-use saddlerelay_platform::backend::Backends;
+use saddlerelay_runtime::Runtime;
+use saddlerelay_runtime::backend::Backends;
 use saddlerelay_types::identity::{Incarnation, Position, TenantId, WeightVersion};
 use saddlerelay_types::protocol::{Command, CommandOutcome, RolloutCommand, TrainerRefusal};
 use saddlerelay_types::rollout::{DeliveryBatch, StepRequest, TrainerState};
@@ -27,7 +27,7 @@
     }
 }
 
-impl<P: Platform, B: Backends> Relay<P, B> {
+impl<P: Runtime, B: Backends> Relay<P, B> {
     /// A trainer starts.
     pub async fn open_trainer(&self, tenant: TenantId, incarnation: Incarnation) -> Result<TrainerState, TrainerError> {
         self.trainer_command(RolloutCommand::OpenTrainer { tenant, incarnation }).await
--- a/crates/relay/src/dispatch.rs
+++ b/crates/relay/src/dispatch.rs
@@ -4,10 +4,10 @@
 use crate::view::View;
 use futures::StreamExt;
 use futures::channel::mpsc;
-use saddlerelay_platform::Platform;
-use saddlerelay_platform::backend::{BackendError, Backends, EngineConnection, StreamEvent};
-use saddlerelay_platform::timeout::timeout;
 use saddlerelay_policies::{Candidate, RoutingRequest};
+use saddlerelay_runtime::Runtime;
+use saddlerelay_runtime::backend::{BackendError, Backends, EngineConnection, StreamEvent};
+use saddlerelay_runtime::timeout::timeout;
 use saddlerelay_types::engine::{EngineChunk, EngineDescription, EngineRequest};
 use saddlerelay_types::identity::{EngineId, Incarnation, ModelName, TenantId, WeightVersion};
 use saddlerelay_types::request::{AnswerPart, ExecutionOutcome, FailureCode, Generation, Priority, Repeatability};
@@ -79,7 +79,7 @@
     tried: BTreeSet<EngineId>,
 }
 
-impl<P: Platform, B: Backends> Relay<P, B> {
+impl<P: Runtime, B: Backends> Relay<P, B> {
     /// Runs `work` until its answer is whole or it is given up. Tokens go to `parts` as they come.
     pub(crate) async fn dispatch(
         &self,
--- a/crates/relay/src/lease.rs
+++ b/crates/relay/src/lease.rs
@@ -2,8 +2,8 @@
 
 use crate::relay::Relay;
 use bitcode::{Decode, Encode};
-use saddlerelay_platform::backend::Backends;
-use saddlerelay_platform::{Disk, Platform};
+use saddlerelay_runtime::backend::Backends;
+use saddlerelay_runtime::{Disk, Runtime};
 use saddlerelay_types::configuration::{ConfigurationUpdate, ObjectState};
 use saddlerelay_types::identity::{Incarnation, Revision};
 use saddlerelay_types::protocol::{RenewReply, RenewRequest};
@@ -22,7 +22,7 @@
     objects: Vec<ObjectState>,
 }
 
-impl<P: Platform, B: Backends> Relay<P, B> {
+impl<P: Runtime, B: Backends> Relay<P, B> {
     /// Reads the stored configuration: the relay never acts on an older one.
     pub(crate) async fn load_configuration(&self) -> io::Result<()> {
         let Some(bytes) = self.inner.platform.disk().read(CONFIGURATION_FILE).await? else {
--- a/crates/relay/src/queries/mod.rs
+++ b/crates/relay/src/queries/mod.rs
@@ -1,12 +1,12 @@
 //! Reads of the relay's view.
 
 use crate::relay::Relay;
-use saddlerelay_platform::Platform;
-use saddlerelay_platform::backend::Backends;
+use saddlerelay_runtime::Runtime;
+use saddlerelay_runtime::backend::Backends;
 use saddlerelay_types::configuration::TenantParameters;
 use saddlerelay_types::identity::{ModelName, Revision, TenantId};
 
-impl<P: Platform, B: Backends> Relay<P, B> {
+impl<P: Runtime, B: Backends> Relay<P, B> {
     /// The models that tenants are served by.
     pub fn models(&self) -> Vec<ModelName> {
         let view = self.inner.view.borrow();
--- a/crates/relay/src/relay.rs
+++ b/crates/relay/src/relay.rs
@@ -7,9 +7,9 @@
 use crate::retry::RetryBudget;
 use crate::view::View;
 use saddlerelay_control_client::ControlClient;
-use saddlerelay_platform::Platform;
-use saddlerelay_platform::backend::Backends;
 use saddlerelay_policies::{Policy, PolicyName};
+use saddlerelay_runtime::Runtime;
+use saddlerelay_runtime::backend::Backends;
 use saddlerelay_types::identity::{Incarnation, Zone};
 use saddlerelay_types::membership::RelayDescription;
 use std::cell::{Cell, RefCell};
@@ -59,7 +59,7 @@
     pub fenced: u64,
 }
 
-pub(crate) struct Inner<P: Platform, B: Backends> {
+pub(crate) struct Inner<P: Runtime, B: Backends> {
     pub platform: P,
     pub backends: B,
     pub options: RelayOptions,
@@ -78,17 +78,17 @@
 }
 
 /// A relay. Clones are the same relay.
-pub struct Relay<P: Platform, B: Backends> {
+pub struct Relay<P: Runtime, B: Backends> {
     pub(crate) inner: Rc<Inner<P, B>>,
 }
 
-impl<P: Platform, B: Backends> Clone for Relay<P, B> {
+impl<P: Runtime, B: Backends> Clone for Relay<P, B> {
     fn clone(&self) -> Self {
         Self { inner: self.inner.clone() }
     }
 }
 
-impl<P: Platform, B: Backends> Relay<P, B> {
+impl<P: Runtime, B: Backends> Relay<P, B> {
     /// Loads the stored configuration and starts the relay's tasks. It admits nothing before its first lease.
     pub async fn start(platform: P, backends: B, options: RelayOptions) -> io::Result<Self> {
         let control = ControlClient::new(platform.clone(), &options.control, &options.secret);
--- a/crates/replication/src/election.rs
+++ b/crates/replication/src/election.rs
@@ -6,14 +6,14 @@
 use crate::wal::WalRecord;
 use futures::StreamExt;
 use futures::stream::FuturesUnordered;
-use saddlerelay_platform::Platform;
+use saddlerelay_runtime::Runtime;
 use saddlerelay_types::identity::ReplicaId;
 use std::time::Duration;
 
 /// How often the election timer is looked at.
 const ELECTION_TICK: Duration = Duration::from_millis(50);
 
-impl<P: Platform, S: StateMachine> Replica<P, S> {
+impl<P: Runtime, S: StateMachine> Replica<P, S> {
     pub(crate) async fn run_elections(self) {
         loop {
             self.inner.platform.sleep(ELECTION_TICK).await;
--- a/crates/replication/src/follower.rs
+++ b/crates/replication/src/follower.rs
@@ -5,9 +5,9 @@
 use crate::replica::Replica;
 use crate::state::{State, StateMachine};
 use crate::wal::WalRecord;
-use saddlerelay_platform::Platform;
+use saddlerelay_runtime::Runtime;
 
-impl<P: Platform, S: StateMachine> Replica<P, S> {
+impl<P: Runtime, S: StateMachine> Replica<P, S> {
     pub(crate) async fn append_entries(
         &self,
         header: Header,
--- a/crates/replication/src/handover.rs
+++ b/crates/replication/src/handover.rs
@@ -4,7 +4,7 @@
 use crate::message::ReplicaRequest;
 use crate::replica::Replica;
 use crate::state::StateMachine;
-use saddlerelay_platform::Platform;
+use saddlerelay_runtime::Runtime;
 use saddlerelay_types::identity::ReplicaId;
 use std::collections::BTreeSet;
 use std::net::SocketAddr;
@@ -19,7 +19,7 @@
 /// How long a planned stop waits for its successor.
 const HAND_OVER_LIMIT: Duration = Duration::from_secs(3);
 
-impl<P: Platform, S: StateMachine> Replica<P, S> {
+impl<P: Runtime, S: StateMachine> Replica<P, S> {
     /// Hands leadership over before a planned stop. Returns whether this replica no longer leads.
     pub async fn hand_over(&self) -> bool {
         let deadline = self.inner.platform.monotonic() + HAND_OVER_LIMIT;
--- a/crates/replication/src/leader.rs
+++ b/crates/replication/src/leader.rs
@@ -8,7 +8,7 @@
 use crate::wal::WalRecord;
 use futures::channel::mpsc;
 use futures::{FutureExt, StreamExt, future};
-use saddlerelay_platform::Platform;
+use saddlerelay_runtime::Runtime;
 use saddlerelay_types::identity::ReplicaId;
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
@@ -27,7 +27,7 @@
 /// How many entries behind a learner may be when it is made a voter.
 const CAUGHT_UP_ENTRIES: u64 = 64;
 
-impl<P: Platform, S: StateMachine> Replica<P, S> {
+impl<P: Runtime, S: StateMachine> Replica<P, S> {
     /// Begins to lead `term`.
     pub(crate) async fn lead(&self, term: u64) {
         let peers = {
--- a/crates/replication/src/maintenance.rs
+++ b/crates/replication/src/maintenance.rs
@@ -2,13 +2,13 @@
 
 use crate::replica::Replica;
 use crate::state::StateMachine;
-use saddlerelay_platform::Platform;
+use saddlerelay_runtime::Runtime;
 use std::time::Duration;
 
 /// Pause between looks at whether a snapshot or a repair is due.
 const MAINTENANCE_INTERVAL: Duration = Duration::from_millis(250);
 
-impl<P: Platform, S: StateMachine> Replica<P, S> {
+impl<P: Runtime, S: StateMachine> Replica<P, S> {
     /// Takes snapshots when they are due, and repairs a disk that refused a write once it can be written again.
     pub(crate) async fn maintain_storage(self) {
         loop {
--- a/crates/replication/src/replica.rs
+++ b/crates/replication/src/replica.rs
@@ -8,9 +8,9 @@
 use crate::storage::{Identity, Storage, StorageError};
 use futures::channel::{mpsc, oneshot};
 use futures::lock::Mutex;
-use saddlerelay_platform::Platform;
-use saddlerelay_platform::signal::Signal;
 use saddlerelay_rpc::client::Client;
+use saddlerelay_runtime::Runtime;
+use saddlerelay_runtime::signal::Signal;
 use saddlerelay_types::identity::ReplicaId;
 use saddlerelay_types::protocol::{ControlReply, ControlRequest, GroupView, ReplicaView};
 use std::cell::RefCell;
@@ -48,7 +48,7 @@
     pub sender: Option<oneshot::Sender<O>>,
 }
 
-pub(crate) struct Inner<P: Platform, S: StateMachine> {
+pub(crate) struct Inner<P: Runtime, S: StateMachine> {
     pub platform: P,
     pub options: ReplicaOptions,
     pub state: RefCell<State<S>>,
@@ -61,17 +61,17 @@
 }
 
 /// One replica of a group. Clones are the same replica.
-pub struct Replica<P: Platform, S: StateMachine> {
+pub struct Replica<P: Runtime, S: StateMachine> {
     pub(crate) inner: Rc<Inner<P, S>>,
 }
 
-impl<P: Platform, S: StateMachine> Clone for Replica<P, S> {
+impl<P: Runtime, S: StateMachine> Clone for Replica<P, S> {
     fn clone(&self) -> Self {
         Self { inner: self.inner.clone() }
     }
 }
 
-impl<P: Platform, S: StateMachine> Replica<P, S> {
+impl<P: Runtime, S: StateMachine> Replica<P, S> {
     /// Opens the replica's files and restores its state; `start` makes it take part.
     pub async fn open(platform: P, options: ReplicaOptions, mut machine: S) -> Result<Self, StorageError> {
         let new_id = ReplicaId(platform.random().max(1));
--- a/crates/replication/src/storage.rs
+++ b/crates/replication/src/storage.rs
@@ -5,7 +5,7 @@
 use crate::message::Snapshot;
 use crate::wal::{self, WalRecord};
 use bitcode::{Decode, Encode};
-use saddlerelay_platform::Disk;
+use saddlerelay_runtime::Disk;
 use saddlerelay_types::identity::ReplicaId;
 use std::fmt;
 use std::io;
--- a/crates/rpc/src/client.rs
+++ b/crates/rpc/src/client.rs
@@ -3,8 +3,8 @@
 use crate::frame::{Envelope, Hello};
 use futures::channel::{mpsc, oneshot};
 use futures::{StreamExt, future};
-use saddlerelay_platform::timeout::timeout;
-use saddlerelay_platform::{FrameReceiver, FrameSender, Platform};
+use saddlerelay_runtime::timeout::timeout;
+use saddlerelay_runtime::{FrameReceiver, FrameSender, Runtime};
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
@@ -51,7 +51,7 @@
     }
 }
 
-impl<P: Platform> Client<P> {
+impl<P: Runtime> Client<P> {
     /// A client that connects on its first call.
     pub fn new(platform: P, address: SocketAddr, secret: &str) -> Self {
         let inner = Inner {
--- a/crates/rpc/src/server.rs
+++ b/crates/rpc/src/server.rs
@@ -3,8 +3,8 @@
 use crate::frame::{Envelope, Hello, MAGIC, PROTOCOL_VERSION};
 use futures::channel::mpsc;
 use futures::{StreamExt, future};
-use saddlerelay_platform::timeout::timeout;
-use saddlerelay_platform::{FrameListener, FrameReceiver, FrameSender, Platform};
+use saddlerelay_runtime::timeout::timeout;
+use saddlerelay_runtime::{FrameListener, FrameReceiver, FrameSender, Runtime};
 use std::future::Future;
 use std::rc::Rc;
 use std::time::Duration;
@@ -22,7 +22,7 @@
 }
 
 /// Accepts connections until the process ends.
-pub async fn serve<P: Platform, H: Handler>(platform: P, mut listener: P::Listener, secret: String, handler: Rc<H>) {
+pub async fn serve<P: Runtime, H: Handler>(platform: P, mut listener: P::Listener, secret: String, handler: Rc<H>) {
     let secret: Rc<str> = secret.into();
     loop {
         match listener.accept().await {
@@ -35,7 +35,7 @@
     }
 }
 
-async fn serve_connection<P: Platform, H: Handler>(
+async fn serve_connection<P: Runtime, H: Handler>(
     platform: P,
     sender: impl FrameSender,
     mut receiver: impl FrameReceiver,
@@ -62,7 +62,7 @@
     hello.magic == MAGIC && hello.version == PROTOCOL_VERSION && hello.secret == secret
 }
 
-async fn read_requests<P: Platform, H: Handler>(
+async fn read_requests<P: Runtime, H: Handler>(
     platform: &P,
     mut receiver: impl FrameReceiver,
     answers: mpsc::UnboundedSender<Vec<u8>>,
--- a/crates/platform-compio/src/connection.rs
+++ b/crates/runtime-compio/src/connection.rs
@@ -3,7 +3,7 @@
 use compio::BufResult;
 use compio::io::{AsyncRead, AsyncWriteExt};
 use compio::net::{TcpListener, TcpStream};
-use saddlerelay_platform::{FrameListener, FrameReceiver, FrameSender, MAX_FRAME_BYTES, Traffic};
+use saddlerelay_runtime::{FrameListener, FrameReceiver, FrameSender, MAX_FRAME_BYTES, Traffic};
 use std::cell::Cell;
 use std::io;
 use std::rc::Rc;
--- a/crates/platform-compio/src/disk.rs
+++ b/crates/runtime-compio/src/disk.rs
@@ -4,7 +4,7 @@
 use compio::fs::{File, OpenOptions};
 use compio::io::AsyncWriteAtExt;
 use futures::lock::Mutex;
-use saddlerelay_platform::Disk;
+use saddlerelay_runtime::Disk;
 use std::collections::BTreeMap;
 use std::io;
 use std::path::PathBuf;
--- a/crates/platform-compio/src/lib.rs
+++ b/crates/runtime-compio/src/lib.rs
@@ -8,7 +8,7 @@
 use compio::net::{TcpListener, TcpStream};
 use connection::{TcpFrameListener, TcpFrameReceiver, TcpFrameSender, TrafficCounter};
 use disk::FolderDisk;
-use saddlerelay_platform::{Platform, Traffic};
+use saddlerelay_runtime::{Runtime, Traffic};
 use std::cell::RefCell;
 use std::future::Future;
 use std::io;
@@ -19,14 +19,14 @@
 
 /// This machine. Clones share the clock, the random numbers and the data folder.
 #[derive(Clone)]
-pub struct CompioPlatform {
+pub struct CompioRuntime {
     clock: Rc<Clock>,
     random: Rc<RefCell<fastrand::Rng>>,
     disk: FolderDisk,
     traffic: TrafficCounter,
 }
 
-impl CompioPlatform {
+impl CompioRuntime {
     /// A platform whose files live under `data_folder`, which must exist.
     pub fn new(data_folder: PathBuf) -> Self {
         Self {
@@ -38,7 +38,7 @@
     }
 }
 
-impl Platform for CompioPlatform {
+impl Runtime for CompioRuntime {
     type Sender = TcpFrameSender;
     type Receiver = TcpFrameReceiver;
     type Listener = TcpFrameListener;
--- a/crates/platform-compio/tests/frames.rs
+++ b/crates/runtime-compio/tests/frames.rs
@@ -3,9 +3,9 @@
 use compio::BufResult;
 use compio::io::{AsyncReadExt, AsyncWriteExt};
 use compio::net::TcpStream;
-use saddlerelay_platform::{FrameListener, FrameReceiver, FrameSender, MAX_FRAME_BYTES, Platform};
-use saddlerelay_platform_compio::CompioPlatform;
-use saddlerelay_platform_compio::connection::TcpFrameListener;
+use saddlerelay_runtime::{FrameListener, FrameReceiver, FrameSender, MAX_FRAME_BYTES, Runtime};
+use saddlerelay_runtime_compio::CompioRuntime;
+use saddlerelay_runtime_compio::connection::TcpFrameListener;
 use std::future::Future;
 use std::net::SocketAddr;
 
@@ -19,8 +19,8 @@
     (TcpFrameListener::new(listener, Default::default()), address)
 }
 
-fn platform() -> CompioPlatform {
-    CompioPlatform::new(std::env::temp_dir())
+fn platform() -> CompioRuntime {
+    CompioRuntime::new(std::env::temp_dir())
 }
 
 async fn send_raw(address: SocketAddr, bytes: Vec<u8>) -> TcpStream {
--- a/crates/platform/src/lib.rs
+++ b/crates/runtime/src/lib.rs
@@ -1,6 +1,6 @@
 //! The seam between node code and the machine: clock, sleep, spawn, connections, disk, randomness, back ends.
 //!
-//! Node code is generic over [`Platform`] and runs unchanged on real machines and in the simulator.
+//! Node code is generic over [`Runtime`] and runs unchanged on real machines and in the simulator.
 #![allow(async_fn_in_trait)]
 
 pub mod backend;
@@ -64,7 +64,7 @@
 }
 
 /// A machine as a process sees it.
-pub trait Platform: Clone + 'static {
+pub trait Runtime: Clone + 'static {
     /// Sending half of a connection made here.
     type Sender: FrameSender;
     /// Receiving half of a connection made here.
--- a/crates/platform/tests/signal.rs
+++ b/crates/runtime/tests/signal.rs
@@ -1,7 +1,7 @@
 //! A signal wakes its waiters, and a wait that is given up leaves nothing behind.
 
 use futures::FutureExt;
-use saddlerelay_platform::signal::Signal;
+use saddlerelay_runtime::signal::Signal;
 
 #[test]
 fn a_waiter_is_woken_by_the_next_notification_only() {
--- a/crates/simulator/src/backends.rs
+++ b/crates/simulator/src/backends.rs
@@ -1,12 +1,12 @@
 //! Engines and services on the simulated network: one call on each connection.
 
 use crate::network::{SimReceiver, SimSender};
-use crate::platform::SimPlatform;
+use crate::platform::SimRuntime;
 use bitcode::{Decode, Encode};
 use futures::StreamExt;
 use futures::channel::mpsc;
-use saddlerelay_platform::backend::{BackendError, Backends, EngineConnection, StreamEvent};
-use saddlerelay_platform::{FrameListener, FrameReceiver, FrameSender, Platform};
+use saddlerelay_runtime::backend::{BackendError, Backends, EngineConnection, StreamEvent};
+use saddlerelay_runtime::{FrameListener, FrameReceiver, FrameSender, Runtime};
 use saddlerelay_standins::engine::{Engine, WeightSource};
 use saddlerelay_standins::trainer::WeightSink;
 use saddlerelay_types::engine::{EngineChunk, EngineDescription, EngineOrder, EngineRequest, EngineStatus};
@@ -51,7 +51,7 @@
 }
 
 /// Serves an engine until its process ends.
-pub async fn serve_engine<W: WeightSource>(platform: SimPlatform, address: SocketAddr, engine: Engine<SimPlatform, W>) {
+pub async fn serve_engine<W: WeightSource>(platform: SimRuntime, address: SocketAddr, engine: Engine<SimRuntime, W>) {
     let Ok(mut listener) = platform.listen(address).await else {
         return;
     };
@@ -61,7 +61,7 @@
 }
 
 async fn serve_engine_call<W: WeightSource>(
-    engine: Engine<SimPlatform, W>,
+    engine: Engine<SimRuntime, W>,
     mut sender: SimSender,
     mut receiver: SimReceiver,
 ) {
@@ -112,7 +112,7 @@
 }
 
 /// Serves the scorer or the platform until its process ends.
-pub async fn serve_services(platform: SimPlatform, address: SocketAddr, services: Services) {
+pub async fn serve_services(platform: SimRuntime, address: SocketAddr, services: Services) {
     let Ok(mut listener) = platform.listen(address).await else {
         return;
     };
@@ -138,7 +138,7 @@
 #[derive(Clone)]
 pub struct SimBackends {
     /// The process.
-    pub platform: SimPlatform,
+    pub platform: SimRuntime,
     /// The scorer.
     pub scorer: SocketAddr,
     /// The platform's list.
@@ -147,7 +147,7 @@
 
 /// A connection to an engine.
 pub struct SimEngineConnection {
-    platform: SimPlatform,
+    platform: SimRuntime,
     sender: SimSender,
     receiver: SimReceiver,
 }
@@ -228,14 +228,14 @@
 /// The weight store: one fetch after another.
 #[derive(Clone)]
 pub struct SimWeights {
-    platform: SimPlatform,
+    platform: SimRuntime,
     fetch_time: Duration,
     busy_until: Rc<Cell<Duration>>,
 }
 
 impl SimWeights {
     /// A store whose rate allows one fetch in `fetch_time`.
-    pub fn new(platform: SimPlatform, fetch_time: Duration) -> Self {
+    pub fn new(platform: SimRuntime, fetch_time: Duration) -> Self {
         Self { platform, fetch_time, busy_until: Rc::default() }
     }
 }
--- a/crates/simulator/src/cluster.rs
+++ b/crates/simulator/src/cluster.rs
@@ -1,20 +1,20 @@
 //! A deployment in the machine room: starts and restarts its processes.
 
 use crate::backends::{Services, SimBackends, SimWeights, serve_engine, serve_services};
-use crate::platform::SimPlatform;
+use crate::platform::SimRuntime;
 use crate::service::{Shutdown, SimAccess, serve_operators, serve_relay};
 use crate::world::{Process, World};
 use saddlerelay_checker::record::Record;
 use saddlerelay_control::config::ControlConfig;
 use saddlerelay_control::node::ControlNode;
 use saddlerelay_control_client::ControlClient;
-use saddlerelay_platform::Platform;
 use saddlerelay_policies::PolicyName;
 use saddlerelay_relay::config::RelayConfig;
 use saddlerelay_relay::{Relay, RelayOptions};
 use saddlerelay_replication::ReplicaOptions;
 use saddlerelay_replication::config::ReplicationConfig;
 use saddlerelay_replication::storage::StorageError;
+use saddlerelay_runtime::Runtime;
 use saddlerelay_scenarios::deployment::{Deployment, TenantLoad};
 use saddlerelay_standins::callers::UnderWay;
 use saddlerelay_standins::engine::{Engine, EngineOptions};
@@ -58,11 +58,11 @@
 #[derive(Clone)]
 pub enum Running {
     /// A control replica, once it has opened its disk.
-    Control(Rc<RefCell<Option<ControlNode<SimPlatform, SimBackends>>>>),
+    Control(Rc<RefCell<Option<ControlNode<SimRuntime, SimBackends>>>>),
     /// A relay, once it has opened its disk.
-    Relay(Rc<RefCell<Option<Relay<SimPlatform, SimBackends>>>>, Shutdown),
+    Relay(Rc<RefCell<Option<Relay<SimRuntime, SimBackends>>>>, Shutdown),
     /// An engine.
-    Engine(Engine<SimPlatform, SimWeights>),
+    Engine(Engine<SimRuntime, SimWeights>),
     /// Nothing that faults act on besides the process.
     Other,
 }
@@ -110,7 +110,7 @@
         let zones = deployment.zones.len();
         world.network.set_delays(zones, deployment.zone_delay, deployment.client_delay);
         let client = world.start_process("client", zones, 0);
-        let platform = SimPlatform { world: world.clone(), process: client.clone() };
+        let platform = SimRuntime { world: world.clone(), process: client.clone() };
         let weights = SimWeights::new(platform, deployment.fetch_time);
         Rc::new(Self {
             engines: describe_engines(&deployment),
@@ -136,16 +136,16 @@
     }
 
     /// The clients' machine.
-    pub fn client_platform(&self) -> SimPlatform {
-        SimPlatform { world: self.world.clone(), process: self.client.clone() }
+    pub fn client_platform(&self) -> SimRuntime {
+        SimRuntime { world: self.world.clone(), process: self.client.clone() }
     }
 
-    fn platform(&self, process: &Rc<Process>) -> SimPlatform {
-        SimPlatform { world: self.world.clone(), process: process.clone() }
+    fn platform(&self, process: &Rc<Process>) -> SimRuntime {
+        SimRuntime { world: self.world.clone(), process: process.clone() }
     }
 
     /// Access as clients have it, from `platform`.
-    pub fn access(&self, platform: SimPlatform) -> SimAccess {
+    pub fn access(&self, platform: SimRuntime) -> SimAccess {
         SimAccess {
             platform,
             relays: Rc::new((0..self.deployment.relays as usize).map(|place| address(RELAY_PORT, place)).collect()),
@@ -157,7 +157,7 @@
     }
 
     /// An operator.
-    pub fn operator(&self, name: &str) -> Operator<SimPlatform, SimAccess> {
+    pub fn operator(&self, name: &str) -> Operator<SimRuntime, SimAccess> {
         let platform = self.client_platform();
         Operator { access: self.access(platform.clone()), platform, recorder: self.recorder(), name: name.to_string() }
     }
@@ -170,7 +170,7 @@
         (0..self.deployment.control as usize).map(|place| address(CONTROL_PORT, place)).collect()
     }
 
-    fn backends(&self, platform: &SimPlatform) -> SimBackends {
+    fn backends(&self, platform: &SimRuntime) -> SimBackends {
         SimBackends {
             platform: platform.clone(),
             scorer: address(SCORER_PORT, 0),
@@ -370,11 +370,11 @@
 }
 
 async fn run_control(
-    platform: SimPlatform,
+    platform: SimRuntime,
     backends: SimBackends,
     options: ReplicaOptions,
     place: usize,
-    slot: Rc<RefCell<Option<ControlNode<SimPlatform, SimBackends>>>>,
+    slot: Rc<RefCell<Option<ControlNode<SimRuntime, SimBackends>>>>,
 ) {
     let (own, peers, secret) = (options.address, options.peers.clone(), options.secret.clone());
     let Ok(listener) = platform.listen(own).await else {
@@ -397,10 +397,10 @@
 }
 
 async fn run_relay(
-    platform: SimPlatform,
+    platform: SimRuntime,
     backends: SimBackends,
     options: RelayOptions,
-    slot: Rc<RefCell<Option<Relay<SimPlatform, SimBackends>>>>,
+    slot: Rc<RefCell<Option<Relay<SimRuntime, SimBackends>>>>,
     shutdown: Shutdown,
 ) {
     let own = options.address;
--- a/crates/simulator/src/disk.rs
+++ b/crates/simulator/src/disk.rs
@@ -1,7 +1,7 @@
 //! Disks that lose what was not synced.
 
 use crate::world::{Process, Sleep, World};
-use saddlerelay_platform::Disk;
+use saddlerelay_runtime::Disk;
 use std::cell::RefCell;
 use std::collections::{BTreeMap, BTreeSet};
 use std::io;
--- a/crates/simulator/src/faults.rs
+++ b/crates/simulator/src/faults.rs
@@ -1,10 +1,10 @@
 //! Causes faults in a simulated deployment, and draws random ones.
 
 use crate::cluster::{Cluster, Member, Running};
-use crate::platform::SimPlatform;
+use crate::platform::SimRuntime;
 use fastrand::Rng;
 use saddlerelay_checker::record::Record;
-use saddlerelay_platform::Platform;
+use saddlerelay_runtime::Runtime;
 use saddlerelay_scenarios::trace::{Fault, FaultKind, Target};
 use saddlerelay_standins::engine::EngineFaults;
 use saddlerelay_types::configuration::{ParameterName, ParameterValue};
@@ -163,7 +163,7 @@
     let (name, member) = find(cluster, target)?;
     let (done, ended) = futures::channel::oneshot::channel();
     let running = member.running.clone();
-    let platform = SimPlatform { world: cluster.world.clone(), process: member.process.clone() };
+    let platform = SimRuntime { world: cluster.world.clone(), process: member.process.clone() };
     // In the process itself, so that it stands still with it.
     cluster.world.spawn(&member.process, async move {
         match running {
--- a/crates/simulator/src/network.rs
+++ b/crates/simulator/src/network.rs
@@ -2,7 +2,7 @@
 
 use crate::world::{Event, Process, World};
 use futures::channel::mpsc;
-use saddlerelay_platform::{FrameListener, FrameReceiver, FrameSender};
+use saddlerelay_runtime::{FrameListener, FrameReceiver, FrameSender};
 use std::cell::{Cell, RefCell};
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::future::poll_fn;
--- a/crates/simulator/src/platform.rs
+++ b/crates/simulator/src/platform.rs
@@ -3,7 +3,7 @@
 use crate::disk::SimDisk;
 use crate::network::{self, SimListener, SimReceiver, SimSender};
 use crate::world::{Process, START_UNIX_MILLISECONDS, Sleep, World};
-use saddlerelay_platform::Platform;
+use saddlerelay_runtime::Runtime;
 use std::future::Future;
 use std::io;
 use std::net::SocketAddr;
@@ -12,14 +12,14 @@
 
 /// The machine as one process sees it.
 #[derive(Clone)]
-pub struct SimPlatform {
+pub struct SimRuntime {
     /// The machine room.
     pub world: Rc<World>,
     /// The process.
     pub process: Rc<Process>,
 }
 
-impl Platform for SimPlatform {
+impl Runtime for SimRuntime {
     type Sender = SimSender;
     type Receiver = SimReceiver;
     type Listener = SimListener;
--- a/crates/simulator/src/service.rs
+++ b/crates/simulator/src/service.rs
@@ -2,15 +2,15 @@
 
 use crate::backends::SimBackends;
 use crate::network::{SimReceiver, SimSender};
-use crate::platform::SimPlatform;
+use crate::platform::SimRuntime;
 use bitcode::{Decode, Encode};
 use futures::StreamExt;
 use futures::future::{self, Either};
 use saddlerelay_control_client::ControlClient;
-use saddlerelay_platform::signal::Signal;
-use saddlerelay_platform::{FrameListener, FrameReceiver, FrameSender, Platform};
 use saddlerelay_relay::Relay;
 use saddlerelay_relay::commands::trainers::TrainerError;
+use saddlerelay_runtime::signal::Signal;
+use saddlerelay_runtime::{FrameListener, FrameReceiver, FrameSender, Runtime};
 use saddlerelay_standins::access::{Access, CallerAnswer, TrainerCallError};
 use saddlerelay_types::configuration::{ConfigurationChange, ConfigurationOutcome};
 use saddlerelay_types::identity::{Incarnation, ModelName, Position, TenantId, WeightVersion};
@@ -65,7 +65,7 @@
 
 impl Shutdown {
     /// Stops accepting and waits until every call in progress has ended.
-    pub async fn close(&self, platform: &SimPlatform) {
+    pub async fn close(&self, platform: &SimRuntime) {
         self.closing.notify();
         platform.sleep(CLOSE_POLL).await;
         while self.open.get() > 0 {
@@ -76,9 +76,9 @@
 
 /// Serves a relay until `shutdown` is closed; connections in the backlog then are still served.
 pub async fn serve_relay(
-    platform: SimPlatform,
+    platform: SimRuntime,
     address: SocketAddr,
-    relay: Relay<SimPlatform, SimBackends>,
+    relay: Relay<SimRuntime, SimBackends>,
     shutdown: Shutdown,
 ) {
     let Ok(mut listener) = platform.listen(address).await else {
@@ -104,7 +104,7 @@
     }
 }
 
-async fn serve_relay_call(relay: Relay<SimPlatform, SimBackends>, mut sender: SimSender, mut receiver: SimReceiver) {
+async fn serve_relay_call(relay: Relay<SimRuntime, SimBackends>, mut sender: SimSender, mut receiver: SimReceiver) {
     let Ok(Some(frame)) = receiver.receive().await else {
         return;
     };
@@ -140,7 +140,7 @@
 }
 
 /// Serves operators' changes on a control process until it ends.
-pub async fn serve_operators(platform: SimPlatform, address: SocketAddr, client: ControlClient<SimPlatform>) {
+pub async fn serve_operators(platform: SimRuntime, address: SocketAddr, client: ControlClient<SimRuntime>) {
     let Ok(mut listener) = platform.listen(address).await else {
         return;
     };
@@ -167,7 +167,7 @@
 #[derive(Clone)]
 pub struct SimAccess {
     /// The client process.
-    pub platform: SimPlatform,
+    pub platform: SimRuntime,
     /// The relays.
     pub relays: Rc<Vec<SocketAddr>>,
     /// The control processes towards operators.
--- a/crates/standins/src/callers.rs
+++ b/crates/standins/src/callers.rs
@@ -4,8 +4,8 @@
 use crate::recorder::Recorder;
 use crate::tokens;
 use saddlerelay_checker::record::{CallerResult, Record};
-use saddlerelay_platform::Platform;
-use saddlerelay_platform::timeout::timeout;
+use saddlerelay_runtime::Runtime;
+use saddlerelay_runtime::timeout::timeout;
 use saddlerelay_scenarios::trace::Arrival;
 use saddlerelay_types::identity::{CallerId, IdempotencyKey, ModelName, TenantId};
 use saddlerelay_types::request::{
@@ -79,7 +79,7 @@
 }
 
 /// Sends one recorded request.
-pub async fn run_arrival<P: Platform, A: Access>(
+pub async fn run_arrival<P: Runtime, A: Access>(
     platform: P,
     access: A,
     recorder: Recorder,
@@ -93,7 +93,7 @@
 }
 
 /// Sends requests until `stop` is set.
-pub async fn run_callers<P: Platform, A: Access>(
+pub async fn run_callers<P: Runtime, A: Access>(
     platform: P,
     access: A,
     recorder: Recorder,
@@ -124,7 +124,7 @@
     }
 }
 
-fn make_request<P: Platform>(platform: &P, options: &CallerOptions, number: u64, drawn: Drawn) -> CallerRequest {
+fn make_request<P: Runtime>(platform: &P, options: &CallerOptions, number: u64, drawn: Drawn) -> CallerRequest {
     let Drawn { once, prefix } = drawn;
     let keyed = once || platform.random() % 100 < KEYED_PERCENT;
     let unique = platform.random();
@@ -163,7 +163,7 @@
 
 /// Sends one request, resends as told, and records its end. With `doubled` a second copy goes to any relay soon after the
 /// first, as a proxy that repeats what it believes lost would send it; a whole answer to either must be right.
-async fn ask<P: Platform, A: Access>(platform: P, access: A, recorder: Recorder, asking: Asking) {
+async fn ask<P: Runtime, A: Access>(platform: P, access: A, recorder: Recorder, asking: Asking) {
     let Asking { request, prefix, doubled } = asking;
     let from = platform.monotonic();
     let from_unix = platform.unix_milliseconds();
@@ -222,13 +222,13 @@
     });
 }
 
-async fn send<P: Platform, A: Access>(platform: &P, access: &A, request: &CallerRequest) -> CallerAnswer {
+async fn send<P: Runtime, A: Access>(platform: &P, access: &A, request: &CallerRequest) -> CallerAnswer {
     let relay = platform.random() as usize % access.relays().max(1);
     let limit = Duration::from_millis(request.deadline_milliseconds) + PATIENCE;
     timeout(platform, limit, access.ask(relay, request)).await.unwrap_or(CallerAnswer::Lost)
 }
 
-fn next<P: Platform>(platform: &P, asked: &mut Asked, answer: CallerAnswer) -> Next {
+fn next<P: Runtime>(platform: &P, asked: &mut Asked, answer: CallerAnswer) -> Next {
     let can_resend = asked.sends < MOST_SENDS;
     match answer {
         CallerAnswer::Whole { generation, first_token_after } => {
--- a/crates/standins/src/engine.rs
+++ b/crates/standins/src/engine.rs
@@ -5,7 +5,7 @@
 use crate::tokens;
 use futures::channel::{mpsc, oneshot};
 use saddlerelay_checker::record::Record;
-use saddlerelay_platform::Platform;
+use saddlerelay_runtime::Runtime;
 use saddlerelay_types::engine::{
     EngineAction, EngineChunk, EngineDescription, EngineLoad, EngineOrder, EngineRequest, EngineStatus, WeightState,
 };
@@ -87,7 +87,7 @@
 }
 
 /// An engine. Clones are the same engine.
-pub struct Engine<P: Platform, W: WeightSource> {
+pub struct Engine<P: Runtime, W: WeightSource> {
     inner: Rc<Inner<P, W>>,
 }
 
@@ -100,16 +100,16 @@
     state: RefCell<State>,
 }
 
-impl<P: Platform, W: WeightSource> Clone for Engine<P, W> {
+impl<P: Runtime, W: WeightSource> Clone for Engine<P, W> {
     fn clone(&self) -> Self {
         Self { inner: self.inner.clone() }
     }
 }
 
 /// Gives an engine's slot back when dropped.
-struct Slot<P: Platform, W: WeightSource>(Engine<P, W>);
+struct Slot<P: Runtime, W: WeightSource>(Engine<P, W>);
 
-impl<P: Platform, W: WeightSource> Drop for Slot<P, W> {
+impl<P: Runtime, W: WeightSource> Drop for Slot<P, W> {
     fn drop(&mut self) {
         let mut state = self.0.inner.state.borrow_mut();
         state.running -= 1;
@@ -124,7 +124,7 @@
     }
 }
 
-impl<P: Platform, W: WeightSource> Engine<P, W> {
+impl<P: Runtime, W: WeightSource> Engine<P, W> {
     /// Starts an engine with the weights of version zero.
     pub fn start(platform: P, options: EngineOptions, weights: W, recorder: Recorder) -> Self {
         let state = State {
--- a/crates/standins/src/http/engine.rs
+++ b/crates/standins/src/http/engine.rs
@@ -11,7 +11,7 @@
 use saddlerelay_http::body::{Reply, json, parse_json, parts, read_whole, whole};
 use saddlerelay_http::server::HttpHandler;
 use saddlerelay_http::sse;
-use saddlerelay_platform::Platform;
+use saddlerelay_runtime::Runtime;
 use saddlerelay_types::engine::{EngineChunk, EngineOrder};
 use serde::{Deserialize, Serialize};
 use std::rc::Rc;
@@ -53,12 +53,12 @@
 }
 
 /// The HTTP face of an engine.
-pub struct EngineServer<P: Platform, W: WeightSource> {
+pub struct EngineServer<P: Runtime, W: WeightSource> {
     /// The engine.
     pub engine: Engine<P, W>,
 }
 
-impl<P: Platform, W: WeightSource> HttpHandler for EngineServer<P, W> {
+impl<P: Runtime, W: WeightSource> HttpHandler for EngineServer<P, W> {
     async fn handle(self: Rc<Self>, request: Request<Incoming>) -> Reply {
         let (head, body) = request.into_parts();
         if head.method == Method::GET && head.uri.path() == STATUS_PATH {
@@ -85,7 +85,7 @@
     }
 }
 
-impl<P: Platform, W: WeightSource> EngineServer<P, W> {
+impl<P: Runtime, W: WeightSource> EngineServer<P, W> {
     fn complete(&self, bytes: &[u8]) -> Reply {
         let request = match parse_json::<CompletionRequest>(bytes) {
             Ok(request) => request,
--- a/crates/standins/src/http/process.rs
+++ b/crates/standins/src/http/process.rs
@@ -12,8 +12,8 @@
 use compio::net::TcpListener;
 use lexopt::prelude::*;
 use saddlerelay_http::server::serve;
-use saddlerelay_platform::Platform;
-use saddlerelay_platform_compio::CompioPlatform;
+use saddlerelay_runtime::Runtime;
+use saddlerelay_runtime_compio::CompioRuntime;
 use saddlerelay_types::engine::EngineDescription;
 use saddlerelay_types::identity::{EngineId, ModelName, TenantId, Zone};
 use saddlerelay_types::request::Priority;
@@ -156,7 +156,7 @@
     };
     let weights = HttpWeights { address: flags.address("store")?, model };
     let recorder = file_recorder(&PathBuf::from(flags.text("records")?))?;
-    let platform = CompioPlatform::new(std::env::temp_dir());
+    let platform = CompioRuntime::new(std::env::temp_dir());
     let listener = listener(flags).await?;
     let engine = Engine::start(platform, options, weights, recorder);
     serve(listener, Rc::new(EngineServer { engine })).await;
@@ -188,7 +188,7 @@
         train_time: flags.milliseconds("train-time-ms")?,
         steps_ahead: flags.number("steps-ahead")?,
     };
-    let platform = CompioPlatform::new(PathBuf::from(flags.text("data")?));
+    let platform = CompioRuntime::new(PathBuf::from(flags.text("data")?));
     let access = HttpAccess::new(flags.addresses("relays")?, Vec::new(), String::new());
     let sink = HttpWeights { address: flags.address("store")?, model: ModelName::new(flags.text("model")?) };
     let recorder = file_recorder(&PathBuf::from(flags.text("records")?))?;
@@ -214,7 +214,7 @@
         not_repeatable_percent: flags.number("once-percent")?,
         prefixes: flags.number("prefixes")?,
     };
-    let platform = CompioPlatform::new(std::env::temp_dir());
+    let platform = CompioRuntime::new(std::env::temp_dir());
     let access = HttpAccess::new(flags.addresses("relays")?, Vec::new(), String::new());
     let recorder = file_recorder(&PathBuf::from(flags.text("records")?))?;
     let under_way = UnderWay::default();
--- a/crates/standins/src/operators.rs
+++ b/crates/standins/src/operators.rs
@@ -5,8 +5,8 @@
 use crate::recorder::Recorder;
 use saddlerelay_checker::check::is_accepted;
 use saddlerelay_checker::record::Record;
-use saddlerelay_platform::Platform;
-use saddlerelay_platform::timeout::timeout;
+use saddlerelay_runtime::Runtime;
+use saddlerelay_runtime::timeout::timeout;
 use saddlerelay_types::configuration::{
     ConfigurationChange, ConfigurationOutcome, ObjectName, ObjectValue, ParameterName, ParameterValue, Template, Tenant,
 };
@@ -49,7 +49,7 @@
 /// The values of a tenant.
 pub type TenantValues = BTreeMap<ParameterName, ParameterValue>;
 
-impl<P: Platform, A: Access> Operator<P, A> {
+impl<P: Runtime, A: Access> Operator<P, A> {
     fn key(&self) -> IdempotencyKey {
         IdempotencyKey(format!("{}-{:016x}", self.name, self.platform.random()))
     }
@@ -135,7 +135,7 @@
 }
 
 /// Two operators change the probe again and again, both naming the revision they saw: exactly one can win.
-pub async fn race_changes<P: Platform, A: Access>(
+pub async fn race_changes<P: Runtime, A: Access>(
     first: Operator<P, A>,
     second: Operator<P, A>,
     interval: Duration,
@@ -163,7 +163,7 @@
 }
 
 /// Asks every relay again and again which probe value it acts on.
-pub async fn probe_relays<P: Platform, A: Access>(
+pub async fn probe_relays<P: Runtime, A: Access>(
     platform: P,
     access: A,
     recorder: Recorder,
@@ -179,7 +179,7 @@
     }
 }
 
-async fn probe<P: Platform, A: Access>(platform: P, access: A, recorder: Recorder, relay: usize) {
+async fn probe<P: Runtime, A: Access>(platform: P, access: A, recorder: Recorder, relay: usize) {
     let from = platform.unix_milliseconds();
     let Some(models) = timeout(&platform, PROBE_LIMIT, access.models(relay)).await else {
         return;
--- a/crates/standins/src/trainer.rs
+++ b/crates/standins/src/trainer.rs
@@ -9,8 +9,8 @@
 use bitcode::{Decode, Encode};
 use futures::channel::oneshot;
 use saddlerelay_checker::record::Record;
-use saddlerelay_platform::timeout::timeout;
-use saddlerelay_platform::{Disk, Platform};
+use saddlerelay_runtime::timeout::timeout;
+use saddlerelay_runtime::{Disk, Runtime};
 use saddlerelay_types::identity::{DeliveryEpoch, Incarnation, Position, StepNumber, TenantId, WeightVersion};
 use saddlerelay_types::protocol::TrainerRefusal;
 use saddlerelay_types::rollout::{DeliveredSample, DeliveryBatch, StepRequest, TrainerState};
@@ -86,7 +86,7 @@
 }
 
 /// Runs a trainer until `stop` is set and every opened step is received.
-pub async fn run_trainer<P: Platform, A: Access, W: WeightSink>(
+pub async fn run_trainer<P: Runtime, A: Access, W: WeightSink>(
     platform: P,
     access: A,
     sink: W,
@@ -114,7 +114,7 @@
     format!("{tenant} draft, shared instructions number {}. step {step} prompt {prompt}", step.0 % 3)
 }
 
-impl<P: Platform, A: Access, W: WeightSink> Trainer<P, A, W> {
+impl<P: Runtime, A: Access, W: WeightSink> Trainer<P, A, W> {
     async fn run(&mut self, stop: &StopFlag) -> Result<(), TrainerRefusal> {
         let state = self.call_until_decided(Call::Open).await?;
         self.saved.epoch = self.saved.epoch.max(state.epoch);
--- a/crates/telemetry/src/metrics.rs
+++ b/crates/telemetry/src/metrics.rs
@@ -4,7 +4,7 @@
 use prometheus_client::metrics::counter::Counter;
 use prometheus_client::metrics::gauge::Gauge;
 use prometheus_client::registry::Registry;
-use saddlerelay_platform::Traffic;
+use saddlerelay_runtime::Traffic;
 
 /// Content type of the text format.
 pub const CONTENT_TYPE: &str = "application/openmetrics-text; version=1.0.0; charset=utf-8";
