--- a/crates/command-line/src/serve.rs
+++ b/crates/command-line/src/serve.rs
@@ -97,6 +97,7 @@
     let options = ReplicaOptions {
         address: control.peer_address,
         peers: settings.control.clone(),
+        founders: Vec::new(),
         secret: settings.shared_secret.clone(),
         config: control.replication,
     };
--- /dev/null
+++ b/crates/control/src/commands/gateway.rs
@@ -0,0 +1,46 @@
+//! Routing documents, engine instances, named versions, batch jobs and store machines.
+
+use crate::state::ControlState;
+use saddlerelay_types::gateway::{GatewayCommand, GatewayOutcome};
+
+/// Applies a gateway command.
+pub fn apply(state: &mut ControlState, command: GatewayCommand) -> GatewayOutcome {
+    match command {
+        GatewayCommand::PutRouting(document) => {
+            state.routing.put(document);
+            GatewayOutcome::Done
+        }
+        GatewayCommand::ReportInstance(report) => {
+            state.instances.take_report(report);
+            GatewayOutcome::Done
+        }
+        GatewayCommand::RemoveInstance(id) => {
+            state.instances.remove(&id);
+            GatewayOutcome::Done
+        }
+        GatewayCommand::NameVersion(named) => {
+            state.weights.name(named);
+            GatewayOutcome::Done
+        }
+        GatewayCommand::SubmitJob { job, keep_ms } => {
+            state.jobs.submit(job, state.time, keep_ms);
+            GatewayOutcome::Done
+        }
+        GatewayCommand::ListResults { job, results } => found(state.jobs.list(&job, results)),
+        GatewayCommand::EndJob(job) => found(state.jobs.end(&job)),
+        GatewayCommand::RegisterStore(record) => {
+            state.stores.register(record);
+            GatewayOutcome::Done
+        }
+        GatewayCommand::RetireStore(name) => found(state.stores.retire(&name)),
+        GatewayCommand::StoreRetired(name) => found(state.stores.complete(&name)),
+        GatewayCommand::TakeOrders(replica) => {
+            let taken_over = state.weights.take_orders(replica);
+            GatewayOutcome::Orders { fence: state.members.draw_fence(), taken_over }
+        }
+    }
+}
+
+fn found(found: bool) -> GatewayOutcome {
+    if found { GatewayOutcome::Done } else { GatewayOutcome::NotFound }
+}
--- a/crates/control/src/commands/mod.rs
+++ b/crates/control/src/commands/mod.rs
@@ -2,6 +2,7 @@
 
 pub mod claims;
 pub mod configuration;
+pub mod gateway;
 pub mod membership;
 pub mod rollouts;
 
@@ -17,5 +18,6 @@
         Command::Claim(command) => CommandOutcome::Claim(claims::apply(state, command)),
         Command::Rollout(command) => rollouts::apply(state, command),
         Command::Membership(command) => membership::apply(state, command),
+        Command::Gateway(command) => CommandOutcome::Gateway(gateway::apply(state, command)),
     }
 }
--- a/crates/control/src/config.rs
+++ b/crates/control/src/config.rs
@@ -26,6 +26,12 @@
     /// How long the leader keeps a relay's question for samples, or a trainer's, open while there is nothing to answer.
     /// Shorter than the time after which a client of the group tries another replica.
     pub idle_wait: Duration,
+    /// How long a relay may act on what it was told of routes and instances, from when it asked.
+    pub follow_lease: Duration,
+    /// Silence after which an instance that reports itself is called silent.
+    pub instance_silence: Duration,
+    /// How long a batch job stays readable after it was handed in; an open one stays longer.
+    pub job_keep: Duration,
 }
 
 impl Default for ControlConfig {
@@ -41,6 +47,9 @@
             renewal_wait: Duration::from_millis(400),
             news_interval: Duration::from_millis(40),
             idle_wait: Duration::from_millis(800),
+            follow_lease: Duration::from_millis(1700),
+            instance_silence: Duration::from_millis(4000),
+            job_keep: Duration::from_secs(150),
         }
     }
 }
--- /dev/null
+++ b/crates/control/src/gateway.rs
@@ -0,0 +1,269 @@
+//! Answers about routed requests, engine instances, named versions, batch jobs and store machines.
+
+use crate::node::ControlNode;
+use crate::state::ControlState;
+use crate::state::stores::Retirement;
+use saddlerelay_replication::ProposeError;
+use saddlerelay_runtime::Runtime;
+use saddlerelay_runtime::backend::Backends;
+use saddlerelay_runtime::timeout::timeout;
+use saddlerelay_types::gateway::{
+    FollowReply, FollowRequest, GatewayCommand, GatewayOutcome, GatewayReply, GatewayRequest, StoreRecord,
+};
+use saddlerelay_types::instance::{InstanceId, InstanceReport, LoadedModel};
+use saddlerelay_types::job::{ItemId, JobId, JobSubmission};
+use saddlerelay_types::protocol::{Command, CommandOutcome, ControlReply};
+use saddlerelay_types::routing::RoutingDocument;
+use std::time::Duration;
+
+/// The longest that a read of results is held open.
+const LONGEST_READ_WAIT: Duration = Duration::from_millis(1_000);
+
+/// Silence after which a machine is not counted among those that are left when another is to be emptied.
+const STORE_SILENCE_MS: u64 = 1_000;
+
+/// Whether relays would act differently after `command`.
+pub(crate) fn changes_what_relays_act_on(command: &GatewayCommand) -> bool {
+    matches!(
+        command,
+        GatewayCommand::PutRouting(_) | GatewayCommand::ReportInstance(_) | GatewayCommand::RemoveInstance(_)
+    )
+}
+
+/// Whether `command` changes what batch jobs are to do, and whether it changes what can be read of them.
+pub(crate) fn effect_on_jobs(command: &GatewayCommand) -> (bool, bool) {
+    match command {
+        GatewayCommand::ListResults { .. } => (false, true),
+        GatewayCommand::EndJob(_) => (true, true),
+        GatewayCommand::SubmitJob { .. } | GatewayCommand::NameVersion(_) => (true, false),
+        other => (changes_what_relays_act_on(other), false),
+    }
+}
+
+impl<P: Runtime, B: Backends> ControlNode<P, B> {
+    pub(crate) async fn answer_gateway(&self, request: GatewayRequest) -> ControlReply {
+        match request {
+            GatewayRequest::Follow(follow) => self.follow(follow).await,
+            GatewayRequest::ReportInstance(report) => self.report_instance(report).await,
+            GatewayRequest::RemoveInstance(id) => self.remove_instance(id).await,
+            GatewayRequest::PutRouting(document) => self.put_routing(document).await,
+            GatewayRequest::ReadRouting => self.read_routing(),
+            GatewayRequest::NameVersion(named) => self.name_version(named).await,
+            GatewayRequest::SubmitJob(job) => self.submit_job(job).await,
+            GatewayRequest::ReadResults { job, after, wait_ms } => self.read_results(&job, after, wait_ms).await,
+            GatewayRequest::ReadBody { job, item } => self.read_body(&job, &item),
+            GatewayRequest::EndJob(job) => self.end_job(job).await,
+            GatewayRequest::RegisterStore(record) => self.register_store(record).await,
+            GatewayRequest::RetireStore(name) => self.retire_store(name).await,
+            GatewayRequest::ReadRetirement(name) => self.read_retirement(&name),
+        }
+    }
+
+    fn reply(&self, reply: Option<GatewayReply>) -> ControlReply {
+        reply.map_or_else(|| self.not_leader(), ControlReply::Gateway)
+    }
+
+    /// Commits a gateway command.
+    pub async fn commit_gateway(&self, command: GatewayCommand) -> Result<GatewayOutcome, ProposeError> {
+        match self.commit(Command::Gateway(command)).await? {
+            CommandOutcome::Gateway(outcome) => Ok(outcome),
+            _ => unreachable!("a gateway command has a gateway outcome"),
+        }
+    }
+
+    async fn execute_gateway(&self, command: GatewayCommand) -> ControlReply {
+        match self.commit_gateway(command).await {
+            Ok(GatewayOutcome::NotFound) => ControlReply::Gateway(GatewayReply::NotFound),
+            Ok(GatewayOutcome::Done | GatewayOutcome::Orders { .. }) => ControlReply::Gateway(GatewayReply::Done),
+            Err(ProposeError::NotLeader(leader)) => ControlReply::NotLeader { leader },
+            Err(ProposeError::Overloaded) => ControlReply::Gateway(GatewayReply::Unavailable),
+            Err(ProposeError::Undecided) => ControlReply::Undecided,
+        }
+    }
+
+    /// Answers as soon as there is something new, or after a while.
+    async fn follow(&self, follow: FollowRequest) -> ControlReply {
+        let platform = &self.inner.platform;
+        let until = platform.monotonic() + self.inner.config.renewal_wait;
+        loop {
+            let seen = self.inner.news.count();
+            let Some(reply) = self.read(|state| self.follow_reply(state, &follow)) else {
+                return self.not_leader();
+            };
+            let left = until.saturating_sub(platform.monotonic());
+            if left.is_zero() || brings_news(&reply, &follow) {
+                return ControlReply::Gateway(GatewayReply::Followed(reply));
+            }
+            timeout(platform, left, self.inner.news.changed(seen)).await;
+        }
+    }
+
+    fn follow_reply(&self, state: &ControlState, follow: &FollowRequest) -> FollowReply {
+        let document = state.routing.current();
+        FollowReply {
+            lease_ms: self.inner.config.follow_lease.as_millis() as u64,
+            routing: document.filter(|document| follow.routing_version != Some(document.version)).cloned(),
+            instance_revision: state.instances.revision(),
+            instances: state.instances.changed_after(follow.instance_revision),
+            silent: self.silent_instances(state),
+            replicas: self.inner.replica.member_addresses(),
+        }
+    }
+
+    /// Ready instances whose reports have ceased.
+    pub fn silent_instances(&self, state: &ControlState) -> Vec<InstanceId> {
+        let now = self.inner.platform.monotonic();
+        self.follow_instance_term(now);
+        self.inner.instance_watch.borrow().silent(&state.instances, now, self.inner.config.instance_silence)
+    }
+
+    /// What an instance last told this leader that it has loaded, and when.
+    pub fn reported_models(&self, id: &InstanceId) -> Option<(Duration, Vec<LoadedModel>)> {
+        let watch = self.inner.instance_watch.borrow();
+        watch.models(id).map(|(at, models)| (at, models.to_vec()))
+    }
+
+    fn follow_instance_term(&self, now: Duration) {
+        if let Some(term) = self.inner.replica.leading_term() {
+            self.inner.instance_watch.borrow_mut().follow_term(term, now);
+        }
+    }
+
+    async fn report_instance(&self, report: InstanceReport) -> ControlReply {
+        let now = self.inner.platform.monotonic();
+        let Some(news) = self.read(|state| state.instances.is_news(&report)) else {
+            return self.not_leader();
+        };
+        self.follow_instance_term(now);
+        self.inner.instance_watch.borrow_mut().hear(&report, now);
+        if !news {
+            return ControlReply::Gateway(GatewayReply::Done);
+        }
+        self.execute_gateway(GatewayCommand::ReportInstance(report)).await
+    }
+
+    async fn remove_instance(&self, id: InstanceId) -> ControlReply {
+        self.execute_gateway(GatewayCommand::RemoveInstance(id)).await
+    }
+
+    async fn put_routing(&self, document: RoutingDocument) -> ControlReply {
+        if let Some(error) = document.error() {
+            return ControlReply::Gateway(GatewayReply::InvalidRouting(error));
+        }
+        let overtaken = self.read(|state| state.routing.version().is_some_and(|held| document.version <= held));
+        match overtaken {
+            None => self.not_leader(),
+            Some(true) => ControlReply::Gateway(GatewayReply::Done),
+            Some(false) => self.execute_gateway(GatewayCommand::PutRouting(document)).await,
+        }
+    }
+
+    fn read_routing(&self) -> ControlReply {
+        let source = self.read(|state| state.routing.current().map(|document| document.source.clone()));
+        self.reply(source.map(GatewayReply::Routing))
+    }
+
+    async fn name_version(&self, named: LoadedModel) -> ControlReply {
+        let held = self.read(|state| state.weights.named().get(&named.model).is_some_and(|held| *held >= named.version));
+        match held {
+            None => self.not_leader(),
+            Some(true) => ControlReply::Gateway(GatewayReply::Done),
+            Some(false) => self.execute_gateway(GatewayCommand::NameVersion(named)).await,
+        }
+    }
+
+    async fn submit_job(&self, job: JobSubmission) -> ControlReply {
+        let known = self.read(|state| state.jobs.get(&job.id).is_some());
+        let keep_ms = self.inner.config.job_keep.as_millis() as u64;
+        match known {
+            None => self.not_leader(),
+            Some(true) => ControlReply::Gateway(GatewayReply::Done),
+            Some(false) => self.execute_gateway(GatewayCommand::SubmitJob { job, keep_ms }).await,
+        }
+    }
+
+    /// Answers as soon as there is a result at `after`, or after a while.
+    async fn read_results(&self, job: &JobId, after: u64, wait_ms: u64) -> ControlReply {
+        let platform = &self.inner.platform;
+        let until = platform.monotonic() + Duration::from_millis(wait_ms).min(LONGEST_READ_WAIT);
+        loop {
+            let seen = self.inner.job_results.count();
+            let page = self.read(|state| state.jobs.get(job).map(|job| (job.page(after), job.is_ended())));
+            let Some(found) = page else {
+                return self.not_leader();
+            };
+            let Some((page, ended)) = found else {
+                return ControlReply::Gateway(GatewayReply::NotFound);
+            };
+            let left = until.saturating_sub(platform.monotonic());
+            if left.is_zero() || ended || !page.results.is_empty() {
+                return ControlReply::Gateway(GatewayReply::Results(page));
+            }
+            timeout(platform, left, self.inner.job_results.changed(seen)).await;
+        }
+    }
+
+    fn read_body(&self, job: &JobId, item: &ItemId) -> ControlReply {
+        let body = self.read(|state| state.jobs.body(job, item).map(<[u8]>::to_vec));
+        self.reply(body.map(|body| body.map_or(GatewayReply::NotFound, GatewayReply::Body)))
+    }
+
+    async fn end_job(&self, job: JobId) -> ControlReply {
+        let standing = self.read(|state| state.jobs.get(&job).map(|job| job.is_ended()));
+        match standing {
+            None => self.not_leader(),
+            Some(None) => ControlReply::Gateway(GatewayReply::NotFound),
+            Some(Some(true)) => ControlReply::Gateway(GatewayReply::Done),
+            Some(Some(false)) => self.execute_gateway(GatewayCommand::EndJob(job)).await,
+        }
+    }
+
+    async fn register_store(&self, record: StoreRecord) -> ControlReply {
+        match self.read(|state| state.stores.holds(&record)) {
+            None => self.not_leader(),
+            Some(true) => ControlReply::Gateway(GatewayReply::Done),
+            Some(false) => self.execute_gateway(GatewayCommand::RegisterStore(record)).await,
+        }
+    }
+
+    async fn retire_store(&self, name: String) -> ControlReply {
+        let standing = self.read(|state| state.stores.get(&name).map(|store| (store.retirement, store.record.clone())));
+        match standing {
+            None => self.not_leader(),
+            Some(None) => ControlReply::Gateway(GatewayReply::NotFound),
+            Some(Some((Retirement::None, record))) if !self.enough_without(&record) => {
+                ControlReply::Gateway(GatewayReply::TooFew)
+            }
+            Some(Some((Retirement::None, _))) => self.execute_gateway(GatewayCommand::RetireStore(name)).await,
+            Some(Some(_)) => ControlReply::Gateway(GatewayReply::Done),
+        }
+    }
+
+    /// Whether as many replicas as the group wants would be left without this machine.
+    fn enough_without(&self, record: &StoreRecord) -> bool {
+        let Some(view) = self.inner.replica.view() else {
+            return false;
+        };
+        let unwanted: Vec<_> = self.read(|state| state.stores.unwanted_replicas().collect()).unwrap_or_default();
+        let counts = |replica: &&saddlerelay_types::protocol::ReplicaView| {
+            replica.heard_milliseconds_ago < STORE_SILENCE_MS
+                && replica.id != record.replica
+                && !unwanted.contains(&replica.id)
+        };
+        view.replicas.iter().filter(counts).count() >= self.inner.replica.target_voters()
+    }
+
+    fn read_retirement(&self, name: &str) -> ControlReply {
+        let retirement = self.read(|state| state.stores.get(name).map(|store| store.retirement));
+        let reply = retirement.map(|retirement| match retirement {
+            None | Some(Retirement::None) => GatewayReply::NotFound,
+            Some(Retirement::Running) => GatewayReply::Retirement { completed: false },
+            Some(Retirement::Completed) => GatewayReply::Retirement { completed: true },
+        });
+        self.reply(reply)
+    }
+}
+
+fn brings_news(reply: &FollowReply, follow: &FollowRequest) -> bool {
+    reply.routing.is_some() || reply.instance_revision != follow.instance_revision || reply.silent != follow.silent
+}
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -5,6 +5,8 @@
 
 pub mod commands;
 pub mod config;
+pub mod gateway;
+pub mod instance_watch;
 pub mod machine;
 pub mod node;
 pub mod queries;
--- a/crates/control/src/node.rs
+++ b/crates/control/src/node.rs
@@ -2,11 +2,13 @@
 
 use crate::commands::rollouts;
 use crate::config::ControlConfig;
+use crate::instance_watch::InstanceWatch;
 use crate::machine::ControlMachine;
+use crate::gateway;
 use crate::queries;
 use crate::state::ControlState;
 use crate::tasks::relays::RenewalTable;
-use crate::tasks::{engines, machines, relays};
+use crate::tasks::{engines, machines, relays, retirement};
 use saddlerelay_replication::storage::StorageError;
 use saddlerelay_replication::{ProposeError, Replica, ReplicaOptions};
 use saddlerelay_rpc::server::Handler;
@@ -44,6 +46,12 @@
     pub samples_pending: Signal,
     /// Samples wait for their trainer.
     pub samples_ready: Signal,
+    /// What instances have told this leader since it leads.
+    pub instance_watch: RefCell<InstanceWatch>,
+    /// A batch job has new results or has ended.
+    pub job_results: Signal,
+    /// There is a new batch job, one has ended, or engines or routes have changed.
+    pub job_work: Signal,
 }
 
 impl<P: Runtime, B: Backends> Clone for ControlNode<P, B> {
@@ -73,11 +81,15 @@
             published: Signal::default(),
             samples_pending: Signal::default(),
             samples_ready: Signal::default(),
+            instance_watch: RefCell::default(),
+            job_results: Signal::default(),
+            job_work: Signal::default(),
         });
         let node = Self { inner };
         platform.spawn(relays::watch(node.clone()));
         platform.spawn(engines::manage(node.clone()));
         platform.spawn(machines::follow(node.clone()));
+        platform.spawn(retirement::watch(node.clone()));
         Ok(node)
     }
 
@@ -92,12 +104,12 @@
     }
 
     /// Reads the committed state, if this replica leads.
-    pub(crate) fn read<T>(&self, read: impl FnOnce(&ControlState) -> T) -> Option<T> {
+    pub fn read<T>(&self, read: impl FnOnce(&ControlState) -> T) -> Option<T> {
         self.inner.replica.read(|machine| read(machine.state()))
     }
 
     /// Commits a command with this machine's clock, and wakes whoever waits for what it may have changed.
-    pub(crate) async fn commit(&self, command: Command) -> Result<CommandOutcome, ProposeError> {
+    pub async fn commit(&self, command: Command) -> Result<CommandOutcome, ProposeError> {
         let time = self.inner.platform.unix_milliseconds();
         let effects = Effects::of(&command);
         let outcome = self.inner.replica.propose(bitcode::encode(&LogCommand { time, command })).await;
@@ -112,6 +124,12 @@
         if effects.publication {
             self.inner.published.notify();
         }
+        if effects.job_work {
+            self.inner.job_work.notify();
+        }
+        if effects.job_results {
+            self.inner.job_results.notify();
+        }
         if effects.samples && self.read(rollouts::samples_are_pending) == Some(true) {
             self.inner.samples_pending.notify();
         }
@@ -128,6 +146,7 @@
             ControlRequest::Execute(command) => self.execute(command).await,
             ControlRequest::Query(query) => self.query(&query),
             ControlRequest::Initialize => self.initialize().await,
+            ControlRequest::Gateway(request) => self.answer_gateway(request).await,
         }
     }
 
@@ -149,7 +168,7 @@
         }
     }
 
-    fn not_leader(&self) -> ControlReply {
+    pub(crate) fn not_leader(&self) -> ControlReply {
         ControlReply::NotLeader { leader: self.inner.replica.leader_address() }
     }
 
@@ -272,6 +291,10 @@
     publication: bool,
     /// Which samples wait for a relay or for their trainer.
     samples: bool,
+    /// What batch jobs are to do.
+    job_work: bool,
+    /// What batch jobs have brought.
+    job_results: bool,
 }
 
 impl Effects {
@@ -284,8 +307,13 @@
             Command::Membership(_) => (true, false),
             Command::Rollout(_) => (publication, true),
             Command::Claim(_) => (false, false),
+            Command::Gateway(command) => (gateway::changes_what_relays_act_on(command), false),
+        };
+        let (job_work, job_results) = match command {
+            Command::Gateway(command) => gateway::effect_on_jobs(command),
+            _ => (false, false),
         };
-        Self { news, publication, samples }
+        Self { news, publication, samples, job_work, job_results }
     }
 }
 
--- a/crates/control/src/state/mod.rs
+++ b/crates/control/src/state/mod.rs
@@ -2,14 +2,24 @@
 
 pub mod claims;
 pub mod configuration;
+pub mod instances;
+pub mod jobs;
 pub mod members;
 pub mod rollouts;
+pub mod routing;
+pub mod stores;
+pub mod weights;
 
 use bitcode::{Decode, Encode};
 use claims::ClaimTable;
 use configuration::ConfigurationStore;
+use instances::InstanceTable;
+use jobs::JobTable;
 use members::MemberTable;
 use rollouts::RolloutLedger;
+use routing::RoutingState;
+use stores::StoreTable;
+use weights::WeightState;
 
 /// Everything the control group keeps.
 #[derive(Clone, Debug, Default, PartialEq, Encode, Decode)]
@@ -24,4 +34,14 @@
     pub rollouts: RolloutLedger,
     /// Relays and engines.
     pub members: MemberTable,
+    /// The routing document.
+    pub routing: RoutingState,
+    /// Engine instances that report themselves.
+    pub instances: InstanceTable,
+    /// Weight versions that trainers have named, and the holder of orders.
+    pub weights: WeightState,
+    /// Batch jobs.
+    pub jobs: JobTable,
+    /// Machines that keep the group's data.
+    pub stores: StoreTable,
 }
--- a/crates/control/src/tasks/mod.rs
+++ b/crates/control/src/tasks/mod.rs
@@ -3,3 +3,4 @@
 pub mod engines;
 pub mod machines;
 pub mod relays;
+pub mod retirement;
--- a/crates/replication/src/config.rs
+++ b/crates/replication/src/config.rs
@@ -15,6 +15,8 @@
     pub lease: Duration,
     /// Time limit of one message between replicas.
     pub call_limit: Duration,
+    /// Time limit of sending a snapshot to one replica.
+    pub snapshot_limit: Duration,
     /// Entries applied since the last snapshot that cause the next.
     pub snapshot_entries: u64,
     /// Bytes logged since the last snapshot that cause the next.
@@ -27,6 +29,10 @@
     pub proposal_queue: usize,
     /// Voters wanted; further joiners stay learners.
     pub target_voters: usize,
+    /// Silence after which a voter is replaced by a learner that has caught up.
+    pub replace_after: Duration,
+    /// Learners kept beside the voters, to take the place of one that is lost.
+    pub spare_learners: usize,
 }
 
 impl Default for ReplicationConfig {
@@ -37,12 +43,15 @@
             election_jitter: Duration::from_millis(500),
             lease: Duration::from_millis(800),
             call_limit: Duration::from_millis(1000),
+            snapshot_limit: Duration::from_secs(10),
             snapshot_entries: 4096,
             snapshot_bytes: 16 * 1024 * 1024,
             trailing_entries: 256,
             entries_per_message: 256,
             proposal_queue: 16_384,
             target_voters: 5,
+            replace_after: Duration::from_millis(1500),
+            spare_learners: 1,
         }
     }
 }
--- a/crates/replication/src/handover.rs
+++ b/crates/replication/src/handover.rs
@@ -55,7 +55,9 @@
         let last_index = state.log.last_index();
         let progress = |member: &Member| known.get(&member.id).copied().unwrap_or_default();
         let others = state.membership().voters().filter(|member| member.id != own);
-        let whole = others.filter(|member| progress(member).matched >= last_index);
+        let unwanted = self.inner.unwanted.borrow();
+        let wanted = others.filter(|member| !unwanted.contains(&member.id));
+        let whole = wanted.filter(|member| progress(member).matched >= last_index);
         let best = whole.max_by_key(|member| (!asked.contains(&member.id), progress(member).answered_sent_at))?;
         Some((best.id, best.address, term))
     }
--- a/crates/replication/src/leader.rs
+++ b/crates/replication/src/leader.rs
@@ -1,7 +1,7 @@
-//! Leading: writing proposals, replicating to peers, membership changes, handing over, snapshots.
+//! Leading: writing proposals and replicating them to peers.
 
 use crate::log::{EntryPayload, LogEntry};
-use crate::membership::{Member, Membership};
+use crate::membership::Member;
 use crate::message::{ReplicaReply, ReplicaRequest};
 use crate::replica::{Proposal, Replica};
 use crate::state::{Leadership, Progress, Role, State, StateMachine};
@@ -9,24 +9,13 @@
 use futures::channel::mpsc;
 use futures::{FutureExt, StreamExt, future};
 use saddlerelay_runtime::Runtime;
-use saddlerelay_types::identity::ReplicaId;
 use std::collections::BTreeMap;
-use std::net::SocketAddr;
 use std::pin::pin;
 use std::time::Duration;
 
 /// Most proposals in one write.
 const BATCH_PROPOSALS: usize = 512;
 
-/// Pause between looks at the membership.
-const MEMBERSHIP_INTERVAL: Duration = Duration::from_millis(200);
-
-/// Pause between requests to be added to a group.
-const JOIN_INTERVAL: Duration = Duration::from_millis(500);
-
-/// How many entries behind a learner may be when it is made a voter.
-const CAUGHT_UP_ENTRIES: u64 = 64;
-
 impl<P: Runtime, S: StateMachine> Replica<P, S> {
     /// Begins to lead `term`.
     pub(crate) async fn lead(&self, term: u64) {
@@ -112,7 +101,11 @@
                 return;
             };
             let sent_at = self.inner.platform.monotonic();
-            let reply = self.send(peer.address, &request, config.call_limit).await;
+            let limit = match &request {
+                ReplicaRequest::InstallSnapshot { .. } => config.snapshot_limit,
+                _ => config.call_limit,
+            };
+            let reply = self.send(peer.address, &request, limit).await;
             let more = match reply {
                 Some(ReplicaReply::Append { term: seen_term, accepted, index }) => {
                     self.observe_term(seen_term).await;
@@ -169,74 +162,6 @@
         state.advance_commit();
         more
     }
-
-    pub(crate) fn add_learner(&self, id: ReplicaId, address: SocketAddr) -> ReplicaReply {
-        let membership = {
-            let state = self.inner.state.borrow();
-            if state.membership().member(id).is_some() || !may_change_membership(&state) {
-                return ReplicaReply::Refused;
-            }
-            state.membership().with_learner(id, address)
-        };
-        self.propose_membership(membership);
-        ReplicaReply::Taken
-    }
-
-    fn propose_membership(&self, membership: Membership) {
-        let proposal = Proposal { payload: EntryPayload::Membership(membership), sender: None };
-        // A full queue only delays the change: it is proposed again at the next look.
-        let _ = self.inner.proposals.borrow_mut().try_send(proposal);
-    }
-
-    /// Makes learners voters once they have caught up, and removes the member whose disk a learner replaces.
-    pub(crate) async fn manage_membership(self) {
-        loop {
-            self.inner.platform.sleep(MEMBERSHIP_INTERVAL).await;
-            if let Some(membership) = self.next_membership() {
-                self.propose_membership(membership);
-            }
-        }
-    }
-
-    fn next_membership(&self) -> Option<Membership> {
-        let now = self.inner.platform.monotonic();
-        let state = self.inner.state.borrow();
-        if !may_change_membership(&state) {
-            return None;
-        }
-        let leadership = state.leadership()?;
-        let membership = state.membership();
-        let config = &self.inner.options.config;
-        let caught_up = |member: &&Member| {
-            let progress = leadership.progress.get(&member.id).copied().unwrap_or_default();
-            let recent = progress.answered_sent_at.is_some_and(|at| now < at + config.election_timeout);
-            !member.voter && recent && progress.matched + CAUGHT_UP_ENTRIES >= state.commit && progress.matched > 0
-        };
-        let learner = membership.members.iter().find(caught_up)?;
-        let replaced =
-            membership.members.iter().find(|other| other.address == learner.address && other.id != learner.id);
-        if let Some(replaced) = replaced {
-            return Some(membership.without(replaced.id));
-        }
-        let wanted = membership.voters().count() < config.target_voters;
-        wanted.then(|| membership.with_voter(learner.id))
-    }
-
-    /// Asks the group's replicas to add this one, until one has.
-    pub(crate) async fn join_group(self) {
-        loop {
-            self.inner.platform.sleep(JOIN_INTERVAL).await;
-            let identity = self.inner.state.borrow().identity;
-            if identity.group.is_some() {
-                return;
-            }
-            let own_address = self.inner.options.address;
-            let request = ReplicaRequest::Join { id: identity.id, address: own_address };
-            for peer in self.inner.options.peers.iter().filter(|peer| **peer != own_address) {
-                self.send(*peer, &request, self.inner.options.config.call_limit).await;
-            }
-        }
-    }
 }
 
 /// Gives every member progress, starting at the end of the log; returns the peers that had none.
@@ -255,11 +180,3 @@
     }
     added
 }
-
-/// One change at a time, and none before this term has committed.
-fn may_change_membership<S: StateMachine>(state: &State<S>) -> bool {
-    let Some(leadership) = state.leadership() else {
-        return false;
-    };
-    state.commit >= leadership.first_index && state.log.membership_index() <= state.commit
-}
--- a/crates/replication/src/lib.rs
+++ b/crates/replication/src/lib.rs
@@ -13,6 +13,7 @@
 mod maintenance;
 pub mod membership;
 pub mod message;
+mod reconfigure;
 mod replica;
 mod state;
 pub mod storage;
--- a/crates/replication/src/message.rs
+++ b/crates/replication/src/message.rs
@@ -90,6 +90,8 @@
     },
     /// The request was taken.
     Taken,
+    /// Of a request to be added, by a replica that does not lead: where the group's replicas listen.
+    Members(Vec<SocketAddr>),
     /// The request is for another replica or group, or the disk has failed.
     Refused,
 }
--- /dev/null
+++ b/crates/replication/src/reconfigure.rs
@@ -0,0 +1,271 @@
+//! Changes of the group's members, one at a time: joining, learners that become voters, and voters that are lost,
+//! replaced or unwanted.
+
+use crate::log::EntryPayload;
+use crate::membership::{Member, Membership};
+use crate::message::{ReplicaReply, ReplicaRequest};
+use crate::replica::{Proposal, Replica};
+use crate::state::{Leadership, State, StateMachine};
+use futures::future::join_all;
+use saddlerelay_runtime::Runtime;
+use saddlerelay_types::identity::ReplicaId;
+use std::collections::BTreeSet;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+/// Pause between looks at the membership.
+const MEMBERSHIP_INTERVAL: Duration = Duration::from_millis(50);
+
+/// Pause between requests to be added to a group.
+const JOIN_INTERVAL: Duration = Duration::from_millis(150);
+
+/// Time limit of one request to be added.
+const JOIN_LIMIT: Duration = Duration::from_millis(400);
+
+/// How many entries behind a learner may be when it is made a voter.
+const CAUGHT_UP_ENTRIES: u64 = 64;
+
+/// How much longer than a voter a learner may be silent before it is dropped.
+const LEARNER_SILENCE_FACTOR: u32 = 8;
+
+/// The members as a leader judges them.
+struct Judgement<'a> {
+    membership: &'a Membership,
+    leadership: &'a Leadership,
+    own: ReplicaId,
+    commit: u64,
+    now: Duration,
+    /// Silence after which a voter is replaced.
+    replace_after: Duration,
+    unwanted: &'a BTreeSet<ReplicaId>,
+}
+
+impl Judgement<'_> {
+    fn silence(&self, member: &Member) -> Duration {
+        if member.id == self.own {
+            return Duration::ZERO;
+        }
+        let progress = self.leadership.progress.get(&member.id);
+        let heard = progress.and_then(|progress| progress.answered_sent_at).unwrap_or(self.leadership.since);
+        self.now.saturating_sub(heard)
+    }
+
+    fn is_silent(&self, member: &Member) -> bool {
+        self.silence(member) > self.replace_after
+    }
+
+    /// A later member at the same address has an empty disk where this one's was.
+    fn replacement(&self, member: &Member) -> Option<&Member> {
+        let mut later = self.membership.members.iter().skip_while(|other| other.id != member.id).skip(1);
+        later.find(|other| other.address == member.address)
+    }
+
+    fn is_lost(&self, member: &Member) -> bool {
+        self.unwanted.contains(&member.id) || self.replacement(member).is_some() || self.is_silent(member)
+    }
+
+    fn caught_up(&self, member: &Member) -> bool {
+        let progress = self.leadership.progress.get(&member.id).copied().unwrap_or_default();
+        let behind = self.commit.saturating_sub(progress.matched);
+        progress.matched > 0 && behind <= CAUGHT_UP_ENTRIES && !self.is_silent(member)
+    }
+
+    fn sound_voters(&self) -> usize {
+        self.membership.voters().filter(|voter| !self.is_lost(voter)).count()
+    }
+
+    fn learner_to_promote(&self) -> Option<&Member> {
+        let learners = self.membership.members.iter().filter(|member| !member.voter);
+        let sound = |learner: &&Member| self.caught_up(learner) && !self.is_lost(learner);
+        // One that replaces a voter's lost disk goes first.
+        let replaces = |learner: &Member| {
+            let same_address = |voter: &Member| voter.address == learner.address;
+            self.membership.voters().any(same_address)
+        };
+        learners.filter(sound).max_by_key(|learner| replaces(learner))
+    }
+
+    /// A voter whose place has been taken.
+    fn voter_to_remove(&self, target_voters: usize) -> Option<&Member> {
+        let enough = self.sound_voters() >= target_voters;
+        let replaced = |voter: &&Member| self.replacement(voter).is_some_and(|replacement| replacement.voter);
+        let removable = |voter: &&Member| replaced(voter) || enough && self.is_lost(voter);
+        self.membership.voters().filter(|voter| voter.id != self.own).find(removable)
+    }
+
+    fn learner_to_remove(&self) -> Option<&Member> {
+        let learners = self.membership.members.iter().filter(|member| !member.voter);
+        let forgotten = self.replace_after * LEARNER_SILENCE_FACTOR;
+        let gone = |learner: &&Member| {
+            self.unwanted.contains(&learner.id)
+                || self.replacement(learner).is_some()
+                || self.silence(learner) > forgotten
+        };
+        learners.into_iter().find(gone)
+    }
+
+    /// Whether one more learner at `address` is of use.
+    fn wants_learner(&self, address: SocketAddr, target_voters: usize, spare_learners: usize) -> bool {
+        if self.membership.members.iter().any(|member| member.address == address) {
+            return true;
+        }
+        let learners = self.membership.members.iter().filter(|member| !member.voter && !self.is_lost(member)).count();
+        let missing = target_voters.saturating_sub(self.sound_voters());
+        learners < missing + spare_learners
+    }
+}
+
+impl<P: Runtime, S: StateMachine> Replica<P, S> {
+    /// Names the replicas that are not to be members.
+    pub fn set_unwanted(&self, unwanted: BTreeSet<ReplicaId>) {
+        *self.inner.unwanted.borrow_mut() = unwanted;
+    }
+
+    /// Whether `replica` is no member, and enough voters hold the whole committed log on their disks.
+    pub fn is_whole_without(&self, replica: ReplicaId) -> bool {
+        let state = self.inner.state.borrow();
+        let (Some(_), true) = (state.leadership(), may_change_membership(&state)) else {
+            return false;
+        };
+        let whole = self.judge(&state, |judgement| {
+            let own = judgement.own;
+            let holds = |voter: &&Member| {
+                let matched = judgement.leadership.progress.get(&voter.id).map_or(0, |progress| progress.matched);
+                let synced = if voter.id == own { state.synced } else { matched };
+                synced >= state.commit && !judgement.is_lost(voter)
+            };
+            judgement.membership.voters().filter(holds).count()
+        });
+        let removed = state.membership().member(replica).is_none();
+        removed && whole.is_some_and(|whole| whole >= self.target_voters())
+    }
+
+    /// Whether the group is whole without this replica, which leads it.
+    pub fn may_leave(&self) -> bool {
+        let state = self.inner.state.borrow();
+        let sound = self.judge(&state, |judgement| judgement.sound_voters());
+        may_change_membership(&state) && sound.is_some_and(|sound| sound >= self.target_voters())
+    }
+
+    fn judge<T>(&self, state: &State<S>, judge: impl FnOnce(&Judgement) -> T) -> Option<T> {
+        let unwanted = self.inner.unwanted.borrow();
+        let judgement = Judgement {
+            membership: state.membership(),
+            leadership: state.leadership()?,
+            own: state.identity.id,
+            commit: state.commit,
+            now: self.inner.platform.monotonic(),
+            replace_after: self.inner.options.config.replace_after,
+            unwanted: &unwanted,
+        };
+        Some(judge(&judgement))
+    }
+
+    pub(crate) fn answer_join(&self, id: ReplicaId, address: SocketAddr) -> ReplicaReply {
+        let config = &self.inner.options.config;
+        let membership = {
+            let state = self.inner.state.borrow();
+            if state.leadership().is_none() {
+                return ReplicaReply::Members(self.known_addresses(&state));
+            }
+            let known = state.membership().member(id).is_some();
+            if known || self.inner.unwanted.borrow().contains(&id) || !may_change_membership(&state) {
+                return ReplicaReply::Refused;
+            }
+            let wanted = self
+                .judge(&state, |judgement| judgement.wants_learner(address, config.target_voters, config.spare_learners));
+            if wanted != Some(true) {
+                return ReplicaReply::Refused;
+            }
+            state.membership().with_learner(id, address)
+        };
+        self.propose_membership(membership);
+        ReplicaReply::Taken
+    }
+
+    fn known_addresses(&self, state: &State<S>) -> Vec<SocketAddr> {
+        let leader = state.leader.and_then(|leader| state.address_of(leader));
+        let members = state.membership().members.iter().map(|member| member.address);
+        leader.into_iter().chain(members).collect()
+    }
+
+    fn propose_membership(&self, membership: Membership) {
+        let proposal = Proposal { payload: EntryPayload::Membership(membership), sender: None };
+        // A full queue only delays the change: it is proposed again at the next look.
+        let _ = self.inner.proposals.borrow_mut().try_send(proposal);
+    }
+
+    /// Makes learners voters, and removes members whose place has been taken, while this replica leads.
+    pub(crate) async fn manage_membership(self) {
+        loop {
+            self.inner.platform.sleep(MEMBERSHIP_INTERVAL).await;
+            if let Some(membership) = self.next_membership() {
+                self.propose_membership(membership);
+            }
+        }
+    }
+
+    fn next_membership(&self) -> Option<Membership> {
+        let state = self.inner.state.borrow();
+        if !may_change_membership(&state) {
+            return None;
+        }
+        let target_voters = self.inner.options.config.target_voters;
+        self.judge(&state, |judgement| {
+            if let Some(voter) = judgement.voter_to_remove(target_voters) {
+                return Some(judgement.membership.without(voter.id));
+            }
+            if judgement.sound_voters() < target_voters
+                && let Some(learner) = judgement.learner_to_promote()
+            {
+                return Some(judgement.membership.with_voter(learner.id));
+            }
+            judgement.learner_to_remove().map(|learner| judgement.membership.without(learner.id))
+        })?
+    }
+
+    /// Asks the group's replicas to add this one while it belongs to no group, or hears no leader: it may have been
+    /// removed meanwhile.
+    pub(crate) async fn join_group(self) {
+        loop {
+            self.inner.platform.sleep(JOIN_INTERVAL).await;
+            if !self.needs_group() {
+                continue;
+            }
+            let id = self.inner.state.borrow().identity.id;
+            let request = ReplicaRequest::Join { id, address: self.inner.options.address };
+            let ask = |address| self.send(address, &request, JOIN_LIMIT);
+            let replies = join_all(self.join_addresses().into_iter().map(ask)).await;
+            let members = replies.into_iter().flatten().filter_map(|reply| match reply {
+                ReplicaReply::Members(addresses) => Some(addresses),
+                _ => None,
+            });
+            self.inner.heard_of.borrow_mut().extend(members.flatten());
+        }
+    }
+
+    fn needs_group(&self) -> bool {
+        let state = self.inner.state.borrow();
+        if state.stopping || state.leadership().is_some() {
+            return false;
+        }
+        let silent = self.inner.platform.monotonic() >= state.leader_heard_at + self.inner.options.config.replace_after;
+        state.identity.group.is_none() || silent
+    }
+
+    fn join_addresses(&self) -> BTreeSet<SocketAddr> {
+        let mut addresses: BTreeSet<SocketAddr> = self.inner.options.peers.iter().copied().collect();
+        addresses.extend(self.inner.heard_of.borrow().iter());
+        addresses.extend(self.member_addresses());
+        addresses.remove(&self.inner.options.address);
+        addresses
+    }
+}
+
+/// One change at a time, and none before this term has committed.
+fn may_change_membership<S: StateMachine>(state: &State<S>) -> bool {
+    let Some(leadership) = state.leadership() else {
+        return false;
+    };
+    state.commit >= leadership.first_index && state.log.membership_index() <= state.commit
+}
--- a/crates/replication/src/replica.rs
+++ b/crates/replication/src/replica.rs
@@ -14,7 +14,7 @@
 use saddlerelay_types::identity::ReplicaId;
 use saddlerelay_types::protocol::{ControlReply, ControlRequest, GroupView, ReplicaView};
 use std::cell::RefCell;
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -26,6 +26,9 @@
     pub address: SocketAddr,
     /// Where the group's replicas listen; this one's own address may be among them.
     pub peers: Vec<SocketAddr>,
+    /// Where the replicas listen that form the group when it is first started; every one of them is given the same.
+    /// Empty unless this is that first start. A replica that is not among them joins.
+    pub founders: Vec<SocketAddr>,
     /// The deployment's shared secret.
     pub secret: String,
     /// Limits.
@@ -58,6 +61,10 @@
     /// New entries, a new leader or a new membership.
     pub changed: Signal,
     clients: RefCell<BTreeMap<SocketAddr, Client<P>>>,
+    /// Replicas that are not to be members.
+    pub unwanted: RefCell<BTreeSet<ReplicaId>>,
+    /// Where replicas may listen that this one has heard of.
+    pub heard_of: RefCell<BTreeSet<SocketAddr>>,
 }
 
 /// One replica of a group. Clones are the same replica.
@@ -74,7 +81,9 @@
 impl<P: Runtime, S: StateMachine> Replica<P, S> {
     /// Opens the replica's files and restores its state; `start` makes it take part.
     pub async fn open(platform: P, options: ReplicaOptions, mut machine: S) -> Result<Self, StorageError> {
-        let new_id = ReplicaId(platform.random().max(1));
+        let founds = options.founders.contains(&options.address);
+        let random_id = ReplicaId(platform.random().max(1));
+        let new_id = if founds { founder_id(options.address) } else { random_id };
         let (storage, recovered) = Storage::open(platform.disk(), new_id).await?;
         let snapshot_index = recovered.log.base_index();
         if let Some(snapshot) = &recovered.snapshot {
@@ -110,8 +119,12 @@
             proposal_queue: RefCell::new(Some(proposal_queue)),
             changed: Signal::default(),
             clients: RefCell::default(),
+            unwanted: RefCell::default(),
+            heard_of: RefCell::default(),
         };
-        Ok(Self { inner: Rc::new(inner) })
+        let replica = Self { inner: Rc::new(inner) };
+        replica.form_founders_group().await?;
+        Ok(replica)
     }
 
     /// Starts the replica's tasks. Called once.
@@ -166,6 +179,21 @@
         state.address_of(leader)
     }
 
+    /// Reads the state as this replica has applied it, which may be old.
+    pub fn peek<T>(&self, read: impl FnOnce(&S) -> T) -> T {
+        read(&self.inner.state.borrow().machine)
+    }
+
+    /// How many voters the group wants.
+    pub fn target_voters(&self) -> usize {
+        self.inner.options.config.target_voters
+    }
+
+    /// Where the group's replicas listen, as far as this one knows.
+    pub fn member_addresses(&self) -> Vec<SocketAddr> {
+        self.inner.state.borrow().membership().members.iter().map(|member| member.address).collect()
+    }
+
     /// This replica's identifier.
     pub fn id(&self) -> ReplicaId {
         self.inner.state.borrow().identity.id
@@ -204,15 +232,31 @@
 
     /// Forms a new group of this replica alone. Refused once the replica belongs to a group.
     pub async fn initialize(&self) -> Result<bool, StorageError> {
+        let id = self.inner.state.borrow().identity.id;
+        let own = Member { id, address: self.inner.options.address, voter: true };
+        self.form_group(self.inner.platform.random(), vec![own]).await
+    }
+
+    /// Forms the group of the founders, if this replica is one of them and belongs to no group yet. All founders write
+    /// the same first entry, so that it does not matter who starts when.
+    async fn form_founders_group(&self) -> Result<bool, StorageError> {
+        let founders: BTreeSet<SocketAddr> = self.inner.options.founders.iter().copied().collect();
+        if !founders.contains(&self.inner.options.address) {
+            return Ok(false);
+        }
+        let member = |address: &SocketAddr| Member { id: founder_id(*address), address: *address, voter: true };
+        let group = founders.iter().fold(0, |group, address| stable_hash(&(group, address.to_string())));
+        self.form_group(group, founders.iter().map(member).collect()).await
+    }
+
+    async fn form_group(&self, group: u64, members: Vec<Member>) -> Result<bool, StorageError> {
         let mut storage = self.inner.storage.lock().await;
         let identity = self.inner.state.borrow().identity;
         if identity.group.is_some() {
             return Ok(false);
         }
-        let identity = Identity { group: Some(self.inner.platform.random()), ..identity };
-        let own = Member { id: identity.id, address: self.inner.options.address, voter: true };
-        let membership = Membership { members: vec![own] };
-        let payload = EntryPayload::Membership(membership);
+        let identity = Identity { group: Some(group), ..identity };
+        let payload = EntryPayload::Membership(Membership { members });
         let entry = crate::log::LogEntry { index: 1, term: 0, payload };
         storage.append(&[crate::wal::WalRecord::Entry(entry.clone())]).await?;
         storage.write_identity(identity).await?;
@@ -229,7 +273,7 @@
             return ReplicaReply::Refused;
         }
         match request {
-            ReplicaRequest::Join { id, address } => self.add_learner(id, address),
+            ReplicaRequest::Join { id, address } => self.answer_join(id, address),
             ReplicaRequest::Vote { header, pre_vote, transfer, last_index, last_term } => {
                 if !self.is_for_this_replica(&header) {
                     return ReplicaReply::Refused;
@@ -314,3 +358,16 @@
         state.election_at = platform.monotonic() + wait;
     }
 }
+
+/// The identifier of the replica that founds a group at `address`, the same for everyone who works it out.
+fn founder_id(address: SocketAddr) -> ReplicaId {
+    ReplicaId(stable_hash(&(0, address.to_string())).max(1))
+}
+
+/// A number that is the same in every process for the same value.
+fn stable_hash(value: &(u64, String)) -> u64 {
+    let bytes = bitcode::encode(value);
+    let low = u64::from(crc32fast::hash(&bytes));
+    let high = u64::from(crc32fast::hash(&[bytes.as_slice(), b"high"].concat()));
+    high << 32 | low
+}
--- a/crates/rpc/src/client.rs
+++ b/crates/rpc/src/client.rs
@@ -12,7 +12,7 @@
 use std::time::Duration;
 
 /// The longest that a connection attempt may take.
-pub const CONNECT_LIMIT: Duration = Duration::from_millis(1000);
+pub const CONNECT_LIMIT: Duration = Duration::from_millis(300);
 
 /// Why a call brought no answer.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -29,6 +29,8 @@
     generation: u64,
     outgoing: mpsc::UnboundedSender<Vec<u8>>,
     pending: Pending,
+    /// When the peer was last heard on this link.
+    heard_at: Rc<Cell<Duration>>,
 }
 
 struct Inner<P> {
@@ -72,8 +74,13 @@
 
     /// Sends `body` and waits for the answer for at most `limit`.
     pub async fn call(&self, body: Vec<u8>, limit: Duration) -> Result<Vec<u8>, CallError> {
+        let started_at = self.inner.platform.monotonic();
         let exchange = self.exchange(body);
-        timeout(&self.inner.platform, limit, exchange).await.unwrap_or(Err(CallError::Unknown))
+        let answer = timeout(&self.inner.platform, limit, exchange).await;
+        if answer.is_none() {
+            self.drop_link_if_silent(started_at);
+        }
+        answer.unwrap_or(Err(CallError::Unknown))
     }
 
     async fn exchange(&self, body: Vec<u8>) -> Result<Vec<u8>, CallError> {
@@ -106,11 +113,13 @@
         let (outgoing, queue) = mpsc::unbounded();
         let pending: Pending = Rc::default();
         let generation = self.inner.next_generation.replace(self.inner.next_generation.get() + 1);
-        *self.inner.link.borrow_mut() = Some(Link { generation, outgoing, pending: pending.clone() });
+        let heard_at = Rc::new(Cell::new(platform.monotonic()));
+        let link = Link { generation, outgoing, pending: pending.clone(), heard_at: heard_at.clone() };
+        *self.inner.link.borrow_mut() = Some(link);
         let client = self.clone();
         platform.spawn(async move {
             let write = write_frames(sender, queue, Hello::new(&client.inner.secret));
-            let read = read_answers(receiver, pending.clone());
+            let read = read_answers(receiver, pending.clone(), || heard_at.set(client.inner.platform.monotonic()));
             future::select(std::pin::pin!(write), std::pin::pin!(read)).await;
             client.drop_link(generation);
             pending.borrow_mut().clear();
@@ -118,6 +127,15 @@
         Ok(())
     }
 
+    /// A link on which nothing has come since a call began that got no answer is given up: after a cut, it may take far
+    /// longer to come back than a new one takes to open.
+    fn drop_link_if_silent(&self, since: Duration) {
+        let mut link = self.inner.link.borrow_mut();
+        if link.as_ref().is_some_and(|link| link.heard_at.get() <= since) {
+            *link = None;
+        }
+    }
+
     fn drop_link(&self, generation: u64) {
         let mut link = self.inner.link.borrow_mut();
         if link.as_ref().is_some_and(|link| link.generation == generation) {
@@ -137,8 +155,9 @@
     }
 }
 
-async fn read_answers(mut receiver: impl FrameReceiver, pending: Pending) {
+async fn read_answers(mut receiver: impl FrameReceiver, pending: Pending, heard: impl Fn()) {
     while let Ok(Some(frame)) = receiver.receive().await {
+        heard();
         let Ok(envelope) = bitcode::decode::<Envelope>(&frame) else {
             return;
         };
--- a/crates/runtime-compio/src/connection.rs
+++ b/crates/runtime-compio/src/connection.rs
@@ -9,6 +9,9 @@
 use std::rc::Rc;
 
 const LENGTH_BYTES: usize = 4;
+/// A peer that acknowledges nothing for so long is given up, in milliseconds. A cut link tells nobody.
+const PEER_SILENCE_MS: u32 = 1_500;
+
 const READ_BYTES: usize = 64 * 1024;
 
 /// Counts what a process exchanges with its peers.
@@ -40,6 +43,7 @@
 /// The two halves of `stream`, whose frames `traffic` counts.
 pub fn split(stream: TcpStream, traffic: &TrafficCounter) -> io::Result<(TcpFrameSender, TcpFrameReceiver)> {
     stream.set_nodelay(true)?;
+    rustix::net::sockopt::set_tcp_user_timeout(&stream, PEER_SILENCE_MS)?;
     let (read, write) = stream.into_split();
     let receiver = TcpFrameReceiver {
         stream: read,
--- a/crates/settings/src/parse.rs
+++ b/crates/settings/src/parse.rs
@@ -119,6 +119,9 @@
         renewal_wait: section.milliseconds("renewal_wait_ms", default.renewal_wait, 50..=1_000),
         news_interval: section.milliseconds("news_interval_ms", default.news_interval, 1..=1_000),
         idle_wait: default.idle_wait,
+        follow_lease: default.follow_lease,
+        instance_silence: default.instance_silence,
+        job_keep: default.job_keep,
     };
     if config.relay_loss <= config.relay_lease {
         section.refuse("relay_loss_ms", None, "must be longer than `relay_lease_ms`");
--- a/crates/simulator/src/cluster.rs
+++ b/crates/simulator/src/cluster.rs
@@ -192,6 +192,7 @@
         let options = ReplicaOptions {
             address: address(CONTROL_PORT, place),
             peers: self.control_addresses(),
+            founders: Vec::new(),
             secret: SECRET.to_string(),
             config: ReplicationConfig { snapshot_entries: 400, trailing_entries: 50, ..ReplicationConfig::default() },
         };
--- /dev/null
+++ b/crates/types/src/gateway.rs
@@ -0,0 +1,174 @@
+//! Messages about routed requests, engine instances, named weight versions and batch jobs, between saddlerelay's own
+//! processes and on the control group's log.
+
+use crate::identity::{Fence, ReplicaId};
+use crate::instance::{InstanceId, InstanceRecord, InstanceReport, LoadedModel};
+use crate::job::{ItemId, ItemResult, JobId, JobSubmission, ResultPage};
+use crate::routing::{RoutingDocument, RoutingError};
+use bitcode::{Decode, Encode};
+use std::net::SocketAddr;
+
+/// A request to the control group's leader.
+#[derive(Clone, Debug, PartialEq, Encode, Decode)]
+pub enum GatewayRequest {
+    /// A relay asks for what it lacks, and thereby renews its lease.
+    Follow(FollowRequest),
+    /// An engine instance reports itself.
+    ReportInstance(InstanceReport),
+    /// An engine instance says goodbye.
+    RemoveInstance(InstanceId),
+    /// An operator's whole routing document.
+    PutRouting(RoutingDocument),
+    /// The newest routing document as it was sent.
+    ReadRouting,
+    /// A trainer names a model's new weight version.
+    NameVersion(LoadedModel),
+    /// Hands a batch job in.
+    SubmitJob(JobSubmission),
+    /// Reads results from a position on.
+    ReadResults {
+        /// The job.
+        job: JobId,
+        /// The first position wanted, from 0.
+        after: u64,
+        /// How long to wait for one, in milliseconds.
+        wait_ms: u64,
+    },
+    /// Reads the body of an item that is not listed yet.
+    ReadBody {
+        /// The job.
+        job: JobId,
+        /// The item.
+        item: ItemId,
+    },
+    /// Ends a job: nothing of it runs any more.
+    EndJob(JobId),
+    /// A machine that keeps data introduces itself.
+    RegisterStore(StoreRecord),
+    /// Asks for a store machine to be emptied.
+    RetireStore(String),
+    /// How far that is.
+    ReadRetirement(String),
+}
+
+/// What a relay holds already.
+#[derive(Clone, Debug, PartialEq, Eq, Encode, Decode)]
+pub struct FollowRequest {
+    /// The relay, for logs.
+    pub relay: String,
+    /// The routing version it acts on; `None` for none.
+    pub routing_version: Option<u64>,
+    /// The revision of the instance table it acts on.
+    pub instance_revision: u64,
+    /// The instances that it knows to be silent.
+    pub silent: Vec<InstanceId>,
+}
+
+/// What a relay lacks.
+#[derive(Clone, Debug, PartialEq, Encode, Decode)]
+pub struct FollowReply {
+    /// How long the relay may act on this, in milliseconds from when it sent the request.
+    pub lease_ms: u64,
+    /// A newer routing document.
+    pub routing: Option<RoutingDocument>,
+    /// The instance table's revision.
+    pub instance_revision: u64,
+    /// Instances changed since the relay's revision.
+    pub instances: Vec<InstanceRecord>,
+    /// Instances whose reports have ceased.
+    pub silent: Vec<InstanceId>,
+    /// Where the control group's replicas listen for peers.
+    pub replicas: Vec<SocketAddr>,
+}
+
+/// An answer of the control group's leader.
+#[derive(Clone, Debug, PartialEq, Encode, Decode)]
+pub enum GatewayReply {
+    /// Of following.
+    Followed(FollowReply),
+    /// It is done and will last.
+    Done,
+    /// The routing document is not valid.
+    InvalidRouting(RoutingError),
+    /// The routing document's source; `None` before the first.
+    Routing(Option<Vec<u8>>),
+    /// A part of a job's results.
+    Results(ResultPage),
+    /// An item's body.
+    Body(Vec<u8>),
+    /// There is no such thing.
+    NotFound,
+    /// Too few machines would be left.
+    TooFew,
+    /// A machine is being emptied, or has been.
+    Retirement {
+        /// Whether it may be taken away.
+        completed: bool,
+    },
+    /// Nothing was done, and nothing will be; try again later.
+    Unavailable,
+}
+
+/// What the control group commits of all this.
+#[derive(Clone, Debug, PartialEq, Encode, Decode)]
+pub enum GatewayCommand {
+    /// Take a routing document if its version is higher than the one held.
+    PutRouting(RoutingDocument),
+    /// Take an instance's report.
+    ReportInstance(InstanceReport),
+    /// An instance is gone.
+    RemoveInstance(InstanceId),
+    /// Note a model's version.
+    NameVersion(LoadedModel),
+    /// Keep a job.
+    SubmitJob {
+        /// The job.
+        job: JobSubmission,
+        /// How long it stays readable, in milliseconds; an open job stays longer.
+        keep_ms: u64,
+    },
+    /// List results at the next positions.
+    ListResults {
+        /// The job.
+        job: JobId,
+        /// The results; those of items already listed are dropped.
+        results: Vec<ItemResult>,
+    },
+    /// End a job.
+    EndJob(JobId),
+    /// A machine that keeps data introduces itself.
+    RegisterStore(StoreRecord),
+    /// Empty a machine.
+    RetireStore(String),
+    /// A machine has been emptied.
+    StoreRetired(String),
+    /// Become the one holder of orders to engines.
+    TakeOrders(ReplicaId),
+}
+
+/// A machine that keeps the group's data.
+#[derive(Clone, Debug, PartialEq, Eq, Encode, Decode)]
+pub struct StoreRecord {
+    /// Its name.
+    pub name: String,
+    /// Its replica.
+    pub replica: ReplicaId,
+    /// Where the replica listens.
+    pub address: SocketAddr,
+}
+
+/// What such a command brings.
+#[derive(Clone, Debug, PartialEq, Eq, Encode, Decode)]
+pub enum GatewayOutcome {
+    /// It holds now.
+    Done,
+    /// There is no such thing.
+    NotFound,
+    /// The right to give orders.
+    Orders {
+        /// The fence for them.
+        fence: Fence,
+        /// Whether another replica held it before.
+        taken_over: bool,
+    },
+}
--- /dev/null
+++ b/crates/types/src/instance.rs
@@ -0,0 +1,60 @@
+//! Engine instances as they report themselves: each start of an engine is a new instance.
+
+use bitcode::{Decode, Encode};
+use std::net::SocketAddr;
+
+/// One start of an engine.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Encode, Decode)]
+pub struct InstanceId(pub String);
+
+/// A model that an instance has loaded.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Encode, Decode)]
+pub struct LoadedModel {
+    /// The model.
+    pub model: String,
+    /// Its weight version.
+    pub version: u64,
+}
+
+/// What an instance says of itself.
+#[derive(Clone, Debug, PartialEq, Eq, Encode, Decode)]
+pub struct InstanceReport {
+    /// The instance.
+    pub id: InstanceId,
+    /// The service it belongs to.
+    pub service: String,
+    /// Where it serves.
+    pub address: SocketAddr,
+    /// Where it stands.
+    pub zone: String,
+    /// Requests it runs at once.
+    pub slots: u32,
+    /// It takes no new work.
+    pub leaving: bool,
+    /// What it has loaded.
+    pub models: Vec<LoadedModel>,
+    /// Rises with each report, so that a late one can be known.
+    pub sequence: u64,
+}
+
+/// Whether an instance may be given work. States only go forward.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Encode, Decode)]
+pub enum InstanceState {
+    /// It may.
+    Ready,
+    /// It finishes what it has.
+    Leaving,
+    /// It has said goodbye, or its address belongs to a newer instance.
+    Gone,
+}
+
+/// An instance as the control group knows it.
+#[derive(Clone, Debug, PartialEq, Eq, Encode, Decode)]
+pub struct InstanceRecord {
+    /// Its newest committed report.
+    pub report: InstanceReport,
+    /// Whether it may be given work.
+    pub state: InstanceState,
+    /// The table's revision at its last change.
+    pub revision: u64,
+}
--- /dev/null
+++ b/crates/types/src/job.rs
@@ -0,0 +1,82 @@
+//! Batch jobs: many streams that are handed in at once, run later, and read by position.
+
+use bitcode::{Decode, Encode};
+
+/// A batch job, named by whoever hands it in.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Encode, Decode)]
+pub struct JobId(pub String);
+
+/// An item of a batch job.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Encode, Decode)]
+pub struct ItemId(pub String);
+
+/// A batch job as it is handed in.
+#[derive(Clone, Debug, PartialEq, Encode, Decode)]
+pub struct JobSubmission {
+    /// The job.
+    pub id: JobId,
+    /// The host that it was sent to; its items are sent with it.
+    pub host: String,
+    /// The path that it was sent to; chooses the route.
+    pub path: String,
+    /// The model that its items ask for.
+    pub model: Option<String>,
+    /// The trainer's step, from 0.
+    pub step: u64,
+    /// The oldest weight version that may make its text.
+    pub minimum_version: u64,
+    /// Whole groups that the trainer waits for.
+    pub wanted_groups: u32,
+    /// The items.
+    pub items: Vec<JobItem>,
+}
+
+/// One item: a request that an engine answers with a stream of events.
+#[derive(Clone, Debug, PartialEq, Encode, Decode)]
+pub struct JobItem {
+    /// The item; the same one may come again in a later job.
+    pub id: ItemId,
+    /// The path at the engine.
+    pub path: String,
+    /// Its headers, as handed in.
+    pub headers: Vec<(String, String)>,
+    /// Its body.
+    pub body: Vec<u8>,
+    /// Tokens of the prompt and at most generated, together.
+    pub tokens: u64,
+    /// Items of a group share their prompt and are wanted together.
+    pub group: String,
+}
+
+/// How an item ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Encode, Decode)]
+pub enum ItemEnd {
+    /// Its text is whole.
+    Completed,
+    /// It was given up.
+    Aborted,
+}
+
+/// An item's result; it keeps its position.
+#[derive(Clone, Debug, PartialEq, Eq, Encode, Decode)]
+pub struct ItemResult {
+    /// The item's index in the job.
+    pub item: u32,
+    /// How it ended.
+    pub end: ItemEnd,
+    /// The data of its events, parted by line feeds.
+    pub text: Vec<u8>,
+    /// The weight versions that made an event of the text, ascending.
+    pub versions: Vec<u64>,
+}
+
+/// A part of a job's results.
+#[derive(Clone, Debug, PartialEq, Eq, Encode, Decode)]
+pub struct ResultPage {
+    /// Items of the job.
+    pub total: u64,
+    /// The position after the last result given.
+    pub next: u64,
+    /// Results with their items' identifiers.
+    pub results: Vec<(ItemId, ItemResult)>,
+}
--- a/crates/types/src/lib.rs
+++ b/crates/types/src/lib.rs
@@ -5,8 +5,12 @@
 pub mod claim;
 pub mod configuration;
 pub mod engine;
+pub mod gateway;
 pub mod identity;
+pub mod instance;
+pub mod job;
 pub mod membership;
 pub mod protocol;
 pub mod request;
 pub mod rollout;
+pub mod routing;
--- a/crates/types/src/protocol.rs
+++ b/crates/types/src/protocol.rs
@@ -3,6 +3,7 @@
 use crate::claim::{ClaimKey, ClaimOutcome, ClaimRequest, ClaimResult};
 use crate::configuration::{ConfigurationChange, ConfigurationOutcome, ConfigurationUpdate, ObjectName, ObjectState};
 use crate::engine::EngineDescription;
+use crate::gateway::{GatewayCommand, GatewayOutcome, GatewayReply, GatewayRequest};
 use crate::identity::{Attempt, Fence, Incarnation, ModelName, Position, ReplicaId, Revision, TenantId, WeightVersion};
 use crate::membership::{EngineObservation, EngineRecord, RelayDescription, RelayView};
 use crate::rollout::{DeliveryBatch, SampleAssignment, SampleId, SamplePayload, StepRequest, TrainerState};
@@ -23,6 +24,8 @@
     Query(Query),
     /// Form a new control group of this one replica.
     Initialize,
+    /// About routed requests, instances, versions and batch jobs.
+    Gateway(GatewayRequest),
 }
 
 /// A control replica's answer.
@@ -45,6 +48,8 @@
     Undecided,
     /// The request cannot be served; nothing was done.
     Refused(String),
+    /// Of a request about routed requests, instances, versions or batch jobs.
+    Gateway(GatewayReply),
 }
 
 /// A relay's lease renewal.
@@ -116,6 +121,8 @@
     Rollout(RolloutCommand),
     /// Relays and engines.
     Membership(MembershipCommand),
+    /// Routed requests, instances, named versions and batch jobs.
+    Gateway(GatewayCommand),
 }
 
 /// Commands on claims.
@@ -263,6 +270,8 @@
     Fence(Fence),
     /// Whether the command changed anything.
     Applied(bool),
+    /// Of a gateway command.
+    Gateway(GatewayOutcome),
 }
 
 /// Reads of the committed state.
