--- a/crates/command-line/src/lib.rs
+++ b/crates/command-line/src/lib.rs
@@ -1,6 +1,7 @@
 //! The command line: `serve`, `check-config` and `admin`.
 
 pub mod admin;
+pub mod member;
 pub mod serve;
 pub mod table;
 
@@ -14,6 +15,7 @@
 saddlerelay: a rollout service for reinforcement learning
 
   saddlerelay serve --config FILE         run a relay or a control replica
+  saddlerelay member --config FILE        run a process of a deployment that finds its own members
   saddlerelay check-config FILE           check a settings file and tell everything that is wrong with it
   saddlerelay admin --address IP:PORT (--token TOKEN | --token-file FILE) [--json] COMMAND
       initialize                          form a new control group of the replica at this address
@@ -102,6 +104,7 @@
             Ok(())
         }
         Some(Value(command)) if command == "serve" => serve::serve(&config_flag(&mut parser)?),
+        Some(Value(command)) if command == "member" => member::run(&config_flag(&mut parser)?),
         Some(Value(command)) if command == "check-config" => check_config(&mut parser),
         Some(Value(command)) if command == "admin" => admin::run(&mut parser),
         Some(other) => Err(other.unexpected().into()),
@@ -128,17 +131,37 @@
     if let Some(other) = parser.next()? {
         return Err(other.unexpected().into());
     }
-    read_settings(&file)?;
+    if is_member(&file)? {
+        read_member_settings(&file)?;
+    } else {
+        read_settings(&file)?;
+    }
     println!("{}: ok", file.display());
     Ok(())
 }
 
+fn read_file(file: &Path) -> Result<String, CommandError> {
+    std::fs::read_to_string(file)
+        .map_err(|error| CommandError::new(Exit::Settings, format!("{}: {error}", file.display())))
+}
+
+fn settings_error(file: &Path, errors: Vec<saddlerelay_settings::SettingError>) -> CommandError {
+    let lines: Vec<String> = errors.iter().map(|error| format!("{}: {error}", file.display())).collect();
+    CommandError::new(Exit::Settings, lines.join("\n"))
+}
+
+/// Whether a settings file is a member's: only those name seeds.
+fn is_member(file: &Path) -> Result<bool, CommandError> {
+    let table: Result<toml::Table, _> = read_file(file)?.parse();
+    Ok(table.is_ok_and(|table| table.contains_key("seeds")))
+}
+
 /// Reads a settings file; the error names the file and everything that is wrong in it.
 pub fn read_settings(file: &Path) -> Result<saddlerelay_settings::Settings, CommandError> {
-    let text = std::fs::read_to_string(file)
-        .map_err(|error| CommandError::new(Exit::Settings, format!("{}: {error}", file.display())))?;
-    saddlerelay_settings::parse(&text).map_err(|errors| {
-        let lines: Vec<String> = errors.iter().map(|error| format!("{}: {error}", file.display())).collect();
-        CommandError::new(Exit::Settings, lines.join("\n"))
-    })
+    saddlerelay_settings::parse(&read_file(file)?).map_err(|errors| settings_error(file, errors))
+}
+
+/// Reads a member's settings file; the error names the file and everything that is wrong in it.
+pub fn read_member_settings(file: &Path) -> Result<saddlerelay_settings::MemberSettings, CommandError> {
+    saddlerelay_settings::parse_member(&read_file(file)?).map_err(|errors| settings_error(file, errors))
 }
--- /dev/null
+++ b/crates/command-line/src/member.rs
@@ -0,0 +1,268 @@
+//! Runs a process of a deployment that finds its own members: a gateway, or a coordinator.
+
+use crate::{CommandError, Exit, read_member_settings};
+use compio::net::TcpListener;
+use saddlerelay_control::node::ControlNode;
+use saddlerelay_control_client::ControlClient;
+use saddlerelay_coordinator::{Coordinator, CoordinatorConfig};
+use saddlerelay_engine_client::{BackendAddresses, HttpBackends};
+use saddlerelay_gateway::{Gateway, GatewayConfig, GatewayOptions};
+use saddlerelay_http::body::{Reply, whole};
+use saddlerelay_http::server::{HttpHandler, Shutdown, serve_until};
+use saddlerelay_platform::control::ControlApi;
+use saddlerelay_platform::engines::PlatformEngines;
+use saddlerelay_platform::front::{FrontApi, ReadinessApi};
+use saddlerelay_platform::names::header_names;
+use saddlerelay_replication::ReplicaOptions;
+use saddlerelay_runtime::Runtime;
+use saddlerelay_runtime_compio::CompioRuntime;
+use saddlerelay_settings::{MemberRole, MemberSettings};
+use saddlerelay_telemetry::metrics::CONTENT_TYPE;
+use saddlerelay_types::gateway::{GatewayReply, GatewayRequest, StoreRecord};
+use std::cell::RefCell;
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+use std::rc::Rc;
+use std::time::Duration;
+
+const SIGHUP: i32 = 1;
+const SIGTERM: i32 = 15;
+
+/// How long a stopping gateway goes on taking connections: until the platform has noticed that it is not ready.
+const NOTICE_TIME: Duration = Duration::from_millis(2_600);
+
+/// What is left of the grace when the last connections are closed.
+const GRACE_MARGIN: Duration = Duration::from_millis(700);
+
+/// Pause between looks at whether the settings file has changed without a signal.
+const SETTINGS_INTERVAL: Duration = Duration::from_secs(2);
+
+/// Pause between looks at whether the group knows this machine.
+const REGISTER_INTERVAL: Duration = Duration::from_millis(400);
+
+/// Longest time of one introduction.
+const REGISTER_LIMIT: Duration = Duration::from_millis(1_500);
+
+/// The peer addresses behind the seeds, as the settings name them now.
+type Seeds = Rc<RefCell<Vec<SocketAddr>>>;
+
+fn failed(error: impl std::fmt::Display) -> CommandError {
+    CommandError::new(Exit::Failed, error.to_string())
+}
+
+/// Runs the process that the settings in `file` describe.
+pub fn run(file: &Path) -> Result<(), CommandError> {
+    let settings = read_member_settings(file)?;
+    let log = saddlerelay_telemetry::log::set_up_stdout(&settings.name).map_err(failed)?;
+    let runtime = compio::runtime::Runtime::new().map_err(failed)?;
+    spdlog::info!("start", kv: {
+        zone = settings.zone.as_str(), role = role_name(&settings.role), seeds = settings.seeds.len(),
+        version = env!("CARGO_PKG_VERSION")
+    });
+    let ended = runtime.block_on(run_role(settings, file.to_path_buf()));
+    match &ended {
+        Ok(()) => spdlog::info!("stopped", kv: { dropped_log_lines = log.dropped() }),
+        Err(error) => spdlog::error!("stopped", kv: { reason = error.to_string().as_str() }),
+    }
+    spdlog::default_logger().flush();
+    ended
+}
+
+fn role_name(role: &MemberRole) -> &'static str {
+    match role {
+        MemberRole::Gateway { .. } => "gateway",
+        MemberRole::Coordinator { .. } => "coordinator",
+    }
+}
+
+async fn run_role(settings: MemberSettings, file: PathBuf) -> Result<(), CommandError> {
+    let seeds: Seeds = Rc::new(RefCell::new(settings.seed_peers()));
+    match settings.role.clone() {
+        MemberRole::Gateway { client_address, readiness_address } => {
+            run_gateway(settings, file, seeds, client_address, readiness_address).await
+        }
+        MemberRole::Coordinator { control_address, peer_address, data_folder, first_start } => {
+            let addresses = CoordinatorAddresses { control_address, peer_address };
+            run_coordinator(settings, file, seeds, addresses, data_folder, first_start).await
+        }
+    }
+}
+
+async fn listen(address: SocketAddr) -> Result<TcpListener, CommandError> {
+    TcpListener::bind(address).await.map_err(|error| failed(format!("cannot listen on {address}: {error}")))
+}
+
+async fn run_gateway(
+    settings: MemberSettings,
+    file: PathBuf,
+    seeds: Seeds,
+    client_address: SocketAddr,
+    readiness_address: SocketAddr,
+) -> Result<(), CommandError> {
+    let runtime = CompioRuntime::without_files();
+    let control = ControlClient::new(runtime.clone(), &seeds.borrow(), &settings.shared_secret);
+    let options = GatewayOptions {
+        name: settings.name.clone(),
+        zone: settings.zone.clone(),
+        seeds: seeds.clone(),
+        names: header_names(),
+        config: GatewayConfig::default(),
+    };
+    let client_listener = listen(client_address).await?;
+    let readiness_listener = listen(readiness_address).await?;
+    let gateway = Gateway::start(runtime.clone(), control, options);
+    let shutdown = Shutdown::default();
+    runtime.spawn(serve_until(client_listener, Rc::new(FrontApi { gateway: gateway.clone() }), shutdown.clone()));
+    let readiness = Rc::new(ReadinessApi { gateway: gateway.clone() });
+    runtime.spawn(serve_until(readiness_listener, readiness, Shutdown::default()));
+    let of_metrics = gateway.clone();
+    serve_metrics(&runtime, settings.metrics_address, move || of_metrics.metrics().encode()).await?;
+    runtime.spawn(follow_settings(runtime.clone(), file, seeds, |_| {}));
+    compio::signal::unix::signal(SIGTERM).await.map_err(failed)?;
+    spdlog::info!("planned stop", kv: { grace_ms = settings.bounds.grace.as_millis() as u64 });
+    gateway.drain();
+    let notice = NOTICE_TIME.min(settings.bounds.grace / 2);
+    runtime.sleep(notice).await;
+    let closed = shutdown.close(settings.bounds.grace.saturating_sub(notice + GRACE_MARGIN)).await;
+    spdlog::info!("connections closed", kv: { all = closed });
+    Ok(())
+}
+
+struct CoordinatorAddresses {
+    control_address: SocketAddr,
+    peer_address: SocketAddr,
+}
+
+async fn run_coordinator(
+    settings: MemberSettings,
+    file: PathBuf,
+    seeds: Seeds,
+    addresses: CoordinatorAddresses,
+    data_folder: PathBuf,
+    first_start: bool,
+) -> Result<(), CommandError> {
+    std::fs::create_dir_all(&data_folder).map_err(|error| failed(format!("{}: {error}", data_folder.display())))?;
+    let runtime = CompioRuntime::new(data_folder);
+    let peers = seeds.borrow().clone();
+    let options = ReplicaOptions {
+        address: addresses.peer_address,
+        peers: peers.clone(),
+        founders: if first_start { peers.clone() } else { Vec::new() },
+        secret: settings.shared_secret.clone(),
+        config: settings.bounds.replication(),
+    };
+    let backends = HttpBackends::new(BackendAddresses { scorer: None, platform: None }).map_err(failed)?;
+    let peer_listener = runtime.listen(addresses.peer_address).await;
+    let peer_listener =
+        peer_listener.map_err(|error| failed(format!("cannot listen on {}: {error}", addresses.peer_address)))?;
+    let control_listener = listen(addresses.control_address).await?;
+    let node = ControlNode::start(runtime.clone(), backends, settings.bounds.control(), options).await.map_err(failed)?;
+    let secret = settings.shared_secret.clone();
+    runtime.spawn(saddlerelay_rpc::server::serve(runtime.clone(), peer_listener, secret, Rc::new(node.clone())));
+    let control = ControlClient::new(runtime.clone(), &with_own(&peers, addresses.peer_address), &settings.shared_secret);
+    let config = CoordinatorConfig { order_wait: settings.bounds.order_wait(), ..CoordinatorConfig::default() };
+    let coordinator = Coordinator::start(
+        runtime.clone(),
+        node.clone(),
+        settings.name.clone(),
+        header_names(),
+        Box::new(PlatformEngines),
+        config,
+    );
+    let shutdown = Shutdown::default();
+    let api = Rc::new(ControlApi { control: control.clone() });
+    runtime.spawn(serve_until(control_listener, api, shutdown.clone()));
+    serve_metrics(&runtime, settings.metrics_address, move || coordinator.metrics().encode()).await?;
+    let record =
+        StoreRecord { name: settings.name.clone(), replica: node.replica().id(), address: addresses.peer_address };
+    runtime.spawn(introduce(runtime.clone(), node.clone(), control, record, seeds.clone()));
+    let replica = node.replica().clone();
+    runtime.spawn(follow_settings(runtime.clone(), file, seeds, move |seeds| replica.hear_of(seeds.iter().copied())));
+    compio::signal::unix::signal(SIGTERM).await.map_err(failed)?;
+    let handed_over = node.hand_over().await;
+    spdlog::info!("planned stop", kv: { handed_over = handed_over });
+    shutdown.close(settings.bounds.grace / 4).await;
+    Ok(())
+}
+
+fn with_own(peers: &[SocketAddr], own: SocketAddr) -> Vec<SocketAddr> {
+    let mut addresses = vec![own];
+    addresses.extend(peers.iter().filter(|peer| **peer != own));
+    addresses
+}
+
+/// Tells the group this machine's name and replica, and keeps the client's list of replicas new.
+async fn introduce(
+    runtime: CompioRuntime,
+    node: ControlNode<CompioRuntime, HttpBackends>,
+    control: ControlClient<CompioRuntime>,
+    record: StoreRecord,
+    seeds: Seeds,
+) {
+    loop {
+        let known = node.replica().peek(|machine| machine.state().stores.holds(&record));
+        if !known {
+            let request = GatewayRequest::RegisterStore(record.clone());
+            let answer = control.gateway(request, REGISTER_LIMIT, REGISTER_LIMIT).await;
+            if answer != Ok(GatewayReply::Done) {
+                spdlog::warn!("not introduced", kv: { answer = format!("{answer:?}").as_str() });
+            }
+        }
+        let members = node.replica().member_addresses();
+        let all = members.into_iter().chain(seeds.borrow().iter().copied()).collect::<Vec<_>>();
+        control.set_replicas(with_own(&all, record.address));
+        runtime.sleep(REGISTER_INTERVAL).await;
+    }
+}
+
+/// Takes changes of the settings file, with a signal and without.
+async fn follow_settings(
+    runtime: CompioRuntime,
+    file: PathBuf,
+    seeds: Seeds,
+    changed: impl Fn(&[SocketAddr]) + 'static,
+) {
+    let mut held = std::fs::read(&file).unwrap_or_default();
+    loop {
+        let signal = std::pin::pin!(compio::signal::unix::signal(SIGHUP));
+        let pause = std::pin::pin!(runtime.sleep(SETTINGS_INTERVAL));
+        futures::future::select(signal, pause).await;
+        let Ok(bytes) = std::fs::read(&file) else {
+            continue;
+        };
+        if bytes == held {
+            continue;
+        }
+        held = bytes;
+        match read_member_settings(&file) {
+            Ok(settings) => {
+                *seeds.borrow_mut() = settings.seed_peers();
+                changed(&seeds.borrow());
+                spdlog::info!("settings reloaded", kv: { seeds = settings.seeds.len() });
+            }
+            Err(error) => spdlog::error!("settings refused", kv: { reason = error.to_string().as_str() }),
+        }
+    }
+}
+
+struct MetricsApi<F> {
+    encode: F,
+}
+
+impl<F: Fn() -> String + 'static> HttpHandler for MetricsApi<F> {
+    async fn handle(self: Rc<Self>, _request: hyper::Request<hyper::body::Incoming>) -> Reply {
+        whole(hyper::StatusCode::OK, CONTENT_TYPE, (self.encode)())
+    }
+}
+
+async fn serve_metrics(
+    runtime: &CompioRuntime,
+    address: Option<SocketAddr>,
+    encode: impl Fn() -> String + 'static,
+) -> Result<(), CommandError> {
+    if let Some(address) = address {
+        let listener = listen(address).await?;
+        runtime.spawn(serve_until(listener, Rc::new(MetricsApi { encode }), Shutdown::default()));
+    }
+    Ok(())
+}
--- a/crates/control-client/src/lib.rs
+++ b/crates/control-client/src/lib.rs
@@ -3,12 +3,14 @@
 //! Every command is safe to send again: changes carry a key or a revision, claims an arrival, samples an attempt,
 //! assignments a sequence. A call whose answer is lost is therefore repeated until its time runs out.
 
-use saddlerelay_rpc::client::Client;
+use saddlerelay_rpc::client::{CallError, Client};
 use saddlerelay_runtime::Runtime;
+use saddlerelay_types::gateway::{GatewayReply, GatewayRequest};
 use saddlerelay_types::protocol::{
     Command, CommandOutcome, ControlReply, ControlRequest, Query, QueryAnswer, RenewReply, RenewRequest,
 };
 use std::cell::{Cell, RefCell};
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -28,6 +30,15 @@
     Refused(String),
 }
 
+/// Why a gateway call brought no answer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum GatewayError {
+    /// Nothing was done, and nothing will be.
+    NotDone,
+    /// It may have been done, or may be later.
+    Undecided,
+}
+
 struct Inner<P> {
     platform: P,
     replicas: RefCell<Vec<Client<P>>>,
@@ -91,7 +102,51 @@
         }
     }
 
+    /// Asks the leader about routed requests, instances, versions or batch jobs, trying for at most `limit`, and each
+    /// replica for at most `attempt_limit`.
+    pub async fn gateway(
+        &self,
+        request: GatewayRequest,
+        limit: Duration,
+        attempt_limit: Duration,
+    ) -> Result<GatewayReply, GatewayError> {
+        let mut may_be_done = false;
+        let request = ControlRequest::Gateway(request);
+        let reply = self.call_until(&request, limit, attempt_limit, &mut may_be_done).await;
+        match reply {
+            Ok(ControlReply::Gateway(GatewayReply::Unavailable)) | Err(_) if !may_be_done => Err(GatewayError::NotDone),
+            Ok(ControlReply::Gateway(reply)) => Ok(reply),
+            _ => Err(GatewayError::Undecided),
+        }
+    }
+
+    /// Names the replicas anew; connections to those that stay are kept.
+    pub fn set_replicas(&self, addresses: impl IntoIterator<Item = SocketAddr>) {
+        let addresses: BTreeSet<SocketAddr> = addresses.into_iter().collect();
+        let mut replicas = self.inner.replicas.borrow_mut();
+        let current = replicas.get(self.inner.current.get() % replicas.len().max(1)).map(Client::address);
+        replicas.retain(|replica| addresses.contains(&replica.address()));
+        for address in addresses {
+            if !replicas.iter().any(|replica| replica.address() == address) {
+                replicas.push(Client::new(self.inner.platform.clone(), address, &self.inner.secret));
+            }
+        }
+        let index = replicas.iter().position(|replica| Some(replica.address()) == current);
+        self.inner.current.set(index.unwrap_or(0));
+    }
+
     async fn call_leader(&self, request: &ControlRequest, limit: Duration) -> Result<ControlReply, ControlError> {
+        self.call_until(request, limit, ATTEMPT_LIMIT, &mut false).await
+    }
+
+    /// Calls until a leader answers. Sets `may_be_done` once a replica may have taken the request.
+    async fn call_until(
+        &self,
+        request: &ControlRequest,
+        limit: Duration,
+        attempt_limit: Duration,
+        may_be_done: &mut bool,
+    ) -> Result<ControlReply, ControlError> {
         let deadline = self.inner.platform.monotonic() + limit;
         let body = bitcode::encode(request);
         loop {
@@ -100,12 +155,14 @@
                 return Err(ControlError::Unavailable);
             }
             let replica = self.current_replica();
-            let answer = replica.call(body.clone(), left.min(ATTEMPT_LIMIT)).await;
+            let answer = replica.call(body.clone(), left.min(attempt_limit)).await;
+            *may_be_done |= answer == Err(CallError::Unknown);
             match answer.ok().and_then(|bytes| bitcode::decode(&bytes).ok()) {
                 Some(ControlReply::NotLeader { leader: Some(leader) }) if leader != replica.address() => {
                     self.choose(leader);
                 }
-                Some(ControlReply::NotLeader { .. } | ControlReply::Undecided) | None => {
+                reply @ (Some(ControlReply::NotLeader { .. } | ControlReply::Undecided) | None) => {
+                    *may_be_done |= matches!(reply, Some(ControlReply::Undecided));
                     self.choose_next();
                     self.inner.platform.sleep(RETRY_PAUSE).await;
                 }
--- a/crates/control/src/gateway.rs
+++ b/crates/control/src/gateway.rs
@@ -6,6 +6,7 @@
 use saddlerelay_replication::ProposeError;
 use saddlerelay_runtime::Runtime;
 use saddlerelay_runtime::backend::Backends;
+use saddlerelay_runtime::signal::Signal;
 use saddlerelay_runtime::timeout::timeout;
 use saddlerelay_types::gateway::{
     FollowReply, FollowRequest, GatewayCommand, GatewayOutcome, GatewayReply, GatewayRequest, StoreRecord,
@@ -117,6 +118,11 @@
         self.inner.instance_watch.borrow().silent(&state.instances, now, self.inner.config.instance_silence)
     }
 
+    /// Notified when batch jobs, engines or routes change.
+    pub fn job_work(&self) -> &Signal {
+        &self.inner.job_work
+    }
+
     /// What an instance last told this leader that it has loaded, and when.
     pub fn reported_models(&self, id: &InstanceId) -> Option<(Duration, Vec<LoadedModel>)> {
         let watch = self.inner.instance_watch.borrow();
--- a/crates/control/src/state/jobs.rs
+++ b/crates/control/src/state/jobs.rs
@@ -20,6 +20,8 @@
     ended: bool,
     /// Readable until then, in the state's time.
     keep_until: u64,
+    /// Counts jobs as they were taken.
+    order: u64,
 }
 
 impl Job {
@@ -28,6 +30,11 @@
         &self.results
     }
 
+    /// Its place among all jobs, as they were taken.
+    pub fn order(&self) -> u64 {
+        self.order
+    }
+
     /// Whether nothing of it runs any more.
     pub fn is_ended(&self) -> bool {
         self.ended
@@ -65,6 +72,7 @@
 #[derive(Clone, Debug, Default, PartialEq, Encode, Decode)]
 pub struct JobTable {
     jobs: BTreeMap<JobId, Job>,
+    taken: u64,
 }
 
 impl JobTable {
@@ -81,12 +89,15 @@
     /// Keeps a job; one that is known already stays as it is.
     pub fn submit(&mut self, submission: JobSubmission, now: u64, keep_ms: u64) {
         self.drop_expired(now);
+        self.taken += 1;
+        let order = self.taken;
         let new = || Job {
             listed: vec![false; submission.items.len()],
             submission: submission.clone(),
             results: Vec::new(),
             ended: false,
             keep_until: now + keep_ms,
+            order,
         };
         self.jobs.entry(submission.id.clone()).or_insert_with(new);
     }
--- /dev/null
+++ b/crates/coordinator/src/coordinator.rs
@@ -0,0 +1,107 @@
+//! A coordinator and what its parts share.
+
+use crate::config::CoordinatorConfig;
+use crate::dialect::EngineDialect;
+use crate::fleet::Fleet;
+use crate::metrics::CoordinatorMetrics;
+use crate::plan::JobRun;
+use crate::text::KeptTexts;
+use saddlerelay_control::node::ControlNode;
+use saddlerelay_runtime::Runtime;
+use saddlerelay_runtime::backend::Backends;
+use saddlerelay_runtime::signal::Signal;
+use saddlerelay_runtime_compio::CompioRuntime;
+use saddlerelay_types::job::{ItemResult, JobId};
+use saddlerelay_upstream::{HeaderNames, Pool};
+use std::cell::{Cell, RefCell};
+use std::collections::BTreeMap;
+use std::rc::Rc;
+use std::time::Duration;
+
+/// The process's control node.
+pub type LeaderNode<B> = ControlNode<CompioRuntime, B>;
+
+pub(crate) struct Inner<B: Backends> {
+    pub runtime: CompioRuntime,
+    pub node: LeaderNode<B>,
+    pub name: String,
+    pub config: CoordinatorConfig,
+    pub dialect: Box<dyn EngineDialect>,
+    pub pool: Pool,
+    pub fleet: Fleet,
+    pub metrics: CoordinatorMetrics,
+    /// The jobs of this term.
+    pub jobs: RefCell<BTreeMap<JobId, JobRun>>,
+    pub kept: RefCell<KeptTexts>,
+    /// Results that wait to be committed.
+    pub results: RefCell<BTreeMap<JobId, Vec<ItemResult>>>,
+    pub results_waiting: Signal,
+    /// An item has ended, or something else calls for a new plan.
+    pub replan: Signal,
+    /// The term that jobs and fleet belong to.
+    pub term: Cell<u64>,
+}
+
+/// The coordinator. Clones are the same one.
+pub struct Coordinator<B: Backends> {
+    pub(crate) inner: Rc<Inner<B>>,
+}
+
+impl<B: Backends> Clone for Coordinator<B> {
+    fn clone(&self) -> Self {
+        Self { inner: self.inner.clone() }
+    }
+}
+
+impl<B: Backends> Coordinator<B> {
+    /// Starts the tasks; they act while `node` leads its group.
+    pub fn start(
+        runtime: CompioRuntime,
+        node: LeaderNode<B>,
+        name: String,
+        names: HeaderNames,
+        dialect: Box<dyn EngineDialect>,
+        config: CoordinatorConfig,
+    ) -> Self {
+        let pool = Pool::new(Rc::new(names), config.connect_limit);
+        let inner = Inner {
+            runtime: runtime.clone(),
+            node,
+            name,
+            config,
+            dialect,
+            pool,
+            fleet: Fleet::default(),
+            metrics: CoordinatorMetrics::default(),
+            jobs: RefCell::default(),
+            kept: RefCell::default(),
+            results: RefCell::default(),
+            results_waiting: Signal::default(),
+            replan: Signal::default(),
+            term: Cell::new(0),
+        };
+        let coordinator = Self { inner: Rc::new(inner) };
+        runtime.spawn(crate::runner::run(coordinator.clone()));
+        runtime.spawn(crate::listing::list_results(coordinator.clone()));
+        runtime.spawn(crate::orders::give_orders(coordinator.clone()));
+        coordinator
+    }
+
+    /// Counters and histograms.
+    pub fn metrics(&self) -> &CoordinatorMetrics {
+        &self.inner.metrics
+    }
+
+    pub(crate) fn now(&self) -> Duration {
+        self.inner.runtime.monotonic()
+    }
+
+    pub(crate) fn names(&self) -> &HeaderNames {
+        self.inner.pool.names()
+    }
+
+    /// Whether this process still leads `term`, by its clock at this moment.
+    pub(crate) fn leads(&self, term: u64) -> bool {
+        self.inner.node.replica().leading_term() == Some(term)
+    }
+}
--- /dev/null
+++ b/crates/coordinator/src/fleet.rs
@@ -0,0 +1,157 @@
+//! What the leader knows of each engine beside its committed record: weights, changes under way, load, pace.
+
+use saddlerelay_types::instance::{InstanceId, LoadedModel};
+use std::cell::RefCell;
+use std::collections::BTreeMap;
+use std::rc::Rc;
+use std::time::Duration;
+
+/// Weight of the newest pause between events in an engine's pace.
+const PACE_WEIGHT: f64 = 0.1;
+
+/// Pace assumed of an engine without events, in seconds an event.
+const UNKNOWN_PACE: f64 = 0.045;
+
+#[derive(Clone, Debug)]
+struct Known {
+    versions: BTreeMap<String, (u64, Duration)>,
+    /// Models whose weights are being changed, and since when.
+    loading: BTreeMap<String, Duration>,
+    in_flight: u32,
+    rest_until: Duration,
+    pace: f64,
+    orders_taken: Option<u64>,
+}
+
+impl Default for Known {
+    fn default() -> Self {
+        Self {
+            versions: BTreeMap::new(),
+            loading: BTreeMap::new(),
+            in_flight: 0,
+            rest_until: Duration::ZERO,
+            pace: UNKNOWN_PACE,
+            orders_taken: None,
+        }
+    }
+}
+
+/// The engines. Clones share it.
+#[derive(Clone, Default)]
+pub struct Fleet {
+    known: Rc<RefCell<BTreeMap<InstanceId, Known>>>,
+}
+
+/// An item in flight at an engine; counts until dropped.
+pub struct Place {
+    fleet: Fleet,
+    instance: InstanceId,
+}
+
+impl Drop for Place {
+    fn drop(&mut self) {
+        self.fleet.change(&self.instance, |known| known.in_flight = known.in_flight.saturating_sub(1));
+    }
+}
+
+impl Fleet {
+    fn change(&self, instance: &InstanceId, change: impl FnOnce(&mut Known)) {
+        change(self.known.borrow_mut().entry(instance.clone()).or_default());
+    }
+
+    fn look<T>(&self, instance: &InstanceId, look: impl FnOnce(&Known) -> T) -> Option<T> {
+        self.known.borrow().get(instance).map(look)
+    }
+
+    /// Forgets everything: another term begins.
+    pub fn clear(&self) {
+        self.known.borrow_mut().clear();
+    }
+
+    /// Forgets engines that `keep` does not want.
+    pub fn retain(&self, keep: impl Fn(&InstanceId) -> bool) {
+        self.known.borrow_mut().retain(|instance, known| known.in_flight > 0 || keep(instance));
+    }
+
+    /// Takes what an engine was told or heard to have at `at`; older news change nothing.
+    pub fn learn(&self, instance: &InstanceId, models: &[LoadedModel], at: Duration) {
+        self.change(instance, |known| {
+            for model in models {
+                let held = known.versions.entry(model.model.clone()).or_insert((model.version, at));
+                if at >= held.1 {
+                    *held = (model.version, at);
+                }
+            }
+        });
+    }
+
+    /// The version that an engine has of a model, as far as is known.
+    pub fn version(&self, instance: &InstanceId, model: &str) -> Option<u64> {
+        self.look(instance, |known| known.versions.get(model).map(|(version, _)| *version)).flatten()
+    }
+
+    /// The model's weights are being changed.
+    pub fn begin_load(&self, instance: &InstanceId, model: &str, now: Duration) {
+        self.change(instance, |known| {
+            known.loading.insert(model.to_string(), now);
+        });
+    }
+
+    /// The change is over, as far as is known.
+    pub fn end_load(&self, instance: &InstanceId, model: &str) {
+        self.change(instance, |known| {
+            known.loading.remove(model);
+        });
+    }
+
+    /// Whether the model's weights are being changed.
+    pub fn is_loading(&self, instance: &InstanceId, model: &str) -> bool {
+        self.look(instance, |known| known.loading.contains_key(model)).unwrap_or(false)
+    }
+
+    /// Whether any model's weights are being changed.
+    pub fn is_loading_any(&self, instance: &InstanceId) -> bool {
+        self.look(instance, |known| !known.loading.is_empty()).unwrap_or(false)
+    }
+
+    /// Orders that the engine is known to have taken.
+    pub fn orders_taken(&self, instance: &InstanceId) -> Option<u64> {
+        self.look(instance, |known| known.orders_taken).flatten()
+    }
+
+    /// Notes how many orders the engine has taken; `None` when that is no longer known.
+    pub fn set_orders_taken(&self, instance: &InstanceId, count: Option<u64>) {
+        self.change(instance, |known| known.orders_taken = count);
+    }
+
+    /// Counts an item as in flight.
+    pub fn take_place(&self, instance: &InstanceId) -> Place {
+        self.change(instance, |known| known.in_flight += 1);
+        Place { fleet: self.clone(), instance: instance.clone() }
+    }
+
+    /// Items in flight.
+    pub fn in_flight(&self, instance: &InstanceId) -> u32 {
+        self.look(instance, |known| known.in_flight).unwrap_or(0)
+    }
+
+    /// Leaves an engine alone until then.
+    pub fn rest_until(&self, instance: &InstanceId, until: Duration) {
+        self.change(instance, |known| known.rest_until = known.rest_until.max(until));
+    }
+
+    /// Whether an engine is left alone.
+    pub fn is_resting(&self, instance: &InstanceId, now: Duration) -> bool {
+        self.look(instance, |known| now < known.rest_until).unwrap_or(false)
+    }
+
+    /// An event came after `pause`.
+    pub fn observe_pause(&self, instance: &InstanceId, pause: Duration) {
+        self.change(instance, |known| known.pace += (pause.as_secs_f64() - known.pace) * PACE_WEIGHT);
+    }
+
+    /// Seconds an event.
+    pub fn pace(&self, instance: &InstanceId) -> f64 {
+        self.look(instance, |known| known.pace).unwrap_or(UNKNOWN_PACE)
+    }
+}
--- /dev/null
+++ b/crates/coordinator/src/orders.rs
@@ -0,0 +1,255 @@
+//! Brings engines to the weight versions that trainers name.
+//!
+//! A trainer's next step takes samples of the newest version and of the one before it. Engines therefore take turns:
+//! half of them load each version, the other half the next one. One that has fallen two versions behind loads at once.
+
+use crate::coordinator::Coordinator;
+use crate::dialect::{Call, EngineReport, OrderAnswer, RunningStreams, VersionOrder};
+use hyper::header::{CONTENT_TYPE, HeaderMap, HeaderValue};
+use saddlerelay_control::state::ControlState;
+use saddlerelay_runtime::Runtime;
+use saddlerelay_runtime::backend::Backends;
+use saddlerelay_types::gateway::{GatewayCommand, GatewayOutcome};
+use saddlerelay_types::instance::{InstanceId, InstanceState, LoadedModel};
+use saddlerelay_types::routing::RouteKind;
+use saddlerelay_upstream::{EngineTarget, Failure, Outgoing};
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+/// Pause between looks at whether an order is due.
+const INTERVAL: Duration = Duration::from_millis(60);
+
+/// The right to give orders in one term.
+#[derive(Clone, Copy, Debug)]
+struct Right {
+    term: u64,
+    fence: u64,
+    not_before: Duration,
+}
+
+/// An order that is due.
+struct DueOrder {
+    target: EngineTarget,
+    model: LoadedModel,
+    held: u64,
+    running: RunningStreams,
+}
+
+/// Gives orders while this process leads.
+pub(crate) async fn give_orders<B: Backends>(coordinator: Coordinator<B>) {
+    let inner = &coordinator.inner;
+    let mut right: Option<Right> = None;
+    loop {
+        inner.runtime.sleep(INTERVAL).await;
+        let Some(term) = inner.node.replica().leading_term() else {
+            right = None;
+            continue;
+        };
+        let due = inner.node.read(|state| due_orders(&coordinator, state)).unwrap_or_default();
+        if due.is_empty() {
+            continue;
+        }
+        if right.is_none_or(|right| right.term != term) {
+            right = coordinator.take_right(term).await;
+        }
+        let Some(held) = right.filter(|right| coordinator.now() >= right.not_before) else {
+            continue;
+        };
+        for order in due {
+            inner.fleet.begin_load(&order.target.instance, &order.model.model, coordinator.now());
+            inner.runtime.spawn(carry_out(coordinator.clone(), order, held));
+        }
+    }
+}
+
+/// The orders that may be given now, no more than may load at once.
+fn due_orders<B: Backends>(coordinator: &Coordinator<B>, state: &ControlState) -> Vec<DueOrder> {
+    let inner = &coordinator.inner;
+    let Some(document) = state.routing.current() else {
+        return Vec::new();
+    };
+    let silent = inner.node.silent_instances(state);
+    let mut due = Vec::new();
+    for service in &document.services {
+        let Some(hosting) = &service.hosting else {
+            continue;
+        };
+        let engines: Vec<EngineTarget> = state
+            .instances
+            .iter()
+            .filter(|record| record.state == InstanceState::Ready && record.report.service == service.name)
+            .filter(|record| silent.binary_search(&record.report.id).is_err())
+            .map(|record| EngineTarget { instance: record.report.id.clone(), address: record.report.address })
+            .collect();
+        let config = &inner.config;
+        let most = (engines.len() as u32).div_ceil(config.engines_per_load).max(config.least_loads) as usize;
+        let loading = engines.iter().filter(|engine| inner.fleet.is_loading_any(&engine.instance)).count();
+        let single = document.routes.iter().any(|route| route.kind == RouteKind::Rollout && route.batch.single_version);
+        let running = if single { RunningStreams::Wait } else { RunningStreams::Keep };
+        let mut behind = Vec::new();
+        for (place, model) in hosting.models.iter().enumerate() {
+            let Some(named) = state.weights.named().get(model) else {
+                continue;
+            };
+            behind.extend(engines_behind(coordinator, &engines, place as u64, model, *named, running));
+        }
+        behind.sort_by_key(|order| std::cmp::Reverse(order.model.version.saturating_sub(order.held)));
+        let mut chosen: BTreeMap<InstanceId, DueOrder> = BTreeMap::new();
+        for order in behind {
+            if loading + chosen.len() < most {
+                chosen.entry(order.target.instance.clone()).or_insert(order);
+            }
+        }
+        due.extend(chosen.into_values());
+    }
+    due
+}
+
+/// Engines that should load `named` of a model now.
+fn engines_behind<B: Backends>(
+    coordinator: &Coordinator<B>,
+    engines: &[EngineTarget],
+    place: u64,
+    model: &str,
+    named: u64,
+    running: RunningStreams,
+) -> Vec<DueOrder> {
+    let fleet = &coordinator.inner.fleet;
+    let now = coordinator.now();
+    let mut behind = Vec::new();
+    for (index, engine) in engines.iter().enumerate() {
+        let Some(held) = fleet.version(&engine.instance, model) else {
+            continue;
+        };
+        let its_turn = (index as u64 + place + named).is_multiple_of(2);
+        let due = held < named && (its_turn || held + 2 <= named);
+        let free = !fleet.is_loading_any(&engine.instance) && !fleet.is_resting(&engine.instance, now);
+        if due && free {
+            let model = LoadedModel { model: model.to_string(), version: named };
+            behind.push(DueOrder { target: engine.clone(), model, held, running });
+        }
+    }
+    behind
+}
+
+impl<B: Backends> Coordinator<B> {
+    /// Becomes the holder of orders. One that takes over waits until none of the holder's before it can still count as
+    /// given in turn with its own.
+    async fn take_right(&self, term: u64) -> Option<Right> {
+        let inner = &self.inner;
+        let command = GatewayCommand::TakeOrders(inner.node.replica().id());
+        let Ok(GatewayOutcome::Orders { fence, taken_over }) = inner.node.commit_gateway(command).await else {
+            return None;
+        };
+        let wait = if taken_over { inner.config.order_wait } else { Duration::ZERO };
+        spdlog::info!("orders taken over", kv: {
+            term = term, fence = fence.0, taken_over = taken_over, wait_ms = wait.as_millis() as u64
+        });
+        Some(Right { term, fence: fence.0, not_before: self.now() + wait })
+    }
+
+    async fn call(&self, target: &EngineTarget, call: Call, term: u64) -> Result<(u16, bytes::Bytes), Failure> {
+        let uri = call.path.parse().map_err(|error| Failure::NotSent(format!("{error}")))?;
+        let mut headers = HeaderMap::new();
+        headers.insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
+        if let Ok(host) = HeaderValue::from_str(&target.address.to_string()) {
+            headers.insert(hyper::header::HOST, host);
+        }
+        let outgoing = Outgoing { method: call.method, uri, headers, body: call.body, request_id: String::new() };
+        let may_send = || self.leads(term);
+        let answer = self.inner.pool.call(target, &outgoing, self.inner.config.order_limit, may_send).await?;
+        Ok((answer.0.status.as_u16(), answer.1))
+    }
+
+    async fn ask_report(&self, target: &EngineTarget, term: u64) -> Option<EngineReport> {
+        let (status, body) = self.call(target, self.inner.dialect.report(), term).await.ok()?;
+        let report = self.inner.dialect.read_report(&body).filter(|_| status == 200)?;
+        self.inner.fleet.learn(&target.instance, &report.models, self.now());
+        self.inner.fleet.set_orders_taken(&target.instance, Some(report.orders_taken));
+        Some(report)
+    }
+}
+
+async fn carry_out<B: Backends>(coordinator: Coordinator<B>, due: DueOrder, right: Right) {
+    let inner = &coordinator.inner;
+    let began_at = coordinator.now();
+    let done = give(&coordinator, &due, right).await;
+    let lasted = coordinator.now().saturating_sub(began_at);
+    let instance = &due.target.instance;
+    if done {
+        inner.metrics.load_seconds.observe(lasted.as_secs_f64());
+    } else {
+        inner.fleet.rest_until(instance, coordinator.now() + inner.config.engine_rest);
+    }
+    inner.fleet.end_load(instance, &due.model.model);
+    inner.replan.notify();
+    spdlog::info!("weights ordered", kv: {
+        instance = instance.0.as_str(), model = due.model.model.as_str(), held = due.held,
+        version = due.model.version, fence = right.fence, done = done, lasted_ms = lasted.as_millis() as u64
+    });
+}
+
+/// Gives one order and waits until it holds; returns whether it does.
+async fn give<B: Backends>(coordinator: &Coordinator<B>, due: &DueOrder, right: Right) -> bool {
+    let inner = &coordinator.inner;
+    let instance = &due.target.instance;
+    let orders_taken = match inner.fleet.orders_taken(instance) {
+        Some(count) => count,
+        None => match coordinator.ask_report(&due.target, right.term).await {
+            Some(report) if report.busy => return false,
+            Some(report) => report.orders_taken,
+            None => return false,
+        },
+    };
+    let order = VersionOrder {
+        target: due.model.clone(),
+        holder: inner.name.clone(),
+        fence: right.fence,
+        orders_taken,
+        running: due.running,
+    };
+    inner.metrics.orders.inc();
+    let answer = coordinator.call(&due.target, inner.dialect.order(&order), right.term).await;
+    let meaning = answer.as_ref().ok().and_then(|(status, _)| {
+        hyper::StatusCode::from_u16(*status).ok().map(|status| inner.dialect.order_answer(status))
+    });
+    match meaning {
+        Some(OrderAnswer::Taken) => {
+            inner.fleet.set_orders_taken(instance, Some(orders_taken + 1));
+            wait_until_loaded(coordinator, due, right.term).await
+        }
+        Some(OrderAnswer::Holds) => {
+            inner.fleet.learn(instance, std::slice::from_ref(&due.model), coordinator.now());
+            inner.fleet.set_orders_taken(instance, None);
+            true
+        }
+        Some(other) => {
+            spdlog::warn!("order refused", kv: {
+                instance = instance.0.as_str(), answer = format!("{other:?}").as_str(), fence = right.fence
+            });
+            inner.fleet.set_orders_taken(instance, None);
+            false
+        }
+        None => {
+            // It may be carried out later: what the engine reports next decides.
+            inner.metrics.orders_unknown.inc();
+            inner.fleet.set_orders_taken(instance, None);
+            false
+        }
+    }
+}
+
+async fn wait_until_loaded<B: Backends>(coordinator: &Coordinator<B>, due: &DueOrder, term: u64) -> bool {
+    let inner = &coordinator.inner;
+    let until = coordinator.now() + inner.config.load_limit;
+    inner.runtime.sleep(inner.config.usual_load).await;
+    while coordinator.now() < until && coordinator.leads(term) {
+        let report = coordinator.ask_report(&due.target, term).await;
+        let loaded = report.as_ref().is_some_and(|report| !report.busy && report.models.contains(&due.model));
+        if loaded {
+            return true;
+        }
+        inner.runtime.sleep(inner.config.load_poll).await;
+    }
+    false
+}
--- /dev/null
+++ b/crates/coordinator/src/runner.rs
@@ -0,0 +1,146 @@
+//! Starts and stops items while this process leads.
+
+use crate::coordinator::Coordinator;
+use crate::item;
+use crate::plan::{self, Phase, Plan, Start};
+use crate::text::{self, digest};
+use futures::future::{self, Either};
+use saddlerelay_control::state::ControlState;
+use saddlerelay_runtime::Runtime;
+use saddlerelay_runtime::backend::Backends;
+use saddlerelay_types::job::JobId;
+use std::collections::BTreeSet;
+use std::pin::pin;
+use std::time::Duration;
+
+/// Longest pause between plans while there are open jobs.
+const PLAN_INTERVAL: Duration = Duration::from_millis(50);
+
+/// Pause between looks at whether this process leads.
+const IDLE_INTERVAL: Duration = Duration::from_millis(100);
+
+/// Runs until the process ends.
+pub(crate) async fn run<B: Backends>(coordinator: Coordinator<B>) {
+    let inner = &coordinator.inner;
+    loop {
+        let seen_work = inner.node.job_work().count();
+        let seen_replan = inner.replan.count();
+        let busy = match inner.node.replica().leading_term() {
+            Some(term) => coordinator.act(term),
+            None => {
+                coordinator.stop_all();
+                false
+            }
+        };
+        let work = pin!(inner.node.job_work().changed(seen_work));
+        let replan = pin!(inner.replan.changed(seen_replan));
+        let pause = pin!(inner.runtime.sleep(if busy { PLAN_INTERVAL } else { IDLE_INTERVAL }));
+        if let Either::Left(_) = future::select(future::select(work, replan), pause).await {
+            // Several items end in one moment: one plan serves them all.
+            inner.runtime.sleep(Duration::from_millis(1)).await;
+        }
+    }
+}
+
+impl<B: Backends> Coordinator<B> {
+    /// Plans and starts; returns whether there are open jobs.
+    fn act(&self, term: u64) -> bool {
+        if self.inner.term.replace(term) != term {
+            self.stop_all();
+            self.inner.fleet.clear();
+            spdlog::info!("leading", kv: { term = term });
+        }
+        let planned = self.inner.node.read(|state| {
+            self.learn_reports(state);
+            plan::plan(self, state, term)
+        });
+        let Some(plan) = planned else {
+            return false;
+        };
+        self.drop_ended(&plan.open);
+        let busy = !plan.open.is_empty();
+        self.carry_out(plan);
+        busy
+    }
+
+    /// Takes what engines report of their weights.
+    fn learn_reports(&self, state: &ControlState) {
+        let inner = &self.inner;
+        for record in state.instances.iter() {
+            if let Some((at, models)) = inner.node.reported_models(&record.report.id) {
+                inner.fleet.learn(&record.report.id, &models, at);
+            }
+        }
+        inner.fleet.retain(|instance| state.instances.get(instance).is_some());
+    }
+
+    fn carry_out(&self, plan: Plan) {
+        for (job, index) in plan.whole {
+            self.finish(&job, index, None);
+        }
+        for (job, index, reason) in plan.give_up {
+            spdlog::warn!("item given up", kv: { job = job.0.as_str(), index = index, reason = reason });
+            self.inner.metrics.items_aborted.inc();
+            self.finish(&job, index, Some(text::aborted(index)));
+        }
+        for start in plan.starts {
+            self.start_item(start);
+        }
+    }
+
+    fn finish(&self, job: &JobId, index: u32, result: Option<saddlerelay_types::job::ItemResult>) {
+        let mut jobs = self.inner.jobs.borrow_mut();
+        let run = jobs.get_mut(job).and_then(|run| run.items.get_mut(index as usize));
+        if let Some(run) = run {
+            run.phase = Phase::Ended;
+            let result = result.unwrap_or_else(|| run.text.borrow().to_result(index));
+            self.list(job, result);
+        }
+    }
+
+    fn start_item(&self, start: Start) {
+        let (job, index) = (start.job.clone(), start.index as usize);
+        let task = compio::runtime::spawn(item::run(self.clone(), start));
+        let mut jobs = self.inner.jobs.borrow_mut();
+        if let Some(run) = jobs.get_mut(&job).and_then(|run| run.items.get_mut(index)) {
+            run.phase = Phase::Running { _task: task };
+        }
+    }
+
+    /// Ends what runs of jobs that have ended, and keeps their texts for later ones.
+    fn drop_ended(&self, open: &BTreeSet<JobId>) {
+        let inner = &self.inner;
+        let ended: Vec<JobId> = inner.jobs.borrow().keys().filter(|id| !open.contains(*id)).cloned().collect();
+        let now = self.now();
+        for id in ended {
+            let run = inner.jobs.borrow_mut().remove(&id);
+            let Some(run) = run else {
+                continue;
+            };
+            let mut kept = inner.kept.borrow_mut();
+            inner.node.read(|state| {
+                let Some(job) = state.jobs.get(&id) else {
+                    return;
+                };
+                for (item, run) in job.submission.items.iter().zip(&run.items) {
+                    let text = run.text.borrow();
+                    kept.keep(item.id.clone(), digest(item), text.clone(), now);
+                }
+            });
+            kept.forget_before(now.saturating_sub(inner.config.keep_text));
+            spdlog::info!("job dropped", kv: { job = id.0.as_str(), items = run.items.len() });
+        }
+    }
+
+    /// Ends everything: this process does not lead, or leads anew.
+    fn stop_all(&self) {
+        let inner = &self.inner;
+        if inner.jobs.borrow().is_empty() {
+            return;
+        }
+        spdlog::warn!("leadership lost", kv: { term = inner.term.get(), jobs = inner.jobs.borrow().len() });
+        let stopped = std::mem::take(&mut *inner.jobs.borrow_mut());
+        drop(stopped);
+        inner.results.borrow_mut().clear();
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/config.rs
@@ -0,0 +1,33 @@
+//! Limits of a gateway.
+
+use std::time::Duration;
+
+/// Limits; times are derived from the deployment's bounds by the settings.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct GatewayConfig {
+    /// Longest time to connect to an engine.
+    pub connect_limit: Duration,
+    /// Share of a route's objective after which an idempotent request is tried at a second engine too, in percent.
+    pub hedge_percent: u32,
+    /// What refused clients are told to wait.
+    pub retry_after: Duration,
+    /// Largest answer that is held until it is whole, in bytes.
+    pub whole_answer_bytes: usize,
+    /// Largest request body before the first routing document, in bytes.
+    pub default_body_bytes: u64,
+    /// Longest wait for the control group's answer to a follow request.
+    pub follow_limit: Duration,
+}
+
+impl Default for GatewayConfig {
+    fn default() -> Self {
+        Self {
+            connect_limit: Duration::from_millis(250),
+            hedge_percent: 45,
+            retry_after: Duration::from_millis(200),
+            whole_answer_bytes: 32 * 1024 * 1024,
+            default_body_bytes: 8 * 1024 * 1024,
+            follow_limit: Duration::from_millis(650),
+        }
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/follow.rs
@@ -0,0 +1,83 @@
+//! Keeps the view new: asks the control group for what the relay lacks, again and again.
+
+use crate::gateway::Gateway;
+use saddlerelay_runtime::Runtime;
+use saddlerelay_types::gateway::{FollowReply, FollowRequest, GatewayReply, GatewayRequest};
+use std::time::Duration;
+
+/// Pause after a question that brought no answer.
+const RETRY_PAUSE: Duration = Duration::from_millis(20);
+
+/// Follows until the process ends.
+pub(crate) async fn follow(gateway: Gateway) {
+    let inner = &gateway.inner;
+    let mut leased = false;
+    loop {
+        let request = GatewayRequest::Follow(question(&gateway));
+        let asked_at = inner.runtime.monotonic();
+        let limit = inner.options.config.follow_limit;
+        let answer = inner.control.gateway(request, limit, limit).await;
+        match answer {
+            Ok(GatewayReply::Followed(reply)) => take(&gateway, reply, asked_at),
+            _ => inner.runtime.sleep(RETRY_PAUSE).await,
+        }
+        let now_leased = inner.view.borrow().is_leased(inner.runtime.monotonic());
+        if now_leased != leased {
+            tell_lease(&gateway, now_leased);
+            leased = now_leased;
+        }
+    }
+}
+
+fn question(gateway: &Gateway) -> FollowRequest {
+    let view = gateway.inner.view.borrow();
+    FollowRequest {
+        relay: gateway.inner.options.name.clone(),
+        routing_version: view.routing_version(),
+        instance_revision: view.instance_revision(),
+        silent: view.silent(),
+    }
+}
+
+fn take(gateway: &Gateway, reply: FollowReply, asked_at: Duration) {
+    let inner = &gateway.inner;
+    tell_changes(gateway, &reply);
+    if !reply.replicas.is_empty() {
+        let seeds = inner.options.seeds.borrow();
+        inner.control.set_replicas(reply.replicas.iter().chain(seeds.iter()).copied());
+    }
+    let changed = !reply.instances.is_empty();
+    inner.view.borrow_mut().take(reply, asked_at, inner.offset);
+    if changed {
+        let view = inner.view.borrow();
+        inner.pool.retain(|instance| view.is_known(instance));
+        inner.balance.retain(|instance| view.is_known(instance));
+    }
+}
+
+fn tell_changes(gateway: &Gateway, reply: &FollowReply) {
+    if let Some(document) = &reply.routing {
+        let held = gateway.inner.view.borrow().routing_version().unwrap_or_default();
+        spdlog::info!("routing version in force", kv: {
+            version = document.version, before = held, routes = document.routes.len()
+        });
+    }
+    for record in &reply.instances {
+        spdlog::info!("engine instance changed", kv: {
+            instance = record.report.id.0.as_str(),
+            service = record.report.service.as_str(),
+            state = format!("{:?}", record.state).as_str(),
+            revision = record.revision
+        });
+    }
+}
+
+fn tell_lease(gateway: &Gateway, leased: bool) {
+    let age = gateway.inner.view.borrow().age(gateway.now()).as_millis() as u64;
+    if leased {
+        spdlog::info!("control group regained", kv: { dependency = "control" });
+    } else {
+        gateway.inner.metrics.leases_lost.inc();
+        spdlog::warn!("control group lost", kv: { dependency = "control", view_age_ms = age });
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/forward.rs
@@ -0,0 +1,278 @@
+//! Requests whose answers are held until they are whole, so that a broken one can be replaced by another engine's.
+
+use crate::gateway::{ChosenRoute, Gateway};
+use crate::refusal::Refusal;
+use crate::request::{ClientRequest, remove_hop_by_hop};
+use crate::view::ReadyEngine;
+use bytes::Bytes;
+use futures::future::{self, Either};
+use futures::stream::FuturesUnordered;
+use futures::{FutureExt, StreamExt};
+use hyper::StatusCode;
+use hyper::header::CONTENT_LENGTH;
+use hyper::http::response::Parts;
+use saddlerelay_http::body::{LocalBody, Reply};
+use saddlerelay_runtime::Runtime;
+use saddlerelay_runtime::timeout::timeout;
+use saddlerelay_types::instance::InstanceId;
+use saddlerelay_types::routing::RouteKind;
+use saddlerelay_upstream::{Failure, Outgoing, Reuse};
+use std::cell::Cell;
+use std::pin::pin;
+use std::time::Duration;
+
+/// Engines asked beyond a route's attempts, where those before have not run the request.
+const EXTRA_ENGINES: usize = 2;
+
+/// How one attempt ended.
+enum AttemptEnd {
+    /// With the engine's final answer.
+    Answered(Parts, Bytes),
+    /// The engine has proved that it did not run the request.
+    NotExecuted(String),
+    /// The request may have run; the engine's own failing answer, if there is one.
+    Failed(String, Option<(Parts, Bytes)>),
+}
+
+/// A request on its way through attempts.
+pub(crate) struct Passage<'a> {
+    pub request: &'a ClientRequest,
+    pub chosen: &'a ChosenRoute,
+    pub service: &'a str,
+    /// When the request is over.
+    pub limit: Duration,
+    /// A byte of the request may have reached an engine that did not prove otherwise.
+    pub may_have_run: Cell<bool>,
+}
+
+impl Gateway {
+    /// Sends a request on and returns its final answer.
+    pub(crate) async fn forward(&self, chosen: &ChosenRoute, request: &ClientRequest, body: Bytes) -> Reply {
+        let limit = self.limit_of(chosen.route(), request);
+        let service = chosen.table.next_service(chosen.index);
+        let passage = Passage { request, chosen, service, limit, may_have_run: Cell::new(false) };
+        let outgoing = request.outgoing(body);
+        let left = limit.saturating_sub(self.now());
+        let ended = timeout(&self.inner.runtime, left, self.attempt_until_answered(&passage, &outgoing)).await;
+        match ended {
+            Some(Ok((head, body))) => self.answer(&passage, head, body),
+            Some(Err(refusal)) => self.refuse(request, refusal),
+            None if passage.may_have_run.get() => self.refuse(request, Refusal::Late),
+            None => self.refuse(request, Refusal::LateNotRun),
+        }
+    }
+
+    fn answer(&self, passage: &Passage, mut head: Parts, body: Bytes) -> Reply {
+        let held = self.now().saturating_sub(passage.request.arrived_at);
+        self.inner.metrics.answered.inc();
+        self.inner.metrics.request_seconds.observe(held.as_secs_f64());
+        spdlog::info!("request answered", kv: {
+            request = passage.request.id.as_str(),
+            route = passage.chosen.route().name.as_str(),
+            routing_version = passage.chosen.table.document().version,
+            status = head.status.as_u16(),
+            held_ms = held.as_millis() as u64
+        });
+        remove_hop_by_hop(&mut head.headers);
+        head.headers.remove(CONTENT_LENGTH);
+        Reply::from_parts(head, LocalBody::Whole(body.into()))
+    }
+
+    async fn attempt_until_answered(
+        &self,
+        passage: &Passage<'_>,
+        outgoing: &Outgoing,
+    ) -> Result<(Parts, Bytes), Refusal> {
+        let route = passage.chosen.route();
+        let repeatable = route.kind == RouteKind::Idempotent;
+        let most_runs = route.max_attempts.max(1) as usize;
+        let hedge_after = Duration::from_millis(route.objective_ms) * self.inner.options.config.hedge_percent / 100;
+        let mut tried: Vec<InstanceId> = Vec::new();
+        let mut not_run = 0;
+        let mut hedged = !repeatable;
+        let mut last_failure = None;
+        let mut running = FuturesUnordered::new();
+        loop {
+            let may_begin = tried.len() - not_run < most_runs && tried.len() < most_runs + EXTRA_ENGINES;
+            if running.is_empty() {
+                let engine = may_begin.then(|| self.choose_engine(passage.service, &tried)).flatten();
+                let Some(engine) = engine else {
+                    return last_failure.ok_or_else(|| self.given_up(passage));
+                };
+                if !tried.is_empty() {
+                    self.inner.metrics.retries.inc();
+                }
+                tried.push(engine.target.instance.clone());
+                running.push(self.attempt(passage, outgoing, engine));
+            }
+            let may_hedge = !hedged && running.len() == 1 && tried.len() - not_run < most_runs;
+            let hedge = async {
+                if may_hedge {
+                    self.inner.runtime.sleep(hedge_after).await;
+                } else {
+                    future::pending::<()>().await;
+                }
+            };
+            let ended = match future::select(running.next(), pin!(hedge.boxed_local())).await {
+                Either::Left((Some(ended), _)) => ended,
+                Either::Left((None, _)) => continue,
+                Either::Right(_) => {
+                    hedged = true;
+                    if let Some(engine) = self.choose_other_engine(passage.service, &tried) {
+                        self.tell_hedge(passage, &engine);
+                        tried.push(engine.target.instance.clone());
+                        running.push(self.attempt(passage, outgoing, engine));
+                    }
+                    continue;
+                }
+            };
+            match ended {
+                AttemptEnd::Answered(head, body) => return Ok((head, body)),
+                AttemptEnd::NotExecuted(_) => not_run += 1,
+                AttemptEnd::Failed(_, answer) => {
+                    last_failure = answer.or(last_failure);
+                    if !repeatable {
+                        return last_failure.ok_or(Refusal::EngineFailed);
+                    }
+                }
+            }
+        }
+    }
+
+    fn given_up(&self, passage: &Passage) -> Refusal {
+        if passage.may_have_run.get() { Refusal::EngineFailed } else { Refusal::NoEngine }
+    }
+
+    fn tell_hedge(&self, passage: &Passage, engine: &ReadyEngine) {
+        self.inner.metrics.hedges.inc();
+        spdlog::info!("request tried at a second engine", kv: {
+            request = passage.request.id.as_str(), instance = engine.target.instance.0.as_str()
+        });
+    }
+
+    /// The engine to send a request for `service` to next.
+    pub(crate) fn choose_engine(&self, service: &str, tried: &[InstanceId]) -> Option<ReadyEngine> {
+        let view = self.inner.view.borrow();
+        let zone = &self.inner.options.zone;
+        self.inner.balance.choose(view.ready_engines(service), zone, tried, self.now())
+    }
+
+    fn choose_other_engine(&self, service: &str, tried: &[InstanceId]) -> Option<ReadyEngine> {
+        self.choose_engine(service, tried).filter(|engine| !tried.contains(&engine.target.instance))
+    }
+
+    /// Whether the relay may send to `instance` at this moment.
+    pub(crate) fn may_send(&self, instance: &InstanceId) -> bool {
+        let view = self.inner.view.borrow();
+        view.is_leased(self.now()) && view.is_ready(instance)
+    }
+
+    async fn attempt(&self, passage: &Passage<'_>, outgoing: &Outgoing, engine: ReadyEngine) -> AttemptEnd {
+        let instance = &engine.target.instance;
+        let began_at = self.now();
+        let _in_flight = self.inner.balance.begin(instance, began_at);
+        // An attempt that is dropped because another was faster has lasted at least so long.
+        let watch = Outlasted { gateway: self, instance, began_at, armed: Cell::new(true) };
+        let reuse = match passage.chosen.route().kind {
+            RouteKind::Idempotent => Reuse::Any,
+            _ => Reuse::Recent,
+        };
+        let time_left = || passage.limit.saturating_sub(self.now());
+        let may_send = || {
+            let may = self.may_send(instance);
+            if may {
+                passage.may_have_run.set(true);
+            }
+            may
+        };
+        let ended = match self.inner.pool.send(&engine.target, outgoing, reuse, time_left, may_send).await {
+            Ok(answer) => {
+                let not_executed = answer.is_not_executed(self.names());
+                let read = answer.read_whole(self.inner.options.config.whole_answer_bytes).await;
+                read.map(|(head, body, connection)| {
+                    if let Some(connection) = connection {
+                        self.inner.pool.put_back(&engine.target, connection);
+                    }
+                    (not_executed, head, body)
+                })
+            }
+            Err(failure) => Err(failure),
+        };
+        watch.armed.set(false);
+        self.judge(passage, instance, began_at, ended)
+    }
+
+    fn judge(
+        &self,
+        passage: &Passage,
+        instance: &InstanceId,
+        began_at: Duration,
+        ended: Result<(bool, Parts, Bytes), Failure>,
+    ) -> AttemptEnd {
+        let now = self.now();
+        let lasted = now.saturating_sub(began_at);
+        self.inner.metrics.observe_attempt(lasted);
+        let end = match ended {
+            Ok((true, head, _)) => AttemptEnd::NotExecuted(format!("the engine answered {}", head.status.as_u16())),
+            Ok((false, head, body)) if is_engine_failure(head.status) => {
+                let reason = format!("the engine answered {}", head.status.as_u16());
+                let answer = (!promises_not_run(head.status)).then_some((head, body));
+                AttemptEnd::Failed(reason, answer)
+            }
+            Ok((false, head, _)) if head.status.is_success() && !head.headers.contains_key(&self.names().stamp) => {
+                AttemptEnd::Failed("the answer has no stamp".to_string(), None)
+            }
+            Ok((false, head, body)) => AttemptEnd::Answered(head, body),
+            Err(Failure::NotSent(reason)) => AttemptEnd::NotExecuted(reason),
+            Err(Failure::MayHaveRun(reason)) => AttemptEnd::Failed(reason, None),
+        };
+        match &end {
+            AttemptEnd::Answered(..) => self.inner.balance.answered(instance, lasted, now),
+            AttemptEnd::NotExecuted(reason) | AttemptEnd::Failed(reason, _) => {
+                self.inner.balance.failed(instance, now);
+                let may_have_run = matches!(end, AttemptEnd::Failed(..));
+                spdlog::warn!("attempt failed", kv: {
+                    request = passage.request.id.as_str(),
+                    instance = instance.0.as_str(),
+                    may_have_run = may_have_run,
+                    lasted_ms = lasted.as_millis() as u64,
+                    reason = reason.as_str()
+                });
+            }
+        }
+        end
+    }
+}
+
+/// Notes an attempt that is given up while it runs.
+struct Outlasted<'a> {
+    gateway: &'a Gateway,
+    instance: &'a InstanceId,
+    began_at: Duration,
+    armed: Cell<bool>,
+}
+
+impl Drop for Outlasted<'_> {
+    fn drop(&mut self) {
+        if self.armed.get() {
+            let now = self.gateway.now();
+            let lasted = now.saturating_sub(self.began_at);
+            self.gateway.inner.balance.outlasted(self.instance, lasted, now);
+        }
+    }
+}
+
+fn is_engine_failure(status: StatusCode) -> bool {
+    status.is_server_error() || status == StatusCode::TOO_MANY_REQUESTS
+}
+
+/// Statuses by which a client is told that its request has not run; an engine that ran it must not be quoted with them.
+fn promises_not_run(status: StatusCode) -> bool {
+    matches!(
+        status,
+        StatusCode::SERVICE_UNAVAILABLE
+            | StatusCode::TOO_MANY_REQUESTS
+            | StatusCode::REQUEST_TIMEOUT
+            | StatusCode::MISDIRECTED_REQUEST
+    )
+}
--- /dev/null
+++ b/crates/gateway/src/lib.rs
@@ -0,0 +1,21 @@
+//! Routed requests on a relay.
+//!
+//! Host and path choose a route, the route a service, and the relay one of its engines. What a relay knows of routes and
+//! engines comes from the control group under a lease; without the lease it sends nothing on. `table` and `view` hold
+//! what is known, `follow` keeps it new, `balance` chooses engines, `forward` and `stream` send requests on.
+
+pub mod balance;
+pub mod config;
+pub mod follow;
+pub mod forward;
+pub mod gateway;
+pub mod metrics;
+pub mod refusal;
+pub mod request;
+pub mod stream;
+pub mod table;
+pub mod view;
+
+pub use config::GatewayConfig;
+pub use gateway::{Gateway, GatewayOptions};
+pub use request::ClientRequest;
--- /dev/null
+++ b/crates/gateway/src/refusal.rs
@@ -0,0 +1,67 @@
+//! The gateway's own final answers.
+
+use hyper::StatusCode;
+use hyper::header::{HeaderValue, RETRY_AFTER};
+use saddlerelay_http::body::{Reply, whole};
+use std::time::Duration;
+
+/// Why the gateway answers by itself.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Refusal {
+    /// No route serves the host and path.
+    NoRoute,
+    /// The body is larger than the limits allow.
+    TooLarge,
+    /// The request cannot be read.
+    Malformed,
+    /// The relay may not act: it has not heard the control group lately.
+    NoLease,
+    /// No engine of the service may be given work, or none took the request.
+    NoEngine,
+    /// The time ran out before any engine was given the request.
+    LateNotRun,
+    /// The time ran out; the request may have run.
+    Late,
+    /// The engine failed; the request may have run.
+    EngineFailed,
+}
+
+impl Refusal {
+    /// The status.
+    pub fn status(self) -> StatusCode {
+        match self {
+            Self::NoRoute => StatusCode::NOT_FOUND,
+            Self::TooLarge => StatusCode::PAYLOAD_TOO_LARGE,
+            Self::Malformed => StatusCode::BAD_REQUEST,
+            Self::NoLease | Self::NoEngine | Self::LateNotRun => StatusCode::SERVICE_UNAVAILABLE,
+            Self::Late => StatusCode::GATEWAY_TIMEOUT,
+            Self::EngineFailed => StatusCode::BAD_GATEWAY,
+        }
+    }
+
+    /// The reason as logs and bodies name it.
+    pub fn reason(self) -> &'static str {
+        match self {
+            Self::NoRoute => "no route",
+            Self::TooLarge => "body too large",
+            Self::Malformed => "malformed request",
+            Self::NoLease => "no lease",
+            Self::NoEngine => "no engine",
+            Self::LateNotRun => "time over before any engine was given it",
+            Self::Late => "time over",
+            Self::EngineFailed => "engine failed",
+        }
+    }
+
+    /// The answer; one that promises that the request has not run says when to come back.
+    pub fn reply(self, retry_after: Duration) -> Reply {
+        let mut reply = whole(self.status(), "text/plain", self.reason());
+        if self.status() == StatusCode::SERVICE_UNAVAILABLE {
+            let seconds = format!("{:.3}", retry_after.as_secs_f64());
+            if let Ok(value) = HeaderValue::from_str(&seconds) {
+                reply.headers_mut().insert(RETRY_AFTER, value);
+            }
+        }
+        reply
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/view.rs
@@ -0,0 +1,109 @@
+//! What a relay knows of routes and engines, and how long it may act on it.
+
+use crate::table::RouteTable;
+use saddlerelay_types::gateway::FollowReply;
+use saddlerelay_types::instance::{InstanceId, InstanceRecord, InstanceState};
+use saddlerelay_upstream::EngineTarget;
+use std::collections::{BTreeMap, BTreeSet};
+use std::rc::Rc;
+use std::time::Duration;
+
+/// The view. Empty, and without a lease, until the control group has answered.
+#[derive(Default)]
+pub struct View {
+    table: Option<Rc<RouteTable>>,
+    instances: BTreeMap<InstanceId, InstanceRecord>,
+    instance_revision: u64,
+    silent: BTreeSet<InstanceId>,
+    /// By the relay's own clock.
+    leased_until: Duration,
+    asked_at: Duration,
+}
+
+impl View {
+    /// The routing version acted on.
+    pub fn routing_version(&self) -> Option<u64> {
+        self.table.as_ref().map(|table| table.document().version)
+    }
+
+    /// The revision of the instance table acted on.
+    pub fn instance_revision(&self) -> u64 {
+        self.instance_revision
+    }
+
+    /// The instances known to be silent, in order.
+    pub fn silent(&self) -> Vec<InstanceId> {
+        self.silent.iter().cloned().collect()
+    }
+
+    /// Whether the relay may act at `now`.
+    pub fn is_leased(&self, now: Duration) -> bool {
+        now < self.leased_until
+    }
+
+    /// How old the newest answer of the control group is.
+    pub fn age(&self, now: Duration) -> Duration {
+        now.saturating_sub(self.asked_at)
+    }
+
+    /// The routes, if there are any yet.
+    pub fn table(&self) -> Option<Rc<RouteTable>> {
+        self.table.clone()
+    }
+
+    /// Takes an answer to a question asked at `asked_at`. A routing version never goes back.
+    pub fn take(&mut self, reply: FollowReply, asked_at: Duration, offset: f64) {
+        let lease = Duration::from_millis(reply.lease_ms);
+        self.leased_until = self.leased_until.max(asked_at + lease);
+        self.asked_at = asked_at;
+        if let Some(document) = reply.routing
+            && self.routing_version().is_none_or(|held| document.version > held)
+        {
+            self.table = Some(Rc::new(RouteTable::new(document, offset)));
+        }
+        for record in reply.instances {
+            match record.state {
+                InstanceState::Gone => self.instances.remove(&record.report.id),
+                _ => self.instances.insert(record.report.id.clone(), record),
+            };
+        }
+        self.instance_revision = self.instance_revision.max(reply.instance_revision);
+        self.silent = reply.silent.into_iter().collect();
+    }
+
+    /// Whether `instance` may be given new work.
+    pub fn is_ready(&self, instance: &InstanceId) -> bool {
+        self.instances.get(instance).is_some_and(|record| record.state == InstanceState::Ready)
+    }
+
+    /// Whether `instance` is known and not gone.
+    pub fn is_known(&self, instance: &InstanceId) -> bool {
+        self.instances.contains_key(instance)
+    }
+
+    /// The engines of `service` that may be given new work.
+    pub fn ready_engines<'a>(&'a self, service: &'a str) -> impl Iterator<Item = ReadyEngine> + 'a {
+        let ready = self.instances.values().filter(move |record| {
+            record.state == InstanceState::Ready && record.report.service == service
+        });
+        ready.map(|record| ReadyEngine {
+            target: EngineTarget { instance: record.report.id.clone(), address: record.report.address },
+            zone: record.report.zone.clone(),
+            slots: record.report.slots,
+            silent: self.silent.contains(&record.report.id),
+        })
+    }
+}
+
+/// An engine that may be given new work.
+#[derive(Clone, Debug)]
+pub struct ReadyEngine {
+    /// Where and who it is.
+    pub target: EngineTarget,
+    /// Where it stands.
+    pub zone: String,
+    /// Requests it runs at once.
+    pub slots: u32,
+    /// It no longer reports itself.
+    pub silent: bool,
+}
--- a/crates/http/src/body.rs
+++ b/crates/http/src/body.rs
@@ -9,7 +9,7 @@
 use hyper::{Response, StatusCode};
 use serde::Serialize;
 use serde::de::DeserializeOwned;
-use std::convert::Infallible;
+use std::fmt;
 use std::pin::Pin;
 use std::task::{Context, Poll};
 
@@ -28,15 +28,30 @@
     Whole(Full<Bytes>),
     /// Parts as they come.
     Parts(mpsc::UnboundedReceiver<Bytes>),
+    /// Parts that may break off; the connection then ends without a proper end of the body.
+    Breakable(Pin<Box<dyn Stream<Item = Result<Bytes, BrokenOff>>>>),
 }
 
+/// A body that cannot be given whole.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct BrokenOff;
+
+impl fmt::Display for BrokenOff {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        formatter.write_str("the body broke off")
+    }
+}
+
+impl std::error::Error for BrokenOff {}
+
 impl Body for LocalBody {
     type Data = Bytes;
-    type Error = Infallible;
+    type Error = BrokenOff;
 
-    fn poll_frame(self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<Option<Result<Frame<Bytes>, Infallible>>> {
+    fn poll_frame(self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<Option<Result<Frame<Bytes>, BrokenOff>>> {
         match self.get_mut() {
-            Self::Whole(whole) => Pin::new(whole).poll_frame(context),
+            Self::Whole(whole) => Pin::new(whole).poll_frame(context).map_err(|never| match never {}),
+            Self::Breakable(parts) => parts.as_mut().poll_next(context).map(|part| part.map(|part| part.map(Frame::data))),
             Self::Parts(parts) => {
                 let next = Pin::new(parts).poll_next(context);
                 next.map(|part| part.map(|bytes| Ok(Frame::data(bytes))))
@@ -47,7 +62,7 @@
     fn is_end_stream(&self) -> bool {
         match self {
             Self::Whole(whole) => whole.is_end_stream(),
-            Self::Parts(_) => false,
+            Self::Parts(_) | Self::Breakable(_) => false,
         }
     }
 }
@@ -90,8 +105,16 @@
     B: Body<Data = Bytes>,
     B::Error: Into<Box<dyn std::error::Error + Send + Sync>>,
 {
-    let limited = Limited::new(body, MAX_BODY_BYTES);
-    match limited.collect().await {
+    read_limited(body, MAX_BODY_BYTES).await
+}
+
+/// Reads a whole body, up to `limit` bytes.
+pub async fn read_limited<B>(body: B, limit: usize) -> Result<Bytes, BodyError>
+where
+    B: Body<Data = Bytes>,
+    B::Error: Into<Box<dyn std::error::Error + Send + Sync>>,
+{
+    match Limited::new(body, limit).collect().await {
         Ok(collected) => Ok(collected.to_bytes()),
         Err(error) if error.is::<http_body_util::LengthLimitError>() => Err(BodyError::TooLarge),
         Err(_) => Err(BodyError::Lost),
--- a/crates/replication/src/reconfigure.rs
+++ b/crates/replication/src/reconfigure.rs
@@ -116,6 +116,11 @@
 }
 
 impl<P: Runtime, S: StateMachine> Replica<P, S> {
+    /// Names further addresses at which replicas may listen.
+    pub fn hear_of(&self, addresses: impl IntoIterator<Item = SocketAddr>) {
+        self.inner.heard_of.borrow_mut().extend(addresses);
+    }
+
     /// Names the replicas that are not to be members.
     pub fn set_unwanted(&self, unwanted: BTreeSet<ReplicaId>) {
         *self.inner.unwanted.borrow_mut() = unwanted;
--- a/crates/runtime-compio/src/lib.rs
+++ b/crates/runtime-compio/src/lib.rs
@@ -38,6 +38,13 @@
     }
 }
 
+impl CompioRuntime {
+    /// A platform for a process that keeps no files.
+    pub fn without_files() -> Self {
+        Self::new(PathBuf::new())
+    }
+}
+
 impl Runtime for CompioRuntime {
     type Sender = TcpFrameSender;
     type Receiver = TcpFrameReceiver;
--- a/crates/settings/src/reader.rs
+++ b/crates/settings/src/reader.rs
@@ -147,6 +147,44 @@
         Duration::from_millis(self.number(key, default.as_millis() as u64, range))
     }
 
+    /// A whole number in `range` that must be there.
+    pub fn required_number(&mut self, key: &str, range: RangeInclusive<u64>) -> u64 {
+        if !self.table.contains_key(key) {
+            self.refuse(key, None, "is missing");
+        }
+        let least = *range.start();
+        self.number(key, least, range)
+    }
+
+    /// Seconds, fractions too, in `range`, or `default`.
+    pub fn seconds(&mut self, key: &str, default: Duration, range: RangeInclusive<u64>) -> Duration {
+        let Some(value) = self.table.remove(key) else {
+            return default;
+        };
+        let number = value.as_float().or_else(|| value.as_integer().map(|number| number as f64));
+        let allowed = *range.start() as f64..=*range.end() as f64;
+        match number.filter(|number| allowed.contains(number)) {
+            Some(number) => Duration::from_secs_f64(number),
+            None => {
+                let reason = format!("is not a number of seconds from {} to {}", range.start(), range.end());
+                self.refuse(key, Some(value.to_string()), reason);
+                default
+            }
+        }
+    }
+
+    /// `true` or `false`, or `default`.
+    pub fn flag(&mut self, key: &str, default: bool) -> bool {
+        match self.table.remove(key) {
+            None => default,
+            Some(Value::Boolean(flag)) => flag,
+            Some(other) => {
+                self.refuse(key, Some(other.to_string()), "is not `true` or `false`");
+                default
+            }
+        }
+    }
+
     /// Refuses every key that was not taken.
     pub fn end(mut self) {
         for (key, value) in std::mem::take(&mut self.table) {
--- a/crates/telemetry/src/lib.rs
+++ b/crates/telemetry/src/lib.rs
@@ -1,5 +1,7 @@
-//! Logs in a ring in memory that is written out when something goes wrong, and metrics in the standard text format.
+//! Logs: lines on standard output, and a ring in memory that is written out when something goes wrong; metrics in the
+//! standard text format.
 
 pub mod log;
 pub mod metrics;
 pub mod ring;
+pub mod stdout;
--- a/crates/types/src/routing.rs
+++ b/crates/types/src/routing.rs
@@ -135,6 +135,14 @@
         self.services.iter().find(|service| service.name == name)
     }
 
+    /// The route that serves this host and path: among those of the host, the one with the longest prefix.
+    pub fn find(&self, host: &str, path: &str) -> Option<&Route> {
+        let host = host.rsplit_once(':').map_or(host, |(name, _)| name);
+        let routes = self.routes.iter().filter(|route| route.host.eq_ignore_ascii_case(host));
+        let serving = routes.filter(|route| path.starts_with(&route.path_prefix));
+        serving.max_by_key(|route| route.path_prefix.len())
+    }
+
     /// What is wrong with the document, or `None`.
     pub fn error(&self) -> Option<RoutingError> {
         let mut places = std::collections::BTreeSet::new();
--- /dev/null
+++ b/crates/upstream/src/answer.rs
@@ -0,0 +1,127 @@
+//! What came back from an engine.
+
+use crate::connection::Connection;
+use crate::names::HeaderNames;
+use bytes::Bytes;
+use http_body_util::{BodyExt, Limited};
+use hyper::body::Incoming;
+use hyper::header::{CONNECTION, HeaderMap};
+use hyper::http::response::Parts;
+use hyper::{Response, StatusCode};
+use std::fmt;
+use std::time::Duration;
+
+/// How long an idle connection is kept when the engine does not say.
+const DEFAULT_IDLE: Duration = Duration::from_millis(2_500);
+
+/// Part of the engine's own idle time that is left unused, so that a request does not cross its close.
+const IDLE_MARGIN: Duration = Duration::from_millis(300);
+
+/// Why a call brought no answer.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Failure {
+    /// No byte of the request reached the engine.
+    NotSent(String),
+    /// The request may have run.
+    MayHaveRun(String),
+}
+
+impl fmt::Display for Failure {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::NotSent(reason) => write!(formatter, "not sent: {reason}"),
+            Self::MayHaveRun(reason) => write!(formatter, "may have run: {reason}"),
+        }
+    }
+}
+
+/// An engine's answer whose body is still to come.
+pub struct Answer {
+    /// Status and headers.
+    pub head: Parts,
+    body: Incoming,
+    connection: Connection,
+}
+
+impl Answer {
+    /// Takes an answer if it belongs to the request with this identifier.
+    pub fn check(
+        response: Response<Incoming>,
+        connection: Connection,
+        names: &HeaderNames,
+        request_id: &str,
+    ) -> Result<Self, Failure> {
+        let (head, body) = response.into_parts();
+        let echoed = head.headers.get(&names.request_id).is_some_and(|value| value.as_bytes() == request_id.as_bytes());
+        if !echoed {
+            return Err(Failure::MayHaveRun("the answer is another request's".to_string()));
+        }
+        Ok(Self { head, body, connection })
+    }
+
+    /// Whether the engine says that it did not run the request.
+    pub fn is_not_executed(&self, names: &HeaderNames) -> bool {
+        self.head.status == StatusCode::MISDIRECTED_REQUEST || self.head.headers.contains_key(&names.not_executed)
+    }
+
+    /// Reads the whole body, of at most `limit` bytes. With it comes the connection, if it can be used again.
+    pub async fn read_whole(self, limit: usize) -> Result<(Parts, Bytes, Option<Connection>), Failure> {
+        let Self { head, body, mut connection } = self;
+        let collected = Limited::new(body, limit).collect().await;
+        let body = collected.map_err(|error| Failure::MayHaveRun(format!("the answer broke off: {error}")))?.to_bytes();
+        let reusable = match idle_time(&head.headers) {
+            Some(idle) if connection.is_ready().await => {
+                connection.rest(idle);
+                Some(connection)
+            }
+            _ => None,
+        };
+        Ok((head, body, reusable))
+    }
+
+    /// The body as it comes. The connection closes when it is dropped.
+    pub fn into_stream(self) -> (Parts, AnswerStream) {
+        (self.head, AnswerStream { body: self.body, _connection: self.connection })
+    }
+}
+
+/// How long the engine keeps the connection open after this answer; `None` when it closes it.
+fn idle_time(headers: &HeaderMap) -> Option<Duration> {
+    let closes = headers.get_all(CONNECTION).iter().any(|value| {
+        let value = value.to_str().unwrap_or_default();
+        value.split(',').any(|token| token.trim().eq_ignore_ascii_case("close"))
+    });
+    if closes {
+        return None;
+    }
+    let told = headers.get("keep-alive").and_then(|value| value.to_str().ok()).and_then(keep_alive_timeout);
+    told.map_or(Some(DEFAULT_IDLE), |told| told.checked_sub(IDLE_MARGIN))
+}
+
+fn keep_alive_timeout(value: &str) -> Option<Duration> {
+    let parameters = value.split(',').map(str::trim);
+    let seconds = parameters.filter_map(|parameter| parameter.strip_prefix("timeout=")).next()?;
+    Some(Duration::from_secs(seconds.trim().parse().ok()?))
+}
+
+/// A body as it comes.
+pub struct AnswerStream {
+    body: Incoming,
+    _connection: Connection,
+}
+
+impl AnswerStream {
+    /// The next bytes; `None` at the whole end, an error when the answer broke off.
+    pub async fn next(&mut self) -> Option<Result<Bytes, Failure>> {
+        loop {
+            match self.body.frame().await? {
+                Ok(frame) => {
+                    if let Ok(bytes) = frame.into_data() {
+                        return Some(Ok(bytes));
+                    }
+                }
+                Err(error) => return Some(Err(Failure::MayHaveRun(format!("the answer broke off: {error}")))),
+            }
+        }
+    }
+}
