--- a/crates/command-line/src/member.rs
+++ b/crates/command-line/src/member.rs
@@ -156,10 +156,12 @@
     let peer_listener =
         peer_listener.map_err(|error| failed(format!("cannot listen on {}: {error}", addresses.peer_address)))?;
     let control_listener = listen(addresses.control_address).await?;
-    let node = ControlNode::start(runtime.clone(), backends, settings.bounds.control(), options).await.map_err(failed)?;
+    let node =
+        ControlNode::start(runtime.clone(), backends, settings.bounds.control(), options).await.map_err(failed)?;
     let secret = settings.shared_secret.clone();
     runtime.spawn(saddlerelay_rpc::server::serve(runtime.clone(), peer_listener, secret, Rc::new(node.clone())));
-    let control = ControlClient::new(runtime.clone(), &with_own(&peers, addresses.peer_address), &settings.shared_secret);
+    let control =
+        ControlClient::new(runtime.clone(), &with_own(&peers, addresses.peer_address), &settings.shared_secret);
     let config = CoordinatorConfig { order_wait: settings.bounds.order_wait(), ..CoordinatorConfig::default() };
     let coordinator = Coordinator::start(
         runtime.clone(),
--- a/crates/control/src/commands/gateway.rs
+++ b/crates/control/src/commands/gateway.rs
@@ -26,7 +26,12 @@
             state.jobs.submit(job, state.time, keep_ms);
             GatewayOutcome::Done
         }
-        GatewayCommand::ListResults { job, results } => found(state.jobs.list(&job, results)),
+        GatewayCommand::KeepTexts { job, parts } => found(state.jobs.keep_texts(&job, &parts)),
+        GatewayCommand::ListResults { job, outcomes } => match state.jobs.list(&job, outcomes) {
+            None => GatewayOutcome::NotFound,
+            Some(missing) if missing.is_empty() => GatewayOutcome::Done,
+            Some(missing) => GatewayOutcome::TextMissing(missing),
+        },
         GatewayCommand::EndJob(job) => found(state.jobs.end(&job)),
         GatewayCommand::RegisterStore(record) => {
             state.stores.register(record);
--- a/crates/control/src/gateway.rs
+++ b/crates/control/src/gateway.rs
@@ -75,7 +75,9 @@
     async fn execute_gateway(&self, command: GatewayCommand) -> ControlReply {
         match self.commit_gateway(command).await {
             Ok(GatewayOutcome::NotFound) => ControlReply::Gateway(GatewayReply::NotFound),
-            Ok(GatewayOutcome::Done | GatewayOutcome::Orders { .. }) => ControlReply::Gateway(GatewayReply::Done),
+            Ok(GatewayOutcome::Done | GatewayOutcome::TextMissing(_) | GatewayOutcome::Orders { .. }) => {
+                ControlReply::Gateway(GatewayReply::Done)
+            }
             Err(ProposeError::NotLeader(leader)) => ControlReply::NotLeader { leader },
             Err(ProposeError::Overloaded) => ControlReply::Gateway(GatewayReply::Unavailable),
             Err(ProposeError::Undecided) => ControlReply::Undecided,
@@ -170,7 +172,8 @@
     }
 
     async fn name_version(&self, named: LoadedModel) -> ControlReply {
-        let held = self.read(|state| state.weights.named().get(&named.model).is_some_and(|held| *held >= named.version));
+        let held =
+            self.read(|state| state.weights.named().get(&named.model).is_some_and(|held| *held >= named.version));
         match held {
             None => self.not_leader(),
             Some(true) => ControlReply::Gateway(GatewayReply::Done),
--- a/crates/control/src/node.rs
+++ b/crates/control/src/node.rs
@@ -2,9 +2,9 @@
 
 use crate::commands::rollouts;
 use crate::config::ControlConfig;
+use crate::gateway;
 use crate::instance_watch::InstanceWatch;
 use crate::machine::ControlMachine;
-use crate::gateway;
 use crate::queries;
 use crate::state::ControlState;
 use crate::tasks::relays::RenewalTable;
--- a/crates/control/src/state/jobs.rs
+++ b/crates/control/src/state/jobs.rs
@@ -1,12 +1,20 @@
 //! Batch jobs and their results.
 
 use bitcode::{Decode, Encode};
-use saddlerelay_types::job::{ItemId, ItemResult, JobId, JobItem, JobSubmission, ResultPage};
+use saddlerelay_types::job::{
+    ItemEnd, ItemId, ItemOutcome, ItemResult, JobId, JobItem, JobSubmission, PartialText, ResultPage, TextPart,
+};
 use std::collections::BTreeMap;
 
 /// Most bytes of text in one page of results, unless a single result is larger.
 const PAGE_BYTES: usize = 900_000;
 
+/// Ended jobs in which a later one looks for texts of its items.
+const PREDECESSORS_USED: usize = 3;
+
+/// Jobs after which the partial texts of an ended one are forgotten.
+const PARTIALS_KEPT: u64 = 16;
+
 /// One job.
 #[derive(Clone, Debug, PartialEq, Encode, Decode)]
 pub struct Job {
@@ -16,6 +24,8 @@
     results: Vec<ItemResult>,
     /// For each item, whether it stands among the results.
     listed: Vec<bool>,
+    /// Texts of items without a result.
+    partial: BTreeMap<u32, PartialText>,
     /// Nothing of it runs any more.
     ended: bool,
     /// Readable until then, in the state's time.
@@ -45,6 +55,16 @@
         self.listed.get(index as usize).copied().unwrap_or(true)
     }
 
+    /// What is held of the text of an item without a result.
+    pub fn partial_text(&self, index: u32) -> Option<&PartialText> {
+        self.partial.get(&index)
+    }
+
+    /// The whole text of a completed item.
+    pub fn completed(&self, index: u32) -> Option<&ItemResult> {
+        self.results.iter().find(|result| result.item == index && result.end == ItemEnd::Completed)
+    }
+
     /// Items without a result.
     pub fn open_items(&self) -> impl Iterator<Item = (u32, &JobItem)> {
         let items = self.submission.items.iter().enumerate().map(|(index, item)| (index as u32, item));
@@ -95,6 +115,7 @@
             listed: vec![false; submission.items.len()],
             submission: submission.clone(),
             results: Vec::new(),
+            partial: BTreeMap::new(),
             ended: false,
             keep_until: now + keep_ms,
             order,
@@ -104,22 +125,63 @@
 
     fn drop_expired(&mut self, now: u64) {
         self.jobs.retain(|_, job| !job.ended || job.keep_until > now);
+        let oldest_used = self.taken.saturating_sub(PARTIALS_KEPT);
+        for job in self.jobs.values_mut().filter(|job| job.ended && job.order < oldest_used) {
+            job.partial.clear();
+        }
     }
 
-    /// Lists results at the next positions. An item is listed once, and nothing is listed after the end.
-    pub fn list(&mut self, id: &JobId, results: Vec<ItemResult>) -> bool {
+    /// Keeps parts of texts; those of listed items, and those that do not follow what is held, change nothing.
+    pub fn keep_texts(&mut self, id: &JobId, parts: &[TextPart]) -> bool {
         let Some(job) = self.jobs.get_mut(id).filter(|job| !job.ended) else {
             return false;
         };
-        for result in results {
-            if !job.is_listed(result.item) {
-                job.listed[result.item as usize] = true;
-                job.results.push(result);
+        for part in parts {
+            if !job.is_listed(part.item) {
+                job.partial.entry(part.item).or_default().add(part);
             }
         }
         true
     }
 
+    /// Lists results at the next positions. An item is listed once, and nothing is listed after the end. Returns the
+    /// items whose texts cannot be made whole, or `None` if there is no such open job.
+    pub fn list(&mut self, id: &JobId, outcomes: Vec<ItemOutcome>) -> Option<Vec<u32>> {
+        let job = self.jobs.get_mut(id).filter(|job| !job.ended)?;
+        let mut missing = Vec::new();
+        for outcome in outcomes {
+            let item = outcome.rest.item;
+            if job.is_listed(item) {
+                continue;
+            }
+            let mut text = job.partial.remove(&item).unwrap_or_default();
+            if !text.add(&outcome.rest) {
+                missing.push(item);
+                continue;
+            }
+            job.listed[item as usize] = true;
+            job.results.push(ItemResult { item, end: outcome.end, text: text.data, versions: text.versions });
+        }
+        Some(missing)
+    }
+
+    /// The latest jobs before `id` that were sent to the same place and have ended, newest first.
+    pub fn predecessors<'a>(&'a self, id: &JobId) -> impl Iterator<Item = &'a Job> {
+        let job = self.jobs.get(id);
+        let same_place = move |other: &&Job| {
+            job.is_some_and(|job| {
+                other.ended
+                    && other.order < job.order
+                    && other.submission.host == job.submission.host
+                    && other.submission.path.rsplit_once('/').map(|parts| parts.0)
+                        == job.submission.path.rsplit_once('/').map(|parts| parts.0)
+            })
+        };
+        let mut found: Vec<&Job> = self.jobs.values().filter(same_place).collect();
+        found.sort_by_key(|job| std::cmp::Reverse(job.order));
+        found.into_iter().take(PREDECESSORS_USED)
+    }
+
     /// Ends a job; `false` if there is none.
     pub fn end(&mut self, id: &JobId) -> bool {
         let job = self.jobs.get_mut(id);
--- a/crates/coordinator/src/config.rs
+++ b/crates/coordinator/src/config.rs
@@ -17,8 +17,8 @@
     pub engine_rest: Duration,
     /// Added to the time after which an item is given up, for the clocks' sake.
     pub give_up_margin: Duration,
-    /// How long the text of an item is kept after its job has ended.
-    pub keep_text: Duration,
+    /// Pause between keepings of the texts of items that run.
+    pub keep_interval: Duration,
     /// How long a new holder of orders waits after the last that the one before it could have given.
     pub order_wait: Duration,
     /// Longest wait for the answer to an order or a report.
@@ -39,16 +39,16 @@
     fn default() -> Self {
         Self {
             connect_limit: Duration::from_millis(250),
-            answer_limit: Duration::from_millis(2_500),
-            event_limit: Duration::from_millis(2_000),
+            answer_limit: Duration::from_millis(1_500),
+            event_limit: Duration::from_millis(900),
             retry_pause: Duration::from_millis(40),
             engine_rest: Duration::from_millis(400),
             give_up_margin: Duration::from_millis(2_000),
-            keep_text: Duration::from_secs(30),
+            keep_interval: Duration::from_millis(300),
             order_wait: Duration::from_millis(3_400),
             order_limit: Duration::from_millis(800),
-            usual_load: Duration::from_millis(950),
-            load_poll: Duration::from_millis(250),
+            usual_load: Duration::from_millis(930),
+            load_poll: Duration::from_millis(70),
             load_limit: Duration::from_secs(6),
             engines_per_load: 5,
             least_loads: 2,
--- a/crates/coordinator/src/coordinator.rs
+++ b/crates/coordinator/src/coordinator.rs
@@ -3,15 +3,15 @@
 use crate::config::CoordinatorConfig;
 use crate::dialect::EngineDialect;
 use crate::fleet::Fleet;
+use crate::homes::Homes;
 use crate::metrics::CoordinatorMetrics;
 use crate::plan::JobRun;
-use crate::text::KeptTexts;
 use saddlerelay_control::node::ControlNode;
 use saddlerelay_runtime::Runtime;
 use saddlerelay_runtime::backend::Backends;
 use saddlerelay_runtime::signal::Signal;
 use saddlerelay_runtime_compio::CompioRuntime;
-use saddlerelay_types::job::{ItemResult, JobId};
+use saddlerelay_types::job::{ItemOutcome, JobId};
 use saddlerelay_upstream::{HeaderNames, Pool};
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
@@ -29,13 +29,15 @@
     pub dialect: Box<dyn EngineDialect>,
     pub pool: Pool,
     pub fleet: Fleet,
+    pub homes: RefCell<Homes>,
+    /// Items that wait for an engine, by model.
+    pub waiting: RefCell<BTreeMap<String, u32>>,
     pub metrics: CoordinatorMetrics,
     /// The jobs of this term.
     pub jobs: RefCell<BTreeMap<JobId, JobRun>>,
-    pub kept: RefCell<KeptTexts>,
-    /// Results that wait to be committed.
-    pub results: RefCell<BTreeMap<JobId, Vec<ItemResult>>>,
-    pub results_waiting: Signal,
+    /// Outcomes that wait to be committed.
+    pub outcomes: RefCell<BTreeMap<JobId, Vec<ItemOutcome>>>,
+    pub outcomes_waiting: Signal,
     /// An item has ended, or something else calls for a new plan.
     pub replan: Signal,
     /// The term that jobs and fleet belong to.
@@ -72,17 +74,19 @@
             dialect,
             pool,
             fleet: Fleet::default(),
+            homes: RefCell::default(),
+            waiting: RefCell::default(),
             metrics: CoordinatorMetrics::default(),
             jobs: RefCell::default(),
-            kept: RefCell::default(),
-            results: RefCell::default(),
-            results_waiting: Signal::default(),
+            outcomes: RefCell::default(),
+            outcomes_waiting: Signal::default(),
             replan: Signal::default(),
             term: Cell::new(0),
         };
         let coordinator = Self { inner: Rc::new(inner) };
         runtime.spawn(crate::runner::run(coordinator.clone()));
         runtime.spawn(crate::listing::list_results(coordinator.clone()));
+        runtime.spawn(crate::listing::keep_texts(coordinator.clone()));
         runtime.spawn(crate::orders::give_orders(coordinator.clone()));
         coordinator
     }
--- a/crates/coordinator/src/fleet.rs
+++ b/crates/coordinator/src/fleet.rs
@@ -9,6 +9,9 @@
 /// Weight of the newest pause between events in an engine's pace.
 const PACE_WEIGHT: f64 = 0.1;
 
+/// A pace without new events is forgotten by half in this time.
+const PACE_HALF_LIFE: Duration = Duration::from_secs(4);
+
 /// Pace assumed of an engine without events, in seconds an event.
 const UNKNOWN_PACE: f64 = 0.045;
 
@@ -20,6 +23,7 @@
     in_flight: u32,
     rest_until: Duration,
     pace: f64,
+    paced_at: Duration,
     orders_taken: Option<u64>,
 }
 
@@ -31,11 +35,21 @@
             in_flight: 0,
             rest_until: Duration::ZERO,
             pace: UNKNOWN_PACE,
+            paced_at: Duration::ZERO,
             orders_taken: None,
         }
     }
 }
 
+impl Known {
+    /// The pace, drawn towards the unknown as it ages, so that an engine that was slow is tried again.
+    fn expected_pace(&self, now: Duration) -> f64 {
+        let age = now.saturating_sub(self.paced_at).as_secs_f64();
+        let kept = 0.5_f64.powf(age / PACE_HALF_LIFE.as_secs_f64());
+        UNKNOWN_PACE + (self.pace - UNKNOWN_PACE) * kept
+    }
+}
+
 /// The engines. Clones share it.
 #[derive(Clone, Default)]
 pub struct Fleet {
@@ -146,12 +160,16 @@
     }
 
     /// An event came after `pause`.
-    pub fn observe_pause(&self, instance: &InstanceId, pause: Duration) {
-        self.change(instance, |known| known.pace += (pause.as_secs_f64() - known.pace) * PACE_WEIGHT);
+    pub fn observe_pause(&self, instance: &InstanceId, pause: Duration, now: Duration) {
+        self.change(instance, |known| {
+            let before = known.expected_pace(now);
+            known.pace = before + (pause.as_secs_f64() - before) * PACE_WEIGHT;
+            known.paced_at = now;
+        });
     }
 
     /// Seconds an event.
-    pub fn pace(&self, instance: &InstanceId) -> f64 {
-        self.look(instance, |known| known.pace).unwrap_or(UNKNOWN_PACE)
+    pub fn pace(&self, instance: &InstanceId, now: Duration) -> f64 {
+        self.look(instance, |known| known.expected_pace(now)).unwrap_or(UNKNOWN_PACE)
     }
 }
--- a/crates/coordinator/src/item.rs
+++ b/crates/coordinator/src/item.rs
@@ -26,6 +26,8 @@
     OtherVersion(Option<u64>),
     /// The answer broke off, or the engine fell silent.
     BrokeOff(String),
+    /// No event came for long.
+    Silent,
     /// A version made an event that must not be in the text.
     UnfitVersion(u64),
 }
@@ -140,7 +142,7 @@
             Ok(Some(Err(failure))) => return AttemptEnd::BrokeOff(failure.to_string()),
             Ok(None) if cutter.is_mid_event() => return AttemptEnd::BrokeOff("ended within an event".to_string()),
             Ok(None) => break,
-            Err(_) => return AttemptEnd::BrokeOff("silent".to_string()),
+            Err(_) => return AttemptEnd::Silent,
         };
         cutter.push(&bytes);
         while let Some(event) = cutter.next_event() {
@@ -150,15 +152,17 @@
             }
             let now = coordinator.now();
             if let Some(last_at) = last_at.replace(now) {
-                inner.fleet.observe_pause(&start.target.instance, now.saturating_sub(last_at));
+                inner.fleet.observe_pause(&start.target.instance, now.saturating_sub(last_at), now);
             }
         }
     }
-    let mut text = start.text.borrow_mut();
-    if text.events() == 0 {
+    if start.text.borrow().events() == 0 {
         return AttemptEnd::BrokeOff("ended without an event".to_string());
     }
-    text.complete();
+    start.text.borrow_mut().complete();
+    if let Some(connection) = stream.finish().await {
+        inner.pool.put_back(&start.target, connection);
+    }
     AttemptEnd::Whole
 }
 
@@ -191,8 +195,8 @@
         if end == AttemptEnd::Whole {
             run.phase = Phase::Ended;
             inner.metrics.items_completed.inc();
-            let result = start.text.borrow().to_result(start.index);
-            self.list(&start.job, result);
+            let outcome = start.text.borrow().outcome(start.index);
+            self.list(&start.job, outcome);
             inner.replan.notify();
             return;
         }
@@ -204,6 +208,8 @@
         match end {
             AttemptEnd::Failed => run.failures += 1,
             AttemptEnd::NotRun(_) | AttemptEnd::BrokeOff(_) => inner.fleet.rest_until(&start.target.instance, rest),
+            // It may only have put the item back for a while.
+            AttemptEnd::Silent => {}
             AttemptEnd::OtherVersion(version) => self.learn_other_version(start, version, rest),
             AttemptEnd::UnfitVersion(_) => *start.text.borrow_mut() = text::ItemText::default(),
             AttemptEnd::Impossible | AttemptEnd::Whole => {}
--- a/crates/coordinator/src/lib.rs
+++ b/crates/coordinator/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod coordinator;
 pub mod dialect;
 pub mod fleet;
+pub mod homes;
 pub mod item;
 pub mod listing;
 pub mod metrics;
--- a/crates/coordinator/src/listing.rs
+++ b/crates/coordinator/src/listing.rs
@@ -1,11 +1,12 @@
-//! Commits results, gathered for a moment.
+//! Commits results, gathered for a moment, and now and then the texts of items that still run.
 
 use crate::coordinator::Coordinator;
+use crate::plan::Phase;
 use saddlerelay_replication::ProposeError;
 use saddlerelay_runtime::Runtime;
 use saddlerelay_runtime::backend::Backends;
-use saddlerelay_types::gateway::GatewayCommand;
-use saddlerelay_types::job::{ItemResult, JobId};
+use saddlerelay_types::gateway::{GatewayCommand, GatewayOutcome};
+use saddlerelay_types::job::{ItemOutcome, JobId, TextPart};
 use std::time::Duration;
 
 /// How long results are gathered.
@@ -17,11 +18,40 @@
 /// Most bytes of text in one command.
 const COMMAND_BYTES: usize = 256 * 1024;
 
+/// Fewest bytes of a running item's text that are kept by themselves.
+const LEAST_PART_BYTES: usize = 2 * 1024;
+
 impl<B: Backends> Coordinator<B> {
-    /// Has a result committed.
-    pub(crate) fn list(&self, job: &JobId, result: ItemResult) {
-        self.inner.results.borrow_mut().entry(job.clone()).or_default().push(result);
-        self.inner.results_waiting.notify();
+    /// Has an item's outcome committed.
+    pub(crate) fn list(&self, job: &JobId, outcome: ItemOutcome) {
+        self.inner.outcomes.borrow_mut().entry(job.clone()).or_default().push(outcome);
+        self.inner.outcomes_waiting.notify();
+    }
+
+    /// What the group does not hold of running items' texts.
+    fn unsaved_parts(&self) -> Vec<(JobId, Vec<TextPart>)> {
+        let jobs = self.inner.jobs.borrow();
+        let unsaved = jobs.iter().map(|(id, run)| {
+            let parts = run.items.iter().enumerate().filter(|(_, item)| matches!(item.phase, Phase::Running { .. }));
+            let parts = parts.filter_map(|(index, item)| {
+                let text = item.text.borrow();
+                (text.unsaved_bytes() >= LEAST_PART_BYTES).then(|| text.unsaved_part(index as u32))
+            });
+            (id.clone(), parts.collect::<Vec<_>>())
+        });
+        unsaved.filter(|(_, parts)| !parts.is_empty()).collect()
+    }
+
+    fn mark_saved(&self, job: &JobId, parts: &[TextPart]) {
+        let jobs = self.inner.jobs.borrow();
+        let Some(run) = jobs.get(job) else {
+            return;
+        };
+        for part in parts {
+            if let Some(item) = run.items.get(part.item as usize) {
+                item.text.borrow_mut().mark_saved(part);
+            }
+        }
     }
 }
 
@@ -29,56 +59,92 @@
 pub(crate) async fn list_results<B: Backends>(coordinator: Coordinator<B>) {
     let inner = &coordinator.inner;
     loop {
-        let seen = inner.results_waiting.count();
-        if inner.results.borrow().is_empty() {
-            inner.results_waiting.changed(seen).await;
+        let seen = inner.outcomes_waiting.count();
+        if inner.outcomes.borrow().is_empty() {
+            inner.outcomes_waiting.changed(seen).await;
         }
         inner.runtime.sleep(GATHER).await;
-        let waiting = std::mem::take(&mut *inner.results.borrow_mut());
-        for (job, results) in waiting {
-            for part in parts(results) {
+        let waiting = std::mem::take(&mut *inner.outcomes.borrow_mut());
+        for (job, outcomes) in waiting {
+            for part in in_commands(outcomes, |outcome| outcome.rest.data.len()) {
                 commit(&coordinator, &job, part).await;
             }
         }
     }
 }
 
-/// Cuts results into commands of a bounded size.
-fn parts(results: Vec<ItemResult>) -> Vec<Vec<ItemResult>> {
-    let mut parts: Vec<Vec<ItemResult>> = Vec::new();
+/// Keeps the texts of running items until the process ends, so that the next leader goes on where this one stops.
+pub(crate) async fn keep_texts<B: Backends>(coordinator: Coordinator<B>) {
+    let inner = &coordinator.inner;
+    loop {
+        inner.runtime.sleep(inner.config.keep_interval).await;
+        for (job, parts) in coordinator.unsaved_parts() {
+            for parts in in_commands(parts, |part| part.data.len()) {
+                let command = GatewayCommand::KeepTexts { job: job.clone(), parts: parts.clone() };
+                if inner.node.commit_gateway(command).await == Ok(GatewayOutcome::Done) {
+                    coordinator.mark_saved(&job, &parts);
+                }
+            }
+        }
+    }
+}
+
+/// Cuts a list into pieces for commands of a bounded size.
+fn in_commands<T>(list: Vec<T>, size: impl Fn(&T) -> usize) -> Vec<Vec<T>> {
+    let mut pieces: Vec<Vec<T>> = Vec::new();
     let mut bytes = COMMAND_BYTES;
-    for result in results {
+    for entry in list {
         if bytes >= COMMAND_BYTES {
-            parts.push(Vec::new());
+            pieces.push(Vec::new());
             bytes = 0;
         }
-        bytes += result.text.len();
-        if let Some(part) = parts.last_mut() {
-            part.push(result);
+        bytes += size(&entry);
+        if let Some(piece) = pieces.last_mut() {
+            piece.push(entry);
         }
     }
-    parts
+    pieces
 }
 
-/// Commits a part. What is not committed because leadership was lost is run again by the next leader.
-async fn commit<B: Backends>(coordinator: &Coordinator<B>, job: &JobId, results: Vec<ItemResult>) {
-    let count = results.len();
+/// Commits outcomes. What is not committed because leadership was lost is run again by the next leader.
+async fn commit<B: Backends>(coordinator: &Coordinator<B>, job: &JobId, outcomes: Vec<ItemOutcome>) {
+    let count = outcomes.len();
     loop {
-        let command = GatewayCommand::ListResults { job: job.clone(), results: results.clone() };
+        let command = GatewayCommand::ListResults { job: job.clone(), outcomes: outcomes.clone() };
         match coordinator.inner.node.commit_gateway(command).await {
-            Ok(outcome) => {
-                spdlog::info!("results listed", kv: {
-                    job = job.0.as_str(), results = count, outcome = format!("{outcome:?}").as_str()
-                });
-                return;
-            }
-            Err(ProposeError::Overloaded) => coordinator.inner.runtime.sleep(RETRY_PAUSE).await,
-            Err(error) => {
-                spdlog::warn!("results not listed", kv: {
-                    job = job.0.as_str(), results = count, reason = format!("{error:?}").as_str()
-                });
-                return;
+            Ok(GatewayOutcome::TextMissing(items)) => coordinator.list_whole(job, &items),
+            Ok(outcome) => spdlog::info!("results listed", kv: {
+                job = job.0.as_str(), results = count, outcome = format!("{outcome:?}").as_str()
+            }),
+            Err(ProposeError::Overloaded) => {
+                coordinator.inner.runtime.sleep(RETRY_PAUSE).await;
+                continue;
             }
+            Err(error) => spdlog::warn!("results not listed", kv: {
+                job = job.0.as_str(), results = count, reason = format!("{error:?}").as_str()
+            }),
+        }
+        return;
+    }
+}
+
+impl<B: Backends> Coordinator<B> {
+    /// Sends whole texts where the group does not hold their beginnings.
+    fn list_whole(&self, job: &JobId, items: &[u32]) {
+        let whole: Vec<ItemOutcome> = {
+            let jobs = self.inner.jobs.borrow();
+            let run = jobs.get(job);
+            let items = items.iter().filter_map(|index| Some((*index, run?.items.get(*index as usize)?)));
+            let again = items.map(|(index, item)| {
+                let mut text = item.text.borrow_mut();
+                text.forget_saved();
+                text.outcome(index)
+            });
+            again.collect()
+        };
+        spdlog::warn!("texts sent again whole", kv: { job = job.0.as_str(), items = whole.len() });
+        for outcome in whole {
+            self.list(job, outcome);
         }
     }
 }
--- a/crates/coordinator/src/orders.rs
+++ b/crates/coordinator/src/orders.rs
@@ -1,7 +1,7 @@
 //! Brings engines to the weight versions that trainers name.
 //!
-//! A trainer's next step takes samples of the newest version and of the one before it. Engines therefore take turns:
-//! half of them load each version, the other half the next one. One that has fallen two versions behind loads at once.
+//! A trainer's next step takes samples of the newest version and of the one before it. An engine that has fallen two
+//! versions behind can serve no step: it loads at once. One that is a version behind loads while no item waits.
 
 use crate::coordinator::Coordinator;
 use crate::dialect::{Call, EngineReport, OrderAnswer, RunningStreams, VersionOrder};
@@ -45,16 +45,13 @@
             right = None;
             continue;
         };
-        let due = inner.node.read(|state| due_orders(&coordinator, state)).unwrap_or_default();
-        if due.is_empty() {
-            continue;
-        }
         if right.is_none_or(|right| right.term != term) {
             right = coordinator.take_right(term).await;
         }
         let Some(held) = right.filter(|right| coordinator.now() >= right.not_before) else {
             continue;
         };
+        let due = inner.node.read(|state| due_orders(&coordinator, state)).unwrap_or_default();
         for order in due {
             inner.fleet.begin_load(&order.target.instance, &order.model.model, coordinator.now());
             inner.runtime.spawn(carry_out(coordinator.clone(), order, held));
@@ -86,13 +83,10 @@
         let loading = engines.iter().filter(|engine| inner.fleet.is_loading_any(&engine.instance)).count();
         let single = document.routes.iter().any(|route| route.kind == RouteKind::Rollout && route.batch.single_version);
         let running = if single { RunningStreams::Wait } else { RunningStreams::Keep };
-        let mut behind = Vec::new();
-        for (place, model) in hosting.models.iter().enumerate() {
-            let Some(named) = state.weights.named().get(model) else {
-                continue;
-            };
-            behind.extend(engines_behind(coordinator, &engines, place as u64, model, *named, running));
-        }
+        coordinator.share_out(&engines, &hosting.models);
+        let behind = hosting.models.iter().filter_map(|model| Some((model, *state.weights.named().get(model)?)));
+        let behind = behind.flat_map(|(model, named)| engines_behind(coordinator, &engines, model, named, running));
+        let mut behind: Vec<DueOrder> = behind.collect();
         behind.sort_by_key(|order| std::cmp::Reverse(order.model.version.saturating_sub(order.held)));
         let mut chosen: BTreeMap<InstanceId, DueOrder> = BTreeMap::new();
         for order in behind {
@@ -109,21 +103,23 @@
 fn engines_behind<B: Backends>(
     coordinator: &Coordinator<B>,
     engines: &[EngineTarget],
-    place: u64,
     model: &str,
     named: u64,
     running: RunningStreams,
 ) -> Vec<DueOrder> {
-    let fleet = &coordinator.inner.fleet;
+    let inner = &coordinator.inner;
     let now = coordinator.now();
+    let items_wait = inner.waiting.borrow().get(model).is_some_and(|count| *count > 0);
+    let homes = inner.homes.borrow();
+    let at_home = engines.iter().filter(|engine| homes.home(&engine.instance).is_none_or(|home| home == model));
     let mut behind = Vec::new();
-    for (index, engine) in engines.iter().enumerate() {
-        let Some(held) = fleet.version(&engine.instance, model) else {
+    for engine in at_home {
+        let Some(held) = inner.fleet.version(&engine.instance, model) else {
             continue;
         };
-        let its_turn = (index as u64 + place + named).is_multiple_of(2);
-        let due = held < named && (its_turn || held + 2 <= named);
-        let free = !fleet.is_loading_any(&engine.instance) && !fleet.is_resting(&engine.instance, now);
+        let useless = held + 2 <= named;
+        let due = useless || held < named && !items_wait;
+        let free = !inner.fleet.is_loading_any(&engine.instance) && !inner.fleet.is_resting(&engine.instance, now);
         if due && free {
             let model = LoadedModel { model: model.to_string(), version: named };
             behind.push(DueOrder { target: engine.clone(), model, held, running });
@@ -132,6 +128,32 @@
     behind
 }
 
+/// Asks every engine for a report, so that a new leader need not wait until each has reported by itself.
+pub(crate) async fn ask_all<B: Backends>(coordinator: Coordinator<B>, term: u64) {
+    let hosting_engines = coordinator.inner.node.read(|state| {
+        let document = state.routing.current();
+        let hosts = |service: &str| {
+            let service = document.and_then(|document| document.service(service));
+            service.is_some_and(|service| service.hosting.is_some())
+        };
+        let ready = state.instances.iter().filter(|record| record.state == InstanceState::Ready);
+        let hosting = ready.filter(|record| hosts(&record.report.service));
+        let target = |record: &saddlerelay_types::instance::InstanceRecord| EngineTarget {
+            instance: record.report.id.clone(),
+            address: record.report.address,
+        };
+        hosting.map(target).collect::<Vec<_>>()
+    });
+    for target in hosting_engines.unwrap_or_default() {
+        let coordinator = coordinator.clone();
+        let runtime = coordinator.inner.runtime.clone();
+        runtime.spawn(async move {
+            coordinator.ask_report(&target, term).await;
+            coordinator.inner.replan.notify();
+        });
+    }
+}
+
 impl<B: Backends> Coordinator<B> {
     /// Becomes the holder of orders. One that takes over waits until none of the holder's before it can still count as
     /// given in turn with its own.
@@ -148,6 +170,15 @@
         Some(Right { term, fence: fence.0, not_before: self.now() + wait })
     }
 
+    /// Shares the engines of a service out among its models, fastest first.
+    fn share_out(&self, engines: &[EngineTarget], models: &[String]) {
+        let now = self.now();
+        let mut by_pace: Vec<InstanceId> = engines.iter().map(|engine| engine.instance.clone()).collect();
+        let pace = |instance: &InstanceId| self.inner.fleet.pace(instance, now);
+        by_pace.sort_by(|left, right| pace(left).total_cmp(&pace(right)));
+        self.inner.homes.borrow_mut().share_out(&by_pace, models, now);
+    }
+
     async fn call(&self, target: &EngineTarget, call: Call, term: u64) -> Result<(u16, bytes::Bytes), Failure> {
         let uri = call.path.parse().map_err(|error| Failure::NotSent(format!("{error}")))?;
         let mut headers = HeaderMap::new();
--- a/crates/coordinator/src/plan.rs
+++ b/crates/coordinator/src/plan.rs
@@ -1,14 +1,14 @@
 //! Plans which items go to which engines now.
 
 use crate::coordinator::{Coordinator, Inner};
-use crate::text::{ItemText, digest};
+use crate::text::{ItemText, is_same_request};
 use compio::runtime::JoinHandle;
 use hyper::header::HeaderName;
 use saddlerelay_control::state::ControlState;
 use saddlerelay_control::state::jobs::Job;
 use saddlerelay_runtime::backend::Backends;
 use saddlerelay_types::instance::{InstanceId, InstanceState};
-use saddlerelay_types::job::{JobId, JobItem, JobSubmission};
+use saddlerelay_types::job::{ItemId, JobId, JobItem};
 use saddlerelay_types::routing::{Route, RoutingDocument};
 use saddlerelay_upstream::EngineTarget;
 use std::cell::RefCell;
@@ -16,18 +16,42 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-/// How much cheaper an engine is for an item whose group has run there: it keeps the shared prompt.
-const SAME_GROUP_FACTOR: f64 = 0.8;
+/// How much of an engine's slots an item's own group is worth: it keeps their shared prompt.
+const SAME_GROUP_BONUS: f64 = 0.15;
 
-/// How much dearer an engine is that no longer reports itself.
-const SILENT_FACTOR: f64 = 10.0;
+/// How many times as slow as the fastest an engine may be for it to be used like the others.
+const SLOW_FACTOR: f64 = 1.6;
+
+/// Cost of an engine that is far slower than the others, or no longer reports itself.
+const DOUBTFUL_COST: f64 = 10.0;
+
+/// How much a full engine's events are slower than an empty one's.
+const FULLNESS_COST: f64 = 0.1;
+
+/// An item is long that is expected to take so many times the mean of its job.
+const LONG_FACTOR: f64 = 1.5;
+
+/// How much faster an engine must be for an item to move there.
+const MOVE_FACTOR: f64 = 0.85;
+
+/// Least time that a move must save.
+const LEAST_SAVING: Duration = Duration::from_millis(250);
+
+/// Most moves of one item.
+const MOST_MOVES: u32 = 3;
+
+/// Most moves in one plan.
+const MOVES_AT_ONCE: usize = 6;
+
+/// Sound engines for which an item rather waits than go to a doubtful one.
+const ENOUGH_SOUND_ENGINES: usize = 2;
 
 /// Where an item stands.
 pub(crate) enum Phase {
     /// It waits for an engine.
     Waiting,
     /// It runs; dropping the handle ends the request.
-    Running { _task: JoinHandle<()> },
+    Running { _task: JoinHandle<()>, instance: InstanceId },
     /// It has a result, listed or on its way.
     Ended,
 }
@@ -36,11 +60,14 @@
 pub(crate) struct ItemRun {
     pub phase: Phase,
     pub text: Rc<RefCell<ItemText>>,
+    /// Events that its text is expected to have.
+    pub expected_events: f64,
     /// Failures that count as attempts.
     pub failures: u32,
     pub not_before: Duration,
-    /// The engine that failed it last.
+    /// The engine that failed it last, or that it moved away from.
     pub avoid: Option<InstanceId>,
+    pub moves: u32,
 }
 
 /// A job that runs.
@@ -49,24 +76,61 @@
     pub items: Vec<ItemRun>,
     /// The items' indexes, those expected to take longest first.
     pub order: Vec<u32>,
+    /// Mean of the events that its items are expected to have.
+    mean_events: f64,
     /// Where each group's items were last sent.
     pub group_engines: BTreeMap<String, InstanceId>,
 }
 
 impl JobRun {
-    fn new(submission: &JobSubmission, hint: &HeaderName, now: Duration) -> Self {
-        let item = |_: &JobItem| ItemRun {
-            phase: Phase::Waiting,
-            text: Rc::default(),
-            failures: 0,
-            not_before: Duration::ZERO,
-            avoid: None,
+    fn new(job: &Job, state: &ControlState, hint: &HeaderName, tokens_per_event: u32, now: Duration) -> Self {
+        let submission = &job.submission;
+        let route = state.routing.current().and_then(|document| document.find(&submission.host, &submission.path));
+        let texts = earlier_texts(job, state, route);
+        let item = |(index, item): (usize, &JobItem)| {
+            let own = job.partial_text(index as u32).map(ItemText::saved);
+            let text = own.or_else(|| texts.get(&item.id).cloned()).unwrap_or_default();
+            ItemRun {
+                phase: Phase::Waiting,
+                text: Rc::new(RefCell::new(text)),
+                expected_events: expected_tokens(item, hint) as f64 / f64::from(tokens_per_event.max(1)),
+                failures: 0,
+                not_before: Duration::ZERO,
+                avoid: None,
+                moves: 0,
+            }
         };
-        let mut order: Vec<u32> = (0..submission.items.len() as u32).collect();
-        order.sort_by_key(|index| std::cmp::Reverse(expected_tokens(&submission.items[*index as usize], hint)));
-        let items = submission.items.iter().map(item).collect();
-        Self { seen_at: now, items, order, group_engines: BTreeMap::new() }
+        let items: Vec<ItemRun> = submission.items.iter().enumerate().map(item).collect();
+        let mut order: Vec<u32> = (0..items.len() as u32).collect();
+        let expected = |index: &u32| items[*index as usize].expected_events;
+        order.sort_by(|left, right| expected(right).total_cmp(&expected(left)));
+        let mean_events = items.iter().map(|item| item.expected_events).sum::<f64>() / items.len().max(1) as f64;
+        Self { seen_at: now, items, order, mean_events, group_engines: BTreeMap::new() }
+    }
+}
+
+/// What earlier jobs have left of this job's items, where it may stand in this one.
+fn earlier_texts(job: &Job, state: &ControlState, route: Option<&Route>) -> BTreeMap<ItemId, ItemText> {
+    let mut texts = BTreeMap::new();
+    let Some(route) = route else {
+        return texts;
+    };
+    let wanted: BTreeMap<&ItemId, &JobItem> = job.submission.items.iter().map(|item| (&item.id, item)).collect();
+    for earlier in state.jobs.predecessors(&job.submission.id) {
+        for (index, item) in earlier.submission.items.iter().enumerate() {
+            let same = wanted.get(&item.id).is_some_and(|wanted| is_same_request(wanted, item));
+            if !same || texts.contains_key(&item.id) {
+                continue;
+            }
+            let whole = earlier.completed(index as u32).map(ItemText::whole);
+            let partial = earlier.partial_text(index as u32).filter(|_| route.resumable).map(ItemText::unsaved);
+            let fits = |text: &ItemText| text.fits(job.submission.minimum_version, route.batch.single_version);
+            if let Some(text) = whole.or(partial).filter(fits) {
+                texts.insert(item.id.clone(), text);
+            }
+        }
     }
+    texts
 }
 
 /// The sender's guess at the tokens to be generated, or all that the item may take.
@@ -109,7 +173,11 @@
     pub whole: Vec<(JobId, u32)>,
     /// Items to give up, and why.
     pub give_up: Vec<(JobId, u32, &'static str)>,
+    /// Running items that go on at a faster engine.
+    pub moves: Vec<(JobId, u32)>,
     pub open: BTreeSet<JobId>,
+    /// Items that are left waiting, by model.
+    pub waiting: BTreeMap<String, u32>,
 }
 
 /// Plans from the committed state.
@@ -125,30 +193,53 @@
     for (id, job) in open {
         plan.open.insert(id.clone());
         let submission = &job.submission;
-        let run = jobs.entry(id.clone()).or_insert_with(|| {
-            let run = JobRun::new(submission, &coordinator.names().length_hint, now);
-            tell_job(id, submission);
-            run
-        });
         let route = state.routing.current().and_then(|document| document.find(&submission.host, &submission.path));
-        plan_job(&mut PlanOfJob { inner, job, run, route, now, term, engines: &engines, planned: &mut planned }, &mut plan);
+        let run = jobs.entry(id.clone()).or_insert_with(|| take_up(coordinator, state, job, route, now));
+        plan_job(
+            &mut PlanOfJob { inner, job, run, route, now, term, engines: &engines, planned: &mut planned },
+            &mut plan,
+        );
     }
     plan
 }
 
-fn tell_job(id: &JobId, submission: &JobSubmission) {
+/// Begins to run a job.
+fn take_up<B: Backends>(
+    coordinator: &Coordinator<B>,
+    state: &ControlState,
+    job: &Job,
+    route: Option<&Route>,
+    now: Duration,
+) -> JobRun {
+    let submission = &job.submission;
+    let hosting = route.and_then(|route| {
+        let service = state.routing.current()?.service(&route.targets.first()?.service)?;
+        service.hosting.as_ref()
+    });
+    let tokens_per_event = hosting.map_or(1, |hosting| hosting.tokens_per_event);
+    let run = JobRun::new(job, state, &coordinator.names().length_hint, tokens_per_event, now);
+    if let Some(model) = &submission.model {
+        let expected = run.mean_events * run.items.len() as f64;
+        coordinator.inner.homes.borrow_mut().note_demand(model, expected);
+    }
+    let reused = run.items.iter().filter(|item| item.text.borrow().events() > 0).count();
+    let whole = run.items.iter().filter(|item| item.text.borrow().is_complete()).count();
+    coordinator.inner.metrics.texts_reused.inc_by(reused as u64);
     spdlog::info!("job taken up", kv: {
-        job = id.0.as_str(), step = submission.step, items = submission.items.len(),
-        minimum_version = submission.minimum_version, model = submission.model.as_deref().unwrap_or("-")
+        job = submission.id.0.as_str(), step = submission.step, items = submission.items.len(),
+        minimum_version = submission.minimum_version, model = submission.model.as_deref().unwrap_or("-"),
+        listed = job.results().len(), texts_reused = reused, whole_texts_reused = whole
     });
+    run
 }
 
 fn ready_engines<B: Backends>(coordinator: &Coordinator<B>, state: &ControlState, now: Duration) -> Vec<Engine> {
     let silent = coordinator.inner.node.silent_instances(state);
     let fleet = &coordinator.inner.fleet;
-    let usable = state.instances.iter().filter(|record| {
-        record.state == InstanceState::Ready && !fleet.is_resting(&record.report.id, now)
-    });
+    let usable = state
+        .instances
+        .iter()
+        .filter(|record| record.state == InstanceState::Ready && !fleet.is_resting(&record.report.id, now));
     usable
         .map(|record| Engine {
             target: EngineTarget { instance: record.report.id.clone(), address: record.report.address },
@@ -189,41 +280,53 @@
             plan.give_up.push((id.clone(), index, "its route is gone"));
             continue;
         };
-        if of.now >= give_up_at {
-            plan.give_up.push((id.clone(), index, "its time is over"));
-            continue;
-        }
-        if take_kept_text(of, route, index) {
+        if of.run.items[index as usize].text.borrow().is_complete() {
             plan.whole.push((id.clone(), index));
+        } else if of.now >= give_up_at {
+            plan.give_up.push((id.clone(), index, "its time is over"));
         } else if let Some(start) = plan_item(of, route, index, give_up_at) {
             plan.starts.push(start);
+        } else if let Some(model) = &of.job.submission.model {
+            *plan.waiting.entry(model.clone()).or_default() += 1;
         }
     }
+    if let Some(route) = of.route.filter(|route| route.resumable) {
+        plan_moves(of, route, plan);
+    }
 }
 
-/// Uses what an earlier job left of the item's text; returns whether that is all of it.
-fn take_kept_text<B: Backends>(of: &mut PlanOfJob<B>, route: &Route, index: u32) -> bool {
-    let run = &of.run.items[index as usize];
-    if run.text.borrow().events() > 0 {
-        return false;
-    }
-    let submission = &of.job.submission;
-    let item = &submission.items[index as usize];
-    let mut kept = of.inner.kept.borrow_mut();
-    let Some(text) = kept.take(item, submission.minimum_version, route.batch.single_version) else {
-        return false;
-    };
-    of.inner.metrics.texts_reused.inc();
-    spdlog::info!("text of an earlier job used", kv: {
-        job = submission.id.0.as_str(), item = item.id.0.as_str(), digest = digest(item),
-        events = text.events(), complete = text.is_complete(), versions = format!("{:?}", text.versions()).as_str(),
-        minimum_version = submission.minimum_version
-    });
-    let complete = text.is_complete();
-    if complete || route.resumable {
-        *run.text.borrow_mut() = text;
+/// Moves running items that are far from their end to faster engines that have room.
+fn plan_moves<B: Backends>(of: &mut PlanOfJob<B>, route: &Route, plan: &mut Plan) {
+    for position in 0..of.run.order.len() {
+        if plan.moves.len() >= MOVES_AT_ONCE {
+            return;
+        }
+        let index = of.run.order[position];
+        let item = &of.run.items[index as usize];
+        let Phase::Running { instance, .. } = &item.phase else {
+            continue;
+        };
+        let done = f64::from(item.text.borrow().events());
+        if item.moves >= MOST_MOVES || done < 1.0 {
+            continue;
+        }
+        // One that has gone beyond what was expected of it is likely to go on for as long again.
+        let remaining = (item.expected_events - done).max(done * 0.5);
+        let pace = of.inner.fleet.pace(instance, of.now);
+        let faster = |engine: &&Engine| {
+            let other = of.inner.fleet.pace(&engine.target.instance, of.now);
+            let saving = remaining * (pace - other);
+            other < pace * MOVE_FACTOR && saving > LEAST_SAVING.as_secs_f64()
+        };
+        let target = usable_engines(of, route, index).filter(faster).min_by(|left, right| {
+            let of_engine = |engine: &Engine| of.inner.fleet.pace(&engine.target.instance, of.now);
+            of_engine(left).total_cmp(&of_engine(right))
+        });
+        if let Some(target) = target {
+            *of.planned.entry(target.target.instance.clone()).or_default() += 1;
+            plan.moves.push((of.job.submission.id.clone(), index));
+        }
     }
-    complete
 }
 
 fn plan_item<B: Backends>(of: &mut PlanOfJob<B>, route: &Route, index: u32, give_up_at: Duration) -> Option<Start> {
@@ -257,34 +360,67 @@
     Some(start)
 }
 
+/// Items at an engine, and those planned in this round.
+fn load<B: Backends>(of: &PlanOfJob<B>, engine: &Engine) -> u32 {
+    let instance = &engine.target.instance;
+    of.inner.fleet.in_flight(instance) + of.planned.get(instance).copied().unwrap_or(0)
+}
+
+/// Engines that serve the route, have room, and have the right weights.
+fn usable_engines<'a, 'b, B: Backends>(
+    of: &'b PlanOfJob<'a, B>,
+    route: &'b Route,
+    index: u32,
+) -> impl Iterator<Item = &'a Engine> + use<'a, 'b, B> {
+    let run = &of.run.items[index as usize];
+    of.engines.iter().filter(move |engine| {
+        let target = route.targets.iter().find(|target| target.service == engine.service);
+        let serves = target.is_some_and(|target| target.weight > 0);
+        serves && load(of, engine) < engine.slots && version_fits(of, route, run, &engine.target.instance)
+    })
+}
+
+/// The engine for an item: the fastest for a long one, the emptiest for the others.
 fn choose_engine<'a, B: Backends>(of: &PlanOfJob<'a, B>, route: &Route, index: u32) -> Option<&'a Engine> {
     let run = &of.run.items[index as usize];
     let item = &of.job.submission.items[index as usize];
     let group_engine = of.run.group_engines.get(&item.group);
-    let fleet = &of.inner.fleet;
-    let load = |engine: &Engine| {
-        let instance = &engine.target.instance;
-        fleet.in_flight(instance) + of.planned.get(instance).copied().unwrap_or(0)
-    };
+    let pace = |engine: &Engine| of.inner.fleet.pace(&engine.target.instance, of.now);
+    let fastest = of.engines.iter().map(pace).fold(f64::INFINITY, f64::min);
+    let is_long = run.expected_events >= of.run.mean_events * LONG_FACTOR || run.text.borrow().events() > 0;
     let cost = |engine: &Engine| {
-        let instance = &engine.target.instance;
-        let fullness = f64::from(load(engine)) / f64::from(engine.slots.max(1));
-        let group = if group_engine == Some(instance) { SAME_GROUP_FACTOR } else { 1.0 };
-        let silent = if engine.silent { SILENT_FACTOR } else { 1.0 };
-        fleet.pace(instance) * (1.0 + fullness) * group * silent
+        let fullness = f64::from(load(of, engine)) / f64::from(engine.slots.max(1));
+        let doubtful = engine.silent || pace(engine) > fastest * SLOW_FACTOR;
+        let doubt = if doubtful { DOUBTFUL_COST } else { 0.0 };
+        let avoided = run.avoid.as_ref() == Some(&engine.target.instance);
+        let avoidance = if avoided { 2.0 * DOUBTFUL_COST } else { 0.0 };
+        let own = if is_long {
+            pace(engine) / fastest * (1.0 + FULLNESS_COST * fullness)
+        } else {
+            let bonus = if group_engine == Some(&engine.target.instance) { SAME_GROUP_BONUS } else { 0.0 };
+            fullness - bonus
+        };
+        own + doubt + avoidance
     };
+    let usable: Vec<&Engine> = usable_engines(of, route, index).collect();
+    let best = usable.into_iter().min_by(|left, right| cost(left).total_cmp(&cost(right)))?;
+    // Rather than run for long where it is slow, an item waits for room where it is not.
+    let others_suffice = || sound_engines(of, route, run, fastest) >= ENOUGH_SOUND_ENGINES;
+    (cost(best) < DOUBTFUL_COST || !others_suffice()).then_some(best)
+}
+
+/// Engines that serve the route with the right weights and are neither slow nor silent, with room or without.
+fn sound_engines<B: Backends>(of: &PlanOfJob<B>, route: &Route, run: &ItemRun, fastest: f64) -> usize {
     let serves = |engine: &&Engine| {
         let target = route.targets.iter().find(|target| target.service == engine.service);
         target.is_some_and(|target| target.weight > 0)
     };
-    let has_room = |engine: &&Engine| load(engine) < engine.slots;
-    let fits = |engine: &&Engine| version_fits(of, route, run, &engine.target.instance);
-    let candidates = of.engines.iter().filter(serves).filter(has_room).filter(fits);
-    let preferred = |engine: &Engine| run.avoid.as_ref() == Some(&engine.target.instance);
-    candidates.min_by(|left, right| {
-        let by_avoidance = preferred(left).cmp(&preferred(right));
-        by_avoidance.then(cost(left).total_cmp(&cost(right)))
-    })
+    let sound = |engine: &&Engine| {
+        let instance = &engine.target.instance;
+        let slow = of.inner.fleet.pace(instance, of.now) > fastest * SLOW_FACTOR;
+        !slow && !engine.silent && run.avoid.as_ref() != Some(instance) && version_fits(of, route, run, instance)
+    };
+    of.engines.iter().filter(serves).filter(sound).count()
 }
 
 fn version_fits<B: Backends>(of: &PlanOfJob<B>, route: &Route, run: &ItemRun, instance: &InstanceId) -> bool {
--- a/crates/coordinator/src/runner.rs
+++ b/crates/coordinator/src/runner.rs
@@ -3,12 +3,12 @@
 use crate::coordinator::Coordinator;
 use crate::item;
 use crate::plan::{self, Phase, Plan, Start};
-use crate::text::{self, digest};
+use crate::text;
 use futures::future::{self, Either};
 use saddlerelay_control::state::ControlState;
 use saddlerelay_runtime::Runtime;
 use saddlerelay_runtime::backend::Backends;
-use saddlerelay_types::job::JobId;
+use saddlerelay_types::job::{ItemOutcome, JobId};
 use std::collections::BTreeSet;
 use std::pin::pin;
 use std::time::Duration;
@@ -49,6 +49,7 @@
             self.stop_all();
             self.inner.fleet.clear();
             spdlog::info!("leading", kv: { term = term });
+            self.inner.runtime.spawn(crate::orders::ask_all(self.clone(), term));
         }
         let planned = self.inner.node.read(|state| {
             self.learn_reports(state);
@@ -59,6 +60,7 @@
         };
         self.drop_ended(&plan.open);
         let busy = !plan.open.is_empty();
+        self.inner.waiting.borrow_mut().clone_from(&plan.waiting);
         self.carry_out(plan);
         busy
     }
@@ -83,52 +85,58 @@
             self.inner.metrics.items_aborted.inc();
             self.finish(&job, index, Some(text::aborted(index)));
         }
+        for (job, index) in plan.moves {
+            self.move_away(&job, index);
+        }
         for start in plan.starts {
             self.start_item(start);
         }
     }
 
-    fn finish(&self, job: &JobId, index: u32, result: Option<saddlerelay_types::job::ItemResult>) {
+    fn finish(&self, job: &JobId, index: u32, outcome: Option<ItemOutcome>) {
         let mut jobs = self.inner.jobs.borrow_mut();
         let run = jobs.get_mut(job).and_then(|run| run.items.get_mut(index as usize));
         if let Some(run) = run {
             run.phase = Phase::Ended;
-            let result = result.unwrap_or_else(|| run.text.borrow().to_result(index));
-            self.list(job, result);
+            let outcome = outcome.unwrap_or_else(|| run.text.borrow().outcome(index));
+            self.list(job, outcome);
+        }
+    }
+
+    /// Ends an item's request so that it goes on at a faster engine.
+    fn move_away(&self, job: &JobId, index: u32) {
+        let mut jobs = self.inner.jobs.borrow_mut();
+        let run = jobs.get_mut(job).and_then(|run| run.items.get_mut(index as usize));
+        if let Some(run) = run
+            && let Phase::Running { instance, .. } = std::mem::replace(&mut run.phase, Phase::Waiting)
+        {
+            spdlog::info!("item moved", kv: {
+                job = job.0.as_str(), index = index, instance = instance.0.as_str(), events = run.text.borrow().events()
+            });
+            run.avoid = Some(instance);
+            run.moves += 1;
+            self.inner.replan.notify();
         }
     }
 
     fn start_item(&self, start: Start) {
+        let instance = start.target.instance.clone();
         let (job, index) = (start.job.clone(), start.index as usize);
         let task = compio::runtime::spawn(item::run(self.clone(), start));
         let mut jobs = self.inner.jobs.borrow_mut();
         if let Some(run) = jobs.get_mut(&job).and_then(|run| run.items.get_mut(index)) {
-            run.phase = Phase::Running { _task: task };
+            run.phase = Phase::Running { _task: task, instance };
         }
     }
 
-    /// Ends what runs of jobs that have ended, and keeps their texts for later ones.
+    /// Ends what runs of jobs that have ended.
     fn drop_ended(&self, open: &BTreeSet<JobId>) {
         let inner = &self.inner;
         let ended: Vec<JobId> = inner.jobs.borrow().keys().filter(|id| !open.contains(*id)).cloned().collect();
-        let now = self.now();
         for id in ended {
-            let run = inner.jobs.borrow_mut().remove(&id);
-            let Some(run) = run else {
-                continue;
-            };
-            let mut kept = inner.kept.borrow_mut();
-            inner.node.read(|state| {
-                let Some(job) = state.jobs.get(&id) else {
-                    return;
-                };
-                for (item, run) in job.submission.items.iter().zip(&run.items) {
-                    let text = run.text.borrow();
-                    kept.keep(item.id.clone(), digest(item), text.clone(), now);
-                }
-            });
-            kept.forget_before(now.saturating_sub(inner.config.keep_text));
-            spdlog::info!("job dropped", kv: { job = id.0.as_str(), items = run.items.len() });
+            let dropped = inner.jobs.borrow_mut().remove(&id);
+            let items = dropped.as_ref().map_or(0, |run| run.items.len());
+            spdlog::info!("job dropped", kv: { job = id.0.as_str(), items = items });
         }
     }
 
@@ -141,6 +149,6 @@
         spdlog::warn!("leadership lost", kv: { term = inner.term.get(), jobs = inner.jobs.borrow().len() });
         let stopped = std::mem::take(&mut *inner.jobs.borrow_mut());
         drop(stopped);
-        inner.results.borrow_mut().clear();
+        inner.outcomes.borrow_mut().clear();
     }
 }
--- a/crates/coordinator/src/text.rs
+++ b/crates/coordinator/src/text.rs
@@ -1,9 +1,8 @@
-//! The text of an item as it grows, and what is kept of it for later jobs.
+//! The text of an item as it grows, and how much of it the group holds.
 
-use saddlerelay_types::job::{ItemEnd, ItemId, ItemResult, JobItem};
+use saddlerelay_types::job::{ItemEnd, ItemOutcome, ItemResult, JobItem, PartialText, TextPart};
 use saddlerelay_upstream::events::Event;
-use std::collections::{BTreeMap, BTreeSet};
-use std::time::Duration;
+use std::collections::BTreeSet;
 
 /// What has been made of an item's text.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
@@ -13,10 +12,40 @@
     pub last_event: Option<u64>,
     events: u32,
     versions: BTreeSet<u64>,
+    /// Bytes that the group holds.
+    saved: usize,
     complete: bool,
 }
 
 impl ItemText {
+    /// A text of which the group holds `partial` for the same item.
+    pub fn saved(partial: &PartialText) -> Self {
+        Self { saved: partial.data.len(), ..Self::unsaved(partial) }
+    }
+
+    /// A text that the group holds only for an item of another job.
+    pub fn unsaved(partial: &PartialText) -> Self {
+        Self {
+            data: partial.data.clone(),
+            last_event: partial.last_event,
+            events: partial.events,
+            versions: partial.versions.iter().copied().collect(),
+            saved: 0,
+            complete: false,
+        }
+    }
+
+    /// The whole text of the same item in another job.
+    pub fn whole(result: &ItemResult) -> Self {
+        Self {
+            data: result.text.clone(),
+            versions: result.versions.iter().copied().collect(),
+            complete: true,
+            events: 1,
+            ..Self::default()
+        }
+    }
+
     /// Adds an event that `version` made.
     pub fn push(&mut self, event: &Event, version: u64) {
         if self.events > 0 {
@@ -54,59 +83,50 @@
         recent && !(single && self.versions.len() > 1)
     }
 
-    /// The result of the item at `index`.
-    pub fn to_result(&self, index: u32) -> ItemResult {
-        ItemResult {
+    /// Bytes that the group does not hold yet.
+    pub fn unsaved_bytes(&self) -> usize {
+        self.data.len() - self.saved
+    }
+
+    /// What the group does not hold yet.
+    pub fn unsaved_part(&self, index: u32) -> TextPart {
+        TextPart {
             item: index,
-            end: ItemEnd::Completed,
-            text: self.data.clone(),
+            offset: self.saved as u64,
+            data: self.data[self.saved..].to_vec(),
+            events: self.events,
+            last_event: self.last_event,
             versions: self.versions.iter().copied().collect(),
         }
     }
-}
 
-/// The result of an item that is given up.
-pub fn aborted(index: u32) -> ItemResult {
-    ItemResult { item: index, end: ItemEnd::Aborted, text: Vec::new(), versions: Vec::new() }
-}
-
-/// Tells whether an item of a later job is the same request.
-pub fn digest(item: &JobItem) -> u32 {
-    let mut hasher = crc32fast::Hasher::new();
-    hasher.update(item.path.as_bytes());
-    hasher.update(&item.body);
-    hasher.finalize()
-}
-
-struct Kept {
-    text: ItemText,
-    digest: u32,
-    at: Duration,
-}
-
-/// Texts of items whose jobs have ended, whole or not.
-#[derive(Default)]
-pub struct KeptTexts {
-    texts: BTreeMap<ItemId, Kept>,
-}
-
-impl KeptTexts {
-    /// Keeps a text for a later job.
-    pub fn keep(&mut self, id: ItemId, digest: u32, text: ItemText, now: Duration) {
-        if text.events > 0 {
-            self.texts.insert(id, Kept { text, digest, at: now });
+    /// The group holds everything up to the end of `part`, unless the text was begun anew meanwhile.
+    pub fn mark_saved(&mut self, part: &TextPart) {
+        let end = part.offset as usize + part.data.len();
+        let same_text = self.data.get(part.offset as usize..end) == Some(part.data.as_slice());
+        if same_text && self.saved == part.offset as usize {
+            self.saved = end;
         }
     }
 
-    /// The kept text of the same item, if it fits.
-    pub fn take(&mut self, item: &JobItem, minimum: u64, single: bool) -> Option<ItemText> {
-        let kept = self.texts.get(&item.id)?;
-        let same = kept.digest == digest(item) && kept.text.fits(minimum, single);
-        same.then(|| self.texts.remove(&item.id).map(|kept| kept.text)).flatten()
+    /// The group holds nothing of it: all of it is sent again.
+    pub fn forget_saved(&mut self) {
+        self.saved = 0;
     }
 
-    /// Forgets what was kept before `oldest`.
-    pub fn forget_before(&mut self, oldest: Duration) {
-        self.texts.retain(|_, kept| kept.at >= oldest);
+    /// How the item at `index` has ended.
+    pub fn outcome(&self, index: u32) -> ItemOutcome {
+        ItemOutcome { end: ItemEnd::Completed, rest: self.unsaved_part(index) }
     }
 }
+
+/// The outcome of an item that is given up.
+pub fn aborted(index: u32) -> ItemOutcome {
+    let rest = TextPart { item: index, offset: 0, data: Vec::new(), events: 0, last_event: None, versions: Vec::new() };
+    ItemOutcome { end: ItemEnd::Aborted, rest }
+}
+
+/// Whether an item of a later job is the same request.
+pub fn is_same_request(left: &JobItem, right: &JobItem) -> bool {
+    left.id == right.id && left.path == right.path && left.body == right.body
+}
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -51,7 +51,18 @@
         };
         let request_seconds = histogram("request_seconds", "From a request's arrival to the end of its answer");
         let attempt_seconds = histogram("attempt_seconds", "From an attempt's start to the end of its answer");
-        Self { registry, requests, answered, refused, failed, retries, hedges, leases_lost, request_seconds, attempt_seconds }
+        Self {
+            registry,
+            requests,
+            answered,
+            refused,
+            failed,
+            retries,
+            hedges,
+            leases_lost,
+            request_seconds,
+            attempt_seconds,
+        }
     }
 }
 
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -1,7 +1,9 @@
 //! A client's request as the gateway takes it.
 
 use bytes::Bytes;
-use hyper::header::{CONNECTION, CONTENT_LENGTH, EXPECT, HeaderMap, HeaderName, HOST, TE, TRAILER, TRANSFER_ENCODING, UPGRADE};
+use hyper::header::{
+    CONNECTION, CONTENT_LENGTH, EXPECT, HOST, HeaderMap, HeaderName, TE, TRAILER, TRANSFER_ENCODING, UPGRADE,
+};
 use hyper::http::request::Parts;
 use hyper::{Method, Uri};
 use saddlerelay_upstream::{HeaderNames, Outgoing};
@@ -53,13 +55,7 @@
     pub fn outgoing(&self, body: Bytes) -> Outgoing {
         let mut headers = self.headers.clone();
         headers.remove(CONTENT_LENGTH);
-        Outgoing {
-            method: self.method.clone(),
-            uri: self.uri.clone(),
-            headers,
-            body,
-            request_id: self.id.clone(),
-        }
+        Outgoing { method: self.method.clone(), uri: self.uri.clone(), headers, body, request_id: self.id.clone() }
     }
 }
 
--- a/crates/gateway/src/view.rs
+++ b/crates/gateway/src/view.rs
@@ -83,9 +83,10 @@
 
     /// The engines of `service` that may be given new work.
     pub fn ready_engines<'a>(&'a self, service: &'a str) -> impl Iterator<Item = ReadyEngine> + 'a {
-        let ready = self.instances.values().filter(move |record| {
-            record.state == InstanceState::Ready && record.report.service == service
-        });
+        let ready = self
+            .instances
+            .values()
+            .filter(move |record| record.state == InstanceState::Ready && record.report.service == service);
         ready.map(|record| ReadyEngine {
             target: EngineTarget { instance: record.report.id.clone(), address: record.report.address },
             zone: record.report.zone.clone(),
--- a/crates/http/src/body.rs
+++ b/crates/http/src/body.rs
@@ -51,7 +51,9 @@
     fn poll_frame(self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<Option<Result<Frame<Bytes>, BrokenOff>>> {
         match self.get_mut() {
             Self::Whole(whole) => Pin::new(whole).poll_frame(context).map_err(|never| match never {}),
-            Self::Breakable(parts) => parts.as_mut().poll_next(context).map(|part| part.map(|part| part.map(Frame::data))),
+            Self::Breakable(parts) => {
+                parts.as_mut().poll_next(context).map(|part| part.map(|part| part.map(Frame::data)))
+            }
             Self::Parts(parts) => {
                 let next = Pin::new(parts).poll_next(context);
                 next.map(|part| part.map(|bytes| Ok(Frame::data(bytes))))
--- a/crates/replication/src/reconfigure.rs
+++ b/crates/replication/src/reconfigure.rs
@@ -177,8 +177,9 @@
             if known || self.inner.unwanted.borrow().contains(&id) || !may_change_membership(&state) {
                 return ReplicaReply::Refused;
             }
-            let wanted = self
-                .judge(&state, |judgement| judgement.wants_learner(address, config.target_voters, config.spare_learners));
+            let wanted = self.judge(&state, |judgement| {
+                judgement.wants_learner(address, config.target_voters, config.spare_learners)
+            });
             if wanted != Some(true) {
                 return ReplicaReply::Refused;
             }
--- a/crates/telemetry/src/stdout.rs
+++ b/crates/telemetry/src/stdout.rs
@@ -108,11 +108,8 @@
     for (key, value) in record.key_values() {
         let value = value.to_string();
         let plain = !value.is_empty() && !value.contains(|sign: char| sign.is_whitespace() || sign == '"');
-        let _ = if plain {
-            write!(line, " {}={value}", key.as_str())
-        } else {
-            write!(line, " {}={value:?}", key.as_str())
-        };
+        let _ =
+            if plain { write!(line, " {}={value}", key.as_str()) } else { write!(line, " {}={value:?}", key.as_str()) };
     }
     line.push('\n');
     line
--- a/crates/types/src/gateway.rs
+++ b/crates/types/src/gateway.rs
@@ -3,7 +3,7 @@
 
 use crate::identity::{Fence, ReplicaId};
 use crate::instance::{InstanceId, InstanceRecord, InstanceReport, LoadedModel};
-use crate::job::{ItemId, ItemResult, JobId, JobSubmission, ResultPage};
+use crate::job::{ItemId, ItemOutcome, JobId, JobSubmission, ResultPage, TextPart};
 use crate::routing::{RoutingDocument, RoutingError};
 use bitcode::{Decode, Encode};
 use std::net::SocketAddr;
@@ -127,12 +127,19 @@
         /// How long it stays readable, in milliseconds; an open job stays longer.
         keep_ms: u64,
     },
+    /// Keep parts of texts of items that still run.
+    KeepTexts {
+        /// The job.
+        job: JobId,
+        /// The parts.
+        parts: Vec<TextPart>,
+    },
     /// List results at the next positions.
     ListResults {
         /// The job.
         job: JobId,
-        /// The results; those of items already listed are dropped.
-        results: Vec<ItemResult>,
+        /// The outcomes; those of items already listed are dropped.
+        outcomes: Vec<ItemOutcome>,
     },
     /// End a job.
     EndJob(JobId),
@@ -164,6 +171,8 @@
     Done,
     /// There is no such thing.
     NotFound,
+    /// The rest of these items' texts does not follow what is held; they are not listed.
+    TextMissing(Vec<u32>),
     /// The right to give orders.
     Orders {
         /// The fence for them.
--- a/crates/types/src/job.rs
+++ b/crates/types/src/job.rs
@@ -70,6 +70,63 @@
     pub versions: Vec<u64>,
 }
 
+/// A piece of an item's text, which goes after what is held already.
+#[derive(Clone, Debug, PartialEq, Eq, Encode, Decode)]
+pub struct TextPart {
+    /// The item's index in the job.
+    pub item: u32,
+    /// How many bytes of the text go before it; anything held beyond them is replaced.
+    pub offset: u64,
+    /// The bytes.
+    pub data: Vec<u8>,
+    /// Events that the text holds with them.
+    pub events: u32,
+    /// The last of those events.
+    pub last_event: Option<u64>,
+    /// The weight versions that made them all, ascending.
+    pub versions: Vec<u64>,
+}
+
+/// How an item has ended, with the rest of its text.
+#[derive(Clone, Debug, PartialEq, Eq, Encode, Decode)]
+pub struct ItemOutcome {
+    /// How it ended.
+    pub end: ItemEnd,
+    /// The rest of its text.
+    pub rest: TextPart,
+}
+
+/// The text of an item that has not ended.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Encode, Decode)]
+pub struct PartialText {
+    /// The data of its events, parted by line feeds.
+    pub data: Vec<u8>,
+    /// Its events.
+    pub events: u32,
+    /// The last of them.
+    pub last_event: Option<u64>,
+    /// The weight versions that made them, ascending.
+    pub versions: Vec<u64>,
+}
+
+impl PartialText {
+    /// Adds a part; `false` if it does not follow what is held.
+    pub fn add(&mut self, part: &TextPart) -> bool {
+        let Ok(offset) = usize::try_from(part.offset) else {
+            return false;
+        };
+        if offset > self.data.len() {
+            return false;
+        }
+        self.data.truncate(offset);
+        self.data.extend_from_slice(&part.data);
+        self.events = part.events;
+        self.last_event = part.last_event;
+        self.versions.clone_from(&part.versions);
+        true
+    }
+}
+
 /// A part of a job's results.
 #[derive(Clone, Debug, PartialEq, Eq, Encode, Decode)]
 pub struct ResultPage {
--- a/crates/types/src/routing.rs
+++ b/crates/types/src/routing.rs
@@ -97,6 +97,8 @@
     pub slots: u32,
     /// Tokens that one engine's memory holds.
     pub token_capacity: u64,
+    /// Tokens in one event of a stream.
+    pub tokens_per_event: u32,
     /// The models.
     pub models: Vec<String>,
 }
--- a/crates/upstream/src/answer.rs
+++ b/crates/upstream/src/answer.rs
@@ -66,23 +66,28 @@
 
     /// Reads the whole body, of at most `limit` bytes. With it comes the connection, if it can be used again.
     pub async fn read_whole(self, limit: usize) -> Result<(Parts, Bytes, Option<Connection>), Failure> {
-        let Self { head, body, mut connection } = self;
+        let Self { head, body, connection } = self;
         let collected = Limited::new(body, limit).collect().await;
         let body = collected.map_err(|error| Failure::MayHaveRun(format!("the answer broke off: {error}")))?.to_bytes();
-        let reusable = match idle_time(&head.headers) {
-            Some(idle) if connection.is_ready().await => {
-                connection.rest(idle);
-                Some(connection)
-            }
-            _ => None,
-        };
+        let reusable = reusable(connection, idle_time(&head.headers)).await;
         Ok((head, body, reusable))
     }
 
     /// The body as it comes. The connection closes when it is dropped.
     pub fn into_stream(self) -> (Parts, AnswerStream) {
-        (self.head, AnswerStream { body: self.body, _connection: self.connection })
+        let idle = idle_time(&self.head.headers);
+        (self.head, AnswerStream { body: self.body, connection: self.connection, idle })
+    }
+}
+
+/// The connection after a whole answer, if it can be used again.
+async fn reusable(mut connection: Connection, idle: Option<Duration>) -> Option<Connection> {
+    let idle = idle?;
+    if !connection.is_ready().await {
+        return None;
     }
+    connection.rest(idle);
+    Some(connection)
 }
 
 /// How long the engine keeps the connection open after this answer; `None` when it closes it.
@@ -107,10 +112,17 @@
 /// A body as it comes.
 pub struct AnswerStream {
     body: Incoming,
-    _connection: Connection,
+    connection: Connection,
+    idle: Option<Duration>,
 }
 
 impl AnswerStream {
+    /// The connection, if it can be used again; asked only after the whole end.
+    pub async fn finish(self) -> Option<Connection> {
+        drop(self.body);
+        reusable(self.connection, self.idle).await
+    }
+
     /// The next bytes; `None` at the whole end, an error when the answer broke off.
     pub async fn next(&mut self) -> Option<Result<Bytes, Failure>> {
         loop {
--- a/crates/upstream/src/pool.rs
+++ b/crates/upstream/src/pool.rs
@@ -120,7 +120,9 @@
 
     /// A connection to `target`: an idle one if there is one and `reuse` allows it.
     async fn connect(&self, target: &EngineTarget, reuse: Reuse) -> Result<Connection, Failure> {
-        if reuse != Reuse::None && let Some(connection) = self.take(target, reuse) {
+        if reuse != Reuse::None
+            && let Some(connection) = self.take(target, reuse)
+        {
             self.counts.reused.set(self.counts.reused.get() + 1);
             return Ok(connection);
         }
