--- a/crates/control/src/state/jobs.rs
+++ b/crates/control/src/state/jobs.rs
@@ -160,6 +160,7 @@
                 continue;
             }
             job.listed[item as usize] = true;
+            text.data.shrink_to_fit();
             job.results.push(ItemResult { item, end: outcome.end, text: text.data, versions: text.versions });
         }
         Some(missing)
--- a/crates/coordinator/src/plan.rs
+++ b/crates/coordinator/src/plan.rs
@@ -34,6 +34,9 @@
 /// How much faster an engine must be for an item to move there.
 const MOVE_FACTOR: f64 = 0.85;
 
+/// An item is moved only if it would otherwise end later than this share of the time in which its job is due.
+const DUE_SHARE: f64 = 0.55;
+
 /// Least time that a move must save.
 const LEAST_SAVING: Duration = Duration::from_millis(250);
 
@@ -313,6 +316,11 @@
         // One that has gone beyond what was expected of it is likely to go on for as long again.
         let remaining = (item.expected_events - done).max(done * 0.5);
         let pace = of.inner.fleet.pace(instance, of.now);
+        let end_at = of.now + Duration::from_secs_f64(remaining * pace);
+        let due = Duration::from_millis(route.batch.due_after_ms).mul_f64(DUE_SHARE);
+        if end_at < of.run.seen_at + due {
+            continue;
+        }
         let faster = |engine: &&Engine| {
             let other = of.inner.fleet.pace(&engine.target.instance, of.now);
             let saving = remaining * (pace - other);
--- a/crates/coordinator/src/runner.rs
+++ b/crates/coordinator/src/runner.rs
@@ -27,6 +27,8 @@
         let seen_replan = inner.replan.count();
         let busy = match inner.node.replica().leading_term() {
             Some(term) => coordinator.act(term),
+            // A leader that no quorum has answered lately starts nothing, but may go on with what runs.
+            None if inner.node.replica().claimed_term() == Some(inner.term.get()) => true,
             None => {
                 coordinator.stop_all();
                 false
--- a/crates/gateway/src/config.rs
+++ b/crates/gateway/src/config.rs
@@ -11,6 +11,9 @@
     pub hedge_percent: u32,
     /// What refused clients are told to wait.
     pub retry_after: Duration,
+    /// What clients are told to wait while the relay may not act: about as long as the control group takes to choose a
+    /// leader.
+    pub lease_retry_after: Duration,
     /// Largest answer that is held until it is whole, in bytes.
     pub whole_answer_bytes: usize,
     /// Largest request body before the first routing document, in bytes.
@@ -25,6 +28,7 @@
             connect_limit: Duration::from_millis(250),
             hedge_percent: 45,
             retry_after: Duration::from_millis(200),
+            lease_retry_after: Duration::from_millis(600),
             whole_answer_bytes: 32 * 1024 * 1024,
             default_body_bytes: 8 * 1024 * 1024,
             follow_limit: Duration::from_millis(650),
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -184,7 +184,9 @@
             routing_version = view.routing_version().unwrap_or_default(),
             view_age_ms = view.age(self.now()).as_millis() as u64
         });
-        let mut reply = refusal.reply(self.inner.options.config.retry_after);
+        let config = &self.inner.options.config;
+        let wait = if refusal == Refusal::NoLease { config.lease_retry_after } else { config.retry_after };
+        let mut reply = refusal.reply(wait);
         if let Ok(id) = HeaderValue::from_str(&request.id) {
             reply.headers_mut().insert(self.names().request_id.clone(), id);
         }
--- a/crates/replication/src/config.rs
+++ b/crates/replication/src/config.rs
@@ -15,14 +15,16 @@
     pub lease: Duration,
     /// Time limit of one message between replicas.
     pub call_limit: Duration,
-    /// Time limit of sending a snapshot to one replica.
-    pub snapshot_limit: Duration,
     /// Entries applied since the last snapshot that cause the next.
     pub snapshot_entries: u64,
     /// Bytes logged since the last snapshot that cause the next.
     pub snapshot_bytes: u64,
     /// Entries kept before a snapshot, so that replicas a little behind need none.
     pub trailing_entries: u64,
+    /// Bytes of applied entries kept in memory, for replicas a little behind.
+    pub memory_bytes: u64,
+    /// Bytes of applied entries kept in memory for voters that are further behind; beyond, they are sent a snapshot.
+    pub memory_bytes_behind: u64,
     /// Most entries in one message.
     pub entries_per_message: usize,
     /// Most proposals waiting to be written.
@@ -43,10 +45,11 @@
             election_jitter: Duration::from_millis(500),
             lease: Duration::from_millis(800),
             call_limit: Duration::from_millis(1000),
-            snapshot_limit: Duration::from_secs(10),
             snapshot_entries: 4096,
             snapshot_bytes: 16 * 1024 * 1024,
             trailing_entries: 256,
+            memory_bytes: 16 * 1024 * 1024,
+            memory_bytes_behind: 32 * 1024 * 1024,
             entries_per_message: 256,
             proposal_queue: 16_384,
             target_voters: 5,
--- a/crates/replication/src/follower.rs
+++ b/crates/replication/src/follower.rs
@@ -1,11 +1,34 @@
 //! Following a leader: appending its entries and installing its snapshots.
 
 use crate::log::{LogEntry, MemoryLog};
-use crate::message::{Header, ReplicaReply, Snapshot};
+use crate::message::{Header, ReplicaReply, Snapshot, SnapshotPart};
 use crate::replica::Replica;
 use crate::state::{State, StateMachine};
 use crate::wal::WalRecord;
-use saddlerelay_runtime::Runtime;
+use saddlerelay_runtime::{MAX_FRAME_BYTES, Runtime};
+use saddlerelay_types::identity::ReplicaId;
+
+/// A snapshot of which some parts have come.
+#[derive(Debug, Default)]
+pub(crate) struct IncomingSnapshot {
+    from: Option<(ReplicaId, u64, u64)>,
+    bytes: Vec<u8>,
+}
+
+impl IncomingSnapshot {
+    /// Takes a part that follows those before it; returns whether the snapshot is whole.
+    fn take(&mut self, header: &Header, part: &SnapshotPart) -> bool {
+        let source = Some((header.from, header.term, part.index));
+        if self.from != source {
+            self.from = source;
+            self.bytes = Vec::with_capacity(usize::try_from(part.total).unwrap_or(0).min(MAX_FRAME_BYTES));
+        }
+        if part.offset == self.bytes.len() as u64 {
+            self.bytes.extend_from_slice(&part.bytes);
+        }
+        self.bytes.len() as u64 == part.total
+    }
+}
 
 impl<P: Runtime, S: StateMachine> Replica<P, S> {
     pub(crate) async fn append_entries(
@@ -46,7 +69,30 @@
         }
     }
 
-    pub(crate) async fn install_snapshot(&self, header: Header, snapshot: Snapshot) -> ReplicaReply {
+    /// Takes a part; the last one makes the snapshot whole and has it installed.
+    pub(crate) async fn take_snapshot_part(&self, header: Header, part: SnapshotPart) -> ReplicaReply {
+        let own_term = self.inner.state.borrow().term;
+        if header.term < own_term {
+            return ReplicaReply::SnapshotPart { term: own_term, next_offset: 0 };
+        }
+        self.hear_leader(&mut self.inner.state.borrow_mut(), &header);
+        let whole = {
+            let mut incoming = self.inner.incoming.borrow_mut();
+            let received = incoming.get_or_insert_default();
+            if !received.take(&header, &part) {
+                let next_offset = received.bytes.len() as u64;
+                return ReplicaReply::SnapshotPart { term: header.term, next_offset };
+            }
+            incoming.take().map(|received| received.bytes).unwrap_or_default()
+        };
+        match bitcode::decode(&whole) {
+            Ok(snapshot) => self.install_snapshot(header, snapshot, &whole).await,
+            Err(_) => ReplicaReply::SnapshotPart { term: header.term, next_offset: 0 },
+        }
+    }
+
+    /// Replaces the state; `encoded` is the snapshot's own bytes.
+    async fn install_snapshot(&self, header: Header, snapshot: Snapshot, encoded: &[u8]) -> ReplicaReply {
         let mut storage = self.inner.storage.lock().await;
         let (own_term, applied) = {
             let state = self.inner.state.borrow();
@@ -55,12 +101,11 @@
         if header.term < own_term {
             return ReplicaReply::Append { term: own_term, accepted: false, index: 0 };
         }
-        self.hear_leader(&mut self.inner.state.borrow_mut(), &header);
         if snapshot.index <= applied {
             return ReplicaReply::Append { term: header.term, accepted: true, index: applied };
         }
         let voted_for = self.inner.state.borrow().voted_for.filter(|_| header.term == own_term);
-        let written = match storage.write_snapshot(&snapshot).await {
+        let written = match storage.write_encoded_snapshot(encoded).await {
             Ok(()) => storage.rewrite(header.term, voted_for, &[]).await,
             Err(error) => Err(error),
         };
--- a/crates/replication/src/leader.rs
+++ b/crates/replication/src/leader.rs
@@ -2,7 +2,7 @@
 
 use crate::log::{EntryPayload, LogEntry};
 use crate::membership::Member;
-use crate::message::{ReplicaReply, ReplicaRequest};
+use crate::message::{ReplicaReply, ReplicaRequest, Snapshot, SnapshotPart};
 use crate::replica::{Proposal, Replica};
 use crate::state::{Leadership, Progress, Role, State, StateMachine};
 use crate::wal::WalRecord;
@@ -16,6 +16,33 @@
 /// Most proposals in one write.
 const BATCH_PROPOSALS: usize = 512;
 
+/// Bytes of a snapshot in one message: small beside what a link carries between two heartbeats.
+const SNAPSHOT_PART_BYTES: usize = 512 * 1024;
+
+/// A snapshot on its way to one peer.
+struct SnapshotTransfer {
+    index: u64,
+    encoded: Vec<u8>,
+    offset: usize,
+}
+
+impl SnapshotTransfer {
+    fn new(snapshot: &Snapshot) -> Self {
+        Self { index: snapshot.index, encoded: bitcode::encode(snapshot), offset: 0 }
+    }
+
+    fn next_part(&self) -> SnapshotPart {
+        let start = self.offset.min(self.encoded.len());
+        let end = (start + SNAPSHOT_PART_BYTES).min(self.encoded.len());
+        SnapshotPart {
+            index: self.index,
+            total: self.encoded.len() as u64,
+            offset: start as u64,
+            bytes: self.encoded[start..end].to_vec(),
+        }
+    }
+}
+
 impl<P: Runtime, S: StateMachine> Replica<P, S> {
     /// Begins to lead `term`.
     pub(crate) async fn lead(&self, term: u64) {
@@ -95,22 +122,28 @@
     /// Keeps one peer up to date while this replica leads `term` and the peer is a member.
     async fn replicate_to(self, peer: Member, term: u64) {
         let config = &self.inner.options.config;
+        let mut transfer = None;
         loop {
             let seen = self.inner.changed.count();
-            let Some(request) = self.next_message(&peer, term) else {
+            let Some(request) = self.next_message(&peer, term, &mut transfer) else {
                 return;
             };
             let sent_at = self.inner.platform.monotonic();
-            let limit = match &request {
-                ReplicaRequest::InstallSnapshot { .. } => config.snapshot_limit,
-                _ => config.call_limit,
-            };
-            let reply = self.send(peer.address, &request, limit).await;
+            let reply = self.send(peer.address, &request, config.call_limit).await;
             let more = match reply {
                 Some(ReplicaReply::Append { term: seen_term, accepted, index }) => {
                     self.observe_term(seen_term).await;
+                    transfer = None;
                     self.record_answer(&peer, term, sent_at, accepted, index)
                 }
+                Some(ReplicaReply::SnapshotPart { term: seen_term, next_offset }) => {
+                    self.observe_term(seen_term).await;
+                    self.record_contact(&peer, term, sent_at);
+                    if let Some(transfer) = &mut transfer {
+                        transfer.offset = usize::try_from(next_offset).unwrap_or(0);
+                    }
+                    true
+                }
                 _ => {
                     self.inner.platform.sleep(config.heartbeat_interval).await;
                     false
@@ -123,7 +156,12 @@
         }
     }
 
-    fn next_message(&self, peer: &Member, term: u64) -> Option<ReplicaRequest> {
+    fn next_message(
+        &self,
+        peer: &Member,
+        term: u64,
+        transfer: &mut Option<SnapshotTransfer>,
+    ) -> Option<ReplicaRequest> {
         let header = self.header(peer.id, term);
         let state = self.inner.state.borrow();
         if !state.leads_term(term) || state.membership().member(peer.id).is_none() {
@@ -133,12 +171,22 @@
         let limit = self.inner.options.config.entries_per_message;
         let previous_index = next - 1;
         let held = state.log.term_at(previous_index).zip(state.log.entries_from(next, limit));
-        Some(match held {
-            Some((previous_term, entries)) => {
-                ReplicaRequest::Append { header, previous_index, previous_term, entries, commit: state.commit }
-            }
-            None => ReplicaRequest::InstallSnapshot { header, snapshot: state.snapshot() },
-        })
+        if let (Some((previous_term, entries)), None) = (held, &transfer) {
+            let commit = state.commit;
+            return Some(ReplicaRequest::Append { header, previous_index, previous_term, entries, commit });
+        }
+        let transfer = transfer.get_or_insert_with(|| SnapshotTransfer::new(&state.snapshot()));
+        Some(ReplicaRequest::SnapshotPart { header, part: transfer.next_part() })
+    }
+
+    fn record_contact(&self, peer: &Member, term: u64, sent_at: Duration) {
+        let mut state = self.inner.state.borrow_mut();
+        if !state.leads_term(term) {
+            return;
+        }
+        if let Some(progress) = state.leadership_mut().and_then(|leading| leading.progress.get_mut(&peer.id)) {
+            progress.answered_sent_at = progress.answered_sent_at.max(Some(sent_at));
+        }
     }
 
     /// Records a peer's answer; returns whether there is more to send at once.
--- a/crates/replication/src/log.rs
+++ b/crates/replication/src/log.rs
@@ -2,6 +2,7 @@
 
 use crate::membership::Membership;
 use bitcode::{Decode, Encode};
+use std::collections::VecDeque;
 
 /// One entry.
 #[derive(Clone, Debug, PartialEq, Eq, Encode, Decode)]
@@ -40,14 +41,16 @@
 pub struct MemoryLog {
     base_index: u64,
     base_term: u64,
-    entries: Vec<LogEntry>,
+    entries: VecDeque<LogEntry>,
     memberships: Vec<(u64, Membership)>,
+    /// Approximate size of the entries in bytes.
+    bytes: u64,
 }
 
 impl MemoryLog {
     /// A log that starts after a snapshot.
     pub fn new(base_index: u64, base_term: u64, membership: Membership) -> Self {
-        Self { base_index, base_term, entries: Vec::new(), memberships: vec![(base_index, membership)] }
+        Self { base_index, base_term, entries: VecDeque::new(), memberships: vec![(base_index, membership)], bytes: 0 }
     }
 
     /// The last index before the entries held.
@@ -62,7 +65,7 @@
 
     /// The term of the last entry.
     pub fn last_term(&self) -> u64 {
-        self.entries.last().map_or(self.base_term, |entry| entry.term)
+        self.entries.back().map_or(self.base_term, |entry| entry.term)
     }
 
     /// The term at `index`, if it is held.
@@ -82,8 +85,10 @@
     /// Up to `limit` entries from `first` on, if `first` is held or next.
     pub fn entries_from(&self, first: u64, limit: usize) -> Option<Vec<LogEntry>> {
         let offset = first.checked_sub(self.base_index + 1)? as usize;
-        let held = self.entries.get(offset..)?;
-        Some(held.iter().take(limit).cloned().collect())
+        if offset > self.entries.len() {
+            return None;
+        }
+        Some(self.entries.iter().skip(offset).take(limit).cloned().collect())
     }
 
     /// Appends `entry`, dropping what it replaces.
@@ -93,16 +98,40 @@
         if let EntryPayload::Membership(membership) = &entry.payload {
             self.memberships.push((entry.index, membership.clone()));
         }
-        self.entries.push(entry);
+        self.bytes += entry.payload.size();
+        self.entries.push_back(entry);
     }
 
     /// Drops every entry after `last`.
     pub fn truncate(&mut self, last: u64) {
         let keep = last.saturating_sub(self.base_index) as usize;
-        self.entries.truncate(keep);
+        while self.entries.len() > keep {
+            if let Some(dropped) = self.entries.pop_back() {
+                self.bytes -= dropped.payload.size();
+            }
+        }
         self.memberships.retain(|(index, _)| *index <= last.max(self.base_index));
     }
 
+    /// Approximate size of the entries held, in bytes.
+    pub fn bytes(&self) -> u64 {
+        self.bytes
+    }
+
+    /// The index up to which entries may be dropped so that at most `bytes` of them are left.
+    pub fn excess(&self, bytes: u64) -> u64 {
+        let mut left = self.bytes;
+        let mut index = self.base_index;
+        for entry in &self.entries {
+            if left <= bytes {
+                break;
+            }
+            left -= entry.payload.size();
+            index = entry.index;
+        }
+        index
+    }
+
     /// Drops every entry up to `index`.
     pub fn compact(&mut self, index: u64) {
         let Some(term) = self.term_at(index) else {
@@ -110,7 +139,9 @@
         };
         let membership = self.membership_at(index).clone();
         let drop_count = (index - self.base_index) as usize;
-        self.entries.drain(..drop_count);
+        for dropped in self.entries.drain(..drop_count) {
+            self.bytes -= dropped.payload.size();
+        }
         self.base_index = index;
         self.base_term = term;
         self.memberships.retain(|(at, _)| *at > index);
--- a/crates/replication/src/maintenance.rs
+++ b/crates/replication/src/maintenance.rs
@@ -18,6 +18,7 @@
             } else if self.snapshot_is_due() {
                 self.take_snapshot().await;
             }
+            self.trim_memory();
         }
     }
 
@@ -50,6 +51,23 @@
         }
     }
 
+    /// Drops applied entries from memory; the disk keeps them until the next snapshot.
+    fn trim_memory(&self) {
+        let config = &self.inner.options.config;
+        let now = self.inner.platform.monotonic();
+        let mut state = self.inner.state.borrow_mut();
+        if state.log.bytes() <= config.memory_bytes {
+            return;
+        }
+        let wanted = state.log.excess(config.memory_bytes);
+        let needed = state.least_matched(now, config.replace_after).unwrap_or(wanted);
+        let forced = state.log.excess(config.memory_bytes_behind);
+        let upto = wanted.min(needed).max(forced).min(state.applied);
+        if upto > state.log.base_index() {
+            state.log.compact(upto);
+        }
+    }
+
     /// The disk refused a write: take part in nothing until it is repaired.
     pub(crate) fn fail_storage(&self) {
         let mut state = self.inner.state.borrow_mut();
@@ -59,9 +77,20 @@
         self.inner.changed.notify();
     }
 
-    /// Rewrites the log with the entries that are known to be on disk.
+    /// Rewrites the log with the entries that are known to be on disk. Where memory no longer holds those after the last
+    /// snapshot, a new one goes first.
     async fn repair_storage(&self) {
         let mut storage = self.inner.storage.lock().await;
+        let newer = {
+            let state = self.inner.state.borrow();
+            (state.log.base_index() > state.snapshot_index).then(|| state.snapshot())
+        };
+        if let Some(snapshot) = newer {
+            if storage.write_snapshot(&snapshot).await.is_err() {
+                return;
+            }
+            self.inner.state.borrow_mut().snapshot_index = snapshot.index;
+        }
         let (term, voted_for, entries, synced) = {
             let state = self.inner.state.borrow();
             let synced = state.synced;
--- a/crates/replication/src/message.rs
+++ b/crates/replication/src/message.rs
@@ -48,12 +48,12 @@
         /// The leader's commit index.
         commit: u64,
     },
-    /// Replaces the receiver's state.
-    InstallSnapshot {
+    /// A part of an encoded [`Snapshot`], which replaces the receiver's state once it is whole.
+    SnapshotPart {
         /// Sender and receiver.
         header: Header,
-        /// The snapshot.
-        snapshot: Snapshot,
+        /// The part.
+        part: SnapshotPart,
     },
     /// The leader stops: the receiver should campaign now.
     TakeOver {
@@ -88,6 +88,13 @@
         /// When accepted the last index held; otherwise where to try next.
         index: u64,
     },
+    /// Of a part of a snapshot that is not whole yet.
+    SnapshotPart {
+        /// The receiver's term.
+        term: u64,
+        /// The byte that the receiver wants next.
+        next_offset: u64,
+    },
     /// The request was taken.
     Taken,
     /// Of a request to be added, by a replica that does not lead: where the group's replicas listen.
@@ -96,6 +103,19 @@
     Refused,
 }
 
+/// A part of an encoded [`Snapshot`].
+#[derive(Clone, Debug, PartialEq, Eq, Encode, Decode)]
+pub struct SnapshotPart {
+    /// Last entry that the snapshot includes.
+    pub index: u64,
+    /// Bytes of the whole.
+    pub total: u64,
+    /// Bytes before this part.
+    pub offset: u64,
+    /// The bytes.
+    pub bytes: Vec<u8>,
+}
+
 /// State up to an index.
 #[derive(Clone, Debug, PartialEq, Eq, Encode, Decode)]
 pub struct Snapshot {
--- a/crates/replication/src/replica.rs
+++ b/crates/replication/src/replica.rs
@@ -1,6 +1,7 @@
 //! A replica's public face: opening, proposing, reading and answering messages.
 
 use crate::config::ReplicationConfig;
+use crate::follower::IncomingSnapshot;
 use crate::log::EntryPayload;
 use crate::membership::{Member, Membership};
 use crate::message::{Header, ReplicaReply, ReplicaRequest};
@@ -63,6 +64,8 @@
     clients: RefCell<BTreeMap<SocketAddr, Client<P>>>,
     /// Replicas that are not to be members.
     pub unwanted: RefCell<BTreeSet<ReplicaId>>,
+    /// A snapshot that is being received.
+    pub incoming: RefCell<Option<IncomingSnapshot>>,
     /// Where replicas may listen that this one has heard of.
     pub heard_of: RefCell<BTreeSet<SocketAddr>>,
 }
@@ -120,6 +123,7 @@
             changed: Signal::default(),
             clients: RefCell::default(),
             unwanted: RefCell::default(),
+            incoming: RefCell::default(),
             heard_of: RefCell::default(),
         };
         let replica = Self { inner: Rc::new(inner) };
@@ -172,6 +176,12 @@
         state.may_serve(now, &self.inner.options.config).then_some(state.term)
     }
 
+    /// The term in which this replica leads, whether or not a quorum has answered lately.
+    pub fn claimed_term(&self) -> Option<u64> {
+        let state = self.inner.state.borrow();
+        state.leadership().map(|_| state.term)
+    }
+
     /// The leader's address, if another replica is known to lead.
     pub fn leader_address(&self) -> Option<SocketAddr> {
         let state = self.inner.state.borrow();
@@ -286,11 +296,11 @@
                 }
                 self.append_entries(header, previous_index, previous_term, entries, commit).await
             }
-            ReplicaRequest::InstallSnapshot { header, snapshot } => {
+            ReplicaRequest::SnapshotPart { header, part } => {
                 if !self.accepts_leader(&header).await {
                     return ReplicaReply::Refused;
                 }
-                self.install_snapshot(header, snapshot).await
+                self.take_snapshot_part(header, part).await
             }
             ReplicaRequest::TakeOver { header } => {
                 if !self.is_for_this_replica(&header) {
--- a/crates/replication/src/state.rs
+++ b/crates/replication/src/state.rs
@@ -127,6 +127,16 @@
         self.membership().quorum_value(answered).flatten()
     }
 
+    /// The last entry that every voter heard lately holds, if this replica leads.
+    pub fn least_matched(&self, now: Duration, silence: Duration) -> Option<u64> {
+        let leadership = self.leadership()?;
+        let heard = leadership
+            .progress
+            .values()
+            .filter(|progress| progress.answered_sent_at.is_some_and(|at| now < at + silence));
+        heard.map(|progress| progress.matched).min()
+    }
+
     /// Whether this replica leads, has committed in its term and holds the lease. A leader that hands over serves no
     /// more reads: its successor's election does not wait for the lease.
     pub fn may_serve(&self, now: Duration, config: &ReplicationConfig) -> bool {
--- a/crates/replication/src/storage.rs
+++ b/crates/replication/src/storage.rs
@@ -152,8 +152,12 @@
 
     /// Replaces the snapshot.
     pub async fn write_snapshot(&mut self, snapshot: &Snapshot) -> Result<(), StorageError> {
-        let bytes = wal::frame(&bitcode::encode(snapshot));
-        Ok(self.disk.replace(SNAPSHOT_FILE, bytes).await?)
+        self.write_encoded_snapshot(&bitcode::encode(snapshot)).await
+    }
+
+    /// Replaces the snapshot with one that is encoded already.
+    pub async fn write_encoded_snapshot(&mut self, encoded: &[u8]) -> Result<(), StorageError> {
+        Ok(self.disk.replace(SNAPSHOT_FILE, wal::frame(encoded)).await?)
     }
 }
 
--- a/crates/settings/src/member.rs
+++ b/crates/settings/src/member.rs
@@ -130,13 +130,15 @@
     /// Replication among as many voters as the losses to be borne ask for.
     pub fn replication(&self) -> ReplicationConfig {
         ReplicationConfig {
-            heartbeat_interval: Duration::from_millis(80),
+            heartbeat_interval: Duration::from_millis(70),
             election_timeout: Duration::from_millis(500),
-            election_jitter: Duration::from_millis(250),
+            election_jitter: Duration::from_millis(200),
             lease: Duration::from_millis(400),
             call_limit: Duration::from_millis(700),
             snapshot_entries: 40_000,
             snapshot_bytes: 96 * 1024 * 1024,
+            memory_bytes: 512 * 1024,
+            memory_bytes_behind: 8 * 1024 * 1024,
             target_voters: 2 * self.tolerated_losses as usize + 1,
             ..ReplicationConfig::default()
         }
