Give routed requests, batch jobs and control an interface of the product's own; the adapter keeps formats only

Cause: what the platform needs was reachable through the adapter alone, and handlers in the adapter decided answers.

--- a/crates/command-line/src/member.rs
+++ b/crates/command-line/src/member.rs
@@ -4,19 +4,17 @@
 use compio::net::TcpListener;
 use saddlerelay_control::node::ControlNode;
 use saddlerelay_control_client::ControlClient;
-use saddlerelay_coordinator::{Coordinator, CoordinatorConfig};
+use saddlerelay_coordinator::{Coordinator, CoordinatorConfig, EngineDialect};
 use saddlerelay_engine_client::{BackendAddresses, HttpBackends};
 use saddlerelay_gateway::{Gateway, GatewayConfig, GatewayOptions};
+use saddlerelay_gateway_api::{ControlApi, Formats, FrontApi, OwnEngines, OwnFormats, ReadinessApi};
 use saddlerelay_http::body::{Reply, whole};
 use saddlerelay_http::server::{HttpHandler, Shutdown, serve_until};
-use saddlerelay_platform::control::ControlApi;
-use saddlerelay_platform::engines::PlatformEngines;
-use saddlerelay_platform::front::{FrontApi, ReadinessApi};
-use saddlerelay_platform::names::header_names;
+use saddlerelay_platform::{PlatformEngines, PlatformFormats};
 use saddlerelay_replication::ReplicaOptions;
 use saddlerelay_runtime::Runtime;
 use saddlerelay_runtime_compio::CompioRuntime;
-use saddlerelay_settings::{MemberRole, MemberSettings};
+use saddlerelay_settings::{Interface, MemberRole, MemberSettings};
 use saddlerelay_telemetry::metrics::CONTENT_TYPE;
 use saddlerelay_types::gateway::{GatewayReply, GatewayRequest, StoreRecord};
 use std::cell::RefCell;
@@ -76,28 +74,59 @@
 }
 
 async fn run_role(settings: MemberSettings, file: PathBuf) -> Result<(), CommandError> {
+    match settings.interface {
+        Interface::Own => run_speaking(settings, file, OwnFormats, Box::new(OwnEngines)).await,
+        Interface::Platform => run_speaking(settings, file, PlatformFormats, Box::new(PlatformEngines)).await,
+    }
+}
+
+async fn run_speaking<F: Formats>(
+    settings: MemberSettings,
+    file: PathBuf,
+    formats: F,
+    engines: Box<dyn EngineDialect>,
+) -> Result<(), CommandError> {
     let seeds: Seeds = Rc::new(RefCell::new(settings.seed_peers()));
     match settings.role.clone() {
         MemberRole::Gateway { client_address, readiness_address } => {
-            run_gateway(settings, file, seeds, client_address, readiness_address).await
+            let addresses = GatewayAddresses { client_address, readiness_address };
+            run_gateway(settings, file, seeds, addresses, formats).await
         }
-        MemberRole::Coordinator { control_address, peer_address, data_folder, first_start } => {
-            let addresses = CoordinatorAddresses { control_address, peer_address };
-            run_coordinator(settings, file, seeds, addresses, data_folder, first_start).await
+        MemberRole::Coordinator { control_address, peer_address, peer_listen_address, data_folder, first_start } => {
+            let addresses = CoordinatorAddresses { control_address, peer_address, peer_listen_address };
+            let start = CoordinatorStart { addresses, data_folder, first_start };
+            run_coordinator(settings, file, seeds, start, formats, engines).await
         }
     }
 }
 
+struct GatewayAddresses {
+    client_address: SocketAddr,
+    readiness_address: SocketAddr,
+}
+
+struct CoordinatorAddresses {
+    control_address: SocketAddr,
+    peer_address: SocketAddr,
+    peer_listen_address: SocketAddr,
+}
+
+struct CoordinatorStart {
+    addresses: CoordinatorAddresses,
+    data_folder: PathBuf,
+    first_start: bool,
+}
+
 async fn listen(address: SocketAddr) -> Result<TcpListener, CommandError> {
     TcpListener::bind(address).await.map_err(|error| failed(format!("cannot listen on {address}: {error}")))
 }
 
-async fn run_gateway(
+async fn run_gateway<F: Formats>(
     settings: MemberSettings,
     file: PathBuf,
     seeds: Seeds,
-    client_address: SocketAddr,
-    readiness_address: SocketAddr,
+    addresses: GatewayAddresses,
+    formats: F,
 ) -> Result<(), CommandError> {
     let runtime = CompioRuntime::without_files();
     let control = ControlClient::new(runtime.clone(), &seeds.borrow(), &settings.shared_secret);
@@ -105,14 +134,18 @@
         name: settings.name.clone(),
         zone: settings.zone.clone(),
         seeds: seeds.clone(),
-        names: header_names(),
+        names: formats.header_names(),
         config: GatewayConfig::default(),
     };
-    let client_listener = listen(client_address).await?;
-    let readiness_listener = listen(readiness_address).await?;
+    let client_listener = listen(addresses.client_address).await?;
+    let readiness_listener = listen(addresses.readiness_address).await?;
     let gateway = Gateway::start(runtime.clone(), control, options);
     let shutdown = Shutdown::default();
-    runtime.spawn(serve_until(client_listener, Rc::new(FrontApi { gateway: gateway.clone() }), shutdown.clone()));
+    runtime.spawn(serve_until(
+        client_listener,
+        Rc::new(FrontApi { gateway: gateway.clone(), formats }),
+        shutdown.clone(),
+    ));
     let readiness = Rc::new(ReadinessApi { gateway: gateway.clone() });
     runtime.spawn(serve_until(readiness_listener, readiness, Shutdown::default()));
     let of_metrics = gateway.clone();
@@ -128,19 +161,15 @@
     Ok(())
 }
 
-struct CoordinatorAddresses {
-    control_address: SocketAddr,
-    peer_address: SocketAddr,
-}
-
-async fn run_coordinator(
+async fn run_coordinator<F: Formats>(
     settings: MemberSettings,
     file: PathBuf,
     seeds: Seeds,
-    addresses: CoordinatorAddresses,
-    data_folder: PathBuf,
-    first_start: bool,
+    start: CoordinatorStart,
+    formats: F,
+    engines: Box<dyn EngineDialect>,
 ) -> Result<(), CommandError> {
+    let CoordinatorStart { addresses, data_folder, first_start } = start;
     std::fs::create_dir_all(&data_folder).map_err(|error| failed(format!("{}: {error}", data_folder.display())))?;
     let runtime = CompioRuntime::new(data_folder);
     let peers = seeds.borrow().clone();
@@ -152,9 +181,9 @@
         config: settings.bounds.replication(),
     };
     let backends = HttpBackends::new(BackendAddresses { scorer: None, platform: None }).map_err(failed)?;
-    let peer_listener = runtime.listen(addresses.peer_address).await;
-    let peer_listener =
-        peer_listener.map_err(|error| failed(format!("cannot listen on {}: {error}", addresses.peer_address)))?;
+    let peer_listener = runtime.listen(addresses.peer_listen_address).await;
+    let peer_listener = peer_listener
+        .map_err(|error| failed(format!("cannot listen on {}: {error}", addresses.peer_listen_address)))?;
     let control_listener = listen(addresses.control_address).await?;
     let node =
         ControlNode::start(runtime.clone(), backends, settings.bounds.control(), options).await.map_err(failed)?;
@@ -167,12 +196,12 @@
         runtime.clone(),
         node.clone(),
         settings.name.clone(),
-        header_names(),
-        Box::new(PlatformEngines),
+        formats.header_names(),
+        engines,
         config,
     );
     let shutdown = Shutdown::default();
-    let api = Rc::new(ControlApi { control: control.clone() });
+    let api = Rc::new(ControlApi { control: control.clone(), formats });
     runtime.spawn(serve_until(control_listener, api, shutdown.clone()));
     serve_metrics(&runtime, settings.metrics_address, move || coordinator.metrics().encode()).await?;
     let record =
--- a/crates/coordinator/src/dialect.rs
+++ b/crates/coordinator/src/dialect.rs
@@ -3,9 +3,10 @@
 use bytes::Bytes;
 use hyper::Method;
 use saddlerelay_types::instance::LoadedModel;
+use serde::{Deserialize, Serialize};
 
 /// An order to change a model's weights.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct VersionOrder {
     /// The model and the version it is to have.
     pub target: LoadedModel,
@@ -20,7 +21,8 @@
 }
 
 /// What becomes of streams that run when a model's weights change.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
 pub enum RunningStreams {
     /// They end first.
     Wait,
@@ -40,7 +42,7 @@
 }
 
 /// What an engine tells of itself when asked.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct EngineReport {
     /// What it has loaded.
     pub models: Vec<LoadedModel>,
--- /dev/null
+++ b/crates/gateway-api/src/control.rs
@@ -0,0 +1,53 @@
+//! Calls of operators, trainers and engines to a machine that serves control.
+
+use crate::formats::{ControlCall, Formats, UnreadableCall};
+use crate::outcomes;
+use hyper::body::Incoming;
+use hyper::{Request, StatusCode};
+use saddlerelay_control_client::{ControlClient, GatewayError};
+use saddlerelay_http::body::{BodyError, Reply, read_limited, whole};
+use saddlerelay_http::server::HttpHandler;
+use saddlerelay_runtime_compio::CompioRuntime;
+use saddlerelay_types::gateway::{GatewayReply, GatewayRequest};
+use std::rc::Rc;
+use std::time::Duration;
+
+/// Callers move on to another machine after a second without a response.
+const CALL_LIMIT: Duration = Duration::from_millis(900);
+
+/// Longest wait for one control replica.
+const ATTEMPT_LIMIT: Duration = Duration::from_millis(600);
+
+/// Largest body accepted, in bytes.
+const MAX_BODY_BYTES: usize = 34 * 1024 * 1024;
+
+/// The address at which operators, trainers and engines reach a machine.
+pub struct ControlApi<F> {
+    /// Finds the group's leader, which may be this process.
+    pub control: ControlClient<CompioRuntime>,
+    /// The interface.
+    pub formats: F,
+}
+
+impl<F: Formats> HttpHandler for ControlApi<F> {
+    async fn handle(self: Rc<Self>, request: Request<Incoming>) -> Reply {
+        let (head, body) = request.into_parts();
+        let body = match read_limited(body, MAX_BODY_BYTES).await {
+            Ok(body) => body,
+            Err(BodyError::TooLarge) => return whole(StatusCode::PAYLOAD_TOO_LARGE, "text/plain", "too large"),
+            Err(_) => return whole(StatusCode::BAD_REQUEST, "text/plain", "the body broke off"),
+        };
+        match self.formats.control_call(&head.method, head.uri.path(), &body) {
+            Ok(ControlCall::Change(request)) => outcomes::changed(self.ask(request).await, StatusCode::OK),
+            Ok(ControlCall::Read(request)) => outcomes::read(&self.formats, self.ask(request).await),
+            Err(UnreadableCall::Unknown) => outcomes::not_found(),
+            Err(UnreadableCall::Malformed(reason)) => whole(StatusCode::BAD_REQUEST, "text/plain", reason),
+        }
+    }
+}
+
+impl<F: Formats> ControlApi<F> {
+    async fn ask(&self, request: GatewayRequest) -> Result<GatewayReply, GatewayError> {
+        self.control.gateway(request, CALL_LIMIT, ATTEMPT_LIMIT).await
+    }
+}
--- /dev/null
+++ b/crates/gateway-api/src/front.rs
@@ -0,0 +1,107 @@
+//! Clients' and trainers' calls to a gateway, and the question whether it takes connections.
+
+use crate::formats::{Formats, FrontCall};
+use crate::outcomes;
+use hyper::body::Incoming;
+use hyper::header::{CONNECTION, HeaderValue};
+use hyper::{Method, Request, StatusCode};
+use saddlerelay_control_client::GatewayError;
+use saddlerelay_gateway::refusal::Refusal;
+use saddlerelay_gateway::{ClientRequest, Gateway};
+use saddlerelay_http::body::{Reply, whole};
+use saddlerelay_http::server::HttpHandler;
+use saddlerelay_types::gateway::{GatewayReply, GatewayRequest};
+use saddlerelay_types::routing::RouteKind;
+use std::rc::Rc;
+use std::time::Duration;
+
+/// Longest time for a call about batch jobs, beside the time that it waits for results.
+const CALL_LIMIT: Duration = Duration::from_millis(2_400);
+
+/// Longest wait for one control replica.
+const ATTEMPT_LIMIT: Duration = Duration::from_millis(800);
+
+/// The address at which clients reach a gateway.
+pub struct FrontApi<F> {
+    /// The gateway.
+    pub gateway: Gateway,
+    /// The interface.
+    pub formats: F,
+}
+
+/// The address at which a gateway is asked whether it takes connections.
+pub struct ReadinessApi {
+    /// The gateway.
+    pub gateway: Gateway,
+}
+
+impl HttpHandler for ReadinessApi {
+    async fn handle(self: Rc<Self>, _request: Request<Incoming>) -> Reply {
+        let status = if self.gateway.is_ready() { StatusCode::OK } else { StatusCode::SERVICE_UNAVAILABLE };
+        whole(status, "text/plain", "")
+    }
+}
+
+impl<F: Formats> HttpHandler for FrontApi<F> {
+    async fn handle(self: Rc<Self>, request: Request<Incoming>) -> Reply {
+        let mut reply = self.answer(request).await;
+        if self.gateway.is_draining() {
+            reply.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
+        }
+        reply
+    }
+}
+
+impl<F: Formats> FrontApi<F> {
+    async fn answer(&self, request: Request<Incoming>) -> Reply {
+        let (head, body) = request.into_parts();
+        match self.formats.front_call(&head.method, &head.uri, &head.headers) {
+            FrontCall::ReadResults { job, after, wait_ms } => {
+                let question = GatewayRequest::ReadResults { job, after, wait_ms };
+                outcomes::read(&self.formats, self.ask(question, Duration::from_millis(wait_ms)).await)
+            }
+            FrontCall::ReadBody { job, item } => {
+                outcomes::read(&self.formats, self.ask(GatewayRequest::ReadBody { job, item }, Duration::ZERO).await)
+            }
+            FrontCall::EndJob(job) => {
+                outcomes::changed(self.ask(GatewayRequest::EndJob(job), Duration::ZERO).await, StatusCode::OK)
+            }
+            FrontCall::Routed => {
+                let request = ClientRequest::new(head, self.gateway.names(), self.gateway.now());
+                self.answer_routed(request, body).await
+            }
+        }
+    }
+
+    async fn answer_routed(&self, request: ClientRequest, body: Incoming) -> Reply {
+        match self.gateway.choose_route(&request.host, request.path()) {
+            Ok(chosen) if chosen.route().kind == RouteKind::Rollout && request.method == Method::POST => {
+                self.submit(&request, body).await
+            }
+            Ok(chosen) => self.gateway.serve_on(chosen, request, body).await,
+            Err(refusal) => self.gateway.refuse(&request, refusal),
+        }
+    }
+
+    async fn submit(&self, request: &ClientRequest, body: Incoming) -> Reply {
+        let body = match self.gateway.read_body(body).await {
+            Ok(body) => body,
+            Err(refusal) => return self.gateway.refuse(request, refusal),
+        };
+        match self.formats.read_job(&request.id, &request.host, request.path(), &body) {
+            Ok(job) => {
+                drop(body);
+                let answer = self.ask(GatewayRequest::SubmitJob(job), Duration::ZERO).await;
+                outcomes::changed(answer, StatusCode::ACCEPTED)
+            }
+            Err(reason) => {
+                self.gateway.refuse(request, Refusal::Malformed);
+                whole(StatusCode::BAD_REQUEST, "text/plain", reason)
+            }
+        }
+    }
+
+    async fn ask(&self, request: GatewayRequest, wait: Duration) -> Result<GatewayReply, GatewayError> {
+        self.gateway.control().gateway(request, CALL_LIMIT + wait, ATTEMPT_LIMIT + wait).await
+    }
+}
--- /dev/null
+++ b/crates/gateway-api/src/outcomes.rs
@@ -0,0 +1,50 @@
+//! Answers to calls, from what the control group's leader has answered.
+
+use crate::formats::Formats;
+use hyper::StatusCode;
+use hyper::header::{HeaderValue, RETRY_AFTER};
+use saddlerelay_control_client::GatewayError;
+use saddlerelay_http::body::{Reply, whole};
+use saddlerelay_types::gateway::GatewayReply;
+
+/// What callers are told to wait when the control group cannot be asked, in seconds.
+const RETRY_AFTER_SECONDS: &str = "0.3";
+
+/// The answer to a call that changes something.
+pub fn changed(answer: Result<GatewayReply, GatewayError>, done: StatusCode) -> Reply {
+    match answer {
+        Ok(GatewayReply::Done) => whole(done, "application/json", "{}"),
+        Ok(GatewayReply::NotFound) => not_found(),
+        Ok(GatewayReply::TooFew) => whole(StatusCode::CONFLICT, "text/plain", "too few machines would be left"),
+        Ok(GatewayReply::InvalidRouting(error)) => whole(StatusCode::BAD_REQUEST, "text/plain", error.to_string()),
+        Err(GatewayError::NotDone) => unavailable(),
+        Ok(_) | Err(GatewayError::Undecided) => {
+            whole(StatusCode::GATEWAY_TIMEOUT, "text/plain", "undecided: it may be done, now or later")
+        }
+    }
+}
+
+/// The answer to a call that reads: whoever cannot be sure says so.
+pub fn read<F: Formats>(formats: &F, answer: Result<GatewayReply, GatewayError>) -> Reply {
+    match answer {
+        Ok(GatewayReply::Results(page)) => whole(StatusCode::OK, "application/json", formats.write_page(&page)),
+        Ok(GatewayReply::Body(body)) => whole(StatusCode::OK, "application/octet-stream", body),
+        Ok(GatewayReply::Routing(Some(source))) => whole(StatusCode::OK, "application/json", source),
+        Ok(GatewayReply::Retirement { completed }) => {
+            whole(StatusCode::OK, "application/json", formats.write_retirement(completed))
+        }
+        Ok(GatewayReply::NotFound | GatewayReply::Routing(None)) => not_found(),
+        Ok(_) | Err(_) => unavailable(),
+    }
+}
+
+/// The answer when there is no such call, or nothing of that name.
+pub fn not_found() -> Reply {
+    whole(StatusCode::NOT_FOUND, "text/plain", "there is no such thing")
+}
+
+fn unavailable() -> Reply {
+    let mut reply = whole(StatusCode::SERVICE_UNAVAILABLE, "text/plain", "the control group cannot be asked");
+    reply.headers_mut().insert(RETRY_AFTER, HeaderValue::from_static(RETRY_AFTER_SECONDS));
+    reply
+}
--- /dev/null
+++ b/crates/gateway-api/src/own.rs
@@ -0,0 +1,121 @@
+//! The product's own interface: its types as JSON.
+
+use crate::formats::{ControlCall, Formats, FrontCall, UnreadableCall, query_value};
+use bytes::Bytes;
+use hyper::{HeaderMap, Method, StatusCode, Uri};
+use saddlerelay_coordinator::EngineDialect;
+use saddlerelay_coordinator::dialect::{Call, EngineReport, OrderAnswer, VersionOrder};
+use saddlerelay_types::gateway::GatewayRequest;
+use saddlerelay_types::instance::InstanceId;
+use saddlerelay_types::job::{ItemId, JobId, JobSubmission, ResultPage};
+use saddlerelay_types::routing::RoutingDocument;
+use saddlerelay_upstream::HeaderNames;
+use serde::de::DeserializeOwned;
+
+/// The path at which an engine takes orders.
+pub const ORDER_PATH: &str = "/v1/weights";
+
+/// The path at which an engine reports itself when asked.
+pub const REPORT_PATH: &str = "/v1/report";
+
+/// The product's own formats.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct OwnFormats;
+
+fn read<T: DeserializeOwned>(body: &[u8]) -> Result<T, UnreadableCall> {
+    serde_json::from_slice(body).map_err(|error| UnreadableCall::Malformed(error.to_string()))
+}
+
+fn read_routing(body: &Bytes) -> Result<RoutingDocument, UnreadableCall> {
+    let document: RoutingDocument = read(body)?;
+    Ok(RoutingDocument { source: body.to_vec(), ..document })
+}
+
+impl Formats for OwnFormats {
+    fn header_names(&self) -> HeaderNames {
+        HeaderNames::default()
+    }
+
+    fn front_call(&self, method: &Method, uri: &Uri, _headers: &HeaderMap) -> FrontCall {
+        let path = uri.path().trim_matches('/').to_string();
+        let number = |name: &str| query_value(uri, name).and_then(|value| value.parse().ok()).unwrap_or(0);
+        match (method, path.split('/').collect::<Vec<_>>().as_slice()) {
+            (&Method::GET, ["v1", "jobs", job, "results"]) => FrontCall::ReadResults {
+                job: JobId(job.to_string()),
+                after: number("after"),
+                wait_ms: number("wait_ms"),
+            },
+            (&Method::GET, ["v1", "jobs", job, "items", item, "body"]) => {
+                FrontCall::ReadBody { job: JobId(job.to_string()), item: ItemId(item.to_string()) }
+            }
+            (&Method::DELETE, ["v1", "jobs", job]) => FrontCall::EndJob(JobId(job.to_string())),
+            _ => FrontCall::Routed,
+        }
+    }
+
+    fn read_job(&self, id: &str, host: &str, path: &str, body: &[u8]) -> Result<JobSubmission, String> {
+        let job: JobSubmission = serde_json::from_slice(body).map_err(|error| error.to_string())?;
+        Ok(JobSubmission { id: JobId(id.to_string()), host: host.to_string(), path: path.to_string(), ..job })
+    }
+
+    fn write_page(&self, page: &ResultPage) -> Vec<u8> {
+        serde_json::to_vec(page).unwrap_or_default()
+    }
+
+    fn control_call(&self, method: &Method, path: &str, body: &Bytes) -> Result<ControlCall, UnreadableCall> {
+        let path = path.trim_matches('/').split('/').collect::<Vec<_>>();
+        let call = match (method, path.as_slice()) {
+            (&Method::PUT, ["v1", "instances", _]) => ControlCall::Change(GatewayRequest::ReportInstance(read(body)?)),
+            (&Method::DELETE, ["v1", "instances", id]) => {
+                ControlCall::Change(GatewayRequest::RemoveInstance(InstanceId(id.to_string())))
+            }
+            (&Method::POST, ["v1", "versions"]) => ControlCall::Change(GatewayRequest::NameVersion(read(body)?)),
+            (&Method::PUT, ["admin", "v1", "routing"]) => {
+                ControlCall::Change(GatewayRequest::PutRouting(read_routing(body)?))
+            }
+            (&Method::GET, ["admin", "v1", "routing"]) => ControlCall::Read(GatewayRequest::ReadRouting),
+            (&Method::POST, ["admin", "v1", "stores", name, "retirement"]) => {
+                ControlCall::Change(GatewayRequest::RetireStore(name.to_string()))
+            }
+            (&Method::GET, ["admin", "v1", "stores", name, "retirement"]) => {
+                ControlCall::Read(GatewayRequest::ReadRetirement(name.to_string()))
+            }
+            _ => return Err(UnreadableCall::Unknown),
+        };
+        Ok(call)
+    }
+
+    fn write_retirement(&self, completed: bool) -> Vec<u8> {
+        format!("{{\"completed\":{completed}}}").into_bytes()
+    }
+}
+
+/// Engines that speak the product's own formats.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct OwnEngines;
+
+impl EngineDialect for OwnEngines {
+    fn order(&self, order: &VersionOrder) -> Call {
+        let body = serde_json::to_vec(order).unwrap_or_default();
+        Call { method: Method::PUT, path: ORDER_PATH.to_string(), body: body.into() }
+    }
+
+    fn order_answer(&self, status: StatusCode) -> OrderAnswer {
+        match status {
+            StatusCode::ACCEPTED => OrderAnswer::Taken,
+            StatusCode::OK => OrderAnswer::Holds,
+            StatusCode::CONFLICT => OrderAnswer::Conflict,
+            StatusCode::PRECONDITION_FAILED => OrderAnswer::Fenced,
+            StatusCode::MISDIRECTED_REQUEST => OrderAnswer::OtherInstance,
+            _ => OrderAnswer::Refused,
+        }
+    }
+
+    fn report(&self) -> Call {
+        Call { method: Method::GET, path: REPORT_PATH.to_string(), body: Bytes::new() }
+    }
+
+    fn read_report(&self, body: &[u8]) -> Option<EngineReport> {
+        serde_json::from_slice(body).ok()
+    }
+}
--- a/crates/settings/src/member.rs
+++ b/crates/settings/src/member.rs
@@ -44,10 +44,21 @@
     pub shared_secret: String,
     /// The deployment's bounds.
     pub bounds: Bounds,
+    /// How callers, engines and operators speak to it.
+    pub interface: Interface,
     /// What the process is.
     pub role: MemberRole,
 }
 
+/// How callers, engines and operators speak to a member.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Interface {
+    /// In the product's own formats.
+    Own,
+    /// In those of the users' platform.
+    Platform,
+}
+
 /// What a member is.
 #[derive(Clone, Debug, PartialEq)]
 pub enum MemberRole {
@@ -64,6 +75,8 @@
         control_address: SocketAddr,
         /// Where saddlerelay's own processes reach it.
         peer_address: SocketAddr,
+        /// Where it listens for them, if that is elsewhere, for example behind a forwarder.
+        peer_listen_address: SocketAddr,
         /// Its files.
         data_folder: PathBuf,
         /// Whether the deployment starts for the first time.
@@ -152,6 +165,28 @@
     }
 }
 
+fn parse_coordinator(root: &mut Section) -> MemberRole {
+    let peer_address = root.address("peer_address");
+    MemberRole::Coordinator {
+        control_address: root.address("control_address"),
+        peer_address,
+        peer_listen_address: root.optional_address("peer_listen_address").unwrap_or(peer_address),
+        data_folder: PathBuf::from(root.text("data_folder", 1)),
+        first_start: root.flag("first_start", false),
+    }
+}
+
+fn parse_interface(root: &mut Section) -> Interface {
+    match root.optional_text("interface").as_deref() {
+        None | Some("own") => Interface::Own,
+        Some("platform") => Interface::Platform,
+        Some(other) => {
+            root.refuse("interface", Some(format!("\"{other}\"")), "is not `own` or `platform`");
+            Interface::Own
+        }
+    }
+}
+
 /// Reads a member's settings, or tells everything that is wrong with them.
 pub fn parse_member(text: &str) -> Result<MemberSettings, Vec<SettingError>> {
     let table: Table = text.parse().map_err(|error: toml::de::Error| {
@@ -167,13 +202,9 @@
     let seeds = root.addresses("seeds");
     let peer_port = root.required_number("peer_port", 1..=65_535) as u16;
     let shared_secret = root.text("shared_secret", SHORTEST_SECRET);
+    let interface = parse_interface(&mut root);
     let role = match role_name.as_str() {
-        "coordinator" => MemberRole::Coordinator {
-            control_address: root.address("control_address"),
-            peer_address: root.address("peer_address"),
-            data_folder: PathBuf::from(root.text("data_folder", 1)),
-            first_start: root.flag("first_start", false),
-        },
+        "coordinator" => parse_coordinator(&mut root),
         _ => MemberRole::Gateway {
             client_address: root.address("client_address"),
             readiness_address: root.address("readiness_address"),
@@ -184,6 +215,7 @@
     }
     root.end();
     let bounds = Bounds::parse(bounds, &mut errors);
-    let settings = MemberSettings { name, zone, metrics_address, seeds, peer_port, shared_secret, bounds, role };
+    let settings =
+        MemberSettings { name, zone, metrics_address, seeds, peer_port, shared_secret, bounds, interface, role };
     if errors.is_empty() { Ok(settings) } else { Err(errors) }
 }
--- a/crates/types/src/instance.rs
+++ b/crates/types/src/instance.rs
@@ -1,14 +1,15 @@
 //! Engine instances as they report themselves: each start of an engine is a new instance.
 
 use bitcode::{Decode, Encode};
+use serde::{Deserialize, Serialize};
 use std::net::SocketAddr;
 
 /// One start of an engine.
-#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Encode, Decode)]
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Encode, Decode, Serialize, Deserialize)]
 pub struct InstanceId(pub String);
 
 /// A model that an instance has loaded.
-#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Encode, Decode)]
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Encode, Decode, Serialize, Deserialize)]
 pub struct LoadedModel {
     /// The model.
     pub model: String,
@@ -17,7 +18,7 @@
 }
 
 /// What an instance says of itself.
-#[derive(Clone, Debug, PartialEq, Eq, Encode, Decode)]
+#[derive(Clone, Debug, PartialEq, Eq, Encode, Decode, Serialize, Deserialize)]
 pub struct InstanceReport {
     /// The instance.
     pub id: InstanceId,
@@ -38,7 +39,7 @@
 }
 
 /// Whether an instance may be given work. States only go forward.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Encode, Decode)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Encode, Decode, Serialize, Deserialize)]
 pub enum InstanceState {
     /// It may.
     Ready,
@@ -49,7 +50,7 @@
 }
 
 /// An instance as the control group knows it.
-#[derive(Clone, Debug, PartialEq, Eq, Encode, Decode)]
+#[derive(Clone, Debug, PartialEq, Eq, Encode, Decode, Serialize, Deserialize)]
 pub struct InstanceRecord {
     /// Its newest committed report.
     pub report: InstanceReport,
--- a/crates/types/src/job.rs
+++ b/crates/types/src/job.rs
@@ -1,17 +1,18 @@
 //! Batch jobs: many streams that are handed in at once, run later, and read by position.
 
 use bitcode::{Decode, Encode};
+use serde::{Deserialize, Serialize};
 
 /// A batch job, named by whoever hands it in.
-#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Encode, Decode)]
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Encode, Decode, Serialize, Deserialize)]
 pub struct JobId(pub String);
 
 /// An item of a batch job.
-#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Encode, Decode)]
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Encode, Decode, Serialize, Deserialize)]
 pub struct ItemId(pub String);
 
 /// A batch job as it is handed in.
-#[derive(Clone, Debug, PartialEq, Encode, Decode)]
+#[derive(Clone, Debug, PartialEq, Encode, Decode, Serialize, Deserialize)]
 pub struct JobSubmission {
     /// The job.
     pub id: JobId,
@@ -32,7 +33,7 @@
 }
 
 /// One item: a request that an engine answers with a stream of events.
-#[derive(Clone, Debug, PartialEq, Encode, Decode)]
+#[derive(Clone, Debug, PartialEq, Encode, Decode, Serialize, Deserialize)]
 pub struct JobItem {
     /// The item; the same one may come again in a later job.
     pub id: ItemId,
@@ -40,7 +41,8 @@
     pub path: String,
     /// Its headers, as handed in.
     pub headers: Vec<(String, String)>,
-    /// Its body.
+    /// Its body; base64 in JSON.
+    #[serde(with = "crate::base64_bytes")]
     pub body: Vec<u8>,
     /// Tokens of the prompt and at most generated, together.
     pub tokens: u64,
@@ -49,7 +51,8 @@
 }
 
 /// How an item ended.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Encode, Decode)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Encode, Decode, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
 pub enum ItemEnd {
     /// Its text is whole.
     Completed,
@@ -58,20 +61,21 @@
 }
 
 /// An item's result; it keeps its position.
-#[derive(Clone, Debug, PartialEq, Eq, Encode, Decode)]
+#[derive(Clone, Debug, PartialEq, Eq, Encode, Decode, Serialize, Deserialize)]
 pub struct ItemResult {
     /// The item's index in the job.
     pub item: u32,
     /// How it ended.
     pub end: ItemEnd,
-    /// The data of its events, parted by line feeds.
+    /// The data of its events, parted by line feeds; base64 in JSON.
+    #[serde(with = "crate::base64_bytes")]
     pub text: Vec<u8>,
     /// The weight versions that made an event of the text, ascending.
     pub versions: Vec<u64>,
 }
 
 /// A piece of an item's text, which goes after what is held already.
-#[derive(Clone, Debug, PartialEq, Eq, Encode, Decode)]
+#[derive(Clone, Debug, PartialEq, Eq, Encode, Decode, Serialize, Deserialize)]
 pub struct TextPart {
     /// The item's index in the job.
     pub item: u32,
@@ -88,7 +92,7 @@
 }
 
 /// How an item has ended, with the rest of its text.
-#[derive(Clone, Debug, PartialEq, Eq, Encode, Decode)]
+#[derive(Clone, Debug, PartialEq, Eq, Encode, Decode, Serialize, Deserialize)]
 pub struct ItemOutcome {
     /// How it ended.
     pub end: ItemEnd,
@@ -97,7 +101,7 @@
 }
 
 /// The text of an item that has not ended.
-#[derive(Clone, Debug, Default, PartialEq, Eq, Encode, Decode)]
+#[derive(Clone, Debug, Default, PartialEq, Eq, Encode, Decode, Serialize, Deserialize)]
 pub struct PartialText {
     /// The data of its events, parted by line feeds.
     pub data: Vec<u8>,
@@ -128,7 +132,7 @@
 }
 
 /// A part of a job's results.
-#[derive(Clone, Debug, PartialEq, Eq, Encode, Decode)]
+#[derive(Clone, Debug, PartialEq, Eq, Encode, Decode, Serialize, Deserialize)]
 pub struct ResultPage {
     /// Items of the job.
     pub total: u64,
--- a/crates/types/src/lib.rs
+++ b/crates/types/src/lib.rs
@@ -2,6 +2,7 @@
 //!
 //! This crate holds data only: no I/O, no clocks, no tasks. Every other crate depends on it.
 
+pub mod base64_bytes;
 pub mod claim;
 pub mod configuration;
 pub mod engine;
--- a/crates/types/src/routing.rs
+++ b/crates/types/src/routing.rs
@@ -1,9 +1,10 @@
 //! Routed requests: the whole-document configuration that says which service serves which host and path.
 
 use bitcode::{Decode, Encode};
+use serde::{Deserialize, Serialize};
 
 /// Routes, services and limits as one versioned document; the highest version wins.
-#[derive(Clone, Debug, PartialEq, Encode, Decode)]
+#[derive(Clone, Debug, PartialEq, Encode, Decode, Serialize, Deserialize)]
 pub struct RoutingDocument {
     /// The operator's version; rises in uneven steps.
     pub version: u64,
@@ -14,11 +15,13 @@
     /// What clients may send.
     pub limits: RequestLimits,
     /// The document as the operator sent it, to be read back unchanged.
+    #[serde(skip)]
     pub source: Vec<u8>,
 }
 
 /// How often a request of a route may run.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Encode, Decode)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Encode, Decode, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
 pub enum RouteKind {
     /// May run more than once.
     Idempotent,
@@ -31,7 +34,7 @@
 }
 
 /// One route.
-#[derive(Clone, Debug, PartialEq, Encode, Decode)]
+#[derive(Clone, Debug, PartialEq, Encode, Decode, Serialize, Deserialize)]
 pub struct Route {
     /// The operator's name for it.
     pub name: String,
@@ -52,13 +55,15 @@
     /// The most engines that one request may go to.
     pub max_attempts: u32,
     /// A stream may go on at another engine after its last event.
+    #[serde(default)]
     pub resumable: bool,
     /// How batch jobs on this route are run.
+    #[serde(default)]
     pub batch: BatchTerms,
 }
 
 /// A service's share of a route.
-#[derive(Clone, Debug, PartialEq, Encode, Decode)]
+#[derive(Clone, Debug, PartialEq, Encode, Decode, Serialize, Deserialize)]
 pub struct WeightedTarget {
     /// The service.
     pub service: String,
@@ -67,7 +72,7 @@
 }
 
 /// How a route runs batch jobs.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Encode, Decode)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Encode, Decode, Serialize, Deserialize)]
 pub struct BatchTerms {
     /// An item may be given up this long after its job was sent, in milliseconds.
     pub give_up_after_ms: u64,
@@ -78,7 +83,7 @@
 }
 
 /// Engines that are alike.
-#[derive(Clone, Debug, PartialEq, Encode, Decode)]
+#[derive(Clone, Debug, PartialEq, Encode, Decode, Serialize, Deserialize)]
 pub struct Service {
     /// The operator's name for it.
     pub name: String,
@@ -91,7 +96,7 @@
 }
 
 /// What the engines of a service can hold.
-#[derive(Clone, Debug, PartialEq, Encode, Decode)]
+#[derive(Clone, Debug, PartialEq, Encode, Decode, Serialize, Deserialize)]
 pub struct ModelHosting {
     /// Requests that one engine runs at once.
     pub slots: u32,
@@ -104,7 +109,7 @@
 }
 
 /// What a client may send, and how long it may take.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Encode, Decode)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Encode, Decode, Serialize, Deserialize)]
 pub struct RequestLimits {
     /// The most bytes of a request's head.
     pub max_header_bytes: u64,
@@ -117,7 +122,7 @@
 }
 
 /// Why a document cannot be taken.
-#[derive(Clone, Debug, PartialEq, Eq, Encode, Decode)]
+#[derive(Clone, Debug, PartialEq, Eq, Encode, Decode, Serialize, Deserialize)]
 pub enum RoutingError {
     /// A route names a service that the document does not have.
     UnknownService(String),
@@ -131,6 +136,22 @@
     BadPrefix(String),
 }
 
+impl std::fmt::Display for RoutingError {
+    fn fmt(&self, formatter: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        match self {
+            Self::UnknownService(service) => {
+                write!(formatter, "a route names service `{service}`, which is not listed")
+            }
+            Self::SamePlace(route) => write!(formatter, "route `{route}` has the host and prefix of another route"),
+            Self::NoWeight(route) => write!(formatter, "the weights of route `{route}` add up to 0"),
+            Self::NoTimeout(route) => write!(formatter, "the timeout of route `{route}` is 0"),
+            Self::BadPrefix(route) => {
+                write!(formatter, "the prefix of route `{route}` must begin and end with a slash")
+            }
+        }
+    }
+}
+
 impl RoutingDocument {
     /// The service with this name.
     pub fn service(&self, name: &str) -> Option<&Service> {
