--- a/crates/control/src/state/jobs.rs
+++ b/crates/control/src/state/jobs.rs
@@ -167,7 +167,7 @@
     }
 
     /// The latest jobs before `id` that were sent to the same place and have ended, newest first.
-    pub fn predecessors<'a>(&'a self, id: &JobId) -> impl Iterator<Item = &'a Job> {
+    pub fn predecessors<'a>(&'a self, id: &JobId) -> impl Iterator<Item = &'a Job> + use<'a> {
         let job = self.jobs.get(id);
         let same_place = move |other: &&Job| {
             job.is_some_and(|job| {
--- /dev/null
+++ b/crates/gateway-api/tests/common/mod.rs
@@ -0,0 +1,313 @@
+//! One control replica with its coordinator, one gateway, and stand-in engines, in one process over loopback.
+#![allow(dead_code)]
+
+pub mod engine;
+
+use engine::StandInEngine;
+use hyper::{Method, StatusCode};
+use saddlerelay_control::config::ControlConfig;
+use saddlerelay_control::node::ControlNode;
+use saddlerelay_control_client::ControlClient;
+use saddlerelay_coordinator::{Coordinator, CoordinatorConfig};
+use saddlerelay_engine_client::{BackendAddresses, HttpBackends};
+use saddlerelay_gateway::{Gateway, GatewayConfig, GatewayOptions};
+use saddlerelay_gateway_api::{ControlApi, FrontApi, OwnEngines, OwnFormats};
+use saddlerelay_http::client::{Connection, WholeResponse};
+use saddlerelay_http::server::{Shutdown, serve_until};
+use saddlerelay_replication::ReplicaOptions;
+use saddlerelay_replication::config::ReplicationConfig;
+use saddlerelay_runtime::Runtime;
+use saddlerelay_runtime_compio::CompioRuntime;
+use saddlerelay_types::instance::{InstanceId, InstanceReport, LoadedModel};
+use saddlerelay_types::job::{ItemId, JobId, JobItem, JobSubmission, ResultPage};
+use saddlerelay_types::routing::{
+    BatchTerms, ModelHosting, RequestLimits, Route, RouteKind, RoutingDocument, Service, WeightedTarget,
+};
+use std::cell::RefCell;
+use std::future::Future;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+const SECRET: &str = "a secret of sixteen signs";
+
+/// How long a test waits for what it expects.
+pub const PATIENCE: Duration = Duration::from_secs(20);
+
+/// The host of every route in these tests.
+pub const HOST: &str = "clinic.example";
+
+/// Runs a test on a runtime of its own.
+pub fn block_on<T>(future: impl Future<Output = T>) -> T {
+    spdlog::default_logger().set_level_filter(spdlog::LevelFilter::Off);
+    compio::runtime::Runtime::new().expect("a runtime").block_on(future)
+}
+
+/// Waits until `holds`; fails the test when it does not come to hold.
+pub async fn eventually(what: &str, mut holds: impl AsyncFnMut() -> bool) {
+    let until = Instant::now() + PATIENCE;
+    while !holds().await {
+        assert!(Instant::now() < until, "it did not come to hold that {what}");
+        compio::time::sleep(Duration::from_millis(10)).await;
+    }
+}
+
+/// The deployment.
+pub struct Deployment {
+    pub node: ControlNode<CompioRuntime, HttpBackends>,
+    pub gateway: Gateway,
+    pub front: SocketAddr,
+    pub control: SocketAddr,
+    folder: std::path::PathBuf,
+}
+
+impl Drop for Deployment {
+    fn drop(&mut self) {
+        let _ = std::fs::remove_dir_all(&self.folder);
+    }
+}
+
+async fn bind() -> (compio::net::TcpListener, SocketAddr) {
+    let listener = compio::net::TcpListener::bind("127.0.0.1:0").await.expect("a free port");
+    let address = listener.local_addr().expect("an address");
+    (listener, address)
+}
+
+/// Timing of tests: nothing waits for long.
+fn coordinator_config() -> CoordinatorConfig {
+    CoordinatorConfig {
+        usual_load: Duration::from_millis(20),
+        load_poll: Duration::from_millis(10),
+        order_wait: Duration::ZERO,
+        engine_rest: Duration::from_millis(30),
+        event_limit: Duration::from_millis(400),
+        keep_interval: Duration::from_millis(20),
+        ..CoordinatorConfig::default()
+    }
+}
+
+impl Deployment {
+    /// Starts it and waits until it has a leader.
+    pub async fn start(name: &str) -> Self {
+        let folder = std::env::temp_dir().join(format!("saddlerelay-{name}-{}", std::process::id()));
+        let _ = std::fs::remove_dir_all(&folder);
+        std::fs::create_dir_all(&folder).expect("a folder");
+        let runtime = CompioRuntime::new(folder.clone());
+        let (peer_listener, peer) = bind().await;
+        let options = ReplicaOptions {
+            address: peer,
+            peers: vec![peer],
+            founders: vec![peer],
+            secret: SECRET.to_string(),
+            config: ReplicationConfig {
+                election_timeout: Duration::from_millis(300),
+                election_jitter: Duration::from_millis(20),
+                lease: Duration::from_millis(250),
+                heartbeat_interval: Duration::from_millis(50),
+                target_voters: 1,
+                ..ReplicationConfig::default()
+            },
+        };
+        let backends = HttpBackends::new(BackendAddresses { scorer: None, platform: None }).expect("a client");
+        let node = ControlNode::start(runtime.clone(), backends, ControlConfig::default(), options).await;
+        let node = node.expect("an empty folder");
+        let listener = saddlerelay_runtime_compio::connection::TcpFrameListener::new(peer_listener, Default::default());
+        let handler = Rc::new(node.clone());
+        runtime.spawn(saddlerelay_rpc::server::serve(runtime.clone(), listener, SECRET.to_string(), handler));
+        Coordinator::start(
+            runtime.clone(),
+            node.clone(),
+            "coordinator".to_string(),
+            Default::default(),
+            Box::new(OwnEngines),
+            coordinator_config(),
+        );
+        let client = || ControlClient::new(runtime.clone(), &[peer], SECRET);
+        let options = GatewayOptions {
+            name: "gateway".to_string(),
+            zone: "north".to_string(),
+            seeds: Rc::new(RefCell::new(vec![peer])),
+            names: Default::default(),
+            config: GatewayConfig::default(),
+        };
+        let gateway = Gateway::start(runtime.clone(), client(), options);
+        let (front_listener, front) = bind().await;
+        let front_api = Rc::new(FrontApi { gateway: gateway.clone(), formats: OwnFormats });
+        runtime.spawn(serve_until(front_listener, front_api, Shutdown::default()));
+        let (control_listener, control) = bind().await;
+        let control_api = Rc::new(ControlApi { control: client(), formats: OwnFormats });
+        runtime.spawn(serve_until(control_listener, control_api, Shutdown::default()));
+        let deployment = Self { node, gateway, front, control, folder };
+        eventually("the group has a leader", async || deployment.node.replica().leading_term().is_some()).await;
+        deployment
+    }
+
+    /// Puts a routing document in force at the gateway.
+    pub async fn configure(&self, document: &RoutingDocument) {
+        let body = serde_json::to_vec(document).expect("JSON");
+        let answer = call(self.control, Method::PUT, "/admin/v1/routing", &[], body).await;
+        assert_eq!(answer.status, StatusCode::OK);
+        eventually("the document is in force", async || {
+            let probe = self.gateway.choose_route(HOST, "/absent/");
+            self.gateway.is_ready() && probe.is_err() && self.routing_version() == Some(document.version)
+        })
+        .await;
+    }
+
+    fn routing_version(&self) -> Option<u64> {
+        self.node.read(|state| state.routing.version()).flatten()
+    }
+
+    /// Registers an engine, and waits until the gateway knows it.
+    pub async fn register(&self, engine: &StandInEngine, service: &str) {
+        self.report(engine, service, false, 1).await;
+    }
+
+    /// Has an engine report itself.
+    pub async fn report(&self, engine: &StandInEngine, service: &str, leaving: bool, sequence: u64) {
+        let report = InstanceReport {
+            id: engine.instance(),
+            service: service.to_string(),
+            address: engine.address(),
+            zone: "north".to_string(),
+            slots: 4,
+            leaving,
+            models: engine.models(),
+            sequence,
+        };
+        let path = format!("/v1/instances/{}", engine.instance().0);
+        let body = serde_json::to_vec(&report).expect("JSON");
+        let answer = call(self.control, Method::PUT, &path, &[], body).await;
+        assert_eq!(answer.status, StatusCode::OK);
+    }
+
+    /// Waits until the gateway has heard of `count` engines of a service.
+    pub async fn await_engines(&self, service: &str, count: usize) {
+        eventually("the gateway knows the engines", async || self.gateway.ready_engines(service) == count).await;
+    }
+
+    /// A client's request.
+    pub async fn request(&self, method: Method, path: &str, headers: &[(&str, &str)], body: &str) -> WholeResponse {
+        call(self.front, method, path, &[headers, &[("host", HOST)]].concat(), body.to_string()).await
+    }
+
+    /// Hands a job in.
+    pub async fn submit(&self, job: &JobSubmission) -> StatusCode {
+        let body = serde_json::to_vec(job).expect("JSON");
+        let path = format!("/rollouts/{}", job.id.0);
+        let headers = [("host", HOST), ("saddlerelay-request", job.id.0.as_str())];
+        call(self.front, Method::POST, &path, &headers, body).await.status
+    }
+
+    /// Reads a job's results from the start.
+    pub async fn results(&self, job: &str) -> Option<ResultPage> {
+        let path = format!("/v1/jobs/{job}/results?after=0&wait_ms=50");
+        let answer = call(self.front, Method::GET, &path, &[], "").await;
+        (answer.status == StatusCode::OK).then(|| serde_json::from_slice(&answer.body).expect("a page"))
+    }
+
+    /// Waits until a job has `count` results, and returns them.
+    pub async fn await_results(&self, job: &str, count: usize) -> ResultPage {
+        let mut page = None;
+        eventually("the job has its results", async || {
+            page = self.results(job).await;
+            page.as_ref().is_some_and(|page| page.results.len() >= count)
+        })
+        .await;
+        page.expect("a page was read")
+    }
+}
+
+/// Calls a server; the host may be among the headers.
+pub async fn call(
+    address: SocketAddr,
+    method: Method,
+    path: &str,
+    headers: &[(&str, &str)],
+    body: impl Into<bytes::Bytes>,
+) -> WholeResponse {
+    let mut connection = Connection::open(address).await.expect("the server listens");
+    let response = connection.send(method, path, headers, body).await.expect("an answer");
+    let (head, body) = response.into_parts();
+    let body = saddlerelay_http::body::read_whole(body).await.expect("a whole body");
+    WholeResponse { status: head.status, headers: head.headers, body }
+}
+
+/// A route of `kind` to `service`.
+pub fn route(prefix: &str, kind: RouteKind, service: &str) -> Route {
+    Route {
+        name: prefix.to_string(),
+        host: HOST.to_string(),
+        path_prefix: prefix.to_string(),
+        kind,
+        timeout_ms: 2_000,
+        objective_ms: 200,
+        priority: 1,
+        targets: vec![WeightedTarget { service: service.to_string(), weight: 1 }],
+        max_attempts: 2,
+        resumable: false,
+        batch: BatchTerms::default(),
+    }
+}
+
+/// The route of batch jobs.
+pub fn rollouts() -> Route {
+    let batch = BatchTerms { give_up_after_ms: 20_000, due_after_ms: 5_000, single_version: false };
+    Route { resumable: true, max_attempts: 3, batch, ..route("/rollouts/", RouteKind::Rollout, "llm") }
+}
+
+/// A document with services `web` and `llm`.
+pub fn document(version: u64, routes: Vec<Route>) -> RoutingDocument {
+    let service = |name: &str, hosting| Service {
+        name: name.to_string(),
+        health_path: "/health".to_string(),
+        max_connections: 100,
+        hosting,
+    };
+    let hosting =
+        ModelHosting { slots: 4, token_capacity: 10_000, tokens_per_event: 1, models: vec!["notes".to_string()] };
+    RoutingDocument {
+        version,
+        routes,
+        services: vec![service("web", None), service("llm", Some(hosting)), service("other", None)],
+        limits: RequestLimits {
+            max_header_bytes: 16_384,
+            max_body_bytes: 100_000,
+            header_timeout_ms: 3_000,
+            idle_timeout_ms: 15_000,
+        },
+        source: Vec::new(),
+    }
+}
+
+/// A job of `count` items that begin with `first`, each of `events` events.
+pub fn job(id: &str, minimum_version: u64, first: u32, count: u32, events: u32) -> JobSubmission {
+    let item = |index: u32| JobItem {
+        id: ItemId(format!("item-{index}")),
+        path: format!("/rollouts/{index}"),
+        headers: vec![("events".to_string(), events.to_string())],
+        body: format!("prompt {index}").into_bytes(),
+        tokens: u64::from(events),
+        group: format!("group-{}", index / 2),
+    };
+    JobSubmission {
+        id: JobId(id.to_string()),
+        host: HOST.to_string(),
+        path: format!("/rollouts/{id}"),
+        model: Some("notes".to_string()),
+        step: 0,
+        minimum_version,
+        wanted_groups: 1,
+        items: (first..first + count).map(item).collect(),
+    }
+}
+
+/// An identifier.
+pub fn instance(name: &str) -> InstanceId {
+    InstanceId(name.to_string())
+}
+
+/// The model of these tests at a version.
+pub fn notes(version: u64) -> LoadedModel {
+    LoadedModel { model: "notes".to_string(), version }
+}
--- /dev/null
+++ b/crates/gateway-api/tests/jobs.rs
@@ -0,0 +1,244 @@
+//! Batch jobs, named versions and control calls through the product's own interface.
+
+mod common;
+
+use common::engine::{Conduct, StandInEngine};
+use common::{Deployment, block_on, call, document, eventually, job, notes, rollouts};
+use hyper::{Method, StatusCode};
+use saddlerelay_types::job::{ItemEnd, ItemId};
+use std::time::Duration;
+
+async fn with_engines(name: &str, count: usize) -> (Deployment, Vec<StandInEngine>) {
+    let deployment = Deployment::start(name).await;
+    deployment.configure(&document(1, vec![rollouts()])).await;
+    let mut engines = Vec::new();
+    for index in 0..count {
+        let engine = StandInEngine::start(&format!("engine-{index}")).await;
+        deployment.register(&engine, "llm").await;
+        engines.push(engine);
+    }
+    deployment.await_engines("llm", count).await;
+    (deployment, engines)
+}
+
+fn text(item: u32, events: u32) -> Vec<u8> {
+    let lines: Vec<String> = (1..=events).map(|event| format!("/rollouts/{item} {event}")).collect();
+    lines.join("\n").into_bytes()
+}
+
+fn runs_of(engines: &[StandInEngine], item: u32) -> usize {
+    let path = format!("/rollouts/{item}");
+    engines.iter().flat_map(StandInEngine::seen).filter(|seen| seen.path == path).count()
+}
+
+#[test]
+fn every_item_is_listed_once_with_its_text_and_versions() {
+    block_on(async {
+        let (deployment, engines) = with_engines("listed", 2).await;
+        let job = job("j-1", 1, 0, 10, 4);
+        assert_eq!(deployment.submit(&job).await, StatusCode::ACCEPTED);
+        assert_eq!(deployment.submit(&job).await, StatusCode::ACCEPTED, "handed in again, it is taken once");
+        let page = deployment.await_results("j-1", 10).await;
+        assert_eq!((page.total, page.next), (10, 10));
+        let mut items: Vec<u32> = page.results.iter().map(|(_, result)| result.item).collect();
+        items.sort_unstable();
+        assert_eq!(items, (0..10).collect::<Vec<u32>>());
+        for (id, result) in &page.results {
+            assert_eq!(*id, ItemId(format!("item-{}", result.item)));
+            assert_eq!(
+                (result.end, &result.text, &result.versions[..]),
+                (ItemEnd::Completed, &text(result.item, 4), &[1][..])
+            );
+        }
+        let seen = engines[0].seen().remove(0);
+        assert_eq!((seen.method.as_str(), seen.header("host")), ("POST", Some(common::HOST)));
+        assert!(seen.body.starts_with(b"prompt "));
+    });
+}
+
+#[test]
+fn a_text_goes_on_at_another_engine_after_its_last_event() {
+    block_on(async {
+        let (deployment, engines) = with_engines("resumed", 2).await;
+        engines[0].set_conduct(Conduct::BreakOffAfter(2));
+        deployment.submit(&job("j-1", 1, 0, 8, 6)).await;
+        let page = deployment.await_results("j-1", 8).await;
+        for (_, result) in &page.results {
+            assert_eq!(result.text, text(result.item, 6));
+        }
+        let resumed =
+            engines.iter().flat_map(StandInEngine::seen).filter(|seen| seen.header("last-event-id").is_some());
+        assert!(resumed.count() > 0, "no text went on");
+    });
+}
+
+#[test]
+fn an_engine_that_falls_silent_is_left() {
+    block_on(async {
+        let (deployment, engines) = with_engines("silent", 2).await;
+        engines[0].set_conduct(Conduct::Hang);
+        deployment.submit(&job("j-1", 1, 0, 8, 3)).await;
+        let page = deployment.await_results("j-1", 8).await;
+        assert!(page.results.iter().all(|(_, result)| result.text == text(result.item, 3)));
+    });
+}
+
+#[test]
+fn an_item_that_can_never_be_done_or_fails_each_time_is_given_up() {
+    block_on(async {
+        let (deployment, engines) = with_engines("given-up", 1).await;
+        engines[0].set_conduct(Conduct::Impossible);
+        deployment.submit(&job("j-1", 1, 0, 1, 3)).await;
+        assert_eq!(deployment.await_results("j-1", 1).await.results[0].1.end, ItemEnd::Aborted);
+        assert_eq!(runs_of(&engines, 0), 1);
+        engines[0].set_conduct(Conduct::Fail);
+        deployment.submit(&job("j-2", 1, 5, 1, 3)).await;
+        assert_eq!(deployment.await_results("j-2", 1).await.results[0].1.end, ItemEnd::Aborted);
+        assert_eq!(runs_of(&engines, 5), 3, "as often as the route's attempts allow");
+    });
+}
+
+#[test]
+fn nothing_of_a_job_runs_after_its_end() {
+    block_on(async {
+        let (deployment, engines) = with_engines("ended", 1).await;
+        engines[0].set_event_pause(Duration::from_millis(50));
+        deployment.submit(&job("j-1", 1, 0, 12, 40)).await;
+        eventually("items run", async || !engines[0].seen().is_empty()).await;
+        for _ in 0..2 {
+            assert_eq!(call(deployment.front, Method::DELETE, "/v1/jobs/j-1", &[], "").await.status, StatusCode::OK);
+        }
+        let began = engines[0].seen().len();
+        eventually("what ran is broken off", async || engines[0].dropped() as usize >= began).await;
+        compio::time::sleep(Duration::from_millis(300)).await;
+        assert_eq!(engines[0].seen().len(), began);
+        let page = deployment.results("j-1").await.expect("an ended job can be read");
+        assert_eq!(page.results.len(), 0);
+        let body = call(deployment.front, Method::GET, "/v1/jobs/j-1/items/item-3/body", &[], "").await;
+        assert_eq!(body.status, StatusCode::NOT_FOUND);
+    });
+}
+
+#[test]
+fn bodies_can_be_read_until_their_items_are_listed() {
+    block_on(async {
+        let (deployment, _) = with_engines("bodies", 0).await;
+        deployment.submit(&job("j-1", 1, 0, 2, 3)).await;
+        let body = call(deployment.front, Method::GET, "/v1/jobs/j-1/items/item-1/body", &[], "").await;
+        assert_eq!((body.status, &body.body[..]), (StatusCode::OK, &b"prompt 1"[..]));
+        let unknown = call(deployment.front, Method::GET, "/v1/jobs/none/results", &[], "").await;
+        assert_eq!(unknown.status, StatusCode::NOT_FOUND);
+    });
+}
+
+#[test]
+fn a_job_that_cannot_be_read_is_refused_with_the_reason() {
+    block_on(async {
+        let (deployment, _) = with_engines("unreadable", 0).await;
+        let headers = [("saddlerelay-request", "j-1")];
+        let answer = deployment.request(Method::POST, "/rollouts/j-1", &headers, "{\"items\": [").await;
+        assert_eq!(answer.status, StatusCode::BAD_REQUEST);
+        assert!(String::from_utf8_lossy(&answer.body).contains("EOF"), "{:?}", answer.body);
+        assert!(deployment.results("j-1").await.is_none());
+    });
+}
+
+#[test]
+fn no_text_holds_a_version_below_the_jobs_least() {
+    block_on(async {
+        let (deployment, engines) = with_engines("minimum", 2).await;
+        engines[1].set_version(2);
+        deployment.report(&engines[1], "llm", false, 2).await;
+        deployment.submit(&job("j-1", 2, 0, 6, 3)).await;
+        let page = deployment.await_results("j-1", 6).await;
+        assert!(page.results.iter().all(|(_, result)| result.versions == [2]));
+        assert_eq!(engines[0].seen().len(), 0);
+    });
+}
+
+#[test]
+fn an_engine_that_has_other_weights_than_it_said_runs_nothing() {
+    block_on(async {
+        let (deployment, engines) = with_engines("other-weights", 1).await;
+        // It went back to older weights without a word.
+        deployment.report(&engines[0], "llm", false, 2).await;
+        engines[0].set_version(0);
+        deployment.submit(&job("j-1", 1, 0, 1, 3)).await;
+        eventually("it was asked", async || !engines[0].seen().is_empty()).await;
+        compio::time::sleep(Duration::from_millis(200)).await;
+        assert_eq!(deployment.results("j-1").await.expect("a page").results.len(), 0);
+        engines[0].set_version(1);
+        deployment.report(&engines[0], "llm", false, 3).await;
+        let page = deployment.await_results("j-1", 1).await;
+        assert_eq!(page.results[0].1.versions, [1]);
+    });
+}
+
+#[test]
+fn a_later_job_uses_what_an_earlier_one_left() {
+    block_on(async {
+        let (deployment, engines) = with_engines("carried", 1).await;
+        deployment.submit(&job("j-1", 1, 0, 4, 3)).await;
+        deployment.await_results("j-1", 4).await;
+        call(deployment.front, Method::DELETE, "/v1/jobs/j-1", &[], "").await;
+        // Two of the same items come again, and two new ones.
+        deployment.submit(&job("j-2", 1, 2, 4, 3)).await;
+        let page = deployment.await_results("j-2", 4).await;
+        assert!(page.results.iter().all(|(id, result)| {
+            let number: u32 = id.0.trim_start_matches("item-").parse().expect("a number");
+            result.text == text(number, 3)
+        }));
+        assert_eq!((runs_of(&engines, 2), runs_of(&engines, 3), runs_of(&engines, 4)), (1, 1, 1));
+    });
+}
+
+#[test]
+fn a_named_version_reaches_the_engines_by_fenced_orders() {
+    block_on(async {
+        let (deployment, engines) = with_engines("named", 3).await;
+        let body = serde_json::to_vec(&notes(2)).expect("JSON");
+        let answer = call(deployment.control, Method::POST, "/v1/versions", &[], body).await;
+        assert_eq!(answer.status, StatusCode::OK);
+        eventually("every engine has it", async || engines.iter().all(|engine| engine.models() == [notes(2)])).await;
+        for engine in &engines {
+            let orders = engine.orders();
+            assert_eq!(orders.len(), 1);
+            assert_eq!((orders[0].fence, orders[0].orders_taken, orders[0].holder.as_str()), (1, 0, "coordinator"));
+        }
+    });
+}
+
+#[test]
+fn an_invalid_document_is_refused_with_the_reason_and_never_in_force() {
+    block_on(async {
+        let (deployment, _) = with_engines("invalid", 0).await;
+        let mut invalid = document(9, vec![rollouts()]);
+        invalid.routes[0].timeout_ms = 0;
+        let body = serde_json::to_vec(&invalid).expect("JSON");
+        let refused = call(deployment.control, Method::PUT, "/admin/v1/routing", &[], body.clone()).await;
+        assert_eq!(refused.status, StatusCode::BAD_REQUEST);
+        assert_eq!(refused.body, "the timeout of route `/rollouts/` is 0");
+        let cut =
+            call(deployment.control, Method::PUT, "/admin/v1/routing", &[], body[..body.len() / 2].to_vec()).await;
+        assert_eq!(cut.status, StatusCode::BAD_REQUEST);
+        let held = call(deployment.control, Method::GET, "/admin/v1/routing", &[], "").await;
+        assert!(held.body.starts_with(b"{\"version\":1,"), "{:?}", held.body);
+    });
+}
+
+#[test]
+fn a_machine_leaves_only_if_enough_are_left() {
+    block_on(async {
+        let (deployment, _) = with_engines("retired", 0).await;
+        let path = "/admin/v1/stores/store-1/retirement";
+        assert_eq!(call(deployment.control, Method::POST, path, &[], "").await.status, StatusCode::NOT_FOUND);
+        let record = saddlerelay_types::gateway::StoreRecord {
+            name: "store-1".to_string(),
+            replica: deployment.node.replica().id(),
+            address: ([127, 0, 0, 1], 1).into(),
+        };
+        let command = saddlerelay_types::gateway::GatewayCommand::RegisterStore(record);
+        deployment.node.commit_gateway(command).await.expect("it leads");
+        assert_eq!(call(deployment.control, Method::POST, path, &[], "").await.status, StatusCode::CONFLICT);
+    });
+}
--- /dev/null
+++ b/crates/gateway-api/tests/routed.rs
@@ -0,0 +1,331 @@
+//! Routed requests through a gateway to stand-in engines that misbehave.
+
+mod common;
+
+use common::engine::{Conduct, RawServer, StandInEngine};
+use common::{Deployment, HOST, block_on, call, document, eventually, route};
+use hyper::{Method, StatusCode};
+use saddlerelay_types::instance::{InstanceId, InstanceReport};
+use saddlerelay_types::routing::{RouteKind, WeightedTarget};
+use std::time::{Duration, Instant};
+
+const ID: (&str, &str) = ("saddlerelay-request", "r-1");
+
+async fn with_engines(name: &str, kind: RouteKind, count: usize) -> (Deployment, Vec<StandInEngine>) {
+    let deployment = Deployment::start(name).await;
+    deployment.configure(&document(1, vec![route("/plans/", kind, "web")])).await;
+    let mut engines = Vec::new();
+    for index in 0..count {
+        let engine = StandInEngine::start(&format!("engine-{index}")).await;
+        deployment.register(&engine, "web").await;
+        engines.push(engine);
+    }
+    deployment.await_engines("web", count).await;
+    (deployment, engines)
+}
+
+fn ran(engines: &[StandInEngine]) -> usize {
+    engines.iter().map(|engine| engine.seen().len()).sum()
+}
+
+#[test]
+fn a_request_and_its_answer_pass_unchanged() {
+    block_on(async {
+        let (deployment, engines) = with_engines("unchanged", RouteKind::Idempotent, 1).await;
+        let headers =
+            [ID, ("saddlerelay-deadline-ms", "900"), ("x-own", "kept"), ("connection", "x-hop"), ("x-hop", "1")];
+        let answer = deployment.request(Method::PUT, "/plans/7?week=2", &headers, "the body").await;
+        assert_eq!(answer.status, StatusCode::OK);
+        assert_eq!(answer.body, "engine-0 answers /plans/7?week=2");
+        assert_eq!(answer.headers["saddlerelay-stamp"], "engine-0");
+        let seen = engines[0].seen().remove(0);
+        assert_eq!(
+            (seen.method.as_str(), seen.path.as_str(), &seen.body[..]),
+            ("PUT", "/plans/7?week=2", &b"the body"[..])
+        );
+        assert_eq!(seen.header("x-own"), Some("kept"));
+        assert_eq!(seen.header("host"), Some(HOST));
+        assert_eq!(seen.header("saddlerelay-for-instance"), Some("engine-0"));
+        assert_eq!(seen.header("x-hop"), None, "a header of one connection does not go on");
+        let left: u64 = seen.header("saddlerelay-deadline-ms").and_then(|left| left.parse().ok()).expect("a deadline");
+        assert!((1..=900).contains(&left), "{left}");
+    });
+}
+
+#[test]
+fn nothing_is_served_before_there_are_routes_and_unknown_paths_afterwards_are_not_found() {
+    block_on(async {
+        let deployment = Deployment::start("unknown").await;
+        let early = deployment.request(Method::GET, "/plans/1", &[ID], "").await;
+        assert_eq!(early.status, StatusCode::SERVICE_UNAVAILABLE);
+        assert!(early.headers.contains_key("retry-after"));
+        deployment.configure(&document(1, vec![route("/plans/", RouteKind::Idempotent, "web")])).await;
+        assert_eq!(deployment.request(Method::GET, "/elsewhere/1", &[ID], "").await.status, StatusCode::NOT_FOUND);
+        let no_engine = deployment.request(Method::GET, "/plans/1", &[ID], "").await;
+        assert_eq!(no_engine.status, StatusCode::SERVICE_UNAVAILABLE);
+        assert_eq!(no_engine.headers["saddlerelay-request"], "r-1");
+    });
+}
+
+/// Each of these first answers is replaced by the other engine's.
+#[test]
+fn an_answer_that_is_not_the_requests_own_whole_one_is_replaced() {
+    for (name, conduct) in [
+        ("another", Conduct::AnswerAnother),
+        ("unsigned", Conduct::AnswerUnsigned),
+        ("broken", Conduct::BreakOff),
+        ("failed", Conduct::Fail),
+        ("shed", Conduct::Shed),
+        ("hanging", Conduct::Hang),
+    ] {
+        block_on(async {
+            let (deployment, engines) = with_engines(name, RouteKind::Idempotent, 2).await;
+            engines[0].set_conduct(conduct);
+            for _ in 0..6 {
+                let answer = deployment.request(Method::GET, "/plans/1", &[ID], "").await;
+                assert_eq!(
+                    (answer.status, &answer.body[..]),
+                    (StatusCode::OK, &b"engine-1 answers /plans/1"[..]),
+                    "{name}"
+                );
+            }
+            assert!(!engines[0].seen().is_empty(), "{name}: the misbehaving engine was never asked");
+        });
+    }
+}
+
+#[test]
+fn a_request_that_must_not_be_repeated_runs_once_and_fails() {
+    for (name, conduct, status) in [
+        ("once-broken", Conduct::BreakOff, StatusCode::BAD_GATEWAY),
+        ("once-another", Conduct::AnswerAnother, StatusCode::BAD_GATEWAY),
+        ("once-failed", Conduct::Fail, StatusCode::INTERNAL_SERVER_ERROR),
+    ] {
+        block_on(async {
+            let (deployment, engines) = with_engines(name, RouteKind::NonIdempotent, 2).await;
+            engines.iter().for_each(|engine| engine.set_conduct(conduct));
+            let answer = deployment.request(Method::POST, "/plans/1", &[ID], "").await;
+            assert_eq!(answer.status, status, "{name}");
+            assert_eq!(ran(&engines), 1, "{name}");
+        });
+    }
+}
+
+#[test]
+fn one_that_an_engine_did_not_run_goes_to_the_next() {
+    block_on(async {
+        let (deployment, engines) = with_engines("not-run", RouteKind::NonIdempotent, 2).await;
+        engines[0].set_conduct(Conduct::Shed);
+        for _ in 0..4 {
+            assert_eq!(deployment.request(Method::POST, "/plans/1", &[ID], "").await.status, StatusCode::OK);
+        }
+        engines[1].set_conduct(Conduct::Shed);
+        let refused = deployment.request(Method::POST, "/plans/1", &[ID], "").await;
+        assert_eq!(refused.status, StatusCode::SERVICE_UNAVAILABLE);
+        assert!(refused.headers.contains_key("retry-after"));
+        assert!(!refused.headers.contains_key("saddlerelay-stamp"), "the promise is the gateway's own");
+    });
+}
+
+#[test]
+fn at_the_routes_timeout_the_answer_is_final() {
+    block_on(async {
+        let deployment = Deployment::start("timeout").await;
+        let mut slow = route("/plans/", RouteKind::NonIdempotent, "web");
+        slow.timeout_ms = 300;
+        deployment.configure(&document(1, vec![slow])).await;
+        let engine = StandInEngine::start("engine").await;
+        engine.set_conduct(Conduct::Hang);
+        deployment.register(&engine, "web").await;
+        deployment.await_engines("web", 1).await;
+        let began = Instant::now();
+        let answer = deployment.request(Method::POST, "/plans/1", &[ID], "").await;
+        assert_eq!(answer.status, StatusCode::GATEWAY_TIMEOUT);
+        assert!(began.elapsed() >= Duration::from_millis(290));
+        eventually("the engine is told to stop", async || engine.dropped() == 1).await;
+    });
+}
+
+#[test]
+fn when_the_client_goes_the_engine_is_told() {
+    block_on(async {
+        let (deployment, engines) = with_engines("gone", RouteKind::NonIdempotent, 1).await;
+        engines[0].set_conduct(Conduct::Hang);
+        {
+            let mut connection =
+                saddlerelay_http::client::Connection::open(deployment.front).await.expect("it listens");
+            let headers = [ID, ("host", HOST)];
+            let request = connection.send(Method::POST, "/plans/1", &headers, "");
+            let _ = compio::time::timeout(Duration::from_millis(200), request).await;
+        }
+        eventually("the engine is told", async || engines[0].dropped() == 1).await;
+    });
+}
+
+#[test]
+fn an_engine_that_leaves_or_says_goodbye_gets_no_new_work() {
+    block_on(async {
+        let (deployment, engines) = with_engines("leaving", RouteKind::Idempotent, 2).await;
+        deployment.report(&engines[0], "web", true, 2).await;
+        deployment.await_engines("web", 1).await;
+        // A late report from before it left.
+        deployment.report(&engines[0], "web", false, 1).await;
+        let before = engines[0].seen().len();
+        for _ in 0..5 {
+            assert_eq!(deployment.request(Method::GET, "/plans/1", &[ID], "").await.status, StatusCode::OK);
+        }
+        assert_eq!(engines[0].seen().len(), before);
+        let path = format!("/v1/instances/{}", engines[1].instance().0);
+        assert_eq!(call(deployment.control, Method::DELETE, &path, &[], "").await.status, StatusCode::OK);
+        deployment.await_engines("web", 0).await;
+    });
+}
+
+#[test]
+fn an_address_of_another_instance_is_not_served_from() {
+    block_on(async {
+        let (deployment, engines) = with_engines("reused", RouteKind::NonIdempotent, 1).await;
+        // The control group believes that another instance stands there.
+        let report = InstanceReport {
+            id: InstanceId("former".to_string()),
+            service: "web".to_string(),
+            address: engines[0].address(),
+            zone: "north".to_string(),
+            slots: 4,
+            leaving: false,
+            models: Vec::new(),
+            sequence: 1,
+        };
+        let body = serde_json::to_vec(&report).expect("JSON");
+        call(deployment.control, Method::PUT, "/v1/instances/former", &[], body).await;
+        eventually("the gateway asks for the other instance", async || {
+            deployment.request(Method::POST, "/plans/1", &[ID], "").await.status == StatusCode::SERVICE_UNAVAILABLE
+        })
+        .await;
+        assert_eq!(ran(&engines), 0);
+    });
+}
+
+#[test]
+fn targets_get_their_weights_shares() {
+    block_on(async {
+        let deployment = Deployment::start("weights").await;
+        let mut split = route("/plans/", RouteKind::Idempotent, "web");
+        split.targets = vec![
+            WeightedTarget { service: "web".to_string(), weight: 3 },
+            WeightedTarget { service: "other".to_string(), weight: 1 },
+        ];
+        deployment.configure(&document(1, vec![split])).await;
+        let (web, other) = (StandInEngine::start("web-1").await, StandInEngine::start("other-1").await);
+        deployment.register(&web, "web").await;
+        deployment.register(&other, "other").await;
+        deployment.await_engines("web", 1).await;
+        deployment.await_engines("other", 1).await;
+        for _ in 0..40 {
+            assert_eq!(deployment.request(Method::GET, "/plans/1", &[ID], "").await.status, StatusCode::OK);
+        }
+        assert_eq!((web.seen().len(), other.seen().len()), (30, 10));
+    });
+}
+
+#[test]
+fn a_newer_document_changes_the_route_at_once() {
+    block_on(async {
+        let (deployment, _engines) = with_engines("newer", RouteKind::Idempotent, 1).await;
+        deployment.configure(&document(7, vec![route("/new/", RouteKind::Idempotent, "web")])).await;
+        eventually("the new route serves", async || {
+            deployment.request(Method::GET, "/new/1", &[ID], "").await.status == StatusCode::OK
+        })
+        .await;
+        assert_eq!(deployment.request(Method::GET, "/plans/1", &[ID], "").await.status, StatusCode::NOT_FOUND);
+    });
+}
+
+#[test]
+fn a_body_beyond_the_limit_is_refused() {
+    block_on(async {
+        let (deployment, engines) = with_engines("large", RouteKind::Idempotent, 1).await;
+        let answer = deployment.request(Method::POST, "/plans/1", &[ID], &"x".repeat(100_001)).await;
+        assert_eq!(answer.status, StatusCode::PAYLOAD_TOO_LARGE);
+        assert_eq!(ran(&engines), 0);
+    });
+}
+
+async fn with_raw(name: &str, answer: &'static str, closes: bool) -> (Deployment, RawServer, StandInEngine) {
+    let (deployment, engines) = with_engines(name, RouteKind::Idempotent, 1).await;
+    // The raw server is unknown, and so is tried before one known to be slow.
+    engines[0].set_conduct(Conduct::AnswerAfter(Duration::from_millis(40)));
+    for _ in 0..6 {
+        deployment.request(Method::GET, "/plans/1", &[ID], "").await;
+    }
+    let raw = RawServer::start(answer, closes).await;
+    let report = InstanceReport {
+        id: InstanceId("raw".to_string()),
+        service: "web".to_string(),
+        address: raw.address,
+        zone: "north".to_string(),
+        slots: 4,
+        leaving: false,
+        models: Vec::new(),
+        sequence: 1,
+    };
+    let body = serde_json::to_vec(&report).expect("JSON");
+    call(deployment.control, Method::PUT, "/v1/instances/raw", &[], body).await;
+    deployment.await_engines("web", 2).await;
+    (deployment, raw, engines.into_iter().next().expect("one engine"))
+}
+
+#[test]
+fn bytes_behind_a_whole_answer_belong_to_no_request() {
+    const ANSWER: &str = "HTTP/1.1 200 OK\r\nsaddlerelay-request: {id}\r\nsaddlerelay-stamp: raw\r\ncontent-length: 3\r\n\r\nrawHTTP/1.1 200 OK\r\nsaddlerelay-request: stale\r\nsaddlerelay-stamp: raw\r\ncontent-length: 5\r\n\r\nstale";
+    block_on(async {
+        let (deployment, raw, engine) = with_raw("surplus", ANSWER, false).await;
+        for number in 0..30 {
+            let id = format!("r-{number}");
+            let answer = deployment.request(Method::GET, "/plans/1", &[("saddlerelay-request", &id)], "").await;
+            assert_eq!(answer.headers["saddlerelay-request"], id.as_str());
+            assert!(answer.body == "raw" || answer.body == "engine-0 answers /plans/1", "{:?}", answer.body);
+        }
+        assert!(raw.requests.get() > 0, "the surplus server was never asked");
+        assert!(!engine.seen().is_empty() || raw.requests.get() >= 30);
+    });
+}
+
+#[test]
+fn what_is_no_answer_or_ends_early_is_replaced() {
+    const NONSENSE: &str = "this is no answer\r\n\r\n";
+    const SHORT: &str =
+        "HTTP/1.1 200 OK\r\nsaddlerelay-request: {id}\r\nsaddlerelay-stamp: raw\r\ncontent-length: 30\r\n\r\nshort";
+    for (name, answer) in [("nonsense", NONSENSE), ("short", SHORT)] {
+        block_on(async {
+            let (deployment, raw, _engine) = with_raw(name, answer, true).await;
+            for _ in 0..6 {
+                let answer = deployment.request(Method::GET, "/plans/1", &[ID], "").await;
+                assert_eq!(answer.body, "engine-0 answers /plans/1", "{name}");
+            }
+            assert!(raw.requests.get() > 0, "{name}: the raw server was never asked");
+        });
+    }
+}
+
+#[test]
+fn a_stream_goes_on_at_another_engine_without_gap_or_repeat() {
+    block_on(async {
+        let deployment = Deployment::start("stream").await;
+        let mut streams = route("/plans/", RouteKind::Streaming, "web");
+        streams.resumable = true;
+        deployment.configure(&document(1, vec![streams])).await;
+        let engines = [StandInEngine::start("a").await, StandInEngine::start("b").await];
+        for engine in &engines {
+            engine.set_conduct(Conduct::BreakOffAfter(3));
+            deployment.register(engine, "web").await;
+        }
+        deployment.await_engines("web", 2).await;
+        let answer = deployment.request(Method::GET, "/plans/1", &[ID, ("events", "6")], "").await;
+        let text = String::from_utf8(answer.body.to_vec()).expect("text");
+        let ids: Vec<&str> = text.lines().filter_map(|line| line.strip_prefix("id: ")).collect();
+        assert_eq!(ids, ["1", "2", "3", "4", "5", "6"]);
+        let resumed = engines.iter().flat_map(StandInEngine::seen).find(|seen| seen.header("last-event-id").is_some());
+        assert_eq!(resumed.and_then(|seen| seen.header("last-event-id").map(str::to_string)), Some("3".to_string()));
+    });
+}
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -41,8 +41,15 @@
     pub service: &'a str,
     /// When the request is over.
     pub limit: Duration,
-    /// A byte of the request may have reached an engine that did not prove otherwise.
-    pub may_have_run: Cell<bool>,
+    /// Attempts of which a byte may have reached an engine that has not proved that it did not run the request.
+    possible_runs: Cell<u32>,
+}
+
+impl Passage<'_> {
+    /// Whether it is not proved that no engine has run the request.
+    fn may_have_run(&self) -> bool {
+        self.possible_runs.get() > 0
+    }
 }
 
 impl Gateway {
@@ -50,14 +57,14 @@
     pub(crate) async fn forward(&self, chosen: &ChosenRoute, request: &ClientRequest, body: Bytes) -> Reply {
         let limit = self.limit_of(chosen.route(), request);
         let service = chosen.table.next_service(chosen.index);
-        let passage = Passage { request, chosen, service, limit, may_have_run: Cell::new(false) };
+        let passage = Passage { request, chosen, service, limit, possible_runs: Cell::new(0) };
         let outgoing = request.outgoing(body);
         let left = limit.saturating_sub(self.now());
         let ended = timeout(&self.inner.runtime, left, self.attempt_until_answered(&passage, &outgoing)).await;
         match ended {
             Some(Ok((head, body))) => self.answer(&passage, head, body),
             Some(Err(refusal)) => self.refuse(request, refusal),
-            None if passage.may_have_run.get() => self.refuse(request, Refusal::Late),
+            None if passage.may_have_run() => self.refuse(request, Refusal::Late),
             None => self.refuse(request, Refusal::LateNotRun),
         }
     }
@@ -88,14 +95,16 @@
         let most_runs = route.max_attempts.max(1) as usize;
         let hedge_after = Duration::from_millis(route.objective_ms) * self.inner.options.config.hedge_percent / 100;
         let mut tried: Vec<InstanceId> = Vec::new();
-        let mut not_run = 0;
+        // Engines that have proved not to run it would hardly do so now.
+        let mut refused_by: Vec<InstanceId> = Vec::new();
         let mut hedged = !repeatable;
         let mut last_failure = None;
         let mut running = FuturesUnordered::new();
         loop {
-            let may_begin = tried.len() - not_run < most_runs && tried.len() < most_runs + EXTRA_ENGINES;
+            let may_begin = tried.len() - refused_by.len() < most_runs && tried.len() < most_runs + EXTRA_ENGINES;
             if running.is_empty() {
                 let engine = may_begin.then(|| self.choose_engine(passage.service, &tried)).flatten();
+                let engine = engine.filter(|engine| !refused_by.contains(&engine.target.instance));
                 let Some(engine) = engine else {
                     return last_failure.ok_or_else(|| self.given_up(passage));
                 };
@@ -105,7 +114,7 @@
                 tried.push(engine.target.instance.clone());
                 running.push(self.attempt(passage, outgoing, engine));
             }
-            let may_hedge = !hedged && running.len() == 1 && tried.len() - not_run < most_runs;
+            let may_hedge = !hedged && running.len() == 1 && tried.len() - refused_by.len() < most_runs;
             let hedge = async {
                 if may_hedge {
                     self.inner.runtime.sleep(hedge_after).await;
@@ -113,7 +122,7 @@
                     future::pending::<()>().await;
                 }
             };
-            let ended = match future::select(running.next(), pin!(hedge.boxed_local())).await {
+            let (instance, ended) = match future::select(running.next(), pin!(hedge.boxed_local())).await {
                 Either::Left((Some(ended), _)) => ended,
                 Either::Left((None, _)) => continue,
                 Either::Right(_) => {
@@ -128,7 +137,7 @@
             };
             match ended {
                 AttemptEnd::Answered(head, body) => return Ok((head, body)),
-                AttemptEnd::NotExecuted(_) => not_run += 1,
+                AttemptEnd::NotExecuted(_) => refused_by.push(instance),
                 AttemptEnd::Failed(_, answer) => {
                     last_failure = answer.or(last_failure);
                     if !repeatable {
@@ -140,7 +149,7 @@
     }
 
     fn given_up(&self, passage: &Passage) -> Refusal {
-        if passage.may_have_run.get() { Refusal::EngineFailed } else { Refusal::NoEngine }
+        if passage.may_have_run() { Refusal::EngineFailed } else { Refusal::NoEngine }
     }
 
     fn tell_hedge(&self, passage: &Passage, engine: &ReadyEngine) {
@@ -167,7 +176,12 @@
         view.is_leased(self.now()) && view.is_ready(instance)
     }
 
-    async fn attempt(&self, passage: &Passage<'_>, outgoing: &Outgoing, engine: ReadyEngine) -> AttemptEnd {
+    async fn attempt(
+        &self,
+        passage: &Passage<'_>,
+        outgoing: &Outgoing,
+        engine: ReadyEngine,
+    ) -> (InstanceId, AttemptEnd) {
         let instance = &engine.target.instance;
         let began_at = self.now();
         let _in_flight = self.inner.balance.begin(instance, began_at);
@@ -178,10 +192,11 @@
             _ => Reuse::Recent,
         };
         let time_left = || passage.limit.saturating_sub(self.now());
+        let sent = Cell::new(false);
         let may_send = || {
             let may = self.may_send(instance);
-            if may {
-                passage.may_have_run.set(true);
+            if may && !sent.replace(true) {
+                passage.possible_runs.set(passage.possible_runs.get() + 1);
             }
             may
         };
@@ -199,7 +214,11 @@
             Err(failure) => Err(failure),
         };
         watch.armed.set(false);
-        self.judge(passage, instance, began_at, ended)
+        let end = self.judge(passage, instance, began_at, ended);
+        if matches!(end, AttemptEnd::NotExecuted(_)) && sent.get() {
+            passage.possible_runs.set(passage.possible_runs.get() - 1);
+        }
+        (instance.clone(), end)
     }
 
     fn judge(
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -116,6 +116,11 @@
         !self.inner.draining.get() && view.is_leased(self.now()) && view.table().is_some()
     }
 
+    /// How many engines of a service may be given new work, as far as this relay knows.
+    pub fn ready_engines(&self, service: &str) -> usize {
+        self.inner.view.borrow().ready_engines(service).count()
+    }
+
     /// From now on every answer tells its client to go elsewhere.
     pub fn drain(&self) {
         self.inner.draining.set(true);
--- a/crates/http/src/client.rs
+++ b/crates/http/src/client.rs
@@ -63,7 +63,7 @@
         Ok(Self { sender, address })
     }
 
-    /// Sends a request with `headers` and returns the response with its body still to come.
+    /// Sends a request with `headers`, the host of its own among them if need be, and returns the response with its body still to come.
     pub async fn send(
         &mut self,
         method: Method,
@@ -71,7 +71,10 @@
         headers: &[(&str, &str)],
         body: impl Into<Bytes>,
     ) -> Result<Response<Incoming>, HttpError> {
-        let mut builder = Request::builder().method(method).uri(path).header(HOST, self.address.to_string());
+        let mut builder = Request::builder().method(method).uri(path);
+        if !headers.iter().any(|(name, _)| name.eq_ignore_ascii_case(HOST.as_str())) {
+            builder = builder.header(HOST, self.address.to_string());
+        }
         builder = builder.header(CONTENT_TYPE, "application/json");
         for (name, value) in headers {
             builder = builder.header(*name, *value);
--- /dev/null
+++ b/crates/simulator/tests/members.rs
@@ -0,0 +1,390 @@
+//! Groups whose members come, go, lose their disks and are exchanged, in virtual time over many seeds. Whatever was
+//! acknowledged stays, and the group serves again soon after each change.
+
+use futures::executor::LocalPool;
+use saddlerelay_replication::config::ReplicationConfig;
+use saddlerelay_replication::{ProposeError, Replica, ReplicaOptions, StateMachine};
+use saddlerelay_rpc::server::Handler;
+use saddlerelay_runtime::Runtime;
+use saddlerelay_simulator::platform::SimRuntime;
+use saddlerelay_simulator::world::{Process, World};
+use saddlerelay_types::identity::ReplicaId;
+use saddlerelay_types::protocol::{ControlReply, ControlRequest};
+use std::cell::RefCell;
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+const SEEDS: std::ops::Range<u64> = 0..40;
+const SECRET: &str = "a secret of sixteen signs";
+
+/// A set of numbers.
+#[derive(Default)]
+struct Numbers {
+    held: BTreeSet<u64>,
+    /// Makes a snapshot larger than one part.
+    weight: Vec<u8>,
+}
+
+impl StateMachine for Numbers {
+    type Outcome = usize;
+
+    fn apply(&mut self, command: &[u8]) -> usize {
+        let number: u64 = bitcode::decode(command).expect("a number was proposed");
+        self.held.insert(number);
+        self.weight.resize(self.held.len() * 4_096, 7);
+        self.held.len()
+    }
+
+    fn snapshot(&self) -> Vec<u8> {
+        bitcode::encode(&(self.held.clone(), self.weight.clone()))
+    }
+
+    fn restore(&mut self, bytes: &[u8]) {
+        (self.held, self.weight) = bitcode::decode(bytes).expect("a snapshot can be read");
+    }
+}
+
+type Node = Replica<SimRuntime, Numbers>;
+
+struct Answering(Node);
+
+impl Handler for Answering {
+    async fn handle(self: Rc<Self>, body: Vec<u8>) -> Option<Vec<u8>> {
+        let ControlRequest::Replication(bytes) = bitcode::decode(&body).ok()? else {
+            return None;
+        };
+        let reply = self.0.handle(bitcode::decode(&bytes).ok()?).await;
+        Some(bitcode::encode(&ControlReply::Replication(bitcode::encode(&reply))))
+    }
+}
+
+struct Machine {
+    process: Rc<Process>,
+    node: Rc<RefCell<Option<Node>>>,
+}
+
+struct Group {
+    world: Rc<World>,
+    pool: LocalPool,
+    machines: BTreeMap<u8, Machine>,
+    acknowledged: Rc<RefCell<BTreeSet<u64>>>,
+    next: u64,
+}
+
+fn address(place: u8) -> SocketAddr {
+    ([10, 0, 0, place], 7_000).into()
+}
+
+fn config() -> ReplicationConfig {
+    ReplicationConfig {
+        heartbeat_interval: Duration::from_millis(70),
+        election_timeout: Duration::from_millis(500),
+        election_jitter: Duration::from_millis(200),
+        lease: Duration::from_millis(400),
+        snapshot_entries: 60,
+        trailing_entries: 10,
+        memory_bytes: 1_000,
+        memory_bytes_behind: 20_000,
+        target_voters: 3,
+        ..ReplicationConfig::default()
+    }
+}
+
+impl Group {
+    fn new(seed: u64) -> Self {
+        let (world, pool) = World::new(seed);
+        world.network.set_delays(9, Duration::from_millis(1), Duration::from_millis(3));
+        Self { world, pool, machines: BTreeMap::new(), acknowledged: Rc::default(), next: 0 }
+    }
+
+    /// Starts the machine at `place`; with `founding`, as one of the three that form the group.
+    fn start(&mut self, place: u8, founding: bool) {
+        let name = format!("machine-{place}");
+        let process = self.world.start_process(&name, place.into(), 0);
+        let runtime = SimRuntime { world: self.world.clone(), process: process.clone() };
+        let founders: Vec<SocketAddr> = (1..=3).map(address).collect();
+        let options = ReplicaOptions {
+            address: address(place),
+            peers: founders.clone(),
+            founders: if founding { founders } else { Vec::new() },
+            secret: SECRET.to_string(),
+            config: config(),
+        };
+        let node = Rc::new(RefCell::new(None));
+        let started = node.clone();
+        let of_task = runtime.clone();
+        self.world.spawn(&process, async move {
+            let listener = of_task.listen(options.address).await.expect("the address is free");
+            let replica = Replica::open(of_task.clone(), options, Numbers::default()).await.expect("the disk is sound");
+            replica.start();
+            *started.borrow_mut() = Some(replica.clone());
+            let handler = Rc::new(Answering(replica));
+            saddlerelay_rpc::server::serve(of_task, listener, SECRET.to_string(), handler).await;
+        });
+        self.machines.insert(place, Machine { process, node });
+    }
+
+    fn kill(&mut self, place: u8, loses_disk: bool) {
+        if let Some(machine) = self.machines.remove(&place) {
+            machine.process.kill();
+            let name = format!("machine-{place}");
+            self.world.disks.crash(&name, || self.world.random());
+            if loses_disk {
+                self.world.disks.lose(&name);
+            }
+        }
+    }
+
+    fn run_for(&mut self, time: Duration) {
+        let until = self.world.clock.now() + time;
+        let clock = self.world.clock.clone();
+        let _timer = self.world.start_process("timer", 0, 0);
+        let sleep = saddlerelay_simulator::world::Sleep::new(clock.clone(), until);
+        self.world.spawn(&_timer, sleep);
+        self.world.run(&mut self.pool, until + Duration::from_secs(1), move || clock.now() >= until);
+    }
+
+    fn nodes(&self) -> Vec<Node> {
+        self.machines.values().filter_map(|machine| machine.node.borrow().clone()).collect()
+    }
+
+    fn leader(&self) -> Option<Node> {
+        self.nodes().into_iter().find(|node| node.leading_term().is_some())
+    }
+
+    fn leader_place(&self) -> Option<u8> {
+        let leads =
+            |machine: &&Machine| machine.node.borrow().as_ref().is_some_and(|node| node.leading_term().is_some());
+        self.machines.iter().find(|(_, machine)| leads(machine)).map(|(place, _)| *place)
+    }
+
+    /// Proposes the next numbers to whoever leads, for `time`, one each 20 ms.
+    fn propose_for(&mut self, time: Duration) {
+        let until = self.world.clock.now() + time;
+        while self.world.clock.now() < until {
+            if let Some(leader) = self.leader() {
+                let number = self.next;
+                self.next += 1;
+                let acknowledged = self.acknowledged.clone();
+                let process = self.world.start_process("client", 0, 0);
+                self.world.spawn(&process, async move {
+                    match leader.propose(bitcode::encode(&number)).await {
+                        Ok(_) => {
+                            acknowledged.borrow_mut().insert(number);
+                        }
+                        Err(ProposeError::NotLeader(_) | ProposeError::Overloaded | ProposeError::Undecided) => {}
+                    }
+                });
+            }
+            self.run_for(Duration::from_millis(20));
+        }
+    }
+
+    /// Waits until the group has a leader; fails the test after `limit`.
+    fn await_leader(&mut self, limit: Duration, what: &str) {
+        let until = self.world.clock.now() + limit;
+        while self.leader().is_none() {
+            assert!(self.world.clock.now() < until, "no leader {what}");
+            self.run_for(Duration::from_millis(10));
+        }
+    }
+
+    fn voters(&self) -> BTreeSet<ReplicaId> {
+        let view = self.leader().and_then(|leader| leader.view());
+        let replicas = view.map(|view| view.replicas).unwrap_or_default();
+        replicas.into_iter().filter(|replica| replica.voter).map(|replica| replica.id).collect()
+    }
+
+    fn id(&self, place: u8) -> Option<ReplicaId> {
+        self.machines.get(&place)?.node.borrow().as_ref().map(Node::id)
+    }
+
+    /// Waits until exactly the machines at `places` vote.
+    fn await_voters(&mut self, places: &[u8], limit: Duration, what: &str) {
+        let until = self.world.clock.now() + limit;
+        loop {
+            let wanted: BTreeSet<ReplicaId> = places.iter().filter_map(|place| self.id(*place)).collect();
+            if wanted.len() == places.len() && self.voters() == wanted {
+                return;
+            }
+            assert!(self.world.clock.now() < until, "{what}: voters {:?}, wanted {wanted:?}", self.voters());
+            self.run_for(Duration::from_millis(10));
+        }
+    }
+
+    /// Everything that was acknowledged is held by whoever leads.
+    fn check(&mut self, what: &str) {
+        self.await_leader(Duration::from_secs(5), what);
+        let held = self.leader().and_then(|leader| leader.read(|numbers| numbers.held.clone()));
+        let held = held.expect("a leader reads");
+        let lost: Vec<u64> = self.acknowledged.borrow().difference(&held).copied().collect();
+        assert!(lost.is_empty(), "{what}: lost {lost:?}");
+        assert!(!self.acknowledged.borrow().is_empty(), "{what}: nothing was acknowledged");
+    }
+}
+
+fn formed(seed: u64) -> Group {
+    let mut group = Group::new(seed);
+    for place in 1..=3 {
+        let pause = group.world.jitter(Duration::from_millis(300));
+        group.run_for(pause);
+        group.start(place, true);
+    }
+    group.await_leader(Duration::from_secs(4), "after the first start");
+    group
+}
+
+fn for_each_seed(test: impl Fn(u64)) {
+    for seed in SEEDS {
+        test(seed);
+    }
+}
+
+#[test]
+fn the_founders_form_one_group_whoever_starts_when_and_dies_in_the_first_second() {
+    for_each_seed(|seed| {
+        let mut group = Group::new(seed);
+        for place in 1..=3 {
+            let pause = group.world.jitter(Duration::from_millis(300));
+            group.run_for(pause);
+            group.start(place, true);
+        }
+        let pause = group.world.jitter(Duration::from_millis(900));
+        group.propose_for(pause);
+        let place = 1 + (group.world.random() % 3) as u8;
+        group.kill(place, false);
+        group.propose_for(Duration::from_millis(400));
+        // It is told once more that this is the first start.
+        group.start(place, true);
+        group.propose_for(Duration::from_secs(2));
+        group.await_voters(&[1, 2, 3], Duration::from_secs(4), "founders");
+        group.check("founders");
+    });
+}
+
+#[test]
+fn a_machine_with_an_empty_disk_votes_again_and_then_another_may_lose_its_disk() {
+    for_each_seed(|seed| {
+        let mut group = formed(seed);
+        group.propose_for(Duration::from_secs(1));
+        for place in [1, 2, 3] {
+            group.kill(place, true);
+            group.propose_for(Duration::from_millis(1_200));
+            group.start(place, false);
+            let started_at = group.world.clock.now();
+            group.propose_for(Duration::from_millis(500));
+            group.await_voters(&[1, 2, 3], Duration::from_millis(4_000), "after a lost disk");
+            assert!(group.world.clock.now() < started_at + Duration::from_millis(4_500));
+        }
+        group.check("lost disks");
+    });
+}
+
+#[test]
+fn a_machine_that_is_gone_for_good_is_replaced_by_one_at_another_address() {
+    for_each_seed(|seed| {
+        let mut group = formed(seed);
+        group.propose_for(Duration::from_secs(1));
+        let gone = group.leader_place().unwrap_or(1);
+        group.kill(gone, true);
+        group.propose_for(Duration::from_secs(1));
+        group.start(7, false);
+        group.propose_for(Duration::from_millis(300));
+        let mut places: Vec<u8> = (1..=3).filter(|place| *place != gone).collect();
+        places.push(7);
+        group.await_voters(&places, Duration::from_millis(4_300), "after a replacement");
+        // The next loss comes right then.
+        let next = places[0];
+        group.kill(next, true);
+        group.propose_for(Duration::from_secs(1));
+        group.check("replaced");
+    });
+}
+
+#[test]
+fn a_removed_member_that_comes_back_joins_again() {
+    for_each_seed(|seed| {
+        let mut group = formed(seed);
+        group.start(4, false);
+        group.propose_for(Duration::from_secs(2));
+        let away = (1..=3).find(|place| Some(*place) != group.leader_place()).unwrap_or(1);
+        group.machines[&away].process.freeze();
+        // The spare takes its place.
+        group.propose_for(Duration::from_secs(4));
+        let mut places: Vec<u8> = (1..=4).filter(|place| *place != away).collect();
+        group.await_voters(&places, Duration::from_secs(3), "the spare");
+        group.machines[&away].process.thaw();
+        group.propose_for(Duration::from_secs(3));
+        // It can take the place of the next one that is lost.
+        let lost = places.iter().copied().find(|place| Some(*place) != group.leader_place()).unwrap_or(4);
+        group.kill(lost, true);
+        group.propose_for(Duration::from_secs(4));
+        places.retain(|place| *place != lost);
+        places.push(away);
+        group.await_voters(&places, Duration::from_secs(4), "the one that came back");
+        group.check("came back");
+    });
+}
+
+#[test]
+fn an_unwanted_replica_leaves_only_when_others_hold_everything() {
+    for_each_seed(|seed| {
+        let mut group = formed(seed);
+        group.propose_for(Duration::from_secs(1));
+        let unwanted_place = 1 + (seed % 3) as u8;
+        let unwanted = group.id(unwanted_place).expect("it runs");
+        let tell = |group: &Group| {
+            for node in group.nodes() {
+                node.set_unwanted([unwanted].into());
+            }
+        };
+        tell(&group);
+        group.propose_for(Duration::from_secs(1));
+        assert!(group.voters().contains(&unwanted), "nobody can take its place yet");
+        group.start(5, false);
+        for _ in 0..60 {
+            tell(&group);
+            let leader = group.leader();
+            if let Some(leader) = leader.filter(|leader| leader.id() == unwanted && leader.may_leave()) {
+                let process = group.machines[&unwanted_place].process.clone();
+                group.world.spawn(&process, async move {
+                    leader.hand_over().await;
+                });
+            }
+            group.propose_for(Duration::from_millis(100));
+            if group.leader().is_some_and(|leader| leader.is_whole_without(unwanted)) {
+                break;
+            }
+        }
+        assert!(group.leader().is_some_and(|leader| leader.is_whole_without(unwanted)), "it does not leave");
+        // It is taken away at once, and another disk is lost right after.
+        group.kill(unwanted_place, true);
+        let other = (1..=3).find(|place| *place != unwanted_place).unwrap_or(1);
+        group.kill(other, true);
+        group.propose_for(Duration::from_secs(1));
+        group.check("left");
+    });
+}
+
+/// A group that loses power as a whole goes on with everything it acknowledged.
+#[test]
+fn a_group_that_loses_power_keeps_what_it_acknowledged() {
+    for_each_seed(|seed| {
+        let mut group = formed(seed);
+        for _ in 0..3 {
+            let pause = group.world.jitter(Duration::from_millis(1_500));
+            group.propose_for(pause);
+            for place in 1..=3 {
+                group.kill(place, false);
+            }
+            for place in 1..=3 {
+                group.start(place, false);
+            }
+            group.await_leader(Duration::from_secs(4), "after the power was lost");
+        }
+        group.propose_for(Duration::from_millis(200));
+        group.check("power");
+    });
+}
--- a/crates/upstream/src/answer.rs
+++ b/crates/upstream/src/answer.rs
@@ -52,8 +52,12 @@
         request_id: &str,
     ) -> Result<Self, Failure> {
         let (head, body) = response.into_parts();
-        let echoed = head.headers.get(&names.request_id).is_some_and(|value| value.as_bytes() == request_id.as_bytes());
-        if !echoed {
+        let echo = head.headers.get(&names.request_id);
+        let echoed = echo.is_some_and(|value| value.as_bytes() == request_id.as_bytes());
+        // A refusal may lack the identifier; on a connection that carried nothing before, it can be no other request's.
+        let refusal = head.status == StatusCode::MISDIRECTED_REQUEST || head.headers.contains_key(&names.not_executed);
+        let own_refusal = echo.is_none() && refusal && !connection.is_used();
+        if !echoed && !own_refusal {
             return Err(Failure::MayHaveRun("the answer is another request's".to_string()));
         }
         Ok(Self { head, body, connection })
