Test formats, settings, sharing out, texts, choices and log lines; share engines out more evenly

Cause: quickcheck found sharings out in which a model kept two engines too many because none had 0.6 too few. Change: an engine moves when two models' excesses differ by 1.5 or more. Before: every_model_has_its_share fails.

--- a/crates/command-line/src/serve.rs
+++ b/crates/command-line/src/serve.rs
@@ -51,7 +51,7 @@
     spdlog::info!("start", kv: { name = settings.name.as_str(), zone = settings.zone.as_str() });
     match settings.role.clone() {
         Role::Relay(relay) => run_relay(settings, relay, platform, backends).await,
-        Role::Control(control) => run_control(settings, control, platform, backends, log).await,
+        Role::Control(control) => run_control(settings, *control, platform, backends, log).await,
     }
 }
 
--- a/crates/control/tests/common/mod.rs
+++ b/crates/control/tests/common/mod.rs
@@ -1,5 +1,8 @@
 //! Relays that come and go in the replicated state.
 
+// Each test binary uses a part of it.
+#![allow(dead_code)]
+
 use saddlerelay_control::commands;
 use saddlerelay_control::state::ControlState;
 use saddlerelay_types::identity::{Incarnation, Zone};
--- a/crates/coordinator/src/homes.rs
+++ b/crates/coordinator/src/homes.rs
@@ -14,6 +14,9 @@
 /// Shortest pause between moves of engines from one model to another.
 const MOVE_INTERVAL: Duration = Duration::from_secs(3);
 
+/// Least difference of two models' excesses for which an engine is moved; a move changes it by two.
+const LEAST_GAP: f64 = 1.5;
+
 /// The sharing out.
 #[derive(Default)]
 pub struct Homes {
@@ -70,7 +73,7 @@
         &models[least.unwrap_or(0)]
     }
 
-    /// Moves an engine where one model has at least one too many and another one too few.
+    /// Moves an engine from the model that has most too many to the one that has most too few.
     fn move_one(&mut self, models: &[String], wanted: &[f64], now: Duration) {
         if now < self.moved_at + MOVE_INTERVAL {
             return;
@@ -81,7 +84,7 @@
         let (Some(richest), Some(poorest)) = (richest, poorest) else {
             return;
         };
-        if excess(richest) < 0.9 || excess(poorest) > -0.6 {
+        if excess(richest) - excess(poorest) < LEAST_GAP {
             return;
         }
         let moved = self.homes.iter().find(|(_, home)| **home == models[richest]).map(|(instance, _)| instance.clone());
--- /dev/null
+++ b/crates/coordinator/tests/homes.rs
@@ -0,0 +1,84 @@
+//! How engines are shared out among models.
+
+use quickcheck::QuickCheck;
+use saddlerelay_coordinator::homes::Homes;
+use saddlerelay_types::instance::InstanceId;
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+fn engines(count: usize) -> Vec<InstanceId> {
+    (0..count).map(|index| InstanceId(format!("engine-{index}"))).collect()
+}
+
+fn models(count: usize) -> Vec<String> {
+    (0..count).map(|index| format!("model-{index}")).collect()
+}
+
+fn counts(homes: &Homes, engines: &[InstanceId]) -> BTreeMap<String, usize> {
+    let mut counts = BTreeMap::new();
+    for home in engines.iter().filter_map(|engine| homes.home(engine)) {
+        *counts.entry(home.to_string()).or_default() += 1;
+    }
+    counts
+}
+
+#[test]
+fn models_get_engines_by_demand() {
+    let mut homes = Homes::default();
+    homes.note_demand("model-0", 1_000.0);
+    homes.note_demand("model-1", 2_000.0);
+    homes.share_out(&engines(9), &models(2), Duration::ZERO);
+    let counts = counts(&homes, &engines(9));
+    assert_eq!((counts["model-0"], counts["model-1"]), (3, 6));
+}
+
+#[test]
+fn one_model_or_too_few_engines_are_not_shared_out() {
+    let mut homes = Homes::default();
+    homes.share_out(&engines(9), &models(1), Duration::ZERO);
+    assert_eq!(homes.home(&engines(1)[0]), None);
+    homes.share_out(&engines(2), &models(3), Duration::ZERO);
+    assert_eq!(homes.home(&engines(1)[0]), None);
+}
+
+#[test]
+fn engines_move_one_by_one_when_demand_changes() {
+    let mut homes = Homes::default();
+    homes.note_demand("model-0", 1_000.0);
+    homes.note_demand("model-1", 1_000.0);
+    homes.share_out(&engines(10), &models(2), Duration::ZERO);
+    for _ in 0..20 {
+        homes.note_demand("model-1", 9_000.0);
+    }
+    homes.share_out(&engines(10), &models(2), Duration::from_secs(10));
+    assert_eq!(counts(&homes, &engines(10))["model-0"], 4);
+    homes.share_out(&engines(10), &models(2), Duration::from_secs(11));
+    assert_eq!(counts(&homes, &engines(10))["model-0"], 4, "not yet again");
+    for time in 1..20 {
+        homes.share_out(&engines(10), &models(2), Duration::from_secs(10 + 4 * time));
+    }
+    assert_eq!(counts(&homes, &engines(10))["model-0"], 1);
+}
+
+/// Whichever engines come and go, each has one home, every model has an engine, and no model has two too many.
+#[test]
+fn every_model_has_its_share() {
+    fn check(present: Vec<bool>, models_count: u8) -> bool {
+        let models = models(2 + usize::from(models_count % 3));
+        let mut homes = Homes::default();
+        let all = engines(present.len().max(1));
+        homes.share_out(&all, &models, Duration::ZERO);
+        let left: Vec<InstanceId> =
+            all.iter().zip(&present).filter(|(_, present)| **present).map(|(engine, _)| engine.clone()).collect();
+        for time in 1..40 {
+            homes.share_out(&left, &models, Duration::from_secs(4 * time));
+        }
+        let counts = counts(&homes, &left);
+        if left.len() < models.len() {
+            return counts.is_empty();
+        }
+        let fair = left.len() as f64 / models.len() as f64;
+        counts.len() == models.len() && counts.values().all(|count| (*count as f64 - fair).abs() < 2.0)
+    }
+    QuickCheck::new().tests(300).quickcheck(check as fn(Vec<bool>, u8) -> bool);
+}
--- a/crates/gateway-api/tests/common/engine.rs
+++ b/crates/gateway-api/tests/common/engine.rs
@@ -178,10 +178,9 @@
             Conduct::AnswerAfter(time) => compio::time::sleep(time).await,
             _ => {}
         }
-        if let Some(events) = events {
-            if !matches!(conduct, Conduct::Fail | Conduct::Impossible) {
-                return self.stream(&seen, &request_id, events, conduct);
-            }
+        let streams = !matches!(conduct, Conduct::Fail | Conduct::Impossible);
+        if let Some(events) = events.filter(|_| streams) {
+            return self.stream(&seen, &request_id, events, conduct);
         }
         let status = match conduct {
             Conduct::Fail => StatusCode::INTERNAL_SERVER_ERROR,
--- /dev/null
+++ b/crates/gateway/tests/choice.rs
@@ -0,0 +1,137 @@
+//! Which route, which target, which engine.
+
+use saddlerelay_gateway::balance::Balance;
+use saddlerelay_gateway::table::RouteTable;
+use saddlerelay_gateway::view::{ReadyEngine, View};
+use saddlerelay_types::gateway::FollowReply;
+use saddlerelay_types::instance::InstanceId;
+use saddlerelay_types::routing::{BatchTerms, RequestLimits, Route, RouteKind, RoutingDocument, WeightedTarget};
+use saddlerelay_upstream::EngineTarget;
+use std::time::Duration;
+
+fn route(host: &str, prefix: &str, weights: &[u64]) -> Route {
+    let target = |(index, weight): (usize, &u64)| WeightedTarget { service: format!("s{index}"), weight: *weight };
+    Route {
+        name: prefix.to_string(),
+        host: host.to_string(),
+        path_prefix: prefix.to_string(),
+        kind: RouteKind::Idempotent,
+        timeout_ms: 1_000,
+        objective_ms: 100,
+        priority: 1,
+        targets: weights.iter().enumerate().map(target).collect(),
+        max_attempts: 2,
+        resumable: false,
+        batch: BatchTerms::default(),
+    }
+}
+
+fn document(version: u64, routes: Vec<Route>) -> RoutingDocument {
+    let limits = RequestLimits { max_header_bytes: 1, max_body_bytes: 1, header_timeout_ms: 1, idle_timeout_ms: 1 };
+    RoutingDocument { version, routes, services: Vec::new(), limits, source: Vec::new() }
+}
+
+#[test]
+fn the_table_finds_the_same_route_as_the_document() {
+    let routes =
+        vec![route("a", "/", &[1]), route("a", "/x/", &[1]), route("a", "/x/y/", &[1]), route("b", "/x/", &[1])];
+    let document = document(1, routes);
+    let table = RouteTable::new(document.clone(), 0.0);
+    for host in ["a", "A:80", "b", "c", ""] {
+        for path in ["/", "/x", "/x/", "/x/y/z", "/z", ""] {
+            let by_table = table.find(host, path).map(|index| table.route(index).clone());
+            assert_eq!(by_table.as_ref(), document.find(host, path), "{host} {path}");
+        }
+    }
+}
+
+#[test]
+fn over_any_stretch_each_target_is_close_to_its_share() {
+    for offset in [0.0, 0.3, 0.7, 0.99] {
+        let table = RouteTable::new(document(1, vec![route("a", "/", &[90, 10, 0])]), offset);
+        let mut counts = [0_u32; 3];
+        for turn in 1..=200_u32 {
+            let service = table.next_service(0).to_string();
+            counts[service[1..].parse::<usize>().expect("a number")] += 1;
+            let owed = f64::from(turn) * 0.1;
+            assert!((f64::from(counts[1]) - owed).abs() <= 1.0, "after {turn}: {counts:?}");
+        }
+        assert_eq!(counts, [180, 20, 0]);
+    }
+}
+
+fn reply(version: Option<u64>, lease_ms: u64) -> FollowReply {
+    FollowReply {
+        lease_ms,
+        routing: version.map(|version| document(version, Vec::new())),
+        instance_revision: 0,
+        instances: Vec::new(),
+        silent: Vec::new(),
+        replicas: Vec::new(),
+    }
+}
+
+#[test]
+fn a_lease_counts_from_when_it_was_asked_for_and_versions_never_go_back() {
+    let mut view = View::default();
+    let at = Duration::from_millis;
+    assert!(!view.is_leased(at(0)));
+    view.take(reply(Some(5), 1_000), at(100), 0.0);
+    assert!(view.is_leased(at(1_099)) && !view.is_leased(at(1_100)));
+    // An older answer that comes late shortens nothing and changes nothing.
+    view.take(reply(Some(4), 1_000), at(50), 0.0);
+    assert!(view.is_leased(at(1_099)));
+    assert_eq!(view.routing_version(), Some(5));
+}
+
+fn engine(name: &str, zone: &str) -> ReadyEngine {
+    let target = EngineTarget { instance: InstanceId(name.to_string()), address: ([10, 0, 0, 1], 1).into() };
+    ReadyEngine { target, zone: zone.to_string(), slots: 4, silent: false }
+}
+
+fn chosen(balance: &Balance, engines: &[ReadyEngine], tried: &[InstanceId], now: u64) -> String {
+    let choice = balance.choose(engines.iter().cloned(), "north", tried, Duration::from_millis(now));
+    choice.expect("there are engines").target.instance.0
+}
+
+#[test]
+fn the_nearest_is_chosen_until_it_is_slower_or_fails() {
+    let balance = Balance::default();
+    let engines = [engine("far", "south"), engine("near", "north")];
+    let near = InstanceId("near".to_string());
+    assert_eq!(chosen(&balance, &engines, &[], 0), "near");
+    assert_eq!(chosen(&balance, &engines, std::slice::from_ref(&near), 0), "far");
+    balance.answered(&near, Duration::from_millis(200), Duration::from_millis(10));
+    assert_eq!(chosen(&balance, &engines, &[], 10), "far");
+    // What was measured long ago is forgotten: the engine is tried again.
+    assert_eq!(chosen(&balance, &engines, &[], 60_000), "near");
+    balance.failed(&near, Duration::from_millis(60_000));
+    assert_eq!(chosen(&balance, &engines, &[], 60_100), "far");
+    assert_eq!(chosen(&balance, &engines, &[], 60_500), "near");
+}
+
+#[test]
+fn a_failing_engine_is_left_alone_longer_each_time() {
+    let balance = Balance::default();
+    let engines = [engine("a", "north"), engine("b", "south")];
+    let failing = InstanceId("a".to_string());
+    let mut now = 0;
+    for pause in [400, 800, 1_600, 3_200, 6_400, 6_400] {
+        balance.failed(&failing, Duration::from_millis(now));
+        assert_eq!(chosen(&balance, &engines, &[], now + pause - 1), "b");
+        now += pause;
+        assert_eq!(chosen(&balance, &engines, &[], now), "a");
+    }
+}
+
+#[test]
+fn requests_in_flight_count_until_they_end() {
+    let balance = Balance::default();
+    let engines = [engine("a", "north"), engine("b", "north")];
+    let now = Duration::ZERO;
+    let held: Vec<_> = (0..3).map(|_| balance.begin(&InstanceId("a".to_string()), now)).collect();
+    assert_eq!(chosen(&balance, &engines, &[], 0), "b");
+    drop(held);
+    let _one = balance.begin(&InstanceId("b".to_string()), now);
+    assert_eq!(chosen(&balance, &engines, &[], 0), "a");
+}
--- a/crates/settings/src/parse.rs
+++ b/crates/settings/src/parse.rs
@@ -47,7 +47,7 @@
     let [relay, process, replication] = tables;
     if role == "control" {
         refuse_section("relay", &relay, errors);
-        Role::Control(parse_control(process, replication, control, errors))
+        Role::Control(Box::new(parse_control(process, replication, control, errors)))
     } else {
         refuse_section("control_process", &process, errors);
         refuse_section("replication", &replication, errors);
--- a/crates/settings/src/types.rs
+++ b/crates/settings/src/types.rs
@@ -37,7 +37,7 @@
     /// Serves callers and trainers.
     Relay(RelaySettings),
     /// One replica of the control group.
-    Control(ControlSettings),
+    Control(Box<ControlSettings>),
 }
 
 /// A relay's settings.
--- a/crates/telemetry/src/stdout.rs
+++ b/crates/telemetry/src/stdout.rs
@@ -19,15 +19,23 @@
 /// How long lines are gathered before they are written together.
 const GATHER: Duration = Duration::from_millis(25);
 
-#[derive(Default)]
-struct Buffer {
+/// Lines that wait to be written.
+pub struct Buffer {
     text: String,
+    most_bytes: usize,
+    lines_per_second: u32,
     second: Option<Instant>,
     lines_in_second: u32,
     dropped: u64,
     dropped_untold: u64,
 }
 
+impl Default for Buffer {
+    fn default() -> Self {
+        Self::new(BUFFER_BYTES, LINES_PER_SECOND)
+    }
+}
+
 #[derive(Default)]
 struct Shared {
     buffer: Mutex<Buffer>,
@@ -52,7 +60,7 @@
 
     /// Lines dropped so far.
     pub fn dropped(&self) -> u64 {
-        lock(&self.shared).dropped
+        lock(&self.shared).dropped()
     }
 }
 
@@ -68,21 +76,42 @@
         }
         drop(buffer);
         std::thread::sleep(GATHER);
-        let text = std::mem::take(&mut lock(shared).text);
+        let text = lock(shared).drain();
         // Nobody reads standard output any more: the lines are lost, the process goes on.
         let _ = std::io::stdout().write_all(text.as_bytes());
     }
 }
 
 impl Buffer {
-    fn take(&mut self, node: &str, line: &str) {
-        let now = Instant::now();
-        if self.second.is_none_or(|second| now - second >= Duration::from_secs(1)) {
-            self.second = Some(now);
-            self.lines_in_second = 0;
+    /// A buffer for so many bytes, and so many lines each second.
+    pub fn new(most_bytes: usize, lines_per_second: u32) -> Self {
+        let text = String::new();
+        Self { text, most_bytes, lines_per_second, second: None, lines_in_second: 0, dropped: 0, dropped_untold: 0 }
+    }
+
+    /// Lines dropped so far.
+    pub fn dropped(&self) -> u64 {
+        self.dropped
+    }
+
+    /// Takes what waits.
+    pub fn drain(&mut self) -> String {
+        std::mem::take(&mut self.text)
+    }
+
+    /// Begins the budget of the next second.
+    pub fn next_second(&mut self) {
+        self.second = Some(Instant::now());
+        self.lines_in_second = 0;
+    }
+
+    /// Takes a line, or drops and counts it.
+    pub fn take(&mut self, node: &str, line: &str) {
+        if self.second.is_none_or(|second| second.elapsed() >= Duration::from_secs(1)) {
+            self.next_second();
         }
         self.lines_in_second += 1;
-        if self.lines_in_second > LINES_PER_SECOND || self.text.len() + line.len() > BUFFER_BYTES {
+        if self.lines_in_second > self.lines_per_second || self.text.len() + line.len() > self.most_bytes {
             self.dropped += 1;
             self.dropped_untold += 1;
             return;
@@ -130,7 +159,7 @@
     }
 
     fn flush(&self) -> spdlog::Result<()> {
-        let text = std::mem::take(&mut lock(&self.shared).text);
+        let text = lock(&self.shared).drain();
         let _ = std::io::stdout().write_all(text.as_bytes());
         Ok(())
     }
