--- a/crates/command-line/src/lib.rs
+++ b/crates/command-line/src/lib.rs
@@ -1,6 +1,7 @@
 //! The command line: `serve`, `check-config` and `admin`.
 
 pub mod admin;
+pub mod explain;
 pub mod member;
 pub mod serve;
 pub mod table;
@@ -17,6 +18,8 @@
   saddlerelay serve --config FILE         run a relay or a control replica
   saddlerelay member --config FILE        run a process of a deployment that finds its own members
   saddlerelay check-config FILE           check a settings file and tell everything that is wrong with it
+  saddlerelay explain ID FILE... [--related] [--clock-error-ms N]
+                                          what the logs of many processes tell of a request, item, job, engine or node
   saddlerelay admin --address IP:PORT (--token TOKEN | --token-file FILE) [--json] COMMAND
       initialize                          form a new control group of the replica at this address
       status                              the group, the relays and the configuration in force
@@ -93,12 +96,12 @@
 }
 
 fn try_run(arguments: Vec<OsString>) -> Result<(), CommandError> {
+    if arguments.iter().any(|argument| argument == "--help" || argument == "-h") {
+        print!("{HELP}");
+        return Ok(());
+    }
     let mut parser = lexopt::Parser::from_args(arguments);
     match parser.next()? {
-        Some(Long("help") | Short('h')) => {
-            print!("{HELP}");
-            Ok(())
-        }
         Some(Long("version") | Short('V')) => {
             println!("saddlerelay {}", env!("CARGO_PKG_VERSION"));
             Ok(())
@@ -106,6 +109,7 @@
         Some(Value(command)) if command == "serve" => serve::serve(&config_flag(&mut parser)?),
         Some(Value(command)) if command == "member" => member::run(&config_flag(&mut parser)?),
         Some(Value(command)) if command == "check-config" => check_config(&mut parser),
+        Some(Value(command)) if command == "explain" => explain::run(&mut parser),
         Some(Value(command)) if command == "admin" => admin::run(&mut parser),
         Some(other) => Err(other.unexpected().into()),
         None => Err(CommandError::new(Exit::Usage, "name a command; see saddlerelay --help")),
--- a/crates/control/src/machine.rs
+++ b/crates/control/src/machine.rs
@@ -3,6 +3,7 @@
 use crate::commands;
 use crate::state::ControlState;
 use saddlerelay_replication::StateMachine;
+use saddlerelay_types::identity::ReplicaId;
 use saddlerelay_types::protocol::{CommandOutcome, LogCommand};
 
 /// Applies committed commands to [`ControlState`].
@@ -30,6 +31,11 @@
         bitcode::encode(&self.state)
     }
 
+    /// The holder of orders to engines: another one would have to wait before it may give any.
+    fn prefers(&self, replica: ReplicaId) -> bool {
+        self.state.weights.holder() == Some(replica)
+    }
+
     fn restore(&mut self, bytes: &[u8]) {
         self.state = bitcode::decode(bytes).expect("a snapshot passed its checksum");
     }
--- a/crates/control/src/state/weights.rs
+++ b/crates/control/src/state/weights.rs
@@ -24,6 +24,11 @@
         *newest = (*newest).max(named.version);
     }
 
+    /// The holder of orders.
+    pub fn holder(&self) -> Option<ReplicaId> {
+        self.holder
+    }
+
     /// Makes `replica` the holder of orders; returns whether another held them before.
     pub fn take_orders(&mut self, replica: ReplicaId) -> bool {
         let before = self.holder.replace(replica);
--- a/crates/coordinator/src/homes.rs
+++ b/crates/coordinator/src/homes.rs
@@ -37,15 +37,30 @@
         self.homes.get(instance).map(String::as_str)
     }
 
-    /// Shares `engines` out among `models`. Engines come fastest first, so that each model gets fast and slow ones.
-    pub fn share_out(&mut self, engines: &[InstanceId], models: &[String], now: Duration) {
+    /// Shares `engines` out among `models`. Engines come fastest first, so that each model gets fast and slow ones. `lag`
+    /// tells how many versions an engine is behind with a model: a new leader leaves engines where their weights are.
+    pub fn share_out(
+        &mut self,
+        engines: &[InstanceId],
+        models: &[String],
+        lag: impl Fn(&InstanceId, &str) -> u64,
+        now: Duration,
+    ) {
         if models.len() < 2 || engines.len() < models.len() {
             self.homes.clear();
             return;
         }
         self.homes.retain(|instance, model| engines.contains(instance) && models.contains(model));
         let wanted = self.wanted(engines.len(), models);
-        for instance in engines {
+        let new: Vec<&InstanceId> = engines.iter().filter(|instance| !self.homes.contains_key(*instance)).collect();
+        for instance in &new {
+            if let Some(index) = least_lagging(models, |model| lag(instance, model))
+                && self.count(&models[index]) + 1.0 <= wanted[index].ceil()
+            {
+                self.homes.insert((*instance).clone(), models[index].clone());
+            }
+        }
+        for instance in new {
             if !self.homes.contains_key(instance) {
                 let model = self.neediest(models, &wanted).clone();
                 self.homes.insert(instance.clone(), model);
@@ -94,3 +109,12 @@
         }
     }
 }
+
+/// The model that an engine is less behind with than with any other.
+fn least_lagging(models: &[String], lag: impl Fn(&str) -> u64) -> Option<usize> {
+    let lags: Vec<u64> = models.iter().map(|model| lag(model)).collect();
+    let least = lags.iter().min()?;
+    let mut least_ones = (0..lags.len()).filter(|index| lags[*index] == *least);
+    let first = least_ones.next()?;
+    least_ones.next().is_none().then_some(first)
+}
--- a/crates/coordinator/src/orders.rs
+++ b/crates/coordinator/src/orders.rs
@@ -83,7 +83,7 @@
         let loading = engines.iter().filter(|engine| inner.fleet.is_loading_any(&engine.instance)).count();
         let single = document.routes.iter().any(|route| route.kind == RouteKind::Rollout && route.batch.single_version);
         let running = if single { RunningStreams::Wait } else { RunningStreams::Keep };
-        coordinator.share_out(&engines, &hosting.models);
+        coordinator.share_out(&engines, &hosting.models, state.weights.named());
         let behind = hosting.models.iter().filter_map(|model| Some((model, *state.weights.named().get(model)?)));
         let behind = behind.flat_map(|(model, named)| engines_behind(coordinator, &engines, model, named, running));
         let mut behind: Vec<DueOrder> = behind.collect();
@@ -171,12 +171,20 @@
     }
 
     /// Shares the engines of a service out among its models, fastest first.
-    fn share_out(&self, engines: &[EngineTarget], models: &[String]) {
+    /// Those whose weights are not known yet are left out.
+    fn share_out(&self, engines: &[EngineTarget], models: &[String], named: &BTreeMap<String, u64>) {
         let now = self.now();
-        let mut by_pace: Vec<InstanceId> = engines.iter().map(|engine| engine.instance.clone()).collect();
+        let version = |instance: &InstanceId, model: &str| self.inner.fleet.version(instance, model);
+        let known =
+            engines.iter().filter(|engine| models.iter().all(|model| version(&engine.instance, model).is_some()));
+        let mut by_pace: Vec<InstanceId> = known.map(|engine| engine.instance.clone()).collect();
         let pace = |instance: &InstanceId| self.inner.fleet.pace(instance, now);
         by_pace.sort_by(|left, right| pace(left).total_cmp(&pace(right)));
-        self.inner.homes.borrow_mut().share_out(&by_pace, models, now);
+        let lag = |instance: &InstanceId, model: &str| {
+            let newest = named.get(model).copied().unwrap_or_default();
+            newest.saturating_sub(version(instance, model).unwrap_or_default())
+        };
+        self.inner.homes.borrow_mut().share_out(&by_pace, models, lag, now);
     }
 
     async fn call(&self, target: &EngineTarget, call: Call, term: u64) -> Result<(u16, bytes::Bytes), Failure> {
--- a/crates/coordinator/tests/homes.rs
+++ b/crates/coordinator/tests/homes.rs
@@ -22,22 +22,45 @@
     counts
 }
 
+fn no_lag(_: &InstanceId, _: &str) -> u64 {
+    0
+}
+
 #[test]
 fn models_get_engines_by_demand() {
     let mut homes = Homes::default();
     homes.note_demand("model-0", 1_000.0);
     homes.note_demand("model-1", 2_000.0);
-    homes.share_out(&engines(9), &models(2), Duration::ZERO);
+    homes.share_out(&engines(9), &models(2), no_lag, Duration::ZERO);
     let counts = counts(&homes, &engines(9));
     assert_eq!((counts["model-0"], counts["model-1"]), (3, 6));
 }
 
+/// A new leader knows nothing but what engines have loaded.
+#[test]
+fn a_new_leader_leaves_engines_where_their_weights_are() {
+    let engines = engines(9);
+    let near = |instance: &InstanceId| if engines[..4].contains(instance) { "model-1" } else { "model-0" };
+    let mut homes = Homes::default();
+    homes.note_demand("model-0", 1_000.0);
+    homes.note_demand("model-1", 900.0);
+    homes.share_out(
+        &engines,
+        &models(2),
+        |instance, model| if model == near(instance) { 1 } else { 7 },
+        Duration::ZERO,
+    );
+    for engine in &engines {
+        assert_eq!(homes.home(engine), Some(near(engine)));
+    }
+}
+
 #[test]
 fn one_model_or_too_few_engines_are_not_shared_out() {
     let mut homes = Homes::default();
-    homes.share_out(&engines(9), &models(1), Duration::ZERO);
+    homes.share_out(&engines(9), &models(1), no_lag, Duration::ZERO);
     assert_eq!(homes.home(&engines(1)[0]), None);
-    homes.share_out(&engines(2), &models(3), Duration::ZERO);
+    homes.share_out(&engines(2), &models(3), no_lag, Duration::ZERO);
     assert_eq!(homes.home(&engines(1)[0]), None);
 }
 
@@ -46,16 +69,16 @@
     let mut homes = Homes::default();
     homes.note_demand("model-0", 1_000.0);
     homes.note_demand("model-1", 1_000.0);
-    homes.share_out(&engines(10), &models(2), Duration::ZERO);
+    homes.share_out(&engines(10), &models(2), no_lag, Duration::ZERO);
     for _ in 0..20 {
         homes.note_demand("model-1", 9_000.0);
     }
-    homes.share_out(&engines(10), &models(2), Duration::from_secs(10));
+    homes.share_out(&engines(10), &models(2), no_lag, Duration::from_secs(10));
     assert_eq!(counts(&homes, &engines(10))["model-0"], 4);
-    homes.share_out(&engines(10), &models(2), Duration::from_secs(11));
+    homes.share_out(&engines(10), &models(2), no_lag, Duration::from_secs(11));
     assert_eq!(counts(&homes, &engines(10))["model-0"], 4, "not yet again");
     for time in 1..20 {
-        homes.share_out(&engines(10), &models(2), Duration::from_secs(10 + 4 * time));
+        homes.share_out(&engines(10), &models(2), no_lag, Duration::from_secs(10 + 4 * time));
     }
     assert_eq!(counts(&homes, &engines(10))["model-0"], 1);
 }
@@ -67,11 +90,11 @@
         let models = models(2 + usize::from(models_count % 3));
         let mut homes = Homes::default();
         let all = engines(present.len().max(1));
-        homes.share_out(&all, &models, Duration::ZERO);
+        homes.share_out(&all, &models, no_lag, Duration::ZERO);
         let left: Vec<InstanceId> =
             all.iter().zip(&present).filter(|(_, present)| **present).map(|(engine, _)| engine.clone()).collect();
         for time in 1..40 {
-            homes.share_out(&left, &models, Duration::from_secs(4 * time));
+            homes.share_out(&left, &models, no_lag, Duration::from_secs(4 * time));
         }
         let counts = counts(&homes, &left);
         if left.len() < models.len() {
--- a/crates/replication/src/replica.rs
+++ b/crates/replication/src/replica.rs
@@ -93,6 +93,7 @@
             machine.restore(&snapshot.state);
         }
         let now = platform.monotonic();
+        let preferred = machine.prefers(recovered.identity.id);
         let state = State {
             identity: recovered.identity,
             term: recovered.term,
@@ -100,7 +101,7 @@
             role: Role::Follower,
             leader: None,
             leader_heard_at: now,
-            election_at: now + options.config.election_timeout + platform.jitter(options.config.election_jitter),
+            election_at: now + options.config.election_timeout + election_jitter(&platform, &options.config, preferred),
             synced: recovered.log.last_index(),
             log: recovered.log,
             commit: snapshot_index,
@@ -364,11 +365,18 @@
     pub(crate) fn reset_election_timer(&self, state: &mut State<S>) {
         let config = &self.inner.options.config;
         let platform = &self.inner.platform;
-        let wait = config.election_timeout + platform.jitter(config.election_jitter);
+        let wait =
+            config.election_timeout + election_jitter(platform, config, state.machine.prefers(state.identity.id));
         state.election_at = platform.monotonic() + wait;
     }
 }
 
+/// The random part of an election timeout: the first third is the preferred replica's.
+fn election_jitter<P: Runtime>(platform: &P, config: &ReplicationConfig, preferred: bool) -> Duration {
+    let third = config.election_jitter / 3;
+    if preferred { platform.jitter(third) } else { third + platform.jitter(config.election_jitter - third) }
+}
+
 /// The identifier of the replica that founds a group at `address`, the same for everyone who works it out.
 fn founder_id(address: SocketAddr) -> ReplicaId {
     ReplicaId(stable_hash(&(0, address.to_string())).max(1))
--- a/crates/replication/src/state.rs
+++ b/crates/replication/src/state.rs
@@ -22,6 +22,10 @@
     fn snapshot(&self) -> Vec<u8>;
     /// Replaces the state with one that `snapshot` gave.
     fn restore(&mut self, bytes: &[u8]);
+    /// Whether `replica` should rather lead than others, for example because it holds a right that passes on slowly.
+    fn prefers(&self, _replica: ReplicaId) -> bool {
+        false
+    }
 }
 
 /// What a leader knows of one peer.
--- a/crates/simulator/tests/members.rs
+++ b/crates/simulator/tests/members.rs
@@ -10,7 +10,7 @@
 use saddlerelay_simulator::world::{Process, World};
 use saddlerelay_types::identity::ReplicaId;
 use saddlerelay_types::protocol::{ControlReply, ControlRequest};
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -19,6 +19,11 @@
 const SEEDS: std::ops::Range<u64> = 0..40;
 const SECRET: &str = "a secret of sixteen signs";
 
+thread_local! {
+    /// The replica that should rather lead than others.
+    static PREFERRED: Cell<Option<ReplicaId>> = const { Cell::new(None) };
+}
+
 /// A set of numbers.
 #[derive(Default)]
 struct Numbers {
@@ -41,6 +46,10 @@
         bitcode::encode(&(self.held.clone(), self.weight.clone()))
     }
 
+    fn prefers(&self, replica: ReplicaId) -> bool {
+        PREFERRED.with(|preferred| preferred.get()) == Some(replica)
+    }
+
     fn restore(&mut self, bytes: &[u8]) {
         (self.held, self.weight) = bitcode::decode(bytes).expect("a snapshot can be read");
     }
@@ -388,3 +397,28 @@
         group.check("power");
     });
 }
+
+/// After the power was lost, the preferred replica leads again, unless the others had not started when it asked them.
+#[test]
+fn the_preferred_replica_usually_leads_again() {
+    let leads_again = |seed: u64| {
+        PREFERRED.with(|preferred| preferred.set(None));
+        let mut group = formed(seed);
+        group.propose_for(Duration::from_millis(300));
+        group.run_for(Duration::from_millis(500));
+        let place = 1 + (seed % 3) as u8;
+        let preferred = group.id(place);
+        PREFERRED.with(|held| held.set(preferred));
+        for place in 1..=3 {
+            group.kill(place, false);
+        }
+        for place in 1..=3 {
+            group.start(place, false);
+        }
+        group.await_leader(Duration::from_secs(4), "after the power was lost");
+        PREFERRED.with(|held| held.set(None));
+        group.leader().map(|leader| leader.id()) == preferred
+    };
+    let count = SEEDS.filter(|seed| leads_again(*seed)).count();
+    assert!(count >= 30, "{count} of {} seeds", SEEDS.count());
+}
