--- a/crates/replication/src/follower.rs
+++ b/crates/replication/src/follower.rs
@@ -1,9 +1,11 @@
 //! Following a leader: appending its entries and installing its snapshots.
 
 use crate::log::{LogEntry, MemoryLog};
-use crate::message::{Header, ReplicaReply, Snapshot, SnapshotPart};
+use crate::message::{Header, ReplicaReply, SnapshotPart};
 use crate::replica::Replica;
+use crate::snapshot::{Snapshot, SnapshotHeader};
 use crate::state::{State, StateMachine};
+use crate::storage::write_snapshot;
 use crate::wal::WalRecord;
 use saddlerelay_runtime::{MAX_FRAME_BYTES, Runtime};
 use saddlerelay_types::identity::ReplicaId;
@@ -85,14 +87,14 @@
             }
             incoming.take().map(|received| received.bytes).unwrap_or_default()
         };
-        match bitcode::decode(&whole) {
-            Ok(snapshot) => self.install_snapshot(header, snapshot, &whole).await,
-            Err(_) => ReplicaReply::SnapshotPart { term: header.term, next_offset: 0 },
+        match Snapshot::decode(whole) {
+            Some(snapshot) => self.install_snapshot(header, snapshot).await,
+            None => ReplicaReply::SnapshotPart { term: header.term, next_offset: 0 },
         }
     }
 
-    /// Replaces the state; `encoded` is the snapshot's own bytes.
-    async fn install_snapshot(&self, header: Header, snapshot: Snapshot, encoded: &[u8]) -> ReplicaReply {
+    /// Replaces the state.
+    async fn install_snapshot(&self, header: Header, snapshot: Snapshot) -> ReplicaReply {
         let mut storage = self.inner.storage.lock().await;
         let (own_term, applied) = {
             let state = self.inner.state.borrow();
@@ -101,11 +103,17 @@
         if header.term < own_term {
             return ReplicaReply::Append { term: own_term, accepted: false, index: 0 };
         }
-        if snapshot.index <= applied {
+        let SnapshotHeader { index, term, membership } = snapshot.header.clone();
+        if index <= applied {
             return ReplicaReply::Append { term: header.term, accepted: true, index: applied };
         }
         let voted_for = self.inner.state.borrow().voted_for.filter(|_| header.term == own_term);
-        let written = match storage.write_encoded_snapshot(encoded).await {
+        // The state is replaced first, so that not both of them and the snapshot's bytes are held.
+        self.replace_state(&snapshot);
+        let writing = self.inner.snapshot_file.lock().await;
+        let written = write_snapshot(&self.inner.platform.disk(), snapshot).await;
+        drop(writing);
+        let written = match written {
             Ok(()) => storage.rewrite(header.term, voted_for, &[]).await,
             Err(error) => Err(error),
         };
@@ -115,14 +123,23 @@
         }
         let mut state = self.inner.state.borrow_mut();
         enter_term(&mut state, &header);
-        state.machine.restore(&snapshot.state);
-        state.log = MemoryLog::new(snapshot.index, snapshot.term, snapshot.membership);
-        state.synced = snapshot.index;
-        state.commit = snapshot.index;
-        state.applied = snapshot.index;
-        state.snapshot_index = snapshot.index;
+        state.log = MemoryLog::new(index, term, membership);
+        state.synced = index;
+        state.commit = index;
+        state.applied = index;
+        state.snapshot_index = index;
         state.applied_bytes_since_snapshot = 0;
-        ReplicaReply::Append { term: header.term, accepted: true, index: snapshot.index }
+        ReplicaReply::Append { term: header.term, accepted: true, index }
+    }
+
+    /// What the snapshot holds was committed: the state may go forward to it before it is on this replica's disk.
+    fn replace_state(&self, snapshot: &Snapshot) {
+        let mut state = self.inner.state.borrow_mut();
+        state.machine.restore(snapshot.state());
+        let header = snapshot.header.clone();
+        state.log = MemoryLog::new(header.index, header.term, header.membership);
+        state.commit = header.index;
+        state.applied = header.index;
     }
 
     fn hear_leader(&self, state: &mut State<S>, header: &Header) {
--- a/crates/replication/src/leader.rs
+++ b/crates/replication/src/leader.rs
@@ -2,8 +2,9 @@
 
 use crate::log::{EntryPayload, LogEntry};
 use crate::membership::Member;
-use crate::message::{ReplicaReply, ReplicaRequest, Snapshot, SnapshotPart};
+use crate::message::{ReplicaReply, ReplicaRequest, SnapshotPart};
 use crate::replica::{Proposal, Replica};
+use crate::snapshot::Snapshot;
 use crate::state::{Leadership, Progress, Role, State, StateMachine};
 use crate::wal::WalRecord;
 use futures::channel::mpsc;
@@ -11,6 +12,7 @@
 use saddlerelay_runtime::Runtime;
 use std::collections::BTreeMap;
 use std::pin::pin;
+use std::rc::Rc;
 use std::time::Duration;
 
 /// Most proposals in one write.
@@ -21,24 +23,20 @@
 
 /// A snapshot on its way to one peer.
 struct SnapshotTransfer {
-    index: u64,
-    encoded: Vec<u8>,
+    snapshot: Rc<Snapshot>,
     offset: usize,
 }
 
 impl SnapshotTransfer {
-    fn new(snapshot: &Snapshot) -> Self {
-        Self { index: snapshot.index, encoded: bitcode::encode(snapshot), offset: 0 }
-    }
-
     fn next_part(&self) -> SnapshotPart {
-        let start = self.offset.min(self.encoded.len());
-        let end = (start + SNAPSHOT_PART_BYTES).min(self.encoded.len());
+        let encoded = self.snapshot.encoded();
+        let start = self.offset.min(encoded.len());
+        let end = (start + SNAPSHOT_PART_BYTES).min(encoded.len());
         SnapshotPart {
-            index: self.index,
-            total: self.encoded.len() as u64,
+            index: self.snapshot.header.index,
+            total: encoded.len() as u64,
             offset: start as u64,
-            bytes: self.encoded[start..end].to_vec(),
+            bytes: encoded[start..end].to_vec(),
         }
     }
 }
@@ -175,10 +173,22 @@
             let commit = state.commit;
             return Some(ReplicaRequest::Append { header, previous_index, previous_term, entries, commit });
         }
-        let transfer = transfer.get_or_insert_with(|| SnapshotTransfer::new(&state.snapshot()));
+        let begin = || SnapshotTransfer { snapshot: self.outgoing_snapshot(&state), offset: 0 };
+        let transfer = transfer.get_or_insert_with(begin);
         Some(ReplicaRequest::SnapshotPart { header, part: transfer.next_part() })
     }
 
+    /// A snapshot to send: the one that another peer is being sent, if the log goes on behind it.
+    fn outgoing_snapshot(&self, state: &State<S>) -> Rc<Snapshot> {
+        let mut outgoing = self.inner.outgoing.borrow_mut();
+        let shared = outgoing.upgrade().filter(|snapshot| snapshot.header.index >= state.log.base_index());
+        shared.unwrap_or_else(|| {
+            let snapshot = Rc::new(state.snapshot());
+            *outgoing = Rc::downgrade(&snapshot);
+            snapshot
+        })
+    }
+
     fn record_contact(&self, peer: &Member, term: u64, sent_at: Duration) {
         let mut state = self.inner.state.borrow_mut();
         if !state.leads_term(term) {
--- a/crates/replication/src/lib.rs
+++ b/crates/replication/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod message;
 mod reconfigure;
 mod replica;
+pub mod snapshot;
 mod state;
 pub mod storage;
 pub mod wal;
--- a/crates/replication/src/maintenance.rs
+++ b/crates/replication/src/maintenance.rs
@@ -2,6 +2,7 @@
 
 use crate::replica::Replica;
 use crate::state::StateMachine;
+use crate::storage::write_snapshot;
 use saddlerelay_runtime::Runtime;
 use std::time::Duration;
 
@@ -26,22 +27,34 @@
         let state = self.inner.state.borrow();
         let config = &self.inner.options.config;
         let entries = state.applied - state.snapshot_index;
-        entries >= config.snapshot_entries || entries > 0 && state.applied_bytes_since_snapshot >= config.snapshot_bytes
+        // Replicas take theirs at different times, so that most of them are always free to answer.
+        let share = 50 + state.identity.id.0 % 51;
+        let snapshot_bytes = config.snapshot_bytes * share / 100;
+        entries >= config.snapshot_entries || entries > 0 && state.applied_bytes_since_snapshot >= snapshot_bytes
     }
 
+    /// Writes a snapshot while the log is appended to, and then cuts the log.
     async fn take_snapshot(&self) {
-        let mut storage = self.inner.storage.lock().await;
+        let writing = self.inner.snapshot_file.lock().await;
         let snapshot = self.inner.state.borrow().snapshot();
-        if storage.write_snapshot(&snapshot).await.is_err() {
+        let index = snapshot.header.index;
+        let written = write_snapshot(&self.inner.platform.disk(), snapshot).await;
+        drop(writing);
+        if written.is_err() {
             self.fail_storage();
             return;
         }
+        let mut storage = self.inner.storage.lock().await;
         let (term, voted_for, entries) = {
             let mut state = self.inner.state.borrow_mut();
-            let keep_from = snapshot.index.saturating_sub(self.inner.options.config.trailing_entries);
+            if state.snapshot_index >= index {
+                // A leader has sent a newer one meanwhile, which was written after this one.
+                return;
+            }
+            let keep_from = index.saturating_sub(self.inner.options.config.trailing_entries);
             let base = state.log.base_index().max(keep_from);
             state.log.compact(base);
-            state.snapshot_index = snapshot.index;
+            state.snapshot_index = index;
             state.applied_bytes_since_snapshot = 0;
             let entries = state.log.entries_from(base + 1, usize::MAX).unwrap_or_default();
             (state.term, state.voted_for, entries)
@@ -86,10 +99,15 @@
             (state.log.base_index() > state.snapshot_index).then(|| state.snapshot())
         };
         if let Some(snapshot) = newer {
-            if storage.write_snapshot(&snapshot).await.is_err() {
+            let index = snapshot.header.index;
+            let writing = self.inner.snapshot_file.lock().await;
+            if write_snapshot(&self.inner.platform.disk(), snapshot).await.is_err() {
                 return;
             }
-            self.inner.state.borrow_mut().snapshot_index = snapshot.index;
+            drop(writing);
+            let mut state = self.inner.state.borrow_mut();
+            state.snapshot_index = index;
+            state.synced = state.synced.max(index);
         }
         let (term, voted_for, entries, synced) = {
             let state = self.inner.state.borrow();
--- a/crates/replication/src/message.rs
+++ b/crates/replication/src/message.rs
@@ -1,7 +1,6 @@
 //! Messages between replicas.
 
 use crate::log::LogEntry;
-use crate::membership::Membership;
 use bitcode::{Decode, Encode};
 use saddlerelay_types::identity::ReplicaId;
 use std::net::SocketAddr;
@@ -48,7 +47,7 @@
         /// The leader's commit index.
         commit: u64,
     },
-    /// A part of an encoded [`Snapshot`], which replaces the receiver's state once it is whole.
+    /// A part of an encoded [`Snapshot`](crate::snapshot::Snapshot), which replaces the receiver's state once it is whole.
     SnapshotPart {
         /// Sender and receiver.
         header: Header,
@@ -103,7 +102,7 @@
     Refused,
 }
 
-/// A part of an encoded [`Snapshot`].
+/// A part of an encoded [`Snapshot`](crate::snapshot::Snapshot).
 #[derive(Clone, Debug, PartialEq, Eq, Encode, Decode)]
 pub struct SnapshotPart {
     /// Last entry that the snapshot includes.
@@ -115,16 +114,3 @@
     /// The bytes.
     pub bytes: Vec<u8>,
 }
-
-/// State up to an index.
-#[derive(Clone, Debug, PartialEq, Eq, Encode, Decode)]
-pub struct Snapshot {
-    /// Last entry included.
-    pub index: u64,
-    /// Its term.
-    pub term: u64,
-    /// The membership at that entry.
-    pub membership: Membership,
-    /// The state machine's own bytes.
-    pub state: Vec<u8>,
-}
--- a/crates/replication/src/replica.rs
+++ b/crates/replication/src/replica.rs
@@ -5,6 +5,7 @@
 use crate::log::EntryPayload;
 use crate::membership::{Member, Membership};
 use crate::message::{Header, ReplicaReply, ReplicaRequest};
+use crate::snapshot::Snapshot;
 use crate::state::{Role, State, StateMachine};
 use crate::storage::{Identity, Storage, StorageError};
 use futures::channel::{mpsc, oneshot};
@@ -17,7 +18,7 @@
 use std::cell::RefCell;
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
-use std::rc::Rc;
+use std::rc::{Rc, Weak};
 use std::time::Duration;
 
 /// How a replica is started.
@@ -57,6 +58,8 @@
     pub options: ReplicaOptions,
     pub state: RefCell<State<S>>,
     pub storage: Mutex<Storage<P::Disk>>,
+    /// Held by whoever writes the snapshot file; taken after `storage` if both are needed.
+    pub snapshot_file: Mutex<()>,
     pub proposals: RefCell<mpsc::Sender<Proposal<S::Outcome>>>,
     proposal_queue: RefCell<Option<mpsc::Receiver<Proposal<S::Outcome>>>>,
     /// New entries, a new leader or a new membership.
@@ -66,6 +69,8 @@
     pub unwanted: RefCell<BTreeSet<ReplicaId>>,
     /// A snapshot that is being received.
     pub incoming: RefCell<Option<IncomingSnapshot>>,
+    /// The snapshot that is being sent, for peers that need one at the same time.
+    pub outgoing: RefCell<Weak<Snapshot>>,
     /// Where replicas may listen that this one has heard of.
     pub heard_of: RefCell<BTreeSet<SocketAddr>>,
 }
@@ -89,8 +94,8 @@
         let new_id = if founds { founder_id(options.address) } else { random_id };
         let (storage, recovered) = Storage::open(platform.disk(), new_id).await?;
         let snapshot_index = recovered.log.base_index();
-        if let Some(snapshot) = &recovered.snapshot {
-            machine.restore(&snapshot.state);
+        if let Some(snapshot) = recovered.snapshot {
+            machine.restore(snapshot.state());
         }
         let now = platform.monotonic();
         let preferred = machine.prefers(recovered.identity.id);
@@ -119,12 +124,14 @@
             options,
             state: RefCell::new(state),
             storage: Mutex::new(storage),
+            snapshot_file: Mutex::new(()),
             proposals: RefCell::new(proposals),
             proposal_queue: RefCell::new(Some(proposal_queue)),
             changed: Signal::default(),
             clients: RefCell::default(),
             unwanted: RefCell::default(),
             incoming: RefCell::default(),
+            outgoing: RefCell::default(),
             heard_of: RefCell::default(),
         };
         let replica = Self { inner: Rc::new(inner) };
--- a/crates/replication/src/state.rs
+++ b/crates/replication/src/state.rs
@@ -3,7 +3,7 @@
 use crate::config::ReplicationConfig;
 use crate::log::{EntryPayload, MemoryLog};
 use crate::membership::Membership;
-use crate::message::Snapshot;
+use crate::snapshot::{Snapshot, SnapshotHeader};
 use crate::storage::Identity;
 use futures::channel::oneshot;
 use saddlerelay_types::identity::ReplicaId;
@@ -197,11 +197,8 @@
     /// The state at the last applied entry.
     pub fn snapshot(&self) -> Snapshot {
         let index = self.applied;
-        Snapshot {
-            index,
-            term: self.log.term_at(index).unwrap_or_default(),
-            membership: self.log.membership_at(index).clone(),
-            state: self.machine.snapshot(),
-        }
+        let term = self.log.term_at(index).unwrap_or_default();
+        let membership = self.log.membership_at(index).clone();
+        Snapshot::new(SnapshotHeader { index, term, membership }, self.machine.snapshot())
     }
 }
--- a/crates/replication/src/storage.rs
+++ b/crates/replication/src/storage.rs
@@ -2,7 +2,7 @@
 
 use crate::log::{LogEntry, MemoryLog};
 use crate::membership::Membership;
-use crate::message::Snapshot;
+use crate::snapshot::Snapshot;
 use crate::wal::{self, WalRecord};
 use bitcode::{Decode, Encode};
 use saddlerelay_runtime::Disk;
@@ -85,7 +85,7 @@
     /// Opens the files, making an identity if the disk is empty.
     pub async fn open(disk: D, new_id: ReplicaId) -> Result<(Self, Recovered), StorageError> {
         let identity = read_framed::<Identity, D>(&disk, IDENTITY_FILE).await?;
-        let snapshot = read_framed::<Snapshot, D>(&disk, SNAPSHOT_FILE).await?;
+        let snapshot = read_snapshot(&disk).await?;
         let wal_bytes = disk.read(WAL_FILE).await?.unwrap_or_default();
         let content = wal::read(&wal_bytes)
             .map_err(|wal::WalError::Corrupt { offset }| StorageError::Corrupt { file: WAL_FILE, offset })?;
@@ -149,16 +149,23 @@
         self.damaged = false;
         Ok(())
     }
+}
 
-    /// Replaces the snapshot.
-    pub async fn write_snapshot(&mut self, snapshot: &Snapshot) -> Result<(), StorageError> {
-        self.write_encoded_snapshot(&bitcode::encode(snapshot)).await
-    }
+/// Replaces the snapshot. The log is appended to meanwhile.
+pub async fn write_snapshot<D: Disk>(disk: &D, snapshot: Snapshot) -> Result<(), StorageError> {
+    let encoded = snapshot.encoded().clone();
+    drop(snapshot);
+    // Nobody else holds the bytes, unless they are being sent.
+    let bytes = std::rc::Rc::try_unwrap(encoded).unwrap_or_else(|shared| shared.to_vec());
+    Ok(disk.replace(SNAPSHOT_FILE, bytes).await?)
+}
 
-    /// Replaces the snapshot with one that is encoded already.
-    pub async fn write_encoded_snapshot(&mut self, encoded: &[u8]) -> Result<(), StorageError> {
-        Ok(self.disk.replace(SNAPSHOT_FILE, wal::frame(encoded)).await?)
-    }
+async fn read_snapshot<D: Disk>(disk: &D) -> Result<Option<Snapshot>, StorageError> {
+    let Some(bytes) = disk.read(SNAPSHOT_FILE).await? else {
+        return Ok(None);
+    };
+    let damaged = StorageError::Corrupt { file: SNAPSHOT_FILE, offset: 0 };
+    Snapshot::decode(bytes).map(Some).ok_or(damaged)
 }
 
 async fn read_framed<T: bitcode::DecodeOwned, D: Disk>(
@@ -175,7 +182,7 @@
 
 fn rebuild(identity: Identity, snapshot: Option<Snapshot>, records: Vec<WalRecord>, torn_bytes: usize) -> Recovered {
     let mut log = match &snapshot {
-        Some(snapshot) => MemoryLog::new(snapshot.index, snapshot.term, snapshot.membership.clone()),
+        Some(Snapshot { header, .. }) => MemoryLog::new(header.index, header.term, header.membership.clone()),
         None => MemoryLog::new(0, 0, Membership::default()),
     };
     let (mut term, mut voted_for) = (0, None);
--- a/crates/runtime-compio/src/disk.rs
+++ b/crates/runtime-compio/src/disk.rs
@@ -76,12 +76,13 @@
     }
 
     async fn replace(&self, file: &str, bytes: Vec<u8>) -> io::Result<()> {
-        let mut appenders = self.appenders.lock().await;
         let temporary = self.folder.join(format!("{file}.new"));
         let mut new_file = File::create(&temporary).await?;
         let BufResult(written, _) = new_file.write_all_at(bytes, 0).await;
         written?;
         new_file.sync_all().await?;
+        // Other files are appended to meanwhile.
+        let mut appenders = self.appenders.lock().await;
         appenders.remove(file);
         compio::fs::rename(&temporary, self.folder.join(file)).await?;
         self.sync_folder().await
--- a/crates/settings/src/member.rs
+++ b/crates/settings/src/member.rs
@@ -149,7 +149,7 @@
             lease: Duration::from_millis(400),
             call_limit: Duration::from_millis(700),
             snapshot_entries: 40_000,
-            snapshot_bytes: 96 * 1024 * 1024,
+            snapshot_bytes: 40 * 1024 * 1024,
             memory_bytes: 512 * 1024,
             memory_bytes_behind: 8 * 1024 * 1024,
             target_voters: 2 * self.tolerated_losses as usize + 1,
