Keep results compressed and drop what listed items no longer need

Change: texts of results are deflated in the state with one compressor kept for all; listed items lose headers and bodies, a digest tells whether a later job's item is the same request.

--- a/crates/control/src/state/jobs.rs
+++ b/crates/control/src/state/jobs.rs
@@ -1,5 +1,6 @@
 //! Batch jobs and their results.
 
+use super::packed::PackedText;
 use bitcode::{Decode, Encode};
 use saddlerelay_types::job::{
     ItemEnd, ItemId, ItemOutcome, ItemResult, JobId, JobItem, JobSubmission, PartialText, ResultPage, TextPart,
@@ -15,13 +16,35 @@
 /// Jobs after which the partial texts of an ended one are forgotten.
 const PARTIALS_KEPT: u64 = 16;
 
+/// A result as it is kept.
+#[derive(Clone, Debug, PartialEq, Encode, Decode)]
+struct KeptResult {
+    item: u32,
+    end: ItemEnd,
+    text: PackedText,
+    versions: Vec<u64>,
+}
+
+impl KeptResult {
+    fn unpack(&self) -> ItemResult {
+        ItemResult { item: self.item, end: self.end, text: self.text.unpack(), versions: self.versions.clone() }
+    }
+}
+
+/// Tells whether an item of another job is the same request.
+pub fn request_digest(item: &JobItem) -> u64 {
+    xxhash_rust::xxh3::xxh3_64_with_seed(&item.body, xxhash_rust::xxh3::xxh3_64(item.path.as_bytes()))
+}
+
 /// One job.
 #[derive(Clone, Debug, PartialEq, Encode, Decode)]
 pub struct Job {
-    /// What was handed in.
+    /// What was handed in. Items that are listed have lost their headers and bodies: nothing needs them any more.
     pub submission: JobSubmission,
+    /// For each item, what tells whether another job's is the same request.
+    digests: Vec<u64>,
     /// The results at their positions.
-    results: Vec<ItemResult>,
+    results: Vec<KeptResult>,
     /// For each item, whether it stands among the results.
     listed: Vec<bool>,
     /// Texts of items without a result.
@@ -36,8 +59,18 @@
 
 impl Job {
     /// The results at their positions.
-    pub fn results(&self) -> &[ItemResult] {
-        &self.results
+    pub fn results(&self) -> impl Iterator<Item = ItemResult> {
+        self.results.iter().map(KeptResult::unpack)
+    }
+
+    /// How many results there are.
+    pub fn result_count(&self) -> usize {
+        self.results.len()
+    }
+
+    /// What tells whether another job's item is the same request as the one at `index`.
+    pub fn digest(&self, index: u32) -> Option<u64> {
+        self.digests.get(index as usize).copied()
     }
 
     /// Its place among all jobs, as they were taken.
@@ -61,8 +94,9 @@
     }
 
     /// The whole text of a completed item.
-    pub fn completed(&self, index: u32) -> Option<&ItemResult> {
-        self.results.iter().find(|result| result.item == index && result.end == ItemEnd::Completed)
+    pub fn completed(&self, index: u32) -> Option<ItemResult> {
+        let completed = self.results.iter().find(|result| result.item == index && result.end == ItemEnd::Completed);
+        completed.map(KeptResult::unpack)
     }
 
     /// Items without a result.
@@ -77,11 +111,11 @@
         let mut bytes = 0;
         let mut results = Vec::new();
         for result in &self.results[start..] {
-            bytes += result.text.len();
+            bytes += result.text.length();
             if !results.is_empty() && bytes > PAGE_BYTES {
                 break;
             }
-            results.push((self.submission.items[result.item as usize].id.clone(), result.clone()));
+            results.push((self.submission.items[result.item as usize].id.clone(), result.unpack()));
         }
         let next = after + results.len() as u64;
         ResultPage { total: self.submission.items.len() as u64, next, results }
@@ -113,6 +147,7 @@
         let order = self.taken;
         let new = || Job {
             listed: vec![false; submission.items.len()],
+            digests: submission.items.iter().map(request_digest).collect(),
             submission: submission.clone(),
             results: Vec::new(),
             partial: BTreeMap::new(),
@@ -160,8 +195,11 @@
                 continue;
             }
             job.listed[item as usize] = true;
-            text.data.shrink_to_fit();
-            job.results.push(ItemResult { item, end: outcome.end, text: text.data, versions: text.versions });
+            let kept = &mut job.submission.items[item as usize];
+            kept.headers = Vec::new();
+            kept.body = Vec::new();
+            let text_kept = PackedText::pack(text.data);
+            job.results.push(KeptResult { item, end: outcome.end, text: text_kept, versions: text.versions });
         }
         Some(missing)
     }
--- a/crates/coordinator/src/plan.rs
+++ b/crates/coordinator/src/plan.rs
@@ -1,7 +1,7 @@
 //! Plans which items go to which engines now.
 
 use crate::coordinator::{Coordinator, Inner};
-use crate::text::{ItemText, is_same_request};
+use crate::text::ItemText;
 use compio::runtime::JoinHandle;
 use hyper::header::HeaderName;
 use saddlerelay_control::state::ControlState;
@@ -118,14 +118,16 @@
     let Some(route) = route else {
         return texts;
     };
-    let wanted: BTreeMap<&ItemId, &JobItem> = job.submission.items.iter().map(|item| (&item.id, item)).collect();
+    let indexed = job.submission.items.iter().enumerate();
+    let wanted: BTreeMap<&ItemId, Option<u64>> =
+        indexed.map(|(index, item)| (&item.id, job.digest(index as u32))).collect();
     for earlier in state.jobs.predecessors(&job.submission.id) {
         for (index, item) in earlier.submission.items.iter().enumerate() {
-            let same = wanted.get(&item.id).is_some_and(|wanted| is_same_request(wanted, item));
+            let same = wanted.get(&item.id).is_some_and(|wanted| *wanted == earlier.digest(index as u32));
             if !same || texts.contains_key(&item.id) {
                 continue;
             }
-            let whole = earlier.completed(index as u32).map(ItemText::whole);
+            let whole = earlier.completed(index as u32).map(|result| ItemText::whole(&result));
             let partial = earlier.partial_text(index as u32).filter(|_| route.resumable).map(ItemText::unsaved);
             let fits = |text: &ItemText| text.fits(job.submission.minimum_version, route.batch.single_version);
             if let Some(text) = whole.or(partial).filter(fits) {
@@ -231,7 +233,7 @@
     spdlog::info!("job taken up", kv: {
         job = submission.id.0.as_str(), step = submission.step, items = submission.items.len(),
         minimum_version = submission.minimum_version, model = submission.model.as_deref().unwrap_or("-"),
-        listed = job.results().len(), texts_reused = reused, whole_texts_reused = whole
+        listed = job.result_count(), texts_reused = reused, whole_texts_reused = whole
     });
     run
 }
--- a/crates/coordinator/src/text.rs
+++ b/crates/coordinator/src/text.rs
@@ -1,6 +1,6 @@
 //! The text of an item as it grows, and how much of it the group holds.
 
-use saddlerelay_types::job::{ItemEnd, ItemOutcome, ItemResult, JobItem, PartialText, TextPart};
+use saddlerelay_types::job::{ItemEnd, ItemOutcome, ItemResult, PartialText, TextPart};
 use saddlerelay_upstream::events::Event;
 use std::collections::BTreeSet;
 
@@ -125,8 +125,3 @@
     let rest = TextPart { item: index, offset: 0, data: Vec::new(), events: 0, last_event: None, versions: Vec::new() };
     ItemOutcome { end: ItemEnd::Aborted, rest }
 }
-
-/// Whether an item of a later job is the same request.
-pub fn is_same_request(left: &JobItem, right: &JobItem) -> bool {
-    left.id == right.id && left.path == right.path && left.body == right.body
-}
