--- a/crates/coordinator/src/item.rs
+++ b/crates/coordinator/src/item.rs
@@ -1,7 +1,8 @@
 //! Runs one item at one engine.
 
 use crate::coordinator::Coordinator;
-use crate::plan::{Phase, Start, still_wanted};
+use crate::job_run::Phase;
+use crate::plan::{Start, still_wanted};
 use crate::text;
 use hyper::header::{HOST, HeaderMap, HeaderName, HeaderValue};
 use hyper::{Method, StatusCode};
--- a/crates/coordinator/src/lib.rs
+++ b/crates/coordinator/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod fleet;
 pub mod homes;
 pub mod item;
+mod job_run;
 pub mod listing;
 pub mod metrics;
 pub mod orders;
--- a/crates/coordinator/src/listing.rs
+++ b/crates/coordinator/src/listing.rs
@@ -1,7 +1,7 @@
 //! Commits results, gathered for a moment, and now and then the texts of items that still run.
 
 use crate::coordinator::Coordinator;
-use crate::plan::Phase;
+use crate::job_run::Phase;
 use saddlerelay_replication::ProposeError;
 use saddlerelay_runtime::Runtime;
 use saddlerelay_runtime::backend::Backends;
--- a/crates/coordinator/src/plan.rs
+++ b/crates/coordinator/src/plan.rs
@@ -1,14 +1,13 @@
 //! Plans which items go to which engines now.
 
 use crate::coordinator::{Coordinator, Inner};
+use crate::job_run::{ItemRun, JobRun, Phase};
 use crate::text::ItemText;
-use compio::runtime::JoinHandle;
-use hyper::header::HeaderName;
 use saddlerelay_control::state::ControlState;
 use saddlerelay_control::state::jobs::Job;
 use saddlerelay_runtime::backend::Backends;
 use saddlerelay_types::instance::{InstanceId, InstanceState};
-use saddlerelay_types::job::{ItemId, JobId, JobItem};
+use saddlerelay_types::job::{JobId, JobItem};
 use saddlerelay_types::routing::{Route, RoutingDocument};
 use saddlerelay_upstream::EngineTarget;
 use std::cell::RefCell;
@@ -49,101 +48,6 @@
 /// Sound engines for which an item rather waits than go to a doubtful one.
 const ENOUGH_SOUND_ENGINES: usize = 2;
 
-/// Where an item stands.
-pub(crate) enum Phase {
-    /// It waits for an engine.
-    Waiting,
-    /// It runs; dropping the handle ends the request.
-    Running { _task: JoinHandle<()>, instance: InstanceId },
-    /// It has a result, listed or on its way.
-    Ended,
-}
-
-/// An item of a job that runs.
-pub(crate) struct ItemRun {
-    pub phase: Phase,
-    pub text: Rc<RefCell<ItemText>>,
-    /// Events that its text is expected to have.
-    pub expected_events: f64,
-    /// Failures that count as attempts.
-    pub failures: u32,
-    pub not_before: Duration,
-    /// The engine that failed it last, or that it moved away from.
-    pub avoid: Option<InstanceId>,
-    pub moves: u32,
-}
-
-/// A job that runs.
-pub(crate) struct JobRun {
-    pub seen_at: Duration,
-    pub items: Vec<ItemRun>,
-    /// The items' indexes, those expected to take longest first.
-    pub order: Vec<u32>,
-    /// Mean of the events that its items are expected to have.
-    mean_events: f64,
-    /// Where each group's items were last sent.
-    pub group_engines: BTreeMap<String, InstanceId>,
-}
-
-impl JobRun {
-    fn new(job: &Job, state: &ControlState, hint: &HeaderName, tokens_per_event: u32, now: Duration) -> Self {
-        let submission = &job.submission;
-        let route = state.routing.current().and_then(|document| document.find(&submission.host, &submission.path));
-        let texts = earlier_texts(job, state, route);
-        let item = |(index, item): (usize, &JobItem)| {
-            let own = job.partial_text(index as u32).map(ItemText::saved);
-            let text = own.or_else(|| texts.get(&item.id).cloned()).unwrap_or_default();
-            ItemRun {
-                phase: Phase::Waiting,
-                text: Rc::new(RefCell::new(text)),
-                expected_events: expected_tokens(item, hint) as f64 / f64::from(tokens_per_event.max(1)),
-                failures: 0,
-                not_before: Duration::ZERO,
-                avoid: None,
-                moves: 0,
-            }
-        };
-        let items: Vec<ItemRun> = submission.items.iter().enumerate().map(item).collect();
-        let mut order: Vec<u32> = (0..items.len() as u32).collect();
-        let expected = |index: &u32| items[*index as usize].expected_events;
-        order.sort_by(|left, right| expected(right).total_cmp(&expected(left)));
-        let mean_events = items.iter().map(|item| item.expected_events).sum::<f64>() / items.len().max(1) as f64;
-        Self { seen_at: now, items, order, mean_events, group_engines: BTreeMap::new() }
-    }
-}
-
-/// What earlier jobs have left of this job's items, where it may stand in this one.
-fn earlier_texts(job: &Job, state: &ControlState, route: Option<&Route>) -> BTreeMap<ItemId, ItemText> {
-    let mut texts = BTreeMap::new();
-    let Some(route) = route else {
-        return texts;
-    };
-    let indexed = job.submission.items.iter().enumerate();
-    let wanted: BTreeMap<&ItemId, Option<u64>> =
-        indexed.map(|(index, item)| (&item.id, job.digest(index as u32))).collect();
-    for earlier in state.jobs.predecessors(&job.submission.id) {
-        for (index, item) in earlier.submission.items.iter().enumerate() {
-            let same = wanted.get(&item.id).is_some_and(|wanted| *wanted == earlier.digest(index as u32));
-            if !same || texts.contains_key(&item.id) {
-                continue;
-            }
-            let whole = earlier.completed(index as u32).map(|result| ItemText::whole(&result));
-            let partial = earlier.partial_text(index as u32).filter(|_| route.resumable).map(ItemText::unsaved);
-            let fits = |text: &ItemText| text.fits(job.submission.minimum_version, route.batch.single_version);
-            if let Some(text) = whole.or(partial).filter(fits) {
-                texts.insert(item.id.clone(), text);
-            }
-        }
-    }
-    texts
-}
-
-/// The sender's guess at the tokens to be generated, or all that the item may take.
-fn expected_tokens(item: &JobItem, hint: &HeaderName) -> u64 {
-    let hinted = item.headers.iter().find(|(name, _)| name.eq_ignore_ascii_case(hint.as_str()));
-    hinted.and_then(|(_, value)| value.trim().parse().ok()).unwrap_or(item.tokens)
-}
-
 /// An engine that may be given items.
 struct Engine {
     target: EngineTarget,
--- a/crates/coordinator/src/runner.rs
+++ b/crates/coordinator/src/runner.rs
@@ -2,7 +2,8 @@
 
 use crate::coordinator::Coordinator;
 use crate::item;
-use crate::plan::{self, Phase, Plan, Start};
+use crate::job_run::Phase;
+use crate::plan::{self, Plan, Start};
 use crate::text;
 use futures::future::{self, Either};
 use saddlerelay_control::state::ControlState;
