Refuse files of another format with the reason; make one registry of metrics, one meaning of order answers

Change: each disk names its format, which rises with the layout; another one is told as an error. Metrics' registries and the meaning of an order's answer stood twice.

--- a/crates/coordinator/src/dialect.rs
+++ b/crates/coordinator/src/dialect.rs
@@ -1,7 +1,7 @@
 //! How engines are told what to do, and how they tell what they have. The formats are the deployment's.
 
 use bytes::Bytes;
-use hyper::Method;
+use hyper::{Method, StatusCode};
 use saddlerelay_types::instance::LoadedModel;
 use serde::{Deserialize, Serialize};
 
@@ -74,7 +74,16 @@
     /// The call that gives an order.
     fn order(&self, order: &VersionOrder) -> Call;
     /// What the status of its answer means.
-    fn order_answer(&self, status: hyper::StatusCode) -> OrderAnswer;
+    fn order_answer(&self, status: StatusCode) -> OrderAnswer {
+        match status {
+            StatusCode::ACCEPTED => OrderAnswer::Taken,
+            StatusCode::OK => OrderAnswer::Holds,
+            StatusCode::CONFLICT => OrderAnswer::Conflict,
+            StatusCode::PRECONDITION_FAILED => OrderAnswer::Fenced,
+            StatusCode::MISDIRECTED_REQUEST => OrderAnswer::OtherInstance,
+            _ => OrderAnswer::Refused,
+        }
+    }
     /// The call that asks for a report.
     fn report(&self) -> Call;
     /// Reads a report.
--- a/crates/coordinator/src/metrics.rs
+++ b/crates/coordinator/src/metrics.rs
@@ -1,13 +1,10 @@
 //! Counters and histograms of a coordinator.
 
-use prometheus_client::encoding::text::encode;
-use prometheus_client::metrics::counter::Counter;
-use prometheus_client::metrics::histogram::{Histogram, exponential_buckets};
-use prometheus_client::registry::Registry;
+use saddlerelay_telemetry::registry::{Counter, Histogram, MetricRegistry};
 
 /// What a coordinator has done since its process started.
 pub struct CoordinatorMetrics {
-    registry: Registry,
+    registry: MetricRegistry,
     /// Items sent to engines.
     pub items_sent: Counter,
     /// Items whose text became whole.
@@ -30,12 +27,8 @@
 
 impl Default for CoordinatorMetrics {
     fn default() -> Self {
-        let mut registry = Registry::with_prefix("saddlerelay_coordinator");
-        let mut counter = |name: &str, help: &str| {
-            let counter = Counter::default();
-            registry.register(name, help, counter.clone());
-            counter
-        };
+        let mut registry = MetricRegistry::new("saddlerelay_coordinator");
+        let mut counter = |name: &str, help: &str| registry.counter(name, help);
         let items_sent = counter("items_sent", "Items sent to engines");
         let items_completed = counter("items_completed", "Items whose text became whole");
         let items_aborted = counter("items_aborted", "Items given up");
@@ -43,11 +36,7 @@
         let texts_reused = counter("texts_reused", "Texts of earlier jobs used again");
         let orders = counter("orders", "Orders given to engines");
         let orders_unknown = counter("orders_unknown", "Orders whose outcome is not known");
-        let mut histogram = |name: &str, help: &str| {
-            let histogram = Histogram::new(exponential_buckets(0.01, 2.0, 12));
-            registry.register(name, help, histogram.clone());
-            histogram
-        };
+        let mut histogram = |name: &str, help: &str| registry.seconds(name, help, 0.01, 12);
         let attempt_seconds = histogram("attempt_seconds", "From sending an item to the end of its attempt");
         let load_seconds = histogram("load_seconds", "How long changes of weights took");
         Self {
@@ -68,10 +57,6 @@
 impl CoordinatorMetrics {
     /// The metrics as text.
     pub fn encode(&self) -> String {
-        let mut text = String::new();
-        match encode(&mut text, &self.registry) {
-            Ok(()) => text,
-            Err(error) => error.to_string(),
-        }
+        self.registry.encode()
     }
 }
--- a/crates/gateway-api/src/own.rs
+++ b/crates/gateway-api/src/own.rs
@@ -2,9 +2,9 @@
 
 use crate::formats::{ControlCall, Formats, FrontCall, UnreadableCall, query_value};
 use bytes::Bytes;
-use hyper::{HeaderMap, Method, StatusCode, Uri};
+use hyper::{HeaderMap, Method, Uri};
 use saddlerelay_coordinator::EngineDialect;
-use saddlerelay_coordinator::dialect::{Call, EngineReport, OrderAnswer, VersionOrder};
+use saddlerelay_coordinator::dialect::{Call, EngineReport, VersionOrder};
 use saddlerelay_types::gateway::GatewayRequest;
 use saddlerelay_types::instance::InstanceId;
 use saddlerelay_types::job::{ItemId, JobId, JobSubmission, ResultPage};
@@ -100,17 +100,6 @@
         Call { method: Method::PUT, path: ORDER_PATH.to_string(), body: body.into() }
     }
 
-    fn order_answer(&self, status: StatusCode) -> OrderAnswer {
-        match status {
-            StatusCode::ACCEPTED => OrderAnswer::Taken,
-            StatusCode::OK => OrderAnswer::Holds,
-            StatusCode::CONFLICT => OrderAnswer::Conflict,
-            StatusCode::PRECONDITION_FAILED => OrderAnswer::Fenced,
-            StatusCode::MISDIRECTED_REQUEST => OrderAnswer::OtherInstance,
-            _ => OrderAnswer::Refused,
-        }
-    }
-
     fn report(&self) -> Call {
         Call { method: Method::GET, path: REPORT_PATH.to_string(), body: Bytes::new() }
     }
--- a/crates/gateway-api/tests/routed.rs
+++ b/crates/gateway-api/tests/routed.rs
@@ -24,6 +24,22 @@
     (deployment, engines)
 }
 
+/// Tells the control group that an instance of this name stands at `address`.
+async fn register_as(deployment: &Deployment, name: &str, address: std::net::SocketAddr) {
+    let report = InstanceReport {
+        id: InstanceId(name.to_string()),
+        service: "web".to_string(),
+        address,
+        zone: "north".to_string(),
+        slots: 4,
+        leaving: false,
+        models: Vec::new(),
+        sequence: 1,
+    };
+    let body = serde_json::to_vec(&report).expect("JSON");
+    call(deployment.control, Method::PUT, &format!("/v1/instances/{name}"), &[], body).await;
+}
+
 fn ran(engines: &[StandInEngine]) -> usize {
     engines.iter().map(|engine| engine.seen().len()).sum()
 }
@@ -186,18 +202,7 @@
     block_on(async {
         let (deployment, engines) = with_engines("reused", RouteKind::NonIdempotent, 1).await;
         // The control group believes that another instance stands there.
-        let report = InstanceReport {
-            id: InstanceId("former".to_string()),
-            service: "web".to_string(),
-            address: engines[0].address(),
-            zone: "north".to_string(),
-            slots: 4,
-            leaving: false,
-            models: Vec::new(),
-            sequence: 1,
-        };
-        let body = serde_json::to_vec(&report).expect("JSON");
-        call(deployment.control, Method::PUT, "/v1/instances/former", &[], body).await;
+        register_as(&deployment, "former", engines[0].address()).await;
         eventually("the gateway asks for the other instance", async || {
             deployment.request(Method::POST, "/plans/1", &[ID], "").await.status == StatusCode::SERVICE_UNAVAILABLE
         })
@@ -259,18 +264,7 @@
         deployment.request(Method::GET, "/plans/1", &[ID], "").await;
     }
     let raw = RawServer::start(answer, closes).await;
-    let report = InstanceReport {
-        id: InstanceId("raw".to_string()),
-        service: "web".to_string(),
-        address: raw.address,
-        zone: "north".to_string(),
-        slots: 4,
-        leaving: false,
-        models: Vec::new(),
-        sequence: 1,
-    };
-    let body = serde_json::to_vec(&report).expect("JSON");
-    call(deployment.control, Method::PUT, "/v1/instances/raw", &[], body).await;
+    register_as(&deployment, "raw", raw.address).await;
     deployment.await_engines("web", 2).await;
     (deployment, raw, engines.into_iter().next().expect("one engine"))
 }
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -1,14 +1,11 @@
 //! Counters and latency histograms of a gateway.
 
-use prometheus_client::encoding::text::encode;
-use prometheus_client::metrics::counter::Counter;
-use prometheus_client::metrics::histogram::{Histogram, exponential_buckets};
-use prometheus_client::registry::Registry;
+use saddlerelay_telemetry::registry::{Counter, Histogram, MetricRegistry};
 use std::time::Duration;
 
 /// What a gateway has done since it started.
 pub struct GatewayMetrics {
-    registry: Registry,
+    registry: MetricRegistry,
     /// Requests taken.
     pub requests: Counter,
     /// Answers of engines passed on.
@@ -31,12 +28,8 @@
 
 impl Default for GatewayMetrics {
     fn default() -> Self {
-        let mut registry = Registry::with_prefix("saddlerelay_gateway");
-        let mut counter = |name: &str, help: &str| {
-            let counter = Counter::default();
-            registry.register(name, help, counter.clone());
-            counter
-        };
+        let mut registry = MetricRegistry::new("saddlerelay_gateway");
+        let mut counter = |name: &str, help: &str| registry.counter(name, help);
         let requests = counter("requests", "Requests taken");
         let answered = counter("answered", "Answers of engines passed on");
         let refused = counter("refused", "Requests refused that have not run");
@@ -44,11 +37,7 @@
         let retries = counter("retries", "Attempts beyond a request's first");
         let hedges = counter("hedges", "Requests tried at a second engine because the first was slow");
         let leases_lost = counter("leases_lost", "Times that the lease ended");
-        let mut histogram = |name: &str, help: &str| {
-            let histogram = Histogram::new(exponential_buckets(0.001, 2.0, 15));
-            registry.register(name, help, histogram.clone());
-            histogram
-        };
+        let mut histogram = |name: &str, help: &str| registry.seconds(name, help, 0.001, 15);
         let request_seconds = histogram("request_seconds", "From a request's arrival to the end of its answer");
         let attempt_seconds = histogram("attempt_seconds", "From an attempt's start to the end of its answer");
         Self {
@@ -74,10 +63,6 @@
 
     /// The metrics as text.
     pub fn encode(&self) -> String {
-        let mut text = String::new();
-        match encode(&mut text, &self.registry) {
-            Ok(()) => text,
-            Err(error) => error.to_string(),
-        }
+        self.registry.encode()
     }
 }
--- a/crates/replication/src/replica.rs
+++ b/crates/replication/src/replica.rs
@@ -92,7 +92,7 @@
         let founds = options.founders.contains(&options.address);
         let random_id = ReplicaId(platform.random().max(1));
         let new_id = if founds { founder_id(options.address) } else { random_id };
-        let (storage, recovered) = Storage::open(platform.disk(), new_id).await?;
+        let (storage, recovered) = Storage::open(platform.disk(), new_id, S::FORMAT).await?;
         let snapshot_index = recovered.log.base_index();
         if let Some(snapshot) = recovered.snapshot {
             machine.restore(snapshot.state());
--- a/crates/replication/src/state.rs
+++ b/crates/replication/src/state.rs
@@ -16,6 +16,8 @@
 pub trait StateMachine: 'static {
     /// What a command brings.
     type Outcome: 'static;
+    /// Rises with each change of how commands or snapshots are encoded: files in another format are refused.
+    const FORMAT: u32;
     /// Applies a committed command.
     fn apply(&mut self, command: &[u8]) -> Self::Outcome;
     /// The whole state as bytes.
--- a/crates/replication/src/storage.rs
+++ b/crates/replication/src/storage.rs
@@ -10,6 +10,7 @@
 use std::fmt;
 use std::io;
 
+const FORMAT_FILE: &str = "format";
 const IDENTITY_FILE: &str = "identity";
 const SNAPSHOT_FILE: &str = "snapshot";
 const WAL_FILE: &str = "wal";
@@ -19,6 +20,14 @@
 pub enum StorageError {
     /// The operating system refused.
     Io(io::Error),
+    /// The files were written in another format. The replica must not start: give it an empty data folder, and it joins
+    /// as a new member.
+    OtherFormat {
+        /// The format of the files, if they name one.
+        found: Option<u32>,
+        /// The format that this program reads.
+        wanted: u32,
+    },
     /// A file is damaged in a place that may have been acknowledged. The replica must not start: give it an empty data
     /// folder, and it joins as a new member.
     Corrupt {
@@ -33,6 +42,14 @@
     fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
             Self::Io(error) => write!(formatter, "{error}"),
+            Self::OtherFormat { found, wanted } => {
+                let found = found.map_or("none".to_string(), |found| found.to_string());
+                write!(
+                    formatter,
+                    "the files are in format {found}, this program reads {wanted}; start this replica with an empty data \
+                     folder to rejoin"
+                )
+            }
             Self::Corrupt { file, offset } => write!(
                 formatter,
                 "file `{file}` is corrupt at byte {offset}; start this replica with an empty data folder to rejoin"
@@ -82,8 +99,9 @@
 }
 
 impl<D: Disk> Storage<D> {
-    /// Opens the files, making an identity if the disk is empty.
-    pub async fn open(disk: D, new_id: ReplicaId) -> Result<(Self, Recovered), StorageError> {
+    /// Opens files in `format`, making an identity if the disk is empty.
+    pub async fn open(disk: D, new_id: ReplicaId, format: u32) -> Result<(Self, Recovered), StorageError> {
+        check_format(&disk, format).await?;
         let identity = read_framed::<Identity, D>(&disk, IDENTITY_FILE).await?;
         let snapshot = read_snapshot(&disk).await?;
         let wal_bytes = disk.read(WAL_FILE).await?.unwrap_or_default();
@@ -168,6 +186,17 @@
     Snapshot::decode(bytes).map(Some).ok_or(damaged)
 }
 
+/// Refuses files of another format, and notes the format on an empty disk before anything else is written.
+async fn check_format<D: Disk>(disk: &D, wanted: u32) -> Result<(), StorageError> {
+    let found = read_framed::<u32, D>(disk, FORMAT_FILE).await?;
+    let is_empty = disk.read(IDENTITY_FILE).await?.is_none();
+    match found {
+        Some(found) if found == wanted => Ok(()),
+        None if is_empty => Ok(disk.replace(FORMAT_FILE, wal::frame(&bitcode::encode(&wanted))).await?),
+        found => Err(StorageError::OtherFormat { found, wanted }),
+    }
+}
+
 async fn read_framed<T: bitcode::DecodeOwned, D: Disk>(
     disk: &D,
     file: &'static str,
--- a/crates/simulator/tests/members.rs
+++ b/crates/simulator/tests/members.rs
@@ -3,6 +3,7 @@
 
 use futures::executor::LocalPool;
 use saddlerelay_replication::config::ReplicationConfig;
+use saddlerelay_replication::storage::Storage;
 use saddlerelay_replication::{ProposeError, Replica, ReplicaOptions, StateMachine};
 use saddlerelay_rpc::server::Handler;
 use saddlerelay_runtime::Runtime;
@@ -34,6 +35,7 @@
 
 impl StateMachine for Numbers {
     type Outcome = usize;
+    const FORMAT: u32 = 1;
 
     fn apply(&mut self, command: &[u8]) -> usize {
         let number: u64 = bitcode::decode(command).expect("a number was proposed");
@@ -438,3 +440,25 @@
         group.await_leader(Duration::from_millis(1_550), &format!("of two, seed {seed}"));
     });
 }
+
+/// A program that reads another format does not touch the files, and says what it found.
+#[test]
+fn files_of_another_format_are_refused() {
+    let (world, mut pool) = World::new(1);
+    let process = world.start_process("machine-1", 1, 0);
+    let runtime = SimRuntime { world: world.clone(), process: process.clone() };
+    let opened = Rc::new(RefCell::new(Vec::new()));
+    let told = opened.clone();
+    world.spawn(&process, async move {
+        for format in [1, 1, 2, 1] {
+            let result = Storage::open(runtime.disk(), ReplicaId(7), format).await;
+            told.borrow_mut()
+                .push(result.map(|(_, recovered)| recovered.identity.id).map_err(|error| error.to_string()));
+        }
+    });
+    world.run(&mut pool, Duration::from_secs(1), || opened.borrow().len() == 4);
+    let refused =
+        "the files are in format 1, this program reads 2; start this replica with an empty data folder to rejoin";
+    let expected = [Ok(ReplicaId(7)), Ok(ReplicaId(7)), Err(refused.to_string()), Ok(ReplicaId(7))];
+    assert_eq!(*opened.borrow(), expected);
+}
--- a/crates/telemetry/src/lib.rs
+++ b/crates/telemetry/src/lib.rs
@@ -4,5 +4,6 @@
 pub mod line;
 pub mod log;
 pub mod metrics;
+pub mod registry;
 pub mod ring;
 pub mod stdout;
