Ask a route in one place whether it serves a service; drop what nothing calls

Found on reading the change again: the same look through a route's targets stood three times in the plan; Gateway::serve and the pool's counts had no caller. Behaviour stays; clippy and the tests of these crates pass.

--- a/crates/coordinator/src/plan.rs
+++ b/crates/coordinator/src/plan.rs
@@ -288,9 +288,9 @@
 ) -> impl Iterator<Item = &'a Engine> + use<'a, 'b, B> {
     let run = &of.run.items[index as usize];
     of.engines.iter().filter(move |engine| {
-        let target = route.targets.iter().find(|target| target.service == engine.service);
-        let serves = target.is_some_and(|target| target.weight > 0);
-        serves && load(of, engine) < engine.slots && version_fits(of, route, run, &engine.target.instance)
+        route.serves(&engine.service)
+            && load(of, engine) < engine.slots
+            && version_fits(of, route, run, &engine.target.instance)
     })
 }
 
@@ -325,16 +325,12 @@
 
 /// Engines that serve the route with the right weights and are neither slow nor silent, with room or without.
 fn sound_engines<B: Backends>(of: &PlanOfJob<B>, route: &Route, run: &ItemRun, fastest: f64) -> usize {
-    let serves = |engine: &&Engine| {
-        let target = route.targets.iter().find(|target| target.service == engine.service);
-        target.is_some_and(|target| target.weight > 0)
-    };
     let sound = |engine: &&Engine| {
         let instance = &engine.target.instance;
         let slow = of.inner.fleet.pace(instance, of.now) > fastest * SLOW_FACTOR;
         !slow && !engine.silent && run.avoid.as_ref() != Some(instance) && version_fits(of, route, run, instance)
     };
-    of.engines.iter().filter(serves).filter(sound).count()
+    of.engines.iter().filter(|engine| route.serves(&engine.service)).filter(sound).count()
 }
 
 fn version_fits<B: Backends>(of: &PlanOfJob<B>, route: &Route, run: &ItemRun, instance: &InstanceId) -> bool {
@@ -361,11 +357,8 @@
     let instance = state.instances.get(&start.target.instance);
     let ready = instance.is_some_and(|record| record.state == InstanceState::Ready);
     let allows = |document: &RoutingDocument| {
-        let service = instance.map(|record| record.report.service.as_str());
         let route = document.find(&start.host, &start.path);
-        route.is_some_and(|route| {
-            route.targets.iter().any(|target| target.weight > 0 && Some(target.service.as_str()) == service)
-        })
+        route.zip(instance).is_some_and(|(route, record)| route.serves(&record.report.service))
     };
     wanted && ready && state.routing.current().is_some_and(allows)
 }
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -154,14 +154,6 @@
         })
     }
 
-    /// Serves a request: chooses its route and sends it on.
-    pub async fn serve(&self, request: ClientRequest, body: Incoming) -> Reply {
-        match self.choose_route(&request.host, request.path()) {
-            Ok(chosen) => self.serve_on(chosen, request, body).await,
-            Err(refusal) => self.refuse(&request, refusal),
-        }
-    }
-
     /// Serves a request on its route.
     pub async fn serve_on(&self, chosen: ChosenRoute, request: ClientRequest, body: Incoming) -> Reply {
         self.inner.metrics.requests.inc();
--- a/crates/types/src/routing.rs
+++ b/crates/types/src/routing.rs
@@ -136,6 +136,13 @@
     BadPrefix(String),
 }
 
+impl Route {
+    /// Whether requests of this route may go to `service`.
+    pub fn serves(&self, service: &str) -> bool {
+        self.targets.iter().any(|target| target.weight > 0 && target.service == service)
+    }
+}
+
 impl std::fmt::Display for RoutingError {
     fn fmt(&self, formatter: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
         match self {
--- a/crates/upstream/src/pool.rs
+++ b/crates/upstream/src/pool.rs
@@ -9,7 +9,7 @@
 use hyper::http::response::Parts;
 use hyper::{Method, Request, Uri};
 use saddlerelay_types::instance::InstanceId;
-use std::cell::{Cell, RefCell};
+use std::cell::RefCell;
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -60,25 +60,18 @@
     None,
 }
 
-#[derive(Default)]
-struct Counts {
-    opened: Cell<u64>,
-    reused: Cell<u64>,
-}
-
 /// Connections to engines. Clones share them.
 #[derive(Clone)]
 pub struct Pool {
     names: Rc<HeaderNames>,
     idle: Rc<RefCell<BTreeMap<EngineTarget, Vec<Connection>>>>,
     connect_limit: Duration,
-    counts: Rc<Counts>,
 }
 
 impl Pool {
     /// An empty pool whose connects take at most `connect_limit`.
     pub fn new(names: Rc<HeaderNames>, connect_limit: Duration) -> Self {
-        Self { names, idle: Rc::default(), connect_limit, counts: Rc::default() }
+        Self { names, idle: Rc::default(), connect_limit }
     }
 
     /// The header names in use.
@@ -86,11 +79,6 @@
         &self.names
     }
 
-    /// Connections opened and requests sent over used ones, so far.
-    pub fn counts(&self) -> (u64, u64) {
-        (self.counts.opened.get(), self.counts.reused.get())
-    }
-
     /// Drops the idle connections to instances that `keep` does not want.
     pub fn retain(&self, keep: impl Fn(&InstanceId) -> bool) {
         self.idle.borrow_mut().retain(|target, _| keep(&target.instance));
@@ -123,10 +111,8 @@
         if reuse != Reuse::None
             && let Some(connection) = self.take(target, reuse)
         {
-            self.counts.reused.set(self.counts.reused.get() + 1);
             return Ok(connection);
         }
-        self.counts.opened.set(self.counts.opened.get() + 1);
         Connection::open(target.address, self.connect_limit).await
     }
 
