--- a/crates/command-line/src/member.rs
+++ b/crates/command-line/src/member.rs
@@ -25,6 +25,7 @@
 
 const SIGHUP: i32 = 1;
 const SIGTERM: i32 = 15;
+const SIGXFSZ: i32 = 25;
 
 /// How long a stopping gateway goes on taking connections: until the platform has noticed that it is not ready.
 const NOTICE_TIME: Duration = Duration::from_millis(2_600);
@@ -48,6 +49,11 @@
     CommandError::new(Exit::Failed, error.to_string())
 }
 
+/// Has a write beyond the file size limit fail like one on a full disk, instead of ending the process.
+async fn outlive_file_size_limit() {
+    while compio::signal::unix::signal(SIGXFSZ).await.is_ok() {}
+}
+
 /// Runs the process that the settings in `file` describe.
 pub fn run(file: &Path) -> Result<(), CommandError> {
     let settings = read_member_settings(file)?;
@@ -172,6 +178,7 @@
     let CoordinatorStart { addresses, data_folder, first_start } = start;
     std::fs::create_dir_all(&data_folder).map_err(|error| failed(format!("{}: {error}", data_folder.display())))?;
     let runtime = CompioRuntime::new(data_folder);
+    runtime.spawn(outlive_file_size_limit());
     let peers = seeds.borrow().clone();
     let options = ReplicaOptions {
         address: addresses.peer_address,
--- /dev/null
+++ b/crates/soak/src/callers.rs
@@ -0,0 +1,118 @@
+//! Clients of routed requests.
+
+use crate::calls::{any_gateway, front};
+use crate::deployment::Addresses;
+use crate::journal::{ClientRequest, Ending, Journal};
+use crate::workload::{self, MOVING, ONCE, REPEATABLE, STREAMS, TIMEOUT_MS};
+use hyper::{Method, StatusCode};
+use saddlerelay_http::client::WholeResponse;
+use std::cell::Cell;
+use std::rc::Rc;
+use std::time::Duration;
+
+/// Clients that send requests one after the other.
+pub const CLIENTS: u32 = 8;
+
+/// Longest pause between a client's requests, in milliseconds.
+const LONGEST_PAUSE_MS: u64 = 120;
+
+/// Longest stream, in events.
+const MOST_EVENTS: u32 = 30;
+
+/// How long a client waits beyond the route's timeout.
+const PATIENCE_BEYOND: Duration = Duration::from_millis(1_500);
+
+/// What a client sends.
+struct Request {
+    id: String,
+    prefix: &'static str,
+    path: String,
+    body: String,
+    events: Option<u32>,
+}
+
+impl Request {
+    fn new(client: u32, number: u64) -> Self {
+        let id = format!("r{client}-{number}-{:04x}", fastrand::u16(..));
+        let prefix = match fastrand::u32(..10) {
+            0..3 => REPEATABLE,
+            3..6 => ONCE,
+            6..8 => MOVING,
+            _ => STREAMS,
+        };
+        let events = (prefix == STREAMS).then(|| fastrand::u32(1..=MOST_EVENTS));
+        let body = "x".repeat(fastrand::usize(1..2_000));
+        Self { path: format!("{prefix}{id}"), id, prefix, body, events }
+    }
+}
+
+/// Sends requests until told to stop.
+pub async fn run(client: u32, addresses: Addresses, journal: Journal, stop: Rc<Cell<bool>>) {
+    let mut number = 0;
+    while !stop.get() {
+        number += 1;
+        send(&Request::new(client, number), any_gateway(), &addresses, &journal).await;
+        compio::time::sleep(Duration::from_millis(fastrand::u64(1..LONGEST_PAUSE_MS))).await;
+    }
+}
+
+/// Sends one request on `prefix` to a gateway; returns whether it was answered whole.
+pub async fn probe(prefix: &'static str, gateway: u8, addresses: &Addresses, journal: &Journal) -> bool {
+    let id = format!("probe-{gateway}-{:08x}", fastrand::u32(..));
+    let events = (prefix == STREAMS).then_some(3);
+    let request = Request { path: format!("{prefix}{id}"), id, prefix, body: "probe".to_string(), events };
+    send(&request, gateway, addresses, journal).await == Ending::Whole
+}
+
+async fn send(request: &Request, gateway: u8, addresses: &Addresses, journal: &Journal) -> Ending {
+    let sent_at = journal.now();
+    let deadline = TIMEOUT_MS.to_string();
+    let events = request.events.map(|events| events.to_string());
+    let mut headers = vec![("saddlerelay-request", request.id.as_str()), ("saddlerelay-deadline-ms", &deadline)];
+    if let Some(events) = &events {
+        headers.push(("events", events));
+    }
+    let patience = Duration::from_millis(TIMEOUT_MS) + PATIENCE_BEYOND;
+    let body = request.body.clone();
+    let answer = front(addresses, gateway, Method::POST, &request.path, &headers, body, patience).await;
+    let ending = judge(request, answer, journal);
+    let ended_at = journal.now();
+    let seen = ClientRequest { request: request.id.clone(), prefix: request.prefix, sent_at, ended_at, ending };
+    journal.write(|records| records.requests.push(seen));
+    ending
+}
+
+fn judge(request: &Request, answer: Option<WholeResponse>, journal: &Journal) -> Ending {
+    let Some(answer) = answer else {
+        return Ending::Broken;
+    };
+    match answer.status {
+        StatusCode::OK => {
+            if let Some(fault) = fault_of(request, &answer) {
+                journal.violation("every caller gets the whole answer to its own request", fault);
+            }
+            Ending::Whole
+        }
+        StatusCode::SERVICE_UNAVAILABLE
+        | StatusCode::TOO_MANY_REQUESTS
+        | StatusCode::REQUEST_TIMEOUT
+        | StatusCode::MISDIRECTED_REQUEST => Ending::NotRun(answer.status.as_u16()),
+        status => Ending::Failed(status.as_u16()),
+    }
+}
+
+/// What is wrong with a successful answer.
+fn fault_of(request: &Request, answer: &WholeResponse) -> Option<String> {
+    let text = String::from_utf8_lossy(&answer.body).into_owned();
+    let Some(events) = request.events else {
+        let expected = workload::answer(&request.path, &request.id, request.body.as_bytes());
+        return (text != expected).then(|| format!("{} got {} bytes of another answer", request.id, text.len()));
+    };
+    let numbers: Vec<Option<u32>> = text
+        .lines()
+        .filter_map(|line| line.strip_prefix("data: "))
+        .map(|data| workload::read_event_data(data, &request.path).map(|(number, _)| number))
+        .collect();
+    let expected: Vec<Option<u32>> = (1..=events).map(Some).collect();
+    (numbers != expected).then(|| format!("{} of {events} events got {numbers:?}", request.id))
+}
--- /dev/null
+++ b/crates/soak/src/engine.rs
@@ -0,0 +1,409 @@
+//! A stand-in engine that speaks the product's own formats, writes down what reaches it, and misbehaves as it is told.
+
+use crate::deployment::Addresses;
+use crate::journal::{Journal, OrderSeen, Run};
+use crate::workload::{self, MODEL, MODEL_SERVICE, ROLLOUTS, SLOTS};
+use bytes::Bytes;
+use compio::net::TcpListener;
+use hyper::body::Incoming;
+use hyper::header::HeaderValue;
+use hyper::{HeaderMap, Request, StatusCode};
+use saddlerelay_coordinator::dialect::{EngineReport, RunningStreams, VersionOrder};
+use saddlerelay_gateway_api::own::{ORDER_PATH, REPORT_PATH};
+use saddlerelay_http::body::{BrokenOff, LocalBody, Reply, json, read_whole, whole};
+use saddlerelay_http::server::{HttpHandler, Shutdown, serve_until};
+use saddlerelay_types::instance::{InstanceId, InstanceReport, LoadedModel};
+use saddlerelay_types::job::JobId;
+use std::cell::Cell;
+use std::rc::Rc;
+use std::time::Duration;
+
+/// How long a change of weights takes.
+const LOAD_TIME: Duration = Duration::from_millis(300);
+
+/// Pause between looks at whether running streams have ended.
+const LOAD_POLL: Duration = Duration::from_millis(10);
+
+/// Time of one event of a stream.
+const EVENT_TIME: Duration = Duration::from_millis(12);
+
+/// Time of one request without a stream.
+const REQUEST_TIME: Duration = Duration::from_millis(15);
+
+/// How long an engine that hangs keeps a request.
+const HANG_TIME: Duration = Duration::from_secs(6);
+
+/// Requests that run or wait, for each slot, beyond which more are refused.
+const QUEUE_FACTOR: u32 = 3;
+
+/// What an engine does with requests.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Conduct {
+    /// Answers them.
+    Normal,
+    /// Takes so many times as long.
+    Slow(u32),
+    /// Refuses them: it has not run them.
+    Refusing,
+    /// Runs them and fails.
+    Failing,
+    /// Runs them and breaks the answer off.
+    BreakingOff,
+    /// Runs them and says nothing for long.
+    Hanging,
+    /// Answers with another request's identifier.
+    Mistaken,
+}
+
+/// What an engine does with orders.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum OrderConduct {
+    /// Takes them.
+    Normal,
+    /// Leaves them unanswered and carries them out this much later.
+    Late(Duration),
+}
+
+struct State {
+    number: u8,
+    service: &'static str,
+    journal: Journal,
+    addresses: Addresses,
+    incarnation: Cell<u32>,
+    conduct: Cell<Conduct>,
+    order_conduct: Cell<OrderConduct>,
+    version: Cell<u64>,
+    loading: Cell<bool>,
+    orders_taken: Cell<u64>,
+    highest_fence: Cell<u64>,
+    running: Cell<u32>,
+    leaving: Cell<bool>,
+    sequence: Cell<u64>,
+    /// The newest version that its trainer has named: what a new engine starts with.
+    newest: Rc<Cell<u64>>,
+}
+
+/// The engine. Clones are the same one.
+#[derive(Clone)]
+pub struct Engine {
+    state: Rc<State>,
+}
+
+/// A request in progress; counts until dropped.
+struct InProgress(Rc<State>);
+
+impl InProgress {
+    fn begin(state: &Rc<State>) -> Self {
+        state.running.set(state.running.get() + 1);
+        Self(state.clone())
+    }
+}
+
+impl Drop for InProgress {
+    fn drop(&mut self) {
+        self.0.running.set(self.0.running.get() - 1);
+    }
+}
+
+fn header<'a>(headers: &'a HeaderMap, name: &str) -> Option<&'a str> {
+    headers.get(name).and_then(|value| value.to_str().ok())
+}
+
+impl Engine {
+    /// Starts an engine behind its proxy.
+    pub async fn start(
+        number: u8,
+        service: &'static str,
+        addresses: Addresses,
+        journal: Journal,
+        newest: Rc<Cell<u64>>,
+    ) -> std::io::Result<Self> {
+        let listener = TcpListener::bind(addresses.engine_behind(number)).await?;
+        let state = Rc::new(State {
+            number,
+            service,
+            journal,
+            addresses,
+            incarnation: Cell::new(1),
+            conduct: Cell::new(Conduct::Normal),
+            order_conduct: Cell::new(OrderConduct::Normal),
+            version: Cell::new(1),
+            loading: Cell::new(false),
+            orders_taken: Cell::new(0),
+            highest_fence: Cell::new(0),
+            running: Cell::new(0),
+            leaving: Cell::new(false),
+            sequence: Cell::new(0),
+            newest,
+        });
+        let engine = Self { state };
+        compio::runtime::spawn(serve_until(listener, Rc::new(engine.clone()), Shutdown::default())).detach();
+        Ok(engine)
+    }
+
+    /// Its number.
+    pub fn number(&self) -> u8 {
+        self.state.number
+    }
+
+    /// Its present instance.
+    pub fn instance(&self) -> InstanceId {
+        InstanceId(format!("engine-{}-{}", self.state.number, self.state.incarnation.get()))
+    }
+
+    /// Whether it runs the model.
+    pub fn hosts_model(&self) -> bool {
+        self.state.service == MODEL_SERVICE
+    }
+
+    /// Whether it has said that it leaves.
+    pub fn is_leaving(&self) -> bool {
+        self.state.leaving.get()
+    }
+
+    /// Changes what it does with requests.
+    pub fn set_conduct(&self, conduct: Conduct) {
+        self.state.conduct.set(conduct);
+    }
+
+    /// Changes what it does with orders.
+    pub fn set_order_conduct(&self, conduct: OrderConduct) {
+        self.state.order_conduct.set(conduct);
+    }
+
+    /// From now on its reports say that it leaves.
+    pub fn leave(&self) {
+        self.state.leaving.set(true);
+    }
+
+    /// Ends this instance, with everything that runs; the next one has the same address.
+    pub fn start_anew(&self) {
+        let state = &self.state;
+        state.incarnation.set(state.incarnation.get() + 1);
+        state.version.set(state.newest.get());
+        state.loading.set(false);
+        state.orders_taken.set(0);
+        state.highest_fence.set(0);
+        state.leaving.set(false);
+        state.sequence.set(0);
+        state.conduct.set(Conduct::Normal);
+        state.order_conduct.set(OrderConduct::Normal);
+    }
+
+    /// What it reports of itself now.
+    pub fn report(&self) -> InstanceReport {
+        let state = &self.state;
+        state.sequence.set(state.sequence.get() + 1);
+        InstanceReport {
+            id: self.instance(),
+            service: state.service.to_string(),
+            address: state.addresses.engine(state.number),
+            zone: "north".to_string(),
+            slots: SLOTS,
+            leaving: state.leaving.get(),
+            models: self.models(),
+            sequence: state.sequence.get(),
+        }
+    }
+
+    fn models(&self) -> Vec<LoadedModel> {
+        let model = LoadedModel { model: MODEL.to_string(), version: self.state.version.get() };
+        if self.hosts_model() { vec![model] } else { Vec::new() }
+    }
+
+    fn sign(&self, reply: &mut Reply, request: &str) {
+        let stamp = HeaderValue::from_str(&self.instance().0);
+        let echo = match self.state.conduct.get() {
+            Conduct::Mistaken => HeaderValue::from_str("another request"),
+            _ => HeaderValue::from_str(request),
+        };
+        let headers = reply.headers_mut();
+        if let (Ok(stamp), Ok(echo)) = (stamp, echo) {
+            headers.insert("saddlerelay-stamp", stamp);
+            headers.insert("saddlerelay-request", echo);
+        }
+        headers.insert("saddlerelay-version", HeaderValue::from(self.state.version.get()));
+    }
+
+    fn not_executed(&self, status: StatusCode, request: &str) -> Reply {
+        let mut reply = whole(status, "text/plain", "not executed");
+        self.sign(&mut reply, request);
+        reply.headers_mut().insert("saddlerelay-not-executed", HeaderValue::from_static("1"));
+        reply
+    }
+
+    async fn order(&self, body: Bytes) -> Reply {
+        let Ok(order) = serde_json::from_slice::<VersionOrder>(&body) else {
+            return whole(StatusCode::BAD_REQUEST, "text/plain", "");
+        };
+        let state = &self.state;
+        let seen = OrderSeen {
+            at: state.journal.now(),
+            instance: self.instance(),
+            holder: order.holder.clone(),
+            fence: order.fence,
+        };
+        state.journal.write(|records| records.orders.push(seen));
+        match state.order_conduct.get() {
+            OrderConduct::Normal => self.take_order(order),
+            OrderConduct::Late(delay) => {
+                let engine = self.clone();
+                let incarnation = state.incarnation.get();
+                compio::runtime::spawn(async move {
+                    compio::time::sleep(delay).await;
+                    if engine.state.incarnation.get() == incarnation {
+                        engine.take_order(order);
+                    }
+                })
+                .detach();
+                compio::time::sleep(HANG_TIME).await;
+                whole(StatusCode::INTERNAL_SERVER_ERROR, "text/plain", "")
+            }
+        }
+    }
+
+    fn take_order(&self, order: VersionOrder) -> Reply {
+        let state = &self.state;
+        if order.fence < state.highest_fence.get() {
+            return whole(StatusCode::PRECONDITION_FAILED, "text/plain", "");
+        }
+        state.highest_fence.set(order.fence);
+        if order.target.version == state.version.get() {
+            return whole(StatusCode::OK, "text/plain", "");
+        }
+        if state.loading.get() || order.orders_taken != state.orders_taken.get() {
+            return whole(StatusCode::CONFLICT, "text/plain", "");
+        }
+        state.orders_taken.set(state.orders_taken.get() + 1);
+        state.loading.set(true);
+        compio::runtime::spawn(self.clone().load(order)).detach();
+        whole(StatusCode::ACCEPTED, "text/plain", "")
+    }
+
+    async fn load(self, order: VersionOrder) {
+        let state = &self.state;
+        let incarnation = state.incarnation.get();
+        while order.running == RunningStreams::Wait && state.running.get() > 0 {
+            compio::time::sleep(LOAD_POLL).await;
+        }
+        compio::time::sleep(LOAD_TIME).await;
+        if state.incarnation.get() == incarnation {
+            state.version.set(order.target.version);
+            state.loading.set(false);
+        }
+    }
+
+    async fn run(&self, path: String, headers: HeaderMap, body: Bytes) -> Reply {
+        let state = &self.state;
+        let request = header(&headers, "saddlerelay-request").unwrap_or_default().to_string();
+        let wanted: Option<u64> = header(&headers, "saddlerelay-for-version").and_then(|version| version.parse().ok());
+        if wanted.is_some_and(|wanted| wanted != state.version.get()) {
+            return self.not_executed(StatusCode::MISDIRECTED_REQUEST, &request);
+        }
+        let full = state.running.get() >= SLOTS * QUEUE_FACTOR;
+        if state.conduct.get() == Conduct::Refusing || full || state.loading.get() {
+            return self.not_executed(StatusCode::SERVICE_UNAVAILABLE, &request);
+        }
+        let in_progress = InProgress::begin(state);
+        let run = Run {
+            at: state.journal.now(),
+            instance: self.instance(),
+            service: state.service.to_string(),
+            request: request.clone(),
+            job: job_of(&path),
+        };
+        state.journal.write(|records| records.runs.push(run));
+        if state.conduct.get() == Conduct::Hanging {
+            compio::time::sleep(HANG_TIME).await;
+        }
+        if state.conduct.get() == Conduct::Failing {
+            state.journal.write(|records| *records.item_failures.entry(request.clone()).or_default() += 1);
+            let mut reply = whole(StatusCode::INTERNAL_SERVER_ERROR, "text/plain", "failed");
+            self.sign(&mut reply, &request);
+            return reply;
+        }
+        match header(&headers, "events").and_then(|events| events.parse().ok()) {
+            Some(events) => self.stream(path, &request, &headers, events, in_progress),
+            None => self.answer(path, &request, body, in_progress).await,
+        }
+    }
+
+    fn slowness(&self) -> u32 {
+        match self.state.conduct.get() {
+            Conduct::Slow(times) => times,
+            _ => 1,
+        }
+    }
+
+    async fn answer(&self, path: String, request: &str, body: Bytes, in_progress: InProgress) -> Reply {
+        let incarnation = self.state.incarnation.get();
+        compio::time::sleep(REQUEST_TIME * self.slowness()).await;
+        drop(in_progress);
+        let text = workload::answer(&path, request, &body);
+        let gone = self.state.incarnation.get() != incarnation;
+        let mut reply = whole(StatusCode::OK, "text/plain", text.clone());
+        if gone || self.state.conduct.get() == Conduct::BreakingOff {
+            let half = Bytes::from(text.into_bytes()).slice(..path.len());
+            let parts = futures::stream::iter([Ok(half), Err(BrokenOff)]);
+            *reply.body_mut() = LocalBody::Breakable(Box::pin(parts));
+        }
+        self.sign(&mut reply, request);
+        reply
+    }
+
+    fn stream(&self, path: String, request: &str, headers: &HeaderMap, events: u32, in_progress: InProgress) -> Reply {
+        let after: u32 = header(headers, "last-event-id").and_then(|id| id.parse().ok()).unwrap_or(0);
+        let incarnation = self.state.incarnation.get();
+        let (engine, request_id) = (self.clone(), request.to_string());
+        let parts = futures::stream::unfold((after, in_progress), move |(sent, in_progress)| {
+            let (engine, path, request_id) = (engine.clone(), path.clone(), request_id.clone());
+            async move {
+                if sent >= events {
+                    return None;
+                }
+                compio::time::sleep(EVENT_TIME * engine.slowness()).await;
+                let state = &engine.state;
+                let breaks = state.conduct.get() == Conduct::BreakingOff && sent > after;
+                if state.incarnation.get() != incarnation || breaks {
+                    return Some((Err(BrokenOff), (sent, in_progress)));
+                }
+                let (number, version) = (sent + 1, state.version.get());
+                state.journal.write(|records| records.events.insert((request_id, number, version)));
+                let data = workload::event_data(&path, number, version);
+                let event = format!("saddlerelay-version: {version}\nid: {number}\ndata: {data}\n\n");
+                Some((Ok(Bytes::from(event)), (number, in_progress)))
+            }
+        });
+        let mut reply = Reply::new(LocalBody::Breakable(Box::pin(parts)));
+        self.sign(&mut reply, request);
+        reply
+    }
+}
+
+/// The job that a path of an item names.
+fn job_of(path: &str) -> Option<JobId> {
+    let rest = path.strip_prefix(ROLLOUTS)?;
+    rest.split_once('/').map(|(job, _)| JobId(job.to_string()))
+}
+
+impl HttpHandler for Engine {
+    async fn handle(self: Rc<Self>, request: Request<Incoming>) -> Reply {
+        let (head, body) = request.into_parts();
+        let body = read_whole(body).await.unwrap_or_default();
+        let expected = header(&head.headers, "saddlerelay-for-instance");
+        if expected.is_some_and(|expected| expected != self.instance().0) {
+            let id = header(&head.headers, "saddlerelay-request").unwrap_or_default().to_string();
+            return self.not_executed(StatusCode::MISDIRECTED_REQUEST, &id);
+        }
+        let path = head.uri.path_and_query().map(|path| path.to_string()).unwrap_or_default();
+        match path.as_str() {
+            ORDER_PATH => self.order(body).await,
+            REPORT_PATH => {
+                let busy = self.state.loading.get();
+                let orders_taken = self.state.orders_taken.get();
+                json(StatusCode::OK, &EngineReport { models: self.models(), busy, orders_taken })
+            }
+            _ => self.run(path, head.headers, body).await,
+        }
+    }
+}
--- /dev/null
+++ b/crates/soak/src/faults.rs
@@ -0,0 +1,285 @@
+//! Brings planned faults about, and heals them.
+
+use crate::deployment::{COORDINATORS, Deployment, GATEWAYS, all_processes};
+use crate::engine::{Conduct, Engine, OrderConduct};
+use crate::journal::{Journal, Moment};
+use crate::links::{Condition, Party};
+use crate::operator;
+use crate::plan::{Direction, ENGINES, End, Fault};
+use anyhow::Result;
+use rustix::process::{Pid, Resource, Rlimit, prlimit};
+use saddlerelay_fleet_runner::process::RunningChild;
+use std::cell::{Cell, RefCell};
+use std::collections::BTreeSet;
+use std::path::Path;
+use std::rc::Rc;
+use std::time::Duration;
+
+/// After a fault of a coordinator, its group may need so long until it bears the loss of a disk again.
+const REPAIR_TIME: Duration = Duration::from_secs(8);
+
+/// The file to which a coordinator appends.
+const LOG_FILE: &str = "wal";
+
+/// Bytes of a record's head, and of its length in it.
+const RECORD_HEAD: usize = 12;
+const RECORD_LENGTH: usize = 4;
+
+/// Largest file while writes are refused, in bytes.
+const REFUSED_FROM: u64 = 1;
+
+/// What faults act on.
+pub struct Faults {
+    deployment: Rc<Deployment>,
+    engines: Vec<Engine>,
+    journal: Journal,
+    /// Processes that a fault holds at this moment.
+    held: RefCell<BTreeSet<Party>>,
+    /// When a fault of any coordinator last ended.
+    coordinators_healed_at: Cell<Moment>,
+}
+
+/// Holds a party for one fault; lets it go when dropped.
+struct Hold<'a> {
+    faults: &'a Faults,
+    party: Party,
+}
+
+impl Drop for Hold<'_> {
+    fn drop(&mut self) {
+        self.faults.held.borrow_mut().remove(&self.party);
+        if matches!(self.party, Party::Coordinator(_)) {
+            self.faults.coordinators_healed_at.set(self.faults.journal.now());
+        }
+    }
+}
+
+impl Faults {
+    /// Faults of this deployment and these engines.
+    pub fn new(deployment: Rc<Deployment>, engines: Vec<Engine>, journal: Journal) -> Self {
+        let coordinators_healed_at = Cell::new(journal.now());
+        Self { deployment, engines, journal, held: RefCell::default(), coordinators_healed_at }
+    }
+
+    fn hold(&self, party: Party) -> Option<Hold<'_>> {
+        self.held.borrow_mut().insert(party).then(|| Hold { faults: self, party })
+    }
+
+    /// Whether the group can bear the loss of a disk now: no coordinator is harmed, nor was one lately.
+    fn bears_disk_loss(&self) -> bool {
+        let harmed = self.held.borrow().iter().any(|party| matches!(party, Party::Coordinator(_)));
+        !harmed && self.journal.now() > self.coordinators_healed_at.get() + REPAIR_TIME
+    }
+
+    /// Brings a fault about and heals it; one that does not fit at this moment is left out.
+    pub async fn cause(&self, fault: Fault) -> Result<()> {
+        match fault {
+            Fault::Restart { party, end, down } => self.restart(party, end, down).await,
+            Fault::KillAll { down } => self.kill_all(down).await,
+            Fault::Freeze { party, time } => {
+                self.freeze(party, time).await;
+                Ok(())
+            }
+            Fault::Cut { party, condition, direction, time, coordinators_only } => {
+                self.cut(party, condition, direction, time, coordinators_only).await;
+                Ok(())
+            }
+            Fault::RefuseWrites { number, time } => {
+                self.refuse_writes(Party::Coordinator(number), time).await;
+                Ok(())
+            }
+            engine_fault => {
+                self.harm_engine(engine_fault).await;
+                Ok(())
+            }
+        }
+    }
+
+    fn tell(&self, fault: &str) {
+        self.journal.fault(fault.to_string());
+    }
+
+    async fn restart(&self, party: Party, end: End, down: Duration) -> Result<()> {
+        let end = if end == End::LoseDisk && !self.bears_disk_loss() { End::Kill } else { end };
+        let Some(_hold) = self.hold(party) else {
+            return Ok(());
+        };
+        self.tell(&format!("{party:?}: {end:?}, down {} ms", down.as_millis()));
+        match end {
+            End::Stop => {
+                if let Err(error) = self.deployment.stop(party).await {
+                    self.journal.violation("a planned stop ends well", format!("{error:#}"));
+                }
+            }
+            End::Kill | End::LoseDisk | End::TearLog => {
+                self.deployment.kill(party);
+            }
+        }
+        let folder = self.deployment.data_folder(party);
+        match end {
+            End::LoseDisk => std::fs::remove_dir_all(&folder)?,
+            End::TearLog => tear(&folder)?,
+            End::Kill | End::Stop => {}
+        }
+        compio::time::sleep(down).await;
+        self.deployment.write_settings(party, false)?;
+        self.deployment.start_process(party)
+    }
+
+    async fn kill_all(&self, down: Duration) -> Result<()> {
+        let holds: Vec<Hold> = (0..COORDINATORS).filter_map(|number| self.hold(Party::Coordinator(number))).collect();
+        self.tell(&format!("{} coordinators killed at once, down {} ms", holds.len(), down.as_millis()));
+        for hold in &holds {
+            self.deployment.kill(hold.party);
+        }
+        compio::time::sleep(down).await;
+        for hold in &holds {
+            self.deployment.write_settings(hold.party, false)?;
+            self.deployment.start_process(hold.party)?;
+        }
+        Ok(())
+    }
+
+    async fn freeze(&self, party: Party, time: Duration) {
+        let Some(_hold) = self.hold(party) else {
+            return;
+        };
+        self.tell(&format!("{party:?}: frozen for {} ms", time.as_millis()));
+        self.deployment.with_process(party, RunningChild::freeze);
+        compio::time::sleep(time).await;
+        self.deployment.with_process(party, RunningChild::thaw);
+        self.journal.woke();
+    }
+
+    async fn cut(
+        &self,
+        party: Party,
+        condition: Condition,
+        direction: Direction,
+        time: Duration,
+        coordinators_only: bool,
+    ) {
+        let Some(_hold) = self.hold(party) else {
+            return;
+        };
+        let time = time.as_millis() as u64;
+        self.tell(&format!("{party:?}: {condition:?} {direction:?} for {time} ms, others: {}", !coordinators_only));
+        let mut others = all_processes();
+        if coordinators_only {
+            others.retain(|other| matches!(other, Party::Coordinator(_)));
+        } else {
+            others.extend((0..ENGINES).map(Party::Engine));
+        }
+        others.retain(|other| *other != party);
+        self.set_links(party, &others, direction, condition);
+        compio::time::sleep(Duration::from_millis(time)).await;
+        self.set_links(party, &others, direction, Condition::Open);
+        self.journal.woke();
+    }
+
+    fn set_links(&self, party: Party, others: &[Party], direction: Direction, condition: Condition) {
+        for other in others {
+            if direction != Direction::In {
+                self.deployment.links.set(party, *other, condition);
+            }
+            if direction != Direction::Out {
+                self.deployment.links.set(*other, party, condition);
+            }
+        }
+    }
+
+    async fn refuse_writes(&self, party: Party, time: Duration) {
+        let Some(_hold) = self.hold(party) else {
+            return;
+        };
+        self.tell(&format!("{party:?}: writes refused for {} ms", time.as_millis()));
+        let process = self.deployment.with_process(party, |child| child.id());
+        let Some(process) = process.and_then(|process| Pid::from_raw(process as i32)) else {
+            return;
+        };
+        let refused = Rlimit { current: Some(REFUSED_FROM), maximum: None };
+        let Ok(before) = prlimit(Some(process), Resource::Fsize, refused) else {
+            return;
+        };
+        compio::time::sleep(time).await;
+        if self.deployment.is_running(party) {
+            // A process that has ended meanwhile needs no limit.
+            let _ = prlimit(Some(process), Resource::Fsize, before);
+        }
+    }
+
+    async fn harm_engine(&self, fault: Fault) {
+        let number = match fault {
+            Fault::CrashEngine { number, .. }
+            | Fault::ReplaceEngine { number }
+            | Fault::Misconduct { number, .. }
+            | Fault::LateOrders { number, .. } => number,
+            _ => return,
+        };
+        let Some(_hold) = self.hold(Party::Engine(number)) else {
+            return;
+        };
+        let engine = &self.engines[usize::from(number)];
+        self.tell(&format!("{fault:?}"));
+        match fault {
+            Fault::CrashEngine { down, .. } => self.crash(engine, down).await,
+            Fault::ReplaceEngine { .. } => {
+                operator::replace(engine.clone(), self.deployment.addresses.clone(), self.journal.clone()).await;
+            }
+            Fault::Misconduct { conduct, time, .. } => {
+                engine.set_conduct(conduct);
+                compio::time::sleep(time).await;
+                engine.set_conduct(Conduct::Normal);
+            }
+            Fault::LateOrders { delay, time, .. } => {
+                engine.set_order_conduct(OrderConduct::Late(delay));
+                compio::time::sleep(time).await;
+                engine.set_order_conduct(OrderConduct::Normal);
+            }
+            _ => {}
+        }
+    }
+
+    async fn crash(&self, engine: &Engine, down: Duration) {
+        let party = Party::Engine(engine.number());
+        let set = |condition| {
+            for other in all_processes() {
+                self.deployment.links.set_both(other, party, condition);
+            }
+        };
+        set(Condition::Reset);
+        engine.start_anew();
+        compio::time::sleep(down).await;
+        set(Condition::Open);
+    }
+
+    /// Lets everything go on that stands still or is cut off; faults under way end by themselves.
+    pub fn heal_all(&self) {
+        self.deployment.links.heal_all();
+        for engine in &self.engines {
+            engine.set_conduct(Conduct::Normal);
+            engine.set_order_conduct(OrderConduct::Normal);
+        }
+        self.journal.woke();
+    }
+}
+
+/// Every gateway.
+pub fn gateways() -> impl Iterator<Item = u8> {
+    0..GATEWAYS
+}
+
+/// Leaves the beginning of a record behind the last whole one, as a process does that is killed while it writes.
+fn tear(folder: &Path) -> Result<()> {
+    let file = folder.join(LOG_FILE);
+    let Ok(mut bytes) = std::fs::read(&file) else {
+        return Ok(());
+    };
+    let Some(length) = bytes.get(..RECORD_LENGTH).and_then(|length| length.try_into().ok()) else {
+        return Ok(());
+    };
+    let whole = RECORD_HEAD + u32::from_le_bytes(length) as usize;
+    let torn = bytes.get(..fastrand::usize(1..whole).min(bytes.len())).unwrap_or_default().to_vec();
+    bytes.extend_from_slice(&torn);
+    Ok(std::fs::write(file, bytes)?)
+}
--- /dev/null
+++ b/crates/soak/src/journal.rs
@@ -0,0 +1,212 @@
+//! What callers, operators and engines saw during a soak.
+
+use saddlerelay_types::instance::InstanceId;
+use saddlerelay_types::job::{ItemEnd, ItemId, JobId};
+use std::cell::RefCell;
+use std::collections::{BTreeMap, BTreeSet};
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+/// Time since the soak's start.
+pub type Moment = Duration;
+
+/// A request that an engine began to run.
+#[derive(Clone, Debug)]
+pub struct Run {
+    /// When.
+    pub at: Moment,
+    /// The engine.
+    pub instance: InstanceId,
+    /// Its service.
+    pub service: String,
+    /// The request's identifier; an item's on the path of batch jobs.
+    pub request: String,
+    /// The job that the request is an item of, as its path tells.
+    pub job: Option<JobId>,
+}
+
+/// How a client's request ended, as the client saw it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Ending {
+    /// A whole successful answer that is the request's own.
+    Whole,
+    /// A status that promises that the request has not run and never will.
+    NotRun(u16),
+    /// Another failing status.
+    Failed(u16),
+    /// The connection ended, or the client's patience.
+    Broken,
+}
+
+/// A client's request.
+#[derive(Clone, Debug)]
+pub struct ClientRequest {
+    /// Its identifier.
+    pub request: String,
+    /// The beginning of its path.
+    pub prefix: &'static str,
+    /// When it was sent.
+    pub sent_at: Moment,
+    /// When it ended.
+    pub ended_at: Moment,
+    /// How.
+    pub ending: Ending,
+}
+
+/// An order that reached an engine.
+#[derive(Clone, Debug)]
+pub struct OrderSeen {
+    /// When.
+    pub at: Moment,
+    /// The engine.
+    pub instance: InstanceId,
+    /// Who gave it.
+    pub holder: String,
+    /// Its fence.
+    pub fence: u64,
+}
+
+/// A routing document as operators sent it.
+#[derive(Clone, Debug)]
+pub struct SentDocument {
+    /// Its version.
+    pub version: u64,
+    /// The service to which the route that moves goes.
+    pub moving_to: &'static str,
+    /// Its bytes.
+    pub body: Vec<u8>,
+    /// When it was first sent.
+    pub sent_at: Moment,
+    /// When it was first acknowledged.
+    pub acknowledged_at: Option<Moment>,
+}
+
+/// A routing document that was read back.
+#[derive(Clone, Debug)]
+pub struct ReadDocument {
+    /// When the question was sent.
+    pub asked_at: Moment,
+    /// Its bytes; `None` when there was said to be none.
+    pub body: Option<Vec<u8>>,
+}
+
+/// A result as a trainer read it.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct SeenResult {
+    /// The item.
+    pub item: ItemId,
+    /// How it ended.
+    pub end: ItemEnd,
+    /// Its text.
+    pub text: Vec<u8>,
+    /// The versions that it names.
+    pub versions: Vec<u64>,
+}
+
+/// A batch job as its trainer saw it.
+#[derive(Clone, Debug, Default)]
+pub struct JobSeen {
+    /// Its items, with the number of events of each.
+    pub items: BTreeMap<ItemId, u32>,
+    /// The oldest version that may make its text.
+    pub minimum_version: u64,
+    /// When a gateway acknowledged it.
+    pub acknowledged_at: Option<Moment>,
+    /// Whether it was never sent again after a promise that nothing of it runs.
+    pub refused: bool,
+    /// When its end was first asked for.
+    pub end_asked_at: Option<Moment>,
+    /// When its end was acknowledged.
+    pub ended_at: Option<Moment>,
+    /// Results by position.
+    pub results: BTreeMap<u64, SeenResult>,
+}
+
+/// A promise that was broken.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Violation {
+    /// The promise.
+    pub promise: &'static str,
+    /// What was seen.
+    pub seen: String,
+}
+
+/// Everything that was seen.
+#[derive(Debug, Default)]
+pub struct Records {
+    /// Requests that engines ran.
+    pub runs: Vec<Run>,
+    /// Events that engines made: item, number, version.
+    pub events: BTreeSet<(String, u32, u64)>,
+    /// Failures of items at engines, by item.
+    pub item_failures: BTreeMap<String, u32>,
+    /// Clients' requests.
+    pub requests: Vec<ClientRequest>,
+    /// Orders that engines saw.
+    pub orders: Vec<OrderSeen>,
+    /// When the leaving of an engine was acknowledged.
+    pub leaving: BTreeMap<InstanceId, Moment>,
+    /// Documents that operators sent.
+    pub documents: Vec<SentDocument>,
+    /// Documents that were read.
+    pub reads: Vec<ReadDocument>,
+    /// Batch jobs.
+    pub jobs: BTreeMap<JobId, JobSeen>,
+    /// Moments at which a process woke or a link healed: what was held up until then arrives late.
+    pub woken: Vec<Moment>,
+    /// Promises whose breach was seen at once.
+    pub violations: Vec<Violation>,
+    /// The latest that a task of the soak itself ran.
+    pub own_lag: Duration,
+    /// Faults, for the report.
+    pub faults: Vec<(Moment, String)>,
+}
+
+/// The journal. Clones write to the same one.
+#[derive(Clone)]
+pub struct Journal {
+    started: Instant,
+    records: Rc<RefCell<Records>>,
+}
+
+impl Default for Journal {
+    fn default() -> Self {
+        Self { started: Instant::now(), records: Rc::default() }
+    }
+}
+
+impl Journal {
+    /// Time since the start.
+    pub fn now(&self) -> Moment {
+        self.started.elapsed()
+    }
+
+    /// Changes the records.
+    pub fn write<T>(&self, change: impl FnOnce(&mut Records) -> T) -> T {
+        change(&mut self.records.borrow_mut())
+    }
+
+    /// Looks at the records.
+    pub fn read<T>(&self, look: impl FnOnce(&Records) -> T) -> T {
+        look(&self.records.borrow())
+    }
+
+    /// Notes a broken promise.
+    pub fn violation(&self, promise: &'static str, seen: String) {
+        eprintln!("{:>8.3} s  broken: {promise}: {seen}", self.now().as_secs_f64());
+        self.write(|records| records.violations.push(Violation { promise, seen }));
+    }
+
+    /// Notes that a process woke or a link healed.
+    pub fn woke(&self) {
+        let now = self.now();
+        self.write(|records| records.woken.push(now));
+    }
+
+    /// Notes a fault.
+    pub fn fault(&self, what: String) {
+        let now = self.now();
+        println!("{:>8.3} s  {what}", now.as_secs_f64());
+        self.write(|records| records.faults.push((now, what)));
+    }
+}
--- /dev/null
+++ b/crates/soak/src/links.rs
@@ -0,0 +1,106 @@
+//! The condition of the links between the parties of a soak, by direction.
+
+use saddlerelay_runtime::signal::Signal;
+use std::cell::RefCell;
+use std::collections::BTreeMap;
+use std::rc::Rc;
+use std::time::Duration;
+
+/// Someone who opens connections or takes them.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Party {
+    /// A gateway process.
+    Gateway(u8),
+    /// A coordinator process.
+    Coordinator(u8),
+    /// A stand-in engine.
+    Engine(u8),
+    /// Clients, trainers and operators.
+    Outside,
+}
+
+/// What happens to the bytes that go one way between two parties.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Condition {
+    /// They arrive.
+    #[default]
+    Open,
+    /// They arrive late by this long.
+    Delayed(Duration),
+    /// They are held back until the link heals.
+    Silent,
+    /// Their connections are reset, and no new one comes up.
+    Reset,
+}
+
+/// Every link. Clones share them.
+#[derive(Clone, Default)]
+pub struct Links {
+    conditions: Rc<RefCell<BTreeMap<(Party, Party), Condition>>>,
+    changed: Rc<Signal>,
+}
+
+impl Links {
+    /// What happens to bytes from `from` to `to`.
+    pub fn condition(&self, from: Party, to: Party) -> Condition {
+        self.conditions.borrow().get(&(from, to)).copied().unwrap_or_default()
+    }
+
+    /// Sets what happens to bytes from `from` to `to`.
+    pub fn set(&self, from: Party, to: Party, condition: Condition) {
+        self.conditions.borrow_mut().insert((from, to), condition);
+        self.changed.notify();
+    }
+
+    /// Sets both directions between two parties.
+    pub fn set_both(&self, one: Party, other: Party, condition: Condition) {
+        self.set(one, other, condition);
+        self.set(other, one, condition);
+    }
+
+    /// Opens every link.
+    pub fn heal_all(&self) {
+        self.conditions.borrow_mut().clear();
+        self.changed.notify();
+    }
+
+    /// Waits until bytes from `from` to `to` may go on; `false` if their connection is to be reset.
+    pub async fn pass(&self, from: Party, to: Party) -> bool {
+        loop {
+            let seen = self.changed.count();
+            match self.condition(from, to) {
+                Condition::Open => return true,
+                Condition::Delayed(delay) => {
+                    compio::time::sleep(delay).await;
+                    return true;
+                }
+                Condition::Reset => return false,
+                Condition::Silent => self.changed.changed(seen).await,
+            }
+        }
+    }
+
+    /// Waits until a connection may come up; `false` if it is to be reset. Delays concern what goes over it.
+    pub async fn may_connect(&self, from: Party, to: Party) -> bool {
+        loop {
+            let seen = self.changed.count();
+            match self.condition(from, to) {
+                Condition::Open | Condition::Delayed(_) => return true,
+                Condition::Reset => return false,
+                Condition::Silent => self.changed.changed(seen).await,
+            }
+        }
+    }
+
+    /// Waits until a connection between two parties is to be reset.
+    pub async fn until_reset(&self, one: Party, other: Party) {
+        loop {
+            let seen = self.changed.count();
+            let resets = |from, to| self.condition(from, to) == Condition::Reset;
+            if resets(one, other) || resets(other, one) {
+                return;
+            }
+            self.changed.changed(seen).await;
+        }
+    }
+}
--- /dev/null
+++ b/crates/soak/src/run.rs
@@ -0,0 +1,233 @@
+//! One soak: start, load, faults, proof that the deployment works again, orderly end, checks.
+
+use crate::callers;
+use crate::checks;
+use crate::deployment::{Deployment, REPORT_INTERVAL, all_processes};
+use crate::engine::Engine;
+use crate::faults::{Faults, gateways};
+use crate::journal::Journal;
+use crate::operator::{self, Operator};
+use crate::plan::{self, ENGINES, MODEL_ENGINES, WEB_ENGINES};
+use crate::report::Report;
+use crate::trainer::Trainer;
+use crate::workload::{MODEL_SERVICE, MOVING, ONCE, REPEATABLE, STREAMS, WEB_SERVICES};
+use anyhow::{Result, bail};
+use futures::future;
+use hyper::{Method, StatusCode};
+use std::cell::Cell;
+use std::path::{Path, PathBuf};
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+/// How long a deployment may take to come up.
+const START_LIMIT: Duration = Duration::from_secs(20);
+
+/// How long after the last fault everything works again.
+pub const RECOVERY_LIMIT: Duration = Duration::from_secs(12);
+
+/// How long the last tasks may take to end.
+const END_LIMIT: Duration = Duration::from_secs(20);
+
+/// A lateness of the soak's own tasks that is worth telling.
+const TELLING_LAG: Duration = Duration::from_millis(100);
+
+/// Pause between looks at something.
+const POLL: Duration = Duration::from_millis(50);
+
+/// How a soak is made.
+#[derive(Clone, Debug)]
+pub struct SoakOptions {
+    /// What its faults are drawn from.
+    pub seed: u64,
+    /// How long faults are caused.
+    pub length: Duration,
+    /// The soak's own executable, which holds the product too.
+    pub executable: PathBuf,
+    /// Where its files go.
+    pub folder: PathBuf,
+}
+
+/// Runs a soak.
+pub async fn run(options: &SoakOptions) -> Result<Report> {
+    fastrand::seed(options.seed);
+    let journal = Journal::default();
+    let _lag = compio::runtime::spawn(watch_own_lag(journal.clone()));
+    let executable = options.executable.clone();
+    let deployment = Deployment::start(executable, &options.folder, journal.clone(), ENGINES).await?;
+    let newest = Rc::new(Cell::new(1));
+    let engines = start_engines(&deployment, &journal, &newest).await?;
+    let stop = Rc::new(Cell::new(false));
+    let reports_stop = Rc::new(Cell::new(false));
+    let addresses = deployment.addresses.clone();
+    for engine in &engines {
+        let report = operator::report(engine.clone(), addresses.clone(), journal.clone(), reports_stop.clone());
+        compio::runtime::spawn(report).detach();
+    }
+    let operator = Rc::new(Operator::new(addresses.clone(), journal.clone()));
+    let trainer = Rc::new(Trainer::new(addresses.clone(), journal.clone(), newest));
+    wait_until_up(&deployment, &operator).await?;
+    let mut tasks = vec![
+        compio::runtime::spawn(operator.clone().run(stop.clone())),
+        compio::runtime::spawn(operator.clone().run_reads(stop.clone())),
+        compio::runtime::spawn(trainer.clone().run(stop.clone())),
+    ];
+    for client in 0..callers::CLIENTS {
+        let run = callers::run(client, addresses.clone(), journal.clone(), stop.clone());
+        tasks.push(compio::runtime::spawn(run));
+    }
+    let faults = Rc::new(Faults::new(deployment.clone(), engines.clone(), journal.clone()));
+    let memory = cause_faults(&deployment, &faults, &journal, options).await?;
+    prove_recovery(&deployment, &operator, &trainer, &journal).await;
+    stop.set(true);
+    if compio::time::timeout(END_LIMIT, future::join_all(tasks)).await.is_err() {
+        journal.violation("every caller gets an answer", "a task of the load did not end".to_string());
+    }
+    read_back(&operator, &trainer, &journal).await;
+    reports_stop.set(true);
+    stop_processes(&deployment, &journal).await;
+    let violations = journal.read(checks::check);
+    for violation in &violations {
+        journal.violation(violation.promise, violation.seen.clone());
+    }
+    Ok(Report::new(options.seed, memory, &journal))
+}
+
+async fn start_engines(deployment: &Rc<Deployment>, journal: &Journal, newest: &Rc<Cell<u64>>) -> Result<Vec<Engine>> {
+    let mut engines = Vec::new();
+    for number in 0..ENGINES {
+        let service = match number {
+            number if number < WEB_ENGINES => WEB_SERVICES[0],
+            number if number < ENGINES - MODEL_ENGINES => WEB_SERVICES[1],
+            _ => MODEL_SERVICE,
+        };
+        let addresses = deployment.addresses.clone();
+        engines.push(Engine::start(number, service, addresses, journal.clone(), newest.clone()).await?);
+    }
+    Ok(engines)
+}
+
+async fn is_ready(deployment: &Deployment, gateway: u8) -> bool {
+    let address = deployment.addresses.readiness(gateway);
+    let answer = crate::calls::ask(address, Method::GET, "/", &[], Vec::new(), REPORT_INTERVAL).await;
+    answer.is_some_and(|answer| answer.status == StatusCode::OK)
+}
+
+async fn wait_until_up(deployment: &Rc<Deployment>, operator: &Operator) -> Result<()> {
+    let until = Instant::now() + START_LIMIT;
+    if !operator.change(|| Instant::now() < until).await {
+        bail!("the first routing document was not accepted within {START_LIMIT:?}");
+    }
+    for gateway in gateways() {
+        while !is_ready(deployment, gateway).await {
+            if Instant::now() > until {
+                bail!("gateway {gateway} was not ready within {START_LIMIT:?}");
+            }
+            compio::time::sleep(POLL).await;
+        }
+    }
+    Ok(())
+}
+
+/// Causes the planned faults and waits until each has healed; returns the most memory that one process held.
+async fn cause_faults(
+    deployment: &Rc<Deployment>,
+    faults: &Rc<Faults>,
+    journal: &Journal,
+    options: &SoakOptions,
+) -> Result<u64> {
+    let started = journal.now();
+    let mut planned = plan::draw(options.seed, options.length).into_iter().peekable();
+    let mut running = Vec::new();
+    let mut memory = 0;
+    while planned.peek().is_some() || journal.now() < started + options.length {
+        while let Some(next) = planned.next_if(|next| journal.now() >= started + next.at) {
+            let faults = faults.clone();
+            running.push(compio::runtime::spawn(async move { faults.cause(next.fault).await }));
+        }
+        deployment.watch()?;
+        memory = memory.max(deployment.largest_memory());
+        compio::time::sleep(POLL).await;
+    }
+    for fault in running {
+        fault.await.map_err(|_| anyhow::anyhow!("a fault's task failed"))??;
+    }
+    faults.heal_all();
+    deployment.watch()?;
+    Ok(memory)
+}
+
+/// Everything works again soon after the last fault.
+async fn prove_recovery(deployment: &Rc<Deployment>, operator: &Operator, trainer: &Trainer, journal: &Journal) {
+    const PROMISE: &str = "everything works again soon after the last fault";
+    let healed_at = journal.now();
+    let in_time = || journal.now() < healed_at + RECOVERY_LIMIT;
+    for gateway in gateways() {
+        for prefix in [REPEATABLE, ONCE, MOVING, STREAMS] {
+            let mut served = false;
+            while !served && in_time() {
+                served = callers::probe(prefix, gateway, &deployment.addresses, journal).await;
+            }
+            if !served {
+                journal.violation(PROMISE, format!("gateway {gateway} does not serve {prefix}"));
+            }
+        }
+    }
+    if !operator.change(in_time).await {
+        journal.violation(PROMISE, "a routing document was not accepted".to_string());
+    }
+    if let Some(missing) = trainer.prove_step(RECOVERY_LIMIT).await {
+        journal.violation(PROMISE, format!("a training step was not whole: {missing}"));
+    }
+}
+
+/// Reads back what was acknowledged: the configuration, and every job from its start.
+async fn read_back(operator: &Operator, trainer: &Trainer, journal: &Journal) {
+    const PROMISE: &str = "what was acknowledged can be read back";
+    let until = journal.now() + RECOVERY_LIMIT;
+    let in_time = || journal.now() < until;
+    while !operator.read().await {
+        if !in_time() {
+            journal.violation(PROMISE, "no routing document".to_string());
+            break;
+        }
+    }
+    let acknowledged: Vec<_> = journal.read(|records| {
+        let jobs = records.jobs.iter().filter(|(_, seen)| seen.acknowledged_at.is_some());
+        jobs.map(|(job, _)| job.clone()).collect()
+    });
+    for job in acknowledged {
+        while !trainer.read_page(&job, 0).await {
+            if !in_time() {
+                journal.violation(PROMISE, format!("job {} cannot be read", job.0));
+                break;
+            }
+            compio::time::sleep(POLL).await;
+        }
+    }
+}
+
+async fn stop_processes(deployment: &Rc<Deployment>, journal: &Journal) {
+    for party in all_processes().into_iter().rev() {
+        if let Err(error) = deployment.stop(party).await {
+            journal.violation("a planned stop ends well", format!("{error:#}"));
+        }
+    }
+}
+
+/// Watches how late this process's own tasks run: all connections pass through it, and what it delays, everyone sees late.
+async fn watch_own_lag(journal: Journal) {
+    loop {
+        let began = Instant::now();
+        compio::time::sleep(POLL).await;
+        let lag = began.elapsed().saturating_sub(POLL);
+        journal.write(|records| records.own_lag = records.own_lag.max(lag));
+        if lag > TELLING_LAG {
+            println!("{:>8.3} s  the soak itself was late by {} ms", journal.now().as_secs_f64(), lag.as_millis());
+        }
+    }
+}
+
+/// Where a soak's files go: a folder of the system's temporary one, by its seed.
+pub fn folder_of(seed: u64, base: &Path) -> PathBuf {
+    base.join(format!("saddlerelay-soak-{}-{seed}", std::process::id()))
+}
--- /dev/null
+++ b/crates/soak/tests/checks.rs
@@ -0,0 +1,194 @@
+//! Each check finds the breach it is meant for, and nothing in what kept its promise.
+
+use saddlerelay_soak_runner::checks::{
+    AT_MOST_ONCE, ATTEMPTS, CONFIGURATION, JOB_ENDS, LEAVING, NOT_RUN, ORDERS, RESULTS, STALENESS, check,
+};
+use saddlerelay_soak_runner::journal::{
+    ClientRequest, Ending, JobSeen, OrderSeen, ReadDocument, Records, Run, SeenResult, SentDocument,
+};
+use saddlerelay_soak_runner::workload::{self, MOVING, ONCE, REPEATABLE, ROLLOUTS};
+use saddlerelay_types::instance::InstanceId;
+use saddlerelay_types::job::{ItemEnd, ItemId, JobId};
+use std::time::Duration;
+
+fn at(milliseconds: u64) -> Duration {
+    Duration::from_millis(milliseconds)
+}
+
+fn run(request: &str, milliseconds: u64) -> Run {
+    Run {
+        at: at(milliseconds),
+        instance: InstanceId("engine-0-1".to_string()),
+        service: "web-a".to_string(),
+        request: request.to_string(),
+        job: None,
+    }
+}
+
+fn request(name: &str, prefix: &'static str, ending: Ending) -> ClientRequest {
+    ClientRequest { request: name.to_string(), prefix, sent_at: at(5_000), ended_at: at(5_100), ending }
+}
+
+fn broken(records: &Records) -> Vec<&'static str> {
+    check(records).into_iter().map(|violation| violation.promise).collect()
+}
+
+#[test]
+fn a_request_that_was_said_not_to_run_must_not_run() {
+    let mut records = Records { requests: vec![request("r", REPEATABLE, Ending::NotRun(503))], ..Records::default() };
+    assert!(broken(&records).is_empty());
+    records.runs.push(run("r", 5_050));
+    assert_eq!(broken(&records), [NOT_RUN]);
+}
+
+#[test]
+fn a_failed_request_may_have_run() {
+    let requests = vec![request("r", ONCE, Ending::Failed(502)), request("s", ONCE, Ending::Broken)];
+    let records = Records { requests, runs: vec![run("r", 5_050), run("s", 5_050)], ..Records::default() };
+    assert!(broken(&records).is_empty());
+}
+
+#[test]
+fn a_request_that_must_not_be_repeated_runs_once() {
+    let requests = vec![request("r", ONCE, Ending::Whole), request("s", REPEATABLE, Ending::Whole)];
+    let runs = vec![run("r", 5_010), run("s", 5_020), run("s", 5_030)];
+    let mut records = Records { requests, runs, ..Records::default() };
+    assert!(broken(&records).is_empty());
+    records.runs.push(run("r", 5_050));
+    assert_eq!(broken(&records), [AT_MOST_ONCE]);
+}
+
+#[test]
+fn a_request_runs_no_more_often_than_its_route_allows() {
+    let runs = (0..4).map(|number| run("r", 5_010 + number)).collect();
+    let records = Records { requests: vec![request("r", REPEATABLE, Ending::Whole)], runs, ..Records::default() };
+    assert_eq!(broken(&records), [ATTEMPTS]);
+}
+
+#[test]
+fn a_leaving_engine_gets_no_new_work_after_the_bound() {
+    let leaving = [(InstanceId("engine-0-1".to_string()), at(1_000))].into();
+    let mut records = Records { leaving, runs: vec![run("r", 2_990)], ..Records::default() };
+    assert!(broken(&records).is_empty());
+    records.runs.push(run("s", 3_010));
+    assert_eq!(broken(&records), [LEAVING]);
+    records.woken.push(at(2_900));
+    assert!(broken(&records).is_empty(), "what was under way when a process woke may still arrive");
+}
+
+fn document(version: u64, moving_to: &'static str, sent: u64, acknowledged: Option<u64>) -> SentDocument {
+    let body = serde_json::to_vec(&workload::document(version, moving_to, 0)).expect("JSON");
+    SentDocument { version, moving_to, body, sent_at: at(sent), acknowledged_at: acknowledged.map(at) }
+}
+
+#[test]
+fn a_request_follows_the_newest_document_after_the_bound() {
+    let documents = vec![document(1, "web-a", 0, Some(100)), document(2, "web-b", 2_000, Some(2_900))];
+    let requests = vec![request("r", MOVING, Ending::Whole)];
+    let mut records = Records { documents, requests, runs: vec![run("r", 5_010)], ..Records::default() };
+    assert_eq!(broken(&records), [CONFIGURATION]);
+    records.documents[1].acknowledged_at = Some(at(3_100));
+    assert!(broken(&records).is_empty(), "the bound is not over yet");
+}
+
+#[test]
+fn a_document_that_may_be_in_force_may_be_followed() {
+    let documents = vec![document(1, "web-b", 0, Some(100)), document(2, "web-a", 4_000, None)];
+    let requests = vec![request("r", MOVING, Ending::Whole)];
+    let records = Records { documents, requests, runs: vec![run("r", 5_010)], ..Records::default() };
+    assert!(broken(&records).is_empty());
+}
+
+#[test]
+fn a_read_shows_the_newest_document_as_it_was_sent() {
+    let documents = vec![document(1, "web-a", 0, Some(100)), document(2, "web-b", 200, Some(300))];
+    let read = |body: Option<Vec<u8>>| ReadDocument { asked_at: at(400), body };
+    let (old, new) = (documents[0].body.clone(), documents[1].body.clone());
+    let other = serde_json::to_vec(&workload::document(2, "web-a", 1)).expect("JSON");
+    let with = |body| Records { documents: documents.clone(), reads: vec![read(body)], ..Records::default() };
+    assert!(broken(&with(Some(new))).is_empty());
+    for body in [Some(old), Some(other), None] {
+        assert_eq!(broken(&with(body)), [CONFIGURATION]);
+    }
+}
+
+const ITEM: &str = "j-item-0";
+
+fn result(versions: &[u64], text: &[(u32, u64)]) -> SeenResult {
+    let path = format!("{ROLLOUTS}j/0");
+    let lines: Vec<String> =
+        text.iter().map(|(number, version)| workload::event_data(&path, *number, *version)).collect();
+    SeenResult {
+        item: ItemId(ITEM.to_string()),
+        end: ItemEnd::Completed,
+        text: lines.join("\n").into_bytes(),
+        versions: versions.to_vec(),
+    }
+}
+
+fn records_of(results: Vec<SeenResult>) -> Records {
+    let seen = JobSeen {
+        items: [(ItemId(ITEM.to_string()), 2)].into(),
+        minimum_version: 2,
+        acknowledged_at: Some(at(100)),
+        results: (0..).zip(results).collect(),
+        ..JobSeen::default()
+    };
+    let events = (1..=2).flat_map(|number| (1..=3).map(move |version| (ITEM.to_string(), number, version)));
+    Records { jobs: [(JobId("j".to_string()), seen)].into(), events: events.collect(), ..Records::default() }
+}
+
+#[test]
+fn a_result_is_whole_and_names_the_versions_that_made_it() {
+    assert!(broken(&records_of(vec![result(&[2, 3], &[(1, 2), (2, 3)])])).is_empty());
+    assert_eq!(broken(&records_of(vec![result(&[2], &[(1, 2)])])), [RESULTS], "an event is missing");
+    assert_eq!(broken(&records_of(vec![result(&[2], &[(1, 2), (2, 3)])])), [RESULTS], "a version is not named");
+    assert_eq!(broken(&records_of(vec![result(&[4], &[(1, 4), (2, 4)])])), [RESULTS; 2], "never made");
+}
+
+#[test]
+fn an_item_is_listed_once() {
+    let whole = result(&[2], &[(1, 2), (2, 2)]);
+    assert_eq!(broken(&records_of(vec![whole.clone(), whole])), [RESULTS]);
+}
+
+#[test]
+fn no_text_is_older_than_its_job_allows() {
+    assert_eq!(broken(&records_of(vec![result(&[1, 2], &[(1, 1), (2, 2)])])), [STALENESS]);
+}
+
+#[test]
+fn an_item_is_given_up_only_after_its_attempts_or_the_end() {
+    let aborted = SeenResult { end: ItemEnd::Aborted, text: Vec::new(), versions: Vec::new(), ..result(&[], &[]) };
+    let mut records = records_of(vec![aborted]);
+    assert_eq!(broken(&records), [RESULTS]);
+    records.item_failures.insert(ITEM.to_string(), 3);
+    assert!(broken(&records).is_empty());
+}
+
+#[test]
+fn nothing_of_a_refused_or_ended_job_runs() {
+    let item_run = Run { job: Some(JobId("j".to_string())), ..run(ITEM, 4_500) };
+    let with = |change: fn(&mut JobSeen)| {
+        let mut records = Records { runs: vec![item_run.clone()], ..records_of(Vec::new()) };
+        records.jobs.values_mut().for_each(change);
+        records
+    };
+    assert!(broken(&with(|job| job.ended_at = Some(at(2_000)))).is_empty());
+    assert_eq!(broken(&with(|job| job.ended_at = Some(at(1_000)))), [JOB_ENDS]);
+    assert_eq!(broken(&with(|job| job.refused = true)), [JOB_ENDS]);
+}
+
+#[test]
+fn orders_come_from_one_holder_at_a_time() {
+    let order = |milliseconds, holder: &str, fence| OrderSeen {
+        at: at(milliseconds),
+        instance: InstanceId("engine-4-1".to_string()),
+        holder: holder.to_string(),
+        fence,
+    };
+    let with = |orders| Records { orders, ..Records::default() };
+    assert!(broken(&with(vec![order(1_000, "a", 1), order(4_100, "b", 2)])).is_empty());
+    assert_eq!(broken(&with(vec![order(1_000, "a", 1), order(3_900, "b", 2)])), [ORDERS], "turns within the lease");
+    assert_eq!(broken(&with(vec![order(1_000, "a", 1), order(4_100, "b", 1)])), [ORDERS], "a shared fence");
+}
