Never say of a stream that it has not run once it was sent; pass an engine's failure on whole

Cause: a stream's attempt counted as possibly run only once it had failed. While an engine held it, the time ran out and the client was told 503, "time over before any engine was given it", although the engine had it.

Two more of the same kind, found while reading: an engine that ran a stream and answered 503 or 429 was quoted with that promise, and any failing answer without events broke the connection instead of going back whole.

Change: `attempt` holds, for both kinds of request, what an answer means and which attempts may have run; streams count from the first byte, as forwarded requests did. Two copies of this logic are one now.

Tests, red before: a_stream_that_an_engine_keeps_is_never_said_not_to_have_run, a_status_that_promises_not_to_have_run_is_not_quoted_from_an_engine_that_ran_it.

--- a/crates/gateway-api/tests/common/engine.rs
+++ b/crates/gateway-api/tests/common/engine.rs
@@ -28,6 +28,8 @@
     Shed,
     /// Runs it and fails.
     Fail,
+    /// Runs it and fails with a status by which saddlerelay promises its clients that nothing has run.
+    FailUnavailable,
     /// Says that it can never be done.
     Impossible,
     /// Answers with another request's identifier.
@@ -178,12 +180,13 @@
             Conduct::AnswerAfter(time) => compio::time::sleep(time).await,
             _ => {}
         }
-        let streams = !matches!(conduct, Conduct::Fail | Conduct::Impossible);
+        let streams = !matches!(conduct, Conduct::Fail | Conduct::FailUnavailable | Conduct::Impossible);
         if let Some(events) = events.filter(|_| streams) {
             return self.stream(&seen, &request_id, events, conduct);
         }
         let status = match conduct {
             Conduct::Fail => StatusCode::INTERNAL_SERVER_ERROR,
+            Conduct::FailUnavailable => StatusCode::SERVICE_UNAVAILABLE,
             Conduct::Impossible => StatusCode::UNPROCESSABLE_ENTITY,
             _ => StatusCode::OK,
         };
--- a/crates/gateway-api/tests/routed.rs
+++ b/crates/gateway-api/tests/routed.rs
@@ -6,7 +6,7 @@
 use common::{Deployment, HOST, block_on, call, document, eventually, route};
 use hyper::{Method, StatusCode};
 use saddlerelay_types::instance::{InstanceId, InstanceReport};
-use saddlerelay_types::routing::{RouteKind, WeightedTarget};
+use saddlerelay_types::routing::{Route, RouteKind, WeightedTarget};
 use std::time::{Duration, Instant};
 
 const ID: (&str, &str) = ("saddlerelay-request", "r-1");
@@ -127,6 +127,30 @@
     }
 }
 
+#[test]
+fn a_stream_that_an_engine_keeps_is_never_said_not_to_have_run() {
+    block_on(async {
+        let (deployment, engines) = with_engines("stream-kept", RouteKind::Streaming, 1).await;
+        let held = Route { timeout_ms: 300, ..route("/plans/", RouteKind::Streaming, "web") };
+        deployment.configure(&document(2, vec![held])).await;
+        engines[0].set_conduct(Conduct::Hang);
+        let answer = deployment.request(Method::POST, "/plans/7", &[ID, ("events", "3")], "").await;
+        assert_eq!((answer.status, ran(&engines)), (StatusCode::GATEWAY_TIMEOUT, 1));
+    });
+}
+
+#[test]
+fn a_status_that_promises_not_to_have_run_is_not_quoted_from_an_engine_that_ran_it() {
+    for (name, kind) in [("quoted-once", RouteKind::NonIdempotent), ("quoted-stream", RouteKind::Streaming)] {
+        block_on(async {
+            let (deployment, engines) = with_engines(name, kind, 1).await;
+            engines[0].set_conduct(Conduct::FailUnavailable);
+            let answer = deployment.request(Method::POST, "/plans/7", &[ID, ("events", "3")], "").await;
+            assert_eq!((answer.status, ran(&engines)), (StatusCode::BAD_GATEWAY, 1), "{name}");
+        });
+    }
+}
+
 #[test]
 fn one_that_an_engine_did_not_run_goes_to_the_next() {
     block_on(async {
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -1,5 +1,6 @@
 //! Requests whose answers are held until they are whole, so that a broken one can be replaced by another engine's.
 
+use crate::attempt::{AttemptEnd, PossibleRuns, WholeAnswer};
 use crate::gateway::{ChosenRoute, Gateway};
 use crate::refusal::Refusal;
 use crate::request::{ClientRequest, remove_hop_by_hop};
@@ -8,7 +9,6 @@
 use futures::future::{self, Either};
 use futures::stream::FuturesUnordered;
 use futures::{FutureExt, StreamExt};
-use hyper::StatusCode;
 use hyper::header::CONTENT_LENGTH;
 use hyper::http::response::Parts;
 use saddlerelay_http::body::{LocalBody, Reply};
@@ -24,16 +24,6 @@
 /// Engines asked beyond a route's attempts, where those before have not run the request.
 const EXTRA_ENGINES: usize = 2;
 
-/// How one attempt ended.
-enum AttemptEnd {
-    /// With the engine's final answer.
-    Answered(Parts, Bytes),
-    /// The engine has proved that it did not run the request.
-    NotExecuted(String),
-    /// The request may have run; the engine's own failing answer, if there is one.
-    Failed(String, Option<(Parts, Bytes)>),
-}
-
 /// A request on its way through attempts.
 pub(crate) struct Passage<'a> {
     pub request: &'a ClientRequest,
@@ -41,15 +31,8 @@
     pub service: &'a str,
     /// When the request is over.
     pub limit: Duration,
-    /// Attempts of which a byte may have reached an engine that has not proved that it did not run the request.
-    possible_runs: Cell<u32>,
-}
-
-impl Passage<'_> {
-    /// Whether it is not proved that no engine has run the request.
-    fn may_have_run(&self) -> bool {
-        self.possible_runs.get() > 0
-    }
+    /// What may have run of it.
+    possible_runs: PossibleRuns,
 }
 
 impl Gateway {
@@ -57,26 +40,27 @@
     pub(crate) async fn forward(&self, chosen: &ChosenRoute, request: &ClientRequest, body: Bytes) -> Reply {
         let limit = self.limit_of(chosen.route(), request);
         let service = chosen.table.next_service(chosen.index);
-        let passage = Passage { request, chosen, service, limit, possible_runs: Cell::new(0) };
+        let passage = Passage { request, chosen, service, limit, possible_runs: PossibleRuns::default() };
         let outgoing = request.outgoing(body);
         let left = limit.saturating_sub(self.now());
         let ended = timeout(&self.inner.runtime, left, self.attempt_until_answered(&passage, &outgoing)).await;
         match ended {
-            Some(Ok((head, body))) => self.answer(&passage, head, body),
+            Some(Ok((head, body))) => self.answer(request, chosen, head, body),
             Some(Err(refusal)) => self.refuse(request, refusal),
-            None if passage.may_have_run() => self.refuse(request, Refusal::Late),
+            None if passage.possible_runs.may_have_run() => self.refuse(request, Refusal::Late),
             None => self.refuse(request, Refusal::LateNotRun),
         }
     }
 
-    fn answer(&self, passage: &Passage, mut head: Parts, body: Bytes) -> Reply {
-        let held = self.now().saturating_sub(passage.request.arrived_at);
+    /// Passes an engine's whole answer on.
+    pub(crate) fn answer(&self, request: &ClientRequest, chosen: &ChosenRoute, mut head: Parts, body: Bytes) -> Reply {
+        let held = self.now().saturating_sub(request.arrived_at);
         self.inner.metrics.answered.inc();
         self.inner.metrics.request_seconds.observe(held.as_secs_f64());
         spdlog::info!("request answered", kv: {
-            request = passage.request.id.as_str(),
-            route = passage.chosen.route().name.as_str(),
-            routing_version = passage.chosen.table.document().version,
+            request = request.id.as_str(),
+            route = chosen.route().name.as_str(),
+            routing_version = chosen.table.document().version,
             status = head.status.as_u16(),
             held_ms = held.as_millis() as u64
         });
@@ -149,7 +133,7 @@
     }
 
     fn given_up(&self, passage: &Passage) -> Refusal {
-        if passage.may_have_run() { Refusal::EngineFailed } else { Refusal::NoEngine }
+        if passage.possible_runs.may_have_run() { Refusal::EngineFailed } else { Refusal::NoEngine }
     }
 
     fn tell_hedge(&self, passage: &Passage, engine: &ReadyEngine) {
@@ -192,14 +176,8 @@
             _ => Reuse::Recent,
         };
         let time_left = || passage.limit.saturating_sub(self.now());
-        let sent = Cell::new(false);
-        let may_send = || {
-            let may = self.may_send(instance);
-            if may && !sent.replace(true) {
-                passage.possible_runs.set(passage.possible_runs.get() + 1);
-            }
-            may
-        };
+        let run = passage.possible_runs.attempt();
+        let may_send = || run.note_sending(self.may_send(instance));
         let ended = match self.inner.pool.send(&engine.target, outgoing, reuse, time_left, may_send).await {
             Ok(answer) => {
                 let not_executed = answer.is_not_executed(self.names());
@@ -215,8 +193,8 @@
         };
         watch.armed.set(false);
         let end = self.judge(passage, instance, began_at, ended);
-        if matches!(end, AttemptEnd::NotExecuted(_)) && sent.get() {
-            passage.possible_runs.set(passage.possible_runs.get() - 1);
+        if matches!(end, AttemptEnd::NotExecuted(_)) {
+            run.disprove();
         }
         (instance.clone(), end)
     }
@@ -226,25 +204,12 @@
         passage: &Passage,
         instance: &InstanceId,
         began_at: Duration,
-        ended: Result<(bool, Parts, Bytes), Failure>,
+        ended: Result<WholeAnswer, Failure>,
     ) -> AttemptEnd {
         let now = self.now();
         let lasted = now.saturating_sub(began_at);
         self.inner.metrics.observe_attempt(lasted);
-        let end = match ended {
-            Ok((true, head, _)) => AttemptEnd::NotExecuted(format!("the engine answered {}", head.status.as_u16())),
-            Ok((false, head, body)) if is_engine_failure(head.status) => {
-                let reason = format!("the engine answered {}", head.status.as_u16());
-                let answer = (!promises_not_run(head.status)).then_some((head, body));
-                AttemptEnd::Failed(reason, answer)
-            }
-            Ok((false, head, _)) if head.status.is_success() && !head.headers.contains_key(&self.names().stamp) => {
-                AttemptEnd::Failed("the answer has no stamp".to_string(), None)
-            }
-            Ok((false, head, body)) => AttemptEnd::Answered(head, body),
-            Err(Failure::NotSent(reason)) => AttemptEnd::NotExecuted(reason),
-            Err(Failure::MayHaveRun(reason)) => AttemptEnd::Failed(reason, None),
-        };
+        let end = AttemptEnd::of(ended, self.names());
         match &end {
             AttemptEnd::Answered(..) => self.inner.balance.answered(instance, lasted, now),
             AttemptEnd::NotExecuted(reason) | AttemptEnd::Failed(reason, _) => {
@@ -280,18 +245,3 @@
         }
     }
 }
-
-fn is_engine_failure(status: StatusCode) -> bool {
-    status.is_server_error() || status == StatusCode::TOO_MANY_REQUESTS
-}
-
-/// Statuses by which a client is told that its request has not run; an engine that ran it must not be quoted with them.
-fn promises_not_run(status: StatusCode) -> bool {
-    matches!(
-        status,
-        StatusCode::SERVICE_UNAVAILABLE
-            | StatusCode::TOO_MANY_REQUESTS
-            | StatusCode::REQUEST_TIMEOUT
-            | StatusCode::MISDIRECTED_REQUEST
-    )
-}
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -4,6 +4,7 @@
 //! engines comes from the control group under a lease; without the lease it sends nothing on. `table` and `view` hold
 //! what is known, `follow` keeps it new, `balance` chooses engines, `forward` and `stream` send requests on.
 
+pub mod attempt;
 pub mod balance;
 pub mod config;
 pub mod follow;
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -1,6 +1,7 @@
 //! Streams of events: each goes on as it comes, and where the route allows it, a stream that breaks off goes on at
 //! another engine inside the same answer.
 
+use crate::attempt::{AttemptEnd, PossibleRuns};
 use crate::gateway::{ChosenRoute, Gateway};
 use crate::refusal::Refusal;
 use crate::request::{ClientRequest, remove_hop_by_hop};
@@ -14,7 +15,6 @@
 use saddlerelay_upstream::answer::AnswerStream;
 use saddlerelay_upstream::events::EventCutter;
 use saddlerelay_upstream::{Answer, Failure, Outgoing, Reuse};
-use std::cell::Cell;
 use std::time::Duration;
 
 /// A stream on its way.
@@ -34,8 +34,10 @@
 
 /// How an engine took a stream.
 enum Begun {
-    /// It answers with a body; whether with events, its status says.
+    /// It answers with events.
     Answer(Box<Answer>),
+    /// It has answered with something else.
+    Whole(Parts, Bytes),
     /// No engine took it.
     Refused(Refusal),
 }
@@ -47,13 +49,14 @@
         let service = chosen.table.next_service(chosen.index).to_string();
         let outgoing = request.outgoing(body);
         let mut tried = Vec::new();
-        let may_have_run = Cell::new(false);
+        let possible_runs = PossibleRuns::default();
         let left = limit.saturating_sub(self.now());
-        let begin = self.begin_stream(chosen, &service, &outgoing, limit, &mut tried, &may_have_run);
+        let begin = self.begin_stream(chosen, &service, &outgoing, limit, &mut tried, &possible_runs);
         let answer = match timeout(&self.inner.runtime, left, begin).await {
             Some(Begun::Answer(answer)) => answer,
+            Some(Begun::Whole(head, body)) => return self.answer(&request, chosen, head, body),
             Some(Begun::Refused(refusal)) => return self.refuse(&request, refusal),
-            None if may_have_run.get() => return self.refuse(&request, Refusal::Late),
+            None if possible_runs.may_have_run() => return self.refuse(&request, Refusal::Late),
             None => return self.refuse(&request, Refusal::LateNotRun),
         };
         let (mut head, stream) = answer.into_stream();
@@ -96,46 +99,67 @@
         outgoing: &Outgoing,
         limit: Duration,
         tried: &mut Vec<InstanceId>,
-        may_have_run: &Cell<bool>,
+        possible_runs: &PossibleRuns,
     ) -> Begun {
         let most = chosen.route().max_attempts.max(1) as usize;
+        let mut last_failure = None;
         while tried.len() < most {
             let Some(engine) = self.choose_engine(service, tried) else {
                 break;
             };
-            let instance = engine.target.instance.clone();
-            tried.push(instance.clone());
-            let sent = Cell::new(false);
-            let may_send = || {
-                let may = self.may_send(&instance);
-                sent.set(sent.get() || may);
-                may
-            };
+            tried.push(engine.target.instance.clone());
+            let run = possible_runs.attempt();
+            let may_send = || run.note_sending(self.may_send(&engine.target.instance));
             let time_left = || limit.saturating_sub(self.now());
             let began_at = self.now();
-            let answer = self.inner.pool.send(&engine.target, outgoing, Reuse::Recent, time_left, may_send).await;
-            let reason = match answer {
-                Ok(answer) if answer.is_not_executed(self.names()) => "not executed".to_string(),
-                Ok(answer) => {
-                    self.inner.balance.answered(&instance, self.now().saturating_sub(began_at), self.now());
-                    return Begun::Answer(Box::new(answer));
+            let sent = self.inner.pool.send(&engine.target, outgoing, Reuse::Recent, time_left, may_send).await;
+            let reason = match self.take_beginning(sent).await {
+                Ok(begun) => {
+                    let now = self.now();
+                    self.inner.balance.answered(&engine.target.instance, now.saturating_sub(began_at), now);
+                    return begun;
+                }
+                Err(AttemptEnd::Answered(head, body)) => return Begun::Whole(head, body),
+                Err(AttemptEnd::NotExecuted(reason)) => {
+                    run.disprove();
+                    reason
                 }
-                Err(Failure::NotSent(reason)) => reason,
-                Err(Failure::MayHaveRun(reason)) => {
-                    may_have_run.set(true);
+                Err(AttemptEnd::Failed(reason, answer)) => {
+                    last_failure = answer.or(last_failure);
                     reason
                 }
             };
-            self.inner.balance.failed(&instance, self.now());
+            self.inner.balance.failed(&engine.target.instance, self.now());
             spdlog::warn!("attempt failed", kv: {
-                request = outgoing.request_id.as_str(), instance = instance.0.as_str(),
-                may_have_run = may_have_run.get(), reason = reason.as_str()
+                request = outgoing.request_id.as_str(), instance = engine.target.instance.0.as_str(),
+                may_have_run = possible_runs.may_have_run(), reason = reason.as_str()
             });
-            if may_have_run.get() && !chosen.route().resumable {
+            if possible_runs.may_have_run() && !chosen.route().resumable {
                 break;
             }
         }
-        Begun::Refused(if may_have_run.get() { Refusal::EngineFailed } else { Refusal::NoEngine })
+        match last_failure {
+            Some((head, body)) => Begun::Whole(head, body),
+            None if possible_runs.may_have_run() => Begun::Refused(Refusal::EngineFailed),
+            None => Begun::Refused(Refusal::NoEngine),
+        }
+    }
+
+    /// Takes the beginning of a stream; an answer that is none is read whole.
+    async fn take_beginning(&self, sent: Result<Answer, Failure>) -> Result<Begun, AttemptEnd> {
+        let names = self.names();
+        let whole = match sent {
+            Ok(answer) if answer.head.status.is_success() && answer.head.headers.contains_key(&names.stamp) => {
+                return Ok(Begun::Answer(Box::new(answer)));
+            }
+            Ok(answer) => {
+                let not_executed = answer.is_not_executed(names);
+                let read = answer.read_whole(self.inner.options.config.whole_answer_bytes).await;
+                read.map(|(head, body, _)| (not_executed, head, body))
+            }
+            Err(failure) => Err(failure),
+        };
+        Err(AttemptEnd::of(whole, names))
     }
 }
 
@@ -187,7 +211,7 @@
         if let Some(last_event) = self.last_event {
             self.outgoing.headers.insert(self.gateway.names().last_event.clone(), HeaderValue::from(last_event));
         }
-        let may_have_run = Cell::new(false);
+        let possible_runs = PossibleRuns::default();
         let gateway = self.gateway.clone();
         let begin = gateway.begin_stream(
             &self.chosen,
@@ -195,10 +219,10 @@
             &self.outgoing,
             self.limit,
             &mut self.tried,
-            &may_have_run,
+            &possible_runs,
         );
         match begin.await {
-            Begun::Answer(answer) if answer.head.status.is_success() => {
+            Begun::Answer(answer) => {
                 self.body = answer.into_stream().1;
                 self.cutter = EventCutter::new(gateway.names().weight_version.as_str());
                 true
