--- a/crates/control/src/machine.rs
+++ b/crates/control/src/machine.rs
@@ -38,6 +38,8 @@
     }
 
     fn restore(&mut self, bytes: &[u8]) {
+        // The old state goes first, so that it does not stand beside the new one and its bytes.
+        self.state = ControlState::default();
         self.state = bitcode::decode(bytes).expect("a snapshot passed its checksum");
     }
 }
--- a/crates/replication/src/follower.rs
+++ b/crates/replication/src/follower.rs
@@ -104,6 +104,7 @@
             return ReplicaReply::Append { term: own_term, accepted: false, index: 0 };
         }
         let SnapshotHeader { index, term, membership } = snapshot.header.clone();
+        let bytes = snapshot.encoded().len() as u64;
         if index <= applied {
             return ReplicaReply::Append { term: header.term, accepted: true, index: applied };
         }
@@ -129,6 +130,9 @@
         state.applied = index;
         state.snapshot_index = index;
         state.applied_bytes_since_snapshot = 0;
+        spdlog::info!("snapshot installed", kv: {
+            from = header.from.0, term = header.term, index = index, bytes = bytes, held_before = applied
+        });
         ReplicaReply::Append { term: header.term, accepted: true, index }
     }
 
--- a/crates/replication/src/leader.rs
+++ b/crates/replication/src/leader.rs
@@ -173,7 +173,14 @@
             let commit = state.commit;
             return Some(ReplicaRequest::Append { header, previous_index, previous_term, entries, commit });
         }
-        let begin = || SnapshotTransfer { snapshot: self.outgoing_snapshot(&state), offset: 0 };
+        let begin = || {
+            let snapshot = self.outgoing_snapshot(&state);
+            spdlog::info!("snapshot sent", kv: {
+                replica = peer.id.0, index = snapshot.header.index, bytes = snapshot.encoded().len() as u64,
+                next_wanted = next, log_begins = state.log.base_index()
+            });
+            SnapshotTransfer { snapshot, offset: 0 }
+        };
         let transfer = transfer.get_or_insert_with(begin);
         Some(ReplicaRequest::SnapshotPart { header, part: transfer.next_part() })
     }
--- a/crates/replication/src/maintenance.rs
+++ b/crates/replication/src/maintenance.rs
@@ -38,12 +38,14 @@
         let writing = self.inner.snapshot_file.lock().await;
         let snapshot = self.inner.state.borrow().snapshot();
         let index = snapshot.header.index;
+        let bytes = snapshot.encoded().len() as u64;
         let written = write_snapshot(&self.inner.platform.disk(), snapshot).await;
         drop(writing);
         if written.is_err() {
             self.fail_storage();
             return;
         }
+        spdlog::info!("snapshot written", kv: { index = index, bytes = bytes });
         let mut storage = self.inner.storage.lock().await;
         let (term, voted_for, entries) = {
             let mut state = self.inner.state.borrow_mut();
@@ -86,6 +88,7 @@
         let mut state = self.inner.state.borrow_mut();
         state.storage_failed = true;
         state.become_follower();
+        spdlog::warn!("disk lost", kv: { dependency = "disk", term = state.term, synced = state.synced });
         drop(state);
         self.inner.changed.notify();
     }
@@ -122,5 +125,6 @@
         let mut state = self.inner.state.borrow_mut();
         state.log.truncate(synced);
         state.storage_failed = false;
+        spdlog::info!("disk regained", kv: { dependency = "disk", term = term, synced = synced });
     }
 }
--- a/crates/replication/src/reconfigure.rs
+++ b/crates/replication/src/reconfigure.rs
@@ -196,6 +196,12 @@
     }
 
     fn propose_membership(&self, membership: Membership) {
+        spdlog::info!("members proposed", kv: {
+            term = self.inner.state.borrow().term,
+            voters = membership.voters().count(),
+            learners = membership.members.len() - membership.voters().count(),
+            members = names_of(&membership).as_str()
+        });
         let proposal = Proposal { payload: EntryPayload::Membership(membership), sender: None };
         // A full queue only delays the change: it is proposed again at the next look.
         let _ = self.inner.proposals.borrow_mut().try_send(proposal);
@@ -268,6 +274,12 @@
     }
 }
 
+/// Addresses of the voters, and of the learners behind a plus sign.
+fn names_of(membership: &Membership) -> String {
+    let name = |member: &Member| if member.voter { member.address.to_string() } else { format!("+{}", member.address) };
+    membership.members.iter().map(name).collect::<Vec<_>>().join(" ")
+}
+
 /// One change at a time, and none before this term has committed.
 fn may_change_membership<S: StateMachine>(state: &State<S>) -> bool {
     let Some(leadership) = state.leadership() else {
