--- a/crates/fleet/src/command_line.rs
+++ b/crates/fleet/src/command_line.rs
@@ -11,6 +11,7 @@
 use lexopt::prelude::*;
 use saddlerelay_checker::check::Limits;
 use saddlerelay_scenarios::{builtin, deployment};
+pub use saddlerelay_simulator::command_line::asks_for_help;
 use std::ffi::OsString;
 use std::path::PathBuf;
 use std::process::ExitCode;
@@ -42,11 +43,19 @@
 /// Load of a demonstration.
 const DEMO_SECONDS: u64 = 15;
 
+/// The words by which the fleet starts its own children begin with this; their options are the children's.
+const CHILD_PREFIX: &str = "run-";
+
 /// Runs the command that `arguments` name, without the program's own name.
 pub fn main(arguments: Vec<OsString>) -> ExitCode {
     let first = arguments.first().and_then(|word| word.to_str()).unwrap_or_default().to_string();
     let rest = arguments.get(1..).unwrap_or_default().to_vec();
+    let is_own = !first.starts_with(CHILD_PREFIX);
     let outcome = match first.as_str() {
+        _ if is_own && asks_for_help(&rest) => {
+            print!("{HELP}");
+            Ok(true)
+        }
         "run-product" => return ExitCode::from(saddlerelay_command_line::run(rest) as u8),
         "run-standin" => saddlerelay_standins::http::process::run(rest).map(|()| true),
         "run-hollow" => scale::hollow::run(rest).map(|()| true),
--- a/crates/simulator/src/command_line.rs
+++ b/crates/simulator/src/command_line.rs
@@ -30,8 +30,17 @@
 
 const DEFAULT_THREADS: usize = 8;
 
+/// Whether a command's arguments ask what it does.
+pub fn asks_for_help(arguments: &[OsString]) -> bool {
+    arguments.iter().any(|argument| argument == "--help" || argument == "-h")
+}
+
 /// Runs the command that `arguments` name, without the program's own name.
 pub fn main(arguments: Vec<OsString>) -> ExitCode {
+    if asks_for_help(&arguments) {
+        print!("{HELP}");
+        return ExitCode::SUCCESS;
+    }
     match try_main(arguments) {
         Ok(true) => ExitCode::SUCCESS,
         Ok(false) => ExitCode::FAILURE,
--- a/crates/soak/src/command_line.rs
+++ b/crates/soak/src/command_line.rs
@@ -4,6 +4,7 @@
 use crate::run::{SoakOptions, folder_of, run};
 use anyhow::{Context, Result, bail};
 use lexopt::prelude::*;
+use saddlerelay_fleet_runner::command_line::asks_for_help;
 use saddlerelay_fleet_runner::process::own_executable;
 use std::ffi::OsString;
 use std::path::PathBuf;
@@ -33,9 +34,12 @@
     let first = arguments.first().and_then(|word| word.to_str()).unwrap_or_default().to_string();
     let rest = arguments.get(1..).unwrap_or_default().to_vec();
     let outcome = match first.as_str() {
+        "run" | "regressions" | "plan" if asks_for_help(&rest) => {
+            print!("{HELP}");
+            Ok(true)
+        }
         "run-product" => return ExitCode::from(saddlerelay_command_line::run(rest) as u8),
-        "run" => Options::parse(rest).and_then(|options| soak_all(&options)),
-        "regressions" => Options::parse(rest).and_then(|options| soak_all(&options)),
+        "run" | "regressions" => Options::parse(rest).and_then(|options| soak_all(&options)),
         "plan" => Options::parse(rest).map(|options| print_plans(&options)),
         "" | "--help" | "-h" => {
             print!("{HELP}");
