Split votes end sooner, and nobody is sent to a leader that stands still

Each waited 700 ms for the vote of the one that stood still; meanwhile the moments drawn for their next try had passed for both, and they tried again together. 2.1 s without a leader, then relays still lost up to a second: followers named the leader that stood still, and a client asked it anew at every other try, 650 ms each time.

Ruled out: disks (no `disk lost`), links (both candidates answered each other within a millisecond).

Change: a candidate waits half an election timeout for votes, and after a split vote draws the moment of its next try anew. A follower names a leader only while it hears it. The control client passes a replica that did not answer over for 1.5 s while others may answer.

Tests: when_the_leader_stands_still_the_other_two_soon_agree_on_one_of_them (red before), a_replica_that_does_not_answer_is_passed_over_for_a_while.

--- a/crates/control-client/src/lib.rs
+++ b/crates/control-client/src/lib.rs
@@ -21,6 +21,9 @@
 /// Pause after a replica that does not lead and knows no leader.
 const RETRY_PAUSE: Duration = Duration::from_millis(40);
 
+/// How long a replica that did not answer is passed over while others may: an election takes no longer.
+const PASSED_OVER: Duration = Duration::from_millis(1500);
+
 /// Why a call brought no outcome.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum ControlError {
@@ -39,9 +42,21 @@
     Undecided,
 }
 
+/// A replica, and until when it is passed over because it did not answer.
+struct Known<P> {
+    client: Client<P>,
+    passed_over_until: Duration,
+}
+
+impl<P: Runtime> Known<P> {
+    fn new(platform: &P, address: SocketAddr, secret: &str) -> Self {
+        Self { client: Client::new(platform.clone(), address, secret), passed_over_until: Duration::ZERO }
+    }
+}
+
 struct Inner<P> {
     platform: P,
-    replicas: RefCell<Vec<Client<P>>>,
+    replicas: RefCell<Vec<Known<P>>>,
     current: Cell<usize>,
     secret: String,
 }
@@ -60,8 +75,8 @@
 impl<P: Runtime> ControlClient<P> {
     /// A client of the group whose replicas listen at `addresses`.
     pub fn new(platform: P, addresses: &[SocketAddr], secret: &str) -> Self {
-        let client = |address: &SocketAddr| Client::new(platform.clone(), *address, secret);
-        let replicas = RefCell::new(addresses.iter().map(client).collect());
+        let known = |address: &SocketAddr| Known::new(&platform, *address, secret);
+        let replicas = RefCell::new(addresses.iter().map(known).collect());
         let inner = Inner { platform: platform.clone(), replicas, current: Cell::new(0), secret: secret.to_string() };
         Self { inner: Rc::new(inner) }
     }
@@ -124,14 +139,15 @@
     pub fn set_replicas(&self, addresses: impl IntoIterator<Item = SocketAddr>) {
         let addresses: BTreeSet<SocketAddr> = addresses.into_iter().collect();
         let mut replicas = self.inner.replicas.borrow_mut();
-        let current = replicas.get(self.inner.current.get() % replicas.len().max(1)).map(Client::address);
-        replicas.retain(|replica| addresses.contains(&replica.address()));
+        let current =
+            replicas.get(self.inner.current.get() % replicas.len().max(1)).map(|known| known.client.address());
+        replicas.retain(|known| addresses.contains(&known.client.address()));
         for address in addresses {
-            if !replicas.iter().any(|replica| replica.address() == address) {
-                replicas.push(Client::new(self.inner.platform.clone(), address, &self.inner.secret));
+            if !replicas.iter().any(|known| known.client.address() == address) {
+                replicas.push(Known::new(&self.inner.platform, address, &self.inner.secret));
             }
         }
-        let index = replicas.iter().position(|replica| Some(replica.address()) == current);
+        let index = replicas.iter().position(|known| Some(known.client.address()) == current);
         self.inner.current.set(index.unwrap_or(0));
     }
 
@@ -157,6 +173,9 @@
             let replica = self.current_replica();
             let answer = replica.call(body.clone(), left.min(attempt_limit)).await;
             *may_be_done |= answer == Err(CallError::Unknown);
+            if answer.is_err() {
+                self.pass_over(replica.address());
+            }
             match answer.ok().and_then(|bytes| bitcode::decode(&bytes).ok()) {
                 Some(ControlReply::NotLeader { leader: Some(leader) }) if leader != replica.address() => {
                     self.choose(leader);
@@ -173,20 +192,33 @@
 
     fn current_replica(&self) -> Client<P> {
         let replicas = self.inner.replicas.borrow();
-        replicas[self.inner.current.get() % replicas.len()].clone()
+        replicas[self.inner.current.get() % replicas.len()].client.clone()
     }
 
+    /// Turns to the next replica that has not been silent lately, or to the next one if all have.
     fn choose_next(&self) {
-        self.inner.current.set(self.inner.current.get() + 1);
+        let now = self.inner.platform.monotonic();
+        let replicas = self.inner.replicas.borrow();
+        let next = self.inner.current.get() + 1;
+        let answers = |step: &usize| replicas[(next + step) % replicas.len()].passed_over_until <= now;
+        let step = (0..replicas.len()).find(answers).unwrap_or(0);
+        self.inner.current.set(next + step);
+    }
+
+    fn pass_over(&self, address: SocketAddr) {
+        let until = self.inner.platform.monotonic() + PASSED_OVER;
+        let mut replicas = self.inner.replicas.borrow_mut();
+        let silent = replicas.iter_mut().filter(|known| known.client.address() == address);
+        silent.for_each(|known| known.passed_over_until = until);
     }
 
     /// Turns to the replica at `address`, also one that the settings do not name.
     fn choose(&self, address: SocketAddr) {
         let mut replicas = self.inner.replicas.borrow_mut();
-        let known = replicas.iter().position(|replica| replica.address() == address);
+        let known = replicas.iter().position(|known| known.client.address() == address);
         let index = known.unwrap_or(replicas.len());
         if known.is_none() {
-            replicas.push(Client::new(self.inner.platform.clone(), address, &self.inner.secret));
+            replicas.push(Known::new(&self.inner.platform, address, &self.inner.secret));
         }
         self.inner.current.set(index);
     }
--- /dev/null
+++ b/crates/control-client/tests/silent_replica.rs
@@ -0,0 +1,86 @@
+//! A replica that stands still costs a caller the time of one call, not of every other one.
+
+use saddlerelay_control_client::ControlClient;
+use saddlerelay_rpc::server::Handler;
+use saddlerelay_runtime::Runtime;
+use saddlerelay_runtime_compio::CompioRuntime;
+use saddlerelay_runtime_compio::connection::TcpFrameListener;
+use saddlerelay_types::gateway::{GatewayReply, GatewayRequest};
+use saddlerelay_types::protocol::ControlReply;
+use std::cell::Cell;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+const SECRET: &str = "a secret of sixteen signs";
+
+/// Far longer than any answer of these replicas takes.
+const ATTEMPT_LIMIT: Duration = Duration::from_millis(400);
+
+/// For hangs only.
+const LIMIT: Duration = Duration::from_secs(20);
+
+/// What a replica answers.
+#[derive(Clone, Copy)]
+enum Conduct {
+    Silent,
+    Follows,
+    Leads,
+}
+
+struct Replica {
+    conduct: Conduct,
+    asked: Rc<Cell<u32>>,
+}
+
+impl Handler for Replica {
+    async fn handle(self: Rc<Self>, _body: Vec<u8>) -> Option<Vec<u8>> {
+        self.asked.set(self.asked.get() + 1);
+        let reply = match self.conduct {
+            Conduct::Silent => return std::future::pending().await,
+            Conduct::Follows => ControlReply::NotLeader { leader: None },
+            Conduct::Leads => ControlReply::Gateway(GatewayReply::Done),
+        };
+        Some(bitcode::encode(&reply))
+    }
+}
+
+async fn start(runtime: &CompioRuntime, conduct: Conduct) -> (SocketAddr, Rc<Cell<u32>>) {
+    let listener = compio::net::TcpListener::bind("127.0.0.1:0").await.expect("a free port");
+    let address = listener.local_addr().expect("an address");
+    let asked = Rc::new(Cell::new(0));
+    let handler = Rc::new(Replica { conduct, asked: asked.clone() });
+    let listener = TcpFrameListener::new(listener, Default::default());
+    runtime.spawn(saddlerelay_rpc::server::serve(runtime.clone(), listener, SECRET.to_string(), handler));
+    (address, asked)
+}
+
+#[test]
+fn a_replica_that_does_not_answer_is_passed_over_for_a_while() {
+    compio::runtime::Runtime::new().expect("a runtime").block_on(async {
+        let runtime = CompioRuntime::without_files();
+        let (silent, asked_silent) = start(&runtime, Conduct::Silent).await;
+        let (follower, asked_follower) = start(&runtime, Conduct::Follows).await;
+        let client = ControlClient::new(runtime.clone(), &[silent, follower], SECRET);
+        let ask = || client.gateway(GatewayRequest::ReadRouting, LIMIT / 20, ATTEMPT_LIMIT);
+        assert!(ask().await.is_err(), "nobody leads yet");
+        let (silent_asked, follower_asked) = (asked_silent.get(), asked_follower.get());
+        assert!(follower_asked > 2 * silent_asked, "{silent_asked} and {follower_asked} times");
+        let (leader, asked_leader) = start(&runtime, Conduct::Leads).await;
+        client.set_replicas([silent, follower, leader]);
+        assert_eq!(ask().await, Ok(GatewayReply::Done));
+        assert_eq!(asked_leader.get(), 1);
+    });
+}
+
+#[test]
+fn replicas_that_are_all_silent_are_asked_in_turn() {
+    compio::runtime::Runtime::new().expect("a runtime").block_on(async {
+        let runtime = CompioRuntime::without_files();
+        let (first, asked_first) = start(&runtime, Conduct::Silent).await;
+        let (second, asked_second) = start(&runtime, Conduct::Silent).await;
+        let client = ControlClient::new(runtime.clone(), &[first, second], SECRET);
+        assert!(client.gateway(GatewayRequest::ReadRouting, 3 * ATTEMPT_LIMIT, ATTEMPT_LIMIT).await.is_err());
+        assert!(asked_first.get() >= 1 && asked_second.get() >= 1);
+    });
+}
--- a/crates/replication/src/election.rs
+++ b/crates/replication/src/election.rs
@@ -13,6 +13,13 @@
 /// Longest pause between looks at the election timer.
 const ELECTION_TICK: Duration = Duration::from_millis(50);
 
+/// Share of an election timeout for which a candidate waits for a vote. One that has come by then makes it leader; one
+/// that has not, for example of a voter that stands still, must not keep it waiting.
+const VOTE_LIMIT_DIVISOR: u32 = 2;
+
+/// Share of an election timeout within which candidates try again after a split vote.
+const RETRY_DIVISOR: u32 = 2;
+
 impl<P: Runtime, S: StateMachine> Replica<P, S> {
     pub(crate) async fn run_elections(self) {
         loop {
@@ -72,9 +79,18 @@
             self.lead(term).await;
         } else {
             self.tell_election("votes not given", term);
+            self.retry_election_apart();
         }
     }
 
+    /// After a split vote: the candidates try again at moments drawn anew. Those drawn before have passed for both while
+    /// they waited for a voter that does not answer, and they would split the votes again.
+    fn retry_election_apart(&self) {
+        let platform = &self.inner.platform;
+        let wait = platform.jitter(self.inner.options.config.election_timeout / RETRY_DIVISOR);
+        self.inner.state.borrow_mut().election_at = platform.monotonic() + wait;
+    }
+
     fn tell_election(&self, event: &str, term: u64) {
         let state = self.inner.state.borrow();
         spdlog::debug!("{}", event, kv: {
@@ -120,7 +136,8 @@
         let ask = |(id, address)| {
             let header = self.header(id, term);
             let request = ReplicaRequest::Vote { header, pre_vote, transfer, last_index, last_term };
-            async move { self.send(address, &request, self.inner.options.config.call_limit).await }
+            let limit = self.inner.options.config.election_timeout / VOTE_LIMIT_DIVISOR;
+            async move { self.send(address, &request, limit).await }
         };
         let mut answers: FuturesUnordered<_> = peers.into_iter().map(ask).collect();
         while given < quorum {
--- a/crates/replication/src/replica.rs
+++ b/crates/replication/src/replica.rs
@@ -193,9 +193,14 @@
         state.leadership().map(|_| state.term)
     }
 
-    /// The leader's address, if another replica is known to lead.
+    /// The leader's address, if another replica leads and was heard lately: callers that are sent to one that stands still
+    /// lose the time of a whole call.
     pub fn leader_address(&self) -> Option<SocketAddr> {
+        let now = self.inner.platform.monotonic();
         let state = self.inner.state.borrow();
+        if now >= state.leader_heard_at + self.inner.options.config.election_timeout {
+            return None;
+        }
         let leader = state.leader.filter(|leader| *leader != state.identity.id)?;
         state.address_of(leader)
     }
--- a/crates/simulator/tests/members.rs
+++ b/crates/simulator/tests/members.rs
@@ -18,6 +18,12 @@
 use std::time::Duration;
 
 const SEEDS: std::ops::Range<u64> = 0..40;
+
+/// For what few seeds bring about.
+const MANY_SEEDS: u64 = 400;
+/// From the moment at which a leader stands still: an election timeout with its jitter, and one more try.
+const LONGEST_ELECTION: Duration = Duration::from_millis(1_500);
+
 const SECRET: &str = "a secret of sixteen signs";
 
 thread_local! {
@@ -474,6 +480,31 @@
 }
 
 /// A program that reads another format does not touch the files, and says what it found.
+#[test]
+fn when_the_leader_stands_still_the_other_two_soon_agree_on_one_of_them() {
+    let mut waits = Vec::new();
+    // Votes are split in a few of a hundred seeds.
+    for seed in 0..MANY_SEEDS {
+        let mut group = formed(seed);
+        group.propose_for(Duration::from_millis(200));
+        let frozen = group.leader_place().expect("there is a leader");
+        group.machines[&frozen].process.freeze();
+        let frozen_at = group.world.clock.now();
+        let mut others: Vec<Node> = Vec::new();
+        for (place, machine) in &group.machines {
+            if *place != frozen {
+                others.extend(machine.node.borrow().clone());
+            }
+        }
+        while !others.iter().any(|node| node.leading_term().is_some()) {
+            group.run_for(Duration::from_millis(10));
+        }
+        waits.push(group.world.clock.now() - frozen_at);
+    }
+    let longest = waits.iter().max().expect("there are seeds");
+    assert!(*longest < LONGEST_ELECTION, "the longest took {longest:?}");
+}
+
 #[test]
 fn files_of_another_format_are_refused() {
     let (world, mut pool) = World::new(1);
