Set a restored log once; end the three programs of the workshop by one rule

The fleet, the simulator and the soak each had their own copy of how a command's outcome becomes an exit code, two of them with a copy of the question for help.

--- a/crates/fleet/src/command_line.rs
+++ b/crates/fleet/src/command_line.rs
@@ -11,7 +11,7 @@
 use lexopt::prelude::*;
 use saddlerelay_checker::check::Limits;
 use saddlerelay_scenarios::{builtin, deployment};
-pub use saddlerelay_simulator::command_line::asks_for_help;
+use saddlerelay_simulator::command_line::{asks_for_help, exit_code};
 use std::ffi::OsString;
 use std::path::PathBuf;
 use std::process::ExitCode;
@@ -74,14 +74,7 @@
         }
         other => Err(anyhow::anyhow!("there is no command `{other}`; see --help")),
     };
-    match outcome {
-        Ok(true) => ExitCode::SUCCESS,
-        Ok(false) => ExitCode::FAILURE,
-        Err(error) => {
-            eprintln!("saddlerelay-fleet: {error:#}");
-            ExitCode::FAILURE
-        }
-    }
+    exit_code("saddlerelay-fleet", outcome)
 }
 
 /// Runs a future on a runtime of its own.
--- a/crates/replication/src/follower.rs
+++ b/crates/replication/src/follower.rs
@@ -3,7 +3,7 @@
 use crate::log::{LogEntry, MemoryLog};
 use crate::message::{Header, ReplicaReply, SnapshotPart};
 use crate::replica::Replica;
-use crate::snapshot::{Snapshot, SnapshotHeader};
+use crate::snapshot::Snapshot;
 use crate::state::{State, StateMachine};
 use crate::storage::write_snapshot;
 use crate::wal::WalRecord;
@@ -103,7 +103,7 @@
         if header.term < own_term {
             return ReplicaReply::Append { term: own_term, accepted: false, index: 0 };
         }
-        let SnapshotHeader { index, term, membership } = snapshot.header.clone();
+        let index = snapshot.header.index;
         let bytes = snapshot.encoded().len() as u64;
         if index <= applied {
             return ReplicaReply::Append { term: header.term, accepted: true, index: applied };
@@ -124,10 +124,7 @@
         }
         let mut state = self.inner.state.borrow_mut();
         enter_term(&mut state, &header);
-        state.log = MemoryLog::new(index, term, membership);
         state.synced = index;
-        state.commit = index;
-        state.applied = index;
         state.snapshot_index = index;
         state.applied_bytes_since_snapshot = 0;
         spdlog::info!("snapshot installed", kv: {
--- a/crates/replication/src/leader.rs
+++ b/crates/replication/src/leader.rs
@@ -183,7 +183,7 @@
         };
         // An empty replica is sent a snapshot: it is smaller than the log that led to it.
         if transfer.is_none() && next > 1 {
-            let from_file = self.entries_from_file(header.clone(), next).await;
+            let from_file = self.entries_from_file(header, next).await;
             if from_file.is_some() {
                 return from_file;
             }
--- a/crates/simulator/src/command_line.rs
+++ b/crates/simulator/src/command_line.rs
@@ -41,11 +41,16 @@
         print!("{HELP}");
         return ExitCode::SUCCESS;
     }
-    match try_main(arguments) {
+    exit_code("saddlerelay-sim", try_main(arguments))
+}
+
+/// How a program ends whose command brought `outcome`: whether all was well.
+pub fn exit_code(program: &str, outcome: Result<bool>) -> ExitCode {
+    match outcome {
         Ok(true) => ExitCode::SUCCESS,
         Ok(false) => ExitCode::FAILURE,
         Err(error) => {
-            eprintln!("saddlerelay-sim: {error:#}");
+            eprintln!("{program}: {error:#}");
             ExitCode::FAILURE
         }
     }
--- a/crates/soak/src/command_line.rs
+++ b/crates/soak/src/command_line.rs
@@ -4,8 +4,8 @@
 use crate::run::{SoakOptions, folder_of, run};
 use anyhow::{Context, Result, bail};
 use lexopt::prelude::*;
-use saddlerelay_fleet_runner::command_line::asks_for_help;
 use saddlerelay_fleet_runner::process::own_executable;
+use saddlerelay_simulator::command_line::{asks_for_help, exit_code};
 use std::ffi::OsString;
 use std::path::PathBuf;
 use std::process::ExitCode;
@@ -47,14 +47,7 @@
         }
         other => Err(anyhow::anyhow!("there is no command `{other}`; see --help")),
     };
-    match outcome {
-        Ok(true) => ExitCode::SUCCESS,
-        Ok(false) => ExitCode::FAILURE,
-        Err(error) => {
-            eprintln!("saddlerelay-soak: {error:#}");
-            ExitCode::FAILURE
-        }
-    }
+    exit_code("saddlerelay-soak", outcome)
 }
 
 /// What the command line asks for.
