Keep the turns of a route's targets when the document changes; begin new ones evenly

A relay began every route anew with each document, at the same fixed place, and the place did not do what its comment said: with weights 90 and 10 the smaller target never had the first turn, wherever the place fell. Where documents change after every few requests of a relay it got nothing: 200 requests with a document after each went 200 to 0.

Change: routes whose targets stay as they are go on in their turns; others begin after a number of turns drawn evenly from a hundred, and elsewhere with each version.

Tests, red before ([200, 0] both): a_route_that_stays_as_it_is_keeps_its_turn_when_others_change, a_route_whose_weights_change_again_and_again_does_not_begin_with_the_same_target_each_time.

--- a/crates/gateway/src/table.rs
+++ b/crates/gateway/src/table.rs
@@ -1,9 +1,18 @@
 //! Finds the route of a request.
 
-use saddlerelay_types::routing::{Route, RoutingDocument};
+use saddlerelay_types::routing::{Route, RoutingDocument, WeightedTarget};
 use std::cell::RefCell;
 use std::collections::BTreeMap;
 
+/// Multiples of it fall evenly between whole numbers.
+const GOLDEN_RATIO: f64 = 0.618_033_988_749_895;
+
+/// Versions are taken by this remainder, so that a fraction of their multiple is exact enough.
+const VERSION_CYCLE: u64 = 1 << 20;
+
+/// Turns of which `offset` chooses one to begin with: as many as weights in percent need to come round.
+const ROUND: f64 = 100.0;
+
 /// A routing document with its routes by host.
 pub struct RouteTable {
     document: RoutingDocument,
@@ -28,6 +37,30 @@
         Self { document, by_host, owed: RefCell::new(owed) }
     }
 
+    /// A table of the document that follows on another's. Routes whose targets stay as they are go on in their turns; the
+    /// others begin elsewhere each time, or with documents that change often one target would get every first request.
+    pub fn following(document: RoutingDocument, before: Option<&Self>, offset: f64) -> Self {
+        let begins = (offset + (document.version % VERSION_CYCLE) as f64 * GOLDEN_RATIO).fract();
+        let table = Self::new(document, begins);
+        if let Some(before) = before {
+            table.take_turns_over(before);
+        }
+        table
+    }
+
+    fn take_turns_over(&self, before: &Self) {
+        let held = before.owed.borrow();
+        let place = |route: &Route| (route.host.clone(), route.path_prefix.clone());
+        let indexes: BTreeMap<_, usize> =
+            before.document.routes.iter().enumerate().map(|(index, route)| (place(route), index)).collect();
+        for (debts, route) in self.owed.borrow_mut().iter_mut().zip(&self.document.routes) {
+            let index = indexes.get(&place(route)).copied();
+            if let Some(index) = index.filter(|index| before.document.routes[*index].targets == route.targets) {
+                debts.clone_from(&held[index]);
+            }
+        }
+    }
+
     /// The document.
     pub fn document(&self) -> &RoutingDocument {
         &self.document
@@ -48,26 +81,30 @@
     /// The service whose turn it is: over time each target gets its weight's share, in even turns.
     pub fn next_service(&self, index: usize) -> &str {
         let targets = &self.document.routes[index].targets;
-        let total: f64 = targets.iter().map(|target| target.weight as f64).sum();
-        let mut owed = self.owed.borrow_mut();
-        let debts = &mut owed[index];
-        for (debt, target) in debts.iter_mut().zip(targets) {
-            *debt += target.weight as f64 / total;
-        }
-        let largest = (0..debts.len()).max_by(|left, right| debts[*left].total_cmp(&debts[*right])).unwrap_or(0);
-        debts[largest] -= 1.0;
-        &targets[largest].service
+        let next = take_turn(&mut self.owed.borrow_mut()[index], targets);
+        &targets[next].service
     }
 }
 
+/// What targets are owed at first: as after so many turns. Whoever begins at a turn drawn evenly begins with each target as
+/// often as its weight says.
 fn initial_debts(route: &Route, offset: f64) -> Vec<f64> {
-    let total: f64 = route.targets.iter().map(|target| target.weight as f64).sum();
-    let mut passed = 0.0;
-    let share = |target: &saddlerelay_types::routing::WeightedTarget| {
-        let start = passed;
-        passed += target.weight as f64 / total;
-        // The target in whose share the offset falls is the first in turn.
-        if offset >= start && offset < passed { 0.5 } else { 0.0 }
-    };
-    route.targets.iter().map(share).collect()
+    let mut debts = vec![0.0; route.targets.len()];
+    if debts.len() > 1 {
+        for _ in 0..(offset * ROUND) as u32 {
+            take_turn(&mut debts, &route.targets);
+        }
+    }
+    debts
+}
+
+/// Gives the next turn to the target that is owed most, and returns its index.
+fn take_turn(debts: &mut [f64], targets: &[WeightedTarget]) -> usize {
+    let total: f64 = targets.iter().map(|target| target.weight as f64).sum();
+    for (debt, target) in debts.iter_mut().zip(targets) {
+        *debt += target.weight as f64 / total;
+    }
+    let largest = (0..debts.len()).max_by(|left, right| debts[*left].total_cmp(&debts[*right])).unwrap_or(0);
+    debts[largest] -= 1.0;
+    largest
 }
--- a/crates/gateway/src/view.rs
+++ b/crates/gateway/src/view.rs
@@ -84,7 +84,7 @@
         let document = update.decode().and_then(|update| update.apply(held));
         let taken = document.is_some();
         if let Some(document) = document {
-            self.table = Some(Rc::new(RouteTable::new(document, offset)));
+            self.table = Some(Rc::new(RouteTable::following(document, self.table.as_deref(), offset)));
         }
         taken
     }
--- a/crates/gateway/tests/choice.rs
+++ b/crates/gateway/tests/choice.rs
@@ -61,6 +61,32 @@
     }
 }
 
+/// Requests that each target of the first route gets when the document changes after each of 200.
+fn counts_over_changes(weights: impl Fn(u64) -> [u64; 2]) -> [u32; 2] {
+    let mut counts = [0_u32; 2];
+    let mut table = RouteTable::new(document(1, vec![route("a", "/", &weights(1))]), 0.97);
+    for version in 2..=201 {
+        let service = table.next_service(0).to_string();
+        counts[service[1..].parse::<usize>().expect("a number")] += 1;
+        let other = Route { timeout_ms: version, ..route("a", "/other/", &[1]) };
+        let document = document(version, vec![route("a", "/", &weights(version)), other]);
+        table = RouteTable::following(document, Some(&table), 0.97);
+    }
+    counts
+}
+
+#[test]
+fn a_route_that_stays_as_it_is_keeps_its_turn_when_others_change() {
+    let counts = counts_over_changes(|_| [90, 10]);
+    assert!((19..=21).contains(&counts[1]), "{counts:?}");
+}
+
+#[test]
+fn a_route_whose_weights_change_again_and_again_does_not_begin_with_the_same_target_each_time() {
+    let counts = counts_over_changes(|version| if version % 2 == 0 { [90, 10] } else { [180, 20] });
+    assert!((15..=25).contains(&counts[1]), "{counts:?}");
+}
+
 fn update(base: Option<&RoutingDocument>, version: u64) -> EncodedRoutingUpdate {
     EncodedRoutingUpdate::encode(&RoutingUpdate::between(base, &document(version, Vec::new())))
 }
