--- a/crates/fleet/src/command_line.rs
+++ b/crates/fleet/src/command_line.rs
@@ -11,7 +11,7 @@
 use lexopt::prelude::*;
 use saddlerelay_checker::check::Limits;
 use saddlerelay_scenarios::{builtin, deployment};
-use saddlerelay_simulator::command_line::{asks_for_help, exit_code};
+use saddlerelay_simulator::command_line::{asks_for_help, exit_code, silence_logs};
 use std::ffi::OsString;
 use std::path::PathBuf;
 use std::process::ExitCode;
@@ -149,6 +149,7 @@
 }
 
 fn experiment_command(arguments: Vec<OsString>) -> Result<bool> {
+    silence_logs();
     let mut parser = lexopt::Parser::from_args(arguments);
     let (mut plot, mut report) = (None, None);
     let mut experiment = Experiment {
--- a/crates/simulator/src/command_line.rs
+++ b/crates/simulator/src/command_line.rs
@@ -41,9 +41,15 @@
         print!("{HELP}");
         return ExitCode::SUCCESS;
     }
+    silence_logs();
     exit_code("saddlerelay-sim", try_main(arguments))
 }
 
+/// Many simulated processes share this one: their log lines would say nothing of which one wrote them.
+pub fn silence_logs() {
+    spdlog::default_logger().set_level_filter(spdlog::LevelFilter::Off);
+}
+
 /// How a program ends whose command brought `outcome`: whether all was well.
 pub fn exit_code(program: &str, outcome: Result<bool>) -> ExitCode {
     match outcome {
