Tell a connection's owner by both of its ends

Cause: the soak looked its callers up by one end of a connection. A connection closed a moment ago, or one to another address, may share that end, and the first such row was taken: the caller counted as outside, and a cut did not hold for that connection.

The test asks for another connection with the same end too. The product's program is untouched.

--- a/crates/soak/src/owner.rs
+++ b/crates/soak/src/owner.rs
@@ -6,21 +6,26 @@
 /// Column of a connection's own address in the operating system's table.
 const LOCAL_ADDRESS_COLUMN: usize = 1;
 
+/// Column of the other end's address.
+const REMOTE_ADDRESS_COLUMN: usize = 2;
+
 /// Column of the identifier that ties a row to a process's descriptor.
 const INODE_COLUMN: usize = 9;
 
-/// The one of `processes` that holds the connection whose own end is `address`.
-pub fn owner_of(address: SocketAddr, processes: &[u32]) -> Option<u32> {
+/// The one of `processes` that holds the connection from `own` to `other`. Both ends count: a connection that was closed a
+/// moment ago, or goes to another address, may share the first.
+pub fn owner_of(own: SocketAddr, other: SocketAddr, processes: &[u32]) -> Option<u32> {
     let table = std::fs::read_to_string("/proc/net/tcp").ok()?;
-    let inode = table.lines().skip(1).find_map(|row| inode_of(row, address))?;
+    let inode = table.lines().skip(1).find_map(|row| inode_of(row, own, other))?;
     let wanted = PathBuf::from(format!("socket:[{inode}]"));
     processes.iter().copied().find(|process| holds(*process, &wanted))
 }
 
-fn inode_of(row: &str, address: SocketAddr) -> Option<String> {
+fn inode_of(row: &str, own: SocketAddr, other: SocketAddr) -> Option<String> {
     let columns: Vec<&str> = row.split_whitespace().collect();
-    let local = parse_address(columns.get(LOCAL_ADDRESS_COLUMN)?)?;
-    (local == address).then(|| columns.get(INODE_COLUMN).map(|inode| inode.to_string())).flatten()
+    let address = |column: usize| columns.get(column).and_then(|text| parse_address(text));
+    let ends = (address(LOCAL_ADDRESS_COLUMN), address(REMOTE_ADDRESS_COLUMN));
+    (ends == (Some(own), Some(other))).then(|| columns.get(INODE_COLUMN).map(|inode| inode.to_string())).flatten()
 }
 
 /// Reads `0100007F:1F90`: an address with its bytes in the machine's order, and a port, both as hexadecimal digits.
--- a/crates/soak/src/proxy.rs
+++ b/crates/soak/src/proxy.rs
@@ -24,15 +24,15 @@
 }
 
 impl Identify {
-    /// Who opened the connection whose other end is `peer`. Asked of the operating system on another thread: the answer
+    /// Who opened the connection from `peer` to `own`. Asked of the operating system on another thread: the answer
     /// takes milliseconds, for which every other connection would stand still.
-    async fn caller(&self, peer: SocketAddr) -> Party {
+    async fn caller(&self, peer: SocketAddr, own: SocketAddr) -> Party {
         let processes = match self {
             Self::Always(party) => return *party,
             Self::ByProcess(processes) => processes.borrow().clone(),
         };
         let numbers: Vec<u32> = processes.iter().map(|(number, _)| *number).collect();
-        let owner = compio::runtime::spawn_blocking(move || crate::owner::owner_of(peer, &numbers)).await;
+        let owner = compio::runtime::spawn_blocking(move || crate::owner::owner_of(peer, own, &numbers)).await;
         let owner = owner.ok().flatten();
         let found = processes.iter().find(|(number, _)| Some(*number) == owner);
         found.map_or(Party::Outside, |(_, party)| *party)
@@ -53,17 +53,17 @@
 /// Starts a proxy at `address`.
 pub async fn start(address: SocketAddr, place: ProxyPlace, links: Links) -> std::io::Result<()> {
     let listener = TcpListener::bind(address).await?;
-    compio::runtime::spawn(accept(listener, place, links)).detach();
+    compio::runtime::spawn(accept(listener, address, place, links)).detach();
     Ok(())
 }
 
-async fn accept(listener: TcpListener, place: ProxyPlace, links: Links) {
+async fn accept(listener: TcpListener, address: SocketAddr, place: ProxyPlace, links: Links) {
     loop {
         match listener.accept().await {
             Ok((stream, peer)) => {
                 let (place, links) = (place.clone(), links.clone());
                 compio::runtime::spawn(async move {
-                    let caller = place.identify.caller(peer).await;
+                    let caller = place.identify.caller(peer, address).await;
                     pass(stream, caller, place, links).await;
                 })
                 .detach();
--- a/crates/soak/tests/proxy.rs
+++ b/crates/soak/tests/proxy.rs
@@ -128,8 +128,10 @@
         let address = listener.local_addr().expect("an address");
         let connected = TcpStream::connect(address).await.expect("a connection");
         let own_end = connected.local_addr().expect("an address");
-        assert_eq!(owner::owner_of(own_end, &[std::process::id()]), Some(std::process::id()));
-        assert_eq!(owner::owner_of(own_end, &[]), None);
+        let own = std::process::id();
+        assert_eq!(owner::owner_of(own_end, address, &[own]), Some(own));
+        assert_eq!(owner::owner_of(own_end, address, &[]), None);
+        assert_eq!(owner::owner_of(own_end, own_end, &[own]), None, "another connection with the same end");
     });
 }
 
