--- a/crates/command-line/src/member.rs
+++ b/crates/command-line/src/member.rs
@@ -4,7 +4,7 @@
 use compio::net::TcpListener;
 use saddlerelay_control::node::ControlNode;
 use saddlerelay_control_client::ControlClient;
-use saddlerelay_coordinator::{Coordinator, CoordinatorConfig, EngineDialect};
+use saddlerelay_coordinator::{Coordinator, CoordinatorConfig, CoordinatorIdentity, EngineDialect};
 use saddlerelay_engine_client::{BackendAddresses, HttpBackends};
 use saddlerelay_gateway::{Gateway, GatewayConfig, GatewayOptions};
 use saddlerelay_gateway_api::{ControlApi, Formats, FrontApi, OwnEngines, OwnFormats, ReadinessApi};
@@ -202,7 +202,7 @@
     let coordinator = Coordinator::start(
         runtime.clone(),
         node.clone(),
-        settings.name.clone(),
+        CoordinatorIdentity { name: settings.name.clone(), zone: settings.zone.clone() },
         formats.header_names(),
         engines,
         config,
--- a/crates/control/src/state/jobs.rs
+++ b/crates/control/src/state/jobs.rs
@@ -23,7 +23,7 @@
 /// One job.
 #[derive(Clone, Debug, PartialEq, Encode, Decode)]
 pub struct Job {
-    /// What was handed in. Items that are listed have lost their headers and bodies: nothing needs them any more.
+    /// What was handed in. Items that are listed have lost headers, bodies and scorers: nothing needs them any more.
     pub submission: JobSubmission,
     /// For each item, what tells whether another job's is the same request.
     digests: Vec<u64>,
@@ -176,8 +176,15 @@
             let kept = &mut job.submission.items[item as usize];
             kept.headers = Vec::new();
             kept.body = Vec::new();
+            kept.scorer = None;
             text.data.shrink_to_fit();
-            job.results.push(ItemResult { item, end: outcome.end, text: text.data, versions: text.versions });
+            job.results.push(ItemResult {
+                item,
+                end: outcome.end,
+                text: text.data,
+                versions: text.versions,
+                score: outcome.score,
+            });
         }
         Some(missing)
     }
--- a/crates/control/tests/gateway.rs
+++ b/crates/control/tests/gateway.rs
@@ -170,6 +170,7 @@
         body: vec![index as u8; 4],
         tokens: 10,
         group: "g".to_string(),
+        scorer: None,
     };
     JobSubmission {
         id: JobId(id.to_string()),
@@ -189,11 +190,19 @@
 
 fn part(item: u32, offset: u64, data: &str) -> TextPart {
     let events = (offset as usize + data.len()) as u32;
-    TextPart { item, offset, data: data.into(), events, last_event: Some(events.into()), versions: vec![1] }
+    TextPart {
+        item,
+        offset,
+        data: data.into(),
+        events,
+        last_event: Some(events.into()),
+        versions: vec![1],
+        whole: false,
+    }
 }
 
 fn list(state: &mut ControlState, id: &str, rest: TextPart) -> GatewayOutcome {
-    let outcomes = vec![ItemOutcome { end: ItemEnd::Completed, rest }];
+    let outcomes = vec![ItemOutcome { end: ItemEnd::Completed, rest, score: None }];
     commit(state, GatewayCommand::ListResults { job: JobId(id.to_string()), outcomes })
 }
 
--- a/crates/coordinator/src/config.rs
+++ b/crates/coordinator/src/config.rs
@@ -9,6 +9,8 @@
     pub connect_limit: Duration,
     /// Longest wait for the head of an item's answer.
     pub answer_limit: Duration,
+    /// Longest wait for the whole answer to a call for a score.
+    pub score_limit: Duration,
     /// Longest pause between an item's events.
     pub event_limit: Duration,
     /// Pause before an item is sent again after an engine refused or failed it.
@@ -40,6 +42,7 @@
         Self {
             connect_limit: Duration::from_millis(250),
             answer_limit: Duration::from_millis(1_500),
+            score_limit: Duration::from_millis(1_500),
             event_limit: Duration::from_millis(900),
             retry_pause: Duration::from_millis(40),
             engine_rest: Duration::from_millis(400),
--- a/crates/coordinator/src/coordinator.rs
+++ b/crates/coordinator/src/coordinator.rs
@@ -6,6 +6,7 @@
 use crate::homes::Homes;
 use crate::job_run::JobRun;
 use crate::metrics::CoordinatorMetrics;
+use crate::scorers::Scorers;
 use saddlerelay_control::node::ControlNode;
 use saddlerelay_runtime::Runtime;
 use saddlerelay_runtime::backend::Backends;
@@ -29,6 +30,7 @@
     pub dialect: Box<dyn EngineDialect>,
     pub pool: Pool,
     pub fleet: Fleet,
+    pub scorers: Scorers,
     pub homes: RefCell<Homes>,
     /// Items that wait for an engine, by model.
     pub waiting: RefCell<BTreeMap<String, u32>>,
@@ -44,6 +46,15 @@
     pub term: Cell<u64>,
 }
 
+/// Who a coordinator is.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct CoordinatorIdentity {
+    /// The name that its orders carry.
+    pub name: String,
+    /// Where it stands; engines there are preferred where nothing else decides.
+    pub zone: String,
+}
+
 /// The coordinator. Clones are the same one.
 pub struct Coordinator<B: Backends> {
     pub(crate) inner: Rc<Inner<B>>,
@@ -60,7 +71,7 @@
     pub fn start(
         runtime: CompioRuntime,
         node: LeaderNode<B>,
-        name: String,
+        identity: CoordinatorIdentity,
         names: HeaderNames,
         dialect: Box<dyn EngineDialect>,
         config: CoordinatorConfig,
@@ -69,11 +80,12 @@
         let inner = Inner {
             runtime: runtime.clone(),
             node,
-            name,
+            name: identity.name,
             config,
             dialect,
             pool,
             fleet: Fleet::default(),
+            scorers: Scorers::new(identity.zone),
             homes: RefCell::default(),
             waiting: RefCell::default(),
             metrics: CoordinatorMetrics::default(),
--- a/crates/coordinator/src/item.rs
+++ b/crates/coordinator/src/item.rs
@@ -194,10 +194,15 @@
             return;
         };
         if end == AttemptEnd::Whole {
-            run.phase = Phase::Ended;
-            inner.metrics.items_completed.inc();
-            let outcome = start.text.borrow().outcome(start.index);
-            self.list(&start.job, outcome);
+            if start.item.scorer.is_some() {
+                // The next plan has the text scored.
+                run.phase = Phase::Waiting;
+            } else {
+                run.phase = Phase::Ended;
+                inner.metrics.items_completed.inc();
+                let outcome = start.text.borrow().outcome(start.index, None);
+                self.list(&start.job, outcome);
+            }
             inner.replan.notify();
             return;
         }
--- a/crates/coordinator/src/job_run.rs
+++ b/crates/coordinator/src/job_run.rs
@@ -19,6 +19,8 @@
     Waiting,
     /// It runs; dropping the handle ends the request.
     Running { _task: JoinHandle<()>, instance: InstanceId },
+    /// Its text is whole and is being scored; dropping the handle ends the call.
+    Scoring { _task: JoinHandle<()> },
     /// It has a result, listed or on its way.
     Ended,
 }
@@ -35,6 +37,19 @@
     /// The engine that failed it last, or that it moved away from.
     pub avoid: Option<InstanceId>,
     pub moves: u32,
+    pub scoring: ScoringProgress,
+}
+
+/// How far the scoring of an item's whole text is.
+#[derive(Default)]
+pub(crate) struct ScoringProgress {
+    /// Calls begun.
+    pub calls: u32,
+    /// Answers by which the engine said that it failed; only these count as attempts.
+    pub failures: u32,
+    pub not_before: Duration,
+    /// The engine that was called last.
+    pub avoid: Option<InstanceId>,
 }
 
 /// A job that runs.
@@ -66,6 +81,7 @@
                 not_before: Duration::ZERO,
                 avoid: None,
                 moves: 0,
+                scoring: ScoringProgress::default(),
             }
         };
         let items: Vec<ItemRun> = submission.items.iter().enumerate().map(item).collect();
--- a/crates/coordinator/src/lib.rs
+++ b/crates/coordinator/src/lib.rs
@@ -1,6 +1,7 @@
 //! What the control group's leader does with engines.
 //!
-//! `runner` plans which item of which batch job runs where, `item` runs one, `listing` commits what they bring, `orders`
+//! `runner` plans which item of which batch job runs where, `item` runs one, `scoring` has a whole text scored by one of
+//! the engines that `scorers` chooses among, `listing` commits what they bring, `orders`
 //! brings engines to the weight versions that trainers name, and `fleet` remembers what is known of each engine. All of
 //! it lives in the leader's memory: a new leader starts from the committed jobs and versions.
 
@@ -16,8 +17,10 @@
 pub mod orders;
 pub mod plan;
 pub mod runner;
+pub mod scorers;
+pub mod scoring;
 pub mod text;
 
 pub use config::CoordinatorConfig;
-pub use coordinator::{Coordinator, LeaderNode};
+pub use coordinator::{Coordinator, CoordinatorIdentity, LeaderNode};
 pub use dialect::EngineDialect;
--- a/crates/coordinator/src/listing.rs
+++ b/crates/coordinator/src/listing.rs
@@ -32,10 +32,12 @@
     fn unsaved_parts(&self) -> Vec<(JobId, Vec<TextPart>)> {
         let jobs = self.inner.jobs.borrow();
         let unsaved = jobs.iter().map(|(id, run)| {
-            let parts = run.items.iter().enumerate().filter(|(_, item)| matches!(item.phase, Phase::Running { .. }));
-            let parts = parts.filter_map(|(index, item)| {
+            let not_ended = run.items.iter().enumerate().filter(|(_, item)| !matches!(item.phase, Phase::Ended));
+            let parts = not_ended.filter_map(|(index, item)| {
                 let text = item.text.borrow();
-                (text.unsaved_bytes() >= LEAST_PART_BYTES).then(|| text.unsaved_part(index as u32))
+                // The next leader need not have a whole text made again before it can be scored.
+                let worth_keeping = text.unsaved_bytes() >= LEAST_PART_BYTES || text.is_unsaved_as_whole();
+                worth_keeping.then(|| text.unsaved_part(index as u32))
             });
             (id.clone(), parts.collect::<Vec<_>>())
         });
@@ -112,7 +114,7 @@
     loop {
         let command = GatewayCommand::ListResults { job: job.clone(), outcomes: outcomes.clone() };
         match coordinator.inner.node.commit_gateway(command).await {
-            Ok(GatewayOutcome::TextMissing(items)) => coordinator.list_whole(job, &items),
+            Ok(GatewayOutcome::TextMissing(items)) => coordinator.list_whole(job, &items, &outcomes),
             Ok(outcome) => spdlog::info!("results listed", kv: {
                 job = job.0.as_str(), results = count, outcome = format!("{outcome:?}").as_str()
             }),
@@ -130,17 +132,18 @@
 
 impl<B: Backends> Coordinator<B> {
     /// Sends whole texts where the group does not hold their beginnings.
-    fn list_whole(&self, job: &JobId, items: &[u32]) {
+    fn list_whole(&self, job: &JobId, items: &[u32], outcomes: &[ItemOutcome]) {
         let whole: Vec<ItemOutcome> = {
             let jobs = self.inner.jobs.borrow();
             let run = jobs.get(job);
             let items = items.iter().filter_map(|index| Some((*index, run?.items.get(*index as usize)?)));
             let again = items.map(|(index, item)| {
+                let score = outcomes.iter().find(|outcome| outcome.rest.item == index)?.score.clone();
                 let mut text = item.text.borrow_mut();
                 text.forget_saved();
-                text.outcome(index)
+                Some(text.outcome(index, score))
             });
-            again.collect()
+            again.flatten().collect()
         };
         spdlog::warn!("texts sent again whole", kv: { job = job.0.as_str(), items = whole.len() });
         for outcome in whole {
--- a/crates/coordinator/src/metrics.rs
+++ b/crates/coordinator/src/metrics.rs
@@ -15,12 +15,18 @@
     pub item_failures: Counter,
     /// Texts of earlier jobs used again.
     pub texts_reused: Counter,
+    /// Calls that have a text scored.
+    pub score_calls: Counter,
+    /// Calls that brought no score.
+    pub score_failures: Counter,
     /// Orders given to engines.
     pub orders: Counter,
     /// Orders whose outcome is not known.
     pub orders_unknown: Counter,
     /// From sending an item to the end of its attempt, in seconds.
     pub attempt_seconds: Histogram,
+    /// From calling for a score to the end of the call, in seconds.
+    pub score_seconds: Histogram,
     /// How long changes of weights took, in seconds.
     pub load_seconds: Histogram,
 }
@@ -34,10 +40,13 @@
         let items_aborted = counter("items_aborted", "Items given up");
         let item_failures = counter("item_failures", "Item attempts that ended without a whole text");
         let texts_reused = counter("texts_reused", "Texts of earlier jobs used again");
+        let score_calls = counter("score_calls", "Calls that have a text scored");
+        let score_failures = counter("score_failures", "Calls for a score that brought none");
         let orders = counter("orders", "Orders given to engines");
         let orders_unknown = counter("orders_unknown", "Orders whose outcome is not known");
         let mut histogram = |name: &str, help: &str| registry.seconds(name, help, 0.01, 12);
         let attempt_seconds = histogram("attempt_seconds", "From sending an item to the end of its attempt");
+        let score_seconds = histogram("score_seconds", "From calling for a score to the end of the call");
         let load_seconds = histogram("load_seconds", "How long changes of weights took");
         Self {
             registry,
@@ -46,9 +55,12 @@
             items_aborted,
             item_failures,
             texts_reused,
+            score_calls,
+            score_failures,
             orders,
             orders_unknown,
             attempt_seconds,
+            score_seconds,
             load_seconds,
         }
     }
--- a/crates/coordinator/src/plan.rs
+++ b/crates/coordinator/src/plan.rs
@@ -2,6 +2,8 @@
 
 use crate::coordinator::{Coordinator, Inner};
 use crate::job_run::{ItemRun, JobRun, Phase};
+use crate::scorers::ScoringRound;
+use crate::scoring::ScoreCall;
 use crate::text::ItemText;
 use saddlerelay_control::state::ControlState;
 use saddlerelay_control::state::jobs::Job;
@@ -78,7 +80,9 @@
 #[derive(Default)]
 pub(crate) struct Plan {
     pub starts: Vec<Start>,
-    /// Items whose text is whole already.
+    /// Whole texts to have scored now.
+    pub score_calls: Vec<ScoreCall>,
+    /// Items whose text is whole already and that name no scorer.
     pub whole: Vec<(JobId, u32)>,
     /// Items to give up, and why.
     pub give_up: Vec<(JobId, u32, &'static str)>,
@@ -98,6 +102,7 @@
     let mut plan = Plan::default();
     let mut open: Vec<(&JobId, &Job)> = state.jobs.open().collect();
     open.sort_by_key(|(_, job)| job.order());
+    let mut scoring = ScoringRound::new(state, coordinator.inner.node.silent_instances(state), now);
     let mut jobs = inner.jobs.borrow_mut();
     for (id, job) in open {
         plan.open.insert(id.clone());
@@ -105,7 +110,17 @@
         let route = state.routing.current().and_then(|document| document.find(&submission.host, &submission.path));
         let run = jobs.entry(id.clone()).or_insert_with(|| take_up(coordinator, state, job, route, now));
         plan_job(
-            &mut PlanOfJob { inner, job, run, route, now, term, engines: &engines, planned: &mut planned },
+            &mut PlanOfJob {
+                inner,
+                job,
+                run,
+                route,
+                now,
+                term,
+                engines: &engines,
+                planned: &mut planned,
+                scoring: &mut scoring,
+            },
             &mut plan,
         );
     }
@@ -159,7 +174,7 @@
         .collect()
 }
 
-struct PlanOfJob<'a, B: Backends> {
+struct PlanOfJob<'a, 's, B: Backends> {
     inner: &'a Inner<B>,
     job: &'a Job,
     run: &'a mut JobRun,
@@ -169,9 +184,10 @@
     engines: &'a [Engine],
     /// Items planned in this round, by engine.
     planned: &'a mut BTreeMap<InstanceId, u32>,
+    scoring: &'a mut ScoringRound<'s>,
 }
 
-fn plan_job<B: Backends>(of: &mut PlanOfJob<B>, plan: &mut Plan) {
+fn plan_job<B: Backends>(of: &mut PlanOfJob<'_, '_, B>, plan: &mut Plan) {
     let id = &of.job.submission.id;
     let give_up_at = of.route.map(|route| {
         let after = Duration::from_millis(route.batch.give_up_after_ms);
@@ -189,10 +205,14 @@
             plan.give_up.push((id.clone(), index, "its route is gone"));
             continue;
         };
-        if of.run.items[index as usize].text.borrow().is_complete() {
+        let is_whole = of.run.items[index as usize].text.borrow().is_complete();
+        let scorer = of.job.submission.items[index as usize].scorer.as_ref();
+        if is_whole && scorer.is_none() {
             plan.whole.push((id.clone(), index));
         } else if of.now >= give_up_at {
             plan.give_up.push((id.clone(), index, "its time is over"));
+        } else if is_whole {
+            plan.score_calls.extend(plan_score_call(of, index, give_up_at));
         } else if let Some(start) = plan_item(of, route, index, give_up_at) {
             plan.starts.push(start);
         } else if let Some(model) = &of.job.submission.model {
@@ -205,7 +225,7 @@
 }
 
 /// Moves running items that are far from their end to faster engines that have room.
-fn plan_moves<B: Backends>(of: &mut PlanOfJob<B>, route: &Route, plan: &mut Plan) {
+fn plan_moves<B: Backends>(of: &mut PlanOfJob<'_, '_, B>, route: &Route, plan: &mut Plan) {
     for position in 0..of.run.order.len() {
         if plan.moves.len() >= MOVES_AT_ONCE {
             return;
@@ -243,7 +263,12 @@
     }
 }
 
-fn plan_item<B: Backends>(of: &mut PlanOfJob<B>, route: &Route, index: u32, give_up_at: Duration) -> Option<Start> {
+fn plan_item<B: Backends>(
+    of: &mut PlanOfJob<'_, '_, B>,
+    route: &Route,
+    index: u32,
+    give_up_at: Duration,
+) -> Option<Start> {
     let run = &of.run.items[index as usize];
     if of.now < run.not_before {
         return None;
@@ -274,18 +299,37 @@
     Some(start)
 }
 
+fn plan_score_call<B: Backends>(of: &mut PlanOfJob<'_, '_, B>, index: u32, give_up_at: Duration) -> Option<ScoreCall> {
+    let progress = &of.run.items[index as usize].scoring;
+    let item = &of.job.submission.items[index as usize];
+    let request = item.scorer.as_ref().filter(|_| of.now >= progress.not_before)?;
+    let (route, engine) = of.inner.scorers.choose(of.scoring, request, progress.avoid.as_ref())?;
+    Some(ScoreCall {
+        job: of.job.submission.id.clone(),
+        index,
+        item: item.id.clone(),
+        request: request.clone(),
+        engine,
+        max_attempts: route.max_attempts.max(1),
+        call: progress.calls + 1,
+        give_up_at,
+        text: of.run.items[index as usize].text.clone(),
+        term: of.term,
+    })
+}
+
 /// Items at an engine, and those planned in this round.
-fn load<B: Backends>(of: &PlanOfJob<B>, engine: &Engine) -> u32 {
+fn load<B: Backends>(of: &PlanOfJob<'_, '_, B>, engine: &Engine) -> u32 {
     let instance = &engine.target.instance;
     of.inner.fleet.in_flight(instance) + of.planned.get(instance).copied().unwrap_or(0)
 }
 
 /// Engines that serve the route, have room, and have the right weights.
-fn usable_engines<'a, 'b, B: Backends>(
-    of: &'b PlanOfJob<'a, B>,
+fn usable_engines<'a, 'b, 's, B: Backends>(
+    of: &'b PlanOfJob<'a, 's, B>,
     route: &'b Route,
     index: u32,
-) -> impl Iterator<Item = &'a Engine> + use<'a, 'b, B> {
+) -> impl Iterator<Item = &'a Engine> + use<'a, 'b, 's, B> {
     let run = &of.run.items[index as usize];
     of.engines.iter().filter(move |engine| {
         route.serves(&engine.service)
@@ -295,7 +339,7 @@
 }
 
 /// The engine for an item: the fastest for a long one, the emptiest for the others.
-fn choose_engine<'a, B: Backends>(of: &PlanOfJob<'a, B>, route: &Route, index: u32) -> Option<&'a Engine> {
+fn choose_engine<'a, B: Backends>(of: &PlanOfJob<'a, '_, B>, route: &Route, index: u32) -> Option<&'a Engine> {
     let run = &of.run.items[index as usize];
     let item = &of.job.submission.items[index as usize];
     let group_engine = of.run.group_engines.get(&item.group);
@@ -324,7 +368,7 @@
 }
 
 /// Engines that serve the route with the right weights and are neither slow nor silent, with room or without.
-fn sound_engines<B: Backends>(of: &PlanOfJob<B>, route: &Route, run: &ItemRun, fastest: f64) -> usize {
+fn sound_engines<B: Backends>(of: &PlanOfJob<'_, '_, B>, route: &Route, run: &ItemRun, fastest: f64) -> usize {
     let sound = |engine: &&Engine| {
         let instance = &engine.target.instance;
         let slow = of.inner.fleet.pace(instance, of.now) > fastest * SLOW_FACTOR;
@@ -333,7 +377,7 @@
     of.engines.iter().filter(|engine| route.serves(&engine.service)).filter(sound).count()
 }
 
-fn version_fits<B: Backends>(of: &PlanOfJob<B>, route: &Route, run: &ItemRun, instance: &InstanceId) -> bool {
+fn version_fits<B: Backends>(of: &PlanOfJob<'_, '_, B>, route: &Route, run: &ItemRun, instance: &InstanceId) -> bool {
     let submission = &of.job.submission;
     let Some(model) = &submission.model else {
         return true;
@@ -354,11 +398,16 @@
 pub(crate) fn still_wanted(state: &ControlState, start: &Start) -> bool {
     let job = state.jobs.get(&start.job);
     let wanted = job.is_some_and(|job| !job.is_ended() && !job.is_listed(start.index));
-    let instance = state.instances.get(&start.target.instance);
+    wanted && may_reach(state, &start.target.instance, &start.host, &start.path)
+}
+
+/// Whether a request for `host` and `path` may go to an instance, by the committed state at this moment.
+pub(crate) fn may_reach(state: &ControlState, instance: &InstanceId, host: &str, path: &str) -> bool {
+    let instance = state.instances.get(instance);
     let ready = instance.is_some_and(|record| record.state == InstanceState::Ready);
     let allows = |document: &RoutingDocument| {
-        let route = document.find(&start.host, &start.path);
+        let route = document.find(host, path);
         route.zip(instance).is_some_and(|(route, record)| route.serves(&record.report.service))
     };
-    wanted && ready && state.routing.current().is_some_and(allows)
+    ready && state.routing.current().is_some_and(allows)
 }
--- a/crates/coordinator/src/runner.rs
+++ b/crates/coordinator/src/runner.rs
@@ -4,6 +4,7 @@
 use crate::item;
 use crate::job_run::Phase;
 use crate::plan::{self, Plan, Start};
+use crate::scoring::{self, ScoreCall};
 use crate::text;
 use futures::future::{self, Either};
 use saddlerelay_control::state::ControlState;
@@ -77,6 +78,7 @@
             }
         }
         inner.fleet.retain(|instance| state.instances.get(instance).is_some());
+        inner.scorers.retain(|instance| state.instances.get(instance).is_some());
     }
 
     fn carry_out(&self, plan: Plan) {
@@ -94,6 +96,9 @@
         for start in plan.starts {
             self.start_item(start);
         }
+        for call in plan.score_calls {
+            self.start_scoring(call);
+        }
     }
 
     fn finish(&self, job: &JobId, index: u32, outcome: Option<ItemOutcome>) {
@@ -101,7 +106,7 @@
         let run = jobs.get_mut(job).and_then(|run| run.items.get_mut(index as usize));
         if let Some(run) = run {
             run.phase = Phase::Ended;
-            let outcome = outcome.unwrap_or_else(|| run.text.borrow().outcome(index));
+            let outcome = outcome.unwrap_or_else(|| run.text.borrow().outcome(index, None));
             self.list(job, outcome);
         }
     }
@@ -132,6 +137,19 @@
         }
     }
 
+    fn start_scoring(&self, call: ScoreCall) {
+        let (job, index) = (call.job.clone(), call.index as usize);
+        let instance = call.engine.target.instance.clone();
+        let in_flight = self.inner.scorers.begin(&instance, self.now());
+        let task = compio::runtime::spawn(scoring::run(self.clone(), call, in_flight));
+        let mut jobs = self.inner.jobs.borrow_mut();
+        if let Some(run) = jobs.get_mut(&job).and_then(|run| run.items.get_mut(index)) {
+            run.phase = Phase::Scoring { _task: task };
+            run.scoring.calls += 1;
+            run.scoring.avoid = Some(instance);
+        }
+    }
+
     /// Ends what runs of jobs that have ended.
     fn drop_ended(&self, open: &BTreeSet<JobId>) {
         let inner = &self.inner;
--- a/crates/coordinator/src/text.rs
+++ b/crates/coordinator/src/text.rs
@@ -15,12 +15,14 @@
     /// Bytes that the group holds.
     saved: usize,
     complete: bool,
+    /// The group knows that the text is whole.
+    saved_as_whole: bool,
 }
 
 impl ItemText {
     /// A text of which the group holds `partial` for the same item.
     pub fn saved(partial: &PartialText) -> Self {
-        Self { saved: partial.data.len(), ..Self::unsaved(partial) }
+        Self { saved: partial.data.len(), saved_as_whole: partial.whole, ..Self::unsaved(partial) }
     }
 
     /// A text that the group holds only for an item of another job.
@@ -31,7 +33,8 @@
             events: partial.events,
             versions: partial.versions.iter().copied().collect(),
             saved: 0,
-            complete: false,
+            complete: partial.whole,
+            saved_as_whole: false,
         }
     }
 
@@ -88,6 +91,11 @@
         self.data.len() - self.saved
     }
 
+    /// Whether the text is whole and the group does not know it.
+    pub fn is_unsaved_as_whole(&self) -> bool {
+        self.complete && !self.saved_as_whole
+    }
+
     /// What the group does not hold yet.
     pub fn unsaved_part(&self, index: u32) -> TextPart {
         TextPart {
@@ -97,6 +105,7 @@
             events: self.events,
             last_event: self.last_event,
             versions: self.versions.iter().copied().collect(),
+            whole: self.complete,
         }
     }
 
@@ -106,22 +115,32 @@
         let same_text = self.data.get(part.offset as usize..end) == Some(part.data.as_slice());
         if same_text && self.saved == part.offset as usize {
             self.saved = end;
+            self.saved_as_whole = part.whole;
         }
     }
 
     /// The group holds nothing of it: all of it is sent again.
     pub fn forget_saved(&mut self) {
         self.saved = 0;
+        self.saved_as_whole = false;
     }
 
-    /// How the item at `index` has ended.
-    pub fn outcome(&self, index: u32) -> ItemOutcome {
-        ItemOutcome { end: ItemEnd::Completed, rest: self.unsaved_part(index) }
+    /// How the item at `index` has ended, with the score of its text where it names a scorer.
+    pub fn outcome(&self, index: u32, score: Option<String>) -> ItemOutcome {
+        ItemOutcome { end: ItemEnd::Completed, rest: self.unsaved_part(index), score }
     }
 }
 
 /// The outcome of an item that is given up.
 pub fn aborted(index: u32) -> ItemOutcome {
-    let rest = TextPart { item: index, offset: 0, data: Vec::new(), events: 0, last_event: None, versions: Vec::new() };
-    ItemOutcome { end: ItemEnd::Aborted, rest }
+    let rest = TextPart {
+        item: index,
+        offset: 0,
+        data: Vec::new(),
+        events: 0,
+        last_event: None,
+        versions: Vec::new(),
+        whole: false,
+    };
+    ItemOutcome { end: ItemEnd::Aborted, rest, score: None }
 }
--- a/crates/coordinator/tests/text.rs
+++ b/crates/coordinator/tests/text.rs
@@ -14,7 +14,7 @@
     let mut text = ItemText::default();
     text.push(&event(1, "one"), 6);
     text.push(&event(2, "two"), 7);
-    let outcome = text.outcome(3);
+    let outcome = text.outcome(3, None);
     assert_eq!((outcome.end, outcome.rest.item, &outcome.rest.data[..]), (ItemEnd::Completed, 3, &b"one\ntwo"[..]));
     assert_eq!((outcome.rest.versions, text.last_event), (vec![6, 7], Some(2)));
     assert!(text.fits(6, false) && !text.fits(7, false) && !text.fits(6, true));
@@ -49,7 +49,7 @@
         for (index, (data, ..)) in steps.iter().enumerate() {
             whole.push(&event(index as u64 + 1, &"x".repeat(usize::from(data % 5))), 1);
         }
-        held.add(&text.outcome(0).rest) && held.data == whole.outcome(0).rest.data
+        held.add(&text.outcome(0, None).rest) && held.data == whole.outcome(0, None).rest.data
     }
     QuickCheck::new().tests(500).quickcheck(check as fn(Vec<(u8, bool, bool)>) -> bool);
 }
@@ -84,3 +84,22 @@
     }
     QuickCheck::new().tests(500).quickcheck(check as fn(Vec<u8>) -> bool);
 }
+
+#[test]
+fn a_whole_text_that_the_group_keeps_is_whole_for_the_next_leader() {
+    let mut text = ItemText::default();
+    text.push(&event(1, "one"), 1);
+    let mut held = PartialText::default();
+    assert!(!text.is_unsaved_as_whole());
+    text.complete();
+    assert!(text.is_unsaved_as_whole());
+    let part = text.unsaved_part(0);
+    assert!(held.add(&part));
+    text.mark_saved(&part);
+    assert!(!text.is_unsaved_as_whole());
+    let taken_up = ItemText::saved(&held);
+    assert!(taken_up.is_complete() && !taken_up.is_unsaved_as_whole());
+    assert!(ItemText::unsaved(&held).is_unsaved_as_whole(), "another job's item does not hold it yet");
+    let outcome = taken_up.outcome(0, Some("stamp".to_string()));
+    assert_eq!((outcome.rest.data.len(), outcome.score.as_deref()), (0, Some("stamp")));
+}
--- a/crates/gateway-api/src/front.rs
+++ b/crates/gateway-api/src/front.rs
@@ -90,17 +90,22 @@
         };
         match self.formats.read_job(&request.id, &request.host, request.path(), &body) {
             Ok(job) => {
+                if let Some(error) = job.error() {
+                    return self.refuse_job(request, error.to_string());
+                }
                 drop(body);
                 let answer = self.ask(GatewayRequest::SubmitJob(job), Duration::ZERO).await;
                 outcomes::changed(answer, StatusCode::ACCEPTED)
             }
-            Err(reason) => {
-                self.gateway.refuse(request, Refusal::Malformed);
-                whole(StatusCode::BAD_REQUEST, "text/plain", reason)
-            }
+            Err(reason) => self.refuse_job(request, reason),
         }
     }
 
+    fn refuse_job(&self, request: &ClientRequest, reason: String) -> Reply {
+        self.gateway.refuse(request, Refusal::Malformed);
+        whole(StatusCode::BAD_REQUEST, "text/plain", reason)
+    }
+
     async fn ask(&self, request: GatewayRequest, wait: Duration) -> Result<GatewayReply, GatewayError> {
         self.gateway.control().gateway(request, CALL_LIMIT + wait, ATTEMPT_LIMIT + wait).await
     }
--- a/crates/gateway-api/tests/common/engine.rs
+++ b/crates/gateway-api/tests/common/engine.rs
@@ -70,6 +70,27 @@
     /// Requests whose answer was given up by whoever asked.
     dropped: Cell<u32>,
     event_pause: Cell<Duration>,
+    in_progress: Cell<u32>,
+    /// The most requests that were in progress at once.
+    most_at_once: Cell<u32>,
+}
+
+/// A request in progress; counts until dropped.
+struct InProgress(Rc<State>);
+
+impl InProgress {
+    fn begin(state: &Rc<State>) -> Self {
+        let count = state.in_progress.get() + 1;
+        state.in_progress.set(count);
+        state.most_at_once.set(state.most_at_once.get().max(count));
+        Self(state.clone())
+    }
+}
+
+impl Drop for InProgress {
+    fn drop(&mut self) {
+        self.0.in_progress.set(self.0.in_progress.get() - 1);
+    }
 }
 
 /// The engine.
@@ -93,6 +114,8 @@
             seen: RefCell::default(),
             dropped: Cell::new(0),
             event_pause: Cell::new(Duration::from_millis(1)),
+            in_progress: Cell::new(0),
+            most_at_once: Cell::new(0),
         });
         let engine = Self { state, address };
         compio::runtime::spawn(serve_until(listener, Rc::new(engine.clone()), Shutdown::default())).detach();
@@ -133,6 +156,11 @@
         self.state.orders.borrow().clone()
     }
 
+    /// The most requests without a stream that were in progress at once.
+    pub fn most_at_once(&self) -> u32 {
+        self.state.most_at_once.get()
+    }
+
     pub fn dropped(&self) -> u32 {
         self.state.dropped.get()
     }
@@ -164,6 +192,7 @@
     }
 
     async fn answer(&self, seen: Seen) -> Reply {
+        let _in_progress = InProgress::begin(&self.state);
         let request_id = seen.header("saddlerelay-request").unwrap_or_default().to_string();
         let events: Option<u32> = seen.header("events").and_then(|events| events.parse().ok());
         let wanted = seen.header("saddlerelay-for-version").and_then(|version| version.parse().ok());
--- a/crates/gateway-api/tests/common/mod.rs
+++ b/crates/gateway-api/tests/common/mod.rs
@@ -8,7 +8,7 @@
 use saddlerelay_control::config::ControlConfig;
 use saddlerelay_control::node::ControlNode;
 use saddlerelay_control_client::ControlClient;
-use saddlerelay_coordinator::{Coordinator, CoordinatorConfig};
+use saddlerelay_coordinator::{Coordinator, CoordinatorConfig, CoordinatorIdentity};
 use saddlerelay_engine_client::{BackendAddresses, HttpBackends};
 use saddlerelay_gateway::{Gateway, GatewayConfig, GatewayOptions};
 use saddlerelay_gateway_api::{ControlApi, FrontApi, OwnEngines, OwnFormats};
@@ -117,7 +117,7 @@
         Coordinator::start(
             runtime.clone(),
             node.clone(),
-            "coordinator".to_string(),
+            CoordinatorIdentity { name: "coordinator".to_string(), zone: "north".to_string() },
             Default::default(),
             Box::new(OwnEngines),
             coordinator_config(),
@@ -289,6 +289,7 @@
         body: format!("prompt {index}").into_bytes(),
         tokens: u64::from(events),
         group: format!("group-{}", index / 2),
+        scorer: None,
     };
     JobSubmission {
         id: JobId(id.to_string()),
--- /dev/null
+++ b/crates/gateway-api/tests/scoring.rs
@@ -0,0 +1,226 @@
+//! Items whose whole texts are scored before they are listed.
+
+mod common;
+
+use common::engine::{Conduct, Seen, StandInEngine};
+use common::{Deployment, block_on, call, document, eventually, job, rollouts, route};
+use hyper::{Method, StatusCode};
+use saddlerelay_types::job::{ItemEnd, JobSubmission, ResultPage, ScoringRequest};
+use saddlerelay_types::routing::{RouteKind, RoutingDocument, WeightedTarget};
+use std::time::Duration;
+
+/// Calls for scores that an engine with four slots is given at once.
+const SCORING_SLOTS: u32 = 2;
+
+struct Scored {
+    deployment: Deployment,
+    model: StandInEngine,
+    scorers: Vec<StandInEngine>,
+}
+
+impl Scored {
+    async fn start(name: &str, scorers: usize) -> Self {
+        let deployment = Deployment::start(name).await;
+        deployment.configure(&with_scorers(1)).await;
+        let model = StandInEngine::start("model").await;
+        deployment.register(&model, "llm").await;
+        let mut engines = Vec::new();
+        for index in 0..scorers {
+            let engine = StandInEngine::start(&format!("scorer-{index}")).await;
+            deployment.register(&engine, "web").await;
+            engines.push(engine);
+        }
+        Self { deployment, model, scorers: engines }
+    }
+
+    fn set_conduct(&self, conduct: Conduct) {
+        self.scorers.iter().for_each(|engine| engine.set_conduct(conduct));
+    }
+
+    fn calls(&self) -> Vec<Seen> {
+        self.scorers.iter().flat_map(StandInEngine::seen).collect()
+    }
+
+    async fn listed(&self, id: &str) -> ResultPage {
+        self.deployment.results(id).await.expect("a page")
+    }
+}
+
+fn with_scorers(version: u64) -> RoutingDocument {
+    document(version, vec![rollouts(), route("/checks/", RouteKind::Idempotent, "web")])
+}
+
+fn scored_job(id: &str, count: u32) -> JobSubmission {
+    let mut job = job(id, 1, 0, count, 3);
+    for (index, item) in job.items.iter_mut().enumerate() {
+        item.scorer = Some(ScoringRequest {
+            id: format!("{id}-score-{index}"),
+            host: common::HOST.to_string(),
+            path: format!("/checks/{index}"),
+            body: format!("check {index}").into_bytes(),
+        });
+    }
+    job
+}
+
+#[test]
+fn a_result_carries_the_stamp_of_its_scorer() {
+    block_on(async {
+        let scored = Scored::start("scored", 2).await;
+        scored.deployment.submit(&scored_job("j-1", 8)).await;
+        let page = scored.deployment.await_results("j-1", 8).await;
+        for (_, result) in &page.results {
+            let call_path = format!("/checks/{}", result.item);
+            let of_item = |engine: &&StandInEngine| engine.seen().iter().any(|seen| seen.path == call_path);
+            let engine = scored.scorers.iter().find(of_item).expect("it was called");
+            assert_eq!((result.end, result.score.as_deref()), (ItemEnd::Completed, Some(&*engine.instance().0)));
+        }
+        let calls = scored.calls();
+        assert_eq!(calls.len(), 8, "each is called for once");
+        let call = calls.iter().find(|call| call.path == "/checks/5").expect("it was called");
+        assert_eq!((call.method.as_str(), call.header("host")), ("POST", Some(common::HOST)));
+        assert_eq!((call.header("saddlerelay-request"), &call.body[..]), (Some("j-1-score-5"), &b"check 5"[..]));
+    });
+}
+
+#[test]
+fn a_scorer_that_fails_as_often_as_its_route_allows_ends_the_item() {
+    block_on(async {
+        let scored = Scored::start("score-fails", 2).await;
+        scored.set_conduct(Conduct::Fail);
+        scored.deployment.submit(&scored_job("j-1", 1)).await;
+        let page = scored.deployment.await_results("j-1", 1).await;
+        assert_eq!((page.results[0].1.end, page.results[0].1.score.as_deref()), (ItemEnd::Aborted, None));
+        assert_eq!(scored.calls().len(), 2, "as often as the route's attempts allow");
+        assert_eq!(scored.model.seen().len(), 1, "the text was not made again");
+    });
+}
+
+#[test]
+fn an_answer_that_is_no_score_is_not_an_attempt_and_costs_no_text() {
+    let conducts = [
+        Conduct::Shed,
+        Conduct::BreakOff,
+        Conduct::AnswerAnother,
+        Conduct::AnswerUnsigned,
+        Conduct::FailUnavailable,
+        Conduct::Impossible,
+    ];
+    for conduct in conducts {
+        block_on(async move {
+            let scored = Scored::start(&format!("no-score-{conduct:?}"), 1).await;
+            scored.set_conduct(conduct);
+            scored.deployment.submit(&scored_job("j-1", 1)).await;
+            eventually("it is called for more often than a failing one", async || scored.calls().len() > 2).await;
+            assert_eq!(scored.listed("j-1").await.results.len(), 0, "{conduct:?}");
+            scored.set_conduct(Conduct::Answer);
+            let page = scored.deployment.await_results("j-1", 1).await;
+            assert_eq!(page.results[0].1.score.as_deref(), Some("scorer-0"), "{conduct:?}");
+            assert_eq!(scored.model.seen().len(), 1, "{conduct:?}");
+        });
+    }
+}
+
+#[test]
+fn a_whole_text_waits_for_a_route_and_for_an_engine() {
+    block_on(async {
+        let scored = Scored::start("score-waits", 0).await;
+        let without_route = document(2, vec![rollouts()]);
+        scored.deployment.configure(&without_route).await;
+        scored.deployment.submit(&scored_job("j-1", 2)).await;
+        eventually("the texts are made", async || scored.model.seen().len() == 2).await;
+        compio::time::sleep(Duration::from_millis(200)).await;
+        assert_eq!(scored.listed("j-1").await.results.len(), 0);
+        scored.deployment.configure(&with_scorers(3)).await;
+        let engine = StandInEngine::start("late-scorer").await;
+        scored.deployment.register(&engine, "web").await;
+        let page = scored.deployment.await_results("j-1", 2).await;
+        assert!(page.results.iter().all(|(_, result)| result.score.as_deref() == Some("late-scorer")));
+        assert_eq!(scored.model.seen().len(), 2, "no text was made again");
+    });
+}
+
+#[test]
+fn a_text_of_an_earlier_job_is_scored_for_the_later_one() {
+    block_on(async {
+        let scored = Scored::start("score-again", 1).await;
+        scored.deployment.submit(&scored_job("j-1", 2)).await;
+        scored.deployment.await_results("j-1", 2).await;
+        call(scored.deployment.front, Method::DELETE, "/v1/jobs/j-1", &[], "").await;
+        scored.deployment.submit(&scored_job("j-2", 2)).await;
+        let page = scored.deployment.await_results("j-2", 2).await;
+        assert!(page.results.iter().all(|(_, result)| result.score.is_some()));
+        assert_eq!((scored.model.seen().len(), scored.calls().len()), (2, 4));
+        assert!(scored.calls()[2..].iter().all(|call| call.header("saddlerelay-request").unwrap().starts_with("j-2")));
+    });
+}
+
+#[test]
+fn nothing_is_scored_after_the_end_of_the_job() {
+    block_on(async {
+        let scored = Scored::start("score-ended", 1).await;
+        scored.set_conduct(Conduct::Hang);
+        scored.deployment.submit(&scored_job("j-1", 6)).await;
+        eventually("calls are under way", async || scored.calls().len() as u32 == SCORING_SLOTS).await;
+        let answer = call(scored.deployment.front, Method::DELETE, "/v1/jobs/j-1", &[], "").await;
+        assert_eq!(answer.status, StatusCode::OK);
+        eventually("they are broken off", async || scored.scorers[0].dropped() == SCORING_SLOTS).await;
+        compio::time::sleep(Duration::from_millis(300)).await;
+        assert_eq!(scored.calls().len() as u32, SCORING_SLOTS);
+        assert_eq!(scored.listed("j-1").await.results.len(), 0);
+    });
+}
+
+#[test]
+fn calls_leave_slots_to_callers() {
+    block_on(async {
+        let scored = Scored::start("score-slots", 1).await;
+        scored.set_conduct(Conduct::AnswerAfter(Duration::from_millis(20)));
+        scored.deployment.submit(&scored_job("j-1", 12)).await;
+        scored.deployment.await_results("j-1", 12).await;
+        assert_eq!(scored.scorers[0].most_at_once(), SCORING_SLOTS);
+    });
+}
+
+#[test]
+fn calls_are_shared_out_among_the_targets_of_their_route() {
+    block_on(async {
+        let scored = Scored::start("score-split", 1).await;
+        let mut checks = route("/checks/", RouteKind::Idempotent, "web");
+        checks.targets[0].weight = 3;
+        checks.targets.push(WeightedTarget { service: "other".to_string(), weight: 1 });
+        scored.deployment.configure(&document(2, vec![rollouts(), checks])).await;
+        let other = StandInEngine::start("other").await;
+        scored.deployment.register(&other, "other").await;
+        scored.deployment.submit(&scored_job("j-1", 24)).await;
+        scored.deployment.await_results("j-1", 24).await;
+        assert_eq!((scored.calls().len(), other.seen().len()), (18, 6));
+    });
+}
+
+#[test]
+fn a_job_with_a_scorer_that_cannot_be_called_is_refused_with_the_reason() {
+    block_on(async {
+        let scored = Scored::start("score-refused", 0).await;
+        let broken = |change: fn(&mut ScoringRequest)| {
+            let mut job = scored_job("j-1", 2);
+            change(job.items[1].scorer.as_mut().expect("a scorer"));
+            serde_json::to_string(&job).expect("JSON")
+        };
+        let cases = [
+            (broken(|scorer| scorer.host.clear()), "the scorer of item `item-1` has no host"),
+            (broken(|scorer| scorer.id.clear()), "the scorer of item `item-1` has no id"),
+            (broken(|scorer| scorer.path.clear()), "the path of the scorer of item `item-1` must begin with a slash"),
+            (broken(|scorer| scorer.path.insert(1, ' ')), "the path of the scorer of item `item-1` must begin"),
+            (broken(|_| ()).replace("Y2hlY2sgMQ==", "!"), "Invalid"),
+        ];
+        for (body, told) in cases {
+            let headers = [("saddlerelay-request", "j-1")];
+            let answer = scored.deployment.request(Method::POST, "/rollouts/j-1", &headers, &body).await;
+            let reason = String::from_utf8_lossy(&answer.body).into_owned();
+            assert_eq!(answer.status, StatusCode::BAD_REQUEST, "{told}");
+            assert!(reason.contains(told), "{reason}");
+        }
+        assert!(scored.deployment.results("j-1").await.is_none());
+    });
+}
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -1,6 +1,5 @@
 //! A relay's gateway and what its parts share.
 
-use crate::balance::Balance;
 use crate::config::GatewayConfig;
 use crate::metrics::GatewayMetrics;
 use crate::refusal::Refusal;
@@ -15,7 +14,7 @@
 use saddlerelay_runtime::Runtime;
 use saddlerelay_runtime_compio::CompioRuntime;
 use saddlerelay_types::routing::{Route, RouteKind};
-use saddlerelay_upstream::{HeaderNames, Pool};
+use saddlerelay_upstream::{Balance, HeaderNames, Pool};
 use std::cell::{Cell, RefCell};
 use std::net::SocketAddr;
 use std::rc::Rc;
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -2,10 +2,9 @@
 //!
 //! Host and path choose a route, the route a service, and the relay one of its engines. What a relay knows of routes and
 //! engines comes from the control group under a lease; without the lease it sends nothing on. `table` and `view` hold
-//! what is known, `follow` keeps it new, `balance` chooses engines, `forward` and `stream` send requests on.
+//! what is known, `follow` keeps it new, `forward` and `stream` send requests on.
 
 pub mod attempt;
-pub mod balance;
 pub mod config;
 pub mod follow;
 pub mod forward;
--- a/crates/gateway/src/table.rs
+++ b/crates/gateway/src/table.rs
@@ -1,6 +1,7 @@
 //! Finds the route of a request.
 
-use saddlerelay_types::routing::{Route, RoutingDocument, WeightedTarget};
+use saddlerelay_types::routing::{Route, RoutingDocument};
+use saddlerelay_upstream::turns::WeightedTurns;
 use std::cell::RefCell;
 use std::collections::BTreeMap;
 
@@ -10,16 +11,13 @@
 /// Versions are taken by this remainder, so that a fraction of their multiple is exact enough.
 const VERSION_CYCLE: u64 = 1 << 20;
 
-/// Turns of which `offset` chooses one to begin with: as many as weights in percent need to come round.
-const ROUND: f64 = 100.0;
-
 /// A routing document with its routes by host.
 pub struct RouteTable {
     document: RoutingDocument,
     /// Indexes of each host's routes, longest prefix first.
     by_host: BTreeMap<String, Vec<usize>>,
-    /// For each route, what its targets are owed.
-    owed: RefCell<Vec<Vec<f64>>>,
+    /// For each route, the turns of its targets.
+    turns: RefCell<Vec<WeightedTurns>>,
 }
 
 impl RouteTable {
@@ -33,8 +31,8 @@
         for indexes in by_host.values_mut() {
             indexes.sort_by_key(|index| std::cmp::Reverse(document.routes[*index].path_prefix.len()));
         }
-        let owed = document.routes.iter().map(|route| initial_debts(route, offset)).collect();
-        Self { document, by_host, owed: RefCell::new(owed) }
+        let turns = document.routes.iter().map(|route| WeightedTurns::new(&route.targets, offset)).collect();
+        Self { document, by_host, turns: RefCell::new(turns) }
     }
 
     /// A table of the document that follows on another's. Routes whose targets stay as they are go on in their turns; the
@@ -49,14 +47,14 @@
     }
 
     fn take_turns_over(&self, before: &Self) {
-        let held = before.owed.borrow();
+        let held = before.turns.borrow();
         let place = |route: &Route| (route.host.clone(), route.path_prefix.clone());
         let indexes: BTreeMap<_, usize> =
             before.document.routes.iter().enumerate().map(|(index, route)| (place(route), index)).collect();
-        for (debts, route) in self.owed.borrow_mut().iter_mut().zip(&self.document.routes) {
+        for (turns, route) in self.turns.borrow_mut().iter_mut().zip(&self.document.routes) {
             let index = indexes.get(&place(route)).copied();
             if let Some(index) = index.filter(|index| before.document.routes[*index].targets == route.targets) {
-                debts.clone_from(&held[index]);
+                turns.clone_from(&held[index]);
             }
         }
     }
@@ -81,30 +79,7 @@
     /// The service whose turn it is: over time each target gets its weight's share, in even turns.
     pub fn next_service(&self, index: usize) -> &str {
         let targets = &self.document.routes[index].targets;
-        let next = take_turn(&mut self.owed.borrow_mut()[index], targets);
+        let next = self.turns.borrow_mut()[index].take(targets);
         &targets[next].service
     }
 }
-
-/// What targets are owed at first: as after so many turns. Whoever begins at a turn drawn evenly begins with each target as
-/// often as its weight says.
-fn initial_debts(route: &Route, offset: f64) -> Vec<f64> {
-    let mut debts = vec![0.0; route.targets.len()];
-    if debts.len() > 1 {
-        for _ in 0..(offset * ROUND) as u32 {
-            take_turn(&mut debts, &route.targets);
-        }
-    }
-    debts
-}
-
-/// Gives the next turn to the target that is owed most, and returns its index.
-fn take_turn(debts: &mut [f64], targets: &[WeightedTarget]) -> usize {
-    let total: f64 = targets.iter().map(|target| target.weight as f64).sum();
-    for (debt, target) in debts.iter_mut().zip(targets) {
-        *debt += target.weight as f64 / total;
-    }
-    let largest = (0..debts.len()).max_by(|left, right| debts[*left].total_cmp(&debts[*right])).unwrap_or(0);
-    debts[largest] -= 1.0;
-    largest
-}
--- a/crates/gateway/src/view.rs
+++ b/crates/gateway/src/view.rs
@@ -4,7 +4,7 @@
 use saddlerelay_types::gateway::FollowReply;
 use saddlerelay_types::instance::{InstanceId, InstanceRecord, InstanceState};
 use saddlerelay_types::routing_update::EncodedRoutingUpdate;
-use saddlerelay_upstream::EngineTarget;
+use saddlerelay_upstream::{EngineTarget, ReadyEngine};
 use std::collections::{BTreeMap, BTreeSet};
 use std::rc::Rc;
 use std::time::Duration;
@@ -118,16 +118,3 @@
         })
     }
 }
-
-/// An engine that may be given new work.
-#[derive(Clone, Debug)]
-pub struct ReadyEngine {
-    /// Where and who it is.
-    pub target: EngineTarget,
-    /// Where it stands.
-    pub zone: String,
-    /// Requests it runs at once.
-    pub slots: u32,
-    /// It no longer reports itself.
-    pub silent: bool,
-}
--- a/crates/gateway/tests/choice.rs
+++ b/crates/gateway/tests/choice.rs
@@ -1,13 +1,12 @@
 //! Which route, which target, which engine.
 
-use saddlerelay_gateway::balance::Balance;
 use saddlerelay_gateway::table::RouteTable;
-use saddlerelay_gateway::view::{ReadyEngine, View};
+use saddlerelay_gateway::view::View;
 use saddlerelay_types::gateway::FollowReply;
 use saddlerelay_types::instance::InstanceId;
 use saddlerelay_types::routing::{BatchTerms, RequestLimits, Route, RouteKind, RoutingDocument, WeightedTarget};
 use saddlerelay_types::routing_update::{EncodedRoutingUpdate, RoutingUpdate};
-use saddlerelay_upstream::EngineTarget;
+use saddlerelay_upstream::{Balance, EngineTarget, ReadyEngine};
 use std::time::Duration;
 
 fn route(host: &str, prefix: &str, weights: &[u64]) -> Route {
--- a/crates/soak/src/trainer.rs
+++ b/crates/soak/src/trainer.rs
@@ -97,6 +97,7 @@
             body: (0..BODY_BYTES).map(|_| fastrand::u8(..)).collect(),
             tokens: 500,
             group: format!("group-{}", number / GROUP_SIZE),
+            scorer: None,
         };
         let items: Vec<JobItem> = (0..GROUPS * GROUP_SIZE).map(item).collect();
         let events_of = |item: &JobItem| item.headers[0].1.parse().unwrap_or_default();
--- a/crates/types/src/job.rs
+++ b/crates/types/src/job.rs
@@ -48,6 +48,67 @@
     pub tokens: u64,
     /// Items of a group share their prompt and are wanted together.
     pub group: String,
+    /// Who is asked to score its whole text; without one it is listed as soon as the text is whole.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub scorer: Option<ScoringRequest>,
+}
+
+/// The request that has an item's whole text scored. It goes by the route of its own host and path, and may be repeated.
+#[derive(Clone, Debug, PartialEq, Eq, Encode, Decode, Serialize, Deserialize)]
+pub struct ScoringRequest {
+    /// The request's own identifier.
+    pub id: String,
+    /// The host that it is sent with.
+    pub host: String,
+    /// The path at the scoring engine.
+    pub path: String,
+    /// Its body; base64 in JSON.
+    #[serde(with = "crate::base64_bytes")]
+    pub body: Vec<u8>,
+}
+
+/// Why a job cannot be taken.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum JobError {
+    /// An item's scorer has no identifier.
+    ScorerWithoutId(ItemId),
+    /// An item's scorer has no host.
+    ScorerWithoutHost(ItemId),
+    /// The path of an item's scorer does not begin with a slash, or cannot stand in a request.
+    ScorerPath(ItemId),
+}
+
+impl std::fmt::Display for JobError {
+    fn fmt(&self, formatter: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        match self {
+            Self::ScorerWithoutId(item) => write!(formatter, "the scorer of item `{}` has no id", item.0),
+            Self::ScorerWithoutHost(item) => write!(formatter, "the scorer of item `{}` has no host", item.0),
+            Self::ScorerPath(item) => {
+                write!(formatter, "the path of the scorer of item `{}` must begin with a slash and be one word", item.0)
+            }
+        }
+    }
+}
+
+impl JobSubmission {
+    /// What is wrong with the job, or `None`.
+    pub fn error(&self) -> Option<JobError> {
+        self.items.iter().find_map(|item| item.scorer.as_ref()?.error(&item.id))
+    }
+}
+
+impl ScoringRequest {
+    fn error(&self, item: &ItemId) -> Option<JobError> {
+        let fits_a_header = |text: &str| !text.is_empty() && text.bytes().all(|byte| byte.is_ascii_graphic());
+        if !fits_a_header(&self.id) {
+            return Some(JobError::ScorerWithoutId(item.clone()));
+        }
+        if !fits_a_header(&self.host) {
+            return Some(JobError::ScorerWithoutHost(item.clone()));
+        }
+        let path_fits = self.path.starts_with('/') && fits_a_header(&self.path);
+        (!path_fits).then(|| JobError::ScorerPath(item.clone()))
+    }
 }
 
 /// How an item ended.
@@ -72,6 +133,9 @@
     pub text: Vec<u8>,
     /// The weight versions that made an event of the text, ascending.
     pub versions: Vec<u64>,
+    /// The stamp of its scorer's answer, where the item names a scorer.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub score: Option<String>,
 }
 
 /// A piece of an item's text, which goes after what is held already.
@@ -89,6 +153,8 @@
     pub last_event: Option<u64>,
     /// The weight versions that made them all, ascending.
     pub versions: Vec<u64>,
+    /// The text is whole with them.
+    pub whole: bool,
 }
 
 /// How an item has ended, with the rest of its text.
@@ -98,6 +164,8 @@
     pub end: ItemEnd,
     /// The rest of its text.
     pub rest: TextPart,
+    /// The stamp of its scorer's answer, where the item names a scorer.
+    pub score: Option<String>,
 }
 
 /// The text of an item that has not ended.
@@ -111,6 +179,8 @@
     pub last_event: Option<u64>,
     /// The weight versions that made them, ascending.
     pub versions: Vec<u64>,
+    /// Nothing is missing; only its score is.
+    pub whole: bool,
 }
 
 impl PartialText {
@@ -127,6 +197,7 @@
         self.events = part.events;
         self.last_event = part.last_event;
         self.versions.clone_from(&part.versions);
+        self.whole = part.whole;
         true
     }
 }
--- a/crates/gateway/src/balance.rs
+++ b/crates/upstream/src/balance.rs
@@ -1,6 +1,6 @@
-//! Chooses an engine by what this relay has seen of each: requests in flight, latency, failures.
+//! Chooses an engine by what this process has seen of each: requests in flight, latency, failures.
 
-use crate::view::ReadyEngine;
+use crate::pool::EngineTarget;
 use saddlerelay_types::instance::InstanceId;
 use std::cell::RefCell;
 use std::collections::BTreeMap;
@@ -55,7 +55,20 @@
     }
 }
 
-/// What this relay has seen of each engine. Clones share it.
+/// An engine that may be given new work.
+#[derive(Clone, Debug)]
+pub struct ReadyEngine {
+    /// Where and who it is.
+    pub target: EngineTarget,
+    /// Where it stands.
+    pub zone: String,
+    /// Requests it runs at once.
+    pub slots: u32,
+    /// It no longer reports itself.
+    pub silent: bool,
+}
+
+/// What this process has seen of each engine. Clones share it.
 #[derive(Clone, Default)]
 pub struct Balance {
     seen: Rc<RefCell<BTreeMap<InstanceId, Seen>>>,
@@ -102,6 +115,11 @@
         least.map(|(_, engine)| engine)
     }
 
+    /// Requests in flight from this process.
+    pub fn in_flight(&self, instance: &InstanceId) -> u32 {
+        self.seen.borrow().get(instance).map_or(0, |seen| seen.in_flight)
+    }
+
     /// Counts a request as in flight.
     pub fn begin(&self, instance: &InstanceId, now: Duration) -> InFlight {
         let mut seen = self.seen.borrow_mut();
