--- a/crates/coordinator/src/fleet.rs
+++ b/crates/coordinator/src/fleet.rs
@@ -1,59 +1,29 @@
 //! What the leader knows of each engine beside its committed record: weights, changes under way, load, pace.
 
+use crate::pace::{Paces, SeenPace};
 use saddlerelay_types::instance::{InstanceId, LoadedModel};
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
 use std::rc::Rc;
 use std::time::Duration;
 
-/// Weight of the newest pause between events in an engine's pace.
-const PACE_WEIGHT: f64 = 0.1;
-
-/// A pace without new events is forgotten by half in this time.
-const PACE_HALF_LIFE: Duration = Duration::from_secs(4);
-
-/// Pace assumed of an engine without events, in seconds an event.
-const UNKNOWN_PACE: f64 = 0.045;
-
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, Default)]
 struct Known {
     versions: BTreeMap<String, (u64, Duration)>,
     /// Models whose weights are being changed, and since when.
     loading: BTreeMap<String, Duration>,
     in_flight: u32,
     rest_until: Duration,
-    pace: f64,
-    paced_at: Duration,
+    pace: SeenPace,
     orders_taken: Option<u64>,
 }
 
-impl Default for Known {
-    fn default() -> Self {
-        Self {
-            versions: BTreeMap::new(),
-            loading: BTreeMap::new(),
-            in_flight: 0,
-            rest_until: Duration::ZERO,
-            pace: UNKNOWN_PACE,
-            paced_at: Duration::ZERO,
-            orders_taken: None,
-        }
-    }
-}
-
-impl Known {
-    /// The pace, drawn towards the unknown as it ages, so that an engine that was slow is tried again.
-    fn expected_pace(&self, now: Duration) -> f64 {
-        let age = now.saturating_sub(self.paced_at).as_secs_f64();
-        let kept = 0.5_f64.powf(age / PACE_HALF_LIFE.as_secs_f64());
-        UNKNOWN_PACE + (self.pace - UNKNOWN_PACE) * kept
-    }
-}
-
 /// The engines. Clones share it.
 #[derive(Clone, Default)]
 pub struct Fleet {
     known: Rc<RefCell<BTreeMap<InstanceId, Known>>>,
+    /// Seconds an event at the middle engine, when paces were last asked for.
+    typical_pace: Rc<Cell<Option<f64>>>,
 }
 
 /// An item in flight at an engine; counts until dropped.
@@ -161,15 +131,15 @@
 
     /// An event came after `pause`.
     pub fn observe_pause(&self, instance: &InstanceId, pause: Duration, now: Duration) {
-        self.change(instance, |known| {
-            let before = known.expected_pace(now);
-            known.pace = before + (pause.as_secs_f64() - before) * PACE_WEIGHT;
-            known.paced_at = now;
-        });
+        let typical = self.typical_pace.get();
+        self.change(instance, |known| known.pace.observe(pause, typical, now));
     }
 
-    /// Seconds an event.
-    pub fn pace(&self, instance: &InstanceId, now: Duration) -> f64 {
-        self.look(instance, |known| known.expected_pace(now)).unwrap_or(UNKNOWN_PACE)
+    /// How fast the engines are, as far as is known.
+    pub fn paces(&self, now: Duration) -> Paces {
+        let known = self.known.borrow();
+        let paces = Paces::new(known.iter().map(|(instance, known)| (instance, &known.pace)), now);
+        self.typical_pace.set(Some(paces.typical()));
+        paces
     }
 }
--- a/crates/coordinator/src/job_run.rs
+++ b/crates/coordinator/src/job_run.rs
@@ -8,17 +8,21 @@
 use saddlerelay_types::instance::InstanceId;
 use saddlerelay_types::job::{ItemId, JobItem};
 use saddlerelay_types::routing::Route;
+use saddlerelay_upstream::HeaderNames;
 use std::cell::RefCell;
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::rc::Rc;
 use std::time::Duration;
 
+/// How much longer than it is already a text is expected to become that has outgrown what was expected of it.
+const OVERRUN_SHARE: f64 = 0.5;
+
 /// Where an item stands.
 pub(crate) enum Phase {
     /// It waits for an engine.
     Waiting,
     /// It runs; dropping the handle ends the request.
-    Running { _task: JoinHandle<()>, instance: InstanceId },
+    Running { _task: JoinHandle<()>, instance: InstanceId, since: Duration },
     /// Its text is whole and is being scored; dropping the handle ends the call.
     Scoring { _task: JoinHandle<()> },
     /// It has a result, listed or on its way.
@@ -31,6 +35,8 @@
     pub text: Rc<RefCell<ItemText>>,
     /// Events that its text is expected to have.
     pub expected_events: f64,
+    /// Events that its text has at most, where its request says so.
+    pub most_events: Option<f64>,
     /// Failures that count as attempts.
     pub failures: u32,
     pub not_before: Duration,
@@ -52,6 +58,19 @@
     pub avoid: Option<InstanceId>,
 }
 
+impl ItemRun {
+    /// Events that are expected to be missing of its text.
+    pub fn remaining_events(&self) -> f64 {
+        let done = f64::from(self.text.borrow().events());
+        // One that has gone beyond what was expected of it is likely to go on for a while.
+        let expected = (self.expected_events - done).max(done * OVERRUN_SHARE);
+        match self.most_events {
+            Some(most) => expected.min((most - done).max(1.0)),
+            None => expected,
+        }
+    }
+}
+
 /// A job that runs.
 pub(crate) struct JobRun {
     pub seen_at: Duration,
@@ -62,21 +81,29 @@
     pub mean_events: f64,
     /// Where each group's items were last sent.
     pub group_engines: BTreeMap<String, InstanceId>,
+    /// Groups that came in an earlier job too.
+    pub carried_groups: BTreeSet<String>,
+    /// When moves were last considered.
+    pub moves_considered_at: Duration,
 }
 
 impl JobRun {
     /// Takes a job up where the group's state and earlier jobs leave it.
-    pub fn new(job: &Job, state: &ControlState, hint: &HeaderName, tokens_per_event: u32, now: Duration) -> Self {
+    pub fn new(job: &Job, state: &ControlState, names: &HeaderNames, tokens_per_event: u32, now: Duration) -> Self {
         let submission = &job.submission;
         let route = state.routing.current().and_then(|document| document.find(&submission.host, &submission.path));
         let texts = earlier_texts(job, state, route);
+        let lengths = earlier_lengths(job, state);
+        let per_event = f64::from(tokens_per_event.max(1));
         let item = |(index, item): (usize, &JobItem)| {
             let own = job.partial_text(index as u32).map(ItemText::saved);
             let text = own.or_else(|| texts.get(&item.id).cloned()).unwrap_or_default();
+            let guess = expected_tokens(item, &names.length_hint) as f64 / per_event;
             ItemRun {
                 phase: Phase::Waiting,
                 text: Rc::new(RefCell::new(text)),
-                expected_events: expected_tokens(item, hint) as f64 / f64::from(tokens_per_event.max(1)),
+                expected_events: lengths.get(&item.id).map_or(guess, |seen| seen.correct(guess)),
+                most_events: most_tokens(item, &names.token_count).map(|most| (most as f64 / per_event).ceil()),
                 failures: 0,
                 not_before: Duration::ZERO,
                 avoid: None,
@@ -89,10 +116,61 @@
         let expected = |index: &u32| items[*index as usize].expected_events;
         order.sort_by(|left, right| expected(right).total_cmp(&expected(left)));
         let mean_events = items.iter().map(|item| item.expected_events).sum::<f64>() / items.len().max(1) as f64;
-        Self { seen_at: now, items, order, mean_events, group_engines: BTreeMap::new() }
+        let carried = submission.items.iter().filter(|item| lengths.contains_key(&item.id));
+        let carried_groups = carried.map(|item| item.group.clone()).collect();
+        Self {
+            seen_at: now,
+            items,
+            order,
+            mean_events,
+            group_engines: BTreeMap::new(),
+            carried_groups,
+            moves_considered_at: Duration::ZERO,
+        }
+    }
+}
+
+/// What an earlier job has shown of the length of an item's text.
+#[derive(Clone, Copy, Debug, PartialEq)]
+enum SeenLength {
+    /// The text became whole with so many events.
+    Whole(f64),
+    /// It had so many events when the job ended.
+    AtLeast(f64),
+}
+
+impl SeenLength {
+    /// A sender's guess, corrected by what was seen.
+    fn correct(self, guess: f64) -> f64 {
+        match self {
+            Self::Whole(events) => events,
+            Self::AtLeast(events) => guess.max(events * (1.0 + OVERRUN_SHARE)),
+        }
     }
 }
 
+/// What earlier jobs have shown of the lengths of this job's items, also where their texts may not be used again.
+fn earlier_lengths(job: &Job, state: &ControlState) -> BTreeMap<ItemId, SeenLength> {
+    let wanted: BTreeSet<&ItemId> = job.submission.items.iter().map(|item| &item.id).collect();
+    let mut lengths = BTreeMap::new();
+    for earlier in state.jobs.predecessors(&job.submission.id) {
+        for (index, item) in earlier.submission.items.iter().enumerate() {
+            if !wanted.contains(&item.id) || lengths.contains_key(&item.id) {
+                continue;
+            }
+            let whole = earlier.completed(index as u32).map(|result| SeenLength::Whole(events_of(&result.text)));
+            let partial = earlier.partial_text(index as u32).map(|text| SeenLength::AtLeast(f64::from(text.events)));
+            lengths.insert(item.id.clone(), whole.or(partial).unwrap_or(SeenLength::AtLeast(0.0)));
+        }
+    }
+    lengths
+}
+
+/// The events of a whole text: line feeds part them.
+fn events_of(text: &[u8]) -> f64 {
+    (text.iter().filter(|byte| **byte == b'\n').count() + 1) as f64
+}
+
 /// What earlier jobs have left of this job's items, where it may stand in this one.
 fn earlier_texts(job: &Job, state: &ControlState, route: Option<&Route>) -> BTreeMap<ItemId, ItemText> {
     let mut texts = BTreeMap::new();
@@ -119,6 +197,12 @@
     texts
 }
 
+/// The most tokens that the item's request lets be generated.
+fn most_tokens(item: &JobItem, count: &HeaderName) -> Option<u64> {
+    let told = item.headers.iter().find(|(name, _)| name.eq_ignore_ascii_case(count.as_str()))?;
+    told.1.split(',').nth(1)?.trim().parse().ok()
+}
+
 /// The sender's guess at the tokens to be generated, or all that the item may take.
 fn expected_tokens(item: &JobItem, hint: &HeaderName) -> u64 {
     let hinted = item.headers.iter().find(|(name, _)| name.eq_ignore_ascii_case(hint.as_str()));
--- a/crates/coordinator/src/orders.rs
+++ b/crates/coordinator/src/orders.rs
@@ -178,7 +178,8 @@
         let known =
             engines.iter().filter(|engine| models.iter().all(|model| version(&engine.instance, model).is_some()));
         let mut by_pace: Vec<InstanceId> = known.map(|engine| engine.instance.clone()).collect();
-        let pace = |instance: &InstanceId| self.inner.fleet.pace(instance, now);
+        let paces = self.inner.fleet.paces(now);
+        let pace = |instance: &InstanceId| paces.of(instance);
         by_pace.sort_by(|left, right| pace(left).total_cmp(&pace(right)));
         let lag = |instance: &InstanceId, model: &str| {
             let newest = named.get(model).copied().unwrap_or_default();
--- a/crates/coordinator/src/plan.rs
+++ b/crates/coordinator/src/plan.rs
@@ -2,6 +2,8 @@
 
 use crate::coordinator::{Coordinator, Inner};
 use crate::job_run::{ItemRun, JobRun, Phase};
+use crate::moves::plan_moves;
+use crate::pace::Paces;
 use crate::scorers::ScoringRound;
 use crate::scoring::ScoreCall;
 use crate::text::ItemText;
@@ -32,27 +34,12 @@
 /// An item is long that is expected to take so many times the mean of its job.
 const LONG_FACTOR: f64 = 1.5;
 
-/// How much faster an engine must be for an item to move there.
-const MOVE_FACTOR: f64 = 0.85;
-
-/// An item is moved only if it would otherwise end later than this share of the time in which its job is due.
-const DUE_SHARE: f64 = 0.55;
-
-/// Least time that a move must save.
-const LEAST_SAVING: Duration = Duration::from_millis(250);
-
-/// Most moves of one item.
-const MOST_MOVES: u32 = 3;
-
-/// Most moves in one plan.
-const MOVES_AT_ONCE: usize = 6;
-
 /// Sound engines for which an item rather waits than go to a doubtful one.
 const ENOUGH_SOUND_ENGINES: usize = 2;
 
 /// An engine that may be given items.
-struct Engine {
-    target: EngineTarget,
+pub(crate) struct Engine {
+    pub target: EngineTarget,
     service: String,
     slots: u32,
     silent: bool,
@@ -98,6 +85,7 @@
     let inner = &coordinator.inner;
     let now = coordinator.now();
     let engines = ready_engines(coordinator, state, now);
+    let paces = inner.fleet.paces(now);
     let mut planned: BTreeMap<InstanceId, u32> = BTreeMap::new();
     let mut plan = Plan::default();
     let mut open: Vec<(&JobId, &Job)> = state.jobs.open().collect();
@@ -116,6 +104,7 @@
                 run,
                 route,
                 now,
+                paces: &paces,
                 term,
                 engines: &engines,
                 planned: &mut planned,
@@ -141,7 +130,7 @@
         service.hosting.as_ref()
     });
     let tokens_per_event = hosting.map_or(1, |hosting| hosting.tokens_per_event);
-    let run = JobRun::new(job, state, &coordinator.names().length_hint, tokens_per_event, now);
+    let run = JobRun::new(job, state, coordinator.names(), tokens_per_event, now);
     if let Some(model) = &submission.model {
         let expected = run.mean_events * run.items.len() as f64;
         coordinator.inner.homes.borrow_mut().note_demand(model, expected);
@@ -174,16 +163,18 @@
         .collect()
 }
 
-struct PlanOfJob<'a, 's, B: Backends> {
-    inner: &'a Inner<B>,
-    job: &'a Job,
-    run: &'a mut JobRun,
+/// What the plan of one job starts from.
+pub(crate) struct PlanOfJob<'a, 's, B: Backends> {
+    pub inner: &'a Inner<B>,
+    pub job: &'a Job,
+    pub run: &'a mut JobRun,
     route: Option<&'a Route>,
-    now: Duration,
+    pub now: Duration,
+    pub paces: &'a Paces,
     term: u64,
     engines: &'a [Engine],
     /// Items planned in this round, by engine.
-    planned: &'a mut BTreeMap<InstanceId, u32>,
+    pub planned: &'a mut BTreeMap<InstanceId, u32>,
     scoring: &'a mut ScoringRound<'s>,
 }
 
@@ -224,45 +215,6 @@
     }
 }
 
-/// Moves running items that are far from their end to faster engines that have room.
-fn plan_moves<B: Backends>(of: &mut PlanOfJob<'_, '_, B>, route: &Route, plan: &mut Plan) {
-    for position in 0..of.run.order.len() {
-        if plan.moves.len() >= MOVES_AT_ONCE {
-            return;
-        }
-        let index = of.run.order[position];
-        let item = &of.run.items[index as usize];
-        let Phase::Running { instance, .. } = &item.phase else {
-            continue;
-        };
-        let done = f64::from(item.text.borrow().events());
-        if item.moves >= MOST_MOVES || done < 1.0 {
-            continue;
-        }
-        // One that has gone beyond what was expected of it is likely to go on for as long again.
-        let remaining = (item.expected_events - done).max(done * 0.5);
-        let pace = of.inner.fleet.pace(instance, of.now);
-        let end_at = of.now + Duration::from_secs_f64(remaining * pace);
-        let due = Duration::from_millis(route.batch.due_after_ms).mul_f64(DUE_SHARE);
-        if end_at < of.run.seen_at + due {
-            continue;
-        }
-        let faster = |engine: &&Engine| {
-            let other = of.inner.fleet.pace(&engine.target.instance, of.now);
-            let saving = remaining * (pace - other);
-            other < pace * MOVE_FACTOR && saving > LEAST_SAVING.as_secs_f64()
-        };
-        let target = usable_engines(of, route, index).filter(faster).min_by(|left, right| {
-            let of_engine = |engine: &Engine| of.inner.fleet.pace(&engine.target.instance, of.now);
-            of_engine(left).total_cmp(&of_engine(right))
-        });
-        if let Some(target) = target {
-            *of.planned.entry(target.target.instance.clone()).or_default() += 1;
-            plan.moves.push((of.job.submission.id.clone(), index));
-        }
-    }
-}
-
 fn plan_item<B: Backends>(
     of: &mut PlanOfJob<'_, '_, B>,
     route: &Route,
@@ -325,7 +277,7 @@
 }
 
 /// Engines that serve the route, have room, and have the right weights.
-fn usable_engines<'a, 'b, 's, B: Backends>(
+pub(crate) fn usable_engines<'a, 'b, 's, B: Backends>(
     of: &'b PlanOfJob<'a, 's, B>,
     route: &'b Route,
     index: u32,
@@ -343,7 +295,7 @@
     let run = &of.run.items[index as usize];
     let item = &of.job.submission.items[index as usize];
     let group_engine = of.run.group_engines.get(&item.group);
-    let pace = |engine: &Engine| of.inner.fleet.pace(&engine.target.instance, of.now);
+    let pace = |engine: &Engine| of.paces.of(&engine.target.instance);
     let fastest = of.engines.iter().map(pace).fold(f64::INFINITY, f64::min);
     let is_long = run.expected_events >= of.run.mean_events * LONG_FACTOR || run.text.borrow().events() > 0;
     let cost = |engine: &Engine| {
@@ -371,7 +323,7 @@
 fn sound_engines<B: Backends>(of: &PlanOfJob<'_, '_, B>, route: &Route, run: &ItemRun, fastest: f64) -> usize {
     let sound = |engine: &&Engine| {
         let instance = &engine.target.instance;
-        let slow = of.inner.fleet.pace(instance, of.now) > fastest * SLOW_FACTOR;
+        let slow = of.paces.of(instance) > fastest * SLOW_FACTOR;
         !slow && !engine.silent && run.avoid.as_ref() != Some(instance) && version_fits(of, route, run, instance)
     };
     of.engines.iter().filter(|engine| route.serves(&engine.service)).filter(sound).count()
--- a/crates/coordinator/src/runner.rs
+++ b/crates/coordinator/src/runner.rs
@@ -130,10 +130,11 @@
     fn start_item(&self, start: Start) {
         let instance = start.target.instance.clone();
         let (job, index) = (start.job.clone(), start.index as usize);
+        let since = self.now();
         let task = compio::runtime::spawn(item::run(self.clone(), start));
         let mut jobs = self.inner.jobs.borrow_mut();
         if let Some(run) = jobs.get_mut(&job).and_then(|run| run.items.get_mut(index)) {
-            run.phase = Phase::Running { _task: task, instance };
+            run.phase = Phase::Running { _task: task, instance, since };
         }
     }
 
--- a/crates/upstream/src/names.rs
+++ b/crates/upstream/src/names.rs
@@ -23,6 +23,8 @@
     pub weight_version: HeaderName,
     /// The model that a request asks for.
     pub model: HeaderName,
+    /// Tokens of the prompt, and most to be generated, parted by a comma.
+    pub token_count: HeaderName,
     /// The sender's guess at the tokens to be generated.
     pub length_hint: HeaderName,
     /// How urgent a request is at its engine, 0 first.
@@ -45,6 +47,7 @@
             load: HeaderName::from_static("saddlerelay-load"),
             weight_version: HeaderName::from_static("saddlerelay-version"),
             model: HeaderName::from_static("saddlerelay-model"),
+            token_count: HeaderName::from_static("saddlerelay-token-count"),
             length_hint: HeaderName::from_static("saddlerelay-length-hint"),
             priority: HeaderName::from_static("saddlerelay-priority"),
             wait: HeaderName::from_static("saddlerelay-wait-ms"),
