--- a/crates/command-line/src/member.rs
+++ b/crates/command-line/src/member.rs
@@ -198,7 +198,7 @@
     runtime.spawn(saddlerelay_rpc::server::serve(runtime.clone(), peer_listener, secret, Rc::new(node.clone())));
     let control =
         ControlClient::new(runtime.clone(), &with_own(&peers, addresses.peer_address), &settings.shared_secret);
-    let config = CoordinatorConfig { order_wait: settings.bounds.order_wait(), ..CoordinatorConfig::default() };
+    let config = CoordinatorConfig { order_distance: settings.bounds.order_distance(), ..CoordinatorConfig::default() };
     let coordinator = Coordinator::start(
         runtime.clone(),
         node.clone(),
--- a/crates/control/src/commands/gateway.rs
+++ b/crates/control/src/commands/gateway.rs
@@ -16,6 +16,7 @@
         }
         GatewayCommand::RemoveInstance(id) => {
             state.instances.remove(&id);
+            state.weights.forget_engine(&id);
             GatewayOutcome::Done
         }
         GatewayCommand::NameVersion(named) => {
@@ -39,6 +40,10 @@
         }
         GatewayCommand::RetireStore(name) => found(state.stores.retire(&name)),
         GatewayCommand::StoreRetired(name) => found(state.stores.complete(&name)),
+        GatewayCommand::NoteOrders { holder, instances } => {
+            state.weights.note_orders(holder, instances);
+            GatewayOutcome::Done
+        }
         GatewayCommand::TakeOrders(replica) => {
             let taken_over = state.weights.take_orders(replica);
             GatewayOutcome::Orders { fence: state.members.draw_fence(), taken_over }
--- a/crates/control/src/node.rs
+++ b/crates/control/src/node.rs
@@ -107,6 +107,11 @@
         self.inner.replica.hand_over().await
     }
 
+    /// Reads this process's copy of the state, however old it is.
+    pub fn read_applied<T>(&self, read: impl FnOnce(&ControlState) -> T) -> T {
+        self.inner.replica.read_applied(|machine| read(machine.state()))
+    }
+
     /// Reads the committed state, if this replica leads.
     pub fn read<T>(&self, read: impl FnOnce(&ControlState) -> T) -> Option<T> {
         self.inner.replica.read(|machine| read(machine.state()))
--- a/crates/coordinator/src/lib.rs
+++ b/crates/coordinator/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod listing;
 pub mod metrics;
 mod moves;
+pub mod order_watch;
 pub mod orders;
 pub mod pace;
 pub mod plan;
--- a/crates/coordinator/src/orders.rs
+++ b/crates/coordinator/src/orders.rs
@@ -24,7 +24,6 @@
 struct Right {
     term: u64,
     fence: u64,
-    not_before: Duration,
 }
 
 /// An order that is due.
@@ -41,6 +40,8 @@
     let mut right: Option<Right> = None;
     loop {
         inner.runtime.sleep(INTERVAL).await;
+        let now = coordinator.now();
+        inner.node.read_applied(|state| inner.order_watch.borrow_mut().see(state.weights.order_notes(), now));
         let Some(term) = inner.node.replica().leading_term() else {
             right = None;
             continue;
@@ -48,13 +49,19 @@
         if right.is_none_or(|right| right.term != term) {
             right = coordinator.take_right(term).await;
         }
-        let Some(held) = right.filter(|right| coordinator.now() >= right.not_before) else {
+        let Some(held) = right else {
             continue;
         };
         let due = inner.node.read(|state| due_orders(&coordinator, state)).unwrap_or_default();
+        if due.is_empty() {
+            continue;
+        }
+        let Some(valid_until) = coordinator.note_orders(&due).await else {
+            continue;
+        };
         for order in due {
             inner.fleet.begin_load(&order.target.instance, &order.model.model, coordinator.now());
-            inner.runtime.spawn(carry_out(coordinator.clone(), order, held));
+            inner.runtime.spawn(carry_out(coordinator.clone(), order, held, valid_until));
         }
     }
 }
@@ -76,6 +83,7 @@
             .iter()
             .filter(|record| record.state == InstanceState::Ready && record.report.service == service.name)
             .filter(|record| silent.binary_search(&record.report.id).is_err())
+            .filter(|record| coordinator.may_order(&record.report.id))
             .map(|record| EngineTarget { instance: record.report.id.clone(), address: record.report.address })
             .collect();
         let config = &inner.config;
@@ -155,19 +163,33 @@
 }
 
 impl<B: Backends> Coordinator<B> {
-    /// Becomes the holder of orders. One that takes over waits until none of the holder's before it can still count as
-    /// given in turn with its own.
+    /// Becomes the holder of orders.
     async fn take_right(&self, term: u64) -> Option<Right> {
         let inner = &self.inner;
         let command = GatewayCommand::TakeOrders(inner.node.replica().id());
         let Ok(GatewayOutcome::Orders { fence, taken_over }) = inner.node.commit_gateway(command).await else {
             return None;
         };
-        let wait = if taken_over { inner.config.order_wait } else { Duration::ZERO };
-        spdlog::info!("orders taken over", kv: {
-            term = term, fence = fence.0, taken_over = taken_over, wait_ms = wait.as_millis() as u64
-        });
-        Some(Right { term, fence: fence.0, not_before: self.now() + wait })
+        spdlog::info!("orders taken over", kv: { term = term, fence = fence.0, taken_over = taken_over });
+        Some(Right { term, fence: fence.0 })
+    }
+
+    /// Whether enough time has passed since another holder may have given the engine an order.
+    fn may_order(&self, instance: &InstanceId) -> bool {
+        let inner = &self.inner;
+        let distance = inner.config.order_distance + inner.config.order_validity;
+        let holder = inner.node.replica().id();
+        self.now() >= inner.order_watch.borrow().free_at(instance, holder, distance)
+    }
+
+    /// Commits that these orders are about to be given; returns until when they may be.
+    async fn note_orders(&self, due: &[DueOrder]) -> Option<Duration> {
+        let inner = &self.inner;
+        let valid_until = self.now() + inner.config.order_validity;
+        let instances = due.iter().map(|order| order.target.instance.clone()).collect();
+        let holder = inner.node.replica().id();
+        let noted = inner.node.commit_gateway(GatewayCommand::NoteOrders { holder, instances }).await;
+        (noted == Ok(GatewayOutcome::Done)).then_some(valid_until)
     }
 
     /// Shares the engines of a service out among its models, fastest first.
@@ -188,7 +210,12 @@
         self.inner.homes.borrow_mut().share_out(&by_pace, models, lag, now);
     }
 
-    async fn call(&self, target: &EngineTarget, call: Call, term: u64) -> Result<(u16, bytes::Bytes), Failure> {
+    async fn call(
+        &self,
+        target: &EngineTarget,
+        call: Call,
+        may_send: impl Fn() -> bool,
+    ) -> Result<(u16, bytes::Bytes), Failure> {
         let uri = call.path.parse().map_err(|error| Failure::NotSent(format!("{error}")))?;
         let mut headers = HeaderMap::new();
         headers.insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
@@ -196,13 +223,12 @@
             headers.insert(hyper::header::HOST, host);
         }
         let outgoing = Outgoing { method: call.method, uri, headers, body: call.body, request_id: String::new() };
-        let may_send = || self.leads(term);
         let answer = self.inner.pool.call(target, &outgoing, self.inner.config.order_limit, may_send).await?;
         Ok((answer.0.status.as_u16(), answer.1))
     }
 
     async fn ask_report(&self, target: &EngineTarget, term: u64) -> Option<EngineReport> {
-        let (status, body) = self.call(target, self.inner.dialect.report(), term).await.ok()?;
+        let (status, body) = self.call(target, self.inner.dialect.report(), || self.leads(term)).await.ok()?;
         let report = self.inner.dialect.read_report(&body).filter(|_| status == 200)?;
         self.inner.fleet.learn(&target.instance, &report.models, self.now());
         self.inner.fleet.set_orders_taken(&target.instance, Some(report.orders_taken));
@@ -210,10 +236,10 @@
     }
 }
 
-async fn carry_out<B: Backends>(coordinator: Coordinator<B>, due: DueOrder, right: Right) {
+async fn carry_out<B: Backends>(coordinator: Coordinator<B>, due: DueOrder, right: Right, valid_until: Duration) {
     let inner = &coordinator.inner;
     let began_at = coordinator.now();
-    let done = give(&coordinator, &due, right).await;
+    let done = give(&coordinator, &due, right, valid_until).await;
     let lasted = coordinator.now().saturating_sub(began_at);
     let instance = &due.target.instance;
     if done {
@@ -229,8 +255,8 @@
     });
 }
 
-/// Gives one order and waits until it holds; returns whether it does.
-async fn give<B: Backends>(coordinator: &Coordinator<B>, due: &DueOrder, right: Right) -> bool {
+/// Gives one order, by `valid_until` or not at all, and waits until it holds; returns whether it does.
+async fn give<B: Backends>(coordinator: &Coordinator<B>, due: &DueOrder, right: Right, valid_until: Duration) -> bool {
     let inner = &coordinator.inner;
     let instance = &due.target.instance;
     let orders_taken = match inner.fleet.orders_taken(instance) {
@@ -249,7 +275,8 @@
         running: due.running,
     };
     inner.metrics.orders.inc();
-    let answer = coordinator.call(&due.target, inner.dialect.order(&order), right.term).await;
+    let may_send = || coordinator.leads(right.term) && coordinator.now() < valid_until;
+    let answer = coordinator.call(&due.target, inner.dialect.order(&order), may_send).await;
     let meaning = answer.as_ref().ok().and_then(|(status, _)| {
         hyper::StatusCode::from_u16(*status).ok().map(|status| inner.dialect.order_answer(status))
     });
--- a/crates/gateway-api/tests/common/mod.rs
+++ b/crates/gateway-api/tests/common/mod.rs
@@ -78,7 +78,7 @@
     CoordinatorConfig {
         usual_load: Duration::from_millis(20),
         load_poll: Duration::from_millis(10),
-        order_wait: Duration::ZERO,
+        order_distance: Duration::ZERO,
         engine_rest: Duration::from_millis(30),
         event_limit: Duration::from_millis(400),
         keep_interval: Duration::from_millis(20),
--- a/crates/gateway-api/tests/jobs.rs
+++ b/crates/gateway-api/tests/jobs.rs
@@ -209,6 +209,8 @@
             assert_eq!(orders.len(), 1);
             assert_eq!((orders[0].fence, orders[0].orders_taken, orders[0].holder.as_str()), (1, 0, "coordinator"));
         }
+        let noted = deployment.node.read_applied(|state| state.weights.order_notes().len());
+        assert_eq!(noted, 3, "each order is noted in the log before it is given");
     });
 }
 
--- a/crates/replication/src/replica.rs
+++ b/crates/replication/src/replica.rs
@@ -173,6 +173,11 @@
         open && !state.storage_failed
     }
 
+    /// Reads the state as far as it has been applied here, however old that is.
+    pub fn read_applied<T>(&self, read: impl FnOnce(&S) -> T) -> T {
+        read(&self.inner.state.borrow().machine)
+    }
+
     /// Reads the committed state, if this replica leads and holds the lease.
     pub fn read<T>(&self, read: impl FnOnce(&S) -> T) -> Option<T> {
         let now = self.inner.platform.monotonic();
--- a/crates/settings/src/member.rs
+++ b/crates/settings/src/member.rs
@@ -135,8 +135,8 @@
         }
     }
 
-    /// How long a new holder of orders waits.
-    pub fn order_wait(&self) -> Duration {
+    /// How far apart the orders of two holders to one engine must be.
+    pub fn order_distance(&self) -> Duration {
         self.order_lease + ORDER_MARGIN
     }
 
--- a/crates/settings/tests/member.rs
+++ b/crates/settings/tests/member.rs
@@ -55,7 +55,7 @@
 fn timings_follow_from_the_bounds() {
     let bounds = parse_member(COORDINATOR).expect("it is right").bounds;
     assert!(bounds.follow_lease() < bounds.drain.min(bounds.configuration));
-    assert!(bounds.order_wait() > bounds.order_lease);
+    assert!(bounds.order_distance() > bounds.order_lease);
     assert!(bounds.control().job_keep > bounds.job_status);
     let replication = bounds.replication();
     assert_eq!(replication.target_voters, 5);
--- a/crates/types/src/gateway.rs
+++ b/crates/types/src/gateway.rs
@@ -152,6 +152,13 @@
     StoreRetired(String),
     /// Become the one holder of orders to engines.
     TakeOrders(ReplicaId),
+    /// Orders are about to be given.
+    NoteOrders {
+        /// By whom.
+        holder: ReplicaId,
+        /// To these engines.
+        instances: Vec<InstanceId>,
+    },
 }
 
 /// A machine that keeps the group's data.
