--- a/crates/replication/src/config.rs
+++ b/crates/replication/src/config.rs
@@ -11,6 +11,8 @@
     pub election_timeout: Duration,
     /// Random part added to the election timeout.
     pub election_jitter: Duration,
+    /// How much later than the one that led last a replica that starts seeks votes.
+    pub leader_head_start: Duration,
     /// How long a quorum's answers let a leader serve reads; below `election_timeout` by the clock error allowed.
     pub lease: Duration,
     /// Time limit of one message between replicas.
@@ -43,6 +45,7 @@
             heartbeat_interval: Duration::from_millis(100),
             election_timeout: Duration::from_millis(1000),
             election_jitter: Duration::from_millis(500),
+            leader_head_start: Duration::from_millis(150),
             lease: Duration::from_millis(800),
             call_limit: Duration::from_millis(1000),
             snapshot_entries: 4096,
--- a/crates/replication/src/replica.rs
+++ b/crates/replication/src/replica.rs
@@ -7,7 +7,7 @@
 use crate::message::{Header, ReplicaReply, ReplicaRequest};
 use crate::snapshot::Snapshot;
 use crate::state::{Role, State, StateMachine};
-use crate::storage::{Identity, Storage, StorageError};
+use crate::storage::{Identity, Recovered, Storage, StorageError};
 use futures::channel::{mpsc, oneshot};
 use futures::lock::Mutex;
 use saddlerelay_rpc::client::Client;
@@ -94,11 +94,15 @@
         let new_id = if founds { founder_id(options.address) } else { random_id };
         let (storage, recovered) = Storage::open(platform.disk(), new_id, S::FORMAT).await?;
         let snapshot_index = recovered.log.base_index();
+        let led_last = led_last(&recovered);
         if let Some(snapshot) = recovered.snapshot {
             machine.restore(snapshot.state());
         }
         let now = platform.monotonic();
         let preferred = machine.prefers(recovered.identity.id);
+        // Where all processes start at once, the one that led comes first; its work goes on without being taken over.
+        let first = preferred || led_last || recovered.term == 0;
+        let head_start = if first { Duration::ZERO } else { options.config.leader_head_start };
         // What this replica last answered, a leader may count on for a lease and no longer; those that started a little
         // earlier are then not refused their first votes.
         let vote_slack = options.config.election_timeout.saturating_sub(options.config.lease);
@@ -109,7 +113,10 @@
             role: Role::Follower,
             leader: None,
             leader_heard_at: now.saturating_sub(vote_slack),
-            election_at: now + options.config.election_timeout + election_jitter(&platform, &options.config, preferred),
+            election_at: now
+                + options.config.election_timeout
+                + election_jitter(&platform, &options.config, preferred)
+                + head_start,
             synced: recovered.log.last_index(),
             log: recovered.log,
             commit: snapshot_index,
@@ -391,6 +398,13 @@
     }
 }
 
+/// Whether this replica led when its files were last written: it voted for itself in its term, and entries of that term
+/// followed.
+fn led_last(recovered: &Recovered) -> bool {
+    let elected_itself = recovered.voted_for == Some(recovered.identity.id);
+    elected_itself && recovered.log.last_term() == recovered.term
+}
+
 /// The random part of an election timeout: the first third is the preferred replica's.
 fn election_jitter<P: Runtime>(platform: &P, config: &ReplicationConfig, preferred: bool) -> Duration {
     let third = config.election_jitter / 3;
--- a/crates/simulator/tests/members.rs
+++ b/crates/simulator/tests/members.rs
@@ -463,6 +463,26 @@
     assert!(count >= 30, "{count} of {} seeds", SEEDS.count());
 }
 
+/// After the power was lost, whoever led leads again, though no snapshot says so: its work need not be taken over.
+#[test]
+fn whoever_led_usually_leads_again() {
+    let leads_again = |seed: u64| {
+        let mut group = formed(seed);
+        group.propose_for(Duration::from_millis(300));
+        let led = group.leader().map(|leader| leader.id());
+        for place in 1..=3 {
+            group.kill(place, false);
+        }
+        for place in 1..=3 {
+            group.start(place, false);
+        }
+        group.await_leader(Duration::from_secs(4), "after the power was lost");
+        led.is_some() && group.leader().map(|leader| leader.id()) == led
+    };
+    let count = SEEDS.filter(|seed| leads_again(*seed)).count();
+    assert!(count >= 34, "{count} of {} seeds", SEEDS.count());
+}
+
 /// Two that start in the same moment do not go on asking for votes in the same moment.
 #[test]
 fn two_machines_that_start_together_soon_have_a_leader() {
