--- a/crates/command-line/src/member.rs
+++ b/crates/command-line/src/member.rs
@@ -211,8 +211,12 @@
     let api = Rc::new(ControlApi { control: control.clone(), formats });
     runtime.spawn(serve_until(control_listener, api, shutdown.clone()));
     serve_metrics(&runtime, settings.metrics_address, move || coordinator.metrics().encode()).await?;
-    let record =
-        StoreRecord { name: settings.name.clone(), replica: node.replica().id(), address: addresses.peer_address };
+    let record = StoreRecord {
+        name: settings.name.clone(),
+        replica: node.replica().id(),
+        address: addresses.peer_address,
+        zone: settings.zone.clone(),
+    };
     runtime.spawn(introduce(runtime.clone(), node.clone(), control, record, seeds.clone()));
     let replica = node.replica().clone();
     runtime.spawn(follow_settings(runtime.clone(), file, seeds, move |seeds| replica.hear_of(seeds.iter().copied())));
--- a/crates/control-client/src/lib.rs
+++ b/crates/control-client/src/lib.rs
@@ -135,6 +135,31 @@
         }
     }
 
+    /// Asks one replica, whether it leads or not; `None` if it does not answer in time.
+    pub async fn gateway_at(
+        &self,
+        address: SocketAddr,
+        request: GatewayRequest,
+        limit: Duration,
+    ) -> Option<GatewayReply> {
+        let client = {
+            let replicas = self.inner.replicas.borrow();
+            let known = replicas.iter().find(|known| known.client.address() == address);
+            known.map(|known| known.client.clone())
+        };
+        let body = bitcode::encode(&ControlRequest::Gateway(request));
+        let answer = client?.call(body, limit).await.ok()?;
+        match bitcode::decode(&answer).ok()? {
+            ControlReply::Gateway(reply) => Some(reply),
+            _ => Some(GatewayReply::Unavailable),
+        }
+    }
+
+    /// The replica that is asked first: the leader, as far as is known.
+    pub fn current_address(&self) -> SocketAddr {
+        self.current_replica().address()
+    }
+
     /// Names the replicas anew; connections to those that stay are kept.
     pub fn set_replicas(&self, addresses: impl IntoIterator<Item = SocketAddr>) {
         let addresses: BTreeSet<SocketAddr> = addresses.into_iter().collect();
--- a/crates/control/src/gateway.rs
+++ b/crates/control/src/gateway.rs
@@ -15,11 +15,21 @@
 use saddlerelay_types::job::{ItemId, JobId, JobSubmission};
 use saddlerelay_types::protocol::{Command, CommandOutcome, ControlReply};
 use saddlerelay_types::routing::RoutingDocument;
+use std::net::SocketAddr;
 use std::time::Duration;
 
 /// The longest that a read of results is held open.
 const LONGEST_READ_WAIT: Duration = Duration::from_millis(1_000);
 
+/// Longest wait for a replica to apply what the leader has committed.
+const CATCH_UP_LIMIT: Duration = Duration::from_millis(250);
+
+/// Pause between looks at how far a replica has applied the log.
+const CATCH_UP_POLL: Duration = Duration::from_millis(4);
+
+/// Pause between looks for a result at a replica that does not lead: nothing wakes whoever waits there.
+const RESULT_POLL: Duration = Duration::from_millis(25);
+
 /// Silence after which a machine is not counted among those that are left when another is to be emptied.
 const STORE_SILENCE_MS: u64 = 1_000;
 
@@ -52,6 +62,10 @@
             GatewayRequest::NameVersion(named) => self.name_version(named).await,
             GatewayRequest::SubmitJob(job) => self.submit_job(job).await,
             GatewayRequest::ReadResults { job, after, wait_ms } => self.read_results(&job, after, wait_ms).await,
+            GatewayRequest::ReadPosition => self.reply(self.inner.replica.read_position().map(GatewayReply::Position)),
+            GatewayRequest::ReadResultsAt { position, job, after, wait_ms } => {
+                self.read_results_at(position, &job, after, wait_ms).await
+            }
             GatewayRequest::ReadBody { job, item } => self.read_body(&job, &item),
             GatewayRequest::EndJob(job) => self.end_job(job).await,
             GatewayRequest::RegisterStore(record) => self.register_store(record).await,
@@ -104,13 +118,16 @@
     fn follow_reply(&self, state: &ControlState, follow: &FollowRequest) -> FollowReply {
         let mut updates = self.inner.routing_updates.borrow_mut();
         let routing = state.routing.current().and_then(|current| updates.update(current, follow.routing_version));
+        let replicas = self.inner.replica.member_addresses();
+        let nearest_replica = nearest_replica(state, &replicas, follow);
         FollowReply {
             lease_ms: self.inner.config.follow_lease.as_millis() as u64,
             routing,
             instance_revision: state.instances.revision(),
             instances: state.instances.changed_after(follow.instance_revision),
             silent: self.silent_instances(state),
-            replicas: self.inner.replica.member_addresses(),
+            replicas,
+            nearest_replica,
         }
     }
 
@@ -213,6 +230,34 @@
         }
     }
 
+    /// Answers at a replica that need not lead, from what it has applied, as soon as that goes as far as `position` and
+    /// there is a result at `after`. A job that it does not know may be one that it has not heard of.
+    async fn read_results_at(&self, position: u64, job: &JobId, after: u64, wait_ms: u64) -> ControlReply {
+        let platform = &self.inner.platform;
+        let unavailable = ControlReply::Gateway(GatewayReply::Unavailable);
+        let caught_up_by = platform.monotonic() + CATCH_UP_LIMIT;
+        while self.inner.replica.applied_index() < position {
+            if platform.monotonic() >= caught_up_by {
+                return unavailable;
+            }
+            platform.sleep(CATCH_UP_POLL).await;
+        }
+        let until = platform.monotonic() + Duration::from_millis(wait_ms).min(LONGEST_READ_WAIT);
+        loop {
+            let has_more = self.inner.replica.peek(|machine| {
+                machine.state().jobs.get(job).map(|job| job.is_ended() || job.results().len() as u64 > after)
+            });
+            let Some(has_more) = has_more else {
+                return unavailable;
+            };
+            if has_more || platform.monotonic() >= until {
+                let page = self.inner.replica.peek(|machine| machine.state().jobs.get(job).map(|job| job.page(after)));
+                return page.map_or(unavailable, |page| ControlReply::Gateway(GatewayReply::Results(page)));
+            }
+            platform.sleep(RESULT_POLL).await;
+        }
+    }
+
     fn read_body(&self, job: &JobId, item: &ItemId) -> ControlReply {
         let body = self.read(|state| state.jobs.body(job, item).map(<[u8]>::to_vec));
         self.reply(body.map(|body| body.map_or(GatewayReply::NotFound, GatewayReply::Body)))
@@ -274,6 +319,14 @@
     }
 }
 
+/// A member in the relay's zone; relays of one zone are shared out among several.
+fn nearest_replica(state: &ControlState, members: &[SocketAddr], follow: &FollowRequest) -> Option<SocketAddr> {
+    let near: Vec<SocketAddr> =
+        state.stores.addresses_in(&follow.zone).filter(|address| members.contains(address)).collect();
+    let hash = xxhash_rust::xxh3::xxh3_64(follow.relay.as_bytes());
+    near.get(hash as usize % near.len().max(1)).copied()
+}
+
 fn brings_news(reply: &FollowReply, follow: &FollowRequest) -> bool {
     reply.routing.is_some() || reply.instance_revision != follow.instance_revision || reply.silent != follow.silent
 }
--- a/crates/control/src/node.rs
+++ b/crates/control/src/node.rs
@@ -109,7 +109,7 @@
 
     /// Reads this process's copy of the state, however old it is.
     pub fn read_applied<T>(&self, read: impl FnOnce(&ControlState) -> T) -> T {
-        self.inner.replica.read_applied(|machine| read(machine.state()))
+        self.inner.replica.peek(|machine| read(machine.state()))
     }
 
     /// Reads the committed state, if this replica leads.
--- a/crates/control/src/state/stores.rs
+++ b/crates/control/src/state/stores.rs
@@ -4,6 +4,7 @@
 use saddlerelay_types::gateway::StoreRecord;
 use saddlerelay_types::identity::ReplicaId;
 use std::collections::BTreeMap;
+use std::net::SocketAddr;
 
 /// How far a machine's retirement is.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Encode, Decode)]
@@ -48,6 +49,12 @@
         self.stores.insert(record.name.clone(), Store { record, retirement });
     }
 
+    /// Where the replicas of machines in `zone` listen that are not being emptied.
+    pub fn addresses_in<'a>(&'a self, zone: &'a str) -> impl Iterator<Item = SocketAddr> + 'a {
+        let staying = self.stores.values().filter(|store| store.retirement == Retirement::None);
+        staying.filter(move |store| store.record.zone == zone).map(|store| store.record.address)
+    }
+
     /// Begins a retirement; `false` for an unknown machine.
     pub fn retire(&mut self, name: &str) -> bool {
         let Some(store) = self.stores.get_mut(name) else {
--- a/crates/control/tests/gateway.rs
+++ b/crates/control/tests/gateway.rs
@@ -381,6 +381,7 @@
         name: "s".to_string(),
         replica: ReplicaId(replica),
         address: ([10, 0, 0, 1], 1).into(),
+        zone: "north".to_string(),
     };
     assert_eq!(commit(&mut state, GatewayCommand::RetireStore("s".to_string())), GatewayOutcome::NotFound);
     commit(&mut state, GatewayCommand::RegisterStore(record(1)));
--- a/crates/gateway-api/src/front.rs
+++ b/crates/gateway-api/src/front.rs
@@ -57,8 +57,8 @@
         let (head, body) = request.into_parts();
         match self.formats.front_call(&head.method, &head.uri, &head.headers) {
             FrontCall::ReadResults { job, after, wait_ms } => {
-                let question = GatewayRequest::ReadResults { job, after, wait_ms };
-                outcomes::read(&self.formats, self.ask(question, Duration::from_millis(wait_ms)).await)
+                let answer = self.gateway.read_results(job, after, Duration::from_millis(wait_ms)).await;
+                outcomes::read(&self.formats, answer)
             }
             FrontCall::ReadBody { job, item } => {
                 outcomes::read(&self.formats, self.ask(GatewayRequest::ReadBody { job, item }, Duration::ZERO).await)
--- a/crates/gateway-api/tests/common/mod.rs
+++ b/crates/gateway-api/tests/common/mod.rs
@@ -18,6 +18,7 @@
 use saddlerelay_replication::config::ReplicationConfig;
 use saddlerelay_runtime::Runtime;
 use saddlerelay_runtime_compio::CompioRuntime;
+use saddlerelay_types::gateway::{GatewayCommand, StoreRecord};
 use saddlerelay_types::instance::{InstanceId, InstanceReport, LoadedModel};
 use saddlerelay_types::job::{ItemId, JobId, JobItem, JobSubmission, ResultPage};
 use saddlerelay_types::routing::{
@@ -58,12 +59,13 @@
     pub gateway: Gateway,
     pub front: SocketAddr,
     pub control: SocketAddr,
-    folder: std::path::PathBuf,
+    peer: SocketAddr,
+    name: String,
 }
 
 impl Drop for Deployment {
     fn drop(&mut self) {
-        let _ = std::fs::remove_dir_all(&self.folder);
+        let _ = std::fs::remove_dir_all(folder(&self.name));
     }
 }
 
@@ -73,6 +75,63 @@
     (listener, address)
 }
 
+fn folder(name: &str) -> std::path::PathBuf {
+    std::env::temp_dir().join(format!("saddlerelay-{name}-{}", std::process::id()))
+}
+
+fn empty_folder(name: &str) -> std::path::PathBuf {
+    let folder = folder(name);
+    let _ = std::fs::remove_dir_all(&folder);
+    std::fs::create_dir_all(&folder).expect("a folder");
+    folder
+}
+
+/// Starts a replica of the group that the one at `founder` forms.
+async fn start_replica(
+    runtime: &CompioRuntime,
+    listener: compio::net::TcpListener,
+    address: SocketAddr,
+    founder: SocketAddr,
+) -> ControlNode<CompioRuntime, HttpBackends> {
+    let options = ReplicaOptions {
+        address,
+        peers: vec![founder],
+        founders: vec![founder],
+        secret: SECRET.to_string(),
+        config: ReplicationConfig {
+            election_timeout: Duration::from_millis(300),
+            election_jitter: Duration::from_millis(20),
+            lease: Duration::from_millis(250),
+            heartbeat_interval: Duration::from_millis(50),
+            target_voters: 1,
+            ..ReplicationConfig::default()
+        },
+    };
+    let backends = HttpBackends::new(BackendAddresses { scorer: None, platform: None }).expect("a client");
+    let node = ControlNode::start(runtime.clone(), backends, ControlConfig::default(), options).await;
+    let node = node.expect("an empty folder");
+    let listener = saddlerelay_runtime_compio::connection::TcpFrameListener::new(listener, Default::default());
+    let handler = Rc::new(node.clone());
+    runtime.spawn(saddlerelay_rpc::server::serve(runtime.clone(), listener, SECRET.to_string(), handler));
+    node
+}
+
+/// Starts a gateway in a zone; returns it and where its clients reach it.
+async fn start_gateway(runtime: &CompioRuntime, peer: SocketAddr, name: &str, zone: &str) -> (Gateway, SocketAddr) {
+    let options = GatewayOptions {
+        name: name.to_string(),
+        zone: zone.to_string(),
+        seeds: Rc::new(RefCell::new(vec![peer])),
+        names: Default::default(),
+        config: GatewayConfig::default(),
+    };
+    let gateway = Gateway::start(runtime.clone(), ControlClient::new(runtime.clone(), &[peer], SECRET), options);
+    let (listener, front) = bind().await;
+    let api = Rc::new(FrontApi { gateway: gateway.clone(), formats: OwnFormats });
+    runtime.spawn(serve_until(listener, api, Shutdown::default()));
+    (gateway, front)
+}
+
 /// Timing of tests: nothing waits for long.
 fn coordinator_config() -> CoordinatorConfig {
     CoordinatorConfig {
@@ -89,31 +148,9 @@
 impl Deployment {
     /// Starts it and waits until it has a leader.
     pub async fn start(name: &str) -> Self {
-        let folder = std::env::temp_dir().join(format!("saddlerelay-{name}-{}", std::process::id()));
-        let _ = std::fs::remove_dir_all(&folder);
-        std::fs::create_dir_all(&folder).expect("a folder");
-        let runtime = CompioRuntime::new(folder.clone());
+        let runtime = CompioRuntime::new(empty_folder(name));
         let (peer_listener, peer) = bind().await;
-        let options = ReplicaOptions {
-            address: peer,
-            peers: vec![peer],
-            founders: vec![peer],
-            secret: SECRET.to_string(),
-            config: ReplicationConfig {
-                election_timeout: Duration::from_millis(300),
-                election_jitter: Duration::from_millis(20),
-                lease: Duration::from_millis(250),
-                heartbeat_interval: Duration::from_millis(50),
-                target_voters: 1,
-                ..ReplicationConfig::default()
-            },
-        };
-        let backends = HttpBackends::new(BackendAddresses { scorer: None, platform: None }).expect("a client");
-        let node = ControlNode::start(runtime.clone(), backends, ControlConfig::default(), options).await;
-        let node = node.expect("an empty folder");
-        let listener = saddlerelay_runtime_compio::connection::TcpFrameListener::new(peer_listener, Default::default());
-        let handler = Rc::new(node.clone());
-        runtime.spawn(saddlerelay_rpc::server::serve(runtime.clone(), listener, SECRET.to_string(), handler));
+        let node = start_replica(&runtime, peer_listener, peer, peer).await;
         Coordinator::start(
             runtime.clone(),
             node.clone(),
@@ -122,26 +159,38 @@
             Box::new(OwnEngines),
             coordinator_config(),
         );
-        let client = || ControlClient::new(runtime.clone(), &[peer], SECRET);
-        let options = GatewayOptions {
-            name: "gateway".to_string(),
-            zone: "north".to_string(),
-            seeds: Rc::new(RefCell::new(vec![peer])),
-            names: Default::default(),
-            config: GatewayConfig::default(),
-        };
-        let gateway = Gateway::start(runtime.clone(), client(), options);
-        let (front_listener, front) = bind().await;
-        let front_api = Rc::new(FrontApi { gateway: gateway.clone(), formats: OwnFormats });
-        runtime.spawn(serve_until(front_listener, front_api, Shutdown::default()));
+        let (gateway, front) = start_gateway(&runtime, peer, "gateway", "north").await;
         let (control_listener, control) = bind().await;
-        let control_api = Rc::new(ControlApi { control: client(), formats: OwnFormats });
+        let control_api =
+            Rc::new(ControlApi { control: ControlClient::new(runtime.clone(), &[peer], SECRET), formats: OwnFormats });
         runtime.spawn(serve_until(control_listener, control_api, Shutdown::default()));
-        let deployment = Self { node, gateway, front, control, folder };
+        let deployment = Self { node, gateway, front, control, peer, name: name.to_string() };
         eventually("the group has a leader", async || deployment.node.replica().leading_term().is_some()).await;
         deployment
     }
 
+    /// Starts a second replica, which follows the first, and a gateway beside it, both in zone `south`; returns them and
+    /// where the gateway's clients reach it.
+    pub async fn start_in_the_south(&self) -> (ControlNode<CompioRuntime, HttpBackends>, Gateway, SocketAddr) {
+        let runtime = CompioRuntime::new(empty_folder(&format!("{}-south", self.name)));
+        let (listener, address) = bind().await;
+        let replica = start_replica(&runtime, listener, address, self.peer).await;
+        let record = StoreRecord {
+            name: "south".to_string(),
+            replica: replica.replica().id(),
+            address,
+            zone: "south".to_string(),
+        };
+        self.node.commit_gateway(GatewayCommand::RegisterStore(record)).await.expect("it leads");
+        eventually("the second replica is a member", async || {
+            self.node.replica().member_addresses().contains(&address)
+        })
+        .await;
+        let (gateway, front) = start_gateway(&runtime, self.peer, "gateway-south", "south").await;
+        eventually("its gateway is ready", async || gateway.is_ready()).await;
+        (replica, gateway, front)
+    }
+
     /// Puts a routing document in force at the gateway.
     pub async fn configure(&self, document: &RoutingDocument) {
         let body = serde_json::to_vec(document).expect("JSON");
@@ -201,8 +250,13 @@
 
     /// Reads a job's results from the start.
     pub async fn results(&self, job: &str) -> Option<ResultPage> {
+        self.results_at(self.front, job).await
+    }
+
+    /// Reads a job's results from the start, at a gateway.
+    pub async fn results_at(&self, front: SocketAddr, job: &str) -> Option<ResultPage> {
         let path = format!("/v1/jobs/{job}/results?after=0&wait_ms=50");
-        let answer = call(self.front, Method::GET, &path, &[], "").await;
+        let answer = call(front, Method::GET, &path, &[], "").await;
         (answer.status == StatusCode::OK).then(|| serde_json::from_slice(&answer.body).expect("a page"))
     }
 
--- a/crates/gateway-api/tests/jobs.rs
+++ b/crates/gateway-api/tests/jobs.rs
@@ -242,6 +242,7 @@
             name: "store-1".to_string(),
             replica: deployment.node.replica().id(),
             address: ([127, 0, 0, 1], 1).into(),
+            zone: "north".to_string(),
         };
         let command = saddlerelay_types::gateway::GatewayCommand::RegisterStore(record);
         deployment.node.commit_gateway(command).await.expect("it leads");
--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -34,6 +34,7 @@
     let view = gateway.inner.view.borrow();
     FollowRequest {
         relay: gateway.inner.options.name.clone(),
+        zone: gateway.inner.options.zone.clone(),
         routing_version: view.update_base(),
         instance_revision: view.instance_revision(),
         silent: view.silent(),
@@ -47,6 +48,7 @@
         let seeds = inner.options.seeds.borrow();
         inner.control.set_replicas(reply.replicas.iter().chain(seeds.iter()).copied());
     }
+    inner.nearest_replica.set(reply.nearest_replica);
     let changed = !reply.instances.is_empty();
     let update_bytes = reply.routing.as_ref().map_or(0, EncodedRoutingUpdate::len);
     let before = inner.view.borrow().routing_version();
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -46,6 +46,10 @@
     /// Where in each route's turn of targets this relay begins.
     pub offset: f64,
     pub draining: Cell<bool>,
+    /// A control replica in the relay's zone.
+    pub nearest_replica: Cell<Option<SocketAddr>>,
+    /// Until when that one is not asked, because it did not answer.
+    pub nearest_passed_over_until: Cell<Duration>,
 }
 
 /// The gateway. Clones are the same one.
@@ -83,6 +87,8 @@
             metrics: GatewayMetrics::default(),
             offset,
             draining: Cell::new(false),
+            nearest_replica: Cell::new(None),
+            nearest_passed_over_until: Cell::new(Duration::ZERO),
         };
         let gateway = Self { inner: Rc::new(inner) };
         runtime.spawn(crate::follow::follow(gateway.clone()));
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -2,7 +2,8 @@
 //!
 //! Host and path choose a route, the route a service, and the relay one of its engines. What a relay knows of routes and
 //! engines comes from the control group under a lease; without the lease it sends nothing on. `table` and `view` hold
-//! what is known, `follow` keeps it new, `forward` and `stream` send requests on.
+//! what is known, `follow` keeps it new, `forward` and `stream` send requests on,
+//! `results` reads batch jobs.
 
 pub mod attempt;
 pub mod config;
@@ -12,6 +13,7 @@
 pub mod metrics;
 pub mod refusal;
 pub mod request;
+pub mod results;
 pub mod stream;
 pub mod table;
 pub mod view;
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -20,6 +20,8 @@
     pub hedges: Counter,
     /// Times that the lease ended.
     pub leases_lost: Counter,
+    /// Reads of results that a replica in the own zone answered.
+    pub results_read_nearby: Counter,
     /// From a request's arrival to the end of its answer, in seconds.
     pub request_seconds: Histogram,
     /// From an attempt's start to the end of its answer, in seconds.
@@ -37,6 +39,8 @@
         let retries = counter("retries", "Attempts beyond a request's first");
         let hedges = counter("hedges", "Requests tried at a second engine because the first was slow");
         let leases_lost = counter("leases_lost", "Times that the lease ended");
+        let results_read_nearby =
+            counter("results_read_nearby", "Reads of results answered by a replica in the own zone");
         let mut histogram = |name: &str, help: &str| registry.seconds(name, help, 0.001, 15);
         let request_seconds = histogram("request_seconds", "From a request's arrival to the end of its answer");
         let attempt_seconds = histogram("attempt_seconds", "From an attempt's start to the end of its answer");
@@ -49,6 +53,7 @@
             retries,
             hedges,
             leases_lost,
+            results_read_nearby,
             request_seconds,
             attempt_seconds,
         }
--- a/crates/gateway/tests/choice.rs
+++ b/crates/gateway/tests/choice.rs
@@ -98,6 +98,7 @@
         instances: Vec::new(),
         silent: Vec::new(),
         replicas: Vec::new(),
+        nearest_replica: None,
     }
 }
 
--- a/crates/replication/src/replica.rs
+++ b/crates/replication/src/replica.rs
@@ -180,9 +180,17 @@
         open && !state.storage_failed
     }
 
-    /// Reads the state as far as it has been applied here, however old that is.
-    pub fn read_applied<T>(&self, read: impl FnOnce(&S) -> T) -> T {
-        read(&self.inner.state.borrow().machine)
+    /// How far the log is committed, if this replica leads and holds the lease: whoever has applied it that far knows all
+    /// that was acknowledged before.
+    pub fn read_position(&self) -> Option<u64> {
+        let now = self.inner.platform.monotonic();
+        let state = self.inner.state.borrow();
+        state.may_serve(now, &self.inner.options.config).then_some(state.commit)
+    }
+
+    /// How far this replica has applied the log.
+    pub fn applied_index(&self) -> u64 {
+        self.inner.state.borrow().applied
     }
 
     /// Reads the committed state, if this replica leads and holds the lease.
--- a/crates/types/src/gateway.rs
+++ b/crates/types/src/gateway.rs
@@ -35,6 +35,19 @@
         /// How long to wait for one, in milliseconds.
         wait_ms: u64,
     },
+    /// Asks the leader how far the log is committed: a replica that has applied it that far answers as the leader would.
+    ReadPosition,
+    /// Reads results at any replica that has applied the log up to a position that the leader told.
+    ReadResultsAt {
+        /// The position in the log.
+        position: u64,
+        /// The job.
+        job: JobId,
+        /// The first result wanted, from 0.
+        after: u64,
+        /// How long to wait for one, in milliseconds.
+        wait_ms: u64,
+    },
     /// Reads the body of an item that is not listed yet.
     ReadBody {
         /// The job.
@@ -57,6 +70,8 @@
 pub struct FollowRequest {
     /// The relay, for logs.
     pub relay: String,
+    /// Where it stands.
+    pub zone: String,
     /// The routing version it acts on; `None` for none.
     pub routing_version: Option<u64>,
     /// The revision of the instance table it acts on.
@@ -80,6 +95,8 @@
     pub silent: Vec<InstanceId>,
     /// Where the control group's replicas listen for peers.
     pub replicas: Vec<SocketAddr>,
+    /// One of them in the relay's zone.
+    pub nearest_replica: Option<SocketAddr>,
 }
 
 /// An answer of the control group's leader.
@@ -93,6 +110,8 @@
     InvalidRouting(RoutingError),
     /// The routing document's source; `None` before the first.
     Routing(Option<Vec<u8>>),
+    /// How far the log is committed.
+    Position(u64),
     /// A part of a job's results.
     Results(ResultPage),
     /// An item's body.
@@ -170,6 +189,8 @@
     pub replica: ReplicaId,
     /// Where the replica listens.
     pub address: SocketAddr,
+    /// Where the machine stands.
+    pub zone: String,
 }
 
 /// What such a command brings.
