--- a/crates/soak/src/checks.rs
+++ b/crates/soak/src/checks.rs
@@ -1,8 +1,9 @@
 //! Judges what was seen against the product's promises.
 
 use crate::deployment::{CONFIGURATION_BOUND, DRAIN_BOUND, ORDER_LEASE};
-use crate::journal::{Ending, JobSeen, Moment, Records, SeenResult, Violation};
+use crate::journal::{Ending, JobSeen, Moment, OrderSeen, Records, SeenResult, Violation};
 use crate::workload::{self, MOST_ATTEMPTS, MOVING, ONCE, ROLLOUTS};
+use saddlerelay_types::instance::InstanceId;
 use saddlerelay_types::job::{ItemEnd, ItemId, JobId};
 use saddlerelay_types::routing::RoutingDocument;
 use std::collections::{BTreeMap, BTreeSet};
@@ -26,6 +27,8 @@
 pub const CONFIGURATION: &str = "an accepted configuration is in force and never reverts";
 /// Results are the items' own, whole, and listed once.
 pub const RESULTS: &str = "every item is listed once, whole, with the versions that made it";
+/// A text is listed with the stamp of an engine that ran the call for its score.
+pub const SCORES_ARE_REAL: &str = "every completed item carries the stamp of an engine that scored it";
 /// No text holds a version below its job's least.
 pub const STALENESS: &str = "no result is older than its job allows";
 /// Nothing of a refused or ended job runs.
@@ -159,7 +162,10 @@
                 add(violations, RESULTS, format!("{} is listed twice", result.item.0));
             }
             match result.end {
-                ItemEnd::Completed => check_completed(records, job, seen, result, violations),
+                ItemEnd::Completed => {
+                    check_completed(records, job, seen, result, violations);
+                    check_score(records, result, violations);
+                }
                 ItemEnd::Aborted => check_aborted(records, seen, result, violations),
             }
         }
@@ -205,8 +211,19 @@
     }
 }
 
+fn check_score(records: &Records, result: &SeenResult, violations: &mut Vec<Violation>) {
+    let request = workload::score_request(&result.item.0);
+    let mut scored_by = records.runs.iter().filter(|run| run.request == request).map(|run| run.instance.0.as_str());
+    let real = result.score.as_deref().is_some_and(|score| scored_by.any(|instance| instance == score));
+    if !real {
+        add(violations, SCORES_ARE_REAL, format!("{} carries {:?}", result.item.0, result.score));
+    }
+}
+
 fn check_aborted(records: &Records, seen: &JobSeen, result: &SeenResult, violations: &mut Vec<Violation>) {
-    let failures = records.item_failures.get(&result.item.0).copied().unwrap_or(0);
+    let failures_of = |request: &str| records.item_failures.get(request).copied().unwrap_or(0);
+    // Its scorer's failures end an item too.
+    let failures = failures_of(&result.item.0).max(failures_of(&workload::score_request(&result.item.0)));
     if seen.end_asked_at.is_none() && failures < MOST_ATTEMPTS {
         add(violations, RESULTS, format!("{} was given up after {failures} failures", result.item.0));
     }
@@ -235,15 +252,26 @@
             add(violations, ORDERS, format!("{holder} and {} share fence {}", order.holder, order.fence));
         }
     }
-    for pair in records.orders.windows(2) {
-        let [before, after] = pair else {
-            continue;
-        };
-        let gap = after.at.saturating_sub(before.at);
-        let turns = before.holder != after.holder && gap < ORDER_LEASE;
-        if turns && !is_near_waking(records, before.at) && !is_near_waking(records, after.at) {
-            let gap = gap.as_millis();
-            add(violations, ORDERS, format!("{} ordered {gap} ms after {}", after.holder, before.holder));
+    let mut newest: BTreeMap<&InstanceId, &OrderSeen> = BTreeMap::new();
+    for order in &records.orders {
+        if let Some(before) = newest.insert(&order.instance, order) {
+            check_turn(records, before, order, violations);
         }
     }
 }
+
+/// Two orders that reached one engine, one after the other.
+fn check_turn(records: &Records, before: &OrderSeen, after: &OrderSeen, violations: &mut Vec<Violation>) {
+    if is_near_waking(records, before.at) || is_near_waking(records, after.at) {
+        return;
+    }
+    let engine = &after.instance.0;
+    let gap = after.at.saturating_sub(before.at);
+    if before.holder != after.holder && gap < ORDER_LEASE {
+        let gap = gap.as_millis();
+        add(violations, ORDERS, format!("{} ordered {engine} {gap} ms after {}", after.holder, before.holder));
+    }
+    if after.fence < before.fence {
+        add(violations, ORDERS, format!("{engine} got fence {} after {}", after.fence, before.fence));
+    }
+}
--- a/crates/soak/src/engine.rs
+++ b/crates/soak/src/engine.rs
@@ -2,7 +2,7 @@
 
 use crate::deployment::Addresses;
 use crate::journal::{Journal, OrderSeen, Run};
-use crate::workload::{self, MODEL, MODEL_SERVICE, ROLLOUTS, SLOTS};
+use crate::workload::{self, MODEL, MODEL_SERVICE, ROLLOUTS, SCORES, SLOTS};
 use bytes::Bytes;
 use compio::net::TcpListener;
 use hyper::body::Incoming;
@@ -380,9 +380,9 @@
     }
 }
 
-/// The job that a path of an item names.
+/// The job that a path of an item, or of the call for its score, names.
 fn job_of(path: &str) -> Option<JobId> {
-    let rest = path.strip_prefix(ROLLOUTS)?;
+    let rest = path.strip_prefix(ROLLOUTS).or_else(|| path.strip_prefix(SCORES))?;
     rest.split_once('/').map(|(job, _)| JobId(job.to_string()))
 }
 
--- a/crates/soak/src/journal.rs
+++ b/crates/soak/src/journal.rs
@@ -101,6 +101,8 @@
     pub text: Vec<u8>,
     /// The versions that it names.
     pub versions: Vec<u64>,
+    /// The stamp of its scorer's answer.
+    pub score: Option<String>,
 }
 
 /// A batch job as its trainer saw it.
--- a/crates/soak/src/trainer.rs
+++ b/crates/soak/src/trainer.rs
@@ -3,10 +3,10 @@
 use crate::calls::{any_gateway, control_until_done, front};
 use crate::deployment::Addresses;
 use crate::journal::{JobSeen, Journal, SeenResult};
-use crate::workload::{HOST, MODEL, ROLLOUTS};
+use crate::workload::{HOST, MODEL, ROLLOUTS, SCORES, score_request};
 use hyper::{Method, StatusCode};
 use saddlerelay_types::instance::LoadedModel;
-use saddlerelay_types::job::{ItemId, JobId, JobItem, JobSubmission, ResultPage};
+use saddlerelay_types::job::{ItemId, JobId, JobItem, JobSubmission, ResultPage, ScoringRequest};
 use std::cell::Cell;
 use std::rc::Rc;
 use std::time::Duration;
@@ -97,7 +97,12 @@
             body: (0..BODY_BYTES).map(|_| fastrand::u8(..)).collect(),
             tokens: 500,
             group: format!("group-{}", number / GROUP_SIZE),
-            scorer: None,
+            scorer: Some(ScoringRequest {
+                id: score_request(&format!("{}-item-{number}", id.0)),
+                host: HOST.to_string(),
+                path: format!("{SCORES}{}/{number}", id.0),
+                body: number.to_be_bytes().to_vec(),
+            }),
         };
         let items: Vec<JobItem> = (0..GROUPS * GROUP_SIZE).map(item).collect();
         let events_of = |item: &JobItem| item.headers[0].1.parse().unwrap_or_default();
@@ -207,7 +212,13 @@
                 faults.push(format!("{} has {} items", job.0, page.total));
             }
             for (position, (item, result)) in (after..).zip(page.results) {
-                let found = SeenResult { item, end: result.end, text: result.text, versions: result.versions };
+                let found = SeenResult {
+                    item,
+                    end: result.end,
+                    text: result.text,
+                    versions: result.versions,
+                    score: result.score,
+                };
                 let held = seen.results.entry(position).or_insert_with(|| found.clone());
                 if *held != found {
                     faults.push(format!("position {position} of {} has changed", job.0));
--- a/crates/soak/src/workload.rs
+++ b/crates/soak/src/workload.rs
@@ -31,6 +31,14 @@
 /// Batch jobs and their items.
 pub const ROLLOUTS: &str = "/rollouts/";
 
+/// Calls for the scores of items' texts; they go by the route of [`REPEATABLE`].
+pub const SCORES: &str = "/pages/scores/";
+
+/// The identifier of the call for an item's score.
+pub fn score_request(item: &str) -> String {
+    format!("{item}-score")
+}
+
 /// The longest time that a routed request may be held, in milliseconds.
 pub const TIMEOUT_MS: u64 = 2_000;
 
--- a/crates/soak/tests/checks.rs
+++ b/crates/soak/tests/checks.rs
@@ -1,7 +1,8 @@
 //! Each check finds the breach it is meant for, and nothing in what kept its promise.
 
 use saddlerelay_soak_runner::checks::{
-    AT_MOST_ONCE, ATTEMPTS, CONFIGURATION, JOB_ENDS, LEAVING, NOT_RUN, ORDERS, RESULTS, STALENESS, check,
+    AT_MOST_ONCE, ATTEMPTS, CONFIGURATION, JOB_ENDS, LEAVING, NOT_RUN, ORDERS, RESULTS, SCORES_ARE_REAL, STALENESS,
+    check,
 };
 use saddlerelay_soak_runner::journal::{
     ClientRequest, Ending, JobSeen, OrderSeen, ReadDocument, Records, Run, SeenResult, SentDocument,
@@ -123,6 +124,7 @@
         end: ItemEnd::Completed,
         text: lines.join("\n").into_bytes(),
         versions: versions.to_vec(),
+        score: Some("engine-0-1".to_string()),
     }
 }
 
@@ -135,7 +137,12 @@
         ..JobSeen::default()
     };
     let events = (1..=2).flat_map(|number| (1..=3).map(move |version| (ITEM.to_string(), number, version)));
-    Records { jobs: [(JobId("j".to_string()), seen)].into(), events: events.collect(), ..Records::default() }
+    Records {
+        jobs: [(JobId("j".to_string()), seen)].into(),
+        runs: vec![run(&workload::score_request(ITEM), 400)],
+        events: events.collect(),
+        ..Records::default()
+    }
 }
 
 #[test]
@@ -146,6 +153,18 @@
     assert_eq!(broken(&records_of(vec![result(&[4], &[(1, 4), (2, 4)])])), [RESULTS; 2], "never made");
 }
 
+#[test]
+fn a_completed_item_carries_the_stamp_of_an_engine_that_scored_it() {
+    let scored = result(&[2], &[(1, 2), (2, 2)]);
+    let with =
+        |score: Option<&str>| records_of(vec![SeenResult { score: score.map(str::to_string), ..scored.clone() }]);
+    assert!(broken(&with(Some("engine-0-1"))).is_empty());
+    assert_eq!(broken(&with(None)), [SCORES_ARE_REAL]);
+    assert_eq!(broken(&with(Some("engine-3-1"))), [SCORES_ARE_REAL], "another engine's");
+    let never_called = Records { runs: Vec::new(), ..with(Some("engine-0-1")) };
+    assert_eq!(broken(&never_called), [SCORES_ARE_REAL]);
+}
+
 #[test]
 fn an_item_is_listed_once() {
     let whole = result(&[2], &[(1, 2), (2, 2)]);
@@ -162,7 +181,12 @@
     let aborted = SeenResult { end: ItemEnd::Aborted, text: Vec::new(), versions: Vec::new(), ..result(&[], &[]) };
     let mut records = records_of(vec![aborted]);
     assert_eq!(broken(&records), [RESULTS]);
-    records.item_failures.insert(ITEM.to_string(), 3);
+    records.item_failures.insert(ITEM.to_string(), 2);
+    records.item_failures.insert(workload::score_request(ITEM), 2);
+    assert_eq!(broken(&records), [RESULTS], "neither failed as often as its route allows");
+    records.item_failures.insert(workload::score_request(ITEM), 3);
+    assert!(broken(&records).is_empty());
+    records.item_failures = [(ITEM.to_string(), 3)].into();
     assert!(broken(&records).is_empty());
 }
 
@@ -181,14 +205,23 @@
 
 #[test]
 fn orders_come_from_one_holder_at_a_time() {
-    let order = |milliseconds, holder: &str, fence| OrderSeen {
+    let order_to = |engine: &str, milliseconds, holder: &str, fence| OrderSeen {
         at: at(milliseconds),
-        instance: InstanceId("engine-4-1".to_string()),
+        instance: InstanceId(engine.to_string()),
         holder: holder.to_string(),
         fence,
     };
+    let order = |milliseconds, holder: &str, fence| order_to("engine-4-1", milliseconds, holder, fence);
     let with = |orders| Records { orders, ..Records::default() };
     assert!(broken(&with(vec![order(1_000, "a", 1), order(4_100, "b", 2)])).is_empty());
     assert_eq!(broken(&with(vec![order(1_000, "a", 1), order(3_900, "b", 2)])), [ORDERS], "turns within the lease");
     assert_eq!(broken(&with(vec![order(1_000, "a", 1), order(4_100, "b", 1)])), [ORDERS], "a shared fence");
+    let between = order_to("engine-5-1", 2_000, "a", 1);
+    let turns = vec![order(1_000, "a", 1), between, order(3_900, "b", 2)];
+    assert_eq!(broken(&with(turns)), [ORDERS], "an order to another engine in between changes nothing");
+    assert_eq!(broken(&with(vec![order(1_000, "b", 2), order(5_000, "a", 1)])), [ORDERS], "a lower fence");
+    let shared = vec![order(1_000, "a", 1), order_to("engine-5-1", 9_000, "b", 1)];
+    assert_eq!(broken(&with(shared)), [ORDERS], "a fence shared over engines");
+    let other_engine = vec![order(1_000, "a", 1), order_to("engine-5-1", 1_100, "b", 2)];
+    assert!(broken(&with(other_engine)).is_empty(), "turns are one engine's");
 }
