--- a/crates/coordinator/src/job_run.rs
+++ b/crates/coordinator/src/job_run.rs
@@ -1,8 +1,8 @@
 //! Where the items of a job stand in this leader's memory.
 
+use crate::lengths::{OVERRUN_SHARE, earlier_lengths, expected_tokens, most_tokens};
 use crate::text::ItemText;
 use compio::runtime::JoinHandle;
-use hyper::header::HeaderName;
 use saddlerelay_control::state::ControlState;
 use saddlerelay_control::state::jobs::Job;
 use saddlerelay_types::instance::InstanceId;
@@ -14,9 +14,6 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-/// How much longer than it is already a text is expected to become that has outgrown what was expected of it.
-const OVERRUN_SHARE: f64 = 0.5;
-
 /// Where an item stands.
 pub(crate) enum Phase {
     /// It waits for an engine.
@@ -130,47 +127,6 @@
     }
 }
 
-/// What an earlier job has shown of the length of an item's text.
-#[derive(Clone, Copy, Debug, PartialEq)]
-enum SeenLength {
-    /// The text became whole with so many events.
-    Whole(f64),
-    /// It had so many events when the job ended.
-    AtLeast(f64),
-}
-
-impl SeenLength {
-    /// A sender's guess, corrected by what was seen.
-    fn correct(self, guess: f64) -> f64 {
-        match self {
-            Self::Whole(events) => events,
-            Self::AtLeast(events) => guess.max(events * (1.0 + OVERRUN_SHARE)),
-        }
-    }
-}
-
-/// What earlier jobs have shown of the lengths of this job's items, also where their texts may not be used again.
-fn earlier_lengths(job: &Job, state: &ControlState) -> BTreeMap<ItemId, SeenLength> {
-    let wanted: BTreeSet<&ItemId> = job.submission.items.iter().map(|item| &item.id).collect();
-    let mut lengths = BTreeMap::new();
-    for earlier in state.jobs.predecessors(&job.submission.id) {
-        for (index, item) in earlier.submission.items.iter().enumerate() {
-            if !wanted.contains(&item.id) || lengths.contains_key(&item.id) {
-                continue;
-            }
-            let whole = earlier.completed(index as u32).map(|result| SeenLength::Whole(events_of(&result.text)));
-            let partial = earlier.partial_text(index as u32).map(|text| SeenLength::AtLeast(f64::from(text.events)));
-            lengths.insert(item.id.clone(), whole.or(partial).unwrap_or(SeenLength::AtLeast(0.0)));
-        }
-    }
-    lengths
-}
-
-/// The events of a whole text: line feeds part them.
-fn events_of(text: &[u8]) -> f64 {
-    (text.iter().filter(|byte| **byte == b'\n').count() + 1) as f64
-}
-
 /// What earlier jobs have left of this job's items, where it may stand in this one.
 fn earlier_texts(job: &Job, state: &ControlState, route: Option<&Route>) -> BTreeMap<ItemId, ItemText> {
     let mut texts = BTreeMap::new();
@@ -196,15 +152,3 @@
     }
     texts
 }
-
-/// The most tokens that the item's request lets be generated.
-fn most_tokens(item: &JobItem, count: &HeaderName) -> Option<u64> {
-    let told = item.headers.iter().find(|(name, _)| name.eq_ignore_ascii_case(count.as_str()))?;
-    told.1.split(',').nth(1)?.trim().parse().ok()
-}
-
-/// The sender's guess at the tokens to be generated, or all that the item may take.
-fn expected_tokens(item: &JobItem, hint: &HeaderName) -> u64 {
-    let hinted = item.headers.iter().find(|(name, _)| name.eq_ignore_ascii_case(hint.as_str()));
-    hinted.and_then(|(_, value)| value.trim().parse().ok()).unwrap_or(item.tokens)
-}
--- a/crates/coordinator/src/moves.rs
+++ b/crates/coordinator/src/moves.rs
@@ -4,7 +4,8 @@
 //! they are not waited for. A move costs a connection, a prompt read again and an event begun in vain.
 
 use crate::job_run::{ItemRun, Phase};
-use crate::plan::{Plan, PlanOfJob, usable_engines};
+use crate::placement::usable_engines;
+use crate::plan::{Plan, PlanOfJob};
 use saddlerelay_runtime::backend::Backends;
 use saddlerelay_types::routing::Route;
 use std::collections::{BTreeMap, BTreeSet};
