--- a/crates/coordinator/src/orders.rs
+++ b/crates/coordinator/src/orders.rs
@@ -83,7 +83,6 @@
             .iter()
             .filter(|record| record.state == InstanceState::Ready && record.report.service == service.name)
             .filter(|record| silent.binary_search(&record.report.id).is_err())
-            .filter(|record| coordinator.may_order(&record.report.id))
             .map(|record| EngineTarget { instance: record.report.id.clone(), address: record.report.address })
             .collect();
         let config = &inner.config;
@@ -128,7 +127,7 @@
         let useless = held + 2 <= named;
         let due = useless || held < named && !items_wait;
         let free = !inner.fleet.is_loading_any(&engine.instance) && !inner.fleet.is_resting(&engine.instance, now);
-        if due && free {
+        if due && free && coordinator.may_order(&engine.instance) {
             let model = LoadedModel { model: model.to_string(), version: named };
             behind.push(DueOrder { target: engine.clone(), model, held, running });
         }
