--- a/crates/gateway-api/tests/common/engine.rs
+++ b/crates/gateway-api/tests/common/engine.rs
@@ -70,6 +70,8 @@
     /// Requests whose answer was given up by whoever asked.
     dropped: Cell<u32>,
     event_pause: Cell<Duration>,
+    /// Events of all its streams.
+    events_made: Cell<u32>,
     in_progress: Cell<u32>,
     /// The most requests that were in progress at once.
     most_at_once: Cell<u32>,
@@ -114,6 +116,7 @@
             seen: RefCell::default(),
             dropped: Cell::new(0),
             event_pause: Cell::new(Duration::from_millis(1)),
+            events_made: Cell::new(0),
             in_progress: Cell::new(0),
             most_at_once: Cell::new(0),
         });
@@ -156,6 +159,11 @@
         self.state.orders.borrow().clone()
     }
 
+    /// Events that it has made of all its streams.
+    pub fn events_made(&self) -> u32 {
+        self.state.events_made.get()
+    }
+
     /// The most requests without a stream that were in progress at once.
     pub fn most_at_once(&self) -> u32 {
         self.state.most_at_once.get()
@@ -254,6 +262,7 @@
                 if matches!(conduct, Conduct::BreakOffAfter(count) if sent - after == count) {
                     return Some((Err(BrokenOff), (sent, watch)));
                 }
+                state.events_made.set(state.events_made.get() + 1);
                 let number = sent + 1;
                 let version = state.version.get();
                 let event = format!("saddlerelay-version: {version}\nid: {number}\ndata: {item} {number}\n\n");
--- a/crates/gateway-api/tests/moves.rs
+++ b/crates/gateway-api/tests/moves.rs
@@ -15,6 +15,7 @@
 
 struct TwoEngines {
     deployment: Deployment,
+    slow: StandInEngine,
     fast: StandInEngine,
 }
 
@@ -30,7 +31,7 @@
         eventually("its items run", async || slow.seen().len() == first.items.len()).await;
         let fast = StandInEngine::start("fast").await;
         deployment.register(&fast, "llm").await;
-        Self { deployment, fast }
+        Self { deployment, slow, fast }
     }
 
     /// Has the fast engine show how fast it is.
@@ -86,7 +87,7 @@
         long.items[0].headers.push(("saddlerelay-length-hint".to_string(), "400".to_string()));
         let engines = TwoEngines::start("capped", &long).await;
         // Less is left than a move would save.
-        compio::time::sleep(SLOW * 52).await;
+        eventually("most of its text is made", async || engines.slow.events_made() >= 54).await;
         engines.show_pace().await;
         engines.deployment.await_results("long", 1).await;
         assert_eq!(engines.resumed(&long), Vec::<String>::new());
