--- a/crates/control/src/gateway.rs
+++ b/crates/control/src/gateway.rs
@@ -3,6 +3,7 @@
 use crate::node::ControlNode;
 use crate::state::ControlState;
 use crate::state::stores::Retirement;
+use crate::state::text_archive::{LoadedTexts, TextPlace};
 use saddlerelay_replication::ProposeError;
 use saddlerelay_runtime::Runtime;
 use saddlerelay_runtime::backend::Backends;
@@ -15,6 +16,7 @@
 use saddlerelay_types::job::{ItemId, JobId, JobSubmission};
 use saddlerelay_types::protocol::{Command, CommandOutcome, ControlReply};
 use saddlerelay_types::routing::RoutingDocument;
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -30,6 +32,9 @@
 /// Pause between looks for a result at a replica that does not lead: nothing wakes whoever waits there.
 const RESULT_POLL: Duration = Duration::from_millis(25);
 
+/// Attempts to make a page of results: while some of its texts are read from disk, others may leave memory.
+const PAGE_ATTEMPTS: usize = 4;
+
 /// Silence after which a machine is not counted among those that are left when another is to be emptied.
 const STORE_SILENCE_MS: u64 = 1_000;
 
@@ -215,16 +220,15 @@
         let until = platform.monotonic() + Duration::from_millis(wait_ms).min(LONGEST_READ_WAIT);
         loop {
             let seen = self.inner.job_results.count();
-            let page = self.read(|state| state.jobs.get(job).map(|job| (job.page(after), job.is_ended())));
-            let Some(found) = page else {
+            let Some(has_more) = self.read(|state| has_more_results(state, job, after)) else {
                 return self.not_leader();
             };
-            let Some((page, ended)) = found else {
+            let Some(has_more) = has_more else {
                 return ControlReply::Gateway(GatewayReply::NotFound);
             };
             let left = until.saturating_sub(platform.monotonic());
-            if left.is_zero() || ended || !page.results.is_empty() {
-                return ControlReply::Gateway(GatewayReply::Results(page));
+            if left.is_zero() || has_more {
+                return self.read_page(job, after).await;
             }
             timeout(platform, left, self.inner.job_results.changed(seen)).await;
         }
@@ -234,30 +238,46 @@
     /// there is a result at `after`. A job that it does not know may be one that it has not heard of.
     async fn read_results_at(&self, position: u64, job: &JobId, after: u64, wait_ms: u64) -> ControlReply {
         let platform = &self.inner.platform;
-        let unavailable = ControlReply::Gateway(GatewayReply::Unavailable);
         let caught_up_by = platform.monotonic() + CATCH_UP_LIMIT;
         while self.inner.replica.applied_index() < position {
             if platform.monotonic() >= caught_up_by {
-                return unavailable;
+                return ControlReply::Gateway(GatewayReply::Unavailable);
             }
             platform.sleep(CATCH_UP_POLL).await;
         }
         let until = platform.monotonic() + Duration::from_millis(wait_ms).min(LONGEST_READ_WAIT);
         loop {
-            let has_more = self.inner.replica.peek(|machine| {
-                machine.state().jobs.get(job).map(|job| job.is_ended() || job.results().len() as u64 > after)
-            });
-            let Some(has_more) = has_more else {
-                return unavailable;
+            let Some(has_more) = self.read_applied(|state| has_more_results(state, job, after)) else {
+                return ControlReply::Gateway(GatewayReply::Unavailable);
             };
             if has_more || platform.monotonic() >= until {
-                let page = self.inner.replica.peek(|machine| machine.state().jobs.get(job).map(|job| job.page(after)));
-                return page.map_or(unavailable, |page| ControlReply::Gateway(GatewayReply::Results(page)));
+                return self.read_page(job, after).await;
             }
             platform.sleep(RESULT_POLL).await;
         }
     }
 
+    /// A page of results as this replica has applied them; texts that memory no longer holds are read from its disk.
+    async fn read_page(&self, job: &JobId, after: u64) -> ControlReply {
+        let mut loaded = LoadedTexts::default();
+        for _ in 0..PAGE_ATTEMPTS {
+            let missing = match self.read_applied(|state| state.jobs.page(job, after, &loaded)) {
+                None => return ControlReply::Gateway(GatewayReply::Unavailable),
+                Some(Ok(page)) => return ControlReply::Gateway(GatewayReply::Results(page)),
+                Some(Err(missing)) => missing,
+            };
+            // One segment at a time: a page may take texts from many, and many may read.
+            for number in missing.iter().map(TextPlace::segment).collect::<BTreeSet<u64>>() {
+                match self.inner.replica.read_segment(number).await {
+                    Ok(bytes) => loaded.take_from(number, &bytes, &missing),
+                    // The replica has logged why.
+                    Err(_) => return ControlReply::Gateway(GatewayReply::Unavailable),
+                }
+            }
+        }
+        ControlReply::Gateway(GatewayReply::Unavailable)
+    }
+
     fn read_body(&self, job: &JobId, item: &ItemId) -> ControlReply {
         let body = self.read(|state| state.jobs.body(job, item).map(<[u8]>::to_vec));
         self.reply(body.map(|body| body.map_or(GatewayReply::NotFound, GatewayReply::Body)))
@@ -327,6 +347,11 @@
     near.get(hash as usize % near.len().max(1)).copied()
 }
 
+/// Whether a read of a job's results from `after` on brings all it ever will, or something; `None` without such a job.
+fn has_more_results(state: &ControlState, job: &JobId, after: u64) -> Option<bool> {
+    state.jobs.get(job).map(|job| job.is_ended() || job.results().len() as u64 > after)
+}
+
 fn brings_news(reply: &FollowReply, follow: &FollowRequest) -> bool {
     reply.routing.is_some() || reply.instance_revision != follow.instance_revision || reply.silent != follow.silent
 }
--- a/crates/control/src/machine.rs
+++ b/crates/control/src/machine.rs
@@ -3,8 +3,10 @@
 use crate::commands;
 use crate::state::ControlState;
 use saddlerelay_replication::StateMachine;
+use saddlerelay_replication::segments::Segment;
 use saddlerelay_types::identity::ReplicaId;
 use saddlerelay_types::protocol::{CommandOutcome, LogCommand};
+use std::rc::Rc;
 
 /// Applies committed commands to [`ControlState`].
 #[derive(Default)]
@@ -21,7 +23,7 @@
 
 impl StateMachine for ControlMachine {
     type Outcome = CommandOutcome;
-    const FORMAT: u32 = 3;
+    const FORMAT: u32 = 4;
 
     fn apply(&mut self, command: &[u8]) -> CommandOutcome {
         let command: LogCommand = bitcode::decode(command).expect("the log holds only what a leader encoded");
@@ -32,6 +34,22 @@
         bitcode::encode(&self.state)
     }
 
+    fn segments(&self) -> Vec<Segment> {
+        self.state.jobs.texts().segments()
+    }
+
+    fn segment_bytes(&self, number: u64) -> Option<Rc<Vec<u8>>> {
+        self.state.jobs.texts().segment_bytes(number)
+    }
+
+    fn unreleased_segment(&self) -> Option<Segment> {
+        self.state.jobs.texts().unreleased_segment()
+    }
+
+    fn release_segment(&mut self, number: u64) {
+        self.state.jobs.texts_mut().release_segment(number);
+    }
+
     /// The holder of orders to engines: another one would have to wait before it may give any.
     fn prefers(&self, replica: ReplicaId) -> bool {
         self.state.weights.holder() == Some(replica)
--- a/crates/control/src/state/jobs.rs
+++ b/crates/control/src/state/jobs.rs
@@ -1,5 +1,6 @@
 //! Batch jobs and their results.
 
+use crate::state::text_archive::{LoadedTexts, TextArchive, TextPlace};
 use bitcode::{Decode, Encode};
 use saddlerelay_types::job::{
     ItemEnd, ItemId, ItemOutcome, ItemResult, JobId, JobItem, JobSubmission, PartialText, ResultPage, TextPart,
@@ -20,6 +21,28 @@
     xxhash_rust::xxh3::xxh3_64_with_seed(&item.body, xxhash_rust::xxh3::xxh3_64(item.path.as_bytes()))
 }
 
+/// An item's result, with the place of its text.
+#[derive(Clone, Debug, PartialEq, Eq, Encode, Decode)]
+pub struct ListedItem {
+    /// The item's index in the job.
+    pub item: u32,
+    /// How it ended.
+    pub end: ItemEnd,
+    /// Where its text stands.
+    pub text: TextPlace,
+    /// Events of its text.
+    pub events: u32,
+    /// The weight versions that made an event of the text, ascending.
+    pub versions: Vec<u64>,
+    /// The stamp of its scorer's answer, where the item names a scorer.
+    pub score: Option<String>,
+}
+
+/// The events of a text: line feeds part them.
+fn events_of(text: &[u8]) -> u32 {
+    if text.is_empty() { 0 } else { text.iter().filter(|byte| **byte == b'\n').count() as u32 + 1 }
+}
+
 /// One job.
 #[derive(Clone, Debug, PartialEq, Encode, Decode)]
 pub struct Job {
@@ -28,7 +51,7 @@
     /// For each item, what tells whether another job's is the same request.
     digests: Vec<u64>,
     /// The results at their positions.
-    results: Vec<ItemResult>,
+    results: Vec<ListedItem>,
     /// For each item, whether it stands among the results.
     listed: Vec<bool>,
     /// Texts of items without a result.
@@ -43,7 +66,7 @@
 
 impl Job {
     /// The results at their positions.
-    pub fn results(&self) -> &[ItemResult] {
+    pub fn results(&self) -> &[ListedItem] {
         &self.results
     }
 
@@ -72,8 +95,8 @@
         self.partial.get(&index)
     }
 
-    /// The whole text of a completed item.
-    pub fn completed(&self, index: u32) -> Option<&ItemResult> {
+    /// The result of a completed item.
+    pub fn completed(&self, index: u32) -> Option<&ListedItem> {
         self.results.iter().find(|result| result.item == index && result.end == ItemEnd::Completed)
     }
 
@@ -83,20 +106,17 @@
         items.filter(|(index, _)| !self.is_listed(*index))
     }
 
-    /// Results from position `after` on.
-    pub fn page(&self, after: u64) -> ResultPage {
+    /// The results of a page that begins at position `after`.
+    fn page(&self, after: u64) -> &[ListedItem] {
         let start = usize::try_from(after).unwrap_or(usize::MAX).min(self.results.len());
         let mut bytes = 0;
-        let mut results = Vec::new();
-        for result in &self.results[start..] {
-            bytes += result.text.len();
-            if !results.is_empty() && bytes > PAGE_BYTES {
-                break;
-            }
-            results.push((self.submission.items[result.item as usize].id.clone(), result.clone()));
-        }
-        let next = after + results.len() as u64;
-        ResultPage { total: self.submission.items.len() as u64, next, results }
+        let fits = |result: &&ListedItem| {
+            let is_first = bytes == 0;
+            bytes += result.text.length().max(1);
+            is_first || bytes <= PAGE_BYTES
+        };
+        let count = self.results[start..].iter().take_while(fits).count();
+        &self.results[start..start + count]
     }
 }
 
@@ -105,6 +125,7 @@
 pub struct JobTable {
     jobs: BTreeMap<JobId, Job>,
     taken: u64,
+    texts: TextArchive,
 }
 
 impl JobTable {
@@ -113,6 +134,45 @@
         self.jobs.get(id)
     }
 
+    /// The texts of all results.
+    pub fn texts(&self) -> &TextArchive {
+        &self.texts
+    }
+
+    /// The texts of all results, to release what is on disk.
+    pub fn texts_mut(&mut self) -> &mut TextArchive {
+        &mut self.texts
+    }
+
+    /// Results of a job from position `after` on, or the texts that have to be loaded for them first. `None` if there is no
+    /// such job.
+    pub fn page(&self, id: &JobId, after: u64, loaded: &LoadedTexts) -> Option<Result<ResultPage, Vec<TextPlace>>> {
+        let job = self.jobs.get(id)?;
+        let mut results = Vec::new();
+        let mut missing = Vec::new();
+        for listed in job.page(after) {
+            match self.texts.text(&listed.text, loaded) {
+                Some(text) => {
+                    let id = job.submission.items[listed.item as usize].id.clone();
+                    let result = ItemResult {
+                        item: listed.item,
+                        end: listed.end,
+                        text: text.to_vec(),
+                        versions: listed.versions.clone(),
+                        score: listed.score.clone(),
+                    };
+                    results.push((id, result));
+                }
+                None => missing.push(listed.text),
+            }
+        }
+        if !missing.is_empty() {
+            return Some(Err(missing));
+        }
+        let next = after + results.len() as u64;
+        Some(Ok(ResultPage { total: job.submission.items.len() as u64, next, results }))
+    }
+
     /// The jobs that still run.
     pub fn open(&self) -> impl Iterator<Item = (&JobId, &Job)> {
         self.jobs.iter().filter(|(_, job)| !job.ended)
@@ -137,7 +197,11 @@
     }
 
     fn drop_expired(&mut self, now: u64) {
-        self.jobs.retain(|_, job| !job.ended || job.keep_until > now);
+        let expired = |job: &Job| job.ended && job.keep_until <= now;
+        for listed in self.jobs.values().filter(|job| expired(job)).flat_map(|job| &job.results) {
+            self.texts.forget(&listed.text);
+        }
+        self.jobs.retain(|_, job| !expired(job));
         let oldest_used = self.taken.saturating_sub(PARTIALS_KEPT);
         for job in self.jobs.values_mut().filter(|job| job.ended && job.order < oldest_used) {
             job.partial.clear();
@@ -177,11 +241,11 @@
             kept.headers = Vec::new();
             kept.body = Vec::new();
             kept.scorer = None;
-            text.data.shrink_to_fit();
-            job.results.push(ItemResult {
+            job.results.push(ListedItem {
                 item,
                 end: outcome.end,
-                text: text.data,
+                text: self.texts.append(&text.data),
+                events: events_of(&text.data),
                 versions: text.versions,
                 score: outcome.score,
             });
--- a/crates/control/src/state/mod.rs
+++ b/crates/control/src/state/mod.rs
@@ -8,6 +8,7 @@
 pub mod rollouts;
 pub mod routing;
 pub mod stores;
+pub mod text_archive;
 pub mod weights;
 
 use bitcode::{Decode, Encode};
--- a/crates/control/tests/gateway.rs
+++ b/crates/control/tests/gateway.rs
@@ -6,6 +6,7 @@
 use quickcheck::{Arbitrary, Gen, QuickCheck};
 use saddlerelay_control::state::ControlState;
 use saddlerelay_control::state::stores::Retirement;
+use saddlerelay_control::state::text_archive::LoadedTexts;
 use saddlerelay_types::gateway::{GatewayCommand, GatewayOutcome, StoreRecord};
 use saddlerelay_types::identity::ReplicaId;
 use saddlerelay_types::instance::{InstanceId, InstanceReport, InstanceState, LoadedModel};
@@ -207,9 +208,9 @@
 }
 
 fn results(state: &ControlState, id: &str) -> Vec<(u32, String)> {
-    let job = state.jobs.get(&JobId(id.to_string())).expect("the job is there");
+    let page = state.jobs.page(&JobId(id.to_string()), 0, &LoadedTexts::default()).expect("the job is there");
     let text = |result: &ItemResult| String::from_utf8(result.text.clone()).expect("text");
-    job.results().iter().map(|result| (result.item, text(result))).collect()
+    page.expect("in memory").results.iter().map(|(_, result)| (result.item, text(result))).collect()
 }
 
 #[test]
@@ -366,11 +367,12 @@
     for item in [2, 0] {
         list(&mut state, "j", part(item, 0, "text"));
     }
-    let job = state.jobs.get(&JobId("j".to_string())).expect("the job is there");
-    let page = job.page(1);
+    let page = |after| state.jobs.page(&JobId("j".to_string()), after, &LoadedTexts::default());
+    let page_at = |after| page(after).expect("the job is there").expect("its texts are in memory");
+    let page = page_at(1);
     assert_eq!((page.total, page.next, page.results.len()), (3, 2, 1));
     assert_eq!(page.results[0].0, ItemId("item-0".to_string()));
-    let beyond = job.page(7);
+    let beyond = page_at(7);
     assert_eq!((beyond.next, beyond.results.len()), (7, 0));
 }
 
--- a/crates/coordinator/src/job_run.rs
+++ b/crates/coordinator/src/job_run.rs
@@ -4,7 +4,8 @@
 use crate::text::ItemText;
 use compio::runtime::JoinHandle;
 use saddlerelay_control::state::ControlState;
-use saddlerelay_control::state::jobs::Job;
+use saddlerelay_control::state::jobs::{Job, ListedItem};
+use saddlerelay_control::state::text_archive::LoadedTexts;
 use saddlerelay_types::instance::InstanceId;
 use saddlerelay_types::job::{ItemId, JobItem};
 use saddlerelay_types::routing::Route;
@@ -127,6 +128,13 @@
     }
 }
 
+/// The text of a listed item, if memory still holds it; one that is only on disk is made again.
+fn whole_text(listed: &ListedItem, state: &ControlState) -> Option<ItemText> {
+    let loaded = LoadedTexts::default();
+    let text = state.jobs.texts().text(&listed.text, &loaded)?;
+    Some(ItemText::whole(text, &listed.versions))
+}
+
 /// What earlier jobs have left of this job's items, where it may stand in this one.
 fn earlier_texts(job: &Job, state: &ControlState, route: Option<&Route>) -> BTreeMap<ItemId, ItemText> {
     let mut texts = BTreeMap::new();
@@ -142,7 +150,7 @@
             if !same || texts.contains_key(&item.id) {
                 continue;
             }
-            let whole = earlier.completed(index as u32).map(ItemText::whole);
+            let whole = earlier.completed(index as u32).and_then(|listed| whole_text(listed, state));
             let partial = earlier.partial_text(index as u32).filter(|_| route.resumable).map(ItemText::unsaved);
             let fits = |text: &ItemText| text.fits(job.submission.minimum_version, route.batch.single_version);
             if let Some(text) = whole.or(partial).filter(fits) {
--- a/crates/coordinator/src/lengths.rs
+++ b/crates/coordinator/src/lengths.rs
@@ -37,7 +37,7 @@
             if !wanted.contains(&item.id) || lengths.contains_key(&item.id) {
                 continue;
             }
-            let whole = earlier.completed(index as u32).map(|result| SeenLength::Whole(events_of(&result.text)));
+            let whole = earlier.completed(index as u32).map(|result| SeenLength::Whole(f64::from(result.events)));
             let partial = earlier.partial_text(index as u32).map(|text| SeenLength::AtLeast(f64::from(text.events)));
             lengths.insert(item.id.clone(), whole.or(partial).unwrap_or(SeenLength::AtLeast(0.0)));
         }
@@ -45,11 +45,6 @@
     lengths
 }
 
-/// The events of a whole text: line feeds part them.
-fn events_of(text: &[u8]) -> f64 {
-    (text.iter().filter(|byte| **byte == b'\n').count() + 1) as f64
-}
-
 /// The most tokens that the item's request lets be generated.
 pub(crate) fn most_tokens(item: &JobItem, count: &HeaderName) -> Option<u64> {
     let told = item.headers.iter().find(|(name, _)| name.eq_ignore_ascii_case(count.as_str()))?;
--- a/crates/coordinator/src/text.rs
+++ b/crates/coordinator/src/text.rs
@@ -1,6 +1,6 @@
 //! The text of an item as it grows, and how much of it the group holds.
 
-use saddlerelay_types::job::{ItemEnd, ItemOutcome, ItemResult, PartialText, TextPart};
+use saddlerelay_types::job::{ItemEnd, ItemOutcome, PartialText, TextPart};
 use saddlerelay_upstream::events::Event;
 use std::collections::BTreeSet;
 
@@ -39,10 +39,10 @@
     }
 
     /// The whole text of the same item in another job.
-    pub fn whole(result: &ItemResult) -> Self {
+    pub fn whole(text: &[u8], versions: &[u64]) -> Self {
         Self {
-            data: result.text.clone(),
-            versions: result.versions.iter().copied().collect(),
+            data: text.to_vec(),
+            versions: versions.iter().copied().collect(),
             complete: true,
             events: 1,
             ..Self::default()
--- a/crates/replication/src/follower.rs
+++ b/crates/replication/src/follower.rs
@@ -1,8 +1,9 @@
 //! Following a leader: appending its entries and installing its snapshots.
 
 use crate::log::{LogEntry, MemoryLog};
-use crate::message::{Header, ReplicaReply, SnapshotPart};
+use crate::message::{Header, ReplicaReply, SegmentPart, SnapshotPart};
 use crate::replica::Replica;
+use crate::segments::{Segment, StoredSegments};
 use crate::snapshot::Snapshot;
 use crate::state::{State, StateMachine};
 use crate::storage::write_snapshot;
@@ -13,23 +14,43 @@
 /// A snapshot of which some parts have come.
 #[derive(Debug, Default)]
 pub(crate) struct IncomingSnapshot {
+    /// The sender, its term and the snapshot's index.
     from: Option<(ReplicaId, u64, u64)>,
     bytes: Vec<u8>,
+    /// The whole snapshot, while segments that it refers to are missing.
+    whole: Option<Snapshot>,
+    /// What has come of the first missing one.
+    segment: Vec<u8>,
 }
 
 impl IncomingSnapshot {
     /// Takes a part that follows those before it; returns whether the snapshot is whole.
     fn take(&mut self, header: &Header, part: &SnapshotPart) -> bool {
         let source = Some((header.from, header.term, part.index));
-        if self.from != source {
-            self.from = source;
-            self.bytes = Vec::with_capacity(usize::try_from(part.total).unwrap_or(0).min(MAX_FRAME_BYTES));
+        if self.from != source || self.whole.is_some() {
+            let capacity = usize::try_from(part.total).unwrap_or(0).min(MAX_FRAME_BYTES);
+            *self = Self { from: source, bytes: Vec::with_capacity(capacity), ..Self::default() };
         }
         if part.offset == self.bytes.len() as u64 {
             self.bytes.extend_from_slice(&part.bytes);
         }
         self.bytes.len() as u64 == part.total
     }
+
+    /// The first segment that the whole snapshot refers to and that is not among `stored`.
+    fn missing_segment(&self, stored: &StoredSegments) -> Option<Segment> {
+        let segments = &self.whole.as_ref()?.header.segments;
+        segments.iter().find(|segment| !stored.holds(segment)).copied()
+    }
+
+    /// Takes a part of the missing segment `wanted`; returns its bytes once they are all there.
+    fn take_segment(&mut self, wanted: &Segment, part: &SegmentPart) -> Option<Vec<u8>> {
+        if part.number == wanted.number && part.offset == self.segment.len() as u64 {
+            self.segment.extend_from_slice(&part.bytes);
+        }
+        let complete = self.segment.len() as u64 >= wanted.bytes;
+        complete.then(|| std::mem::take(&mut self.segment))
+    }
 }
 
 impl<P: Runtime, S: StateMachine> Replica<P, S> {
@@ -71,7 +92,7 @@
         }
     }
 
-    /// Takes a part; the last one makes the snapshot whole and has it installed.
+    /// Takes a part; the last one makes the snapshot whole and has it installed, once no segment is missing.
     pub(crate) async fn take_snapshot_part(&self, header: Header, part: SnapshotPart) -> ReplicaReply {
         let own_term = self.inner.state.borrow().term;
         if header.term < own_term {
@@ -87,7 +108,57 @@
             }
             incoming.take().map(|received| received.bytes).unwrap_or_default()
         };
-        match Snapshot::decode(whole) {
+        let Some(snapshot) = Snapshot::decode(whole) else {
+            spdlog::warn!("snapshot damaged on its way", kv: { from = header.from.0, index = part.index });
+            return ReplicaReply::SnapshotPart { term: header.term, next_offset: 0 };
+        };
+        let from = Some((header.from, header.term, part.index));
+        *self.inner.incoming.borrow_mut() =
+            Some(IncomingSnapshot { from, whole: Some(snapshot), ..IncomingSnapshot::default() });
+        self.install_or_ask(header).await
+    }
+
+    /// Takes a part of a segment that this replica has asked for.
+    pub(crate) async fn take_segment_part(&self, header: Header, part: SegmentPart) -> ReplicaReply {
+        let own_term = self.inner.state.borrow().term;
+        if header.term < own_term {
+            return ReplicaReply::SnapshotPart { term: own_term, next_offset: 0 };
+        }
+        self.hear_leader(&mut self.inner.state.borrow_mut(), &header);
+        let complete = {
+            let mut incoming = self.inner.incoming.borrow_mut();
+            let source = Some((header.from, header.term, part.index));
+            let Some(received) = incoming.as_mut().filter(|received| received.from == source) else {
+                return ReplicaReply::SnapshotPart { term: header.term, next_offset: 0 };
+            };
+            let wanted = received.missing_segment(&self.inner.segments.borrow());
+            wanted.and_then(|wanted| Some((wanted, received.take_segment(&wanted, &part)?)))
+        };
+        if let Some((segment, bytes)) = complete {
+            if !segment.matches(&bytes) {
+                spdlog::warn!("segment damaged on its way", kv: { from = header.from.0, number = segment.number });
+            } else if self.store_segment(segment, bytes).await.is_err() {
+                self.fail_storage();
+                return ReplicaReply::Refused;
+            }
+        }
+        self.install_or_ask(header).await
+    }
+
+    /// Installs the snapshot that has come, or asks for the first segment that is missing.
+    async fn install_or_ask(&self, header: Header) -> ReplicaReply {
+        let snapshot = {
+            let mut incoming = self.inner.incoming.borrow_mut();
+            let wanted = incoming.as_ref().and_then(|received| {
+                let missing = received.missing_segment(&self.inner.segments.borrow())?;
+                Some((missing.number, received.segment.len() as u64))
+            });
+            if let Some((number, offset)) = wanted {
+                return ReplicaReply::SegmentWanted { term: header.term, number, offset };
+            }
+            incoming.take().and_then(|received| received.whole)
+        };
+        match snapshot {
             Some(snapshot) => self.install_snapshot(header, snapshot).await,
             None => ReplicaReply::SnapshotPart { term: header.term, next_offset: 0 },
         }
@@ -104,6 +175,7 @@
             return ReplicaReply::Append { term: own_term, accepted: false, index: 0 };
         }
         let index = snapshot.header.index;
+        let segments = snapshot.header.segments.clone();
         let bytes = snapshot.encoded().len() as u64;
         if index <= applied {
             return ReplicaReply::Append { term: header.term, accepted: true, index: applied };
@@ -122,13 +194,18 @@
             self.fail_storage();
             return ReplicaReply::Refused;
         }
-        let mut state = self.inner.state.borrow_mut();
-        enter_term(&mut state, &header);
-        state.synced = index;
-        state.snapshot_index = index;
-        state.applied_bytes_since_snapshot = 0;
+        {
+            let mut state = self.inner.state.borrow_mut();
+            enter_term(&mut state, &header);
+            state.synced = index;
+            state.snapshot_index = index;
+            state.applied_bytes_since_snapshot = 0;
+        }
+        drop(storage);
+        self.remove_outlived_segments(&segments).await;
         spdlog::info!("snapshot installed", kv: {
-            from = header.from.0, term = header.term, index = index, bytes = bytes, held_before = applied
+            from = header.from.0, term = header.term, index = index, bytes = bytes,
+            segments = segments.len() as u64, held_before = applied
         });
         ReplicaReply::Append { term: header.term, accepted: true, index }
     }
--- a/crates/replication/src/leader.rs
+++ b/crates/replication/src/leader.rs
@@ -2,7 +2,7 @@
 
 use crate::log::{EntryPayload, LogEntry};
 use crate::membership::Member;
-use crate::message::{Header, ReplicaReply, ReplicaRequest, SnapshotPart};
+use crate::message::{Header, ReplicaReply, ReplicaRequest, SegmentPart, SnapshotPart};
 use crate::replica::{Proposal, Replica};
 use crate::snapshot::Snapshot;
 use crate::state::{Leadership, Progress, Role, State, StateMachine};
@@ -21,13 +21,23 @@
 /// Most bytes of entries in one message, unless a single one is larger.
 const MESSAGE_BYTES: u64 = 1024 * 1024;
 
-/// Bytes of a snapshot in one message: small beside what a link carries between two heartbeats.
+/// Bytes of a snapshot or a segment in one message: small beside what a link carries between two heartbeats.
 const SNAPSHOT_PART_BYTES: usize = 512 * 1024;
 
 /// A snapshot on its way to one peer.
 struct SnapshotTransfer {
     snapshot: Rc<Snapshot>,
     offset: usize,
+    /// A segment that the peer has asked for.
+    segment: Option<SegmentTransfer>,
+}
+
+/// A segment on its way to one peer.
+struct SegmentTransfer {
+    number: u64,
+    offset: usize,
+    /// Its bytes, once they were read.
+    bytes: Option<Rc<Vec<u8>>>,
 }
 
 impl SnapshotTransfer {
@@ -42,6 +52,23 @@
             bytes: encoded[start..end].to_vec(),
         }
     }
+
+    /// The peer asks for a segment from `offset` on.
+    fn want_segment(&mut self, number: u64, offset: u64) {
+        let offset = usize::try_from(offset).unwrap_or(0);
+        match &mut self.segment {
+            Some(segment) if segment.number == number => segment.offset = offset,
+            other => *other = Some(SegmentTransfer { number, offset, bytes: None }),
+        }
+    }
+}
+
+impl SegmentTransfer {
+    fn next_part(&self, index: u64, bytes: &[u8]) -> SegmentPart {
+        let start = self.offset.min(bytes.len());
+        let end = (start + SNAPSHOT_PART_BYTES).min(bytes.len());
+        SegmentPart { index, number: self.number, offset: start as u64, bytes: bytes[start..end].to_vec() }
+    }
 }
 
 impl<P: Runtime, S: StateMachine> Replica<P, S> {
@@ -142,6 +169,15 @@
                     self.record_contact(&peer, term, sent_at);
                     if let Some(transfer) = &mut transfer {
                         transfer.offset = usize::try_from(next_offset).unwrap_or(0);
+                        transfer.segment = None;
+                    }
+                    true
+                }
+                Some(ReplicaReply::SegmentWanted { term: seen_term, number, offset }) => {
+                    self.observe_term(seen_term).await;
+                    self.record_contact(&peer, term, sent_at);
+                    if let Some(transfer) = &mut transfer {
+                        transfer.want_segment(number, offset);
                     }
                     true
                 }
@@ -157,7 +193,8 @@
         }
     }
 
-    /// What a peer lacks next: entries from memory, else from this replica's own log file, else a snapshot.
+    /// What a peer lacks next: entries from memory, else from this replica's own log file, else a snapshot and the segments
+    /// that it refers to.
     async fn next_message(
         &self,
         peer: &Member,
@@ -188,6 +225,9 @@
                 return from_file;
             }
         }
+        if let Some(request) = self.next_segment_part(header, transfer).await {
+            return Some(request);
+        }
         let state = self.inner.state.borrow();
         if !state.leads_term(term) {
             return None;
@@ -196,14 +236,40 @@
             let snapshot = self.outgoing_snapshot(&state);
             spdlog::info!("snapshot sent", kv: {
                 replica = peer.id.0, index = snapshot.header.index, bytes = snapshot.encoded().len() as u64,
+                segments = snapshot.header.segments.len() as u64,
                 next_wanted = next, log_begins = state.log.base_index()
             });
-            SnapshotTransfer { snapshot, offset: 0 }
+            SnapshotTransfer { snapshot, offset: 0, segment: None }
         };
         let transfer = transfer.get_or_insert_with(begin);
         Some(ReplicaRequest::SnapshotPart { header, part: transfer.next_part() })
     }
 
+    /// The next part of the segment that the peer asks for, if it does. Where the segment cannot be read, the transfer begins
+    /// anew: the state may no longer refer to it.
+    async fn next_segment_part(
+        &self,
+        header: Header,
+        transfer: &mut Option<SnapshotTransfer>,
+    ) -> Option<ReplicaRequest> {
+        let sent = transfer.as_mut()?;
+        let index = sent.snapshot.header.index;
+        let segment = sent.segment.as_mut()?;
+        if segment.bytes.is_none() {
+            match self.read_segment(segment.number).await {
+                Ok(bytes) => segment.bytes = Some(bytes),
+                Err(error) => spdlog::warn!("segment not sent", kv: {
+                    number = segment.number, index = index, reason = error.to_string().as_str()
+                }),
+            }
+        }
+        let part = segment.bytes.as_ref().map(|bytes| segment.next_part(index, bytes));
+        if part.is_none() {
+            *transfer = None;
+        }
+        part.map(|part| ReplicaRequest::SegmentPart { header, part })
+    }
+
     /// Entries that memory no longer holds, from the log file.
     async fn entries_from_file(&self, header: Header, next: u64) -> Option<ReplicaRequest> {
         let storage = self.inner.storage.lock().await;
--- a/crates/replication/src/lib.rs
+++ b/crates/replication/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod message;
 mod reconfigure;
 mod replica;
+pub mod segments;
 pub mod snapshot;
 mod state;
 pub mod storage;
--- a/crates/replication/src/maintenance.rs
+++ b/crates/replication/src/maintenance.rs
@@ -1,8 +1,9 @@
 //! Snapshots, and the repair of a disk that refused a write.
 
 use crate::replica::Replica;
+use crate::snapshot::SnapshotHeader;
 use crate::state::StateMachine;
-use crate::storage::write_snapshot;
+use crate::storage::{StorageError, write_snapshot};
 use saddlerelay_runtime::Runtime;
 use std::time::Duration;
 
@@ -16,6 +17,8 @@
             self.inner.platform.sleep(MAINTENANCE_INTERVAL).await;
             if self.inner.state.borrow().storage_failed {
                 self.repair_storage().await;
+            } else if self.store_new_segments().await.is_err() {
+                self.fail_storage();
             } else if self.snapshot_is_due() {
                 self.take_snapshot().await;
             }
@@ -38,16 +41,12 @@
     /// Writes a snapshot while the log is appended to, and then cuts the log.
     async fn take_snapshot(&self) {
         let writing = self.inner.snapshot_file.lock().await;
-        let snapshot = self.inner.state.borrow().snapshot();
-        let index = snapshot.header.index;
-        let bytes = snapshot.encoded().len() as u64;
-        let written = write_snapshot(&self.inner.platform.disk(), snapshot).await;
-        drop(writing);
-        if written.is_err() {
+        let Ok(header) = self.write_current_snapshot().await else {
             self.fail_storage();
             return;
-        }
-        spdlog::info!("snapshot written", kv: { index = index, bytes = bytes });
+        };
+        drop(writing);
+        let index = header.index;
         let mut storage = self.inner.storage.lock().await;
         let (term, voted_for, entries) = {
             let mut state = self.inner.state.borrow_mut();
@@ -65,7 +64,23 @@
         };
         if storage.rewrite(term, voted_for, &entries).await.is_err() {
             self.fail_storage();
+            return;
         }
+        drop(storage);
+        self.remove_outlived_segments(&header.segments).await;
+    }
+
+    /// Writes the state as it is now, after the segments that it refers to. The caller holds the snapshot file's lock.
+    async fn write_current_snapshot(&self) -> Result<SnapshotHeader, StorageError> {
+        self.store_new_segments().await?;
+        let snapshot = self.inner.state.borrow().snapshot();
+        let header = snapshot.header.clone();
+        let bytes = snapshot.encoded().len() as u64;
+        write_snapshot(&self.inner.platform.disk(), snapshot).await?;
+        spdlog::info!("snapshot written", kv: {
+            index = header.index, bytes = bytes, segments = header.segments.len() as u64
+        });
+        Ok(header)
     }
 
     /// Drops applied entries from memory; the disk keeps them until the next snapshot.
@@ -99,20 +114,19 @@
     /// snapshot, a new one goes first.
     async fn repair_storage(&self) {
         let mut storage = self.inner.storage.lock().await;
-        let newer = {
+        let log_has_gap = {
             let state = self.inner.state.borrow();
-            (state.log.base_index() > state.snapshot_index).then(|| state.snapshot())
+            state.log.base_index() > state.snapshot_index
         };
-        if let Some(snapshot) = newer {
-            let index = snapshot.header.index;
+        if log_has_gap {
             let writing = self.inner.snapshot_file.lock().await;
-            if write_snapshot(&self.inner.platform.disk(), snapshot).await.is_err() {
+            let Ok(header) = self.write_current_snapshot().await else {
                 return;
-            }
+            };
             drop(writing);
             let mut state = self.inner.state.borrow_mut();
-            state.snapshot_index = index;
-            state.synced = state.synced.max(index);
+            state.snapshot_index = header.index;
+            state.synced = state.synced.max(header.index);
         }
         let (term, voted_for, entries, synced) = {
             let state = self.inner.state.borrow();
--- a/crates/replication/src/replica.rs
+++ b/crates/replication/src/replica.rs
@@ -5,6 +5,7 @@
 use crate::log::EntryPayload;
 use crate::membership::{Member, Membership};
 use crate::message::{Header, ReplicaReply, ReplicaRequest};
+use crate::segments::StoredSegments;
 use crate::snapshot::Snapshot;
 use crate::state::{Role, State, StateMachine};
 use crate::storage::{Identity, Recovered, Storage, StorageError};
@@ -67,6 +68,8 @@
     clients: RefCell<BTreeMap<SocketAddr, Client<P>>>,
     /// Replicas that are not to be members.
     pub unwanted: RefCell<BTreeSet<ReplicaId>>,
+    /// The segments on this replica's disk.
+    pub segments: RefCell<StoredSegments>,
     /// A snapshot that is being received.
     pub incoming: RefCell<Option<IncomingSnapshot>>,
     /// The snapshot that is being sent, for peers that need one at the same time.
@@ -95,8 +98,10 @@
         let (storage, recovered) = Storage::open(platform.disk(), new_id, S::FORMAT).await?;
         let snapshot_index = recovered.log.base_index();
         let led_last = led_last(&recovered);
+        let mut segments = StoredSegments::default();
         if let Some(snapshot) = recovered.snapshot {
             machine.restore(snapshot.state());
+            segments = StoredSegments::new(&snapshot.header.segments);
         }
         let now = platform.monotonic();
         let preferred = machine.prefers(recovered.identity.id);
@@ -140,6 +145,7 @@
             changed: Signal::default(),
             clients: RefCell::default(),
             unwanted: RefCell::default(),
+            segments: RefCell::new(segments),
             incoming: RefCell::default(),
             outgoing: RefCell::default(),
             heard_of: RefCell::default(),
@@ -338,6 +344,12 @@
                 }
                 self.take_snapshot_part(header, part).await
             }
+            ReplicaRequest::SegmentPart { header, part } => {
+                if !self.accepts_leader(&header).await {
+                    return ReplicaReply::Refused;
+                }
+                self.take_segment_part(header, part).await
+            }
             ReplicaRequest::TakeOver { header } => {
                 if !self.is_for_this_replica(&header) {
                     return ReplicaReply::Refused;
--- /dev/null
+++ b/crates/replication/src/segments.rs
@@ -0,0 +1,151 @@
+//! Immutable parts of the state that snapshots leave out: each is written to a file of its own once, and sent to a replica
+//! that lacks it once. What a snapshot costs then does not grow with them.
+//!
+//! Every replica seals the same segments, because it applies the same commands. A snapshot is written only after the
+//! segments that it refers to, and a segment's file is removed only after a snapshot that no longer refers to it.
+
+use crate::replica::Replica;
+use crate::state::StateMachine;
+use crate::storage::StorageError;
+use bitcode::{Decode, Encode};
+use saddlerelay_runtime::{Disk, Runtime};
+use std::collections::BTreeMap;
+use std::fmt;
+use std::io;
+use std::rc::Rc;
+
+/// What tells whether some bytes are a segment's.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Encode, Decode)]
+pub struct Segment {
+    /// Counts segments as they are sealed.
+    pub number: u64,
+    /// Its length in bytes.
+    pub bytes: u64,
+    /// CRC-32 of its bytes.
+    pub checksum: u32,
+}
+
+impl Segment {
+    /// Describes `bytes`.
+    pub fn of(number: u64, bytes: &[u8]) -> Self {
+        Self { number, bytes: bytes.len() as u64, checksum: crc32fast::hash(bytes) }
+    }
+
+    /// Whether `bytes` are this segment's.
+    pub fn matches(&self, bytes: &[u8]) -> bool {
+        Self::of(self.number, bytes) == *self
+    }
+
+    /// Whether `disk` has a file of the right length for it. The content is checked when it is read.
+    pub(crate) async fn is_stored<D: Disk>(&self, disk: &D) -> io::Result<bool> {
+        let end = disk.read_range(&file_name(self.number), self.bytes.saturating_sub(1), 2).await?;
+        Ok(end.len() as u64 == self.bytes.min(1))
+    }
+}
+
+fn file_name(number: u64) -> String {
+    format!("segment-{number}")
+}
+
+/// Why a segment cannot be read.
+#[derive(Debug)]
+pub enum SegmentError {
+    /// The state does not refer to such a segment.
+    Unknown,
+    /// The file is missing, or its content is not the segment's.
+    Damaged,
+    /// The operating system refused.
+    Io(io::Error),
+}
+
+impl fmt::Display for SegmentError {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Unknown => write!(formatter, "the state does not refer to it"),
+            Self::Damaged => write!(formatter, "its file is missing or damaged"),
+            Self::Io(error) => write!(formatter, "{error}"),
+        }
+    }
+}
+
+impl std::error::Error for SegmentError {}
+
+/// The segments on a replica's disk.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct StoredSegments(BTreeMap<u64, Segment>);
+
+impl StoredSegments {
+    pub fn new(segments: &[Segment]) -> Self {
+        Self(segments.iter().map(|segment| (segment.number, *segment)).collect())
+    }
+
+    pub fn holds(&self, segment: &Segment) -> bool {
+        self.0.get(&segment.number) == Some(segment)
+    }
+
+    /// Those that a snapshot which refers to `kept` has outlived.
+    fn outlived(&self, kept: &[Segment]) -> Vec<u64> {
+        let newest = kept.last().map_or(0, |segment| segment.number);
+        let is_kept = |number: &u64| kept.iter().any(|segment| segment.number == *number);
+        self.0.keys().copied().filter(|number| *number < newest && !is_kept(number)).collect()
+    }
+}
+
+impl<P: Runtime, S: StateMachine> Replica<P, S> {
+    /// Writes a segment and makes it last.
+    pub(crate) async fn store_segment(&self, segment: Segment, bytes: Vec<u8>) -> Result<(), StorageError> {
+        self.inner.platform.disk().replace(&file_name(segment.number), bytes).await?;
+        self.inner.segments.borrow_mut().0.insert(segment.number, segment);
+        Ok(())
+    }
+
+    /// Writes the segments that only memory holds.
+    pub(crate) async fn store_new_segments(&self) -> Result<(), StorageError> {
+        loop {
+            let Some(segment) = self.inner.state.borrow().machine.unreleased_segment() else {
+                return Ok(());
+            };
+            let bytes = self.inner.state.borrow().machine.segment_bytes(segment.number);
+            let is_stored = self.inner.segments.borrow().holds(&segment);
+            if let (Some(bytes), false) = (bytes, is_stored) {
+                self.store_segment(segment, bytes.to_vec()).await?;
+            }
+            self.inner.state.borrow_mut().machine.release_segment(segment.number);
+        }
+    }
+
+    /// Removes the files of segments that a snapshot which refers to `kept` has outlived.
+    pub(crate) async fn remove_outlived_segments(&self, kept: &[Segment]) {
+        let outlived = self.inner.segments.borrow().outlived(kept);
+        for number in outlived {
+            if let Err(error) = self.inner.platform.disk().remove(&file_name(number)).await {
+                // It is tried again after the next snapshot.
+                spdlog::warn!("segment not removed", kv: { number = number, reason = error.to_string().as_str() });
+                continue;
+            }
+            self.inner.segments.borrow_mut().0.remove(&number);
+        }
+    }
+
+    /// A segment's bytes, from memory or from this replica's disk.
+    pub async fn read_segment(&self, number: u64) -> Result<Rc<Vec<u8>>, SegmentError> {
+        let segment = {
+            let state = self.inner.state.borrow();
+            if let Some(bytes) = state.machine.segment_bytes(number) {
+                return Ok(bytes);
+            }
+            let segments = state.machine.segments();
+            segments.into_iter().find(|segment| segment.number == number).ok_or(SegmentError::Unknown)?
+        };
+        let read = read_file(&self.inner.platform.disk(), &segment).await;
+        if let Err(error) = &read {
+            spdlog::warn!("segment not read", kv: { number = number, reason = error.to_string().as_str() });
+        }
+        read.map(Rc::new)
+    }
+}
+
+async fn read_file<D: Disk>(disk: &D, segment: &Segment) -> Result<Vec<u8>, SegmentError> {
+    let read = disk.read(&file_name(segment.number)).await.map_err(SegmentError::Io)?;
+    read.filter(|bytes| segment.matches(bytes)).ok_or(SegmentError::Damaged)
+}
--- a/crates/replication/src/snapshot.rs
+++ b/crates/replication/src/snapshot.rs
@@ -1,9 +1,10 @@
 //! State up to an index, as bytes that are encoded once and never copied whole.
 //!
-//! The state machine's own bytes come first. Behind them stand what the log needs to go on, its length, and a checksum
+//! Segments are left out. The state machine's own bytes come first. Behind them stand what the log needs to go on, its length, and a checksum
 //! of everything before.
 
 use crate::membership::Membership;
+use crate::segments::Segment;
 use bitcode::{Decode, Encode};
 use std::rc::Rc;
 
@@ -19,6 +20,8 @@
     pub term: u64,
     /// The membership at that entry.
     pub membership: Membership,
+    /// The segments that the state refers to, by rising number.
+    pub segments: Vec<Segment>,
 }
 
 /// A snapshot. Clones share its bytes.
--- a/crates/replication/src/state.rs
+++ b/crates/replication/src/state.rs
@@ -3,12 +3,14 @@
 use crate::config::ReplicationConfig;
 use crate::log::{EntryPayload, MemoryLog};
 use crate::membership::Membership;
+use crate::segments::Segment;
 use crate::snapshot::{Snapshot, SnapshotHeader};
 use crate::storage::Identity;
 use futures::channel::oneshot;
 use saddlerelay_types::identity::ReplicaId;
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
+use std::rc::Rc;
 use std::time::Duration;
 
 /// What the log's commands act on. Every replica applies the same commands in the same order, so `apply` may use
@@ -20,10 +22,24 @@
     const FORMAT: u32;
     /// Applies a committed command.
     fn apply(&mut self, command: &[u8]) -> Self::Outcome;
-    /// The whole state as bytes.
+    /// The state as bytes, without its segments.
     fn snapshot(&self) -> Vec<u8>;
     /// Replaces the state with one that `snapshot` gave.
     fn restore(&mut self, bytes: &[u8]);
+    /// The immutable parts that the state refers to and `snapshot` leaves out, by rising number.
+    fn segments(&self) -> Vec<Segment> {
+        Vec::new()
+    }
+    /// A segment's bytes, while memory holds them: at least until it is released.
+    fn segment_bytes(&self, _number: u64) -> Option<Rc<Vec<u8>>> {
+        None
+    }
+    /// A segment that was sealed here and not released yet.
+    fn unreleased_segment(&self) -> Option<Segment> {
+        None
+    }
+    /// This replica's disk holds the segment: memory need not.
+    fn release_segment(&mut self, _number: u64) {}
     /// Whether `replica` should rather lead than others, for example because it holds a right that passes on slowly.
     fn prefers(&self, _replica: ReplicaId) -> bool {
         false
@@ -207,6 +223,7 @@
         let index = self.applied;
         let term = self.log.term_at(index).unwrap_or_default();
         let membership = self.log.membership_at(index).clone();
-        Snapshot::new(SnapshotHeader { index, term, membership }, self.machine.snapshot())
+        let segments = self.machine.segments();
+        Snapshot::new(SnapshotHeader { index, term, membership, segments }, self.machine.snapshot())
     }
 }
--- a/crates/replication/src/storage.rs
+++ b/crates/replication/src/storage.rs
@@ -29,6 +29,12 @@
         /// The format that this program reads.
         wanted: u32,
     },
+    /// A segment that the snapshot refers to is missing or cut short. The replica must not start: give it an empty data
+    /// folder, and it joins as a new member.
+    MissingSegment {
+        /// The segment.
+        number: u64,
+    },
     /// A file is damaged in a place that may have been acknowledged. The replica must not start: give it an empty data
     /// folder, and it joins as a new member.
     Corrupt {
@@ -51,6 +57,10 @@
                      folder to rejoin"
                 )
             }
+            Self::MissingSegment { number } => write!(
+                formatter,
+                "segment {number} is missing or cut short; start this replica with an empty data folder to rejoin"
+            ),
             Self::Corrupt { file, offset } => write!(
                 formatter,
                 "file `{file}` is corrupt at byte {offset}; start this replica with an empty data folder to rejoin"
@@ -221,7 +231,13 @@
         return Ok(None);
     };
     let damaged = StorageError::Corrupt { file: SNAPSHOT_FILE, offset: 0 };
-    Snapshot::decode(bytes).map(Some).ok_or(damaged)
+    let snapshot = Snapshot::decode(bytes).ok_or(damaged)?;
+    for segment in &snapshot.header.segments {
+        if !segment.is_stored(disk).await? {
+            return Err(StorageError::MissingSegment { number: segment.number });
+        }
+    }
+    Ok(Some(snapshot))
 }
 
 /// Refuses files of another format, and notes the format on an empty disk before anything else is written.
--- a/crates/replication/tests/log_file.rs
+++ b/crates/replication/tests/log_file.rs
@@ -44,6 +44,11 @@
         self.0.borrow_mut().insert(file.to_string(), bytes);
         Ok(())
     }
+
+    async fn remove(&self, file: &str) -> io::Result<()> {
+        self.0.borrow_mut().remove(file);
+        Ok(())
+    }
 }
 
 fn entry(index: u64, term: u64, size: usize) -> LogEntry {
--- a/crates/replication/tests/snapshot.rs
+++ b/crates/replication/tests/snapshot.rs
@@ -2,12 +2,18 @@
 
 use quickcheck::QuickCheck;
 use saddlerelay_replication::membership::{Member, Membership};
+use saddlerelay_replication::segments::Segment;
 use saddlerelay_replication::snapshot::{Snapshot, SnapshotHeader};
 use saddlerelay_types::identity::ReplicaId;
 
 fn header() -> SnapshotHeader {
     let member = Member { id: ReplicaId(7), address: ([10, 0, 0, 1], 1).into(), voter: true };
-    SnapshotHeader { index: 9, term: 2, membership: Membership { members: vec![member] } }
+    SnapshotHeader {
+        index: 9,
+        term: 2,
+        membership: Membership { members: vec![member] },
+        segments: vec![Segment::of(3, b"text")],
+    }
 }
 
 #[test]
--- a/crates/runtime-compio/src/disk.rs
+++ b/crates/runtime-compio/src/disk.rs
@@ -101,4 +101,12 @@
         compio::fs::rename(&temporary, self.folder.join(file)).await?;
         self.sync_folder().await
     }
+
+    async fn remove(&self, file: &str) -> io::Result<()> {
+        self.appenders.lock().await.remove(file);
+        match compio::fs::remove_file(self.folder.join(file)).await {
+            Err(error) if error.kind() == io::ErrorKind::NotFound => Ok(()),
+            other => other,
+        }
+    }
 }
--- a/crates/runtime/src/lib.rs
+++ b/crates/runtime/src/lib.rs
@@ -49,6 +49,8 @@
     async fn sync(&self, file: &str) -> io::Result<()>;
     /// Replaces the file with `bytes`, wholly or not at all, and makes it last.
     async fn replace(&self, file: &str, bytes: Vec<u8>) -> io::Result<()>;
+    /// Removes the file, if there is one. It may be back after a crash.
+    async fn remove(&self, file: &str) -> io::Result<()>;
 }
 
 /// What a process has exchanged with saddlerelay's own processes since it started. Bytes are those of frames, without
--- a/crates/settings/src/member.rs
+++ b/crates/settings/src/member.rs
@@ -27,6 +27,10 @@
 /// What is added to the wait of a new holder of orders.
 const ORDER_MARGIN: Duration = Duration::from_millis(400);
 
+/// Bytes of log that a member writes between two snapshots. A process that starts holds them twice, once as its file and
+/// once decoded: little beside the smallest machines' memory of 88 MB. Snapshots are small, because they leave texts out.
+const SNAPSHOT_BYTES: u64 = 12 * 1024 * 1024;
+
 /// A member's settings.
 #[derive(Clone, Debug, PartialEq)]
 pub struct MemberSettings {
@@ -149,7 +153,7 @@
             lease: Duration::from_millis(400),
             call_limit: Duration::from_millis(700),
             snapshot_entries: 40_000,
-            snapshot_bytes: 40 * 1024 * 1024,
+            snapshot_bytes: SNAPSHOT_BYTES,
             memory_bytes: 512 * 1024,
             memory_bytes_behind: 8 * 1024 * 1024,
             target_voters: 2 * self.tolerated_losses as usize + 1,
--- a/crates/simulator/src/disk.rs
+++ b/crates/simulator/src/disk.rs
@@ -37,6 +37,12 @@
         }
     }
 
+    /// The names of a process's files.
+    pub fn names(&self, process: &str) -> Vec<String> {
+        let files = self.files.borrow();
+        files.keys().filter(|(owner, _)| owner == process).map(|(_, name)| name.clone()).collect()
+    }
+
     /// Everything is gone.
     pub fn lose(&self, process: &str) {
         self.files.borrow_mut().retain(|(owner, _), _| owner != process);
@@ -122,4 +128,10 @@
         files.insert(self.key(file), File { synced: bytes, unsynced: Vec::new() });
         Ok(())
     }
+
+    async fn remove(&self, file: &str) -> io::Result<()> {
+        self.wait(WRITE_TIME).await;
+        self.world.disks.files.borrow_mut().remove(&self.key(file));
+        Ok(())
+    }
 }
--- a/crates/simulator/tests/members.rs
+++ b/crates/simulator/tests/members.rs
@@ -3,6 +3,7 @@
 
 use futures::executor::LocalPool;
 use saddlerelay_replication::config::ReplicationConfig;
+use saddlerelay_replication::segments::Segment;
 use saddlerelay_replication::storage::Storage;
 use saddlerelay_replication::{ProposeError, Replica, ReplicaOptions, StateMachine};
 use saddlerelay_rpc::server::Handler;
@@ -31,14 +32,42 @@
     static PREFERRED: Cell<Option<ReplicaId>> = const { Cell::new(None) };
     /// Snapshots that replicas have read.
     static RESTORED: Cell<u32> = const { Cell::new(0) };
+    /// How many of the first segments the state no longer refers to.
+    static EXPIRED_SEGMENTS: Cell<usize> = const { Cell::new(0) };
+    /// Bytes of a segment beside its numbers.
+    static SEGMENT_PADDING: Cell<usize> = const { Cell::new(2_000) };
 }
 
-/// A set of numbers.
+/// Numbers that are sealed together.
+const NUMBERS_PER_SEGMENT: usize = 16;
+
+/// A set of numbers. Whenever enough have come, they also go into a segment, by which a replica that lacks one is found.
 #[derive(Default)]
 struct Numbers {
     held: BTreeSet<u64>,
     /// Makes a snapshot larger than one part.
     weight: Vec<u8>,
+    /// Numbers that no segment holds yet.
+    unsealed: Vec<u64>,
+    sealed: Vec<Segment>,
+    /// Segments that are not released.
+    unreleased: BTreeMap<u64, Rc<Vec<u8>>>,
+}
+
+impl Numbers {
+    fn seal(&mut self) {
+        let number = self.sealed.len() as u64;
+        let padding = vec![number as u8; SEGMENT_PADDING.with(|padding| padding.get())];
+        let bytes = bitcode::encode(&(std::mem::take(&mut self.unsealed), padding));
+        self.sealed.push(Segment::of(number, &bytes));
+        self.unreleased.insert(number, Rc::new(bytes));
+    }
+}
+
+/// The numbers in a segment.
+fn numbers_in(segment: &[u8]) -> Vec<u64> {
+    let (numbers, _): (Vec<u64>, Vec<u8>) = bitcode::decode(segment).expect("a segment can be read");
+    numbers
 }
 
 impl StateMachine for Numbers {
@@ -48,12 +77,34 @@
     fn apply(&mut self, command: &[u8]) -> usize {
         let number: u64 = bitcode::decode(command).expect("a number was proposed");
         self.held.insert(number);
+        self.unsealed.push(number);
+        if self.unsealed.len() >= NUMBERS_PER_SEGMENT {
+            self.seal();
+        }
         self.weight.resize(self.held.len() * 4_096, 7);
         self.held.len()
     }
 
     fn snapshot(&self) -> Vec<u8> {
-        bitcode::encode(&(self.held.clone(), self.weight.clone()))
+        bitcode::encode(&(self.held.clone(), self.weight.clone(), self.unsealed.clone(), self.sealed.clone()))
+    }
+
+    fn segments(&self) -> Vec<Segment> {
+        let expired = EXPIRED_SEGMENTS.with(|expired| expired.get());
+        self.sealed[expired.min(self.sealed.len())..].to_vec()
+    }
+
+    fn segment_bytes(&self, number: u64) -> Option<Rc<Vec<u8>>> {
+        self.unreleased.get(&number).cloned()
+    }
+
+    fn unreleased_segment(&self) -> Option<Segment> {
+        let (number, _) = self.unreleased.first_key_value()?;
+        self.sealed.get(*number as usize).copied()
+    }
+
+    fn release_segment(&mut self, number: u64) {
+        self.unreleased.remove(&number);
     }
 
     fn prefers(&self, replica: ReplicaId) -> bool {
@@ -62,7 +113,8 @@
 
     fn restore(&mut self, bytes: &[u8]) {
         RESTORED.with(|restored| restored.set(restored.get() + 1));
-        (self.held, self.weight) = bitcode::decode(bytes).expect("a snapshot can be read");
+        (self.held, self.weight, self.unsealed, self.sealed) = bitcode::decode(bytes).expect("a snapshot can be read");
+        self.unreleased.clear();
     }
 }
 
@@ -243,6 +295,39 @@
         let lost: Vec<u64> = self.acknowledged.borrow().difference(&held).copied().collect();
         assert!(lost.is_empty(), "{what}: lost {lost:?}");
         assert!(!self.acknowledged.borrow().is_empty(), "{what}: nothing was acknowledged");
+        for node in self.nodes() {
+            let unread = self.numbers_not_in_segments(&node);
+            assert!(unread.is_empty(), "{what}: {unread:?} cannot be read at replica {}", node.id().0);
+        }
+    }
+
+    /// Numbers that a replica holds and that none of its segments brings back.
+    fn numbers_not_in_segments(&mut self, node: &Node) -> BTreeSet<u64> {
+        let (mut missing, segments) = node.peek(|numbers| {
+            let unsealed: BTreeSet<u64> = numbers.unsealed.iter().copied().collect();
+            let sealed: BTreeSet<u64> = numbers.held.difference(&unsealed).copied().collect();
+            (sealed, numbers.segments())
+        });
+        let read = Rc::new(RefCell::new(None));
+        let told = read.clone();
+        let reader = node.clone();
+        let process = self.world.start_process("reader", 0, 0);
+        self.world.spawn(&process, async move {
+            let mut found = Vec::new();
+            for segment in segments {
+                if let Ok(bytes) = reader.read_segment(segment.number).await {
+                    found.extend(numbers_in(&bytes));
+                }
+            }
+            *told.borrow_mut() = Some(found);
+        });
+        while read.borrow().is_none() {
+            self.run_for(Duration::from_millis(5));
+        }
+        for number in read.take().expect("it was read") {
+            missing.remove(&number);
+        }
+        missing
     }
 }
 
@@ -331,6 +416,65 @@
     });
 }
 
+/// Large segments come in parts beside the log, and a transfer that a new leader takes over keeps what has come.
+#[test]
+fn an_empty_replica_is_sent_every_segment_also_when_the_leader_goes_in_the_middle() {
+    SEGMENT_PADDING.with(|padding| padding.set(700_000));
+    for seed in SEEDS.step_by(4) {
+        let mut group = formed(seed);
+        group.propose_for(Duration::from_secs(3));
+        group.start(4, false);
+        let pause = group.world.jitter(Duration::from_millis(400));
+        group.propose_for(pause);
+        let led = group.leader_place().expect("there is a leader");
+        group.kill(led, false);
+        group.propose_for(Duration::from_secs(1));
+        group.start(led, false);
+        group.propose_for(Duration::from_secs(2));
+        group.check("segments");
+        assert_eq!(group.nodes().len(), 4);
+    }
+    SEGMENT_PADDING.with(|padding| padding.set(2_000));
+}
+
+#[test]
+fn a_replica_whose_disk_fills_up_while_it_receives_segments_votes_once_there_is_room() {
+    for_each_seed(|seed| {
+        let mut group = formed(seed);
+        group.propose_for(Duration::from_secs(2));
+        let place = 1 + (seed % 3) as u8;
+        group.kill(place, true);
+        group.start(place, false);
+        let pause = group.world.jitter(Duration::from_millis(900));
+        group.propose_for(pause);
+        let name = format!("machine-{place}");
+        group.world.disks.set_full(&name, true);
+        group.propose_for(Duration::from_secs(1));
+        group.world.disks.set_full(&name, false);
+        group.await_voters(&[1, 2, 3], Duration::from_secs(5), "after there was room");
+        group.check("full disk");
+    });
+}
+
+#[test]
+fn files_of_segments_that_the_state_no_longer_refers_to_are_removed() {
+    let mut group = formed(1);
+    group.propose_for(Duration::from_secs(2));
+    for node in group.nodes() {
+        let segments = node.peek(|numbers| numbers.segments());
+        assert!(segments.len() > 3 && group.numbers_not_in_segments(&node).is_empty());
+    }
+    // Seals go on, and the first segments are dropped as the numbers in them expire.
+    EXPIRED_SEGMENTS.with(|expired| expired.set(2));
+    group.propose_for(Duration::from_secs(4));
+    for place in 1..=3 {
+        let files = group.world.disks.names(&format!("machine-{place}"));
+        assert!(!files.contains(&"segment-0".to_string()) && !files.contains(&"segment-1".to_string()), "{files:?}");
+        assert!(files.contains(&"segment-2".to_string()), "{files:?}");
+    }
+    EXPIRED_SEGMENTS.with(|expired| expired.set(0));
+}
+
 #[test]
 fn a_machine_that_is_gone_for_good_is_replaced_by_one_at_another_address() {
     for_each_seed(|seed| {
