Account for training steps from logs, with a picture

saddlerelay account FILE... [--svg FILE]: for each step when it was asked, first and last start, when its last text was whole, when it ended, attempts, moves, staleness; for each trainer how long it waited; items and loads under way second by second. Logs without steps are refused with what to do. Reading logs is shared with explain.

--- /dev/null
+++ b/crates/command-line/src/account/mod.rs
@@ -0,0 +1,55 @@
+//! `account`: what became of each step of each trainer, from the logs of coordinators, and how the engines were used.
+
+mod picture;
+mod steps;
+
+use crate::{CommandError, Exit};
+use lexopt::prelude::*;
+use saddlerelay_telemetry::line::LogLine;
+use std::path::PathBuf;
+
+pub use steps::{Account, StepAccount, Use};
+
+struct Options {
+    files: Vec<PathBuf>,
+    picture: Option<PathBuf>,
+}
+
+/// Runs the command.
+pub fn run(parser: &mut lexopt::Parser) -> Result<(), CommandError> {
+    let options = parse(parser)?;
+    let lines = crate::logs::read_all(&options.files)?;
+    let account = of_lines(&lines)?;
+    for line in account.table() {
+        println!("{line}");
+    }
+    if let Some(file) = options.picture {
+        picture::write(&account, &file).map_err(|reason| CommandError::new(Exit::Failed, reason))?;
+    }
+    Ok(())
+}
+
+/// The account of `lines`, which are in order of time.
+pub fn of_lines(lines: &[LogLine]) -> Result<Account, CommandError> {
+    let account = Account::of(lines);
+    if account.steps.is_empty() {
+        let reason = "no job is taken up in these logs: name those of the coordinators, from before the first step on";
+        return Err(CommandError::new(Exit::Failed, reason));
+    }
+    Ok(account)
+}
+
+fn parse(parser: &mut lexopt::Parser) -> Result<Options, CommandError> {
+    let mut options = Options { files: Vec::new(), picture: None };
+    while let Some(argument) = parser.next()? {
+        match argument {
+            Long("svg") => options.picture = Some(PathBuf::from(parser.value()?)),
+            Value(value) => options.files.push(PathBuf::from(value)),
+            other => return Err(other.unexpected().into()),
+        }
+    }
+    if options.files.is_empty() {
+        return Err(CommandError::new(Exit::Usage, "name one or more log files"));
+    }
+    Ok(options)
+}
--- a/crates/command-line/src/explain.rs
+++ b/crates/command-line/src/explain.rs
@@ -4,7 +4,6 @@
 use lexopt::prelude::*;
 use saddlerelay_telemetry::line::LogLine;
 use std::collections::BTreeSet;
-use std::io::{BufRead, BufReader};
 use std::path::PathBuf;
 
 /// Fields whose values name other things that the story is about.
@@ -27,7 +26,7 @@
 /// Runs the command.
 pub fn run(parser: &mut lexopt::Parser) -> Result<(), CommandError> {
     let options = parse(parser)?;
-    let lines = read_all(&options.files)?;
+    let lines = crate::logs::read_all(&options.files)?;
     let story = tell(&lines, &options.id, options.clock_error, options.related);
     if story.is_empty() {
         return Err(CommandError::new(Exit::Failed, format!("no line mentions `{}`", options.id)));
@@ -58,19 +57,6 @@
     }
 }
 
-fn read_all(files: &[PathBuf]) -> Result<Vec<LogLine>, CommandError> {
-    let mut lines = Vec::new();
-    for file in files {
-        let failed = |error: std::io::Error| CommandError::new(Exit::Failed, format!("{}: {error}", file.display()));
-        let reader = BufReader::new(std::fs::File::open(file).map_err(failed)?);
-        for line in reader.lines() {
-            lines.extend(LogLine::parse(&line.map_err(failed)?));
-        }
-    }
-    lines.sort_by(|left, right| left.time.total_cmp(&right.time));
-    Ok(lines)
-}
-
 /// The story of `id`: its own lines in order of time; with `related`, those about its job, item and engines close to
 /// them, indented. A line that another machine may have written first, as far as the clocks tell, is marked `~`.
 pub fn tell(lines: &[LogLine], id: &str, clock_error: f64, related: bool) -> Vec<String> {
--- a/crates/command-line/src/lib.rs
+++ b/crates/command-line/src/lib.rs
@@ -1,7 +1,9 @@
-//! The command line: `serve`, `check-config` and `admin`.
+//! The command line: `serve`, `member`, `check-config`, `explain`, `account` and `admin`.
 
+pub mod account;
 pub mod admin;
 pub mod explain;
+mod logs;
 pub mod member;
 pub mod serve;
 pub mod table;
@@ -20,6 +22,8 @@
   saddlerelay check-config FILE           check a settings file and tell everything that is wrong with it
   saddlerelay explain ID FILE... [--related] [--clock-error-ms N]
                                           what the logs of many processes tell of a request, item, job, engine or node
+  saddlerelay account FILE... [--svg FILE]
+                                          what became of each training step and how engines were used, from logs
   saddlerelay admin --address IP:PORT (--token TOKEN | --token-file FILE) [--json] COMMAND
       initialize                          form a new control group of the replica at this address
       status                              the group, the relays and the configuration in force
@@ -110,6 +114,7 @@
         Some(Value(command)) if command == "member" => member::run(&config_flag(&mut parser)?),
         Some(Value(command)) if command == "check-config" => check_config(&mut parser),
         Some(Value(command)) if command == "explain" => explain::run(&mut parser),
+        Some(Value(command)) if command == "account" => account::run(&mut parser),
         Some(Value(command)) if command == "admin" => admin::run(&mut parser),
         Some(other) => Err(other.unexpected().into()),
         None => Err(CommandError::new(Exit::Usage, "name a command; see saddlerelay --help")),
--- /dev/null
+++ b/crates/command-line/tests/account.rs
@@ -0,0 +1,51 @@
+//! The account of steps from log lines.
+
+use saddlerelay_command_line::account::of_lines;
+use saddlerelay_telemetry::line::LogLine;
+
+const LOG: &str = r#"
+time=100.000 level=info node=s-1 event="job taken up" job=a step=0 items=3 minimum_version=1 model=m listed=0
+time=101.500 level=info node=s-1 event="weights ordered" instance=i-1 model=m held=1 version=2 lasted_ms=1000 done=true
+time=102.000 level=info node=s-1 event="item attempt ended" item=x job=a instance=i-1 versions="{1, 2}" events=4 lasted_ms=2000 outcome=Whole
+time=102.500 level=info node=s-1 event="item attempt ended" item=y job=a instance=i-1 versions={2} events=1 lasted_ms=500 outcome=Silent
+time=102.600 level=info node=s-1 event="item moved" job=a index=1 instance=i-1 events=1
+time=103.000 level=info node=s-2 event="job taken up" job=b step=1 items=2 minimum_version=1 model=m listed=0
+time=103.100 level=info node=s-2 event="job taken up" job=a step=0 items=3 minimum_version=1 model=m listed=1
+time=104.000 level=info node=s-2 event="job dropped" job=a items=3
+time=105.000 level=info node=s-2 event="item attempt ended" item=z job=b
+a line that is cut sho
+time=106.000 level=info node=s-2 event="job dropped" job=unknown items=3
+"#;
+
+fn lines(log: &str) -> Vec<LogLine> {
+    log.lines().filter_map(LogLine::parse).collect()
+}
+
+#[test]
+fn steps_are_accounted_for_across_leaders() {
+    let account = of_lines(&lines(LOG)).expect("there are steps");
+    assert_eq!(account.models(), ["m"]);
+    let [first, second] = &account.steps[..] else {
+        panic!("two steps: {:?}", account.steps);
+    };
+    assert_eq!((first.leaders, first.whole, first.failed_attempts, first.moves), (2, 1, 1, 1));
+    assert_eq!((first.open.from, first.open.to), (0.0, 4.0));
+    assert_eq!((first.first_start, first.last_start, first.last_whole), (Some(0.0), Some(2.0), Some(2.0)));
+    assert_eq!(first.versions_behind, 1);
+    // The second is still open at the last line, which lacks its length and outcome.
+    assert_eq!((second.open.from, second.open.to, second.failed_attempts), (3.0, 6.0, 1));
+    assert_eq!(account.attempts.by_second(3), [1.0, 1.0, 0.5]);
+    assert_eq!(account.loads.by_second(3), [0.5, 0.5, 0.0]);
+}
+
+#[test]
+fn the_table_tells_how_long_a_trainer_waited_without_counting_twice() {
+    let table = of_lines(&lines(LOG)).expect("there are steps").table();
+    assert!(table.contains(&"m                2       6.0             1.00".to_string()), "{table:#?}");
+}
+
+#[test]
+fn logs_without_steps_are_refused_with_what_to_do() {
+    let refused = of_lines(&lines("time=1.0 level=info node=n event=start\nno line")).expect_err("there is no step");
+    assert!(refused.message.contains("name those of the coordinators"), "{}", refused.message);
+}
