Plan items over engines that were looked up once; bound what planning takes

Change: engines with their pace and load are gathered once a plan, those that fit a job once a job; where none has room an item costs a look. A plan waits four times as long as the last one took, 20 ms at most. Ruled out: planning at fixed pauses, which delays starts where plans are cheap.

--- a/crates/coordinator/src/moves.rs
+++ b/crates/coordinator/src/moves.rs
@@ -51,11 +51,11 @@
     of.run.moves_considered_at = of.now;
     for candidate in candidates(of, route).into_iter().take(MOVES_AT_ONCE) {
         let target = usable_engines(of, route, candidate.index)
-            .map(|engine| (of.paces.of(&engine.target.instance), engine))
-            .filter(|(pace, _)| pays(&candidate, *pace))
-            .min_by(|(left, _), (right, _)| left.total_cmp(right));
-        if let Some((_, engine)) = target {
-            *of.planned.entry(engine.target.instance.clone()).or_default() += 1;
+            .map(|fitting| fitting.engine)
+            .filter(|engine| pays(&candidate, engine.pace))
+            .min_by(|left, right| left.pace.total_cmp(&right.pace));
+        if let Some(engine) = target {
+            engine.plan_item();
             plan.moves.push((of.job.submission.id.clone(), candidate.index));
         }
     }
@@ -82,7 +82,7 @@
             continue;
         }
         let remaining_events = run.remaining_events();
-        let pace = of.paces.of(instance);
+        let pace = of.round.paces.of(instance);
         let end_at = of.now + Duration::from_secs_f64(remaining_events * pace);
         if end_at >= due {
             candidates.push(Candidate { index: index as u32, remaining_events, pace, end_at });
@@ -108,8 +108,8 @@
 
 fn expected_end<B: Backends>(of: &PlanOfJob<'_, '_, B>, run: &ItemRun) -> Duration {
     let pace = match &run.phase {
-        Phase::Running { instance, .. } => of.paces.of(instance),
-        Phase::Waiting => of.paces.typical(),
+        Phase::Running { instance, .. } => of.round.paces.of(instance),
+        Phase::Waiting => of.round.paces.typical(),
         Phase::Scoring { .. } | Phase::Ended => return of.now,
     };
     of.now + Duration::from_secs_f64(run.remaining_events() * pace)
--- a/crates/coordinator/src/plan.rs
+++ b/crates/coordinator/src/plan.rs
@@ -4,7 +4,7 @@
 use crate::job_run::{JobRun, Phase};
 use crate::moves::plan_moves;
 use crate::pace::Paces;
-use crate::placement::choose_engine;
+use crate::placement::{FittingEngine, choose_engine, fitting_engines};
 use crate::scorers::ScoringRound;
 use crate::scoring::ScoreCall;
 use crate::text::ItemText;
@@ -15,7 +15,7 @@
 use saddlerelay_types::job::{JobId, JobItem};
 use saddlerelay_types::routing::{Route, RoutingDocument};
 use saddlerelay_upstream::EngineTarget;
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::collections::{BTreeMap, BTreeSet};
 use std::rc::Rc;
 use std::time::Duration;
@@ -26,6 +26,47 @@
     pub service: String,
     pub slots: u32,
     pub silent: bool,
+    /// Seconds an event, as far as is known.
+    pub pace: f64,
+    /// Items at it, and those planned in this round.
+    load: Cell<u32>,
+}
+
+impl Engine {
+    /// Whether it may be given another item.
+    pub fn has_room(&self) -> bool {
+        self.load.get() < self.slots
+    }
+
+    /// The part of its slots that is taken.
+    pub fn fullness(&self) -> f64 {
+        f64::from(self.load.get()) / f64::from(self.slots.max(1))
+    }
+
+    /// An item is planned to go there.
+    pub fn plan_item(&self) {
+        self.load.set(self.load.get() + 1);
+    }
+}
+
+/// What the plans of all jobs in one round share.
+pub(crate) struct Round {
+    pub engines: Vec<Engine>,
+    /// Seconds an event at the fastest of them.
+    pub fastest: f64,
+    pub paces: Paces,
+    pub now: Duration,
+    term: u64,
+}
+
+impl Round {
+    fn new<B: Backends>(coordinator: &Coordinator<B>, state: &ControlState, term: u64) -> Self {
+        let now = coordinator.now();
+        let paces = coordinator.inner.fleet.paces(now);
+        let engines = ready_engines(coordinator, state, &paces, now);
+        let fastest = engines.iter().map(|engine| engine.pace).fold(f64::INFINITY, f64::min);
+        Self { engines, fastest, paces, now, term }
+    }
 }
 
 /// An item to send to an engine.
@@ -66,10 +107,8 @@
 /// Plans from the committed state.
 pub(crate) fn plan<B: Backends>(coordinator: &Coordinator<B>, state: &ControlState, term: u64) -> Plan {
     let inner = &coordinator.inner;
-    let now = coordinator.now();
-    let engines = ready_engines(coordinator, state, now);
-    let paces = inner.fleet.paces(now);
-    let mut planned: BTreeMap<InstanceId, u32> = BTreeMap::new();
+    let round = Round::new(coordinator, state, term);
+    let now = round.now;
     let mut plan = Plan::default();
     let mut open: Vec<(&JobId, &Job)> = state.jobs.open().collect();
     open.sort_by_key(|(_, job)| job.order());
@@ -81,18 +120,7 @@
         let route = state.routing.current().and_then(|document| document.find(&submission.host, &submission.path));
         let run = jobs.entry(id.clone()).or_insert_with(|| take_up(coordinator, state, job, route, now));
         plan_job(
-            &mut PlanOfJob {
-                inner,
-                job,
-                run,
-                route,
-                now,
-                paces: &paces,
-                term,
-                engines: &engines,
-                planned: &mut planned,
-                scoring: &mut scoring,
-            },
+            &mut PlanOfJob { inner, job, run, route, now, round: &round, fitting: Vec::new(), scoring: &mut scoring },
             &mut plan,
         );
     }
@@ -129,7 +157,12 @@
     run
 }
 
-fn ready_engines<B: Backends>(coordinator: &Coordinator<B>, state: &ControlState, now: Duration) -> Vec<Engine> {
+fn ready_engines<B: Backends>(
+    coordinator: &Coordinator<B>,
+    state: &ControlState,
+    paces: &Paces,
+    now: Duration,
+) -> Vec<Engine> {
     let silent = coordinator.inner.node.silent_instances(state);
     let fleet = &coordinator.inner.fleet;
     let usable = state
@@ -142,6 +175,8 @@
             service: record.report.service.clone(),
             slots: record.report.slots,
             silent: silent.binary_search(&record.report.id).is_ok(),
+            pace: paces.of(&record.report.id),
+            load: Cell::new(fleet.in_flight(&record.report.id)),
         })
         .collect()
 }
@@ -153,11 +188,9 @@
     pub run: &'a mut JobRun,
     route: Option<&'a Route>,
     pub now: Duration,
-    pub paces: &'a Paces,
-    term: u64,
-    pub engines: &'a [Engine],
-    /// Items planned in this round, by engine.
-    pub planned: &'a mut BTreeMap<InstanceId, u32>,
+    pub round: &'a Round,
+    /// The engines that its items may go to, with room or without.
+    pub fitting: Vec<FittingEngine<'a>>,
     scoring: &'a mut ScoringRound<'s>,
 }
 
@@ -167,6 +200,7 @@
         let after = Duration::from_millis(route.batch.give_up_after_ms);
         of.run.seen_at + after + of.inner.config.give_up_margin
     });
+    of.fitting = of.route.map(|route| fitting_engines(of, route)).unwrap_or_default();
     for position in 0..of.run.order.len() {
         let index = of.run.order[position];
         if of.job.is_listed(index) {
@@ -210,9 +244,8 @@
     }
     let submission = &of.job.submission;
     let item = &submission.items[index as usize];
-    let engine = choose_engine(of, route, index)?;
-    let instance = engine.target.instance.clone();
-    let version = submission.model.as_ref().and_then(|model| of.inner.fleet.version(&instance, model));
+    let chosen = choose_engine(of, route, index)?;
+    let target = chosen.engine.target.clone();
     let start = Start {
         job: submission.id.clone(),
         index,
@@ -220,17 +253,17 @@
         host: submission.host.clone(),
         path: submission.path.clone(),
         model: submission.model.clone(),
-        target: engine.target.clone(),
-        expected_version: version,
+        target: target.clone(),
+        expected_version: chosen.version,
         minimum_version: submission.minimum_version,
         single_version: route.batch.single_version,
         max_attempts: route.max_attempts.max(1),
         give_up_at,
         text: run.text.clone(),
-        term: of.term,
+        term: of.round.term,
     };
-    *of.planned.entry(instance.clone()).or_default() += 1;
-    of.run.group_engines.insert(item.group.clone(), instance);
+    chosen.engine.plan_item();
+    of.run.group_engines.insert(item.group.clone(), target.instance);
     Some(start)
 }
 
@@ -249,7 +282,7 @@
         call: progress.calls + 1,
         give_up_at,
         text: of.run.items[index as usize].text.clone(),
-        term: of.term,
+        term: of.round.term,
     })
 }
 
--- a/crates/coordinator/src/runner.rs
+++ b/crates/coordinator/src/runner.rs
@@ -18,6 +18,15 @@
 /// Longest pause between plans while there are open jobs.
 const PLAN_INTERVAL: Duration = Duration::from_millis(50);
 
+/// Shortest pause before a plan: several items end in one moment, and one plan serves them all.
+const LEAST_GATHER: Duration = Duration::from_millis(1);
+
+/// Longest pause before a plan, though making one takes long.
+const MOST_GATHER: Duration = Duration::from_millis(20);
+
+/// How many times as long as the last plan took the next one waits: planning takes a fifth of the process at most.
+const GATHER_FACTOR: u32 = 4;
+
 /// Pause between looks at whether this process leads.
 const IDLE_INTERVAL: Duration = Duration::from_millis(100);
 
@@ -25,6 +34,7 @@
 pub(crate) async fn run<B: Backends>(coordinator: Coordinator<B>) {
     let inner = &coordinator.inner;
     loop {
+        let began_at = coordinator.now();
         let seen_work = inner.node.job_work().count();
         let seen_replan = inner.replan.count();
         let busy = match inner.node.replica().leading_term() {
@@ -36,12 +46,13 @@
                 false
             }
         };
+        let took = coordinator.now().saturating_sub(began_at);
+        let gather = (took * GATHER_FACTOR).clamp(LEAST_GATHER, MOST_GATHER);
         let work = pin!(inner.node.job_work().changed(seen_work));
         let replan = pin!(inner.replan.changed(seen_replan));
         let pause = pin!(inner.runtime.sleep(if busy { PLAN_INTERVAL } else { IDLE_INTERVAL }));
         if let Either::Left(_) = future::select(future::select(work, replan), pause).await {
-            // Several items end in one moment: one plan serves them all.
-            inner.runtime.sleep(Duration::from_millis(1)).await;
+            inner.runtime.sleep(gather).await;
         }
     }
 }
