Share models out where engines are fewer; let many engines follow the demand

With many engines one moved each 3 s between models, half a minute to follow demand on 128. Change: where engines are fewer, each model has one engine; of many, one in sixteen may move in an interval. Tests: three, of which two fail on the code before.

--- a/crates/coordinator/src/homes.rs
+++ b/crates/coordinator/src/homes.rs
@@ -2,7 +2,8 @@
 //!
 //! Every engine can hold every model, but a change of weights costs time, and each model changes with each of its
 //! trainer's steps. Engines are therefore shared out among the models by what their jobs ask for, and only an engine's
-//! home model is brought up to date on it.
+//! home model is brought up to date on it. Where there are fewer engines than models, models are shared out among the
+//! engines instead: each has one engine that is kept up to date with it.
 
 use saddlerelay_types::instance::InstanceId;
 use std::collections::BTreeMap;
@@ -14,13 +15,19 @@
 /// Shortest pause between moves of engines from one model to another.
 const MOVE_INTERVAL: Duration = Duration::from_secs(3);
 
+/// Engines for each one that may move in an interval: many engines are not to take minutes to follow the demand.
+const ENGINES_PER_MOVE: usize = 16;
+
 /// Least difference of two models' excesses for which an engine is moved; a move changes it by two.
 const LEAST_GAP: f64 = 1.5;
 
 /// The sharing out.
 #[derive(Default)]
 pub struct Homes {
+    /// The model of each engine, where there are enough of them.
     homes: BTreeMap<InstanceId, String>,
+    /// The engine of each model, where there are fewer engines than models.
+    hosts: BTreeMap<String, InstanceId>,
     demand: BTreeMap<String, f64>,
     moved_at: Duration,
 }
@@ -32,7 +39,16 @@
         *demand += (tokens - *demand) * DEMAND_WEIGHT;
     }
 
-    /// The model that an engine is kept up to date with; `None` when it is kept up to date with all.
+    /// Whether an engine is kept up to date with a model.
+    pub fn is_home(&self, instance: &InstanceId, model: &str) -> bool {
+        match (self.hosts.get(model), self.homes.get(instance)) {
+            (Some(host), _) => host == instance,
+            (None, Some(home)) => home == model,
+            (None, None) => true,
+        }
+    }
+
+    /// The one model that an engine is kept up to date with; `None` when there is no one or several.
     pub fn home(&self, instance: &InstanceId) -> Option<&str> {
         self.homes.get(instance).map(String::as_str)
     }
@@ -48,8 +64,10 @@
     ) {
         if models.len() < 2 || engines.len() < models.len() {
             self.homes.clear();
+            self.share_models(engines, models, now);
             return;
         }
+        self.hosts.clear();
         self.homes.retain(|instance, model| engines.contains(instance) && models.contains(model));
         let wanted = self.wanted(engines.len(), models);
         let new: Vec<&InstanceId> = engines.iter().filter(|instance| !self.homes.contains_key(*instance)).collect();
@@ -66,7 +84,38 @@
                 self.homes.insert(instance.clone(), model);
             }
         }
-        self.move_one(models, &wanted, now);
+        self.move_engines(engines.len(), models, &wanted, now);
+    }
+
+    /// Shares the models out among fewer engines. One whose engine is gone goes to the engine with fewest.
+    fn share_models(&mut self, engines: &[InstanceId], models: &[String], now: Duration) {
+        self.hosts.retain(|model, host| models.contains(model) && engines.contains(host));
+        if models.len() < 2 {
+            self.hosts.clear();
+            return;
+        }
+        let count = |hosts: &BTreeMap<String, InstanceId>, engine: &InstanceId| {
+            hosts.values().filter(|host| *host == engine).count()
+        };
+        for model in models {
+            if !self.hosts.contains_key(model)
+                && let Some(engine) = engines.iter().min_by_key(|engine| count(&self.hosts, engine))
+            {
+                self.hosts.insert(model.clone(), engine.clone());
+            }
+        }
+        if now < self.moved_at + MOVE_INTERVAL {
+            return;
+        }
+        let fullest = engines.iter().max_by_key(|engine| count(&self.hosts, engine));
+        let emptiest = engines.iter().min_by_key(|engine| count(&self.hosts, engine));
+        if let (Some(fullest), Some(emptiest)) = (fullest, emptiest)
+            && count(&self.hosts, fullest) >= count(&self.hosts, emptiest) + 2
+            && let Some(host) = self.hosts.values_mut().find(|host| *host == fullest)
+        {
+            *host = emptiest.clone();
+            self.moved_at = now;
+        }
     }
 
     /// Engines that each model should have: by demand, at least one.
@@ -88,25 +137,35 @@
         &models[least.unwrap_or(0)]
     }
 
-    /// Moves an engine from the model that has most too many to the one that has most too few.
-    fn move_one(&mut self, models: &[String], wanted: &[f64], now: Duration) {
+    /// Moves engines from models that have too many to those that have too few.
+    fn move_engines(&mut self, engines: usize, models: &[String], wanted: &[f64], now: Duration) {
         if now < self.moved_at + MOVE_INTERVAL {
             return;
         }
+        for _ in 0..(engines / ENGINES_PER_MOVE).max(1) {
+            if !self.move_one(models, wanted) {
+                return;
+            }
+            self.moved_at = now;
+        }
+    }
+
+    /// Moves an engine from the model that has most too many to the one that has most too few, if that helps.
+    fn move_one(&mut self, models: &[String], wanted: &[f64]) -> bool {
         let excess = |index: usize| self.count(&models[index]) - wanted[index];
         let richest = (0..models.len()).max_by(|left, right| excess(*left).total_cmp(&excess(*right)));
         let poorest = (0..models.len()).min_by(|left, right| excess(*left).total_cmp(&excess(*right)));
         let (Some(richest), Some(poorest)) = (richest, poorest) else {
-            return;
+            return false;
         };
         if excess(richest) - excess(poorest) < LEAST_GAP {
-            return;
-        }
-        let moved = self.homes.iter().find(|(_, home)| **home == models[richest]).map(|(instance, _)| instance.clone());
-        if let Some(instance) = moved {
-            self.homes.insert(instance, models[poorest].clone());
-            self.moved_at = now;
+            return false;
         }
+        let Some(home) = self.homes.values_mut().find(|home| **home == models[richest]) else {
+            return false;
+        };
+        home.clone_from(&models[poorest]);
+        true
     }
 }
 
--- a/crates/coordinator/src/orders.rs
+++ b/crates/coordinator/src/orders.rs
@@ -118,7 +118,7 @@
     let now = coordinator.now();
     let items_wait = inner.waiting.borrow().get(model).is_some_and(|count| *count > 0);
     let homes = inner.homes.borrow();
-    let at_home = engines.iter().filter(|engine| homes.home(&engine.instance).is_none_or(|home| home == model));
+    let at_home = engines.iter().filter(|engine| homes.is_home(&engine.instance, model));
     let mut behind = Vec::new();
     for engine in at_home {
         let Some(held) = inner.fleet.version(&engine.instance, model) else {
--- a/crates/coordinator/tests/homes.rs
+++ b/crates/coordinator/tests/homes.rs
@@ -1,6 +1,6 @@
 //! How engines are shared out among models.
 
-use quickcheck::QuickCheck;
+use quickcheck::{Gen, QuickCheck};
 use saddlerelay_coordinator::homes::Homes;
 use saddlerelay_types::instance::InstanceId;
 use std::collections::BTreeMap;
@@ -64,6 +64,51 @@
     assert_eq!(homes.home(&engines(1)[0]), None);
 }
 
+/// With an engine less than there are models, no engine is kept up to date with all of them.
+#[test]
+fn fewer_engines_than_models_share_the_models_out() {
+    fn check(present: Vec<bool>, models_count: u8) -> bool {
+        let models = models(3 + usize::from(models_count % 5));
+        let all = engines(models.len() - 1);
+        let mut homes = Homes::default();
+        homes.share_out(&all, &models, no_lag, Duration::ZERO);
+        let is_left = |index: &usize| *index == 0 || present.get(*index).copied().unwrap_or(true);
+        let left: Vec<InstanceId> = (0..all.len()).filter(is_left).map(|index| all[index].clone()).collect();
+        for time in 1..20 {
+            homes.share_out(&left, &models, no_lag, Duration::from_secs(4 * time));
+        }
+        let of_engine = |engine: &InstanceId| models.iter().filter(|model| homes.is_home(engine, model)).count();
+        let counts: Vec<usize> = left.iter().map(of_engine).collect();
+        let (least, most) = (counts.iter().min().copied(), counts.iter().max().copied());
+        counts.iter().sum::<usize>() == models.len() && most <= least.map(|least| least + 1)
+    }
+    QuickCheck::new().rng(Gen::from_size_and_seed(8, 3)).tests(200).quickcheck(check as fn(Vec<bool>, u8) -> bool);
+}
+
+#[test]
+fn a_model_goes_back_to_engines_of_its_own_once_there_are_enough() {
+    let mut homes = Homes::default();
+    homes.share_out(&engines(2), &models(3), no_lag, Duration::ZERO);
+    homes.share_out(&engines(6), &models(3), no_lag, Duration::from_secs(4));
+    for engine in &engines(6) {
+        assert_eq!(models(3).iter().filter(|model| homes.is_home(engine, model)).count(), 1);
+    }
+}
+
+#[test]
+fn many_engines_follow_the_demand_within_a_few_intervals() {
+    let mut homes = Homes::default();
+    let (engines, models) = (engines(128), models(6));
+    homes.share_out(&engines, &models, no_lag, Duration::ZERO);
+    for (index, model) in models.iter().enumerate() {
+        homes.note_demand(model, if index == 0 { 1_000.0 } else { 2_000.0 });
+    }
+    for time in 1..=3 {
+        homes.share_out(&engines, &models, no_lag, Duration::from_secs(4 * time));
+    }
+    assert!((11..=13).contains(&counts(&homes, &engines)["model-0"]));
+}
+
 #[test]
 fn engines_move_one_by_one_when_demand_changes() {
     let mut homes = Homes::default();
