Take a proposed membership only if it was made from the newest one

Cause: a change of members was checked when it was proposed, not when it was written. While the leader's disk was busy each replica that asked to be added, and each look at the members, made another one from the same old membership; they were written one after the other, uncommitted, each undoing the one before. Replication allows one change at a time; two from the same base may differ by two voters. Change: a proposed membership names the index that it was made from, and is dropped where another has come since or is not committed.

--- a/crates/replication/src/leader.rs
+++ b/crates/replication/src/leader.rs
@@ -3,6 +3,7 @@
 use crate::log::{EntryPayload, LogEntry};
 use crate::membership::Member;
 use crate::message::{Header, ReplicaReply, ReplicaRequest, SegmentPart, SnapshotPart};
+use crate::reconfigure::{may_take_membership, tell_membership};
 use crate::replica::{Proposal, Replica};
 use crate::snapshot::Snapshot;
 use crate::state::{Leadership, Progress, Role, State, StateMachine};
@@ -87,7 +88,7 @@
             start_progress(&mut state)
         };
         self.start_peers(peers, term);
-        self.write_batch(vec![Proposal { payload: EntryPayload::Empty, sender: None }]).await;
+        self.write_batch(vec![Proposal { payload: EntryPayload::Empty, sender: None, made_from: None }]).await;
     }
 
     fn start_peers(&self, peers: Vec<Member>, term: u64) {
@@ -133,6 +134,12 @@
         }
         let mut records = Vec::with_capacity(batch.len());
         for proposal in batch {
+            if let EntryPayload::Membership(membership) = &proposal.payload {
+                if !may_take_membership(&state, proposal.made_from) {
+                    continue;
+                }
+                tell_membership(&state, membership);
+            }
             let (index, term) = (state.log.last_index() + 1, state.term);
             let entry = LogEntry { index, term, payload: proposal.payload };
             records.push(WalRecord::Entry(entry.clone()));
--- a/crates/replication/src/reconfigure.rs
+++ b/crates/replication/src/reconfigure.rs
@@ -168,7 +168,7 @@
 
     pub(crate) fn answer_join(&self, id: ReplicaId, address: SocketAddr) -> ReplicaReply {
         let config = &self.inner.options.config;
-        let membership = {
+        let (membership, made_from) = {
             let state = self.inner.state.borrow();
             if state.leadership().is_none() {
                 return ReplicaReply::Members(self.known_addresses(&state));
@@ -183,9 +183,9 @@
             if wanted != Some(true) {
                 return ReplicaReply::Refused;
             }
-            state.membership().with_learner(id, address)
+            (state.membership().with_learner(id, address), state.log.membership_index())
         };
-        self.propose_membership(membership);
+        self.propose_membership(membership, made_from);
         ReplicaReply::Taken
     }
 
@@ -195,14 +195,11 @@
         leader.into_iter().chain(members).collect()
     }
 
-    fn propose_membership(&self, membership: Membership) {
-        spdlog::info!("members proposed", kv: {
-            term = self.inner.state.borrow().term,
-            voters = membership.voters().count(),
-            learners = membership.members.len() - membership.voters().count(),
-            members = names_of(&membership).as_str()
-        });
-        let proposal = Proposal { payload: EntryPayload::Membership(membership), sender: None };
+    /// Proposes a membership that was made from the one at index `made_from`. While it waits to be written others may be
+    /// proposed that were made from the same one: only the first is taken.
+    fn propose_membership(&self, membership: Membership, made_from: u64) {
+        let payload = EntryPayload::Membership(membership);
+        let proposal = Proposal { payload, sender: None, made_from: Some(made_from) };
         // A full queue only delays the change: it is proposed again at the next look.
         let _ = self.inner.proposals.borrow_mut().try_send(proposal);
     }
@@ -211,19 +208,20 @@
     pub(crate) async fn manage_membership(self) {
         loop {
             self.inner.platform.sleep(MEMBERSHIP_INTERVAL).await;
-            if let Some(membership) = self.next_membership() {
-                self.propose_membership(membership);
+            if let Some((membership, made_from)) = self.next_membership() {
+                self.propose_membership(membership, made_from);
             }
         }
     }
 
-    fn next_membership(&self) -> Option<Membership> {
+    /// The next change that is due, with the index of the membership that it is made from.
+    fn next_membership(&self) -> Option<(Membership, u64)> {
         let state = self.inner.state.borrow();
         if !may_change_membership(&state) {
             return None;
         }
         let target_voters = self.inner.options.config.target_voters;
-        self.judge(&state, |judgement| {
+        let next = self.judge(&state, |judgement| {
             if let Some(voter) = judgement.voter_to_remove(target_voters) {
                 return Some(judgement.membership.without(voter.id));
             }
@@ -233,7 +231,8 @@
                 return Some(judgement.membership.with_voter(learner.id));
             }
             judgement.learner_to_remove().map(|learner| judgement.membership.without(learner.id))
-        })?
+        });
+        Some((next??, state.log.membership_index()))
     }
 
     /// Asks the group's replicas to add this one while it belongs to no group, or hears no leader: it may have been
@@ -280,6 +279,21 @@
     membership.members.iter().map(name).collect::<Vec<_>>().join(" ")
 }
 
+/// Whether a membership that was made from the one at index `made_from` may be written now.
+pub(crate) fn may_take_membership<S: StateMachine>(state: &State<S>, made_from: Option<u64>) -> bool {
+    may_change_membership(state) && made_from == Some(state.log.membership_index())
+}
+
+/// Says that this leader writes `membership`.
+pub(crate) fn tell_membership<S: StateMachine>(state: &State<S>, membership: &Membership) {
+    spdlog::info!("members proposed", kv: {
+        term = state.term,
+        voters = membership.voters().count(),
+        learners = membership.members.len() - membership.voters().count(),
+        members = names_of(membership).as_str()
+    });
+}
+
 /// One change at a time, and none before this term has committed.
 fn may_change_membership<S: StateMachine>(state: &State<S>) -> bool {
     let Some(leadership) = state.leadership() else {
--- a/crates/replication/src/replica.rs
+++ b/crates/replication/src/replica.rs
@@ -52,6 +52,8 @@
 pub(crate) struct Proposal<O> {
     pub payload: EntryPayload,
     pub sender: Option<oneshot::Sender<O>>,
+    /// For a membership: the index that brought the one that it was made from.
+    pub made_from: Option<u64>,
 }
 
 pub(crate) struct Inner<P: Runtime, S: StateMachine> {
@@ -172,7 +174,7 @@
             return Err(ProposeError::NotLeader(self.leader_address()));
         }
         let (sender, outcome) = oneshot::channel();
-        let proposal = Proposal { payload: EntryPayload::Command(command), sender: Some(sender) };
+        let proposal = Proposal { payload: EntryPayload::Command(command), sender: Some(sender), made_from: None };
         let queued = self.inner.proposals.borrow_mut().try_send(proposal);
         if queued.is_err() {
             return Err(ProposeError::Overloaded);
--- a/crates/simulator/src/disk.rs
+++ b/crates/simulator/src/disk.rs
@@ -22,6 +22,8 @@
 pub struct DiskTable {
     files: RefCell<BTreeMap<(String, String), File>>,
     full: RefCell<BTreeSet<String>>,
+    /// How much longer a sync takes, by process.
+    slow: RefCell<BTreeMap<String, Duration>>,
 }
 
 impl DiskTable {
@@ -48,6 +50,11 @@
         self.files.borrow_mut().retain(|(owner, _), _| owner != process);
     }
 
+    /// Has each sync take so much longer.
+    pub fn set_slow(&self, process: &str, by: Duration) {
+        self.slow.borrow_mut().insert(process.to_string(), by);
+    }
+
     /// Whether the disk takes nothing more.
     pub fn set_full(&self, process: &str, full: bool) {
         let mut table = self.full.borrow_mut();
@@ -112,7 +119,8 @@
     }
 
     async fn sync(&self, file: &str) -> io::Result<()> {
-        self.wait(SYNC_TIME).await;
+        let slow = self.world.disks.slow.borrow().get(&self.process.name).copied().unwrap_or_default();
+        self.wait(SYNC_TIME + slow).await;
         let mut files = self.world.disks.files.borrow_mut();
         if let Some(file) = files.get_mut(&self.key(file)) {
             let unsynced = std::mem::take(&mut file.unsynced);
--- a/crates/simulator/tests/members.rs
+++ b/crates/simulator/tests/members.rs
@@ -475,6 +475,28 @@
     EXPIRED_SEGMENTS.with(|expired| expired.set(0));
 }
 
+/// Many replicas that ask to be added while the leader's disk is busy bring about one change of members at a time.
+#[test]
+fn many_that_ask_at_once_are_added_one_change_after_the_other() {
+    for_each_seed(|seed| {
+        let mut group = formed(seed);
+        group.run_for(Duration::from_secs(1));
+        let committed = |group: &Group| group.leader().and_then(|leader| leader.view()).map(|view| view.committed);
+        let before = committed(&group).expect("there is a leader");
+        for place in 1..=3 {
+            group.world.disks.set_slow(&format!("machine-{place}"), Duration::from_millis(60));
+        }
+        (4..=24).for_each(|place| group.start(place, false));
+        let first_number = group.next;
+        group.propose_for(Duration::from_secs(1));
+        group.run_for(Duration::from_millis(500));
+        let numbers = group.next - first_number;
+        let written = committed(&group).expect("there is a leader") - before - numbers;
+        // The group wants one learner beside its three voters.
+        assert_eq!(written, 1, "entries that changed the members, seed {seed}");
+    });
+}
+
 #[test]
 fn a_machine_that_is_gone_for_good_is_replaced_by_one_at_another_address() {
     for_each_seed(|seed| {
