--- a/crates/coordinator/src/listing.rs
+++ b/crates/coordinator/src/listing.rs
@@ -2,6 +2,7 @@
 
 use crate::coordinator::Coordinator;
 use crate::job_run::Phase;
+use crate::text::ItemText;
 use saddlerelay_replication::ProposeError;
 use saddlerelay_runtime::Runtime;
 use saddlerelay_runtime::backend::Backends;
@@ -115,9 +116,12 @@
         let command = GatewayCommand::ListResults { job: job.clone(), outcomes: outcomes.clone() };
         match coordinator.inner.node.commit_gateway(command).await {
             Ok(GatewayOutcome::TextMissing(items)) => coordinator.list_whole(job, &items, &outcomes),
-            Ok(outcome) => spdlog::info!("results listed", kv: {
-                job = job.0.as_str(), results = count, outcome = format!("{outcome:?}").as_str()
-            }),
+            Ok(outcome) => {
+                spdlog::info!("results listed", kv: {
+                    job = job.0.as_str(), results = count, outcome = format!("{outcome:?}").as_str()
+                });
+                coordinator.release_texts(job, &outcomes);
+            }
             Err(ProposeError::Overloaded) => {
                 coordinator.inner.runtime.sleep(RETRY_PAUSE).await;
                 continue;
@@ -131,6 +135,19 @@
 }
 
 impl<B: Backends> Coordinator<B> {
+    /// Forgets the texts of listed items: the group holds them.
+    fn release_texts(&self, job: &JobId, outcomes: &[ItemOutcome]) {
+        let jobs = self.inner.jobs.borrow();
+        let Some(run) = jobs.get(job) else {
+            return;
+        };
+        for outcome in outcomes {
+            if let Some(item) = run.items.get(outcome.rest.item as usize) {
+                item.text.replace(ItemText::default());
+            }
+        }
+    }
+
     /// Sends whole texts where the group does not hold their beginnings.
     fn list_whole(&self, job: &JobId, items: &[u32], outcomes: &[ItemOutcome]) {
         let whole: Vec<ItemOutcome> = {
--- a/crates/coordinator/src/runner.rs
+++ b/crates/coordinator/src/runner.rs
@@ -10,6 +10,7 @@
 use saddlerelay_control::state::ControlState;
 use saddlerelay_runtime::Runtime;
 use saddlerelay_runtime::backend::Backends;
+use saddlerelay_types::instance::{InstanceId, InstanceState};
 use saddlerelay_types::job::{ItemOutcome, JobId};
 use std::collections::BTreeSet;
 use std::pin::pin;
@@ -90,6 +91,10 @@
         }
         inner.fleet.retain(|instance| state.instances.get(instance).is_some());
         inner.scorers.retain(|instance| state.instances.get(instance).is_some());
+        let is_gone = |instance: &InstanceId| {
+            state.instances.get(instance).is_none_or(|record| record.state == InstanceState::Gone)
+        };
+        inner.pool.retain(|instance| !is_gone(instance));
     }
 
     fn carry_out(&self, plan: Plan) {
