Change weights first where items wait for them

Cause: loads that were due came in the order in which models are listed. Change: an engine that can serve no step of its model comes before one that can, and first for the model with most waiting items for each engine that can serve them; of those alike, the one with free slots.

--- a/crates/coordinator/src/lib.rs
+++ b/crates/coordinator/src/lib.rs
@@ -14,6 +14,7 @@
 mod job_run;
 mod lengths;
 pub mod listing;
+pub mod load_order;
 pub mod metrics;
 mod moves;
 pub mod order_watch;
--- a/crates/coordinator/src/orders.rs
+++ b/crates/coordinator/src/orders.rs
@@ -5,6 +5,8 @@
 
 use crate::coordinator::Coordinator;
 use crate::dialect::{Call, EngineReport, OrderAnswer, RunningStreams, VersionOrder};
+use crate::fleet::Fleet;
+use crate::load_order::{DueLoad, ModelNeed, choose_loads};
 use hyper::header::{CONTENT_TYPE, HeaderMap, HeaderValue};
 use saddlerelay_control::state::ControlState;
 use saddlerelay_runtime::Runtime;
@@ -34,6 +36,19 @@
     running: RunningStreams,
 }
 
+impl DueOrder {
+    fn load(&self, fleet: &Fleet) -> DueLoad {
+        let instance = &self.target.instance;
+        DueLoad {
+            instance: instance.clone(),
+            model: self.model.model.clone(),
+            useless: is_useless(self.held, self.model.version),
+            behind: self.model.version.saturating_sub(self.held),
+            in_flight: fleet.in_flight(instance),
+        }
+    }
+}
+
 /// Gives orders while this process leads.
 pub(crate) async fn give_orders<B: Backends>(coordinator: Coordinator<B>) {
     let inner = &coordinator.inner;
@@ -93,19 +108,43 @@
         coordinator.share_out(&engines, &hosting.models, state.weights.named());
         let behind = hosting.models.iter().filter_map(|model| Some((model, *state.weights.named().get(model)?)));
         let behind = behind.flat_map(|(model, named)| engines_behind(coordinator, &engines, model, named, running));
-        let mut behind: Vec<DueOrder> = behind.collect();
-        behind.sort_by_key(|order| std::cmp::Reverse(order.model.version.saturating_sub(order.held)));
-        let mut chosen: BTreeMap<InstanceId, DueOrder> = BTreeMap::new();
-        for order in behind {
-            if loading + chosen.len() < most {
-                chosen.entry(order.target.instance.clone()).or_insert(order);
-            }
-        }
-        due.extend(chosen.into_values());
+        let behind: Vec<DueOrder> = behind.collect();
+        let loads: Vec<DueLoad> = behind.iter().map(|order| order.load(&inner.fleet)).collect();
+        let needs = model_needs(coordinator, &engines, &hosting.models, state.weights.named());
+        let chosen = choose_loads(&loads, &needs, most.saturating_sub(loading));
+        let mut behind: Vec<Option<DueOrder>> = behind.into_iter().map(Some).collect();
+        due.extend(chosen.into_iter().filter_map(|place| behind[place].take()));
     }
     due
 }
 
+/// What the items of each model ask for, and how many engines can serve its next step or are being brought to it.
+fn model_needs<B: Backends>(
+    coordinator: &Coordinator<B>,
+    engines: &[EngineTarget],
+    models: &[String],
+    named: &BTreeMap<String, u64>,
+) -> BTreeMap<String, ModelNeed> {
+    let inner = &coordinator.inner;
+    let waiting = inner.waiting.borrow();
+    let need = |model: &String| {
+        let newest = named.get(model).copied().unwrap_or_default();
+        let serves = |engine: &&EngineTarget| {
+            let held = inner.fleet.version(&engine.instance, model);
+            held.is_some_and(|held| !is_useless(held, newest)) || inner.fleet.is_loading(&engine.instance, model)
+        };
+        let engines = engines.iter().filter(serves).count() as u32;
+        (model.clone(), ModelNeed { waiting: waiting.get(model).copied().unwrap_or_default(), engines })
+    };
+    models.iter().map(need).collect()
+}
+
+/// Whether an engine that holds a version can serve no step once `named` is named: a step takes samples of the newest
+/// version and of the one before it.
+fn is_useless(held: u64, named: u64) -> bool {
+    held + 2 <= named
+}
+
 /// Engines that should load `named` of a model now.
 fn engines_behind<B: Backends>(
     coordinator: &Coordinator<B>,
@@ -124,8 +163,7 @@
         let Some(held) = inner.fleet.version(&engine.instance, model) else {
             continue;
         };
-        let useless = held + 2 <= named;
-        let due = useless || held < named && !items_wait;
+        let due = is_useless(held, named) || held < named && !items_wait;
         let free = !inner.fleet.is_loading_any(&engine.instance) && !inner.fleet.is_resting(&engine.instance, now);
         if due && free && coordinator.may_order(&engine.instance) {
             let model = LoadedModel { model: model.to_string(), version: named };
