Commit the results of all jobs at once

Change: what has gathered is proposed at once, and the log takes it in one write; texts of running items likewise. Ruled out: trainers' reads, which come within half a second of the listing.

--- a/crates/coordinator/src/listing.rs
+++ b/crates/coordinator/src/listing.rs
@@ -3,6 +3,7 @@
 use crate::coordinator::Coordinator;
 use crate::job_run::Phase;
 use crate::text::ItemText;
+use futures::future::join_all;
 use saddlerelay_replication::ProposeError;
 use saddlerelay_runtime::Runtime;
 use saddlerelay_runtime::backend::Backends;
@@ -68,11 +69,12 @@
         }
         inner.runtime.sleep(GATHER).await;
         let waiting = std::mem::take(&mut *inner.outcomes.borrow_mut());
-        for (job, outcomes) in waiting {
-            for part in in_commands(outcomes, |outcome| outcome.rest.data.len()) {
-                commit(&coordinator, &job, part).await;
-            }
-        }
+        let parts = waiting.into_iter().flat_map(|(job, outcomes)| {
+            let parts = in_commands(outcomes, |outcome| outcome.rest.data.len());
+            parts.into_iter().map(move |part| (job.clone(), part))
+        });
+        // All are proposed at once: the log takes them in one write.
+        join_all(parts.map(|(job, part)| commit(&coordinator, job, part))).await;
     }
 }
 
@@ -81,14 +83,18 @@
     let inner = &coordinator.inner;
     loop {
         inner.runtime.sleep(inner.config.keep_interval).await;
-        for (job, parts) in coordinator.unsaved_parts() {
-            for parts in in_commands(parts, |part| part.data.len()) {
-                let command = GatewayCommand::KeepTexts { job: job.clone(), parts: parts.clone() };
-                if inner.node.commit_gateway(command).await == Ok(GatewayOutcome::Done) {
-                    coordinator.mark_saved(&job, &parts);
-                }
-            }
-        }
+        let unsaved = coordinator.unsaved_parts().into_iter().flat_map(|(job, parts)| {
+            let commands = in_commands(parts, |part| part.data.len());
+            commands.into_iter().map(move |parts| (job.clone(), parts))
+        });
+        join_all(unsaved.map(|(job, parts)| keep(&coordinator, job, parts))).await;
+    }
+}
+
+async fn keep<B: Backends>(coordinator: &Coordinator<B>, job: JobId, parts: Vec<TextPart>) {
+    let command = GatewayCommand::KeepTexts { job: job.clone(), parts: parts.clone() };
+    if coordinator.inner.node.commit_gateway(command).await == Ok(GatewayOutcome::Done) {
+        coordinator.mark_saved(&job, &parts);
     }
 }
 
@@ -110,17 +116,17 @@
 }
 
 /// Commits outcomes. What is not committed because leadership was lost is run again by the next leader.
-async fn commit<B: Backends>(coordinator: &Coordinator<B>, job: &JobId, outcomes: Vec<ItemOutcome>) {
+async fn commit<B: Backends>(coordinator: &Coordinator<B>, job: JobId, outcomes: Vec<ItemOutcome>) {
     let count = outcomes.len();
     loop {
         let command = GatewayCommand::ListResults { job: job.clone(), outcomes: outcomes.clone() };
         match coordinator.inner.node.commit_gateway(command).await {
-            Ok(GatewayOutcome::TextMissing(items)) => coordinator.list_whole(job, &items, &outcomes),
+            Ok(GatewayOutcome::TextMissing(items)) => coordinator.list_whole(&job, &items, &outcomes),
             Ok(outcome) => {
                 spdlog::info!("results listed", kv: {
                     job = job.0.as_str(), results = count, outcome = format!("{outcome:?}").as_str()
                 });
-                coordinator.release_texts(job, &outcomes);
+                coordinator.release_texts(&job, &outcomes);
             }
             Err(ProposeError::Overloaded) => {
                 coordinator.inner.runtime.sleep(RETRY_PAUSE).await;
