Have a replica fetch missing segments from followers

Cause: the leader sent segments to each learner. A segment that is damaged at one is taken from another.

--- a/crates/replication/src/follower.rs
+++ b/crates/replication/src/follower.rs
@@ -1,7 +1,8 @@
 //! Following a leader: appending its entries and installing its snapshots.
 
 use crate::log::{LogEntry, MemoryLog};
-use crate::message::{Header, ReplicaReply, SegmentPart, SnapshotPart};
+use crate::membership::Member;
+use crate::message::{Header, ReplicaReply, SnapshotPart};
 use crate::replica::Replica;
 use crate::segments::{Segment, StoredSegments};
 use crate::snapshot::Snapshot;
@@ -11,48 +12,64 @@
 use saddlerelay_runtime::{MAX_FRAME_BYTES, Runtime};
 use saddlerelay_types::identity::ReplicaId;
 
+/// Where a snapshot comes from.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) struct SnapshotSource {
+    leader: ReplicaId,
+    term: u64,
+    index: u64,
+}
+
 /// A snapshot of which some parts have come.
 #[derive(Debug, Default)]
 pub(crate) struct IncomingSnapshot {
-    /// The sender, its term and the snapshot's index.
-    from: Option<(ReplicaId, u64, u64)>,
+    from: Option<SnapshotSource>,
     bytes: Vec<u8>,
     /// The whole snapshot, while segments that it refers to are missing.
     whole: Option<Snapshot>,
-    /// What has come of the first missing one.
-    segment: Vec<u8>,
 }
 
 impl IncomingSnapshot {
-    /// Takes a part that follows those before it; returns whether the snapshot is whole.
-    fn take(&mut self, header: &Header, part: &SnapshotPart) -> bool {
-        let source = Some((header.from, header.term, part.index));
-        if self.from != source || self.whole.is_some() {
+    /// Takes a part that follows those before it. Parts of another snapshot begin anew.
+    fn take(&mut self, source: SnapshotSource, part: &SnapshotPart) {
+        if self.from != Some(source) {
             let capacity = usize::try_from(part.total).unwrap_or(0).min(MAX_FRAME_BYTES);
-            *self = Self { from: source, bytes: Vec::with_capacity(capacity), ..Self::default() };
+            *self = Self { from: Some(source), bytes: Vec::with_capacity(capacity), whole: None };
         }
-        if part.offset == self.bytes.len() as u64 {
+        if self.whole.is_none() && part.offset == self.bytes.len() as u64 {
             self.bytes.extend_from_slice(&part.bytes);
         }
-        self.bytes.len() as u64 == part.total
     }
 
-    /// The first segment that the whole snapshot refers to and that is not among `stored`.
-    fn missing_segment(&self, stored: &StoredSegments) -> Option<Segment> {
-        let segments = &self.whole.as_ref()?.header.segments;
-        segments.iter().find(|segment| !stored.holds(segment)).copied()
+    /// The snapshot, if it has become whole by the last part; `Err` if it is damaged.
+    fn decode_whole(&mut self, part: &SnapshotPart) -> Result<bool, DamagedSnapshot> {
+        if self.whole.is_none() && self.bytes.len() as u64 == part.total {
+            let bytes = std::mem::take(&mut self.bytes);
+            self.whole = Some(Snapshot::decode(bytes).ok_or(DamagedSnapshot)?);
+        }
+        Ok(self.whole.is_some())
     }
 
-    /// Takes a part of the missing segment `wanted`; returns its bytes once they are all there.
-    fn take_segment(&mut self, wanted: &Segment, part: &SegmentPart) -> Option<Vec<u8>> {
-        if part.number == wanted.number && part.offset == self.segment.len() as u64 {
-            self.segment.extend_from_slice(&part.bytes);
-        }
-        let complete = self.segment.len() as u64 >= wanted.bytes;
-        complete.then(|| std::mem::take(&mut self.segment))
+    /// The segments that the whole snapshot refers to and that are not among `stored`.
+    pub fn missing_segments(&self, stored: &StoredSegments) -> Vec<Segment> {
+        let segments = self.whole.iter().flat_map(|snapshot| &snapshot.header.segments);
+        segments.filter(|segment| !stored.holds(segment)).copied().collect()
+    }
+
+    /// The replicas that hold the whole snapshot's segments, its sender last.
+    pub fn segment_sources(&self) -> Vec<Member> {
+        let (Some(whole), Some(from)) = (&self.whole, self.from) else {
+            return Vec::new();
+        };
+        let (leader, others): (Vec<Member>, Vec<Member>) =
+            whole.header.membership.voters().cloned().partition(|member| member.id == from.leader);
+        others.into_iter().chain(leader).collect()
     }
 }
 
+/// A snapshot did not pass its checksum.
+struct DamagedSnapshot;
+
 impl<P: Runtime, S: StateMachine> Replica<P, S> {
     pub(crate) async fn append_entries(
         &self,
@@ -92,69 +109,43 @@
         }
     }
 
-    /// Takes a part; the last one makes the snapshot whole and has it installed, once no segment is missing.
+    /// Takes a part; the last one makes the snapshot whole and has it installed, once no segment is missing. An empty part
+    /// behind the last one only asks how far that is.
     pub(crate) async fn take_snapshot_part(&self, header: Header, part: SnapshotPart) -> ReplicaReply {
         let own_term = self.inner.state.borrow().term;
         if header.term < own_term {
             return ReplicaReply::SnapshotPart { term: own_term, next_offset: 0 };
         }
         self.hear_leader(&mut self.inner.state.borrow_mut(), &header);
-        let whole = {
+        let source = SnapshotSource { leader: header.from, term: header.term, index: part.index };
+        {
             let mut incoming = self.inner.incoming.borrow_mut();
             let received = incoming.get_or_insert_default();
-            if !received.take(&header, &part) {
-                let next_offset = received.bytes.len() as u64;
-                return ReplicaReply::SnapshotPart { term: header.term, next_offset };
-            }
-            incoming.take().map(|received| received.bytes).unwrap_or_default()
-        };
-        let Some(snapshot) = Snapshot::decode(whole) else {
-            spdlog::warn!("snapshot damaged on its way", kv: { from = header.from.0, index = part.index });
-            return ReplicaReply::SnapshotPart { term: header.term, next_offset: 0 };
-        };
-        let from = Some((header.from, header.term, part.index));
-        *self.inner.incoming.borrow_mut() =
-            Some(IncomingSnapshot { from, whole: Some(snapshot), ..IncomingSnapshot::default() });
-        self.install_or_ask(header).await
-    }
-
-    /// Takes a part of a segment that this replica has asked for.
-    pub(crate) async fn take_segment_part(&self, header: Header, part: SegmentPart) -> ReplicaReply {
-        let own_term = self.inner.state.borrow().term;
-        if header.term < own_term {
-            return ReplicaReply::SnapshotPart { term: own_term, next_offset: 0 };
-        }
-        self.hear_leader(&mut self.inner.state.borrow_mut(), &header);
-        let complete = {
-            let mut incoming = self.inner.incoming.borrow_mut();
-            let source = Some((header.from, header.term, part.index));
-            let Some(received) = incoming.as_mut().filter(|received| received.from == source) else {
-                return ReplicaReply::SnapshotPart { term: header.term, next_offset: 0 };
-            };
-            let wanted = received.missing_segment(&self.inner.segments.borrow());
-            wanted.and_then(|wanted| Some((wanted, received.take_segment(&wanted, &part)?)))
-        };
-        if let Some((segment, bytes)) = complete {
-            if !segment.matches(&bytes) {
-                spdlog::warn!("segment damaged on its way", kv: { from = header.from.0, number = segment.number });
-            } else if self.store_segment(segment, bytes).await.is_err() {
-                self.fail_storage();
-                return ReplicaReply::Refused;
+            received.take(source, &part);
+            match received.decode_whole(&part) {
+                Ok(true) => {}
+                Ok(false) => {
+                    let next_offset = received.bytes.len() as u64;
+                    return ReplicaReply::SnapshotPart { term: header.term, next_offset };
+                }
+                Err(DamagedSnapshot) => {
+                    spdlog::warn!("snapshot damaged on its way", kv: { from = header.from.0, index = part.index });
+                    return ReplicaReply::SnapshotPart { term: header.term, next_offset: 0 };
+                }
             }
         }
-        self.install_or_ask(header).await
+        self.install_or_fetch(header).await
     }
 
-    /// Installs the snapshot that has come, or asks for the first segment that is missing.
-    async fn install_or_ask(&self, header: Header) -> ReplicaReply {
+    /// Installs the snapshot that has come, or has the segments fetched that are missing.
+    async fn install_or_fetch(&self, header: Header) -> ReplicaReply {
         let snapshot = {
             let mut incoming = self.inner.incoming.borrow_mut();
-            let wanted = incoming.as_ref().and_then(|received| {
-                let missing = received.missing_segment(&self.inner.segments.borrow())?;
-                Some((missing.number, received.segment.len() as u64))
-            });
-            if let Some((number, offset)) = wanted {
-                return ReplicaReply::SegmentWanted { term: header.term, number, offset };
+            let missing = incoming.as_ref().map(|received| received.missing_segments(&self.inner.segments.borrow()));
+            if missing.is_some_and(|missing| !missing.is_empty()) {
+                drop(incoming);
+                self.begin_fetch();
+                return ReplicaReply::FetchingSegments { term: header.term };
             }
             incoming.take().and_then(|received| received.whole)
         };
--- a/crates/replication/src/leader.rs
+++ b/crates/replication/src/leader.rs
@@ -2,7 +2,7 @@
 
 use crate::log::{EntryPayload, LogEntry};
 use crate::membership::Member;
-use crate::message::{Header, ReplicaReply, ReplicaRequest, SegmentPart, SnapshotPart};
+use crate::message::{Header, ReplicaReply, ReplicaRequest, SnapshotPart};
 use crate::reconfigure::{may_take_membership, tell_membership};
 use crate::replica::{Proposal, Replica};
 use crate::snapshot::Snapshot;
@@ -22,23 +22,13 @@
 /// Most bytes of entries in one message, unless a single one is larger.
 const MESSAGE_BYTES: u64 = 1024 * 1024;
 
-/// Bytes of a snapshot or a segment in one message: small beside what a link carries between two heartbeats.
+/// Bytes of a snapshot in one message: small beside what a link carries between two heartbeats.
 const SNAPSHOT_PART_BYTES: usize = 512 * 1024;
 
 /// A snapshot on its way to one peer.
 struct SnapshotTransfer {
     snapshot: Rc<Snapshot>,
     offset: usize,
-    /// A segment that the peer has asked for.
-    segment: Option<SegmentTransfer>,
-}
-
-/// A segment on its way to one peer.
-struct SegmentTransfer {
-    number: u64,
-    offset: usize,
-    /// Its bytes, once they were read.
-    bytes: Option<Rc<Vec<u8>>>,
 }
 
 impl SnapshotTransfer {
@@ -53,23 +43,6 @@
             bytes: encoded[start..end].to_vec(),
         }
     }
-
-    /// The peer asks for a segment from `offset` on.
-    fn want_segment(&mut self, number: u64, offset: u64) {
-        let offset = usize::try_from(offset).unwrap_or(0);
-        match &mut self.segment {
-            Some(segment) if segment.number == number => segment.offset = offset,
-            other => *other = Some(SegmentTransfer { number, offset, bytes: None }),
-        }
-    }
-}
-
-impl SegmentTransfer {
-    fn next_part(&self, index: u64, bytes: &[u8]) -> SegmentPart {
-        let start = self.offset.min(bytes.len());
-        let end = (start + SNAPSHOT_PART_BYTES).min(bytes.len());
-        SegmentPart { index, number: self.number, offset: start as u64, bytes: bytes[start..end].to_vec() }
-    }
 }
 
 impl<P: Runtime, S: StateMachine> Replica<P, S> {
@@ -176,17 +149,13 @@
                     self.record_contact(&peer, term, sent_at);
                     if let Some(transfer) = &mut transfer {
                         transfer.offset = usize::try_from(next_offset).unwrap_or(0);
-                        transfer.segment = None;
                     }
                     true
                 }
-                Some(ReplicaReply::SegmentWanted { term: seen_term, number, offset }) => {
+                Some(ReplicaReply::FetchingSegments { term: seen_term }) => {
                     self.observe_term(seen_term).await;
                     self.record_contact(&peer, term, sent_at);
-                    if let Some(transfer) = &mut transfer {
-                        transfer.want_segment(number, offset);
-                    }
-                    true
+                    false
                 }
                 _ => {
                     self.inner.platform.sleep(config.heartbeat_interval).await;
@@ -200,8 +169,8 @@
         }
     }
 
-    /// What a peer lacks next: entries from memory, else from this replica's own log file, else a snapshot and the segments
-    /// that it refers to.
+    /// What a peer lacks next: entries from memory, else from this replica's own log file, else a snapshot. Segments that the
+    /// snapshot refers to the peer fetches itself; meanwhile an empty part behind the last one asks whether it has them.
     async fn next_message(
         &self,
         peer: &Member,
@@ -232,9 +201,6 @@
                 return from_file;
             }
         }
-        if let Some(request) = self.next_segment_part(header, transfer).await {
-            return Some(request);
-        }
         let state = self.inner.state.borrow();
         if !state.leads_term(term) {
             return None;
@@ -246,37 +212,12 @@
                 segments = snapshot.header.segments.len() as u64,
                 next_wanted = next, log_begins = state.log.base_index()
             });
-            SnapshotTransfer { snapshot, offset: 0, segment: None }
+            SnapshotTransfer { snapshot, offset: 0 }
         };
         let transfer = transfer.get_or_insert_with(begin);
         Some(ReplicaRequest::SnapshotPart { header, part: transfer.next_part() })
     }
 
-    /// The next part of the segment that the peer asks for, if it does. Where the segment cannot be read, the transfer begins
-    /// anew: the state may no longer refer to it.
-    async fn next_segment_part(
-        &self,
-        header: Header,
-        transfer: &mut Option<SnapshotTransfer>,
-    ) -> Option<ReplicaRequest> {
-        let sent = transfer.as_mut()?;
-        let index = sent.snapshot.header.index;
-        let segment = sent.segment.as_mut()?;
-        if segment.bytes.is_none() {
-            match self.read_segment(segment.number).await {
-                Ok(bytes) => segment.bytes = Some(bytes),
-                Err(error) => spdlog::warn!("segment not sent", kv: {
-                    number = segment.number, index = index, reason = error.to_string().as_str()
-                }),
-            }
-        }
-        let part = segment.bytes.as_ref().map(|bytes| segment.next_part(index, bytes));
-        if part.is_none() {
-            *transfer = None;
-        }
-        part.map(|part| ReplicaRequest::SegmentPart { header, part })
-    }
-
     /// Entries that memory no longer holds, from the log file.
     async fn entries_from_file(&self, header: Header, next: u64) -> Option<ReplicaRequest> {
         let storage = self.inner.storage.lock().await;
--- a/crates/replication/src/message.rs
+++ b/crates/replication/src/message.rs
@@ -54,12 +54,12 @@
         /// The part.
         part: SnapshotPart,
     },
-    /// A part of a segment that the receiver has asked for.
-    SegmentPart {
+    /// Asks any replica for a segment.
+    ReadSegment {
         /// Sender and receiver.
         header: Header,
-        /// The part.
-        part: SegmentPart,
+        /// The segment.
+        number: u64,
     },
     /// The leader stops: the receiver should campaign now.
     TakeOver {
@@ -101,15 +101,13 @@
         /// The byte that the receiver wants next.
         next_offset: u64,
     },
-    /// The snapshot is whole, but the receiver lacks a segment that it refers to.
-    SegmentWanted {
+    /// The snapshot is whole, and the receiver fetches segments that it refers to.
+    FetchingSegments {
         /// The receiver's term.
         term: u64,
-        /// The segment.
-        number: u64,
-        /// The byte of it that the receiver wants next.
-        offset: u64,
     },
+    /// A segment's bytes.
+    Segment(Vec<u8>),
     /// The request was taken.
     Taken,
     /// Of a request to be added, by a replica that does not lead: where the group's replicas listen.
@@ -130,16 +128,3 @@
     /// The bytes.
     pub bytes: Vec<u8>,
 }
-
-/// A part of a [`Segment`](crate::segments::Segment) that a snapshot refers to.
-#[derive(Clone, Debug, PartialEq, Eq, Encode, Decode)]
-pub struct SegmentPart {
-    /// Last entry that the snapshot includes.
-    pub index: u64,
-    /// The segment.
-    pub number: u64,
-    /// Bytes before this part.
-    pub offset: u64,
-    /// The bytes.
-    pub bytes: Vec<u8>,
-}
--- a/crates/replication/src/replica.rs
+++ b/crates/replication/src/replica.rs
@@ -16,7 +16,7 @@
 use saddlerelay_runtime::signal::Signal;
 use saddlerelay_types::identity::ReplicaId;
 use saddlerelay_types::protocol::{ControlReply, ControlRequest, GroupView, ReplicaView};
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::rc::{Rc, Weak};
@@ -72,6 +72,8 @@
     pub unwanted: RefCell<BTreeSet<ReplicaId>>,
     /// The segments on this replica's disk.
     pub segments: RefCell<StoredSegments>,
+    /// Missing segments are being fetched.
+    pub fetching: Cell<bool>,
     /// A snapshot that is being received.
     pub incoming: RefCell<Option<IncomingSnapshot>>,
     /// The snapshot that is being sent, for peers that need one at the same time.
@@ -148,6 +150,7 @@
             clients: RefCell::default(),
             unwanted: RefCell::default(),
             segments: RefCell::new(segments),
+            fetching: Cell::default(),
             incoming: RefCell::default(),
             outgoing: RefCell::default(),
             heard_of: RefCell::default(),
@@ -346,11 +349,11 @@
                 }
                 self.take_snapshot_part(header, part).await
             }
-            ReplicaRequest::SegmentPart { header, part } => {
-                if !self.accepts_leader(&header).await {
+            ReplicaRequest::ReadSegment { header, number } => {
+                if !self.is_for_this_replica(&header) {
                     return ReplicaReply::Refused;
                 }
-                self.take_segment_part(header, part).await
+                self.answer_segment(number).await
             }
             ReplicaRequest::TakeOver { header } => {
                 if !self.is_for_this_replica(&header) {
