Take a damaged segment from another replica, and ask every follower before the leader

Cause: a replica whose own file of a segment is damaged answered reads of old results with 503 for good. Found by the test for it: of three voters to ask, one follower could be left out and the leader asked twice. Change: a read that finds the file damaged fetches the segment from another voter, stores it and reads again; followers take turns among themselves, the leader comes last.

--- a/crates/replication/src/segments.rs
+++ b/crates/replication/src/segments.rs
@@ -143,7 +143,7 @@
 
     /// Answers a replica that lacks a segment.
     pub(crate) async fn answer_segment(&self, number: u64) -> ReplicaReply {
-        match self.read_segment(number).await {
+        match self.read_own_segment(number).await {
             Ok(bytes) => ReplicaReply::Segment(bytes.to_vec()),
             Err(_) => ReplicaReply::Refused,
         }
@@ -184,10 +184,10 @@
             (state.identity.id, state.term)
         };
         let sources: Vec<&Member> = sources.iter().filter(|source| source.id != own).collect();
-        let followers = sources.len().saturating_sub(1).max(1);
-        // Each begins with another follower; the leader is asked when they do not have it.
-        let first = segment.number as usize % followers;
-        let in_turn = sources.iter().cycle().skip(first).take(followers).chain(sources.last());
+        // Segments begin with different followers; the leader is asked when these do not have it.
+        let (followers, leader) = sources.split_at(sources.len().saturating_sub(1));
+        let first = segment.number as usize % followers.len().max(1);
+        let in_turn = followers.iter().cycle().skip(first).take(followers.len()).chain(leader);
         for source in in_turn {
             let request = ReplicaRequest::ReadSegment { header: self.header(source.id, term), number: segment.number };
             let Some(ReplicaReply::Segment(bytes)) = self.send(source.address, &request, FETCH_LIMIT).await else {
@@ -207,16 +207,39 @@
         false
     }
 
-    /// A segment's bytes, from memory or from this replica's disk.
+    /// A segment's bytes. One whose file is damaged here is taken from another voter.
     pub async fn read_segment(&self, number: u64) -> Result<Rc<Vec<u8>>, SegmentError> {
-        let segment = {
-            let state = self.inner.state.borrow();
-            if let Some(bytes) = state.machine.segment_bytes(number) {
-                return Ok(bytes);
-            }
-            let segments = state.machine.segments();
-            segments.into_iter().find(|segment| segment.number == number).ok_or(SegmentError::Unknown)?
-        };
+        match self.read_own_segment(number).await {
+            Err(SegmentError::Damaged) => {}
+            other => return other,
+        }
+        let segment = self.segment(number).ok_or(SegmentError::Unknown)?;
+        if !self.fetch(segment, &self.other_voters()).await {
+            return Err(SegmentError::Damaged);
+        }
+        spdlog::info!("segment repaired", kv: { number = number });
+        self.read_own_segment(number).await
+    }
+
+    fn segment(&self, number: u64) -> Option<Segment> {
+        let segments = self.inner.state.borrow().machine.segments();
+        segments.into_iter().find(|segment| segment.number == number)
+    }
+
+    /// The voters that may give a segment, the leader last.
+    fn other_voters(&self) -> Vec<Member> {
+        let state = self.inner.state.borrow();
+        let (leader, others): (Vec<Member>, Vec<Member>) =
+            state.membership().voters().cloned().partition(|voter| Some(voter.id) == state.leader);
+        others.into_iter().chain(leader).collect()
+    }
+
+    /// A segment's bytes, from memory or from this replica's disk.
+    async fn read_own_segment(&self, number: u64) -> Result<Rc<Vec<u8>>, SegmentError> {
+        if let Some(bytes) = self.inner.state.borrow().machine.segment_bytes(number) {
+            return Ok(bytes);
+        }
+        let segment = self.segment(number).ok_or(SegmentError::Unknown)?;
         let read = read_file(&self.inner.platform.disk(), &segment).await;
         if let Err(error) = &read {
             spdlog::warn!("segment not read", kv: { number = number, reason = error.to_string().as_str() });
--- a/crates/simulator/src/disk.rs
+++ b/crates/simulator/src/disk.rs
@@ -45,6 +45,14 @@
         files.keys().filter(|(owner, _)| owner == process).map(|(_, name)| name.clone()).collect()
     }
 
+    /// A bit of a file turns over.
+    pub fn damage(&self, process: &str, file: &str) {
+        if let Some(file) = self.files.borrow_mut().get_mut(&(process.to_string(), file.to_string())) {
+            let place = file.synced.len() / 2;
+            file.synced[place] ^= 1;
+        }
+    }
+
     /// Everything is gone.
     pub fn lose(&self, process: &str) {
         self.files.borrow_mut().retain(|(owner, _), _| owner != process);
--- a/crates/simulator/tests/members.rs
+++ b/crates/simulator/tests/members.rs
@@ -456,6 +456,24 @@
     });
 }
 
+/// A segment that is damaged at one replica is taken from another, by that replica and by one that joins.
+#[test]
+fn a_damaged_segment_is_taken_from_another_replica() {
+    for_each_seed(|seed| {
+        let mut group = formed(seed);
+        group.propose_for(Duration::from_secs(2));
+        let place = 1 + (seed % 3) as u8;
+        group.world.disks.damage(&format!("machine-{place}"), "segment-1");
+        let lost = 1 + ((seed + 1) % 3) as u8;
+        group.kill(lost, true);
+        group.start(lost, false);
+        group.propose_for(Duration::from_secs(1));
+        group.await_voters(&[1, 2, 3], Duration::from_secs(5), "beside a damaged segment");
+        // Every replica brings back all that it holds.
+        group.check("damaged segment");
+    });
+}
+
 #[test]
 fn files_of_segments_that_the_state_no_longer_refers_to_are_removed() {
     let mut group = formed(1);
