Remove a lost voter as soon as one has taken a place

Cause: with two of five voters lost, a learner was made the sixth voter, and no lost one was removed until five were sound again: a quorum of four of six, with four alive. Change: while there are more voters than wanted, a lost one goes. Adjacent memberships differ by one voter as before. Ruled out: removing lost voters first, which leaves fewer copies than the losses to be borne ask for.

--- a/crates/replication/src/reconfigure.rs
+++ b/crates/replication/src/reconfigure.rs
@@ -85,9 +85,10 @@
         learners.filter(sound).max_by_key(|learner| replaces(learner))
     }
 
-    /// A voter whose place has been taken.
+    /// A voter whose place has been taken. Where several are lost, each goes as soon as one has taken a place: a lost voter
+    /// that stays only makes the quorum larger.
     fn voter_to_remove(&self, target_voters: usize) -> Option<&Member> {
-        let enough = self.sound_voters() >= target_voters;
+        let enough = self.membership.voters().count() > target_voters;
         let replaced = |voter: &&Member| self.replacement(voter).is_some_and(|replacement| replacement.voter);
         let removable = |voter: &&Member| replaced(voter) || enough && self.is_lost(voter);
         self.membership.voters().filter(|voter| voter.id != self.own).find(removable)
--- a/crates/simulator/tests/members.rs
+++ b/crates/simulator/tests/members.rs
@@ -493,6 +493,29 @@
     EXPIRED_SEGMENTS.with(|expired| expired.set(0));
 }
 
+/// Two of five are lost and one takes the place of one of them: the group then bears the loss of another.
+#[test]
+fn a_replacement_makes_up_for_one_loss_while_another_is_still_open() {
+    for_each_seed(|seed| {
+        let mut group = Group::new(seed);
+        group.config.target_voters = 5;
+        let mut group = formed_of(group);
+        (4..=5).for_each(|place| group.start(place, false));
+        group.await_voters(&[1, 2, 3, 4, 5], Duration::from_secs(4), "five voters");
+        group.propose_for(Duration::from_millis(500));
+        let led = group.leader_place().expect("there is a leader");
+        let others: Vec<u8> = (1..=5).filter(|place| *place != led).collect();
+        group.kill(others[0], true);
+        group.kill(others[1], true);
+        group.start(7, false);
+        group.propose_for(Duration::from_millis(3_500));
+        group.kill(others[2], true);
+        group.run_for(Duration::from_millis(1_000));
+        group.propose_for(Duration::from_millis(500));
+        group.check("another loss");
+    });
+}
+
 /// Many replicas that ask to be added while the leader's disk is busy bring about one change of members at a time.
 #[test]
 fn many_that_ask_at_once_are_added_one_change_after_the_other() {
