Bound the bytes of one write and of one message between replicas

Change: 512 KB a write, 256 KB a message, 128 KB a command. Ruled out: processor time of copies and encodings, some ms for a MiB; heartbeats on a task of their own wait for the same disk.

--- a/crates/coordinator/src/listing.rs
+++ b/crates/coordinator/src/listing.rs
@@ -18,7 +18,7 @@
 const RETRY_PAUSE: Duration = Duration::from_millis(20);
 
 /// Most bytes of text in one command.
-const COMMAND_BYTES: usize = 256 * 1024;
+const COMMAND_BYTES: usize = 128 * 1024;
 
 /// Fewest bytes of a running item's text that are kept by themselves.
 const LEAST_PART_BYTES: usize = 2 * 1024;
--- a/crates/replication/src/leader.rs
+++ b/crates/replication/src/leader.rs
@@ -19,8 +19,12 @@
 /// Most proposals in one write.
 const BATCH_PROPOSALS: usize = 512;
 
-/// Most bytes of entries in one message, unless a single one is larger.
-const MESSAGE_BYTES: u64 = 1024 * 1024;
+/// Most bytes of proposals in one write, unless a single one is larger: the next write and every message wait for it.
+const BATCH_BYTES: u64 = 512 * 1024;
+
+/// Most bytes of entries in one message, unless a single one is larger. The answer to it is the peer's next sign of life: on
+/// a third of a core a peer takes tens of milliseconds for so much, and several times that for a MiB.
+const MESSAGE_BYTES: u64 = 256 * 1024;
 
 /// Bytes of a snapshot in one message: small beside what a link carries between two heartbeats.
 const SNAPSHOT_PART_BYTES: usize = 512 * 1024;
@@ -72,10 +76,14 @@
 
     pub(crate) async fn write_proposals(self, mut queue: mpsc::Receiver<Proposal<S::Outcome>>) {
         while let Some(first) = queue.next().await {
+            let mut bytes = first.payload.size();
             let mut batch = vec![first];
-            while batch.len() < BATCH_PROPOSALS {
+            while batch.len() < BATCH_PROPOSALS && bytes < BATCH_BYTES {
                 match queue.next().now_or_never() {
-                    Some(Some(proposal)) => batch.push(proposal),
+                    Some(Some(proposal)) => {
+                        bytes += proposal.payload.size();
+                        batch.push(proposal);
+                    }
                     _ => break,
                 }
             }
