--- a/crates/control/src/state/text_archive.rs
+++ b/crates/control/src/state/text_archive.rs
@@ -13,7 +13,7 @@
 
 /// Bytes of segments that stay in memory although they are on disk: the last seconds of a busy group, which trainers still
 /// read and later jobs take texts from.
-const MEMORY_BYTES: u64 = 6 * 1024 * 1024;
+const MEMORY_BYTES: u64 = 4 * 1024 * 1024;
 
 /// Texts that were read back from disk.
 #[derive(Clone, Debug, Default)]
--- a/crates/replication/src/snapshot.rs
+++ b/crates/replication/src/snapshot.rs
@@ -39,6 +39,8 @@
         let state_bytes = state.len();
         let mut encoded = state;
         let trailer = bitcode::encode(&header);
+        // Else the first byte more would have all of it moved to twice the room.
+        encoded.reserve_exact(trailer.len() + LENGTH_BYTES + CHECKSUM_BYTES);
         encoded.extend_from_slice(&trailer);
         encoded.extend_from_slice(&(trailer.len() as u32).to_le_bytes());
         let checksum = crc32fast::hash(&encoded);
--- a/crates/settings/src/member.rs
+++ b/crates/settings/src/member.rs
@@ -31,6 +31,9 @@
 /// once decoded: little beside the smallest machines' memory of 88 MB. Snapshots are small, because they leave texts out.
 const SNAPSHOT_BYTES: u64 = 12 * 1024 * 1024;
 
+/// Bytes of log that a member keeps in memory for voters that are behind. Beyond, they are sent what its log file holds.
+const MEMORY_BYTES_BEHIND: u64 = 3 * 1024 * 1024;
+
 /// A member's settings.
 #[derive(Clone, Debug, PartialEq)]
 pub struct MemberSettings {
@@ -155,7 +158,7 @@
             snapshot_entries: 40_000,
             snapshot_bytes: SNAPSHOT_BYTES,
             memory_bytes: 512 * 1024,
-            memory_bytes_behind: 8 * 1024 * 1024,
+            memory_bytes_behind: MEMORY_BYTES_BEHIND,
             target_voters: 2 * self.tolerated_losses as usize + 1,
             ..ReplicationConfig::default()
         }
