--- a/crates/replication/src/follower.rs
+++ b/crates/replication/src/follower.rs
@@ -4,6 +4,7 @@
 use crate::membership::Member;
 use crate::message::{Header, ReplicaReply, SnapshotPart};
 use crate::replica::Replica;
+use crate::segment_fetch::leader_last;
 use crate::segments::{Segment, StoredSegments};
 use crate::snapshot::Snapshot;
 use crate::state::{State, StateMachine};
@@ -41,7 +42,7 @@
         }
     }
 
-    /// The snapshot, if it has become whole by the last part; `Err` if it is damaged.
+    /// Whether the snapshot is whole by the last part; `Err` if it is damaged.
     fn decode_whole(&mut self, part: &SnapshotPart) -> Result<bool, DamagedSnapshot> {
         if self.whole.is_none() && self.bytes.len() as u64 == part.total {
             let bytes = std::mem::take(&mut self.bytes);
@@ -61,9 +62,7 @@
         let (Some(whole), Some(from)) = (&self.whole, self.from) else {
             return Vec::new();
         };
-        let (leader, others): (Vec<Member>, Vec<Member>) =
-            whole.header.membership.voters().cloned().partition(|member| member.id == from.leader);
-        others.into_iter().chain(leader).collect()
+        leader_last(whole.header.membership.voters(), Some(from.leader))
     }
 }
 
--- a/crates/replication/src/lib.rs
+++ b/crates/replication/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod message;
 mod reconfigure;
 mod replica;
+mod segment_fetch;
 pub mod segments;
 pub mod snapshot;
 mod state;
--- a/crates/replication/src/segments.rs
+++ b/crates/replication/src/segments.rs
@@ -2,31 +2,17 @@
 //! replica that lacks it. What a snapshot costs then does not grow with them.
 //!
 //! Every replica seals the same segments, because it applies the same commands. A snapshot is written only after the
-//! segments that it refers to, and a segment's file is removed only after a snapshot that no longer refers to it. Segments
-//! are fetched from voters other than the leader, as far as they have them: the leader has the log to send.
+//! segments that it refers to, and a segment's file is removed only after a snapshot that no longer refers to it.
 
-use crate::membership::Member;
-use crate::message::{ReplicaReply, ReplicaRequest};
 use crate::replica::Replica;
 use crate::state::StateMachine;
 use crate::storage::StorageError;
 use bitcode::{Decode, Encode};
-use futures::future::join_all;
 use saddlerelay_runtime::{Disk, Runtime};
 use std::collections::BTreeMap;
 use std::fmt;
 use std::io;
 use std::rc::Rc;
-use std::time::Duration;
-
-/// Segments that a replica fetches at the same time: one from each of the voters that are likely to have them.
-const FETCHES_AT_ONCE: usize = 3;
-
-/// Longest wait for one segment: many times what a link and a busy replica take for its size.
-const FETCH_LIMIT: Duration = Duration::from_millis(1_200);
-
-/// Pause before segments that nobody gave are asked for again.
-const FETCH_PAUSE: Duration = Duration::from_millis(100);
 
 /// What tells whether some bytes are a segment's.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Encode, Decode)]
@@ -141,101 +127,14 @@
         }
     }
 
-    /// Answers a replica that lacks a segment.
-    pub(crate) async fn answer_segment(&self, number: u64) -> ReplicaReply {
-        match self.read_own_segment(number).await {
-            Ok(bytes) => ReplicaReply::Segment(bytes.to_vec()),
-            Err(_) => ReplicaReply::Refused,
-        }
-    }
-
-    /// Fetches the segments that the snapshot being received refers to, unless that is under way.
-    pub(crate) fn begin_fetch(&self) {
-        if !self.inner.fetching.replace(true) {
-            self.inner.platform.spawn(self.clone().fetch_missing());
-        }
-    }
-
-    async fn fetch_missing(self) {
-        while let Some((missing, sources)) = self.fetch_plan() {
-            let fetches = missing.iter().map(|segment| self.fetch(*segment, &sources));
-            let fetched = join_all(fetches).await;
-            if fetched.contains(&false) {
-                self.inner.platform.sleep(FETCH_PAUSE).await;
-            }
-        }
-        self.inner.fetching.set(false);
-    }
-
-    /// The next segments to fetch and who may have them; `None` when nothing is missing, or the disk refuses writes.
-    fn fetch_plan(&self) -> Option<(Vec<Segment>, Vec<Member>)> {
-        let state = self.inner.state.borrow();
-        let incoming = self.inner.incoming.borrow();
-        let received = incoming.as_ref().filter(|_| !state.storage_failed && !state.stopping)?;
-        let mut missing = received.missing_segments(&self.inner.segments.borrow());
-        missing.truncate(FETCHES_AT_ONCE);
-        (!missing.is_empty()).then(|| (missing, received.segment_sources()))
-    }
-
-    /// Fetches and stores a segment; returns whether it could.
-    async fn fetch(&self, segment: Segment, sources: &[Member]) -> bool {
-        let (own, term) = {
-            let state = self.inner.state.borrow();
-            (state.identity.id, state.term)
-        };
-        let sources: Vec<&Member> = sources.iter().filter(|source| source.id != own).collect();
-        // Segments begin with different followers; the leader is asked when these do not have it.
-        let (followers, leader) = sources.split_at(sources.len().saturating_sub(1));
-        let first = segment.number as usize % followers.len().max(1);
-        let in_turn = followers.iter().cycle().skip(first).take(followers.len()).chain(leader);
-        for source in in_turn {
-            let request = ReplicaRequest::ReadSegment { header: self.header(source.id, term), number: segment.number };
-            let Some(ReplicaReply::Segment(bytes)) = self.send(source.address, &request, FETCH_LIMIT).await else {
-                continue;
-            };
-            if !segment.matches(&bytes) {
-                spdlog::warn!("segment damaged on its way", kv: { from = source.id.0, number = segment.number });
-                continue;
-            }
-            if self.store_segment(segment, bytes).await.is_err() {
-                self.fail_storage();
-                return false;
-            }
-            return true;
-        }
-        spdlog::warn!("segment not fetched", kv: { number = segment.number, asked = sources.len() });
-        false
-    }
-
-    /// A segment's bytes. One whose file is damaged here is taken from another voter.
-    pub async fn read_segment(&self, number: u64) -> Result<Rc<Vec<u8>>, SegmentError> {
-        match self.read_own_segment(number).await {
-            Err(SegmentError::Damaged) => {}
-            other => return other,
-        }
-        let segment = self.segment(number).ok_or(SegmentError::Unknown)?;
-        if !self.fetch(segment, &self.other_voters()).await {
-            return Err(SegmentError::Damaged);
-        }
-        spdlog::info!("segment repaired", kv: { number = number });
-        self.read_own_segment(number).await
-    }
-
-    fn segment(&self, number: u64) -> Option<Segment> {
+    /// The segment with this number, if the state refers to it.
+    pub(crate) fn segment(&self, number: u64) -> Option<Segment> {
         let segments = self.inner.state.borrow().machine.segments();
         segments.into_iter().find(|segment| segment.number == number)
     }
 
-    /// The voters that may give a segment, the leader last.
-    fn other_voters(&self) -> Vec<Member> {
-        let state = self.inner.state.borrow();
-        let (leader, others): (Vec<Member>, Vec<Member>) =
-            state.membership().voters().cloned().partition(|voter| Some(voter.id) == state.leader);
-        others.into_iter().chain(leader).collect()
-    }
-
     /// A segment's bytes, from memory or from this replica's disk.
-    async fn read_own_segment(&self, number: u64) -> Result<Rc<Vec<u8>>, SegmentError> {
+    pub(crate) async fn read_own_segment(&self, number: u64) -> Result<Rc<Vec<u8>>, SegmentError> {
         if let Some(bytes) = self.inner.state.borrow().machine.segment_bytes(number) {
             return Ok(bytes);
         }
