--- a/crates/coordinator/src/listing.rs
+++ b/crates/coordinator/src/listing.rs
@@ -73,7 +73,7 @@
             let parts = in_commands(outcomes, |outcome| outcome.rest.data.len());
             parts.into_iter().map(move |part| (job.clone(), part))
         });
-        // All are proposed at once: the log takes them in one write.
+        // All are proposed at once: the log takes them in few writes.
         join_all(parts.map(|(job, part)| commit(&coordinator, job, part))).await;
     }
 }
