--- a/crates/api/src/credentials.rs
+++ b/crates/api/src/credentials.rs
@@ -2,8 +2,8 @@
 
 use hyper::HeaderMap;
 use hyper::header::AUTHORIZATION;
+use saddlerelay_types::credentials::SecretDigest;
 use saddlerelay_types::identity::{CallerId, TenantId};
-use sha2::{Digest, Sha256};
 
 /// A caller's or trainer's credentials: `tenant:caller:secret`, the secret being optional.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -31,8 +31,7 @@
 
 /// Whether `secret` has the SHA-256 `digest`, in hexadecimal.
 pub fn secret_matches(secret: &str, digest: &str) -> bool {
-    let computed: String = Sha256::digest(secret.as_bytes()).iter().map(|byte| format!("{byte:02x}")).collect();
-    constant_time_equal(computed.as_bytes(), digest.to_ascii_lowercase().as_bytes())
+    SecretDigest::from_hexadecimal(digest).is_some_and(|digest| digest.matches(secret.as_bytes()))
 }
 
 /// Compares without telling by its time where the difference is.
--- a/crates/command-line/src/lib.rs
+++ b/crates/command-line/src/lib.rs
@@ -2,6 +2,7 @@
 
 pub mod account;
 pub mod admin;
+mod duties;
 pub mod explain;
 mod logs;
 pub mod member;
--- a/crates/command-line/src/member.rs
+++ b/crates/command-line/src/member.rs
@@ -5,12 +5,13 @@
 use saddlerelay_control::node::ControlNode;
 use saddlerelay_control_client::ControlClient;
 use saddlerelay_coordinator::{Coordinator, CoordinatorConfig, CoordinatorIdentity, EngineDialect};
+use saddlerelay_duties::PlatformDialect;
 use saddlerelay_engine_client::{BackendAddresses, HttpBackends};
 use saddlerelay_gateway::{Gateway, GatewayConfig, GatewayOptions};
-use saddlerelay_gateway_api::{ControlApi, Formats, FrontApi, OwnEngines, OwnFormats, ReadinessApi};
+use saddlerelay_gateway_api::{ControlApi, Formats, FrontApi, OwnEngines, OwnFormats, OwnPlatform, ReadinessApi};
 use saddlerelay_http::body::{Reply, whole};
 use saddlerelay_http::server::{HttpHandler, Shutdown, serve_until};
-use saddlerelay_platform::{PlatformEngines, PlatformFormats};
+use saddlerelay_platform::{PlatformDuties, PlatformEngines, PlatformFormats};
 use saddlerelay_replication::ReplicaOptions;
 use saddlerelay_runtime::Runtime;
 use saddlerelay_runtime_compio::CompioRuntime;
@@ -81,16 +82,28 @@
 
 async fn run_role(settings: MemberSettings, file: PathBuf) -> Result<(), CommandError> {
     match settings.interface {
-        Interface::Own => run_speaking(settings, file, OwnFormats, Box::new(OwnEngines)).await,
-        Interface::Platform => run_speaking(settings, file, PlatformFormats, Box::new(PlatformEngines)).await,
+        Interface::Own => {
+            let outward = Outward { engines: Box::new(OwnEngines), platform: Box::new(OwnPlatform) };
+            run_speaking(settings, file, OwnFormats, outward).await
+        }
+        Interface::Platform => {
+            let outward = Outward { engines: Box::new(PlatformEngines), platform: Box::new(PlatformDuties) };
+            run_speaking(settings, file, PlatformFormats, outward).await
+        }
     }
 }
 
+/// How a coordinator speaks to what it gives orders to.
+struct Outward {
+    engines: Box<dyn EngineDialect>,
+    platform: Box<dyn PlatformDialect>,
+}
+
 async fn run_speaking<F: Formats>(
     settings: MemberSettings,
     file: PathBuf,
     formats: F,
-    engines: Box<dyn EngineDialect>,
+    outward: Outward,
 ) -> Result<(), CommandError> {
     let seeds: Seeds = Rc::new(RefCell::new(settings.seed_peers()));
     match settings.role.clone() {
@@ -101,7 +114,7 @@
         MemberRole::Coordinator { control_address, peer_address, peer_listen_address, data_folder, first_start } => {
             let addresses = CoordinatorAddresses { control_address, peer_address, peer_listen_address };
             let start = CoordinatorStart { addresses, data_folder, first_start };
-            run_coordinator(settings, file, seeds, start, formats, engines).await
+            run_coordinator(settings, file, seeds, start, formats, outward).await
         }
     }
 }
@@ -142,6 +155,7 @@
         seeds: seeds.clone(),
         names: formats.header_names(),
         config: GatewayConfig::default(),
+        usage_window: settings.usage.map(|usage| usage.window),
     };
     let client_listener = listen(addresses.client_address).await?;
     let readiness_listener = listen(addresses.readiness_address).await?;
@@ -173,7 +187,7 @@
     seeds: Seeds,
     start: CoordinatorStart,
     formats: F,
-    engines: Box<dyn EngineDialect>,
+    outward: Outward,
 ) -> Result<(), CommandError> {
     let CoordinatorStart { addresses, data_folder, first_start } = start;
     std::fs::create_dir_all(&data_folder).map_err(|error| failed(format!("{}: {error}", data_folder.display())))?;
@@ -198,19 +212,20 @@
     runtime.spawn(saddlerelay_rpc::server::serve(runtime.clone(), peer_listener, secret, Rc::new(node.clone())));
     let control =
         ControlClient::new(runtime.clone(), &with_own(&peers, addresses.peer_address), &settings.shared_secret);
-    let config = CoordinatorConfig { order_distance: settings.bounds.order_distance(), ..CoordinatorConfig::default() };
     let coordinator = Coordinator::start(
         runtime.clone(),
         node.clone(),
         CoordinatorIdentity { name: settings.name.clone(), zone: settings.zone.clone() },
         formats.header_names(),
-        engines,
-        config,
+        outward.engines,
+        CoordinatorConfig::default(),
     );
+    let duties = crate::duties::start(&runtime, &node, &settings, outward.platform);
     let shutdown = Shutdown::default();
     let api = Rc::new(ControlApi { control: control.clone(), formats });
     runtime.spawn(serve_until(control_listener, api, shutdown.clone()));
-    serve_metrics(&runtime, settings.metrics_address, move || coordinator.metrics().encode()).await?;
+    serve_metrics(&runtime, settings.metrics_address, move || coordinator.metrics().encode() + &duties.encode())
+        .await?;
     let record = StoreRecord {
         name: settings.name.clone(),
         replica: node.replica().id(),
--- a/crates/control/src/commands/gateway.rs
+++ b/crates/control/src/commands/gateway.rs
@@ -16,7 +16,7 @@
         }
         GatewayCommand::RemoveInstance(id) => {
             state.instances.remove(&id);
-            state.weights.forget_engine(&id);
+            state.orders.forget_engine(&id);
             GatewayOutcome::Done
         }
         GatewayCommand::NameVersion(named) => {
@@ -40,13 +40,25 @@
         }
         GatewayCommand::RetireStore(name) => found(state.stores.retire(&name)),
         GatewayCommand::StoreRetired(name) => found(state.stores.complete(&name)),
-        GatewayCommand::NoteOrders { holder, instances } => {
-            state.weights.note_orders(holder, instances);
+        GatewayCommand::NoteOrders { holder, subjects } => {
+            let taken_over = state.orders.note(holder, subjects);
+            GatewayOutcome::Orders { fence: state.members.draw_fence(), taken_over }
+        }
+        GatewayCommand::AddUsage(usage) => {
+            usage.into_iter().for_each(|usage| state.usage.add(usage, state.time));
             GatewayOutcome::Done
         }
-        GatewayCommand::TakeOrders(replica) => {
-            let taken_over = state.weights.take_orders(replica);
-            GatewayOutcome::Orders { fence: state.members.draw_fence(), taken_over }
+        GatewayCommand::FixUsage(last) => {
+            state.usage.fix(last);
+            GatewayOutcome::Done
+        }
+        GatewayCommand::UsageReported(window) => {
+            state.usage.reported(window);
+            GatewayOutcome::Done
+        }
+        GatewayCommand::WantEngines(wanted) => {
+            state.engine_counts.want(wanted);
+            GatewayOutcome::Done
         }
     }
 }
--- a/crates/control/src/config.rs
+++ b/crates/control/src/config.rs
@@ -32,6 +32,10 @@
     pub instance_silence: Duration,
     /// How long a batch job stays readable after it was handed in; an open one stays longer.
     pub job_keep: Duration,
+    /// How far apart orders of two holders about one subject must be.
+    pub order_distance: Duration,
+    /// How long after its note an order may be given.
+    pub order_validity: Duration,
 }
 
 impl Default for ControlConfig {
@@ -50,6 +54,8 @@
             follow_lease: Duration::from_millis(1700),
             instance_silence: Duration::from_millis(4000),
             job_keep: Duration::from_secs(150),
+            order_distance: Duration::from_millis(3_400),
+            order_validity: Duration::from_millis(400),
         }
     }
 }
--- a/crates/control/src/gateway.rs
+++ b/crates/control/src/gateway.rs
@@ -2,6 +2,7 @@
 
 use crate::node::ControlNode;
 use crate::state::ControlState;
+use crate::state::jobs::Job;
 use crate::state::stores::Retirement;
 use crate::state::text_archive::{LoadedTexts, TextPlace};
 use saddlerelay_replication::ProposeError;
@@ -16,6 +17,8 @@
 use saddlerelay_types::job::{ItemId, JobId, JobSubmission};
 use saddlerelay_types::protocol::{Command, CommandOutcome, ControlReply};
 use saddlerelay_types::routing::RoutingDocument;
+use saddlerelay_types::tenancy::Caller;
+use saddlerelay_types::usage::RelayUsage;
 use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -66,13 +69,15 @@
             GatewayRequest::ReadRouting => self.read_routing(),
             GatewayRequest::NameVersion(named) => self.name_version(named).await,
             GatewayRequest::SubmitJob(job) => self.submit_job(job).await,
-            GatewayRequest::ReadResults { job, after, wait_ms } => self.read_results(&job, after, wait_ms).await,
+            GatewayRequest::ReadResults { job, after, wait_ms, caller } => {
+                self.read_results(&job, after, wait_ms, &caller).await
+            }
             GatewayRequest::ReadPosition => self.reply(self.inner.replica.read_position().map(GatewayReply::Position)),
-            GatewayRequest::ReadResultsAt { position, job, after, wait_ms } => {
-                self.read_results_at(position, &job, after, wait_ms).await
+            GatewayRequest::ReadResultsAt { position, job, after, wait_ms, caller } => {
+                self.read_results_at(position, &job, after, wait_ms, &caller).await
             }
-            GatewayRequest::ReadBody { job, item } => self.read_body(&job, &item),
-            GatewayRequest::EndJob(job) => self.end_job(job).await,
+            GatewayRequest::ReadBody { job, item, caller } => self.read_body(&job, &item, &caller),
+            GatewayRequest::EndJob { job, caller } => self.end_job(job, &caller).await,
             GatewayRequest::RegisterStore(record) => self.register_store(record).await,
             GatewayRequest::RetireStore(name) => self.retire_store(name).await,
             GatewayRequest::ReadRetirement(name) => self.read_retirement(&name),
@@ -104,8 +109,12 @@
     }
 
     /// Answers as soon as there is something new, or after a while.
-    async fn follow(&self, follow: FollowRequest) -> ControlReply {
+    async fn follow(&self, mut follow: FollowRequest) -> ControlReply {
         let platform = &self.inner.platform;
+        self.inner.group_clock.borrow_mut().hear(&follow.relay, follow.unix_ms, platform.monotonic());
+        if let Some(difference) = follow.usage.take() {
+            self.take_usage(RelayUsage { relay: follow.incarnation, difference });
+        }
         let until = platform.monotonic() + self.inner.config.renewal_wait;
         loop {
             let seen = self.inner.news.count();
@@ -120,6 +129,21 @@
         }
     }
 
+    /// Takes a relay's counts, unless they are committed or wait already.
+    fn take_usage(&self, usage: RelayUsage) {
+        let committed = self.read(|state| state.usage.taken_from(usage.relay) >= usage.difference.sequence);
+        let mut inbox = self.inner.usage_inbox.borrow_mut();
+        if committed == Some(false) && !inbox.contains(&usage) {
+            inbox.push(usage);
+        }
+    }
+
+    /// The time of day that most machines agree on, in Unix milliseconds; `None` until relays have been heard for a while.
+    pub fn group_unix_ms(&self) -> Option<u64> {
+        let platform = &self.inner.platform;
+        self.inner.group_clock.borrow().unix_ms(platform.unix_milliseconds(), platform.monotonic())
+    }
+
     fn follow_reply(&self, state: &ControlState, follow: &FollowRequest) -> FollowReply {
         let mut updates = self.inner.routing_updates.borrow_mut();
         let routing = state.routing.current().and_then(|current| updates.update(current, follow.routing_version));
@@ -133,6 +157,8 @@
             silent: self.silent_instances(state),
             replicas,
             nearest_replica,
+            group_unix_ms: self.group_unix_ms(),
+            usage_taken: state.usage.taken_from(follow.incarnation),
         }
     }
 
@@ -205,22 +231,24 @@
     }
 
     async fn submit_job(&self, job: JobSubmission) -> ControlReply {
-        let known = self.read(|state| state.jobs.get(&job.id).is_some());
+        let known = self.read(|state| state.jobs.get(&job.id).map(|known| known.submission.owner == job.owner));
         let keep_ms = self.inner.config.job_keep.as_millis() as u64;
         match known {
             None => self.not_leader(),
-            Some(true) => ControlReply::Gateway(GatewayReply::Done),
-            Some(false) => self.execute_gateway(GatewayCommand::SubmitJob { job, keep_ms }).await,
+            Some(None) => self.execute_gateway(GatewayCommand::SubmitJob { job, keep_ms }).await,
+            Some(Some(true)) => ControlReply::Gateway(GatewayReply::Done),
+            // Another tenant has a job of this name.
+            Some(Some(false)) => ControlReply::Gateway(GatewayReply::NotFound),
         }
     }
 
     /// Answers as soon as there is a result at `after`, or after a while.
-    async fn read_results(&self, job: &JobId, after: u64, wait_ms: u64) -> ControlReply {
+    async fn read_results(&self, job: &JobId, after: u64, wait_ms: u64, caller: &Caller) -> ControlReply {
         let platform = &self.inner.platform;
         let until = platform.monotonic() + Duration::from_millis(wait_ms).min(LONGEST_READ_WAIT);
         loop {
             let seen = self.inner.job_results.count();
-            let Some(has_more) = self.read(|state| has_more_results(state, job, after)) else {
+            let Some(has_more) = self.read(|state| has_more_results(state, job, after, caller)) else {
                 return self.not_leader();
             };
             let Some(has_more) = has_more else {
@@ -236,7 +264,14 @@
 
     /// Answers at a replica that need not lead, from what it has applied, as soon as that goes as far as `position` and
     /// there is a result at `after`. A job that it does not know may be one that it has not heard of.
-    async fn read_results_at(&self, position: u64, job: &JobId, after: u64, wait_ms: u64) -> ControlReply {
+    async fn read_results_at(
+        &self,
+        position: u64,
+        job: &JobId,
+        after: u64,
+        wait_ms: u64,
+        caller: &Caller,
+    ) -> ControlReply {
         let platform = &self.inner.platform;
         let caught_up_by = platform.monotonic() + CATCH_UP_LIMIT;
         while self.inner.replica.applied_index() < position {
@@ -247,7 +282,7 @@
         }
         let until = platform.monotonic() + Duration::from_millis(wait_ms).min(LONGEST_READ_WAIT);
         loop {
-            let Some(has_more) = self.read_applied(|state| has_more_results(state, job, after)) else {
+            let Some(has_more) = self.read_applied(|state| has_more_results(state, job, after, caller)) else {
                 return ControlReply::Gateway(GatewayReply::Unavailable);
             };
             if has_more || platform.monotonic() >= until {
@@ -278,13 +313,16 @@
         ControlReply::Gateway(GatewayReply::Unavailable)
     }
 
-    fn read_body(&self, job: &JobId, item: &ItemId) -> ControlReply {
-        let body = self.read(|state| state.jobs.body(job, item).map(<[u8]>::to_vec));
+    fn read_body(&self, job: &JobId, item: &ItemId, caller: &Caller) -> ControlReply {
+        let body = self.read(|state| {
+            usable_job(state, job, caller)?;
+            state.jobs.body(job, item).map(<[u8]>::to_vec)
+        });
         self.reply(body.map(|body| body.map_or(GatewayReply::NotFound, GatewayReply::Body)))
     }
 
-    async fn end_job(&self, job: JobId) -> ControlReply {
-        let standing = self.read(|state| state.jobs.get(&job).map(|job| job.is_ended()));
+    async fn end_job(&self, job: JobId, caller: &Caller) -> ControlReply {
+        let standing = self.read(|state| usable_job(state, &job, caller).map(Job::is_ended));
         match standing {
             None => self.not_leader(),
             Some(None) => ControlReply::Gateway(GatewayReply::NotFound),
@@ -347,9 +385,14 @@
     near.get(hash as usize % near.len().max(1)).copied()
 }
 
+/// A job, if there is such a one that the caller may use: nobody learns that another tenant has one of that name.
+fn usable_job<'a>(state: &'a ControlState, job: &JobId, caller: &Caller) -> Option<&'a Job> {
+    state.jobs.get(job).filter(|job| caller.may_use(job.submission.owner.as_ref()))
+}
+
 /// Whether a read of a job's results from `after` on brings all it ever will, or something; `None` without such a job.
-fn has_more_results(state: &ControlState, job: &JobId, after: u64) -> Option<bool> {
-    state.jobs.get(job).map(|job| job.is_ended() || job.results().len() as u64 > after)
+fn has_more_results(state: &ControlState, job: &JobId, after: u64, caller: &Caller) -> Option<bool> {
+    usable_job(state, job, caller).map(|job| job.is_ended() || job.results().len() as u64 > after)
 }
 
 fn brings_news(reply: &FollowReply, follow: &FollowRequest) -> bool {
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -1,14 +1,18 @@
 //! The control group: configuration, claims, rollouts and membership on a replicated log.
 //!
 //! `state` holds the data, `commands` changes it from committed log entries, `queries` reads it, and `tasks` are what
-//! the leader does on its own: polling engines, rolling out weights and watching relays.
+//! the leader does on its own: polling engines, rolling out weights, watching relays and committing what they count.
+//! `orders` is the right to give orders to what lies outside the group.
 
 pub mod commands;
 pub mod config;
 pub mod gateway;
+pub mod group_clock;
 pub mod instance_watch;
 pub mod machine;
 pub mod node;
+pub mod order_watch;
+pub mod orders;
 pub mod queries;
 pub mod routing_updates;
 pub mod state;
--- a/crates/control/src/machine.rs
+++ b/crates/control/src/machine.rs
@@ -23,7 +23,7 @@
 
 impl StateMachine for ControlMachine {
     type Outcome = CommandOutcome;
-    const FORMAT: u32 = 4;
+    const FORMAT: u32 = 5;
 
     fn apply(&mut self, command: &[u8]) -> CommandOutcome {
         let command: LogCommand = bitcode::decode(command).expect("the log holds only what a leader encoded");
@@ -50,9 +50,9 @@
         self.state.jobs.texts_mut().release_segment(number);
     }
 
-    /// The holder of orders to engines: another one would have to wait before it may give any.
+    /// The holder of orders: another one would have to wait before it may give any.
     fn prefers(&self, replica: ReplicaId) -> bool {
-        self.state.weights.holder() == Some(replica)
+        self.state.orders.holder() == Some(replica)
     }
 
     fn restore(&mut self, bytes: &[u8]) {
--- a/crates/control/src/node.rs
+++ b/crates/control/src/node.rs
@@ -3,13 +3,15 @@
 use crate::commands::rollouts;
 use crate::config::ControlConfig;
 use crate::gateway;
+use crate::group_clock::GroupClock;
 use crate::instance_watch::InstanceWatch;
 use crate::machine::ControlMachine;
+use crate::order_watch::OrderWatch;
 use crate::queries;
 use crate::routing_updates::RoutingUpdates;
 use crate::state::ControlState;
 use crate::tasks::relays::RenewalTable;
-use crate::tasks::{engines, machines, relays, retirement};
+use crate::tasks::{engines, machines, relays, retirement, usage};
 use saddlerelay_replication::storage::StorageError;
 use saddlerelay_replication::{ProposeError, Replica, ReplicaOptions};
 use saddlerelay_rpc::server::Handler;
@@ -21,6 +23,7 @@
     Command, CommandOutcome, ControlReply, ControlRequest, LogCommand, MembershipCommand, Query, QueryAnswer,
     RenewReply, RenewRequest, RolloutCommand,
 };
+use saddlerelay_types::usage::RelayUsage;
 use std::cell::RefCell;
 use std::rc::Rc;
 use std::time::Duration;
@@ -51,6 +54,12 @@
     pub instance_watch: RefCell<InstanceWatch>,
     /// Routing documents on their way to relays.
     pub routing_updates: RefCell<RoutingUpdates>,
+    /// Orders that other replicas may have given.
+    pub order_watch: RefCell<OrderWatch>,
+    /// The time of day that most machines agree on.
+    pub group_clock: RefCell<GroupClock>,
+    /// What relays have counted and what is not committed yet.
+    pub usage_inbox: RefCell<Vec<RelayUsage>>,
     /// A batch job has new results or has ended.
     pub job_results: Signal,
     /// There is a new batch job, one has ended, or engines or routes have changed.
@@ -86,6 +95,9 @@
             samples_ready: Signal::default(),
             instance_watch: RefCell::default(),
             routing_updates: RefCell::default(),
+            order_watch: RefCell::default(),
+            group_clock: RefCell::default(),
+            usage_inbox: RefCell::default(),
             job_results: Signal::default(),
             job_work: Signal::default(),
         });
@@ -94,6 +106,7 @@
         platform.spawn(engines::manage(node.clone()));
         platform.spawn(machines::follow(node.clone()));
         platform.spawn(retirement::watch(node.clone()));
+        platform.spawn(usage::commit(node.clone()));
         Ok(node)
     }
 
--- a/crates/control/src/state/jobs.rs
+++ b/crates/control/src/state/jobs.rs
@@ -253,13 +253,14 @@
         Some(missing)
     }
 
-    /// The latest jobs before `id` that were sent to the same place and have ended, newest first.
+    /// The latest jobs before `id` that the same tenant has sent to the same place and that have ended, newest first.
     pub fn predecessors<'a>(&'a self, id: &JobId) -> impl Iterator<Item = &'a Job> + use<'a> {
         let job = self.jobs.get(id);
         let same_place = move |other: &&Job| {
             job.is_some_and(|job| {
                 other.ended
                     && other.order < job.order
+                    && other.submission.owner == job.submission.owner
                     && other.submission.host == job.submission.host
                     && other.submission.path.rsplit_once('/').map(|parts| parts.0)
                         == job.submission.path.rsplit_once('/').map(|parts| parts.0)
--- a/crates/control/src/state/mod.rs
+++ b/crates/control/src/state/mod.rs
@@ -2,24 +2,30 @@
 
 pub mod claims;
 pub mod configuration;
+pub mod engine_counts;
 pub mod instances;
 pub mod jobs;
 pub mod members;
+pub mod orders;
 pub mod rollouts;
 pub mod routing;
 pub mod stores;
 pub mod text_archive;
+pub mod usage;
 pub mod weights;
 
 use bitcode::{Decode, Encode};
 use claims::ClaimTable;
 use configuration::ConfigurationStore;
+use engine_counts::EngineCountState;
 use instances::InstanceTable;
 use jobs::JobTable;
 use members::MemberTable;
+use orders::OrderState;
 use rollouts::RolloutLedger;
 use routing::RoutingState;
 use stores::StoreTable;
+use usage::UsageState;
 use weights::WeightState;
 
 /// Everything the control group keeps.
@@ -39,8 +45,14 @@
     pub routing: RoutingState,
     /// Engine instances that report themselves.
     pub instances: InstanceTable,
-    /// Weight versions that trainers have named, and the holder of orders.
+    /// Weight versions that trainers have named.
     pub weights: WeightState,
+    /// Who gives orders to engines and to the platform.
+    pub orders: OrderState,
+    /// How many engines are wanted where.
+    pub engine_counts: EngineCountState,
+    /// Requests that engines have begun, by tenant.
+    pub usage: UsageState,
     /// Batch jobs.
     pub jobs: JobTable,
     /// Machines that keep the group's data.
--- a/crates/control/src/tasks/mod.rs
+++ b/crates/control/src/tasks/mod.rs
@@ -4,3 +4,4 @@
 pub mod machines;
 pub mod relays;
 pub mod retirement;
+pub mod usage;
--- /dev/null
+++ b/crates/control/tests/usage.rs
@@ -0,0 +1,128 @@
+//! Counts of requests: each counts once, and those of a fixed window change no more.
+
+use quickcheck::{Arbitrary, Gen, QuickCheck};
+use saddlerelay_control::group_clock::GroupClock;
+use saddlerelay_control::state::usage::UsageState;
+use saddlerelay_types::identity::{Incarnation, TenantId};
+use saddlerelay_types::usage::{RelayUsage, TenantCounts, UsageDifference, UsageReport, UsageWindow};
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+fn tenant(name: &str) -> TenantId {
+    TenantId::new(name)
+}
+
+fn usage(relay: u64, sequence: u64, counts: &[(u64, &str, u64)]) -> RelayUsage {
+    let mut by_window: BTreeMap<UsageWindow, TenantCounts> = BTreeMap::new();
+    for (window, name, count) in counts {
+        *by_window.entry(UsageWindow(*window)).or_default().entry(tenant(name)).or_default() += count;
+    }
+    RelayUsage { relay: Incarnation(relay), difference: UsageDifference { sequence, counts: by_window } }
+}
+
+fn report(window: u64, counts: &[(&str, u64)]) -> UsageReport {
+    let counts = counts.iter().map(|(name, count)| (tenant(name), *count)).collect();
+    UsageReport { window: UsageWindow(window), counts }
+}
+
+#[test]
+fn a_difference_that_comes_again_counts_once() {
+    let mut state = UsageState::default();
+    state.add(usage(1, 1, &[(7, "a", 2)]), 0);
+    state.add(usage(1, 1, &[(7, "a", 2)]), 0);
+    state.add(usage(2, 1, &[(7, "a", 1), (7, "b", 1)]), 0);
+    state.add(usage(1, 2, &[(7, "b", 4)]), 0);
+    state.add(usage(1, 1, &[(7, "a", 2)]), 0);
+    assert_eq!((state.taken_from(Incarnation(1)), state.taken_from(Incarnation(3))), (2, 0));
+    state.fix(UsageWindow(7));
+    assert_eq!(state.unreported().collect::<Vec<_>>(), [report(7, &[("a", 3), ("b", 5)])]);
+}
+
+#[test]
+fn a_fixed_window_changes_no_more_and_what_comes_late_is_told() {
+    let mut state = UsageState::default();
+    state.add(usage(1, 1, &[(7, "a", 2), (9, "a", 1)]), 0);
+    state.fix(UsageWindow(8));
+    state.add(usage(1, 2, &[(7, "a", 5), (9, "a", 1)]), 0);
+    assert_eq!(state.uncounted(), 5);
+    // A window in which nothing was counted is reported as such.
+    assert_eq!(state.unreported().collect::<Vec<_>>(), [report(7, &[("a", 2)]), report(8, &[])]);
+    state.fix(UsageWindow(7));
+    assert_eq!(state.first_open(), Some(UsageWindow(9)), "what is fixed stays so");
+    state.reported(UsageWindow(7));
+    state.reported(UsageWindow(7));
+    state.fix(UsageWindow(9));
+    assert_eq!(state.unreported().collect::<Vec<_>>(), [report(8, &[]), report(9, &[("a", 2)])]);
+    assert_eq!(state.newest_reported(), Some(UsageWindow(7)));
+}
+
+/// Differences as relays send them: some twice, some after a later one.
+#[derive(Clone, Debug)]
+struct Deliveries(Vec<(u64, u64)>);
+
+impl Arbitrary for Deliveries {
+    fn arbitrary(random: &mut Gen) -> Self {
+        let mut deliveries = Vec::new();
+        let mut sequences = [0; 3];
+        for _ in 0..u8::arbitrary(random) % 40 {
+            let relay = usize::arbitrary(random) % 3;
+            // A relay sends its next difference only when the last is taken; before that, it repeats it.
+            if bool::arbitrary(random) || sequences[relay] == 0 {
+                sequences[relay] += 1;
+            }
+            deliveries.push((relay as u64, sequences[relay]));
+        }
+        Self(deliveries)
+    }
+}
+
+#[test]
+fn whatever_is_repeated_the_sum_is_that_of_the_differences() {
+    fn holds(Deliveries(deliveries): Deliveries) -> bool {
+        let mut state = UsageState::default();
+        let mut expected: BTreeMap<(u64, u64), u64> = BTreeMap::new();
+        for (relay, sequence) in deliveries {
+            let count = relay * 100 + sequence;
+            state.add(usage(relay, sequence, &[(1, "a", count)]), 0);
+            expected.insert((relay, sequence), count);
+        }
+        state.fix(UsageWindow(1));
+        let told: u64 = state.unreported().flat_map(|report| report.counts.into_values()).sum();
+        told == expected.values().sum::<u64>()
+    }
+    QuickCheck::new().tests(400).quickcheck(holds as fn(Deliveries) -> bool);
+}
+
+#[test]
+fn the_groups_time_is_true_while_fewer_than_half_of_the_clocks_are_wrong() {
+    fn holds(wrong: Vec<i16>, right: u8) -> bool {
+        let right = wrong.len() + 2 + usize::from(right % 20);
+        let mut clock = GroupClock::default();
+        let unix_ms = |error: i64| (1_700_000_000_000_i64 + error) as u64;
+        for round in 0..3 {
+            let now = Duration::from_millis(400 * round);
+            let later = 400 * round as i64;
+            for (index, error) in wrong.iter().enumerate() {
+                clock.hear(&format!("wrong-{index}"), unix_ms(later + i64::from(*error)), now);
+            }
+            for index in 0..right {
+                clock.hear(&format!("right-{index}"), unix_ms(later), now);
+            }
+        }
+        let now = Duration::from_millis(1_000);
+        clock.unix_ms(unix_ms(1_000 - 5_000), now) == Some(unix_ms(1_000))
+    }
+    QuickCheck::new().tests(300).quickcheck(holds as fn(Vec<i16>, u8) -> bool);
+}
+
+#[test]
+fn the_groups_time_is_not_told_before_relays_were_heard_for_a_while_nor_long_after() {
+    let mut clock = GroupClock::default();
+    let at = Duration::from_millis;
+    assert_eq!(clock.unix_ms(5_000, at(0)), None);
+    clock.hear("relay", 9_000, at(100));
+    assert_eq!(clock.unix_ms(9_200, at(300)), None, "the first words are not enough");
+    clock.hear("relay", 9_900, at(1_000));
+    assert_eq!(clock.unix_ms(10_000, at(1_100)), Some(10_000));
+    assert_eq!(clock.unix_ms(40_000, at(31_100)), None, "nobody was heard for long");
+}
--- a/crates/coordinator/src/config.rs
+++ b/crates/coordinator/src/config.rs
@@ -21,10 +21,6 @@
     pub give_up_margin: Duration,
     /// Pause between keepings of the texts of items that run.
     pub keep_interval: Duration,
-    /// How far apart the orders of two holders to one engine must be.
-    pub order_distance: Duration,
-    /// How long after its note an order may be given.
-    pub order_validity: Duration,
     /// Longest wait for the answer to an order or a report.
     pub order_limit: Duration,
     /// How long a change of weights usually takes.
@@ -50,8 +46,6 @@
             engine_rest: Duration::from_millis(400),
             give_up_margin: Duration::from_millis(2_000),
             keep_interval: Duration::from_millis(300),
-            order_distance: Duration::from_millis(3_400),
-            order_validity: Duration::from_millis(400),
             order_limit: Duration::from_millis(800),
             usual_load: Duration::from_millis(1_010),
             load_poll: Duration::from_millis(110),
--- a/crates/coordinator/src/coordinator.rs
+++ b/crates/coordinator/src/coordinator.rs
@@ -6,7 +6,6 @@
 use crate::homes::Homes;
 use crate::job_run::JobRun;
 use crate::metrics::CoordinatorMetrics;
-use crate::order_watch::OrderWatch;
 use crate::scorers::Scorers;
 use saddlerelay_control::node::ControlNode;
 use saddlerelay_runtime::Runtime;
@@ -31,7 +30,6 @@
     pub dialect: Box<dyn EngineDialect>,
     pub pool: Pool,
     pub fleet: Fleet,
-    pub order_watch: RefCell<OrderWatch>,
     pub scorers: Scorers,
     pub homes: RefCell<Homes>,
     /// Items that wait for an engine, by model.
@@ -87,7 +85,6 @@
             dialect,
             pool,
             fleet: Fleet::default(),
-            order_watch: RefCell::default(),
             scorers: Scorers::new(identity.zone),
             homes: RefCell::default(),
             waiting: RefCell::default(),
--- a/crates/coordinator/src/item.rs
+++ b/crates/coordinator/src/item.rs
@@ -7,9 +7,10 @@
 use hyper::header::{HOST, HeaderMap, HeaderName, HeaderValue};
 use hyper::{Method, StatusCode};
 use saddlerelay_runtime::backend::Backends;
+use saddlerelay_types::identity::TenantId;
 use saddlerelay_types::instance::LoadedModel;
 use saddlerelay_upstream::events::{Event, EventCutter};
-use saddlerelay_upstream::{Answer, Failure, Outgoing, Reuse};
+use saddlerelay_upstream::{Answer, Failure, HeaderNames, Outgoing, Reuse};
 use std::time::Duration;
 
 /// How an attempt ended.
@@ -93,6 +94,7 @@
     let text = |value: &str| HeaderValue::from_str(value).map_err(|error| error.to_string());
     headers.insert(HOST, text(&start.host)?);
     headers.insert(names.request_id.clone(), text(&start.item.id.0)?);
+    set_tenant(&mut headers, names, start.owner.as_ref())?;
     if let Some(version) = start.expected_version {
         headers.insert(names.expect_version.clone(), HeaderValue::from(version));
     }
@@ -108,6 +110,17 @@
     })
 }
 
+/// Names the tenant to an engine, whatever the tenant has written itself.
+pub(crate) fn set_tenant(headers: &mut HeaderMap, names: &HeaderNames, owner: Option<&TenantId>) -> Result<(), String> {
+    headers.remove(&names.key);
+    headers.remove(&names.tenant);
+    if let Some(owner) = owner {
+        let owner = HeaderValue::from_str(owner.as_str()).map_err(|error| error.to_string())?;
+        headers.insert(names.tenant.clone(), owner);
+    }
+    Ok(())
+}
+
 async fn take_answer<B: Backends>(coordinator: &Coordinator<B>, start: &Start, answer: Answer) -> AttemptEnd {
     let names = coordinator.names();
     let status = answer.head.status;
--- a/crates/coordinator/src/lib.rs
+++ b/crates/coordinator/src/lib.rs
@@ -17,7 +17,6 @@
 pub mod load_order;
 pub mod metrics;
 mod moves;
-pub mod order_watch;
 pub mod orders;
 pub mod pace;
 mod placement;
--- a/crates/coordinator/src/orders.rs
+++ b/crates/coordinator/src/orders.rs
@@ -8,10 +8,11 @@
 use crate::fleet::Fleet;
 use crate::load_order::{DueLoad, ModelNeed, choose_loads};
 use hyper::header::{CONTENT_TYPE, HeaderMap, HeaderValue};
+use saddlerelay_control::orders::OrderGrant;
 use saddlerelay_control::state::ControlState;
 use saddlerelay_runtime::Runtime;
 use saddlerelay_runtime::backend::Backends;
-use saddlerelay_types::gateway::{GatewayCommand, GatewayOutcome};
+use saddlerelay_types::gateway::OrderSubject;
 use saddlerelay_types::instance::{InstanceId, InstanceState, LoadedModel};
 use saddlerelay_types::routing::RouteKind;
 use saddlerelay_upstream::{EngineTarget, Failure, Outgoing};
@@ -21,13 +22,6 @@
 /// Pause between looks at whether an order is due.
 const INTERVAL: Duration = Duration::from_millis(60);
 
-/// The right to give orders in one term.
-#[derive(Clone, Copy, Debug)]
-struct Right {
-    term: u64,
-    fence: u64,
-}
-
 /// An order that is due.
 struct DueOrder {
     target: EngineTarget,
@@ -52,31 +46,23 @@
 /// Gives orders while this process leads.
 pub(crate) async fn give_orders<B: Backends>(coordinator: Coordinator<B>) {
     let inner = &coordinator.inner;
-    let mut right: Option<Right> = None;
     loop {
         inner.runtime.sleep(INTERVAL).await;
-        let now = coordinator.now();
-        inner.node.read_applied(|state| inner.order_watch.borrow_mut().see(state.weights.order_notes(), now));
+        inner.node.watch_orders();
         let Some(term) = inner.node.replica().leading_term() else {
-            right = None;
-            continue;
-        };
-        if right.is_none_or(|right| right.term != term) {
-            right = coordinator.take_right(term).await;
-        }
-        let Some(held) = right else {
             continue;
         };
         let due = inner.node.read(|state| due_orders(&coordinator, state)).unwrap_or_default();
         if due.is_empty() {
             continue;
         }
-        let Some(valid_until) = coordinator.note_orders(&due).await else {
+        let subjects = due.iter().map(|order| OrderSubject::Engine(order.target.instance.clone())).collect();
+        let Some(grant) = inner.node.note_orders(term, subjects).await else {
             continue;
         };
         for order in due {
             inner.fleet.begin_load(&order.target.instance, &order.model.model, coordinator.now());
-            inner.runtime.spawn(carry_out(coordinator.clone(), order, held, valid_until));
+            inner.runtime.spawn(carry_out(coordinator.clone(), order, grant));
         }
     }
 }
@@ -165,7 +151,7 @@
         };
         let due = is_useless(held, named) || held < named && !items_wait;
         let free = !inner.fleet.is_loading_any(&engine.instance) && !inner.fleet.is_resting(&engine.instance, now);
-        if due && free && coordinator.may_order(&engine.instance) {
+        if due && free && inner.node.may_order(&OrderSubject::Engine(engine.instance.clone())) {
             let model = LoadedModel { model: model.to_string(), version: named };
             behind.push(DueOrder { target: engine.clone(), model, held, running });
         }
@@ -200,35 +186,6 @@
 }
 
 impl<B: Backends> Coordinator<B> {
-    /// Becomes the holder of orders.
-    async fn take_right(&self, term: u64) -> Option<Right> {
-        let inner = &self.inner;
-        let command = GatewayCommand::TakeOrders(inner.node.replica().id());
-        let Ok(GatewayOutcome::Orders { fence, taken_over }) = inner.node.commit_gateway(command).await else {
-            return None;
-        };
-        spdlog::info!("orders taken over", kv: { term = term, fence = fence.0, taken_over = taken_over });
-        Some(Right { term, fence: fence.0 })
-    }
-
-    /// Whether enough time has passed since another holder may have given the engine an order.
-    fn may_order(&self, instance: &InstanceId) -> bool {
-        let inner = &self.inner;
-        let distance = inner.config.order_distance + inner.config.order_validity;
-        let holder = inner.node.replica().id();
-        self.now() >= inner.order_watch.borrow().free_at(instance, holder, distance)
-    }
-
-    /// Commits that these orders are about to be given; returns until when they may be.
-    async fn note_orders(&self, due: &[DueOrder]) -> Option<Duration> {
-        let inner = &self.inner;
-        let valid_until = self.now() + inner.config.order_validity;
-        let instances = due.iter().map(|order| order.target.instance.clone()).collect();
-        let holder = inner.node.replica().id();
-        let noted = inner.node.commit_gateway(GatewayCommand::NoteOrders { holder, instances }).await;
-        (noted == Ok(GatewayOutcome::Done)).then_some(valid_until)
-    }
-
     /// Shares the engines of a service out among its models, fastest first.
     /// Those whose weights are not known yet are left out.
     fn share_out(&self, engines: &[EngineTarget], models: &[String], named: &BTreeMap<String, u64>) {
@@ -273,10 +230,10 @@
     }
 }
 
-async fn carry_out<B: Backends>(coordinator: Coordinator<B>, due: DueOrder, right: Right, valid_until: Duration) {
+async fn carry_out<B: Backends>(coordinator: Coordinator<B>, due: DueOrder, grant: OrderGrant) {
     let inner = &coordinator.inner;
     let began_at = coordinator.now();
-    let done = give(&coordinator, &due, right, valid_until).await;
+    let done = give(&coordinator, &due, grant).await;
     let lasted = coordinator.now().saturating_sub(began_at);
     let instance = &due.target.instance;
     if done {
@@ -288,17 +245,17 @@
     inner.replan.notify();
     spdlog::info!("weights ordered", kv: {
         instance = instance.0.as_str(), model = due.model.model.as_str(), held = due.held,
-        version = due.model.version, fence = right.fence, done = done, lasted_ms = lasted.as_millis() as u64
+        version = due.model.version, fence = grant.fence.0, done = done, lasted_ms = lasted.as_millis() as u64
     });
 }
 
-/// Gives one order, by `valid_until` or not at all, and waits until it holds; returns whether it does.
-async fn give<B: Backends>(coordinator: &Coordinator<B>, due: &DueOrder, right: Right, valid_until: Duration) -> bool {
+/// Gives one order, while the grant holds or not at all, and waits until it is carried out; returns whether it is.
+async fn give<B: Backends>(coordinator: &Coordinator<B>, due: &DueOrder, grant: OrderGrant) -> bool {
     let inner = &coordinator.inner;
     let instance = &due.target.instance;
     let orders_taken = match inner.fleet.orders_taken(instance) {
         Some(count) => count,
-        None => match coordinator.ask_report(&due.target, right.term).await {
+        None => match coordinator.ask_report(&due.target, grant.term).await {
             Some(report) if report.busy => return false,
             Some(report) => report.orders_taken,
             None => return false,
@@ -307,12 +264,12 @@
     let order = VersionOrder {
         target: due.model.clone(),
         holder: inner.name.clone(),
-        fence: right.fence,
+        fence: grant.fence.0,
         orders_taken,
         running: due.running,
     };
     inner.metrics.orders.inc();
-    let may_send = || coordinator.leads(right.term) && coordinator.now() < valid_until;
+    let may_send = || inner.node.grant_holds(&grant);
     let answer = coordinator.call(&due.target, inner.dialect.order(&order), may_send).await;
     let meaning = answer.as_ref().ok().and_then(|(status, _)| {
         hyper::StatusCode::from_u16(*status).ok().map(|status| inner.dialect.order_answer(status))
@@ -320,7 +277,7 @@
     match meaning {
         Some(OrderAnswer::Taken) => {
             inner.fleet.set_orders_taken(instance, Some(orders_taken + 1));
-            wait_until_loaded(coordinator, due, right.term).await
+            wait_until_loaded(coordinator, due, grant.term).await
         }
         Some(OrderAnswer::Holds) => {
             inner.fleet.learn(instance, std::slice::from_ref(&due.model), coordinator.now());
@@ -329,7 +286,7 @@
         }
         Some(other) => {
             spdlog::warn!("order refused", kv: {
-                instance = instance.0.as_str(), answer = format!("{other:?}").as_str(), fence = right.fence
+                instance = instance.0.as_str(), answer = format!("{other:?}").as_str(), fence = grant.fence.0
             });
             inner.fleet.set_orders_taken(instance, None);
             false
--- a/crates/coordinator/src/plan.rs
+++ b/crates/coordinator/src/plan.rs
@@ -11,6 +11,7 @@
 use saddlerelay_control::state::ControlState;
 use saddlerelay_control::state::jobs::Job;
 use saddlerelay_runtime::backend::Backends;
+use saddlerelay_types::identity::TenantId;
 use saddlerelay_types::instance::{InstanceId, InstanceState};
 use saddlerelay_types::job::{JobId, JobItem};
 use saddlerelay_types::routing::{Route, RoutingDocument};
@@ -76,6 +77,8 @@
     pub item: JobItem,
     pub host: String,
     pub path: String,
+    /// The tenant whose job it is.
+    pub owner: Option<TenantId>,
     pub model: Option<String>,
     pub target: EngineTarget,
     pub expected_version: Option<u64>,
@@ -252,6 +255,7 @@
         item: item.clone(),
         host: submission.host.clone(),
         path: submission.path.clone(),
+        owner: submission.owner.clone(),
         model: submission.model.clone(),
         target: target.clone(),
         expected_version: chosen.version,
@@ -277,6 +281,7 @@
         index,
         item: item.id.clone(),
         request: request.clone(),
+        owner: of.job.submission.owner.clone(),
         engine,
         max_attempts: route.max_attempts.max(1),
         call: progress.calls + 1,
--- a/crates/coordinator/src/scoring.rs
+++ b/crates/coordinator/src/scoring.rs
@@ -1,6 +1,7 @@
 //! Has an item's whole text scored by the request that the item names.
 
 use crate::coordinator::Coordinator;
+use crate::item::set_tenant;
 use crate::job_run::Phase;
 use crate::plan::may_reach;
 use crate::text::{self, ItemText};
@@ -9,6 +10,7 @@
 use hyper::{Method, StatusCode};
 use saddlerelay_control::state::ControlState;
 use saddlerelay_runtime::backend::Backends;
+use saddlerelay_types::identity::TenantId;
 use saddlerelay_types::job::{ItemId, JobId, ScoringRequest};
 use saddlerelay_upstream::balance::InFlight;
 use saddlerelay_upstream::{Failure, HeaderNames, Outgoing, ReadyEngine, Reuse};
@@ -28,6 +30,8 @@
     pub index: u32,
     pub item: ItemId,
     pub request: ScoringRequest,
+    /// The tenant whose job it is.
+    pub owner: Option<TenantId>,
     pub engine: ReadyEngine,
     /// Failures after which the item is given up.
     pub max_attempts: u32,
@@ -82,7 +86,7 @@
 }
 
 async fn ask<B: Backends>(coordinator: &Coordinator<B>, call: &ScoreCall) -> ScoreEnd {
-    let outgoing = match outgoing(coordinator.names(), &call.request) {
+    let outgoing = match outgoing(coordinator.names(), &call.request, call.owner.as_ref()) {
         Ok(outgoing) => outgoing,
         Err(reason) => return ScoreEnd::NoAnswer(reason),
     };
@@ -129,11 +133,12 @@
     }
 }
 
-fn outgoing(names: &HeaderNames, request: &ScoringRequest) -> Result<Outgoing, String> {
+fn outgoing(names: &HeaderNames, request: &ScoringRequest, owner: Option<&TenantId>) -> Result<Outgoing, String> {
     let text = |value: &str| HeaderValue::from_str(value).map_err(|error| error.to_string());
     let mut headers = HeaderMap::new();
     headers.insert(HOST, text(&request.host)?);
     headers.insert(names.request_id.clone(), text(&request.id)?);
+    set_tenant(&mut headers, names, owner)?;
     Ok(Outgoing {
         method: Method::POST,
         uri: request.path.parse().map_err(|error| format!("{error}"))?,
--- a/crates/gateway-api/src/formats.rs
+++ b/crates/gateway-api/src/formats.rs
@@ -9,6 +9,15 @@
 /// A call to a gateway.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum FrontCall {
+    /// One about a batch job.
+    Job(JobCall),
+    /// A request for a route; on a route of batch jobs, a job that is handed in.
+    Routed,
+}
+
+/// A call about a batch job that was handed in before.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum JobCall {
     /// Reads a job's results from a position on, waiting for one for at most so many milliseconds.
     ReadResults {
         /// The job.
@@ -26,9 +35,7 @@
         item: ItemId,
     },
     /// Ends a job.
-    EndJob(JobId),
-    /// A request for a route; on a route of batch jobs, a job that is handed in.
-    Routed,
+    End(JobId),
 }
 
 /// A call to a machine that serves control.
--- a/crates/gateway-api/src/front.rs
+++ b/crates/gateway-api/src/front.rs
@@ -1,6 +1,6 @@
 //! Clients' and trainers' calls to a gateway, and the question whether it takes connections.
 
-use crate::formats::{Formats, FrontCall};
+use crate::formats::{Formats, FrontCall, JobCall};
 use crate::outcomes;
 use hyper::body::Incoming;
 use hyper::header::{CONNECTION, HeaderValue};
@@ -12,10 +12,11 @@
 use saddlerelay_http::server::HttpHandler;
 use saddlerelay_types::gateway::{GatewayReply, GatewayRequest};
 use saddlerelay_types::routing::RouteKind;
+use saddlerelay_types::tenancy::Caller;
 use std::rc::Rc;
 use std::time::Duration;
 
-/// Longest time for a call about batch jobs, beside the time that it waits for results.
+/// Longest time for a call about batch jobs.
 const CALL_LIMIT: Duration = Duration::from_millis(2_400);
 
 /// Longest wait for one control replica.
@@ -55,26 +56,36 @@
 impl<F: Formats> FrontApi<F> {
     async fn answer(&self, request: Request<Incoming>) -> Reply {
         let (head, body) = request.into_parts();
-        match self.formats.front_call(&head.method, &head.uri, &head.headers) {
-            FrontCall::ReadResults { job, after, wait_ms } => {
-                let answer = self.gateway.read_results(job, after, Duration::from_millis(wait_ms)).await;
-                outcomes::read(&self.formats, answer)
-            }
-            FrontCall::ReadBody { job, item } => {
-                outcomes::read(&self.formats, self.ask(GatewayRequest::ReadBody { job, item }, Duration::ZERO).await)
+        let call = self.formats.front_call(&head.method, &head.uri, &head.headers);
+        let request = ClientRequest::new(head, self.gateway.names(), self.gateway.now());
+        match call {
+            FrontCall::Routed => self.answer_routed(request, body).await,
+            FrontCall::Job(call) => match self.gateway.job_caller(&request.id, &request.headers) {
+                Ok(caller) => self.answer_about_job(call, caller).await,
+                Err(refusal) => self.gateway.refuse(&request, refusal),
+            },
+        }
+    }
+
+    async fn answer_about_job(&self, call: JobCall, caller: Caller) -> Reply {
+        match call {
+            JobCall::ReadResults { job, after, wait_ms } => {
+                let wait = Duration::from_millis(wait_ms);
+                outcomes::read(&self.formats, self.gateway.read_results(job, after, wait, caller).await)
             }
-            FrontCall::EndJob(job) => {
-                outcomes::changed(self.ask(GatewayRequest::EndJob(job), Duration::ZERO).await, StatusCode::OK)
+            JobCall::ReadBody { job, item } => {
+                outcomes::read(&self.formats, self.ask(GatewayRequest::ReadBody { job, item, caller }).await)
             }
-            FrontCall::Routed => {
-                let request = ClientRequest::new(head, self.gateway.names(), self.gateway.now());
-                self.answer_routed(request, body).await
+            JobCall::End(job) => {
+                outcomes::changed(self.ask(GatewayRequest::EndJob { job, caller }).await, StatusCode::OK)
             }
         }
     }
 
-    async fn answer_routed(&self, request: ClientRequest, body: Incoming) -> Reply {
-        match self.gateway.choose_route(&request.host, request.path()) {
+    async fn answer_routed(&self, mut request: ClientRequest, body: Incoming) -> Reply {
+        let chosen = self.gateway.choose_route(&request.host, request.path());
+        let admitted = chosen.and_then(|chosen| self.gateway.admit(&chosen, &mut request).map(|()| chosen));
+        match admitted {
             Ok(chosen) if chosen.route().kind == RouteKind::Rollout && request.method == Method::POST => {
                 self.submit(&request, body).await
             }
@@ -89,12 +100,13 @@
             Err(refusal) => return self.gateway.refuse(request, refusal),
         };
         match self.formats.read_job(&request.id, &request.host, request.path(), &body) {
-            Ok(job) => {
+            Ok(mut job) => {
+                job.owner = request.caller.tenant().cloned();
                 if let Some(error) = job.error() {
                     return self.refuse_job(request, error.to_string());
                 }
                 drop(body);
-                let answer = self.ask(GatewayRequest::SubmitJob(job), Duration::ZERO).await;
+                let answer = self.ask(GatewayRequest::SubmitJob(job)).await;
                 outcomes::changed(answer, StatusCode::ACCEPTED)
             }
             Err(reason) => self.refuse_job(request, reason),
@@ -106,7 +118,7 @@
         whole(StatusCode::BAD_REQUEST, "text/plain", reason)
     }
 
-    async fn ask(&self, request: GatewayRequest, wait: Duration) -> Result<GatewayReply, GatewayError> {
-        self.gateway.control().gateway(request, CALL_LIMIT + wait, ATTEMPT_LIMIT + wait).await
+    async fn ask(&self, request: GatewayRequest) -> Result<GatewayReply, GatewayError> {
+        self.gateway.control().gateway(request, CALL_LIMIT, ATTEMPT_LIMIT).await
     }
 }
--- a/crates/gateway-api/src/lib.rs
+++ b/crates/gateway-api/src/lib.rs
@@ -10,6 +10,6 @@
 pub mod own;
 
 pub use control::ControlApi;
-pub use formats::{ControlCall, Formats, FrontCall, UnreadableCall};
+pub use formats::{ControlCall, Formats, FrontCall, JobCall, UnreadableCall};
 pub use front::{FrontApi, ReadinessApi};
-pub use own::{OwnEngines, OwnFormats};
+pub use own::{OwnEngines, OwnFormats, OwnPlatform};
--- a/crates/gateway-api/src/own.rs
+++ b/crates/gateway-api/src/own.rs
@@ -1,15 +1,20 @@
 //! The product's own interface: its types as JSON.
 
-use crate::formats::{ControlCall, Formats, FrontCall, UnreadableCall, query_value};
+use crate::formats::{ControlCall, Formats, FrontCall, JobCall, UnreadableCall, query_value};
 use bytes::Bytes;
+use hyper::header::HeaderValue;
 use hyper::{HeaderMap, Method, Uri};
 use saddlerelay_coordinator::EngineDialect;
 use saddlerelay_coordinator::dialect::{Call, EngineReport, VersionOrder};
+use saddlerelay_duties::PlatformDialect;
+use saddlerelay_duties::dialect::{CallRight, EngineCountOrder, PlatformCall};
 use saddlerelay_types::gateway::GatewayRequest;
 use saddlerelay_types::instance::InstanceId;
 use saddlerelay_types::job::{ItemId, JobId, JobSubmission, ResultPage};
 use saddlerelay_types::routing::RoutingDocument;
+use saddlerelay_types::usage::UsageReport;
 use saddlerelay_upstream::HeaderNames;
+use serde::Serialize;
 use serde::de::DeserializeOwned;
 
 /// The path at which an engine takes orders.
@@ -40,15 +45,15 @@
         let path = uri.path().trim_matches('/').to_string();
         let number = |name: &str| query_value(uri, name).and_then(|value| value.parse().ok()).unwrap_or(0);
         match (method, path.split('/').collect::<Vec<_>>().as_slice()) {
-            (&Method::GET, ["v1", "jobs", job, "results"]) => FrontCall::ReadResults {
+            (&Method::GET, ["v1", "jobs", job, "results"]) => FrontCall::Job(JobCall::ReadResults {
                 job: JobId(job.to_string()),
                 after: number("after"),
                 wait_ms: number("wait_ms"),
-            },
+            }),
             (&Method::GET, ["v1", "jobs", job, "items", item, "body"]) => {
-                FrontCall::ReadBody { job: JobId(job.to_string()), item: ItemId(item.to_string()) }
+                FrontCall::Job(JobCall::ReadBody { job: JobId(job.to_string()), item: ItemId(item.to_string()) })
             }
-            (&Method::DELETE, ["v1", "jobs", job]) => FrontCall::EndJob(JobId(job.to_string())),
+            (&Method::DELETE, ["v1", "jobs", job]) => FrontCall::Job(JobCall::End(JobId(job.to_string()))),
             _ => FrontCall::Routed,
         }
     }
@@ -90,6 +95,42 @@
     }
 }
 
+/// A platform that speaks the product's own formats.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct OwnPlatform;
+
+/// The path at which a platform takes usage reports.
+pub const USAGE_PATH: &str = "/v1/usage";
+
+/// The path at which a platform takes orders of engines.
+pub const ENGINE_COUNT_PATH: &str = "/v1/engine-count";
+
+/// The header that names who makes a call to the platform.
+pub const HOLDER_HEADER: &str = "saddlerelay-holder";
+
+/// The header that holds the fence of a call to the platform.
+pub const FENCE_HEADER: &str = "saddlerelay-fence";
+
+fn platform_call(path: &str, right: &CallRight, body: &impl Serialize) -> PlatformCall {
+    let mut headers = HeaderMap::new();
+    headers.insert(FENCE_HEADER, HeaderValue::from(right.fence.0));
+    if let Ok(holder) = HeaderValue::from_str(&right.holder) {
+        headers.insert(HOLDER_HEADER, holder);
+    }
+    let body = serde_json::to_vec(body).unwrap_or_default();
+    PlatformCall { method: Method::POST, path: path.to_string(), headers, body: body.into() }
+}
+
+impl PlatformDialect for OwnPlatform {
+    fn usage_report(&self, right: &CallRight, report: &UsageReport) -> PlatformCall {
+        platform_call(USAGE_PATH, right, report)
+    }
+
+    fn engine_count(&self, right: &CallRight, order: &EngineCountOrder) -> PlatformCall {
+        platform_call(ENGINE_COUNT_PATH, right, order)
+    }
+}
+
 /// Engines that speak the product's own formats.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct OwnEngines;
--- /dev/null
+++ b/crates/gateway-api/tests/tenants.rs
@@ -0,0 +1,230 @@
+//! Tenants and their keys through a gateway: who is let in, what engines are told, whose a batch job is, and what is counted.
+
+mod common;
+
+use common::engine::{Conduct, StandInEngine};
+use common::{Deployment, HOST, block_on, call, document, eventually, job, rollouts, route};
+use hyper::{Method, StatusCode};
+use saddlerelay_control::state::ControlState;
+use saddlerelay_http::client::{Connection, WholeResponse};
+use saddlerelay_types::credentials::SecretDigest;
+use saddlerelay_types::identity::TenantId;
+use saddlerelay_types::job::JobSubmission;
+use saddlerelay_types::routing::{Route, RouteKind, RoutingDocument};
+use saddlerelay_types::tenancy::TenantAccess;
+
+const ID: (&str, &str) = ("saddlerelay-request", "r-1");
+const KEY: &str = "saddlerelay-key";
+const TENANT: &str = "saddlerelay-tenant";
+
+fn tenant(name: &str, keys: &[&str]) -> TenantAccess {
+    let keys = keys.iter().map(|key| SecretDigest::of(key.as_bytes())).collect();
+    TenantAccess { name: TenantId::new(name), keys, priority: None }
+}
+
+fn with_tenants(version: u64, tenants: Vec<TenantAccess>) -> RoutingDocument {
+    let open = Route { public: true, ..route("/open/", RouteKind::Idempotent, "web") };
+    let routes = vec![route("/plans/", RouteKind::Idempotent, "web"), open, rollouts()];
+    RoutingDocument { tenants: Some(tenants), ..document(version, routes) }
+}
+
+async fn started(name: &str) -> (Deployment, StandInEngine, StandInEngine) {
+    let deployment = Deployment::start(name).await;
+    let tenants = vec![tenant("clinic", &["clinic-1", "clinic-2"]), tenant("fund", &["fund-1"])];
+    deployment.configure(&with_tenants(1, tenants)).await;
+    let (web, llm) = (StandInEngine::start("web").await, StandInEngine::start("llm").await);
+    deployment.register(&web, "web").await;
+    deployment.register(&llm, "llm").await;
+    deployment.await_engines("web", 1).await;
+    deployment.await_engines("llm", 1).await;
+    (deployment, web, llm)
+}
+
+async fn get(deployment: &Deployment, path: &str, headers: &[(&str, &str)]) -> StatusCode {
+    deployment.request(Method::GET, path, &[headers, &[ID]].concat(), "").await.status
+}
+
+#[test]
+fn an_unknown_key_is_refused_and_reaches_no_engine() {
+    block_on(async {
+        let (deployment, web, _llm) = started("keys-unknown").await;
+        for headers in [&[][..], &[(KEY, "")], &[(KEY, "clinic-3")], &[(KEY, "clinic-11")], &[(TENANT, "clinic")]] {
+            assert_eq!(get(&deployment, "/plans/1", headers).await, StatusCode::UNAUTHORIZED, "{headers:?}");
+        }
+        let refused = deployment.request(Method::GET, "/plans/1", &[ID, (KEY, "guessed-key")], "").await;
+        assert!(!String::from_utf8_lossy(&refused.body).contains("guessed-key"));
+        assert_eq!(get(&deployment, "/elsewhere/1", &[(KEY, "clinic-3")]).await, StatusCode::NOT_FOUND);
+        assert!(web.seen().is_empty(), "an engine was asked");
+        assert_eq!(deployment.gateway.metrics().keys_refused.get(), 6);
+    });
+}
+
+#[test]
+fn an_engine_is_told_the_tenant_of_the_key_and_never_the_key() {
+    block_on(async {
+        let (deployment, web, _llm) = started("keys-told").await;
+        for (headers, told) in [
+            (&[(KEY, "clinic-2")][..], Some("clinic")),
+            (&[(KEY, "fund-1"), (TENANT, "clinic")], Some("fund")),
+            (&[(TENANT, "clinic"), (KEY, "fund-1"), (TENANT, "clinic")], Some("fund")),
+        ] {
+            assert_eq!(get(&deployment, "/plans/1", headers).await, StatusCode::OK);
+            let seen = web.seen().pop().expect("it was asked");
+            assert_eq!(seen.header(TENANT), told);
+            assert_eq!(seen.headers.get_all(TENANT).iter().count(), 1);
+            assert_eq!(seen.header(KEY), None);
+        }
+        // A public route needs no key; what a client says of its tenant is not passed on.
+        for headers in [&[(TENANT, "clinic")][..], &[(KEY, "nobody's"), (TENANT, "clinic")]] {
+            assert_eq!(get(&deployment, "/open/1", headers).await, StatusCode::OK);
+            let seen = web.seen().pop().expect("it was asked");
+            assert_eq!((seen.header(TENANT), seen.header(KEY)), (None, None));
+        }
+    });
+}
+
+async fn send(connection: &mut Connection, key: &str) -> StatusCode {
+    let headers = [ID, (KEY, key), ("host", HOST)];
+    let response = connection.send(Method::GET, "/plans/1", &headers, "").await.expect("an answer");
+    let (head, body) = response.into_parts();
+    saddlerelay_http::body::read_whole(body).await.expect("a whole body");
+    head.status
+}
+
+#[test]
+fn a_key_that_was_taken_away_is_refused_on_a_kept_connection_and_a_new_one_is_taken() {
+    block_on(async {
+        let (deployment, _web, _llm) = started("keys-revoked").await;
+        let mut connection = Connection::open(deployment.front).await.expect("it listens");
+        assert_eq!(send(&mut connection, "clinic-1").await, StatusCode::OK);
+        let tenants = vec![tenant("clinic", &["clinic-2", "clinic-9"]), tenant("fund", &["fund-1"])];
+        deployment.configure(&with_tenants(2, tenants)).await;
+        eventually("the key is refused", async || send(&mut connection, "clinic-1").await == StatusCode::UNAUTHORIZED)
+            .await;
+        assert_eq!(send(&mut connection, "clinic-2").await, StatusCode::OK);
+        assert_eq!(send(&mut connection, "clinic-9").await, StatusCode::OK);
+        // An older document changes nothing.
+        let body = serde_json::to_vec(&with_tenants(1, vec![tenant("clinic", &["clinic-1"])])).expect("JSON");
+        let answer = call(deployment.control, Method::PUT, "/admin/v1/routing", &[], body).await;
+        assert_eq!(answer.status, StatusCode::OK);
+        assert_eq!(send(&mut connection, "clinic-1").await, StatusCode::UNAUTHORIZED);
+    });
+}
+
+#[test]
+fn a_document_in_which_two_tenants_share_a_key_is_not_taken() {
+    block_on(async {
+        let (deployment, _web, _llm) = started("keys-shared").await;
+        let shared = with_tenants(2, vec![tenant("clinic", &["clinic-1"]), tenant("fund", &["clinic-1"])]);
+        let body = serde_json::to_vec(&shared).expect("JSON");
+        let answer = call(deployment.control, Method::PUT, "/admin/v1/routing", &[], body).await;
+        assert_eq!(answer.status, StatusCode::BAD_REQUEST);
+        assert_eq!(get(&deployment, "/plans/1", &[(KEY, "fund-1")]).await, StatusCode::OK);
+    });
+}
+
+async fn submit(deployment: &Deployment, job: &JobSubmission, key: &str) -> StatusCode {
+    let body = serde_json::to_vec(job).expect("JSON");
+    let path = format!("/rollouts/{}", job.id.0);
+    let headers = [("host", HOST), ("saddlerelay-request", job.id.0.as_str()), (KEY, key)];
+    call(deployment.front, Method::POST, &path, &headers, body).await.status
+}
+
+async fn about(deployment: &Deployment, method: Method, path: &str, key: &str) -> WholeResponse {
+    call(deployment.front, method, path, &[("host", HOST), (KEY, key)], "").await
+}
+
+async fn results(deployment: &Deployment, key: &str) -> (StatusCode, usize) {
+    let answer = about(deployment, Method::GET, "/v1/jobs/j/results?after=0&wait_ms=50", key).await;
+    let page = serde_json::from_slice::<saddlerelay_types::job::ResultPage>(&answer.body);
+    (answer.status, page.map_or(0, |page| page.results.len()))
+}
+
+#[test]
+fn a_batch_job_belongs_to_its_tenant() {
+    block_on(async {
+        let (deployment, _web, llm) = started("keys-jobs").await;
+        llm.set_conduct(Conduct::Hang);
+        let mut handed_in = job("j", 1, 0, 4, 3);
+        let own_words = vec![(TENANT.to_string(), "fund".to_string()), (KEY.to_string(), "clinic-1".to_string())];
+        handed_in.items[0].headers.extend(own_words);
+        assert_eq!(submit(&deployment, &handed_in, "guessed").await, StatusCode::UNAUTHORIZED);
+        assert_eq!(submit(&deployment, &handed_in, "clinic-1").await, StatusCode::ACCEPTED);
+        let calls = [
+            (Method::GET, "/v1/jobs/j/results?after=0"),
+            (Method::GET, "/v1/jobs/j/items/item-3/body"),
+            (Method::DELETE, "/v1/jobs/j"),
+        ];
+        for (method, path) in calls.clone() {
+            let refused = about(&deployment, method.clone(), path, "guessed").await;
+            assert_eq!(refused.status, StatusCode::UNAUTHORIZED, "{path}");
+            let another = about(&deployment, method.clone(), path, "fund-1").await;
+            let unknown =
+                about(&deployment, method, &path.replace("/j", "/x").replace("/xobs", "/jobs"), "fund-1").await;
+            assert_eq!(another.status, StatusCode::NOT_FOUND, "{path}");
+            assert_eq!((another.status, another.body), (unknown.status, unknown.body), "another tenant learns of it");
+        }
+        assert_eq!(submit(&deployment, &handed_in, "fund-1").await, StatusCode::NOT_FOUND);
+        assert_eq!(submit(&deployment, &handed_in, "clinic-2").await, StatusCode::ACCEPTED, "it is the same job");
+        let body = about(&deployment, Method::GET, "/v1/jobs/j/items/item-3/body", "clinic-2").await;
+        assert_eq!((body.status, &body.body[..]), (StatusCode::OK, &b"prompt 3"[..]));
+        eventually("items are at the engine", async || llm.seen().len() >= 4).await;
+        for seen in llm.seen() {
+            assert_eq!((seen.header(TENANT), seen.header(KEY)), (Some("clinic"), None));
+            assert_eq!(seen.headers.get_all(TENANT).iter().count(), 1);
+        }
+        let ended = about(&deployment, Method::DELETE, "/v1/jobs/j", "clinic-2").await;
+        assert_eq!(ended.status, StatusCode::OK);
+    });
+}
+
+#[test]
+fn the_loss_of_a_key_ends_no_job() {
+    block_on(async {
+        let (deployment, _web, llm) = started("keys-lost").await;
+        llm.set_conduct(Conduct::Shed);
+        assert_eq!(submit(&deployment, &job("j", 1, 0, 4, 3), "clinic-1").await, StatusCode::ACCEPTED);
+        let tenants = vec![tenant("clinic", &["clinic-2"]), tenant("fund", &["fund-1"])];
+        deployment.configure(&with_tenants(2, tenants)).await;
+        eventually("the key is refused", async || results(&deployment, "clinic-1").await.0 == StatusCode::UNAUTHORIZED)
+            .await;
+        llm.set_conduct(Conduct::Answer);
+        eventually("the job is done", async || results(&deployment, "clinic-2").await == (StatusCode::OK, 4)).await;
+    });
+}
+
+#[test]
+fn requests_that_engines_have_begun_are_counted_by_tenant_and_no_others() {
+    block_on(async {
+        let (deployment, web, _llm) = started("keys-usage").await;
+        eventually("the gateway knows the time", async || {
+            deployment.gateway.metrics().usage_counted.get() > 0
+                || get(&deployment, "/plans/1", &[(KEY, "fund-1")]).await != StatusCode::OK
+        })
+        .await;
+        let before = deployment.gateway.metrics().usage_counted.get();
+        for _ in 0..3 {
+            assert_eq!(get(&deployment, "/plans/1", &[(KEY, "clinic-1")]).await, StatusCode::OK);
+        }
+        // Of these, engines begin none, or it is nobody's.
+        assert_eq!(get(&deployment, "/open/1", &[]).await, StatusCode::OK);
+        assert_eq!(get(&deployment, "/plans/1", &[(KEY, "guessed")]).await, StatusCode::UNAUTHORIZED);
+        web.set_conduct(Conduct::Shed);
+        assert_eq!(get(&deployment, "/plans/1", &[(KEY, "clinic-1")]).await, StatusCode::SERVICE_UNAVAILABLE);
+        assert_eq!(deployment.gateway.metrics().usage_counted.get() - before, 3);
+        // A request that ran and failed was begun all the same.
+        web.set_conduct(Conduct::Fail);
+        assert_eq!(get(&deployment, "/plans/1", &[(KEY, "clinic-1")]).await, StatusCode::INTERNAL_SERVER_ERROR);
+        assert_eq!(deployment.gateway.metrics().usage_counted.get() - before, 4);
+        let committed = || {
+            let sum = |name: &str| {
+                let counts = |state: &ControlState| {
+                    state.usage.open_counts().filter_map(|(_, c)| c.get(&TenantId::new(name)).copied()).sum::<u64>()
+                };
+                deployment.node.read(counts).unwrap_or_default()
+            };
+            (sum("clinic"), sum("fund"))
+        };
+        eventually("the group holds the counts", async || committed() == (4, before)).await;
+    });
+}
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -4,7 +4,8 @@
 use hyper::StatusCode;
 use hyper::http::response::Parts;
 use saddlerelay_upstream::{Failure, HeaderNames};
-use std::cell::Cell;
+use std::cell::{Cell, RefCell};
+use std::time::Duration;
 
 /// How one attempt ended.
 pub(crate) enum AttemptEnd {
@@ -62,40 +63,51 @@
 /// Attempts of one request of which a byte may have reached an engine that has not proved that it did not run it.
 #[derive(Default)]
 pub(crate) struct PossibleRuns {
-    count: Cell<u32>,
+    /// When the first byte of each was sent.
+    sent_at: RefCell<Vec<Duration>>,
 }
 
 impl PossibleRuns {
     /// Whether it is not proved that no engine has run the request.
     pub fn may_have_run(&self) -> bool {
-        self.count.get() > 0
+        !self.sent_at.borrow().is_empty()
+    }
+
+    /// When the first of them was sent.
+    pub fn first_sent_at(&self) -> Option<Duration> {
+        self.sent_at.borrow().iter().min().copied()
     }
 
     /// A new attempt, of which nothing has been sent yet.
     pub fn attempt(&self) -> PossibleRun<'_> {
-        PossibleRun { runs: self, sent: Cell::new(false) }
+        PossibleRun { runs: self, sent_at: Cell::new(None) }
     }
 }
 
 /// One attempt; it counts as a possible run from its first byte on, also when it is given up.
 pub(crate) struct PossibleRun<'a> {
     runs: &'a PossibleRuns,
-    sent: Cell<bool>,
+    sent_at: Cell<Option<Duration>>,
 }
 
 impl PossibleRun<'_> {
-    /// Notes whether the first byte is about to be sent; returns the same.
-    pub fn note_sending(&self, sends: bool) -> bool {
-        if sends && !self.sent.replace(true) {
-            self.runs.count.set(self.runs.count.get() + 1);
+    /// Notes whether the first byte is about to be sent at `now`; returns the same.
+    pub fn note_sending(&self, sends: bool, now: Duration) -> bool {
+        if sends && self.sent_at.get().is_none() {
+            self.sent_at.set(Some(now));
+            self.runs.sent_at.borrow_mut().push(now);
         }
         sends
     }
 
     /// The engine has proved that it did not run the request.
     pub fn disprove(&self) {
-        if self.sent.replace(false) {
-            self.runs.count.set(self.runs.count.get() - 1);
+        let Some(sent_at) = self.sent_at.take() else {
+            return;
+        };
+        let mut runs = self.runs.sent_at.borrow_mut();
+        if let Some(place) = runs.iter().position(|other| *other == sent_at) {
+            runs.swap_remove(place);
         }
     }
 }
--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -38,6 +38,9 @@
         routing_version: view.update_base(),
         instance_revision: view.instance_revision(),
         silent: view.silent(),
+        incarnation: gateway.inner.incarnation,
+        unix_ms: gateway.inner.runtime.unix_milliseconds(),
+        usage: gateway.inner.usage.borrow_mut().difference(),
     }
 }
 
@@ -49,6 +52,10 @@
         inner.control.set_replicas(reply.replicas.iter().chain(seeds.iter()).copied());
     }
     inner.nearest_replica.set(reply.nearest_replica);
+    if let Some(unix_ms) = reply.group_unix_ms {
+        inner.clock.borrow_mut().hear(unix_ms, inner.runtime.monotonic());
+    }
+    inner.usage.borrow_mut().taken(reply.usage_taken);
     let changed = !reply.instances.is_empty();
     let update_bytes = reply.routing.as_ref().map_or(0, EncodedRoutingUpdate::len);
     let before = inner.view.borrow().routing_version();
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -4,6 +4,7 @@
 use crate::gateway::{ChosenRoute, Gateway};
 use crate::refusal::Refusal;
 use crate::request::{ClientRequest, remove_hop_by_hop};
+use crate::usage::CountedRuns;
 use bytes::Bytes;
 use futures::future::{self, Either};
 use futures::stream::FuturesUnordered;
@@ -40,6 +41,7 @@
         let limit = self.limit_of(chosen.route(), request);
         let service = chosen.table.next_service(chosen.index);
         let passage = Passage { request, chosen, service, limit, possible_runs: PossibleRuns::default() };
+        let _counted = CountedRuns::new(self, &request.caller, &passage.possible_runs);
         let outgoing = request.outgoing(body);
         let left = limit.saturating_sub(self.now());
         let ended = timeout(&self.inner.runtime, left, self.attempt_until_answered(&passage, &outgoing)).await;
@@ -176,7 +178,7 @@
         };
         let time_left = || passage.limit.saturating_sub(self.now());
         let run = passage.possible_runs.attempt();
-        let may_send = || run.note_sending(self.may_send(instance));
+        let may_send = || run.note_sending(self.may_send(instance), self.now());
         let ended = match self.inner.pool.send(&engine.target, outgoing, reuse, time_left, may_send).await {
             Ok(answer) => {
                 let not_executed = answer.is_not_executed(self.names());
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -5,6 +5,7 @@
 use crate::refusal::Refusal;
 use crate::request::ClientRequest;
 use crate::table::RouteTable;
+use crate::usage::{FollowedClock, UsageLedger};
 use crate::view::View;
 use bytes::Bytes;
 use hyper::body::Incoming;
@@ -13,6 +14,7 @@
 use saddlerelay_http::body::{BodyError, Reply, read_limited};
 use saddlerelay_runtime::Runtime;
 use saddlerelay_runtime_compio::CompioRuntime;
+use saddlerelay_types::identity::Incarnation;
 use saddlerelay_types::routing::{Route, RouteKind};
 use saddlerelay_upstream::{Balance, HeaderNames, Pool};
 use std::cell::{Cell, RefCell};
@@ -33,6 +35,8 @@
     pub names: HeaderNames,
     /// Limits.
     pub config: GatewayConfig,
+    /// How long the windows are for which tenants' requests are counted; `None` if they are not.
+    pub usage_window: Option<Duration>,
 }
 
 pub(crate) struct Inner {
@@ -41,6 +45,10 @@
     pub control: ControlClient<CompioRuntime>,
     pub pool: Pool,
     pub view: RefCell<View>,
+    /// This start of the relay.
+    pub incarnation: Incarnation,
+    pub clock: RefCell<FollowedClock>,
+    pub usage: RefCell<UsageLedger>,
     pub balance: Balance,
     pub metrics: GatewayMetrics,
     /// Where in each route's turn of targets this relay begins.
@@ -83,6 +91,9 @@
             control,
             pool,
             view: RefCell::default(),
+            incarnation: Incarnation(runtime.random()),
+            clock: RefCell::default(),
+            usage: RefCell::default(),
             balance: Balance::default(),
             metrics: GatewayMetrics::default(),
             offset,
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -18,6 +18,10 @@
     pub retries: Counter,
     /// Requests tried at a second engine because the first was slow.
     pub hedges: Counter,
+    /// Calls with an unknown key, or with none where one is needed.
+    pub keys_refused: Counter,
+    /// Requests of tenants that engines have begun.
+    pub usage_counted: Counter,
     /// Times that the lease ended.
     pub leases_lost: Counter,
     /// Reads of results that a replica in the own zone answered.
@@ -38,6 +42,8 @@
         let failed = counter("failed", "Requests that failed and may have run");
         let retries = counter("retries", "Attempts beyond a request's first");
         let hedges = counter("hedges", "Requests tried at a second engine because the first was slow");
+        let keys_refused = counter("keys_refused", "Calls with an unknown key, or with none where one is needed");
+        let usage_counted = counter("usage_counted", "Requests of tenants that engines have begun");
         let leases_lost = counter("leases_lost", "Times that the lease ended");
         let results_read_nearby =
             counter("results_read_nearby", "Reads of results answered by a replica in the own zone");
@@ -52,6 +58,8 @@
             failed,
             retries,
             hedges,
+            keys_refused,
+            usage_counted,
             leases_lost,
             results_read_nearby,
             request_seconds,
--- a/crates/gateway/src/refusal.rs
+++ b/crates/gateway/src/refusal.rs
@@ -10,6 +10,8 @@
 pub enum Refusal {
     /// No route serves the host and path.
     NoRoute,
+    /// No tenant has the key that the request carries, or it carries none.
+    UnknownKey,
     /// The body is larger than the limits allow.
     TooLarge,
     /// The request cannot be read.
@@ -31,6 +33,7 @@
     pub fn status(self) -> StatusCode {
         match self {
             Self::NoRoute => StatusCode::NOT_FOUND,
+            Self::UnknownKey => StatusCode::UNAUTHORIZED,
             Self::TooLarge => StatusCode::PAYLOAD_TOO_LARGE,
             Self::Malformed => StatusCode::BAD_REQUEST,
             Self::NoLease | Self::NoEngine | Self::LateNotRun => StatusCode::SERVICE_UNAVAILABLE,
@@ -43,6 +46,7 @@
     pub fn reason(self) -> &'static str {
         match self {
             Self::NoRoute => "no route",
+            Self::UnknownKey => "unknown key",
             Self::TooLarge => "body too large",
             Self::Malformed => "malformed request",
             Self::NoLease => "no lease",
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -6,6 +6,7 @@
 };
 use hyper::http::request::Parts;
 use hyper::{Method, Uri};
+use saddlerelay_types::tenancy::Caller;
 use saddlerelay_upstream::{HeaderNames, Outgoing};
 use std::time::Duration;
 
@@ -32,6 +33,8 @@
     pub deadline: Option<Duration>,
     /// When it arrived, by the relay's clock.
     pub arrived_at: Duration,
+    /// Who makes it, once its key has been checked.
+    pub caller: Caller,
 }
 
 impl ClientRequest {
@@ -43,7 +46,9 @@
         let deadline = text(&names.deadline).parse().ok().map(Duration::from_millis);
         let mut headers = head.headers;
         remove_hop_by_hop(&mut headers);
-        Self { id, method: head.method, uri: path_and_query(head.uri), host, headers, deadline, arrived_at }
+        let uri = path_and_query(head.uri);
+        let caller = Caller::Anyone;
+        Self { id, method: head.method, uri, host, headers, deadline, arrived_at, caller }
     }
 
     /// The path.
--- a/crates/gateway/src/results.rs
+++ b/crates/gateway/src/results.rs
@@ -7,6 +7,7 @@
 use saddlerelay_control_client::GatewayError;
 use saddlerelay_types::gateway::{GatewayReply, GatewayRequest};
 use saddlerelay_types::job::JobId;
+use saddlerelay_types::tenancy::Caller;
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -27,16 +28,22 @@
 
 impl Gateway {
     /// Reads a job's results from position `after` on, waiting for one for at most `wait`.
-    pub async fn read_results(&self, job: JobId, after: u64, wait: Duration) -> Result<GatewayReply, GatewayError> {
+    pub async fn read_results(
+        &self,
+        job: JobId,
+        after: u64,
+        wait: Duration,
+        caller: Caller,
+    ) -> Result<GatewayReply, GatewayError> {
         let until = self.now() + wait;
         if let Some(nearest) = self.nearest_replica()
-            && let Some(reply) = self.read_nearest(nearest, &job, after, wait.min(LONGEST_WAIT)).await
+            && let Some(reply) = self.read_nearest(nearest, &job, after, wait.min(LONGEST_WAIT), &caller).await
         {
             self.inner.metrics.results_read_nearby.inc();
             return Ok(reply);
         }
         let wait = until.saturating_sub(self.now());
-        let question = GatewayRequest::ReadResults { job, after, wait_ms: wait.as_millis() as u64 };
+        let question = GatewayRequest::ReadResults { job, after, wait_ms: wait.as_millis() as u64, caller };
         self.inner.control.gateway(question, CALL_LIMIT + wait, ATTEMPT_LIMIT + wait).await
     }
 
@@ -48,14 +55,22 @@
     }
 
     /// A page that holds results, or that of a job with nothing more to come; `None` when the leader has to be asked.
-    async fn read_nearest(&self, nearest: SocketAddr, job: &JobId, after: u64, wait: Duration) -> Option<GatewayReply> {
+    async fn read_nearest(
+        &self,
+        nearest: SocketAddr,
+        job: &JobId,
+        after: u64,
+        wait: Duration,
+        caller: &Caller,
+    ) -> Option<GatewayReply> {
         let inner = &self.inner;
         let position = inner.control.gateway(GatewayRequest::ReadPosition, NEAREST_LIMIT, NEAREST_LIMIT).await;
         let Ok(GatewayReply::Position(position)) = position else {
             return None;
         };
         let wait_ms = wait.as_millis() as u64;
-        let question = GatewayRequest::ReadResultsAt { position, job: job.clone(), after, wait_ms };
+        let (job, caller) = (job.clone(), caller.clone());
+        let question = GatewayRequest::ReadResultsAt { position, job, after, wait_ms, caller };
         let answer = inner.control.gateway_at(nearest, question, NEAREST_LIMIT + wait).await;
         if answer.is_none() {
             inner.nearest_passed_over_until.set(self.now() + PASSED_OVER);
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -5,6 +5,7 @@
 use crate::gateway::{ChosenRoute, Gateway};
 use crate::refusal::Refusal;
 use crate::request::{ClientRequest, remove_hop_by_hop};
+use crate::usage::CountedRuns;
 use bytes::Bytes;
 use futures::Stream;
 use hyper::header::{CONTENT_LENGTH, HeaderValue};
@@ -50,15 +51,21 @@
         let outgoing = request.outgoing(body);
         let mut tried = Vec::new();
         let possible_runs = PossibleRuns::default();
+        let counted = CountedRuns::new(self, &request.caller, &possible_runs);
         let left = limit.saturating_sub(self.now());
         let begin = self.begin_stream(chosen, &service, &outgoing, limit, &mut tried, &possible_runs);
         let answer = match timeout(&self.inner.runtime, left, begin).await {
-            Some(Begun::Answer(answer)) => answer,
+            Some(Begun::Answer(answer)) => {
+                // An engine sends the head of a stream with its first event.
+                counted.began_at(self.now());
+                answer
+            }
             Some(Begun::Whole(head, body)) => return self.answer(&request, chosen, head, body),
             Some(Begun::Refused(refusal)) => return self.refuse(&request, refusal),
             None if possible_runs.may_have_run() => return self.refuse(&request, Refusal::Late),
             None => return self.refuse(&request, Refusal::LateNotRun),
         };
+        drop(counted);
         let (mut head, stream) = answer.into_stream();
         remove_hop_by_hop(&mut head.headers);
         head.headers.remove(CONTENT_LENGTH);
@@ -109,7 +116,7 @@
             };
             tried.push(engine.target.instance.clone());
             let run = possible_runs.attempt();
-            let may_send = || run.note_sending(self.may_send(&engine.target.instance));
+            let may_send = || run.note_sending(self.may_send(&engine.target.instance), self.now());
             let time_left = || limit.saturating_sub(self.now());
             let began_at = self.now();
             let sent = self.inner.pool.send(&engine.target, outgoing, Reuse::Recent, time_left, may_send).await;
--- a/crates/gateway/src/table.rs
+++ b/crates/gateway/src/table.rs
@@ -1,9 +1,11 @@
 //! Finds the route of a request.
 
+use crate::keys::KeyRing;
 use saddlerelay_types::routing::{Route, RoutingDocument};
 use saddlerelay_upstream::turns::WeightedTurns;
 use std::cell::RefCell;
 use std::collections::BTreeMap;
+use std::rc::Rc;
 
 /// Multiples of it fall evenly between whole numbers.
 const GOLDEN_RATIO: f64 = 0.618_033_988_749_895;
@@ -18,12 +20,20 @@
     by_host: BTreeMap<String, Vec<usize>>,
     /// For each route, the turns of its targets.
     turns: RefCell<Vec<WeightedTurns>>,
+    /// The tenants' keys; `None` where no keys are asked for.
+    keys: Option<Rc<KeyRing>>,
+    has_public_routes: bool,
 }
 
 impl RouteTable {
     /// Indexes `document`. `offset` (0 to 1) says where in the turn of its targets each route begins, so that relays do
     /// not all begin with the same one.
     pub fn new(document: RoutingDocument, offset: f64) -> Self {
+        let keys = document.tenants.as_deref().map(|tenants| Rc::new(KeyRing::new(tenants)));
+        Self::with_keys(document, offset, keys)
+    }
+
+    fn with_keys(document: RoutingDocument, offset: f64, keys: Option<Rc<KeyRing>>) -> Self {
         let mut by_host: BTreeMap<String, Vec<usize>> = BTreeMap::new();
         for (index, route) in document.routes.iter().enumerate() {
             by_host.entry(route.host.to_ascii_lowercase()).or_default().push(index);
@@ -32,17 +42,24 @@
             indexes.sort_by_key(|index| std::cmp::Reverse(document.routes[*index].path_prefix.len()));
         }
         let turns = document.routes.iter().map(|route| WeightedTurns::new(&route.targets, offset)).collect();
-        Self { document, by_host, turns: RefCell::new(turns) }
+        let has_public_routes = document.routes.iter().any(|route| route.public);
+        Self { document, by_host, turns: RefCell::new(turns), keys, has_public_routes }
     }
 
     /// A table of the document that follows on another's. Routes whose targets stay as they are go on in their turns; the
-    /// others begin elsewhere each time, or with documents that change often one target would get every first request.
+    /// others begin elsewhere each time, or with documents that change often one target would get every first request. Keys
+    /// that stay as they are need not be indexed anew.
     pub fn following(document: RoutingDocument, before: Option<&Self>, offset: f64) -> Self {
         let begins = (offset + (document.version % VERSION_CYCLE) as f64 * GOLDEN_RATIO).fract();
-        let table = Self::new(document, begins);
-        if let Some(before) = before {
-            table.take_turns_over(before);
-        }
+        let Some(before) = before else {
+            return Self::new(document, begins);
+        };
+        let table = if document.tenants == before.document.tenants {
+            Self::with_keys(document, begins, before.keys.clone())
+        } else {
+            Self::new(document, begins)
+        };
+        table.take_turns_over(before);
         table
     }
 
@@ -64,6 +81,16 @@
         &self.document
     }
 
+    /// The tenants' keys; `None` where no keys are asked for.
+    pub fn keys(&self) -> Option<&KeyRing> {
+        self.keys.as_deref()
+    }
+
+    /// Whether some requests need no key although others do.
+    pub fn has_public_routes(&self) -> bool {
+        self.has_public_routes
+    }
+
     /// The index of the route that serves this host and path.
     pub fn find(&self, host: &str, path: &str) -> Option<usize> {
         let host = host.rsplit_once(':').map_or(host, |(name, _)| name).to_ascii_lowercase();
--- /dev/null
+++ b/crates/gateway/tests/usage.rs
@@ -0,0 +1,87 @@
+//! How a relay counts and hands its counts over.
+
+use quickcheck::QuickCheck;
+use saddlerelay_gateway::keys::KeyRing;
+use saddlerelay_gateway::usage::{FollowedClock, UsageLedger};
+use saddlerelay_types::credentials::SecretDigest;
+use saddlerelay_types::identity::TenantId;
+use saddlerelay_types::tenancy::TenantAccess;
+use saddlerelay_types::usage::UsageWindow;
+use std::time::Duration;
+
+#[test]
+fn a_difference_is_repeated_unchanged_until_it_is_taken() {
+    let (tenant, window) = (TenantId::new("a"), UsageWindow(3));
+    let mut ledger = UsageLedger::default();
+    assert_eq!(ledger.difference(), None);
+    ledger.count(&tenant, window);
+    let first = ledger.difference().expect("something was counted");
+    ledger.count(&tenant, window);
+    assert_eq!(ledger.difference().as_ref(), Some(&first), "it is not known to be taken");
+    ledger.taken(0);
+    assert_eq!(ledger.difference().as_ref(), Some(&first));
+    ledger.taken(first.sequence);
+    let second = ledger.difference().expect("more was counted");
+    assert_eq!((first.sequence, second.sequence, second.counts[&window][&tenant]), (1, 2, 1));
+    ledger.taken(2);
+    assert_eq!(ledger.difference(), None);
+}
+
+/// Whatever answers are lost, each request is in exactly one difference.
+#[test]
+fn every_request_is_handed_over_once() {
+    fn holds(steps: Vec<(u8, bool)>) -> bool {
+        let tenant = TenantId::new("a");
+        let mut ledger = UsageLedger::default();
+        let (mut counted, mut taken, mut newest) = (0, 0, 0);
+        for (requests, answered) in steps.into_iter().chain([(0, true), (0, true)]) {
+            for _ in 0..requests % 5 {
+                ledger.count(&tenant, UsageWindow(u64::from(requests)));
+                counted += 1;
+            }
+            let Some(difference) = ledger.difference() else {
+                continue;
+            };
+            if difference.sequence > newest {
+                newest = difference.sequence;
+                taken += difference.counts.values().flat_map(|counts| counts.values()).sum::<u64>();
+            }
+            if answered {
+                ledger.taken(newest);
+            }
+        }
+        counted == taken && ledger.difference().is_none()
+    }
+    QuickCheck::new().tests(400).quickcheck(holds as fn(Vec<(u8, bool)>) -> bool);
+}
+
+#[test]
+fn an_answer_that_was_held_up_does_not_move_the_clock() {
+    let at = Duration::from_millis;
+    let mut clock = FollowedClock::default();
+    assert_eq!(clock.unix_ms(at(5)), None);
+    clock.hear(10_000, at(100));
+    // The relay stood still for 3 s before it read this one.
+    clock.hear(10_400, at(3_500));
+    assert_eq!(clock.unix_ms(at(4_000)), Some(13_900));
+}
+
+#[test]
+fn a_key_is_found_among_many_and_no_other_is() {
+    let key = |tenant: usize, number: usize| format!("key-{tenant}-{number}");
+    let tenants: Vec<TenantAccess> = (0..500)
+        .map(|tenant| TenantAccess {
+            name: TenantId(format!("tenant-{tenant}")),
+            keys: (0..3).map(|number| SecretDigest::of(key(tenant, number).as_bytes())).collect(),
+            priority: None,
+        })
+        .collect();
+    let ring = KeyRing::new(&tenants);
+    for (tenant, access) in tenants.iter().enumerate() {
+        for number in 0..3 {
+            assert_eq!(ring.tenant(key(tenant, number).as_bytes()), Some(&access.name));
+        }
+        assert_eq!(ring.tenant(key(tenant, 3).as_bytes()), None);
+    }
+    assert_eq!(ring.tenant(b""), None);
+}
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -10,7 +10,7 @@
 pub mod reader;
 pub mod types;
 
-pub use member::{Bounds, Interface, MemberRole, MemberSettings, parse_member};
+pub use member::{Bounds, Interface, MemberRole, MemberSettings, PlatformSettings, UsageSettings, parse_member};
 pub use parse::parse;
 pub use reader::SettingError;
 pub use types::{ControlSettings, RelaySettings, Role, Settings};
--- a/crates/settings/src/member.rs
+++ b/crates/settings/src/member.rs
@@ -34,6 +34,12 @@
 /// Bytes of log that a member keeps in memory for voters that are behind. Beyond, they are sent what its log file holds.
 const MEMORY_BYTES_BEHIND: u64 = 3 * 1024 * 1024;
 
+/// The duty of telling the platform the usage of tenants, as the settings name it.
+const USAGE_REPORT: &str = "usage_report";
+
+/// The duty of telling the platform how many engines are wanted, as the settings name it.
+const AUTOSCALE: &str = "autoscale";
+
 /// A member's settings.
 #[derive(Clone, Debug, PartialEq)]
 pub struct MemberSettings {
@@ -51,12 +57,36 @@
     pub shared_secret: String,
     /// The deployment's bounds.
     pub bounds: Bounds,
+    /// How tenants' requests are counted; `None` if they are not.
+    pub usage: Option<UsageSettings>,
+    /// The platform, where the deployment has duties towards it.
+    pub platform: Option<PlatformSettings>,
     /// How callers, engines and operators speak to it.
     pub interface: Interface,
     /// What the process is.
     pub role: MemberRole,
 }
 
+/// How tenants' requests are counted.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct UsageSettings {
+    /// The length of a window.
+    pub window: Duration,
+    /// A window's report is due that long after its end.
+    pub due_after: Duration,
+}
+
+/// What the deployment's leader does towards the platform.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct PlatformSettings {
+    /// Where the platform takes calls.
+    pub address: SocketAddr,
+    /// It is told the usage of tenants.
+    pub reports_usage: bool,
+    /// It is told how many engines are wanted.
+    pub orders_engines: bool,
+}
+
 /// How callers, engines and operators speak to a member.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Interface {
@@ -100,6 +130,8 @@
     pub drain: Duration,
     /// A configuration is in force so long after it was acknowledged.
     pub configuration: Duration,
+    /// A key that was taken away is refused so long after it was acknowledged, by a relay out of touch too.
+    pub revocation: Duration,
     /// Holders of orders do not take turns within this time.
     pub order_lease: Duration,
     /// A planned stop may take so long.
@@ -118,6 +150,7 @@
             report_interval: section.milliseconds("report_interval_ms", milliseconds(1_200), 50..=60_000),
             drain: section.milliseconds("drain_ms", milliseconds(2_000), 500..=600_000),
             configuration: section.milliseconds("configuration_ms", milliseconds(2_000), 500..=600_000),
+            revocation: section.milliseconds("revocation_ms", milliseconds(600_000), 500..=600_000),
             order_lease: section.milliseconds("order_lease_ms", milliseconds(3_000), 0..=600_000),
             grace: section.seconds("grace_s", milliseconds(8_000), 1..=3_600),
             job_status: section.seconds("job_status_s", milliseconds(120_000), 1..=86_400),
@@ -129,7 +162,7 @@
 
     /// How long a relay may act on what it was told.
     pub fn follow_lease(&self) -> Duration {
-        self.drain.min(self.configuration).saturating_sub(LEASE_MARGIN)
+        self.drain.min(self.configuration).min(self.revocation).saturating_sub(LEASE_MARGIN)
     }
 
     /// The control group's timing.
@@ -138,11 +171,12 @@
             follow_lease: self.follow_lease(),
             instance_silence: self.report_interval * MISSED_REPORTS + SILENCE_MARGIN,
             job_keep: self.job_status + KEEP_MARGIN,
+            order_distance: self.order_distance(),
             ..ControlConfig::default()
         }
     }
 
-    /// How far apart the orders of two holders to one engine must be.
+    /// How far apart the orders of two holders about one subject must be.
     pub fn order_distance(&self) -> Duration {
         self.order_lease + ORDER_MARGIN
     }
@@ -183,6 +217,31 @@
     }
 }
 
+fn parse_usage(table: Table, errors: &mut Vec<SettingError>) -> Option<UsageSettings> {
+    if table.is_empty() {
+        return None;
+    }
+    let mut section = Section::new("usage", table, errors);
+    let usage = UsageSettings {
+        window: section.seconds("window_s", Duration::from_secs(60), 1..=86_400),
+        due_after: section.seconds("due_after_s", Duration::from_secs(60), 1..=86_400),
+    };
+    section.end();
+    Some(usage)
+}
+
+fn parse_platform(table: Table, errors: &mut Vec<SettingError>) -> Option<PlatformSettings> {
+    if table.is_empty() {
+        return None;
+    }
+    let mut section = Section::new("platform", table, errors);
+    let address = section.address("address");
+    let duties = section.texts("duties", &[USAGE_REPORT, AUTOSCALE]);
+    section.end();
+    let has = |duty: &str| duties.iter().any(|named| named == duty);
+    Some(PlatformSettings { address, reports_usage: has(USAGE_REPORT), orders_engines: has(AUTOSCALE) })
+}
+
 fn parse_interface(root: &mut Section) -> Interface {
     match root.optional_text("interface").as_deref() {
         None | Some("own") => Interface::Own,
@@ -202,6 +261,8 @@
     let mut errors = Vec::new();
     let mut root = Section::new("", table, &mut errors);
     let bounds = root.take_table("bounds");
+    let usage = root.take_table("usage");
+    let platform = root.take_table("platform");
     let role_name = root.text("role", 1);
     let name = root.text("name", 1);
     let zone = root.text("zone", 1);
@@ -222,7 +283,24 @@
     }
     root.end();
     let bounds = Bounds::parse(bounds, &mut errors);
-    let settings =
-        MemberSettings { name, zone, metrics_address, seeds, peer_port, shared_secret, bounds, interface, role };
+    let usage = parse_usage(usage, &mut errors);
+    let platform = parse_platform(platform, &mut errors);
+    if platform.is_some_and(|platform| platform.reports_usage) && usage.is_none() {
+        let reason = "is missing, although `platform.duties` names `usage_report`".to_string();
+        errors.push(SettingError { key: "usage".to_string(), value: None, reason });
+    }
+    let settings = MemberSettings {
+        name,
+        zone,
+        metrics_address,
+        seeds,
+        peer_port,
+        shared_secret,
+        bounds,
+        usage,
+        platform,
+        interface,
+        role,
+    };
     if errors.is_empty() { Ok(settings) } else { Err(errors) }
 }
--- a/crates/settings/src/parse.rs
+++ b/crates/settings/src/parse.rs
@@ -122,6 +122,8 @@
         follow_lease: default.follow_lease,
         instance_silence: default.instance_silence,
         job_keep: default.job_keep,
+        order_distance: default.order_distance,
+        order_validity: default.order_validity,
     };
     if config.relay_loss <= config.relay_lease {
         section.refuse("relay_loss_ms", None, "must be longer than `relay_lease_ms`");
--- a/crates/settings/src/reader.rs
+++ b/crates/settings/src/reader.rs
@@ -126,6 +126,25 @@
         addresses
     }
 
+    /// A list of texts, each one of `allowed`; empty if it is not there.
+    pub fn texts(&mut self, key: &str, allowed: &[&str]) -> Vec<String> {
+        let Some(value) = self.table.remove(key) else {
+            return Vec::new();
+        };
+        let Value::Array(values) = value else {
+            self.refuse(key, Some(value.to_string()), "is not a list");
+            return Vec::new();
+        };
+        let mut texts = Vec::new();
+        for value in values {
+            match value.as_str().filter(|text| allowed.contains(text)) {
+                Some(text) => texts.push(text.to_string()),
+                None => self.refuse(key, Some(value.to_string()), format!("is not one of {allowed:?}")),
+            }
+        }
+        texts
+    }
+
     /// A whole number in `range`, or `default`.
     pub fn number(&mut self, key: &str, default: u64, range: RangeInclusive<u64>) -> u64 {
         let Some(value) = self.table.remove(key) else {
--- a/crates/settings/tests/member.rs
+++ b/crates/settings/tests/member.rs
@@ -63,6 +63,23 @@
     assert!(replication.election_timeout + replication.election_jitter < bounds.follow_lease());
 }
 
+#[test]
+fn duties_towards_the_platform_are_read() {
+    let with = |text: &str| format!("{COORDINATOR}revocation_ms = 1500\n{text}");
+    let usage = "[usage]\nwindow_s = 5\ndue_after_s = 10\n";
+    let platform = "[platform]\naddress = \"10.0.0.9:80\"\nduties = [\"usage_report\", \"autoscale\"]\n";
+    let settings = parse_member(&with(&format!("{usage}{platform}"))).expect("it is right");
+    let (held, duties) = (settings.usage.expect("it counts"), settings.platform.expect("it has duties"));
+    assert_eq!((held.window, held.due_after), (Duration::from_secs(5), Duration::from_secs(10)));
+    assert!(duties.reports_usage && duties.orders_engines);
+    assert!(settings.bounds.follow_lease() < Duration::from_millis(1_500), "a key is refused in time out of touch too");
+    assert_eq!(parse_member(COORDINATOR).expect("it is right").platform, None);
+    let told = errors(&with(platform));
+    assert!(told[0].starts_with("`usage`: is missing"), "{told:?}");
+    let told = errors(&with(&format!("{usage}{}", platform.replace("autoscale", "baking"))));
+    assert!(told[0].starts_with("`platform.duties`"), "{told:?}");
+}
+
 #[test]
 fn everything_that_is_wrong_is_told() {
     let wrong = GATEWAY
--- /dev/null
+++ b/crates/simulator/tests/duties.rs
@@ -0,0 +1,610 @@
+//! The leader's duties towards the platform, in virtual time over many seeds: leaders are killed, frozen and woken, clocks
+//! are wrong on a third of the machines, and the platform loses answers, carries calls out late, and is down. Relays count;
+//! the platform's record is compared with the truth.
+
+use futures::executor::LocalPool;
+use hyper::StatusCode;
+use saddlerelay_control::config::ControlConfig;
+use saddlerelay_control::node::ControlNode;
+use saddlerelay_control_client::ControlClient;
+use saddlerelay_duties::client::PlatformClient;
+use saddlerelay_duties::dialect::{CallRight, EngineCountOrder, PlatformCall, PlatformDialect};
+use saddlerelay_duties::policies::KeepInitial;
+use saddlerelay_duties::{Duties, DutyMetrics, EngineCountTerms, UsageTerms};
+use saddlerelay_gateway::usage::{FollowedClock, UsageLedger};
+use saddlerelay_replication::ReplicaOptions;
+use saddlerelay_replication::config::ReplicationConfig;
+use saddlerelay_runtime::Runtime;
+use saddlerelay_simulator::backends::SimBackends;
+use saddlerelay_simulator::platform::SimRuntime;
+use saddlerelay_simulator::world::{Process, START_UNIX_MILLISECONDS, Sleep, World};
+use saddlerelay_types::gateway::{EnginePlace, FollowRequest, GatewayCommand, GatewayReply, GatewayRequest};
+use saddlerelay_types::identity::{Incarnation, TenantId};
+use saddlerelay_types::instance::{InstanceId, InstanceReport};
+use saddlerelay_types::routing::{RequestLimits, RoutingDocument, ScalingLimits, Service};
+use saddlerelay_types::usage::{TenantCounts, UsageReport, UsageWindow};
+use saddlerelay_upstream::Failure;
+use std::cell::{Cell, RefCell};
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+const SEEDS: std::ops::Range<u64> = 0..40;
+const SECRET: &str = "a secret of sixteen signs";
+const REPLICAS: u8 = 3;
+const RELAYS: u8 = 9;
+
+/// Machines whose time of day is wrong, and by how much: a third of all.
+const WRONG_CLOCK_MS: i64 = 2_000;
+
+/// Orders of two holders are apart by the lease of orders and a margin, as the settings derive it.
+const ORDER_LEASE: Duration = Duration::from_millis(3_000);
+const ORDER_DISTANCE: Duration = Duration::from_millis(3_400);
+
+const TERMS: UsageTerms = UsageTerms { window: Duration::from_secs(2), due_after: Duration::from_secs(10) };
+const ENGINE_TERMS: EngineCountTerms =
+    EngineCountTerms { settling_time: Duration::from_secs(2), missing_time: Duration::from_secs(1) };
+
+type Node = ControlNode<SimRuntime, SimBackends>;
+
+/// A call as the platform received it.
+#[derive(Clone, Debug)]
+enum Received {
+    Usage(UsageReport),
+    EngineCount(EngineCountOrder),
+}
+
+/// A call that the platform has looked at.
+#[derive(Clone, Debug)]
+struct Record {
+    at: Duration,
+    /// The machine that made it.
+    machine: String,
+    fence: u64,
+    call: Received,
+    taken: bool,
+}
+
+/// The platform, and how it behaves.
+struct Platform {
+    world: Rc<World>,
+    process: Rc<Process>,
+    records: RefCell<Vec<Record>>,
+    highest_fence: RefCell<BTreeMap<String, u64>>,
+    /// Of a hundred calls, so many get no answer, and half of these are carried out late.
+    unanswered_percent: Cell<u64>,
+    /// It answers nothing and does nothing.
+    is_down: Cell<bool>,
+}
+
+impl Platform {
+    fn new(world: &Rc<World>) -> Rc<Self> {
+        Rc::new(Self {
+            world: world.clone(),
+            process: world.start_process("platform", 0, 0),
+            records: RefCell::default(),
+            highest_fence: RefCell::default(),
+            unanswered_percent: Cell::new(0),
+            is_down: Cell::new(false),
+        })
+    }
+
+    fn subject(call: &Received) -> String {
+        match call {
+            Received::Usage(_) => "usage".to_string(),
+            Received::EngineCount(order) => format!("{}/{}", order.place.service, order.place.zone),
+        }
+    }
+
+    fn carry_out(&self, machine: &str, fence: u64, call: Received) -> StatusCode {
+        let mut highest = self.highest_fence.borrow_mut();
+        let held = highest.entry(Self::subject(&call)).or_default();
+        let taken = fence >= *held;
+        *held = (*held).max(fence);
+        let at = self.world.clock.now();
+        self.records.borrow_mut().push(Record { at, machine: machine.to_string(), fence, call, taken });
+        if taken { StatusCode::OK } else { StatusCode::CONFLICT }
+    }
+}
+
+/// The platform as one machine reaches it. Calls travel as they are: the dialect's words do not matter here.
+struct PlatformLink {
+    platform: Rc<Platform>,
+    machine: String,
+    calls: Rc<RefCell<Vec<(u64, Received)>>>,
+}
+
+impl PlatformClient for PlatformLink {
+    async fn call(
+        &self,
+        call: PlatformCall,
+        limit: Duration,
+        may_send: impl Fn() -> bool,
+    ) -> Result<StatusCode, Failure> {
+        let (fence, received) = self.calls.borrow()[call.path.parse::<usize>().expect("a number")].clone();
+        let platform = self.platform.clone();
+        let world = platform.world.clone();
+        let pause = |limit: Duration| Sleep::new(world.clock.clone(), world.clock.now() + world.jitter(limit));
+        pause(Duration::from_millis(4)).await;
+        if !may_send() {
+            return Err(Failure::NotSent("the right to act has ended".to_string()));
+        }
+        let unanswered = world.random() % 100 < platform.unanswered_percent.get();
+        if platform.is_down.get() || unanswered {
+            if unanswered && world.random().is_multiple_of(2) {
+                let late = pause(Duration::from_secs(6));
+                let (platform, machine) = (platform.clone(), self.machine.clone());
+                let process = platform.process.clone();
+                world.spawn(&process, async move {
+                    late.await;
+                    platform.carry_out(&machine, fence, received);
+                });
+            }
+            Sleep::new(world.clock.clone(), world.clock.now() + limit).await;
+            return Err(Failure::MayHaveRun("no answer in time".to_string()));
+        }
+        let status = platform.carry_out(&self.machine, fence, received);
+        pause(Duration::from_millis(4)).await;
+        Ok(status)
+    }
+}
+
+/// Keeps calls as they are, and names them by number.
+struct Numbered(Rc<RefCell<Vec<(u64, Received)>>>);
+
+impl Numbered {
+    fn keep(&self, right: &CallRight, call: Received) -> PlatformCall {
+        let mut calls = self.0.borrow_mut();
+        calls.push((right.fence.0, call));
+        PlatformCall {
+            method: hyper::Method::POST,
+            path: (calls.len() - 1).to_string(),
+            headers: Default::default(),
+            body: Default::default(),
+        }
+    }
+}
+
+impl PlatformDialect for Numbered {
+    fn usage_report(&self, right: &CallRight, report: &UsageReport) -> PlatformCall {
+        self.keep(right, Received::Usage(report.clone()))
+    }
+
+    fn engine_count(&self, right: &CallRight, order: &EngineCountOrder) -> PlatformCall {
+        self.keep(right, Received::EngineCount(order.clone()))
+    }
+}
+
+struct Machine {
+    process: Rc<Process>,
+    node: Rc<RefCell<Option<Node>>>,
+}
+
+struct Deployment {
+    world: Rc<World>,
+    pool: LocalPool,
+    platform: Rc<Platform>,
+    machines: BTreeMap<u8, Machine>,
+    /// What engines have begun, by true time.
+    truth: Rc<RefCell<BTreeMap<UsageWindow, TenantCounts>>>,
+}
+
+fn address(place: u8) -> SocketAddr {
+    ([10, 0, 0, place], 7_000).into()
+}
+
+fn tenant(number: u64) -> TenantId {
+    TenantId(format!("tenant-{number}"))
+}
+
+/// Every third machine's clock is wrong, half of these ahead and half behind.
+fn clock_error(place: u8, seed: u64) -> i64 {
+    let turn = (u64::from(place) + seed) % 6;
+    match turn {
+        0 => WRONG_CLOCK_MS,
+        3 => -WRONG_CLOCK_MS,
+        _ => 0,
+    }
+}
+
+fn document() -> RoutingDocument {
+    let scaling =
+        ScalingLimits { fewest: 1, most: 9, start_ms: 1_000, withdrawable_price: 0.2, prices_by_zone: BTreeMap::new() };
+    let service = Service {
+        name: "llm".to_string(),
+        health_path: "/health".to_string(),
+        max_connections: 10,
+        hosting: None,
+        scaling: Some(scaling),
+    };
+    RoutingDocument {
+        version: 1,
+        routes: Vec::new(),
+        services: vec![service],
+        limits: RequestLimits { max_header_bytes: 1, max_body_bytes: 1, header_timeout_ms: 1, idle_timeout_ms: 1 },
+        tenants: Some(Vec::new()),
+        source: Vec::new(),
+    }
+}
+
+impl Deployment {
+    /// Starts replicas and relays, and waits until the group has the document.
+    fn start(seed: u64) -> Self {
+        let (world, pool) = World::new(seed);
+        world.network.set_delays(9, Duration::from_millis(1), Duration::from_millis(3));
+        let platform = Platform::new(&world);
+        let mut deployment = Self { world, pool, platform, machines: BTreeMap::new(), truth: Rc::default() };
+        for place in 1..=REPLICAS {
+            deployment.start_replica(place, seed, true);
+        }
+        deployment.await_leader();
+        deployment.commit(GatewayCommand::PutRouting(document()));
+        for place in 1..=RELAYS {
+            deployment.start_relay(place, seed);
+        }
+        deployment.run_for(Duration::from_secs(2));
+        deployment
+    }
+
+    fn start_replica(&mut self, place: u8, seed: u64, founding: bool) {
+        let name = format!("replica-{place}");
+        let process = self.world.start_process(&name, place.into(), clock_error(place, seed));
+        let runtime = SimRuntime { world: self.world.clone(), process: process.clone() };
+        let founders: Vec<SocketAddr> = (1..=REPLICAS).map(address).collect();
+        let options = ReplicaOptions {
+            address: address(place),
+            peers: founders.clone(),
+            founders: if founding { founders } else { Vec::new() },
+            secret: SECRET.to_string(),
+            config: ReplicationConfig { target_voters: 3, ..ReplicationConfig::default() },
+        };
+        let nowhere: SocketAddr = ([10, 0, 9, 9], 1).into();
+        let backends = SimBackends { platform: runtime.clone(), scorer: nowhere, machine_list: nowhere };
+        // Engines of these tests report themselves once.
+        let instance_silence = Duration::from_secs(600);
+        let config = ControlConfig { order_distance: ORDER_DISTANCE, instance_silence, ..ControlConfig::default() };
+        let node = Rc::new(RefCell::new(None));
+        let started = node.clone();
+        let platform = self.platform.clone();
+        self.world.spawn(&process, async move {
+            let listener = runtime.listen(options.address).await.expect("the address is free");
+            let node = ControlNode::start(runtime.clone(), backends, config, options).await.expect("a sound disk");
+            *started.borrow_mut() = Some(node.clone());
+            start_duties(&runtime, &node, platform, name);
+            let handler = Rc::new(node);
+            saddlerelay_rpc::server::serve(runtime, listener, SECRET.to_string(), handler).await;
+        });
+        self.machines.insert(place, Machine { process, node });
+    }
+
+    /// A relay that counts requests at random moments.
+    fn start_relay(&self, place: u8, seed: u64) {
+        let process = self.world.start_process(&format!("relay-{place}"), 0, clock_error(place, seed + 1));
+        let runtime = SimRuntime { world: self.world.clone(), process: process.clone() };
+        let clock = Rc::new(RefCell::new(FollowedClock::default()));
+        let ledger = Rc::new(RefCell::new(UsageLedger::default()));
+        let follower = follow(runtime.clone(), clock.clone(), ledger.clone(), place);
+        self.world.spawn(&process, follower);
+        self.world.spawn(&process, count(runtime, clock, ledger, self.truth.clone()));
+    }
+
+    fn run_for(&mut self, time: Duration) {
+        let until = self.world.clock.now() + time;
+        let clock = self.world.clock.clone();
+        let timer = self.world.start_process("timer", 0, 0);
+        self.world.spawn(&timer, Sleep::new(clock.clone(), until));
+        self.world.run(&mut self.pool, until + Duration::from_secs(1), move || clock.now() >= until);
+    }
+
+    fn leader(&self) -> Option<(u8, Node)> {
+        let running = self.machines.iter().filter(|(_, machine)| !machine.process.is_frozen());
+        let nodes = running.filter_map(|(place, machine)| Some((*place, machine.node.borrow().clone()?)));
+        nodes.into_iter().find(|(_, node)| node.replica().leading_term().is_some())
+    }
+
+    fn await_leader(&mut self) {
+        let until = self.world.clock.now() + Duration::from_secs(10);
+        while self.leader().is_none() {
+            assert!(self.world.clock.now() < until, "no leader");
+            self.run_for(Duration::from_millis(20));
+        }
+    }
+
+    fn commit(&mut self, command: GatewayCommand) {
+        let (_, node) = self.leader().expect("it is led");
+        let done = Rc::new(Cell::new(false));
+        let told = done.clone();
+        let process = self.world.start_process("operator", 0, 0);
+        self.world.spawn(&process, async move {
+            told.set(node.commit_gateway(command).await.is_ok());
+        });
+        self.run_for(Duration::from_millis(300));
+        assert!(done.get(), "it was not committed");
+    }
+
+    fn kill(&mut self, place: u8) {
+        if let Some(machine) = self.machines.remove(&place) {
+            machine.process.kill();
+            self.world.disks.crash(&machine.process.name, || self.world.random());
+        }
+    }
+
+    /// What the platform has of each window, and when the first report of it was taken.
+    fn reported(&self) -> BTreeMap<UsageWindow, (TenantCounts, Duration)> {
+        let mut reported = BTreeMap::new();
+        for record in self.platform.records.borrow().iter().filter(|record| record.taken) {
+            let Received::Usage(report) = &record.call else {
+                continue;
+            };
+            let held = reported.entry(report.window).or_insert((report.counts.clone(), record.at));
+            assert_eq!(held.0, report.counts, "window {} was reported with other counts", report.window.0);
+        }
+        reported
+    }
+
+    /// No fence is used by two machines about one subject, and no machine acts again about a subject within the lease of
+    /// orders of another that acted since. Calls that are refused for their fence, or that were carried out late, count not.
+    fn check_holders(&self) {
+        let mut by_subject: BTreeMap<String, Vec<Record>> = BTreeMap::new();
+        for record in self.platform.records.borrow().iter() {
+            by_subject.entry(Platform::subject(&record.call)).or_default().push(record.clone());
+        }
+        for (subject, records) in by_subject {
+            let mut users: BTreeMap<u64, String> = BTreeMap::new();
+            for record in &records {
+                let user = users.entry(record.fence).or_insert_with(|| record.machine.clone());
+                assert_eq!(*user, record.machine, "{subject}: fence {} is used by two", record.fence);
+            }
+            let taken: Vec<&Record> = records.iter().filter(|record| record.taken).collect();
+            for (index, first) in taken.iter().enumerate() {
+                let soon = taken[index..].iter().take_while(|record| record.at < first.at + ORDER_LEASE);
+                let machines: Vec<&str> = soon.map(|record| record.machine.as_str()).collect();
+                let back = machines.iter().rposition(|machine| *machine == first.machine).unwrap_or(0);
+                let turns = machines[..back].iter().any(|machine| *machine != first.machine);
+                assert!(!turns, "{subject}: holders took turns: {machines:?}");
+            }
+        }
+    }
+
+    /// Every window that ended before `until` is reported, exactly as relays counted it.
+    fn check_usage(&self, from: Duration, until: Duration) {
+        let reported = self.reported();
+        let window_of = |at: Duration| {
+            let unix_ms = START_UNIX_MILLISECONDS + at.as_millis() as u64;
+            UsageWindow::containing(unix_ms, TERMS.window.as_millis() as u64)
+        };
+        let truth = self.truth.borrow();
+        let windows = truth.range(window_of(from).next()..window_of(until));
+        let mut compared = 0;
+        for (window, counts) in windows {
+            let (told, at) = reported.get(window).unwrap_or_else(|| panic!("window {} is not reported", window.0));
+            let due_at_ms = window.ends_at_ms(TERMS.window.as_millis() as u64) + TERMS.due_after.as_millis() as u64;
+            let at_ms = START_UNIX_MILLISECONDS + at.as_millis() as u64;
+            assert!(at_ms <= due_at_ms, "window {} was reported {} ms late", window.0, at_ms - due_at_ms);
+            compare(window, told, counts);
+            compared += 1;
+        }
+        assert!(compared > 3, "only {compared} windows were compared");
+    }
+}
+
+/// Requests within a few milliseconds of a window's border may be told for the other one; nothing else may differ.
+fn compare(window: &UsageWindow, told: &TenantCounts, truth: &TenantCounts) {
+    let all = |counts: &TenantCounts| counts.values().sum::<u64>();
+    let (told_sum, true_sum) = (all(told), all(truth));
+    let difference = told_sum.abs_diff(true_sum);
+    let allowed = true_sum / 20;
+    assert!(difference <= allowed, "window {}: {told_sum} were told, {true_sum} are true", window.0);
+    assert!(told.keys().all(|tenant| truth.contains_key(tenant)), "a tenant without requests is told");
+}
+
+fn start_duties(runtime: &SimRuntime, node: &Node, platform: Rc<Platform>, name: String) {
+    let calls = Rc::new(RefCell::new(Vec::new()));
+    let client = PlatformLink { platform, machine: name.clone(), calls: calls.clone() };
+    let duties = Rc::new(Duties {
+        runtime: runtime.clone(),
+        node: node.clone(),
+        client,
+        dialect: Box::new(Numbered(calls)),
+        name,
+        metrics: Rc::new(DutyMetrics::default()),
+    });
+    runtime.spawn(saddlerelay_duties::usage_reports::report(duties.clone(), TERMS));
+    runtime.spawn(saddlerelay_duties::engine_counts::order(duties, ENGINE_TERMS, KeepInitial));
+}
+
+async fn follow(runtime: SimRuntime, clock: Rc<RefCell<FollowedClock>>, ledger: Rc<RefCell<UsageLedger>>, place: u8) {
+    let replicas: Vec<SocketAddr> = (1..=REPLICAS).map(address).collect();
+    let control = ControlClient::new(runtime.clone(), &replicas, SECRET);
+    let incarnation = Incarnation(runtime.random());
+    let limit = Duration::from_millis(650);
+    loop {
+        let question = GatewayRequest::Follow(FollowRequest {
+            relay: format!("relay-{place}"),
+            zone: "north".to_string(),
+            routing_version: Some(1),
+            instance_revision: 0,
+            silent: Vec::new(),
+            incarnation,
+            unix_ms: runtime.unix_milliseconds(),
+            usage: ledger.borrow_mut().difference(),
+        });
+        match control.gateway(question, limit, limit).await {
+            Ok(GatewayReply::Followed(reply)) => {
+                if let Some(unix_ms) = reply.group_unix_ms {
+                    clock.borrow_mut().hear(unix_ms, runtime.monotonic());
+                }
+                ledger.borrow_mut().taken(reply.usage_taken);
+                // A table with instances answers at once to a relay that claims to know none.
+                runtime.sleep(Duration::from_millis(200)).await;
+            }
+            _ => runtime.sleep(Duration::from_millis(20)).await,
+        }
+    }
+}
+
+async fn count(
+    runtime: SimRuntime,
+    clock: Rc<RefCell<FollowedClock>>,
+    ledger: Rc<RefCell<UsageLedger>>,
+    truth: Rc<RefCell<BTreeMap<UsageWindow, TenantCounts>>>,
+) {
+    let length_ms = TERMS.window.as_millis() as u64;
+    loop {
+        runtime.sleep(runtime.jitter(Duration::from_millis(60))).await;
+        let now = runtime.monotonic();
+        let Some(unix_ms) = clock.borrow().unix_ms(now) else {
+            continue;
+        };
+        let tenant = tenant(runtime.random() % 5);
+        ledger.borrow_mut().count(&tenant, UsageWindow::containing(unix_ms, length_ms));
+        let true_ms = START_UNIX_MILLISECONDS + now.as_millis() as u64;
+        let mut truth = truth.borrow_mut();
+        *truth.entry(UsageWindow::containing(true_ms, length_ms)).or_default().entry(tenant).or_default() += 1;
+    }
+}
+
+fn for_each_seed(test: impl Fn(u64)) {
+    spdlog::default_logger().set_level_filter(spdlog::LevelFilter::Off);
+    for seed in SEEDS {
+        test(seed);
+    }
+}
+
+#[test]
+fn windows_are_reported_in_time_and_true_although_a_third_of_the_clocks_are_wrong() {
+    for_each_seed(|seed| {
+        let mut deployment = Deployment::start(seed);
+        let from = deployment.world.clock.now();
+        deployment.run_for(Duration::from_secs(20));
+        let until = deployment.world.clock.now() - TERMS.due_after;
+        deployment.check_usage(from, until);
+        deployment.check_holders();
+    });
+}
+
+#[test]
+fn a_report_whose_answer_is_lost_is_sent_again_with_the_same_counts_whoever_leads() {
+    for_each_seed(|seed| {
+        let mut deployment = Deployment::start(seed);
+        deployment.platform.unanswered_percent.set(40);
+        let from = deployment.world.clock.now();
+        for _ in 0..3 {
+            let pause = deployment.world.jitter(Duration::from_secs(6));
+            deployment.run_for(Duration::from_secs(6) + pause);
+            if let Some((place, _)) = deployment.leader() {
+                deployment.kill(place);
+                deployment.run_for(Duration::from_millis(300));
+                deployment.start_replica(place, seed, false);
+            }
+            deployment.await_leader();
+        }
+        deployment.platform.unanswered_percent.set(0);
+        deployment.run_for(Duration::from_secs(20));
+        deployment.check_holders();
+        let reported = deployment.reported();
+        let first = reported.first_key_value().expect("something is reported").0.0;
+        let last = reported.last_key_value().expect("something is reported").0.0;
+        assert_eq!(reported.len() as u64, last - first + 1, "a window is missing");
+        let truth = deployment.truth.borrow();
+        let inner = from + Duration::from_secs(4);
+        let inner = UsageWindow::containing(START_UNIX_MILLISECONDS + inner.as_millis() as u64, 2_000);
+        for (window, counts) in truth.range(inner..UsageWindow(last)) {
+            compare(window, &reported[window].0, counts);
+        }
+    });
+}
+
+#[test]
+fn a_leader_that_is_frozen_in_the_middle_of_a_call_does_not_go_on_with_it_when_it_wakes() {
+    for_each_seed(|seed| {
+        let mut deployment = Deployment::start(seed);
+        for _ in 0..4 {
+            let pause = deployment.world.jitter(Duration::from_secs(2));
+            deployment.run_for(pause);
+            let Some((place, _)) = deployment.leader() else {
+                continue;
+            };
+            deployment.machines[&place].process.freeze();
+            let pause = Duration::from_secs(2) + deployment.world.jitter(Duration::from_secs(3));
+            deployment.run_for(pause);
+            deployment.machines[&place].process.thaw();
+        }
+        deployment.run_for(Duration::from_secs(16));
+        deployment.check_holders();
+        let reported = deployment.reported();
+        assert!(reported.len() > 5, "{} windows are reported", reported.len());
+    });
+}
+
+#[test]
+fn a_platform_that_was_down_is_told_every_window_when_it_is_back() {
+    for_each_seed(|seed| {
+        let mut deployment = Deployment::start(seed);
+        deployment.platform.is_down.set(true);
+        deployment.run_for(Duration::from_secs(14));
+        deployment.platform.is_down.set(false);
+        deployment.run_for(Duration::from_secs(20));
+        deployment.check_holders();
+        let reported = deployment.reported();
+        let first = reported.first_key_value().expect("something is reported").0.0;
+        let last = reported.last_key_value().expect("something is reported").0.0;
+        assert_eq!(reported.len() as u64, last - first + 1, "a window is missing");
+        assert!(reported.len() >= 12, "{} windows are reported", reported.len());
+    });
+}
+
+fn engine(number: u16) -> InstanceReport {
+    InstanceReport {
+        id: InstanceId(format!("engine-{number}")),
+        service: "llm".to_string(),
+        address: ([10, 0, 5, number as u8], 8_000).into(),
+        zone: "north".to_string(),
+        slots: 4,
+        leaving: false,
+        models: Vec::new(),
+        sequence: 1,
+    }
+}
+
+#[test]
+fn engines_that_are_lost_are_ordered_again_and_an_older_order_changes_nothing() {
+    for_each_seed(|seed| {
+        let mut deployment = Deployment::start(seed);
+        for number in 0..3 {
+            deployment.commit(GatewayCommand::ReportInstance(engine(number)));
+        }
+        deployment.run_for(Duration::from_secs(4));
+        let place = EnginePlace { service: "llm".to_string(), zone: "north".to_string() };
+        let (_, node) = deployment.leader().expect("it is led");
+        let wanted = node.read_applied(|state| state.engine_counts.wanted().get(&place).copied());
+        assert_eq!(wanted, Some(3));
+        let ordered = |deployment: &Deployment| {
+            let records = deployment.platform.records.borrow();
+            let orders = records.iter().filter(|record| matches!(record.call, Received::EngineCount(_)));
+            orders.cloned().collect::<Vec<Record>>()
+        };
+        assert!(ordered(&deployment).is_empty(), "nothing is missing");
+        deployment.platform.unanswered_percent.set(40);
+        deployment.commit(GatewayCommand::RemoveInstance(InstanceId("engine-1".to_string())));
+        deployment.run_for(Duration::from_secs(5));
+        if let Some((place, _)) = deployment.leader() {
+            deployment.kill(place);
+        }
+        deployment.await_leader();
+        deployment.platform.unanswered_percent.set(0);
+        deployment.run_for(Duration::from_secs(16));
+        let orders = ordered(&deployment);
+        assert!(orders.iter().any(|record| record.taken), "nothing was ordered");
+        for record in &orders {
+            let Received::EngineCount(order) = &record.call else { continue };
+            assert_eq!((&order.place, order.count, order.withdrawable), (&place, 3, false));
+        }
+        let mut fences: Vec<u64> = orders.iter().map(|record| record.fence).collect();
+        fences.sort_unstable();
+        fences.dedup();
+        assert_eq!(fences.len(), orders.len(), "two orders share a fence");
+        deployment.check_holders();
+    });
+}
--- a/crates/soak/src/trainer.rs
+++ b/crates/soak/src/trainer.rs
@@ -115,6 +115,7 @@
         JobSubmission {
             path: format!("{ROLLOUTS}{}", id.0),
             host: HOST.to_string(),
+            owner: None,
             model: Some(MODEL.to_string()),
             step,
             minimum_version,
--- a/crates/soak/src/workload.rs
+++ b/crates/soak/src/workload.rs
@@ -63,12 +63,13 @@
         targets: vec![WeightedTarget { service: service.to_string(), weight: 1 }],
         max_attempts: MOST_ATTEMPTS,
         resumable: false,
+        public: false,
         batch: BatchTerms::default(),
     }
 }
 
 fn service(name: &str, hosting: Option<ModelHosting>) -> Service {
-    Service { name: name.to_string(), health_path: "/health".to_string(), max_connections: 200, hosting }
+    Service { name: name.to_string(), health_path: "/health".to_string(), max_connections: 200, hosting, scaling: None }
 }
 
 /// A routing document whose moving route goes to `moving_to`, with `idle` routes that nobody asks for.
@@ -93,7 +94,7 @@
     };
     let services =
         vec![service(WEB_SERVICES[0], None), service(WEB_SERVICES[1], None), service(MODEL_SERVICE, Some(hosting))];
-    RoutingDocument { version, routes, services, limits, source: Vec::new() }
+    RoutingDocument { version, routes, services, limits, tenants: None, source: Vec::new() }
 }
 
 /// The whole answer to a request.
--- a/crates/types/src/gateway.rs
+++ b/crates/types/src/gateway.rs
@@ -1,12 +1,15 @@
 //! Messages about routed requests, engine instances, named weight versions and batch jobs, between saddlerelay's own
 //! processes and on the control group's log.
 
-use crate::identity::{Fence, ReplicaId};
+use crate::identity::{Fence, Incarnation, ReplicaId};
 use crate::instance::{InstanceId, InstanceRecord, InstanceReport, LoadedModel};
 use crate::job::{ItemId, ItemOutcome, JobId, JobSubmission, ResultPage, TextPart};
 use crate::routing::{RoutingDocument, RoutingError};
 use crate::routing_update::EncodedRoutingUpdate;
+use crate::tenancy::Caller;
+use crate::usage::{RelayUsage, UsageDifference, UsageWindow};
 use bitcode::{Decode, Encode};
+use serde::{Deserialize, Serialize};
 use std::net::SocketAddr;
 
 /// A request to the control group's leader.
@@ -34,6 +37,8 @@
         after: u64,
         /// How long to wait for one, in milliseconds.
         wait_ms: u64,
+        /// Who asks.
+        caller: Caller,
     },
     /// Asks the leader how far the log is committed: a replica that has applied it that far answers as the leader would.
     ReadPosition,
@@ -47,6 +52,8 @@
         after: u64,
         /// How long to wait for one, in milliseconds.
         wait_ms: u64,
+        /// Who asks.
+        caller: Caller,
     },
     /// Reads the body of an item that is not listed yet.
     ReadBody {
@@ -54,9 +61,16 @@
         job: JobId,
         /// The item.
         item: ItemId,
+        /// Who asks.
+        caller: Caller,
     },
     /// Ends a job: nothing of it runs any more.
-    EndJob(JobId),
+    EndJob {
+        /// The job.
+        job: JobId,
+        /// Who asks.
+        caller: Caller,
+    },
     /// A machine that keeps data introduces itself.
     RegisterStore(StoreRecord),
     /// Asks for a store machine to be emptied.
@@ -78,6 +92,12 @@
     pub instance_revision: u64,
     /// The instances that it knows to be silent.
     pub silent: Vec<InstanceId>,
+    /// This start of the relay.
+    pub incarnation: Incarnation,
+    /// The relay's time of day when it asked, in Unix milliseconds.
+    pub unix_ms: u64,
+    /// Requests that engines have begun since the relay last handed counts over; `None` for none.
+    pub usage: Option<UsageDifference>,
 }
 
 /// What a relay lacks.
@@ -97,6 +117,11 @@
     pub replicas: Vec<SocketAddr>,
     /// One of them in the relay's zone.
     pub nearest_replica: Option<SocketAddr>,
+    /// The time of day that most machines agree on, in Unix milliseconds, when the answer was made; `None` if the leader
+    /// does not know it yet.
+    pub group_unix_ms: Option<u64>,
+    /// The newest difference of this start of the relay whose counts are committed; 0 for none.
+    pub usage_taken: u64,
 }
 
 /// An answer of the control group's leader.
@@ -169,15 +194,50 @@
     RetireStore(String),
     /// A machine has been emptied.
     StoreRetired(String),
-    /// Become the one holder of orders to engines.
-    TakeOrders(ReplicaId),
     /// Orders are about to be given.
     NoteOrders {
         /// By whom.
         holder: ReplicaId,
-        /// To these engines.
-        instances: Vec<InstanceId>,
+        /// About these.
+        subjects: Vec<OrderSubject>,
     },
+    /// Add what relays have counted.
+    AddUsage(Vec<RelayUsage>),
+    /// The counts of windows up to this one change no more.
+    FixUsage(UsageWindow),
+    /// The platform has taken the report of a window.
+    UsageReported(UsageWindow),
+    /// Engines are wanted in these numbers.
+    WantEngines(Vec<WantedEngines>),
+}
+
+/// What orders are about. Only one replica at a time gives orders about a subject.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Encode, Decode)]
+pub enum OrderSubject {
+    /// An engine.
+    Engine(InstanceId),
+    /// The usage reports of all windows.
+    UsageReports,
+    /// The number of engines of a service in a zone.
+    EngineCount(EnginePlace),
+}
+
+/// A service in a zone.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Encode, Decode, Serialize, Deserialize)]
+pub struct EnginePlace {
+    /// The service.
+    pub service: String,
+    /// The zone.
+    pub zone: String,
+}
+
+/// How many engines are wanted in a place.
+#[derive(Clone, Debug, PartialEq, Eq, Encode, Decode)]
+pub struct WantedEngines {
+    /// The place.
+    pub place: EnginePlace,
+    /// How many.
+    pub count: u32,
 }
 
 /// A machine that keeps the group's data.
@@ -202,11 +262,11 @@
     NotFound,
     /// The rest of these items' texts does not follow what is held; they are not listed.
     TextMissing(Vec<u32>),
-    /// The right to give orders.
+    /// The right to give the orders that were noted.
     Orders {
         /// The fence for them.
         fence: Fence,
-        /// Whether another replica held it before.
+        /// Whether another replica gave orders before.
         taken_over: bool,
     },
 }
--- a/crates/types/src/job.rs
+++ b/crates/types/src/job.rs
@@ -1,5 +1,6 @@
 //! Batch jobs: many streams that are handed in at once, run later, and read by position.
 
+use crate::identity::TenantId;
 use bitcode::{Decode, Encode};
 use serde::{Deserialize, Serialize};
 
@@ -20,6 +21,9 @@
     pub host: String,
     /// The path that it was sent to; chooses the route.
     pub path: String,
+    /// The tenant by whose key it was handed in; only that one may use it.
+    #[serde(skip)]
+    pub owner: Option<TenantId>,
     /// The model that its items ask for.
     pub model: Option<String>,
     /// The trainer's step, from 0.
--- a/crates/types/src/lib.rs
+++ b/crates/types/src/lib.rs
@@ -5,6 +5,7 @@
 pub mod base64_bytes;
 pub mod claim;
 pub mod configuration;
+pub mod credentials;
 pub mod engine;
 pub mod gateway;
 pub mod identity;
@@ -16,3 +17,5 @@
 pub mod rollout;
 pub mod routing;
 pub mod routing_update;
+pub mod tenancy;
+pub mod usage;
--- a/crates/types/src/routing.rs
+++ b/crates/types/src/routing.rs
@@ -1,7 +1,10 @@
 //! Routed requests: the whole-document configuration that says which service serves which host and path.
 
+use crate::identity::TenantId;
+use crate::tenancy::TenantAccess;
 use bitcode::{Decode, Encode};
 use serde::{Deserialize, Serialize};
+use std::collections::{BTreeMap, BTreeSet};
 
 /// Routes, services and limits as one versioned document; the highest version wins.
 #[derive(Clone, Debug, PartialEq, Encode, Decode, Serialize, Deserialize)]
@@ -14,6 +17,9 @@
     pub services: Vec<Service>,
     /// What clients may send.
     pub limits: RequestLimits,
+    /// The tenants. With them every request must carry a key of one, unless its route is public.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub tenants: Option<Vec<TenantAccess>>,
     /// The document as the operator sent it, to be read back unchanged.
     #[serde(skip)]
     pub source: Vec<u8>,
@@ -57,6 +63,9 @@
     /// A stream may go on at another engine after its last event.
     #[serde(default)]
     pub resumable: bool,
+    /// Its requests need no key.
+    #[serde(default)]
+    pub public: bool,
     /// How batch jobs on this route are run.
     #[serde(default)]
     pub batch: BatchTerms,
@@ -93,6 +102,24 @@
     pub max_connections: u32,
     /// Present when the engines run models.
     pub hosting: Option<ModelHosting>,
+    /// Present when the number of its engines can be changed by orders.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub scaling: Option<ScalingLimits>,
+}
+
+/// Between which numbers the engines of a service in one zone may be ordered, and what they cost.
+#[derive(Clone, Debug, PartialEq, Encode, Decode, Serialize, Deserialize)]
+pub struct ScalingLimits {
+    /// Fewest engines in a zone.
+    pub fewest: u32,
+    /// Most engines in a zone, those that may be withdrawn among them.
+    pub most: u32,
+    /// How long a new engine takes to serve, in milliseconds.
+    pub start_ms: u64,
+    /// The price of an engine that may be withdrawn, as a part of another's.
+    pub withdrawable_price: f64,
+    /// The price of an engine by zone.
+    pub prices_by_zone: BTreeMap<String, f64>,
 }
 
 /// What the engines of a service can hold.
@@ -134,6 +161,10 @@
     NoTimeout(String),
     /// A prefix does not begin and end with a slash.
     BadPrefix(String),
+    /// Two tenants have the same name.
+    SameTenant(TenantId),
+    /// Two tenants share a key.
+    SharedKey(TenantId, TenantId),
 }
 
 impl Route {
@@ -155,6 +186,10 @@
             Self::BadPrefix(route) => {
                 write!(formatter, "the prefix of route `{route}` must begin and end with a slash")
             }
+            Self::SameTenant(tenant) => write!(formatter, "tenant `{tenant}` is listed twice"),
+            Self::SharedKey(first, second) => {
+                write!(formatter, "tenant `{second}` has a key that tenant `{first}` has too")
+            }
         }
     }
 }
@@ -176,7 +211,7 @@
 
     /// What is wrong with the document, or `None`.
     pub fn error(&self) -> Option<RoutingError> {
-        let mut places = std::collections::BTreeSet::new();
+        let mut places = BTreeSet::new();
         for route in &self.routes {
             let unknown = route.targets.iter().find(|target| self.service(&target.service).is_none());
             if let Some(target) = unknown {
@@ -195,6 +230,23 @@
                 return Some(RoutingError::SamePlace(route.name.clone()));
             }
         }
+        self.tenant_error()
+    }
+
+    fn tenant_error(&self) -> Option<RoutingError> {
+        let mut names = BTreeSet::new();
+        let mut holders = BTreeMap::new();
+        for tenant in self.tenants.iter().flatten() {
+            if !names.insert(&tenant.name) {
+                return Some(RoutingError::SameTenant(tenant.name.clone()));
+            }
+            for key in &tenant.keys {
+                let holder = *holders.entry(key).or_insert(&tenant.name);
+                if *holder != tenant.name {
+                    return Some(RoutingError::SharedKey(holder.clone(), tenant.name.clone()));
+                }
+            }
+        }
         None
     }
 }
--- a/crates/upstream/src/names.rs
+++ b/crates/upstream/src/names.rs
@@ -33,6 +33,10 @@
     pub wait: HeaderName,
     /// The event after which a stream goes on.
     pub last_event: HeaderName,
+    /// The key by which a caller is known; engines never see it.
+    pub key: HeaderName,
+    /// The tenant of a request, as its key tells; set for engines, whatever the caller says.
+    pub tenant: HeaderName,
 }
 
 impl Default for HeaderNames {
@@ -52,6 +56,8 @@
             priority: HeaderName::from_static("saddlerelay-priority"),
             wait: HeaderName::from_static("saddlerelay-wait-ms"),
             last_event: HeaderName::from_static("last-event-id"),
+            key: HeaderName::from_static("saddlerelay-key"),
+            tenant: HeaderName::from_static("saddlerelay-tenant"),
         }
     }
 }
