Have leaders follow each other quickly, and freeze one in the middle of a call, in the tests of duties

Cause: with the wait for another holder, or the look at the right before the first byte, taken out, the tests of duties stayed green: frozen leaders were hardly ever caught within a call of 4 ms, and no leader came back within the lease of orders. Change: calls take most of the time for which their right holds; a test kills leaders in a row; a call that is sent after one with a higher fence fails the check also where the platform refuses it.

--- a/crates/simulator/tests/duties.rs
+++ b/crates/simulator/tests/duties.rs
@@ -25,7 +25,7 @@
 use saddlerelay_types::usage::{TenantCounts, UsageReport, UsageWindow};
 use saddlerelay_upstream::Failure;
 use std::cell::{Cell, RefCell};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -64,6 +64,8 @@
     fence: u64,
     call: Received,
     taken: bool,
+    /// It was carried out long after it was sent.
+    late: bool,
 }
 
 /// The platform, and how it behaves.
@@ -74,6 +76,8 @@
     highest_fence: RefCell<BTreeMap<String, u64>>,
     /// Of a hundred calls, so many get no answer, and half of these are carried out late.
     unanswered_percent: Cell<u64>,
+    /// Longest time to reach it.
+    connect_time: Cell<Duration>,
     /// It answers nothing and does nothing.
     is_down: Cell<bool>,
 }
@@ -86,6 +90,7 @@
             records: RefCell::default(),
             highest_fence: RefCell::default(),
             unanswered_percent: Cell::new(0),
+            connect_time: Cell::new(Duration::from_millis(4)),
             is_down: Cell::new(false),
         })
     }
@@ -97,13 +102,13 @@
         }
     }
 
-    fn carry_out(&self, machine: &str, fence: u64, call: Received) -> StatusCode {
+    fn carry_out(&self, machine: &str, fence: u64, call: Received, late: bool) -> StatusCode {
         let mut highest = self.highest_fence.borrow_mut();
         let held = highest.entry(Self::subject(&call)).or_default();
         let taken = fence >= *held;
         *held = (*held).max(fence);
         let at = self.world.clock.now();
-        self.records.borrow_mut().push(Record { at, machine: machine.to_string(), fence, call, taken });
+        self.records.borrow_mut().push(Record { at, machine: machine.to_string(), fence, call, taken, late });
         if taken { StatusCode::OK } else { StatusCode::CONFLICT }
     }
 }
@@ -126,7 +131,7 @@
         let platform = self.platform.clone();
         let world = platform.world.clone();
         let pause = |limit: Duration| Sleep::new(world.clock.clone(), world.clock.now() + world.jitter(limit));
-        pause(Duration::from_millis(4)).await;
+        pause(platform.connect_time.get()).await;
         if !may_send() {
             return Err(Failure::NotSent("the right to act has ended".to_string()));
         }
@@ -138,13 +143,13 @@
                 let process = platform.process.clone();
                 world.spawn(&process, async move {
                     late.await;
-                    platform.carry_out(&machine, fence, received);
+                    platform.carry_out(&machine, fence, received, true);
                 });
             }
             Sleep::new(world.clock.clone(), world.clock.now() + limit).await;
             return Err(Failure::MayHaveRun("no answer in time".to_string()));
         }
-        let status = platform.carry_out(&self.machine, fence, received);
+        let status = platform.carry_out(&self.machine, fence, received, false);
         pause(Duration::from_millis(4)).await;
         Ok(status)
     }
@@ -343,8 +348,8 @@
         reported
     }
 
-    /// No fence is used by two machines about one subject, and no machine acts again about a subject within the lease of
-    /// orders of another that acted since. Calls that are refused for their fence, or that were carried out late, count not.
+    /// No fence is used by two machines about one subject, no call is sent with a lower fence than one before, and no machine
+    /// acts again about a subject within the lease of orders of another that acted since.
     fn check_holders(&self) {
         let mut by_subject: BTreeMap<String, Vec<Record>> = BTreeMap::new();
         for record in self.platform.records.borrow().iter() {
@@ -356,7 +361,9 @@
                 let user = users.entry(record.fence).or_insert_with(|| record.machine.clone());
                 assert_eq!(*user, record.machine, "{subject}: fence {} is used by two", record.fence);
             }
-            let taken: Vec<&Record> = records.iter().filter(|record| record.taken).collect();
+            let outrun = records.iter().find(|record| !record.taken && !record.late);
+            assert!(outrun.is_none(), "{subject}: sent after a higher fence: {outrun:?}");
+            let taken: Vec<&Record> = records.iter().filter(|record| record.taken && !record.late).collect();
             for (index, first) in taken.iter().enumerate() {
                 let soon = taken[index..].iter().take_while(|record| record.at < first.at + ORDER_LEASE);
                 let machines: Vec<&str> = soon.map(|record| record.machine.as_str()).collect();
@@ -521,8 +528,11 @@
     for_each_seed(|seed| {
         let mut deployment = Deployment::start(seed);
         for _ in 0..4 {
+            // A call may take most of the time for which its right holds.
+            deployment.platform.connect_time.set(Duration::from_millis(390));
             let pause = deployment.world.jitter(Duration::from_secs(2));
             deployment.run_for(pause);
+            deployment.platform.connect_time.set(Duration::from_millis(4));
             let Some((place, _)) = deployment.leader() else {
                 continue;
             };
@@ -538,6 +548,36 @@
     });
 }
 
+#[test]
+fn leaders_that_follow_each_other_quickly_do_not_take_turns() {
+    let seeds_with_two_holders = Cell::new(0);
+    for_each_seed(|seed| {
+        let mut deployment = Deployment::start(seed);
+        deployment.platform.unanswered_percent.set(50);
+        for round in 0..24 {
+            if let Some((place, _)) = deployment.leader() {
+                deployment.kill(place);
+                deployment.run_for(Duration::from_millis(100));
+                deployment.start_replica(place, seed, false);
+            }
+            // Now and then one leads for long enough to be the next holder.
+            let longest = Duration::from_millis(if round % 4 == 0 { 7_000 } else { 800 });
+            let pause = Duration::from_millis(400) + deployment.world.jitter(longest);
+            deployment.run_for(pause);
+        }
+        deployment.platform.unanswered_percent.set(0);
+        deployment.run_for(Duration::from_secs(20));
+        deployment.check_holders();
+        let leaders: BTreeSet<String> =
+            deployment.platform.records.borrow().iter().map(|record| record.machine.clone()).collect();
+        if leaders.len() > 1 {
+            seeds_with_two_holders.set(seeds_with_two_holders.get() + 1);
+        }
+    });
+    let seeds = seeds_with_two_holders.get();
+    assert!(seeds > 20, "only on {seeds} seeds did a second machine ever report");
+}
+
 #[test]
 fn a_platform_that_was_down_is_told_every_window_when_it_is_back() {
     for_each_seed(|seed| {
