--- a/crates/command-line/src/admin.rs
+++ b/crates/command-line/src/admin.rs
@@ -54,8 +54,23 @@
     ("WEIGHTS", "weights.state"),
     ("VERSION", "weights.version"),
 ];
+const DUTY_COLUMNS: &[(&str, &str)] =
+    &[("SERVICE", "place.service"), ("ZONE", "place.zone"), ("WANTED", "wanted"), ("PRESENT", "present")];
 const OBJECT_COLUMNS: &[(&str, &str)] = &[("NAME", "name"), ("REVISION", "revision"), ("VALUE", "value")];
 
+/// Fields of an answer that are shown beside its rows.
+const ANSWER_FIELDS: [&str; 9] = [
+    "term",
+    "committed",
+    "revision",
+    "revision_in_force",
+    "leader",
+    "holder",
+    "newest_reported",
+    "unreported",
+    "uncounted",
+];
+
 /// Runs an administration command.
 pub fn run(parser: &mut lexopt::Parser) -> Result<(), CommandError> {
     let arguments = parse(parser)?;
@@ -116,6 +131,7 @@
         ["members"] => vec![group()],
         ["relays"] => vec![relays()],
         ["engines"] => vec![engines()],
+        ["duties"] => vec![get("duties", DUTY_COLUMNS, "engines")],
         ["templates" | "tenants"] => vec![get("configuration", OBJECT_COLUMNS, "objects")],
         ["trainer", tenant] => vec![get(&format!("trainers/{tenant}"), &[], "")],
         ["drain", engine] => vec![post(format!("engines/{engine}/drain"))],
@@ -180,7 +196,7 @@
     let rows = if api_call.rows.is_empty() { &answer } else { &answer[api_call.rows] };
     let empty = Vec::new();
     print!("{}", table(wanted_rows(arguments, rows.as_array().unwrap_or(&empty)).as_slice(), api_call.columns));
-    for name in ["term", "committed", "revision", "revision_in_force"] {
+    for name in ANSWER_FIELDS {
         if let Some(value) = answer.get(name) {
             println!("{name}: {value}");
         }
--- a/crates/command-line/src/lib.rs
+++ b/crates/command-line/src/lib.rs
@@ -29,6 +29,7 @@
       initialize                          form a new control group of the replica at this address
       status                              the group, the relays and the configuration in force
       members | relays | engines          each of them
+      duties                              of a member: who holds them, reports of usage, engines wanted and there
       templates | tenants                 list the configuration
       template|tenant get ID
       template|tenant put ID FILE [--if-match REVISION | --if-absent] [--key KEY]
--- a/crates/control/src/gateway.rs
+++ b/crates/control/src/gateway.rs
@@ -11,7 +11,8 @@
 use saddlerelay_runtime::signal::Signal;
 use saddlerelay_runtime::timeout::timeout;
 use saddlerelay_types::gateway::{
-    FollowReply, FollowRequest, GatewayCommand, GatewayOutcome, GatewayReply, GatewayRequest, StoreRecord,
+    DutyOverview, EnginePlace, EngineStanding, FollowReply, FollowRequest, GatewayCommand, GatewayOutcome,
+    GatewayReply, GatewayRequest, StoreRecord,
 };
 use saddlerelay_types::instance::{InstanceId, InstanceReport, LoadedModel};
 use saddlerelay_types::job::{ItemId, JobId, JobSubmission};
@@ -81,6 +82,7 @@
             GatewayRequest::RegisterStore(record) => self.register_store(record).await,
             GatewayRequest::RetireStore(name) => self.retire_store(name).await,
             GatewayRequest::ReadRetirement(name) => self.read_retirement(&name),
+            GatewayRequest::ReadDuties => self.read_duties(),
         }
     }
 
@@ -366,6 +368,26 @@
         view.replicas.iter().filter(counts).count() >= self.inner.replica.target_voters()
     }
 
+    fn read_duties(&self) -> ControlReply {
+        let overview = self.read(|state| {
+            let silent = self.silent_instances(state);
+            let standing = |(place, wanted): (&EnginePlace, &u32)| EngineStanding {
+                place: place.clone(),
+                wanted: *wanted,
+                present: state.instances.present(place, &silent),
+            };
+            DutyOverview {
+                leader: self.inner.replica.id(),
+                holder: state.orders.holder(),
+                newest_reported: state.usage.newest_reported(),
+                unreported: state.usage.unreported().map(|report| report.window).collect(),
+                uncounted: state.usage.uncounted(),
+                engines: state.engine_counts.wanted().iter().map(standing).collect(),
+            }
+        });
+        self.reply(overview.map(GatewayReply::Duties))
+    }
+
     fn read_retirement(&self, name: &str) -> ControlReply {
         let retirement = self.read(|state| state.stores.get(name).map(|store| store.retirement));
         let reply = retirement.map(|retirement| match retirement {
--- a/crates/control/src/state/instances.rs
+++ b/crates/control/src/state/instances.rs
@@ -1,6 +1,7 @@
 //! Engine instances.
 
 use bitcode::{Decode, Encode};
+use saddlerelay_types::gateway::EnginePlace;
 use saddlerelay_types::instance::{InstanceId, InstanceRecord, InstanceReport, InstanceState};
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
@@ -34,6 +35,17 @@
         self.records.values()
     }
 
+    /// How many engines of a place may be given work and are not among the `silent`, which are in order.
+    pub fn present(&self, place: &EnginePlace, silent: &[InstanceId]) -> u32 {
+        let there = |record: &&InstanceRecord| {
+            record.state == InstanceState::Ready
+                && record.report.service == place.service
+                && record.report.zone == place.zone
+                && silent.binary_search(&record.report.id).is_err()
+        };
+        self.records.values().filter(there).count() as u32
+    }
+
     /// The instances changed after revision `known`. One that knows nothing is not told of those that are gone.
     pub fn changed_after(&self, known: u64) -> Vec<InstanceRecord> {
         let changed = self.by_revision.range(known + 1..).filter_map(|(_, id)| self.records.get(id));
--- a/crates/duties/src/engine_counts.rs
+++ b/crates/duties/src/engine_counts.rs
@@ -13,8 +13,8 @@
 use saddlerelay_runtime::Runtime;
 use saddlerelay_runtime::backend::Backends;
 use saddlerelay_types::gateway::{EnginePlace, GatewayCommand, OrderSubject, WantedEngines};
-use saddlerelay_types::instance::InstanceState;
-use std::collections::BTreeMap;
+use saddlerelay_types::instance::{InstanceId, InstanceState};
+use std::collections::{BTreeMap, BTreeSet};
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -77,7 +77,7 @@
 }
 
 /// Every place where engines can be ordered. A place that has no engine and never had one is not known.
-fn places(state: &ControlState, silent: &[saddlerelay_types::instance::InstanceId]) -> Vec<PlaceView> {
+fn places(state: &ControlState, silent: &[InstanceId]) -> Vec<PlaceView> {
     let Some(document) = state.routing.current() else {
         return Vec::new();
     };
@@ -86,25 +86,18 @@
         let Some(limits) = &service.scaling else {
             continue;
         };
-        let mut present: BTreeMap<EnginePlace, u32> = BTreeMap::new();
         let wanted = state.engine_counts.wanted();
-        for place in wanted.keys().filter(|place| place.service == service.name) {
-            present.insert(place.clone(), 0);
-        }
-        let ready = state.instances.iter().filter(|record| {
-            record.state == InstanceState::Ready
-                && record.report.service == service.name
-                && silent.binary_search(&record.report.id).is_err()
-        });
-        for record in ready {
-            let place = EnginePlace { service: service.name.clone(), zone: record.report.zone.clone() };
-            *present.entry(place).or_default() += 1;
-        }
-        views.extend(present.into_iter().map(|(place, present)| PlaceView {
+        let known = wanted.keys().filter(|place| place.service == service.name).cloned();
+        let ready = state.instances.iter().filter(|record| record.state == InstanceState::Ready);
+        let seen = ready
+            .filter(|record| record.report.service == service.name)
+            .map(|record| EnginePlace { service: service.name.clone(), zone: record.report.zone.clone() });
+        let places: BTreeSet<EnginePlace> = known.chain(seen).collect();
+        views.extend(places.into_iter().map(|place| PlaceView {
             wanted: wanted.get(&place).copied(),
-            place,
-            present,
+            present: state.instances.present(&place, silent),
             limits: limits.clone(),
+            place,
         }));
     }
     views
--- a/crates/gateway-api/src/outcomes.rs
+++ b/crates/gateway-api/src/outcomes.rs
@@ -4,7 +4,7 @@
 use hyper::StatusCode;
 use hyper::header::{HeaderValue, RETRY_AFTER};
 use saddlerelay_control_client::GatewayError;
-use saddlerelay_http::body::{Reply, whole};
+use saddlerelay_http::body::{Reply, json, whole};
 use saddlerelay_types::gateway::GatewayReply;
 
 /// What callers are told to wait when the control group cannot be asked, in seconds.
@@ -33,6 +33,7 @@
         Ok(GatewayReply::Retirement { completed }) => {
             whole(StatusCode::OK, "application/json", formats.write_retirement(completed))
         }
+        Ok(GatewayReply::Duties(overview)) => json(StatusCode::OK, &overview),
         Ok(GatewayReply::NotFound | GatewayReply::Routing(None)) => not_found(),
         Ok(_) | Err(_) => unavailable(),
     }
--- a/crates/gateway-api/src/own.rs
+++ b/crates/gateway-api/src/own.rs
@@ -79,6 +79,7 @@
                 ControlCall::Change(GatewayRequest::PutRouting(read_routing(body)?))
             }
             (&Method::GET, ["admin", "v1", "routing"]) => ControlCall::Read(GatewayRequest::ReadRouting),
+            (&Method::GET, ["admin", "v1", "duties"]) => ControlCall::Read(GatewayRequest::ReadDuties),
             (&Method::POST, ["admin", "v1", "stores", name, "retirement"]) => {
                 ControlCall::Change(GatewayRequest::RetireStore(name.to_string()))
             }
--- /dev/null
+++ b/crates/gateway-api/tests/duties.rs
@@ -0,0 +1,114 @@
+//! Usage from a client's request to the platform's books, over loopback, in the product's own formats.
+
+mod common;
+
+use common::engine::StandInEngine;
+use common::{Deployment, USAGE_WINDOW, block_on, call, document, eventually, route};
+use hyper::body::Incoming;
+use hyper::{Method, Request, StatusCode};
+use saddlerelay_duties::{Duties, DutyMetrics, HttpPlatform, UsageTerms};
+use saddlerelay_gateway_api::OwnPlatform;
+use saddlerelay_gateway_api::own::{FENCE_HEADER, HOLDER_HEADER, USAGE_PATH};
+use saddlerelay_http::body::{Reply, read_whole, whole};
+use saddlerelay_http::server::{HttpHandler, Shutdown, serve_until};
+use saddlerelay_runtime::Runtime;
+use saddlerelay_runtime_compio::CompioRuntime;
+use saddlerelay_types::credentials::SecretDigest;
+use saddlerelay_types::gateway::DutyOverview;
+use saddlerelay_types::identity::TenantId;
+use saddlerelay_types::routing::{RouteKind, RoutingDocument};
+use saddlerelay_types::tenancy::TenantAccess;
+use saddlerelay_types::usage::UsageReport;
+use std::cell::{Cell, RefCell};
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+/// A platform that refuses its first calls.
+#[derive(Default)]
+struct StandInPlatform {
+    refusals_left: Cell<u32>,
+    /// Every report with its fence, the refused ones too.
+    told: RefCell<Vec<(u64, UsageReport)>>,
+}
+
+impl HttpHandler for StandInPlatform {
+    async fn handle(self: Rc<Self>, request: Request<Incoming>) -> Reply {
+        let (head, body) = request.into_parts();
+        assert_eq!((&head.method, head.uri.path()), (&Method::POST, USAGE_PATH));
+        assert_eq!(head.headers[HOLDER_HEADER], "coordinator");
+        let fence = head.headers[FENCE_HEADER].to_str().expect("text").parse().expect("a number");
+        let body = read_whole(body).await.expect("a whole body");
+        self.told.borrow_mut().push((fence, serde_json::from_slice(&body).expect("a report")));
+        let left = self.refusals_left.get();
+        self.refusals_left.set(left.saturating_sub(1));
+        whole(if left > 0 { StatusCode::TOO_MANY_REQUESTS } else { StatusCode::OK }, "text/plain", "")
+    }
+}
+
+async fn start_platform() -> (Rc<StandInPlatform>, SocketAddr) {
+    let listener = compio::net::TcpListener::bind("127.0.0.1:0").await.expect("a free port");
+    let address = listener.local_addr().expect("an address");
+    let platform = Rc::new(StandInPlatform { refusals_left: Cell::new(2), ..StandInPlatform::default() });
+    compio::runtime::spawn(serve_until(listener, platform.clone(), Shutdown::default())).detach();
+    (platform, address)
+}
+
+fn start_duties(deployment: &Deployment, address: SocketAddr) -> Rc<DutyMetrics> {
+    let runtime = CompioRuntime::without_files();
+    let metrics = Rc::new(DutyMetrics::default());
+    let duties = Rc::new(Duties {
+        runtime: runtime.clone(),
+        node: deployment.node.clone(),
+        client: HttpPlatform { address },
+        dialect: Box::new(OwnPlatform),
+        name: "coordinator".to_string(),
+        metrics: metrics.clone(),
+    });
+    let terms = UsageTerms { window: USAGE_WINDOW, due_after: 4 * USAGE_WINDOW };
+    runtime.spawn(saddlerelay_duties::usage_reports::report(duties, terms));
+    metrics
+}
+
+fn with_tenant() -> RoutingDocument {
+    let keys = vec![SecretDigest::of(b"key")];
+    let tenant = TenantAccess { name: TenantId::new("clinic"), keys, priority: None };
+    let routes = vec![route("/plans/", RouteKind::Idempotent, "web")];
+    RoutingDocument { tenants: Some(vec![tenant]), ..document(1, routes) }
+}
+
+#[test]
+fn requests_are_reported_once_by_window_and_an_operator_sees_what_was() {
+    block_on(async {
+        let deployment = Deployment::start("duties").await;
+        let (platform, address) = start_platform().await;
+        let metrics = start_duties(&deployment, address);
+        deployment.configure(&with_tenant()).await;
+        let engine = StandInEngine::start("web").await;
+        deployment.register(&engine, "web").await;
+        deployment.await_engines("web", 1).await;
+        // The group's time is known a second after relays were first heard.
+        compio::time::sleep(Duration::from_millis(1_500)).await;
+        for number in 0..7 {
+            let id = format!("r-{number}");
+            let headers = [("saddlerelay-request", id.as_str()), ("saddlerelay-key", "key")];
+            assert_eq!(deployment.request(Method::GET, "/plans/1", &headers, "").await.status, StatusCode::OK);
+        }
+        let reported = || {
+            let told = platform.told.borrow();
+            let windows: std::collections::BTreeMap<_, _> =
+                told.iter().map(|(_, report)| (report.window, report.counts.clone())).collect();
+            windows.values().flat_map(|counts| counts.values()).sum::<u64>()
+        };
+        eventually("every request is reported", async || reported() == 7).await;
+        let told = platform.told.borrow().clone();
+        assert!(told.windows(2).all(|pair| pair[0].0 < pair[1].0), "a fence did not rise");
+        assert!(told.iter().all(|(_, report)| report.counts.keys().all(|tenant| tenant.as_str() == "clinic")));
+        assert!(metrics.reports_failed.get() >= 2, "the first calls were refused");
+        let answer = call(deployment.control, Method::GET, "/admin/v1/duties", &[], "").await;
+        let overview: DutyOverview = serde_json::from_slice(&answer.body).expect("an overview");
+        assert_eq!(overview.holder, Some(overview.leader));
+        assert!(overview.newest_reported.is_some());
+        assert_eq!((overview.uncounted, overview.engines.len()), (0, 0));
+    });
+}
--- a/crates/soak/src/callers.rs
+++ b/crates/soak/src/callers.rs
@@ -1,9 +1,9 @@
 //! Clients of routed requests.
 
-use crate::calls::{any_gateway, front};
+use crate::calls::{KEY_HEADER, any_gateway, ask, front};
 use crate::deployment::Addresses;
 use crate::journal::{ClientRequest, Ending, Journal};
-use crate::workload::{self, MOVING, ONCE, REPEATABLE, STREAMS, TIMEOUT_MS};
+use crate::workload::{self, HOST, MOVING, ONCE, REPEATABLE, STRANGER, STREAMS, TIMEOUT_MS, UNKNOWN_KEY};
 use hyper::{Method, StatusCode};
 use saddlerelay_http::client::WholeResponse;
 use std::cell::Cell;
@@ -16,6 +16,9 @@
 /// Longest pause between a client's requests, in milliseconds.
 const LONGEST_PAUSE_MS: u64 = 120;
 
+/// One request in so many of a client's is followed by one with an unknown key.
+const STRANGER_EVERY: u64 = 20;
+
 /// Longest stream, in events.
 const MOST_EVENTS: u32 = 30;
 
@@ -52,10 +55,30 @@
     while !stop.get() {
         number += 1;
         send(&Request::new(client, number), any_gateway(), &addresses, &journal).await;
+        if number.is_multiple_of(STRANGER_EVERY) {
+            ask_as_stranger(number, &addresses, &journal).await;
+        }
         compio::time::sleep(Duration::from_millis(fastrand::u64(1..LONGEST_PAUSE_MS))).await;
     }
 }
 
+/// Sends a request with a key that no tenant has: nobody must serve it.
+async fn ask_as_stranger(number: u64, addresses: &Addresses, journal: &Journal) {
+    let id = format!("{STRANGER}{number}-{:04x}", fastrand::u16(..));
+    let path = format!("{REPEATABLE}{id}");
+    let headers = [("host", HOST), ("saddlerelay-request", id.as_str()), (KEY_HEADER, UNKNOWN_KEY)];
+    let address = addresses.front(any_gateway());
+    let patience = Duration::from_millis(TIMEOUT_MS);
+    let answer = ask(address, Method::POST, &path, &headers, Vec::new(), patience).await;
+    let refused = answer
+        .as_ref()
+        .is_none_or(|answer| matches!(answer.status, StatusCode::UNAUTHORIZED | StatusCode::SERVICE_UNAVAILABLE));
+    if !refused {
+        let status = answer.map(|answer| answer.status);
+        journal.violation("an unknown key is refused", format!("{id} got {status:?}"));
+    }
+}
+
 /// Sends one request on `prefix` to a gateway; returns whether it was answered whole.
 pub async fn probe(prefix: &'static str, gateway: u8, addresses: &Addresses, journal: &Journal) -> bool {
     let id = format!("probe-{gateway}-{:08x}", fastrand::u32(..));
--- a/crates/soak/src/calls.rs
+++ b/crates/soak/src/calls.rs
@@ -1,13 +1,16 @@
 //! Calls to the deployment as clients, trainers, engines and operators make them.
 
 use crate::deployment::{Addresses, COORDINATORS, GATEWAYS};
-use crate::workload::HOST;
+use crate::workload::{HOST, KEY};
 use bytes::Bytes;
 use hyper::Method;
 use saddlerelay_http::client::{HttpError, WholeResponse, call};
 use std::net::SocketAddr;
 use std::time::Duration;
 
+/// The header that holds a key.
+pub const KEY_HEADER: &str = "saddlerelay-key";
+
 /// How long one call to a coordinator is waited for.
 const CONTROL_PATIENCE: Duration = Duration::from_millis(1_000);
 
@@ -54,7 +57,7 @@
     false
 }
 
-/// One call to a gateway, on the host of the routes.
+/// One call to a gateway with the tenant's key, on the host of the routes.
 pub async fn front(
     addresses: &Addresses,
     gateway: u8,
@@ -64,7 +67,7 @@
     body: impl Into<Bytes>,
     patience: Duration,
 ) -> Option<WholeResponse> {
-    let headers = [headers, &[("host", HOST)]].concat();
+    let headers = [headers, &[("host", HOST), (KEY_HEADER, KEY)]].concat();
     ask(addresses.front(gateway), method, path, &headers, body, patience).await
 }
 
--- a/crates/soak/src/deployment.rs
+++ b/crates/soak/src/deployment.rs
@@ -45,6 +45,7 @@
 const FRONT_PORT: u16 = 21_003;
 const READINESS_PORT: u16 = 21_004;
 const ENGINE_PORT: u16 = 21_005;
+const PLATFORM_PORT: u16 = 21_006;
 
 /// What is added to a port for the listener behind the proxy.
 const BEHIND_PROXY: u16 = 100;
@@ -53,6 +54,11 @@
 const FIRST_COORDINATOR: u8 = 10;
 const FIRST_GATEWAY: u8 = 30;
 const FIRST_ENGINE: u8 = 50;
+const PLATFORM: u8 = 5;
+
+/// The length of a window of usage, and how long after its end it is due.
+const USAGE_WINDOW: Duration = Duration::from_secs(2);
+const USAGE_DUE: Duration = Duration::from_secs(10);
 
 /// Networks tried before giving up.
 const NETWORK_ATTEMPTS: u32 = 100;
@@ -106,6 +112,11 @@
         behind(self.engine(number))
     }
 
+    /// Where the platform listens; no proxy stands before it.
+    pub fn platform(&self) -> SocketAddr {
+        self.at(PLATFORM, PLATFORM_PORT)
+    }
+
     fn peer(&self, number: u8) -> SocketAddr {
         self.at(FIRST_COORDINATOR + number, PEER_PORT)
     }
@@ -222,7 +233,9 @@
         let text = format!(
             "name = \"{}\"\nzone = \"north\"\nseeds = [{}]\npeer_port = {PEER_PORT}\nshared_secret = \"{SECRET}\"\n{own}\n\
              [bounds]\nreport_interval_ms = {}\ndrain_ms = {}\nconfiguration_ms = {}\norder_lease_ms = {}\ngrace_s = {}\n\
-             job_status_s = 600\ntolerated_losses = 1\n",
+             job_status_s = 600\ntolerated_losses = 1\nfences_checked = true\n\n\
+             [usage]\nwindow_s = {}\ndue_after_s = {}\n\n\
+             [platform]\naddress = \"{}\"\nduties = [\"usage_report\"]\n",
             name_of(party),
             seeds.join(", "),
             REPORT_INTERVAL.as_millis(),
@@ -230,6 +243,9 @@
             CONFIGURATION_BOUND.as_millis(),
             ORDER_LEASE.as_millis(),
             GRACE.as_secs(),
+            USAGE_WINDOW.as_secs(),
+            USAGE_DUE.as_secs(),
+            self.addresses.platform(),
         );
         Ok(std::fs::write(self.settings_file(party), text)?)
     }
--- a/crates/soak/src/engine.rs
+++ b/crates/soak/src/engine.rs
@@ -1,8 +1,9 @@
 //! A stand-in engine that speaks the product's own formats, writes down what reaches it, and misbehaves as it is told.
 
+use crate::calls::KEY_HEADER;
 use crate::deployment::Addresses;
 use crate::journal::{Journal, OrderSeen, Run};
-use crate::workload::{self, MODEL, MODEL_SERVICE, ROLLOUTS, SCORES, SLOTS};
+use crate::workload::{self, MODEL, MODEL_SERVICE, ROLLOUTS, SCORES, SLOTS, STRANGER, TENANT};
 use bytes::Bytes;
 use compio::net::TcpListener;
 use hyper::body::Incoming;
@@ -293,9 +294,19 @@
         }
     }
 
+    /// Every request names its tenant, and none shows a key.
+    fn check_tenant(&self, request: &str, headers: &HeaderMap) {
+        let tenant = header(headers, "saddlerelay-tenant");
+        if tenant != Some(TENANT) || headers.contains_key(KEY_HEADER) || request.starts_with(STRANGER) {
+            let seen = format!("{request} came to {} for tenant {tenant:?}", self.instance().0);
+            self.state.journal.violation("an engine is told the tenant of the key, and never the key", seen);
+        }
+    }
+
     async fn run(&self, path: String, headers: HeaderMap, body: Bytes) -> Reply {
         let state = &self.state;
         let request = header(&headers, "saddlerelay-request").unwrap_or_default().to_string();
+        self.check_tenant(&request, &headers);
         let wanted: Option<u64> = header(&headers, "saddlerelay-for-version").and_then(|version| version.parse().ok());
         if wanted.is_some_and(|wanted| wanted != state.version.get()) {
             return self.not_executed(StatusCode::MISDIRECTED_REQUEST, &request);
--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -1,7 +1,7 @@
 //! A randomized soak of the product's real processes.
 //!
-//! Gateways and coordinators run as child processes, each on a loopback address of its own; engines, clients, a trainer
-//! and operators are tasks of the soak's process. Every connection passes a proxy that can delay, silence or reset it by
+//! Gateways and coordinators run as child processes, each on a loopback address of its own; engines, clients, a trainer,
+//! operators and the platform are tasks of the soak's process. Every connection passes a proxy that can delay, silence or reset it by
 //! direction and by pair of parties. Faults come from outside only: from the proxy, by signals, by what happens to data
 //! folders and file size limits, and from engines. What callers and engines see is written to a journal, and
 //! [`checks`] judges it against the product's promises.
@@ -18,6 +18,7 @@
 pub mod operator;
 pub mod owner;
 pub mod plan;
+pub mod platform;
 pub mod proxy;
 pub mod report;
 pub mod run;
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -8,6 +8,7 @@
 use crate::journal::Journal;
 use crate::operator::{self, Operator};
 use crate::plan::{self, ENGINES, MODEL_ENGINES, WEB_ENGINES};
+use crate::platform::Platform;
 use crate::report::Report;
 use crate::trainer::Trainer;
 use crate::workload::{MODEL_SERVICE, MOVING, ONCE, REPEATABLE, STREAMS, WEB_SERVICES};
@@ -54,6 +55,7 @@
     let _lag = compio::runtime::spawn(watch_own_lag(journal.clone()));
     let executable = options.executable.clone();
     let deployment = Deployment::start(executable, &options.folder, journal.clone(), ENGINES).await?;
+    let platform = Platform::start(deployment.addresses.platform(), journal.clone()).await?;
     let newest = Rc::new(Cell::new(1));
     let engines = start_engines(&deployment, &journal, &newest).await?;
     let stop = Rc::new(Cell::new(false));
@@ -83,6 +85,9 @@
         journal.violation("every caller gets an answer", "a task of the load did not end".to_string());
     }
     read_back(&operator, &trainer, &journal).await;
+    if platform.windows() == 0 {
+        journal.violation("the platform is told the usage", "no window was reported".to_string());
+    }
     reports_stop.set(true);
     stop_processes(&deployment, &journal).await;
     let violations = journal.read(checks::check);
--- a/crates/soak/src/workload.rs
+++ b/crates/soak/src/workload.rs
@@ -1,8 +1,11 @@
 //! What is asked of the deployment, and what the whole answer to each request is.
 
+use saddlerelay_types::credentials::SecretDigest;
+use saddlerelay_types::identity::TenantId;
 use saddlerelay_types::routing::{
     BatchTerms, ModelHosting, RequestLimits, Route, RouteKind, RoutingDocument, Service, WeightedTarget,
 };
+use saddlerelay_types::tenancy::TenantAccess;
 
 /// The host of every route.
 pub const HOST: &str = "clinic.example";
@@ -39,6 +42,18 @@
     format!("{item}-score")
 }
 
+/// The tenant of every client and trainer.
+pub const TENANT: &str = "clinic";
+
+/// Its key.
+pub const KEY: &str = "key-of-the-clinic";
+
+/// A key that no tenant has.
+pub const UNKNOWN_KEY: &str = "key-of-nobody";
+
+/// Requests with an unknown key have identifiers that begin so.
+pub const STRANGER: &str = "stranger-";
+
 /// The longest time that a routed request may be held, in milliseconds.
 pub const TIMEOUT_MS: u64 = 2_000;
 
@@ -92,9 +107,11 @@
         header_timeout_ms: 3_000,
         idle_timeout_ms: 15_000,
     };
+    let keys = vec![SecretDigest::of(KEY.as_bytes())];
+    let tenant = TenantAccess { name: TenantId::new(TENANT), keys, priority: None };
     let services =
         vec![service(WEB_SERVICES[0], None), service(WEB_SERVICES[1], None), service(MODEL_SERVICE, Some(hosting))];
-    RoutingDocument { version, routes, services, limits, tenants: None, source: Vec::new() }
+    RoutingDocument { version, routes, services, limits, tenants: Some(vec![tenant]), source: Vec::new() }
 }
 
 /// The whole answer to a request.
--- a/crates/types/src/gateway.rs
+++ b/crates/types/src/gateway.rs
@@ -77,6 +77,8 @@
     RetireStore(String),
     /// How far that is.
     ReadRetirement(String),
+    /// What is done towards the platform.
+    ReadDuties,
 }
 
 /// What a relay holds already.
@@ -150,10 +152,40 @@
         /// Whether it may be taken away.
         completed: bool,
     },
+    /// What is done towards the platform.
+    Duties(DutyOverview),
     /// Nothing was done, and nothing will be; try again later.
     Unavailable,
 }
 
+/// What the group does towards the platform.
+#[derive(Clone, Debug, PartialEq, Eq, Encode, Decode, Serialize, Deserialize)]
+pub struct DutyOverview {
+    /// The replica that leads, and does it.
+    pub leader: ReplicaId,
+    /// The replica that gave the newest order.
+    pub holder: Option<ReplicaId>,
+    /// The newest window whose report the platform has taken.
+    pub newest_reported: Option<UsageWindow>,
+    /// Windows whose counts are fixed and not yet reported.
+    pub unreported: Vec<UsageWindow>,
+    /// Requests that came after the counts of their window were fixed.
+    pub uncounted: u64,
+    /// How many engines are wanted, by place.
+    pub engines: Vec<EngineStanding>,
+}
+
+/// A place's engines.
+#[derive(Clone, Debug, PartialEq, Eq, Encode, Decode, Serialize, Deserialize)]
+pub struct EngineStanding {
+    /// The place.
+    pub place: EnginePlace,
+    /// How many are wanted.
+    pub wanted: u32,
+    /// How many report themselves and may be given work.
+    pub present: u32,
+}
+
 /// What the control group commits of all this.
 #[derive(Clone, Debug, PartialEq, Encode, Decode)]
 pub enum GatewayCommand {
