--- a/crates/fleet/src/bench.rs
+++ b/crates/fleet/src/bench.rs
@@ -9,6 +9,7 @@
 use futures::StreamExt;
 use hdrhistogram::Histogram;
 use saddlerelay_engine_client::{BackendAddresses, HttpBackends};
+use saddlerelay_gateway::keys::KeyRing;
 use saddlerelay_runtime::Runtime;
 use saddlerelay_runtime::backend::{Backends, EngineConnection};
 use saddlerelay_runtime_compio::CompioRuntime;
@@ -16,13 +17,24 @@
 use saddlerelay_standins::access::{Access, CallerAnswer};
 use saddlerelay_standins::http::access::HttpAccess;
 use saddlerelay_standins::recorder::Recorder;
+use saddlerelay_types::credentials::SecretDigest;
 use saddlerelay_types::engine::{EngineDescription, EngineRequest};
-use saddlerelay_types::identity::{CallerId, IdempotencyKey, ModelName};
+use saddlerelay_types::identity::{CallerId, IdempotencyKey, ModelName, TenantId};
 use saddlerelay_types::request::{CallerRequest, Priority, Repeatability, RequestKey};
+use saddlerelay_types::tenancy::TenantAccess;
 use std::cell::Cell;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
+/// Tenants whose keys a check is made among: the size planned for.
+const TENANTS: usize = 5_000;
+
+/// Keys of each.
+const KEYS_EACH: usize = 3;
+
+/// Checks timed.
+const KEY_CHECKS: usize = 200_000;
+
 /// Requests of each kind that are timed one after another.
 const TIMED: u64 = 2_000;
 /// How long the throughput is measured.
@@ -76,9 +88,36 @@
     text += &line("through a relay", &through);
     text += &line("through a relay, at most once (two commits)", &once);
     text += &throughput(&fleet, &platform, &access).await?;
+    text += &key_check()?;
     Ok(text)
 }
 
+/// Checks a key among those of many tenants, known ones and others in turn.
+fn key_check() -> Result<String> {
+    let key = |tenant: usize, number: usize| format!("a key of twenty {tenant}-{number}");
+    let tenants: Vec<TenantAccess> = (0..TENANTS)
+        .map(|tenant| TenantAccess {
+            name: TenantId::new(format!("tenant-{tenant}")),
+            keys: (0..KEYS_EACH).map(|number| SecretDigest::of(key(tenant, number).as_bytes())).collect(),
+            priority: None,
+        })
+        .collect();
+    let began_at = Instant::now();
+    let ring = KeyRing::new(&tenants);
+    let indexed = began_at.elapsed();
+    let mut times = Histogram::<u64>::new(3)?;
+    for number in 0..KEY_CHECKS {
+        let key = key(fastrand::usize(..TENANTS), number % (2 * KEYS_EACH));
+        let asked = Instant::now();
+        let known = ring.tenant(key.as_bytes()).is_some();
+        times.saturating_record(asked.elapsed().as_nanos() as u64);
+        ensure!(known == (number % (2 * KEYS_EACH) < KEYS_EACH), "a key was taken for another's");
+    }
+    let (half, most) = (times.value_at_quantile(0.5), times.value_at_quantile(0.99));
+    let keys = TENANTS * KEYS_EACH;
+    Ok(format!("check of a key among {keys}: p50 {half} ns, p99 {most} ns; indexed in {} us\n", indexed.as_micros()))
+}
+
 fn record(times: &mut Histogram<u64>, time: Duration) {
     times.saturating_record(time.as_micros() as u64);
 }
