--- a/crates/soak/src/deployment.rs
+++ b/crates/soak/src/deployment.rs
@@ -233,7 +233,7 @@
         let text = format!(
             "name = \"{}\"\nzone = \"north\"\nseeds = [{}]\npeer_port = {PEER_PORT}\nshared_secret = \"{SECRET}\"\n{own}\n\
              [bounds]\nreport_interval_ms = {}\ndrain_ms = {}\nconfiguration_ms = {}\norder_lease_ms = {}\ngrace_s = {}\n\
-             job_status_s = 600\ntolerated_losses = 1\nfences_checked = true\n\n\
+             job_status_s = 600\ntolerated_losses = 1\n\n\
              [usage]\nwindow_s = {}\ndue_after_s = {}\n\n\
              [platform]\naddress = \"{}\"\nduties = [\"usage_report\"]\n",
             name_of(party),
