--- a/crates/types/src/credentials.rs
+++ b/crates/types/src/credentials.rs
@@ -24,7 +24,7 @@
 
     /// Reads a digest in hexadecimal; `None` if it is none.
     pub fn from_hexadecimal(text: &str) -> Option<Self> {
-        if text.len() != 2 * DIGEST_BYTES || !text.is_ascii() {
+        if text.len() != 2 * DIGEST_BYTES || !text.bytes().all(|byte| byte.is_ascii_hexdigit()) {
             return None;
         }
         let mut digest = [0; DIGEST_BYTES];
