--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod gateway;
 pub mod group_clock;
 pub mod instance_watch;
+mod job_calls;
 pub mod machine;
 pub mod node;
 pub mod order_watch;
