Tell in the logs whether an engine has ended under a request, and which tries are the same work

Logs named a try by its identifier, which is new each time, and could not tell a lost answer from an engine that has ended: both read 'connection closed before message completed'.

Added: a digest of caller, method, host, path and body, made only when a connection is lost; a connect to the engine's address then (100 ms at most), which is refused if the process has ended; one line for each, with the try, the work, the instance and whether it has ended, at relays, for items and for calls for scores; counters engines_ended. A lost connection is a failure of its own type. No decision hangs on any of it yet. One copy of reading hexadecimal.

Tests of the crates touched pass (gateway, gateway-api, coordinator, types, platform).

--- a/crates/coordinator/src/item.rs
+++ b/crates/coordinator/src/item.rs
@@ -26,8 +26,10 @@
     NotRun(String),
     /// The engine has other weights than expected.
     OtherVersion(Option<u64>),
-    /// The answer broke off, or the engine fell silent.
+    /// The answer is not fit to be used.
     BrokeOff(String),
+    /// The connection ended before the answer was whole.
+    ConnectionLost(String),
     /// No event came for long.
     Silent,
     /// A version made an event that must not be in the text.
@@ -41,6 +43,9 @@
     coordinator.inner.metrics.items_sent.inc();
     let end = attempt(&coordinator, &start).await;
     let lasted = coordinator.now().saturating_sub(began_at);
+    if matches!(end, AttemptEnd::ConnectionLost(_)) {
+        coordinator.look_into_lost_connection(&start.item.id, start.work_digest(), &start.target).await;
+    }
     coordinator.inner.metrics.attempt_seconds.observe(lasted.as_secs_f64());
     tell(&start, &end, lasted);
     coordinator.record_end(&start, end);
@@ -79,6 +84,7 @@
         Ok(Ok(answer)) => answer,
         Ok(Err(Failure::NotSent(reason))) => return AttemptEnd::NotRun(reason),
         Ok(Err(Failure::MayHaveRun(reason))) => return AttemptEnd::BrokeOff(reason),
+        Ok(Err(Failure::ConnectionLost(reason))) => return AttemptEnd::ConnectionLost(reason),
         Err(_) => return AttemptEnd::BrokeOff("no answer in time".to_string()),
     };
     take_answer(coordinator, start, answer).await
@@ -153,6 +159,7 @@
     loop {
         let bytes = match compio::time::timeout(inner.config.event_limit, stream.next()).await {
             Ok(Some(Ok(bytes))) => bytes,
+            Ok(Some(Err(Failure::ConnectionLost(reason)))) => return AttemptEnd::ConnectionLost(reason),
             Ok(Some(Err(failure))) => return AttemptEnd::BrokeOff(failure.to_string()),
             Ok(None) if cutter.is_mid_event() => return AttemptEnd::BrokeOff("ended within an event".to_string()),
             Ok(None) => break,
@@ -226,7 +233,9 @@
         let rest = now + inner.config.engine_rest;
         match end {
             AttemptEnd::Failed => run.failures += 1,
-            AttemptEnd::NotRun(_) | AttemptEnd::BrokeOff(_) => inner.fleet.rest_until(&start.target.instance, rest),
+            AttemptEnd::NotRun(_) | AttemptEnd::BrokeOff(_) | AttemptEnd::ConnectionLost(_) => {
+                inner.fleet.rest_until(&start.target.instance, rest)
+            }
             // It may only have put the item back for a while.
             AttemptEnd::Silent => {}
             AttemptEnd::OtherVersion(version) => self.learn_other_version(start, version, rest),
--- a/crates/coordinator/src/lib.rs
+++ b/crates/coordinator/src/lib.rs
@@ -15,6 +15,7 @@
 mod lengths;
 pub mod listing;
 pub mod load_order;
+mod lost_connections;
 pub mod metrics;
 mod moves;
 pub mod orders;
--- a/crates/coordinator/src/metrics.rs
+++ b/crates/coordinator/src/metrics.rs
@@ -19,6 +19,8 @@
     pub score_calls: Counter,
     /// Calls that brought no score.
     pub score_failures: Counter,
+    /// Engines found to have ended under an item or a call for a score.
+    pub engines_ended: Counter,
     /// Orders given to engines.
     pub orders: Counter,
     /// Orders whose outcome is not known.
@@ -42,6 +44,7 @@
         let texts_reused = counter("texts_reused", "Texts of earlier jobs used again");
         let score_calls = counter("score_calls", "Calls that have a text scored");
         let score_failures = counter("score_failures", "Calls for a score that brought none");
+        let engines_ended = counter("engines_ended", "Engines found to have ended under an item or a call for a score");
         let orders = counter("orders", "Orders given to engines");
         let orders_unknown = counter("orders_unknown", "Orders whose outcome is not known");
         let mut histogram = |name: &str, help: &str| registry.seconds(name, help, 0.01, 12);
@@ -57,6 +60,7 @@
             texts_reused,
             score_calls,
             score_failures,
+            engines_ended,
             orders,
             orders_unknown,
             attempt_seconds,
--- a/crates/coordinator/src/plan.rs
+++ b/crates/coordinator/src/plan.rs
@@ -15,6 +15,7 @@
 use saddlerelay_types::instance::{InstanceId, InstanceState};
 use saddlerelay_types::job::{JobId, JobItem};
 use saddlerelay_types::routing::{Route, RoutingDocument};
+use saddlerelay_types::work::WorkDigest;
 use saddlerelay_upstream::EngineTarget;
 use std::cell::{Cell, RefCell};
 use std::collections::{BTreeMap, BTreeSet};
@@ -90,6 +91,13 @@
     pub term: u64,
 }
 
+impl Start {
+    /// What the item asks for.
+    pub fn work_digest(&self) -> WorkDigest {
+        WorkDigest::of_posted(self.owner.as_ref(), &self.host, &self.item.path, &self.item.body)
+    }
+}
+
 /// What is to be done now.
 #[derive(Default)]
 pub(crate) struct Plan {
--- a/crates/coordinator/src/scoring.rs
+++ b/crates/coordinator/src/scoring.rs
@@ -12,6 +12,7 @@
 use saddlerelay_runtime::backend::Backends;
 use saddlerelay_types::identity::TenantId;
 use saddlerelay_types::job::{ItemId, JobId, ScoringRequest};
+use saddlerelay_types::work::WorkDigest;
 use saddlerelay_upstream::balance::InFlight;
 use saddlerelay_upstream::{Failure, HeaderNames, Outgoing, ReadyEngine, Reuse};
 use std::cell::RefCell;
@@ -42,6 +43,14 @@
     pub term: u64,
 }
 
+impl ScoreCall {
+    /// What the call asks for.
+    fn work_digest(&self) -> WorkDigest {
+        let ScoringRequest { host, path, body, .. } = &self.request;
+        WorkDigest::of_posted(self.owner.as_ref(), host, path, body)
+    }
+}
+
 /// How a call ended.
 #[derive(Clone, Debug, PartialEq, Eq)]
 enum ScoreEnd {
@@ -51,6 +60,8 @@
     Failed,
     /// There is no score, for a reason that says nothing of the text.
     NoAnswer(String),
+    /// The connection ended before the answer was whole.
+    ConnectionLost(String),
 }
 
 /// Makes the call and records how it ended.
@@ -61,13 +72,18 @@
     let limit = inner.config.score_limit;
     let ended = compio::time::timeout(limit, ask(&coordinator, &call)).await;
     let end = ended.unwrap_or_else(|_| ScoreEnd::NoAnswer("no answer in time".to_string()));
+    if matches!(end, ScoreEnd::ConnectionLost(_)) {
+        coordinator.look_into_lost_connection(&call.item, call.work_digest(), &call.engine.target).await;
+    }
     let now = coordinator.now();
     let lasted = now.saturating_sub(began_at);
     inner.metrics.score_seconds.observe(lasted.as_secs_f64());
     let instance = &call.engine.target.instance;
     match &end {
         ScoreEnd::Scored(_) => inner.scorers.balance().answered(instance, lasted, now),
-        ScoreEnd::Failed | ScoreEnd::NoAnswer(_) => inner.scorers.balance().failed(instance, now),
+        ScoreEnd::Failed | ScoreEnd::NoAnswer(_) | ScoreEnd::ConnectionLost(_) => {
+            inner.scorers.balance().failed(instance, now)
+        }
     }
     tell(&call, &end, lasted);
     coordinator.record_score(&call, end);
@@ -116,7 +132,10 @@
 }
 
 fn no_answer(failure: &Failure) -> ScoreEnd {
-    ScoreEnd::NoAnswer(failure.to_string())
+    match failure {
+        Failure::ConnectionLost(reason) => ScoreEnd::ConnectionLost(reason.clone()),
+        Failure::NotSent(_) | Failure::MayHaveRun(_) => ScoreEnd::NoAnswer(failure.to_string()),
+    }
 }
 
 fn judge(head: &Parts, not_executed: bool, names: &HeaderNames) -> ScoreEnd {
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -15,6 +15,8 @@
     NotExecuted(String),
     /// The request may have run; the engine's own failing answer, if there is one.
     Failed(String, Option<(Parts, Bytes)>),
+    /// The connection ended before an answer was whole; the request may have run, and may be what ended the engine.
+    ConnectionLost(String),
 }
 
 /// An engine's whole answer: whether it says that it did not run the request, its head and its body.
@@ -37,6 +39,7 @@
             Ok((false, head, body)) => Self::Answered(head, body),
             Err(Failure::NotSent(reason)) => Self::NotExecuted(reason),
             Err(Failure::MayHaveRun(reason)) => Self::Failed(reason, None),
+            Err(Failure::ConnectionLost(reason)) => Self::ConnectionLost(reason),
         }
     }
 }
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -2,6 +2,7 @@
 
 use crate::attempt::{AttemptEnd, PossibleRuns, WholeAnswer};
 use crate::gateway::{ChosenRoute, Gateway};
+use crate::lost_connections::RequestedWork;
 use crate::refusal::Refusal;
 use crate::request::{ClientRequest, remove_hop_by_hop};
 use crate::usage::CountedRuns;
@@ -33,6 +34,8 @@
     pub limit: Duration,
     /// What may have run of it.
     possible_runs: PossibleRuns,
+    /// What it asks for.
+    work: RequestedWork,
 }
 
 impl Gateway {
@@ -40,7 +43,8 @@
     pub(crate) async fn forward(&self, chosen: &ChosenRoute, request: &ClientRequest, body: Bytes) -> Reply {
         let limit = self.limit_of(chosen.route(), request);
         let service = chosen.table.next_service(chosen.index);
-        let passage = Passage { request, chosen, service, limit, possible_runs: PossibleRuns::default() };
+        let work = RequestedWork::new(body.clone());
+        let passage = Passage { request, chosen, service, limit, possible_runs: PossibleRuns::default(), work };
         let _counted = CountedRuns::new(self, &request.caller, &passage.possible_runs);
         let outgoing = request.outgoing(body);
         let left = limit.saturating_sub(self.now());
@@ -123,12 +127,11 @@
             match ended {
                 AttemptEnd::Answered(head, body) => return Ok((head, body)),
                 AttemptEnd::NotExecuted(_) => refused_by.push(instance),
-                AttemptEnd::Failed(_, answer) => {
-                    last_failure = answer.or(last_failure);
-                    if !repeatable {
-                        return last_failure.ok_or(Refusal::EngineFailed);
-                    }
-                }
+                AttemptEnd::Failed(_, answer) => last_failure = answer.or(last_failure),
+                AttemptEnd::ConnectionLost(_) => {}
+            }
+            if !repeatable && passage.possible_runs.may_have_run() {
+                return last_failure.ok_or(Refusal::EngineFailed);
             }
         }
     }
@@ -194,6 +197,9 @@
         };
         watch.armed.set(false);
         let end = self.judge(passage, instance, began_at, ended);
+        if matches!(end, AttemptEnd::ConnectionLost(_)) {
+            self.look_into_lost_connection(passage.request, &passage.work, &engine.target).await;
+        }
         if matches!(end, AttemptEnd::NotExecuted(_)) {
             run.disprove();
         }
@@ -213,9 +219,9 @@
         let end = AttemptEnd::of(ended, self.names());
         match &end {
             AttemptEnd::Answered(..) => self.inner.balance.answered(instance, lasted, now),
-            AttemptEnd::NotExecuted(reason) | AttemptEnd::Failed(reason, _) => {
+            AttemptEnd::NotExecuted(reason) | AttemptEnd::Failed(reason, _) | AttemptEnd::ConnectionLost(reason) => {
                 self.inner.balance.failed(instance, now);
-                let may_have_run = matches!(end, AttemptEnd::Failed(..));
+                let may_have_run = !matches!(end, AttemptEnd::NotExecuted(_));
                 spdlog::warn!("attempt failed", kv: {
                     request = passage.request.id.as_str(),
                     instance = instance.0.as_str(),
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -2,8 +2,8 @@
 //!
 //! Host and path choose a route, the route a service, and the relay one of its engines. What a relay knows of routes and
 //! engines comes from the control group under a lease; without the lease it sends nothing on. `table` and `view` hold
-//! what is known, `follow` keeps it new, `admission` checks keys, `forward` and `stream` send requests on, `usage` counts
-//! what engines begin, and `results` reads batch jobs.
+//! what is known, `follow` keeps it new, `admission` checks keys, `forward` and `stream` send requests on, `lost_connections`
+//! finds out whether engines end under them, `usage` counts what engines begin, and `results` reads batch jobs.
 
 pub mod admission;
 pub mod attempt;
@@ -12,6 +12,7 @@
 pub mod forward;
 pub mod gateway;
 pub mod keys;
+pub mod lost_connections;
 pub mod metrics;
 pub mod refusal;
 pub mod request;
--- /dev/null
+++ b/crates/gateway/src/lost_connections.rs
@@ -0,0 +1,47 @@
+//! Looks into connections that engines have lost under a request: an engine may have closed one, or may have ended.
+
+use crate::gateway::Gateway;
+use crate::request::ClientRequest;
+use bytes::Bytes;
+use saddlerelay_types::work::WorkDigest;
+use saddlerelay_upstream::EngineTarget;
+use std::cell::OnceCell;
+
+/// What a request asks for. Its digest is made only when something asks for it: on a calm day, never.
+pub(crate) struct RequestedWork {
+    body: Bytes,
+    digest: OnceCell<WorkDigest>,
+}
+
+impl RequestedWork {
+    /// The work of a request with this body.
+    pub fn new(body: Bytes) -> Self {
+        Self { body, digest: OnceCell::new() }
+    }
+
+    /// The digest of the work of `request`, always the same one.
+    pub fn digest(&self, request: &ClientRequest) -> WorkDigest {
+        *self.digest.get_or_init(|| request.work_digest(&self.body))
+    }
+}
+
+impl Gateway {
+    /// Finds out whether the engine at `target` has ended under a request, and says so.
+    pub(crate) async fn look_into_lost_connection(
+        &self,
+        request: &ClientRequest,
+        work: &RequestedWork,
+        target: &EngineTarget,
+    ) {
+        let ended = self.inner.pool.has_ended(target).await;
+        if ended {
+            self.inner.metrics.engines_ended.inc();
+        }
+        spdlog::warn!("connection lost under a request", kv: {
+            request = request.id.as_str(),
+            work = work.digest(request).shown().as_str(),
+            instance = target.instance.0.as_str(),
+            engine_ended = ended
+        });
+    }
+}
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -18,6 +18,8 @@
     pub retries: Counter,
     /// Requests tried at a second engine because the first was slow.
     pub hedges: Counter,
+    /// Engines found to have ended under a request of this relay.
+    pub engines_ended: Counter,
     /// Calls with an unknown key, or with none where one is needed.
     pub keys_refused: Counter,
     /// Requests of tenants that engines have begun.
@@ -42,6 +44,7 @@
         let failed = counter("failed", "Requests that failed and may have run");
         let retries = counter("retries", "Attempts beyond a request's first");
         let hedges = counter("hedges", "Requests tried at a second engine because the first was slow");
+        let engines_ended = counter("engines_ended", "Engines found to have ended under a request");
         let keys_refused = counter("keys_refused", "Calls with an unknown key, or with none where one is needed");
         let usage_counted = counter("usage_counted", "Requests of tenants that engines have begun");
         let leases_lost = counter("leases_lost", "Times that the lease ended");
@@ -58,6 +61,7 @@
             failed,
             retries,
             hedges,
+            engines_ended,
             keys_refused,
             usage_counted,
             leases_lost,
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -7,6 +7,7 @@
 use hyper::http::request::Parts;
 use hyper::{Method, Uri};
 use saddlerelay_types::tenancy::Caller;
+use saddlerelay_types::work::{Work, WorkDigest};
 use saddlerelay_upstream::{HeaderNames, Outgoing};
 use std::time::Duration;
 
@@ -56,6 +57,13 @@
         self.uri.path()
     }
 
+    /// What it asks for, whatever its identifier.
+    pub fn work_digest(&self, body: &[u8]) -> WorkDigest {
+        let path = self.uri.path_and_query().map_or(self.path(), |path| path.as_str());
+        let (caller, method, host) = (&self.caller, self.method.as_str(), self.host.as_str());
+        WorkDigest::of(&Work { caller, method, host, path, body })
+    }
+
     /// The request as it goes on to an engine.
     pub fn outgoing(&self, body: Bytes) -> Outgoing {
         let mut headers = self.headers.clone();
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -3,6 +3,7 @@
 
 use crate::attempt::{AttemptEnd, PossibleRuns};
 use crate::gateway::{ChosenRoute, Gateway};
+use crate::lost_connections::RequestedWork;
 use crate::refusal::Refusal;
 use crate::request::{ClientRequest, remove_hop_by_hop};
 use crate::usage::CountedRuns;
@@ -15,7 +16,7 @@
 use saddlerelay_types::instance::InstanceId;
 use saddlerelay_upstream::answer::AnswerStream;
 use saddlerelay_upstream::events::EventCutter;
-use saddlerelay_upstream::{Answer, Failure, Outgoing, Reuse};
+use saddlerelay_upstream::{Answer, EngineTarget, Failure, Outgoing, Reuse};
 use std::time::Duration;
 
 /// A stream on its way.
@@ -24,15 +25,27 @@
     chosen: ChosenRoute,
     request: ClientRequest,
     outgoing: Outgoing,
+    work: RequestedWork,
     service: String,
     limit: Duration,
-    tried: Vec<InstanceId>,
+    /// The engines that it went to; the last one streams.
+    tried: Vec<EngineTarget>,
     cutter: EventCutter,
     last_event: Option<u64>,
     body: AnswerStream,
     ended: bool,
 }
 
+/// What stays the same while engines are asked to take a stream.
+struct StreamPassage<'a> {
+    request: &'a ClientRequest,
+    work: &'a RequestedWork,
+    chosen: &'a ChosenRoute,
+    service: &'a str,
+    /// When the request is over.
+    limit: Duration,
+}
+
 /// How an engine took a stream.
 enum Begun {
     /// It answers with events.
@@ -48,12 +61,14 @@
     pub(crate) async fn forward_stream(&self, chosen: &ChosenRoute, request: ClientRequest, body: Bytes) -> Reply {
         let limit = self.limit_of(chosen.route(), &request);
         let service = chosen.table.next_service(chosen.index).to_string();
+        let work = RequestedWork::new(body.clone());
         let outgoing = request.outgoing(body);
         let mut tried = Vec::new();
         let possible_runs = PossibleRuns::default();
         let counted = CountedRuns::new(self, &request.caller, &possible_runs);
         let left = limit.saturating_sub(self.now());
-        let begin = self.begin_stream(chosen, &service, &outgoing, limit, &mut tried, &possible_runs);
+        let passage = StreamPassage { request: &request, work: &work, chosen, service: &service, limit };
+        let begin = self.begin_stream(&passage, &outgoing, &mut tried, &possible_runs);
         let answer = match timeout(&self.inner.runtime, left, begin).await {
             Some(Begun::Answer(answer)) => {
                 // An engine sends the head of a stream with its first event.
@@ -76,6 +91,7 @@
             cutter: EventCutter::new(self.names().weight_version.as_str()),
             request,
             outgoing,
+            work,
             service,
             limit,
             tried,
@@ -101,23 +117,23 @@
     /// route is resumable.
     async fn begin_stream(
         &self,
-        chosen: &ChosenRoute,
-        service: &str,
+        passage: &StreamPassage<'_>,
         outgoing: &Outgoing,
-        limit: Duration,
-        tried: &mut Vec<InstanceId>,
+        tried: &mut Vec<EngineTarget>,
         possible_runs: &PossibleRuns,
     ) -> Begun {
-        let most = chosen.route().max_attempts.max(1) as usize;
+        let route = passage.chosen.route();
+        let most = route.max_attempts.max(1) as usize;
         let mut last_failure = None;
         while tried.len() < most {
-            let Some(engine) = self.choose_engine(service, tried) else {
+            let instances: Vec<InstanceId> = tried.iter().map(|target| target.instance.clone()).collect();
+            let Some(engine) = self.choose_engine(passage.service, &instances) else {
                 break;
             };
-            tried.push(engine.target.instance.clone());
+            tried.push(engine.target.clone());
             let run = possible_runs.attempt();
             let may_send = || run.note_sending(self.may_send(&engine.target.instance), self.now());
-            let time_left = || limit.saturating_sub(self.now());
+            let time_left = || passage.limit.saturating_sub(self.now());
             let began_at = self.now();
             let sent = self.inner.pool.send(&engine.target, outgoing, Reuse::Recent, time_left, may_send).await;
             let reason = match self.take_beginning(sent).await {
@@ -135,13 +151,17 @@
                     last_failure = answer.or(last_failure);
                     reason
                 }
+                Err(AttemptEnd::ConnectionLost(reason)) => {
+                    self.look_into_lost_connection(passage.request, passage.work, &engine.target).await;
+                    reason
+                }
             };
             self.inner.balance.failed(&engine.target.instance, self.now());
             spdlog::warn!("attempt failed", kv: {
                 request = outgoing.request_id.as_str(), instance = engine.target.instance.0.as_str(),
                 may_have_run = possible_runs.may_have_run(), reason = reason.as_str()
             });
-            if possible_runs.may_have_run() && !chosen.route().resumable {
+            if possible_runs.may_have_run() && !route.resumable {
                 break;
             }
         }
@@ -190,8 +210,14 @@
             match received {
                 Some(Some(Ok(bytes))) => self.cutter.push(&bytes),
                 Some(None) if !self.cutter.is_mid_event() => return self.end("stream ended", None),
-                Some(_) if self.may_resume() && self.resume().await => {}
-                Some(_) => return self.end("stream broke off", Some(Err(BrokenOff))),
+                Some(broken) => {
+                    if matches!(broken, Some(Err(Failure::ConnectionLost(_)))) {
+                        self.look_into_lost_connection().await;
+                    }
+                    if !(self.may_resume() && self.resume().await) {
+                        return self.end("stream broke off", Some(Err(BrokenOff)));
+                    }
+                }
                 None => return self.end("stream over its time", Some(Err(BrokenOff))),
             }
         }
@@ -209,6 +235,12 @@
         part
     }
 
+    async fn look_into_lost_connection(&self) {
+        if let Some(target) = self.tried.last() {
+            self.gateway.look_into_lost_connection(&self.request, &self.work, target).await;
+        }
+    }
+
     fn may_resume(&self) -> bool {
         let route = self.chosen.route();
         route.resumable && self.tried.len() < route.max_attempts.max(1) as usize
@@ -220,15 +252,14 @@
         }
         let possible_runs = PossibleRuns::default();
         let gateway = self.gateway.clone();
-        let begin = gateway.begin_stream(
-            &self.chosen,
-            &self.service,
-            &self.outgoing,
-            self.limit,
-            &mut self.tried,
-            &possible_runs,
-        );
-        match begin.await {
+        let passage = StreamPassage {
+            request: &self.request,
+            work: &self.work,
+            chosen: &self.chosen,
+            service: &self.service,
+            limit: self.limit,
+        };
+        match gateway.begin_stream(&passage, &self.outgoing, &mut self.tried, &possible_runs).await {
             Begun::Answer(answer) => {
                 self.body = answer.into_stream().1;
                 self.cutter = EventCutter::new(gateway.names().weight_version.as_str());
--- a/crates/types/src/credentials.rs
+++ b/crates/types/src/credentials.rs
@@ -24,14 +24,7 @@
 
     /// Reads a digest in hexadecimal; `None` if it is none.
     pub fn from_hexadecimal(text: &str) -> Option<Self> {
-        if text.len() != 2 * DIGEST_BYTES || !text.bytes().all(|byte| byte.is_ascii_hexdigit()) {
-            return None;
-        }
-        let mut digest = [0; DIGEST_BYTES];
-        for (index, byte) in digest.iter_mut().enumerate() {
-            *byte = u8::from_str_radix(&text[2 * index..2 * index + 2], 16).ok()?;
-        }
-        Some(Self(digest))
+        read_hexadecimal(text).map(Self)
     }
 
     /// The digest in hexadecimal.
@@ -52,10 +45,23 @@
     }
 }
 
-fn hexadecimal(bytes: &[u8]) -> String {
+/// Bytes in hexadecimal.
+pub(crate) fn hexadecimal(bytes: &[u8]) -> String {
     bytes.iter().map(|byte| format!("{byte:02x}")).collect()
 }
 
+/// Reads as many bytes as are wanted in hexadecimal; `None` if the text is anything else.
+pub(crate) fn read_hexadecimal<const BYTES: usize>(text: &str) -> Option<[u8; BYTES]> {
+    if text.len() != 2 * BYTES || !text.bytes().all(|byte| byte.is_ascii_hexdigit()) {
+        return None;
+    }
+    let mut bytes = [0; BYTES];
+    for (index, byte) in bytes.iter_mut().enumerate() {
+        *byte = u8::from_str_radix(&text[2 * index..2 * index + 2], 16).ok()?;
+    }
+    Some(bytes)
+}
+
 impl fmt::Debug for SecretDigest {
     fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
         write!(formatter, "SecretDigest({})", self.shown())
--- a/crates/types/src/lib.rs
+++ b/crates/types/src/lib.rs
@@ -19,3 +19,4 @@
 pub mod routing_update;
 pub mod tenancy;
 pub mod usage;
+pub mod work;
--- a/crates/upstream/src/answer.rs
+++ b/crates/upstream/src/answer.rs
@@ -24,6 +24,9 @@
     NotSent(String),
     /// The request may have run.
     MayHaveRun(String),
+    /// The connection ended before the answer was whole: the engine has closed it, or has ended itself. The request may
+    /// have run.
+    ConnectionLost(String),
 }
 
 impl fmt::Display for Failure {
@@ -31,6 +34,7 @@
         match self {
             Self::NotSent(reason) => write!(formatter, "not sent: {reason}"),
             Self::MayHaveRun(reason) => write!(formatter, "may have run: {reason}"),
+            Self::ConnectionLost(reason) => write!(formatter, "may have run, connection lost: {reason}"),
         }
     }
 }
@@ -72,7 +76,7 @@
     pub async fn read_whole(self, limit: usize) -> Result<(Parts, Bytes, Option<Connection>), Failure> {
         let Self { head, body, connection } = self;
         let collected = Limited::new(body, limit).collect().await;
-        let body = collected.map_err(|error| Failure::MayHaveRun(format!("the answer broke off: {error}")))?.to_bytes();
+        let body = collected.map_err(|error| broken_off(error.as_ref()))?.to_bytes();
         let reusable = reusable(connection, idle_time(&head.headers)).await;
         Ok((head, body, reusable))
     }
@@ -84,6 +88,15 @@
     }
 }
 
+/// The failure of an answer that ended before it was whole, or that was larger than the limit.
+fn broken_off(error: &(dyn std::error::Error + 'static)) -> Failure {
+    let reason = format!("the answer broke off: {error}");
+    match error.downcast_ref::<hyper::Error>() {
+        Some(_) => Failure::ConnectionLost(reason),
+        None => Failure::MayHaveRun(reason),
+    }
+}
+
 /// The connection after a whole answer, if it can be used again.
 async fn reusable(mut connection: Connection, idle: Option<Duration>) -> Option<Connection> {
     let idle = idle?;
@@ -136,7 +149,7 @@
                         return Some(Ok(bytes));
                     }
                 }
-                Err(error) => return Some(Err(Failure::MayHaveRun(format!("the answer broke off: {error}")))),
+                Err(error) => return Some(Err(broken_off(&error))),
             }
         }
     }
--- a/crates/upstream/src/connection.rs
+++ b/crates/upstream/src/connection.rs
@@ -9,12 +9,33 @@
 use hyper::body::Incoming;
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper::{Request, Response};
+use std::io::ErrorKind;
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
 /// An engine that acknowledges no byte for so long is given up, in milliseconds. A cut link tells nobody.
 const ENGINE_SILENCE_MS: u32 = 1_500;
 
+/// Whether a process listens at `address`, as far as a connect of at most `limit` can tell.
+pub async fn listens(address: SocketAddr, limit: Duration) -> Listening {
+    match compio::time::timeout(limit, TcpStream::connect(address)).await {
+        Ok(Ok(_)) => Listening::Yes,
+        Ok(Err(error)) if error.kind() == ErrorKind::ConnectionRefused => Listening::No,
+        Ok(Err(_)) | Err(_) => Listening::Unknown,
+    }
+}
+
+/// What a connect has told of a process.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Listening {
+    /// It takes connections.
+    Yes,
+    /// Its machine answers that nobody listens there: the process has ended.
+    No,
+    /// Nothing: the machine does not answer, or cannot be reached.
+    Unknown,
+}
+
 /// A connection that carries one request at a time. Dropping it closes it, whatever it was doing.
 pub struct Connection {
     sender: SendRequest<Full<Bytes>>,
@@ -84,7 +105,7 @@
             Err(mut error) => match error.take_message() {
                 // A request that comes back was never begun.
                 Some(_) => Err(Failure::NotSent(error.into_error().to_string())),
-                None => Err(Failure::MayHaveRun(error.into_error().to_string())),
+                None => Err(Failure::ConnectionLost(error.into_error().to_string())),
             },
         }
     }
