--- a/crates/gateway-api/tests/common/mod.rs
+++ b/crates/gateway-api/tests/common/mod.rs
@@ -1,8 +1,10 @@
 //! One control replica with its coordinator, one gateway, and stand-in engines, in one process over loopback.
 #![allow(dead_code)]
 
+pub mod crashing;
 pub mod engine;
 
+use crashing::CrashingEngine;
 use engine::StandInEngine;
 use hyper::{Method, StatusCode};
 use saddlerelay_control::config::ControlConfig;
@@ -228,8 +230,27 @@
             models: engine.models(),
             sequence,
         };
-        let path = format!("/v1/instances/{}", engine.instance().0);
-        let body = serde_json::to_vec(&report).expect("JSON");
+        self.take_report(&report).await;
+    }
+
+    /// Registers an engine that may crash, with the model of these tests.
+    pub async fn register_crashing(&self, engine: &CrashingEngine, service: &str) {
+        let report = InstanceReport {
+            id: engine.instance(),
+            service: service.to_string(),
+            address: engine.address(),
+            zone: "north".to_string(),
+            slots: 4,
+            leaving: false,
+            models: vec![notes(1)],
+            sequence: 1,
+        };
+        self.take_report(&report).await;
+    }
+
+    async fn take_report(&self, report: &InstanceReport) {
+        let path = format!("/v1/instances/{}", report.id.0);
+        let body = serde_json::to_vec(report).expect("JSON");
         let answer = call(self.control, Method::PUT, &path, &[], body).await;
         assert_eq!(answer.status, StatusCode::OK);
     }
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -15,6 +15,7 @@
 use saddlerelay_runtime::Runtime;
 use saddlerelay_runtime_compio::CompioRuntime;
 use saddlerelay_types::identity::Incarnation;
+use saddlerelay_types::instance::InstanceId;
 use saddlerelay_types::routing::{Route, RouteKind};
 use saddlerelay_upstream::{Balance, HeaderNames, Pool};
 use std::cell::{Cell, RefCell};
@@ -137,6 +138,11 @@
         self.inner.view.borrow().ready_engines(service).count()
     }
 
+    /// Whether this relay may send to an instance, as far as it knows.
+    pub fn sends_to(&self, instance: &InstanceId) -> bool {
+        self.inner.view.borrow().is_ready(instance)
+    }
+
     /// From now on every answer tells its client to go elsewhere.
     pub fn drain(&self) {
         self.inner.draining.set(true);
