Know work that ends its engines by its digest, and send it to no more than three

Cause: a failure was always held against the engine. Work had no identity beyond one try, whose identifier is new each time, so neither one relay over time nor several together could know that it was the same; each try had a route's whole attempts again, and nothing bounded it but the number of engines. Class: a retry budget that is counted where the retries do not meet.

Change: when an engine is found to have ended under a request (connection lost, then a connect refused) and was not leaving, that is evidence against the request's work: a digest of caller, method, host, path and body. Three engines since the work was last served: quarantine; relays refuse it at once with 502, the leader holds an item or a call for a score back. A whole answer clears the work. A suspect is not hedged. Bounded: 512 kinds of work, the weakest give way; suspicion 10 minutes, quarantine an hour, then one engine may try. Operators list and release (admin suspicions, admin release). The same for streams, items of batch jobs and calls for scores.

Ruled out: refusing with 503 (comes back at once, and promises for the work what is true of the try only) or with 4xx (evidence may be wrong; the client would be blamed and never come again); lost connections alone as evidence (lost answers look the same).

--- a/crates/command-line/src/admin.rs
+++ b/crates/command-line/src/admin.rs
@@ -56,6 +56,7 @@
 ];
 const DUTY_COLUMNS: &[(&str, &str)] =
     &[("SERVICE", "place.service"), ("ZONE", "place.zone"), ("WANTED", "wanted"), ("PRESENT", "present")];
+const SUSPICION_COLUMNS: &[(&str, &str)] = &[("WORK", "work"), ("ENGINES ENDED", "engines"), ("LAST AT", "last_at")];
 const OBJECT_COLUMNS: &[(&str, &str)] = &[("NAME", "name"), ("REVISION", "revision"), ("VALUE", "value")];
 
 /// Fields of an answer that are shown beside its rows.
@@ -131,6 +132,10 @@
         ["members"] => vec![group()],
         ["relays"] => vec![relays()],
         ["engines"] => vec![engines()],
+        ["suspicions"] => vec![get("suspicions", SUSPICION_COLUMNS, "suspicions")],
+        ["release", work] => {
+            vec![ApiCall { method: Method::DELETE, ..get(&format!("suspicions/{work}"), &[], "") }]
+        }
         ["duties"] => vec![get("duties", DUTY_COLUMNS, "engines")],
         ["templates" | "tenants"] => vec![get("configuration", OBJECT_COLUMNS, "objects")],
         ["trainer", tenant] => vec![get(&format!("trainers/{tenant}"), &[], "")],
--- a/crates/command-line/src/lib.rs
+++ b/crates/command-line/src/lib.rs
@@ -30,6 +30,8 @@
       status                              the group, the relays and the configuration in force
       members | relays | engines          each of them
       duties                              of a member: who holds them, reports of usage, engines wanted and there
+      suspicions                          of a member: work under which engines have ended; three engines quarantine it
+      release WORK                        of a member: send quarantined work to engines again
       templates | tenants                 list the configuration
       template|tenant get ID
       template|tenant put ID FILE [--if-match REVISION | --if-absent] [--key KEY]
--- a/crates/control/src/commands/gateway.rs
+++ b/crates/control/src/commands/gateway.rs
@@ -1,4 +1,4 @@
-//! Routing documents, engine instances, named versions, batch jobs and store machines.
+//! Routing documents, engine instances, named versions, batch jobs, store machines and suspected work.
 
 use crate::state::ControlState;
 use saddlerelay_types::gateway::{GatewayCommand, GatewayOutcome};
@@ -56,6 +56,15 @@
             state.usage.reported(window);
             GatewayOutcome::Done
         }
+        GatewayCommand::TakeEvidence(evidence) => {
+            state.suspicions.take(evidence, state.time);
+            GatewayOutcome::Done
+        }
+        GatewayCommand::ExpireSuspicions => {
+            state.suspicions.expire(state.time);
+            GatewayOutcome::Done
+        }
+        GatewayCommand::ReleaseWork(work) => found(state.suspicions.release(&work)),
         GatewayCommand::WantEngines(wanted) => {
             state.engine_counts.want(wanted);
             GatewayOutcome::Done
--- a/crates/control/src/gateway.rs
+++ b/crates/control/src/gateway.rs
@@ -27,7 +27,12 @@
 pub(crate) fn changes_what_relays_act_on(command: &GatewayCommand) -> bool {
     matches!(
         command,
-        GatewayCommand::PutRouting(_) | GatewayCommand::ReportInstance(_) | GatewayCommand::RemoveInstance(_)
+        GatewayCommand::PutRouting(_)
+            | GatewayCommand::ReportInstance(_)
+            | GatewayCommand::RemoveInstance(_)
+            | GatewayCommand::TakeEvidence(_)
+            | GatewayCommand::ExpireSuspicions
+            | GatewayCommand::ReleaseWork(_)
     )
 }
 
@@ -64,6 +69,9 @@
             GatewayRequest::RetireStore(name) => self.retire_store(name).await,
             GatewayRequest::ReadRetirement(name) => self.read_retirement(&name),
             GatewayRequest::ReadDuties => self.read_duties(),
+            GatewayRequest::TakeEvidence(evidence) => self.take_evidence(evidence).await,
+            GatewayRequest::ReadSuspicions => self.read_suspicions(),
+            GatewayRequest::ReleaseWork(work) => self.release_work(work).await,
         }
     }
 
@@ -142,6 +150,7 @@
             nearest_replica,
             group_unix_ms: self.group_unix_ms(),
             usage_taken: state.usage.taken_from(follow.incarnation),
+            suspicions: (state.suspicions.revision() > follow.suspicion_revision).then(|| state.suspicions.list()),
         }
     }
 
@@ -288,5 +297,8 @@
 }
 
 fn brings_news(reply: &FollowReply, follow: &FollowRequest) -> bool {
-    reply.routing.is_some() || reply.instance_revision != follow.instance_revision || reply.silent != follow.silent
+    reply.routing.is_some()
+        || reply.suspicions.is_some()
+        || reply.instance_revision != follow.instance_revision
+        || reply.silent != follow.silent
 }
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -17,4 +17,5 @@
 pub mod queries;
 pub mod routing_updates;
 pub mod state;
+mod suspected_work;
 pub mod tasks;
--- a/crates/control/src/node.rs
+++ b/crates/control/src/node.rs
@@ -11,7 +11,7 @@
 use crate::routing_updates::RoutingUpdates;
 use crate::state::ControlState;
 use crate::tasks::relays::RenewalTable;
-use crate::tasks::{engines, machines, relays, retirement, usage};
+use crate::tasks::{engines, machines, relays, retirement, suspicions, usage};
 use saddlerelay_replication::storage::StorageError;
 use saddlerelay_replication::{ProposeError, Replica, ReplicaOptions};
 use saddlerelay_rpc::server::Handler;
@@ -107,6 +107,7 @@
         platform.spawn(machines::follow(node.clone()));
         platform.spawn(retirement::watch(node.clone()));
         platform.spawn(usage::commit(node.clone()));
+        platform.spawn(suspicions::expire(node.clone()));
         Ok(node)
     }
 
--- a/crates/control/src/state/mod.rs
+++ b/crates/control/src/state/mod.rs
@@ -10,6 +10,7 @@
 pub mod rollouts;
 pub mod routing;
 pub mod stores;
+pub mod suspicions;
 pub mod text_archive;
 pub mod usage;
 pub mod weights;
@@ -25,6 +26,7 @@
 use rollouts::RolloutLedger;
 use routing::RoutingState;
 use stores::StoreTable;
+use suspicions::SuspicionTable;
 use usage::UsageState;
 use weights::WeightState;
 
@@ -57,4 +59,6 @@
     pub jobs: JobTable,
     /// Machines that keep the group's data.
     pub stores: StoreTable,
+    /// Work under which engines have ended.
+    pub suspicions: SuspicionTable,
 }
--- /dev/null
+++ b/crates/control/src/state/suspicions.rs
@@ -0,0 +1,128 @@
+//! Work under which engines have ended, whoever ran it. Bounded in number and in time.
+
+use bitcode::{Decode, Encode};
+use saddlerelay_types::suspicion::{EngineLoss, MOST_ENGINES_ENDED, Suspicion, SuspicionList, WorkEvidence};
+use saddlerelay_types::work::WorkDigest;
+use std::collections::BTreeMap;
+
+/// Kinds of work that are remembered. An engine that ends takes up to its slots (some tens) with it, so this is the work of
+/// some tens of engines; those under which the fewest engines have ended give way, the oldest first. All of it goes to each
+/// relay at each change: 512 take about 30 KB.
+const SUSPICIONS_KEPT: usize = 512;
+
+/// How long work is suspected after the last engine has ended under it, in milliseconds: several times as long as engines
+/// take to come back and clients to try again.
+const SUSPECTED_MS: u64 = 10 * 60 * 1_000;
+
+/// How long work is sent to no engine, in milliseconds. Afterwards one engine may try it: engines may have been mended.
+const QUARANTINED_MS: u64 = 60 * 60 * 1_000;
+
+/// The table. Each change takes the next revision.
+#[derive(Clone, Debug, Default, PartialEq, Encode, Decode)]
+pub struct SuspicionTable {
+    by_work: BTreeMap<WorkDigest, Suspicion>,
+    revision: u64,
+}
+
+impl SuspicionTable {
+    /// The revision of the newest change.
+    pub fn revision(&self) -> u64 {
+        self.revision
+    }
+
+    /// Whether no work is suspected.
+    pub fn is_empty(&self) -> bool {
+        self.by_work.is_empty()
+    }
+
+    /// What is known of `work`, if engines have ended under it.
+    pub fn get(&self, work: &WorkDigest) -> Option<&Suspicion> {
+        self.by_work.get(work)
+    }
+
+    /// Whether `work` is sent to no engine.
+    pub fn is_quarantined(&self, work: &WorkDigest) -> bool {
+        self.get(work).is_some_and(Suspicion::is_quarantined)
+    }
+
+    /// Everything that is known.
+    pub fn list(&self) -> SuspicionList {
+        SuspicionList { revision: self.revision, suspicions: self.by_work.values().cloned().collect() }
+    }
+
+    /// Whether evidence would change anything.
+    pub fn is_news(&self, evidence: &WorkEvidence) -> bool {
+        let is_new = |loss: &EngineLoss| {
+            let known = self.get(&loss.work);
+            known.is_none_or(|known| !known.is_quarantined() && !known.engines.contains(&loss.instance))
+        };
+        evidence.losses.iter().any(is_new) || evidence.served.iter().any(|work| self.by_work.contains_key(work))
+    }
+
+    /// Takes evidence at `now`, in Unix milliseconds. Work that has been served is cleared of what came before.
+    pub fn take(&mut self, evidence: WorkEvidence, now: u64) {
+        if !self.is_news(&evidence) {
+            return;
+        }
+        self.revision += 1;
+        for work in &evidence.served {
+            self.by_work.remove(work);
+        }
+        for loss in evidence.losses {
+            self.add(loss, now);
+        }
+        while self.by_work.len() > SUSPICIONS_KEPT {
+            self.forget_weakest();
+        }
+    }
+
+    fn add(&mut self, loss: EngineLoss, now: u64) {
+        let work = loss.work;
+        let unknown = Suspicion { work, engines: Vec::new(), last_at: now };
+        let suspicion = self.by_work.entry(work).or_insert(unknown);
+        if suspicion.engines.contains(&loss.instance) {
+            return;
+        }
+        suspicion.last_at = now;
+        if !suspicion.is_quarantined() {
+            suspicion.engines.push(loss.instance);
+        }
+    }
+
+    fn forget_weakest(&mut self) {
+        let weakest = self.by_work.values().min_by_key(|suspicion| (suspicion.engines.len(), suspicion.last_at));
+        if let Some(work) = weakest.map(|suspicion| suspicion.work) {
+            self.by_work.remove(&work);
+        }
+    }
+
+    /// Whether something is to be forgotten at `now`.
+    pub fn has_expired(&self, now: u64) -> bool {
+        self.by_work.values().any(|suspicion| has_expired(suspicion, now))
+    }
+
+    /// Forgets what is too old: a suspicion as a whole, a quarantine but for one engine.
+    pub fn expire(&mut self, now: u64) {
+        if !self.has_expired(now) {
+            return;
+        }
+        self.revision += 1;
+        self.by_work.retain(|_, suspicion| suspicion.is_quarantined() || !has_expired(suspicion, now));
+        for suspicion in self.by_work.values_mut().filter(|suspicion| has_expired(suspicion, now)) {
+            suspicion.engines.truncate(MOST_ENGINES_ENDED - 1);
+            suspicion.last_at = now;
+        }
+    }
+
+    /// Forgets what is known of `work`, as an operator wants it; returns whether anything was.
+    pub fn release(&mut self, work: &WorkDigest) -> bool {
+        let released = self.by_work.remove(work).is_some();
+        self.revision += u64::from(released);
+        released
+    }
+}
+
+fn has_expired(suspicion: &Suspicion, now: u64) -> bool {
+    let kept = if suspicion.is_quarantined() { QUARANTINED_MS } else { SUSPECTED_MS };
+    now >= suspicion.last_at.saturating_add(kept)
+}
--- a/crates/control/src/tasks/mod.rs
+++ b/crates/control/src/tasks/mod.rs
@@ -4,4 +4,5 @@
 pub mod machines;
 pub mod relays;
 pub mod retirement;
+pub mod suspicions;
 pub mod usage;
--- a/crates/coordinator/src/item.rs
+++ b/crates/coordinator/src/item.rs
@@ -214,6 +214,7 @@
             return;
         };
         if end == AttemptEnd::Whole {
+            self.note_served(|| start.work_digest());
             if start.item.scorer.is_some() {
                 // The next plan has the text scored.
                 run.phase = Phase::Waiting;
--- a/crates/coordinator/src/job_run.rs
+++ b/crates/coordinator/src/job_run.rs
@@ -9,8 +9,9 @@
 use saddlerelay_types::instance::InstanceId;
 use saddlerelay_types::job::{ItemId, JobItem};
 use saddlerelay_types::routing::Route;
+use saddlerelay_types::work::WorkDigest;
 use saddlerelay_upstream::HeaderNames;
-use std::cell::RefCell;
+use std::cell::{OnceCell, RefCell};
 use std::collections::{BTreeMap, BTreeSet};
 use std::rc::Rc;
 use std::time::Duration;
@@ -42,6 +43,12 @@
     pub avoid: Option<InstanceId>,
     pub moves: u32,
     pub scoring: ScoringProgress,
+    /// What the item asks for; made only while some work is suspected.
+    pub work: OnceCell<WorkDigest>,
+    /// What its call for a score asks for; likewise.
+    pub scoring_work: OnceCell<WorkDigest>,
+    /// It has been held back because engines have ended under its work.
+    pub held_back: bool,
 }
 
 /// How far the scoring of an item's whole text is.
@@ -107,6 +114,9 @@
                 avoid: None,
                 moves: 0,
                 scoring: ScoringProgress::default(),
+                work: OnceCell::new(),
+                scoring_work: OnceCell::new(),
+                held_back: false,
             }
         };
         let items: Vec<ItemRun> = submission.items.iter().enumerate().map(item).collect();
--- a/crates/coordinator/src/metrics.rs
+++ b/crates/coordinator/src/metrics.rs
@@ -21,6 +21,8 @@
     pub score_failures: Counter,
     /// Engines found to have ended under an item or a call for a score.
     pub engines_ended: Counter,
+    /// Items held back because engines have ended under their work.
+    pub items_held_back: Counter,
     /// Orders given to engines.
     pub orders: Counter,
     /// Orders whose outcome is not known.
@@ -45,6 +47,7 @@
         let score_calls = counter("score_calls", "Calls that have a text scored");
         let score_failures = counter("score_failures", "Calls for a score that brought none");
         let engines_ended = counter("engines_ended", "Engines found to have ended under an item or a call for a score");
+        let items_held_back = counter("items_held_back", "Items held back because engines have ended under their work");
         let orders = counter("orders", "Orders given to engines");
         let orders_unknown = counter("orders_unknown", "Orders whose outcome is not known");
         let mut histogram = |name: &str, help: &str| registry.seconds(name, help, 0.01, 12);
@@ -61,6 +64,7 @@
             score_calls,
             score_failures,
             engines_ended,
+            items_held_back,
             orders,
             orders_unknown,
             attempt_seconds,
--- a/crates/coordinator/src/plan.rs
+++ b/crates/coordinator/src/plan.rs
@@ -10,6 +10,7 @@
 use crate::text::ItemText;
 use saddlerelay_control::state::ControlState;
 use saddlerelay_control::state::jobs::Job;
+use saddlerelay_control::state::suspicions::SuspicionTable;
 use saddlerelay_runtime::backend::Backends;
 use saddlerelay_types::identity::TenantId;
 use saddlerelay_types::instance::{InstanceId, InstanceState};
@@ -131,7 +132,17 @@
         let route = state.routing.current().and_then(|document| document.find(&submission.host, &submission.path));
         let run = jobs.entry(id.clone()).or_insert_with(|| take_up(coordinator, state, job, route, now));
         plan_job(
-            &mut PlanOfJob { inner, job, run, route, now, round: &round, fitting: Vec::new(), scoring: &mut scoring },
+            &mut PlanOfJob {
+                inner,
+                job,
+                run,
+                route,
+                now,
+                round: &round,
+                fitting: Vec::new(),
+                scoring: &mut scoring,
+                suspicions: &state.suspicions,
+            },
             &mut plan,
         );
     }
@@ -203,6 +214,8 @@
     /// The engines that its items may go to, with room or without.
     pub fitting: Vec<FittingEngine<'a>>,
     scoring: &'a mut ScoringRound<'s>,
+    /// Work under which engines have ended.
+    suspicions: &'a SuspicionTable,
 }
 
 fn plan_job<B: Backends>(of: &mut PlanOfJob<'_, '_, B>, plan: &mut Plan) {
@@ -230,6 +243,8 @@
             plan.whole.push((id.clone(), index));
         } else if of.now >= give_up_at {
             plan.give_up.push((id.clone(), index, "its time is over"));
+        } else if is_quarantined(of, index, is_whole) {
+            hold_back(of, index);
         } else if is_whole {
             plan.score_calls.extend(plan_score_call(of, index, give_up_at));
         } else if let Some(start) = plan_item(of, route, index, give_up_at) {
@@ -243,6 +258,40 @@
     }
 }
 
+/// Whether what an item needs next, a run or a score, is work under which engine after engine has ended.
+fn is_quarantined<B: Backends>(of: &PlanOfJob<'_, '_, B>, index: u32, is_whole: bool) -> bool {
+    if of.suspicions.is_empty() {
+        return false;
+    }
+    let submission = &of.job.submission;
+    let item = &submission.items[index as usize];
+    let run = &of.run.items[index as usize];
+    let owner = submission.owner.as_ref();
+    let work = match item.scorer.as_ref().filter(|_| is_whole) {
+        Some(scorer) => {
+            run.scoring_work.get_or_init(|| WorkDigest::of_posted(owner, &scorer.host, &scorer.path, &scorer.body))
+        }
+        None => run.work.get_or_init(|| WorkDigest::of_posted(owner, &submission.host, &item.path, &item.body)),
+    };
+    of.suspicions.is_quarantined(work)
+}
+
+/// Leaves an item waiting until its time is over or its work is released: it is neither done nor failed by an engine, so it
+/// may not be listed as either.
+fn hold_back<B: Backends>(of: &mut PlanOfJob<'_, '_, B>, index: u32) {
+    let submission = &of.job.submission;
+    let run = &mut of.run.items[index as usize];
+    if !std::mem::replace(&mut run.held_back, true) {
+        of.inner.metrics.items_held_back.inc();
+        spdlog::warn!("item held back", kv: {
+            item = submission.items[index as usize].id.0.as_str(),
+            job = submission.id.0.as_str(),
+            reason = "engines have ended under its work",
+            suspicion_revision = of.suspicions.revision()
+        });
+    }
+}
+
 fn plan_item<B: Backends>(
     of: &mut PlanOfJob<'_, '_, B>,
     route: &Route,
--- a/crates/coordinator/src/scoring.rs
+++ b/crates/coordinator/src/scoring.rs
@@ -193,6 +193,7 @@
         };
         inner.replan.notify();
         if let ScoreEnd::Scored(stamp) = end {
+            self.note_served(|| call.work_digest());
             run.phase = Phase::Ended;
             inner.metrics.items_completed.inc();
             let outcome = call.text.borrow().outcome(call.index, Some(stamp));
--- a/crates/gateway-api/src/outcomes.rs
+++ b/crates/gateway-api/src/outcomes.rs
@@ -34,6 +34,7 @@
             whole(StatusCode::OK, "application/json", formats.write_retirement(completed))
         }
         Ok(GatewayReply::Duties(overview)) => json(StatusCode::OK, &overview),
+        Ok(GatewayReply::Suspicions(list)) => json(StatusCode::OK, &list),
         Ok(GatewayReply::NotFound | GatewayReply::Routing(None)) => not_found(),
         Ok(_) | Err(_) => unavailable(),
     }
--- a/crates/gateway-api/src/own.rs
+++ b/crates/gateway-api/src/own.rs
@@ -13,6 +13,7 @@
 use saddlerelay_types::job::{ItemId, JobId, JobSubmission, ResultPage};
 use saddlerelay_types::routing::RoutingDocument;
 use saddlerelay_types::usage::UsageReport;
+use saddlerelay_types::work::WorkDigest;
 use saddlerelay_upstream::HeaderNames;
 use serde::Serialize;
 use serde::de::DeserializeOwned;
@@ -79,6 +80,11 @@
                 ControlCall::Change(GatewayRequest::PutRouting(read_routing(body)?))
             }
             (&Method::GET, ["admin", "v1", "routing"]) => ControlCall::Read(GatewayRequest::ReadRouting),
+            (&Method::GET, ["admin", "v1", "suspicions"]) => ControlCall::Read(GatewayRequest::ReadSuspicions),
+            (&Method::DELETE, ["admin", "v1", "suspicions", work]) => {
+                let work = WorkDigest::from_hexadecimal(work).ok_or(UnreadableCall::Unknown)?;
+                ControlCall::Change(GatewayRequest::ReleaseWork(work))
+            }
             (&Method::GET, ["admin", "v1", "duties"]) => ControlCall::Read(GatewayRequest::ReadDuties),
             (&Method::POST, ["admin", "v1", "stores", name, "retirement"]) => {
                 ControlCall::Change(GatewayRequest::RetireStore(name.to_string()))
--- a/crates/gateway-api/tests/common/mod.rs
+++ b/crates/gateway-api/tests/common/mod.rs
@@ -197,6 +197,14 @@
         (replica, gateway, front)
     }
 
+    /// Starts a further gateway in zone `north`; returns where its clients reach it once it is ready.
+    pub async fn start_gateway_beside(&self, name: &str) -> SocketAddr {
+        let runtime = CompioRuntime::new(empty_folder(&format!("{}-{name}", self.name)));
+        let (gateway, front) = start_gateway(&runtime, self.peer, name, "north").await;
+        eventually("the further gateway is ready", async || gateway.is_ready()).await;
+        front
+    }
+
     /// Puts a routing document in force at the gateway.
     pub async fn configure(&self, document: &RoutingDocument) {
         let body = serde_json::to_vec(document).expect("JSON");
--- a/crates/gateway-api/tests/crashing_work.rs
+++ b/crates/gateway-api/tests/crashing_work.rs
@@ -3,10 +3,12 @@
 mod common;
 
 use common::crashing::{BegunLog, CRASHES, CrashingEngine};
-use common::{Deployment, HOST, block_on, call, document, eventually, route};
+use common::engine::{Conduct, StandInEngine};
+use common::{Deployment, HOST, block_on, call, document, eventually, job, rollouts, route};
 use hyper::{Method, StatusCode};
 use saddlerelay_gateway::Gateway;
 use saddlerelay_types::routing::{Route, RouteKind};
+use saddlerelay_types::suspicion::SuspicionList;
 use std::net::SocketAddr;
 
 /// Engines that may end under one kind of work before it is no longer sent on.
@@ -99,3 +101,151 @@
         });
     }
 }
+
+#[test]
+fn what_a_gateway_has_seen_is_known_to_the_next_before_the_client_is_answered() {
+    block_on(async {
+        let setting = Setting::start("crash-next", route("/plans/", RouteKind::Idempotent, "web")).await;
+        let body = format!("a plan that {CRASHES}");
+        let [north, south] = setting.fronts();
+        assert_eq!(ask(north, "try-0", &body).await, StatusCode::BAD_GATEWAY);
+        assert_eq!(setting.ended(), 2, "two attempts");
+        // The third engine is left, and the work goes to it once, wherever it comes.
+        assert_eq!(ask(south, "try-1", &body).await, StatusCode::BAD_GATEWAY);
+        assert_eq!(setting.ended(), 3);
+        for engine in &setting.engines {
+            engine.revive();
+        }
+        for (index, front) in [north, south, north, south].into_iter().enumerate() {
+            assert_eq!(ask(front, &format!("again-{index}"), &body).await, StatusCode::BAD_GATEWAY);
+        }
+        assert_eq!(setting.ended(), 3);
+    });
+}
+
+#[test]
+fn work_that_is_served_is_cleared_of_engines_that_ended_under_it_by_chance() {
+    block_on(async {
+        let setting = Setting::start("crash-chance", route("/plans/", RouteKind::Idempotent, "web")).await;
+        for round in 0..6 {
+            // Whichever engine takes the innocent request ends while it runs it.
+            let watched = async {
+                let begun =
+                    || setting.log.borrow().iter().rfind(|begun| begun.request == format!("r-{round}")).cloned();
+                eventually("it has begun", async || begun().is_some()).await;
+                let instance = begun().expect("it has begun").instance;
+                let engine = setting.engines.iter().find(|engine| engine.instance() == instance);
+                engine.expect("one of the three").crash();
+            };
+            let front = setting.fronts()[round % 2];
+            let id = format!("r-{round}");
+            let (status, ()) = futures::join!(ask(front, &id, "an innocent plan"), watched);
+            assert_eq!(status, StatusCode::OK, "round {round}: another engine serves it");
+            setting.revive().await;
+        }
+    });
+}
+
+#[test]
+fn an_answer_that_is_lost_is_no_evidence_while_its_engine_lives() {
+    block_on(async {
+        let deployment = Deployment::start("crash-lost-answers").await;
+        deployment.configure(&document(1, vec![route("/plans/", RouteKind::NonIdempotent, "web")])).await;
+        let engines = [StandInEngine::start("engine-0").await, StandInEngine::start("engine-1").await];
+        for engine in &engines {
+            engine.set_conduct(Conduct::BreakOff);
+            deployment.register(engine, "web").await;
+        }
+        deployment.await_engines("web", 2).await;
+        for round in 0..12 {
+            let _ = ask(deployment.front, &format!("r-{round}"), "a plan").await;
+        }
+        engines.iter().for_each(|engine| engine.set_conduct(Conduct::Answer));
+        assert_eq!(ask(deployment.front, "last", "a plan").await, StatusCode::OK);
+        assert_eq!(deployment.node.read(|state| state.suspicions.is_empty()), Some(true));
+    });
+}
+
+#[test]
+fn a_gateway_that_starts_later_sends_quarantined_work_to_no_engine() {
+    block_on(async {
+        let setting = Setting::start("crash-later", route("/plans/", RouteKind::Idempotent, "web")).await;
+        let body = format!("a plan that {CRASHES}");
+        for (index, front) in setting.fronts().into_iter().enumerate() {
+            ask(front, &format!("try-{index}"), &body).await;
+        }
+        assert_eq!(setting.ended(), MOST_ENDED);
+        setting.revive().await;
+        let later = setting.deployment.start_gateway_beside("later").await;
+        assert_eq!(ask(later, "try-later", &body).await, StatusCode::BAD_GATEWAY);
+        assert_eq!(ask(later, "another", "a plan").await, StatusCode::OK);
+        assert_eq!(setting.ended(), MOST_ENDED);
+    });
+}
+
+#[test]
+fn an_operator_releases_work_and_it_is_tried_again() {
+    block_on(async {
+        let setting = Setting::start("crash-release", route("/plans/", RouteKind::Idempotent, "web")).await;
+        let body = format!("a plan that {CRASHES}");
+        for (index, front) in setting.fronts().into_iter().enumerate() {
+            ask(front, &format!("try-{index}"), &body).await;
+        }
+        setting.revive().await;
+        let control = setting.deployment.control;
+        let listed = call(control, Method::GET, "/admin/v1/suspicions", &[], "").await;
+        let list: SuspicionList = serde_json::from_slice(&listed.body).expect("a list");
+        assert!(list.suspicions[0].is_quarantined(), "{list:?}");
+        let path = format!("/admin/v1/suspicions/{}", list.suspicions[0].work.to_hexadecimal());
+        assert_eq!(call(control, Method::DELETE, &path, &[], "").await.status, StatusCode::OK);
+        assert_eq!(call(control, Method::DELETE, &path, &[], "").await.status, StatusCode::NOT_FOUND);
+        eventually("the gateways know", async || setting.deployment.gateway.suspected_work() == 0).await;
+        ask(setting.deployment.front, "try-released", &body).await;
+        assert_eq!(setting.ended(), MOST_ENDED + 2);
+    });
+}
+
+/// An item that ends whatever runs it is held back; the job's others are completed.
+#[test]
+fn an_item_that_has_ended_three_engines_is_sent_to_no_more() {
+    block_on(async {
+        let deployment = Deployment::start("crash-item").await;
+        deployment.configure(&document(1, vec![rollouts()])).await;
+        let log = BegunLog::default();
+        let engines: Vec<_> = (0..3).map(|index| CrashingEngine::start(&format!("engine-{index}"), &log)).collect();
+        for engine in &engines {
+            deployment.register_crashing(engine, "llm").await;
+        }
+        let mut submission = job("job", 0, 0, 6, 1);
+        submission.items[2].body = format!("a prompt that {CRASHES}").into_bytes();
+        assert_eq!(deployment.submit(&submission).await, StatusCode::ACCEPTED);
+        let ended = || log.borrow().iter().filter(|begun| begun.crashed).count();
+        let revive = async || {
+            for engine in &engines {
+                if engine.revive() {
+                    deployment.register_crashing(engine, "llm").await;
+                }
+            }
+        };
+        eventually("the other items are completed", async || {
+            revive().await;
+            deployment.results("job").await.is_some_and(|page| page.results.len() == 5)
+        })
+        .await;
+        eventually("three engines have ended under it", async || {
+            revive().await;
+            ended() == MOST_ENDED
+        })
+        .await;
+        // Engines are up again and do other work, and the item is still wanted.
+        assert_eq!(deployment.submit(&job("later", 0, 6, 6, 1)).await, StatusCode::ACCEPTED);
+        eventually("a later job is completed", async || {
+            revive().await;
+            deployment.results("later").await.is_some_and(|page| page.results.len() == 6)
+        })
+        .await;
+        assert_eq!(ended(), MOST_ENDED);
+        let page = deployment.results("job").await.expect("a page");
+        assert!(page.results.iter().all(|(id, _)| id.0 != "item-2"), "no engine has done or failed it");
+    });
+}
--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -41,11 +41,15 @@
         incarnation: gateway.inner.incarnation,
         unix_ms: gateway.inner.runtime.unix_milliseconds(),
         usage: gateway.inner.usage.borrow_mut().difference(),
+        suspicion_revision: gateway.inner.suspicions.borrow().revision(),
     }
 }
 
-fn take(gateway: &Gateway, reply: FollowReply, asked_at: Duration) {
+fn take(gateway: &Gateway, mut reply: FollowReply, asked_at: Duration) {
     let inner = &gateway.inner;
+    if let Some(list) = reply.suspicions.take() {
+        inner.suspicions.borrow_mut().take(list);
+    }
     tell_instances(&reply);
     if !reply.replicas.is_empty() {
         let seeds = inner.options.seeds.borrow();
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -17,6 +17,7 @@
 use saddlerelay_runtime::timeout::timeout;
 use saddlerelay_types::instance::InstanceId;
 use saddlerelay_types::routing::RouteKind;
+use saddlerelay_types::suspicion::MOST_ENGINES_ENDED;
 use saddlerelay_upstream::{Failure, Outgoing, ReadyEngine, Reuse};
 use std::cell::Cell;
 use std::pin::pin;
@@ -51,7 +52,10 @@
         let ended = timeout(&self.inner.runtime, left, self.attempt_until_answered(&passage, &outgoing)).await;
         match ended {
             Some(Ok((head, body))) => self.answer(request, chosen, head, body),
-            Some(Err(refusal)) => self.refuse(request, refusal),
+            Some(Err(refusal)) => {
+                self.await_known_to_group(request, &passage.work).await;
+                self.refuse(request, refusal)
+            }
             None if passage.possible_runs.may_have_run() => self.refuse(request, Refusal::Late),
             None => self.refuse(request, Refusal::LateNotRun),
         }
@@ -90,6 +94,7 @@
         let mut last_failure = None;
         let mut running = FuturesUnordered::new();
         loop {
+            self.check_quarantine(passage.request, &passage.work)?;
             let may_begin = tried.len() - refused_by.len() < most_runs && tried.len() < most_runs + EXTRA_ENGINES;
             if running.is_empty() {
                 let engine = may_begin.then(|| self.choose_engine(passage.service, &tried)).flatten();
@@ -103,7 +108,10 @@
                 tried.push(engine.target.instance.clone());
                 running.push(self.attempt(passage, outgoing, engine));
             }
-            let may_hedge = !hedged && running.len() == 1 && tried.len() - refused_by.len() < most_runs;
+            // Work under which an engine has ended is not tried at two engines at once.
+            let is_suspected = self.engines_ended(passage.request, &passage.work) > 0;
+            let may_hedge =
+                !hedged && !is_suspected && running.len() == 1 && tried.len() - refused_by.len() < most_runs;
             let hedge = async {
                 if may_hedge {
                     self.inner.runtime.sleep(hedge_after).await;
@@ -125,7 +133,12 @@
                 }
             };
             match ended {
-                AttemptEnd::Answered(head, body) => return Ok((head, body)),
+                AttemptEnd::Answered(head, body) => {
+                    if head.status.is_success() {
+                        self.note_served(passage.request, &passage.work);
+                    }
+                    return Ok((head, body));
+                }
                 AttemptEnd::NotExecuted(_) => refused_by.push(instance),
                 AttemptEnd::Failed(_, answer) => last_failure = answer.or(last_failure),
                 AttemptEnd::ConnectionLost(_) => {}
@@ -181,7 +194,10 @@
         };
         let time_left = || passage.limit.saturating_sub(self.now());
         let run = passage.possible_runs.attempt();
-        let may_send = || run.note_sending(self.may_send(instance), self.now());
+        let may_send = || {
+            let is_quarantined = self.engines_ended(passage.request, &passage.work) >= MOST_ENGINES_ENDED;
+            run.note_sending(!is_quarantined && self.may_send(instance), self.now())
+        };
         let ended = match self.inner.pool.send(&engine.target, outgoing, reuse, time_left, may_send).await {
             Ok(answer) => {
                 let not_executed = answer.is_not_executed(self.names());
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -4,6 +4,7 @@
 use crate::metrics::GatewayMetrics;
 use crate::refusal::Refusal;
 use crate::request::ClientRequest;
+use crate::suspicions::{EvidenceSignals, Suspicions};
 use crate::table::RouteTable;
 use crate::usage::{FollowedClock, UsageLedger};
 use crate::view::View;
@@ -51,6 +52,8 @@
     pub clock: RefCell<FollowedClock>,
     pub usage: RefCell<UsageLedger>,
     pub balance: Balance,
+    pub suspicions: RefCell<Suspicions>,
+    pub evidence_signals: EvidenceSignals,
     pub metrics: GatewayMetrics,
     /// Where in each route's turn of targets this relay begins.
     pub offset: f64,
@@ -96,6 +99,8 @@
             clock: RefCell::default(),
             usage: RefCell::default(),
             balance: Balance::default(),
+            suspicions: RefCell::default(),
+            evidence_signals: EvidenceSignals::default(),
             metrics: GatewayMetrics::default(),
             offset,
             draining: Cell::new(false),
@@ -104,6 +109,7 @@
         };
         let gateway = Self { inner: Rc::new(inner) };
         runtime.spawn(crate::follow::follow(gateway.clone()));
+        runtime.spawn(crate::suspicions::hand_over(gateway.clone()));
         gateway
     }
 
@@ -143,6 +149,11 @@
         self.inner.view.borrow().is_ready(instance)
     }
 
+    /// How many kinds of work this relay suspects of ending engines.
+    pub fn suspected_work(&self) -> usize {
+        self.inner.suspicions.borrow().len()
+    }
+
     /// From now on every answer tells its client to go elsewhere.
     pub fn drain(&self) {
         self.inner.draining.set(true);
--- a/crates/gateway/src/lost_connections.rs
+++ b/crates/gateway/src/lost_connections.rs
@@ -34,14 +34,21 @@
         target: &EngineTarget,
     ) {
         let ended = self.inner.pool.has_ended(target).await;
+        // One that was leaving has ended for a reason of its own.
+        let counts = ended && self.sends_to(&target.instance);
         if ended {
             self.inner.metrics.engines_ended.inc();
         }
+        if counts {
+            self.note_engine_loss(work.digest(request), &target.instance);
+        }
         spdlog::warn!("connection lost under a request", kv: {
             request = request.id.as_str(),
             work = work.digest(request).shown().as_str(),
             instance = target.instance.0.as_str(),
-            engine_ended = ended
+            engine_ended = ended,
+            counts = counts,
+            engines_ended = self.engines_ended(request, work)
         });
     }
 }
--- a/crates/gateway/src/refusal.rs
+++ b/crates/gateway/src/refusal.rs
@@ -26,6 +26,8 @@
     Late,
     /// The engine failed; the request may have run.
     EngineFailed,
+    /// Engine after engine has ended under the same work; it is sent to no more.
+    Quarantined,
 }
 
 impl Refusal {
@@ -38,7 +40,7 @@
             Self::Malformed => StatusCode::BAD_REQUEST,
             Self::NoLease | Self::NoEngine | Self::LateNotRun => StatusCode::SERVICE_UNAVAILABLE,
             Self::Late => StatusCode::GATEWAY_TIMEOUT,
-            Self::EngineFailed => StatusCode::BAD_GATEWAY,
+            Self::EngineFailed | Self::Quarantined => StatusCode::BAD_GATEWAY,
         }
     }
 
@@ -54,6 +56,7 @@
             Self::LateNotRun => "time over before any engine was given it",
             Self::Late => "time over",
             Self::EngineFailed => "engine failed",
+            Self::Quarantined => "not sent on: engines have ended under this work",
         }
     }
 
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -14,6 +14,7 @@
 use saddlerelay_http::body::{BrokenOff, LocalBody, Reply};
 use saddlerelay_runtime::timeout::timeout;
 use saddlerelay_types::instance::InstanceId;
+use saddlerelay_types::suspicion::MOST_ENGINES_ENDED;
 use saddlerelay_upstream::answer::AnswerStream;
 use saddlerelay_upstream::events::EventCutter;
 use saddlerelay_upstream::{Answer, EngineTarget, Failure, Outgoing, Reuse};
@@ -76,7 +77,10 @@
                 answer
             }
             Some(Begun::Whole(head, body)) => return self.answer(&request, chosen, head, body),
-            Some(Begun::Refused(refusal)) => return self.refuse(&request, refusal),
+            Some(Begun::Refused(refusal)) => {
+                self.await_known_to_group(&request, &work).await;
+                return self.refuse(&request, refusal);
+            }
             None if possible_runs.may_have_run() => return self.refuse(&request, Refusal::Late),
             None => return self.refuse(&request, Refusal::LateNotRun),
         };
@@ -126,13 +130,19 @@
         let most = route.max_attempts.max(1) as usize;
         let mut last_failure = None;
         while tried.len() < most {
+            if let Err(refusal) = self.check_quarantine(passage.request, passage.work) {
+                return Begun::Refused(refusal);
+            }
             let instances: Vec<InstanceId> = tried.iter().map(|target| target.instance.clone()).collect();
             let Some(engine) = self.choose_engine(passage.service, &instances) else {
                 break;
             };
             tried.push(engine.target.clone());
             let run = possible_runs.attempt();
-            let may_send = || run.note_sending(self.may_send(&engine.target.instance), self.now());
+            let may_send = || {
+                let is_quarantined = self.engines_ended(passage.request, passage.work) >= MOST_ENGINES_ENDED;
+                run.note_sending(!is_quarantined && self.may_send(&engine.target.instance), self.now())
+            };
             let time_left = || passage.limit.saturating_sub(self.now());
             let began_at = self.now();
             let sent = self.inner.pool.send(&engine.target, outgoing, Reuse::Recent, time_left, may_send).await;
@@ -209,7 +219,10 @@
             let received = timeout(&self.gateway.inner.runtime, left, self.body.next()).await;
             match received {
                 Some(Some(Ok(bytes))) => self.cutter.push(&bytes),
-                Some(None) if !self.cutter.is_mid_event() => return self.end("stream ended", None),
+                Some(None) if !self.cutter.is_mid_event() => {
+                    self.gateway.note_served(&self.request, &self.work);
+                    return self.end("stream ended", None);
+                }
                 Some(broken) => {
                     if matches!(broken, Some(Err(Failure::ConnectionLost(_)))) {
                         self.look_into_lost_connection().await;
--- a/crates/gateway/tests/choice.rs
+++ b/crates/gateway/tests/choice.rs
@@ -94,6 +94,7 @@
 fn reply(version: Option<u64>, lease_ms: u64) -> FollowReply {
     FollowReply {
         group_unix_ms: None,
+        suspicions: None,
         usage_taken: 0,
         lease_ms,
         routing: version.map(|version| update(None, version)),
--- a/crates/simulator/tests/duties.rs
+++ b/crates/simulator/tests/duties.rs
@@ -428,6 +428,7 @@
     let limit = Duration::from_millis(650);
     loop {
         let question = GatewayRequest::Follow(FollowRequest {
+            suspicion_revision: 0,
             relay: format!("relay-{place}"),
             zone: "north".to_string(),
             routing_version: Some(1),
--- a/crates/types/src/gateway.rs
+++ b/crates/types/src/gateway.rs
@@ -6,8 +6,10 @@
 use crate::job::{ItemId, ItemOutcome, JobId, JobSubmission, ResultPage, TextPart};
 use crate::routing::{RoutingDocument, RoutingError};
 use crate::routing_update::EncodedRoutingUpdate;
+use crate::suspicion::{SuspicionList, WorkEvidence};
 use crate::tenancy::Caller;
 use crate::usage::{RelayUsage, UsageDifference, UsageWindow};
+use crate::work::WorkDigest;
 use bitcode::{Decode, Encode};
 use serde::{Deserialize, Serialize};
 use std::net::SocketAddr;
@@ -79,6 +81,12 @@
     ReadRetirement(String),
     /// What is done towards the platform.
     ReadDuties,
+    /// A relay has seen engines end under work, or suspected work served.
+    TakeEvidence(WorkEvidence),
+    /// The work under which engines have ended.
+    ReadSuspicions,
+    /// An operator wants work to be sent to engines again.
+    ReleaseWork(WorkDigest),
 }
 
 /// What a relay holds already.
@@ -100,6 +108,8 @@
     pub unix_ms: u64,
     /// Requests that engines have begun since the relay last handed counts over; `None` for none.
     pub usage: Option<UsageDifference>,
+    /// The revision of the list of suspected work that it acts on.
+    pub suspicion_revision: u64,
 }
 
 /// What a relay lacks.
@@ -124,6 +134,8 @@
     pub group_unix_ms: Option<u64>,
     /// The newest difference of this start of the relay whose counts are committed; 0 for none.
     pub usage_taken: u64,
+    /// The list of suspected work, if it is another one than the relay's.
+    pub suspicions: Option<SuspicionList>,
 }
 
 /// An answer of the control group's leader.
@@ -154,6 +166,8 @@
     },
     /// What is done towards the platform.
     Duties(DutyOverview),
+    /// The work under which engines have ended.
+    Suspicions(SuspicionList),
     /// Nothing was done, and nothing will be; try again later.
     Unavailable,
 }
@@ -241,6 +255,12 @@
     UsageReported(UsageWindow),
     /// Engines are wanted in these numbers.
     WantEngines(Vec<WantedEngines>),
+    /// Take what has been seen of work under which engines end.
+    TakeEvidence(WorkEvidence),
+    /// Forget what was seen of such work long ago.
+    ExpireSuspicions,
+    /// Forget what is known of this work.
+    ReleaseWork(WorkDigest),
 }
 
 /// What orders are about. Only one replica at a time gives orders about a subject.
--- a/crates/types/src/lib.rs
+++ b/crates/types/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod rollout;
 pub mod routing;
 pub mod routing_update;
+pub mod suspicion;
 pub mod tenancy;
 pub mod usage;
 pub mod work;
--- /dev/null
+++ b/crates/types/src/suspicion.rs
@@ -0,0 +1,63 @@
+//! Work under which engines have ended. A request may crash each engine that begins to run it; what tells it from its
+//! neighbours, which end with the engine too, is that it does so again and again and is never served.
+
+use crate::instance::InstanceId;
+use crate::work::WorkDigest;
+use bitcode::{Decode, Encode};
+use serde::{Deserialize, Serialize};
+
+/// Engines that may end under the same work, without its being served in between, before it is sent to no more. Two can
+/// end by chance while they run the same innocent request, each with its neighbours; the users allow three.
+pub const MOST_ENGINES_ENDED: usize = 3;
+
+/// An engine has ended while it ran certain work.
+#[derive(Clone, Debug, PartialEq, Eq, Encode, Decode)]
+pub struct EngineLoss {
+    /// The work.
+    pub work: WorkDigest,
+    /// The engine.
+    pub instance: InstanceId,
+}
+
+/// What a process has seen of suspected work.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Encode, Decode)]
+pub struct WorkEvidence {
+    /// Engines that have ended under work.
+    pub losses: Vec<EngineLoss>,
+    /// Work that an engine has served to its end, so that it does not crash whatever runs it.
+    pub served: Vec<WorkDigest>,
+}
+
+impl WorkEvidence {
+    /// Whether there is none.
+    pub fn is_empty(&self) -> bool {
+        self.losses.is_empty() && self.served.is_empty()
+    }
+}
+
+/// Work under which engines have ended.
+#[derive(Clone, Debug, PartialEq, Eq, Encode, Decode, Serialize, Deserialize)]
+pub struct Suspicion {
+    /// The work.
+    pub work: WorkDigest,
+    /// The engines that have ended under it since it was last served; each once, [`MOST_ENGINES_ENDED`] at most.
+    pub engines: Vec<InstanceId>,
+    /// When the last of them ended, in Unix milliseconds.
+    pub last_at: u64,
+}
+
+impl Suspicion {
+    /// Whether the work is sent to no engine.
+    pub fn is_quarantined(&self) -> bool {
+        self.engines.len() >= MOST_ENGINES_ENDED
+    }
+}
+
+/// All suspected work that the control group knows of.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Encode, Decode, Serialize, Deserialize)]
+pub struct SuspicionList {
+    /// Rises with each change.
+    pub revision: u64,
+    /// The work.
+    pub suspicions: Vec<Suspicion>,
+}
