--- a/crates/gateway-api/tests/common/mod.rs
+++ b/crates/gateway-api/tests/common/mod.rs
@@ -66,6 +66,8 @@
     pub control: SocketAddr,
     peer: SocketAddr,
     name: String,
+    /// Of all its gateways.
+    gateway_config: GatewayConfig,
 }
 
 impl Drop for Deployment {
@@ -123,13 +125,19 @@
 }
 
 /// Starts a gateway in a zone; returns it and where its clients reach it.
-async fn start_gateway(runtime: &CompioRuntime, peer: SocketAddr, name: &str, zone: &str) -> (Gateway, SocketAddr) {
+async fn start_gateway(
+    runtime: &CompioRuntime,
+    peer: SocketAddr,
+    name: &str,
+    zone: &str,
+    config: GatewayConfig,
+) -> (Gateway, SocketAddr) {
     let options = GatewayOptions {
         name: name.to_string(),
         zone: zone.to_string(),
         seeds: Rc::new(RefCell::new(vec![peer])),
         names: Default::default(),
-        config: GatewayConfig::default(),
+        config,
         usage_window: Some(USAGE_WINDOW),
     };
     let gateway = Gateway::start(runtime.clone(), ControlClient::new(runtime.clone(), &[peer], SECRET), options);
@@ -154,6 +162,11 @@
 impl Deployment {
     /// Starts it and waits until it has a leader.
     pub async fn start(name: &str) -> Self {
+        Self::start_with(name, GatewayConfig::default()).await
+    }
+
+    /// Starts it with gateways that are set as told, and waits until it has a leader.
+    pub async fn start_with(name: &str, gateway_config: GatewayConfig) -> Self {
         let runtime = CompioRuntime::new(empty_folder(name));
         let (peer_listener, peer) = bind().await;
         let node = start_replica(&runtime, peer_listener, peer, peer).await;
@@ -165,12 +178,12 @@
             Box::new(OwnEngines),
             coordinator_config(),
         );
-        let (gateway, front) = start_gateway(&runtime, peer, "gateway", "north").await;
+        let (gateway, front) = start_gateway(&runtime, peer, "gateway", "north", gateway_config.clone()).await;
         let (control_listener, control) = bind().await;
         let control_api =
             Rc::new(ControlApi { control: ControlClient::new(runtime.clone(), &[peer], SECRET), formats: OwnFormats });
         runtime.spawn(serve_until(control_listener, control_api, Shutdown::default()));
-        let deployment = Self { node, gateway, front, control, peer, name: name.to_string() };
+        let deployment = Self { node, gateway, front, control, peer, name: name.to_string(), gateway_config };
         eventually("the group has a leader", async || deployment.node.replica().leading_term().is_some()).await;
         deployment
     }
@@ -192,7 +205,8 @@
             self.node.replica().member_addresses().contains(&address)
         })
         .await;
-        let (gateway, front) = start_gateway(&runtime, self.peer, "gateway-south", "south").await;
+        let (gateway, front) =
+            start_gateway(&runtime, self.peer, "gateway-south", "south", self.gateway_config.clone()).await;
         eventually("its gateway is ready", async || gateway.is_ready()).await;
         (replica, gateway, front)
     }
@@ -200,7 +214,7 @@
     /// Starts a further gateway in zone `north`; returns where its clients reach it once it is ready.
     pub async fn start_gateway_beside(&self, name: &str) -> SocketAddr {
         let runtime = CompioRuntime::new(empty_folder(&format!("{}-{name}", self.name)));
-        let (gateway, front) = start_gateway(&runtime, self.peer, name, "north").await;
+        let (gateway, front) = start_gateway(&runtime, self.peer, name, "north", self.gateway_config.clone()).await;
         eventually("the further gateway is ready", async || gateway.is_ready()).await;
         front
     }
--- a/crates/gateway-api/tests/crashing_work.rs
+++ b/crates/gateway-api/tests/crashing_work.rs
@@ -6,10 +6,11 @@
 use common::engine::{Conduct, StandInEngine};
 use common::{Deployment, HOST, block_on, call, document, eventually, job, rollouts, route};
 use hyper::{Method, StatusCode};
-use saddlerelay_gateway::Gateway;
+use saddlerelay_gateway::{Gateway, GatewayConfig};
 use saddlerelay_types::routing::{Route, RouteKind};
 use saddlerelay_types::suspicion::SuspicionList;
 use std::net::SocketAddr;
+use std::time::Duration;
 
 /// Engines that may end under one kind of work before it is no longer sent on.
 const MOST_ENDED: usize = 3;
@@ -26,8 +27,14 @@
 }
 
 impl Setting {
+    /// Work may be sent to the engine that would quarantine it at once.
     async fn start(name: &str, route: Route) -> Self {
-        let deployment = Deployment::start(name).await;
+        Self::start_with_pause(name, route, Duration::ZERO).await
+    }
+
+    async fn start_with_pause(name: &str, route: Route, last_trial_pause: Duration) -> Self {
+        let config = GatewayConfig { last_trial_pause, ..GatewayConfig::default() };
+        let deployment = Deployment::start_with(name, config).await;
         deployment.configure(&document(1, vec![route])).await;
         let (_, gateway, front) = deployment.start_in_the_south().await;
         let log = BegunLog::default();
@@ -102,6 +109,28 @@
     }
 }
 
+/// Two of three engines have ended; the third goes on serving others, and the work may try it when the two are back.
+#[test]
+fn the_last_trial_waits_until_engines_may_be_back() {
+    block_on(async {
+        let pause = Duration::from_secs(600);
+        let route = route("/plans/", RouteKind::Idempotent, "web");
+        let setting = Setting::start_with_pause("crash-pause", route, pause).await;
+        let body = format!("a plan that {CRASHES}");
+        assert_eq!(ask(setting.fronts()[0], "try-0", &body).await, StatusCode::BAD_GATEWAY);
+        assert_eq!(setting.ended(), 2);
+        for (index, front) in setting.fronts().into_iter().enumerate() {
+            let headers = [("saddlerelay-request", "again"), ("host", HOST)];
+            let refused = call(front, Method::POST, "/plans/7", &headers, body.clone()).await;
+            assert_eq!(refused.status, StatusCode::SERVICE_UNAVAILABLE, "gateway {index}: it has not run");
+            let seconds = refused.headers["retry-after"].to_str().ok().and_then(|value| value.parse::<f64>().ok());
+            assert!(seconds.is_some_and(|seconds| seconds > 500.0 && seconds <= 600.0), "{seconds:?}");
+            assert_eq!(ask(front, &format!("other-{index}"), "a plan").await, StatusCode::OK);
+        }
+        assert_eq!(setting.ended(), 2);
+    });
+}
+
 #[test]
 fn what_a_gateway_has_seen_is_known_to_the_next_before_the_client_is_answered() {
     block_on(async {
--- a/crates/gateway/src/config.rs
+++ b/crates/gateway/src/config.rs
@@ -20,6 +20,9 @@
     pub default_body_bytes: u64,
     /// Longest wait for the control group's answer to a follow request.
     pub follow_limit: Duration,
+    /// How long work under which engines have ended is kept from the one that would quarantine it: about as long as engines
+    /// take to come back. Measured in inc1: 2.9 to 3.5 s from a crash to the new instance.
+    pub last_trial_pause: Duration,
 }
 
 impl Default for GatewayConfig {
@@ -32,6 +35,7 @@
             whole_answer_bytes: 32 * 1024 * 1024,
             default_body_bytes: 8 * 1024 * 1024,
             follow_limit: Duration::from_millis(650),
+            last_trial_pause: Duration::from_secs(5),
         }
     }
 }
--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -48,7 +48,7 @@
 fn take(gateway: &Gateway, mut reply: FollowReply, asked_at: Duration) {
     let inner = &gateway.inner;
     if let Some(list) = reply.suspicions.take() {
-        inner.suspicions.borrow_mut().take(list);
+        inner.suspicions.borrow_mut().take(list, inner.runtime.monotonic());
     }
     tell_instances(&reply);
     if !reply.replicas.is_empty() {
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -5,6 +5,7 @@
 use crate::lost_connections::RequestedWork;
 use crate::refusal::Refusal;
 use crate::request::{ClientRequest, remove_hop_by_hop};
+use crate::suspicions::Verdict;
 use crate::usage::CountedRuns;
 use bytes::Bytes;
 use futures::future::{self, Either};
@@ -17,7 +18,6 @@
 use saddlerelay_runtime::timeout::timeout;
 use saddlerelay_types::instance::InstanceId;
 use saddlerelay_types::routing::RouteKind;
-use saddlerelay_types::suspicion::MOST_ENGINES_ENDED;
 use saddlerelay_upstream::{Failure, Outgoing, ReadyEngine, Reuse};
 use std::cell::Cell;
 use std::pin::pin;
@@ -94,9 +94,9 @@
         let mut last_failure = None;
         let mut running = FuturesUnordered::new();
         loop {
-            self.check_quarantine(passage.request, &passage.work)?;
             let may_begin = tried.len() - refused_by.len() < most_runs && tried.len() < most_runs + EXTRA_ENGINES;
             if running.is_empty() {
+                self.check_suspicion(passage.request, &passage.work, passage.possible_runs.may_have_run())?;
                 let engine = may_begin.then(|| self.choose_engine(passage.service, &tried)).flatten();
                 let engine = engine.filter(|engine| !refused_by.contains(&engine.target.instance));
                 let Some(engine) = engine else {
@@ -195,8 +195,8 @@
         let time_left = || passage.limit.saturating_sub(self.now());
         let run = passage.possible_runs.attempt();
         let may_send = || {
-            let is_quarantined = self.engines_ended(passage.request, &passage.work) >= MOST_ENGINES_ENDED;
-            run.note_sending(!is_quarantined && self.may_send(instance), self.now())
+            let is_fit = self.verdict(passage.request, &passage.work) == Verdict::Send;
+            run.note_sending(is_fit && self.may_send(instance), self.now())
         };
         let ended = match self.inner.pool.send(&engine.target, outgoing, reuse, time_left, may_send).await {
             Ok(answer) => {
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -215,7 +215,11 @@
             view_age_ms = view.age(self.now()).as_millis() as u64
         });
         let config = &self.inner.options.config;
-        let wait = if refusal == Refusal::NoLease { config.lease_retry_after } else { config.retry_after };
+        let wait = match refusal {
+            Refusal::NoLease => config.lease_retry_after,
+            Refusal::Suspected(left) => left,
+            _ => config.retry_after,
+        };
         let mut reply = refusal.reply(wait);
         if let Ok(id) = HeaderValue::from_str(&request.id) {
             reply.headers_mut().insert(self.names().request_id.clone(), id);
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -21,7 +21,7 @@
     /// Engines found to have ended under a request of this relay.
     pub engines_ended: Counter,
     /// Requests not sent on because engines have ended under their work.
-    pub quarantined: Counter,
+    pub kept_from_engines: Counter,
     /// Calls with an unknown key, or with none where one is needed.
     pub keys_refused: Counter,
     /// Requests of tenants that engines have begun.
@@ -47,7 +47,8 @@
         let retries = counter("retries", "Attempts beyond a request's first");
         let hedges = counter("hedges", "Requests tried at a second engine because the first was slow");
         let engines_ended = counter("engines_ended", "Engines found to have ended under a request");
-        let quarantined = counter("quarantined", "Requests not sent on because engines have ended under their work");
+        let kept_from_engines =
+            counter("kept_from_engines", "Requests not sent on because engines have ended under their work");
         let keys_refused = counter("keys_refused", "Calls with an unknown key, or with none where one is needed");
         let usage_counted = counter("usage_counted", "Requests of tenants that engines have begun");
         let leases_lost = counter("leases_lost", "Times that the lease ended");
@@ -65,7 +66,7 @@
             retries,
             hedges,
             engines_ended,
-            quarantined,
+            kept_from_engines,
             keys_refused,
             usage_counted,
             leases_lost,
--- a/crates/gateway/src/refusal.rs
+++ b/crates/gateway/src/refusal.rs
@@ -26,6 +26,8 @@
     Late,
     /// The engine failed; the request may have run.
     EngineFailed,
+    /// Engines have ended under the same work; it is sent to no other for so long.
+    Suspected(Duration),
     /// Engine after engine has ended under the same work; it is sent to no more.
     Quarantined,
 }
@@ -38,7 +40,7 @@
             Self::UnknownKey => StatusCode::UNAUTHORIZED,
             Self::TooLarge => StatusCode::PAYLOAD_TOO_LARGE,
             Self::Malformed => StatusCode::BAD_REQUEST,
-            Self::NoLease | Self::NoEngine | Self::LateNotRun => StatusCode::SERVICE_UNAVAILABLE,
+            Self::NoLease | Self::NoEngine | Self::LateNotRun | Self::Suspected(_) => StatusCode::SERVICE_UNAVAILABLE,
             Self::Late => StatusCode::GATEWAY_TIMEOUT,
             Self::EngineFailed | Self::Quarantined => StatusCode::BAD_GATEWAY,
         }
@@ -56,6 +58,7 @@
             Self::LateNotRun => "time over before any engine was given it",
             Self::Late => "time over",
             Self::EngineFailed => "engine failed",
+            Self::Suspected(_) => "not sent on for now: engines have ended under this work",
             Self::Quarantined => "not sent on: engines have ended under this work",
         }
     }
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -6,6 +6,7 @@
 use crate::lost_connections::RequestedWork;
 use crate::refusal::Refusal;
 use crate::request::{ClientRequest, remove_hop_by_hop};
+use crate::suspicions::Verdict;
 use crate::usage::CountedRuns;
 use bytes::Bytes;
 use futures::Stream;
@@ -14,7 +15,6 @@
 use saddlerelay_http::body::{BrokenOff, LocalBody, Reply};
 use saddlerelay_runtime::timeout::timeout;
 use saddlerelay_types::instance::InstanceId;
-use saddlerelay_types::suspicion::MOST_ENGINES_ENDED;
 use saddlerelay_upstream::answer::AnswerStream;
 use saddlerelay_upstream::events::EventCutter;
 use saddlerelay_upstream::{Answer, EngineTarget, Failure, Outgoing, Reuse};
@@ -130,7 +130,8 @@
         let most = route.max_attempts.max(1) as usize;
         let mut last_failure = None;
         while tried.len() < most {
-            if let Err(refusal) = self.check_quarantine(passage.request, passage.work) {
+            let may_have_run = possible_runs.may_have_run();
+            if let Err(refusal) = self.check_suspicion(passage.request, passage.work, may_have_run) {
                 return Begun::Refused(refusal);
             }
             let instances: Vec<InstanceId> = tried.iter().map(|target| target.instance.clone()).collect();
@@ -140,8 +141,8 @@
             tried.push(engine.target.clone());
             let run = possible_runs.attempt();
             let may_send = || {
-                let is_quarantined = self.engines_ended(passage.request, passage.work) >= MOST_ENGINES_ENDED;
-                run.note_sending(!is_quarantined && self.may_send(&engine.target.instance), self.now())
+                let is_fit = self.verdict(passage.request, passage.work) == Verdict::Send;
+                run.note_sending(is_fit && self.may_send(&engine.target.instance), self.now())
             };
             let time_left = || passage.limit.saturating_sub(self.now());
             let began_at = self.now();
--- a/crates/gateway/src/suspicions.rs
+++ b/crates/gateway/src/suspicions.rs
@@ -28,12 +28,39 @@
 /// Losses that wait to be handed over; more than engines can end while no leader is to be found.
 const LOSSES_KEPT: usize = 1_024;
 
+/// What is to be done with a request, by what is known of its work.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Verdict {
+    /// It is sent on.
+    Send,
+    /// It is not sent on for so long.
+    Pause(Duration),
+    /// It is sent to no engine.
+    Quarantine,
+}
+
+/// Suspected work.
+#[derive(Debug, Default)]
+struct Suspect {
+    engines: BTreeSet<InstanceId>,
+    /// When this relay learned of the last of them, by its own clock.
+    learned_at: Duration,
+}
+
+impl Suspect {
+    fn learn(&mut self, engine: InstanceId, now: Duration) {
+        if self.engines.insert(engine) {
+            self.learned_at = now;
+        }
+    }
+}
+
 /// The knowledge. Empty on a calm day.
 #[derive(Debug, Default)]
 pub struct Suspicions {
     revision: u64,
-    /// What the group has told.
-    told: BTreeMap<WorkDigest, Vec<InstanceId>>,
+    /// What the group has told and what this relay has seen.
+    suspects: BTreeMap<WorkDigest, Suspect>,
     /// What is not handed over yet.
     evidence: WorkEvidence,
 }
@@ -46,44 +73,52 @@
 
     /// Whether no work is suspected.
     pub fn is_empty(&self) -> bool {
-        self.told.is_empty() && self.evidence.losses.is_empty()
+        self.suspects.is_empty()
     }
 
-    /// How many kinds of work the group has told of.
+    /// How many kinds of work are suspected.
     pub fn len(&self) -> usize {
-        self.told.len()
+        self.suspects.len()
     }
 
     /// How many engines have ended under `work` since it was last served.
     pub fn engines_ended(&self, work: &WorkDigest) -> usize {
-        let told = self.told.get(work).into_iter().flatten();
-        let seen = self.evidence.losses.iter().filter(|loss| loss.work == *work).map(|loss| &loss.instance);
-        told.chain(seen).collect::<BTreeSet<_>>().len()
+        self.suspects.get(work).map_or(0, |suspect| suspect.engines.len())
     }
 
-    /// Whether `work` is to be sent to no engine.
-    pub fn is_quarantined(&self, work: &WorkDigest) -> bool {
-        self.engines_ended(work) >= MOST_ENGINES_ENDED
+    /// What is to be done with a request for `work` at `now`.
+    ///
+    /// Work that one engine more would quarantine is sent to none for `last_trial_pause`: the engines that have ended are
+    /// back then, and its last trial does not take the last engine.
+    pub fn verdict(&self, work: &WorkDigest, now: Duration, last_trial_pause: Duration) -> Verdict {
+        let Some(suspect) = self.suspects.get(work) else {
+            return Verdict::Send;
+        };
+        let left = (suspect.learned_at + last_trial_pause).saturating_sub(now);
+        match suspect.engines.len() {
+            ended if ended >= MOST_ENGINES_ENDED => Verdict::Quarantine,
+            ended if ended + 1 == MOST_ENGINES_ENDED && !left.is_zero() => Verdict::Pause(left),
+            _ => Verdict::Send,
+        }
     }
 
-    /// An engine has ended under work.
-    pub fn note_loss(&mut self, loss: EngineLoss) {
-        let losses = &mut self.evidence.losses;
-        if losses.len() < LOSSES_KEPT && !losses.contains(&loss) {
-            losses.push(loss);
+    /// An engine has ended under work, as this relay has seen at `now`.
+    pub fn note_loss(&mut self, loss: EngineLoss, now: Duration) {
+        if self.evidence.losses.len() >= LOSSES_KEPT || self.evidence.losses.contains(&loss) {
+            return;
         }
+        self.suspects.entry(loss.work).or_default().learn(loss.instance.clone(), now);
+        self.evidence.losses.push(loss);
     }
 
     /// An engine has served work; returns whether it was suspected.
     pub fn note_served(&mut self, work: &WorkDigest) -> bool {
-        if self.engines_ended(work) == 0 {
-            return false;
-        }
-        self.evidence.losses.retain(|loss| loss.work != *work);
-        if self.told.remove(work).is_some() {
+        let suspected = self.suspects.remove(work).is_some();
+        if suspected {
+            self.evidence.losses.retain(|loss| loss.work != *work);
             self.evidence.served.push(*work);
         }
-        true
+        suspected
     }
 
     /// What is not handed over yet.
@@ -97,11 +132,25 @@
         self.evidence.served.retain(|work| !taken.served.contains(work));
     }
 
-    /// Takes the group's list, unless a newer one is held.
-    pub fn take(&mut self, list: SuspicionList) {
-        if list.revision > self.revision {
-            self.revision = list.revision;
-            self.told = list.suspicions.into_iter().map(|suspicion| (suspicion.work, suspicion.engines)).collect();
+    /// Takes the group's list at `now`, unless a newer one is held.
+    pub fn take(&mut self, list: SuspicionList, now: Duration) {
+        if list.revision <= self.revision {
+            return;
+        }
+        self.revision = list.revision;
+        let mut before = std::mem::take(&mut self.suspects);
+        for suspicion in list.suspicions {
+            let mut suspect = before.remove(&suspicion.work).unwrap_or_default();
+            suspect.engines.retain(|engine| suspicion.engines.contains(engine));
+            suspicion.engines.into_iter().for_each(|engine| suspect.learn(engine, now));
+            self.suspects.insert(suspicion.work, suspect);
+        }
+        for work in &self.evidence.served {
+            self.suspects.remove(work);
+        }
+        for loss in &self.evidence.losses {
+            let at = before.get(&loss.work).map_or(now, |suspect| suspect.learned_at);
+            self.suspects.entry(loss.work).or_default().learn(loss.instance.clone(), at);
         }
     }
 }
@@ -122,25 +171,42 @@
         if suspicions.is_empty() { 0 } else { suspicions.engines_ended(&work.digest(request)) }
     }
 
-    /// Refuses a request whose work is to be sent to no engine.
-    pub(crate) fn check_quarantine(&self, request: &ClientRequest, work: &RequestedWork) -> Result<(), Refusal> {
-        let engines_ended = self.engines_ended(request, work);
-        if engines_ended < MOST_ENGINES_ENDED {
-            return Ok(());
+    /// What is to be done with a request at this moment, by what is known of its work.
+    pub(crate) fn verdict(&self, request: &ClientRequest, work: &RequestedWork) -> Verdict {
+        let suspicions = self.inner.suspicions.borrow();
+        if suspicions.is_empty() {
+            return Verdict::Send;
         }
-        self.inner.metrics.quarantined.inc();
-        spdlog::warn!("work in quarantine", kv: {
+        suspicions.verdict(&work.digest(request), self.now(), self.inner.options.config.last_trial_pause)
+    }
+
+    /// Refuses a request whose work is not to be sent on now. `may_have_run` tells whether this try of it may have run.
+    pub(crate) fn check_suspicion(
+        &self,
+        request: &ClientRequest,
+        work: &RequestedWork,
+        may_have_run: bool,
+    ) -> Result<(), Refusal> {
+        let (refusal, pause) = match self.verdict(request, work) {
+            Verdict::Send => return Ok(()),
+            Verdict::Quarantine => (Refusal::Quarantined, Duration::ZERO),
+            Verdict::Pause(left) if may_have_run => (Refusal::EngineFailed, left),
+            Verdict::Pause(left) => (Refusal::Suspected(left), left),
+        };
+        self.inner.metrics.kept_from_engines.inc();
+        spdlog::warn!("suspected work not sent on", kv: {
             request = request.id.as_str(),
             work = work.digest(request).to_hexadecimal().as_str(),
-            engines_ended = engines_ended,
+            engines_ended = self.engines_ended(request, work),
+            pause_ms = pause.as_millis() as u64,
             suspicion_revision = self.inner.suspicions.borrow().revision()
         });
-        Err(Refusal::Quarantined)
+        Err(refusal)
     }
 
     /// An engine has ended under a request.
     pub(crate) fn note_engine_loss(&self, work: WorkDigest, instance: &InstanceId) {
-        self.inner.suspicions.borrow_mut().note_loss(EngineLoss { work, instance: instance.clone() });
+        self.inner.suspicions.borrow_mut().note_loss(EngineLoss { work, instance: instance.clone() }, self.now());
         self.inner.evidence_signals.waiting.notify();
     }
 
@@ -184,8 +250,8 @@
         match inner.control.gateway(request, HAND_OVER_LIMIT, HAND_OVER_LIMIT).await {
             Ok(GatewayReply::Suspicions(list)) => {
                 let mut suspicions = inner.suspicions.borrow_mut();
-                suspicions.take(list);
                 suspicions.handed_over(&evidence);
+                suspicions.take(list, inner.runtime.monotonic());
                 drop(suspicions);
                 inner.evidence_signals.handed_over.notify();
             }
