--- a/crates/api/src/errors.rs
+++ b/crates/api/src/errors.rs
@@ -46,7 +46,7 @@
         FailureCode::UnknownTenant | FailureCode::UnknownModel => StatusCode::NOT_FOUND,
         FailureCode::KeyReused => StatusCode::UNPROCESSABLE_ENTITY,
         FailureCode::KeyExpired | FailureCode::KeySealed | FailureCode::EarlierAttemptLost => StatusCode::CONFLICT,
-        FailureCode::EngineFailed => StatusCode::BAD_GATEWAY,
+        FailureCode::EngineFailed | FailureCode::EnginesEnded => StatusCode::BAD_GATEWAY,
         FailureCode::InvalidRequest => StatusCode::BAD_REQUEST,
     }
 }
--- /dev/null
+++ b/crates/control-client/src/suspicions.rs
@@ -0,0 +1,264 @@
+//! What a relay knows of work under which engines have ended: what the control group has told, and what the relay has seen
+//! itself and not handed over yet.
+
+use crate::ControlClient;
+use saddlerelay_runtime::Runtime;
+use saddlerelay_runtime::signal::Signal;
+use saddlerelay_runtime::timeout::timeout;
+use saddlerelay_types::gateway::{GatewayReply, GatewayRequest};
+use saddlerelay_types::instance::InstanceId;
+use saddlerelay_types::suspicion::{EngineLoss, MOST_ENGINES_ENDED, SuspicionList, WorkEvidence};
+use saddlerelay_types::work::WorkDigest;
+use std::cell::RefCell;
+use std::collections::{BTreeMap, BTreeSet};
+use std::rc::Rc;
+use std::time::Duration;
+
+/// Longest time to hand evidence over before it is tried again.
+const HAND_OVER_LIMIT: Duration = Duration::from_millis(1_000);
+
+/// Pause after evidence could not be handed over.
+const RETRY_PAUSE: Duration = Duration::from_millis(50);
+
+/// How long suspected work is held back until the group has the evidence, so that it does not meet an engine or a relay that
+/// others' evidence would have kept it from: some times as long as a commit takes.
+const KNOWN_TO_GROUP_LIMIT: Duration = Duration::from_millis(100);
+
+/// Losses that wait to be handed over; more than engines can end while no leader is to be found.
+const LOSSES_KEPT: usize = 1_024;
+
+/// What is to be done with a request, by what is known of its work.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Verdict {
+    /// It is sent on.
+    Send,
+    /// It is not sent on for so long.
+    Pause(Duration),
+    /// It is sent to no engine.
+    Quarantine,
+}
+
+/// Suspected work.
+#[derive(Debug, Default)]
+struct Suspect {
+    engines: BTreeSet<InstanceId>,
+    /// When this relay learned of the last of them, by its own clock.
+    learned_at: Duration,
+}
+
+impl Suspect {
+    fn learn(&mut self, engine: InstanceId, now: Duration) {
+        if self.engines.insert(engine) {
+            self.learned_at = now;
+        }
+    }
+}
+
+/// The knowledge. Empty on a calm day.
+#[derive(Debug, Default)]
+pub struct Suspicions {
+    revision: u64,
+    /// What the group has told and what this relay has seen.
+    suspects: BTreeMap<WorkDigest, Suspect>,
+    /// What is not handed over yet.
+    evidence: WorkEvidence,
+}
+
+impl Suspicions {
+    /// The revision of the group's list that is held.
+    pub fn revision(&self) -> u64 {
+        self.revision
+    }
+
+    /// Whether no work is suspected.
+    pub fn is_empty(&self) -> bool {
+        self.suspects.is_empty()
+    }
+
+    /// How many kinds of work are suspected.
+    pub fn len(&self) -> usize {
+        self.suspects.len()
+    }
+
+    /// How many engines have ended under `work` since it was last served.
+    pub fn engines_ended(&self, work: &WorkDigest) -> usize {
+        self.suspects.get(work).map_or(0, |suspect| suspect.engines.len())
+    }
+
+    /// What is to be done with a request for `work` at `now`.
+    ///
+    /// Work that one engine more would quarantine is sent to none for `last_trial_pause`: the engines that have ended are
+    /// back then, and its last trial does not take the last engine.
+    pub fn verdict(&self, work: &WorkDigest, now: Duration, last_trial_pause: Duration) -> Verdict {
+        let Some(suspect) = self.suspects.get(work) else {
+            return Verdict::Send;
+        };
+        let left = (suspect.learned_at + last_trial_pause).saturating_sub(now);
+        match suspect.engines.len() {
+            ended if ended >= MOST_ENGINES_ENDED => Verdict::Quarantine,
+            ended if ended + 1 == MOST_ENGINES_ENDED && !left.is_zero() => Verdict::Pause(left),
+            _ => Verdict::Send,
+        }
+    }
+
+    /// An engine has ended under work, as this relay has seen at `now`.
+    pub fn note_loss(&mut self, loss: EngineLoss, now: Duration) {
+        if self.evidence.losses.len() >= LOSSES_KEPT || self.evidence.losses.contains(&loss) {
+            return;
+        }
+        self.suspects.entry(loss.work).or_default().learn(loss.instance.clone(), now);
+        self.evidence.losses.push(loss);
+    }
+
+    /// An engine has served work; returns whether it was suspected.
+    pub fn note_served(&mut self, work: &WorkDigest) -> bool {
+        let suspected = self.suspects.remove(work).is_some();
+        if suspected {
+            self.evidence.losses.retain(|loss| loss.work != *work);
+            self.evidence.served.push(*work);
+        }
+        suspected
+    }
+
+    /// What is not handed over yet.
+    pub fn evidence(&self) -> &WorkEvidence {
+        &self.evidence
+    }
+
+    /// The group has taken this evidence.
+    pub fn handed_over(&mut self, taken: &WorkEvidence) {
+        self.evidence.losses.retain(|loss| !taken.losses.contains(loss));
+        self.evidence.served.retain(|work| !taken.served.contains(work));
+    }
+
+    /// Takes the group's list at `now`, unless a newer one is held.
+    pub fn take(&mut self, list: SuspicionList, now: Duration) {
+        if list.revision <= self.revision {
+            return;
+        }
+        self.revision = list.revision;
+        let mut before = std::mem::take(&mut self.suspects);
+        for suspicion in list.suspicions {
+            let mut suspect = before.remove(&suspicion.work).unwrap_or_default();
+            suspect.engines.retain(|engine| suspicion.engines.contains(engine));
+            suspicion.engines.into_iter().for_each(|engine| suspect.learn(engine, now));
+            self.suspects.insert(suspicion.work, suspect);
+        }
+        for work in &self.evidence.served {
+            self.suspects.remove(work);
+        }
+        for loss in &self.evidence.losses {
+            let at = before.get(&loss.work).map_or(now, |suspect| suspect.learned_at);
+            self.suspects.entry(loss.work).or_default().learn(loss.instance.clone(), at);
+        }
+    }
+}
+
+/// The knowledge of one relay, and its way to and from the control group.
+pub struct SuspicionKeeper<P> {
+    platform: P,
+    control: ControlClient<P>,
+    last_trial_pause: Duration,
+    suspicions: RefCell<Suspicions>,
+    /// There is evidence to hand over.
+    waiting: Signal,
+    /// Evidence has been handed over.
+    handed_over: Signal,
+}
+
+impl<P: Runtime> SuspicionKeeper<P> {
+    /// Knows nothing yet. Hands evidence over to the group behind `control` until the process ends.
+    pub fn start(platform: P, control: ControlClient<P>, last_trial_pause: Duration) -> Rc<Self> {
+        let keeper = Rc::new(Self {
+            platform: platform.clone(),
+            control,
+            last_trial_pause,
+            suspicions: RefCell::default(),
+            waiting: Signal::default(),
+            handed_over: Signal::default(),
+        });
+        platform.spawn(hand_over(keeper.clone()));
+        keeper
+    }
+
+    /// Whether no work is suspected.
+    pub fn is_empty(&self) -> bool {
+        self.suspicions.borrow().is_empty()
+    }
+
+    /// How many kinds of work are suspected.
+    pub fn len(&self) -> usize {
+        self.suspicions.borrow().len()
+    }
+
+    /// The revision of the group's list that is held.
+    pub fn revision(&self) -> u64 {
+        self.suspicions.borrow().revision()
+    }
+
+    /// How many engines have ended under `work` since it was last served.
+    pub fn engines_ended(&self, work: &WorkDigest) -> usize {
+        self.suspicions.borrow().engines_ended(work)
+    }
+
+    /// What is to be done with a request for `work` at this moment.
+    pub fn verdict(&self, work: &WorkDigest) -> Verdict {
+        self.suspicions.borrow().verdict(work, self.platform.monotonic(), self.last_trial_pause)
+    }
+
+    /// An engine has ended under work.
+    pub fn note_loss(&self, loss: EngineLoss) {
+        self.suspicions.borrow_mut().note_loss(loss, self.platform.monotonic());
+        self.waiting.notify();
+    }
+
+    /// An engine has served work to its end.
+    pub fn note_served(&self, work: &WorkDigest) {
+        if self.suspicions.borrow_mut().note_served(work) {
+            self.waiting.notify();
+        }
+    }
+
+    /// Takes the group's list, unless a newer one is held.
+    pub fn take(&self, list: SuspicionList) {
+        self.suspicions.borrow_mut().take(list, self.platform.monotonic());
+    }
+
+    /// Waits until the group knows what this relay has seen of `work`, but not for long.
+    pub async fn await_known_to_group(&self, work: &WorkDigest) {
+        let is_waiting = || self.suspicions.borrow().evidence().losses.iter().any(|loss| loss.work == *work);
+        let known = async {
+            while is_waiting() {
+                self.handed_over.changed(self.handed_over.count()).await;
+            }
+        };
+        // Without the group, the client is told all the same.
+        let _ = timeout(&self.platform, KNOWN_TO_GROUP_LIMIT, known).await;
+    }
+}
+
+/// Hands evidence over to the control group until the process ends.
+async fn hand_over<P: Runtime>(keeper: Rc<SuspicionKeeper<P>>) {
+    loop {
+        let seen = keeper.waiting.count();
+        let evidence = keeper.suspicions.borrow().evidence().clone();
+        if evidence.is_empty() {
+            keeper.waiting.changed(seen).await;
+            continue;
+        }
+        let request = GatewayRequest::TakeEvidence(evidence.clone());
+        match keeper.control.gateway(request, HAND_OVER_LIMIT, HAND_OVER_LIMIT).await {
+            Ok(GatewayReply::Suspicions(list)) => {
+                keeper.suspicions.borrow_mut().handed_over(&evidence);
+                keeper.take(list);
+                keeper.handed_over.notify();
+            }
+            other => {
+                spdlog::warn!("evidence not handed over", kv: {
+                    losses = evidence.losses.len(), reason = format!("{other:?}").as_str()
+                });
+                keeper.platform.sleep(RETRY_PAUSE).await;
+            }
+        }
+    }
+}
--- a/crates/control/src/gateway.rs
+++ b/crates/control/src/gateway.rs
@@ -150,7 +150,7 @@
             nearest_replica,
             group_unix_ms: self.group_unix_ms(),
             usage_taken: state.usage.taken_from(follow.incarnation),
-            suspicions: (state.suspicions.revision() > follow.suspicion_revision).then(|| state.suspicions.list()),
+            suspicions: state.suspicions.newer_than(follow.suspicion_revision),
         }
     }
 
--- a/crates/control/src/node.rs
+++ b/crates/control/src/node.rs
@@ -301,6 +301,7 @@
             engines: state.members.engines_changed_after(renewal.engines),
             targets: queries::weights::targets(state),
             relay_count: state.members.relays().len() as u32,
+            suspicions: state.suspicions.newer_than(renewal.suspicion_revision),
         }
     }
 }
--- a/crates/control/src/state/suspicions.rs
+++ b/crates/control/src/state/suspicions.rs
@@ -50,6 +50,11 @@
         SuspicionList { revision: self.revision, suspicions: self.by_work.values().cloned().collect() }
     }
 
+    /// Everything that is known, if it is newer than `revision`.
+    pub fn newer_than(&self, revision: u64) -> Option<SuspicionList> {
+        (self.revision > revision).then(|| self.list())
+    }
+
     /// Whether evidence would change anything.
     pub fn is_news(&self, evidence: &WorkEvidence) -> bool {
         let is_new = |loss: &EngineLoss| {
--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -41,14 +41,14 @@
         incarnation: gateway.inner.incarnation,
         unix_ms: gateway.inner.runtime.unix_milliseconds(),
         usage: gateway.inner.usage.borrow_mut().difference(),
-        suspicion_revision: gateway.inner.suspicions.borrow().revision(),
+        suspicion_revision: gateway.inner.suspicions.revision(),
     }
 }
 
 fn take(gateway: &Gateway, mut reply: FollowReply, asked_at: Duration) {
     let inner = &gateway.inner;
     if let Some(list) = reply.suspicions.take() {
-        inner.suspicions.borrow_mut().take(list, inner.runtime.monotonic());
+        inner.suspicions.take(list);
     }
     tell_instances(&reply);
     if !reply.replicas.is_empty() {
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -5,7 +5,6 @@
 use crate::lost_connections::RequestedWork;
 use crate::refusal::Refusal;
 use crate::request::{ClientRequest, remove_hop_by_hop};
-use crate::suspicions::Verdict;
 use crate::usage::CountedRuns;
 use bytes::Bytes;
 use futures::future::{self, Either};
@@ -13,6 +12,7 @@
 use futures::{FutureExt, StreamExt};
 use hyper::header::CONTENT_LENGTH;
 use hyper::http::response::Parts;
+use saddlerelay_control_client::suspicions::Verdict;
 use saddlerelay_http::body::{LocalBody, Reply};
 use saddlerelay_runtime::Runtime;
 use saddlerelay_runtime::timeout::timeout;
@@ -52,10 +52,7 @@
         let ended = timeout(&self.inner.runtime, left, self.attempt_until_answered(&passage, &outgoing)).await;
         match ended {
             Some(Ok((head, body))) => self.answer(request, chosen, head, body),
-            Some(Err(refusal)) => {
-                self.await_known_to_group(request, &passage.work).await;
-                self.refuse(request, refusal)
-            }
+            Some(Err(refusal)) => self.refuse(request, refusal),
             None if passage.possible_runs.may_have_run() => self.refuse(request, Refusal::Late),
             None => self.refuse(request, Refusal::LateNotRun),
         }
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -4,7 +4,6 @@
 use crate::metrics::GatewayMetrics;
 use crate::refusal::Refusal;
 use crate::request::ClientRequest;
-use crate::suspicions::{EvidenceSignals, Suspicions};
 use crate::table::RouteTable;
 use crate::usage::{FollowedClock, UsageLedger};
 use crate::view::View;
@@ -12,6 +11,7 @@
 use hyper::body::Incoming;
 use hyper::header::HeaderValue;
 use saddlerelay_control_client::ControlClient;
+use saddlerelay_control_client::suspicions::SuspicionKeeper;
 use saddlerelay_http::body::{BodyError, Reply, read_limited};
 use saddlerelay_runtime::Runtime;
 use saddlerelay_runtime_compio::CompioRuntime;
@@ -52,8 +52,7 @@
     pub clock: RefCell<FollowedClock>,
     pub usage: RefCell<UsageLedger>,
     pub balance: Balance,
-    pub suspicions: RefCell<Suspicions>,
-    pub evidence_signals: EvidenceSignals,
+    pub suspicions: Rc<SuspicionKeeper<CompioRuntime>>,
     pub metrics: GatewayMetrics,
     /// Where in each route's turn of targets this relay begins.
     pub offset: f64,
@@ -89,6 +88,8 @@
     pub fn start(runtime: CompioRuntime, control: ControlClient<CompioRuntime>, options: GatewayOptions) -> Self {
         let pool = Pool::new(Rc::new(options.names.clone()), options.config.connect_limit);
         let offset = (runtime.random() % 1_000) as f64 / 1_000.0;
+        let pause = options.config.last_trial_pause;
+        let suspicions = SuspicionKeeper::start(runtime.clone(), control.clone(), pause);
         let inner = Inner {
             runtime: runtime.clone(),
             options,
@@ -99,8 +100,7 @@
             clock: RefCell::default(),
             usage: RefCell::default(),
             balance: Balance::default(),
-            suspicions: RefCell::default(),
-            evidence_signals: EvidenceSignals::default(),
+            suspicions,
             metrics: GatewayMetrics::default(),
             offset,
             draining: Cell::new(false),
@@ -109,7 +109,6 @@
         };
         let gateway = Self { inner: Rc::new(inner) };
         runtime.spawn(crate::follow::follow(gateway.clone()));
-        runtime.spawn(crate::suspicions::hand_over(gateway.clone()));
         gateway
     }
 
@@ -151,7 +150,7 @@
 
     /// How many kinds of work this relay suspects of ending engines.
     pub fn suspected_work(&self) -> usize {
-        self.inner.suspicions.borrow().len()
+        self.inner.suspicions.len()
     }
 
     /// From now on every answer tells its client to go elsewhere.
--- a/crates/gateway/src/lost_connections.rs
+++ b/crates/gateway/src/lost_connections.rs
@@ -3,6 +3,7 @@
 use crate::gateway::Gateway;
 use crate::request::ClientRequest;
 use bytes::Bytes;
+use saddlerelay_runtime_compio::listening::has_ended;
 use saddlerelay_types::work::WorkDigest;
 use saddlerelay_upstream::EngineTarget;
 use std::cell::OnceCell;
@@ -33,7 +34,7 @@
         work: &RequestedWork,
         target: &EngineTarget,
     ) {
-        let ended = self.inner.pool.has_ended(target).await;
+        let ended = has_ended(target.address).await;
         // One that was leaving has ended for a reason of its own.
         let counts = ended && self.sends_to(&target.instance);
         if ended {
@@ -50,5 +51,10 @@
             counts = counts,
             engines_ended = self.engines_ended(request, work)
         });
+        if counts {
+            // What other relays have seen meanwhile comes with the group's answer, before another engine is tried or the
+            // client is told and comes again elsewhere.
+            self.inner.suspicions.await_known_to_group(&work.digest(request)).await;
+        }
     }
 }
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -6,12 +6,12 @@
 use crate::lost_connections::RequestedWork;
 use crate::refusal::Refusal;
 use crate::request::{ClientRequest, remove_hop_by_hop};
-use crate::suspicions::Verdict;
 use crate::usage::CountedRuns;
 use bytes::Bytes;
 use futures::Stream;
 use hyper::header::{CONTENT_LENGTH, HeaderValue};
 use hyper::http::response::Parts;
+use saddlerelay_control_client::suspicions::Verdict;
 use saddlerelay_http::body::{BrokenOff, LocalBody, Reply};
 use saddlerelay_runtime::timeout::timeout;
 use saddlerelay_types::instance::InstanceId;
@@ -77,10 +77,7 @@
                 answer
             }
             Some(Begun::Whole(head, body)) => return self.answer(&request, chosen, head, body),
-            Some(Begun::Refused(refusal)) => {
-                self.await_known_to_group(&request, &work).await;
-                return self.refuse(&request, refusal);
-            }
+            Some(Begun::Refused(refusal)) => return self.refuse(&request, refusal),
             None if possible_runs.may_have_run() => return self.refuse(&request, Refusal::Late),
             None => return self.refuse(&request, Refusal::LateNotRun),
         };
--- a/crates/relay/src/commands/callers.rs
+++ b/crates/relay/src/commands/callers.rs
@@ -290,7 +290,8 @@
 }
 
 fn dispatch_failure(outcome: ExecutionOutcome, failure: &DispatchFailure) -> RequestFailure {
-    RequestFailure::new(outcome, failure.code, failure.message.clone(), SHORT_RETRY_MILLISECONDS)
+    let retry = failure.retry_after.as_millis() as u64;
+    RequestFailure::new(outcome, failure.code, failure.message.clone(), retry)
 }
 
 fn claim_failure(outcome: &ClaimOutcome) -> RequestFailure {
--- a/crates/relay/src/commands/samples.rs
+++ b/crates/relay/src/commands/samples.rs
@@ -7,7 +7,7 @@
 use saddlerelay_runtime::timeout::timeout;
 use saddlerelay_types::identity::{Incarnation, ModelName, TenantId};
 use saddlerelay_types::protocol::{Command, CommandOutcome, RolloutCommand};
-use saddlerelay_types::request::{Generation, Priority, Repeatability};
+use saddlerelay_types::request::{FailureCode, Generation, Priority, Repeatability};
 use saddlerelay_types::rollout::{SampleAssignment, SamplePayload};
 use std::time::Duration;
 
@@ -110,6 +110,9 @@
     relay.count(|counters| counters.samples += 1);
 }
 
+/// Pause before a sample is given back that is not sent on because engines have ended under its prompt.
+const SUSPECTED_PAUSE: Duration = Duration::from_secs(1);
+
 async fn generate<P: Runtime, B: Backends>(
     relay: &Relay<P, B>,
     assignment: &SampleAssignment,
@@ -132,7 +135,14 @@
         attempts: SAMPLE_ATTEMPTS,
         oldest_useful_version: assignment.oldest_useful_version,
     };
-    relay.dispatch(&work, None).await.ok()
+    let outcome = relay.dispatch(&work, None).await;
+    if let Err(failure) = &outcome
+        && failure.code == FailureCode::EnginesEnded
+    {
+        // The sample is handed out again as soon as it is given back.
+        relay.inner.platform.sleep(SUSPECTED_PAUSE).await;
+    }
+    outcome.ok()
 }
 
 /// Asks the scorer until it answers, or the relay loses its incarnation.
--- a/crates/relay/src/config.rs
+++ b/crates/relay/src/config.rs
@@ -32,6 +32,9 @@
     pub fetch_wait: Duration,
     /// How long a planned stop waits for requests in progress.
     pub drain_limit: Duration,
+    /// How long work under which engines have ended is kept from the one that would quarantine it: about as long as engines
+    /// take to come back. Measured in inc1: 2.9 to 3.5 s from a crash to the new instance.
+    pub last_trial_pause: Duration,
 }
 
 impl Default for RelayConfig {
@@ -50,6 +53,7 @@
             engine_in_flight_percent: 300,
             fetch_wait: Duration::from_secs(2),
             drain_limit: Duration::from_secs(120),
+            last_trial_pause: Duration::from_secs(5),
         }
     }
 }
--- a/crates/relay/src/dispatch.rs
+++ b/crates/relay/src/dispatch.rs
@@ -4,13 +4,18 @@
 use crate::view::View;
 use futures::StreamExt;
 use futures::channel::mpsc;
+use saddlerelay_control_client::suspicions::Verdict;
 use saddlerelay_policies::{Candidate, RoutingRequest};
 use saddlerelay_runtime::Runtime;
 use saddlerelay_runtime::backend::{BackendError, Backends, EngineConnection, StreamEvent};
 use saddlerelay_runtime::timeout::timeout;
 use saddlerelay_types::engine::{EngineChunk, EngineDescription, EngineRequest};
 use saddlerelay_types::identity::{EngineId, Incarnation, ModelName, TenantId, WeightVersion};
+use saddlerelay_types::instance::InstanceId;
 use saddlerelay_types::request::{AnswerPart, ExecutionOutcome, FailureCode, Generation, Priority, Repeatability};
+use saddlerelay_types::suspicion::EngineLoss;
+use saddlerelay_types::work::WorkDigest;
+use std::cell::OnceCell;
 use std::collections::BTreeSet;
 use std::time::Duration;
 
@@ -20,6 +25,12 @@
 /// Share of staleness when a tenant weighs neither measure.
 const EVEN_SHARE_PERCENT: u32 = 50;
 
+/// When callers are told to come back after a failure that may pass.
+const SHORT_RETRY: Duration = Duration::from_millis(500);
+
+/// The path by which generations are told apart from routed requests, as work.
+const GENERATION_PATH: &str = "generation";
+
 /// One generation to run.
 #[derive(Clone, Debug)]
 pub struct GenerationWork {
@@ -58,6 +69,8 @@
     pub code: FailureCode,
     /// Why, for people.
     pub message: String,
+    /// When to come back; zero when a resend cannot help.
+    pub retry_after: Duration,
 }
 
 /// How one attempt ended short of a whole answer.
@@ -77,6 +90,18 @@
     parts: Option<&'a mpsc::UnboundedSender<AnswerPart>>,
     may_have_run: bool,
     tried: BTreeSet<EngineId>,
+    work_digest: OnceCell<WorkDigest>,
+}
+
+impl Progress<'_> {
+    /// What the generation asks for, whatever its seed: what crashes an engine is the prompt.
+    fn work_digest(&self) -> WorkDigest {
+        let work = self.work;
+        *self.work_digest.get_or_init(|| {
+            let body = work.prompt.as_bytes();
+            WorkDigest::of_posted(Some(&work.tenant), work.model.as_str(), GENERATION_PATH, body)
+        })
+    }
 }
 
 impl<P: Runtime, B: Backends> Relay<P, B> {
@@ -86,23 +111,40 @@
         work: &GenerationWork,
         parts: Option<&mpsc::UnboundedSender<AnswerPart>>,
     ) -> Result<Generation, DispatchFailure> {
-        let mut progress =
-            Progress { work, generation: Generation::empty(), parts, may_have_run: false, tried: BTreeSet::new() };
+        let mut progress = Progress {
+            work,
+            generation: Generation::empty(),
+            parts,
+            may_have_run: false,
+            tried: BTreeSet::new(),
+            work_digest: OnceCell::new(),
+        };
+        let outcome = self.try_engines(&mut progress).await;
+        if outcome.is_ok() && !self.inner.suspicions.is_empty() {
+            self.inner.suspicions.note_served(&progress.work_digest());
+        }
+        outcome.map(|()| progress.generation)
+    }
+
+    async fn try_engines(&self, progress: &mut Progress<'_>) -> Result<(), DispatchFailure> {
+        let work = progress.work;
         self.inner.retries.borrow_mut().record_request();
         let mut last_message = String::from("no engine was tried");
         for attempt in 0..work.attempts {
             if attempt > 0 && !self.may_retry() {
                 return Err(progress.failure(FailureCode::Overloaded, "the retry budget is used up".to_string()));
             }
-            let Some(engine) = self.wait_for_engine(&progress).await else {
+            self.check_suspicion(progress)?;
+            let Some(engine) = self.wait_for_engine(progress).await else {
                 return Err(progress.failure(FailureCode::NoEngine, format!("no engine can take it: {last_message}")));
             };
-            match self.attempt(&mut progress, &engine).await {
-                Ok(()) => return Ok(progress.generation),
+            match self.attempt(progress, &engine).await {
+                Ok(()) => return Ok(()),
                 Err(AttemptFailure::GivenUp(code, message)) => return Err(progress.failure(code, message)),
                 Err(AttemptFailure::NotExecuted(message)) => last_message = message,
                 Err(AttemptFailure::MayHaveRun(message)) => {
                     progress.may_have_run = true;
+                    self.look_into_failure(progress, &engine).await;
                     if work.repeatability == Repeatability::NotRepeatable {
                         return Err(progress.failure(FailureCode::EngineFailed, message));
                     }
@@ -114,6 +156,42 @@
         Err(progress.failure(FailureCode::EngineFailed, last_message))
     }
 
+    /// Refuses work that is not to be sent on now.
+    fn check_suspicion(&self, progress: &Progress<'_>) -> Result<(), DispatchFailure> {
+        let suspicions = &self.inner.suspicions;
+        if suspicions.is_empty() {
+            return Ok(());
+        }
+        let retry_after = match suspicions.verdict(&progress.work_digest()) {
+            Verdict::Send => return Ok(()),
+            Verdict::Pause(left) => left,
+            Verdict::Quarantine => Duration::ZERO,
+        };
+        self.count(|counters| counters.kept_from_engines += 1);
+        let message = "engines have ended under this work".to_string();
+        Err(DispatchFailure { retry_after, ..progress.failure(FailureCode::EnginesEnded, message) })
+    }
+
+    /// Finds out whether an engine has ended under the generation, and has the group take it as evidence.
+    async fn look_into_failure(&self, progress: &Progress<'_>, engine: &EngineDescription) {
+        let Some(incarnation) = self.inner.view.borrow().able_incarnation(&engine.id) else {
+            // One that is leaving has ended for a reason of its own.
+            return;
+        };
+        if !self.inner.backends.has_ended(engine).await {
+            return;
+        }
+        self.count(|counters| counters.engines_ended += 1);
+        let work = progress.work_digest();
+        let instance = InstanceId(format!("{}/{}", engine.id, incarnation));
+        spdlog::warn!("engine ended under a generation", kv: {
+            work = work.shown().as_str(), instance = instance.0.as_str()
+        });
+        self.inner.suspicions.note_loss(EngineLoss { work, instance });
+        // What other relays have seen meanwhile comes with the group's answer, before another engine is tried.
+        self.inner.suspicions.await_known_to_group(&work).await;
+    }
+
     fn may_retry(&self) -> bool {
         let now = self.inner.platform.monotonic();
         let allowed = self.inner.retries.borrow_mut().take(now);
@@ -373,6 +451,6 @@
         } else {
             ExecutionOutcome::FailedWhileExecuting
         };
-        DispatchFailure { outcome, code, message }
+        DispatchFailure { outcome, code, message, retry_after: SHORT_RETRY }
     }
 }
--- a/crates/relay/src/lease.rs
+++ b/crates/relay/src/lease.rs
@@ -59,11 +59,15 @@
             configuration: view.revision(),
             engines: view.engine_revision(),
             targets: view.targets(),
+            suspicion_revision: self.inner.suspicions.revision(),
         }
     }
 
     /// Acts on an answer from now on; `false` when it cannot.
-    async fn take_renewal(&self, reply: RenewReply, sent_at: Duration, incarnation: Incarnation) -> bool {
+    async fn take_renewal(&self, mut reply: RenewReply, sent_at: Duration, incarnation: Incarnation) -> bool {
+        if let Some(list) = reply.suspicions.take() {
+            self.inner.suspicions.take(list);
+        }
         if reply.fenced {
             self.start_anew(incarnation);
             return false;
--- a/crates/relay/src/relay.rs
+++ b/crates/relay/src/relay.rs
@@ -7,6 +7,7 @@
 use crate::retry::RetryBudget;
 use crate::view::View;
 use saddlerelay_control_client::ControlClient;
+use saddlerelay_control_client::suspicions::SuspicionKeeper;
 use saddlerelay_policies::{Policy, PolicyName};
 use saddlerelay_runtime::Runtime;
 use saddlerelay_runtime::backend::Backends;
@@ -55,6 +56,10 @@
     pub samples: u64,
     /// Tokens received from engines.
     pub tokens: u64,
+    /// Engines found to have ended under a request or sample.
+    pub engines_ended: u64,
+    /// Requests and samples not sent on because engines have ended under their work.
+    pub kept_from_engines: u64,
     /// Times the relay had to start anew under another incarnation.
     pub fenced: u64,
 }
@@ -70,6 +75,7 @@
     pub admission: Admission,
     pub policy: Box<dyn Policy>,
     pub retries: RefCell<RetryBudget>,
+    pub suspicions: Rc<SuspicionKeeper<P>>,
     pub stopping: Cell<bool>,
     pub samples_running: Cell<u32>,
     /// A question for samples is under way; its answer may bring some.
@@ -92,8 +98,11 @@
     /// Loads the stored configuration and starts the relay's tasks. It admits nothing before its first lease.
     pub async fn start(platform: P, backends: B, options: RelayOptions) -> io::Result<Self> {
         let control = ControlClient::new(platform.clone(), &options.control, &options.secret);
+        let pause = options.config.last_trial_pause;
+        let suspicions = SuspicionKeeper::start(platform.clone(), control.clone(), pause);
         let inner = Inner {
             control,
+            suspicions,
             incarnation: Cell::new(Incarnation(platform.random())),
             view: RefCell::default(),
             registry: Registry::default(),
--- a/crates/relay/src/view.rs
+++ b/crates/relay/src/view.rs
@@ -81,6 +81,11 @@
         })
     }
 
+    /// This start of an engine that may get new work.
+    pub fn able_incarnation(&self, id: &EngineId) -> Option<u64> {
+        self.engines.get(id).filter(|_| self.is_able(id)).map(|engine| engine.incarnation)
+    }
+
     /// The oldest version that the tenant's trainer can still use, as far as this relay knows.
     pub fn oldest_useful_version(&self, tenant: &TenantId) -> WeightVersion {
         let Some(parameters) = self.tenants.get(tenant) else {
--- a/crates/runtime-compio/src/lib.rs
+++ b/crates/runtime-compio/src/lib.rs
@@ -3,6 +3,7 @@
 pub mod clock;
 pub mod connection;
 pub mod disk;
+pub mod listening;
 
 use clock::Clock;
 use compio::net::{TcpListener, TcpStream};
--- a/crates/runtime/src/backend.rs
+++ b/crates/runtime/src/backend.rs
@@ -25,6 +25,8 @@
     type Connection: EngineConnection;
     /// Connects to an engine; a failure means that nothing was sent.
     async fn connect(&self, engine: &EngineDescription) -> Result<Self::Connection, BackendError>;
+    /// Whether an engine's process has ended, as its machine says. One that cannot be reached is not believed to have.
+    async fn has_ended(&self, engine: &EngineDescription) -> bool;
     /// An engine's own report.
     async fn status(&self, engine: &EngineDescription) -> Result<EngineStatus, BackendError>;
     /// Gives an engine a fenced order.
--- a/crates/settings/src/parse.rs
+++ b/crates/settings/src/parse.rs
@@ -89,6 +89,7 @@
         ) as u32,
         fetch_wait: section.milliseconds("fetch_wait_ms", default.fetch_wait, 0..=30_000),
         drain_limit: section.milliseconds("drain_limit_ms", default.drain_limit, 1_000..=3_600_000),
+        last_trial_pause: section.milliseconds("last_trial_pause_ms", default.last_trial_pause, 0..=600_000),
     };
     section.end();
     RelaySettings { policy, config }
--- a/crates/simulator/src/backends.rs
+++ b/crates/simulator/src/backends.rs
@@ -6,6 +6,7 @@
 use futures::StreamExt;
 use futures::channel::mpsc;
 use saddlerelay_runtime::backend::{BackendError, Backends, EngineConnection, StreamEvent};
+use saddlerelay_runtime::timeout::timeout;
 use saddlerelay_runtime::{FrameListener, FrameReceiver, FrameSender, Runtime};
 use saddlerelay_standins::engine::{Engine, WeightSource};
 use saddlerelay_standins::trainer::WeightSink;
@@ -14,10 +15,14 @@
 use saddlerelay_types::membership::PlatformMachine;
 use saddlerelay_types::request::Generation;
 use std::cell::{Cell, RefCell};
+use std::io::ErrorKind;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
+/// Longest time to find out whether a process has ended.
+const ENDED_LIMIT: Duration = Duration::from_millis(100);
+
 /// A call to an engine.
 #[derive(Encode, Decode)]
 enum EngineCall {
@@ -174,6 +179,12 @@
         Ok(SimEngineConnection { platform: self.platform.clone(), sender, receiver })
     }
 
+    async fn has_ended(&self, engine: &EngineDescription) -> bool {
+        // While the way is cut, nothing comes back.
+        let connected = timeout(&self.platform, ENDED_LIMIT, self.platform.connect(engine.address)).await;
+        matches!(connected, Some(Err(error)) if error.kind() == ErrorKind::ConnectionRefused)
+    }
+
     async fn status(&self, engine: &EngineDescription) -> Result<EngineStatus, BackendError> {
         match self.call(engine.address, &EngineCall::Status).await? {
             EngineAnswer::Status(status) => Ok(status),
--- a/crates/simulator/src/run.rs
+++ b/crates/simulator/src/run.rs
@@ -109,7 +109,8 @@
     })
 }
 
-fn bring_up(cluster: &Rc<Cluster>, world: &Rc<World>, pool: &mut LocalPool) -> Result<()> {
+/// Starts a deployment and waits until it serves.
+pub fn bring_up(cluster: &Rc<Cluster>, world: &Rc<World>, pool: &mut LocalPool) -> Result<()> {
     cluster.start_all();
     let initialized = Rc::new(Cell::new(false));
     initialize(cluster, initialized.clone());
--- a/crates/types/src/protocol.rs
+++ b/crates/types/src/protocol.rs
@@ -7,6 +7,7 @@
 use crate::identity::{Attempt, Fence, Incarnation, ModelName, Position, ReplicaId, Revision, TenantId, WeightVersion};
 use crate::membership::{EngineObservation, EngineRecord, RelayDescription, RelayView};
 use crate::rollout::{DeliveryBatch, SampleAssignment, SampleId, SamplePayload, StepRequest, TrainerState};
+use crate::suspicion::SuspicionList;
 use bitcode::{Decode, Encode};
 use serde::{Deserialize, Serialize};
 use std::net::SocketAddr;
@@ -63,6 +64,8 @@
     pub engines: u64,
     /// The targets it acts on.
     pub targets: Vec<ModelTarget>,
+    /// The revision of the list of suspected work that it acts on.
+    pub suspicion_revision: u64,
 }
 
 /// The answer to a lease renewal.
@@ -82,13 +85,19 @@
     pub targets: Vec<ModelTarget>,
     /// Relays that hold leases now; rollouts are shared among them.
     pub relay_count: u32,
+    /// The list of suspected work, if it is newer than the relay's.
+    pub suspicions: Option<SuspicionList>,
 }
 
 impl RenewReply {
     /// Whether the relay that sent `renewal` would act differently after this answer.
     pub fn brings_news(&self, renewal: &RenewRequest) -> bool {
         let configuration = self.configuration.whole || self.configuration.revision != renewal.configuration;
-        self.fenced || configuration || self.engine_revision != renewal.engines || self.targets != renewal.targets
+        self.fenced
+            || configuration
+            || self.suspicions.is_some()
+            || self.engine_revision != renewal.engines
+            || self.targets != renewal.targets
     }
 }
 
--- a/crates/types/src/request.rs
+++ b/crates/types/src/request.rs
@@ -98,6 +98,8 @@
     KeySealed,
     /// The engine failed while the request ran.
     EngineFailed,
+    /// Engines have ended under the same work; it is not sent to another one, for a while or at all.
+    EnginesEnded,
     /// Control could not decide in time; resend with the same key.
     Undecided,
     /// An earlier copy of the request was lost while it may have run.
--- a/crates/upstream/src/connection.rs
+++ b/crates/upstream/src/connection.rs
@@ -9,33 +9,13 @@
 use hyper::body::Incoming;
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper::{Request, Response};
-use std::io::ErrorKind;
+use saddlerelay_runtime_compio::clock::boot_time;
 use std::net::SocketAddr;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 /// An engine that acknowledges no byte for so long is given up, in milliseconds. A cut link tells nobody.
 const ENGINE_SILENCE_MS: u32 = 1_500;
 
-/// Whether a process listens at `address`, as far as a connect of at most `limit` can tell.
-pub async fn listens(address: SocketAddr, limit: Duration) -> Listening {
-    match compio::time::timeout(limit, TcpStream::connect(address)).await {
-        Ok(Ok(_)) => Listening::Yes,
-        Ok(Err(error)) if error.kind() == ErrorKind::ConnectionRefused => Listening::No,
-        Ok(Err(_)) | Err(_) => Listening::Unknown,
-    }
-}
-
-/// What a connect has told of a process.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Listening {
-    /// It takes connections.
-    Yes,
-    /// Its machine answers that nobody listens there: the process has ended.
-    No,
-    /// Nothing: the machine does not answer, or cannot be reached.
-    Unknown,
-}
-
 /// A connection that carries one request at a time. Dropping it closes it, whatever it was doing.
 pub struct Connection {
     sender: SendRequest<Full<Bytes>>,
@@ -43,10 +23,11 @@
     _driver: JoinHandle<()>,
     /// Requests sent on it before.
     used: bool,
-    /// When the answer before was whole.
-    rested_at: Instant,
+    /// When the answer before was whole, since the machine's start: the engine's time goes on while this machine is
+    /// suspended.
+    rested_at: Duration,
     /// The engine may close it at any moment from then on.
-    expires_at: Instant,
+    expires_at: Duration,
 }
 
 impl Connection {
@@ -68,7 +49,8 @@
             // Its error reaches the request that waits for an answer.
             let _ = driver.await;
         });
-        Ok(Self { sender, _driver: driver, used: false, rested_at: Instant::now(), expires_at: Instant::now() })
+        let now = boot_time();
+        Ok(Self { sender, _driver: driver, used: false, rested_at: now, expires_at: now })
     }
 
     /// Whether it has carried a request before; the engine may have closed it since.
@@ -78,18 +60,18 @@
 
     /// Whether it can be expected to take another request.
     pub fn is_open(&self) -> bool {
-        !self.sender.is_closed() && Instant::now() < self.expires_at
+        !self.sender.is_closed() && boot_time() < self.expires_at
     }
 
     /// How long it has rested since its last answer.
     pub fn rest_time(&self) -> Duration {
-        self.rested_at.elapsed()
+        boot_time().saturating_sub(self.rested_at)
     }
 
     /// Notes that a whole answer was read, after which the engine keeps it open for `idle`.
     pub fn rest(&mut self, idle: Duration) {
         self.used = true;
-        self.rested_at = Instant::now();
+        self.rested_at = boot_time();
         self.expires_at = self.rested_at + idle;
     }
 
--- a/crates/upstream/src/pool.rs
+++ b/crates/upstream/src/pool.rs
@@ -1,7 +1,7 @@
 //! Idle connections by engine instance, and calls over them.
 
 use crate::answer::{Answer, Failure};
-use crate::connection::{Connection, Listening, listens};
+use crate::connection::Connection;
 use crate::names::HeaderNames;
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, Limited};
@@ -24,9 +24,6 @@
 /// A connection used so recently is hardly being closed.
 const SHORT_REST: Duration = Duration::from_millis(200);
 
-/// Longest time to find out whether an engine that has closed a connection has ended: a round trip between regions.
-const LISTENING_CHECK_LIMIT: Duration = Duration::from_millis(100);
-
 /// An instance to call.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub struct EngineTarget {
@@ -97,11 +94,6 @@
         }
     }
 
-    /// Whether the process at `target` has ended. One that cannot be reached is not believed to have.
-    pub async fn has_ended(&self, target: &EngineTarget) -> bool {
-        listens(target.address, LISTENING_CHECK_LIMIT).await == Listening::No
-    }
-
     fn take(&self, target: &EngineTarget, reuse: Reuse) -> Option<Connection> {
         let mut idle = self.idle.borrow_mut();
         let connections = idle.get_mut(target)?;
