Have the soak send work that ends its engines; test scores and streams that do

Soak: a client sends such work again and again; the engine that begins it ends, its address refuses connections for 1.5 s. Engines that crash as a fault refuse them too (before, the proxy took and reset them, which no process that has ended does). New check: later than 3 s after the third engine, at most three more; a test shows it failing. Tests of calls for scores (three engines, then held back) and of streams that end their engines midway.

--- a/crates/gateway-api/tests/common/crashing.rs
+++ b/crates/gateway-api/tests/common/crashing.rs
@@ -16,6 +16,12 @@
 /// A body that holds this ends the engine that begins to run it.
 pub const CRASHES: &str = "crashes its engine";
 
+/// A body that holds this ends the engine after the first event of its stream.
+pub const CRASHES_LATER: &str = "crashes after an event";
+
+/// The first event of each stream.
+const EVENT: &str = "id: 1\ndata: a token\n\n";
+
 /// How long the engine runs a request before it ends or answers.
 const RUN_TIME: Duration = Duration::from_millis(15);
 
@@ -130,11 +136,20 @@
 async fn serve(engine: CrashingEngine, mut stream: TcpStream) {
     while let Some((head, body)) = read_request(&mut stream).await {
         let id = header(&head, "saddlerelay-request").unwrap_or_default().to_string();
-        let crashes = String::from_utf8_lossy(&body).contains(CRASHES);
+        let text = String::from_utf8_lossy(&body);
+        let crashes_later = text.contains(CRASHES_LATER);
+        let crashes = text.contains(CRASHES) || crashes_later;
         let instance = engine.instance();
         let begun = Begun { instance: instance.clone(), request: id.clone(), crashed: crashes };
         engine.0.log.borrow_mut().push(begun);
         compio::time::sleep(RUN_TIME).await;
+        if crashes_later {
+            // Twice as long as what comes.
+            let begun = format!("{}{EVENT}", stream_head(&id, &instance.0, 2 * EVENT.len()));
+            // A gateway that is gone already misses it.
+            let _ = stream.write_all(begun.into_bytes()).await;
+            compio::time::sleep(RUN_TIME).await;
+        }
         if crashes {
             engine.crash();
             std::future::pending::<()>().await;
@@ -145,10 +160,7 @@
                 "HTTP/1.1 200 OK\r\nsaddlerelay-request: {id}\r\nsaddlerelay-stamp: {name}\r\ncontent-length: {}\r\n\r\n{text}",
                 text.len()
             ),
-            Some(_) => format!(
-                "HTTP/1.1 200 OK\r\nsaddlerelay-request: {id}\r\nsaddlerelay-stamp: {name}\r\nsaddlerelay-version: 1\r\n\
-                 content-length: 21\r\n\r\nid: 1\ndata: a token\n\n"
-            ),
+            Some(_) => format!("{}{EVENT}", stream_head(&id, name, EVENT.len())),
         };
         if stream.write_all(answer.into_bytes()).await.0.is_err() {
             return;
@@ -156,6 +168,13 @@
     }
 }
 
+fn stream_head(request: &str, stamp: &str, length: usize) -> String {
+    format!(
+        "HTTP/1.1 200 OK\r\nsaddlerelay-request: {request}\r\nsaddlerelay-stamp: {stamp}\r\nsaddlerelay-version: 1\r\n\
+         content-length: {length}\r\n\r\n"
+    )
+}
+
 /// A request's head and whole body; `None` at the end of the connection.
 async fn read_request(stream: &mut TcpStream) -> Option<(String, Bytes)> {
     let mut received: Vec<u8> = Vec::new();
--- a/crates/gateway-api/tests/crashing_work.rs
+++ b/crates/gateway-api/tests/crashing_work.rs
@@ -2,11 +2,13 @@
 
 mod common;
 
-use common::crashing::{BegunLog, CRASHES, CrashingEngine};
+use common::crashing::{BegunLog, CRASHES, CRASHES_LATER, CrashingEngine};
 use common::engine::{Conduct, StandInEngine};
 use common::{Deployment, HOST, block_on, call, document, eventually, job, rollouts, route};
 use hyper::{Method, StatusCode};
 use saddlerelay_gateway::{Gateway, GatewayConfig};
+use saddlerelay_http::client::Connection;
+use saddlerelay_types::job::ScoringRequest;
 use saddlerelay_types::routing::{Route, RouteKind};
 use saddlerelay_types::suspicion::SuspicionList;
 use std::net::SocketAddr;
@@ -109,6 +111,28 @@
     }
 }
 
+/// Each time the stream goes on at another engine, which ends too.
+#[test]
+fn a_stream_that_ends_its_engines_midway_goes_on_at_no_more() {
+    block_on(async {
+        let route = Route { resumable: true, max_attempts: 3, ..route("/plans/", RouteKind::Streaming, "web") };
+        let setting = Setting::start("crash-midway", route).await;
+        let mut statuses = Vec::new();
+        for round in 0..ROUNDS {
+            let id = format!("try-{round}");
+            let headers = [("saddlerelay-request", id.as_str()), ("host", HOST), ("events", "2")];
+            let mut connection = Connection::open(setting.fronts()[round % 2]).await.expect("it listens");
+            let answer = connection.send(Method::POST, "/plans/7", &headers, CRASHES_LATER).await.expect("an answer");
+            statuses.push(answer.status());
+            // It breaks off.
+            let _ = saddlerelay_http::body::read_whole(answer.into_body()).await;
+            setting.revive().await;
+        }
+        assert_eq!(setting.ended(), MOST_ENDED, "{statuses:?}");
+        assert_eq!(statuses.last(), Some(&StatusCode::BAD_GATEWAY));
+    });
+}
+
 /// Two of three engines have ended; the third goes on serving others, and the work may try it when the two are back.
 #[test]
 fn the_last_trial_waits_until_engines_may_be_back() {
@@ -234,6 +258,57 @@
     });
 }
 
+/// The item's text is whole; its score is asked for at three engines, each of which ends.
+#[test]
+fn a_call_for_a_score_that_has_ended_three_engines_is_made_no_more() {
+    block_on(async {
+        let deployment = Deployment::start("crash-score").await;
+        deployment.configure(&document(1, vec![route("/scores/", RouteKind::Idempotent, "web"), rollouts()])).await;
+        let model_engine = StandInEngine::start("model").await;
+        deployment.register(&model_engine, "llm").await;
+        let log = BegunLog::default();
+        let engines: Vec<_> = (0..3).map(|index| CrashingEngine::start(&format!("engine-{index}"), &log)).collect();
+        for engine in &engines {
+            deployment.register_crashing(engine, "web").await;
+        }
+        let ended = || log.borrow().iter().filter(|begun| begun.crashed).count();
+        let revive = async || {
+            for engine in &engines {
+                if engine.revive() {
+                    deployment.register_crashing(engine, "web").await;
+                }
+            }
+        };
+        let scored = |id: &str, first: u32, crashing: Option<usize>| {
+            let mut submission = job(id, 0, first, 3, 1);
+            for (index, item) in submission.items.iter_mut().enumerate() {
+                let body = if crashing == Some(index) { CRASHES } else { "a text" };
+                item.scorer = Some(ScoringRequest {
+                    id: format!("{id}-score-{index}"),
+                    host: HOST.to_string(),
+                    path: format!("/scores/{id}/{index}"),
+                    body: body.as_bytes().to_vec(),
+                });
+            }
+            submission
+        };
+        assert_eq!(deployment.submit(&scored("job", 0, Some(1))).await, StatusCode::ACCEPTED);
+        eventually("three engines have ended under the call, and the others are scored", async || {
+            revive().await;
+            ended() == MOST_ENDED && deployment.results("job").await.is_some_and(|page| page.results.len() == 2)
+        })
+        .await;
+        assert_eq!(deployment.submit(&scored("later", 3, None)).await, StatusCode::ACCEPTED);
+        eventually("a later job is scored", async || {
+            revive().await;
+            deployment.results("later").await.is_some_and(|page| page.results.len() == 3)
+        })
+        .await;
+        assert_eq!(ended(), MOST_ENDED);
+        assert_eq!(deployment.results("job").await.map(|page| page.results.len()), Some(2));
+    });
+}
+
 /// An item that ends whatever runs it is held back; the job's others are completed.
 #[test]
 fn an_item_that_has_ended_three_engines_is_sent_to_no_more() {
--- a/crates/soak/src/callers.rs
+++ b/crates/soak/src/callers.rs
@@ -3,7 +3,7 @@
 use crate::calls::{KEY_HEADER, any_gateway, ask, front};
 use crate::deployment::Addresses;
 use crate::journal::{ClientRequest, Ending, Journal};
-use crate::workload::{self, HOST, MOVING, ONCE, REPEATABLE, STRANGER, STREAMS, TIMEOUT_MS, UNKNOWN_KEY};
+use crate::workload::{self, CRASHES, HOST, MOVING, ONCE, REPEATABLE, STRANGER, STREAMS, TIMEOUT_MS, UNKNOWN_KEY};
 use hyper::{Method, StatusCode};
 use saddlerelay_http::client::WholeResponse;
 use std::cell::Cell;
@@ -16,6 +16,10 @@
 /// Longest pause between a client's requests, in milliseconds.
 const LONGEST_PAUSE_MS: u64 = 120;
 
+/// How often each kind of work that ends its engines comes, and the longest pause between, in milliseconds.
+const CRASHING_TRIES: u32 = 10;
+const LONGEST_CRASHING_PAUSE_MS: u64 = 2_500;
+
 /// One request in so many of a client's is followed by one with an unknown key.
 const STRANGER_EVERY: u64 = 20;
 
@@ -62,6 +66,26 @@
     }
 }
 
+/// Sends work that ends its engines, one kind after the other, again and again with a new identifier at any gateway, until
+/// told to stop.
+pub async fn run_crashing(addresses: Addresses, journal: Journal, stop: Rc<Cell<bool>>) {
+    for kind in 0.. {
+        let prefix = [REPEATABLE, ONCE, STREAMS][kind as usize % 3];
+        for number in 0..CRASHING_TRIES {
+            if stop.get() {
+                return;
+            }
+            let id = format!("crashing-{kind}-{number}-{:04x}", fastrand::u16(..));
+            let path = format!("{prefix}crashing-{kind}");
+            let request = Request { id, prefix, path, body: format!("{CRASHES}{kind}"), events: None };
+            if send(&request, any_gateway(), &addresses, &journal).await == Ending::Whole {
+                journal.violation("every caller gets the whole answer to its own request", request.id.clone());
+            }
+            compio::time::sleep(Duration::from_millis(fastrand::u64(1..LONGEST_CRASHING_PAUSE_MS))).await;
+        }
+    }
+}
+
 /// Sends a request with a key that no tenant has: nobody must serve it.
 async fn ask_as_stranger(number: u64, addresses: &Addresses, journal: &Journal) {
     let id = format!("{STRANGER}{number}-{:04x}", fastrand::u16(..));
--- a/crates/soak/src/checks.rs
+++ b/crates/soak/src/checks.rs
@@ -6,12 +6,16 @@
 use saddlerelay_types::instance::InstanceId;
 use saddlerelay_types::job::{ItemEnd, ItemId, JobId};
 use saddlerelay_types::routing::RoutingDocument;
+use saddlerelay_types::suspicion::MOST_ENGINES_ENDED;
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
 /// What a process does within this time of its waking, or a link passes on after its healing, was under way before.
 const WAKING_TIME: Duration = Duration::from_millis(300);
 
+/// By then every process that may act has heard what the group has committed.
+pub const CONTACT_TIME: Duration = Duration::from_millis(3_000);
+
 /// Nothing of a job begins so long after its end was acknowledged.
 pub const CANCEL_BOUND: Duration = Duration::from_millis(3_000);
 
@@ -33,6 +37,8 @@
 pub const STALENESS: &str = "no result is older than its job allows";
 /// Nothing of a refused or ended job runs.
 pub const JOB_ENDS: &str = "nothing of a refused or ended job runs";
+/// Work under which three engines have ended is kept from the others.
+pub const CRASHING_WORK: &str = "work that ends its engines reaches few of them";
 /// Engines take orders from one holder at a time.
 pub const ORDERS: &str = "one holder of orders at a time";
 
@@ -47,9 +53,30 @@
     check_results(records, &mut violations);
     check_job_ends(records, &mut violations);
     check_orders(records, &mut violations);
+    check_crashing_work(records, &mut violations);
     violations
 }
 
+/// Later than [`CONTACT_TIME`] after it has ended the third engine, such work reaches at most as many again.
+fn check_crashing_work(records: &Records, violations: &mut Vec<Violation>) {
+    let mut begun: BTreeMap<u32, Vec<Moment>> = BTreeMap::new();
+    for run in &records.runs {
+        if let Some(kind) = run.crashing {
+            begun.entry(kind).or_default().push(run.at);
+        }
+    }
+    for (kind, mut moments) in begun {
+        moments.sort();
+        let Some(third) = moments.get(MOST_ENGINES_ENDED - 1) else {
+            continue;
+        };
+        let later = moments.iter().filter(|moment| **moment > *third + CONTACT_TIME).count();
+        if later > MOST_ENGINES_ENDED {
+            add(violations, CRASHING_WORK, format!("kind {kind} ended three engines and reached {later} later"));
+        }
+    }
+}
+
 fn add(violations: &mut Vec<Violation>, promise: &'static str, seen: String) {
     violations.push(Violation { promise, seen });
 }
--- a/crates/soak/src/engine.rs
+++ b/crates/soak/src/engine.rs
@@ -13,6 +13,7 @@
 use saddlerelay_gateway_api::own::{ORDER_PATH, REPORT_PATH};
 use saddlerelay_http::body::{BrokenOff, LocalBody, Reply, json, read_whole, whole};
 use saddlerelay_http::server::{HttpHandler, Shutdown, serve_until};
+use saddlerelay_runtime::signal::Signal;
 use saddlerelay_types::instance::{InstanceId, InstanceReport, LoadedModel};
 use saddlerelay_types::job::JobId;
 use std::cell::Cell;
@@ -31,6 +32,9 @@
 /// Time of one request without a stream.
 const REQUEST_TIME: Duration = Duration::from_millis(15);
 
+/// From the start of work that ends its engine to the engine's end.
+const CRASH_TIME: Duration = Duration::from_millis(25);
+
 /// How long an engine that hangs keeps a request.
 const HANG_TIME: Duration = Duration::from_secs(6);
 
@@ -80,6 +84,8 @@
     running: Cell<u32>,
     leaving: Cell<bool>,
     sequence: Cell<u64>,
+    /// Work has begun that ends this instance.
+    ends: Signal,
     /// The newest version that its trainer has named: what a new engine starts with.
     newest: Rc<Cell<u64>>,
 }
@@ -135,6 +141,7 @@
             running: Cell::new(0),
             leaving: Cell::new(false),
             sequence: Cell::new(0),
+            ends: Signal::default(),
             newest,
         });
         let engine = Self { state };
@@ -152,6 +159,11 @@
         InstanceId(format!("engine-{}-{}", self.state.number, self.state.incarnation.get()))
     }
 
+    /// Notified when work has begun that ends this instance.
+    pub fn ends(&self) -> &Signal {
+        &self.state.ends
+    }
+
     /// Whether it runs the model.
     pub fn hosts_model(&self) -> bool {
         self.state.service == MODEL_SERVICE
@@ -322,8 +334,16 @@
             service: state.service.to_string(),
             request: request.clone(),
             job: job_of(&path),
+            crashing: workload::crashing_kind(&body),
         };
+        let crashes = run.crashing.is_some();
         state.journal.write(|records| records.runs.push(run));
+        if crashes {
+            compio::time::sleep(CRASH_TIME).await;
+            state.ends.notify();
+            // The connection ends with the instance.
+            std::future::pending::<()>().await;
+        }
         if state.conduct.get() == Conduct::Hanging {
             compio::time::sleep(HANG_TIME).await;
         }
--- a/crates/soak/src/faults.rs
+++ b/crates/soak/src/faults.rs
@@ -18,6 +18,9 @@
 /// After a fault of a coordinator, its group may need so long until it bears the loss of a disk again.
 const REPAIR_TIME: Duration = Duration::from_secs(8);
 
+/// How long an engine is down that has ended under its work.
+const DOWN_AFTER_WORK: Duration = Duration::from_millis(1_500);
+
 /// The file to which a coordinator appends.
 const LOG_FILE: &str = "wal";
 
@@ -240,8 +243,20 @@
         }
     }
 
+    /// Ends an engine each time that work begins there which does so.
+    pub async fn crash_by_work(self: Rc<Self>, engine: Engine) {
+        loop {
+            engine.ends().changed(engine.ends().count()).await;
+            if !self.deployment.links.is_down(Party::Engine(engine.number())) {
+                self.tell(&format!("engine {} ends under its work", engine.number()));
+                self.crash(&engine, DOWN_AFTER_WORK).await;
+            }
+        }
+    }
+
     async fn crash(&self, engine: &Engine, down: Duration) {
         let party = Party::Engine(engine.number());
+        self.deployment.links.set_down(party, true);
         let set = |condition| {
             for other in all_processes() {
                 self.deployment.links.set_both(other, party, condition);
@@ -251,6 +266,7 @@
         engine.start_anew();
         compio::time::sleep(down).await;
         set(Condition::Open);
+        self.deployment.links.set_down(party, false);
     }
 
     /// Lets everything go on that stands still or is cut off; faults under way end by themselves.
--- a/crates/soak/src/journal.rs
+++ b/crates/soak/src/journal.rs
@@ -23,6 +23,8 @@
     pub request: String,
     /// The job that the request is an item of, as its path tells.
     pub job: Option<JobId>,
+    /// The kind of work that ends its engine, if it is such.
+    pub crashing: Option<u32>,
 }
 
 /// How a client's request ended, as the client saw it.
--- a/crates/soak/src/links.rs
+++ b/crates/soak/src/links.rs
@@ -2,7 +2,7 @@
 
 use saddlerelay_runtime::signal::Signal;
 use std::cell::RefCell;
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -37,6 +37,8 @@
 #[derive(Clone, Default)]
 pub struct Links {
     conditions: Rc<RefCell<BTreeMap<(Party, Party), Condition>>>,
+    /// Parties at whose addresses nobody listens.
+    down: Rc<RefCell<BTreeSet<Party>>>,
     changed: Rc<Signal>,
 }
 
@@ -58,9 +60,38 @@
         self.set(other, one, condition);
     }
 
+    /// Whether nobody listens at a party's address.
+    pub fn is_down(&self, party: Party) -> bool {
+        self.down.borrow().contains(&party)
+    }
+
+    /// Has connections to a party refused, as the machine of a process that has ended refuses them, or no longer.
+    pub fn set_down(&self, party: Party, down: bool) {
+        let mut parties = self.down.borrow_mut();
+        if down {
+            parties.insert(party)
+        } else {
+            parties.remove(&party)
+        };
+        drop(parties);
+        self.changed.notify();
+    }
+
+    /// Waits until a party's address is as wanted: down or not.
+    pub async fn until_down_is(&self, party: Party, wanted: bool) {
+        loop {
+            let seen = self.changed.count();
+            if self.is_down(party) == wanted {
+                return;
+            }
+            self.changed.changed(seen).await;
+        }
+    }
+
     /// Opens every link.
     pub fn heal_all(&self) {
         self.conditions.borrow_mut().clear();
+        self.down.borrow_mut().clear();
         self.changed.notify();
     }
 
--- a/crates/soak/src/proxy.rs
+++ b/crates/soak/src/proxy.rs
@@ -14,6 +14,9 @@
 /// Bytes passed on at once.
 const CHUNK_BYTES: usize = 16 * 1024;
 
+/// Pause before an address that is still taken is tried again.
+const REBIND_PAUSE: Duration = Duration::from_millis(10);
+
 /// How a proxy tells who opened a connection.
 #[derive(Clone)]
 pub enum Identify {
@@ -52,12 +55,35 @@
 
 /// Starts a proxy at `address`.
 pub async fn start(address: SocketAddr, place: ProxyPlace, links: Links) -> std::io::Result<()> {
-    let listener = TcpListener::bind(address).await?;
-    compio::runtime::spawn(accept(listener, address, place, links)).detach();
+    let listener = bind(address)?;
+    compio::runtime::spawn(serve(listener, address, place, links)).detach();
     Ok(())
 }
 
-async fn accept(listener: TcpListener, address: SocketAddr, place: ProxyPlace, links: Links) {
+/// Listens at an address where connections may still be closing.
+fn bind(address: SocketAddr) -> std::io::Result<TcpListener> {
+    let listener = std::net::TcpListener::bind(address)?;
+    listener.set_nonblocking(true)?;
+    TcpListener::from_std(listener)
+}
+
+/// Accepts connections, but not while the party behind the proxy is down.
+async fn serve(mut listener: TcpListener, address: SocketAddr, place: ProxyPlace, links: Links) {
+    loop {
+        let accepting = accept(&listener, address, &place, &links);
+        future::select(pin!(accepting), pin!(links.until_down_is(place.party, true))).await;
+        drop(listener);
+        links.until_down_is(place.party, false).await;
+        listener = loop {
+            match bind(address) {
+                Ok(listener) => break listener,
+                Err(_) => compio::time::sleep(REBIND_PAUSE).await,
+            }
+        };
+    }
+}
+
+async fn accept(listener: &TcpListener, address: SocketAddr, place: &ProxyPlace, links: &Links) {
     loop {
         match listener.accept().await {
             Ok((stream, peer)) => {
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -78,7 +78,14 @@
         tasks.push(compio::runtime::spawn(run));
     }
     let faults = Rc::new(Faults::new(deployment.clone(), engines.clone(), journal.clone()));
+    for engine in &engines {
+        compio::runtime::spawn(faults.clone().crash_by_work(engine.clone())).detach();
+    }
+    let crashing_stop = Rc::new(Cell::new(false));
+    let crashing = callers::run_crashing(addresses.clone(), journal.clone(), crashing_stop.clone());
+    tasks.push(compio::runtime::spawn(crashing));
     let memory = cause_faults(&deployment, &faults, &journal, options).await?;
+    crashing_stop.set(true);
     prove_recovery(&deployment, &operator, &trainer, &journal).await;
     stop.set(true);
     if compio::time::timeout(END_LIMIT, future::join_all(tasks)).await.is_err() {
--- a/crates/soak/src/workload.rs
+++ b/crates/soak/src/workload.rs
@@ -54,6 +54,14 @@
 /// Requests with an unknown key have identifiers that begin so.
 pub const STRANGER: &str = "stranger-";
 
+/// A body that begins so ends the engine that begins to run it; a number follows, which tells kinds of such work apart.
+pub const CRASHES: &str = "crashes its engine ";
+
+/// The kind of such work that a body is, if it is.
+pub fn crashing_kind(body: &[u8]) -> Option<u32> {
+    std::str::from_utf8(body).ok()?.strip_prefix(CRASHES)?.parse().ok()
+}
+
 /// The longest time that a routed request may be held, in milliseconds.
 pub const TIMEOUT_MS: u64 = 2_000;
 
--- a/crates/soak/tests/checks.rs
+++ b/crates/soak/tests/checks.rs
@@ -1,8 +1,8 @@
 //! Each check finds the breach it is meant for, and nothing in what kept its promise.
 
 use saddlerelay_soak_runner::checks::{
-    AT_MOST_ONCE, ATTEMPTS, CONFIGURATION, JOB_ENDS, LEAVING, NOT_RUN, ORDERS, RESULTS, SCORES_ARE_REAL, STALENESS,
-    check,
+    AT_MOST_ONCE, ATTEMPTS, CONFIGURATION, CRASHING_WORK, JOB_ENDS, LEAVING, NOT_RUN, ORDERS, RESULTS, SCORES_ARE_REAL,
+    STALENESS, check,
 };
 use saddlerelay_soak_runner::journal::{
     ClientRequest, Ending, JobSeen, OrderSeen, ReadDocument, Records, Run, SeenResult, SentDocument,
@@ -23,6 +23,7 @@
         service: "web-a".to_string(),
         request: request.to_string(),
         job: None,
+        crashing: None,
     }
 }
 
@@ -225,3 +226,15 @@
     let other_engine = vec![order(1_000, "a", 1), order_to("engine-5-1", 1_100, "b", 2)];
     assert!(broken(&with(other_engine)).is_empty(), "turns are one engine's");
 }
+
+#[test]
+fn work_that_has_ended_three_engines_reaches_few_more() {
+    let crashing = |milliseconds| Run { crashing: Some(1), ..run("c", milliseconds) };
+    let mut records = Records::default();
+    // Three end; what comes while the news spreads does not count.
+    records.runs.extend([1_000, 1_100, 1_200, 1_300, 4_100].map(crashing));
+    records.runs.extend([5_000, 6_000, 7_000].map(crashing));
+    assert!(broken(&records).is_empty());
+    records.runs.push(crashing(8_000));
+    assert_eq!(broken(&records), [CRASHING_WORK]);
+}
