--- a/crates/coordinator/src/coordinator.rs
+++ b/crates/coordinator/src/coordinator.rs
@@ -12,6 +12,7 @@
 use saddlerelay_runtime::backend::Backends;
 use saddlerelay_runtime::signal::Signal;
 use saddlerelay_runtime_compio::CompioRuntime;
+use saddlerelay_runtime_compio::listening::EndedChecks;
 use saddlerelay_types::job::{ItemOutcome, JobId};
 use saddlerelay_upstream::{HeaderNames, Pool};
 use std::cell::{Cell, RefCell};
@@ -34,6 +35,7 @@
     pub homes: RefCell<Homes>,
     /// Items that wait for an engine, by model.
     pub waiting: RefCell<BTreeMap<String, u32>>,
+    pub ended_checks: EndedChecks,
     pub metrics: CoordinatorMetrics,
     /// The jobs of this term.
     pub jobs: RefCell<BTreeMap<JobId, JobRun>>,
@@ -88,6 +90,7 @@
             scorers: Scorers::new(identity.zone),
             homes: RefCell::default(),
             waiting: RefCell::default(),
+            ended_checks: EndedChecks::default(),
             metrics: CoordinatorMetrics::default(),
             jobs: RefCell::default(),
             outcomes: RefCell::default(),
--- a/crates/coordinator/src/lost_connections.rs
+++ b/crates/coordinator/src/lost_connections.rs
@@ -5,7 +5,6 @@
 use saddlerelay_control::state::ControlState;
 use saddlerelay_runtime::Runtime;
 use saddlerelay_runtime::backend::Backends;
-use saddlerelay_runtime_compio::listening::has_ended;
 use saddlerelay_types::instance::InstanceState;
 use saddlerelay_types::job::ItemId;
 use saddlerelay_types::suspicion::{EngineLoss, WorkEvidence};
@@ -17,7 +16,7 @@
     /// take it as evidence.
     pub(crate) async fn look_into_lost_connection(&self, item: &ItemId, work: WorkDigest, target: &EngineTarget) {
         let inner = &self.inner;
-        let ended = has_ended(target.address).await;
+        let ended = inner.ended_checks.has_ended(target.address).await;
         // One that was leaving has ended for a reason of its own.
         let record_state = |state: &ControlState| state.instances.get(&target.instance).map(|record| record.state);
         let counts = ended && inner.node.read(record_state).flatten() == Some(InstanceState::Ready);
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -15,6 +15,7 @@
 use saddlerelay_http::body::{BodyError, Reply, read_limited};
 use saddlerelay_runtime::Runtime;
 use saddlerelay_runtime_compio::CompioRuntime;
+use saddlerelay_runtime_compio::listening::EndedChecks;
 use saddlerelay_types::identity::Incarnation;
 use saddlerelay_types::instance::InstanceId;
 use saddlerelay_types::routing::{Route, RouteKind};
@@ -53,6 +54,7 @@
     pub usage: RefCell<UsageLedger>,
     pub balance: Balance,
     pub suspicions: Rc<SuspicionKeeper<CompioRuntime>>,
+    pub ended_checks: EndedChecks,
     pub metrics: GatewayMetrics,
     /// Where in each route's turn of targets this relay begins.
     pub offset: f64,
@@ -101,6 +103,7 @@
             usage: RefCell::default(),
             balance: Balance::default(),
             suspicions,
+            ended_checks: EndedChecks::default(),
             metrics: GatewayMetrics::default(),
             offset,
             draining: Cell::new(false),
--- a/crates/gateway/src/lost_connections.rs
+++ b/crates/gateway/src/lost_connections.rs
@@ -3,7 +3,6 @@
 use crate::gateway::Gateway;
 use crate::request::ClientRequest;
 use bytes::Bytes;
-use saddlerelay_runtime_compio::listening::has_ended;
 use saddlerelay_types::work::WorkDigest;
 use saddlerelay_upstream::EngineTarget;
 use std::cell::OnceCell;
@@ -34,7 +33,7 @@
         work: &RequestedWork,
         target: &EngineTarget,
     ) {
-        let ended = has_ended(target.address).await;
+        let ended = self.inner.ended_checks.has_ended(target.address).await;
         // One that was leaving has ended for a reason of its own.
         let counts = ended && self.sends_to(&target.instance);
         if ended {
--- /dev/null
+++ b/crates/runtime-compio/tests/listening.rs
@@ -0,0 +1,29 @@
+//! Whether a process has ended is asked once for everyone who wants to know.
+
+use futures::future::join_all;
+use saddlerelay_runtime_compio::listening::EndedChecks;
+use std::net::TcpListener;
+
+#[test]
+fn many_questions_about_one_address_are_one_connection() {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
+    listener.set_nonblocking(true).expect("a socket");
+    let address = listener.local_addr().expect("an address");
+    compio::runtime::Runtime::new().expect("a runtime").block_on(async {
+        let checks = EndedChecks::default();
+        let answers = join_all((0..50).map(|_| checks.has_ended(address))).await;
+        assert!(answers.iter().all(|ended| !ended));
+    });
+    let connections = std::iter::from_fn(|| listener.accept().ok()).count();
+    assert_eq!(connections, 1);
+}
+
+#[test]
+fn an_address_where_nobody_listens_has_ended() {
+    let address = TcpListener::bind("127.0.0.1:0").and_then(|listener| listener.local_addr()).expect("an address");
+    compio::runtime::Runtime::new().expect("a runtime").block_on(async {
+        let checks = EndedChecks::default();
+        let answers = join_all((0..50).map(|_| checks.has_ended(address))).await;
+        assert!(answers.iter().all(|ended| *ended));
+    });
+}
