--- a/crates/control-client/src/suspicions.rs
+++ b/crates/control-client/src/suspicions.rs
@@ -24,6 +24,10 @@
 /// others' evidence would have kept it from: some times as long as a commit takes.
 const KNOWN_TO_GROUP_LIMIT: Duration = Duration::from_millis(100);
 
+/// How long work that one engine more would quarantine is sent to none, unless the settings say otherwise: about as long as
+/// engines take to come back. Measured in inc1: 2.9 to 3.5 s from a crash to the new instance.
+pub const LAST_TRIAL_PAUSE: Duration = Duration::from_secs(5);
+
 /// Losses that wait to be handed over; more than engines can end while no leader is to be found.
 const LOSSES_KEPT: usize = 1_024;
 
@@ -76,7 +80,7 @@
     }
 
     /// How many kinds of work are suspected.
-    pub fn len(&self) -> usize {
+    pub fn suspected(&self) -> usize {
         self.suspects.len()
     }
 
@@ -181,14 +185,9 @@
         keeper
     }
 
-    /// Whether no work is suspected.
-    pub fn is_empty(&self) -> bool {
-        self.suspicions.borrow().is_empty()
-    }
-
     /// How many kinds of work are suspected.
-    pub fn len(&self) -> usize {
-        self.suspicions.borrow().len()
+    pub fn suspected(&self) -> usize {
+        self.suspicions.borrow().suspected()
     }
 
     /// The revision of the group's list that is held.
@@ -196,14 +195,20 @@
         self.suspicions.borrow().revision()
     }
 
-    /// How many engines have ended under `work` since it was last served.
-    pub fn engines_ended(&self, work: &WorkDigest) -> usize {
-        self.suspicions.borrow().engines_ended(work)
+    /// How many engines have ended under `work` since it was last served. Here and below the digest is made only if some
+    /// work is suspected.
+    pub fn engines_ended(&self, work: impl FnOnce() -> WorkDigest) -> usize {
+        let suspicions = self.suspicions.borrow();
+        if suspicions.is_empty() { 0 } else { suspicions.engines_ended(&work()) }
     }
 
     /// What is to be done with a request for `work` at this moment.
-    pub fn verdict(&self, work: &WorkDigest) -> Verdict {
-        self.suspicions.borrow().verdict(work, self.platform.monotonic(), self.last_trial_pause)
+    pub fn verdict(&self, work: impl FnOnce() -> WorkDigest) -> Verdict {
+        let suspicions = self.suspicions.borrow();
+        if suspicions.is_empty() {
+            return Verdict::Send;
+        }
+        suspicions.verdict(&work(), self.platform.monotonic(), self.last_trial_pause)
     }
 
     /// An engine has ended under work.
@@ -213,8 +218,9 @@
     }
 
     /// An engine has served work to its end.
-    pub fn note_served(&self, work: &WorkDigest) {
-        if self.suspicions.borrow_mut().note_served(work) {
+    pub fn note_served(&self, work: impl FnOnce() -> WorkDigest) {
+        let mut suspicions = self.suspicions.borrow_mut();
+        if !suspicions.is_empty() && suspicions.note_served(&work()) {
             self.waiting.notify();
         }
     }
--- a/crates/coordinator/src/plan.rs
+++ b/crates/coordinator/src/plan.rs
@@ -95,7 +95,7 @@
 impl Start {
     /// What the item asks for.
     pub fn work_digest(&self) -> WorkDigest {
-        WorkDigest::of_posted(self.owner.as_ref(), &self.host, &self.item.path, &self.item.body)
+        self.item.work_digest(self.owner.as_ref(), &self.host)
     }
 }
 
@@ -268,10 +268,8 @@
     let run = &of.run.items[index as usize];
     let owner = submission.owner.as_ref();
     let work = match item.scorer.as_ref().filter(|_| is_whole) {
-        Some(scorer) => {
-            run.scoring_work.get_or_init(|| WorkDigest::of_posted(owner, &scorer.host, &scorer.path, &scorer.body))
-        }
-        None => run.work.get_or_init(|| WorkDigest::of_posted(owner, &submission.host, &item.path, &item.body)),
+        Some(scorer) => run.scoring_work.get_or_init(|| scorer.work_digest(owner)),
+        None => run.work.get_or_init(|| item.work_digest(owner, &submission.host)),
     };
     of.suspicions.is_quarantined(work)
 }
--- a/crates/coordinator/src/scoring.rs
+++ b/crates/coordinator/src/scoring.rs
@@ -46,8 +46,7 @@
 impl ScoreCall {
     /// What the call asks for.
     fn work_digest(&self) -> WorkDigest {
-        let ScoringRequest { host, path, body, .. } = &self.request;
-        WorkDigest::of_posted(self.owner.as_ref(), host, path, body)
+        self.request.work_digest(self.owner.as_ref())
     }
 }
 
--- a/crates/gateway-api/tests/common/mod.rs
+++ b/crates/gateway-api/tests/common/mod.rs
@@ -242,32 +242,25 @@
 
     /// Has an engine report itself.
     pub async fn report(&self, engine: &StandInEngine, service: &str, leaving: bool, sequence: u64) {
-        let report = InstanceReport {
-            id: engine.instance(),
-            service: service.to_string(),
-            address: engine.address(),
-            zone: "north".to_string(),
-            slots: 4,
-            leaving,
-            models: engine.models(),
-            sequence,
-        };
+        let models = engine.models();
+        let report =
+            InstanceReport { leaving, sequence, models, ..report(engine.instance(), service, engine.address()) };
         self.take_report(&report).await;
     }
 
     /// Registers an engine that may crash, with the model of these tests.
     pub async fn register_crashing(&self, engine: &CrashingEngine, service: &str) {
-        let report = InstanceReport {
-            id: engine.instance(),
-            service: service.to_string(),
-            address: engine.address(),
-            zone: "north".to_string(),
-            slots: 4,
-            leaving: false,
-            models: vec![notes(1)],
-            sequence: 1,
-        };
-        self.take_report(&report).await;
+        let report = report(engine.instance(), service, engine.address());
+        self.take_report(&InstanceReport { models: vec![notes(1)], ..report }).await;
+    }
+
+    /// Starts the engines that have ended, and registers their new instances.
+    pub async fn revive(&self, engines: &[CrashingEngine], service: &str) {
+        for engine in engines {
+            if engine.revive() {
+                self.register_crashing(engine, service).await;
+            }
+        }
     }
 
     async fn take_report(&self, report: &InstanceReport) {
@@ -319,6 +312,20 @@
     }
 }
 
+/// The first report of an instance without a model, which may be given work.
+pub fn report(id: InstanceId, service: &str, address: SocketAddr) -> InstanceReport {
+    InstanceReport {
+        id,
+        service: service.to_string(),
+        address,
+        zone: "north".to_string(),
+        slots: 4,
+        leaving: false,
+        models: Vec::new(),
+        sequence: 1,
+    }
+}
+
 /// Calls a server; the host may be among the headers.
 pub async fn call(
     address: SocketAddr,
--- a/crates/gateway-api/tests/crashing_work.rs
+++ b/crates/gateway-api/tests/crashing_work.rs
@@ -40,10 +40,7 @@
         deployment.configure(&document(1, vec![route])).await;
         let (_, gateway, front) = deployment.start_in_the_south().await;
         let log = BegunLog::default();
-        let engines: Vec<_> = (0..3).map(|index| CrashingEngine::start(&format!("engine-{index}"), &log)).collect();
-        for engine in &engines {
-            deployment.register_crashing(engine, "web").await;
-        }
+        let engines = start_engines(&deployment, "web", &log).await;
         let setting = Self { deployment, south: (gateway, front), engines, log };
         setting.await_engines().await;
         setting
@@ -51,11 +48,7 @@
 
     /// Starts the engines that have ended, and waits until both gateways send to them.
     async fn revive(&self) {
-        for engine in &self.engines {
-            if engine.revive() {
-                self.deployment.register_crashing(engine, "web").await;
-            }
-        }
+        self.deployment.revive(&self.engines, "web").await;
         self.await_engines().await;
     }
 
@@ -72,8 +65,22 @@
     }
 
     fn ended(&self) -> usize {
-        self.log.borrow().iter().filter(|begun| begun.crashed).count()
+        ended(&self.log)
+    }
+}
+
+/// How many engines have ended under work.
+fn ended(log: &BegunLog) -> usize {
+    log.borrow().iter().filter(|begun| begun.crashed).count()
+}
+
+/// Three engines of a service.
+async fn start_engines(deployment: &Deployment, service: &str, log: &BegunLog) -> Vec<CrashingEngine> {
+    let engines: Vec<_> = (0..3).map(|index| CrashingEngine::start(&format!("engine-{index}"), log)).collect();
+    for engine in &engines {
+        deployment.register_crashing(engine, service).await;
     }
+    engines
 }
 
 async fn ask(front: SocketAddr, id: &str, body: &str) -> StatusCode {
@@ -267,18 +274,9 @@
         let model_engine = StandInEngine::start("model").await;
         deployment.register(&model_engine, "llm").await;
         let log = BegunLog::default();
-        let engines: Vec<_> = (0..3).map(|index| CrashingEngine::start(&format!("engine-{index}"), &log)).collect();
-        for engine in &engines {
-            deployment.register_crashing(engine, "web").await;
-        }
-        let ended = || log.borrow().iter().filter(|begun| begun.crashed).count();
-        let revive = async || {
-            for engine in &engines {
-                if engine.revive() {
-                    deployment.register_crashing(engine, "web").await;
-                }
-            }
-        };
+        let engines = start_engines(&deployment, "web", &log).await;
+        let ended = || ended(&log);
+        let revive = async || deployment.revive(&engines, "web").await;
         let scored = |id: &str, first: u32, crashing: Option<usize>| {
             let mut submission = job(id, 0, first, 3, 1);
             for (index, item) in submission.items.iter_mut().enumerate() {
@@ -316,21 +314,12 @@
         let deployment = Deployment::start("crash-item").await;
         deployment.configure(&document(1, vec![rollouts()])).await;
         let log = BegunLog::default();
-        let engines: Vec<_> = (0..3).map(|index| CrashingEngine::start(&format!("engine-{index}"), &log)).collect();
-        for engine in &engines {
-            deployment.register_crashing(engine, "llm").await;
-        }
+        let engines = start_engines(&deployment, "llm", &log).await;
         let mut submission = job("job", 0, 0, 6, 1);
         submission.items[2].body = format!("a prompt that {CRASHES}").into_bytes();
         assert_eq!(deployment.submit(&submission).await, StatusCode::ACCEPTED);
-        let ended = || log.borrow().iter().filter(|begun| begun.crashed).count();
-        let revive = async || {
-            for engine in &engines {
-                if engine.revive() {
-                    deployment.register_crashing(engine, "llm").await;
-                }
-            }
-        };
+        let ended = || ended(&log);
+        let revive = async || deployment.revive(&engines, "llm").await;
         eventually("the other items are completed", async || {
             revive().await;
             deployment.results("job").await.is_some_and(|page| page.results.len() == 5)
--- a/crates/gateway-api/tests/routed.rs
+++ b/crates/gateway-api/tests/routed.rs
@@ -3,9 +3,9 @@
 mod common;
 
 use common::engine::{Conduct, RawServer, StandInEngine};
-use common::{Deployment, HOST, block_on, call, document, eventually, route};
+use common::{Deployment, HOST, block_on, call, document, eventually, report, route};
 use hyper::{Method, StatusCode};
-use saddlerelay_types::instance::{InstanceId, InstanceReport};
+use saddlerelay_types::instance::InstanceId;
 use saddlerelay_types::routing::{Route, RouteKind, WeightedTarget};
 use std::time::{Duration, Instant};
 
@@ -26,16 +26,7 @@
 
 /// Tells the control group that an instance of this name stands at `address`.
 async fn register_as(deployment: &Deployment, name: &str, address: std::net::SocketAddr) {
-    let report = InstanceReport {
-        id: InstanceId(name.to_string()),
-        service: "web".to_string(),
-        address,
-        zone: "north".to_string(),
-        slots: 4,
-        leaving: false,
-        models: Vec::new(),
-        sequence: 1,
-    };
+    let report = report(InstanceId(name.to_string()), "web", address);
     let body = serde_json::to_vec(&report).expect("JSON");
     call(deployment.control, Method::PUT, &format!("/v1/instances/{name}"), &[], body).await;
 }
--- a/crates/gateway/src/config.rs
+++ b/crates/gateway/src/config.rs
@@ -1,5 +1,6 @@
 //! Limits of a gateway.
 
+use saddlerelay_control_client::suspicions::LAST_TRIAL_PAUSE;
 use std::time::Duration;
 
 /// Limits; times are derived from the deployment's bounds by the settings.
@@ -20,8 +21,7 @@
     pub default_body_bytes: u64,
     /// Longest wait for the control group's answer to a follow request.
     pub follow_limit: Duration,
-    /// How long work under which engines have ended is kept from the one that would quarantine it: about as long as engines
-    /// take to come back. Measured in inc1: 2.9 to 3.5 s from a crash to the new instance.
+    /// How long work under which engines have ended is kept from the one that would quarantine it.
     pub last_trial_pause: Duration,
 }
 
@@ -35,7 +35,7 @@
             whole_answer_bytes: 32 * 1024 * 1024,
             default_body_bytes: 8 * 1024 * 1024,
             follow_limit: Duration::from_millis(650),
-            last_trial_pause: Duration::from_secs(5),
+            last_trial_pause: LAST_TRIAL_PAUSE,
         }
     }
 }
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -12,7 +12,6 @@
 use futures::{FutureExt, StreamExt};
 use hyper::header::CONTENT_LENGTH;
 use hyper::http::response::Parts;
-use saddlerelay_control_client::suspicions::Verdict;
 use saddlerelay_http::body::{LocalBody, Reply};
 use saddlerelay_runtime::Runtime;
 use saddlerelay_runtime::timeout::timeout;
@@ -191,10 +190,7 @@
         };
         let time_left = || passage.limit.saturating_sub(self.now());
         let run = passage.possible_runs.attempt();
-        let may_send = || {
-            let is_fit = self.verdict(passage.request, &passage.work) == Verdict::Send;
-            run.note_sending(is_fit && self.may_send(instance), self.now())
-        };
+        let may_send = || run.note_sending(self.may_send_work(passage.request, &passage.work, instance), self.now());
         let ended = match self.inner.pool.send(&engine.target, outgoing, reuse, time_left, may_send).await {
             Ok(answer) => {
                 let not_executed = answer.is_not_executed(self.names());
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -153,7 +153,7 @@
 
     /// How many kinds of work this relay suspects of ending engines.
     pub fn suspected_work(&self) -> usize {
-        self.inner.suspicions.len()
+        self.inner.suspicions.suspected()
     }
 
     /// From now on every answer tells its client to go elsewhere.
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -3,7 +3,8 @@
 //! Host and path choose a route, the route a service, and the relay one of its engines. What a relay knows of routes and
 //! engines comes from the control group under a lease; without the lease it sends nothing on. `table` and `view` hold
 //! what is known, `follow` keeps it new, `admission` checks keys, `forward` and `stream` send requests on, `lost_connections`
-//! finds out whether engines end under them, `suspicions` keeps work that ends engines away from more of them, `usage` counts what engines begin, and `results` reads batch jobs.
+//! finds out whether engines end under them, `suspicions` keeps work that ends engines away from more of them, `usage`
+//! counts what engines begin, and `results` reads batch jobs.
 
 pub mod admission;
 pub mod attempt;
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -11,7 +11,6 @@
 use futures::Stream;
 use hyper::header::{CONTENT_LENGTH, HeaderValue};
 use hyper::http::response::Parts;
-use saddlerelay_control_client::suspicions::Verdict;
 use saddlerelay_http::body::{BrokenOff, LocalBody, Reply};
 use saddlerelay_runtime::timeout::timeout;
 use saddlerelay_types::instance::InstanceId;
@@ -137,10 +136,8 @@
             };
             tried.push(engine.target.clone());
             let run = possible_runs.attempt();
-            let may_send = || {
-                let is_fit = self.verdict(passage.request, passage.work) == Verdict::Send;
-                run.note_sending(is_fit && self.may_send(&engine.target.instance), self.now())
-            };
+            let instance = &engine.target.instance;
+            let may_send = || run.note_sending(self.may_send_work(passage.request, passage.work, instance), self.now());
             let time_left = || passage.limit.saturating_sub(self.now());
             let began_at = self.now();
             let sent = self.inner.pool.send(&engine.target, outgoing, Reuse::Recent, time_left, may_send).await;
--- a/crates/gateway/src/suspicions.rs
+++ b/crates/gateway/src/suspicions.rs
@@ -13,14 +13,13 @@
 impl Gateway {
     /// How many engines have ended under a request's work, as far as this relay knows.
     pub(crate) fn engines_ended(&self, request: &ClientRequest, work: &RequestedWork) -> usize {
-        let suspicions = &self.inner.suspicions;
-        if suspicions.is_empty() { 0 } else { suspicions.engines_ended(&work.digest(request)) }
+        self.inner.suspicions.engines_ended(|| work.digest(request))
     }
 
-    /// What is to be done with a request at this moment, by what is known of its work.
-    pub(crate) fn verdict(&self, request: &ClientRequest, work: &RequestedWork) -> Verdict {
-        let suspicions = &self.inner.suspicions;
-        if suspicions.is_empty() { Verdict::Send } else { suspicions.verdict(&work.digest(request)) }
+    /// Whether the relay may send a request to `instance` at this moment, by what is known of both.
+    pub(crate) fn may_send_work(&self, request: &ClientRequest, work: &RequestedWork, instance: &InstanceId) -> bool {
+        let verdict = self.inner.suspicions.verdict(|| work.digest(request));
+        verdict == Verdict::Send && self.may_send(instance)
     }
 
     /// Refuses a request whose work is not to be sent on now. `may_have_run` tells whether this try of it may have run.
@@ -30,7 +29,7 @@
         work: &RequestedWork,
         may_have_run: bool,
     ) -> Result<(), Refusal> {
-        let (refusal, pause) = match self.verdict(request, work) {
+        let (refusal, pause) = match self.inner.suspicions.verdict(|| work.digest(request)) {
             Verdict::Send => return Ok(()),
             Verdict::Quarantine => (Refusal::Quarantined, Duration::ZERO),
             Verdict::Pause(left) if may_have_run => (Refusal::EngineFailed, left),
@@ -54,8 +53,6 @@
 
     /// An engine has served a request to its end.
     pub(crate) fn note_served(&self, request: &ClientRequest, work: &RequestedWork) {
-        if !self.inner.suspicions.is_empty() {
-            self.inner.suspicions.note_served(&work.digest(request));
-        }
+        self.inner.suspicions.note_served(|| work.digest(request));
     }
 }
--- a/crates/relay/src/commands/callers.rs
+++ b/crates/relay/src/commands/callers.rs
@@ -1,7 +1,7 @@
 //! Callers' requests: admission, claim, generation, and an answer that says what is known of the execution.
 
 use crate::admission::{AdmissionLimits, AdmissionRefusal};
-use crate::dispatch::{DispatchFailure, GenerationWork};
+use crate::dispatch::{DispatchFailure, GenerationWork, SHORT_RETRY};
 use crate::relay::Relay;
 use futures::channel::mpsc;
 use saddlerelay_runtime::Runtime;
@@ -22,7 +22,7 @@
 const SETTLE_LIMIT: Duration = Duration::from_secs(60);
 
 /// When to come back after a refusal that passes quickly.
-const SHORT_RETRY_MILLISECONDS: u64 = 500;
+const SHORT_RETRY_MILLISECONDS: u64 = SHORT_RETRY.as_millis() as u64;
 
 /// Where answer parts go.
 pub type PartSender = mpsc::UnboundedSender<AnswerPart>;
--- a/crates/relay/src/config.rs
+++ b/crates/relay/src/config.rs
@@ -1,5 +1,6 @@
 //! Limits of a relay.
 
+use saddlerelay_control_client::suspicions::LAST_TRIAL_PAUSE;
 use std::time::Duration;
 
 /// Timing and sizes.
@@ -32,8 +33,7 @@
     pub fetch_wait: Duration,
     /// How long a planned stop waits for requests in progress.
     pub drain_limit: Duration,
-    /// How long work under which engines have ended is kept from the one that would quarantine it: about as long as engines
-    /// take to come back. Measured in inc1: 2.9 to 3.5 s from a crash to the new instance.
+    /// How long work under which engines have ended is kept from the one that would quarantine it.
     pub last_trial_pause: Duration,
 }
 
@@ -53,7 +53,7 @@
             engine_in_flight_percent: 300,
             fetch_wait: Duration::from_secs(2),
             drain_limit: Duration::from_secs(120),
-            last_trial_pause: Duration::from_secs(5),
+            last_trial_pause: LAST_TRIAL_PAUSE,
         }
     }
 }
--- a/crates/relay/src/dispatch.rs
+++ b/crates/relay/src/dispatch.rs
@@ -26,7 +26,7 @@
 const EVEN_SHARE_PERCENT: u32 = 50;
 
 /// When callers are told to come back after a failure that may pass.
-const SHORT_RETRY: Duration = Duration::from_millis(500);
+pub(crate) const SHORT_RETRY: Duration = Duration::from_millis(500);
 
 /// The path by which generations are told apart from routed requests, as work.
 const GENERATION_PATH: &str = "generation";
@@ -120,8 +120,8 @@
             work_digest: OnceCell::new(),
         };
         let outcome = self.try_engines(&mut progress).await;
-        if outcome.is_ok() && !self.inner.suspicions.is_empty() {
-            self.inner.suspicions.note_served(&progress.work_digest());
+        if outcome.is_ok() {
+            self.inner.suspicions.note_served(|| progress.work_digest());
         }
         outcome.map(|()| progress.generation)
     }
@@ -158,11 +158,7 @@
 
     /// Refuses work that is not to be sent on now.
     fn check_suspicion(&self, progress: &Progress<'_>) -> Result<(), DispatchFailure> {
-        let suspicions = &self.inner.suspicions;
-        if suspicions.is_empty() {
-            return Ok(());
-        }
-        let retry_after = match suspicions.verdict(&progress.work_digest()) {
+        let retry_after = match self.inner.suspicions.verdict(|| progress.work_digest()) {
             Verdict::Send => return Ok(()),
             Verdict::Pause(left) => left,
             Verdict::Quarantine => Duration::ZERO,
--- a/crates/simulator/tests/suspicion_ways.rs
+++ b/crates/simulator/tests/suspicion_ways.rs
@@ -103,7 +103,6 @@
 #[derive(Debug, Default)]
 struct Outcome {
     innocent: usize,
-    served: usize,
     /// Innocent clients refused at their last try because their work was suspected.
     refused_as_suspects: usize,
     /// Innocent clients whose last try failed with its engine, or found none.
@@ -247,7 +246,6 @@
             return;
         }
         let one = self.engines[engine].running.remove(&run).expect("it runs there");
-        self.outcome.served += 1;
         if self.relays[one.relay].note_served(&digest(one.work)) {
             self.hand_over(one.relay);
         }
@@ -287,21 +285,29 @@
     }
 }
 
-/// Sums over the seeds: innocent, refused as suspects, failed, mean and most engines ended by a kind of guilty work.
-fn measure(way: Way, relays: usize, engines: usize) -> (usize, usize, usize, f64, usize, Duration) {
+/// What one way brought, over all seeds.
+struct Measured {
+    innocent: usize,
+    refused_as_suspects: usize,
+    failed: usize,
+    /// Engines ended by a kind of guilty work: mean and most.
+    mean_ended: f64,
+    most_ended: usize,
+    none_up: Duration,
+}
+
+fn measure(way: Way, relays: usize, engines: usize) -> Measured {
     let outcomes: Vec<Outcome> = SEEDS.map(|seed| Model::new(way, relays, engines, seed).run(GUILTY_KINDS)).collect();
     let sum = |of: fn(&Outcome) -> usize| outcomes.iter().map(of).sum::<usize>();
     let ended: Vec<usize> = outcomes.iter().flat_map(|outcome| outcome.ended_by.values().copied()).collect();
-    let mean = ended.iter().sum::<usize>() as f64 / ended.len().max(1) as f64;
-    let none_up = outcomes.iter().map(|outcome| outcome.none_up).sum();
-    (
-        sum(|outcome| outcome.innocent),
-        sum(|outcome| outcome.refused_as_suspects),
-        sum(|outcome| outcome.failed),
-        mean,
-        ended.into_iter().max().unwrap_or(0),
-        none_up,
-    )
+    Measured {
+        innocent: sum(|outcome| outcome.innocent),
+        refused_as_suspects: sum(|outcome| outcome.refused_as_suspects),
+        failed: sum(|outcome| outcome.failed),
+        mean_ended: ended.iter().sum::<usize>() as f64 / ended.len().max(1) as f64,
+        most_ended: ended.into_iter().max().unwrap_or(0),
+        none_up: outcomes.iter().map(|outcome| outcome.none_up).sum(),
+    }
 }
 
 #[test]
@@ -309,14 +315,16 @@
     println!("way, relays, engines: innocent, refused as suspects, failed, engines ended (mean, most), none up");
     for (relays, engines) in [(3, 3), (7, 9), (67, 30)] {
         for way in [Way::Nothing, Way::Counting, Way::CountingWithPause, Way::TwoEngines] {
-            let (innocent, refused, failed, mean, most, none_up) = measure(way, relays, engines);
+            let Measured { innocent, refused_as_suspects, failed, mean_ended, most_ended, none_up } =
+                measure(way, relays, engines);
             println!(
-                "{way:?}, {relays}, {engines}: {innocent}, {refused}, {failed}, {mean:.2}, {most}, {:.1} s",
+                "{way:?}, {relays}, {engines}: {innocent}, {refused_as_suspects}, {failed}, {mean_ended:.2}, {most_ended}, \
+                 {:.1} s",
                 none_up.as_secs_f64()
             );
             if way == Way::CountingWithPause {
-                assert!(refused * 10_000 < innocent, "{refused} of {innocent} refused as suspects");
-                assert!(most <= 4, "one kind of work ended {most} engines");
+                assert!(refused_as_suspects * 10_000 < innocent, "{refused_as_suspects} of {innocent} refused");
+                assert!(most_ended <= 4, "one kind of work ended {most_ended} engines");
             }
         }
     }
--- a/crates/types/src/job.rs
+++ b/crates/types/src/job.rs
@@ -1,6 +1,7 @@
 //! Batch jobs: many streams that are handed in at once, run later, and read by position.
 
 use crate::identity::TenantId;
+use crate::work::WorkDigest;
 use bitcode::{Decode, Encode};
 use serde::{Deserialize, Serialize};
 
@@ -71,6 +72,13 @@
     pub body: Vec<u8>,
 }
 
+impl JobItem {
+    /// What the item asks for, as a part of a job that `owner` handed in for `host`.
+    pub fn work_digest(&self, owner: Option<&TenantId>, host: &str) -> WorkDigest {
+        WorkDigest::of_posted(owner, host, &self.path, &self.body)
+    }
+}
+
 /// Why a job cannot be taken.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum JobError {
@@ -102,6 +110,11 @@
 }
 
 impl ScoringRequest {
+    /// What the request asks for, on behalf of the owner of a job.
+    pub fn work_digest(&self, owner: Option<&TenantId>) -> WorkDigest {
+        WorkDigest::of_posted(owner, &self.host, &self.path, &self.body)
+    }
+
     fn error(&self, item: &ItemId) -> Option<JobError> {
         let fits_a_header = |text: &str| !text.is_empty() && text.bytes().all(|byte| byte.is_ascii_graphic());
         if !fits_a_header(&self.id) {
--- a/crates/types/src/lib.rs
+++ b/crates/types/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod credentials;
 pub mod engine;
 pub mod gateway;
+mod hexadecimal;
 pub mod identity;
 pub mod instance;
 pub mod job;
--- a/crates/types/src/work.rs
+++ b/crates/types/src/work.rs
@@ -1,14 +1,11 @@
 //! What a request asks for, whoever sends it again and however often: every try has an identifier of its own, the work has
 //! one digest.
 
-use crate::credentials::{hexadecimal, read_hexadecimal};
+use crate::hexadecimal::digest_as_text;
 use crate::identity::TenantId;
 use crate::tenancy::Caller;
 use bitcode::{Decode, Encode};
-use serde::de::Error as _;
-use serde::{Deserialize, Deserializer, Serialize, Serializer};
 use sha2::{Digest as _, Sha256};
-use std::fmt;
 
 /// Bytes that are kept of the SHA-256: enough that nobody finds two kinds of work with one digest.
 const DIGEST_BYTES: usize = 16;
@@ -60,21 +57,6 @@
         let caller = owner.cloned().map_or(Caller::Anyone, Caller::Tenant);
         Self::of(&Work { caller: &caller, method: "POST", host, path, body })
     }
-
-    /// Reads a digest in hexadecimal; `None` if it is none.
-    pub fn from_hexadecimal(text: &str) -> Option<Self> {
-        read_hexadecimal(text).map(Self)
-    }
-
-    /// The digest in hexadecimal.
-    pub fn to_hexadecimal(self) -> String {
-        hexadecimal(&self.0)
-    }
-
-    /// Its beginning, for logs.
-    pub fn shown(&self) -> String {
-        hexadecimal(&self.0[..SHOWN_BYTES])
-    }
 }
 
 /// Adds a part with its length, so that parts cannot run into each other.
@@ -83,21 +65,4 @@
     hasher.update(part);
 }
 
-impl fmt::Debug for WorkDigest {
-    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
-        write!(formatter, "WorkDigest({})", self.shown())
-    }
-}
-
-impl Serialize for WorkDigest {
-    fn serialize<S: Serializer>(&self, serializer: S) -> Result<S::Ok, S::Error> {
-        serializer.serialize_str(&self.to_hexadecimal())
-    }
-}
-
-impl<'de> Deserialize<'de> for WorkDigest {
-    fn deserialize<D: Deserializer<'de>>(deserializer: D) -> Result<Self, D::Error> {
-        let text = String::deserialize(deserializer)?;
-        Self::from_hexadecimal(&text).ok_or_else(|| D::Error::custom("is not a digest of work in hexadecimal"))
-    }
-}
+digest_as_text!(WorkDigest, SHOWN_BYTES, "a digest of work");
