Let suspected work run at one engine at a time anywhere

Cause: once an engine had ended under it, two tries of one work could run at two engines at two relays; of three engines that was all. Change: a try asks the leader for the right to run, which is in the log with its time, and gives it back; requests, streams, items and generations of the product's own interface. The second try is told at once to come back. Without a leader: refused.

--- a/crates/control-client/src/suspicions.rs
+++ b/crates/control-client/src/suspicions.rs
@@ -5,11 +5,12 @@
 use saddlerelay_runtime::Runtime;
 use saddlerelay_runtime::signal::Signal;
 use saddlerelay_runtime::timeout::timeout;
-use saddlerelay_types::gateway::{GatewayReply, GatewayRequest};
+use saddlerelay_types::gateway::{GatewayReply, GatewayRequest, TrialRequest};
+use saddlerelay_types::identity::Incarnation;
 use saddlerelay_types::instance::InstanceId;
-use saddlerelay_types::suspicion::{EngineLoss, MOST_ENGINES_ENDED, SuspicionList, WorkEvidence};
+use saddlerelay_types::suspicion::{EngineLoss, MOST_ENGINES_ENDED, SuspicionList, TrialAnswer, TrialId, WorkEvidence};
 use saddlerelay_types::work::WorkDigest;
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::collections::{BTreeMap, BTreeSet};
 use std::rc::Rc;
 use std::time::Duration;
@@ -28,6 +29,10 @@
 /// engines take to come back. Measured in inc1: 2.9 to 3.5 s from a crash to the new instance.
 pub const LAST_TRIAL_PAUSE: Duration = Duration::from_secs(5);
 
+/// Longest wait for the right to run suspected work: some times as long as a commit takes. Without it, the client is told
+/// to come back.
+const TRIAL_ANSWER_LIMIT: Duration = Duration::from_millis(150);
+
 /// Losses that wait to be handed over; more than engines can end while no leader is to be found.
 const LOSSES_KEPT: usize = 1_024;
 
@@ -163,6 +168,9 @@
     platform: P,
     control: ControlClient<P>,
     last_trial_pause: Duration,
+    /// This start of the process, and how many trials it has asked for.
+    incarnation: Incarnation,
+    trials_begun: Cell<u64>,
     suspicions: RefCell<Suspicions>,
     /// There is evidence to hand over.
     waiting: Signal,
@@ -177,6 +185,8 @@
             platform: platform.clone(),
             control,
             last_trial_pause,
+            incarnation: Incarnation(platform.random()),
+            trials_begun: Cell::new(0),
             suspicions: RefCell::default(),
             waiting: Signal::default(),
             handed_over: Signal::default(),
@@ -211,6 +221,28 @@
         suspicions.verdict(&work(), self.platform.monotonic(), self.last_trial_pause)
     }
 
+    /// Asks the group for the right to run suspected work, for `limit` at most; `None` while another try of it runs, or
+    /// while no leader is to be found: nobody can say then that none does.
+    pub async fn begin_trial(self: &Rc<Self>, work: WorkDigest, limit: Duration) -> Option<TrialGuard<P>> {
+        let number = self.trials_begun.get() + 1;
+        self.trials_begun.set(number);
+        let id = TrialId { holder: self.incarnation, number };
+        let limit_ms = limit.as_millis() as u64;
+        let request = GatewayRequest::BeginTrial(TrialRequest { work, id, limit_ms });
+        let answer = self.control.gateway(request, TRIAL_ANSWER_LIMIT, TRIAL_ANSWER_LIMIT).await;
+        let granted = answer == Ok(GatewayReply::Trial(TrialAnswer::Granted));
+        spdlog::info!("trial of suspected work", kv: {
+            work = work.shown().as_str(), number = number, granted = granted, limit_ms = limit_ms,
+            answer = format!("{answer:?}").as_str()
+        });
+        if answer == Ok(GatewayReply::Trial(TrialAnswer::Taken)) {
+            return None;
+        }
+        // A question without an answer may have been granted: the guard gives back what it may hold.
+        let guard = TrialGuard { keeper: self.clone(), work, id };
+        granted.then_some(guard)
+    }
+
     /// An engine has ended under work.
     pub fn note_loss(&self, loss: EngineLoss) {
         self.suspicions.borrow_mut().note_loss(loss, self.platform.monotonic());
@@ -243,6 +275,28 @@
     }
 }
 
+/// The right to run suspected work; given back when it is dropped.
+pub struct TrialGuard<P: Runtime> {
+    keeper: Rc<SuspicionKeeper<P>>,
+    work: WorkDigest,
+    id: TrialId,
+}
+
+impl<P: Runtime> Drop for TrialGuard<P> {
+    fn drop(&mut self) {
+        let (keeper, work, id) = (self.keeper.clone(), self.work, self.id);
+        self.keeper.platform.spawn(async move {
+            let request = GatewayRequest::EndTrial { work, id };
+            if let Err(error) = keeper.control.gateway(request, HAND_OVER_LIMIT, HAND_OVER_LIMIT).await {
+                // Its time runs out all the same.
+                spdlog::warn!("trial not given back", kv: {
+                    work = work.shown().as_str(), reason = format!("{error:?}").as_str()
+                });
+            }
+        });
+    }
+}
+
 /// Hands evidence over to the control group until the process ends.
 async fn hand_over<P: Runtime>(keeper: Rc<SuspicionKeeper<P>>) {
     loop {
--- a/crates/control/src/commands/gateway.rs
+++ b/crates/control/src/commands/gateway.rs
@@ -60,6 +60,13 @@
             state.suspicions.take(evidence, state.time);
             GatewayOutcome::Done
         }
+        GatewayCommand::BeginTrial(trial) => {
+            GatewayOutcome::Trial(state.suspicions.begin_trial(trial.work, trial.id, state.time, trial.limit_ms))
+        }
+        GatewayCommand::EndTrial { work, id } => {
+            state.suspicions.end_trial(&work, id);
+            GatewayOutcome::Done
+        }
         GatewayCommand::ExpireSuspicions => {
             state.suspicions.expire(state.time);
             GatewayOutcome::Done
--- a/crates/control/src/gateway.rs
+++ b/crates/control/src/gateway.rs
@@ -70,6 +70,10 @@
             GatewayRequest::ReadRetirement(name) => self.read_retirement(&name),
             GatewayRequest::ReadDuties => self.read_duties(),
             GatewayRequest::TakeEvidence(evidence) => self.take_evidence(evidence).await,
+            GatewayRequest::BeginTrial(trial) => self.execute_gateway(GatewayCommand::BeginTrial(trial)).await,
+            GatewayRequest::EndTrial { work, id } => {
+                self.execute_gateway(GatewayCommand::EndTrial { work, id }).await
+            }
             GatewayRequest::ReadSuspicions => self.read_suspicions(),
             GatewayRequest::ReleaseWork(work) => self.release_work(work).await,
         }
@@ -90,6 +94,7 @@
     pub(crate) async fn execute_gateway(&self, command: GatewayCommand) -> ControlReply {
         match self.commit_gateway(command).await {
             Ok(GatewayOutcome::NotFound) => ControlReply::Gateway(GatewayReply::NotFound),
+            Ok(GatewayOutcome::Trial(answer)) => ControlReply::Gateway(GatewayReply::Trial(answer)),
             Ok(GatewayOutcome::Done | GatewayOutcome::TextMissing(_) | GatewayOutcome::Orders { .. }) => {
                 ControlReply::Gateway(GatewayReply::Done)
             }
--- a/crates/control/src/state/suspicions.rs
+++ b/crates/control/src/state/suspicions.rs
@@ -1,7 +1,9 @@
 //! Work under which engines have ended, whoever ran it. Bounded in number and in time.
 
 use bitcode::{Decode, Encode};
-use saddlerelay_types::suspicion::{EngineLoss, MOST_ENGINES_ENDED, Suspicion, SuspicionList, WorkEvidence};
+use saddlerelay_types::suspicion::{
+    EngineLoss, MOST_ENGINES_ENDED, Suspicion, SuspicionList, TrialAnswer, TrialId, WorkEvidence,
+};
 use saddlerelay_types::work::WorkDigest;
 use std::collections::BTreeMap;
 
@@ -17,10 +19,20 @@
 /// How long work is sent to no engine, in milliseconds. Afterwards one engine may try it: engines may have been mended.
 const QUARANTINED_MS: u64 = 60 * 60 * 1_000;
 
+/// The right to run suspected work.
+#[derive(Clone, Copy, Debug, PartialEq, Encode, Decode)]
+struct Trial {
+    id: TrialId,
+    /// In Unix milliseconds. A holder that dies keeps others waiting until then.
+    until: u64,
+}
+
 /// The table. Each change takes the next revision.
 #[derive(Clone, Debug, Default, PartialEq, Encode, Decode)]
 pub struct SuspicionTable {
     by_work: BTreeMap<WorkDigest, Suspicion>,
+    /// Suspected work that runs somewhere; never more kinds than are suspected.
+    trials: BTreeMap<WorkDigest, Trial>,
     revision: u64,
 }
 
@@ -101,6 +113,26 @@
         }
     }
 
+    /// Gives one try at a time the right to run suspected work, for `limit_ms` from `now` at most. Two tries at two engines
+    /// at once end both before either shows what the work does: of three engines that would be all.
+    pub fn begin_trial(&mut self, work: WorkDigest, id: TrialId, now: u64, limit_ms: u64) -> TrialAnswer {
+        let suspected = &self.by_work;
+        self.trials.retain(|work, trial| now < trial.until && suspected.contains_key(work));
+        if !self.by_work.contains_key(&work) {
+            return TrialAnswer::Granted;
+        }
+        let until = now.saturating_add(limit_ms);
+        let trial = self.trials.entry(work).or_insert(Trial { id, until });
+        if trial.id == id { TrialAnswer::Granted } else { TrialAnswer::Taken }
+    }
+
+    /// A try is over, however it ended.
+    pub fn end_trial(&mut self, work: &WorkDigest, id: TrialId) {
+        if self.trials.get(work).is_some_and(|trial| trial.id == id) {
+            self.trials.remove(work);
+        }
+    }
+
     /// Whether something is to be forgotten at `now`.
     pub fn has_expired(&self, now: u64) -> bool {
         self.by_work.values().any(|suspicion| has_expired(suspicion, now))
--- a/crates/coordinator/src/coordinator.rs
+++ b/crates/coordinator/src/coordinator.rs
@@ -13,6 +13,7 @@
 use saddlerelay_runtime::signal::Signal;
 use saddlerelay_runtime_compio::CompioRuntime;
 use saddlerelay_runtime_compio::listening::EndedChecks;
+use saddlerelay_types::identity::Incarnation;
 use saddlerelay_types::job::{ItemOutcome, JobId};
 use saddlerelay_upstream::{HeaderNames, Pool};
 use std::cell::{Cell, RefCell};
@@ -36,6 +37,9 @@
     /// Items that wait for an engine, by model.
     pub waiting: RefCell<BTreeMap<String, u32>>,
     pub ended_checks: EndedChecks,
+    /// This start of the process, and how many trials of suspected items it has asked for.
+    pub incarnation: Incarnation,
+    pub trials_begun: Cell<u64>,
     pub metrics: CoordinatorMetrics,
     /// The jobs of this term.
     pub jobs: RefCell<BTreeMap<JobId, JobRun>>,
@@ -91,6 +95,8 @@
             homes: RefCell::default(),
             waiting: RefCell::default(),
             ended_checks: EndedChecks::default(),
+            incarnation: Incarnation(runtime.random()),
+            trials_begun: Cell::new(0),
             metrics: CoordinatorMetrics::default(),
             jobs: RefCell::default(),
             outcomes: RefCell::default(),
--- a/crates/coordinator/src/item.rs
+++ b/crates/coordinator/src/item.rs
@@ -2,6 +2,7 @@
 
 use crate::coordinator::Coordinator;
 use crate::job_run::Phase;
+use crate::lost_connections::TrialTaken;
 use crate::plan::{Start, still_wanted};
 use crate::text;
 use hyper::header::{HOST, HeaderMap, HeaderName, HeaderValue};
@@ -9,6 +10,7 @@
 use saddlerelay_runtime::backend::Backends;
 use saddlerelay_types::identity::TenantId;
 use saddlerelay_types::instance::LoadedModel;
+use saddlerelay_types::suspicion::TRIAL_RETRY_AFTER;
 use saddlerelay_upstream::events::{Event, EventCutter};
 use saddlerelay_upstream::{Answer, Failure, HeaderNames, Outgoing, Reuse};
 use std::time::Duration;
@@ -32,6 +34,8 @@
     ConnectionLost(String),
     /// No event came for long.
     Silent,
+    /// Another try of the same suspected work is under way.
+    TrialTaken,
     /// A version made an event that must not be in the text.
     UnfitVersion(u64),
 }
@@ -41,7 +45,11 @@
     let _place = coordinator.inner.fleet.take_place(&start.target.instance);
     let began_at = coordinator.now();
     coordinator.inner.metrics.items_sent.inc();
-    let end = attempt(&coordinator, &start).await;
+    let trial = coordinator.begin_trial(&start).await;
+    let end = match &trial {
+        Ok(trial) => attempt(&coordinator, &start, trial.is_some()).await,
+        Err(TrialTaken) => AttemptEnd::TrialTaken,
+    };
     let lasted = coordinator.now().saturating_sub(began_at);
     if matches!(end, AttemptEnd::ConnectionLost(_)) {
         coordinator.look_into_lost_connection(&start.item.id, start.work_digest(), &start.target).await;
@@ -65,7 +73,7 @@
     });
 }
 
-async fn attempt<B: Backends>(coordinator: &Coordinator<B>, start: &Start) -> AttemptEnd {
+async fn attempt<B: Backends>(coordinator: &Coordinator<B>, start: &Start, on_trial: bool) -> AttemptEnd {
     let outgoing = match outgoing(coordinator, start) {
         Ok(outgoing) => outgoing,
         Err(reason) => {
@@ -77,7 +85,8 @@
     let time_left = || start.give_up_at.saturating_sub(coordinator.now());
     let may_send = || {
         let wanted = inner.node.read(|state| still_wanted(state, start));
-        coordinator.leads(start.term) && wanted == Some(true)
+        let alone = on_trial || !coordinator.is_suspected(start);
+        coordinator.leads(start.term) && wanted == Some(true) && alone
     };
     let sending = inner.pool.send(&start.target, &outgoing, Reuse::Any, time_left, may_send);
     let answer = match compio::time::timeout(inner.config.answer_limit, sending).await {
@@ -239,6 +248,10 @@
             }
             // It may only have put the item back for a while.
             AttemptEnd::Silent => {}
+            AttemptEnd::TrialTaken => {
+                run.not_before = now + TRIAL_RETRY_AFTER;
+                run.avoid = None;
+            }
             AttemptEnd::OtherVersion(version) => self.learn_other_version(start, version, rest),
             AttemptEnd::UnfitVersion(_) => *start.text.borrow_mut() = text::ItemText::default(),
             AttemptEnd::Impossible | AttemptEnd::Whole => {}
--- a/crates/coordinator/src/lost_connections.rs
+++ b/crates/coordinator/src/lost_connections.rs
@@ -2,15 +2,42 @@
 //! engine after engine has ended.
 
 use crate::coordinator::Coordinator;
+use crate::plan::Start;
 use saddlerelay_control::state::ControlState;
 use saddlerelay_runtime::Runtime;
 use saddlerelay_runtime::backend::Backends;
+use saddlerelay_types::gateway::{GatewayCommand, GatewayOutcome, TrialRequest};
 use saddlerelay_types::instance::InstanceState;
 use saddlerelay_types::job::ItemId;
-use saddlerelay_types::suspicion::{EngineLoss, WorkEvidence};
+use saddlerelay_types::suspicion::{EngineLoss, TrialAnswer, TrialId, WorkEvidence};
 use saddlerelay_types::work::WorkDigest;
 use saddlerelay_upstream::EngineTarget;
 
+/// Another try of the same work is under way, or this process does not lead.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) struct TrialTaken;
+
+/// The right to run a suspected item; given back when it is dropped.
+pub(crate) struct ItemTrial<B: Backends> {
+    coordinator: Coordinator<B>,
+    work: WorkDigest,
+    id: TrialId,
+}
+
+impl<B: Backends> Drop for ItemTrial<B> {
+    fn drop(&mut self) {
+        let (coordinator, work, id) = (self.coordinator.clone(), self.work, self.id);
+        self.coordinator.inner.runtime.spawn(async move {
+            if let Err(error) = coordinator.inner.node.commit_gateway(GatewayCommand::EndTrial { work, id }).await {
+                // Its time runs out all the same.
+                spdlog::warn!("trial not given back", kv: {
+                    work = work.shown().as_str(), reason = format!("{error:?}").as_str()
+                });
+            }
+        });
+    }
+}
+
 impl<B: Backends> Coordinator<B> {
     /// Finds out whether the engine at `target` has ended under work that belongs to an item, says so, and has the group
     /// take it as evidence.
@@ -36,6 +63,38 @@
         }
     }
 
+    /// Asks for the right to run an item, if its work is suspected; `Err` while another try of it runs.
+    pub(crate) async fn begin_trial(&self, start: &Start) -> Result<Option<ItemTrial<B>>, TrialTaken> {
+        if !self.is_suspected(start) {
+            return Ok(None);
+        }
+        let work = start.work_digest();
+        let number = self.inner.trials_begun.get() + 1;
+        self.inner.trials_begun.set(number);
+        let id = TrialId { holder: self.inner.incarnation, number };
+        let limit_ms = start.give_up_at.saturating_sub(self.now()).as_millis() as u64;
+        let command = GatewayCommand::BeginTrial(TrialRequest { work, id, limit_ms });
+        let answer = self.inner.node.commit_gateway(command).await;
+        let granted = answer == Ok(GatewayOutcome::Trial(TrialAnswer::Granted));
+        spdlog::info!("trial of suspected item", kv: {
+            item = start.item.id.0.as_str(), work = work.shown().as_str(), granted = granted,
+            answer = format!("{answer:?}").as_str()
+        });
+        if !granted {
+            return Err(TrialTaken);
+        }
+        Ok(Some(ItemTrial { coordinator: self.clone(), work, id }))
+    }
+
+    /// Whether an engine has ended under an item's work.
+    pub(crate) fn is_suspected(&self, start: &Start) -> bool {
+        let suspected = self
+            .inner
+            .node
+            .read(|state| !state.suspicions.is_empty() && state.suspicions.get(&start.work_digest()).is_some());
+        suspected == Some(true)
+    }
+
     /// An engine has done an item's work to its end: if the work was suspected, it no longer is.
     pub(crate) fn note_served(&self, work: impl FnOnce() -> WorkDigest) {
         let suspected = self.inner.node.read(|state| {
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -5,6 +5,7 @@
 use crate::lost_connections::RequestedWork;
 use crate::refusal::Refusal;
 use crate::request::{ClientRequest, remove_hop_by_hop};
+use crate::suspicions::SuspectRequest;
 use crate::usage::CountedRuns;
 use bytes::Bytes;
 use futures::future::{self, Either};
@@ -38,6 +39,12 @@
     work: RequestedWork,
 }
 
+impl Passage<'_> {
+    fn suspect(&self) -> SuspectRequest<'_> {
+        SuspectRequest { request: self.request, work: &self.work, limit: self.limit }
+    }
+}
+
 impl Gateway {
     /// Sends a request on and returns its final answer.
     pub(crate) async fn forward(&self, chosen: &ChosenRoute, request: &ClientRequest, body: Bytes) -> Reply {
@@ -92,7 +99,7 @@
         loop {
             let may_begin = tried.len() - refused_by.len() < most_runs && tried.len() < most_runs + EXTRA_ENGINES;
             if running.is_empty() {
-                self.check_suspicion(passage.request, &passage.work, passage.possible_runs.may_have_run())?;
+                self.check_suspicion(&passage.suspect(), passage.possible_runs.may_have_run()).await?;
                 let engine = may_begin.then(|| self.choose_engine(passage.service, &tried)).flatten();
                 let engine = engine.filter(|engine| !refused_by.contains(&engine.target.instance));
                 let Some(engine) = engine else {
@@ -190,7 +197,7 @@
         };
         let time_left = || passage.limit.saturating_sub(self.now());
         let run = passage.possible_runs.attempt();
-        let may_send = || run.note_sending(self.may_send_work(passage.request, &passage.work, instance), self.now());
+        let may_send = || run.note_sending(self.may_send_work(&passage.suspect(), instance), self.now());
         let ended = match self.inner.pool.send(&engine.target, outgoing, reuse, time_left, may_send).await {
             Ok(answer) => {
                 let not_executed = answer.is_not_executed(self.names());
--- a/crates/gateway/src/lost_connections.rs
+++ b/crates/gateway/src/lost_connections.rs
@@ -3,6 +3,8 @@
 use crate::gateway::Gateway;
 use crate::request::ClientRequest;
 use bytes::Bytes;
+use saddlerelay_control_client::suspicions::TrialGuard;
+use saddlerelay_runtime_compio::CompioRuntime;
 use saddlerelay_types::work::WorkDigest;
 use saddlerelay_upstream::EngineTarget;
 use std::cell::OnceCell;
@@ -11,12 +13,24 @@
 pub(crate) struct RequestedWork {
     body: Bytes,
     digest: OnceCell<WorkDigest>,
+    /// The right to run it, once it is suspected; held until the request is over.
+    trial: OnceCell<TrialGuard<CompioRuntime>>,
 }
 
 impl RequestedWork {
     /// The work of a request with this body.
     pub fn new(body: Bytes) -> Self {
-        Self { body, digest: OnceCell::new() }
+        Self { body, digest: OnceCell::new(), trial: OnceCell::new() }
+    }
+
+    /// Whether this request is the one try of the work that may run.
+    pub fn has_trial(&self) -> bool {
+        self.trial.get().is_some()
+    }
+
+    /// This request is the one try of the work that may run.
+    pub fn hold_trial(&self, trial: TrialGuard<CompioRuntime>) {
+        self.trial.get_or_init(|| trial);
     }
 
     /// The digest of the work of `request`, always the same one.
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -6,6 +6,7 @@
 use crate::lost_connections::RequestedWork;
 use crate::refusal::Refusal;
 use crate::request::{ClientRequest, remove_hop_by_hop};
+use crate::suspicions::SuspectRequest;
 use crate::usage::CountedRuns;
 use bytes::Bytes;
 use futures::Stream;
@@ -46,6 +47,12 @@
     limit: Duration,
 }
 
+impl StreamPassage<'_> {
+    fn suspect(&self) -> SuspectRequest<'_> {
+        SuspectRequest { request: self.request, work: self.work, limit: self.limit }
+    }
+}
+
 /// How an engine took a stream.
 enum Begun {
     /// It answers with events.
@@ -127,7 +134,7 @@
         let mut last_failure = None;
         while tried.len() < most {
             let may_have_run = possible_runs.may_have_run();
-            if let Err(refusal) = self.check_suspicion(passage.request, passage.work, may_have_run) {
+            if let Err(refusal) = self.check_suspicion(&passage.suspect(), may_have_run).await {
                 return Begun::Refused(refusal);
             }
             let instances: Vec<InstanceId> = tried.iter().map(|target| target.instance.clone()).collect();
@@ -137,7 +144,7 @@
             tried.push(engine.target.clone());
             let run = possible_runs.attempt();
             let instance = &engine.target.instance;
-            let may_send = || run.note_sending(self.may_send_work(passage.request, passage.work, instance), self.now());
+            let may_send = || run.note_sending(self.may_send_work(&passage.suspect(), instance), self.now());
             let time_left = || passage.limit.saturating_sub(self.now());
             let began_at = self.now();
             let sent = self.inner.pool.send(&engine.target, outgoing, Reuse::Recent, time_left, may_send).await;
--- a/crates/relay/src/dispatch.rs
+++ b/crates/relay/src/dispatch.rs
@@ -4,7 +4,7 @@
 use crate::view::View;
 use futures::StreamExt;
 use futures::channel::mpsc;
-use saddlerelay_control_client::suspicions::Verdict;
+use saddlerelay_control_client::suspicions::{TrialGuard, Verdict};
 use saddlerelay_policies::{Candidate, RoutingRequest};
 use saddlerelay_runtime::Runtime;
 use saddlerelay_runtime::backend::{BackendError, Backends, EngineConnection, StreamEvent};
@@ -13,7 +13,7 @@
 use saddlerelay_types::identity::{EngineId, Incarnation, ModelName, TenantId, WeightVersion};
 use saddlerelay_types::instance::InstanceId;
 use saddlerelay_types::request::{AnswerPart, ExecutionOutcome, FailureCode, Generation, Priority, Repeatability};
-use saddlerelay_types::suspicion::EngineLoss;
+use saddlerelay_types::suspicion::{EngineLoss, TRIAL_RETRY_AFTER};
 use saddlerelay_types::work::WorkDigest;
 use std::cell::OnceCell;
 use std::collections::BTreeSet;
@@ -84,16 +84,18 @@
 }
 
 /// A generation in progress.
-struct Progress<'a> {
+struct Progress<'a, P: Runtime> {
     work: &'a GenerationWork,
     generation: Generation,
     parts: Option<&'a mpsc::UnboundedSender<AnswerPart>>,
     may_have_run: bool,
     tried: BTreeSet<EngineId>,
     work_digest: OnceCell<WorkDigest>,
+    /// The right to run it, once it is suspected.
+    trial: Option<TrialGuard<P>>,
 }
 
-impl Progress<'_> {
+impl<P: Runtime> Progress<'_, P> {
     /// What the generation asks for, whatever its seed: what crashes an engine is the prompt.
     fn work_digest(&self) -> WorkDigest {
         let work = self.work;
@@ -118,6 +120,7 @@
             may_have_run: false,
             tried: BTreeSet::new(),
             work_digest: OnceCell::new(),
+            trial: None,
         };
         let outcome = self.try_engines(&mut progress).await;
         if outcome.is_ok() {
@@ -126,7 +129,7 @@
         outcome.map(|()| progress.generation)
     }
 
-    async fn try_engines(&self, progress: &mut Progress<'_>) -> Result<(), DispatchFailure> {
+    async fn try_engines(&self, progress: &mut Progress<'_, P>) -> Result<(), DispatchFailure> {
         let work = progress.work;
         self.inner.retries.borrow_mut().record_request();
         let mut last_message = String::from("no engine was tried");
@@ -134,7 +137,7 @@
             if attempt > 0 && !self.may_retry() {
                 return Err(progress.failure(FailureCode::Overloaded, "the retry budget is used up".to_string()));
             }
-            self.check_suspicion(progress)?;
+            self.check_suspicion(progress).await?;
             let Some(engine) = self.wait_for_engine(progress).await else {
                 return Err(progress.failure(FailureCode::NoEngine, format!("no engine can take it: {last_message}")));
             };
@@ -157,9 +160,19 @@
     }
 
     /// Refuses work that is not to be sent on now.
-    fn check_suspicion(&self, progress: &Progress<'_>) -> Result<(), DispatchFailure> {
-        let retry_after = match self.inner.suspicions.verdict(|| progress.work_digest()) {
-            Verdict::Send => return Ok(()),
+    async fn check_suspicion(&self, progress: &mut Progress<'_, P>) -> Result<(), DispatchFailure> {
+        let suspicions = &self.inner.suspicions;
+        let is_suspected = suspicions.engines_ended(|| progress.work_digest()) > 0;
+        let retry_after = match suspicions.verdict(|| progress.work_digest()) {
+            Verdict::Send if !is_suspected || progress.trial.is_some() => return Ok(()),
+            Verdict::Send => {
+                let left = progress.work.deadline.saturating_sub(self.inner.platform.monotonic());
+                progress.trial = suspicions.begin_trial(progress.work_digest(), left).await;
+                if progress.trial.is_some() {
+                    return Ok(());
+                }
+                TRIAL_RETRY_AFTER
+            }
             Verdict::Pause(left) => left,
             Verdict::Quarantine => Duration::ZERO,
         };
@@ -169,7 +182,7 @@
     }
 
     /// Finds out whether an engine has ended under the generation, and has the group take it as evidence.
-    async fn look_into_failure(&self, progress: &Progress<'_>, engine: &EngineDescription) {
+    async fn look_into_failure(&self, progress: &Progress<'_, P>, engine: &EngineDescription) {
         let Some(incarnation) = self.inner.view.borrow().able_incarnation(&engine.id) else {
             // One that is leaving has ended for a reason of its own.
             return;
@@ -198,7 +211,7 @@
     }
 
     /// The engine to try next, waiting a little when none is able.
-    async fn wait_for_engine(&self, progress: &Progress<'_>) -> Option<EngineDescription> {
+    async fn wait_for_engine(&self, progress: &Progress<'_, P>) -> Option<EngineDescription> {
         let config = &self.inner.options.config;
         let rollout = progress.work.priority == Priority::Rollout;
         let patience = if rollout { config.engine_wait + config.newer_weights_wait } else { config.engine_wait };
@@ -215,7 +228,7 @@
         }
     }
 
-    fn choose_engine(&self, progress: &Progress<'_>) -> Option<EngineDescription> {
+    fn choose_engine(&self, progress: &Progress<'_, P>) -> Option<EngineDescription> {
         let work = progress.work;
         let candidates = self.candidates(work);
         let untried: Vec<_> = candidates.iter().filter(|(engine, _)| !progress.tried.contains(&engine.id)).collect();
@@ -280,7 +293,7 @@
         if bound > 0 && useful > WeightVersion(0) && patient { useful.next() } else { useful }
     }
 
-    async fn attempt(&self, progress: &mut Progress<'_>, engine: &EngineDescription) -> Result<(), AttemptFailure> {
+    async fn attempt(&self, progress: &mut Progress<'_, P>, engine: &EngineDescription) -> Result<(), AttemptFailure> {
         let work = progress.work;
         let rollout = work.priority == Priority::Rollout;
         let _in_flight = self.inner.registry.begin(&engine.id, rollout);
@@ -323,7 +336,7 @@
         }
     }
 
-    fn engine_request(&self, progress: &Progress<'_>) -> EngineRequest {
+    fn engine_request(&self, progress: &Progress<'_, P>) -> EngineRequest {
         EngineRequest {
             attempt_id: self.inner.platform.random(),
             prompt: progress.work.prompt.clone(),
@@ -338,7 +351,7 @@
     /// the attempt.
     async fn follow_stream(
         &self,
-        progress: &mut Progress<'_>,
+        progress: &mut Progress<'_, P>,
         engine: &EngineDescription,
         attempt_id: u64,
         mut stream: mpsc::UnboundedReceiver<StreamEvent>,
@@ -392,7 +405,7 @@
 
     fn take_chunk(
         &self,
-        progress: &mut Progress<'_>,
+        progress: &mut Progress<'_, P>,
         engine: &EngineDescription,
         chunk: &EngineChunk,
     ) -> Result<(), AttemptFailure> {
@@ -412,7 +425,7 @@
         Ok(())
     }
 
-    fn is_stale(&self, progress: &Progress<'_>) -> bool {
+    fn is_stale(&self, progress: &Progress<'_, P>) -> bool {
         let oldest_useful = self.inner.view.borrow().oldest_useful_version(&progress.work.tenant);
         let oldest = progress.generation.versions.iter().map(|span| span.version).min();
         oldest.is_some_and(|oldest| oldest < oldest_useful)
@@ -438,7 +451,7 @@
     (slots * share_percent).div_ceil(100 * relay_count)
 }
 
-impl Progress<'_> {
+impl<P: Runtime> Progress<'_, P> {
     fn failure(&self, code: FailureCode, message: String) -> DispatchFailure {
         let outcome = if !self.may_have_run {
             ExecutionOutcome::NotExecuted
--- a/crates/simulator/tests/concurrent_trials.rs
+++ b/crates/simulator/tests/concurrent_trials.rs
@@ -3,8 +3,9 @@
 
 use saddlerelay_control::state::suspicions::SuspicionTable;
 use saddlerelay_control_client::suspicions::{LAST_TRIAL_PAUSE, Suspicions, Verdict};
+use saddlerelay_types::identity::Incarnation;
 use saddlerelay_types::instance::InstanceId;
-use saddlerelay_types::suspicion::EngineLoss;
+use saddlerelay_types::suspicion::{EngineLoss, TrialAnswer, TrialId};
 use saddlerelay_types::work::WorkDigest;
 use std::time::Duration;
 
@@ -15,6 +16,9 @@
 /// When the second try arrives, after the first engine's end: 44 ms were seen.
 const SECOND_TRY_AFTER: Duration = Duration::from_millis(44);
 
+/// How long a request may take: the users' page requests.
+const REQUEST_LIMIT: Duration = Duration::from_millis(1_500);
+
 struct Setting {
     table: SuspicionTable,
     relays: [Suspicions; 2],
@@ -32,9 +36,18 @@
         }
     }
 
-    /// Whether `relay` may send the work to an engine at `now`.
+    /// Whether `relay` may send the work to an engine at `now`: by what it knows, and once it knows that an engine has
+    /// ended, by the group's word.
     fn may_send(&mut self, relay: usize, now: Duration) -> bool {
-        self.relays[relay].verdict(&self.work, now, LAST_TRIAL_PAUSE) == Verdict::Send
+        if self.relays[relay].verdict(&self.work, now, LAST_TRIAL_PAUSE) != Verdict::Send {
+            return false;
+        }
+        if self.relays[relay].engines_ended(&self.work) == 0 {
+            return true;
+        }
+        let id = TrialId { holder: Incarnation(relay as u64), number: 1 };
+        let limit_ms = REQUEST_LIMIT.as_millis() as u64;
+        self.table.begin_trial(self.work, id, now.as_millis() as u64, limit_ms) == TrialAnswer::Granted
     }
 
     /// An engine ends under the work that `relay` has sent it; every relay knows a little later.
@@ -69,3 +82,23 @@
     }
     assert_eq!(setting.ended, ["first", "second"], "no engine is left to serve others");
 }
+
+/// The right is given back with the request that holds it, and runs out if its holder dies.
+#[test]
+fn the_right_to_run_suspected_work_is_given_back_or_runs_out() {
+    let mut setting = Setting::new();
+    setting.end_engine(0, "first", CRASH_TIME);
+    let id = |holder: u64| TrialId { holder: Incarnation(holder), number: 1 };
+    let mut ask = |holder, at| setting.table.begin_trial(setting.work, id(holder), at, 1_500);
+    assert_eq!(ask(0, 100), TrialAnswer::Granted);
+    assert_eq!(ask(0, 101), TrialAnswer::Granted, "the same question, sent again");
+    assert_eq!(ask(1, 102), TrialAnswer::Taken);
+    setting.table.end_trial(&setting.work, id(1));
+    let mut ask = |holder, at| setting.table.begin_trial(setting.work, id(holder), at, 1_500);
+    assert_eq!(ask(1, 103), TrialAnswer::Taken, "nobody gives back what another one holds");
+    assert_eq!(ask(1, 1_600), TrialAnswer::Granted, "the holder has died");
+    setting.table.end_trial(&setting.work, id(1));
+    let innocent = WorkDigest::of_posted(None, "host", "/plans", b"innocent");
+    assert_eq!(setting.table.begin_trial(innocent, id(0), 1_700, 1_500), TrialAnswer::Granted);
+    assert_eq!(setting.table.begin_trial(innocent, id(1), 1_700, 1_500), TrialAnswer::Granted, "it is not suspected");
+}
--- a/crates/simulator/tests/suspicion_ways.rs
+++ b/crates/simulator/tests/suspicion_ways.rs
@@ -7,8 +7,9 @@
 use fastrand::Rng;
 use saddlerelay_control::state::suspicions::SuspicionTable;
 use saddlerelay_control_client::suspicions::{Suspicions, Verdict};
+use saddlerelay_types::identity::Incarnation;
 use saddlerelay_types::instance::InstanceId;
-use saddlerelay_types::suspicion::{EngineLoss, WorkEvidence};
+use saddlerelay_types::suspicion::{EngineLoss, TrialAnswer, TrialId, WorkEvidence};
 use saddlerelay_types::work::WorkDigest;
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
@@ -44,10 +45,16 @@
     Nothing,
     /// Three engines make a quarantine.
     Counting,
-    /// Likewise, and the third only after a pause: what stands.
+    /// Likewise, and the third only after a pause.
     CountingWithPause,
     /// Two engines make a quarantine.
     TwoEngines,
+    /// Likewise; and once an engine has ended under it, work runs at one engine at a time anywhere: what stands.
+    OneAtATime,
+    /// Likewise, and not at the last engine there is.
+    OneAtATimeNotAtTheLast,
+    /// As with the pause, and not at the last engine there is.
+    NotAtTheLast,
 }
 
 impl Way {
@@ -56,7 +63,9 @@
         match self {
             Self::Nothing => true,
             Self::Counting => verdict(Duration::ZERO),
-            Self::CountingWithPause => verdict(LAST_TRIAL_PAUSE),
+            Self::CountingWithPause | Self::OneAtATime | Self::OneAtATimeNotAtTheLast | Self::NotAtTheLast => {
+                verdict(LAST_TRIAL_PAUSE)
+            }
             Self::TwoEngines => suspicions.engines_ended(work) < 2,
         }
     }
@@ -70,12 +79,16 @@
     /// Which of the client's tries it is, from 0.
     number: u32,
     attempts: usize,
+    /// The number under which it holds the right to run suspected work.
+    trial: Option<u64>,
 }
 
 #[derive(Clone, Debug)]
 enum Event {
     Arrive(Try),
     Send(Try),
+    /// A relay's question for the right to run suspected work reaches the group.
+    AskTrial(Try),
     /// A run ends at an engine that may have ended before it.
     Finish {
         run: u64,
@@ -161,14 +174,14 @@
         for work in 0..REQUESTS as u32 {
             arrival += self.about(pause);
             let relay = self.random.usize(..relays);
-            self.after(arrival, Event::Arrive(Try { work, guilty: false, relay, number: 0, attempts: 0 }));
+            self.after(arrival, Event::Arrive(Try { work, guilty: false, relay, number: 0, attempts: 0, trial: None }));
         }
         for kind in 0..guilty_kinds {
             let mut at = arrival.mul_f64(self.random.f64() / 2.0);
             while at < arrival {
                 let relay = self.random.usize(..relays);
                 let work = u32::MAX - kind;
-                self.after(at, Event::Arrive(Try { work, guilty: true, relay, number: 0, attempts: 0 }));
+                self.after(at, Event::Arrive(Try { work, guilty: true, relay, number: 0, attempts: 0, trial: None }));
                 at += self.about(GUILTY_PAUSE);
             }
         }
@@ -196,6 +209,7 @@
                 self.send(one);
             }
             Event::Send(one) => self.send(one),
+            Event::AskTrial(one) => self.answer_trial(one),
             Event::Finish { run, engine, start } => self.finish(run, engine, start),
             Event::Crash { engine, start } => self.crash(engine, start),
             Event::Return { engine } => self.bring_back(engine),
@@ -218,6 +232,17 @@
         if up.is_empty() || one.attempts == ATTEMPTS {
             return self.give_up(one, false);
         }
+        let relay = &self.relays[one.relay];
+        let work = digest(one.work);
+        let suspected = relay.engines_ended(&work) > 0;
+        let spares_last = matches!(self.way, Way::NotAtTheLast | Way::OneAtATimeNotAtTheLast);
+        if suspected && spares_last && up.len() == 1 {
+            return self.give_up(one, true);
+        }
+        let takes_trials = matches!(self.way, Way::OneAtATime | Way::OneAtATimeNotAtTheLast);
+        if suspected && takes_trials && one.trial.is_none() {
+            return self.after(COMMIT_TIME, Event::AskTrial(one));
+        }
         one.attempts += 1;
         let engine = up[self.random.usize(..up.len())];
         self.sequence += 1;
@@ -230,10 +255,29 @@
         self.after(event.0, event.1);
     }
 
+    fn answer_trial(&mut self, mut one: Try) {
+        self.sequence += 1;
+        let id = TrialId { holder: Incarnation(one.relay as u64), number: self.sequence };
+        match self.table.begin_trial(digest(one.work), id, self.now.as_millis() as u64, 1_500) {
+            TrialAnswer::Granted => {
+                one.trial = Some(id.number);
+                self.send(one);
+            }
+            TrialAnswer::Taken => self.give_up(one, true),
+        }
+    }
+
+    fn end_trial(&mut self, one: &Try) {
+        if let Some(number) = one.trial {
+            self.table.end_trial(&digest(one.work), TrialId { holder: Incarnation(one.relay as u64), number });
+        }
+    }
+
     fn give_up(&mut self, one: Try, suspected: bool) {
+        self.end_trial(&one);
         if one.number == 0 {
             let relay = self.random.usize(..self.relays.len());
-            return self.after(CLIENT_PAUSE, Event::Arrive(Try { relay, number: 1, attempts: 0, ..one }));
+            return self.after(CLIENT_PAUSE, Event::Arrive(Try { relay, number: 1, attempts: 0, trial: None, ..one }));
         }
         if !one.guilty {
             self.outcome.refused_as_suspects += usize::from(suspected);
@@ -246,6 +290,7 @@
             return;
         }
         let one = self.engines[engine].running.remove(&run).expect("it runs there");
+        self.end_trial(&one);
         if self.relays[one.relay].note_served(&digest(one.work)) {
             self.hand_over(one.relay);
         }
@@ -314,7 +359,9 @@
 fn what_stands_ends_few_engines_and_refuses_hardly_an_innocent_request() {
     println!("way, relays, engines: innocent, refused as suspects, failed, engines ended (mean, most), none up");
     for (relays, engines) in [(3, 3), (7, 9), (67, 30)] {
-        for way in [Way::Nothing, Way::Counting, Way::CountingWithPause, Way::TwoEngines] {
+        for way in
+            [Way::Nothing, Way::Counting, Way::CountingWithPause, Way::TwoEngines, Way::NotAtTheLast, Way::OneAtATimeNotAtTheLast, Way::OneAtATime]
+        {
             let Measured { innocent, refused_as_suspects, failed, mean_ended, most_ended, none_up } =
                 measure(way, relays, engines);
             println!(
@@ -322,7 +369,7 @@
                  {:.1} s",
                 none_up.as_secs_f64()
             );
-            if way == Way::CountingWithPause {
+            if matches!(way, Way::CountingWithPause | Way::OneAtATime) {
                 assert!(refused_as_suspects * 10_000 < innocent, "{refused_as_suspects} of {innocent} refused");
                 assert!(most_ended <= 4, "one kind of work ended {most_ended} engines");
             }
@@ -334,8 +381,7 @@
 #[test]
 fn without_such_work_no_request_is_refused_for_it() {
     for (relays, engines) in [(3, 3), (67, 30)] {
-        let refused =
-            SEEDS.map(|seed| Model::new(Way::CountingWithPause, relays, engines, seed).run(0).refused_as_suspects);
+        let refused = SEEDS.map(|seed| Model::new(Way::OneAtATime, relays, engines, seed).run(0).refused_as_suspects);
         assert_eq!(refused.sum::<usize>(), 0, "{relays} relays, {engines} engines");
     }
 }
--- a/crates/types/src/gateway.rs
+++ b/crates/types/src/gateway.rs
@@ -6,7 +6,7 @@
 use crate::job::{ItemId, ItemOutcome, JobId, JobSubmission, ResultPage, TextPart};
 use crate::routing::{RoutingDocument, RoutingError};
 use crate::routing_update::EncodedRoutingUpdate;
-use crate::suspicion::{SuspicionList, WorkEvidence};
+use crate::suspicion::{SuspicionList, TrialAnswer, TrialId, WorkEvidence};
 use crate::tenancy::Caller;
 use crate::usage::{RelayUsage, UsageDifference, UsageWindow};
 use crate::work::WorkDigest;
@@ -83,6 +83,15 @@
     ReadDuties,
     /// A relay has seen engines end under work, or suspected work served.
     TakeEvidence(WorkEvidence),
+    /// A relay wants to run suspected work.
+    BeginTrial(TrialRequest),
+    /// It has.
+    EndTrial {
+        /// The work.
+        work: WorkDigest,
+        /// The try.
+        id: TrialId,
+    },
     /// The work under which engines have ended.
     ReadSuspicions,
     /// An operator wants work to be sent to engines again.
@@ -168,6 +177,8 @@
     Duties(DutyOverview),
     /// The work under which engines have ended.
     Suspicions(SuspicionList),
+    /// Whether suspected work may be run.
+    Trial(TrialAnswer),
     /// Nothing was done, and nothing will be; try again later.
     Unavailable,
 }
@@ -257,12 +268,32 @@
     WantEngines(Vec<WantedEngines>),
     /// Take what has been seen of work under which engines end.
     TakeEvidence(WorkEvidence),
+    /// Give a try the right to run suspected work.
+    BeginTrial(TrialRequest),
+    /// The try is over.
+    EndTrial {
+        /// The work.
+        work: WorkDigest,
+        /// The try.
+        id: TrialId,
+    },
     /// Forget what was seen of such work long ago.
     ExpireSuspicions,
     /// Forget what is known of this work.
     ReleaseWork(WorkDigest),
 }
 
+/// A try of suspected work that wants to be the only one.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Encode, Decode)]
+pub struct TrialRequest {
+    /// The work.
+    pub work: WorkDigest,
+    /// The try.
+    pub id: TrialId,
+    /// How long it may take, in milliseconds.
+    pub limit_ms: u64,
+}
+
 /// What orders are about. Only one replica at a time gives orders about a subject.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Encode, Decode)]
 pub enum OrderSubject {
@@ -314,6 +345,8 @@
     NotFound,
     /// The rest of these items' texts does not follow what is held; they are not listed.
     TextMissing(Vec<u32>),
+    /// Whether suspected work may be run.
+    Trial(TrialAnswer),
     /// The right to give the orders that were noted.
     Orders {
         /// The fence for them.
--- a/crates/types/src/suspicion.rs
+++ b/crates/types/src/suspicion.rs
@@ -1,15 +1,21 @@
 //! Work under which engines have ended. A request may crash each engine that begins to run it; what tells it from its
 //! neighbours, which end with the engine too, is that it does so again and again and is never served.
 
+use crate::identity::Incarnation;
 use crate::instance::InstanceId;
 use crate::work::WorkDigest;
 use bitcode::{Decode, Encode};
 use serde::{Deserialize, Serialize};
+use std::time::Duration;
 
 /// Engines that may end under the same work, without its being served in between, before it is sent to no more. Two can
 /// end by chance while they run the same innocent request, each with its neighbours; the users allow three.
 pub const MOST_ENGINES_ENDED: usize = 3;
 
+/// When a client may come back whose work runs elsewhere at the moment: some times as long as most requests run (25 ms in
+/// the mean, 190 ms at most).
+pub const TRIAL_RETRY_AFTER: Duration = Duration::from_millis(250);
+
 /// An engine has ended while it ran certain work.
 #[derive(Clone, Debug, PartialEq, Eq, Encode, Decode)]
 pub struct EngineLoss {
@@ -53,6 +59,24 @@
     }
 }
 
+/// One try of suspected work that wants to be the only one anywhere.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Encode, Decode)]
+pub struct TrialId {
+    /// The start of the process that wants to run it.
+    pub holder: Incarnation,
+    /// Its number there.
+    pub number: u64,
+}
+
+/// Whether a try of suspected work may go to an engine.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Encode, Decode)]
+pub enum TrialAnswer {
+    /// It may, to one engine at a time, until its time is over.
+    Granted,
+    /// Another try of the same work is under way.
+    Taken,
+}
+
 /// All suspected work that the control group knows of.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Encode, Decode, Serialize, Deserialize)]
 pub struct SuspicionList {
