--- a/crates/command-line/src/member.rs
+++ b/crates/command-line/src/member.rs
@@ -256,17 +256,20 @@
     record: StoreRecord,
     seeds: Seeds,
 ) {
+    // The group never forgets a machine. One that is no member cannot see that in a state of its own.
+    let mut is_known = false;
     loop {
-        let known = node.replica().peek(|machine| machine.state().stores.holds(&record));
-        if !known {
+        is_known = is_known || node.replica().peek(|machine| machine.state().stores.holds(&record));
+        if !is_known {
             let request = GatewayRequest::RegisterStore(record.clone());
             let answer = control.gateway(request, REGISTER_LIMIT, REGISTER_LIMIT).await;
-            if answer != Ok(GatewayReply::Done) {
+            is_known = answer == Ok(GatewayReply::Done);
+            if !is_known {
                 spdlog::warn!("not introduced", kv: { answer = format!("{answer:?}").as_str() });
             }
         }
-        let members = node.replica().member_addresses();
-        let all = members.into_iter().chain(seeds.borrow().iter().copied()).collect::<Vec<_>>();
+        let peers = node.replica().known_peers();
+        let all = peers.into_iter().chain(seeds.borrow().iter().copied()).collect::<Vec<_>>();
         control.set_replicas(with_own(&all, record.address));
         runtime.sleep(REGISTER_INTERVAL).await;
     }
--- a/crates/control/src/gateway.rs
+++ b/crates/control/src/gateway.rs
@@ -71,9 +71,7 @@
             GatewayRequest::ReadDuties => self.read_duties(),
             GatewayRequest::TakeEvidence(evidence) => self.take_evidence(evidence).await,
             GatewayRequest::BeginTrial(trial) => self.execute_gateway(GatewayCommand::BeginTrial(trial)).await,
-            GatewayRequest::EndTrial { work, id } => {
-                self.execute_gateway(GatewayCommand::EndTrial { work, id }).await
-            }
+            GatewayRequest::EndTrial { work, id } => self.execute_gateway(GatewayCommand::EndTrial { work, id }).await,
             GatewayRequest::ReadSuspicions => self.read_suspicions(),
             GatewayRequest::ReleaseWork(work) => self.release_work(work).await,
         }
--- a/crates/replication/src/message.rs
+++ b/crates/replication/src/message.rs
@@ -112,6 +112,13 @@
     Taken,
     /// Of a request to be added, by a replica that does not lead: where the group's replicas listen.
     Members(Vec<SocketAddr>),
+    /// Of a request to be added, by the leader of a group that needs no more replicas now.
+    NotWanted {
+        /// When to ask again, in milliseconds.
+        ask_again_ms: u64,
+        /// Where the group's replicas listen.
+        members: Vec<SocketAddr>,
+    },
     /// The request is for another replica or group, or the disk has failed.
     Refused,
 }
--- a/crates/replication/src/reconfigure.rs
+++ b/crates/replication/src/reconfigure.rs
@@ -19,6 +19,17 @@
 /// Pause between requests to be added to a group.
 const JOIN_INTERVAL: Duration = Duration::from_millis(150);
 
+/// Time that a leader gives to each replica that asks in vain to be added, in milliseconds: a hundred of them ask it a
+/// hundred times a second, and so do a thousand. Fifteen or fewer ask no less often than `JOIN_INTERVAL`; a lost voter's
+/// place is taken at once by the learner that is kept at hand.
+const REFUSED_JOIN_MS: u64 = 10;
+
+/// Longest time after which a replica that was refused asks again, in milliseconds.
+const LONGEST_JOIN_MS: u64 = 10_000;
+
+/// How long a replica that asked in vain is counted among those that do: it has asked again by then, or is gone.
+const REFUSED_JOINER_KEPT: Duration = Duration::from_secs(20);
+
 /// Time limit of one request to be added.
 const JOIN_LIMIT: Duration = Duration::from_millis(400);
 
@@ -182,7 +193,8 @@
                 judgement.wants_learner(address, config.target_voters, config.spare_learners)
             });
             if wanted != Some(true) {
-                return ReplicaReply::Refused;
+                let members = self.known_addresses(&state);
+                return ReplicaReply::NotWanted { ask_again_ms: self.refuse_joiner(address), members };
             }
             (state.membership().with_learner(id, address), state.log.membership_index())
         };
@@ -190,6 +202,23 @@
         ReplicaReply::Taken
     }
 
+    /// Counts a replica that asked in vain; returns when it should ask again.
+    fn refuse_joiner(&self, address: SocketAddr) -> u64 {
+        let now = self.inner.platform.monotonic();
+        let mut refused = self.inner.refused_joiners.borrow_mut();
+        refused.retain(|_, asked_at| now < *asked_at + REFUSED_JOINER_KEPT);
+        refused.insert(address, now);
+        let shortest = JOIN_INTERVAL.as_millis() as u64;
+        (refused.len() as u64 * REFUSED_JOIN_MS).clamp(shortest, LONGEST_JOIN_MS)
+    }
+
+    /// Where replicas may listen that this one knows of: the group's members, and others it has heard of.
+    pub fn known_peers(&self) -> BTreeSet<SocketAddr> {
+        let mut addresses = self.inner.heard_of.borrow().clone();
+        addresses.extend(self.member_addresses());
+        addresses
+    }
+
     fn known_addresses(&self, state: &State<S>) -> Vec<SocketAddr> {
         let leader = state.leader.and_then(|leader| state.address_of(leader));
         let members = state.membership().members.iter().map(|member| member.address);
@@ -239,8 +268,10 @@
     /// Asks the group's replicas to add this one while it belongs to no group, or hears no leader: it may have been
     /// removed meanwhile.
     pub(crate) async fn join_group(self) {
+        let mut pause = JOIN_INTERVAL;
         loop {
-            self.inner.platform.sleep(JOIN_INTERVAL).await;
+            self.inner.platform.sleep(pause).await;
+            pause = JOIN_INTERVAL;
             if !self.needs_group() {
                 continue;
             }
@@ -248,11 +279,17 @@
             let request = ReplicaRequest::Join { id, address: self.inner.options.address };
             let ask = |address| self.send(address, &request, JOIN_LIMIT);
             let replies = join_all(self.join_addresses().into_iter().map(ask)).await;
-            let members = replies.into_iter().flatten().filter_map(|reply| match reply {
-                ReplicaReply::Members(addresses) => Some(addresses),
-                _ => None,
-            });
-            self.inner.heard_of.borrow_mut().extend(members.flatten());
+            for reply in replies.into_iter().flatten() {
+                match reply {
+                    ReplicaReply::Members(addresses) => self.hear_of(addresses),
+                    ReplicaReply::NotWanted { ask_again_ms, members } => {
+                        self.hear_of(members);
+                        let wait = Duration::from_millis(ask_again_ms.min(LONGEST_JOIN_MS));
+                        pause = pause.max(wait + self.inner.platform.jitter(wait / 4));
+                    }
+                    _ => {}
+                }
+            }
         }
     }
 
--- a/crates/replication/src/replica.rs
+++ b/crates/replication/src/replica.rs
@@ -80,6 +80,8 @@
     pub outgoing: RefCell<Weak<Snapshot>>,
     /// Where replicas may listen that this one has heard of.
     pub heard_of: RefCell<BTreeSet<SocketAddr>>,
+    /// Replicas that have asked this leader in vain to be added, and when.
+    pub refused_joiners: RefCell<BTreeMap<SocketAddr, Duration>>,
 }
 
 /// One replica of a group. Clones are the same replica.
@@ -154,6 +156,7 @@
             incoming: RefCell::default(),
             outgoing: RefCell::default(),
             heard_of: RefCell::default(),
+            refused_joiners: RefCell::default(),
         };
         let replica = Self { inner: Rc::new(inner) };
         replica.form_founders_group().await?;
--- a/crates/simulator/tests/suspicion_ways.rs
+++ b/crates/simulator/tests/suspicion_ways.rs
@@ -359,9 +359,15 @@
 fn what_stands_ends_few_engines_and_refuses_hardly_an_innocent_request() {
     println!("way, relays, engines: innocent, refused as suspects, failed, engines ended (mean, most), none up");
     for (relays, engines) in [(3, 3), (7, 9), (67, 30)] {
-        for way in
-            [Way::Nothing, Way::Counting, Way::CountingWithPause, Way::TwoEngines, Way::NotAtTheLast, Way::OneAtATimeNotAtTheLast, Way::OneAtATime]
-        {
+        for way in [
+            Way::Nothing,
+            Way::Counting,
+            Way::CountingWithPause,
+            Way::TwoEngines,
+            Way::NotAtTheLast,
+            Way::OneAtATimeNotAtTheLast,
+            Way::OneAtATime,
+        ] {
             let Measured { innocent, refused_as_suspects, failed, mean_ended, most_ended, none_up } =
                 measure(way, relays, engines);
             println!(
