Work with as many engines as the jobs fill and a reserve, and choose among them without scans

Cause: each plan went through all engines, each version was ordered on all of them, and the choices were quadratic in engines. Ways: all engines, a fixed number, demand with a reserve (working_set_policy); where engines are few, the set is all of them.

--- a/crates/coordinator/src/coordinator.rs
+++ b/crates/coordinator/src/coordinator.rs
@@ -7,6 +7,8 @@
 use crate::job_run::JobRun;
 use crate::metrics::CoordinatorMetrics;
 use crate::scorers::Scorers;
+use crate::working_set::WorkingSet;
+use crate::working_set_policy::{DemandWithReserve, WorkingSetPolicy};
 use saddlerelay_control::node::ControlNode;
 use saddlerelay_runtime::Runtime;
 use saddlerelay_runtime::backend::Backends;
@@ -34,6 +36,11 @@
     pub fleet: Fleet,
     pub scorers: Scorers,
     pub homes: RefCell<Homes>,
+    /// The engines that items go to and that are kept up to date.
+    pub working_set: RefCell<WorkingSet>,
+    pub working_set_policy: Box<dyn WorkingSetPolicy>,
+    /// The revision of the instance table for which engines that are gone were last forgotten.
+    pub forgotten_at: Cell<u64>,
     /// Items that wait for an engine, by model.
     pub waiting: RefCell<BTreeMap<String, u32>>,
     pub ended_checks: EndedChecks,
@@ -93,6 +100,9 @@
             fleet: Fleet::default(),
             scorers: Scorers::new(identity.zone),
             homes: RefCell::default(),
+            working_set: RefCell::default(),
+            working_set_policy: Box::new(DemandWithReserve),
+            forgotten_at: Cell::new(0),
             waiting: RefCell::default(),
             ended_checks: EndedChecks::default(),
             incarnation: Incarnation(runtime.random()),
--- a/crates/coordinator/src/fleet.rs
+++ b/crates/coordinator/src/fleet.rs
@@ -12,6 +12,8 @@
     versions: BTreeMap<String, (u64, Duration)>,
     /// Models whose weights are being changed, and since when.
     loading: BTreeMap<String, Duration>,
+    /// The versions of models that are not being changed, as the last plan has asked for them.
+    settled: Option<Rc<BTreeMap<String, u64>>>,
     in_flight: u32,
     rest_until: Duration,
     pace: SeenPace,
@@ -60,6 +62,7 @@
     /// Takes what an engine was told or heard to have at `at`; older news change nothing.
     pub fn learn(&self, instance: &InstanceId, models: &[LoadedModel], at: Duration) {
         self.change(instance, |known| {
+            known.settled = None;
             for model in models {
                 let held = known.versions.entry(model.model.clone()).or_insert((model.version, at));
                 if at >= held.1 {
@@ -69,6 +72,21 @@
         });
     }
 
+    /// The versions that an engine has of the models that are not being changed. Each plan asks for those of every engine
+    /// that is worked with: they are made anew only after a change.
+    pub fn settled_weights(&self, instance: &InstanceId) -> Rc<BTreeMap<String, u64>> {
+        let mut known = self.known.borrow_mut();
+        let Some(known) = known.get_mut(instance) else {
+            return Rc::default();
+        };
+        let (versions, loading) = (&known.versions, &known.loading);
+        let settled = known.settled.get_or_insert_with(|| {
+            let settled = versions.iter().filter(|(model, _)| !loading.contains_key(*model));
+            Rc::new(settled.map(|(model, (version, _))| (model.clone(), *version)).collect())
+        });
+        settled.clone()
+    }
+
     /// The version that an engine has of a model, as far as is known.
     pub fn version(&self, instance: &InstanceId, model: &str) -> Option<u64> {
         self.look(instance, |known| known.versions.get(model).map(|(version, _)| *version)).flatten()
@@ -77,6 +95,7 @@
     /// The model's weights are being changed.
     pub fn begin_load(&self, instance: &InstanceId, model: &str, now: Duration) {
         self.change(instance, |known| {
+            known.settled = None;
             known.loading.insert(model.to_string(), now);
         });
     }
@@ -84,6 +103,7 @@
     /// The change is over, as far as is known.
     pub fn end_load(&self, instance: &InstanceId, model: &str) {
         self.change(instance, |known| {
+            known.settled = None;
             known.loading.remove(model);
         });
     }
--- a/crates/coordinator/src/homes.rs
+++ b/crates/coordinator/src/homes.rs
@@ -6,7 +6,7 @@
 //! engines instead: each has one engine that is kept up to date with it.
 
 use saddlerelay_types::instance::InstanceId;
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
 /// Weight of a new job in a model's demand.
@@ -68,23 +68,27 @@
             return;
         }
         self.hosts.clear();
-        self.homes.retain(|instance, model| engines.contains(instance) && models.contains(model));
+        let present: BTreeSet<&InstanceId> = engines.iter().collect();
+        self.homes.retain(|instance, model| present.contains(instance) && models.contains(model));
         let wanted = self.wanted(engines.len(), models);
+        let mut counts = self.counts(models);
         let new: Vec<&InstanceId> = engines.iter().filter(|instance| !self.homes.contains_key(*instance)).collect();
         for instance in &new {
             if let Some(index) = least_lagging(models, |model| lag(instance, model))
-                && self.count(&models[index]) + 1.0 <= wanted[index].ceil()
+                && counts[index] + 1.0 <= wanted[index].ceil()
             {
                 self.homes.insert((*instance).clone(), models[index].clone());
+                counts[index] += 1.0;
             }
         }
         for instance in new {
             if !self.homes.contains_key(instance) {
-                let model = self.neediest(models, &wanted).clone();
-                self.homes.insert(instance.clone(), model);
+                let index = neediest(&counts, &wanted);
+                self.homes.insert(instance.clone(), models[index].clone());
+                counts[index] += 1.0;
             }
         }
-        self.move_engines(engines.len(), models, &wanted, now);
+        self.move_engines(engines.len(), models, &wanted, counts, now);
     }
 
     /// Shares the models out among fewer engines. One whose engine is gone goes to the engine with fewest.
@@ -127,23 +131,24 @@
         demand.into_iter().map(|demand| (engines as f64 * demand / total).max(1.0)).collect()
     }
 
-    fn count(&self, model: &str) -> f64 {
-        self.homes.values().filter(|home| *home == model).count() as f64
-    }
-
-    fn neediest<'a>(&self, models: &'a [String], wanted: &[f64]) -> &'a String {
-        let filled = |index: &usize| self.count(&models[*index]) / wanted[*index];
-        let least = (0..models.len()).min_by(|left, right| filled(left).total_cmp(&filled(right)));
-        &models[least.unwrap_or(0)]
+    /// How many engines have each model for their home: counted once for each sharing out, not for each engine.
+    fn counts(&self, models: &[String]) -> Vec<f64> {
+        let indexes: BTreeMap<&str, usize> =
+            models.iter().enumerate().map(|(index, model)| (model.as_str(), index)).collect();
+        let mut counts = vec![0.0; models.len()];
+        for index in self.homes.values().filter_map(|home| indexes.get(home.as_str())) {
+            counts[*index] += 1.0;
+        }
+        counts
     }
 
     /// Moves engines from models that have too many to those that have too few.
-    fn move_engines(&mut self, engines: usize, models: &[String], wanted: &[f64], now: Duration) {
+    fn move_engines(&mut self, engines: usize, models: &[String], wanted: &[f64], mut counts: Vec<f64>, now: Duration) {
         if now < self.moved_at + MOVE_INTERVAL {
             return;
         }
         for _ in 0..(engines / ENGINES_PER_MOVE).max(1) {
-            if !self.move_one(models, wanted) {
+            if !self.move_one(models, wanted, &mut counts) {
                 return;
             }
             self.moved_at = now;
@@ -151,8 +156,8 @@
     }
 
     /// Moves an engine from the model that has most too many to the one that has most too few, if that helps.
-    fn move_one(&mut self, models: &[String], wanted: &[f64]) -> bool {
-        let excess = |index: usize| self.count(&models[index]) - wanted[index];
+    fn move_one(&mut self, models: &[String], wanted: &[f64], counts: &mut [f64]) -> bool {
+        let excess = |index: usize| counts[index] - wanted[index];
         let richest = (0..models.len()).max_by(|left, right| excess(*left).total_cmp(&excess(*right)));
         let poorest = (0..models.len()).min_by(|left, right| excess(*left).total_cmp(&excess(*right)));
         let (Some(richest), Some(poorest)) = (richest, poorest) else {
@@ -165,10 +170,19 @@
             return false;
         };
         home.clone_from(&models[poorest]);
+        counts[richest] -= 1.0;
+        counts[poorest] += 1.0;
         true
     }
 }
 
+/// The model that has the smallest part of what it should have.
+fn neediest(counts: &[f64], wanted: &[f64]) -> usize {
+    let filled = |index: usize| counts[index] / wanted[index];
+    let least = (0..counts.len()).min_by(|left, right| filled(*left).total_cmp(&filled(*right)));
+    least.unwrap_or(0)
+}
+
 /// The model that an engine is less behind with than with any other.
 fn least_lagging(models: &[String], lag: impl Fn(&str) -> u64) -> Option<usize> {
     let lags: Vec<u64> = models.iter().map(|model| lag(model)).collect();
--- a/crates/coordinator/src/load_order.rs
+++ b/crates/coordinator/src/load_order.rs
@@ -4,7 +4,7 @@
 //! before any other: first for the model with most waiting items for each engine that can serve them, or soon will.
 
 use saddlerelay_types::instance::InstanceId;
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
 /// A change of weights that is due.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -36,31 +36,63 @@
     }
 }
 
+/// Loads that are alike but for their engines.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+struct Kind<'a> {
+    model: &'a str,
+    useless: bool,
+    behind: u64,
+}
+
 /// Chooses up to `most` loads, one for each engine; returns their places in `due`, the first to be given first.
+///
+/// Loads are told apart by kind, of which there are a few for each model: what a choice costs does not grow with what is
+/// due.
 pub fn choose_loads(due: &[DueLoad], needs: &BTreeMap<String, ModelNeed>, most: usize) -> Vec<usize> {
     let mut needs = needs.clone();
-    let mut left: Vec<usize> = (0..due.len()).collect();
+    let mut places: Vec<usize> = (0..due.len()).collect();
     // Of those alike, one whose slots are free serves soonest.
-    left.sort_by_key(|place| due[*place].in_flight);
+    places.sort_by_key(|place| due[*place].in_flight);
+    let mut kinds: BTreeMap<Kind<'_>, VecDeque<(usize, usize)>> = BTreeMap::new();
+    for (order, place) in places.into_iter().enumerate() {
+        let load = &due[place];
+        let kind = Kind { model: &load.model, useless: load.useless, behind: load.behind };
+        kinds.entry(kind).or_default().push_back((order, place));
+    }
+    let mut taken: BTreeSet<&InstanceId> = BTreeSet::new();
     let mut chosen = Vec::new();
-    while chosen.len() < most && !left.is_empty() {
-        let urgency = |place: &usize| {
-            let load = &due[*place];
-            let need = needs.get(&load.model).copied().unwrap_or_default();
-            let awaited = if load.useless { need.pressure() } else { 0.0 };
-            (awaited, load.behind)
+    while chosen.len() < most {
+        for left in kinds.values_mut() {
+            while left.front().is_some_and(|(_, place)| taken.contains(&due[*place].instance)) {
+                left.pop_front();
+            }
+        }
+        let Some(kind) = most_urgent(&kinds, &needs) else {
+            break;
         };
-        let first = left.iter().copied().reduce(|best, other| {
-            let (best_urgency, other_urgency) = (urgency(&best), urgency(&other));
-            let more = other_urgency.0.total_cmp(&best_urgency.0).then(other_urgency.1.cmp(&best_urgency.1));
-            if more.is_gt() { other } else { best }
-        });
-        let Some(first) = first else {
+        let Some((_, place)) = kinds.get_mut(&kind).and_then(VecDeque::pop_front) else {
             break;
         };
-        needs.entry(due[first].model.clone()).or_default().engines += 1;
-        left.retain(|place| due[*place].instance != due[first].instance);
-        chosen.push(first);
+        needs.entry(kind.model.to_string()).or_default().engines += 1;
+        taken.insert(&due[place].instance);
+        chosen.push(place);
     }
     chosen
 }
+
+/// The kind whose first load is to be given first; of equally urgent ones that with the freer engine.
+fn most_urgent<'a>(
+    kinds: &BTreeMap<Kind<'a>, VecDeque<(usize, usize)>>,
+    needs: &BTreeMap<String, ModelNeed>,
+) -> Option<Kind<'a>> {
+    let urgency = |kind: &Kind<'_>| {
+        let need = needs.get(kind.model).copied().unwrap_or_default();
+        if kind.useless { need.pressure() } else { 0.0 }
+    };
+    let left = kinds.iter().filter_map(|(kind, loads)| Some((*kind, loads.front()?.0)));
+    let first = left.min_by(|(left, left_order), (right, right_order)| {
+        let awaited = urgency(right).total_cmp(&urgency(left));
+        awaited.then(right.behind.cmp(&left.behind)).then(left_order.cmp(right_order))
+    });
+    first.map(|(kind, _)| kind)
+}
--- a/crates/coordinator/src/orders.rs
+++ b/crates/coordinator/src/orders.rs
@@ -73,21 +73,16 @@
     let Some(document) = state.routing.current() else {
         return Vec::new();
     };
-    let silent = state.instances.silent().iter().cloned().collect::<Vec<_>>();
     let mut due = Vec::new();
     for service in &document.services {
         let Some(hosting) = &service.hosting else {
             continue;
         };
-        let engines: Vec<EngineTarget> = state
-            .instances
-            .iter()
-            .filter(|record| record.state == InstanceState::Ready && record.report.service == service.name)
-            .filter(|record| silent.binary_search(&record.report.id).is_err())
-            .map(|record| EngineTarget { instance: record.report.id.clone(), address: record.report.address })
-            .collect();
+        let engines = engines_in_work(coordinator, state, &service.name);
         let config = &inner.config;
-        let most = (engines.len() as u32).div_ceil(config.engines_per_load).max(config.least_loads) as usize;
+        let places = state.instances.places().filter(|place| place.service == service.name);
+        let present: u32 = places.map(|place| state.instances.present(place)).sum();
+        let most = present.div_ceil(config.engines_per_load).max(config.least_loads) as usize;
         let loading = engines.iter().filter(|engine| inner.fleet.is_loading_any(&engine.instance)).count();
         let single = document.routes.iter().any(|route| route.kind == RouteKind::Rollout && route.batch.single_version);
         let running = if single { RunningStreams::Wait } else { RunningStreams::Keep };
@@ -104,6 +99,18 @@
     due
 }
 
+/// The engines of a service that are worked with and report themselves.
+fn engines_in_work<B: Backends>(
+    coordinator: &Coordinator<B>,
+    state: &ControlState,
+    service: &str,
+) -> Vec<EngineTarget> {
+    let working_set = coordinator.inner.working_set.borrow();
+    let records = working_set.of_service(service).filter_map(|instance| state.instances.get(instance));
+    let sound = records.filter(|record| record.state == InstanceState::Ready && !record.silent);
+    sound.map(|record| EngineTarget { instance: record.report.id.clone(), address: record.report.address }).collect()
+}
+
 /// What the items of each model ask for, and how many engines can serve its next step or are being brought to it.
 fn model_needs<B: Backends>(
     coordinator: &Coordinator<B>,
@@ -159,23 +166,9 @@
     behind
 }
 
-/// Asks every engine for a report, so that a new leader need not wait until each has reported by itself.
-pub(crate) async fn ask_all<B: Backends>(coordinator: Coordinator<B>, term: u64) {
-    let hosting_engines = coordinator.inner.node.read(|state| {
-        let document = state.routing.current();
-        let hosts = |service: &str| {
-            let service = document.and_then(|document| document.service(service));
-            service.is_some_and(|service| service.hosting.is_some())
-        };
-        let ready = state.instances.iter().filter(|record| record.state == InstanceState::Ready);
-        let hosting = ready.filter(|record| hosts(&record.report.service));
-        let target = |record: &saddlerelay_types::instance::InstanceRecord| EngineTarget {
-            instance: record.report.id.clone(),
-            address: record.report.address,
-        };
-        hosting.map(target).collect::<Vec<_>>()
-    });
-    for target in hosting_engines.unwrap_or_default() {
+/// Asks engines for reports, so that a new leader need not wait until each has reported by itself.
+pub(crate) fn ask_reports<B: Backends>(coordinator: &Coordinator<B>, targets: Vec<EngineTarget>, term: u64) {
+    for target in targets {
         let coordinator = coordinator.clone();
         let runtime = coordinator.inner.runtime.clone();
         runtime.spawn(async move {
--- a/crates/coordinator/src/placement.rs
+++ b/crates/coordinator/src/placement.rs
@@ -44,14 +44,12 @@
 /// The engines that a job's items may go to, with room or without.
 pub(crate) fn fitting_engines<'a, B: Backends>(of: &PlanOfJob<'a, '_, B>, route: &Route) -> Vec<FittingEngine<'a>> {
     let submission = &of.job.submission;
-    let fleet = &of.inner.fleet;
     let fitting = |engine: &'a Engine| {
         let Some(model) = &submission.model else {
             return Some(FittingEngine { engine, version: None });
         };
-        let instance = &engine.target.instance;
-        let version = fleet.version(instance, model).filter(|version| *version >= submission.minimum_version)?;
-        (!fleet.is_loading(instance, model)).then_some(FittingEngine { engine, version: Some(version) })
+        let version = engine.weights.get(model).copied().filter(|version| *version >= submission.minimum_version)?;
+        Some(FittingEngine { engine, version: Some(version) })
     };
     of.round.engines.iter().filter(|engine| route.serves(&engine.service)).filter_map(fitting).collect()
 }
--- a/crates/coordinator/src/plan.rs
+++ b/crates/coordinator/src/plan.rs
@@ -31,6 +31,8 @@
     pub silent: bool,
     /// Seconds an event, as far as is known.
     pub pace: f64,
+    /// The weights that it has, by model; without those that are being changed.
+    pub weights: Rc<BTreeMap<String, u64>>,
     /// Items at it, and those planned in this round.
     load: Cell<u32>,
 }
@@ -124,7 +126,7 @@
     let mut plan = Plan::default();
     let mut open: Vec<(&JobId, &Job)> = state.jobs.open().collect();
     open.sort_by_key(|(_, job)| job.order());
-    let mut scoring = ScoringRound::new(state, state.instances.silent().iter().cloned().collect::<Vec<_>>(), now);
+    let mut scoring = ScoringRound::new(state, now);
     let mut jobs = inner.jobs.borrow_mut();
     for (id, job) in open {
         plan.open.insert(id.clone());
@@ -163,6 +165,13 @@
         service.hosting.as_ref()
     });
     let tokens_per_event = hosting.map_or(1, |hosting| hosting.tokens_per_event);
+    if let Some(route) = route {
+        let mut working_set = coordinator.inner.working_set.borrow_mut();
+        let items = submission.items.len() as u32;
+        for target in &route.targets {
+            working_set.note_job(&target.service, submission.model.as_deref(), items);
+        }
+    }
     let run = JobRun::new(job, state, coordinator.names(), tokens_per_event, now);
     if let Some(model) = &submission.model {
         let expected = run.mean_events * run.items.len() as f64;
@@ -185,19 +194,19 @@
     paces: &Paces,
     now: Duration,
 ) -> Vec<Engine> {
-    let silent = state.instances.silent().iter().cloned().collect::<Vec<_>>();
     let fleet = &coordinator.inner.fleet;
-    let usable = state
-        .instances
-        .iter()
-        .filter(|record| record.state == InstanceState::Ready && !fleet.is_resting(&record.report.id, now));
+    let working_set = coordinator.inner.working_set.borrow();
+    let records = working_set.iter().filter_map(|instance| state.instances.get(instance));
+    let usable =
+        records.filter(|record| record.state == InstanceState::Ready && !fleet.is_resting(&record.report.id, now));
     usable
         .map(|record| Engine {
             target: EngineTarget { instance: record.report.id.clone(), address: record.report.address },
             service: record.report.service.clone(),
             slots: record.report.slots,
-            silent: silent.binary_search(&record.report.id).is_ok(),
+            silent: record.silent,
             pace: paces.of(&record.report.id),
+            weights: fleet.settled_weights(&record.report.id),
             load: Cell::new(fleet.in_flight(&record.report.id)),
         })
         .collect()
--- a/crates/coordinator/src/runner.rs
+++ b/crates/coordinator/src/runner.rs
@@ -12,6 +12,7 @@
 use saddlerelay_runtime::backend::Backends;
 use saddlerelay_types::instance::{InstanceId, InstanceState};
 use saddlerelay_types::job::{ItemOutcome, JobId};
+use saddlerelay_upstream::EngineTarget;
 use std::collections::BTreeSet;
 use std::pin::pin;
 use std::time::Duration;
@@ -64,11 +65,12 @@
         if self.inner.term.replace(term) != term {
             self.stop_all();
             self.inner.fleet.clear();
+            self.inner.working_set.borrow_mut().clear();
             spdlog::info!("leading", kv: { term = term });
-            self.inner.runtime.spawn(crate::orders::ask_all(self.clone(), term));
         }
         let planned = self.inner.node.read(|state| {
-            self.learn_reports(state);
+            self.follow_engines(state, term);
+            self.forget_engines(state);
             plan::plan(self, state, term)
         });
         let Some(plan) = planned else {
@@ -81,19 +83,53 @@
         busy
     }
 
-    /// Takes what engines report of their weights.
-    fn learn_reports(&self, state: &ControlState) {
+    /// Follows which engines there are, and takes what those that are worked with report of their weights.
+    fn follow_engines(&self, state: &ControlState, term: u64) {
         let inner = &self.inner;
-        for record in state.instances.iter() {
-            if let Some((at, models)) = inner.node.reported_models(&record.report.id) {
-                inner.fleet.learn(&record.report.id, &models, at);
-            }
+        let mut working_set = inner.working_set.borrow_mut();
+        let added = working_set.follow(state, inner.working_set_policy.as_ref());
+        let reported = inner.node.take_unread_reports();
+        for instance in reported.iter().filter(|instance| working_set.contains(instance)) {
+            self.learn_report(instance);
+        }
+        if !added.is_empty() {
+            spdlog::info!("engines taken into work", kv: { added = added.len(), engines = working_set.iter().count() });
+        }
+        let document = state.routing.current();
+        let hosts_models = |service: &str| {
+            let service = document.and_then(|document| document.service(service));
+            service.is_some_and(|service| service.hosting.is_some())
+        };
+        let unheard = added.into_iter().filter(|instance| !self.learn_report(instance));
+        let targets = unheard.filter_map(|instance| {
+            let report = &state.instances.get(&instance)?.report;
+            hosts_models(&report.service).then_some(EngineTarget { instance, address: report.address })
+        });
+        crate::orders::ask_reports(self, targets.collect(), term);
+    }
+
+    /// Takes what an engine has reported to this leader, if it has.
+    fn learn_report(&self, instance: &InstanceId) -> bool {
+        let report = self.inner.node.reported_models(instance);
+        if let Some((at, models)) = &report {
+            self.inner.fleet.learn(instance, models, *at);
+        }
+        report.is_some()
+    }
+
+    /// Forgets engines that are no longer worked with, when the table has changed.
+    fn forget_engines(&self, state: &ControlState) {
+        let inner = &self.inner;
+        let revision = state.instances.revision();
+        if inner.forgotten_at.replace(revision) == revision {
+            return;
         }
-        inner.fleet.retain(|instance| state.instances.get(instance).is_some());
-        inner.scorers.retain(|instance| state.instances.get(instance).is_some());
+        let working_set = inner.working_set.borrow();
+        inner.fleet.retain(|instance| working_set.contains(instance));
         let is_gone = |instance: &InstanceId| {
             state.instances.get(instance).is_none_or(|record| record.state == InstanceState::Gone)
         };
+        inner.scorers.retain(|instance| !is_gone(instance));
         inner.pool.retain(|instance| !is_gone(instance));
     }
 
--- a/crates/coordinator/src/scorers.rs
+++ b/crates/coordinator/src/scorers.rs
@@ -4,7 +4,7 @@
 //! none while the engine says that requests wait there.
 
 use saddlerelay_control::state::ControlState;
-use saddlerelay_types::instance::{InstanceId, InstanceState};
+use saddlerelay_types::instance::{InstanceId, InstanceRecord, InstanceState};
 use saddlerelay_types::job::ScoringRequest;
 use saddlerelay_types::routing::{Route, WeightedTarget};
 use saddlerelay_upstream::balance::InFlight;
@@ -17,13 +17,16 @@
 /// The part of an engine's slots that calls for scores may take.
 const SLOT_SHARE: f64 = 0.5;
 
+/// Engines of a service in one zone among which the one for a call is chosen. Each call looks at all of them: 64 of 4 slots
+/// score some thousand texts a second, more than a leader has made.
+const MOST_OF_A_PLACE: usize = 64;
+
 /// How long an engine that told of waiting requests is given no calls for scores.
 const CROWDED_REST: Duration = Duration::from_millis(40);
 
 /// What one plan knows of the engines that may score.
 pub(crate) struct ScoringRound<'a> {
     state: &'a ControlState,
-    silent: Vec<InstanceId>,
     now: Duration,
     /// Calls planned in this round, by engine.
     planned: BTreeMap<InstanceId, u32>,
@@ -32,20 +35,22 @@
 }
 
 impl<'a> ScoringRound<'a> {
-    /// A round over the committed state. `silent` names instances whose reports have ceased, in order.
-    pub fn new(state: &'a ControlState, silent: Vec<InstanceId>, now: Duration) -> Self {
-        Self { state, silent, now, planned: BTreeMap::new(), full: BTreeSet::new() }
+    /// A round over the committed state.
+    pub fn new(state: &'a ControlState, now: Duration) -> Self {
+        Self { state, now, planned: BTreeMap::new(), full: BTreeSet::new() }
     }
 
     fn engines(&self, service: &str) -> Vec<ReadyEngine> {
-        let ready = self.state.instances.iter().filter(|record| record.state == InstanceState::Ready);
-        let serving = ready.filter(|record| record.report.service == service);
+        let instances = &self.state.instances;
+        let places = instances.places().filter(|place| place.service == service);
+        let ready = |record: &&InstanceRecord| record.state == InstanceState::Ready;
+        let serving = places.flat_map(|place| instances.engines_in(place).filter(ready).take(MOST_OF_A_PLACE));
         serving
             .map(|record| ReadyEngine {
                 target: EngineTarget { instance: record.report.id.clone(), address: record.report.address },
                 zone: record.report.zone.clone(),
                 slots: record.report.slots,
-                silent: self.silent.binary_search(&record.report.id).is_ok(),
+                silent: record.silent,
             })
             .collect()
     }
@@ -137,7 +142,7 @@
             return None;
         }
         let tried: Vec<InstanceId> = avoid.into_iter().cloned().collect();
-        self.balance.choose(with_room.into_iter(), &self.zone, &tried, round.now)
+        self.balance.choose(with_room.into_iter(), &self.zone, &tried, round.now, |_| true)
     }
 
     fn has_room(&self, round: &ScoringRound, engine: &ReadyEngine) -> bool {
--- /dev/null
+++ b/crates/coordinator/tests/working_set.rs
@@ -0,0 +1,171 @@
+//! Which engines are worked with, where there are thousands for the work of some hundred.
+
+use saddlerelay_control::state::ControlState;
+use saddlerelay_coordinator::working_set::WorkingSet;
+use saddlerelay_coordinator::working_set_policy::{
+    AllEngines, DemandWithReserve, FixedPerModel, ModelDemand, ServiceDemand, WorkingSetPolicy,
+};
+use saddlerelay_runtime::steps::looks_of;
+use saddlerelay_types::gateway::OrderSubject;
+use saddlerelay_types::identity::ReplicaId;
+use saddlerelay_types::instance::{InstanceId, InstanceReport};
+use saddlerelay_types::routing::{ModelHosting, RequestLimits, RoutingDocument, Service};
+use std::collections::{BTreeMap, BTreeSet};
+
+const ZONES: [&str; 5] = ["a", "b", "c", "d", "e"];
+const MODELS: usize = 6;
+/// Items of a step, and slots of an engine: those of the users' largest deployment.
+const ITEMS: u32 = 208;
+const SLOTS: u32 = 6;
+
+fn models() -> Vec<String> {
+    (0..MODELS).map(|number| format!("model-{number}")).collect()
+}
+
+fn report(number: usize) -> InstanceReport {
+    InstanceReport {
+        id: InstanceId(format!("engine-{number}")),
+        service: "models".to_string(),
+        address: ([10, (number >> 16) as u8, (number >> 8) as u8, number as u8], 8_000).into(),
+        zone: ZONES[number % ZONES.len()].to_string(),
+        slots: SLOTS,
+        leaving: false,
+        models: Vec::new(),
+        sequence: 1,
+    }
+}
+
+fn state(engines: usize) -> ControlState {
+    let mut state = ControlState::default();
+    let hosting = ModelHosting { slots: SLOTS, token_capacity: 30_203, tokens_per_event: 1, models: models() };
+    let service = Service {
+        name: "models".to_string(),
+        health_path: "/health".to_string(),
+        max_connections: 10,
+        hosting: Some(hosting),
+        scaling: None,
+    };
+    let limits = RequestLimits { max_header_bytes: 1, max_body_bytes: 1, header_timeout_ms: 1, idle_timeout_ms: 1 };
+    state.routing.put(RoutingDocument {
+        version: 1,
+        routes: Vec::new(),
+        services: vec![service],
+        limits,
+        tenants: None,
+        source: Vec::new(),
+    });
+    (0..engines).for_each(|number| state.instances.take_report(report(number)));
+    state
+}
+
+fn demand(ready: usize, largest: Option<u32>) -> ServiceDemand {
+    ServiceDemand { ready, slots: SLOTS, models: vec![ModelDemand { largest_job: largest }; MODELS] }
+}
+
+/// Two steps of 208 items fill 70 engines of 6 slots; a quarter more may be changing weights, leaving or lost.
+#[test]
+fn as_many_engines_as_two_steps_fill_and_a_quarter_more() {
+    let table = [
+        // Items of the largest job, engines wanted for six models.
+        (Some(208), 522),
+        (Some(104), 264),
+        (Some(1_024), 2_562),
+        (Some(1), 48),
+        (None, 504),
+    ];
+    for (items, engines) in table {
+        assert_eq!(DemandWithReserve.engines(&demand(9_625, items)), engines, "{items:?} items");
+    }
+    assert_eq!(FixedPerModel { engines: 20 }.engines(&demand(9_625, None)), 120);
+    assert_eq!(AllEngines.engines(&demand(9_625, None)), usize::MAX);
+}
+
+/// What the deployments with few engines have, nothing changes for them.
+#[test]
+fn few_engines_are_all_worked_with_also_silent_ones() {
+    for engines in [1, 15, 45, 128, 500] {
+        let mut state = state(engines);
+        state.instances.note_silence(&[InstanceId("engine-0".to_string())], &[]);
+        let mut set = WorkingSet::default();
+        let added = set.follow(&state, &DemandWithReserve);
+        assert_eq!((added.len(), set.iter().count()), (engines, engines));
+    }
+}
+
+#[test]
+fn the_set_follows_demand_and_takes_engines_of_each_zone() {
+    let state = state(9_625);
+    let mut set = WorkingSet::default();
+    for model in models() {
+        set.note_job("models", Some(&model), ITEMS / 2);
+    }
+    set.follow(&state, &DemandWithReserve);
+    assert_eq!(set.iter().count(), 264);
+    for model in models() {
+        set.note_job("models", Some(&model), ITEMS);
+    }
+    let added = set.follow(&state, &DemandWithReserve);
+    assert_eq!((added.len(), set.iter().count()), (258, 522));
+    let mut by_zone: BTreeMap<String, usize> = BTreeMap::new();
+    for instance in set.iter() {
+        let zone = state.instances.get(instance).expect("it is known").report.zone.clone();
+        *by_zone.entry(zone).or_default() += 1;
+    }
+    assert!(by_zone.len() == 5 && by_zone.values().all(|count| (100..=110).contains(count)), "{by_zone:?}");
+}
+
+#[test]
+fn engines_that_leave_or_fall_silent_are_replaced_at_once_and_the_others_stay() {
+    let mut state = state(9_625);
+    let mut set = WorkingSet::default();
+    set.follow(&state, &DemandWithReserve);
+    let before: BTreeSet<InstanceId> = set.iter().cloned().collect();
+    let mut left = before.iter().take(20).cloned();
+    let gone: Vec<InstanceId> = left.by_ref().take(10).collect();
+    let silent: Vec<InstanceId> = left.collect();
+    gone.iter().for_each(|instance| state.instances.remove(instance));
+    state.instances.note_silence(&silent, &[]);
+    let added = set.follow(&state, &DemandWithReserve);
+    assert_eq!(added.len(), 20);
+    let after: BTreeSet<InstanceId> = set.iter().cloned().collect();
+    assert!(gone.iter().all(|instance| !after.contains(instance)));
+    assert_eq!(before.difference(&after).count(), 10);
+}
+
+#[test]
+fn a_new_leader_goes_on_with_the_engines_that_were_given_orders() {
+    let mut state = state(9_625);
+    let ordered: Vec<OrderSubject> =
+        (4_000..4_400).map(|number| OrderSubject::Engine(InstanceId(format!("engine-{number}")))).collect();
+    state.orders.note(ReplicaId(1), ordered.clone());
+    let mut set = WorkingSet::default();
+    set.follow(&state, &DemandWithReserve);
+    set.clear();
+    set.follow(&state, &DemandWithReserve);
+    let kept = ordered.iter().filter(|subject| match subject {
+        OrderSubject::Engine(instance) => set.contains(instance),
+        _ => false,
+    });
+    assert_eq!((kept.count(), set.iter().count()), (400, 504));
+}
+
+/// A plan is made some 20 times a second: what it looks at may grow with the work, not with the fleet.
+#[test]
+fn following_costs_the_same_in_any_fleet() {
+    let mut costs = Vec::new();
+    for engines in [1_000, 10_000, 20_000] {
+        let mut state = state(engines);
+        let mut set = WorkingSet::default();
+        set.follow(&state, &DemandWithReserve);
+        let (idle, _) = looks_of(|| set.follow(&state, &DemandWithReserve));
+        assert!(idle <= 8, "{idle} looks while nothing changes, with {engines} engines");
+        let member = set.iter().next().cloned().expect("there are members");
+        state.instances.remove(&member);
+        let (looks, added) = looks_of(|| set.follow(&state, &DemandWithReserve));
+        assert_eq!(added.len(), 1);
+        costs.push(looks);
+    }
+    let (least, most) = (costs.iter().min(), costs.iter().max());
+    // Members, and the engines of each place that are members already.
+    assert!(most <= least.map(|least| least + 64).as_ref() && most < Some(&2_000), "{costs:?}");
+}
