--- a/crates/simulator/tests/duties.rs
+++ b/crates/simulator/tests/duties.rs
@@ -270,7 +270,7 @@
         // Engines of these tests report themselves once.
         let instance_silence = Duration::from_secs(600);
         // With every other seed relays are sent to replicas that do not lead.
-        let leader_relays = if seed % 2 == 0 { 0 } else { ControlConfig::default().leader_relays };
+        let leader_relays = if seed.is_multiple_of(2) { 0 } else { ControlConfig::default().leader_relays };
         let order_distance = ORDER_DISTANCE;
         let config = ControlConfig { order_distance, instance_silence, leader_relays, ..ControlConfig::default() };
         let node = Rc::new(RefCell::new(None));
--- a/crates/simulator/tests/reports.rs
+++ b/crates/simulator/tests/reports.rs
@@ -25,6 +25,9 @@
 /// How long the leader takes to commit a message.
 const COMMIT_TIME: Duration = Duration::from_millis(8);
 
+/// Whether a report was acknowledged and when, once that is known.
+type Answer = Option<(bool, Duration)>;
+
 /// A leader that keeps what it has committed.
 struct Leader {
     runtime: SimRuntime,
@@ -106,7 +109,7 @@
     }
 
     /// An engine reports; returns whether that was acknowledged, and when, once it is known.
-    fn report(&self, report: InstanceReport) -> Rc<Cell<Option<(bool, Duration)>>> {
+    fn report(&self, report: InstanceReport) -> Rc<Cell<Answer>> {
         let answer = Rc::new(Cell::new(None));
         let told = answer.clone();
         let (gatherer, clock, leader) = (self.gatherer.clone(), self.world.clock.clone(), self.leader.clone());
@@ -140,7 +143,7 @@
             self.run_for(REPORT_PAUSE / ENGINES as u32);
         }
         self.run_for(Duration::from_secs(1));
-        let in_time = |(at, answer): &&(Duration, Rc<Cell<Option<(bool, Duration)>>>)| {
+        let in_time = |(at, answer): &&(Duration, Rc<Cell<Answer>>)| {
             answer.get().is_some_and(|(acknowledged, told_at)| acknowledged && told_at < *at + Duration::from_secs(1))
         };
         ENGINES - answers.iter().filter(in_time).count()
