Tell why a relay has no lease: whom it asks, what each answered, and what replicas that send it away know

Before, a refusal said 'no lease' and nothing named the asked replicas; a relay that never had a lease wrote no line of its own. Now one line a second of such a relay ('control group not found'), the same answers in each refusal for want of a lease, one line a second of a replica that sends callers away without a leader's name ('no leader to name'), and a counter. No decision hangs on any of it.

--- a/crates/control-client/src/lib.rs
+++ b/crates/control-client/src/lib.rs
@@ -5,8 +5,10 @@
 //! assignments a sequence. A call whose answer is lost is therefore repeated until its time runs out.
 
 pub mod reports;
+pub mod search;
 pub mod suspicions;
 
+use crate::search::{LastAnswer, LeaderSearch};
 use saddlerelay_rpc::client::{CallError, Client};
 use saddlerelay_runtime::Runtime;
 use saddlerelay_types::gateway::{GatewayReply, GatewayRequest};
@@ -50,15 +52,17 @@
     Undecided,
 }
 
-/// A replica, and until when it is passed over because it did not answer.
+/// A replica, until when it is passed over because it did not answer, and what it answered last.
 struct Known<P> {
     client: Client<P>,
     passed_over_until: Duration,
+    last_answer: LastAnswer,
 }
 
 impl<P: Runtime> Known<P> {
     fn new(platform: &P, address: SocketAddr, secret: &str) -> Self {
-        Self { client: Client::new(platform.clone(), address, secret), passed_over_until: Duration::ZERO }
+        let client = Client::new(platform.clone(), address, secret);
+        Self { client, passed_over_until: Duration::ZERO, last_answer: LastAnswer::NotAsked }
     }
 }
 
@@ -210,6 +214,18 @@
         self.inner.current.set(index.unwrap_or(0));
     }
 
+    /// What each replica last answered, for the log of whoever finds no leader.
+    pub fn search(&self) -> LeaderSearch {
+        let replicas = self.inner.replicas.borrow();
+        LeaderSearch { replicas: replicas.iter().map(|known| (known.client.address(), known.last_answer)).collect() }
+    }
+
+    fn note_answer(&self, address: SocketAddr, answer: LastAnswer) {
+        let mut replicas = self.inner.replicas.borrow_mut();
+        let asked = replicas.iter_mut().filter(|known| known.client.address() == address);
+        asked.for_each(|known| known.last_answer = answer);
+    }
+
     async fn call_leader(&self, request: &ControlRequest, limit: Duration) -> Result<ControlReply, ControlError> {
         self.call_until(request, limit, ATTEMPT_LIMIT, &mut false).await
     }
@@ -235,7 +251,9 @@
             if answer.is_err() {
                 self.pass_over(replica.address());
             }
-            match answer.ok().and_then(|bytes| bitcode::decode(&bytes).ok()) {
+            let outcome = answer.map(|bytes| bitcode::decode(&bytes).ok());
+            self.note_answer(replica.address(), LastAnswer::of(&outcome));
+            match outcome.ok().flatten() {
                 Some(ControlReply::NotLeader { leader: Some(leader) }) if leader != replica.address() => {
                     self.choose(leader);
                 }
--- a/crates/control/src/node.rs
+++ b/crates/control/src/node.rs
@@ -7,6 +7,7 @@
 use crate::group_clock::GroupClock;
 use crate::instance_watch::InstanceWatch;
 use crate::machine::ControlMachine;
+use crate::not_leading::SentAway;
 use crate::order_watch::OrderWatch;
 use crate::queries;
 use crate::routing_updates::RoutingUpdates;
@@ -59,6 +60,8 @@
     pub following: RefCell<Following>,
     /// The leader has confirmed this replica's state.
     pub confirmed: Signal,
+    /// Questions that only a leader could answer.
+    pub sent_away: RefCell<SentAway>,
     /// What instances have told this leader since it leads.
     pub instance_watch: RefCell<InstanceWatch>,
     /// Routing documents on their way to relays.
@@ -105,6 +108,7 @@
             answer_turn: Mutex::default(),
             following: RefCell::default(),
             confirmed: Signal::default(),
+            sent_away: RefCell::default(),
             instance_watch: RefCell::default(),
             routing_updates: RefCell::default(),
             order_watch: RefCell::default(),
@@ -205,8 +209,31 @@
         }
     }
 
+    /// The answer to whoever has to ask the leader.
     pub(crate) fn not_leader(&self) -> ControlReply {
-        ControlReply::NotLeader { leader: self.inner.replica.leader_address() }
+        let leader = self.inner.replica.leader_address();
+        if leader.is_none() {
+            self.tell_sent_away();
+        }
+        ControlReply::NotLeader { leader }
+    }
+
+    /// Says that callers were sent away without a leader's name, and what this replica knows of the group.
+    fn tell_sent_away(&self) {
+        let now = self.inner.platform.monotonic();
+        let Some(questions) = self.inner.sent_away.borrow_mut().count(now) else {
+            return;
+        };
+        let replica = &self.inner.replica;
+        spdlog::warn!("no leader to name", kv: {
+            dependency = "leader",
+            questions = questions,
+            replica = replica.id().0,
+            is_member = replica.is_member(),
+            members_known = replica.member_addresses().len(),
+            peers_known = replica.known_peers().len(),
+            applied = replica.applied_index()
+        });
     }
 
     /// Commits a command. One that would change nothing is kept open for a while, so that relays and trainers need not
--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -18,6 +18,9 @@
 /// How long a replica that is not sure of its state is not asked, once the lease runs short.
 const UNCONFIRMED_PASSED_OVER: Duration = Duration::from_millis(500);
 
+/// A relay without a lease tells why this often: some lines in the time in which a group elects a leader anew.
+const SEARCH_TOLD_EVERY: Duration = Duration::from_secs(1);
+
 /// Pause after a question that brought no answer.
 const RETRY_PAUSE: Duration = Duration::from_millis(20);
 
@@ -25,6 +28,7 @@
 pub(crate) async fn follow(gateway: Gateway) {
     let inner = &gateway.inner;
     let mut leased = false;
+    let mut search_told_at = inner.runtime.monotonic();
     loop {
         let asked_at = inner.runtime.monotonic();
         match ask(&gateway).await {
@@ -36,6 +40,11 @@
             tell_lease(&gateway, now_leased);
             leased = now_leased;
         }
+        let now = inner.runtime.monotonic();
+        if !leased && now >= search_told_at + SEARCH_TOLD_EVERY {
+            tell_search(&gateway);
+            search_told_at = now;
+        }
     }
 }
 
@@ -144,6 +153,18 @@
     }
 }
 
+/// Says why there is no lease: whom this relay asks, and what each answered.
+fn tell_search(gateway: &Gateway) {
+    let search = gateway.inner.control.search();
+    gateway.inner.metrics.searches_told.inc();
+    spdlog::warn!("control group not found", kv: {
+        dependency = "control",
+        view_age_ms = gateway.inner.view.borrow().age(gateway.now()).as_millis() as u64,
+        replicas = search.replicas.len(),
+        answers = search.to_string().as_str()
+    });
+}
+
 fn tell_lease(gateway: &Gateway, leased: bool) {
     let age = gateway.inner.view.borrow().age(gateway.now()).as_millis() as u64;
     if leased {
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -212,13 +212,16 @@
         let counter = if not_run { &self.inner.metrics.refused } else { &self.inner.metrics.failed };
         counter.inc();
         let view = self.inner.view.borrow();
+        let is_unled = matches!(refusal, Refusal::NoLease);
+        let control = if is_unled { self.inner.control.search().to_string() } else { String::new() };
         spdlog::warn!("request refused", kv: {
             request = request.id.as_str(),
             reason = refusal.reason(),
             status = refusal.status().as_u16(),
             held_ms = self.now().saturating_sub(request.arrived_at).as_millis() as u64,
             routing_version = view.routing_version().unwrap_or_default(),
-            view_age_ms = view.age(self.now()).as_millis() as u64
+            view_age_ms = view.age(self.now()).as_millis() as u64,
+            control = control.as_str()
         });
         let config = &self.inner.options.config;
         let wait = match refusal {
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -28,6 +28,8 @@
     pub usage_counted: Counter,
     /// Times that the lease ended.
     pub leases_lost: Counter,
+    /// Seconds without a lease, each told in the log with what the asked replicas answered.
+    pub searches_told: Counter,
     /// Reads of results that a replica in the own zone answered.
     pub results_read_nearby: Counter,
     /// From a request's arrival to the end of its answer, in seconds.
@@ -52,6 +54,7 @@
         let keys_refused = counter("keys_refused", "Calls with an unknown key, or with none where one is needed");
         let usage_counted = counter("usage_counted", "Requests of tenants that engines have begun");
         let leases_lost = counter("leases_lost", "Times that the lease ended");
+        let searches_told = counter("control_searches_told", "Seconds without a lease, each told in the log");
         let results_read_nearby =
             counter("results_read_nearby", "Reads of results answered by a replica in the own zone");
         let mut histogram = |name: &str, help: &str| registry.seconds(name, help, 0.001, 15);
@@ -70,6 +73,7 @@
             keys_refused,
             usage_counted,
             leases_lost,
+            searches_told,
             results_read_nearby,
             request_seconds,
             attempt_seconds,
--- a/crates/replication/src/replica.rs
+++ b/crates/replication/src/replica.rs
@@ -254,6 +254,12 @@
         self.inner.state.borrow().membership().members.iter().map(|member| member.address).collect()
     }
 
+    /// Whether this replica is a member by the newest membership that it knows.
+    pub fn is_member(&self) -> bool {
+        let state = self.inner.state.borrow();
+        state.membership().member(state.identity.id).is_some()
+    }
+
     /// This replica's identifier.
     pub fn id(&self) -> ReplicaId {
         self.inner.state.borrow().identity.id
