Let a search for the group end from any machine that answers, member or not

Cause: a replica that is no member of the group hears no leader and named nobody; relays start with three addresses, and once these were such machines they asked them in turn for ever. Ruled out by plays: want of a leader (one vote after the restart, held to the end). Change: a replica that cannot name the leader names the replicas it has heard of; clients ask those too; the leader tells machines that are no members where the group is, once a second; changed settings reach a relay that still searches.

--- a/crates/command-line/src/member.rs
+++ b/crates/command-line/src/member.rs
@@ -171,7 +171,9 @@
     runtime.spawn(serve_until(readiness_listener, readiness, Shutdown::default()));
     let of_metrics = gateway.clone();
     serve_metrics(&runtime, settings.metrics_address, move || of_metrics.metrics().encode()).await?;
-    runtime.spawn(follow_settings(runtime.clone(), file, seeds, |_| {}));
+    // A relay that has not found the group yet learns of it by new settings alone.
+    let control = gateway.control().clone();
+    runtime.spawn(follow_settings(runtime.clone(), file, seeds, move |seeds| control.hear_of(seeds)));
     compio::signal::unix::signal(SIGTERM).await.map_err(failed)?;
     spdlog::info!("planned stop", kv: { grace_ms = settings.bounds.grace.as_millis() as u64 });
     gateway.drain();
--- a/crates/control-client/src/lib.rs
+++ b/crates/control-client/src/lib.rs
@@ -34,6 +34,10 @@
 /// How long a replica that did not answer is passed over while others may: an election takes no longer.
 const PASSED_OVER: Duration = Duration::from_millis(1500);
 
+/// Most replicas that a client asks: some times as many as a group has members, so that addresses of machines that are gone
+/// leave room for those that are there.
+const MOST_REPLICAS: usize = 64;
+
 /// Why a call brought no outcome.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum ControlError {
@@ -254,12 +258,12 @@
             let outcome = answer.map(|bytes| bitcode::decode(&bytes).ok());
             self.note_answer(replica.address(), LastAnswer::of(&outcome));
             match outcome.ok().flatten() {
-                Some(ControlReply::NotLeader { leader: Some(leader) }) if leader != replica.address() => {
+                Some(ControlReply::NotLeader { leader: Some(leader), .. }) if leader != replica.address() => {
                     self.choose(leader);
                 }
                 reply @ (Some(ControlReply::NotLeader { .. } | ControlReply::Undecided) | None) => {
                     *may_be_done |= matches!(reply, Some(ControlReply::Undecided));
-                    self.choose_next();
+                    self.choose_after(reply);
                     self.inner.platform.sleep(self.next_retry_pause()).await;
                 }
                 Some(reply) => {
@@ -277,6 +281,39 @@
         replicas[self.inner.current.get() % replicas.len()].client.clone()
     }
 
+    /// Turns to another replica after one that was no help: to the first that it has named and that was not known, or else
+    /// to the next.
+    fn choose_after(&self, reply: Option<ControlReply>) {
+        let peers = match reply {
+            Some(ControlReply::NotLeader { peers, .. }) => peers,
+            _ => Vec::new(),
+        };
+        match self.learn(&peers) {
+            Some(index) => self.inner.current.set(index),
+            None => self.choose_next(),
+        }
+    }
+
+    /// Takes replicas that another has named, up to a number; returns the place of the first that was not known.
+    fn learn(&self, addresses: &[SocketAddr]) -> Option<usize> {
+        let mut replicas = self.inner.replicas.borrow_mut();
+        let known_before = replicas.len();
+        for address in addresses {
+            let is_known = replicas.iter().any(|known| known.client.address() == *address);
+            if !is_known && replicas.len() < MOST_REPLICAS {
+                replicas.push(Known::new(&self.inner.platform, *address, &self.inner.secret));
+            }
+        }
+        (replicas.len() > known_before).then_some(known_before)
+    }
+
+    /// Takes further addresses at which replicas may listen, for example when the settings have changed.
+    pub fn hear_of(&self, addresses: &[SocketAddr]) {
+        if let Some(index) = self.learn(addresses) {
+            self.inner.current.set(index);
+        }
+    }
+
     /// Turns to the next replica that has not been silent lately, or to the next one if all have.
     fn choose_next(&self) {
         let now = self.inner.platform.monotonic();
--- a/crates/control-client/src/search.rs
+++ b/crates/control-client/src/search.rs
@@ -36,8 +36,8 @@
             Err(CallError::NotSent) => Self::NotReached,
             Err(CallError::Unknown) => Self::Silent,
             Ok(None) => Self::Unreadable,
-            Ok(Some(ControlReply::NotLeader { leader: None })) => Self::KnowsNoLeader,
-            Ok(Some(ControlReply::NotLeader { leader: Some(leader) })) => Self::Names(*leader),
+            Ok(Some(ControlReply::NotLeader { leader: None, .. })) => Self::KnowsNoLeader,
+            Ok(Some(ControlReply::NotLeader { leader: Some(leader), .. })) => Self::Names(*leader),
             Ok(Some(ControlReply::Undecided)) => Self::Undecided,
             Ok(Some(_)) => Self::Answered,
         }
--- a/crates/control-client/tests/silent_replica.rs
+++ b/crates/control-client/tests/silent_replica.rs
@@ -21,10 +21,12 @@
 const LIMIT: Duration = Duration::from_secs(20);
 
 /// What a replica answers.
-#[derive(Clone, Copy)]
+#[derive(Clone)]
 enum Conduct {
     Silent,
     Follows,
+    /// It is no member, and names others.
+    Names(Vec<SocketAddr>),
     Leads,
 }
 
@@ -36,9 +38,10 @@
 impl Handler for Replica {
     async fn handle(self: Rc<Self>, _body: Vec<u8>) -> Option<Vec<u8>> {
         self.asked.set(self.asked.get() + 1);
-        let reply = match self.conduct {
+        let reply = match &self.conduct {
             Conduct::Silent => return std::future::pending().await,
-            Conduct::Follows => ControlReply::NotLeader { leader: None },
+            Conduct::Follows => ControlReply::NotLeader { leader: None, peers: Vec::new() },
+            Conduct::Names(peers) => ControlReply::NotLeader { leader: None, peers: peers.clone() },
             Conduct::Leads => ControlReply::Gateway(GatewayReply::Done),
         };
         Some(bitcode::encode(&reply))
@@ -84,3 +87,48 @@
         assert!(asked_first.get() >= 1 && asked_second.get() >= 1);
     });
 }
+
+#[test]
+fn replicas_that_another_names_are_asked() {
+    compio::runtime::Runtime::new().expect("a runtime").block_on(async {
+        let runtime = CompioRuntime::without_files();
+        let (leader, _) = start(&runtime, Conduct::Leads).await;
+        let (inner, _) = start(&runtime, Conduct::Names(vec![leader])).await;
+        let (outer, asked_outer) = start(&runtime, Conduct::Names(vec![inner])).await;
+        let client = ControlClient::new(runtime.clone(), &[outer], SECRET);
+        assert_eq!(client.gateway(GatewayRequest::ReadRouting, LIMIT, ATTEMPT_LIMIT).await, Ok(GatewayReply::Done));
+        assert_eq!(asked_outer.get(), 1);
+    });
+}
+
+/// Two that name each other for ever, and a multitude that is not there, are not asked without a pause or an end.
+#[test]
+fn replicas_that_name_each_other_cost_no_more_than_others() {
+    compio::runtime::Runtime::new().expect("a runtime").block_on(async {
+        let runtime = CompioRuntime::without_files();
+        let absent = |port: u16| SocketAddr::from(([127, 0, 0, 1], port));
+        let (first, asked_first) = start(&runtime, Conduct::Names((1..1_000).map(absent).collect())).await;
+        let (second, asked_second) = start(&runtime, Conduct::Names(vec![first])).await;
+        let client = ControlClient::new(runtime.clone(), &[second], SECRET);
+        assert!(client.gateway(GatewayRequest::ReadRouting, 5 * ATTEMPT_LIMIT, ATTEMPT_LIMIT).await.is_err());
+        let asked = asked_first.get() + asked_second.get();
+        assert!((1..=40).contains(&asked), "asked {asked} times");
+        assert!(client.search().replicas.len() <= 64);
+    });
+}
+
+/// A client whose addresses have all moved away takes new ones, for example of changed settings, while it searches.
+#[test]
+fn addresses_that_are_heard_of_are_asked() {
+    compio::runtime::Runtime::new().expect("a runtime").block_on(async {
+        let runtime = CompioRuntime::without_files();
+        let (follower, _) = start(&runtime, Conduct::Follows).await;
+        let (leader, asked_leader) = start(&runtime, Conduct::Leads).await;
+        let client = ControlClient::new(runtime.clone(), &[follower], SECRET);
+        let ask = || client.gateway(GatewayRequest::ReadRouting, ATTEMPT_LIMIT, ATTEMPT_LIMIT);
+        assert!(ask().await.is_err());
+        client.hear_of(&[leader]);
+        assert_eq!(ask().await, Ok(GatewayReply::Done));
+        assert_eq!(asked_leader.get(), 1);
+    });
+}
--- a/crates/control/src/gateway.rs
+++ b/crates/control/src/gateway.rs
@@ -101,7 +101,7 @@
             Ok(GatewayOutcome::Done | GatewayOutcome::TextMissing(_) | GatewayOutcome::Orders { .. }) => {
                 ControlReply::Gateway(GatewayReply::Done)
             }
-            Err(ProposeError::NotLeader(leader)) => ControlReply::NotLeader { leader },
+            Err(ProposeError::NotLeader(_)) => self.not_leader(),
             Err(ProposeError::Overloaded) => ControlReply::Gateway(GatewayReply::Unavailable),
             Err(ProposeError::Undecided) => ControlReply::Undecided,
         }
--- a/crates/control/src/node.rs
+++ b/crates/control/src/node.rs
@@ -212,10 +212,14 @@
     /// The answer to whoever has to ask the leader.
     pub(crate) fn not_leader(&self) -> ControlReply {
         let leader = self.inner.replica.leader_address();
+        let peers = match leader {
+            Some(_) => Vec::new(),
+            None => self.inner.replica.peers_by_likelihood(),
+        };
         if leader.is_none() {
             self.tell_sent_away();
         }
-        ControlReply::NotLeader { leader }
+        ControlReply::NotLeader { leader, peers }
     }
 
     /// Says that callers were sent away without a leader's name, and what this replica knows of the group.
@@ -270,7 +274,7 @@
     async fn execute_by_commit(&self, command: Command) -> ControlReply {
         match self.commit(command).await {
             Ok(outcome) => ControlReply::Executed(outcome),
-            Err(ProposeError::NotLeader(leader)) => ControlReply::NotLeader { leader },
+            Err(ProposeError::NotLeader(_)) => self.not_leader(),
             Err(ProposeError::Overloaded) => ControlReply::Refused("too many proposals wait".to_string()),
             Err(ProposeError::Undecided) => ControlReply::Undecided,
         }
--- a/crates/control/src/suspected_work.rs
+++ b/crates/control/src/suspected_work.rs
@@ -44,7 +44,7 @@
     pub(crate) async fn take_evidence(&self, evidence: WorkEvidence) -> ControlReply {
         match self.commit_evidence(evidence).await {
             Ok(()) => self.read_suspicions(),
-            Err(ProposeError::NotLeader(leader)) => ControlReply::NotLeader { leader },
+            Err(ProposeError::NotLeader(_)) => self.not_leader(),
             Err(ProposeError::Overloaded) => ControlReply::Gateway(GatewayReply::Unavailable),
             Err(ProposeError::Undecided) => ControlReply::Undecided,
         }
--- /dev/null
+++ b/crates/replication/src/announce.rs
@@ -0,0 +1,90 @@
+//! Where the group is, for machines that are not its members: they serve callers too, and have to send them on.
+//!
+//! Members come and go, and settings and files name those of another day. Whoever starts must find the group through any
+//! machine that answers. A machine that is no member learns of the group from the answers to its own requests to be added;
+//! that is not enough for one whose disk was lost and whose settings name only machines like itself. So the leader also tells every
+//! machine that the group has ever heard of, each second: one message of some hundred bytes to each that is no member.
+
+use crate::message::{ReplicaReply, ReplicaRequest};
+use crate::replica::Replica;
+use crate::state::{State, StateMachine};
+use futures::future::join_all;
+use saddlerelay_runtime::Runtime;
+use std::collections::BTreeSet;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+/// Pause between two announcements: what a caller may wait for a machine that has just started and knows nobody, beside an
+/// election. Thirty machines cost the leader thirty small messages a second, a twentieth of its heartbeats to five.
+const ANNOUNCE_INTERVAL: Duration = Duration::from_secs(1);
+
+/// Time limit of one announcement.
+const ANNOUNCE_LIMIT: Duration = Duration::from_millis(400);
+
+/// Most peers that a replica names to a caller, about 250 bytes: a group has six members, and settings name three machines.
+const MOST_NAMED: usize = 32;
+
+impl<P: Runtime, S: StateMachine> Replica<P, S> {
+    /// Names the machines that are told where the group is while this replica leads it.
+    pub fn set_audience(&self, machines: BTreeSet<SocketAddr>) {
+        *self.inner.audience.borrow_mut() = machines;
+    }
+
+    /// Where other replicas listen, the likeliest to know the leader first: the leader that told of itself last, the
+    /// members by this replica's own log, and whoever it has heard of.
+    pub fn peers_by_likelihood(&self) -> Vec<SocketAddr> {
+        self.peers_by_likelihood_in(&self.inner.state.borrow())
+    }
+
+    pub(crate) fn peers_by_likelihood_in(&self, state: &State<S>) -> Vec<SocketAddr> {
+        let heard_of = self.inner.heard_of.borrow();
+        let members = state.membership().members.iter().map(|member| member.address);
+        let mut named = Vec::new();
+        for address in self.inner.announced_leader.get().into_iter().chain(members).chain(heard_of.iter().copied()) {
+            let is_new = address != self.inner.options.address && !named.contains(&address);
+            if is_new && named.len() < MOST_NAMED {
+                named.push(address);
+            }
+        }
+        named
+    }
+
+    /// Takes a leader's word of where the group is. One of another group is not for this replica.
+    pub(crate) fn hear_announcement(&self, group: u64, leader: SocketAddr, members: Vec<SocketAddr>) -> ReplicaReply {
+        let own = self.inner.state.borrow().identity.group;
+        if own.is_some_and(|own| own != group) {
+            return ReplicaReply::Refused;
+        }
+        if self.inner.announced_leader.replace(Some(leader)) != Some(leader) {
+            spdlog::info!("group announced", kv: { leader = leader.to_string().as_str(), members = members.len() });
+        }
+        self.hear_of(members);
+        ReplicaReply::Taken
+    }
+
+    /// Tells machines that are no members where the group is, while this replica leads it.
+    pub(crate) async fn announce_group(self) {
+        loop {
+            self.inner.platform.sleep(ANNOUNCE_INTERVAL).await;
+            let Some(announcement) = self.announcement() else {
+                continue;
+            };
+            let tell = |address| self.send(address, &announcement, ANNOUNCE_LIMIT);
+            // One that does not answer is told again at the next turn.
+            join_all(self.strangers().into_iter().map(tell)).await;
+        }
+    }
+
+    fn announcement(&self) -> Option<ReplicaRequest> {
+        self.leading_term()?;
+        let group = self.inner.state.borrow().identity.group?;
+        Some(ReplicaRequest::Announce { group, leader: self.inner.options.address, members: self.member_addresses() })
+    }
+
+    /// Machines that the group knows and that are not its members.
+    fn strangers(&self) -> Vec<SocketAddr> {
+        let members = self.member_addresses();
+        let audience = self.inner.audience.borrow();
+        audience.iter().filter(|address| !members.contains(address)).copied().collect()
+    }
+}
--- a/crates/replication/src/lib.rs
+++ b/crates/replication/src/lib.rs
@@ -4,6 +4,7 @@
 //! The protocol is Raft's (Ongaro and Ousterhout, 2014) with pre-vote, leader leases and leadership transfer. Node code
 //! is written as tasks: one for elections, one that writes proposals, one for each peer while leading.
 
+mod announce;
 pub mod config;
 mod election;
 mod follower;
--- a/crates/replication/src/reconfigure.rs
+++ b/crates/replication/src/reconfigure.rs
@@ -219,10 +219,16 @@
         addresses
     }
 
+    /// Where the group's replicas listen. One that is no member also names those that it has heard of: its own files may
+    /// name none, or only some that have left.
     fn known_addresses(&self, state: &State<S>) -> Vec<SocketAddr> {
         let leader = state.leader.and_then(|leader| state.address_of(leader));
         let members = state.membership().members.iter().map(|member| member.address);
-        leader.into_iter().chain(members).collect()
+        let known = leader.into_iter().chain(members);
+        if state.membership().member(state.identity.id).is_some() {
+            return known.collect();
+        }
+        known.chain(self.peers_by_likelihood_in(state)).collect()
     }
 
     /// Proposes a membership that was made from the one at index `made_from`. While it waits to be written others may be
--- a/crates/replication/src/replica.rs
+++ b/crates/replication/src/replica.rs
@@ -80,6 +80,10 @@
     pub outgoing: RefCell<Weak<Snapshot>>,
     /// Where replicas may listen that this one has heard of.
     pub heard_of: RefCell<BTreeSet<SocketAddr>>,
+    /// The leader that last told this replica of itself although it is no member.
+    pub announced_leader: Cell<Option<SocketAddr>>,
+    /// Machines that are told where the group is while this replica leads.
+    pub audience: RefCell<BTreeSet<SocketAddr>>,
     /// Replicas that have asked this leader in vain to be added, and when.
     pub refused_joiners: RefCell<BTreeMap<SocketAddr, Duration>>,
 }
@@ -156,6 +160,8 @@
             incoming: RefCell::default(),
             outgoing: RefCell::default(),
             heard_of: RefCell::default(),
+            announced_leader: Cell::default(),
+            audience: RefCell::default(),
             refused_joiners: RefCell::default(),
         };
         let replica = Self { inner: Rc::new(inner) };
@@ -172,6 +178,7 @@
         platform.spawn(self.clone().manage_membership());
         platform.spawn(self.clone().maintain_storage());
         platform.spawn(self.clone().join_group());
+        platform.spawn(self.clone().announce_group());
     }
 
     /// Commits `command` and returns its outcome.
@@ -340,6 +347,7 @@
         }
         match request {
             ReplicaRequest::Join { id, address } => self.answer_join(id, address),
+            ReplicaRequest::Announce { group, leader, members } => self.hear_announcement(group, leader, members),
             ReplicaRequest::Vote { header, pre_vote, transfer, last_index, last_term } => {
                 if !self.is_for_this_replica(&header) {
                     return ReplicaReply::Refused;
--- a/crates/simulator/tests/relay_search.rs
+++ b/crates/simulator/tests/relay_search.rs
@@ -17,7 +17,7 @@
 use saddlerelay_simulator::backends::SimBackends;
 use saddlerelay_simulator::platform::SimRuntime;
 use saddlerelay_simulator::world::{Process, Sleep, World};
-use saddlerelay_types::gateway::{FollowRequest, GatewayReply, GatewayRequest};
+use saddlerelay_types::gateway::{FollowRequest, GatewayCommand, GatewayReply, GatewayRequest, StoreRecord};
 use saddlerelay_types::identity::Incarnation;
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
@@ -32,12 +32,19 @@
 const NAMED: std::ops::RangeInclusive<u8> = 1..=3;
 const REPLICAS: u8 = 9;
 
-/// Long enough for another machine to take a place, and for the one that was down to be no member when it is back.
-const DOWN: Duration = Duration::from_secs(5);
+/// Longest time until a machine that is down is no member any more, also one that was only a learner.
+const REPLACED_WITHIN: Duration = Duration::from_secs(20);
 
 /// From the start of all processes until a relay may act: an election, and a search through every machine that serves control.
 const FOUND_WITHIN: Duration = Duration::from_secs(4);
 
+/// What becomes of the disks of the machines that the settings name.
+#[derive(Clone, Copy, PartialEq, Eq)]
+enum Disks {
+    Kept,
+    Lost,
+}
+
 type Node = ControlNode<SimRuntime, SimBackends>;
 
 struct Replica {
@@ -45,6 +52,13 @@
     node: Rc<RefCell<Option<Node>>>,
 }
 
+impl Replica {
+    fn record(&self, place: u8) -> StoreRecord {
+        let replica = self.node.borrow().as_ref().expect("it runs").replica().id();
+        StoreRecord { name: format!("replica-{place}"), replica, address: address(place), zone: "north".to_string() }
+    }
+}
+
 struct Deployment {
     world: Rc<World>,
     pool: LocalPool,
@@ -68,9 +82,23 @@
         let mut deployment = Self { world, pool, replicas: BTreeMap::new() };
         (1..=REPLICAS).for_each(|place| deployment.start_replica(place, true));
         deployment.run_for(Duration::from_secs(3));
+        deployment.register_machines();
         deployment
     }
 
+    /// Every machine has told the group of itself, as each does when it starts.
+    fn register_machines(&mut self) {
+        let leader = self.leader().expect("the group is led");
+        let process = self.world.start_process("operator", 0, 0);
+        let records: Vec<StoreRecord> = self.replicas.iter().map(|(place, replica)| replica.record(*place)).collect();
+        self.world.spawn(&process, async move {
+            for record in records {
+                leader.commit_gateway(GatewayCommand::RegisterStore(record)).await.expect("it is committed");
+            }
+        });
+        self.run_for(Duration::from_secs(1));
+    }
+
     fn start_replica(&mut self, place: u8, founding: bool) {
         let process = self.world.start_process(&format!("replica-{place}"), place.into(), 0);
         let runtime = SimRuntime { world: self.world.clone(), process: process.clone() };
@@ -119,18 +147,24 @@
         self.leader().map(|leader| leader.replica().member_addresses()).unwrap_or_default()
     }
 
-    /// Each machine that the settings name is down for a while, until none of them is a member.
-    fn move_group_away(&mut self) {
-        for _ in 0..6 {
-            for place in NAMED {
-                if self.members().contains(&address(place)) {
-                    self.kill(place);
-                    self.run_for(DOWN);
-                    self.start_replica(place, false);
-                    self.run_for(Duration::from_secs(2));
-                }
+    /// Each machine that the settings name goes down, one after the other, until others have taken its place; then all of
+    /// them are back.
+    fn move_group_away(&mut self, disks: Disks) {
+        for place in NAMED {
+            self.kill(place);
+            if disks == Disks::Lost {
+                self.world.disks.lose(&format!("replica-{place}"));
+            }
+            let until = self.world.clock.now() + REPLACED_WITHIN;
+            while self.members().is_empty() || self.members().contains(&address(place)) {
+                assert!(self.world.clock.now() < until, "machine {place} is still a member");
+                self.run_for(Duration::from_millis(200));
             }
         }
+        // The learner that is kept at hand has come, so that no place is left.
+        self.run_for(Duration::from_secs(2));
+        NAMED.for_each(|place| self.start_replica(place, false));
+        self.run_for(Duration::from_secs(3));
         let members = self.members();
         assert!(!members.is_empty(), "the group is led");
         assert!(named().iter().all(|address| !members.contains(address)), "{members:?}");
@@ -175,30 +209,37 @@
     }
 }
 
-#[test]
-fn a_relay_that_starts_finds_a_group_that_has_moved_away_from_its_settings() {
+/// Has all machines end and come back, or none, and looks for a relay's first answer.
+fn find_group(disks: Disks, all_end: bool) {
     for seed in SEEDS {
         let mut deployment = Deployment::start(seed);
-        deployment.move_group_away();
-        deployment.restart_all();
+        deployment.move_group_away(disks);
+        if all_end {
+            deployment.restart_all();
+        }
         let started_at = deployment.world.clock.now();
         let answered_at = deployment.start_relay();
         deployment.run_for(FOUND_WITHIN);
-        assert!(!deployment.members().is_empty(), "seed {seed}: the group is led again");
-        assert!(answered_at.get().is_some(), "seed {seed}: the relay finds no leader within {FOUND_WITHIN:?}");
+        assert!(!deployment.members().is_empty(), "seed {seed}: the group is led");
         let took = answered_at.get().map(|at| at.saturating_sub(started_at));
-        println!("seed {seed}: found after {took:?}");
+        assert!(took.is_some(), "seed {seed}: the relay finds no leader within {FOUND_WITHIN:?}");
+        println!("seed {seed}: found after {} ms", took.unwrap_or_default().as_millis());
     }
 }
 
+#[test]
+fn a_relay_that_starts_finds_a_group_that_has_moved_away_from_its_settings() {
+    find_group(Disks::Kept, true);
+}
+
 /// No loss of everything is needed: one relay that is replaced while the group stands elsewhere finds it no better.
 #[test]
 fn a_relay_that_starts_alone_finds_a_group_that_has_moved_away_from_its_settings() {
-    for seed in SEEDS {
-        let mut deployment = Deployment::start(seed);
-        deployment.move_group_away();
-        let answered_at = deployment.start_relay();
-        deployment.run_for(FOUND_WITHIN);
-        assert!(answered_at.get().is_some(), "seed {seed}: the relay finds no leader within {FOUND_WITHIN:?}");
-    }
+    find_group(Disks::Kept, false);
+}
+
+/// Machines that have lost their disks, and whose settings name each other, know nobody.
+#[test]
+fn a_relay_finds_the_group_through_machines_that_know_nothing() {
+    find_group(Disks::Lost, true);
 }
--- a/crates/types/src/protocol.rs
+++ b/crates/types/src/protocol.rs
@@ -44,6 +44,8 @@
     NotLeader {
         /// The leader's address, if known.
         leader: Option<SocketAddr>,
+        /// If not, where other replicas listen as far as this one has heard, the likeliest to know the leader first.
+        peers: Vec<SocketAddr>,
     },
     /// The command may or may not be committed later.
     Undecided,
