Simulator: machines that are suspended

The steady clock stands still, timers go off late by as much, and the clock by which leases are counted goes on.

--- a/crates/simulator/src/platform.rs
+++ b/crates/simulator/src/platform.rs
@@ -2,7 +2,7 @@
 
 use crate::disk::SimDisk;
 use crate::network::{self, SimListener, SimReceiver, SimSender};
-use crate::world::{Process, START_UNIX_MILLISECONDS, Sleep, World};
+use crate::world::{Process, ProcessSleep, START_UNIX_MILLISECONDS, World};
 use saddlerelay_runtime::Runtime;
 use std::future::Future;
 use std::io;
@@ -35,7 +35,7 @@
     }
 
     fn sleep(&self, duration: Duration) -> impl Future<Output = ()> + 'static {
-        Sleep::new(self.world.clock.clone(), self.world.clock.now() + duration)
+        ProcessSleep::new(self.world.clock.clone(), self.process.clone(), duration)
     }
 
     fn spawn(&self, task: impl Future<Output = ()> + 'static) {
--- a/crates/simulator/src/world.rs
+++ b/crates/simulator/src/world.rs
@@ -97,6 +97,39 @@
     }
 }
 
+/// Waits on a process's steady clock, which stands still while its machine is suspended: a timer goes off late by as much.
+pub struct ProcessSleep {
+    clock: Rc<Clock>,
+    process: Rc<Process>,
+    /// By the process's steady clock.
+    until: Duration,
+    wait: Option<Sleep>,
+}
+
+impl ProcessSleep {
+    /// Waits for `duration` of the process's steady clock.
+    pub fn new(clock: Rc<Clock>, process: Rc<Process>, duration: Duration) -> Self {
+        let until = process.steady_time(clock.now()) + duration;
+        Self { clock, process, until, wait: None }
+    }
+}
+
+impl Future for ProcessSleep {
+    type Output = ();
+
+    fn poll(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<()> {
+        let now = self.clock.now();
+        let left = self.until.saturating_sub(self.process.steady_time(now));
+        if left.is_zero() {
+            return Poll::Ready(());
+        }
+        let mut wait = Sleep::new(self.clock.clone(), now + left);
+        let polled = Pin::new(&mut wait).poll(context);
+        self.wait = Some(wait);
+        polled
+    }
+}
+
 /// One start of a process.
 pub struct Process {
     /// Its name; a process started again keeps it, and with it its disk.
@@ -107,6 +140,10 @@
     pub clock_error: i64,
     alive: Cell<bool>,
     frozen: Cell<bool>,
+    /// Since when its machine is suspended.
+    suspended_at: Cell<Option<Duration>>,
+    /// How long its machine was suspended before.
+    suspended_for: Cell<Duration>,
     next_task: Cell<u64>,
     tasks: RefCell<BTreeMap<u64, Waker>>,
 }
@@ -122,6 +159,26 @@
         self.frozen.get()
     }
 
+    /// The steady clock of its machine at `now`: it stands still during a suspension, as time goes on.
+    pub fn steady_time(&self, now: Duration) -> Duration {
+        let under_way = self.suspended_at.get().map_or(Duration::ZERO, |at| now.saturating_sub(at));
+        now.saturating_sub(self.suspended_for.get() + under_way)
+    }
+
+    /// Its machine is suspended: no task goes on and the steady clock stands still, though time does not.
+    pub fn suspend(&self, now: Duration) {
+        self.suspended_at.set(Some(now));
+        self.freeze();
+    }
+
+    /// Its machine goes on.
+    pub fn resume(&self, now: Duration) {
+        if let Some(at) = self.suspended_at.take() {
+            self.suspended_for.set(self.suspended_for.get() + now.saturating_sub(at));
+        }
+        self.thaw();
+    }
+
     fn wake_tasks(&self) {
         let wakers: Vec<Waker> = self.tasks.borrow().values().cloned().collect();
         wakers.into_iter().for_each(Waker::wake);
@@ -229,6 +286,8 @@
             clock_error,
             alive: Cell::new(true),
             frozen: Cell::new(false),
+            suspended_at: Cell::new(None),
+            suspended_for: Cell::new(Duration::ZERO),
             next_task: Cell::new(0),
             tasks: RefCell::default(),
         })
--- a/crates/simulator/tests/duties.rs
+++ b/crates/simulator/tests/duties.rs
@@ -540,8 +540,26 @@
     });
 }
 
+/// How a machine stands still for a while.
+#[derive(Clone, Copy)]
+enum Standstill {
+    /// Its steady clock goes on.
+    Frozen,
+    /// Its steady clock stands still too, and its timers go off late.
+    Suspended,
+}
+
 #[test]
 fn a_leader_that_is_frozen_in_the_middle_of_a_call_does_not_go_on_with_it_when_it_wakes() {
+    stand_still_in_the_middle_of_a_call(Standstill::Frozen);
+}
+
+#[test]
+fn a_leader_that_is_suspended_in_the_middle_of_a_call_does_not_go_on_with_it_when_it_wakes() {
+    stand_still_in_the_middle_of_a_call(Standstill::Suspended);
+}
+
+fn stand_still_in_the_middle_of_a_call(standstill: Standstill) {
     for_each_seed(|seed| {
         let mut deployment = Deployment::start(seed);
         for _ in 0..4 {
@@ -553,10 +571,17 @@
             let Some((place, _)) = deployment.leader() else {
                 continue;
             };
-            deployment.machines[&place].process.freeze();
+            let process = deployment.machines[&place].process.clone();
+            match standstill {
+                Standstill::Frozen => process.freeze(),
+                Standstill::Suspended => process.suspend(deployment.world.clock.now()),
+            }
             let pause = Duration::from_secs(2) + deployment.world.jitter(Duration::from_secs(3));
             deployment.run_for(pause);
-            deployment.machines[&place].process.thaw();
+            match standstill {
+                Standstill::Frozen => process.thaw(),
+                Standstill::Suspended => process.resume(deployment.world.clock.now()),
+            }
         }
         deployment.run_for(Duration::from_secs(16));
         deployment.check_holders();
