--- /dev/null
+++ b/crates/control-client/tests/search_order.rs
@@ -0,0 +1,137 @@
+//! A search for the leader goes on past machines that are gone, however many of them other replicas name.
+//!
+//! Failing: each test of this file fails, for the fault that its comment names.
+
+use saddlerelay_control_client::ControlClient;
+use saddlerelay_rpc::server::Handler;
+use saddlerelay_runtime::Runtime;
+use saddlerelay_runtime_compio::CompioRuntime;
+use saddlerelay_runtime_compio::connection::TcpFrameListener;
+use saddlerelay_types::gateway::{GatewayReply, GatewayRequest};
+use saddlerelay_types::protocol::ControlReply;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+const SECRET: &str = "a secret of sixteen signs";
+
+/// Far longer than any answer of these replicas takes.
+const ATTEMPT_LIMIT: Duration = Duration::from_millis(400);
+
+/// Far longer than a search through all replicas that answer.
+const LIMIT: Duration = Duration::from_secs(8);
+
+enum Conduct {
+    Silent,
+    /// It leads nothing, and names others.
+    Names(Vec<SocketAddr>),
+    Leads,
+}
+
+struct Replica(Conduct);
+
+impl Handler for Replica {
+    async fn handle(self: Rc<Self>, _body: Vec<u8>) -> Option<Vec<u8>> {
+        let reply = match &self.0 {
+            Conduct::Silent => return std::future::pending().await,
+            Conduct::Names(peers) => ControlReply::NotLeader { leader: None, peers: peers.clone() },
+            Conduct::Leads => ControlReply::Gateway(GatewayReply::Done),
+        };
+        Some(bitcode::encode(&reply))
+    }
+}
+
+async fn start(runtime: &CompioRuntime, conduct: Conduct) -> SocketAddr {
+    let listener = compio::net::TcpListener::bind("127.0.0.1:0").await.expect("a free port");
+    let address = listener.local_addr().expect("an address");
+    let listener = TcpFrameListener::new(listener, Default::default());
+    let handler = Rc::new(Replica(conduct));
+    runtime.spawn(saddlerelay_rpc::server::serve(runtime.clone(), listener, SECRET.to_string(), handler));
+    address
+}
+
+async fn silent(runtime: &CompioRuntime, count: usize) -> Vec<SocketAddr> {
+    let mut addresses = Vec::new();
+    for _ in 0..count {
+        addresses.push(start(runtime, Conduct::Silent).await);
+    }
+    addresses
+}
+
+async fn search(client: &ControlClient<CompioRuntime>) -> (bool, Duration) {
+    let began = Instant::now();
+    let answer = client.gateway(GatewayRequest::ReadRouting, LIMIT, ATTEMPT_LIMIT).await;
+    (answer == Ok(GatewayReply::Done), began.elapsed())
+}
+
+/// A member that hears no leader names a former member that is gone. The client knows the new leader already, and asks the
+/// one that is gone first: `choose_after` turns to whatever it did not know before what it knew.
+#[test]
+fn members_that_are_known_are_asked_before_machines_that_are_only_named() {
+    compio::runtime::Runtime::new().expect("a runtime").block_on(async {
+        let runtime = CompioRuntime::without_files();
+        let gone = silent(&runtime, 4).await;
+        let follower = start(&runtime, Conduct::Names(gone)).await;
+        let leader = start(&runtime, Conduct::Leads).await;
+        let client = ControlClient::new(runtime.clone(), &[follower, leader], SECRET);
+        let (found, took) = search(&client).await;
+        assert!(found, "not found in {took:?}");
+        assert!(took < ATTEMPT_LIMIT, "found after {took:?}");
+    });
+}
+
+/// A replica names the leader first, as the likeliest. The client knows that address, and goes through all others before.
+#[test]
+fn the_likeliest_replica_that_another_names_is_asked_next_also_if_it_is_known() {
+    compio::runtime::Runtime::new().expect("a runtime").block_on(async {
+        let runtime = CompioRuntime::without_files();
+        let gone = silent(&runtime, 8).await;
+        let leader = start(&runtime, Conduct::Leads).await;
+        let inner = start(&runtime, Conduct::Names(vec![leader])).await;
+        let addresses: Vec<SocketAddr> = [inner].into_iter().chain(gone).chain([leader]).collect();
+        let client = ControlClient::new(runtime.clone(), &addresses, SECRET);
+        let (found, took) = search(&client).await;
+        assert!(found, "not found in {took:?}");
+        assert!(took < ATTEMPT_LIMIT, "found after {took:?}");
+    });
+}
+
+/// A client that has heard of as many machines as it keeps takes no further one, also after none of them has answered: the
+/// replica that names the leader is asked again and again in vain.
+#[test]
+fn machines_that_are_gone_make_room_for_one_that_is_named_later() {
+    compio::runtime::Runtime::new().expect("a runtime").block_on(async {
+        let runtime = CompioRuntime::without_files();
+        // Nobody listens there: each is refused at once.
+        let gone: Vec<SocketAddr> = (1..=64).map(|port| SocketAddr::from(([127, 0, 0, 1], port))).collect();
+        let leader = start(&runtime, Conduct::Leads).await;
+        let inner = start(&runtime, Conduct::Names(vec![leader])).await;
+        let outer = start(&runtime, Conduct::Names(gone)).await;
+        let client = ControlClient::new(runtime.clone(), &[outer, inner], SECRET);
+        let (found, took) = search(&client).await;
+        assert!(found, "not found in {took:?}");
+    });
+}
+
+/// A machine names its client's replicas anew some times a second, from what its replica knows. What the search has learned
+/// is dropped each time; one named machine that is gone then hides all that are named behind it, for ever.
+#[test]
+fn a_search_goes_on_while_the_replicas_are_named_anew() {
+    compio::runtime::Runtime::new().expect("a runtime").block_on(async {
+        let runtime = CompioRuntime::without_files();
+        let leader = start(&runtime, Conduct::Leads).await;
+        let mut named = silent(&runtime, 1).await;
+        named.push(leader);
+        let own = start(&runtime, Conduct::Names(named)).await;
+        let client = ControlClient::new(runtime.clone(), &[own], SECRET);
+        let (of_loop, sleeper) = (client.clone(), runtime.clone());
+        runtime.spawn(async move {
+            loop {
+                of_loop.set_replicas([own]);
+                sleeper.sleep(ATTEMPT_LIMIT).await;
+            }
+        });
+        let answer = client.gateway(GatewayRequest::ReadRouting, LIMIT, 2 * ATTEMPT_LIMIT).await;
+        assert_eq!(answer, Ok(GatewayReply::Done));
+    });
+}
