Have simulated disks lose names, single writes and sectors that no sync covered

Cause: the simulator's disk kept every new name and every rename at once, and of un-synced writes always a beginning. The platform's disks keep or lose each un-synced rename, creation and removal on its own, and each later write is there, missing or torn. A killed process could not be told from a loss of power. Change: files have names apart from their contents; replace and append take the steps of the real disk, so that a process may stop between any two; a loss of power decides for each name, write and 512-byte sector; a process that is only killed leaves its files as they were. Syncs can be refused, and a disk can be halted after a number of steps.

--- a/crates/simulator/src/disk.rs
+++ b/crates/simulator/src/disk.rs
@@ -1,9 +1,14 @@
 //! Disks that lose what was not synced.
+//!
+//! A process that is killed leaves its files as they were. A loss of power ([`DiskTable::crash`]) takes, each on its own,
+//! writes that no sync of their file has covered and changes of names that no sync of their folder has covered; a write may
+//! also be torn. `replace` and `append` take the same steps as on a real disk, so that a crash may come between any two.
 
 use crate::world::{Process, Sleep, World};
 use saddlerelay_runtime::Disk;
 use std::cell::RefCell;
 use std::collections::{BTreeMap, BTreeSet};
+use std::future;
 use std::io;
 use std::rc::Rc;
 use std::time::Duration;
@@ -11,51 +16,253 @@
 const WRITE_TIME: Duration = Duration::from_micros(30);
 const SYNC_TIME: Duration = Duration::from_micros(200);
 
-#[derive(Default)]
-struct File {
+/// One in so many losses of power takes all writes that were not synced.
+const CRASHES_THAT_TAKE_ALL: u64 = 4;
+
+/// Bytes that a disk writes wholly or not at all: the smallest sector of common disks.
+const SECTOR_BYTES: usize = 512;
+
+/// A change of a file's content that was not synced.
+#[derive(Clone)]
+enum Write {
+    Truncate,
+    At { offset: usize, bytes: Vec<u8> },
+}
+
+impl Write {
+    fn apply(&self, content: &mut Vec<u8>) {
+        match self {
+            Self::Truncate => content.clear(),
+            Self::At { offset, bytes } => {
+                let end = offset + bytes.len();
+                // What lies between the end of the file and the write reads as zeros.
+                content.resize(content.len().max(end), 0);
+                content[*offset..end].copy_from_slice(bytes);
+            }
+        }
+    }
+
+    /// What a loss of power leaves of it: all, nothing, a beginning, or some sectors with zeros in place of the others.
+    fn survivor(self, random: &impl Fn() -> u64) -> Option<Self> {
+        match (random() % 4, self) {
+            (0, _) => None,
+            (1, Self::At { offset, mut bytes }) => {
+                bytes.truncate(random() as usize % (bytes.len() + 1));
+                Some(Self::At { offset, bytes })
+            }
+            (2, Self::At { offset, mut bytes }) => {
+                lose_sectors(offset, &mut bytes, random);
+                Some(Self::At { offset, bytes })
+            }
+            (_, whole) => Some(whole),
+        }
+    }
+}
+
+/// Each sector of a write at `offset` is there, or was never written.
+fn lose_sectors(offset: usize, bytes: &mut [u8], random: &impl Fn() -> u64) {
+    let (mut start, length) = (0, bytes.len());
+    while start < length {
+        let end = length.min(start + SECTOR_BYTES - (offset + start) % SECTOR_BYTES);
+        if random().is_multiple_of(2) {
+            bytes[start..end].fill(0);
+        }
+        start = end;
+    }
+}
+
+/// A file's content, whatever its name.
+#[derive(Clone, Default)]
+struct Content {
     synced: Vec<u8>,
-    unsynced: Vec<u8>,
+    unsynced: Vec<Write>,
+}
+
+impl Content {
+    fn visible(&self) -> Vec<u8> {
+        let mut content = self.synced.clone();
+        self.unsynced.iter().for_each(|write| write.apply(&mut content));
+        content
+    }
+
+    fn sync(&mut self) {
+        self.synced = self.visible();
+        self.unsynced.clear();
+    }
+
+    fn crash(&mut self, random: &impl Fn() -> u64) {
+        let unsynced = std::mem::take(&mut self.unsynced);
+        if unsynced.is_empty() || random().is_multiple_of(CRASHES_THAT_TAKE_ALL) {
+            return;
+        }
+        for write in unsynced {
+            if let Some(left) = write.survivor(random) {
+                left.apply(&mut self.synced);
+            }
+        }
+    }
+}
+
+/// A change of names that the folder's sync has not covered.
+#[derive(Clone)]
+enum NameChange {
+    Made { name: String, content: u64 },
+    Renamed { from: String, to: String, content: u64 },
+    Removed { name: String },
+}
+
+impl NameChange {
+    fn apply(&self, names: &mut BTreeMap<String, u64>) {
+        match self {
+            Self::Made { name, content } => {
+                names.insert(name.clone(), *content);
+            }
+            Self::Renamed { from, to, content } => {
+                names.remove(from);
+                names.insert(to.clone(), *content);
+            }
+            Self::Removed { name } => {
+                names.remove(name);
+            }
+        }
+    }
+}
+
+/// One process's files.
+#[derive(Clone, Default)]
+struct Folder {
+    contents: BTreeMap<u64, Content>,
+    synced_names: BTreeMap<String, u64>,
+    unsynced_names: Vec<NameChange>,
+    next_content: u64,
+    /// Changes made so far.
+    steps: u64,
+    /// After so many changes the disk takes no further step.
+    last_step: Option<u64>,
+}
+
+impl Folder {
+    fn names(&self) -> BTreeMap<String, u64> {
+        let mut names = self.synced_names.clone();
+        self.unsynced_names.iter().for_each(|change| change.apply(&mut names));
+        names
+    }
+
+    fn content(&self, file: &str) -> Option<&Content> {
+        self.contents.get(self.names().get(file)?)
+    }
+
+    fn content_mut(&mut self, file: &str) -> Option<&mut Content> {
+        let content = *self.names().get(file)?;
+        self.contents.get_mut(&content)
+    }
+
+    fn make(&mut self, name: &str) {
+        let content = self.next_content;
+        self.next_content += 1;
+        self.contents.insert(content, Content::default());
+        self.unsynced_names.push(NameChange::Made { name: name.to_string(), content });
+    }
+
+    /// Makes the file, or empties the one that is there.
+    fn create(&mut self, name: &str) {
+        match self.content_mut(name) {
+            Some(content) => content.unsynced.push(Write::Truncate),
+            None => self.make(name),
+        }
+    }
+
+    fn rename(&mut self, from: &str, to: &str) -> io::Result<()> {
+        let content = *self.names().get(from).ok_or(io::ErrorKind::NotFound)?;
+        self.unsynced_names.push(NameChange::Renamed { from: from.to_string(), to: to.to_string(), content });
+        Ok(())
+    }
+
+    fn sync_names(&mut self) {
+        self.synced_names = self.names();
+        self.unsynced_names.clear();
+    }
+
+    fn crash(&mut self, random: &impl Fn() -> u64) {
+        for change in std::mem::take(&mut self.unsynced_names) {
+            if random().is_multiple_of(2) {
+                change.apply(&mut self.synced_names);
+            }
+        }
+        self.contents.values_mut().for_each(|content| content.crash(random));
+        let named: BTreeSet<u64> = self.synced_names.values().copied().collect();
+        self.contents.retain(|content, _| named.contains(content));
+    }
+
+    fn is_halted(&self) -> bool {
+        self.last_step.is_some_and(|last| self.steps >= last)
+    }
 }
 
 /// Every process's files.
 #[derive(Default)]
 pub struct DiskTable {
-    files: RefCell<BTreeMap<(String, String), File>>,
+    folders: RefCell<BTreeMap<String, Folder>>,
     full: RefCell<BTreeSet<String>>,
+    /// Processes whose syncs are refused.
+    failing: RefCell<BTreeSet<String>>,
     /// How much longer a sync takes, by process.
     slow: RefCell<BTreeMap<String, Duration>>,
 }
 
 impl DiskTable {
-    /// A crash: of what was not synced, only some beginning is left.
+    /// A loss of power: of what was not synced, some is left.
     pub fn crash(&self, process: &str, random: impl Fn() -> u64) {
-        for ((owner, _), file) in self.files.borrow_mut().iter_mut() {
-            if owner == process && !file.unsynced.is_empty() {
-                let kept = random() as usize % (file.unsynced.len() + 1);
-                let kept = file.unsynced[..kept].to_vec();
-                file.synced.extend(kept);
-                file.unsynced.clear();
-            }
+        if let Some(folder) = self.folders.borrow_mut().get_mut(process) {
+            folder.crash(&random);
+            folder.last_step = None;
         }
     }
 
     /// The names of a process's files.
     pub fn names(&self, process: &str) -> Vec<String> {
-        let files = self.files.borrow();
-        files.keys().filter(|(owner, _)| owner == process).map(|(_, name)| name.clone()).collect()
+        let folders = self.folders.borrow();
+        folders.get(process).into_iter().flat_map(|folder| folder.names().into_keys()).collect()
+    }
+
+    /// What a process reads in one of its files.
+    pub fn content(&self, process: &str, file: &str) -> Option<Vec<u8>> {
+        let folders = self.folders.borrow();
+        folders.get(process)?.content(file).map(Content::visible)
+    }
+
+    /// Puts a file there, synced, with its name.
+    pub fn put(&self, process: &str, file: &str, bytes: Vec<u8>) {
+        let mut folders = self.folders.borrow_mut();
+        let folder = folders.entry(process.to_string()).or_default();
+        folder.create(file);
+        folder.sync_names();
+        if let Some(content) = folder.content_mut(file) {
+            *content = Content { synced: bytes, unsynced: Vec::new() };
+        }
+    }
+
+    /// Takes a file away for good.
+    pub fn take(&self, process: &str, file: &str) {
+        if let Some(folder) = self.folders.borrow_mut().get_mut(process) {
+            folder.unsynced_names.push(NameChange::Removed { name: file.to_string() });
+            folder.sync_names();
+        }
     }
 
     /// A bit of a file turns over.
     pub fn damage(&self, process: &str, file: &str) {
-        if let Some(file) = self.files.borrow_mut().get_mut(&(process.to_string(), file.to_string())) {
-            let place = file.synced.len() / 2;
-            file.synced[place] ^= 1;
+        let mut folders = self.folders.borrow_mut();
+        let content = folders.get_mut(process).and_then(|folder| folder.content_mut(file));
+        if let Some(content) = content {
+            let place = content.synced.len() / 2;
+            content.synced[place] ^= 1;
         }
     }
 
     /// Everything is gone.
     pub fn lose(&self, process: &str) {
-        self.files.borrow_mut().retain(|(owner, _), _| owner != process);
+        self.folders.borrow_mut().remove(process);
     }
 
     /// Has each sync take so much longer.
@@ -65,13 +272,47 @@
 
     /// Whether the disk takes nothing more.
     pub fn set_full(&self, process: &str, full: bool) {
-        let mut table = self.full.borrow_mut();
-        if full {
-            table.insert(process.to_string());
-        } else {
-            table.remove(process);
+        set_member(&self.full, process, full);
+    }
+
+    /// Whether syncs are refused once they have taken their time.
+    pub fn set_failing(&self, process: &str, failing: bool) {
+        set_member(&self.failing, process, failing);
+    }
+
+    /// How many changes a process has made to its disk: made, written, synced, renamed or removed a file, or synced the
+    /// folder.
+    pub fn steps(&self, process: &str) -> u64 {
+        self.folders.borrow().get(process).map_or(0, |folder| folder.steps)
+    }
+
+    /// Has the disk take no step after this many more, until the next loss of power.
+    pub fn halt_after(&self, process: &str, steps: u64) {
+        let mut folders = self.folders.borrow_mut();
+        let folder = folders.entry(process.to_string()).or_default();
+        folder.last_step = Some(folder.steps + steps);
+    }
+
+    /// Has a halted disk go on, as for a process that was killed while it waited.
+    pub fn resume(&self, process: &str) {
+        if let Some(folder) = self.folders.borrow_mut().get_mut(process) {
+            folder.last_step = None;
         }
     }
+
+    /// Whether the disk has taken the last step that it may take.
+    pub fn is_halted(&self, process: &str) -> bool {
+        self.folders.borrow().get(process).is_some_and(Folder::is_halted)
+    }
+}
+
+fn set_member(table: &RefCell<BTreeSet<String>>, process: &str, member: bool) {
+    let mut table = table.borrow_mut();
+    if member {
+        table.insert(process.to_string());
+    } else {
+        table.remove(process);
+    }
 }
 
 /// A process's disk.
@@ -87,27 +328,59 @@
         Self { world, process }
     }
 
-    fn key(&self, file: &str) -> (String, String) {
-        (self.process.name.clone(), file.to_string())
-    }
-
     async fn wait(&self, time: Duration) {
-        let until = self.world.clock.now() + time + self.world.jitter(time);
+        let until = self.world.clock.now() + time;
         Sleep::new(self.world.clock.clone(), until).await;
     }
 
-    fn check_space(&self) -> io::Result<()> {
-        let full = self.world.disks.full.borrow().contains(&self.process.name);
-        if full { Err(io::ErrorKind::StorageFull.into()) } else { Ok(()) }
+    /// `time` with its random part.
+    fn with_jitter(&self, time: Duration) -> Duration {
+        time + self.world.jitter(time)
+    }
+
+    /// Changes the folder after `time`, unless the disk takes no further step.
+    async fn step<T>(&self, time: Duration, change: impl FnOnce(&mut Folder) -> T) -> T {
+        self.wait(time).await;
+        if self.world.disks.is_halted(&self.process.name) {
+            future::pending::<()>().await;
+        }
+        let mut folders = self.world.disks.folders.borrow_mut();
+        let folder = folders.entry(self.process.name.clone()).or_default();
+        folder.steps += 1;
+        change(folder)
+    }
+
+    /// Writes at the end of a file. A full disk takes part of it.
+    async fn write(&self, time: Duration, file: &str, bytes: &[u8]) -> io::Result<()> {
+        self.step(time, |folder| {
+            let full = self.world.disks.full.borrow().contains(&self.process.name);
+            let taken = if full { bytes.len() / 2 } else { bytes.len() };
+            let content = folder.content_mut(file).ok_or(io::ErrorKind::NotFound)?;
+            let offset = content.visible().len();
+            content.unsynced.push(Write::At { offset, bytes: bytes[..taken].to_vec() });
+            if full { Err(io::ErrorKind::StorageFull.into()) } else { Ok(()) }
+        })
+        .await
+    }
+
+    async fn sync_content(&self, time: Duration, file: &str) -> io::Result<()> {
+        self.step(time, |folder| {
+            if self.world.disks.failing.borrow().contains(&self.process.name) {
+                return Err(io::Error::other("the disk refuses to sync"));
+            }
+            if let Some(content) = folder.content_mut(file) {
+                content.sync();
+            }
+            Ok(())
+        })
+        .await
     }
 }
 
 impl Disk for SimDisk {
     async fn read(&self, file: &str) -> io::Result<Option<Vec<u8>>> {
-        self.wait(WRITE_TIME).await;
-        let files = self.world.disks.files.borrow();
-        let whole = |file: &File| [file.synced.as_slice(), file.unsynced.as_slice()].concat();
-        Ok(files.get(&self.key(file)).map(whole))
+        self.wait(self.with_jitter(WRITE_TIME)).await;
+        Ok(self.world.disks.content(&self.process.name, file))
     }
 
     async fn read_range(&self, file: &str, offset: u64, length: usize) -> io::Result<Vec<u8>> {
@@ -116,38 +389,34 @@
         Ok(whole[start..whole.len().min(start + length)].to_vec())
     }
 
-    /// A full disk takes part of what is written.
     async fn append(&self, file: &str, bytes: Vec<u8>) -> io::Result<()> {
-        self.wait(WRITE_TIME).await;
-        let space = self.check_space();
-        let taken = if space.is_ok() { bytes.len() } else { bytes.len() / 2 };
-        let mut files = self.world.disks.files.borrow_mut();
-        files.entry(self.key(file)).or_default().unsynced.extend(&bytes[..taken]);
-        space
+        if self.world.disks.content(&self.process.name, file).is_none() {
+            self.step(Duration::ZERO, |folder| folder.create(file)).await;
+            self.step(Duration::ZERO, Folder::sync_names).await;
+        }
+        self.write(self.with_jitter(WRITE_TIME), file, &bytes).await
     }
 
     async fn sync(&self, file: &str) -> io::Result<()> {
         let slow = self.world.disks.slow.borrow().get(&self.process.name).copied().unwrap_or_default();
-        self.wait(SYNC_TIME + slow).await;
-        let mut files = self.world.disks.files.borrow_mut();
-        if let Some(file) = files.get_mut(&self.key(file)) {
-            let unsynced = std::mem::take(&mut file.unsynced);
-            file.synced.extend(unsynced);
-        }
-        Ok(())
+        self.sync_content(self.with_jitter(SYNC_TIME + slow), file).await
     }
 
     async fn replace(&self, file: &str, bytes: Vec<u8>) -> io::Result<()> {
-        self.wait(SYNC_TIME * 2).await;
-        self.check_space()?;
-        let mut files = self.world.disks.files.borrow_mut();
-        files.insert(self.key(file), File { synced: bytes, unsynced: Vec::new() });
+        let pause = self.with_jitter(SYNC_TIME * 2) / 4;
+        let new_file = format!("{file}.new");
+        self.step(Duration::ZERO, |folder| folder.create(&new_file)).await;
+        self.write(pause, &new_file, &bytes).await?;
+        self.sync_content(pause, &new_file).await?;
+        self.step(pause, |folder| folder.rename(&new_file, file)).await?;
+        self.step(pause, Folder::sync_names).await;
         Ok(())
     }
 
     async fn remove(&self, file: &str) -> io::Result<()> {
-        self.wait(WRITE_TIME).await;
-        self.world.disks.files.borrow_mut().remove(&self.key(file));
+        let name = file.to_string();
+        self.step(self.with_jitter(WRITE_TIME), |folder| folder.unsynced_names.push(NameChange::Removed { name }))
+            .await;
         Ok(())
     }
 }
