--- /dev/null
+++ b/crates/simulator/tests/group/mod.rs
@@ -0,0 +1,336 @@
+//! A group of replicas of a small state machine, whose machines may be killed, lose power or lose their disks.
+
+// Each test file uses a part of it.
+#![allow(dead_code)]
+
+use futures::executor::LocalPool;
+use saddlerelay_replication::config::ReplicationConfig;
+use saddlerelay_replication::segments::Segment;
+use saddlerelay_replication::{Replica, ReplicaOptions, StateMachine};
+use saddlerelay_rpc::server::Handler;
+use saddlerelay_runtime::Runtime;
+use saddlerelay_simulator::platform::SimRuntime;
+use saddlerelay_simulator::world::{Process, Sleep, World};
+use saddlerelay_types::protocol::{ControlReply, ControlRequest};
+use std::cell::RefCell;
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+const SECRET: &str = "a secret of sixteen signs";
+
+/// Pause between two proposals.
+const PROPOSAL_INTERVAL: Duration = Duration::from_millis(10);
+
+/// Every so many proposals one comes with a load of several sectors.
+const HEAVY_EVERY: u64 = 5;
+
+/// Bytes of such a load.
+const HEAVY_BYTES: usize = 1_700;
+
+/// Numbers that are sealed together.
+const NUMBERS_PER_SEGMENT: usize = 8;
+
+/// Segments that the state refers to; earlier ones expire.
+const SEGMENTS_KEPT: usize = 4;
+
+/// A set of numbers. Whenever enough have come, they also go into a segment.
+#[derive(Default)]
+pub struct Numbers {
+    pub held: BTreeSet<u64>,
+    unsealed: Vec<u64>,
+    sealed: Vec<Segment>,
+    unreleased: BTreeMap<u64, Rc<Vec<u8>>>,
+}
+
+impl StateMachine for Numbers {
+    type Outcome = ();
+    const FORMAT: u32 = 1;
+
+    fn apply(&mut self, command: &[u8]) {
+        let (number, _): (u64, Vec<u8>) = bitcode::decode(command).expect("a number was proposed");
+        self.held.insert(number);
+        self.unsealed.push(number);
+        if self.unsealed.len() >= NUMBERS_PER_SEGMENT {
+            let segment = self.sealed.len() as u64;
+            let bytes = bitcode::encode(&std::mem::take(&mut self.unsealed));
+            self.sealed.push(Segment::of(segment, &bytes));
+            self.unreleased.insert(segment, Rc::new(bytes));
+        }
+    }
+
+    fn snapshot(&self) -> Vec<u8> {
+        bitcode::encode(&(self.held.clone(), self.unsealed.clone(), self.sealed.clone()))
+    }
+
+    fn segments(&self) -> Vec<Segment> {
+        self.sealed[self.sealed.len().saturating_sub(SEGMENTS_KEPT)..].to_vec()
+    }
+
+    fn segment_bytes(&self, number: u64) -> Option<Rc<Vec<u8>>> {
+        self.unreleased.get(&number).cloned()
+    }
+
+    fn unreleased_segment(&self) -> Option<Segment> {
+        let (number, _) = self.unreleased.first_key_value()?;
+        self.sealed.get(*number as usize).copied()
+    }
+
+    fn release_segment(&mut self, number: u64) {
+        self.unreleased.remove(&number);
+    }
+
+    fn restore(&mut self, bytes: &[u8]) {
+        (self.held, self.unsealed, self.sealed) = bitcode::decode(bytes).expect("a snapshot can be read");
+        self.unreleased.clear();
+    }
+}
+
+pub type Node = Replica<SimRuntime, Numbers>;
+
+struct Answering(Node);
+
+impl Handler for Answering {
+    async fn handle(self: Rc<Self>, body: Vec<u8>) -> Option<Vec<u8>> {
+        let ControlRequest::Replication(bytes) = bitcode::decode(&body).ok()? else {
+            return None;
+        };
+        let reply = self.0.handle(bitcode::decode(&bytes).ok()?).await;
+        Some(bitcode::encode(&ControlReply::Replication(bitcode::encode(&reply))))
+    }
+}
+
+struct Machine {
+    process: Rc<Process>,
+    node: Rc<RefCell<Option<Node>>>,
+}
+
+/// Machines at places from 1 on.
+pub struct Group {
+    pub world: Rc<World>,
+    pool: LocalPool,
+    machines: BTreeMap<u8, Machine>,
+    pub config: ReplicationConfig,
+    founders: Vec<SocketAddr>,
+    /// Numbers whose commitment was told to who proposed them.
+    pub acknowledged: Rc<RefCell<BTreeSet<u64>>>,
+    /// Why replicas refused their files.
+    pub refusals: Rc<RefCell<Vec<String>>>,
+    next: u64,
+}
+
+pub fn name(place: u8) -> String {
+    format!("machine-{place}")
+}
+
+pub fn address(place: u8) -> SocketAddr {
+    ([10, 0, 0, place], 7_000).into()
+}
+
+impl Group {
+    /// A group of five voters that takes snapshots often.
+    pub fn new(seed: u64) -> Self {
+        let (world, pool) = World::new(seed);
+        world.network.set_delays(12, Duration::from_millis(1), Duration::from_millis(3));
+        let config = ReplicationConfig {
+            heartbeat_interval: Duration::from_millis(70),
+            election_timeout: Duration::from_millis(500),
+            election_jitter: Duration::from_millis(200),
+            lease: Duration::from_millis(400),
+            snapshot_entries: 20,
+            trailing_entries: 5,
+            memory_bytes: 500,
+            memory_bytes_behind: 1_000,
+            target_voters: 5,
+            ..ReplicationConfig::default()
+        };
+        Self {
+            world,
+            pool,
+            machines: BTreeMap::new(),
+            config,
+            founders: (1..=3).map(address).collect(),
+            acknowledged: Rc::default(),
+            refusals: Rc::default(),
+            next: 0,
+        }
+    }
+
+    /// A group whose five machines vote.
+    pub fn formed(seed: u64) -> Self {
+        let mut group = Self::new(seed);
+        (1..=3).for_each(|place| group.start(place, true));
+        group.await_leader(Duration::from_secs(4), "after the first start");
+        (4..=5).for_each(|place| group.start(place, false));
+        group.await_voters(5, Duration::from_secs(4), "five voters");
+        group
+    }
+
+    /// Starts the machine at `place`; with `founding`, as one of the three that form the group.
+    pub fn start(&mut self, place: u8, founding: bool) {
+        let process = self.world.start_process(&name(place), place.into(), 0);
+        let runtime = SimRuntime { world: self.world.clone(), process: process.clone() };
+        let options = ReplicaOptions {
+            address: address(place),
+            peers: self.founders.clone(),
+            founders: if founding { self.founders.clone() } else { Vec::new() },
+            secret: SECRET.to_string(),
+            config: self.config.clone(),
+        };
+        let node = Rc::new(RefCell::new(None));
+        let started = node.clone();
+        let refusals = self.refusals.clone();
+        self.world.spawn(&process, async move {
+            let listener = runtime.listen(options.address).await.expect("the address is free");
+            let replica = match Replica::open(runtime.clone(), options, Numbers::default()).await {
+                Ok(replica) => replica,
+                Err(error) => {
+                    refusals.borrow_mut().push(format!("{}: {error}", name(place)));
+                    return;
+                }
+            };
+            replica.start();
+            *started.borrow_mut() = Some(replica.clone());
+            let handler = Rc::new(Answering(replica));
+            saddlerelay_rpc::server::serve(runtime, listener, SECRET.to_string(), handler).await;
+        });
+        self.machines.insert(place, Machine { process, node });
+    }
+
+    /// The process ends; its files stay as it left them.
+    pub fn kill(&mut self, place: u8) {
+        if let Some(machine) = self.machines.remove(&place) {
+            machine.process.kill();
+        }
+        self.world.disks.resume(&name(place));
+    }
+
+    /// The machine loses power.
+    pub fn power_off(&mut self, place: u8) {
+        self.kill(place);
+        self.world.disks.crash(&name(place), || self.world.random());
+    }
+
+    /// The machine loses its disk.
+    pub fn lose_disk(&mut self, place: u8) {
+        self.kill(place);
+        self.world.disks.lose(&name(place));
+    }
+
+    pub fn freeze(&mut self, place: u8) {
+        self.machines[&place].process.freeze();
+    }
+
+    /// Runs until `done`; returns whether that came within `limit`.
+    pub fn run_until(&mut self, limit: Duration, done: impl Fn() -> bool) -> bool {
+        let until = self.world.clock.now() + limit;
+        let timer = self.world.start_process("timer", 0, 0);
+        self.world.spawn(&timer, Sleep::new(self.world.clock.clone(), until));
+        self.world.run(&mut self.pool, until, done)
+    }
+
+    pub fn run_for(&mut self, time: Duration) {
+        let until = self.world.clock.now() + time;
+        let clock = self.world.clock.clone();
+        self.run_until(time, move || clock.now() >= until);
+    }
+
+    pub fn nodes(&self) -> Vec<Node> {
+        self.machines.values().filter_map(|machine| machine.node.borrow().clone()).collect()
+    }
+
+    pub fn leader(&self) -> Option<Node> {
+        self.nodes().into_iter().find(|node| node.leading_term().is_some())
+    }
+
+    pub fn leader_place(&self) -> Option<u8> {
+        let leads =
+            |machine: &&Machine| machine.node.borrow().as_ref().is_some_and(|node| node.leading_term().is_some());
+        self.machines.iter().find(|(_, machine)| leads(machine)).map(|(place, _)| *place)
+    }
+
+    /// The places whose machines run, without the leader's.
+    pub fn followers(&self) -> Vec<u8> {
+        let led = self.leader_place();
+        self.machines.keys().copied().filter(|place| Some(*place) != led).collect()
+    }
+
+    /// Proposes the next number to whoever leads.
+    pub fn propose(&mut self) {
+        let Some(leader) = self.leader() else {
+            return;
+        };
+        let number = self.next;
+        self.next += 1;
+        let acknowledged = self.acknowledged.clone();
+        let load = if number.is_multiple_of(HEAVY_EVERY) { vec![number as u8 | 1; HEAVY_BYTES] } else { Vec::new() };
+        let process = self.world.start_process("client", 0, 0);
+        self.world.spawn(&process, async move {
+            // Only what was acknowledged counts.
+            if leader.propose(bitcode::encode(&(number, load))).await.is_ok() {
+                acknowledged.borrow_mut().insert(number);
+            }
+        });
+    }
+
+    /// Proposes numbers until `done`; returns whether that came within `limit`.
+    pub fn propose_until(&mut self, limit: Duration, done: impl Fn() -> bool) -> bool {
+        let until = self.world.clock.now() + limit;
+        while self.world.clock.now() < until {
+            self.propose();
+            if self.run_until(PROPOSAL_INTERVAL, &done) {
+                return true;
+            }
+        }
+        false
+    }
+
+    pub fn propose_for(&mut self, time: Duration) {
+        self.propose_until(time, || false);
+    }
+
+    /// Waits until the group has a leader; fails the test after `limit`.
+    pub fn await_leader(&mut self, limit: Duration, what: &str) {
+        let until = self.world.clock.now() + limit;
+        while self.leader().is_none() {
+            assert!(self.world.clock.now() < until, "{what}: no leader; refused {:?}", self.refusals.borrow());
+            self.run_for(Duration::from_millis(10));
+        }
+    }
+
+    pub fn voters(&self) -> usize {
+        let view = self.leader().and_then(|leader| leader.view());
+        view.map_or(0, |view| view.replicas.iter().filter(|replica| replica.voter).count())
+    }
+
+    /// Waits until so many vote, all of them machines that run.
+    pub fn await_voters(&mut self, count: usize, limit: Duration, what: &str) {
+        let until = self.world.clock.now() + limit;
+        loop {
+            let running: BTreeSet<_> = self.nodes().iter().map(Node::id).collect();
+            let view = self.leader().and_then(|leader| leader.view());
+            let voters: Vec<_> =
+                view.into_iter().flat_map(|view| view.replicas).filter(|replica| replica.voter).collect();
+            if voters.len() == count && voters.iter().all(|voter| running.contains(&voter.id)) {
+                return;
+            }
+            assert!(
+                self.world.clock.now() < until,
+                "{what}: voters {voters:?}; running {running:?}; refused {:?}",
+                self.refusals.borrow()
+            );
+            self.run_for(Duration::from_millis(10));
+        }
+    }
+
+    /// Nobody refused its files, and whoever leads holds everything that was acknowledged.
+    pub fn check(&mut self, what: &str) {
+        self.await_leader(Duration::from_secs(5), what);
+        assert!(self.refusals.borrow().is_empty(), "{what}: refused {:?}", self.refusals.borrow());
+        let held = self.leader().and_then(|leader| leader.read(|numbers| numbers.held.clone()));
+        let held = held.expect("a leader reads");
+        let lost: Vec<u64> = self.acknowledged.borrow().difference(&held).copied().collect();
+        assert!(lost.is_empty(), "{what}: lost {lost:?}");
+    }
+}
