--- a/crates/replication/tests/log_file.rs
+++ b/crates/replication/tests/log_file.rs
@@ -1,56 +1,18 @@
 //! Entries that memory no longer holds are read back from the log's file as they were last written.
 
+mod memory_disk;
+
 use futures::executor::block_on;
+use memory_disk::MemoryDisk;
 use quickcheck::{Arbitrary, Gen, QuickCheck};
 use saddlerelay_replication::log::{EntryPayload, LogEntry};
 use saddlerelay_replication::storage::Storage;
 use saddlerelay_replication::wal::WalRecord;
-use saddlerelay_runtime::Disk;
 use saddlerelay_types::identity::ReplicaId;
-use std::cell::RefCell;
-use std::collections::BTreeMap;
-use std::io;
-use std::rc::Rc;
 
 const FORMAT: u32 = 1;
 const EVERYTHING: u64 = u64::MAX / 2;
 
-/// Files in memory.
-#[derive(Clone, Default)]
-struct MemoryDisk(Rc<RefCell<BTreeMap<String, Vec<u8>>>>);
-
-impl Disk for MemoryDisk {
-    async fn read(&self, file: &str) -> io::Result<Option<Vec<u8>>> {
-        Ok(self.0.borrow().get(file).cloned())
-    }
-
-    async fn read_range(&self, file: &str, offset: u64, length: usize) -> io::Result<Vec<u8>> {
-        let files = self.0.borrow();
-        let whole = files.get(file).map_or(&[][..], Vec::as_slice);
-        let start = (offset as usize).min(whole.len());
-        Ok(whole[start..whole.len().min(start + length)].to_vec())
-    }
-
-    async fn append(&self, file: &str, bytes: Vec<u8>) -> io::Result<()> {
-        self.0.borrow_mut().entry(file.to_string()).or_default().extend(bytes);
-        Ok(())
-    }
-
-    async fn sync(&self, _file: &str) -> io::Result<()> {
-        Ok(())
-    }
-
-    async fn replace(&self, file: &str, bytes: Vec<u8>) -> io::Result<()> {
-        self.0.borrow_mut().insert(file.to_string(), bytes);
-        Ok(())
-    }
-
-    async fn remove(&self, file: &str) -> io::Result<()> {
-        self.0.borrow_mut().remove(file);
-        Ok(())
-    }
-}
-
 fn entry(index: u64, term: u64, size: usize) -> LogEntry {
     let mut random = fastrand::Rng::with_seed(index * 1_000 + term);
     LogEntry { index, term, payload: EntryPayload::Command((0..size).map(|_| random.u8(..)).collect()) }
--- a/crates/simulator/tests/group/mod.rs
+++ b/crates/simulator/tests/group/mod.rs
@@ -120,6 +120,12 @@
     next: u64,
 }
 
+/// Bytes that do not shrink when they are encoded.
+fn load_of(number: u64) -> Vec<u8> {
+    let mut random = fastrand::Rng::with_seed(number);
+    (0..HEAVY_BYTES).map(|_| random.u8(1..)).collect()
+}
+
 pub fn name(place: u8) -> String {
     format!("machine-{place}")
 }
@@ -264,7 +270,7 @@
         let number = self.next;
         self.next += 1;
         let acknowledged = self.acknowledged.clone();
-        let load = if number.is_multiple_of(HEAVY_EVERY) { vec![number as u8 | 1; HEAVY_BYTES] } else { Vec::new() };
+        let load = if number.is_multiple_of(HEAVY_EVERY) { load_of(number) } else { Vec::new() };
         let process = self.world.start_process("client", 0, 0);
         self.world.spawn(&process, async move {
             // Only what was acknowledged counts.
