Sync what a killed process left before a replica uses it

Cause: a process that is killed between a write and its sync, or between a rename and the folder's sync, leaves what the next process reads and a later loss of power takes. What the next process appended behind an un-synced write could be there when that was not, and the log was refused at every later start. Ruled out: the sync of each append, which stands; the harm comes only from what another process wrote. Change: opening the files syncs the folder and the log first, on both disks; FolderDisk syncs a file that it has not opened.

--- a/crates/replication/src/storage.rs
+++ b/crates/replication/src/storage.rs
@@ -114,6 +114,7 @@
 impl<D: Disk> Storage<D> {
     /// Opens files in `format`, making an identity if the disk is empty.
     pub async fn open(disk: D, new_id: ReplicaId, format: u32) -> Result<(Self, Recovered), StorageError> {
+        sync_what_is_there(&disk).await?;
         check_format(&disk, format).await?;
         let identity = read_framed::<Identity, D>(&disk, IDENTITY_FILE).await?;
         let snapshot = read_snapshot(&disk).await?;
@@ -217,6 +218,14 @@
     }
 }
 
+/// Syncs what a process that was killed may have written and not synced. This replica acknowledges entries that it finds
+/// without writing them again, and appends behind them: a later loss of power would take what was acknowledged, or leave a
+/// hole in the log. Costs two syncs for each start.
+async fn sync_what_is_there<D: Disk>(disk: &D) -> Result<(), StorageError> {
+    disk.sync_folder().await?;
+    Ok(disk.sync(WAL_FILE).await?)
+}
+
 /// Replaces the snapshot. The log is appended to meanwhile.
 pub async fn write_snapshot<D: Disk>(disk: &D, snapshot: Snapshot) -> Result<(), StorageError> {
     let encoded = snapshot.encoded().clone();
--- a/crates/replication/tests/memory_disk/mod.rs
+++ b/crates/replication/tests/memory_disk/mod.rs
@@ -31,6 +31,10 @@
         Ok(())
     }
 
+    async fn sync_folder(&self) -> io::Result<()> {
+        Ok(())
+    }
+
     async fn replace(&self, file: &str, bytes: Vec<u8>) -> io::Result<()> {
         self.0.borrow_mut().insert(file.to_string(), bytes);
         Ok(())
--- a/crates/runtime-compio/src/disk.rs
+++ b/crates/runtime-compio/src/disk.rs
@@ -39,8 +39,13 @@
         Ok(Appender { file, length })
     }
 
-    async fn sync_folder(&self) -> io::Result<()> {
-        File::open(self.folder.as_path()).await?.sync_all().await
+    /// Syncs a file that this process has not appended to.
+    async fn sync_unopened(&self, name: &str) -> io::Result<()> {
+        match OpenOptions::new().write(true).open(self.folder.join(name)).await {
+            Ok(file) => file.sync_data().await,
+            Err(error) if error.kind() == io::ErrorKind::NotFound => Ok(()),
+            Err(error) => Err(error),
+        }
     }
 }
 
@@ -85,10 +90,14 @@
         let appenders = self.appenders.lock().await;
         match appenders.get(file) {
             Some(appender) => appender.file.sync_data().await,
-            None => Ok(()),
+            None => self.sync_unopened(file).await,
         }
     }
 
+    async fn sync_folder(&self) -> io::Result<()> {
+        File::open(self.folder.as_path()).await?.sync_all().await
+    }
+
     async fn replace(&self, file: &str, bytes: Vec<u8>) -> io::Result<()> {
         let temporary = self.folder.join(format!("{file}.new"));
         let mut new_file = File::create(&temporary).await?;
--- a/crates/runtime/src/lib.rs
+++ b/crates/runtime/src/lib.rs
@@ -46,8 +46,10 @@
     async fn read_range(&self, file: &str, offset: u64, length: usize) -> io::Result<Vec<u8>>;
     /// Appends to the file, creating it if need be.
     async fn append(&self, file: &str, bytes: Vec<u8>) -> io::Result<()>;
-    /// Makes what was appended last.
+    /// Makes what was appended last, also what an earlier process appended. A file that does not exist is no error.
     async fn sync(&self, file: &str) -> io::Result<()>;
+    /// Makes the names of all files last as they are now, also those that an earlier process made, renamed or removed.
+    async fn sync_folder(&self) -> io::Result<()>;
     /// Replaces the file with `bytes`, wholly or not at all, and makes it last.
     async fn replace(&self, file: &str, bytes: Vec<u8>) -> io::Result<()>;
     /// Removes the file, if there is one. It may be back after a crash.
--- a/crates/simulator/src/disk.rs
+++ b/crates/simulator/src/disk.rs
@@ -402,6 +402,11 @@
         self.sync_content(self.with_jitter(SYNC_TIME + slow), file).await
     }
 
+    async fn sync_folder(&self) -> io::Result<()> {
+        self.step(self.with_jitter(SYNC_TIME), Folder::sync_names).await;
+        Ok(())
+    }
+
     async fn replace(&self, file: &str, bytes: Vec<u8>) -> io::Result<()> {
         let pause = self.with_jitter(SYNC_TIME * 2) / 4;
         let new_file = format!("{file}.new");
