Cut off a last write of which sectors are missing; refuse what no loss of power leaves, and say why

Cause: of the last write a loss of power may leave some sectors and zeros for the others. Ruled out: taking any wrong checksum at the end for a torn write: a changed byte of an acknowledged record would be dropped. Change: each write begins with the hard state, about 30 bytes. Damage behind which no hard state follows is the last write's, and it is cut off if a sector of it was never written. Gaps and missing identities are errors with their place; a refusal is told at the level error.

--- a/crates/replication/src/storage.rs
+++ b/crates/replication/src/storage.rs
@@ -4,7 +4,7 @@
 use crate::log_file::{EntryPlace, LogFileIndex};
 use crate::membership::Membership;
 use crate::snapshot::Snapshot;
-use crate::wal::{self, WalRecord};
+use crate::wal::{self, WalContent, WalRecord};
 use bitcode::{Decode, Encode};
 use saddlerelay_runtime::Disk;
 use saddlerelay_types::identity::ReplicaId;
@@ -35,6 +35,20 @@
         /// The segment.
         number: u64,
     },
+    /// The log and the snapshot do not meet. The replica must not start: give it an empty data folder, and it joins as a new
+    /// member.
+    Gap {
+        /// Byte offset of the log's record behind the gap.
+        offset: usize,
+        /// The entry that it holds.
+        found: u64,
+        /// The entry that was due there.
+        wanted: u64,
+    },
+    /// There is a log or a snapshot, and no identity that they belong to. The replica must not start: as another replica
+    /// it would vote and found a group with a state that is not its own. Give it an empty data folder, and it joins as a
+    /// new member.
+    MissingIdentity,
     /// A file is damaged in a place that may have been acknowledged. The replica must not start: give it an empty data
     /// folder, and it joins as a new member.
     Corrupt {
@@ -61,6 +75,16 @@
                 formatter,
                 "segment {number} is missing or cut short; start this replica with an empty data folder to rejoin"
             ),
+            Self::Gap { offset, found, wanted } => write!(
+                formatter,
+                "file `{WAL_FILE}` has entry {found} at byte {offset} where entry {wanted} was due; start this replica with \
+                 an empty data folder to rejoin"
+            ),
+            Self::MissingIdentity => write!(
+                formatter,
+                "file `{IDENTITY_FILE}` is missing beside a log or a snapshot; start this replica with an empty data folder \
+                 to rejoin"
+            ),
             Self::Corrupt { file, offset } => write!(
                 formatter,
                 "file `{file}` is corrupt at byte {offset}; start this replica with an empty data folder to rejoin"
@@ -109,11 +133,24 @@
     damaged: bool,
     /// Where the log's entries stand in its file.
     log_file: LogFileIndex,
+    /// The term last written.
+    term: u64,
+    /// The vote in it.
+    voted_for: Option<ReplicaId>,
 }
 
 impl<D: Disk> Storage<D> {
-    /// Opens files in `format`, making an identity if the disk is empty.
+    /// Opens files in `format`, making an identity if the disk is empty. Files that are refused are told at once: the
+    /// process ends, and its last line may be all that is left of it.
     pub async fn open(disk: D, new_id: ReplicaId, format: u32) -> Result<(Self, Recovered), StorageError> {
+        let opened = Self::open_files(disk, new_id, format).await;
+        if let Err(error) = &opened {
+            spdlog::error!("replica not started", kv: { dependency = "disk", reason = error.to_string().as_str() });
+        }
+        opened
+    }
+
+    async fn open_files(disk: D, new_id: ReplicaId, format: u32) -> Result<(Self, Recovered), StorageError> {
         sync_what_is_there(&disk).await?;
         check_format(&disk, format).await?;
         let identity = read_framed::<Identity, D>(&disk, IDENTITY_FILE).await?;
@@ -121,19 +158,19 @@
         let wal_bytes = disk.read(WAL_FILE).await?.unwrap_or_default();
         let content = wal::read(&wal_bytes)
             .map_err(|wal::WalError::Corrupt { offset }| StorageError::Corrupt { file: WAL_FILE, offset })?;
+        let torn_bytes = content.torn_bytes;
+        if identity.is_none() && (snapshot.is_some() || !content.records.is_empty()) {
+            return Err(StorageError::MissingIdentity);
+        }
         let mut log_file = LogFileIndex::default();
         content.records.iter().zip(&content.lengths).for_each(|(record, length)| log_file.push(record, *length));
-        let mut storage = Self { disk, damaged: false, log_file };
-        let identity = match identity {
-            Some(identity) => identity,
-            None => {
-                let identity = Identity { id: new_id, group: None };
-                storage.write_identity(identity).await?;
-                identity
-            }
-        };
-        let torn_bytes = content.torn_bytes;
-        let recovered = rebuild(identity, snapshot, content.records, torn_bytes);
+        let is_new = identity.is_none();
+        let identity = identity.unwrap_or(Identity { id: new_id, group: None });
+        let recovered = rebuild(identity, snapshot, content)?;
+        let mut storage = Self { disk, damaged: false, log_file, term: recovered.term, voted_for: recovered.voted_for };
+        if is_new {
+            storage.write_identity(identity).await?;
+        }
         if torn_bytes > 0 {
             let whole = wal_bytes[..wal_bytes.len() - torn_bytes].to_vec();
             storage.disk.replace(WAL_FILE, whole).await?;
@@ -157,15 +194,31 @@
         if self.damaged {
             return Err(io::Error::other("an earlier write failed").into());
         }
-        let encoded: Vec<Vec<u8>> = records.iter().map(wal::encode).collect();
+        let hard_state = self.hard_state_before(records);
+        let records: Vec<&WalRecord> = hard_state.iter().chain(records).collect();
+        let encoded: Vec<Vec<u8>> = records.iter().map(|record| wal::encode(record)).collect();
         let written = self.append_bytes(encoded.concat()).await;
         self.damaged = written.is_err();
         if written.is_ok() {
-            records.iter().zip(&encoded).for_each(|(record, bytes)| self.log_file.push(record, bytes.len() as u64));
+            records.iter().zip(&encoded).for_each(|(record, bytes)| self.take_written(record, bytes.len()));
         }
         written
     }
 
+    /// Each write begins with the hard state, so that damage of the last one can be told from damage of what was synced
+    /// before: about 30 bytes a write.
+    fn hard_state_before(&self, records: &[WalRecord]) -> Option<WalRecord> {
+        let begins_with_it = matches!(records.first(), Some(WalRecord::HardState { .. }));
+        (!begins_with_it).then_some(WalRecord::HardState { term: self.term, voted_for: self.voted_for })
+    }
+
+    fn take_written(&mut self, record: &WalRecord, length: usize) {
+        self.log_file.push(record, length as u64);
+        if let WalRecord::HardState { term, voted_for } = record {
+            (self.term, self.voted_for) = (*term, *voted_for);
+        }
+    }
+
     /// Entries from `first` on, two if the file holds them, and further ones within `most_bytes`; none if `first` is not
     /// in the file.
     pub async fn entries_from(&self, first: u64, most_bytes: u64) -> Result<Vec<LogEntry>, StorageError> {
@@ -200,6 +253,7 @@
             bytes.extend(encoded);
         }
         self.disk.replace(WAL_FILE, bytes).await?;
+        (self.term, self.voted_for) = (term, voted_for);
         self.log_file = log_file;
         self.damaged = false;
         Ok(())
@@ -272,18 +326,37 @@
     bitcode::decode(body).map(Some).map_err(|_| corrupt())
 }
 
-fn rebuild(identity: Identity, snapshot: Option<Snapshot>, records: Vec<WalRecord>, torn_bytes: usize) -> Recovered {
+fn rebuild(identity: Identity, snapshot: Option<Snapshot>, content: WalContent) -> Result<Recovered, StorageError> {
     let mut log = match &snapshot {
         Some(Snapshot { header, .. }) => MemoryLog::new(header.index, header.term, header.membership.clone()),
         None => MemoryLog::new(0, 0, Membership::default()),
     };
     let (mut term, mut voted_for) = (0, None);
-    for record in records {
+    let mut offset = 0;
+    for (record, length) in content.records.into_iter().zip(content.lengths) {
         match record {
             WalRecord::HardState { term: new_term, voted_for: vote } => (term, voted_for) = (new_term, vote),
-            WalRecord::Entry(entry) if entry.index > log.base_index() => log.push(entry),
-            WalRecord::Entry(_) => {}
+            WalRecord::Entry(entry) => take_entry(&mut log, entry, offset)?,
         }
+        offset += length as usize;
+    }
+    // A snapshot may be of a later term than this replica had noted when the power was lost.
+    if term < log.last_term() {
+        (term, voted_for) = (log.last_term(), None);
+    }
+    Ok(Recovered { identity, term, voted_for, log, snapshot, torn_bytes: content.torn_bytes })
+}
+
+/// Takes an entry that stands at `offset` of the log's file; it replaces those from its index on.
+fn take_entry(log: &mut MemoryLog, entry: LogEntry, offset: usize) -> Result<(), StorageError> {
+    if entry.index <= log.base_index() {
+        log.truncate(log.base_index());
+        return Ok(());
+    }
+    let wanted = log.last_index() + 1;
+    if entry.index > wanted {
+        return Err(StorageError::Gap { offset, found: entry.index, wanted });
     }
-    Recovered { identity, term, voted_for, log, snapshot, torn_bytes }
+    log.push(entry);
+    Ok(())
 }
--- a/crates/replication/src/wal.rs
+++ b/crates/replication/src/wal.rs
@@ -4,6 +4,10 @@
 //! of the file, which a file system may leave after a crash. A whole header or body whose checksum is wrong is
 //! corruption: it may have been acknowledged, so the file is refused. The length has a checksum of its own, or a
 //! damaged one that points beyond the end of the file would pass for a torn write.
+//!
+//! A loss of power may also leave only some sectors of the last write, with zeros where the others belong. Each write is
+//! synced before the next and begins with the hard state, so damage is the last write's if no hard state follows it. It is
+//! then cut off like a torn write if a sector behind the damage was never written; all else that is damaged is refused.
 
 use crate::log::LogEntry;
 use bitcode::{Decode, Encode};
@@ -13,10 +17,16 @@
 const CHECKSUM_BYTES: usize = 4;
 const HEADER_BYTES: usize = LENGTH_BYTES + 2 * CHECKSUM_BYTES;
 
+/// Bytes that a disk writes wholly or not at all: the smallest sector of common disks.
+const SECTOR_BYTES: usize = 512;
+
+/// Bytes that the body of a hard state stays below: a term and a replica are 8 each, and some tags.
+const HARD_STATE_BYTES: usize = 64;
+
 /// One record.
 #[derive(Clone, Debug, PartialEq, Eq, Encode, Decode)]
 pub enum WalRecord {
-    /// The term and the vote given in it.
+    /// The term and the vote given in it. Begins each write.
     HardState {
         /// The term.
         term: u64,
@@ -103,8 +113,11 @@
     let mut offset = 0;
     while offset < bytes.len() {
         let corrupt = WalError::Corrupt { offset };
-        let Some(body) = unframe(&bytes[offset..]).map_err(|_| corrupt)? else {
-            break;
+        let body = match unframe(&bytes[offset..]) {
+            Ok(Some(body)) => body,
+            Ok(None) => break,
+            Err(_) if is_torn_write(bytes, offset) => break,
+            Err(_) => return Err(corrupt),
         };
         records.push(bitcode::decode(body).map_err(|_| corrupt)?);
         let length = HEADER_BYTES + body.len();
@@ -113,3 +126,37 @@
     }
     Ok(WalContent { records, lengths, torn_bytes: bytes.len() - offset })
 }
+
+/// Whether the damage at `offset` is that of the file's last write, of which not all sectors were written.
+fn is_torn_write(bytes: &[u8], offset: usize) -> bool {
+    lacks_a_sector(bytes, offset) && !a_write_begins_behind(bytes, offset)
+}
+
+/// Whether a sector from `offset` on, or what the file has of it, is all zeros.
+fn lacks_a_sector(bytes: &[u8], offset: usize) -> bool {
+    let mut start = offset;
+    while start < bytes.len() {
+        let end = bytes.len().min((start / SECTOR_BYTES + 1) * SECTOR_BYTES);
+        if bytes[start..end].iter().all(|byte| *byte == 0) {
+            return true;
+        }
+        start = end;
+    }
+    false
+}
+
+/// Whether a whole hard state stands anywhere behind `offset`. Records cannot be followed there: any place may be damaged.
+fn a_write_begins_behind(bytes: &[u8], offset: usize) -> bool {
+    (offset + 1..bytes.len()).any(|place| is_hard_state(&bytes[place..]))
+}
+
+fn is_hard_state(bytes: &[u8]) -> bool {
+    let Some(length) = bytes.get(..LENGTH_BYTES) else {
+        return false;
+    };
+    if number(length) as usize > HARD_STATE_BYTES {
+        return false;
+    }
+    let body = unframe(bytes).ok().flatten();
+    body.is_some_and(|body| matches!(bitcode::decode(body), Ok(WalRecord::HardState { .. })))
+}
