--- a/crates/replication/src/segment_fetch.rs
+++ b/crates/replication/src/segment_fetch.rs
@@ -32,7 +32,7 @@
 impl<P: Runtime, S: StateMachine> Replica<P, S> {
     /// Answers a replica that lacks a segment.
     pub(crate) async fn answer_segment(&self, number: u64) -> ReplicaReply {
-        match self.read_own_segment(number).await {
+        match self.read_kept_segment(number).await {
             Ok(bytes) => ReplicaReply::Segment(bytes.to_vec()),
             Err(_) => ReplicaReply::Refused,
         }
--- a/crates/replication/src/segments.rs
+++ b/crates/replication/src/segments.rs
@@ -2,7 +2,8 @@
 //! replica that lacks it. What a snapshot costs then does not grow with them.
 //!
 //! Every replica seals the same segments, because it applies the same commands. A snapshot is written only after the
-//! segments that it refers to, and a segment's file is removed only after a snapshot that no longer refers to it.
+//! segments that it refers to, and a segment's file is removed only after a snapshot that no longer refers to it. While a
+//! leader sends a snapshot it keeps the files of that snapshot's segments: the receiver could never install it otherwise.
 
 use crate::replica::Replica;
 use crate::state::StateMachine;
@@ -83,10 +84,10 @@
         self.0.get(&segment.number) == Some(segment)
     }
 
-    /// Those that a snapshot which refers to `kept` has outlived.
-    fn outlived(&self, kept: &[Segment]) -> Vec<u64> {
+    /// Those that a snapshot which refers to `kept` has outlived and that are not among `being_sent`.
+    fn outlived(&self, kept: &[Segment], being_sent: &[Segment]) -> Vec<u64> {
         let newest = kept.last().map_or(0, |segment| segment.number);
-        let is_kept = |number: &u64| kept.iter().any(|segment| segment.number == *number);
+        let is_kept = |number: &u64| kept.iter().chain(being_sent).any(|segment| segment.number == *number);
         self.0.keys().copied().filter(|number| *number < newest && !is_kept(number)).collect()
     }
 }
@@ -114,9 +115,12 @@
         }
     }
 
-    /// Removes the files of segments that a snapshot which refers to `kept` has outlived.
+    /// Removes the files of segments that a snapshot which refers to `kept` has outlived. Those of a snapshot that is being
+    /// sent are removed after a later one.
     pub(crate) async fn remove_outlived_segments(&self, kept: &[Segment]) {
-        let outlived = self.inner.segments.borrow().outlived(kept);
+        let sent = self.inner.outgoing.borrow().upgrade();
+        let being_sent = sent.as_ref().map_or(&[][..], |snapshot| &snapshot.header.segments);
+        let outlived = self.inner.segments.borrow().outlived(kept, being_sent);
         for number in outlived {
             if let Err(error) = self.inner.platform.disk().remove(&file_name(number)).await {
                 // It is tried again after the next snapshot.
@@ -135,10 +139,20 @@
 
     /// A segment's bytes, from memory or from this replica's disk.
     pub(crate) async fn read_own_segment(&self, number: u64) -> Result<Rc<Vec<u8>>, SegmentError> {
+        self.read_described(number, self.segment(number)).await
+    }
+
+    /// Like `read_own_segment`, but also of a segment that the state no longer refers to while its file is kept.
+    pub(crate) async fn read_kept_segment(&self, number: u64) -> Result<Rc<Vec<u8>>, SegmentError> {
+        let kept = || self.inner.segments.borrow().0.get(&number).copied();
+        self.read_described(number, self.segment(number).or_else(kept)).await
+    }
+
+    async fn read_described(&self, number: u64, segment: Option<Segment>) -> Result<Rc<Vec<u8>>, SegmentError> {
         if let Some(bytes) = self.inner.state.borrow().machine.segment_bytes(number) {
             return Ok(bytes);
         }
-        let segment = self.segment(number).ok_or(SegmentError::Unknown)?;
+        let segment = segment.ok_or(SegmentError::Unknown)?;
         let read = read_file(&self.inner.platform.disk(), &segment).await;
         if let Err(error) = &read {
             spdlog::warn!("segment not read", kv: { number = number, reason = error.to_string().as_str() });
