--- a/crates/simulator/tests/group/mod.rs
+++ b/crates/simulator/tests/group/mod.rs
@@ -44,6 +44,14 @@
     unreleased: BTreeMap<u64, Rc<Vec<u8>>>,
 }
 
+impl Numbers {
+    /// The newest segment that memory no longer holds.
+    pub fn newest_released(&self) -> Option<u64> {
+        let released = self.segments().into_iter().filter(|segment| !self.unreleased.contains_key(&segment.number));
+        released.map(|segment| segment.number).next_back()
+    }
+}
+
 impl StateMachine for Numbers {
     type Outcome = ();
     const FORMAT: u32 = 1;
@@ -246,6 +254,27 @@
         self.machines.values().filter_map(|machine| machine.node.borrow().clone()).collect()
     }
 
+    pub fn node(&self, place: u8) -> Option<Node> {
+        self.machines.get(&place)?.node.borrow().clone()
+    }
+
+    /// Reads a segment so many times at once at a replica; returns how many got it.
+    pub fn read_at_once(&mut self, node: &Node, segment: u64, readers: usize) -> usize {
+        let answers = Rc::new(RefCell::new(Vec::new()));
+        let process = self.world.start_process("reader", 0, 0);
+        for _ in 0..readers {
+            let (node, told) = (node.clone(), answers.clone());
+            self.world.spawn(&process, async move {
+                let read = node.read_segment(segment).await.is_ok();
+                told.borrow_mut().push(read);
+            });
+        }
+        let of_run = answers.clone();
+        self.run_until(Duration::from_secs(2), move || of_run.borrow().len() == readers);
+        let got = answers.borrow().iter().filter(|read| **read).count();
+        got
+    }
+
     pub fn leader(&self) -> Option<Node> {
         self.nodes().into_iter().find(|node| node.leading_term().is_some())
     }
