Keep what is committed when a disk is repaired; write one segment's file at a time

Cause: a leader's disk that stands still and then refuses has others commit what it has not synced.

Ruled out: giving up applied entries: they are part of the state. Change: the repaired log holds all that is committed; segments are written one after the other.

--- a/crates/replication/src/maintenance.rs
+++ b/crates/replication/src/maintenance.rs
@@ -110,8 +110,9 @@
         self.inner.changed.notify();
     }
 
-    /// Rewrites the log with the entries that are known to be on disk. Where memory no longer holds those after the last
-    /// snapshot, a new one goes first.
+    /// Rewrites the log with the entries that are known to be on disk, and those that are committed: others may have
+    /// committed what this disk refused, and an applied entry is never given up. Where memory no longer holds those after
+    /// the last snapshot, a new one goes first.
     async fn repair_storage(&self) {
         let mut storage = self.inner.storage.lock().await;
         let log_has_gap = {
@@ -130,7 +131,7 @@
         }
         let (term, voted_for, entries, synced) = {
             let state = self.inner.state.borrow();
-            let synced = state.synced;
+            let synced = state.synced.max(state.commit.min(state.log.last_index()));
             let held = state.log.entries_from(state.log.base_index() + 1, usize::MAX).unwrap_or_default();
             let kept = held.into_iter().filter(|entry| entry.index <= synced).collect::<Vec<_>>();
             (state.term, state.voted_for, kept, synced)
@@ -140,6 +141,7 @@
         }
         let mut state = self.inner.state.borrow_mut();
         state.log.truncate(synced);
+        state.synced = synced;
         state.storage_failed = false;
         spdlog::info!("disk regained", kv: { dependency = "disk", term = term, synced = synced });
     }
--- a/crates/replication/src/replica.rs
+++ b/crates/replication/src/replica.rs
@@ -63,6 +63,8 @@
     pub storage: Mutex<Storage<P::Disk>>,
     /// Held by whoever writes the snapshot file; taken after `storage` if both are needed.
     pub snapshot_file: Mutex<()>,
+    /// Held by whoever writes a segment's file.
+    pub segment_files: Mutex<()>,
     pub proposals: RefCell<mpsc::Sender<Proposal<S::Outcome>>>,
     proposal_queue: RefCell<Option<mpsc::Receiver<Proposal<S::Outcome>>>>,
     /// New entries, a new leader or a new membership.
@@ -146,6 +148,7 @@
             state: RefCell::new(state),
             storage: Mutex::new(storage),
             snapshot_file: Mutex::new(()),
+            segment_files: Mutex::new(()),
             proposals: RefCell::new(proposals),
             proposal_queue: RefCell::new(Some(proposal_queue)),
             changed: Signal::default(),
--- a/crates/replication/src/segments.rs
+++ b/crates/replication/src/segments.rs
@@ -93,8 +93,10 @@
 }
 
 impl<P: Runtime, S: StateMachine> Replica<P, S> {
-    /// Writes a segment and makes it last.
+    /// Writes a segment and makes it last. One at a time: two writers of one file would share its temporary name, and a
+    /// loss of power could leave a name whose content the other had just emptied.
     pub(crate) async fn store_segment(&self, segment: Segment, bytes: Vec<u8>) -> Result<(), StorageError> {
+        let _writing = self.inner.segment_files.lock().await;
         self.inner.platform.disk().replace(&file_name(segment.number), bytes).await?;
         self.inner.segments.borrow_mut().0.insert(segment.number, segment);
         Ok(())
