--- a/crates/simulator/tests/group/mod.rs
+++ b/crates/simulator/tests/group/mod.rs
@@ -11,6 +11,7 @@
 use saddlerelay_runtime::Runtime;
 use saddlerelay_simulator::platform::SimRuntime;
 use saddlerelay_simulator::world::{Process, Sleep, World};
+use saddlerelay_types::identity::ReplicaId;
 use saddlerelay_types::protocol::{ControlReply, ControlRequest};
 use std::cell::RefCell;
 use std::collections::{BTreeMap, BTreeSet};
@@ -271,8 +272,8 @@
         }
         let of_run = answers.clone();
         self.run_until(Duration::from_secs(2), move || of_run.borrow().len() == readers);
-        let got = answers.borrow().iter().filter(|read| **read).count();
-        got
+        let answers = answers.borrow();
+        answers.iter().filter(|read| **read).count()
     }
 
     pub fn leader(&self) -> Option<Node> {
@@ -339,6 +340,30 @@
         view.map_or(0, |view| view.replicas.iter().filter(|replica| replica.voter).count())
     }
 
+    /// The members as whoever leads sees them: each with whether it votes.
+    pub fn members(&self) -> Vec<(ReplicaId, bool)> {
+        let view = self.leader().and_then(|leader| leader.view());
+        view.into_iter().flat_map(|view| view.replicas).map(|replica| (replica.id, replica.voter)).collect()
+    }
+
+    /// Runs until the leader has written `changes` further changes of members, or `limit` has passed.
+    pub fn await_member_changes(&mut self, changes: usize, limit: Duration) {
+        let Some(leader) = self.leader() else {
+            return;
+        };
+        let members = move || {
+            let view = leader.view();
+            view.map(|view| view.replicas.iter().map(|replica| (replica.id, replica.voter)).collect::<Vec<_>>())
+        };
+        let until = self.world.clock.now() + limit;
+        for _ in 0..changes {
+            let before = members();
+            let left = until.saturating_sub(self.world.clock.now());
+            let seen = &members;
+            self.run_until(left, || seen() != before);
+        }
+    }
+
     /// Waits until so many vote, all of them machines that run.
     pub fn await_voters(&mut self, count: usize, limit: Duration, what: &str) {
         let until = self.world.clock.now() + limit;
