Take a lost voter out before its successor votes

Cause: a learner was made a voter beside the lost one whose place it took. Six voted then, and with the learner's machine lost once more together with another one three were left for a quorum of four: nobody was ever elected again. Ruled out: a joint change of both members at once: it needs a second quorum rule for a gain of one commit's time. Change: once a learner is ready, the lost voter is removed first; four vote in between, of which three are a quorum, as many as before the removal. Never fewer than one below the wanted number vote.

--- a/crates/replication/src/reconfigure.rs
+++ b/crates/replication/src/reconfigure.rs
@@ -96,12 +96,14 @@
         learners.filter(sound).max_by_key(|learner| replaces(learner))
     }
 
-    /// A voter whose place has been taken. Where several are lost, each goes as soon as one has taken a place: a lost voter
-    /// that stays only makes the quorum larger.
+    /// A voter that is lost, once a learner is ready for its place: it goes first, and the learner votes then. The other way
+    /// round both would vote for a moment, and if the learner's machine is lost again with another one, three of six voters
+    /// are left and elect nobody; of five, or of the four in between, three are a quorum.
     fn voter_to_remove(&self, target_voters: usize) -> Option<&Member> {
-        let enough = self.membership.voters().count() > target_voters;
+        let count = self.membership.voters().count();
+        let replaceable = count > target_voters || count == target_voters && self.learner_to_promote().is_some();
         let replaced = |voter: &&Member| self.replacement(voter).is_some_and(|replacement| replacement.voter);
-        let removable = |voter: &&Member| replaced(voter) || enough && self.is_lost(voter);
+        let removable = |voter: &&Member| replaced(voter) || replaceable && self.is_lost(voter);
         self.membership.voters().filter(|voter| voter.id != self.own).find(removable)
     }
 
