--- a/crates/simulator/tests/power_loss.rs
+++ b/crates/simulator/tests/power_loss.rs
@@ -4,6 +4,7 @@
 mod group;
 
 use group::{Group, name};
+use saddlerelay_replication::wal::{self, WalRecord};
 use std::time::Duration;
 
 /// Operations of one disk before the power is lost: those of several appends and of a whole snapshot with its segments.
@@ -18,7 +19,7 @@
 /// Time for replicas with empty disks to become voters in place of those they were.
 const REJOIN_LIMIT: Duration = Duration::from_secs(6);
 
-fn for_each_step(seeds: std::ops::Range<u64>, steps: u64, test: impl Fn(u64, u64)) {
+fn for_each_step(seeds: std::ops::Range<u64>, steps: u64, mut test: impl FnMut(u64, u64)) {
     for seed in seeds {
         (0..steps).for_each(|step| test(seed, step));
     }
@@ -149,6 +150,37 @@
     });
 }
 
+/// Whether a founder's log holds its first entry after a loss of power.
+fn holds_founding_entry(group: &Group, place: u8) -> bool {
+    let bytes = group.world.disks.content(&name(place), "wal").unwrap_or_default();
+    let content = wal::read(&bytes).expect("a loss of power leaves a log that can be read");
+    content.records.iter().any(|record| matches!(record, WalRecord::Entry(_)))
+}
+
+/// All founders lose power at any operation of their first start and are told that it is not the first any more. Where two of
+/// three have written the group's first entry, it is formed; before that there is no group, and nothing was acknowledged.
+#[test]
+fn founders_that_have_written_their_first_entry_form_their_group_without_being_told_again() {
+    let mut formed = 0;
+    for_each_step(0..10, FOUNDING_STEPS, |seed, step| {
+        let what = format!("seed {seed}, step {step}");
+        let mut group = Group::new(seed * FOUNDING_STEPS + step);
+        group.config.target_voters = 3;
+        (1..=3).for_each(|place| group.world.disks.halt_after(&name(place), step));
+        (1..=3).for_each(|place| group.start(place, true));
+        group.run_for(Duration::from_millis(20));
+        (1..=3).for_each(|place| group.power_off(place));
+        let founders = (1..=3).filter(|place| holds_founding_entry(&group, *place)).count();
+        (1..=3).for_each(|place| group.start(place, false));
+        if founders >= 2 {
+            formed += 1;
+            group.await_leader(ELECTION_LIMIT, &what);
+            group.check(&what);
+        }
+    });
+    assert!(formed > 20, "{formed} runs with a group");
+}
+
 /// Two followers are killed with an entry written and not synced, and started again: what they then acknowledge must be on
 /// their disks when the power is lost with the leader's disk. The other two followers were down all the while.
 #[test]
