--- a/crates/fleet/src/process.rs
+++ b/crates/fleet/src/process.rs
@@ -91,19 +91,40 @@
 
     /// Asks for an orderly stop, once the process is ready to be asked: one that has only just started would die of it.
     pub async fn ask_to_stop(&mut self) {
+        self.until_caught(Signal::TERM).await;
+        self.signal_stop();
+    }
+
+    /// Asks for an orderly stop at once.
+    pub fn signal_stop(&self) {
+        self.signal(Signal::TERM);
+    }
+
+    /// Signals that the settings have changed, once the process is ready to be told, as for [`Self::ask_to_stop`].
+    pub async fn ask_to_reload(&mut self) {
+        self.until_caught(Signal::HUP).await;
+        self.signal_reload();
+    }
+
+    /// Signals at once that the settings have changed.
+    pub fn signal_reload(&self) {
+        self.signal(Signal::HUP);
+    }
+
+    /// Waits until a process that has only just started handles `signal`.
+    async fn until_caught(&mut self, signal: Signal) {
         let deadline = Instant::now() + STOP_READY_LIMIT;
-        while !self.catches_stop() && self.ended().is_none() && Instant::now() < deadline {
+        while !self.catches(signal) && self.ended().is_none() && Instant::now() < deadline {
             compio::time::sleep(WAIT_POLL).await;
         }
-        self.signal(Signal::TERM);
     }
 
-    /// Whether the process handles the signal that asks for an orderly stop, as the operating system tells.
-    fn catches_stop(&self) -> bool {
+    /// Whether the process handles a signal, as the operating system tells.
+    fn catches(&self, signal: Signal) -> bool {
         let status = std::fs::read_to_string(format!("/proc/{}/status", self.child.id())).unwrap_or_default();
         let mask = status.lines().find_map(|line| line.strip_prefix("SigCgt:"));
         let mask = mask.and_then(|mask| u64::from_str_radix(mask.trim(), 16).ok()).unwrap_or_default();
-        mask & (1 << (Signal::TERM.as_raw() - 1)) != 0
+        mask & (1 << (signal.as_raw() - 1)) != 0
     }
 
     /// Makes it stand still.
--- a/crates/http/src/client.rs
+++ b/crates/http/src/client.rs
@@ -63,6 +63,11 @@
         Ok(Self { sender, address })
     }
 
+    /// Waits until the connection takes another request; `false` once it is closed.
+    pub async fn is_open(&mut self) -> bool {
+        self.sender.ready().await.is_ok()
+    }
+
     /// Sends a request with `headers`, the host of its own among them if need be, and returns the response with its body still to come.
     pub async fn send(
         &mut self,
--- a/crates/soak/src/callers.rs
+++ b/crates/soak/src/callers.rs
@@ -26,20 +26,26 @@
 /// Longest stream, in events.
 const MOST_EVENTS: u32 = 30;
 
-/// How long a client waits beyond the route's timeout.
-const PATIENCE_BEYOND: Duration = Duration::from_millis(1_500);
+/// How long a client waits: beyond the route's timeout, within which there is an answer.
+pub const PATIENCE: Duration = Duration::from_millis(TIMEOUT_MS + 1_500);
 
 /// What a client sends.
-struct Request {
-    id: String,
-    prefix: &'static str,
-    path: String,
-    body: String,
-    events: Option<u32>,
+pub struct Request {
+    /// Its identifier.
+    pub id: String,
+    /// The beginning of its path.
+    pub prefix: &'static str,
+    /// Its path.
+    pub path: String,
+    /// Its body.
+    pub body: String,
+    /// The events of the stream that is to answer it, if one is.
+    pub events: Option<u32>,
 }
 
 impl Request {
-    fn new(client: u32, number: u64) -> Self {
+    /// A request of any kind, with an identifier that tells its client.
+    pub fn new(client: u32, number: u64) -> Self {
         let id = format!("r{client}-{number}-{:04x}", fastrand::u16(..));
         let prefix = match fastrand::u32(..10) {
             0..3 => REPEATABLE,
@@ -51,6 +57,14 @@
         let body = "x".repeat(fastrand::usize(1..2_000));
         Self { path: format!("{prefix}{id}"), id, prefix, body, events }
     }
+
+    /// Its headers, but for the host and the key.
+    pub fn headers(&self) -> Vec<(&'static str, String)> {
+        let mut headers =
+            vec![("saddlerelay-request", self.id.clone()), ("saddlerelay-deadline-ms", TIMEOUT_MS.to_string())];
+        headers.extend(self.events.map(|events| ("events", events.to_string())));
+        headers
+    }
 }
 
 /// Sends requests until told to stop.
@@ -58,7 +72,7 @@
     let mut number = 0;
     while !stop.get() {
         number += 1;
-        send(&Request::new(client, number), any_gateway(), &addresses, &journal).await;
+        send(&Request::new(client, number), any_gateway(&addresses), &addresses, &journal).await;
         if number.is_multiple_of(STRANGER_EVERY) {
             ask_as_stranger(number, &addresses, &journal).await;
         }
@@ -78,7 +92,7 @@
             let id = format!("crashing-{kind}-{number}-{:04x}", fastrand::u16(..));
             let path = format!("{prefix}crashing-{kind}");
             let request = Request { id, prefix, path, body: format!("{CRASHES}{kind}"), events: None };
-            if send(&request, any_gateway(), &addresses, &journal).await == Ending::Whole {
+            if send(&request, any_gateway(&addresses), &addresses, &journal).await == Ending::Whole {
                 journal.violation("every caller gets the whole answer to its own request", request.id.clone());
             }
             compio::time::sleep(Duration::from_millis(fastrand::u64(1..LONGEST_CRASHING_PAUSE_MS))).await;
@@ -91,7 +105,7 @@
     let id = format!("{STRANGER}{number}-{:04x}", fastrand::u16(..));
     let path = format!("{REPEATABLE}{id}");
     let headers = [("host", HOST), ("saddlerelay-request", id.as_str()), (KEY_HEADER, UNKNOWN_KEY)];
-    let address = addresses.front(any_gateway());
+    let address = addresses.front(any_gateway(addresses));
     let patience = Duration::from_millis(TIMEOUT_MS);
     let answer = ask(address, Method::POST, &path, &headers, Vec::new(), patience).await;
     let refused = answer
@@ -113,15 +127,10 @@
 
 async fn send(request: &Request, gateway: u8, addresses: &Addresses, journal: &Journal) -> Ending {
     let sent_at = journal.now();
-    let deadline = TIMEOUT_MS.to_string();
-    let events = request.events.map(|events| events.to_string());
-    let mut headers = vec![("saddlerelay-request", request.id.as_str()), ("saddlerelay-deadline-ms", &deadline)];
-    if let Some(events) = &events {
-        headers.push(("events", events));
-    }
-    let patience = Duration::from_millis(TIMEOUT_MS) + PATIENCE_BEYOND;
+    let own = request.headers();
+    let headers: Vec<(&str, &str)> = own.iter().map(|(name, value)| (*name, value.as_str())).collect();
     let body = request.body.clone();
-    let answer = front(addresses, gateway, Method::POST, &request.path, &headers, body, patience).await;
+    let answer = front(addresses, gateway, Method::POST, &request.path, &headers, body, PATIENCE).await;
     let ending = judge(request, answer, journal);
     let ended_at = journal.now();
     let seen = ClientRequest { request: request.id.clone(), prefix: request.prefix, sent_at, ended_at, ending };
@@ -129,7 +138,8 @@
     ending
 }
 
-fn judge(request: &Request, answer: Option<WholeResponse>, journal: &Journal) -> Ending {
+/// How a request ended; notes an answer that is not its own.
+pub fn judge(request: &Request, answer: Option<WholeResponse>, journal: &Journal) -> Ending {
     let Some(answer) = answer else {
         return Ending::Broken;
     };
--- a/crates/soak/src/calls.rs
+++ b/crates/soak/src/calls.rs
@@ -1,6 +1,6 @@
 //! Calls to the deployment as clients, trainers, engines and operators make them.
 
-use crate::deployment::{Addresses, COORDINATORS, GATEWAYS};
+use crate::deployment::Addresses;
 use crate::workload::{HOST, KEY};
 use bytes::Bytes;
 use hyper::Method;
@@ -15,7 +15,7 @@
 const CONTROL_PATIENCE: Duration = Duration::from_millis(1_000);
 
 /// Pause before a call goes to the next process.
-const NEXT_PAUSE: Duration = Duration::from_millis(60);
+pub const NEXT_PAUSE: Duration = Duration::from_millis(60);
 
 /// Makes a call and waits for its whole answer, for at most `patience`; `None` when it brought none.
 pub async fn ask(
@@ -35,7 +35,7 @@
 
 /// One call to a coordinator chosen at random.
 pub async fn control(addresses: &Addresses, method: Method, path: &str, body: Vec<u8>) -> Option<WholeResponse> {
-    let address = addresses.control(fastrand::u8(..COORDINATORS));
+    let address = addresses.control(fastrand::u8(..addresses.size.coordinators));
     ask(address, method, path, &[], body, CONTROL_PATIENCE).await
 }
 
@@ -72,6 +72,6 @@
 }
 
 /// A gateway chosen at random.
-pub fn any_gateway() -> u8 {
-    fastrand::u8(..GATEWAYS)
+pub fn any_gateway(addresses: &Addresses) -> u8 {
+    fastrand::u8(..addresses.size.gateways)
 }
--- /dev/null
+++ b/crates/soak/src/case.rs
@@ -0,0 +1,101 @@
+//! What a soak is made from, and how it is written: `SEED`, `KIND:SEED` or `KIND:SEED:COORDINATORS+GATEWAYS`.
+
+use crate::deployment::{NAMED_COORDINATORS, Size};
+use anyhow::{Context, Result, ensure};
+use std::fmt;
+use std::str::FromStr;
+
+/// Which faults a soak causes.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum PlanKind {
+    /// Faults of one party each.
+    Single,
+    /// The same, with series of signals that overlap, and suspensions.
+    Overlapping,
+    /// The same; at last the group's members are replaced by coordinators that the settings don't name.
+    Replaced,
+}
+
+/// Coordinators of a deployment whose named ones are to be replaced: as many again vote, one learns and one is spare.
+const REPLACED_COORDINATORS: u8 = 2 * NAMED_COORDINATORS + 2;
+
+impl PlanKind {
+    const ALL: [Self; 3] = [Self::Single, Self::Overlapping, Self::Replaced];
+
+    fn word(self) -> &'static str {
+        match self {
+            Self::Single => "single",
+            Self::Overlapping => "overlapping",
+            Self::Replaced => "replaced",
+        }
+    }
+
+    /// The size of a deployment for it, unless told otherwise.
+    pub fn size(self) -> Size {
+        match self {
+            Self::Single | Self::Overlapping => Size::SMALL,
+            Self::Replaced => Size { coordinators: REPLACED_COORDINATORS, ..Size::SMALL },
+        }
+    }
+}
+
+impl FromStr for PlanKind {
+    type Err = anyhow::Error;
+
+    fn from_str(word: &str) -> Result<Self> {
+        Self::ALL.into_iter().find(|kind| kind.word() == word).with_context(|| format!("`{word}` is no kind of plan"))
+    }
+}
+
+impl FromStr for Size {
+    type Err = anyhow::Error;
+
+    fn from_str(text: &str) -> Result<Self> {
+        let (coordinators, gateways) = text.split_once('+').context("a size is COORDINATORS+GATEWAYS")?;
+        let size = Self { coordinators: coordinators.parse()?, gateways: gateways.parse()? };
+        let Self { coordinators: most_coordinators, gateways: most_gateways } = Self::LARGEST;
+        ensure!(
+            (NAMED_COORDINATORS..=most_coordinators).contains(&size.coordinators),
+            "coordinators: 3 to {most_coordinators}"
+        );
+        ensure!((1..=most_gateways).contains(&size.gateways), "gateways: 1 to {most_gateways}");
+        Ok(size)
+    }
+}
+
+/// What a soak is made from.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Case {
+    /// What its faults are drawn from.
+    pub seed: u64,
+    /// Which faults.
+    pub kind: PlanKind,
+    /// How many processes.
+    pub size: Size,
+}
+
+impl FromStr for Case {
+    type Err = anyhow::Error;
+
+    fn from_str(text: &str) -> Result<Self> {
+        let parts: Vec<&str> = text.split(':').collect();
+        let (kind, seed, size) = match parts[..] {
+            [seed] => (PlanKind::Single, seed, None),
+            [kind, seed] => (kind.parse()?, seed, None),
+            [kind, seed, size] => (kind.parse()?, seed, Some(size.parse()?)),
+            _ => anyhow::bail!("`{text}` is no case"),
+        };
+        let seed = seed.parse().with_context(|| format!("`{seed}` is no seed"))?;
+        Ok(Self { seed, kind, size: size.unwrap_or(kind.size()) })
+    }
+}
+
+impl fmt::Display for Case {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(formatter, "{}:{}", self.kind.word(), self.seed)?;
+        if self.size != self.kind.size() {
+            write!(formatter, ":{}+{}", self.size.coordinators, self.size.gateways)?;
+        }
+        Ok(())
+    }
+}
--- a/crates/soak/src/checks.rs
+++ b/crates/soak/src/checks.rs
@@ -1,8 +1,9 @@
 //! Judges what was seen against the product's promises.
 
 use crate::deployment::{CONFIGURATION_BOUND, DRAIN_BOUND, ORDER_LEASE};
-use crate::journal::{Ending, JobSeen, Moment, OrderSeen, Records, SeenResult, Violation};
-use crate::workload::{self, MOST_ATTEMPTS, MOVING, ONCE, ROLLOUTS};
+use crate::journal::{Ending, JobSeen, KeptEnding, KeptRequest, Moment, OrderSeen, Records, SeenResult, Violation};
+use crate::links::Party;
+use crate::workload::{self, MOST_ATTEMPTS, MOVING, ONCE, ROLLOUTS, TIMEOUT_MS};
 use saddlerelay_types::instance::InstanceId;
 use saddlerelay_types::job::{ItemEnd, ItemId, JobId};
 use saddlerelay_types::routing::RoutingDocument;
@@ -42,6 +43,12 @@
 /// Engines take orders from one holder at a time.
 pub const ORDERS: &str = "one holder of orders at a time";
 
+/// A request on a kept connection is answered, or its connection ends without its having been read.
+pub const KEPT: &str = "a request that was read on an open connection is answered";
+
+/// A connection that ends so soon after a request may have been on its way to its end before the request was read.
+pub const LOSS_SLACK: Duration = Duration::from_millis(200);
+
 /// Every promise that was broken, beside those whose breach was seen at once.
 pub fn check(records: &Records) -> Vec<Violation> {
     let mut violations = Vec::new();
@@ -54,9 +61,47 @@
     check_job_ends(records, &mut violations);
     check_orders(records, &mut violations);
     check_crashing_work(records, &mut violations);
+    check_kept(records, &mut violations);
     violations
 }
 
+/// A connection that ended without an answer must not have had its request read: none that ran, and none that was held.
+/// Left out: what was disturbed by a fault of its gateway or engine, and what has had its route's whole time.
+fn check_kept(records: &Records, violations: &mut Vec<Violation>) {
+    for kept in records.kept.iter().filter(|kept| kept.ending == KeptEnding::Closed) {
+        let engines: Vec<Party> = engines_of(records, &kept.request).collect();
+        let held = kept.ended_at.saturating_sub(kept.sent_at);
+        let timed_out = held >= Duration::from_millis(TIMEOUT_MS);
+        if timed_out || is_disturbed(records, kept, &engines) {
+            continue;
+        }
+        let held = held.as_millis();
+        let (at, gateway) = (seconds(kept.sent_at), kept.gateway);
+        let seen =
+            format!("{} was sent to gateway {gateway} at {at}, and its connection ended {held} ms later", kept.request);
+        if !engines.is_empty() {
+            add(violations, KEPT, format!("{seen}; it ran at {engines:?}"));
+        } else if held > LOSS_SLACK.as_millis() {
+            add_late(violations, KEPT, seen);
+        }
+    }
+}
+
+/// The engines at which a request ran.
+fn engines_of<'a>(records: &'a Records, request: &'a str) -> impl Iterator<Item = Party> + 'a {
+    let runs = records.runs.iter().filter(move |run| run.request == request);
+    runs.filter_map(|run| crate::engine::number_of(&run.instance)).map(Party::Engine)
+}
+
+/// Whether a fault of its gateway or of one of `engines` reached into a request, or ended shortly before.
+fn is_disturbed(records: &Records, kept: &KeptRequest, engines: &[Party]) -> bool {
+    let concerns = |party: &Party| *party == Party::Gateway(kept.gateway) || engines.contains(party);
+    let since = kept.sent_at.saturating_sub(CONTACT_TIME);
+    records.disruptions.iter().any(|fault| {
+        concerns(&fault.party) && fault.from <= kept.ended_at && fault.until.is_none_or(|until| until >= since)
+    })
+}
+
 /// Later than [`CONTACT_TIME`] after it has ended the third engine, such work reaches at most as many again.
 fn check_crashing_work(records: &Records, violations: &mut Vec<Violation>) {
     let mut begun: BTreeMap<u32, Vec<Moment>> = BTreeMap::new();
@@ -72,13 +117,18 @@
         };
         let later = moments.iter().filter(|moment| **moment > *third + CONTACT_TIME).count();
         if later > MOST_ENGINES_ENDED {
-            add(violations, CRASHING_WORK, format!("kind {kind} ended three engines and reached {later} later"));
+            add_late(violations, CRASHING_WORK, format!("kind {kind} ended three engines and reached {later} later"));
         }
     }
 }
 
 fn add(violations: &mut Vec<Violation>, promise: &'static str, seen: String) {
-    violations.push(Violation { promise, seen });
+    violations.push(Violation { promise, seen, time_bound: false });
+}
+
+/// Adds a breach that is one only because of the time that something took.
+fn add_late(violations: &mut Vec<Violation>, promise: &'static str, seen: String) {
+    violations.push(Violation { promise, seen, time_bound: true });
 }
 
 fn seconds(moment: Moment) -> String {
@@ -126,7 +176,7 @@
         if late && !is_near_waking(records, run.at) {
             let (at, told) = (seconds(run.at), seconds(*acknowledged));
             let seen = format!("{} reached {} at {at}, acknowledged as leaving at {told}", run.request, run.instance.0);
-            add(violations, LEAVING, seen);
+            add_late(violations, LEAVING, seen);
         }
     }
 }
@@ -153,7 +203,7 @@
         let mut services = records.documents.iter().filter(allowed).map(|document| document.moving_to);
         if !services.any(|service| service == run.service) && !is_near_waking(records, run.at) {
             let at = seconds(*sent_at);
-            add(
+            add_late(
                 violations,
                 CONFIGURATION,
                 format!("{} sent at {at} ran at {}, against version {least}", run.request, run.service),
@@ -266,7 +316,7 @@
         }
         let late = seen.ended_at.is_some_and(|ended| run.at > ended + CANCEL_BOUND);
         if late && !is_near_waking(records, run.at) {
-            add(violations, JOB_ENDS, format!("{} of {} ran at {}", run.request, job.0, seconds(run.at)));
+            add_late(violations, JOB_ENDS, format!("{} of {} ran at {}", run.request, job.0, seconds(run.at)));
         }
     }
 }
@@ -296,7 +346,7 @@
     let gap = after.at.saturating_sub(before.at);
     if before.holder != after.holder && gap < ORDER_LEASE {
         let gap = gap.as_millis();
-        add(violations, ORDERS, format!("{} ordered {engine} {gap} ms after {}", after.holder, before.holder));
+        add_late(violations, ORDERS, format!("{} ordered {engine} {gap} ms after {}", after.holder, before.holder));
     }
     if after.fence < before.fence {
         add(violations, ORDERS, format!("{engine} got fence {} after {}", after.fence, before.fence));
--- a/crates/soak/src/command_line.rs
+++ b/crates/soak/src/command_line.rs
@@ -1,5 +1,7 @@
 //! The soak's command line.
 
+use crate::case::{Case, PlanKind};
+use crate::deployment::Size;
 use crate::report::Report;
 use crate::run::{SoakOptions, folder_of, run};
 use anyhow::{Context, Result, bail};
@@ -15,13 +17,17 @@
 pub const HELP: &str = "\
 saddlerelay-soak: the product's processes under randomized faults, checked by what callers and engines see
 
-  run [--seeds FROM..TO | --seed N | --count N] [--length SECONDS] [--keep]
-                      soaks one after the other; without seeds, fresh ones
+  run [--plan KIND] [--size C+G] [--seeds FROM..TO | --seed N | --count N] [--case CASE] [--length SECONDS] [--keep]
+                      soaks one after the other; without seeds, a fresh one
   regressions FILE [--length SECONDS]
-                      the seeds that FILE lists: on each line a seed, and why it is kept
-  plan --seed N [--length SECONDS]
+                      the cases that FILE lists: on each line a case, and why it is kept
+  plan [--plan KIND] --seed N [--length SECONDS]
                       the faults of a seed
 
+KIND is single (faults of one party each), overlapping (the same, with series of signals that overlap, and suspensions;
+the default) or replaced (the same; at last the group moves to coordinators that the settings don't name).
+C+G are the numbers of coordinators and gateways. A CASE is SEED (of the kind single), KIND:SEED or KIND:SEED:C+G, as reports name it.
+
 A soak that breaks a promise keeps its folder with the logs of every process, and names it.
 Exit code 0 when no promise was broken, 1 otherwise.
 ";
@@ -53,8 +59,8 @@
 /// What the command line asks for.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Options {
-    /// The seeds, in turn.
-    pub seeds: Vec<u64>,
+    /// The cases, in turn.
+    pub cases: Vec<Case>,
     /// How long each causes faults.
     pub length: Duration,
     /// Whether to keep the folders of clean soaks too.
@@ -65,24 +71,32 @@
     /// Reads the arguments of a command.
     pub fn parse(arguments: Vec<OsString>) -> Result<Self> {
         let mut parser = lexopt::Parser::from_args(arguments);
-        let mut options = Self { seeds: Vec::new(), length: DEFAULT_LENGTH, keep: false };
+        let mut options = Self { cases: Vec::new(), length: DEFAULT_LENGTH, keep: false };
+        let mut seeds: Vec<u64> = Vec::new();
+        let mut kind = PlanKind::Overlapping;
+        let mut size: Option<Size> = None;
         while let Some(argument) = parser.next()? {
             match argument {
-                Long("seed") => options.seeds.push(parser.value()?.parse()?),
-                Long("seeds") => options.seeds.extend(parse_range(&parser.value()?.string()?)?),
+                Long("seed") => seeds.push(parser.value()?.parse()?),
+                Long("seeds") => seeds.extend(parse_range(&parser.value()?.string()?)?),
                 Long("count") => {
                     let count: usize = parser.value()?.parse()?;
-                    options.seeds.extend((0..count).map(|_| u64::from(fastrand::u32(..))));
+                    seeds.extend((0..count).map(|_| u64::from(fastrand::u32(..))));
                 }
+                Long("plan") => kind = parser.value()?.parse()?,
+                Long("size") => size = Some(parser.value()?.parse()?),
+                Long("case") => options.cases.push(parser.value()?.parse()?),
                 Long("length") => options.length = Duration::from_secs(parser.value()?.parse()?),
                 Long("keep") => options.keep = true,
-                Value(file) => options.seeds.extend(read_seeds(&PathBuf::from(file))?),
+                Value(file) => options.cases.extend(read_cases(&PathBuf::from(file))?),
                 other => return Err(other.unexpected().into()),
             }
         }
-        if options.seeds.is_empty() {
-            options.seeds.push(u64::from(fastrand::u32(..)));
+        if seeds.is_empty() && options.cases.is_empty() {
+            seeds.push(u64::from(fastrand::u32(..)));
         }
+        let size = size.unwrap_or(kind.size());
+        options.cases.extend(seeds.into_iter().map(|seed| Case { seed, kind, size }));
         Ok(options)
     }
 }
@@ -96,21 +110,17 @@
     Ok(from..to)
 }
 
-/// Reads a list of seeds: on each line a seed, and why it is kept; lines that begin with `#` are comments.
-pub fn read_seeds(file: &PathBuf) -> Result<Vec<u64>> {
+/// Reads a list of cases: on each line a case, and why it is kept; lines that begin with `#` are comments.
+pub fn read_cases(file: &PathBuf) -> Result<Vec<Case>> {
     let text = std::fs::read_to_string(file).with_context(|| file.display().to_string())?;
     let lines = text.lines().map(str::trim).filter(|line| !line.is_empty() && !line.starts_with('#'));
-    let seed = |line: &str| {
-        let word = line.split_whitespace().next().unwrap_or_default();
-        word.parse().with_context(|| format!("`{word}` is no seed"))
-    };
-    lines.map(seed).collect()
+    lines.map(|line| line.split_whitespace().next().unwrap_or_default().parse()).collect()
 }
 
 fn print_plans(options: &Options) -> bool {
-    for seed in &options.seeds {
-        println!("seed {seed}");
-        for planned in crate::plan::draw(*seed, options.length) {
+    for case in &options.cases {
+        println!("{case}");
+        for planned in crate::plan::draw(*case, options.length) {
             println!("{:>8.3} s  {:?}", planned.at.as_secs_f64(), planned.fault);
         }
     }
@@ -119,22 +129,22 @@
 
 fn soak_all(options: &Options) -> Result<bool> {
     let mut clean = true;
-    for seed in &options.seeds {
-        clean &= soak(*seed, options)?.is_clean();
+    for case in &options.cases {
+        clean &= soak(*case, options)?.is_clean();
     }
     Ok(clean)
 }
 
-fn soak(seed: u64, options: &Options) -> Result<Report> {
-    let folder = folder_of(seed, &std::env::temp_dir());
-    let soak = SoakOptions { seed, length: options.length, executable: own_executable()?, folder: folder.clone() };
+fn soak(case: Case, options: &Options) -> Result<Report> {
+    let folder = folder_of(case.seed, &std::env::temp_dir());
+    let soak = SoakOptions { case, length: options.length, executable: own_executable()?, folder: folder.clone() };
     let report = compio::runtime::Runtime::new()?.block_on(run(&soak));
-    let report = report.inspect_err(|_| eprintln!("seed {seed}: its files are in {}", folder.display()))?;
+    let report = report.inspect_err(|_| eprintln!("{case}: its files are in {}", folder.display()))?;
     println!("{report}");
-    if report.is_clean() && !options.keep {
+    if report.is_clean() && report.not_judged.is_empty() && !options.keep {
         std::fs::remove_dir_all(&folder)?;
     } else {
-        println!("seed {seed}: its files are in {}", folder.display());
+        println!("{case}: its files are in {}", folder.display());
     }
     Ok(report)
 }
--- a/crates/soak/src/deployment.rs
+++ b/crates/soak/src/deployment.rs
@@ -5,18 +5,38 @@
 use crate::proxy::{self, Identify, ProcessTable, ProxyPlace};
 use anyhow::{Context, Result, ensure};
 use saddlerelay_fleet_runner::process::{ChildSpec, Program, RunningChild};
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
 use std::net::{IpAddr, Ipv4Addr, SocketAddr, TcpListener};
 use std::path::{Path, PathBuf};
 use std::rc::Rc;
 use std::time::Duration;
 
-/// Coordinators: one may be lost.
-pub const COORDINATORS: u8 = 3;
+/// Coordinators that every settings file names, and that found the group. One may be lost.
+pub const NAMED_COORDINATORS: u8 = 3;
 
-/// Gateways.
-pub const GATEWAYS: u8 = 3;
+/// How many processes of each kind a deployment has.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Size {
+    /// Coordinators. Those beyond [`NAMED_COORDINATORS`] find the group by the ones that the settings name.
+    pub coordinators: u8,
+    /// Gateways.
+    pub gateways: u8,
+}
+
+impl Size {
+    /// The smallest deployment: as many coordinators as vote, and three gateways.
+    pub const SMALL: Self = Self { coordinators: NAMED_COORDINATORS, gateways: 3 };
+
+    /// The most that the addresses of a soak's network have room for.
+    pub const LARGEST: Self = Self { coordinators: FIRST_ENGINE - FIRST_COORDINATOR, gateways: 190 };
+
+    /// Every process of the product.
+    pub fn processes(self) -> Vec<Party> {
+        let coordinators = (0..self.coordinators).map(Party::Coordinator);
+        coordinators.chain((0..self.gateways).map(Party::Gateway)).collect()
+    }
+}
 
 /// How often engines report themselves.
 pub const REPORT_INTERVAL: Duration = Duration::from_millis(500);
@@ -52,32 +72,37 @@
 
 /// Last bytes of the first address of each kind of process.
 const FIRST_COORDINATOR: u8 = 10;
-const FIRST_GATEWAY: u8 = 30;
-const FIRST_ENGINE: u8 = 50;
+const FIRST_ENGINE: u8 = 40;
+const FIRST_GATEWAY: u8 = 60;
 const PLATFORM: u8 = 5;
 
 /// The length of a window of usage, and how long after its end it is due.
 const USAGE_WINDOW: Duration = Duration::from_secs(2);
 const USAGE_DUE: Duration = Duration::from_secs(10);
 
+/// What a leader's line about new members says.
+const MEMBERS_PROPOSED: &str = "members proposed";
+
 /// Networks tried before giving up.
 const NETWORK_ATTEMPTS: u32 = 100;
 
 /// A network of loopback addresses that no other soak uses: each process has an address of its own in it.
 #[derive(Clone)]
 pub struct Addresses {
+    /// How many processes there are.
+    pub size: Size,
     network: [u8; 2],
     _lock: Rc<TcpListener>,
 }
 
 impl Addresses {
     /// Takes a network that is free.
-    pub fn take() -> Result<Self> {
+    pub fn take(size: Size) -> Result<Self> {
         for _ in 0..NETWORK_ATTEMPTS {
             let network = [fastrand::u8(16..240), fastrand::u8(..)];
             let lock = SocketAddr::new(ip(network, 1), CONTROL_PORT);
             if let Ok(lock) = TcpListener::bind(lock) {
-                return Ok(Self { network, _lock: Rc::new(lock) });
+                return Ok(Self { size, network, _lock: Rc::new(lock) });
             }
         }
         anyhow::bail!("no free network of loopback addresses was found")
@@ -141,6 +166,26 @@
     folder: PathBuf,
     children: RefCell<BTreeMap<Party, RunningChild>>,
     processes: ProcessTable,
+    /// The coordinator that settings files name first; it changes with each reload, so that the content does.
+    first_named: Cell<u8>,
+}
+
+/// A process that has been asked to stop.
+pub struct Stopping {
+    party: Party,
+    child: RunningChild,
+}
+
+impl Stopping {
+    /// Asks once more.
+    pub fn ask_again(&self) {
+        self.child.signal_stop();
+    }
+
+    /// Signals that its settings have changed.
+    pub fn signal_reload(&self) {
+        self.child.signal_reload();
+    }
 }
 
 fn name_of(party: Party) -> String {
@@ -152,27 +197,28 @@
     }
 }
 
-/// Every process of the product.
-pub fn all_processes() -> Vec<Party> {
-    let coordinators = (0..COORDINATORS).map(Party::Coordinator);
-    coordinators.chain((0..GATEWAYS).map(Party::Gateway)).collect()
-}
-
 impl Deployment {
     /// Starts every process, and the proxies before them and before `engines` engines.
-    pub async fn start(executable: PathBuf, folder: &Path, journal: Journal, engines: u8) -> Result<Rc<Self>> {
+    pub async fn start(
+        executable: PathBuf,
+        folder: &Path,
+        journal: Journal,
+        engines: u8,
+        size: Size,
+    ) -> Result<Rc<Self>> {
         std::fs::create_dir_all(folder)?;
         let deployment = Rc::new(Self {
-            addresses: Addresses::take()?,
+            addresses: Addresses::take(size)?,
             links: Links::default(),
             journal,
             executable,
             folder: folder.to_path_buf(),
             children: RefCell::default(),
             processes: ProcessTable::default(),
+            first_named: Cell::new(0),
         });
         deployment.start_proxies(engines).await?;
-        for party in all_processes() {
+        for party in size.processes() {
             deployment.write_settings(party, true)?;
             deployment.start_process(party)?;
         }
@@ -183,12 +229,12 @@
         let outside = Identify::Always(Party::Outside);
         let by_process = Identify::ByProcess(self.processes.clone());
         let mut places = Vec::new();
-        for number in 0..COORDINATORS {
+        for number in 0..self.addresses.size.coordinators {
             let party = Party::Coordinator(number);
             places.push((self.addresses.control(number), party, outside.clone()));
             places.push((self.addresses.peer(number), party, by_process.clone()));
         }
-        for number in 0..GATEWAYS {
+        for number in 0..self.addresses.size.gateways {
             places.push((self.addresses.front(number), Party::Gateway(number), outside.clone()));
         }
         for number in 0..engines {
@@ -210,10 +256,30 @@
         self.folder.join(format!("data-{}", name_of(party)))
     }
 
+    /// The members that the group's leader proposed last, as the logs of the coordinators tell; empty if none did.
+    pub fn newest_members(&self) -> String {
+        let logs = (0..self.addresses.size.coordinators).map(|number| self.log_file(Party::Coordinator(number)));
+        let proposals = logs.filter_map(|log| std::fs::read_to_string(log).ok()).flat_map(|text| {
+            let lines = text.lines().filter(|line| line.contains(MEMBERS_PROPOSED)).map(str::to_string);
+            lines.collect::<Vec<_>>()
+        });
+        // Each line begins with its moment.
+        proposals.max().unwrap_or_default()
+    }
+
+    /// Whether the group's newest members include a coordinator.
+    pub fn is_member(&self, number: u8) -> bool {
+        self.newest_members().contains(&self.addresses.peer(number).to_string())
+    }
+
+    fn log_file(&self, party: Party) -> PathBuf {
+        self.folder.join(format!("{}.log", name_of(party)))
+    }
+
     /// Writes a process's settings; `first_start` is true only while the deployment starts for the first time.
     pub fn write_settings(&self, party: Party, first_start: bool) -> Result<()> {
-        let seeds: Vec<String> =
-            (0..COORDINATORS).map(|number| format!("\"{}\"", self.addresses.control(number))).collect();
+        let named = (0..NAMED_COORDINATORS).map(|place| (self.first_named.get() + place) % NAMED_COORDINATORS);
+        let seeds: Vec<String> = named.map(|number| format!("\"{}\"", self.addresses.control(number))).collect();
         let own = match party {
             Party::Coordinator(number) => format!(
                 "role = \"coordinator\"\ncontrol_address = \"{}\"\npeer_address = \"{}\"\npeer_listen_address = \"{}\"\n\
@@ -247,7 +313,11 @@
             USAGE_DUE.as_secs(),
             self.addresses.platform(),
         );
-        Ok(std::fs::write(self.settings_file(party), text)?)
+        // In one step: a process that starts or follows its settings meanwhile would read half of them.
+        let file = self.settings_file(party);
+        let written = file.with_extension("new");
+        std::fs::write(&written, text)?;
+        Ok(std::fs::rename(written, file)?)
     }
 
     /// Starts a process, or starts it again.
@@ -261,7 +331,7 @@
                 "--config".to_string(),
                 self.settings_file(party).display().to_string(),
             ],
-            output: self.folder.join(format!("{name}.log")),
+            output: self.log_file(party),
             name,
         };
         let child = RunningChild::start(&spec)?;
@@ -270,14 +340,64 @@
         Ok(())
     }
 
-    fn forget(&self, party: Party) -> Option<RunningChild> {
-        self.processes.borrow_mut().retain(|(_, owner)| *owner != party);
+    /// Takes a process out of the watch over those that end by themselves. Its connections stay its own until
+    /// [`Self::forget_connections`].
+    fn take(&self, party: Party) -> Option<RunningChild> {
         self.children.borrow_mut().remove(&party)
     }
 
+    /// A process has ended: what its number owns from now on is another's.
+    fn forget_connections(&self, process: u32) {
+        self.processes.borrow_mut().retain(|(owner, _)| *owner != process);
+    }
+
     /// Kills a process at once; `false` if it does not run.
     pub fn kill(&self, party: Party) -> bool {
-        self.forget(party).map(|mut child| child.kill()).is_some()
+        let Some(mut child) = self.take(party) else {
+            return false;
+        };
+        child.kill();
+        self.forget_connections(child.id());
+        true
+    }
+
+    /// Begins a planned stop: what follows is up to the caller, who ends it with [`Self::finish_stop`] or
+    /// [`Self::break_off_stop`]. `None` if the process does not run.
+    pub async fn begin_stop(&self, party: Party) -> Option<Stopping> {
+        let mut child = self.take(party)?;
+        child.ask_to_stop().await;
+        Some(Stopping { party, child })
+    }
+
+    /// Waits until a process that was asked to stop has ended, and says whether it ended well.
+    pub async fn finish_stop(&self, mut stopping: Stopping) -> Result<()> {
+        let ended = stopping.child.wait(STOP_LIMIT).await;
+        self.forget_connections(stopping.child.id());
+        ensure!(ended == Some(true), "{}: the planned stop ended with {ended:?}", name_of(stopping.party));
+        Ok(())
+    }
+
+    /// Kills a process that was asked to stop.
+    pub fn break_off_stop(&self, mut stopping: Stopping) {
+        stopping.child.kill();
+        self.forget_connections(stopping.child.id());
+    }
+
+    /// Rewrites a process's settings: the same content, in another order.
+    pub fn change_settings(&self, party: Party) -> Result<()> {
+        self.first_named.set((self.first_named.get() + 1) % NAMED_COORDINATORS);
+        self.write_settings(party, false)
+    }
+
+    /// Changes a process's settings, and signals it.
+    pub async fn reload(&self, party: Party) -> Result<()> {
+        self.change_settings(party)?;
+        let child = self.take(party);
+        if let Some(mut child) = child {
+            child.ask_to_reload().await;
+            self.children.borrow_mut().insert(party, child);
+        }
+        Ok(())
     }
 
     /// Whether a process runs.
@@ -292,13 +412,10 @@
 
     /// Stops a process in the planned way.
     pub async fn stop(&self, party: Party) -> Result<()> {
-        let Some(mut child) = self.forget(party) else {
-            return Ok(());
-        };
-        child.ask_to_stop().await;
-        let ended = child.wait(STOP_LIMIT).await;
-        ensure!(ended == Some(true), "{}: the planned stop ended with {ended:?}", name_of(party));
-        Ok(())
+        match self.begin_stop(party).await {
+            Some(stopping) => self.finish_stop(stopping).await,
+            None => Ok(()),
+        }
     }
 
     /// Notes processes that have ended by themselves, and starts them again.
@@ -309,12 +426,19 @@
         };
         for party in ended {
             self.journal.violation("processes do not end by themselves", name_of(party));
-            self.forget(party);
+            if let Some(child) = self.take(party) {
+                self.forget_connections(child.id());
+            }
             self.start_process(party)?;
         }
         Ok(())
     }
 
+    /// Every process of the product.
+    pub fn processes(&self) -> Vec<Party> {
+        self.addresses.size.processes()
+    }
+
     /// Most resident memory of one process now, in bytes.
     pub fn largest_memory(&self) -> u64 {
         let children = self.children.borrow();
--- a/crates/soak/src/engine.rs
+++ b/crates/soak/src/engine.rs
@@ -96,6 +96,12 @@
     state: Rc<State>,
 }
 
+/// The number of an instance's engine.
+pub fn number_of(instance: &InstanceId) -> Option<u8> {
+    let (number, _) = instance.0.strip_prefix("engine-")?.split_once('-')?;
+    number.parse().ok()
+}
+
 /// A request in progress; counts until dropped.
 struct InProgress(Rc<State>);
 
--- a/crates/soak/src/faults.rs
+++ b/crates/soak/src/faults.rs
@@ -1,10 +1,10 @@
 //! Brings planned faults about, and heals them.
 
-use crate::deployment::{COORDINATORS, Deployment, GATEWAYS, all_processes};
+use crate::deployment::{Deployment, NAMED_COORDINATORS};
 use crate::engine::{Conduct, Engine, OrderConduct};
 use crate::journal::{Journal, Moment};
 use crate::links::{Condition, Party};
-use crate::operator;
+use crate::operator::{self, Operator};
 use crate::plan::{Direction, ENGINES, End, Fault};
 use anyhow::Result;
 use rustix::process::{Pid, Resource, Rlimit, prlimit};
@@ -21,6 +21,21 @@
 /// How long an engine is down that has ended under its work.
 const DOWN_AFTER_WORK: Duration = Duration::from_millis(1_500);
 
+/// How long the group may take to replace a member that has ended: for hangs only, the next step waits for it.
+const REPLACEMENT_LIMIT: Duration = Duration::from_secs(30);
+
+/// Pause after a change of members, in which the next learner is taken in.
+const SETTLE_TIME: Duration = Duration::from_millis(1_500);
+
+/// How long all processes are down that were killed together.
+const DOWN_TOGETHER: Duration = Duration::from_millis(500);
+
+/// Pause between looks at something.
+const POLL: Duration = Duration::from_millis(50);
+
+/// A process that is asked to stop ends, and says that it ended well.
+pub const STOP_ENDS_WELL: &str = "a planned stop ends well";
+
 /// The file to which a coordinator appends.
 const LOG_FILE: &str = "wal";
 
@@ -33,9 +48,10 @@
 
 /// What faults act on.
 pub struct Faults {
-    deployment: Rc<Deployment>,
+    pub(crate) deployment: Rc<Deployment>,
     engines: Vec<Engine>,
-    journal: Journal,
+    pub(crate) operator: Rc<Operator>,
+    pub(crate) journal: Journal,
     /// Processes that a fault holds at this moment.
     held: RefCell<BTreeSet<Party>>,
     /// When a fault of any coordinator last ended.
@@ -43,14 +59,15 @@
 }
 
 /// Holds a party for one fault; lets it go when dropped.
-struct Hold<'a> {
+pub(crate) struct Hold<'a> {
     faults: &'a Faults,
-    party: Party,
+    pub(crate) party: Party,
 }
 
 impl Drop for Hold<'_> {
     fn drop(&mut self) {
         self.faults.held.borrow_mut().remove(&self.party);
+        self.faults.journal.end_disruption(self.party);
         if matches!(self.party, Party::Coordinator(_)) {
             self.faults.coordinators_healed_at.set(self.faults.journal.now());
         }
@@ -59,15 +76,38 @@
 
 impl Faults {
     /// Faults of this deployment and these engines.
-    pub fn new(deployment: Rc<Deployment>, engines: Vec<Engine>, journal: Journal) -> Self {
+    pub fn new(deployment: Rc<Deployment>, engines: Vec<Engine>, operator: Rc<Operator>, journal: Journal) -> Self {
         let coordinators_healed_at = Cell::new(journal.now());
-        Self { deployment, engines, journal, held: RefCell::default(), coordinators_healed_at }
+        Self { deployment, engines, operator, journal, held: RefCell::default(), coordinators_healed_at }
     }
 
+    /// Holds a party for a fault; `None` while another one does.
     fn hold(&self, party: Party) -> Option<Hold<'_>> {
+        let hold = self.hold_for_planned_work(party)?;
+        self.journal.begin_disruption(party);
+        Some(hold)
+    }
+
+    /// Holds a party for planned work, which is no fault.
+    pub(crate) fn hold_for_planned_work(&self, party: Party) -> Option<Hold<'_>> {
         self.held.borrow_mut().insert(party).then(|| Hold { faults: self, party })
     }
 
+    /// Holds every process, once the faults under way have let go of them.
+    async fn hold_all(&self) -> Vec<Hold<'_>> {
+        let mut holds = Vec::new();
+        for party in self.deployment.processes() {
+            loop {
+                if let Some(hold) = self.hold(party) {
+                    holds.push(hold);
+                    break;
+                }
+                compio::time::sleep(POLL).await;
+            }
+        }
+        holds
+    }
+
     /// Whether the group can bear the loss of a disk now: no coordinator is harmed, nor was one lately.
     fn bears_disk_loss(&self) -> bool {
         let harmed = self.held.borrow().iter().any(|party| matches!(party, Party::Coordinator(_)));
@@ -79,6 +119,12 @@
         match fault {
             Fault::Restart { party, end, down } => self.restart(party, end, down).await,
             Fault::KillAll { down } => self.kill_all(down).await,
+            Fault::Series { party, rounds } => self.series(party, &rounds).await,
+            Fault::Suspend { parties, time } => {
+                self.suspend(&parties, time).await;
+                Ok(())
+            }
+            Fault::ReplaceMembers => self.replace_members().await,
             Fault::Freeze { party, time } => {
                 self.freeze(party, time).await;
                 Ok(())
@@ -98,21 +144,24 @@
         }
     }
 
-    fn tell(&self, fault: &str) {
+    pub(crate) fn tell(&self, fault: &str) {
         self.journal.fault(fault.to_string());
     }
 
     async fn restart(&self, party: Party, end: End, down: Duration) -> Result<()> {
         let end = if end == End::LoseDisk && !self.bears_disk_loss() { End::Kill } else { end };
-        let Some(_hold) = self.hold(party) else {
+        let hold = if end == End::Stop { self.hold_for_planned_work(party) } else { self.hold(party) };
+        let Some(_hold) = hold else {
             return Ok(());
         };
         self.tell(&format!("{party:?}: {end:?}, down {} ms", down.as_millis()));
         match end {
             End::Stop => {
+                let planned = self.journal.begin_planned(party);
                 if let Err(error) = self.deployment.stop(party).await {
-                    self.journal.violation("a planned stop ends well", format!("{error:#}"));
+                    self.journal.violation(STOP_ENDS_WELL, format!("{error:#}"));
                 }
+                self.journal.end_planned(planned);
             }
             End::Kill | End::LoseDisk | End::TearLog => {
                 self.deployment.kill(party);
@@ -125,24 +174,74 @@
             End::Kill | End::Stop => {}
         }
         compio::time::sleep(down).await;
+        self.start_again(party)
+    }
+
+    /// Starts a process again that has ended.
+    pub(crate) fn start_again(&self, party: Party) -> Result<()> {
         self.deployment.write_settings(party, false)?;
         self.deployment.start_process(party)
     }
 
     async fn kill_all(&self, down: Duration) -> Result<()> {
-        let holds: Vec<Hold> = (0..COORDINATORS).filter_map(|number| self.hold(Party::Coordinator(number))).collect();
+        let coordinators = (0..self.deployment.addresses.size.coordinators).map(Party::Coordinator);
+        let holds: Vec<Hold> = coordinators.filter_map(|party| self.hold(party)).collect();
         self.tell(&format!("{} coordinators killed at once, down {} ms", holds.len(), down.as_millis()));
-        for hold in &holds {
-            self.deployment.kill(hold.party);
+        self.kill_together(holds.iter().map(|hold| hold.party), down).await
+    }
+
+    /// Kills processes at the same moment, and starts them again.
+    async fn kill_together(&self, parties: impl Iterator<Item = Party> + Clone, down: Duration) -> Result<()> {
+        for party in parties.clone() {
+            self.deployment.kill(party);
         }
         compio::time::sleep(down).await;
-        for hold in &holds {
-            self.deployment.write_settings(hold.party, false)?;
-            self.deployment.start_process(hold.party)?;
+        for party in parties {
+            self.start_again(party)?;
         }
         Ok(())
     }
 
+    /// Has the group replace the coordinators that the settings name, one after the other: each is ended for good once
+    /// the one before is no member any more. Then every process is killed and comes back with the same settings.
+    async fn replace_members(&self) -> Result<()> {
+        let holds = self.hold_all().await;
+        let named = (0..NAMED_COORDINATORS).map(Party::Coordinator);
+        for number in 0..NAMED_COORDINATORS {
+            self.tell(&format!("coordinator {number} is ended, to be replaced"));
+            self.deployment.kill(Party::Coordinator(number));
+            let until = self.journal.now() + REPLACEMENT_LIMIT;
+            while self.deployment.is_member(number) && self.journal.now() < until {
+                compio::time::sleep(POLL).await;
+            }
+            if self.deployment.is_member(number) {
+                let seen = format!("coordinator {number} was ended {REPLACEMENT_LIMIT:?} ago and is a member");
+                self.journal.violation("a lost member is replaced", seen);
+            }
+            compio::time::sleep(SETTLE_TIME).await;
+        }
+        for party in named {
+            self.start_again(party)?;
+        }
+        compio::time::sleep(SETTLE_TIME).await;
+        self.tell(&format!("all processes are killed; members: {}", self.deployment.newest_members()));
+        self.kill_together(holds.iter().map(|hold| hold.party), DOWN_TOGETHER).await
+    }
+
+    async fn suspend(&self, parties: &[Party], time: Duration) {
+        let holds: Vec<Hold> = parties.iter().filter_map(|party| self.hold(*party)).collect();
+        let held: Vec<Party> = holds.iter().map(|hold| hold.party).collect();
+        self.tell(&format!("{held:?}: suspended for {} ms", time.as_millis()));
+        for party in &held {
+            self.deployment.with_process(*party, RunningChild::freeze);
+        }
+        compio::time::sleep(time).await;
+        for party in &held {
+            self.deployment.with_process(*party, RunningChild::thaw);
+        }
+        self.journal.woke();
+    }
+
     async fn freeze(&self, party: Party, time: Duration) {
         let Some(_hold) = self.hold(party) else {
             return;
@@ -167,7 +266,7 @@
         };
         let time = time.as_millis() as u64;
         self.tell(&format!("{party:?}: {condition:?} {direction:?} for {time} ms, others: {}", !coordinators_only));
-        let mut others = all_processes();
+        let mut others = self.deployment.processes();
         if coordinators_only {
             others.retain(|other| matches!(other, Party::Coordinator(_)));
         } else {
@@ -256,9 +355,10 @@
 
     async fn crash(&self, engine: &Engine, down: Duration) {
         let party = Party::Engine(engine.number());
+        self.journal.begin_disruption(party);
         self.deployment.links.set_down(party, true);
         let set = |condition| {
-            for other in all_processes() {
+            for other in self.deployment.processes() {
                 self.deployment.links.set_both(other, party, condition);
             }
         };
@@ -267,6 +367,7 @@
         compio::time::sleep(down).await;
         set(Condition::Open);
         self.deployment.links.set_down(party, false);
+        self.journal.end_disruption(party);
     }
 
     /// Lets everything go on that stands still or is cut off; faults under way end by themselves.
@@ -280,11 +381,6 @@
     }
 }
 
-/// Every gateway.
-pub fn gateways() -> impl Iterator<Item = u8> {
-    0..GATEWAYS
-}
-
 /// Leaves the beginning of a record behind the last whole one, as a process does that is killed while it writes.
 fn tear(folder: &Path) -> Result<()> {
     let file = folder.join(LOG_FILE);
--- a/crates/soak/src/journal.rs
+++ b/crates/soak/src/journal.rs
@@ -1,5 +1,6 @@
 //! What callers, operators and engines saw during a soak.
 
+use crate::links::Party;
 use saddlerelay_types::instance::InstanceId;
 use saddlerelay_types::job::{ItemEnd, ItemId, JobId};
 use std::cell::RefCell;
@@ -55,6 +56,43 @@
     pub ending: Ending,
 }
 
+/// How a request on a connection that its client keeps ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum KeptEnding {
+    /// With a whole answer.
+    Answered,
+    /// The connection ended before the whole answer.
+    Closed,
+    /// The client's patience ended.
+    GivenUp,
+}
+
+/// A request on a connection that its client keeps.
+#[derive(Clone, Debug)]
+pub struct KeptRequest {
+    /// Its identifier.
+    pub request: String,
+    /// The gateway at the other end.
+    pub gateway: u8,
+    /// When it was sent.
+    pub sent_at: Moment,
+    /// When it ended.
+    pub ended_at: Moment,
+    /// How.
+    pub ending: KeptEnding,
+}
+
+/// Time for which something was done to a party.
+#[derive(Clone, Debug)]
+pub struct Disturbance {
+    /// The party.
+    pub party: Party,
+    /// When it began.
+    pub from: Moment,
+    /// When it ended; `None` while it lasts.
+    pub until: Option<Moment>,
+}
+
 /// An order that reached an engine.
 #[derive(Clone, Debug)]
 pub struct OrderSeen {
@@ -133,6 +171,8 @@
     pub promise: &'static str,
     /// What was seen.
     pub seen: String,
+    /// Whether it is one because of the time that something took, so that a late soak may have caused it.
+    pub time_bound: bool,
 }
 
 /// Everything that was seen.
@@ -146,6 +186,12 @@
     pub item_failures: BTreeMap<String, u32>,
     /// Clients' requests.
     pub requests: Vec<ClientRequest>,
+    /// Clients' requests on connections that they keep.
+    pub kept: Vec<KeptRequest>,
+    /// Planned work: stops and reloads, each until the process has ended or its reload is long done.
+    pub planned: Vec<Disturbance>,
+    /// Faults of parties, apart from planned work.
+    pub disruptions: Vec<Disturbance>,
     /// Orders that engines saw.
     pub orders: Vec<OrderSeen>,
     /// When the leaving of an engine was acknowledged.
@@ -197,8 +243,55 @@
 
     /// Notes a broken promise.
     pub fn violation(&self, promise: &'static str, seen: String) {
-        eprintln!("{:>8.3} s  broken: {promise}: {seen}", self.now().as_secs_f64());
-        self.write(|records| records.violations.push(Violation { promise, seen }));
+        self.take_violation(Violation { promise, seen, time_bound: false });
+    }
+
+    /// Notes that something took longer than was promised.
+    pub fn late(&self, promise: &'static str, seen: String) {
+        self.take_violation(Violation { promise, seen, time_bound: true });
+    }
+
+    /// Notes a broken promise that a check has found.
+    pub fn take_violation(&self, violation: Violation) {
+        let now = self.now().as_secs_f64();
+        eprintln!("{now:>8.3} s  broken: {}: {}", violation.promise, violation.seen);
+        self.write(|records| records.violations.push(violation));
+    }
+
+    /// Notes that planned work on `party` begins; returns its number for [`Self::end_planned`].
+    pub fn begin_planned(&self, party: Party) -> usize {
+        let from = self.now();
+        self.write(|records| {
+            records.planned.push(Disturbance { party, from, until: None });
+            records.planned.len() - 1
+        })
+    }
+
+    /// Notes that planned work is over.
+    pub fn end_planned(&self, number: usize) {
+        let now = self.now();
+        self.write(|records| records.planned[number].until = Some(now));
+    }
+
+    /// Whether planned work on `party` is under way.
+    pub fn is_under_planned_work(&self, party: Party) -> bool {
+        let under_way = |work: &Disturbance| work.party == party && work.until.is_none();
+        self.read(|records| records.planned.iter().any(under_way))
+    }
+
+    /// Notes that a fault of `party` begins.
+    pub fn begin_disruption(&self, party: Party) {
+        let from = self.now();
+        self.write(|records| records.disruptions.push(Disturbance { party, from, until: None }));
+    }
+
+    /// Notes that the faults of `party` are over.
+    pub fn end_disruption(&self, party: Party) {
+        let now = self.now();
+        self.write(|records| {
+            let lasting = |fault: &&mut Disturbance| fault.party == party && fault.until.is_none();
+            records.disruptions.iter_mut().filter(lasting).for_each(|fault| fault.until = Some(now));
+        });
     }
 
     /// Notes that a process woke or a link healed.
--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -8,12 +8,14 @@
 
 pub mod callers;
 pub mod calls;
+pub mod case;
 pub mod checks;
 pub mod command_line;
 pub mod deployment;
 pub mod engine;
 pub mod faults;
 pub mod journal;
+pub mod kept;
 pub mod links;
 pub mod operator;
 pub mod owner;
@@ -22,5 +24,6 @@
 pub mod proxy;
 pub mod report;
 pub mod run;
+mod series;
 pub mod trainer;
 pub mod workload;
--- a/crates/soak/src/operator.rs
+++ b/crates/soak/src/operator.rs
@@ -59,8 +59,13 @@
 
     /// Sends a new document until it is acknowledged; `false` when `wanted` ceases to hold.
     pub async fn change(&self, wanted: impl Fn() -> bool) -> bool {
+        self.change_to_next(wanted).await.is_some()
+    }
+
+    /// As [`Self::change`]; returns the version that was acknowledged.
+    async fn change_to_next(&self, wanted: impl Fn() -> bool) -> Option<u64> {
         let (version, body) = self.next_document();
-        self.send(version, body, wanted).await
+        self.send(version, body, wanted).await.then_some(version)
     }
 
     /// Sends two documents at the same time, as two operators do.
@@ -85,8 +90,7 @@
     }
 
     /// Sends other content under an acknowledged version: it must be acknowledged and change nothing.
-    async fn send_other_content(&self) {
-        let version = self.version.get();
+    async fn send_other_content(&self, version: u64) {
         let document = workload::document(version, "web-b", 1);
         let body = serde_json::to_vec(&document).unwrap_or_default();
         // The answer does not matter: what is read later does.
@@ -100,7 +104,11 @@
             let wanted = || !stop.get();
             match fastrand::u32(..10) {
                 0..2 => self.change_twice_at_once(&wanted).await,
-                2 if self.change(wanted).await => self.send_other_content().await,
+                2 => {
+                    if let Some(version) = self.change_to_next(wanted).await {
+                        self.send_other_content(version).await;
+                    }
+                }
                 _ => {
                     self.change(wanted).await;
                 }
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -1,11 +1,14 @@
 //! One soak: start, load, faults, proof that the deployment works again, orderly end, checks.
 
 use crate::callers;
+use crate::case::Case;
 use crate::checks;
-use crate::deployment::{Deployment, REPORT_INTERVAL, all_processes};
+use crate::deployment::{Deployment, REPORT_INTERVAL};
 use crate::engine::Engine;
-use crate::faults::{Faults, gateways};
-use crate::journal::Journal;
+use crate::faults::{Faults, STOP_ENDS_WELL};
+use crate::journal::{Journal, Moment};
+use crate::kept;
+use crate::links::Party;
 use crate::operator::{self, Operator};
 use crate::plan::{self, ENGINES, MODEL_ENGINES, WEB_ENGINES};
 use crate::platform::Platform;
@@ -13,6 +16,7 @@
 use crate::trainer::Trainer;
 use crate::workload::{MODEL_SERVICE, MOVING, ONCE, REPEATABLE, STREAMS, WEB_SERVICES};
 use anyhow::{Result, bail};
+use compio::runtime::JoinHandle;
 use futures::future;
 use hyper::{Method, StatusCode};
 use std::cell::Cell;
@@ -26,6 +30,9 @@
 /// How long after the last fault everything works again.
 pub const RECOVERY_LIMIT: Duration = Duration::from_secs(12);
 
+/// How long it is waited for: for hangs only.
+const RECOVERY_HANG: Duration = Duration::from_secs(40);
+
 /// How long the last tasks may take to end.
 const END_LIMIT: Duration = Duration::from_secs(20);
 
@@ -38,8 +45,8 @@
 /// How a soak is made.
 #[derive(Clone, Debug)]
 pub struct SoakOptions {
-    /// What its faults are drawn from.
-    pub seed: u64,
+    /// What its faults are drawn from, and how many processes it has.
+    pub case: Case,
     /// How long faults are caused.
     pub length: Duration,
     /// The soak's own executable, which holds the product too.
@@ -50,11 +57,12 @@
 
 /// Runs a soak.
 pub async fn run(options: &SoakOptions) -> Result<Report> {
-    fastrand::seed(options.seed);
+    fastrand::seed(options.case.seed);
     let journal = Journal::default();
     let _lag = compio::runtime::spawn(watch_own_lag(journal.clone()));
     let executable = options.executable.clone();
-    let deployment = Deployment::start(executable, &options.folder, journal.clone(), ENGINES).await?;
+    let deployment =
+        Deployment::start(executable, &options.folder, journal.clone(), ENGINES, options.case.size).await?;
     let platform = Platform::start(deployment.addresses.platform(), journal.clone()).await?;
     let newest = Rc::new(Cell::new(1));
     let engines = start_engines(&deployment, &journal, &newest).await?;
@@ -77,7 +85,10 @@
         let run = callers::run(client, addresses.clone(), journal.clone(), stop.clone());
         tasks.push(compio::runtime::spawn(run));
     }
-    let faults = Rc::new(Faults::new(deployment.clone(), engines.clone(), journal.clone()));
+    let kept_stop = Rc::new(Cell::new(false));
+    let kept = kept::clients(&addresses, &journal, &kept_stop);
+    let kept: Vec<_> = kept.into_iter().map(|client| compio::runtime::spawn(client.run())).collect();
+    let faults = Rc::new(Faults::new(deployment.clone(), engines.clone(), operator.clone(), journal.clone()));
     for engine in &engines {
         compio::runtime::spawn(faults.clone().crash_by_work(engine.clone())).detach();
     }
@@ -88,20 +99,19 @@
     crashing_stop.set(true);
     prove_recovery(&deployment, &operator, &trainer, &journal).await;
     stop.set(true);
-    if compio::time::timeout(END_LIMIT, future::join_all(tasks)).await.is_err() {
-        journal.violation("every caller gets an answer", "a task of the load did not end".to_string());
-    }
+    end_load(tasks, &journal).await;
     read_back(&operator, &trainer, &journal).await;
     if platform.windows() == 0 {
         journal.violation("the platform is told the usage", "no window was reported".to_string());
     }
     reports_stop.set(true);
     stop_processes(&deployment, &journal).await;
-    let violations = journal.read(checks::check);
-    for violation in &violations {
-        journal.violation(violation.promise, violation.seen.clone());
+    kept_stop.set(true);
+    end_load(kept, &journal).await;
+    for violation in journal.read(checks::check) {
+        journal.take_violation(violation);
     }
-    Ok(Report::new(options.seed, memory, &journal))
+    Ok(Report::new(options.case, memory, &journal))
 }
 
 async fn start_engines(deployment: &Rc<Deployment>, journal: &Journal, newest: &Rc<Cell<u64>>) -> Result<Vec<Engine>> {
@@ -129,7 +139,7 @@
     if !operator.change(|| Instant::now() < until).await {
         bail!("the first routing document was not accepted within {START_LIMIT:?}");
     }
-    for gateway in gateways() {
+    for gateway in 0..deployment.addresses.size.gateways {
         while !is_ready(deployment, gateway).await {
             if Instant::now() > until {
                 bail!("gateway {gateway} was not ready within {START_LIMIT:?}");
@@ -148,7 +158,7 @@
     options: &SoakOptions,
 ) -> Result<u64> {
     let started = journal.now();
-    let mut planned = plan::draw(options.seed, options.length).into_iter().peekable();
+    let mut planned = plan::draw(options.case, options.length).into_iter().peekable();
     let mut running = Vec::new();
     let mut memory = 0;
     while planned.peek().is_some() || journal.now() < started + options.length {
@@ -170,25 +180,64 @@
 
 /// Everything works again soon after the last fault.
 async fn prove_recovery(deployment: &Rc<Deployment>, operator: &Operator, trainer: &Trainer, journal: &Journal) {
-    const PROMISE: &str = "everything works again soon after the last fault";
-    let healed_at = journal.now();
-    let in_time = || journal.now() < healed_at + RECOVERY_LIMIT;
-    for gateway in gateways() {
-        for prefix in [REPEATABLE, ONCE, MOVING, STREAMS] {
-            let mut served = false;
-            while !served && in_time() {
-                served = callers::probe(prefix, gateway, &deployment.addresses, journal).await;
-            }
-            if !served {
-                journal.violation(PROMISE, format!("gateway {gateway} does not serve {prefix}"));
+    let recovery = Recovery { healed_at: journal.now(), journal };
+    let gateways = 0..deployment.addresses.size.gateways;
+    let probes = gateways.flat_map(|gateway| [REPEATABLE, ONCE, MOVING, STREAMS].map(|prefix| (gateway, prefix)));
+    let proofs = probes.map(|(gateway, prefix)| {
+        let probe = move || callers::probe(prefix, gateway, &deployment.addresses, journal);
+        let told = format!("gateway {gateway} serves {prefix}");
+        recovery.prove(told, probe)
+    });
+    let change = || operator.change(|| !recovery.hangs());
+    let step = || prove_step(trainer, &recovery);
+    future::join3(
+        future::join_all(proofs),
+        recovery.prove("a routing document is accepted".to_string(), change),
+        recovery.prove("a training step is whole".to_string(), step),
+    )
+    .await;
+}
+
+async fn prove_step(trainer: &Trainer, recovery: &Recovery<'_>) -> bool {
+    let missing = trainer.prove_step(RECOVERY_LIMIT).await;
+    if let Some(missing) = &missing {
+        println!("{:>8.3} s  a training step is not whole yet: {missing}", recovery.journal.now().as_secs_f64());
+    }
+    missing.is_none()
+}
+
+/// The time after the last fault.
+struct Recovery<'a> {
+    healed_at: Moment,
+    journal: &'a Journal,
+}
+
+impl Recovery<'_> {
+    fn hangs(&self) -> bool {
+        self.journal.now() > self.healed_at + RECOVERY_HANG
+    }
+
+    /// Tries until something works. That it does so late is a finding about times; that it never does is not.
+    async fn prove<Trial: Future<Output = bool>>(&self, what: String, mut try_once: impl FnMut() -> Trial) {
+        const PROMISE: &str = "everything works again soon after the last fault";
+        while !try_once().await {
+            if self.hangs() {
+                self.journal.violation(PROMISE, format!("not within {RECOVERY_HANG:?}: {what}"));
+                return;
             }
+            compio::time::sleep(POLL).await;
+        }
+        let took = self.journal.now() - self.healed_at;
+        if took > RECOVERY_LIMIT {
+            self.journal.late(PROMISE, format!("only after {} ms: {what}", took.as_millis()));
         }
     }
-    if !operator.change(in_time).await {
-        journal.violation(PROMISE, "a routing document was not accepted".to_string());
-    }
-    if let Some(missing) = trainer.prove_step(RECOVERY_LIMIT).await {
-        journal.violation(PROMISE, format!("a training step was not whole: {missing}"));
+}
+
+/// Waits until tasks of the load that were told to stop have ended.
+async fn end_load<T>(tasks: Vec<JoinHandle<T>>, journal: &Journal) {
+    if compio::time::timeout(END_LIMIT, future::join_all(tasks)).await.is_err() {
+        journal.violation("every caller gets an answer", "a task of the load did not end".to_string());
     }
 }
 
@@ -218,12 +267,22 @@
     }
 }
 
+/// Stops every gateway at once, and then the coordinators one by one, in the planned way.
 async fn stop_processes(deployment: &Rc<Deployment>, journal: &Journal) {
-    for party in all_processes().into_iter().rev() {
-        if let Err(error) = deployment.stop(party).await {
-            journal.violation("a planned stop ends well", format!("{error:#}"));
-        }
+    let size = deployment.addresses.size;
+    let gateways = (0..size.gateways).map(|number| stop_process(deployment, Party::Gateway(number), journal));
+    future::join_all(gateways).await;
+    for number in (0..size.coordinators).rev() {
+        stop_process(deployment, Party::Coordinator(number), journal).await;
+    }
+}
+
+async fn stop_process(deployment: &Rc<Deployment>, party: Party, journal: &Journal) {
+    let planned = journal.begin_planned(party);
+    if let Err(error) = deployment.stop(party).await {
+        journal.violation(STOP_ENDS_WELL, format!("{error:#}"));
     }
+    journal.end_planned(planned);
 }
 
 /// Watches how late this process's own tasks run: all connections pass through it, and what it delays, everyone sees late.
--- /dev/null
+++ b/crates/soak/src/series.rs
@@ -0,0 +1,87 @@
+//! Signals, restarts and changes of one process that overlap, round after round.
+
+use crate::faults::{Faults, STOP_ENDS_WELL};
+use crate::links::{Condition, Party};
+use crate::plan::{ENGINES, Overlap, Round};
+use anyhow::Result;
+use std::time::Duration;
+
+/// How long a change that overlaps with signals is sent again and again.
+const CHANGE_LIMIT: Duration = Duration::from_secs(5);
+
+impl Faults {
+    /// Brings a series about; one whose process is held by another fault is left out.
+    pub(crate) async fn series(&self, party: Party, rounds: &[Round]) -> Result<()> {
+        let Some(_hold) = self.hold_for_planned_work(party) else {
+            return Ok(());
+        };
+        for round in rounds {
+            let (gap, down) = (round.gap.as_millis(), round.down.as_millis());
+            self.tell(&format!("{party:?}: {:?}, {gap} ms between, down {down} ms", round.overlap));
+            self.overlap(party, round).await?;
+        }
+        Ok(())
+    }
+
+    async fn overlap(&self, party: Party, round: &Round) -> Result<()> {
+        if round.overlap == Overlap::RestartUnderOldConnections {
+            return self.restart_under_old_connections(party, round).await;
+        }
+        let planned = self.journal.begin_planned(party);
+        let ended = self.stop_overlapping(party, round).await;
+        self.journal.end_planned(planned);
+        if let Err(error) = ended {
+            self.journal.violation(STOP_ENDS_WELL, format!("{:?}: {error:#}", round.overlap));
+        }
+        compio::time::sleep(round.down).await;
+        self.start_again(party)
+    }
+
+    /// A planned stop, with what comes before and after its signal.
+    async fn stop_overlapping(&self, party: Party, round: &Round) -> Result<()> {
+        if round.overlap == Overlap::StopDuringReload {
+            let (operator, until) = (self.operator.clone(), self.journal.now() + CHANGE_LIMIT);
+            let journal = self.journal.clone();
+            let change = async move { operator.change(|| journal.now() < until).await };
+            compio::runtime::spawn(change).detach();
+            self.deployment.reload(party).await?;
+            compio::time::sleep(round.gap).await;
+        }
+        let Some(stopping) = self.deployment.begin_stop(party).await else {
+            return Ok(());
+        };
+        if round.overlap != Overlap::StopDuringReload {
+            compio::time::sleep(round.gap).await;
+        }
+        match round.overlap {
+            Overlap::StopTwice => stopping.ask_again(),
+            Overlap::ReloadWhileStopping => {
+                self.deployment.change_settings(party)?;
+                stopping.signal_reload();
+            }
+            Overlap::KillWhileStopping => {
+                self.journal.begin_disruption(party);
+                self.deployment.break_off_stop(stopping);
+                return Ok(());
+            }
+            Overlap::StopDuringReload | Overlap::RestartUnderOldConnections => {}
+        }
+        self.deployment.finish_stop(stopping).await
+    }
+
+    /// Kills a process whose last bytes, the ends of its connections among them, are held back until it runs again.
+    async fn restart_under_old_connections(&self, party: Party, round: &Round) -> Result<()> {
+        self.journal.begin_disruption(party);
+        let mut others = self.deployment.processes();
+        others.extend((0..ENGINES).map(Party::Engine));
+        others.push(Party::Outside);
+        let set = |condition| others.iter().for_each(|other| self.deployment.links.set(party, *other, condition));
+        set(Condition::Silent);
+        self.deployment.kill(party);
+        self.start_again(party)?;
+        compio::time::sleep(round.gap + round.down).await;
+        set(Condition::Open);
+        self.journal.woke();
+        Ok(())
+    }
+}
--- a/crates/soak/src/trainer.rs
+++ b/crates/soak/src/trainer.rs
@@ -139,7 +139,7 @@
         let headers = [("saddlerelay-request", job.id.0.as_str())];
         let mut only_refused = true;
         while wanted() {
-            let gateway = any_gateway();
+            let gateway = any_gateway(&self.addresses);
             let sent = front(&self.addresses, gateway, Method::POST, &job.path, &headers, body.clone(), CALL_PATIENCE);
             match sent.await.map(|answer| answer.status) {
                 Some(StatusCode::ACCEPTED) => {
@@ -182,7 +182,8 @@
         let asked_at = self.journal.now();
         let path = format!("/v1/jobs/{}/results?after={after}&wait_ms={}", job.0, HELD.as_millis());
         let patience = CALL_PATIENCE + HELD;
-        let answer = front(&self.addresses, any_gateway(), Method::GET, &path, &[], Vec::new(), patience).await;
+        let answer =
+            front(&self.addresses, any_gateway(&self.addresses), Method::GET, &path, &[], Vec::new(), patience).await;
         let Some(answer) = answer else {
             return false;
         };
@@ -192,7 +193,7 @@
                 acknowledged.is_some_and(|at| asked_at > at + SETTLE)
             });
             if settled {
-                self.journal.violation("an accepted job lasts", format!("{} was said not to exist", job.0));
+                self.journal.late("an accepted job lasts", format!("{} was said not to exist", job.0));
             }
             return false;
         }
@@ -236,8 +237,16 @@
         let asked_at = self.journal.now();
         self.note(job, |seen| seen.end_asked_at = Some(asked_at));
         while wanted() {
-            let ended =
-                front(&self.addresses, any_gateway(), Method::DELETE, &path, &[], Vec::new(), CALL_PATIENCE).await;
+            let ended = front(
+                &self.addresses,
+                any_gateway(&self.addresses),
+                Method::DELETE,
+                &path,
+                &[],
+                Vec::new(),
+                CALL_PATIENCE,
+            )
+            .await;
             if ended.is_some_and(|answer| answer.status.is_success()) {
                 let now = self.journal.now();
                 self.note(job, |seen| seen.ended_at = Some(now));
