Handle SIGTERM and SIGHUP from a process's start to its end

Cause: the runtime's listener handles a signal only until it has come, and then gives it its default action back. The second SIGTERM of a planned stop ended the process at once, with every request in progress; a SIGHUP while the settings file was being read, or before it was first followed, did the same.

Ruled out: a listener in a loop alone, which leaves a gap between one listener and the next.

Change: `signals::SignalListener` registers the next listener before the one before it goes, and the first before the process sets anything up.

--- a/crates/command-line/src/lib.rs
+++ b/crates/command-line/src/lib.rs
@@ -7,6 +7,7 @@
 mod logs;
 pub mod member;
 pub mod serve;
+mod signals;
 pub mod table;
 
 use lexopt::prelude::*;
--- a/crates/command-line/src/member.rs
+++ b/crates/command-line/src/member.rs
@@ -1,7 +1,9 @@
 //! Runs a process of a deployment that finds its own members: a gateway, or a coordinator.
 
+use crate::signals::{SIGHUP, SIGTERM, SignalListener};
 use crate::{CommandError, Exit, read_member_settings};
 use compio::net::TcpListener;
+use futures::future::Either;
 use saddlerelay_control::node::ControlNode;
 use saddlerelay_control_client::ControlClient;
 use saddlerelay_coordinator::{Coordinator, CoordinatorConfig, CoordinatorIdentity, EngineDialect};
@@ -25,8 +27,6 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-const SIGHUP: i32 = 1;
-const SIGTERM: i32 = 15;
 const SIGXFSZ: i32 = 25;
 
 /// How long a stopping gateway goes on taking connections: until the platform has noticed that it is not ready.
@@ -59,13 +59,17 @@
 /// Runs the process that the settings in `file` describe.
 pub fn run(file: &Path) -> Result<(), CommandError> {
     let settings = read_member_settings(file)?;
+    // Handled before anything is set up, and until everything is done.
+    let mut stop = SignalListener::listen(SIGTERM).map_err(failed)?;
+    let reload = SignalListener::listen(SIGHUP).map_err(failed)?;
+    let signals = ProcessSignals { stop: &mut stop, reload };
     let log = saddlerelay_telemetry::log::set_up_stdout(&settings.name).map_err(failed)?;
     let runtime = compio::runtime::Runtime::new().map_err(failed)?;
     spdlog::info!("start", kv: {
         zone = settings.zone.as_str(), role = role_name(&settings.role), seeds = settings.seeds.len(),
         version = env!("CARGO_PKG_VERSION")
     });
-    let ended = runtime.block_on(run_role(settings, file.to_path_buf()));
+    let ended = runtime.block_on(run_role(settings, file.to_path_buf(), signals));
     match &ended {
         Ok(()) => spdlog::info!("stopped", kv: { dropped_log_lines = log.dropped() }),
         Err(error) => spdlog::error!("stopped", kv: { reason = error.to_string().as_str() }),
@@ -81,15 +85,21 @@
     }
 }
 
-async fn run_role(settings: MemberSettings, file: PathBuf) -> Result<(), CommandError> {
+/// The signals that a process follows.
+struct ProcessSignals<'a> {
+    stop: &'a mut SignalListener,
+    reload: SignalListener,
+}
+
+async fn run_role(settings: MemberSettings, file: PathBuf, signals: ProcessSignals<'_>) -> Result<(), CommandError> {
     match settings.interface {
         Interface::Own => {
             let outward = Outward { engines: Box::new(OwnEngines), platform: Box::new(OwnPlatform) };
-            run_speaking(settings, file, OwnFormats, outward).await
+            run_speaking(settings, file, signals, OwnFormats, outward).await
         }
         Interface::Platform => {
             let outward = Outward { engines: Box::new(PlatformEngines), platform: Box::new(PlatformDuties) };
-            run_speaking(settings, file, PlatformFormats, outward).await
+            run_speaking(settings, file, signals, PlatformFormats, outward).await
         }
     }
 }
@@ -103,6 +113,7 @@
 async fn run_speaking<F: Formats>(
     settings: MemberSettings,
     file: PathBuf,
+    signals: ProcessSignals<'_>,
     formats: F,
     outward: Outward,
 ) -> Result<(), CommandError> {
@@ -110,12 +121,12 @@
     match settings.role.clone() {
         MemberRole::Gateway { client_address, readiness_address } => {
             let addresses = GatewayAddresses { client_address, readiness_address };
-            run_gateway(settings, file, seeds, addresses, formats).await
+            run_gateway(settings, file, signals, seeds, addresses, formats).await
         }
         MemberRole::Coordinator { control_address, peer_address, peer_listen_address, data_folder, first_start } => {
             let addresses = CoordinatorAddresses { control_address, peer_address, peer_listen_address };
             let start = CoordinatorStart { addresses, data_folder, first_start };
-            run_coordinator(settings, file, seeds, start, formats, outward).await
+            run_coordinator(settings, file, signals, seeds, start, formats, outward).await
         }
     }
 }
@@ -144,6 +155,7 @@
 async fn run_gateway<F: Formats>(
     settings: MemberSettings,
     file: PathBuf,
+    signals: ProcessSignals<'_>,
     seeds: Seeds,
     addresses: GatewayAddresses,
     formats: F,
@@ -171,8 +183,8 @@
     runtime.spawn(serve_until(readiness_listener, readiness, Shutdown::default()));
     let of_metrics = gateway.clone();
     serve_metrics(&runtime, settings.metrics_address, move || of_metrics.metrics().encode()).await?;
-    runtime.spawn(follow_settings(runtime.clone(), file, seeds, |_| {}));
-    compio::signal::unix::signal(SIGTERM).await.map_err(failed)?;
+    runtime.spawn(follow_settings(runtime.clone(), file, signals.reload, seeds, |_| {}));
+    signals.stop.received().await.map_err(failed)?;
     spdlog::info!("planned stop", kv: { grace_ms = settings.bounds.grace.as_millis() as u64 });
     gateway.drain();
     let notice = NOTICE_TIME.min(settings.bounds.grace / 2);
@@ -185,6 +197,7 @@
 async fn run_coordinator<F: Formats>(
     settings: MemberSettings,
     file: PathBuf,
+    signals: ProcessSignals<'_>,
     seeds: Seeds,
     start: CoordinatorStart,
     formats: F,
@@ -242,8 +255,10 @@
     };
     runtime.spawn(introduce(runtime.clone(), node.clone(), control, record, seeds.clone()));
     let replica = node.replica().clone();
-    runtime.spawn(follow_settings(runtime.clone(), file, seeds, move |seeds| replica.hear_of(seeds.iter().copied())));
-    compio::signal::unix::signal(SIGTERM).await.map_err(failed)?;
+    runtime.spawn(follow_settings(runtime.clone(), file, signals.reload, seeds, move |seeds| {
+        replica.hear_of(seeds.iter().copied())
+    }));
+    signals.stop.received().await.map_err(failed)?;
     let handed_over = node.hand_over().await;
     spdlog::info!("planned stop", kv: { handed_over = handed_over });
     shutdown.close(settings.bounds.grace / 4).await;
@@ -287,14 +302,18 @@
 async fn follow_settings(
     runtime: CompioRuntime,
     file: PathBuf,
+    mut reload: SignalListener,
     seeds: Seeds,
     changed: impl Fn(&[SocketAddr]) + 'static,
 ) {
     let mut held = std::fs::read(&file).unwrap_or_default();
     loop {
-        let signal = std::pin::pin!(compio::signal::unix::signal(SIGHUP));
+        let signal = std::pin::pin!(reload.received());
         let pause = std::pin::pin!(runtime.sleep(SETTINGS_INTERVAL));
-        futures::future::select(signal, pause).await;
+        if let Either::Left((Err(error), pause)) = futures::future::select(signal, pause).await {
+            spdlog::error!("no signal is heard", kv: { reason = error.to_string().as_str() });
+            pause.await;
+        }
         let Ok(bytes) = std::fs::read(&file) else {
             continue;
         };
--- a/crates/command-line/src/serve.rs
+++ b/crates/command-line/src/serve.rs
@@ -1,5 +1,6 @@
 //! Wires a process together and runs it until it is told to stop.
 
+use crate::signals::{SIGTERM, SignalListener};
 use crate::{CommandError, Exit, read_settings};
 use compio::net::TcpListener;
 use saddlerelay_api::control::ControlApi;
@@ -21,7 +22,6 @@
 use std::time::Duration;
 
 const SIGINT: i32 = 2;
-const SIGTERM: i32 = 15;
 
 /// How long the last answers of a planned stop may take to reach their callers.
 const CLOSE_LIMIT: Duration = Duration::from_secs(10);
@@ -36,22 +36,24 @@
     let folder = &settings.data_folder;
     std::fs::create_dir_all(folder).map_err(|error| failed(format!("{}: {error}", folder.display())))?;
     let log = saddlerelay_telemetry::log::set_up(folder).map_err(failed)?;
+    // Handled until everything is done.
+    let mut terminate = SignalListener::listen(SIGTERM).map_err(failed)?;
     let runtime = compio::runtime::Runtime::new().map_err(failed)?;
-    let ended = runtime.block_on(run(settings, log.clone()));
+    let ended = runtime.block_on(run(settings, log.clone(), &mut terminate));
     if let Err(error) = &ended {
         spdlog::error!("the process ends: {}", error);
     }
     ended
 }
 
-async fn run(settings: Settings, log: Arc<RingSink>) -> Result<(), CommandError> {
+async fn run(settings: Settings, log: Arc<RingSink>, terminate: &mut SignalListener) -> Result<(), CommandError> {
     let platform = CompioRuntime::new(settings.data_folder.clone());
     let addresses = BackendAddresses { scorer: settings.scorer, platform: settings.platform };
     let backends = HttpBackends::new(addresses).map_err(failed)?;
     spdlog::info!("start", kv: { name = settings.name.as_str(), zone = settings.zone.as_str() });
     match settings.role.clone() {
-        Role::Relay(relay) => run_relay(settings, relay, platform, backends).await,
-        Role::Control(control) => run_control(settings, *control, platform, backends, log).await,
+        Role::Relay(relay) => run_relay(settings, relay, platform, backends, terminate).await,
+        Role::Control(control) => run_control(settings, *control, platform, backends, log, terminate).await,
     }
 }
 
@@ -64,6 +66,7 @@
     relay: RelaySettings,
     platform: CompioRuntime,
     backends: HttpBackends,
+    terminate: &mut SignalListener,
 ) -> Result<(), CommandError> {
     let options = RelayOptions {
         name: settings.name,
@@ -79,7 +82,7 @@
     let api = RelayApi { relay: relay.clone(), platform: platform.clone() };
     let shutdown = Shutdown::default();
     platform.spawn(serve_until(listener, Rc::new(api), shutdown.clone()));
-    wait_for_stop().await;
+    wait_for_stop(terminate).await?;
     spdlog::info!("planned stop", kv: { in_progress = relay.in_progress() });
     // Whoever asks meanwhile is told at once to go elsewhere.
     let drained = relay.drain().await;
@@ -93,6 +96,7 @@
     platform: CompioRuntime,
     backends: HttpBackends,
     log: Arc<RingSink>,
+    terminate: &mut SignalListener,
 ) -> Result<(), CommandError> {
     let options = ReplicaOptions {
         address: control.peer_address,
@@ -119,15 +123,16 @@
     };
     let shutdown = Shutdown::default();
     platform.spawn(serve_until(http_listener, Rc::new(api), shutdown.clone()));
-    wait_for_stop().await;
+    wait_for_stop(terminate).await?;
     let handed_over = node.hand_over().await;
     spdlog::info!("planned stop", kv: { handed_over = handed_over });
     shutdown.close(CLOSE_LIMIT).await;
     Ok(())
 }
 
-async fn wait_for_stop() {
-    let terminate = std::pin::pin!(compio::signal::unix::signal(SIGTERM));
+async fn wait_for_stop(terminate: &mut SignalListener) -> Result<(), CommandError> {
+    let terminate = std::pin::pin!(terminate.received());
     let interrupt = std::pin::pin!(compio::signal::unix::signal(SIGINT));
-    futures::future::select(terminate, interrupt).await;
+    let (heard, _) = futures::future::select(terminate, interrupt).await.factor_first();
+    heard.map_err(failed)
 }
