Soak: reading back late is a finding about times; that it never comes is not

Cause: the read after the last proof had 12 s in all, and what was not read within them was broken, also on a machine that was busy. Change: as for recovery, later than 12 s is a finding about times, later than 40 s one in any case.

--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -180,7 +180,8 @@
 
 /// Everything works again soon after the last fault.
 async fn prove_recovery(deployment: &Rc<Deployment>, operator: &Operator, trainer: &Trainer, journal: &Journal) {
-    let recovery = Recovery { healed_at: journal.now(), journal };
+    let promise = "everything works again soon after the last fault";
+    let recovery = Proof { promise, since: journal.now(), journal };
     let gateways = 0..deployment.addresses.size.gateways;
     let probes = gateways.flat_map(|gateway| [REPEATABLE, ONCE, MOVING, STREAMS].map(|prefix| (gateway, prefix)));
     let proofs = probes.map(|(gateway, prefix)| {
@@ -198,7 +199,7 @@
     .await;
 }
 
-async fn prove_step(trainer: &Trainer, recovery: &Recovery<'_>) -> bool {
+async fn prove_step(trainer: &Trainer, recovery: &Proof<'_>) -> bool {
     let missing = trainer.prove_step(RECOVERY_LIMIT).await;
     if let Some(missing) = &missing {
         println!("{:>8.3} s  a training step is not whole yet: {missing}", recovery.journal.now().as_secs_f64());
@@ -206,30 +207,30 @@
     missing.is_none()
 }
 
-/// The time after the last fault.
-struct Recovery<'a> {
-    healed_at: Moment,
+/// Something that has to work soon after a moment.
+struct Proof<'a> {
+    promise: &'static str,
+    since: Moment,
     journal: &'a Journal,
 }
 
-impl Recovery<'_> {
+impl Proof<'_> {
     fn hangs(&self) -> bool {
-        self.journal.now() > self.healed_at + RECOVERY_HANG
+        self.journal.now() > self.since + RECOVERY_HANG
     }
 
     /// Tries until something works. That it does so late is a finding about times; that it never does is not.
     async fn prove<Trial: Future<Output = bool>>(&self, what: String, mut try_once: impl FnMut() -> Trial) {
-        const PROMISE: &str = "everything works again soon after the last fault";
         while !try_once().await {
             if self.hangs() {
-                self.journal.violation(PROMISE, format!("not within {RECOVERY_HANG:?}: {what}"));
+                self.journal.violation(self.promise, format!("not within {RECOVERY_HANG:?}: {what}"));
                 return;
             }
             compio::time::sleep(POLL).await;
         }
-        let took = self.journal.now() - self.healed_at;
+        let took = self.journal.now() - self.since;
         if took > RECOVERY_LIMIT {
-            self.journal.late(PROMISE, format!("only after {} ms: {what}", took.as_millis()));
+            self.journal.late(self.promise, format!("only after {} ms: {what}", took.as_millis()));
         }
     }
 }
@@ -243,27 +244,14 @@
 
 /// Reads back what was acknowledged: the configuration, and every job from its start.
 async fn read_back(operator: &Operator, trainer: &Trainer, journal: &Journal) {
-    const PROMISE: &str = "what was acknowledged can be read back";
-    let until = journal.now() + RECOVERY_LIMIT;
-    let in_time = || journal.now() < until;
-    while !operator.read().await {
-        if !in_time() {
-            journal.violation(PROMISE, "no routing document".to_string());
-            break;
-        }
-    }
+    let reading = Proof { promise: "what was acknowledged can be read back", since: journal.now(), journal };
+    reading.prove("the routing document".to_string(), || operator.read()).await;
     let acknowledged: Vec<_> = journal.read(|records| {
         let jobs = records.jobs.iter().filter(|(_, seen)| seen.acknowledged_at.is_some());
         jobs.map(|(job, _)| job.clone()).collect()
     });
     for job in acknowledged {
-        while !trainer.read_page(&job, 0).await {
-            if !in_time() {
-                journal.violation(PROMISE, format!("job {} cannot be read", job.0));
-                break;
-            }
-            compio::time::sleep(POLL).await;
-        }
+        reading.prove(format!("job {}", job.0), || trainer.read_page(&job, 0)).await;
     }
 }
 
