--- a/crates/control-client/src/lib.rs
+++ b/crates/control-client/src/lib.rs
@@ -5,8 +5,10 @@
 //! assignments a sequence. A call whose answer is lost is therefore repeated until its time runs out.
 
 pub mod reports;
+pub mod search;
 pub mod suspicions;
 
+use crate::search::{LastAnswer, LeaderSearch};
 use saddlerelay_rpc::client::{CallError, Client};
 use saddlerelay_runtime::Runtime;
 use saddlerelay_types::gateway::{GatewayReply, GatewayRequest};
@@ -32,6 +34,10 @@
 /// How long a replica that did not answer is passed over while others may: an election takes no longer.
 const PASSED_OVER: Duration = Duration::from_millis(1500);
 
+/// Most replicas that a client asks: some times as many as a group has members, so that addresses of machines that are gone
+/// leave room for those that are there.
+const MOST_REPLICAS: usize = 64;
+
 /// Why a call brought no outcome.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum ControlError {
@@ -50,15 +56,17 @@
     Undecided,
 }
 
-/// A replica, and until when it is passed over because it did not answer.
+/// A replica, until when it is passed over because it did not answer, and what it answered last.
 struct Known<P> {
     client: Client<P>,
     passed_over_until: Duration,
+    last_answer: LastAnswer,
 }
 
 impl<P: Runtime> Known<P> {
     fn new(platform: &P, address: SocketAddr, secret: &str) -> Self {
-        Self { client: Client::new(platform.clone(), address, secret), passed_over_until: Duration::ZERO }
+        let client = Client::new(platform.clone(), address, secret);
+        Self { client, passed_over_until: Duration::ZERO, last_answer: LastAnswer::NotAsked }
     }
 }
 
@@ -210,6 +218,18 @@
         self.inner.current.set(index.unwrap_or(0));
     }
 
+    /// What each replica last answered, for the log of whoever finds no leader.
+    pub fn search(&self) -> LeaderSearch {
+        let replicas = self.inner.replicas.borrow();
+        LeaderSearch { replicas: replicas.iter().map(|known| (known.client.address(), known.last_answer)).collect() }
+    }
+
+    fn note_answer(&self, address: SocketAddr, answer: LastAnswer) {
+        let mut replicas = self.inner.replicas.borrow_mut();
+        let asked = replicas.iter_mut().filter(|known| known.client.address() == address);
+        asked.for_each(|known| known.last_answer = answer);
+    }
+
     async fn call_leader(&self, request: &ControlRequest, limit: Duration) -> Result<ControlReply, ControlError> {
         self.call_until(request, limit, ATTEMPT_LIMIT, &mut false).await
     }
@@ -235,13 +255,15 @@
             if answer.is_err() {
                 self.pass_over(replica.address());
             }
-            match answer.ok().and_then(|bytes| bitcode::decode(&bytes).ok()) {
-                Some(ControlReply::NotLeader { leader: Some(leader) }) if leader != replica.address() => {
+            let outcome = answer.map(|bytes| bitcode::decode(&bytes).ok());
+            self.note_answer(replica.address(), LastAnswer::of(&outcome));
+            match outcome.ok().flatten() {
+                Some(ControlReply::NotLeader { leader: Some(leader), .. }) if leader != replica.address() => {
                     self.choose(leader);
                 }
                 reply @ (Some(ControlReply::NotLeader { .. } | ControlReply::Undecided) | None) => {
                     *may_be_done |= matches!(reply, Some(ControlReply::Undecided));
-                    self.choose_next();
+                    self.choose_after(reply);
                     self.inner.platform.sleep(self.next_retry_pause()).await;
                 }
                 Some(reply) => {
@@ -259,6 +281,39 @@
         replicas[self.inner.current.get() % replicas.len()].client.clone()
     }
 
+    /// Turns to another replica after one that was no help: to the first that it has named and that was not known, or else
+    /// to the next.
+    fn choose_after(&self, reply: Option<ControlReply>) {
+        let peers = match reply {
+            Some(ControlReply::NotLeader { peers, .. }) => peers,
+            _ => Vec::new(),
+        };
+        match self.learn(&peers) {
+            Some(index) => self.inner.current.set(index),
+            None => self.choose_next(),
+        }
+    }
+
+    /// Takes replicas that another has named, up to a number; returns the place of the first that was not known.
+    fn learn(&self, addresses: &[SocketAddr]) -> Option<usize> {
+        let mut replicas = self.inner.replicas.borrow_mut();
+        let known_before = replicas.len();
+        for address in addresses {
+            let is_known = replicas.iter().any(|known| known.client.address() == *address);
+            if !is_known && replicas.len() < MOST_REPLICAS {
+                replicas.push(Known::new(&self.inner.platform, *address, &self.inner.secret));
+            }
+        }
+        (replicas.len() > known_before).then_some(known_before)
+    }
+
+    /// Takes further addresses at which replicas may listen, for example when the settings have changed.
+    pub fn hear_of(&self, addresses: &[SocketAddr]) {
+        if let Some(index) = self.learn(addresses) {
+            self.inner.current.set(index);
+        }
+    }
+
     /// Turns to the next replica that has not been silent lately, or to the next one if all have.
     fn choose_next(&self) {
         let now = self.inner.platform.monotonic();
--- a/crates/replication/src/replica.rs
+++ b/crates/replication/src/replica.rs
@@ -80,6 +80,10 @@
     pub outgoing: RefCell<Weak<Snapshot>>,
     /// Where replicas may listen that this one has heard of.
     pub heard_of: RefCell<BTreeSet<SocketAddr>>,
+    /// The leader that last told this replica of itself although it is no member.
+    pub announced_leader: Cell<Option<SocketAddr>>,
+    /// Machines that are told where the group is while this replica leads.
+    pub audience: RefCell<BTreeSet<SocketAddr>>,
     /// Replicas that have asked this leader in vain to be added, and when.
     pub refused_joiners: RefCell<BTreeMap<SocketAddr, Duration>>,
 }
@@ -156,6 +160,8 @@
             incoming: RefCell::default(),
             outgoing: RefCell::default(),
             heard_of: RefCell::default(),
+            announced_leader: Cell::default(),
+            audience: RefCell::default(),
             refused_joiners: RefCell::default(),
         };
         let replica = Self { inner: Rc::new(inner) };
@@ -172,6 +178,7 @@
         platform.spawn(self.clone().manage_membership());
         platform.spawn(self.clone().maintain_storage());
         platform.spawn(self.clone().join_group());
+        platform.spawn(self.clone().announce_group());
     }
 
     /// Commits `command` and returns its outcome.
@@ -254,6 +261,12 @@
         self.inner.state.borrow().membership().members.iter().map(|member| member.address).collect()
     }
 
+    /// Whether this replica is a member by the newest membership that it knows.
+    pub fn is_member(&self) -> bool {
+        let state = self.inner.state.borrow();
+        state.membership().member(state.identity.id).is_some()
+    }
+
     /// This replica's identifier.
     pub fn id(&self) -> ReplicaId {
         self.inner.state.borrow().identity.id
@@ -334,6 +347,7 @@
         }
         match request {
             ReplicaRequest::Join { id, address } => self.answer_join(id, address),
+            ReplicaRequest::Announce { group, leader, members } => self.hear_announcement(group, leader, members),
             ReplicaRequest::Vote { header, pre_vote, transfer, last_index, last_term } => {
                 if !self.is_for_this_replica(&header) {
                     return ReplicaReply::Refused;
