Finish forming a group whose founders lost power before they had noted its name

Cause: a founder writes the group's first entry and then the group's name. Where all lose power in between and are told that the first start is over, each knows itself a voter of no group and refuses the others' votes. Change: a replica that votes by its own log and has no group's name works it out from the founders' addresses, as at the first start.

--- a/crates/replication/src/replica.rs
+++ b/crates/replication/src/replica.rs
@@ -162,6 +162,7 @@
             refused_joiners: RefCell::default(),
         };
         let replica = Self { inner: Rc::new(inner) };
+        replica.finish_forming_group().await?;
         replica.form_founders_group().await?;
         Ok(replica)
     }
@@ -308,8 +309,24 @@
             return Ok(false);
         }
         let member = |address: &SocketAddr| Member { id: founder_id(*address), address: *address, voter: true };
-        let group = founders.iter().fold(0, |group, address| stable_hash(&(group, address.to_string())));
-        self.form_group(group, founders.iter().map(member).collect()).await
+        self.form_group(group_of(founders.iter()), founders.iter().map(member).collect()).await
+    }
+
+    /// Takes the group's name where power was lost between the first entry, which this replica has written, and the name.
+    /// Founders that have all lost power there would otherwise refuse each other's votes for ever.
+    async fn finish_forming_group(&self) -> Result<(), StorageError> {
+        let (identity, members) = {
+            let state = self.inner.state.borrow();
+            (state.identity, state.membership().clone())
+        };
+        if identity.group.is_some() || !members.is_voter(identity.id) {
+            return Ok(());
+        }
+        let group = group_of(members.voters().map(|voter| &voter.address));
+        let identity = Identity { group: Some(group), ..identity };
+        self.inner.storage.lock().await.write_identity(identity).await?;
+        self.inner.state.borrow_mut().identity = identity;
+        Ok(())
     }
 
     async fn form_group(&self, group: u64, members: Vec<Member>) -> Result<bool, StorageError> {
@@ -459,6 +476,11 @@
     ReplicaId(stable_hash(&(0, address.to_string())).max(1))
 }
 
+/// The name of the group that is founded at these addresses, the same for everyone who works it out.
+fn group_of<'a>(addresses: impl Iterator<Item = &'a SocketAddr>) -> u64 {
+    addresses.fold(0, |group, address| stable_hash(&(group, address.to_string())))
+}
+
 /// A number that is the same in every process for the same value.
 fn stable_hash(value: &(u64, String)) -> u64 {
     let bytes = bitcode::encode(value);
