--- a/crates/simulator/tests/group/mod.rs
+++ b/crates/simulator/tests/group/mod.rs
@@ -5,6 +5,7 @@
 
 use futures::executor::LocalPool;
 use saddlerelay_replication::config::ReplicationConfig;
+use saddlerelay_replication::message::{ReplicaReply, ReplicaRequest};
 use saddlerelay_replication::segments::Segment;
 use saddlerelay_replication::{Replica, ReplicaOptions, StateMachine};
 use saddlerelay_rpc::server::Handler;
@@ -259,6 +260,21 @@
         self.machines.get(&place)?.node.borrow().clone()
     }
 
+    /// What the replica at `place` answers to a message of another.
+    pub fn ask(&mut self, place: u8, request: ReplicaRequest) -> Option<ReplicaReply> {
+        let node = self.node(place)?;
+        let answer = Rc::new(RefCell::new(None));
+        let told = answer.clone();
+        let process = self.machines[&place].process.clone();
+        self.world.spawn(&process, async move {
+            let reply = node.handle(request).await;
+            *told.borrow_mut() = Some(reply);
+        });
+        let of_run = answer.clone();
+        self.run_until(Duration::from_secs(1), move || of_run.borrow().is_some());
+        answer.take()
+    }
+
     /// Reads a segment so many times at once at a replica; returns how many got it.
     pub fn read_at_once(&mut self, node: &Node, segment: u64, readers: usize) -> usize {
         let answers = Rc::new(RefCell::new(Vec::new()));
