Have a missing part of a real file read as nothing, and errors name their file

Cause: of a missing file FolderDisk gave an error of the machine, the simulator's disk nothing; a replica without one of its segments ended with "No such file or directory" and no name. Errors of the disk named no file at all. Change: both disks read nothing there, as the seam now says, so that the segment's number is told; every error of the real folder names its file. A replica that cannot write the group it joins says so.

--- a/crates/replication/src/replica.rs
+++ b/crates/replication/src/replica.rs
@@ -404,7 +404,9 @@
         }
         let adopted = Identity { group: Some(header.group), ..identity };
         let mut storage = self.inner.storage.lock().await;
-        if storage.write_identity(adopted).await.is_err() {
+        if let Err(error) = storage.write_identity(adopted).await {
+            // The leader asks again.
+            spdlog::warn!("identity not written", kv: { dependency = "disk", reason = error.to_string().as_str() });
             return false;
         }
         self.inner.state.borrow_mut().identity = adopted;
--- a/crates/runtime-compio/src/disk.rs
+++ b/crates/runtime-compio/src/disk.rs
@@ -33,7 +33,7 @@
         let new = !path.exists();
         let file = OpenOptions::new().write(true).create(true).open(path).await?;
         if new {
-            self.sync_folder().await?;
+            self.sync_names().await?;
         }
         let length = file.metadata().await?.len();
         Ok(Appender { file, length })
@@ -47,19 +47,13 @@
             Err(error) => Err(error),
         }
     }
-}
-
-impl Disk for FolderDisk {
-    async fn read(&self, file: &str) -> io::Result<Option<Vec<u8>>> {
-        match compio::fs::read(self.folder.join(file)).await {
-            Ok(bytes) => Ok(Some(bytes)),
-            Err(error) if error.kind() == io::ErrorKind::NotFound => Ok(None),
-            Err(error) => Err(error),
-        }
-    }
 
-    async fn read_range(&self, file: &str, offset: u64, length: usize) -> io::Result<Vec<u8>> {
-        let file = File::open(self.folder.join(file)).await?;
+    async fn read_part(&self, name: &str, offset: u64, length: usize) -> io::Result<Vec<u8>> {
+        let file = match File::open(self.folder.join(name)).await {
+            Ok(file) => file,
+            Err(error) if error.kind() == io::ErrorKind::NotFound => return Ok(Vec::new()),
+            Err(error) => return Err(error),
+        };
         let mut bytes = Vec::with_capacity(length);
         while bytes.len() < length {
             let room = Vec::with_capacity(length - bytes.len());
@@ -72,13 +66,13 @@
         Ok(bytes)
     }
 
-    async fn append(&self, file: &str, bytes: Vec<u8>) -> io::Result<()> {
+    async fn append_to(&self, name: &str, bytes: Vec<u8>) -> io::Result<()> {
         let mut appenders = self.appenders.lock().await;
-        if !appenders.contains_key(file) {
-            let opened = self.open_appender(file).await?;
-            appenders.insert(file.to_string(), opened);
+        if !appenders.contains_key(name) {
+            let opened = self.open_appender(name).await?;
+            appenders.insert(name.to_string(), opened);
         }
-        let appender = appenders.get_mut(file).expect("the file was just opened");
+        let appender = appenders.get_mut(name).expect("the file was just opened");
         let count = bytes.len() as u64;
         let BufResult(written, _) = appender.file.write_all_at(bytes, appender.length).await;
         written?;
@@ -86,36 +80,71 @@
         Ok(())
     }
 
-    async fn sync(&self, file: &str) -> io::Result<()> {
+    async fn sync_content(&self, name: &str) -> io::Result<()> {
         let appenders = self.appenders.lock().await;
-        match appenders.get(file) {
+        match appenders.get(name) {
             Some(appender) => appender.file.sync_data().await,
-            None => self.sync_unopened(file).await,
+            None => self.sync_unopened(name).await,
         }
     }
 
-    async fn sync_folder(&self) -> io::Result<()> {
-        File::open(self.folder.as_path()).await?.sync_all().await
-    }
-
-    async fn replace(&self, file: &str, bytes: Vec<u8>) -> io::Result<()> {
-        let temporary = self.folder.join(format!("{file}.new"));
+    async fn replace_whole(&self, name: &str, bytes: Vec<u8>) -> io::Result<()> {
+        let temporary = self.folder.join(format!("{name}.new"));
         let mut new_file = File::create(&temporary).await?;
         let BufResult(written, _) = new_file.write_all_at(bytes, 0).await;
         written?;
         new_file.sync_all().await?;
         // Other files are appended to meanwhile.
         let mut appenders = self.appenders.lock().await;
-        appenders.remove(file);
-        compio::fs::rename(&temporary, self.folder.join(file)).await?;
-        self.sync_folder().await
+        appenders.remove(name);
+        compio::fs::rename(&temporary, self.folder.join(name)).await?;
+        self.sync_names().await
+    }
+
+    async fn sync_names(&self) -> io::Result<()> {
+        File::open(self.folder.as_path()).await?.sync_all().await
+    }
+}
+
+/// Has an error name its file: it may be all that the process's last line tells.
+fn in_file<T>(file: &str, result: io::Result<T>) -> io::Result<T> {
+    result.map_err(|error| io::Error::new(error.kind(), format!("file `{file}`: {error}")))
+}
+
+impl Disk for FolderDisk {
+    async fn read(&self, file: &str) -> io::Result<Option<Vec<u8>>> {
+        match compio::fs::read(self.folder.join(file)).await {
+            Ok(bytes) => Ok(Some(bytes)),
+            Err(error) if error.kind() == io::ErrorKind::NotFound => Ok(None),
+            Err(error) => in_file(file, Err(error)),
+        }
+    }
+
+    async fn read_range(&self, file: &str, offset: u64, length: usize) -> io::Result<Vec<u8>> {
+        in_file(file, self.read_part(file, offset, length).await)
+    }
+
+    async fn append(&self, file: &str, bytes: Vec<u8>) -> io::Result<()> {
+        in_file(file, self.append_to(file, bytes).await)
+    }
+
+    async fn sync(&self, file: &str) -> io::Result<()> {
+        in_file(file, self.sync_content(file).await)
+    }
+
+    async fn sync_folder(&self) -> io::Result<()> {
+        in_file(".", self.sync_names().await)
+    }
+
+    async fn replace(&self, file: &str, bytes: Vec<u8>) -> io::Result<()> {
+        in_file(file, self.replace_whole(file, bytes).await)
     }
 
     async fn remove(&self, file: &str) -> io::Result<()> {
         self.appenders.lock().await.remove(file);
         match compio::fs::remove_file(self.folder.join(file)).await {
             Err(error) if error.kind() == io::ErrorKind::NotFound => Ok(()),
-            other => other,
+            other => in_file(file, other),
         }
     }
 }
--- a/crates/runtime/src/lib.rs
+++ b/crates/runtime/src/lib.rs
@@ -42,7 +42,7 @@
 pub trait Disk: Clone + 'static {
     /// The whole file, or `None` when it does not exist.
     async fn read(&self, file: &str) -> io::Result<Option<Vec<u8>>>;
-    /// Up to `length` bytes of the file from `offset` on; fewer at its end.
+    /// Up to `length` bytes of the file from `offset` on; fewer at its end, and none of a file that does not exist.
     async fn read_range(&self, file: &str, offset: u64, length: usize) -> io::Result<Vec<u8>>;
     /// Appends to the file, creating it if need be.
     async fn append(&self, file: &str, bytes: Vec<u8>) -> io::Result<()>;
