Soak: recovery is judged by the time in which the soak itself was not late

Cause: the wait for recovery ended at a fixed moment. Every connection passes the soak, so that a soak that stands still again and again, as it does beside builds at a load of 98 (late by up to 4.2 s), keeps a group from a leader for that long.

Change: `proof::judge`: broken 12 s after the fault or after the soak's last lateness of more than 200 ms, whichever is later; not judged, and told so, when it is late again and again for 90 s. On a machine in time it is stricter than before: 12 s in place of 12 s for a finding about times and 40 s for a breach. The replacement of members is judged in the same way.

--- a/crates/soak/src/faults.rs
+++ b/crates/soak/src/faults.rs
@@ -6,6 +6,7 @@
 use crate::links::{Condition, Party};
 use crate::operator::{self, Operator};
 use crate::plan::{Direction, ENGINES, End, Fault};
+use crate::proof::Proof;
 use anyhow::Result;
 use rustix::process::{Pid, Resource, Rlimit, prlimit};
 use saddlerelay_fleet_runner::process::RunningChild;
@@ -21,9 +22,6 @@
 /// How long an engine is down that has ended under its work.
 const DOWN_AFTER_WORK: Duration = Duration::from_millis(1_500);
 
-/// How long the group may take to replace a member that has ended: for hangs only, the next step waits for it.
-const REPLACEMENT_LIMIT: Duration = Duration::from_secs(30);
-
 /// Pause after a change of members, in which the next learner is taken in.
 const SETTLE_TIME: Duration = Duration::from_millis(1_500);
 
@@ -210,14 +208,9 @@
         for number in 0..NAMED_COORDINATORS {
             self.tell(&format!("coordinator {number} is ended, to be replaced"));
             self.deployment.kill(Party::Coordinator(number));
-            let until = self.journal.now() + REPLACEMENT_LIMIT;
-            while self.deployment.is_member(number) && self.journal.now() < until {
-                compio::time::sleep(POLL).await;
-            }
-            if self.deployment.is_member(number) {
-                let seen = format!("coordinator {number} was ended {REPLACEMENT_LIMIT:?} ago and is a member");
-                self.journal.violation("a lost member is replaced", seen);
-            }
+            let replacement = Proof::begin("a lost member is replaced", &self.journal);
+            let is_replaced = || async { !self.deployment.is_member(number) };
+            replacement.prove(format!("coordinator {number} is no member any more"), is_replaced).await;
             compio::time::sleep(SETTLE_TIME).await;
         }
         for party in named {
--- a/crates/soak/src/journal.rs
+++ b/crates/soak/src/journal.rs
@@ -210,6 +210,8 @@
     pub violations: Vec<Violation>,
     /// The latest that a task of the soak itself ran.
     pub own_lag: Duration,
+    /// When one was last later than is in time.
+    pub late_at: Option<Moment>,
     /// Faults, for the report.
     pub faults: Vec<(Moment, String)>,
 }
@@ -260,6 +262,17 @@
         self.write(|records| records.violations.push(violation));
     }
 
+    /// Notes that a task of the soak itself was later than is in time.
+    pub fn note_lateness(&self) {
+        let now = self.now();
+        self.write(|records| records.late_at = Some(now));
+    }
+
+    /// When a task of the soak itself was last later than is in time.
+    pub fn late_at(&self) -> Option<Moment> {
+        self.read(|records| records.late_at)
+    }
+
     /// Notes that planned work on `party` begins; returns its number for [`Self::end_planned`].
     pub fn begin_planned(&self, party: Party) -> usize {
         let from = self.now();
--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -21,6 +21,7 @@
 pub mod owner;
 pub mod plan;
 pub mod platform;
+pub mod proof;
 pub mod proxy;
 pub mod report;
 pub mod run;
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -6,13 +6,14 @@
 use crate::deployment::{Deployment, REPORT_INTERVAL};
 use crate::engine::Engine;
 use crate::faults::{Faults, STOP_ENDS_WELL};
-use crate::journal::{Journal, Moment};
+use crate::journal::Journal;
 use crate::kept;
 use crate::links::Party;
 use crate::operator::{self, Operator};
 use crate::plan::{self, ENGINES, MODEL_ENGINES, WEB_ENGINES};
 use crate::platform::Platform;
-use crate::report::Report;
+use crate::proof::{Proof, RECOVERY_LIMIT};
+use crate::report::{LATENESS_LIMIT, Report};
 use crate::trainer::Trainer;
 use crate::workload::{MODEL_SERVICE, MOVING, ONCE, REPEATABLE, STREAMS, WEB_SERVICES};
 use anyhow::{Result, bail};
@@ -27,12 +28,6 @@
 /// How long a deployment may take to come up.
 const START_LIMIT: Duration = Duration::from_secs(20);
 
-/// How long after the last fault everything works again.
-pub const RECOVERY_LIMIT: Duration = Duration::from_secs(12);
-
-/// How long it is waited for: for hangs only.
-const RECOVERY_HANG: Duration = Duration::from_secs(40);
-
 /// How long the last tasks may take to end.
 const END_LIMIT: Duration = Duration::from_secs(20);
 
@@ -181,61 +176,29 @@
 
 /// Everything works again soon after the last fault.
 async fn prove_recovery(deployment: &Rc<Deployment>, operator: &Operator, trainer: &Trainer, journal: &Journal) {
-    let promise = "everything works again soon after the last fault";
-    let recovery = Proof { promise, since: journal.now(), journal };
+    const PROMISE: &str = "everything works again soon after the last fault";
+    let serving = Proof::begin(PROMISE, journal);
     let gateways = 0..deployment.addresses.size.gateways;
     let probes = gateways.flat_map(|gateway| [REPEATABLE, ONCE, MOVING, STREAMS].map(|prefix| (gateway, prefix)));
     let proofs = probes.map(|(gateway, prefix)| {
         let probe = move || callers::probe(prefix, gateway, &deployment.addresses, journal);
-        let told = format!("gateway {gateway} serves {prefix}");
-        recovery.prove(told, probe)
+        serving.prove(format!("gateway {gateway} serves {prefix}"), probe)
     });
-    let change = || operator.change(|| !recovery.hangs());
-    let step = || prove_step(trainer, &recovery);
-    future::join3(
-        future::join_all(proofs),
-        recovery.prove("a routing document is accepted".to_string(), change),
-        recovery.prove("a training step is whole".to_string(), step),
-    )
-    .await;
+    let change = || operator.change(|| !serving.is_over());
+    let changed = serving.prove("a routing document is accepted".to_string(), change);
+    future::join(future::join_all(proofs), changed).await;
+    let training = Proof::begin(PROMISE, journal);
+    training.prove("a training step is whole".to_string(), || prove_step(trainer, journal)).await;
 }
 
-async fn prove_step(trainer: &Trainer, recovery: &Proof<'_>) -> bool {
+async fn prove_step(trainer: &Trainer, journal: &Journal) -> bool {
     let missing = trainer.prove_step(RECOVERY_LIMIT).await;
     if let Some(missing) = &missing {
-        println!("{:>8.3} s  a training step is not whole yet: {missing}", recovery.journal.now().as_secs_f64());
+        println!("{:>8.3} s  a training step is not whole yet: {missing}", journal.now().as_secs_f64());
     }
     missing.is_none()
 }
 
-/// Something that has to work soon after a moment.
-struct Proof<'a> {
-    promise: &'static str,
-    since: Moment,
-    journal: &'a Journal,
-}
-
-impl Proof<'_> {
-    fn hangs(&self) -> bool {
-        self.journal.now() > self.since + RECOVERY_HANG
-    }
-
-    /// Tries until something works. That it does so late is a finding about times; that it never does is not.
-    async fn prove<Trial: Future<Output = bool>>(&self, what: String, mut try_once: impl FnMut() -> Trial) {
-        while !try_once().await {
-            if self.hangs() {
-                self.journal.violation(self.promise, format!("not within {RECOVERY_HANG:?}: {what}"));
-                return;
-            }
-            compio::time::sleep(POLL).await;
-        }
-        let took = self.journal.now() - self.since;
-        if took > RECOVERY_LIMIT {
-            self.journal.late(self.promise, format!("only after {} ms: {what}", took.as_millis()));
-        }
-    }
-}
-
 /// Waits until tasks of the load that were told to stop have ended.
 async fn end_load<T>(tasks: Vec<JoinHandle<T>>, journal: &Journal) {
     if compio::time::timeout(END_LIMIT, future::join_all(tasks)).await.is_err() {
@@ -245,7 +208,7 @@
 
 /// Reads back what was acknowledged: the configuration, and every job from its start.
 async fn read_back(operator: &Operator, trainer: &Trainer, journal: &Journal) {
-    let reading = Proof { promise: "what was acknowledged can be read back", since: journal.now(), journal };
+    let reading = Proof::begin("what was acknowledged can be read back", journal);
     reading.prove("the routing document".to_string(), || operator.read()).await;
     let acknowledged: Vec<_> = journal.read(|records| {
         let jobs = records.jobs.iter().filter(|(_, seen)| seen.acknowledged_at.is_some());
@@ -288,6 +251,9 @@
         compio::time::sleep(POLL).await;
         let lag = began.elapsed().saturating_sub(POLL);
         journal.write(|records| records.own_lag = records.own_lag.max(lag));
+        if lag > LATENESS_LIMIT {
+            journal.note_lateness();
+        }
         if lag > TELLING_LAG {
             println!("{:>8.3} s  the soak itself was late by {} ms", journal.now().as_secs_f64(), lag.as_millis());
         }
--- a/crates/soak/tests/checks.rs
+++ b/crates/soak/tests/checks.rs
@@ -9,6 +9,7 @@
     Run, SeenResult, SentDocument,
 };
 use saddlerelay_soak_runner::links::Party;
+use saddlerelay_soak_runner::proof::{HANG_LIMIT, Proof, RECOVERY_LIMIT, Wait, judge};
 use saddlerelay_soak_runner::report::{LATENESS_LIMIT, Report};
 use saddlerelay_soak_runner::workload::{self, MOVING, ONCE, REPEATABLE, ROLLOUTS};
 use saddlerelay_types::instance::InstanceId;
@@ -291,6 +292,35 @@
     assert_eq!(broken(&planned), [KEPT], "planned work is no excuse");
 }
 
+#[test]
+fn recovery_is_judged_by_the_time_in_which_the_soak_was_not_late() {
+    let since = at(10_000);
+    let limit = since + RECOVERY_LIMIT;
+    assert_eq!(judge(since, None, limit), Wait::InTime);
+    assert_eq!(judge(since, None, limit + at(1)), Wait::Over);
+    assert_eq!(judge(since, Some(at(9_000)), limit + at(1)), Wait::Over, "it was late before");
+    assert_eq!(judge(since, Some(at(11_000)), limit + at(1_000)), Wait::InTime, "the time counts anew");
+    assert_eq!(judge(since, Some(at(11_000)), limit + at(1_001)), Wait::Over);
+    let hang = since + HANG_LIMIT;
+    assert_eq!(judge(since, Some(hang), hang), Wait::InTime);
+    assert_eq!(judge(since, Some(hang), hang + at(1)), Wait::NotJudged, "late all the time");
+}
+
+#[test]
+fn what_does_not_work_in_time_is_broken() {
+    let journal = Journal::default();
+    let runtime = compio::runtime::Runtime::new().expect("a runtime");
+    let began = std::time::Instant::now();
+    runtime.block_on(async {
+        let proof = Proof::begin("something works soon", &journal);
+        proof.prove("it works at once".to_string(), || async { true }).await;
+        proof.prove("it never works".to_string(), || async { false }).await;
+    });
+    assert!(began.elapsed() >= RECOVERY_LIMIT);
+    let seen: Vec<_> = journal.read(|records| records.violations.clone());
+    assert!(matches!(&seen[..], [one] if one.seen.contains("never works") && !one.time_bound), "{seen:?}");
+}
+
 /// The report of a soak with a broken promise of each kind, in which the soak itself was late.
 fn report_after(own_lag: Duration) -> Report {
     let journal = Journal::default();
