An engine that starts again under its name is a new instance; what names no engine displaces none

Cause: an instance was known by its name alone. A restart under the same name was taken for a late report of the start before, kept that one's address, counts and weights, and stayed out for ever after a goodbye. Heartbeats took defaults for missing fields and any word for a state, and a report of a service that no document names took over the address of an engine that serves.

Ruled out: a start time beside the identifier, with resets in each place that keeps something by instance (view, pool, balance, weights and counts of orders, suspicions): one that is forgotten mixes two starts up, silently.

Change: InstanceId carries the name and the start. In order, the starts under a name stand together; a later one replaces an earlier one at once, a goodbye that tells no start is that of the newest known, and a late report of an earlier start takes neither name nor address. Subjects of orders stay names: an order may reach the next start. A leader that knows nothing of an instance of which only heartbeats come asks for its report.

--- a/crates/control-client/src/reports.rs
+++ b/crates/control-client/src/reports.rs
@@ -71,9 +71,11 @@
     }
 }
 
-/// What makes a report news, but for what follows from the instance's name.
+/// What makes a report news of an instance that has been handed over. Service and address stay the same for one start;
+/// what tells another comes from another writer, and is no heartbeat of the instance.
 #[derive(Clone, Debug, PartialEq, Eq)]
 struct HandedOver {
+    service: String,
     address: SocketAddr,
     leaving: bool,
     models: Vec<LoadedModel>,
@@ -81,12 +83,17 @@
 
 impl HandedOver {
     fn of(report: &InstanceReport) -> Self {
-        Self { address: report.address, leaving: report.leaving, models: report.models.clone() }
+        Self {
+            service: report.service.clone(),
+            address: report.address,
+            leaving: report.leaving,
+            models: report.models.clone(),
+        }
     }
 
     /// Whether a report has to wait until it is committed; weights need not.
     fn is_committed(&self, report: &InstanceReport) -> bool {
-        self.address == report.address && self.leaving == report.leaving
+        self.service == report.service && self.address == report.address && self.leaving == report.leaving
     }
 }
 
@@ -195,6 +202,12 @@
         }
         known.extend(reports.iter().map(|report| (report.id.clone(), HandedOver::of(report))));
     }
+
+    /// The group holds nothing of these instances: their next reports are news.
+    fn forget(&self, missing: &[InstanceId]) {
+        let mut known = self.known.borrow_mut();
+        missing.iter().for_each(|id| drop(known.remove(id)));
+    }
 }
 
 async fn hand_over<P: Runtime>(gatherer: Rc<ReportGatherer<P>>) {
@@ -212,10 +225,16 @@
         let gathered = gatherer.sort(&reports);
         let (news, heartbeats) = (gathered.news.len(), gathered.heartbeats.len());
         let request = GatewayRequest::ReportInstances(gathered);
-        let answer = gatherer.control.gateway(request, HAND_OVER_LIMIT, ATTEMPT_LIMIT).await;
+        let mut answer = gatherer.control.gateway(request, HAND_OVER_LIMIT, ATTEMPT_LIMIT).await;
+        let mut missing = Vec::new();
+        if let Ok(GatewayReply::ReportsMissing(instances)) = &mut answer {
+            missing = std::mem::take(instances);
+            answer = Ok(GatewayReply::Done);
+        }
         if answer == Ok(GatewayReply::Done) {
             gatherer.reached_at.set(gatherer.platform.monotonic());
             gatherer.remember(&reports);
+            gatherer.forget(&missing);
         } else {
             gatherer.keep(reports);
             spdlog::warn!("reports not handed over", kv: {
--- a/crates/control/src/commands/gateway.rs
+++ b/crates/control/src/commands/gateway.rs
@@ -7,11 +7,11 @@
 pub fn apply(state: &mut ControlState, command: GatewayCommand) -> GatewayOutcome {
     match command {
         GatewayCommand::PutRouting(document) => {
-            state.routing.put(document);
+            state.put_routing(document);
             GatewayOutcome::Done
         }
         GatewayCommand::ReportInstances(reports) => {
-            reports.into_iter().for_each(|report| state.instances.take_report(report));
+            reports.into_iter().for_each(|report| state.take_report(report));
             GatewayOutcome::Done
         }
         GatewayCommand::NoteSilence { silent, heard } => {
@@ -19,8 +19,7 @@
             GatewayOutcome::Done
         }
         GatewayCommand::RemoveInstance(id) => {
-            state.instances.remove(&id);
-            state.orders.forget_engine(&id);
+            state.remove_instance(&id);
             GatewayOutcome::Done
         }
         GatewayCommand::NameVersion(named) => {
--- a/crates/control/src/gateway.rs
+++ b/crates/control/src/gateway.rs
@@ -2,6 +2,7 @@
 //! `follow`, those about batch jobs in `job_calls`.
 
 use crate::node::ControlNode;
+use crate::state::ControlState;
 use crate::state::stores::Retirement;
 use saddlerelay_replication::ProposeError;
 use saddlerelay_runtime::Runtime;
@@ -11,7 +12,9 @@
     DutyOverview, EnginePlace, EngineStanding, GatewayCommand, GatewayOutcome, GatewayReply, GatewayRequest,
     StoreRecord,
 };
-use saddlerelay_types::instance::{GatheredReports, InstanceId, InstanceReport, LoadedModel};
+use saddlerelay_types::instance::{
+    GatheredReports, InstanceHeartbeat, InstanceId, InstanceReport, InstanceState, LoadedModel,
+};
 use saddlerelay_types::protocol::{Command, CommandOutcome, ControlReply};
 use saddlerelay_types::routing::RoutingDocument;
 use std::collections::BTreeSet;
@@ -47,6 +50,32 @@
     }
 }
 
+/// What is to be done with reports that have come.
+struct SortedReports<'a> {
+    /// To be committed.
+    news: Vec<InstanceReport>,
+    /// Told by instances that are held or about to be; the others' are left out, so that whoever makes names up is not
+    /// remembered.
+    heard: Vec<&'a InstanceReport>,
+    /// The same for heartbeats.
+    heard_again: Vec<&'a InstanceHeartbeat>,
+    /// Instances that nothing is known of, and of which only a heartbeat has come.
+    missing: Vec<InstanceId>,
+}
+
+fn sort<'a>(state: &ControlState, reports: &'a GatheredReports) -> SortedReports<'a> {
+    let is_held = |heartbeat: &&InstanceHeartbeat| {
+        state.instances.get(&heartbeat.id).is_some_and(|record| record.state != InstanceState::Gone)
+    };
+    let unknown = reports.heartbeats.iter().filter(|heartbeat| !state.knows(&heartbeat.id));
+    SortedReports {
+        news: reports.news.iter().filter(|report| state.is_news(report)).cloned().collect(),
+        heard: reports.news.iter().filter(|report| state.is_heard(report)).collect(),
+        heard_again: reports.heartbeats.iter().filter(is_held).collect(),
+        missing: unknown.map(|heartbeat| heartbeat.id.clone()).collect(),
+    }
+}
+
 impl<P: Runtime, B: Backends> ControlNode<P, B> {
     pub(crate) async fn answer_gateway(&self, request: GatewayRequest) -> ControlReply {
         match request {
@@ -130,24 +159,27 @@
         }
         let turn = self.inner.answer_turn.lock().await;
         let now = self.inner.platform.monotonic();
-        let news = self.read(|state| {
-            let news = reports.news.iter().filter(|report| state.instances.is_news(report));
-            news.cloned().collect::<Vec<InstanceReport>>()
-        });
-        let (Some(news), Some(term)) = (news, self.inner.replica.leading_term()) else {
+        let (Some(sorted), Some(term)) = (self.read(|state| sort(state, &reports)), self.inner.replica.leading_term())
+        else {
             return self.not_leader();
         };
         {
             let mut watch = self.inner.instance_watch.borrow_mut();
             watch.follow_term(term);
-            reports.news.iter().for_each(|report| watch.hear(report, now));
-            reports.heartbeats.iter().for_each(|heartbeat| watch.hear_again(heartbeat, now));
+            sorted.heard.iter().for_each(|report| watch.hear(report, now));
+            sorted.heard_again.iter().for_each(|heartbeat| watch.hear_again(heartbeat, now));
         }
         drop(turn);
-        if news.is_empty() {
-            return ControlReply::Gateway(GatewayReply::Done);
+        let committed = match sorted.news.is_empty() {
+            true => ControlReply::Gateway(GatewayReply::Done),
+            false => self.execute_gateway(GatewayCommand::ReportInstances(sorted.news)).await,
+        };
+        match committed {
+            ControlReply::Gateway(GatewayReply::Done) if !sorted.missing.is_empty() => {
+                ControlReply::Gateway(GatewayReply::ReportsMissing(sorted.missing))
+            }
+            other => other,
         }
-        self.execute_gateway(GatewayCommand::ReportInstances(news)).await
     }
 
     async fn remove_instance(&self, id: InstanceId) -> ControlReply {
--- a/crates/control/src/report_targets.rs
+++ b/crates/control/src/report_targets.rs
@@ -37,6 +37,6 @@
     };
     let near = others(Some(&report.zone));
     let machines = if near.is_empty() { others(None) } else { near };
-    let turn = position(&report.id.0).wrapping_add(report.sequence);
+    let turn = position(&report.id.name).wrapping_add(report.sequence);
     machines.get(turn as usize % machines.len().max(1)).copied()
 }
--- a/crates/control/src/state/engine_subset.rs
+++ b/crates/control/src/state/engine_subset.rs
@@ -35,7 +35,7 @@
 
 /// Where an engine stands.
 pub(super) fn engine_position(id: &InstanceId) -> u64 {
-    position(&id.0)
+    position(&id.name)
 }
 
 /// Where a relay stands.
--- a/crates/control/src/state/instances.rs
+++ b/crates/control/src/state/instances.rs
@@ -32,7 +32,8 @@
     places: BTreeMap<EnginePlace, PlaceEngines>,
     /// Ready instances whose reports have ceased.
     silent: BTreeSet<InstanceId>,
-    /// Instances that are gone, also those that were never known otherwise.
+    /// Instances that are gone, also those that were never known otherwise. Earlier starts under the same name are gone
+    /// with them.
     gone: BTreeSet<InstanceId>,
     gone_order: VecDeque<InstanceId>,
     revision: u64,
@@ -45,6 +46,11 @@
     EnginePlace { service: report.service.clone(), zone: report.zone.clone() }
 }
 
+/// Whether `report` tells the service and the address that its instance began with.
+fn is_from(record: &InstanceRecord, report: &InstanceReport) -> bool {
+    record.report.service == report.service && record.report.address == report.address
+}
+
 fn is_present(record: &InstanceRecord) -> bool {
     record.state == InstanceState::Ready && !record.silent
 }
@@ -104,7 +110,7 @@
         let mut records = Vec::new();
         for (place, held) in &self.places {
             let (first, last) = held.shares.range(place, relay);
-            let from = (first, InstanceId(String::new()));
+            let from = (first, InstanceId::named(""));
             let told = held.engines.range(from..).take_while(|(position, _)| *position <= last);
             records.extend(told.filter_map(|(_, id)| self.get(id)).cloned());
         }
@@ -122,24 +128,63 @@
         (first..=last).contains(&engine_position(&record.report.id))
     }
 
+    /// The newest start that is known under a name, also one that is gone.
+    pub fn newest_start(&self, name: &str) -> Option<&InstanceId> {
+        steps::look();
+        self.records.range(InstanceId::all_starts(name)).next_back().map(|(newest, _)| newest)
+    }
+
+    /// The instance at an address.
+    pub fn holder(&self, address: SocketAddr) -> Option<&InstanceId> {
+        self.by_address.get(&address)
+    }
+
+    /// Whether an instance is gone, or a later start under its name is known: what still comes of it is late.
+    pub fn has_ended(&self, id: &InstanceId) -> bool {
+        let is_gone = self.gone.range(id.starts_from_here()).next().is_some();
+        is_gone || self.newest_start(&id.name).is_some_and(|newest| newest > id)
+    }
+
+    /// Whether `report` comes from the instance that is held under its name. One start has one service and one address; what
+    /// tells another under the same name comes from another writer.
+    pub fn is_said_by_holder(&self, report: &InstanceReport) -> bool {
+        let record = self.get(&report.id).filter(|record| record.state != InstanceState::Gone);
+        record.is_some_and(|record| is_from(record, report))
+    }
+
     /// Whether `report` would change the table.
     pub fn is_news(&self, report: &InstanceReport) -> bool {
-        if self.gone.contains(&report.id) {
+        if self.has_ended(&report.id) {
             return false;
         }
         match self.get(&report.id) {
-            None => true,
-            Some(record) => record.state == InstanceState::Ready && report.leaving,
+            None => self.may_take_address(report),
+            Some(record) => record.state == InstanceState::Ready && report.leaving && is_from(record, report),
+        }
+    }
+
+    /// Whether a new instance may stand at its address. A late report of one that started before the instance that serves
+    /// there does not take the address back.
+    fn may_take_address(&self, report: &InstanceReport) -> bool {
+        let holder = self.by_address.get(&report.address).and_then(|holder| self.get(holder));
+        let Some(holder) = holder.filter(|holder| !holder.silent) else {
+            return true;
+        };
+        match (holder.report.id.started_at_ms, report.id.started_at_ms) {
+            (Some(held), Some(new)) => held <= new,
+            _ => true,
         }
     }
 
-    /// Takes a report. An instance never goes back from leaving or gone, and a new one takes its address over.
+    /// Takes a report. An instance never goes back from leaving or gone; a new one takes over its address, and the name that
+    /// an earlier start of the engine had.
     pub fn take_report(&mut self, report: InstanceReport) {
         if !self.is_news(&report) {
             return;
         }
+        let earlier = self.newest_start(&report.id.name).filter(|earlier| **earlier != report.id).cloned();
         let holder = self.by_address.get(&report.address).filter(|holder| **holder != report.id).cloned();
-        if let Some(replaced) = holder {
+        for replaced in earlier.into_iter().chain(holder) {
             self.remove(&replaced);
         }
         let state = if report.leaving { InstanceState::Leaving } else { InstanceState::Ready };
@@ -157,12 +202,14 @@
         }
     }
 
-    /// An instance is gone, and stays so.
+    /// An instance is gone, and stays so, with all earlier starts under its name.
     pub fn remove(&mut self, id: &InstanceId) {
         if !self.gone.insert(id.clone()) {
             return;
         }
-        if let Some(record) = self.records.get(id).cloned() {
+        let up_to_here = self.records.range(InstanceId::named(&*id.name)..=id.clone());
+        let newest = up_to_here.map(|(_, record)| record).next_back();
+        if let Some(record) = newest.filter(|record| record.state != InstanceState::Gone).cloned() {
             self.write(InstanceRecord { state: InstanceState::Gone, silent: false, ..record });
         }
         self.gone_order.push_back(id.clone());
--- a/crates/control/src/state/mod.rs
+++ b/crates/control/src/state/mod.rs
@@ -8,6 +8,8 @@
 pub mod jobs;
 pub mod members;
 pub mod orders;
+pub mod pending_instances;
+pub mod registration;
 pub mod rollouts;
 pub mod routing;
 pub mod stores;
@@ -24,6 +26,7 @@
 use jobs::JobTable;
 use members::MemberTable;
 use orders::OrderState;
+use pending_instances::PendingInstances;
 use rollouts::RolloutLedger;
 use routing::RoutingState;
 use stores::StoreTable;
@@ -48,6 +51,8 @@
     pub routing: RoutingState,
     /// Engine instances that report themselves.
     pub instances: InstanceTable,
+    /// Reports of engines whose service is not named yet.
+    pub pending_instances: PendingInstances,
     /// Weight versions that trainers have named.
     pub weights: WeightState,
     /// Who gives orders to engines and to the platform.
--- a/crates/control/src/state/orders.rs
+++ b/crates/control/src/state/orders.rs
@@ -49,8 +49,8 @@
         before.is_some_and(|before| before != holder)
     }
 
-    /// Forgets an engine that is gone and never comes back.
+    /// Forgets an engine that has said goodbye.
     pub fn forget_engine(&mut self, instance: &InstanceId) {
-        self.notes.remove(&OrderSubject::Engine(instance.clone()));
+        self.notes.remove(&OrderSubject::engine(instance));
     }
 }
--- a/crates/control/src/suspected_work.rs
+++ b/crates/control/src/suspected_work.rs
@@ -30,7 +30,7 @@
             });
             spdlog::warn!("engine ended under work", kv: {
                 work = loss.work.to_hexadecimal().as_str(),
-                instance = loss.instance.0.as_str(),
+                instance = loss.instance.name.as_str(),
                 engines_ended = engines,
                 quarantined = quarantined
             });
--- a/crates/control/tests/fleet_steps.rs
+++ b/crates/control/tests/fleet_steps.rs
@@ -27,7 +27,7 @@
     // One in 25 belongs to the service that callers' pages come from.
     let service = if number.is_multiple_of(25) { "pages" } else { "models" };
     InstanceReport {
-        id: InstanceId(format!("engine-{number}")),
+        id: InstanceId::named(format!("engine-{number}")),
         service: service.to_string(),
         address: ([10, (number >> 16) as u8, (number >> 8) as u8, number as u8], 8_000).into(),
         zone: ZONES[(number + number / 25) % ZONES.len()].to_string(),
@@ -71,10 +71,10 @@
         assert!(looks <= MOST_LOOKS, "{looks} looks for a registration among {engines}");
         let (looks, ()) = looks_of(|| table.take_report(InstanceReport { leaving: true, ..report(7, 3) }));
         assert!(looks <= MOST_LOOKS, "{looks} looks for a leaving among {engines}");
-        let replaced = InstanceReport { id: InstanceId("new".to_string()), ..report(8, 1) };
+        let replaced = InstanceReport { id: InstanceId::named("new"), ..report(8, 1) };
         let (looks, ()) = looks_of(|| table.take_report(replaced));
         assert!(looks <= MOST_LOOKS, "{looks} looks for one at an old address among {engines}");
-        assert_eq!(table.get(&InstanceId("engine-8".to_string())).map(|held| held.state), Some(InstanceState::Gone));
+        assert_eq!(table.get(&InstanceId::named("engine-8")).map(|held| held.state), Some(InstanceState::Gone));
     }
 }
 
@@ -98,7 +98,7 @@
         assert!(after.is_empty(), "what is noted is not noted again");
         watch.hear(&report(3, 9), at(18));
         let again = watch.silence_changes(&table, at(18), SILENCE);
-        assert_eq!((again.silent.len(), again.heard), (0, vec![InstanceId("engine-3".to_string())]));
+        assert_eq!((again.silent.len(), again.heard), (0, vec![InstanceId::named("engine-3")]));
     }
 }
 
@@ -162,7 +162,7 @@
     let grown = table.news_for(relay, held);
     assert!(grown.whole && grown.records.len() < 500, "{}", grown.records.len());
     let held = grown.revision;
-    (50..3_000).for_each(|number| table.remove(&InstanceId(format!("engine-{number}"))));
+    (50..3_000).for_each(|number| table.remove(&InstanceId::named(format!("engine-{number}"))));
     let shrunk = table.news_for(relay, held);
     assert!(shrunk.whole && shrunk.records.len() == 50, "{}", shrunk.records.len());
     assert!(table.news_for(relay, shrunk.revision + 5).whole, "one that knows of the future is told anew");
@@ -176,14 +176,14 @@
         let mut table = InstanceTable::default();
         for sequence in 0..2_000 {
             let number = random.usize(..60);
-            let id = InstanceId(format!("engine-{number}"));
+            let id = InstanceId::named(format!("engine-{number}"));
             match random.u32(..10) {
                 0 => table.remove(&id),
                 1 => table.take_report(InstanceReport { leaving: true, ..report(number, sequence) }),
                 2 => table.note_silence(std::slice::from_ref(&id), &[]),
                 3 => table.note_silence(&[], std::slice::from_ref(&id)),
                 4 => {
-                    let id = InstanceId(format!("engine-{number}-{sequence}"));
+                    let id = InstanceId::named(format!("engine-{number}-{sequence}"));
                     table.take_report(InstanceReport { id, ..report(number, 1) });
                 }
                 _ => table.take_report(report(number, sequence)),
--- a/crates/control/tests/gateway.rs
+++ b/crates/control/tests/gateway.rs
@@ -105,7 +105,7 @@
 
 fn report(id: &str, port: u16, sequence: u64) -> InstanceReport {
     InstanceReport {
-        id: InstanceId(id.to_string()),
+        id: InstanceId::named(id),
         service: "web".to_string(),
         address: ([10, 0, 0, 1], port).into(),
         zone: "north".to_string(),
@@ -117,18 +117,19 @@
 }
 
 fn instance_state(state: &ControlState, id: &str) -> Option<InstanceState> {
-    state.instances.get(&InstanceId(id.to_string())).map(|record| record.state)
+    state.instances.get(&InstanceId::named(id)).map(|record| record.state)
 }
 
 #[test]
 fn instances_only_go_forward() {
     let mut state = ControlState::default();
+    commit(&mut state, GatewayCommand::PutRouting(document(1, vec![])));
     commit(&mut state, GatewayCommand::ReportInstances(vec![report("a", 1, 1)]));
     commit(&mut state, GatewayCommand::ReportInstances(vec![InstanceReport { leaving: true, ..report("a", 1, 2) }]));
     // A late report from before it left.
     commit(&mut state, GatewayCommand::ReportInstances(vec![report("a", 1, 1)]));
     assert_eq!(instance_state(&state, "a"), Some(InstanceState::Leaving));
-    commit(&mut state, GatewayCommand::RemoveInstance(InstanceId("a".to_string())));
+    commit(&mut state, GatewayCommand::RemoveInstance(InstanceId::named("a")));
     commit(&mut state, GatewayCommand::ReportInstances(vec![report("a", 1, 9)]));
     assert_eq!(instance_state(&state, "a"), Some(InstanceState::Gone));
 }
@@ -136,7 +137,8 @@
 #[test]
 fn a_goodbye_holds_for_an_instance_that_was_never_known() {
     let mut state = ControlState::default();
-    commit(&mut state, GatewayCommand::RemoveInstance(InstanceId("a".to_string())));
+    commit(&mut state, GatewayCommand::PutRouting(document(1, vec![])));
+    commit(&mut state, GatewayCommand::RemoveInstance(InstanceId::named("a")));
     commit(&mut state, GatewayCommand::ReportInstances(vec![report("a", 1, 1)]));
     assert_eq!(instance_state(&state, "a"), None);
 }
@@ -144,11 +146,12 @@
 #[test]
 fn a_new_instance_takes_the_address_of_an_old_one() {
     let mut state = ControlState::default();
+    commit(&mut state, GatewayCommand::PutRouting(document(1, vec![])));
     commit(&mut state, GatewayCommand::ReportInstances(vec![report("old", 1, 1)]));
     commit(&mut state, GatewayCommand::ReportInstances(vec![report("new", 1, 1)]));
     assert_eq!(instance_state(&state, "old"), Some(InstanceState::Gone));
     assert_eq!(instance_state(&state, "new"), Some(InstanceState::Ready));
-    let changed: Vec<_> = state.instances.changed_after(1).map(|record| record.report.id.0.clone()).collect();
+    let changed: Vec<_> = state.instances.changed_after(1).map(|record| record.report.id.name.clone()).collect();
     assert_eq!(changed, ["old", "new"]);
     assert_eq!(
         state.instances.changed_after(0).count(),
--- a/crates/control/tests/order_watch.rs
+++ b/crates/control/tests/order_watch.rs
@@ -12,7 +12,7 @@
 const DISTANCE: Duration = Duration::from_secs(3);
 
 fn engine(name: &str) -> OrderSubject {
-    OrderSubject::Engine(InstanceId(name.to_string()))
+    OrderSubject::Engine(name.to_string())
 }
 
 fn seconds(seconds: u64) -> Duration {
@@ -53,7 +53,7 @@
     let mut watch = OrderWatch::default();
     watch.see(&state, seconds(100));
     assert_eq!(watch.free_at(&engine("a"), NEW, DISTANCE), seconds(103));
-    state.forget_engine(&InstanceId("a".to_string()));
+    state.forget_engine(&InstanceId::named("a"));
     watch.see(&state, seconds(101));
     assert_eq!(watch.free_at(&engine("a"), NEW, DISTANCE), Duration::ZERO, "it is gone and never comes back");
 }
--- a/crates/control/tests/suspicions.rs
+++ b/crates/control/tests/suspicions.rs
@@ -16,7 +16,7 @@
 }
 
 fn loss(number: u32, engine: u32) -> EngineLoss {
-    EngineLoss { work: work(number), instance: InstanceId(format!("engine-{engine}")) }
+    EngineLoss { work: work(number), instance: InstanceId::named(format!("engine-{engine}")) }
 }
 
 fn lost(table: &mut SuspicionTable, number: u32, engine: u32, now: u64) {
--- a/crates/coordinator/src/dialect.rs
+++ b/crates/coordinator/src/dialect.rs
@@ -2,7 +2,7 @@
 
 use bytes::Bytes;
 use hyper::{Method, StatusCode};
-use saddlerelay_types::instance::LoadedModel;
+use saddlerelay_types::instance::{InstanceId, LoadedModel};
 use serde::{Deserialize, Serialize};
 
 /// An order to change a model's weights.
@@ -50,6 +50,20 @@
     pub busy: bool,
     /// Orders taken since it started.
     pub orders_taken: u64,
+    /// When it started, in Unix milliseconds, if it tells.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub started_at_ms: Option<u64>,
+}
+
+impl EngineReport {
+    /// Whether this start of an engine may have told it. One that tells no start is believed: it came over a connection to
+    /// the engine itself.
+    pub fn may_be_of(&self, instance: &InstanceId) -> bool {
+        match (self.started_at_ms, instance.started_at_ms) {
+            (Some(told), Some(wanted)) => told == wanted,
+            _ => true,
+        }
+    }
 }
 
 /// What an engine answered to an order.
--- a/crates/coordinator/src/item.rs
+++ b/crates/coordinator/src/item.rs
@@ -64,7 +64,7 @@
     spdlog::info!("item attempt ended", kv: {
         item = start.item.id.0.as_str(),
         job = start.job.0.as_str(),
-        instance = start.target.instance.0.as_str(),
+        instance = start.target.instance.name.as_str(),
         expected_version = start.expected_version.unwrap_or_default(),
         versions = format!("{:?}", text.versions()).as_str(),
         events = text.events(),
--- a/crates/coordinator/src/lost_connections.rs
+++ b/crates/coordinator/src/lost_connections.rs
@@ -50,7 +50,7 @@
         spdlog::warn!("connection lost under an item", kv: {
             item = item.0.as_str(),
             work = work.shown().as_str(),
-            instance = target.instance.0.as_str(),
+            instance = target.instance.name.as_str(),
             engine_ended = ended,
             counts = counts
         });
--- a/crates/coordinator/src/orders.rs
+++ b/crates/coordinator/src/orders.rs
@@ -58,7 +58,7 @@
         if due.is_empty() {
             continue;
         }
-        let subjects = due.iter().map(|order| OrderSubject::Engine(order.target.instance.clone())).collect();
+        let subjects = due.iter().map(|order| OrderSubject::engine(&order.target.instance)).collect();
         let Some(grant) = inner.node.note_orders(term, subjects).await else {
             continue;
         };
@@ -160,7 +160,7 @@
         };
         let due = is_useless(held, named) || held < named && !items_wait;
         let free = !inner.fleet.is_loading_any(&engine.instance) && !inner.fleet.is_resting(&engine.instance, now);
-        if due && free && inner.node.may_order(&OrderSubject::Engine(engine.instance.clone())) {
+        if due && free && inner.node.may_order(&OrderSubject::engine(&engine.instance)) {
             let model = LoadedModel { model: model.to_string(), version: named };
             behind.push(DueOrder { target: engine.clone(), model, held, running });
         }
@@ -231,6 +231,14 @@
     async fn ask_report(&self, target: &EngineTarget, term: u64) -> Option<EngineReport> {
         let (status, body) = self.call(target, self.inner.dialect.report(), || self.leads(term)).await.ok()?;
         let report = self.inner.dialect.read_report(&body).filter(|_| status == 200)?;
+        if !report.may_be_of(&target.instance) {
+            spdlog::warn!("report of another start of the engine", kv: {
+                instance = target.instance.name.as_str(),
+                started_at_ms = report.started_at_ms.unwrap_or_default(),
+                expected_ms = target.instance.started_at_ms.unwrap_or_default()
+            });
+            return None;
+        }
         self.inner.fleet.learn(&target.instance, &report.models, self.now());
         self.inner.fleet.set_orders_taken(&target.instance, Some(report.orders_taken));
         Some(report)
@@ -251,7 +259,7 @@
     inner.fleet.end_load(instance, &due.model.model);
     inner.replan.notify();
     spdlog::info!("weights ordered", kv: {
-        instance = instance.0.as_str(), model = due.model.model.as_str(), held = due.held,
+        instance = instance.name.as_str(), model = due.model.model.as_str(), held = due.held,
         version = due.model.version, fence = grant.fence.0, done = done, lasted_ms = lasted.as_millis() as u64
     });
 }
@@ -293,7 +301,7 @@
         }
         Some(other) => {
             spdlog::warn!("order refused", kv: {
-                instance = instance.0.as_str(), answer = format!("{other:?}").as_str(), fence = grant.fence.0
+                instance = instance.name.as_str(), answer = format!("{other:?}").as_str(), fence = grant.fence.0
             });
             inner.fleet.set_orders_taken(instance, None);
             false
--- a/crates/coordinator/src/runner.rs
+++ b/crates/coordinator/src/runner.rs
@@ -174,7 +174,7 @@
             && let Phase::Running { instance, .. } = std::mem::replace(&mut run.phase, Phase::Waiting)
         {
             spdlog::info!("item moved", kv: {
-                job = job.0.as_str(), index = index, instance = instance.0.as_str(), events = run.text.borrow().events()
+                job = job.0.as_str(), index = index, instance = instance.name.as_str(), events = run.text.borrow().events()
             });
             run.avoid = Some(instance);
             run.moves += 1;
--- a/crates/coordinator/src/scoring.rs
+++ b/crates/coordinator/src/scoring.rs
@@ -93,7 +93,7 @@
         item = call.item.0.as_str(),
         job = call.job.0.as_str(),
         request = call.request.id.as_str(),
-        instance = call.engine.target.instance.0.as_str(),
+        instance = call.engine.target.instance.name.as_str(),
         call = call.call,
         lasted_ms = lasted.as_millis() as u64,
         outcome = format!("{end:?}").as_str()
--- a/crates/coordinator/src/working_set.rs
+++ b/crates/coordinator/src/working_set.rs
@@ -125,7 +125,10 @@
     /// Begins with the engines that the leader before has given orders: they have the weights.
     fn take_over(&mut self, state: &ControlState, service: &str, added: &mut Added) {
         for subject in state.orders.notes().keys() {
-            let OrderSubject::Engine(id) = subject else {
+            let OrderSubject::Engine(name) = subject else {
+                continue;
+            };
+            let Some(id) = state.instances.newest_start(name) else {
                 continue;
             };
             let record = state.instances.get(id).filter(|record| is_sound(record) && record.report.service == service);
--- a/crates/coordinator/tests/load_order.rs
+++ b/crates/coordinator/tests/load_order.rs
@@ -7,7 +7,7 @@
 
 fn load(engine: usize, model: &str, behind: u64) -> DueLoad {
     DueLoad {
-        instance: InstanceId(format!("engine-{engine}")),
+        instance: InstanceId::named(format!("engine-{engine}")),
         model: model.to_string(),
         useless: behind >= 2,
         behind,
--- a/crates/coordinator/tests/pace.rs
+++ b/crates/coordinator/tests/pace.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 fn instance(name: &str) -> InstanceId {
-    InstanceId(name.to_string())
+    InstanceId::named(name)
 }
 
 /// An engine makes `count` events with one pause between them, from `from` on; returns when the last came.
--- a/crates/coordinator/tests/working_set.rs
+++ b/crates/coordinator/tests/working_set.rs
@@ -24,7 +24,7 @@
 
 fn report(number: usize) -> InstanceReport {
     InstanceReport {
-        id: InstanceId(format!("engine-{number}")),
+        id: InstanceId::named(format!("engine-{number}")),
         service: "models".to_string(),
         address: ([10, (number >> 16) as u8, (number >> 8) as u8, number as u8], 8_000).into(),
         zone: ZONES[number % ZONES.len()].to_string(),
@@ -85,7 +85,7 @@
 fn few_engines_are_all_worked_with_also_silent_ones() {
     for engines in [1, 15, 45, 128, 500] {
         let mut state = state(engines);
-        state.instances.note_silence(&[InstanceId("engine-0".to_string())], &[]);
+        state.instances.note_silence(&[InstanceId::named("engine-0")], &[]);
         let mut set = WorkingSet::default();
         let added = set.follow(&state, &DemandWithReserve);
         assert_eq!((added.len(), set.iter().count()), (engines, engines));
@@ -136,14 +136,14 @@
 fn a_new_leader_goes_on_with_the_engines_that_were_given_orders() {
     let mut state = state(9_625);
     let ordered: Vec<OrderSubject> =
-        (4_000..4_400).map(|number| OrderSubject::Engine(InstanceId(format!("engine-{number}")))).collect();
+        (4_000..4_400).map(|number| OrderSubject::Engine(format!("engine-{number}"))).collect();
     state.orders.note(ReplicaId(1), ordered.clone());
     let mut set = WorkingSet::default();
     set.follow(&state, &DemandWithReserve);
     set.clear();
     set.follow(&state, &DemandWithReserve);
     let kept = ordered.iter().filter(|subject| match subject {
-        OrderSubject::Engine(instance) => set.contains(instance),
+        OrderSubject::Engine(name) => set.contains(&InstanceId::named(&**name)),
         _ => false,
     });
     assert_eq!((kept.count(), set.iter().count()), (400, 504));
--- a/crates/gateway-api/tests/common/crashing.rs
+++ b/crates/gateway-api/tests/common/crashing.rs
@@ -103,7 +103,7 @@
     }
 
     pub fn instance(&self) -> InstanceId {
-        InstanceId(format!("{}-{}", self.0.name, self.0.starts.get()))
+        InstanceId::named(format!("{}-{}", self.0.name, self.0.starts.get()))
     }
 
     pub fn address(&self) -> SocketAddr {
@@ -145,7 +145,7 @@
         compio::time::sleep(RUN_TIME).await;
         if crashes_later {
             // Twice as long as what comes.
-            let begun = format!("{}{EVENT}", stream_head(&id, &instance.0, 2 * EVENT.len()));
+            let begun = format!("{}{EVENT}", stream_head(&id, &instance.name, 2 * EVENT.len()));
             // A gateway that is gone already misses it.
             let _ = stream.write_all(begun.into_bytes()).await;
             compio::time::sleep(RUN_TIME).await;
@@ -154,7 +154,7 @@
             engine.crash();
             std::future::pending::<()>().await;
         }
-        let (name, text) = (&instance.0, "served");
+        let (name, text) = (&instance.name, "served");
         let answer = match header(&head, "events") {
             None => format!(
                 "HTTP/1.1 200 OK\r\nsaddlerelay-request: {id}\r\nsaddlerelay-stamp: {name}\r\ncontent-length: {}\r\n\r\n{text}",
--- a/crates/gateway-api/tests/common/engine.rs
+++ b/crates/gateway-api/tests/common/engine.rs
@@ -108,7 +108,7 @@
         let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
         let address = listener.local_addr().expect("an address");
         let state = Rc::new(State {
-            instance: InstanceId(name.to_string()),
+            instance: InstanceId::named(name),
             conduct: Cell::new(Conduct::Answer),
             version: Cell::new(1),
             orders_taken: Cell::new(0),
@@ -176,7 +176,7 @@
     fn sign(&self, reply: &mut Reply, request_id: &str) {
         let headers = reply.headers_mut();
         headers.insert("saddlerelay-request", HeaderValue::from_str(request_id).expect("an identifier"));
-        headers.insert("saddlerelay-stamp", HeaderValue::from_str(&self.state.instance.0).expect("a name"));
+        headers.insert("saddlerelay-stamp", HeaderValue::from_str(&self.state.instance.name).expect("a name"));
         headers.insert("saddlerelay-version", HeaderValue::from(self.state.version.get()));
     }
 
@@ -227,7 +227,7 @@
             Conduct::Impossible => StatusCode::UNPROCESSABLE_ENTITY,
             _ => StatusCode::OK,
         };
-        let mut reply = whole(status, "text/plain", format!("{} answers {}", self.state.instance.0, seen.path));
+        let mut reply = whole(status, "text/plain", format!("{} answers {}", self.state.instance.name, seen.path));
         self.sign(&mut reply, &request_id);
         match conduct {
             Conduct::AnswerAnother => {
@@ -289,7 +289,7 @@
         let (head, body) = request.into_parts();
         let body = read_whole(body).await.unwrap_or_default();
         let expected = head.headers.get("saddlerelay-for-instance").and_then(|value| value.to_str().ok());
-        if expected.is_some_and(|expected| expected != self.state.instance.0) {
+        if expected.is_some_and(|expected| expected != self.state.instance.name) {
             let mut reply = whole(StatusCode::MISDIRECTED_REQUEST, "text/plain", "");
             reply.headers_mut().insert("saddlerelay-not-executed", HeaderValue::from_static("1"));
             return reply;
@@ -299,7 +299,10 @@
             ORDER_PATH => self.order(body).await,
             REPORT_PATH => {
                 let orders_taken = self.state.orders_taken.get();
-                json(StatusCode::OK, &EngineReport { models: self.models(), busy: false, orders_taken })
+                json(
+                    StatusCode::OK,
+                    &EngineReport { models: self.models(), busy: false, orders_taken, started_at_ms: None },
+                )
             }
             _ => {
                 let seen = Seen { method: head.method.to_string(), path, headers: head.headers, body };
--- a/crates/gateway-api/tests/common/mod.rs
+++ b/crates/gateway-api/tests/common/mod.rs
@@ -266,7 +266,7 @@
     }
 
     async fn take_report(&self, report: &InstanceReport) {
-        let path = format!("/v1/instances/{}", report.id.0);
+        let path = format!("/v1/instances/{}", report.id.name);
         let body = serde_json::to_vec(report).expect("JSON");
         let answer = call(self.control, Method::PUT, &path, &[], body).await;
         assert_eq!(answer.status, StatusCode::OK);
@@ -419,7 +419,7 @@
 
 /// An identifier.
 pub fn instance(name: &str) -> InstanceId {
-    InstanceId(name.to_string())
+    InstanceId::named(name)
 }
 
 /// The model of these tests at a version.
--- a/crates/gateway-api/tests/routed.rs
+++ b/crates/gateway-api/tests/routed.rs
@@ -26,7 +26,7 @@
 
 /// Tells the control group that an instance of this name stands at `address`.
 async fn register_as(deployment: &Deployment, name: &str, address: std::net::SocketAddr) {
-    let report = report(InstanceId(name.to_string()), "web", address);
+    let report = report(InstanceId::named(name), "web", address);
     let body = serde_json::to_vec(&report).expect("JSON");
     call(deployment.control, Method::PUT, &format!("/v1/instances/{name}"), &[], body).await;
 }
@@ -206,7 +206,7 @@
             assert_eq!(deployment.request(Method::GET, "/plans/1", &[ID], "").await.status, StatusCode::OK);
         }
         assert_eq!(engines[0].seen().len(), before);
-        let path = format!("/v1/instances/{}", engines[1].instance().0);
+        let path = format!("/v1/instances/{}", engines[1].instance().name);
         assert_eq!(call(deployment.control, Method::DELETE, &path, &[], "").await.status, StatusCode::OK);
         deployment.await_engines("web", 0).await;
     });
--- a/crates/gateway-api/tests/scoring.rs
+++ b/crates/gateway-api/tests/scoring.rs
@@ -73,7 +73,7 @@
             let call_path = format!("/checks/{}", result.item);
             let of_item = |engine: &&StandInEngine| engine.seen().iter().any(|seen| seen.path == call_path);
             let engine = scored.scorers.iter().find(of_item).expect("it was called");
-            assert_eq!((result.end, result.score.as_deref()), (ItemEnd::Completed, Some(&*engine.instance().0)));
+            assert_eq!((result.end, result.score.as_deref()), (ItemEnd::Completed, Some(&*engine.instance().name)));
         }
         let calls = scored.calls();
         assert_eq!(calls.len(), 8, "each is called for once");
--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -123,7 +123,8 @@
     }
     for record in &news.records {
         spdlog::info!("engine instance changed", kv: {
-            instance = record.report.id.0.as_str(),
+            instance = record.report.id.name.as_str(),
+            started_at_ms = record.report.id.started_at_ms.unwrap_or_default(),
             service = record.report.service.as_str(),
             state = format!("{:?}", record.state).as_str(),
             silent = record.silent,
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -159,7 +159,7 @@
     fn tell_hedge(&self, passage: &Passage, engine: &ReadyEngine) {
         self.inner.metrics.hedges.inc();
         spdlog::info!("request tried at a second engine", kv: {
-            request = passage.request.id.as_str(), instance = engine.target.instance.0.as_str()
+            request = passage.request.id.as_str(), instance = engine.target.instance.name.as_str()
         });
     }
 
@@ -240,7 +240,7 @@
                 let may_have_run = !matches!(end, AttemptEnd::NotExecuted(_));
                 spdlog::warn!("attempt failed", kv: {
                     request = passage.request.id.as_str(),
-                    instance = instance.0.as_str(),
+                    instance = instance.name.as_str(),
                     may_have_run = may_have_run,
                     lasted_ms = lasted.as_millis() as u64,
                     reason = reason.as_str()
--- a/crates/gateway/src/lost_connections.rs
+++ b/crates/gateway/src/lost_connections.rs
@@ -59,7 +59,7 @@
         spdlog::warn!("connection lost under a request", kv: {
             request = request.id.as_str(),
             work = work.digest(request).shown().as_str(),
-            instance = target.instance.0.as_str(),
+            instance = target.instance.name.as_str(),
             engine_ended = ended,
             counts = counts,
             engines_ended = self.engines_ended(request, work)
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -170,7 +170,7 @@
             };
             self.inner.balance.failed(&engine.target.instance, self.now());
             spdlog::warn!("attempt failed", kv: {
-                request = outgoing.request_id.as_str(), instance = engine.target.instance.0.as_str(),
+                request = outgoing.request_id.as_str(), instance = engine.target.instance.name.as_str(),
                 may_have_run = possible_runs.may_have_run(), reason = reason.as_str()
             });
             if possible_runs.may_have_run() && !route.resumable {
--- a/crates/gateway/tests/choice.rs
+++ b/crates/gateway/tests/choice.rs
@@ -134,20 +134,20 @@
 }
 
 fn engine(name: &str, zone: &str) -> ReadyEngine {
-    let target = EngineTarget { instance: InstanceId(name.to_string()), address: ([10, 0, 0, 1], 1).into() };
+    let target = EngineTarget { instance: InstanceId::named(name), address: ([10, 0, 0, 1], 1).into() };
     ReadyEngine { target, zone: zone.to_string(), slots: 4, silent: false }
 }
 
 fn chosen(balance: &Balance, engines: &[ReadyEngine], tried: &[InstanceId], now: u64) -> String {
     let choice = balance.choose(engines.iter().cloned(), "north", tried, Duration::from_millis(now));
-    choice.expect("there are engines").target.instance.0
+    choice.expect("there are engines").target.instance.name
 }
 
 #[test]
 fn the_nearest_is_chosen_until_it_is_slower_or_fails() {
     let balance = Balance::default();
     let engines = [engine("far", "south"), engine("near", "north")];
-    let near = InstanceId("near".to_string());
+    let near = InstanceId::named("near");
     assert_eq!(chosen(&balance, &engines, &[], 0), "near");
     assert_eq!(chosen(&balance, &engines, std::slice::from_ref(&near), 0), "far");
     balance.answered(&near, Duration::from_millis(200), Duration::from_millis(10));
@@ -163,7 +163,7 @@
 fn a_failing_engine_is_left_alone_longer_each_time() {
     let balance = Balance::default();
     let engines = [engine("a", "north"), engine("b", "south")];
-    let failing = InstanceId("a".to_string());
+    let failing = InstanceId::named("a");
     let mut now = 0;
     for pause in [400, 800, 1_600, 3_200, 6_400, 6_400] {
         balance.failed(&failing, Duration::from_millis(now));
@@ -178,9 +178,9 @@
     let balance = Balance::default();
     let engines = [engine("a", "north"), engine("b", "north")];
     let now = Duration::ZERO;
-    let held: Vec<_> = (0..3).map(|_| balance.begin(&InstanceId("a".to_string()), now)).collect();
+    let held: Vec<_> = (0..3).map(|_| balance.begin(&InstanceId::named("a"), now)).collect();
     assert_eq!(chosen(&balance, &engines, &[], 0), "b");
     drop(held);
-    let _one = balance.begin(&InstanceId("b".to_string()), now);
+    let _one = balance.begin(&InstanceId::named("b"), now);
     assert_eq!(chosen(&balance, &engines, &[], 0), "a");
 }
--- a/crates/relay/src/dispatch.rs
+++ b/crates/relay/src/dispatch.rs
@@ -192,9 +192,9 @@
         }
         self.count(|counters| counters.engines_ended += 1);
         let work = progress.work_digest();
-        let instance = InstanceId(format!("{}/{}", engine.id, incarnation));
+        let instance = InstanceId::named(format!("{}/{}", engine.id, incarnation));
         spdlog::warn!("engine ended under a generation", kv: {
-            work = work.shown().as_str(), instance = instance.0.as_str()
+            work = work.shown().as_str(), instance = instance.name.as_str()
         });
         self.inner.suspicions.note_loss(EngineLoss { work, instance });
         // What other relays have seen meanwhile comes with the group's answer, before another engine is tried.
--- a/crates/simulator/tests/concurrent_trials.rs
+++ b/crates/simulator/tests/concurrent_trials.rs
@@ -53,7 +53,7 @@
     /// An engine ends under the work that `relay` has sent it; every relay knows a little later.
     fn end_engine(&mut self, relay: usize, engine: &'static str, now: Duration) {
         self.ended.push(engine);
-        let loss = EngineLoss { work: self.work, instance: InstanceId(engine.to_string()) };
+        let loss = EngineLoss { work: self.work, instance: InstanceId::named(engine) };
         self.relays[relay].note_loss(loss, now);
         let evidence = self.relays[relay].evidence().clone();
         self.table.take(evidence.clone(), now.as_millis() as u64);
--- a/crates/simulator/tests/duties.rs
+++ b/crates/simulator/tests/duties.rs
@@ -614,7 +614,7 @@
 
 fn engine(number: u16) -> InstanceReport {
     InstanceReport {
-        id: InstanceId(format!("engine-{number}")),
+        id: InstanceId::named(format!("engine-{number}")),
         service: "llm".to_string(),
         address: ([10, 0, 5, number as u8], 8_000).into(),
         zone: "north".to_string(),
@@ -644,7 +644,7 @@
         };
         assert!(ordered(&deployment).is_empty(), "nothing is missing");
         deployment.platform.unanswered_percent.set(40);
-        deployment.commit(GatewayCommand::RemoveInstance(InstanceId("engine-1".to_string())));
+        deployment.commit(GatewayCommand::RemoveInstance(InstanceId::named("engine-1")));
         deployment.run_for(Duration::from_secs(5));
         if let Some((place, _)) = deployment.leader() {
             deployment.kill(place);
--- a/crates/simulator/tests/followers.rs
+++ b/crates/simulator/tests/followers.rs
@@ -17,7 +17,7 @@
 use saddlerelay_types::gateway::{FollowRequest, GatewayCommand, GatewayReply, GatewayRequest, StoreRecord};
 use saddlerelay_types::identity::Incarnation;
 use saddlerelay_types::instance::{InstanceId, InstanceReport};
-use saddlerelay_types::routing::{RequestLimits, RoutingDocument};
+use saddlerelay_types::routing::{RequestLimits, RoutingDocument, Service};
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
@@ -65,7 +65,7 @@
 
 fn engine(number: u8) -> InstanceReport {
     InstanceReport {
-        id: InstanceId(format!("engine-{number}")),
+        id: InstanceId::named(format!("engine-{number}")),
         service: "pages".to_string(),
         address: ([10, 0, 5, number], 8_000).into(),
         zone: "north".to_string(),
@@ -77,10 +77,17 @@
 }
 
 fn document(version: u64) -> RoutingDocument {
+    let pages = Service {
+        name: "pages".to_string(),
+        health_path: "/health".to_string(),
+        max_connections: 10,
+        hosting: None,
+        scaling: None,
+    };
     RoutingDocument {
         version,
         routes: Vec::new(),
-        services: Vec::new(),
+        services: vec![pages],
         limits: RequestLimits { max_header_bytes: 1, max_body_bytes: 1, header_timeout_ms: 1, idle_timeout_ms: 1 },
         tenants: None,
         source: Vec::new(),
--- a/crates/simulator/tests/suspicion_ways.rs
+++ b/crates/simulator/tests/suspicion_ways.rs
@@ -304,7 +304,7 @@
         let lost = std::mem::take(&mut self.engines[engine].running);
         let guilty: BTreeSet<u32> = lost.values().filter(|one| one.guilty).map(|one| one.work).collect();
         guilty.into_iter().for_each(|work| *self.outcome.ended_by.entry(work).or_default() += 1);
-        let instance = InstanceId(format!("{engine}/{start}"));
+        let instance = InstanceId::named(format!("{engine}/{start}"));
         for one in lost.into_values() {
             let loss = EngineLoss { work: digest(one.work), instance: instance.clone() };
             self.relays[one.relay].note_loss(loss, self.now);
--- a/crates/soak/src/checks.rs
+++ b/crates/soak/src/checks.rs
@@ -125,7 +125,8 @@
         let late = run.at > *acknowledged + DRAIN_BOUND;
         if late && !is_near_waking(records, run.at) {
             let (at, told) = (seconds(run.at), seconds(*acknowledged));
-            let seen = format!("{} reached {} at {at}, acknowledged as leaving at {told}", run.request, run.instance.0);
+            let seen =
+                format!("{} reached {} at {at}, acknowledged as leaving at {told}", run.request, run.instance.name);
             add(violations, LEAVING, seen);
         }
     }
@@ -240,7 +241,7 @@
 
 fn check_score(records: &Records, result: &SeenResult, violations: &mut Vec<Violation>) {
     let request = workload::score_request(&result.item.0);
-    let mut scored_by = records.runs.iter().filter(|run| run.request == request).map(|run| run.instance.0.as_str());
+    let mut scored_by = records.runs.iter().filter(|run| run.request == request).map(|run| run.instance.name.as_str());
     let real = result.score.as_deref().is_some_and(|score| scored_by.any(|instance| instance == score));
     if !real {
         add(violations, SCORES_ARE_REAL, format!("{} carries {:?}", result.item.0, result.score));
@@ -292,7 +293,7 @@
     if is_near_waking(records, before.at) || is_near_waking(records, after.at) {
         return;
     }
-    let engine = &after.instance.0;
+    let engine = &after.instance.name;
     let gap = after.at.saturating_sub(before.at);
     if before.holder != after.holder && gap < ORDER_LEASE {
         let gap = gap.as_millis();
--- a/crates/soak/src/engine.rs
+++ b/crates/soak/src/engine.rs
@@ -156,7 +156,7 @@
 
     /// Its present instance.
     pub fn instance(&self) -> InstanceId {
-        InstanceId(format!("engine-{}-{}", self.state.number, self.state.incarnation.get()))
+        InstanceId::named(format!("engine-{}-{}", self.state.number, self.state.incarnation.get()))
     }
 
     /// Notified when work has begun that ends this instance.
@@ -225,7 +225,7 @@
     }
 
     fn sign(&self, reply: &mut Reply, request: &str) {
-        let stamp = HeaderValue::from_str(&self.instance().0);
+        let stamp = HeaderValue::from_str(&self.instance().name);
         let echo = match self.state.conduct.get() {
             Conduct::Mistaken => HeaderValue::from_str("another request"),
             _ => HeaderValue::from_str(request),
@@ -310,7 +310,7 @@
     fn check_tenant(&self, request: &str, headers: &HeaderMap) {
         let tenant = header(headers, "saddlerelay-tenant");
         if tenant != Some(TENANT) || headers.contains_key(KEY_HEADER) || request.starts_with(STRANGER) {
-            let seen = format!("{request} came to {} for tenant {tenant:?}", self.instance().0);
+            let seen = format!("{request} came to {} for tenant {tenant:?}", self.instance().name);
             self.state.journal.violation("an engine is told the tenant of the key, and never the key", seen);
         }
     }
@@ -422,7 +422,7 @@
         let (head, body) = request.into_parts();
         let body = read_whole(body).await.unwrap_or_default();
         let expected = header(&head.headers, "saddlerelay-for-instance");
-        if expected.is_some_and(|expected| expected != self.instance().0) {
+        if expected.is_some_and(|expected| expected != self.instance().name) {
             let id = header(&head.headers, "saddlerelay-request").unwrap_or_default().to_string();
             return self.not_executed(StatusCode::MISDIRECTED_REQUEST, &id);
         }
@@ -432,7 +432,7 @@
             REPORT_PATH => {
                 let busy = self.state.loading.get();
                 let orders_taken = self.state.orders_taken.get();
-                json(StatusCode::OK, &EngineReport { models: self.models(), busy, orders_taken })
+                json(StatusCode::OK, &EngineReport { models: self.models(), busy, orders_taken, started_at_ms: None })
             }
             _ => self.run(path, head.headers, body).await,
         }
--- a/crates/soak/src/operator.rs
+++ b/crates/soak/src/operator.rs
@@ -134,7 +134,7 @@
 pub async fn report(engine: Engine, addresses: Addresses, journal: Journal, stop: Rc<Cell<bool>>) {
     while !stop.get() {
         let report = engine.report();
-        let path = format!("/v1/instances/{}", report.id.0);
+        let path = format!("/v1/instances/{}", report.id.name);
         let body = serde_json::to_vec(&report).unwrap_or_default();
         let answer = control(&addresses, Method::PUT, &path, body).await;
         let acknowledged = answer.is_some_and(|answer| answer.status.is_success());
@@ -162,7 +162,7 @@
     if engine.instance() != instance {
         return;
     }
-    let path = format!("/v1/instances/{}", instance.0);
+    let path = format!("/v1/instances/{}", instance.name);
     control(&addresses, Method::DELETE, &path, Vec::new()).await;
     compio::time::sleep(REUSE_PAUSE).await;
     engine.start_anew();
--- a/crates/soak/tests/checks.rs
+++ b/crates/soak/tests/checks.rs
@@ -19,7 +19,7 @@
 fn run(request: &str, milliseconds: u64) -> Run {
     Run {
         at: at(milliseconds),
-        instance: InstanceId("engine-0-1".to_string()),
+        instance: InstanceId::named("engine-0-1"),
         service: "web-a".to_string(),
         request: request.to_string(),
         job: None,
@@ -69,7 +69,7 @@
 
 #[test]
 fn a_leaving_engine_gets_no_new_work_after_the_bound() {
-    let leaving = [(InstanceId("engine-0-1".to_string()), at(1_000))].into();
+    let leaving = [(InstanceId::named("engine-0-1"), at(1_000))].into();
     let mut records = Records { leaving, runs: vec![run("r", 2_990)], ..Records::default() };
     assert!(broken(&records).is_empty());
     records.runs.push(run("s", 3_010));
@@ -208,7 +208,7 @@
 fn orders_come_from_one_holder_at_a_time() {
     let order_to = |engine: &str, milliseconds, holder: &str, fence| OrderSeen {
         at: at(milliseconds),
-        instance: InstanceId(engine.to_string()),
+        instance: InstanceId::named(engine),
         holder: holder.to_string(),
         fence,
     };
--- a/crates/types/src/gateway.rs
+++ b/crates/types/src/gateway.rs
@@ -177,6 +177,9 @@
     Followed(FollowReply),
     /// It is done and will last.
     Done,
+    /// The reports are taken, but nothing is known of these instances, of which only heartbeats came: whoever sent them is to
+    /// send their reports whole.
+    ReportsMissing(Vec<InstanceId>),
     /// The routing document is not valid.
     InvalidRouting(RoutingError),
     /// The routing document's source; `None` before the first.
@@ -336,14 +339,21 @@
 /// What orders are about. Only one replica at a time gives orders about a subject.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Encode, Decode)]
 pub enum OrderSubject {
-    /// An engine.
-    Engine(InstanceId),
+    /// The engine of this name, whichever of its starts: an order may reach a later one than it was given for.
+    Engine(String),
     /// The usage reports of all windows.
     UsageReports,
     /// The number of engines of a service in a zone.
     EngineCount(EnginePlace),
 }
 
+impl OrderSubject {
+    /// The engine that an instance is a start of.
+    pub fn engine(instance: &InstanceId) -> Self {
+        Self::Engine(instance.name.clone())
+    }
+}
+
 /// A service in a zone.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Encode, Decode, Serialize, Deserialize)]
 pub struct EnginePlace {
--- a/crates/upstream/src/pool.rs
+++ b/crates/upstream/src/pool.rs
@@ -174,7 +174,7 @@
             return Err(Failure::NotSent("no time is left".to_string()));
         }
         let invalid = |error: &dyn std::fmt::Display| Failure::NotSent(error.to_string());
-        let instance = HeaderValue::from_str(&target.instance.0).map_err(|error| invalid(&error))?;
+        let instance = HeaderValue::from_str(&target.instance.name).map_err(|error| invalid(&error))?;
         let mut message = Request::new(Full::new(request.body.clone()));
         *message.method_mut() = request.method.clone();
         *message.uri_mut() = request.uri.clone();
