Refused calls are counted and told, once in 10 s at most; orders, crashes and unreadable reports over a restart are tested

Cause: nobody saw that something else writes where engines report, and a report might be 34 MB, of which the group would remember the names.

Change: calls that cannot be read count in saddlerelay_control_calls_unreadable, with one line for the first of each 10 s; a report of more than 16 KiB is refused. Stand-ins can tell when they started, and a crashing one can keep its name.

--- a/crates/command-line/src/member.rs
+++ b/crates/command-line/src/member.rs
@@ -231,9 +231,9 @@
     };
     let interval = settings.bounds.report_interval;
     let api = ControlApi::start(runtime.clone(), control.clone(), interval, Box::new(report_target), formats);
-    runtime.spawn(serve_until(control_listener, api, shutdown.clone()));
-    serve_metrics(&runtime, settings.metrics_address, move || coordinator.metrics().encode() + &duties.encode())
-        .await?;
+    runtime.spawn(serve_until(control_listener, api.clone(), shutdown.clone()));
+    let metrics = move || coordinator.metrics().encode() + &duties.encode() + &api.metrics();
+    serve_metrics(&runtime, settings.metrics_address, metrics).await?;
     let record = StoreRecord {
         name: settings.name.clone(),
         replica: node.replica().id(),
--- a/crates/gateway-api/src/control.rs
+++ b/crates/gateway-api/src/control.rs
@@ -2,6 +2,7 @@
 
 use crate::formats::{ControlCall, Formats, UnreadableCall};
 use crate::outcomes;
+use crate::refused_calls::RefusedCalls;
 use hyper::body::Incoming;
 use hyper::{Request, StatusCode};
 use saddlerelay_control_client::reports::ReportGatherer;
@@ -24,6 +25,10 @@
 /// Largest body accepted, in bytes.
 const MAX_BODY_BYTES: usize = 34 * 1024 * 1024;
 
+/// Largest report of an engine, in bytes: one with thirty models takes 2 KB. What waits for its service to be named is kept,
+/// whoever sent it.
+const MAX_REPORT_BYTES: usize = 16 * 1024;
+
 /// The address at which operators, trainers and engines reach a machine.
 pub struct ControlApi<F> {
     /// Finds the group's leader, which may be this process.
@@ -31,6 +36,7 @@
     reports: Rc<ReportGatherer<CompioRuntime>>,
     report_target: ReportTarget,
     formats: F,
+    refused: RefusedCalls,
 }
 
 /// Where an engine is to send its later reports, if not anywhere.
@@ -47,7 +53,7 @@
         formats: F,
     ) -> Rc<Self> {
         let reports = ReportGatherer::start(runtime, control.clone(), report_interval);
-        Rc::new(Self { control, reports, report_target, formats })
+        Rc::new(Self { control, reports, report_target, formats, refused: RefusedCalls::default() })
     }
 }
 
@@ -60,16 +66,28 @@
             Err(_) => return whole(StatusCode::BAD_REQUEST, "text/plain", "the body broke off"),
         };
         match self.formats.control_call(&head.method, head.uri.path(), &body) {
+            Ok(ControlCall::Change(GatewayRequest::ReportInstance(_))) if body.len() > MAX_REPORT_BYTES => {
+                self.refused.note(&head.method, head.uri.path(), "too large for a report");
+                whole(StatusCode::PAYLOAD_TOO_LARGE, "text/plain", "too large")
+            }
             Ok(ControlCall::Change(GatewayRequest::ReportInstance(report))) => self.take_report(report).await,
             Ok(ControlCall::Change(request)) => outcomes::changed(self.ask(request).await, StatusCode::OK),
             Ok(ControlCall::Read(request)) => outcomes::read(&self.formats, self.ask(request).await),
             Err(UnreadableCall::Unknown) => outcomes::not_found(),
-            Err(UnreadableCall::Malformed(reason)) => whole(StatusCode::BAD_REQUEST, "text/plain", reason),
+            Err(UnreadableCall::Malformed(reason)) => {
+                self.refused.note(&head.method, head.uri.path(), &reason);
+                whole(StatusCode::BAD_REQUEST, "text/plain", reason)
+            }
         }
     }
 }
 
 impl<F: Formats> ControlApi<F> {
+    /// Counters, in the text format of metrics.
+    pub fn metrics(&self) -> String {
+        self.refused.encode()
+    }
+
     async fn ask(&self, request: GatewayRequest) -> Result<GatewayReply, GatewayError> {
         self.control.gateway(request, CALL_LIMIT, ATTEMPT_LIMIT).await
     }
--- a/crates/gateway-api/src/lib.rs
+++ b/crates/gateway-api/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod front;
 pub mod outcomes;
 pub mod own;
+mod refused_calls;
 
 pub use control::ControlApi;
 pub use formats::{ControlCall, Formats, FrontCall, JobCall, UnreadableCall};
--- a/crates/gateway-api/tests/common/crashing.rs
+++ b/crates/gateway-api/tests/common/crashing.rs
@@ -25,6 +25,9 @@
 /// How long the engine runs a request before it ends or answers.
 const RUN_TIME: Duration = Duration::from_millis(15);
 
+/// Engines that keep their name have started after this, in Unix milliseconds.
+const FIRST_START_MS: u64 = 1_764_720_000_000;
+
 /// Counts the engines of this process.
 static ENGINES: AtomicU8 = AtomicU8::new(1);
 
@@ -55,6 +58,7 @@
 
 struct State {
     name: String,
+    keeps_name: Cell<bool>,
     log: BegunLog,
     starts: Cell<u32>,
     address: Cell<SocketAddr>,
@@ -73,6 +77,7 @@
     pub fn start(name: &str, log: &BegunLog) -> Self {
         let state = State {
             name: name.to_string(),
+            keeps_name: Cell::new(false),
             log: log.clone(),
             starts: Cell::new(0),
             address: Cell::new(own_address()),
@@ -102,7 +107,15 @@
         true
     }
 
+    /// Has it keep its name when it starts again, and tell when it started.
+    pub fn keep_name(&self) {
+        self.0.keeps_name.set(true);
+    }
+
     pub fn instance(&self) -> InstanceId {
+        if self.0.keeps_name.get() {
+            return InstanceId::started(&*self.0.name, FIRST_START_MS + u64::from(self.0.starts.get()));
+        }
         InstanceId::named(format!("{}-{}", self.0.name, self.0.starts.get()))
     }
 
--- a/crates/gateway-api/tests/common/engine.rs
+++ b/crates/gateway-api/tests/common/engine.rs
@@ -61,11 +61,16 @@
 }
 
 struct State {
-    instance: InstanceId,
+    name: String,
+    /// When it started, if it tells.
+    started_at_ms: Cell<Option<u64>>,
     conduct: Cell<Conduct>,
     version: Cell<u64>,
     orders_taken: Cell<u64>,
     orders: RefCell<Vec<VersionOrder>>,
+    /// Orders whose count of earlier ones differed.
+    orders_refused: Cell<u32>,
+    reports_told: Cell<u32>,
     seen: RefCell<Vec<Seen>>,
     /// Requests whose answer was given up by whoever asked.
     dropped: Cell<u32>,
@@ -108,11 +113,14 @@
         let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
         let address = listener.local_addr().expect("an address");
         let state = Rc::new(State {
-            instance: InstanceId::named(name),
+            name: name.to_string(),
+            started_at_ms: Cell::new(None),
             conduct: Cell::new(Conduct::Answer),
             version: Cell::new(1),
             orders_taken: Cell::new(0),
             orders: RefCell::default(),
+            orders_refused: Cell::new(0),
+            reports_told: Cell::new(0),
             seen: RefCell::default(),
             dropped: Cell::new(0),
             event_pause: Cell::new(Duration::from_millis(1)),
@@ -126,7 +134,12 @@
     }
 
     pub fn instance(&self) -> InstanceId {
-        self.state.instance.clone()
+        InstanceId { name: self.state.name.clone(), started_at_ms: self.state.started_at_ms.get() }
+    }
+
+    /// Has it tell when it started, in Unix milliseconds.
+    pub fn set_started_at(&self, at_ms: u64) {
+        self.state.started_at_ms.set(Some(at_ms));
     }
 
     pub fn address(&self) -> SocketAddr {
@@ -159,6 +172,16 @@
         self.state.orders.borrow().clone()
     }
 
+    /// Orders that it refused because their count of earlier ones differed.
+    pub fn orders_refused(&self) -> u32 {
+        self.state.orders_refused.get()
+    }
+
+    /// Reports that it was asked for.
+    pub fn reports_told(&self) -> u32 {
+        self.state.reports_told.get()
+    }
+
     /// Events that it has made of all its streams.
     pub fn events_made(&self) -> u32 {
         self.state.events_made.get()
@@ -176,7 +199,7 @@
     fn sign(&self, reply: &mut Reply, request_id: &str) {
         let headers = reply.headers_mut();
         headers.insert("saddlerelay-request", HeaderValue::from_str(request_id).expect("an identifier"));
-        headers.insert("saddlerelay-stamp", HeaderValue::from_str(&self.state.instance.name).expect("a name"));
+        headers.insert("saddlerelay-stamp", HeaderValue::from_str(&self.state.name).expect("a name"));
         headers.insert("saddlerelay-version", HeaderValue::from(self.state.version.get()));
     }
 
@@ -191,6 +214,7 @@
         let order: VersionOrder = serde_json::from_slice(&body).expect("an order");
         let taken = self.state.orders_taken.get();
         if order.orders_taken != taken {
+            self.state.orders_refused.set(self.state.orders_refused.get() + 1);
             return whole(StatusCode::CONFLICT, "text/plain", "");
         }
         self.state.orders_taken.set(taken + 1);
@@ -227,7 +251,7 @@
             Conduct::Impossible => StatusCode::UNPROCESSABLE_ENTITY,
             _ => StatusCode::OK,
         };
-        let mut reply = whole(status, "text/plain", format!("{} answers {}", self.state.instance.name, seen.path));
+        let mut reply = whole(status, "text/plain", format!("{} answers {}", self.state.name, seen.path));
         self.sign(&mut reply, &request_id);
         match conduct {
             Conduct::AnswerAnother => {
@@ -289,7 +313,7 @@
         let (head, body) = request.into_parts();
         let body = read_whole(body).await.unwrap_or_default();
         let expected = head.headers.get("saddlerelay-for-instance").and_then(|value| value.to_str().ok());
-        if expected.is_some_and(|expected| expected != self.state.instance.name) {
+        if expected.is_some_and(|expected| expected != self.state.name) {
             let mut reply = whole(StatusCode::MISDIRECTED_REQUEST, "text/plain", "");
             reply.headers_mut().insert("saddlerelay-not-executed", HeaderValue::from_static("1"));
             return reply;
@@ -299,10 +323,9 @@
             ORDER_PATH => self.order(body).await,
             REPORT_PATH => {
                 let orders_taken = self.state.orders_taken.get();
-                json(
-                    StatusCode::OK,
-                    &EngineReport { models: self.models(), busy: false, orders_taken, started_at_ms: None },
-                )
+                self.state.reports_told.set(self.state.reports_told.get() + 1);
+                let started_at_ms = self.state.started_at_ms.get();
+                json(StatusCode::OK, &EngineReport { models: self.models(), busy: false, orders_taken, started_at_ms })
             }
             _ => {
                 let seen = Seen { method: head.method.to_string(), path, headers: head.headers, body };
