Tests, red, of engines without a start among others that tell theirs, and of several starts that waited

Cause: a report that lacks the start is taken for an engine also where all engines tell theirs; what waited for its service is taken in the order of names, so that the oldest start, or a stranger, gets the address and the newest is dropped.

--- a/crates/control/tests/restarts.rs
+++ b/crates/control/tests/restarts.rs
@@ -199,6 +199,31 @@
     assert_eq!(state_of(&state, &InstanceId::named("c")), None);
 }
 
+#[test]
+fn where_engines_tell_their_starts_one_that_does_not_is_none() {
+    let mut state = serving_web();
+    say(&mut state, report(InstanceId::named("before"), 1));
+    say(&mut state, report(start(FIRST), 2));
+    assert_eq!(state_of(&state, &InstanceId::named("before")), Some(InstanceState::Ready), "nobody told it then");
+    say(&mut state, report(InstanceId::named("stranger"), 3));
+    say(&mut state, report(InstanceId::named("stranger"), 2));
+    assert_eq!(state_of(&state, &InstanceId::named("stranger")), None);
+    commit(&mut state, GatewayCommand::RemoveInstance(InstanceId::named("a")));
+    say(&mut state, report(InstanceId::named("after"), 3));
+    assert_eq!(state_of(&state, &InstanceId::named("after")), Some(InstanceState::Ready), "nobody tells it any more");
+}
+
+#[test]
+fn of_starts_that_waited_for_their_service_the_newest_is_there() {
+    let mut state = ControlState::default();
+    for told in [start(FIRST), start(SECOND), InstanceId::named("stranger")] {
+        say(&mut state, report(told, 1));
+    }
+    name_services(&mut state, 1, &["web"]);
+    assert_eq!(state_of(&state, &start(SECOND)), Some(InstanceState::Ready));
+    assert_eq!(state.instances.iter().count(), 1);
+}
+
 #[test]
 fn what_waits_for_its_service_is_bounded() {
     let mut state = ControlState::default();
