Where engines tell their starts, a report without one names no engine; of starts that waited the newest is taken

Change: the table counts, by service, the instances that have told their start; while there are any, a new one has to tell it. What waited for its service is taken newest start first. Reports that wait are kept by instance, so that a heartbeat costs a look there and a document one pass, whatever waits.

Ruled out: to refuse such a report for the whole platform once anybody has told a start; one made-up report would then keep all engines of a platform out that does not tell it.

--- a/crates/control/src/state/instances.rs
+++ b/crates/control/src/state/instances.rs
@@ -30,6 +30,8 @@
     /// The instance at each address that is not gone.
     by_address: BTreeMap<SocketAddr, InstanceId>,
     places: BTreeMap<EnginePlace, PlaceEngines>,
+    /// How many instances of each service have told when they started and are not gone.
+    telling_starts: BTreeMap<String, u32>,
     /// Ready instances whose reports have ceased.
     silent: BTreeSet<InstanceId>,
     /// Instances that are gone, also those that were never known otherwise. Earlier starts under the same name are gone
@@ -158,11 +160,17 @@
             return false;
         }
         match self.get(&report.id) {
-            None => self.may_take_address(report),
+            None => self.tells_as_others(report) && self.may_take_address(report),
             Some(record) => record.state == InstanceState::Ready && report.leaving && is_from(record, report),
         }
     }
 
+    /// Whether a new instance tells its start if others of its service do. Where all tell it, a report without it comes from
+    /// another writer; where none does, engines do not tell it yet.
+    fn tells_as_others(&self, report: &InstanceReport) -> bool {
+        report.id.started_at_ms.is_some() || !self.telling_starts.contains_key(&report.service)
+    }
+
     /// Whether a new instance may stand at its address. A late report of one that started before the instance that serves
     /// there does not take the address back.
     fn may_take_address(&self, report: &InstanceReport) -> bool {
@@ -254,6 +262,9 @@
         }
         let id = record.report.id.clone();
         self.by_address.insert(record.report.address, id.clone());
+        if id.started_at_ms.is_some() {
+            *self.telling_starts.entry(record.report.service.clone()).or_default() += 1;
+        }
         let place = self.places.entry(place_of(&record.report)).or_default();
         place.engines.insert((engine_position(&id), id));
         place.present += u32::from(is_present(record));
@@ -267,6 +278,14 @@
         if self.by_address.get(&record.report.address) == Some(id) {
             self.by_address.remove(&record.report.address);
         }
+        if id.started_at_ms.is_some()
+            && let Some(count) = self.telling_starts.get_mut(&record.report.service)
+        {
+            *count -= 1;
+            if *count == 0 {
+                self.telling_starts.remove(&record.report.service);
+            }
+        }
         if let Some(place) = self.places.get_mut(&place_of(&record.report)) {
             place.engines.remove(&(engine_position(id), id.clone()));
             place.present -= u32::from(is_present(record));
--- a/crates/control/src/state/pending_instances.rs
+++ b/crates/control/src/state/pending_instances.rs
@@ -12,25 +12,26 @@
 /// way is found with its first report after its service is named.
 const PENDING_KEPT: usize = 4_096;
 
-/// A service, and an instance that says it belongs to it: what one writer says is not replaced by another's service.
-type PendingKey = (String, InstanceId);
+/// An instance, and the service that it says it belongs to: what one writer says is not replaced by another's service.
+type PendingKey = (InstanceId, String);
 
 fn key_of(report: &InstanceReport) -> PendingKey {
-    (report.service.clone(), report.id.clone())
+    (report.id.clone(), report.service.clone())
 }
 
 /// The reports that wait.
 #[derive(Clone, Debug, Default, PartialEq, Encode, Decode)]
 pub struct PendingInstances {
     reports: BTreeMap<PendingKey, InstanceReport>,
-    /// The oldest first; also some that no longer wait.
+    /// The oldest first.
     order: VecDeque<PendingKey>,
 }
 
 impl PendingInstances {
     /// Whether a report of this instance waits.
     pub fn holds(&self, id: &InstanceId) -> bool {
-        self.reports.keys().any(|(_, held)| held == id)
+        let first = self.reports.range((id.clone(), String::new())..).next();
+        first.is_some_and(|((held, _), _)| held == id)
     }
 
     /// How many reports wait.
@@ -63,26 +64,34 @@
         }
     }
 
-    /// Forgets what `wanted` tells, and returns it.
-    fn take_where(&mut self, wanted: impl Fn(&InstanceReport) -> bool) -> Vec<InstanceReport> {
-        let keys: Vec<PendingKey> =
-            self.reports.iter().filter(|(_, report)| wanted(report)).map(|(key, _)| key.clone()).collect();
-        self.order.retain(|key| !keys.contains(key));
-        keys.iter().filter_map(|key| self.reports.remove(key)).collect()
-    }
-
     /// Takes out the reports of services that are named now.
     pub fn take_named(&mut self, is_named: impl Fn(&str) -> bool) -> Vec<InstanceReport> {
-        self.take_where(|report| is_named(&report.service))
+        let (named, left) =
+            std::mem::take(&mut self.reports).into_iter().partition(|((_, service), _)| is_named(service));
+        self.reports = left;
+        self.order.retain(|key| self.reports.contains_key(key));
+        BTreeMap::into_values(named).collect()
     }
 
     /// Forgets the starts of an engine up to this one.
     pub fn remove(&mut self, ended: &InstanceId) {
-        self.take_where(|report| report.id.name == ended.name && report.id <= *ended);
+        let of_name = self.of_name(&ended.name).into_iter();
+        let keys: Vec<PendingKey> = of_name.filter(|(id, _)| id <= ended).cloned().collect();
+        if keys.is_empty() {
+            return;
+        }
+        keys.iter().for_each(|key| drop(self.reports.remove(key)));
+        self.order.retain(|key| self.reports.contains_key(key));
+    }
+
+    /// The starts of an engine that wait, the newest last.
+    fn of_name(&self, name: &str) -> Vec<&PendingKey> {
+        let from = (InstanceId::named(name), String::new());
+        self.reports.range(from..).map(|(key, _)| key).take_while(|(id, _)| id.name == name).collect()
     }
 
     /// The newest start under this name that waits.
     pub fn newest_start(&self, name: &str) -> Option<&InstanceId> {
-        self.reports.keys().map(|(_, held)| held).filter(|held| held.name == name).max()
+        self.of_name(name).last().map(|(id, _)| id)
     }
 }
--- a/crates/control/src/state/registration.rs
+++ b/crates/control/src/state/registration.rs
@@ -3,6 +3,7 @@
 use super::ControlState;
 use saddlerelay_types::instance::{InstanceId, InstanceReport};
 use saddlerelay_types::routing::RoutingDocument;
+use std::cmp::Reverse;
 
 impl ControlState {
     fn is_named(&self, service: &str) -> bool {
@@ -54,7 +55,10 @@
         let Some(document) = self.routing.current() else {
             return;
         };
-        for report in self.pending_instances.take_named(|service| document.service(service).is_some()) {
+        let mut named = self.pending_instances.take_named(|service| document.service(service).is_some());
+        // The newest starts first: they have the name and the address.
+        named.sort_by_key(|report| Reverse(report.id.started_at_ms));
+        for report in named {
             // It may have waited for long: whoever serves at its address since then keeps it. If it is there after all, its
             // next report is taken.
             if self.instances.holder(report.address).is_none() {
