--- a/crates/gateway-api/tests/common/crashing.rs
+++ b/crates/gateway-api/tests/common/crashing.rs
@@ -25,6 +25,9 @@
 /// How long the engine runs a request before it ends or answers.
 const RUN_TIME: Duration = Duration::from_millis(15);
 
+/// Engines that keep their name have started after this, in Unix milliseconds.
+const FIRST_START_MS: u64 = 1_764_720_000_000;
+
 /// Counts the engines of this process.
 static ENGINES: AtomicU8 = AtomicU8::new(1);
 
@@ -55,6 +58,7 @@
 
 struct State {
     name: String,
+    keeps_name: Cell<bool>,
     log: BegunLog,
     starts: Cell<u32>,
     address: Cell<SocketAddr>,
@@ -73,6 +77,7 @@
     pub fn start(name: &str, log: &BegunLog) -> Self {
         let state = State {
             name: name.to_string(),
+            keeps_name: Cell::new(false),
             log: log.clone(),
             starts: Cell::new(0),
             address: Cell::new(own_address()),
@@ -102,8 +107,16 @@
         true
     }
 
+    /// Has it keep its name when it starts again, and tell when it started.
+    pub fn keep_name(&self) {
+        self.0.keeps_name.set(true);
+    }
+
     pub fn instance(&self) -> InstanceId {
-        InstanceId(format!("{}-{}", self.0.name, self.0.starts.get()))
+        if self.0.keeps_name.get() {
+            return InstanceId::started(&*self.0.name, FIRST_START_MS + u64::from(self.0.starts.get()));
+        }
+        InstanceId::named(format!("{}-{}", self.0.name, self.0.starts.get()))
     }
 
     pub fn address(&self) -> SocketAddr {
@@ -145,7 +158,7 @@
         compio::time::sleep(RUN_TIME).await;
         if crashes_later {
             // Twice as long as what comes.
-            let begun = format!("{}{EVENT}", stream_head(&id, &instance.0, 2 * EVENT.len()));
+            let begun = format!("{}{EVENT}", stream_head(&id, &instance.name, 2 * EVENT.len()));
             // A gateway that is gone already misses it.
             let _ = stream.write_all(begun.into_bytes()).await;
             compio::time::sleep(RUN_TIME).await;
@@ -154,7 +167,7 @@
             engine.crash();
             std::future::pending::<()>().await;
         }
-        let (name, text) = (&instance.0, "served");
+        let (name, text) = (&instance.name, "served");
         let answer = match header(&head, "events") {
             None => format!(
                 "HTTP/1.1 200 OK\r\nsaddlerelay-request: {id}\r\nsaddlerelay-stamp: {name}\r\ncontent-length: {}\r\n\r\n{text}",
