Sight: elections, refused votes and lost quorums at the level that runs in production

Cause: elections, refused votes and lost quorums were told at `debug` only, and nothing said whether a replica hears a leader, counts as a voter, or what its files held.

Change: one line for each campaign (asked, granted, refused, unanswered, waited ms), `votes refused` once a second with the reasons counted, `quorum lost` with each voter's last answer, `leader lost`/`leader regained` at most once a second and once in 10 s while it lasts, `standing in the group`, and `replica opened` with what the files held. No decision changes.

Measured: tests of replication and members.rs (18) pass; the lines were read in the output of members.rs.

--- a/crates/replication/src/election.rs
+++ b/crates/replication/src/election.rs
@@ -2,6 +2,7 @@
 
 use crate::message::{Header, ReplicaReply, ReplicaRequest};
 use crate::replica::Replica;
+use crate::standing::VoteRefusal;
 use crate::state::{Role, StateMachine};
 use crate::wal::WalRecord;
 use futures::StreamExt;
@@ -20,11 +21,42 @@
 /// Share of an election timeout within which candidates try again after a split vote.
 const RETRY_DIVISOR: u32 = 2;
 
+/// How a campaign ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum CampaignEnd {
+    PreVoteLost,
+    TermOvertaken,
+    VoteLost,
+    Elected,
+}
+
+impl CampaignEnd {
+    fn name(self) -> &'static str {
+        match self {
+            Self::PreVoteLost => "votes would not be given",
+            Self::TermOvertaken => "term overtaken",
+            Self::VoteLost => "votes not given",
+            Self::Elected => "elected",
+        }
+    }
+}
+
+/// The answers to a candidate's last round of requests, its own vote left out.
+#[derive(Clone, Copy, Debug, Default)]
+struct VoteCount {
+    asked: usize,
+    granted: usize,
+    refused: usize,
+    /// From the requests to the last answer that counted, or to the end of the wait.
+    waited: Duration,
+}
+
 impl<P: Runtime, S: StateMachine> Replica<P, S> {
     pub(crate) async fn run_elections(self) {
         loop {
             self.inner.platform.sleep(self.election_pause()).await;
             self.end_lost_leadership();
+            self.tell_standing();
             if self.election_is_due() {
                 self.clone().campaign(false).await;
             }
@@ -46,7 +78,16 @@
         };
         let contact = state.quorum_answered_at(now).unwrap_or(leadership.since);
         if now >= contact + self.inner.options.config.election_timeout {
-            spdlog::debug!("quorum lost", kv: { term = state.term, silent_ms = now.saturating_sub(contact).as_millis() as u64 });
+            spdlog::warn!("quorum lost", kv: {
+                term = state.term,
+                silent_ms = now.saturating_sub(contact).as_millis() as u64,
+                led_ms = now.saturating_sub(leadership.since).as_millis() as u64,
+                answered = leadership.answered_peers(),
+                quorum = state.membership().quorum(),
+                last_index = state.log.last_index(),
+                commit = state.commit,
+                peers = state.peers_heard(now).as_str()
+            });
             state.become_follower();
             state.leader = None;
             self.reset_election_timer(&mut state);
@@ -66,19 +107,20 @@
     pub(crate) async fn campaign(self, transfer: bool) {
         self.reset_election_timer(&mut self.inner.state.borrow_mut());
         let next_term = self.inner.state.borrow().term + 1;
-        if !transfer && !self.collect_votes(next_term, true, false).await {
-            self.tell_election("votes would not be given", next_term);
+        let mut count = VoteCount::default();
+        if !transfer && !self.collect_votes(next_term, true, false, &mut count).await {
+            self.tell_election(CampaignEnd::PreVoteLost, next_term, count);
             return;
         }
         let Some(term) = self.enter_next_term(next_term).await else {
-            self.tell_election("term overtaken", next_term);
+            self.tell_election(CampaignEnd::TermOvertaken, next_term, count);
             return;
         };
-        if self.collect_votes(term, false, transfer).await {
-            self.tell_election("elected", term);
+        if self.collect_votes(term, false, transfer, &mut count).await {
+            self.tell_election(CampaignEnd::Elected, term, count);
             self.lead(term).await;
         } else {
-            self.tell_election("votes not given", term);
+            self.tell_election(CampaignEnd::VoteLost, term, count);
             self.retry_election_apart();
         }
     }
@@ -91,14 +133,23 @@
         self.inner.state.borrow_mut().election_at = platform.monotonic() + wait;
     }
 
-    fn tell_election(&self, event: &str, term: u64) {
+    fn tell_election(&self, end: CampaignEnd, term: u64, count: VoteCount) {
         let state = self.inner.state.borrow();
-        spdlog::debug!("{}", event, kv: {
+        let now = self.inner.platform.monotonic();
+        let level = if matches!(end, CampaignEnd::Elected) { spdlog::Level::Info } else { spdlog::Level::Warn };
+        spdlog::log!(level, "{}", end.name(), kv: {
             term = term,
             replica = state.identity.id.0,
             last_index = state.log.last_index(),
             last_term = state.log.last_term(),
-            voters = state.membership().voters().count()
+            voters = state.membership().voters().count(),
+            quorum = state.membership().quorum(),
+            asked = count.asked,
+            granted = count.granted,
+            refused = count.refused,
+            unanswered = count.asked - count.granted - count.refused,
+            waited_ms = count.waited.as_millis() as u64,
+            leader_heard_ms = now.saturating_sub(state.leader_heard_at).as_millis() as u64
         });
     }
 
@@ -124,7 +175,8 @@
     }
 
     /// Whether a quorum gives, or with `pre_vote` would give, its vote in `term`.
-    async fn collect_votes(&self, term: u64, pre_vote: bool, transfer: bool) -> bool {
+    async fn collect_votes(&self, term: u64, pre_vote: bool, transfer: bool, count: &mut VoteCount) -> bool {
+        let asked_at = self.inner.platform.monotonic();
         let (own, peers, quorum, last_index, last_term) = {
             let state = self.inner.state.borrow();
             let own = state.identity.id;
@@ -139,11 +191,20 @@
             let limit = self.inner.options.config.election_timeout / VOTE_LIMIT_DIVISOR;
             async move { self.send(address, &request, limit).await }
         };
+        *count = VoteCount { asked: peers.len(), ..VoteCount::default() };
         let mut answers: FuturesUnordered<_> = peers.into_iter().map(ask).collect();
         while given < quorum {
-            match answers.next().await {
-                Some(Some(ReplicaReply::Vote { granted: true, .. })) => given += 1,
-                Some(Some(ReplicaReply::Vote { term: seen, granted: false })) => self.observe_term(seen).await,
+            let answer = answers.next().await;
+            count.waited = self.inner.platform.monotonic().saturating_sub(asked_at);
+            match answer {
+                Some(Some(ReplicaReply::Vote { granted: true, .. })) => {
+                    given += 1;
+                    count.granted += 1;
+                }
+                Some(Some(ReplicaReply::Vote { term: seen, granted: false })) => {
+                    count.refused += 1;
+                    self.observe_term(seen).await;
+                }
                 Some(_) => {}
                 None => return false,
             }
@@ -191,8 +252,17 @@
             let own_end = (state.log.last_term(), state.log.last_index());
             let free = header.term > state.term || state.voted_for.is_none() || state.voted_for == Some(header.from);
             let current = if pre_vote { header.term > state.term } else { header.term >= state.term && free };
-            let granted = (leaderless || transfer) && current && candidate_end >= own_end;
-            if !granted {
+            let refusal = if !(leaderless || transfer) {
+                Some(VoteRefusal::LeaderHeard)
+            } else if !current {
+                Some(VoteRefusal::TermTaken)
+            } else if candidate_end < own_end {
+                Some(VoteRefusal::LogBehind)
+            } else {
+                None
+            };
+            if let Some(refusal) = refusal {
+                self.note_refused_vote(refusal);
                 spdlog::debug!("vote refused", kv: {
                     candidate = header.from.0,
                     pre_vote = pre_vote,
@@ -203,7 +273,7 @@
                     own_index = own_end.1
                 });
             }
-            (!granted).then_some(ReplicaReply::Vote { term: state.term, granted: false })
+            refusal.map(|_| ReplicaReply::Vote { term: state.term, granted: false })
         };
         if let Some(refusal) = refusal {
             return refusal;
--- a/crates/replication/src/lib.rs
+++ b/crates/replication/src/lib.rs
@@ -19,6 +19,7 @@
 mod segment_fetch;
 pub mod segments;
 pub mod snapshot;
+mod standing;
 mod state;
 pub mod storage;
 pub mod wal;
--- a/crates/replication/src/membership.rs
+++ b/crates/replication/src/membership.rs
@@ -61,6 +61,13 @@
         Self { members: self.members.iter().filter(|member| member.id != id).cloned().collect() }
     }
 
+    /// Addresses of the voters, and of the learners behind a plus sign.
+    pub fn names(&self) -> String {
+        let name =
+            |member: &Member| if member.voter { member.address.to_string() } else { format!("+{}", member.address) };
+        self.members.iter().map(name).collect::<Vec<_>>().join(" ")
+    }
+
     /// The largest value that a quorum of voters has reached, where `reached` tells each voter's own value.
     pub fn quorum_value<T: Ord + Copy>(&self, reached: impl Fn(ReplicaId) -> T) -> Option<T> {
         let mut values: Vec<T> = self.voters().map(|member| reached(member.id)).collect();
--- a/crates/replication/src/reconfigure.rs
+++ b/crates/replication/src/reconfigure.rs
@@ -311,12 +311,6 @@
     }
 }
 
-/// Addresses of the voters, and of the learners behind a plus sign.
-fn names_of(membership: &Membership) -> String {
-    let name = |member: &Member| if member.voter { member.address.to_string() } else { format!("+{}", member.address) };
-    membership.members.iter().map(name).collect::<Vec<_>>().join(" ")
-}
-
 /// Whether a membership that was made from the one at index `made_from` may be written now.
 pub(crate) fn may_take_membership<S: StateMachine>(state: &State<S>, made_from: Option<u64>) -> bool {
     may_change_membership(state) && made_from == Some(state.log.membership_index())
@@ -328,7 +322,7 @@
         term = state.term,
         voters = membership.voters().count(),
         learners = membership.members.len() - membership.voters().count(),
-        members = names_of(membership).as_str()
+        members = membership.names().as_str()
     });
 }
 
--- a/crates/replication/src/replica.rs
+++ b/crates/replication/src/replica.rs
@@ -7,6 +7,7 @@
 use crate::message::{Header, ReplicaReply, ReplicaRequest};
 use crate::segments::StoredSegments;
 use crate::snapshot::Snapshot;
+use crate::standing::{StandingReports, tell_recovered};
 use crate::state::{Role, State, StateMachine};
 use crate::storage::{Identity, Recovered, Storage, StorageError};
 use futures::channel::{mpsc, oneshot};
@@ -82,6 +83,8 @@
     pub heard_of: RefCell<BTreeSet<SocketAddr>>,
     /// Replicas that have asked this leader in vain to be added, and when.
     pub refused_joiners: RefCell<BTreeMap<SocketAddr, Duration>>,
+    /// What operators have been told of this replica's place in the group.
+    pub reports: RefCell<StandingReports>,
 }
 
 /// One replica of a group. Clones are the same replica.
@@ -102,6 +105,7 @@
         let random_id = ReplicaId(platform.random().max(1));
         let new_id = if founds { founder_id(options.address) } else { random_id };
         let (storage, recovered) = Storage::open(platform.disk(), new_id, S::FORMAT).await?;
+        tell_recovered(&recovered);
         let snapshot_index = recovered.log.base_index();
         let led_last = led_last(&recovered);
         let mut segments = StoredSegments::default();
@@ -157,6 +161,7 @@
             outgoing: RefCell::default(),
             heard_of: RefCell::default(),
             refused_joiners: RefCell::default(),
+            reports: RefCell::default(),
         };
         let replica = Self { inner: Rc::new(inner) };
         replica.form_founders_group().await?;
--- a/crates/replication/src/state.rs
+++ b/crates/replication/src/state.rs
@@ -2,7 +2,7 @@
 
 use crate::config::ReplicationConfig;
 use crate::log::{EntryPayload, MemoryLog};
-use crate::membership::Membership;
+use crate::membership::{Member, Membership};
 use crate::segments::Segment;
 use crate::snapshot::{Snapshot, SnapshotHeader};
 use crate::storage::Identity;
@@ -69,6 +69,13 @@
     pub handing_over: bool,
 }
 
+impl Leadership {
+    /// Peers that have answered at least once in this term.
+    pub fn answered_peers(&self) -> usize {
+        self.progress.values().filter(|progress| progress.answered_sent_at.is_some()).count()
+    }
+}
+
 pub(crate) enum Role {
     Follower,
     Candidate,
@@ -149,6 +156,21 @@
         self.membership().quorum_value(answered).flatten()
     }
 
+    /// For operators: each peer that votes, how long ago the newest message that it answered was sent, and what it holds.
+    pub fn peers_heard(&self, now: Duration) -> String {
+        let Some(leadership) = self.leadership() else {
+            return String::new();
+        };
+        let own = self.identity.id;
+        let peers = self.membership().voters().filter(|member| member.id != own);
+        let describe = |member: &Member| {
+            let progress = leadership.progress.get(&member.id).copied().unwrap_or_default();
+            let heard = progress.answered_sent_at.map(|at| now.saturating_sub(at).as_millis().to_string());
+            format!("{}:{}ms:{}", member.address, heard.unwrap_or("-".to_string()), progress.matched)
+        };
+        peers.map(describe).collect::<Vec<_>>().join(" ")
+    }
+
     /// The last entry that every voter heard lately holds, if this replica leads.
     pub fn least_matched(&self, now: Duration, silence: Duration) -> Option<u64> {
         let leadership = self.leadership()?;
