--- a/crates/simulator/src/disk.rs
+++ b/crates/simulator/src/disk.rs
@@ -2,7 +2,7 @@
 
 use crate::world::{Process, Sleep, World};
 use saddlerelay_runtime::Disk;
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::collections::{BTreeMap, BTreeSet};
 use std::io;
 use std::rc::Rc;
@@ -24,6 +24,7 @@
     full: RefCell<BTreeSet<String>>,
     /// How much longer a sync takes, by process.
     slow: RefCell<BTreeMap<String, Duration>>,
+    syncs: Cell<u64>,
 }
 
 impl DiskTable {
@@ -63,6 +64,15 @@
         self.slow.borrow_mut().insert(process.to_string(), by);
     }
 
+    /// Syncs and replaced files of all processes so far.
+    pub fn syncs(&self) -> u64 {
+        self.syncs.get()
+    }
+
+    fn count_sync(&self) {
+        self.syncs.set(self.syncs.get() + 1);
+    }
+
     /// Whether the disk takes nothing more.
     pub fn set_full(&self, process: &str, full: bool) {
         let mut table = self.full.borrow_mut();
@@ -128,6 +138,7 @@
 
     async fn sync(&self, file: &str) -> io::Result<()> {
         let slow = self.world.disks.slow.borrow().get(&self.process.name).copied().unwrap_or_default();
+        self.world.disks.count_sync();
         self.wait(SYNC_TIME + slow).await;
         let mut files = self.world.disks.files.borrow_mut();
         if let Some(file) = files.get_mut(&self.key(file)) {
@@ -138,6 +149,7 @@
     }
 
     async fn replace(&self, file: &str, bytes: Vec<u8>) -> io::Result<()> {
+        self.world.disks.count_sync();
         self.wait(SYNC_TIME * 2).await;
         self.check_space()?;
         let mut files = self.world.disks.files.borrow_mut();
--- a/crates/simulator/src/network.rs
+++ b/crates/simulator/src/network.rs
@@ -18,6 +18,28 @@
 /// Time inside one zone.
 const LOCAL_DELAY: Duration = Duration::from_micros(100);
 
+/// First wait of a stream before it sends a lost packet again; it doubles with each loss in a row (Linux: 200 ms at least).
+const RESEND: Duration = Duration::from_millis(200);
+
+/// First wait before the first packet of a connection is sent again; it doubles too (RFC 6298: 1 s).
+const HANDSHAKE_FIRST_RESEND: Duration = Duration::from_secs(1);
+
+/// Doublings at most: a stream that never got through would hold a run up for ever.
+const MOST_RESENDS: u32 = 6;
+
+/// What is wrong with every link between two zones. Each stream has the rate for itself.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct LinkTrouble {
+    /// Frames in a thousand that are lost once, and of those as many again.
+    pub lost_per_mille: u64,
+    /// Bytes that a stream carries in a second; 0: no limit.
+    pub bytes_per_second: u64,
+    /// Least additional time until a connection is open; up to `connect_jitter` more.
+    pub connect_delay: Duration,
+    /// Random part of that time.
+    pub connect_jitter: Duration,
+}
+
 /// Both halves of a connection.
 pub type Accepted = (SimSender, SimReceiver);
 
@@ -38,6 +60,11 @@
     zones: Cell<usize>,
     /// Connections in a thousand whose first packet is lost.
     pub lost_handshakes: Cell<u64>,
+    trouble: Cell<LinkTrouble>,
+    /// Frames that were sent from one zone to another.
+    frames: Cell<u64>,
+    /// Their bytes.
+    bytes: Cell<u64>,
 }
 
 impl Network {
@@ -59,6 +86,27 @@
         }
     }
 
+    /// Sets what is wrong with every link between two zones from now on.
+    pub fn set_trouble(&self, trouble: LinkTrouble) {
+        self.trouble.set(trouble);
+    }
+
+    /// Frames and bytes that were sent from one zone to another so far.
+    pub fn sent_between_zones(&self) -> (u64, u64) {
+        (self.frames.get(), self.bytes.get())
+    }
+
+    fn count(&self, from: usize, to: usize, parcel: &Parcel) {
+        if from != to {
+            self.frames.set(self.frames.get() + 1);
+            self.bytes.set(self.bytes.get() + parcel.size());
+        }
+    }
+
+    fn trouble_between(&self, from: usize, to: usize) -> LinkTrouble {
+        if from == to { LinkTrouble::default() } else { self.trouble.get() }
+    }
+
     fn is_cut(&self, from: usize, to: usize) -> bool {
         self.cuts.borrow().contains(&(from, to))
     }
@@ -96,12 +144,38 @@
     End,
 }
 
+impl Parcel {
+    fn size(&self) -> u64 {
+        match self {
+            Self::Frame(frame) => frame.len() as u64,
+            Self::End => 0,
+        }
+    }
+}
+
+/// How long losses in a row hold something up, each wait twice the one before.
+fn resend_time(world: &World, lost_per_mille: u64, first: Duration) -> Duration {
+    let mut total = Duration::ZERO;
+    let mut wait = first;
+    // Without losses nothing is drawn: the other random choices of a seed stay as they are.
+    for _ in 0..MOST_RESENDS {
+        if lost_per_mille == 0 || world.random() % 1000 >= lost_per_mille {
+            break;
+        }
+        total += wait;
+        wait *= 2;
+    }
+    total
+}
+
 /// One direction of a connection.
 struct Pipe {
     world: Rc<World>,
     from: usize,
     to: usize,
     last_arrival: Cell<Duration>,
+    /// When what was sent before has left, at a limited rate.
+    free_at: Cell<Duration>,
     held: RefCell<VecDeque<Parcel>>,
     arrived: RefCell<VecDeque<Vec<u8>>>,
     ended: Cell<bool>,
@@ -116,6 +190,7 @@
             from,
             to,
             last_arrival: Cell::default(),
+            free_at: Cell::default(),
             held: RefCell::default(),
             arrived: RefCell::default(),
             ended: Cell::default(),
@@ -131,8 +206,15 @@
         }
         let delay = self.world.network.delay(self.from, self.to);
         let jitter = self.world.jitter(delay / 2);
+        let trouble = self.world.network.trouble_between(self.from, self.to);
+        let resend = resend_time(&self.world, trouble.lost_per_mille, RESEND);
+        let carried = parcel.size() * 1_000_000;
+        let transfer = Duration::from_micros(carried.checked_div(trouble.bytes_per_second).unwrap_or(0));
+        let begins = self.world.clock.now().max(self.free_at.get());
+        self.free_at.set(begins + transfer);
         // A stream keeps its order.
-        let at = (self.world.clock.now() + delay + jitter).max(self.last_arrival.get());
+        let at = (begins + transfer + delay + jitter + resend).max(self.last_arrival.get());
+        self.world.network.count(self.from, self.to, &parcel);
         self.last_arrival.set(at);
         let pipe = self.clone();
         self.world.clock.schedule(at, Event::Call(Box::new(move || pipe.arrive(parcel))));
@@ -266,7 +348,11 @@
         return Err(refused());
     };
     let from = process.zone;
-    let round_trip = world.network.delay(from, to) * 2 + lost_handshake(world);
+    let trouble = world.network.trouble_between(from, to);
+    let late = if trouble.connect_jitter.is_zero() { Duration::ZERO } else { world.jitter(trouble.connect_jitter) };
+    let resend = resend_time(world, trouble.lost_per_mille, HANDSHAKE_FIRST_RESEND);
+    let held_up = trouble.connect_delay + late + resend;
+    let round_trip = world.network.delay(from, to) * 2 + lost_handshake(world) + held_up;
     crate::world::Sleep::new(world.clock.clone(), world.clock.now() + round_trip).await;
     if world.network.is_cut(from, to) || world.network.is_cut(to, from) {
         return std::future::pending().await;
