rpc: a connection attempt outlives the call that began it

Cause: the attempt was cancelled with the call (a vote waits 250 ms), so where connections take longer to open than calls wait, each call began anew. Ruled out: a longer limit for calls (a larger constant, and it slows the turn to the next replica).

Change: an attempt is a task of its own with 1.5 s; calls wait for one at most 300 ms as before. While one is stuck the next call begins another after 250 ms; calls at the same time share one.

--- a/crates/rpc/src/client.rs
+++ b/crates/rpc/src/client.rs
@@ -3,6 +3,7 @@
 use crate::frame::{Envelope, Hello};
 use futures::channel::{mpsc, oneshot};
 use futures::{StreamExt, future};
+use saddlerelay_runtime::signal::Signal;
 use saddlerelay_runtime::timeout::timeout;
 use saddlerelay_runtime::{FrameReceiver, FrameSender, Runtime};
 use std::cell::{Cell, RefCell};
@@ -11,9 +12,17 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-/// The longest that a connection attempt may take.
+/// The longest that a call waits for a connection.
 pub const CONNECT_LIMIT: Duration = Duration::from_millis(300);
 
+/// The longest that a connection attempt may take. It outlives the call that began it: where connections take longer to open
+/// than calls wait, the next call finds one. The first resend of a lost first packet, after 1 s, still counts.
+const ATTEMPT_LIMIT: Duration = Duration::from_millis(1_500);
+
+/// Shortest time between two attempts while one is under way: one that is stuck, because its first packet was lost or the peer's
+/// machine was down, holds up those that come later by no more than this.
+const ATTEMPT_SPACING: Duration = Duration::from_millis(250);
+
 /// Why a call brought no answer.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum CallError {
@@ -40,6 +49,12 @@
     next_id: Cell<u64>,
     next_generation: Cell<u64>,
     link: RefCell<Option<Link>>,
+    /// Connection attempts under way.
+    attempts: Cell<u32>,
+    /// When the newest began.
+    attempt_began_at: Cell<Duration>,
+    /// An attempt has succeeded or failed.
+    attempt_ended: Signal,
 }
 
 /// Calls one peer. Clones share the connection.
@@ -63,6 +78,9 @@
             next_id: Cell::new(1),
             next_generation: Cell::new(1),
             link: RefCell::new(None),
+            attempts: Cell::new(0),
+            attempt_began_at: Cell::default(),
+            attempt_ended: Signal::default(),
         };
         Self { inner: Rc::new(inner) }
     }
@@ -85,7 +103,7 @@
 
     async fn exchange(&self, body: Vec<u8>) -> Result<Vec<u8>, CallError> {
         if self.inner.link.borrow().is_none() {
-            self.open_link().await?;
+            self.await_link().await?;
         }
         let id = self.inner.next_id.replace(self.inner.next_id.get() + 1);
         let (answer_sender, answer) = oneshot::channel();
@@ -103,12 +121,50 @@
         answer.await.map_err(|_| CallError::Unknown)
     }
 
-    async fn open_link(&self) -> Result<(), CallError> {
+    /// Waits until an attempt to connect has opened a link, or all have failed.
+    async fn await_link(&self) -> Result<(), CallError> {
+        self.begin_attempt();
+        timeout(&self.inner.platform, CONNECT_LIMIT, self.link_or_failure()).await;
+        if self.inner.link.borrow().is_some() { Ok(()) } else { Err(CallError::NotSent) }
+    }
+
+    async fn link_or_failure(&self) {
+        while self.inner.link.borrow().is_none() && self.inner.attempts.get() > 0 {
+            let seen = self.inner.attempt_ended.count();
+            self.inner.attempt_ended.changed(seen).await;
+        }
+    }
+
+    /// Begins an attempt to connect, unless one has just begun.
+    fn begin_attempt(&self) {
+        let now = self.inner.platform.monotonic();
+        let is_young = now < self.inner.attempt_began_at.get() + ATTEMPT_SPACING;
+        if self.inner.attempts.get() > 0 && is_young {
+            return;
+        }
+        self.inner.attempt_began_at.set(now);
+        self.inner.attempts.set(self.inner.attempts.get() + 1);
+        let client = self.clone();
+        self.inner.platform.spawn(async move {
+            client.attempt().await;
+            client.inner.attempts.set(client.inner.attempts.get() - 1);
+            client.inner.attempt_ended.notify();
+        });
+    }
+
+    async fn attempt(&self) {
+        let platform = &self.inner.platform;
+        let connection = timeout(platform, ATTEMPT_LIMIT, platform.connect(self.inner.address)).await;
+        if let Some(Ok((sender, receiver))) = connection {
+            self.take_connection(sender, receiver);
+        }
+    }
+
+    /// Makes a connection the link, unless another attempt has opened one meanwhile.
+    fn take_connection(&self, sender: P::Sender, receiver: P::Receiver) {
         let platform = &self.inner.platform;
-        let connection = timeout(platform, CONNECT_LIMIT, platform.connect(self.inner.address)).await;
-        let (sender, receiver) = connection.and_then(Result::ok).ok_or(CallError::NotSent)?;
         if self.inner.link.borrow().is_some() {
-            return Ok(());
+            return;
         }
         let (outgoing, queue) = mpsc::unbounded();
         let pending: Pending = Rc::default();
@@ -124,7 +180,6 @@
             client.drop_link(generation);
             pending.borrow_mut().clear();
         });
-        Ok(())
     }
 
     /// A link on which nothing has come since a call began that got no answer is given up: after a cut, it may take far
