Leaders last where disks or links are slow: heartbeats from memory, waits that grow, messages that shrink

Cause: with three voters left of five all three are the quorum. A vote or an append that takes longer than a fixed limit (a vote 250 ms, a leader's quorum 500 ms, a call 700 ms) ends every term like the last. A larger constant only moves the limit.

Change: - While an append is unanswered for longer than a heartbeat interval, heartbeats go over a connection of their own and are answered from memory. A replica that is writing a vote, or is in another term, acknowledges no older leader. - A candidate that heard a leader after it was promised pre-votes no longer votes for itself: the leader's lease may rest on it. - Waits for leader, quorum and votes double as terms fail or silences come near them, and halve after quiet seconds (`patience`). A lease and the time in which votes are refused stay fixed. - A leader gives up only when every follower would have sought votes (700 ms in place of 500): sooner leaves the group without one in vain. - A message that was not answered in time is followed by one of half the size.

--- a/crates/replication/src/election.rs
+++ b/crates/replication/src/election.rs
@@ -1,12 +1,14 @@
 //! Elections: pre-vote, votes, and the end of a leadership that lost its quorum.
 
 use crate::message::{Header, ReplicaReply, ReplicaRequest};
-use crate::replica::Replica;
+use crate::replica::{Channel, Replica};
 use crate::standing::VoteRefusal;
-use crate::state::{Role, StateMachine};
+use crate::state::{Role, State, StateMachine};
+use crate::storage::Storage;
 use crate::wal::WalRecord;
 use futures::StreamExt;
 use futures::stream::FuturesUnordered;
+use saddlerelay_rpc::client::CallError;
 use saddlerelay_runtime::Runtime;
 use saddlerelay_types::identity::ReplicaId;
 use std::time::Duration;
@@ -47,6 +49,8 @@
     asked: usize,
     granted: usize,
     refused: usize,
+    /// Sent, and not answered within the wait.
+    late: usize,
     /// From the requests to the last answer that counted, or to the end of the wait.
     waited: Duration,
 }
@@ -76,8 +80,16 @@
         let Some(leadership) = state.leadership() else {
             return;
         };
-        let contact = state.quorum_answered_at(now).unwrap_or(leadership.since);
-        if now >= contact + self.inner.options.config.election_timeout {
+        let answered = state.quorum_answered_at(now);
+        let contact = answered.unwrap_or(leadership.since);
+        // Until then a follower may still wait for it; one that gives up sooner leaves the group without a leader in vain.
+        let longest_wait = self.inner.options.config.election_timeout + self.inner.options.config.election_jitter;
+        let limit = state.patience.stretch(longest_wait);
+        if now < contact + limit {
+            if let Some(answered) = answered {
+                state.patience.note_heard(answered);
+            }
+        } else {
             spdlog::warn!("quorum lost", kv: {
                 term = state.term,
                 silent_ms = now.saturating_sub(contact).as_millis() as u64,
@@ -86,6 +98,7 @@
                 quorum = state.membership().quorum(),
                 last_index = state.log.last_index(),
                 commit = state.commit,
+                limit_ms = limit.as_millis() as u64,
                 peers = state.peers_heard(now).as_str()
             });
             state.become_follower();
@@ -112,7 +125,7 @@
             self.tell_election(CampaignEnd::PreVoteLost, next_term, count);
             return;
         }
-        let Some(term) = self.enter_next_term(next_term).await else {
+        let Some(term) = self.enter_next_term(next_term, transfer).await else {
             self.tell_election(CampaignEnd::TermOvertaken, next_term, count);
             return;
         };
@@ -129,8 +142,9 @@
     /// they waited for a voter that does not answer, and they would split the votes again.
     fn retry_election_apart(&self) {
         let platform = &self.inner.platform;
-        let wait = platform.jitter(self.inner.options.config.election_timeout / RETRY_DIVISOR);
-        self.inner.state.borrow_mut().election_at = platform.monotonic() + wait;
+        let mut state = self.inner.state.borrow_mut();
+        let longest = state.patience.stretch(self.inner.options.config.election_timeout / RETRY_DIVISOR);
+        state.election_at = platform.monotonic() + platform.jitter(longest);
     }
 
     fn tell_election(&self, end: CampaignEnd, term: u64, count: VoteCount) {
@@ -148,27 +162,27 @@
             granted = count.granted,
             refused = count.refused,
             unanswered = count.asked - count.granted - count.refused,
+            late = count.late,
             waited_ms = count.waited.as_millis() as u64,
             leader_heard_ms = now.saturating_sub(state.leader_heard_at).as_millis() as u64
         });
     }
 
     /// Votes for itself in `next_term`; `None` when the term has moved on or the disk refuses.
-    async fn enter_next_term(&self, next_term: u64) -> Option<u64> {
+    async fn enter_next_term(&self, next_term: u64, transfer: bool) -> Option<u64> {
         let mut storage = self.inner.storage.lock().await;
         let own = {
             let state = self.inner.state.borrow();
             let stale = state.term + 1 != next_term || state.leadership().is_some() || state.stopping;
-            (!stale).then_some(state.identity.id)?
+            // A leader heard since the pre-votes may count on this replica for its lease.
+            let free = transfer || self.is_leader_silent(&state);
+            (free && !stale).then_some(state.identity.id)?
         };
-        let record = WalRecord::HardState { term: next_term, voted_for: Some(own) };
-        if storage.append(&[record]).await.is_err() {
-            self.fail_storage();
+        if !self.write_term(&mut storage, next_term, Some(own)).await {
             return None;
         }
         let mut state = self.inner.state.borrow_mut();
-        state.term = next_term;
-        state.voted_for = Some(own);
+        state.set_term(next_term, Some(own));
         state.role = Role::Candidate;
         state.leader = None;
         Some(next_term)
@@ -185,11 +199,12 @@
             (own, peers, state.membership().quorum(), state.log.last_index(), state.log.last_term())
         };
         let mut given = usize::from(self.inner.state.borrow().membership().is_voter(own));
+        let limit = self.inner.options.config.election_timeout / VOTE_LIMIT_DIVISOR;
+        let limit = self.inner.state.borrow().patience.stretch(limit);
         let ask = |(id, address)| {
             let header = self.header(id, term);
             let request = ReplicaRequest::Vote { header, pre_vote, transfer, last_index, last_term };
-            let limit = self.inner.options.config.election_timeout / VOTE_LIMIT_DIVISOR;
-            async move { self.send(address, &request, limit).await }
+            async move { self.try_send(Channel::Log, address, &request, limit).await }
         };
         *count = VoteCount { asked: peers.len(), ..VoteCount::default() };
         let mut answers: FuturesUnordered<_> = peers.into_iter().map(ask).collect();
@@ -197,22 +212,43 @@
             let answer = answers.next().await;
             count.waited = self.inner.platform.monotonic().saturating_sub(asked_at);
             match answer {
-                Some(Some(ReplicaReply::Vote { granted: true, .. })) => {
+                Some(Ok(ReplicaReply::Vote { granted: true, .. })) => {
                     given += 1;
                     count.granted += 1;
                 }
-                Some(Some(ReplicaReply::Vote { term: seen, granted: false })) => {
+                Some(Ok(ReplicaReply::Vote { term: seen, granted: false })) => {
                     count.refused += 1;
                     self.observe_term(seen).await;
                 }
-                Some(_) => {}
-                None => return false,
+                Some(Err(CallError::Unknown)) => count.late += 1,
+                Some(Ok(_) | Err(CallError::NotSent)) => {}
+                None => {
+                    if given + count.late >= quorum {
+                        self.inner.state.borrow_mut().patience.note_unanswered();
+                    }
+                    return false;
+                }
             }
         }
         let state = self.inner.state.borrow();
         pre_vote || state.term == term && matches!(state.role, Role::Candidate)
     }
 
+    fn is_leader_silent(&self, state: &State<S>) -> bool {
+        self.inner.platform.monotonic() >= state.leader_heard_at + self.inner.options.config.election_timeout
+    }
+
+    /// Writes a term and a vote to disk. Until they are there, no older leader is acknowledged. Returns whether the disk took them.
+    async fn write_term(&self, storage: &mut Storage<P::Disk>, term: u64, voted_for: Option<ReplicaId>) -> bool {
+        self.inner.state.borrow_mut().term_being_written = Some(term);
+        let written = storage.append(&[WalRecord::HardState { term, voted_for }]).await;
+        self.inner.state.borrow_mut().term_being_written = None;
+        if written.is_err() {
+            self.fail_storage();
+        }
+        written.is_ok()
+    }
+
     /// Follows a term higher than this replica's own.
     pub(crate) async fn observe_term(&self, term: u64) {
         if term <= self.inner.state.borrow().term {
@@ -222,13 +258,11 @@
         if term <= self.inner.state.borrow().term {
             return;
         }
-        if storage.append(&[WalRecord::HardState { term, voted_for: None }]).await.is_err() {
-            self.fail_storage();
+        if !self.write_term(&mut storage, term, None).await {
             return;
         }
         let mut state = self.inner.state.borrow_mut();
-        state.term = term;
-        state.voted_for = None;
+        state.set_term(term, None);
         state.leader = None;
         state.become_follower();
         drop(state);
@@ -247,8 +281,7 @@
         let refusal = {
             let state = self.inner.state.borrow();
             let now = self.inner.platform.monotonic();
-            let silent = now >= state.leader_heard_at + self.inner.options.config.election_timeout;
-            let leaderless = silent && state.leadership().is_none();
+            let leaderless = self.is_leader_silent(&state) && state.leadership().is_none();
             let own_end = (state.log.last_term(), state.log.last_index());
             let free = header.term > state.term || state.voted_for.is_none() || state.voted_for == Some(header.from);
             let current = if pre_vote { header.term > state.term } else { header.term >= state.term && free };
@@ -281,9 +314,7 @@
         if pre_vote {
             return ReplicaReply::Vote { term: header.term, granted: true };
         }
-        let record = WalRecord::HardState { term: header.term, voted_for: Some(header.from) };
-        if storage.append(&[record]).await.is_err() {
-            self.fail_storage();
+        if !self.write_term(&mut storage, header.term, Some(header.from)).await {
             return ReplicaReply::Refused;
         }
         self.record_vote(header.term, header.from);
@@ -296,8 +327,7 @@
             state.become_follower();
             state.leader = None;
         }
-        state.term = term;
-        state.voted_for = Some(candidate);
+        state.set_term(term, Some(candidate));
         self.reset_election_timer(&mut state);
         drop(state);
         self.inner.changed.notify();
--- a/crates/replication/src/follower.rs
+++ b/crates/replication/src/follower.rs
@@ -210,8 +210,10 @@
         state.applied = header.index;
     }
 
-    fn hear_leader(&self, state: &mut State<S>, header: &Header) {
-        state.leader_heard_at = self.inner.platform.monotonic();
+    pub(crate) fn hear_leader(&self, state: &mut State<S>, header: &Header) {
+        let now = self.inner.platform.monotonic();
+        state.patience.note_heard(now);
+        state.leader_heard_at = now;
         if header.term >= state.term {
             state.leader = Some(header.from);
         }
@@ -226,8 +228,7 @@
 
 fn enter_term<S: StateMachine>(state: &mut State<S>, header: &Header) {
     if header.term > state.term {
-        state.term = header.term;
-        state.voted_for = None;
+        state.set_term(header.term, None);
     }
     state.leader = Some(header.from);
     state.become_follower();
--- a/crates/replication/src/leader.rs
+++ b/crates/replication/src/leader.rs
@@ -4,12 +4,13 @@
 use crate::membership::Member;
 use crate::message::{Header, ReplicaReply, ReplicaRequest, SnapshotPart};
 use crate::reconfigure::{may_take_membership, tell_membership};
-use crate::replica::{Proposal, Replica};
+use crate::replica::{Channel, Proposal, Replica};
 use crate::snapshot::Snapshot;
 use crate::state::{Leadership, Progress, Role, State, StateMachine};
 use crate::wal::WalRecord;
 use futures::channel::mpsc;
 use futures::{FutureExt, StreamExt, future};
+use saddlerelay_rpc::client::CallError;
 use saddlerelay_runtime::Runtime;
 use std::collections::BTreeMap;
 use std::pin::pin;
@@ -29,6 +30,39 @@
 /// Bytes of a snapshot in one message: small beside what a link carries between two heartbeats.
 const SNAPSHOT_PART_BYTES: usize = 512 * 1024;
 
+/// Halvings of a message's size at most: 2 KiB of entries, which a link of 3 KB/s carries within a call.
+const MOST_HALVINGS: u32 = 7;
+
+/// Share of a call's time limit within which an answer lets the next message be larger again.
+const QUICK_ANSWER_DIVISOR: u32 = 4;
+
+/// How much one message to a peer holds: half as much after each that was not answered in time. A message that takes longer
+/// than a call may would be sent in vain again and again; on a link of 250 KB/s 256 KiB take a second.
+#[derive(Clone, Copy, Debug, Default)]
+struct MessageSize {
+    halvings: u32,
+}
+
+impl MessageSize {
+    fn entries_bytes(self) -> u64 {
+        MESSAGE_BYTES >> self.halvings
+    }
+
+    fn snapshot_part_bytes(self) -> usize {
+        SNAPSHOT_PART_BYTES >> self.halvings
+    }
+
+    fn note_unanswered(&mut self) {
+        self.halvings = (self.halvings + 1).min(MOST_HALVINGS);
+    }
+
+    fn note_answered(&mut self, after: Duration, limit: Duration) {
+        if after <= limit / QUICK_ANSWER_DIVISOR {
+            self.halvings = self.halvings.saturating_sub(1);
+        }
+    }
+}
+
 /// A snapshot on its way to one peer.
 struct SnapshotTransfer {
     snapshot: Rc<Snapshot>,
@@ -36,10 +70,10 @@
 }
 
 impl SnapshotTransfer {
-    fn next_part(&self) -> SnapshotPart {
+    fn next_part(&self, size: MessageSize) -> SnapshotPart {
         let encoded = self.snapshot.encoded();
         let start = self.offset.min(encoded.len());
-        let end = (start + SNAPSHOT_PART_BYTES).min(encoded.len());
+        let end = (start + size.snapshot_part_bytes()).min(encoded.len());
         SnapshotPart {
             index: self.snapshot.header.index,
             total: encoded.len() as u64,
@@ -139,20 +173,30 @@
     async fn replicate_to(self, peer: Member, term: u64) {
         let config = &self.inner.options.config;
         let mut transfer = None;
+        let mut size = MessageSize::default();
         loop {
             let seen = self.inner.changed.count();
-            let Some(request) = self.next_message(&peer, term, &mut transfer).await else {
+            let Some(request) = self.next_message(&peer, term, size, &mut transfer).await else {
                 return;
             };
             let sent_at = self.inner.platform.monotonic();
-            let reply = self.send(peer.address, &request, config.call_limit).await;
+            let sent = self.try_send(Channel::Log, peer.address, &request, config.call_limit);
+            let reply = self.with_heartbeats(&peer, term, sent).await;
+            match &reply {
+                Ok(_) => {
+                    let after = self.inner.platform.monotonic().saturating_sub(sent_at);
+                    size.note_answered(after, config.call_limit);
+                }
+                Err(CallError::Unknown) => size.note_unanswered(),
+                Err(CallError::NotSent) => {}
+            }
             let more = match reply {
-                Some(ReplicaReply::Append { term: seen_term, accepted, index }) => {
+                Ok(ReplicaReply::Append { term: seen_term, accepted, index }) => {
                     self.observe_term(seen_term).await;
                     transfer = None;
                     self.record_answer(&peer, term, sent_at, accepted, index)
                 }
-                Some(ReplicaReply::SnapshotPart { term: seen_term, next_offset }) => {
+                Ok(ReplicaReply::SnapshotPart { term: seen_term, next_offset }) => {
                     self.observe_term(seen_term).await;
                     self.record_contact(&peer, term, sent_at);
                     if let Some(transfer) = &mut transfer {
@@ -160,7 +204,7 @@
                     }
                     true
                 }
-                Some(ReplicaReply::FetchingSegments { term: seen_term }) => {
+                Ok(ReplicaReply::FetchingSegments { term: seen_term }) => {
                     self.observe_term(seen_term).await;
                     self.record_contact(&peer, term, sent_at);
                     false
@@ -183,6 +227,7 @@
         &self,
         peer: &Member,
         term: u64,
+        size: MessageSize,
         transfer: &mut Option<SnapshotTransfer>,
     ) -> Option<ReplicaRequest> {
         let header = self.header(peer.id, term);
@@ -194,7 +239,7 @@
             let next = state.leadership()?.progress.get(&peer.id)?.next;
             let limit = self.inner.options.config.entries_per_message;
             let previous_index = next - 1;
-            let entries = state.log.entries_within(next, limit, MESSAGE_BYTES);
+            let entries = state.log.entries_within(next, limit, size.entries_bytes());
             let held = state.log.term_at(previous_index).zip(entries);
             if let (Some((previous_term, entries)), None) = (held, &transfer) {
                 let commit = state.commit;
@@ -204,7 +249,7 @@
         };
         // An empty replica is sent a snapshot: it is smaller than the log that led to it.
         if transfer.is_none() && next > 1 {
-            let from_file = self.entries_from_file(header, next).await;
+            let from_file = self.entries_from_file(header, next, size.entries_bytes()).await;
             if from_file.is_some() {
                 return from_file;
             }
@@ -223,13 +268,13 @@
             SnapshotTransfer { snapshot, offset: 0 }
         };
         let transfer = transfer.get_or_insert_with(begin);
-        Some(ReplicaRequest::SnapshotPart { header, part: transfer.next_part() })
+        Some(ReplicaRequest::SnapshotPart { header, part: transfer.next_part(size) })
     }
 
     /// Entries that memory no longer holds, from the log file.
-    async fn entries_from_file(&self, header: Header, next: u64) -> Option<ReplicaRequest> {
+    async fn entries_from_file(&self, header: Header, next: u64, most_bytes: u64) -> Option<ReplicaRequest> {
         let storage = self.inner.storage.lock().await;
-        let mut entries = storage.entries_from(next - 1, MESSAGE_BYTES).await.ok()?;
+        let mut entries = storage.entries_from(next - 1, most_bytes).await.ok()?;
         let state = self.inner.state.borrow();
         // While the lock is held nobody writes to the file: if this replica still leads, it is the leader's own log.
         if entries.len() < 2 || !state.leads_term(header.term) {
@@ -301,7 +346,7 @@
     let is_new = |member: &Member| member.id != own && !leadership.progress.contains_key(&member.id);
     let added: Vec<Member> = members.into_iter().filter(is_new).collect();
     for peer in &added {
-        leadership.progress.insert(peer.id, Progress { next, matched: 0, answered_sent_at: None });
+        leadership.progress.insert(peer.id, Progress { next, ..Progress::default() });
     }
     added
 }
--- a/crates/replication/src/message.rs
+++ b/crates/replication/src/message.rs
@@ -73,6 +73,11 @@
         /// Where it listens.
         address: SocketAddr,
     },
+    /// The leader is alive, while a larger message is still unanswered; answered from memory.
+    Heartbeat {
+        /// Sender and receiver.
+        header: Header,
+    },
 }
 
 /// A replica's answer.
@@ -121,6 +126,13 @@
     },
     /// The request is for another replica or group, or the disk has failed.
     Refused,
+    /// Of a heartbeat.
+    Heartbeat {
+        /// The receiver's term, or the newer one that it is entering.
+        term: u64,
+        /// Whether the receiver is in the leader's term and votes for nobody else within an election timeout.
+        heard: bool,
+    },
 }
 
 /// A part of an encoded [`Snapshot`](crate::snapshot::Snapshot).
--- a/crates/replication/src/replica.rs
+++ b/crates/replication/src/replica.rs
@@ -5,6 +5,7 @@
 use crate::log::EntryPayload;
 use crate::membership::{Member, Membership};
 use crate::message::{Header, ReplicaReply, ReplicaRequest};
+use crate::patience::Patience;
 use crate::segments::StoredSegments;
 use crate::snapshot::Snapshot;
 use crate::standing::{StandingReports, tell_recovered};
@@ -12,7 +13,7 @@
 use crate::storage::{Identity, Recovered, Storage, StorageError};
 use futures::channel::{mpsc, oneshot};
 use futures::lock::Mutex;
-use saddlerelay_rpc::client::Client;
+use saddlerelay_rpc::client::{CallError, Client};
 use saddlerelay_runtime::Runtime;
 use saddlerelay_runtime::signal::Signal;
 use saddlerelay_types::identity::ReplicaId;
@@ -57,6 +58,15 @@
     pub made_from: Option<u64>,
 }
 
+/// Which connection to a peer a message takes.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub(crate) enum Channel {
+    /// Everything but heartbeats.
+    Log,
+    /// Heartbeats, which must not wait behind large messages.
+    Heartbeats,
+}
+
 pub(crate) struct Inner<P: Runtime, S: StateMachine> {
     pub platform: P,
     pub options: ReplicaOptions,
@@ -68,7 +78,7 @@
     proposal_queue: RefCell<Option<mpsc::Receiver<Proposal<S::Outcome>>>>,
     /// New entries, a new leader or a new membership.
     pub changed: Signal,
-    clients: RefCell<BTreeMap<SocketAddr, Client<P>>>,
+    clients: RefCell<BTreeMap<(Channel, SocketAddr), Client<P>>>,
     /// Replicas that are not to be members.
     pub unwanted: RefCell<BTreeSet<ReplicaId>>,
     /// The segments on this replica's disk.
@@ -125,9 +135,11 @@
             identity: recovered.identity,
             term: recovered.term,
             voted_for: recovered.voted_for,
+            term_being_written: None,
             role: Role::Follower,
             leader: None,
             leader_heard_at: now.saturating_sub(vote_slack),
+            patience: Patience::new(options.config.election_timeout),
             election_at: now
                 + options.config.election_timeout
                 + election_jitter(&platform, &options.config, preferred)
@@ -281,7 +293,7 @@
         let own = state.identity.id;
         let replica = |member: &Member| {
             let progress = leadership.progress.get(&member.id).copied().unwrap_or_default();
-            let since = progress.answered_sent_at.map_or(now, |at| now.saturating_sub(at));
+            let since = progress.contact().map_or(now, |at| now.saturating_sub(at));
             let is_own = member.id == own;
             ReplicaView {
                 id: member.id,
@@ -363,6 +375,12 @@
                 }
                 self.answer_segment(number).await
             }
+            ReplicaRequest::Heartbeat { header } => {
+                if !self.is_for_this_replica(&header) {
+                    return ReplicaReply::Refused;
+                }
+                self.answer_heartbeat(header)
+            }
             ReplicaRequest::TakeOver { header } => {
                 if !self.is_for_this_replica(&header) {
                     return ReplicaReply::Refused;
@@ -402,18 +420,30 @@
         request: &ReplicaRequest,
         limit: Duration,
     ) -> Option<ReplicaReply> {
-        let client = self.client(address);
+        self.try_send(Channel::Log, address, request, limit).await.ok()
+    }
+
+    /// Like `send`, and tells whether the request may have been sent.
+    pub(crate) async fn try_send(
+        &self,
+        channel: Channel,
+        address: SocketAddr,
+        request: &ReplicaRequest,
+        limit: Duration,
+    ) -> Result<ReplicaReply, CallError> {
+        let client = self.client(channel, address);
         let body = bitcode::encode(&ControlRequest::Replication(bitcode::encode(request)));
-        let answer = client.call(body, limit).await.ok()?;
-        match bitcode::decode(&answer).ok()? {
-            ControlReply::Replication(bytes) => bitcode::decode(&bytes).ok(),
+        let answer = client.call(body, limit).await?;
+        let reply = match bitcode::decode(&answer) {
+            Ok(ControlReply::Replication(bytes)) => bitcode::decode(&bytes).ok(),
             _ => None,
-        }
+        };
+        reply.ok_or(CallError::Unknown)
     }
 
     /// Asks the leader, as far as it is known and another replica; `None` if it does not answer in time.
     pub async fn ask_leader(&self, request: &ControlRequest, limit: Duration) -> Option<ControlReply> {
-        let client = self.client(self.leader_address()?);
+        let client = self.client(Channel::Log, self.leader_address()?);
         let answer = client.call(bitcode::encode(request), limit).await.ok()?;
         bitcode::decode(&answer).ok()
     }
@@ -423,10 +453,10 @@
         self.inner.options.address
     }
 
-    fn client(&self, address: SocketAddr) -> Client<P> {
+    fn client(&self, channel: Channel, address: SocketAddr) -> Client<P> {
         let mut clients = self.inner.clients.borrow_mut();
         let new = || Client::new(self.inner.platform.clone(), address, &self.inner.options.secret);
-        clients.entry(address).or_insert_with(new).clone()
+        clients.entry((channel, address)).or_insert_with(new).clone()
     }
 
     pub(crate) fn header(&self, to: ReplicaId, term: u64) -> Header {
@@ -439,7 +469,7 @@
         let platform = &self.inner.platform;
         let wait =
             config.election_timeout + election_jitter(platform, config, state.machine.prefers(state.identity.id));
-        state.election_at = platform.monotonic() + wait;
+        state.election_at = platform.monotonic() + state.patience.stretch(wait);
     }
 }
 
--- a/crates/replication/src/state.rs
+++ b/crates/replication/src/state.rs
@@ -3,6 +3,7 @@
 use crate::config::ReplicationConfig;
 use crate::log::{EntryPayload, MemoryLog};
 use crate::membership::{Member, Membership};
+use crate::patience::Patience;
 use crate::segments::Segment;
 use crate::snapshot::{Snapshot, SnapshotHeader};
 use crate::storage::Identity;
@@ -53,8 +54,17 @@
     pub next: u64,
     /// The last entry the peer holds, synced.
     pub matched: u64,
-    /// When the newest message that the peer answered was sent.
+    /// When the newest message was sent that the peer answered with its disk: one whose disk stands still falls silent here.
     pub answered_sent_at: Option<Duration>,
+    /// The same of heartbeats, which it answers from memory.
+    pub heard_sent_at: Option<Duration>,
+}
+
+impl Progress {
+    /// When the newest message that the peer answered was sent, of whichever kind.
+    pub fn contact(&self) -> Option<Duration> {
+        self.answered_sent_at.max(self.heard_sent_at)
+    }
 }
 
 /// A leader's own state.
@@ -72,7 +82,7 @@
 impl Leadership {
     /// Peers that have answered at least once in this term.
     pub fn answered_peers(&self) -> usize {
-        self.progress.values().filter(|progress| progress.answered_sent_at.is_some()).count()
+        self.progress.values().filter(|progress| progress.contact().is_some()).count()
     }
 }
 
@@ -91,11 +101,15 @@
     pub identity: Identity,
     pub term: u64,
     pub voted_for: Option<ReplicaId>,
+    /// The term of a vote, or of a newer term seen, that is being written to disk.
+    pub term_being_written: Option<u64>,
     pub role: Role,
     /// The leader of `term`, once known.
     pub leader: Option<ReplicaId>,
     /// When a leader was last heard, or the start: votes are refused for an election timeout after it.
     pub leader_heard_at: Duration,
+    /// How long this replica waits for others.
+    pub patience: Patience,
     /// When this replica will seek votes.
     pub election_at: Duration,
     pub log: MemoryLog,
@@ -139,6 +153,13 @@
         self.membership().member(id).map(|member| member.address)
     }
 
+    /// Enters a term, or votes in the present one, as this replica's disk now says.
+    pub fn set_term(&mut self, term: u64, voted_for: Option<ReplicaId>) {
+        self.patience.note_terms(term.saturating_sub(self.term));
+        self.term = term;
+        self.voted_for = voted_for;
+    }
+
     /// Stops leading or campaigning; waiting proposals become undecided.
     pub fn become_follower(&mut self) {
         self.role = Role::Follower;
@@ -151,7 +172,7 @@
         let own = self.identity.id;
         let answered = |id: ReplicaId| {
             let progress = leadership.progress.get(&id);
-            if id == own { Some(now) } else { progress.and_then(|progress| progress.answered_sent_at) }
+            if id == own { Some(now) } else { progress.and_then(Progress::contact) }
         };
         self.membership().quorum_value(answered).flatten()
     }
@@ -165,7 +186,7 @@
         let peers = self.membership().voters().filter(|member| member.id != own);
         let describe = |member: &Member| {
             let progress = leadership.progress.get(&member.id).copied().unwrap_or_default();
-            let heard = progress.answered_sent_at.map(|at| now.saturating_sub(at).as_millis().to_string());
+            let heard = progress.contact().map(|at| now.saturating_sub(at).as_millis().to_string());
             format!("{}:{}ms:{}", member.address, heard.unwrap_or("-".to_string()), progress.matched)
         };
         peers.map(describe).collect::<Vec<_>>().join(" ")
