--- a/crates/simulator/src/disk.rs
+++ b/crates/simulator/src/disk.rs
@@ -6,7 +6,7 @@
 
 use crate::world::{Process, Sleep, World};
 use saddlerelay_runtime::Disk;
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::collections::{BTreeMap, BTreeSet};
 use std::future;
 use std::io;
@@ -208,6 +208,7 @@
     failing: RefCell<BTreeSet<String>>,
     /// How much longer a sync takes, by process.
     slow: RefCell<BTreeMap<String, Duration>>,
+    syncs: Cell<u64>,
 }
 
 impl DiskTable {
@@ -270,6 +271,15 @@
         self.slow.borrow_mut().insert(process.to_string(), by);
     }
 
+    /// Syncs and replaced files of all processes so far.
+    pub fn syncs(&self) -> u64 {
+        self.syncs.get()
+    }
+
+    fn count_sync(&self) {
+        self.syncs.set(self.syncs.get() + 1);
+    }
+
     /// Whether the disk takes nothing more.
     pub fn set_full(&self, process: &str, full: bool) {
         set_member(&self.full, process, full);
@@ -399,6 +409,7 @@
 
     async fn sync(&self, file: &str) -> io::Result<()> {
         let slow = self.world.disks.slow.borrow().get(&self.process.name).copied().unwrap_or_default();
+        self.world.disks.count_sync();
         self.sync_content(self.with_jitter(SYNC_TIME + slow), file).await
     }
 
@@ -408,6 +419,7 @@
     }
 
     async fn replace(&self, file: &str, bytes: Vec<u8>) -> io::Result<()> {
+        self.world.disks.count_sync();
         let pause = self.with_jitter(SYNC_TIME * 2) / 4;
         let new_file = format!("{file}.new");
         self.step(Duration::ZERO, |folder| folder.create(&new_file)).await;
