--- a/crates/gateway-api/tests/restarts.rs
+++ b/crates/gateway-api/tests/restarts.rs
@@ -7,6 +7,7 @@
 use common::{Deployment, block_on, call, document, eventually, notes, report, rollouts, route};
 use hyper::{Method, StatusCode};
 use saddlerelay_gateway::GatewayConfig;
+use saddlerelay_types::instance::{InstanceId, InstanceReport};
 use saddlerelay_types::routing::RouteKind;
 use serde_json::{Value, json};
 use std::time::Duration;
@@ -98,15 +99,24 @@
         let mut stranger = started(&engine, "nowhere", SECOND, 1);
         stranger["id"] = json!("stranger");
         put(&deployment, "stranger", &stranger).await;
-        // The same name, address and a higher count, and it leaves.
+        // The same name, address and a higher count, and it leaves: as a later start, and as the same one.
         let mut imitation = started(&engine, "nowhere", SECOND, 900);
         imitation["leaving"] = json!(true);
         put(&deployment, "engine", &imitation).await;
+        imitation.as_object_mut().expect("an object").remove("started_at_ms");
+        put(&deployment, "engine", &imitation).await;
         let seen = engine.seen().len();
         for _ in 0..4 {
             assert_eq!(deployment.request(Method::GET, "/plans/1", &[ID], "").await.status, StatusCode::OK);
         }
         assert_eq!(engine.seen().len(), seen + 4);
+        // The count of another writer does not make the engine's own reports late, and its name is not remembered.
+        let heard = report(engine.instance(), "web", engine.address());
+        let heard = InstanceReport { sequence: 2, models: vec![notes(5)], ..heard };
+        put(&deployment, "engine", &serde_json::to_value(&heard).expect("JSON")).await;
+        let models = |id| deployment.node.reported_models(&id).map(|(_, models)| models);
+        eventually("the engine is heard", async || models(engine.instance()) == Some(vec![notes(5)])).await;
+        assert_eq!(models(InstanceId::named("stranger")), None);
     });
 }
 
