--- a/crates/simulator/tests/group/mod.rs
+++ b/crates/simulator/tests/group/mod.rs
@@ -175,7 +175,12 @@
 
     /// A group whose five machines vote.
     pub fn formed(seed: u64) -> Self {
-        let mut group = Self::new(seed);
+        Self::new(seed).form()
+    }
+
+    /// Starts five machines and waits until they vote.
+    pub fn form(self) -> Self {
+        let mut group = self;
         (1..=3).for_each(|place| group.start(place, true));
         group.await_leader(Duration::from_secs(4), "after the first start");
         (4..=5).for_each(|place| group.start(place, false));
--- a/crates/simulator/tests/power_loss.rs
+++ b/crates/simulator/tests/power_loss.rs
@@ -62,6 +62,21 @@
     });
 }
 
+/// Where no snapshot was taken yet, replicas that joined have made their logs by appending: the folder's sync makes them last.
+#[test]
+fn two_disks_lost_while_all_others_lose_power_before_the_first_snapshot() {
+    for seed in 0..40 {
+        let mut group = Group::new(seed);
+        group.config.snapshot_entries = 100_000;
+        group.config.memory_bytes = 1_000_000;
+        let mut group = group.form();
+        let pause = group.world.jitter(Duration::from_millis(100));
+        group.propose_for(pause + Duration::from_millis(30));
+        let (lost, left) = choose_two(&[1, 2, 3, 4, 5], group.world.random());
+        lose_power(&mut group, &lost, &left, &format!("seed {seed}"));
+    }
+}
+
 /// A voter was away for so long that it is sent a snapshot; at any operation of its disk from its start on the power is lost,
 /// with two disks of others.
 #[test]
@@ -207,6 +222,36 @@
     });
 }
 
+/// Operations of a replacement from the moment at which the new file is there until it has its name: write, sync, rename.
+const STEPS_TO_RENAME: u64 = 3;
+
+/// A follower is killed with its log renamed and its folder not synced. What the next process appends goes to the new file: the
+/// name must last before anything in it is acknowledged. Two are down, and the disks of the two others that held it are lost.
+#[test]
+fn a_log_whose_new_name_a_killed_process_left_unsynced_keeps_it() {
+    for seed in 0..40 {
+        let what = format!("seed {seed}");
+        let mut group = Group::formed(seed);
+        group.propose_for(Duration::from_millis(200));
+        let (down, up) = choose_two(&group.followers(), group.world.random());
+        let led = group.leader_place().expect("there is a leader");
+        down.iter().for_each(|place| group.power_off(*place));
+        let killed = up[0];
+        let disks = group.world.clone();
+        let cuts_log = move || disks.disks.names(&name(killed)).contains(&"wal.new".to_string());
+        assert!(group.propose_until(STEPS_LIMIT, cuts_log), "{what}: the log is never cut");
+        group.world.disks.halt_after(&name(killed), STEPS_TO_RENAME);
+        let disks = group.world.clone();
+        group.run_until(STEPS_LIMIT, move || disks.disks.is_halted(&name(killed)));
+        group.kill(killed);
+        group.start(killed, false);
+        let known = group.acknowledged.borrow().len();
+        let acknowledged = group.acknowledged.clone();
+        group.propose_until(Duration::from_secs(1), move || acknowledged.borrow().len() > known + 3);
+        lose_power(&mut group, &[led, up[1]], &[down[0], down[1], killed], &what);
+    }
+}
+
 /// A process is killed with an entry written and not synced; what the next process writes behind it may be there after a
 /// loss of power when the first is not, and must not make the files unreadable.
 #[test]
