--- a/crates/replication/tests/files_at_start.rs
+++ b/crates/replication/tests/files_at_start.rs
@@ -284,3 +284,18 @@
     remove(&disk, "format");
     assert!(refusal(&disk).contains("the files are in format none"));
 }
+
+/// The vote binds the replica also when the power is lost before anything is appended to the new log.
+#[test]
+fn a_log_that_was_cut_keeps_the_term_and_the_vote() {
+    let disk = MemoryDisk::default();
+    written(&disk, &[entries(1..=3, 40)]);
+    with_snapshot(&disk, snapshot(1, 1, Vec::new()));
+    let vote = Some(ReplicaId(9));
+    block_on(async {
+        let (mut storage, _) = Storage::open(disk.clone(), OWN, FORMAT).await.expect("sound files");
+        storage.rewrite(5, vote, &entries(2..=3, 40)).await.expect("there is room");
+    });
+    let recovered = opened(&disk);
+    assert_eq!((recovered.term, recovered.voted_for, recovered.log.last_index()), (5, vote, 3));
+}
--- a/crates/simulator/tests/group/mod.rs
+++ b/crates/simulator/tests/group/mod.rs
@@ -243,6 +243,10 @@
         self.machines[&place].process.freeze();
     }
 
+    pub fn thaw(&mut self, place: u8) {
+        self.machines[&place].process.thaw();
+    }
+
     /// Runs until `done`; returns whether that came within `limit`.
     pub fn run_until(&mut self, limit: Duration, done: impl Fn() -> bool) -> bool {
         let until = self.world.clock.now() + limit;
--- a/crates/simulator/tests/member_changes.rs
+++ b/crates/simulator/tests/member_changes.rs
@@ -105,3 +105,24 @@
         group.await_voters(5, REPLACEMENT_LIMIT, &format!("seed {seed}"));
     }
 }
+
+/// The segments of the snapshot that it was sent expire while it stands still, and the voters take further snapshots.
+#[test]
+fn a_replica_that_stands_still_while_it_fetches_segments_votes_in_the_end() {
+    for seed in 0..20 {
+        let mut group = Group::formed(seed);
+        group.propose_for(Duration::from_millis(500));
+        let empty = group.followers()[seed as usize % 4];
+        group.lose_disk(empty);
+        group.propose_for(Duration::from_millis(100));
+        group.start(empty, false);
+        // It asks to be added and is sent the snapshot in this time.
+        let pause = group.world.jitter(Duration::from_millis(60));
+        group.propose_for(Duration::from_millis(140) + pause);
+        group.freeze(empty);
+        group.propose_for(Duration::from_millis(900));
+        group.thaw(empty);
+        group.propose_for(Duration::from_secs(2));
+        group.await_voters(5, REPLACEMENT_LIMIT, &format!("seed {seed}"));
+    }
+}
