--- a/crates/replication/src/lib.rs
+++ b/crates/replication/src/lib.rs
@@ -15,7 +15,7 @@
 mod maintenance;
 pub mod membership;
 pub mod message;
-mod patience;
+pub mod patience;
 mod reconfigure;
 mod replica;
 mod segment_fetch;
--- a/crates/replication/src/patience.rs
+++ b/crates/replication/src/patience.rs
@@ -33,7 +33,7 @@
 
 /// How patient a replica is, and what its patience follows from.
 #[derive(Debug)]
-pub(crate) struct Patience {
+pub struct Patience {
     /// The shortest wait: an election timeout.
     timeout: Duration,
     /// Terms and campaigns that ended without a leader that lasted.
