Have a job wait for the newest version while no engine holds it (red)

Cause: an engine is brought up to date if it is two versions behind, or one behind and no item of the model waits. The items that wait for the newest version keep engines from loading it.

--- a/crates/gateway-api/tests/jobs.rs
+++ b/crates/gateway-api/tests/jobs.rs
@@ -196,6 +196,21 @@
     });
 }
 
+#[test]
+fn engines_load_the_version_that_waiting_items_need() {
+    block_on(async {
+        let (deployment, _) = with_engines("needed", 2).await;
+        // No engine serves it: all hold the version before its least.
+        deployment.submit(&job("j-1", 2, 0, 4, 3)).await;
+        compio::time::sleep(Duration::from_millis(200)).await;
+        let body = serde_json::to_vec(&notes(2)).expect("JSON");
+        let answer = call(deployment.control, Method::POST, "/v1/versions", &[], body).await;
+        assert_eq!(answer.status, StatusCode::OK);
+        let page = deployment.await_results("j-1", 4).await;
+        assert!(page.results.iter().all(|(_, result)| result.versions == [2]));
+    });
+}
+
 #[test]
 fn a_named_version_reaches_the_engines_by_fenced_orders() {
     block_on(async {
