Load the version that waiting items need and no engine holds

Cause: see the red test before. Ruled out: a lost quorum (the leader committed usage reports meanwhile), engines that are busy or rest (no fault was under way at them).

Change: the plan says which version of a model items wait for at least while no engine can serve them; an engine below it is due for a load though items wait. Where some engine serves them, nothing changes.

Measured: `engines_load_the_version_that_waiting_items_need` red after 20 s before, green now; the 14 tests of the file pass.

--- a/crates/coordinator/src/coordinator.rs
+++ b/crates/coordinator/src/coordinator.rs
@@ -43,6 +43,8 @@
     pub forgotten_at: Cell<u64>,
     /// Items that wait for an engine, by model.
     pub waiting: RefCell<BTreeMap<String, u32>>,
+    /// The version of each model that items wait for and no engine holds; see [`crate::plan::Plan`].
+    pub awaited: RefCell<BTreeMap<String, u64>>,
     pub ended_checks: EndedChecks,
     /// This start of the process, and how many trials of suspected items it has asked for.
     pub incarnation: Incarnation,
@@ -104,6 +106,7 @@
             working_set_policy: Box::new(DemandWithReserve),
             forgotten_at: Cell::new(0),
             waiting: RefCell::default(),
+            awaited: RefCell::default(),
             ended_checks: EndedChecks::default(),
             incarnation: Incarnation(runtime.random()),
             trials_begun: Cell::new(0),
--- a/crates/coordinator/src/orders.rs
+++ b/crates/coordinator/src/orders.rs
@@ -151,6 +151,7 @@
     let inner = &coordinator.inner;
     let now = coordinator.now();
     let items_wait = inner.waiting.borrow().get(model).is_some_and(|count| *count > 0);
+    let awaited = inner.awaited.borrow().get(model).copied().unwrap_or_default();
     let homes = inner.homes.borrow();
     let at_home = engines.iter().filter(|engine| homes.is_home(&engine.instance, model));
     let mut behind = Vec::new();
@@ -158,7 +159,9 @@
         let Some(held) = inner.fleet.version(&engine.instance, model) else {
             continue;
         };
-        let due = is_useless(held, named) || held < named && !items_wait;
+        // Items keep an engine from loading that may serve them, but not one whose version is too old for them: they would
+        // wait for ever.
+        let due = is_useless(held, named) || held < named && (!items_wait || held < awaited);
         let free = !inner.fleet.is_loading_any(&engine.instance) && !inner.fleet.is_resting(&engine.instance, now);
         if due && free && inner.node.may_order(&OrderSubject::Engine(engine.instance.clone())) {
             let model = LoadedModel { model: model.to_string(), version: named };
--- a/crates/coordinator/src/plan.rs
+++ b/crates/coordinator/src/plan.rs
@@ -125,6 +125,8 @@
     pub open: BTreeSet<JobId>,
     /// Items that are left waiting, by model.
     pub waiting: BTreeMap<String, u32>,
+    /// The newest version of each model that waiting items ask for at least and that no engine of theirs holds.
+    pub awaited: BTreeMap<String, u64>,
     /// Jobs are left to be taken up, or items to be started, by the next plan.
     pub has_more: bool,
 }
@@ -282,6 +284,10 @@
             plan.starts.push(start);
         } else if let Some(model) = &of.job.submission.model {
             *plan.waiting.entry(model.clone()).or_default() += 1;
+            if of.fitting.is_empty() {
+                let awaited = plan.awaited.entry(model.clone()).or_default();
+                *awaited = of.job.submission.minimum_version.max(*awaited);
+            }
         }
     }
     if let Some(route) = of.route.filter(|route| route.resumable) {
--- a/crates/coordinator/src/runner.rs
+++ b/crates/coordinator/src/runner.rs
@@ -79,6 +79,7 @@
         self.drop_ended(&plan.open);
         let busy = !plan.open.is_empty();
         self.inner.waiting.borrow_mut().clone_from(&plan.waiting);
+        self.inner.awaited.borrow_mut().clone_from(&plan.awaited);
         if plan.has_more {
             self.inner.replan.notify();
         }
