Soak: a voter that has ended is replaced within 12 s, a learner dropped within 12 s more

The check did not tell the two apart.

Change: the check waits 12 s for a voter's replacement, and from 12 s on another 12 s for a learner. Requests that were cut are counted without the first on a connection, as they are judged.

--- a/crates/soak/src/deployment.rs
+++ b/crates/soak/src/deployment.rs
@@ -170,6 +170,29 @@
     first_named: Cell<u8>,
 }
 
+/// What a coordinator is to its group.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum MemberKind {
+    /// It votes.
+    Voter,
+    /// It learns.
+    Learner,
+    /// Neither.
+    None,
+}
+
+/// What the coordinator at `peer` is in a leader's line about new members: voters by address, learners behind a plus sign.
+pub fn membership_in(line: &str, peer: SocketAddr) -> MemberKind {
+    let members = line.split_once(" members=\"").map_or("", |(_, rest)| rest.trim_end_matches('"'));
+    let (voter, learner) = (peer.to_string(), format!("+{peer}"));
+    let kind = members.split(' ').find_map(|member| match member {
+        member if member == voter => Some(MemberKind::Voter),
+        member if member == learner => Some(MemberKind::Learner),
+        _ => None,
+    });
+    kind.unwrap_or(MemberKind::None)
+}
+
 /// A process that has been asked to stop.
 pub struct Stopping {
     party: Party,
@@ -267,9 +290,9 @@
         proposals.max().unwrap_or_default()
     }
 
-    /// Whether the group's newest members include a coordinator.
-    pub fn is_member(&self, number: u8) -> bool {
-        self.newest_members().contains(&self.addresses.peer(number).to_string())
+    /// What a coordinator is to the group's newest members.
+    pub fn membership_of(&self, number: u8) -> MemberKind {
+        membership_in(&self.newest_members(), self.addresses.peer(number))
     }
 
     fn log_file(&self, party: Party) -> PathBuf {
--- a/crates/soak/src/faults.rs
+++ b/crates/soak/src/faults.rs
@@ -1,6 +1,6 @@
 //! Brings planned faults about, and heals them.
 
-use crate::deployment::{Deployment, NAMED_COORDINATORS};
+use crate::deployment::{Deployment, MemberKind, NAMED_COORDINATORS};
 use crate::engine::{Conduct, Engine, OrderConduct};
 use crate::journal::{Journal, Moment};
 use crate::links::{Condition, Party};
@@ -22,6 +22,9 @@
 /// How long an engine is down that has ended under its work.
 const DOWN_AFTER_WORK: Duration = Duration::from_millis(1_500);
 
+/// How long a learner may be silent before it is dropped: eight times the 1.5 s of a voter.
+const LEARNER_SILENCE: Duration = Duration::from_secs(12);
+
 /// Pause after a change of members, in which the next learner is taken in.
 const SETTLE_TIME: Duration = Duration::from_millis(1_500);
 
@@ -208,9 +211,7 @@
         for number in 0..NAMED_COORDINATORS {
             self.tell(&format!("coordinator {number} is ended, to be replaced"));
             self.deployment.kill(Party::Coordinator(number));
-            let replacement = Proof::begin("a lost member is replaced", &self.journal);
-            let is_replaced = || async { !self.deployment.is_member(number) };
-            replacement.prove(format!("coordinator {number} is no member any more"), is_replaced).await;
+            self.await_replacement(number).await;
             compio::time::sleep(SETTLE_TIME).await;
         }
         for party in named {
@@ -221,6 +222,18 @@
         self.kill_together(holds.iter().map(|hold| hold.party), DOWN_TOGETHER).await
     }
 
+    /// A voter that has ended is replaced soon. A learner may be silent for 12 s before it is dropped.
+    async fn await_replacement(&self, number: u8) {
+        const PROMISE: &str = "a lost member is replaced";
+        let membership = || self.deployment.membership_of(number);
+        let votes_no_more = || async { membership() != MemberKind::Voter };
+        let replaced = Proof::begin(PROMISE, &self.journal);
+        replaced.prove(format!("coordinator {number} votes no more"), votes_no_more).await;
+        let is_dropped = || async { membership() == MemberKind::None };
+        let dropped = Proof::begin_after(LEARNER_SILENCE, PROMISE, &self.journal);
+        dropped.prove(format!("coordinator {number} is no member any more"), is_dropped).await;
+    }
+
     async fn suspend(&self, parties: &[Party], time: Duration) {
         let holds: Vec<Hold> = parties.iter().filter_map(|party| self.hold(*party)).collect();
         let held: Vec<Party> = holds.iter().map(|hold| hold.party).collect();
--- a/crates/soak/src/proof.rs
+++ b/crates/soak/src/proof.rs
@@ -49,6 +49,11 @@
         Self { promise, since: journal.now(), journal }
     }
 
+    /// Begins to wait for what is due only `delay` later.
+    pub fn begin_after(delay: Duration, promise: &'static str, journal: &'a Journal) -> Self {
+        Self { since: journal.now() + delay, ..Self::begin(promise, journal) }
+    }
+
     fn wait(&self) -> Wait {
         judge(self.since, self.journal.late_at(), self.journal.now())
     }
@@ -61,7 +66,7 @@
     /// Tries until something works, or too long.
     pub async fn prove<Trial: Future<Output = bool>>(&self, what: String, mut try_once: impl FnMut() -> Trial) {
         while !try_once().await {
-            let waited = (self.journal.now() - self.since).as_millis();
+            let waited = self.journal.now().saturating_sub(self.since).as_millis();
             match self.wait() {
                 Wait::InTime => compio::time::sleep(TRIAL_PAUSE).await,
                 Wait::Over => return self.journal.violation(self.promise, format!("not within {waited} ms: {what}")),
--- a/crates/soak/src/report.rs
+++ b/crates/soak/src/report.rs
@@ -19,7 +19,7 @@
     pub faults: usize,
     /// Clients' requests: all, answered whole, said not to have run, failed or broken.
     pub requests: [usize; 4],
-    /// Those of them on kept connections: all, and those whose connection ended before the answer.
+    /// Those of them on kept connections: all, and those whose connection had served others and ended before the answer.
     pub kept: [usize; 2],
     /// Planned stops and reloads.
     pub planned: usize,
@@ -64,7 +64,7 @@
                 ],
                 kept: [
                     records.kept.len(),
-                    records.kept.iter().filter(|kept| kept.ending == KeptEnding::Closed).count(),
+                    records.kept.iter().filter(|kept| kept.ending == KeptEnding::Closed && !kept.is_first).count(),
                 ],
                 planned: records.planned.len(),
                 documents: [
--- a/crates/soak/tests/checks.rs
+++ b/crates/soak/tests/checks.rs
@@ -4,6 +4,7 @@
     AT_MOST_ONCE, ATTEMPTS, CONFIGURATION, CRASHING_WORK, JOB_ENDS, KEPT, LEAVING, NOT_RUN, ORDERS, RESULTS,
     SCORES_ARE_REAL, STALENESS, check,
 };
+use saddlerelay_soak_runner::deployment::{MemberKind, membership_in};
 use saddlerelay_soak_runner::journal::{
     ClientRequest, Disturbance, Ending, JobSeen, Journal, KeptEnding, KeptRequest, OrderSeen, ReadDocument, Records,
     Run, SeenResult, SentDocument,
@@ -306,6 +307,17 @@
     assert_eq!(judge(since, Some(hang), hang + at(1)), Wait::NotJudged, "late all the time");
 }
 
+#[test]
+fn members_are_read_from_a_leaders_line() {
+    let line = r#"time=1.5 level=info event="members proposed" voters=2 learners=1 members="127.1.2.3:5 +127.1.2.4:5 127.1.2.30:5""#;
+    let of = |peer: &str| membership_in(line, peer.parse().expect("an address"));
+    assert_eq!(of("127.1.2.3:5"), MemberKind::Voter);
+    assert_eq!(of("127.1.2.4:5"), MemberKind::Learner);
+    assert_eq!(of("127.1.2.30:5"), MemberKind::Voter, "the last one");
+    assert_eq!(of("127.1.2.5:5"), MemberKind::None);
+    assert_eq!(membership_in("", "127.1.2.3:5".parse().expect("an address")), MemberKind::None);
+}
+
 #[test]
 fn what_does_not_work_in_time_is_broken() {
     let journal = Journal::default();
