--- a/crates/soak/src/engine.rs
+++ b/crates/soak/src/engine.rs
@@ -98,7 +98,7 @@
 
 /// The number of an instance's engine.
 pub fn number_of(instance: &InstanceId) -> Option<u8> {
-    let (number, _) = instance.0.strip_prefix("engine-")?.split_once('-')?;
+    let (number, _) = instance.name.strip_prefix("engine-")?.split_once('-')?;
     number.parse().ok()
 }
 
@@ -162,7 +162,7 @@
 
     /// Its present instance.
     pub fn instance(&self) -> InstanceId {
-        InstanceId(format!("engine-{}-{}", self.state.number, self.state.incarnation.get()))
+        InstanceId::named(format!("engine-{}-{}", self.state.number, self.state.incarnation.get()))
     }
 
     /// Notified when work has begun that ends this instance.
@@ -231,7 +231,7 @@
     }
 
     fn sign(&self, reply: &mut Reply, request: &str) {
-        let stamp = HeaderValue::from_str(&self.instance().0);
+        let stamp = HeaderValue::from_str(&self.instance().name);
         let echo = match self.state.conduct.get() {
             Conduct::Mistaken => HeaderValue::from_str("another request"),
             _ => HeaderValue::from_str(request),
@@ -316,7 +316,7 @@
     fn check_tenant(&self, request: &str, headers: &HeaderMap) {
         let tenant = header(headers, "saddlerelay-tenant");
         if tenant != Some(TENANT) || headers.contains_key(KEY_HEADER) || request.starts_with(STRANGER) {
-            let seen = format!("{request} came to {} for tenant {tenant:?}", self.instance().0);
+            let seen = format!("{request} came to {} for tenant {tenant:?}", self.instance().name);
             self.state.journal.violation("an engine is told the tenant of the key, and never the key", seen);
         }
     }
@@ -428,7 +428,7 @@
         let (head, body) = request.into_parts();
         let body = read_whole(body).await.unwrap_or_default();
         let expected = header(&head.headers, "saddlerelay-for-instance");
-        if expected.is_some_and(|expected| expected != self.instance().0) {
+        if expected.is_some_and(|expected| expected != self.instance().name) {
             let id = header(&head.headers, "saddlerelay-request").unwrap_or_default().to_string();
             return self.not_executed(StatusCode::MISDIRECTED_REQUEST, &id);
         }
@@ -438,7 +438,7 @@
             REPORT_PATH => {
                 let busy = self.state.loading.get();
                 let orders_taken = self.state.orders_taken.get();
-                json(StatusCode::OK, &EngineReport { models: self.models(), busy, orders_taken })
+                json(StatusCode::OK, &EngineReport { models: self.models(), busy, orders_taken, started_at_ms: None })
             }
             _ => self.run(path, head.headers, body).await,
         }
