Reproduce a client that leaves its leader for a machine of new settings that does not answer, failing test only

No product code is changed; the tests of control-client that were there were not run again beside it.

--- a/crates/control-client/tests/search_order.rs
+++ b/crates/control-client/tests/search_order.rs
@@ -135,3 +135,18 @@
         assert_eq!(answer, Ok(GatewayReply::Done));
     });
 }
+
+/// New settings name a machine that does not answer, while the leader is known and answers: `hear_of` turns away from it.
+#[test]
+fn a_client_that_is_answered_stays_with_its_leader_when_it_hears_of_others() {
+    compio::runtime::Runtime::new().expect("a runtime").block_on(async {
+        let runtime = CompioRuntime::without_files();
+        let leader = start(&runtime, Conduct::Leads).await;
+        let client = ControlClient::new(runtime.clone(), &[leader], SECRET);
+        assert!(search(&client).await.0);
+        client.hear_of(&silent(&runtime, 1).await);
+        let (found, took) = search(&client).await;
+        assert!(found, "not found in {took:?}");
+        assert!(took < ATTEMPT_LIMIT, "found after {took:?}");
+    });
+}
