--- a/bin/saddlerelay-soak/tests/processes.rs
+++ b/bin/saddlerelay-soak/tests/processes.rs
@@ -137,6 +137,8 @@
             soaked.deployment.watch()?;
         }
         assert_eq!(soaked.violations(), ["gateway-0"]);
+        // It was meant to be found: its files need not be kept.
+        soaked.journal.write(|records| records.violations.clear());
         Ok(())
     })
 }
