--- a/crates/replication/src/standing.rs
+++ b/crates/replication/src/standing.rs
@@ -14,6 +14,9 @@
 /// Pause after which a replica that still hears no leader says so again.
 const LEADERLESS_REPEAT: Duration = Duration::from_secs(10);
 
+/// The same of a replica that is no member: most of those that wait for a place hear no leader, and serve control all the same.
+const NON_MEMBER_REPEAT: Duration = Duration::from_secs(60);
+
 /// How a replica counts in the newest membership that it holds.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum MemberStanding {
@@ -107,7 +110,11 @@
             reports.leader_heard_until = now;
             return;
         }
-        let pause = if heard.is_none() && reports.leader.is_none() { LEADERLESS_REPEAT } else { REPORT_INTERVAL };
+        let pause = match (heard.or(reports.leader), MemberStanding::of(state)) {
+            (Some(_), _) => REPORT_INTERVAL,
+            (None, MemberStanding::NoMember) => NON_MEMBER_REPEAT,
+            (None, MemberStanding::Voter | MemberStanding::Learner) => LEADERLESS_REPEAT,
+        };
         if reports.leader_told_at.is_some_and(|at| now < at + pause) {
             return;
         }
