--- /dev/null
+++ b/crates/simulator/tests/control_group/mod.rs
@@ -0,0 +1,178 @@
+//! Machines that serve control, more of them than a group has members, and relays that look for it, in virtual time.
+
+use futures::executor::LocalPool;
+use saddlerelay_control::config::ControlConfig;
+use saddlerelay_control::node::ControlNode;
+use saddlerelay_control_client::ControlClient;
+use saddlerelay_replication::ReplicaOptions;
+use saddlerelay_replication::config::ReplicationConfig;
+use saddlerelay_runtime::Runtime;
+use saddlerelay_simulator::backends::SimBackends;
+use saddlerelay_simulator::platform::SimRuntime;
+use saddlerelay_simulator::world::{Process, Sleep, World};
+use saddlerelay_types::gateway::{FollowRequest, GatewayCommand, GatewayReply, GatewayRequest, StoreRecord};
+use saddlerelay_types::identity::Incarnation;
+use std::cell::{Cell, RefCell};
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+const SECRET: &str = "a secret of sixteen signs";
+
+/// The machines that the settings name; they form the group.
+pub const NAMED: std::ops::RangeInclusive<u8> = 1..=3;
+
+/// All machines.
+pub const REPLICAS: u8 = 9;
+
+/// Longest time until a machine that is down is no member any more, also one that was only a learner.
+pub const REPLACED_WITHIN: Duration = Duration::from_secs(20);
+
+pub type Node = ControlNode<SimRuntime, SimBackends>;
+
+/// A machine that serves control.
+pub struct Replica {
+    pub process: Rc<Process>,
+    pub node: Rc<RefCell<Option<Node>>>,
+}
+
+impl Replica {
+    fn record(&self, place: u8) -> StoreRecord {
+        let replica = self.node.borrow().as_ref().expect("it runs").replica().id();
+        StoreRecord { name: format!("replica-{place}"), replica, address: address(place), zone: "north".to_string() }
+    }
+}
+
+/// Nine machines that serve control, three of which the settings name.
+pub struct Deployment {
+    pub world: Rc<World>,
+    pool: LocalPool,
+    pub replicas: BTreeMap<u8, Replica>,
+}
+
+/// When a relay was answered.
+#[derive(Default)]
+pub struct Answers {
+    pub first: Cell<Option<Duration>>,
+    pub newest: Cell<Option<Duration>>,
+}
+
+impl Answers {
+    fn note(&self, at: Duration) {
+        self.first.set(self.first.get().or(Some(at)));
+        self.newest.set(Some(at));
+    }
+}
+
+/// Where the machine at `place` listens.
+pub fn address(place: u8) -> SocketAddr {
+    ([10, 0, 0, place], 7_000).into()
+}
+
+/// The addresses in the settings.
+pub fn named() -> Vec<SocketAddr> {
+    NAMED.map(address).collect()
+}
+
+impl Deployment {
+    /// Starts a group of five voters and a learner among all machines.
+    pub fn start(seed: u64) -> Self {
+        spdlog::default_logger().set_level_filter(spdlog::LevelFilter::Off);
+        let (world, pool) = World::new(seed);
+        world.network.set_delays(usize::from(REPLICAS) + 1, Duration::from_millis(1), Duration::from_millis(3));
+        let mut deployment = Self { world, pool, replicas: BTreeMap::new() };
+        (1..=REPLICAS).for_each(|place| deployment.start_replica(place, true));
+        deployment.run_for(Duration::from_secs(3));
+        deployment.register_machines();
+        deployment
+    }
+
+    /// Every machine has told the group of itself, as each does when it starts.
+    fn register_machines(&mut self) {
+        let leader = self.leader().expect("the group is led");
+        let process = self.world.start_process("operator", 0, 0);
+        let records: Vec<StoreRecord> = self.replicas.iter().map(|(place, replica)| replica.record(*place)).collect();
+        self.world.spawn(&process, async move {
+            for record in records {
+                leader.commit_gateway(GatewayCommand::RegisterStore(record)).await.expect("it is committed");
+            }
+        });
+        self.run_for(Duration::from_secs(1));
+    }
+
+    pub fn start_replica(&mut self, place: u8, founding: bool) {
+        let process = self.world.start_process(&format!("replica-{place}"), place.into(), 0);
+        let runtime = SimRuntime { world: self.world.clone(), process: process.clone() };
+        let options = ReplicaOptions {
+            address: address(place),
+            peers: named(),
+            founders: if founding { named() } else { Vec::new() },
+            secret: SECRET.to_string(),
+            config: ReplicationConfig { target_voters: 5, ..ReplicationConfig::default() },
+        };
+        let nowhere: SocketAddr = ([10, 0, 99, 9], 1).into();
+        let backends = SimBackends { platform: runtime.clone(), scorer: nowhere, machine_list: nowhere };
+        let node = Rc::new(RefCell::new(None));
+        let started = node.clone();
+        self.world.spawn(&process, async move {
+            let listener = runtime.listen(options.address).await.expect("the address is free");
+            let config = ControlConfig::default();
+            let node = ControlNode::start(runtime.clone(), backends, config, options).await.expect("a sound disk");
+            *started.borrow_mut() = Some(node.clone());
+            saddlerelay_rpc::server::serve(runtime, listener, SECRET.to_string(), Rc::new(node)).await;
+        });
+        self.replicas.insert(place, Replica { process, node });
+    }
+
+    pub fn run_for(&mut self, time: Duration) {
+        let until = self.world.clock.now() + time;
+        let clock = self.world.clock.clone();
+        let timer = self.world.start_process("timer", 0, 0);
+        self.world.spawn(&timer, Sleep::new(clock.clone(), until));
+        self.world.run(&mut self.pool, until + Duration::from_secs(1), move || clock.now() >= until);
+    }
+
+    pub fn leader(&self) -> Option<Node> {
+        let nodes = self.replicas.values().filter_map(|replica| replica.node.borrow().clone());
+        nodes.into_iter().find(|node| node.replica().leading_term().is_some())
+    }
+
+    pub fn members(&self) -> Vec<SocketAddr> {
+        self.leader().map(|leader| leader.replica().member_addresses()).unwrap_or_default()
+    }
+
+    /// Starts a relay that knows the addresses in its settings only.
+    pub fn start_relay(&mut self) -> Rc<Answers> {
+        let process = self.world.start_process("relay", 0, 0);
+        let runtime = SimRuntime { world: self.world.clone(), process: process.clone() };
+        let answers = Rc::new(Answers::default());
+        self.world.spawn(&process, follow(runtime, answers.clone()));
+        answers
+    }
+}
+
+/// Follows as a relay does; notes each answer.
+async fn follow(runtime: SimRuntime, answers: Rc<Answers>) {
+    let control = ControlClient::new(runtime.clone(), &named(), SECRET);
+    let limit = Duration::from_millis(650);
+    loop {
+        let question = GatewayRequest::Follow(FollowRequest {
+            relay: "relay".to_string(),
+            zone: "north".to_string(),
+            routing_version: None,
+            instance_revision: 0,
+            at_follower: false,
+            incarnation: Incarnation(1),
+            unix_ms: runtime.unix_milliseconds(),
+            usage: None,
+            suspicion_revision: 0,
+        });
+        if let Ok(GatewayReply::Followed(reply)) = control.gateway(question, limit, limit).await {
+            answers.note(runtime.monotonic());
+            control.set_replicas(reply.replicas.into_iter().chain(named()));
+        } else {
+            runtime.sleep(Duration::from_millis(20)).await;
+        }
+    }
+}
