--- a/crates/replication/src/election.rs
+++ b/crates/replication/src/election.rs
@@ -1,7 +1,8 @@
 //! Elections: pre-vote, votes, and the end of a leadership that lost its quorum.
 
+use crate::calls::Channel;
 use crate::message::{Header, ReplicaReply, ReplicaRequest};
-use crate::replica::{Channel, Replica};
+use crate::replica::Replica;
 use crate::standing::VoteRefusal;
 use crate::state::{Role, State, StateMachine};
 use crate::storage::Storage;
--- a/crates/replication/src/heartbeat.rs
+++ b/crates/replication/src/heartbeat.rs
@@ -4,9 +4,10 @@
 //! large, a leader would seem silent to its peers, and they to it. While an append is unanswered for longer than a heartbeat
 //! interval, heartbeats go over a connection of their own and are answered from memory. In a calm group none is sent.
 
+use crate::calls::Channel;
 use crate::membership::Member;
 use crate::message::{Header, ReplicaReply, ReplicaRequest};
-use crate::replica::{Channel, Replica};
+use crate::replica::Replica;
 use crate::state::StateMachine;
 use futures::future::{Either, select};
 use saddlerelay_runtime::Runtime;
--- a/crates/replication/src/leader.rs
+++ b/crates/replication/src/leader.rs
@@ -1,10 +1,11 @@
 //! Leading: writing proposals and replicating them to peers.
 
+use crate::calls::Channel;
 use crate::log::{EntryPayload, LogEntry};
 use crate::membership::Member;
 use crate::message::{Header, ReplicaReply, ReplicaRequest, SnapshotPart};
 use crate::reconfigure::{may_take_membership, tell_membership};
-use crate::replica::{Channel, Proposal, Replica};
+use crate::replica::{Proposal, Replica};
 use crate::snapshot::Snapshot;
 use crate::state::{Leadership, Progress, Role, State, StateMachine};
 use crate::wal::WalRecord;
--- a/crates/replication/src/lib.rs
+++ b/crates/replication/src/lib.rs
@@ -5,9 +5,11 @@
 //! is written as tasks: one for elections, one that writes proposals, one for each peer while leading.
 
 mod announce;
+mod calls;
 pub mod config;
 mod election;
 mod follower;
+mod founding;
 mod handover;
 mod heartbeat;
 mod leader;
--- a/crates/replication/src/replica.rs
+++ b/crates/replication/src/replica.rs
@@ -1,9 +1,11 @@
 //! A replica's public face: opening, proposing, reading and answering messages.
 
+use crate::calls::Channel;
 use crate::config::ReplicationConfig;
 use crate::follower::IncomingSnapshot;
+use crate::founding::founder_id;
 use crate::log::EntryPayload;
-use crate::membership::{Member, Membership};
+use crate::membership::Member;
 use crate::message::{Header, ReplicaReply, ReplicaRequest};
 use crate::patience::Patience;
 use crate::segments::StoredSegments;
@@ -13,11 +15,11 @@
 use crate::storage::{Identity, Recovered, Storage, StorageError};
 use futures::channel::{mpsc, oneshot};
 use futures::lock::Mutex;
-use saddlerelay_rpc::client::{CallError, Client};
+use saddlerelay_rpc::client::Client;
 use saddlerelay_runtime::Runtime;
 use saddlerelay_runtime::signal::Signal;
 use saddlerelay_types::identity::ReplicaId;
-use saddlerelay_types::protocol::{ControlReply, ControlRequest, GroupView, ReplicaView};
+use saddlerelay_types::protocol::{GroupView, ReplicaView};
 use std::cell::{Cell, RefCell};
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
@@ -58,15 +60,6 @@
     pub made_from: Option<u64>,
 }
 
-/// Which connection to a peer a message takes.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
-pub(crate) enum Channel {
-    /// Everything but heartbeats.
-    Log,
-    /// Heartbeats, which must not wait behind large messages.
-    Heartbeats,
-}
-
 pub(crate) struct Inner<P: Runtime, S: StateMachine> {
     pub platform: P,
     pub options: ReplicaOptions,
@@ -80,7 +73,8 @@
     proposal_queue: RefCell<Option<mpsc::Receiver<Proposal<S::Outcome>>>>,
     /// New entries, a new leader or a new membership.
     pub changed: Signal,
-    clients: RefCell<BTreeMap<(Channel, SocketAddr), Client<P>>>,
+    /// Connections to other replicas.
+    pub clients: RefCell<BTreeMap<(Channel, SocketAddr), Client<P>>>,
     /// Replicas that are not to be members.
     pub unwanted: RefCell<BTreeSet<ReplicaId>>,
     /// The segments on this replica's disk.
@@ -324,59 +318,6 @@
         Some(GroupView { term: state.term, leader: own, committed: state.commit, replicas })
     }
 
-    /// Forms a new group of this replica alone. Refused once the replica belongs to a group.
-    pub async fn initialize(&self) -> Result<bool, StorageError> {
-        let id = self.inner.state.borrow().identity.id;
-        let own = Member { id, address: self.inner.options.address, voter: true };
-        self.form_group(self.inner.platform.random(), vec![own]).await
-    }
-
-    /// Forms the group of the founders, if this replica is one of them and belongs to no group yet. All founders write
-    /// the same first entry, so that it does not matter who starts when.
-    async fn form_founders_group(&self) -> Result<bool, StorageError> {
-        let founders: BTreeSet<SocketAddr> = self.inner.options.founders.iter().copied().collect();
-        if !founders.contains(&self.inner.options.address) {
-            return Ok(false);
-        }
-        let member = |address: &SocketAddr| Member { id: founder_id(*address), address: *address, voter: true };
-        self.form_group(group_of(founders.iter()), founders.iter().map(member).collect()).await
-    }
-
-    /// Takes the group's name where power was lost between the first entry, which this replica has written, and the name.
-    /// Founders that have all lost power there would otherwise refuse each other's votes for ever.
-    async fn finish_forming_group(&self) -> Result<(), StorageError> {
-        let (identity, members) = {
-            let state = self.inner.state.borrow();
-            (state.identity, state.membership().clone())
-        };
-        if identity.group.is_some() || !members.is_voter(identity.id) {
-            return Ok(());
-        }
-        let group = group_of(members.voters().map(|voter| &voter.address));
-        let identity = Identity { group: Some(group), ..identity };
-        self.inner.storage.lock().await.write_identity(identity).await?;
-        self.inner.state.borrow_mut().identity = identity;
-        Ok(())
-    }
-
-    async fn form_group(&self, group: u64, members: Vec<Member>) -> Result<bool, StorageError> {
-        let mut storage = self.inner.storage.lock().await;
-        let identity = self.inner.state.borrow().identity;
-        if identity.group.is_some() {
-            return Ok(false);
-        }
-        let identity = Identity { group: Some(group), ..identity };
-        let payload = EntryPayload::Membership(Membership { members });
-        let entry = crate::log::LogEntry { index: 1, term: 0, payload };
-        storage.append(&[crate::wal::WalRecord::Entry(entry.clone())]).await?;
-        storage.write_identity(identity).await?;
-        let mut state = self.inner.state.borrow_mut();
-        state.identity = identity;
-        state.log.push(entry);
-        state.synced = 1;
-        Ok(true)
-    }
-
     /// Answers another replica.
     pub async fn handle(&self, request: ReplicaRequest) -> ReplicaReply {
         if self.inner.state.borrow().storage_failed {
@@ -450,56 +391,11 @@
         true
     }
 
-    pub(crate) async fn send(
-        &self,
-        address: SocketAddr,
-        request: &ReplicaRequest,
-        limit: Duration,
-    ) -> Option<ReplicaReply> {
-        self.try_send(Channel::Log, address, request, limit).await.ok()
-    }
-
-    /// Like `send`, and tells whether the request may have been sent.
-    pub(crate) async fn try_send(
-        &self,
-        channel: Channel,
-        address: SocketAddr,
-        request: &ReplicaRequest,
-        limit: Duration,
-    ) -> Result<ReplicaReply, CallError> {
-        let client = self.client(channel, address);
-        let body = bitcode::encode(&ControlRequest::Replication(bitcode::encode(request)));
-        let answer = client.call(body, limit).await?;
-        let reply = match bitcode::decode(&answer) {
-            Ok(ControlReply::Replication(bytes)) => bitcode::decode(&bytes).ok(),
-            _ => None,
-        };
-        reply.ok_or(CallError::Unknown)
-    }
-
-    /// Asks the leader, as far as it is known and another replica; `None` if it does not answer in time.
-    pub async fn ask_leader(&self, request: &ControlRequest, limit: Duration) -> Option<ControlReply> {
-        let client = self.client(Channel::Log, self.leader_address()?);
-        let answer = client.call(bitcode::encode(request), limit).await.ok()?;
-        bitcode::decode(&answer).ok()
-    }
-
     /// Where this replica listens.
     pub fn address(&self) -> SocketAddr {
         self.inner.options.address
     }
 
-    fn client(&self, channel: Channel, address: SocketAddr) -> Client<P> {
-        let mut clients = self.inner.clients.borrow_mut();
-        let new = || Client::new(self.inner.platform.clone(), address, &self.inner.options.secret);
-        clients.entry((channel, address)).or_insert_with(new).clone()
-    }
-
-    pub(crate) fn header(&self, to: ReplicaId, term: u64) -> Header {
-        let identity = self.inner.state.borrow().identity;
-        Header { group: identity.group.unwrap_or_default(), from: identity.id, to, term }
-    }
-
     pub(crate) fn reset_election_timer(&self, state: &mut State<S>) {
         let config = &self.inner.options.config;
         let platform = &self.inner.platform;
@@ -521,21 +417,3 @@
     let third = config.election_jitter / 3;
     if preferred { platform.jitter(third) } else { third + platform.jitter(config.election_jitter - third) }
 }
-
-/// The identifier of the replica that founds a group at `address`, the same for everyone who works it out.
-fn founder_id(address: SocketAddr) -> ReplicaId {
-    ReplicaId(stable_hash(&(0, address.to_string())).max(1))
-}
-
-/// The name of the group that is founded at these addresses, the same for everyone who works it out.
-fn group_of<'a>(addresses: impl Iterator<Item = &'a SocketAddr>) -> u64 {
-    addresses.fold(0, |group, address| stable_hash(&(group, address.to_string())))
-}
-
-/// A number that is the same in every process for the same value.
-fn stable_hash(value: &(u64, String)) -> u64 {
-    let bytes = bitcode::encode(value);
-    let low = u64::from(crc32fast::hash(&bytes));
-    let high = u64::from(crc32fast::hash(&[bytes.as_slice(), b"high"].concat()));
-    high << 32 | low
-}
