Sight: say why items wait at no engine, and who holds a refused right

Cause looked for: from the users' record the planner's reasons for leaving an item can't be told apart. One counter of repeated events where another was needed. No decision depends on it.

--- a/crates/control/src/gateway.rs
+++ b/crates/control/src/gateway.rs
@@ -104,7 +104,7 @@
             GatewayRequest::ReadRetirement(name) => self.read_retirement(&name),
             GatewayRequest::ReadDuties => self.read_duties(),
             GatewayRequest::TakeEvidence(evidence) => self.take_evidence(evidence).await,
-            GatewayRequest::BeginTrial(trial) => self.execute_gateway(GatewayCommand::BeginTrial(trial)).await,
+            GatewayRequest::BeginTrial(trial) => self.answer_trial(trial).await,
             GatewayRequest::EndTrial { work, id } => self.execute_gateway(GatewayCommand::EndTrial { work, id }).await,
             GatewayRequest::ReadSuspicions => self.read_suspicions(),
             GatewayRequest::ReleaseWork(work) => self.release_work(work).await,
@@ -130,9 +130,16 @@
             Ok(GatewayOutcome::Done | GatewayOutcome::TextMissing(_) | GatewayOutcome::Orders { .. }) => {
                 ControlReply::Gateway(GatewayReply::Done)
             }
-            Err(ProposeError::NotLeader(_)) => self.not_leader(),
-            Err(ProposeError::Overloaded) => ControlReply::Gateway(GatewayReply::Unavailable),
-            Err(ProposeError::Undecided) => ControlReply::Undecided,
+            Err(error) => self.not_committed(&error),
+        }
+    }
+
+    /// The answer to whoever sent a command that was not committed, or may not have been.
+    pub(crate) fn not_committed(&self, error: &ProposeError) -> ControlReply {
+        match error {
+            ProposeError::NotLeader(_) => self.not_leader(),
+            ProposeError::Overloaded => ControlReply::Gateway(GatewayReply::Unavailable),
+            ProposeError::Undecided => ControlReply::Undecided,
         }
     }
 
--- a/crates/control/src/node.rs
+++ b/crates/control/src/node.rs
@@ -7,9 +7,9 @@
 use crate::group_clock::GroupClock;
 use crate::instance_watch::InstanceWatch;
 use crate::machine::ControlMachine;
-use crate::not_leading::SentAway;
 use crate::order_watch::OrderWatch;
 use crate::queries;
+use crate::repeated_event::RepeatedEvent;
 use crate::routing_updates::RoutingUpdates;
 use crate::state::ControlState;
 use crate::tasks::relays::RenewalTable;
@@ -61,7 +61,9 @@
     /// The leader has confirmed this replica's state.
     pub confirmed: Signal,
     /// Questions that only a leader could answer.
-    pub sent_away: RefCell<SentAway>,
+    pub sent_away: RefCell<RepeatedEvent>,
+    /// Tries of suspected work that were refused the right to run.
+    pub refused_trials: RefCell<RepeatedEvent>,
     /// What instances have told this leader since it leads.
     pub instance_watch: RefCell<InstanceWatch>,
     /// Routing documents on their way to relays.
@@ -109,6 +111,7 @@
             following: RefCell::default(),
             confirmed: Signal::default(),
             sent_away: RefCell::default(),
+            refused_trials: RefCell::default(),
             instance_watch: RefCell::default(),
             routing_updates: RefCell::default(),
             order_watch: RefCell::default(),
--- a/crates/control/src/state/suspicions.rs
+++ b/crates/control/src/state/suspicions.rs
@@ -126,6 +126,16 @@
         if trial.id == id { TrialAnswer::Granted } else { TrialAnswer::Taken }
     }
 
+    /// Who holds the right to run `work`, and until when at most, in Unix milliseconds.
+    pub fn trial(&self, work: &WorkDigest) -> Option<(TrialId, u64)> {
+        self.trials.get(work).map(|trial| (trial.id, trial.until))
+    }
+
+    /// How many rights to run suspected work are held.
+    pub fn trials_held(&self) -> usize {
+        self.trials.len()
+    }
+
     /// A try is over, however it ended.
     pub fn end_trial(&mut self, work: &WorkDigest, id: TrialId) {
         if self.trials.get(work).is_some_and(|trial| trial.id == id) {
--- a/crates/control/src/suspected_work.rs
+++ b/crates/control/src/suspected_work.rs
@@ -4,9 +4,9 @@
 use saddlerelay_replication::ProposeError;
 use saddlerelay_runtime::Runtime;
 use saddlerelay_runtime::backend::Backends;
-use saddlerelay_types::gateway::{GatewayCommand, GatewayReply};
+use saddlerelay_types::gateway::{GatewayCommand, GatewayOutcome, GatewayReply, TrialRequest};
 use saddlerelay_types::protocol::ControlReply;
-use saddlerelay_types::suspicion::WorkEvidence;
+use saddlerelay_types::suspicion::{TrialAnswer, WorkEvidence};
 use saddlerelay_types::work::WorkDigest;
 
 impl<P: Runtime, B: Backends> ControlNode<P, B> {
@@ -22,6 +22,46 @@
         Ok(())
     }
 
+    /// Asks for the right to run suspected work. A refusal is told with who holds the right, one line for many.
+    pub async fn begin_trial(&self, request: TrialRequest) -> Result<TrialAnswer, ProposeError> {
+        let outcome = self.commit_gateway(GatewayCommand::BeginTrial(request)).await?;
+        if outcome == GatewayOutcome::Trial(TrialAnswer::Granted) {
+            return Ok(TrialAnswer::Granted);
+        }
+        self.tell_refused_trial(&request);
+        Ok(TrialAnswer::Taken)
+    }
+
+    fn tell_refused_trial(&self, request: &TrialRequest) {
+        let now = self.inner.platform.monotonic();
+        let Some(refused) = self.inner.refused_trials.borrow_mut().count(now) else {
+            return;
+        };
+        let unix_ms = self.inner.platform.unix_milliseconds();
+        let (right, held) = self.read_applied(|state| {
+            let suspicions = &state.suspicions;
+            (suspicions.trial(&request.work), suspicions.trials_held())
+        });
+        let (holder, number, left_ms) =
+            right.map_or((0, 0, 0), |(id, until)| (id.holder.0, id.number, until.saturating_sub(unix_ms)));
+        spdlog::warn!("trial of suspected work refused", kv: {
+            work = request.work.shown().as_str(),
+            asked_by = request.id.holder.0,
+            held_by = holder,
+            number = number,
+            left_ms = left_ms,
+            refused = refused,
+            rights_held = held
+        });
+    }
+
+    pub(crate) async fn answer_trial(&self, request: TrialRequest) -> ControlReply {
+        match self.begin_trial(request).await {
+            Ok(answer) => ControlReply::Gateway(GatewayReply::Trial(answer)),
+            Err(error) => self.not_committed(&error),
+        }
+    }
+
     fn tell_evidence(&self, evidence: &WorkEvidence) {
         for loss in &evidence.losses {
             let (engines, quarantined) = self.read_applied(|state| {
@@ -44,9 +84,7 @@
     pub(crate) async fn take_evidence(&self, evidence: WorkEvidence) -> ControlReply {
         match self.commit_evidence(evidence).await {
             Ok(()) => self.read_suspicions(),
-            Err(ProposeError::NotLeader(_)) => self.not_leader(),
-            Err(ProposeError::Overloaded) => ControlReply::Gateway(GatewayReply::Unavailable),
-            Err(ProposeError::Undecided) => ControlReply::Undecided,
+            Err(error) => self.not_committed(&error),
         }
     }
 
--- a/crates/coordinator/src/coordinator.rs
+++ b/crates/coordinator/src/coordinator.rs
@@ -7,6 +7,7 @@
 use crate::job_run::JobRun;
 use crate::metrics::CoordinatorMetrics;
 use crate::scorers::Scorers;
+use crate::waits::WaitLines;
 use crate::working_set::WorkingSet;
 use crate::working_set_policy::{DemandWithReserve, WorkingSetPolicy};
 use saddlerelay_control::node::ControlNode;
@@ -45,6 +46,8 @@
     pub waiting: RefCell<BTreeMap<String, u32>>,
     /// The version of each model that items wait for and no engine holds; see [`crate::plan::Plan`].
     pub awaited: RefCell<BTreeMap<String, u64>>,
+    /// Bounds what is told of items that wait.
+    pub wait_lines: WaitLines,
     pub ended_checks: EndedChecks,
     /// This start of the process, and how many trials of suspected items it has asked for.
     pub incarnation: Incarnation,
@@ -107,6 +110,7 @@
             forgotten_at: Cell::new(0),
             waiting: RefCell::default(),
             awaited: RefCell::default(),
+            wait_lines: WaitLines::default(),
             ended_checks: EndedChecks::default(),
             incarnation: Incarnation(runtime.random()),
             trials_begun: Cell::new(0),
--- a/crates/coordinator/src/item.rs
+++ b/crates/coordinator/src/item.rs
@@ -5,6 +5,7 @@
 use crate::lost_connections::TrialTaken;
 use crate::plan::{Start, still_wanted};
 use crate::text;
+use crate::waits::WaitReason;
 use hyper::header::{HOST, HeaderMap, HeaderName, HeaderValue};
 use hyper::{Method, StatusCode};
 use saddlerelay_runtime::backend::Backends;
@@ -149,7 +150,10 @@
     match status {
         StatusCode::UNPROCESSABLE_ENTITY => AttemptEnd::Impossible,
         StatusCode::INTERNAL_SERVER_ERROR => AttemptEnd::Failed,
-        status if status.is_success() => take_events(coordinator, start, answer, version).await,
+        status if status.is_success() => {
+            coordinator.note_taken(start);
+            take_events(coordinator, start, answer, version).await
+        }
         status => AttemptEnd::BrokeOff(format!("the engine answered {}", status.as_u16())),
     }
 }
@@ -214,6 +218,16 @@
 }
 
 impl<B: Backends> Coordinator<B> {
+    /// An engine has begun to answer for the item.
+    fn note_taken(&self, start: &Start) {
+        let mut jobs = self.inner.jobs.borrow_mut();
+        let run = jobs.get_mut(&start.job).and_then(|job| job.items.get_mut(start.index as usize));
+        if let Some(run) = run {
+            let waited = run.wait.end(self.now());
+            self.inner.metrics.wait_seconds.observe(waited.as_secs_f64());
+        }
+    }
+
     fn record_end(&self, start: &Start, end: AttemptEnd) {
         let inner = &self.inner;
         let now = self.now();
@@ -239,6 +253,7 @@
         inner.metrics.item_failures.inc();
         run.phase = Phase::Waiting;
         run.not_before = now + inner.config.retry_pause;
+        run.pause_reason = WaitReason::RetryPause;
         run.avoid = Some(start.target.instance.clone());
         let rest = now + inner.config.engine_rest;
         match end {
@@ -250,6 +265,7 @@
             AttemptEnd::Silent => {}
             AttemptEnd::TrialTaken => {
                 run.not_before = now + TRIAL_RETRY_AFTER;
+                run.pause_reason = WaitReason::TrialTaken;
                 run.avoid = None;
             }
             AttemptEnd::OtherVersion(version) => self.learn_other_version(start, version, rest),
--- a/crates/coordinator/src/job_run.rs
+++ b/crates/coordinator/src/job_run.rs
@@ -2,6 +2,7 @@
 
 use crate::lengths::{OVERRUN_SHARE, earlier_lengths, expected_tokens, most_tokens};
 use crate::text::ItemText;
+use crate::waits::{Wait, WaitReason};
 use compio::runtime::JoinHandle;
 use saddlerelay_control::state::ControlState;
 use saddlerelay_control::state::jobs::{Job, ListedItem};
@@ -38,7 +39,12 @@
     pub most_events: Option<f64>,
     /// Failures that count as attempts.
     pub failures: u32,
+    /// Not sent before.
     pub not_before: Duration,
+    /// What it waits for until then.
+    pub pause_reason: WaitReason,
+    /// How long it has been at no engine.
+    pub wait: Wait,
     /// The engine that failed it last, or that it moved away from.
     pub avoid: Option<InstanceId>,
     pub moves: u32,
@@ -111,6 +117,8 @@
                 most_events: most_tokens(item, &names.token_count).map(|most| (most as f64 / per_event).ceil()),
                 failures: 0,
                 not_before: Duration::ZERO,
+                pause_reason: WaitReason::RetryPause,
+                wait: Wait::default(),
                 avoid: None,
                 moves: 0,
                 scoring: ScoringProgress::default(),
--- a/crates/coordinator/src/lib.rs
+++ b/crates/coordinator/src/lib.rs
@@ -27,6 +27,7 @@
 pub mod scorers;
 pub mod scoring;
 pub mod text;
+mod waits;
 pub mod working_set;
 pub mod working_set_policy;
 
--- a/crates/coordinator/src/lost_connections.rs
+++ b/crates/coordinator/src/lost_connections.rs
@@ -6,7 +6,7 @@
 use saddlerelay_control::state::ControlState;
 use saddlerelay_runtime::Runtime;
 use saddlerelay_runtime::backend::Backends;
-use saddlerelay_types::gateway::{GatewayCommand, GatewayOutcome, TrialRequest};
+use saddlerelay_types::gateway::{GatewayCommand, TrialRequest};
 use saddlerelay_types::instance::InstanceState;
 use saddlerelay_types::job::ItemId;
 use saddlerelay_types::suspicion::{EngineLoss, TrialAnswer, TrialId, WorkEvidence};
@@ -73,9 +73,8 @@
         self.inner.trials_begun.set(number);
         let id = TrialId { holder: self.inner.incarnation, number };
         let limit_ms = start.give_up_at.saturating_sub(self.now()).as_millis() as u64;
-        let command = GatewayCommand::BeginTrial(TrialRequest { work, id, limit_ms });
-        let answer = self.inner.node.commit_gateway(command).await;
-        let granted = answer == Ok(GatewayOutcome::Trial(TrialAnswer::Granted));
+        let answer = self.inner.node.begin_trial(TrialRequest { work, id, limit_ms }).await;
+        let granted = answer == Ok(TrialAnswer::Granted);
         spdlog::info!("trial of suspected item", kv: {
             item = start.item.id.0.as_str(), work = work.shown().as_str(), granted = granted,
             answer = format!("{answer:?}").as_str()
--- a/crates/coordinator/src/plan.rs
+++ b/crates/coordinator/src/plan.rs
@@ -4,10 +4,11 @@
 use crate::job_run::{JobRun, Phase};
 use crate::moves::plan_moves;
 use crate::pace::Paces;
-use crate::placement::{FittingEngine, choose_engine, fitting_engines};
+use crate::placement::{FittingEngine, choose_engine, fitting_engines, usable_engines};
 use crate::scorers::ScoringRound;
 use crate::scoring::ScoreCall;
 use crate::text::ItemText;
+use crate::waits::{WaitReason, WaitingItem};
 use saddlerelay_control::state::ControlState;
 use saddlerelay_control::state::jobs::Job;
 use saddlerelay_control::state::suspicions::SuspicionTable;
@@ -276,17 +277,16 @@
             plan.give_up.push((id.clone(), index, "its time is over"));
         } else if is_quarantined(of, index, is_whole) {
             hold_back(of, index);
+            go_on_waiting(of, index, WaitReason::Quarantined);
         } else if is_whole {
-            plan.score_calls.extend(plan_score_call(of, index, give_up_at));
-        } else if plan.starts.len() < STARTED_AT_ONCE
-            && let Some(start) = plan_item(of, route, index, give_up_at)
-        {
-            plan.starts.push(start);
-        } else if let Some(model) = &of.job.submission.model {
-            *plan.waiting.entry(model.clone()).or_default() += 1;
-            if of.fitting.is_empty() {
-                let awaited = plan.awaited.entry(model.clone()).or_default();
-                *awaited = of.job.submission.minimum_version.max(*awaited);
+            match plan_score_call(of, index, give_up_at) {
+                Some(call) => plan.score_calls.push(call),
+                None => go_on_waiting(of, index, WaitReason::NoScorer),
+            }
+        } else {
+            match plan_item(of, route, index, give_up_at, plan) {
+                Ok(start) => plan.starts.push(start),
+                Err(reason) => leave_waiting(of, index, reason, plan),
             }
         }
     }
@@ -327,19 +327,53 @@
     }
 }
 
+/// Counts an item that this plan does not start.
+fn leave_waiting<B: Backends>(of: &mut PlanOfJob<'_, '_, B>, index: u32, reason: WaitReason, plan: &mut Plan) {
+    go_on_waiting(of, index, reason);
+    let Some(model) = &of.job.submission.model else {
+        return;
+    };
+    *plan.waiting.entry(model.clone()).or_default() += 1;
+    if of.fitting.is_empty() {
+        let awaited = plan.awaited.entry(model.clone()).or_default();
+        *awaited = of.job.submission.minimum_version.max(*awaited);
+    }
+}
+
+/// Tells of an item that has been at no engine for long.
+fn go_on_waiting<B: Backends>(of: &mut PlanOfJob<'_, '_, B>, index: u32, reason: WaitReason) {
+    let submission = &of.job.submission;
+    let describe = || WaitingItem {
+        job: &submission.id,
+        item: &submission.items[index as usize].id,
+        reason,
+        engines: of.round.engines.len(),
+        fitting: of.fitting.len(),
+        with_room: of.fitting.iter().filter(|fitting| fitting.engine.has_room()).count(),
+        suspicion_revision: of.suspicions.revision(),
+    };
+    let wait = &mut of.run.items[index as usize].wait;
+    of.inner.wait_lines.go_on(wait, of.now, &of.inner.metrics, describe);
+}
+
+/// Plans an item's start, or says what it waits for.
 fn plan_item<B: Backends>(
     of: &mut PlanOfJob<'_, '_, B>,
     route: &Route,
     index: u32,
     give_up_at: Duration,
-) -> Option<Start> {
+    plan: &Plan,
+) -> Result<Start, WaitReason> {
+    if plan.starts.len() >= STARTED_AT_ONCE {
+        return Err(WaitReason::PlanIsFull);
+    }
     let run = &of.run.items[index as usize];
     if of.now < run.not_before {
-        return None;
+        return Err(run.pause_reason);
     }
     let submission = &of.job.submission;
     let item = &submission.items[index as usize];
-    let chosen = choose_engine(of, route, index)?;
+    let chosen = choose_engine(of, route, index).ok_or_else(|| why_no_engine(of, route, index))?;
     let target = chosen.engine.target.clone();
     let start = Start {
         job: submission.id.clone(),
@@ -360,7 +394,18 @@
     };
     chosen.engine.plan_item();
     of.run.group_engines.insert(item.group.clone(), target.instance);
-    Some(start)
+    Ok(start)
+}
+
+/// Why no engine was chosen for an item.
+fn why_no_engine<B: Backends>(of: &PlanOfJob<'_, '_, B>, route: &Route, index: u32) -> WaitReason {
+    if of.fitting.is_empty() {
+        WaitReason::NoFittingEngine
+    } else if usable_engines(of, route, index).next().is_none() {
+        WaitReason::NoRoom
+    } else {
+        WaitReason::NoSoundEngine
+    }
 }
 
 fn plan_score_call<B: Backends>(of: &mut PlanOfJob<'_, '_, B>, index: u32, give_up_at: Duration) -> Option<ScoreCall> {
