--- a/crates/control-client/src/lib.rs
+++ b/crates/control-client/src/lib.rs
@@ -1,5 +1,5 @@
 //! Finds the control group's leader and calls it; `suspicions` is what a relay and the group tell each other of work under
-//! which engines end, `reports` gathers what engines report.
+//! which engines end, `trials` are the rights to run such work, `reports` gathers what engines report.
 //!
 //! Every command is safe to send again: changes carry a key or a revision, claims an arrival, samples an attempt,
 //! assignments a sequence. A call whose answer is lost is therefore repeated until its time runs out.
@@ -8,6 +8,7 @@
 pub mod reports;
 pub mod search;
 pub mod suspicions;
+pub mod trials;
 
 use crate::replicas::Replicas;
 use crate::search::{LastAnswer, LeaderSearch};
--- a/crates/control-client/src/suspicions.rs
+++ b/crates/control-client/src/suspicions.rs
@@ -2,15 +2,17 @@
 //! itself and not handed over yet.
 
 use crate::ControlClient;
+use crate::trials::{NoAnswer, TrialGroup, TrialGuard, TrialKeeper};
 use saddlerelay_runtime::Runtime;
 use saddlerelay_runtime::signal::Signal;
 use saddlerelay_runtime::timeout::timeout;
 use saddlerelay_types::gateway::{GatewayReply, GatewayRequest, TrialRequest};
-use saddlerelay_types::identity::Incarnation;
 use saddlerelay_types::instance::InstanceId;
-use saddlerelay_types::suspicion::{EngineLoss, MOST_ENGINES_ENDED, SuspicionList, TrialAnswer, TrialId, WorkEvidence};
+use saddlerelay_types::suspicion::{
+    EngineLoss, HeldTrial, MOST_ENGINES_ENDED, SuspicionList, TRIAL_RENEWAL, TrialAnswer, WorkEvidence,
+};
 use saddlerelay_types::work::WorkDigest;
-use std::cell::{Cell, RefCell};
+use std::cell::RefCell;
 use std::collections::{BTreeMap, BTreeSet};
 use std::rc::Rc;
 use std::time::Duration;
@@ -164,13 +166,12 @@
 }
 
 /// The knowledge of one relay, and its way to and from the control group.
-pub struct SuspicionKeeper<P> {
+pub struct SuspicionKeeper<P: Runtime> {
     platform: P,
     control: ControlClient<P>,
     last_trial_pause: Duration,
-    /// This start of the process, and how many trials it has asked for.
-    incarnation: Incarnation,
-    trials_begun: Cell<u64>,
+    /// The rights to run suspected work that this relay holds.
+    trials: Rc<TrialKeeper<P, ControlClient<P>>>,
     suspicions: RefCell<Suspicions>,
     /// There is evidence to hand over.
     waiting: Signal,
@@ -183,10 +184,9 @@
     pub fn start(platform: P, control: ControlClient<P>, last_trial_pause: Duration) -> Rc<Self> {
         let keeper = Rc::new(Self {
             platform: platform.clone(),
-            control,
+            control: control.clone(),
             last_trial_pause,
-            incarnation: Incarnation(platform.random()),
-            trials_begun: Cell::new(0),
+            trials: TrialKeeper::start(platform.clone(), control),
             suspicions: RefCell::default(),
             waiting: Signal::default(),
             handed_over: Signal::default(),
@@ -222,25 +222,9 @@
     }
 
     /// Asks the group for the right to run suspected work, for `limit` at most; `None` while another try of it runs, or
-    /// while no leader is to be found: nobody can say then that none does.
-    pub async fn begin_trial(self: &Rc<Self>, work: WorkDigest, limit: Duration) -> Option<TrialGuard<P>> {
-        let number = self.trials_begun.get() + 1;
-        self.trials_begun.set(number);
-        let id = TrialId { holder: self.incarnation, number };
-        let limit_ms = limit.as_millis() as u64;
-        let request = GatewayRequest::BeginTrial(TrialRequest { work, id, limit_ms });
-        let answer = self.control.gateway(request, TRIAL_ANSWER_LIMIT, TRIAL_ANSWER_LIMIT).await;
-        let granted = answer == Ok(GatewayReply::Trial(TrialAnswer::Granted));
-        spdlog::info!("trial of suspected work", kv: {
-            work = work.shown().as_str(), number = number, granted = granted, limit_ms = limit_ms,
-            answer = format!("{answer:?}").as_str()
-        });
-        if answer == Ok(GatewayReply::Trial(TrialAnswer::Taken)) {
-            return None;
-        }
-        // A question without an answer may have been granted: the guard gives back what it may hold.
-        let guard = TrialGuard { keeper: self.clone(), work, id };
-        granted.then_some(guard)
+    /// while no leader is to be found.
+    pub async fn begin_trial(&self, work: WorkDigest, limit: Duration) -> Option<RelayTrial<P>> {
+        self.trials.begin(work, limit).await
     }
 
     /// An engine has ended under work.
@@ -275,25 +259,29 @@
     }
 }
 
-/// The right to run suspected work; given back when it is dropped.
-pub struct TrialGuard<P: Runtime> {
-    keeper: Rc<SuspicionKeeper<P>>,
-    work: WorkDigest,
-    id: TrialId,
-}
+/// The right of a relay's request to run suspected work.
+pub type RelayTrial<P> = TrialGuard<P, ControlClient<P>>;
 
-impl<P: Runtime> Drop for TrialGuard<P> {
-    fn drop(&mut self) {
-        let (keeper, work, id) = (self.keeper.clone(), self.work, self.id);
-        self.keeper.platform.spawn(async move {
-            let request = GatewayRequest::EndTrial { work, id };
-            if let Err(error) = keeper.control.gateway(request, HAND_OVER_LIMIT, HAND_OVER_LIMIT).await {
-                // Its time runs out all the same.
-                spdlog::warn!("trial not given back", kv: {
-                    work = work.shown().as_str(), reason = format!("{error:?}").as_str()
-                });
-            }
-        });
+impl<P: Runtime> TrialGroup for ControlClient<P> {
+    async fn begin(&self, request: TrialRequest) -> Result<TrialAnswer, NoAnswer> {
+        let request = GatewayRequest::BeginTrial(request);
+        match self.gateway(request, TRIAL_ANSWER_LIMIT, TRIAL_ANSWER_LIMIT).await {
+            Ok(GatewayReply::Trial(answer)) => Ok(answer),
+            other => Err(format!("{other:?}")),
+        }
+    }
+
+    async fn renew(&self, held: Vec<HeldTrial>) -> Result<Vec<HeldTrial>, NoAnswer> {
+        match self.gateway(GatewayRequest::RenewTrials(held), TRIAL_RENEWAL, TRIAL_RENEWAL).await {
+            Ok(GatewayReply::TrialsLost(lost)) => Ok(lost),
+            other => Err(format!("{other:?}")),
+        }
+    }
+
+    async fn end(&self, held: HeldTrial) -> Result<(), NoAnswer> {
+        let HeldTrial { work, id } = held;
+        let answer = self.gateway(GatewayRequest::EndTrial { work, id }, HAND_OVER_LIMIT, HAND_OVER_LIMIT).await;
+        answer.map(|_| ()).map_err(|error| format!("{error:?}"))
     }
 }
 
--- a/crates/control/src/gateway.rs
+++ b/crates/control/src/gateway.rs
@@ -105,6 +105,7 @@
             GatewayRequest::ReadDuties => self.read_duties(),
             GatewayRequest::TakeEvidence(evidence) => self.take_evidence(evidence).await,
             GatewayRequest::BeginTrial(trial) => self.answer_trial(trial).await,
+            GatewayRequest::RenewTrials(held) => self.execute_gateway(GatewayCommand::RenewTrials(held)).await,
             GatewayRequest::EndTrial { work, id } => self.execute_gateway(GatewayCommand::EndTrial { work, id }).await,
             GatewayRequest::ReadSuspicions => self.read_suspicions(),
             GatewayRequest::ReleaseWork(work) => self.release_work(work).await,
@@ -127,6 +128,7 @@
         match self.commit_gateway(command).await {
             Ok(GatewayOutcome::NotFound) => ControlReply::Gateway(GatewayReply::NotFound),
             Ok(GatewayOutcome::Trial(answer)) => ControlReply::Gateway(GatewayReply::Trial(answer)),
+            Ok(GatewayOutcome::TrialsLost(lost)) => ControlReply::Gateway(GatewayReply::TrialsLost(lost)),
             Ok(GatewayOutcome::Done | GatewayOutcome::TextMissing(_) | GatewayOutcome::Orders { .. }) => {
                 ControlReply::Gateway(GatewayReply::Done)
             }
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -22,3 +22,4 @@
 pub mod state;
 mod suspected_work;
 pub mod tasks;
+pub mod trial_watch;
--- a/crates/control/src/node.rs
+++ b/crates/control/src/node.rs
@@ -13,7 +13,8 @@
 use crate::routing_updates::RoutingUpdates;
 use crate::state::ControlState;
 use crate::tasks::relays::RenewalTable;
-use crate::tasks::{confirmation, engines, machines, relays, retirement, silence, suspicions, usage};
+use crate::tasks::{confirmation, engines, machines, relays, retirement, silence, suspicions, trials, usage};
+use crate::trial_watch::TrialWatch;
 use futures::lock::Mutex;
 use saddlerelay_replication::storage::StorageError;
 use saddlerelay_replication::{ProposeError, Replica, ReplicaOptions};
@@ -70,6 +71,8 @@
     pub routing_updates: RefCell<RoutingUpdates>,
     /// Orders that other replicas may have given.
     pub order_watch: RefCell<OrderWatch>,
+    /// Rights to run suspected work, and when they were renewed.
+    pub trial_watch: RefCell<TrialWatch>,
     /// The time of day that most machines agree on.
     pub group_clock: RefCell<GroupClock>,
     /// What relays have counted and what is not committed yet.
@@ -115,6 +118,7 @@
             instance_watch: RefCell::default(),
             routing_updates: RefCell::default(),
             order_watch: RefCell::default(),
+            trial_watch: RefCell::default(),
             group_clock: RefCell::default(),
             usage_inbox: RefCell::default(),
             job_results: Signal::default(),
@@ -129,6 +133,7 @@
         platform.spawn(confirmation::confirm(node.clone()));
         platform.spawn(usage::commit(node.clone()));
         platform.spawn(suspicions::expire(node.clone()));
+        platform.spawn(trials::watch(node.clone()));
         Ok(node)
     }
 
--- a/crates/control/src/state/suspicions.rs
+++ b/crates/control/src/state/suspicions.rs
@@ -2,7 +2,8 @@
 
 use bitcode::{Decode, Encode};
 use saddlerelay_types::suspicion::{
-    EngineLoss, MOST_ENGINES_ENDED, Suspicion, SuspicionList, TrialAnswer, TrialId, WorkEvidence,
+    EngineLoss, HeldTrial, MOST_ENGINES_ENDED, Suspicion, SuspicionList, TrialAnswer, TrialId, TrialStanding,
+    WorkEvidence,
 };
 use saddlerelay_types::work::WorkDigest;
 use std::collections::BTreeMap;
@@ -23,8 +24,11 @@
 #[derive(Clone, Copy, Debug, PartialEq, Encode, Decode)]
 struct Trial {
     id: TrialId,
-    /// In Unix milliseconds. A holder that dies keeps others waiting until then.
+    /// In Unix milliseconds: when the work itself is over.
     until: u64,
+    /// How often its holder has renewed it. Replicas watch this count by their own clocks: one that has not risen for
+    /// a lease belongs to a holder that does nothing about the work any more.
+    renewals: u32,
 }
 
 /// The table. Each change takes the next revision.
@@ -122,10 +126,42 @@
             return TrialAnswer::Granted;
         }
         let until = now.saturating_add(limit_ms);
-        let trial = self.trials.entry(work).or_insert(Trial { id, until });
+        let trial = self.trials.entry(work).or_insert(Trial { id, until, renewals: 0 });
         if trial.id == id { TrialAnswer::Granted } else { TrialAnswer::Taken }
     }
 
+    /// Holders still run the work of these rights; returns those that are not theirs any more.
+    pub fn renew_trials(&mut self, held: Vec<HeldTrial>) -> Vec<HeldTrial> {
+        let mut lost = Vec::new();
+        for right in held {
+            match self.trials.get_mut(&right.work).filter(|trial| trial.id == right.id) {
+                Some(trial) => trial.renewals += 1,
+                // Work that is no longer suspected may run anywhere.
+                None if !self.by_work.contains_key(&right.work) => {}
+                None => lost.push(right),
+            }
+        }
+        lost
+    }
+
+    /// Ends rights that have not been renewed since they stood like this.
+    pub fn expire_trials(&mut self, standings: &[TrialStanding]) {
+        for standing in standings {
+            let stands = |trial: &Trial| trial.id == standing.held.id && trial.renewals == standing.renewals;
+            if self.trials.get(&standing.held.work).is_some_and(stands) {
+                self.trials.remove(&standing.held.work);
+            }
+        }
+    }
+
+    /// The rights that are held.
+    pub fn trials(&self) -> impl Iterator<Item = TrialStanding> {
+        self.trials.iter().map(|(work, trial)| TrialStanding {
+            held: HeldTrial { work: *work, id: trial.id },
+            renewals: trial.renewals,
+        })
+    }
+
     /// Who holds the right to run `work`, and until when at most, in Unix milliseconds.
     pub fn trial(&self, work: &WorkDigest) -> Option<(TrialId, u64)> {
         self.trials.get(work).map(|trial| (trial.id, trial.until))
--- a/crates/control/src/tasks/mod.rs
+++ b/crates/control/src/tasks/mod.rs
@@ -7,4 +7,5 @@
 pub mod retirement;
 pub mod silence;
 pub mod suspicions;
+pub mod trials;
 pub mod usage;
--- a/crates/coordinator/src/coordinator.rs
+++ b/crates/coordinator/src/coordinator.rs
@@ -5,18 +5,19 @@
 use crate::fleet::Fleet;
 use crate::homes::Homes;
 use crate::job_run::JobRun;
+use crate::lost_connections::LeaderGroup;
 use crate::metrics::CoordinatorMetrics;
 use crate::scorers::Scorers;
 use crate::waits::WaitLines;
 use crate::working_set::WorkingSet;
 use crate::working_set_policy::{DemandWithReserve, WorkingSetPolicy};
 use saddlerelay_control::node::ControlNode;
+use saddlerelay_control_client::trials::TrialKeeper;
 use saddlerelay_runtime::Runtime;
 use saddlerelay_runtime::backend::Backends;
 use saddlerelay_runtime::signal::Signal;
 use saddlerelay_runtime_compio::CompioRuntime;
 use saddlerelay_runtime_compio::listening::EndedChecks;
-use saddlerelay_types::identity::Incarnation;
 use saddlerelay_types::job::{ItemOutcome, JobId};
 use saddlerelay_upstream::{HeaderNames, Pool};
 use std::cell::{Cell, RefCell};
@@ -49,9 +50,8 @@
     /// Bounds what is told of items that wait.
     pub wait_lines: WaitLines,
     pub ended_checks: EndedChecks,
-    /// This start of the process, and how many trials of suspected items it has asked for.
-    pub incarnation: Incarnation,
-    pub trials_begun: Cell<u64>,
+    /// The rights to run suspected items that this process holds.
+    pub trials: Rc<TrialKeeper<CompioRuntime, LeaderGroup<B>>>,
     pub metrics: CoordinatorMetrics,
     /// The jobs of this term.
     pub jobs: RefCell<BTreeMap<JobId, JobRun>>,
@@ -95,9 +95,11 @@
         config: CoordinatorConfig,
     ) -> Self {
         let pool = Pool::new(Rc::new(names), config.connect_limit);
+        let trials = TrialKeeper::start(runtime.clone(), LeaderGroup(node.clone()));
         let inner = Inner {
             runtime: runtime.clone(),
             node,
+            trials,
             name: identity.name,
             config,
             dialect,
@@ -112,8 +114,6 @@
             awaited: RefCell::default(),
             wait_lines: WaitLines::default(),
             ended_checks: EndedChecks::default(),
-            incarnation: Incarnation(runtime.random()),
-            trials_begun: Cell::new(0),
             metrics: CoordinatorMetrics::default(),
             jobs: RefCell::default(),
             outcomes: RefCell::default(),
--- a/crates/coordinator/src/item.rs
+++ b/crates/coordinator/src/item.rs
@@ -2,10 +2,11 @@
 
 use crate::coordinator::Coordinator;
 use crate::job_run::Phase;
-use crate::lost_connections::TrialTaken;
+use crate::lost_connections::{ItemTrial, TrialTaken};
 use crate::plan::{Start, still_wanted};
 use crate::text;
 use crate::waits::WaitReason;
+use futures::future::{self, Either};
 use hyper::header::{HOST, HeaderMap, HeaderName, HeaderValue};
 use hyper::{Method, StatusCode};
 use saddlerelay_runtime::backend::Backends;
@@ -14,6 +15,7 @@
 use saddlerelay_types::suspicion::TRIAL_RETRY_AFTER;
 use saddlerelay_upstream::events::{Event, EventCutter};
 use saddlerelay_upstream::{Answer, Failure, HeaderNames, Outgoing, Reuse};
+use std::pin::pin;
 use std::time::Duration;
 
 /// How an attempt ended.
@@ -48,7 +50,7 @@
     coordinator.inner.metrics.items_sent.inc();
     let trial = coordinator.begin_trial(&start).await;
     let end = match &trial {
-        Ok(trial) => attempt(&coordinator, &start, trial.is_some()).await,
+        Ok(trial) => attempt_while_held(&coordinator, &start, trial.as_ref()).await,
         Err(TrialTaken) => AttemptEnd::TrialTaken,
     };
     let lasted = coordinator.now().saturating_sub(began_at);
@@ -74,7 +76,24 @@
     });
 }
 
-async fn attempt<B: Backends>(coordinator: &Coordinator<B>, start: &Start, on_trial: bool) -> AttemptEnd {
+/// Makes an attempt, and ends it when the right to run its suspected work is another's.
+async fn attempt_while_held<B: Backends>(
+    coordinator: &Coordinator<B>,
+    start: &Start,
+    trial: Option<&ItemTrial<B>>,
+) -> AttemptEnd {
+    let Some(held) = trial else {
+        return attempt(coordinator, start, None).await;
+    };
+    let attempt = pin!(attempt(coordinator, start, trial));
+    let lost = pin!(held.lost());
+    match future::select(attempt, lost).await {
+        Either::Left((end, _)) => end,
+        Either::Right(_) => AttemptEnd::TrialTaken,
+    }
+}
+
+async fn attempt<B: Backends>(coordinator: &Coordinator<B>, start: &Start, trial: Option<&ItemTrial<B>>) -> AttemptEnd {
     let outgoing = match outgoing(coordinator, start) {
         Ok(outgoing) => outgoing,
         Err(reason) => {
@@ -86,7 +105,7 @@
     let time_left = || start.give_up_at.saturating_sub(coordinator.now());
     let may_send = || {
         let wanted = inner.node.read(|state| still_wanted(state, start));
-        let alone = on_trial || !coordinator.is_suspected(start);
+        let alone = trial.is_some_and(ItemTrial::holds) || !coordinator.is_suspected(start);
         coordinator.leads(start.term) && wanted == Some(true) && alone
     };
     let sending = inner.pool.send(&start.target, &outgoing, Reuse::Any, time_left, may_send);
--- a/crates/coordinator/src/lost_connections.rs
+++ b/crates/coordinator/src/lost_connections.rs
@@ -1,15 +1,17 @@
 //! Looks into connections that engines have lost under an item or a call for a score, and holds work back under which
 //! engine after engine has ended.
 
-use crate::coordinator::Coordinator;
+use crate::coordinator::{Coordinator, LeaderNode};
 use crate::plan::Start;
 use saddlerelay_control::state::ControlState;
+use saddlerelay_control_client::trials::{NoAnswer, TrialGroup, TrialGuard};
 use saddlerelay_runtime::Runtime;
 use saddlerelay_runtime::backend::Backends;
-use saddlerelay_types::gateway::{GatewayCommand, TrialRequest};
+use saddlerelay_runtime_compio::CompioRuntime;
+use saddlerelay_types::gateway::{GatewayCommand, GatewayOutcome, TrialRequest};
 use saddlerelay_types::instance::InstanceState;
 use saddlerelay_types::job::ItemId;
-use saddlerelay_types::suspicion::{EngineLoss, TrialAnswer, TrialId, WorkEvidence};
+use saddlerelay_types::suspicion::{EngineLoss, HeldTrial, TrialAnswer, WorkEvidence};
 use saddlerelay_types::work::WorkDigest;
 use saddlerelay_upstream::EngineTarget;
 
@@ -17,24 +19,33 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) struct TrialTaken;
 
-/// The right to run a suspected item; given back when it is dropped.
-pub(crate) struct ItemTrial<B: Backends> {
-    coordinator: Coordinator<B>,
-    work: WorkDigest,
-    id: TrialId,
+/// The right to run a suspected item.
+pub(crate) type ItemTrial<B> = TrialGuard<CompioRuntime, LeaderGroup<B>>;
+
+/// The control group as its leader asks it.
+pub(crate) struct LeaderGroup<B: Backends>(pub LeaderNode<B>);
+
+impl<B: Backends> LeaderGroup<B> {
+    async fn commit(&self, command: GatewayCommand) -> Result<GatewayOutcome, NoAnswer> {
+        self.0.commit_gateway(command).await.map_err(|error| format!("{error:?}"))
+    }
 }
 
-impl<B: Backends> Drop for ItemTrial<B> {
-    fn drop(&mut self) {
-        let (coordinator, work, id) = (self.coordinator.clone(), self.work, self.id);
-        self.coordinator.inner.runtime.spawn(async move {
-            if let Err(error) = coordinator.inner.node.commit_gateway(GatewayCommand::EndTrial { work, id }).await {
-                // Its time runs out all the same.
-                spdlog::warn!("trial not given back", kv: {
-                    work = work.shown().as_str(), reason = format!("{error:?}").as_str()
-                });
-            }
-        });
+impl<B: Backends> TrialGroup for LeaderGroup<B> {
+    async fn begin(&self, request: TrialRequest) -> Result<TrialAnswer, NoAnswer> {
+        self.0.begin_trial(request).await.map_err(|error| format!("{error:?}"))
+    }
+
+    async fn renew(&self, held: Vec<HeldTrial>) -> Result<Vec<HeldTrial>, NoAnswer> {
+        match self.commit(GatewayCommand::RenewTrials(held)).await? {
+            GatewayOutcome::TrialsLost(lost) => Ok(lost),
+            other => Err(format!("{other:?}")),
+        }
+    }
+
+    async fn end(&self, held: HeldTrial) -> Result<(), NoAnswer> {
+        let HeldTrial { work, id } = held;
+        self.commit(GatewayCommand::EndTrial { work, id }).await.map(|_| ())
     }
 }
 
@@ -69,20 +80,12 @@
             return Ok(None);
         }
         let work = start.work_digest();
-        let number = self.inner.trials_begun.get() + 1;
-        self.inner.trials_begun.set(number);
-        let id = TrialId { holder: self.inner.incarnation, number };
-        let limit_ms = start.give_up_at.saturating_sub(self.now()).as_millis() as u64;
-        let answer = self.inner.node.begin_trial(TrialRequest { work, id, limit_ms }).await;
-        let granted = answer == Ok(TrialAnswer::Granted);
+        let limit = start.give_up_at.saturating_sub(self.now());
+        let trial = self.inner.trials.begin(work, limit).await;
         spdlog::info!("trial of suspected item", kv: {
-            item = start.item.id.0.as_str(), work = work.shown().as_str(), granted = granted,
-            answer = format!("{answer:?}").as_str()
+            item = start.item.id.0.as_str(), work = work.shown().as_str(), granted = trial.is_some()
         });
-        if !granted {
-            return Err(TrialTaken);
-        }
-        Ok(Some(ItemTrial { coordinator: self.clone(), work, id }))
+        trial.map(Some).ok_or(TrialTaken)
     }
 
     /// Whether an engine has ended under an item's work.
--- a/crates/gateway/src/lost_connections.rs
+++ b/crates/gateway/src/lost_connections.rs
@@ -3,34 +3,34 @@
 use crate::gateway::Gateway;
 use crate::request::ClientRequest;
 use bytes::Bytes;
-use saddlerelay_control_client::suspicions::TrialGuard;
+use saddlerelay_control_client::suspicions::RelayTrial;
 use saddlerelay_runtime_compio::CompioRuntime;
 use saddlerelay_types::work::WorkDigest;
 use saddlerelay_upstream::EngineTarget;
-use std::cell::OnceCell;
+use std::cell::{OnceCell, RefCell};
 
 /// What a request asks for. Its digest is made only when something asks for it: on a calm day, never.
 pub(crate) struct RequestedWork {
     body: Bytes,
     digest: OnceCell<WorkDigest>,
     /// The right to run it, once it is suspected; held until the request is over.
-    trial: OnceCell<TrialGuard<CompioRuntime>>,
+    trial: RefCell<Option<RelayTrial<CompioRuntime>>>,
 }
 
 impl RequestedWork {
     /// The work of a request with this body.
     pub fn new(body: Bytes) -> Self {
-        Self { body, digest: OnceCell::new(), trial: OnceCell::new() }
+        Self { body, digest: OnceCell::new(), trial: RefCell::default() }
     }
 
     /// Whether this request is the one try of the work that may run.
     pub fn has_trial(&self) -> bool {
-        self.trial.get().is_some()
+        self.trial.borrow().as_ref().is_some_and(RelayTrial::holds)
     }
 
     /// This request is the one try of the work that may run.
-    pub fn hold_trial(&self, trial: TrialGuard<CompioRuntime>) {
-        self.trial.get_or_init(|| trial);
+    pub fn hold_trial(&self, trial: RelayTrial<CompioRuntime>) {
+        self.trial.replace(Some(trial));
     }
 
     /// The digest of the work of `request`, always the same one.
--- a/crates/relay/src/dispatch.rs
+++ b/crates/relay/src/dispatch.rs
@@ -4,7 +4,7 @@
 use crate::view::View;
 use futures::StreamExt;
 use futures::channel::mpsc;
-use saddlerelay_control_client::suspicions::{TrialGuard, Verdict};
+use saddlerelay_control_client::suspicions::{RelayTrial, Verdict};
 use saddlerelay_policies::{Candidate, RoutingRequest};
 use saddlerelay_runtime::Runtime;
 use saddlerelay_runtime::backend::{BackendError, Backends, EngineConnection, StreamEvent};
@@ -92,7 +92,7 @@
     tried: BTreeSet<EngineId>,
     work_digest: OnceCell<WorkDigest>,
     /// The right to run it, once it is suspected.
-    trial: Option<TrialGuard<P>>,
+    trial: Option<RelayTrial<P>>,
 }
 
 impl<P: Runtime> Progress<'_, P> {
@@ -164,7 +164,7 @@
         let suspicions = &self.inner.suspicions;
         let is_suspected = suspicions.engines_ended(|| progress.work_digest()) > 0;
         let retry_after = match suspicions.verdict(|| progress.work_digest()) {
-            Verdict::Send if !is_suspected || progress.trial.is_some() => return Ok(()),
+            Verdict::Send if !is_suspected || progress.trial.as_ref().is_some_and(RelayTrial::holds) => return Ok(()),
             Verdict::Send => {
                 let left = progress.work.deadline.saturating_sub(self.inner.platform.monotonic());
                 progress.trial = suspicions.begin_trial(progress.work_digest(), left).await;
--- a/crates/rpc/src/frame.rs
+++ b/crates/rpc/src/frame.rs
@@ -6,7 +6,7 @@
 pub const MAGIC: u64 = 0x5ADD_1E2E_1A40_0001;
 
 /// Rises with each incompatible change of the internal messages.
-pub const PROTOCOL_VERSION: u32 = 2;
+pub const PROTOCOL_VERSION: u32 = 3;
 
 /// The first frame from the side that connected.
 #[derive(Clone, Debug, PartialEq, Eq, Encode, Decode)]
--- a/crates/types/src/gateway.rs
+++ b/crates/types/src/gateway.rs
@@ -6,7 +6,7 @@
 use crate::job::{ItemId, ItemOutcome, JobId, JobSubmission, ResultPage, TextPart};
 use crate::routing::{RoutingDocument, RoutingError};
 use crate::routing_update::EncodedRoutingUpdate;
-use crate::suspicion::{SuspicionList, TrialAnswer, TrialId, WorkEvidence};
+use crate::suspicion::{HeldTrial, SuspicionList, TrialAnswer, TrialId, TrialStanding, WorkEvidence};
 use crate::tenancy::Caller;
 use crate::usage::{RelayUsage, UsageDifference, UsageWindow};
 use crate::work::WorkDigest;
@@ -89,7 +89,9 @@
     TakeEvidence(WorkEvidence),
     /// A relay wants to run suspected work.
     BeginTrial(TrialRequest),
-    /// It has.
+    /// It still runs it. The answer is [`GatewayReply::TrialsLost`].
+    RenewTrials(Vec<HeldTrial>),
+    /// It has run it.
     EndTrial {
         /// The work.
         work: WorkDigest,
@@ -214,6 +216,8 @@
     Suspicions(SuspicionList),
     /// Whether suspected work may be run.
     Trial(TrialAnswer),
+    /// Of the rights that were to be renewed, those that are not held any more.
+    TrialsLost(Vec<HeldTrial>),
     /// Nothing was done, and nothing will be; try again later.
     Unavailable,
 }
@@ -312,6 +316,10 @@
     TakeEvidence(WorkEvidence),
     /// Give a try the right to run suspected work.
     BeginTrial(TrialRequest),
+    /// The holders of these rights still run the work.
+    RenewTrials(Vec<HeldTrial>),
+    /// End these rights, unless they have been renewed since: their holders have not been heard for a lease.
+    ExpireTrials(Vec<TrialStanding>),
     /// The try is over.
     EndTrial {
         /// The work.
@@ -396,6 +404,8 @@
     TextMissing(Vec<u32>),
     /// Whether suspected work may be run.
     Trial(TrialAnswer),
+    /// Of the rights that were to be renewed, those that are not held any more.
+    TrialsLost(Vec<HeldTrial>),
     /// The right to give the orders that were noted.
     Orders {
         /// The fence for them.
--- a/crates/types/src/suspicion.rs
+++ b/crates/types/src/suspicion.rs
@@ -16,6 +16,15 @@
 /// the mean, 190 ms at most).
 pub const TRIAL_RETRY_AFTER: Duration = Duration::from_millis(250);
 
+/// How long the right to run suspected work outlasts its last renewal. It bounds how long others wait for a holder that has
+/// ended, stands still, leads no more or whose giving back was lost: 2 s, where a right that lasted as long as the work may
+/// (20 to 42 s for an item) kept accepted items from engines with room until their step was over. Long enough for a holder
+/// that lives to keep its right over the loss of the leader (up to 1.2 s without one) and a lost renewal.
+pub const TRIAL_LEASE: Duration = Duration::from_secs(2);
+
+/// How often a holder renews its rights: four times in a lease. Most requests (190 ms at most) are over before the first.
+pub const TRIAL_RENEWAL: Duration = Duration::from_millis(500);
+
 /// An engine has ended while it ran certain work.
 #[derive(Clone, Debug, PartialEq, Eq, Encode, Decode)]
 pub struct EngineLoss {
@@ -68,6 +77,24 @@
     pub number: u64,
 }
 
+/// A right that a process says it still holds, or no longer does.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Encode, Decode)]
+pub struct HeldTrial {
+    /// The work.
+    pub work: WorkDigest,
+    /// The try.
+    pub id: TrialId,
+}
+
+/// A right to run suspected work as the log has it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Encode, Decode)]
+pub struct TrialStanding {
+    /// What is held, and by whom.
+    pub held: HeldTrial,
+    /// How often it has been renewed.
+    pub renewals: u32,
+}
+
 /// Whether a try of suspected work may go to an engine.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Encode, Decode)]
 pub enum TrialAnswer {
