--- a/crates/control/src/state/suspicions.rs
+++ b/crates/control/src/state/suspicions.rs
@@ -2,8 +2,8 @@
 
 use bitcode::{Decode, Encode};
 use saddlerelay_types::suspicion::{
-    EngineLoss, HeldTrial, MOST_ENGINES_ENDED, Suspicion, SuspicionList, TrialAnswer, TrialId, TrialStanding,
-    WorkEvidence,
+    EngineLoss, HeldTrial, MOST_ENGINES_ENDED, Suspicion, SuspicionList, TRIAL_LEASE, TrialAnswer, TrialId,
+    TrialStanding, WorkEvidence,
 };
 use saddlerelay_types::work::WorkDigest;
 use std::collections::BTreeMap;
@@ -130,12 +130,16 @@
         if trial.id == id { TrialAnswer::Granted } else { TrialAnswer::Taken }
     }
 
-    /// Holders still run the work of these rights; returns those that are not theirs any more.
-    pub fn renew_trials(&mut self, held: Vec<HeldTrial>) -> Vec<HeldTrial> {
+    /// Holders still run the work of these rights at `now`; returns those that are not theirs any more.
+    pub fn renew_trials(&mut self, held: Vec<HeldTrial>, now: u64) -> Vec<HeldTrial> {
         let mut lost = Vec::new();
         for right in held {
             match self.trials.get_mut(&right.work).filter(|trial| trial.id == right.id) {
-                Some(trial) => trial.renewals += 1,
+                Some(trial) => {
+                    trial.renewals += 1;
+                    // The time of day may have been set forward.
+                    trial.until = trial.until.max(now.saturating_add(TRIAL_LEASE.as_millis() as u64));
+                }
                 // Work that is no longer suspected may run anywhere.
                 None if !self.by_work.contains_key(&right.work) => {}
                 None => lost.push(right),
--- a/crates/simulator/tests/control_group/mod.rs
+++ b/crates/simulator/tests/control_group/mod.rs
@@ -18,7 +18,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-const SECRET: &str = "a secret of sixteen signs";
+pub const SECRET: &str = "a secret of sixteen signs";
 
 /// The machines that the settings name; they form the group.
 pub const NAMED: std::ops::RangeInclusive<u8> = 1..=3;
@@ -49,6 +49,8 @@
     pub world: Rc<World>,
     pool: LocalPool,
     pub replicas: BTreeMap<u8, Replica>,
+    /// How far the time of day is off at machines that start from now on, in milliseconds.
+    pub clock_errors: BTreeMap<u8, i64>,
 }
 
 /// When a relay was answered.
@@ -81,7 +83,7 @@
         spdlog::default_logger().set_level_filter(spdlog::LevelFilter::Off);
         let (world, pool) = World::new(seed);
         world.network.set_delays(usize::from(REPLICAS) + 1, Duration::from_millis(1), Duration::from_millis(3));
-        let mut deployment = Self { world, pool, replicas: BTreeMap::new() };
+        let mut deployment = Self { world, pool, replicas: BTreeMap::new(), clock_errors: BTreeMap::new() };
         (1..=REPLICAS).for_each(|place| deployment.start_replica(place, true));
         deployment.run_for(Duration::from_secs(3));
         deployment.register_machines();
@@ -102,7 +104,8 @@
     }
 
     pub fn start_replica(&mut self, place: u8, founding: bool) {
-        let process = self.world.start_process(&format!("replica-{place}"), place.into(), 0);
+        let clock_error = self.clock_errors.get(&place).copied().unwrap_or(0);
+        let process = self.world.start_process(&format!("replica-{place}"), place.into(), clock_error);
         let runtime = SimRuntime { world: self.world.clone(), process: process.clone() };
         let options = ReplicaOptions {
             address: address(place),
