--- a/crates/control/src/state/suspicions.rs
+++ b/crates/control/src/state/suspicions.rs
@@ -130,6 +130,12 @@
         if trial.id == id { TrialAnswer::Granted } else { TrialAnswer::Taken }
     }
 
+    /// Whether another try than `id` holds the right to run `work` at `now`.
+    pub fn is_taken(&self, work: &WorkDigest, id: TrialId, now: u64) -> bool {
+        let suspected = self.by_work.contains_key(work);
+        suspected && self.trials.get(work).is_some_and(|trial| trial.id != id && now < trial.until)
+    }
+
     /// Holders still run the work of these rights at `now`; returns those that are not theirs any more.
     pub fn renew_trials(&mut self, held: Vec<HeldTrial>, now: u64) -> Vec<HeldTrial> {
         let mut lost = Vec::new();
--- a/crates/control/src/tasks/trials.rs
+++ b/crates/control/src/tasks/trials.rs
@@ -17,14 +17,7 @@
 pub async fn watch<P: Runtime, B: Backends>(node: ControlNode<P, B>) {
     loop {
         node.inner.platform.sleep(INTERVAL).await;
-        let now = node.inner.platform.monotonic();
-        let mut watch = node.inner.trial_watch.borrow_mut();
-        node.read_applied(|state| watch.see(&state.suspicions, now));
-        let Some(term) = node.replica().leading_term() else {
-            continue;
-        };
-        let expired = watch.expired(term, now);
-        drop(watch);
+        let expired = find_expired(&node);
         if expired.is_empty() {
             continue;
         }
@@ -36,6 +29,14 @@
     }
 }
 
+/// Takes what this replica's state holds; the rights whose lease is over, if this replica leads.
+fn find_expired<P: Runtime, B: Backends>(node: &ControlNode<P, B>) -> Vec<TrialStanding> {
+    let now = node.inner.platform.monotonic();
+    let mut watch = node.inner.trial_watch.borrow_mut();
+    node.read_applied(|state| watch.see(&state.suspicions, now));
+    node.replica().leading_term().map_or_else(Vec::new, |term| watch.expired(term, now))
+}
+
 fn tell(expired: &[TrialStanding]) {
     for standing in expired.iter().take(LINES_AT_ONCE) {
         spdlog::warn!("trial ended, its holder is not heard", kv: {
--- a/crates/simulator/tests/control_group/mod.rs
+++ b/crates/simulator/tests/control_group/mod.rs
@@ -1,4 +1,5 @@
 //! Machines that serve control, more of them than a group has members, and relays that look for it, in virtual time.
+#![allow(dead_code)] // Each test uses a part of it.
 
 use futures::executor::LocalPool;
 use saddlerelay_control::config::ControlConfig;
