Relays end what they were granted until it is decided

Cause: the end of a claim (answer stored, given back, sealed) was tried for 4 s, then once more for 60 s behind the caller's back; a refusal by a leader with a full queue ended either try at once. The claim then stayed 'running' of a relay that lives: only its holder ends it, and the group takes it back only from a holder that falls silent. Resends waited out their deadlines until the key expired.

Ruled out: the group's side. A holder that ends, starts again, stands still or ends with the leader is noticed (the tests beside).

Change: such commits are tried while the relay keeps the incarnation that holds the claim, with a pause of 100 to 200 ms after a refusal; once it is lost, the group has taken the claim back and they end after the 60 s as before. Samples' commits and questions for samples, which had loops of their own without that pause, use the same function; a late one is told in one line.

--- a/crates/relay/src/commands/callers.rs
+++ b/crates/relay/src/commands/callers.rs
@@ -18,7 +18,8 @@
 /// Pause before a running claim is looked at again.
 const CLAIM_POLL_INTERVAL: Duration = Duration::from_millis(100);
 
-/// How long a claim's end is tried to be committed behind the caller's back.
+/// How long a claim's end is tried to be committed behind the caller's back once the group has taken the claim back, counted
+/// from the first try: a resend may still get the answer. Until then it is tried without a limit.
 const SETTLE_LIMIT: Duration = Duration::from_secs(60);
 
 /// When to come back after a refusal that passes quickly.
@@ -218,7 +219,7 @@
         let (key, arrival) = (claim.request.key.clone(), claim.request.arrival);
         let command = ClaimCommand::Finish { key, arrival, result };
         if self.commit_claim(command.clone(), self.inner.options.config.claim_limit).await.is_none() {
-            self.inner.platform.spawn(self.clone().commit_later(command));
+            self.inner.platform.spawn(self.clone().end_later(command, claim.request.holder));
         }
     }
 
@@ -232,7 +233,7 @@
             }
         };
         if self.commit_claim(command.clone(), self.inner.options.config.claim_limit).await.is_none() {
-            self.inner.platform.spawn(self.clone().commit_later(command));
+            self.inner.platform.spawn(self.clone().end_later(command, claim.request.holder));
         }
     }
 
@@ -243,12 +244,17 @@
         }
     }
 
-    async fn commit_later(self, command: ClaimCommand) {
-        self.commit_claim(command, SETTLE_LIMIT).await;
+    /// Ends a claim behind the caller's back.
+    async fn end_later(self, command: ClaimCommand, holder: Incarnation) {
+        let platform = &self.inner.platform;
+        let until = platform.monotonic() + SETTLE_LIMIT;
+        let is_of_use = || self.inner.incarnation.get() == holder || platform.monotonic() < until;
+        self.commit_until_decided(Command::Claim(command), is_of_use).await;
     }
 
     async fn seal_later(self, claim: Claim) {
-        self.commit_claim(ClaimCommand::Seal(claim.request), SETTLE_LIMIT).await;
+        let holder = claim.request.holder;
+        self.end_later(ClaimCommand::Seal(claim.request), holder).await;
     }
 }
 
--- a/crates/relay/src/commands/samples.rs
+++ b/crates/relay/src/commands/samples.rs
@@ -20,9 +20,6 @@
 /// Pause before a scorer is asked again.
 const SCORE_PAUSE: Duration = Duration::from_millis(100);
 
-/// Time limit of one commit; it is repeated while the relay keeps its incarnation.
-const COMMIT_LIMIT: Duration = Duration::from_secs(5);
-
 /// Engines tried for one sample before it is given back.
 const SAMPLE_ATTEMPTS: u32 = 8;
 
@@ -59,11 +56,9 @@
         // A planned stop waits for the samples that the answer may bring.
         relay.inner.asking_for_samples.set(true);
         // A lost answer is asked for again: the same sequence brings the same samples.
-        let mut outcome = Err(());
-        while outcome.is_err() && relay.inner.incarnation.get() == incarnation {
-            outcome = relay.inner.control.execute(Command::Rollout(command.clone()), COMMIT_LIMIT).await.map_err(drop);
-        }
-        if let Ok(CommandOutcome::Assigned(assignments)) = outcome {
+        let is_held = || relay.inner.incarnation.get() == incarnation;
+        let outcome = relay.commit_until_decided(Command::Rollout(command), is_held).await;
+        if let Some(CommandOutcome::Assigned(assignments)) = outcome {
             for assignment in assignments {
                 let running = Running::begin(&relay);
                 relay.inner.platform.spawn(run_sample(running, assignment, incarnation));
@@ -163,12 +158,8 @@
     None
 }
 
-/// Commits until it is decided, or the relay loses its incarnation and with it the sample.
+/// Commits a sample's end, unless the relay loses its incarnation and with it the sample.
 async fn commit<P: Runtime, B: Backends>(relay: &Relay<P, B>, command: RolloutCommand, incarnation: Incarnation) {
-    while relay.inner.incarnation.get() == incarnation {
-        let decided = relay.inner.control.execute(Command::Rollout(command.clone()), COMMIT_LIMIT).await;
-        if decided.is_ok() {
-            return;
-        }
-    }
+    let is_held = || relay.inner.incarnation.get() == incarnation;
+    relay.commit_until_decided(Command::Rollout(command), is_held).await;
 }
