--- a/crates/simulator/src/network.rs
+++ b/crates/simulator/src/network.rs
@@ -122,6 +122,11 @@
         }
     }
 
+    /// Cuts two zones off from each other only; both reach the others.
+    pub fn cut_between(&self, one: usize, other: usize) {
+        self.cuts.borrow_mut().extend([(one, other), (other, one)]);
+    }
+
     /// Cuts off what a zone is sent from the other zones.
     pub fn deafen(&self, zone: usize) {
         let others = (0..self.zones.get()).filter(|other| *other != zone);
--- a/crates/simulator/tests/granted_rights.rs
+++ b/crates/simulator/tests/granted_rights.rs
@@ -43,6 +43,14 @@
 /// From a request's arrival until its claim is granted, and well before its relay gives up looking for an engine.
 const CLAIM_TIME: Duration = Duration::from_millis(300);
 
+/// Until samples are taken back from a relay that the scorer does not answer, and scored elsewhere: its patience, a call's
+/// limit, and another run.
+const UNSCORED_WITHIN: Duration = Duration::from_secs(60);
+
+/// The scorer's zone, which has control replicas 0 and 3, and relay 0.
+const SCORER_ZONE: usize = 0;
+const REPLICAS_IN_SCORER_ZONE: [&str; 2] = ["control-0", "control-3"];
+
 /// From the end of every engine until relays are told of no able one.
 const ENGINES_MISSED_WITHIN: Duration = Duration::from_secs(5);
 
@@ -365,6 +373,9 @@
     assert_eq!(runs, 1);
 }
 
+/// The relay by which the trainer reaches the group.
+const VIA: usize = 2;
+
 /// A step of one trainer, handed out to the relays.
 struct OpenStep {
     cluster: Rc<Cluster>,
@@ -373,16 +384,16 @@
 }
 
 impl OpenStep {
-    /// Opens a step by way of relay 1, and returns once relay 0 runs some of its samples.
-    async fn open(cluster: Rc<Cluster>) -> Self {
+    /// Opens a step, and returns once relay `holder` runs some of its samples.
+    async fn open(cluster: Rc<Cluster>, holder: usize) -> Self {
         let step = Self { cluster: cluster.clone(), incarnation: Incarnation(1), samples: 64 };
         let access = cluster.access(cluster.client_platform());
         let tenant = cluster.training_tenants()[0].id.clone();
-        access.open_trainer(1, &tenant, step.incarnation).await.expect("the trainer opens");
+        access.open_trainer(VIA, &tenant, step.incarnation).await.expect("the trainer opens");
         let prompts = (0..16).map(|number| format!("prompt {number}")).collect();
         let request = StepRequest { step: StepNumber(1), prompts, group_size: 4, max_tokens: 100 };
-        access.open_step(1, &tenant, step.incarnation, &request).await.expect("the step opens");
-        while step.running_at_relay(0) == 0 {
+        access.open_step(VIA, &tenant, step.incarnation, &request).await.expect("the step opens");
+        while step.running_at_relay(holder) == 0 {
             cluster.client_platform().sleep(Duration::from_millis(1)).await;
         }
         step
@@ -395,7 +406,7 @@
         }
     }
 
-    /// Fetches by way of relay 1 until the step is whole; returns how long that took.
+    /// Fetches until the step is whole; returns how long that took.
     async fn fetch_whole(&self) -> Duration {
         let platform = self.cluster.client_platform();
         let access = self.cluster.access(platform.clone());
@@ -403,7 +414,7 @@
         let from = platform.monotonic();
         let mut cursor = Position(0);
         while (cursor.0 as usize) < self.samples {
-            match access.fetch(1, &tenant, self.incarnation, cursor, 16).await {
+            match access.fetch(VIA, &tenant, self.incarnation, cursor, 16).await {
                 Ok(batch) => cursor = batch.samples.last().map_or(cursor, |sample| sample.position),
                 Err(_) => platform.sleep(Duration::from_millis(20)).await,
             }
@@ -418,7 +429,7 @@
         let mut deployment = Deployment::start(seed);
         let cluster = deployment.cluster.clone();
         let took = deployment.run(async move {
-            let step = OpenStep::open(cluster.clone()).await;
+            let step = OpenStep::open(cluster.clone(), 0).await;
             trouble.befall(&cluster, 0);
             step.fetch_whole().await
         });
@@ -433,10 +444,28 @@
         let mut deployment = Deployment::start(seed);
         let cluster = deployment.cluster.clone();
         let took = deployment.run(async move {
-            let step = OpenStep::open(cluster.clone()).await;
+            let step = OpenStep::open(cluster.clone(), 0).await;
             lose_group(&cluster, WITHOUT_LEADER).await;
             step.fetch_whole().await
         });
         assert!(took <= BACK_WITHIN, "seed {seed}: the step was whole after {took:?}");
     }
 }
+
+#[test]
+fn samples_of_a_relay_that_cannot_reach_the_scorer_are_scored_elsewhere() {
+    const HOLDER: usize = 1;
+    for seed in SEEDS {
+        let mut deployment = Deployment::start(seed);
+        let cluster = deployment.cluster.clone();
+        let took = deployment.run(async move {
+            // The relay that is cut off from the scorer goes on reaching the leader.
+            REPLICAS_IN_SCORER_ZONE.iter().for_each(|name| kill(&cluster, name));
+            cluster.client_platform().sleep(BACK_WITHIN).await;
+            let step = OpenStep::open(cluster.clone(), HOLDER).await;
+            cluster.world.network.cut_between(SCORER_ZONE, HOLDER);
+            step.fetch_whole().await
+        });
+        assert!(took <= UNSCORED_WITHIN, "seed {seed}: the step was whole after {took:?}");
+    }
+}
