A relay gives its samples back when the scorer has not answered it for 20 s

Cause: a relay keeps what it was granted while it renews its lease, and asked the scorer without end. Where its zone and the scorer's lose each other and both reach the leader, its samples waited for as long as that lasted, and with them the step.

Ruled out: handing the generation to another relay (the log would carry it twice); a limit for each sample alone (the relay, idle then, takes the same samples again).

Change: the relay notes since when all its calls to the scorer have failed. After 20 s it gives its samples back and asks for one at a time, until one is scored. Cost: when the scorer is gone for all relays for more than 20 s, what was generated is generated again.

--- a/crates/relay/src/commands/samples.rs
+++ b/crates/relay/src/commands/samples.rs
@@ -46,7 +46,7 @@
     let mut sequence = 0;
     loop {
         relay.inner.platform.sleep(relay.inner.options.config.rollout_interval).await;
-        let room = room_for_samples(&relay);
+        let room = room_for_samples(&relay).min(most_to_ask_for(&relay));
         if !relay.is_ready() || room == 0 {
             continue;
         }
@@ -68,6 +68,12 @@
     }
 }
 
+/// A relay that the scorer does not answer asks for one sample at a time, to find out whether it does again.
+fn most_to_ask_for<P: Runtime, B: Backends>(relay: &Relay<P, B>) -> u32 {
+    let is_out_of_reach = relay.inner.scorer.is_out_of_reach(relay.inner.platform.monotonic());
+    if is_out_of_reach { 1_u32.saturating_sub(relay.inner.samples_running.get()) } else { u32::MAX }
+}
+
 fn room_for_samples<P: Runtime, B: Backends>(relay: &Relay<P, B>) -> u32 {
     let tenants: Vec<(TenantId, ModelName)> = {
         let view = relay.inner.view.borrow();
@@ -91,20 +97,27 @@
     incarnation: Incarnation,
 ) {
     let relay = &running.0;
-    let Some(generation) = generate(relay, &assignment, incarnation).await else {
+    let Some((generation, reward_milli)) = generate_and_score(relay, &assignment, incarnation).await else {
         let command = RolloutCommand::Abandon { sample: assignment.sample, attempt: assignment.attempt };
         commit(relay, command, incarnation).await;
         return;
     };
-    let Some(reward_milli) = score(relay, &assignment.prompt, &generation, incarnation).await else {
-        return;
-    };
     let payload = SamplePayload { generation, reward_milli };
     let command = RolloutCommand::Complete { sample: assignment.sample, attempt: assignment.attempt, payload };
     commit(relay, command, incarnation).await;
     relay.count(|counters| counters.samples += 1);
 }
 
+async fn generate_and_score<P: Runtime, B: Backends>(
+    relay: &Relay<P, B>,
+    assignment: &SampleAssignment,
+    incarnation: Incarnation,
+) -> Option<(Generation, i64)> {
+    let generation = generate(relay, assignment, incarnation).await?;
+    let reward_milli = score(relay, &assignment.prompt, &generation, incarnation).await?;
+    Some((generation, reward_milli))
+}
+
 /// Pause before a sample is given back that is not sent on because engines have ended under its prompt.
 const SUSPECTED_PAUSE: Duration = Duration::from_secs(1);
 
@@ -140,7 +153,7 @@
     outcome.ok()
 }
 
-/// Asks the scorer until it answers, or the relay loses its incarnation.
+/// Asks the scorer until it answers, or is out of this relay's reach, or the relay loses its incarnation.
 async fn score<P: Runtime, B: Backends>(
     relay: &Relay<P, B>,
     prompt: &str,
@@ -150,8 +163,16 @@
     while relay.inner.incarnation.get() == incarnation {
         let call = relay.inner.backends.score(prompt, generation);
         if let Some(Ok(reward)) = timeout(&relay.inner.platform, SCORE_LIMIT, call).await {
+            relay.inner.scorer.answered();
             return Some(reward);
         }
+        relay.inner.scorer.failed(relay.inner.platform.monotonic());
+        if relay.inner.scorer.is_out_of_reach(relay.inner.platform.monotonic()) {
+            spdlog::warn!("sample given back, the scorer does not answer", kv: {
+                prompt_bytes = prompt.len(), tokens = generation.tokens.len()
+            });
+            return None;
+        }
         let pause = SCORE_PAUSE + relay.inner.platform.jitter(SCORE_PAUSE);
         relay.inner.platform.sleep(pause).await;
     }
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -2,7 +2,7 @@
 //!
 //! `commands` serve callers, trainers and samples; `queries` read the relay's view. The rest are the parts they share:
 //! the leased `view`, `admission`, the engine `registry`, the `retry` budget, `dispatch`, and commits about what is
-//! granted, `grants`.
+//! granted, `grants`, and the `scorer_watch`.
 
 pub mod admission;
 pub mod commands;
@@ -14,6 +14,7 @@
 pub mod registry;
 mod relay;
 pub mod retry;
+mod scorer_watch;
 pub mod view;
 
 pub use relay::{Relay, RelayCounters, RelayOptions};
--- a/crates/relay/src/relay.rs
+++ b/crates/relay/src/relay.rs
@@ -5,6 +5,7 @@
 use crate::config::RelayConfig;
 use crate::registry::Registry;
 use crate::retry::RetryBudget;
+use crate::scorer_watch::ScorerWatch;
 use crate::view::View;
 use saddlerelay_control_client::ControlClient;
 use saddlerelay_control_client::suspicions::SuspicionKeeper;
@@ -78,6 +79,7 @@
     pub suspicions: Rc<SuspicionKeeper<P>>,
     pub stopping: Cell<bool>,
     pub samples_running: Cell<u32>,
+    pub scorer: ScorerWatch,
     /// A question for samples is under way; its answer may bring some.
     pub asking_for_samples: Cell<bool>,
     pub counters: RefCell<RelayCounters>,
@@ -111,6 +113,7 @@
             retries: RefCell::new(RetryBudget::new(platform.monotonic())),
             stopping: Cell::new(false),
             samples_running: Cell::new(0),
+            scorer: ScorerWatch::default(),
             asking_for_samples: Cell::new(false),
             counters: RefCell::default(),
             backends,
--- a/crates/simulator/tests/granted_rights.rs
+++ b/crates/simulator/tests/granted_rights.rs
@@ -37,8 +37,8 @@
 /// Until a group that has come back has a leader, which has given every relay a lease.
 const BACK_WITHIN: Duration = Duration::from_secs(8);
 
-/// A group without a leader for longer than any one commit is tried.
-const WITHOUT_LEADER: Duration = Duration::from_secs(80);
+/// A group without a leader, or a step without a scorer, for longer than relays try any one thing.
+const LONG_OUTAGE: Duration = Duration::from_secs(80);
 
 /// From a request's arrival until its claim is granted, and well before its relay gives up looking for an engine.
 const CLAIM_TIME: Duration = Duration::from_millis(300);
@@ -293,7 +293,7 @@
         let (first, (again, took), runs) = deployment.run(async move {
             let request = request(&cluster, Repeatability::NotRepeatable);
             let first = ask_until_begun(&cluster, &request).await;
-            lose_group(&cluster, WITHOUT_LEADER).await;
+            lose_group(&cluster, LONG_OUTAGE).await;
             cluster.client_platform().sleep(BACK_WITHIN).await;
             let again = ask_again(&cluster, &request).await;
             (first, again, executions(&cluster, &request))
@@ -319,7 +319,7 @@
             let (access, asked) = (cluster.access(platform.clone()), request.clone());
             let first = begin(&cluster, async move { access.ask(0, &asked).await });
             platform.sleep(CLAIM_TIME).await;
-            lose_group(&cluster, WITHOUT_LEADER).await;
+            lose_group(&cluster, LONG_OUTAGE).await;
             engines.for_each(|place| cluster.start_engine(place));
             platform.sleep(BACK_WITHIN).await;
             let again = ask_again(&cluster, &request).await;
@@ -445,7 +445,7 @@
         let cluster = deployment.cluster.clone();
         let took = deployment.run(async move {
             let step = OpenStep::open(cluster.clone(), 0).await;
-            lose_group(&cluster, WITHOUT_LEADER).await;
+            lose_group(&cluster, LONG_OUTAGE).await;
             step.fetch_whole().await
         });
         assert!(took <= BACK_WITHIN, "seed {seed}: the step was whole after {took:?}");
@@ -469,3 +469,20 @@
         assert!(took <= UNSCORED_WITHIN, "seed {seed}: the step was whole after {took:?}");
     }
 }
+
+/// Relays that have given their samples back find out that the scorer is there again.
+#[test]
+fn samples_are_scored_soon_after_a_scorer_that_was_gone_for_long_comes_back() {
+    for seed in SEEDS {
+        let mut deployment = Deployment::start(seed);
+        let cluster = deployment.cluster.clone();
+        let took = deployment.run(async move {
+            let step = OpenStep::open(cluster.clone(), 0).await;
+            kill(&cluster, "scorer");
+            cluster.client_platform().sleep(LONG_OUTAGE).await;
+            cluster.start_scorer();
+            step.fetch_whole().await
+        });
+        assert!(took <= SAMPLE_TIME * 3, "seed {seed}: the step was whole after {took:?}");
+    }
+}
