Tests of connections and places at engines that stand still

An idempotent request at an engine that stands still is answered by another; a whole answer goes out while its engine still reads the request (16 MB, read at 100 KB/s).

--- /dev/null
+++ b/crates/gateway-api/tests/held_connections.rs
@@ -0,0 +1,109 @@
+//! Connections and places at engines that a gateway holds while their engine stands still: no answer that is ready waits for
+//! them.
+
+mod common;
+
+use common::engine::{Conduct, StandInEngine};
+use common::{Deployment, block_on, call, document, eventually, report, route};
+use compio::BufResult;
+use compio::io::{AsyncRead, AsyncWriteExt};
+use compio::net::{TcpListener, TcpStream};
+use hyper::{Method, StatusCode};
+use saddlerelay_types::instance::InstanceId;
+use saddlerelay_types::routing::{Route, RouteKind};
+use std::cell::Cell;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+const ID: (&str, &str) = ("saddlerelay-request", "r-1");
+
+/// Larger than what the buffers of a connection hold (Linux: 4 MB at the sender and 6 MB at the receiver at most).
+const LONG_BODY_BYTES: usize = 16 * 1024 * 1024;
+
+/// An engine that answers early reads so much of the rest, so often: it is alive, and far from the end for a minute.
+const READ_BYTES: usize = 16 * 1024;
+const READ_PAUSE: Duration = Duration::from_millis(150);
+
+const EARLY_ANSWER: &str =
+    "HTTP/1.1 200 OK\r\nsaddlerelay-request: r-1\r\nsaddlerelay-stamp: early\r\ncontent-length: 5\r\n\r\nearly";
+
+/// Serves one engine that answers once it has read the head of a request; the rest it reads slowly.
+async fn start_early_engine() -> (SocketAddr, Rc<Cell<usize>>) {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
+    let address = listener.local_addr().expect("an address");
+    let read = Rc::new(Cell::new(0));
+    let counted = read.clone();
+    compio::runtime::spawn(async move {
+        while let Ok((stream, _)) = listener.accept().await {
+            compio::runtime::spawn(answer_early(stream, counted.clone())).detach();
+        }
+    })
+    .detach();
+    (address, read)
+}
+
+async fn answer_early(mut stream: TcpStream, read: Rc<Cell<usize>>) {
+    let mut is_answered = false;
+    loop {
+        let BufResult(count, _) = stream.read(Vec::with_capacity(READ_BYTES)).await;
+        match count {
+            Ok(count) if count > 0 => read.set(read.get() + count),
+            _ => return,
+        }
+        if !is_answered && stream.write_all(EARLY_ANSWER.as_bytes()).await.0.is_err() {
+            return;
+        }
+        is_answered = true;
+        compio::time::sleep(READ_PAUSE).await;
+    }
+}
+
+#[test]
+fn a_whole_answer_goes_out_although_its_engine_has_not_read_the_whole_request() {
+    block_on(async {
+        let deployment = Deployment::start("early").await;
+        let plans = Route { timeout_ms: 6_000, ..route("/plans/", RouteKind::NonIdempotent, "web") };
+        let mut document = document(1, vec![plans]);
+        document.limits.max_body_bytes = LONG_BODY_BYTES as u64;
+        deployment.configure(&document).await;
+        let (address, read) = start_early_engine().await;
+        let body = serde_json::to_vec(&report(InstanceId::named("early"), "web", address)).expect("JSON");
+        call(deployment.control, Method::PUT, "/v1/instances/early", &[], body).await;
+        deployment.await_engines("web", 1).await;
+        let answer = deployment.request(Method::POST, "/plans/1", &[ID], &"x".repeat(LONG_BODY_BYTES)).await;
+        assert_eq!((answer.status, &answer.body[..]), (StatusCode::OK, &b"early"[..]));
+        assert!(read.get() < LONG_BODY_BYTES, "the engine had read all of it");
+    });
+}
+
+#[test]
+fn a_request_at_an_engine_that_stands_still_is_answered_by_another() {
+    block_on(async {
+        let deployment = Deployment::start("still").await;
+        let plans = Route { timeout_ms: 20_000, ..route("/plans/", RouteKind::Idempotent, "web") };
+        deployment.configure(&document(1, vec![plans])).await;
+        let engines = [StandInEngine::start("first").await, StandInEngine::start("second").await];
+        for engine in &engines {
+            deployment.register(engine, "web").await;
+        }
+        deployment.await_engines("web", 2).await;
+        for (still, other) in [(0, 1), (1, 0)] {
+            engines[still].set_conduct(Conduct::Hang);
+            engines[other].set_conduct(Conduct::Answer);
+            let before = engines[still].seen().len();
+            // An engine that stood still is left alone for a while.
+            eventually("it goes to the one that stands still", async || {
+                let answer = deployment.request(Method::GET, "/plans/1", &[ID], "").await;
+                let expected = ["first answers /plans/1", "second answers /plans/1"][other];
+                assert_eq!((answer.status, &answer.body[..]), (StatusCode::OK, expected.as_bytes()));
+                engines[still].seen().len() > before
+            })
+            .await;
+            eventually("it is told to stop", async || {
+                engines[still].dropped() as usize + before == engines[still].seen().len()
+            })
+            .await;
+        }
+    });
+}
