--- a/crates/relay/src/commands/samples.rs
+++ b/crates/relay/src/commands/samples.rs
@@ -20,9 +20,6 @@
 /// Pause before a scorer is asked again.
 const SCORE_PAUSE: Duration = Duration::from_millis(100);
 
-/// Time limit of one commit; it is repeated while the relay keeps its incarnation.
-const COMMIT_LIMIT: Duration = Duration::from_secs(5);
-
 /// Engines tried for one sample before it is given back.
 const SAMPLE_ATTEMPTS: u32 = 8;
 
@@ -49,7 +46,7 @@
     let mut sequence = 0;
     loop {
         relay.inner.platform.sleep(relay.inner.options.config.rollout_interval).await;
-        let room = room_for_samples(&relay);
+        let room = room_for_samples(&relay).min(most_to_ask_for(&relay));
         if !relay.is_ready() || room == 0 {
             continue;
         }
@@ -59,11 +56,9 @@
         // A planned stop waits for the samples that the answer may bring.
         relay.inner.asking_for_samples.set(true);
         // A lost answer is asked for again: the same sequence brings the same samples.
-        let mut outcome = Err(());
-        while outcome.is_err() && relay.inner.incarnation.get() == incarnation {
-            outcome = relay.inner.control.execute(Command::Rollout(command.clone()), COMMIT_LIMIT).await.map_err(drop);
-        }
-        if let Ok(CommandOutcome::Assigned(assignments)) = outcome {
+        let is_held = || relay.inner.incarnation.get() == incarnation;
+        let outcome = relay.commit_until_decided(Command::Rollout(command), is_held).await;
+        if let Some(CommandOutcome::Assigned(assignments)) = outcome {
             for assignment in assignments {
                 let running = Running::begin(&relay);
                 relay.inner.platform.spawn(run_sample(running, assignment, incarnation));
@@ -73,6 +68,12 @@
     }
 }
 
+/// A relay that the scorer does not answer asks for one sample at a time, to find out whether it does again.
+fn most_to_ask_for<P: Runtime, B: Backends>(relay: &Relay<P, B>) -> u32 {
+    let is_out_of_reach = relay.inner.scorer.is_out_of_reach(relay.inner.platform.monotonic());
+    if is_out_of_reach { 1_u32.saturating_sub(relay.inner.samples_running.get()) } else { u32::MAX }
+}
+
 fn room_for_samples<P: Runtime, B: Backends>(relay: &Relay<P, B>) -> u32 {
     let tenants: Vec<(TenantId, ModelName)> = {
         let view = relay.inner.view.borrow();
@@ -96,20 +97,27 @@
     incarnation: Incarnation,
 ) {
     let relay = &running.0;
-    let Some(generation) = generate(relay, &assignment, incarnation).await else {
+    let Some((generation, reward_milli)) = generate_and_score(relay, &assignment, incarnation).await else {
         let command = RolloutCommand::Abandon { sample: assignment.sample, attempt: assignment.attempt };
         commit(relay, command, incarnation).await;
         return;
     };
-    let Some(reward_milli) = score(relay, &assignment.prompt, &generation, incarnation).await else {
-        return;
-    };
     let payload = SamplePayload { generation, reward_milli };
     let command = RolloutCommand::Complete { sample: assignment.sample, attempt: assignment.attempt, payload };
     commit(relay, command, incarnation).await;
     relay.count(|counters| counters.samples += 1);
 }
 
+async fn generate_and_score<P: Runtime, B: Backends>(
+    relay: &Relay<P, B>,
+    assignment: &SampleAssignment,
+    incarnation: Incarnation,
+) -> Option<(Generation, i64)> {
+    let generation = generate(relay, assignment, incarnation).await?;
+    let reward_milli = score(relay, &assignment.prompt, &generation, incarnation).await?;
+    Some((generation, reward_milli))
+}
+
 /// Pause before a sample is given back that is not sent on because engines have ended under its prompt.
 const SUSPECTED_PAUSE: Duration = Duration::from_secs(1);
 
@@ -145,7 +153,7 @@
     outcome.ok()
 }
 
-/// Asks the scorer until it answers, or the relay loses its incarnation.
+/// Asks the scorer until it answers, or is out of this relay's reach, or the relay loses its incarnation.
 async fn score<P: Runtime, B: Backends>(
     relay: &Relay<P, B>,
     prompt: &str,
@@ -155,20 +163,24 @@
     while relay.inner.incarnation.get() == incarnation {
         let call = relay.inner.backends.score(prompt, generation);
         if let Some(Ok(reward)) = timeout(&relay.inner.platform, SCORE_LIMIT, call).await {
+            relay.inner.scorer.answered();
             return Some(reward);
         }
+        relay.inner.scorer.failed(relay.inner.platform.monotonic());
+        if relay.inner.scorer.is_out_of_reach(relay.inner.platform.monotonic()) {
+            spdlog::warn!("sample given back, the scorer does not answer", kv: {
+                prompt_bytes = prompt.len(), tokens = generation.tokens.len()
+            });
+            return None;
+        }
         let pause = SCORE_PAUSE + relay.inner.platform.jitter(SCORE_PAUSE);
         relay.inner.platform.sleep(pause).await;
     }
     None
 }
 
-/// Commits until it is decided, or the relay loses its incarnation and with it the sample.
+/// Commits a sample's end, unless the relay loses its incarnation and with it the sample.
 async fn commit<P: Runtime, B: Backends>(relay: &Relay<P, B>, command: RolloutCommand, incarnation: Incarnation) {
-    while relay.inner.incarnation.get() == incarnation {
-        let decided = relay.inner.control.execute(Command::Rollout(command.clone()), COMMIT_LIMIT).await;
-        if decided.is_ok() {
-            return;
-        }
-    }
+    let is_held = || relay.inner.incarnation.get() == incarnation;
+    relay.commit_until_decided(Command::Rollout(command), is_held).await;
 }
