Tests of suspected calls for scores that run beside another try, committed failing

Two items with the same suspected scorer, and a caller's request for the same suspected work: the engine had two of them in progress at once (most_at_once 2 instead of 1) in both tests.

--- a/crates/gateway-api/tests/scoring.rs
+++ b/crates/gateway-api/tests/scoring.rs
@@ -5,8 +5,10 @@
 use common::engine::{Conduct, Seen, StandInEngine};
 use common::{Deployment, block_on, call, document, eventually, job, rollouts, route};
 use hyper::{Method, StatusCode};
+use saddlerelay_types::instance::InstanceId;
 use saddlerelay_types::job::{ItemEnd, JobSubmission, ResultPage, ScoringRequest};
 use saddlerelay_types::routing::{RouteKind, RoutingDocument, WeightedTarget};
+use saddlerelay_types::suspicion::{EngineLoss, WorkEvidence};
 use std::time::Duration;
 
 /// Calls for scores that an engine with four slots is given at once.
@@ -198,6 +200,57 @@
     });
 }
 
+/// How long a scorer takes where two calls must not meet: a text is made, and its call begun, well within it.
+const LONG_CALL: Duration = Duration::from_millis(700);
+
+/// An engine has ended under a call for a score, and the gateway knows.
+async fn suspect(scored: &Scored, request: &ScoringRequest) {
+    let loss = EngineLoss { work: request.work_digest(None), instance: InstanceId::named("a scorer that has ended") };
+    let evidence = WorkEvidence { losses: vec![loss], served: Vec::new() };
+    scored.deployment.node.commit_evidence(evidence).await.expect("it leads");
+    eventually("the gateway knows", async || scored.deployment.gateway.suspected_work() == 1).await;
+}
+
+#[test]
+fn two_items_have_the_same_suspected_score_asked_for_one_after_the_other() {
+    block_on(async {
+        let scored = Scored::start("score-alone", 1).await;
+        scored.set_conduct(Conduct::AnswerAfter(LONG_CALL));
+        let mut job = scored_job("j-1", 2);
+        let first = job.items[0].scorer.clone().expect("a scorer");
+        job.items[1].scorer = Some(ScoringRequest { id: "j-1-score-1".to_string(), ..first.clone() });
+        suspect(&scored, &first).await;
+        scored.deployment.submit(&job).await;
+        let page = scored.deployment.await_results("j-1", 2).await;
+        assert!(page.results.iter().all(|(_, result)| result.score.as_deref() == Some("scorer-0")));
+        assert_eq!((scored.calls().len(), scored.scorers[0].most_at_once()), (2, 1));
+    });
+}
+
+#[test]
+fn a_suspected_score_is_not_asked_for_while_a_caller_has_the_same_work_run() {
+    block_on(async {
+        let scored = Scored::start("score-and-caller", 1).await;
+        scored.set_conduct(Conduct::AnswerAfter(LONG_CALL));
+        scored.deployment.await_engines("web", 1).await;
+        let job = scored_job("j-1", 1);
+        let scorer = job.items[0].scorer.as_ref().expect("a scorer");
+        suspect(&scored, scorer).await;
+        let body = String::from_utf8_lossy(&scorer.body).into_owned();
+        let headers = [("saddlerelay-request", "a-caller")];
+        let caller = scored.deployment.request(Method::POST, &scorer.path, &headers, &body);
+        let submitted = async {
+            eventually("the caller's request runs", async || scored.calls().len() == 1).await;
+            scored.deployment.submit(&job).await;
+        };
+        let (answer, ()) = futures::join!(caller, submitted);
+        assert_eq!(answer.status, StatusCode::OK);
+        let page = scored.deployment.await_results("j-1", 1).await;
+        assert_eq!(page.results[0].1.score.as_deref(), Some("scorer-0"));
+        assert_eq!((scored.calls().len(), scored.scorers[0].most_at_once()), (2, 1));
+    });
+}
+
 #[test]
 fn a_job_with_a_scorer_that_cannot_be_called_is_refused_with_the_reason() {
     block_on(async {
