A suspected call for a score runs at one engine at a time

Cause: only items asked for the right to run suspected work; a call for a score was sent as soon as an engine had room, beside a caller's request or another item's call for the same work, so that two engines could end under it before either showed what it does. Ruled out: two calls of one item (one at a time by its phase). Change: the call asks for the same right as an item, for its own time (score_limit), and looks again just before it is sent.

--- a/crates/coordinator/src/item.rs
+++ b/crates/coordinator/src/item.rs
@@ -2,7 +2,7 @@
 
 use crate::coordinator::Coordinator;
 use crate::job_run::Phase;
-use crate::lost_connections::TrialTaken;
+use crate::lost_connections::{SuspectedRun, TrialTaken};
 use crate::plan::{Start, still_wanted};
 use crate::text;
 use crate::waits::WaitReason;
--- a/crates/coordinator/src/job_run.rs
+++ b/crates/coordinator/src/job_run.rs
@@ -58,17 +58,24 @@
 }
 
 /// How far the scoring of an item's whole text is.
-#[derive(Default)]
 pub(crate) struct ScoringProgress {
     /// Calls begun.
     pub calls: u32,
     /// Answers by which the engine said that it failed; only these count as attempts.
     pub failures: u32,
     pub not_before: Duration,
+    /// What it waits for until then.
+    pub pause_reason: WaitReason,
     /// The engine that was called last.
     pub avoid: Option<InstanceId>,
 }
 
+impl Default for ScoringProgress {
+    fn default() -> Self {
+        Self { calls: 0, failures: 0, not_before: Duration::ZERO, pause_reason: WaitReason::RetryPause, avoid: None }
+    }
+}
+
 impl ItemRun {
     /// Events that are expected to be missing of its text.
     pub fn remaining_events(&self) -> f64 {
--- a/crates/coordinator/src/lost_connections.rs
+++ b/crates/coordinator/src/lost_connections.rs
@@ -2,7 +2,6 @@
 //! engine after engine has ended.
 
 use crate::coordinator::Coordinator;
-use crate::plan::Start;
 use saddlerelay_control::state::ControlState;
 use saddlerelay_runtime::Runtime;
 use saddlerelay_runtime::backend::Backends;
@@ -12,12 +11,23 @@
 use saddlerelay_types::suspicion::{EngineLoss, TrialAnswer, TrialId, WorkEvidence};
 use saddlerelay_types::work::WorkDigest;
 use saddlerelay_upstream::EngineTarget;
+use std::time::Duration;
+
+/// What is about to run at an engine: an item, or a call for its score.
+pub(crate) trait SuspectedRun {
+    /// Whose item it is.
+    fn item(&self) -> &ItemId;
+    /// What it asks for.
+    fn work_digest(&self) -> WorkDigest;
+    /// When it is over at the latest, if it begins at `now`.
+    fn ends_by(&self, now: Duration) -> Duration;
+}
 
 /// Another try of the same work is under way, or this process does not lead.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) struct TrialTaken;
 
-/// The right to run a suspected item; given back when it is dropped.
+/// The right to run suspected work of an item; given back when it is dropped.
 pub(crate) struct ItemTrial<B: Backends> {
     coordinator: Coordinator<B>,
     work: WorkDigest,
@@ -63,20 +73,21 @@
         }
     }
 
-    /// Asks for the right to run an item, if its work is suspected; `Err` while another try of it runs.
-    pub(crate) async fn begin_trial(&self, start: &Start) -> Result<Option<ItemTrial<B>>, TrialTaken> {
-        if !self.is_suspected(start) {
+    /// Asks for the right to run something, if its work is suspected; `Err` while another try of it runs.
+    pub(crate) async fn begin_trial(&self, run: &impl SuspectedRun) -> Result<Option<ItemTrial<B>>, TrialTaken> {
+        if !self.is_suspected(run) {
             return Ok(None);
         }
-        let work = start.work_digest();
+        let work = run.work_digest();
         let number = self.inner.trials_begun.get() + 1;
         self.inner.trials_begun.set(number);
         let id = TrialId { holder: self.inner.incarnation, number };
-        let limit_ms = start.give_up_at.saturating_sub(self.now()).as_millis() as u64;
+        let now = self.now();
+        let limit_ms = run.ends_by(now).saturating_sub(now).as_millis() as u64;
         let answer = self.inner.node.begin_trial(TrialRequest { work, id, limit_ms }).await;
         let granted = answer == Ok(TrialAnswer::Granted);
         spdlog::info!("trial of suspected item", kv: {
-            item = start.item.id.0.as_str(), work = work.shown().as_str(), granted = granted,
+            item = run.item().0.as_str(), work = work.shown().as_str(), granted = granted,
             answer = format!("{answer:?}").as_str()
         });
         if !granted {
@@ -85,12 +96,12 @@
         Ok(Some(ItemTrial { coordinator: self.clone(), work, id }))
     }
 
-    /// Whether an engine has ended under an item's work.
-    pub(crate) fn is_suspected(&self, start: &Start) -> bool {
+    /// Whether an engine has ended under the work of what is about to run.
+    pub(crate) fn is_suspected(&self, run: &impl SuspectedRun) -> bool {
         let suspected = self
             .inner
             .node
-            .read(|state| !state.suspicions.is_empty() && state.suspicions.get(&start.work_digest()).is_some());
+            .read(|state| !state.suspicions.is_empty() && state.suspicions.get(&run.work_digest()).is_some());
         suspected == Some(true)
     }
 
--- a/crates/coordinator/src/plan.rs
+++ b/crates/coordinator/src/plan.rs
@@ -2,6 +2,7 @@
 
 use crate::coordinator::{Coordinator, Inner};
 use crate::job_run::{JobRun, Phase};
+use crate::lost_connections::SuspectedRun;
 use crate::moves::plan_moves;
 use crate::pace::Paces;
 use crate::placement::{FittingEngine, choose_engine, fitting_engines, usable_engines};
@@ -15,7 +16,7 @@
 use saddlerelay_runtime::backend::Backends;
 use saddlerelay_types::identity::TenantId;
 use saddlerelay_types::instance::{InstanceId, InstanceState};
-use saddlerelay_types::job::{JobId, JobItem};
+use saddlerelay_types::job::{ItemId, JobId, JobItem};
 use saddlerelay_types::routing::{Route, RoutingDocument};
 use saddlerelay_types::work::WorkDigest;
 use saddlerelay_upstream::EngineTarget;
@@ -104,11 +105,18 @@
     pub term: u64,
 }
 
-impl Start {
-    /// What the item asks for.
-    pub fn work_digest(&self) -> WorkDigest {
+impl SuspectedRun for Start {
+    fn item(&self) -> &ItemId {
+        &self.item.id
+    }
+
+    fn work_digest(&self) -> WorkDigest {
         self.item.work_digest(self.owner.as_ref(), &self.host)
     }
+
+    fn ends_by(&self, _now: Duration) -> Duration {
+        self.give_up_at
+    }
 }
 
 /// What is to be done now.
@@ -280,8 +288,8 @@
             go_on_waiting(of, index, WaitReason::Quarantined);
         } else if is_whole {
             match plan_score_call(of, index, give_up_at) {
-                Some(call) => plan.score_calls.push(call),
-                None => go_on_waiting(of, index, WaitReason::NoScorer),
+                Ok(call) => plan.score_calls.push(call),
+                Err(reason) => go_on_waiting(of, index, reason),
             }
         } else {
             match plan_item(of, route, index, give_up_at, plan) {
@@ -408,12 +416,21 @@
     }
 }
 
-fn plan_score_call<B: Backends>(of: &mut PlanOfJob<'_, '_, B>, index: u32, give_up_at: Duration) -> Option<ScoreCall> {
+/// Plans the call for an item's score, or says what it waits for.
+fn plan_score_call<B: Backends>(
+    of: &mut PlanOfJob<'_, '_, B>,
+    index: u32,
+    give_up_at: Duration,
+) -> Result<ScoreCall, WaitReason> {
     let progress = &of.run.items[index as usize].scoring;
     let item = &of.job.submission.items[index as usize];
-    let request = item.scorer.as_ref().filter(|_| of.now >= progress.not_before)?;
-    let (route, engine) = of.inner.scorers.choose(of.scoring, request, progress.avoid.as_ref())?;
-    Some(ScoreCall {
+    if of.now < progress.not_before {
+        return Err(progress.pause_reason);
+    }
+    let request = item.scorer.as_ref().ok_or(WaitReason::NoScorer)?;
+    let chosen = of.inner.scorers.choose(of.scoring, request, progress.avoid.as_ref());
+    let (route, engine) = chosen.ok_or(WaitReason::NoScorer)?;
+    Ok(ScoreCall {
         job: of.job.submission.id.clone(),
         index,
         item: item.id.clone(),
@@ -423,6 +440,7 @@
         max_attempts: route.max_attempts.max(1),
         call: progress.calls + 1,
         give_up_at,
+        call_limit: of.inner.config.score_limit,
         text: of.run.items[index as usize].text.clone(),
         term: of.round.term,
     })
--- a/crates/coordinator/src/scoring.rs
+++ b/crates/coordinator/src/scoring.rs
@@ -3,8 +3,10 @@
 use crate::coordinator::Coordinator;
 use crate::item::set_tenant;
 use crate::job_run::Phase;
+use crate::lost_connections::{SuspectedRun, TrialTaken};
 use crate::plan::may_reach;
 use crate::text::{self, ItemText};
+use crate::waits::WaitReason;
 use hyper::header::{HOST, HeaderMap, HeaderValue};
 use hyper::http::response::Parts;
 use hyper::{Method, StatusCode};
@@ -12,6 +14,7 @@
 use saddlerelay_runtime::backend::Backends;
 use saddlerelay_types::identity::TenantId;
 use saddlerelay_types::job::{ItemId, JobId, ScoringRequest};
+use saddlerelay_types::suspicion::TRIAL_RETRY_AFTER;
 use saddlerelay_types::work::WorkDigest;
 use saddlerelay_upstream::balance::InFlight;
 use saddlerelay_upstream::{Failure, HeaderNames, Outgoing, ReadyEngine, Reuse};
@@ -39,15 +42,24 @@
     /// Which of the item's calls it is, from 1.
     pub call: u32,
     pub give_up_at: Duration,
+    /// Longest wait for the whole answer.
+    pub call_limit: Duration,
     pub text: Rc<RefCell<ItemText>>,
     pub term: u64,
 }
 
-impl ScoreCall {
-    /// What the call asks for.
+impl SuspectedRun for ScoreCall {
+    fn item(&self) -> &ItemId {
+        &self.item
+    }
+
     fn work_digest(&self) -> WorkDigest {
         self.request.work_digest(self.owner.as_ref())
     }
+
+    fn ends_by(&self, now: Duration) -> Duration {
+        (now + self.call_limit).min(self.give_up_at)
+    }
 }
 
 /// How a call ended.
@@ -61,16 +73,23 @@
     NoAnswer(String),
     /// The connection ended before the answer was whole.
     ConnectionLost(String),
+    /// Another try of the same suspected work is under way.
+    TrialTaken,
 }
 
 /// Makes the call and records how it ended.
 pub(crate) async fn run<B: Backends>(coordinator: Coordinator<B>, call: ScoreCall, _in_flight: InFlight) {
     let inner = &coordinator.inner;
+    let trial = coordinator.begin_trial(&call).await;
     let began_at = coordinator.now();
-    inner.metrics.score_calls.inc();
-    let limit = inner.config.score_limit;
-    let ended = compio::time::timeout(limit, ask(&coordinator, &call)).await;
-    let end = ended.unwrap_or_else(|_| ScoreEnd::NoAnswer("no answer in time".to_string()));
+    let end = match &trial {
+        Ok(trial) => {
+            inner.metrics.score_calls.inc();
+            let ended = compio::time::timeout(call.call_limit, ask(&coordinator, &call, trial.is_some())).await;
+            ended.unwrap_or_else(|_| ScoreEnd::NoAnswer("no answer in time".to_string()))
+        }
+        Err(TrialTaken) => ScoreEnd::TrialTaken,
+    };
     if matches!(end, ScoreEnd::ConnectionLost(_)) {
         coordinator.look_into_lost_connection(&call.item, call.work_digest(), &call.engine.target).await;
     }
@@ -83,6 +102,8 @@
         ScoreEnd::Failed | ScoreEnd::NoAnswer(_) | ScoreEnd::ConnectionLost(_) => {
             inner.scorers.balance().failed(instance, now)
         }
+        // No engine was asked.
+        ScoreEnd::TrialTaken => {}
     }
     tell(&call, &end, lasted);
     coordinator.record_score(&call, end);
@@ -100,17 +121,18 @@
     });
 }
 
-async fn ask<B: Backends>(coordinator: &Coordinator<B>, call: &ScoreCall) -> ScoreEnd {
+async fn ask<B: Backends>(coordinator: &Coordinator<B>, call: &ScoreCall, on_trial: bool) -> ScoreEnd {
     let outgoing = match outgoing(coordinator.names(), &call.request, call.owner.as_ref()) {
         Ok(outgoing) => outgoing,
         Err(reason) => return ScoreEnd::NoAnswer(reason),
     };
     let inner = &coordinator.inner;
-    let deadline = (coordinator.now() + inner.config.score_limit).min(call.give_up_at);
+    let deadline = call.ends_by(coordinator.now());
     let time_left = || deadline.saturating_sub(coordinator.now());
     let may_send = || {
         let wanted = inner.node.read(|state| still_wanted(state, call));
-        coordinator.leads(call.term) && wanted == Some(true)
+        let alone = on_trial || !coordinator.is_suspected(call);
+        coordinator.leads(call.term) && wanted == Some(true) && alone
     };
     let answer = inner.pool.send(&call.engine.target, &outgoing, Reuse::Any, time_left, may_send).await;
     let answer = match answer {
@@ -199,6 +221,15 @@
             self.list(&call.job, outcome);
             return;
         }
+        run.phase = Phase::Waiting;
+        if end == ScoreEnd::TrialTaken {
+            // Neither the engine nor the text has anything to do with it.
+            run.scoring.calls -= 1;
+            run.scoring.avoid = None;
+            run.scoring.not_before = self.now() + TRIAL_RETRY_AFTER;
+            run.scoring.pause_reason = WaitReason::TrialTaken;
+            return;
+        }
         inner.metrics.score_failures.inc();
         if end == ScoreEnd::Failed {
             run.scoring.failures += 1;
@@ -211,6 +242,6 @@
         }
         let doublings = (call.call - 1).min(PAUSE_DOUBLINGS);
         run.scoring.not_before = self.now() + inner.config.retry_pause * 2_u32.pow(doublings);
-        run.phase = Phase::Waiting;
+        run.scoring.pause_reason = WaitReason::RetryPause;
     }
 }
