Test of a hand-over that no successor hears of, committed failing

The old leader goes on sending heartbeats, takes no proposals and serves no reads, for as long as it runs.

--- a/crates/simulator/tests/group/mod.rs
+++ b/crates/simulator/tests/group/mod.rs
@@ -14,7 +14,7 @@
 use saddlerelay_simulator::world::{Process, Sleep, World};
 use saddlerelay_types::identity::ReplicaId;
 use saddlerelay_types::protocol::{ControlReply, ControlRequest};
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -99,14 +99,21 @@
 
 pub type Node = Replica<SimRuntime, Numbers>;
 
-struct Answering(Node);
+struct Answering {
+    node: Node,
+    loses_take_overs: Rc<Cell<bool>>,
+}
 
 impl Handler for Answering {
     async fn handle(self: Rc<Self>, body: Vec<u8>) -> Option<Vec<u8>> {
         let ControlRequest::Replication(bytes) = bitcode::decode(&body).ok()? else {
             return None;
         };
-        let reply = self.0.handle(bitcode::decode(&bytes).ok()?).await;
+        let request = bitcode::decode(&bytes).ok()?;
+        if matches!(request, ReplicaRequest::TakeOver { .. }) && self.loses_take_overs.get() {
+            return None;
+        }
+        let reply = self.node.handle(request).await;
         Some(bitcode::encode(&ControlReply::Replication(bitcode::encode(&reply))))
     }
 }
@@ -127,6 +134,8 @@
     pub acknowledged: Rc<RefCell<BTreeSet<u64>>>,
     /// Why replicas refused their files.
     pub refusals: Rc<RefCell<Vec<String>>>,
+    /// Whether no replica hears that it should take over.
+    pub loses_take_overs: Rc<Cell<bool>>,
     next: u64,
 }
 
@@ -169,6 +178,7 @@
             founders: (1..=3).map(address).collect(),
             acknowledged: Rc::default(),
             refusals: Rc::default(),
+            loses_take_overs: Rc::default(),
             next: 0,
         }
     }
@@ -202,6 +212,7 @@
         let node = Rc::new(RefCell::new(None));
         let started = node.clone();
         let refusals = self.refusals.clone();
+        let loses_take_overs = self.loses_take_overs.clone();
         self.world.spawn(&process, async move {
             let listener = runtime.listen(options.address).await.expect("the address is free");
             let replica = match Replica::open(runtime.clone(), options, Numbers::default()).await {
@@ -213,7 +224,7 @@
             };
             replica.start();
             *started.borrow_mut() = Some(replica.clone());
-            let handler = Rc::new(Answering(replica));
+            let handler = Rc::new(Answering { node: replica, loses_take_overs });
             saddlerelay_rpc::server::serve(runtime, listener, SECRET.to_string(), handler).await;
         });
         self.machines.insert(place, Machine { process, node });
@@ -301,6 +312,16 @@
         answers.iter().filter(|read| **read).count()
     }
 
+    /// Has the machine at `place` hand its leadership over; it goes on running.
+    pub fn hand_over(&mut self, place: u8) {
+        let (Some(node), Some(machine)) = (self.node(place), self.machines.get(&place)) else {
+            return;
+        };
+        self.world.spawn(&machine.process, async move {
+            node.hand_over().await;
+        });
+    }
+
     pub fn leader(&self) -> Option<Node> {
         self.nodes().into_iter().find(|node| node.leading_term().is_some())
     }
