A leader that nobody takes over from gives leadership up

Cause: a leader that hands over takes no proposals and serves no reads; when no successor had taken over within 3 s it stayed so, and its heartbeats kept the others from electing anyone. A planned stop ends the process soon after; a machine that is being retired goes on running, and does not look at its retirement again, as it leads by name only. Ruled out: going on in the same term. A successor that was asked may still take over, and its voters do not wait for the old leader's lease then. Change: after 3 s in vain it is a follower and says so; it does not stand for election.

--- a/crates/replication/src/handover.rs
+++ b/crates/replication/src/handover.rs
@@ -20,7 +20,8 @@
 const HAND_OVER_LIMIT: Duration = Duration::from_secs(3);
 
 impl<P: Runtime, S: StateMachine> Replica<P, S> {
-    /// Hands leadership over before a planned stop. Returns whether this replica no longer leads.
+    /// Hands leadership over before a planned stop, or before this replica leaves the group. Returns whether a successor has
+    /// taken over; if none has in time, this replica gives leadership up all the same, and the others elect one of them.
     pub async fn hand_over(&self) -> bool {
         let deadline = self.inner.platform.monotonic() + HAND_OVER_LIMIT;
         self.inner.state.borrow_mut().stopping = true;
@@ -36,7 +37,28 @@
             self.send(address, &request, TAKE_OVER_LIMIT).await;
             self.inner.platform.sleep(self.inner.options.config.heartbeat_interval).await;
         }
-        self.inner.state.borrow().leadership().is_none()
+        !self.give_up_leadership()
+    }
+
+    /// Leads no more, if this replica still does. Without, it would keep the others from electing anyone, as they hear it,
+    /// while it serves nothing. It can't go on serving in this term: one that it has asked may still take over, and the
+    /// voters do not wait for the lease then.
+    fn give_up_leadership(&self) -> bool {
+        let mut state = self.inner.state.borrow_mut();
+        if state.leadership().is_none() {
+            return false;
+        }
+        spdlog::warn!("nobody took over", kv: {
+            term = state.term,
+            limit_ms = HAND_OVER_LIMIT.as_millis() as u64,
+            last_index = state.log.last_index(),
+            peers = state.peers_heard(self.inner.platform.monotonic()).as_str()
+        });
+        state.become_follower();
+        state.leader = None;
+        drop(state);
+        self.inner.changed.notify();
+        true
     }
 
     /// Takes no further proposals; `false` when this replica does not lead.
