Test of a goodbye that forgets an order to the next start, committed failing

An order is noted for an engine's name over all its starts; a goodbye of one start forgot the note: free_at of another holder is 0 instead of 13 s, also where the next start has reported before the goodbye came.

--- a/crates/control/tests/restarts.rs
+++ b/crates/control/tests/restarts.rs
@@ -3,16 +3,21 @@
 mod common;
 
 use common::{NOW, apply};
+use saddlerelay_control::order_watch::OrderWatch;
 use saddlerelay_control::state::ControlState;
 use saddlerelay_types::gateway::{GatewayCommand, OrderSubject};
 use saddlerelay_types::identity::ReplicaId;
 use saddlerelay_types::instance::{InstanceId, InstanceReport, InstanceState};
 use saddlerelay_types::protocol::Command;
 use saddlerelay_types::routing::{RequestLimits, RoutingDocument, Service};
+use std::time::Duration;
 
 const FIRST: u64 = 10_000;
 const SECOND: u64 = 20_000;
 
+/// How far apart the orders of two holders must be.
+const DISTANCE: Duration = Duration::from_secs(3);
+
 /// Reports of engines whose service is not named that are kept at most.
 const PENDING_KEPT: usize = 4_096;
 
@@ -153,6 +158,32 @@
     assert!(state.orders.notes().contains_key(&OrderSubject::engine(&start(SECOND))));
 }
 
+/// Another leader orders the next start only when an order to the one before, at the same address, can't reach it any more.
+#[test]
+fn a_goodbye_forgets_no_order_that_may_reach_the_next_start() {
+    let subject = OrderSubject::engine(&start(FIRST));
+    for goodbye in [start(FIRST), InstanceId::named("a")] {
+        for comes_before_next_start in [true, false] {
+            let mut state = serving_web();
+            say(&mut state, report(start(FIRST), 1));
+            commit(&mut state, GatewayCommand::NoteOrders { holder: ReplicaId(1), subjects: vec![subject.clone()] });
+            let goodbye = GatewayCommand::RemoveInstance(goodbye.clone());
+            if comes_before_next_start {
+                commit(&mut state, goodbye);
+                say(&mut state, report(start(SECOND), 1));
+            } else {
+                say(&mut state, report(start(SECOND), 1));
+                commit(&mut state, goodbye);
+            }
+            let mut watch = OrderWatch::default();
+            let seen_at = Duration::from_secs(10);
+            watch.see(&state.orders, seen_at);
+            let free_at = |holder| watch.free_at(&subject, ReplicaId(holder), DISTANCE);
+            assert_eq!((free_at(1), free_at(2)), (Duration::ZERO, seen_at + DISTANCE));
+        }
+    }
+}
+
 #[test]
 fn a_service_that_is_not_named_displaces_nobody() {
     let mut state = serving_web();
