A goodbye of one start keeps the note of orders that may reach the next

Cause: a note of an order is about an engine's name over all its starts, and the goodbye of one start forgot it: another leader could order the next start, at the same address, at once instead of 3.8 s after the order before. A late goodbye forgot even a note made for the next start. Change: the note is forgotten only where engines do not tell their starts, so that the name never comes back. Where they do, one note stays for each name.

--- a/crates/control/src/state/orders.rs
+++ b/crates/control/src/state/orders.rs
@@ -49,7 +49,7 @@
         before.is_some_and(|before| before != holder)
     }
 
-    /// Forgets an engine that has said goodbye.
+    /// Forgets an engine whose name never comes back.
     pub fn forget_engine(&mut self, instance: &InstanceId) {
         self.notes.remove(&OrderSubject::engine(instance));
     }
--- a/crates/control/src/state/registration.rs
+++ b/crates/control/src/state/registration.rs
@@ -77,6 +77,10 @@
         let ended = if said.started_at_ms.is_some() { said.clone() } else { newest() };
         self.pending_instances.remove(&ended);
         self.instances.remove(&ended);
-        self.orders.forget_engine(&ended);
+        // Where engines tell their starts, the next one has the name too, and an order given before may still reach it: its
+        // note stays, one for each name. Otherwise the name never comes back.
+        if ended.started_at_ms.is_none() {
+            self.orders.forget_engine(&ended);
+        }
     }
 }
