--- a/crates/gateway-api/tests/common/engine.rs
+++ b/crates/gateway-api/tests/common/engine.rs
@@ -70,6 +70,8 @@
     orders: RefCell<Vec<VersionOrder>>,
     /// Orders whose count of earlier ones differed.
     orders_refused: Cell<u32>,
+    /// Orders that it takes next without an answer that can be read.
+    order_answers_lost: Cell<u32>,
     reports_told: Cell<u32>,
     seen: RefCell<Vec<Seen>>,
     /// Requests whose answer was given up by whoever asked.
@@ -120,6 +122,7 @@
             orders_taken: Cell::new(0),
             orders: RefCell::default(),
             orders_refused: Cell::new(0),
+            order_answers_lost: Cell::new(0),
             reports_told: Cell::new(0),
             seen: RefCell::default(),
             dropped: Cell::new(0),
@@ -177,6 +180,11 @@
         self.state.orders_refused.get()
     }
 
+    /// Has it take the next `count` orders and break its answers off.
+    pub fn lose_order_answers(&self, count: u32) {
+        self.state.order_answers_lost.set(count);
+    }
+
     /// Reports that it was asked for.
     pub fn reports_told(&self) -> u32 {
         self.state.reports_told.get()
@@ -220,7 +228,13 @@
         self.state.orders_taken.set(taken + 1);
         self.state.version.set(order.target.version);
         self.state.orders.borrow_mut().push(order);
-        whole(StatusCode::ACCEPTED, "text/plain", "")
+        let mut reply = whole(StatusCode::ACCEPTED, "text/plain", "");
+        let lost = self.state.order_answers_lost.get();
+        if lost > 0 {
+            self.state.order_answers_lost.set(lost - 1);
+            *reply.body_mut() = broken_off();
+        }
+        reply
     }
 
     async fn answer(&self, seen: Seen) -> Reply {
@@ -261,8 +275,7 @@
                 reply.headers_mut().remove("saddlerelay-stamp");
             }
             Conduct::BreakOff => {
-                let parts = futures::stream::iter([Ok(Bytes::from_static(b"half")), Err(BrokenOff)]);
-                *reply.body_mut() = LocalBody::Breakable(Box::pin(parts));
+                *reply.body_mut() = broken_off();
             }
             _ => {}
         }
@@ -299,6 +312,12 @@
     }
 }
 
+/// A body that ends before it is whole.
+fn broken_off() -> LocalBody {
+    let parts = futures::stream::iter([Ok(Bytes::from_static(b"half")), Err(BrokenOff)]);
+    LocalBody::Breakable(Box::pin(parts))
+}
+
 /// Counts a request that is given up.
 struct Watch(Rc<State>);
 
--- a/crates/gateway-api/tests/jobs.rs
+++ b/crates/gateway-api/tests/jobs.rs
@@ -6,7 +6,7 @@
 use common::{Deployment, block_on, call, document, eventually, job, notes, rollouts};
 use hyper::{Method, StatusCode};
 use saddlerelay_types::job::{ItemEnd, ItemId};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 async fn with_engines(name: &str, count: usize) -> (Deployment, Vec<StandInEngine>) {
     let deployment = Deployment::start(name).await;
@@ -234,6 +234,27 @@
     });
 }
 
+/// Whether it was taken is found out from the engine's report; the orders after it are given as before.
+#[test]
+fn an_order_whose_answer_is_lost_keeps_no_engine_from_later_versions() {
+    block_on(async {
+        let (deployment, engines) = with_engines("order-unknown", 2).await;
+        for version in [2, 3] {
+            engines.iter().for_each(|engine| engine.lose_order_answers(1));
+            let body = serde_json::to_vec(&notes(version)).expect("JSON");
+            let answer = call(deployment.control, Method::POST, "/v1/versions", &[], body).await;
+            assert_eq!(answer.status, StatusCode::OK);
+            let since = Instant::now();
+            let items = job(&format!("j-{version}"), version, 10 * version as u32, 4, 3);
+            assert_eq!(deployment.submit(&items).await, StatusCode::ACCEPTED);
+            let page = deployment.await_results(&format!("j-{version}"), 4).await;
+            assert!(page.results.iter().all(|(_, result)| result.versions == [version]));
+            assert!(since.elapsed() < Duration::from_secs(4), "items waited for {:?}", since.elapsed());
+        }
+        assert!(engines.iter().all(|engine| engine.orders_refused() == 0), "an order counted in vain");
+    });
+}
+
 #[test]
 fn an_invalid_document_is_refused_with_the_reason_and_never_in_force() {
     block_on(async {
