--- a/crates/coordinator/src/item.rs
+++ b/crates/coordinator/src/item.rs
@@ -2,7 +2,7 @@
 
 use crate::coordinator::Coordinator;
 use crate::job_run::Phase;
-use crate::lost_connections::{SuspectedRun, TrialTaken};
+use crate::lost_connections::{ItemTrial, SuspectedRun, TrialTaken, while_held};
 use crate::plan::{Start, still_wanted};
 use crate::text;
 use crate::waits::WaitReason;
@@ -48,7 +48,10 @@
     coordinator.inner.metrics.items_sent.inc();
     let trial = coordinator.begin_trial(&start).await;
     let end = match &trial {
-        Ok(trial) => attempt(&coordinator, &start, trial.is_some()).await,
+        Ok(trial) => {
+            let trial = trial.as_ref();
+            while_held(trial, attempt(&coordinator, &start, trial)).await.unwrap_or(AttemptEnd::TrialTaken)
+        }
         Err(TrialTaken) => AttemptEnd::TrialTaken,
     };
     let lasted = coordinator.now().saturating_sub(began_at);
@@ -74,7 +77,7 @@
     });
 }
 
-async fn attempt<B: Backends>(coordinator: &Coordinator<B>, start: &Start, on_trial: bool) -> AttemptEnd {
+async fn attempt<B: Backends>(coordinator: &Coordinator<B>, start: &Start, trial: Option<&ItemTrial<B>>) -> AttemptEnd {
     let outgoing = match outgoing(coordinator, start) {
         Ok(outgoing) => outgoing,
         Err(reason) => {
@@ -86,7 +89,7 @@
     let time_left = || start.give_up_at.saturating_sub(coordinator.now());
     let may_send = || {
         let wanted = inner.node.read(|state| still_wanted(state, start));
-        let alone = on_trial || !coordinator.is_suspected(start);
+        let alone = trial.is_some_and(ItemTrial::holds) || !coordinator.is_suspected(start);
         coordinator.leads(start.term) && wanted == Some(true) && alone
     };
     let sending = inner.pool.send(&start.target, &outgoing, Reuse::Any, time_left, may_send);
--- a/crates/coordinator/src/scoring.rs
+++ b/crates/coordinator/src/scoring.rs
@@ -3,7 +3,7 @@
 use crate::coordinator::Coordinator;
 use crate::item::set_tenant;
 use crate::job_run::Phase;
-use crate::lost_connections::{SuspectedRun, TrialTaken};
+use crate::lost_connections::{ItemTrial, SuspectedRun, TrialTaken, while_held};
 use crate::plan::may_reach;
 use crate::text::{self, ItemText};
 use crate::waits::WaitReason;
@@ -85,8 +85,8 @@
     let end = match &trial {
         Ok(trial) => {
             inner.metrics.score_calls.inc();
-            let ended = compio::time::timeout(call.call_limit, ask(&coordinator, &call, trial.is_some())).await;
-            ended.unwrap_or_else(|_| ScoreEnd::NoAnswer("no answer in time".to_string()))
+            let trial = trial.as_ref();
+            while_held(trial, ask_in_time(&coordinator, &call, trial)).await.unwrap_or(ScoreEnd::TrialTaken)
         }
         Err(TrialTaken) => ScoreEnd::TrialTaken,
     };
@@ -102,7 +102,7 @@
         ScoreEnd::Failed | ScoreEnd::NoAnswer(_) | ScoreEnd::ConnectionLost(_) => {
             inner.scorers.balance().failed(instance, now)
         }
-        // No engine was asked.
+        // It says nothing of the engine.
         ScoreEnd::TrialTaken => {}
     }
     tell(&call, &end, lasted);
@@ -121,7 +121,16 @@
     });
 }
 
-async fn ask<B: Backends>(coordinator: &Coordinator<B>, call: &ScoreCall, on_trial: bool) -> ScoreEnd {
+async fn ask_in_time<B: Backends>(
+    coordinator: &Coordinator<B>,
+    call: &ScoreCall,
+    trial: Option<&ItemTrial<B>>,
+) -> ScoreEnd {
+    let ended = compio::time::timeout(call.call_limit, ask(coordinator, call, trial)).await;
+    ended.unwrap_or_else(|_| ScoreEnd::NoAnswer("no answer in time".to_string()))
+}
+
+async fn ask<B: Backends>(coordinator: &Coordinator<B>, call: &ScoreCall, trial: Option<&ItemTrial<B>>) -> ScoreEnd {
     let outgoing = match outgoing(coordinator.names(), &call.request, call.owner.as_ref()) {
         Ok(outgoing) => outgoing,
         Err(reason) => return ScoreEnd::NoAnswer(reason),
@@ -131,7 +140,7 @@
     let time_left = || deadline.saturating_sub(coordinator.now());
     let may_send = || {
         let wanted = inner.node.read(|state| still_wanted(state, call));
-        let alone = on_trial || !coordinator.is_suspected(call);
+        let alone = trial.is_some_and(ItemTrial::holds) || !coordinator.is_suspected(call);
         coordinator.leads(call.term) && wanted == Some(true) && alone
     };
     let answer = inner.pool.send(&call.engine.target, &outgoing, Reuse::Any, time_left, may_send).await;
