--- a/crates/coordinator/src/item.rs
+++ b/crates/coordinator/src/item.rs
@@ -2,11 +2,10 @@
 
 use crate::coordinator::Coordinator;
 use crate::job_run::Phase;
-use crate::lost_connections::{ItemTrial, TrialTaken};
+use crate::lost_connections::{ItemTrial, SuspectedRun, TrialTaken, while_held};
 use crate::plan::{Start, still_wanted};
 use crate::text;
 use crate::waits::WaitReason;
-use futures::future::{self, Either};
 use hyper::header::{HOST, HeaderMap, HeaderName, HeaderValue};
 use hyper::{Method, StatusCode};
 use saddlerelay_runtime::backend::Backends;
@@ -15,7 +14,6 @@
 use saddlerelay_types::suspicion::TRIAL_RETRY_AFTER;
 use saddlerelay_upstream::events::{Event, EventCutter};
 use saddlerelay_upstream::{Answer, Failure, HeaderNames, Outgoing, Reuse};
-use std::pin::pin;
 use std::time::Duration;
 
 /// How an attempt ended.
@@ -50,7 +48,10 @@
     coordinator.inner.metrics.items_sent.inc();
     let trial = coordinator.begin_trial(&start).await;
     let end = match &trial {
-        Ok(trial) => attempt_while_held(&coordinator, &start, trial.as_ref()).await,
+        Ok(trial) => {
+            let trial = trial.as_ref();
+            while_held(trial, attempt(&coordinator, &start, trial)).await.unwrap_or(AttemptEnd::TrialTaken)
+        }
         Err(TrialTaken) => AttemptEnd::TrialTaken,
     };
     let lasted = coordinator.now().saturating_sub(began_at);
@@ -76,23 +77,6 @@
     });
 }
 
-/// Makes an attempt, and ends it when the right to run its suspected work is another's.
-async fn attempt_while_held<B: Backends>(
-    coordinator: &Coordinator<B>,
-    start: &Start,
-    trial: Option<&ItemTrial<B>>,
-) -> AttemptEnd {
-    let Some(held) = trial else {
-        return attempt(coordinator, start, None).await;
-    };
-    let attempt = pin!(attempt(coordinator, start, trial));
-    let lost = pin!(held.lost());
-    match future::select(attempt, lost).await {
-        Either::Left((end, _)) => end,
-        Either::Right(_) => AttemptEnd::TrialTaken,
-    }
-}
-
 async fn attempt<B: Backends>(coordinator: &Coordinator<B>, start: &Start, trial: Option<&ItemTrial<B>>) -> AttemptEnd {
     let outgoing = match outgoing(coordinator, start) {
         Ok(outgoing) => outgoing,
--- a/crates/coordinator/src/lost_connections.rs
+++ b/crates/coordinator/src/lost_connections.rs
@@ -2,7 +2,7 @@
 //! engine after engine has ended.
 
 use crate::coordinator::{Coordinator, LeaderNode};
-use crate::plan::Start;
+use futures::future::{self, Either};
 use saddlerelay_control::state::ControlState;
 use saddlerelay_control_client::trials::{NoAnswer, TrialGroup, TrialGuard};
 use saddlerelay_runtime::Runtime;
@@ -14,14 +14,40 @@
 use saddlerelay_types::suspicion::{EngineLoss, HeldTrial, TrialAnswer, WorkEvidence};
 use saddlerelay_types::work::WorkDigest;
 use saddlerelay_upstream::EngineTarget;
+use std::pin::pin;
+use std::time::Duration;
+
+/// What is about to run at an engine: an item, or a call for its score.
+pub(crate) trait SuspectedRun {
+    /// Whose item it is.
+    fn item(&self) -> &ItemId;
+    /// What it asks for.
+    fn work_digest(&self) -> WorkDigest;
+    /// When it is over at the latest, if it begins at `now`.
+    fn ends_by(&self, now: Duration) -> Duration;
+}
 
 /// Another try of the same work is under way, or this process does not lead.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) struct TrialTaken;
 
-/// The right to run a suspected item.
+/// The right to run suspected work of an item.
 pub(crate) type ItemTrial<B> = TrialGuard<CompioRuntime, LeaderGroup<B>>;
 
+/// Runs `attempt`, and ends it when the right to run its suspected work is another's: `None` then.
+pub(crate) async fn while_held<B: Backends, T>(
+    trial: Option<&ItemTrial<B>>,
+    attempt: impl Future<Output = T>,
+) -> Option<T> {
+    let Some(held) = trial else {
+        return Some(attempt.await);
+    };
+    match future::select(pin!(attempt), pin!(held.lost())).await {
+        Either::Left((end, _)) => Some(end),
+        Either::Right(_) => None,
+    }
+}
+
 /// The control group as its leader asks it.
 pub(crate) struct LeaderGroup<B: Backends>(pub LeaderNode<B>);
 
@@ -74,26 +100,27 @@
         }
     }
 
-    /// Asks for the right to run an item, if its work is suspected; `Err` while another try of it runs.
-    pub(crate) async fn begin_trial(&self, start: &Start) -> Result<Option<ItemTrial<B>>, TrialTaken> {
-        if !self.is_suspected(start) {
+    /// Asks for the right to run something, if its work is suspected; `Err` while another try of it runs.
+    pub(crate) async fn begin_trial(&self, run: &impl SuspectedRun) -> Result<Option<ItemTrial<B>>, TrialTaken> {
+        if !self.is_suspected(run) {
             return Ok(None);
         }
-        let work = start.work_digest();
-        let limit = start.give_up_at.saturating_sub(self.now());
+        let work = run.work_digest();
+        let now = self.now();
+        let limit = run.ends_by(now).saturating_sub(now);
         let trial = self.inner.trials.begin(work, limit).await;
         spdlog::info!("trial of suspected item", kv: {
-            item = start.item.id.0.as_str(), work = work.shown().as_str(), granted = trial.is_some()
+            item = run.item().0.as_str(), work = work.shown().as_str(), granted = trial.is_some()
         });
         trial.map(Some).ok_or(TrialTaken)
     }
 
-    /// Whether an engine has ended under an item's work.
-    pub(crate) fn is_suspected(&self, start: &Start) -> bool {
+    /// Whether an engine has ended under the work of what is about to run.
+    pub(crate) fn is_suspected(&self, run: &impl SuspectedRun) -> bool {
         let suspected = self
             .inner
             .node
-            .read(|state| !state.suspicions.is_empty() && state.suspicions.get(&start.work_digest()).is_some());
+            .read(|state| !state.suspicions.is_empty() && state.suspicions.get(&run.work_digest()).is_some());
         suspected == Some(true)
     }
 
