Soak: items at no engine are counted, and pairs of faults that meet

Change: a check "accepted items are at an engine" (waits): an item that no engine has finished or failed, and under which fewer than three engines have ended, may be at no engine for 5 s while engines that can take it are less than half full, the group has acknowledged a change in the last 3 s, and nothing was disturbed for 3 s. The longest such wait and its item stand in the report. A kind of case 'paired' (pairs): two or three of the engines that run the model crash, end for good, hang, lose answers or are cut off, and 0.3 to 3 s later the leader is killed, stopped by signal, cut off or refused writes, all coordinators are killed, or a gateway is; calm follows, in which what was left lying shows. Its trainer's items last 1 to 3 s, and in every third step one ends its engines. The plans of the other kinds are as they were.

Ruled out: a wait summed over several pieces (short calms between faults would add up to a finding).

--- a/crates/soak/src/case.rs
+++ b/crates/soak/src/case.rs
@@ -1,6 +1,7 @@
 //! What a soak is made from, and how it is written: `SEED`, `KIND:SEED` or `KIND:SEED:COORDINATORS+GATEWAYS`.
 
 use crate::deployment::{NAMED_COORDINATORS, Size};
+use crate::trainer::StepShape;
 use anyhow::{Context, Result, ensure};
 use std::fmt;
 use std::str::FromStr;
@@ -14,26 +15,37 @@
     Overlapping,
     /// The same; at last the group's members are replaced by coordinators that the settings don't name.
     Replaced,
+    /// Engines end, hang or are cut off, and soon after it a fault meets those who hold state; pair after pair.
+    Paired,
 }
 
 /// Coordinators of a deployment whose named ones are to be replaced: as many again vote, one learns and one is spare.
 const REPLACED_COORDINATORS: u8 = 2 * NAMED_COORDINATORS + 2;
 
 impl PlanKind {
-    const ALL: [Self; 3] = [Self::Single, Self::Overlapping, Self::Replaced];
+    const ALL: [Self; 4] = [Self::Single, Self::Overlapping, Self::Replaced, Self::Paired];
 
     fn word(self) -> &'static str {
         match self {
             Self::Single => "single",
             Self::Overlapping => "overlapping",
             Self::Replaced => "replaced",
+            Self::Paired => "paired",
+        }
+    }
+
+    /// The steps that the trainer makes.
+    pub fn steps(self) -> StepShape {
+        match self {
+            Self::Single | Self::Overlapping | Self::Replaced => StepShape::SHORT,
+            Self::Paired => StepShape::LONG,
         }
     }
 
     /// The size of a deployment for it, unless told otherwise.
     pub fn size(self) -> Size {
         match self {
-            Self::Single | Self::Overlapping => Size::SMALL,
+            Self::Single | Self::Overlapping | Self::Paired => Size::SMALL,
             Self::Replaced => Size { coordinators: REPLACED_COORDINATORS, ..Size::SMALL },
         }
     }
--- a/crates/soak/src/checks.rs
+++ b/crates/soak/src/checks.rs
@@ -3,6 +3,7 @@
 use crate::deployment::{CONFIGURATION_BOUND, DRAIN_BOUND, ORDER_LEASE};
 use crate::journal::{Ending, JobSeen, KeptEnding, KeptRequest, Moment, OrderSeen, Records, SeenResult, Violation};
 use crate::links::Party;
+use crate::waits;
 use crate::workload::{self, MOST_ATTEMPTS, MOVING, ONCE, ROLLOUTS, TIMEOUT_MS};
 use saddlerelay_types::instance::InstanceId;
 use saddlerelay_types::job::{ItemEnd, ItemId, JobId};
@@ -43,6 +44,9 @@
 /// Engines take orders from one holder at a time.
 pub const ORDERS: &str = "one holder of orders at a time";
 
+/// An accepted item is at an engine while engines have room.
+pub const ITEMS_AT_ENGINES: &str = "accepted items are at an engine";
+
 /// A request on a kept connection is answered, or its connection ends without its having been read.
 pub const KEPT: &str = "a request that was read on an open connection is answered";
 
@@ -62,9 +66,17 @@
     check_orders(records, &mut violations);
     check_crashing_work(records, &mut violations);
     check_kept(records, &mut violations);
+    check_waits(records, &mut violations);
     violations
 }
 
+/// An item that no engine has finished or failed is at an engine, once it has been accepted and engines have room.
+fn check_waits(records: &Records, violations: &mut Vec<Violation>) {
+    for wait in waits::longest_waits(records).iter().filter(|wait| wait.steady > waits::ITEM_WAIT_BOUND) {
+        add_late(violations, ITEMS_AT_ENGINES, wait.to_string());
+    }
+}
+
 /// A connection that ended without an answer must not have had its request read: none that ran, and none that was held
 /// (but for the first on a connection, which may have been held by the proxy of a process that was down).
 /// Left out: what was disturbed by a fault of its gateway or engine, and what has had its route's whole time.
--- a/crates/soak/src/command_line.rs
+++ b/crates/soak/src/command_line.rs
@@ -25,7 +25,8 @@
                       the faults of a seed
 
 KIND is single (faults of one party each), overlapping (the same, with series of signals that overlap, and suspensions;
-the default) or replaced (the same; at last the group moves to coordinators that the settings don't name).
+the default), replaced (the same; at last the group moves to coordinators that the settings don't name) or paired (a fault
+of engines and, 0.3 to 3 s later, one of those who hold state, pair after pair, each followed by calm).
 C+G are the numbers of coordinators and gateways. A CASE is SEED (of the kind single), KIND:SEED or KIND:SEED:C+G, as reports name it.
 
 A soak that breaks a promise keeps its folder with the logs of every process, and names it.
--- a/crates/soak/src/deployment.rs
+++ b/crates/soak/src/deployment.rs
@@ -83,6 +83,9 @@
 /// What a leader's line about new members says.
 const MEMBERS_PROPOSED: &str = "members proposed";
 
+/// What a coordinator's line says when it begins to lead.
+const BEGINS_TO_LEAD: &str = "event=\"leading\"";
+
 /// Networks tried before giving up.
 const NETWORK_ATTEMPTS: u32 = 100;
 
@@ -295,6 +298,17 @@
         membership_in(&self.newest_members(), self.addresses.peer(number))
     }
 
+    /// The coordinator that began to lead last, as the logs of the coordinators tell.
+    pub fn leader(&self) -> Option<u8> {
+        let logs = (0..self.addresses.size.coordinators).filter_map(|number| {
+            let text = std::fs::read_to_string(self.log_file(Party::Coordinator(number))).ok()?;
+            // Each line begins with its moment.
+            let newest = text.lines().rfind(|line| line.contains(BEGINS_TO_LEAD)).map(str::to_string)?;
+            Some((newest, number))
+        });
+        logs.max().map(|(_, number)| number)
+    }
+
     fn log_file(&self, party: Party) -> PathBuf {
         self.folder.join(format!("{}.log", name_of(party)))
     }
--- a/crates/soak/src/engine.rs
+++ b/crates/soak/src/engine.rs
@@ -2,7 +2,7 @@
 
 use crate::calls::KEY_HEADER;
 use crate::deployment::Addresses;
-use crate::journal::{Journal, OrderSeen, Run};
+use crate::journal::{EngineSeen, ItemRunEnd, Journal, OrderSeen, Run};
 use crate::workload::{self, MODEL, MODEL_SERVICE, ROLLOUTS, SCORES, SLOTS, STRANGER, TENANT};
 use bytes::Bytes;
 use compio::net::TcpListener;
@@ -15,7 +15,7 @@
 use saddlerelay_http::server::{HttpHandler, Shutdown, serve_until};
 use saddlerelay_runtime::signal::Signal;
 use saddlerelay_types::instance::{InstanceId, InstanceReport, LoadedModel};
-use saddlerelay_types::job::JobId;
+use saddlerelay_types::job::{ItemId, JobId};
 use std::cell::Cell;
 use std::rc::Rc;
 use std::time::Duration;
@@ -83,6 +83,8 @@
     highest_fence: Cell<u64>,
     running: Cell<u32>,
     leaving: Cell<bool>,
+    /// Whether it reports itself to nobody, as one that is gone.
+    silent: Cell<bool>,
     sequence: Cell<u64>,
     /// Work has begun that ends this instance.
     ends: Signal,
@@ -103,18 +105,31 @@
 }
 
 /// A request in progress; counts until dropped.
-struct InProgress(Rc<State>);
+struct InProgress {
+    state: Rc<State>,
+    /// Its number in the journal, if it is an item.
+    item_run: Option<usize>,
+}
 
 impl InProgress {
-    fn begin(state: &Rc<State>) -> Self {
+    fn begin(state: &Rc<State>, item: Option<ItemId>, instance: InstanceId) -> Self {
         state.running.set(state.running.get() + 1);
-        Self(state.clone())
+        let item_run = item.map(|item| state.journal.begin_item_run(item, instance));
+        Self { state: state.clone(), item_run }
+    }
+
+    /// The engine has done with it.
+    fn end(&self, end: ItemRunEnd) {
+        if let Some(number) = self.item_run {
+            self.state.journal.end_item_run(number, end);
+        }
     }
 }
 
 impl Drop for InProgress {
     fn drop(&mut self) {
-        self.0.running.set(self.0.running.get() - 1);
+        self.state.running.set(self.state.running.get() - 1);
+        self.end(ItemRunEnd::Open);
     }
 }
 
@@ -146,6 +161,7 @@
             highest_fence: Cell::new(0),
             running: Cell::new(0),
             leaving: Cell::new(false),
+            silent: Cell::new(false),
             sequence: Cell::new(0),
             ends: Signal::default(),
             newest,
@@ -195,9 +211,33 @@
         self.state.leaving.set(true);
     }
 
+    /// Has it report itself to nobody, or again.
+    pub fn set_silent(&self, silent: bool) {
+        self.state.silent.set(silent);
+    }
+
+    /// Whether it reports itself to nobody.
+    pub fn is_silent(&self) -> bool {
+        self.state.silent.get()
+    }
+
+    /// What it is at this moment; `is_reached` tells whether its links are open.
+    pub fn seen(&self, is_reached: bool) -> EngineSeen {
+        let state = &self.state;
+        let is_well = state.conduct.get() == Conduct::Normal && state.order_conduct.get() == OrderConduct::Normal;
+        let is_used = !state.loading.get() && !state.leaving.get();
+        EngineSeen {
+            number: state.number,
+            version: state.version.get(),
+            running: state.running.get(),
+            takes_items: is_reached && is_well && is_used,
+        }
+    }
+
     /// Ends this instance, with everything that runs; the next one has the same address.
     pub fn start_anew(&self) {
         let state = &self.state;
+        state.journal.engine_ended(&self.instance());
         state.incarnation.set(state.incarnation.get() + 1);
         state.version.set(state.newest.get());
         state.loading.set(false);
@@ -333,7 +373,8 @@
         if state.conduct.get() == Conduct::Refusing || full || state.loading.get() {
             return self.not_executed(StatusCode::SERVICE_UNAVAILABLE, &request);
         }
-        let in_progress = InProgress::begin(state);
+        let item = path.starts_with(ROLLOUTS).then(|| ItemId(request.clone()));
+        let in_progress = InProgress::begin(state, item, self.instance());
         let run = Run {
             at: state.journal.now(),
             instance: self.instance(),
@@ -355,6 +396,7 @@
         }
         if state.conduct.get() == Conduct::Failing {
             state.journal.write(|records| *records.item_failures.entry(request.clone()).or_default() += 1);
+            in_progress.end(ItemRunEnd::Failed);
             let mut reply = whole(StatusCode::INTERNAL_SERVER_ERROR, "text/plain", "failed");
             self.sign(&mut reply, &request);
             return reply;
@@ -406,6 +448,9 @@
                 }
                 let (number, version) = (sent + 1, state.version.get());
                 state.journal.write(|records| records.events.insert((request_id, number, version)));
+                if number == events {
+                    in_progress.end(ItemRunEnd::Finished);
+                }
                 let data = workload::event_data(&path, number, version);
                 let event = format!("saddlerelay-version: {version}\nid: {number}\ndata: {data}\n\n");
                 Some((Ok(Bytes::from(event)), (number, in_progress)))
--- a/crates/soak/src/faults.rs
+++ b/crates/soak/src/faults.rs
@@ -5,7 +5,7 @@
 use crate::journal::{Journal, Moment};
 use crate::links::{Condition, Party};
 use crate::operator::{self, Operator};
-use crate::plan::{Direction, ENGINES, End, Fault};
+use crate::plan::{Direction, ENGINES, End, Fault, LeaderHarm};
 use crate::proof::Proof;
 use anyhow::Result;
 use rustix::process::{Pid, Resource, Rlimit, prlimit};
@@ -138,6 +138,7 @@
                 self.refuse_writes(Party::Coordinator(number), time).await;
                 Ok(())
             }
+            Fault::HarmLeader(harm) => self.harm_leader(harm).await,
             engine_fault => {
                 self.harm_engine(engine_fault).await;
                 Ok(())
@@ -267,24 +268,57 @@
         time: Duration,
         coordinators_only: bool,
     ) {
-        let Some(_hold) = self.hold(party) else {
-            return;
-        };
-        let time = time.as_millis() as u64;
-        self.tell(&format!("{party:?}: {condition:?} {direction:?} for {time} ms, others: {}", !coordinators_only));
         let mut others = self.deployment.processes();
         if coordinators_only {
             others.retain(|other| matches!(other, Party::Coordinator(_)));
         } else {
             others.extend((0..ENGINES).map(Party::Engine));
         }
+        self.cut_from(party, others, condition, direction, time).await;
+    }
+
+    async fn cut_from(
+        &self,
+        party: Party,
+        mut others: Vec<Party>,
+        condition: Condition,
+        direction: Direction,
+        time: Duration,
+    ) {
+        let Some(_hold) = self.hold(party) else {
+            return;
+        };
         others.retain(|other| *other != party);
+        let (milliseconds, count) = (time.as_millis(), others.len());
+        self.tell(&format!("{party:?}: {condition:?} {direction:?} for {milliseconds} ms, {count} others"));
         self.set_links(party, &others, direction, condition);
-        compio::time::sleep(Duration::from_millis(time)).await;
+        compio::time::sleep(time).await;
         self.set_links(party, &others, direction, Condition::Open);
         self.journal.woke();
     }
 
+    /// Harms the coordinator that leads now; left out if none has led yet or another fault holds it.
+    async fn harm_leader(&self, harm: LeaderHarm) -> Result<()> {
+        let Some(number) = self.deployment.leader() else {
+            return Ok(());
+        };
+        let party = Party::Coordinator(number);
+        self.tell(&format!("{party:?} leads"));
+        match harm {
+            LeaderHarm::Kill(down) => self.restart(party, End::Kill, down).await?,
+            LeaderHarm::Freeze(time) => self.freeze(party, time).await,
+            LeaderHarm::CutFromProcesses(time) => {
+                let processes = self.deployment.processes();
+                self.cut_from(party, processes, Condition::Silent, Direction::Both, time).await;
+            }
+            LeaderHarm::CutFromAll(time) => {
+                self.cut(party, Condition::Silent, Direction::Both, time, false).await;
+            }
+            LeaderHarm::RefuseWrites(time) => self.refuse_writes(party, time).await,
+        }
+        Ok(())
+    }
+
     fn set_links(&self, party: Party, others: &[Party], direction: Direction, condition: Condition) {
         for other in others {
             if direction != Direction::In {
@@ -319,6 +353,7 @@
     async fn harm_engine(&self, fault: Fault) {
         let number = match fault {
             Fault::CrashEngine { number, .. }
+            | Fault::EndEngine { number, .. }
             | Fault::ReplaceEngine { number }
             | Fault::Misconduct { number, .. }
             | Fault::LateOrders { number, .. } => number,
@@ -331,6 +366,11 @@
         self.tell(&format!("{fault:?}"));
         match fault {
             Fault::CrashEngine { down, .. } => self.crash(engine, down).await,
+            Fault::EndEngine { down, .. } => {
+                engine.set_silent(true);
+                self.crash(engine, down).await;
+                engine.set_silent(false);
+            }
             Fault::ReplaceEngine { .. } => {
                 operator::replace(engine.clone(), self.deployment.addresses.clone(), self.journal.clone()).await;
             }
--- a/crates/soak/src/journal.rs
+++ b/crates/soak/src/journal.rs
@@ -28,6 +28,56 @@
     pub crashing: Option<u32>,
 }
 
+/// An item at an engine.
+#[derive(Clone, Debug)]
+pub struct ItemRun {
+    /// The item.
+    pub item: ItemId,
+    /// The engine.
+    pub instance: InstanceId,
+    /// When it began.
+    pub from: Moment,
+    /// When it left the engine; `None` while it is there.
+    pub until: Option<Moment>,
+    /// How.
+    pub end: ItemRunEnd,
+}
+
+/// How an item left its engine.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ItemRunEnd {
+    /// It has not left, or its caller has gone.
+    Open,
+    /// The engine has made its whole text.
+    Finished,
+    /// The engine has answered that it failed.
+    Failed,
+    /// The engine has ended.
+    EngineEnded,
+}
+
+/// An engine that runs the model, at one moment.
+#[derive(Clone, Debug)]
+pub struct EngineSeen {
+    /// Its number.
+    pub number: u8,
+    /// The version that it holds.
+    pub version: u64,
+    /// Items and other requests that it runs.
+    pub running: u32,
+    /// Whether it takes items: it is reached, loads nothing, does not leave and answers as it should.
+    pub takes_items: bool,
+}
+
+/// The engines that run the model, at one moment.
+#[derive(Clone, Debug)]
+pub struct EnginesSeen {
+    /// When.
+    pub at: Moment,
+    /// The engines.
+    pub engines: Vec<EngineSeen>,
+}
+
 /// How a client's request ended, as the client saw it.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Ending {
@@ -154,6 +204,8 @@
     pub items: BTreeMap<ItemId, u32>,
     /// The oldest version that may make its text.
     pub minimum_version: u64,
+    /// How many of its items end the engines that run them.
+    pub crashing: usize,
     /// When a gateway acknowledged it.
     pub acknowledged_at: Option<Moment>,
     /// Whether it was never sent again after a promise that nothing of it runs.
@@ -182,6 +234,12 @@
 pub struct Records {
     /// Requests that engines ran.
     pub runs: Vec<Run>,
+    /// Items at engines.
+    pub item_runs: Vec<ItemRun>,
+    /// The engines that run the model, several times a second.
+    pub engines_seen: Vec<EnginesSeen>,
+    /// When versions were named: the first send and the acknowledgement of each.
+    pub versions_named: Vec<Moment>,
     /// Events that engines made: item, number, version.
     pub events: BTreeSet<(String, u32, u64)>,
     /// Failures of items at engines, by item.
@@ -229,6 +287,13 @@
     }
 }
 
+fn end_if_open(run: &mut ItemRun, now: Moment, end: ItemRunEnd) {
+    if run.until.is_none() {
+        run.until = Some(now);
+        run.end = end;
+    }
+}
+
 impl Journal {
     /// Time since the start.
     pub fn now(&self) -> Moment {
@@ -315,6 +380,30 @@
         self.write(|records| records.woken.push(now));
     }
 
+    /// Notes that an item has begun at an engine; returns its number for [`Self::end_item_run`].
+    pub fn begin_item_run(&self, item: ItemId, instance: InstanceId) -> usize {
+        let from = self.now();
+        self.write(|records| {
+            records.item_runs.push(ItemRun { item, instance, from, until: None, end: ItemRunEnd::Open });
+            records.item_runs.len() - 1
+        })
+    }
+
+    /// Notes that an item has left its engine, unless it had before.
+    pub fn end_item_run(&self, number: usize, end: ItemRunEnd) {
+        let now = self.now();
+        self.write(|records| end_if_open(&mut records.item_runs[number], now, end));
+    }
+
+    /// Notes that an engine has ended, with the items that were there.
+    pub fn engine_ended(&self, instance: &InstanceId) {
+        let now = self.now();
+        self.write(|records| {
+            let there = records.item_runs.iter_mut().filter(|run| run.instance == *instance);
+            there.for_each(|run| end_if_open(run, now, ItemRunEnd::EngineEnded));
+        });
+    }
+
     /// Notes a fault.
     pub fn fault(&self, what: String) {
         let now = self.now();
--- a/crates/soak/src/operator.rs
+++ b/crates/soak/src/operator.rs
@@ -141,6 +141,10 @@
 /// Reports an engine until told to stop.
 pub async fn report(engine: Engine, addresses: Addresses, journal: Journal, stop: Rc<Cell<bool>>) {
     while !stop.get() {
+        if engine.is_silent() {
+            compio::time::sleep(REPORT_INTERVAL / 5).await;
+            continue;
+        }
         let report = engine.report();
         let path = format!("/v1/instances/{}", report.id.name);
         let body = serde_json::to_vec(&report).unwrap_or_default();
--- a/crates/soak/src/plan.rs
+++ b/crates/soak/src/plan.rs
@@ -88,6 +88,21 @@
     pub down: Duration,
 }
 
+/// What happens to the coordinator that leads.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum LeaderHarm {
+    /// It is killed, and is down for this long.
+    Kill(Duration),
+    /// It stands still.
+    Freeze(Duration),
+    /// Nothing passes between it and the other processes of the product; engines are reached.
+    CutFromProcesses(Duration),
+    /// Nothing passes between it and anyone but clients, trainers and operators.
+    CutFromAll(Duration),
+    /// It can write no more to its files.
+    RefuseWrites(Duration),
+}
+
 /// A fault.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Fault {
@@ -156,6 +171,15 @@
         /// How long nobody answers there.
         down: Duration,
     },
+    /// An engine ends for good: for long, nobody answers at its address, and none is reported there.
+    EndEngine {
+        /// The engine.
+        number: u8,
+        /// How long its address stays empty.
+        down: Duration,
+    },
+    /// The coordinator that leads the group at that moment is harmed.
+    HarmLeader(LeaderHarm),
     /// An engine leaves in the planned way.
     ReplaceEngine {
         /// The engine.
@@ -190,7 +214,8 @@
     pub fault: Fault,
 }
 
-fn milliseconds(random: &mut Rng, range: std::ops::Range<u64>) -> Duration {
+/// A time from a range of milliseconds.
+pub(crate) fn milliseconds(random: &mut Rng, range: std::ops::Range<u64>) -> Duration {
     Duration::from_millis(random.u64(range))
 }
 
@@ -310,6 +335,9 @@
 
 /// The faults of a case with this length.
 pub fn draw(case: Case, length: Duration) -> Vec<Planned> {
+    if case.kind == PlanKind::Paired {
+        return crate::pairs::draw(case, length);
+    }
     let mut planned = draw_from(Rng::with_seed(case.seed), length, PAUSE_MS, |random| any_fault(random, case.size));
     if case.kind != PlanKind::Single {
         let random = Rng::with_seed(case.seed ^ OVERLAPPING_SEED);
--- a/crates/soak/src/report.rs
+++ b/crates/soak/src/report.rs
@@ -2,6 +2,7 @@
 
 use crate::case::Case;
 use crate::journal::{Ending, Journal, KeptEnding, Violation};
+use crate::waits::{ItemWait, longest_waits};
 use saddlerelay_types::job::ItemEnd;
 use std::fmt;
 use std::time::Duration;
@@ -33,6 +34,8 @@
     pub runs: usize,
     /// The most memory that one process held, in bytes.
     pub memory: u64,
+    /// The longest that an accepted item was at no engine while engines had room, and the item.
+    pub longest_wait: Option<ItemWait>,
     /// The latest that a task of the soak itself ran.
     pub own_lag: Duration,
     /// Broken promises.
@@ -79,6 +82,7 @@
                 orders: records.orders.len(),
                 runs: records.runs.len(),
                 memory,
+                longest_wait: longest_waits(records).into_iter().next(),
                 own_lag: records.own_lag,
                 violations,
                 not_judged,
@@ -112,6 +116,10 @@
             self.own_lag.as_millis(),
             self.violations.len(),
         )?;
+        match &self.longest_wait {
+            Some(wait) => write!(formatter, "; longest wait of an item: {wait}")?,
+            None => write!(formatter, "; no item waited while engines had room")?,
+        }
         if self.own_lag > LATENESS_LIMIT {
             let (limit, findings) = (LATENESS_LIMIT.as_millis(), self.not_judged.len());
             write!(
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -15,6 +15,7 @@
 use crate::proof::{Proof, RECOVERY_LIMIT};
 use crate::report::{LATENESS_LIMIT, Report};
 use crate::trainer::Trainer;
+use crate::waits;
 use crate::workload::{MODEL_SERVICE, MOVING, ONCE, REPEATABLE, STREAMS, WEB_SERVICES};
 use anyhow::{Result, bail};
 use compio::runtime::JoinHandle;
@@ -69,8 +70,9 @@
         compio::runtime::spawn(report).detach();
     }
     let operator = Rc::new(Operator::new(addresses.clone(), journal.clone()));
-    let trainer = Rc::new(Trainer::new(addresses.clone(), journal.clone(), newest));
+    let trainer = Rc::new(Trainer::new(addresses.clone(), journal.clone(), newest, options.case.kind.steps()));
     wait_until_up(&deployment, &operator).await?;
+    compio::runtime::spawn(waits::watch_engines(engines.clone(), deployment.links.clone(), journal.clone())).detach();
     let mut tasks = vec![
         compio::runtime::spawn(operator.clone().run(stop.clone())),
         compio::runtime::spawn(operator.clone().run_reads(stop.clone())),
--- a/crates/soak/src/trainer.rs
+++ b/crates/soak/src/trainer.rs
@@ -3,7 +3,7 @@
 use crate::calls::{any_gateway, control_until_done, front};
 use crate::deployment::Addresses;
 use crate::journal::{JobSeen, Journal, SeenResult};
-use crate::workload::{HOST, MODEL, ROLLOUTS, SCORES, score_request};
+use crate::workload::{CRASHES, HOST, MODEL, ROLLOUTS, SCORES, crashing_kind, score_request};
 use hyper::{Method, StatusCode};
 use saddlerelay_types::instance::LoadedModel;
 use saddlerelay_types::job::{ItemId, JobId, JobItem, JobSubmission, ResultPage, ScoringRequest};
@@ -15,8 +15,32 @@
 const GROUPS: u32 = 6;
 const GROUP_SIZE: u32 = 4;
 
-/// Longest text, in events.
-const MOST_EVENTS: u32 = 60;
+/// How the steps of a trainer look.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct StepShape {
+    /// Shortest text, in events.
+    pub least_events: u32,
+    /// Longest text, in events.
+    pub most_events: u32,
+    /// How long a step's results are waited for.
+    pub limit: Duration,
+    /// In one step of so many, an item ends the engine that begins to run it; `None` for never.
+    pub crashing_every: Option<u64>,
+}
+
+impl StepShape {
+    /// Items of a second at most: many steps.
+    pub const SHORT: Self =
+        Self { least_events: 1, most_events: 60, limit: Duration::from_secs(12), crashing_every: None };
+
+    /// Items of 1 to 3 s, so that faults some seconds apart meet the same items, and steps that outlive a fault of those who
+    /// hold state (5 s at most), the time until nothing counts as disturbed (3 s) and the bound of a wait (5 s).
+    pub const LONG: Self =
+        Self { least_events: 80, most_events: 250, limit: Duration::from_secs(20), crashing_every: Some(3) };
+}
+
+/// The first kind of crashing work among items: those of clients count from 0.
+const FIRST_CRASHING_ITEM: u64 = 1_000_000;
 
 /// Bytes of an item's body.
 const BODY_BYTES: usize = 300;
@@ -27,28 +51,36 @@
 /// How long a read may be held open.
 const HELD: Duration = Duration::from_millis(400);
 
-/// How long a step's results are waited for.
-const STEP_LIMIT: Duration = Duration::from_secs(12);
-
 /// Pause between reads.
 const READ_PAUSE: Duration = Duration::from_millis(100);
 
 /// After an acknowledgement, everyone must know the job so much later.
 const SETTLE: Duration = Duration::from_secs(1);
 
+/// An item's body.
+fn any_body() -> Vec<u8> {
+    (0..BODY_BYTES).map(|_| fastrand::u8(..)).collect()
+}
+
+/// The body of an item that ends its engines, of a kind of its own.
+fn crashing_body(step: u64) -> Vec<u8> {
+    format!("{CRASHES}{}", FIRST_CRASHING_ITEM + step).into_bytes()
+}
+
 /// The trainer.
 pub struct Trainer {
     addresses: Addresses,
     journal: Journal,
     /// The newest version that was named.
     newest: Rc<Cell<u64>>,
+    shape: StepShape,
     step: Cell<u64>,
 }
 
 impl Trainer {
     /// A trainer whose engines begin with version 1.
-    pub fn new(addresses: Addresses, journal: Journal, newest: Rc<Cell<u64>>) -> Self {
-        Self { addresses, journal, newest, step: Cell::new(0) }
+    pub fn new(addresses: Addresses, journal: Journal, newest: Rc<Cell<u64>>, shape: StepShape) -> Self {
+        Self { addresses, journal, newest, shape, step: Cell::new(0) }
     }
 
     /// Trains step after step until told to stop.
@@ -60,9 +92,9 @@
 
     async fn train_step(&self, stop: &Cell<bool>) {
         let wanted = || !stop.get();
-        let job = self.next_job();
+        let job = self.next_job(self.shape.crashing_every);
         if self.submit(&job, wanted).await {
-            self.read_until(&job.id, STEP_LIMIT, wanted).await;
+            self.read_until(&job.id, self.shape.limit, wanted).await;
             self.end(&job.id, wanted).await;
         }
         if fastrand::u32(..3) > 0 {
@@ -77,7 +109,7 @@
         if !self.name_version(wanted).await {
             return Some("a version could not be named".to_string());
         }
-        let job = self.next_job();
+        let job = self.next_job(None);
         if !self.submit(&job, wanted).await {
             return Some("a job was not accepted".to_string());
         }
@@ -85,16 +117,18 @@
         (listed < job.items.len()).then(|| format!("{listed} of {} items of job {}", job.items.len(), job.id.0))
     }
 
-    fn next_job(&self) -> JobSubmission {
+    fn next_job(&self, crashing_every: Option<u64>) -> JobSubmission {
         let step = self.step.get();
+        let crashes = crashing_every.is_some_and(|every| step % every == every - 1);
         self.step.set(step + 1);
         let id = JobId(format!("job-{step}-{:04x}", fastrand::u16(..)));
         let minimum_version = self.newest.get().saturating_sub(fastrand::u64(..2)).max(1);
+        let events = self.shape.least_events..=self.shape.most_events;
         let item = |number: u32| JobItem {
             id: ItemId(format!("{}-item-{number}", id.0)),
             path: format!("{ROLLOUTS}{}/{number}", id.0),
-            headers: vec![("events".to_string(), fastrand::u32(1..=MOST_EVENTS).to_string())],
-            body: (0..BODY_BYTES).map(|_| fastrand::u8(..)).collect(),
+            headers: vec![("events".to_string(), fastrand::u32(events.clone()).to_string())],
+            body: if crashes && number == 0 { crashing_body(step) } else { any_body() },
             tokens: 500,
             group: format!("group-{}", number / GROUP_SIZE),
             scorer: Some(ScoringRequest {
@@ -109,6 +143,7 @@
         let seen = JobSeen {
             items: items.iter().map(|item| (item.id.clone(), events_of(item))).collect(),
             minimum_version,
+            crashing: items.iter().filter(|item| crashing_kind(&item.body).is_some()).count(),
             ..JobSeen::default()
         };
         self.journal.write(|records| records.jobs.insert(id.clone(), seen));
@@ -160,14 +195,14 @@
         false
     }
 
-    /// Reads a job's results until all are listed; returns how many are.
+    /// Reads a job's results until all are listed but those that end their engines; returns how many are.
     async fn read_until(&self, job: &JobId, limit: Duration, wanted: impl Fn() -> bool) -> usize {
         let until = self.journal.now() + limit;
-        let listed =
-            || self.journal.read(|records| records.jobs.get(job).map_or((0, 0), |s| (s.results.len(), s.items.len())));
+        let counts = |seen: &JobSeen| (seen.results.len(), seen.items.len() - seen.crashing);
+        let listed = || self.journal.read(|records| records.jobs.get(job).map_or((0, 0), counts));
         while wanted() && self.journal.now() < until {
             let (count, total) = listed();
-            if count == total {
+            if count >= total {
                 break;
             }
             let after = if fastrand::u32(..5) == 0 { 0 } else { count as u64 };
@@ -256,12 +291,20 @@
         }
     }
 
+    fn note_named_version(&self) {
+        let now = self.journal.now();
+        self.journal.write(|records| records.versions_named.push(now));
+    }
+
     async fn name_version(&self, wanted: impl Fn() -> bool) -> bool {
         let version = self.newest.get() + 1;
         let model = LoadedModel { model: MODEL.to_string(), version };
         let body = serde_json::to_vec(&model).unwrap_or_default();
         // Engines may be ordered to it from the first send on.
         self.newest.set(version);
-        control_until_done(&self.addresses, Method::POST, "/v1/versions", body, wanted).await
+        self.note_named_version();
+        let done = control_until_done(&self.addresses, Method::POST, "/v1/versions", body, wanted).await;
+        self.note_named_version();
+        done
     }
 }
--- a/crates/soak/tests/plan.rs
+++ b/crates/soak/tests/plan.rs
@@ -3,13 +3,15 @@
 use saddlerelay_soak_runner::case::Case;
 use saddlerelay_soak_runner::command_line::{Options, read_cases};
 use saddlerelay_soak_runner::deployment::Size;
-use saddlerelay_soak_runner::plan::{Fault, Overlap, Planned, draw as draw_case};
+use saddlerelay_soak_runner::links::Party;
+use saddlerelay_soak_runner::plan::{End, Fault, LeaderHarm, Overlap, Planned, draw as draw_case};
+use saddlerelay_soak_runner::waits::{CALM_TIME, ITEM_WAIT_BOUND};
 use std::ffi::OsString;
 use std::time::Duration;
 
 const LENGTH: Duration = Duration::from_secs(600);
 
-const KINDS: [&str; 3] = ["single", "overlapping", "replaced"];
+const KINDS: [&str; 4] = ["single", "overlapping", "replaced", "paired"];
 
 fn case(text: &str) -> Case {
     text.parse().expect("a case")
@@ -116,9 +118,95 @@
     assert!(size.coordinators > 2 * Size::SMALL.coordinators, "voters anew, and a learner");
 }
 
+/// Whether a fault concerns those who hold state.
+fn is_of_holders(fault: &Fault) -> bool {
+    matches!(fault, Fault::HarmLeader(_) | Fault::KillAll { .. } | Fault::Restart { .. })
+}
+
+/// How long a fault of those who hold state lasts.
+fn time_of(fault: &Fault) -> Duration {
+    match fault {
+        Fault::KillAll { down } | Fault::Restart { down, .. } => *down,
+        Fault::HarmLeader(
+            LeaderHarm::Kill(time)
+            | LeaderHarm::Freeze(time)
+            | LeaderHarm::CutFromProcesses(time)
+            | LeaderHarm::CutFromAll(time)
+            | LeaderHarm::RefuseWrites(time),
+        ) => *time,
+        other => panic!("{other:?}"),
+    }
+}
+
+/// The pairs of a seed: faults of engines, and the fault of those who hold state that follows.
+fn pairs(seed: u64, length: Duration) -> Vec<(Vec<Planned>, Planned)> {
+    let mut pairs = Vec::new();
+    let mut engines = Vec::new();
+    for planned in draw_kind("paired", seed, length) {
+        if is_of_holders(&planned.fault) {
+            pairs.push((std::mem::take(&mut engines), planned));
+        } else {
+            engines.push(planned);
+        }
+    }
+    assert!(engines.is_empty(), "each fault of engines has its second one");
+    pairs
+}
+
+#[test]
+fn a_fault_of_engines_is_followed_by_one_of_those_who_hold_state_and_by_calm() {
+    for seed in 0..20 {
+        let pairs = pairs(seed, LENGTH);
+        assert!(pairs.len() > 30, "{}", pairs.len());
+        for (engines, holder) in &pairs {
+            assert!((2..=3).contains(&engines.len()), "{engines:?}");
+            assert!(engines.iter().all(|fault| fault.at == engines[0].at));
+            let gap = holder.at - engines[0].at;
+            assert!((Duration::from_millis(300)..=Duration::from_secs(3)).contains(&gap), "{gap:?}");
+        }
+        for pair in pairs.windows(2) {
+            let (holder, next) = (&pair[0].1, &pair[1].0[0]);
+            assert!(next.at - holder.at > time_of(&holder.fault) + CALM_TIME + ITEM_WAIT_BOUND);
+        }
+    }
+}
+
+#[test]
+fn a_short_soak_has_a_pair_and_a_longer_one_begins_like_it() {
+    for seed in 0..20 {
+        let (short, long) = (Duration::from_secs(15), Duration::from_secs(60));
+        let planned = draw_kind("paired", seed, short);
+        assert!(!planned.is_empty());
+        assert_eq!(planned, draw_kind("paired", seed, long)[..planned.len()]);
+    }
+}
+
+#[test]
+fn every_fault_of_a_pair_is_drawn() {
+    use saddlerelay_soak_runner::engine::Conduct;
+    let kinds: [fn(&Fault) -> bool; 12] = [
+        |fault| matches!(fault, Fault::CrashEngine { .. }),
+        |fault| matches!(fault, Fault::EndEngine { .. }),
+        |fault| matches!(fault, Fault::Misconduct { conduct: Conduct::Hanging, .. }),
+        |fault| matches!(fault, Fault::Misconduct { conduct: Conduct::BreakingOff, .. }),
+        |fault| matches!(fault, Fault::Cut { party: Party::Engine(_), .. }),
+        |fault| matches!(fault, Fault::HarmLeader(LeaderHarm::Kill(_))),
+        |fault| matches!(fault, Fault::HarmLeader(LeaderHarm::Freeze(_))),
+        |fault| matches!(fault, Fault::HarmLeader(LeaderHarm::CutFromProcesses(_))),
+        |fault| matches!(fault, Fault::HarmLeader(LeaderHarm::CutFromAll(_))),
+        |fault| matches!(fault, Fault::HarmLeader(LeaderHarm::RefuseWrites(_))),
+        |fault| matches!(fault, Fault::KillAll { .. }),
+        |fault| matches!(fault, Fault::Restart { party: Party::Gateway(_), end: End::Kill, .. }),
+    ];
+    let planned: Vec<Planned> = (0..10).flat_map(|seed| draw_kind("paired", seed, LENGTH)).collect();
+    for (number, kind) in kinds.into_iter().enumerate() {
+        assert!(planned.iter().any(|planned| kind(&planned.fault)), "kind {number}");
+    }
+}
+
 #[test]
 fn a_case_is_written_as_it_is_read() {
-    for text in ["single:14", "overlapping:3", "replaced:8", "overlapping:3:20+60"] {
+    for text in ["single:14", "overlapping:3", "replaced:8", "paired:4", "overlapping:3:20+60"] {
         assert_eq!(case(text).to_string(), text);
     }
     assert_eq!(case("14"), case("single:14"), "a seed alone is one of single faults");
