--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -92,7 +92,7 @@
     let crashing_stop = Rc::new(Cell::new(false));
     let crashing = callers::run_crashing(addresses.clone(), journal.clone(), crashing_stop.clone());
     tasks.push(compio::runtime::spawn(crashing));
-    let memory = cause_faults(&deployment, &faults, &journal, options).await?;
+    let memory = cause_faults(&deployment, &faults, &trainer, &journal, options).await?;
     crashing_stop.set(true);
     prove_recovery(&deployment, &operator, &trainer, &journal).await;
     stop.set(true);
@@ -152,6 +152,7 @@
 async fn cause_faults(
     deployment: &Rc<Deployment>,
     faults: &Rc<Faults>,
+    trainer: &Trainer,
     journal: &Journal,
     options: &SoakOptions,
 ) -> Result<u64> {
@@ -164,6 +165,9 @@
             let faults = faults.clone();
             running.push(compio::runtime::spawn(async move { faults.cause(next.fault).await }));
         }
+        if planned.peek().is_none() {
+            trainer.stop_crashing();
+        }
         deployment.watch()?;
         memory = memory.max(deployment.largest_memory());
         compio::time::sleep(POLL).await;
--- a/crates/soak/src/trainer.rs
+++ b/crates/soak/src/trainer.rs
@@ -37,6 +37,11 @@
     /// hold state (5 s at most), the time until nothing counts as disturbed (3 s) and the bound of a wait (5 s).
     pub const LONG: Self =
         Self { least_events: 80, most_events: 250, limit: Duration::from_secs(20), crashing_every: Some(3) };
+
+    /// Whether an item of a step ends its engines.
+    pub fn crashes_in(&self, step: u64) -> bool {
+        self.crashing_every.is_some_and(|every| step % every == every - 1)
+    }
 }
 
 /// The first kind of crashing work among items: those of clients count from 0.
@@ -74,13 +79,15 @@
     /// The newest version that was named.
     newest: Rc<Cell<u64>>,
     shape: StepShape,
+    /// Whether items may end their engines still.
+    sends_crashing: Cell<bool>,
     step: Cell<u64>,
 }
 
 impl Trainer {
     /// A trainer whose engines begin with version 1.
     pub fn new(addresses: Addresses, journal: Journal, newest: Rc<Cell<u64>>, shape: StepShape) -> Self {
-        Self { addresses, journal, newest, shape, step: Cell::new(0) }
+        Self { addresses, journal, newest, shape, sends_crashing: Cell::new(true), step: Cell::new(0) }
     }
 
     /// Trains step after step until told to stop.
@@ -90,9 +97,15 @@
         }
     }
 
+    /// From the next step on, no item ends its engines: they are faults too, and end before recovery is judged.
+    pub fn stop_crashing(&self) {
+        self.sends_crashing.set(false);
+    }
+
     async fn train_step(&self, stop: &Cell<bool>) {
         let wanted = || !stop.get();
-        let job = self.next_job(self.shape.crashing_every);
+        let crashes = self.sends_crashing.get() && self.shape.crashes_in(self.step.get());
+        let job = self.next_job(crashes);
         if self.submit(&job, wanted).await {
             self.read_until(&job.id, self.shape.limit, wanted).await;
             self.end(&job.id, wanted).await;
@@ -109,7 +122,7 @@
         if !self.name_version(wanted).await {
             return Some("a version could not be named".to_string());
         }
-        let job = self.next_job(None);
+        let job = self.next_job(false);
         if !self.submit(&job, wanted).await {
             return Some("a job was not accepted".to_string());
         }
@@ -117,9 +130,8 @@
         (listed < job.items.len()).then(|| format!("{listed} of {} items of job {}", job.items.len(), job.id.0))
     }
 
-    fn next_job(&self, crashing_every: Option<u64>) -> JobSubmission {
+    fn next_job(&self, crashes: bool) -> JobSubmission {
         let step = self.step.get();
-        let crashes = crashing_every.is_some_and(|every| step % every == every - 1);
         self.step.set(step + 1);
         let id = JobId(format!("job-{step}-{:04x}", fastrand::u16(..)));
         let minimum_version = self.newest.get().saturating_sub(fastrand::u64(..2)).max(1);
--- a/crates/soak/tests/plan.rs
+++ b/crates/soak/tests/plan.rs
@@ -5,6 +5,7 @@
 use saddlerelay_soak_runner::deployment::Size;
 use saddlerelay_soak_runner::links::Party;
 use saddlerelay_soak_runner::plan::{End, Fault, LeaderHarm, Overlap, Planned, draw as draw_case};
+use saddlerelay_soak_runner::trainer::StepShape;
 use saddlerelay_soak_runner::waits::{CALM_TIME, ITEM_WAIT_BOUND};
 use std::ffi::OsString;
 use std::time::Duration;
@@ -245,3 +246,14 @@
     assert!(read_cases(&file).is_err());
     std::fs::remove_file(&file).expect("it is there");
 }
+
+#[test]
+fn only_long_steps_have_items_that_end_their_engines() {
+    let crashing = |shape: StepShape| (0..9).filter(|step| shape.crashes_in(*step)).collect::<Vec<u64>>();
+    assert_eq!(crashing(StepShape::LONG), [2, 5, 8]);
+    assert!(crashing(StepShape::SHORT).is_empty());
+    assert_eq!(case("paired:1").kind.steps(), StepShape::LONG);
+    for kind in ["single:1", "overlapping:1", "replaced:1"] {
+        assert_eq!(case(kind).kind.steps(), StepShape::SHORT, "{kind}");
+    }
+}
