--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -15,6 +15,7 @@
 use crate::proof::{Proof, RECOVERY_LIMIT};
 use crate::report::{LATENESS_LIMIT, Report};
 use crate::trainer::Trainer;
+use crate::waits;
 use crate::workload::{MODEL_SERVICE, MOVING, ONCE, REPEATABLE, STREAMS, WEB_SERVICES};
 use anyhow::{Result, bail};
 use compio::runtime::JoinHandle;
@@ -69,8 +70,9 @@
         compio::runtime::spawn(report).detach();
     }
     let operator = Rc::new(Operator::new(addresses.clone(), journal.clone()));
-    let trainer = Rc::new(Trainer::new(addresses.clone(), journal.clone(), newest));
+    let trainer = Rc::new(Trainer::new(addresses.clone(), journal.clone(), newest, options.case.kind.steps()));
     wait_until_up(&deployment, &operator).await?;
+    compio::runtime::spawn(waits::watch_engines(engines.clone(), deployment.links.clone(), journal.clone())).detach();
     let mut tasks = vec![
         compio::runtime::spawn(operator.clone().run(stop.clone())),
         compio::runtime::spawn(operator.clone().run_reads(stop.clone())),
@@ -90,7 +92,7 @@
     let crashing_stop = Rc::new(Cell::new(false));
     let crashing = callers::run_crashing(addresses.clone(), journal.clone(), crashing_stop.clone());
     tasks.push(compio::runtime::spawn(crashing));
-    let memory = cause_faults(&deployment, &faults, &journal, options).await?;
+    let memory = cause_faults(&deployment, &faults, &trainer, &journal, options).await?;
     crashing_stop.set(true);
     prove_recovery(&deployment, &operator, &trainer, &journal).await;
     stop.set(true);
@@ -150,6 +152,7 @@
 async fn cause_faults(
     deployment: &Rc<Deployment>,
     faults: &Rc<Faults>,
+    trainer: &Trainer,
     journal: &Journal,
     options: &SoakOptions,
 ) -> Result<u64> {
@@ -162,6 +165,9 @@
             let faults = faults.clone();
             running.push(compio::runtime::spawn(async move { faults.cause(next.fault).await }));
         }
+        if planned.peek().is_none() {
+            trainer.stop_crashing();
+        }
         deployment.watch()?;
         memory = memory.max(deployment.largest_memory());
         compio::time::sleep(POLL).await;
