--- a/crates/control-client/src/suspicions.rs
+++ b/crates/control-client/src/suspicions.rs
@@ -168,8 +168,8 @@
     platform: P,
     control: ControlClient<P>,
     last_trial_pause: Duration,
-    /// The start under which the relay asks the group for its lease, and how many trials it has asked for.
-    incarnation: Cell<Incarnation>,
+    /// This start of the process, and how many trials it has asked for.
+    incarnation: Incarnation,
     trials_begun: Cell<u64>,
     suspicions: RefCell<Suspicions>,
     /// There is evidence to hand over.
@@ -179,19 +179,13 @@
 }
 
 impl<P: Runtime> SuspicionKeeper<P> {
-    /// Knows nothing yet. Hands evidence over to the group behind `control` until the process ends. Rights are asked for
-    /// under `incarnation`, by which the group knows whether the relay's lease still runs.
-    pub fn start(
-        platform: P,
-        control: ControlClient<P>,
-        incarnation: Incarnation,
-        last_trial_pause: Duration,
-    ) -> Rc<Self> {
+    /// Knows nothing yet. Hands evidence over to the group behind `control` until the process ends.
+    pub fn start(platform: P, control: ControlClient<P>, last_trial_pause: Duration) -> Rc<Self> {
         let keeper = Rc::new(Self {
             platform: platform.clone(),
             control,
             last_trial_pause,
-            incarnation: Cell::new(incarnation),
+            incarnation: Incarnation(platform.random()),
             trials_begun: Cell::new(0),
             suspicions: RefCell::default(),
             waiting: Signal::default(),
@@ -201,11 +195,6 @@
         keeper
     }
 
-    /// The relay asks for its lease under another incarnation from now on.
-    pub fn start_anew(&self, incarnation: Incarnation) {
-        self.incarnation.set(incarnation);
-    }
-
     /// How many kinds of work are suspected.
     pub fn suspected(&self) -> usize {
         self.suspicions.borrow().suspected()
@@ -237,7 +226,7 @@
     pub async fn begin_trial(self: &Rc<Self>, work: WorkDigest, limit: Duration) -> Option<TrialGuard<P>> {
         let number = self.trials_begun.get() + 1;
         self.trials_begun.set(number);
-        let id = TrialId { holder: self.incarnation.get(), number };
+        let id = TrialId { holder: self.incarnation, number };
         let limit_ms = limit.as_millis() as u64;
         let request = GatewayRequest::BeginTrial(TrialRequest { work, id, limit_ms });
         let answer = self.control.gateway(request, TRIAL_ANSWER_LIMIT, TRIAL_ANSWER_LIMIT).await;
--- a/crates/control/src/commands/gateway.rs
+++ b/crates/control/src/commands/gateway.rs
@@ -70,14 +70,6 @@
             state.suspicions.end_trial(&work, id);
             GatewayOutcome::Done
         }
-        GatewayCommand::EndTrials(ended) => {
-            ended.iter().for_each(|trial| state.suspicions.end_trial(&trial.work, trial.id));
-            GatewayOutcome::Done
-        }
-        GatewayCommand::BeginTerm { coordinator } => {
-            state.suspicions.begin_term(coordinator);
-            GatewayOutcome::Done
-        }
         GatewayCommand::ExpireSuspicions => {
             state.suspicions.expire(state.time);
             GatewayOutcome::Done
--- a/crates/control/src/follow.rs
+++ b/crates/control/src/follow.rs
@@ -14,7 +14,6 @@
 use saddlerelay_runtime::backend::Backends;
 use saddlerelay_runtime::timeout::timeout;
 use saddlerelay_types::gateway::{FollowReply, FollowRequest, GatewayReply, RelayClock, RelayWords};
-use saddlerelay_types::identity::Incarnation;
 use saddlerelay_types::protocol::ControlReply;
 use saddlerelay_types::usage::RelayUsage;
 use std::collections::BTreeMap;
@@ -60,15 +59,15 @@
     pub confirmation: Option<Confirmation>,
     /// When a relay last asked.
     asked_at: Option<Duration>,
-    /// Their starts and times of day, and when they were heard.
-    clocks: BTreeMap<String, (Incarnation, u64, Duration)>,
+    /// Their times of day, and when they were heard.
+    clocks: BTreeMap<String, (u64, Duration)>,
     usage: Vec<RelayUsage>,
 }
 
 impl Following {
     fn hear(&mut self, follow: &mut FollowRequest, now: Duration) {
         self.asked_at = Some(now);
-        self.clocks.insert(follow.relay.clone(), (follow.incarnation, follow.unix_ms, now));
+        self.clocks.insert(follow.relay.clone(), (follow.unix_ms, now));
         if let Some(difference) = follow.usage.take() {
             // A relay tells the same difference until it is committed.
             let usage = RelayUsage { relay: follow.incarnation, difference };
@@ -89,9 +88,9 @@
 
     /// What relays have told since the last call.
     pub fn take_words(&mut self, now: Duration) -> RelayWords {
-        let clocks = std::mem::take(&mut self.clocks).into_iter().map(|(relay, (incarnation, unix_ms, heard_at))| {
+        let clocks = std::mem::take(&mut self.clocks).into_iter().map(|(relay, (unix_ms, heard_at))| {
             let age_ms = now.saturating_sub(heard_at).as_millis() as u64;
-            RelayClock { relay, incarnation, unix_ms: unix_ms.saturating_add(age_ms) }
+            RelayClock { relay, unix_ms: unix_ms.saturating_add(age_ms) }
         });
         RelayWords { clocks: clocks.collect(), usage: std::mem::take(&mut self.usage) }
     }
@@ -113,9 +112,7 @@
 
     async fn follow_leader(&self, mut follow: FollowRequest) -> ControlReply {
         let platform = &self.inner.platform;
-        let now = platform.monotonic();
-        self.inner.group_clock.borrow_mut().hear(&follow.relay, follow.unix_ms, now);
-        self.inner.holder_watch.borrow_mut().hear(&follow.relay, follow.incarnation, now);
+        self.inner.group_clock.borrow_mut().hear(&follow.relay, follow.unix_ms, platform.monotonic());
         if let Some(difference) = follow.usage.take() {
             self.take_usage(RelayUsage { relay: follow.incarnation, difference });
         }
@@ -198,7 +195,6 @@
         let now = self.inner.platform.monotonic();
         for clock in words.clocks {
             self.inner.group_clock.borrow_mut().hear(&clock.relay, clock.unix_ms, now);
-            self.inner.holder_watch.borrow_mut().hear(&clock.relay, clock.incarnation, now);
         }
         words.usage.into_iter().for_each(|usage| self.take_usage(usage));
         ControlReply::Gateway(GatewayReply::Confirmed {
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -9,7 +9,6 @@
 mod follow;
 pub mod gateway;
 pub mod group_clock;
-pub mod holder_watch;
 pub mod instance_watch;
 mod job_calls;
 pub mod machine;
--- a/crates/control/src/node.rs
+++ b/crates/control/src/node.rs
@@ -5,7 +5,6 @@
 use crate::follow::Following;
 use crate::gateway;
 use crate::group_clock::GroupClock;
-use crate::holder_watch::HolderWatch;
 use crate::instance_watch::InstanceWatch;
 use crate::machine::ControlMachine;
 use crate::order_watch::OrderWatch;
@@ -65,8 +64,6 @@
     pub sent_away: RefCell<RepeatedEvent>,
     /// Tries of suspected work that were refused the right to run.
     pub refused_trials: RefCell<RepeatedEvent>,
-    /// Relays that this leader has heard.
-    pub holder_watch: RefCell<HolderWatch>,
     /// What instances have told this leader since it leads.
     pub instance_watch: RefCell<InstanceWatch>,
     /// Routing documents on their way to relays.
@@ -115,7 +112,6 @@
             confirmed: Signal::default(),
             sent_away: RefCell::default(),
             refused_trials: RefCell::default(),
-            holder_watch: RefCell::default(),
             instance_watch: RefCell::default(),
             routing_updates: RefCell::default(),
             order_watch: RefCell::default(),
@@ -133,7 +129,6 @@
         platform.spawn(confirmation::confirm(node.clone()));
         platform.spawn(usage::commit(node.clone()));
         platform.spawn(suspicions::expire(node.clone()));
-        platform.spawn(suspicions::end_abandoned(node.clone()));
         Ok(node)
     }
 
@@ -315,7 +310,6 @@
         if joined {
             let now = self.inner.platform.monotonic();
             self.inner.renewals.borrow_mut().record(relay, now, renewal.configuration);
-            self.inner.holder_watch.borrow_mut().hear(&renewal.relay.name, relay, now);
         } else if !lost && self.inner.replica.leading_term().is_none() {
             return self.not_leader();
         }
--- a/crates/control/src/state/suspicions.rs
+++ b/crates/control/src/state/suspicions.rs
@@ -1,8 +1,6 @@
 //! Work under which engines have ended, whoever ran it. Bounded in number and in time.
 
 use bitcode::{Decode, Encode};
-use saddlerelay_types::gateway::TrialEnd;
-use saddlerelay_types::identity::Incarnation;
 use saddlerelay_types::suspicion::{
     EngineLoss, MOST_ENGINES_ENDED, Suspicion, SuspicionList, TrialAnswer, TrialId, WorkEvidence,
 };
@@ -25,7 +23,7 @@
 #[derive(Clone, Copy, Debug, PartialEq, Encode, Decode)]
 struct Trial {
     id: TrialId,
-    /// In Unix milliseconds. A holder that lives and does not give it back keeps others waiting until then.
+    /// In Unix milliseconds. A holder that dies keeps others waiting until then.
     until: u64,
 }
 
@@ -35,8 +33,6 @@
     by_work: BTreeMap<WorkDigest, Suspicion>,
     /// Suspected work that runs somewhere; never more kinds than are suspected.
     trials: BTreeMap<WorkDigest, Trial>,
-    /// The start of the process whose coordinator runs items in the newest term.
-    coordinator: Option<Incarnation>,
     revision: u64,
 }
 
@@ -147,22 +143,6 @@
         }
     }
 
-    /// All rights that are held.
-    pub fn trials(&self) -> impl Iterator<Item = TrialEnd> {
-        self.trials.iter().map(|(work, trial)| TrialEnd { work: *work, id: trial.id })
-    }
-
-    /// The coordinator of the newest term.
-    pub fn coordinator(&self) -> Option<Incarnation> {
-        self.coordinator
-    }
-
-    /// Ends the rights of the last term's coordinator: only a leader runs items, and its lease is over when another leads.
-    pub fn begin_term(&mut self, coordinator: Incarnation) {
-        let before = self.coordinator.replace(coordinator);
-        self.trials.retain(|_, trial| Some(trial.id.holder) != before);
-    }
-
     /// Whether something is to be forgotten at `now`.
     pub fn has_expired(&self, now: u64) -> bool {
         self.by_work.values().any(|suspicion| has_expired(suspicion, now))
--- a/crates/control/src/suspected_work.rs
+++ b/crates/control/src/suspected_work.rs
@@ -56,8 +56,6 @@
     }
 
     pub(crate) async fn answer_trial(&self, request: TrialRequest) -> ControlReply {
-        let now = self.inner.platform.monotonic();
-        self.inner.holder_watch.borrow_mut().hear_start(request.id.holder, now);
         match self.begin_trial(request).await {
             Ok(answer) => ControlReply::Gateway(GatewayReply::Trial(answer)),
             Err(error) => self.not_committed(&error),
--- a/crates/coordinator/src/runner.rs
+++ b/crates/coordinator/src/runner.rs
@@ -10,7 +10,6 @@
 use saddlerelay_control::state::ControlState;
 use saddlerelay_runtime::Runtime;
 use saddlerelay_runtime::backend::Backends;
-use saddlerelay_types::gateway::GatewayCommand;
 use saddlerelay_types::instance::{InstanceId, InstanceState};
 use saddlerelay_types::job::{ItemOutcome, JobId};
 use saddlerelay_upstream::EngineTarget;
@@ -41,7 +40,7 @@
         let seen_work = inner.node.job_work().count();
         let seen_replan = inner.replan.count();
         let busy = match inner.node.replica().leading_term() {
-            Some(term) => coordinator.begin_term(term).await && coordinator.act(term),
+            Some(term) => coordinator.act(term),
             // A leader that no quorum has answered lately starts nothing, but may go on with what runs.
             None if inner.node.replica().claimed_term() == Some(inner.term.get()) => true,
             None => {
@@ -61,29 +60,14 @@
 }
 
 impl<B: Backends> Coordinator<B> {
-    /// Before the first plan of a term, ends what the last one left: here, and rights that its leader holds to run suspected
-    /// items. Returns whether that is done.
-    async fn begin_term(&self, term: u64) -> bool {
-        let inner = &self.inner;
-        if inner.term.get() == term {
-            return true;
-        }
-        self.stop_all();
-        let command = GatewayCommand::BeginTerm { coordinator: inner.incarnation };
-        if let Err(error) = inner.node.commit_gateway(command).await {
-            // It is tried again with the next plan.
-            spdlog::warn!("term not begun", kv: { term = term, reason = format!("{error:?}").as_str() });
-            return false;
-        }
-        inner.fleet.clear();
-        inner.working_set.borrow_mut().clear();
-        inner.term.set(term);
-        spdlog::info!("leading", kv: { term = term });
-        true
-    }
-
     /// Plans and starts; returns whether there are open jobs.
     fn act(&self, term: u64) -> bool {
+        if self.inner.term.replace(term) != term {
+            self.stop_all();
+            self.inner.fleet.clear();
+            self.inner.working_set.borrow_mut().clear();
+            spdlog::info!("leading", kv: { term = term });
+        }
         let planned = self.inner.node.read(|state| {
             self.follow_engines(state, term);
             self.forget_engines(state);
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -94,15 +94,14 @@
         let pool = Pool::new(Rc::new(options.names.clone()), options.config.connect_limit);
         let offset = (runtime.random() % 1_000) as f64 / 1_000.0;
         let pause = options.config.last_trial_pause;
-        let incarnation = Incarnation(runtime.random());
-        let suspicions = SuspicionKeeper::start(runtime.clone(), control.clone(), incarnation, pause);
+        let suspicions = SuspicionKeeper::start(runtime.clone(), control.clone(), pause);
         let inner = Inner {
             runtime: runtime.clone(),
             options,
             control,
             pool,
             view: RefCell::default(),
-            incarnation,
+            incarnation: Incarnation(runtime.random()),
             clock: RefCell::default(),
             usage: RefCell::default(),
             balance: Balance::default(),
--- a/crates/relay/src/relay.rs
+++ b/crates/relay/src/relay.rs
@@ -99,12 +99,11 @@
     pub async fn start(platform: P, backends: B, options: RelayOptions) -> io::Result<Self> {
         let control = ControlClient::new(platform.clone(), &options.control, &options.secret);
         let pause = options.config.last_trial_pause;
-        let incarnation = Incarnation(platform.random());
-        let suspicions = SuspicionKeeper::start(platform.clone(), control.clone(), incarnation, pause);
+        let suspicions = SuspicionKeeper::start(platform.clone(), control.clone(), pause);
         let inner = Inner {
             control,
             suspicions,
-            incarnation: Cell::new(incarnation),
+            incarnation: Cell::new(Incarnation(platform.random())),
             view: RefCell::default(),
             registry: Registry::default(),
             admission: Admission::default(),
@@ -164,9 +163,7 @@
         if self.inner.incarnation.get() != lost {
             return;
         }
-        let incarnation = Incarnation(self.inner.platform.random());
-        self.inner.incarnation.set(incarnation);
-        self.inner.suspicions.start_anew(incarnation);
+        self.inner.incarnation.set(Incarnation(self.inner.platform.random()));
         self.inner.view.borrow_mut().end_lease();
         self.count(|counters| counters.fenced += 1);
     }
--- a/crates/types/src/gateway.rs
+++ b/crates/types/src/gateway.rs
@@ -139,8 +139,6 @@
 pub struct RelayClock {
     /// The relay.
     pub relay: String,
-    /// The start of it that asked.
-    pub incarnation: Incarnation,
     /// Its time of day when the words were handed on, in Unix milliseconds.
     pub unix_ms: u64,
 }
@@ -321,13 +319,6 @@
         /// The try.
         id: TrialId,
     },
-    /// These tries are over, as their holders are heard no more.
-    EndTrials(Vec<TrialEnd>),
-    /// A new leader's coordinator takes up its work: what the one before it held is over.
-    BeginTerm {
-        /// Its process's start.
-        coordinator: Incarnation,
-    },
     /// Forget what was seen of such work long ago.
     ExpireSuspicions,
     /// Forget what is known of this work.
@@ -345,15 +336,6 @@
     pub limit_ms: u64,
 }
 
-/// A try of suspected work that is over.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Encode, Decode)]
-pub struct TrialEnd {
-    /// The work.
-    pub work: WorkDigest,
-    /// The try.
-    pub id: TrialId,
-}
-
 /// What orders are about. Only one replica at a time gives orders about a subject.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Encode, Decode)]
 pub enum OrderSubject {
