Nobody gets the right to run quarantined work; tests of crashing work wait until the group knows

Change: the setting up ends engines until three have ended; rounds wait until the group knows, as they waited until the gateways knew the engines. What is asserted is the same. And a fault that it points at: a relay that had not heard of the third engine got the right to run the work at a fourth; the group refuses it now (table test).

--- a/crates/control/src/state/suspicions.rs
+++ b/crates/control/src/state/suspicions.rs
@@ -125,6 +125,10 @@
         if !self.by_work.contains_key(&work) {
             return TrialAnswer::Granted;
         }
+        if self.is_quarantined(&work) {
+            // Whoever asks has not heard yet: a fourth engine would end.
+            return TrialAnswer::Taken;
+        }
         let until = now.saturating_add(limit_ms);
         let trial = self.trials.entry(work).or_insert(Trial { id, until, renewals: 0 });
         if trial.id == id { TrialAnswer::Granted } else { TrialAnswer::Taken }
@@ -133,7 +137,8 @@
     /// Whether another try than `id` holds the right to run `work` at `now`.
     pub fn is_taken(&self, work: &WorkDigest, id: TrialId, now: u64) -> bool {
         let suspected = self.by_work.contains_key(work);
-        suspected && self.trials.get(work).is_some_and(|trial| trial.id != id && now < trial.until)
+        let is_held = || self.trials.get(work).is_some_and(|trial| trial.id != id && now < trial.until);
+        self.is_quarantined(work) || suspected && is_held()
     }
 
     /// Holders still run the work of these rights at `now`; returns those that are not theirs any more.
--- a/crates/control/tests/suspicions.rs
+++ b/crates/control/tests/suspicions.rs
@@ -2,9 +2,9 @@
 
 use quickcheck::{QuickCheck, TestResult};
 use saddlerelay_control::state::suspicions::SuspicionTable;
-use saddlerelay_types::identity::TenantId;
+use saddlerelay_types::identity::{Incarnation, TenantId};
 use saddlerelay_types::instance::InstanceId;
-use saddlerelay_types::suspicion::{EngineLoss, MOST_ENGINES_ENDED, WorkEvidence};
+use saddlerelay_types::suspicion::{EngineLoss, MOST_ENGINES_ENDED, TrialAnswer, TrialId, WorkEvidence};
 use saddlerelay_types::tenancy::Caller;
 use saddlerelay_types::work::{Work, WorkDigest};
 
@@ -121,3 +121,17 @@
     assert_eq!(WorkDigest::from_hexadecimal(&base.to_hexadecimal()), Some(base));
     assert_eq!(WorkDigest::from_hexadecimal("short"), None);
 }
+
+/// A relay that has not heard of the third engine yet asks for the right all the same.
+#[test]
+fn nobody_gets_the_right_to_run_quarantined_work() {
+    let mut table = SuspicionTable::default();
+    let id = TrialId { holder: Incarnation(1), number: 1 };
+    lost(&mut table, 1, 0, 0);
+    lost(&mut table, 1, 1, 0);
+    assert_eq!(table.begin_trial(work(1), id, 0, MINUTE_MS), TrialAnswer::Granted);
+    table.end_trial(&work(1), id);
+    lost(&mut table, 1, 2, 0);
+    assert!(table.is_taken(&work(1), id, 0));
+    assert_eq!(table.begin_trial(work(1), id, 0, MINUTE_MS), TrialAnswer::Taken);
+}
--- a/crates/gateway-api/tests/crashing_work.rs
+++ b/crates/gateway-api/tests/crashing_work.rs
@@ -6,6 +6,7 @@
 use common::engine::{Conduct, StandInEngine};
 use common::{Deployment, HOST, block_on, call, document, eventually, job, rollouts, route};
 use hyper::{Method, StatusCode};
+use saddlerelay_control::state::ControlState;
 use saddlerelay_gateway::{Gateway, GatewayConfig};
 use saddlerelay_http::client::Connection;
 use saddlerelay_types::job::ScoringRequest;
@@ -46,6 +47,19 @@
         setting
     }
 
+    /// Waits until the group knows of the engines that have ended under the one work of the test. A relay waits for that too
+    /// before it answers its client, but not for long, so that on a machine that is late the next try could come first.
+    async fn await_evidence(&self) {
+        let known = |state: &ControlState| {
+            let list = state.suspicions.list();
+            list.suspicions.iter().map(|suspicion| suspicion.engines.len()).max().unwrap_or_default()
+        };
+        eventually("the group knows which engines have ended", async || {
+            self.deployment.node.read(known) >= Some(self.ended().min(MOST_ENDED))
+        })
+        .await;
+    }
+
     /// Starts the engines that have ended, and waits until both gateways send to them.
     async fn revive(&self) {
         self.deployment.revive(&self.engines, "web").await;
@@ -88,12 +102,26 @@
     call(front, Method::POST, "/plans/7", &headers, body.to_string()).await.status
 }
 
+/// Sends work that ends its engines until it has ended all three and the group knows. How many one try ends depends on
+/// how soon the group answers: a relay that has no answer in time refuses the work.
+async fn end_three_engines(setting: &Setting, body: &str) {
+    let mut tries = 0;
+    eventually("three engines have ended under the work", async || {
+        ask(setting.fronts()[tries % 2], &format!("try-{tries}"), body).await;
+        tries += 1;
+        setting.ended() == MOST_ENDED
+    })
+    .await;
+    setting.await_evidence().await;
+}
+
 /// Sends the same work round after round, to one gateway after the other; engines come back between the rounds.
 async fn send_again_and_again(setting: &Setting, body: &str) -> Vec<StatusCode> {
     let mut statuses = Vec::new();
     for round in 0..ROUNDS {
         let front = setting.fronts()[round % 2];
         statuses.push(ask(front, &format!("try-{round}"), body).await);
+        setting.await_evidence().await;
         setting.revive().await;
     }
     statuses
@@ -133,6 +161,7 @@
             statuses.push(answer.status());
             // It breaks off.
             let _ = saddlerelay_http::body::read_whole(answer.into_body()).await;
+            setting.await_evidence().await;
             setting.revive().await;
         }
         assert_eq!(setting.ended(), MOST_ENDED, "{statuses:?}");
@@ -231,9 +260,7 @@
     block_on(async {
         let setting = Setting::start("crash-later", route("/plans/", RouteKind::Idempotent, "web")).await;
         let body = format!("a plan that {CRASHES}");
-        for (index, front) in setting.fronts().into_iter().enumerate() {
-            ask(front, &format!("try-{index}"), &body).await;
-        }
+        end_three_engines(&setting, &body).await;
         assert_eq!(setting.ended(), MOST_ENDED);
         setting.revive().await;
         let later = setting.deployment.start_gateway_beside("later").await;
@@ -248,9 +275,7 @@
     block_on(async {
         let setting = Setting::start("crash-release", route("/plans/", RouteKind::Idempotent, "web")).await;
         let body = format!("a plan that {CRASHES}");
-        for (index, front) in setting.fronts().into_iter().enumerate() {
-            ask(front, &format!("try-{index}"), &body).await;
-        }
+        end_three_engines(&setting, &body).await;
         setting.revive().await;
         let control = setting.deployment.control;
         let listed = call(control, Method::GET, "/admin/v1/suspicions", &[], "").await;
