--- a/crates/control/tests/trial_watch.rs
+++ b/crates/control/tests/trial_watch.rs
@@ -106,3 +106,22 @@
     assert_eq!(table.renew_trials(vec![held(1)], LOG_TIME + HOUR_MS), []);
     assert_eq!(table.begin_trial(work(), id(2), LOG_TIME + HOUR_MS + 1, LIMIT_MS), TrialAnswer::Taken);
 }
+
+/// Others ask more often than a holder renews: one of them comes first after the step.
+#[test]
+fn a_time_of_day_that_is_set_forward_does_not_give_a_held_right_to_who_asks_next() {
+    const HOUR_MS: u64 = 3_600_000;
+    let mut table = granted();
+    assert_eq!(table.renew_trials(vec![held(1)], LOG_TIME + 500), []);
+    assert_eq!(table.begin_trial(work(), id(2), LOG_TIME + HOUR_MS, LIMIT_MS), TrialAnswer::Taken);
+}
+
+/// A relay has seen an engine end, and asks before its evidence is committed.
+#[test]
+fn a_right_that_is_granted_before_the_evidence_comes_is_not_granted_again() {
+    let mut table = SuspicionTable::default();
+    assert_eq!(table.begin_trial(work(), id(1), LOG_TIME, LIMIT_MS), TrialAnswer::Granted);
+    let loss = EngineLoss { work: work(), instance: InstanceId::named("engine") };
+    table.take(WorkEvidence { losses: vec![loss], served: Vec::new() }, LOG_TIME);
+    assert_eq!(table.begin_trial(work(), id(2), LOG_TIME, LIMIT_MS), TrialAnswer::Taken);
+}
--- a/crates/simulator/tests/trial_leases.rs
+++ b/crates/simulator/tests/trial_leases.rs
@@ -52,6 +52,8 @@
     lost: Cell<bool>,
     /// It is to give the right back and ask no more.
     ends: Cell<bool>,
+    /// It has the right and would begin a run with it.
+    may_begin: Cell<bool>,
 }
 
 struct Holder {
@@ -83,12 +85,14 @@
             conduct.runs_since.set(Some(runtime.monotonic()));
             let ends = async {
                 while !conduct.ends.get() {
+                    conduct.may_begin.set(guard.holds());
                     runtime.sleep(Duration::from_millis(10)).await;
                 }
             };
             if let Either::Left(_) = future::select(pin!(guard.lost()), pin!(ends)).await {
                 conduct.lost.set(true);
             }
+            conduct.may_begin.set(false);
             conduct.runs_since.set(None);
         }
         runtime.sleep(TRIAL_RETRY_AFTER).await;
@@ -152,13 +156,17 @@
         self.deployment.world.clock.now()
     }
 
-    fn kill_leader(&mut self) {
+    fn leader_place(&self) -> u8 {
         let leader = self.deployment.leader().expect("the group is led").replica().id();
         let led_by = |place: &u8| {
             let node = self.deployment.replicas[place].node.borrow();
             node.as_ref().is_some_and(|node| node.replica().id() == leader)
         };
-        let place = (1..=REPLICAS).find(led_by).expect("it is one of the replicas");
+        (1..=REPLICAS).find(led_by).expect("it is one of the replicas")
+    }
+
+    fn kill_leader(&mut self) {
+        let place = self.leader_place();
         self.deployment.replicas[&place].process.kill();
         self.deployment.replicas.remove(&place);
     }
@@ -263,3 +271,90 @@
         setting.await_second(TAKEN_OVER_AFTER_RESTART);
     }
 }
+
+/// A leader that stands still is replaced as one that has ended, but calls to it hang instead of being refused.
+#[test]
+fn a_holder_that_lives_keeps_its_right_when_the_leader_stands_still() {
+    for seed in SEEDS {
+        let mut setting = Setting::start(seed);
+        let place = setting.leader_place();
+        setting.deployment.replicas[&place].process.freeze();
+        setting.first_keeps_it(Duration::from_secs(8));
+    }
+}
+
+#[test]
+fn a_holder_that_lives_keeps_its_right_when_the_leader_is_cut_off() {
+    for seed in SEEDS {
+        let mut setting = Setting::start(seed);
+        let place = setting.leader_place();
+        setting.deployment.world.network.cut(place.into(), false);
+        setting.first_keeps_it(Duration::from_secs(8));
+    }
+}
+
+/// A leader that wakes has renewals on its way that it has not seen.
+#[test]
+fn a_holder_that_lives_keeps_its_right_when_the_leader_stands_still_for_a_moment() {
+    for stands_still_ms in [900, 1_300, 1_700, 2_500] {
+        for seed in SEEDS {
+            let mut setting = Setting::start(seed);
+            let place = setting.leader_place();
+            setting.deployment.replicas[&place].process.freeze();
+            setting.first_keeps_it(Duration::from_millis(stands_still_ms));
+            setting.deployment.replicas[&place].process.thaw();
+            setting.first_keeps_it(Duration::from_secs(4));
+        }
+    }
+}
+
+/// A machine that was suspended does not know by its steady clock that its lease is over.
+#[test]
+fn a_holder_that_was_suspended_begins_nothing_with_a_right_that_is_anothers() {
+    for seed in SEEDS {
+        let mut setting = Setting::start(seed);
+        let now = setting.now();
+        setting.first.process.suspend(now);
+        setting.await_second(TAKEN_OVER_WITHIN);
+        setting.deployment.run_for(Duration::from_secs(3));
+        let now = setting.now();
+        setting.first.process.resume(now);
+        let mut both = Duration::ZERO;
+        for _ in 0..150 {
+            setting.deployment.run_for(Duration::from_millis(10));
+            let (first, second) = (&setting.first, &setting.second);
+            both += Duration::from_millis(10) * u32::from(first.conduct.may_begin.get() && second.runs());
+        }
+        assert!(setting.first.conduct.lost.get(), "seed {seed}: it was told that the right is another's");
+        assert!(both < Duration::from_millis(20), "seed {seed}: it would have begun runs for {both:?}");
+    }
+}
+
+/// A leader whose time of day is ahead follows one whose is not; the holder lives.
+#[test]
+fn a_holder_that_lives_keeps_its_right_when_the_next_leaders_time_of_day_is_an_hour_ahead() {
+    const HOUR_MS: i64 = 3_600_000;
+    for seed in SEEDS {
+        let mut deployment = Deployment::start(seed);
+        let ahead = |place: u8| if (u64::from(place) + seed) % 3 == 0 { 0 } else { HOUR_MS };
+        for place in 1..=REPLICAS {
+            deployment.replicas.remove(&place).expect("it runs").process.kill();
+            deployment.clock_errors.insert(place, ahead(place));
+        }
+        deployment.run_for(Duration::from_secs(1));
+        (1..=REPLICAS).for_each(|place| deployment.start_replica(place, false));
+        deployment.run_for(Duration::from_secs(3));
+        let mut setting = Setting::start_in(deployment, seed);
+        setting.kill_leader();
+        setting.first_keeps_it(Duration::from_secs(8));
+    }
+}
+
+/// A request whose client reads nothing any more is never looked at again; its right is held as long as the connection stays.
+#[test]
+fn a_right_is_not_renewed_beyond_the_time_that_it_was_asked_for() {
+    for seed in SEEDS.take(4) {
+        let mut setting = Setting::start(seed);
+        setting.await_second(LIMIT + TAKEN_OVER_WITHIN);
+    }
+}
