--- a/crates/control/src/commands/gateway.rs
+++ b/crates/control/src/commands/gateway.rs
@@ -66,9 +66,7 @@
         GatewayCommand::BeginTrial(trial) => {
             GatewayOutcome::Trial(state.suspicions.begin_trial(trial.work, trial.id, state.time, trial.limit_ms))
         }
-        GatewayCommand::RenewTrials(held) => {
-            GatewayOutcome::TrialsLost(state.suspicions.renew_trials(held, state.time))
-        }
+        GatewayCommand::RenewTrials(held) => GatewayOutcome::TrialsLost(state.suspicions.renew_trials(held)),
         GatewayCommand::ExpireTrials(standings) => {
             state.suspicions.expire_trials(&standings);
             GatewayOutcome::Done
--- a/crates/control/src/state/suspicions.rs
+++ b/crates/control/src/state/suspicions.rs
@@ -2,8 +2,8 @@
 
 use bitcode::{Decode, Encode};
 use saddlerelay_types::suspicion::{
-    EngineLoss, HeldTrial, MOST_ENGINES_ENDED, Suspicion, SuspicionList, TRIAL_LEASE, TrialAnswer, TrialId,
-    TrialStanding, WorkEvidence,
+    EngineLoss, HeldTrial, MOST_ENGINES_ENDED, Suspicion, SuspicionList, TrialAnswer, TrialId, TrialStanding,
+    WorkEvidence,
 };
 use saddlerelay_types::work::WorkDigest;
 use std::collections::BTreeMap;
@@ -20,11 +20,15 @@
 /// How long work is sent to no engine, in milliseconds. Afterwards one engine may try it: engines may have been mended.
 const QUARANTINED_MS: u64 = 60 * 60 * 1_000;
 
+/// Rights that are kept, also to work of which no evidence has come yet. Each belongs to a relay that has seen an engine end,
+/// and goes within a lease of its end; so this is some times the work that one engine takes with it.
+const TRIALS_KEPT: usize = 2 * SUSPICIONS_KEPT;
+
 /// The right to run suspected work.
 #[derive(Clone, Copy, Debug, PartialEq, Encode, Decode)]
 struct Trial {
     id: TrialId,
-    /// In Unix milliseconds: when the work itself is over.
+    /// In Unix milliseconds: when the work itself is over, by its holder's account. Told to operators; decides nothing.
     until: u64,
     /// How often its holder has renewed it. Replicas watch this count by their own clocks: one that has not risen for
     /// a lease belongs to a holder that does nothing about the work any more.
@@ -35,7 +39,7 @@
 #[derive(Clone, Debug, Default, PartialEq, Encode, Decode)]
 pub struct SuspicionTable {
     by_work: BTreeMap<WorkDigest, Suspicion>,
-    /// Suspected work that runs somewhere; never more kinds than are suspected.
+    /// Suspected work that runs somewhere.
     trials: BTreeMap<WorkDigest, Trial>,
     revision: u64,
 }
@@ -117,40 +121,38 @@
         }
     }
 
-    /// Gives one try at a time the right to run suspected work, for `limit_ms` from `now` at most. Two tries at two engines
-    /// at once end both before either shows what the work does: of three engines that would be all.
+    /// Gives one try at a time the right to run suspected work. Two tries at two engines at once end both before either shows
+    /// what the work does: of three engines that would be all.
+    ///
+    /// A right ends when it is given back, or when it is not renewed ([`Self::expire_trials`]); never by the time in the log,
+    /// which a leader whose time of day is an hour ahead sets forward by an hour. `limit_ms` from `now` is when the work is over
+    /// by its holder's own account, for whoever is refused.
     pub fn begin_trial(&mut self, work: WorkDigest, id: TrialId, now: u64, limit_ms: u64) -> TrialAnswer {
-        let suspected = &self.by_work;
-        self.trials.retain(|work, trial| now < trial.until && suspected.contains_key(work));
-        if !self.by_work.contains_key(&work) {
-            return TrialAnswer::Granted;
-        }
-        if self.is_quarantined(&work) {
-            // Whoever asks has not heard yet: a fourth engine would end.
+        if self.is_taken(&work, id) {
             return TrialAnswer::Taken;
         }
-        let until = now.saturating_add(limit_ms);
-        let trial = self.trials.entry(work).or_insert(Trial { id, until, renewals: 0 });
-        if trial.id == id { TrialAnswer::Granted } else { TrialAnswer::Taken }
+        // Evidence of what the asker has seen may still be on its way: the right is kept for then.
+        if self.by_work.contains_key(&work) || self.trials.len() < TRIALS_KEPT {
+            let until = now.saturating_add(limit_ms);
+            self.trials.entry(work).or_insert(Trial { id, until, renewals: 0 });
+        }
+        TrialAnswer::Granted
     }
 
-    /// Whether another try than `id` holds the right to run `work` at `now`.
-    pub fn is_taken(&self, work: &WorkDigest, id: TrialId, now: u64) -> bool {
+    /// Whether a try of `work` may not begin: another than `id` holds the right, or the work is sent to no engine and whoever
+    /// asks has not heard yet.
+    pub fn is_taken(&self, work: &WorkDigest, id: TrialId) -> bool {
         let suspected = self.by_work.contains_key(work);
-        let is_held = || self.trials.get(work).is_some_and(|trial| trial.id != id && now < trial.until);
+        let is_held = || self.trials.get(work).is_some_and(|trial| trial.id != id);
         self.is_quarantined(work) || suspected && is_held()
     }
 
-    /// Holders still run the work of these rights at `now`; returns those that are not theirs any more.
-    pub fn renew_trials(&mut self, held: Vec<HeldTrial>, now: u64) -> Vec<HeldTrial> {
+    /// Holders still run the work of these rights; returns those that are not theirs any more.
+    pub fn renew_trials(&mut self, held: Vec<HeldTrial>) -> Vec<HeldTrial> {
         let mut lost = Vec::new();
         for right in held {
             match self.trials.get_mut(&right.work).filter(|trial| trial.id == right.id) {
-                Some(trial) => {
-                    trial.renewals += 1;
-                    // The time of day may have been set forward.
-                    trial.until = trial.until.max(now.saturating_add(TRIAL_LEASE.as_millis() as u64));
-                }
+                Some(trial) => trial.renewals += 1,
                 // Work that is no longer suspected may run anywhere.
                 None if !self.by_work.contains_key(&right.work) => {}
                 None => lost.push(right),
--- a/crates/control/src/suspected_work.rs
+++ b/crates/control/src/suspected_work.rs
@@ -1,7 +1,6 @@
 //! Answers about work under which engines have ended.
 
 use crate::node::ControlNode;
-use crate::state::ControlState;
 use saddlerelay_replication::ProposeError;
 use saddlerelay_runtime::Runtime;
 use saddlerelay_runtime::backend::Backends;
@@ -25,14 +24,9 @@
 
     /// Asks for the right to run suspected work. A refusal is told with who holds the right, one line for many.
     pub async fn begin_trial(&self, request: TrialRequest) -> Result<TrialAnswer, ProposeError> {
-        let unix_ms = self.inner.platform.unix_milliseconds();
-        let is_taken = |state: &ControlState| state.suspicions.is_taken(&request.work, request.id, unix_ms);
-        // A refusal costs no log entry: those who wait ask again four times a second, for each item.
-        if self.read(is_taken) != Some(true) {
-            let outcome = self.commit_gateway(GatewayCommand::BeginTrial(request)).await?;
-            if outcome == GatewayOutcome::Trial(TrialAnswer::Granted) {
-                return Ok(TrialAnswer::Granted);
-            }
+        let outcome = self.commit_gateway(GatewayCommand::BeginTrial(request)).await?;
+        if outcome == GatewayOutcome::Trial(TrialAnswer::Granted) {
+            return Ok(TrialAnswer::Granted);
         }
         self.tell_refused_trial(&request);
         Ok(TrialAnswer::Taken)
