--- a/crates/replication/src/handover.rs
+++ b/crates/replication/src/handover.rs
@@ -1,7 +1,7 @@
 //! Handing leadership over before a planned stop.
 
 use crate::membership::Member;
-use crate::message::ReplicaRequest;
+use crate::message::{Header, ReplicaReply, ReplicaRequest};
 use crate::replica::Replica;
 use crate::state::StateMachine;
 use saddlerelay_runtime::Runtime;
@@ -61,6 +61,17 @@
         true
     }
 
+    /// Campaigns at the request of this term's leader. One of an earlier term was long under way and is refused: votes in the
+    /// election that it asks for do not wait for the lease of a leader, and this term's has not given its consent.
+    pub(crate) fn answer_take_over(&self, header: Header) -> ReplicaReply {
+        let is_current = header.term == self.inner.state.borrow().term;
+        if !is_current || !self.is_for_this_replica(&header) {
+            return ReplicaReply::Refused;
+        }
+        self.inner.platform.spawn(self.clone().campaign(true));
+        ReplicaReply::Taken
+    }
+
     /// Takes no further proposals; `false` when this replica does not lead.
     fn stop_proposals(&self) -> bool {
         let mut state = self.inner.state.borrow_mut();
--- a/crates/replication/src/replica.rs
+++ b/crates/replication/src/replica.rs
@@ -356,17 +356,11 @@
                 }
                 self.answer_heartbeat(header)
             }
-            ReplicaRequest::TakeOver { header } => {
-                if !self.is_for_this_replica(&header) {
-                    return ReplicaReply::Refused;
-                }
-                self.inner.platform.spawn(self.clone().campaign(true));
-                ReplicaReply::Taken
-            }
+            ReplicaRequest::TakeOver { header } => self.answer_take_over(header),
         }
     }
 
-    fn is_for_this_replica(&self, header: &Header) -> bool {
+    pub(crate) fn is_for_this_replica(&self, header: &Header) -> bool {
         let identity = self.inner.state.borrow().identity;
         header.to == identity.id && identity.group == Some(header.group)
     }
--- a/crates/simulator/src/network.rs
+++ b/crates/simulator/src/network.rs
@@ -61,6 +61,8 @@
     /// Connections in a thousand whose first packet is lost.
     pub lost_handshakes: Cell<u64>,
     trouble: Cell<LinkTrouble>,
+    /// What is wrong with the links of single zones to all others, in place of what is wrong with every link.
+    zone_trouble: RefCell<BTreeMap<usize, LinkTrouble>>,
     /// Frames that were sent from one zone to another.
     frames: Cell<u64>,
     /// Their bytes.
@@ -91,6 +93,11 @@
         self.trouble.set(trouble);
     }
 
+    /// Sets what is wrong with one zone's links to all others from now on.
+    pub fn set_zone_trouble(&self, zone: usize, trouble: LinkTrouble) {
+        self.zone_trouble.borrow_mut().insert(zone, trouble);
+    }
+
     /// Frames and bytes that were sent from one zone to another so far.
     pub fn sent_between_zones(&self) -> (u64, u64) {
         (self.frames.get(), self.bytes.get())
@@ -104,7 +111,11 @@
     }
 
     fn trouble_between(&self, from: usize, to: usize) -> LinkTrouble {
-        if from == to { LinkTrouble::default() } else { self.trouble.get() }
+        if from == to {
+            return LinkTrouble::default();
+        }
+        let of_zones = self.zone_trouble.borrow();
+        of_zones.get(&from).or_else(|| of_zones.get(&to)).copied().unwrap_or(self.trouble.get())
     }
 
     fn is_cut(&self, from: usize, to: usize) -> bool {
--- a/crates/simulator/tests/group/mod.rs
+++ b/crates/simulator/tests/group/mod.rs
@@ -130,6 +130,8 @@
     machines: BTreeMap<u8, Machine>,
     pub config: ReplicationConfig,
     founders: Vec<SocketAddr>,
+    /// The zones of machines that share one; each other machine has its own, of the number of its place.
+    pub zones: BTreeMap<u8, usize>,
     /// Numbers whose commitment was told to who proposed them.
     pub acknowledged: Rc<RefCell<BTreeSet<u64>>>,
     /// Why replicas refused their files.
@@ -176,6 +178,7 @@
             machines: BTreeMap::new(),
             config,
             founders: (1..=3).map(address).collect(),
+            zones: BTreeMap::new(),
             acknowledged: Rc::default(),
             refusals: Rc::default(),
             loses_take_overs: Rc::default(),
@@ -200,7 +203,8 @@
 
     /// Starts the machine at `place`; with `founding`, as one of the three that form the group.
     pub fn start(&mut self, place: u8, founding: bool) {
-        let process = self.world.start_process(&name(place), place.into(), 0);
+        let zone = self.zones.get(&place).copied().unwrap_or(place.into());
+        let process = self.world.start_process(&name(place), zone, 0);
         let runtime = SimRuntime { world: self.world.clone(), process: process.clone() };
         let options = ReplicaOptions {
             address: address(place),
--- a/crates/simulator/tests/votes.rs
+++ b/crates/simulator/tests/votes.rs
@@ -77,3 +77,18 @@
         assert!(refused.is_some() && !is_granted(&refused), "seed {seed}: {refused:?}");
     }
 }
+
+/// A request to take over lets voters pass over the lease of the leader that sent it. One that was under way while another
+/// leader came must not touch that one's lease.
+#[test]
+fn a_request_to_take_over_of_an_earlier_term_is_refused() {
+    for seed in SEEDS {
+        let (mut group, term) = lonely(seed);
+        let voter = group.node(VOTER).expect("it runs").id();
+        // It enters a newer term with its vote.
+        assert!(is_granted(&asked_for_vote(&mut group, voter, 71, term + 10)), "seed {seed}: the vote");
+        let header = Header { group: group_name(&group), from: ReplicaId(72), to: voter, term };
+        let reply = group.ask(VOTER, ReplicaRequest::TakeOver { header });
+        assert_eq!(reply, Some(ReplicaReply::Refused), "seed {seed}");
+    }
+}
