--- a/crates/simulator/tests/trial_leases.rs
+++ b/crates/simulator/tests/trial_leases.rs
@@ -358,3 +358,23 @@
         setting.await_second(LIMIT + TAKEN_OVER_WITHIN);
     }
 }
+
+/// Work that ends its engines does so within 60 ms of its start (`deadly`). A holder that is cut off from the group, not from
+/// engines, begins its last run so long before another may that the first engine has shown what the work does.
+#[test]
+fn a_holder_that_is_cut_off_begins_its_last_run_long_before_another_may() {
+    const SHOWN_AFTER: Duration = Duration::from_millis(200);
+    for seed in SEEDS {
+        let mut setting = Setting::start(seed);
+        setting.deployment.world.network.cut(FIRST_ZONE, false);
+        let mut last_begin = setting.now();
+        while !setting.second.runs() {
+            setting.deployment.run_for(Duration::from_millis(5));
+            if setting.first.conduct.may_begin.get() {
+                last_begin = setting.now();
+            }
+        }
+        let apart = setting.now().saturating_sub(last_begin);
+        assert!(apart > SHOWN_AFTER, "seed {seed}: the second begins {apart:?} after the first still may");
+    }
+}
