--- a/crates/control/src/machine.rs
+++ b/crates/control/src/machine.rs
@@ -23,7 +23,7 @@
 
 impl StateMachine for ControlMachine {
     type Outcome = CommandOutcome;
-    const FORMAT: u32 = 8;
+    const FORMAT: u32 = 9;
 
     fn apply(&mut self, command: &[u8]) -> CommandOutcome {
         let command: LogCommand = bitcode::decode(command).expect("the log holds only what a leader encoded");
--- a/crates/relay/src/dispatch.rs
+++ b/crates/relay/src/dispatch.rs
@@ -306,6 +306,9 @@
         if !self.inner.view.borrow().is_able(&engine.id) {
             return Err(AttemptFailure::NotExecuted("the engine is leaving".to_string()));
         }
+        if progress.trial.as_ref().is_some_and(|trial| !trial.holds()) {
+            return Err(AttemptFailure::NotExecuted("the right to run suspected work is over".to_string()));
+        }
         let request = self.engine_request(progress);
         let attempt_id = request.attempt_id;
         let left = work.deadline.saturating_sub(self.inner.platform.monotonic());
