--- a/crates/control-client/src/trials.rs
+++ b/crates/control-client/src/trials.rs
@@ -1,8 +1,8 @@
 //! The rights to run suspected work that one process holds: asked for, renewed while the work runs, given back.
 //!
 //! A right lasts [`TRIAL_LEASE`] beyond its last renewal. A holder that ends, stands still or does not reach the group does not
-//! renew it, and others run the work after that. What it may have left running at an engine by then has run there for
-//! a lease without ending the engine; a holder that goes on begins nothing with a right that is over by its own clock.
+//! renew it, and others run the work after that. What it has left running at an engine may still run there; a holder that goes on
+//! begins nothing with a right that is over by its own clock.
 
 use saddlerelay_runtime::Runtime;
 use saddlerelay_runtime::signal::Signal;
@@ -163,7 +163,7 @@
         held.get(&self.held.id.number).is_some_and(|renewed| now < renewed.at + TRIAL_LEASE)
     }
 
-    /// Waits until the group says that the right is another's.
+    /// Waits until the group says that the right is another's, or the time of the work is over.
     pub async fn lost(&self) {
         loop {
             let seen = self.keeper.lost.count();
