Say which protocol and files a process speaks, and why a connection is refused or closed unanswered

What could not be told apart before: a relay's `silent` replica may be lost on its way or have closed the connection for the version in its greeting. The listener now says why it closes a connection at its greeting and with which version, the caller that a connection was closed before its first answer and which version it spoke; one line a second at most. The line at start names protocol and format of files. The counter of repeated events moves to the runtime, where both use it.

--- a/crates/command-line/src/member.rs
+++ b/crates/command-line/src/member.rs
@@ -67,7 +67,9 @@
     let runtime = compio::runtime::Runtime::new().map_err(failed)?;
     spdlog::info!("start", kv: {
         zone = settings.zone.as_str(), role = role_name(&settings.role), seeds = settings.seeds.len(),
-        version = env!("CARGO_PKG_VERSION")
+        version = env!("CARGO_PKG_VERSION"),
+        protocol = saddlerelay_rpc::frame::PROTOCOL_VERSION,
+        files = <saddlerelay_control::machine::ControlMachine as saddlerelay_replication::StateMachine>::FORMAT
     });
     let ended = runtime.block_on(run_role(settings, file.to_path_buf(), signals));
     match &ended {
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -16,7 +16,6 @@
 pub mod order_watch;
 pub mod orders;
 pub mod queries;
-mod repeated_event;
 mod report_targets;
 pub mod routing_updates;
 pub mod state;
--- a/crates/control/src/node.rs
+++ b/crates/control/src/node.rs
@@ -9,7 +9,6 @@
 use crate::machine::ControlMachine;
 use crate::order_watch::OrderWatch;
 use crate::queries;
-use crate::repeated_event::RepeatedEvent;
 use crate::routing_updates::RoutingUpdates;
 use crate::state::ControlState;
 use crate::tasks::relays::RenewalTable;
@@ -21,6 +20,7 @@
 use saddlerelay_rpc::server::Handler;
 use saddlerelay_runtime::Runtime;
 use saddlerelay_runtime::backend::Backends;
+use saddlerelay_runtime::repeated_event::RepeatedEvent;
 use saddlerelay_runtime::signal::Signal;
 use saddlerelay_runtime::timeout::timeout;
 use saddlerelay_types::protocol::{
--- a/crates/rpc/src/client.rs
+++ b/crates/rpc/src/client.rs
@@ -1,8 +1,9 @@
 //! The calling side: one task for each peer owns the connection to it.
 
-use crate::frame::{Envelope, Hello};
+use crate::frame::{Envelope, Hello, PROTOCOL_VERSION};
 use futures::channel::{mpsc, oneshot};
 use futures::{StreamExt, future};
+use saddlerelay_runtime::repeated_event::RepeatedEvent;
 use saddlerelay_runtime::signal::Signal;
 use saddlerelay_runtime::timeout::timeout;
 use saddlerelay_runtime::{FrameReceiver, FrameSender, Runtime};
@@ -55,6 +56,8 @@
     attempt_began_at: Cell<Duration>,
     /// An attempt has succeeded or failed.
     attempt_ended: Signal,
+    /// Connections that the peer closed before its first answer.
+    closed_unanswered: RefCell<RepeatedEvent>,
 }
 
 /// Calls one peer. Clones share the connection.
@@ -81,6 +84,7 @@
             attempts: Cell::new(0),
             attempt_began_at: Cell::default(),
             attempt_ended: Signal::default(),
+            closed_unanswered: RefCell::default(),
         };
         Self { inner: Rc::new(inner) }
     }
@@ -175,13 +179,30 @@
         let client = self.clone();
         platform.spawn(async move {
             let write = write_frames(sender, queue, Hello::new(&client.inner.secret));
-            let read = read_answers(receiver, pending.clone(), || heard_at.set(client.inner.platform.monotonic()));
+            let heard = Cell::new(false);
+            let read = read_answers(receiver, pending.clone(), || {
+                heard.set(true);
+                heard_at.set(client.inner.platform.monotonic());
+            });
             future::select(std::pin::pin!(write), std::pin::pin!(read)).await;
+            if !heard.get() {
+                client.tell_closed_unanswered();
+            }
             client.drop_link(generation);
             pending.borrow_mut().clear();
         });
     }
 
+    /// A peer that speaks another version of the protocol closes so; one that stops at this moment does, too.
+    fn tell_closed_unanswered(&self) {
+        let now = self.inner.platform.monotonic();
+        if let Some(connections) = self.inner.closed_unanswered.borrow_mut().count(now) {
+            spdlog::warn!("connection closed unanswered", kv: {
+                peer = self.inner.address.to_string().as_str(), protocol = PROTOCOL_VERSION, connections = connections
+            });
+        }
+    }
+
     /// A link on which nothing has come since a call began that got no answer is given up: after a cut, it may take far
     /// longer to come back than a new one takes to open.
     fn drop_link_if_silent(&self, since: Duration) {
--- a/crates/rpc/src/server.rs
+++ b/crates/rpc/src/server.rs
@@ -3,8 +3,11 @@
 use crate::frame::{Envelope, Hello, MAGIC, PROTOCOL_VERSION};
 use futures::channel::mpsc;
 use futures::{StreamExt, future};
+use saddlerelay_runtime::repeated_event::RepeatedEvent;
 use saddlerelay_runtime::timeout::timeout;
 use saddlerelay_runtime::{FrameListener, FrameReceiver, FrameSender, Runtime};
+use std::cell::RefCell;
+use std::fmt;
 use std::future::Future;
 use std::rc::Rc;
 use std::time::Duration;
@@ -23,11 +26,12 @@
 
 /// Accepts connections until the process ends.
 pub async fn serve<P: Runtime, H: Handler>(platform: P, mut listener: P::Listener, secret: String, handler: Rc<H>) {
-    let secret: Rc<str> = secret.into();
+    let entrance = Rc::new(Entrance { secret, refused: RefCell::default() });
     loop {
         match listener.accept().await {
             Ok((sender, receiver)) => {
-                let connection = serve_connection(platform.clone(), sender, receiver, secret.clone(), handler.clone());
+                let connection =
+                    serve_connection(platform.clone(), sender, receiver, entrance.clone(), handler.clone());
                 platform.spawn(connection);
             }
             Err(_) => platform.sleep(ACCEPT_PAUSE).await,
@@ -35,18 +39,66 @@
     }
 }
 
+/// Why a connection is closed at its greeting.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Refusal {
+    Unreadable,
+    OtherProtocol(u32),
+    OtherSecret,
+}
+
+impl fmt::Display for Refusal {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Unreadable => write!(formatter, "no greeting of this protocol"),
+            Self::OtherProtocol(version) => write!(formatter, "version {version} of the protocol"),
+            Self::OtherSecret => write!(formatter, "another shared secret"),
+        }
+    }
+}
+
+/// Decides whose connections are served.
+struct Entrance {
+    secret: String,
+    refused: RefCell<RepeatedEvent>,
+}
+
+impl Entrance {
+    fn check(&self, frame: &[u8]) -> Result<(), Refusal> {
+        let hello = bitcode::decode::<Hello>(frame).map_err(|_| Refusal::Unreadable)?;
+        if hello.magic != MAGIC {
+            Err(Refusal::Unreadable)
+        } else if hello.version != PROTOCOL_VERSION {
+            Err(Refusal::OtherProtocol(hello.version))
+        } else if hello.secret != self.secret {
+            Err(Refusal::OtherSecret)
+        } else {
+            Ok(())
+        }
+    }
+
+    fn tell_refused(&self, refusal: Refusal, now: Duration) {
+        if let Some(connections) = self.refused.borrow_mut().count(now) {
+            spdlog::warn!("connection refused", kv: {
+                reason = refusal.to_string().as_str(), spoken_here = PROTOCOL_VERSION, connections = connections
+            });
+        }
+    }
+}
+
 async fn serve_connection<P: Runtime, H: Handler>(
     platform: P,
     sender: impl FrameSender,
     mut receiver: impl FrameReceiver,
-    secret: Rc<str>,
+    entrance: Rc<Entrance>,
     handler: Rc<H>,
 ) {
     let greeting = timeout(&platform, HELLO_LIMIT, receiver.receive()).await;
     let Some(Ok(Some(frame))) = greeting else {
         return;
     };
-    if !acceptable(&frame, &secret) {
+    if let Err(refusal) = entrance.check(&frame) {
+        entrance.tell_refused(refusal, platform.monotonic());
         return;
     }
     let (answers, queue) = mpsc::unbounded();
@@ -55,13 +107,6 @@
     future::select(std::pin::pin!(read), std::pin::pin!(write)).await;
 }
 
-fn acceptable(frame: &[u8], secret: &str) -> bool {
-    let Ok(hello) = bitcode::decode::<Hello>(frame) else {
-        return false;
-    };
-    hello.magic == MAGIC && hello.version == PROTOCOL_VERSION && hello.secret == secret
-}
-
 async fn read_requests<P: Runtime, H: Handler>(
     platform: &P,
     mut receiver: impl FrameReceiver,
--- a/crates/runtime/src/lib.rs
+++ b/crates/runtime/src/lib.rs
@@ -4,6 +4,7 @@
 #![allow(async_fn_in_trait)]
 
 pub mod backend;
+pub mod repeated_event;
 pub mod signal;
 pub mod steps;
 pub mod timeout;
