--- a/crates/fleet/src/process.rs
+++ b/crates/fleet/src/process.rs
@@ -13,11 +13,13 @@
 /// Pause between looks at whether a child has ended.
 const WAIT_POLL: Duration = Duration::from_millis(20);
 
-/// Which program a child runs. Both are inside the fleet's own executable, so that one build is enough.
+/// Which program a child runs. Most are inside the fleet's own executable, so that one build is enough.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Program {
     /// The product.
     Product,
+    /// An executable that holds nothing else.
+    Whole,
     /// A stand-in.
     StandIn,
     /// Hollow engines or relays.
@@ -25,11 +27,12 @@
 }
 
 /// The word on the fleet's command line that makes it run a program.
-pub fn program_word(program: Program) -> &'static str {
+pub fn program_word(program: Program) -> Option<&'static str> {
     match program {
-        Program::Product => "run-product",
-        Program::StandIn => "run-standin",
-        Program::Hollow => "run-hollow",
+        Program::Product => Some("run-product"),
+        Program::Whole => None,
+        Program::StandIn => Some("run-standin"),
+        Program::Hollow => Some("run-hollow"),
     }
 }
 
@@ -66,7 +69,7 @@
         let output = File::options().create(true).append(true).open(&spec.output);
         let output = output.with_context(|| format!("cannot write {}", spec.output.display()))?;
         let child = Command::new(&spec.executable)
-            .arg(program_word(spec.program))
+            .args(program_word(spec.program))
             .args(&spec.arguments)
             .stdin(Stdio::null())
             .stdout(output.try_clone()?)
--- a/crates/soak/src/callers.rs
+++ b/crates/soak/src/callers.rs
@@ -3,7 +3,9 @@
 use crate::calls::{KEY_HEADER, any_gateway, ask, front};
 use crate::deployment::Addresses;
 use crate::journal::{ClientRequest, Ending, Journal};
-use crate::workload::{self, CRASHES, HOST, MOVING, ONCE, REPEATABLE, STRANGER, STREAMS, TIMEOUT_MS, UNKNOWN_KEY};
+use crate::workload::{
+    self, CRASHES, Demands, HOST, MOVING, ONCE, REPEATABLE, STRANGER, STREAMS, TIMEOUT_MS, UNKNOWN_KEY,
+};
 use hyper::{Method, StatusCode};
 use saddlerelay_http::client::WholeResponse;
 use std::cell::Cell;
@@ -68,12 +70,12 @@
 }
 
 /// Sends requests until told to stop.
-pub async fn run(client: u32, addresses: Addresses, journal: Journal, stop: Rc<Cell<bool>>) {
+pub async fn run(client: u32, addresses: Addresses, journal: Journal, demands: Demands, stop: Rc<Cell<bool>>) {
     let mut number = 0;
     while !stop.get() {
         number += 1;
         send(&Request::new(client, number), any_gateway(&addresses), &addresses, &journal).await;
-        if number.is_multiple_of(STRANGER_EVERY) {
+        if demands == Demands::All && number.is_multiple_of(STRANGER_EVERY) {
             ask_as_stranger(number, &addresses, &journal).await;
         }
         compio::time::sleep(Duration::from_millis(fastrand::u64(1..LONGEST_PAUSE_MS))).await;
--- a/crates/soak/src/case.rs
+++ b/crates/soak/src/case.rs
@@ -2,6 +2,7 @@
 
 use crate::deployment::{NAMED_COORDINATORS, Size};
 use crate::trainer::StepShape;
+use crate::workload::Demands;
 use anyhow::{Context, Result, ensure};
 use std::fmt;
 use std::str::FromStr;
@@ -17,13 +18,15 @@
     Replaced,
     /// Engines end, hang or are cut off, and soon after it a fault meets those who hold state; pair after pair.
     Paired,
+    /// A newer build takes the place of an older one, process after process.
+    Upgrade,
 }
 
 /// Coordinators of a deployment whose named ones are to be replaced: as many again vote, one learns and one is spare.
 const REPLACED_COORDINATORS: u8 = 2 * NAMED_COORDINATORS + 2;
 
 impl PlanKind {
-    const ALL: [Self; 4] = [Self::Single, Self::Overlapping, Self::Replaced, Self::Paired];
+    const ALL: [Self; 5] = [Self::Single, Self::Overlapping, Self::Replaced, Self::Paired, Self::Upgrade];
 
     fn word(self) -> &'static str {
         match self {
@@ -31,21 +34,30 @@
             Self::Overlapping => "overlapping",
             Self::Replaced => "replaced",
             Self::Paired => "paired",
+            Self::Upgrade => "upgrade",
         }
     }
 
     /// The steps that the trainer makes.
     pub fn steps(self) -> StepShape {
         match self {
-            Self::Single | Self::Overlapping | Self::Replaced => StepShape::SHORT,
+            Self::Single | Self::Overlapping | Self::Replaced | Self::Upgrade => StepShape::SHORT,
             Self::Paired => StepShape::LONG,
         }
     }
 
+    /// What is asked of the deployment.
+    pub fn demands(self) -> Demands {
+        match self {
+            Self::Single | Self::Overlapping | Self::Replaced | Self::Paired => Demands::All,
+            Self::Upgrade => Demands::Common,
+        }
+    }
+
     /// The size of a deployment for it, unless told otherwise.
     pub fn size(self) -> Size {
         match self {
-            Self::Single | Self::Overlapping | Self::Paired => Size::SMALL,
+            Self::Single | Self::Overlapping | Self::Paired | Self::Upgrade => Size::SMALL,
             Self::Replaced => Size { coordinators: REPLACED_COORDINATORS, ..Size::SMALL },
         }
     }
--- a/crates/soak/src/command_line.rs
+++ b/crates/soak/src/command_line.rs
@@ -18,6 +18,7 @@
 saddlerelay-soak: the product's processes under randomized faults, checked by what callers and engines see
 
   run [--plan KIND] [--size C+G] [--seeds FROM..TO | --seed N | --count N] [--case CASE] [--length SECONDS] [--keep]
+      [--production FILE]
                       soaks one after the other; without seeds, a fresh one
   regressions FILE [--length SECONDS]
                       the cases that FILE lists: on each line a case, and why it is kept
@@ -25,8 +26,9 @@
                       the faults of a seed
 
 KIND is single (faults of one party each), overlapping (the same, with series of signals that overlap, and suspensions;
-the default), replaced (the same; at last the group moves to coordinators that the settings don't name) or paired (a fault
-of engines and, 0.3 to 3 s later, one of those who hold state, pair after pair, each followed by calm).
+the default), replaced (the same; at last the group moves to coordinators that the settings don't name), paired (a fault
+of engines and, 0.3 to 3 s later, one of those who hold state, pair after pair, each followed by calm) or upgrade (all processes
+begin as the build of --production, an executable of the product, and are replaced one after the other).
 C+G are the numbers of coordinators and gateways. A CASE is SEED (of the kind single), KIND:SEED or KIND:SEED:C+G, as reports name it.
 
 A soak that breaks a promise keeps its folder with the logs of every process, and names it.
@@ -66,13 +68,15 @@
     pub length: Duration,
     /// Whether to keep the folders of clean soaks too.
     pub keep: bool,
+    /// An executable of the product that runs at first in soaks of the kind `upgrade`.
+    pub production: Option<PathBuf>,
 }
 
 impl Options {
     /// Reads the arguments of a command.
     pub fn parse(arguments: Vec<OsString>) -> Result<Self> {
         let mut parser = lexopt::Parser::from_args(arguments);
-        let mut options = Self { cases: Vec::new(), length: DEFAULT_LENGTH, keep: false };
+        let mut options = Self { cases: Vec::new(), length: DEFAULT_LENGTH, keep: false, production: None };
         let mut seeds: Vec<u64> = Vec::new();
         let mut kind = PlanKind::Overlapping;
         let mut size: Option<Size> = None;
@@ -89,6 +93,7 @@
                 Long("case") => options.cases.push(parser.value()?.parse()?),
                 Long("length") => options.length = Duration::from_secs(parser.value()?.parse()?),
                 Long("keep") => options.keep = true,
+                Long("production") => options.production = Some(PathBuf::from(parser.value()?)),
                 Value(file) => options.cases.extend(read_cases(&PathBuf::from(file))?),
                 other => return Err(other.unexpected().into()),
             }
@@ -138,7 +143,12 @@
 
 fn soak(case: Case, options: &Options) -> Result<Report> {
     let folder = folder_of(case.seed, &std::env::temp_dir());
-    let soak = SoakOptions { case, length: options.length, executable: own_executable()?, folder: folder.clone() };
+    let production = match case.kind {
+        PlanKind::Upgrade => Some(options.production.clone().context("an upgrade needs --production FILE")?),
+        _ => None,
+    };
+    let soak =
+        SoakOptions { case, length: options.length, executable: own_executable()?, production, folder: folder.clone() };
     let report = compio::runtime::Runtime::new()?.block_on(run(&soak));
     let report = report.inspect_err(|_| eprintln!("{case}: its files are in {}", folder.display()))?;
     println!("{report}");
--- a/crates/soak/src/deployment.rs
+++ b/crates/soak/src/deployment.rs
@@ -1,10 +1,11 @@
 //! The deployment: addresses, settings files, child processes and the proxies before them.
 
+use crate::builds::{Build, Builds};
 use crate::journal::Journal;
 use crate::links::{Links, Party};
 use crate::proxy::{self, Identify, ProcessTable, ProxyPlace};
 use anyhow::{Context, Result, ensure};
-use saddlerelay_fleet_runner::process::{ChildSpec, Program, RunningChild};
+use saddlerelay_fleet_runner::process::{ChildSpec, RunningChild};
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
 use std::net::{IpAddr, Ipv4Addr, SocketAddr, TcpListener};
@@ -165,7 +166,7 @@
     /// The state of the links.
     pub links: Links,
     journal: Journal,
-    executable: PathBuf,
+    builds: Builds,
     folder: PathBuf,
     children: RefCell<BTreeMap<Party, RunningChild>>,
     processes: ProcessTable,
@@ -225,19 +226,13 @@
 
 impl Deployment {
     /// Starts every process, and the proxies before them and before `engines` engines.
-    pub async fn start(
-        executable: PathBuf,
-        folder: &Path,
-        journal: Journal,
-        engines: u8,
-        size: Size,
-    ) -> Result<Rc<Self>> {
+    pub async fn start(builds: Builds, folder: &Path, journal: Journal, engines: u8, size: Size) -> Result<Rc<Self>> {
         std::fs::create_dir_all(folder)?;
         let deployment = Rc::new(Self {
             addresses: Addresses::take(size)?,
             links: Links::default(),
             journal,
-            executable,
+            builds,
             folder: folder.to_path_buf(),
             children: RefCell::default(),
             processes: ProcessTable::default(),
@@ -313,6 +308,24 @@
         self.folder.join(format!("{}.log", name_of(party)))
     }
 
+    /// The settings of duties towards the platform; a build in production may not know them.
+    fn duties_settings(&self, party: Party) -> String {
+        match self.builds.of(party) {
+            Build::Newest => format!(
+                "[usage]\nwindow_s = {}\ndue_after_s = {}\n\n[platform]\naddress = \"{}\"\nduties = [\"usage_report\"]\n",
+                USAGE_WINDOW.as_secs(),
+                USAGE_DUE.as_secs(),
+                self.addresses.platform(),
+            ),
+            Build::Production => String::new(),
+        }
+    }
+
+    /// From its next start on, `party` runs `build`.
+    pub fn choose_build(&self, party: Party, build: Build) {
+        self.builds.choose(party, build);
+    }
+
     /// Writes a process's settings; `first_start` is true only while the deployment starts for the first time.
     pub fn write_settings(&self, party: Party, first_start: bool) -> Result<()> {
         let named = (0..NAMED_COORDINATORS).map(|place| (self.first_named.get() + place) % NAMED_COORDINATORS);
@@ -336,9 +349,7 @@
         let text = format!(
             "name = \"{}\"\nzone = \"north\"\nseeds = [{}]\npeer_port = {PEER_PORT}\nshared_secret = \"{SECRET}\"\n{own}\n\
              [bounds]\nreport_interval_ms = {}\ndrain_ms = {}\nconfiguration_ms = {}\norder_lease_ms = {}\ngrace_s = {}\n\
-             job_status_s = 600\ntolerated_losses = 1\n\n\
-             [usage]\nwindow_s = {}\ndue_after_s = {}\n\n\
-             [platform]\naddress = \"{}\"\nduties = [\"usage_report\"]\n",
+             job_status_s = 600\ntolerated_losses = 1\n\n{}",
             name_of(party),
             seeds.join(", "),
             REPORT_INTERVAL.as_millis(),
@@ -346,9 +357,7 @@
             CONFIGURATION_BOUND.as_millis(),
             ORDER_LEASE.as_millis(),
             GRACE.as_secs(),
-            USAGE_WINDOW.as_secs(),
-            USAGE_DUE.as_secs(),
-            self.addresses.platform(),
+            self.duties_settings(party),
         );
         // In one step: a process that starts or follows its settings meanwhile would read half of them.
         let file = self.settings_file(party);
@@ -360,9 +369,10 @@
     /// Starts a process, or starts it again.
     pub fn start_process(&self, party: Party) -> Result<()> {
         let name = name_of(party);
+        let (executable, program) = self.builds.program(party)?;
         let spec = ChildSpec {
-            executable: self.executable.clone(),
-            program: Program::Product,
+            executable,
+            program,
             arguments: vec![
                 "member".to_string(),
                 "--config".to_string(),
--- a/crates/soak/src/engine.rs
+++ b/crates/soak/src/engine.rs
@@ -3,7 +3,7 @@
 use crate::calls::KEY_HEADER;
 use crate::deployment::Addresses;
 use crate::journal::{EngineSeen, ItemRunEnd, Journal, OrderSeen, Run};
-use crate::workload::{self, MODEL, MODEL_SERVICE, ROLLOUTS, SCORES, SLOTS, STRANGER, TENANT};
+use crate::workload::{self, Demands, MODEL, MODEL_SERVICE, ROLLOUTS, SCORES, SLOTS, STRANGER, TENANT};
 use bytes::Bytes;
 use compio::net::TcpListener;
 use hyper::body::Incoming;
@@ -90,6 +90,7 @@
     ends: Signal,
     /// The newest version that its trainer has named: what a new engine starts with.
     newest: Rc<Cell<u64>>,
+    demands: Demands,
 }
 
 /// The engine. Clones are the same one.
@@ -145,6 +146,7 @@
         addresses: Addresses,
         journal: Journal,
         newest: Rc<Cell<u64>>,
+        demands: Demands,
     ) -> std::io::Result<Self> {
         let listener = TcpListener::bind(addresses.engine_behind(number)).await?;
         let state = Rc::new(State {
@@ -165,6 +167,7 @@
             sequence: Cell::new(0),
             ends: Signal::default(),
             newest,
+            demands,
         });
         let engine = Self { state };
         compio::runtime::spawn(serve_until(listener, Rc::new(engine.clone()), Shutdown::default())).detach();
@@ -352,8 +355,11 @@
         }
     }
 
-    /// Every request names its tenant, and none shows a key.
+    /// Where tenants are listed every request names its own, and none shows a key.
     fn check_tenant(&self, request: &str, headers: &HeaderMap) {
+        if self.state.demands == Demands::Common {
+            return;
+        }
         let tenant = header(headers, "saddlerelay-tenant");
         if tenant != Some(TENANT) || headers.contains_key(KEY_HEADER) || request.starts_with(STRANGER) {
             let seen = format!("{request} came to {} for tenant {tenant:?}", self.instance().name);
--- a/crates/soak/src/faults.rs
+++ b/crates/soak/src/faults.rs
@@ -119,6 +119,11 @@
     pub async fn cause(&self, fault: Fault) -> Result<()> {
         match fault {
             Fault::Restart { party, end, down } => self.restart(party, end, down).await,
+            Fault::ReplaceBuild { party, build, end, down } => {
+                self.deployment.choose_build(party, build);
+                self.tell(&format!("{party:?}: {build:?} from its next start on"));
+                self.restart_once_free(party, end, down).await
+            }
             Fault::KillAll { down } => self.kill_all(down).await,
             Fault::Series { party, rounds } => self.series(party, &rounds).await,
             Fault::Suspend { parties, time } => {
@@ -150,6 +155,14 @@
         self.journal.fault(fault.to_string());
     }
 
+    /// Waits for the end of what is under way at `party` first.
+    async fn restart_once_free(&self, party: Party, end: End, down: Duration) -> Result<()> {
+        while self.held.borrow().contains(&party) {
+            compio::time::sleep(POLL).await;
+        }
+        self.restart(party, end, down).await
+    }
+
     async fn restart(&self, party: Party, end: End, down: Duration) -> Result<()> {
         let end = if end == End::LoseDisk && !self.bears_disk_loss() { End::Kill } else { end };
         let hold = if end == End::Stop { self.hold_for_planned_work(party) } else { self.hold(party) };
--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -6,6 +6,7 @@
 //! folders and file size limits, and from engines. What callers and engines see is written to a journal, and
 //! [`checks`] judges it against the product's promises.
 
+pub mod builds;
 pub mod callers;
 pub mod calls;
 pub mod case;
@@ -29,5 +30,6 @@
 mod series;
 pub mod socket_query;
 pub mod trainer;
+pub mod upgrades;
 pub mod waits;
 pub mod workload;
--- a/crates/soak/src/operator.rs
+++ b/crates/soak/src/operator.rs
@@ -4,7 +4,7 @@
 use crate::deployment::{Addresses, DRAIN_BOUND, REPORT_INTERVAL};
 use crate::engine::Engine;
 use crate::journal::{Journal, ReadDocument, SentDocument};
-use crate::workload::{self, WEB_SERVICES};
+use crate::workload::{self, Demands, WEB_SERVICES};
 use hyper::{Method, StatusCode};
 use std::cell::Cell;
 use std::rc::Rc;
@@ -35,13 +35,14 @@
 pub struct Operator {
     addresses: Addresses,
     journal: Journal,
+    demands: Demands,
     version: Cell<u64>,
 }
 
 impl Operator {
     /// An operator.
-    pub fn new(addresses: Addresses, journal: Journal) -> Self {
-        Self { addresses, journal, version: Cell::new(0) }
+    pub fn new(addresses: Addresses, journal: Journal, demands: Demands) -> Self {
+        Self { addresses, journal, demands, version: Cell::new(0) }
     }
 
     /// Writes the next document down as about to be sent.
@@ -49,7 +50,7 @@
         let version = self.version.get() + fastrand::u64(1..4);
         self.version.set(version);
         let moving_to = WEB_SERVICES[fastrand::usize(..WEB_SERVICES.len())];
-        let document = workload::document(version, moving_to, fastrand::usize(..MOST_IDLE_ROUTES));
+        let document = workload::document(self.demands, version, moving_to, fastrand::usize(..MOST_IDLE_ROUTES));
         let body = serde_json::to_vec(&document).unwrap_or_default();
         let sent =
             SentDocument { version, moving_to, body: body.clone(), sent_at: self.journal.now(), acknowledged_at: None };
@@ -91,7 +92,7 @@
 
     /// Sends other content under an acknowledged version: it must be acknowledged and change nothing.
     async fn send_other_content(&self, version: u64) {
-        let document = workload::document(version, "web-b", 1);
+        let document = workload::document(self.demands, version, "web-b", 1);
         let body = serde_json::to_vec(&document).unwrap_or_default();
         // The answer does not matter: what is read later does.
         control(&self.addresses, Method::PUT, ROUTING_PATH, body).await;
--- a/crates/soak/src/plan.rs
+++ b/crates/soak/src/plan.rs
@@ -1,5 +1,6 @@
 //! The faults of a soak, drawn from its seed.
 
+use crate::builds::Build;
 use crate::case::{Case, PlanKind};
 use crate::deployment::Size;
 use crate::links::{Condition, Party};
@@ -132,6 +133,17 @@
         /// How long it is down.
         down: Duration,
     },
+    /// A process ends and comes back as another build.
+    ReplaceBuild {
+        /// The process.
+        party: Party,
+        /// The build.
+        build: Build,
+        /// How it ends.
+        end: End,
+        /// How long it is down.
+        down: Duration,
+    },
     /// Every coordinator is killed at the same moment.
     KillAll {
         /// How long they are down.
@@ -269,7 +281,7 @@
     Fault::Misconduct { number: any_engine(random), conduct, time: milliseconds(random, 300..4_000) }
 }
 
-fn any_fault(random: &mut Rng, size: Size) -> Fault {
+pub(crate) fn any_fault(random: &mut Rng, size: Size) -> Fault {
     match random.u8(..20) {
         0..5 => restart(random, size),
         5 => Fault::KillAll { down: milliseconds(random, 50..1_500) },
@@ -335,8 +347,10 @@
 
 /// The faults of a case with this length.
 pub fn draw(case: Case, length: Duration) -> Vec<Planned> {
-    if case.kind == PlanKind::Paired {
-        return crate::pairs::draw(case, length);
+    match case.kind {
+        PlanKind::Paired => return crate::pairs::draw(case, length),
+        PlanKind::Upgrade => return crate::upgrades::draw(case, length),
+        PlanKind::Single | PlanKind::Overlapping | PlanKind::Replaced => {}
     }
     let mut planned = draw_from(Rng::with_seed(case.seed), length, PAUSE_MS, |random| any_fault(random, case.size));
     if case.kind != PlanKind::Single {
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -1,5 +1,6 @@
 //! One soak: start, load, faults, proof that the deployment works again, orderly end, checks.
 
+use crate::builds::Builds;
 use crate::callers;
 use crate::case::Case;
 use crate::checks;
@@ -16,7 +17,7 @@
 use crate::report::{LATENESS_LIMIT, Report};
 use crate::trainer::Trainer;
 use crate::waits;
-use crate::workload::{MODEL_SERVICE, MOVING, ONCE, REPEATABLE, STREAMS, WEB_SERVICES};
+use crate::workload::{Demands, MODEL_SERVICE, MOVING, ONCE, REPEATABLE, STREAMS, WEB_SERVICES};
 use anyhow::{Result, bail};
 use compio::runtime::JoinHandle;
 use futures::future;
@@ -47,6 +48,8 @@
     pub length: Duration,
     /// The soak's own executable, which holds the product too.
     pub executable: PathBuf,
+    /// The executable of the build that runs at first, if it is another one.
+    pub production: Option<PathBuf>,
     /// Where its files go.
     pub folder: PathBuf,
 }
@@ -56,12 +59,12 @@
     fastrand::seed(options.case.seed);
     let journal = Journal::default();
     let _lag = compio::runtime::spawn(watch_own_lag(journal.clone()));
-    let executable = options.executable.clone();
-    let deployment =
-        Deployment::start(executable, &options.folder, journal.clone(), ENGINES, options.case.size).await?;
+    let demands = options.case.kind.demands();
+    let builds = Builds::new(options.executable.clone(), options.production.clone());
+    let deployment = Deployment::start(builds, &options.folder, journal.clone(), ENGINES, options.case.size).await?;
     let platform = Platform::start(deployment.addresses.platform(), journal.clone()).await?;
     let newest = Rc::new(Cell::new(1));
-    let engines = start_engines(&deployment, &journal, &newest).await?;
+    let engines = start_engines(&deployment, &journal, &newest, demands).await?;
     let stop = Rc::new(Cell::new(false));
     let reports_stop = Rc::new(Cell::new(false));
     let addresses = deployment.addresses.clone();
@@ -69,7 +72,7 @@
         let report = operator::report(engine.clone(), addresses.clone(), journal.clone(), reports_stop.clone());
         compio::runtime::spawn(report).detach();
     }
-    let operator = Rc::new(Operator::new(addresses.clone(), journal.clone()));
+    let operator = Rc::new(Operator::new(addresses.clone(), journal.clone(), demands));
     let trainer = Rc::new(Trainer::new(addresses.clone(), journal.clone(), newest, options.case.kind.steps()));
     wait_until_up(&deployment, &operator).await?;
     compio::runtime::spawn(waits::watch_engines(engines.clone(), deployment.links.clone(), journal.clone())).detach();
@@ -79,7 +82,7 @@
         compio::runtime::spawn(trainer.clone().run(stop.clone())),
     ];
     for client in 0..callers::CLIENTS {
-        let run = callers::run(client, addresses.clone(), journal.clone(), stop.clone());
+        let run = callers::run(client, addresses.clone(), journal.clone(), demands, stop.clone());
         tasks.push(compio::runtime::spawn(run));
     }
     let kept_stop = Rc::new(Cell::new(false));
@@ -90,15 +93,17 @@
         compio::runtime::spawn(faults.clone().crash_by_work(engine.clone())).detach();
     }
     let crashing_stop = Rc::new(Cell::new(false));
-    let crashing = callers::run_crashing(addresses.clone(), journal.clone(), crashing_stop.clone());
-    tasks.push(compio::runtime::spawn(crashing));
+    if demands == Demands::All {
+        let crashing = callers::run_crashing(addresses.clone(), journal.clone(), crashing_stop.clone());
+        tasks.push(compio::runtime::spawn(crashing));
+    }
     let memory = cause_faults(&deployment, &faults, &trainer, &journal, options).await?;
     crashing_stop.set(true);
     prove_recovery(&deployment, &operator, &trainer, &journal).await;
     stop.set(true);
     end_load(tasks, &journal).await;
     read_back(&operator, &trainer, &journal).await;
-    if platform.windows() == 0 {
+    if demands == Demands::All && platform.windows() == 0 {
         journal.violation("the platform is told the usage", "no window was reported".to_string());
     }
     reports_stop.set(true);
@@ -112,7 +117,12 @@
     Ok(Report::new(options.case, memory, &journal))
 }
 
-async fn start_engines(deployment: &Rc<Deployment>, journal: &Journal, newest: &Rc<Cell<u64>>) -> Result<Vec<Engine>> {
+async fn start_engines(
+    deployment: &Rc<Deployment>,
+    journal: &Journal,
+    newest: &Rc<Cell<u64>>,
+    demands: Demands,
+) -> Result<Vec<Engine>> {
     let mut engines = Vec::new();
     for number in 0..ENGINES {
         let service = match number {
@@ -121,7 +131,7 @@
             _ => MODEL_SERVICE,
         };
         let addresses = deployment.addresses.clone();
-        engines.push(Engine::start(number, service, addresses, journal.clone(), newest.clone()).await?);
+        engines.push(Engine::start(number, service, addresses, journal.clone(), newest.clone(), demands).await?);
     }
     Ok(engines)
 }
--- a/crates/soak/src/workload.rs
+++ b/crates/soak/src/workload.rs
@@ -95,8 +95,17 @@
     Service { name: name.to_string(), health_path: "/health".to_string(), max_connections: 200, hosting, scaling: None }
 }
 
+/// What is asked of the deployment.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Demands {
+    /// Whatever the newest build can do.
+    All,
+    /// What all builds can do: no tenants with keys, and no work that ends its engines.
+    Common,
+}
+
 /// A routing document whose moving route goes to `moving_to`, with `idle` routes that nobody asks for.
-pub fn document(version: u64, moving_to: &str, idle: usize) -> RoutingDocument {
+pub fn document(demands: Demands, version: u64, moving_to: &str, idle: usize) -> RoutingDocument {
     let batch = BatchTerms { give_up_after_ms: GIVE_UP_AFTER_MS, due_after_ms: 5_000, single_version: false };
     let mut routes = vec![
         route(REPEATABLE, RouteKind::Idempotent, WEB_SERVICES[0]),
@@ -117,9 +126,10 @@
     };
     let keys = vec![SecretDigest::of(KEY.as_bytes())];
     let tenant = TenantAccess { name: TenantId::new(TENANT), keys, priority: None };
+    let tenants = (demands == Demands::All).then(|| vec![tenant]);
     let services =
         vec![service(WEB_SERVICES[0], None), service(WEB_SERVICES[1], None), service(MODEL_SERVICE, Some(hosting))];
-    RoutingDocument { version, routes, services, limits, tenants: Some(vec![tenant]), source: Vec::new() }
+    RoutingDocument { version, routes, services, limits, tenants, source: Vec::new() }
 }
 
 /// The whole answer to a request.
--- a/crates/soak/tests/checks.rs
+++ b/crates/soak/tests/checks.rs
@@ -12,7 +12,7 @@
 use saddlerelay_soak_runner::links::Party;
 use saddlerelay_soak_runner::proof::{HANG_LIMIT, Proof, RECOVERY_LIMIT, Wait, judge};
 use saddlerelay_soak_runner::report::{LATENESS_LIMIT, Report};
-use saddlerelay_soak_runner::workload::{self, MOVING, ONCE, REPEATABLE, ROLLOUTS};
+use saddlerelay_soak_runner::workload::{self, Demands, MOVING, ONCE, REPEATABLE, ROLLOUTS};
 use saddlerelay_types::instance::InstanceId;
 use saddlerelay_types::job::{ItemEnd, ItemId, JobId};
 use std::time::Duration;
@@ -84,7 +84,7 @@
 }
 
 fn document(version: u64, moving_to: &'static str, sent: u64, acknowledged: Option<u64>) -> SentDocument {
-    let body = serde_json::to_vec(&workload::document(version, moving_to, 0)).expect("JSON");
+    let body = serde_json::to_vec(&workload::document(Demands::All, version, moving_to, 0)).expect("JSON");
     SentDocument { version, moving_to, body, sent_at: at(sent), acknowledged_at: acknowledged.map(at) }
 }
 
@@ -111,7 +111,7 @@
     let documents = vec![document(1, "web-a", 0, Some(100)), document(2, "web-b", 200, Some(300))];
     let read = |body: Option<Vec<u8>>| ReadDocument { asked_at: at(400), body };
     let (old, new) = (documents[0].body.clone(), documents[1].body.clone());
-    let other = serde_json::to_vec(&workload::document(2, "web-a", 1)).expect("JSON");
+    let other = serde_json::to_vec(&workload::document(Demands::All, 2, "web-a", 1)).expect("JSON");
     let with = |body| Records { documents: documents.clone(), reads: vec![read(body)], ..Records::default() };
     assert!(broken(&with(Some(new))).is_empty());
     for body in [Some(old), Some(other), None] {
