--- a/crates/soak/tests/plan.rs
+++ b/crates/soak/tests/plan.rs
@@ -226,7 +226,7 @@
 fn the_command_line_names_seeds_and_length() {
     let options = parse(&["--seeds", "3..5", "--seed", "9", "--length", "12", "--keep"]).expect("it is right");
     let cases = ["overlapping:3", "overlapping:4", "overlapping:9"].map(case).to_vec();
-    assert_eq!(options, Options { cases, length: Duration::from_secs(12), keep: true });
+    assert_eq!(options, Options { cases, length: Duration::from_secs(12), keep: true, production: None });
     let options = parse(&["--seed", "9", "--plan", "replaced", "--case", "14", "--size", "9+2"]).expect("it is right");
     assert_eq!(options.cases, ["14", "replaced:9:9+2"].map(case));
     assert_eq!(parse(&["--count", "4"]).expect("it is right").cases.len(), 4);
