--- a/bin/saddlerelay-soak/tests/processes.rs
+++ b/bin/saddlerelay-soak/tests/processes.rs
@@ -1,12 +1,14 @@
 //! Single faults on the product's real processes, each chosen for a failure that a soak once showed.
 
 use anyhow::{Result, ensure};
+use saddlerelay_soak_runner::builds::Builds;
 use saddlerelay_soak_runner::deployment::{Deployment, Size};
 use saddlerelay_soak_runner::faults::Faults;
 use saddlerelay_soak_runner::journal::Journal;
 use saddlerelay_soak_runner::links::Party;
 use saddlerelay_soak_runner::operator::Operator;
 use saddlerelay_soak_runner::plan::{Fault, Overlap, Round};
+use saddlerelay_soak_runner::workload::Demands;
 use std::path::PathBuf;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
@@ -27,8 +29,9 @@
         let folder = std::env::temp_dir().join(format!("saddlerelay-soak-{name}-{}", std::process::id()));
         let executable = PathBuf::from(env!("CARGO_BIN_EXE_saddlerelay-soak"));
         let journal = Journal::default();
-        let deployment = Deployment::start(executable, &folder, journal.clone(), 0, Size::SMALL).await?;
-        let operator = Rc::new(Operator::new(deployment.addresses.clone(), journal.clone()));
+        let deployment =
+            Deployment::start(Builds::new(executable, None), &folder, journal.clone(), 0, Size::SMALL).await?;
+        let operator = Rc::new(Operator::new(deployment.addresses.clone(), journal.clone(), Demands::All));
         let faults = Faults::new(deployment.clone(), Vec::new(), operator.clone(), journal.clone());
         let soaked = Self { deployment, faults, operator, journal, folder };
         soaked.accepts_a_change().await?;
--- a/crates/command-line/src/member.rs
+++ b/crates/command-line/src/member.rs
@@ -19,6 +19,7 @@
 use saddlerelay_runtime_compio::CompioRuntime;
 use saddlerelay_settings::{Interface, MemberRole, MemberSettings};
 use saddlerelay_telemetry::metrics::CONTENT_TYPE;
+use saddlerelay_types::feature_level::FeatureLevel;
 use saddlerelay_types::gateway::{GatewayReply, GatewayRequest, StoreRecord};
 use saddlerelay_types::instance::InstanceReport;
 use std::cell::RefCell;
@@ -68,8 +69,8 @@
     spdlog::info!("start", kv: {
         zone = settings.zone.as_str(), role = role_name(&settings.role), seeds = settings.seeds.len(),
         version = env!("CARGO_PKG_VERSION"),
-        protocol = saddlerelay_rpc::frame::PROTOCOL_VERSION,
-        files = <saddlerelay_control::machine::ControlMachine as saddlerelay_replication::StateMachine>::FORMAT
+        newest_level = FeatureLevel::NEWEST.number(), protocol = FeatureLevel::NEWEST.protocol(),
+        files = FeatureLevel::NEWEST.file_format()
     });
     let ended = runtime.block_on(run_role(settings, file.to_path_buf(), signals));
     match &ended {
--- a/crates/control-client/src/lib.rs
+++ b/crates/control-client/src/lib.rs
@@ -12,9 +12,12 @@
 
 use crate::replicas::Replicas;
 use crate::search::{LastAnswer, LeaderSearch};
-use saddlerelay_rpc::client::{CallError, Client};
+use saddlerelay_layouts::level_one::follow::FollowMemory;
+use saddlerelay_layouts::messages;
+use saddlerelay_rpc::client::{Answer, CallError, Client};
 use saddlerelay_runtime::Runtime;
-use saddlerelay_types::gateway::{GatewayReply, GatewayRequest};
+use saddlerelay_types::feature_level::FeatureLevel;
+use saddlerelay_types::gateway::{FollowRequest, GatewayReply, GatewayRequest};
 use saddlerelay_types::protocol::{
     Command, CommandOutcome, ControlReply, ControlRequest, Query, QueryAnswer, RenewReply, RenewRequest,
 };
@@ -37,6 +40,8 @@
 /// Why a call brought no outcome.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum ControlError {
+    /// The replica that was asked is of an older build, which has no words for the request. It was not sent.
+    Unspeakable,
     /// No leader answered in time. A command may or may not be committed.
     Unavailable,
     /// The leader refused; nothing was done.
@@ -46,6 +51,8 @@
 /// Why a gateway call brought no answer.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum GatewayError {
+    /// The replica that was asked is of an older build, which has no words for the request. Nothing was done.
+    NotUnderstood,
     /// Nothing was done, and nothing will be.
     NotDone,
     /// It may have been done, or may be later.
@@ -61,6 +68,8 @@
     has_been_answered: Cell<bool>,
     /// No leader has answered the newest call yet.
     is_searching: Cell<bool>,
+    /// What a leader that speaks level one has told a relay.
+    follow_memory: RefCell<FollowMemory>,
     secret: String,
 }
 
@@ -85,6 +94,7 @@
             retry_pause: Cell::new(RETRY_PAUSE),
             has_been_answered: Cell::new(false),
             is_searching: Cell::new(true),
+            follow_memory: RefCell::default(),
             secret: secret.to_string(),
         };
         Self { inner: Rc::new(inner) }
@@ -132,8 +142,8 @@
     /// Asks the replica at `address` to form a new group.
     pub async fn initialize(&self, address: SocketAddr, limit: Duration) -> Result<(), ControlError> {
         let client = Client::new(self.inner.platform.clone(), address, &self.inner.secret);
-        let answer = client.call(bitcode::encode(&ControlRequest::Initialize), limit).await;
-        let reply = answer.ok().and_then(|bytes| bitcode::decode::<ControlReply>(&bytes).ok());
+        let answer = client.call(|level| messages::encode_request(&ControlRequest::Initialize, level), limit).await;
+        let reply = answer.ok().and_then(|answer| messages::decode_reply(&answer.body, answer.level));
         match reply {
             Some(ControlReply::Executed(_)) => Ok(()),
             Some(other) => Err(unexpected(other)),
@@ -153,6 +163,7 @@
         let request = ControlRequest::Gateway(request);
         let reply = self.call_until(&request, limit, attempt_limit, &mut may_be_done).await;
         match reply {
+            Err(ControlError::Unspeakable) => Err(GatewayError::NotUnderstood),
             Ok(ControlReply::Gateway(GatewayReply::Unavailable)) | Err(_) if !may_be_done => Err(GatewayError::NotDone),
             Ok(ControlReply::Gateway(reply)) => Ok(reply),
             _ => Err(GatewayError::Undecided),
@@ -167,9 +178,9 @@
         limit: Duration,
     ) -> Option<GatewayReply> {
         let client = self.inner.replicas.borrow().client_of(address);
-        let body = bitcode::encode(&ControlRequest::Gateway(request));
-        let answer = client?.call(body, limit).await.ok()?;
-        match bitcode::decode(&answer).ok()? {
+        let request = ControlRequest::Gateway(request);
+        let answer = client?.call(|level| messages::encode_request(&request, level), limit).await.ok()?;
+        match messages::decode_reply(&answer.body, answer.level)? {
             ControlReply::Gateway(reply) => Some(reply),
             _ => Some(GatewayReply::Unavailable),
         }
@@ -214,7 +225,6 @@
         may_be_done: &mut bool,
     ) -> Result<ControlReply, ControlError> {
         let deadline = self.inner.platform.monotonic() + limit;
-        let body = bitcode::encode(request);
         loop {
             let left = deadline.saturating_sub(self.inner.platform.monotonic());
             if left.is_zero() {
@@ -225,9 +235,11 @@
                 self.inner.platform.sleep(self.next_retry_pause()).await;
                 continue;
             };
-            let answer = replica.call(body.clone(), left.min(attempt_limit)).await;
-            *may_be_done |= answer == Err(CallError::Unknown);
-            let outcome = answer.map(|bytes| bitcode::decode(&bytes).ok());
+            let outcome = self.ask(&replica, request, left.min(attempt_limit)).await;
+            if outcome == Err(CallError::Unspeakable) {
+                return Err(ControlError::Unspeakable);
+            }
+            *may_be_done |= outcome == Err(CallError::Unknown);
             self.inner.replicas.borrow_mut().note(replica.address(), LastAnswer::of(&outcome));
             match outcome.ok().flatten() {
                 Some(ControlReply::NotLeader { leader: Some(leader), .. }) if leader != replica.address() => {
@@ -250,6 +262,43 @@
         }
     }
 
+    /// Asks one replica, in the words of its level; `None` for an answer that cannot be read.
+    async fn ask(
+        &self,
+        replica: &Client<P>,
+        request: &ControlRequest,
+        limit: Duration,
+    ) -> Result<Option<ControlReply>, CallError> {
+        if let ControlRequest::Gateway(GatewayRequest::Follow(follow)) = request {
+            return self.ask_as_relay(replica, follow, limit).await;
+        }
+        let answer = replica.call(|level| messages::encode_request(request, level), limit).await?;
+        Ok(messages::decode_reply(&answer.body, answer.level))
+    }
+
+    /// A relay's question, whose answer of level one has another content.
+    async fn ask_as_relay(
+        &self,
+        replica: &Client<P>,
+        follow: &FollowRequest,
+        limit: Duration,
+    ) -> Result<Option<ControlReply>, CallError> {
+        let question = self.inner.follow_memory.borrow().question(follow);
+        let request = ControlRequest::Gateway(GatewayRequest::Follow(follow.clone()));
+        let encode = |level| match level {
+            FeatureLevel::One => Some(messages::encode_follow_one(question.clone())),
+            FeatureLevel::Two => messages::encode_request(&request, level),
+        };
+        let Answer { level, body } = replica.call(encode, limit).await?;
+        let reply = match level {
+            FeatureLevel::One => {
+                messages::decode_follow_one(&body, &question, &mut self.inner.follow_memory.borrow_mut())
+            }
+            FeatureLevel::Two => messages::decode_reply(&body, level),
+        };
+        Ok(reply)
+    }
+
     /// Turns to another replica after `asked` was no help and has named others, and waits a little.
     async fn turn_away(&self, asked: SocketAddr, named: &[SocketAddr]) {
         self.inner.is_searching.set(true);
--- a/crates/control-client/src/reports.rs
+++ b/crates/control-client/src/reports.rs
@@ -9,7 +9,7 @@
 
 use crate::{ControlClient, GatewayError};
 use futures::channel::oneshot;
-use futures::future::select;
+use futures::future::{join_all, select};
 use saddlerelay_runtime::Runtime;
 use saddlerelay_runtime::signal::Signal;
 use saddlerelay_runtime::timeout::timeout;
@@ -203,6 +203,16 @@
         known.extend(reports.iter().map(|report| (report.id.clone(), HandedOver::of(report))));
     }
 
+    /// To a leader of an older build, which takes one whole report in a message.
+    async fn hand_over_singly(&self, reports: &[InstanceReport]) -> Answer {
+        let hand_over = |report: &InstanceReport| {
+            let request = GatewayRequest::ReportInstance(report.clone());
+            self.control.gateway(request, HAND_OVER_LIMIT, ATTEMPT_LIMIT)
+        };
+        let answers = join_all(reports.iter().map(hand_over)).await;
+        answers.into_iter().find(|answer| *answer != Ok(GatewayReply::Done)).unwrap_or(Ok(GatewayReply::Done))
+    }
+
     /// The group holds nothing of these instances: their next reports are news.
     fn forget(&self, missing: &[InstanceId]) {
         let mut known = self.known.borrow_mut();
@@ -226,6 +236,9 @@
         let (news, heartbeats) = (gathered.news.len(), gathered.heartbeats.len());
         let request = GatewayRequest::ReportInstances(gathered);
         let mut answer = gatherer.control.gateway(request, HAND_OVER_LIMIT, ATTEMPT_LIMIT).await;
+        if answer == Err(GatewayError::NotUnderstood) {
+            answer = gatherer.hand_over_singly(&reports).await;
+        }
         let mut missing = Vec::new();
         if let Ok(GatewayReply::ReportsMissing(instances)) = &mut answer {
             missing = std::mem::take(instances);
--- a/crates/control-client/src/search.rs
+++ b/crates/control-client/src/search.rs
@@ -33,7 +33,7 @@
     /// What became of a call.
     pub(crate) fn of(outcome: &Result<Option<ControlReply>, CallError>) -> Self {
         match outcome {
-            Err(CallError::NotSent) => Self::NotReached,
+            Err(CallError::NotSent | CallError::Unspeakable) => Self::NotReached,
             Err(CallError::Unknown) => Self::Silent,
             Ok(None) => Self::Unreadable,
             Ok(Some(ControlReply::NotLeader { leader: None, .. })) => Self::KnowsNoLeader,
--- a/crates/control-client/src/suspicions.rs
+++ b/crates/control-client/src/suspicions.rs
@@ -1,8 +1,8 @@
 //! What a relay knows of work under which engines have ended: what the control group has told, and what the relay has seen
 //! itself and not handed over yet.
 
-use crate::ControlClient;
 use crate::trials::{NoAnswer, TrialGroup, TrialGuard, TrialKeeper};
+use crate::{ControlClient, GatewayError};
 use saddlerelay_runtime::Runtime;
 use saddlerelay_runtime::signal::Signal;
 use saddlerelay_runtime::timeout::timeout;
@@ -267,6 +267,8 @@
         let request = GatewayRequest::BeginTrial(request);
         match self.gateway(request, TRIAL_ANSWER_LIMIT, TRIAL_ANSWER_LIMIT).await {
             Ok(GatewayReply::Trial(answer)) => Ok(answer),
+            // The group keeps no rights yet: work runs as if nobody suspected it.
+            Err(GatewayError::NotUnderstood) => Ok(TrialAnswer::Granted),
             other => Err(format!("{other:?}")),
         }
     }
@@ -274,6 +276,7 @@
     async fn renew(&self, held: Vec<HeldTrial>) -> Result<Vec<HeldTrial>, NoAnswer> {
         match self.gateway(GatewayRequest::RenewTrials(held), TRIAL_RENEWAL, TRIAL_RENEWAL).await {
             Ok(GatewayReply::TrialsLost(lost)) => Ok(lost),
+            Err(GatewayError::NotUnderstood) => Ok(Vec::new()),
             other => Err(format!("{other:?}")),
         }
     }
@@ -301,6 +304,11 @@
                 keeper.take(list);
                 keeper.handed_over.notify();
             }
+            Err(GatewayError::NotUnderstood) => {
+                spdlog::info!("evidence not kept by an older build", kv: { losses = evidence.losses.len() });
+                keeper.suspicions.borrow_mut().handed_over(&evidence);
+                keeper.handed_over.notify();
+            }
             other => {
                 spdlog::warn!("evidence not handed over", kv: {
                     losses = evidence.losses.len(), reason = format!("{other:?}").as_str()
--- a/crates/control-client/tests/search_order.rs
+++ b/crates/control-client/tests/search_order.rs
@@ -6,6 +6,7 @@
 use saddlerelay_runtime::Runtime;
 use saddlerelay_runtime_compio::CompioRuntime;
 use saddlerelay_runtime_compio::connection::TcpFrameListener;
+use saddlerelay_types::feature_level::FeatureLevel;
 use saddlerelay_types::gateway::{GatewayReply, GatewayRequest};
 use saddlerelay_types::protocol::ControlReply;
 use std::net::SocketAddr;
@@ -30,7 +31,7 @@
 struct Replica(Conduct);
 
 impl Handler for Replica {
-    async fn handle(self: Rc<Self>, _body: Vec<u8>) -> Option<Vec<u8>> {
+    async fn handle(self: Rc<Self>, _level: FeatureLevel, _body: Vec<u8>) -> Option<Vec<u8>> {
         let reply = match &self.0 {
             Conduct::Silent => return std::future::pending().await,
             Conduct::Names(peers) => ControlReply::NotLeader { leader: None, peers: peers.clone() },
--- a/crates/control-client/tests/silent_replica.rs
+++ b/crates/control-client/tests/silent_replica.rs
@@ -5,6 +5,7 @@
 use saddlerelay_runtime::Runtime;
 use saddlerelay_runtime_compio::CompioRuntime;
 use saddlerelay_runtime_compio::connection::TcpFrameListener;
+use saddlerelay_types::feature_level::FeatureLevel;
 use saddlerelay_types::gateway::{GatewayReply, GatewayRequest};
 use saddlerelay_types::protocol::ControlReply;
 use std::cell::Cell;
@@ -36,7 +37,7 @@
 }
 
 impl Handler for Replica {
-    async fn handle(self: Rc<Self>, _body: Vec<u8>) -> Option<Vec<u8>> {
+    async fn handle(self: Rc<Self>, _level: FeatureLevel, _body: Vec<u8>) -> Option<Vec<u8>> {
         self.asked.set(self.asked.get() + 1);
         let reply = match &self.conduct {
             Conduct::Silent => return std::future::pending().await,
--- /dev/null
+++ b/crates/control/src/commands/level_one.rs
@@ -0,0 +1,58 @@
+//! What committed commands of level one do: the same as in the builds that know no other level, entry by entry.
+
+use super::{claims, configuration, gateway, membership, rollouts};
+use crate::state::ControlState;
+use saddlerelay_layouts::level_one::gateway::GatewayCommand as GatewayCommandOne;
+use saddlerelay_layouts::level_one::protocol::{Command, LogCommand};
+use saddlerelay_types::gateway::{GatewayCommand, GatewayOutcome};
+use saddlerelay_types::protocol::CommandOutcome;
+
+/// Applies one committed command.
+pub fn apply(state: &mut ControlState, entry: LogCommand) -> CommandOutcome {
+    super::pass_time(state, entry.time);
+    match entry.command {
+        Command::Configuration(change) => CommandOutcome::Configuration(configuration::apply(state, change)),
+        Command::Claim(command) => CommandOutcome::Claim(claims::apply(state, command)),
+        Command::Rollout(command) => rollouts::apply(state, command),
+        Command::Membership(command) => membership::apply(state, command),
+        Command::Gateway(command) => CommandOutcome::Gateway(apply_gateway(state, command)),
+    }
+}
+
+fn apply_gateway(state: &mut ControlState, command: GatewayCommandOne) -> GatewayOutcome {
+    use GatewayCommandOne as One;
+    match command {
+        One::PutRouting(document) => {
+            state.routing.put(document.into());
+            GatewayOutcome::Done
+        }
+        One::ReportInstance(report) => {
+            state.instances.take_report_level_one(report.into());
+            GatewayOutcome::Done
+        }
+        One::RemoveInstance(id) => {
+            let id = id.into();
+            state.instances.remove(&id);
+            state.orders.forget_engine(&id);
+            GatewayOutcome::Done
+        }
+        One::TakeOrders(holder) => {
+            let taken_over = state.orders.take_level_one(holder);
+            GatewayOutcome::Orders { fence: state.members.draw_fence(), taken_over }
+        }
+        One::NoteOrders { holder, instances } => {
+            state.orders.note_level_one(holder, instances);
+            GatewayOutcome::Done
+        }
+        One::NameVersion(named) => gateway::apply(state, GatewayCommand::NameVersion(named)),
+        One::SubmitJob { job, keep_ms } => {
+            gateway::apply(state, GatewayCommand::SubmitJob { job: job.into(), keep_ms })
+        }
+        One::KeepTexts { job, parts } => gateway::apply(state, GatewayCommand::KeepTexts { job, parts }),
+        One::ListResults { job, outcomes } => gateway::apply(state, GatewayCommand::ListResults { job, outcomes }),
+        One::EndJob(job) => gateway::apply(state, GatewayCommand::EndJob(job)),
+        One::RegisterStore(record) => gateway::apply(state, GatewayCommand::RegisterStore(record)),
+        One::RetireStore(name) => gateway::apply(state, GatewayCommand::RetireStore(name)),
+        One::StoreRetired(name) => gateway::apply(state, GatewayCommand::StoreRetired(name)),
+    }
+}
--- a/crates/control/src/commands/mod.rs
+++ b/crates/control/src/commands/mod.rs
@@ -3,6 +3,7 @@
 pub mod claims;
 pub mod configuration;
 pub mod gateway;
+pub mod level_one;
 pub mod membership;
 pub mod rollouts;
 
@@ -11,8 +12,7 @@
 
 /// Applies one committed command.
 pub fn apply(state: &mut ControlState, entry: LogCommand) -> CommandOutcome {
-    state.time = state.time.max(entry.time);
-    state.claims.drop_expired(state.time);
+    pass_time(state, entry.time);
     match entry.command {
         Command::Configuration(change) => CommandOutcome::Configuration(configuration::apply(state, change)),
         Command::Claim(command) => CommandOutcome::Claim(claims::apply(state, command)),
@@ -21,3 +21,9 @@
         Command::Gateway(command) => CommandOutcome::Gateway(gateway::apply(state, command)),
     }
 }
+
+/// A command was made at `time`, in Unix milliseconds at the leader.
+fn pass_time(state: &mut ControlState, time: u64) {
+    state.time = state.time.max(time);
+    state.claims.drop_expired(state.time);
+}
--- a/crates/control/src/follow.rs
+++ b/crates/control/src/follow.rs
@@ -130,6 +130,11 @@
                 reply.group_unix_ms = self.group_unix_ms();
                 reply.follower = self.follower_for(&follow);
                 reply.retry_pause_ms = retry_pause_ms(self.relays());
+                if self.leads_at_level_one() {
+                    // Marks of silence move no revision there.
+                    let place = RelayPlace::new(&follow.relay, &follow.zone);
+                    reply.instances = self.read_applied(|state| state.instances.news_for(place, 0));
+                }
                 return ControlReply::Gateway(GatewayReply::Followed(reply));
             }
             if timeout(platform, left, self.inner.news.changed(seen)).await.is_some() && self.has_many_relays() {
@@ -206,6 +211,10 @@
 
     /// Takes a relay's counts, unless they are committed or wait already.
     fn take_usage(&self, usage: RelayUsage) {
+        if self.leads_at_level_one() {
+            // The relay tells it again.
+            return;
+        }
         let committed = self.read(|state| state.usage.taken_from(usage.relay) >= usage.difference.sequence);
         let mut inbox = self.inner.usage_inbox.borrow_mut();
         if committed == Some(false) && !inbox.contains(&usage) {
@@ -233,7 +242,7 @@
         let mut updates = self.inner.routing_updates.borrow_mut();
         let routing = state.routing.current().and_then(|current| updates.update(current, follow.routing_version));
         let replicas = self.inner.replica.member_addresses();
-        let nearest_replica = nearest_replica(state, &replicas, follow);
+        let nearest_replica = nearest_replica(state, &replicas, &follow.relay, &follow.zone);
         FollowReply {
             lease_ms: lease.as_millis() as u64,
             routing,
@@ -250,7 +259,8 @@
 
     /// The replica that a relay is to ask from now on, where there are many relays: one in its zone, if there is one.
     fn follower_for(&self, follow: &FollowRequest) -> Option<SocketAddr> {
-        if !self.has_many_relays() {
+        // Older builds among the members answer relays as leaders only.
+        if !self.has_many_relays() || self.leads_at_level_one() {
             return None;
         }
         let view = self.inner.replica.view()?;
@@ -279,10 +289,15 @@
 }
 
 /// A member in the relay's zone; relays of one zone are shared out among several.
-fn nearest_replica(state: &ControlState, members: &[SocketAddr], follow: &FollowRequest) -> Option<SocketAddr> {
+pub(crate) fn nearest_replica(
+    state: &ControlState,
+    members: &[SocketAddr],
+    relay: &str,
+    zone: &str,
+) -> Option<SocketAddr> {
     let near: Vec<SocketAddr> =
-        state.stores.addresses(Some(&follow.zone)).filter(|address| members.contains(address)).collect();
-    pick(&near, &follow.relay)
+        state.stores.addresses(Some(zone)).filter(|address| members.contains(address)).collect();
+    pick(&near, relay)
 }
 
 /// Whether a relay knows more than this replica: it has been told by another one.
--- a/crates/control/src/gateway.rs
+++ b/crates/control/src/gateway.rs
@@ -2,6 +2,7 @@
 //! `follow`, those about batch jobs in `job_calls`.
 
 use crate::node::ControlNode;
+use crate::older_level::{named_in, outcome_without_log, without_starts};
 use crate::state::ControlState;
 use crate::state::stores::Retirement;
 use saddlerelay_replication::ProposeError;
@@ -118,6 +119,11 @@
 
     /// Commits a gateway command.
     pub async fn commit_gateway(&self, command: GatewayCommand) -> Result<GatewayOutcome, ProposeError> {
+        if self.leads_at_level_one()
+            && let Some(outcome) = outcome_without_log(&command)
+        {
+            return Ok(outcome);
+        }
         match self.commit(Command::Gateway(command)).await? {
             CommandOutcome::Gateway(outcome) => Ok(outcome),
             _ => unreachable!("a gateway command has a gateway outcome"),
@@ -140,7 +146,7 @@
     pub(crate) fn not_committed(&self, error: &ProposeError) -> ControlReply {
         match error {
             ProposeError::NotLeader(_) => self.not_leader(),
-            ProposeError::Overloaded => ControlReply::Gateway(GatewayReply::Unavailable),
+            ProposeError::Overloaded | ProposeError::NotAtThisLevel => ControlReply::Gateway(GatewayReply::Unavailable),
             ProposeError::Undecided => ControlReply::Undecided,
         }
     }
@@ -162,6 +168,19 @@
     }
 
     async fn report_instances(&self, reports: GatheredReports) -> ControlReply {
+        if !self.leads_at_level_one() {
+            return self.take_reports(reports).await;
+        }
+        let asked: Vec<InstanceId> = reports.heartbeats.iter().map(|heartbeat| heartbeat.id.clone()).collect();
+        match self.take_reports(without_starts(reports)).await {
+            ControlReply::Gateway(GatewayReply::ReportsMissing(missing)) => {
+                ControlReply::Gateway(GatewayReply::ReportsMissing(named_in(&missing, asked.into_iter())))
+            }
+            other => other,
+        }
+    }
+
+    async fn take_reports(&self, reports: GatheredReports) -> ControlReply {
         let count = reports.news.len() + reports.heartbeats.len();
         if count > MOST_REPORTS {
             return ControlReply::Refused(format!("{count} reports at once"));
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -13,6 +13,7 @@
 mod job_calls;
 pub mod machine;
 pub mod node;
+mod older_level;
 pub mod order_watch;
 pub mod orders;
 pub mod queries;
--- a/crates/control/src/machine.rs
+++ b/crates/control/src/machine.rs
@@ -2,16 +2,25 @@
 
 use crate::commands;
 use crate::state::ControlState;
+use saddlerelay_layouts::commands::{Committed, decode};
 use saddlerelay_replication::StateMachine;
 use saddlerelay_replication::segments::Segment;
+use saddlerelay_types::feature_level::FeatureLevel;
 use saddlerelay_types::identity::ReplicaId;
-use saddlerelay_types::protocol::{CommandOutcome, LogCommand};
+use saddlerelay_types::instance::InstanceId;
+use saddlerelay_types::protocol::CommandOutcome;
 use std::rc::Rc;
 
 /// Applies committed commands to [`ControlState`].
-#[derive(Default)]
 pub struct ControlMachine {
     state: ControlState,
+    level: FeatureLevel,
+}
+
+impl Default for ControlMachine {
+    fn default() -> Self {
+        Self { state: ControlState::default(), level: FeatureLevel::NEWEST }
+    }
 }
 
 impl ControlMachine {
@@ -19,19 +28,37 @@
     pub fn state(&self) -> &ControlState {
         &self.state
     }
+
+    /// At a level that keeps no silence of engines on the log, its leader marks it in its own state.
+    pub fn mark_silence(&mut self, silent: &[InstanceId], heard: &[InstanceId]) {
+        if self.level == FeatureLevel::One {
+            self.state.instances.mark_silence(silent, heard);
+        }
+    }
 }
 
 impl StateMachine for ControlMachine {
     type Outcome = CommandOutcome;
-    const FORMAT: u32 = 9;
+
+    fn enter_level(&mut self, level: FeatureLevel) {
+        if self.level == FeatureLevel::One && level > FeatureLevel::One {
+            self.state.leave_level_one();
+        }
+        self.level = level;
+    }
 
     fn apply(&mut self, command: &[u8]) -> CommandOutcome {
-        let command: LogCommand = bitcode::decode(command).expect("the log holds only what a leader encoded");
-        commands::apply(&mut self.state, command)
+        match decode(command, self.level).expect("the log holds only what a leader encoded") {
+            Committed::One(command) => commands::level_one::apply(&mut self.state, command),
+            Committed::Today(command) => commands::apply(&mut self.state, command),
+        }
     }
 
     fn snapshot(&self) -> Vec<u8> {
-        bitcode::encode(&self.state)
+        match self.level {
+            FeatureLevel::One => self.state.encode_level_one(),
+            FeatureLevel::Two => bitcode::encode(&self.state),
+        }
     }
 
     fn segments(&self) -> Vec<Segment> {
@@ -55,9 +82,14 @@
         self.state.orders.holder() == Some(replica)
     }
 
-    fn restore(&mut self, bytes: &[u8]) {
+    fn restore(&mut self, bytes: &[u8], level: FeatureLevel) {
         // The old state goes first, so that it does not stand beside the new one and its bytes.
         self.state = ControlState::default();
-        self.state = bitcode::decode(bytes).expect("a snapshot passed its checksum");
+        self.level = level;
+        let restored = match level {
+            FeatureLevel::One => ControlState::decode_level_one(bytes),
+            FeatureLevel::Two => bitcode::decode(bytes),
+        };
+        self.state = restored.expect("a snapshot passed its checksum");
     }
 }
--- a/crates/control/src/node.rs
+++ b/crates/control/src/node.rs
@@ -12,9 +12,12 @@
 use crate::routing_updates::RoutingUpdates;
 use crate::state::ControlState;
 use crate::tasks::relays::RenewalTable;
-use crate::tasks::{confirmation, engines, machines, relays, retirement, silence, suspicions, trials, usage};
+use crate::tasks::{confirmation, engines, levels, machines, relays, retirement, silence, suspicions, trials, usage};
 use crate::trial_watch::TrialWatch;
 use futures::lock::Mutex;
+use saddlerelay_layouts::messages::{self, Request};
+use saddlerelay_replication::message::ReplicaRequest;
+use saddlerelay_replication::message_codec;
 use saddlerelay_replication::storage::StorageError;
 use saddlerelay_replication::{ProposeError, Replica, ReplicaOptions};
 use saddlerelay_rpc::server::Handler;
@@ -23,12 +26,14 @@
 use saddlerelay_runtime::repeated_event::RepeatedEvent;
 use saddlerelay_runtime::signal::Signal;
 use saddlerelay_runtime::timeout::timeout;
+use saddlerelay_types::feature_level::FeatureLevel;
+use saddlerelay_types::gateway::GatewayReply;
 use saddlerelay_types::protocol::{
-    Command, CommandOutcome, ControlReply, ControlRequest, LogCommand, MembershipCommand, Query, QueryAnswer,
-    RenewReply, RenewRequest, RolloutCommand,
+    Command, CommandOutcome, ControlReply, ControlRequest, MembershipCommand, Query, QueryAnswer, RenewReply,
+    RenewRequest, RolloutCommand,
 };
 use saddlerelay_types::usage::RelayUsage;
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -81,6 +86,8 @@
     pub job_results: Signal,
     /// There is a new batch job, one has ended, or engines or routes have changed.
     pub job_work: Signal,
+    /// When an older build last asked this replica anything.
+    pub older_asked_at: Cell<Option<Duration>>,
 }
 
 impl<P: Runtime, B: Backends> Clone for ControlNode<P, B> {
@@ -123,6 +130,7 @@
             usage_inbox: RefCell::default(),
             job_results: Signal::default(),
             job_work: Signal::default(),
+            older_asked_at: Cell::default(),
         });
         let node = Self { inner };
         platform.spawn(relays::watch(node.clone()));
@@ -134,6 +142,7 @@
         platform.spawn(usage::commit(node.clone()));
         platform.spawn(suspicions::expire(node.clone()));
         platform.spawn(trials::watch(node.clone()));
+        platform.spawn(levels::raise(node.clone()));
         Ok(node)
     }
 
@@ -161,7 +170,8 @@
     pub async fn commit(&self, command: Command) -> Result<CommandOutcome, ProposeError> {
         let time = self.inner.platform.unix_milliseconds();
         let effects = Effects::of(&command);
-        let outcome = self.inner.replica.propose(bitcode::encode(&LogCommand { time, command })).await;
+        let encode = |level| saddlerelay_layouts::commands::encode(time, command, level);
+        let outcome = self.inner.replica.propose_as(encode).await;
         self.wake_waiting(effects);
         outcome
     }
@@ -190,7 +200,7 @@
     /// Answers a request.
     pub async fn answer(&self, request: ControlRequest) -> ControlReply {
         match request {
-            ControlRequest::Replication(bytes) => self.answer_replica(&bytes).await,
+            ControlRequest::Replication(bytes) => self.answer_replica(&bytes, FeatureLevel::NEWEST).await,
             ControlRequest::Renew(renewal) => self.renew(renewal).await,
             ControlRequest::Execute(command) => self.execute(command).await,
             ControlRequest::Query(query) => self.query(&query),
@@ -199,14 +209,36 @@
         }
     }
 
-    async fn answer_replica(&self, bytes: &[u8]) -> ControlReply {
-        match bitcode::decode(bytes) {
-            Ok(request) => {
-                let reply = self.inner.replica.handle(request).await;
-                ControlReply::Replication(bitcode::encode(&reply))
+    /// Answers a request of another process, both written at `level`.
+    async fn answer_at(&self, level: FeatureLevel, request: Request) -> Option<Vec<u8>> {
+        let request = match request {
+            Request::FollowOne(follow) => {
+                self.note_older_asker();
+                return Some(bitcode::encode(&self.follow_level_one(follow).await));
             }
-            Err(_) => ControlReply::Refused("malformed replication message".to_string()),
+            Request::Today(request) => request,
+        };
+        if let ControlRequest::Replication(bytes) = &request {
+            return messages::encode_reply(self.answer_replica(bytes, level).await, level);
+        }
+        if level < FeatureLevel::NEWEST {
+            self.note_older_asker();
         }
+        let reply = self.answer(request).await;
+        let unspeakable = || messages::encode_reply(ControlReply::Gateway(GatewayReply::Unavailable), level);
+        messages::encode_reply(reply, level).or_else(unspeakable)
+    }
+
+    async fn answer_replica(&self, bytes: &[u8], level: FeatureLevel) -> ControlReply {
+        let Some(request) = message_codec::decode_request(bytes, level) else {
+            return ControlReply::Refused("malformed replication message".to_string());
+        };
+        // Builds of this age ask to be added at the newest level that both know.
+        if level < FeatureLevel::NEWEST && matches!(request, ReplicaRequest::Join { .. }) {
+            self.note_older_asker();
+        }
+        let reply = self.inner.replica.handle(request, level).await;
+        ControlReply::Replication(message_codec::encode_reply(reply, level))
     }
 
     async fn initialize(&self) -> ControlReply {
@@ -285,6 +317,9 @@
             Err(ProposeError::NotLeader(_)) => self.not_leader(),
             Err(ProposeError::Overloaded) => ControlReply::Refused("too many proposals wait".to_string()),
             Err(ProposeError::Undecided) => ControlReply::Undecided,
+            Err(ProposeError::NotAtThisLevel) => {
+                ControlReply::Refused("older builds are still being replaced".to_string())
+            }
         }
     }
 
@@ -409,8 +444,8 @@
 }
 
 impl<P: Runtime, B: Backends> Handler for ControlNode<P, B> {
-    async fn handle(self: Rc<Self>, body: Vec<u8>) -> Option<Vec<u8>> {
-        let request = bitcode::decode(&body).ok()?;
-        Some(bitcode::encode(&self.answer(request).await))
+    async fn handle(self: Rc<Self>, level: FeatureLevel, body: Vec<u8>) -> Option<Vec<u8>> {
+        let request = messages::decode_request(&body, level)?;
+        self.answer_at(level, request).await
     }
 }
--- a/crates/control/src/state/instances.rs
+++ b/crates/control/src/state/instances.rs
@@ -25,22 +25,22 @@
 /// The table. Each change takes the next revision.
 #[derive(Clone, Debug, Default, PartialEq, Encode, Decode)]
 pub struct InstanceTable {
-    records: BTreeMap<InstanceId, InstanceRecord>,
-    by_revision: BTreeMap<u64, InstanceId>,
+    pub(super) records: BTreeMap<InstanceId, InstanceRecord>,
+    pub(super) by_revision: BTreeMap<u64, InstanceId>,
     /// The instance at each address that is not gone.
     by_address: BTreeMap<SocketAddr, InstanceId>,
     places: BTreeMap<EnginePlace, PlaceEngines>,
     /// How many instances of each service have told when they started and are not gone.
     telling_starts: BTreeMap<String, u32>,
     /// Ready instances whose reports have ceased.
-    silent: BTreeSet<InstanceId>,
+    pub(super) silent: BTreeSet<InstanceId>,
     /// Instances that are gone, also those that were never known otherwise. Earlier starts under the same name are gone
     /// with them.
-    gone: BTreeSet<InstanceId>,
-    gone_order: VecDeque<InstanceId>,
-    revision: u64,
+    pub(super) gone: BTreeSet<InstanceId>,
+    pub(super) gone_order: VecDeque<InstanceId>,
+    pub(super) revision: u64,
     /// The revision at which relays began to be told of other parts of places than before.
-    shares_revision: u64,
+    pub(super) shares_revision: u64,
 }
 
 /// Where an instance stands.
@@ -236,7 +236,7 @@
         }
     }
 
-    fn write(&mut self, mut record: InstanceRecord) {
+    pub(super) fn write(&mut self, mut record: InstanceRecord) {
         steps::look();
         self.revision += 1;
         record.revision = self.revision;
@@ -256,7 +256,7 @@
         self.records.insert(id, record);
     }
 
-    fn enter_place(&mut self, record: &InstanceRecord) {
+    pub(super) fn enter_place(&mut self, record: &InstanceRecord) {
         if record.state == InstanceState::Gone {
             return;
         }
@@ -270,7 +270,7 @@
         place.present += u32::from(is_present(record));
     }
 
-    fn leave_place(&mut self, record: &InstanceRecord) {
+    pub(super) fn leave_place(&mut self, record: &InstanceRecord) {
         if record.state == InstanceState::Gone {
             return;
         }
@@ -293,7 +293,7 @@
     }
 
     /// Has relays told of another part of a place whose size has changed much.
-    fn follow_shares(&mut self, place: &EnginePlace) {
+    pub(super) fn follow_shares(&mut self, place: &EnginePlace) {
         if let Some(held) = self.places.get_mut(place)
             && held.shares.follow(held.engines.len())
         {
--- a/crates/control/src/state/jobs.rs
+++ b/crates/control/src/state/jobs.rs
@@ -49,19 +49,19 @@
     /// What was handed in. Items that are listed have lost headers, bodies and scorers: nothing needs them any more.
     pub submission: JobSubmission,
     /// For each item, what tells whether another job's is the same request.
-    digests: Vec<u64>,
+    pub(super) digests: Vec<u64>,
     /// The results at their positions.
-    results: Vec<ListedItem>,
+    pub(super) results: Vec<ListedItem>,
     /// For each item, whether it stands among the results.
-    listed: Vec<bool>,
+    pub(super) listed: Vec<bool>,
     /// Texts of items without a result.
-    partial: BTreeMap<u32, PartialText>,
+    pub(super) partial: BTreeMap<u32, PartialText>,
     /// Nothing of it runs any more.
-    ended: bool,
+    pub(super) ended: bool,
     /// Readable until then, in the state's time.
-    keep_until: u64,
+    pub(super) keep_until: u64,
     /// Counts jobs as they were taken.
-    order: u64,
+    pub(super) order: u64,
 }
 
 impl Job {
@@ -123,9 +123,9 @@
 /// Every job.
 #[derive(Clone, Debug, Default, PartialEq, Encode, Decode)]
 pub struct JobTable {
-    jobs: BTreeMap<JobId, Job>,
-    taken: u64,
-    texts: TextArchive,
+    pub(super) jobs: BTreeMap<JobId, Job>,
+    pub(super) taken: u64,
+    pub(super) texts: TextArchive,
 }
 
 impl JobTable {
--- a/crates/control/src/state/mod.rs
+++ b/crates/control/src/state/mod.rs
@@ -6,6 +6,7 @@
 pub mod engine_subset;
 pub mod instances;
 pub mod jobs;
+mod level_one;
 pub mod members;
 pub mod orders;
 pub mod pending_instances;
--- a/crates/control/src/state/orders.rs
+++ b/crates/control/src/state/orders.rs
@@ -18,9 +18,9 @@
 /// The newest note of each subject.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Encode, Decode)]
 pub struct OrderState {
-    holder: Option<ReplicaId>,
-    notes: BTreeMap<OrderSubject, OrderNote>,
-    notes_taken: u64,
+    pub(super) holder: Option<ReplicaId>,
+    pub(super) notes: BTreeMap<OrderSubject, OrderNote>,
+    pub(super) notes_taken: u64,
 }
 
 impl OrderState {
--- a/crates/control/src/state/routing.rs
+++ b/crates/control/src/state/routing.rs
@@ -6,7 +6,7 @@
 /// Holds the document with the highest version.
 #[derive(Clone, Debug, Default, PartialEq, Encode, Decode)]
 pub struct RoutingState {
-    current: Option<RoutingDocument>,
+    pub(super) current: Option<RoutingDocument>,
 }
 
 impl RoutingState {
--- a/crates/control/src/state/weights.rs
+++ b/crates/control/src/state/weights.rs
@@ -7,7 +7,7 @@
 /// The newest version of each model.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Encode, Decode)]
 pub struct WeightState {
-    named: BTreeMap<String, u64>,
+    pub(super) named: BTreeMap<String, u64>,
 }
 
 impl WeightState {
--- a/crates/control/src/tasks/mod.rs
+++ b/crates/control/src/tasks/mod.rs
@@ -2,6 +2,7 @@
 
 pub mod confirmation;
 pub mod engines;
+pub mod levels;
 pub mod machines;
 pub mod relays;
 pub mod retirement;
--- a/crates/control/src/tasks/silence.rs
+++ b/crates/control/src/tasks/silence.rs
@@ -23,12 +23,24 @@
             watch.follow_term(term);
             watch.silence_changes(&state.instances, now, limit)
         });
-        let Some(changes) = changes.filter(|changes| !changes.is_empty()) else {
+        let Some(mut changes) = changes else {
             continue;
         };
+        let leads_at_level_one = node.leads_at_level_one();
+        if leads_at_level_one {
+            node.read_applied(|state| changes.silent.retain(|id| !state.instances.silent().contains(id)));
+        }
+        if changes.is_empty() {
+            continue;
+        }
         spdlog::info!("silence of engines noted", kv: {
             silent = changes.silent.len(), heard_again = changes.heard.len(), limit_ms = limit.as_millis() as u64
         });
+        if leads_at_level_one {
+            node.replica().adjust(|machine| machine.mark_silence(&changes.silent, &changes.heard));
+            node.inner.news.notify();
+            continue;
+        }
         let command = GatewayCommand::NoteSilence { silent: changes.silent, heard: changes.heard };
         if let Err(error) = node.commit_gateway(command).await {
             // It is looked at anew.
--- a/crates/control/tests/format.rs
+++ b/crates/control/tests/format.rs
@@ -3,6 +3,7 @@
 use saddlerelay_control::machine::ControlMachine;
 use saddlerelay_control::state::ControlState;
 use saddlerelay_replication::StateMachine;
+use saddlerelay_types::feature_level::FeatureLevel;
 use saddlerelay_types::gateway::{GatewayCommand, TrialRequest};
 use saddlerelay_types::identity::Incarnation;
 use saddlerelay_types::instance::InstanceId;
@@ -43,5 +44,5 @@
         written.extend(entry);
     }
     written.extend(machine.snapshot());
-    assert_eq!((ControlMachine::FORMAT, xxh3_64(&written)), LAYOUT);
+    assert_eq!((FeatureLevel::NEWEST.file_format(), xxh3_64(&written)), LAYOUT);
 }
--- /dev/null
+++ b/crates/control/tests/pictures/write_level_one.rs
@@ -0,0 +1,266 @@
+//! Writes the frozen pictures of level one: log entries of every kind of command, messages, and the state that the entries lead to.
+//!
+//! This file is not compiled here. Copied as `crates/control/tests/write_level_one.rs` into a checkout of c1a1747, the released
+//! build of that level, and run there by `cargo test --release -p saddlerelay-control --test write_level_one` with the path of a
+//! folder in `PICTURES`, it makes `level_one.log`, `level_one.state` and `level_one.messages`.
+
+use saddlerelay_control::commands;
+use saddlerelay_control::machine::ControlMachine;
+use saddlerelay_control::state::ControlState;
+use saddlerelay_replication::StateMachine;
+use saddlerelay_types::gateway::{
+    FollowReply, FollowRequest, GatewayCommand, GatewayReply, GatewayRequest, StoreRecord,
+};
+use saddlerelay_types::identity::{Incarnation, ReplicaId, TenantId, Zone};
+use saddlerelay_types::instance::{InstanceId, InstanceRecord, InstanceReport, InstanceState, LoadedModel};
+use saddlerelay_types::job::{ItemEnd, ItemId, ItemOutcome, JobId, JobItem, JobSubmission, ResultPage, ScoringRequest, TextPart};
+use saddlerelay_types::membership::RelayDescription;
+use saddlerelay_types::protocol::{
+    Command, ControlReply, ControlRequest, LogCommand, MembershipCommand, Query, RenewRequest, RolloutCommand,
+};
+use saddlerelay_types::routing::{
+    BatchTerms, ModelHosting, RequestLimits, Route, RouteKind, RoutingDocument, RoutingError, Service, WeightedTarget,
+};
+use saddlerelay_types::routing_update::{EncodedRoutingUpdate, RoutingUpdate};
+use std::net::SocketAddr;
+
+const ENTRIES: usize = 700;
+const ENGINES: u64 = 9;
+
+fn address(number: u64) -> SocketAddr {
+    ([10, 0, 0, number as u8], 8_000).into()
+}
+
+fn route(random: &mut fastrand::Rng, number: u32) -> Route {
+    let kinds = [RouteKind::Idempotent, RouteKind::NonIdempotent, RouteKind::Streaming, RouteKind::Rollout];
+    Route {
+        name: format!("route-{number}"),
+        host: "host.example".to_string(),
+        path_prefix: format!("/{number}/"),
+        kind: kinds[random.usize(..kinds.len())],
+        timeout_ms: random.u64(1..10_000),
+        objective_ms: random.u64(..1_000),
+        priority: random.u32(..4),
+        targets: vec![WeightedTarget { service: "web".to_string(), weight: random.u64(1..9) }],
+        max_attempts: random.u32(1..4),
+        resumable: random.bool(),
+        batch: BatchTerms { give_up_after_ms: 1, due_after_ms: 2, single_version: random.bool() },
+    }
+}
+
+fn document(random: &mut fastrand::Rng, version: u64) -> RoutingDocument {
+    let hosting = ModelHosting { slots: 4, token_capacity: 9, tokens_per_event: 3, models: vec!["notes".to_string()] };
+    let service = |name: &str, hosting| Service {
+        name: name.to_string(),
+        health_path: "/health".to_string(),
+        max_connections: 10,
+        hosting,
+    };
+    let limits =
+        RequestLimits { max_header_bytes: 1, max_body_bytes: 2, header_timeout_ms: 3, idle_timeout_ms: 4 };
+    let routes = (0..random.u32(1..6)).map(|number| route(random, number)).collect();
+    let services = vec![service("web", None), service("llm", Some(hosting))];
+    RoutingDocument { version, routes, services, limits, source: format!("document {version}").into_bytes() }
+}
+
+fn report(random: &mut fastrand::Rng) -> InstanceReport {
+    let number = random.u64(..ENGINES);
+    // Some hosts get another engine, and some reports come from another writer.
+    let place = if random.u8(..8) == 0 { random.u64(..ENGINES) } else { number };
+    InstanceReport {
+        id: InstanceId(format!("engine-{number}-{}", random.u8(..3))),
+        service: ["web", "llm", "unnamed"][random.usize(..3)].to_string(),
+        address: address(place),
+        zone: ["north", "south"][random.usize(..2)].to_string(),
+        slots: random.u32(1..9),
+        leaving: random.u8(..4) == 0,
+        models: vec![LoadedModel { model: "notes".to_string(), version: random.u64(..5) }],
+        sequence: random.u64(..1_000),
+    }
+}
+
+fn job(random: &mut fastrand::Rng, number: u64) -> JobSubmission {
+    let item = |item: u64| JobItem {
+        id: ItemId(format!("item-{}", item % 3)),
+        path: "/rollouts/x".to_string(),
+        headers: vec![("tone".to_string(), "calm".to_string())],
+        body: format!("body {}", item % 4).into_bytes(),
+        tokens: 7,
+        group: format!("group-{item}"),
+        scorer: (item % 2 == 0).then(|| ScoringRequest {
+            id: format!("score-{item}"),
+            host: "scores.example".to_string(),
+            path: "/score".to_string(),
+            body: b"score".to_vec(),
+        }),
+    };
+    JobSubmission {
+        id: JobId(format!("job-{number}")),
+        host: "host.example".to_string(),
+        path: "/rollouts/x".to_string(),
+        model: Some("notes".to_string()),
+        step: number,
+        minimum_version: number / 2,
+        wanted_groups: 2,
+        items: (0..random.u64(1..5)).map(|place| item(number + place)).collect(),
+    }
+}
+
+fn part(random: &mut fastrand::Rng) -> TextPart {
+    let length = if random.u8(..40) == 0 { 3_000 } else { random.usize(..40) };
+    TextPart {
+        item: random.u32(..4),
+        offset: 0,
+        data: (0..length).map(|place| b'a' + (place % 26) as u8).collect(),
+        events: 3,
+        last_event: Some(2),
+        versions: vec![1, 2],
+        whole: random.bool(),
+    }
+}
+
+fn outcome(random: &mut fastrand::Rng) -> ItemOutcome {
+    let end = if random.u8(..5) == 0 { ItemEnd::Aborted } else { ItemEnd::Completed };
+    ItemOutcome { end, rest: part(random), score: random.bool().then(|| "0.5".to_string()) }
+}
+
+fn gateway_command(random: &mut fastrand::Rng, number: u64) -> GatewayCommand {
+    let any_job = |random: &mut fastrand::Rng| JobId(format!("job-{}", random.u64(..number / 12 + 1)));
+    let store = |random: &mut fastrand::Rng| format!("store-{}", random.u8(..4));
+    let holder = ReplicaId(random.u64(1..4));
+    match random.u8(..20) {
+        0..2 => {
+            let version = number / 7 + random.u64(..3);
+            GatewayCommand::PutRouting(document(random, version))
+        }
+        2..8 => GatewayCommand::ReportInstance(report(random)),
+        8 => GatewayCommand::RemoveInstance(report(random).id),
+        9 => GatewayCommand::NameVersion(LoadedModel { model: "notes".to_string(), version: random.u64(..50) }),
+        10..12 => GatewayCommand::SubmitJob { job: job(random, number / 12), keep_ms: 4_000 },
+        12 => GatewayCommand::KeepTexts { job: any_job(random), parts: vec![part(random), part(random)] },
+        13..15 => GatewayCommand::ListResults { job: any_job(random), outcomes: vec![outcome(random)] },
+        15 => GatewayCommand::EndJob(any_job(random)),
+        16 => {
+            let name = store(random);
+            let record = StoreRecord { name, replica: holder, address: address(100), zone: "north".to_string() };
+            GatewayCommand::RegisterStore(record)
+        }
+        17 if random.bool() => GatewayCommand::RetireStore(store(random)),
+        17 => GatewayCommand::StoreRetired(store(random)),
+        18 => GatewayCommand::TakeOrders(holder),
+        _ => GatewayCommand::NoteOrders { holder, instances: vec![report(random).id, report(random).id] },
+    }
+}
+
+fn command(random: &mut fastrand::Rng, number: u64) -> Command {
+    let relay = RelayDescription {
+        name: format!("relay-{}", number % 5),
+        incarnation: Incarnation(number % 5),
+        zone: Zone::new("north"),
+        address: address(200),
+    };
+    match random.u8(..20) {
+        0 => Command::Membership(MembershipCommand::RelayJoined(relay)),
+        1 => Command::Membership(MembershipCommand::DrawFence),
+        2 => Command::Rollout(RolloutCommand::OpenTrainer {
+            tenant: TenantId::new("clinic"),
+            incarnation: Incarnation(number),
+        }),
+        _ => Command::Gateway(gateway_command(random, number)),
+    }
+}
+
+fn framed(parts: &[Vec<u8>]) -> Vec<u8> {
+    let frame = |part: &Vec<u8>| [&(part.len() as u32).to_le_bytes(), part.as_slice()].concat();
+    parts.iter().flat_map(frame).collect()
+}
+
+fn messages(random: &mut fastrand::Rng, state: &ControlState) -> Vec<Vec<u8>> {
+    let held = state.routing.current().expect("a document").clone();
+    let update = EncodedRoutingUpdate::encode(&RoutingUpdate::between(None, &held));
+    let record = InstanceRecord { report: report(random), state: InstanceState::Ready, revision: 9 };
+    let gateway = |request| bitcode::encode(&ControlRequest::Gateway(request));
+    let reply = |reply| bitcode::encode(&ControlReply::Gateway(reply));
+    let job_id = JobId("job-1".to_string());
+    let relay = RelayDescription {
+        name: "relay".to_string(),
+        incarnation: Incarnation(1),
+        zone: Zone::new("north"),
+        address: address(200),
+    };
+    vec![
+        bitcode::encode(&ControlRequest::Replication(vec![1, 2, 3])),
+        bitcode::encode(&ControlRequest::Renew(RenewRequest {
+            relay,
+            configuration: Default::default(),
+            engines: 3,
+            targets: Vec::new(),
+        })),
+        bitcode::encode(&ControlRequest::Execute(Command::Membership(MembershipCommand::DrawFence))),
+        bitcode::encode(&ControlRequest::Query(Query::Group)),
+        bitcode::encode(&ControlRequest::Initialize),
+        gateway(GatewayRequest::Follow(FollowRequest {
+            relay: "relay".to_string(),
+            zone: "north".to_string(),
+            routing_version: Some(3),
+            instance_revision: 4,
+            silent: vec![InstanceId("engine".to_string())],
+        })),
+        gateway(GatewayRequest::ReportInstance(report(random))),
+        gateway(GatewayRequest::RemoveInstance(InstanceId("engine".to_string()))),
+        gateway(GatewayRequest::PutRouting(held)),
+        gateway(GatewayRequest::ReadRouting),
+        gateway(GatewayRequest::NameVersion(LoadedModel { model: "notes".to_string(), version: 3 })),
+        gateway(GatewayRequest::SubmitJob(job(random, 1))),
+        gateway(GatewayRequest::ReadResults { job: job_id.clone(), after: 1, wait_ms: 2 }),
+        gateway(GatewayRequest::ReadPosition),
+        gateway(GatewayRequest::ReadResultsAt { position: 9, job: job_id.clone(), after: 1, wait_ms: 2 }),
+        gateway(GatewayRequest::ReadBody { job: job_id.clone(), item: ItemId("item".to_string()) }),
+        gateway(GatewayRequest::EndJob(job_id)),
+        gateway(GatewayRequest::RetireStore("store".to_string())),
+        gateway(GatewayRequest::ReadRetirement("store".to_string())),
+        reply(GatewayReply::Followed(FollowReply {
+            lease_ms: 1_800,
+            routing: Some(update),
+            instance_revision: 5,
+            instances: vec![record],
+            silent: vec![InstanceId("engine".to_string())],
+            replicas: vec![address(1)],
+            nearest_replica: Some(address(1)),
+        })),
+        reply(GatewayReply::Done),
+        reply(GatewayReply::InvalidRouting(RoutingError::NoWeight("route".to_string()))),
+        reply(GatewayReply::Routing(Some(vec![1, 2]))),
+        reply(GatewayReply::Position(8)),
+        reply(GatewayReply::Results(ResultPage { total: 4, next: 0, results: Vec::new() })),
+        reply(GatewayReply::Body(vec![3])),
+        reply(GatewayReply::NotFound),
+        reply(GatewayReply::TooFew),
+        reply(GatewayReply::Retirement { completed: true }),
+        reply(GatewayReply::Unavailable),
+        bitcode::encode(&ControlReply::NotLeader { leader: Some(address(2)) }),
+        bitcode::encode(&ControlReply::Undecided),
+        bitcode::encode(&ControlReply::Refused("reason".to_string())),
+    ]
+}
+
+#[test]
+fn write() {
+    let folder = std::env::var("PICTURES").expect("a folder");
+    let mut random = fastrand::Rng::with_seed(17);
+    let mut machine = ControlMachine::default();
+    let mut state = ControlState::default();
+    let mut entries = Vec::new();
+    for number in 0..ENTRIES as u64 {
+        let time = 1_764_720_000_000 + number * 10;
+        let entry = LogCommand { time, command: command(&mut random, number) };
+        let encoded = bitcode::encode(&entry);
+        machine.apply(&encoded);
+        commands::apply(&mut state, entry);
+        entries.push(encoded);
+    }
+    let folder = std::path::Path::new(&folder);
+    std::fs::write(folder.join("level_one.log"), framed(&entries)).expect("written");
+    std::fs::write(folder.join("level_one.state"), machine.snapshot()).expect("written");
+    std::fs::write(folder.join("level_one.messages"), framed(&messages(&mut random, &state))).expect("written");
+}
--- a/crates/gateway-api/src/outcomes.rs
+++ b/crates/gateway-api/src/outcomes.rs
@@ -17,7 +17,7 @@
         Ok(GatewayReply::NotFound) => not_found(),
         Ok(GatewayReply::TooFew) => whole(StatusCode::CONFLICT, "text/plain", "too few machines would be left"),
         Ok(GatewayReply::InvalidRouting(error)) => whole(StatusCode::BAD_REQUEST, "text/plain", error.to_string()),
-        Err(GatewayError::NotDone) => unavailable(),
+        Err(GatewayError::NotDone | GatewayError::NotUnderstood) => unavailable(),
         Ok(_) | Err(GatewayError::Undecided) => {
             whole(StatusCode::GATEWAY_TIMEOUT, "text/plain", "undecided: it may be done, now or later")
         }
--- a/crates/replication/src/calls.rs
+++ b/crates/replication/src/calls.rs
@@ -1,9 +1,11 @@
 //! Calls from replica to replica.
 
 use crate::message::{Header, ReplicaReply, ReplicaRequest};
+use crate::message_codec;
 use crate::replica::Replica;
 use crate::state::StateMachine;
-use saddlerelay_rpc::client::{CallError, Client};
+use saddlerelay_layouts::messages;
+use saddlerelay_rpc::client::{CallError, Client, Speech};
 use saddlerelay_runtime::Runtime;
 use saddlerelay_types::identity::ReplicaId;
 use saddlerelay_types::protocol::{ControlReply, ControlRequest};
@@ -17,6 +19,8 @@
     Log,
     /// Heartbeats, which must not wait behind large messages.
     Heartbeats,
+    /// Questions to machines that may be of any build, and of no group.
+    Questions,
 }
 
 impl<P: Runtime, S: StateMachine> Replica<P, S> {
@@ -37,25 +41,35 @@
         address: SocketAddr,
         request: &ReplicaRequest,
         limit: Duration,
+    ) -> Result<ReplicaReply, CallError> {
+        let speech = if channel == Channel::Questions { Speech::Negotiated } else { self.speech() };
+        self.send_as(speech, channel, address, request, limit).await
+    }
+
+    /// Like `try_send`, at a level that the caller knows better.
+    pub(crate) async fn send_as(
+        &self,
+        speech: Speech,
+        channel: Channel,
+        address: SocketAddr,
+        request: &ReplicaRequest,
+        limit: Duration,
     ) -> Result<ReplicaReply, CallError> {
         let client = self.client(channel, address);
-        let body = bitcode::encode(&ControlRequest::Replication(bitcode::encode(request)));
-        let answer = client.call(body, limit).await?;
-        let reply = match bitcode::decode(&answer) {
-            Ok(ControlReply::Replication(bytes)) => bitcode::decode(&bytes).ok(),
-            _ => None,
-        };
+        client.speak(speech);
+        let answer = client.call(|level| message_codec::encode_call(request, level), limit).await?;
+        let reply = message_codec::decode_answer(&answer.body, answer.level);
         reply.ok_or(CallError::Unknown)
     }
 
     /// Asks the leader, as far as it is known and another replica; `None` if it does not answer in time.
     pub async fn ask_leader(&self, request: &ControlRequest, limit: Duration) -> Option<ControlReply> {
-        let client = self.client(Channel::Log, self.leader_address()?);
-        let answer = client.call(bitcode::encode(request), limit).await.ok()?;
-        bitcode::decode(&answer).ok()
+        let client = self.client(Channel::Questions, self.leader_address()?);
+        let answer = client.call(|level| messages::encode_request(request, level), limit).await.ok()?;
+        messages::decode_reply(&answer.body, answer.level)
     }
 
-    fn client(&self, channel: Channel, address: SocketAddr) -> Client<P> {
+    pub(crate) fn client(&self, channel: Channel, address: SocketAddr) -> Client<P> {
         let mut clients = self.inner.clients.borrow_mut();
         let new = || Client::new(self.inner.platform.clone(), address, &self.inner.options.secret);
         clients.entry((channel, address)).or_insert_with(new).clone()
--- a/crates/replication/src/election.rs
+++ b/crates/replication/src/election.rs
@@ -222,7 +222,7 @@
                     self.observe_term(seen).await;
                 }
                 Some(Err(CallError::Unknown)) => count.late += 1,
-                Some(Ok(_) | Err(CallError::NotSent)) => {}
+                Some(Ok(_) | Err(CallError::NotSent | CallError::Unspeakable)) => {}
                 None => {
                     if given + count.late >= quorum {
                         self.inner.state.borrow_mut().patience.note_unanswered();
--- a/crates/replication/src/follower.rs
+++ b/crates/replication/src/follower.rs
@@ -8,9 +8,10 @@
 use crate::segments::{Segment, StoredSegments};
 use crate::snapshot::Snapshot;
 use crate::state::{State, StateMachine};
-use crate::storage::write_snapshot;
+use crate::storage::{Storage, StorageError, write_snapshot};
 use crate::wal::WalRecord;
 use saddlerelay_runtime::{MAX_FRAME_BYTES, Runtime};
+use saddlerelay_types::feature_level::FeatureLevel;
 use saddlerelay_types::identity::ReplicaId;
 
 /// Where a snapshot comes from.
@@ -19,6 +20,7 @@
     leader: ReplicaId,
     term: u64,
     index: u64,
+    level: FeatureLevel,
 }
 
 /// A snapshot of which some parts have come.
@@ -43,10 +45,10 @@
     }
 
     /// Whether the snapshot is whole by the last part; `Err` if it is damaged.
-    fn decode_whole(&mut self, part: &SnapshotPart) -> Result<bool, DamagedSnapshot> {
+    fn decode_whole(&mut self, source: SnapshotSource, part: &SnapshotPart) -> Result<bool, DamagedSnapshot> {
         if self.whole.is_none() && self.bytes.len() as u64 == part.total {
             let bytes = std::mem::take(&mut self.bytes);
-            self.whole = Some(Snapshot::decode(bytes).ok_or(DamagedSnapshot)?);
+            self.whole = Some(Snapshot::decode(bytes).ok_or(DamagedSnapshot)?.at_level(source.level));
         }
         Ok(self.whole.is_some())
     }
@@ -77,12 +79,18 @@
         previous_term: u64,
         entries: Vec<LogEntry>,
         commit: u64,
+        level: FeatureLevel,
     ) -> ReplicaReply {
         let mut storage = self.inner.storage.lock().await;
         let own_term = self.inner.state.borrow().term;
         if header.term < own_term {
             return ReplicaReply::Append { term: own_term, accepted: false, index: 0 };
         }
+        if let Err(error) = self.adopt_level(&mut storage, level).await {
+            // The leader asks again.
+            spdlog::warn!("format not written", kv: { dependency = "disk", reason = error.to_string().as_str() });
+            return ReplicaReply::Refused;
+        }
         let mut records = new_term_record(header.term, own_term);
         let last_sent = previous_index + entries.len() as u64;
         let checked = {
@@ -110,18 +118,23 @@
 
     /// Takes a part; the last one makes the snapshot whole and has it installed, once no segment is missing. An empty part
     /// behind the last one only asks how far that is.
-    pub(crate) async fn take_snapshot_part(&self, header: Header, part: SnapshotPart) -> ReplicaReply {
+    pub(crate) async fn take_snapshot_part(
+        &self,
+        header: Header,
+        part: SnapshotPart,
+        level: FeatureLevel,
+    ) -> ReplicaReply {
         let own_term = self.inner.state.borrow().term;
         if header.term < own_term {
             return ReplicaReply::SnapshotPart { term: own_term, next_offset: 0 };
         }
         self.hear_leader(&mut self.inner.state.borrow_mut(), &header);
-        let source = SnapshotSource { leader: header.from, term: header.term, index: part.index };
+        let source = SnapshotSource { leader: header.from, term: header.term, index: part.index, level };
         {
             let mut incoming = self.inner.incoming.borrow_mut();
             let received = incoming.get_or_insert_default();
             received.take(source, &part);
-            match received.decode_whole(&part) {
+            match received.decode_whole(source, &part) {
                 Ok(true) => {}
                 Ok(false) => {
                     let next_offset = received.bytes.len() as u64;
@@ -171,10 +184,15 @@
             return ReplicaReply::Append { term: header.term, accepted: true, index: applied };
         }
         let voted_for = self.inner.state.borrow().voted_for.filter(|_| header.term == own_term);
+        if let Err(error) = self.enter_level_of(&mut storage, &snapshot).await {
+            // The leader sends it again.
+            spdlog::warn!("format not written", kv: { dependency = "disk", reason = error.to_string().as_str() });
+            return ReplicaReply::Refused;
+        }
         // The state is replaced first, so that not both of them and the snapshot's bytes are held.
         self.replace_state(&snapshot);
         let writing = self.inner.snapshot_file.lock().await;
-        let written = write_snapshot(&self.inner.platform.disk(), snapshot).await;
+        let written = write_snapshot(&self.inner.platform.disk(), snapshot, self.inner.format.get()).await;
         drop(writing);
         let written = match written {
             Ok(()) => storage.rewrite(header.term, voted_for, &[]).await,
@@ -201,9 +219,18 @@
     }
 
     /// What the snapshot holds was committed: the state may go forward to it before it is on this replica's disk.
+    /// The files are made ready for a snapshot of another level than theirs.
+    async fn enter_level_of(&self, storage: &mut Storage<P::Disk>, snapshot: &Snapshot) -> Result<(), StorageError> {
+        self.adopt_level(storage, snapshot.level).await?;
+        let is_same = self.inner.state.borrow().level == Some(snapshot.level);
+        if is_same { Ok(()) } else { storage.hold_several_levels().await }
+    }
+
     fn replace_state(&self, snapshot: &Snapshot) {
         let mut state = self.inner.state.borrow_mut();
-        state.machine.restore(snapshot.state());
+        state.machine.restore(snapshot.state(), snapshot.level);
+        state.level = Some(snapshot.level);
+        state.began_at = None;
         let header = snapshot.header.clone();
         state.log = MemoryLog::new(header.index, header.term, header.membership);
         state.commit = header.index;
--- a/crates/replication/src/leader.rs
+++ b/crates/replication/src/leader.rs
@@ -11,7 +11,7 @@
 use crate::wal::WalRecord;
 use futures::channel::mpsc;
 use futures::{FutureExt, StreamExt, future};
-use saddlerelay_rpc::client::CallError;
+use saddlerelay_rpc::client::{CallError, Speech};
 use saddlerelay_runtime::Runtime;
 use std::collections::BTreeMap;
 use std::pin::pin;
@@ -87,6 +87,11 @@
 impl<P: Runtime, S: StateMachine> Replica<P, S> {
     /// Begins to lead `term`.
     pub(crate) async fn lead(&self, term: u64) {
+        if let Err(error) = self.choose_first_level().await {
+            spdlog::warn!("format not written", kv: { dependency = "disk", reason = error.to_string().as_str() });
+            self.fail_storage();
+            return;
+        }
         let peers = {
             let mut state = self.inner.state.borrow_mut();
             if state.term != term {
@@ -96,7 +101,8 @@
             let since = self.inner.platform.monotonic();
             let progress = BTreeMap::new();
             state.leader = Some(state.identity.id);
-            state.role = Role::Leader(Leadership { first_index, since, progress, handing_over: false });
+            let next_level = state.level_at_end();
+            state.role = Role::Leader(Leadership { first_index, since, progress, handing_over: false, next_level });
             start_progress(&mut state)
         };
         self.start_peers(peers, term);
@@ -181,7 +187,8 @@
                 return;
             };
             let sent_at = self.inner.platform.monotonic();
-            let sent = self.try_send(Channel::Log, peer.address, &request, config.call_limit);
+            let speech = self.speech_for(&request, &transfer);
+            let sent = self.send_as(speech, Channel::Log, peer.address, &request, config.call_limit);
             let reply = self.with_heartbeats(&peer, term, sent).await;
             match &reply {
                 Ok(_) => {
@@ -189,7 +196,7 @@
                     size.note_answered(after, config.call_limit);
                 }
                 Err(CallError::Unknown) => size.note_unanswered(),
-                Err(CallError::NotSent) => {}
+                Err(CallError::NotSent | CallError::Unspeakable) => {}
             }
             let more = match reply {
                 Ok(ReplicaReply::Append { term: seen_term, accepted, index }) => {
@@ -222,6 +229,17 @@
         }
     }
 
+    /// What a message begins with says at which level it is written: a peer without a log reads from there on.
+    fn speech_for(&self, request: &ReplicaRequest, transfer: &Option<SnapshotTransfer>) -> Speech {
+        match (request, transfer) {
+            (ReplicaRequest::Append { previous_index, .. }, _) => {
+                Speech::Fixed(self.inner.state.borrow().level_of_append(*previous_index))
+            }
+            (ReplicaRequest::SnapshotPart { .. }, Some(transfer)) => Speech::Fixed(transfer.snapshot.level),
+            _ => self.speech(),
+        }
+    }
+
     /// What a peer lacks next: entries from memory, else from this replica's own log file, else a snapshot. Segments that the
     /// snapshot refers to the peer fetches itself; meanwhile an empty part behind the last one asks whether it has them.
     async fn next_message(
--- a/crates/replication/src/maintenance.rs
+++ b/crates/replication/src/maintenance.rs
@@ -76,7 +76,7 @@
         let snapshot = self.inner.state.borrow().snapshot();
         let header = snapshot.header.clone();
         let bytes = snapshot.encoded().len() as u64;
-        write_snapshot(&self.inner.platform.disk(), snapshot).await?;
+        write_snapshot(&self.inner.platform.disk(), snapshot, self.inner.format.get()).await?;
         spdlog::info!("snapshot written", kv: {
             index = header.index, bytes = bytes, segments = header.segments.len() as u64
         });
--- /dev/null
+++ b/crates/replication/src/message_codec.rs
@@ -0,0 +1,160 @@
+//! How messages of the replication protocol are written at each feature level.
+//!
+//! Level one knows neither heartbeats beside a message, nor announcements, nor an answer that says when to ask again.
+
+use crate::log::LogEntry;
+use crate::message::{Header, ReplicaReply, ReplicaRequest, SnapshotPart};
+use bitcode::{Decode, Encode};
+use saddlerelay_layouts::messages::{self, Request};
+use saddlerelay_types::feature_level::FeatureLevel;
+use saddlerelay_types::identity::ReplicaId;
+use saddlerelay_types::protocol::{ControlReply, ControlRequest};
+use std::net::SocketAddr;
+
+/// A request of level one, as released.
+#[derive(Clone, Debug, PartialEq, Eq, Encode, Decode)]
+enum RequestOne {
+    Vote { header: Header, pre_vote: bool, transfer: bool, last_index: u64, last_term: u64 },
+    Append { header: Header, previous_index: u64, previous_term: u64, entries: Vec<LogEntry>, commit: u64 },
+    SnapshotPart { header: Header, part: SnapshotPart },
+    ReadSegment { header: Header, number: u64 },
+    TakeOver { header: Header },
+    Join { id: ReplicaId, address: SocketAddr },
+}
+
+/// An answer of level one, as released.
+#[derive(Clone, Debug, PartialEq, Eq, Encode, Decode)]
+enum ReplyOne {
+    Vote { term: u64, granted: bool },
+    Append { term: u64, accepted: bool, index: u64 },
+    SnapshotPart { term: u64, next_offset: u64 },
+    FetchingSegments { term: u64 },
+    Segment(Vec<u8>),
+    Taken,
+    Members(Vec<SocketAddr>),
+    Refused,
+}
+
+impl From<RequestOne> for ReplicaRequest {
+    fn from(request: RequestOne) -> Self {
+        match request {
+            RequestOne::Vote { header, pre_vote, transfer, last_index, last_term } => {
+                Self::Vote { header, pre_vote, transfer, last_index, last_term }
+            }
+            RequestOne::Append { header, previous_index, previous_term, entries, commit } => {
+                Self::Append { header, previous_index, previous_term, entries, commit }
+            }
+            RequestOne::SnapshotPart { header, part } => Self::SnapshotPart { header, part },
+            RequestOne::ReadSegment { header, number } => Self::ReadSegment { header, number },
+            RequestOne::TakeOver { header } => Self::TakeOver { header },
+            RequestOne::Join { id, address } => Self::Join { id, address },
+        }
+    }
+}
+
+impl RequestOne {
+    fn of(request: ReplicaRequest) -> Option<Self> {
+        Some(match request {
+            ReplicaRequest::Vote { header, pre_vote, transfer, last_index, last_term } => {
+                Self::Vote { header, pre_vote, transfer, last_index, last_term }
+            }
+            ReplicaRequest::Append { header, previous_index, previous_term, entries, commit } => {
+                Self::Append { header, previous_index, previous_term, entries, commit }
+            }
+            ReplicaRequest::SnapshotPart { header, part } => Self::SnapshotPart { header, part },
+            ReplicaRequest::ReadSegment { header, number } => Self::ReadSegment { header, number },
+            ReplicaRequest::TakeOver { header } => Self::TakeOver { header },
+            ReplicaRequest::Join { id, address } => Self::Join { id, address },
+            ReplicaRequest::Heartbeat { .. } | ReplicaRequest::Announce { .. } => return None,
+        })
+    }
+}
+
+impl From<ReplyOne> for ReplicaReply {
+    fn from(reply: ReplyOne) -> Self {
+        match reply {
+            ReplyOne::Vote { term, granted } => Self::Vote { term, granted },
+            ReplyOne::Append { term, accepted, index } => Self::Append { term, accepted, index },
+            ReplyOne::SnapshotPart { term, next_offset } => Self::SnapshotPart { term, next_offset },
+            ReplyOne::FetchingSegments { term } => Self::FetchingSegments { term },
+            ReplyOne::Segment(bytes) => Self::Segment(bytes),
+            ReplyOne::Taken => Self::Taken,
+            ReplyOne::Members(members) => Self::Members(members),
+            ReplyOne::Refused => Self::Refused,
+        }
+    }
+}
+
+impl From<ReplicaReply> for ReplyOne {
+    fn from(reply: ReplicaReply) -> Self {
+        match reply {
+            ReplicaReply::Vote { term, granted } => Self::Vote { term, granted },
+            ReplicaReply::Append { term, accepted, index } => Self::Append { term, accepted, index },
+            ReplicaReply::SnapshotPart { term, next_offset } => Self::SnapshotPart { term, next_offset },
+            ReplicaReply::FetchingSegments { term } => Self::FetchingSegments { term },
+            ReplicaReply::Segment(bytes) => Self::Segment(bytes),
+            ReplicaReply::Taken => Self::Taken,
+            // It asks those, and then again.
+            ReplicaReply::Members(members) | ReplicaReply::NotWanted { members, .. } => Self::Members(members),
+            ReplicaReply::Refused | ReplicaReply::Heartbeat { .. } => Self::Refused,
+        }
+    }
+}
+
+/// Writes a request; `None` if the level has no words for it.
+pub fn encode_request(request: &ReplicaRequest, level: FeatureLevel) -> Option<Vec<u8>> {
+    match level {
+        FeatureLevel::One => Some(bitcode::encode(&RequestOne::of(request.clone())?)),
+        FeatureLevel::Two => Some(bitcode::encode(request)),
+    }
+}
+
+/// Reads a request; `None` if it cannot be read.
+pub fn decode_request(bytes: &[u8], level: FeatureLevel) -> Option<ReplicaRequest> {
+    match level {
+        FeatureLevel::One => bitcode::decode::<RequestOne>(bytes).ok().map(Into::into),
+        FeatureLevel::Two => bitcode::decode(bytes).ok(),
+    }
+}
+
+/// Writes an answer.
+pub fn encode_reply(reply: ReplicaReply, level: FeatureLevel) -> Vec<u8> {
+    match level {
+        FeatureLevel::One => bitcode::encode(&ReplyOne::from(reply)),
+        FeatureLevel::Two => bitcode::encode(&reply),
+    }
+}
+
+/// Reads an answer; `None` if it cannot be read.
+pub fn decode_reply(bytes: &[u8], level: FeatureLevel) -> Option<ReplicaReply> {
+    match level {
+        FeatureLevel::One => bitcode::decode::<ReplyOne>(bytes).ok().map(Into::into),
+        FeatureLevel::Two => bitcode::decode(bytes).ok(),
+    }
+}
+
+/// Writes the whole request of a connection that carries `request`; `None` if the level has no words for it.
+pub fn encode_call(request: &ReplicaRequest, level: FeatureLevel) -> Option<Vec<u8>> {
+    messages::encode_request(&ControlRequest::Replication(encode_request(request, level)?), level)
+}
+
+/// Reads what `encode_call` has written.
+pub fn decode_call(body: &[u8], level: FeatureLevel) -> Option<ReplicaRequest> {
+    match messages::decode_request(body, level)? {
+        Request::Today(ControlRequest::Replication(bytes)) => decode_request(&bytes, level),
+        _ => None,
+    }
+}
+
+/// Writes the whole answer that carries `reply`.
+pub fn encode_answer(reply: ReplicaReply, level: FeatureLevel) -> Option<Vec<u8>> {
+    messages::encode_reply(ControlReply::Replication(encode_reply(reply, level)), level)
+}
+
+/// Reads what `encode_answer` has written.
+pub fn decode_answer(body: &[u8], level: FeatureLevel) -> Option<ReplicaReply> {
+    match messages::decode_reply(body, level)? {
+        ControlReply::Replication(bytes) => decode_reply(&bytes, level),
+        _ => None,
+    }
+}
--- a/crates/replication/src/reconfigure.rs
+++ b/crates/replication/src/reconfigure.rs
@@ -1,6 +1,7 @@
 //! Changes of the group's members, one at a time: joining, learners that become voters, and voters that are lost,
 //! replaced or unwanted.
 
+use crate::calls::Channel;
 use crate::log::EntryPayload;
 use crate::membership::{Member, Membership};
 use crate::message::{ReplicaReply, ReplicaRequest};
@@ -8,6 +9,7 @@
 use crate::state::{Leadership, State, StateMachine};
 use futures::future::join_all;
 use saddlerelay_runtime::Runtime;
+use saddlerelay_types::feature_level::FeatureLevel;
 use saddlerelay_types::identity::ReplicaId;
 use std::collections::BTreeSet;
 use std::net::SocketAddr;
@@ -180,7 +182,7 @@
         Some(judge(&judgement))
     }
 
-    pub(crate) fn answer_join(&self, id: ReplicaId, address: SocketAddr) -> ReplicaReply {
+    pub(crate) fn answer_join(&self, id: ReplicaId, address: SocketAddr, level: FeatureLevel) -> ReplicaReply {
         let config = &self.inner.options.config;
         let (membership, made_from) = {
             let state = self.inner.state.borrow();
@@ -188,7 +190,11 @@
                 return ReplicaReply::Members(self.known_addresses(&state));
             }
             let known = state.membership().member(id).is_some();
-            if known || self.inner.unwanted.borrow().contains(&id) || !may_change_membership(&state) {
+            let is_older = state.leadership().is_some_and(|leadership| level < leadership.next_level);
+            if is_older {
+                spdlog::warn!("older build not added", kv: { replica = id.0, level = level.number() });
+            }
+            if known || is_older || self.inner.unwanted.borrow().contains(&id) || !may_change_membership(&state) {
                 return ReplicaReply::Refused;
             }
             let wanted = self.judge(&state, |judgement| {
@@ -279,7 +285,7 @@
             }
             let id = self.inner.state.borrow().identity.id;
             let request = ReplicaRequest::Join { id, address: self.inner.options.address };
-            let ask = |address| self.send(address, &request, JOIN_LIMIT);
+            let ask = |address| self.ask_to_join(address, &request);
             let replies = join_all(self.join_addresses().into_iter().map(ask)).await;
             for reply in replies.into_iter().flatten() {
                 match reply {
@@ -295,6 +301,10 @@
         }
     }
 
+    async fn ask_to_join(&self, address: SocketAddr, request: &ReplicaRequest) -> Option<ReplicaReply> {
+        self.try_send(Channel::Questions, address, request, JOIN_LIMIT).await.ok()
+    }
+
     fn needs_group(&self) -> bool {
         let state = self.inner.state.borrow();
         if state.stopping || state.leadership().is_some() {
--- a/crates/replication/src/replica.rs
+++ b/crates/replication/src/replica.rs
@@ -2,6 +2,7 @@
 
 use crate::calls::Channel;
 use crate::config::ReplicationConfig;
+use crate::file_format::FileFormat;
 use crate::follower::IncomingSnapshot;
 use crate::founding::founder_id;
 use crate::log::EntryPayload;
@@ -18,6 +19,7 @@
 use saddlerelay_rpc::client::Client;
 use saddlerelay_runtime::Runtime;
 use saddlerelay_runtime::signal::Signal;
+use saddlerelay_types::feature_level::FeatureLevel;
 use saddlerelay_types::identity::ReplicaId;
 use saddlerelay_types::protocol::{GroupView, ReplicaView};
 use std::cell::{Cell, RefCell};
@@ -51,6 +53,8 @@
     Overloaded,
     /// The proposal may or may not be committed later.
     Undecided,
+    /// The group's feature level has no words for the command; nothing was written.
+    NotAtThisLevel,
 }
 
 pub(crate) struct Proposal<O> {
@@ -65,6 +69,8 @@
     pub options: ReplicaOptions,
     pub state: RefCell<State<S>>,
     pub storage: Mutex<Storage<P::Disk>>,
+    /// The format of the files.
+    pub format: Rc<Cell<FileFormat>>,
     /// Held by whoever writes the snapshot file; taken after `storage` if both are needed.
     pub snapshot_file: Mutex<()>,
     /// Held by whoever writes a segment's file.
@@ -112,15 +118,20 @@
     /// Opens the replica's files and restores its state; `start` makes it take part.
     pub async fn open(platform: P, options: ReplicaOptions, mut machine: S) -> Result<Self, StorageError> {
         let founds = options.founders.contains(&options.address);
+        let new_format = if founds { FileFormat::Level(FeatureLevel::NEWEST) } else { FileFormat::Raised };
         let random_id = ReplicaId(platform.random().max(1));
         let new_id = if founds { founder_id(options.address) } else { random_id };
-        let (storage, recovered) = Storage::open(platform.disk(), new_id, S::FORMAT).await?;
+        let (storage, recovered) = Storage::open(platform.disk(), new_id, new_format).await?;
         tell_recovered(&recovered);
         let snapshot_index = recovered.log.base_index();
         let led_last = led_last(&recovered);
         let mut segments = StoredSegments::default();
+        let began_at = recovered.level.filter(|_| recovered.snapshot.is_none());
+        if let Some(level) = began_at {
+            machine.enter_level(level);
+        }
         if let Some(snapshot) = recovered.snapshot {
-            machine.restore(snapshot.state());
+            machine.restore(snapshot.state(), snapshot.level);
             segments = StoredSegments::new(&snapshot.header.segments);
         }
         let now = platform.monotonic();
@@ -151,6 +162,8 @@
             applied_bytes_since_snapshot: 0,
             snapshot_index,
             machine,
+            level: recovered.level,
+            began_at,
             waiting: BTreeMap::new(),
             storage_failed: false,
             stopping: false,
@@ -160,6 +173,7 @@
             platform,
             options,
             state: RefCell::new(state),
+            format: storage.format(),
             storage: Mutex::new(storage),
             snapshot_file: Mutex::new(()),
             segment_files: Mutex::new(()),
@@ -198,22 +212,43 @@
 
     /// Commits `command` and returns its outcome.
     pub async fn propose(&self, command: Vec<u8>) -> Result<S::Outcome, ProposeError> {
-        if !self.accepts_proposals() {
+        self.propose_as(|_| Some(vec![command])).await
+    }
+
+    /// Commits a command, written as one or more entries at the level of the log's end, and returns the last one's outcome.
+    pub async fn propose_as(
+        &self,
+        encode: impl FnOnce(FeatureLevel) -> Option<Vec<Vec<u8>>>,
+    ) -> Result<S::Outcome, ProposeError> {
+        let Some(level) = self.level_of_proposals() else {
             return Err(ProposeError::NotLeader(self.leader_address()));
+        };
+        let entries = encode(level).ok_or(ProposeError::NotAtThisLevel)?;
+        let mut last = None;
+        // All are queued at once: an entry that raises the level stands before them or behind.
+        for command in entries {
+            match self.queue(command) {
+                Ok(outcome) => last = Some(outcome),
+                Err(error) if last.is_none() => return Err(error),
+                Err(_) => return Err(ProposeError::Undecided),
+            }
         }
+        let outcome = last.ok_or(ProposeError::NotAtThisLevel)?;
+        outcome.await.map_err(|_| ProposeError::Undecided)
+    }
+
+    fn queue(&self, command: Vec<u8>) -> Result<oneshot::Receiver<S::Outcome>, ProposeError> {
         let (sender, outcome) = oneshot::channel();
         let proposal = Proposal { payload: EntryPayload::Command(command), sender: Some(sender), made_from: None };
         let queued = self.inner.proposals.borrow_mut().try_send(proposal);
-        if queued.is_err() {
-            return Err(ProposeError::Overloaded);
-        }
-        outcome.await.map_err(|_| ProposeError::Undecided)
+        queued.map(|()| outcome).map_err(|_| ProposeError::Overloaded)
     }
 
-    fn accepts_proposals(&self) -> bool {
+    /// The level of what is proposed now; `None` if nothing may be.
+    pub fn level_of_proposals(&self) -> Option<FeatureLevel> {
         let state = self.inner.state.borrow();
-        let open = state.leadership().is_some_and(|leadership| !leadership.handing_over);
-        open && !state.storage_failed
+        let leadership = state.leadership().filter(|leadership| !leadership.handing_over && !state.storage_failed)?;
+        Some(leadership.next_level)
     }
 
     /// How far the log is committed, if this replica leads and holds the lease: whoever has applied it that far knows all
@@ -266,6 +301,11 @@
         read(&self.inner.state.borrow().machine)
     }
 
+    /// Changes what the machine keeps beside its replicated state.
+    pub fn adjust(&self, change: impl FnOnce(&mut S)) {
+        change(&mut self.inner.state.borrow_mut().machine);
+    }
+
     /// How many voters the group wants.
     pub fn target_voters(&self) -> usize {
         self.inner.options.config.target_voters
@@ -319,12 +359,12 @@
     }
 
     /// Answers another replica.
-    pub async fn handle(&self, request: ReplicaRequest) -> ReplicaReply {
+    pub async fn handle(&self, request: ReplicaRequest, level: FeatureLevel) -> ReplicaReply {
         if self.inner.state.borrow().storage_failed {
             return ReplicaReply::Refused;
         }
         match request {
-            ReplicaRequest::Join { id, address } => self.answer_join(id, address),
+            ReplicaRequest::Join { id, address } => self.answer_join(id, address, level),
             ReplicaRequest::Announce { group, leader, members } => self.hear_announcement(group, leader, members),
             ReplicaRequest::Vote { header, pre_vote, transfer, last_index, last_term } => {
                 if !self.is_for_this_replica(&header) {
@@ -336,13 +376,13 @@
                 if !self.accepts_leader(&header).await {
                     return ReplicaReply::Refused;
                 }
-                self.append_entries(header, previous_index, previous_term, entries, commit).await
+                self.append_entries(header, previous_index, previous_term, entries, commit, level).await
             }
             ReplicaRequest::SnapshotPart { header, part } => {
                 if !self.accepts_leader(&header).await {
                     return ReplicaReply::Refused;
                 }
-                self.take_snapshot_part(header, part).await
+                self.take_snapshot_part(header, part, level).await
             }
             ReplicaRequest::ReadSegment { header, number } => {
                 if !self.is_for_this_replica(&header) {
--- a/crates/replication/src/snapshot.rs
+++ b/crates/replication/src/snapshot.rs
@@ -6,6 +6,7 @@
 use crate::membership::Membership;
 use crate::segments::Segment;
 use bitcode::{Decode, Encode};
+use saddlerelay_types::feature_level::FeatureLevel;
 use std::rc::Rc;
 
 const LENGTH_BYTES: usize = 4;
@@ -29,12 +30,14 @@
 pub struct Snapshot {
     /// What the log needs to go on.
     pub header: SnapshotHeader,
+    /// The level at which the state is written. Whoever keeps or sends the snapshot says so beside it.
+    pub level: FeatureLevel,
     encoded: Rc<Vec<u8>>,
     state_bytes: usize,
 }
 
 impl Snapshot {
-    /// A snapshot of a state machine's bytes.
+    /// A snapshot of a state machine's bytes, at the newest level.
     pub fn new(header: SnapshotHeader, state: Vec<u8>) -> Self {
         let state_bytes = state.len();
         let mut encoded = state;
@@ -45,10 +48,15 @@
         encoded.extend_from_slice(&(trailer.len() as u32).to_le_bytes());
         let checksum = crc32fast::hash(&encoded);
         encoded.extend_from_slice(&checksum.to_le_bytes());
-        Self { header, encoded: Rc::new(encoded), state_bytes }
+        Self { header, level: FeatureLevel::NEWEST, encoded: Rc::new(encoded), state_bytes }
     }
 
-    /// Reads an encoded snapshot; `None` when it is damaged.
+    /// The same bytes, written at `level`.
+    pub fn at_level(self, level: FeatureLevel) -> Self {
+        Self { level, ..self }
+    }
+
+    /// Reads an encoded snapshot, as of the newest level; `None` when it is damaged.
     pub fn decode(encoded: Vec<u8>) -> Option<Self> {
         let (body, checksum) = encoded.split_at_checked(encoded.len().checked_sub(CHECKSUM_BYTES)?)?;
         if crc32fast::hash(body) != number(checksum) {
@@ -57,7 +65,7 @@
         let (body, length) = body.split_at_checked(body.len().checked_sub(LENGTH_BYTES)?)?;
         let state_bytes = body.len().checked_sub(number(length) as usize)?;
         let header = bitcode::decode(&body[state_bytes..]).ok()?;
-        Some(Self { header, encoded: Rc::new(encoded), state_bytes })
+        Some(Self { header, level: FeatureLevel::NEWEST, encoded: Rc::new(encoded), state_bytes })
     }
 
     /// All of it, as it is sent and written.
@@ -65,6 +73,11 @@
         &self.encoded
     }
 
+    /// Its bytes; they are copied only while somebody else holds them, for example to send them.
+    pub fn into_encoded(self) -> Vec<u8> {
+        Rc::try_unwrap(self.encoded).unwrap_or_else(|shared| shared.to_vec())
+    }
+
     /// The state machine's own bytes.
     pub fn state(&self) -> &[u8] {
         &self.encoded[..self.state_bytes]
--- a/crates/replication/src/state.rs
+++ b/crates/replication/src/state.rs
@@ -1,6 +1,7 @@
 //! A replica's state in memory.
 
 use crate::config::ReplicationConfig;
+use crate::levels::raised_to;
 use crate::log::{EntryPayload, MemoryLog};
 use crate::membership::{Member, Membership};
 use crate::patience::Patience;
@@ -8,6 +9,7 @@
 use crate::snapshot::{Snapshot, SnapshotHeader};
 use crate::storage::Identity;
 use futures::channel::oneshot;
+use saddlerelay_types::feature_level::FeatureLevel;
 use saddlerelay_types::identity::ReplicaId;
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
@@ -19,14 +21,14 @@
 pub trait StateMachine: 'static {
     /// What a command brings.
     type Outcome: 'static;
-    /// Rises with each change of how commands or snapshots are encoded: files in another format are refused.
-    const FORMAT: u32;
+    /// From now on commands are read, and the state is written, at `level`: at first, and when the group's level is raised.
+    fn enter_level(&mut self, _level: FeatureLevel) {}
     /// Applies a committed command.
     fn apply(&mut self, command: &[u8]) -> Self::Outcome;
     /// The state as bytes, without its segments.
     fn snapshot(&self) -> Vec<u8>;
-    /// Replaces the state with one that `snapshot` gave.
-    fn restore(&mut self, bytes: &[u8]);
+    /// Replaces the state with one that `snapshot` gave at `level`.
+    fn restore(&mut self, bytes: &[u8], level: FeatureLevel);
     /// The immutable parts that the state refers to and `snapshot` leaves out, by rising number.
     fn segments(&self) -> Vec<Segment> {
         Vec::new()
@@ -77,6 +79,8 @@
     pub progress: BTreeMap<ReplicaId, Progress>,
     /// Leadership is being handed over: no new proposals.
     pub handing_over: bool,
+    /// The level of the commands that are proposed now.
+    pub next_level: FeatureLevel,
 }
 
 impl Leadership {
@@ -120,6 +124,10 @@
     pub applied_bytes_since_snapshot: u64,
     pub snapshot_index: u64,
     pub machine: S,
+    /// The level of the machine's state; `None` until the replica belongs to a group.
+    pub level: Option<FeatureLevel>,
+    /// The level of the log's first entry, while it is known.
+    pub began_at: Option<FeatureLevel>,
     pub waiting: BTreeMap<u64, Waiting<S::Outcome>>,
     /// The disk refused a write; the replica takes part in nothing until it is repaired.
     pub storage_failed: bool,
@@ -248,7 +256,15 @@
             self.applied_bytes_since_snapshot += entry.payload.size();
             self.applied = index;
             let outcome = match &entry.payload {
-                EntryPayload::Command(command) => Some(self.machine.apply(command)),
+                EntryPayload::Command(command) => match raised_to(command) {
+                    Some(level) => {
+                        spdlog::info!("feature level raised", kv: { level = level.number(), index = index });
+                        self.level = Some(level);
+                        self.machine.enter_level(level);
+                        None
+                    }
+                    None => Some(self.machine.apply(command)),
+                },
                 EntryPayload::Empty | EntryPayload::Membership(_) => None,
             };
             let waiting = self.waiting.remove(&index);
@@ -267,6 +283,7 @@
         let term = self.log.term_at(index).unwrap_or_default();
         let membership = self.log.membership_at(index).clone();
         let segments = self.machine.segments();
-        Snapshot::new(SnapshotHeader { index, term, membership, segments }, self.machine.snapshot())
+        let snapshot = Snapshot::new(SnapshotHeader { index, term, membership, segments }, self.machine.snapshot());
+        snapshot.at_level(self.level.unwrap_or(FeatureLevel::NEWEST))
     }
 }
--- a/crates/replication/src/storage.rs
+++ b/crates/replication/src/storage.rs
@@ -1,5 +1,7 @@
 //! A replica's files: its identity, its snapshot and its write-ahead log.
 
+use crate::file_format::{FileFormat, readable_formats};
+use crate::levels::is_raise;
 use crate::log::{LogEntry, MemoryLog};
 use crate::log_file::{EntryPlace, LogFileIndex};
 use crate::membership::Membership;
@@ -7,11 +9,13 @@
 use crate::wal::{self, WalContent, WalRecord};
 use bitcode::{Decode, Encode};
 use saddlerelay_runtime::Disk;
+use saddlerelay_types::feature_level::FeatureLevel;
 use saddlerelay_types::identity::ReplicaId;
+use std::cell::Cell;
 use std::fmt;
 use std::io;
+use std::rc::Rc;
 
-const FORMAT_FILE: &str = "format";
 const IDENTITY_FILE: &str = "identity";
 const SNAPSHOT_FILE: &str = "snapshot";
 const WAL_FILE: &str = "wal";
@@ -21,13 +25,11 @@
 pub enum StorageError {
     /// The operating system refused.
     Io(io::Error),
-    /// The files were written in another format. The replica must not start: give it an empty data folder, and it joins
-    /// as a new member.
+    /// The files are in a format that this build does not read. Nothing has been changed: a build that reads them finds all
+    /// that was acknowledged.
     OtherFormat {
         /// The format of the files, if they name one.
         found: Option<u32>,
-        /// The format that this program reads.
-        wanted: u32,
     },
     /// A segment that the snapshot refers to is missing or cut short. The replica must not start: give it an empty data
     /// folder, and it joins as a new member.
@@ -63,12 +65,13 @@
     fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
             Self::Io(error) => write!(formatter, "{error}"),
-            Self::OtherFormat { found, wanted } => {
+            Self::OtherFormat { found } => {
                 let found = found.map_or("none".to_string(), |found| found.to_string());
                 write!(
                     formatter,
-                    "the files are in format {found}, this program reads {wanted}; start this replica with an empty data \
-                     folder to rejoin"
+                    "the files are in format {found}, this build reads {}; keep the data folder and start the build that wrote \
+                     it, or one that reads it",
+                    readable_formats()
                 )
             }
             Self::MissingSegment { number } => write!(
@@ -124,6 +127,8 @@
     pub snapshot: Option<Snapshot>,
     /// Bytes of a torn write that were cut off.
     pub torn_bytes: usize,
+    /// The level at which the log begins, or the snapshot if there is one; `None` if there is neither.
+    pub level: Option<FeatureLevel>,
 }
 
 /// Writes the files. Only its owner's lock holder uses it.
@@ -137,24 +142,27 @@
     term: u64,
     /// The vote in it.
     voted_for: Option<ReplicaId>,
+    /// Shared with whoever writes snapshots.
+    format: Rc<Cell<FileFormat>>,
 }
 
 impl<D: Disk> Storage<D> {
-    /// Opens files in `format`, making an identity if the disk is empty. Files that are refused are told at once: the
-    /// process ends, and its last line may be all that is left of it.
-    pub async fn open(disk: D, new_id: ReplicaId, format: u32) -> Result<(Self, Recovered), StorageError> {
-        let opened = Self::open_files(disk, new_id, format).await;
+    /// Opens the files; those on an empty disk get an identity and the format `new`. Files that are refused are told at once: the process ends,
+    /// and its last line may be all that is left of it.
+    pub async fn open(disk: D, new_id: ReplicaId, new: FileFormat) -> Result<(Self, Recovered), StorageError> {
+        let opened = Self::open_files(disk, new_id, new).await;
         if let Err(error) = &opened {
             spdlog::error!("replica not started", kv: { dependency = "disk", reason = error.to_string().as_str() });
         }
         opened
     }
 
-    async fn open_files(disk: D, new_id: ReplicaId, format: u32) -> Result<(Self, Recovered), StorageError> {
+    async fn open_files(disk: D, new_id: ReplicaId, new: FileFormat) -> Result<(Self, Recovered), StorageError> {
         sync_what_is_there(&disk).await?;
-        check_format(&disk, format).await?;
+        let is_empty = disk.read(IDENTITY_FILE).await?.is_none();
+        let format = FileFormat::read(&disk, is_empty.then_some(new)).await?;
         let identity = read_framed::<Identity, D>(&disk, IDENTITY_FILE).await?;
-        let snapshot = read_snapshot(&disk).await?;
+        let snapshot = read_snapshot(&disk, format).await?;
         let wal_bytes = disk.read(WAL_FILE).await?.unwrap_or_default();
         let content = wal::read(&wal_bytes)
             .map_err(|wal::WalError::Corrupt { offset }| StorageError::Corrupt { file: WAL_FILE, offset })?;
@@ -166,8 +174,15 @@
         content.records.iter().zip(&content.lengths).for_each(|(record, length)| log_file.push(record, *length));
         let is_new = identity.is_none();
         let identity = identity.unwrap_or(Identity { id: new_id, group: None });
-        let recovered = rebuild(identity, snapshot, content)?;
-        let mut storage = Self { disk, damaged: false, log_file, term: recovered.term, voted_for: recovered.voted_for };
+        let recovered = rebuild(identity, snapshot, content, format)?;
+        let mut storage = Self {
+            disk,
+            damaged: false,
+            log_file,
+            term: recovered.term,
+            voted_for: recovered.voted_for,
+            format: Rc::new(Cell::new(format)),
+        };
         if is_new {
             storage.write_identity(identity).await?;
         }
@@ -184,6 +199,29 @@
         Ok(self.disk.replace(IDENTITY_FILE, bytes).await?)
     }
 
+    /// The format of the files, as it is at any time.
+    pub fn format(&self) -> Rc<Cell<FileFormat>> {
+        self.format.clone()
+    }
+
+    /// The replica has no log but the founding of its group, and begins at `level`.
+    pub async fn begin_at(&mut self, level: FeatureLevel) -> Result<(), StorageError> {
+        self.enter_format(FileFormat::Level(level)).await
+    }
+
+    /// What is written from now on may be of another level than what is there: an older build must not read it.
+    pub async fn hold_several_levels(&mut self) -> Result<(), StorageError> {
+        self.enter_format(FileFormat::Raised).await
+    }
+
+    async fn enter_format(&mut self, format: FileFormat) -> Result<(), StorageError> {
+        if self.format.get() != format {
+            format.write(&self.disk).await?;
+            self.format.set(format);
+        }
+        Ok(())
+    }
+
     /// Whether an append failed and the log must be rewritten.
     pub fn is_damaged(&self) -> bool {
         self.damaged
@@ -194,6 +232,10 @@
         if self.damaged {
             return Err(io::Error::other("an earlier write failed").into());
         }
+        let raises = |record: &WalRecord| matches!(record, WalRecord::Entry(entry) if is_raise(&entry.payload));
+        if records.iter().any(raises) {
+            self.hold_several_levels().await?;
+        }
         let hard_state = self.hard_state_before(records);
         let records: Vec<&WalRecord> = hard_state.iter().chain(records).collect();
         let encoded: Vec<Vec<u8>> = records.iter().map(|record| wal::encode(record)).collect();
@@ -281,20 +323,16 @@
 }
 
 /// Replaces the snapshot. The log is appended to meanwhile.
-pub async fn write_snapshot<D: Disk>(disk: &D, snapshot: Snapshot) -> Result<(), StorageError> {
-    let encoded = snapshot.encoded().clone();
-    drop(snapshot);
-    // Nobody else holds the bytes, unless they are being sent.
-    let bytes = std::rc::Rc::try_unwrap(encoded).unwrap_or_else(|shared| shared.to_vec());
-    Ok(disk.replace(SNAPSHOT_FILE, bytes).await?)
+pub async fn write_snapshot<D: Disk>(disk: &D, snapshot: Snapshot, format: FileFormat) -> Result<(), StorageError> {
+    Ok(disk.replace(SNAPSHOT_FILE, format.encode_snapshot(snapshot)).await?)
 }
 
-async fn read_snapshot<D: Disk>(disk: &D) -> Result<Option<Snapshot>, StorageError> {
+async fn read_snapshot<D: Disk>(disk: &D, format: FileFormat) -> Result<Option<Snapshot>, StorageError> {
     let Some(bytes) = disk.read(SNAPSHOT_FILE).await? else {
         return Ok(None);
     };
     let damaged = StorageError::Corrupt { file: SNAPSHOT_FILE, offset: 0 };
-    let snapshot = Snapshot::decode(bytes).ok_or(damaged)?;
+    let snapshot = format.decode_snapshot(bytes).ok_or(damaged)?;
     for segment in &snapshot.header.segments {
         if !segment.is_stored(disk).await? {
             return Err(StorageError::MissingSegment { number: segment.number });
@@ -303,17 +341,6 @@
     Ok(Some(snapshot))
 }
 
-/// Refuses files of another format, and notes the format on an empty disk before anything else is written.
-async fn check_format<D: Disk>(disk: &D, wanted: u32) -> Result<(), StorageError> {
-    let found = read_framed::<u32, D>(disk, FORMAT_FILE).await?;
-    let is_empty = disk.read(IDENTITY_FILE).await?.is_none();
-    match found {
-        Some(found) if found == wanted => Ok(()),
-        None if is_empty => Ok(disk.replace(FORMAT_FILE, wal::frame(&bitcode::encode(&wanted))).await?),
-        found => Err(StorageError::OtherFormat { found, wanted }),
-    }
-}
-
 async fn read_framed<T: bitcode::DecodeOwned, D: Disk>(
     disk: &D,
     file: &'static str,
@@ -326,7 +353,12 @@
     bitcode::decode(body).map(Some).map_err(|_| corrupt())
 }
 
-fn rebuild(identity: Identity, snapshot: Option<Snapshot>, content: WalContent) -> Result<Recovered, StorageError> {
+fn rebuild(
+    identity: Identity,
+    snapshot: Option<Snapshot>,
+    content: WalContent,
+    format: FileFormat,
+) -> Result<Recovered, StorageError> {
     let mut log = match &snapshot {
         Some(Snapshot { header, .. }) => MemoryLog::new(header.index, header.term, header.membership.clone()),
         None => MemoryLog::new(0, 0, Membership::default()),
@@ -344,7 +376,11 @@
     if term < log.last_term() {
         (term, voted_for) = (log.last_term(), None);
     }
-    Ok(Recovered { identity, term, voted_for, log, snapshot, torn_bytes: content.torn_bytes })
+    let level = match &snapshot {
+        Some(snapshot) => Some(snapshot.level),
+        None => (log.last_index() > 0).then(|| format.first_level()),
+    };
+    Ok(Recovered { identity, term, voted_for, log, snapshot, torn_bytes: content.torn_bytes, level })
 }
 
 /// Takes an entry that stands at `offset` of the log's file; it replaces those from its index on.
--- a/crates/replication/tests/files_at_start.rs
+++ b/crates/replication/tests/files_at_start.rs
@@ -5,6 +5,7 @@
 
 use futures::executor::block_on;
 use memory_disk::MemoryDisk;
+use saddlerelay_replication::file_format::FileFormat;
 use saddlerelay_replication::log::{EntryPayload, LogEntry};
 use saddlerelay_replication::membership::Membership;
 use saddlerelay_replication::segments::Segment;
@@ -13,7 +14,6 @@
 use saddlerelay_replication::wal::{self, WalRecord};
 use saddlerelay_types::identity::ReplicaId;
 
-const FORMAT: u32 = 1;
 const OWN: ReplicaId = ReplicaId(7);
 const SECTOR_BYTES: usize = 512;
 
@@ -28,7 +28,7 @@
 }
 
 fn open(disk: &MemoryDisk) -> Result<Recovered, StorageError> {
-    block_on(Storage::open(disk.clone(), OWN, FORMAT)).map(|(_, recovered)| recovered)
+    block_on(Storage::open(disk.clone(), OWN, FileFormat::Raised)).map(|(_, recovered)| recovered)
 }
 
 fn opened(disk: &MemoryDisk) -> Recovered {
@@ -57,7 +57,7 @@
 /// Files of a replica that voted in term 1 and appended `batches`, one write and sync each. Returns where each ends.
 fn written(disk: &MemoryDisk, batches: &[Vec<LogEntry>]) -> Vec<usize> {
     block_on(async {
-        let (mut storage, _) = Storage::open(disk.clone(), OWN, FORMAT).await.expect("an empty folder");
+        let (mut storage, _) = Storage::open(disk.clone(), OWN, FileFormat::Raised).await.expect("an empty folder");
         storage.append(&[WalRecord::HardState { term: 1, voted_for: Some(OWN) }]).await.expect("there is room");
         let mut ends = Vec::new();
         for batch in batches {
@@ -75,7 +75,7 @@
 }
 
 fn with_snapshot(disk: &MemoryDisk, snapshot: Snapshot) {
-    block_on(write_snapshot(disk, snapshot)).expect("there is room");
+    block_on(write_snapshot(disk, snapshot, FileFormat::Raised)).expect("there is room");
 }
 
 #[test]
@@ -85,7 +85,7 @@
     assert_eq!(recovered.identity, Identity { id: OWN, group: None });
     assert_eq!((recovered.term, recovered.log.last_index()), (0, 0));
     // It keeps the identity that it has written.
-    let again = block_on(Storage::open(disk, ReplicaId(8), FORMAT)).expect("its own files").1;
+    let again = block_on(Storage::open(disk, ReplicaId(8), FileFormat::Raised)).expect("its own files").1;
     assert_eq!(again.identity.id, OWN);
 }
 
@@ -293,7 +293,7 @@
     with_snapshot(&disk, snapshot(1, 1, Vec::new()));
     let vote = Some(ReplicaId(9));
     block_on(async {
-        let (mut storage, _) = Storage::open(disk.clone(), OWN, FORMAT).await.expect("sound files");
+        let (mut storage, _) = Storage::open(disk.clone(), OWN, FileFormat::Raised).await.expect("sound files");
         storage.rewrite(5, vote, &entries(2..=3, 40)).await.expect("there is room");
     });
     let recovered = opened(&disk);
--- a/crates/replication/tests/log_file.rs
+++ b/crates/replication/tests/log_file.rs
@@ -5,12 +5,12 @@
 use futures::executor::block_on;
 use memory_disk::MemoryDisk;
 use quickcheck::{Arbitrary, Gen, QuickCheck};
+use saddlerelay_replication::file_format::FileFormat;
 use saddlerelay_replication::log::{EntryPayload, LogEntry};
 use saddlerelay_replication::storage::Storage;
 use saddlerelay_replication::wal::WalRecord;
 use saddlerelay_types::identity::ReplicaId;
 
-const FORMAT: u32 = 1;
 const EVERYTHING: u64 = u64::MAX / 2;
 
 fn entry(index: u64, term: u64, size: usize) -> LogEntry {
@@ -23,7 +23,7 @@
 }
 
 async fn open(disk: &MemoryDisk) -> Storage<MemoryDisk> {
-    Storage::open(disk.clone(), ReplicaId(1), FORMAT).await.expect("the files are sound").0
+    Storage::open(disk.clone(), ReplicaId(1), FileFormat::Raised).await.expect("the files are sound").0
 }
 
 async fn append(storage: &mut Storage<MemoryDisk>, entries: &[LogEntry]) {
--- a/crates/rpc/src/server.rs
+++ b/crates/rpc/src/server.rs
@@ -1,11 +1,12 @@
 //! The answering side: one task for each connection.
 
-use crate::frame::{Envelope, Hello, MAGIC, PROTOCOL_VERSION};
+use crate::frame::{Envelope, Hello, MAGIC, Welcome};
 use futures::channel::mpsc;
 use futures::{StreamExt, future};
 use saddlerelay_runtime::repeated_event::RepeatedEvent;
 use saddlerelay_runtime::timeout::timeout;
 use saddlerelay_runtime::{FrameListener, FrameReceiver, FrameSender, Runtime};
+use saddlerelay_types::feature_level::FeatureLevel;
 use std::cell::RefCell;
 use std::fmt;
 use std::future::Future;
@@ -20,8 +21,8 @@
 
 /// Answers requests.
 pub trait Handler: 'static {
-    /// The answer to `body`, or `None` to close the connection.
-    fn handle(self: Rc<Self>, body: Vec<u8>) -> impl Future<Output = Option<Vec<u8>>> + 'static;
+    /// The answer to `body`, which is written at `level` as the answer is to be, or `None` to close the connection.
+    fn handle(self: Rc<Self>, level: FeatureLevel, body: Vec<u8>) -> impl Future<Output = Option<Vec<u8>>> + 'static;
 }
 
 /// Accepts connections until the process ends.
@@ -64,23 +65,24 @@
 }
 
 impl Entrance {
-    fn check(&self, frame: &[u8]) -> Result<(), Refusal> {
+    /// The level that a connection speaks.
+    fn check(&self, frame: &[u8]) -> Result<FeatureLevel, Refusal> {
         let hello = bitcode::decode::<Hello>(frame).map_err(|_| Refusal::Unreadable)?;
         if hello.magic != MAGIC {
-            Err(Refusal::Unreadable)
-        } else if hello.version != PROTOCOL_VERSION {
-            Err(Refusal::OtherProtocol(hello.version))
-        } else if hello.secret != self.secret {
-            Err(Refusal::OtherSecret)
-        } else {
-            Ok(())
+            return Err(Refusal::Unreadable);
         }
+        if hello.secret != self.secret {
+            return Err(Refusal::OtherSecret);
+        }
+        FeatureLevel::of_protocol(hello.version).ok_or(Refusal::OtherProtocol(hello.version))
     }
 
     fn tell_refused(&self, refusal: Refusal, now: Duration) {
         if let Some(connections) = self.refused.borrow_mut().count(now) {
             spdlog::warn!("connection refused", kv: {
-                reason = refusal.to_string().as_str(), spoken_here = PROTOCOL_VERSION, connections = connections
+                reason = refusal.to_string().as_str(),
+                newest_spoken_here = FeatureLevel::NEWEST.protocol(),
+                connections = connections
             });
         }
     }
@@ -97,12 +99,17 @@
     let Some(Ok(Some(frame))) = greeting else {
         return;
     };
-    if let Err(refusal) = entrance.check(&frame) {
-        entrance.tell_refused(refusal, platform.monotonic());
-        return;
-    }
+    let level = match entrance.check(&frame) {
+        Ok(level) => level,
+        Err(refusal) => {
+            entrance.tell_refused(refusal, platform.monotonic());
+            return;
+        }
+    };
     let (answers, queue) = mpsc::unbounded();
-    let read = read_requests(&platform, receiver, answers, handler);
+    // Nobody else holds the queue yet: it takes the frame.
+    let _ = answers.unbounded_send(Welcome::new().frame());
+    let read = read_requests(&platform, receiver, level, answers, handler);
     let write = write_answers(sender, queue);
     future::select(std::pin::pin!(read), std::pin::pin!(write)).await;
 }
@@ -110,6 +117,7 @@
 async fn read_requests<P: Runtime, H: Handler>(
     platform: &P,
     mut receiver: impl FrameReceiver,
+    level: FeatureLevel,
     answers: mpsc::UnboundedSender<Vec<u8>>,
     handler: Rc<H>,
 ) {
@@ -118,7 +126,7 @@
             return;
         };
         let answers = answers.clone();
-        let answer = handler.clone().handle(envelope.body);
+        let answer = handler.clone().handle(level, envelope.body);
         platform.spawn(async move {
             match answer.await {
                 Some(body) => {
--- a/crates/runtime-compio/tests/frames.rs
+++ b/crates/runtime-compio/tests/frames.rs
@@ -3,9 +3,11 @@
 use compio::BufResult;
 use compio::io::{AsyncReadExt, AsyncWriteExt};
 use compio::net::TcpStream;
+use saddlerelay_rpc::client::Answer;
 use saddlerelay_runtime::{FrameListener, FrameReceiver, FrameSender, MAX_FRAME_BYTES, Runtime};
 use saddlerelay_runtime_compio::CompioRuntime;
 use saddlerelay_runtime_compio::connection::TcpFrameListener;
+use saddlerelay_types::feature_level::FeatureLevel;
 use std::future::Future;
 use std::net::SocketAddr;
 
@@ -81,7 +83,7 @@
 fn a_stranger_is_hung_up_on_and_peers_are_still_served() {
     struct Echo;
     impl saddlerelay_rpc::server::Handler for Echo {
-        async fn handle(self: std::rc::Rc<Self>, body: Vec<u8>) -> Option<Vec<u8>> {
+        async fn handle(self: std::rc::Rc<Self>, _level: FeatureLevel, body: Vec<u8>) -> Option<Vec<u8>> {
             (body != b"malformed").then_some(body)
         }
     }
@@ -89,15 +91,15 @@
         let (listener, address) = listen().await;
         let server = saddlerelay_rpc::server::serve(platform(), listener, "secret".into(), Echo.into());
         compio::runtime::spawn(server).detach();
-        let greeting = saddlerelay_rpc::frame::Hello::new("another secret");
+        let greeting = saddlerelay_rpc::frame::Hello::new(FeatureLevel::NEWEST, "another secret");
         let wrong_secret = bitcode::encode(&greeting);
-        let old_version = bitcode::encode(&saddlerelay_rpc::frame::Hello {
-            version: saddlerelay_rpc::frame::PROTOCOL_VERSION + 1,
+        let unknown_version = bitcode::encode(&saddlerelay_rpc::frame::Hello {
+            version: FeatureLevel::NEWEST.protocol() + 1,
             secret: "secret".to_string(),
             ..greeting
         });
         for stranger in
-            [b"GET / HTTP/1.1\r\n\r\n".to_vec(), framed(b"nonsense"), framed(&wrong_secret), framed(&old_version)]
+            [b"GET / HTTP/1.1\r\n\r\n".to_vec(), framed(b"nonsense"), framed(&wrong_secret), framed(&unknown_version)]
         {
             let mut stream = send_raw(address, [stranger, vec![0; 64]].concat()).await;
             let BufResult(answer, bytes) = stream.read_to_end(Vec::new()).await;
@@ -106,9 +108,11 @@
         }
         let client = saddlerelay_rpc::client::Client::new(platform(), address, "secret");
         let limit = std::time::Duration::from_secs(10);
-        assert_eq!(client.call(b"hello".to_vec(), limit).await, Ok(b"hello".to_vec()));
-        assert!(client.call(b"malformed".to_vec(), limit).await.is_err());
-        assert_eq!(client.call(b"again".to_vec(), limit).await, Ok(b"again".to_vec()));
+        let say = |words: &'static [u8]| client.call(move |_| Some(words.to_vec()), limit);
+        let echoed = |words: &[u8]| Ok(Answer { level: FeatureLevel::NEWEST, body: words.to_vec() });
+        assert_eq!(say(b"hello").await, echoed(b"hello"));
+        assert!(say(b"malformed").await.is_err());
+        assert_eq!(say(b"again").await, echoed(b"again"));
     });
 }
 
--- a/crates/simulator/tests/elections.rs
+++ b/crates/simulator/tests/elections.rs
@@ -3,13 +3,14 @@
 
 use futures::executor::LocalPool;
 use saddlerelay_replication::config::ReplicationConfig;
+use saddlerelay_replication::message_codec;
 use saddlerelay_replication::{Replica, ReplicaOptions, StateMachine};
 use saddlerelay_rpc::server::Handler;
 use saddlerelay_runtime::Runtime;
 use saddlerelay_simulator::network::LinkTrouble;
 use saddlerelay_simulator::platform::SimRuntime;
 use saddlerelay_simulator::world::{Process, Sleep, World};
-use saddlerelay_types::protocol::{ControlReply, ControlRequest};
+use saddlerelay_types::feature_level::FeatureLevel;
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
@@ -51,7 +52,6 @@
 
 impl StateMachine for Counter {
     type Outcome = u64;
-    const FORMAT: u32 = 1;
 
     fn apply(&mut self, _command: &[u8]) -> u64 {
         self.0 += 1;
@@ -62,7 +62,7 @@
         bitcode::encode(&self.0)
     }
 
-    fn restore(&mut self, bytes: &[u8]) {
+    fn restore(&mut self, bytes: &[u8], _level: FeatureLevel) {
         self.0 = bitcode::decode(bytes).expect("a snapshot can be read");
     }
 }
@@ -72,12 +72,10 @@
 struct Answering(Node);
 
 impl Handler for Answering {
-    async fn handle(self: Rc<Self>, body: Vec<u8>) -> Option<Vec<u8>> {
-        let ControlRequest::Replication(bytes) = bitcode::decode(&body).ok()? else {
-            return None;
-        };
-        let reply = self.0.handle(bitcode::decode(&bytes).ok()?).await;
-        Some(bitcode::encode(&ControlReply::Replication(bitcode::encode(&reply))))
+    async fn handle(self: Rc<Self>, level: FeatureLevel, body: Vec<u8>) -> Option<Vec<u8>> {
+        let request = message_codec::decode_call(&body, level)?;
+        let reply = self.0.handle(request, level).await;
+        message_codec::encode_answer(reply, level)
     }
 }
 
--- a/crates/simulator/tests/group/mod.rs
+++ b/crates/simulator/tests/group/mod.rs
@@ -6,14 +6,15 @@
 use futures::executor::LocalPool;
 use saddlerelay_replication::config::ReplicationConfig;
 use saddlerelay_replication::message::{ReplicaReply, ReplicaRequest};
+use saddlerelay_replication::message_codec;
 use saddlerelay_replication::segments::Segment;
 use saddlerelay_replication::{Replica, ReplicaOptions, StateMachine};
 use saddlerelay_rpc::server::Handler;
 use saddlerelay_runtime::Runtime;
 use saddlerelay_simulator::platform::SimRuntime;
 use saddlerelay_simulator::world::{Process, Sleep, World};
+use saddlerelay_types::feature_level::FeatureLevel;
 use saddlerelay_types::identity::ReplicaId;
-use saddlerelay_types::protocol::{ControlReply, ControlRequest};
 use std::cell::{Cell, RefCell};
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
@@ -56,7 +57,6 @@
 
 impl StateMachine for Numbers {
     type Outcome = ();
-    const FORMAT: u32 = 1;
 
     fn apply(&mut self, command: &[u8]) {
         let (number, _): (u64, Vec<u8>) = bitcode::decode(command).expect("a number was proposed");
@@ -91,7 +91,7 @@
         self.unreleased.remove(&number);
     }
 
-    fn restore(&mut self, bytes: &[u8]) {
+    fn restore(&mut self, bytes: &[u8], _level: FeatureLevel) {
         (self.held, self.unsealed, self.sealed) = bitcode::decode(bytes).expect("a snapshot can be read");
         self.unreleased.clear();
     }
@@ -105,16 +105,13 @@
 }
 
 impl Handler for Answering {
-    async fn handle(self: Rc<Self>, body: Vec<u8>) -> Option<Vec<u8>> {
-        let ControlRequest::Replication(bytes) = bitcode::decode(&body).ok()? else {
-            return None;
-        };
-        let request = bitcode::decode(&bytes).ok()?;
+    async fn handle(self: Rc<Self>, level: FeatureLevel, body: Vec<u8>) -> Option<Vec<u8>> {
+        let request = message_codec::decode_call(&body, level)?;
         if matches!(request, ReplicaRequest::TakeOver { .. }) && self.loses_take_overs.get() {
             return None;
         }
-        let reply = self.node.handle(request).await;
-        Some(bitcode::encode(&ControlReply::Replication(bitcode::encode(&reply))))
+        let reply = self.node.handle(request, level).await;
+        message_codec::encode_answer(reply, level)
     }
 }
 
@@ -291,7 +288,7 @@
         let told = answer.clone();
         let process = self.machines[&place].process.clone();
         self.world.spawn(&process, async move {
-            let reply = node.handle(request).await;
+            let reply = node.handle(request, FeatureLevel::NEWEST).await;
             *told.borrow_mut() = Some(reply);
         });
         let of_run = answer.clone();
--- a/crates/simulator/tests/lease_safety.rs
+++ b/crates/simulator/tests/lease_safety.rs
@@ -3,6 +3,7 @@
 
 use futures::executor::LocalPool;
 use saddlerelay_replication::config::ReplicationConfig;
+use saddlerelay_replication::file_format::FileFormat;
 use saddlerelay_replication::message::{Header, ReplicaReply, ReplicaRequest};
 use saddlerelay_replication::storage::Storage;
 use saddlerelay_replication::{Replica, ReplicaOptions, StateMachine};
@@ -10,6 +11,7 @@
 use saddlerelay_runtime::Runtime;
 use saddlerelay_simulator::platform::SimRuntime;
 use saddlerelay_simulator::world::{Process, Sleep, World};
+use saddlerelay_types::feature_level::FeatureLevel;
 use saddlerelay_types::identity::ReplicaId;
 use saddlerelay_types::protocol::{ControlReply, ControlRequest};
 use std::cell::RefCell;
@@ -28,7 +30,6 @@
 
 impl StateMachine for Nothing {
     type Outcome = ();
-    const FORMAT: u32 = 1;
 
     fn apply(&mut self, _command: &[u8]) {}
 
@@ -36,7 +37,7 @@
         Vec::new()
     }
 
-    fn restore(&mut self, _bytes: &[u8]) {}
+    fn restore(&mut self, _bytes: &[u8], _level: FeatureLevel) {}
 }
 
 type Node = Replica<SimRuntime, Nothing>;
@@ -54,7 +55,7 @@
 }
 
 impl Handler for PlayedPeer {
-    async fn handle(self: Rc<Self>, body: Vec<u8>) -> Option<Vec<u8>> {
+    async fn handle(self: Rc<Self>, _level: FeatureLevel, body: Vec<u8>) -> Option<Vec<u8>> {
         let ControlRequest::Replication(bytes) = bitcode::decode(&body).ok()? else {
             return None;
         };
@@ -109,7 +110,8 @@
 /// Opens the replica at `place` and reads the group's number back from its files.
 async fn open(runtime: SimRuntime, place: u8) -> (Node, u64) {
     let replica = Replica::open(runtime.clone(), options(place), Nothing).await.expect("the disk is sound");
-    let (_, recovered) = Storage::open(runtime.disk(), ReplicaId(1), Nothing::FORMAT).await.expect("the disk is sound");
+    let (_, recovered) =
+        Storage::open(runtime.disk(), ReplicaId(1), FileFormat::Raised).await.expect("the disk is sound");
     (replica, recovered.identity.group.expect("it founds a group"))
 }
 
@@ -165,7 +167,7 @@
         let (told, node) = (reply.clone(), self.node.clone());
         let process = self.world.start_process("asks", 0, 0);
         self.world.spawn(&process, async move {
-            *told.borrow_mut() = Some(node.handle(request).await);
+            *told.borrow_mut() = Some(node.handle(request, FeatureLevel::NEWEST).await);
         });
         reply
     }
--- a/crates/simulator/tests/members.rs
+++ b/crates/simulator/tests/members.rs
@@ -3,15 +3,19 @@
 
 use futures::executor::LocalPool;
 use saddlerelay_replication::config::ReplicationConfig;
+use saddlerelay_replication::file_format::FileFormat;
+use saddlerelay_replication::message_codec;
 use saddlerelay_replication::segments::Segment;
 use saddlerelay_replication::storage::Storage;
-use saddlerelay_replication::{ProposeError, Replica, ReplicaOptions, StateMachine};
+use saddlerelay_replication::wal;
+use saddlerelay_replication::{Replica, ReplicaOptions, StateMachine};
 use saddlerelay_rpc::server::Handler;
+use saddlerelay_runtime::Disk as _;
 use saddlerelay_runtime::Runtime;
 use saddlerelay_simulator::platform::SimRuntime;
 use saddlerelay_simulator::world::{Process, World};
+use saddlerelay_types::feature_level::FeatureLevel;
 use saddlerelay_types::identity::ReplicaId;
-use saddlerelay_types::protocol::{ControlReply, ControlRequest};
 use std::cell::{Cell, RefCell};
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
@@ -72,7 +76,6 @@
 
 impl StateMachine for Numbers {
     type Outcome = usize;
-    const FORMAT: u32 = 1;
 
     fn apply(&mut self, command: &[u8]) -> usize {
         let number: u64 = bitcode::decode(command).expect("a number was proposed");
@@ -111,7 +114,7 @@
         PREFERRED.with(|preferred| preferred.get()) == Some(replica)
     }
 
-    fn restore(&mut self, bytes: &[u8]) {
+    fn restore(&mut self, bytes: &[u8], _level: FeatureLevel) {
         RESTORED.with(|restored| restored.set(restored.get() + 1));
         (self.held, self.weight, self.unsealed, self.sealed) = bitcode::decode(bytes).expect("a snapshot can be read");
         self.unreleased.clear();
@@ -123,12 +126,10 @@
 struct Answering(Node);
 
 impl Handler for Answering {
-    async fn handle(self: Rc<Self>, body: Vec<u8>) -> Option<Vec<u8>> {
-        let ControlRequest::Replication(bytes) = bitcode::decode(&body).ok()? else {
-            return None;
-        };
-        let reply = self.0.handle(bitcode::decode(&bytes).ok()?).await;
-        Some(bitcode::encode(&ControlReply::Replication(bitcode::encode(&reply))))
+    async fn handle(self: Rc<Self>, level: FeatureLevel, body: Vec<u8>) -> Option<Vec<u8>> {
+        let request = message_codec::decode_call(&body, level)?;
+        let reply = self.0.handle(request, level).await;
+        message_codec::encode_answer(reply, level)
     }
 }
 
@@ -243,11 +244,8 @@
                 let acknowledged = self.acknowledged.clone();
                 let process = self.world.start_process("client", 0, 0);
                 self.world.spawn(&process, async move {
-                    match leader.propose(bitcode::encode(&number)).await {
-                        Ok(_) => {
-                            acknowledged.borrow_mut().insert(number);
-                        }
-                        Err(ProposeError::NotLeader(_) | ProposeError::Overloaded | ProposeError::Undecided) => {}
+                    if leader.propose(bitcode::encode(&number)).await.is_ok() {
+                        acknowledged.borrow_mut().insert(number);
                     }
                 });
             }
@@ -734,21 +732,31 @@
 
 #[test]
 fn files_of_another_format_are_refused() {
+    const FORMAT_FILE: &str = "format";
     let (world, mut pool) = World::new(1);
     let process = world.start_process("machine-1", 1, 0);
     let runtime = SimRuntime { world: world.clone(), process: process.clone() };
     let opened = Rc::new(RefCell::new(Vec::new()));
     let told = opened.clone();
     world.spawn(&process, async move {
-        for format in [1, 1, 2, 1] {
-            let result = Storage::open(runtime.disk(), ReplicaId(7), format).await;
-            told.borrow_mut()
-                .push(result.map(|(_, recovered)| recovered.identity.id).map_err(|error| error.to_string()));
-        }
+        let disk = runtime.disk();
+        let open = async || {
+            let result = Storage::open(runtime.disk(), ReplicaId(7), FileFormat::Raised).await;
+            result.map(|(_, recovered)| recovered.identity.id).map_err(|error| error.to_string())
+        };
+        let first = open().await;
+        let own_format = disk.read(FORMAT_FILE).await.expect("a sound disk").expect("a format");
+        let unknown = wal::frame(&bitcode::encode(&2_u32));
+        disk.replace(FORMAT_FILE, unknown.clone()).await.expect("a sound disk");
+        let refused = open().await;
+        assert_eq!(disk.read(FORMAT_FILE).await.expect("a sound disk"), Some(unknown), "what is refused is kept");
+        disk.replace(FORMAT_FILE, own_format).await.expect("a sound disk");
+        let again = open().await;
+        told.borrow_mut().extend([first, refused, again]);
     });
-    world.run(&mut pool, Duration::from_secs(1), || opened.borrow().len() == 4);
-    let refused =
-        "the files are in format 1, this program reads 2; start this replica with an empty data folder to rejoin";
-    let expected = [Ok(ReplicaId(7)), Ok(ReplicaId(7)), Err(refused.to_string()), Ok(ReplicaId(7))];
+    world.run(&mut pool, Duration::from_secs(1), || opened.borrow().len() == 3);
+    let refused = "the files are in format 2, this build reads 4, 9 and 10; keep the data folder and start the build that wrote \
+                   it, or one that reads it";
+    let expected = [Ok(ReplicaId(7)), Err(refused.to_string()), Ok(ReplicaId(7))];
     assert_eq!(*opened.borrow(), expected);
 }
--- a/crates/simulator/tests/relay_search.rs
+++ b/crates/simulator/tests/relay_search.rs
@@ -11,6 +11,7 @@
 
 use control_group::{Deployment, NAMED, REPLACED_WITHIN, REPLICAS, address, named};
 use saddlerelay_replication::message::{ReplicaReply, ReplicaRequest};
+use saddlerelay_types::feature_level::FeatureLevel;
 use std::cell::RefCell;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -114,7 +115,7 @@
     let process = deployment.world.start_process("stranger", 0, 0);
     let replica = leader.replica().clone();
     deployment.world.spawn(&process, async move {
-        *answer.borrow_mut() = Some(replica.handle(announcement).await);
+        *answer.borrow_mut() = Some(replica.handle(announcement, FeatureLevel::NEWEST).await);
     });
     deployment.run_for(Duration::from_millis(100));
     assert_eq!(*answered.borrow(), Some(ReplicaReply::Refused));
--- a/crates/simulator/tests/reports.rs
+++ b/crates/simulator/tests/reports.rs
@@ -8,6 +8,7 @@
 use saddlerelay_runtime::Runtime;
 use saddlerelay_simulator::platform::SimRuntime;
 use saddlerelay_simulator::world::{Process, Sleep, World};
+use saddlerelay_types::feature_level::FeatureLevel;
 use saddlerelay_types::gateway::{GatewayReply, GatewayRequest};
 use saddlerelay_types::instance::{InstanceId, InstanceReport};
 use saddlerelay_types::protocol::{ControlReply, ControlRequest};
@@ -41,7 +42,7 @@
 }
 
 impl Handler for Leader {
-    async fn handle(self: Rc<Self>, body: Vec<u8>) -> Option<Vec<u8>> {
+    async fn handle(self: Rc<Self>, _level: FeatureLevel, body: Vec<u8>) -> Option<Vec<u8>> {
         let Ok(ControlRequest::Gateway(GatewayRequest::ReportInstances(reports))) = bitcode::decode(&body) else {
             return None;
         };
--- a/crates/types/src/lib.rs
+++ b/crates/types/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod configuration;
 pub mod credentials;
 pub mod engine;
+pub mod feature_level;
 pub mod gateway;
 mod hexadecimal;
 pub mod identity;
--- a/crates/types/src/routing_update.rs
+++ b/crates/types/src/routing_update.rs
@@ -143,6 +143,16 @@
         Self { version: update.version, bytes: bitcode::encode(update) }
     }
 
+    /// An update that was encoded elsewhere.
+    pub fn from_bytes(version: u64, bytes: Vec<u8>) -> Self {
+        Self { version, bytes }
+    }
+
+    /// The encoded update.
+    pub fn bytes(&self) -> &[u8] {
+        &self.bytes
+    }
+
     /// The update; `None` if it cannot be read.
     pub fn decode(&self) -> Option<RoutingUpdate> {
         bitcode::decode(&self.bytes).ok()
