--- a/crates/replication/src/config.rs
+++ b/crates/replication/src/config.rs
@@ -1,5 +1,6 @@
 //! Timing and size limits of replication.
 
+use saddlerelay_types::feature_level::FeatureLevel;
 use std::time::Duration;
 
 /// Limits; every replica of a group uses the same.
@@ -37,6 +38,8 @@
     pub replace_after: Duration,
     /// Learners kept beside the voters, to take the place of one that is lost.
     pub spare_learners: usize,
+    /// The level at which a new group begins, if all its members know it.
+    pub first_level: FeatureLevel,
 }
 
 impl Default for ReplicationConfig {
@@ -58,6 +61,7 @@
             target_voters: 5,
             replace_after: Duration::from_millis(1500),
             spare_learners: 1,
+            first_level: FeatureLevel::NEWEST,
         }
     }
 }
--- a/crates/replication/src/founding.rs
+++ b/crates/replication/src/founding.rs
@@ -7,7 +7,6 @@
 use crate::storage::{Identity, StorageError};
 use crate::wal::WalRecord;
 use saddlerelay_runtime::Runtime;
-use saddlerelay_types::feature_level::FeatureLevel;
 use saddlerelay_types::identity::ReplicaId;
 use std::collections::BTreeSet;
 use std::net::SocketAddr;
@@ -57,7 +56,7 @@
         let identity = Identity { group: Some(group), ..identity };
         let payload = EntryPayload::Membership(Membership { members });
         let entry = LogEntry { index: 1, term: 0, payload };
-        self.adopt_level(&mut storage, FeatureLevel::NEWEST).await?;
+        self.adopt_level(&mut storage, self.inner.options.config.first_level).await?;
         storage.append(&[WalRecord::Entry(entry.clone())]).await?;
         storage.write_identity(identity).await?;
         let mut state = self.inner.state.borrow_mut();
--- a/crates/replication/src/levels.rs
+++ b/crates/replication/src/levels.rs
@@ -132,7 +132,7 @@
         }
         let others = members.iter().filter(|member| member.id != own);
         let known = others.filter_map(|member| self.client(Channel::Log, member.address).newest_of_peer());
-        let level = known.min().unwrap_or(FeatureLevel::NEWEST).min(FeatureLevel::NEWEST);
+        let level = known.fold(self.inner.options.config.first_level, FeatureLevel::min);
         let mut storage = self.inner.storage.lock().await;
         self.adopt_level(&mut storage, level).await
     }
--- a/crates/replication/src/replica.rs
+++ b/crates/replication/src/replica.rs
@@ -118,7 +118,7 @@
     /// Opens the replica's files and restores its state; `start` makes it take part.
     pub async fn open(platform: P, options: ReplicaOptions, mut machine: S) -> Result<Self, StorageError> {
         let founds = options.founders.contains(&options.address);
-        let new_format = if founds { FileFormat::Level(FeatureLevel::NEWEST) } else { FileFormat::Raised };
+        let new_format = if founds { FileFormat::Level(options.config.first_level) } else { FileFormat::Raised };
         let random_id = ReplicaId(platform.random().max(1));
         let new_id = if founds { founder_id(options.address) } else { random_id };
         let (storage, recovered) = Storage::open(platform.disk(), new_id, new_format).await?;
--- a/crates/simulator/tests/group/mod.rs
+++ b/crates/simulator/tests/group/mod.rs
@@ -38,15 +38,43 @@
 /// Segments that the state refers to; earlier ones expire.
 const SEGMENTS_KEPT: usize = 4;
 
+/// A command's layout is another one at each level.
+fn encode(number: u64, load: Vec<u8>, level: FeatureLevel) -> Vec<u8> {
+    match level {
+        FeatureLevel::One => bitcode::encode(&(load, number)),
+        FeatureLevel::Two => bitcode::encode(&(number, load)),
+    }
+}
+
+fn decode(command: &[u8], level: FeatureLevel) -> u64 {
+    let number = match level {
+        FeatureLevel::One => bitcode::decode::<(Vec<u8>, u64)>(command).map(|(_, number)| number),
+        FeatureLevel::Two => bitcode::decode::<(u64, Vec<u8>)>(command).map(|(number, _)| number),
+    };
+    number.expect("a number was proposed")
+}
+
 /// A set of numbers. Whenever enough have come, they also go into a segment.
-#[derive(Default)]
 pub struct Numbers {
+    level: FeatureLevel,
     pub held: BTreeSet<u64>,
     unsealed: Vec<u64>,
     sealed: Vec<Segment>,
     unreleased: BTreeMap<u64, Rc<Vec<u8>>>,
 }
 
+impl Default for Numbers {
+    fn default() -> Self {
+        Self {
+            level: FeatureLevel::NEWEST,
+            held: BTreeSet::new(),
+            unsealed: Vec::new(),
+            sealed: Vec::new(),
+            unreleased: BTreeMap::new(),
+        }
+    }
+}
+
 impl Numbers {
     /// The newest segment that memory no longer holds.
     pub fn newest_released(&self) -> Option<u64> {
@@ -58,8 +86,12 @@
 impl StateMachine for Numbers {
     type Outcome = ();
 
+    fn enter_level(&mut self, level: FeatureLevel) {
+        self.level = level;
+    }
+
     fn apply(&mut self, command: &[u8]) {
-        let (number, _): (u64, Vec<u8>) = bitcode::decode(command).expect("a number was proposed");
+        let number = decode(command, self.level);
         self.held.insert(number);
         self.unsealed.push(number);
         if self.unsealed.len() >= NUMBERS_PER_SEGMENT {
@@ -71,7 +103,11 @@
     }
 
     fn snapshot(&self) -> Vec<u8> {
-        bitcode::encode(&(self.held.clone(), self.unsealed.clone(), self.sealed.clone()))
+        let (held, unsealed, sealed) = (self.held.clone(), self.unsealed.clone(), self.sealed.clone());
+        match self.level {
+            FeatureLevel::One => bitcode::encode(&(sealed, unsealed, held)),
+            FeatureLevel::Two => bitcode::encode(&(held, unsealed, sealed)),
+        }
     }
 
     fn segments(&self) -> Vec<Segment> {
@@ -91,8 +127,16 @@
         self.unreleased.remove(&number);
     }
 
-    fn restore(&mut self, bytes: &[u8], _level: FeatureLevel) {
-        (self.held, self.unsealed, self.sealed) = bitcode::decode(bytes).expect("a snapshot can be read");
+    fn restore(&mut self, bytes: &[u8], level: FeatureLevel) {
+        self.level = level;
+        match level {
+            FeatureLevel::One => {
+                (self.sealed, self.unsealed, self.held) = bitcode::decode(bytes).expect("a snapshot can be read");
+            }
+            FeatureLevel::Two => {
+                (self.held, self.unsealed, self.sealed) = bitcode::decode(bytes).expect("a snapshot can be read");
+            }
+        }
         self.unreleased.clear();
     }
 }
@@ -351,7 +395,7 @@
         let process = self.world.start_process("client", 0, 0);
         self.world.spawn(&process, async move {
             // Only what was acknowledged counts.
-            if leader.propose(bitcode::encode(&(number, load))).await.is_ok() {
+            if leader.propose_as(|level| Some(vec![encode(number, load, level)])).await.is_ok() {
                 acknowledged.borrow_mut().insert(number);
             }
         });
--- /dev/null
+++ b/crates/simulator/tests/level_raise.rs
@@ -0,0 +1,203 @@
+//! A group's feature level is raised while machines are killed, lose power or their disks, are away or come new: every replica
+//! reads each entry and snapshot at the level at which it was written, and nothing that was acknowledged is lost.
+
+mod group;
+
+use group::{Group, Node, name};
+use saddlerelay_replication::wal;
+use saddlerelay_types::feature_level::FeatureLevel;
+use std::time::Duration;
+
+/// Operations of one disk before the power is lost: those of a raise, the appends around it and a snapshot behind it.
+const STEPS: u64 = 40;
+
+/// Time within which a running group's disk makes so many operations.
+const STEPS_LIMIT: Duration = Duration::from_secs(2);
+
+/// Time for the replicas that are left to elect a leader.
+const ELECTION_LIMIT: Duration = Duration::from_secs(4);
+
+/// Time for a replica to catch up, or for one with an empty disk to become a voter.
+const REJOIN_LIMIT: Duration = Duration::from_secs(6);
+
+/// Time in which some snapshots are taken.
+const SOME_SNAPSHOTS: Duration = Duration::from_millis(1_500);
+
+fn new_at_level_one(seed: u64) -> Group {
+    let mut group = Group::new(seed);
+    group.config.first_level = FeatureLevel::One;
+    group
+}
+
+fn formed_at_level_one(seed: u64) -> Group {
+    new_at_level_one(seed).form()
+}
+
+/// A small log that no snapshot has cut yet.
+fn formed_without_snapshots(seed: u64) -> Group {
+    let mut group = new_at_level_one(seed);
+    group.config.snapshot_entries = 1_000_000;
+    group.config.snapshot_bytes = u64::MAX / 1_000;
+    group.config.memory_bytes = u64::MAX / 2;
+    group.config.memory_bytes_behind = u64::MAX / 2;
+    group.form()
+}
+
+fn raise(group: &Group) {
+    if let Some(leader) = group.leader() {
+        // One that stops leading at this moment proposes nothing.
+        let _ = leader.raise_level(FeatureLevel::Two);
+    }
+}
+
+fn all_are_at(group: &Group, level: FeatureLevel) -> bool {
+    group.nodes().iter().all(|node: &Node| node.level() == Some(level))
+}
+
+/// Raises the level, again if the entry was lost with its leader, until every machine that runs is there.
+fn raise_and_await(group: &mut Group, what: &str) {
+    let until = group.world.clock.now() + REJOIN_LIMIT;
+    while !all_are_at(group, FeatureLevel::Two) {
+        assert!(group.world.clock.now() < until, "{what}: not all machines are at level two");
+        raise(group);
+        group.propose_for(Duration::from_millis(100));
+    }
+}
+
+fn format_of(group: &Group, place: u8) -> u32 {
+    let bytes = group.world.disks.content(&name(place), "format").expect("a format");
+    bitcode::decode(wal::unframe(&bytes).expect("whole").expect("whole")).expect("a number")
+}
+
+#[test]
+fn files_stay_as_an_older_build_reads_them_until_the_level_is_raised() {
+    let mut group = formed_at_level_one(1);
+    group.propose_for(SOME_SNAPSHOTS);
+    assert!(all_are_at(&group, FeatureLevel::One));
+    assert!((1..=5).all(|place| format_of(&group, place) == FeatureLevel::One.file_format()));
+    raise_and_await(&mut group, "a calm group");
+    let older = FeatureLevel::ALL.map(FeatureLevel::file_format);
+    assert!((1..=5).all(|place| !older.contains(&format_of(&group, place))));
+    group.check("a calm group");
+    let new = Group::formed(1);
+    assert!((1..=5).all(|place| format_of(&new, place) == FeatureLevel::Two.file_format()));
+}
+
+#[test]
+fn power_is_lost_at_any_operation_of_a_disk_while_the_level_is_raised() {
+    for seed in 0..5 {
+        for step in 0..STEPS {
+            let what = format!("seed {seed}, step {step}");
+            let mut group = formed_at_level_one(seed * STEPS + step);
+            group.propose_for(Duration::from_millis(200));
+            let watched = 1 + (group.world.random() % 5) as u8;
+            group.world.disks.halt_after(&name(watched), step);
+            raise(&group);
+            let disks = group.world.clone();
+            group.propose_until(STEPS_LIMIT, move || disks.disks.is_halted(&name(watched)));
+            (1..=5).for_each(|place| group.power_off(place));
+            (1..=5).for_each(|place| group.start(place, false));
+            group.await_leader(ELECTION_LIMIT, &what);
+            group.check(&what);
+            raise_and_await(&mut group, &what);
+            group.check(&what);
+        }
+    }
+}
+
+#[test]
+fn two_disks_are_lost_while_all_others_lose_power_around_a_raise() {
+    for seed in 0..40 {
+        let what = format!("seed {seed}");
+        let mut group = formed_at_level_one(seed);
+        group.propose_for(Duration::from_millis(300));
+        raise(&group);
+        group.propose_for(Duration::from_millis(seed * 5));
+        let lost = [1 + (seed % 5) as u8, 1 + ((seed + 1 + seed / 5 % 4) % 5) as u8];
+        let left: Vec<u8> = (1..=5).filter(|place| !lost.contains(place)).collect();
+        lost.iter().for_each(|place| group.lose_disk(*place));
+        left.iter().for_each(|place| group.power_off(*place));
+        left.iter().for_each(|place| group.start(*place, false));
+        group.await_leader(ELECTION_LIMIT, &what);
+        group.check(&what);
+        lost.iter().for_each(|place| group.start(*place, false));
+        group.await_voters(5, REJOIN_LIMIT, &what);
+        raise_and_await(&mut group, &what);
+        group.check(&what);
+    }
+}
+
+#[test]
+fn a_leader_that_ends_while_it_raises_the_level_is_followed_by_one_that_may_go_on() {
+    for seed in 0..40 {
+        let what = format!("seed {seed}");
+        let mut group = formed_at_level_one(seed);
+        group.propose_for(Duration::from_millis(200));
+        raise(&group);
+        group.propose_for(Duration::from_millis(seed % 10));
+        let leader = group.leader_place().expect("a leader");
+        group.kill(leader);
+        group.await_leader(ELECTION_LIMIT, &what);
+        group.propose_for(Duration::from_millis(100));
+        group.check(&what);
+        group.start(leader, false);
+        raise_and_await(&mut group, &what);
+        group.check(&what);
+    }
+}
+
+/// It has files of level one; the others have compacted the log that led from there.
+#[test]
+fn a_machine_that_was_away_since_before_the_raise_comes_back_with_its_old_files() {
+    for seed in 0..20 {
+        let what = format!("seed {seed}");
+        let mut group = formed_at_level_one(seed);
+        group.propose_for(Duration::from_millis(200));
+        let away = group.followers()[seed as usize % 4];
+        group.kill(away);
+        raise_and_await(&mut group, &what);
+        group.propose_for(Duration::from_millis(50 + 100 * (seed % 10)));
+        group.start(away, false);
+        group.await_voters(5, REJOIN_LIMIT, &what);
+        raise_and_await(&mut group, &what);
+        // It holds what it was sent: the others are not asked.
+        group.followers().into_iter().filter(|place| *place != away).for_each(|place| group.kill(place));
+        group.run_for(Duration::from_millis(200));
+        (1..=5).filter(|place| group.node(*place).is_none()).collect::<Vec<_>>().into_iter().for_each(|place| {
+            group.start(place, false);
+        });
+        group.check(&what);
+    }
+}
+
+/// Sent the log from its first entry on, it goes through both levels as the others did.
+#[test]
+fn a_new_machine_is_sent_a_log_that_begins_before_the_raise() {
+    for seed in 0..10 {
+        let what = format!("seed {seed}");
+        let mut group = formed_without_snapshots(seed);
+        group.propose_for(Duration::from_millis(200));
+        raise_and_await(&mut group, &what);
+        group.propose_for(Duration::from_millis(100));
+        let lost = group.followers()[seed as usize % 4];
+        group.lose_disk(lost);
+        group.start(lost, false);
+        group.await_voters(5, REJOIN_LIMIT, &what);
+        raise_and_await(&mut group, &what);
+        group.check(&what);
+        (1..=5).for_each(|place| group.power_off(place));
+        (1..=5).for_each(|place| group.start(place, false));
+        group.check(&what);
+        raise_and_await(&mut group, &what);
+    }
+}
+
+/// A group of the newest level has no use for a raise.
+#[test]
+fn a_group_that_is_at_the_level_already_does_not_raise_it() {
+    let mut group = Group::formed(3);
+    raise(&group);
+    group.propose_for(Duration::from_millis(200));
+    assert!((1..=5).all(|place| format_of(&group, place) == FeatureLevel::Two.file_format()));
+    group.check("a group of the newest level");
+}
