--- a/crates/control/tests/level_one.rs
+++ b/crates/control/tests/level_one.rs
@@ -15,6 +15,7 @@
 use saddlerelay_layouts::level_one::protocol::{ControlReply, ControlRequest};
 use saddlerelay_layouts::messages::{self, Request};
 use saddlerelay_replication::StateMachine;
+use saddlerelay_replication::{message_codec, wal};
 use saddlerelay_types::feature_level::FeatureLevel;
 use saddlerelay_types::gateway::{GatewayCommand, GatewayOutcome, OrderSubject};
 use saddlerelay_types::identity::ReplicaId;
@@ -23,10 +24,15 @@
 const LOG: &[u8] = include_bytes!("pictures/level_one.log");
 const STATE: &[u8] = include_bytes!("pictures/level_one.state");
 const MESSAGES: &[u8] = include_bytes!("pictures/level_one.messages");
+const PEERS: &[u8] = include_bytes!("pictures/level_one.peers");
 
 /// Requests among the messages; answers follow.
 const REQUESTS: usize = 19;
 
+/// Requests of replicas among the pictures of peers; their answers follow, then records of the log.
+const PEER_REQUESTS: usize = 6;
+const PEER_REPLIES: usize = 8;
+
 fn frames(mut bytes: &[u8]) -> Vec<&[u8]> {
     let mut frames = Vec::new();
     while let Some((length, rest)) = bytes.split_first_chunk::<4>() {
@@ -136,6 +142,25 @@
     }
 }
 
+#[test]
+fn replicas_write_each_other_as_a_released_build_does() {
+    let pictures = frames(PEERS);
+    let (requests, rest) = pictures.split_at(PEER_REQUESTS);
+    let (replies, records) = rest.split_at(PEER_REPLIES);
+    for picture in requests {
+        let request = message_codec::decode_request(picture, FeatureLevel::One).expect("it is read");
+        assert_eq!(message_codec::encode_request(&request, FeatureLevel::One).as_deref(), Some(*picture));
+    }
+    for picture in replies {
+        let reply = message_codec::decode_reply(picture, FeatureLevel::One).expect("it is read");
+        assert_eq!(message_codec::encode_reply(reply, FeatureLevel::One), *picture);
+    }
+    for picture in records {
+        let content = wal::read(picture).expect("it is read");
+        assert_eq!(wal::encode(&content.records[0]), *picture);
+    }
+}
+
 /// The answer to a relay's question names silent instances apart.
 #[test]
 fn a_relay_reads_what_a_released_build_answers_it() {
--- a/crates/control/tests/pictures/write_level_one.rs
+++ b/crates/control/tests/pictures/write_level_one.rs
@@ -2,12 +2,16 @@
 //!
 //! This file is not compiled here. Copied as `crates/control/tests/write_level_one.rs` into a checkout of c1a1747, the released
 //! build of that level, and run there by `cargo test --release -p saddlerelay-control --test write_level_one` with the path of a
-//! folder in `PICTURES`, it makes `level_one.log`, `level_one.state` and `level_one.messages`.
+//! folder in `PICTURES`, it makes `level_one.log`, `level_one.state`, `level_one.messages` and `level_one.peers`.
 
 use saddlerelay_control::commands;
 use saddlerelay_control::machine::ControlMachine;
 use saddlerelay_control::state::ControlState;
 use saddlerelay_replication::StateMachine;
+use saddlerelay_replication::log::{EntryPayload, LogEntry};
+use saddlerelay_replication::membership::{Member, Membership};
+use saddlerelay_replication::message::{Header, ReplicaReply, ReplicaRequest, SnapshotPart};
+use saddlerelay_replication::wal::{self, WalRecord};
 use saddlerelay_types::gateway::{
     FollowReply, FollowRequest, GatewayCommand, GatewayReply, GatewayRequest, StoreRecord,
 };
@@ -244,6 +248,53 @@
     ]
 }
 
+fn header() -> Header {
+    Header { group: 1, from: ReplicaId(2), to: ReplicaId(3), term: 4 }
+}
+
+fn log_entries() -> Vec<LogEntry> {
+    let member = |number| Member { id: ReplicaId(number), address: address(number), voter: number > 1 };
+    let members = Membership { members: vec![member(1), member(2)] };
+    let payloads = [EntryPayload::Empty, EntryPayload::Command(vec![1, 2, 3]), EntryPayload::Membership(members)];
+    let entry = |(place, payload)| LogEntry { index: 7 + place as u64, term: 3, payload };
+    payloads.into_iter().enumerate().map(entry).collect()
+}
+
+/// Requests of the replication protocol, its answers, and records of the log's file.
+fn peers() -> Vec<Vec<u8>> {
+    let part = SnapshotPart { index: 5, total: 9, offset: 0, bytes: vec![1, 2] };
+    let requests = [
+        ReplicaRequest::Vote { header: header(), pre_vote: true, transfer: false, last_index: 5, last_term: 6 },
+        ReplicaRequest::Append {
+            header: header(),
+            previous_index: 6,
+            previous_term: 3,
+            entries: log_entries(),
+            commit: 5,
+        },
+        ReplicaRequest::SnapshotPart { header: header(), part },
+        ReplicaRequest::ReadSegment { header: header(), number: 8 },
+        ReplicaRequest::TakeOver { header: header() },
+        ReplicaRequest::Join { id: ReplicaId(9), address: address(9) },
+    ];
+    let replies = [
+        ReplicaReply::Vote { term: 4, granted: true },
+        ReplicaReply::Append { term: 4, accepted: true, index: 9 },
+        ReplicaReply::SnapshotPart { term: 4, next_offset: 2 },
+        ReplicaReply::FetchingSegments { term: 4 },
+        ReplicaReply::Segment(vec![7]),
+        ReplicaReply::Taken,
+        ReplicaReply::Members(vec![address(1)]),
+        ReplicaReply::Refused,
+    ];
+    let hard_state = WalRecord::HardState { term: 4, voted_for: Some(ReplicaId(2)) };
+    let records = std::iter::once(hard_state).chain(log_entries().into_iter().map(WalRecord::Entry));
+    let mut written: Vec<Vec<u8>> = requests.iter().map(bitcode::encode).collect();
+    written.extend(replies.iter().map(bitcode::encode));
+    written.extend(records.map(|record| wal::encode(&record)));
+    written
+}
+
 #[test]
 fn write() {
     let folder = std::env::var("PICTURES").expect("a folder");
@@ -260,6 +311,7 @@
         entries.push(encoded);
     }
     let folder = std::path::Path::new(&folder);
+    std::fs::write(folder.join("level_one.peers"), framed(&peers())).expect("written");
     std::fs::write(folder.join("level_one.log"), framed(&entries)).expect("written");
     std::fs::write(folder.join("level_one.state"), machine.snapshot()).expect("written");
     std::fs::write(folder.join("level_one.messages"), framed(&messages(&mut random, &state))).expect("written");
--- a/crates/replication/src/follower.rs
+++ b/crates/replication/src/follower.rs
@@ -180,6 +180,7 @@
         let index = snapshot.header.index;
         let segments = snapshot.header.segments.clone();
         let bytes = snapshot.encoded().len() as u64;
+        let feature_level = snapshot.level.number();
         if index <= applied {
             return ReplicaReply::Append { term: header.term, accepted: true, index: applied };
         }
@@ -213,7 +214,8 @@
         self.remove_outlived_segments(&segments).await;
         spdlog::info!("snapshot installed", kv: {
             from = header.from.0, term = header.term, index = index, bytes = bytes,
-            segments = segments.len() as u64, held_before = applied
+            segments = segments.len() as u64, held_before = applied,
+            feature_level = feature_level
         });
         ReplicaReply::Append { term: header.term, accepted: true, index }
     }
--- a/crates/replication/src/levels.rs
+++ b/crates/replication/src/levels.rs
@@ -87,7 +87,7 @@
         // The queue keeps the order: what waits there already is of the old level and stands before it in the log.
         self.inner.proposals.borrow_mut().try_send(proposal).map_err(|_| ProposeError::Overloaded)?;
         leadership.next_level = level;
-        spdlog::info!("feature level proposed", kv: { level = level.number() });
+        spdlog::info!("feature level proposed", kv: { feature_level = level.number() });
         Ok(())
     }
 
@@ -116,7 +116,7 @@
             state.level = Some(level);
             state.began_at = Some(level);
             state.machine.enter_level(level);
-            spdlog::info!("feature level taken", kv: { level = level.number() });
+            spdlog::info!("feature level taken", kv: { feature_level = level.number() });
         }
         Ok(())
     }
--- a/crates/replication/src/reconfigure.rs
+++ b/crates/replication/src/reconfigure.rs
@@ -192,7 +192,7 @@
             let known = state.membership().member(id).is_some();
             let is_older = state.leadership().is_some_and(|leadership| level < leadership.next_level);
             if is_older {
-                spdlog::warn!("older build not added", kv: { replica = id.0, level = level.number() });
+                spdlog::warn!("older build not added", kv: { replica = id.0, feature_level = level.number() });
             }
             if known || is_older || self.inner.unwanted.borrow().contains(&id) || !may_change_membership(&state) {
                 return ReplicaReply::Refused;
--- a/crates/replication/src/standing.rs
+++ b/crates/replication/src/standing.rs
@@ -5,6 +5,7 @@
 use crate::state::{State, StateMachine};
 use crate::storage::Recovered;
 use saddlerelay_runtime::Runtime;
+use saddlerelay_types::feature_level::FeatureLevel;
 use saddlerelay_types::identity::ReplicaId;
 use std::time::Duration;
 
@@ -87,6 +88,7 @@
         last_term = recovered.log.last_term(),
         snapshot_index = recovered.snapshot.as_ref().map_or(0, |snapshot| snapshot.header.index),
         torn_bytes = recovered.torn_bytes,
+        feature_level = recovered.level.map_or(0, FeatureLevel::number),
         voters = membership.voters().count(),
         members = membership.names().as_str()
     });
--- a/crates/replication/src/state.rs
+++ b/crates/replication/src/state.rs
@@ -258,7 +258,7 @@
             let outcome = match &entry.payload {
                 EntryPayload::Command(command) => match raised_to(command) {
                     Some(level) => {
-                        spdlog::info!("feature level raised", kv: { level = level.number(), index = index });
+                        spdlog::info!("feature level raised", kv: { feature_level = level.number(), index = index });
                         self.level = Some(level);
                         self.machine.enter_level(level);
                         None
--- a/crates/simulator/tests/level_raise.rs
+++ b/crates/simulator/tests/level_raise.rs
@@ -160,12 +160,11 @@
         group.start(away, false);
         group.await_voters(5, REJOIN_LIMIT, &what);
         raise_and_await(&mut group, &what);
-        // It holds what it was sent: the others are not asked.
-        group.followers().into_iter().filter(|place| *place != away).for_each(|place| group.kill(place));
-        group.run_for(Duration::from_millis(200));
-        (1..=5).filter(|place| group.node(*place).is_none()).collect::<Vec<_>>().into_iter().for_each(|place| {
-            group.start(place, false);
-        });
+        // What it was sent it finds again on its own disk.
+        group.power_off(away);
+        group.start(away, false);
+        group.await_voters(5, REJOIN_LIMIT, &what);
+        raise_and_await(&mut group, &what);
         group.check(&what);
     }
 }
--- a/crates/soak/src/deployment.rs
+++ b/crates/soak/src/deployment.rs
@@ -87,6 +87,9 @@
 /// What a coordinator's line says when it begins to lead.
 const BEGINS_TO_LEAD: &str = "event=\"leading\"";
 
+/// How a coordinator's log tells the feature level of its state.
+const FEATURE_LEVEL: &str = " feature_level=";
+
 /// Networks tried before giving up.
 const NETWORK_ATTEMPTS: u32 = 100;
 
@@ -293,6 +296,15 @@
         membership_in(&self.newest_members(), self.addresses.peer(number))
     }
 
+    /// The feature level that a coordinator told last of its state; 0 if it told none.
+    pub fn feature_level(&self, number: u8) -> u32 {
+        let text = std::fs::read_to_string(self.log_file(Party::Coordinator(number))).unwrap_or_default();
+        let is_told = |line: &&str| line.contains(FEATURE_LEVEL) && !line.contains("feature level proposed");
+        let newest = text.lines().rfind(is_told).and_then(|line| line.split_once(FEATURE_LEVEL));
+        let number = newest.and_then(|(_, rest)| rest.split(' ').next()?.parse().ok());
+        number.unwrap_or_default()
+    }
+
     /// The coordinator that began to lead last, as the logs of the coordinators tell.
     pub fn leader(&self) -> Option<u8> {
         let logs = (0..self.addresses.size.coordinators).filter_map(|number| {
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -2,7 +2,7 @@
 
 use crate::builds::Builds;
 use crate::callers;
-use crate::case::Case;
+use crate::case::{Case, PlanKind};
 use crate::checks;
 use crate::deployment::{Deployment, REPORT_INTERVAL};
 use crate::engine::Engine;
@@ -22,6 +22,7 @@
 use compio::runtime::JoinHandle;
 use futures::future;
 use hyper::{Method, StatusCode};
+use saddlerelay_types::feature_level::FeatureLevel;
 use std::cell::Cell;
 use std::path::{Path, PathBuf};
 use std::rc::Rc;
@@ -100,6 +101,9 @@
     let memory = cause_faults(&deployment, &faults, &trainer, &journal, options).await?;
     crashing_stop.set(true);
     prove_recovery(&deployment, &operator, &trainer, &journal).await;
+    if options.case.kind == PlanKind::Upgrade {
+        prove_newest_level(&deployment, &journal).await;
+    }
     stop.set(true);
     end_load(tasks, &journal).await;
     read_back(&operator, &trainer, &journal).await;
@@ -207,6 +211,15 @@
     training.prove("a training step is whole".to_string(), || prove_step(trainer, journal)).await;
 }
 
+/// All processes run the newest build: what it can do more must come into use by itself.
+async fn prove_newest_level(deployment: &Rc<Deployment>, journal: &Journal) {
+    let raised = Proof::begin("the group goes to the newest level once every process knows it", journal);
+    for number in 0..deployment.addresses.size.coordinators {
+        let is_there = || async { deployment.feature_level(number) == FeatureLevel::NEWEST.number() };
+        raised.prove(format!("coordinator {number}"), is_there).await;
+    }
+}
+
 async fn prove_step(trainer: &Trainer, journal: &Journal) -> bool {
     let missing = trainer.prove_step(RECOVERY_LIMIT).await;
     if let Some(missing) = &missing {
