--- a/crates/command-line/src/lib.rs
+++ b/crates/command-line/src/lib.rs
@@ -4,6 +4,7 @@
 pub mod admin;
 mod duties;
 pub mod explain;
+mod level_metrics;
 mod logs;
 pub mod member;
 pub mod serve;
--- a/crates/command-line/src/member.rs
+++ b/crates/command-line/src/member.rs
@@ -1,5 +1,6 @@
 //! Runs a process of a deployment that finds its own members: a gateway, or a coordinator.
 
+use crate::level_metrics::LevelMetrics;
 use crate::signals::{SIGHUP, SIGTERM, SignalListener};
 use crate::{CommandError, Exit, read_member_settings};
 use compio::net::TcpListener;
@@ -251,7 +252,8 @@
     let interval = settings.bounds.report_interval;
     let api = ControlApi::start(runtime.clone(), control.clone(), interval, Box::new(report_target), formats);
     runtime.spawn(serve_until(control_listener, api.clone(), shutdown.clone()));
-    let metrics = move || coordinator.metrics().encode() + &duties.encode() + &api.metrics();
+    let levels = LevelMetrics::new(node.clone());
+    let metrics = move || coordinator.metrics().encode() + &duties.encode() + &api.metrics() + &levels.encode();
     serve_metrics(&runtime, settings.metrics_address, metrics).await?;
     let record = StoreRecord {
         name: settings.name.clone(),
--- a/crates/telemetry/src/registry.rs
+++ b/crates/telemetry/src/registry.rs
@@ -1,6 +1,7 @@
-//! Counters and histograms that live as long as their process, told in the standard text format.
+//! Counters, gauges and histograms that live as long as their process, told in the standard text format.
 
 pub use prometheus_client::metrics::counter::Counter;
+pub use prometheus_client::metrics::gauge::Gauge;
 pub use prometheus_client::metrics::histogram::Histogram;
 
 use prometheus_client::encoding::text::encode;
@@ -28,6 +29,13 @@
         counter
     }
 
+    /// A number that rises and falls.
+    pub fn gauge(&mut self, name: &str, help: &str) -> Gauge {
+        let gauge = Gauge::default();
+        self.registry.register(name, help, gauge.clone());
+        gauge
+    }
+
     /// A histogram of seconds with `buckets` buckets, the first of which ends at `first`.
     pub fn seconds(&mut self, name: &str, help: &str, first: f64, buckets: u16) -> Histogram {
         let histogram = Histogram::new(exponential_buckets(first, BUCKET_FACTOR, buckets));
