Where the log has engines' names alone, a leader hears an engine that starts again; the soak's engines tell their starts

Level one strips starts, and sequences begin anew with each: the leader would have taken the engine for silent until it had counted as far as before. It keeps the newest start of each name beside the log.

--- a/crates/control/src/gateway.rs
+++ b/crates/control/src/gateway.rs
@@ -168,11 +168,16 @@
     }
 
     async fn report_instances(&self, reports: GatheredReports) -> ControlReply {
-        if !self.leads_at_level_one() {
+        let Some(term) = self.inner.replica.leading_term().filter(|_| self.leads_at_level_one()) else {
             return self.take_reports(reports).await;
-        }
+        };
         let asked: Vec<InstanceId> = reports.heartbeats.iter().map(|heartbeat| heartbeat.id.clone()).collect();
-        match self.take_reports(without_starts(reports)).await {
+        let reports = {
+            let mut watch = self.inner.instance_watch.borrow_mut();
+            watch.follow_term(term);
+            without_starts(reports, &mut watch)
+        };
+        match self.take_reports(reports).await {
             ControlReply::Gateway(GatewayReply::ReportsMissing(missing)) => {
                 ControlReply::Gateway(GatewayReply::ReportsMissing(named_in(&missing, asked.into_iter())))
             }
--- a/crates/control/src/instance_watch.rs
+++ b/crates/control/src/instance_watch.rs
@@ -60,6 +60,8 @@
     table_revision: u64,
     /// Instances that have told their weights, which nobody has taken yet.
     unread: BTreeSet<InstanceId>,
+    /// The newest start of each engine, where the log has its name alone.
+    starts: BTreeMap<String, u64>,
 }
 
 impl InstanceWatch {
@@ -70,6 +72,20 @@
         }
     }
 
+    /// Where the log has an engine's name alone: notes which start of it speaks. What was heard of an earlier one counts no more,
+    /// as its sequences begin anew. Returns whether this is the newest start.
+    pub fn note_start(&mut self, id: &InstanceId) -> bool {
+        let Some(started_at_ms) = id.started_at_ms else {
+            return true;
+        };
+        let newest = self.starts.entry(id.name.clone()).or_insert(started_at_ms);
+        if started_at_ms > *newest {
+            *newest = started_at_ms;
+            self.heard.remove(&InstanceId::named(&*id.name));
+        }
+        started_at_ms == *newest
+    }
+
     /// Takes a report; a late one changes nothing.
     pub fn hear(&mut self, report: &InstanceReport, now: Duration) {
         if let Some(heard) = self.take_sequence(&report.id, report.sequence, now) {
--- a/crates/control/src/older_level.rs
+++ b/crates/control/src/older_level.rs
@@ -12,6 +12,7 @@
 //! | usage, numbers of engines | relays keep their counts; nothing is fixed, reported or ordered |
 //! | tenants, public routes, limits of scaling | a document that has them is refused at once |
 
+use crate::instance_watch::InstanceWatch;
 use crate::node::ControlNode;
 use crate::state::ControlState;
 use saddlerelay_layouts::level_one::convert::update_to_one;
@@ -39,8 +40,10 @@
     }
 }
 
-/// Reports as level one has them: an engine is its name.
-pub(crate) fn without_starts(mut reports: GatheredReports) -> GatheredReports {
+/// Reports as level one has them: an engine is its name. Those of a start that another has followed are left out.
+pub(crate) fn without_starts(mut reports: GatheredReports, watch: &mut InstanceWatch) -> GatheredReports {
+    reports.news.retain(|report| watch.note_start(&report.id));
+    reports.heartbeats.retain(|heartbeat| watch.note_start(&heartbeat.id));
     let ids = reports.news.iter_mut().map(|report| &mut report.id);
     let ids = ids.chain(reports.heartbeats.iter_mut().map(|heartbeat| &mut heartbeat.id));
     ids.for_each(|id| id.started_at_ms = None);
--- a/crates/control/tests/level_one.rs
+++ b/crates/control/tests/level_one.rs
@@ -7,6 +7,7 @@
 //! one build writes another must read, and the two had no language in common. Proved by `.ci/upgrade`, which runs both builds
 //! side by side: the same case broke hundreds of promises before and none since levels are spoken.
 
+use saddlerelay_control::instance_watch::InstanceWatch;
 use saddlerelay_control::machine::ControlMachine;
 use saddlerelay_control::state::ControlState;
 use saddlerelay_layouts::commands::{Committed, decode, encode};
@@ -19,7 +20,9 @@
 use saddlerelay_types::feature_level::FeatureLevel;
 use saddlerelay_types::gateway::{GatewayCommand, GatewayOutcome, OrderSubject};
 use saddlerelay_types::identity::ReplicaId;
+use saddlerelay_types::instance::{InstanceId, InstanceReport, LoadedModel};
 use saddlerelay_types::protocol::{Command, CommandOutcome};
+use std::time::Duration;
 
 const LOG: &[u8] = include_bytes!("pictures/level_one.log");
 const STATE: &[u8] = include_bytes!("pictures/level_one.state");
@@ -214,3 +217,29 @@
         assert!(encode(1, Command::Gateway(command.clone()), FeatureLevel::One).is_none(), "{command:?}");
     }
 }
+
+/// An engine that starts again under its name counts its reports anew; where the log has its name alone, the leader must hear it all the
+/// same, and its earlier start no more.
+#[test]
+fn an_engine_that_starts_again_is_heard_where_the_log_has_its_name_alone() {
+    let report = |sequence| InstanceReport {
+        id: InstanceId::named("engine"),
+        service: "web".to_string(),
+        address: ([10, 0, 0, 1], 8_000).into(),
+        zone: "north".to_string(),
+        slots: 1,
+        leaving: false,
+        models: vec![LoadedModel { model: "notes".to_string(), version: sequence }],
+        sequence,
+    };
+    let seconds = Duration::from_secs;
+    let mut watch = InstanceWatch::default();
+    assert!(watch.note_start(&InstanceId::started("engine", 100)));
+    watch.hear(&report(50), seconds(1));
+    assert!(watch.note_start(&InstanceId::started("engine", 200)));
+    watch.hear(&report(1), seconds(2));
+    let (heard_at, models) = watch.models(&InstanceId::named("engine")).expect("it was heard");
+    assert_eq!((heard_at, models[0].version), (seconds(2), 1));
+    assert!(!watch.note_start(&InstanceId::started("engine", 100)), "a late report of the earlier start");
+    assert!(watch.note_start(&InstanceId::named("other")), "one that tells no start");
+}
--- a/crates/soak/src/engine.rs
+++ b/crates/soak/src/engine.rs
@@ -20,6 +20,9 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+/// When engines say that they started, in Unix milliseconds: any moment in the past.
+const FIRST_START_MS: u64 = 1_700_000_000_000;
+
 /// How long a change of weights takes.
 const LOAD_TIME: Duration = Duration::from_millis(300);
 
@@ -252,12 +255,20 @@
         state.order_conduct.set(OrderConduct::Normal);
     }
 
+    /// Where builds of several levels run, engines tell their starts: some of the builds know nothing of them.
+    fn reported_instance(&self) -> InstanceId {
+        match self.state.demands {
+            Demands::All => self.instance(),
+            Demands::Common => InstanceId::started(self.instance().name, FIRST_START_MS + u64::from(self.state.number)),
+        }
+    }
+
     /// What it reports of itself now.
     pub fn report(&self) -> InstanceReport {
         let state = &self.state;
         state.sequence.set(state.sequence.get() + 1);
         InstanceReport {
-            id: self.instance(),
+            id: self.reported_instance(),
             service: state.service.to_string(),
             address: state.addresses.engine(state.number),
             zone: "north".to_string(),
--- a/crates/soak/src/operator.rs
+++ b/crates/soak/src/operator.rs
@@ -146,6 +146,7 @@
             compio::time::sleep(REPORT_INTERVAL / 5).await;
             continue;
         }
+        let instance = engine.instance();
         let report = engine.report();
         let path = format!("/v1/instances/{}", report.id.name);
         let body = serde_json::to_vec(&report).unwrap_or_default();
@@ -154,7 +155,7 @@
         if acknowledged && report.leaving {
             let now = journal.now();
             journal.write(|records| {
-                records.leaving.entry(report.id).or_insert(now);
+                records.leaving.entry(instance).or_insert(now);
             });
         }
         let pause = if acknowledged { REPORT_INTERVAL } else { REPORT_INTERVAL / 5 };
