--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -4,7 +4,7 @@
 use crate::callers;
 use crate::case::{Case, PlanKind};
 use crate::checks;
-use crate::deployment::{Deployment, REPORT_INTERVAL};
+use crate::deployment::{Deployment, MemberKind, REPORT_INTERVAL};
 use crate::engine::Engine;
 use crate::faults::{Faults, STOP_ENDS_WELL};
 use crate::journal::Journal;
@@ -215,7 +215,9 @@
 async fn prove_newest_level(deployment: &Rc<Deployment>, journal: &Journal) {
     let raised = Proof::begin("the group goes to the newest level once every process knows it", journal);
     for number in 0..deployment.addresses.size.coordinators {
-        let is_there = || async { deployment.feature_level(number) == FeatureLevel::NEWEST.number() };
+        // One that is no member has no state of the group's.
+        let is_member = || deployment.membership_of(number) != MemberKind::None;
+        let is_there = || async { !is_member() || deployment.feature_level(number) == FeatureLevel::NEWEST.number() };
         raised.prove(format!("coordinator {number}"), is_there).await;
     }
 }
