A suspicion is forgotten when its time is over by the leader's steady clock too

What callers saw: after a leader whose time of day was an hour ahead, work under which engines had ended was forgotten at once; the right of the one who ran it went with it, and a second ran the same work beside it. Cause: the leader asked the time of day alone whether ten minutes had passed since the last engine ended. Change: each replica watches suspicions by its own steady clock, as it does rights, and the leader forgets only what is old by both. What the command does is unchanged (level two); one that is young by the steady clock holds up others that would go with it. Why it holds: the steady clocks of those who lead bound it from below, whatever the time of day says; after a restart it counts anew, which keeps longer.

--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -21,5 +21,6 @@
 pub mod routing_updates;
 pub mod state;
 mod suspected_work;
+pub mod suspicion_watch;
 pub mod tasks;
 pub mod trial_watch;
--- a/crates/control/src/node.rs
+++ b/crates/control/src/node.rs
@@ -11,6 +11,7 @@
 use crate::queries;
 use crate::routing_updates::RoutingUpdates;
 use crate::state::ControlState;
+use crate::suspicion_watch::SuspicionWatch;
 use crate::tasks::relays::RenewalTable;
 use crate::tasks::{confirmation, engines, levels, machines, relays, retirement, silence, suspicions, trials, usage};
 use crate::trial_watch::TrialWatch;
@@ -78,6 +79,8 @@
     pub order_watch: RefCell<OrderWatch>,
     /// Rights to run suspected work, and when they were renewed.
     pub trial_watch: RefCell<TrialWatch>,
+    /// How old suspicions are by this process's steady clock.
+    pub suspicion_watch: RefCell<SuspicionWatch>,
     /// The time of day that most machines agree on.
     pub group_clock: RefCell<GroupClock>,
     /// What relays have counted and what is not committed yet.
@@ -126,6 +129,7 @@
             routing_updates: RefCell::default(),
             order_watch: RefCell::default(),
             trial_watch: RefCell::default(),
+            suspicion_watch: RefCell::default(),
             group_clock: RefCell::default(),
             usage_inbox: RefCell::default(),
             job_results: Signal::default(),
--- a/crates/control/src/state/suspicions.rs
+++ b/crates/control/src/state/suspicions.rs
@@ -7,6 +7,7 @@
 };
 use saddlerelay_types::work::WorkDigest;
 use std::collections::BTreeMap;
+use std::time::Duration;
 
 /// Kinds of work that are remembered. An engine that ends takes up to its slots (some tens) with it, so this is the work of
 /// some tens of engines; those under which the fewest engines have ended give way, the oldest first. All of it goes to each
@@ -196,6 +197,17 @@
         }
     }
 
+    /// All suspicions.
+    pub fn iter(&self) -> impl Iterator<Item = &Suspicion> {
+        self.by_work.values()
+    }
+
+    /// What is to be forgotten at `now`, and how long each is kept.
+    pub fn due(&self, now: u64) -> impl Iterator<Item = (&Suspicion, Duration)> {
+        let due = self.by_work.values().filter(move |suspicion| has_expired(suspicion, now));
+        due.map(|suspicion| (suspicion, Duration::from_millis(kept_ms(suspicion))))
+    }
+
     /// Whether something is to be forgotten at `now`.
     pub fn has_expired(&self, now: u64) -> bool {
         self.by_work.values().any(|suspicion| has_expired(suspicion, now))
@@ -223,6 +235,9 @@
 }
 
 fn has_expired(suspicion: &Suspicion, now: u64) -> bool {
-    let kept = if suspicion.is_quarantined() { QUARANTINED_MS } else { SUSPECTED_MS };
-    now >= suspicion.last_at.saturating_add(kept)
+    now >= suspicion.last_at.saturating_add(kept_ms(suspicion))
+}
+
+fn kept_ms(suspicion: &Suspicion) -> u64 {
+    if suspicion.is_quarantined() { QUARANTINED_MS } else { SUSPECTED_MS }
 }
--- a/crates/control/src/tasks/suspicions.rs
+++ b/crates/control/src/tasks/suspicions.rs
@@ -13,8 +13,13 @@
 pub async fn expire<P: Runtime, B: Backends>(node: ControlNode<P, B>) {
     loop {
         node.inner.platform.sleep(INTERVAL).await;
-        let now = node.inner.platform.unix_milliseconds();
-        if node.read(|state| state.suspicions.has_expired(now)) != Some(true) {
+        let now = node.inner.platform.monotonic();
+        let unix_ms = node.inner.platform.unix_milliseconds();
+        let mut watch = node.inner.suspicion_watch.borrow_mut();
+        node.read_applied(|state| watch.see(&state.suspicions, now));
+        let due = node.read(|state| watch.may_expire(&state.suspicions, unix_ms.max(state.time), now));
+        drop(watch);
+        if due != Some(true) {
             continue;
         }
         if let Err(error) = node.commit_gateway(GatewayCommand::ExpireSuspicions).await {
