--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -4,6 +4,7 @@
 //! the leader does on its own: polling engines, rolling out weights, watching relays and committing what they count.
 //! `follow` tells relays what they lack, at the leader or at another replica. `orders` is the right to give orders to what lies outside the group.
 
+mod answering;
 pub mod commands;
 pub mod config;
 mod follow;
--- a/crates/control/src/node.rs
+++ b/crates/control/src/node.rs
@@ -16,19 +16,14 @@
 use crate::tasks::{confirmation, engines, levels, machines, relays, retirement, silence, suspicions, trials, usage};
 use crate::trial_watch::TrialWatch;
 use futures::lock::Mutex;
-use saddlerelay_layouts::messages::{self, Request};
-use saddlerelay_replication::message::ReplicaRequest;
-use saddlerelay_replication::message_codec;
 use saddlerelay_replication::storage::StorageError;
 use saddlerelay_replication::{ProposeError, Replica, ReplicaOptions};
-use saddlerelay_rpc::server::Handler;
 use saddlerelay_runtime::Runtime;
 use saddlerelay_runtime::backend::Backends;
 use saddlerelay_runtime::repeated_event::RepeatedEvent;
 use saddlerelay_runtime::signal::Signal;
 use saddlerelay_runtime::timeout::timeout;
 use saddlerelay_types::feature_level::FeatureLevel;
-use saddlerelay_types::gateway::GatewayReply;
 use saddlerelay_types::protocol::{
     Command, CommandOutcome, ControlReply, ControlRequest, MembershipCommand, Query, QueryAnswer, RenewReply,
     RenewRequest, RolloutCommand,
@@ -213,38 +208,6 @@
         }
     }
 
-    /// Answers a request of another process, both written at `level`.
-    async fn answer_at(&self, level: FeatureLevel, request: Request) -> Option<Vec<u8>> {
-        let request = match request {
-            Request::FollowOne(follow) => {
-                self.note_older_asker();
-                return Some(bitcode::encode(&self.follow_level_one(follow).await));
-            }
-            Request::Today(request) => request,
-        };
-        if let ControlRequest::Replication(bytes) = &request {
-            return messages::encode_reply(self.answer_replica(bytes, level).await, level);
-        }
-        if level < FeatureLevel::NEWEST {
-            self.note_older_asker();
-        }
-        let reply = self.answer(request).await;
-        let unspeakable = || messages::encode_reply(ControlReply::Gateway(GatewayReply::Unavailable), level);
-        messages::encode_reply(reply, level).or_else(unspeakable)
-    }
-
-    async fn answer_replica(&self, bytes: &[u8], level: FeatureLevel) -> ControlReply {
-        let Some(request) = message_codec::decode_request(bytes, level) else {
-            return ControlReply::Refused("malformed replication message".to_string());
-        };
-        // Builds of this age ask to be added at the newest level that both know.
-        if level < FeatureLevel::NEWEST && matches!(request, ReplicaRequest::Join { .. }) {
-            self.note_older_asker();
-        }
-        let reply = self.inner.replica.handle(request, level).await;
-        ControlReply::Replication(message_codec::encode_reply(reply, level))
-    }
-
     async fn initialize(&self) -> ControlReply {
         match self.inner.replica.initialize().await {
             Ok(true) => ControlReply::Executed(CommandOutcome::Applied(true)),
@@ -446,10 +409,3 @@
         _ => None,
     }
 }
-
-impl<P: Runtime, B: Backends> Handler for ControlNode<P, B> {
-    async fn handle(self: Rc<Self>, level: FeatureLevel, body: Vec<u8>) -> Option<Vec<u8>> {
-        let request = messages::decode_request(&body, level)?;
-        self.answer_at(level, request).await
-    }
-}
--- a/crates/control/src/tasks/suspicions.rs
+++ b/crates/control/src/tasks/suspicions.rs
@@ -13,13 +13,7 @@
 pub async fn expire<P: Runtime, B: Backends>(node: ControlNode<P, B>) {
     loop {
         node.inner.platform.sleep(INTERVAL).await;
-        let now = node.inner.platform.monotonic();
-        let unix_ms = node.inner.platform.unix_milliseconds();
-        let mut watch = node.inner.suspicion_watch.borrow_mut();
-        node.read_applied(|state| watch.see(&state.suspicions, now));
-        let due = node.read(|state| watch.may_expire(&state.suspicions, unix_ms.max(state.time), now));
-        drop(watch);
-        if due != Some(true) {
+        if !forgetting_is_due(&node) {
             continue;
         }
         if let Err(error) = node.commit_gateway(GatewayCommand::ExpireSuspicions).await {
@@ -27,3 +21,12 @@
         }
     }
 }
+
+/// Whether this replica leads and something is too old, by the time of day and by this process's steady clock.
+fn forgetting_is_due<P: Runtime, B: Backends>(node: &ControlNode<P, B>) -> bool {
+    let now = node.inner.platform.monotonic();
+    let unix_ms = node.inner.platform.unix_milliseconds();
+    let mut watch = node.inner.suspicion_watch.borrow_mut();
+    node.read_applied(|state| watch.see(&state.suspicions, now));
+    node.read(|state| watch.may_expire(&state.suspicions, unix_ms.max(state.time), now)) == Some(true)
+}
--- a/crates/layouts/src/commands.rs
+++ b/crates/layouts/src/commands.rs
@@ -1,7 +1,7 @@
 //! Commands on the log.
 
 use crate::FeatureLevel;
-use crate::level_one::convert::all_commands_to_one;
+use crate::level_one::convert::commands_to_one;
 use crate::level_one::protocol as one;
 use saddlerelay_types::protocol::{Command, LogCommand};
 
@@ -19,7 +19,7 @@
     match level {
         FeatureLevel::One => {
             let entry = |command| bitcode::encode(&one::LogCommand { time, command });
-            Some(all_commands_to_one(command)?.into_iter().map(entry).collect())
+            Some(commands_to_one(command)?.into_iter().map(entry).collect())
         }
         FeatureLevel::Two => Some(vec![bitcode::encode(&LogCommand { time, command })]),
     }
--- /dev/null
+++ b/crates/layouts/src/level_one/convert/commands.rs
@@ -0,0 +1,61 @@
+//! Commands on the log.
+
+use crate::level_one::gateway as one;
+use crate::level_one::protocol as one_protocol;
+use crate::level_one::routing as one_routing;
+use saddlerelay_types::gateway::{GatewayCommand, OrderSubject};
+use saddlerelay_types::protocol::Command;
+
+/// The commands of level one that do together what `command` does today.
+fn gateway_commands_to_one(command: GatewayCommand) -> Option<Vec<one::GatewayCommand>> {
+    use one::GatewayCommand as One;
+    Some(match command {
+        GatewayCommand::PutRouting(document) => vec![One::PutRouting(one_routing::RoutingDocument::of(document)?)],
+        GatewayCommand::ReportInstances(reports) => {
+            reports.into_iter().map(|report| One::ReportInstance(report.into())).collect()
+        }
+        GatewayCommand::RemoveInstance(id) => vec![One::RemoveInstance((&id).into())],
+        GatewayCommand::NameVersion(named) => vec![One::NameVersion(named)],
+        GatewayCommand::SubmitJob { job, keep_ms } => {
+            vec![One::SubmitJob { job: one::JobSubmission::of(job)?, keep_ms }]
+        }
+        GatewayCommand::KeepTexts { job, parts } => vec![One::KeepTexts { job, parts }],
+        GatewayCommand::ListResults { job, outcomes } => vec![One::ListResults { job, outcomes }],
+        GatewayCommand::EndJob(job) => vec![One::EndJob(job)],
+        GatewayCommand::RegisterStore(record) => vec![One::RegisterStore(record)],
+        GatewayCommand::RetireStore(name) => vec![One::RetireStore(name)],
+        GatewayCommand::StoreRetired(name) => vec![One::StoreRetired(name)],
+        GatewayCommand::NoteOrders { holder, subjects } => {
+            let engine = |subject| match subject {
+                OrderSubject::Engine(name) => Some(one::InstanceId(name)),
+                OrderSubject::UsageReports | OrderSubject::EngineCount(_) => None,
+            };
+            let instances = subjects.into_iter().map(engine).collect::<Option<_>>()?;
+            vec![One::NoteOrders { holder, instances }, One::TakeOrders(holder)]
+        }
+        GatewayCommand::NoteSilence { .. }
+        | GatewayCommand::AddUsage(_)
+        | GatewayCommand::FixUsage(_)
+        | GatewayCommand::UsageReported(_)
+        | GatewayCommand::WantEngines(_)
+        | GatewayCommand::TakeEvidence(_)
+        | GatewayCommand::BeginTrial(_)
+        | GatewayCommand::RenewTrials(_)
+        | GatewayCommand::ExpireTrials(_)
+        | GatewayCommand::EndTrial { .. }
+        | GatewayCommand::ExpireSuspicions
+        | GatewayCommand::ReleaseWork(_) => return None,
+    })
+}
+
+/// The commands of level one that do together what `command` does today.
+pub fn commands_to_one(command: Command) -> Option<Vec<one_protocol::Command>> {
+    use one_protocol::Command as One;
+    Some(match command {
+        Command::Configuration(change) => vec![One::Configuration(change)],
+        Command::Claim(command) => vec![One::Claim(command)],
+        Command::Rollout(command) => vec![One::Rollout(command)],
+        Command::Membership(command) => vec![One::Membership(command)],
+        Command::Gateway(command) => gateway_commands_to_one(command)?.into_iter().map(One::Gateway).collect(),
+    })
+}
--- a/crates/rpc/src/client.rs
+++ b/crates/rpc/src/client.rs
@@ -4,6 +4,7 @@
 //! so at once, or keeps silent if it knows of no welcome; one that does not know it closes the connection, and the next older
 //! level is tried. Nothing is sent before, so a refused connection leaves no request that may have run.
 
+pub use crate::call::{Answer, CallError, Message, Speech};
 use crate::frame::{Envelope, Hello, WELCOME_ID, Welcome};
 use futures::channel::{mpsc, oneshot};
 use futures::{StreamExt, future};
@@ -33,47 +34,6 @@
 /// zones. A peer that is slower to refuse than this leaves its first requests without an answer.
 const ACCEPTED_AFTER: Duration = Duration::from_millis(100);
 
-/// Which level connections speak.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Speech {
-    /// The newest that the peer knows.
-    Negotiated,
-    /// This one.
-    Fixed(FeatureLevel),
-}
-
-/// A request that can be written for a connection.
-pub trait Message {
-    /// How it is written at `level`; `None` if that level has no words for it.
-    fn encode(&self, level: FeatureLevel) -> Option<Vec<u8>>;
-}
-
-impl<F: Fn(FeatureLevel) -> Option<Vec<u8>>> Message for F {
-    fn encode(&self, level: FeatureLevel) -> Option<Vec<u8>> {
-        self(level)
-    }
-}
-
-/// What the peer answered.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct Answer {
-    /// The level at which it is written.
-    pub level: FeatureLevel,
-    /// The encoded message.
-    pub body: Vec<u8>,
-}
-
-/// Why a call brought no answer.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum CallError {
-    /// The connection's level has no words for the request; it was not sent.
-    Unspeakable,
-    /// No connection; the request was not sent.
-    NotSent,
-    /// The connection was lost or the time ran out after the request may have been sent.
-    Unknown,
-}
-
 type Pending = Rc<RefCell<BTreeMap<u64, oneshot::Sender<Vec<u8>>>>>;
 
 struct Link {
--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -6,6 +6,7 @@
 //! folders and file size limits, and from engines. What callers and engines see is written to a journal, and
 //! [`checks`] judges it against the product's promises.
 
+pub mod addresses;
 pub mod builds;
 pub mod callers;
 pub mod calls;
