A request that a replica may have taken is never answered as not run

What callers saw: a job refused with 503, which says that it has not run and never will, and all of its items ran. Cause: asking one replica after the other, the attempt that ended with 'no words at this level' was answered as not done, whatever had become of the attempts before. A connection that closes before it is served, as of a process that is just starting, is taken for one to an older build, and the next one speaks a level that has no words for a job with an owner. Ruled out: entries proposed after the answer (the leader wrote it before it was killed), duplicates of the trainer (one job, one identifier), the soak's check. Change: such an attempt ends the search only if no replica may have taken the request; an unreadable answer counts as a taken request; 'job not accepted' says what became of a job. Why it holds: the flag that an attempt may have been taken decides every answer now; nothing resets it within a request.

--- a/crates/control-client/src/lib.rs
+++ b/crates/control-client/src/lib.rs
@@ -163,7 +163,7 @@
         let request = ControlRequest::Gateway(request);
         let reply = self.call_until(&request, limit, attempt_limit, &mut may_be_done).await;
         match reply {
-            Err(ControlError::Unspeakable) => Err(GatewayError::NotUnderstood),
+            Err(ControlError::Unspeakable) if !may_be_done => Err(GatewayError::NotUnderstood),
             Ok(ControlReply::Gateway(GatewayReply::Unavailable)) | Err(_) if !may_be_done => Err(GatewayError::NotDone),
             Ok(ControlReply::Gateway(reply)) => Ok(reply),
             _ => Err(GatewayError::Undecided),
@@ -236,10 +236,13 @@
                 continue;
             };
             let outcome = self.ask(&replica, request, left.min(attempt_limit)).await;
-            if outcome == Err(CallError::Unspeakable) {
+            // A connection that closes before it is served looks like one to an older build: what was sent before may have
+            // been done all the same, and another replica may tell.
+            if outcome == Err(CallError::Unspeakable) && !*may_be_done {
                 return Err(ControlError::Unspeakable);
             }
-            *may_be_done |= outcome == Err(CallError::Unknown);
+            // An answer that cannot be read is one to a request that was taken.
+            *may_be_done |= matches!(outcome, Err(CallError::Unknown) | Ok(None));
             self.inner.replicas.borrow_mut().note(replica.address(), LastAnswer::of(&outcome));
             match outcome.ok().flatten() {
                 Some(ControlReply::NotLeader { leader: Some(leader), .. }) if leader != replica.address() => {
--- a/crates/gateway-api/src/front.rs
+++ b/crates/gateway-api/src/front.rs
@@ -107,12 +107,25 @@
                 }
                 drop(body);
                 let answer = self.ask(GatewayRequest::SubmitJob(job)).await;
+                self.tell_job(request, &answer);
                 outcomes::changed(answer, StatusCode::ACCEPTED)
             }
             Err(reason) => self.refuse_job(request, reason),
         }
     }
 
+    /// Says that a job was not accepted, and what the group's replicas answered.
+    fn tell_job(&self, request: &ClientRequest, answer: &Result<GatewayReply, GatewayError>) {
+        if matches!(answer, Ok(GatewayReply::Done)) {
+            return;
+        }
+        let answer = format!("{answer:?}");
+        let search = self.gateway.control().search().summary();
+        spdlog::warn!("job not accepted", kv: {
+            job = request.id.as_str(), answer = answer.as_str(), control = search.as_str()
+        });
+    }
+
     fn refuse_job(&self, request: &ClientRequest, reason: String) -> Reply {
         self.gateway.refuse(request, Refusal::Malformed);
         whole(StatusCode::BAD_REQUEST, "text/plain", reason)
