A voter that was removed while nobody reached it learns so from the leader's announcements

Cause: a replica that is no member is sent no log, so that its own says for ever that it votes; the leader's announcement says who the members are, and only the addresses were taken from it. Ruled out: packets lost (it heard 'group announced' and stayed so on sound links). Change: one that an announcement of the last 5 s leaves out, newer than what it heard of a leader as a member, seeks no votes and names the announced leader.

--- a/crates/replication/src/announce.rs
+++ b/crates/replication/src/announce.rs
@@ -66,11 +66,19 @@
         is_member && self.inner.platform.monotonic() < heard_until
     }
 
-    fn recently_announced_leader(&self) -> Option<SocketAddr> {
+    pub(crate) fn recently_announced_leader(&self) -> Option<SocketAddr> {
         let (leader, at) = self.inner.announced_leader.get()?;
         (self.inner.platform.monotonic() < at + ANNOUNCEMENT_KEPT).then_some(leader)
     }
 
+    /// Whether a leader has said lately that this replica is no member, and none has been heard since. A replica that was removed
+    /// while nobody reached it holds a log in which it still is one: it is sent no entry any more that says otherwise.
+    pub(crate) fn is_left_out(&self, state: &State<S>) -> bool {
+        let now = self.inner.platform.monotonic();
+        let left_out_at = self.inner.left_out_at.get();
+        left_out_at.is_some_and(|at| at >= state.leader_heard_at && now < at + ANNOUNCEMENT_KEPT)
+    }
+
     /// Takes a leader's word of where the group is. One of another group is not for this replica.
     pub(crate) fn hear_announcement(&self, group: u64, leader: SocketAddr, members: Vec<SocketAddr>) -> ReplicaReply {
         let own = self.inner.state.borrow().identity.group;
@@ -78,6 +86,8 @@
             return ReplicaReply::Refused;
         }
         let now = self.inner.platform.monotonic();
+        let is_left_out = !members.contains(&self.inner.options.address) && leader != self.inner.options.address;
+        self.inner.left_out_at.set(is_left_out.then_some(now));
         let before = self.inner.announced_leader.replace(Some((leader, now)));
         if before.is_none_or(|(before, _)| before != leader) {
             spdlog::info!("group announced", kv: { leader = leader.to_string().as_str(), members = members.len() });
--- a/crates/replication/src/election.rs
+++ b/crates/replication/src/election.rs
@@ -114,7 +114,8 @@
     fn election_is_due(&self) -> bool {
         let state = self.inner.state.borrow();
         let due = self.inner.platform.monotonic() >= state.election_at;
-        let able = state.membership().is_voter(state.identity.id) && !state.storage_failed && !state.stopping;
+        let is_voter = state.membership().is_voter(state.identity.id) && !self.is_left_out(&state);
+        let able = is_voter && !state.storage_failed && !state.stopping;
         due && able && state.leadership().is_none()
     }
 
--- a/crates/replication/src/replica.rs
+++ b/crates/replication/src/replica.rs
@@ -96,6 +96,8 @@
     pub heard_of: RefCell<BTreeSet<SocketAddr>>,
     /// The leader that last told this replica of itself although it is no member, and when.
     pub announced_leader: Cell<Option<(SocketAddr, Duration)>>,
+    /// When a leader last said that this replica is no member.
+    pub left_out_at: Cell<Option<Duration>>,
     /// Machines that are told where the group is while this replica leads.
     pub audience: RefCell<BTreeSet<SocketAddr>>,
     /// Replicas that have asked this leader in vain to be added, and when.
@@ -191,6 +193,7 @@
             outgoing: RefCell::default(),
             heard_of: RefCell::default(),
             announced_leader: Cell::default(),
+            left_out_at: Cell::default(),
             audience: RefCell::default(),
             refused_joiners: RefCell::default(),
             lead_offers: RefCell::default(),
@@ -295,6 +298,9 @@
     pub fn leader_address(&self) -> Option<SocketAddr> {
         let now = self.inner.platform.monotonic();
         let state = self.inner.state.borrow();
+        if self.is_left_out(&state) {
+            return self.recently_announced_leader();
+        }
         if now >= state.leader_heard_at + self.inner.options.config.election_timeout {
             return None;
         }
@@ -322,10 +328,15 @@
         self.inner.state.borrow().membership().members.iter().map(|member| member.address).collect()
     }
 
-    /// Whether this replica is a member by the newest membership that it knows.
+    /// Whether this replica is a member by the newest word that it has of it: its log's, or a leader's.
     pub fn is_member(&self) -> bool {
         let state = self.inner.state.borrow();
-        state.membership().member(state.identity.id).is_some()
+        state.membership().member(state.identity.id).is_some() && !self.is_left_out(&state)
+    }
+
+    /// The group that this replica belongs to, if any.
+    pub fn group(&self) -> Option<u64> {
+        self.inner.state.borrow().identity.group
     }
 
     /// This replica's identifier.
