--- a/bin/saddlerelay-soak/tests/processes.rs
+++ b/bin/saddlerelay-soak/tests/processes.rs
@@ -2,12 +2,13 @@
 
 use anyhow::{Result, ensure};
 use saddlerelay_soak_runner::builds::Builds;
-use saddlerelay_soak_runner::deployment::{Deployment, Size};
+use saddlerelay_soak_runner::case::{Case, PlanKind};
+use saddlerelay_soak_runner::deployment::{Deployment, MemberKind, Size};
 use saddlerelay_soak_runner::faults::Faults;
 use saddlerelay_soak_runner::journal::Journal;
-use saddlerelay_soak_runner::links::Party;
+use saddlerelay_soak_runner::links::{Condition, Party};
 use saddlerelay_soak_runner::operator::Operator;
-use saddlerelay_soak_runner::plan::{Fault, Overlap, Round};
+use saddlerelay_soak_runner::plan::{Direction, Fault, Overlap, Round};
 use saddlerelay_soak_runner::workload::Demands;
 use std::path::PathBuf;
 use std::rc::Rc;
@@ -26,11 +27,14 @@
 
 impl Soaked {
     async fn start(name: &str) -> Result<Self> {
+        Self::start_case(name, Case { seed: 0, kind: PlanKind::Single, size: Size::SMALL }).await
+    }
+
+    async fn start_case(name: &str, case: Case) -> Result<Self> {
         let folder = std::env::temp_dir().join(format!("saddlerelay-soak-{name}-{}", std::process::id()));
         let executable = PathBuf::from(env!("CARGO_BIN_EXE_saddlerelay-soak"));
         let journal = Journal::default();
-        let deployment =
-            Deployment::start(Builds::new(executable, None), &folder, journal.clone(), 0, Size::SMALL).await?;
+        let deployment = Deployment::start(Builds::new(executable, None), &folder, journal.clone(), 0, case).await?;
         let operator = Rc::new(Operator::new(deployment.addresses.clone(), journal.clone(), Demands::All));
         let faults = Faults::new(deployment.clone(), Vec::new(), operator.clone(), journal.clone());
         let soaked = Self { deployment, faults, operator, journal, folder };
@@ -127,6 +131,55 @@
     })
 }
 
+/// A voter is cut off until it has lost its place. Reached again, it hears from the leader that it is no member: from then on it
+/// seeks no votes. Before, its log said `votes would not be given` twice a second behind `group announced`.
+#[test]
+fn a_voter_that_was_removed_while_it_was_cut_off_seeks_no_votes() -> Result<()> {
+    const ANNOUNCED: &str = "group announced";
+    const SEEKS_VOTES: &str = "votes would not be given";
+    block_on(async {
+        let case = Case { seed: 0, kind: PlanKind::Single, size: Size { coordinators: 7, gateways: 1 } };
+        let soaked = Soaked::start_case("removed-voter", case).await?;
+        let deployment = &soaked.deployment;
+        let until = Instant::now() + PATIENCE;
+        let is_follower = |number: &u8| {
+            deployment.membership_of(*number) == MemberKind::Voter && deployment.leader() != Some(*number)
+        };
+        let voter = loop {
+            if let Some(voter) = (0..7).find(is_follower) {
+                break voter;
+            }
+            ensure!(Instant::now() < until, "nobody follows");
+            compio::time::sleep(Duration::from_millis(50)).await;
+        };
+        let party = Party::Coordinator(voter);
+        let cut = Fault::Cut {
+            party,
+            condition: Condition::Silent,
+            direction: Direction::Both,
+            time: Duration::from_secs(5),
+            coordinators_only: true,
+        };
+        soaked.faults.cause(cut).await?;
+        ensure!(deployment.membership_of(voter) == MemberKind::None, "it was not removed");
+        let announced = loop {
+            let lines = deployment.log_lines(party);
+            if let Some(place) = lines.iter().rposition(|line| line.contains(ANNOUNCED)) {
+                break place;
+            }
+            ensure!(Instant::now() < until, "it was told nothing");
+            compio::time::sleep(Duration::from_millis(50)).await;
+        };
+        compio::time::sleep(Duration::from_secs(4)).await;
+        let lines = deployment.log_lines(party);
+        let sought = lines[announced..].iter().filter(|line| line.contains(SEEKS_VOTES)).count();
+        // One round may have been under way.
+        ensure!(sought <= 1, "it sought votes {sought} times");
+        assert_eq!(soaked.violations(), Vec::<String>::new());
+        Ok(())
+    })
+}
+
 #[test]
 fn a_soaks_process_that_ends_by_itself_is_found() -> Result<()> {
     block_on(async {
--- a/crates/soak/src/deployment.rs
+++ b/crates/soak/src/deployment.rs
@@ -220,6 +220,12 @@
         leads.max()
     }
 
+    /// What a process has written so far.
+    pub fn log_lines(&self, party: Party) -> Vec<String> {
+        let text = std::fs::read_to_string(self.log_file(party)).unwrap_or_default();
+        text.lines().map(str::to_string).collect()
+    }
+
     fn log_file(&self, party: Party) -> PathBuf {
         self.folder.join(format!("{}.log", name_of(party)))
     }
--- a/crates/soak/tests/plan.rs
+++ b/crates/soak/tests/plan.rs
@@ -35,6 +35,23 @@
     assert!(planned.iter().all(|planned| planned.at < LENGTH));
 }
 
+#[test]
+fn a_zone_loses_packets_once_and_all_are_killed_before_or_after_the_hand_over() {
+    let zone = |seed: u64| {
+        let planned = draw_kind("lossy", seed, LENGTH);
+        assert_eq!(planned, draw_kind("lossy", seed, LENGTH));
+        match planned.as_slice() {
+            [Planned { fault: Fault::LossyZone(zone), .. }] => *zone,
+            other => panic!("{other:?}"),
+        }
+    };
+    let zones: Vec<_> = (0..20).map(zone).collect();
+    assert!(zones.iter().any(|zone| zone.killed_after_handover));
+    assert!(zones.iter().any(|zone| !zone.killed_after_handover));
+    // The zone's other coordinator is never the leader itself.
+    assert!(zones.iter().all(|zone| (1..7).contains(&zone.companion)));
+}
+
 #[test]
 fn a_longer_soak_begins_like_a_shorter_one() {
     let short = draw(7, LENGTH / 4);
