--- a/crates/replication/src/lib.rs
+++ b/crates/replication/src/lib.rs
@@ -13,6 +13,7 @@
 mod founding;
 mod handover;
 mod heartbeat;
+mod judgement;
 mod lead_offer;
 mod leader;
 mod levels;
