Expire ended jobs by the group's uptime instead of the log's time

What callers saw: a batch job that had ended ran again, whole, when its submission was sent again after a leader whose wall clock was an hour ahead.

Cause: each submission dropped the records of ended jobs that were older than the retention by the log's time, which is the wall clock of the leader.

Change: feature level three. The leader advances an uptime in the log by what its monotonic clock measured since it observed the previous advance, and ended jobs expire by it. An advance made from another uptime has no effect, so that no interval is counted twice. Older levels are written, read and applied as released; file formats name the first and the last level that they hold.

--- a/crates/control/src/commands/gateway.rs
+++ b/crates/control/src/commands/gateway.rs
@@ -81,6 +81,10 @@
             GatewayOutcome::Done
         }
         GatewayCommand::ReleaseWork(work) => done_or_not_found(state.suspicions.release(&work)),
+        GatewayCommand::ExpireJobs(advance) => {
+            state.jobs.advance_uptime(advance);
+            GatewayOutcome::Done
+        }
         GatewayCommand::SetWantedEngines(wanted) => {
             state.engine_counts.set_wanted(wanted);
             GatewayOutcome::Done
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -26,3 +26,4 @@
 pub mod suspicion_watch;
 pub mod tasks;
 pub mod trial_watch;
+mod uptime_watch;
--- a/crates/control/src/machine.rs
+++ b/crates/control/src/machine.rs
@@ -2,6 +2,7 @@
 
 use crate::commands;
 use crate::state::ControlState;
+use crate::state::uptime_expiry::UptimeExpiry;
 use saddlerelay_layouts::commands::{DecodedCommand, decode};
 use saddlerelay_replication::StateMachine;
 use saddlerelay_replication::segments::Segment;
@@ -19,10 +20,37 @@
 
 impl Default for ControlMachine {
     fn default() -> Self {
-        Self { state: ControlState::default(), level: FeatureLevel::NEWEST }
+        let mut machine = Self { state: ControlState::default(), level: FeatureLevel::NEWEST };
+        machine.enter_level(FeatureLevel::NEWEST);
+        machine
     }
 }
 
+/// Whether ended jobs expire by the group's uptime at `level`. At older levels they expire by the log's time.
+fn expire_jobs_by_uptime(level: FeatureLevel) -> bool {
+    level >= FeatureLevel::Three
+}
+
+/// Encodes the state as level two does, followed by the expiry of jobs and by the length of the latter as a
+/// little-endian `u64`.
+fn encode_level_three(state: &ControlState) -> Vec<u8> {
+    let mut encoded = bitcode::encode(state);
+    let expiry = state.jobs.uptime_expiry().map(bitcode::encode).unwrap_or_default();
+    encoded.extend_from_slice(&expiry);
+    encoded.extend_from_slice(&(expiry.len() as u64).to_le_bytes());
+    encoded
+}
+
+fn decode_level_three(bytes: &[u8]) -> Option<ControlState> {
+    let (encoded, length) = bytes.split_last_chunk()?;
+    let length = usize::try_from(u64::from_le_bytes(*length)).ok()?;
+    let (state, expiry) = encoded.split_at_checked(encoded.len().checked_sub(length)?)?;
+    let mut state: ControlState = bitcode::decode(state).ok()?;
+    let expiry: UptimeExpiry = bitcode::decode(expiry).ok()?;
+    state.jobs.restore_uptime_expiry(expiry);
+    Some(state)
+}
+
 impl ControlMachine {
     /// The replicated state, for reads.
     pub fn state(&self) -> &ControlState {
@@ -46,6 +74,7 @@
             self.state.leave_level_one();
         }
         self.level = level;
+        self.state.jobs.set_expiry_by_uptime(expire_jobs_by_uptime(level));
     }
 
     fn apply(&mut self, command: &[u8]) -> CommandOutcome {
@@ -59,6 +88,7 @@
         match self.level {
             FeatureLevel::One => self.state.encode_level_one(),
             FeatureLevel::Two => bitcode::encode(&self.state),
+            FeatureLevel::Three => encode_level_three(&self.state),
         }
     }
 
@@ -89,8 +119,9 @@
         self.state = ControlState::default();
         self.level = level;
         let restored = match level {
-            FeatureLevel::One => ControlState::decode_level_one(bytes),
-            FeatureLevel::Two => bitcode::decode(bytes),
+            FeatureLevel::One => ControlState::decode_level_one(bytes).ok(),
+            FeatureLevel::Two => bitcode::decode(bytes).ok(),
+            FeatureLevel::Three => decode_level_three(bytes),
         };
         self.state = restored.expect("a snapshot with a valid checksum decodes at its feature level");
     }
--- a/crates/control/src/node.rs
+++ b/crates/control/src/node.rs
@@ -13,7 +13,9 @@
 use crate::state::ControlState;
 use crate::suspicion_watch::SuspicionWatch;
 use crate::tasks::relays::RenewalTable;
-use crate::tasks::{confirmation, engines, levels, machines, relays, retirement, silence, suspicions, trials, usage};
+use crate::tasks::{
+    confirmation, engines, job_expiry, levels, machines, relays, retirement, silence, suspicions, trials, usage,
+};
 use crate::trial_watch::TrialWatch;
 use futures::lock::Mutex;
 use saddlerelay_replication::storage::StorageError;
@@ -143,6 +145,7 @@
         platform.spawn(suspicions::expire(node.clone()));
         platform.spawn(trials::watch(node.clone()));
         platform.spawn(levels::raise(node.clone()));
+        platform.spawn(job_expiry::advance(node.clone()));
         Ok(node)
     }
 
--- a/crates/control/src/older_level.rs
+++ b/crates/control/src/older_level.rs
@@ -12,6 +12,8 @@
 //! | trial leases for suspected work | always granted; evidence is discarded |
 //! | usage, engine counts | relays keep their counts; nothing is committed, reported or ordered |
 //! | tenants, public routes, scaling limits | a document that has them is rejected |
+//!
+//! Below level three ended jobs expire by the log's time, with the next submission.
 
 use crate::instance_watch::InstanceWatch;
 use crate::node::ControlNode;
--- a/crates/control/src/state/jobs.rs
+++ b/crates/control/src/state/jobs.rs
@@ -1,7 +1,9 @@
 //! Batch jobs and their results.
 
 use crate::state::text_archive::{LoadedTexts, TextArchive, TextLocation};
+use crate::state::uptime_expiry::UptimeExpiry;
 use bitcode::{Decode, Encode};
+use saddlerelay_types::gateway::UptimeAdvance;
 use saddlerelay_types::job::{
     ItemEnd, ItemId, ItemOutcome, ItemResult, JobId, JobItem, JobSubmission, PartialText, ResultPage, TextPart,
 };
@@ -58,7 +60,8 @@
     pub(super) partial: BTreeMap<u32, PartialText>,
     /// Set by [`JobTable::end`]; no further results or texts are accepted.
     pub(super) ended: bool,
-    /// Unix milliseconds, by the state's time, from which the job is dropped if it has ended.
+    /// Unix milliseconds, by the state's time, from which the job is dropped if it has ended. Only below feature level
+    /// three.
     pub(super) keep_until: u64,
     /// Ascending over all jobs.
     pub(super) submission_number: u64,
@@ -126,9 +129,42 @@
     pub(super) jobs: BTreeMap<JobId, Job>,
     pub(super) submission_count: u64,
     pub(super) texts: TextArchive,
+    /// Expiry of ended jobs since feature level three; `None` at older levels, whose layout lacks it.
+    #[bitcode(skip)]
+    pub(super) uptime_expiry: Option<UptimeExpiry>,
 }
 
 impl JobTable {
+    /// The expiry of ended jobs by the group's uptime; `None` below feature level three.
+    pub fn uptime_expiry(&self) -> Option<&UptimeExpiry> {
+        self.uptime_expiry.as_ref()
+    }
+
+    /// Replaces the expiry by the one of a snapshot.
+    pub fn restore_uptime_expiry(&mut self, expiry: UptimeExpiry) {
+        self.uptime_expiry = Some(expiry);
+    }
+
+    /// Switches between expiry by the group's uptime and by the log's time. Jobs that exist at the switch to uptime are
+    /// kept as if they were submitted then.
+    pub fn set_expiry_by_uptime(&mut self, by_uptime: bool) {
+        if !by_uptime {
+            self.uptime_expiry = None;
+        } else if self.uptime_expiry.is_none() {
+            self.uptime_expiry = Some(UptimeExpiry::of(self.jobs.keys().cloned()));
+        }
+    }
+
+    /// Advances the group's uptime and drops the ended jobs that have expired by it.
+    pub fn advance_uptime(&mut self, advance: UptimeAdvance) {
+        let Some(expiry) = &mut self.uptime_expiry else {
+            return;
+        };
+        let is_ended = |id: &JobId| self.jobs.get(id).is_none_or(|job| job.ended);
+        let expired = expiry.advance(advance, is_ended);
+        self.drop_jobs(&expired);
+    }
+
     /// Looks up a job.
     pub fn get(&self, id: &JobId) -> Option<&Job> {
         self.jobs.get(id)
@@ -180,7 +216,11 @@
 
     /// Adds a job; a job with the same id is left unchanged. `now` is in Unix milliseconds.
     pub fn submit(&mut self, submission: JobSubmission, now: u64, keep_ms: u64) {
-        self.drop_expired(now);
+        match &mut self.uptime_expiry {
+            Some(expiry) => expiry.add(submission.id.clone()),
+            None => self.drop_expired(now),
+        }
+        self.drop_old_partial_texts();
         self.submission_count += 1;
         let submission_number = self.submission_count;
         let new = || Job {
@@ -197,11 +237,18 @@
     }
 
     fn drop_expired(&mut self, now: u64) {
-        let expired = |job: &Job| job.ended && job.keep_until <= now;
-        for listed in self.jobs.values().filter(|job| expired(job)).flat_map(|job| &job.results) {
-            self.texts.remove_reference(&listed.text);
+        let has_expired = |job: &Job| job.ended && job.keep_until <= now;
+        let expired = self.jobs.iter().filter(|(_, job)| has_expired(job)).map(|(id, _)| id.clone());
+        self.drop_jobs(&expired.collect::<Vec<JobId>>());
+    }
+
+    fn drop_jobs(&mut self, ids: &[JobId]) {
+        for job in ids.iter().filter_map(|id| self.jobs.remove(id)) {
+            job.results.iter().for_each(|listed| self.texts.remove_reference(&listed.text));
         }
-        self.jobs.retain(|_, job| !expired(job));
+    }
+
+    fn drop_old_partial_texts(&mut self) {
         let oldest_retained = self.submission_count.saturating_sub(PARTIAL_TEXT_RETENTION_JOBS);
         for job in self.jobs.values_mut().filter(|job| job.ended && job.submission_number < oldest_retained) {
             job.partial.clear();
--- a/crates/control/src/state/level_one.rs
+++ b/crates/control/src/state/level_one.rs
@@ -198,7 +198,7 @@
 
     fn into_current(self) -> JobTable {
         let jobs = self.jobs.into_iter().map(|(id, job)| (id, job.into_current())).collect();
-        JobTable { jobs, submission_count: self.submission_count, texts: self.texts }
+        JobTable { jobs, submission_count: self.submission_count, texts: self.texts, uptime_expiry: None }
     }
 }
 
--- a/crates/control/src/state/mod.rs
+++ b/crates/control/src/state/mod.rs
@@ -17,6 +17,7 @@
 pub mod stores;
 pub mod suspicions;
 pub mod text_archive;
+pub mod uptime_expiry;
 pub mod usage;
 pub mod weights;
 
--- a/crates/control/src/tasks/mod.rs
+++ b/crates/control/src/tasks/mod.rs
@@ -2,6 +2,7 @@
 
 pub mod confirmation;
 pub mod engines;
+pub mod job_expiry;
 pub mod levels;
 pub mod machines;
 pub mod relays;
--- a/crates/control/tests/format.rs
+++ b/crates/control/tests/format.rs
@@ -4,7 +4,7 @@
 use saddlerelay_control::state::ControlState;
 use saddlerelay_replication::StateMachine;
 use saddlerelay_types::feature_level::FeatureLevel;
-use saddlerelay_types::gateway::{GatewayCommand, TrialRequest};
+use saddlerelay_types::gateway::{GatewayCommand, TrialRequest, UptimeAdvance};
 use saddlerelay_types::identity::Incarnation;
 use saddlerelay_types::instance::InstanceId;
 use saddlerelay_types::protocol::{Command, LogCommand};
@@ -13,14 +13,13 @@
 use xxhash_rust::xxh3::xxh3_64;
 
 /// File format number, and digest of the data written in that format. If the digest changes, increase the number.
-const LAYOUT: (u32, u64) = (9, 10_373_770_147_888_263_458);
+const LAYOUT: (u32, u64) = (11, 11_097_225_559_996_654_416);
 
 fn work() -> WorkDigest {
     WorkDigest::of_post_request(None, "host", "/rollouts", b"an item")
 }
 
-/// Commands about suspected work. They are the last variants, so that a variant added before them changes their
-/// encoding.
+/// The last variants of the commands: a variant added before them changes their encoding.
 fn commands() -> Vec<GatewayCommand> {
     let id = TrialId { holder: Incarnation(1), number: 2 };
     let held = HeldTrial { work: work(), id };
@@ -32,6 +31,7 @@
         GatewayCommand::ExpireTrials(vec![TrialLease { held, renewals: 7 }]),
         GatewayCommand::EndTrial { work: work(), id: TrialId { holder: Incarnation(9), number: 9 } },
         GatewayCommand::ExpireSuspicions,
+        GatewayCommand::ExpireJobs(UptimeAdvance { since_ms: 0, elapsed_ms: 10_000, keep_ms: 150_000 }),
     ]
 }
 
--- a/crates/control/tests/level_two.rs
+++ b/crates/control/tests/level_two.rs
@@ -11,6 +11,7 @@
 use saddlerelay_replication::message::{Header, ReplicaReply, ReplicaRequest, SnapshotPart};
 use saddlerelay_replication::wal::{self, WalRecord};
 use saddlerelay_types::credentials::SecretDigest;
+use saddlerelay_types::feature_level::FeatureLevel;
 use saddlerelay_types::gateway::{
     EnginePool, FollowReply, FollowRequest, GatewayCommand, GatewayReply, GatewayRequest, OrderSubject, RelayClock,
     RelayData, StoreRecord, TrialRequest, WantedEngines,
@@ -414,6 +415,7 @@
 fn written_by_this_build() -> BTreeMap<&'static str, Vec<u8>> {
     let mut random = fastrand::Rng::with_seed(23);
     let mut machine = ControlMachine::default();
+    machine.enter_level(FeatureLevel::Two);
     let mut entries = Vec::new();
     for number in 0..ENTRIES as u64 {
         let time = 1_764_720_000_000 + number * 10;
--- a/crates/layouts/src/commands.rs
+++ b/crates/layouts/src/commands.rs
@@ -3,6 +3,7 @@
 use crate::FeatureLevel;
 use crate::level_one::convert::commands_to_one;
 use crate::level_one::protocol as one;
+use saddlerelay_types::gateway::GatewayCommand;
 use saddlerelay_types::protocol::{Command, LogCommand};
 
 /// A decoded log command.
@@ -22,7 +23,8 @@
             let entry = |command| bitcode::encode(&one::LogCommand { time, command });
             Some(commands_to_one(command)?.into_iter().map(entry).collect())
         }
-        FeatureLevel::Two => Some(vec![bitcode::encode(&LogCommand { time, command })]),
+        FeatureLevel::Two if matches!(command, Command::Gateway(GatewayCommand::ExpireJobs(_))) => None,
+        FeatureLevel::Two | FeatureLevel::Three => Some(vec![bitcode::encode(&LogCommand { time, command })]),
     }
 }
 
@@ -30,6 +32,6 @@
 pub fn decode(bytes: &[u8], level: FeatureLevel) -> Option<DecodedCommand> {
     match level {
         FeatureLevel::One => bitcode::decode(bytes).ok().map(DecodedCommand::One),
-        FeatureLevel::Two => bitcode::decode(bytes).ok().map(DecodedCommand::Current),
+        FeatureLevel::Two | FeatureLevel::Three => bitcode::decode(bytes).ok().map(DecodedCommand::Current),
     }
 }
--- a/crates/layouts/src/level_one/convert/commands.rs
+++ b/crates/layouts/src/level_one/convert/commands.rs
@@ -44,7 +44,8 @@
         | GatewayCommand::ExpireTrials(_)
         | GatewayCommand::EndTrial { .. }
         | GatewayCommand::ExpireSuspicions
-        | GatewayCommand::ReleaseWork(_) => return None,
+        | GatewayCommand::ReleaseWork(_)
+        | GatewayCommand::ExpireJobs(_) => return None,
     })
 }
 
--- a/crates/replication/src/file_format.rs
+++ b/crates/replication/src/file_format.rs
@@ -12,8 +12,12 @@
 
 const FORMAT_FILE: &str = "format";
 
-/// Number of the format for files with several levels.
-const MULTIPLE_LEVELS: u32 = 10;
+/// Format numbers of files with several levels.
+const MULTIPLE_LEVELS: [(u32, FileFormat); 3] = [
+    (10, FileFormat::Levels { first: FeatureLevel::One, last: FeatureLevel::Two }),
+    (12, FileFormat::Levels { first: FeatureLevel::Two, last: FeatureLevel::Three }),
+    (13, FileFormat::Levels { first: FeatureLevel::One, last: FeatureLevel::Three }),
+];
 
 /// Prefix of a snapshot file that specifies its level. Followed by the level's number as a little-endian `u32`.
 const LEVEL_PREFIX: &[u8] = b"saddlerelay snapshot of level ";
@@ -23,29 +27,49 @@
 pub enum FileFormat {
     /// All files are encoded at this level.
     Level(FeatureLevel),
-    /// The log may contain entries of several levels, and a snapshot specifies its own. Without a specified level,
-    /// snapshots and logs start at level one. Also used for a new replica whose level is not known yet.
-    MultipleLevels,
+    /// The log may contain entries of several levels, and a snapshot specifies its own.
+    Levels {
+        /// Level of logs and snapshots that do not specify one.
+        first: FeatureLevel,
+        /// The newest level in the files. Builds that do not support it reject them.
+        last: FeatureLevel,
+    },
 }
 
 impl FileFormat {
+    /// Format of a new replica whose level is not known yet.
+    pub const ANY_LEVEL: Self = Self::Levels { first: FeatureLevel::One, last: FeatureLevel::NEWEST };
+
     fn number(self) -> u32 {
         match self {
             Self::Level(level) => level.file_format(),
-            Self::MultipleLevels => MULTIPLE_LEVELS,
+            Self::Levels { .. } => {
+                let numbered = MULTIPLE_LEVELS.into_iter().find(|(_, format)| *format == self);
+                numbered.expect("each range of feature levels has a format number").0
+            }
         }
     }
 
     fn from_number(number: u32) -> Option<Self> {
-        let raised = (number == MULTIPLE_LEVELS).then_some(Self::MultipleLevels);
-        raised.or_else(|| FeatureLevel::from_file_format(number).map(Self::Level))
+        let multiple = MULTIPLE_LEVELS.into_iter().find(|(multiple, _)| *multiple == number);
+        let single = || FeatureLevel::from_file_format(number).map(Self::Level);
+        multiple.map(|(_, format)| format).or_else(single)
     }
 
     /// Level of the first log entry if there is no snapshot.
     pub fn first_level(self) -> FeatureLevel {
         match self {
             Self::Level(level) => level,
-            Self::MultipleLevels => FeatureLevel::One,
+            Self::Levels { first, .. } => first,
+        }
+    }
+
+    /// The format for files of this format to which `level` is added.
+    pub(crate) fn with_level(self, level: FeatureLevel) -> Self {
+        match self {
+            Self::Level(only) if only == level => self,
+            Self::Level(only) => Self::Levels { first: only.min(level), last: only.max(level) },
+            Self::Levels { first, last } => Self::Levels { first, last: last.max(level) },
         }
     }
 
@@ -74,13 +98,13 @@
         let encoded = snapshot.into_encoded();
         match self {
             Self::Level(_) => encoded,
-            Self::MultipleLevels => [LEVEL_PREFIX, &level.number().to_le_bytes(), &encoded].concat(),
+            Self::Levels { .. } => [LEVEL_PREFIX, &level.number().to_le_bytes(), &encoded].concat(),
         }
     }
 
     /// Decodes a snapshot file; `None` if it is corrupt.
     pub(crate) fn decode_snapshot(self, bytes: Vec<u8>) -> Option<Snapshot> {
-        let Some(prefixed) = bytes.strip_prefix(LEVEL_PREFIX).filter(|_| self == Self::MultipleLevels) else {
+        let Some(prefixed) = bytes.strip_prefix(LEVEL_PREFIX).filter(|_| matches!(self, Self::Levels { .. })) else {
             return Some(Snapshot::decode(bytes)?.at_level(self.first_level()));
         };
         let (number, encoded) = prefixed.split_first_chunk()?;
@@ -91,6 +115,10 @@
 
 /// Lists the formats that this build can read, for error messages.
 pub fn readable_formats() -> String {
-    let levels = FeatureLevel::ALL.map(|level| level.file_format().to_string());
-    format!("{} and {MULTIPLE_LEVELS}", levels.join(", "))
+    let levels = FeatureLevel::ALL.map(FeatureLevel::file_format);
+    let mut numbers: Vec<u32> = levels.into_iter().chain(MULTIPLE_LEVELS.map(|(number, _)| number)).collect();
+    numbers.sort_unstable();
+    let last = numbers.pop().expect("this build reads at least one format");
+    let others: Vec<String> = numbers.iter().map(u32::to_string).collect();
+    format!("{} and {last}", others.join(", "))
 }
--- a/crates/replication/src/follower.rs
+++ b/crates/replication/src/follower.rs
@@ -224,7 +224,7 @@
     async fn prepare_level_of(&self, storage: &mut Storage<P::Disk>, snapshot: &Snapshot) -> Result<(), StorageError> {
         self.adopt_level(storage, snapshot.level).await?;
         let is_same = self.inner.state.borrow().level == Some(snapshot.level);
-        if is_same { Ok(()) } else { storage.set_multiple_levels().await }
+        if is_same { Ok(()) } else { storage.add_level(snapshot.level).await }
     }
 
     /// Restores the state machine and the log from the snapshot. Its entries are committed, so this may precede the
--- a/crates/replication/src/levels.rs
+++ b/crates/replication/src/levels.rs
@@ -31,18 +31,14 @@
     Some(level.expect("the group raised its feature level to one that this build does not support"))
 }
 
-fn raised_level(payload: &EntryPayload) -> Option<FeatureLevel> {
+/// Level that an entry raises the group to; `None` for other entries.
+pub(crate) fn raised_level(payload: &EntryPayload) -> Option<FeatureLevel> {
     match payload {
         EntryPayload::Command(command) => raised_to(command),
         EntryPayload::Empty | EntryPayload::Membership(_) => None,
     }
 }
 
-/// Whether an entry raises the level.
-pub(crate) fn is_raise(payload: &EntryPayload) -> bool {
-    raised_level(payload).is_some()
-}
-
 impl<S: StateMachine> State<S> {
     /// Whether the log contains at most the entry that formed the group, so that the level may still be chosen.
     fn has_only_first_entry(&self) -> bool {
--- a/crates/replication/src/replica.rs
+++ b/crates/replication/src/replica.rs
@@ -123,8 +123,7 @@
     /// Opens the files and restores the state. The replica takes part in the group only after `start`.
     pub async fn open(platform: P, options: ReplicaOptions, mut state_machine: S) -> Result<Self, StorageError> {
         let is_founder = options.founders.contains(&options.address);
-        let new_format =
-            if is_founder { FileFormat::Level(options.config.first_level) } else { FileFormat::MultipleLevels };
+        let new_format = if is_founder { FileFormat::Level(options.config.first_level) } else { FileFormat::ANY_LEVEL };
         let random_id = ReplicaId(platform.random().max(1));
         let new_id = if is_founder { founder_id(options.address) } else { random_id };
         let (storage, recovered) = Storage::open(platform.disk(), new_id, new_format).await?;
--- a/crates/replication/src/storage.rs
+++ b/crates/replication/src/storage.rs
@@ -1,7 +1,7 @@
 //! A replica's files: identity, snapshot and write-ahead log.
 
 use crate::file_format::{FileFormat, readable_formats};
-use crate::levels::is_raise;
+use crate::levels::raised_level;
 use crate::log::{LogEntry, MemoryLog};
 use crate::log_file::{EntryLocation, LogFileIndex};
 use crate::membership::Membership;
@@ -206,9 +206,10 @@
         self.set_format(FileFormat::Level(level)).await
     }
 
-    /// Sets the format for files with several levels, which older builds reject.
-    pub async fn set_multiple_levels(&mut self) -> Result<(), StorageError> {
-        self.set_format(FileFormat::MultipleLevels).await
+    /// Sets the format for files to which entries or a snapshot of `level` are added. Builds that do not support the
+    /// level reject the files from then on.
+    pub async fn add_level(&mut self, level: FeatureLevel) -> Result<(), StorageError> {
+        self.set_format(self.format.get().with_level(level)).await
     }
 
     async fn set_format(&mut self, format: FileFormat) -> Result<(), StorageError> {
@@ -229,9 +230,12 @@
         if self.damaged {
             return Err(io::Error::other("an earlier write failed").into());
         }
-        let raises = |record: &WalRecord| matches!(record, WalRecord::Entry(entry) if is_raise(&entry.payload));
-        if records.iter().any(raises) {
-            self.set_multiple_levels().await?;
+        let raised = |record: &WalRecord| match record {
+            WalRecord::Entry(entry) => raised_level(&entry.payload),
+            _ => None,
+        };
+        if let Some(level) = records.iter().filter_map(raised).max() {
+            self.add_level(level).await?;
         }
         let hard_state = self.hard_state_before(records);
         let records: Vec<&WalRecord> = hard_state.iter().chain(records).collect();
--- a/crates/replication/tests/files_at_start.rs
+++ b/crates/replication/tests/files_at_start.rs
@@ -28,7 +28,7 @@
 }
 
 fn open(disk: &MemoryDisk) -> Result<Recovered, StorageError> {
-    block_on(Storage::open(disk.clone(), OWN, FileFormat::MultipleLevels)).map(|(_, recovered)| recovered)
+    block_on(Storage::open(disk.clone(), OWN, FileFormat::ANY_LEVEL)).map(|(_, recovered)| recovered)
 }
 
 fn open_valid(disk: &MemoryDisk) -> Recovered {
@@ -59,7 +59,7 @@
 fn write_batches(disk: &MemoryDisk, batches: &[Vec<LogEntry>]) -> Vec<usize> {
     block_on(async {
         let (mut storage, _) =
-            Storage::open(disk.clone(), OWN, FileFormat::MultipleLevels).await.expect("an empty folder opens");
+            Storage::open(disk.clone(), OWN, FileFormat::ANY_LEVEL).await.expect("an empty folder opens");
         storage.append(&[WalRecord::HardState { term: 1, voted_for: Some(OWN) }]).await.expect("the write succeeds");
         let mut ends = Vec::new();
         for batch in batches {
@@ -77,7 +77,7 @@
 }
 
 fn store_snapshot(disk: &MemoryDisk, snapshot: Snapshot) {
-    block_on(write_snapshot(disk, snapshot, FileFormat::MultipleLevels)).expect("the write succeeds");
+    block_on(write_snapshot(disk, snapshot, FileFormat::ANY_LEVEL)).expect("the write succeeds");
 }
 
 #[test]
@@ -87,8 +87,7 @@
     assert_eq!(recovered.identity, Identity { id: OWN, group: None });
     assert_eq!((recovered.term, recovered.log.last_index()), (0, 0));
     // The identity on disk takes precedence over a new one.
-    let reopened =
-        block_on(Storage::open(disk, ReplicaId(8), FileFormat::MultipleLevels)).expect("the files are valid").1;
+    let reopened = block_on(Storage::open(disk, ReplicaId(8), FileFormat::ANY_LEVEL)).expect("the files are valid").1;
     assert_eq!(reopened.identity.id, OWN);
 }
 
@@ -301,7 +300,7 @@
     let vote = Some(ReplicaId(9));
     block_on(async {
         let (mut storage, _) =
-            Storage::open(disk.clone(), OWN, FileFormat::MultipleLevels).await.expect("the files are valid");
+            Storage::open(disk.clone(), OWN, FileFormat::ANY_LEVEL).await.expect("the files are valid");
         storage.rewrite(5, vote, &entries(2..=3, 40)).await.expect("the write succeeds");
     });
     let recovered = open_valid(&disk);
--- a/crates/replication/tests/log_file.rs
+++ b/crates/replication/tests/log_file.rs
@@ -23,7 +23,7 @@
 }
 
 async fn open(disk: &MemoryDisk) -> Storage<MemoryDisk> {
-    Storage::open(disk.clone(), ReplicaId(1), FileFormat::MultipleLevels).await.expect("the files are valid").0
+    Storage::open(disk.clone(), ReplicaId(1), FileFormat::ANY_LEVEL).await.expect("the files are valid").0
 }
 
 async fn append(storage: &mut Storage<MemoryDisk>, entries: &[LogEntry]) {
--- a/crates/simulator/tests/ended_jobs.rs
+++ b/crates/simulator/tests/ended_jobs.rs
@@ -1,7 +1,4 @@
 //! The record of an ended job is kept for as long as the job may be retried, so that a job never runs twice.
-//!
-//! Known fault: these records expire by the wall clock of the leader, which the log carries. A leader whose wall clock
-//! is an hour ahead expires all of them with the next job that it accepts, and a retried job then runs again.
 
 mod control_group;
 
@@ -17,6 +14,9 @@
 
 const SEEDS: std::ops::Range<u64> = 0..8;
 
+/// Seeds of tests that run for several retention periods.
+const LONG_SEEDS: std::ops::Range<u64> = 0..2;
+
 const HOUR_MS: i64 = 3_600_000;
 
 /// Timeout of a request to the group.
@@ -105,3 +105,69 @@
         assert!(!is_run_again(seed, HOUR_MS), "seed {seed}");
     }
 }
+
+/// Number of leaders that are lost, each within the retention of a job.
+const LOST_LEADERS: u64 = 12;
+
+/// Time between losses of the leader.
+const LEADER_LIFETIME: Duration = Duration::from_secs(60);
+
+/// Maximum number of retained records: those of one retention period and of the restarts in it.
+const MAX_RETAINED_JOBS: usize = 6;
+
+/// Restarts the leader.
+fn restart_leader(deployment: &mut Deployment) {
+    let leader = deployment.leader().expect("there is a leader").replica().id();
+    let leads = |index: &u8| {
+        let node = deployment.replicas[index].node.borrow();
+        node.as_ref().is_some_and(|node| node.replica().id() == leader)
+    };
+    let index = (1..=REPLICAS).find(leads).expect("the leader is one of the replicas");
+    deployment.replicas.remove(&index).expect("the replica is running").process.kill();
+    deployment.run_for(Duration::from_secs(5));
+    deployment.start_replica(index, false);
+}
+
+/// Leaders that change more often than a job's record is retained must not keep all records.
+#[test]
+fn records_of_ended_jobs_are_dropped_while_leaders_change() {
+    for seed in LONG_SEEDS {
+        let mut deployment = Deployment::start(seed);
+        let mut most_retained = 0;
+        for number in 0..LOST_LEADERS {
+            let name = format!("job-{number}");
+            let done = Ok(GatewayReply::Done);
+            assert_eq!(send_request(&mut deployment, GatewayRequest::SubmitJob(job(&name))), done, "seed {seed}");
+            let end = GatewayRequest::EndJob { job: JobId(name), caller: Caller::Anyone };
+            assert_eq!(send_request(&mut deployment, end), done, "seed {seed}");
+            deployment.run_for(LEADER_LIFETIME);
+            restart_leader(&mut deployment);
+            deployment.run_for(Duration::from_secs(5));
+            let leader = deployment.leader().expect("there is a leader");
+            let retained = leader.read_applied(|state| {
+                (0..=number).filter(|number| state.jobs.get(&JobId(format!("job-{number}"))).is_some()).count()
+            });
+            most_retained = most_retained.max(retained);
+        }
+        assert!(most_retained <= MAX_RETAINED_JOBS, "seed {seed}: {most_retained} records of ended jobs were retained");
+    }
+}
+
+/// After a leader whose wall clock is an hour ahead, the log's time does not advance for an hour.
+#[test]
+fn records_of_ended_jobs_are_dropped_after_a_leader_whose_wall_clock_is_an_hour_ahead() {
+    for seed in LONG_SEEDS {
+        let mut deployment = Deployment::start(seed);
+        restart_all(&mut deployment, HOUR_MS);
+        let done = Ok(GatewayReply::Done);
+        let first = JobId("first".to_string());
+        assert_eq!(send_request(&mut deployment, GatewayRequest::SubmitJob(job("first"))), done, "seed {seed}");
+        let end = GatewayRequest::EndJob { job: first.clone(), caller: Caller::Anyone };
+        assert_eq!(send_request(&mut deployment, end), done, "seed {seed}");
+        restart_all(&mut deployment, 0);
+        deployment.run_for(LEADER_LIFETIME * 4);
+        let leader = deployment.leader().expect("there is a leader");
+        let is_retained = leader.read_applied(|state| state.jobs.get(&first).is_some());
+        assert!(!is_retained, "seed {seed}: the record of an ended job was retained for longer than its retention");
+    }
+}
--- a/crates/simulator/tests/group/mod.rs
+++ b/crates/simulator/tests/group/mod.rs
@@ -43,6 +43,7 @@
     match level {
         FeatureLevel::One => bitcode::encode(&(payload, number)),
         FeatureLevel::Two => bitcode::encode(&(number, payload)),
+        FeatureLevel::Three => bitcode::encode(&(number, number, payload)),
     }
 }
 
@@ -50,6 +51,7 @@
     let number = match level {
         FeatureLevel::One => bitcode::decode::<(Vec<u8>, u64)>(command).map(|(_, number)| number),
         FeatureLevel::Two => bitcode::decode::<(u64, Vec<u8>)>(command).map(|(number, _)| number),
+        FeatureLevel::Three => bitcode::decode::<(u64, u64, Vec<u8>)>(command).map(|(number, _, _)| number),
     };
     number.expect("the command is a number")
 }
@@ -107,6 +109,7 @@
         match self.level {
             FeatureLevel::One => bitcode::encode(&(sealed, unsealed, applied)),
             FeatureLevel::Two => bitcode::encode(&(applied, unsealed, sealed)),
+            FeatureLevel::Three => bitcode::encode(&(unsealed, sealed, applied)),
         }
     }
 
@@ -138,6 +141,10 @@
                 (self.applied, self.unsealed, self.sealed) =
                     bitcode::decode(bytes).expect("the snapshot can be decoded");
             }
+            FeatureLevel::Three => {
+                (self.unsealed, self.sealed, self.applied) =
+                    bitcode::decode(bytes).expect("the snapshot can be decoded");
+            }
         }
         self.unreleased.clear();
     }
--- a/crates/simulator/tests/lease_safety.rs
+++ b/crates/simulator/tests/lease_safety.rs
@@ -112,9 +112,8 @@
 async fn open(runtime: SimRuntime, index: u8) -> (Node, u64) {
     let replica =
         Replica::open(runtime.clone(), options(index), EmptyStateMachine).await.expect("the storage can be opened");
-    let (_, recovered) = Storage::open(runtime.disk(), ReplicaId(1), FileFormat::MultipleLevels)
-        .await
-        .expect("the storage can be opened");
+    let (_, recovered) =
+        Storage::open(runtime.disk(), ReplicaId(1), FileFormat::ANY_LEVEL).await.expect("the storage can be opened");
     (replica, recovered.identity.group.expect("the replica belongs to a group"))
 }
 
--- a/crates/simulator/tests/members.rs
+++ b/crates/simulator/tests/members.rs
@@ -746,7 +746,7 @@
     world.spawn(&process, async move {
         let disk = runtime.disk();
         let open = async || {
-            let result = Storage::open(runtime.disk(), ReplicaId(7), FileFormat::MultipleLevels).await;
+            let result = Storage::open(runtime.disk(), ReplicaId(7), FileFormat::ANY_LEVEL).await;
             result.map(|(_, recovered)| recovered.identity.id).map_err(|error| error.to_string())
         };
         let first = open().await;
--- a/crates/types/src/feature_level.rs
+++ b/crates/types/src/feature_level.rs
@@ -15,20 +15,24 @@
     One,
     /// Adds tenants, usage counts, engine start times, suspected work and reads at followers.
     Two,
+    /// Adds [`GatewayCommand::ExpireJobs`](crate::gateway::GatewayCommand::ExpireJobs): ended jobs expire by the
+    /// monotonic clocks of the replicas.
+    Three,
 }
 
 impl FeatureLevel {
     /// Every level that this build supports, oldest first.
-    pub const ALL: [Self; 2] = [Self::One, Self::Two];
+    pub const ALL: [Self; 3] = [Self::One, Self::Two, Self::Three];
 
     /// The newest supported level.
-    pub const NEWEST: Self = Self::Two;
+    pub const NEWEST: Self = Self::Three;
 
     /// Protocol version, sent in the first frame of each connection between processes.
     pub const fn protocol(self) -> u32 {
         match self {
             Self::One => 1,
             Self::Two => 3,
+            Self::Three => 4,
         }
     }
 
@@ -37,6 +41,7 @@
         match self {
             Self::One => 4,
             Self::Two => 9,
+            Self::Three => 11,
         }
     }
 
@@ -60,6 +65,7 @@
         match self {
             Self::One => 1,
             Self::Two => 2,
+            Self::Three => 3,
         }
     }
 
--- a/crates/types/src/gateway.rs
+++ b/crates/types/src/gateway.rs
@@ -333,6 +333,19 @@
     ExpireSuspicions,
     /// Clears the suspicion against a request.
     ReleaseWork(WorkDigest),
+    /// Advances the group's uptime and removes the jobs that expire by it. Since feature level three.
+    ExpireJobs(UptimeAdvance),
+}
+
+/// An advance of the group's uptime, by which ended jobs expire.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Encode, Decode)]
+pub struct UptimeAdvance {
+    /// Uptime from which the leader measured, in milliseconds. The advance has no effect at any other uptime.
+    pub since_ms: u64,
+    /// Time since then by the leader's monotonic clock, in milliseconds.
+    pub elapsed_ms: u64,
+    /// Uptime for which an ended job is kept, in milliseconds.
+    pub keep_ms: u64,
 }
 
 /// A request for a trial lease.
