Reset connections of calls to engines and the platform that are given up

What callers saw: an order that its sender had given up reached the engine seconds later, between those of the next holder.

Cause: dropping the connection, or the end of the process, closed it in order, and the kernel went on sending what the peer had not acknowledged.

Change: while a request is in progress the socket lingers for zero seconds, so that its close resets the connection and drops what is unsent, also when the process is killed. Idle connections are closed in order as before.

Measured: given_up_calls on real sockets, two of its three tests red before, green now: the peer sees a reset, and of a large request that is given up the rest does not arrive.

--- a/crates/upstream/src/connection.rs
+++ b/crates/upstream/src/connection.rs
@@ -9,6 +9,7 @@
 use hyper::body::Incoming;
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper::{Request, Response};
+use rustix::net::sockopt::set_socket_linger;
 use saddlerelay_runtime_compio::clock::boot_time;
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -16,9 +17,11 @@
 /// `TCP_USER_TIMEOUT` in milliseconds: closes connections over broken links, on which no reset arrives.
 const TCP_USER_TIMEOUT_MS: u32 = 1_500;
 
-/// A connection that carries one request at a time. Dropping it closes the socket, also during a request.
+/// A connection that carries one request at a time. Dropping it closes the socket. During a request it is reset, also
+/// if the process is killed, so that the kernel does not go on sending a request that nobody waits for.
 pub struct Connection {
     sender: SendRequest<Full<Bytes>>,
+    socket: TcpStream,
     /// Task that drives the connection's I/O; dropping it closes the socket.
     _driver: JoinHandle<()>,
     /// Whether it has carried a request before.
@@ -42,6 +45,7 @@
             .set_nodelay(true)
             .and_then(|()| Ok(rustix::net::sockopt::set_tcp_user_timeout(&stream, TCP_USER_TIMEOUT_MS)?));
         options.map_err(|error| Failure::NotSent(error.to_string()))?;
+        let socket = stream.clone();
         let handshake = http1::handshake(HyperStream::new_plain(stream)).await;
         let (sender, driver) = handshake.map_err(|error| Failure::NotSent(error.to_string()))?;
         let driver = compio::runtime::spawn(async move {
@@ -49,7 +53,7 @@
             let _ = driver.await;
         });
         let now = boot_time();
-        Ok(Self { sender, _driver: driver, used: false, idle_since: now, expires_at: now })
+        Ok(Self { sender, socket, _driver: driver, used: false, idle_since: now, expires_at: now })
     }
 
     /// Whether it has carried a request before.
@@ -69,6 +73,8 @@
 
     /// Marks the connection idle after a complete response; it may be reused for `idle_timeout`.
     pub fn mark_idle(&mut self, idle_timeout: Duration) {
+        // A socket that rejects the option has failed, and is closed by the next use.
+        let _ = set_socket_linger(&self.socket, None);
         self.used = true;
         self.idle_since = boot_time();
         self.expires_at = self.idle_since + idle_timeout;
@@ -81,6 +87,7 @@
 
     /// Sends a request and returns the response once its head has arrived.
     pub async fn send(&mut self, request: Request<Full<Bytes>>) -> Result<Response<Incoming>, Failure> {
+        set_socket_linger(&self.socket, Some(Duration::ZERO)).map_err(|error| Failure::NotSent(error.to_string()))?;
         match self.sender.try_send_request(request).await {
             Ok(response) => Ok(response),
             Err(mut error) => match error.take_message() {
