Drop what the soak's proxy holds for a sender that has reset its connection

Change: the proxy reads on while it holds bytes. A reset drops what is held by losses or a silent link; an orderly close does not; what is on its way over a slow link arrives; a connection that is given up before it is established carries nothing.

--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -27,6 +27,7 @@
 pub mod plan;
 pub mod platform;
 pub mod proxy;
+mod received_bytes;
 pub mod report;
 pub mod run;
 mod series;
--- a/crates/soak/src/links.rs
+++ b/crates/soak/src/links.rs
@@ -149,6 +149,22 @@
         }
     }
 
+    /// Whether the link delivers bytes late without losing any.
+    pub fn is_delayed(&self, from: Party, to: Party) -> bool {
+        matches!(self.condition(from, to), Condition::Delayed(_))
+    }
+
+    /// Waits while the link delivers nothing.
+    pub async fn wait_while_silent(&self, from: Party, to: Party) {
+        loop {
+            let change_count = self.changed.count();
+            if self.condition(from, to) != Condition::Silent {
+                return;
+            }
+            self.changed.changed(change_count).await;
+        }
+    }
+
     /// Waits until connections between two parties must be reset.
     pub async fn wait_for_reset(&self, one: Party, other: Party) {
         loop {
--- a/crates/soak/src/proxy.rs
+++ b/crates/soak/src/proxy.rs
@@ -1,19 +1,18 @@
 //! TCP proxy for one listening address that applies the link conditions between the two ends.
 
 use crate::links::{Links, Party};
-use compio::BufResult;
-use compio::io::{AsyncRead, AsyncWrite, AsyncWriteExt};
+use crate::received_bytes::{ReceivedBytes, SenderEnd};
+use compio::io::{AsyncWrite, AsyncWriteExt};
 use compio::net::{TcpListener, TcpStream};
+use futures::channel::mpsc;
 use futures::future::{self, Either};
+use futures::stream::StreamExt;
 use std::cell::{Cell, RefCell};
 use std::net::SocketAddr;
 use std::pin::pin;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-/// Read buffer size, in bytes.
-const CHUNK_BYTES: usize = 16 * 1024;
-
 /// Delay before a failed bind is retried.
 const REBIND_PAUSE: Duration = Duration::from_millis(10);
 
@@ -111,7 +110,9 @@
 
 async fn forward_connection(downstream: TcpStream, caller: Party, endpoint: ProxyEndpoint, links: Links) {
     let party = endpoint.party;
-    if !links.wait_to_connect(caller, party).await || !links.wait_to_connect(party, caller).await {
+    let (downstream_reader, downstream_writer) = downstream.clone().into_split();
+    let mut received = ReceivedBytes::start(downstream_reader);
+    if !wait_to_connect(&links, caller, party, &mut received).await {
         reset(&downstream);
         return;
     }
@@ -124,10 +125,9 @@
     };
     // Avoids delays by the Nagle algorithm.
     let _ = (downstream.set_nodelay(true), upstream.set_nodelay(true));
-    let (downstream_reader, downstream_writer) = downstream.clone().into_split();
     let (upstream_reader, upstream_writer) = upstream.clone().into_split();
-    let to_upstream = forward(downstream_reader, upstream_writer, caller, party, links.clone());
-    let to_downstream = forward(upstream_reader, downstream_writer, party, caller, links.clone());
+    let to_upstream = forward(received, upstream_writer, caller, party, links.clone());
+    let to_downstream = forward(ReceivedBytes::start(upstream_reader), downstream_writer, party, caller, links.clone());
     let ended = join_directions(to_upstream, to_downstream);
     let wait_for_reset = links.wait_for_reset(caller, party);
     let is_broken = match future::select(pin!(ended), pin!(wait_for_reset)).await {
@@ -149,33 +149,49 @@
     }
 }
 
+/// Waits until the link lets the caller connect; `false` if it does not, or if the caller closes the connection before:
+/// a connection that is not established carries nothing.
+async fn wait_to_connect(links: &Links, caller: Party, party: Party, received: &mut ReceivedBytes) -> bool {
+    let connecting = async { links.wait_to_connect(caller, party).await && links.wait_to_connect(party, caller).await };
+    match future::select(pin!(connecting), pin!(received.ended())).await {
+        Either::Left((may_connect, _)) => may_connect,
+        Either::Right(_) => false,
+    }
+}
+
 /// Forwards bytes in one direction; returns whether it ended with an orderly shutdown.
-async fn forward<R: AsyncRead, W: AsyncWrite>(
-    mut reader: R,
+async fn forward<W: AsyncWrite>(mut received: ReceivedBytes, writer: W, from: Party, to: Party, links: Links) -> bool {
+    let chunks = received.take_chunks();
+    let mut writing = pin!(write_chunks(chunks, writer, from, to, &links));
+    let sender_end = match future::select(writing.as_mut(), pin!(received.ended())).await {
+        Either::Left((closed_cleanly, _)) => return closed_cleanly,
+        Either::Right((end, _)) => end,
+    };
+    if sender_end == SenderEnd::Closed {
+        return writing.await;
+    }
+    // A sender that has reset the connection retransmits nothing. What is on its way over a slow link arrives.
+    if links.is_delayed(from, to) {
+        writing.await;
+    }
+    links.wait_while_silent(from, to).await;
+    false
+}
+
+/// Writes chunks as the link delivers them, then shuts the connection down in order.
+async fn write_chunks<W: AsyncWrite>(
+    mut chunks: mpsc::Receiver<Vec<u8>>,
     mut writer: W,
     from: Party,
     to: Party,
-    links: Links,
+    links: &Links,
 ) -> bool {
-    let mut buffer = Vec::with_capacity(CHUNK_BYTES);
-    loop {
-        let BufResult(count, read) = reader.read(buffer).await;
-        let Ok(count) = count else {
-            return false;
-        };
-        if !links.wait_to_forward(from, to).await {
-            return false;
-        }
-        if count == 0 {
-            return writer.shutdown().await.is_ok();
-        }
-        let BufResult(written, mut sent) = writer.write_all(read).await;
-        if written.is_err() {
+    while let Some(chunk) = chunks.next().await {
+        if !links.wait_to_forward(from, to).await || writer.write_all(chunk).await.0.is_err() {
             return false;
         }
-        sent.clear();
-        buffer = sent;
     }
+    links.wait_to_forward(from, to).await && writer.shutdown().await.is_ok()
 }
 
 /// Child processes by process id, to identify a connection's owner. Clones share state.
--- a/crates/soak/tests/proxy.rs
+++ b/crates/soak/tests/proxy.rs
@@ -28,6 +28,11 @@
         }
     })
     .detach();
+    proxy_to(target, links).await
+}
+
+/// Starts a proxy of `target`; returns its address.
+async fn proxy_to(target: SocketAddr, links: &Links) -> SocketAddr {
     let free = TcpListener::bind("127.0.0.1:0").await.expect("there is a free port");
     let address = free.local_addr().expect("the address is valid");
     drop(free);
@@ -104,6 +109,63 @@
     }
 }
 
+/// Sends a request over a link in `condition`, resets the connection or closes it in order, and heals the link; returns
+/// whether the request arrives.
+fn arrives_after_the_sender_has_gone(condition: Condition, by_reset: bool) -> bool {
+    block_on(async {
+        let links = Links::default();
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("there is a free port");
+        let address = proxy_to(listener.local_addr().expect("the address is valid"), &links).await;
+        let mut stream = TcpStream::connect(address).await.expect("the proxy listens");
+        let (mut accepted, _) = listener.accept().await.expect("the proxy connects");
+        links.set(CALLER, SERVER, condition);
+        stream.write_all(b"ping".to_vec()).await.0.expect("the proxy accepts the bytes");
+        // The proxy has received the bytes before it observes the end of the connection.
+        compio::time::sleep(DELAY / 3).await;
+        if by_reset {
+            rustix::net::sockopt::set_socket_linger(&stream, Some(Duration::ZERO)).expect("the socket is open");
+        }
+        drop(stream);
+        compio::time::sleep(DELAY).await;
+        links.heal_all();
+        read(&mut accepted).await.is_ok()
+    })
+}
+
+#[test]
+fn held_bytes_are_dropped_when_their_sender_resets_the_connection() {
+    assert!(!arrives_after_the_sender_has_gone(Condition::Silent, true));
+    assert!(!arrives_after_the_sender_has_gone(Condition::Lossy(1_000), true));
+}
+
+#[test]
+fn held_bytes_arrive_after_their_sender_has_closed_the_connection_in_order() {
+    assert!(arrives_after_the_sender_has_gone(Condition::Silent, false));
+    assert!(arrives_after_the_sender_has_gone(Condition::Lossy(1_000), false));
+}
+
+#[test]
+fn bytes_on_a_slow_link_arrive_after_their_sender_has_reset_the_connection() {
+    assert!(arrives_after_the_sender_has_gone(Condition::Delayed(DELAY * 2), true));
+}
+
+/// A lossy link loses the first packets of the connection, too.
+#[test]
+fn a_connection_that_is_given_up_before_it_is_established_carries_nothing() {
+    block_on(async {
+        let links = Links::default();
+        links.set(CALLER, SERVER, Condition::Silent);
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("there is a free port");
+        let address = proxy_to(listener.local_addr().expect("the address is valid"), &links).await;
+        let mut stream = TcpStream::connect(address).await.expect("the proxy listens");
+        stream.write_all(b"ping".to_vec()).await.0.expect("the proxy accepts the bytes");
+        drop(stream);
+        compio::time::sleep(DELAY).await;
+        links.heal_all();
+        assert!(compio::time::timeout(DELAY, listener.accept()).await.is_err(), "the connection was established");
+    });
+}
+
 #[test]
 fn a_reset_link_resets_its_connections_and_rejects_new_ones() {
     block_on(async {
