--- a/crates/control/src/machine.rs
+++ b/crates/control/src/machine.rs
@@ -27,7 +27,7 @@
 }
 
 /// Whether ended jobs expire by the group's uptime at `level`. At older levels they expire by the log's time.
-fn expire_jobs_by_uptime(level: FeatureLevel) -> bool {
+fn expires_jobs_by_uptime(level: FeatureLevel) -> bool {
     level >= FeatureLevel::Three
 }
 
@@ -74,7 +74,7 @@
             self.state.leave_level_one();
         }
         self.level = level;
-        self.state.jobs.set_expiry_by_uptime(expire_jobs_by_uptime(level));
+        self.state.jobs.set_expiry_by_uptime(expires_jobs_by_uptime(level));
     }
 
     fn apply(&mut self, command: &[u8]) -> CommandOutcome {
--- a/crates/replication/src/replica.rs
+++ b/crates/replication/src/replica.rs
@@ -301,8 +301,8 @@
         state.leadership().map(|_| state.term)
     }
 
-    /// Address of the leader, if another replica leads and was in contact within the election timeout, or announces itself to
-    /// this replica outside the group. Callers are not redirected to a leader that may have failed.
+    /// Address of the leader, if another replica leads and was in contact within the election timeout, or announces itself
+    /// to this replica outside the group. Callers are not redirected to a leader that may have failed.
     pub fn leader_address(&self) -> Option<SocketAddr> {
         let now = self.inner.platform.monotonic();
         let state = self.inner.state.borrow();
