Share the fixtures of tests that the last changes wrote again; simplify what the soak's proxy holds

The simulator's control group finds the leader's index for both tests that did so themselves. ReceivedBytes loses two options that could never be in their other state.

--- a/bin/saddlerelay-soak/tests/processes.rs
+++ b/bin/saddlerelay-soak/tests/processes.rs
@@ -1,73 +1,15 @@
 //! Single faults on the product's processes, each a regression test for a failure found by a soak.
 
+mod fixture;
+
 use anyhow::{Result, ensure};
-use saddlerelay_soak_runner::builds::Builds;
+use fixture::{Fixture, TEST_TIMEOUT, block_on};
 use saddlerelay_soak_runner::case::{Case, PlanKind};
-use saddlerelay_soak_runner::deployment::{Deployment, MembershipRole, Size};
-use saddlerelay_soak_runner::faults::FaultInjector;
-use saddlerelay_soak_runner::journal::Journal;
+use saddlerelay_soak_runner::deployment::{MembershipRole, Size};
 use saddlerelay_soak_runner::links::{Condition, Party};
-use saddlerelay_soak_runner::operator::Operator;
 use saddlerelay_soak_runner::plan::{Direction, Fault, Overlap, Round};
-use saddlerelay_soak_runner::workload::Features;
-use std::path::PathBuf;
-use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-/// Time limit that only fails a test that hangs.
-const TEST_TIMEOUT: Duration = Duration::from_secs(60);
-
-struct Fixture {
-    deployment: Rc<Deployment>,
-    faults: FaultInjector,
-    operator: Rc<Operator>,
-    journal: Journal,
-    folder: PathBuf,
-}
-
-impl Fixture {
-    async fn start(name: &str) -> Result<Self> {
-        Self::start_case(name, Case { seed: 0, kind: PlanKind::Single, size: Size::SMALL }).await
-    }
-
-    async fn start_case(name: &str, case: Case) -> Result<Self> {
-        let folder = std::env::temp_dir().join(format!("saddlerelay-soak-{name}-{}", std::process::id()));
-        let executable = PathBuf::from(env!("CARGO_BIN_EXE_saddlerelay-soak"));
-        let journal = Journal::default();
-        let deployment = Deployment::start(Builds::new(executable, None), &folder, journal.clone(), 0, case).await?;
-        let operator = Rc::new(Operator::new(deployment.addresses.clone(), journal.clone(), Features::All));
-        let faults = FaultInjector::new(deployment.clone(), Vec::new(), operator.clone(), journal.clone());
-        let fixture = Self { deployment, faults, operator, journal, folder };
-        fixture.accept_change().await?;
-        Ok(fixture)
-    }
-
-    async fn accept_change(&self) -> Result<()> {
-        let deadline = Instant::now() + TEST_TIMEOUT;
-        ensure!(self.operator.change(|| Instant::now() < deadline).await, "no document was accepted");
-        Ok(())
-    }
-
-    fn violations(&self) -> Vec<String> {
-        self.journal.read(|records| records.violations.iter().map(|violation| violation.observed.clone()).collect())
-    }
-}
-
-impl Drop for Fixture {
-    fn drop(&mut self) {
-        if std::thread::panicking() || !self.violations().is_empty() {
-            println!("files of the failed test: {}", self.folder.display());
-            return;
-        }
-        // A leftover folder is harmless: it is in the system's temporary folder.
-        let _ = std::fs::remove_dir_all(&self.folder);
-    }
-}
-
-fn block_on(future: impl Future<Output = Result<()>>) -> Result<()> {
-    compio::runtime::Runtime::new()?.block_on(future)
-}
-
 #[test]
 fn a_process_survives_failing_writes() -> Result<()> {
     block_on(async {
--- a/bin/saddlerelay-soak/tests/trial_leases.rs
+++ b/bin/saddlerelay-soak/tests/trial_leases.rs
@@ -1,32 +1,26 @@
 //! Trial leases with real coordinators: a running holder keeps its lease while the leader is paused.
 
+mod fixture;
+
 use anyhow::{Result, ensure};
+use fixture::{Fixture, TEST_TIMEOUT, block_on};
 use futures::future::{self, Either};
 use saddlerelay_control_client::ControlClient;
 use saddlerelay_control_client::trials::TrialLeases;
 use saddlerelay_runtime_compio::CompioRuntime;
-use saddlerelay_soak_runner::builds::Builds;
 use saddlerelay_soak_runner::case::{Case, PlanKind};
 use saddlerelay_soak_runner::deployment::{Deployment, MembershipRole, SECRET, Size};
-use saddlerelay_soak_runner::faults::FaultInjector;
-use saddlerelay_soak_runner::journal::Journal;
 use saddlerelay_soak_runner::links::Party;
-use saddlerelay_soak_runner::operator::Operator;
 use saddlerelay_soak_runner::plan::Fault;
-use saddlerelay_soak_runner::workload::Features;
 use saddlerelay_types::gateway::GatewayRequest;
 use saddlerelay_types::instance::InstanceId;
 use saddlerelay_types::suspicion::{EngineLoss, TRIAL_RETRY_AFTER, WorkEvidence};
 use saddlerelay_types::work::WorkDigest;
 use std::cell::Cell;
-use std::path::PathBuf;
 use std::pin::pin;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-/// Time limit that only fails a test that hangs.
-const TEST_TIMEOUT: Duration = Duration::from_secs(60);
-
 /// Three voters, a learner, and six coordinators outside the group, which redirect callers to the announced leader.
 const SIZE: Size = Size { coordinators: 10, gateways: 1 };
 
@@ -107,44 +101,36 @@
 /// until the lease had expired.
 #[test]
 fn a_running_holder_keeps_its_lease_when_the_leader_is_paused() -> Result<()> {
-    compio::runtime::Runtime::new()?.block_on(async {
-        let folder = std::env::temp_dir().join(format!("saddlerelay-soak-trial-leases-{}", std::process::id()));
-        let builds = Builds::new(PathBuf::from(env!("CARGO_BIN_EXE_saddlerelay-soak")), None);
-        let journal = Journal::default();
-        let case = Case { seed: 0, kind: PlanKind::Single, size: SIZE };
-        let deployment = Deployment::start(builds, &folder, journal.clone(), 0, case).await?;
-        let operator = Rc::new(Operator::new(deployment.addresses.clone(), journal.clone(), Features::All));
-        let faults = FaultInjector::new(deployment.clone(), Vec::new(), operator, journal);
+    block_on(async {
+        let fixture = Fixture::start_case("trial-leases", Case { seed: 0, kind: PlanKind::Single, size: SIZE }).await?;
+        let deployment = &fixture.deployment;
         let voters = || {
             let is_voter = |number: &u8| deployment.membership_of(*number) == MembershipRole::Voter;
             (0..SIZE.coordinators).filter(is_voter).count()
         };
         wait_until(|| deployment.leader().is_some() && voters() == 3, "a group of three voters").await?;
-        suspect_work(&deployment).await?;
+        suspect_work(deployment).await?;
 
         let (first, second) = (Rc::<HolderState>::default(), Rc::<HolderState>::default());
-        compio::runtime::spawn(run_work(client(&deployment), first.clone())).detach();
+        compio::runtime::spawn(run_work(client(deployment), first.clone())).detach();
         wait_until(|| first.runs.get(), "the first holder runs the work").await?;
-        compio::runtime::spawn(run_work(client(&deployment), second.clone())).detach();
+        compio::runtime::spawn(run_work(client(deployment), second.clone())).detach();
 
         let pauses = async {
             for number in 0..PAUSES {
                 compio::time::sleep(REJOIN_TIME + PHASE_STEP * number).await;
                 let leader = deployment.leader().expect("a coordinator has led");
-                faults.inject(Fault::Freeze { party: Party::Coordinator(leader), time: PAUSE }).await?;
+                fixture.faults.inject(Fault::Freeze { party: Party::Coordinator(leader), time: PAUSE }).await?;
             }
             anyhow::Ok(())
         };
         let result = match future::select(pin!(pauses), pin!(watch_holders(&first, &second))).await {
             Either::Left((paused, _)) => paused,
-            Either::Right((observed, _)) => Err(anyhow::anyhow!("the first holder is not the only one: {observed}")),
+            Either::Right((observed, _)) => panic!("the first holder is not the only one: {observed}"),
         };
         first.stopped.set(true);
         second.stopped.set(true);
-        match &result {
-            Ok(()) => std::fs::remove_dir_all(&folder)?,
-            Err(_) => println!("files of the failed test: {}", folder.display()),
-        }
+        assert_eq!(fixture.violations(), Vec::<String>::new());
         result
     })
 }
--- a/crates/simulator/tests/control_group/mod.rs
+++ b/crates/simulator/tests/control_group/mod.rs
@@ -147,6 +147,14 @@
         nodes.into_iter().find(|node| node.replica().leading_term().is_some())
     }
 
+    /// Index of the machine that leads.
+    pub fn leader_index(&self) -> Option<u8> {
+        let leads = |replica: &Replica| {
+            replica.node.borrow().as_ref().is_some_and(|node| node.replica().leading_term().is_some())
+        };
+        self.replicas.iter().find(|(_, replica)| leads(replica)).map(|(index, _)| *index)
+    }
+
     pub fn members(&self) -> Vec<SocketAddr> {
         self.leader().map(|leader| leader.replica().member_addresses()).unwrap_or_default()
     }
--- a/crates/simulator/tests/ended_jobs.rs
+++ b/crates/simulator/tests/ended_jobs.rs
@@ -117,12 +117,7 @@
 
 /// Restarts the leader.
 fn restart_leader(deployment: &mut Deployment) {
-    let leader = deployment.leader().expect("there is a leader").replica().id();
-    let leads = |index: &u8| {
-        let node = deployment.replicas[index].node.borrow();
-        node.as_ref().is_some_and(|node| node.replica().id() == leader)
-    };
-    let index = (1..=REPLICAS).find(leads).expect("the leader is one of the replicas");
+    let index = deployment.leader_index().expect("there is a leader");
     deployment.replicas.remove(&index).expect("the replica is running").process.kill();
     deployment.run_for(Duration::from_secs(5));
     deployment.start_replica(index, false);
--- a/crates/simulator/tests/trial_leases.rs
+++ b/crates/simulator/tests/trial_leases.rs
@@ -166,12 +166,7 @@
     }
 
     fn leader_index(&self) -> u8 {
-        let leader = self.deployment.leader().expect("there is a leader").replica().id();
-        let is_leader = |index: &u8| {
-            let node = self.deployment.replicas[index].node.borrow();
-            node.as_ref().is_some_and(|node| node.replica().id() == leader)
-        };
-        (1..=REPLICAS).find(is_leader).expect("the leader is one of the replicas")
+        self.deployment.leader_index().expect("there is a leader")
     }
 
     fn kill_leader(&mut self) {
--- a/crates/soak/src/proxy.rs
+++ b/crates/soak/src/proxy.rs
@@ -153,17 +153,16 @@
 /// a connection that is not established carries nothing.
 async fn wait_to_connect(links: &Links, caller: Party, party: Party, received: &mut ReceivedBytes) -> bool {
     let connecting = async { links.wait_to_connect(caller, party).await && links.wait_to_connect(party, caller).await };
-    match future::select(pin!(connecting), pin!(received.ended())).await {
+    match future::select(pin!(connecting), &mut received.reading).await {
         Either::Left((may_connect, _)) => may_connect,
         Either::Right(_) => false,
     }
 }
 
 /// Forwards bytes in one direction; returns whether it ended with an orderly shutdown.
-async fn forward<W: AsyncWrite>(mut received: ReceivedBytes, writer: W, from: Party, to: Party, links: Links) -> bool {
-    let chunks = received.take_chunks();
-    let mut writing = pin!(write_chunks(chunks, writer, from, to, &links));
-    let sender_end = match future::select(writing.as_mut(), pin!(received.ended())).await {
+async fn forward<W: AsyncWrite>(received: ReceivedBytes, writer: W, from: Party, to: Party, links: Links) -> bool {
+    let mut writing = pin!(write_chunks(received.chunks, writer, from, to, &links));
+    let sender_end = match future::select(writing.as_mut(), received.reading).await {
         Either::Left((closed_cleanly, _)) => return closed_cleanly,
         Either::Right((end, _)) => end,
     };
--- a/crates/soak/src/received_bytes.rs
+++ b/crates/soak/src/received_bytes.rs
@@ -25,31 +25,17 @@
 
 /// The bytes of one direction of a connection.
 pub struct ReceivedBytes {
-    reading: LocalBoxFuture<'static, SenderEnd>,
-    chunks: Option<mpsc::Receiver<Vec<u8>>>,
-    end: Option<SenderEnd>,
+    /// Reads while it is polled; ends when the sender ends its direction.
+    pub reading: LocalBoxFuture<'static, SenderEnd>,
+    /// The chunks in order. They end when the sender has ended.
+    pub chunks: mpsc::Receiver<Vec<u8>>,
 }
 
 impl ReceivedBytes {
-    /// Reads from `reader` while [`Self::ended`] is polled.
+    /// Reads from `reader` while [`Self::reading`] is polled.
     pub fn start<R: AsyncRead + 'static>(reader: R) -> Self {
         let (sender, chunks) = mpsc::channel(MAX_HELD_CHUNKS);
-        Self { reading: Box::pin(read_chunks(reader, sender)), chunks: Some(chunks), end: None }
-    }
-
-    /// The chunks in order. They end when the sender has ended. Panics if called twice.
-    pub fn take_chunks(&mut self) -> mpsc::Receiver<Vec<u8>> {
-        self.chunks.take().expect("the chunks are taken once")
-    }
-
-    /// Waits until the sender ends its direction.
-    pub async fn ended(&mut self) -> SenderEnd {
-        if let Some(end) = self.end {
-            return end;
-        }
-        let end = (&mut self.reading).await;
-        self.end = Some(end);
-        end
+        Self { reading: Box::pin(read_chunks(reader, sender)), chunks }
     }
 }
 
--- a/crates/soak/tests/proxy.rs
+++ b/crates/soak/tests/proxy.rs
@@ -149,7 +149,6 @@
     assert!(arrives_after_the_sender_has_gone(Condition::Delayed(DELAY * 2), true));
 }
 
-/// A lossy link loses the first packets of the connection, too.
 #[test]
 fn a_connection_that_is_given_up_before_it_is_established_carries_nothing() {
     block_on(async {
