Write a request in the same turn as the last check of its permission

What callers saw: nothing yet; an order could be written to an engine after its grant had ended, with no bound, so between the orders of the next holder.

Cause: the check of the permission and the first write were turns of two tasks. A long turn of another task, or a pause of the process, in between delayed the write, and nothing looked at the permission again.

Change: whoever sends a request drives the connection's I/O once, right after the check, instead of leaving the first write to the connection's task. This holds for orders, reports, calls to the platform, items, scoring calls and the requests of clients. A process that is paused between the check and the system call still writes when it goes on.

--- a/crates/upstream/src/connection.rs
+++ b/crates/upstream/src/connection.rs
@@ -1,5 +1,6 @@
 //! A connection to an engine.
 
+use crate::driver::Driver;
 use crate::response::Failure;
 use bytes::Bytes;
 use compio::net::TcpStream;
@@ -11,7 +12,9 @@
 use hyper::{Request, Response};
 use rustix::net::sockopt::set_socket_linger;
 use saddlerelay_runtime_compio::clock::boot_time;
+use std::future::poll_fn;
 use std::net::SocketAddr;
+use std::pin::pin;
 use std::time::Duration;
 
 /// `TCP_USER_TIMEOUT` in milliseconds: closes connections over broken links, on which no reset arrives.
@@ -22,8 +25,9 @@
 pub struct Connection {
     sender: SendRequest<Full<Bytes>>,
     socket: TcpStream,
-    /// Task that drives the connection's I/O; dropping it closes the socket.
-    _driver: JoinHandle<()>,
+    driver: Driver,
+    /// Task that runs the driver.
+    _task: JoinHandle<()>,
     /// Whether it has carried a request before.
     used: bool,
     /// End of the previous response, in boot time, which includes the time that this machine is suspended.
@@ -47,13 +51,14 @@
         options.map_err(|error| Failure::NotSent(error.to_string()))?;
         let socket = stream.clone();
         let handshake = http1::handshake(HyperStream::new_plain(stream)).await;
-        let (sender, driver) = handshake.map_err(|error| Failure::NotSent(error.to_string()))?;
-        let driver = compio::runtime::spawn(async move {
+        let (sender, io) = handshake.map_err(|error| Failure::NotSent(error.to_string()))?;
+        let driver = Driver::new(async move {
             // The pending request receives the error as well.
-            let _ = driver.await;
+            let _ = io.await;
         });
+        let task = compio::runtime::spawn(driver.clone().run());
         let now = boot_time();
-        Ok(Self { sender, socket, _driver: driver, used: false, idle_since: now, expires_at: now })
+        Ok(Self { sender, socket, driver, _task: task, used: false, idle_since: now, expires_at: now })
     }
 
     /// Whether it has carried a request before.
@@ -85,10 +90,22 @@
         self.sender.ready().await.is_ok()
     }
 
-    /// Sends a request and returns the response once its head has arrived.
+    /// Sends a request and returns the response once its head has arrived. The first bytes are written before this
+    /// future yields for the first time: what the caller has checked immediately before still holds.
     pub async fn send(&mut self, request: Request<Full<Bytes>>) -> Result<Response<Incoming>, Failure> {
         set_socket_linger(&self.socket, Some(Duration::ZERO)).map_err(|error| Failure::NotSent(error.to_string()))?;
-        match self.sender.try_send_request(request).await {
+        let mut response = pin!(self.sender.try_send_request(request));
+        let mut is_written = false;
+        let response = poll_fn(|context| {
+            let polled = response.as_mut().poll(context);
+            if is_written || polled.is_ready() {
+                return polled;
+            }
+            is_written = true;
+            self.driver.write_now(context);
+            response.as_mut().poll(context)
+        });
+        match response.await {
             Ok(response) => Ok(response),
             Err(mut error) => match error.take_message() {
                 // hyper returns the message only if it has not begun to send it.
@@ -98,3 +115,9 @@
         }
     }
 }
+
+impl Drop for Connection {
+    fn drop(&mut self) {
+        self.driver.close();
+    }
+}
--- /dev/null
+++ b/crates/upstream/src/driver.rs
@@ -0,0 +1,63 @@
+//! The I/O of a connection, driven by a task of its own and, when a request is sent, by the sender.
+
+use std::cell::RefCell;
+use std::pin::Pin;
+use std::rc::Rc;
+use std::task::{Context, Poll, Waker};
+
+/// State of a driver.
+struct Inner {
+    /// The I/O of the connection; `None` once it has ended.
+    io: Option<Pin<Box<dyn Future<Output = ()>>>>,
+    /// Wakes the task that drives the I/O.
+    task: Option<Waker>,
+}
+
+/// Drives a connection's I/O. Clones share the connection.
+#[derive(Clone)]
+pub(crate) struct Driver {
+    inner: Rc<RefCell<Inner>>,
+}
+
+impl Driver {
+    pub fn new(io: impl Future<Output = ()> + 'static) -> Self {
+        Self { inner: Rc::new(RefCell::new(Inner { io: Some(Box::pin(io)), task: None })) }
+    }
+
+    /// Drives the I/O until it ends.
+    pub async fn run(self) {
+        std::future::poll_fn(|context| {
+            self.inner.borrow_mut().task = Some(context.waker().clone());
+            self.poll(context)
+        })
+        .await;
+    }
+
+    /// Drives the I/O once, so that a request that was handed to the connection is written now rather than when the
+    /// task has its turn.
+    pub fn write_now(&self, context: &mut Context<'_>) {
+        let _ = self.poll(context);
+        // The I/O now wakes the sender; the task registers itself again.
+        if let Some(task) = &self.inner.borrow().task {
+            task.wake_by_ref();
+        }
+    }
+
+    /// Drops the I/O, which closes the socket.
+    pub fn close(&self) {
+        let io = self.inner.borrow_mut().io.take();
+        drop(io);
+    }
+
+    fn poll(&self, context: &mut Context<'_>) -> Poll<()> {
+        let mut inner = self.inner.borrow_mut();
+        let Some(io) = inner.io.as_mut() else {
+            return Poll::Ready(());
+        };
+        let polled = io.as_mut().poll(context);
+        if polled.is_ready() {
+            inner.io = None;
+        }
+        polled
+    }
+}
--- a/crates/upstream/src/lib.rs
+++ b/crates/upstream/src/lib.rs
@@ -8,6 +8,7 @@
 
 pub mod balance;
 pub mod connection;
+mod driver;
 pub mod events;
 pub mod names;
 pub mod pool;
