Close the connection of a completed call in order

What callers saw: nothing; every completed order, report request and stream of a gateway ended in a reset at the engine, as a call that is given up does.

Cause: the socket lingers for zero seconds while a request is in progress, and only paths that keep the connection for reuse ended that. Control calls and streams drop it after a complete response.

Change: a connection ends its request where the response is known to be complete: after a control call, at the end of a stream, and after a response that announces the end of the connection.

Measured: completed_calls, 2 of 5 tests red before (ConnectionReset), green now; given_up_calls, unchanged, green.

--- a/crates/duties/src/client.rs
+++ b/crates/duties/src/client.rs
@@ -51,7 +51,7 @@
             let (head, body) = connection.send(request).await?.into_parts();
             let read = Limited::new(body, MAX_RESPONSE_BYTES).collect().await;
             read.map_err(|error| Failure::PossiblyExecuted(format!("the response body could not be read: {error}")))?;
-            connection.mark_idle(Duration::ZERO);
+            connection.end_request();
             Ok(head.status)
         };
         let result = compio::time::timeout(limit, exchange).await;
--- a/crates/upstream/src/connection.rs
+++ b/crates/upstream/src/connection.rs
@@ -76,10 +76,15 @@
         boot_time().saturating_sub(self.idle_since)
     }
 
-    /// Marks the connection idle after a complete response; it may be reused for `idle_timeout`.
-    pub fn mark_idle(&mut self, idle_timeout: Duration) {
+    /// Ends the request after a complete response: the connection is closed in order from now on.
+    pub fn end_request(&self) {
         // A socket that rejects the option has failed, and is closed by the next use.
         let _ = set_socket_linger(&self.socket, None);
+    }
+
+    /// Marks the connection idle after a complete response; it may be reused for `idle_timeout`.
+    pub fn mark_idle(&mut self, idle_timeout: Duration) {
+        self.end_request();
         self.used = true;
         self.idle_since = boot_time();
         self.expires_at = self.idle_since + idle_timeout;
--- a/crates/upstream/src/pool.rs
+++ b/crates/upstream/src/pool.rs
@@ -158,6 +158,7 @@
             let (head, body) = connection.send(message).await?.into_parts();
             let body = Limited::new(body, MAX_CALL_RESPONSE_BYTES).collect().await;
             let body = body.map_err(|error| Failure::PossiblyExecuted(format!("response interrupted: {error}")))?;
+            connection.end_request();
             Ok((head, body.to_bytes()))
         };
         let result = compio::time::timeout(timeout, exchange).await;
--- a/crates/upstream/src/response.rs
+++ b/crates/upstream/src/response.rs
@@ -100,6 +100,7 @@
 
 /// Returns the connection after a complete response, if it can be reused.
 async fn reusable(mut connection: Connection, idle: Option<Duration>) -> Option<Connection> {
+    connection.end_request();
     let idle = idle?;
     if !connection.is_ready().await {
         return None;
@@ -144,7 +145,11 @@
     /// The next bytes; `None` at the end of a complete response, an error if it was interrupted.
     pub async fn next(&mut self) -> Option<Result<Bytes, Failure>> {
         loop {
-            match self.body.frame().await? {
+            let Some(frame) = self.body.frame().await else {
+                self.connection.end_request();
+                return None;
+            };
+            match frame {
                 Ok(frame) => {
                     if let Ok(bytes) = frame.into_data() {
                         return Some(Ok(bytes));
