Wait for the delivery of earlier orders before another holder orders

What callers saw: nothing was reported. An engine could receive the last order of one holder less than the order lease (3 s) before the first one of the next; with a short order_lease_ms even after it.

Cause: the next holder waited for the order lease, a margin and the validity of the earlier order, 3.8 s from its intent, which bounds the time between sends. Engines see arrivals: an order may be under way for 0.8 s (timeout of the call), or 1.7 s if its sender is paused (user timeout of the kernel).

Change: the kernel delivers an order within 0.8 s or not at all, and the wait covers that besides the lease, for every accepted order_lease_ms. The wait is 4.4 s by default. A longer wait alone would have been 5.3 s.

The separation in the simulator's test of duties follows the settings.

--- a/crates/control/src/config.rs
+++ b/crates/control/src/config.rs
@@ -7,6 +7,10 @@
 /// 0.3 of a core has served 250 relays beside its other work.
 const DEFAULT_LEADER_RELAYS: usize = 300;
 
+/// Longest time from sending an order until it arrives; later it must not arrive any more. Enforced by the kernel and, for
+/// orders to engines, by the timeout of the call.
+pub const ORDER_DELIVERY_LIMIT: Duration = Duration::from_millis(800);
+
 /// Timeouts, intervals and limits of the control group.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct ControlConfig {
@@ -40,8 +44,8 @@
     pub instance_silence_timeout: Duration,
     /// Minimum time that a batch job is kept after its submission; a job that has not ended is always kept.
     pub job_retention: Duration,
-    /// Minimum time between orders of two replicas about the same subject (an engine, usage reports or an engine
-    /// count).
+    /// Minimum time between the end of an order's validity and an order of another replica about the same subject (an
+    /// engine, usage reports or an engine count). Must exceed `ORDER_DELIVERY_LIMIT`.
     pub order_separation: Duration,
     /// Maximum time between proposing an order intent and sending the order.
     pub order_validity: Duration,
@@ -64,7 +68,7 @@
             follow_lease: Duration::from_millis(1700),
             instance_silence_timeout: Duration::from_millis(4000),
             job_retention: Duration::from_secs(150),
-            order_separation: Duration::from_millis(3_400),
+            order_separation: Duration::from_millis(4_000),
             order_validity: Duration::from_millis(400),
         }
     }
--- a/crates/coordinator/src/config.rs
+++ b/crates/coordinator/src/config.rs
@@ -1,5 +1,6 @@
 //! Timeouts and limits of a coordinator.
 
+use saddlerelay_control::config::ORDER_DELIVERY_LIMIT;
 use std::time::Duration;
 
 /// Timeouts and limits.
@@ -21,7 +22,7 @@
     pub item_deadline_margin: Duration,
     /// Interval at which texts of running items are saved.
     pub save_interval: Duration,
-    /// Timeout of an order or a report request.
+    /// Timeout of an order or a report request, at most `ORDER_DELIVERY_LIMIT`.
     pub order_timeout: Duration,
     /// Expected duration of a weight load; the first poll for completion follows after it.
     pub expected_load_time: Duration,
@@ -46,7 +47,7 @@
             engine_backoff: Duration::from_millis(400),
             item_deadline_margin: Duration::from_millis(2_000),
             save_interval: Duration::from_millis(300),
-            order_timeout: Duration::from_millis(800),
+            order_timeout: ORDER_DELIVERY_LIMIT,
             expected_load_time: Duration::from_millis(1_010),
             load_poll_interval: Duration::from_millis(110),
             load_timeout: Duration::from_secs(6),
--- a/crates/duties/src/client.rs
+++ b/crates/duties/src/client.rs
@@ -5,6 +5,7 @@
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::header::{HOST, HeaderValue};
 use hyper::{Request, StatusCode};
+use saddlerelay_control::config::ORDER_DELIVERY_LIMIT;
 use saddlerelay_upstream::Failure;
 use saddlerelay_upstream::connection::Connection;
 use std::net::SocketAddr;
@@ -45,6 +46,7 @@
         let request = self.request(call)?;
         let exchange = async {
             let mut connection = Connection::open(self.address, CONNECT_TIMEOUT).await?;
+            connection.limit_delivery(ORDER_DELIVERY_LIMIT)?;
             if !may_send() {
                 return Err(Failure::NotSent("the grant for this call is no longer valid".to_string()));
             }
--- a/crates/settings/src/member.rs
+++ b/crates/settings/src/member.rs
@@ -2,7 +2,7 @@
 //! the deployment's bounds, from which leases and timeouts are derived.
 
 use crate::reader::{Section, SettingError};
-use saddlerelay_control::config::ControlConfig;
+use saddlerelay_control::config::{ControlConfig, ORDER_DELIVERY_LIMIT};
 use saddlerelay_replication::config::ReplicationConfig;
 use std::net::SocketAddr;
 use std::path::PathBuf;
@@ -25,8 +25,9 @@
 /// Added to the retention that the settings require for a job.
 const RETENTION_MARGIN: Duration = Duration::from_secs(30);
 
-/// Added to the order lease before a different holder may send orders about the same subject.
-const ORDER_MARGIN: Duration = Duration::from_millis(400);
+/// Added to the order lease and the time in which an order is delivered before a different holder may send orders about
+/// the same subject, for packets that the network delays.
+const ORDER_MARGIN: Duration = Duration::from_millis(200);
 
 /// Log bytes between two snapshots. Replay at startup holds them in memory twice, encoded and decoded.
 const SNAPSHOT_BYTES: u64 = 12 * 1024 * 1024;
@@ -176,9 +177,10 @@
         }
     }
 
-    /// Minimum time between orders of two different holders about the same subject.
+    /// Minimum time between the end of an order's validity and an order of a different holder about the same subject. An
+    /// order that is delivered late still arrives an order lease before those of the next holder.
     pub fn order_separation(&self) -> Duration {
-        self.order_lease + ORDER_MARGIN
+        self.order_lease + ORDER_DELIVERY_LIMIT + ORDER_MARGIN
     }
 
     /// Replication settings, with enough voters to tolerate `tolerated_losses` failures.
--- a/crates/settings/tests/member.rs
+++ b/crates/settings/tests/member.rs
@@ -1,5 +1,6 @@
 //! Parses the settings of processes with seed-based discovery.
 
+use saddlerelay_control::config::ORDER_DELIVERY_LIMIT;
 use saddlerelay_settings::{Interface, MemberRole, parse_member};
 use std::time::Duration;
 
@@ -63,6 +64,20 @@
     assert!(replication.election_timeout + replication.election_jitter < bounds.follow_lease());
 }
 
+/// Guards against orders of two holders that arrive in the wrong order, or closer than the lease, because the earlier one
+/// was delivered late.
+#[test]
+fn another_holder_waits_until_earlier_orders_have_been_delivered() {
+    for lease_ms in [0, 100, 500, 1_000, 3_000, 600_000] {
+        let text = COORDINATOR.replace("[bounds]", &format!("[bounds]\norder_lease_ms = {lease_ms}"));
+        let bounds = parse_member(&text).expect("settings must be valid").bounds;
+        let control = bounds.control();
+        let last_arrival = control.order_validity + ORDER_DELIVERY_LIMIT;
+        let first_of_next_holder = control.order_validity + control.order_separation;
+        assert!(first_of_next_holder > last_arrival + bounds.order_lease, "order_lease_ms = {lease_ms}");
+    }
+}
+
 #[test]
 fn usage_and_platform_settings_are_parsed() {
     let with = |text: &str| format!("{COORDINATOR}revocation_ms = 1500\n{text}");
--- a/crates/simulator/tests/duties.rs
+++ b/crates/simulator/tests/duties.rs
@@ -41,7 +41,7 @@
 
 /// Duration of the lease for sending orders. `ORDER_SEPARATION` adds a margin, as the settings derive it.
 const ORDER_LEASE: Duration = Duration::from_millis(3_000);
-const ORDER_SEPARATION: Duration = Duration::from_millis(3_400);
+const ORDER_SEPARATION: Duration = Duration::from_millis(4_000);
 
 const USAGE_REPORT_CONFIG: UsageReportConfig =
     UsageReportConfig { window: Duration::from_secs(2), due_after: Duration::from_secs(10) };
--- a/crates/upstream/src/connection.rs
+++ b/crates/upstream/src/connection.rs
@@ -10,7 +10,7 @@
 use hyper::body::Incoming;
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper::{Request, Response};
-use rustix::net::sockopt::set_socket_linger;
+use rustix::net::sockopt::{set_socket_linger, set_tcp_user_timeout};
 use saddlerelay_runtime_compio::clock::boot_time;
 use std::future::poll_fn;
 use std::net::SocketAddr;
@@ -20,6 +20,10 @@
 /// `TCP_USER_TIMEOUT` in milliseconds: closes connections over broken links, on which no reset arrives.
 const TCP_USER_TIMEOUT_MS: u32 = 1_500;
 
+/// Time from a send to its first regular retransmission, from which the kernel counts the user timeout (Linux: a tail
+/// loss probe after at least 200 ms, then a retransmission after as long again).
+const FIRST_RETRANSMISSION_DELAY: Duration = Duration::from_millis(400);
+
 /// A connection that carries one request at a time. Dropping it closes the socket. During a request it is reset, also
 /// if the process is killed, so that the kernel does not go on sending a request that nobody waits for.
 pub struct Connection {
@@ -45,9 +49,7 @@
             Ok(Err(error)) => return Err(Failure::NotSent(error.to_string())),
             Err(_) => return Err(Failure::NotSent("connect timed out".to_string())),
         };
-        let options = stream
-            .set_nodelay(true)
-            .and_then(|()| Ok(rustix::net::sockopt::set_tcp_user_timeout(&stream, TCP_USER_TIMEOUT_MS)?));
+        let options = stream.set_nodelay(true).and_then(|()| Ok(set_tcp_user_timeout(&stream, TCP_USER_TIMEOUT_MS)?));
         options.map_err(|error| Failure::NotSent(error.to_string()))?;
         let socket = stream.clone();
         let handshake = http1::handshake(HyperStream::new_plain(stream)).await;
@@ -76,6 +78,14 @@
         boot_time().saturating_sub(self.idle_since)
     }
 
+    /// Makes the kernel reset the connection if the peer has not acknowledged a request within `limit`, also while this
+    /// process is paused. Time in which the machine is suspended does not count.
+    pub fn limit_delivery(&self, limit: Duration) -> Result<(), Failure> {
+        let user_timeout = limit.saturating_sub(FIRST_RETRANSMISSION_DELAY).max(Duration::from_millis(1));
+        let user_timeout_ms = u32::try_from(user_timeout.as_millis()).unwrap_or(u32::MAX);
+        set_tcp_user_timeout(&self.socket, user_timeout_ms).map_err(|error| Failure::NotSent(error.to_string()))
+    }
+
     /// Ends the request after a complete response: the connection is closed in order from now on.
     pub fn end_request(&self) {
         // A socket that rejects the option has failed, and is closed by the next use.
@@ -100,13 +110,13 @@
     pub async fn send(&mut self, request: Request<Full<Bytes>>) -> Result<Response<Incoming>, Failure> {
         set_socket_linger(&self.socket, Some(Duration::ZERO)).map_err(|error| Failure::NotSent(error.to_string()))?;
         let mut response = pin!(self.sender.try_send_request(request));
-        let mut is_written = false;
+        let mut is_driven = false;
         let response = poll_fn(|context| {
             let polled = response.as_mut().poll(context);
-            if is_written || polled.is_ready() {
+            if is_driven || polled.is_ready() {
                 return polled;
             }
-            is_written = true;
+            is_driven = true;
             self.driver.write_now(context);
             response.as_mut().poll(context)
         });
--- a/crates/upstream/src/driver.rs
+++ b/crates/upstream/src/driver.rs
@@ -43,7 +43,7 @@
         }
     }
 
-    /// Drops the I/O, which closes the socket.
+    /// Drops the I/O. The socket is closed once the event loop has cancelled its pending read.
     pub fn close(&self) {
         let io = self.inner.borrow_mut().io.take();
         drop(io);
--- a/crates/upstream/src/pool.rs
+++ b/crates/upstream/src/pool.rs
@@ -141,7 +141,8 @@
         }
     }
 
-    /// Makes a control call, which is not forwarded for a client, and returns the complete response within `timeout`.
+    /// Makes a control call, which is not forwarded for a client, and returns the complete response within `timeout`. The
+    /// kernel delivers the request within about `timeout` or not at all, also if this process is paused.
     pub async fn call(
         &self,
         target: &EngineTarget,
@@ -151,6 +152,7 @@
     ) -> Result<(Parts, Bytes), Failure> {
         let exchange = async {
             let mut connection = self.connect(target, Reuse::Recent).await?;
+            connection.limit_delivery(timeout)?;
             let message = self.build_request(target, request, timeout)?;
             if !may_send() {
                 return Err(Failure::NotSent("permission to send expired".to_string()));
--- a/crates/upstream/tests/given_up_calls.rs
+++ b/crates/upstream/tests/given_up_calls.rs
@@ -7,10 +7,11 @@
 use compio::net::{TcpListener, TcpStream};
 use http_body_util::{BodyExt, Full};
 use hyper::Request;
+use saddlerelay_upstream::Failure;
 use saddlerelay_upstream::connection::Connection;
 use std::io::ErrorKind;
 use std::net::SocketAddr;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 /// Timeout that only fails a test that hangs.
 const TEST_TIMEOUT: Duration = Duration::from_secs(20);
@@ -101,3 +102,25 @@
         assert_eq!(read_to_end(stream).await, (0, None));
     });
 }
+
+/// Guards against a request that the kernel still delivers after the time in which it may arrive, while the sender is
+/// paused and gives nothing up itself.
+#[test]
+fn the_kernel_gives_up_a_request_that_is_not_acknowledged_in_time() {
+    const DELIVERY_LIMIT: Duration = Duration::from_millis(500);
+    const GIVEN_UP_WITHIN: Duration = Duration::from_secs(1);
+    block_on(async {
+        let (listener, address) = listen().await;
+        let mut connection = Connection::open(address, TEST_TIMEOUT).await.expect("the server listens");
+        connection.limit_delivery(DELIVERY_LIMIT).expect("the connection is open");
+        // Accepts the connection and reads nothing.
+        let _peer = listener.accept().await.expect("the caller connects");
+        let body = Full::new(Bytes::from(vec![b'x'; LARGE_BODY_BYTES]));
+        let request = Request::put("/v1/weights").body(body).expect("the request is valid");
+        let sent_at = Instant::now();
+        let outcome = connection.send(request).await;
+        let elapsed = sent_at.elapsed();
+        assert!(elapsed < GIVEN_UP_WITHIN, "given up after {elapsed:?}");
+        assert!(matches!(outcome, Err(Failure::ConnectionLost(_))), "{:?}", outcome.map(|response| response.status()));
+    });
+}
