--- a/crates/simulator/src/disk.rs
+++ b/crates/simulator/src/disk.rs
@@ -43,6 +43,14 @@
         }
     }
 
+    /// Length of a content of `length` bytes after this write.
+    fn length_after(&self, length: usize) -> usize {
+        match self {
+            Self::Truncate => 0,
+            Self::At { offset, bytes } => length.max(offset + bytes.len()),
+        }
+    }
+
     /// What remains after a power loss: the whole write, nothing, a prefix, or the write with some sectors zeroed.
     fn after_power_loss(self, random: &impl Fn() -> u64) -> Option<Self> {
         match (random() % 4, self) {
@@ -86,9 +94,16 @@
         content
     }
 
+    /// Number of visible bytes.
+    fn length(&self) -> usize {
+        self.unsynced.iter().fold(self.synced.len(), |length, write| write.length_after(length))
+    }
+
     fn sync(&mut self) {
-        self.synced = self.visible();
-        self.unsynced.clear();
+        // Applied in place, as copying a long file on each sync would dominate the time of a run.
+        for write in self.unsynced.drain(..) {
+            write.apply(&mut self.synced);
+        }
     }
 
     fn crash(&mut self, random: &impl Fn() -> u64) {
@@ -149,12 +164,20 @@
         names
     }
 
+    /// The number of a file's content.
+    fn number_of(&self, file: &str) -> Option<u64> {
+        if self.unsynced_names.is_empty() {
+            return self.synced_names.get(file).copied();
+        }
+        self.names().get(file).copied()
+    }
+
     fn content(&self, file: &str) -> Option<&Content> {
-        self.contents.get(self.names().get(file)?)
+        self.contents.get(&self.number_of(file)?)
     }
 
     fn content_mut(&mut self, file: &str) -> Option<&mut Content> {
-        let content = *self.names().get(file)?;
+        let content = self.number_of(file)?;
         self.contents.get_mut(&content)
     }
 
@@ -233,6 +256,11 @@
         folders.get(process)?.content(file).map(Content::visible)
     }
 
+    fn exists(&self, process: &str, file: &str) -> bool {
+        let folders = self.folders.borrow();
+        folders.get(process).is_some_and(|folder| folder.content(file).is_some())
+    }
+
     /// Creates or overwrites a file and syncs it with its directory entry.
     pub fn put(&self, process: &str, file: &str, bytes: Vec<u8>) {
         let mut folders = self.folders.borrow_mut();
@@ -367,7 +395,7 @@
             let full = self.world.disks.full.borrow().contains(&self.process.name);
             let written = if full { bytes.len() / 2 } else { bytes.len() };
             let content = folder.content_mut(file).ok_or(io::ErrorKind::NotFound)?;
-            let offset = content.visible().len();
+            let offset = content.length();
             content.unsynced.push(Write::At { offset, bytes: bytes[..written].to_vec() });
             if full { Err(io::ErrorKind::StorageFull.into()) } else { Ok(()) }
         })
@@ -401,7 +429,7 @@
     }
 
     async fn append(&self, file: &str, bytes: Vec<u8>) -> io::Result<()> {
-        if self.world.disks.content(&self.process.name, file).is_none() {
+        if !self.world.disks.exists(&self.process.name, file) {
             self.step(Duration::ZERO, |folder| folder.create(file)).await;
             self.step(Duration::ZERO, Folder::sync_names).await;
         }
