--- a/crates/replication/src/lib.rs
+++ b/crates/replication/src/lib.rs
@@ -28,6 +28,7 @@
 pub mod message;
 pub mod message_codec;
 mod replica;
+mod replication_lag;
 mod role_report;
 mod segment_fetch;
 pub mod segments;
--- a/crates/replication/src/membership_change.rs
+++ b/crates/replication/src/membership_change.rs
@@ -154,6 +154,8 @@
     pub(crate) async fn manage_membership(self) {
         loop {
             self.inner.platform.sleep(MEMBERSHIP_INTERVAL).await;
+            let now = self.inner.platform.monotonic();
+            self.inner.state.borrow_mut().observe_replication_lag(now);
             if let Some((membership, based_on_index)) = self.next_membership() {
                 self.propose_membership(membership, based_on_index);
             }
--- a/crates/replication/src/state.rs
+++ b/crates/replication/src/state.rs
@@ -5,6 +5,7 @@
 use crate::levels::raised_to;
 use crate::log::{EntryPayload, MemoryLog};
 use crate::membership::{Member, Membership};
+use crate::replication_lag::ReplicationLag;
 use crate::segments::Segment;
 use crate::snapshot::{Snapshot, SnapshotHeader};
 use crate::storage::Identity;
@@ -65,6 +66,8 @@
     pub acknowledged_heartbeat_sent_at: Option<Duration>,
     /// When a heartbeat last had no reply within `PROMPT_REPLY_LIMIT`.
     pub last_late_heartbeat: Option<Duration>,
+    /// How far its log is behind the commit index.
+    pub lag: ReplicationLag,
 }
 
 impl Progress {
@@ -241,6 +244,17 @@
             && !self.storage_failed
     }
 
+    /// Measures the replication lag of all peers, if this replica leads.
+    pub fn observe_replication_lag(&mut self, now: Duration) {
+        let commit = self.commit;
+        let Some(leadership) = self.leadership_mut() else {
+            return;
+        };
+        for progress in leadership.progress.values_mut() {
+            progress.lag.observe(progress.match_index, commit, now);
+        }
+    }
+
     /// Advances the commit index to the last entry of this term that a quorum has synced.
     pub fn advance_commit(&mut self) {
         let Some(leadership) = self.leadership() else {
