--- a/crates/duties/tests/expired_permission.rs
+++ b/crates/duties/tests/expired_permission.rs
@@ -48,7 +48,7 @@
         compio::runtime::spawn(delayed).detach();
         let call = PlatformCall {
             method: Method::POST,
-            path: "/usage".to_string(),
+            path: "/report".to_string(),
             headers: HeaderMap::new(),
             body: Bytes::from_static(b"report"),
         };
