Take back orders of serve mode that are given up

Cause: orders went over cyper's pooled client. Its connection is closed in order when a call is dropped, so the kernel goes on sending the order; and the first write happens in the turn of another task, which may come after the sender's timeout if something else holds the thread.

Change: an order has a connection of its own, as control calls of the other client have.

--- a/crates/engine-client/src/lib.rs
+++ b/crates/engine-client/src/lib.rs
@@ -1,8 +1,10 @@
 //! HTTP client for engines, the scorer and the platform.
 //!
 //! Each generation uses its own hyper connection: a failed connect means that nothing was sent, and dropping the stream
-//! closes the connection, which cancels the generation. All other calls use cyper's connection pool.
+//! closes the connection, which cancels the generation. Orders have connections of their own too, which are reset if
+//! the order is given up. All other calls use cyper's connection pool.
 
+mod orders;
 pub mod wire;
 
 use cyper::Client;
@@ -67,11 +69,11 @@
     }
 }
 
-fn unknown(error: impl std::fmt::Display) -> BackendError {
+pub(crate) fn unknown(error: impl std::fmt::Display) -> BackendError {
     BackendError::Unknown(error.to_string())
 }
 
-fn decode<T: DeserializeOwned>(status: StatusCode, body: &[u8]) -> Result<T, BackendError> {
+pub(crate) fn decode<T: DeserializeOwned>(status: StatusCode, body: &[u8]) -> Result<T, BackendError> {
     if !status.is_success() {
         return Err(BackendError::Refused(format!("{status}: {}", String::from_utf8_lossy(body))));
     }
@@ -96,7 +98,7 @@
     }
 
     async fn order(&self, engine: &EngineDescription, order: EngineOrder) -> Result<(), BackendError> {
-        self.post::<serde_json::Value>(engine.address, wire::ORDER_PATH, &order).await.map(drop)
+        orders::send(engine.address, &order).await
     }
 
     async fn score(&self, prompt: &str, generation: &Generation) -> Result<i64, BackendError> {
