Add the scheduling crate, its settings and the specification of the work

The crate holds decisions under load as pure functions: the parsed load header and the expected duration of a text at an engine come first. Section [scheduling] of a member's settings switches each decision; the default is decided by the deployment's configuration or by what its engines report. Nothing uses the switches yet.

--- a/crates/command-line/src/member.rs
+++ b/crates/command-line/src/member.rs
@@ -173,7 +173,7 @@
         zone: settings.zone.clone(),
         seeds: seeds.clone(),
         names: formats.header_names(),
-        config: GatewayConfig::default(),
+        config: GatewayConfig { admission: settings.scheduling.admission, ..GatewayConfig::default() },
         usage_window: settings.usage.map(|usage| usage.window),
     };
     let client_listener = listen(addresses.client_address).await?;
@@ -241,7 +241,11 @@
         CoordinatorIdentity { name: settings.name.clone(), zone: settings.zone.clone() },
         formats.header_names(),
         outbound.engines,
-        CoordinatorConfig::default(),
+        CoordinatorConfig {
+            batch_order: settings.scheduling.batch_order,
+            placement: settings.scheduling.placement,
+            ..CoordinatorConfig::default()
+        },
     );
     let duties = crate::duties::start(&runtime, &node, &settings, outbound.platform);
     let shutdown = Shutdown::default();
--- a/crates/coordinator/src/config.rs
+++ b/crates/coordinator/src/config.rs
@@ -1,6 +1,7 @@
 //! Timeouts and limits of a coordinator.
 
 use saddlerelay_control::config::ORDER_DELIVERY_LIMIT;
+use saddlerelay_scheduling::Activation;
 use std::time::Duration;
 
 /// Timeouts and limits.
@@ -34,6 +35,10 @@
     pub engines_per_load: u32,
     /// Lower bound of the number of engines of a service that may load weights at the same time.
     pub min_concurrent_loads: u32,
+    /// Whether the waiting items of all jobs are ordered by urgency instead of by job.
+    pub batch_order: Activation,
+    /// Whether items are placed by their expected completion at each engine.
+    pub placement: Activation,
 }
 
 impl Default for CoordinatorConfig {
@@ -53,6 +58,8 @@
             load_timeout: Duration::from_secs(6),
             engines_per_load: 5,
             min_concurrent_loads: 2,
+            batch_order: Activation::Automatic,
+            placement: Activation::Automatic,
         }
     }
 }
--- a/crates/gateway/src/config.rs
+++ b/crates/gateway/src/config.rs
@@ -1,6 +1,7 @@
 //! Gateway limits and timeouts.
 
 use saddlerelay_control_client::suspicions::DEFAULT_LAST_TRIAL_PAUSE;
+use saddlerelay_scheduling::Activation;
 use std::time::Duration;
 
 /// Limits and timeouts; the settings derive the times from the deployment's timing bounds.
@@ -22,6 +23,8 @@
     pub follow_timeout: Duration,
     /// Delay before the last trial of suspected work; the work is quarantined if that trial crashes an engine too.
     pub last_trial_pause: Duration,
+    /// Whether requests are admitted and balanced by the load that engines report.
+    pub admission: Activation,
 }
 
 impl Default for GatewayConfig {
@@ -35,6 +38,7 @@
             default_body_bytes: 8 * 1024 * 1024,
             follow_timeout: Duration::from_millis(650),
             last_trial_pause: DEFAULT_LAST_TRIAL_PAUSE,
+            admission: Activation::Automatic,
         }
     }
 }
--- /dev/null
+++ b/crates/scheduling/src/lib.rs
@@ -0,0 +1,12 @@
+//! Decisions under load: which work goes first, which engine it goes to, and which requests are admitted.
+//!
+//! Each decision is a pure function over a snapshot of engines and work. Modules need neither network nor clock: the
+//! caller passes the time.
+
+pub mod activation;
+pub mod completion;
+pub mod load_report;
+
+pub use activation::Activation;
+pub use completion::{CapacityEstimate, EngineSnapshot, Work, expected_duration};
+pub use load_report::LoadReport;
--- a/crates/settings/src/member.rs
+++ b/crates/settings/src/member.rs
@@ -4,6 +4,7 @@
 use crate::reader::{Section, SettingError};
 use saddlerelay_control::config::{ControlConfig, ORDER_DELIVERY_LIMIT};
 use saddlerelay_replication::config::ReplicationConfig;
+use saddlerelay_scheduling::Activation;
 use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::time::Duration;
@@ -62,12 +63,25 @@
     pub usage: Option<UsageSettings>,
     /// The platform that receives usage reports and engine counts; `None` if there is none.
     pub platform: Option<PlatformSettings>,
+    /// Decisions under load that only some deployments need.
+    pub scheduling: SchedulingSettings,
     /// Wire formats for callers, engines and operators.
     pub interface: Interface,
     /// Role of the process.
     pub role: MemberRole,
 }
 
+/// Which decisions under load are active.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct SchedulingSettings {
+    /// Orders the waiting items of all batch jobs by urgency instead of by job.
+    pub batch_order: Activation,
+    /// Places items by their expected completion at each engine.
+    pub placement: Activation,
+    /// Admits and balances requests by the load that engines report.
+    pub admission: Activation,
+}
+
 /// Usage accounting by tenant.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct UsageSettings {
@@ -244,6 +258,28 @@
     Some(PlatformSettings { address, reports_usage: is_enabled(USAGE_REPORT), orders_engines: is_enabled(AUTOSCALE) })
 }
 
+fn parse_scheduling(table: Table, errors: &mut Vec<SettingError>) -> SchedulingSettings {
+    let mut section = Section::new("scheduling", table, errors);
+    let scheduling = SchedulingSettings {
+        batch_order: parse_activation(&mut section, "batch_order"),
+        placement: parse_activation(&mut section, "placement"),
+        admission: parse_activation(&mut section, "admission"),
+    };
+    section.reject_unknown_keys();
+    scheduling
+}
+
+fn parse_activation(section: &mut Section, key: &str) -> Activation {
+    let Some(name) = section.optional_text(key) else {
+        return Activation::default();
+    };
+    let activation = Activation::parse(&name);
+    if activation.is_none() {
+        section.reject(key, Some(format!("\"{name}\"")), "is not `automatic`, `on` or `off`");
+    }
+    activation.unwrap_or_default()
+}
+
 fn parse_interface(root: &mut Section) -> Interface {
     match root.optional_text("interface").as_deref() {
         None | Some("own") => Interface::Native,
@@ -265,6 +301,7 @@
     let bounds = root.take_table("bounds");
     let usage = root.take_table("usage");
     let platform = root.take_table("platform");
+    let scheduling = root.take_table("scheduling");
     let role_name = root.text("role", 1);
     let name = root.text("name", 1);
     let zone = root.text("zone", 1);
@@ -287,6 +324,7 @@
     let bounds = Bounds::parse(bounds, &mut errors);
     let usage = parse_usage(usage, &mut errors);
     let platform = parse_platform(platform, &mut errors);
+    let scheduling = parse_scheduling(scheduling, &mut errors);
     if platform.is_some_and(|platform| platform.reports_usage) && usage.is_none() {
         let reason = "is missing, although `platform.duties` names `usage_report`".to_string();
         errors.push(SettingError { key: "usage".to_string(), value: None, reason });
@@ -301,6 +339,7 @@
         bounds,
         usage,
         platform,
+        scheduling,
         interface,
         role,
     };
--- a/crates/settings/tests/member.rs
+++ b/crates/settings/tests/member.rs
@@ -1,6 +1,7 @@
 //! Parses the settings of processes with seed-based discovery.
 
 use saddlerelay_control::config::ORDER_DELIVERY_LIMIT;
+use saddlerelay_scheduling::Activation;
 use saddlerelay_settings::{Interface, MemberRole, parse_member};
 use std::time::Duration;
 
@@ -124,3 +125,16 @@
     let messages = errors("role = \"baker\"\nseeds = []\n");
     assert!(messages.contains(&"`role` = \"baker\": is not `gateway` or `coordinator`".to_string()), "{messages:?}");
 }
+
+/// Guards against a misspelled value that silently leaves a decision at its default.
+#[test]
+fn scheduling_settings_are_parsed() {
+    let default = parse_member(GATEWAY).expect("settings must be valid").scheduling;
+    assert_eq!(default.admission, Activation::Automatic);
+    let text = format!("{GATEWAY}\n[scheduling]\nbatch_order = \"on\"\nplacement = \"off\"\n");
+    let scheduling = parse_member(&text).expect("settings must be valid").scheduling;
+    assert_eq!((scheduling.batch_order, scheduling.placement), (Activation::On, Activation::Off));
+    let text = format!("{GATEWAY}\n[scheduling]\nadmission = \"yes\"\n");
+    let errors = errors(&text);
+    assert!(errors.iter().any(|error| error.contains("scheduling.admission")), "{errors:?}");
+}
