Make three tests of crashing work independent of slow commits

Cause: while builds write to the same disk, a trial lease is not granted within its 150 ms, and the gateway rejects suspected work. The tests counted on every trial being granted at once. A fourth test restarted an engine before the check of the lost connection, so that the crash was not counted (4 crashes for 3).

Change: a rejection (503) is repeated, and the test checks that it has not run the work; crashes are awaited instead of assumed after one request; work that an operator has released must crash three engines and be quarantined again, before it was two crashes after one request. Stand-in engines stay down for 150 ms, longer than the check takes.

--- a/crates/gateway-api/tests/common/crashing.rs
+++ b/crates/gateway-api/tests/common/crashing.rs
@@ -11,7 +11,7 @@
 use std::net::{Ipv4Addr, SocketAddr};
 use std::rc::Rc;
 use std::sync::atomic::{AtomicU8, Ordering};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 /// Text in a request's body that makes the engine crash before it responds.
 pub const CRASH_MARKER: &str = "crashes its engine";
@@ -25,6 +25,10 @@
 /// How long the engine runs a request before it crashes or responds.
 const RUN_TIME: Duration = Duration::from_millis(15);
 
+/// How long a crashed engine stays down at least. Longer than the check of a lost connection takes, which finds that the
+/// process has ended only while it is down.
+const MIN_DOWN_TIME: Duration = Duration::from_millis(150);
+
 /// Base of the start times of engines that keep their name, in Unix milliseconds.
 const FIRST_START_MS: u64 = 1_764_720_000_000;
 
@@ -66,6 +70,7 @@
     tasks: RefCell<Vec<JoinHandle<()>>>,
     crash_signal: Signal,
     is_up: Cell<bool>,
+    crashed_at: Cell<Option<Instant>>,
 }
 
 /// An engine; each start is a new instance at the same address.
@@ -84,6 +89,7 @@
             tasks: RefCell::default(),
             crash_signal: Signal::default(),
             is_up: Cell::new(false),
+            crashed_at: Cell::new(None),
         };
         let engine = Self(Rc::new(state));
         engine.restart();
@@ -107,6 +113,14 @@
         true
     }
 
+    /// Waits until the engine, if it is down, has been down for `MIN_DOWN_TIME`.
+    pub async fn await_down_time(&self) {
+        let crashed_at = self.0.crashed_at.get().filter(|_| !self.is_up());
+        if let Some(crashed_at) = crashed_at {
+            compio::time::sleep(MIN_DOWN_TIME.saturating_sub(crashed_at.elapsed())).await;
+        }
+    }
+
     /// Makes the engine keep its name when it restarts, and identify instances by start time.
     pub fn keep_name(&self) {
         self.0.keeps_name.set(true);
@@ -130,6 +144,7 @@
     /// Simulates a crash of the process.
     pub fn crash(&self) {
         self.0.is_up.set(false);
+        self.0.crashed_at.set(Some(Instant::now()));
         self.0.crash_signal.notify();
     }
 }
--- a/crates/gateway-api/tests/common/mod.rs
+++ b/crates/gateway-api/tests/common/mod.rs
@@ -274,6 +274,7 @@
     /// Restarts the engines that have crashed, and registers their new instances.
     pub async fn restart(&self, engines: &[CrashingEngine], service: &str) {
         for engine in engines {
+            engine.await_down_time().await;
             if engine.restart() {
                 self.register_crashing(engine, service).await;
             }
--- a/crates/gateway-api/tests/crashing_work.rs
+++ b/crates/gateway-api/tests/crashing_work.rs
@@ -102,25 +102,40 @@
     call(client_address, Method::POST, "/plans/7", &headers, body.to_string()).await.status
 }
 
-/// Sends work that crashes its engines until all three have crashed and the group has recorded it. The number of crashes per
-/// attempt varies, because a gateway rejects the work if the group does not respond in time.
-async fn crash_three_engines(fixture: &Fixture, body: &str) {
+/// Sends work that crashes its engines until it has crashed `count` and the group has recorded it. The number of crashes
+/// per attempt varies, because a gateway rejects the work if the group does not respond in time.
+async fn crash_engines(fixture: &Fixture, body: &str, count: usize) {
     let mut attempts = 0;
-    eventually("the work has crashed three engines", async || {
+    eventually("the work has crashed its engines", async || {
         post_plan(fixture.client_addresses()[attempts % 2], &format!("try-{attempts}"), body).await;
         attempts += 1;
-        fixture.crashes() == QUARANTINE_CRASHES
+        fixture.crashes() == count
     })
     .await;
     fixture.await_evidence().await;
 }
 
+/// Sends work until a gateway does not reject it. A gateway rejects suspected work if the group does not grant a trial in
+/// time; it must not have run then.
+async fn post_until_accepted(fixture: &Fixture, client_address: SocketAddr, id: &str, body: &str) -> StatusCode {
+    let mut status = StatusCode::SERVICE_UNAVAILABLE;
+    eventually("a gateway accepts the work", async || {
+        let earlier_crashes = fixture.crashes();
+        status = post_plan(client_address, id, body).await;
+        let is_rejected = status == StatusCode::SERVICE_UNAVAILABLE;
+        assert!(!is_rejected || fixture.crashes() == earlier_crashes, "rejected work has run: {id}");
+        !is_rejected
+    })
+    .await;
+    status
+}
+
 /// Sends the same work to alternating gateways, and restarts the engines after each round.
 async fn send_in_rounds(fixture: &Fixture, body: &str) -> Vec<StatusCode> {
     let mut statuses = Vec::new();
     for round in 0..ROUNDS {
         let client_address = fixture.client_addresses()[round % 2];
-        statuses.push(post_plan(client_address, &format!("try-{round}"), body).await);
+        statuses.push(post_until_accepted(fixture, client_address, &format!("try-{round}"), body).await);
         fixture.await_evidence().await;
         fixture.restart().await;
     }
@@ -182,8 +197,7 @@
         let route = route("/plans/", RouteKind::Idempotent, "web");
         let fixture = Fixture::start_with_pause("crash-pause", route, pause).await;
         let body = format!("a plan that {CRASH_MARKER}");
-        assert_eq!(post_plan(fixture.client_addresses()[0], "try-0", &body).await, StatusCode::BAD_GATEWAY);
-        assert_eq!(fixture.crashes(), 2);
+        crash_engines(&fixture, &body, 2).await;
         for (index, client_address) in fixture.client_addresses().into_iter().enumerate() {
             let headers = [("saddlerelay-request", "again"), ("host", HOST)];
             let rejected = call(client_address, Method::POST, "/plans/7", &headers, body.clone()).await;
@@ -265,7 +279,7 @@
     block_on(async {
         let fixture = Fixture::start("crash-later", route("/plans/", RouteKind::Idempotent, "web")).await;
         let body = format!("a plan that {CRASH_MARKER}");
-        crash_three_engines(&fixture, &body).await;
+        crash_engines(&fixture, &body, QUARANTINE_CRASHES).await;
         assert_eq!(fixture.crashes(), QUARANTINE_CRASHES);
         fixture.restart().await;
         let later = fixture.deployment.start_north_gateway("later").await;
@@ -280,7 +294,7 @@
     block_on(async {
         let fixture = Fixture::start("crash-release", route("/plans/", RouteKind::Idempotent, "web")).await;
         let body = format!("a plan that {CRASH_MARKER}");
-        crash_three_engines(&fixture, &body).await;
+        crash_engines(&fixture, &body, QUARANTINE_CRASHES).await;
         fixture.restart().await;
         let control = fixture.deployment.control;
         let listed = call(control, Method::GET, "/admin/v1/suspicions", &[], "").await;
@@ -291,8 +305,10 @@
         assert_eq!(call(control, Method::DELETE, &path, &[], "").await.status, StatusCode::NOT_FOUND);
         eventually("the gateway has the release", async || fixture.deployment.gateway.suspected_work_count() == 0)
             .await;
-        post_plan(fixture.deployment.client_address, "try-released", &body).await;
-        assert_eq!(fixture.crashes(), QUARANTINE_CRASHES + 2);
+        crash_engines(&fixture, &body, 2 * QUARANTINE_CRASHES).await;
+        fixture.restart().await;
+        post_plan(fixture.deployment.client_address, "try-again", &body).await;
+        assert_eq!(fixture.crashes(), 2 * QUARANTINE_CRASHES, "the work is quarantined again");
     });
 }
 
