--- a/crates/replication/src/membership_change.rs
+++ b/crates/replication/src/membership_change.rs
@@ -12,7 +12,7 @@
 use saddlerelay_runtime::Runtime;
 use saddlerelay_types::feature_level::FeatureLevel;
 use saddlerelay_types::identity::ReplicaId;
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -46,6 +46,12 @@
         *self.inner.excluded_replicas.borrow_mut() = excluded;
     }
 
+    /// Sets the zones of replicas by address, which membership changes take into account while this replica leads. An
+    /// address without an entry counts as a zone of its own.
+    pub fn set_zones(&self, zones: BTreeMap<SocketAddr, String>) {
+        *self.inner.zones.borrow_mut() = zones;
+    }
+
     /// Whether `replica` is not a member, and the target number of healthy voters has synced all committed entries.
     pub fn is_replicated_without(&self, replica: ReplicaId) -> bool {
         let state = self.inner.state.borrow();
--- a/crates/replication/src/replica.rs
+++ b/crates/replication/src/replica.rs
@@ -84,6 +84,8 @@
     pub clients: RefCell<BTreeMap<(Channel, SocketAddr), Client<P>>>,
     /// Replicas that must be removed from the group or kept out of it.
     pub excluded_replicas: RefCell<BTreeSet<ReplicaId>>,
+    /// Zones of replicas by address. An address without an entry is a zone of its own.
+    pub zones: RefCell<BTreeMap<SocketAddr, String>>,
     /// Segments stored on this replica's disk.
     pub segments: RefCell<StoredSegments>,
     /// Whether a task is fetching missing segments.
@@ -191,6 +193,7 @@
             state_changed: Signal::default(),
             clients: RefCell::default(),
             excluded_replicas: RefCell::default(),
+            zones: RefCell::default(),
             segments: RefCell::new(segments),
             fetching: Cell::default(),
             incoming_snapshot: RefCell::default(),
