Spread voters over zones, and judge lag and silence by links of other zones

The leader chose the members to remove, promote and admit without regard to zones, and removed voters that lagged only over its own links. The replica now receives the zones of machines from the control state. A change of voters avoids that the loss of one zone takes a quorum, a group that is not spread is corrected by a learner of another zone, and a voter is not replaced for lag while the leader's own links are bad.

--- a/crates/control/src/state/stores.rs
+++ b/crates/control/src/state/stores.rs
@@ -62,6 +62,12 @@
         present.map(|store| store.record.address)
     }
 
+    /// Zones of machines whose retirement is not completed, by replica address.
+    pub fn zones(&self) -> BTreeMap<SocketAddr, String> {
+        let present = self.stores.values().filter(|store| store.retirement != Retirement::Completed);
+        present.map(|store| (store.record.address, store.record.zone.clone())).collect()
+    }
+
     /// Starts a retirement; `false` for an unknown machine.
     pub fn retire(&mut self, name: &str) -> bool {
         let Some(store) = self.stores.get_mut(name) else {
--- a/crates/control/src/tasks/retirement.rs
+++ b/crates/control/src/tasks/retirement.rs
@@ -1,6 +1,6 @@
 //! Drains store machines that are being retired: removes their replicas from the group, and completes the retirement
-//! once the group is fully replicated without them. Also passes the addresses of all machines that are not retired to
-//! the replica, which announces the group's members to them.
+//! once the group is fully replicated without them. Also passes the zones and addresses of all machines that are not
+//! retired to the replica, which spreads the voters over the zones and announces the group's members to the addresses.
 
 use crate::node::ControlNode;
 use crate::state::stores::Retirement;
@@ -15,6 +15,9 @@
 pub async fn watch<P: Runtime, B: Backends>(node: ControlNode<P, B>) {
     loop {
         node.inner.platform.sleep(CHECK_INTERVAL).await;
+        // Every replica knows the zones before it leads, as a new leader may change the membership at once.
+        let replica = &node.inner.replica;
+        replica.set_zones(node.read_applied(|state| state.stores.zones()));
         let stores = node.read(|state| {
             let unwanted = state.stores.unwanted_replicas().collect();
             let running: Vec<_> = state.stores.in_stage(Retirement::Running).cloned().collect();
@@ -23,7 +26,6 @@
         let Some((unwanted, running, present)) = stores else {
             continue;
         };
-        let replica = &node.inner.replica;
         replica.set_excluded_replicas(unwanted);
         replica.set_announcement_targets(present);
         for record in running {
--- a/crates/replication/src/lib.rs
+++ b/crates/replication/src/lib.rs
@@ -22,6 +22,7 @@
 pub mod log;
 pub mod log_file;
 mod maintenance;
+mod member_choice;
 mod member_health;
 pub mod membership;
 mod membership_change;
@@ -35,6 +36,7 @@
 pub mod snapshot;
 mod state;
 pub mod storage;
+pub mod voter_spread;
 pub mod wal;
 
 pub use levels::{raise_command, raised_to};
--- a/crates/replication/src/member_health.rs
+++ b/crates/replication/src/member_health.rs
@@ -1,7 +1,8 @@
-//! A leader's assessment of the members: which have failed, which have caught up, and which to add or remove next.
+//! A leader's assessment of the members: which have failed, which are behind, and which have caught up.
 
 use crate::membership::{Member, Membership};
 use crate::state::{Leadership, Progress};
+use crate::voter_spread::{ZoneKey, Zones};
 use saddlerelay_types::identity::ReplicaId;
 use std::collections::BTreeSet;
 use std::net::SocketAddr;
@@ -27,11 +28,17 @@
     pub leadership: &'a Leadership,
     pub own: ReplicaId,
     pub commit: u64,
+    /// Index of the last entry synced on this leader's own disk.
+    pub synced: u64,
     pub now: Duration,
     /// Silence after which a voter is replaced.
     pub replace_after: Duration,
     /// Replicas that must be removed from the group or kept out of it.
     pub excluded: &'a BTreeSet<ReplicaId>,
+    /// Configured number of voters.
+    pub target_voters: usize,
+    /// Zones of replicas by address.
+    pub zones: &'a Zones,
 }
 
 impl MemberHealth<'_> {
@@ -61,34 +68,113 @@
         }
     }
 
-    fn is_late(&self, member: &Member) -> bool {
+    pub fn is_late(&self, member: &Member) -> bool {
         self.progress(member).is_late_since(self.now.saturating_sub(self.replace_after))
     }
 
-    /// Whether this leader's own links appear to lose packets: at least two reachable voters reply late, and they are
-    /// at least half of the other voters. An unreachable voter may then be healthy.
+    /// Whether this leader's own links have appeared to lose packets since `since`: at least two reachable voters replied
+    /// late, and they are at least half of the other voters. An unreachable voter may then be healthy. Late voters that
+    /// are all of one other zone indicate a problem of that zone's links, if voters of a third zone reply promptly.
+    fn has_bad_links_since(&self, since: Duration) -> bool {
+        let others: Vec<&Member> = self.other_voters().collect();
+        let is_late = |voter: &Member| self.progress(voter).is_late_since(since);
+        let late: Vec<&Member> =
+            others.iter().copied().filter(|voter| self.is_reachable(voter) && is_late(voter)).collect();
+        if late.len() < MIN_LATE_VOTERS || 2 * late.len() < others.len() {
+            return false;
+        }
+        let late_zones: BTreeSet<ZoneKey> = late.iter().map(|voter| self.zone(voter)).collect();
+        let is_prompt_elsewhere = |voter: &&Member| {
+            !is_late(voter)
+                && self.is_reachable(voter)
+                && self.is_in_other_zone(voter)
+                && !late_zones.contains(&self.zone(voter))
+        };
+        let late_zones_elsewhere = late_zones.iter().filter(|zone| Some(**zone) != self.own_zone()).count();
+        late_zones_elsewhere > 1 || !others.iter().copied().any(|voter| is_prompt_elsewhere(&voter))
+    }
+
+    /// Whether this leader's own links appear to lose packets now.
     fn has_bad_links(&self) -> bool {
-        let is_reachable = |voter: &Member| self.time_since(self.progress(voter).last_contact()) <= self.replace_after;
-        let others: Vec<&Member> = self.membership.voters().filter(|voter| voter.id != self.own).collect();
-        let late = others.iter().filter(|voter| is_reachable(voter) && self.is_late(voter)).count();
-        late >= MIN_LATE_VOTERS && 2 * late >= others.len()
+        self.has_bad_links_since(self.now.saturating_sub(self.replace_after))
+    }
+
+    fn other_voters(&self) -> impl Iterator<Item = &Member> {
+        self.membership.voters().filter(|voter| voter.id != self.own)
+    }
+
+    fn is_reachable(&self, member: &Member) -> bool {
+        self.time_since(self.progress(member).last_contact()) <= self.replace_after
+    }
+
+    fn zone(&self, member: &Member) -> ZoneKey<'_> {
+        ZoneKey::of(member.address, self.zones)
+    }
+
+    /// The zone of this leader, if it is a member.
+    fn own_zone(&self) -> Option<ZoneKey<'_>> {
+        self.membership.member(self.own).map(|own| self.zone(own))
+    }
+
+    fn is_in_other_zone(&self, member: &Member) -> bool {
+        self.own_zone() != Some(self.zone(member))
+    }
+
+    /// Whether the silence of a member can be explained by this leader's links to all other zones: no voter of another
+    /// zone replies promptly. Without known zones only `has_bad_links` tells.
+    fn rests_on_own_links(&self, member: &Member) -> bool {
+        let is_own_zone_known = matches!(self.own_zone(), Some(ZoneKey::Named(_)));
+        let is_prompt = |voter: &Member| self.is_reachable(voter) && !self.is_late(voter);
+        let mut elsewhere = self.other_voters().filter(|voter| self.is_in_other_zone(voter));
+        is_own_zone_known && self.is_in_other_zone(member) && !elsewhere.any(is_prompt)
+    }
+
+    /// Whether the links of the zone at `address` lose packets: its members have replied late, and this leader's links to
+    /// other zones are good.
+    pub fn is_zone_lossy(&self, address: SocketAddr) -> bool {
+        let zone = ZoneKey::of(address, self.zones);
+        let since = self.now.saturating_sub(self.lag_limit());
+        if matches!(zone, ZoneKey::Unknown(_)) || Some(zone) == self.own_zone() || self.has_bad_links_since(since) {
+            return false;
+        }
+        let members: Vec<&Member> = self.membership.members.iter().filter(|member| self.zone(member) == zone).collect();
+        !members.is_empty() && members.iter().all(|member| self.progress(member).is_late_since(since))
     }
 
     fn is_silent(&self, member: &Member) -> bool {
-        let limit = if self.has_bad_links() { self.long_silence_limit() } else { self.replace_after };
+        let is_own_fault = self.has_bad_links() || self.rests_on_own_links(member);
+        let limit = if is_own_fault { self.long_silence_limit() } else { self.replace_after };
         self.silence(member) > limit
     }
 
+    /// Whether a learner has been silent for so long that it is removed.
+    pub fn is_silent_learner(&self, learner: &Member) -> bool {
+        self.silence(learner) > self.long_silence_limit()
+    }
+
+    /// Whether a member's log has been behind for too long, by this leader's links alone.
+    pub fn lags(&self, member: &Member) -> bool {
+        self.lag(member) > self.lag_limit()
+    }
+
+    fn lag_limit(&self) -> Duration {
+        self.replace_after * LAG_FACTOR
+    }
+
     fn lag(&self, member: &Member) -> Duration {
         if member.id == self.own { Duration::ZERO } else { self.progress(member).lag.at(self.now) }
     }
 
-    /// Whether a member's log has been behind for too long. Judged only while a quorum keeps up and replies promptly:
-    /// otherwise this leader's own links may be the cause.
-    fn is_behind(&self, member: &Member) -> bool {
-        let limit = self.replace_after * LAG_FACTOR;
-        let keeps_up = |voter: &&Member| self.lag(voter) <= limit && !self.is_late(voter);
-        self.lag(member) > limit && self.membership.voters().filter(keeps_up).count() >= self.membership.quorum()
+    /// Whether a member's log has been behind for too long. Judged only while a quorum keeps up and replies promptly, at
+    /// least one of its voters is in another zone than this leader, and this leader's links were not bad in the meantime:
+    /// otherwise these links may be the cause.
+    pub fn is_behind(&self, member: &Member) -> bool {
+        let keeps_up = |voter: &&Member| !self.lags(voter) && !self.is_late(voter);
+        let keeping_up: Vec<&Member> = self.membership.voters().filter(keeps_up).collect();
+        self.lags(member)
+            && keeping_up.len() >= self.membership.quorum()
+            && (!self.is_in_other_zone(member) || keeping_up.iter().any(|voter| self.is_in_other_zone(voter)))
+            && !self.has_bad_links_since(self.now.saturating_sub(self.lag_limit()))
     }
 
     /// Silence after which a learner is removed, and a voter whose link to the leader is unreliable.
@@ -114,7 +200,7 @@
     }
 
     /// A later member with the same address, which means that this member's disk has been replaced.
-    fn replacement(&self, member: &Member) -> Option<&Member> {
+    pub fn replacement(&self, member: &Member) -> Option<&Member> {
         let mut later = self.membership.members.iter().skip_while(|other| other.id != member.id).skip(1);
         later.find(|other| other.address == member.address)
     }
@@ -123,7 +209,7 @@
         self.excluded.contains(&member.id) || self.replacement(member).is_some() || self.is_silent(member)
     }
 
-    fn is_caught_up(&self, member: &Member) -> bool {
+    pub fn is_caught_up(&self, member: &Member) -> bool {
         let progress = self.progress(member);
         let behind = self.commit.saturating_sub(progress.match_index);
         progress.match_index > 0 && behind <= CAUGHT_UP_ENTRIES && !self.is_silent(member)
@@ -133,62 +219,9 @@
         self.membership.voters().filter(|voter| !self.has_failed(voter)).count()
     }
 
-    pub fn learner_to_promote(&self) -> Option<&Member> {
-        let learners = self.membership.members.iter().filter(|member| !member.voter);
-        let is_healthy = |learner: &&Member| self.is_caught_up(learner) && !self.has_failed(learner);
-        // A learner that replaces a voter's lost disk takes precedence, then one that keeps up.
-        let replaces = |learner: &Member| {
-            let same_address = |voter: &Member| voter.address == learner.address;
-            self.membership.voters().any(same_address)
-        };
-        learners.filter(is_healthy).max_by_key(|learner| (replaces(learner), self.keeps_up(learner)))
-    }
-
-    /// A failed voter, or one whose log is behind, once a learner can take its place. The voter is removed before the
-    /// learner is promoted, as an additional voter would raise the quorum: if the learner's machine then failed
-    /// together with another one, three of six voters would remain, which is no quorum.
-    pub fn voter_to_remove(&self, target_voters: usize) -> Option<&Member> {
-        let count = self.membership.voters().count();
-        let replaceable = count > target_voters || count == target_voters && self.learner_to_promote().is_some();
-        let replaced = |voter: &&Member| self.replacement(voter).is_some_and(|replacement| replacement.voter);
-        let removable = |voter: &&Member| replaced(voter) || replaceable && self.has_failed(voter);
-        let others = || self.membership.voters().filter(|voter| voter.id != self.own);
-        others().find(removable).or_else(|| others().find(|voter| count >= target_voters && self.is_outpaced(voter)))
-    }
-
     /// Whether a learner replies promptly and its log lags by no more than the silence that a voter is permitted. At
     /// low commit rates, few missing entries do not show this.
-    fn keeps_up(&self, learner: &Member) -> bool {
+    pub fn keeps_up(&self, learner: &Member) -> bool {
         !self.is_late(learner) && self.lag(learner) <= self.replace_after
     }
-
-    /// Whether a member's log is behind and a learner that keeps up has caught up.
-    fn is_outpaced(&self, member: &Member) -> bool {
-        let learner = self.learner_to_promote().filter(|learner| learner.id != member.id);
-        learner.is_some_and(|learner| self.keeps_up(learner)) && self.is_behind(member)
-    }
-
-    pub fn learner_to_remove(&self) -> Option<&Member> {
-        let learners = self.membership.members.iter().filter(|member| !member.voter);
-        let is_removable = |learner: &&Member| {
-            self.excluded.contains(&learner.id)
-                || self.replacement(learner).is_some()
-                || self.silence(learner) > self.long_silence_limit()
-                || self.is_outpaced(learner)
-        };
-        learners.into_iter().find(is_removable)
-    }
-
-    /// Whether to add a learner at `address`. One that is behind does not count as spare, but only one is added in its
-    /// place, as all of them may be slow to load the state.
-    pub fn needs_learner(&self, address: SocketAddr, target_voters: usize, spare_learners: usize) -> bool {
-        if self.membership.members.iter().any(|member| member.address == address) {
-            return true;
-        }
-        let is_learner = |member: &&Member| !member.voter && !self.has_failed(member);
-        let learners: Vec<&Member> = self.membership.members.iter().filter(is_learner).collect();
-        let keeping_up = learners.iter().filter(|learner| !self.is_behind(learner)).count();
-        let needed = target_voters.saturating_sub(self.healthy_voters()) + spare_learners;
-        keeping_up < needed && learners.len() <= needed
-    }
 }
--- a/crates/replication/src/membership_change.rs
+++ b/crates/replication/src/membership_change.rs
@@ -8,11 +8,12 @@
 use crate::message::{ReplicaReply, ReplicaRequest};
 use crate::replica::{Proposal, Replica};
 use crate::state::{State, StateMachine};
+use crate::voter_spread::Zones;
 use futures::future::join_all;
 use saddlerelay_runtime::Runtime;
 use saddlerelay_types::feature_level::FeatureLevel;
 use saddlerelay_types::identity::ReplicaId;
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -32,6 +33,10 @@
 /// How long a rejected join request counts; longer than the longest retry interval.
 const REJECTED_JOIN_VALIDITY: Duration = Duration::from_secs(20);
 
+/// How long a rejected replica counts as a candidate that may join in place of another one. Covers the retry interval of
+/// 100 rejected replicas with its random addition; in larger fleets the first replica that asks may be admitted.
+const CANDIDATE_VALIDITY: Duration = Duration::from_secs(2);
+
 /// Timeout of one join request.
 const JOIN_TIMEOUT: Duration = Duration::from_millis(400);
 
@@ -48,7 +53,7 @@
 
     /// Sets the zones of replicas by address, which membership changes take into account while this replica leads. An
     /// address without an entry counts as a zone of its own.
-    pub fn set_zones(&self, zones: BTreeMap<SocketAddr, String>) {
+    pub fn set_zones(&self, zones: Zones) {
         *self.inner.zones.borrow_mut() = zones;
     }
 
@@ -80,14 +85,18 @@
 
     fn assess_members<T>(&self, state: &State<S>, assess: impl FnOnce(&MemberHealth) -> T) -> Option<T> {
         let excluded = self.inner.excluded_replicas.borrow();
+        let zones = self.inner.zones.borrow();
         let health = MemberHealth {
             membership: state.membership(),
             leadership: state.leadership()?,
             own: state.identity.id,
             commit: state.commit,
+            synced: state.synced,
             now: self.inner.platform.monotonic(),
             replace_after: self.inner.options.config.replace_after,
             excluded: &excluded,
+            target_voters: self.inner.options.config.target_voters,
+            zones: &zones,
         };
         Some(assess(&health))
     }
@@ -111,9 +120,9 @@
             {
                 return ReplicaReply::Rejected;
             }
-            let needed = self.assess_members(&state, |health| {
-                health.needs_learner(address, config.target_voters, config.spare_learners)
-            });
+            let candidates = self.recent_candidates(address);
+            let needed =
+                self.assess_members(&state, |health| health.needs_learner(address, config.spare_learners, &candidates));
             if needed != Some(true) {
                 let members = self.known_addresses(&state);
                 return ReplicaReply::NotNeeded { retry_after_ms: self.reject_join(address), members };
@@ -124,6 +133,14 @@
         ReplicaReply::Accepted
     }
 
+    /// Addresses other than `address` whose join requests were rejected recently.
+    fn recent_candidates(&self, address: SocketAddr) -> Vec<SocketAddr> {
+        let now = self.inner.platform.monotonic();
+        let rejected = self.inner.rejected_joins.borrow();
+        let recent = rejected.iter().filter(|(_, rejected_at)| now < **rejected_at + CANDIDATE_VALIDITY);
+        recent.map(|(candidate, _)| *candidate).filter(|candidate| *candidate != address).collect()
+    }
+
     /// Records a rejected join request and returns the retry interval in milliseconds.
     fn reject_join(&self, address: SocketAddr) -> u64 {
         let now = self.inner.platform.monotonic();
@@ -175,8 +192,9 @@
             return None;
         }
         let target_voters = self.inner.options.config.target_voters;
+        let spare_learners = self.inner.options.config.spare_learners;
         let next = self.assess_members(&state, |health| {
-            if let Some(voter) = health.voter_to_remove(target_voters) {
+            if let Some(voter) = health.voter_to_remove() {
                 health.log_removal(voter);
                 return Some(health.membership.without(voter.id));
             }
@@ -185,7 +203,7 @@
             {
                 return Some(health.membership.with_voter(learner.id));
             }
-            health.learner_to_remove().map(|learner| health.membership.without(learner.id))
+            health.learner_to_remove(spare_learners).map(|learner| health.membership.without(learner.id))
         });
         Some((next??, state.log.membership_index()))
     }
--- a/crates/replication/src/replica.rs
+++ b/crates/replication/src/replica.rs
@@ -15,6 +15,7 @@
 use crate::snapshot::Snapshot;
 use crate::state::{Role, State, StateMachine};
 use crate::storage::{Identity, Recovered, Storage, StorageError};
+use crate::voter_spread::Zones;
 use futures::channel::{mpsc, oneshot};
 use futures::lock::Mutex;
 use saddlerelay_rpc::client::Client;
@@ -85,7 +86,7 @@
     /// Replicas that must be removed from the group or kept out of it.
     pub excluded_replicas: RefCell<BTreeSet<ReplicaId>>,
     /// Zones of replicas by address. An address without an entry is a zone of its own.
-    pub zones: RefCell<BTreeMap<SocketAddr, String>>,
+    pub zones: RefCell<Zones>,
     /// Segments stored on this replica's disk.
     pub segments: RefCell<StoredSegments>,
     /// Whether a task is fetching missing segments.
