Report how many zones and disks may be lost, and prefer successors that reply promptly

Nothing showed that a group could no longer bear the loss of a zone or of two disks. The leader logs 'tolerance changed' and exports tolerated_zone_losses and tolerated_disk_losses. A planned transfer could go to a voter behind bad links, and an offer was declined while only voters of the leader's own zone replied promptly; both now regard links. Candidates are rated only for a join that would be accepted, once for each zone. New tests: a leader lost between removal and promotion, a machine with a wrong zone, zones of retired machines.

--- a/crates/api/src/queries/control.rs
+++ b/crates/api/src/queries/control.rs
@@ -135,10 +135,15 @@
     let replica = api.node.replica();
     let view = replica.view();
     let committed = view.as_ref().map_or(0, |view| view.committed);
+    let tolerance = replica.loss_tolerance();
+    let zones = tolerance.map_or(-1, |tolerance| tolerance.zones as i64);
+    let disks = tolerance.map_or(-1, |tolerance| tolerance.disks as i64);
     let text = MetricSet::new()
         .gauge("ready", "1 while the replica takes part in its group", i64::from(replica.is_ready()))
         .gauge("leader", "1 while the replica leads and holds the lease", i64::from(replica.leading_term().is_some()))
         .gauge("committed", "Last committed log index, on the leader", committed as i64)
+        .gauge("tolerated_zone_losses", "Zones that may be lost now, on the leader; -1 elsewhere", zones)
+        .gauge("tolerated_disk_losses", "Voters' disks that may be lost now, on the leader; -1 elsewhere", disks)
         .traffic(api.runtime.traffic())
         .encode();
     full_reply(StatusCode::OK, CONTENT_TYPE, text)
--- a/crates/control/tests/gateway.rs
+++ b/crates/control/tests/gateway.rs
@@ -413,3 +413,25 @@
     assert_eq!(commit(&mut state, GatewayCommand::RetireStore("s".to_string())), GatewayOutcome::Done);
     assert_eq!(state.stores.get("s").map(|store| store.retirement), Some(Retirement::Completed));
 }
+
+/// Guards against zones of machines that have left, which would hide the zone of a later machine at the same address.
+#[test]
+fn zones_are_those_of_machines_that_are_not_retired() {
+    let mut state = ControlState::default();
+    let address: std::net::SocketAddr = "10.0.0.1:7000".parse().expect("an address");
+    let record = |name: &str, zone: &str| StoreRecord {
+        name: name.to_string(),
+        replica: ReplicaId(1),
+        address,
+        zone: zone.to_string(),
+    };
+    assert!(state.stores.zones().is_empty());
+    commit(&mut state, GatewayCommand::RegisterStore(record("old", "north")));
+    assert_eq!(state.stores.zones().get(&address).map(String::as_str), Some("north"));
+    commit(&mut state, GatewayCommand::RetireStore("old".to_string()));
+    assert_eq!(state.stores.zones().len(), 1, "a machine that is being retired may still vote");
+    commit(&mut state, GatewayCommand::StoreRetired("old".to_string()));
+    assert!(state.stores.zones().is_empty());
+    commit(&mut state, GatewayCommand::RegisterStore(record("new", "south")));
+    assert_eq!(state.stores.zones().get(&address).map(String::as_str), Some("south"));
+}
--- a/crates/replication/src/leadership_offer.rs
+++ b/crates/replication/src/leadership_offer.rs
@@ -160,7 +160,8 @@
         }
     }
 
-    /// Transfers leadership to a voter with an offer if this leader does not reach a quorum promptly.
+    /// Transfers leadership to a voter with an offer if this leader does not reach a quorum promptly, or only voters of its
+    /// own zone, which do not show that the links to other zones are good.
     pub(crate) async fn evaluate_offers(self) {
         loop {
             self.inner.platform.sleep(CHECK_INTERVAL).await;
@@ -170,7 +171,7 @@
             let probe = self.probe_voters().await;
             let quorum = self.inner.state.borrow().membership().quorum();
             let reached = 1 + probe.prompt_voters_except(None);
-            let must_transfer = reached < quorum;
+            let must_transfer = reached < quorum || self.reaches_own_zone_only(&probe);
             spdlog::info!("offer to lead considered", kv: {
                 term = term, offers = self.unexpired_offers().len(), late = probe.describe_late_probes().as_str(),
                 reached = reached, quorum = quorum, hands_over = must_transfer
@@ -182,6 +183,13 @@
         }
     }
 
+    /// Whether this replica's zone is known and no voter of another zone replied to all probes promptly.
+    fn reaches_own_zone_only(&self, probe: &LinkProbe) -> bool {
+        let zones = self.inner.zones.borrow();
+        let own_zone = zones.get(&self.inner.options.address);
+        own_zone.is_some() && probe.are_all_late(|voter| zones.get(&voter.address) != own_zone)
+    }
+
     /// Term in which this replica leads, if there are offers to consider.
     fn term_with_offers(&self) -> Option<u64> {
         let state = self.inner.state.borrow();
--- a/crates/replication/src/leadership_transfer.rs
+++ b/crates/replication/src/leadership_transfer.rs
@@ -110,7 +110,8 @@
     }
 
     /// A voter with the complete log, as only such a voter is certain to be elected. Voters that were not attempted
-    /// yet come first, then the one with the most recent acknowledgement.
+    /// yet come first, then those that reply promptly, then the one with the most recent acknowledgement. A late voter may
+    /// be behind bad links, and would have to transfer leadership again.
     fn caught_up_successor(&self, attempted: &BTreeSet<ReplicaId>) -> Option<Successor> {
         let state = self.inner.state.borrow();
         let own = state.identity.id;
@@ -121,8 +122,12 @@
         let excluded = self.inner.excluded_replicas.borrow();
         let eligible = others.filter(|member| !excluded.contains(&member.id));
         let caught_up = eligible.filter(|member| progress(member).match_index >= last_index);
-        let best = caught_up
-            .max_by_key(|member| (!attempted.contains(&member.id), progress(member).acknowledged_append_sent_at))?;
+        let late_since = self.inner.platform.monotonic().saturating_sub(self.inner.options.config.replace_after);
+        let best = caught_up.max_by_key(|member| {
+            let progress = progress(member);
+            let is_prompt = !progress.is_late_since(late_since);
+            (!attempted.contains(&member.id), is_prompt, progress.acknowledged_append_sent_at)
+        })?;
         Some(Successor { id: best.id, address: best.address, term: state.term })
     }
 }
--- a/crates/replication/src/link_probe.rs
+++ b/crates/replication/src/link_probe.rs
@@ -43,6 +43,12 @@
         counted.filter(|(_, late)| *late == 0).count()
     }
 
+    /// Whether, of the voters that `concerns` selects, none replied to all probes promptly, and there are such voters.
+    pub fn are_all_late(&self, concerns: impl Fn(&Member) -> bool) -> bool {
+        let mut concerned = self.voters.iter().filter(|(voter, _)| concerns(voter)).peekable();
+        concerned.peek().is_some() && concerned.all(|(_, late)| *late > 0)
+    }
+
     /// Whether the link to a voter is bad.
     pub fn is_link_bad(&self, voter: ReplicaId) -> bool {
         self.voters.iter().any(|(probed, late)| probed.id == voter && late * BAD_LINK_DIVISOR >= PROBES_PER_VOTER)
--- a/crates/replication/src/member_choice.rs
+++ b/crates/replication/src/member_choice.rs
@@ -8,6 +8,7 @@
 use crate::voter_spread::{VoterSpread, ZoneLoss};
 use saddlerelay_types::identity::ReplicaId;
 use std::cmp::Reverse;
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 
 /// Effects of a learner's promotion in place of one voter: for the best choice of that voter, unless the group then
@@ -166,14 +167,18 @@
             return true;
         }
         let rating = self.rate_spare(address);
-        let is_member = |address: &SocketAddr| self.membership.members.iter().any(|member| member.address == *address);
-        if candidates.iter().any(|other| !is_member(other) && self.rate_spare(*other) < rating) {
-            return false;
-        }
         let learners: Vec<&Member> = self.learners().filter(|member| !self.has_failed(member)).collect();
         let counts = |learner: &&&Member| !self.is_behind(learner) && self.rate_spare(learner.address) <= rating;
         let counted = learners.iter().filter(counts).count();
         let needed = self.target_voters.saturating_sub(self.healthy_voters()) + spare_learners;
-        counted < needed && learners.len() <= needed
+        if counted >= needed || learners.len() > needed {
+            return false;
+        }
+        let is_member = |address: &SocketAddr| self.membership.members.iter().any(|member| member.address == *address);
+        // Non-members of one zone, and all those of unknown zone, have the same rating.
+        let others = candidates.iter().filter(|other| !is_member(other));
+        let by_zone: BTreeMap<Option<&String>, SocketAddr> =
+            others.map(|other| (self.zones.get(other), *other)).collect();
+        !by_zone.into_values().any(|other| self.rate_spare(other) < rating)
     }
 }
--- a/crates/replication/src/member_health.rs
+++ b/crates/replication/src/member_health.rs
@@ -2,7 +2,7 @@
 
 use crate::membership::{Member, Membership};
 use crate::state::{Leadership, Progress};
-use crate::voter_spread::{ZoneKey, Zones};
+use crate::voter_spread::{LossTolerance, ZoneKey, Zones};
 use saddlerelay_types::identity::ReplicaId;
 use std::collections::BTreeSet;
 use std::net::SocketAddr;
@@ -215,6 +215,13 @@
         progress.match_index > 0 && behind <= CAUGHT_UP_ENTRIES && !self.is_silent(member)
     }
 
+    /// How many zones and disks may be lost now. Voters that have failed or lag do not count, as the group cannot rely on
+    /// them.
+    pub fn loss_tolerance(&self) -> LossTolerance {
+        let sound = self.membership.voters().filter(|voter| !self.has_failed(voter) && !self.lags(voter));
+        LossTolerance::of(self.membership.quorum(), sound.map(|voter| voter.address), self.zones)
+    }
+
     pub fn healthy_voters(&self) -> usize {
         self.membership.voters().filter(|voter| !self.has_failed(voter)).count()
     }
--- a/crates/replication/src/membership_change.rs
+++ b/crates/replication/src/membership_change.rs
@@ -7,8 +7,9 @@
 use crate::membership::{Member, Membership};
 use crate::message::{ReplicaReply, ReplicaRequest};
 use crate::replica::{Proposal, Replica};
+use crate::role_report::MIN_REPORT_INTERVAL;
 use crate::state::{State, StateMachine};
-use crate::voter_spread::Zones;
+use crate::voter_spread::{LossTolerance, Zones};
 use futures::future::join_all;
 use saddlerelay_runtime::Runtime;
 use saddlerelay_types::feature_level::FeatureLevel;
@@ -83,6 +84,38 @@
         may_change_membership(&state) && healthy.is_some_and(|healthy| healthy >= self.target_voters())
     }
 
+    /// How many zones and disks this leader's group may lose now; `None` if this replica does not lead.
+    pub fn loss_tolerance(&self) -> Option<LossTolerance> {
+        self.assess_members(&self.inner.state.borrow(), |health| health.loss_tolerance())
+    }
+
+    /// Logs changes of the number of zones and disks that may be lost.
+    fn report_tolerance(&self) {
+        let now = self.inner.platform.monotonic();
+        let Some(tolerance) = self.loss_tolerance() else {
+            self.inner.reported_tolerance.set(None);
+            return;
+        };
+        let reported = self.inner.reported_tolerance.get();
+        let is_due = reported.is_none_or(|(last, at)| last != tolerance && now >= at + MIN_REPORT_INTERVAL);
+        if !is_due {
+            return;
+        }
+        self.inner.reported_tolerance.set(Some((tolerance, now)));
+        let state = self.inner.state.borrow();
+        spdlog::info!("tolerance changed", kv: {
+            term = state.term,
+            zones = tolerance.zones,
+            disks = tolerance.disks,
+            zones_before = reported.map_or(-1, |(last, _)| last.zones as i64),
+            disks_before = reported.map_or(-1, |(last, _)| last.disks as i64),
+            voters = state.membership().voters().count(),
+            quorum = state.membership().quorum(),
+            zones_known = self.inner.zones.borrow().len(),
+            peers = state.describe_peers(now).as_str()
+        });
+    }
+
     fn assess_members<T>(&self, state: &State<S>, assess: impl FnOnce(&MemberHealth) -> T) -> Option<T> {
         let excluded = self.inner.excluded_replicas.borrow();
         let zones = self.inner.zones.borrow();
@@ -179,6 +212,7 @@
             self.inner.platform.sleep(MEMBERSHIP_INTERVAL).await;
             let now = self.inner.platform.monotonic();
             self.inner.state.borrow_mut().observe_replication_lag(now);
+            self.report_tolerance();
             if let Some((membership, based_on_index)) = self.next_membership() {
                 self.propose_membership(membership, based_on_index);
             }
--- a/crates/replication/src/replica.rs
+++ b/crates/replication/src/replica.rs
@@ -15,7 +15,7 @@
 use crate::snapshot::Snapshot;
 use crate::state::{Role, State, StateMachine};
 use crate::storage::{Identity, Recovered, Storage, StorageError};
-use crate::voter_spread::Zones;
+use crate::voter_spread::{LossTolerance, Zones};
 use futures::channel::{mpsc, oneshot};
 use futures::lock::Mutex;
 use saddlerelay_rpc::client::Client;
@@ -113,6 +113,8 @@
     pub leadership_offers: RefCell<LeadershipOffers>,
     /// What was last logged about this replica's role in the group.
     pub role_reports: RefCell<RoleReports>,
+    /// The tolerance in the last log line about it, and when that was written.
+    pub reported_tolerance: Cell<Option<(LossTolerance, Duration)>>,
 }
 
 /// A replica of a group. Clones share the same state.
@@ -208,6 +210,7 @@
             rejected_joins: RefCell::default(),
             leadership_offers: RefCell::default(),
             role_reports: RefCell::default(),
+            reported_tolerance: Cell::default(),
         };
         let replica = Self { inner: Rc::new(inner) };
         replica.finish_forming_group().await?;
--- a/crates/replication/src/role_report.rs
+++ b/crates/replication/src/role_report.rs
@@ -9,7 +9,7 @@
 use std::time::Duration;
 
 /// Shortest interval between two log lines of one kind.
-const MIN_REPORT_INTERVAL: Duration = Duration::from_secs(1);
+pub(crate) const MIN_REPORT_INTERVAL: Duration = Duration::from_secs(1);
 
 /// Interval at which a member without a leader repeats its log line.
 const LEADERLESS_REPEAT_INTERVAL: Duration = Duration::from_secs(10);
--- a/crates/simulator/tests/voter_spread.rs
+++ b/crates/simulator/tests/voter_spread.rs
@@ -5,6 +5,7 @@
 
 use group::{Group, address};
 use saddlerelay_replication::config::ReplicationConfig;
+use saddlerelay_replication::voter_spread::LossTolerance;
 use saddlerelay_simulator::network::LinkFaults;
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
@@ -157,6 +158,11 @@
         }
     }
 
+    /// How many zones and disks may be lost, in the leader's view.
+    fn tolerance(&self) -> Option<LossTolerance> {
+        self.group.leader().and_then(|leader| leader.loss_tolerance())
+    }
+
     /// Restarts all machines after a power loss that takes the disks of two voters outside the lossy zone. Returns the
     /// time until the group commits again.
     fn lose_two_disks(&mut self, lossy_zone: usize) -> Option<Duration> {
@@ -262,6 +268,7 @@
         let mut zoned = ZonedGroup::form(seed, 40_000, crowded_zone_of);
         assert!(!zoned.crowded.is_empty(), "seed {seed}: the group is not formed with a quorum in one zone");
         zoned.propose_for(CORRECTION_LIMIT);
+        assert_eq!(zoned.tolerance(), Some(LossTolerance { zones: 1, disks: 2 }), "seed {seed}");
         assert_eq!(zoned.crowded_zone(), None, "seed {seed}: voters {:?}", zoned.voters());
         assert_eq!(zoned.voters().len(), 5, "seed {seed}");
         zoned.group.check(&format!("seed {seed}"));
@@ -288,3 +295,44 @@
         assert!(zoned.crowded.is_empty(), "seed {seed}: a quorum in one zone: {:?}", zoned.crowded);
     }
 }
+
+/// Guards against a new leader that does not complete the replacement that its predecessor has begun.
+#[test]
+fn a_leader_lost_between_removal_and_promotion_is_succeeded_by_one_that_promotes() {
+    spdlog::default_logger().set_level_filter(spdlog::LevelFilter::Off);
+    for seed in SEEDS {
+        let mut group = Group::new(seed);
+        group.zones = (1..=MACHINES).map(|index| (index, crowded_zone_of(index))).collect();
+        let mut zoned = ZonedGroup { group: group.form(), zone_of: crowded_zone_of, crowded: Vec::new() };
+        zoned.pass_zones();
+        assert_eq!(zoned.tolerance(), Some(LossTolerance { zones: 0, disks: 2 }), "seed {seed}");
+        (6..=MACHINES).for_each(|index| zoned.group.start(index, false));
+        let leader = zoned.group.leader().expect("there is a leader");
+        let voters = move || leader.view().map_or(0, |view| view.replicas.iter().filter(|member| member.voter).count());
+        assert!(zoned.group.run_until(CORRECTION_LIMIT, move || voters() == 4), "seed {seed}: no voter was removed");
+        zoned.group.power_off(zoned.leader());
+        zoned.propose_for(CORRECTION_LIMIT * 2);
+        assert_eq!(zoned.voters().len(), 5, "seed {seed}");
+        assert_eq!(zoned.crowded_zone(), None, "seed {seed}: voters {:?}", zoned.voters());
+        zoned.group.check(&format!("seed {seed}"));
+    }
+}
+
+/// Guards against a wrong registration of one machine that stops changes of the membership.
+#[test]
+fn a_machine_with_a_wrong_zone_is_replaced_like_any_other() {
+    spdlog::default_logger().set_level_filter(spdlog::LevelFilter::Off);
+    // Machine 3 is registered with the zone of machine 1.
+    let wrong_zone_of = |index: u8| if index == 3 { zone_of(1) } else { zone_of(index) };
+    for seed in SEEDS {
+        let mut zoned = ZonedGroup::form(seed, 40_000, wrong_zone_of);
+        zoned.propose_for(CORRECTION_LIMIT);
+        assert_eq!(zoned.crowded_zone(), None, "seed {seed}: voters {:?}", zoned.voters());
+        let leader = zoned.leader();
+        let lost = zoned.voters().into_iter().find(|index| *index != leader).expect("there are voters");
+        zoned.group.lose_disk(lost);
+        zoned.propose_for(Duration::from_secs(6));
+        assert_eq!(zoned.voters().len(), 5, "seed {seed}");
+        assert_eq!(zoned.crowded_zone(), None, "seed {seed}: voters {:?}", zoned.voters());
+    }
+}
