--- a/crates/replication/src/membership_change.rs
+++ b/crates/replication/src/membership_change.rs
@@ -7,7 +7,9 @@
 use crate::membership::{Member, Membership};
 use crate::message::{ReplicaReply, ReplicaRequest};
 use crate::replica::{Proposal, Replica};
+use crate::role_report::MIN_REPORT_INTERVAL;
 use crate::state::{State, StateMachine};
+use crate::voter_spread::{LossTolerance, Zones};
 use futures::future::join_all;
 use saddlerelay_runtime::Runtime;
 use saddlerelay_types::feature_level::FeatureLevel;
@@ -32,6 +34,10 @@
 /// How long a rejected join request counts; longer than the longest retry interval.
 const REJECTED_JOIN_VALIDITY: Duration = Duration::from_secs(20);
 
+/// How long a rejected replica counts as a candidate that may join in place of another one. Covers the retry interval of
+/// 100 rejected replicas with its random addition; in larger fleets the first replica that asks may be admitted.
+const CANDIDATE_VALIDITY: Duration = Duration::from_secs(2);
+
 /// Timeout of one join request.
 const JOIN_TIMEOUT: Duration = Duration::from_millis(400);
 
@@ -46,6 +52,12 @@
         *self.inner.excluded_replicas.borrow_mut() = excluded;
     }
 
+    /// Sets the zones of replicas by address, which membership changes take into account while this replica leads. An
+    /// address without an entry counts as a zone of its own.
+    pub fn set_zones(&self, zones: Zones) {
+        *self.inner.zones.borrow_mut() = zones;
+    }
+
     /// Whether `replica` is not a member, and the target number of healthy voters has synced all committed entries.
     pub fn is_replicated_without(&self, replica: ReplicaId) -> bool {
         let state = self.inner.state.borrow();
@@ -72,16 +84,52 @@
         may_change_membership(&state) && healthy.is_some_and(|healthy| healthy >= self.target_voters())
     }
 
+    /// How many zones and disks this leader's group may lose now; `None` if this replica does not lead.
+    pub fn loss_tolerance(&self) -> Option<LossTolerance> {
+        self.assess_members(&self.inner.state.borrow(), |health| health.loss_tolerance())
+    }
+
+    /// Logs changes of the number of zones and disks that may be lost.
+    fn report_tolerance(&self) {
+        let now = self.inner.platform.monotonic();
+        let Some(tolerance) = self.loss_tolerance() else {
+            self.inner.reported_tolerance.set(None);
+            return;
+        };
+        let reported = self.inner.reported_tolerance.get();
+        let is_due = reported.is_none_or(|(last, at)| last != tolerance && now >= at + MIN_REPORT_INTERVAL);
+        if !is_due {
+            return;
+        }
+        self.inner.reported_tolerance.set(Some((tolerance, now)));
+        let state = self.inner.state.borrow();
+        spdlog::info!("tolerance changed", kv: {
+            term = state.term,
+            zones = tolerance.zones,
+            disks = tolerance.disks,
+            zones_before = reported.map_or(-1, |(last, _)| last.zones as i64),
+            disks_before = reported.map_or(-1, |(last, _)| last.disks as i64),
+            voters = state.membership().voters().count(),
+            quorum = state.membership().quorum(),
+            zones_known = self.inner.zones.borrow().len(),
+            peers = state.describe_peers(now).as_str()
+        });
+    }
+
     fn assess_members<T>(&self, state: &State<S>, assess: impl FnOnce(&MemberHealth) -> T) -> Option<T> {
         let excluded = self.inner.excluded_replicas.borrow();
+        let zones = self.inner.zones.borrow();
         let health = MemberHealth {
             membership: state.membership(),
             leadership: state.leadership()?,
             own: state.identity.id,
             commit: state.commit,
+            synced: state.synced,
             now: self.inner.platform.monotonic(),
             replace_after: self.inner.options.config.replace_after,
             excluded: &excluded,
+            target_voters: self.inner.options.config.target_voters,
+            zones: &zones,
         };
         Some(assess(&health))
     }
@@ -105,9 +153,9 @@
             {
                 return ReplicaReply::Rejected;
             }
-            let needed = self.assess_members(&state, |health| {
-                health.needs_learner(address, config.target_voters, config.spare_learners)
-            });
+            let candidates = self.recent_candidates(address);
+            let needed =
+                self.assess_members(&state, |health| health.needs_learner(address, config.spare_learners, &candidates));
             if needed != Some(true) {
                 let members = self.known_addresses(&state);
                 return ReplicaReply::NotNeeded { retry_after_ms: self.reject_join(address), members };
@@ -118,6 +166,14 @@
         ReplicaReply::Accepted
     }
 
+    /// Addresses other than `address` whose join requests were rejected recently.
+    fn recent_candidates(&self, address: SocketAddr) -> Vec<SocketAddr> {
+        let now = self.inner.platform.monotonic();
+        let rejected = self.inner.rejected_joins.borrow();
+        let recent = rejected.iter().filter(|(_, rejected_at)| now < **rejected_at + CANDIDATE_VALIDITY);
+        recent.map(|(candidate, _)| *candidate).filter(|candidate| *candidate != address).collect()
+    }
+
     /// Records a rejected join request and returns the retry interval in milliseconds.
     fn reject_join(&self, address: SocketAddr) -> u64 {
         let now = self.inner.platform.monotonic();
@@ -156,6 +212,7 @@
             self.inner.platform.sleep(MEMBERSHIP_INTERVAL).await;
             let now = self.inner.platform.monotonic();
             self.inner.state.borrow_mut().observe_replication_lag(now);
+            self.report_tolerance();
             if let Some((membership, based_on_index)) = self.next_membership() {
                 self.propose_membership(membership, based_on_index);
             }
@@ -169,8 +226,9 @@
             return None;
         }
         let target_voters = self.inner.options.config.target_voters;
+        let spare_learners = self.inner.options.config.spare_learners;
         let next = self.assess_members(&state, |health| {
-            if let Some(voter) = health.voter_to_remove(target_voters) {
+            if let Some(voter) = health.voter_to_remove() {
                 health.log_removal(voter);
                 return Some(health.membership.without(voter.id));
             }
@@ -179,7 +237,7 @@
             {
                 return Some(health.membership.with_voter(learner.id));
             }
-            health.learner_to_remove().map(|learner| health.membership.without(learner.id))
+            health.learner_to_remove(spare_learners).map(|learner| health.membership.without(learner.id))
         });
         Some((next??, state.log.membership_index()))
     }
