Add the order of waiting items and shares of recent work

Jobs are planned in order of submission, so an older job's short items take slots before a newer job's item that can't wait. The order ranks the items of all jobs by class, order of magnitude of the slack and priority, and decides among equals by recent work of tenants and trainers. Nothing uses it yet. Table tests in crates/scheduling/tests pass.

--- a/crates/scheduling/src/lib.rs
+++ b/crates/scheduling/src/lib.rs
@@ -6,6 +6,8 @@
 pub mod activation;
 pub mod completion;
 pub mod load_report;
+pub mod order;
+pub mod shares;
 
 pub use activation::Activation;
 pub use completion::{CapacityEstimate, EngineSnapshot, Work, expected_duration};
