Order the waiting items of all jobs by urgency where trainers compete

The plan walks jobs by submission and each job's items longest first, so an older job's short items take slots before those of a newer job that can't wait. With the switch `batch_order`, a plan collects the waiting items of all jobs, sorts them once by urgency and starts them in that order; each set of engines is examined once per start and once per constraint without a free engine. With the switch off the plan is made as before. The leader keeps shares of recent work in memory. Items of a tenant that the document no longer lists wait until it is listed again.

--- a/crates/coordinator/src/coordinator.rs
+++ b/crates/coordinator/src/coordinator.rs
@@ -1,5 +1,6 @@
 //! The coordinator and the state shared by its tasks.
 
+use crate::batch_order::BatchOrder;
 use crate::config::CoordinatorConfig;
 use crate::fleet::Fleet;
 use crate::format::EngineFormat;
@@ -47,6 +48,8 @@
     pub waiting_items: RefCell<BTreeMap<String, u32>>,
     /// For each model, the version that waiting items require and no eligible engine has; see [`crate::plan::Plan`].
     pub awaited_versions: RefCell<BTreeMap<String, u64>>,
+    /// State of the order of waiting items in the current term.
+    pub batch_order: RefCell<BatchOrder>,
     /// Rate-limited log of items that wait for an engine.
     pub wait_log: WaitLog,
     /// Checks whether an engine process has terminated.
@@ -114,6 +117,7 @@
             pruned_revision: Cell::new(0),
             waiting_items: RefCell::default(),
             awaited_versions: RefCell::default(),
+            batch_order: RefCell::default(),
             wait_log: WaitLog::default(),
             termination_checks: TerminationChecks::default(),
             metrics: CoordinatorMetrics::default(),
--- a/crates/coordinator/src/job_run.rs
+++ b/crates/coordinator/src/job_run.rs
@@ -3,10 +3,12 @@
 use crate::lengths::{OVERRUN_SHARE, earlier_lengths, expected_tokens, max_tokens};
 use crate::text::ItemText;
 use crate::waits::{Wait, WaitReason};
+use crate::wanted::{WantedGroups, trainer_of};
 use compio::runtime::JoinHandle;
 use saddlerelay_control::state::ControlState;
 use saddlerelay_control::state::jobs::{Job, ListedItem};
 use saddlerelay_control::state::text_archive::LoadedTexts;
+use saddlerelay_scheduling::shares::Trainer;
 use saddlerelay_types::instance::InstanceId;
 use saddlerelay_types::job::{ItemId, JobItem};
 use saddlerelay_types::routing::Route;
@@ -55,6 +57,27 @@
     pub scoring_work: OnceCell<WorkDigest>,
     /// Whether its quarantine was counted and logged.
     pub quarantine_recorded: bool,
+    /// What was recorded for it in the shares when it last started in order of urgency.
+    pub charge: Option<Charge>,
+}
+
+/// Work recorded in the shares for an attempt.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Charge {
+    pub work: Duration,
+    pub at: Duration,
+    /// Events of the text at that time, and events expected to follow.
+    pub events: u32,
+    pub remaining_events: f64,
+}
+
+impl Charge {
+    /// The part of the work that was not done, now that the text has `events` events.
+    pub fn not_done(&self, events: u32) -> Duration {
+        let done = f64::from(events.saturating_sub(self.events));
+        let share_done = if self.remaining_events > 0.0 { (done / self.remaining_events).min(1.0) } else { 1.0 };
+        self.work.mul_f64(1.0 - share_done)
+    }
 }
 
 /// Progress of scoring a complete text.
@@ -101,6 +124,10 @@
     /// Groups with items that an earlier job contained too.
     pub repeated_groups: BTreeSet<String>,
     pub moves_checked_at: Duration,
+    /// The trainer, for shares of recent work.
+    pub trainer: Trainer,
+    /// Which groups the trainer waits for.
+    pub wanted: WantedGroups,
 }
 
 impl JobRun {
@@ -130,6 +157,7 @@
                 work: OnceCell::new(),
                 scoring_work: OnceCell::new(),
                 quarantine_recorded: false,
+                charge: None,
             }
         };
         let items: Vec<ItemRun> = submission.items.iter().enumerate().map(item).collect();
@@ -139,6 +167,7 @@
         let mean_events = items.iter().map(|item| item.expected_events).sum::<f64>() / items.len().max(1) as f64;
         let repeated = submission.items.iter().filter(|item| lengths.contains_key(&item.id));
         let repeated_groups = repeated.map(|item| item.group.clone()).collect();
+        let wanted = WantedGroups::new(submission, &repeated_groups);
         Self {
             started_at: now,
             items,
@@ -147,6 +176,8 @@
             group_engines: BTreeMap::new(),
             repeated_groups,
             moves_checked_at: Duration::ZERO,
+            trainer: trainer_of(submission),
+            wanted,
         }
     }
 }
--- a/crates/coordinator/src/lib.rs
+++ b/crates/coordinator/src/lib.rs
@@ -5,8 +5,10 @@
 //! trainers publish, `working_set` selects the engines in use, and `fleet` caches the observed state of each engine.
 //! This state is in the leader's memory only; a new leader rebuilds it from the committed jobs and versions.
 
+mod batch_order;
 pub mod config;
 pub mod coordinator;
+mod engines;
 pub mod fleet;
 pub mod format;
 pub mod item;
@@ -18,6 +20,7 @@
 pub mod metrics;
 pub mod model_assignments;
 mod moves;
+mod ordered;
 pub mod orders;
 pub mod pace;
 mod placement;
@@ -27,6 +30,7 @@
 pub mod scoring;
 pub mod text;
 mod waits;
+mod wanted;
 pub mod working_set;
 pub mod working_set_policy;
 
--- a/crates/coordinator/src/metrics.rs
+++ b/crates/coordinator/src/metrics.rs
@@ -9,6 +9,7 @@
     no_engine: Counter,
     load: Counter,
     retry: Counter,
+    owner: Counter,
 }
 
 impl LongWaits {
@@ -22,6 +23,7 @@
             no_engine: counter("no_engine", "no engine fits, or only slow or silent ones have room"),
             load: counter("load", "engines are full"),
             retry: counter("retry", "a pause after a failed attempt"),
+            owner: counter("owner", "the routing document does not list the owner of their job"),
         }
     }
 }
@@ -61,6 +63,12 @@
     pub score_seconds: Histogram,
     /// Duration of successful weight loads, in seconds.
     pub load_seconds: Histogram,
+    /// Time for which items could still have waited when they started, in seconds; items started in order of urgency.
+    pub slack_at_start_seconds: Histogram,
+    /// Items that could not be in time any more when they started; items started in order of urgency.
+    pub items_started_late: Counter,
+    /// Items started because they had waited longest.
+    pub items_started_overdue: Counter,
 }
 
 impl Default for CoordinatorMetrics {
@@ -80,11 +88,15 @@
             counter("items_held_back", "Items held back because engines have ended under their work");
         let orders = counter("orders", "Orders given to engines");
         let orders_unknown = counter("orders_unknown", "Orders whose outcome is not known");
+        let items_started_late = counter("items_started_late", "Items started too late to be in time");
+        let items_started_overdue = counter("items_started_overdue", "Items started because they had waited longest");
         let mut histogram = |name: &str, help: &str| registry.seconds(name, help, 0.01, 12);
         let wait_seconds = histogram("wait_seconds", "How long items were at no engine before one took them");
         let attempt_seconds = histogram("attempt_seconds", "From sending an item to the end of its attempt");
         let score_seconds = histogram("score_seconds", "From calling for a score to the end of the call");
         let load_seconds = histogram("load_seconds", "How long changes of weights took");
+        let slack_at_start_seconds =
+            histogram("slack_at_start_seconds", "How long items could still have waited when they started");
         let long_waits = LongWaits::register(&mut registry);
         Self {
             registry,
@@ -104,6 +116,9 @@
             attempt_seconds,
             score_seconds,
             load_seconds,
+            slack_at_start_seconds,
+            items_started_late,
+            items_started_overdue,
         }
     }
 }
@@ -116,6 +131,7 @@
             WaitReason::NoEligibleEngine | WaitReason::OnlyDegradedEngines | WaitReason::NoScorer => &counts.no_engine,
             WaitReason::NoFreeSlot | WaitReason::PlanLimitReached => &counts.load,
             WaitReason::RetryDelay => &counts.retry,
+            WaitReason::OwnerNotListed => &counts.owner,
         }
     }
 
--- a/crates/coordinator/src/plan.rs
+++ b/crates/coordinator/src/plan.rs
@@ -1,10 +1,11 @@
 //! Assigns waiting items of open jobs to engines.
 
 use crate::coordinator::{Coordinator, Inner};
+pub(crate) use crate::engines::{Engine, Round};
 use crate::job_run::{JobRun, Phase};
 use crate::lost_connections::EngineWork;
 use crate::moves::plan_moves;
-use crate::pace::Paces;
+use crate::ordered;
 use crate::placement::{EligibleEngine, choose_engine, eligible_engines, usable_engines};
 use crate::scorers::ScoringRound;
 use crate::scoring::ScoreCall;
@@ -20,7 +21,7 @@
 use saddlerelay_types::routing::{Route, RoutingDocument};
 use saddlerelay_types::work::WorkDigest;
 use saddlerelay_upstream::EngineTarget;
-use std::cell::{Cell, RefCell};
+use std::cell::RefCell;
 use std::collections::{BTreeMap, BTreeSet};
 use std::rc::Rc;
 use std::time::Duration;
@@ -33,58 +34,7 @@
 /// sending requests before it handles replication messages again: 176 starts took a leader with 0.3 of a core 250 ms,
 /// and three jobs' steps at once would cost it its quorum. Plans follow each other within 20 ms, so 1,600 items a second
 /// still start.
-const MAX_STARTS_PER_PLAN: usize = 32;
-
-/// An engine that may receive items.
-pub(crate) struct Engine {
-    pub target: EngineTarget,
-    pub service: String,
-    pub slots: u32,
-    pub silent: bool,
-    /// Estimated seconds per event.
-    pub pace: f64,
-    /// Loaded weight versions by model, without models being loaded.
-    pub weights: Rc<BTreeMap<String, u64>>,
-    /// Items in flight, including those assigned by this plan.
-    load: Cell<u32>,
-}
-
-impl Engine {
-    /// Whether a slot is free.
-    pub fn has_free_slot(&self) -> bool {
-        self.load.get() < self.slots
-    }
-
-    /// The fraction of slots in use.
-    pub fn fullness(&self) -> f64 {
-        f64::from(self.load.get()) / f64::from(self.slots.max(1))
-    }
-
-    /// Reserves a slot for an item assigned by this plan.
-    pub fn reserve_slot(&self) {
-        self.load.set(self.load.get() + 1);
-    }
-}
-
-/// Inputs shared by the planning of all jobs in one round.
-pub(crate) struct Round {
-    pub engines: Vec<Engine>,
-    /// Seconds per event of the fastest engine.
-    pub fastest: f64,
-    pub paces: Paces,
-    pub now: Duration,
-    term: u64,
-}
-
-impl Round {
-    fn new<B: Backends>(coordinator: &Coordinator<B>, state: &ControlState, term: u64) -> Self {
-        let now = coordinator.now();
-        let paces = coordinator.inner.fleet.paces(now);
-        let engines = ready_engines(coordinator, state, &paces, now);
-        let fastest = engines.iter().map(|engine| engine.pace).fold(f64::INFINITY, f64::min);
-        Self { engines, fastest, paces, now, term }
-    }
-}
+pub(crate) const MAX_STARTS_PER_PLAN: usize = 32;
 
 /// A planned attempt of an item at an engine.
 pub(crate) struct PlannedAttempt {
@@ -150,9 +100,10 @@
     let mut plan = Plan::default();
     let mut open: Vec<(&JobId, &Job)> = state.jobs.open().collect();
     open.sort_by_key(|(_, job)| job.submission_number());
-    let mut scoring = ScoringRound::new(state, now);
+    let scoring = RefCell::new(ScoringRound::new(state, now));
     let mut jobs = inner.jobs.borrow_mut();
     let mut new_jobs = 0;
+    let mut planned = Vec::new();
     for (id, job) in open {
         plan.open.insert(id.clone());
         let submission = &job.submission;
@@ -163,22 +114,37 @@
                 continue;
             }
             new_jobs += 1;
+            jobs.insert(id.clone(), start_job_run(coordinator, state, job, route, now));
         }
-        let run = jobs.entry(id.clone()).or_insert_with(|| start_job_run(coordinator, state, job, route, now));
-        plan_job(
-            &mut JobContext {
-                inner,
-                job,
-                run,
-                route,
-                now,
-                round: &round,
-                eligible: Vec::new(),
-                scoring: &mut scoring,
-                suspicions: &state.suspicions,
-            },
-            &mut plan,
-        );
+        planned.push((id, job, route));
+    }
+    let mut runs: BTreeMap<&JobId, &mut JobRun> = jobs.iter_mut().collect();
+    let mut contexts: Vec<JobContext<'_, '_, B>> = Vec::new();
+    for (id, job, route) in planned {
+        let Some(run) = runs.remove(id) else {
+            continue;
+        };
+        let item_deadline = route.map(|route| {
+            let after = Duration::from_millis(route.batch.give_up_after_ms);
+            run.started_at + after + inner.config.item_deadline_margin
+        });
+        contexts.push(JobContext {
+            inner,
+            job,
+            run,
+            route,
+            item_deadline,
+            now,
+            round: &round,
+            eligible: Rc::default(),
+            scoring: &scoring,
+            suspicions: &state.suspicions,
+        });
+    }
+    if inner.batch_order.borrow_mut().is_active(inner.config.batch_order, state.routing.current()) {
+        ordered::plan_jobs(&mut contexts, state, &mut plan);
+    } else {
+        contexts.iter_mut().for_each(|context| plan_job(context, &mut plan));
     }
     plan.has_more |= plan.starts.len() == MAX_STARTS_PER_PLAN;
     plan
@@ -221,90 +187,83 @@
     run
 }
 
-fn ready_engines<B: Backends>(
-    coordinator: &Coordinator<B>,
-    state: &ControlState,
-    paces: &Paces,
-    now: Duration,
-) -> Vec<Engine> {
-    let fleet = &coordinator.inner.fleet;
-    let working_set = coordinator.inner.working_set.borrow();
-    let records = working_set.iter().filter_map(|instance| state.instances.get(instance));
-    let usable =
-        records.filter(|record| record.state == InstanceState::Ready && !fleet.is_backing_off(&record.report.id, now));
-    usable
-        .map(|record| Engine {
-            target: EngineTarget { instance: record.report.id.clone(), address: record.report.address },
-            service: record.report.service.clone(),
-            slots: record.report.slots,
-            silent: record.silent,
-            pace: paces.of(&record.report.id),
-            weights: fleet.loaded_versions(&record.report.id),
-            load: Cell::new(fleet.in_flight(&record.report.id)),
-        })
-        .collect()
-}
-
 /// Inputs for the planning of one job.
 pub(crate) struct JobContext<'a, 's, B: Backends> {
     pub inner: &'a Inner<B>,
     pub job: &'a Job,
     pub run: &'a mut JobRun,
-    route: Option<&'a Route>,
+    pub route: Option<&'a Route>,
+    /// Time from which its items are aborted; `None` without a route.
+    pub item_deadline: Option<Duration>,
     pub now: Duration,
     pub round: &'a Round,
     /// Engines that the job's items may run on, including full ones.
-    pub eligible: Vec<EligibleEngine<'a>>,
-    scoring: &'a mut ScoringRound<'s>,
+    pub eligible: Rc<Vec<EligibleEngine<'a>>>,
+    scoring: &'a RefCell<ScoringRound<'s>>,
     /// Work during which engines have terminated.
     suspicions: &'a SuspicionTable,
 }
 
+/// Plans the items of one job, longest first.
 fn plan_job<B: Backends>(context: &mut JobContext<'_, '_, B>, plan: &mut Plan) {
-    let id = &context.job.submission.id;
-    let item_deadline = context.route.map(|route| {
-        let after = Duration::from_millis(route.batch.give_up_after_ms);
-        context.run.started_at + after + context.inner.config.item_deadline_margin
-    });
-    context.eligible = context.route.map(|route| eligible_engines(context, route)).unwrap_or_default();
+    context.eligible = Rc::new(context.route.map(|route| eligible_engines(context, route)).unwrap_or_default());
     for position in 0..context.run.longest_first.len() {
         let index = context.run.longest_first[position];
-        if context.job.is_listed(index) {
-            context.run.items[index as usize].phase = Phase::Ended;
-        }
-        if !matches!(context.run.items[index as usize].phase, Phase::Waiting) {
-            continue;
-        }
-        let (Some(route), Some(item_deadline)) = (context.route, item_deadline) else {
-            plan.aborts.push((id.clone(), index, "no route matches the job"));
-            continue;
-        };
-        let text_is_complete = context.run.items[index as usize].text.borrow().is_complete();
-        let scorer = context.job.submission.items[index as usize].scorer.as_ref();
-        if text_is_complete && scorer.is_none() {
-            plan.completed.push((id.clone(), index));
-        } else if context.now >= item_deadline {
-            plan.aborts.push((id.clone(), index, "item deadline exceeded"));
-        } else if is_quarantined(context, index, text_is_complete) {
-            record_quarantine(context, index);
-            record_wait(context, index, WaitReason::Quarantined);
-        } else if text_is_complete {
-            match plan_score_call(context, index, item_deadline) {
-                Ok(call) => plan.score_calls.push(call),
-                Err(reason) => record_wait(context, index, reason),
-            }
-        } else {
+        if let Some((route, item_deadline)) = awaits_engine(context, index, plan) {
             match plan_item(context, route, index, item_deadline, plan) {
                 Ok(start) => plan.starts.push(start),
                 Err(reason) => keep_waiting(context, index, reason, plan),
             }
         }
     }
+    plan_job_moves(context, plan);
+}
+
+/// Plans moves of the job's running items.
+pub(crate) fn plan_job_moves<B: Backends>(context: &mut JobContext<'_, '_, B>, plan: &mut Plan) {
     if let Some(route) = context.route.filter(|route| route.resumable) {
         plan_moves(context, route, plan);
     }
 }
 
+/// Plans what an item needs other than an engine for its text. Returns the route and the item's deadline if it waits for
+/// such an engine.
+pub(crate) fn awaits_engine<'a, B: Backends>(
+    context: &mut JobContext<'a, '_, B>,
+    index: u32,
+    plan: &mut Plan,
+) -> Option<(&'a Route, Duration)> {
+    let id = &context.job.submission.id;
+    if context.job.is_listed(index) {
+        context.run.items[index as usize].phase = Phase::Ended;
+    }
+    if !matches!(context.run.items[index as usize].phase, Phase::Waiting) {
+        return None;
+    }
+    let (Some(route), Some(item_deadline)) = (context.route, context.item_deadline) else {
+        plan.aborts.push((id.clone(), index, "no route matches the job"));
+        return None;
+    };
+    let text_is_complete = context.run.items[index as usize].text.borrow().is_complete();
+    let scorer = context.job.submission.items[index as usize].scorer.as_ref();
+    if text_is_complete && scorer.is_none() {
+        plan.completed.push((id.clone(), index));
+    } else if context.now >= item_deadline {
+        plan.aborts.push((id.clone(), index, "item deadline exceeded"));
+    } else if is_quarantined(context, index, text_is_complete) {
+        record_quarantine(context, index);
+        record_wait(context, index, WaitReason::Quarantined);
+    } else if text_is_complete {
+        match plan_score_call(context, index, item_deadline) {
+            Ok(call) => plan.score_calls.push(call),
+            Err(reason) => record_wait(context, index, reason),
+        }
+    } else {
+        return Some((route, item_deadline));
+    }
+    None
+}
+
 /// Whether the item's next work, an attempt or a score call, is quarantined because several engines terminated while
 /// running it.
 fn is_quarantined<B: Backends>(context: &JobContext<'_, '_, B>, index: u32, text_is_complete: bool) -> bool {
@@ -339,7 +298,12 @@
 }
 
 /// Records that an item has to wait for an engine.
-fn keep_waiting<B: Backends>(context: &mut JobContext<'_, '_, B>, index: u32, reason: WaitReason, plan: &mut Plan) {
+pub(crate) fn keep_waiting<B: Backends>(
+    context: &mut JobContext<'_, '_, B>,
+    index: u32,
+    reason: WaitReason,
+    plan: &mut Plan,
+) {
     record_wait(context, index, reason);
     let Some(model) = &context.job.submission.model else {
         return;
@@ -352,7 +316,7 @@
 }
 
 /// Updates an item's wait, which is logged if it is long.
-fn record_wait<B: Backends>(context: &mut JobContext<'_, '_, B>, index: u32, reason: WaitReason) {
+pub(crate) fn record_wait<B: Backends>(context: &mut JobContext<'_, '_, B>, index: u32, reason: WaitReason) {
     let submission = &context.job.submission;
     let describe = || WaitingItem {
         job: &submission.id,
@@ -368,7 +332,7 @@
 }
 
 /// Plans an attempt of an item; fails with the reason why the item has to wait.
-fn plan_item<B: Backends>(
+pub(crate) fn plan_item<B: Backends>(
     context: &mut JobContext<'_, '_, B>,
     route: &Route,
     index: u32,
@@ -430,7 +394,7 @@
         return Err(progress.pause_reason);
     }
     let request = item.scorer.as_ref().ok_or(WaitReason::NoScorer)?;
-    let chosen = context.inner.scorers.choose(context.scoring, request, progress.avoid.as_ref());
+    let chosen = context.inner.scorers.choose(&mut context.scoring.borrow_mut(), request, progress.avoid.as_ref());
     let (route, engine) = chosen.ok_or(WaitReason::NoScorer)?;
     Ok(ScoreCall {
         job: context.job.submission.id.clone(),
--- a/crates/coordinator/src/runner.rs
+++ b/crates/coordinator/src/runner.rs
@@ -66,6 +66,7 @@
             self.stop_all_jobs();
             self.inner.fleet.clear();
             self.inner.working_set.borrow_mut().clear();
+            self.inner.batch_order.borrow_mut().clear();
             spdlog::info!("leading", kv: { term = term });
         }
         let planned = self.inner.node.read(|state| {
--- a/crates/coordinator/src/waits.rs
+++ b/crates/coordinator/src/waits.rs
@@ -34,6 +34,8 @@
     PlanLimitReached,
     /// Its text is complete, and no engine is available for the score call.
     NoScorer,
+    /// The routing document no longer lists the tenant that owns its job, so nobody may read its result.
+    OwnerNotListed,
 }
 
 impl WaitReason {
@@ -48,12 +50,13 @@
             Self::OnlyDegradedEngines => "only slow or non-reporting engines have a free slot",
             Self::PlanLimitReached => "start limit of this plan reached",
             Self::NoScorer => "no engine available for scoring",
+            Self::OwnerNotListed => "the routing document does not list the owner of the job",
         }
     }
 
     /// Whether the item waits only because of load, which is logged at a lower level.
     fn is_load(self) -> bool {
-        matches!(self, Self::NoFreeSlot | Self::PlanLimitReached)
+        matches!(self, Self::NoFreeSlot | Self::PlanLimitReached | Self::OwnerNotListed)
     }
 }
 
@@ -77,6 +80,11 @@
         Some(waited)
     }
 
+    /// How long the item has been waiting at `now`.
+    pub fn waited(&self, now: Duration) -> Duration {
+        self.since.map_or(Duration::ZERO, |since| now.saturating_sub(since))
+    }
+
     /// Ends the wait at `now` and returns how long it lasted.
     pub fn end(&mut self, now: Duration) -> Duration {
         let since = std::mem::take(self).since;
@@ -103,8 +111,9 @@
     window: RefCell<LogWindow>,
 }
 
+/// Limits the lines of a log to [`MAX_LINES_PER_INTERVAL`] per [`LOG_INTERVAL`].
 #[derive(Debug, Default)]
-struct LogWindow {
+pub(crate) struct LogWindow {
     began_at: Duration,
     logged: u32,
     suppressed: u32,
@@ -113,7 +122,7 @@
 impl LogWindow {
     /// Admits a line at `now`. Returns how many lines were suppressed since the last admitted one, or `None` if this
     /// one is suppressed.
-    fn admit(&mut self, now: Duration) -> Option<u32> {
+    pub fn admit(&mut self, now: Duration) -> Option<u32> {
         if now >= self.began_at + LOG_INTERVAL {
             self.began_at = now;
             self.logged = 0;
--- a/crates/gateway-api/tests/common/mod.rs
+++ b/crates/gateway-api/tests/common/mod.rs
@@ -20,6 +20,7 @@
 use saddlerelay_replication::config::ReplicationConfig;
 use saddlerelay_runtime::Runtime;
 use saddlerelay_runtime_compio::CompioRuntime;
+use saddlerelay_scheduling::Activation;
 use saddlerelay_types::gateway::{GatewayCommand, StoreRecord};
 use saddlerelay_types::instance::{InstanceId, InstanceReport, LoadedModel};
 use saddlerelay_types::job::{ItemId, JobId, JobItem, JobSubmission, ResultPage};
@@ -61,6 +62,7 @@
 /// A running deployment.
 pub struct Deployment {
     pub node: ControlNode<CompioRuntime, HttpBackends>,
+    pub coordinator: Coordinator<HttpBackends>,
     pub gateway: Gateway,
     pub client_address: SocketAddr,
     pub control: SocketAddr,
@@ -99,6 +101,7 @@
     listener: compio::net::TcpListener,
     address: SocketAddr,
     founder: SocketAddr,
+    target_voters: usize,
 ) -> ControlNode<CompioRuntime, HttpBackends> {
     let options = ReplicaOptions {
         address,
@@ -110,7 +113,7 @@
             election_jitter: Duration::from_millis(20),
             lease: Duration::from_millis(250),
             heartbeat_interval: Duration::from_millis(50),
-            target_voters: 1,
+            target_voters,
             ..ReplicationConfig::default()
         },
     };
@@ -169,20 +172,31 @@
 
     /// Like [`Self::start`], with a gateway configuration.
     pub async fn start_with(name: &str, gateway_config: GatewayConfig) -> Self {
-        Self::start_configured(name, gateway_config, coordinator_config()).await
+        Self::start_configured(name, gateway_config, coordinator_config(), 1).await
+    }
+
+    /// Like [`Self::start`], with the setting of the order of waiting items, in a group of up to `voters` voters.
+    pub async fn start_with_batch_order(name: &str, batch_order: Activation, voters: usize) -> Self {
+        let coordinator = CoordinatorConfig { batch_order, ..coordinator_config() };
+        Self::start_configured(name, GatewayConfig::default(), coordinator, voters).await
     }
 
     /// Like [`Self::start`], with the coordinator's timeout for the next event of an item.
     pub async fn start_with_event_timeout(name: &str, event_timeout: Duration) -> Self {
         let coordinator = CoordinatorConfig { event_timeout, ..coordinator_config() };
-        Self::start_configured(name, GatewayConfig::default(), coordinator).await
+        Self::start_configured(name, GatewayConfig::default(), coordinator, 1).await
     }
 
-    async fn start_configured(name: &str, gateway_config: GatewayConfig, coordinator: CoordinatorConfig) -> Self {
+    async fn start_configured(
+        name: &str,
+        gateway_config: GatewayConfig,
+        coordinator: CoordinatorConfig,
+        target_voters: usize,
+    ) -> Self {
         let runtime = CompioRuntime::new(empty_folder(name));
         let (peer_listener, peer_address) = bind().await;
-        let node = start_replica(&runtime, peer_listener, peer_address, peer_address).await;
-        Coordinator::start(
+        let node = start_replica(&runtime, peer_listener, peer_address, peer_address, target_voters).await;
+        let coordinator = Coordinator::start(
             runtime.clone(),
             node.clone(),
             CoordinatorIdentity { name: "coordinator".to_string(), zone: "north".to_string() },
@@ -198,8 +212,9 @@
             ControlApi::start(runtime.clone(), client, Duration::from_secs(1), Box::new(|_| None), NativeFormats)
         };
         runtime.spawn(serve_until(control_listener, control_api, Shutdown::default()));
+        let name = name.to_string();
         let deployment =
-            Self { node, gateway, client_address, control, peer_address, name: name.to_string(), gateway_config };
+            Self { node, coordinator, gateway, client_address, control, peer_address, name, gateway_config };
         eventually("the group has a leader", async || deployment.node.replica().leading_term().is_some()).await;
         deployment
     }
@@ -209,7 +224,7 @@
     pub async fn start_south_zone(&self) -> (ControlNode<CompioRuntime, HttpBackends>, Gateway, SocketAddr) {
         let runtime = CompioRuntime::new(empty_folder(&format!("{}-south", self.name)));
         let (listener, address) = bind().await;
-        let replica = start_replica(&runtime, listener, address, self.peer_address).await;
+        let replica = start_replica(&runtime, listener, address, self.peer_address, 1).await;
         let record = StoreRecord {
             name: "south".to_string(),
             replica: replica.replica().id(),
@@ -227,6 +242,29 @@
         (replica, gateway, client_address)
     }
 
+    /// Starts a second replica with a coordinator and waits until it is a voter.
+    pub async fn start_second_coordinator(
+        &self,
+        batch_order: Activation,
+    ) -> (ControlNode<CompioRuntime, HttpBackends>, Coordinator<HttpBackends>) {
+        let runtime = CompioRuntime::new(empty_folder(&format!("{}-second", self.name)));
+        let (listener, address) = bind().await;
+        let node = start_replica(&runtime, listener, address, self.peer_address, 2).await;
+        let coordinator = Coordinator::start(
+            runtime.clone(),
+            node.clone(),
+            CoordinatorIdentity { name: "second".to_string(), zone: "north".to_string() },
+            Default::default(),
+            Box::new(NativeEngines),
+            CoordinatorConfig { batch_order, ..coordinator_config() },
+        );
+        let voters = || {
+            self.node.replica().view().map_or(0, |view| view.replicas.iter().filter(|replica| replica.voter).count())
+        };
+        eventually("the second replica is a voter", async || voters() == 2).await;
+        (node, coordinator)
+    }
+
     /// Starts another gateway in zone `north` and waits until it is ready; returns its client address.
     pub async fn start_north_gateway(&self, name: &str) -> SocketAddr {
         let runtime = CompioRuntime::new(empty_folder(&format!("{}-{name}", self.name)));
--- a/crates/scheduling/src/lib.rs
+++ b/crates/scheduling/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod completion;
 pub mod load_report;
 pub mod order;
+pub mod pass;
 pub mod shares;
 
 pub use activation::Activation;
--- a/crates/scheduling/src/order.rs
+++ b/crates/scheduling/src/order.rs
@@ -15,6 +15,7 @@
 //! can still be in time loses no more than it.
 
 use crate::shares::{Served, Shares, Trainer};
+use saddlerelay_types::routing::{RouteKind, RoutingDocument};
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, BinaryHeap, VecDeque};
 use std::time::Duration;
@@ -38,6 +39,9 @@
     pub trainer: usize,
     /// The caller's index of the pool of engines that may run the item.
     pub pool: usize,
+    /// The caller's index of what restricts the choice of an engine: if no engine is free for one item of a constraint,
+    /// none is for another.
+    pub constraint: usize,
     /// Priority; 0 is the most urgent.
     pub priority: u32,
     /// Whether its group is one that the trainer waits for.
@@ -112,11 +116,17 @@
 }
 
 /// Starts of each pool since an overdue item of it was started.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug)]
 pub struct OverdueTurns<K: Ord> {
     starts: BTreeMap<K, u32>,
 }
 
+impl<K: Ord> Default for OverdueTurns<K> {
+    fn default() -> Self {
+        Self { starts: BTreeMap::new() }
+    }
+}
+
 impl<K: Ord> OverdueTurns<K> {
     /// Whether the next start of the pool is the turn of its longest waiting item.
     pub fn is_due(&self, pool: &K) -> bool {
@@ -210,6 +220,12 @@
         None
     }
 
+    /// The remaining items, in no particular order.
+    pub fn into_rest(self) -> impl Iterator<Item = Candidate> {
+        let current = self.current.into_values().flatten();
+        current.chain(self.sorted.map(|(_, candidate)| candidate))
+    }
+
     fn served(&self, trainer: usize, shares: &Shares) -> Served {
         self.trainers.get(trainer).map(|trainer| shares.served(trainer, self.now)).unwrap_or_default()
     }
@@ -251,3 +267,12 @@
     order.into_iter().take(count).for_each(|index| wanted[index] = true);
     wanted
 }
+
+/// Whether trainers compete, so that the order is needed: the document lists tenants, and two or more rollout routes
+/// share a service.
+pub fn trainers_compete(document: &RoutingDocument) -> bool {
+    let lists_tenants = document.tenants.as_ref().is_some_and(|tenants| !tenants.is_empty());
+    let rollouts = || document.routes.iter().filter(|route| route.kind == RouteKind::Rollout);
+    let is_shared = |service: &str| rollouts().filter(|route| route.serves(service)).nth(1).is_some();
+    lists_tenants && document.services.iter().any(|service| is_shared(&service.name))
+}
--- a/crates/scheduling/tests/order.rs
+++ b/crates/scheduling/tests/order.rs
@@ -1,10 +1,15 @@
 //! The order in which waiting items start.
 
 use saddlerelay_scheduling::order::{
-    Candidate, Class, GroupProgress, OverdueTurns, STARTS_PER_OVERDUE_START, WaitingOrder, rank, wanted_groups,
+    Candidate, Class, GroupProgress, OverdueTurns, STARTS_PER_OVERDUE_START, WaitingOrder, rank, trainers_compete,
+    wanted_groups,
 };
 use saddlerelay_scheduling::shares::{Shares, Trainer};
 use saddlerelay_types::identity::TenantId;
+use saddlerelay_types::routing::{
+    BatchSettings, RequestLimits, Route, RouteKind, RoutingDocument, Service, WeightedTarget,
+};
+use saddlerelay_types::tenancy::TenantAccess;
 use std::time::Duration;
 
 const NOW: Duration = Duration::from_secs(100);
@@ -20,6 +25,7 @@
         item,
         trainer: 0,
         pool: 0,
+        constraint: 0,
         priority: 1,
         wanted: true,
         due_at: NOW + ms(due_ms),
@@ -170,3 +176,57 @@
     assert_eq!(wanted_groups(&groups, 4), [false, true, true, true, true]);
     assert_eq!(wanted_groups(&groups, 9), [true; 5]);
 }
+
+fn route(kind: RouteKind, service: &str, weight: u64) -> Route {
+    Route {
+        name: String::new(),
+        host: String::new(),
+        path_prefix: "/".to_string(),
+        kind,
+        timeout_ms: 1,
+        objective_ms: 1,
+        priority: 0,
+        targets: vec![WeightedTarget { service: service.to_string(), weight }],
+        max_attempts: 1,
+        resumable: true,
+        public: false,
+        batch: BatchSettings::default(),
+    }
+}
+
+fn document(routes: Vec<Route>, tenants: Option<usize>) -> RoutingDocument {
+    let service = |name: &str| Service {
+        name: name.to_string(),
+        health_path: "/".to_string(),
+        max_connections: 1,
+        hosting: None,
+        scaling: None,
+    };
+    let tenant = TenantAccess { name: TenantId::new("a"), keys: Vec::new(), priority: None };
+    RoutingDocument {
+        version: 1,
+        routes,
+        services: vec![service("one"), service("two")],
+        limits: RequestLimits { max_header_bytes: 0, max_body_bytes: 0, header_timeout_ms: 0, idle_timeout_ms: 0 },
+        tenants: tenants.map(|count| vec![tenant; count]),
+        source: Vec::new(),
+    }
+}
+
+/// Guards against the order taking effect in deployments whose trainers don't compete.
+#[test]
+fn trainers_compete_where_tenants_are_listed_and_rollout_routes_share_a_service() {
+    let rollout = |service| route(RouteKind::Rollout, service, 1);
+    let shared = || vec![rollout("one"), rollout("two"), rollout("one")];
+    let cases = [
+        ("shared", shared(), Some(1), true),
+        ("no list of tenants", shared(), None, false),
+        ("an empty list of tenants", shared(), Some(0), false),
+        ("one route for each service", vec![rollout("one"), rollout("two")], Some(1), false),
+        ("another kind", vec![rollout("one"), route(RouteKind::Streaming, "one", 1)], Some(1), false),
+        ("no weight", vec![rollout("one"), route(RouteKind::Rollout, "one", 0)], Some(1), false),
+    ];
+    for (name, routes, tenants, expected) in cases {
+        assert_eq!(trainers_compete(&document(routes, tenants)), expected, "{name}");
+    }
+}
