Keep room for long texts in the order of waiting items

A text that takes nearly as long as its job may take was late when all slots were taken, or when its engine failed and it waited behind items that can wait. An engine takes no neighbor that would make its texts late while others have room; slots are reserved shortly before a regular step; and a long or interrupted text takes the slot of an item with slack if no slot becomes free in time, at most twice per item. The limit for neighbors has no effect until engines' estimates count neighbors.

--- a/crates/coordinator/src/engines.rs
+++ b/crates/coordinator/src/engines.rs
@@ -4,10 +4,11 @@
 use crate::pace::Paces;
 use saddlerelay_control::state::ControlState;
 use saddlerelay_runtime::backend::Backends;
+use saddlerelay_scheduling::long_texts::{RunningText, allows_neighbor};
 use saddlerelay_scheduling::{CapacityEstimate, EngineSnapshot};
 use saddlerelay_types::instance::InstanceState;
 use saddlerelay_upstream::EngineTarget;
-use std::cell::Cell;
+use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
 use std::rc::Rc;
 use std::time::Duration;
@@ -24,6 +25,8 @@
     pub weights: Rc<BTreeMap<String, u64>>,
     /// Items in flight, including those assigned by this plan.
     load: Cell<u32>,
+    /// Texts in flight that are kept in time, in a plan that starts items in order of urgency.
+    texts: RefCell<Vec<RunningText>>,
 }
 
 impl Engine {
@@ -42,6 +45,16 @@
         EngineSnapshot { running: self.load.get(), slots: self.slots, ..snapshot_of_pace(self.pace, !self.silent) }
     }
 
+    /// Adds a text that is to be kept in time.
+    pub fn add_text(&self, text: RunningText) {
+        self.texts.borrow_mut().push(text);
+    }
+
+    /// Whether an additional item leaves the engine's texts in time.
+    pub fn allows_neighbor(&self, now: Duration) -> bool {
+        allows_neighbor(&self.snapshot(), &self.texts.borrow(), now)
+    }
+
     /// Reserves a slot for an item assigned by this plan.
     pub fn reserve_slot(&self) {
         self.load.set(self.load.get() + 1);
@@ -99,6 +112,7 @@
             silent: record.silent,
             pace: paces.of(&record.report.id),
             weights: fleet.loaded_versions(&record.report.id),
+            texts: RefCell::default(),
             load: Cell::new(fleet.in_flight(&record.report.id)),
         })
         .collect()
--- a/crates/coordinator/src/job_run.rs
+++ b/crates/coordinator/src/job_run.rs
@@ -50,6 +50,8 @@
     /// The engine of the last failed attempt, or the one that the item was moved away from.
     pub avoid: Option<InstanceId>,
     pub moves: u32,
+    /// How often another item took its slot.
+    pub displacements: u32,
     pub scoring: ScoringProgress,
     /// Digest of the item's work; computed only while any work is suspected.
     pub work: OnceCell<WorkDigest>,
@@ -128,6 +130,8 @@
     pub trainer: Trainer,
     /// Which groups the trainer waits for.
     pub wanted: WantedGroups,
+    /// Whether the submission was counted for the trainer's interval.
+    pub is_submission_recorded: bool,
 }
 
 impl JobRun {
@@ -153,6 +157,7 @@
                 wait: Wait::default(),
                 avoid: None,
                 moves: 0,
+                displacements: 0,
                 scoring: ScoringProgress::default(),
                 work: OnceCell::new(),
                 scoring_work: OnceCell::new(),
@@ -178,6 +183,7 @@
             moves_checked_at: Duration::ZERO,
             trainer: trainer_of(submission),
             wanted,
+            is_submission_recorded: false,
         }
     }
 }
--- a/crates/coordinator/src/lib.rs
+++ b/crates/coordinator/src/lib.rs
@@ -16,6 +16,7 @@
 mod lengths;
 pub mod listing;
 pub mod load_order;
+mod long_texts;
 mod lost_connections;
 pub mod metrics;
 pub mod model_assignments;
--- a/crates/coordinator/src/metrics.rs
+++ b/crates/coordinator/src/metrics.rs
@@ -1,7 +1,7 @@
 //! Metrics of a coordinator.
 
 use crate::waits::WaitReason;
-use saddlerelay_telemetry::registry::{Counter, Histogram, MetricRegistry};
+use saddlerelay_telemetry::registry::{Counter, Gauge, Histogram, MetricRegistry};
 
 /// Counters of long waits, by reason.
 struct LongWaits {
@@ -69,6 +69,10 @@
     pub items_started_late: Counter,
     /// Items started because they had waited longest.
     pub items_started_overdue: Counter,
+    /// Items whose slot a text that could not wait took.
+    pub items_displaced: Counter,
+    /// Slots reserved at present for steps that are about to be submitted.
+    pub reserved_slots: Gauge,
 }
 
 impl Default for CoordinatorMetrics {
@@ -90,6 +94,7 @@
         let orders_unknown = counter("orders_unknown", "Orders whose outcome is not known");
         let items_started_late = counter("items_started_late", "Items started too late to be in time");
         let items_started_overdue = counter("items_started_overdue", "Items started because they had waited longest");
+        let items_displaced = counter("items_displaced", "Items whose slot a text that could not wait took");
         let mut histogram = |name: &str, help: &str| registry.seconds(name, help, 0.01, 12);
         let wait_seconds = histogram("wait_seconds", "How long items were at no engine before one took them");
         let attempt_seconds = histogram("attempt_seconds", "From sending an item to the end of its attempt");
@@ -97,6 +102,8 @@
         let load_seconds = histogram("load_seconds", "How long changes of weights took");
         let slack_at_start_seconds =
             histogram("slack_at_start_seconds", "How long items could still have waited when they started");
+        let reserved_slots =
+            registry.gauge("reserved_slots", "Slots reserved for steps that are about to be submitted");
         let long_waits = LongWaits::register(&mut registry);
         Self {
             registry,
@@ -119,6 +126,8 @@
             slack_at_start_seconds,
             items_started_late,
             items_started_overdue,
+            items_displaced,
+            reserved_slots,
         }
     }
 }
@@ -129,7 +138,7 @@
         match reason {
             WaitReason::Quarantined | WaitReason::TrialTaken => &counts.suspected,
             WaitReason::NoEligibleEngine | WaitReason::OnlyDegradedEngines | WaitReason::NoScorer => &counts.no_engine,
-            WaitReason::NoFreeSlot | WaitReason::PlanLimitReached => &counts.load,
+            WaitReason::NoFreeSlot | WaitReason::PlanLimitReached | WaitReason::SlotsReserved => &counts.load,
             WaitReason::RetryDelay => &counts.retry,
             WaitReason::OwnerNotListed => &counts.owner,
         }
--- a/crates/coordinator/src/ordered.rs
+++ b/crates/coordinator/src/ordered.rs
@@ -2,14 +2,16 @@
 
 use crate::batch_order::{BatchOrder, PoolKey};
 use crate::job_run::Charge;
+use crate::long_texts::{ReservedPool, RunningItems, record_submission, reserved_pools};
 use crate::placement::EligibleEngine;
 use crate::plan::{
-    Engine, JobContext, MAX_STARTS_PER_PLAN, Plan, Round, awaits_engine, keep_waiting, plan_item, plan_job_moves,
-    record_wait,
+    Engine, JobContext, MAX_STARTS_PER_PLAN, Plan, PlannedAttempt, Round, awaits_engine, keep_waiting, plan_item,
+    plan_job_moves, record_wait,
 };
 use crate::waits::{LogWindow, WaitReason};
 use saddlerelay_control::state::ControlState;
 use saddlerelay_runtime::backend::Backends;
+use saddlerelay_scheduling::long_texts::RunningText;
 use saddlerelay_scheduling::order::{Candidate, Class, OverdueTurns, Rank, WaitingOrder};
 use saddlerelay_scheduling::pass::{Starter, start_in_order};
 use saddlerelay_scheduling::shares::{Shares, Trainer};
@@ -32,11 +34,14 @@
     };
     let (inner, now) = (first.inner, first.now);
     let order_state = &mut *inner.batch_order.borrow_mut();
-    let mut waiting = Waiting::new(first.round);
+    let round = first.round;
+    let mut waiting = Waiting::new(round);
     for (job, context) in contexts.iter_mut().enumerate() {
         waiting.add_job(job, context, state, order_state, plan);
     }
-    let Waiting { candidates, trainers, pools, .. } = waiting;
+    let Waiting { candidates, trainers, pools, running, .. } = waiting;
+    let reserved = reserved_pools(order_state, &pools, round);
+    inner.metrics.reserved_slots.set(reserved.values().map(|pool| i64::from(pool.slots())).sum());
     let is_turn: Vec<bool> = pools.iter().map(|pool| order_state.turns.is_due(pool)).collect();
     let order = WaitingOrder::new(candidates, &trainers, &is_turn, now);
     let mut starter = ItemStarter {
@@ -46,12 +51,16 @@
         pools: &pools,
         turns: &mut order_state.turns,
         log: &mut order_state.start_log,
+        running,
+        reserved,
     };
     let max_starts = MAX_STARTS_PER_PLAN.saturating_sub(starter.plan.starts.len());
     start_in_order(order, &mut order_state.shares, max_starts, &mut starter);
-    for context in contexts {
+    let ItemStarter { contexts, plan, mut running, .. } = starter;
+    for context in contexts.iter_mut() {
         plan_job_moves(context, plan);
     }
+    running.rescue(contexts, plan);
     order_state.log_shares(now);
 }
 
@@ -79,6 +88,7 @@
     sets: Vec<EligibleSet<'a>>,
     set_indexes: BTreeMap<SetKey<'a>, usize>,
     constraints: BTreeMap<Constraint, usize>,
+    running: RunningItems<'a>,
 }
 
 impl<'a> Waiting<'a> {
@@ -98,6 +108,7 @@
             sets: Vec::new(),
             set_indexes: BTreeMap::new(),
             constraints: BTreeMap::new(),
+            running: RunningItems::new(round),
         }
     }
 
@@ -117,11 +128,23 @@
         }
         let trainer = index_of(&mut self.trainers, &context.run.trainer);
         let pool = context.route.map(|route| index_of(&mut self.pools, &pool_key(route, submission)));
+        let due_at = context
+            .route
+            .zip(context.item_deadline)
+            .map(|(route, item_deadline)| due_at(context.run.started_at, route, item_deadline));
+        if let (Some(pool), Some(due_at)) = (pool, due_at) {
+            let due_period = due_at.saturating_sub(context.run.started_at);
+            record_submission(context, &self.pools[pool], due_period, order_state);
+        }
+        context.spares_long_texts = true;
         let owner_priority = owner_priority(state, submission.owner.as_ref());
         let run = &mut *context.run;
         run.wanted.update(&run.items, &context.round.paces, context.now);
         for index in 0..context.run.items.len() as u32 {
-            let Some((route, item_deadline)) = awaits_engine(context, index, plan) else {
+            let Some((route, _)) = awaits_engine(context, index, plan) else {
+                if let Some(due_at) = due_at {
+                    self.running.add(job, context, index, due_at);
+                }
                 continue;
             };
             refund(context, index, &mut order_state.shares);
@@ -134,7 +157,7 @@
                 record_wait(context, index, WaitReason::OwnerNotListed);
                 continue;
             };
-            let (Some(set), Some(pool)) = (set, pool) else {
+            let (Some(set), Some(pool), Some(due_at)) = (set, pool, due_at) else {
                 continue;
             };
             let versions = run.text.borrow().versions().first().copied();
@@ -143,7 +166,6 @@
             let constraint = (set, required_version, run.avoid.clone());
             let constraint = *self.constraints.entry(constraint).or_insert(next_constraint);
             let work = Work { remaining_events: run.remaining_events(), prompt_tokens: 0 };
-            let due_at = due_at(context.run.started_at, route, item_deadline);
             self.candidates.push(Candidate {
                 job,
                 item: index,
@@ -243,17 +265,20 @@
     pools: &'p [PoolKey],
     turns: &'p mut OverdueTurns<PoolKey>,
     log: &'p mut LogWindow,
+    running: RunningItems<'a>,
+    /// Reservations by pool.
+    reserved: BTreeMap<usize, ReservedPool>,
 }
 
 impl<B: Backends> Starter for ItemStarter<'_, '_, '_, B> {
     type Reason = WaitReason;
 
     fn start(&mut self, rank: Rank, candidate: &Candidate, shares: &mut Shares) -> Result<(), WaitReason> {
-        let context = &mut self.contexts[candidate.job];
-        let (Some(route), Some(item_deadline)) = (context.route, context.item_deadline) else {
-            return Err(WaitReason::NoEligibleEngine);
-        };
-        let start = plan_item(context, route, candidate.item, item_deadline, self.plan)?;
+        if self.reserved.get(&candidate.pool).is_some_and(|pool| pool.holds_back(rank)) {
+            return Err(WaitReason::SlotsReserved);
+        }
+        let start = self.plan_start(rank, candidate)?;
+        let context = &self.contexts[candidate.job];
         let now = context.now;
         let trainer = &self.trainers[candidate.trainer];
         self.log_start(rank, candidate, &start.target.instance, shares);
@@ -263,6 +288,9 @@
         let events = run.text.borrow().events();
         let remaining_events = run.remaining_events();
         run.charge = Some(Charge { work: candidate.expected, at: now, events, remaining_events });
+        if let Some(pool) = self.reserved.get_mut(&candidate.pool) {
+            pool.take_slot();
+        }
         self.turns.record_start(self.pools[candidate.pool].clone(), rank.class);
         let metrics = &context.inner.metrics;
         metrics.slack_at_start_seconds.observe(candidate.slack(now).as_secs_f64());
@@ -283,6 +311,38 @@
 }
 
 impl<B: Backends> ItemStarter<'_, '_, '_, B> {
+    /// Plans an attempt at an engine with a free slot, if possible one whose texts stay in time, or in the slot of a
+    /// running item.
+    fn plan_start(&mut self, rank: Rank, candidate: &Candidate) -> Result<PlannedAttempt, WaitReason> {
+        let context = &mut self.contexts[candidate.job];
+        let (Some(route), Some(item_deadline)) = (context.route, context.item_deadline) else {
+            return Err(WaitReason::NoEligibleEngine);
+        };
+        let mut start = plan_item(context, route, candidate.item, item_deadline, self.plan);
+        if start.is_err() {
+            context.spares_long_texts = false;
+            start = plan_item(context, route, candidate.item, item_deadline, self.plan);
+            context.spares_long_texts = true;
+        }
+        let avoid = &self.contexts[candidate.job].run.items[candidate.item as usize].avoid;
+        let lacks_engine = match &start {
+            // The engine that the item left may fail again, which costs a text that can't wait more than a slot.
+            Ok(start) => avoid.as_ref() == Some(&start.target.instance),
+            Err(reason) => matches!(reason, WaitReason::NoFreeSlot | WaitReason::OnlyDegradedEngines),
+        };
+        if lacks_engine && let Some(displacing) = self.running.displace(self.contexts, rank, candidate, self.plan) {
+            start = Ok(displacing);
+        }
+        let start = start?;
+        if candidate.wanted
+            && let Some(engine) = self.running.engine(&start.target.instance)
+        {
+            let run = &self.contexts[candidate.job].run.items[candidate.item as usize];
+            engine.add_text(RunningText { remaining_events: run.remaining_events(), due_at: candidate.due_at });
+        }
+        Ok(start)
+    }
+
     /// Logs why an item starts, within the rate limit.
     fn log_start(&mut self, rank: Rank, candidate: &Candidate, instance: &InstanceId, shares: &Shares) {
         let context = &self.contexts[candidate.job];
--- a/crates/coordinator/src/placement.rs
+++ b/crates/coordinator/src/placement.rs
@@ -19,7 +19,7 @@
 const FULLNESS_COST: f64 = 0.1;
 
 /// An item is long if its expected length is at least this multiple of its job's mean.
-const LONG_FACTOR: f64 = 1.5;
+pub(crate) const LONG_FACTOR: f64 = 1.5;
 
 /// With at least this many healthy engines, an item waits rather than run on a degraded one.
 const SUFFICIENT_HEALTHY_ENGINES: usize = 2;
@@ -66,10 +66,12 @@
 ) -> impl Iterator<Item = &'b EligibleEngine<'a>> + use<'a, 'b, B> {
     let run = &context.run.items[index as usize];
     let single_version = route.batch.single_version;
+    let (spares_long_texts, now) = (context.spares_long_texts, context.now);
     context
         .eligible
         .iter()
         .filter(move |candidate| candidate.engine.has_free_slot() && candidate.may_continue(run, single_version))
+        .filter(move |candidate| !spares_long_texts || candidate.engine.allows_neighbor(now))
 }
 
 /// The engine for an item: the fastest for a long or partly generated one, the least loaded for others.
--- a/crates/coordinator/src/plan.rs
+++ b/crates/coordinator/src/plan.rs
@@ -82,6 +82,8 @@
     pub aborts: Vec<(JobId, u32, &'static str)>,
     /// Running items to move to a faster engine.
     pub moves: Vec<(JobId, u32)>,
+    /// Running items whose slot another item takes.
+    pub displaced: Vec<(JobId, u32)>,
     /// Jobs that have not ended.
     pub open: BTreeSet<JobId>,
     /// Number of items left waiting for an engine, by model.
@@ -137,6 +139,7 @@
             now,
             round: &round,
             eligible: Rc::default(),
+            spares_long_texts: false,
             scoring: &scoring,
             suspicions: &state.suspicions,
         });
@@ -199,6 +202,8 @@
     pub round: &'a Round,
     /// Engines that the job's items may run on, including full ones.
     pub eligible: Rc<Vec<EligibleEngine<'a>>>,
+    /// Whether engines are left out of which a text would become late beside another item.
+    pub spares_long_texts: bool,
     scoring: &'a RefCell<ScoringRound<'s>>,
     /// Work during which engines have terminated.
     suspicions: &'a SuspicionTable,
@@ -346,30 +351,40 @@
     if context.now < run.not_before {
         return Err(run.pause_reason);
     }
-    let submission = &context.job.submission;
-    let item = &submission.items[index as usize];
     let chosen = choose_engine(context, route, index).ok_or_else(|| no_engine_reason(context, route, index))?;
-    let target = chosen.engine.target.clone();
-    let start = PlannedAttempt {
+    let start = planned_attempt(context, route, index, item_deadline, chosen);
+    chosen.engine.reserve_slot();
+    let group = context.job.submission.items[index as usize].group.clone();
+    context.run.group_engines.insert(group, start.target.instance.clone());
+    Ok(start)
+}
+
+/// An attempt of an item at an engine.
+pub(crate) fn planned_attempt<B: Backends>(
+    context: &JobContext<'_, '_, B>,
+    route: &Route,
+    index: u32,
+    item_deadline: Duration,
+    chosen: &EligibleEngine<'_>,
+) -> PlannedAttempt {
+    let submission = &context.job.submission;
+    PlannedAttempt {
         job: submission.id.clone(),
         index,
-        item: item.clone(),
+        item: submission.items[index as usize].clone(),
         host: submission.host.clone(),
         path: submission.path.clone(),
         owner: submission.owner.clone(),
         model: submission.model.clone(),
-        target: target.clone(),
+        target: chosen.engine.target.clone(),
         expected_version: chosen.version,
         minimum_version: submission.minimum_version,
         single_version: route.batch.single_version,
         max_attempts: route.max_attempts.max(1),
         item_deadline,
-        text: run.text.clone(),
+        text: context.run.items[index as usize].text.clone(),
         term: context.round.term,
-    };
-    chosen.engine.reserve_slot();
-    context.run.group_engines.insert(item.group.clone(), target.instance);
-    Ok(start)
+    }
 }
 
 fn no_engine_reason<B: Backends>(context: &JobContext<'_, '_, B>, route: &Route, index: u32) -> WaitReason {
--- a/crates/coordinator/src/runner.rs
+++ b/crates/coordinator/src/runner.rs
@@ -152,6 +152,9 @@
         for (job, index) in plan.moves {
             self.move_item(&job, index);
         }
+        for (job, index) in plan.displaced {
+            self.displace_item(&job, index);
+        }
         for start in plan.starts {
             self.start_item(start);
         }
@@ -187,6 +190,23 @@
         }
     }
 
+    /// Cancels an item's request, as another item takes its slot. The next plan resumes it where there is room.
+    fn displace_item(&self, job: &JobId, index: u32) {
+        let mut jobs = self.inner.jobs.borrow_mut();
+        let run = jobs.get_mut(job).and_then(|run| run.items.get_mut(index as usize));
+        if let Some(run) = run
+            && let Phase::Running { instance, .. } = std::mem::replace(&mut run.phase, Phase::Waiting)
+        {
+            run.displacements += 1;
+            spdlog::info!("item displaced", kv: {
+                job = job.0.as_str(), index = index, instance = instance.name.as_str(),
+                events = run.text.borrow().events(), displacements = run.displacements
+            });
+            self.inner.metrics.items_displaced.inc();
+            self.inner.replan.notify();
+        }
+    }
+
     fn start_item(&self, start: PlannedAttempt) {
         let instance = start.target.instance.clone();
         let (job, index) = (start.job.clone(), start.index as usize);
--- a/crates/coordinator/src/waits.rs
+++ b/crates/coordinator/src/waits.rs
@@ -36,6 +36,8 @@
     NoScorer,
     /// The routing document no longer lists the tenant that owns its job, so nobody may read its result.
     OwnerNotListed,
+    /// The free slots are reserved for long texts of a step that is about to be submitted.
+    SlotsReserved,
 }
 
 impl WaitReason {
@@ -51,12 +53,13 @@
             Self::PlanLimitReached => "start limit of this plan reached",
             Self::NoScorer => "no engine available for scoring",
             Self::OwnerNotListed => "the routing document does not list the owner of the job",
+            Self::SlotsReserved => "free slots are reserved for an expected step",
         }
     }
 
     /// Whether the item waits only because of load, which is logged at a lower level.
     fn is_load(self) -> bool {
-        matches!(self, Self::NoFreeSlot | Self::PlanLimitReached | Self::OwnerNotListed)
+        matches!(self, Self::NoFreeSlot | Self::PlanLimitReached | Self::OwnerNotListed | Self::SlotsReserved)
     }
 }
 
--- a/crates/gateway-api/tests/batch_order.rs
+++ b/crates/gateway-api/tests/batch_order.rs
@@ -217,3 +217,72 @@
         assert!(coordinator.metrics().texts_reused.get() > 0, "the new leader continued no text");
     });
 }
+
+/// The relaxed job fills all slots with long texts that have slack; then a job is submitted whose only text has little.
+async fn start_with_full_slots(name: &str, engines: usize, due_after_ms: u64) -> Started {
+    let relaxed = BatchSettings { due_after_ms: 60_000, give_up_after_ms: 90_000, ..rollouts().batch };
+    let routes = vec![Route { batch: relaxed, ..rollouts() }, urgent(due_after_ms)];
+    let (deployment, engines) = start(name, Activation::On, routes, engines).await;
+    let slots = engines.len() * SLOTS;
+    submit_to(&deployment, "/rollouts/", &job("relaxed", 1, 0, slots as u32, 600), "").await;
+    eventually("all slots are taken", async || received(&engines).len() >= slots).await;
+    // The pace of the engines is known after some events.
+    compio::time::sleep(Duration::from_millis(500)).await;
+    (deployment, engines)
+}
+
+/// A job of a long text and a short one, the second of which makes the first count as long.
+fn one_long_text(events: u32) -> JobSubmission {
+    let mut job = job("later", 1, 100, 2, 5);
+    job.items[0].headers = vec![("events".to_string(), events.to_string())];
+    job.items[0].tokens = u64::from(events);
+    job
+}
+
+/// Guards against a long text that waits for a slot until it is late, and against the loss of the text that gives way.
+#[test]
+fn a_long_text_takes_the_slot_of_an_item_that_can_wait() {
+    block_on(async {
+        let (deployment, engines) = start_with_full_slots("displaced", 1, 2_000).await;
+        let submitted_at = Instant::now();
+        submit_to(&deployment, "/urgent/", &one_long_text(100), "").await;
+        let long_text_is_listed = async || {
+            let page = deployment.results("later").await;
+            page.is_some_and(|page| page.results.iter().any(|(_, result)| result.item == 0))
+        };
+        eventually("the long text is complete", long_text_is_listed).await;
+        assert!(submitted_at.elapsed() < Duration::from_secs(2), "late by {:?}", submitted_at.elapsed());
+        let displaced = deployment.coordinator.metrics().items_displaced.get();
+        assert!((1..=2).contains(&displaced), "{displaced} items were displaced");
+        let page = deployment.await_results("relaxed", SLOTS).await;
+        let whole = |text: &[u8]| text.split(|byte| *byte == b'\n').count() == 600;
+        assert!(page.results.iter().all(|(_, result)| result.end == ItemEnd::Completed && whole(&result.text)));
+        let resumed =
+            engines[0].received_requests().iter().filter(|seen| seen.header("last-event-id").is_some()).count();
+        assert!(resumed as u64 >= displaced, "a displaced text was generated from the start");
+    });
+}
+
+/// Guards against a long text whose engine ends and that then waits behind items that can wait.
+#[test]
+fn a_text_whose_engine_fails_continues_at_once_elsewhere() {
+    block_on(async {
+        let (deployment, engines) = start_with_full_slots("continued", 2, 3_500).await;
+        submit_to(&deployment, "/urgent/", &one_long_text(250), "").await;
+        let runs_at = |engine: &StandInEngine| received(std::slice::from_ref(engine)).contains(&100);
+        eventually("the long text runs", async || engines.iter().any(runs_at)).await;
+        compio::time::sleep(Duration::from_millis(200)).await;
+        let failing = usize::from(runs_at(&engines[1]));
+        engines[failing].set_behavior(EngineBehavior::Reject);
+        engines[failing].break_off_streams();
+        let failed_at = Instant::now();
+        eventually("the text continues elsewhere", async || runs_at(&engines[1 - failing])).await;
+        let continued = failed_at.elapsed();
+        println!("the text continued {continued:?} after its engine failed");
+        assert!(continued < Duration::from_millis(500), "the text continued after {continued:?}");
+        let starts = engines[1 - failing].received_requests();
+        let start = starts.iter().find(|seen| seen.path.ends_with("/100")).expect("the text did not start");
+        assert!(start.header("last-event-id").is_some(), "the text was generated from the start");
+        deployment.await_results("later", 2).await;
+    });
+}
--- a/crates/gateway-api/tests/common/engine.rs
+++ b/crates/gateway-api/tests/common/engine.rs
@@ -79,6 +79,8 @@
     event_interval: Cell<Duration>,
     /// Number of events sent in all streams.
     events_sent: Cell<u32>,
+    /// How often all streams were broken off.
+    streams_broken_off: Cell<u32>,
     in_progress: Cell<u32>,
     /// Maximum number of concurrent requests.
     max_concurrent: Cell<u32>,
@@ -128,6 +130,7 @@
             cancelled: Cell::new(0),
             event_interval: Cell::new(Duration::from_millis(1)),
             events_sent: Cell::new(0),
+            streams_broken_off: Cell::new(0),
             in_progress: Cell::new(0),
             max_concurrent: Cell::new(0),
         });
@@ -195,6 +198,11 @@
         self.state.events_sent.get()
     }
 
+    /// Interrupts all streams in progress at their next event.
+    pub fn break_off_streams(&self) {
+        self.state.streams_broken_off.set(self.state.streams_broken_off.get() + 1);
+    }
+
     /// Maximum number of concurrent requests without a stream.
     pub fn max_concurrent(&self) -> u32 {
         self.state.max_concurrent.get()
@@ -296,6 +304,7 @@
         let state = self.state.clone();
         let item = request.path.clone();
         let cancel_counter = CancelCounter(self.state.clone());
+        let broken_off = self.state.streams_broken_off.get();
         let parts = futures::stream::unfold((after, cancel_counter), move |(sent, cancel_counter)| {
             let state = state.clone();
             let item = item.clone();
@@ -305,7 +314,8 @@
                     return None;
                 }
                 compio::time::sleep(state.event_interval.get()).await;
-                if matches!(behavior, EngineBehavior::TruncateAfter(count) if sent - after == count) {
+                let truncates = matches!(behavior, EngineBehavior::TruncateAfter(count) if sent - after == count);
+                if truncates || state.streams_broken_off.get() != broken_off {
                     return Some((Err(BodyInterrupted), (sent, cancel_counter)));
                 }
                 state.events_sent.set(state.events_sent.get() + 1);
--- a/crates/scheduling/src/lib.rs
+++ b/crates/scheduling/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod activation;
 pub mod completion;
 pub mod load_report;
+pub mod long_texts;
 pub mod order;
 pub mod pass;
 pub mod shares;
