--- a/crates/coordinator/src/long_texts.rs
+++ b/crates/coordinator/src/long_texts.rs
@@ -197,6 +197,10 @@
             return;
         };
         let (job, index, engine, due_at) = (text.job, text.index, text.engine, text.due_at);
+        // Moves to free slots are planned elsewhere.
+        if contexts[job].eligible.iter().any(|eligible| eligible.engine.has_free_slot()) {
+            return;
+        }
         let Some((position, duration)) = self.choose(contexts, (job, index), &text.work, Duration::ZERO) else {
             return;
         };
