Let a long text try another's slot after a short item found none

A short item that finds no slot ended the tries of all items with the same engines, so a long text behind it in the order could not take the slot of an item that can wait. Whether an item may take another's slot is now part of the constraint.

--- a/crates/coordinator/src/long_texts.rs
+++ b/crates/coordinator/src/long_texts.rs
@@ -1,7 +1,7 @@
 //! Room for long texts in a plan that starts items in order of urgency ([`saddlerelay_scheduling::long_texts`]).
 
 use crate::batch_order::{BatchOrder, PoolKey};
-use crate::job_run::Phase;
+use crate::job_run::{ItemRun, Phase};
 use crate::placement::LONG_FACTOR;
 use crate::plan::{Engine, JobContext, Plan, PlannedAttempt, Round, planned_attempt};
 use saddlerelay_runtime::backend::Backends;
@@ -25,6 +25,28 @@
 /// Estimated cost of a move, as for moves to free slots.
 const MOVE_COST: Duration = Duration::from_millis(120);
 
+/// Whether a waiting item may take the slot of a running one.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub(crate) enum Displacing {
+    Never,
+    /// It can be in time, and is long or was interrupted.
+    InTime,
+    /// It was interrupted and has become late by that, but is not due yet.
+    Interrupted,
+}
+
+impl Displacing {
+    pub fn of(candidate: &Candidate, run: &ItemRun, mean_events: f64, now: Duration) -> Self {
+        let was_interrupted = run.text.borrow().events() > 0;
+        let is_long = run.expected_events >= mean_events * LONG_FACTOR;
+        match candidate.can_be_in_time(now) {
+            true if candidate.wanted && (was_interrupted || is_long) => Self::InTime,
+            false if candidate.wanted && was_interrupted && now < candidate.due_at => Self::Interrupted,
+            _ => Self::Never,
+        }
+    }
+}
+
 /// An item that runs at an engine of the plan.
 pub(crate) struct RunningItem {
     pub job: usize,
@@ -147,14 +169,9 @@
         let now = self.round.now;
         let context = &contexts[candidate.job];
         let run = &context.run.items[candidate.item as usize];
-        let was_interrupted = run.text.borrow().events() > 0;
-        let is_long = run.expected_events >= context.run.mean_events * LONG_FACTOR;
-        let may_displace = match rank.class {
-            Class::InTimeWanted => was_interrupted || is_long,
-            Class::LateWanted => was_interrupted && now < candidate.due_at,
-            Class::Overdue | Class::InTime | Class::Late => false,
-        };
-        if !may_displace || plan.displaced.len() >= MAX_DISPLACEMENTS_PER_PLAN {
+        let displacing = Displacing::of(candidate, run, context.run.mean_events, now);
+        let is_turn = rank.class == Class::Overdue;
+        if displacing == Displacing::Never || is_turn || plan.displaced.len() >= MAX_DISPLACEMENTS_PER_PLAN {
             return None;
         }
         let work = Work { remaining_events: run.remaining_events(), prompt_tokens: 0 };
--- a/crates/coordinator/src/ordered.rs
+++ b/crates/coordinator/src/ordered.rs
@@ -2,7 +2,7 @@
 
 use crate::batch_order::{BatchOrder, PoolKey};
 use crate::job_run::Charge;
-use crate::long_texts::{ReservedPool, RunningItems, record_submission, reserved_pools};
+use crate::long_texts::{Displacing, ReservedPool, RunningItems, record_submission, reserved_pools};
 use crate::placement::EligibleEngine;
 use crate::plan::{
     Engine, JobContext, MAX_STARTS_PER_PLAN, Plan, PlannedAttempt, Round, awaits_engine, keep_waiting, plan_item,
@@ -74,8 +74,10 @@
 /// Host and path prefix of a route, a model and a minimum version.
 type SetKey<'a> = (&'a str, &'a str, Option<&'a str>, u64);
 
-/// A set of eligible engines, the version that the text must be continued with, and the engine that is avoided.
-type Constraint = (usize, Option<u64>, Option<InstanceId>);
+/// A set of eligible engines, the version that the text must be continued with, the engine that is avoided, and whether
+/// the item may take another's slot. Without the last, a short item that finds no slot would keep a long one behind it
+/// from being tried.
+type Constraint = (usize, Option<u64>, Option<InstanceId>, Displacing);
 
 /// The waiting items of all jobs, and what they share.
 struct Waiting<'a> {
@@ -162,16 +164,13 @@
             };
             let versions = run.text.borrow().versions().first().copied();
             let required_version = versions.filter(|_| route.batch.single_version);
-            let next_constraint = self.constraints.len();
-            let constraint = (set, required_version, run.avoid.clone());
-            let constraint = *self.constraints.entry(constraint).or_insert(next_constraint);
             let work = Work { remaining_events: run.remaining_events(), prompt_tokens: 0 };
-            self.candidates.push(Candidate {
+            let mut candidate = Candidate {
                 job,
                 item: index,
                 trainer,
                 pool,
-                constraint,
+                constraint: 0,
                 priority: owner_priority.unwrap_or(route.priority),
                 wanted: context.run.wanted.includes(index),
                 due_at,
@@ -179,7 +178,12 @@
                 expected: expected_duration(&self.round.usual_engine(), &work),
                 at_best: expected_duration(&self.sets[set].fastest, &work),
                 waited: run.wait.waited(context.now),
-            });
+            };
+            let displacing = Displacing::of(&candidate, run, context.run.mean_events, context.now);
+            let next_constraint = self.constraints.len();
+            let constraint = (set, required_version, run.avoid.clone(), displacing);
+            candidate.constraint = *self.constraints.entry(constraint).or_insert(next_constraint);
+            self.candidates.push(candidate);
         }
     }
 
