Choose engines by expected completion, and move texts only from late to in time

Two methods: earliest expected end, and classes (the least used engine where the text ends safely in time; without one, the earliest end).

--- a/crates/scheduling/src/lib.rs
+++ b/crates/scheduling/src/lib.rs
@@ -7,8 +7,12 @@
 pub mod capacity;
 pub mod completion;
 pub mod load_report;
+pub mod placement;
 
 pub use activation::Activation;
 pub use capacity::{Capacities, CapacityModel};
 pub use completion::{CapacityEstimate, EngineSnapshot, Work, expected_duration};
 pub use load_report::LoadReport;
+pub use placement::{
+    Candidate, PlacedWork, Placement, PlacementMethod, PlacementReason, RunningWork, move_target, place,
+};
