--- a/crates/scheduling/src/placement.rs
+++ b/crates/scheduling/src/placement.rs
@@ -19,6 +19,9 @@
 /// Reduction of an engine's fullness if its cache contains the prompt of the text's group.
 const CACHED_PROMPT_BONUS: f64 = 0.15;
 
+/// Lower bound of the fullness less the bonus, so that among engines with a cached prompt the faster one is preferred.
+const MIN_FULLNESS: f64 = 0.01;
+
 /// With at least this many sound engines, a text waits for one of them rather than run on another.
 const SUFFICIENT_SOUND_ENGINES: usize = 2;
 
@@ -59,10 +62,14 @@
         self.engine.running < self.engine.slots
     }
 
-    /// The share of slots in use, less the bonus for a cached prompt.
+    /// Time that the engine's slots are expected to be in use, relative to other engines, with the text as an additional
+    /// one: the share of slots in use, less the bonus for a cached prompt, times the time per event. Slow engines thus
+    /// receive fewer texts, so that the slots of all are in use for about the same time.
     fn use_cost(&self) -> f64 {
-        let fullness = f64::from(self.engine.running) / f64::from(self.engine.slots.max(1));
-        if self.has_cached_prompt { fullness - CACHED_PROMPT_BONUS } else { fullness }
+        let running = self.engine.running + 1;
+        let fullness = f64::from(running) / f64::from(self.engine.slots.max(1));
+        let bonus = if self.has_cached_prompt { CACHED_PROMPT_BONUS } else { 0.0 };
+        (fullness - bonus).max(MIN_FULLNESS) * self.engine.capacity.seconds_per_event(running)
     }
 }
 
