Place and move items by expected completion where engines report their work time

On a service whose engines differ in speed for good, an engine 1.6 times slower than the fastest counted as degraded and stayed nearly idle. Where `placement` is active, the leader now learns each engine's capacity from its events and load headers, places items by expected completion and moves only those that would miss their time and meet it elsewhere. Other services are placed as before. Decisions and engine capacities are logged, rate-limited, and counted.

--- a/crates/coordinator/src/coordinator.rs
+++ b/crates/coordinator/src/coordinator.rs
@@ -7,6 +7,7 @@
 use crate::lost_connections::LocalTrialLeaseService;
 use crate::metrics::CoordinatorMetrics;
 use crate::model_assignments::ModelAssignments;
+use crate::placement_log::PlacementLog;
 use crate::scorers::Scorers;
 use crate::waits::WaitLog;
 use crate::working_set::WorkingSet;
@@ -49,6 +50,8 @@
     pub awaited_versions: RefCell<BTreeMap<String, u64>>,
     /// Rate-limited log of items that wait for an engine.
     pub wait_log: WaitLog,
+    /// Rate-limited log of placements and of the capacity of engines.
+    pub placement_log: PlacementLog,
     /// Checks whether an engine process has terminated.
     pub termination_checks: TerminationChecks,
     /// Trial leases for suspected work that this process holds.
@@ -115,6 +118,7 @@
             waiting_items: RefCell::default(),
             awaited_versions: RefCell::default(),
             wait_log: WaitLog::default(),
+            placement_log: PlacementLog::default(),
             termination_checks: TerminationChecks::default(),
             metrics: CoordinatorMetrics::default(),
             jobs: RefCell::default(),
--- a/crates/coordinator/src/fleet.rs
+++ b/crates/coordinator/src/fleet.rs
@@ -2,12 +2,16 @@
 //! items in flight, pace.
 
 use crate::pace::{PaceEstimate, Paces};
+use saddlerelay_scheduling::{Capacities, CapacityModel, LoadReport};
 use saddlerelay_types::instance::{InstanceId, LoadedModel};
 use std::cell::{Cell, RefCell};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::rc::Rc;
 use std::time::Duration;
 
+/// Weight of a new item in the moving average of the time until its first event.
+const RESTART_SMOOTHING: f64 = 0.05;
+
 #[derive(Clone, Debug, Default)]
 struct EngineState {
     /// Last observed version of each model, and when it was observed.
@@ -28,6 +32,16 @@
     engines: Rc<RefCell<BTreeMap<InstanceId, EngineState>>>,
     /// Median seconds per event when paces were last computed.
     median_pace: Rc<Cell<Option<f64>>>,
+    capacity: Rc<RefCell<CapacityState>>,
+}
+
+/// What is known about the capacity of engines in this term.
+#[derive(Default)]
+struct CapacityState {
+    model: CapacityModel,
+    /// Services with an engine that has reported its work time.
+    services_with_work_time: BTreeSet<String>,
+    restart_time: Option<f64>,
 }
 
 /// Counts an item as in flight at an engine until dropped.
@@ -54,11 +68,14 @@
     /// Drops all state at the start of a term.
     pub fn clear(&self) {
         self.engines.borrow_mut().clear();
+        *self.capacity.borrow_mut() = CapacityState::default();
     }
 
     /// Drops engines for which `keep` returns false, unless they have items in flight.
     pub fn retain(&self, keep: impl Fn(&InstanceId) -> bool) {
         self.engines.borrow_mut().retain(|instance, engine| engine.in_flight > 0 || keep(instance));
+        let engines = self.engines.borrow();
+        self.capacity.borrow_mut().model.retain(|instance| engines.contains_key(instance));
     }
 
     /// Records the versions that an engine had at `at`; older observations are ignored.
@@ -154,7 +171,54 @@
     /// Records the time between two events of a stream.
     pub fn observe_event_interval(&self, instance: &InstanceId, interval: Duration, now: Duration) {
         let median = self.median_pace.get();
-        self.update(instance, |engine| engine.pace.observe(interval, median, now));
+        let mut running = 0;
+        self.update(instance, |engine| {
+            engine.pace.observe(interval, median, now);
+            running = engine.in_flight;
+        });
+        self.capacity.borrow_mut().model.observe_interval(instance, interval, running, now);
+    }
+
+    /// Records the load that an engine reported.
+    pub fn observe_load_report(&self, instance: &InstanceId, report: &LoadReport, now: Duration) {
+        self.update(instance, |_| {});
+        self.capacity.borrow_mut().model.observe_report(instance, report, now);
+    }
+
+    /// Records the time from sending an item until its first event.
+    pub fn observe_first_event(&self, elapsed: Duration) {
+        let mut capacity = self.capacity.borrow_mut();
+        let restart_time = capacity.restart_time.get_or_insert(elapsed.as_secs_f64());
+        *restart_time += (elapsed.as_secs_f64() - *restart_time) * RESTART_SMOOTHING;
+    }
+
+    /// Expected time from sending an item until its first event, if any was observed.
+    pub fn restart_time(&self) -> Option<Duration> {
+        let restart_time = self.capacity.borrow().restart_time?;
+        Duration::try_from_secs_f64(restart_time).ok()
+    }
+
+    /// Whether an engine has reported its work time.
+    pub fn reports_work_time(&self, instance: &InstanceId) -> bool {
+        self.capacity.borrow().model.reports_work_time(instance)
+    }
+
+    /// Remembers for this term that engines of a service report their work time.
+    pub fn add_service_with_work_time(&self, service: &str) {
+        let services = &mut self.capacity.borrow_mut().services_with_work_time;
+        if !services.contains(service) {
+            services.insert(service.to_string());
+        }
+    }
+
+    /// Services of which an engine has reported its work time in this term.
+    pub fn services_with_work_time(&self) -> BTreeSet<String> {
+        self.capacity.borrow().services_with_work_time.clone()
+    }
+
+    /// Current capacity estimates of all engines.
+    pub fn capacities(&self, now: Duration) -> Capacities {
+        self.capacity.borrow_mut().model.estimates(now)
     }
 
     /// Current pace estimates of all engines.
--- a/crates/coordinator/src/item.rs
+++ b/crates/coordinator/src/item.rs
@@ -9,6 +9,7 @@
 use hyper::header::{HOST, HeaderMap, HeaderName, HeaderValue};
 use hyper::{Method, StatusCode};
 use saddlerelay_runtime::backend::Backends;
+use saddlerelay_scheduling::LoadReport;
 use saddlerelay_types::identity::TenantId;
 use saddlerelay_types::instance::LoadedModel;
 use saddlerelay_types::suspicion::TRIAL_RETRY_AFTER;
@@ -98,6 +99,7 @@
         let exclusive = trial.is_some_and(ItemTrial::is_held) || !coordinator.is_suspected(start);
         coordinator.leads(start.term) && is_pending == Some(true) && exclusive
     };
+    let sent_at = coordinator.now();
     let pending_response = inner.pool.send(&start.target, &outgoing, Reuse::Any, time_left, may_send);
     let response = match compio::time::timeout(inner.config.response_header_timeout, pending_response).await {
         Ok(Ok(response)) => response,
@@ -106,7 +108,7 @@
         Ok(Err(Failure::ConnectionLost(reason))) => return AttemptEnd::ConnectionLost(reason),
         Err(_) => return AttemptEnd::BrokeOff("no response headers within the timeout".to_string()),
     };
-    read_response(coordinator, start, response).await
+    read_response(coordinator, start, response, sent_at).await
 }
 
 fn build_request<B: Backends>(coordinator: &Coordinator<B>, start: &PlannedAttempt) -> Result<OutgoingRequest, String> {
@@ -150,6 +152,7 @@
     coordinator: &Coordinator<B>,
     start: &PlannedAttempt,
     response: UpstreamResponse,
+    sent_at: Duration,
 ) -> AttemptEnd {
     let names = coordinator.header_names();
     let status = response.head.status;
@@ -157,6 +160,10 @@
     if status == StatusCode::MISDIRECTED_REQUEST {
         return AttemptEnd::OtherVersion(version);
     }
+    let load = response.head.headers.get(&names.load).and_then(|value| LoadReport::parse(value.to_str().ok()?));
+    if let Some(load) = load {
+        coordinator.inner.fleet.observe_load_report(&start.target.instance, &load, coordinator.now());
+    }
     if response.is_not_executed(names) {
         return AttemptEnd::NotRun(format!("engine responded with status {}", status.as_u16()));
     }
@@ -165,7 +172,7 @@
         StatusCode::INTERNAL_SERVER_ERROR => AttemptEnd::Failed,
         status if status.is_success() => {
             coordinator.record_response_start(start);
-            read_events(coordinator, start, response, version).await
+            read_events(coordinator, start, response, version, sent_at).await
         }
         status => AttemptEnd::BrokeOff(format!("engine responded with status {}", status.as_u16())),
     }
@@ -176,6 +183,7 @@
     start: &PlannedAttempt,
     response: UpstreamResponse,
     version: Option<u64>,
+    sent_at: Duration,
 ) -> AttemptEnd {
     let inner = &coordinator.inner;
     let mut version = version.or(start.expected_version).unwrap_or_default();
@@ -198,8 +206,12 @@
                 return end;
             }
             let now = coordinator.now();
-            if let Some(last_event_at) = last_event_at.replace(now) {
-                inner.fleet.observe_event_interval(&start.target.instance, now.saturating_sub(last_event_at), now);
+            match last_event_at.replace(now) {
+                Some(last_event_at) => {
+                    let interval = now.saturating_sub(last_event_at);
+                    inner.fleet.observe_event_interval(&start.target.instance, interval, now);
+                }
+                None => inner.fleet.observe_first_event(now.saturating_sub(sent_at)),
             }
         }
     }
--- a/crates/coordinator/src/lib.rs
+++ b/crates/coordinator/src/lib.rs
@@ -5,6 +5,7 @@
 //! trainers publish, `working_set` selects the engines in use, and `fleet` caches the observed state of each engine.
 //! This state is in the leader's memory only; a new leader rebuilds it from the committed jobs and versions.
 
+mod by_completion;
 pub mod config;
 pub mod coordinator;
 pub mod fleet;
@@ -21,6 +22,8 @@
 pub mod orders;
 pub mod pace;
 mod placement;
+mod placement_log;
+pub mod placement_metrics;
 pub mod plan;
 pub mod runner;
 pub mod scorers;
--- a/crates/coordinator/src/metrics.rs
+++ b/crates/coordinator/src/metrics.rs
@@ -1,5 +1,6 @@
 //! Metrics of a coordinator.
 
+use crate::placement_metrics::PlacementMetrics;
 use crate::waits::WaitReason;
 use saddlerelay_telemetry::registry::{Counter, Histogram, MetricRegistry};
 
@@ -61,6 +62,8 @@
     pub score_seconds: Histogram,
     /// Duration of successful weight loads, in seconds.
     pub load_seconds: Histogram,
+    /// Placement by expected completion.
+    pub placement: PlacementMetrics,
 }
 
 impl Default for CoordinatorMetrics {
@@ -86,6 +89,7 @@
         let score_seconds = histogram("score_seconds", "From calling for a score to the end of the call");
         let load_seconds = histogram("load_seconds", "How long changes of weights took");
         let long_waits = LongWaits::register(&mut registry);
+        let placement = PlacementMetrics::register(&mut registry);
         Self {
             registry,
             long_waits,
@@ -104,6 +108,7 @@
             attempt_seconds,
             score_seconds,
             load_seconds,
+            placement,
         }
     }
 }
--- a/crates/coordinator/src/moves.rs
+++ b/crates/coordinator/src/moves.rs
@@ -3,6 +3,7 @@
 //! A job is complete when the groups that its trainer waits for are complete; items of other groups are not moved. A
 //! move costs a connection, another prefill of the prompt, and the event in progress.
 
+use crate::by_completion;
 use crate::job_run::{ItemRun, Phase};
 use crate::placement::usable_engines;
 use crate::plan::{JobContext, Plan};
@@ -20,7 +21,7 @@
 
 /// Minimum time that an item runs at an engine before it is moved, so that its pace is known and moves are not repeated
 /// too often.
-const MIN_TIME_AT_ENGINE: Duration = Duration::from_millis(800);
+pub(crate) const MIN_TIME_AT_ENGINE: Duration = Duration::from_millis(800);
 
 /// Estimated cost of a move.
 const MOVE_COST: Duration = Duration::from_millis(120);
@@ -34,7 +35,7 @@
 const MAX_MOVES_PER_ITEM: u32 = 3;
 
 /// Maximum number of moves of one job per check.
-const MAX_MOVES_PER_CHECK: usize = 6;
+pub(crate) const MAX_MOVES_PER_CHECK: usize = 6;
 
 /// A running item that may be moved.
 struct Candidate {
@@ -49,6 +50,11 @@
         return;
     }
     context.run.moves_checked_at = context.now;
+    if by_completion::is_active(context) {
+        let critical = critical_groups(context);
+        by_completion::plan_moves(context, route, &critical, plan);
+        return;
+    }
     for candidate in candidates(context, route).into_iter().take(MAX_MOVES_PER_CHECK) {
         let target = usable_engines(context, route, candidate.index)
             .map(|eligible| eligible.engine)
@@ -108,8 +114,14 @@
 
 fn expected_end<B: Backends>(context: &JobContext<'_, '_, B>, run: &ItemRun) -> Duration {
     let pace = match &run.phase {
-        Phase::Running { instance, .. } => context.round.paces.of(instance),
-        Phase::Waiting => context.round.paces.median(),
+        Phase::Running { instance, .. } => match by_completion::running_engine(context, instance) {
+            Some(engine) => engine.capacity.seconds_per_event(engine.running),
+            None => context.round.paces.of(instance),
+        },
+        Phase::Waiting => match &context.round.capacities {
+            Some(capacities) if by_completion::is_active(context) => capacities.unknown().seconds_per_event(1),
+            _ => context.round.paces.median(),
+        },
         Phase::Scoring { .. } | Phase::Ended => return context.now,
     };
     context.now + Duration::from_secs_f64(run.remaining_events() * pace)
--- a/crates/coordinator/src/placement.rs
+++ b/crates/coordinator/src/placement.rs
@@ -1,5 +1,6 @@
 //! Chooses the engine for an item among the eligible ones.
 
+use crate::by_completion;
 use crate::job_run::ItemRun;
 use crate::plan::{Engine, JobContext};
 use saddlerelay_runtime::backend::Backends;
@@ -33,7 +34,7 @@
 
 impl EligibleEngine<'_> {
     /// Whether the engine's version may continue the item's text.
-    fn may_continue(&self, run: &ItemRun, single_version: bool) -> bool {
+    pub fn may_continue(&self, run: &ItemRun, single_version: bool) -> bool {
         if !single_version || self.version.is_none() {
             return true;
         }
@@ -72,12 +73,15 @@
         .filter(move |candidate| candidate.engine.has_free_slot() && candidate.may_continue(run, single_version))
 }
 
-/// The engine for an item: the fastest for a long or partly generated one, the least loaded for others.
+/// The engine for an item. By expected completion where that is active; otherwise the fastest for a long or partly generated one, the least loaded for others.
 pub(crate) fn choose_engine<'b, 'a, B: Backends>(
     context: &'b JobContext<'a, '_, B>,
     route: &'b Route,
     index: u32,
 ) -> Option<&'b EligibleEngine<'a>> {
+    if by_completion::is_active(context) {
+        return by_completion::choose_engine(context, route, index);
+    }
     let run = &context.run.items[index as usize];
     let item = &context.job.submission.items[index as usize];
     let group_engine = context.run.group_engines.get(&item.group);
--- a/crates/coordinator/src/plan.rs
+++ b/crates/coordinator/src/plan.rs
@@ -1,5 +1,6 @@
 //! Assigns waiting items of open jobs to engines.
 
+use crate::by_completion;
 use crate::coordinator::{Coordinator, Inner};
 use crate::job_run::{JobRun, Phase};
 use crate::lost_connections::EngineWork;
@@ -14,6 +15,7 @@
 use saddlerelay_control::state::jobs::Job;
 use saddlerelay_control::state::suspicions::SuspicionTable;
 use saddlerelay_runtime::backend::Backends;
+use saddlerelay_scheduling::{Capacities, CapacityEstimate};
 use saddlerelay_types::identity::TenantId;
 use saddlerelay_types::instance::{InstanceId, InstanceState};
 use saddlerelay_types::job::{ItemId, JobId, JobItem};
@@ -43,6 +45,8 @@
     pub silent: bool,
     /// Estimated seconds per event.
     pub pace: f64,
+    /// What it can do; `None` where items are not placed by expected completion.
+    pub capacity: Option<CapacityEstimate>,
     /// Loaded weight versions by model, without models being loaded.
     pub weights: Rc<BTreeMap<String, u64>>,
     /// Items in flight, including those assigned by this plan.
@@ -60,6 +64,11 @@
         f64::from(self.load.get()) / f64::from(self.slots.max(1))
     }
 
+    /// Items in flight, including those assigned by this plan.
+    pub fn load(&self) -> u32 {
+        self.load.get()
+    }
+
     /// Reserves a slot for an item assigned by this plan.
     pub fn reserve_slot(&self) {
         self.load.set(self.load.get() + 1);
@@ -72,6 +81,8 @@
     /// Seconds per event of the fastest engine.
     pub fastest: f64,
     pub paces: Paces,
+    /// Capacities of all engines; `None` if no item is placed by expected completion.
+    pub capacities: Option<Capacities>,
     pub now: Duration,
     term: u64,
 }
@@ -80,9 +91,10 @@
     fn new<B: Backends>(coordinator: &Coordinator<B>, state: &ControlState, term: u64) -> Self {
         let now = coordinator.now();
         let paces = coordinator.inner.fleet.paces(now);
-        let engines = ready_engines(coordinator, state, &paces, now);
+        let mut engines = ready_engines(coordinator, state, &paces, now);
+        let capacities = by_completion::assign_capacities(&coordinator.inner, &mut engines, now);
         let fastest = engines.iter().map(|engine| engine.pace).fold(f64::INFINITY, f64::min);
-        Self { engines, fastest, paces, now, term }
+        Self { engines, fastest, paces, capacities, now, term }
     }
 }
 
@@ -239,6 +251,7 @@
             slots: record.report.slots,
             silent: record.silent,
             pace: paces.of(&record.report.id),
+            capacity: None,
             weights: fleet.loaded_versions(&record.report.id),
             load: Cell::new(fleet.in_flight(&record.report.id)),
         })
