--- a/crates/coordinator/src/by_completion.rs
+++ b/crates/coordinator/src/by_completion.rs
@@ -7,14 +7,15 @@
 use crate::placement::{EligibleEngine, usable_engines};
 use crate::placement_log::describe;
 use crate::plan::{Engine, JobContext, Plan};
+use saddlerelay_control::state::ControlState;
 use saddlerelay_runtime::backend::Backends;
 use saddlerelay_scheduling::{
-    Activation, Candidate, Capacities, EngineSnapshot, PlacedWork, Placement, PlacementMethod, PlacementReason,
-    RunningWork, Work, move_target, place,
+    Activation, Candidate, Capacities, CapacityEstimate, EngineSnapshot, PlacedWork, Placement, PlacementMethod,
+    PlacementReason, RunningWork, Work, move_target, place,
 };
 use saddlerelay_types::instance::InstanceId;
 use saddlerelay_types::routing::Route;
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
 /// Share of the route's `due_after_ms`, counted from the start of the job, at which texts should be complete. The
@@ -57,6 +58,27 @@
     Some(capacities)
 }
 
+/// Texts per second that each engine of a service runs with all slots in use, up to a constant factor; empty where items
+/// are not placed by expected completion. Temporary slowdowns don't count, as a reassignment takes a weight load.
+pub(crate) fn service_capacities<B: Backends>(
+    inner: &Inner<B>,
+    state: &ControlState,
+    service: &str,
+    engines: &[InstanceId],
+    now: Duration,
+) -> BTreeMap<InstanceId, f64> {
+    if !inner.config.placement.is_active(inner.fleet.services_with_work_time().contains(service)) {
+        return BTreeMap::new();
+    }
+    let capacities = inner.fleet.capacities(now);
+    let capacity = |instance: &InstanceId| {
+        let slots = state.instances.get(instance).map_or(1, |record| record.report.slots.max(1));
+        let steady = CapacityEstimate { slowdown: 1.0, ..capacities.of(instance) };
+        (instance.clone(), f64::from(slots) / steady.seconds_per_event(slots))
+    };
+    engines.iter().map(capacity).collect()
+}
+
 /// Whether the items of the job are placed by expected completion.
 pub(crate) fn is_active<B: Backends>(context: &JobContext<'_, '_, B>) -> bool {
     context.eligible.iter().any(|candidate| candidate.engine.capacity.is_some())
--- a/crates/coordinator/src/model_assignments.rs
+++ b/crates/coordinator/src/model_assignments.rs
@@ -1,8 +1,8 @@
 //! Assigns engines to the models of a service that hosts several.
 //!
 //! Every engine can load every model, but a weight load takes time and each trainer step publishes a new version. Each
-//! engine is therefore assigned to one model, in proportion to the demand of the models' jobs, and only that model is
-//! kept up to date on it. If there are fewer engines than models, each model is assigned to one engine instead.
+//! engine is therefore assigned to one model, in proportion to the demand of the models' jobs and, where items are placed
+//! by expected completion, to the engine's capacity, and only that model is kept up to date on it. If there are fewer engines than models, each model is assigned to one engine instead.
 
 use saddlerelay_types::instance::InstanceId;
 use std::collections::{BTreeMap, BTreeSet};
@@ -21,6 +21,10 @@
 /// difference by two.
 const MIN_EXCESS_GAP: f64 = 1.5;
 
+/// Bounds of an engine's weight, so that an engine whose capacity is estimated wrongly doesn't decide a model's share.
+const MIN_WEIGHT: f64 = 0.2;
+const MAX_WEIGHT: f64 = 4.0;
+
 /// Assignment of engines to models.
 #[derive(Default)]
 pub struct ModelAssignments {
@@ -29,6 +33,8 @@
     /// Engine of each model, if there are fewer engines than models.
     engine_of_model: BTreeMap<String, InstanceId>,
     demand: BTreeMap<String, f64>,
+    /// Capacity of engines as a multiple of their mean; engines that are not listed count as one.
+    capacities: BTreeMap<InstanceId, f64>,
     last_move_at: Duration,
 }
 
@@ -39,6 +45,18 @@
         *demand += (expected_events - *demand) * DEMAND_SMOOTHING;
     }
 
+    /// Sets the capacities of engines, in any unit, by which the next rebalances weigh them. Without capacities, all
+    /// engines count the same.
+    pub fn set_capacities(&mut self, capacities: BTreeMap<InstanceId, f64>) {
+        let mean = capacities.values().sum::<f64>() / capacities.len().max(1) as f64;
+        let weight = |capacity: f64| (capacity / mean).clamp(MIN_WEIGHT, MAX_WEIGHT);
+        self.capacities = capacities.into_iter().map(|(instance, capacity)| (instance, weight(capacity))).collect();
+    }
+
+    fn weight(&self, instance: &InstanceId) -> f64 {
+        self.capacities.get(instance).copied().unwrap_or(1.0)
+    }
+
     /// Whether an engine is kept up to date with a model.
     pub fn is_assigned(&self, instance: &InstanceId, model: &str) -> bool {
         match (self.engine_of_model.get(model), self.model_of_engine.get(instance)) {
@@ -71,23 +89,24 @@
         self.engine_of_model.clear();
         let present: BTreeSet<&InstanceId> = engines.iter().collect();
         self.model_of_engine.retain(|instance, model| present.contains(instance) && models.contains(model));
-        let target_counts = self.target_counts(engines.len(), models);
+        let total: f64 = engines.iter().map(|instance| self.weight(instance)).sum();
+        let target_counts = self.target_counts(total, models);
         let mut counts = self.counts(models);
         let new: Vec<&InstanceId> =
             engines.iter().filter(|instance| !self.model_of_engine.contains_key(*instance)).collect();
         for instance in &new {
             if let Some(index) = least_lagging(models, |model| versions_behind(instance, model))
-                && counts[index] + 1.0 <= target_counts[index].ceil()
+                && counts[index] + self.weight(instance) <= target_counts[index].ceil()
             {
                 self.model_of_engine.insert((*instance).clone(), models[index].clone());
-                counts[index] += 1.0;
+                counts[index] += self.weight(instance);
             }
         }
         for instance in new {
             if !self.model_of_engine.contains_key(instance) {
                 let index = most_underprovisioned(&counts, &target_counts);
                 self.model_of_engine.insert(instance.clone(), models[index].clone());
-                counts[index] += 1.0;
+                counts[index] += self.weight(instance);
             }
         }
         self.move_engines(engines.len(), models, &target_counts, counts, now);
@@ -126,22 +145,24 @@
         }
     }
 
-    /// Target number of engines per model, in proportion to demand and at least one.
-    fn target_counts(&self, engines: usize, models: &[String]) -> Vec<f64> {
+    /// Target capacity per model, in engines of mean capacity, in proportion to demand and at least one.
+    fn target_counts(&self, engines: f64, models: &[String]) -> Vec<f64> {
         let recorded: Vec<Option<f64>> = models.iter().map(|model| self.demand.get(model).copied()).collect();
         let mean = recorded.iter().flatten().sum::<f64>() / recorded.iter().flatten().count().max(1) as f64;
         let demand: Vec<f64> = recorded.into_iter().map(|demand| demand.unwrap_or(mean).max(1.0)).collect();
         let total: f64 = demand.iter().sum();
-        demand.into_iter().map(|demand| (engines as f64 * demand / total).max(1.0)).collect()
+        demand.into_iter().map(|demand| (engines * demand / total).max(1.0)).collect()
     }
 
-    /// Number of engines assigned to each model, computed once per rebalance.
+    /// Capacity of the engines assigned to each model, in engines of mean capacity; computed once per rebalance.
     fn counts(&self, models: &[String]) -> Vec<f64> {
         let indexes: BTreeMap<&str, usize> =
             models.iter().enumerate().map(|(index, model)| (model.as_str(), index)).collect();
         let mut counts = vec![0.0; models.len()];
-        for index in self.model_of_engine.values().filter_map(|assigned_model| indexes.get(assigned_model.as_str())) {
-            counts[*index] += 1.0;
+        for (instance, assigned_model) in &self.model_of_engine {
+            if let Some(index) = indexes.get(assigned_model.as_str()) {
+                counts[*index] += self.weight(instance);
+            }
         }
         counts
     }
@@ -175,17 +196,25 @@
         let (Some(most_overprovisioned), Some(least_provisioned)) = (most_overprovisioned, least_provisioned) else {
             return false;
         };
-        if excess(most_overprovisioned) - excess(least_provisioned) < MIN_EXCESS_GAP {
+        let gap = excess(most_overprovisioned) - excess(least_provisioned);
+        if gap < MIN_EXCESS_GAP {
             return false;
         }
-        let Some(assigned_model) =
-            self.model_of_engine.values_mut().find(|assigned_model| **assigned_model == models[most_overprovisioned])
-        else {
+        // A reassignment changes the gap by twice the engine's weight. Only engines that reduce it are considered, and
+        // with different weights never a model's last one.
+        let of_model = |(_, model): &(&InstanceId, &String)| **model == models[most_overprovisioned];
+        let assigned: Vec<&InstanceId> =
+            self.model_of_engine.iter().filter(of_model).map(|(instance, _)| instance).collect();
+        let remaining_gap = |instance: &InstanceId| (gap - 2.0 * self.weight(instance)).abs();
+        let suitable = assigned.iter().copied().filter(|instance| remaining_gap(instance) < gap);
+        let chosen = suitable.min_by(|left, right| remaining_gap(left).total_cmp(&remaining_gap(right)));
+        let Some(instance) = chosen.filter(|_| assigned.len() > 1 || self.capacities.is_empty()).cloned() else {
             return false;
         };
-        assigned_model.clone_from(&models[least_provisioned]);
-        counts[most_overprovisioned] -= 1.0;
-        counts[least_provisioned] += 1.0;
+        let weight = self.weight(&instance);
+        self.model_of_engine.insert(instance, models[least_provisioned].clone());
+        counts[most_overprovisioned] -= weight;
+        counts[least_provisioned] += weight;
         true
     }
 }
--- a/crates/coordinator/src/orders.rs
+++ b/crates/coordinator/src/orders.rs
@@ -90,7 +90,7 @@
         let any_single_version =
             document.routes.iter().any(|route| route.kind == RouteKind::Rollout && route.batch.single_version);
         let running = if any_single_version { RunningStreams::Wait } else { RunningStreams::Keep };
-        coordinator.rebalance_models(&engines, &hosting.models, state.weights.published());
+        coordinator.rebalance_models(state, &service.name, &engines, &hosting.models);
         let published = hosting.models.iter().filter_map(|model| Some((model, *state.weights.published().get(model)?)));
         let outdated =
             published.flat_map(|(model, newest)| outdated_engines(coordinator, &engines, model, newest, running));
@@ -203,13 +203,9 @@
 impl<B: Backends> Coordinator<B> {
     /// Assigns a service's engines to its models, fastest engines first. Engines without known weight versions are left
     /// out.
-    fn rebalance_models(
-        &self,
-        engines: &[EngineTarget],
-        models: &[String],
-        published_versions: &BTreeMap<String, u64>,
-    ) {
+    fn rebalance_models(&self, state: &ControlState, service: &str, engines: &[EngineTarget], models: &[String]) {
         let now = self.now();
+        let published_versions = state.weights.published();
         let version = |instance: &InstanceId, model: &str| self.inner.fleet.version(instance, model);
         let with_known_versions =
             engines.iter().filter(|engine| models.iter().all(|model| version(&engine.instance, model).is_some()));
@@ -221,7 +217,13 @@
             let newest = published_versions.get(model).copied().unwrap_or_default();
             newest.saturating_sub(version(instance, model).unwrap_or_default())
         };
-        self.inner.model_assignments.borrow_mut().rebalance(&by_pace, models, versions_behind, now);
+        let capacities = crate::by_completion::service_capacities(&self.inner, state, service, &by_pace, now);
+        if !capacities.is_empty() {
+            by_pace.sort_by(|left, right| capacities[right].total_cmp(&capacities[left]));
+        }
+        let mut assignments = self.inner.model_assignments.borrow_mut();
+        assignments.set_capacities(capacities);
+        assignments.rebalance(&by_pace, models, versions_behind, now);
     }
 
     async fn call(
--- a/crates/coordinator/tests/model_assignments.rs
+++ b/crates/coordinator/tests/model_assignments.rs
@@ -153,3 +153,76 @@
     }
     QuickCheck::new().tests(300).quickcheck(check as fn(Vec<bool>, u8) -> bool);
 }
+
+/// Two in three engines have 2.4 times the capacity of the others.
+fn uneven_capacities(engines: &[InstanceId]) -> BTreeMap<InstanceId, f64> {
+    let capacity = |index: usize| if index % 3 == 2 { 100.0 } else { 240.0 };
+    engines.iter().enumerate().map(|(index, engine)| (engine.clone(), capacity(index))).collect()
+}
+
+/// Guards against shares by number of engines, which give a model with slow engines less than its share.
+#[test]
+fn shares_follow_the_capacity_of_engines() {
+    let (engines, models) = (engines(45), models(3));
+    let capacities = uneven_capacities(&engines);
+    let share = |assignments: &ModelAssignments, model: &str| {
+        let assigned = engines.iter().filter(|engine| assignments.assigned_model(engine) == Some(model));
+        assigned.map(|engine| capacities[engine]).sum::<f64>() / capacities.values().sum::<f64>()
+    };
+    let mut assignments = ModelAssignments::default();
+    for (model, demand) in [("model-0", 1_000.0), ("model-1", 1_000.0), ("model-2", 2_000.0)] {
+        assignments.record_demand(model, demand);
+    }
+    // All slow engines and some fast ones are up to date with the first model, as after a change of leader.
+    let slow_first = |engine: &InstanceId, model: &str| {
+        let is_slow = capacities[engine] < 200.0;
+        u64::from(is_slow != (model == "model-0"))
+    };
+    assignments.set_capacities(capacities.clone());
+    assignments.rebalance(&engines, &models, slow_first, Duration::ZERO);
+    for time in 1..20 {
+        assignments.rebalance(&engines, &models, none_behind, Duration::from_secs(4 * time));
+    }
+    for (model, expected) in [("model-0", 0.25), ("model-1", 0.25), ("model-2", 0.5)] {
+        let share = share(&assignments, model);
+        assert!((share - expected).abs() < 0.04, "{model} has {share} of the capacity instead of {expected}");
+    }
+}
+
+/// Guards against engines that are reassigned again and again because capacities are estimated anew.
+#[test]
+fn changing_estimates_reassign_nothing() {
+    let (engines, models) = (engines(45), models(3));
+    let mut assignments = ModelAssignments::default();
+    assignments.set_capacities(uneven_capacities(&engines));
+    assignments.rebalance(&engines, &models, none_behind, Duration::ZERO);
+    for time in 1..20 {
+        assignments.rebalance(&engines, &models, none_behind, Duration::from_secs(4 * time));
+    }
+    let settled: Vec<Option<String>> =
+        engines.iter().map(|engine| assignments.assigned_model(engine).map(str::to_string)).collect();
+    for time in 20..60_u64 {
+        let noisy = uneven_capacities(&engines).into_iter().enumerate().map(|(index, (engine, capacity))| {
+            let noise = ((time * 31 + index as u64 * 17) % 11) as f64 / 100.0 - 0.05;
+            (engine, capacity * (1.0 + noise))
+        });
+        assignments.set_capacities(noisy.collect());
+        assignments.rebalance(&engines, &models, none_behind, Duration::from_secs(4 * time));
+    }
+    for (engine, model) in engines.iter().zip(settled) {
+        assert_eq!(assignments.assigned_model(engine), model.as_deref());
+    }
+}
+
+/// Guards against a model that loses its last engine because that engine is fast.
+#[test]
+fn every_model_keeps_an_engine_whatever_the_capacities() {
+    let (engines, models) = (engines(4), models(3));
+    let mut assignments = ModelAssignments::default();
+    let capacities = engines.iter().enumerate().map(|(index, engine)| (engine.clone(), [900.0, 1.0, 1.0, 1.0][index]));
+    assignments.set_capacities(capacities.collect());
+    for time in 0..30 {
+        assignments.rebalance(&engines, &models, none_behind, Duration::from_secs(4 * time));
+        assert_eq!(counts(&assignments, &engines).len(), 3);
+    }
+}
--- a/crates/gateway-api/tests/common/engine.rs
+++ b/crates/gateway-api/tests/common/engine.rs
@@ -77,6 +77,8 @@
     /// Number of requests that the client cancelled.
     cancelled: Cell<u32>,
     event_interval: Cell<Duration>,
+    /// Value of the load header, if the engine sends one.
+    load: RefCell<Option<String>>,
     /// Number of events sent in all streams.
     events_sent: Cell<u32>,
     in_progress: Cell<u32>,
@@ -127,6 +129,7 @@
             received_requests: RefCell::default(),
             cancelled: Cell::new(0),
             event_interval: Cell::new(Duration::from_millis(1)),
+            load: RefCell::default(),
             events_sent: Cell::new(0),
             in_progress: Cell::new(0),
             max_concurrent: Cell::new(0),
@@ -165,6 +168,11 @@
         self.state.event_interval.set(pause);
     }
 
+    /// Sets the load header of responses.
+    pub fn set_load(&self, load: &str) {
+        *self.state.load.borrow_mut() = Some(load.to_string());
+    }
+
     /// All requests received.
     pub fn received_requests(&self) -> Vec<ReceivedRequest> {
         self.state.received_requests.borrow().clone()
@@ -215,6 +223,10 @@
             HeaderValue::from_str(&self.state.name).expect("the engine name is not a valid header value"),
         );
         headers.insert("saddlerelay-version", HeaderValue::from(self.state.version.get()));
+        if let Some(load) = self.state.load.borrow().as_deref() {
+            headers
+                .insert("saddlerelay-load", HeaderValue::from_str(load).expect("the load is not a valid header value"));
+        }
     }
 
     fn not_executed(&self, status: StatusCode, request_id: &str) -> Reply {
--- a/crates/gateway-api/tests/common/mod.rs
+++ b/crates/gateway-api/tests/common/mod.rs
@@ -20,6 +20,7 @@
 use saddlerelay_replication::config::ReplicationConfig;
 use saddlerelay_runtime::Runtime;
 use saddlerelay_runtime_compio::CompioRuntime;
+use saddlerelay_scheduling::Activation;
 use saddlerelay_types::gateway::{GatewayCommand, StoreRecord};
 use saddlerelay_types::instance::{InstanceId, InstanceReport, LoadedModel};
 use saddlerelay_types::job::{ItemId, JobId, JobItem, JobSubmission, ResultPage};
@@ -178,6 +179,12 @@
         Self::start_configured(name, GatewayConfig::default(), coordinator).await
     }
 
+    /// Like [`Self::start`], with the setting of placement by expected completion.
+    pub async fn start_with_placement(name: &str, placement: Activation) -> Self {
+        let coordinator = CoordinatorConfig { placement, ..coordinator_config() };
+        Self::start_configured(name, GatewayConfig::default(), coordinator).await
+    }
+
     async fn start_configured(name: &str, gateway_config: GatewayConfig, coordinator: CoordinatorConfig) -> Self {
         let runtime = CompioRuntime::new(empty_folder(name));
         let (peer_listener, peer_address) = bind().await;
