Judge texts that are late everywhere by a later time, and describe engine capacity

A text that needs nearly all of its time was late at every engine as soon as its own had slowed down, and stayed there. The test of waiting for a fast slot follows the changed rule: late everywhere, a text waits only if it ends in half the time, and never beyond its time.

--- a/crates/coordinator/src/by_completion.rs
+++ b/crates/coordinator/src/by_completion.rs
@@ -22,6 +22,10 @@
 /// remainder is left for committing a text and for the trainer's read.
 const DUE_SHARE: f64 = 0.9;
 
+/// A running item that can't meet the due time anywhere is judged by the time this share of `due_after_ms` later: a step
+/// that is late by a fraction of a period delays the trainer's next steps less than one that is late by several.
+const LATER_SHARE: f64 = 0.5;
+
 /// Expected time from the start of an attempt until its first event, before one was observed.
 const DEFAULT_RESTART_TIME: Duration = Duration::from_millis(250);
 
@@ -102,9 +106,9 @@
     Some(EngineSnapshot { capacity: capacities.of(instance), running, slots: running, reporting: true })
 }
 
-/// Time left until the job's texts should be complete.
-fn time_left<B: Backends>(context: &JobContext<'_, '_, B>, route: &Route) -> Duration {
-    let due_at = context.run.started_at + Duration::from_millis(route.batch.due_after_ms).mul_f64(DUE_SHARE);
+/// Time left until a share of the route's `due_after_ms` has passed since the start of the job.
+fn time_left<B: Backends>(context: &JobContext<'_, '_, B>, route: &Route, due_share: f64) -> Duration {
+    let due_at = context.run.started_at + Duration::from_millis(route.batch.due_after_ms).mul_f64(due_share);
     due_at.saturating_sub(context.now)
 }
 
@@ -137,7 +141,7 @@
     let candidates = usable.iter().map(candidate).collect::<Option<Vec<Candidate>>>()?;
     let text = PlacedWork {
         work: work(run.remaining_events()),
-        time_left: time_left(context, route),
+        time_left: time_left(context, route, DUE_SHARE),
         mean_events: context.run.mean_events,
     };
     match place(PlacementMethod::InTimeClasses, &candidates, &text) {
@@ -228,7 +232,8 @@
     route: &Route,
     critical: &BTreeSet<&str>,
 ) -> Vec<(u32, RunningWork)> {
-    let time_left = time_left(context, route);
+    let later_time_left = time_left(context, route, DUE_SHARE + LATER_SHARE);
+    let time_left = time_left(context, route, DUE_SHARE);
     let restart_time = context.inner.fleet.restart_time().unwrap_or(DEFAULT_RESTART_TIME);
     let mut late = Vec::new();
     for (index, run) in context.run.items.iter().enumerate() {
@@ -243,7 +248,8 @@
         let Some(engine) = running_engine(context, instance) else {
             continue;
         };
-        let text = RunningWork { engine, work: work(run.remaining_events()), time_left, restart_time };
+        let work = work(run.remaining_events());
+        let text = RunningWork { engine, work, time_left, later_time_left, restart_time };
         if text.is_late() {
             late.push((index as u32, text));
         }
--- a/crates/scheduling/src/capacity.rs
+++ b/crates/scheduling/src/capacity.rs
@@ -33,7 +33,7 @@
 const STEADY_PRIOR_EVENTS: f64 = 0.5;
 
 /// Weight, in events, of the steady pace and the reported slowdown in the present pace. Low, so that observed events
-/// overrule a wrong report; without events for about 2 s, the present pace returns to the steady one.
+/// overrule a wrong report; without events for about 5 s, the present pace has returned to the steady one.
 const PRESENT_PRIOR_EVENTS: f64 = 0.5;
 
 /// Age up to which a reported work time is used. It changes several times per second.
--- a/crates/scheduling/src/placement.rs
+++ b/crates/scheduling/src/placement.rs
@@ -25,8 +25,10 @@
 /// With at least this many sound engines, a text waits for one of them rather than run on another.
 const SUFFICIENT_SOUND_ENGINES: usize = 2;
 
-/// A text moves only to an engine where it is expected to need at most this share of the time left.
-const MOVE_SHARE: f64 = 0.9;
+/// A text that is late at every free engine waits for a full one only if it is expected to end there, including the wait,
+/// after at most this share of its earliest time at a free one: a text must not take three times as long on an engine
+/// that is slowed down because it can't be in time anywhere.
+const LATE_WAIT_SHARE: f64 = 0.5;
 
 /// Minimum share of the remaining time that a move must save. The present pace of an engine whose speed swings every
 /// 600 ms deviates from its mean by up to 0.4 (see `capacity`), which is no reason to move.
@@ -123,7 +125,8 @@
     },
     /// No sound engine has a free slot.
     WaitForSlot,
-    /// It would be late at every free engine, and is expected to be in time at a full one, with the wait for a slot.
+    /// It would be late at every free engine, and is expected to be in time, or to end in half the time, at a full one,
+    /// including the wait for a slot.
     WaitForFasterEngine,
 }
 
@@ -163,23 +166,24 @@
         Some((index, _, expected)) => {
             Placement::At { index: *index, expected: *expected, reason: PlacementReason::LeastUsed }
         }
-        None if !is_in_time && candidates.iter().any(|candidate| is_in_time_after_wait(candidate, text)) => {
+        None if !is_in_time && candidates.iter().any(|candidate| is_worth_waiting(candidate, text, expected)) => {
             Placement::WaitForFasterEngine
         }
         None => at_earliest,
     }
 }
 
-/// Whether a text is expected to end in time at a full engine, including the wait for a slot. The time left decreases
-/// while the text waits, which bounds the wait.
-fn is_in_time_after_wait(candidate: &Candidate, text: &PlacedWork) -> bool {
-    if !candidate.is_sound() || candidate.has_free_slot() {
+/// Whether a text that would end late, after `expected`, is to wait for a slot of a full engine. It does not wait beyond
+/// its time, which bounds the wait.
+fn is_worth_waiting(candidate: &Candidate, text: &PlacedWork, expected: Duration) -> bool {
+    if !candidate.is_sound() || candidate.has_free_slot() || text.time_left.is_zero() {
         return false;
     }
     let engine = EngineSnapshot { running: candidate.engine.running.saturating_sub(1), ..candidate.engine };
     let average = Work { remaining_events: text.mean_events, prompt_tokens: 0 };
     let wait = expected_duration(&engine, &average) / candidate.engine.slots.max(1);
-    expected_duration(&engine, &text.work).saturating_add(wait) <= text.time_left
+    let end = expected_duration(&engine, &text.work).saturating_add(wait);
+    end <= text.time_left.max(expected.mul_f64(LATE_WAIT_SHARE))
 }
 
 /// A running text that may move.
@@ -191,6 +195,8 @@
     pub work: Work,
     /// Time left until it should be complete.
     pub time_left: Duration,
+    /// Time left until a later bound, which counts for a text that can't meet the first one anywhere.
+    pub later_time_left: Duration,
     /// Expected time from the decision to move until the first event at the other engine, which reads the prompt again.
     pub restart_time: Duration,
 }
@@ -209,13 +215,12 @@
 }
 
 /// The engine to which a running text moves: the one with the earliest end, if the text would miss its time where it is
-/// and would meet it there. Returns the index into `candidates`, from which the engine that runs it is to be left out.
+/// and would meet it there. A text that meets its time nowhere is judged by the later bound. Returns the index into `candidates`, from which the engine that runs it is to be left out.
 pub fn move_target(text: &RunningWork, candidates: &[Candidate]) -> Option<usize> {
     if !text.is_late() {
         return None;
     }
     let rest = text.expected_rest();
-    let latest = text.time_left.mul_f64(MOVE_SHARE).min(rest.mul_f64(1.0 - MIN_SAVING_SHARE));
     let usable =
         candidates.iter().enumerate().filter(|(_, candidate)| candidate.is_sound() && candidate.has_free_slot());
     let rated = usable.map(|(index, candidate)| {
@@ -224,6 +229,8 @@
         engine.capacity.slowdown = engine.capacity.slowdown.max(1.0);
         (index, expected_duration(&engine, &text.work).saturating_add(text.restart_time))
     });
-    let in_time = rated.filter(|(_, expected)| *expected <= latest);
-    in_time.min_by_key(|(_, expected)| *expected).map(|(index, _)| index)
+    let (target, expected) = rated.min_by_key(|(_, expected)| *expected)?;
+    let is_met = |time_left: Duration| rest > time_left && expected <= time_left;
+    let saves_enough = expected <= rest.mul_f64(1.0 - MIN_SAVING_SHARE);
+    (saves_enough && (is_met(text.time_left) || is_met(text.later_time_left))).then_some(target)
 }
--- a/crates/scheduling/tests/loads/mod.rs
+++ b/crates/scheduling/tests/loads/mod.rs
@@ -335,6 +335,7 @@
                 engine: self.snapshot(capacities, engine),
                 work: text.work(),
                 time_left: text.time_left(now),
+                later_time_left: text.time_left(now) + Duration::from_millis(DUE_AFTER_MS / 2),
                 restart_time: Duration::from_millis(200),
             };
             let (engines, mut candidates) = self.candidates(capacities, index, now);
--- a/crates/scheduling/tests/placement_failures.rs
+++ b/crates/scheduling/tests/placement_failures.rs
@@ -102,3 +102,16 @@
     assert!(outcome.moves_back == 0 && outcome.moves * 100 <= outcome.items, "{outcome:?}");
     assert!(outcome.in_time >= 0.97 && outcome.busiest <= 1.1, "{outcome:?}");
 }
+
+/// Guards against long texts that stay on slowed engines because they need nearly all of their time anywhere.
+#[test]
+fn texts_with_little_time_to_spare_leave_slowed_engines() {
+    let slowed = |engine: usize, at: u64| {
+        let factor = if engine < 4 && (21_000..29_000).contains(&at) { 3.0 } else { 1.0 };
+        Some(47.5 * factor)
+    };
+    let outcome = classes("four of equal slowed", load(slowed));
+    let undisturbed = classes("equal, undisturbed", load(|_, _| Some(47.5)));
+    assert!(outcome.in_time >= undisturbed.in_time - 0.02, "{outcome:?} {undisturbed:?}");
+    assert!(outcome.moves > 0 && outcome.moves_back == 0 && undisturbed.moves == 0, "{outcome:?} {undisturbed:?}");
+}
