--- a/crates/coordinator/src/engines.rs
+++ b/crates/coordinator/src/engines.rs
@@ -1,11 +1,12 @@
 //! The engines of a plan.
 
+use crate::by_completion;
 use crate::coordinator::Coordinator;
 use crate::pace::Paces;
 use saddlerelay_control::state::ControlState;
 use saddlerelay_runtime::backend::Backends;
 use saddlerelay_scheduling::long_texts::{RunningText, allows_neighbor};
-use saddlerelay_scheduling::{CapacityEstimate, EngineSnapshot};
+use saddlerelay_scheduling::{Capacities, CapacityEstimate, EngineSnapshot};
 use saddlerelay_types::instance::InstanceState;
 use saddlerelay_upstream::EngineTarget;
 use std::cell::{Cell, RefCell};
@@ -21,6 +22,8 @@
     pub silent: bool,
     /// Estimated seconds per event.
     pub pace: f64,
+    /// What it can do; `None` where items are not placed by expected completion.
+    pub capacity: Option<CapacityEstimate>,
     /// Loaded weight versions by model, without models being loaded.
     pub weights: Rc<BTreeMap<String, u64>>,
     /// Items in flight, including those assigned by this plan.
@@ -40,9 +43,15 @@
         f64::from(self.load.get()) / f64::from(self.slots.max(1))
     }
 
+    /// Items in flight, including those assigned by this plan.
+    pub fn load(&self) -> u32 {
+        self.load.get()
+    }
+
     /// What it can do, and how many items it runs, including those assigned by this plan.
     pub fn snapshot(&self) -> EngineSnapshot {
-        EngineSnapshot { running: self.load.get(), slots: self.slots, ..snapshot_of_pace(self.pace, !self.silent) }
+        let capacity = self.capacity.unwrap_or_else(|| capacity_of_pace(self.pace));
+        EngineSnapshot { capacity, running: self.load.get(), slots: self.slots, reporting: !self.silent }
     }
 
     /// Adds a text that is to be kept in time.
@@ -67,6 +76,8 @@
     /// Seconds per event of the fastest engine.
     pub fastest: f64,
     pub paces: Paces,
+    /// Capacities of all engines; `None` if no item is placed by expected completion.
+    pub capacities: Option<Capacities>,
     pub now: Duration,
     pub term: u64,
 }
@@ -75,22 +86,21 @@
     pub fn new<B: Backends>(coordinator: &Coordinator<B>, state: &ControlState, term: u64) -> Self {
         let now = coordinator.now();
         let paces = coordinator.inner.fleet.paces(now);
-        let engines = ready_engines(coordinator, state, &paces, now);
+        let mut engines = ready_engines(coordinator, state, &paces, now);
+        let capacities = by_completion::assign_capacities(&coordinator.inner, &mut engines, now);
         let fastest = engines.iter().map(|engine| engine.pace).fold(f64::INFINITY, f64::min);
-        Self { engines, fastest, paces, now, term }
+        Self { engines, fastest, paces, capacities, now, term }
     }
 
-    /// An engine as usual as any: the median of all.
-    pub fn usual_engine(&self) -> EngineSnapshot {
-        snapshot_of_pace(self.paces.median(), true)
+    /// An engine without items whose pace is the median of all.
+    pub fn median_engine(&self) -> EngineSnapshot {
+        EngineSnapshot { capacity: capacity_of_pace(self.paces.median()), running: 0, slots: 1, reporting: true }
     }
 }
 
-/// A snapshot of an engine without items that takes `pace` seconds per event, however many items it runs.
-fn snapshot_of_pace(pace: f64, reporting: bool) -> EngineSnapshot {
-    let capacity =
-        CapacityEstimate { seconds_per_event_alone: pace, added_per_neighbor: 0.0, slowdown: 1.0, age: None };
-    EngineSnapshot { capacity, running: 0, slots: 1, reporting }
+/// The capacity of an engine that takes `pace` seconds per event, however many items it runs.
+fn capacity_of_pace(pace: f64) -> CapacityEstimate {
+    CapacityEstimate { seconds_per_event_alone: pace, added_per_neighbor: 0.0, slowdown: 1.0, age: None }
 }
 
 fn ready_engines<B: Backends>(
@@ -111,6 +121,7 @@
             slots: record.report.slots,
             silent: record.silent,
             pace: paces.of(&record.report.id),
+            capacity: None,
             weights: fleet.loaded_versions(&record.report.id),
             texts: RefCell::default(),
             load: Cell::new(fleet.in_flight(&record.report.id)),
--- a/crates/coordinator/src/lib.rs
+++ b/crates/coordinator/src/lib.rs
@@ -6,6 +6,7 @@
 //! This state is in the leader's memory only; a new leader rebuilds it from the committed jobs and versions.
 
 mod batch_order;
+mod by_completion;
 pub mod config;
 pub mod coordinator;
 mod engines;
@@ -25,6 +26,8 @@
 pub mod orders;
 pub mod pace;
 mod placement;
+mod placement_log;
+pub mod placement_metrics;
 pub mod plan;
 pub mod runner;
 pub mod scorers;
--- a/crates/coordinator/src/long_texts.rs
+++ b/crates/coordinator/src/long_texts.rs
@@ -267,7 +267,7 @@
     if std::mem::replace(&mut context.run.is_submission_recorded, true) {
         return;
     }
-    let usual = context.round.usual_engine();
+    let usual = context.round.median_engine();
     let expected = |events: f64| expected_duration(&usual, &Work { remaining_events: events, prompt_tokens: 0 });
     let mean_duration = expected(context.run.mean_events);
     let long = context.run.items.iter().filter(|item| {
--- a/crates/coordinator/src/metrics.rs
+++ b/crates/coordinator/src/metrics.rs
@@ -1,5 +1,6 @@
 //! Metrics of a coordinator.
 
+use crate::placement_metrics::PlacementMetrics;
 use crate::waits::WaitReason;
 use saddlerelay_telemetry::registry::{Counter, Gauge, Histogram, MetricRegistry};
 
@@ -73,6 +74,8 @@
     pub items_displaced: Counter,
     /// Slots reserved at present for steps that are about to be submitted.
     pub reserved_slots: Gauge,
+    /// Placement by expected completion.
+    pub placement: PlacementMetrics,
 }
 
 impl Default for CoordinatorMetrics {
@@ -105,6 +108,7 @@
         let reserved_slots =
             registry.gauge("reserved_slots", "Slots reserved for steps that are about to be submitted");
         let long_waits = LongWaits::register(&mut registry);
+        let placement = PlacementMetrics::register(&mut registry);
         Self {
             registry,
             long_waits,
@@ -128,6 +132,7 @@
             items_started_overdue,
             items_displaced,
             reserved_slots,
+            placement,
         }
     }
 }
--- a/crates/coordinator/src/ordered.rs
+++ b/crates/coordinator/src/ordered.rs
@@ -175,7 +175,7 @@
                 wanted: context.run.wanted.includes(index),
                 due_at,
                 due_period: due_at.saturating_sub(context.run.started_at),
-                expected: expected_duration(&self.round.usual_engine(), &work),
+                expected: expected_duration(&self.round.median_engine(), &work),
                 at_best: expected_duration(&self.sets[set].fastest, &work),
                 waited: run.wait.waited(context.now),
             };
@@ -213,7 +213,7 @@
         let one_event = Work { remaining_events: 1.0, prompt_tokens: 0 };
         let snapshots = engines.iter().map(|eligible| EngineSnapshot { running: 0, ..eligible.engine.snapshot() });
         let fastest = snapshots.min_by_key(|engine| expected_duration(engine, &one_event));
-        let fastest = fastest.unwrap_or_else(|| self.round.usual_engine());
+        let fastest = fastest.unwrap_or_else(|| self.round.median_engine());
         self.sets.push(EligibleSet { engines: Rc::new(engines), fastest });
         self.set_indexes.insert(key, self.sets.len() - 1);
         self.sets.len() - 1
--- a/crates/gateway-api/tests/common/mod.rs
+++ b/crates/gateway-api/tests/common/mod.rs
@@ -187,6 +187,12 @@
         Self::start_configured(name, GatewayConfig::default(), coordinator, 1).await
     }
 
+    /// Like [`Self::start`], with the setting of placement by expected completion.
+    pub async fn start_with_placement(name: &str, placement: Activation) -> Self {
+        let coordinator = CoordinatorConfig { placement, ..coordinator_config() };
+        Self::start_configured(name, GatewayConfig::default(), coordinator, 1).await
+    }
+
     async fn start_configured(
         name: &str,
         gateway_config: GatewayConfig,
--- a/crates/scheduling/src/lib.rs
+++ b/crates/scheduling/src/lib.rs
@@ -4,13 +4,19 @@
 //! caller passes the time.
 
 pub mod activation;
+pub mod capacity;
 pub mod completion;
 pub mod load_report;
 pub mod long_texts;
 pub mod order;
 pub mod pass;
+pub mod placement;
 pub mod shares;
 
 pub use activation::Activation;
+pub use capacity::{Capacities, CapacityModel};
 pub use completion::{CapacityEstimate, EngineSnapshot, Work, expected_duration};
 pub use load_report::LoadReport;
+pub use placement::{
+    Candidate, PlacedWork, Placement, PlacementMethod, PlacementReason, RunningWork, move_target, place,
+};
--- a/crates/scheduling/src/long_texts.rs
+++ b/crates/scheduling/src/long_texts.rs
@@ -21,7 +21,7 @@
 /// A predicted submission that is overdue by this fraction of the interval is no longer expected.
 const OVERDUE_FRACTION: f64 = 0.25;
 
-/// At most one in this many slots of a pool is reserved, so that a wrong prediction costs little. Chosen, not measured.
+/// At most one in this many slots of a pool is reserved, so that a wrong prediction costs little.
 const SLOTS_PER_RESERVED_SLOT: u32 = 8;
 
 /// Slots are reserved this many times as long before a submission as it takes for that many to become free.
--- a/crates/scheduling/src/order.rs
+++ b/crates/scheduling/src/order.rs
@@ -24,7 +24,7 @@
 /// told from a later one.
 const LEAST_SLACK_LEVEL: Duration = Duration::from_millis(50);
 
-/// One in this many starts of a pool goes to its longest waiting item. Chosen, not measured: late items make progress at
+/// One in this many starts of a pool goes to its longest waiting item. Late items make progress at
 /// an eighth of the capacity, and under overload work that can be in time loses no more than that.
 pub const STARTS_PER_OVERDUE_START: u32 = 8;
 
