Test state transfer over links that lose a fifth and carry little

A segment request has a fixed time limit of 1.2 s, so a segment of 256 KiB never arrives over 100 KB/s.

--- /dev/null
+++ b/crates/simulator/tests/state_transfer.rs
@@ -0,0 +1,107 @@
+//! State transfer to a voter behind links that lose a fifth of their packets and carry little: it takes as long as the
+//! bytes need, and few bytes are sent twice.
+
+mod transfer_group;
+
+use saddlerelay_simulator::network::LinkFaults;
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::Duration;
+use transfer_group::{TransferGroup, for_each_seed};
+
+const SEEDS: std::ops::Range<u64> = 0..12;
+
+/// Bandwidth of a stream between the lossy zone and another one. A segment of 256 KiB takes 2.6 s.
+const BYTES_PER_SECOND: u64 = 100_000;
+
+const LOSSY_LINKS: LinkFaults = LinkFaults {
+    lost_per_mille: 200,
+    bytes_per_second: BYTES_PER_SECOND,
+    connect_delay: Duration::ZERO,
+    connect_jitter: Duration::ZERO,
+};
+
+/// Bytes that may be sent during a transfer, including heartbeats and bytes sent again, in percent of its size.
+const MAX_SENT_PERCENT: u64 = 130;
+
+/// Time for an election and for retransmissions in addition to that which the bytes need.
+const OVERHEAD: Duration = Duration::from_secs(10);
+
+/// What was observed of a transfer.
+#[derive(Debug)]
+struct Transfer {
+    /// Bytes of the segments that the voter lacked.
+    bytes: u64,
+    /// Time until the first commit; `None` if there was none within the observation time.
+    elapsed: Option<Duration>,
+    /// Bytes sent between zones until then.
+    sent_bytes: u64,
+}
+
+impl Transfer {
+    /// Time that the bytes need, with the permitted share sent again.
+    fn limit(&self) -> Duration {
+        OVERHEAD + Duration::from_millis(self.bytes * MAX_SENT_PERCENT * 10 / BYTES_PER_SECOND)
+    }
+
+    fn is_late(&self) -> bool {
+        self.elapsed.is_none_or(|elapsed| elapsed > self.limit())
+    }
+}
+
+/// Bytes of the segments of `full` that `behind` has not sealed.
+fn missing_bytes(group: &TransferGroup, full: u8, known: &BTreeSet<u64>) -> u64 {
+    use saddlerelay_replication::StateMachine;
+    let segments = group.node(full).expect("the machine runs").read_local(|payloads| payloads.segments());
+    segments.iter().filter(|segment| !known.contains(&segment.number)).map(|segment| segment.bytes).sum()
+}
+
+/// Numbers of the segments that a replica has sealed.
+fn segment_numbers(group: &TransferGroup, index: u8) -> BTreeSet<u64> {
+    use saddlerelay_replication::StateMachine;
+    let segments = group.node(index).expect("the machine runs").read_local(|payloads| payloads.segments());
+    segments.into_iter().map(|segment| segment.number).collect()
+}
+
+/// A group of three voters, one of which is behind by a snapshot and starts behind lossy links, while another one is
+/// lost: nothing is committed until the transfer is complete.
+fn commit_after_transfer(seed: u64) -> Transfer {
+    let mut group = TransferGroup::formed(seed, 3, BTreeMap::new());
+    let (behind, lost) = (group.followers()[0], group.followers()[1]);
+    let known = segment_numbers(&group, behind);
+    group.power_off(behind);
+    group.propose_for(Duration::from_secs(3));
+    let leader = group.leader_index().expect("there is a leader");
+    let bytes = missing_bytes(&group, leader, &known);
+    group.world.network.set_zone_link_faults(behind.into(), LOSSY_LINKS);
+    group.power_off(lost);
+    group.start(behind, false);
+    let started_at = group.world.clock.now();
+    let sent_before = group.world.network.sent_between_zones().1;
+    let committed = group.acknowledged.borrow().len();
+    let mut transfer = Transfer { bytes, elapsed: None, sent_bytes: 0 };
+    let limit = transfer.limit() * 3;
+    while group.world.clock.now() < started_at + limit && transfer.elapsed.is_none() {
+        group.propose();
+        let acknowledged = group.acknowledged.clone();
+        if group.run_until(Duration::from_millis(500), move || acknowledged.borrow().len() > committed) {
+            transfer.elapsed = Some(group.world.clock.now() - started_at);
+        }
+    }
+    transfer.sent_bytes = group.world.network.sent_between_zones().1 - sent_before;
+    if transfer.elapsed.is_some() {
+        group.check(&format!("seed {seed}"));
+    }
+    transfer
+}
+
+/// Guards against a fixed time limit of segment requests, with which a segment that takes longer never arrives, and
+/// against bytes that are sent again and again.
+#[test]
+fn the_first_commit_waits_no_longer_than_the_bytes_need() {
+    let transfers = for_each_seed(SEEDS, commit_after_transfer);
+    let late: Vec<_> = transfers.iter().filter(|(_, transfer)| transfer.is_late()).collect();
+    assert!(late.is_empty(), "{} of {} seeds commit late: {late:?}", late.len(), transfers.len());
+    let wasteful = |transfer: &Transfer| transfer.sent_bytes * 100 > transfer.bytes * MAX_SENT_PERCENT;
+    let wasteful: Vec<_> = transfers.iter().filter(|(_, transfer)| wasteful(transfer)).collect();
+    assert!(wasteful.is_empty(), "{} of {} seeds send too much: {wasteful:?}", wasteful.len(), transfers.len());
+}
