Fetch segments with time limits that follow from the link

A request for a segment had a fixed limit of 1.2 s and three ran at once, so no segment that takes longer ever arrived. Pure decisions (transfer_policy) now choose the source, the limit and the number of requests; heartbeats during a request tell a slow link from a lost source. Segments that an earlier process fetched are used again.

--- a/crates/replication/src/calls.rs
+++ b/crates/replication/src/calls.rs
@@ -21,6 +21,8 @@
     Heartbeats,
     /// Link probes, which must not queue behind other messages, and leadership transfer messages.
     Probes,
+    /// Requests for segments, whose large replies must not delay other messages.
+    Segments,
     /// Requests to machines of any build, in or outside the group; the feature level is negotiated.
     Negotiated,
 }
--- a/crates/replication/src/lib.rs
+++ b/crates/replication/src/lib.rs
@@ -34,7 +34,9 @@
 pub mod segments;
 pub mod snapshot;
 mod state;
+mod state_transfer;
 pub mod storage;
+pub mod transfer_policy;
 pub mod wal;
 
 pub use levels::{raise_command, raised_to};
--- a/crates/replication/src/replica.rs
+++ b/crates/replication/src/replica.rs
@@ -15,6 +15,7 @@
 use crate::snapshot::Snapshot;
 use crate::state::{Role, State, StateMachine};
 use crate::storage::{Identity, Recovered, Storage, StorageError};
+use crate::transfer_policy::TransferPolicy;
 use futures::channel::{mpsc, oneshot};
 use futures::lock::Mutex;
 use saddlerelay_rpc::client::Client;
@@ -88,6 +89,8 @@
     pub segments: RefCell<StoredSegments>,
     /// Whether a task is fetching missing segments.
     pub fetching: Cell<bool>,
+    /// What the sources of segments have shown.
+    pub transfer_policy: RefCell<TransferPolicy>,
     /// Snapshot that is being received.
     pub incoming_snapshot: RefCell<Option<IncomingSnapshot>>,
     /// Snapshot that is being sent; shared by peers that need one at the same time.
@@ -193,6 +196,7 @@
             excluded_replicas: RefCell::default(),
             segments: RefCell::new(segments),
             fetching: Cell::default(),
+            transfer_policy: RefCell::default(),
             incoming_snapshot: RefCell::default(),
             outgoing_snapshot: RefCell::default(),
             discovered_addresses: RefCell::default(),
--- a/crates/replication/src/segment_fetch.rs
+++ b/crates/replication/src/segment_fetch.rs
@@ -1,25 +1,41 @@
 //! Fetching segments from other replicas: those that a snapshot being received refers to, and those whose files are
-//! corrupt.
+//! corrupt. `transfer_policy` decides which source is asked, how long to wait, and how many segments are fetched at
+//! once.
 
+use crate::calls::Channel;
 use crate::membership::Member;
 use crate::message::{ReplicaReply, ReplicaRequest};
 use crate::replica::Replica;
 use crate::segments::{Segment, SegmentError};
 use crate::state::StateMachine;
-use futures::future::join_all;
+use crate::state_transfer::StateTransfer;
+use crate::transfer_policy::{FetchFailure, FetchProgress, Source};
+use futures::future::{Either, join_all, select};
+use futures::stream::{FuturesUnordered, StreamExt};
 use saddlerelay_runtime::Runtime;
+use saddlerelay_runtime::timeout::timeout;
 use saddlerelay_types::identity::ReplicaId;
+use std::cell::Cell;
+use std::collections::BTreeMap;
+use std::pin::pin;
 use std::rc::Rc;
 use std::time::Duration;
 
-/// Maximum number of segments fetched concurrently.
-const MAX_CONCURRENT_FETCHES: usize = 3;
+/// Delay after a failed request, which bounds the rate of refused ones.
+const FETCH_RETRY_DELAY: Duration = Duration::from_millis(100);
 
-/// Timeout of one segment request.
-const FETCH_TIMEOUT: Duration = Duration::from_millis(1_200);
+/// Interval between heartbeats to a source while it is asked for a segment.
+const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(100);
 
-/// Delay before failed fetches are retried.
-const FETCH_RETRY_DELAY: Duration = Duration::from_millis(100);
+/// Time limit of such a heartbeat. A reply that takes longer indicates packet loss; the next heartbeat may then open a
+/// new connection.
+const HEARTBEAT_TIMEOUT: Duration = Duration::from_millis(150);
+
+/// Term of such a heartbeat. No leader has this term, so replicas reply without recording contact with a leader.
+const HEARTBEAT_TERM: u64 = 0;
+
+/// Longest time limit of a request for a segment. The policy's limit is usually shorter.
+const MAX_FETCH_TIME: Duration = Duration::from_secs(3_600);
 
 /// Voters in the order in which a segment is requested from them: the leader last, as it also has the log to send.
 pub(crate) fn leader_last<'a>(voters: impl Iterator<Item = &'a Member>, leader: Option<ReplicaId>) -> Vec<Member> {
@@ -28,6 +44,12 @@
     others
 }
 
+/// Replies of a source to heartbeats while it is asked for a segment.
+struct Heartbeats {
+    replied_at: Cell<Duration>,
+    has_late_replies: Cell<bool>,
+}
+
 impl<P: Runtime, S: StateMachine> Replica<P, S> {
     /// Handles a request for a segment.
     pub(crate) async fn handle_segment_request(&self, number: u64) -> ReplicaReply {
@@ -45,55 +67,162 @@
     }
 
     async fn fetch_missing(self) {
-        while let Some((missing, sources)) = self.fetch_plan() {
-            let fetches = missing.iter().map(|segment| self.fetch(*segment, &sources));
-            let fetched = join_all(fetches).await;
-            if fetched.contains(&false) {
-                self.inner.platform.sleep(FETCH_RETRY_DELAY).await;
+        let mut transfer = StateTransfer::new(self.inner.platform.monotonic());
+        let mut running = FuturesUnordered::new();
+        let mut in_flight: BTreeMap<u64, ReplicaId> = BTreeMap::new();
+        let mut probed = false;
+        loop {
+            while let Some((segment, sources)) = self.next_missing(&in_flight) {
+                if self.adopt_stored_segment(segment).await {
+                    transfer.record_kept(&segment);
+                    continue;
+                }
+                if !std::mem::replace(&mut probed, true) {
+                    self.probe_sources(&sources).await;
+                }
+                let Some(source) = self.next_source(&segment, &sources, &in_flight) else {
+                    break;
+                };
+                in_flight.insert(segment.number, source.id);
+                let replica = self.clone();
+                running.push(async move { (segment, replica.fetch_from(&source, segment).await) });
+            }
+            let pause = self.inner.platform.sleep(StateTransfer::REPORT_INTERVAL);
+            match select(running.next(), pin!(pause)).await {
+                Either::Left((Some((segment, fetched)), _)) => {
+                    in_flight.remove(&segment.number);
+                    transfer.record(&segment, fetched);
+                }
+                Either::Left((None, _)) => break,
+                Either::Right(_) => {}
             }
+            let now = self.inner.platform.monotonic();
+            transfer.log_if_due(now, &in_flight, &self.inner.transfer_policy.borrow());
         }
+        transfer.log_end(self.inner.platform.monotonic(), self.next_missing(&in_flight).is_none());
         self.inner.fetching.set(false);
     }
 
-    /// The next segments to fetch and the voters to fetch them from; `None` if nothing is missing, the disk has failed
-    /// or the replica is stopping.
-    fn fetch_plan(&self) -> Option<(Vec<Segment>, Vec<Member>)> {
+    /// The next segment to fetch and the voters to fetch it from; `None` if nothing else is missing, the disk has
+    /// failed or the replica is stopping.
+    fn next_missing(&self, in_flight: &BTreeMap<u64, ReplicaId>) -> Option<(Segment, Vec<Member>)> {
         let state = self.inner.state.borrow();
         let incoming = self.inner.incoming_snapshot.borrow();
         let received = incoming.as_ref().filter(|_| !state.storage_failed && !state.stopping)?;
-        let mut missing = received.missing_segments(&self.inner.segments.borrow());
-        missing.truncate(MAX_CONCURRENT_FETCHES);
-        (!missing.is_empty()).then(|| (missing, received.segment_sources()))
+        let missing = received.missing_segments(&self.inner.segments.borrow());
+        let segment = missing.into_iter().find(|segment| !in_flight.contains_key(&segment.number))?;
+        let own = state.identity.id;
+        let sources = received.segment_sources().into_iter().filter(|source| source.id != own).collect();
+        Some((segment, sources))
     }
 
-    /// Fetches and stores a segment. Returns whether it succeeded.
-    async fn fetch(&self, segment: Segment, sources: &[Member]) -> bool {
-        let (own, term) = {
-            let state = self.inner.state.borrow();
-            (state.identity.id, state.term)
+    fn next_source(
+        &self,
+        segment: &Segment,
+        sources: &[Member],
+        in_flight: &BTreeMap<u64, ReplicaId>,
+    ) -> Option<Member> {
+        let leader = self.inner.state.borrow().leader;
+        let candidate = |member: &Member| Source {
+            id: member.id,
+            is_leader: Some(member.id) == leader,
+            in_flight: in_flight.values().filter(|source| **source == member.id).count(),
         };
-        let sources: Vec<&Member> = sources.iter().filter(|source| source.id != own).collect();
-        // Different segments start with different followers to distribute the load.
-        let (followers, leader) = sources.split_at(sources.len().saturating_sub(1));
-        let first = segment.number as usize % followers.len().max(1);
-        let ordered_sources = followers.iter().cycle().skip(first).take(followers.len()).chain(leader);
-        for source in ordered_sources {
-            let request = ReplicaRequest::ReadSegment { header: self.header(source.id, term), number: segment.number };
-            let Some(ReplicaReply::Segment(bytes)) = self.send(source.address, &request, FETCH_TIMEOUT).await else {
-                continue;
-            };
-            if !segment.matches(&bytes) {
-                spdlog::warn!("received segment failed checksum", kv: { from = source.id.0, number = segment.number });
-                continue;
-            }
-            if self.store_segment(segment, bytes).await.is_err() {
+        let candidates: Vec<Source> = sources.iter().map(candidate).collect();
+        let next = self.inner.transfer_policy.borrow().next_source(segment.bytes, &candidates)?;
+        sources.iter().find(|source| source.id == next).cloned()
+    }
+
+    /// Measures the round trip to sources of which nothing is known, so that a near one is asked first.
+    async fn probe_sources(&self, sources: &[Member]) {
+        let ids: Vec<ReplicaId> = sources.iter().map(|source| source.id).collect();
+        self.inner.transfer_policy.borrow_mut().retain(&ids);
+        let unknown = sources.iter().filter(|source| self.inner.transfer_policy.borrow().is_unknown(source.id));
+        let unknown: Vec<&Member> = unknown.collect();
+        join_all(unknown.into_iter().map(|source| self.probe_source(source))).await;
+    }
+
+    /// Sends a heartbeat; returns whether the reply was prompt.
+    async fn probe_source(&self, source: &Member) -> bool {
+        let sent_at = self.inner.platform.monotonic();
+        let request = ReplicaRequest::Heartbeat { header: self.header(source.id, HEARTBEAT_TERM) };
+        let call = self.try_send(Channel::Probes, source.address, &request, HEARTBEAT_TIMEOUT);
+        let reply = timeout(&self.inner.platform, HEARTBEAT_TIMEOUT, call).await;
+        let is_prompt = matches!(reply, Some(Ok(ReplicaReply::Heartbeat { .. })));
+        let elapsed = self.inner.platform.monotonic().saturating_sub(sent_at);
+        self.inner.transfer_policy.borrow_mut().record_heartbeat(source.id, is_prompt.then_some(elapsed));
+        is_prompt
+    }
+
+    /// Fetches and stores a segment from one source.
+    async fn fetch_from(&self, source: &Member, segment: Segment) -> Result<Duration, FetchFailure> {
+        let started_at = self.inner.platform.monotonic();
+        let answer = self.request_segment(source, &segment).await;
+        let elapsed = self.inner.platform.monotonic().saturating_sub(started_at);
+        let failure = match answer {
+            Ok(bytes) if segment.matches(&bytes) => {
+                self.inner.transfer_policy.borrow_mut().record_answer(source.id, segment.bytes, elapsed);
+                if self.store_segment(segment, bytes).await.is_ok() {
+                    return Ok(elapsed);
+                }
                 self.fail_storage();
-                return false;
+                return Err(FetchFailure::Refused);
+            }
+            Ok(_) => {
+                spdlog::warn!("received segment failed checksum", kv: {
+                    from = source.id.0, number = segment.number
+                });
+                FetchFailure::Refused
             }
-            return true;
+            Err(failure) => failure,
+        };
+        self.inner.transfer_policy.borrow_mut().record_failure(source.id, failure);
+        spdlog::warn!("segment fetch failed", kv: {
+            number = segment.number, source = source.id.0, address = source.address.to_string().as_str(),
+            bytes = segment.bytes, elapsed_ms = elapsed.as_millis() as u64,
+            timed_out = failure == FetchFailure::TimedOut
+        });
+        self.inner.platform.sleep(FETCH_RETRY_DELAY).await;
+        Err(failure)
+    }
+
+    /// Requests a segment from a source, with heartbeats over another connection that show whether the source is still
+    /// there and whether packets are lost.
+    async fn request_segment(&self, source: &Member, segment: &Segment) -> Result<Vec<u8>, FetchFailure> {
+        let started_at = self.inner.platform.monotonic();
+        let header = self.header(source.id, self.inner.state.borrow().term);
+        let request = ReplicaRequest::ReadSegment { header, number: segment.number };
+        let mut call = pin!(self.try_send(Channel::Segments, source.address, &request, MAX_FETCH_TIME));
+        let heartbeats = Rc::new(Heartbeats { replied_at: Cell::new(started_at), has_late_replies: Cell::default() });
+        loop {
+            let pause = pin!(self.inner.platform.sleep(HEARTBEAT_INTERVAL));
+            match select(call, pause).await {
+                Either::Left((Ok(ReplicaReply::Segment(bytes)), _)) => return Ok(bytes),
+                Either::Left(_) => return Err(FetchFailure::Refused),
+                Either::Right(((), pending_call)) => call = pending_call,
+            }
+            let now = self.inner.platform.monotonic();
+            let progress = FetchProgress {
+                bytes: segment.bytes,
+                elapsed: now.saturating_sub(started_at),
+                silent_for: now.saturating_sub(heartbeats.replied_at.get()),
+                has_late_replies: heartbeats.has_late_replies.get(),
+            };
+            if self.inner.transfer_policy.borrow().should_give_up(source.id, &progress) {
+                // The rest of the answer would delay the next one.
+                self.client(Channel::Segments, source.address).close_if_idle_since(started_at);
+                return Err(FetchFailure::TimedOut);
+            }
+            self.inner.platform.spawn(self.clone().send_source_heartbeat(source.clone(), heartbeats.clone()));
+        }
+    }
+
+    async fn send_source_heartbeat(self, source: Member, heartbeats: Rc<Heartbeats>) {
+        if self.probe_source(&source).await {
+            heartbeats.replied_at.set(self.inner.platform.monotonic());
+        } else {
+            heartbeats.has_late_replies.set(true);
         }
-        spdlog::warn!("segment fetch failed", kv: { number = segment.number, asked = sources.len() });
-        false
     }
 
     /// Content of a segment. If its file is corrupt, it is fetched from another voter.
@@ -103,16 +232,27 @@
             other => return other,
         }
         let segment = self.segment(number).ok_or(SegmentError::Unknown)?;
-        if !self.fetch(segment, &self.other_voters()).await {
+        if !self.fetch_from_any(segment).await {
             return Err(SegmentError::Damaged);
         }
         spdlog::info!("segment repaired", kv: { number = number });
         self.read_own_segment(number).await
     }
 
-    /// Voters to fetch a segment from, in order.
-    fn other_voters(&self) -> Vec<Member> {
-        let state = self.inner.state.borrow();
-        leader_last(state.membership().voters(), state.leader)
+    /// Fetches and stores a segment; asks each other voter once, in the order of the policy. Returns whether it
+    /// succeeded.
+    async fn fetch_from_any(&self, segment: Segment) -> bool {
+        let (own, mut sources) = {
+            let state = self.inner.state.borrow();
+            (state.identity.id, leader_last(state.membership().voters(), state.leader))
+        };
+        sources.retain(|source| source.id != own);
+        while let Some(source) = self.next_source(&segment, &sources, &BTreeMap::new()) {
+            if self.fetch_from(&source, segment).await.is_ok() {
+                return true;
+            }
+            sources.retain(|other| other.id != source.id);
+        }
+        false
     }
 }
--- a/crates/replication/src/segments.rs
+++ b/crates/replication/src/segments.rs
@@ -150,6 +150,17 @@
         self.read_verified(number, self.segment(number).or_else(kept)).await
     }
 
+    /// Whether the file of a segment that this replica is to receive is complete on its disk, left by a transfer before
+    /// a restart. The segment then counts as stored.
+    pub(crate) async fn adopt_stored_segment(&self, segment: Segment) -> bool {
+        let _guard = self.inner.segment_files.lock().await;
+        let is_complete = read_file(&self.inner.platform.disk(), &segment).await.is_ok();
+        if is_complete {
+            self.inner.segments.borrow_mut().0.insert(segment.number, segment);
+        }
+        is_complete
+    }
+
     async fn read_verified(&self, number: u64, segment: Option<Segment>) -> Result<Rc<Vec<u8>>, SegmentError> {
         if let Some(bytes) = self.inner.state.borrow().state_machine.segment_bytes(number) {
             return Ok(bytes);
--- a/crates/rpc/src/client.rs
+++ b/crates/rpc/src/client.rs
@@ -134,7 +134,7 @@
         let exchange = self.exchange(message);
         let response = timeout(&self.inner.platform, limit, exchange).await;
         if response.is_none() {
-            self.close_connection_if_idle_since(started_at);
+            self.close_if_idle_since(started_at);
         }
         response.unwrap_or(Err(CallError::OutcomeUnknown))
     }
@@ -325,8 +325,9 @@
     }
 
     /// Closes the connection if nothing was received on it since a call that timed out started: after a network
-    /// partition, a new connection recovers sooner than TCP retransmission.
-    fn close_connection_if_idle_since(&self, since: Duration) {
+    /// partition, a new connection recovers sooner than TCP retransmission. Also for callers that stop waiting for a
+    /// call: the rest of its response would delay those of later calls.
+    pub fn close_if_idle_since(&self, since: Duration) {
         let mut connection = self.inner.connection.borrow_mut();
         if connection.as_ref().is_some_and(|connection| connection.last_received_at.get() <= since) {
             *connection = None;
