--- a/crates/replication/src/follower.rs
+++ b/crates/replication/src/follower.rs
@@ -27,6 +27,7 @@
 #[derive(Debug, Default)]
 pub(crate) struct IncomingSnapshot {
     source: Option<SnapshotSource>,
+    total: u64,
     bytes: Vec<u8>,
     /// The complete snapshot, while segments that it refers to are missing.
     complete: Option<Snapshot>,
@@ -35,15 +36,32 @@
 impl IncomingSnapshot {
     /// Appends a part. A part of another snapshot replaces what was received so far.
     fn add_part(&mut self, source: SnapshotSource, part: &SnapshotPart) {
-        if self.source != Some(source) {
+        if let Some(index) = self.kept_index(source, part.total) {
+            self.source = Some(SnapshotSource { index, ..source });
+        } else {
             let capacity = usize::try_from(part.total).unwrap_or(0).min(MAX_FRAME_BYTES);
-            *self = Self { source: Some(source), bytes: Vec::with_capacity(capacity), complete: None };
+            *self =
+                Self { source: Some(source), total: part.total, bytes: Vec::with_capacity(capacity), complete: None };
         }
         if self.complete.is_none() && part.offset == self.bytes.len() as u64 {
             self.bytes.extend_from_slice(&part.bytes);
         }
     }
 
+    /// Index of the snapshot that was received so far, if it is as good as the one from `source`, which may be another
+    /// leader or of another term. Snapshots contain committed entries only, so all leaders have the same state at an
+    /// index, and a complete snapshot serves in place of an older one. Parts of an incomplete one are continued if the
+    /// size is the same; should its encoding differ, the checksum fails and the transfer begins anew.
+    fn kept_index(&self, source: SnapshotSource, total: u64) -> Option<u64> {
+        let kept = self.source.filter(|kept| kept.level == source.level)?;
+        let is_kept = if self.complete.is_some() {
+            kept.index >= source.index
+        } else {
+            kept.index == source.index && self.total == total
+        };
+        is_kept.then_some(kept.index)
+    }
+
     /// Whether the snapshot is complete; fails if its checksum is wrong.
     fn decode_if_complete(&mut self, source: SnapshotSource, part: &SnapshotPart) -> Result<bool, CorruptSnapshot> {
         if self.complete.is_none() && self.bytes.len() as u64 == part.total {
--- a/crates/replication/src/leader.rs
+++ b/crates/replication/src/leader.rs
@@ -39,9 +39,13 @@
 /// A reply within this fraction of the call timeout doubles the size of the next message.
 const PROMPT_REPLY_DIVISOR: u32 = 4;
 
-/// Size of messages to one peer: halved after each timeout, as a message that takes longer than the call timeout on a
-/// slow link would be resent indefinitely.
-#[derive(Clone, Copy, Debug, Default)]
+/// Halvings of the first message to a peer: 8 KiB of entries. A link of unknown bandwidth may not carry a large message
+/// within the call timeout, and all bytes of a message that timed out are sent again.
+const FIRST_HALVINGS: u32 = 5;
+
+/// Size of messages to one peer: doubled after each prompt reply, and halved after each timeout, as a message that takes
+/// longer than the call timeout on a slow link would be resent indefinitely.
+#[derive(Clone, Copy, Debug)]
 struct MessageSize {
     halvings: u32,
 }
@@ -184,7 +188,7 @@
     async fn replicate_to(self, peer: Member, term: u64) {
         let config = &self.inner.options.config;
         let mut snapshot_transfer = None;
-        let mut size = MessageSize::default();
+        let mut size = MessageSize { halvings: FIRST_HALVINGS };
         loop {
             let change_count = self.inner.state_changed.count();
             let Some(request) = self.next_message(&peer, term, size, &mut snapshot_transfer).await else {
@@ -220,6 +224,10 @@
                 }
                 Ok(ReplicaReply::FetchingSegments { term: observed_term }) => {
                     self.observe_term(observed_term).await;
+                    if let Some(snapshot_transfer) = &mut snapshot_transfer {
+                        // The peer has all parts; polls must not send the last one again.
+                        snapshot_transfer.offset = snapshot_transfer.snapshot.encoded().len();
+                    }
                     self.with_progress(&peer, term, |progress| {
                         progress.acknowledged_append_sent_at = progress.acknowledged_append_sent_at.max(Some(sent_at));
                     });
@@ -292,6 +300,13 @@
         if !state.leads_term(term) {
             return None;
         }
+        // A snapshot of which nothing has arrived is replaced once the log no longer continues from it.
+        let is_outdated = |transfer: &SnapshotTransfer| {
+            transfer.offset == 0 && transfer.snapshot.header.index < state.log.base_index()
+        };
+        if snapshot_transfer.as_ref().is_some_and(is_outdated) {
+            *snapshot_transfer = None;
+        }
         let begin = || {
             let snapshot = self.outgoing_snapshot(&state);
             spdlog::info!("snapshot sent", kv: {
--- a/crates/simulator/tests/state_transfer.rs
+++ b/crates/simulator/tests/state_transfer.rs
@@ -3,10 +3,11 @@
 
 mod transfer_group;
 
+use saddlerelay_replication::StateMachine;
 use saddlerelay_simulator::network::LinkFaults;
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeMap;
 use std::time::Duration;
-use transfer_group::{TransferGroup, for_each_seed};
+use transfer_group::{TransferGroup, for_each_seed, name};
 
 const SEEDS: std::ops::Range<u64> = 0..12;
 
@@ -24,12 +25,12 @@
 const MAX_SENT_PERCENT: u64 = 130;
 
 /// Time for an election and for retransmissions in addition to that which the bytes need.
-const OVERHEAD: Duration = Duration::from_secs(10);
+const OVERHEAD: Duration = Duration::from_secs(5);
 
 /// What was observed of a transfer.
 #[derive(Debug)]
 struct Transfer {
-    /// Bytes of the segments that the voter lacked.
+    /// Bytes of the snapshot and of the segments that the voter lacked.
     bytes: u64,
     /// Time until the first commit; `None` if there was none within the observation time.
     elapsed: Option<Duration>,
@@ -48,18 +49,14 @@
     }
 }
 
-/// Bytes of the segments of `full` that `behind` has not sealed.
-fn missing_bytes(group: &TransferGroup, full: u8, known: &BTreeSet<u64>) -> u64 {
-    use saddlerelay_replication::StateMachine;
-    let segments = group.node(full).expect("the machine runs").read_local(|payloads| payloads.segments());
-    segments.iter().filter(|segment| !known.contains(&segment.number)).map(|segment| segment.bytes).sum()
-}
-
-/// Numbers of the segments that a replica has sealed.
-fn segment_numbers(group: &TransferGroup, index: u8) -> BTreeSet<u64> {
-    use saddlerelay_replication::StateMachine;
-    let segments = group.node(index).expect("the machine runs").read_local(|payloads| payloads.segments());
-    segments.into_iter().map(|segment| segment.number).collect()
+/// Bytes of the snapshot of the machine at `full` and of its segments that are not on the disk of the machine at
+/// `behind`.
+fn missing_bytes(group: &TransferGroup, full: u8, behind: u8) -> u64 {
+    let files = group.world.disks.names(&name(behind));
+    let node = group.node(full).expect("the machine runs");
+    let (snapshot, segments) = node.read_local(|payloads| (payloads.snapshot().len(), payloads.segments()));
+    let missing = segments.iter().filter(|segment| !files.contains(&format!("segment-{}", segment.number)));
+    snapshot as u64 + missing.map(|segment| segment.bytes).sum::<u64>()
 }
 
 /// A group of three voters, one of which is behind by a snapshot and starts behind lossy links, while another one is
@@ -67,11 +64,10 @@
 fn commit_after_transfer(seed: u64) -> Transfer {
     let mut group = TransferGroup::formed(seed, 3, BTreeMap::new());
     let (behind, lost) = (group.followers()[0], group.followers()[1]);
-    let known = segment_numbers(&group, behind);
     group.power_off(behind);
     group.propose_for(Duration::from_secs(3));
     let leader = group.leader_index().expect("there is a leader");
-    let bytes = missing_bytes(&group, leader, &known);
+    let bytes = missing_bytes(&group, leader, behind);
     group.world.network.set_zone_link_faults(behind.into(), LOSSY_LINKS);
     group.power_off(lost);
     group.start(behind, false);
@@ -81,7 +77,8 @@
     let mut transfer = Transfer { bytes, elapsed: None, sent_bytes: 0 };
     let limit = transfer.limit() * 3;
     while group.world.clock.now() < started_at + limit && transfer.elapsed.is_none() {
-        group.propose();
+        // Without a payload, as the entries are sent as well.
+        group.propose_with(0);
         let acknowledged = group.acknowledged.clone();
         if group.run_until(Duration::from_millis(500), move || acknowledged.borrow().len() > committed) {
             transfer.elapsed = Some(group.world.clock.now() - started_at);
--- a/crates/simulator/tests/transfer_group/mod.rs
+++ b/crates/simulator/tests/transfer_group/mod.rs
@@ -221,15 +221,20 @@
         self.machines.keys().copied().filter(|index| Some(*index) != leader).collect()
     }
 
-    /// Proposes the next number to the leader, if there is one.
+    /// Proposes the next number to the leader, if there is one, with a payload.
     pub fn propose(&mut self) {
+        self.propose_with(PAYLOAD_BYTES);
+    }
+
+    /// Proposes the next number with a payload of this size, or none.
+    pub fn propose_with(&mut self, payload_bytes: usize) {
         let Some(leader) = self.leader_index().and_then(|index| self.node(index)) else {
             return;
         };
         let number = self.next;
         self.next += 1;
         let mut random = fastrand::Rng::with_seed(number);
-        let payload: Vec<u8> = (0..PAYLOAD_BYTES).map(|_| random.u8(..)).collect();
+        let payload: Vec<u8> = (0..payload_bytes).map(|_| random.u8(..)).collect();
         let acknowledged = self.acknowledged.clone();
         let process = self.world.start_process("client", 0, 0);
         self.world.spawn(&process, async move {
