--- a/crates/replication/src/leader.rs
+++ b/crates/replication/src/leader.rs
@@ -15,7 +15,7 @@
 use saddlerelay_runtime::Runtime;
 use std::collections::BTreeMap;
 use std::pin::pin;
-use std::rc::Rc;
+use std::rc::{Rc, Weak};
 use std::time::Duration;
 
 /// Maximum number of proposals in one write.
@@ -39,9 +39,13 @@
 /// A reply within this fraction of the call timeout doubles the size of the next message.
 const PROMPT_REPLY_DIVISOR: u32 = 4;
 
-/// Size of messages to one peer: halved after each timeout, as a message that takes longer than the call timeout on a
-/// slow link would be resent indefinitely.
-#[derive(Clone, Copy, Debug, Default)]
+/// Halvings of the first message to a peer: 8 KiB of entries. A link of unknown bandwidth may not carry a large message
+/// within the call timeout, and all bytes of a message that timed out are sent again.
+const FIRST_HALVINGS: u32 = 5;
+
+/// Size of messages to one peer: doubled after each prompt reply, and halved after each timeout, as a message that takes
+/// longer than the call timeout on a slow link would be resent indefinitely.
+#[derive(Clone, Copy, Debug)]
 struct MessageSize {
     halvings: u32,
 }
@@ -184,7 +188,7 @@
     async fn replicate_to(self, peer: Member, term: u64) {
         let config = &self.inner.options.config;
         let mut snapshot_transfer = None;
-        let mut size = MessageSize::default();
+        let mut size = MessageSize { halvings: FIRST_HALVINGS };
         loop {
             let change_count = self.inner.state_changed.count();
             let Some(request) = self.next_message(&peer, term, size, &mut snapshot_transfer).await else {
@@ -220,6 +224,10 @@
                 }
                 Ok(ReplicaReply::FetchingSegments { term: observed_term }) => {
                     self.observe_term(observed_term).await;
+                    if let Some(snapshot_transfer) = &mut snapshot_transfer {
+                        // The peer has all parts; polls must not send the last one again.
+                        snapshot_transfer.offset = snapshot_transfer.snapshot.encoded().len();
+                    }
                     self.with_progress(&peer, term, |progress| {
                         progress.acknowledged_append_sent_at = progress.acknowledged_append_sent_at.max(Some(sent_at));
                     });
@@ -292,6 +300,13 @@
         if !state.leads_term(term) {
             return None;
         }
+        // A snapshot of which nothing has arrived is replaced once the log no longer continues from it.
+        let is_outdated = |transfer: &SnapshotTransfer| {
+            transfer.offset == 0 && transfer.snapshot.header.index < state.log.base_index()
+        };
+        if snapshot_transfer.as_ref().is_some_and(is_outdated) {
+            *snapshot_transfer = None;
+        }
         let begin = || {
             let snapshot = self.outgoing_snapshot(&state);
             spdlog::info!("snapshot sent", kv: {
@@ -326,11 +341,13 @@
 
     /// Snapshot to send. Reuses the one that is being sent to another peer if the log still continues from it.
     fn outgoing_snapshot(&self, state: &State<S>) -> Rc<Snapshot> {
-        let mut outgoing = self.inner.outgoing_snapshot.borrow_mut();
-        let shared = outgoing.upgrade().filter(|snapshot| snapshot.header.index >= state.log.base_index());
+        let mut outgoing = self.inner.outgoing_snapshots.borrow_mut();
+        outgoing.retain(|snapshot| snapshot.strong_count() > 0);
+        let newest = outgoing.last().and_then(Weak::upgrade);
+        let shared = newest.filter(|snapshot| snapshot.header.index >= state.log.base_index());
         shared.unwrap_or_else(|| {
             let snapshot = Rc::new(state.snapshot());
-            *outgoing = Rc::downgrade(&snapshot);
+            outgoing.push(Rc::downgrade(&snapshot));
             snapshot
         })
     }
--- a/crates/replication/src/lib.rs
+++ b/crates/replication/src/lib.rs
@@ -35,7 +35,9 @@
 pub mod segments;
 pub mod snapshot;
 mod state;
+mod state_transfer;
 pub mod storage;
+pub mod transfer_policy;
 pub mod voter_spread;
 pub mod wal;
 
--- a/crates/replication/src/replica.rs
+++ b/crates/replication/src/replica.rs
@@ -15,11 +15,13 @@
 use crate::snapshot::Snapshot;
 use crate::state::{Role, State, StateMachine};
 use crate::storage::{Identity, Recovered, Storage, StorageError};
+use crate::transfer_policy::TransferPolicy;
 use crate::voter_spread::{LossTolerance, Zones};
 use futures::channel::{mpsc, oneshot};
 use futures::lock::Mutex;
 use saddlerelay_rpc::client::Client;
 use saddlerelay_runtime::Runtime;
+use saddlerelay_runtime::repeated_event::RepeatedEvent;
 use saddlerelay_runtime::signal::Signal;
 use saddlerelay_types::feature_level::FeatureLevel;
 use saddlerelay_types::identity::ReplicaId;
@@ -91,10 +93,14 @@
     pub segments: RefCell<StoredSegments>,
     /// Whether a task is fetching missing segments.
     pub fetching: Cell<bool>,
+    /// What the sources of segments have shown.
+    pub transfer_policy: RefCell<TransferPolicy>,
+    /// Failed requests for segments.
+    pub failed_fetches: RefCell<RepeatedEvent>,
     /// Snapshot that is being received.
     pub incoming_snapshot: RefCell<Option<IncomingSnapshot>>,
-    /// Snapshot that is being sent; shared by peers that need one at the same time.
-    pub outgoing_snapshot: RefCell<Weak<Snapshot>>,
+    /// Snapshots that are being sent, the newest last; shared by peers that need one at the same time.
+    pub outgoing_snapshots: RefCell<Vec<Weak<Snapshot>>>,
     /// Addresses of replicas learned from other replicas or from callers.
     pub discovered_addresses: RefCell<BTreeSet<SocketAddr>>,
     /// Sender of the last leader announcement, and when it was received.
@@ -199,8 +205,10 @@
             zones: RefCell::default(),
             segments: RefCell::new(segments),
             fetching: Cell::default(),
+            transfer_policy: RefCell::default(),
+            failed_fetches: RefCell::default(),
             incoming_snapshot: RefCell::default(),
-            outgoing_snapshot: RefCell::default(),
+            outgoing_snapshots: RefCell::default(),
             discovered_addresses: RefCell::default(),
             announced_leader: Cell::default(),
             excluded_at: Cell::default(),
