--- a/crates/upstream/src/balance.rs
+++ b/crates/upstream/src/balance.rs
@@ -1,6 +1,9 @@
-//! Picks an engine by in-flight requests, latency and failures as observed by this process.
+//! Picks an engine by in-flight requests, latency and failures as observed by this process, or by the load that engines
+//! report.
 
 use crate::pool::EngineTarget;
+use saddlerelay_scheduling::balance::{REPORT_LIFETIME, work_sample};
+use saddlerelay_scheduling::{AgedReport, EngineLoad, LoadReport, ObservedWork, ServiceLoad};
 use saddlerelay_types::instance::InstanceId;
 use std::cell::RefCell;
 use std::collections::BTreeMap;
@@ -33,6 +36,12 @@
     measured_at: Duration,
     consecutive_failures: u32,
     ejected_until: Duration,
+    /// The newest load report and when it was received.
+    report: Option<(LoadReport, Duration)>,
+    /// Requests in flight that were sent after the newest report.
+    begun_since_report: u32,
+    /// Moving average of the work time without waiting, in seconds, and when it was last updated.
+    work: Option<(f64, Duration)>,
 }
 
 impl EngineStats {
@@ -43,9 +52,17 @@
             measured_at: now,
             consecutive_failures: 0,
             ejected_until: Duration::ZERO,
+            report: None,
+            begun_since_report: 0,
+            work: None,
         }
     }
 
+    /// Higher for engines that are chosen only if no other is left.
+    fn penalty(&self, is_tried: bool, is_silent: bool, now: Duration) -> u32 {
+        u32::from(is_tried) * 4 + u32::from(now < self.ejected_until) * 2 + u32::from(is_silent)
+    }
+
     /// The average latency in seconds, decaying towards `UNKNOWN_LATENCY` with its age.
     fn expected_latency(&self, now: Duration) -> f64 {
         let unknown = UNKNOWN_LATENCY.as_secs_f64();
@@ -78,12 +95,16 @@
 pub struct InFlight {
     balance: LoadBalancer,
     instance: InstanceId,
+    begun_at: Duration,
 }
 
 impl Drop for InFlight {
     fn drop(&mut self) {
         if let Some(stats) = self.balance.stats.borrow_mut().get_mut(&self.instance) {
             stats.in_flight = stats.in_flight.saturating_sub(1);
+            if stats.report.is_none_or(|(_, received_at)| self.begun_at >= received_at) {
+                stats.begun_since_report = stats.begun_since_report.saturating_sub(1);
+            }
         }
     }
 }
@@ -100,12 +121,9 @@
         let stats = self.stats.borrow();
         let rank = |engine: &ReadyEngine| {
             let engine_stats = stats.get(&engine.target.instance);
-            let ejected = engine_stats.is_some_and(|stats| now < stats.ejected_until);
-            let penalty = u32::from(tried.contains(&engine.target.instance)) * 4
-                + u32::from(ejected) * 2
-                + u32::from(engine.silent);
             let default_stats = EngineStats::new(now);
             let engine_stats = engine_stats.unwrap_or(&default_stats);
+            let penalty = engine_stats.penalty(tried.contains(&engine.target.instance), engine.silent, now);
             let load_factor = 1.0 + f64::from(engine_stats.in_flight) / f64::from(engine.slots.max(1)).max(1.0);
             let zone_cost = if engine.zone == own_zone { 0.0 } else { OTHER_ZONE_COST };
             (penalty, engine_stats.expected_latency(now) * load_factor + zone_cost)
@@ -115,6 +133,51 @@
         best.map(|(_, engine)| engine)
     }
 
+    /// The load of `engines` as reported and observed, in the same order; engines in `tried` are penalized.
+    pub fn service_load(
+        &self,
+        engines: &[ReadyEngine],
+        own_zone: &str,
+        tried: &[InstanceId],
+        now: Duration,
+    ) -> ServiceLoad {
+        let stats = self.stats.borrow();
+        let default_stats = EngineStats::new(now);
+        let load = |engine: &ReadyEngine| {
+            let instance = &engine.target.instance;
+            let stats = stats.get(instance).unwrap_or(&default_stats);
+            let age = |at: Duration| now.saturating_sub(at);
+            let report = stats.report.map(|(report, received_at)| AgedReport { report, age: age(received_at) });
+            EngineLoad {
+                slots: engine.slots,
+                in_own_zone: engine.zone == own_zone,
+                penalty: stats.penalty(tried.contains(instance), engine.silent, now),
+                report: report.filter(|report| report.age < REPORT_LIFETIME),
+                own_in_flight: stats.in_flight,
+                own_since_report: stats.begun_since_report,
+                work: stats.work.map(|(seconds, updated_at)| ObservedWork { seconds, age: age(updated_at) }),
+            }
+        };
+        ServiceLoad::new(engines.iter().map(load).collect())
+    }
+
+    /// Records the load that an engine reported.
+    pub fn record_report(&self, instance: &InstanceId, report: LoadReport, now: Duration) {
+        let mut stats = self.stats.borrow_mut();
+        let stats = stats.entry(instance.clone()).or_insert_with(|| EngineStats::new(now));
+        stats.report = Some((report, now));
+        stats.begun_since_report = 0;
+    }
+
+    /// Records the work time of an answer that arrived after `latency` with `report`.
+    pub fn record_work(&self, instance: &InstanceId, latency: Duration, report: Option<&LoadReport>, now: Duration) {
+        let mut stats = self.stats.borrow_mut();
+        let stats = stats.entry(instance.clone()).or_insert_with(|| EngineStats::new(now));
+        let sample = work_sample(latency, report);
+        let seconds = stats.work.map_or(sample, |(seconds, _)| seconds + (sample - seconds) * LATENCY_WEIGHT);
+        stats.work = Some((seconds, now));
+    }
+
     /// Number of requests of this process in flight at an engine.
     pub fn in_flight(&self, instance: &InstanceId) -> u32 {
         self.stats.borrow().get(instance).map_or(0, |stats| stats.in_flight)
@@ -123,8 +186,10 @@
     /// Counts a request as in flight until the returned guard is dropped.
     pub fn begin(&self, instance: &InstanceId, now: Duration) -> InFlight {
         let mut stats = self.stats.borrow_mut();
-        stats.entry(instance.clone()).or_insert_with(|| EngineStats::new(now)).in_flight += 1;
-        InFlight { balance: self.clone(), instance: instance.clone() }
+        let stats = stats.entry(instance.clone()).or_insert_with(|| EngineStats::new(now));
+        stats.in_flight += 1;
+        stats.begun_since_report += 1;
+        InFlight { balance: self.clone(), instance: instance.clone(), begun_at: now }
     }
 
     /// Records a response after `latency`; ends any ejection.
--- a/crates/upstream/src/names.rs
+++ b/crates/upstream/src/names.rs
@@ -17,7 +17,7 @@
     pub not_executed: HeaderName,
     /// Identifies the engine that produced a response; a successful response without it is rejected.
     pub stamp: HeaderName,
-    /// The engine's load: running requests, waiting requests, slots.
+    /// The engine's load: running requests, waiting requests, slots, and from some engines the present work time in percent.
     pub load: HeaderName,
     /// The weight version that generates the events that follow.
     pub weight_version: HeaderName,
--- a/crates/upstream/src/response.rs
+++ b/crates/upstream/src/response.rs
@@ -8,6 +8,7 @@
 use hyper::header::{CONNECTION, HeaderMap};
 use hyper::http::response::Parts;
 use hyper::{Response, StatusCode};
+use saddlerelay_scheduling::LoadReport;
 use std::fmt;
 use std::time::Duration;
 
@@ -73,6 +74,11 @@
         self.head.status == StatusCode::MISDIRECTED_REQUEST || self.head.headers.contains_key(&names.not_executed)
     }
 
+    /// The load that the engine reported with the response.
+    pub fn load_report(&self, names: &HeaderNames) -> Option<LoadReport> {
+        LoadReport::parse(self.head.headers.get(&names.load)?.to_str().ok()?)
+    }
+
     /// Reads the body, at most `limit` bytes. Also returns the connection if it can be reused.
     pub async fn read_body(self, limit: usize) -> Result<(Parts, Bytes, Option<Connection>), Failure> {
         let Self { head, body, connection } = self;
