Use reported load for the choice of engines in the gateway

Reports of engines were ignored. Keep the newest one of each engine, and choose buffered requests' engines by it where the switch and the reports allow. A full engine is no longer ejected there.

--- a/crates/gateway-api/tests/common/engine.rs
+++ b/crates/gateway-api/tests/common/engine.rs
@@ -82,6 +82,8 @@
     in_progress: Cell<u32>,
     /// Maximum number of concurrent requests.
     max_concurrent: Cell<u32>,
+    /// Value of the load header of responses; none is sent if empty.
+    load: Cell<&'static str>,
 }
 
 /// Counts a request as in progress until dropped.
@@ -130,6 +132,7 @@
             events_sent: Cell::new(0),
             in_progress: Cell::new(0),
             max_concurrent: Cell::new(0),
+            load: Cell::new(""),
         });
         let engine = Self { state, address };
         compio::runtime::spawn(serve_until(listener, Rc::new(engine.clone()), Shutdown::default())).detach();
@@ -157,6 +160,11 @@
         self.state.behavior.set(behavior);
     }
 
+    /// Sets the load header of responses, rejections included.
+    pub fn set_load(&self, load: &'static str) {
+        self.state.load.set(load);
+    }
+
     pub fn set_version(&self, version: u64) {
         self.state.version.set(version);
     }
@@ -215,6 +223,9 @@
             HeaderValue::from_str(&self.state.name).expect("the engine name is not a valid header value"),
         );
         headers.insert("saddlerelay-version", HeaderValue::from(self.state.version.get()));
+        if !self.state.load.get().is_empty() {
+            headers.insert("saddlerelay-load", HeaderValue::from_static(self.state.load.get()));
+        }
     }
 
     fn not_executed(&self, status: StatusCode, request_id: &str) -> Reply {
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -16,6 +16,7 @@
 use saddlerelay_http::body::{LocalBody, Reply};
 use saddlerelay_runtime::Runtime;
 use saddlerelay_runtime::timeout::timeout;
+use saddlerelay_scheduling::LoadReport;
 use saddlerelay_types::instance::InstanceId;
 use saddlerelay_types::routing::RouteKind;
 use saddlerelay_upstream::{Failure, OutgoingRequest, ReadyEngine, Reuse};
@@ -107,7 +108,8 @@
                 tried.len() - not_executed_by.len() < max_runs && tried.len() < max_runs + EXTRA_ENGINES;
             if running.is_empty() {
                 self.check_suspicion(&context.suspect(), context.possible_runs.may_have_run()).await?;
-                let engine = may_start_attempt.then(|| self.choose_engine(context.service, &tried)).flatten();
+                let engine =
+                    may_start_attempt.then(|| self.choose_engine(context.service, route.kind, &tried)).flatten();
                 let engine = engine.filter(|engine| !not_executed_by.contains(&engine.target.instance));
                 let Some(engine) = engine else {
                     return last_failure.ok_or_else(|| self.exhausted_refusal(context));
@@ -134,7 +136,7 @@
                 Either::Left((None, _)) => continue,
                 Either::Right(_) => {
                     hedged = true;
-                    if let Some(engine) = self.choose_other_engine(context.service, &tried) {
+                    if let Some(engine) = self.choose_other_engine(context.service, route.kind, &tried) {
                         self.log_hedge(context, &engine);
                         tried.push(engine.target.instance.clone());
                         running.push(self.attempt(context, outgoing, engine));
@@ -170,15 +172,8 @@
         });
     }
 
-    /// Picks an engine of `service`; engines in `tried` are picked only if there is no other.
-    pub(crate) fn choose_engine(&self, service: &str, tried: &[InstanceId]) -> Option<ReadyEngine> {
-        let view = self.inner.view.borrow();
-        let zone = &self.inner.options.zone;
-        self.inner.balance.choose(view.ready_engines(service), zone, tried, self.now())
-    }
-
-    fn choose_other_engine(&self, service: &str, tried: &[InstanceId]) -> Option<ReadyEngine> {
-        self.choose_engine(service, tried).filter(|engine| !tried.contains(&engine.target.instance))
+    fn choose_other_engine(&self, service: &str, kind: RouteKind, tried: &[InstanceId]) -> Option<ReadyEngine> {
+        self.choose_engine(service, kind, tried).filter(|engine| !tried.contains(&engine.target.instance))
     }
 
     /// Whether the lease is valid and `instance` is ready.
@@ -205,8 +200,13 @@
         let time_left = || context.deadline.saturating_sub(self.now());
         let run = context.possible_runs.attempt();
         let may_send = || run.record_send(self.may_send_work(&context.suspect(), instance), self.now());
+        let mut report = None;
         let result = match self.inner.pool.send(&engine.target, outgoing, reuse, time_left, may_send).await {
             Ok(response) => {
+                report = response.load_report(self.names());
+                if let Some(report) = report {
+                    self.inner.balance.record_report(instance, report, self.now());
+                }
                 let not_executed = response.is_not_executed(self.names());
                 let read = response.read_body(self.inner.options.config.max_response_bytes).await;
                 read.map(|(head, body, connection)| {
@@ -219,7 +219,7 @@
             Err(failure) => Err(failure),
         };
         guard.armed.set(false);
-        let outcome = self.record_outcome(context, instance, started_at, result);
+        let outcome = self.record_outcome(context, instance, started_at, report, result);
         if matches!(outcome, AttemptOutcome::ConnectionLost(_)) {
             self.check_lost_connection(context.request, &context.work, &engine.target).await;
         }
@@ -234,6 +234,7 @@
         context: &ForwardContext,
         instance: &InstanceId,
         started_at: Duration,
+        report: Option<LoadReport>,
         result: Result<CompleteResponse, Failure>,
     ) -> AttemptOutcome {
         let now = self.now();
@@ -241,12 +242,17 @@
         self.inner.metrics.observe_attempt(latency);
         let outcome = AttemptOutcome::of(result, self.names());
         match &outcome {
-            AttemptOutcome::Answered(..) => self.inner.balance.record_response(instance, latency, now),
+            AttemptOutcome::Answered(..) => {
+                self.inner.balance.record_response(instance, latency, now);
+                self.inner.balance.record_work(instance, latency, report.as_ref(), now);
+            }
             AttemptOutcome::NotExecuted(reason)
             | AttemptOutcome::Failed(reason, _)
             | AttemptOutcome::ConnectionLost(reason) => {
-                self.inner.balance.record_failure(instance, now);
                 let may_have_run = !matches!(outcome, AttemptOutcome::NotExecuted(_));
+                if may_have_run || !self.is_full(context.service, report.as_ref()) {
+                    self.inner.balance.record_failure(instance, now);
+                }
                 spdlog::warn!("attempt failed", kv: {
                     request = context.request.id.as_str(),
                     instance = instance.name.as_str(),
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -7,6 +7,7 @@
 //!   that `follower` selects.
 //! - `admission` authenticates requests by their key.
 //! - `forward` handles buffered responses, `stream` handles event streams.
+//! - `service_load` chooses engines by the load that they report, where that is active.
 //! - `lost_connections` detects engine processes that terminated during a request; `suspicions` limits or rejects
 //!   requests whose work has crashed engines before.
 //! - `usage` counts requests by tenant, and `results` reads results of batch jobs.
@@ -24,6 +25,7 @@
 pub mod refusal;
 pub mod request;
 pub mod results;
+mod service_load;
 pub mod stream;
 pub mod suspicions;
 pub mod table;
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -138,7 +138,7 @@
                 return StreamStart::Refused(refusal);
             }
             let instances: Vec<InstanceId> = tried.iter().map(|target| target.instance.clone()).collect();
-            let Some(engine) = self.choose_engine(context.service, &instances) else {
+            let Some(engine) = self.choose_engine(context.service, route.kind, &instances) else {
                 break;
             };
             tried.push(engine.target.clone());
@@ -148,6 +148,9 @@
             let time_left = || context.deadline.saturating_sub(self.now());
             let started_at = self.now();
             let sent = self.inner.pool.send(&engine.target, outgoing, Reuse::Recent, time_left, may_send).await;
+            if let Some(report) = sent.as_ref().ok().and_then(|response| response.load_report(self.names())) {
+                self.inner.balance.record_report(instance, report, self.now());
+            }
             let reason = match self.read_stream_start(sent).await {
                 Ok(started) => {
                     let now = self.now();
--- a/crates/gateway/tests/choice.rs
+++ b/crates/gateway/tests/choice.rs
@@ -2,6 +2,7 @@
 
 use saddlerelay_gateway::table::RouteTable;
 use saddlerelay_gateway::view::View;
+use saddlerelay_scheduling::LoadReport;
 use saddlerelay_types::gateway::FollowReply;
 use saddlerelay_types::instance::{InstanceId, InstanceUpdate};
 use saddlerelay_types::routing::{BatchSettings, RequestLimits, Route, RouteKind, RoutingDocument, WeightedTarget};
@@ -184,3 +185,28 @@
     let _one = balance.begin(&InstanceId::without_start_time("b"), now);
     assert_eq!(chosen(&balance, &engines, &[], 0), "a");
 }
+
+/// Guards against reports that are lost or that change the choice of a service without the new decisions.
+#[test]
+fn reports_are_kept_with_their_age_and_change_nothing_where_they_are_not_used() {
+    let balance = LoadBalancer::default();
+    let engines = [engine("a", "north"), engine("b", "north")];
+    let first = InstanceId::without_start_time("a");
+    let at = Duration::from_millis;
+    let _before = balance.begin(&first, at(0));
+    let ended = balance.begin(&first, at(0));
+    balance.record_report(&first, LoadReport::parse("4,9,4,250").expect("the header is malformed"), at(100));
+    balance.record_work(&first, at(250), None, at(100));
+    let _after = balance.begin(&first, at(120));
+    drop(ended);
+    let load = balance.service_load(&engines, "north", &[], at(150));
+    let (reporting, silent) = (&load.engines()[0], &load.engines()[1]);
+    let report = reporting.report.expect("the report was lost");
+    assert_eq!((report.report.waiting, report.age), (9, at(50)));
+    assert_eq!((reporting.own_in_flight, reporting.own_since_report), (2, 1));
+    assert_eq!((silent.report, silent.work), (None, None));
+    let late = balance.service_load(&engines, "north", &[], at(10_000));
+    assert!(!late.has_reports(false), "the report is too old");
+    drop((_before, _after));
+    assert_eq!(chosen(&balance, &engines, &[], 150), "a");
+}
