Rate engines with old reports by drift towards the mean, slowly upwards

One fresh report of a full engine made engines with older reports look full too. Use 1 s upwards and 150 ms downwards.

--- a/crates/scheduling/src/balance.rs
+++ b/crates/scheduling/src/balance.rs
@@ -8,9 +8,13 @@
 use crate::LoadReport;
 use std::time::Duration;
 
-/// Age at which a report counts as much as the mean of the service. About the time in which a queue of four requests per
-/// slot of 25 ms drains.
-const REPORT_HALF_LIFE: Duration = Duration::from_millis(150);
+/// Age at which a report of more load than the mean of the service counts as much as the mean. About the time in which a
+/// queue of four requests per slot of 25 ms drains.
+const BUSY_HALF_LIFE: Duration = Duration::from_millis(150);
+
+/// As above, for a report of less load than the mean, and for the weight of a report in the mean. Longer, because one
+/// fresh report of a full engine says little about the others: at 150 ms they were rated as full as that one.
+const IDLE_HALF_LIFE: Duration = Duration::from_secs(1);
 
 /// Age at which an engine's observed work time counts as much as the mean of the service; lets an engine that was slow be
 /// tried again.
@@ -38,9 +42,9 @@
 }
 
 impl AgedReport {
-    /// Part that the report has in an estimate; the rest is the mean of the service.
-    fn weight(&self) -> f64 {
-        0.5_f64.powf(self.age.as_secs_f64() / REPORT_HALF_LIFE.as_secs_f64())
+    /// The part of a figure that is left at this age.
+    fn weight(&self, half_life: Duration) -> f64 {
+        0.5_f64.powf(self.age.as_secs_f64() / half_life.as_secs_f64())
     }
 
     fn occupancy(&self) -> f64 {
@@ -123,7 +127,7 @@
         for engine in &engines {
             if let Some(aged) = engine.report {
                 // A floor keeps the mean defined if all reports are old.
-                let weight = aged.weight().max(1e-6);
+                let weight = aged.weight(IDLE_HALF_LIFE).max(1e-6);
                 utilization += aged.occupancy() * weight;
                 slots += engine.slots() * weight;
             }
@@ -166,7 +170,8 @@
     pub fn occupancy(&self, engine: &EngineLoad) -> f64 {
         let mean = self.mean_utilization * engine.slots();
         let of_others = engine.report.map_or(mean, |aged| {
-            let weight = aged.weight();
+            let half_life = if aged.occupancy() > mean { BUSY_HALF_LIFE } else { IDLE_HALF_LIFE };
+            let weight = aged.weight(half_life);
             aged.occupancy() * weight + mean * (1.0 - weight)
         });
         // Without a report, own requests in flight are a part of the mean.
@@ -177,7 +182,8 @@
     /// Expected time from sending a request to its answer, in seconds: the work, after the requests ahead of it.
     pub fn expected_seconds(&self, engine: &EngineLoad) -> f64 {
         let slots = engine.slots();
-        let slowdown = engine.report.map_or(1.0, |aged| 1.0 + (slowdown(&aged.report) - 1.0) * aged.weight());
+        let slowdown =
+            engine.report.map_or(1.0, |aged| 1.0 + (slowdown(&aged.report) - 1.0) * aged.weight(BUSY_HALF_LIFE));
         let ahead = (self.occupancy(engine) + 1.0 - slots).max(0.0);
         let crossing = if engine.in_own_zone { 0.0 } else { ZONE_CROSSING_SECONDS };
         self.work_seconds(engine) * slowdown * (1.0 + ahead / slots) + crossing
@@ -199,8 +205,10 @@
                 }
             }
         }
-        let expected = |index: &usize| self.expected_seconds(&self.engines[*index]);
-        sample.into_iter().min_by(|left, right| expected(left).total_cmp(&expected(right)))
+        let rated = sample.into_iter().map(|index| {
+            (self.expected_seconds(&self.engines[index]) + draws.next_fraction() * INDIFFERENCE_SECONDS, index)
+        });
+        rated.min_by(|left, right| left.0.total_cmp(&right.0)).map(|(_, index)| index)
     }
 
     /// A random position in `indexes`, weighted by slots.
@@ -217,6 +225,9 @@
     }
 }
 
+/// Expected times that differ by less are chosen between at random; less than the time to another zone.
+const INDIFFERENCE_SECONDS: f64 = 0.002;
+
 /// Engines drawn from the own zone, and from all others.
 const SAMPLE_SIZE: usize = 2;
 
