Admit, reject and hedge by reported load

Under overload relays tried all engines, hedged while these were full, and sent callers away for a fixed 200 ms, after which their answers were late. Reject while reports show waiting requests, let callers return within their objective, and withhold hedges.

--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -35,7 +35,7 @@
     /// Deadline in monotonic time.
     pub deadline: Duration,
     /// Attempts that may have executed.
-    possible_runs: PossibleRuns,
+    pub possible_runs: PossibleRuns,
     work: RequestedWork,
 }
 
@@ -53,6 +53,7 @@
         let work = RequestedWork::new(body.clone());
         let context =
             ForwardContext { request, chosen, service, deadline, possible_runs: PossibleRuns::default(), work };
+        self.count_hedgeable_request(service);
         let _usage = UsageGuard::new(self, &request.caller, &context.possible_runs);
         let outgoing = request.outgoing(body);
         let remaining = deadline.saturating_sub(self.now());
@@ -108,11 +109,10 @@
                 tried.len() - not_executed_by.len() < max_runs && tried.len() < max_runs + EXTRA_ENGINES;
             if running.is_empty() {
                 self.check_suspicion(&context.suspect(), context.possible_runs.may_have_run()).await?;
-                let engine =
-                    may_start_attempt.then(|| self.choose_engine(context.service, route.kind, &tried)).flatten();
+                let engine = if may_start_attempt { self.admit_to_engine(context, &tried)? } else { None };
                 let engine = engine.filter(|engine| !not_executed_by.contains(&engine.target.instance));
                 let Some(engine) = engine else {
-                    return last_failure.ok_or_else(|| self.exhausted_refusal(context));
+                    return last_failure.ok_or_else(|| self.exhausted_refusal(context, &tried));
                 };
                 if !tried.is_empty() {
                     self.inner.metrics.retries.inc();
@@ -136,7 +136,8 @@
                 Either::Left((None, _)) => continue,
                 Either::Right(_) => {
                     hedged = true;
-                    if let Some(engine) = self.choose_other_engine(context.service, route.kind, &tried) {
+                    let engine = self.choose_other_engine(context.service, route.kind, &tried);
+                    if let Some(engine) = engine.filter(|_| self.may_hedge(context, &tried)) {
                         self.log_hedge(context, &engine);
                         tried.push(engine.target.instance.clone());
                         running.push(self.attempt(context, outgoing, engine));
@@ -161,8 +162,11 @@
         }
     }
 
-    fn exhausted_refusal(&self, context: &ForwardContext) -> Refusal {
-        if context.possible_runs.may_have_run() { Refusal::EngineFailed } else { Refusal::NoEngine }
+    fn exhausted_refusal(&self, context: &ForwardContext, tried: &[InstanceId]) -> Refusal {
+        if context.possible_runs.may_have_run() {
+            return Refusal::EngineFailed;
+        }
+        self.full_refusal(context, tried).unwrap_or(Refusal::NoEngine)
     }
 
     fn log_hedge(&self, context: &ForwardContext, engine: &ReadyEngine) {
@@ -205,7 +209,8 @@
             Ok(response) => {
                 report = response.load_report(self.names());
                 if let Some(report) = report {
-                    self.inner.balance.record_report(instance, report, self.now());
+                    let rejected = response.is_not_executed(self.names());
+                    self.inner.balance.record_report(instance, report, rejected, self.now());
                 }
                 let not_executed = response.is_not_executed(self.names());
                 let read = response.read_body(self.inner.options.config.max_response_bytes).await;
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -5,6 +5,7 @@
 use crate::metrics::GatewayMetrics;
 use crate::refusal::Refusal;
 use crate::request::ClientRequest;
+use crate::service_load::RejectionLines;
 use crate::table::RouteTable;
 use crate::usage::{GroupClockSamples, UsageLedger};
 use crate::view::View;
@@ -17,11 +18,13 @@
 use saddlerelay_runtime::Runtime;
 use saddlerelay_runtime_compio::CompioRuntime;
 use saddlerelay_runtime_compio::listening::TerminationChecks;
+use saddlerelay_scheduling::HedgeBudget;
 use saddlerelay_types::identity::Incarnation;
 use saddlerelay_types::instance::InstanceId;
 use saddlerelay_types::routing::{Route, RouteKind};
 use saddlerelay_upstream::{HeaderNames, LoadBalancer, Pool};
 use std::cell::{Cell, RefCell};
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -54,6 +57,9 @@
     pub clock: RefCell<GroupClockSamples>,
     pub usage: RefCell<UsageLedger>,
     pub balance: LoadBalancer,
+    /// Hedges left, by service.
+    pub hedge_budgets: RefCell<BTreeMap<String, HedgeBudget>>,
+    pub rejection_lines: RejectionLines,
     pub suspicions: Rc<SuspicionSync<CompioRuntime>>,
     pub termination_checks: TerminationChecks,
     pub metrics: GatewayMetrics,
@@ -105,6 +111,8 @@
             clock: RefCell::default(),
             usage: RefCell::default(),
             balance: LoadBalancer::default(),
+            hedge_budgets: RefCell::default(),
+            rejection_lines: RejectionLines::default(),
             suspicions,
             termination_checks: TerminationChecks::default(),
             metrics: GatewayMetrics::default(),
@@ -227,6 +235,7 @@
         let retry_after = match refusal {
             Refusal::NoLease => config.lease_retry_after,
             Refusal::Suspected(remaining) => remaining,
+            Refusal::Overloaded(rejection) => rejection.retry_after,
             _ => config.retry_after,
         };
         let mut reply = refusal.reply(retry_after);
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -18,6 +18,16 @@
     pub retries: Counter,
     /// Hedged requests.
     pub hedges: Counter,
+    /// Requests that were admitted by reported load.
+    pub admitted: Counter,
+    /// Requests rejected because all engines are full.
+    pub rejected_full: Counter,
+    /// Requests rejected because no engine was expected to answer in time.
+    pub rejected_late: Counter,
+    /// Hedges that were not made because engines report waiting requests, or because the share of hedges was used up.
+    pub hedges_withheld: Counter,
+    /// Requests that tried a failed engine again because all others were full.
+    pub probes: Counter,
     /// Engines that terminated during a request of this relay.
     pub engines_terminated: Counter,
     /// Requests rejected because their work is suspected of crashing engines.
@@ -34,6 +44,8 @@
     pub results_read_in_zone: Counter,
     /// Time from a request's arrival to the end of its buffered response, in seconds.
     pub request_seconds: Histogram,
+    /// Least expected time to an answer when a request was rejected by reported load, in seconds.
+    pub expected_at_rejection_seconds: Histogram,
     /// Time from the start of an attempt to the end of its response or its failure, in seconds.
     pub attempt_seconds: Histogram,
 }
@@ -48,6 +60,11 @@
         let failed = counter("failed", "Requests that failed and may have run");
         let retries = counter("retries", "Attempts beyond a request's first");
         let hedges = counter("hedges", "Requests tried at a second engine because the first was slow");
+        let admitted = counter("admitted_by_load", "Requests admitted by reported load");
+        let rejected_full = counter("refused_full", "Requests refused because all engines are full");
+        let rejected_late = counter("refused_late", "Requests refused because no engine would answer in time");
+        let hedges_withheld = counter("hedges_withheld", "Hedges not made because of reported load or their number");
+        let probes = counter("failed_engines_probed", "Requests that tried a failed engine because others were full");
         let engines_terminated = counter("engines_ended", "Engines found to have ended under a request");
         let suspected_work_rejected =
             counter("kept_from_engines", "Requests not sent on because engines have ended under their work");
@@ -59,6 +76,8 @@
             counter("results_read_nearby", "Reads of results answered by a replica in the own zone");
         let mut histogram = |name: &str, help: &str| registry.seconds(name, help, 0.001, 15);
         let request_seconds = histogram("request_seconds", "From a request's arrival to the end of its answer");
+        let expected_at_rejection_seconds =
+            histogram("expected_at_refusal_seconds", "Least expected time to an answer at a refusal by load");
         let attempt_seconds = histogram("attempt_seconds", "From an attempt's start to the end of its answer");
         Self {
             registry,
@@ -68,6 +87,11 @@
             failed,
             retries,
             hedges,
+            admitted,
+            rejected_full,
+            rejected_late,
+            hedges_withheld,
+            probes,
             engines_terminated,
             suspected_work_rejected,
             keys_refused,
@@ -76,6 +100,7 @@
             searches_logged,
             results_read_in_zone,
             request_seconds,
+            expected_at_rejection_seconds,
             attempt_seconds,
         }
     }
--- a/crates/gateway/src/refusal.rs
+++ b/crates/gateway/src/refusal.rs
@@ -3,6 +3,7 @@
 use hyper::StatusCode;
 use hyper::header::{HeaderValue, RETRY_AFTER};
 use saddlerelay_http::body::{Reply, full_reply};
+use saddlerelay_scheduling::{RejectReason, Rejection};
 use std::time::Duration;
 
 /// Why the gateway rejected or failed a request.
@@ -20,6 +21,8 @@
     NoLease,
     /// No engine is ready, or none accepted the request.
     NoEngine,
+    /// Engines report too much load to answer in time.
+    Overloaded(Rejection),
     /// The deadline passed before the request was sent to an engine.
     SendTimeout,
     /// The deadline passed; the request may have executed.
@@ -40,7 +43,9 @@
             Self::UnknownKey => StatusCode::UNAUTHORIZED,
             Self::TooLarge => StatusCode::PAYLOAD_TOO_LARGE,
             Self::Malformed => StatusCode::BAD_REQUEST,
-            Self::NoLease | Self::NoEngine | Self::SendTimeout | Self::Suspected(_) => StatusCode::SERVICE_UNAVAILABLE,
+            Self::NoLease | Self::NoEngine | Self::Overloaded(_) | Self::SendTimeout | Self::Suspected(_) => {
+                StatusCode::SERVICE_UNAVAILABLE
+            }
             Self::Timeout => StatusCode::GATEWAY_TIMEOUT,
             Self::EngineFailed | Self::Quarantined => StatusCode::BAD_GATEWAY,
         }
@@ -55,6 +60,8 @@
             Self::Malformed => "malformed request",
             Self::NoLease => "no lease",
             Self::NoEngine => "no engine",
+            Self::Overloaded(Rejection { reason: RejectReason::Full, .. }) => "all engines full",
+            Self::Overloaded(Rejection { reason: RejectReason::Late, .. }) => "no engine expected to answer in time",
             Self::SendTimeout => "time over before any engine was given it",
             Self::Timeout => "time over",
             Self::EngineFailed => "engine failed",
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -148,8 +148,11 @@
             let time_left = || context.deadline.saturating_sub(self.now());
             let started_at = self.now();
             let sent = self.inner.pool.send(&engine.target, outgoing, Reuse::Recent, time_left, may_send).await;
-            if let Some(report) = sent.as_ref().ok().and_then(|response| response.load_report(self.names())) {
-                self.inner.balance.record_report(instance, report, self.now());
+            if let Ok(response) = &sent
+                && let Some(report) = response.load_report(self.names())
+            {
+                let rejected = response.is_not_executed(self.names());
+                self.inner.balance.record_report(instance, report, rejected, self.now());
             }
             let reason = match self.read_stream_start(sent).await {
                 Ok(started) => {
--- a/crates/gateway/src/table.rs
+++ b/crates/gateway/src/table.rs
@@ -1,7 +1,9 @@
 //! Matches requests to routes, and picks a service among a route's weighted targets.
 
 use crate::keys::ApiKeyIndex;
+use saddlerelay_types::identity::TenantId;
 use saddlerelay_types::routing::{Route, RoutingDocument};
+use saddlerelay_types::tenancy::Caller;
 use saddlerelay_upstream::round_robin::WeightedRoundRobin;
 use std::cell::RefCell;
 use std::collections::BTreeMap;
@@ -23,6 +25,8 @@
     /// The tenants' API keys; `None` if authentication is disabled.
     keys: Option<Rc<ApiKeyIndex>>,
     has_public_routes: bool,
+    /// Priorities of tenants that have their own.
+    tenant_priorities: BTreeMap<TenantId, u32>,
 }
 
 impl RouteTable {
@@ -44,7 +48,10 @@
         let round_robins =
             document.routes.iter().map(|route| WeightedRoundRobin::new(&route.targets, offset)).collect();
         let has_public_routes = document.routes.iter().any(|route| route.public);
-        Self { document, by_host, round_robins: RefCell::new(round_robins), keys, has_public_routes }
+        let tenants = document.tenants.iter().flatten();
+        let tenant_priorities = tenants.filter_map(|tenant| Some((tenant.name.clone(), tenant.priority?))).collect();
+        let round_robins = RefCell::new(round_robins);
+        Self { document, by_host, round_robins, keys, has_public_routes, tenant_priorities }
     }
 
     /// Indexes a document that replaces that of `previous`. Routes with unchanged targets keep their round-robin state.
@@ -104,6 +111,12 @@
         &self.document.routes[index]
     }
 
+    /// The priority of a caller's requests on a route; 0 is the most urgent.
+    pub fn priority(&self, index: usize, caller: &Caller) -> u32 {
+        let own = caller.tenant().and_then(|tenant| self.tenant_priorities.get(tenant));
+        own.copied().unwrap_or(self.route(index).priority)
+    }
+
     /// Picks the next service of a route by weighted round-robin.
     pub fn next_service(&self, index: usize) -> &str {
         let targets = &self.document.routes[index].targets;
--- a/crates/gateway/tests/choice.rs
+++ b/crates/gateway/tests/choice.rs
@@ -195,7 +195,7 @@
     let at = Duration::from_millis;
     let _before = balance.begin(&first, at(0));
     let ended = balance.begin(&first, at(0));
-    balance.record_report(&first, LoadReport::parse("4,9,4,250").expect("the header is malformed"), at(100));
+    balance.record_report(&first, LoadReport::parse("4,9,4,250").expect("the header is malformed"), false, at(100));
     balance.record_work(&first, at(250), None, at(100));
     let _after = balance.begin(&first, at(120));
     drop(ended);
--- a/crates/scheduling/src/balance.rs
+++ b/crates/scheduling/src/balance.rs
@@ -61,6 +61,10 @@
     pub in_own_zone: bool,
     /// Engines with a higher penalty are chosen only if there is none with a lower one.
     pub penalty: u32,
+    /// Time since it last failed, while it is avoided for that.
+    pub failed_age: Option<Duration>,
+    /// Whether it sent the newest report with a rejection.
+    pub rejected: bool,
     /// The newest report, unless it is older than `REPORT_LIFETIME`.
     pub report: Option<AgedReport>,
     /// Own requests in flight.
@@ -85,16 +89,6 @@
     pub fn slots(&self) -> f64 {
         f64::from(self.report.map_or(self.slots, |aged| aged.report.slots).max(1))
     }
-
-    /// The least number of requests that can be at the engine now: as reported, with all slots busy and no arrivals
-    /// since except own ones. Zero without a report.
-    pub fn least_occupancy(&self, work_seconds: f64) -> f64 {
-        let Some(aged) = self.report else {
-            return f64::from(self.own_in_flight);
-        };
-        let completed = aged.age.as_secs_f64() * self.slots() / (work_seconds * slowdown(&aged.report));
-        (aged.occupancy() - completed).max(0.0) + f64::from(self.own_since_report)
-    }
 }
 
 fn slowdown(report: &LoadReport) -> f64 {
@@ -161,11 +155,6 @@
         reports.into_iter().any(|aged| !with_work_time || aged.report.work_time_percent.is_some())
     }
 
-    /// Whether a report that is in use shows waiting requests.
-    pub fn has_waiting(&self) -> bool {
-        self.engines.iter().filter_map(|engine| engine.report).any(|aged| aged.report.waiting > 0)
-    }
-
     /// Estimated number of requests at an engine.
     pub fn occupancy(&self, engine: &EngineLoad) -> f64 {
         let mean = self.mean_utilization * engine.slots();
@@ -179,14 +168,21 @@
         (of_others + f64::from(own)).max(f64::from(engine.own_in_flight))
     }
 
+    /// Time of a request without waiting at the present speed, in seconds.
+    pub fn present_work_seconds(&self, engine: &EngineLoad) -> f64 {
+        let slowdown = engine.report.map_or(1.0, |aged| {
+            let weight = aged.weight(BUSY_HALF_LIFE);
+            1.0 + (slowdown(&aged.report) - 1.0) * weight
+        });
+        self.work_seconds(engine) * slowdown
+    }
+
     /// Expected time from sending a request to its answer, in seconds: the work, after the requests ahead of it.
     pub fn expected_seconds(&self, engine: &EngineLoad) -> f64 {
         let slots = engine.slots();
-        let slowdown =
-            engine.report.map_or(1.0, |aged| 1.0 + (slowdown(&aged.report) - 1.0) * aged.weight(BUSY_HALF_LIFE));
         let ahead = (self.occupancy(engine) + 1.0 - slots).max(0.0);
         let crossing = if engine.in_own_zone { 0.0 } else { ZONE_CROSSING_SECONDS };
-        self.work_seconds(engine) * slowdown * (1.0 + ahead / slots) + crossing
+        self.present_work_seconds(engine) * (1.0 + ahead / slots) + crossing
     }
 
     /// Index of the engine for a request, or `None` without engines. Compares two engines of the own zone and two
@@ -232,10 +228,10 @@
 const SAMPLE_SIZE: usize = 2;
 
 /// Random fractions derived from one number (SplitMix64).
-struct Draws(u64);
+pub(crate) struct Draws(pub(crate) u64);
 
 impl Draws {
-    fn next_fraction(&mut self) -> f64 {
+    pub(crate) fn next_fraction(&mut self) -> f64 {
         self.0 = self.0.wrapping_add(0x9E37_79B9_7F4A_7C15);
         let mut mixed = self.0;
         mixed = (mixed ^ (mixed >> 30)).wrapping_mul(0xBF58_476D_1CE4_E5B9);
--- a/crates/scheduling/src/lib.rs
+++ b/crates/scheduling/src/lib.rs
@@ -4,11 +4,13 @@
 //! caller passes the time.
 
 pub mod activation;
+pub mod admission;
 pub mod balance;
 pub mod completion;
 pub mod load_report;
 
 pub use activation::Activation;
+pub use admission::{Admission, HedgeBudget, RejectReason, Rejection, RequestTimes};
 pub use balance::{AgedReport, EngineLoad, ObservedWork, ServiceLoad};
 pub use completion::{CapacityEstimate, EngineSnapshot, Work, expected_duration};
 pub use load_report::LoadReport;
--- a/crates/scheduling/tests/balance.rs
+++ b/crates/scheduling/tests/balance.rs
@@ -17,6 +17,8 @@
         slots: 6,
         in_own_zone,
         penalty: 0,
+        failed_age: None,
+        rejected: false,
         report,
         own_in_flight: 0,
         own_since_report: 0,
--- a/crates/upstream/src/balance.rs
+++ b/crates/upstream/src/balance.rs
@@ -36,8 +36,11 @@
     measured_at: Duration,
     consecutive_failures: u32,
     ejected_until: Duration,
+    failed_at: Duration,
     /// The newest load report and when it was received.
     report: Option<(LoadReport, Duration)>,
+    /// Whether the newest report came with a rejection.
+    rejected: bool,
     /// Requests in flight that were sent after the newest report.
     begun_since_report: u32,
     /// Moving average of the work time without waiting, in seconds, and when it was last updated.
@@ -52,7 +55,9 @@
             measured_at: now,
             consecutive_failures: 0,
             ejected_until: Duration::ZERO,
+            failed_at: Duration::ZERO,
             report: None,
+            rejected: false,
             begun_since_report: 0,
             work: None,
         }
@@ -152,6 +157,8 @@
                 slots: engine.slots,
                 in_own_zone: engine.zone == own_zone,
                 penalty: stats.penalty(tried.contains(instance), engine.silent, now),
+                failed_age: (now < stats.ejected_until).then(|| age(stats.failed_at)),
+                rejected: stats.rejected,
                 report: report.filter(|report| report.age < REPORT_LIFETIME),
                 own_in_flight: stats.in_flight,
                 own_since_report: stats.begun_since_report,
@@ -161,11 +168,12 @@
         ServiceLoad::new(engines.iter().map(load).collect())
     }
 
-    /// Records the load that an engine reported.
-    pub fn record_report(&self, instance: &InstanceId, report: LoadReport, now: Duration) {
+    /// Records the load that an engine reported, `rejected` with a rejection.
+    pub fn record_report(&self, instance: &InstanceId, report: LoadReport, rejected: bool, now: Duration) {
         let mut stats = self.stats.borrow_mut();
         let stats = stats.entry(instance.clone()).or_insert_with(|| EngineStats::new(now));
         stats.report = Some((report, now));
+        stats.rejected = rejected;
         stats.begun_since_report = 0;
     }
 
@@ -221,6 +229,7 @@
         let stats = stats.entry(instance.clone()).or_insert_with(|| EngineStats::new(now));
         let doublings = stats.consecutive_failures.min(EJECTION_DOUBLINGS);
         stats.consecutive_failures += 1;
+        stats.failed_at = now;
         stats.ejected_until = now + FIRST_EJECTION * 2_u32.pow(doublings);
     }
 
