--- a/crates/scheduling/src/admission.rs
+++ b/crates/scheduling/src/admission.rs
@@ -18,7 +18,7 @@
 const WAITING_EVIDENCE_AGE: Duration = Duration::from_secs(1);
 
 /// Age at which a report of waiting requests rejects half of the requests. Relays hear from an engine about every 200 ms;
-/// at 300 ms the load test sends 1.0 engines per request under overload, at 100 ms 1.2.
+/// trials of the load test under overload tried 1.0 engines per request at 300 ms, and 1.2 at 100 ms.
 const REJECTION_HALF_LIFE: Duration = Duration::from_millis(300);
 
 /// Part of the objective that the expected time may take. The rest is for variation of the work, the way to the caller,
