--- a/crates/gateway-api/tests/common/engine.rs
+++ b/crates/gateway-api/tests/common/engine.rs
@@ -171,9 +171,9 @@
         self.state.event_interval.set(pause);
     }
 
-    /// Sets the load header of responses.
+    /// Sets the load header of responses, rejections included; none is sent if empty.
     pub fn set_load(&self, load: &str) {
-        *self.state.load.borrow_mut() = Some(load.to_string());
+        *self.state.load.borrow_mut() = Some(load.to_string()).filter(|load| !load.is_empty());
     }
 
     /// All requests received.
--- a/crates/scheduling/src/lib.rs
+++ b/crates/scheduling/src/lib.rs
@@ -4,6 +4,8 @@
 //! caller passes the time.
 
 pub mod activation;
+pub mod admission;
+pub mod balance;
 pub mod capacity;
 pub mod completion;
 pub mod load_report;
@@ -14,6 +16,8 @@
 pub mod shares;
 
 pub use activation::Activation;
+pub use admission::{Admission, HedgeBudget, RejectReason, Rejection, RequestTimes};
+pub use balance::{AgedReport, EngineLoad, ObservedWork, ServiceLoad};
 pub use capacity::{Capacities, CapacityModel};
 pub use completion::{CapacityEstimate, EngineSnapshot, Work, expected_duration};
 pub use load_report::LoadReport;
