--- a/crates/scheduling/src/order.rs
+++ b/crates/scheduling/src/order.rs
@@ -109,7 +109,7 @@
     Rank { class, slack_level: slack_level(candidate.slack(now)), priority: candidate.priority }
 }
 
-/// Order of magnitude of a slack: 0 up to [`LEAST_SLACK_LEVEL`], then one more for each doubling.
+/// Order of magnitude of a slack: 0 up to `LEAST_SLACK_LEVEL`, then one more for each doubling.
 pub fn slack_level(slack: Duration) -> u32 {
     let multiple = slack.as_nanos() / LEAST_SLACK_LEVEL.as_nanos();
     u128::BITS - multiple.leading_zeros()
