--- a/crates/scheduling/src/admission.rs
+++ b/crates/scheduling/src/admission.rs
@@ -17,8 +17,8 @@
 /// Age up to which a report of waiting requests forbids hedges.
 const WAITING_EVIDENCE_AGE: Duration = Duration::from_secs(1);
 
-/// Age at which a report of waiting requests rejects half of the requests. Relays hear from an engine about every 200 ms;
-/// trials of the load test under overload tried 1.0 engines per request at 300 ms, and 1.2 at 100 ms.
+/// Age at which a report of waiting requests rejects half of the requests. A relay receives one about every 200 ms; 100 ms
+/// sent a fifth more requests to full engines than 300 ms.
 const REJECTION_HALF_LIFE: Duration = Duration::from_millis(300);
 
 /// Part of the objective that the expected time may take. The rest is for variation of the work, the way to the caller,
--- a/crates/scheduling/src/balance.rs
+++ b/crates/scheduling/src/balance.rs
@@ -1,7 +1,7 @@
 //! Which engine a request goes to, by reported load and own requests.
 //!
 //! Designed for many relays that each see a small part of the load: with 56 relays and 720 requests per second, a relay
-//! hears from an engine about five times per second, while the engine's queue drains in 100 ms. So a report loses weight
+//! receives about five reports of an engine per second, while the engine's queue drains in 100 ms. So a report loses weight
 //! with its age, own requests count at once, and only a random sample of engines is compared, because relays that all
 //! compare all engines send their requests to the same one.
 
