--- a/review/build.sh
+++ b/review/build.sh
@@ -3,4 +3,4 @@
 set -euo pipefail
 cd "$(dirname "$0")/.."
 mkdir -p target/review
-rustc --edition 2024 -O -o target/review/driver review/standins/main.rs
+rustc --edition 2024 -O -o target/review/driver review/platform/main.rs
--- a/review/standins/deployment.rs
+++ b/review/platform/deployment.rs
@@ -32,24 +32,47 @@
     keepers: Vec<Process>,
     relays: Vec<Process>,
     journal: Journal,
+    program: String,
+    temporary: String,
 }
 
 impl Deployment {
     pub fn start(program: &str, temporary: &str, journal: &Journal) -> Result<Self, String> {
         let (network, ports) = free_network()?;
-        let mut deployment =
-            Self { network, ports, keepers: Vec::new(), relays: Vec::new(), journal: journal.clone() };
+        let mut deployment = Self {
+            network,
+            ports,
+            keepers: Vec::new(),
+            relays: Vec::new(),
+            journal: journal.clone(),
+            program: program.to_string(),
+            temporary: temporary.to_string(),
+        };
         for number in 0..KEEPERS {
-            let process = deployment.launch(program, temporary, &format!("store-{number}"), deployment.keeper(number))?;
+            let process = deployment.launch(&format!("store-{number}"), deployment.keeper(number, true))?;
             deployment.keepers.push(process);
         }
         for number in 0..RELAYS {
-            let process = deployment.launch(program, temporary, &format!("front-{number}"), deployment.relay(number))?;
+            let process = deployment.launch(&format!("front-{number}"), deployment.relay(number))?;
             deployment.relays.push(process);
         }
         Ok(deployment)
     }
 
+    /// Kills all processes at once and starts them again after `down`.
+    pub fn kill_all(&mut self, down: Duration) -> Result<(), String> {
+        self.end();
+        self.journal.note("all processes of the system are killed");
+        thread::sleep(down);
+        for number in 0..KEEPERS {
+            self.keepers[number] = self.launch(&format!("store-{number}"), self.keeper(number, false))?;
+        }
+        for number in 0..RELAYS {
+            self.relays[number] = self.launch(&format!("front-{number}"), self.relay(number))?;
+        }
+        Ok(())
+    }
+
     fn address(&self, last: u8, port: usize) -> SocketAddr {
         (Ipv4Addr::new(127, self.network[0], self.network[1], last), self.ports[port]).into()
     }
@@ -69,10 +92,10 @@
     }
 
     /// The settings as `deploy/keeper.toml.in` gives them, with the bounds of cmpps-valeurs.
-    fn keeper(&self, number: usize) -> String {
+    fn keeper(&self, number: usize, first_start: bool) -> String {
         let last = FIRST_KEEPER + number as u8;
         format!(
-            "role = \"coordinator\"\ncontrol_address = \"{}\"\npeer_address = \"{}\"\nfirst_start = true\nzone = \"{}\"\n",
+            "role = \"coordinator\"\ncontrol_address = \"{}\"\npeer_address = \"{}\"\nfirst_start = {first_start}\nzone = \"{}\"\n",
             self.address(last, 0),
             self.address(last, 1),
             ZONES[number % ZONES.len()],
@@ -90,11 +113,12 @@
         )
     }
 
-    fn launch(&self, program: &str, temporary: &str, name: &str, role: String) -> Result<Process, String> {
-        let folder = format!("{temporary}/{name}");
+    fn launch(&self, name: &str, role: String) -> Result<Process, String> {
+        let folder = format!("{}/{name}", self.temporary);
         fs::create_dir_all(&folder).map_err(|error| error.to_string())?;
         let seeds: Vec<String> = self.control().iter().map(|seed| format!("\"{seed}\"")).collect();
-        let data = if role.contains("coordinator") { format!("data_folder = \"{folder}/data\"\n") } else { String::new() };
+        let data =
+            if role.contains("coordinator") { format!("data_folder = \"{folder}/data\"\n") } else { String::new() };
         let settings = format!(
             "{role}{data}interface = \"platform\"\nname = \"{name}\"\nseeds = [{}]\npeer_port = {}\n\
              shared_secret = \"processes of one deployment\"\n\n[bounds]\nreport_interval_ms = {}\ndrain_ms = 2000\n\
@@ -106,9 +130,9 @@
         let file = format!("{folder}/boot.toml");
         fs::write(&file, settings).map_err(|error| error.to_string())?;
         let log = format!("{folder}/log");
-        let output = File::create(&log).map_err(|error| error.to_string())?;
+        let output = File::options().create(true).append(true).open(&log).map_err(|error| error.to_string())?;
         let errors = output.try_clone().map_err(|error| error.to_string())?;
-        let child = Command::new(program)
+        let child = Command::new(&self.program)
             .args(["member", "--config", &file])
             .stdin(Stdio::null())
             .stdout(output)
@@ -194,9 +218,9 @@
         let first = 21_200 + (draw % 500) as u16 * 16;
         let ports = [first, first + 1, first + 2, first + 3, first + 4];
         let last_bytes = (FIRST_KEEPER..FIRST_KEEPER + 3).chain(FIRST_RELAY..FIRST_RELAY + 2).chain([FIRST_ENGINE]);
-        let is_free = last_bytes.flat_map(|last| ports.map(|port| (last, port))).all(|(last, port)| {
-            TcpListener::bind((Ipv4Addr::new(127, network[0], network[1], last), port)).is_ok()
-        });
+        let is_free = last_bytes
+            .flat_map(|last| ports.map(|port| (last, port)))
+            .all(|(last, port)| TcpListener::bind((Ipv4Addr::new(127, network[0], network[1], last), port)).is_ok());
         if is_free {
             return Ok((network, ports));
         }
--- a/review/standins/engine.rs
+++ b/review/platform/engine.rs
@@ -11,6 +11,7 @@
 use std::time::{Duration, Instant};
 
 pub const SERVICE: &str = "huvo11a";
+pub const APPLICATION: &str = "wuno96b";
 pub const MODEL: &str = "daka510000";
 pub const HEARTBEAT: Duration = Duration::from_millis(1_200);
 
@@ -29,8 +30,9 @@
     pub zone: String,
     pub slots: u32,
     pub event_time: Duration,
-    /// Number of events in each item's text.
+    /// Number of events in each item's text; 0 for an engine of the application, which answers after `event_time`.
     pub events: u64,
+    pub service: &'static str,
 }
 
 /// One start of the engine.
@@ -57,6 +59,10 @@
     leaving: AtomicBool,
     /// Nodes that have acknowledged a heartbeat of the current incarnation.
     acknowledged_by: Mutex<Vec<SocketAddr>>,
+    /// Number of heartbeats that were acknowledged.
+    acknowledged: AtomicU64,
+    /// The last heartbeat that was sent into a cut, and is held up there: path and body.
+    held_up: Mutex<Option<(String, String)>>,
     connections: Mutex<Vec<TcpStream>>,
     next_node: AtomicU64,
 }
@@ -79,6 +85,8 @@
             partitioned: AtomicBool::new(false),
             leaving: AtomicBool::new(false),
             acknowledged_by: Mutex::default(),
+            acknowledged: AtomicU64::new(0),
+            held_up: Mutex::default(),
             connections: Mutex::default(),
         };
         let engine = Self { inner: Arc::new(inner) };
@@ -103,6 +111,11 @@
         self.inner.acknowledged_by.lock().unwrap().len()
     }
 
+    /// Number of heartbeats that were acknowledged.
+    pub fn acknowledged(&self) -> u64 {
+        self.inner.acknowledged.load(Ordering::SeqCst)
+    }
+
     /// Cuts it off from the core: nothing that is sent either way arrives. Its callers are all in the core.
     pub fn set_partitioned(&self, partitioned: bool) {
         self.inner.partitioned.store(partitioned, Ordering::SeqCst);
@@ -110,6 +123,20 @@
         self.inner.journal.note(&format!("engine {} {what}", self.inner.options.number));
     }
 
+    /// The heartbeat that the cut holds up, taken out of it: what `deliver` gets.
+    pub fn take_held_up(&self) -> Option<(String, String)> {
+        self.inner.held_up.lock().unwrap().take()
+    }
+
+    /// A heartbeat that a cut has held up arrives at a node.
+    pub fn deliver(&self, (path, body): (String, String)) {
+        let node = self.inner.options.control[0];
+        let headers = [("Content-Type", "application/json")];
+        let answer = http::call(node, "PUT", &path, &headers, body.as_bytes(), Duration::from_secs(1));
+        let answer = answer.map_or("nothing".to_string(), |answer| answer.status().to_string());
+        self.inner.journal.note(&format!("the delayed heartbeat {path} arrives: {answer}; it said {body}"));
+    }
+
     /// Crashes it: the listener and all connections are closed; it comes back as a new incarnation.
     pub fn crash(&self, down: Duration) {
         let number = self.inner.options.number;
@@ -252,7 +279,9 @@
             421
         } else if fence < incarnation.highest_fence.load(Ordering::SeqCst) {
             412
-        } else if Self::is_loading(incarnation) || number("expected_rev") != Some(incarnation.orders_taken.load(Ordering::SeqCst)) {
+        } else if Self::is_loading(incarnation)
+            || number("expected_rev") != Some(incarnation.orders_taken.load(Ordering::SeqCst))
+        {
             409
         } else {
             incarnation.highest_fence.store(fence, Ordering::SeqCst);
@@ -286,7 +315,10 @@
         let last = request.header("Last-Event-Id").and_then(|last| last.parse().ok()).unwrap_or(0);
         incarnation.running.fetch_add(1, Ordering::SeqCst);
         let run = self.inner.journal.begin_run(&item, self.inner.options.number, last + 1);
-        let streamed = self.stream(writer, &identity, &item, last, incarnation);
+        let streamed = match self.inner.options.events {
+            0 => self.answer(writer, &identity, incarnation),
+            _ => self.stream(writer, &identity, &item, last, incarnation),
+        };
         let end = match streamed {
             _ if incarnation.ended.load(Ordering::SeqCst) => RunEnd::Crashed,
             Ok(()) => RunEnd::Finished,
@@ -297,6 +329,19 @@
         streamed
     }
 
+    fn answer(
+        &self,
+        writer: &mut TcpStream,
+        identity: &[(&str, &str)],
+        incarnation: &Incarnation,
+    ) -> std::io::Result<()> {
+        thread::sleep(self.inner.options.event_time);
+        if incarnation.ended.load(Ordering::SeqCst) {
+            return Err(std::io::ErrorKind::BrokenPipe.into());
+        }
+        reply(writer, 200, identity, b"unit price")
+    }
+
     fn stream(
         &self,
         writer: &mut TcpStream,
@@ -305,7 +350,8 @@
         last: u64,
         incarnation: &Incarnation,
     ) -> std::io::Result<()> {
-        let mut head = "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n".to_string();
+        let mut head =
+            "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n".to_string();
         for (name, value) in identity {
             head += &format!("{name}: {value}\r\n");
         }
@@ -338,7 +384,8 @@
         let sequence = incarnation.sequence.fetch_add(1, Ordering::SeqCst) + 1;
         let options = &self.inner.options;
         let body = format!(
-            r#"{{"service":"{SERVICE}","addr":"{}","zone":"{}","version":"v1","slots":{},"state":"{}","cold_left_ms":0,"stage":"both","models":[{{"name":"{MODEL}","version":{},"adapters":[]}}],"call_seq":{sequence}}}"#,
+            r#"{{"service":"{}","addr":"{}","zone":"{}","version":"v1","slots":{},"state":"{}","cold_left_ms":0,"stage":"both","models":[{{"name":"{MODEL}","version":{},"adapters":[]}}],"call_seq":{sequence}}}"#,
+            options.service,
             options.address,
             options.zone,
             options.slots,
@@ -348,6 +395,7 @@
         let path = format!("/instances/{}", incarnation.id);
         for _ in 0..options.control.len() {
             if self.inner.partitioned.load(Ordering::SeqCst) {
+                *self.inner.held_up.lock().unwrap() = Some((path, body));
                 return false;
             }
             let index = self.inner.next_node.fetch_add(1, Ordering::SeqCst) as usize % options.control.len();
@@ -355,6 +403,7 @@
             let headers = [("Content-Type", "application/json")];
             let answer = http::call(node, "PUT", &path, &headers, body.as_bytes(), Duration::from_secs(1));
             if answer.is_ok_and(|answer| answer.status() / 100 == 2) {
+                self.inner.acknowledged.fetch_add(1, Ordering::SeqCst);
                 let mut acknowledged_by = self.inner.acknowledged_by.lock().unwrap();
                 if !acknowledged_by.contains(&node) {
                     acknowledged_by.push(node);
--- a/review/standins/main.rs
+++ b/review/platform/main.rs
@@ -1,6 +1,7 @@
 //! Driver of the review's script cases: starts the product's processes with the commands of the deploy file, stand-ins
 //! for model engines, an operator and a trainer, brings the disruption about, and judges the rule from what the
-//! stand-ins saw. Standard library only.
+//! stand-ins saw. Standard library only. As the stand-ins speak the protocol of the users' platform, they lie in a folder
+//! of that name, as its names do elsewhere in this repository (see the check in `platform/tests/formats.rs`).
 
 mod deployment;
 mod engine;
