--- a/crates/control-client/src/lib.rs
+++ b/crates/control-client/src/lib.rs
@@ -294,14 +294,14 @@
         let request = ControlRequest::Gateway(GatewayRequest::Follow(follow.clone()));
         let encode = |level| match level {
             FeatureLevel::One => Some(messages::encode_follow_one(level_one_poll.clone())),
-            FeatureLevel::Two | FeatureLevel::Three => messages::encode_request(&request, level),
+            FeatureLevel::Two | FeatureLevel::Three | FeatureLevel::Four => messages::encode_request(&request, level),
         };
         let EncodedReply { level, body } = replica.call(encode, limit).await?;
         let reply = match level {
             FeatureLevel::One => {
                 messages::decode_follow_one(&body, &level_one_poll, &mut self.inner.follow_converter.borrow_mut())
             }
-            FeatureLevel::Two | FeatureLevel::Three => messages::decode_reply(&body, level),
+            FeatureLevel::Two | FeatureLevel::Three | FeatureLevel::Four => messages::decode_reply(&body, level),
         };
         Ok(reply)
     }
--- a/crates/control-client/src/suspicions.rs
+++ b/crates/control-client/src/suspicions.rs
@@ -9,7 +9,7 @@
 use saddlerelay_types::gateway::{GatewayReply, GatewayRequest, TrialRequest};
 use saddlerelay_types::instance::InstanceId;
 use saddlerelay_types::suspicion::{
-    EngineLoss, HeldTrial, QUARANTINE_THRESHOLD, SuspicionList, TRIAL_RENEWAL, TrialResult, WorkEvidence,
+    EngineLoss, HeldTrial, SuspicionList, TRIAL_RENEWAL, TrialResult, Verdict, WorkEvidence,
 };
 use saddlerelay_types::work::WorkDigest;
 use std::cell::RefCell;
@@ -27,27 +27,12 @@
 /// decided with the evidence of all relays.
 const MAX_EVIDENCE_WAIT: Duration = Duration::from_millis(100);
 
-/// Default pause before work that one more engine loss would quarantine is sent again; longer than an engine takes to
-/// restart.
-pub const DEFAULT_LAST_TRIAL_PAUSE: Duration = Duration::from_secs(5);
-
 /// Timeout of a request for a trial lease. After it, the request for suspected work is rejected for a later retry.
 const TRIAL_REQUEST_TIMEOUT: Duration = Duration::from_millis(150);
 
 /// Maximum number of losses that are not committed yet; further ones are dropped.
 const MAX_PENDING_LOSSES: usize = 1_024;
 
-/// The decision on a request, by the suspicion of its work.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Verdict {
-    /// Forward it to an engine.
-    Send,
-    /// Don't forward it for this long.
-    Pause(Duration),
-    /// Never forward it.
-    Quarantine,
-}
-
 /// Engine losses during one piece of suspected work.
 #[derive(Debug, Default)]
 struct Suspect {
@@ -95,20 +80,11 @@
         self.suspects.get(work).map_or(0, |suspect| suspect.engines.len())
     }
 
-    /// The decision on a request for `work` at `now`.
-    ///
-    /// Work that one more engine loss would quarantine is paused for `last_trial_pause`, so that the lost engines have
-    /// restarted before the last trial may terminate another one.
+    /// The decision on a request for `work` at `now`, with a relay's pause before the last trial.
     pub fn verdict(&self, work: &WorkDigest, now: Duration, last_trial_pause: Duration) -> Verdict {
-        let Some(suspect) = self.suspects.get(work) else {
-            return Verdict::Send;
-        };
-        let remaining = (suspect.recorded_at + last_trial_pause).saturating_sub(now);
-        match suspect.engines.len() {
-            terminated if terminated >= QUARANTINE_THRESHOLD => Verdict::Quarantine,
-            terminated if terminated + 1 == QUARANTINE_THRESHOLD && !remaining.is_zero() => Verdict::Pause(remaining),
-            _ => Verdict::Send,
-        }
+        self.suspects.get(work).map_or(Verdict::Send, |suspect| {
+            Verdict::of(suspect.engines.len(), now.saturating_sub(suspect.recorded_at), last_trial_pause)
+        })
     }
 
     /// Records that this relay observed at `now` that an engine terminated during work.
--- a/crates/control/src/commands/gateway.rs
+++ b/crates/control/src/commands/gateway.rs
@@ -80,6 +80,10 @@
             state.suspicions.expire(state.time);
             GatewayOutcome::Done
         }
+        GatewayCommand::AllowRetrials(retrials) => {
+            retrials.iter().for_each(|retrial| state.suspicions.allow_retrial(retrial));
+            GatewayOutcome::Done
+        }
         GatewayCommand::ReleaseWork(work) => done_or_not_found(state.suspicions.release(&work)),
         GatewayCommand::ExpireJobs(advance) => {
             state.jobs.advance_uptime(advance);
--- a/crates/control/src/machine.rs
+++ b/crates/control/src/machine.rs
@@ -2,6 +2,7 @@
 
 use crate::commands;
 use crate::state::ControlState;
+use crate::state::loss_history::LossHistory;
 use crate::state::uptime_expiry::UptimeExpiry;
 use saddlerelay_layouts::commands::{DecodedCommand, decode};
 use saddlerelay_replication::StateMachine;
@@ -31,26 +32,54 @@
     level >= FeatureLevel::Three
 }
 
-/// Encodes the state as level two does, followed by the expiry of jobs and by the length of the latter as a
-/// little-endian `u64`.
+/// Whether engine losses are weighed at `level`.
+fn weighs_losses(level: FeatureLevel) -> bool {
+    level >= FeatureLevel::Four
+}
+
+/// Appends `part` and its length as a little-endian `u64`.
+fn append_part(encoded: &mut Vec<u8>, part: &[u8]) {
+    encoded.extend_from_slice(part);
+    encoded.extend_from_slice(&(part.len() as u64).to_le_bytes());
+}
+
+/// Splits off the part that was appended last.
+fn split_last_part(bytes: &[u8]) -> Option<(&[u8], &[u8])> {
+    let (encoded, length) = bytes.split_last_chunk()?;
+    let length = usize::try_from(u64::from_le_bytes(*length)).ok()?;
+    encoded.split_at_checked(encoded.len().checked_sub(length)?)
+}
+
+/// Encodes the state as level two does, followed by the expiry of jobs.
 fn encode_level_three(state: &ControlState) -> Vec<u8> {
     let mut encoded = bitcode::encode(state);
-    let expiry = state.jobs.uptime_expiry().map(bitcode::encode).unwrap_or_default();
-    encoded.extend_from_slice(&expiry);
-    encoded.extend_from_slice(&(expiry.len() as u64).to_le_bytes());
+    append_part(&mut encoded, &state.jobs.uptime_expiry().map(bitcode::encode).unwrap_or_default());
     encoded
 }
 
 fn decode_level_three(bytes: &[u8]) -> Option<ControlState> {
-    let (encoded, length) = bytes.split_last_chunk()?;
-    let length = usize::try_from(u64::from_le_bytes(*length)).ok()?;
-    let (state, expiry) = encoded.split_at_checked(encoded.len().checked_sub(length)?)?;
+    let (state, expiry) = split_last_part(bytes)?;
     let mut state: ControlState = bitcode::decode(state).ok()?;
     let expiry: UptimeExpiry = bitcode::decode(expiry).ok()?;
     state.jobs.restore_uptime_expiry(expiry);
     Some(state)
 }
 
+/// Encodes the state as level three does, followed by the history of engine losses.
+fn encode_level_four(state: &ControlState) -> Vec<u8> {
+    let mut encoded = encode_level_three(state);
+    append_part(&mut encoded, &state.suspicions.history().map(bitcode::encode).unwrap_or_default());
+    encoded
+}
+
+fn decode_level_four(bytes: &[u8]) -> Option<ControlState> {
+    let (state, history) = split_last_part(bytes)?;
+    let mut state = decode_level_three(state)?;
+    let history: LossHistory = bitcode::decode(history).ok()?;
+    state.suspicions.restore_history(history);
+    Some(state)
+}
+
 impl ControlMachine {
     /// The replicated state, for reads.
     pub fn state(&self) -> &ControlState {
@@ -75,6 +104,7 @@
         }
         self.level = level;
         self.state.jobs.set_expiry_by_uptime(expires_jobs_by_uptime(level));
+        self.state.suspicions.set_weighs_losses(weighs_losses(level));
     }
 
     fn apply(&mut self, command: &[u8]) -> CommandOutcome {
@@ -89,6 +119,7 @@
             FeatureLevel::One => self.state.encode_level_one(),
             FeatureLevel::Two => bitcode::encode(&self.state),
             FeatureLevel::Three => encode_level_three(&self.state),
+            FeatureLevel::Four => encode_level_four(&self.state),
         }
     }
 
@@ -122,6 +153,7 @@
             FeatureLevel::One => ControlState::decode_level_one(bytes).ok(),
             FeatureLevel::Two => bitcode::decode(bytes).ok(),
             FeatureLevel::Three => decode_level_three(bytes),
+            FeatureLevel::Four => decode_level_four(bytes),
         };
         self.state = restored.expect("a snapshot with a valid checksum decodes at its feature level");
     }
--- a/crates/control/src/node.rs
+++ b/crates/control/src/node.rs
@@ -14,7 +14,8 @@
 use crate::suspicion_watch::SuspicionWatch;
 use crate::tasks::relays::RenewalTable;
 use crate::tasks::{
-    confirmation, engines, job_expiry, levels, machines, relays, retirement, silence, suspicions, trials, usage,
+    confirmation, engines, job_expiry, levels, machines, relays, retirement, retrials, silence, suspicions, trials,
+    usage,
 };
 use crate::trial_watch::TrialWatch;
 use futures::lock::Mutex;
@@ -143,6 +144,7 @@
         platform.spawn(confirmation::confirm(node.clone()));
         platform.spawn(usage::commit(node.clone()));
         platform.spawn(suspicions::expire(node.clone()));
+        platform.spawn(retrials::allow(node.clone()));
         platform.spawn(trials::watch(node.clone()));
         platform.spawn(levels::raise(node.clone()));
         platform.spawn(job_expiry::advance(node.clone()));
--- a/crates/control/src/older_level.rs
+++ b/crates/control/src/older_level.rs
@@ -13,7 +13,8 @@
 //! | usage, engine counts | relays keep their counts; nothing is committed, reported or ordered |
 //! | tenants, public routes, scaling limits | a document that has them is rejected |
 //!
-//! Below level three ended jobs expire by the log's time, with the next submission.
+//! Below level three ended jobs expire by the log's time, with the next submission. Below level four every engine loss
+//! counts against the work that ran there, and quarantined work is tried again every hour.
 
 use crate::instance_watch::InstanceWatch;
 use crate::node::ControlNode;
--- a/crates/control/src/state/mod.rs
+++ b/crates/control/src/state/mod.rs
@@ -8,6 +8,7 @@
 pub mod instances;
 pub mod jobs;
 mod level_one;
+pub mod loss_history;
 pub mod members;
 pub mod orders;
 pub mod pending_instances;
--- a/crates/control/src/state/suspicions.rs
+++ b/crates/control/src/state/suspicions.rs
@@ -1,27 +1,35 @@
 //! Work that was running on engines when they failed. Work is suspected after the first engine failure, and quarantined
 //! after failures of [`QUARANTINE_THRESHOLD`] different engines. The table is bounded in size, and its entries expire.
+//!
+//! Since feature level four, a quarantine ends for a few single trials: soon if the losses are
+//! inconclusive, see [`LossHistory`], else after an hour each. Work that still fails then stays quarantined for a day.
 
+use crate::state::loss_history::LossHistory;
 use bitcode::{Decode, Encode};
 use saddlerelay_types::suspicion::{
-    EngineLoss, HeldTrial, QUARANTINE_THRESHOLD, Suspicion, SuspicionList, TrialId, TrialLease, TrialResult,
+    EngineLoss, HeldTrial, QUARANTINE_THRESHOLD, Retrial, Suspicion, SuspicionList, TrialId, TrialLease, TrialResult,
     WorkEvidence,
 };
 use saddlerelay_types::work::WorkDigest;
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-/// Maximum number of suspicions. The one with the fewest failed engines is evicted, the oldest first. Every change
-/// sends the whole table to each relay; 512 suspicions take about 30 KB.
+/// Maximum number of suspicions. The one with the weakest evidence is evicted, the oldest first. Every change sends the
+/// whole table to each relay; 512 suspicions take about 30 KB.
 const MAX_SUSPICIONS: usize = 512;
 
 /// How long work is suspected after the last engine failure, in milliseconds. Longer than an engine restart and the
 /// retries of a client take.
 const SUSPICION_TTL_MS: u64 = 10 * 60 * 1_000;
 
-/// How long work stays quarantined after the last engine failure, in milliseconds. Afterwards it may be tried on one
-/// engine, as the fault of the engines may have been fixed.
+/// How long work stays quarantined after the last engine failure below feature level four, in milliseconds. Afterwards
+/// it may be tried on one engine, as the fault of the engines may have been fixed.
 const QUARANTINE_TTL_MS: u64 = 60 * 60 * 1_000;
 
+/// How long work that was ever quarantined is remembered after the last engine failure, in milliseconds. Bounds the
+/// engines that one piece of work crashes in a day. Since feature level four.
+const QUARANTINE_MEMORY_MS: u64 = 24 * 60 * 60 * 1_000;
+
 /// Number of recorded leases from which a trial of work without committed evidence is granted without recording its
 /// lease.
 const MAX_UNSUSPECTED_TRIALS: usize = 2 * MAX_SUSPICIONS;
@@ -45,9 +53,35 @@
     /// Current trial leases, by work.
     trials: BTreeMap<WorkDigest, Trial>,
     revision: u64,
+    /// What the losses tell; `None` below feature level four, whose layout lacks it.
+    #[bitcode(skip)]
+    history: Option<LossHistory>,
 }
 
+/// Strength of the evidence against work, weakest first: retrials that failed, independent losses, all losses, and
+/// when the last one was recorded.
+type EvidenceStrength = (u32, usize, usize, u64);
+
 impl SuspicionTable {
+    /// The loss history; `None` below feature level four.
+    pub fn history(&self) -> Option<&LossHistory> {
+        self.history.as_ref()
+    }
+
+    /// Replaces the loss history by the one of a snapshot.
+    pub fn restore_history(&mut self, history: LossHistory) {
+        self.history = Some(history);
+    }
+
+    /// Switches the weighing of losses on or off. Losses recorded before count as independent ones.
+    pub fn set_weighs_losses(&mut self, weighs_losses: bool) {
+        if !weighs_losses {
+            self.history = None;
+        } else if self.history.is_none() {
+            self.history = Some(LossHistory::of(self.by_work.values()));
+        }
+    }
+
     /// The revision of the newest change of a suspicion.
     pub fn revision(&self) -> u64 {
         self.revision
@@ -78,33 +112,58 @@
         (self.revision > revision).then(|| self.list())
     }
 
-    /// Whether evidence would change a suspicion.
+    /// Whether evidence would change the state.
     pub fn would_change(&self, evidence: &WorkEvidence) -> bool {
-        let is_new = |loss: &EngineLoss| {
-            let recorded = self.get(&loss.work);
-            recorded.is_none_or(|recorded| !recorded.is_quarantined() && !recorded.engines.contains(&loss.instance))
-        };
+        let is_new_termination =
+            |loss: &EngineLoss| self.history.as_ref().is_some_and(|history| !history.has_terminated(&loss.instance));
+        evidence.losses.iter().any(is_new_termination) || self.changes_suspicions(evidence)
+    }
+
+    /// Whether evidence would change what relays are sent.
+    fn changes_suspicions(&self, evidence: &WorkEvidence) -> bool {
+        let is_new = |loss: &EngineLoss| self.is_new_loss(loss);
         evidence.losses.iter().any(is_new) || evidence.served.iter().any(|work| self.by_work.contains_key(work))
     }
 
+    /// Whether a loss would be added to the suspicion of its work.
+    fn is_new_loss(&self, loss: &EngineLoss) -> bool {
+        let was_recorded = self.history.as_ref().is_some_and(|history| history.includes(&loss.work, &loss.instance));
+        let is_new = |suspicion: &Suspicion| {
+            !suspicion.is_quarantined() && !was_recorded && !suspicion.engines.contains(&loss.instance)
+        };
+        self.get(&loss.work).is_none_or(is_new)
+    }
+
     /// Applies evidence at `now`, in Unix milliseconds. Successfully served work is no longer suspected.
     pub fn record_evidence(&mut self, evidence: WorkEvidence, now: u64) {
         if !self.would_change(&evidence) {
             return;
         }
-        self.revision += 1;
+        self.revision += u64::from(self.changes_suspicions(&evidence));
         for work in &evidence.served {
-            self.by_work.remove(work);
+            self.remove(work);
         }
         for loss in evidence.losses {
+            self.record_termination(&loss, now);
             self.add_loss(loss, now);
         }
-        while self.by_work.len() > MAX_SUSPICIONS {
-            self.evict_weakest();
+        self.evict_weakest(self.by_work.len().saturating_sub(MAX_SUSPICIONS));
+    }
+
+    fn record_termination(&mut self, loss: &EngineLoss, now: u64) {
+        if let Some(history) = &mut self.history {
+            history.record_termination(&loss.instance, now);
         }
     }
 
     fn add_loss(&mut self, loss: EngineLoss, now: u64) {
+        if self.history.is_some() && !self.is_new_loss(&loss) {
+            return;
+        }
+        if let Some(history) = &mut self.history {
+            let is_leased = self.trials.contains_key(&loss.work);
+            history.record_loss(loss.work, loss.instance.clone(), is_leased, now);
+        }
         let work = loss.work;
         let new_suspicion = Suspicion { work, engines: Vec::new(), last_at: now };
         let suspicion = self.by_work.entry(work).or_insert(new_suspicion);
@@ -117,11 +176,32 @@
         }
     }
 
-    fn evict_weakest(&mut self) {
-        let weakest = self.by_work.values().min_by_key(|suspicion| (suspicion.engines.len(), suspicion.last_at));
-        if let Some(work) = weakest.map(|suspicion| suspicion.work) {
-            self.by_work.remove(&work);
+    fn evict_weakest(&mut self, count: usize) {
+        if count == 0 {
+            return;
+        }
+        let strength = |suspicion: &Suspicion| (self.evidence_strength(suspicion), suspicion.work);
+        let mut by_strength: Vec<_> = self.by_work.values().map(strength).collect();
+        by_strength.sort_unstable();
+        by_strength.truncate(count);
+        for (_, work) in by_strength {
+            self.remove(&work);
+        }
+    }
+
+    fn evidence_strength(&self, suspicion: &Suspicion) -> EvidenceStrength {
+        let history = self.history.as_ref();
+        let retrials = history.map_or(0, |history| history.retrials(&suspicion.work));
+        let independent = history.map_or(0, |history| history.independent_losses(&suspicion.work));
+        (retrials, independent, suspicion.engines.len(), suspicion.last_at)
+    }
+
+    /// Removes a suspicion with its history; returns whether there was one.
+    fn remove(&mut self, work: &WorkDigest) -> bool {
+        if let Some(history) = &mut self.history {
+            history.remove(work);
         }
+        self.by_work.remove(work).is_some()
     }
 
     /// Grants the exclusive lease to run suspected work. It is exclusive because parallel trials could crash several
@@ -137,7 +217,11 @@
         // The evidence for a suspicion may not be committed yet; the lease is recorded before it.
         if self.by_work.contains_key(&work) || self.trials.len() < MAX_UNSUSPECTED_TRIALS {
             let until = now.saturating_add(limit_ms);
+            let is_new = !self.trials.contains_key(&work);
             self.trials.entry(work).or_insert(Trial { id, until, renewals: 0 });
+            if let Some(history) = self.history.as_mut().filter(|_| is_new) {
+                history.record_trial(&work);
+            }
         }
         TrialResult::Granted
     }
@@ -198,6 +282,26 @@
         }
     }
 
+    /// Time from the quarantine of `work` to its next retrial; `None` if it is not quarantined or no further retrial is
+    /// allowed, and below feature level four.
+    pub fn retrial_after(&self, work: &WorkDigest) -> Option<Duration> {
+        self.history.as_ref().filter(|_| self.is_quarantined(work))?.retrial_after(work)
+    }
+
+    /// Allows one more trial of quarantined work, unless the retrial was allowed before. One more engine failure
+    /// quarantines the work again.
+    pub fn allow_retrial(&mut self, retrial: &Retrial) {
+        let work = &retrial.work;
+        let Some(history) = self.history.as_mut().filter(|history| history.retrials(work) == retrial.number) else {
+            return;
+        };
+        if let Some(suspicion) = self.by_work.get_mut(work).filter(|suspicion| suspicion.is_quarantined()) {
+            suspicion.engines.truncate(QUARANTINE_THRESHOLD - 1);
+            history.record_retrial(work);
+            self.revision += 1;
+        }
+    }
+
     /// All suspicions.
     pub fn iter(&self) -> impl Iterator<Item = &Suspicion> {
         self.by_work.values()
@@ -205,41 +309,55 @@
 
     /// Suspicions and quarantines that have expired at `now`, in Unix milliseconds, with their time to live.
     pub fn due(&self, now: u64) -> impl Iterator<Item = (&Suspicion, Duration)> {
-        let due = self.by_work.values().filter(move |suspicion| has_expired(suspicion, now));
-        due.map(|suspicion| (suspicion, Duration::from_millis(ttl_ms(suspicion))))
+        let due = self.by_work.values().filter(move |suspicion| self.is_expired(suspicion, now));
+        due.map(|suspicion| (suspicion, Duration::from_millis(self.ttl_ms(suspicion))))
     }
 
     /// Whether any suspicion or quarantine has expired at `now`, in Unix milliseconds.
     pub fn has_expired(&self, now: u64) -> bool {
-        self.by_work.values().any(|suspicion| has_expired(suspicion, now))
+        self.by_work.values().any(|suspicion| self.is_expired(suspicion, now))
     }
 
-    /// Removes expired suspicions. An expired quarantine becomes a suspicion that one more engine failure quarantines
-    /// again.
+    /// Removes expired suspicions. Below feature level four, an expired quarantine becomes a suspicion that one more
+    /// engine failure quarantines again.
     pub fn expire(&mut self, now: u64) {
-        if !self.has_expired(now) {
+        let expired: Vec<WorkDigest> = self.due(now).map(|(suspicion, _)| suspicion.work).collect();
+        if expired.is_empty() {
             return;
         }
         self.revision += 1;
-        self.by_work.retain(|_, suspicion| suspicion.is_quarantined() || !has_expired(suspicion, now));
-        for suspicion in self.by_work.values_mut().filter(|suspicion| has_expired(suspicion, now)) {
-            suspicion.engines.truncate(QUARANTINE_THRESHOLD - 1);
-            suspicion.last_at = now;
+        for work in expired {
+            let lowered = self.by_work.get_mut(&work).filter(|suspicion| suspicion.is_quarantined());
+            match lowered.filter(|_| self.history.is_none()) {
+                Some(suspicion) => {
+                    suspicion.engines.truncate(QUARANTINE_THRESHOLD - 1);
+                    suspicion.last_at = now;
+                }
+                None => {
+                    self.remove(&work);
+                }
+            }
+        }
+    }
+
+    fn is_expired(&self, suspicion: &Suspicion, now: u64) -> bool {
+        now >= suspicion.last_at.saturating_add(self.ttl_ms(suspicion))
+    }
+
+    fn ttl_ms(&self, suspicion: &Suspicion) -> u64 {
+        let has_retrials = self.history.as_ref().is_some_and(|history| history.retrials(&suspicion.work) > 0);
+        match (suspicion.is_quarantined(), &self.history) {
+            (true, None) => QUARANTINE_TTL_MS,
+            (true, Some(_)) => QUARANTINE_MEMORY_MS,
+            (false, _) if has_retrials => QUARANTINE_MEMORY_MS,
+            (false, _) => SUSPICION_TTL_MS,
         }
     }
 
     /// Removes the suspicion of `work` on an operator's request; returns whether there was one.
     pub fn release(&mut self, work: &WorkDigest) -> bool {
-        let released = self.by_work.remove(work).is_some();
+        let released = self.remove(work);
         self.revision += u64::from(released);
         released
     }
 }
-
-fn has_expired(suspicion: &Suspicion, now: u64) -> bool {
-    now >= suspicion.last_at.saturating_add(ttl_ms(suspicion))
-}
-
-fn ttl_ms(suspicion: &Suspicion) -> u64 {
-    if suspicion.is_quarantined() { QUARANTINE_TTL_MS } else { SUSPICION_TTL_MS }
-}
--- a/crates/control/src/suspected_work.rs
+++ b/crates/control/src/suspected_work.rs
@@ -1,13 +1,44 @@
 //! Requests about suspected work, that is, work during which engines terminated unexpectedly.
 
 use crate::node::ControlNode;
+use crate::state::suspicions::SuspicionTable;
 use saddlerelay_replication::ProposeError;
 use saddlerelay_runtime::Runtime;
 use saddlerelay_runtime::backend::Backends;
 use saddlerelay_types::gateway::{GatewayCommand, GatewayOutcome, GatewayReply, TrialRequest};
 use saddlerelay_types::protocol::ControlReply;
-use saddlerelay_types::suspicion::{TrialResult, WorkEvidence};
+use saddlerelay_types::suspicion::{Suspicion, TrialResult, Verdict, WorkEvidence};
 use saddlerelay_types::work::WorkDigest;
+use std::time::Duration;
+
+/// What the state says of suspected work, for the log.
+#[derive(Debug, Default)]
+struct Assessment {
+    engines: usize,
+    is_quarantined: bool,
+    independent_losses: usize,
+    retrials: u32,
+    retrial_after: Option<Duration>,
+}
+
+impl Assessment {
+    fn of(table: &SuspicionTable, work: &WorkDigest) -> Self {
+        let suspicion = table.get(work);
+        let history = table.history();
+        Self {
+            engines: suspicion.map_or(0, |suspicion| suspicion.engines.len()),
+            is_quarantined: suspicion.is_some_and(Suspicion::is_quarantined),
+            independent_losses: history.map_or(0, |history| history.independent_losses(work)),
+            retrials: history.map_or(0, |history| history.retrials(work)),
+            retrial_after: table.retrial_after(work),
+        }
+    }
+
+    /// Time to the next retrial in milliseconds; `none` if the work is not quarantined or no retrial follows.
+    fn retrial_in_ms(&self) -> String {
+        self.retrial_after.map_or_else(|| "none".to_string(), |after| after.as_millis().to_string())
+    }
+}
 
 impl<P: Runtime, B: Backends> ControlNode<P, B> {
     /// Commits evidence if it changes the state, and logs the result.
@@ -22,6 +53,18 @@
         Ok(())
     }
 
+    /// The decision on `work` by this replica's state `table`, with a pause before the last trial. The age of the last
+    /// engine loss is measured since this replica observed it.
+    pub fn work_verdict(&self, table: &SuspicionTable, work: &WorkDigest, last_trial_pause: Duration) -> Verdict {
+        let Some(suspicion) = table.get(work) else {
+            return Verdict::Send;
+        };
+        let now = self.inner.platform.monotonic();
+        let mut watch = self.inner.suspicion_watch.borrow_mut();
+        watch.observe(table, now);
+        Verdict::of(suspicion.engines.len(), watch.since_last_loss(work, now), last_trial_pause)
+    }
+
     /// Requests a trial lease for suspected work. Rejections are logged with the current holder, rate limited.
     pub async fn begin_trial(&self, request: TrialRequest) -> Result<TrialResult, ProposeError> {
         let outcome = self.commit_gateway(GatewayCommand::BeginTrial(request)).await?;
@@ -64,15 +107,15 @@
 
     fn log_evidence(&self, evidence: &WorkEvidence) {
         for loss in &evidence.losses {
-            let (engines, quarantined) = self.read_applied(|state| {
-                let suspicion = state.suspicions.get(&loss.work);
-                suspicion.map_or((0, false), |suspicion| (suspicion.engines.len(), suspicion.is_quarantined()))
-            });
+            let assessment = self.read_applied(|state| Assessment::of(&state.suspicions, &loss.work));
             spdlog::warn!("engine terminated while running work", kv: {
                 work = loss.work.to_hexadecimal().as_str(),
                 instance = loss.instance.name.as_str(),
-                engines_ended = engines,
-                quarantined = quarantined
+                engines_ended = assessment.engines,
+                quarantined = assessment.is_quarantined,
+                independent_losses = assessment.independent_losses,
+                retrials = assessment.retrials,
+                retrial_in_ms = assessment.retrial_in_ms().as_str()
             });
         }
         for work in &evidence.served {
--- a/crates/control/src/tasks/mod.rs
+++ b/crates/control/src/tasks/mod.rs
@@ -7,6 +7,7 @@
 pub mod machines;
 pub mod relays;
 pub mod retirement;
+pub mod retrials;
 pub mod silence;
 pub mod suspicions;
 pub mod trials;
--- a/crates/control/tests/format.rs
+++ b/crates/control/tests/format.rs
@@ -8,12 +8,12 @@
 use saddlerelay_types::identity::Incarnation;
 use saddlerelay_types::instance::InstanceId;
 use saddlerelay_types::protocol::{Command, LogCommand};
-use saddlerelay_types::suspicion::{EngineLoss, HeldTrial, TrialId, TrialLease, WorkEvidence};
+use saddlerelay_types::suspicion::{EngineLoss, HeldTrial, Retrial, TrialId, TrialLease, WorkEvidence};
 use saddlerelay_types::work::WorkDigest;
 use xxhash_rust::xxh3::xxh3_64;
 
 /// File format number, and digest of the data written in that format. If the digest changes, increase the number.
-const LAYOUT: (u32, u64) = (11, 11_097_225_559_996_654_416);
+const LAYOUT: (u32, u64) = (14, 6_156_919_645_601_937_430);
 
 fn work() -> WorkDigest {
     WorkDigest::of_post_request(None, "host", "/rollouts", b"an item")
@@ -32,6 +32,7 @@
         GatewayCommand::EndTrial { work: work(), id: TrialId { holder: Incarnation(9), number: 9 } },
         GatewayCommand::ExpireSuspicions,
         GatewayCommand::ExpireJobs(UptimeAdvance { since_ms: 0, elapsed_ms: 10_000, keep_ms: 150_000 }),
+        GatewayCommand::AllowRetrials(vec![Retrial { work: work(), number: 0 }]),
     ]
 }
 
--- a/crates/coordinator/src/metrics.rs
+++ b/crates/coordinator/src/metrics.rs
@@ -141,7 +141,7 @@
     pub(crate) fn long_waits(&self, reason: WaitReason) -> &Counter {
         let counts = &self.long_waits;
         match reason {
-            WaitReason::Quarantined | WaitReason::TrialTaken => &counts.suspected,
+            WaitReason::Quarantined | WaitReason::LastTrialPaused | WaitReason::TrialTaken => &counts.suspected,
             WaitReason::NoEligibleEngine | WaitReason::OnlyDegradedEngines | WaitReason::NoScorer => &counts.no_engine,
             WaitReason::NoFreeSlot | WaitReason::PlanLimitReached | WaitReason::SlotsReserved => &counts.load,
             WaitReason::RetryDelay => &counts.retry,
--- a/crates/coordinator/src/plan.rs
+++ b/crates/coordinator/src/plan.rs
@@ -19,6 +19,7 @@
 use saddlerelay_types::instance::{InstanceId, InstanceState};
 use saddlerelay_types::job::{ItemId, JobId, JobItem};
 use saddlerelay_types::routing::{Route, RoutingDocument};
+use saddlerelay_types::suspicion::Verdict;
 use saddlerelay_types::work::WorkDigest;
 use saddlerelay_upstream::EngineTarget;
 use std::cell::RefCell;
@@ -255,9 +256,8 @@
         plan.completed.push((id.clone(), index));
     } else if context.now >= item_deadline {
         plan.aborts.push((id.clone(), index, "item deadline exceeded"));
-    } else if is_quarantined(context, index, text_is_complete) {
-        record_quarantine(context, index);
-        record_wait(context, index, WaitReason::Quarantined);
+    } else if let Some(reason) = suspicion_wait(context, index, text_is_complete) {
+        record_wait(context, index, reason);
     } else if text_is_complete {
         match plan_score_call(context, index, item_deadline) {
             Ok(call) => plan.score_calls.push(call),
@@ -269,25 +269,42 @@
     None
 }
 
-/// Whether the item's next work, an attempt or a score call, is quarantined because several engines terminated while
-/// running it.
-fn is_quarantined<B: Backends>(context: &JobContext<'_, '_, B>, index: u32, text_is_complete: bool) -> bool {
+/// Why the item's next work, an attempt or a score call, must not run now although the item's deadline has not passed:
+/// engines terminated while running it.
+fn suspicion_wait<B: Backends>(
+    context: &mut JobContext<'_, '_, B>,
+    index: u32,
+    text_is_complete: bool,
+) -> Option<WaitReason> {
     if context.suspicions.is_empty() {
-        return false;
+        return None;
+    }
+    let work = next_work(context, index, text_is_complete);
+    let pause = context.inner.config.last_trial_pause;
+    match context.inner.node.work_verdict(context.suspicions, &work, pause) {
+        Verdict::Send => None,
+        Verdict::Pause(_) => Some(WaitReason::LastTrialPaused),
+        Verdict::Quarantine => {
+            record_quarantine(context, index);
+            Some(WaitReason::Quarantined)
+        }
     }
+}
+
+/// Digest of the item's next work: its score call if the text is complete, else an attempt.
+fn next_work<B: Backends>(context: &JobContext<'_, '_, B>, index: u32, text_is_complete: bool) -> WorkDigest {
     let submission = &context.job.submission;
     let item = &submission.items[index as usize];
     let run = &context.run.items[index as usize];
     let owner = submission.owner.as_ref();
-    let work = match item.scorer.as_ref().filter(|_| text_is_complete) {
-        Some(scorer) => run.scoring_work.get_or_init(|| scorer.work_digest(owner)),
-        None => run.work.get_or_init(|| item.work_digest(owner, &submission.host)),
-    };
-    context.suspicions.is_quarantined(work)
+    match item.scorer.as_ref().filter(|_| text_is_complete) {
+        Some(scorer) => *run.scoring_work.get_or_init(|| scorer.work_digest(owner)),
+        None => *run.work.get_or_init(|| item.work_digest(owner, &submission.host)),
+    }
 }
 
-/// Counts and logs, once per item, that it is quarantined. A quarantined item stays waiting until its work is released
-/// or its deadline passes.
+/// Counts and logs, once per item, that it is quarantined. A quarantined item stays waiting until a retrial of its work
+/// is allowed, its work is released or its deadline passes.
 fn record_quarantine<B: Backends>(context: &mut JobContext<'_, '_, B>, index: u32) {
     let submission = &context.job.submission;
     let run = &mut context.run.items[index as usize];
--- a/crates/coordinator/src/waits.rs
+++ b/crates/coordinator/src/waits.rs
@@ -20,6 +20,8 @@
 pub(crate) enum WaitReason {
     /// Its work is quarantined because several engines terminated while running it.
     Quarantined,
+    /// One more engine loss would quarantine its work, and the pause before the last trial has not elapsed.
+    LastTrialPaused,
     /// No trial lease was granted for its suspected work, for example because another process holds it.
     TrialTaken,
     /// The retry delay after a failed attempt has not elapsed.
@@ -45,6 +47,7 @@
     pub fn as_str(self) -> &'static str {
         match self {
             Self::Quarantined => "work is quarantined after engine terminations",
+            Self::LastTrialPaused => "pause before the last trial of suspected work",
             Self::TrialTaken => "no trial lease held for suspected work",
             Self::RetryDelay => "retry delay after a failed attempt",
             Self::NoEligibleEngine => "no ready engine has the required weights",
--- a/crates/gateway-api/tests/common/crashing.rs
+++ b/crates/gateway-api/tests/common/crashing.rs
@@ -63,6 +63,7 @@
 struct State {
     name: String,
     keeps_name: Cell<bool>,
+    holds_requests: Cell<bool>,
     log: RequestLog,
     starts: Cell<u32>,
     address: Cell<SocketAddr>,
@@ -83,6 +84,7 @@
         let state = State {
             name: name.to_string(),
             keeps_name: Cell::new(false),
+            holds_requests: Cell::new(false),
             log: log.clone(),
             starts: Cell::new(0),
             address: Cell::new(unused_address()),
@@ -126,6 +128,11 @@
         self.0.keeps_name.set(true);
     }
 
+    /// Whether requests run until the engine crashes or no longer holds them.
+    pub fn hold_requests(&self, holds: bool) {
+        self.0.holds_requests.set(holds);
+    }
+
     pub fn instance(&self) -> InstanceId {
         if self.0.keeps_name.get() {
             return InstanceId::started(&*self.0.name, FIRST_START_MS + u64::from(self.0.starts.get()));
@@ -171,6 +178,9 @@
         let started = StartedRequest { instance: instance.clone(), request: id.clone(), crashed: crashes };
         engine.0.log.borrow_mut().push(started);
         compio::time::sleep(RUN_TIME).await;
+        while engine.0.holds_requests.get() {
+            compio::time::sleep(RUN_TIME).await;
+        }
         if crashes_later {
             // The announced length is twice that of the data sent.
             let partial_response = format!("{}{EVENT}", stream_head(&id, &instance.name, 2 * EVENT.len()));
--- a/crates/gateway/src/config.rs
+++ b/crates/gateway/src/config.rs
@@ -1,7 +1,7 @@
 //! Gateway limits and timeouts.
 
-use saddlerelay_control_client::suspicions::DEFAULT_LAST_TRIAL_PAUSE;
 use saddlerelay_scheduling::Activation;
+use saddlerelay_types::suspicion::LAST_TRIAL_PAUSE;
 use std::time::Duration;
 
 /// Limits and timeouts; the settings derive the times from the deployment's timing bounds.
@@ -37,7 +37,7 @@
             max_response_bytes: 32 * 1024 * 1024,
             default_body_bytes: 8 * 1024 * 1024,
             follow_timeout: Duration::from_millis(650),
-            last_trial_pause: DEFAULT_LAST_TRIAL_PAUSE,
+            last_trial_pause: LAST_TRIAL_PAUSE,
             admission: Activation::Automatic,
         }
     }
--- a/crates/gateway/src/suspicions.rs
+++ b/crates/gateway/src/suspicions.rs
@@ -4,9 +4,9 @@
 use crate::lost_connections::RequestedWork;
 use crate::refusal::Refusal;
 use crate::request::ClientRequest;
-use saddlerelay_control_client::suspicions::Verdict;
+
 use saddlerelay_types::instance::InstanceId;
-use saddlerelay_types::suspicion::{EngineLoss, TRIAL_RETRY_AFTER};
+use saddlerelay_types::suspicion::{EngineLoss, TRIAL_RETRY_AFTER, Verdict};
 use saddlerelay_types::work::WorkDigest;
 use std::time::Duration;
 
--- a/crates/layouts/src/commands.rs
+++ b/crates/layouts/src/commands.rs
@@ -18,13 +18,26 @@
 /// Encodes `command` as one or more log entries; the outcome of the last one is that of the command. `None` if the
 /// level cannot express it.
 pub fn encode(time: u64, command: Command, level: FeatureLevel) -> Option<Vec<Vec<u8>>> {
+    if level < introduced_at(&command) {
+        return None;
+    }
     match level {
         FeatureLevel::One => {
             let entry = |command| bitcode::encode(&one::LogCommand { time, command });
             Some(commands_to_one(command)?.into_iter().map(entry).collect())
         }
-        FeatureLevel::Two if matches!(command, Command::Gateway(GatewayCommand::ExpireJobs(_))) => None,
-        FeatureLevel::Two | FeatureLevel::Three => Some(vec![bitcode::encode(&LogCommand { time, command })]),
+        FeatureLevel::Two | FeatureLevel::Three | FeatureLevel::Four => {
+            Some(vec![bitcode::encode(&LogCommand { time, command })])
+        }
+    }
+}
+
+/// The level that adds the command; level one for those that [`commands_to_one`] decides on.
+fn introduced_at(command: &Command) -> FeatureLevel {
+    match command {
+        Command::Gateway(GatewayCommand::ExpireJobs(_)) => FeatureLevel::Three,
+        Command::Gateway(GatewayCommand::AllowRetrials(_)) => FeatureLevel::Four,
+        _ => FeatureLevel::One,
     }
 }
 
@@ -32,6 +45,8 @@
 pub fn decode(bytes: &[u8], level: FeatureLevel) -> Option<DecodedCommand> {
     match level {
         FeatureLevel::One => bitcode::decode(bytes).ok().map(DecodedCommand::One),
-        FeatureLevel::Two | FeatureLevel::Three => bitcode::decode(bytes).ok().map(DecodedCommand::Current),
+        FeatureLevel::Two | FeatureLevel::Three | FeatureLevel::Four => {
+            bitcode::decode(bytes).ok().map(DecodedCommand::Current)
+        }
     }
 }
--- a/crates/layouts/src/level_one/convert/commands.rs
+++ b/crates/layouts/src/level_one/convert/commands.rs
@@ -45,7 +45,8 @@
         | GatewayCommand::EndTrial { .. }
         | GatewayCommand::ExpireSuspicions
         | GatewayCommand::ReleaseWork(_)
-        | GatewayCommand::ExpireJobs(_) => return None,
+        | GatewayCommand::ExpireJobs(_)
+        | GatewayCommand::AllowRetrials(_) => return None,
     })
 }
 
--- a/crates/layouts/src/messages.rs
+++ b/crates/layouts/src/messages.rs
@@ -24,7 +24,7 @@
 pub fn encode_request(request: &ControlRequest, level: FeatureLevel) -> Option<Vec<u8>> {
     match level {
         FeatureLevel::One => Some(bitcode::encode(&convert::control_request_to_one(request.clone())?)),
-        FeatureLevel::Two | FeatureLevel::Three => Some(bitcode::encode(request)),
+        FeatureLevel::Two | FeatureLevel::Three | FeatureLevel::Four => Some(bitcode::encode(request)),
     }
 }
 
@@ -35,7 +35,9 @@
             one::ControlRequest::Gateway(GatewayRequestOne::Follow(follow)) => Some(Request::FollowOne(follow)),
             other => convert::control_request_from_one(other).map(Request::Current),
         },
-        FeatureLevel::Two | FeatureLevel::Three => bitcode::decode(bytes).ok().map(Request::Current),
+        FeatureLevel::Two | FeatureLevel::Three | FeatureLevel::Four => {
+            bitcode::decode(bytes).ok().map(Request::Current)
+        }
     }
 }
 
@@ -43,7 +45,7 @@
 pub fn encode_reply(reply: ControlReply, level: FeatureLevel) -> Option<Vec<u8>> {
     match level {
         FeatureLevel::One => Some(bitcode::encode(&convert::control_reply_to_one(reply)?)),
-        FeatureLevel::Two | FeatureLevel::Three => Some(bitcode::encode(&reply)),
+        FeatureLevel::Two | FeatureLevel::Three | FeatureLevel::Four => Some(bitcode::encode(&reply)),
     }
 }
 
@@ -51,7 +53,7 @@
 pub fn decode_reply(bytes: &[u8], level: FeatureLevel) -> Option<ControlReply> {
     match level {
         FeatureLevel::One => convert::control_reply_from_one(bitcode::decode(bytes).ok()?),
-        FeatureLevel::Two | FeatureLevel::Three => bitcode::decode(bytes).ok(),
+        FeatureLevel::Two | FeatureLevel::Three | FeatureLevel::Four => bitcode::decode(bytes).ok(),
     }
 }
 
--- a/crates/relay/src/config.rs
+++ b/crates/relay/src/config.rs
@@ -1,6 +1,6 @@
 //! Relay limits and timeouts.
 
-use saddlerelay_control_client::suspicions::DEFAULT_LAST_TRIAL_PAUSE;
+use saddlerelay_types::suspicion::LAST_TRIAL_PAUSE;
 use std::time::Duration;
 
 /// Limits and timeouts.
@@ -53,7 +53,7 @@
             engine_in_flight_percent: 300,
             max_fetch_wait: Duration::from_secs(2),
             drain_timeout: Duration::from_secs(120),
-            last_trial_pause: DEFAULT_LAST_TRIAL_PAUSE,
+            last_trial_pause: LAST_TRIAL_PAUSE,
         }
     }
 }
--- a/crates/replication/src/file_format.rs
+++ b/crates/replication/src/file_format.rs
@@ -13,10 +13,13 @@
 const FORMAT_FILE: &str = "format";
 
 /// Format numbers of files with several levels.
-const MULTIPLE_LEVELS: [(u32, FileFormat); 3] = [
+const MULTIPLE_LEVELS: [(u32, FileFormat); 6] = [
     (10, FileFormat::Levels { first: FeatureLevel::One, last: FeatureLevel::Two }),
     (12, FileFormat::Levels { first: FeatureLevel::Two, last: FeatureLevel::Three }),
     (13, FileFormat::Levels { first: FeatureLevel::One, last: FeatureLevel::Three }),
+    (15, FileFormat::Levels { first: FeatureLevel::Three, last: FeatureLevel::Four }),
+    (16, FileFormat::Levels { first: FeatureLevel::Two, last: FeatureLevel::Four }),
+    (17, FileFormat::Levels { first: FeatureLevel::One, last: FeatureLevel::Four }),
 ];
 
 /// Prefix of a snapshot file that specifies its level. Followed by the level's number as a little-endian `u32`.
--- a/crates/replication/src/message_codec.rs
+++ b/crates/replication/src/message_codec.rs
@@ -105,7 +105,7 @@
 pub fn encode_request(request: &ReplicaRequest, level: FeatureLevel) -> Option<Vec<u8>> {
     match level {
         FeatureLevel::One => Some(bitcode::encode(&LevelOneRequest::of(request.clone())?)),
-        FeatureLevel::Two | FeatureLevel::Three => Some(bitcode::encode(request)),
+        FeatureLevel::Two | FeatureLevel::Three | FeatureLevel::Four => Some(bitcode::encode(request)),
     }
 }
 
@@ -113,7 +113,7 @@
 pub fn decode_request(bytes: &[u8], level: FeatureLevel) -> Option<ReplicaRequest> {
     match level {
         FeatureLevel::One => bitcode::decode::<LevelOneRequest>(bytes).ok().map(Into::into),
-        FeatureLevel::Two | FeatureLevel::Three => bitcode::decode(bytes).ok(),
+        FeatureLevel::Two | FeatureLevel::Three | FeatureLevel::Four => bitcode::decode(bytes).ok(),
     }
 }
 
@@ -121,7 +121,7 @@
 pub fn encode_reply(reply: ReplicaReply, level: FeatureLevel) -> Vec<u8> {
     match level {
         FeatureLevel::One => bitcode::encode(&LevelOneReply::from(reply)),
-        FeatureLevel::Two | FeatureLevel::Three => bitcode::encode(&reply),
+        FeatureLevel::Two | FeatureLevel::Three | FeatureLevel::Four => bitcode::encode(&reply),
     }
 }
 
@@ -129,7 +129,7 @@
 pub fn decode_reply(bytes: &[u8], level: FeatureLevel) -> Option<ReplicaReply> {
     match level {
         FeatureLevel::One => bitcode::decode::<LevelOneReply>(bytes).ok().map(Into::into),
-        FeatureLevel::Two | FeatureLevel::Three => bitcode::decode(bytes).ok(),
+        FeatureLevel::Two | FeatureLevel::Three | FeatureLevel::Four => bitcode::decode(bytes).ok(),
     }
 }
 
--- a/crates/simulator/tests/concurrent_trials.rs
+++ b/crates/simulator/tests/concurrent_trials.rs
@@ -2,10 +2,10 @@
 //! arrives while the first attempt runs at its second engine. The retry must not crash the last engine.
 
 use saddlerelay_control::state::suspicions::SuspicionTable;
-use saddlerelay_control_client::suspicions::{DEFAULT_LAST_TRIAL_PAUSE, Suspicions, Verdict};
+use saddlerelay_control_client::suspicions::Suspicions;
 use saddlerelay_types::identity::Incarnation;
 use saddlerelay_types::instance::InstanceId;
-use saddlerelay_types::suspicion::{EngineLoss, TrialId, TrialResult};
+use saddlerelay_types::suspicion::{EngineLoss, LAST_TRIAL_PAUSE, TrialId, TrialResult, Verdict};
 use saddlerelay_types::work::WorkDigest;
 use std::time::Duration;
 
@@ -39,7 +39,7 @@
     /// Whether `relay` may send the request to an engine at `now`. Once the relay knows of a crash, this needs a trial
     /// lease from the group.
     fn may_send(&mut self, relay: usize, now: Duration) -> bool {
-        if self.relays[relay].verdict(&self.work, now, DEFAULT_LAST_TRIAL_PAUSE) != Verdict::Send {
+        if self.relays[relay].verdict(&self.work, now, LAST_TRIAL_PAUSE) != Verdict::Send {
             return false;
         }
         if self.relays[relay].engines_terminated(&self.work) == 0 {
--- a/crates/simulator/tests/group/mod.rs
+++ b/crates/simulator/tests/group/mod.rs
@@ -44,6 +44,7 @@
         FeatureLevel::One => bitcode::encode(&(payload, number)),
         FeatureLevel::Two => bitcode::encode(&(number, payload)),
         FeatureLevel::Three => bitcode::encode(&(number, number, payload)),
+        FeatureLevel::Four => bitcode::encode(&(number, payload, number)),
     }
 }
 
@@ -52,6 +53,7 @@
         FeatureLevel::One => bitcode::decode::<(Vec<u8>, u64)>(command).map(|(_, number)| number),
         FeatureLevel::Two => bitcode::decode::<(u64, Vec<u8>)>(command).map(|(number, _)| number),
         FeatureLevel::Three => bitcode::decode::<(u64, u64, Vec<u8>)>(command).map(|(number, _, _)| number),
+        FeatureLevel::Four => bitcode::decode::<(u64, Vec<u8>, u64)>(command).map(|(number, _, _)| number),
     };
     number.expect("the command is a number")
 }
@@ -110,6 +112,7 @@
             FeatureLevel::One => bitcode::encode(&(sealed, unsealed, applied)),
             FeatureLevel::Two => bitcode::encode(&(applied, unsealed, sealed)),
             FeatureLevel::Three => bitcode::encode(&(unsealed, sealed, applied)),
+            FeatureLevel::Four => bitcode::encode(&(sealed, applied, unsealed)),
         }
     }
 
@@ -145,6 +148,10 @@
                 (self.unsealed, self.sealed, self.applied) =
                     bitcode::decode(bytes).expect("the snapshot can be decoded");
             }
+            FeatureLevel::Four => {
+                (self.sealed, self.applied, self.unsealed) =
+                    bitcode::decode(bytes).expect("the snapshot can be decoded");
+            }
         }
         self.unreleased.clear();
     }
--- a/crates/simulator/tests/quarantine_policies.rs
+++ b/crates/simulator/tests/quarantine_policies.rs
@@ -2,15 +2,18 @@
 //! harmless requests are rejected as suspects.
 //!
 //! A discrete-event model of relays, engines and a group that uses the real suspicion tables. Engines also crash by
-//! themselves and lose the requests that they run; harmless clients retry once, and crashing requests recur during the
-//! whole run.
+//! themselves, one by one or several at once, and lose the requests that they run; harmless clients retry once, items of
+//! batch jobs are retried until their deadline, and crashing requests recur during the whole run.
 
 use fastrand::Rng;
 use saddlerelay_control::state::suspicions::SuspicionTable;
-use saddlerelay_control_client::suspicions::{Suspicions, Verdict};
+use saddlerelay_control::suspicion_watch::SuspicionWatch;
+use saddlerelay_control_client::suspicions::Suspicions;
 use saddlerelay_types::identity::Incarnation;
 use saddlerelay_types::instance::InstanceId;
-use saddlerelay_types::suspicion::{EngineLoss, TrialId, TrialResult, WorkEvidence};
+use saddlerelay_types::suspicion::{
+    EngineLoss, LAST_TRIAL_PAUSE, Retrial, TRIAL_RETRY_AFTER, TrialId, TrialResult, Verdict, WorkEvidence,
+};
 use saddlerelay_types::work::WorkDigest;
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
@@ -38,7 +41,29 @@
 /// Number of distinct crashing requests, each sent at a mean interval of `CRASHING_REQUEST_INTERVAL`.
 const CRASHING_REQUESTS: u32 = 8;
 const CRASHING_REQUEST_INTERVAL: Duration = Duration::from_secs(6);
-const DEFAULT_LAST_TRIAL_PAUSE: Duration = Duration::from_secs(5);
+
+/// Number of crashes of several engines at once in a series, and the time between series.
+const BURSTS_PER_SERIES: u32 = 6;
+const SERIES_INTERVAL: Duration = Duration::from_secs(40);
+/// Times between the crashes of a series: shorter and longer than the pause before the last trial.
+const BURST_INTERVALS: [Duration; 2] = [Duration::from_millis(600), Duration::from_millis(5_500)];
+/// Share of the running engines that crash in a burst.
+const BURST_SHARE: f64 = 0.36;
+/// Time from an engine's crash to its restart in runs with bursts.
+const BURST_DOWN_TIME: Duration = Duration::from_millis(600);
+/// Mean interval between items of batch jobs, and their mean execution time.
+const ITEM_INTERVAL: Duration = Duration::from_millis(60);
+const ITEM_RUN_TIME: Duration = Duration::from_millis(1_500);
+/// Time after which an item is late, and after which it is aborted.
+const ITEM_TARGET: Duration = Duration::from_secs(12);
+const ITEM_LIMIT: Duration = Duration::from_secs(42);
+/// Maximum number of engines that one request may crash: three until it is quarantined, and three retries.
+const MAX_CRASHED: usize = 6;
+/// Interval between checks for due retrials.
+const RETRIAL_CHECK_INTERVAL: Duration = Duration::from_millis(250);
+/// Delays of the policy that tries all quarantined work again soon.
+const UNWEIGHED_RETRIALS_AFTER: [Duration; 3] =
+    [Duration::from_secs(5), Duration::from_secs(15), Duration::from_secs(3_600)];
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Policy {
@@ -50,9 +75,15 @@
     ThreeCrashesWithPause,
     /// Quarantine after two crashed engines.
     TwoCrashes,
-    /// As `ThreeCrashesWithPause`, and a request that has crashed an engine needs a trial lease. This is the implemented
-    /// policy.
+    /// As `ThreeCrashesWithPause`, and a request that has crashed an engine needs a trial lease. Items have no pause.
     TrialLease,
+    /// As `TrialLease`, with the pause for items too.
+    PauseForItems,
+    /// As `PauseForItems`, and all quarantined work is tried again after a few seconds.
+    Retrials,
+    /// As `PauseForItems`, and quarantined work is tried again: soon if its losses are inconclusive, else after an hour.
+    /// This is the implemented policy.
+    WeighedLosses,
     /// As `TrialLease`, and suspected work is not sent to the last running engine.
     TrialLeaseExceptLastEngine,
     /// As `ThreeCrashesWithPause`, and suspected work is not sent to the last running engine.
@@ -60,18 +91,38 @@
 }
 
 impl Policy {
-    fn allows(self, suspicions: &Suspicions, work: &WorkDigest, now: Duration) -> bool {
+    fn allows(self, suspicions: &Suspicions, attempt: &Attempt, now: Duration) -> bool {
+        let work = &digest(attempt.work);
         let verdict = |pause| suspicions.verdict(work, now, pause) == Verdict::Send;
         match self {
             Self::NoQuarantine => true,
             Self::ThreeCrashes => verdict(Duration::ZERO),
+            Self::TrialLease if attempt.item_arrival.is_some() => verdict(Duration::ZERO),
             Self::ThreeCrashesWithPause
             | Self::TrialLease
+            | Self::PauseForItems
+            | Self::Retrials
+            | Self::WeighedLosses
             | Self::TrialLeaseExceptLastEngine
-            | Self::ExceptLastEngine => verdict(DEFAULT_LAST_TRIAL_PAUSE),
+            | Self::ExceptLastEngine => verdict(LAST_TRIAL_PAUSE),
             Self::TwoCrashes => suspicions.engines_terminated(work) < 2,
         }
     }
+
+    fn requires_trial_lease(self) -> bool {
+        let all = [
+            Self::TrialLease,
+            Self::TrialLeaseExceptLastEngine,
+            Self::PauseForItems,
+            Self::Retrials,
+            Self::WeighedLosses,
+        ];
+        all.contains(&self)
+    }
+
+    fn allows_retrials(self) -> bool {
+        matches!(self, Self::Retrials | Self::WeighedLosses)
+    }
 }
 
 #[derive(Clone, Debug)]
@@ -84,6 +135,23 @@
     attempts: usize,
     /// Number of the trial lease that it holds.
     trial: Option<u64>,
+    /// When it arrived, if it is an item of a batch job.
+    item_arrival: Option<Duration>,
+}
+
+impl Attempt {
+    fn request(work: u32, crashing: bool, relay: usize) -> Self {
+        Self { work, crashing, relay, number: 0, attempts: 0, trial: None, item_arrival: None }
+    }
+}
+
+/// What happens during a run.
+#[derive(Clone, Copy, Debug)]
+struct Scenario {
+    requests: usize,
+    crashing_requests: u32,
+    /// Time between crashes of several engines at once, while items of batch jobs run; `None` without such crashes.
+    burst_interval: Option<Duration>,
 }
 
 #[derive(Clone, Debug)]
@@ -105,6 +173,9 @@
     Return {
         engine: usize,
     },
+    /// Several engines crash at once.
+    Burst,
+    CheckRetrials,
     Commit(WorkEvidence),
     NotifyRelays,
 }
@@ -127,6 +198,11 @@
     crashed_by: BTreeMap<u32, usize>,
     /// Total time without a running engine.
     time_without_engines: Duration,
+    items: usize,
+    /// Number of items that completed later than `ITEM_TARGET` after their arrival.
+    items_late: usize,
+    /// Number of items that did not complete within `ITEM_LIMIT`.
+    items_aborted: usize,
 }
 
 struct Model {
@@ -137,7 +213,10 @@
     sequence: u64,
     relays: Vec<Suspicions>,
     table: SuspicionTable,
+    watch: SuspicionWatch,
     engines: Vec<Engine>,
+    /// Time from an engine's crash to its restart.
+    down_time: Duration,
     outcome: Outcome,
 }
 
@@ -148,6 +227,8 @@
 impl Model {
     fn new(policy: Policy, relays: usize, engines: usize, seed: u64) -> Self {
         let up = || Engine { is_up: true, ..Engine::default() };
+        let mut table = SuspicionTable::default();
+        table.set_weighs_losses(policy.allows_retrials());
         Self {
             policy,
             random: Rng::with_seed(seed),
@@ -155,7 +236,9 @@
             queue: BTreeMap::new(),
             sequence: 0,
             relays: (0..relays).map(|_| Suspicions::default()).collect(),
-            table: SuspicionTable::default(),
+            table,
+            watch: SuspicionWatch::default(),
+            down_time: DOWN_TIME,
             engines: (0..engines).map(|_| up()).collect(),
             outcome: Outcome::default(),
         }
@@ -170,36 +253,38 @@
         mean.mul_f64(-(1.0 - self.random.f64()).ln())
     }
 
-    fn run(mut self, crashing_requests: u32) -> Outcome {
+    fn run(mut self, scenario: Scenario) -> Outcome {
         let relays = self.relays.len();
         let pause = ARRIVAL_PAUSE * 3 / relays as u32;
         let mut arrival = Duration::ZERO;
-        for work in 0..REQUESTS as u32 {
+        for work in 0..scenario.requests as u32 {
             arrival += self.exponential(pause);
             let relay = self.random.usize(..relays);
-            self.after(
-                arrival,
-                Event::Arrive(Attempt { work, crashing: false, relay, number: 0, attempts: 0, trial: None }),
-            );
+            self.after(arrival, Event::Arrive(Attempt::request(work, false, relay)));
         }
-        for kind in 0..crashing_requests {
+        for kind in 0..scenario.crashing_requests {
             let mut at = arrival.mul_f64(self.random.f64() / 2.0);
             while at < arrival {
                 let relay = self.random.usize(..relays);
                 let work = u32::MAX - kind;
-                self.after(
-                    at,
-                    Event::Arrive(Attempt { work, crashing: true, relay, number: 0, attempts: 0, trial: None }),
-                );
+                self.after(at, Event::Arrive(Attempt::request(work, true, relay)));
                 at += self.exponential(CRASHING_REQUEST_INTERVAL);
             }
         }
+        if let Some(interval) = scenario.burst_interval {
+            self.down_time = BURST_DOWN_TIME;
+            self.add_items_and_bursts(arrival, interval);
+        }
+        if self.policy.allows_retrials() {
+            self.after(RETRIAL_CHECK_INTERVAL, Event::CheckRetrials);
+        }
         for engine in 0..self.engines.len() {
             let pause = self.exponential(SPONTANEOUS_CRASH_INTERVAL);
             self.after(pause, Event::Crash { engine, start: 0 });
         }
         while let Some(((at, _), event)) = self.queue.pop_first() {
-            if at > arrival + Duration::from_secs(5) {
+            let remaining = if scenario.burst_interval.is_some() { ITEM_LIMIT } else { Duration::from_secs(5) };
+            if at > arrival + remaining {
                 break;
             }
             if self.engines.iter().all(|engine| !engine.is_up) {
@@ -211,12 +296,68 @@
         self.outcome
     }
 
+    /// Adds items of batch jobs, which the process with index 0 sends, and series of bursts until `end`.
+    fn add_items_and_bursts(&mut self, end: Duration, burst_interval: Duration) {
+        let mut arrival = Duration::ZERO;
+        let mut work = 1_000_000_000;
+        while arrival < end {
+            let item = Attempt { item_arrival: Some(arrival), ..Attempt::request(work, false, 0) };
+            self.outcome.items += 1;
+            self.after(arrival, Event::Send(item));
+            work += 1;
+            arrival += self.exponential(ITEM_INTERVAL);
+        }
+        let mut series = SERIES_INTERVAL / 4;
+        while series < end {
+            for burst in 0..BURSTS_PER_SERIES {
+                self.after(series + burst_interval * burst, Event::Burst);
+            }
+            series += SERIES_INTERVAL;
+        }
+    }
+
+    fn crash_several(&mut self) {
+        let mut up: Vec<usize> = (0..self.engines.len()).filter(|engine| self.engines[*engine].is_up).collect();
+        self.random.shuffle(&mut up);
+        up.truncate((up.len() as f64 * BURST_SHARE).round() as usize);
+        for engine in up {
+            let start = self.engines[engine].start;
+            self.crash(engine, start);
+        }
+    }
+
+    fn check_retrials(&mut self) {
+        self.watch.observe(&self.table, self.now);
+        let due = match self.policy {
+            Policy::Retrials => self.due_unweighed_retrials(),
+            _ => self.watch.due_retrials(&self.table, self.now),
+        };
+        due.iter().for_each(|retrial| self.table.allow_retrial(retrial));
+        if !due.is_empty() {
+            self.after(NOTIFICATION_TIME, Event::NotifyRelays);
+        }
+        self.after(RETRIAL_CHECK_INTERVAL, Event::CheckRetrials);
+    }
+
+    fn due_unweighed_retrials(&self) -> Vec<Retrial> {
+        let quarantined = self.table.iter().filter(|suspicion| suspicion.is_quarantined());
+        let due = quarantined.filter_map(|suspicion| {
+            let number = self.table.history().map_or(0, |history| history.retrials(&suspicion.work));
+            let after = UNWEIGHED_RETRIALS_AFTER.get(number as usize)?;
+            let is_due = self.watch.since_last_loss(&suspicion.work, self.now) >= *after;
+            is_due.then_some(Retrial { work: suspicion.work, number })
+        });
+        due.collect()
+    }
+
     fn handle(&mut self, event: Event) {
         match event {
             Event::Arrive(attempt) => {
                 self.outcome.harmless += usize::from(!attempt.crashing && attempt.number == 0);
                 self.send(attempt);
             }
+            Event::Burst => self.crash_several(),
+            Event::CheckRetrials => self.check_retrials(),
             Event::Send(attempt) => self.send(attempt),
             Event::RequestTrial(attempt) => self.grant_trial(attempt),
             Event::Finish { run, engine, start } => self.finish(run, engine, start),
@@ -234,11 +375,11 @@
     }
 
     fn send(&mut self, mut attempt: Attempt) {
-        if !self.policy.allows(&self.relays[attempt.relay], &digest(attempt.work), self.now) {
+        if !self.policy.allows(&self.relays[attempt.relay], &attempt, self.now) {
             return self.fail_attempt(attempt, true);
         }
         let up: Vec<usize> = (0..self.engines.len()).filter(|engine| self.engines[*engine].is_up).collect();
-        if up.is_empty() || attempt.attempts == ATTEMPTS {
+        if up.is_empty() || attempt.attempts == ATTEMPTS && attempt.item_arrival.is_none() {
             return self.fail_attempt(attempt, false);
         }
         let relay = &self.relays[attempt.relay];
@@ -248,8 +389,7 @@
         if suspected && protects_last_engine && up.len() == 1 {
             return self.fail_attempt(attempt, true);
         }
-        let requires_trial_lease = matches!(self.policy, Policy::TrialLease | Policy::TrialLeaseExceptLastEngine);
-        if suspected && requires_trial_lease && attempt.trial.is_none() {
+        if suspected && self.policy.requires_trial_lease() && attempt.trial.is_none() {
             return self.after(COMMIT_TIME, Event::RequestTrial(attempt));
         }
         attempt.attempts += 1;
@@ -258,7 +398,10 @@
         let (run, start) = (self.sequence, self.engines[engine].start);
         let event = match attempt.crashing {
             true => (CRASH_TIME, Event::Crash { engine, start }),
-            false => (self.exponential(RUN_TIME), Event::Finish { run, engine, start }),
+            false => {
+                let run_time = if attempt.item_arrival.is_some() { ITEM_RUN_TIME } else { RUN_TIME };
+                (self.exponential(run_time), Event::Finish { run, engine, start })
+            }
         };
         self.engines[engine].running.insert(run, attempt);
         self.after(event.0, event.1);
@@ -284,6 +427,13 @@
 
     fn fail_attempt(&mut self, attempt: Attempt, suspected: bool) {
         self.end_trial(&attempt);
+        if let Some(arrival) = attempt.item_arrival {
+            match self.now < arrival + ITEM_LIMIT {
+                true => self.after(TRIAL_RETRY_AFTER, Event::Send(Attempt { trial: None, ..attempt })),
+                false => self.outcome.items_aborted += 1,
+            }
+            return;
+        }
         if attempt.number == 0 {
             let relay = self.random.usize(..self.relays.len());
             return self
@@ -301,6 +451,8 @@
         }
         let attempt = self.engines[engine].running.remove(&run).expect("the engine runs the attempt");
         self.end_trial(&attempt);
+        let is_late = |arrival: Duration| self.now > arrival + ITEM_TARGET;
+        self.outcome.items_late += usize::from(attempt.item_arrival.is_some_and(is_late));
         if self.relays[attempt.relay].record_served(&digest(attempt.work)) {
             self.report_evidence(attempt.relay);
         }
@@ -320,10 +472,16 @@
             let loss = EngineLoss { work: digest(attempt.work), instance: instance.clone() };
             self.relays[attempt.relay].record_loss(loss, self.now);
             self.report_evidence(attempt.relay);
+            // An attempt of an item holds a trial lease for one engine only.
+            if attempt.item_arrival.is_some() {
+                self.end_trial(&attempt);
+            }
+            let trial = attempt.trial.filter(|_| attempt.item_arrival.is_none());
             // The relay retries after the group has committed the evidence.
-            self.after(COMMIT_TIME + NOTIFICATION_TIME + Duration::from_millis(1), Event::Send(attempt));
+            let retry_after = COMMIT_TIME + NOTIFICATION_TIME + Duration::from_millis(1);
+            self.after(retry_after, Event::Send(Attempt { trial, ..attempt }));
         }
-        self.after(DOWN_TIME, Event::Return { engine });
+        self.after(self.down_time, Event::Return { engine });
     }
 
     fn restart_engine(&mut self, engine: usize) {
@@ -350,11 +508,13 @@
     mean_crashed: f64,
     max_crashed: usize,
     time_without_engines: Duration,
+    items: usize,
+    items_late: usize,
+    items_aborted: usize,
 }
 
-fn measure(policy: Policy, relays: usize, engines: usize) -> PolicyResult {
-    let outcomes: Vec<Outcome> =
-        SEEDS.map(|seed| Model::new(policy, relays, engines, seed).run(CRASHING_REQUESTS)).collect();
+fn measure(policy: Policy, relays: usize, engines: usize, scenario: Scenario) -> PolicyResult {
+    let outcomes: Vec<Outcome> = SEEDS.map(|seed| Model::new(policy, relays, engines, seed).run(scenario)).collect();
     let sum = |of: fn(&Outcome) -> usize| outcomes.iter().map(of).sum::<usize>();
     let crashes: Vec<usize> = outcomes.iter().flat_map(|outcome| outcome.crashed_by.values().copied()).collect();
     PolicyResult {
@@ -364,6 +524,9 @@
         mean_crashed: crashes.iter().sum::<usize>() as f64 / crashes.len().max(1) as f64,
         max_crashed: crashes.into_iter().max().unwrap_or(0),
         time_without_engines: outcomes.iter().map(|outcome| outcome.time_without_engines).sum(),
+        items: sum(|outcome| outcome.items),
+        items_late: sum(|outcome| outcome.items_late),
+        items_aborted: sum(|outcome| outcome.items_aborted),
     }
 }
 
@@ -381,7 +544,10 @@
             Policy::ExceptLastEngine,
             Policy::TrialLeaseExceptLastEngine,
             Policy::TrialLease,
+            Policy::Retrials,
+            Policy::WeighedLosses,
         ] {
+            let scenario = Scenario { requests: REQUESTS, crashing_requests: CRASHING_REQUESTS, burst_interval: None };
             let PolicyResult {
                 harmless,
                 rejected_as_suspects,
@@ -389,13 +555,14 @@
                 mean_crashed,
                 max_crashed,
                 time_without_engines,
-            } = measure(policy, relays, engines);
+                ..
+            } = measure(policy, relays, engines, scenario);
             println!(
                 "{policy:?}, {relays}, {engines}: {harmless}, {rejected_as_suspects}, {failed}, {mean_crashed:.2}, {max_crashed}, \
                  {:.1} s",
                 time_without_engines.as_secs_f64()
             );
-            if matches!(policy, Policy::ThreeCrashesWithPause | Policy::TrialLease) {
+            if matches!(policy, Policy::ThreeCrashesWithPause | Policy::TrialLease | Policy::WeighedLosses) {
                 assert!(
                     rejected_as_suspects * 10_000 < harmless,
                     "{rejected_as_suspects} of {harmless} harmless requests were rejected"
@@ -409,9 +576,58 @@
 /// Spontaneous crashes alone must not cause rejections.
 #[test]
 fn spontaneous_crashes_alone_cause_no_rejections() {
+    let scenario = Scenario { requests: REQUESTS, crashing_requests: 0, burst_interval: None };
     for (relays, engines) in [(3, 3), (67, 30)] {
-        let rejected =
-            SEEDS.map(|seed| Model::new(Policy::TrialLease, relays, engines, seed).run(0).rejected_as_suspects);
-        assert_eq!(rejected.sum::<usize>(), 0, "{relays} relays, {engines} engines");
+        for policy in [Policy::TrialLease, Policy::WeighedLosses] {
+            let rejected =
+                SEEDS.map(|seed| Model::new(policy, relays, engines, seed).run(scenario).rejected_as_suspects);
+            assert_eq!(rejected.sum::<usize>(), 0, "{policy:?}, {relays} relays, {engines} engines");
+        }
+    }
+}
+
+/// Several engines crash at once, again and again: harmless items must not be aborted because of it, and requests that
+/// crash their engines beside them stay bounded.
+#[test]
+fn the_implemented_policy_completes_harmless_items_under_bursts_of_crashes() {
+    println!(
+        "policy, relays, engines, burst interval, crashing: items, late, aborted, engines crashed (mean, maximum)"
+    );
+    for (relays, engines) in [(3, 11), (7, 30)] {
+        for interval in BURST_INTERVALS {
+            for policy in [
+                Policy::NoQuarantine,
+                Policy::TrialLease,
+                Policy::PauseForItems,
+                Policy::Retrials,
+                Policy::WeighedLosses,
+            ] {
+                for crashing_requests in [0, CRASHING_REQUESTS] {
+                    compare_under_bursts(policy, relays, engines, crashing_requests, interval);
+                }
+            }
+        }
+    }
+}
+
+fn compare_under_bursts(
+    policy: Policy,
+    relays: usize,
+    engines: usize,
+    crashing_requests: u32,
+    burst_interval: Duration,
+) {
+    let scenario = Scenario { requests: REQUESTS / 2, crashing_requests, burst_interval: Some(burst_interval) };
+    let result = measure(policy, relays, engines, scenario);
+    println!(
+        "{policy:?}, {relays}, {engines}, {burst_interval:?}, {crashing_requests}: {}, {}, {}, {:.2}, {}",
+        result.items, result.items_late, result.items_aborted, result.mean_crashed, result.max_crashed
+    );
+    if policy == Policy::WeighedLosses {
+        assert_eq!(
+            result.items_aborted, 0,
+            "{relays} relays, {engines} engines, {crashing_requests} crashing requests"
+        );
+        assert!(result.max_crashed <= MAX_CRASHED, "one request crashed {} engines", result.max_crashed);
     }
 }
--- a/crates/types/src/feature_level.rs
+++ b/crates/types/src/feature_level.rs
@@ -18,14 +18,17 @@
     /// Adds [`GatewayCommand::ExpireJobs`](crate::gateway::GatewayCommand::ExpireJobs): ended jobs expire by the
     /// monotonic clocks of the replicas.
     Three,
+    /// Adds [`GatewayCommand::AllowRetrials`](crate::gateway::GatewayCommand::AllowRetrials): engine losses are weighed,
+    /// and quarantined work is tried again.
+    Four,
 }
 
 impl FeatureLevel {
     /// Every level that this build supports, oldest first.
-    pub const ALL: [Self; 3] = [Self::One, Self::Two, Self::Three];
+    pub const ALL: [Self; 4] = [Self::One, Self::Two, Self::Three, Self::Four];
 
     /// The newest supported level.
-    pub const NEWEST: Self = Self::Three;
+    pub const NEWEST: Self = Self::Four;
 
     /// Protocol version, sent in the first frame of each connection between processes.
     pub const fn protocol(self) -> u32 {
@@ -33,6 +36,7 @@
             Self::One => 1,
             Self::Two => 3,
             Self::Three => 4,
+            Self::Four => 5,
         }
     }
 
@@ -42,6 +46,7 @@
             Self::One => 4,
             Self::Two => 9,
             Self::Three => 11,
+            Self::Four => 14,
         }
     }
 
@@ -66,6 +71,7 @@
             Self::One => 1,
             Self::Two => 2,
             Self::Three => 3,
+            Self::Four => 4,
         }
     }
 
--- a/crates/types/src/gateway.rs
+++ b/crates/types/src/gateway.rs
@@ -5,7 +5,7 @@
 use crate::job::{ItemId, ItemOutcome, JobId, JobSubmission, ResultPage, TextPart};
 use crate::routing::{RoutingDocument, RoutingError};
 use crate::routing_update::EncodedRoutingUpdate;
-use crate::suspicion::{HeldTrial, SuspicionList, TrialId, TrialLease, TrialResult, WorkEvidence};
+use crate::suspicion::{HeldTrial, Retrial, SuspicionList, TrialId, TrialLease, TrialResult, WorkEvidence};
 use crate::tenancy::Caller;
 use crate::usage::{RelayUsage, UsageDelta, UsageWindow};
 use crate::work::WorkDigest;
@@ -335,6 +335,8 @@
     ReleaseWork(WorkDigest),
     /// Advances the group's uptime and removes the jobs that expire by it. Since feature level three.
     ExpireJobs(UptimeAdvance),
+    /// Allows retrials of quarantined work. Since feature level four.
+    AllowRetrials(Vec<Retrial>),
 }
 
 /// An advance of the group's uptime, by which ended jobs expire.
--- a/crates/types/src/suspicion.rs
+++ b/crates/types/src/suspicion.rs
@@ -1,5 +1,6 @@
 //! Requests suspected of crashing engines. A request is suspected if an engine process terminated while running it, and
-//! quarantined if that happens repeatedly without a successful run in between.
+//! quarantined if that happens repeatedly without a successful run in between. A quarantine ends for a few further
+//! trials, soon if the engines may have terminated for another reason.
 
 use crate::identity::Incarnation;
 use crate::instance::InstanceId;
@@ -12,6 +13,10 @@
 /// is quarantined. Fewer may have been terminated by other requests on the same engines.
 pub const QUARANTINE_THRESHOLD: usize = 3;
 
+/// Pause before work that one more engine loss would quarantine is sent again. Longer than an engine takes to restart, so
+/// that the next loss is not caused by the fault that ended the previous engines.
+pub const LAST_TRIAL_PAUSE: Duration = Duration::from_secs(5);
+
 /// Retry delay for a client whose suspected work is already being run by another attempt.
 pub const TRIAL_RETRY_AFTER: Duration = Duration::from_millis(250);
 
@@ -22,6 +27,30 @@
 /// Interval at which a holder renews its trial leases.
 pub const TRIAL_RENEWAL: Duration = Duration::from_millis(500);
 
+/// The decision whether work may be sent to an engine. Relays and coordinators use the same one.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Verdict {
+    /// Send it. Suspected work also needs a trial lease.
+    Send,
+    /// Don't send it for this long.
+    Pause(Duration),
+    /// Don't send it until its quarantine ends.
+    Quarantine,
+}
+
+impl Verdict {
+    /// The decision on work during which `engines` engines have terminated since it last succeeded, the last one
+    /// `since_last_loss` ago. Work that one more engine loss would quarantine is paused for `last_trial_pause`.
+    pub fn of(engines: usize, since_last_loss: Duration, last_trial_pause: Duration) -> Self {
+        let remaining = last_trial_pause.saturating_sub(since_last_loss);
+        match engines {
+            terminated if terminated >= QUARANTINE_THRESHOLD => Self::Quarantine,
+            terminated if terminated + 1 == QUARANTINE_THRESHOLD && !remaining.is_zero() => Self::Pause(remaining),
+            _ => Self::Send,
+        }
+    }
+}
+
 /// An engine process that terminated while it ran a request.
 #[derive(Clone, Debug, PartialEq, Eq, Encode, Decode)]
 pub struct EngineLoss {
@@ -65,6 +94,15 @@
     }
 }
 
+/// Allows one more trial of quarantined work.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Encode, Decode)]
+pub struct Retrial {
+    /// Digest of the request.
+    pub work: WorkDigest,
+    /// Number of retrials that were allowed before; the retrial is ignored if it does not match.
+    pub number: u32,
+}
+
 /// Identifies an attempt to run suspected work.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Encode, Decode)]
 pub struct TrialId {
