--- a/crates/control/src/state/loss_history.rs
+++ b/crates/control/src/state/loss_history.rs
@@ -7,7 +7,7 @@
 
 use bitcode::{Decode, Encode};
 use saddlerelay_types::instance::InstanceId;
-use saddlerelay_types::suspicion::{QUARANTINE_THRESHOLD, Suspicion};
+use saddlerelay_types::suspicion::{LAST_TRIAL_PAUSE, QUARANTINE_THRESHOLD, Suspicion};
 use saddlerelay_types::work::WorkDigest;
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
@@ -22,13 +22,13 @@
 /// Maximum number of terminations remembered; the oldest ones are forgotten.
 const MAX_TERMINATIONS: usize = 512;
 
-/// Number of retrials of quarantined work without success. Callers may send work that crashes its engines for hours, and
-/// the users' bound on it is three further engines.
+/// Maximum number of retrials of quarantined work without success. Bounds the engines that work crashes after its
+/// quarantine, however long callers send it.
 pub const MAX_RETRIALS: u32 = 3;
 
-/// Time to the first and the second retrial of quarantined work if its losses are inconclusive. The first is the pause
-/// before the last trial again, the second outlasts the restart of several engines one after the other.
-const EARLY_RETRIALS_AFTER: [Duration; 2] = [Duration::from_secs(5), Duration::from_secs(15)];
+/// Time to the first and the second retrial of quarantined work if its losses are inconclusive. The second outlasts
+/// restarts of several engines one after the other.
+const EARLY_RETRIALS_AFTER: [Duration; 2] = [LAST_TRIAL_PAUSE, Duration::from_secs(15)];
 
 /// Time to any other retrial, as the fault of the engines may have been fixed.
 const RETRIAL_AFTER: Duration = Duration::from_secs(60 * 60);
--- a/crates/simulator/tests/crashing_work.rs
+++ b/crates/simulator/tests/crashing_work.rs
@@ -14,6 +14,7 @@
 use saddlerelay_types::request::{CallerRequest, FailureCode, Priority, Repeatability};
 use saddlerelay_types::suspicion::QUARANTINE_THRESHOLD;
 use std::cell::{Cell, RefCell};
+use std::collections::BTreeMap;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -138,6 +139,22 @@
     answers
 }
 
+/// Sends several such prompts concurrently, each at another relay, `ROUNDS` times.
+async fn send_several_repeatedly(cluster: Rc<Cluster>, prompts: usize) -> Vec<CallerResponse> {
+    let platform = cluster.client_platform();
+    let access = cluster.access(platform.clone());
+    let requests: Vec<_> =
+        (0..prompts).map(|number| request(&cluster, &format!("{number}: a prompt that {CRASHES}"))).collect();
+    let mut answers = Vec::new();
+    for round in 0..ROUNDS {
+        let sends = requests.iter().enumerate();
+        let sends = sends.map(|(place, request)| access.send_request((round + place) % access.relays(), request));
+        answers.extend(join_all(sends).await);
+        platform.sleep(ROUND_PAUSE).await;
+    }
+    answers
+}
+
 async fn send_harmless_prompt(cluster: Rc<Cluster>) -> Vec<CallerResponse> {
     let platform = cluster.client_platform();
     let access = cluster.access(platform.clone());
@@ -175,6 +192,43 @@
     }
 }
 
+/// Several prompts crash engines at the same time, so that the losses are inconclusive and retrials follow after 5 s and
+/// 15 s. The leader is killed between rounds.
+#[test]
+fn retrials_are_bounded_over_changes_of_the_leader() {
+    const PROMPTS: usize = 6;
+    const MAX_RETRIALS: usize = 3;
+    const LEADER_CHANGES: usize = 4;
+    let mut most_executions = 0;
+    for seed in SEEDS.take(8) {
+        let mut deployment = Deployment::start(seed);
+        let cluster = deployment.cluster.clone();
+        for _ in 0..LEADER_CHANGES {
+            deployment.run(send_several_repeatedly(cluster.clone(), PROMPTS));
+            let leader = cluster.leader_index().expect("there is a leader");
+            cluster.deployed_process(&format!("control-{leader}")).expect("the process was started").process.kill();
+            cluster.start_control(leader);
+        }
+        let answers = deployment.run(send_several_repeatedly(cluster.clone(), PROMPTS));
+        let last = &answers[answers.len() - PROMPTS..];
+        assert!(last.iter().all(is_quarantined), "seed {seed}: {last:?}");
+        let executions = most_executions_of_one_prompt(&cluster);
+        assert!(executions <= QUARANTINE_THRESHOLD + MAX_RETRIALS, "seed {seed}: one prompt ran {executions} times");
+        most_executions = most_executions.max(executions);
+    }
+    assert!(most_executions > QUARANTINE_THRESHOLD, "no retrial has run");
+}
+
+fn most_executions_of_one_prompt(cluster: &Cluster) -> usize {
+    let mut executions: BTreeMap<String, usize> = BTreeMap::new();
+    for record in cluster.records.borrow().iter() {
+        if let Record::Execution { prompt, .. } = record {
+            *executions.entry(prompt.clone()).or_default() += 1;
+        }
+    }
+    executions.into_values().max().unwrap_or_default()
+}
+
 #[test]
 fn the_quarantine_survives_a_new_leader_and_restarted_relays() {
     for seed in SEEDS {
