--- a/crates/simulator/tests/members.rs
+++ b/crates/simulator/tests/members.rs
@@ -765,7 +765,7 @@
         results.borrow_mut().extend([first, rejected, again]);
     });
     world.run(&mut pool, Duration::from_secs(1), || opened.borrow().len() == 3);
-    let error = "the files are in format 2, this build reads 4, 9, 10, 11, 12 and 13; keep the data folder and start the build that wrote \
+    let error = "the files are in format 2, this build reads 4, 9, 10, 11, 12, 13, 14, 15, 16 and 17; keep the data folder and start the build that wrote \
                    it, or one that reads it";
     let expected = [Ok(ReplicaId(7)), Err(error.to_string()), Ok(ReplicaId(7))];
     assert_eq!(*opened.borrow(), expected);
