Soak tests keep the logs of their processes if they fail

A test that failed by an error, rather than a panic or a recorded violation, removed the files of its processes. Each test now runs in a function that removes the files only after it has passed. No check has changed.

--- a/bin/saddlerelay-soak/tests/processes.rs
+++ b/bin/saddlerelay-soak/tests/processes.rs
@@ -3,7 +3,7 @@
 mod fixture;
 
 use anyhow::{Result, ensure};
-use fixture::{Fixture, TEST_TIMEOUT, block_on};
+use fixture::{TEST_TIMEOUT, run_case, run_test};
 use saddlerelay_soak_runner::case::{Case, PlanKind};
 use saddlerelay_soak_runner::deployment::{MembershipRole, Size};
 use saddlerelay_soak_runner::links::{Condition, Party};
@@ -12,8 +12,7 @@
 
 #[test]
 fn a_process_survives_failing_writes() -> Result<()> {
-    block_on(async {
-        let fixture = Fixture::start("refused-writes").await?;
+    run_test("refused-writes", async |fixture| {
         for number in 0..3 {
             let fault = Fault::RefuseWrites { number, time: Duration::from_millis(300) };
             let injected = fixture.faults.inject(fault);
@@ -28,49 +27,38 @@
     })
 }
 
-/// Sends overlapping signals to a gateway and a coordinator and returns the violations.
-async fn violations_of_overlap(name: &str, overlap: Overlap) -> Result<Vec<String>> {
-    let fixture = Fixture::start(name).await?;
-    let round = Round { overlap, gap: Duration::from_millis(200), down: Duration::ZERO };
-    for party in [Party::Gateway(0), Party::Coordinator(0)] {
-        fixture.faults.inject(Fault::Series { party, rounds: vec![round; 2] }).await?;
-    }
-    fixture.deployment.restart_ended_processes()?;
-    fixture.accept_change().await?;
-    Ok(fixture.violations())
+/// Sends overlapping signals to a gateway and a coordinator, which must violate no check.
+fn test_overlap(name: &str, overlap: Overlap) -> Result<()> {
+    run_test(name, async |fixture| {
+        let round = Round { overlap, gap: Duration::from_millis(200), down: Duration::ZERO };
+        for party in [Party::Gateway(0), Party::Coordinator(0)] {
+            fixture.faults.inject(Fault::Series { party, rounds: vec![round; 2] }).await?;
+        }
+        fixture.deployment.restart_ended_processes()?;
+        fixture.accept_change().await?;
+        assert_eq!(fixture.violations(), Vec::<String>::new());
+        Ok(())
+    })
 }
 
 #[test]
 fn a_second_stop_signal_does_not_abort_a_drain() -> Result<()> {
-    block_on(async {
-        assert_eq!(violations_of_overlap("stop-twice", Overlap::StopTwice).await?, Vec::<String>::new());
-        Ok(())
-    })
+    test_overlap("stop-twice", Overlap::StopTwice)
 }
 
 #[test]
 fn a_reload_signal_does_not_abort_a_drain() -> Result<()> {
-    block_on(async {
-        assert_eq!(violations_of_overlap("reload", Overlap::ReloadWhileStopping).await?, Vec::<String>::new());
-        Ok(())
-    })
+    test_overlap("reload", Overlap::ReloadWhileStopping)
 }
 
 #[test]
 fn a_stop_during_a_reload_succeeds() -> Result<()> {
-    block_on(async {
-        assert_eq!(violations_of_overlap("stop-in-reload", Overlap::StopDuringReload).await?, Vec::<String>::new());
-        Ok(())
-    })
+    test_overlap("stop-in-reload", Overlap::StopDuringReload)
 }
 
 #[test]
 fn a_process_restarts_while_its_old_connections_are_open() -> Result<()> {
-    block_on(async {
-        let overlap = Overlap::RestartUnderOldConnections;
-        assert_eq!(violations_of_overlap("old-connections", overlap).await?, Vec::<String>::new());
-        Ok(())
-    })
+    test_overlap("old-connections", Overlap::RestartUnderOldConnections)
 }
 
 /// A voter that is partitioned until it is removed must, once it receives its removal from the leader (`group
@@ -79,9 +67,8 @@
 fn a_voter_removed_while_partitioned_requests_no_votes() -> Result<()> {
     const REMOVAL_RECEIVED: &str = "group announced";
     const PRE_VOTE_FAILED: &str = "votes would not be given";
-    block_on(async {
-        let case = Case { seed: 0, kind: PlanKind::Single, size: Size { coordinators: 7, gateways: 1 } };
-        let fixture = Fixture::start_case("removed-voter", case).await?;
+    let case = Case { seed: 0, kind: PlanKind::Single, size: Size { coordinators: 7, gateways: 1 } };
+    run_case("removed-voter", case, async |fixture| {
         let deployment = &fixture.deployment;
         let deadline = Instant::now() + TEST_TIMEOUT;
         let is_follower = |number: &u8| {
@@ -124,8 +111,7 @@
 
 #[test]
 fn an_unexpected_process_exit_is_a_violation() -> Result<()> {
-    block_on(async {
-        let fixture = Fixture::start("ends").await?;
+    run_test("ends", async |fixture| {
         let stopped = fixture.deployment.with_process(Party::Gateway(0), |child| child.signal_stop());
         ensure!(stopped.is_some(), "the gateway is not running");
         let deadline = Instant::now() + TEST_TIMEOUT;
--- a/bin/saddlerelay-soak/tests/trial_leases.rs
+++ b/bin/saddlerelay-soak/tests/trial_leases.rs
@@ -3,7 +3,7 @@
 mod fixture;
 
 use anyhow::{Result, ensure};
-use fixture::{Fixture, TEST_TIMEOUT, block_on};
+use fixture::{TEST_TIMEOUT, run_case};
 use futures::future::{self, Either};
 use saddlerelay_control_client::ControlClient;
 use saddlerelay_control_client::trials::TrialLeases;
@@ -101,8 +101,7 @@
 /// until the lease had expired.
 #[test]
 fn a_running_holder_keeps_its_lease_when_the_leader_is_paused() -> Result<()> {
-    block_on(async {
-        let fixture = Fixture::start_case("trial-leases", Case { seed: 0, kind: PlanKind::Single, size: SIZE }).await?;
+    run_case("trial-leases", Case { seed: 0, kind: PlanKind::Single, size: SIZE }, async |fixture| {
         let deployment = &fixture.deployment;
         let voters = || {
             let is_voter = |number: &u8| deployment.membership_of(*number) == MembershipRole::Voter;
