Do not take a voter of unknown zone for one of another zone

Cause: a machine that was cut off, or asked to join, before its registration was committed has no zone, and counted as a zone of its own. So the leader put its silence down to the links to other zones (12 s in place of 1.5 s), never judged its lag, and preferred it as a learner and voter to machines of a known zone.

Evidence: in each failed run `tolerance changed` has zones_known below the number of machines, and the cut voter's log has `registration with the control group failed`; its peers answered the leader within 100 ms, which rules out a busy machine.

Why this works: only a member known to be elsewhere is judged by the links to other zones; an added machine of unknown zone counts to the most crowded zone, so that a change for the better is never assumed.

--- a/crates/replication/src/member_choice.rs
+++ b/crates/replication/src/member_choice.rs
@@ -24,7 +24,11 @@
     /// Spread of the voters that have not failed, without `removed` and with `added`.
     fn spread(&self, removed: Option<ReplicaId>, added: Option<SocketAddr>) -> VoterSpread {
         let kept = self.membership.voters().filter(|voter| Some(voter.id) != removed && !self.has_failed(voter));
-        VoterSpread::of(kept.map(|voter| voter.address).chain(added), self.zones)
+        let kept = kept.map(|voter| voter.address);
+        match added {
+            Some(added) => VoterSpread::with_added(kept, added, self.zones),
+            None => VoterSpread::of(kept, self.zones),
+        }
     }
 
     /// Rates a machine as a learner that is kept to replace any of the voters. Learners that are to fill missing places
@@ -36,7 +40,7 @@
         let voters: Vec<SocketAddr> = others.take(self.target_voters).collect();
         let without = |removed: usize| {
             let kept = voters.iter().enumerate().filter(move |(index, _)| *index != removed);
-            VoterSpread::of(kept.map(|(_, voter)| *voter).chain([address]), self.zones)
+            VoterSpread::with_added(kept.map(|(_, voter)| *voter), address, self.zones)
         };
         let spreads: Vec<VoterSpread> = (0..voters.len()).map(without).collect();
         let worst = spreads.iter().map(VoterSpread::zone_loss).max().unwrap_or(ZoneLoss::TakesQuorum);
--- a/crates/replication/src/member_health.rs
+++ b/crates/replication/src/member_health.rs
@@ -120,13 +120,19 @@
         self.own_zone() != Some(self.zone(member))
     }
 
+    /// Whether a member is known to be in another zone than this leader. A member that has not registered yet may be in
+    /// the same zone.
+    fn is_known_to_be_elsewhere(&self, member: &Member) -> bool {
+        let is_known = |zone| matches!(zone, ZoneKey::Named(_));
+        self.own_zone().is_some_and(is_known) && is_known(self.zone(member)) && self.is_in_other_zone(member)
+    }
+
     /// Whether the silence of a member can be explained by this leader's links to all other zones: no voter of another
     /// zone replies promptly. Without known zones only `has_bad_links` tells.
     fn rests_on_own_links(&self, member: &Member) -> bool {
-        let is_own_zone_known = matches!(self.own_zone(), Some(ZoneKey::Named(_)));
         let is_prompt = |voter: &Member| self.is_reachable(voter) && !self.is_late(voter);
         let mut elsewhere = self.other_voters().filter(|voter| self.is_in_other_zone(voter));
-        is_own_zone_known && self.is_in_other_zone(member) && !elsewhere.any(is_prompt)
+        self.is_known_to_be_elsewhere(member) && !elsewhere.any(is_prompt)
     }
 
     /// Whether the links of the zone at `address` lose packets: its members have replied late, and this leader's links to
@@ -166,14 +172,14 @@
     }
 
     /// Whether a member's log has been behind for too long. Judged only while a quorum keeps up and replies promptly, at
-    /// least one of its voters is in another zone than this leader, and this leader's links were not bad in the meantime:
-    /// otherwise these links may be the cause.
+    /// least one of its voters is in another zone than this leader if the member is, and this leader's links were not bad
+    /// in the meantime: otherwise these links may be the cause.
     pub fn is_behind(&self, member: &Member) -> bool {
         let keeps_up = |voter: &&Member| !self.lags(voter) && !self.is_late(voter);
         let keeping_up: Vec<&Member> = self.membership.voters().filter(keeps_up).collect();
         self.lags(member)
             && keeping_up.len() >= self.membership.quorum()
-            && (!self.is_in_other_zone(member) || keeping_up.iter().any(|voter| self.is_in_other_zone(voter)))
+            && (!self.is_known_to_be_elsewhere(member) || keeping_up.iter().any(|voter| self.is_in_other_zone(voter)))
             && !self.has_bad_links_since(self.now.saturating_sub(self.lag_limit()))
     }
 
--- a/crates/replication/src/voter_spread.rs
+++ b/crates/replication/src/voter_spread.rs
@@ -42,14 +42,42 @@
     }
 }
 
+fn count_by_zone<'a>(voters: &BTreeSet<SocketAddr>, zones: &'a Zones) -> BTreeMap<ZoneKey<'a>, usize> {
+    let mut counts = BTreeMap::new();
+    for address in voters {
+        *counts.entry(ZoneKey::of(*address, zones)).or_default() += 1;
+    }
+    counts
+}
+
+fn most_crowded_named_zone<'a>(voters_by_zone: &BTreeMap<ZoneKey<'a>, usize>) -> Option<ZoneKey<'a>> {
+    let named = voters_by_zone.iter().filter(|(zone, _)| matches!(zone, ZoneKey::Named(_)));
+    named.max_by_key(|(_, count)| **count).map(|(zone, _)| *zone)
+}
+
 impl VoterSpread {
     /// The spread of the voters at these addresses. Several replicas at one address count once, as only the newest of
     /// them has a disk.
     pub fn of(voters: impl IntoIterator<Item = SocketAddr>, zones: &Zones) -> Self {
-        let mut voters_by_zone = BTreeMap::<ZoneKey, usize>::new();
-        for address in voters.into_iter().collect::<BTreeSet<_>>() {
-            *voters_by_zone.entry(ZoneKey::of(address, zones)).or_default() += 1;
+        Self::from_counts(count_by_zone(&voters.into_iter().collect(), zones))
+    }
+
+    /// The spread of the voters at these addresses and one more. If its zone is unknown while those of other voters are
+    /// known, it may be in any of them and counts to the one with the most voters.
+    pub fn with_added(voters: impl IntoIterator<Item = SocketAddr>, added: SocketAddr, zones: &Zones) -> Self {
+        let voters: BTreeSet<SocketAddr> = voters.into_iter().collect();
+        let mut voters_by_zone = count_by_zone(&voters, zones);
+        if !voters.contains(&added) {
+            let zone = match ZoneKey::of(added, zones) {
+                named @ ZoneKey::Named(_) => named,
+                unknown @ ZoneKey::Unknown(_) => most_crowded_named_zone(&voters_by_zone).unwrap_or(unknown),
+            };
+            *voters_by_zone.entry(zone).or_default() += 1;
         }
+        Self::from_counts(voters_by_zone)
+    }
+
+    fn from_counts(voters_by_zone: BTreeMap<ZoneKey, usize>) -> Self {
         let mut counts: Vec<usize> = voters_by_zone.into_values().collect();
         counts.sort_unstable_by(|left, right| right.cmp(left));
         let voters: usize = counts.iter().sum();
--- a/crates/replication/tests/voter_spread.rs
+++ b/crates/replication/tests/voter_spread.rs
@@ -48,6 +48,19 @@
     }
 }
 
+#[test]
+fn an_added_voter_of_unknown_zone_counts_to_the_most_crowded_zone() {
+    let table = [("abc", "aabc"), ("aab", "aaab"), ("a?", "aa?"), ("??", "???"), ("", "?")];
+    for (present, equal) in table {
+        let (addresses, zones) = voters(&format!("{present}?"));
+        let (added, present_addresses) = addresses.split_last().expect("a voter is added");
+        let with_added = VoterSpread::with_added(present_addresses.iter().copied(), *added, &zones);
+        assert_eq!(with_added, spread(equal), "{present}");
+        let with_present = VoterSpread::with_added(addresses.clone(), *added, &zones);
+        assert_eq!(with_present, VoterSpread::of(addresses.clone(), &zones), "{present}: no voter is added");
+    }
+}
+
 #[test]
 fn a_more_even_spread_is_better() {
     let from_best_to_worst = ["abcde", "aabcd", "aabbc", "aaabc", "aaabb", "aaaab", "aaaaa"];
--- a/crates/simulator/tests/voter_spread.rs
+++ b/crates/simulator/tests/voter_spread.rs
@@ -42,6 +42,12 @@
 /// Time within which a group that a zone holds a quorum of is corrected.
 const CORRECTION_LIMIT: Duration = Duration::from_secs(10);
 
+/// Time within which an unreachable voter is removed; it is replaced after 1.5 s.
+const REMOVAL_LIMIT: Duration = Duration::from_secs(4);
+
+/// Time within which a voter whose log is behind is removed: 6 s of lag, and the transfer of the state to a learner.
+const LAG_REMOVAL_LIMIT: Duration = Duration::from_secs(20);
+
 /// What happens to a group.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Case {
@@ -69,6 +75,8 @@
 struct ZonedGroup {
     group: Group,
     zone_of: fn(u8) -> usize,
+    /// Zones that the replicas know, by address.
+    registered: BTreeMap<SocketAddr, String>,
     crowded: Vec<(usize, usize)>,
 }
 
@@ -76,6 +84,10 @@
     usize::from((index - 1) % ZONES + 1)
 }
 
+fn registered_zones(zone_of: fn(u8) -> usize) -> BTreeMap<SocketAddr, String> {
+    (1..=MACHINES).map(|index| (address(index), format!("zone-{}", zone_of(index)))).collect()
+}
+
 impl ZonedGroup {
     /// Forms a group of five voters from machines 1 to 5, and starts all others.
     fn form(seed: u64, snapshot_entries: u64, zone_of: fn(u8) -> usize) -> Self {
@@ -88,7 +100,8 @@
             call_timeout: Duration::from_millis(700),
             ..group.config
         };
-        let mut zoned = Self { group: group.form(), zone_of, crowded: Vec::new() };
+        let mut zoned =
+            Self { group: group.form(), zone_of, registered: registered_zones(zone_of), crowded: Vec::new() };
         zoned.pass_zones();
         (6..=MACHINES).for_each(|index| zoned.group.start(index, false));
         zoned.propose_for(Duration::from_secs(3));
@@ -97,9 +110,7 @@
 
     /// Passes the zones to all running replicas, as the control state does.
     fn pass_zones(&self) {
-        let zones: BTreeMap<SocketAddr, String> =
-            (1..=MACHINES).map(|index| (address(index), format!("zone-{}", (self.zone_of)(index)))).collect();
-        self.group.nodes().iter().for_each(|node| node.set_zones(zones.clone()));
+        self.group.nodes().iter().for_each(|node| node.set_zones(self.registered.clone()));
     }
 
     /// Indexes of the machines that vote, in the leader's view.
@@ -110,6 +121,11 @@
         (1..=MACHINES).filter(is_voter).collect()
     }
 
+    fn is_member(&self, index: u8) -> bool {
+        let view = self.group.leader().and_then(|leader| leader.view());
+        view.is_some_and(|view| view.replicas.iter().any(|replica| replica.address == address(index)))
+    }
+
     fn voters_in(&self, zone: usize) -> usize {
         self.voters().into_iter().filter(|index| (self.zone_of)(*index) == zone).count()
     }
@@ -303,7 +319,12 @@
     for seed in SEEDS {
         let mut group = Group::new(seed);
         group.zones = (1..=MACHINES).map(|index| (index, crowded_zone_of(index))).collect();
-        let mut zoned = ZonedGroup { group: group.form(), zone_of: crowded_zone_of, crowded: Vec::new() };
+        let mut zoned = ZonedGroup {
+            group: group.form(),
+            zone_of: crowded_zone_of,
+            registered: registered_zones(crowded_zone_of),
+            crowded: Vec::new(),
+        };
         zoned.pass_zones();
         assert_eq!(zoned.tolerance(), Some(LossTolerance { zones: 0, disks: 2 }), "seed {seed}");
         (6..=MACHINES).for_each(|index| zoned.group.start(index, false));
@@ -336,3 +357,59 @@
         assert_eq!(zoned.crowded_zone(), None, "seed {seed}: voters {:?}", zoned.voters());
     }
 }
+
+/// A group whose machines are registered in one zone, except for the one that is chosen: its zone is not known yet. The
+/// links of each machine are those of a network zone of its own.
+fn group_with_unregistered_machine(seed: u64, choose: fn(&ZonedGroup, u8) -> bool) -> (ZonedGroup, u8) {
+    let mut zoned = ZonedGroup::form(seed, 40_000, usize::from);
+    let leader = zoned.leader();
+    let mut others = (1..=MACHINES).filter(|index| *index != leader);
+    let machine = others.find(|index| choose(&zoned, *index)).expect("there is such a machine");
+    zoned.registered = registered_zones(|_| 1);
+    zoned.registered.remove(&address(machine));
+    zoned.pass_zones();
+    (zoned, machine)
+}
+
+fn group_with_unregistered_voter(seed: u64) -> (ZonedGroup, u8) {
+    group_with_unregistered_machine(seed, |zoned, index| zoned.voters().contains(&index))
+}
+
+/// Guards against a leader that blames its links to other zones for the silence of a voter of unknown zone.
+#[test]
+fn an_unreachable_voter_of_unknown_zone_is_removed() {
+    spdlog::default_logger().set_level_filter(spdlog::LevelFilter::Off);
+    for seed in SEEDS {
+        let (mut zoned, voter) = group_with_unregistered_voter(seed);
+        zoned.group.world.network.partition(usize::from(voter), false);
+        zoned.propose_for(REMOVAL_LIMIT);
+        assert!(!zoned.voters().contains(&voter), "seed {seed}: the voter was not removed");
+        zoned.group.check(&format!("seed {seed}"));
+    }
+}
+
+/// Guards against a leader that blames its links to other zones for the lag of a voter of unknown zone.
+#[test]
+fn a_lagging_voter_of_unknown_zone_is_removed() {
+    spdlog::default_logger().set_level_filter(spdlog::LevelFilter::Off);
+    for seed in SEEDS {
+        let (mut zoned, voter) = group_with_unregistered_voter(seed);
+        zoned.group.world.network.set_zone_link_faults(usize::from(voter), LOSSY_LINKS);
+        zoned.propose_for(LAG_REMOVAL_LIMIT);
+        assert!(!zoned.voters().contains(&voter), "seed {seed}: the voter was not removed");
+        zoned.group.check(&format!("seed {seed}"));
+    }
+}
+
+/// Guards against a sound voter that is replaced by a machine of unknown zone, as if that were a zone without voters.
+#[test]
+fn a_machine_of_unknown_zone_replaces_no_sound_voter() {
+    spdlog::default_logger().set_level_filter(spdlog::LevelFilter::Off);
+    for seed in SEEDS {
+        let (mut zoned, _) = group_with_unregistered_machine(seed, |zoned, index| !zoned.is_member(index));
+        let voters = zoned.voters();
+        zoned.propose_for(CORRECTION_LIMIT);
+        assert_eq!(zoned.voters(), voters, "seed {seed}");
+        zoned.group.check(&format!("seed {seed}"));
+    }
+}
