Tests of streams and samples on engines that crash together

A third one shows a fault that is left: streams that all ran on one engine, which crashed three times while the others were idle, are rejected for an hour, as no other engine is seen to end and each loss counts as independent.

--- a/crates/gateway-api/tests/concurrent_crashes.rs
+++ b/crates/gateway-api/tests/concurrent_crashes.rs
@@ -9,11 +9,16 @@
 use saddlerelay_control::state::ControlState;
 use saddlerelay_types::job::{JobSubmission, ScoringRequest};
 use saddlerelay_types::routing::RouteKind;
+use std::cell::Cell;
 use std::collections::BTreeSet;
+use std::time::Duration;
 
 const ENGINES: usize = 3;
 const ITEMS: u32 = 6;
 
+/// Interval between attempts of a caller.
+const RETRY_INTERVAL: Duration = Duration::from_millis(50);
+
 /// Number of crashes of all engines; each item runs on one engine at each.
 const CRASHES: usize = 3;
 
@@ -35,15 +40,14 @@
         Self { deployment, service, log, engines }
     }
 
-    /// Crashes all engines at once, `CRASHES` times, each time while every request with the prefix is running.
-    async fn crash_all_engines_repeatedly(&self, prefix: &str) {
+    /// Crashes all engines at once, `CRASHES` times, each time while all requests of each kind are running. Identifiers begin
+    /// with the kind; those of one request differ only after a slash.
+    async fn crash_all_engines_repeatedly(&self, kinds: &[&str]) {
         self.engines.iter().for_each(|engine| engine.hold_requests(true));
         let mut started_before = 0;
         for crash in 0..CRASHES {
             eventually(&format!("all requests run before crash {crash}"), async || {
-                let log = self.log.borrow();
-                let started = log[started_before..].iter().filter(|started| started.request.starts_with(prefix));
-                started.map(|started| &started.request).collect::<BTreeSet<_>>().len() == ITEMS as usize
+                kinds.iter().all(|kind| self.running(kind, started_before) == ITEMS as usize)
             })
             .await;
             self.engines.iter().for_each(CrashingEngine::crash);
@@ -53,6 +57,13 @@
         self.engines.iter().for_each(|engine| engine.hold_requests(false));
     }
 
+    /// Number of requests of this kind that have started after the first `started_before`.
+    fn running(&self, kind: &str, started_before: usize) -> usize {
+        let log = self.log.borrow();
+        let names = log[started_before..].iter().filter_map(|started| started.request.split('/').next());
+        names.filter(|name| name.starts_with(kind)).collect::<BTreeSet<_>>().len()
+    }
+
     async fn await_results(&self) {
         eventually("all items are completed", async || {
             self.deployment.results("job").await.is_some_and(|page| page.results.len() == ITEMS as usize)
@@ -86,7 +97,7 @@
         deployment.configure(&document(1, vec![rollouts()])).await;
         let fixture = Fixture::start("item-engine", deployment, "llm").await;
         assert_eq!(fixture.deployment.submit(&job("job", 0, 0, ITEMS, 1)).await, StatusCode::ACCEPTED);
-        fixture.crash_all_engines_repeatedly("item-").await;
+        fixture.crash_all_engines_repeatedly(&["item-"]).await;
         fixture.await_results().await;
     });
 }
@@ -102,7 +113,7 @@
         let fixture = Fixture::start("score-engine", deployment, "web").await;
         let submission = scored(job("job", 0, 0, ITEMS, 1));
         assert_eq!(fixture.deployment.submit(&submission).await, StatusCode::ACCEPTED);
-        fixture.crash_all_engines_repeatedly("score-").await;
+        fixture.crash_all_engines_repeatedly(&["score-"]).await;
         fixture.await_results().await;
     });
 }
@@ -144,3 +155,66 @@
         .await;
     });
 }
+
+/// Opens a stream again and again, each time with a new identifier, until it is served or `stopped`.
+async fn open_until_served(fixture: &Fixture, stream: u32, served: &Cell<u32>, stopped: &Cell<bool>) {
+    for attempt in 0.. {
+        let id = format!("stream-{stream}/{attempt}");
+        let headers = [("saddlerelay-request", id.as_str()), ("host", HOST), ("events", "1")];
+        let path = format!("/prices/{stream}");
+        let response = call(fixture.deployment.client_address, Method::POST, &path, &headers, "prices").await;
+        if response.status == StatusCode::OK {
+            served.set(served.get() + 1);
+            return;
+        }
+        if stopped.get() {
+            return;
+        }
+        compio::time::sleep(RETRY_INTERVAL).await;
+    }
+}
+
+/// An engine deployment that serves streams and items.
+async fn start_with_streams(name: &str) -> Fixture {
+    let deployment = Deployment::start(name).await;
+    let streams = route("/prices/", RouteKind::Streaming, "llm");
+    deployment.configure(&document(1, vec![streams, rollouts()])).await;
+    let fixture = Fixture::start(name, deployment, "llm").await;
+    fixture.deployment.await_engines("llm", ENGINES).await;
+    fixture
+}
+
+/// Opens streams while all engines crash repeatedly, each time while all requests of each kind are running, and waits until
+/// every stream is served.
+async fn crash_engines_under_streams(fixture: &Fixture, kinds: &[&str]) {
+    let (served, stopped) = (Cell::new(0), Cell::new(false));
+    let callers = (0..ITEMS).map(|stream| open_until_served(fixture, stream, &served, &stopped));
+    let crashes = async {
+        fixture.crash_all_engines_repeatedly(kinds).await;
+        eventually("all streams are served", async || served.get() == ITEMS).await;
+        stopped.set(true);
+    };
+    futures::join!(futures::future::join_all(callers), crashes);
+}
+
+/// Guards against streams that are rejected for an hour because three engines crashed under them by chance. Items run on
+/// all of the engines.
+#[test]
+fn streams_on_engines_that_crashed_together_are_served_again() {
+    block_on(async {
+        let fixture = start_with_streams("crash-streams-together").await;
+        assert_eq!(fixture.deployment.submit(&job("job", 0, 0, ITEMS, 1)).await, StatusCode::ACCEPTED);
+        crash_engines_under_streams(&fixture, &["item-", "stream-"]).await;
+        fixture.await_results().await;
+    });
+}
+
+/// Guards against streams that are rejected for an hour because the engine that all of them ran on crashed three times.
+/// The others are idle, so that nobody notices their crashes.
+#[test]
+fn streams_on_an_engine_that_crashed_repeatedly_are_served_again() {
+    block_on(async {
+        let fixture = start_with_streams("crash-streams-alone").await;
+        crash_engines_under_streams(&fixture, &["stream-"]).await;
+    });
+}
--- a/crates/simulator/tests/crashing_work.rs
+++ b/crates/simulator/tests/crashing_work.rs
@@ -1,4 +1,7 @@
-//! Prompts that crash the engines that run them are quarantined.
+//! Prompts that crash the engines that run them are quarantined; those that ran on engines that crashed for another reason
+//! are run again.
+
+mod training_step;
 
 use futures::executor::LocalPool;
 use futures::future::join_all;
@@ -17,6 +20,7 @@
 use std::collections::BTreeMap;
 use std::rc::Rc;
 use std::time::Duration;
+use training_step::OpenStep;
 
 const SEEDS: std::ops::Range<u64> = 0..24;
 
@@ -31,6 +35,10 @@
 const ROUNDS: usize = 10;
 const ROUND_PAUSE: Duration = Duration::from_millis(1_500);
 
+/// Time within which samples are complete after their engines have crashed together: two retrials, after 5 s and 15 s, and
+/// the time to run and score all samples.
+const COMPLETION_LIMIT: Duration = Duration::from_secs(40);
+
 /// Virtual time limit of a task.
 const LIMIT: Duration = Duration::from_secs(120);
 
@@ -247,3 +255,37 @@
         assert!(answers.last().is_some_and(is_quarantined), "seed {seed}: {answers:?}");
     }
 }
+
+/// Guards against samples that no engine runs for an hour because three engines crashed under them by chance.
+#[test]
+fn samples_on_engines_that_crashed_together_are_run_again() {
+    const CRASHES_OF_ALL_ENGINES: usize = 3;
+    const HOLDER: usize = 0;
+    for seed in SEEDS.take(8) {
+        let mut deployment = Deployment::start(seed);
+        let cluster = deployment.cluster.clone();
+        let took = deployment.run(async move {
+            let step = OpenStep::open(cluster.clone(), HOLDER).await;
+            for _ in 0..CRASHES_OF_ALL_ENGINES {
+                crash_all_engines(&cluster, &step, HOLDER).await;
+            }
+            step.fetch_all().await
+        });
+        assert!(took <= COMPLETION_LIMIT, "seed {seed}: the step was complete after {took:?}");
+    }
+}
+
+/// Crashes all engines at once while the relay runs samples, and starts them again.
+async fn crash_all_engines(cluster: &Rc<Cluster>, step: &OpenStep, relay: usize) {
+    let platform = cluster.client_platform();
+    while step.running_at_relay(relay) == 0 {
+        platform.sleep(Duration::from_millis(1)).await;
+    }
+    platform.sleep(RUN_TIME).await;
+    for index in 0..cluster.engines.len() {
+        let deployed = cluster.deployed_process(&format!("engine-{index}")).expect("the process was started");
+        deployed.process.kill();
+    }
+    platform.sleep(DOWN_TIME).await;
+    (0..cluster.engines.len()).for_each(|index| cluster.start_engine(index));
+}
