One place for retrials and independent losses of work, and for golden files

`SuspicionTable::retrials` and `independent_losses` replace the same expression in four modules and a model; `check_golden_files` replaces the same check in the tests of three feature levels, with the same comparison and message. `Assessment` loses a `Default` that nothing uses. No change of behaviour.

--- a/crates/control/src/state/suspicions.rs
+++ b/crates/control/src/state/suspicions.rs
@@ -1,8 +1,8 @@
 //! Work that was running on engines when they failed. Work is suspected after the first engine failure, and quarantined
 //! after failures of [`QUARANTINE_THRESHOLD`] different engines. The table is bounded in size, and its entries expire.
 //!
-//! Since feature level four, a quarantine ends for a few single trials: soon if the losses are
-//! inconclusive, see [`LossHistory`], else after an hour each. Work that still fails then stays quarantined for a day.
+//! Since feature level four, a quarantine ends for a few single trials: soon if the losses are inconclusive, see
+//! [`LossHistory`], else after an hour each. Work that still fails then stays quarantined for a day.
 
 use crate::state::loss_history::LossHistory;
 use bitcode::{Decode, Encode};
@@ -68,6 +68,16 @@
         self.history.as_ref()
     }
 
+    /// Number of retrials of `work` since it last succeeded; 0 below feature level four.
+    pub fn retrials(&self, work: &WorkDigest) -> u32 {
+        self.history.as_ref().map_or(0, |history| history.retrials(work))
+    }
+
+    /// Number of independent losses of `work`, see [`LossHistory`]; 0 below feature level four.
+    pub fn independent_losses(&self, work: &WorkDigest) -> usize {
+        self.history.as_ref().map_or(0, |history| history.independent_losses(work))
+    }
+
     /// Replaces the loss history by the one of a snapshot.
     pub fn restore_history(&mut self, history: LossHistory) {
         self.history = Some(history);
@@ -190,9 +200,7 @@
     }
 
     fn evidence_strength(&self, suspicion: &Suspicion) -> EvidenceStrength {
-        let history = self.history.as_ref();
-        let retrials = history.map_or(0, |history| history.retrials(&suspicion.work));
-        let independent = history.map_or(0, |history| history.independent_losses(&suspicion.work));
+        let (retrials, independent) = (self.retrials(&suspicion.work), self.independent_losses(&suspicion.work));
         (retrials, independent, suspicion.engines.len(), suspicion.last_at)
     }
 
@@ -345,7 +353,7 @@
     }
 
     fn ttl_ms(&self, suspicion: &Suspicion) -> u64 {
-        let has_retrials = self.history.as_ref().is_some_and(|history| history.retrials(&suspicion.work) > 0);
+        let has_retrials = self.retrials(&suspicion.work) > 0;
         match (suspicion.is_quarantined(), &self.history) {
             (true, None) => QUARANTINE_TTL_MS,
             (true, Some(_)) => QUARANTINE_MEMORY_MS,
--- a/crates/control/src/suspected_work.rs
+++ b/crates/control/src/suspected_work.rs
@@ -12,7 +12,7 @@
 use std::time::Duration;
 
 /// What the state says of suspected work, for the log.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 struct Assessment {
     engines: usize,
     is_quarantined: bool,
@@ -24,12 +24,11 @@
 impl Assessment {
     fn of(table: &SuspicionTable, work: &WorkDigest) -> Self {
         let suspicion = table.get(work);
-        let history = table.history();
         Self {
             engines: suspicion.map_or(0, |suspicion| suspicion.engines.len()),
             is_quarantined: suspicion.is_some_and(Suspicion::is_quarantined),
-            independent_losses: history.map_or(0, |history| history.independent_losses(work)),
-            retrials: history.map_or(0, |history| history.retrials(work)),
+            independent_losses: table.independent_losses(work),
+            retrials: table.retrials(work),
             retrial_after: table.retrial_after(work),
         }
     }
--- a/crates/control/src/suspicion_watch.rs
+++ b/crates/control/src/suspicion_watch.rs
@@ -78,8 +78,7 @@
             let after = table.retrial_after(work);
             after.is_some_and(|after| self.since_last_loss(work, now) >= after)
         };
-        let number = |work: &WorkDigest| table.history().map_or(0, |history| history.retrials(work));
         let due = self.observed.keys().filter(|work| is_due(work));
-        due.map(|work| Retrial { work: *work, number: number(work) }).collect()
+        due.map(|work| Retrial { work: *work, number: table.retrials(work) }).collect()
     }
 }
--- a/crates/control/src/tasks/retrials.rs
+++ b/crates/control/src/tasks/retrials.rs
@@ -39,9 +39,7 @@
 
 fn log_due<P: Runtime, B: Backends>(node: &ControlNode<P, B>, due: &[Retrial]) {
     for retrial in due.iter().take(MAX_LOG_LINES) {
-        let independent = node.read_applied(|state| {
-            state.suspicions.history().map_or(0, |history| history.independent_losses(&retrial.work))
-        });
+        let independent = node.read_applied(|state| state.suspicions.independent_losses(&retrial.work));
         spdlog::warn!("quarantine ends for one trial", kv: {
             work = retrial.work.to_hexadecimal().as_str(),
             retrials_before = retrial.number,
--- a/crates/control/tests/common/mod.rs
+++ b/crates/control/tests/common/mod.rs
@@ -3,6 +3,8 @@
 // Each test binary uses only some of these helpers.
 #![allow(dead_code)]
 
+pub mod golden_files;
+
 use saddlerelay_control::commands;
 use saddlerelay_control::state::ControlState;
 use saddlerelay_types::identity::{Incarnation, Zone};
--- a/crates/control/tests/level_four.rs
+++ b/crates/control/tests/level_four.rs
@@ -4,6 +4,9 @@
 //! The golden files `pictures/level_four.*` were written by this test with
 //! `PICTURES=FOLDER cargo test --release -p saddlerelay-control --test level_four`. They must not be changed.
 
+mod common;
+
+use common::golden_files::{check_golden_files, framed};
 use saddlerelay_control::machine::ControlMachine;
 use saddlerelay_layouts::commands;
 use saddlerelay_replication::StateMachine;
@@ -14,7 +17,6 @@
 use saddlerelay_types::protocol::Command;
 use saddlerelay_types::suspicion::{EngineLoss, Retrial, TrialId, WorkEvidence};
 use saddlerelay_types::work::WorkDigest;
-use std::path::Path;
 
 const ENTRIES: usize = 400;
 const WORKS: u32 = 7;
@@ -48,11 +50,6 @@
     }
 }
 
-fn framed(parts: &[Vec<u8>]) -> Vec<u8> {
-    let frame = |part: &Vec<u8>| [&(part.len() as u32).to_le_bytes(), part.as_slice()].concat();
-    parts.iter().flat_map(frame).collect()
-}
-
 /// Entries with random commands; the log's time advances by up to ten minutes now and then.
 fn entries() -> Vec<Vec<u8>> {
     let mut random = fastrand::Rng::with_seed(75);
@@ -83,19 +80,7 @@
 
 #[test]
 fn encodings_match_the_first_released_build() {
-    for (extension, bytes) in written_by_this_build() {
-        let name = format!("level_four.{extension}");
-        if let Ok(folder) = std::env::var("PICTURES") {
-            std::fs::write(Path::new(&folder).join(name), bytes).expect("the golden file can be written");
-            continue;
-        }
-        let file = Path::new(env!("CARGO_MANIFEST_DIR")).join("tests/pictures").join(&name);
-        let released = std::fs::read(file).expect("the golden file can be read");
-        assert!(
-            bytes == released,
-            "{name}: a layout or the effect of a command has changed without a new feature level"
-        );
-    }
+    check_golden_files("level_four", written_by_this_build());
 }
 
 /// A replica that was sent a snapshot has the same state as one that applied every entry.
--- a/crates/control/tests/level_three.rs
+++ b/crates/control/tests/level_three.rs
@@ -4,6 +4,9 @@
 //! The golden files `pictures/level_three.*` were written by this test with
 //! `PICTURES=FOLDER cargo test --release -p saddlerelay-control --test level_three`. They must not be changed.
 
+mod common;
+
+use common::golden_files::{check_golden_files, framed};
 use saddlerelay_control::machine::ControlMachine;
 use saddlerelay_layouts::commands;
 use saddlerelay_replication::StateMachine;
@@ -11,7 +14,6 @@
 use saddlerelay_types::gateway::{GatewayCommand, UptimeAdvance};
 use saddlerelay_types::job::{JobId, JobSubmission};
 use saddlerelay_types::protocol::Command;
-use std::path::Path;
 
 const JOBS: u64 = 12;
 
@@ -47,11 +49,6 @@
     (0..JOBS).flat_map(commands_of).collect()
 }
 
-fn framed(parts: &[Vec<u8>]) -> Vec<u8> {
-    let frame = |part: &Vec<u8>| [&(part.len() as u32).to_le_bytes(), part.as_slice()].concat();
-    parts.iter().flat_map(frame).collect()
-}
-
 /// The entries and the snapshot written by this build, by file name extension of the golden files.
 fn written_by_this_build() -> [(&'static str, Vec<u8>); 2] {
     let mut machine = ControlMachine::default();
@@ -68,17 +65,5 @@
 
 #[test]
 fn encodings_match_the_first_released_build() {
-    for (extension, bytes) in written_by_this_build() {
-        let name = format!("level_three.{extension}");
-        if let Ok(folder) = std::env::var("PICTURES") {
-            std::fs::write(Path::new(&folder).join(name), bytes).expect("the golden file can be written");
-            continue;
-        }
-        let file = Path::new(env!("CARGO_MANIFEST_DIR")).join("tests/pictures").join(&name);
-        let released = std::fs::read(file).expect("the golden file can be read");
-        assert!(
-            bytes == released,
-            "{name}: a layout or the effect of a command has changed without a new feature level"
-        );
-    }
+    check_golden_files("level_three", written_by_this_build());
 }
--- a/crates/control/tests/level_two.rs
+++ b/crates/control/tests/level_two.rs
@@ -4,6 +4,9 @@
 //! The golden files `pictures/level_two.*` were written by this test at commit d450a68 with
 //! `PICTURES=FOLDER cargo test --release -p saddlerelay-control --test level_two`. They must not be changed.
 
+mod common;
+
+use common::golden_files::{check_golden_files, framed};
 use saddlerelay_control::machine::ControlMachine;
 use saddlerelay_replication::StateMachine;
 use saddlerelay_replication::log::{EntryPayload, LogEntry};
@@ -41,7 +44,6 @@
 use saddlerelay_types::work::WorkDigest;
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
-use std::path::Path;
 
 const ENTRIES: usize = 700;
 const ENGINES: u64 = 9;
@@ -249,11 +251,6 @@
     }
 }
 
-fn framed(parts: &[Vec<u8>]) -> Vec<u8> {
-    let frame = |part: &Vec<u8>| [&(part.len() as u32).to_le_bytes(), part.as_slice()].concat();
-    parts.iter().flat_map(frame).collect()
-}
-
 fn messages(random: &mut fastrand::Rng, state: &ControlMachine) -> Vec<Vec<u8>> {
     let applied_document = state.state().routing.current().expect("a document was applied").clone();
     let update = EncodedRoutingUpdate::encode(&RoutingUpdate::between(None, &applied_document));
@@ -434,20 +431,5 @@
 
 #[test]
 fn encodings_match_the_first_released_build() {
-    if let Ok(folder) = std::env::var("PICTURES") {
-        for (extension, bytes) in written_by_this_build() {
-            std::fs::write(Path::new(&folder).join(format!("level_two.{extension}")), bytes)
-                .expect("the golden file can be written");
-        }
-        return;
-    }
-    let folder = Path::new(env!("CARGO_MANIFEST_DIR")).join("tests/pictures");
-    for (extension, bytes) in written_by_this_build() {
-        let released =
-            std::fs::read(folder.join(format!("level_two.{extension}"))).expect("the golden file can be read");
-        assert!(
-            bytes == released,
-            "level_two.{extension}: a layout or the effect of a command has changed without a new feature level"
-        );
-    }
+    check_golden_files("level_two", written_by_this_build());
 }
--- a/crates/simulator/tests/quarantine_policies.rs
+++ b/crates/simulator/tests/quarantine_policies.rs
@@ -342,7 +342,7 @@
     fn due_unweighed_retrials(&self) -> Vec<Retrial> {
         let quarantined = self.table.iter().filter(|suspicion| suspicion.is_quarantined());
         let due = quarantined.filter_map(|suspicion| {
-            let number = self.table.history().map_or(0, |history| history.retrials(&suspicion.work));
+            let number = self.table.retrials(&suspicion.work);
             let after = UNWEIGHED_RETRIALS_AFTER.get(number as usize)?;
             let is_due = self.watch.since_last_loss(&suspicion.work, self.now) >= *after;
             is_due.then_some(Retrial { work: suspicion.work, number })
