--- a/review/standins-2/main.rs
+++ b/review/standins-2/main.rs
@@ -3,10 +3,12 @@
 mod deployment;
 mod engine;
 mod http;
+mod idle_engines;
 mod json;
 mod lost_item;
 mod record;
 mod runs;
+mod steps;
 mod trainer;
 
 use record::Record;
@@ -54,6 +56,7 @@
     let record = Record::default();
     let result = match case {
         "lost-item" => lost_item::play(&record, trouble),
+        "idle-engines" => idle_engines::play(&record, trouble),
         _ => Err("no such case".to_string()),
     };
     let (code, verdict) = match result {
--- /dev/null
+++ b/review/standins-2/steps.rs
@@ -0,0 +1,74 @@
+//! What the cases about steps of a trainer share: the configuration, and the rule LOST for a step that ran out of time.
+
+use crate::Verdict;
+use crate::deployment::{HOST, MODEL, SERVICE};
+use crate::runs::Run;
+use crate::trainer::{Item, Listed};
+
+pub const ENGINES: usize = 6;
+pub const SLOTS: u32 = 8;
+pub const EVENT_MS: u64 = 50;
+
+/// The trainer gives a step up this long after it handed it in, as on the sheets.
+pub const STEP_DEADLINE_MS: u64 = 12_000;
+/// `contact_ms`: so long after the loss of an engine no time counts as steady here.
+const CONTACT_MS: u64 = 3_000;
+/// An item that has been at no engine for so long is lost.
+const AT_NO_ENGINE_MS: u64 = 5_000;
+/// No version may have been named within this time before the end of the step.
+const NAMED_MS: u64 = 6_000;
+
+/// One rollout route and its service, with the figures of andino-relay.
+pub fn config(single_version: bool) -> String {
+    format!(
+        r#"{{"version":1,"routes":[{{"name":"rollouts","host":"{HOST}","path_prefix":"/rollouts/","kind":"rollout","timeout_ms":10000,"slo_ms":400,"priority":1,"service":"{SERVICE}","max_attempts":3,"max_queue_s":40.0,"run_target_ms":7500,"single_version":{single_version},"sticky":true,"resumable":true}}],"services":[{{"name":"{SERVICE}","health_path":"/health","max_conns":170,"protocol":"h1","tls":false,"engine":{{"slots":{SLOTS},"kv_capacity":90000,"kv_token_bytes":163840,"link_mbps":4400000.0,"backups":true,"stride":58,"most":12,"pin_ms":4000.0,"hold_ms":2000.0,"handle_s":5.0,"models":[{{"name":"{MODEL}"}}]}}}}],"limits":{{"max_header_bytes":16384,"max_body_bytes":33554432,"header_timeout_ms":3000,"idle_timeout_ms":15000}}}}"#
+    )
+}
+
+/// Groups that are whole: all their items are listed.
+pub fn whole_groups(items: &[Item], listed: &[Listed]) -> usize {
+    let is_listed = |item: &Item| listed.iter().any(|result| result.id == item.id);
+    let mut groups: Vec<&str> = items.iter().map(|item| item.group.as_str()).collect();
+    groups.dedup();
+    groups.retain(|group| items.iter().filter(|item| item.group == *group).all(is_listed));
+    groups.len()
+}
+
+/// The rule LOST for the items of a step that ran out of time at `ended_at`. One engine was lost at `killed_at`.
+pub fn judge(
+    items: &[Item],
+    all: &[Run],
+    listed: &[Listed],
+    (handed_in_at, named_at): (u64, u64),
+    killed_at: u64,
+    ended_at: u64,
+) -> Verdict {
+    let running = all.iter().filter(|run| run.ended.is_none()).count();
+    let is_full = running * 2 >= (ENGINES - 1) * SLOTS as usize;
+    if is_full || ended_at < named_at + NAMED_MS {
+        return Verdict::Held;
+    }
+    let mut lost = Vec::new();
+    for item in items.iter().filter(|item| listed.iter().all(|result| result.id != item.id)) {
+        let own: Vec<&Run> = all.iter().filter(|run| run.item == item.id).collect();
+        let is_finished = |run: &&Run| run.ended.as_ref().is_some_and(|(_, how)| how == "whole" || how.starts_with("failed"));
+        if own.iter().any(is_finished) || own.iter().any(|run| run.ended.is_none()) {
+            continue;
+        }
+        let others_began = all.iter().any(|run| run.item != item.id);
+        let last_end = own.iter().filter_map(|run| run.ended.as_ref().map(|(at, _)| *at)).max().unwrap_or(handed_in_at);
+        let steady_from = last_end.max(killed_at + CONTACT_MS);
+        if others_began && ended_at >= steady_from + AT_NO_ENGINE_MS {
+            lost.push((item.id.clone(), ended_at - last_end, ended_at - steady_from));
+        }
+    }
+    match lost.first() {
+        None => Verdict::Held,
+        Some((id, rested, steady)) => Verdict::Broken(format!(
+            "LOST: {} items, among them {id}, were at no engine for the last {rested} ms of their step, {steady} ms of them \
+             steady; {running} runs under way in {} slots",
+            lost.len(),
+            (ENGINES - 1) * SLOTS as usize
+        )),
+    }
+}
