--- a/review/standins-2/deployment.rs
+++ b/review/standins-2/deployment.rs
@@ -38,7 +38,6 @@
 
 /// A started process. Its output goes to a file of the run's folder.
 pub struct Process {
-    pub name: String,
     child: Child,
 }
 
@@ -58,10 +57,6 @@
     pub fn wait(&mut self) {
         let _ = self.child.wait();
     }
-
-    pub fn has_ended(&mut self) -> bool {
-        !matches!(self.child.try_wait(), Ok(None))
-    }
 }
 
 impl Drop for Process {
@@ -223,7 +218,7 @@
             }
         });
         self.record.note(name, "start", &[]);
-        self.processes.insert(name.to_string(), Process { name: name.to_string(), child });
+        self.processes.insert(name.to_string(), Process { child });
     }
 
     /// Lets `run.sh` end what is left if this program is killed.
@@ -266,7 +261,7 @@
                 }
             }
         });
-        self.processes.insert(name.clone(), Process { name, child });
+        self.processes.insert(name, Process { child });
     }
 
     /// Starts stores, fronts and engines, puts the configuration and waits until all of it is in force.
--- a/review/standins-2/http.rs
+++ b/review/standins-2/http.rs
@@ -1,6 +1,6 @@
 //! HTTP/1.1 for the stand-ins: a client for one call on a new connection, and the parts of a server.
 
-use std::io::{self, BufRead, BufReader, Read, Write};
+use std::io::{self, BufRead, BufReader, Write};
 use std::net::{SocketAddr, TcpStream};
 use std::time::{Duration, Instant};
 
--- a/review/standins-2/idle_engines.rs
+++ b/review/standins-2/idle_engines.rs
@@ -5,7 +5,7 @@
 use crate::deployment::{Deployment, MODEL};
 use crate::record::{Record, now_ms};
 use crate::runs::runs;
-use crate::steps::{ENGINES, EVENT_MS, SLOTS, STEP_DEADLINE_MS, config, judge, whole_groups};
+use crate::steps::{ENGINES, EVENT_MS, SLOTS, STEP_DEADLINE_MS, Times, config, judge, whole_groups};
 use crate::trainer::{self, Item, Listed};
 use std::time::Duration;
 
@@ -53,8 +53,9 @@
     if whole_groups(&items, &listed) >= WANTED_GROUPS {
         return Ok(Verdict::Held);
     }
-    let (times, killed_at) = ((handed_in_at, named_at), killed_at.unwrap_or(0));
-    Ok(judge(&items, &runs(&lines), &listed, times, killed_at, ended_at))
+    let engines = ENGINES - usize::from(killed_at.is_some());
+    let times = Times { named_at, handed_in_at, disturbed_at: killed_at.unwrap_or(0), ended_at, engines };
+    Ok(judge(&items, &runs(&lines), &listed, &times))
 }
 
 /// Kills the first engine whose slots are full. It is not started again.
--- a/review/standins-2/main.rs
+++ b/review/standins-2/main.rs
@@ -11,6 +11,7 @@
 mod steps;
 mod trainer;
 
+use lost_item::Trouble;
 use record::Record;
 use std::path::Path;
 use std::process::exit;
@@ -52,11 +53,18 @@
         eprintln!("the run took too long");
         exit(2);
     });
-    let trouble = std::env::var("TROUBLE").is_ok_and(|trouble| trouble == "0").then_some(()).is_none();
+    let trouble = std::env::var("TROUBLE").unwrap_or_default();
     let record = Record::default();
     let result = match case {
-        "lost-item" => lost_item::play(&record, trouble),
-        "idle-engines" => idle_engines::play(&record, trouble),
+        "lost-item" => lost_item::play(
+            &record,
+            match trouble.as_str() {
+                "0" => Trouble::None,
+                "engine" => Trouble::Engine,
+                _ => Trouble::Stop,
+            },
+        ),
+        "idle-engines" => idle_engines::play(&record, trouble != "0"),
         _ => Err("no such case".to_string()),
     };
     let (code, verdict) = match result {
--- a/review/standins-2/steps.rs
+++ b/review/standins-2/steps.rs
@@ -11,7 +11,7 @@
 
 /// The trainer gives a step up this long after it handed it in, as on the sheets.
 pub const STEP_DEADLINE_MS: u64 = 12_000;
-/// `contact_ms`: so long after the loss of an engine no time counts as steady here.
+/// `contact_ms`: so long after the disruption no time counts as steady here.
 const CONTACT_MS: u64 = 3_000;
 /// An item that has been at no engine for so long is lost.
 const AT_NO_ENGINE_MS: u64 = 5_000;
@@ -34,18 +34,23 @@
     groups.len()
 }
 
-/// The rule LOST for the items of a step that ran out of time at `ended_at`. One engine was lost at `killed_at`.
-pub fn judge(
-    items: &[Item],
-    all: &[Run],
-    listed: &[Listed],
-    (handed_in_at, named_at): (u64, u64),
-    killed_at: u64,
-    ended_at: u64,
-) -> Verdict {
-    let running = all.iter().filter(|run| run.ended.is_none()).count();
-    let is_full = running * 2 >= (ENGINES - 1) * SLOTS as usize;
-    if is_full || ended_at < named_at + NAMED_MS {
+/// When a step was handed in and ended, and what happened to it.
+#[derive(Clone, Copy, Default)]
+pub struct Times {
+    pub named_at: u64,
+    pub handed_in_at: u64,
+    /// The end of the disruption; zero without one.
+    pub disturbed_at: u64,
+    pub ended_at: u64,
+    /// Engines that were left at the end.
+    pub engines: usize,
+}
+
+/// The rule LOST for the items of a step that ran out of time.
+pub fn judge(items: &[Item], all: &[Run], listed: &[Listed], times: &Times) -> Verdict {
+    let Times { named_at, handed_in_at, disturbed_at, ended_at, engines } = *times;
+    let (running, slots) = (all.iter().filter(|run| run.ended.is_none()).count(), engines * SLOTS as usize);
+    if running * 2 >= slots || ended_at < named_at + NAMED_MS {
         return Verdict::Held;
     }
     let mut lost = Vec::new();
@@ -57,7 +62,7 @@
         }
         let others_began = all.iter().any(|run| run.item != item.id);
         let last_end = own.iter().filter_map(|run| run.ended.as_ref().map(|(at, _)| *at)).max().unwrap_or(handed_in_at);
-        let steady_from = last_end.max(killed_at + CONTACT_MS);
+        let steady_from = last_end.max(disturbed_at + CONTACT_MS);
         if others_began && ended_at >= steady_from + AT_NO_ENGINE_MS {
             lost.push((item.id.clone(), ended_at - last_end, ended_at - steady_from));
         }
@@ -66,9 +71,8 @@
         None => Verdict::Held,
         Some((id, rested, steady)) => Verdict::Broken(format!(
             "LOST: {} items, among them {id}, were at no engine for the last {rested} ms of their step, {steady} ms of them \
-             steady; {running} runs under way in {} slots",
-            lost.len(),
-            (ENGINES - 1) * SLOTS as usize
+             steady; {running} runs under way in {slots} slots",
+            lost.len()
         )),
     }
 }
