--- a/review/standins-2/idle_engines.rs
+++ b/review/standins-2/idle_engines.rs
@@ -27,7 +27,7 @@
 pub fn play(record: &Record, trouble: bool) -> Result<Verdict, String> {
     let items = items();
     let mut deployment = Deployment::new(record.clone());
-    deployment.start(ENGINES, SLOTS, EVENT_MS, &config(false))?;
+    deployment.start(ENGINES, SLOTS, EVENT_MS, &config(false, SLOTS))?;
     let named = format!(r#"{{"model":"{MODEL}","version":2}}"#);
     deployment.operator("POST", "/version-put", named.as_bytes(), Duration::from_secs(10))?;
     let named_at = now_ms();
--- a/review/standins-2/main.rs
+++ b/review/standins-2/main.rs
@@ -2,6 +2,7 @@
 
 mod deployment;
 mod engine;
+mod failing_item;
 mod http;
 mod idle_engines;
 mod json;
@@ -64,6 +65,7 @@
                 _ => Trouble::Stop,
             },
         ),
+        "failing-item" => failing_item::play(&record, trouble != "0"),
         "idle-engines" => idle_engines::play(&record, trouble != "0"),
         _ => Err("no such case".to_string()),
     };
--- a/review/standins-2/steps.rs
+++ b/review/standins-2/steps.rs
@@ -12,16 +12,16 @@
 /// The trainer gives a step up this long after it handed it in, as on the sheets.
 pub const STEP_DEADLINE_MS: u64 = 12_000;
 /// `contact_ms`: so long after the disruption no time counts as steady here.
-const CONTACT_MS: u64 = 3_000;
+pub const CONTACT_MS: u64 = 3_000;
 /// An item that has been at no engine for so long is lost.
 const AT_NO_ENGINE_MS: u64 = 5_000;
 /// No version may have been named within this time before the end of the step.
 const NAMED_MS: u64 = 6_000;
 
 /// One rollout route and its service, with the figures of andino-relay.
-pub fn config(single_version: bool) -> String {
+pub fn config(single_version: bool, slots: u32) -> String {
     format!(
-        r#"{{"version":1,"routes":[{{"name":"rollouts","host":"{HOST}","path_prefix":"/rollouts/","kind":"rollout","timeout_ms":10000,"slo_ms":400,"priority":1,"service":"{SERVICE}","max_attempts":3,"max_queue_s":40.0,"run_target_ms":7500,"single_version":{single_version},"sticky":true,"resumable":true}}],"services":[{{"name":"{SERVICE}","health_path":"/health","max_conns":170,"protocol":"h1","tls":false,"engine":{{"slots":{SLOTS},"kv_capacity":90000,"kv_token_bytes":163840,"link_mbps":4400000.0,"backups":true,"stride":58,"most":12,"pin_ms":4000.0,"hold_ms":2000.0,"handle_s":5.0,"models":[{{"name":"{MODEL}"}}]}}}}],"limits":{{"max_header_bytes":16384,"max_body_bytes":33554432,"header_timeout_ms":3000,"idle_timeout_ms":15000}}}}"#
+        r#"{{"version":1,"routes":[{{"name":"rollouts","host":"{HOST}","path_prefix":"/rollouts/","kind":"rollout","timeout_ms":10000,"slo_ms":400,"priority":1,"service":"{SERVICE}","max_attempts":3,"max_queue_s":40.0,"run_target_ms":7500,"single_version":{single_version},"sticky":true,"resumable":true}}],"services":[{{"name":"{SERVICE}","health_path":"/health","max_conns":170,"protocol":"h1","tls":false,"engine":{{"slots":{slots},"kv_capacity":90000,"kv_token_bytes":163840,"link_mbps":4400000.0,"backups":true,"stride":58,"most":12,"pin_ms":4000.0,"hold_ms":2000.0,"handle_s":5.0,"models":[{{"name":"{MODEL}"}}]}}}}],"limits":{{"max_header_bytes":16384,"max_body_bytes":33554432,"header_timeout_ms":3000,"idle_timeout_ms":15000}}}}"#
     )
 }
 
