Review 2: the stand-ins' names and formats of the platform in a folder of their own

Engines, trainer and operator of the stand-ins now stand in review/standins-2/platform/, as those of the first review stand in review/platform; the cases name none of these formats. No change of what is sent, checked or bounded.

--- a/review/standins-2/deployment.rs
+++ b/review/standins-2/deployment.rs
@@ -133,14 +133,7 @@
         };
         let networks = (0..200).map(|step| [60 + (id / 200 % 150) as u8, ((id + step) % 200) as u8 + 1]);
         let network = networks.into_iter().find(is_free).expect("a free loopback network");
-        Self {
-            record,
-            folder,
-            network,
-            processes: BTreeMap::new(),
-            leader: Arc::default(),
-            bootstrap: true,
-        }
+        Self { record, folder, network, processes: BTreeMap::new(), leader: Arc::default(), bootstrap: true }
     }
 
     fn address(&self, last: u8, port: u16) -> SocketAddr {
--- a/review/standins-2/failing_item.rs
+++ b/review/standins-2/failing_item.rs
@@ -2,9 +2,10 @@
 
 use crate::Verdict;
 use crate::deployment::{Deployment, MODEL};
+use crate::platform::operator::config;
+use crate::platform::trainer::{self, Item, Listed};
 use crate::record::{Line, Record, now_ms};
-use crate::steps::{CONTACT_MS, config};
-use crate::trainer::{self, Item, Listed};
+use crate::steps::CONTACT_MS;
 
 const JOB: &str = "step-1";
 const GROUPS: usize = 30;
@@ -39,9 +40,8 @@
 
 /// When the engines answered the item with 500.
 fn answers(lines: &[Line]) -> Vec<u64> {
-    let is_answer = |line: &&Line| {
-        line.what == "end" && line.field("item") == FAILING_ITEM && line.field("how") == "failed-500"
-    };
+    let is_answer =
+        |line: &&Line| line.what == "end" && line.field("item") == FAILING_ITEM && line.field("how") == "failed-500";
     lines.iter().filter(is_answer).map(|line| line.at_ms).collect()
 }
 
@@ -83,7 +83,8 @@
         return Verdict::Held;
     };
     let last_allowed = (*last_allowed).max(disturbed_at + CONTACT_MS);
-    let is_late = |line: &&Line| line.what == "begin" && line.field("item") == FAILING_ITEM && line.at_ms > last_allowed;
+    let is_late =
+        |line: &&Line| line.what == "begin" && line.field("item") == FAILING_ITEM && line.at_ms > last_allowed;
     let late = lines.iter().filter(is_late).count();
     if late == 0 {
         return Verdict::Held;
--- a/review/standins-2/idle_engines.rs
+++ b/review/standins-2/idle_engines.rs
@@ -3,11 +3,11 @@
 
 use crate::Verdict;
 use crate::deployment::{Deployment, MODEL};
+use crate::platform::operator::{self, config};
+use crate::platform::trainer::{self, Item, Listed};
 use crate::record::{Record, now_ms};
 use crate::runs::runs;
-use crate::steps::{ENGINES, EVENT_MS, SLOTS, STEP_DEADLINE_MS, Times, config, judge, whole_groups};
-use crate::trainer::{self, Item, Listed};
-use std::time::Duration;
+use crate::steps::{ENGINES, EVENT_MS, SLOTS, STEP_DEADLINE_MS, Times, judge, whole_groups};
 
 const GROUPS: usize = 16;
 /// The trainer waits for 90 in 100 of its groups, as on the sheets.
@@ -28,8 +28,7 @@
     let items = items();
     let mut deployment = Deployment::new(record.clone());
     deployment.start(ENGINES, SLOTS, EVENT_MS, &config(false, SLOTS))?;
-    let named = format!(r#"{{"model":"{MODEL}","version":2}}"#);
-    deployment.operator("POST", "/version-put", named.as_bytes(), Duration::from_secs(10))?;
+    operator::name_version(&deployment, 2)?;
     let named_at = now_ms();
     trainer::submit(&deployment, JOB, MODEL, 2, WANTED_GROUPS, &items)?;
     let handed_in_at = now_ms();
--- a/review/standins-2/main.rs
+++ b/review/standins-2/main.rs
@@ -1,18 +1,18 @@
 //! Stand-ins and cases of the second review. `main.rs CASE FOLDER` plays a case and writes `record.txt` in its folder.
 
 mod deployment;
-mod engine;
 mod failing_item;
 mod http;
 mod idle_engines;
 mod json;
 mod lost_item;
+mod platform;
 mod record;
 mod runs;
 mod steps;
-mod trainer;
 
 use lost_item::Trouble;
+use platform::engine;
 use record::Record;
 use std::path::Path;
 use std::process::exit;
@@ -32,17 +32,19 @@
     let arguments: Vec<String> = std::env::args().skip(1).collect();
     let arguments: Vec<&str> = arguments.iter().map(String::as_str).collect();
     match arguments.as_slice() {
-        ["engine", id, listen, service, zone, control, model, slots, event_ms, beat_ms] => engine::run(engine::Options {
-            id: id.to_string(),
-            listen: listen.parse().expect("an address"),
-            service: service.to_string(),
-            zone: zone.to_string(),
-            control: control.split(',').map(|address| address.parse().expect("an address")).collect(),
-            model: model.to_string(),
-            slots: slots.parse().expect("a number"),
-            event_ms: event_ms.parse().expect("a number"),
-            beat_ms: beat_ms.parse().expect("a number"),
-        }),
+        ["engine", id, listen, service, zone, control, model, slots, event_ms, beat_ms] => {
+            engine::run(engine::Options {
+                id: id.to_string(),
+                listen: listen.parse().expect("an address"),
+                service: service.to_string(),
+                zone: zone.to_string(),
+                control: control.split(',').map(|address| address.parse().expect("an address")).collect(),
+                model: model.to_string(),
+                slots: slots.parse().expect("a number"),
+                event_ms: event_ms.parse().expect("a number"),
+                beat_ms: beat_ms.parse().expect("a number"),
+            })
+        }
         [case, folder] => exit(play(case, Path::new(folder))),
         _ => exit(2),
     }
--- a/review/standins-2/engine.rs
+++ b/review/standins-2/platform/engine.rs
@@ -64,8 +64,10 @@
     let beats = engine.clone();
     thread::spawn(move || beats.send_beats());
     let orders = engine.clone();
-    thread::spawn(move || loop {
-        orders.load_when_idle();
+    thread::spawn(move || {
+        loop {
+            orders.load_when_idle();
+        }
     });
     engine.log("started", &[]);
     for stream in listener.incoming().flatten() {
--- a/review/standins-2/trainer.rs
+++ b/review/standins-2/platform/trainer.rs
@@ -86,7 +86,11 @@
     let headers = [("X-Saddlerelay-Request-Id", job)];
     let path = format!("/rollouts/{job}");
     let answer = call_fronts(deployment, ("POST", &path), &headers, body.as_bytes(), Duration::from_secs(10))?;
-    deployment.record.note("trainer", "handed-in", &[("job", job.to_string()), ("answer", answer.status().to_string())]);
+    deployment.record.note(
+        "trainer",
+        "handed-in",
+        &[("job", job.to_string()), ("answer", answer.status().to_string())],
+    );
     if answer.status() == 202 { Ok(()) } else { Err(format!("the job was answered {}", answer.status())) }
 }
 
--- a/review/standins-2/runs.rs
+++ b/review/standins-2/runs.rs
@@ -38,7 +38,9 @@
                     run.ended = Some((line.at_ms, line.field("how").to_string()));
                 }
             }
-            "killed" => runs.iter_mut().filter(open).for_each(|run| run.ended = Some((line.at_ms, "killed".to_string()))),
+            "killed" => {
+                runs.iter_mut().filter(open).for_each(|run| run.ended = Some((line.at_ms, "killed".to_string())))
+            }
             _ => {}
         }
     }
--- a/review/standins-2/steps.rs
+++ b/review/standins-2/steps.rs
@@ -1,9 +1,8 @@
-//! What the cases about steps of a trainer share: the configuration, and the rule LOST for a step that ran out of time.
+//! What the cases about steps of a trainer share: their figures, and the rule LOST for a step that ran out of time.
 
 use crate::Verdict;
-use crate::deployment::{HOST, MODEL, SERVICE};
+use crate::platform::trainer::{Item, Listed};
 use crate::runs::Run;
-use crate::trainer::{Item, Listed};
 
 pub const ENGINES: usize = 6;
 pub const SLOTS: u32 = 8;
@@ -18,13 +17,6 @@
 /// No version may have been named within this time before the end of the step.
 const NAMED_MS: u64 = 6_000;
 
-/// One rollout route and its service, with the figures of andino-relay.
-pub fn config(single_version: bool, slots: u32) -> String {
-    format!(
-        r#"{{"version":1,"routes":[{{"name":"rollouts","host":"{HOST}","path_prefix":"/rollouts/","kind":"rollout","timeout_ms":10000,"slo_ms":400,"priority":1,"service":"{SERVICE}","max_attempts":3,"max_queue_s":40.0,"run_target_ms":7500,"single_version":{single_version},"sticky":true,"resumable":true}}],"services":[{{"name":"{SERVICE}","health_path":"/health","max_conns":170,"protocol":"h1","tls":false,"engine":{{"slots":{slots},"kv_capacity":90000,"kv_token_bytes":163840,"link_mbps":4400000.0,"backups":true,"stride":58,"most":12,"pin_ms":4000.0,"hold_ms":2000.0,"handle_s":5.0,"models":[{{"name":"{MODEL}"}}]}}}}],"limits":{{"max_header_bytes":16384,"max_body_bytes":33554432,"header_timeout_ms":3000,"idle_timeout_ms":15000}}}}"#
-    )
-}
-
 /// Groups that are whole: all their items are listed.
 pub fn whole_groups(items: &[Item], listed: &[Listed]) -> usize {
     let is_listed = |item: &Item| listed.iter().any(|result| result.id == item.id);
@@ -56,7 +48,8 @@
     let mut lost = Vec::new();
     for item in items.iter().filter(|item| listed.iter().all(|result| result.id != item.id)) {
         let own: Vec<&Run> = all.iter().filter(|run| run.item == item.id).collect();
-        let is_finished = |run: &&Run| run.ended.as_ref().is_some_and(|(_, how)| how == "whole" || how.starts_with("failed"));
+        let is_finished =
+            |run: &&Run| run.ended.as_ref().is_some_and(|(_, how)| how == "whole" || how.starts_with("failed"));
         if own.iter().any(is_finished) || own.iter().any(|run| run.ended.is_none()) {
             continue;
         }
