--- a/review/4/run.sh
+++ b/review/6/run.sh
@@ -1,6 +1,6 @@
 #!/usr/bin/env bash
 # Plays the case. Exits with 1 if the rule was broken, 0 if it held, 2 if the case could not run; TROUBLE=0 plays it
-# without the disruption, TROUBLE=engine with the loss of an engine instead.
+# without the disruption.
 set -u
 here=$(cd "$(dirname "$0")" && pwd)
 cd "$here/../.."
@@ -18,4 +18,4 @@
 trap cleanup EXIT
 trap 'exit 2' INT TERM
 [ -x target/review-2/case ] || { echo "run review/build-2.sh first"; exit 2; }
-target/review-2/case lost-item "$here"
+target/review-2/case idle-engines "$here"
--- a/review/standins-2/deployment.rs
+++ b/review/standins-2/deployment.rs
@@ -54,6 +54,13 @@
         let _ = Command::new("sh").args(["-c", &command]).status();
     }
 
+    /// Asks an engine for its planned end.
+    pub fn ask_to_leave(&mut self) {
+        if let Some(input) = &mut self.child.stdin {
+            let _ = input.write_all(b"leave\n").and_then(|()| input.flush());
+        }
+    }
+
     pub fn wait(&mut self) {
         let _ = self.child.wait();
     }
@@ -68,6 +75,8 @@
 pub struct Deployment {
     pub record: Record,
     folder: PathBuf,
+    /// The models that every engine hosts.
+    models: Vec<String>,
     network: [u8; 2],
     pub processes: BTreeMap<String, Process>,
     /// Name of the store that last wrote that it leads.
@@ -123,7 +132,7 @@
 
 impl Deployment {
     /// Prepares a folder and picks loopback addresses whose ports are free.
-    pub fn new(record: Record) -> Self {
+    pub fn new(record: Record, models: &[&str]) -> Self {
         let id = std::process::id();
         let folder = std::env::temp_dir().join(format!("saddlerelay-review-{id}"));
         fs::create_dir_all(&folder).expect("a temporary folder");
@@ -133,7 +142,15 @@
         };
         let networks = (0..200).map(|step| [60 + (id / 200 % 150) as u8, ((id + step) % 200) as u8 + 1]);
         let network = networks.into_iter().find(is_free).expect("a free loopback network");
-        Self { record, folder, network, processes: BTreeMap::new(), leader: Arc::default(), bootstrap: true }
+        Self {
+            record,
+            folder,
+            models: models.iter().map(|model| model.to_string()).collect(),
+            network,
+            processes: BTreeMap::new(),
+            leader: Arc::default(),
+            bootstrap: true,
+        }
     }
 
     fn address(&self, last: u8, port: u16) -> SocketAddr {
@@ -239,7 +256,13 @@
         let controls: Vec<String> = self.controls().iter().map(SocketAddr::to_string).collect();
         let mut child = Command::new(program)
             .args(["engine", &name, &self.engine_address(index).to_string(), SERVICE, ZONES[index % ZONES.len()]])
-            .args([&controls.join(","), MODEL, &slots.to_string(), &event_ms.to_string(), &HEARTBEAT_MS.to_string()])
+            .args([
+                &controls.join(","),
+                &self.models.join(","),
+                &slots.to_string(),
+                &event_ms.to_string(),
+                &HEARTBEAT_MS.to_string(),
+            ])
             .stdin(Stdio::piped())
             .stdout(Stdio::piped())
             .spawn()
--- a/review/standins-2/failing_item.rs
+++ b/review/standins-2/failing_item.rs
@@ -47,8 +47,8 @@
 
 pub fn play(record: &Record, trouble: bool) -> Result<Verdict, String> {
     let items = items();
-    let mut deployment = Deployment::new(record.clone());
-    deployment.start(ENGINES, SLOTS, EVENT_MS, &config(false, SLOTS))?;
+    let mut deployment = Deployment::new(record.clone(), &[MODEL]);
+    deployment.start(ENGINES, SLOTS, EVENT_MS, &config(false, SLOTS, &[MODEL]))?;
     trainer::submit(&deployment, JOB, MODEL, 1, GROUPS, &items)?;
     let handed_in_at = now_ms();
     let mut listed: Vec<Listed> = Vec::new();
--- a/review/standins-2/lost_item.rs
+++ b/review/standins-2/lost_item.rs
@@ -37,9 +37,9 @@
 
 pub fn play(record: &Record, trouble: Trouble) -> Result<Verdict, String> {
     let items = items();
-    let mut deployment = Deployment::new(record.clone());
-    deployment.start(ENGINES, SLOTS, EVENT_MS, &config(true, SLOTS))?;
-    operator::name_version(&deployment, 2)?;
+    let mut deployment = Deployment::new(record.clone(), &[MODEL]);
+    deployment.start(ENGINES, SLOTS, EVENT_MS, &config(true, SLOTS, &[MODEL]))?;
+    operator::name_version(&deployment, MODEL, 2)?;
     let named_at = now_ms();
     trainer::submit(&deployment, JOB, MODEL, 1, GROUPS, &items)?;
     let handed_in_at = now_ms();
--- a/review/standins-2/main.rs
+++ b/review/standins-2/main.rs
@@ -5,6 +5,7 @@
 mod http;
 mod idle_engines;
 mod json;
+mod lone_engine;
 mod lost_item;
 mod platform;
 mod record;
@@ -32,14 +33,14 @@
     let arguments: Vec<String> = std::env::args().skip(1).collect();
     let arguments: Vec<&str> = arguments.iter().map(String::as_str).collect();
     match arguments.as_slice() {
-        ["engine", id, listen, service, zone, control, model, slots, event_ms, beat_ms] => {
+        ["engine", id, listen, service, zone, control, models, slots, event_ms, beat_ms] => {
             engine::run(engine::Options {
                 id: id.to_string(),
                 listen: listen.parse().expect("an address"),
                 service: service.to_string(),
                 zone: zone.to_string(),
                 control: control.split(',').map(|address| address.parse().expect("an address")).collect(),
-                model: model.to_string(),
+                models: models.split(',').map(str::to_string).collect(),
                 slots: slots.parse().expect("a number"),
                 event_ms: event_ms.parse().expect("a number"),
                 beat_ms: beat_ms.parse().expect("a number"),
@@ -68,6 +69,15 @@
             },
         ),
         "failing-item" => failing_item::play(&record, trouble != "0"),
+        "lone-engine" => lone_engine::play(
+            &record,
+            match trouble.as_str() {
+                "0" => lone_engine::Trouble::None,
+                "leave" => lone_engine::Trouble::ScaleIn,
+                _ => lone_engine::Trouble::Crash,
+            },
+        ),
+        "three-models" => lone_engine::play_three_models(&record),
         "idle-engines" => idle_engines::play(&record, trouble != "0"),
         _ => Err("no such case".to_string()),
     };
--- a/review/standins-2/record.rs
+++ b/review/standins-2/record.rs
@@ -53,6 +53,11 @@
         self.push(Line { at_ms: now_ms(), who: who.to_string(), what: what.to_string(), fields });
     }
 
+    /// Forgets all lines.
+    pub fn clear(&self) {
+        self.lines.lock().unwrap().clear();
+    }
+
     pub fn lines(&self) -> Vec<Line> {
         let mut lines = self.lines.lock().unwrap().clone();
         lines.sort_by_key(|line| line.at_ms);
--- a/review/standins-2/runs.rs
+++ b/review/standins-2/runs.rs
@@ -8,6 +8,7 @@
     pub item: String,
     pub engine: String,
     pub version: u64,
+    pub began_at: u64,
     /// The last event made so far.
     pub events: u64,
     /// When and how it ended.
@@ -25,6 +26,7 @@
                 item: item.to_string(),
                 engine: line.who.clone(),
                 version: line.number("version"),
+                began_at: line.at_ms,
                 events: line.number("last"),
                 ended: None,
             }),
--- a/review/standins-2/steps.rs
+++ b/review/standins-2/steps.rs
@@ -40,6 +40,7 @@
 
 /// The rule LOST for the items of a step that ran out of time.
 pub fn judge(items: &[Item], all: &[Run], listed: &[Listed], times: &Times) -> Verdict {
+    let runs_of_step: Vec<&Run> = all.iter().filter(|run| items.iter().any(|item| item.id == run.item)).collect();
     let Times { named_at, handed_in_at, disturbed_at, ended_at, engines } = *times;
     let (running, slots) = (all.iter().filter(|run| run.ended.is_none()).count(), engines * SLOTS as usize);
     if running * 2 >= slots || ended_at < named_at + NAMED_MS {
@@ -47,13 +48,13 @@
     }
     let mut lost = Vec::new();
     for item in items.iter().filter(|item| listed.iter().all(|result| result.id != item.id)) {
-        let own: Vec<&Run> = all.iter().filter(|run| run.item == item.id).collect();
+        let own: Vec<&Run> = runs_of_step.iter().copied().filter(|run| run.item == item.id).collect();
         let is_finished =
             |run: &&Run| run.ended.as_ref().is_some_and(|(_, how)| how == "whole" || how.starts_with("failed"));
         if own.iter().any(is_finished) || own.iter().any(|run| run.ended.is_none()) {
             continue;
         }
-        let others_began = all.iter().any(|run| run.item != item.id);
+        let others_began = runs_of_step.iter().any(|run| run.item != item.id);
         let last_end = own.iter().filter_map(|run| run.ended.as_ref().map(|(at, _)| *at)).max().unwrap_or(handed_in_at);
         let steady_from = last_end.max(disturbed_at + CONTACT_MS);
         if others_began && ended_at >= steady_from + AT_NO_ENGINE_MS {
