--- a/review/4/run.sh
+++ b/review/4/run.sh
@@ -1,6 +1,6 @@
 #!/usr/bin/env bash
 # Plays the case. Exits with 1 if the rule was broken, 0 if it held, 2 if the case could not run; TROUBLE=0 plays it
-# without the disruption.
+# without the disruption, TROUBLE=leave with a planned end of the engine instead.
 set -u
 here=$(cd "$(dirname "$0")" && pwd)
 cd "$here/../.."
