A model without an engine gets one at once, and keeps its last one

Cause: an engine was reassigned only at a difference of 1.5 engines between two models' excess. A model without an engine reaches that only if its demand is above half an engine's share. The same rule took a model's last engine: with several small models the targets, at least one engine each, add up to more than there are.

Why it works: coverage is now a condition of every rebalance, met before demand is weighed, without an interval; no reassignment takes a last engine, so the condition can't be undone. Reassignments are logged with their reason.

--- a/crates/coordinator/src/metrics.rs
+++ b/crates/coordinator/src/metrics.rs
@@ -54,6 +54,8 @@
     long_waits: LongWaits,
     /// Time that items waited before an engine started to respond, in seconds.
     pub wait_seconds: Histogram,
+    /// Engines reassigned from one model to another.
+    pub engines_reassigned: Counter,
     /// Weight orders sent to engines.
     pub orders: Counter,
     /// Weight orders whose result is unknown.
@@ -93,6 +95,7 @@
             counter("engines_ended", "Engines found to have ended under an item or a call for a score");
         let items_quarantined =
             counter("items_held_back", "Items held back because engines have ended under their work");
+        let engines_reassigned = counter("engines_reassigned", "Engines reassigned from one model to another");
         let orders = counter("orders", "Orders given to engines");
         let orders_unknown = counter("orders_unknown", "Orders whose outcome is not known");
         let items_started_late = counter("items_started_late", "Items started too late to be in time");
@@ -122,6 +125,7 @@
             score_failures,
             engines_terminated,
             items_quarantined,
+            engines_reassigned,
             orders,
             orders_unknown,
             attempt_seconds,
--- a/crates/coordinator/src/model_assignments.rs
+++ b/crates/coordinator/src/model_assignments.rs
@@ -2,7 +2,9 @@
 //!
 //! Every engine can load every model, but a weight load takes time and each trainer step publishes a new version. Each
 //! engine is therefore assigned to one model, in proportion to the demand of the models' jobs and, where items are placed
-//! by expected completion, to the engine's capacity, and only that model is kept up to date on it. If there are fewer engines than models, each model is assigned to one engine instead.
+//! by expected completion, to the engine's capacity, and only that model is kept up to date on it. Every model has at
+//! least one engine, whatever its demand: items of a model that is kept up to date nowhere would wait forever. If there
+//! are fewer engines than models, each model is assigned to one engine instead.
 
 use saddlerelay_types::instance::InstanceId;
 use std::collections::{BTreeMap, BTreeSet};
@@ -25,6 +27,38 @@
 const MIN_WEIGHT: f64 = 0.2;
 const MAX_WEIGHT: f64 = 4.0;
 
+/// Why an engine was reassigned from one model to another.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ReassignmentReason {
+    /// The other model had no engine.
+    ModelWithoutEngine,
+    /// The other model had too little of its share of the capacity.
+    Demand,
+}
+
+impl ReassignmentReason {
+    /// The value of the log key `reason`.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Self::ModelWithoutEngine => "the model had no engine",
+            Self::Demand => "the model had too little capacity for its demand",
+        }
+    }
+}
+
+/// An engine that a rebalance reassigned from one model to another.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Reassignment {
+    /// The engine.
+    pub instance: InstanceId,
+    /// The model that it was assigned to before.
+    pub from: String,
+    /// The model that it is assigned to now.
+    pub to: String,
+    /// Why it was reassigned.
+    pub reason: ReassignmentReason,
+}
+
 /// Assignment of engines to models.
 #[derive(Default)]
 pub struct ModelAssignments {
@@ -73,18 +107,19 @@
 
     /// Assigns `engines` to `models`. Engines are passed fastest first, so that each model gets fast and slow ones.
     /// `versions_behind` returns how many versions an engine is behind with a model: a new leader prefers to leave
-    /// engines with the model that they are least behind with.
+    /// engines with the model that they are least behind with. Returns the engines that were reassigned, without those
+    /// that had no model before.
     pub fn rebalance(
         &mut self,
         engines: &[InstanceId],
         models: &[String],
         versions_behind: impl Fn(&InstanceId, &str) -> u64,
         now: Duration,
-    ) {
+    ) -> Vec<Reassignment> {
         if models.len() < 2 || engines.len() < models.len() {
             self.model_of_engine.clear();
             self.assign_models(engines, models, now);
-            return;
+            return Vec::new();
         }
         self.engine_of_model.clear();
         let present: BTreeSet<&InstanceId> = engines.iter().collect();
@@ -109,7 +144,72 @@
                 counts[index] += self.weight(instance);
             }
         }
-        self.move_engines(engines.len(), models, &target_counts, counts, now);
+        let mut reassignments = self.cover_models(models, &target_counts, &mut counts, versions_behind);
+        reassignments.extend(self.move_engines(engines.len(), models, &target_counts, counts, now));
+        reassignments
+    }
+
+    /// Reassigns an engine to each model that has none, regardless of demand and of the interval between other
+    /// reassignments. There are at least as many engines as models.
+    fn cover_models(
+        &mut self,
+        models: &[String],
+        target_counts: &[f64],
+        counts: &mut [f64],
+        versions_behind: impl Fn(&InstanceId, &str) -> u64,
+    ) -> Vec<Reassignment> {
+        let mut reassignments = Vec::new();
+        for (to, model) in models.iter().enumerate() {
+            if !self.engines_of(model).is_empty() {
+                continue;
+            }
+            let Some(from) = self.most_overprovisioned(models, target_counts, counts) else {
+                break;
+            };
+            let assigned = self.engines_of(&models[from]);
+            let Some(instance) = assigned.into_iter().min_by_key(|instance| versions_behind(instance, model)) else {
+                break;
+            };
+            let instance = instance.clone();
+            reassignments.push(self.reassign(
+                instance,
+                from,
+                to,
+                models,
+                counts,
+                ReassignmentReason::ModelWithoutEngine,
+            ));
+        }
+        reassignments
+    }
+
+    /// Engines assigned to a model.
+    fn engines_of(&self, model: &str) -> Vec<&InstanceId> {
+        let assigned = self.model_of_engine.iter().filter(|(_, assigned_model)| *assigned_model == model);
+        assigned.map(|(instance, _)| instance).collect()
+    }
+
+    /// Index of the model with the largest excess among those that have an engine to spare.
+    fn most_overprovisioned(&self, models: &[String], target_counts: &[f64], counts: &[f64]) -> Option<usize> {
+        let excess = |index: usize| counts[index] - target_counts[index];
+        let with_spare_engine = (0..models.len()).filter(|index| self.engines_of(&models[*index]).len() > 1);
+        with_spare_engine.max_by(|left, right| excess(*left).total_cmp(&excess(*right)))
+    }
+
+    fn reassign(
+        &mut self,
+        instance: InstanceId,
+        from: usize,
+        to: usize,
+        models: &[String],
+        counts: &mut [f64],
+        reason: ReassignmentReason,
+    ) -> Reassignment {
+        let weight = self.weight(&instance);
+        counts[from] -= weight;
+        counts[to] += weight;
+        self.model_of_engine.insert(instance.clone(), models[to].clone());
+        Reassignment { instance, from: models[from].clone(), to: models[to].clone(), reason }
     }
 
     /// Assigns models to fewer engines; a model whose engine is gone goes to the engine with the fewest models.
@@ -175,47 +275,37 @@
         target_counts: &[f64],
         mut counts: Vec<f64>,
         now: Duration,
-    ) {
+    ) -> Vec<Reassignment> {
+        let mut reassignments = Vec::new();
         if now < self.last_move_at + REBALANCE_INTERVAL {
-            return;
+            return reassignments;
         }
         for _ in 0..(engines / ENGINES_PER_MOVE).max(1) {
-            if !self.move_one(models, target_counts, &mut counts) {
-                return;
-            }
+            let Some(reassignment) = self.move_one(models, target_counts, &mut counts) else {
+                break;
+            };
+            reassignments.push(reassignment);
             self.last_move_at = now;
         }
+        reassignments
     }
 
     /// Reassigns one engine from the model with the largest excess to the one with the smallest, if the gap is large
-    /// enough; returns whether it did.
-    fn move_one(&mut self, models: &[String], target_counts: &[f64], counts: &mut [f64]) -> bool {
+    /// enough. No model loses its last engine.
+    fn move_one(&mut self, models: &[String], target_counts: &[f64], counts: &mut [f64]) -> Option<Reassignment> {
         let excess = |index: usize| counts[index] - target_counts[index];
-        let most_overprovisioned = (0..models.len()).max_by(|left, right| excess(*left).total_cmp(&excess(*right)));
-        let least_provisioned = (0..models.len()).min_by(|left, right| excess(*left).total_cmp(&excess(*right)));
-        let (Some(most_overprovisioned), Some(least_provisioned)) = (most_overprovisioned, least_provisioned) else {
-            return false;
-        };
-        let gap = excess(most_overprovisioned) - excess(least_provisioned);
+        let from = self.most_overprovisioned(models, target_counts, counts)?;
+        let to = (0..models.len()).min_by(|left, right| excess(*left).total_cmp(&excess(*right)))?;
+        let gap = excess(from) - excess(to);
         if gap < MIN_EXCESS_GAP {
-            return false;
+            return None;
         }
-        // A reassignment changes the gap by twice the engine's weight. Only engines that reduce it are considered, and
-        // with different weights never a model's last one.
-        let of_model = |(_, model): &(&InstanceId, &String)| **model == models[most_overprovisioned];
-        let assigned: Vec<&InstanceId> =
-            self.model_of_engine.iter().filter(of_model).map(|(instance, _)| instance).collect();
+        // A reassignment changes the gap by twice the engine's weight. Only engines that reduce it are considered.
         let remaining_gap = |instance: &InstanceId| (gap - 2.0 * self.weight(instance)).abs();
-        let suitable = assigned.iter().copied().filter(|instance| remaining_gap(instance) < gap);
-        let chosen = suitable.min_by(|left, right| remaining_gap(left).total_cmp(&remaining_gap(right)));
-        let Some(instance) = chosen.filter(|_| assigned.len() > 1 || self.capacities.is_empty()).cloned() else {
-            return false;
-        };
-        let weight = self.weight(&instance);
-        self.model_of_engine.insert(instance, models[least_provisioned].clone());
-        counts[most_overprovisioned] -= weight;
-        counts[least_provisioned] += weight;
-        true
+        let assigned = self.engines_of(&models[from]).into_iter();
+        let suitable = assigned.filter(|instance| remaining_gap(instance) < gap);
+        let chosen = suitable.min_by(|left, right| remaining_gap(left).total_cmp(&remaining_gap(right)))?.clone();
+        Some(self.reassign(chosen, from, to, models, counts, ReassignmentReason::Demand))
     }
 }
 
--- a/crates/coordinator/src/orders.rs
+++ b/crates/coordinator/src/orders.rs
@@ -223,7 +223,14 @@
         }
         let mut assignments = self.inner.model_assignments.borrow_mut();
         assignments.set_capacities(capacities);
-        assignments.rebalance(&by_pace, models, versions_behind, now);
+        for reassignment in assignments.rebalance(&by_pace, models, versions_behind, now) {
+            self.inner.metrics.engines_reassigned.inc();
+            spdlog::info!("engine reassigned to another model", kv: {
+                instance = reassignment.instance.name.as_str(), service = service,
+                from = reassignment.from.as_str(), to = reassignment.to.as_str(),
+                reason = reassignment.reason.as_str(), engines = by_pace.len()
+            });
+        }
     }
 
     async fn call(
--- a/crates/coordinator/tests/model_assignments.rs
+++ b/crates/coordinator/tests/model_assignments.rs
@@ -226,3 +226,57 @@
         assert_eq!(counts(&assignments, &engines).len(), 3);
     }
 }
+
+/// Guards against a model with little demand that gets no engine again once its last one is gone (review/4).
+#[test]
+fn a_model_whose_last_engine_is_gone_gets_another_at_once() {
+    let (all, models) = (engines(9), models(2));
+    let mut assignments = ModelAssignments::default();
+    assignments.record_demand("model-0", 4_000.0);
+    assignments.record_demand("model-1", 160.0);
+    assignments.rebalance(&all, &models, none_behind, Duration::ZERO);
+    let lost = all.iter().find(|engine| assignments.assigned_model(engine) == Some("model-1"));
+    let remaining: Vec<InstanceId> = all.iter().filter(|engine| Some(*engine) != lost).cloned().collect();
+    assignments.rebalance(&remaining, &models, none_behind, Duration::from_millis(10));
+    assert_eq!(counts(&assignments, &remaining).get("model-1"), Some(&1));
+}
+
+/// Guards against the last engine of a model with little demand being given to one with more (review/4, three models).
+#[test]
+fn models_with_little_demand_keep_their_last_engine() {
+    let (engines, models) = (engines(9), models(3));
+    let mut assignments = ModelAssignments::default();
+    for (model, demand) in [("model-0", 4_000.0), ("model-1", 80.0), ("model-2", 80.0)] {
+        assignments.record_demand(model, demand);
+    }
+    for time in 0..10 {
+        assignments.rebalance(&engines, &models, none_behind, Duration::from_secs(4 * time));
+        assert_eq!(counts(&assignments, &engines).len(), 3, "after {} s", 4 * time);
+    }
+}
+
+/// Guards against any order of joins, losses, demands and capacities that leaves a model without an engine, as well as
+/// against a new leader's first assignment doing so.
+#[test]
+fn every_model_has_an_engine_after_each_rebalance() {
+    fn check(steps: Vec<(u16, Vec<u16>, bool)>, models_count: u8, lagging: u8) -> bool {
+        let models = models(2 + usize::from(models_count % 4));
+        let all = engines(12);
+        let mut assignments = ModelAssignments::default();
+        let behind = |_: &InstanceId, model: &str| if model == "model-0" { 0 } else { 1 + u64::from(lagging) };
+        steps.into_iter().zip(0_u64..).all(|((present, demands, has_capacities), step)| {
+            for (model, demand) in models.iter().zip(&demands) {
+                assignments.record_demand(model, f64::from(*demand) * f64::from(*demand));
+            }
+            let is_present = |index: &usize| present >> (index % 12) & 1 == 1;
+            let remaining: Vec<InstanceId> = (0..12).filter(is_present).map(|index| all[index].clone()).collect();
+            let capacities = remaining.iter().zip(1..).map(|(engine, index)| (engine.clone(), f64::from(index)));
+            assignments.set_capacities(if has_capacities { capacities.collect() } else { BTreeMap::new() });
+            assignments.rebalance(&remaining, &models, behind, Duration::from_millis(700 * step));
+            let has_engine = |model: &String| remaining.iter().any(|engine| assignments.is_assigned(engine, model));
+            remaining.is_empty() || models.iter().all(has_engine)
+        })
+    }
+    let check = check as fn(Vec<(u16, Vec<u16>, bool)>, u8, u8) -> bool;
+    QuickCheck::new().rng(Gen::from_size_and_seed(20, 4)).tests(300).quickcheck(check);
+}
