Discard a partial text that no engine can continue

Cause: a partial text goes on only at an engine with its version. Versions only rise, and nothing discarded a text whose version no engine has any more.

On these tests of weight_versions.rs failed, each by waiting until its time limit: an_item_whose_text_no_engine_can_continue_starts_over, a_text_of_an_earlier_job_that_no_engine_can_continue_is_generated_again, an_item_starts_over_if_the_engine_with_its_version_does_not_take_it.

Why it works: every plan decides for each waiting partial text whether an engine may still continue it. The wait reason tells this case from full engines.

--- a/crates/coordinator/src/engines.rs
+++ b/crates/coordinator/src/engines.rs
@@ -73,6 +73,8 @@
 /// Inputs shared by the planning of all jobs in one round.
 pub(crate) struct Round {
     pub engines: Vec<Engine>,
+    /// Ready engines that receive no items for a short time after a failure.
+    pub backing_off: Vec<Engine>,
     /// Seconds per event of the fastest engine.
     pub fastest: f64,
     pub paces: Paces,
@@ -86,10 +88,12 @@
     pub fn new<B: Backends>(coordinator: &Coordinator<B>, state: &ControlState, term: u64) -> Self {
         let now = coordinator.now();
         let paces = coordinator.inner.fleet.paces(now);
-        let mut engines = ready_engines(coordinator, state, &paces, now);
+        let ready = ready_engines(coordinator, state, &paces);
+        let is_backing_off = |engine: &Engine| coordinator.inner.fleet.is_backing_off(&engine.target.instance, now);
+        let (backing_off, mut engines): (Vec<Engine>, Vec<Engine>) = ready.into_iter().partition(is_backing_off);
         let capacities = by_completion::assign_capacities(&coordinator.inner, &mut engines, now);
         let fastest = engines.iter().map(|engine| engine.pace).fold(f64::INFINITY, f64::min);
-        Self { engines, fastest, paces, capacities, now, term }
+        Self { engines, backing_off, fastest, paces, capacities, now, term }
     }
 
     /// An engine without items whose pace is the median of all.
@@ -103,18 +107,12 @@
     CapacityEstimate { seconds_per_event_alone: pace, added_per_neighbor: 0.0, slowdown: 1.0, age: None }
 }
 
-fn ready_engines<B: Backends>(
-    coordinator: &Coordinator<B>,
-    state: &ControlState,
-    paces: &Paces,
-    now: Duration,
-) -> Vec<Engine> {
+fn ready_engines<B: Backends>(coordinator: &Coordinator<B>, state: &ControlState, paces: &Paces) -> Vec<Engine> {
     let fleet = &coordinator.inner.fleet;
     let working_set = coordinator.inner.working_set.borrow();
     let records = working_set.iter().filter_map(|instance| state.instances.get(instance));
-    let usable =
-        records.filter(|record| record.state == InstanceState::Ready && !fleet.is_backing_off(&record.report.id, now));
-    usable
+    let ready = records.filter(|record| record.state == InstanceState::Ready);
+    ready
         .map(|record| Engine {
             target: EngineTarget { instance: record.report.id.clone(), address: record.report.address },
             service: record.report.service.clone(),
--- a/crates/coordinator/src/lib.rs
+++ b/crates/coordinator/src/lib.rs
@@ -32,6 +32,7 @@
 pub mod runner;
 pub mod scorers;
 pub mod scoring;
+pub mod stranded_texts;
 pub mod text;
 mod waits;
 mod wanted;
--- a/crates/coordinator/src/metrics.rs
+++ b/crates/coordinator/src/metrics.rs
@@ -42,6 +42,8 @@
     pub item_failures: Counter,
     /// Saved texts reused when a job was initialized.
     pub texts_reused: Counter,
+    /// Partial texts discarded because no engine could continue them.
+    pub texts_discarded: Counter,
     /// Score calls sent.
     pub score_calls: Counter,
     /// Score calls that ended without a score.
@@ -89,6 +91,7 @@
         let items_aborted = counter("items_aborted", "Items given up");
         let item_failures = counter("item_failures", "Item attempts that ended without a whole text");
         let texts_reused = counter("texts_reused", "Texts of earlier jobs used again");
+        let texts_discarded = counter("texts_discarded", "Partial texts that no engine could continue");
         let score_calls = counter("score_calls", "Calls that have a text scored");
         let score_failures = counter("score_failures", "Calls for a score that brought none");
         let engines_terminated =
@@ -121,6 +124,7 @@
             items_aborted,
             item_failures,
             texts_reused,
+            texts_discarded,
             score_calls,
             score_failures,
             engines_terminated,
@@ -146,7 +150,10 @@
         let counts = &self.long_waits;
         match reason {
             WaitReason::Quarantined | WaitReason::LastTrialPaused | WaitReason::TrialTaken => &counts.suspected,
-            WaitReason::NoEligibleEngine | WaitReason::OnlyDegradedEngines | WaitReason::NoScorer => &counts.no_engine,
+            WaitReason::NoEligibleEngine
+            | WaitReason::NoEngineForText
+            | WaitReason::OnlyDegradedEngines
+            | WaitReason::NoScorer => &counts.no_engine,
             WaitReason::NoFreeSlot | WaitReason::PlanLimitReached | WaitReason::SlotsReserved => &counts.load,
             WaitReason::RetryDelay => &counts.retry,
             WaitReason::OwnerNotListed => &counts.owner,
--- a/crates/coordinator/src/plan.rs
+++ b/crates/coordinator/src/plan.rs
@@ -9,6 +9,7 @@
 use crate::placement::{EligibleEngine, choose_engine, eligible_engines, usable_engines};
 use crate::scorers::ScoringRound;
 use crate::scoring::ScoreCall;
+use crate::stranded_texts::discard_if_stranded;
 use crate::text::ItemText;
 use crate::waits::{WaitReason, WaitingItem};
 use saddlerelay_control::state::ControlState;
@@ -264,6 +265,7 @@
             Err(reason) => record_wait(context, index, reason),
         }
     } else {
+        discard_if_stranded(context, route, index);
         return Some((route, item_deadline));
     }
     None
@@ -407,6 +409,8 @@
 fn no_engine_reason<B: Backends>(context: &JobContext<'_, '_, B>, route: &Route, index: u32) -> WaitReason {
     if context.eligible.is_empty() {
         WaitReason::NoEligibleEngine
+    } else if !has_engine_for_text(context, route, index) {
+        WaitReason::NoEngineForText
     } else if usable_engines(context, route, index).next().is_none() {
         WaitReason::NoFreeSlot
     } else {
@@ -414,6 +418,11 @@
     }
 }
 
+fn has_engine_for_text<B: Backends>(context: &JobContext<'_, '_, B>, route: &Route, index: u32) -> bool {
+    let run = &context.run.items[index as usize];
+    context.eligible.iter().any(|candidate| candidate.may_continue(run, route.batch.single_version))
+}
+
 /// Plans the score call of an item; fails with the reason why the item has to wait.
 fn plan_score_call<B: Backends>(
     context: &mut JobContext<'_, '_, B>,
--- a/crates/coordinator/src/waits.rs
+++ b/crates/coordinator/src/waits.rs
@@ -28,6 +28,8 @@
     RetryDelay,
     /// No ready engine has the required weights.
     NoEligibleEngine,
+    /// No engine with the version of its partial text is available, and the route allows only one version per text.
+    NoEngineForText,
     /// All eligible engines are full.
     NoFreeSlot,
     /// Only slow or non-reporting engines have a free slot.
@@ -51,6 +53,7 @@
             Self::TrialTaken => "no trial lease held for suspected work",
             Self::RetryDelay => "retry delay after a failed attempt",
             Self::NoEligibleEngine => "no ready engine has the required weights",
+            Self::NoEngineForText => "no available engine has the version of the partial text",
             Self::NoFreeSlot => "all eligible engines are full",
             Self::OnlyDegradedEngines => "only slow or non-reporting engines have a free slot",
             Self::PlanLimitReached => "start limit of this plan reached",
