Hold an engine back from loading only for items that it may run

Cause: such an engine was held back while any item of its model waited, whether or not it could run it. The exception for awaited versions ended with the first engine that had loaded.

Why it works: the plan records what each waiting item requires, and an engine is held back only for an item that it may run. Where steps accept the version before the newest, every waiting item accepts it, and the decision is as before.

--- a/crates/coordinator/src/coordinator.rs
+++ b/crates/coordinator/src/coordinator.rs
@@ -10,6 +10,7 @@
 use crate::model_assignments::ModelAssignments;
 use crate::placement_log::PlacementLog;
 use crate::scorers::Scorers;
+use crate::waiting_items::WaitingItems;
 use crate::waits::WaitLog;
 use crate::working_set::WorkingSet;
 use crate::working_set_policy::{DemandWithHeadroom, WorkingSetPolicy};
@@ -45,10 +46,8 @@
     pub working_set_policy: Box<dyn WorkingSetPolicy>,
     /// Revision of the instance table at which state of removed engines was last pruned.
     pub pruned_revision: Cell<u64>,
-    /// Number of items waiting for an engine, by model.
-    pub waiting_items: RefCell<BTreeMap<String, u32>>,
-    /// For each model, the version that waiting items require and no eligible engine has; see [`crate::plan::Plan`].
-    pub awaited_versions: RefCell<BTreeMap<String, u64>>,
+    /// Items waiting for an engine, by model.
+    pub waiting_items: RefCell<BTreeMap<String, WaitingItems>>,
     /// State of the order of waiting items in the current term.
     pub batch_order: RefCell<BatchOrder>,
     /// Rate-limited log of items that wait for an engine.
@@ -119,7 +118,6 @@
             working_set_policy: Box::new(DemandWithHeadroom),
             pruned_revision: Cell::new(0),
             waiting_items: RefCell::default(),
-            awaited_versions: RefCell::default(),
             batch_order: RefCell::default(),
             wait_log: WaitLog::default(),
             placement_log: PlacementLog::default(),
--- a/crates/coordinator/src/engines.rs
+++ b/crates/coordinator/src/engines.rs
@@ -2,6 +2,7 @@
 
 use crate::by_completion;
 use crate::coordinator::Coordinator;
+use crate::fleet::Fleet;
 use crate::pace::Paces;
 use saddlerelay_control::state::ControlState;
 use saddlerelay_runtime::backend::Backends;
@@ -96,6 +97,11 @@
         Self { engines, backing_off, fastest, paces, capacities, now, term }
     }
 
+    /// Number of engines that are loading a model.
+    pub fn loading(&self, fleet: &Fleet, model: &str) -> usize {
+        self.engines.iter().filter(|engine| fleet.is_loading(&engine.target.instance, model)).count()
+    }
+
     /// An engine without items whose pace is the median of all.
     pub fn median_engine(&self) -> EngineSnapshot {
         EngineSnapshot { capacity: capacity_of_pace(self.paces.median()), running: 0, slots: 1, reporting: true }
--- a/crates/coordinator/src/lib.rs
+++ b/crates/coordinator/src/lib.rs
@@ -34,6 +34,7 @@
 pub mod scoring;
 pub mod stranded_texts;
 pub mod text;
+pub mod waiting_items;
 mod waits;
 mod wanted;
 pub mod working_set;
--- a/crates/coordinator/src/load_order.rs
+++ b/crates/coordinator/src/load_order.rs
@@ -1,7 +1,7 @@
 //! Prioritizes weight loads when more are due than may run concurrently.
 //!
-//! An engine two or more versions behind cannot serve the next step. If items wait for its model, it loads first; among
-//! such models, the one with the most waiting items per engine that serves it or is loading it has priority.
+//! An engine that can serve neither waiting items nor the next step loads first if items wait for its model; among such
+//! models, the one with the most waiting items per engine that serves it or is loading it has priority.
 
 use saddlerelay_types::instance::InstanceId;
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
@@ -13,7 +13,7 @@
     pub instance: InstanceId,
     /// The model.
     pub model: String,
-    /// Whether the engine cannot serve the model's next step until it has loaded.
+    /// Whether the engine can serve neither waiting items nor the model's next step until it has loaded.
     pub cannot_serve: bool,
     /// Number of versions that the engine is behind.
     pub behind: u64,
--- a/crates/coordinator/src/orders.rs
+++ b/crates/coordinator/src/orders.rs
@@ -1,13 +1,14 @@
 //! Orders weight loads, so that engines get the versions that trainers publish.
 //!
-//! A trainer's next step accepts samples of the newest version and the one before it. An engine two or more versions
-//! behind cannot serve the next step and loads immediately; an engine one version behind loads only while no item
-//! waits.
+//! A trainer's next step usually accepts samples of the newest version and the one before it. An engine two or more
+//! versions behind cannot serve such a step and loads immediately. An engine one version behind stays available to
+//! waiting items that it may run; what they accept is up to their job, see [`crate::waiting_items`].
 
 use crate::coordinator::Coordinator;
 use crate::fleet::Fleet;
 use crate::format::{EngineCall, EngineReport, OrderResponse, RunningStreams, WeightOrder};
 use crate::load_order::{DueLoad, ModelBacklog, choose_loads};
+use crate::waiting_items::{LoadReason, WaitingItems, is_too_old, load_reason};
 use hyper::header::{CONTENT_TYPE, HeaderMap, HeaderValue};
 use saddlerelay_control::orders::OrderGrant;
 use saddlerelay_control::state::ControlState;
@@ -30,6 +31,7 @@
     target: EngineTarget,
     model: LoadedModel,
     loaded_version: u64,
+    reason: LoadReason,
     running: RunningStreams,
 }
 
@@ -39,7 +41,7 @@
         DueLoad {
             instance: instance.clone(),
             model: self.model.model.clone(),
-            cannot_serve: is_too_old(self.loaded_version, self.model.version),
+            cannot_serve: matches!(self.reason, LoadReason::TooOld | LoadReason::CannotServeWaiting),
             behind: self.model.version.saturating_sub(self.loaded_version),
             in_flight: fleet.in_flight(instance),
         }
@@ -125,25 +127,24 @@
 ) -> BTreeMap<String, ModelBacklog> {
     let inner = &coordinator.inner;
     let waiting = inner.waiting_items.borrow();
+    let none = WaitingItems::default();
     let backlog = |model: &String| {
         let newest = published_versions.get(model).copied().unwrap_or_default();
-        let can_serve = |engine: &&EngineTarget| {
-            let loaded_version = inner.fleet.version(&engine.instance, model);
-            loaded_version.is_some_and(|loaded_version| !is_too_old(loaded_version, newest))
+        let waiting = waiting.get(model).unwrap_or(&none);
+        let count = waiting.count();
+        let can_serve = |loaded_version: u64| match count {
+            0 => !is_too_old(loaded_version, newest),
+            _ => waiting.accept(loaded_version),
+        };
+        let serves = |engine: &&EngineTarget| {
+            inner.fleet.version(&engine.instance, model).is_some_and(can_serve)
                 || inner.fleet.is_loading(&engine.instance, model)
         };
-        let engines = engines.iter().filter(can_serve).count() as u32;
-        (model.clone(), ModelBacklog { waiting: waiting.get(model).copied().unwrap_or_default(), engines })
+        (model.clone(), ModelBacklog { waiting: count, engines: engines.iter().filter(serves).count() as u32 })
     };
     models.iter().map(backlog).collect()
 }
 
-/// Whether an engine with weight version `loaded_version` is too old to serve the next step once `published_version` is
-/// published.
-fn is_too_old(loaded_version: u64, published_version: u64) -> bool {
-    loaded_version + 2 <= published_version
-}
-
 /// Engines assigned to a model that should load its published version now.
 fn outdated_engines<B: Backends>(
     coordinator: &Coordinator<B>,
@@ -154,8 +155,7 @@
 ) -> Vec<DueOrder> {
     let inner = &coordinator.inner;
     let now = coordinator.now();
-    let has_waiting_items = inner.waiting_items.borrow().get(model).is_some_and(|count| *count > 0);
-    let awaited_version = inner.awaited_versions.borrow().get(model).copied().unwrap_or_default();
+    let waiting = inner.waiting_items.borrow().get(model).cloned().unwrap_or_default();
     let model_assignments = inner.model_assignments.borrow();
     let assigned = engines.iter().filter(|engine| model_assignments.is_assigned(&engine.instance, model));
     let mut outdated = Vec::new();
@@ -163,14 +163,14 @@
         let Some(loaded_version) = inner.fleet.version(&engine.instance, model) else {
             continue;
         };
-        // An engine that can serve waiting items does not load yet; one that is too old for them has to load.
-        let due = is_too_old(loaded_version, published_version)
-            || loaded_version < published_version && (!has_waiting_items || loaded_version < awaited_version);
+        let Some(reason) = load_reason(loaded_version, published_version, &waiting) else {
+            continue;
+        };
         let is_available =
             !inner.fleet.is_loading_any(&engine.instance) && !inner.fleet.is_backing_off(&engine.instance, now);
-        if due && is_available && inner.node.may_order(&OrderSubject::engine(&engine.instance)) {
+        if is_available && inner.node.may_order(&OrderSubject::engine(&engine.instance)) {
             let model = LoadedModel { model: model.to_string(), version: published_version };
-            outdated.push(DueOrder { target: engine.clone(), model, loaded_version, running });
+            outdated.push(DueOrder { target: engine.clone(), model, loaded_version, reason, running });
         }
     }
     outdated
@@ -283,7 +283,7 @@
     inner.replan.notify();
     spdlog::info!("weights ordered", kv: {
         instance = instance.name.as_str(), model = due.model.model.as_str(), held = due.loaded_version,
-        version = due.model.version, fence = grant.fence.0, done = completed, lasted_ms = elapsed.as_millis() as u64
+        version = due.model.version, reason = due.reason.as_str(), fence = grant.fence.0, done = completed, lasted_ms = elapsed.as_millis() as u64
     });
 }
 
--- a/crates/coordinator/src/plan.rs
+++ b/crates/coordinator/src/plan.rs
@@ -11,6 +11,7 @@
 use crate::scoring::ScoreCall;
 use crate::stranded_texts::discard_if_stranded;
 use crate::text::ItemText;
+use crate::waiting_items::{VersionRequirement, WaitingItems};
 use crate::waits::{WaitReason, WaitingItem};
 use saddlerelay_control::state::ControlState;
 use saddlerelay_control::state::jobs::Job;
@@ -88,10 +89,8 @@
     pub displaced: Vec<(JobId, u32)>,
     /// Jobs that have not ended.
     pub open: BTreeSet<JobId>,
-    /// Number of items left waiting for an engine, by model.
-    pub waiting_items: BTreeMap<String, u32>,
-    /// For each model, the highest minimum version of jobs whose items have no eligible engine.
-    pub awaited_versions: BTreeMap<String, u64>,
+    /// Items left waiting for an engine, by model.
+    pub waiting_items: BTreeMap<String, WaitingItems>,
     /// Whether jobs to initialize or items to start may be left for the next plan.
     pub has_more: bool,
 }
@@ -332,17 +331,28 @@
     let Some(model) = &context.job.submission.model else {
         return;
     };
-    *plan.waiting_items.entry(model.clone()).or_default() += 1;
-    if context.eligible.is_empty() {
-        let awaited_version = plan.awaited_versions.entry(model.clone()).or_default();
-        *awaited_version = context.job.submission.minimum_version.max(*awaited_version);
+    let requirement = version_requirement(context, index);
+    plan.waiting_items.entry(model.clone()).or_default().add(requirement, !context.eligible.is_empty());
+}
+
+/// Weight versions of its job's model with which an item may run.
+fn version_requirement<B: Backends>(context: &JobContext<'_, '_, B>, index: u32) -> VersionRequirement {
+    let is_single_version = context.route.is_some_and(|route| route.batch.single_version);
+    let text_version = context.run.items[index as usize].text.borrow().versions().first().copied();
+    VersionRequirement {
+        minimum: context.job.submission.minimum_version,
+        text_version: text_version.filter(|_| is_single_version),
     }
 }
 
 /// Updates an item's wait, which is logged if it is long.
 pub(crate) fn record_wait<B: Backends>(context: &mut JobContext<'_, '_, B>, index: u32, reason: WaitReason) {
     let submission = &context.job.submission;
+    let requirement = version_requirement(context, index);
+    let model = submission.model.as_deref();
     let describe = || WaitingItem {
+        requirement,
+        loading: model.map_or(0, |model| context.round.loading(&context.inner.fleet, model)),
         job: &submission.id,
         item: &submission.items[index as usize].id,
         reason,
--- a/crates/coordinator/src/runner.rs
+++ b/crates/coordinator/src/runner.rs
@@ -80,7 +80,6 @@
         self.remove_ended_jobs(&plan.open);
         let busy = !plan.open.is_empty();
         self.inner.waiting_items.borrow_mut().clone_from(&plan.waiting_items);
-        self.inner.awaited_versions.borrow_mut().clone_from(&plan.awaited_versions);
         if plan.has_more {
             self.inner.replan.notify();
         }
--- a/crates/coordinator/src/waits.rs
+++ b/crates/coordinator/src/waits.rs
@@ -3,6 +3,7 @@
 //! suppressed.
 
 use crate::metrics::CoordinatorMetrics;
+use crate::waiting_items::VersionRequirement;
 use saddlerelay_types::job::{ItemId, JobId};
 use std::cell::RefCell;
 use std::time::Duration;
@@ -110,6 +111,10 @@
     pub engines: usize,
     pub eligible: usize,
     pub with_free_slots: usize,
+    /// Weight versions with which it may run.
+    pub requirement: VersionRequirement,
+    /// Number of ready engines that are loading its model.
+    pub loading: usize,
     /// Revision of the suspicion table that the plan used.
     pub suspicion_revision: u64,
 }
@@ -171,6 +176,9 @@
             engines = waiting.engines,
             eligible = waiting.eligible,
             with_room = waiting.with_free_slots,
+            minimum_version = waiting.requirement.minimum,
+            text_version = waiting.requirement.text_version.unwrap_or_default(),
+            loading = waiting.loading,
             suspicion_revision = waiting.suspicion_revision,
             items_suppressed = suppressed
         });
--- a/crates/gateway-api/tests/weight_versions.rs
+++ b/crates/gateway-api/tests/weight_versions.rs
@@ -3,8 +3,8 @@
 mod common;
 
 use common::engine::{EngineBehavior, StandInEngine};
-use common::{Deployment, block_on, call, document, eventually, job, rollouts};
-use hyper::Method;
+use common::{Deployment, block_on, call, document, eventually, job, notes, rollouts};
+use hyper::{Method, StatusCode};
 use saddlerelay_types::job::{ItemEnd, ResultPage};
 use saddlerelay_types::routing::{BatchSettings, Route};
 use std::time::{Duration, Instant};
@@ -28,6 +28,11 @@
     (deployment, engines)
 }
 
+async fn publish_version(deployment: &Deployment, version: u64) {
+    let body = serde_json::to_vec(&notes(version)).expect("failed to serialize JSON");
+    assert_eq!(call(deployment.control, Method::POST, "/v1/versions", &[], body).await.status, StatusCode::OK);
+}
+
 fn events_sent(engines: &[StandInEngine]) -> u32 {
     engines.iter().map(StandInEngine::events_sent).sum()
 }
@@ -41,6 +46,22 @@
     }
 }
 
+/// Guards against idle engines one version behind that get no order while items wait for the newest version, because
+/// another engine already has it (review/6).
+#[test]
+fn idle_engines_load_the_version_that_waiting_items_require() {
+    block_on(async {
+        let (deployment, engines) = with_engines("required-version", rollouts(), 6).await;
+        engines.iter().for_each(|engine| engine.set_event_interval(Duration::from_millis(50)));
+        // More items than there are slots, none of which ends during the test.
+        assert_eq!(deployment.submit(&job("j-1", 2, 0, 60, 1_000)).await, StatusCode::ACCEPTED);
+        publish_version(&deployment, 2).await;
+        let have_items = async || engines.iter().all(|engine| !engine.received_requests().is_empty());
+        eventually("every engine runs items", have_items).await;
+        assert!(engines.iter().all(|engine| engine.models() == [notes(2)]));
+    });
+}
+
 /// Guards against an item that is sent to no engine any more because its partial text has a version that is gone
 /// (review/5).
 #[test]
