Items of batch jobs and their score calls are owed, however many engines crashed under them

Callers saw (the users' report from another system): sound items of a batch or a step were never placed again after several engines had crashed under them one after the other, though all was calm and engines had room.

Cause: three engine losses quarantined an item's work as a caller's request; losses that fewer than two other crashes within a second explain lead to the next trial after an hour, and an item lives for 40 s.

Why it works: items are never quarantined for good. They run at one engine at a time under a trial lease, with a pause of 0.5, 1, then 2 s after each loss from the second on, until they are served, their job ends or their time is over. The leader's coordinator commits the trials by the existing command, so no layout changes, and quarantines of earlier builds end too. Callers' requests and streams are bounded as before.

--- a/crates/control/src/suspected_work.rs
+++ b/crates/control/src/suspected_work.rs
@@ -7,10 +7,13 @@
 use saddlerelay_runtime::backend::Backends;
 use saddlerelay_types::gateway::{GatewayCommand, GatewayOutcome, GatewayReply, TrialRequest};
 use saddlerelay_types::protocol::ControlReply;
-use saddlerelay_types::suspicion::{Suspicion, TrialResult, Verdict, WorkEvidence};
+use saddlerelay_types::suspicion::{OwedVerdict, Retrial, Suspicion, TrialResult, WorkEvidence};
 use saddlerelay_types::work::WorkDigest;
 use std::time::Duration;
 
+/// Maximum number of log lines about single retrials that are allowed together.
+const MAX_RETRIAL_LOG_LINES: usize = 8;
+
 /// What the state says of suspected work, for the log.
 #[derive(Debug)]
 struct Assessment {
@@ -52,16 +55,31 @@
         Ok(())
     }
 
-    /// The decision on `work` by this replica's state `table`, with a pause before the last trial. The age of the last
-    /// engine loss is measured since this replica observed it.
-    pub fn work_verdict(&self, table: &SuspicionTable, work: &WorkDigest, last_trial_pause: Duration) -> Verdict {
+    /// The decision on `work` that is owed to its caller, by this replica's state `table`. The age of the last engine loss
+    /// is measured since this replica observed it.
+    pub fn owed_work_verdict(&self, table: &SuspicionTable, work: &WorkDigest) -> OwedVerdict {
         let Some(suspicion) = table.get(work) else {
-            return Verdict::Send;
+            return OwedVerdict::Send;
         };
         let now = self.inner.platform.monotonic();
         let mut watch = self.inner.suspicion_watch.borrow_mut();
         watch.observe(table, now);
-        Verdict::of(suspicion.engines.len(), watch.since_last_loss(work, now), last_trial_pause)
+        OwedVerdict::of(suspicion.engines.len(), table.retrials(work), watch.since_last_loss(work, now))
+    }
+
+    /// Commits one more trial each for quarantined work, and logs it for `reason`.
+    pub async fn allow_retrials(&self, retrials: Vec<Retrial>, reason: &str) -> Result<(), ProposeError> {
+        for retrial in retrials.iter().take(MAX_RETRIAL_LOG_LINES) {
+            let independent = self.read_applied(|state| state.suspicions.independent_losses(&retrial.work));
+            spdlog::warn!("quarantine ends for one trial", kv: {
+                work = retrial.work.to_hexadecimal().as_str(),
+                reason = reason,
+                retrials_before = retrial.number,
+                independent_losses = independent,
+                retrials_due = retrials.len()
+            });
+        }
+        self.commit_gateway(GatewayCommand::AllowRetrials(retrials)).await.map(|_| ())
     }
 
     /// Requests a trial lease for suspected work. Rejections are logged with the current holder, rate limited.
--- a/crates/coordinator/src/config.rs
+++ b/crates/coordinator/src/config.rs
@@ -2,7 +2,6 @@
 
 use saddlerelay_control::config::ORDER_DELIVERY_LIMIT;
 use saddlerelay_scheduling::Activation;
-use saddlerelay_types::suspicion::LAST_TRIAL_PAUSE;
 use std::time::Duration;
 
 /// Timeouts and limits.
@@ -36,8 +35,6 @@
     pub engines_per_load: u32,
     /// Lower bound of the number of engines of a service that may load weights at the same time.
     pub min_concurrent_loads: u32,
-    /// Pause before the last trial of suspected work; the work is quarantined if that trial crashes an engine too.
-    pub last_trial_pause: Duration,
     /// Whether the waiting items of all jobs are ordered by urgency instead of by job.
     pub batch_order: Activation,
     /// Whether items are placed by their expected completion at each engine.
@@ -61,7 +58,6 @@
             load_timeout: Duration::from_secs(6),
             engines_per_load: 5,
             min_concurrent_loads: 2,
-            last_trial_pause: LAST_TRIAL_PAUSE,
             batch_order: Activation::Automatic,
             placement: Activation::Automatic,
         }
--- a/crates/coordinator/src/coordinator.rs
+++ b/crates/coordinator/src/coordinator.rs
@@ -59,6 +59,8 @@
     /// Trial leases for suspected work that this process holds.
     pub trials: Rc<TrialLeases<CompioRuntime, LocalTrialLeaseService<B>>>,
     pub metrics: CoordinatorMetrics,
+    /// Whether retrials of quarantined work are being committed.
+    pub are_retrials_pending: Cell<bool>,
     /// State of the open jobs in the current term.
     pub jobs: RefCell<BTreeMap<JobId, JobRun>>,
     /// Outcomes not committed yet, by job.
@@ -123,6 +125,7 @@
             placement_log: PlacementLog::default(),
             termination_checks: TerminationChecks::default(),
             metrics: CoordinatorMetrics::default(),
+            are_retrials_pending: Cell::new(false),
             jobs: RefCell::default(),
             outcomes: RefCell::default(),
             outcomes_queued: Signal::default(),
--- a/crates/coordinator/src/job_run.rs
+++ b/crates/coordinator/src/job_run.rs
@@ -57,8 +57,6 @@
     pub work: OnceCell<WorkDigest>,
     /// Digest of the score call's work; computed only while any work is suspected.
     pub scoring_work: OnceCell<WorkDigest>,
-    /// Whether its quarantine was counted and logged.
-    pub quarantine_recorded: bool,
     /// What was recorded for it in the shares when it last started in order of urgency.
     pub charge: Option<Charge>,
 }
@@ -161,7 +159,6 @@
                 scoring: ScoringProgress::default(),
                 work: OnceCell::new(),
                 scoring_work: OnceCell::new(),
-                quarantine_recorded: false,
                 charge: None,
             }
         };
--- a/crates/coordinator/src/lost_connections.rs
+++ b/crates/coordinator/src/lost_connections.rs
@@ -1,7 +1,8 @@
 //! Detects engines that terminated while running an item or a score call.
 //!
-//! Such work is suspected of crashing engines. It runs again only under a trial lease, granted by the control group,
-//! and not at all while it is quarantined.
+//! Such work is suspected of crashing engines. It runs again only under a trial lease, granted by the control group.
+//! Items are owed to their caller: quarantined work is tried again, with a growing pause after each loss, until the
+//! item's deadline.
 
 use crate::coordinator::{Coordinator, LeaderNode};
 use futures::future::{self, Either};
--- a/crates/coordinator/src/metrics.rs
+++ b/crates/coordinator/src/metrics.rs
@@ -20,7 +20,10 @@
             registry.counter(&format!("long_waits_{reason}"), &help)
         };
         Self {
-            suspected: counter("suspected", "their work is quarantined, or another process holds the right to run it"),
+            suspected: counter(
+                "suspected",
+                "engines have ended under their work, or another process holds the right to run it",
+            ),
             no_engine: counter("no_engine", "no engine fits, or only slow or silent ones have room"),
             load: counter("load", "engines are full"),
             retry: counter("retry", "a pause after a failed attempt"),
@@ -50,8 +53,8 @@
     pub score_failures: Counter,
     /// Engines found terminated after a connection was lost during an item or a score call.
     pub engines_terminated: Counter,
-    /// Items that had to wait because their work was quarantined.
-    pub items_quarantined: Counter,
+    /// Retrials requested for quarantined work of items and score calls.
+    pub retrials_requested: Counter,
     /// Long waits for an engine, by reason; counted again each time a wait doubles.
     long_waits: LongWaits,
     /// Time that items waited before an engine started to respond, in seconds.
@@ -96,8 +99,10 @@
         let score_failures = counter("score_failures", "Calls for a score that brought none");
         let engines_terminated =
             counter("engines_ended", "Engines found to have ended under an item or a call for a score");
-        let items_quarantined =
-            counter("items_held_back", "Items held back because engines have ended under their work");
+        let retrials_requested = counter(
+            "retrials_requested",
+            "Retrials of work of items that is quarantined as engines have ended under it",
+        );
         let engines_reassigned = counter("engines_reassigned", "Engines reassigned from one model to another");
         let orders = counter("orders", "Orders given to engines");
         let orders_unknown = counter("orders_unknown", "Orders whose outcome is not known");
@@ -128,7 +133,7 @@
             score_calls,
             score_failures,
             engines_terminated,
-            items_quarantined,
+            retrials_requested,
             engines_reassigned,
             orders,
             orders_unknown,
@@ -149,7 +154,7 @@
     pub(crate) fn long_waits(&self, reason: WaitReason) -> &Counter {
         let counts = &self.long_waits;
         match reason {
-            WaitReason::Quarantined | WaitReason::LastTrialPaused | WaitReason::TrialTaken => &counts.suspected,
+            WaitReason::TrialPaused | WaitReason::RetrialRequested | WaitReason::TrialTaken => &counts.suspected,
             WaitReason::NoEligibleEngine
             | WaitReason::NoEngineForText
             | WaitReason::OnlyDegradedEngines
--- a/crates/coordinator/src/plan.rs
+++ b/crates/coordinator/src/plan.rs
@@ -21,7 +21,7 @@
 use saddlerelay_types::instance::{InstanceId, InstanceState};
 use saddlerelay_types::job::{ItemId, JobId, JobItem};
 use saddlerelay_types::routing::{Route, RoutingDocument};
-use saddlerelay_types::suspicion::Verdict;
+use saddlerelay_types::suspicion::OwedVerdict;
 use saddlerelay_types::work::WorkDigest;
 use saddlerelay_upstream::EngineTarget;
 use std::cell::RefCell;
@@ -87,6 +87,8 @@
     pub moves: Vec<(JobId, u32)>,
     /// Running items whose slot another item takes.
     pub displaced: Vec<(JobId, u32)>,
+    /// Quarantined work to allow another trial of, with the number of earlier retrials.
+    pub retrials: BTreeMap<WorkDigest, u32>,
     /// Jobs that have not ended.
     pub open: BTreeSet<JobId>,
     /// Items left waiting for an engine, by model.
@@ -256,7 +258,7 @@
         plan.completed.push((id.clone(), index));
     } else if context.now >= item_deadline {
         plan.aborts.push((id.clone(), index, "item deadline exceeded"));
-    } else if let Some(reason) = suspicion_wait(context, index, text_is_complete) {
+    } else if let Some(reason) = suspicion_wait(context, index, text_is_complete, plan) {
         record_wait(context, index, reason);
     } else if text_is_complete {
         match plan_score_call(context, index, item_deadline) {
@@ -271,23 +273,26 @@
 }
 
 /// Why the item's next work, an attempt or a score call, must not run now although the item's deadline has not passed:
-/// engines terminated while running it.
+/// engines terminated while running it. Plans a retrial of quarantined work whose pause has elapsed.
 fn suspicion_wait<B: Backends>(
     context: &mut JobContext<'_, '_, B>,
     index: u32,
     text_is_complete: bool,
+    plan: &mut Plan,
 ) -> Option<WaitReason> {
     if context.suspicions.is_empty() {
         return None;
     }
     let work = next_work(context, index, text_is_complete);
-    let pause = context.inner.config.last_trial_pause;
-    match context.inner.node.work_verdict(context.suspicions, &work, pause) {
-        Verdict::Send => None,
-        Verdict::Pause(_) => Some(WaitReason::LastTrialPaused),
-        Verdict::Quarantine => {
-            record_quarantine(context, index);
-            Some(WaitReason::Quarantined)
+    match context.inner.node.owed_work_verdict(context.suspicions, &work) {
+        OwedVerdict::Send => None,
+        OwedVerdict::Pause(_) => Some(WaitReason::TrialPaused),
+        OwedVerdict::Retry => {
+            // Below feature level four, retrials can't be committed.
+            if context.suspicions.history().is_some() {
+                plan.retrials.insert(work, context.suspicions.retrials(&work));
+            }
+            Some(WaitReason::RetrialRequested)
         }
     }
 }
@@ -304,22 +309,6 @@
     }
 }
 
-/// Counts and logs, once per item, that it is quarantined. A quarantined item stays waiting until a retrial of its work
-/// is allowed, its work is released or its deadline passes.
-fn record_quarantine<B: Backends>(context: &mut JobContext<'_, '_, B>, index: u32) {
-    let submission = &context.job.submission;
-    let run = &mut context.run.items[index as usize];
-    if !std::mem::replace(&mut run.quarantine_recorded, true) {
-        context.inner.metrics.items_quarantined.inc();
-        spdlog::warn!("item quarantined", kv: {
-            item = submission.items[index as usize].id.0.as_str(),
-            job = submission.id.0.as_str(),
-            reason = "engines terminated while running this work",
-            suspicion_revision = context.suspicions.revision()
-        });
-    }
-}
-
 /// Records that an item has to wait for an engine.
 pub(crate) fn keep_waiting<B: Backends>(
     context: &mut JobContext<'_, '_, B>,
--- a/crates/coordinator/src/runner.rs
+++ b/crates/coordinator/src/runner.rs
@@ -12,8 +12,10 @@
 use saddlerelay_runtime::backend::Backends;
 use saddlerelay_types::instance::{InstanceId, InstanceState};
 use saddlerelay_types::job::{ItemOutcome, JobId};
+use saddlerelay_types::suspicion::Retrial;
+use saddlerelay_types::work::WorkDigest;
 use saddlerelay_upstream::EngineTarget;
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
 use std::pin::pin;
 use std::time::Duration;
 
@@ -30,6 +32,9 @@
 /// process's time.
 const PLAN_DELAY_FACTOR: u32 = 4;
 
+/// Pause before retrials are requested again after their commit failed.
+const RETRIAL_COMMIT_RETRY: Duration = Duration::from_millis(250);
+
 /// Interval between leadership checks while there is no work.
 const IDLE_INTERVAL: Duration = Duration::from_millis(100);
 
@@ -83,10 +88,31 @@
         if plan.has_more {
             self.inner.replan.notify();
         }
+        self.request_retrials(&plan.retrials);
         self.apply_plan(plan);
         busy
     }
 
+    /// Commits retrials of quarantined work, unless earlier ones are still being committed.
+    fn request_retrials(&self, retrials: &BTreeMap<WorkDigest, u32>) {
+        if retrials.is_empty() || self.inner.are_retrials_pending.replace(true) {
+            return;
+        }
+        let retrials = retrials.iter().map(|(work, number)| Retrial { work: *work, number: *number });
+        let retrials: Vec<Retrial> = retrials.collect();
+        self.inner.metrics.retrials_requested.inc_by(retrials.len() as u64);
+        let coordinator = self.clone();
+        self.inner.runtime.spawn(async move {
+            let inner = &coordinator.inner;
+            if let Err(error) = inner.node.allow_retrials(retrials, "owed item").await {
+                spdlog::warn!("retrials not committed, will retry", kv: { reason = format!("{error:?}").as_str() });
+                inner.runtime.sleep(RETRIAL_COMMIT_RETRY).await;
+            }
+            inner.are_retrials_pending.set(false);
+            inner.replan.notify();
+        });
+    }
+
     /// Updates the working set, and records the weight versions that its engines report.
     fn update_working_set(&self, state: &ControlState, term: u64) {
         let inner = &self.inner;
--- a/crates/coordinator/src/waits.rs
+++ b/crates/coordinator/src/waits.rs
@@ -19,10 +19,10 @@
 /// Why an item is waiting.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum WaitReason {
-    /// Its work is quarantined because several engines terminated while running it.
-    Quarantined,
-    /// One more engine loss would quarantine its work, and the pause before the last trial has not elapsed.
-    LastTrialPaused,
+    /// Several engines terminated while running its work, and the pause after the last loss has not elapsed.
+    TrialPaused,
+    /// Its work is quarantined, and the retrial requested for it is not committed yet.
+    RetrialRequested,
     /// No trial lease was granted for its suspected work, for example because another process holds it.
     TrialTaken,
     /// The retry delay after a failed attempt has not elapsed.
@@ -49,8 +49,8 @@
     /// The value of the log key `reason`.
     pub fn as_str(self) -> &'static str {
         match self {
-            Self::Quarantined => "work is quarantined after engine terminations",
-            Self::LastTrialPaused => "pause before the last trial of suspected work",
+            Self::TrialPaused => "pause after engines terminated while running the work",
+            Self::RetrialRequested => "retrial of the quarantined work not committed yet",
             Self::TrialTaken => "no trial lease held for suspected work",
             Self::RetryDelay => "retry delay after a failed attempt",
             Self::NoEligibleEngine => "no ready engine has the required weights",
--- a/crates/soak/src/waits.rs
+++ b/crates/soak/src/waits.rs
@@ -5,7 +5,6 @@
 use crate::links::{Links, Party};
 use crate::workload::SLOTS;
 use saddlerelay_types::job::{ItemId, JobId};
-use saddlerelay_types::suspicion::QUARANTINE_THRESHOLD;
 use std::collections::{BTreeMap, BTreeSet};
 use std::fmt;
 use std::time::Duration;
@@ -98,7 +97,7 @@
     let mut since: Option<Moment> = None;
     for (sample, is_below_half_load) in samples.iter().zip(below_half_load_at) {
         let state = ItemState::at(runs, sample.at);
-        if state.is_excluded {
+        if state.is_done {
             break;
         }
         if !is_below_half_load || !sample.is_steady || state.is_at_engine {
@@ -117,8 +116,8 @@
 
 /// State of an item, derived from its executions.
 struct ItemState {
-    /// Finished, failed, or quarantined because it crashed [`QUARANTINE_THRESHOLD`] engines.
-    is_excluded: bool,
+    /// Finished, or failed by an engine.
+    is_done: bool,
     is_at_engine: bool,
     engines_terminated: usize,
 }
@@ -131,7 +130,7 @@
         let ended = ended_runs().filter(|run| run.end == ItemRunEnd::EngineEnded);
         let engines_terminated = ended.map(|run| &run.instance).collect::<BTreeSet<_>>().len();
         Self {
-            is_excluded: done || engines_terminated >= QUARANTINE_THRESHOLD,
+            is_done: done,
             is_at_engine: started_runs().any(|run| run.until.is_none_or(|until| at < until)),
             engines_terminated,
         }
--- a/crates/types/src/suspicion.rs
+++ b/crates/types/src/suspicion.rs
@@ -1,6 +1,10 @@
 //! Requests suspected of crashing engines. A request is suspected if an engine process terminated while running it, and
 //! quarantined if that happens repeatedly without a successful run in between. A quarantine ends for a few further
 //! trials, soon if the engines may have terminated for another reason.
+//!
+//! Items of batch jobs and their score calls are owed to their caller until their deadline, however many engines have
+//! terminated while running them. They are never rejected, but run on one engine at a time, with a growing pause after
+//! each loss; see [`OwedVerdict`].
 
 use crate::identity::Incarnation;
 use crate::instance::InstanceId;
@@ -51,6 +55,49 @@
     }
 }
 
+/// Pause before owed work during which two engines have terminated is sent again; doubled with each further loss, up to
+/// [`MAX_OWED_PAUSE`].
+pub const OWED_PAUSE: Duration = Duration::from_millis(500);
+
+/// Maximum pause before owed work is sent again. Bounds the rate at which an item that does crash its engines takes them
+/// down, and how long a harmless one waits after the last crash.
+pub const MAX_OWED_PAUSE: Duration = Duration::from_secs(2);
+
+/// The decision whether owed work may be sent to an engine.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum OwedVerdict {
+    /// Send it. Suspected work also needs a trial lease.
+    Send,
+    /// Don't send it for this long.
+    Pause(Duration),
+    /// It is quarantined and due for another trial, which has to be allowed by a [`Retrial`] first.
+    Retry,
+}
+
+impl OwedVerdict {
+    /// The decision on owed work whose suspicion lists `engines` terminated engines, after `retrials` allowed retrials,
+    /// the last loss `since_last_loss` ago.
+    pub fn of(engines: usize, retrials: u32, since_last_loss: Duration) -> Self {
+        let remaining = owed_pause(engines, retrials).saturating_sub(since_last_loss);
+        match engines {
+            _ if !remaining.is_zero() => Self::Pause(remaining),
+            terminated if terminated >= QUARANTINE_THRESHOLD => Self::Retry,
+            _ => Self::Send,
+        }
+    }
+}
+
+/// Pause after the last loss of owed work. Each retrial was allowed after its pause, and failed if the work is quarantined
+/// again.
+fn owed_pause(engines: usize, retrials: u32) -> Duration {
+    let doublings = match engines {
+        quarantined if quarantined >= QUARANTINE_THRESHOLD => retrials.saturating_add(1),
+        last_trial if last_trial + 1 == QUARANTINE_THRESHOLD && retrials == 0 => 0,
+        _ => return Duration::ZERO,
+    };
+    OWED_PAUSE.saturating_mul(2_u32.saturating_pow(doublings)).min(MAX_OWED_PAUSE)
+}
+
 /// An engine process that terminated while it ran a request.
 #[derive(Clone, Debug, PartialEq, Eq, Encode, Decode)]
 pub struct EngineLoss {
