Bound every read of an engine's answer by bytes and by time

Cause: each buffered body had a limit of its own, but not all together; events of streams, items and generations, texts of items, and statuses, scores and machine lists of the product's own interface had none; a deadline was only looked at while nothing was ready to read, and not at all while a stream was resumed or an item generated.

Why it works: every read now ends at a limit of bytes that belongs to one event, head, text or body, at a budget that all large bodies share, or at the deadline; dropping the response closes the connection, and the attempt counts as one without a usable answer.

--- a/crates/coordinator/src/text.rs
+++ b/crates/coordinator/src/text.rs
@@ -75,6 +75,11 @@
         self.events
     }
 
+    /// Size in bytes.
+    pub fn bytes(&self) -> usize {
+        self.data.len()
+    }
+
     /// Weight versions that generated its events.
     pub fn versions(&self) -> &BTreeSet<u64> {
         &self.versions
--- a/crates/coordinator/tests/text.rs
+++ b/crates/coordinator/tests/text.rs
@@ -69,7 +69,7 @@
             let mut events = Vec::new();
             for piece in pieces {
                 parser.push(piece);
-                while let Some(event) = parser.next_event() {
+                while let Some(event) = parser.next_event().expect("an event is too long") {
                     events.push((event.id, event.data, event.extra_value));
                 }
             }
--- a/crates/engine-client/src/lib.rs
+++ b/crates/engine-client/src/lib.rs
@@ -7,10 +7,12 @@
 mod orders;
 pub mod wire;
 
+use bytes::BytesMut;
 use cyper::Client;
+use futures::StreamExt;
 use futures::channel::mpsc;
 use hyper::{Method, StatusCode};
-use saddlerelay_http::body::{parse_json, read_body};
+use saddlerelay_http::body::{MAX_BODY_BYTES, parse_json, read_body};
 use saddlerelay_http::client::{Connection, HttpError};
 use saddlerelay_http::sse::{DONE, EventReader};
 use saddlerelay_runtime::backend::{BackendError, Backends, EngineConnection, StreamEvent};
@@ -21,6 +23,7 @@
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 use std::net::SocketAddr;
+use std::pin::pin;
 use wire::{CompletionChunk, CompletionRequest, ScoreReply, ScoreRequest};
 
 /// Addresses of backends other than engines.
@@ -48,9 +51,7 @@
     async fn get<T: DeserializeOwned>(&self, address: SocketAddr, path: &str) -> Result<T, BackendError> {
         let request = self.client.get(format!("http://{address}{path}")).map_err(unknown)?;
         let response = request.send().await.map_err(unknown)?;
-        let status = response.status();
-        let body = response.bytes().await.map_err(unknown)?;
-        decode(status, &body)
+        read_response(response).await
     }
 
     async fn post<T: DeserializeOwned>(
@@ -62,11 +63,23 @@
         let json = serde_json::to_vec(body).map_err(unknown)?;
         let request = self.client.post(format!("http://{address}{path}")).map_err(unknown)?;
         let request = request.header("content-type", "application/json").map_err(unknown)?;
-        let response = request.body(json).send().await.map_err(unknown)?;
-        let status = response.status();
-        let body = response.bytes().await.map_err(unknown)?;
-        decode(status, &body)
+        read_response(request.body(json).send().await.map_err(unknown)?).await
+    }
+}
+
+/// Reads and decodes a response of at most [`MAX_BODY_BYTES`].
+async fn read_response<T: DeserializeOwned>(response: cyper::Response) -> Result<T, BackendError> {
+    let status = response.status();
+    let mut body = BytesMut::new();
+    let mut chunks = pin!(response.bytes_stream());
+    while let Some(chunk) = chunks.next().await {
+        let chunk = chunk.map_err(unknown)?;
+        if body.len() + chunk.len() > MAX_BODY_BYTES {
+            return Err(BackendError::Unknown(format!("response body exceeds {MAX_BODY_BYTES} bytes")));
+        }
+        body.extend_from_slice(&chunk);
     }
+    decode(status, &body)
 }
 
 pub(crate) fn unknown(error: impl std::fmt::Display) -> BackendError {
--- a/crates/gateway-api/tests/common/mod.rs
+++ b/crates/gateway-api/tests/common/mod.rs
@@ -2,6 +2,7 @@
 #![allow(dead_code)]
 
 pub mod crashing;
+pub mod endless;
 pub mod engine;
 
 use crashing::CrashingEngine;
@@ -325,7 +326,8 @@
         }
     }
 
-    async fn send_report(&self, report: &InstanceReport) {
+    /// Sends a report.
+    pub async fn send_report(&self, report: &InstanceReport) {
         let path = format!("/v1/instances/{}", report.id.name);
         let body = serde_json::to_vec(report).expect("failed to serialize JSON");
         let response = call(self.control, Method::PUT, &path, &[], body).await;
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -15,7 +15,7 @@
 use saddlerelay_http::body::{BodyInterrupted, LocalBody, Reply};
 use saddlerelay_runtime::timeout::timeout;
 use saddlerelay_types::instance::InstanceId;
-use saddlerelay_upstream::events::EventParser;
+use saddlerelay_upstream::events::{EventParser, EventTooLong};
 use saddlerelay_upstream::response::ResponseStream;
 use saddlerelay_upstream::{EngineTarget, Failure, OutgoingRequest, Reuse, UpstreamResponse};
 use std::time::Duration;
@@ -219,11 +219,25 @@
     /// The next complete event. Partial events are not forwarded, because another engine may resume the stream.
     async fn next_chunk(&mut self) -> Option<Result<Bytes, BodyInterrupted>> {
         while !self.ended {
-            if let Some(event) = self.parser.next_event() {
-                self.last_event_id = event.id.or(self.last_event_id);
-                return Some(Ok(event.raw.into()));
-            }
+            // An engine that always has bytes ready would otherwise keep the stream alive beyond its deadline.
             let remaining = self.deadline.saturating_sub(self.gateway.now());
+            if remaining.is_zero() {
+                return self.finish("stream deadline exceeded", Some(Err(BodyInterrupted)));
+            }
+            match self.parser.next_event() {
+                Ok(Some(event)) => {
+                    self.last_event_id = event.id.or(self.last_event_id);
+                    return Some(Ok(event.raw.into()));
+                }
+                Ok(None) => {}
+                Err(error) => {
+                    self.log_unusable(&error);
+                    if !self.continue_elsewhere(remaining).await {
+                        return self.finish("stream broke off", Some(Err(BodyInterrupted)));
+                    }
+                    continue;
+                }
+            }
             let received = timeout(&self.gateway.inner.runtime, remaining, self.body.next()).await;
             match received {
                 Some(Some(Ok(bytes))) => self.parser.push(&bytes),
@@ -235,7 +249,8 @@
                     if matches!(interrupted, Some(Err(Failure::ConnectionLost(_)))) {
                         self.check_lost_connection().await;
                     }
-                    if !(self.may_resume() && self.resume().await) {
+                    let remaining = self.deadline.saturating_sub(self.gateway.now());
+                    if !self.continue_elsewhere(remaining).await {
                         return self.finish("stream broke off", Some(Err(BodyInterrupted)));
                     }
                 }
@@ -245,6 +260,24 @@
         None
     }
 
+    /// Resumes the stream at another engine within `limit`, if the route allows it; returns whether it goes on.
+    async fn continue_elsewhere(&mut self, limit: Duration) -> bool {
+        if !self.may_resume() {
+            return false;
+        }
+        let runtime = self.gateway.inner.runtime.clone();
+        timeout(&runtime, limit, self.resume()).await.unwrap_or(false)
+    }
+
+    fn log_unusable(&self, reason: &EventTooLong) {
+        spdlog::warn!("stream of an engine is unusable", kv: {
+            request = self.request.id.as_str(),
+            instance = self.tried.last().map_or("-", |target| target.instance.name.as_str()),
+            last_event = self.last_event_id.unwrap_or_default(),
+            reason = format!("{reason}").as_str()
+        });
+    }
+
     fn finish(
         &mut self,
         event: &str,
--- a/crates/relay/src/dispatch.rs
+++ b/crates/relay/src/dispatch.rs
@@ -376,6 +376,10 @@
                 return Err(self.record_error(engine, error));
             }
             next_sequence += 1;
+            if progress.generation.tokens.len() + chunk.tokens.len() > progress.work.max_tokens as usize {
+                let error = BackendError::Unknown("the engine sent more tokens than requested".to_string());
+                return Err(self.record_error(engine, error));
+            }
             self.apply_chunk(progress, engine, &chunk)?;
             if let Some(finish) = chunk.finish {
                 self.inner.registry.record_success(&engine.id);
@@ -392,6 +396,10 @@
         stream: &mut mpsc::UnboundedReceiver<StreamEvent>,
     ) -> Result<EngineChunk, AttemptFailure> {
         let remaining = work.deadline.saturating_sub(self.inner.runtime.monotonic());
+        if remaining.is_zero() {
+            // A stream that always has chunks ready would not time out.
+            return Err(deadline_exceeded());
+        }
         let chunk_timeout = remaining.min(self.inner.options.config.chunk_timeout);
         let event = timeout(&self.inner.runtime, chunk_timeout, stream.next()).await;
         match event {
@@ -401,10 +409,7 @@
                 let error = BackendError::Unknown("the stream broke off".to_string());
                 Err(self.record_error(engine, error))
             }
-            None if chunk_timeout == remaining => {
-                let message = "the deadline passed while the request ran".to_string();
-                Err(AttemptFailure::Aborted(FailureCode::DeadlineExceeded, message))
-            }
+            None if chunk_timeout == remaining => Err(deadline_exceeded()),
             None => {
                 let error = BackendError::Unknown("the engine fell silent".to_string());
                 Err(self.record_error(engine, error))
@@ -455,6 +460,10 @@
     }
 }
 
+fn deadline_exceeded() -> AttemptFailure {
+    AttemptFailure::Aborted(FailureCode::DeadlineExceeded, "the deadline passed while the request ran".to_string())
+}
+
 /// One relay's share of the slots of an engine that rollouts may use, rounded up.
 fn rollout_slots(slots: u32, share_percent: u32, relay_count: u32) -> u32 {
     (slots * share_percent).div_ceil(100 * relay_count)
--- a/crates/upstream/src/connection.rs
+++ b/crates/upstream/src/connection.rs
@@ -1,6 +1,7 @@
 //! A connection to an engine.
 
 use crate::driver::Driver;
+use crate::limits::MAX_HEAD_BYTES;
 use crate::response::Failure;
 use bytes::Bytes;
 use compio::net::TcpStream;
@@ -52,7 +53,9 @@
         let options = stream.set_nodelay(true).and_then(|()| Ok(set_tcp_user_timeout(&stream, TCP_USER_TIMEOUT_MS)?));
         options.map_err(|error| Failure::NotSent(error.to_string()))?;
         let socket = stream.clone();
-        let handshake = http1::handshake(HyperStream::new_plain(stream)).await;
+        let mut builder = http1::Builder::new();
+        builder.max_buf_size(MAX_HEAD_BYTES);
+        let handshake = builder.handshake(HyperStream::new_plain(stream)).await;
         let (sender, io) = handshake.map_err(|error| Failure::NotSent(error.to_string()))?;
         let driver = Driver::new(async move {
             // The pending request receives the error as well.
--- a/crates/upstream/src/events.rs
+++ b/crates/upstream/src/events.rs
@@ -1,5 +1,8 @@
 //! Incremental parser for server-sent events.
 
+use crate::limits::MAX_EVENT_BYTES;
+use std::fmt;
+
 /// A server-sent event.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Event {
@@ -13,6 +16,18 @@
     pub raw: Vec<u8>,
 }
 
+/// An event exceeds [`MAX_EVENT_BYTES`].
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct EventTooLong;
+
+impl fmt::Display for EventTooLong {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(formatter, "an event of the stream exceeds {MAX_EVENT_BYTES} bytes")
+    }
+}
+
+impl std::error::Error for EventTooLong {}
+
 /// Splits a byte stream into events.
 pub struct EventParser {
     buffer: Vec<u8>,
@@ -38,16 +53,21 @@
         !self.buffer.is_empty()
     }
 
-    /// The next complete event, if the buffer contains one.
-    pub fn next_event(&mut self) -> Option<Event> {
+    /// The next complete event, if the buffer contains one; an error once an event is too long, whether or not its end
+    /// has arrived.
+    pub fn next_event(&mut self) -> Result<Option<Event>, EventTooLong> {
         let from = self.searched.saturating_sub(3);
-        let Some(end) = end_of_event(&self.buffer[from..]).map(|end| from + end) else {
+        let end = end_of_event(&self.buffer[from..]).map(|end| from + end);
+        if end.unwrap_or(self.buffer.len()) > MAX_EVENT_BYTES {
+            return Err(EventTooLong);
+        }
+        let Some(end) = end else {
             self.searched = self.buffer.len();
-            return None;
+            return Ok(None);
         };
         let raw: Vec<u8> = self.buffer.drain(..end).collect();
         self.searched = 0;
-        Some(self.parse(raw))
+        Ok(Some(self.parse(raw)))
     }
 
     fn parse(&self, raw: Vec<u8>) -> Event {
--- a/crates/upstream/src/lib.rs
+++ b/crates/upstream/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod connection;
 mod driver;
 pub mod events;
+pub mod limits;
 pub mod names;
 pub mod pool;
 pub mod response;
--- a/crates/upstream/src/pool.rs
+++ b/crates/upstream/src/pool.rs
@@ -1,6 +1,7 @@
 //! Connection pool to engine instances, and calls over it.
 
 use crate::connection::Connection;
+use crate::limits::BodyBudget;
 use crate::names::HeaderNames;
 use crate::response::{Failure, UpstreamResponse};
 use bytes::Bytes;
@@ -66,12 +67,13 @@
     names: Rc<HeaderNames>,
     idle: Rc<RefCell<BTreeMap<EngineTarget, Vec<Connection>>>>,
     connect_timeout: Duration,
+    budget: BodyBudget,
 }
 
 impl Pool {
     /// An empty pool with a connect timeout of `connect_timeout`.
     pub fn new(names: Rc<HeaderNames>, connect_timeout: Duration) -> Self {
-        Self { names, idle: Rc::default(), connect_timeout }
+        Self { names, idle: Rc::default(), connect_timeout, budget: BodyBudget::default() }
     }
 
     /// The configured header names.
@@ -134,7 +136,10 @@
                 return Err(Failure::NotSent("permission to send expired".to_string()));
             }
             match connection.send(message).await {
-                Ok(response) => return UpstreamResponse::check(response, connection, &self.names, &request.request_id),
+                Ok(response) => {
+                    let budget = self.budget.clone();
+                    return UpstreamResponse::check(response, connection, budget, &self.names, &request.request_id);
+                }
                 Err(Failure::NotSent(_)) if connection.is_used() => reuse = Reuse::None,
                 Err(failure) => return Err(failure),
             }
--- a/crates/upstream/src/response.rs
+++ b/crates/upstream/src/response.rs
@@ -1,9 +1,10 @@
 //! Responses from engines, and failures to get one.
 
 use crate::connection::Connection;
+use crate::limits::BodyBudget;
 use crate::names::HeaderNames;
-use bytes::Bytes;
-use http_body_util::{BodyExt, Limited};
+use bytes::{Bytes, BytesMut};
+use http_body_util::BodyExt;
 use hyper::body::Incoming;
 use hyper::header::{CONNECTION, HeaderMap};
 use hyper::http::response::Parts;
@@ -46,13 +47,15 @@
     pub head: Parts,
     body: Incoming,
     connection: Connection,
+    budget: BodyBudget,
 }
 
 impl UpstreamResponse {
     /// Verifies that a response belongs to the request with this ID.
-    pub fn check(
+    pub(crate) fn check(
         response: Response<Incoming>,
         connection: Connection,
+        budget: BodyBudget,
         names: &HeaderNames,
         request_id: &str,
     ) -> Result<Self, Failure> {
@@ -66,7 +69,7 @@
         if !is_echoed && !own_rejection {
             return Err(Failure::PossiblyExecuted("response carries another request ID".to_string()));
         }
-        Ok(Self { head, body, connection })
+        Ok(Self { head, body, connection, budget })
     }
 
     /// Whether the engine reported that it did not execute the request.
@@ -79,11 +82,11 @@
         LoadReport::parse(self.head.headers.get(&names.load)?.to_str().ok()?)
     }
 
-    /// Reads the body, at most `limit` bytes. Also returns the connection if it can be reused.
+    /// Reads the body, at most `limit` bytes. Also returns the connection if it can be reused. Fails if the body is
+    /// larger, or if the process reads too many large bodies at the same time; the connection is closed then.
     pub async fn read_body(self, limit: usize) -> Result<(Parts, Bytes, Option<Connection>), Failure> {
-        let Self { head, body, connection } = self;
-        let collected = Limited::new(body, limit).collect().await;
-        let body = collected.map_err(|error| read_failure(error.as_ref()))?.to_bytes();
+        let Self { head, body, connection, budget } = self;
+        let body = read_limited(body, limit, &budget).await?;
         let reusable = reusable(connection, idle_timeout(&head.headers)).await;
         Ok((head, body, reusable))
     }
@@ -95,13 +98,28 @@
     }
 }
 
-/// The failure of a read of a response body, which was interrupted or exceeded the size limit.
-fn read_failure(error: &(dyn std::error::Error + 'static)) -> Failure {
-    let reason = format!("response interrupted: {error}");
-    match error.downcast_ref::<hyper::Error>() {
-        Some(_) => Failure::ConnectionLost(reason),
-        None => Failure::PossiblyExecuted(reason),
+/// Reads a body of at most `limit` bytes.
+async fn read_limited(mut body: Incoming, limit: usize, budget: &BodyBudget) -> Result<Bytes, Failure> {
+    let mut reservation = budget.begin();
+    let mut received = BytesMut::new();
+    while let Some(frame) = body.frame().await {
+        let Ok(bytes) = frame.map_err(|error| interrupted(&error))?.into_data() else {
+            continue;
+        };
+        if received.len() + bytes.len() > limit {
+            return Err(Failure::PossiblyExecuted(format!("response body exceeds {limit} bytes")));
+        }
+        if !reservation.receive(bytes.len()) {
+            return Err(Failure::PossiblyExecuted("too many large response bodies at the same time".to_string()));
+        }
+        received.extend_from_slice(&bytes);
     }
+    Ok(received.freeze())
+}
+
+/// The failure of a read of a response body that broke off.
+fn interrupted(error: &hyper::Error) -> Failure {
+    Failure::ConnectionLost(format!("response interrupted: {error}"))
 }
 
 /// Returns the connection after a complete response, if it can be reused.
@@ -161,7 +179,7 @@
                         return Some(Ok(bytes));
                     }
                 }
-                Err(error) => return Some(Err(read_failure(&error))),
+                Err(error) => return Some(Err(interrupted(&error))),
             }
         }
     }
