Samples of open steps are owed, however many engines crashed under them

Callers saw: a trainer's step in the product's own interface was not complete for up to an hour after engines had crashed one after the other under one of its prompts (the users' report names trainers' steps; same cause as for items).

Cause: relays return a sample whose work is quarantined, and the group hands it out again; with three independent losses the quarantine ended for one trial after an hour.

Why it works: the leader's task for retrials knows the work of samples of open steps, and allows a trial of it after a pause that doubles with each loss, from 0.5 s to 60 s, as samples have no deadline. Relays pause a sample for 0.5 s before such a trial. The command and all layouts are unchanged. Callers' generations are bounded as before.

--- a/crates/control-client/src/suspicions.rs
+++ b/crates/control-client/src/suspicions.rs
@@ -189,11 +189,16 @@
 
     /// The decision on a request for `work` at present.
     pub fn verdict(&self, work: impl FnOnce() -> WorkDigest) -> Verdict {
+        self.verdict_after(work, self.last_trial_pause)
+    }
+
+    /// As [`Self::verdict`], with another pause before the last trial.
+    pub fn verdict_after(&self, work: impl FnOnce() -> WorkDigest, last_trial_pause: Duration) -> Verdict {
         let suspicions = self.suspicions.borrow();
         if suspicions.is_empty() {
             return Verdict::Send;
         }
-        suspicions.verdict(&work(), self.platform.monotonic(), self.last_trial_pause)
+        suspicions.verdict(&work(), self.platform.monotonic(), last_trial_pause)
     }
 
     /// Requests a trial lease for suspected work, held for at most `limit`; `None` while another trial of it runs, or
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -17,6 +17,7 @@
 mod older_level;
 pub mod order_watch;
 pub mod orders;
+pub mod owed_samples;
 pub mod queries;
 mod report_targets;
 pub mod routing_updates;
--- a/crates/control/src/suspected_work.rs
+++ b/crates/control/src/suspected_work.rs
@@ -56,15 +56,15 @@
     }
 
     /// The decision on `work` that is owed to its caller, by this replica's state `table`. The age of the last engine loss
-    /// is measured since this replica observed it.
-    pub fn owed_work_verdict(&self, table: &SuspicionTable, work: &WorkDigest) -> OwedVerdict {
+    /// is measured since this replica observed it. Pauses are at most `max_pause`.
+    pub fn owed_work_verdict(&self, table: &SuspicionTable, work: &WorkDigest, max_pause: Duration) -> OwedVerdict {
         let Some(suspicion) = table.get(work) else {
             return OwedVerdict::Send;
         };
         let now = self.inner.platform.monotonic();
         let mut watch = self.inner.suspicion_watch.borrow_mut();
         watch.observe(table, now);
-        OwedVerdict::of(suspicion.engines.len(), table.retrials(work), watch.since_last_loss(work, now))
+        OwedVerdict::of(suspicion.engines.len(), table.retrials(work), watch.since_last_loss(work, now), max_pause)
     }
 
     /// Commits one more trial each for quarantined work, and logs it for `reason`.
--- a/crates/coordinator/src/plan.rs
+++ b/crates/coordinator/src/plan.rs
@@ -21,7 +21,7 @@
 use saddlerelay_types::instance::{InstanceId, InstanceState};
 use saddlerelay_types::job::{ItemId, JobId, JobItem};
 use saddlerelay_types::routing::{Route, RoutingDocument};
-use saddlerelay_types::suspicion::OwedVerdict;
+use saddlerelay_types::suspicion::{MAX_OWED_PAUSE, OwedVerdict};
 use saddlerelay_types::work::WorkDigest;
 use saddlerelay_upstream::EngineTarget;
 use std::cell::RefCell;
@@ -284,7 +284,7 @@
         return None;
     }
     let work = next_work(context, index, text_is_complete);
-    match context.inner.node.owed_work_verdict(context.suspicions, &work) {
+    match context.inner.node.owed_work_verdict(context.suspicions, &work, MAX_OWED_PAUSE) {
         OwedVerdict::Send => None,
         OwedVerdict::Pause(_) => Some(WaitReason::TrialPaused),
         OwedVerdict::Retry => {
--- a/crates/relay/src/dispatch.rs
+++ b/crates/relay/src/dispatch.rs
@@ -13,7 +13,7 @@
 use saddlerelay_types::identity::{EngineId, Incarnation, ModelName, TenantId, WeightVersion};
 use saddlerelay_types::instance::InstanceId;
 use saddlerelay_types::request::{ExecutionOutcome, FailureCode, Generation, Priority, Repeatability, ResponsePart};
-use saddlerelay_types::suspicion::{EngineLoss, TRIAL_RETRY_AFTER, Verdict};
+use saddlerelay_types::suspicion::{EngineLoss, OWED_PAUSE, TRIAL_RETRY_AFTER, Verdict};
 use saddlerelay_types::work::WorkDigest;
 use std::cell::OnceCell;
 use std::collections::BTreeSet;
@@ -28,9 +28,6 @@
 /// Retry delay sent to callers after a transient failure.
 pub(crate) const RETRY_DELAY: Duration = Duration::from_millis(500);
 
-/// Path component of work digests of generations; distinguishes them from requests forwarded by the gateway.
-const GENERATION_PATH: &str = "generation";
-
 /// A generation to run.
 #[derive(Clone, Debug)]
 pub struct GenerationWork {
@@ -97,13 +94,10 @@
 }
 
 impl<P: Runtime> GenerationProgress<'_, P> {
-    /// The digest of the generation's work. Excludes the seed: a crash is attributed to the prompt.
+    /// The digest of the generation's work.
     fn work_digest(&self) -> WorkDigest {
         let work = self.work;
-        *self.work_digest.get_or_init(|| {
-            let body = work.prompt.as_bytes();
-            WorkDigest::of_post_request(Some(&work.tenant), work.model.as_str(), GENERATION_PATH, body)
-        })
+        *self.work_digest.get_or_init(|| WorkDigest::of_generation(&work.tenant, &work.model, &work.prompt))
     }
 }
 
@@ -164,7 +158,12 @@
     async fn check_suspicion(&self, progress: &mut GenerationProgress<'_, P>) -> Result<(), DispatchFailure> {
         let suspicions = &self.inner.suspicions;
         let is_suspected = suspicions.engines_terminated(|| progress.work_digest()) > 0;
-        let retry_after = match suspicions.verdict(|| progress.work_digest()) {
+        // A sample is owed; the group allows its trials after pauses of its own.
+        let verdict = match progress.work.priority {
+            Priority::Rollout => suspicions.verdict_after(|| progress.work_digest(), OWED_PAUSE),
+            Priority::Interactive | Priority::Batch => suspicions.verdict(|| progress.work_digest()),
+        };
+        let retry_after = match verdict {
             Verdict::Send if !is_suspected || progress.trial.as_ref().is_some_and(RelayTrial::is_held) => return Ok(()),
             Verdict::Send => {
                 let remaining = progress.work.deadline.saturating_sub(self.inner.runtime.monotonic());
--- a/crates/simulator/tests/crashing_work.rs
+++ b/crates/simulator/tests/crashing_work.rs
@@ -13,7 +13,7 @@
 use saddlerelay_simulator::run::bring_up;
 use saddlerelay_simulator::world::World;
 use saddlerelay_standins::access::{Access, CallerResponse};
-use saddlerelay_types::identity::CallerId;
+use saddlerelay_types::identity::{CallerId, EngineId};
 use saddlerelay_types::request::{CallerRequest, FailureCode, Priority, Repeatability};
 use saddlerelay_types::suspicion::QUARANTINE_THRESHOLD;
 use std::cell::{Cell, RefCell};
@@ -275,6 +275,42 @@
     }
 }
 
+/// Guards against samples that no engine runs for an hour because engines crashed under them one after the other.
+#[test]
+fn samples_are_run_again_however_many_engines_crashed_under_them() {
+    const CRASHES_UNDER_PROMPT: usize = 7;
+    for seed in SEEDS.take(8) {
+        let mut deployment = Deployment::start(seed);
+        let cluster = deployment.cluster.clone();
+        let took = deployment.run(async move {
+            let step = OpenStep::open(cluster.clone(), 0).await;
+            crash_engines_under(&cluster, "prompt 0", CRASHES_UNDER_PROMPT).await;
+            step.fetch_all().await
+        });
+        assert!(took <= COMPLETION_LIMIT, "seed {seed}: the step was complete after {took:?}");
+    }
+}
+
+/// Crashes and restarts each engine that starts to run a prompt, until `count` have crashed.
+async fn crash_engines_under(cluster: &Rc<Cluster>, prompt: &str, count: usize) {
+    let platform = cluster.client_platform();
+    let crashes = Rc::new(Cell::new(0));
+    let mut seen = 0;
+    while crashes.get() < count {
+        platform.sleep(Duration::from_millis(1)).await;
+        let records = cluster.records.borrow();
+        let running = records[seen..].iter().filter_map(|record| match record {
+            Record::Execution { engine, prompt: running, .. } if running == prompt => Some(engine.clone()),
+            _ => None,
+        });
+        let is_engine = |engine: &EngineId| cluster.engines.iter().position(|description| description.id == *engine);
+        for index in running.filter_map(|engine| is_engine(&engine)) {
+            platform.spawn(crash(cluster.clone(), index, crashes.clone()));
+        }
+        seen = records.len();
+    }
+}
+
 /// Crashes all engines at once while the relay runs samples, and starts them again.
 async fn crash_all_engines(cluster: &Rc<Cluster>, step: &OpenStep, relay: usize) {
     let platform = cluster.client_platform();
--- a/crates/simulator/tests/quarantine_policies.rs
+++ b/crates/simulator/tests/quarantine_policies.rs
@@ -454,7 +454,7 @@
         let work = digest(attempt.work);
         let engines = self.table.get(&work).map_or(0, |suspicion| suspicion.engines.len());
         let number = self.table.retrials(&work);
-        match OwedVerdict::of(engines, number, self.watch.since_last_loss(&work, self.now)) {
+        match OwedVerdict::of(engines, number, self.watch.since_last_loss(&work, self.now), MAX_OWED_PAUSE) {
             OwedVerdict::Send => true,
             OwedVerdict::Pause(_) => false,
             OwedVerdict::Retry => {
--- a/crates/types/src/suspicion.rs
+++ b/crates/types/src/suspicion.rs
@@ -2,7 +2,7 @@
 //! quarantined if that happens repeatedly without a successful run in between. A quarantine ends for a few further
 //! trials, soon if the engines may have terminated for another reason.
 //!
-//! Items of batch jobs and their score calls are owed to their caller until their deadline, however many engines have
+//! Items of batch jobs, their score calls and samples are owed to their trainer until their deadline, however many engines have
 //! terminated while running them. They are never rejected, but run on one engine at a time, with a growing pause after
 //! each loss; see [`OwedVerdict`].
 
@@ -55,14 +55,17 @@
     }
 }
 
-/// Pause before owed work during which two engines have terminated is sent again; doubled with each further loss, up to
-/// [`MAX_OWED_PAUSE`].
+/// Pause before owed work during which two engines have terminated is sent again; doubled with each further loss, up to a
+/// maximum.
 pub const OWED_PAUSE: Duration = Duration::from_millis(500);
 
-/// Maximum pause before owed work is sent again. Bounds the rate at which an item that does crash its engines takes them
-/// down, and how long a harmless one waits after the last crash.
+/// Maximum pause before owed work with a deadline is sent again. Bounds the rate at which an item that does crash its
+/// engines takes them down, and how long a harmless one waits after the last crash.
 pub const MAX_OWED_PAUSE: Duration = Duration::from_secs(2);
 
+/// Maximum pause before owed work without a deadline, a sample, is sent again.
+pub const MAX_SAMPLE_PAUSE: Duration = Duration::from_secs(60);
+
 /// The decision whether owed work may be sent to an engine.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum OwedVerdict {
@@ -76,9 +79,9 @@
 
 impl OwedVerdict {
     /// The decision on owed work whose suspicion lists `engines` terminated engines, after `retrials` allowed retrials,
-    /// the last loss `since_last_loss` ago.
-    pub fn of(engines: usize, retrials: u32, since_last_loss: Duration) -> Self {
-        let remaining = owed_pause(engines, retrials).saturating_sub(since_last_loss);
+    /// the last loss `since_last_loss` ago. Pauses are at most `max_pause`.
+    pub fn of(engines: usize, retrials: u32, since_last_loss: Duration, max_pause: Duration) -> Self {
+        let remaining = owed_pause(engines, retrials).min(max_pause).saturating_sub(since_last_loss);
         match engines {
             _ if !remaining.is_zero() => Self::Pause(remaining),
             terminated if terminated >= QUARANTINE_THRESHOLD => Self::Retry,
@@ -95,7 +98,7 @@
         last_trial if last_trial + 1 == QUARANTINE_THRESHOLD && retrials == 0 => 0,
         _ => return Duration::ZERO,
     };
-    OWED_PAUSE.saturating_mul(2_u32.saturating_pow(doublings)).min(MAX_OWED_PAUSE)
+    OWED_PAUSE.saturating_mul(2_u32.saturating_pow(doublings))
 }
 
 /// An engine process that terminated while it ran a request.
--- a/crates/types/src/work.rs
+++ b/crates/types/src/work.rs
@@ -1,7 +1,7 @@
 //! Identity of a request's content: all attempts and resends of the same request share one digest.
 
 use crate::hexadecimal::digest_as_text;
-use crate::identity::TenantId;
+use crate::identity::{ModelName, TenantId};
 use crate::tenancy::Caller;
 use bitcode::{Decode, Encode};
 use sha2::{Digest as _, Sha256};
@@ -9,6 +9,9 @@
 /// Length of the truncated SHA-256, long enough to be collision-resistant.
 const DIGEST_BYTES: usize = 16;
 
+/// Path that stands for a generation.
+const GENERATION_PATH: &str = "generation";
+
 /// Length of the digest prefix shown in logs.
 const LOGGED_PREFIX_BYTES: usize = 6;
 
@@ -51,6 +54,12 @@
         Self(truncated)
     }
 
+    /// Computes the digest of a generation for a tenant, whether a caller or a trainer asks for it. Excludes the seed: a
+    /// crash is attributed to the prompt.
+    pub fn of_generation(tenant: &TenantId, model: &ModelName, prompt: &str) -> Self {
+        Self::of_post_request(Some(tenant), model.as_str(), GENERATION_PATH, prompt.as_bytes())
+    }
+
     /// Computes the digest of a POST request that is sent on behalf of a job's owner.
     pub fn of_post_request(owner: Option<&TenantId>, host: &str, path: &str, body: &[u8]) -> Self {
         let caller = owner.cloned().map_or(Caller::Anyone, Caller::Tenant);
