Soak: texts of a single version, and items that crash their engines

The kind single-version is paired with a route that allows one weight version per text; results with several are a violation. Items that crash their engines are owed since and run on; the check of crashing work bounds them by one engine in the longest pause, and everything else as before. Both checks have tests.

--- a/crates/soak/src/callers.rs
+++ b/crates/soak/src/callers.rs
@@ -76,7 +76,7 @@
     while !stop.get() {
         number += 1;
         send(&Request::new(client, number), random_gateway(&addresses), &addresses, &journal).await;
-        if features == Features::All && number.is_multiple_of(UNKNOWN_KEY_EVERY) {
+        if features != Features::Common && number.is_multiple_of(UNKNOWN_KEY_EVERY) {
             send_with_unknown_key(number, &addresses, &journal).await;
         }
         compio::time::sleep(Duration::from_millis(fastrand::u64(1..MAX_PAUSE_MS))).await;
--- a/crates/soak/src/case.rs
+++ b/crates/soak/src/case.rs
@@ -18,6 +18,8 @@
     Replaced,
     /// Pairs of faults: engines end, hang or are cut off, and shortly after a fault hits a process that holds state.
     Paired,
+    /// As `Paired`, and each text of an item comes from a single weight version.
+    SingleVersion,
     /// Processes are upgraded one by one from an older build.
     Upgrade,
     /// The leader's zone loses packets on its links to all other zones, and all coordinators are killed during it.
@@ -31,7 +33,15 @@
 const REPLACED_COORDINATORS: u8 = 2 * SEED_COORDINATORS + 2;
 
 impl PlanKind {
-    const ALL: [Self; 6] = [Self::Single, Self::Overlapping, Self::Replaced, Self::Paired, Self::Upgrade, Self::Lossy];
+    const ALL: [Self; 7] = [
+        Self::Single,
+        Self::Overlapping,
+        Self::Replaced,
+        Self::Paired,
+        Self::SingleVersion,
+        Self::Upgrade,
+        Self::Lossy,
+    ];
 
     fn name(self) -> &'static str {
         match self {
@@ -39,6 +49,7 @@
             Self::Overlapping => "overlapping",
             Self::Replaced => "replaced",
             Self::Paired => "paired",
+            Self::SingleVersion => "single-version",
             Self::Upgrade => "upgrade",
             Self::Lossy => "lossy",
         }
@@ -48,7 +59,7 @@
     pub fn step_shape(self) -> StepShape {
         match self {
             Self::Single | Self::Overlapping | Self::Replaced | Self::Upgrade | Self::Lossy => StepShape::SHORT,
-            Self::Paired => StepShape::LONG,
+            Self::Paired | Self::SingleVersion => StepShape::LONG,
         }
     }
 
@@ -56,6 +67,7 @@
     pub fn features(self) -> Features {
         match self {
             Self::Single | Self::Overlapping | Self::Replaced | Self::Paired | Self::Lossy => Features::All,
+            Self::SingleVersion => Features::SingleVersion,
             Self::Upgrade => Features::Common,
         }
     }
@@ -63,7 +75,7 @@
     /// Number of simultaneous disk losses that the group tolerates.
     pub fn tolerated_losses(self) -> u8 {
         match self {
-            Self::Single | Self::Overlapping | Self::Replaced | Self::Paired | Self::Upgrade => 1,
+            Self::Single | Self::Overlapping | Self::Replaced | Self::Paired | Self::SingleVersion | Self::Upgrade => 1,
             // With three voters, the two in one zone would form a quorum and keep the leader there.
             Self::Lossy => 2,
         }
@@ -72,7 +84,7 @@
     /// Default deployment size.
     pub fn size(self) -> Size {
         match self {
-            Self::Single | Self::Overlapping | Self::Paired | Self::Upgrade => Size::SMALL,
+            Self::Single | Self::Overlapping | Self::Paired | Self::SingleVersion | Self::Upgrade => Size::SMALL,
             Self::Lossy => Size { coordinators: LOSSY_COORDINATORS, ..Size::SMALL },
             Self::Replaced => Size { coordinators: REPLACED_COORDINATORS, ..Size::SMALL },
         }
--- a/crates/soak/src/checks.rs
+++ b/crates/soak/src/checks.rs
@@ -6,11 +6,11 @@
 };
 use crate::links::Party;
 use crate::waits;
-use crate::workload::{self, MAX_ATTEMPTS, NON_IDEMPOTENT, REROUTED, ROLLOUTS, TIMEOUT_MS};
+use crate::workload::{self, MAX_ATTEMPTS, NON_IDEMPOTENT, REROUTED, ROLLOUTS, TIMEOUT_MS, is_crashing_item};
 use saddlerelay_types::instance::InstanceId;
 use saddlerelay_types::job::{ItemEnd, ItemId, JobId};
 use saddlerelay_types::routing::RoutingDocument;
-use saddlerelay_types::suspicion::QUARANTINE_THRESHOLD;
+use saddlerelay_types::suspicion::{MAX_OWED_PAUSE, QUARANTINE_THRESHOLD};
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
@@ -29,6 +29,8 @@
 pub const AT_MOST_ONCE: &str = "a non-idempotent request is executed at most once";
 /// A request is executed no more often than its route's attempt limit.
 pub const ATTEMPTS: &str = "a request is executed at most as often as its route allows";
+/// On a route with a single version per text, each text comes from one.
+pub const SINGLE_VERSION: &str = "a text comes from a single weight version where the route requires it";
 /// A draining engine receives no new work.
 pub const DRAINED_ENGINES: &str = "a draining engine receives no new work";
 /// An acknowledged routing document takes effect within the bound and is not reverted.
@@ -122,7 +124,8 @@
     })
 }
 
-/// Limits the engines that crashing work reaches later than [`PROPAGATION_BOUND`] after its third engine.
+/// Limits the engines that crashing work reaches later than [`PROPAGATION_BOUND`] after its third engine. Items are owed and
+/// run again, but no faster than one in [`MAX_OWED_PAUSE`].
 fn check_crashing_work(records: &Records, violations: &mut Vec<Violation>) {
     let mut start_times: BTreeMap<u32, Vec<Moment>> = BTreeMap::new();
     for run in &records.runs {
@@ -135,8 +138,11 @@
         let Some(third) = moments.get(QUARANTINE_THRESHOLD - 1) else {
             continue;
         };
-        let later = moments.iter().filter(|moment| **moment > *third + PROPAGATION_BOUND).count();
-        if later > QUARANTINE_THRESHOLD {
+        let limited_from = *third + PROPAGATION_BOUND;
+        let later = moments.iter().filter(|moment| **moment > limited_from).count();
+        let limited_for = moments.last().map_or(Duration::ZERO, |last| last.saturating_sub(limited_from));
+        let owed = if is_crashing_item(kind) { limited_for.as_millis() / MAX_OWED_PAUSE.as_millis() } else { 0 };
+        if later > QUARANTINE_THRESHOLD + owed as usize {
             add_time_bound(
                 violations,
                 CRASHING_WORK,
@@ -267,6 +273,7 @@
 }
 
 fn check_results(records: &Records, violations: &mut Vec<Violation>) {
+    let is_single_version = requires_single_version(records);
     for (job, record) in &records.jobs {
         let mut listed = BTreeSet::new();
         for result in record.results.values() {
@@ -277,6 +284,9 @@
                 ItemEnd::Completed => {
                     check_completed(records, job, record, result, violations);
                     check_score(records, result, violations);
+                    if is_single_version && result.versions.len() > 1 {
+                        add(violations, SINGLE_VERSION, format!("{} has {:?}", result.item.0, result.versions));
+                    }
                 }
                 ItemEnd::Aborted => check_aborted(records, record, result, violations),
             }
@@ -284,6 +294,15 @@
     }
 }
 
+/// Whether all documents that operators sent allow only one weight version per text.
+fn requires_single_version(records: &Records) -> bool {
+    let requires = |body: &[u8]| {
+        let document: Option<RoutingDocument> = serde_json::from_slice(body).ok();
+        document.is_some_and(|document| document.routes.iter().any(|route| route.batch.single_version))
+    };
+    !records.documents.is_empty() && records.documents.iter().all(|document| requires(&document.body))
+}
+
 /// The request path of an item; `None` if the item does not belong to the job.
 fn item_path(job: &JobId, item: &ItemId) -> Option<String> {
     let number = item.0.strip_prefix(&job.0)?.strip_prefix("-item-")?;
--- a/crates/soak/src/engine.rs
+++ b/crates/soak/src/engine.rs
@@ -261,7 +261,7 @@
     /// support.
     fn reported_instance(&self) -> InstanceId {
         match self.state.features {
-            Features::All => self.instance(),
+            Features::All | Features::SingleVersion => self.instance(),
             Features::Common => InstanceId::started(self.instance().name, START_MS + u64::from(self.state.number)),
         }
     }
--- a/crates/soak/src/plan.rs
+++ b/crates/soak/src/plan.rs
@@ -352,7 +352,7 @@
 /// Generates the faults of a case for a soak of this length.
 pub fn draw(case: Case, length: Duration) -> Vec<Planned> {
     match case.kind {
-        PlanKind::Paired => return crate::pairs::draw(case, length),
+        PlanKind::Paired | PlanKind::SingleVersion => return crate::pairs::draw(case, length),
         PlanKind::Upgrade => return crate::upgrades::draw(case, length),
         PlanKind::Lossy => return crate::lossy_zone::draw(case),
         PlanKind::Single | PlanKind::Overlapping | PlanKind::Replaced => {}
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -94,7 +94,7 @@
         compio::runtime::spawn(faults.clone().run_crashes(engine.clone())).detach();
     }
     let crashing_stop = Rc::new(Cell::new(false));
-    if features == Features::All {
+    if features != Features::Common {
         let crashing = callers::run_crashing(addresses.clone(), journal.clone(), crashing_stop.clone());
         tasks.push(compio::runtime::spawn(crashing));
     }
@@ -107,7 +107,7 @@
     stop.set(true);
     await_load_tasks(tasks, &journal).await;
     read_back(&operator, &trainer, &journal).await;
-    if features == Features::All && platform.windows() == 0 {
+    if features != Features::Common && platform.windows() == 0 {
         journal.violation("usage is reported to the platform", "no usage window was reported".to_string());
     }
     reports_stop.set(true);
--- a/crates/soak/src/trainer.rs
+++ b/crates/soak/src/trainer.rs
@@ -3,7 +3,9 @@
 use crate::calls::{call_gateway, change_until_acknowledged, random_gateway};
 use crate::deployment::Addresses;
 use crate::journal::{JobRecord, Journal, ResultRecord};
-use crate::workload::{CRASH_BODY_PREFIX, HOST, MODEL, ROLLOUTS, SCORES, crashing_kind, score_request};
+use crate::workload::{
+    CRASH_BODY_PREFIX, FIRST_CRASHING_ITEM, HOST, MODEL, ROLLOUTS, SCORES, crashing_kind, score_request,
+};
 use hyper::{Method, StatusCode};
 use saddlerelay_types::instance::LoadedModel;
 use saddlerelay_types::job::{ItemId, JobId, JobItem, JobSubmission, ResultPage, ScoringRequest};
@@ -44,9 +46,6 @@
     }
 }
 
-/// First kind of crashing work of the trainer; the clients' kinds count from 0.
-const FIRST_CRASHING_ITEM: u64 = 1_000_000;
-
 const ITEM_BODY_BYTES: usize = 300;
 
 /// Timeout of a call, in addition to the long-poll time of a read.
@@ -66,7 +65,7 @@
 
 /// Body of an item that crashes its engine; each step has its own kind.
 fn crashing_body(step: u64) -> Vec<u8> {
-    format!("{CRASH_BODY_PREFIX}{}", FIRST_CRASHING_ITEM + step).into_bytes()
+    format!("{CRASH_BODY_PREFIX}{}", u64::from(FIRST_CRASHING_ITEM) + step).into_bytes()
 }
 
 /// Trains in steps until stopped.
--- a/crates/soak/src/workload.rs
+++ b/crates/soak/src/workload.rs
@@ -57,6 +57,14 @@
 /// Body prefix of work that crashes its engine; followed by the number of its kind.
 pub const CRASH_BODY_PREFIX: &str = "crashes its engine ";
 
+/// First kind of crashing work of the trainer's items; the clients' kinds count from 0.
+pub const FIRST_CRASHING_ITEM: u32 = 1_000_000;
+
+/// Whether a kind of crashing work is an item of the trainer.
+pub fn is_crashing_item(kind: u32) -> bool {
+    kind >= FIRST_CRASHING_ITEM
+}
+
 /// The kind of crashing work of a body; `None` if it is not crashing work.
 pub fn crashing_kind(body: &[u8]) -> Option<u32> {
     std::str::from_utf8(body).ok()?.strip_prefix(CRASH_BODY_PREFIX)?.parse().ok()
@@ -101,13 +109,16 @@
 pub enum Features {
     /// All features of the newest build.
     All,
+    /// As `All`, and the route of batch jobs allows only one weight version per text.
+    SingleVersion,
     /// Features that all builds support: no tenant keys and no crashing work.
     Common,
 }
 
 /// Creates a routing document whose [`REROUTED`] route targets `rerouted_to`, with `idle` unused routes.
 pub fn document(features: Features, version: u64, rerouted_to: &str, idle: usize) -> RoutingDocument {
-    let batch = BatchSettings { give_up_after_ms: GIVE_UP_AFTER_MS, due_after_ms: 5_000, single_version: false };
+    let single_version = features == Features::SingleVersion;
+    let batch = BatchSettings { give_up_after_ms: GIVE_UP_AFTER_MS, due_after_ms: 5_000, single_version };
     let mut routes = vec![
         route(IDEMPOTENT, RouteKind::Idempotent, WEB_SERVICES[0]),
         route(NON_IDEMPOTENT, RouteKind::NonIdempotent, WEB_SERVICES[0]),
@@ -127,7 +138,7 @@
     };
     let keys = vec![SecretDigest::of(KEY.as_bytes())];
     let tenant = TenantAccess { name: TenantId::new(TENANT), keys, priority: None };
-    let tenants = (features == Features::All).then(|| vec![tenant]);
+    let tenants = (features != Features::Common).then(|| vec![tenant]);
     let services =
         vec![service(WEB_SERVICES[0], None), service(WEB_SERVICES[1], None), service(MODEL_SERVICE, Some(hosting))];
     RoutingDocument { version, routes, services, limits, tenants, source: Vec::new() }
--- a/crates/soak/tests/checks.rs
+++ b/crates/soak/tests/checks.rs
@@ -2,7 +2,7 @@
 
 use saddlerelay_soak_runner::checks::{
     AT_MOST_ONCE, ATTEMPTS, CONFIGURATION, CRASHING_WORK, DRAINED_ENGINES, JOB_ENDS, KEEP_ALIVE_ANSWERED, NOT_EXECUTED,
-    ORDERS, RESULTS, SCORE_STAMPS, STALENESS, check,
+    ORDERS, RESULTS, SCORE_STAMPS, SINGLE_VERSION, STALENESS, check,
 };
 use saddlerelay_soak_runner::convergence::{ConvergenceCheck, HANG_LIMIT, RECOVERY_LIMIT, Wait, evaluate};
 use saddlerelay_soak_runner::deployment::{MembershipRole, parse_membership};
@@ -12,7 +12,9 @@
 };
 use saddlerelay_soak_runner::links::Party;
 use saddlerelay_soak_runner::report::{LAG_LIMIT, Report};
-use saddlerelay_soak_runner::workload::{self, Features, IDEMPOTENT, NON_IDEMPOTENT, REROUTED, ROLLOUTS};
+use saddlerelay_soak_runner::workload::{
+    self, FIRST_CRASHING_ITEM, Features, IDEMPOTENT, NON_IDEMPOTENT, REROUTED, ROLLOUTS,
+};
 use saddlerelay_types::instance::InstanceId;
 use saddlerelay_types::job::{ItemEnd, ItemId, JobId};
 use std::time::Duration;
@@ -272,6 +274,30 @@
     assert_eq!(violated_invariants(&records), [CRASHING_WORK]);
 }
 
+/// Items are owed, so that they may reach further engines, but only one in the longest pause.
+#[test]
+fn an_item_that_has_crashed_three_engines_reaches_more_only_after_pauses() {
+    let crashing = |milliseconds| Run { crashing: Some(FIRST_CRASHING_ITEM), ..run("c", milliseconds) };
+    let mut records = Records::default();
+    records.runs.extend([1_000, 1_100, 1_200].map(crashing));
+    records.runs.extend([5_000, 7_000, 9_000, 11_000, 13_000].map(crashing));
+    assert!(violated_invariants(&records).is_empty());
+    records.runs.extend([13_100, 13_200, 13_300].map(crashing));
+    assert_eq!(violated_invariants(&records), [CRASHING_WORK]);
+}
+
+#[test]
+fn a_text_of_several_versions_is_a_violation_where_the_route_allows_one() {
+    let with = |features| {
+        let body =
+            serde_json::to_vec(&workload::document(features, 1, "web-a", 0)).expect("the document can be encoded");
+        let documents = vec![SentDocument { body, ..document(1, "web-a", 0, Some(100)) }];
+        Records { documents, ..records_of(vec![result(&[2, 3], &[(1, 2), (2, 3)])]) }
+    };
+    assert!(violated_invariants(&with(Features::All)).is_empty());
+    assert_eq!(violated_invariants(&with(Features::SingleVersion)), [SINGLE_VERSION]);
+}
+
 /// A request on a keep-alive connection to gateway 1 that ended this many milliseconds after it was sent.
 fn keep_alive(name: &str, milliseconds: u64, outcome: KeepAliveOutcome) -> KeepAliveRequest {
     let sent_at = at(9_000);
