--- a/crates/gateway-api/tests/owed_items.rs
+++ b/crates/gateway-api/tests/owed_items.rs
@@ -5,11 +5,15 @@
 
 use common::crashing::{CRASH_MARKER, CrashingEngine, RequestLog};
 use common::engine::StandInEngine;
-use common::{Deployment, HOST, block_on, call, document, eventually, job, rollouts, route};
+use common::{Deployment, HOST, block_on, call, document, eventually, instance, job, rollouts, route};
 use hyper::{Method, StatusCode};
+use saddlerelay_types::gateway::{GatewayCommand, TrialRequest};
+use saddlerelay_types::identity::Incarnation;
 use saddlerelay_types::job::{ItemEnd, JobSubmission, ScoringRequest};
 use saddlerelay_types::routing::{Route, RouteKind};
-use saddlerelay_types::suspicion::{MAX_OWED_PAUSE, OWED_PAUSE};
+use saddlerelay_types::suspicion::{
+    EngineLoss, MAX_OWED_PAUSE, OWED_PAUSE, QUARANTINE_THRESHOLD, TrialId, TrialResult, WorkEvidence,
+};
 use std::time::{Duration, Instant};
 
 const ENGINES: usize = 3;
@@ -163,6 +167,32 @@
     });
 }
 
+/// Guards against an item that stays quarantined for an hour because an earlier build had quarantined its work.
+#[test]
+fn an_item_that_an_earlier_build_quarantined_is_run() {
+    block_on(async {
+        let fixture = Fixture::for_items("owed-quarantined").await;
+        let submission = job("job", 0, 0, 1, 1);
+        let work = submission.items[0].work_digest(None, HOST);
+        let node = &fixture.deployment.node;
+        for number in 0..QUARANTINE_THRESHOLD as u64 {
+            let id = TrialId { holder: Incarnation(7), number };
+            let request = TrialRequest { work, id, limit_ms: 1_000 };
+            assert_eq!(node.begin_trial(request).await.ok(), Some(TrialResult::Granted));
+            let losses = vec![EngineLoss { work, instance: instance(&format!("gone-{number}")) }];
+            let evidence = WorkEvidence { losses, served: Vec::new() };
+            node.commit_evidence(evidence).await.expect("the evidence is committed");
+            node.commit_gateway(GatewayCommand::EndTrial { work, id }).await.expect("the trial ends");
+        }
+        assert_eq!(node.read(|state| state.suspicions.is_quarantined(&work)), Some(true));
+        assert_eq!(node.read(|state| state.suspicions.independent_losses(&work)), Some(QUARANTINE_THRESHOLD));
+        assert_eq!(fixture.deployment.submit(&submission).await, StatusCode::ACCEPTED);
+        let since = Instant::now();
+        fixture.await_completed("job", 1).await;
+        assert!(since.elapsed() < 2 * MAX_OWED_PAUSE, "completed after {:?}", since.elapsed());
+    });
+}
+
 /// Guards against a complete text that is never scored because engines crashed under its score call one after the other.
 #[test]
 fn a_score_call_is_made_again_however_many_engines_crashed_under_it() {
--- a/crates/soak/src/command_line.rs
+++ b/crates/soak/src/command_line.rs
@@ -30,6 +30,7 @@
   overlapping  as single, plus series of overlapping signals, and suspensions (default)
   replaced     as overlapping; at the end, the group moves to coordinators that the settings do not name
   paired       a fault of engines and, 0.3 to 3 s later, a fault of a process that holds state; a quiet period follows each pair
+  single-version  as paired, and each text of an item comes from a single weight version
   upgrade      all processes start with the build of --production, an executable of the product, and are upgraded one by one
   lossy        the leader's zone loses a fifth of its packets; all coordinators are killed before or after the leadership change
 With any other kind than upgrade, all processes run the build of --production throughout.
