--- a/crates/coordinator/src/orders.rs
+++ b/crates/coordinator/src/orders.rs
@@ -283,7 +283,8 @@
     inner.replan.notify();
     spdlog::info!("weights ordered", kv: {
         instance = instance.name.as_str(), model = due.model.model.as_str(), held = due.loaded_version,
-        version = due.model.version, reason = due.reason.as_str(), fence = grant.fence.0, done = completed, lasted_ms = elapsed.as_millis() as u64
+        version = due.model.version, reason = due.reason.as_str(), fence = grant.fence.0, done = completed,
+        lasted_ms = elapsed.as_millis() as u64
     });
 }
 
