--- a/crates/gateway-api/tests/common/mod.rs
+++ b/crates/gateway-api/tests/common/mod.rs
@@ -24,7 +24,7 @@
 use saddlerelay_scheduling::Activation;
 use saddlerelay_types::gateway::{GatewayCommand, StoreRecord};
 use saddlerelay_types::instance::{InstanceId, InstanceReport, LoadedModel};
-use saddlerelay_types::job::{ItemId, JobId, JobItem, JobSubmission, ResultPage};
+use saddlerelay_types::job::{ItemId, JobId, JobItem, JobSubmission, ResultPage, ScoringRequest};
 use saddlerelay_types::routing::{
     BatchSettings, ModelHosting, RequestLimits, Route, RouteKind, RoutingDocument, Service, WeightedTarget,
 };
@@ -297,6 +297,20 @@
         self.node.read(|state| state.routing.version()).flatten()
     }
 
+    /// Starts a deployment with one route and engines of service `llm`.
+    pub async fn start_with_engines(name: &str, route: Route, count: usize) -> (Self, Vec<StandInEngine>) {
+        let deployment = Self::start(name).await;
+        deployment.configure(&document(1, vec![route])).await;
+        let mut engines = Vec::new();
+        for index in 0..count {
+            let engine = StandInEngine::start(&format!("engine-{index}")).await;
+            deployment.register(&engine, "llm").await;
+            engines.push(engine);
+        }
+        deployment.await_engines("llm", count).await;
+        (deployment, engines)
+    }
+
     /// Registers an engine with its first report.
     pub async fn register(&self, engine: &StandInEngine, service: &str) {
         self.report(engine, service, false, 1).await;
@@ -480,6 +494,19 @@
     }
 }
 
+/// Gives each item of a job a scorer, whose calls go to the route `/scores/`.
+pub fn scored(mut submission: JobSubmission) -> JobSubmission {
+    for (index, item) in submission.items.iter_mut().enumerate() {
+        item.scorer = Some(ScoringRequest {
+            id: format!("score-{index}"),
+            host: HOST.to_string(),
+            path: format!("/scores/{index}"),
+            body: b"a text".to_vec(),
+        });
+    }
+    submission
+}
+
 /// The identifier of an instance without a start time.
 pub fn instance(name: &str) -> InstanceId {
     InstanceId::without_start_time(name)
--- a/crates/gateway-api/tests/concurrent_crashes.rs
+++ b/crates/gateway-api/tests/concurrent_crashes.rs
@@ -4,10 +4,9 @@
 
 use common::crashing::{CrashingEngine, RequestLog};
 use common::engine::StandInEngine;
-use common::{Deployment, HOST, block_on, call, document, eventually, job, rollouts, route};
+use common::{Deployment, HOST, block_on, call, document, eventually, job, rollouts, route, scored};
 use hyper::{Method, StatusCode};
 use saddlerelay_control::state::ControlState;
-use saddlerelay_types::job::{JobSubmission, ScoringRequest};
 use saddlerelay_types::routing::RouteKind;
 use std::cell::Cell;
 use std::collections::BTreeSet;
@@ -72,18 +71,6 @@
     }
 }
 
-fn scored(mut submission: JobSubmission) -> JobSubmission {
-    for (index, item) in submission.items.iter_mut().enumerate() {
-        item.scorer = Some(ScoringRequest {
-            id: format!("score-{index}"),
-            host: HOST.to_string(),
-            path: format!("/scores/{index}"),
-            body: b"a text".to_vec(),
-        });
-    }
-    submission
-}
-
 async fn post_price(fixture: &Fixture, id: &str) -> StatusCode {
     let headers = [("saddlerelay-request", id), ("host", HOST)];
     call(fixture.deployment.client_address, Method::POST, "/prices/7", &headers, "a price").await.status
--- a/crates/gateway-api/tests/endless_responses.rs
+++ b/crates/gateway-api/tests/endless_responses.rs
@@ -5,11 +5,13 @@
 
 use common::endless::{EndlessResponse, EndlessServer};
 use common::engine::StandInEngine;
-use common::{Deployment, HOST, block_on, call, document, eventually, instance, job, notes, report, rollouts, route};
+use common::{
+    Deployment, HOST, block_on, call, document, eventually, instance, job, notes, report, rollouts, route, scored,
+};
 use http_body_util::BodyExt;
 use hyper::{Method, StatusCode};
 use saddlerelay_types::instance::InstanceReport;
-use saddlerelay_types::job::{ItemEnd, ScoringRequest};
+use saddlerelay_types::job::ItemEnd;
 use saddlerelay_types::routing::{BatchSettings, Route, RouteKind};
 use std::cell::Cell;
 use std::rc::Rc;
@@ -277,15 +279,7 @@
             fixture.deployment.register(&sound, "llm").await;
             let version = serde_json::to_vec(&notes(2)).expect("failed to serialize JSON");
             call(fixture.deployment.control, Method::POST, "/v1/versions", &[], version).await;
-            let mut submission = job("job", 0, 0, 2, 1);
-            for (index, item) in submission.items.iter_mut().enumerate() {
-                item.scorer = Some(ScoringRequest {
-                    id: format!("score-{index}"),
-                    host: HOST.to_string(),
-                    path: format!("/scores/{index}"),
-                    body: b"a text".to_vec(),
-                });
-            }
+            let submission = scored(job("job", 0, 0, 2, 1));
             assert_eq!(fixture.deployment.submit(&submission).await, StatusCode::ACCEPTED);
             eventually("the endless engine got calls", async || fixture.endless.requests() >= 6).await;
             let scorer = StandInEngine::start("scorer").await;
--- a/crates/gateway-api/tests/jobs.rs
+++ b/crates/gateway-api/tests/jobs.rs
@@ -8,19 +8,6 @@
 use saddlerelay_types::job::{ItemEnd, ItemId};
 use std::time::{Duration, Instant};
 
-async fn with_engines(name: &str, count: usize) -> (Deployment, Vec<StandInEngine>) {
-    let deployment = Deployment::start(name).await;
-    deployment.configure(&document(1, vec![rollouts()])).await;
-    let mut engines = Vec::new();
-    for index in 0..count {
-        let engine = StandInEngine::start(&format!("engine-{index}")).await;
-        deployment.register(&engine, "llm").await;
-        engines.push(engine);
-    }
-    deployment.await_engines("llm", count).await;
-    (deployment, engines)
-}
-
 fn text(item: u32, events: u32) -> Vec<u8> {
     let lines: Vec<String> = (1..=events).map(|event| format!("/rollouts/{item} {event}")).collect();
     lines.join("\n").into_bytes()
@@ -34,7 +21,7 @@
 #[test]
 fn each_item_is_listed_once_with_its_text_and_versions() {
     block_on(async {
-        let (deployment, engines) = with_engines("listed", 2).await;
+        let (deployment, engines) = Deployment::start_with_engines("listed", rollouts(), 2).await;
         let job = job("j-1", 1, 0, 10, 4);
         assert_eq!(deployment.submit(&job).await, StatusCode::ACCEPTED);
         assert_eq!(deployment.submit(&job).await, StatusCode::ACCEPTED, "a repeated submission is idempotent");
@@ -59,7 +46,7 @@
 #[test]
 fn a_text_resumes_at_another_engine_after_its_last_event() {
     block_on(async {
-        let (deployment, engines) = with_engines("resumed", 2).await;
+        let (deployment, engines) = Deployment::start_with_engines("resumed", rollouts(), 2).await;
         engines[0].set_behavior(EngineBehavior::TruncateAfter(2));
         deployment.submit(&job("j-1", 1, 0, 8, 6)).await;
         let page = deployment.await_results("j-1", 8).await;
@@ -77,7 +64,7 @@
 #[test]
 fn items_leave_an_engine_that_stops_responding() {
     block_on(async {
-        let (deployment, engines) = with_engines("silent", 2).await;
+        let (deployment, engines) = Deployment::start_with_engines("silent", rollouts(), 2).await;
         engines[0].set_behavior(EngineBehavior::Hang);
         deployment.submit(&job("j-1", 1, 0, 8, 3)).await;
         let page = deployment.await_results("j-1", 8).await;
@@ -88,7 +75,7 @@
 #[test]
 fn an_item_that_is_impossible_or_always_fails_is_aborted() {
     block_on(async {
-        let (deployment, engines) = with_engines("given-up", 1).await;
+        let (deployment, engines) = Deployment::start_with_engines("given-up", rollouts(), 1).await;
         engines[0].set_behavior(EngineBehavior::FailUnprocessable);
         deployment.submit(&job("j-1", 1, 0, 1, 3)).await;
         assert_eq!(deployment.await_results("j-1", 1).await.results[0].1.end, ItemEnd::Aborted);
@@ -103,7 +90,7 @@
 #[test]
 fn no_item_runs_after_its_job_has_ended() {
     block_on(async {
-        let (deployment, engines) = with_engines("ended", 1).await;
+        let (deployment, engines) = Deployment::start_with_engines("ended", rollouts(), 1).await;
         engines[0].set_event_interval(Duration::from_millis(50));
         deployment.submit(&job("j-1", 1, 0, 12, 40)).await;
         eventually("items run", async || !engines[0].received_requests().is_empty()).await;
@@ -127,7 +114,7 @@
 #[test]
 fn item_bodies_are_readable_until_the_items_are_listed() {
     block_on(async {
-        let (deployment, _) = with_engines("bodies", 0).await;
+        let (deployment, _) = Deployment::start_with_engines("bodies", rollouts(), 0).await;
         deployment.submit(&job("j-1", 1, 0, 2, 3)).await;
         let body = call(deployment.client_address, Method::GET, "/v1/jobs/j-1/items/item-1/body", &[], "").await;
         assert_eq!((body.status, &body.body[..]), (StatusCode::OK, &b"prompt 1"[..]));
@@ -139,7 +126,7 @@
 #[test]
 fn an_invalid_job_is_rejected_with_the_reason() {
     block_on(async {
-        let (deployment, _) = with_engines("unreadable", 0).await;
+        let (deployment, _) = Deployment::start_with_engines("unreadable", rollouts(), 0).await;
         let headers = [("saddlerelay-request", "j-1")];
         let answer = deployment.request(Method::POST, "/rollouts/j-1", &headers, "{\"items\": [").await;
         assert_eq!(answer.status, StatusCode::BAD_REQUEST);
@@ -151,7 +138,7 @@
 #[test]
 fn no_text_uses_a_version_below_the_jobs_minimum() {
     block_on(async {
-        let (deployment, engines) = with_engines("minimum", 2).await;
+        let (deployment, engines) = Deployment::start_with_engines("minimum", rollouts(), 2).await;
         engines[1].set_version(2);
         deployment.report(&engines[1], "llm", false, 2).await;
         deployment.submit(&job("j-1", 2, 0, 6, 3)).await;
@@ -164,7 +151,7 @@
 #[test]
 fn an_engine_with_other_weights_than_reported_runs_nothing() {
     block_on(async {
-        let (deployment, engines) = with_engines("other-weights", 1).await;
+        let (deployment, engines) = Deployment::start_with_engines("other-weights", rollouts(), 1).await;
         // A new leader polls each engine for its weights; a completed job shows that the poll has succeeded.
         deployment.submit(&job("j-0", 1, 7, 1, 3)).await;
         deployment.await_results("j-0", 1).await;
@@ -186,7 +173,7 @@
 #[test]
 fn a_later_job_reuses_texts_of_an_earlier_one() {
     block_on(async {
-        let (deployment, engines) = with_engines("carried", 1).await;
+        let (deployment, engines) = Deployment::start_with_engines("carried", rollouts(), 1).await;
         deployment.submit(&job("j-1", 1, 0, 4, 3)).await;
         deployment.await_results("j-1", 4).await;
         call(deployment.client_address, Method::DELETE, "/v1/jobs/j-1", &[], "").await;
@@ -204,7 +191,7 @@
 #[test]
 fn engines_load_the_version_that_pending_items_need() {
     block_on(async {
-        let (deployment, _) = with_engines("needed", 2).await;
+        let (deployment, _) = Deployment::start_with_engines("needed", rollouts(), 2).await;
         // All engines have a version below the job's minimum.
         deployment.submit(&job("j-1", 2, 0, 4, 3)).await;
         compio::time::sleep(Duration::from_millis(200)).await;
@@ -219,7 +206,7 @@
 #[test]
 fn a_requested_version_is_loaded_through_fenced_orders() {
     block_on(async {
-        let (deployment, engines) = with_engines("named", 3).await;
+        let (deployment, engines) = Deployment::start_with_engines("named", rollouts(), 3).await;
         for version in [2, 3] {
             let body = serde_json::to_vec(&notes(version)).expect("failed to serialize JSON");
             let answer = call(deployment.control, Method::POST, "/v1/versions", &[], body).await;
@@ -243,7 +230,7 @@
 #[test]
 fn a_lost_order_response_does_not_block_later_versions() {
     block_on(async {
-        let (deployment, engines) = with_engines("order-unknown", 2).await;
+        let (deployment, engines) = Deployment::start_with_engines("order-unknown", rollouts(), 2).await;
         for version in [2, 3] {
             engines.iter().for_each(|engine| engine.lose_order_responses(1));
             let body = serde_json::to_vec(&notes(version)).expect("failed to serialize JSON");
@@ -263,7 +250,7 @@
 #[test]
 fn an_invalid_document_is_rejected_with_the_reason() {
     block_on(async {
-        let (deployment, _) = with_engines("invalid", 0).await;
+        let (deployment, _) = Deployment::start_with_engines("invalid", rollouts(), 0).await;
         let mut invalid = document(9, vec![rollouts()]);
         invalid.routes[0].timeout_ms = 0;
         let body = serde_json::to_vec(&invalid).expect("failed to serialize JSON");
@@ -281,7 +268,7 @@
 #[test]
 fn a_machine_is_retired_only_if_enough_remain() {
     block_on(async {
-        let (deployment, _) = with_engines("retired", 0).await;
+        let (deployment, _) = Deployment::start_with_engines("retired", rollouts(), 0).await;
         let path = "/admin/v1/stores/store-1/retirement";
         assert_eq!(call(deployment.control, Method::POST, path, &[], "").await.status, StatusCode::NOT_FOUND);
         let record = saddlerelay_types::gateway::StoreRecord {
--- a/crates/gateway-api/tests/weight_versions.rs
+++ b/crates/gateway-api/tests/weight_versions.rs
@@ -3,7 +3,7 @@
 mod common;
 
 use common::engine::{EngineBehavior, StandInEngine};
-use common::{Deployment, block_on, call, document, eventually, job, notes, rollouts};
+use common::{Deployment, block_on, call, eventually, job, notes, rollouts};
 use hyper::{Method, StatusCode};
 use saddlerelay_types::job::{ItemEnd, ResultPage};
 use saddlerelay_types::routing::{BatchSettings, Route};
@@ -15,19 +15,6 @@
     Route { batch, ..rollouts() }
 }
 
-async fn with_engines(name: &str, route: Route, count: usize) -> (Deployment, Vec<StandInEngine>) {
-    let deployment = Deployment::start(name).await;
-    deployment.configure(&document(1, vec![route])).await;
-    let mut engines = Vec::new();
-    for index in 0..count {
-        let engine = StandInEngine::start(&format!("engine-{index}")).await;
-        deployment.register(&engine, "llm").await;
-        engines.push(engine);
-    }
-    deployment.await_engines("llm", count).await;
-    (deployment, engines)
-}
-
 async fn publish_version(deployment: &Deployment, version: u64) {
     let body = serde_json::to_vec(&notes(version)).expect("failed to serialize JSON");
     assert_eq!(call(deployment.control, Method::POST, "/v1/versions", &[], body).await.status, StatusCode::OK);
@@ -51,7 +38,7 @@
 #[test]
 fn idle_engines_load_the_version_that_waiting_items_require() {
     block_on(async {
-        let (deployment, engines) = with_engines("required-version", rollouts(), 6).await;
+        let (deployment, engines) = Deployment::start_with_engines("required-version", rollouts(), 6).await;
         engines.iter().for_each(|engine| engine.set_event_interval(Duration::from_millis(50)));
         // More items than there are slots, none of which ends during the test.
         assert_eq!(deployment.submit(&job("j-1", 2, 0, 60, 1_000)).await, StatusCode::ACCEPTED);
@@ -67,7 +54,8 @@
 #[test]
 fn an_item_whose_text_no_engine_can_continue_starts_over() {
     block_on(async {
-        let (deployment, engines) = with_engines("text-version-gone", single_version_rollouts(), 2).await;
+        let (deployment, engines) =
+            Deployment::start_with_engines("text-version-gone", single_version_rollouts(), 2).await;
         engines.iter().for_each(|engine| engine.set_event_interval(Duration::from_millis(10)));
         deployment.submit(&job("j-1", 1, 0, 1, 60)).await;
         eventually("the item has a partial text", async || events_sent(&engines) >= 20).await;
@@ -83,7 +71,8 @@
 #[test]
 fn a_text_of_an_earlier_job_that_no_engine_can_continue_is_generated_again() {
     block_on(async {
-        let (deployment, engines) = with_engines("earlier-text-version", single_version_rollouts(), 2).await;
+        let (deployment, engines) =
+            Deployment::start_with_engines("earlier-text-version", single_version_rollouts(), 2).await;
         // Partial texts are saved from 2 KiB on.
         deployment.submit(&job("j-1", 1, 0, 1, 4_000)).await;
         eventually("the item has a saved text", async || events_sent(&engines) >= 400).await;
@@ -102,7 +91,8 @@
 #[test]
 fn a_text_is_continued_by_an_engine_that_still_has_its_version() {
     block_on(async {
-        let (deployment, engines) = with_engines("text-version-kept", single_version_rollouts(), 1).await;
+        let (deployment, engines) =
+            Deployment::start_with_engines("text-version-kept", single_version_rollouts(), 1).await;
         engines[0].set_event_interval(Duration::from_millis(10));
         let newer = StandInEngine::start("engine-1").await;
         newer.set_version(2);
@@ -122,7 +112,8 @@
 #[test]
 fn an_item_starts_over_if_the_engine_with_its_version_does_not_take_it() {
     block_on(async {
-        let (deployment, engines) = with_engines("text-version-rejected", single_version_rollouts(), 1).await;
+        let (deployment, engines) =
+            Deployment::start_with_engines("text-version-rejected", single_version_rollouts(), 1).await;
         engines[0].set_event_interval(Duration::from_millis(10));
         let newer = StandInEngine::start("engine-1").await;
         newer.set_version(2);
