--- a/crates/gateway-api/tests/endless_responses.rs
+++ b/crates/gateway-api/tests/endless_responses.rs
@@ -196,7 +196,10 @@
         saddlerelay_http::client::Connection::open(client_address).await.expect("failed to connect to the gateway");
     let headers = [("saddlerelay-request", id), ("host", HOST), ("events", "1")];
     let response = connection.send(Method::POST, "/plans/7", &headers, "a plan").await;
-    let mut response = response.expect("the gateway sent no response");
+    // A stream that breaks off before its first event may end without a response head.
+    let Ok(mut response) = response else {
+        return (false, since.elapsed());
+    };
     let is_success = response.status().is_success();
     loop {
         match response.body_mut().frame().await {
