A model without engines gets one for waiting items; backlogs weigh engines as before

A model without an engine and without work took one from a model with work. Items that wait are the condition: the model gets its engine with the first of them.

--- a/crates/coordinator/src/orders.rs
+++ b/crates/coordinator/src/orders.rs
@@ -127,20 +127,15 @@
 ) -> BTreeMap<String, ModelBacklog> {
     let inner = &coordinator.inner;
     let waiting = inner.waiting_items.borrow();
-    let none = WaitingItems::default();
     let backlog = |model: &String| {
         let newest = published_versions.get(model).copied().unwrap_or_default();
-        let waiting = waiting.get(model).unwrap_or(&none);
-        let count = waiting.count();
-        let can_serve = |loaded_version: u64| match count {
-            0 => !is_too_old(loaded_version, newest),
-            _ => waiting.accept(loaded_version),
-        };
-        let serves = |engine: &&EngineTarget| {
-            inner.fleet.version(&engine.instance, model).is_some_and(can_serve)
+        let can_serve = |engine: &&EngineTarget| {
+            let loaded_version = inner.fleet.version(&engine.instance, model);
+            loaded_version.is_some_and(|loaded_version| !is_too_old(loaded_version, newest))
                 || inner.fleet.is_loading(&engine.instance, model)
         };
-        (model.clone(), ModelBacklog { waiting: count, engines: engines.iter().filter(serves).count() as u32 })
+        let waiting = waiting.get(model).map_or(0, WaitingItems::count);
+        (model.clone(), ModelBacklog { waiting, engines: engines.iter().filter(can_serve).count() as u32 })
     };
     models.iter().map(backlog).collect()
 }
@@ -223,7 +218,9 @@
         }
         let mut assignments = self.inner.model_assignments.borrow_mut();
         assignments.set_capacities(capacities);
-        for reassignment in assignments.rebalance(&by_pace, models, versions_behind, now) {
+        let waiting = self.inner.waiting_items.borrow();
+        let has_waiting_items = |model: &str| waiting.get(model).is_some_and(|items| items.count() > 0);
+        for reassignment in assignments.rebalance(&by_pace, models, versions_behind, has_waiting_items, now) {
             self.inner.metrics.engines_reassigned.inc();
             spdlog::info!("engine reassigned to another model", kv: {
                 instance = reassignment.instance.name.as_str(), service = service,
