--- a/crates/coordinator/tests/model_assignments.rs
+++ b/crates/coordinator/tests/model_assignments.rs
@@ -270,7 +270,7 @@
         let all = engines(12);
         let mut assignments = ModelAssignments::default();
         let behind = |_: &InstanceId, model: &str| if model == "model-0" { 0 } else { 1 + u64::from(lagging) };
-        let has_waiting_items = |model: &str| lagging % 3 == 0 || model != "model-1";
+        let has_waiting_items = |model: &str| lagging.is_multiple_of(3) || model != "model-1";
         steps.into_iter().zip(0_u64..).all(|((present, demands, has_capacities), step)| {
             for (model, demand) in models.iter().zip(&demands) {
                 assignments.record_demand(model, f64::from(*demand) * f64::from(*demand));
