Apply an item's event timeout to whole events, not to reads

Callers would have seen: an item stayed at an engine that trickles bytes of an event that never ends, until its deadline or 256 KB, while other engines were idle. The timeout is documented as that for the next event, but each read restarted it.

Evidence: items_on_engines_that_send_without_end_run_elsewhere with the new case slow-event (bytes every 100 ms) waited until its time limit before the change, and passes with it.

A comment of ModelAssignments is wrapped anew.

--- a/crates/coordinator/src/item.rs
+++ b/crates/coordinator/src/item.rs
@@ -201,8 +201,14 @@
     let mut parser = EventParser::new(coordinator.header_names().weight_version.as_str());
     let (_, mut stream) = response.into_stream();
     let mut last_event_at = None;
+    let mut event_due_at = coordinator.now() + inner.config.event_timeout;
     loop {
-        let bytes = match compio::time::timeout(inner.config.event_timeout, stream.next()).await {
+        // The timeout is that of a whole event: bytes that never make one must not extend it.
+        let remaining = event_due_at.saturating_sub(coordinator.now());
+        if remaining.is_zero() {
+            return AttemptEnd::Silent;
+        }
+        let bytes = match compio::time::timeout(remaining, stream.next()).await {
             Ok(Some(Ok(bytes))) => bytes,
             Ok(Some(Err(Failure::ConnectionLost(reason)))) => return AttemptEnd::ConnectionLost(reason),
             Ok(Some(Err(failure))) => return AttemptEnd::BrokeOff(failure.to_string()),
@@ -228,6 +234,7 @@
             if now >= start.item_deadline {
                 return AttemptEnd::DeadlineExceeded;
             }
+            event_due_at = now + inner.config.event_timeout;
             match last_event_at.replace(now) {
                 Some(last_event_at) => {
                     let interval = now.saturating_sub(last_event_at);
--- a/crates/coordinator/src/model_assignments.rs
+++ b/crates/coordinator/src/model_assignments.rs
@@ -107,9 +107,8 @@
 
     /// Assigns `engines` to `models`. Engines are passed fastest first, so that each model gets fast and slow ones.
     /// `versions_behind` returns how many versions an engine is behind with a model: a new leader prefers to leave
-    /// engines with the model that they are least behind with. `has_waiting_items` says whether items of a model wait for an
-    /// engine. Returns the engines that were reassigned, without those
-    /// that had no model before.
+    /// engines with the model that they are least behind with. `has_waiting_items` says whether items of a model wait for
+    /// an engine. Returns the engines that were reassigned, without those that had no model before.
     pub fn rebalance(
         &mut self,
         engines: &[InstanceId],
--- a/crates/gateway-api/tests/endless_responses.rs
+++ b/crates/gateway-api/tests/endless_responses.rs
@@ -217,7 +217,8 @@
     let event = open_body("saddlerelay-version: 1\r\n\r\ndata: ", "an event that never ends");
     let events = open_body("saddlerelay-version: 1\r\n\r\n", "data: an event\n\n");
     let slow_events = EndlessResponse { pause: Some(Duration::from_millis(20)), ..events };
-    let cases = [("event", event), ("events", events), ("slow-events", slow_events)];
+    let slow_event = EndlessResponse { pause: Some(Duration::from_millis(100)), ..event };
+    let cases = [("event", event), ("events", events), ("slow-events", slow_events), ("slow-event", slow_event)];
     for (name, response) in HEADS.into_iter().chain(cases) {
         block_on(async {
             let fixture = Fixture::start(&format!("item-{name}"), &[rollouts()], "llm", response).await;
@@ -281,10 +282,12 @@
             let sound = StandInEngine::start("sound").await;
             fixture.deployment.register(&sound, "llm").await;
             let version = serde_json::to_vec(&notes(2)).expect("failed to serialize JSON");
-            call(fixture.deployment.control, Method::POST, "/v1/versions", &[], version).await;
+            let published = call(fixture.deployment.control, Method::POST, "/v1/versions", &[], version).await;
+            assert_eq!(published.status, StatusCode::OK, "{name}");
             let submission = scored(job("job", 0, 0, 2, 1));
             assert_eq!(fixture.deployment.submit(&submission).await, StatusCode::ACCEPTED);
-            eventually("the endless engine got calls", async || fixture.endless.requests() >= 6).await;
+            eventually(&format!("the endless engine got calls ({name})"), async || fixture.endless.requests() >= 6)
+                .await;
             let scorer = StandInEngine::start("scorer").await;
             fixture.deployment.register(&scorer, "web").await;
             fixture.deployment.await_results("job", 2).await;
