Bound what a peer connection holds before its handshake

What callers saw: a crowd at a coordinator's peer port that sent the beginning of frames of 60 MiB made the process hold all of it, 233 MB for 100 connections of 2 MiB; 400 silent connections took all of 256 descriptors for the five seconds of the handshake timeout.

Cause: a frame of up to 64 MiB was buffered before the handshake was checked, and connections were accepted without a bound.

Fix: the first frame has at most 4 KiB, checked when its length has arrived. A limited number of connections may be in their handshake; when it is reached, or no descriptor is left, the oldest gives way: a peer sends its first frame at once, so that those that are old are not peers. Authenticated peers are bounded as before.

--- a/crates/rpc/src/server.rs
+++ b/crates/rpc/src/server.rs
@@ -2,12 +2,15 @@
 
 use crate::frame::{Envelope, Hello, MAGIC, Welcome};
 use futures::channel::mpsc;
+use futures::future::Either;
 use futures::{StreamExt, future};
 use saddlerelay_runtime::repeated_event::RepeatedEvent;
+use saddlerelay_runtime::signal::Signal;
 use saddlerelay_runtime::timeout::timeout;
 use saddlerelay_runtime::{FrameListener, FrameReceiver, FrameSender, Runtime};
 use saddlerelay_types::feature_level::FeatureLevel;
 use std::cell::RefCell;
+use std::collections::VecDeque;
 use std::fmt;
 use std::future::Future;
 use std::rc::Rc;
@@ -16,6 +19,12 @@
 /// Time limit for the client's [`Hello`].
 const HELLO_TIMEOUT: Duration = Duration::from_secs(5);
 
+/// Maximum size of the client's [`Hello`], in bytes. It is received before anything is known of the client.
+const MAX_HELLO_BYTES: usize = 4 * 1024;
+
+/// Default of the maximum number of connections whose handshake is not complete.
+pub const MAX_PENDING_HANDSHAKES: usize = 1024;
+
 /// Delay after a failed accept, for example when file descriptors are exhausted.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(100);
 
@@ -25,21 +34,90 @@
     fn handle(self: Rc<Self>, level: FeatureLevel, body: Vec<u8>) -> impl Future<Output = Option<Vec<u8>>> + 'static;
 }
 
-/// Accepts connections until the process ends.
-pub async fn serve<P: Runtime, H: Handler>(platform: P, mut listener: P::Listener, secret: String, handler: Rc<H>) {
+/// Accepts connections until the process ends; at most [`MAX_PENDING_HANDSHAKES`] may be in their handshake.
+pub async fn serve<P: Runtime, H: Handler>(platform: P, listener: P::Listener, secret: String, handler: Rc<H>) {
+    serve_limited(platform, listener, secret, handler, MAX_PENDING_HANDSHAKES).await;
+}
+
+/// Accepts connections until the process ends. If `max_pending` are in their handshake, or no descriptor is left, the
+/// oldest of them is closed.
+pub async fn serve_limited<P: Runtime, H: Handler>(
+    platform: P,
+    mut listener: P::Listener,
+    secret: String,
+    handler: Rc<H>,
+    max_pending: usize,
+) {
     let validator = Rc::new(HandshakeValidator { secret, rejected: RefCell::default() });
+    let pending = PendingHandshakes::default();
     loop {
         match listener.accept().await {
             Ok((sender, receiver)) => {
-                let connection =
-                    serve_connection(platform.clone(), sender, receiver, validator.clone(), handler.clone());
+                if pending.count() >= max_pending {
+                    pending.close_oldest();
+                }
+                let connection = serve_connection(
+                    platform.clone(),
+                    sender,
+                    receiver,
+                    validator.clone(),
+                    pending.begin(),
+                    handler.clone(),
+                );
                 platform.spawn(connection);
             }
-            Err(_) => platform.sleep(ACCEPT_RETRY_DELAY).await,
+            Err(_) => {
+                pending.close_oldest();
+                platform.sleep(ACCEPT_RETRY_DELAY).await;
+            }
+        }
+    }
+}
+
+/// Connections whose handshake is not complete, from the oldest to the newest.
+#[derive(Clone, Default)]
+struct PendingHandshakes {
+    oldest_first: Rc<RefCell<VecDeque<Rc<Signal>>>>,
+}
+
+impl PendingHandshakes {
+    fn begin(&self) -> PendingHandshake {
+        let closing = Rc::new(Signal::default());
+        self.oldest_first.borrow_mut().push_back(closing.clone());
+        PendingHandshake { pending: self.clone(), closing }
+    }
+
+    fn count(&self) -> usize {
+        self.oldest_first.borrow().len()
+    }
+
+    fn close_oldest(&self) {
+        let oldest = self.oldest_first.borrow_mut().pop_front();
+        if let Some(closing) = oldest {
+            closing.notify();
         }
     }
 }
 
+/// A handshake in progress; complete when dropped.
+struct PendingHandshake {
+    pending: PendingHandshakes,
+    closing: Rc<Signal>,
+}
+
+impl PendingHandshake {
+    /// Returns when the connection is to be closed.
+    async fn closing(&self) {
+        self.closing.changed(0).await;
+    }
+}
+
+impl Drop for PendingHandshake {
+    fn drop(&mut self) {
+        self.pending.oldest_first.borrow_mut().retain(|closing| !Rc::ptr_eq(closing, &self.closing));
+    }
+}
+
 /// Why a client's handshake is rejected.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum HandshakeError {
@@ -93,12 +171,15 @@
     sender: impl FrameSender,
     mut receiver: impl FrameReceiver,
     validator: Rc<HandshakeValidator>,
+    handshake: PendingHandshake,
     handler: Rc<H>,
 ) {
-    let hello = timeout(&platform, HELLO_TIMEOUT, receiver.receive()).await;
-    let Some(Ok(Some(frame))) = hello else {
-        return;
+    let hello = timeout(&platform, HELLO_TIMEOUT, receiver.receive_within(MAX_HELLO_BYTES));
+    let frame = match future::select(std::pin::pin!(hello), std::pin::pin!(handshake.closing())).await {
+        Either::Left((Some(Ok(Some(frame))), _)) => frame,
+        Either::Left(_) | Either::Right(_) => return,
     };
+    drop(handshake);
     let level = match validator.check(&frame) {
         Ok(level) => level,
         Err(error) => {
--- a/crates/runtime-compio/src/connection.rs
+++ b/crates/runtime-compio/src/connection.rs
@@ -100,13 +100,13 @@
 
 impl TcpFrameReceiver {
     /// Takes the next complete frame from the receive buffer; `None` if it is incomplete.
-    fn take_frame(&mut self) -> io::Result<Option<Vec<u8>>> {
+    fn take_frame(&mut self, max_bytes: usize) -> io::Result<Option<Vec<u8>>> {
         let unread = &self.received[self.consumed..];
         let Some(header) = unread.get(..LENGTH_BYTES) else {
             return Ok(None);
         };
         let length = u32::from_le_bytes(header.try_into().expect("the slice has four bytes")) as usize;
-        if length > MAX_FRAME_BYTES {
+        if length > max_bytes {
             return Err(io::Error::new(io::ErrorKind::InvalidData, "frame exceeds the maximum size"));
         }
         let Some(frame) = unread.get(LENGTH_BYTES..LENGTH_BYTES + length) else {
@@ -123,9 +123,9 @@
 }
 
 impl FrameReceiver for TcpFrameReceiver {
-    async fn receive(&mut self) -> io::Result<Option<Vec<u8>>> {
+    async fn receive_within(&mut self, max_bytes: usize) -> io::Result<Option<Vec<u8>>> {
         loop {
-            if let Some(frame) = self.take_frame()? {
+            if let Some(frame) = self.take_frame(max_bytes)? {
                 return Ok(Some(frame));
             }
             self.received.drain(..self.consumed);
--- a/crates/runtime/src/lib.rs
+++ b/crates/runtime/src/lib.rs
@@ -27,7 +27,12 @@
 /// Receiving half of a framed connection.
 pub trait FrameReceiver: 'static {
     /// Receives the next frame; `None` if the peer closed the connection.
-    async fn receive(&mut self) -> io::Result<Option<Vec<u8>>>;
+    async fn receive(&mut self) -> io::Result<Option<Vec<u8>>> {
+        self.receive_within(MAX_FRAME_BYTES).await
+    }
+
+    /// As [`Self::receive`]; an error if the frame has more than `max_bytes`, before it is received.
+    async fn receive_within(&mut self, max_bytes: usize) -> io::Result<Option<Vec<u8>>>;
 }
 
 /// Accepts framed connections.
--- a/crates/simulator/src/network.rs
+++ b/crates/simulator/src/network.rs
@@ -296,10 +296,13 @@
 }
 
 impl FrameReceiver for SimReceiver {
-    async fn receive(&mut self) -> io::Result<Option<Vec<u8>>> {
+    async fn receive_within(&mut self, max_bytes: usize) -> io::Result<Option<Vec<u8>>> {
         poll_fn(|context| {
             if let Some(frame) = self.pipe.arrived.borrow_mut().pop_front() {
-                return Poll::Ready(Ok(Some(frame)));
+                let is_admitted = frame.len() <= max_bytes;
+                return Poll::Ready(
+                    is_admitted.then_some(Some(frame)).ok_or_else(|| io::ErrorKind::InvalidData.into()),
+                );
             }
             if self.pipe.closed.get() {
                 return Poll::Ready(Ok(None));
