--- a/crates/api/src/commands/callers.rs
+++ b/crates/api/src/commands/callers.rs
@@ -7,11 +7,11 @@
 use bytes::Bytes;
 use futures::StreamExt;
 use futures::channel::mpsc;
-use hyper::body::Incoming;
 use hyper::header::HeaderValue;
 use hyper::http::request::Parts;
 use hyper::{HeaderMap, StatusCode};
-use saddlerelay_http::body::{Reply, json, parse_json, read_body, streamed_reply};
+use saddlerelay_http::body::{Reply, json, parse_json, streamed_reply};
+use saddlerelay_http::request_body::RequestBody;
 use saddlerelay_http::sse;
 use saddlerelay_runtime::Runtime;
 use saddlerelay_runtime::backend::Backends;
@@ -43,8 +43,8 @@
 }
 
 /// `POST /v1/chat/completions`.
-pub async fn chat<P: Runtime, B: Backends>(api: &RelayApi<P, B>, head: &Parts, body: Incoming) -> Reply {
-    let bytes = match read_body(body).await {
+pub async fn chat<P: Runtime, B: Backends>(api: &RelayApi<P, B>, head: &Parts, body: RequestBody) -> Reply {
+    let bytes = match body.read().await {
         Ok(bytes) => bytes,
         Err(error) => return body_error_reply(&error),
     };
@@ -66,8 +66,8 @@
 }
 
 /// `POST /v1/completions`.
-pub async fn completion<P: Runtime, B: Backends>(api: &RelayApi<P, B>, head: &Parts, body: Incoming) -> Reply {
-    let bytes = match read_body(body).await {
+pub async fn completion<P: Runtime, B: Backends>(api: &RelayApi<P, B>, head: &Parts, body: RequestBody) -> Reply {
+    let bytes = match body.read().await {
         Ok(bytes) => bytes,
         Err(error) => return body_error_reply(&error),
     };
--- a/crates/api/src/commands/control.rs
+++ b/crates/api/src/commands/control.rs
@@ -4,11 +4,11 @@
 use crate::errors::{body_error_reply, error_reply, not_found, serialized_name};
 use crate::queries::control::{RETRY_MILLISECONDS, control_error, entity_tag, object_reply};
 use crate::wire::KEY_HEADER;
-use hyper::body::Incoming;
 use hyper::header::{ETAG, HeaderValue, IF_MATCH, IF_NONE_MATCH};
 use hyper::http::request::Parts;
 use hyper::{HeaderMap, StatusCode};
-use saddlerelay_http::body::{Reply, json, parse_json, read_body};
+use saddlerelay_http::body::{Reply, json, parse_json};
+use saddlerelay_http::request_body::RequestBody;
 use saddlerelay_runtime::Runtime;
 use saddlerelay_runtime::backend::Backends;
 use saddlerelay_types::configuration::{
@@ -40,9 +40,9 @@
     api: &ControlApi<P, B>,
     head: &Parts,
     name: ObjectName,
-    body: Incoming,
+    body: RequestBody,
 ) -> Reply {
-    let bytes = match read_body(body).await {
+    let bytes = match body.read().await {
         Ok(bytes) => bytes,
         Err(error) => return body_error_reply(&error),
     };
--- a/crates/api/src/commands/trainers.rs
+++ b/crates/api/src/commands/trainers.rs
@@ -5,9 +5,9 @@
 use crate::relay::RelayApi;
 use crate::wire::{OpenStepBody, OpenTrainerBody, PublishBody};
 use hyper::StatusCode;
-use hyper::body::Incoming;
 use hyper::http::request::Parts;
-use saddlerelay_http::body::{Reply, json, parse_json, read_body};
+use saddlerelay_http::body::{Reply, json, parse_json};
+use saddlerelay_http::request_body::RequestBody;
 use saddlerelay_relay::commands::trainers::TrainerError;
 use saddlerelay_runtime::Runtime;
 use saddlerelay_runtime::backend::Backends;
@@ -31,8 +31,8 @@
     Ok(credentials.tenant)
 }
 
-async fn read<T: DeserializeOwned>(body: Incoming) -> Result<T, Rejection> {
-    let bytes = read_body(body).await.map_err(|error| Box::new(body_error_reply(&error)))?;
+async fn read<T: DeserializeOwned>(body: RequestBody) -> Result<T, Rejection> {
+    let bytes = body.read().await.map_err(|error| Box::new(body_error_reply(&error)))?;
     parse_json(&bytes).map_err(|error| Box::new(body_error_reply(&error)))
 }
 
@@ -51,7 +51,12 @@
 }
 
 /// `POST /v1/trainers/TENANT/open`.
-pub async fn open<P: Runtime, B: Backends>(api: &RelayApi<P, B>, head: &Parts, tenant: &str, body: Incoming) -> Reply {
+pub async fn open<P: Runtime, B: Backends>(
+    api: &RelayApi<P, B>,
+    head: &Parts,
+    tenant: &str,
+    body: RequestBody,
+) -> Reply {
     let reply = async {
         let tenant = authorize(api, head, tenant)?;
         let body: OpenTrainerBody = read(body).await?;
@@ -65,7 +70,7 @@
     api: &RelayApi<P, B>,
     head: &Parts,
     tenant: &str,
-    body: Incoming,
+    body: RequestBody,
 ) -> Reply {
     let reply = async {
         let tenant = authorize(api, head, tenant)?;
@@ -80,7 +85,7 @@
     api: &RelayApi<P, B>,
     head: &Parts,
     tenant: &str,
-    body: Incoming,
+    body: RequestBody,
 ) -> Reply {
     let reply = async {
         let tenant = authorize(api, head, tenant)?;
--- a/crates/api/src/control.rs
+++ b/crates/api/src/control.rs
@@ -4,11 +4,11 @@
 use crate::credentials::{bearer_token, constant_time_equal};
 use crate::errors::{error_reply, not_found};
 use crate::queries;
-use hyper::body::Incoming;
 use hyper::{Method, Request, StatusCode};
 use saddlerelay_control::node::ControlNode;
 use saddlerelay_control_client::ControlClient;
 use saddlerelay_http::body::Reply;
+use saddlerelay_http::request_body::RequestBody;
 use saddlerelay_http::server::HttpHandler;
 use saddlerelay_runtime::Runtime;
 use saddlerelay_runtime::backend::Backends;
@@ -36,7 +36,7 @@
 }
 
 impl<P: Runtime, B: Backends> HttpHandler for ControlApi<P, B> {
-    async fn handle(self: Rc<Self>, request: Request<Incoming>) -> Reply {
+    async fn handle(self: Rc<Self>, request: Request<RequestBody>) -> Reply {
         let (head, body) = request.into_parts();
         let path = head.uri.path().to_string();
         let segments: Vec<&str> = path.trim_matches('/').split('/').collect();
@@ -62,7 +62,7 @@
 }
 
 impl<P: Runtime, B: Backends> ControlApi<P, B> {
-    async fn handle_admin_call(&self, head: &hyper::http::request::Parts, path: &[&str], body: Incoming) -> Reply {
+    async fn handle_admin_call(&self, head: &hyper::http::request::Parts, path: &[&str], body: RequestBody) -> Reply {
         if let Some(name) = object_name(path) {
             return match head.method {
                 Method::GET => queries::control::object(self, name).await,
--- a/crates/api/src/errors.rs
+++ b/crates/api/src/errors.rs
@@ -10,6 +10,9 @@
 /// Header with the retry delay in milliseconds; `Retry-After` only has whole seconds.
 pub const RETRY_AFTER_MILLISECONDS_HEADER: &str = "retry-after-ms";
 
+/// Retry delay after a body that did not arrive in time or that there was no memory for, in milliseconds.
+const BODY_RETRY_MILLISECONDS: u64 = 1_000;
+
 /// The `error` object of an error response.
 #[derive(Clone, Debug, Serialize)]
 pub struct ErrorDetail {
@@ -125,6 +128,10 @@
     let invalid = |message: String| {
         failure_reply(&RequestFailure::new(ExecutionOutcome::NotExecuted, FailureCode::InvalidRequest, message, 0))
     };
+    let retryable = |code, message: &str| {
+        let message = message.to_string();
+        failure_reply(&RequestFailure::new(ExecutionOutcome::NotExecuted, code, message, BODY_RETRY_MILLISECONDS))
+    };
     match error {
         BodyError::TooLarge => {
             let mut reply = invalid("the body is too large".to_string());
@@ -132,6 +139,12 @@
             reply
         }
         BodyError::Lost => invalid("the body broke off".to_string()),
+        BodyError::Timeout => {
+            let mut reply = retryable(FailureCode::DeadlineExceeded, "the body did not arrive in time");
+            *reply.status_mut() = StatusCode::REQUEST_TIMEOUT;
+            reply
+        }
+        BodyError::NoMemory => retryable(FailureCode::Overloaded, "too many large requests at the same time"),
         BodyError::Malformed(reason) => invalid(format!("the body is not as expected: {reason}")),
     }
 }
--- a/crates/api/src/relay.rs
+++ b/crates/api/src/relay.rs
@@ -3,9 +3,9 @@
 use crate::commands::{callers, trainers};
 use crate::errors::not_found;
 use crate::queries;
-use hyper::body::Incoming;
 use hyper::{Method, Request};
 use saddlerelay_http::body::Reply;
+use saddlerelay_http::request_body::RequestBody;
 use saddlerelay_http::server::HttpHandler;
 use saddlerelay_relay::Relay;
 use saddlerelay_runtime::Runtime;
@@ -21,7 +21,7 @@
 }
 
 impl<P: Runtime, B: Backends> HttpHandler for RelayApi<P, B> {
-    async fn handle(self: Rc<Self>, request: Request<Incoming>) -> Reply {
+    async fn handle(self: Rc<Self>, request: Request<RequestBody>) -> Reply {
         let (head, body) = request.into_parts();
         let path = head.uri.path().to_string();
         let segments: Vec<&str> = path.trim_matches('/').split('/').collect();
--- a/crates/command-line/src/lib.rs
+++ b/crates/command-line/src/lib.rs
@@ -2,6 +2,7 @@
 
 pub mod account;
 pub mod admin;
+mod clients;
 mod duties;
 pub mod explain;
 mod level_metrics;
--- a/crates/command-line/src/member.rs
+++ b/crates/command-line/src/member.rs
@@ -1,5 +1,6 @@
 //! Runs a gateway or a coordinator of a deployment with seed-based discovery.
 
+use crate::clients::Clients;
 use crate::level_metrics::LevelMetrics;
 use crate::signals::{SIGHUP, SIGTERM, SignalListener};
 use crate::{CommandError, Exit, read_member_settings};
@@ -15,6 +16,7 @@
     ClientApi, ControlApi, Formats, NativeEngines, NativeFormats, NativePlatform, ReadinessApi,
 };
 use saddlerelay_http::body::{Reply, full_reply};
+use saddlerelay_http::request_body::RequestBody;
 use saddlerelay_http::server::{HttpHandler, Shutdown, serve_until};
 use saddlerelay_platform::{PlatformDuties, PlatformEngines, PlatformFormats};
 use saddlerelay_replication::ReplicaOptions;
@@ -168,6 +170,7 @@
 ) -> Result<(), CommandError> {
     let runtime = CompioRuntime::without_files();
     let control = ControlClient::new(runtime.clone(), &seeds.borrow(), &settings.shared_secret);
+    let clients = Clients::new(&settings.clients);
     let options = GatewayOptions {
         name: settings.name.clone(),
         zone: settings.zone.clone(),
@@ -180,15 +183,24 @@
     let readiness_listener = listen(addresses.readiness_address).await?;
     let gateway = Gateway::start(runtime.clone(), control, options);
     let shutdown = Shutdown::default();
+    let limits_source = gateway.clone();
     runtime.spawn(serve_until(
         client_listener,
         Rc::new(ClientApi { gateway: gateway.clone(), formats }),
+        clients.listener(Rc::new(move || limits_source.connection_limits())),
+        clients.manager.clone(),
         shutdown.clone(),
     ));
     let readiness = Rc::new(ReadinessApi { gateway: gateway.clone() });
-    runtime.spawn(serve_until(readiness_listener, readiness, Shutdown::default()));
+    runtime.spawn(serve_until(
+        readiness_listener,
+        readiness,
+        clients.monitoring_listener(),
+        clients.manager.clone(),
+        Shutdown::default(),
+    ));
     let metrics_source = gateway.clone();
-    serve_metrics(&runtime, settings.metrics_address, move || metrics_source.metrics().encode()).await?;
+    serve_metrics(&runtime, &clients, settings.metrics_address, move || metrics_source.metrics().encode()).await?;
     // Changed seeds are the only way to reach the group for a gateway that has not found it yet.
     let control = gateway.control().clone();
     let apply_seeds = move |seeds: &[SocketAddr]| control.add_known_addresses(seeds);
@@ -232,7 +244,14 @@
     let node =
         ControlNode::start(runtime.clone(), backends, settings.bounds.control(), options).await.map_err(failed)?;
     let secret = settings.shared_secret.clone();
-    runtime.spawn(saddlerelay_rpc::server::serve(runtime.clone(), peer_listener, secret, Rc::new(node.clone())));
+    let clients = Clients::new(&settings.clients);
+    runtime.spawn(saddlerelay_rpc::server::serve_limited(
+        runtime.clone(),
+        peer_listener,
+        secret,
+        Rc::new(node.clone()),
+        clients.max_pending_peers,
+    ));
     let control =
         ControlClient::new(runtime.clone(), &with_own_address(&peers, addresses.peer_address), &settings.shared_secret);
     let coordinator = Coordinator::start(
@@ -257,10 +276,16 @@
     };
     let interval = settings.bounds.report_interval;
     let api = ControlApi::start(runtime.clone(), control.clone(), interval, Box::new(report_target), formats);
-    runtime.spawn(serve_until(control_listener, api.clone(), shutdown.clone()));
+    runtime.spawn(serve_until(
+        control_listener,
+        api.clone(),
+        clients.fixed_listener(saddlerelay_gateway_api::CONTROL_LIMITS),
+        clients.manager.clone(),
+        shutdown.clone(),
+    ));
     let levels = LevelMetrics::new(node.clone());
     let metrics = move || coordinator.metrics().encode() + &duties.encode() + &api.metrics() + &levels.encode();
-    serve_metrics(&runtime, settings.metrics_address, metrics).await?;
+    serve_metrics(&runtime, &clients, settings.metrics_address, metrics).await?;
     let record = StoreRecord {
         name: settings.name.clone(),
         replica: node.replica().id(),
@@ -352,19 +377,28 @@
 }
 
 impl<F: Fn() -> String + 'static> HttpHandler for MetricsApi<F> {
-    async fn handle(self: Rc<Self>, _request: hyper::Request<hyper::body::Incoming>) -> Reply {
+    async fn handle(self: Rc<Self>, _request: hyper::Request<RequestBody>) -> Reply {
         full_reply(hyper::StatusCode::OK, CONTENT_TYPE, (self.encode)())
     }
 }
 
 async fn serve_metrics(
     runtime: &CompioRuntime,
+    clients: &Clients,
     address: Option<SocketAddr>,
     encode: impl Fn() -> String + 'static,
 ) -> Result<(), CommandError> {
     if let Some(address) = address {
         let listener = listen(address).await?;
-        runtime.spawn(serve_until(listener, Rc::new(MetricsApi { encode }), Shutdown::default()));
+        let manager = clients.manager.clone();
+        let encode = move || encode() + &manager.encode_metrics();
+        runtime.spawn(serve_until(
+            listener,
+            Rc::new(MetricsApi { encode }),
+            clients.monitoring_listener(),
+            clients.manager.clone(),
+            Shutdown::default(),
+        ));
     }
     Ok(())
 }
--- a/crates/command-line/src/serve.rs
+++ b/crates/command-line/src/serve.rs
@@ -1,5 +1,6 @@
 //! Runs a relay or a control process until SIGTERM or SIGINT.
 
+use crate::clients::Clients;
 use crate::signals::{SIGTERM, SignalListener};
 use crate::{CommandError, Exit, read_settings};
 use compio::net::TcpListener;
@@ -8,6 +9,7 @@
 use saddlerelay_control::node::ControlNode;
 use saddlerelay_control_client::ControlClient;
 use saddlerelay_engine_client::{BackendAddresses, HttpBackends};
+use saddlerelay_http::limits::ConnectionLimits;
 use saddlerelay_http::server::{Shutdown, serve_until};
 use saddlerelay_relay::{Relay, RelayOptions};
 use saddlerelay_replication::ReplicaOptions;
@@ -68,6 +70,7 @@
     backends: HttpBackends,
     terminate: &mut SignalListener,
 ) -> Result<(), CommandError> {
+    let clients = Clients::new(&settings.clients);
     let options = RelayOptions {
         name: settings.name,
         zone: settings.zone,
@@ -81,7 +84,13 @@
     let relay = Relay::start(runtime.clone(), backends, options).await.map_err(failed)?;
     let api = RelayApi { relay: relay.clone(), runtime: runtime.clone() };
     let shutdown = Shutdown::default();
-    runtime.spawn(serve_until(listener, Rc::new(api), shutdown.clone()));
+    runtime.spawn(serve_until(
+        listener,
+        Rc::new(api),
+        clients.fixed_listener(ConnectionLimits::DEFAULT),
+        clients.manager,
+        shutdown.clone(),
+    ));
     wait_for_stop(terminate).await?;
     spdlog::info!("planned stop", kv: { in_progress = relay.in_progress() });
     // The server stays up during the drain and rejects new requests.
@@ -112,7 +121,14 @@
     let node = ControlNode::start(runtime.clone(), backends, control.config, options).await.map_err(failed)?;
     let handler = Rc::new(node.clone());
     let secret = settings.shared_secret.clone();
-    runtime.spawn(saddlerelay_rpc::server::serve(runtime.clone(), peer_listener, secret, handler));
+    let clients = Clients::new(&settings.clients);
+    runtime.spawn(saddlerelay_rpc::server::serve_limited(
+        runtime.clone(),
+        peer_listener,
+        secret,
+        handler,
+        clients.max_pending_peers,
+    ));
     let api = ControlApi {
         node: node.clone(),
         client: ControlClient::new(runtime.clone(), &settings.control, &settings.shared_secret),
@@ -122,7 +138,13 @@
         log: Some(log),
     };
     let shutdown = Shutdown::default();
-    runtime.spawn(serve_until(http_listener, Rc::new(api), shutdown.clone()));
+    runtime.spawn(serve_until(
+        http_listener,
+        Rc::new(api),
+        clients.fixed_listener(ConnectionLimits::DEFAULT),
+        clients.manager,
+        shutdown.clone(),
+    ));
     wait_for_stop(terminate).await?;
     let transferred = node.transfer_leadership().await;
     spdlog::info!("planned stop", kv: { handed_over = transferred });
--- a/crates/fleet/src/scale/hollow.rs
+++ b/crates/fleet/src/scale/hollow.rs
@@ -9,6 +9,7 @@
 use hdrhistogram::Histogram;
 use lexopt::prelude::*;
 use saddlerelay_engine_client::{BackendAddresses, HttpBackends};
+use saddlerelay_http::limits::ListenerLimits;
 use saddlerelay_http::server::serve;
 use saddlerelay_policies::PolicyName;
 use saddlerelay_relay::config::RelayConfig;
@@ -126,7 +127,7 @@
         };
         let weights = DelayedWeights(platform.clone());
         let engine = Engine::start(platform.clone(), options, weights, Recorder::new(drop));
-        platform.spawn(serve(listener, Rc::new(EngineServer { engine })));
+        platform.spawn(serve(listener, Rc::new(EngineServer { engine }), ListenerLimits::default()));
     }
     Ok(())
 }
--- a/crates/gateway-api/src/client.rs
+++ b/crates/gateway-api/src/client.rs
@@ -2,16 +2,16 @@
 
 use crate::formats::{ClientCall, Formats, JobCall};
 use crate::responses;
-use hyper::body::Incoming;
 use hyper::header::{CONNECTION, HeaderValue};
 use hyper::{Method, Request, StatusCode};
 use saddlerelay_control_client::GatewayError;
 use saddlerelay_gateway::refusal::Refusal;
 use saddlerelay_gateway::{ClientRequest, Gateway};
 use saddlerelay_http::body::{Reply, full_reply};
+use saddlerelay_http::request_body::RequestBody;
 use saddlerelay_http::server::HttpHandler;
 use saddlerelay_types::gateway::{GatewayReply, GatewayRequest};
-use saddlerelay_types::routing::RouteKind;
+use saddlerelay_types::routing::{Route, RouteKind};
 use saddlerelay_types::tenancy::Caller;
 use std::rc::Rc;
 use std::time::Duration;
@@ -37,14 +37,14 @@
 }
 
 impl HttpHandler for ReadinessApi {
-    async fn handle(self: Rc<Self>, _request: Request<Incoming>) -> Reply {
+    async fn handle(self: Rc<Self>, _request: Request<RequestBody>) -> Reply {
         let status = if self.gateway.is_ready() { StatusCode::OK } else { StatusCode::SERVICE_UNAVAILABLE };
         full_reply(status, "text/plain", "")
     }
 }
 
 impl<F: Formats> HttpHandler for ClientApi<F> {
-    async fn handle(self: Rc<Self>, request: Request<Incoming>) -> Reply {
+    async fn handle(self: Rc<Self>, request: Request<RequestBody>) -> Reply {
         let mut reply = self.handle_call(request).await;
         if self.gateway.is_draining() {
             reply.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
@@ -54,7 +54,7 @@
 }
 
 impl<F: Formats> ClientApi<F> {
-    async fn handle_call(&self, request: Request<Incoming>) -> Reply {
+    async fn handle_call(&self, request: Request<RequestBody>) -> Reply {
         let (head, body) = request.into_parts();
         let call = self.formats.client_call(&head.method, &head.uri, &head.headers);
         let request = ClientRequest::new(head, self.gateway.names(), self.gateway.now());
@@ -82,20 +82,20 @@
         }
     }
 
-    async fn serve_routed(&self, mut request: ClientRequest, body: Incoming) -> Reply {
+    async fn serve_routed(&self, mut request: ClientRequest, body: RequestBody) -> Reply {
         let chosen = self.gateway.choose_route(&request.host, request.path());
         let admitted = chosen.and_then(|chosen| self.gateway.admit(&chosen, &mut request).map(|()| chosen));
         match admitted {
             Ok(chosen) if chosen.route().kind == RouteKind::Rollout && request.method == Method::POST => {
-                self.submit(&request, body).await
+                self.submit(chosen.route(), &request, body).await
             }
             Ok(chosen) => self.gateway.serve(chosen, request, body).await,
             Err(refusal) => self.gateway.refuse(&request, refusal),
         }
     }
 
-    async fn submit(&self, request: &ClientRequest, body: Incoming) -> Reply {
-        let body = match self.gateway.read_body(body).await {
+    async fn submit(&self, route: &Route, request: &ClientRequest, body: RequestBody) -> Reply {
+        let body = match self.gateway.read_body(route, request, body).await {
             Ok(body) => body,
             Err(refusal) => return self.gateway.refuse(request, refusal),
         };
--- a/crates/gateway-api/src/control.rs
+++ b/crates/gateway-api/src/control.rs
@@ -3,11 +3,12 @@
 use crate::formats::{CallDecodeError, ControlCall, Formats};
 use crate::rejected_calls::RejectedCalls;
 use crate::responses;
-use hyper::body::Incoming;
 use hyper::{Request, StatusCode};
 use saddlerelay_control_client::reports::ReportBatcher;
 use saddlerelay_control_client::{ControlClient, GatewayError};
-use saddlerelay_http::body::{BodyError, Reply, full_reply, read_limited};
+use saddlerelay_http::body::{BodyError, Reply, full_reply};
+use saddlerelay_http::limits::ConnectionLimits;
+use saddlerelay_http::request_body::RequestBody;
 use saddlerelay_http::server::HttpHandler;
 use saddlerelay_runtime_compio::CompioRuntime;
 use saddlerelay_types::gateway::{GatewayReply, GatewayRequest};
@@ -22,8 +23,9 @@
 /// Timeout of one attempt at a single control replica.
 const ATTEMPT_TIMEOUT: Duration = Duration::from_millis(600);
 
-/// Maximum size of a request body, in bytes.
-const MAX_BODY_BYTES: usize = 34 * 1024 * 1024;
+/// Limits on connections: a routing document may be as large as the largest batch job that it allows.
+pub const CONTROL_LIMITS: ConnectionLimits =
+    ConnectionLimits { max_body_bytes: 34 * 1024 * 1024, ..ConnectionLimits::DEFAULT };
 
 /// Maximum size of an engine's report, in bytes. Reports are stored even if the routing document does not contain their
 /// service yet.
@@ -58,18 +60,20 @@
 }
 
 impl<F: Formats> HttpHandler for ControlApi<F> {
-    async fn handle(self: Rc<Self>, request: Request<Incoming>) -> Reply {
+    async fn handle(self: Rc<Self>, request: Request<RequestBody>) -> Reply {
         let (head, body) = request.into_parts();
-        let body = match read_limited(body, MAX_BODY_BYTES).await {
+        let is_report = self.formats.is_report(&head.method, head.uri.path());
+        let max_bytes = if is_report { MAX_REPORT_BYTES } else { CONTROL_LIMITS.max_body_bytes };
+        let body = match body.read_within(max_bytes, CONTROL_LIMITS.body_timeout).await {
             Ok(body) => body,
-            Err(BodyError::TooLarge) => return full_reply(StatusCode::PAYLOAD_TOO_LARGE, "text/plain", "too large"),
-            Err(_) => return full_reply(StatusCode::BAD_REQUEST, "text/plain", "the body broke off"),
+            Err(error) => {
+                if error == BodyError::TooLarge && is_report {
+                    self.rejected.record(&head.method, head.uri.path(), "too large for a report");
+                }
+                return responses::unreadable(&error);
+            }
         };
         match self.formats.control_call(&head.method, head.uri.path(), &body) {
-            Ok(ControlCall::Change(GatewayRequest::ReportInstance(_))) if body.len() > MAX_REPORT_BYTES => {
-                self.rejected.record(&head.method, head.uri.path(), "too large for a report");
-                full_reply(StatusCode::PAYLOAD_TOO_LARGE, "text/plain", "too large")
-            }
             Ok(ControlCall::Change(GatewayRequest::ReportInstance(report))) => self.handle_report(report).await,
             Ok(ControlCall::Change(request)) => responses::change(self.forward(request).await, StatusCode::OK),
             Ok(ControlCall::Read(request)) => responses::read(&self.formats, self.forward(request).await),
--- a/crates/gateway-api/src/formats.rs
+++ b/crates/gateway-api/src/formats.rs
@@ -67,6 +67,8 @@
     fn read_job(&self, id: &str, host: &str, path: &str, body: &[u8]) -> Result<JobSubmission, String>;
     /// Encodes a page of a job's results.
     fn write_page(&self, page: &ResultPage) -> Vec<u8>;
+    /// Whether a call to a coordinator is an engine's report, which is small.
+    fn is_report(&self, method: &Method, path: &str) -> bool;
     /// Decodes a call of an operator, a trainer or an engine.
     fn control_call(&self, method: &Method, path: &str, body: &Bytes) -> Result<ControlCall, CallDecodeError>;
     /// Encodes the response to an engine's report; `report_to` is the address for its later reports, if one is assigned.
--- a/crates/gateway-api/src/lib.rs
+++ b/crates/gateway-api/src/lib.rs
@@ -11,6 +11,6 @@
 pub mod responses;
 
 pub use client::{ClientApi, ReadinessApi};
-pub use control::ControlApi;
+pub use control::{CONTROL_LIMITS, ControlApi};
 pub use formats::{CallDecodeError, ClientCall, ControlCall, Formats, JobCall};
 pub use native::{NativeEngines, NativeFormats, NativePlatform};
--- a/crates/gateway-api/src/native.rs
+++ b/crates/gateway-api/src/native.rs
@@ -69,6 +69,10 @@
         serde_json::to_vec(page).unwrap_or_default()
     }
 
+    fn is_report(&self, method: &Method, path: &str) -> bool {
+        method == Method::PUT && path.trim_matches('/').starts_with("v1/instances/")
+    }
+
     fn control_call(&self, method: &Method, path: &str, body: &Bytes) -> Result<ControlCall, CallDecodeError> {
         let path = path.trim_matches('/').split('/').collect::<Vec<_>>();
         let call = match (method, path.as_slice()) {
--- a/crates/gateway-api/src/responses.rs
+++ b/crates/gateway-api/src/responses.rs
@@ -4,12 +4,15 @@
 use hyper::StatusCode;
 use hyper::header::{HeaderValue, RETRY_AFTER};
 use saddlerelay_control_client::GatewayError;
-use saddlerelay_http::body::{Reply, full_reply, json};
+use saddlerelay_http::body::{BodyError, Reply, full_reply, json};
 use saddlerelay_types::gateway::GatewayReply;
 
 /// `Retry-After`, in seconds, when the control group is unavailable.
 const RETRY_AFTER_SECONDS: &str = "0.3";
 
+/// `Retry-After`, in seconds, of a call whose body did not arrive in time or that there was no memory for.
+const BODY_RETRY_AFTER_SECONDS: &str = "1";
+
 /// The response to a call that changes state; `done` is the status on success.
 pub fn change(result: Result<GatewayReply, GatewayError>, done: StatusCode) -> Reply {
     match result {
@@ -40,6 +43,21 @@
     }
 }
 
+/// The response to a call whose body could not be read; the call has changed nothing.
+pub fn unreadable(error: &BodyError) -> Reply {
+    let (status, reason) = match error {
+        BodyError::TooLarge => (StatusCode::PAYLOAD_TOO_LARGE, "too large"),
+        BodyError::Timeout => (StatusCode::REQUEST_TIMEOUT, "the body did not arrive in time"),
+        BodyError::NoMemory => (StatusCode::SERVICE_UNAVAILABLE, "too many large calls at the same time"),
+        BodyError::Lost | BodyError::Malformed(_) => (StatusCode::BAD_REQUEST, "the body broke off"),
+    };
+    let mut reply = full_reply(status, "text/plain", reason);
+    if matches!(error, BodyError::Timeout | BodyError::NoMemory) {
+        reply.headers_mut().insert(RETRY_AFTER, HeaderValue::from_static(BODY_RETRY_AFTER_SECONDS));
+    }
+    reply
+}
+
 /// The response when the endpoint or the named object does not exist.
 pub fn not_found() -> Reply {
     full_reply(StatusCode::NOT_FOUND, "text/plain", "there is no such thing")
--- a/crates/gateway-api/tests/common/engine.rs
+++ b/crates/gateway-api/tests/common/engine.rs
@@ -4,12 +4,14 @@
 use bytes::Bytes;
 use compio::io::{AsyncRead, AsyncWriteExt};
 use compio::net::{TcpListener, TcpStream};
-use hyper::body::Incoming;
 use hyper::header::HeaderValue;
 use hyper::{Request, StatusCode};
 use saddlerelay_coordinator::format::{EngineReport, WeightOrder};
 use saddlerelay_gateway_api::native::{ORDER_PATH, REPORT_PATH};
-use saddlerelay_http::body::{BodyInterrupted, LocalBody, Reply, full_reply, json, read_body};
+use saddlerelay_http::body::{BodyInterrupted, LocalBody, Reply, full_reply, json};
+use saddlerelay_http::limits::ListenerLimits;
+use saddlerelay_http::overload::OverloadManager;
+use saddlerelay_http::request_body::RequestBody;
 use saddlerelay_http::server::{HttpHandler, Shutdown, serve_until};
 use saddlerelay_types::instance::{InstanceId, LoadedModel};
 use std::cell::{Cell, RefCell};
@@ -138,7 +140,14 @@
             max_concurrent: Cell::new(0),
         });
         let engine = Self { state, address };
-        compio::runtime::spawn(serve_until(listener, Rc::new(engine.clone()), Shutdown::default())).detach();
+        compio::runtime::spawn(serve_until(
+            listener,
+            Rc::new(engine.clone()),
+            ListenerLimits::default(),
+            OverloadManager::default(),
+            Shutdown::default(),
+        ))
+        .detach();
         engine
     }
 
@@ -359,9 +368,9 @@
 }
 
 impl HttpHandler for StandInEngine {
-    async fn handle(self: Rc<Self>, request: Request<Incoming>) -> Reply {
+    async fn handle(self: Rc<Self>, request: Request<RequestBody>) -> Reply {
         let (head, body) = request.into_parts();
-        let body = read_body(body).await.unwrap_or_default();
+        let body = body.read().await.unwrap_or_default();
         let expected = head.headers.get("saddlerelay-for-instance").and_then(|value| value.to_str().ok());
         if expected.is_some_and(|expected| expected != self.state.name) {
             let mut reply = full_reply(StatusCode::MISDIRECTED_REQUEST, "text/plain", "");
--- a/crates/gateway-api/tests/common/mod.rs
+++ b/crates/gateway-api/tests/common/mod.rs
@@ -16,6 +16,8 @@
 use saddlerelay_gateway::{Gateway, GatewayConfig, GatewayOptions};
 use saddlerelay_gateway_api::{ClientApi, ControlApi, NativeEngines, NativeFormats};
 use saddlerelay_http::client::{BufferedResponse, Connection};
+use saddlerelay_http::limits::ListenerLimits;
+use saddlerelay_http::overload::OverloadManager;
 use saddlerelay_http::server::{Shutdown, serve_until};
 use saddlerelay_replication::ReplicaOptions;
 use saddlerelay_replication::config::ReplicationConfig;
@@ -149,7 +151,13 @@
         Gateway::start(runtime.clone(), ControlClient::new(runtime.clone(), &[peer_address], SECRET), options);
     let (listener, client_address) = bind().await;
     let api = Rc::new(ClientApi { gateway: gateway.clone(), formats: NativeFormats });
-    runtime.spawn(serve_until(listener, api, Shutdown::default()));
+    runtime.spawn(serve_until(
+        listener,
+        api,
+        ListenerLimits::default(),
+        OverloadManager::default(),
+        Shutdown::default(),
+    ));
     (gateway, client_address)
 }
 
@@ -218,7 +226,13 @@
             let client = ControlClient::new(runtime.clone(), &[peer_address], SECRET);
             ControlApi::start(runtime.clone(), client, Duration::from_secs(1), Box::new(|_| None), NativeFormats)
         };
-        runtime.spawn(serve_until(control_listener, control_api, Shutdown::default()));
+        runtime.spawn(serve_until(
+            control_listener,
+            control_api,
+            ListenerLimits::default(),
+            OverloadManager::default(),
+            Shutdown::default(),
+        ));
         let name = name.to_string();
         let deployment =
             Self { node, coordinator, gateway, client_address, control, peer_address, name, gateway_config };
--- a/crates/gateway-api/tests/duties.rs
+++ b/crates/gateway-api/tests/duties.rs
@@ -4,12 +4,14 @@
 
 use common::engine::StandInEngine;
 use common::{Deployment, USAGE_WINDOW, block_on, call, document, eventually, route};
-use hyper::body::Incoming;
 use hyper::{Method, Request, StatusCode};
 use saddlerelay_duties::{Duties, HttpPlatform, PlatformMetrics, UsageReportConfig};
 use saddlerelay_gateway_api::NativePlatform;
 use saddlerelay_gateway_api::native::{FENCE_HEADER, HOLDER_HEADER, USAGE_PATH};
-use saddlerelay_http::body::{Reply, full_reply, read_body};
+use saddlerelay_http::body::{Reply, full_reply};
+use saddlerelay_http::limits::ListenerLimits;
+use saddlerelay_http::overload::OverloadManager;
+use saddlerelay_http::request_body::RequestBody;
 use saddlerelay_http::server::{HttpHandler, Shutdown, serve_until};
 use saddlerelay_runtime::Runtime;
 use saddlerelay_runtime_compio::CompioRuntime;
@@ -33,7 +35,7 @@
 }
 
 impl HttpHandler for StandInPlatform {
-    async fn handle(self: Rc<Self>, request: Request<Incoming>) -> Reply {
+    async fn handle(self: Rc<Self>, request: Request<RequestBody>) -> Reply {
         let (head, body) = request.into_parts();
         assert_eq!((&head.method, head.uri.path()), (&Method::POST, USAGE_PATH));
         assert_eq!(head.headers[HOLDER_HEADER], "coordinator");
@@ -42,7 +44,7 @@
             .expect("the fencing token is not text")
             .parse()
             .expect("the fencing token is not a number");
-        let body = read_body(body).await.expect("failed to read the entire body");
+        let body = body.read().await.expect("failed to read the entire body");
         self.reports.borrow_mut().push((fence, serde_json::from_slice(&body).expect("the body is not a usage report")));
         let left = self.rejections_left.get();
         self.rejections_left.set(left.saturating_sub(1));
@@ -54,7 +56,14 @@
     let listener = compio::net::TcpListener::bind("127.0.0.1:0").await.expect("failed to bind a loopback port");
     let address = listener.local_addr().expect("listener has no local address");
     let platform = Rc::new(StandInPlatform { rejections_left: Cell::new(2), ..StandInPlatform::default() });
-    compio::runtime::spawn(serve_until(listener, platform.clone(), Shutdown::default())).detach();
+    compio::runtime::spawn(serve_until(
+        listener,
+        platform.clone(),
+        ListenerLimits::default(),
+        OverloadManager::default(),
+        Shutdown::default(),
+    ))
+    .detach();
     (platform, address)
 }
 
--- a/crates/gateway/src/config.rs
+++ b/crates/gateway/src/config.rs
@@ -17,8 +17,9 @@
     pub lease_retry_after: Duration,
     /// Maximum size of a buffered response, in bytes.
     pub max_response_bytes: usize,
-    /// Maximum request body size until the first routing document arrives, in bytes.
-    pub default_body_bytes: u64,
+    /// `Retry-After` of requests whose body did not arrive in time, or that there was no memory for: after it, clients
+    /// that make no progress have given way.
+    pub body_retry_after: Duration,
     /// Timeout of a follow request, which fetches updates from the control group and renews the lease.
     pub follow_timeout: Duration,
     /// Delay before the last trial of suspected work; the work is quarantined if that trial crashes an engine too.
@@ -35,7 +36,7 @@
             retry_after: Duration::from_millis(200),
             lease_retry_after: Duration::from_millis(600),
             max_response_bytes: 32 * 1024 * 1024,
-            default_body_bytes: 8 * 1024 * 1024,
+            body_retry_after: Duration::from_secs(1),
             follow_timeout: Duration::from_millis(650),
             last_trial_pause: LAST_TRIAL_PAUSE,
             admission: Activation::Automatic,
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -10,18 +10,19 @@
 use crate::usage::{GroupClockSamples, UsageLedger};
 use crate::view::View;
 use bytes::Bytes;
-use hyper::body::Incoming;
 use hyper::header::HeaderValue;
 use saddlerelay_control_client::ControlClient;
 use saddlerelay_control_client::suspicions::SuspicionSync;
-use saddlerelay_http::body::{BodyError, Reply, read_limited};
+use saddlerelay_http::body::{BodyError, Reply};
+use saddlerelay_http::limits::ConnectionLimits;
+use saddlerelay_http::request_body::RequestBody;
 use saddlerelay_runtime::Runtime;
 use saddlerelay_runtime_compio::CompioRuntime;
 use saddlerelay_runtime_compio::listening::TerminationChecks;
 use saddlerelay_scheduling::HedgeBudget;
 use saddlerelay_types::identity::Incarnation;
 use saddlerelay_types::instance::InstanceId;
-use saddlerelay_types::routing::{Route, RouteKind};
+use saddlerelay_types::routing::{RequestLimits, Route, RouteKind};
 use saddlerelay_upstream::{HeaderNames, LoadBalancer, Pool};
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
@@ -189,22 +190,29 @@
         Ok(ChosenRoute { table, index })
     }
 
-    /// Reads a request's body, up to the size limit of the current routing document.
-    pub async fn read_body(&self, body: Incoming) -> Result<Bytes, Refusal> {
-        let table = self.inner.view.borrow().table();
-        let default = self.inner.options.config.default_body_bytes;
-        let limit = table.map_or(default, |table| table.document().limits.max_body_bytes);
-        let read = read_limited(body, usize::try_from(limit).unwrap_or(usize::MAX)).await;
+    /// Limits on clients' connections by the current routing document; defaults until there is one.
+    pub fn connection_limits(&self) -> ConnectionLimits {
+        let view = self.inner.view.borrow();
+        view.table().map_or(ConnectionLimits::DEFAULT, |table| connection_limits(&table.document().limits))
+    }
+
+    /// Reads the body of a request on a route, up to the size limit of the current routing document and until the
+    /// request's deadline.
+    pub async fn read_body(&self, route: &Route, request: &ClientRequest, body: RequestBody) -> Result<Bytes, Refusal> {
+        let time_left = self.time_left(route, request);
+        let read = body.read_within(self.connection_limits().max_body_bytes, time_left).await;
         read.map_err(|error| match error {
             BodyError::TooLarge => Refusal::TooLarge,
             BodyError::Lost | BodyError::Malformed(_) => Refusal::Malformed,
+            BodyError::Timeout => Refusal::BodyTimeout,
+            BodyError::NoMemory => Refusal::NoMemory,
         })
     }
 
     /// Forwards a request on its route and returns the response.
-    pub async fn serve(&self, chosen: ChosenRoute, request: ClientRequest, body: Incoming) -> Reply {
+    pub async fn serve(&self, chosen: ChosenRoute, request: ClientRequest, body: RequestBody) -> Reply {
         self.inner.metrics.requests.inc();
-        let body = match self.read_body(body).await {
+        let body = match self.read_body(chosen.route(), &request, body).await {
             Ok(body) => body,
             Err(refusal) => return self.refuse(&request, refusal),
         };
@@ -216,8 +224,7 @@
 
     /// Logs and counts a refusal and builds its response.
     pub fn refuse(&self, request: &ClientRequest, refusal: Refusal) -> Reply {
-        let not_executed = refusal.status() == hyper::StatusCode::SERVICE_UNAVAILABLE;
-        let counter = if not_executed { &self.inner.metrics.rejected } else { &self.inner.metrics.failed };
+        let counter = if refusal.is_not_executed() { &self.inner.metrics.rejected } else { &self.inner.metrics.failed };
         counter.inc();
         let view = self.inner.view.borrow();
         let lacks_lease = matches!(refusal, Refusal::NoLease);
@@ -234,6 +241,7 @@
         let config = &self.inner.options.config;
         let retry_after = match refusal {
             Refusal::NoLease => config.lease_retry_after,
+            Refusal::NoMemory | Refusal::BodyTimeout => config.body_retry_after,
             Refusal::Suspected(remaining) => remaining,
             Refusal::Overloaded(rejection) => rejection.retry_after,
             _ => config.retry_after,
@@ -245,9 +253,32 @@
         reply
     }
 
+    /// Time until the request's deadline.
+    pub fn time_left(&self, route: &Route, request: &ClientRequest) -> Duration {
+        self.request_deadline(route, request).saturating_sub(self.now())
+    }
+
     /// The request's deadline in monotonic time: the route's timeout, or the client's if that is shorter.
     pub(crate) fn request_deadline(&self, route: &Route, request: &ClientRequest) -> Duration {
         let timeout = Duration::from_millis(route.timeout_ms);
         request.arrived_at + request.deadline.map_or(timeout, |deadline| deadline.min(timeout))
     }
 }
+
+/// A document's limits as limits of connections; a timeout of zero is none that a client could meet, and stands for the
+/// default.
+fn connection_limits(limits: &RequestLimits) -> ConnectionLimits {
+    let bytes = |bytes: u64| usize::try_from(bytes).unwrap_or(usize::MAX);
+    let timeout = |milliseconds: u64, default| match milliseconds {
+        0 => default,
+        _ => Duration::from_millis(milliseconds),
+    };
+    let default = ConnectionLimits::DEFAULT;
+    ConnectionLimits {
+        max_head_bytes: bytes(limits.max_header_bytes),
+        max_body_bytes: bytes(limits.max_body_bytes),
+        head_timeout: timeout(limits.header_timeout_ms, default.head_timeout),
+        idle_timeout: timeout(limits.idle_timeout_ms, default.idle_timeout),
+        ..default
+    }
+}
--- a/crates/gateway/src/refusal.rs
+++ b/crates/gateway/src/refusal.rs
@@ -15,6 +15,10 @@
     UnknownKey,
     /// The body exceeds the size limit.
     TooLarge,
+    /// The body did not arrive before the deadline.
+    BodyTimeout,
+    /// Clients make the process hold too much memory for this request.
+    NoMemory,
     /// The request could not be read or parsed.
     Malformed,
     /// The relay holds no valid lease, or has no routing document.
@@ -42,10 +46,14 @@
             Self::NoRoute => StatusCode::NOT_FOUND,
             Self::UnknownKey => StatusCode::UNAUTHORIZED,
             Self::TooLarge => StatusCode::PAYLOAD_TOO_LARGE,
+            Self::BodyTimeout => StatusCode::REQUEST_TIMEOUT,
             Self::Malformed => StatusCode::BAD_REQUEST,
-            Self::NoLease | Self::NoEngine | Self::Overloaded(_) | Self::SendTimeout | Self::Suspected(_) => {
-                StatusCode::SERVICE_UNAVAILABLE
-            }
+            Self::NoLease
+            | Self::NoEngine
+            | Self::Overloaded(_)
+            | Self::NoMemory
+            | Self::SendTimeout
+            | Self::Suspected(_) => StatusCode::SERVICE_UNAVAILABLE,
             Self::Timeout => StatusCode::GATEWAY_TIMEOUT,
             Self::EngineFailed | Self::Quarantined => StatusCode::BAD_GATEWAY,
         }
@@ -57,6 +65,8 @@
             Self::NoRoute => "no route",
             Self::UnknownKey => "unknown key",
             Self::TooLarge => "body too large",
+            Self::BodyTimeout => "body not received in time",
+            Self::NoMemory => "too much memory held for clients",
             Self::Malformed => "malformed request",
             Self::NoLease => "no lease",
             Self::NoEngine => "no engine",
@@ -70,10 +80,15 @@
         }
     }
 
-    /// Builds the response. A 503, which means that the request was not executed, carries `Retry-After`.
+    /// Whether the response means that the request was not executed and never will be.
+    pub fn is_not_executed(self) -> bool {
+        matches!(self.status(), StatusCode::SERVICE_UNAVAILABLE | StatusCode::REQUEST_TIMEOUT)
+    }
+
+    /// Builds the response. One that means that the request was not executed carries `Retry-After`.
     pub fn reply(self, retry_after: Duration) -> Reply {
         let mut reply = full_reply(self.status(), "text/plain", self.reason());
-        if self.status() == StatusCode::SERVICE_UNAVAILABLE {
+        if self.is_not_executed() {
             let seconds = format!("{:.3}", retry_after.as_secs_f64());
             if let Ok(value) = HeaderValue::from_str(&seconds) {
                 reply.headers_mut().insert(RETRY_AFTER, value);
--- a/crates/http/src/body.rs
+++ b/crates/http/src/body.rs
@@ -1,16 +1,16 @@
 //! Request and response bodies: buffered, JSON or streamed.
 
-use bytes::Bytes;
+use bytes::{Bytes, BytesMut};
 use futures::Stream;
 use futures::channel::mpsc;
-use http_body_util::{BodyExt, Full, Limited};
+use http_body_util::{BodyExt, Full};
 use hyper::body::{Body, Frame};
 use hyper::header::{CONTENT_TYPE, HeaderValue};
 use hyper::{Response, StatusCode};
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 use std::fmt;
-use std::pin::Pin;
+use std::pin::{Pin, pin};
 use std::task::{Context, Poll};
 
 /// Default maximum size of a body read by [`read_body`].
@@ -26,12 +26,24 @@
 pub enum LocalBody {
     /// A buffered body.
     Buffered(Full<Bytes>),
+    /// A buffered body whose memory is reserved already, see [`crate::memory::Reservation::attach`].
+    Reserved(Full<Bytes>),
     /// A streamed body that ends when the sender is dropped.
     Streamed(mpsc::UnboundedReceiver<Bytes>),
     /// A streamed body that may fail; the connection is then closed before the end of the body.
     Fallible(Pin<Box<dyn Stream<Item = Result<Bytes, BodyInterrupted>>>>),
 }
 
+impl LocalBody {
+    /// Size of a buffered body, in bytes; zero for a streamed one.
+    pub fn buffered_bytes(&self) -> usize {
+        match self {
+            Self::Buffered(buffered) | Self::Reserved(buffered) => buffered.size_hint().lower() as usize,
+            Self::Streamed(_) | Self::Fallible(_) => 0,
+        }
+    }
+}
+
 /// The source of a streamed body failed before its end.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct BodyInterrupted;
@@ -53,7 +65,9 @@
         context: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, BodyInterrupted>>> {
         match self.get_mut() {
-            Self::Buffered(buffered) => Pin::new(buffered).poll_frame(context).map_err(|never| match never {}),
+            Self::Buffered(buffered) | Self::Reserved(buffered) => {
+                Pin::new(buffered).poll_frame(context).map_err(|never| match never {})
+            }
             Self::Fallible(parts) => {
                 parts.as_mut().poll_next(context).map(|part| part.map(|part| part.map(Frame::data)))
             }
@@ -66,7 +80,7 @@
 
     fn is_end_stream(&self) -> bool {
         match self {
-            Self::Buffered(buffered) => buffered.is_end_stream(),
+            Self::Buffered(buffered) | Self::Reserved(buffered) => buffered.is_end_stream(),
             Self::Streamed(_) | Self::Fallible(_) => false,
         }
     }
@@ -100,6 +114,10 @@
     TooLarge,
     /// The connection failed before the end of the body.
     Lost,
+    /// The body did not arrive in time.
+    Timeout,
+    /// Clients make the process hold too much memory; the same request may succeed later.
+    NoMemory,
     /// The body is not the expected JSON; contains the parser's message.
     Malformed(String),
 }
@@ -119,11 +137,19 @@
     B: Body<Data = Bytes>,
     B::Error: Into<Box<dyn std::error::Error + Send + Sync>>,
 {
-    match Limited::new(body, limit).collect().await {
-        Ok(collected) => Ok(collected.to_bytes()),
-        Err(error) if error.is::<http_body_util::LengthLimitError>() => Err(BodyError::TooLarge),
-        Err(_) => Err(BodyError::Lost),
+    let mut received = BytesMut::new();
+    let mut body = pin!(body);
+    while let Some(frame) = body.frame().await {
+        let Ok(bytes) = frame.map_err(|_| BodyError::Lost)?.into_data() else {
+            continue;
+        };
+        if received.len() + bytes.len() > limit {
+            return Err(BodyError::TooLarge);
+        }
+        // Copied, since hyper's chunks keep the whole buffers that they were cut from.
+        received.extend_from_slice(&bytes);
     }
+    Ok(received.freeze())
 }
 
 /// Parses a JSON body.
--- a/crates/http/tests/shutdown.rs
+++ b/crates/http/tests/shutdown.rs
@@ -1,9 +1,11 @@
 //! A server that shuts down must still answer connections that reached it.
 
 use compio::net::TcpListener;
-use hyper::body::Incoming;
 use hyper::{Request, StatusCode};
 use saddlerelay_http::body::{Reply, full_reply};
+use saddlerelay_http::limits::ListenerLimits;
+use saddlerelay_http::overload::OverloadManager;
+use saddlerelay_http::request_body::RequestBody;
 use saddlerelay_http::server::{HttpHandler, Shutdown, serve_until};
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpStream};
@@ -17,7 +19,7 @@
 struct Hello;
 
 impl HttpHandler for Hello {
-    async fn handle(self: Rc<Self>, _request: Request<Incoming>) -> Reply {
+    async fn handle(self: Rc<Self>, _request: Request<RequestBody>) -> Reply {
         full_reply(StatusCode::OK, "text/plain", "hello")
     }
 }
@@ -56,7 +58,14 @@
     let listener = TcpListener::bind("127.0.0.1:0").await.expect("failed to bind a loopback port");
     let address = listener.local_addr().expect("listener has no local address");
     let shutdown = Shutdown::default();
-    compio::runtime::spawn(serve_until(listener, Rc::new(Hello), shutdown.clone())).detach();
+    compio::runtime::spawn(serve_until(
+        listener,
+        Rc::new(Hello),
+        ListenerLimits::default(),
+        OverloadManager::default(),
+        shutdown.clone(),
+    ))
+    .detach();
     (address, shutdown)
 }
 
--- a/crates/settings/src/member.rs
+++ b/crates/settings/src/member.rs
@@ -1,6 +1,7 @@
 //! Settings of a gateway or coordinator in a deployment with seed-based discovery: its role, listen addresses and seeds, and
 //! the deployment's bounds, from which leases and timeouts are derived.
 
+use crate::clients::ClientSettings;
 use crate::reader::{Section, SettingError};
 use saddlerelay_control::config::{ControlConfig, ORDER_DELIVERY_LIMIT};
 use saddlerelay_replication::config::ReplicationConfig;
@@ -65,6 +66,8 @@
     pub platform: Option<PlatformSettings>,
     /// Decisions under load that only some deployments need.
     pub scheduling: SchedulingSettings,
+    /// What clients may make the process hold.
+    pub clients: ClientSettings,
     /// Wire formats for callers, engines and operators.
     pub interface: Interface,
     /// Role of the process.
@@ -302,6 +305,7 @@
     let usage = root.take_table("usage");
     let platform = root.take_table("platform");
     let scheduling = root.take_table("scheduling");
+    let clients = root.take_table("clients");
     let role_name = root.text("role", 1);
     let name = root.text("name", 1);
     let zone = root.text("zone", 1);
@@ -325,6 +329,7 @@
     let usage = parse_usage(usage, &mut errors);
     let platform = parse_platform(platform, &mut errors);
     let scheduling = parse_scheduling(scheduling, &mut errors);
+    let clients = ClientSettings::parse(clients, &mut errors);
     if platform.is_some_and(|platform| platform.reports_usage) && usage.is_none() {
         let reason = "is missing, although `platform.duties` names `usage_report`".to_string();
         errors.push(SettingError { key: "usage".to_string(), value: None, reason });
@@ -340,6 +345,7 @@
         usage,
         platform,
         scheduling,
+        clients,
         interface,
         role,
     };
--- a/crates/settings/src/parse.rs
+++ b/crates/settings/src/parse.rs
@@ -1,5 +1,6 @@
 //! Parses the settings file of a relay or a control process.
 
+use crate::clients::ClientSettings;
 use crate::reader::{Section, SettingError};
 use crate::types::{ControlSettings, RelaySettings, Role, Settings};
 use saddlerelay_control::config::ControlConfig;
@@ -20,6 +21,7 @@
     let mut errors = Vec::new();
     let mut root = Section::new("", table, &mut errors);
     let role = root.text("role", 1);
+    let clients = root.take_table("clients");
     let tables = [root.take_table("relay"), root.take_table("control_process"), root.take_table("replication")];
     let name = root.text("name", 1);
     let zone = Zone(root.text("zone", 1));
@@ -34,7 +36,9 @@
     }
     root.reject_unknown_keys();
     let role = parse_role(&role, tables, &control, &mut errors);
-    let settings = Settings { name, zone, data_folder, http_address, control, shared_secret, scorer, platform, role };
+    let clients = ClientSettings::parse(clients, &mut errors);
+    let settings =
+        Settings { name, zone, data_folder, http_address, control, shared_secret, scorer, platform, clients, role };
     if errors.is_empty() { Ok(settings) } else { Err(errors) }
 }
 
--- a/crates/settings/src/types.rs
+++ b/crates/settings/src/types.rs
@@ -1,5 +1,6 @@
 //! Settings of a relay or a control process.
 
+use crate::clients::ClientSettings;
 use saddlerelay_control::config::ControlConfig;
 use saddlerelay_policies::PolicyName;
 use saddlerelay_relay::config::RelayConfig;
@@ -27,6 +28,8 @@
     pub scorer: Option<SocketAddr>,
     /// Address of the platform's machine list, if there is one.
     pub platform: Option<SocketAddr>,
+    /// What clients may make the process hold.
+    pub clients: ClientSettings,
     /// Role of the process.
     pub role: Role,
 }
--- a/crates/soak/src/engine.rs
+++ b/crates/soak/src/engine.rs
@@ -7,12 +7,14 @@
 use crate::workload::{self, Features, MODEL, MODEL_SERVICE, ROLLOUTS, SCORES, SLOTS, TENANT, UNKNOWN_KEY_ID_PREFIX};
 use bytes::Bytes;
 use compio::net::TcpListener;
-use hyper::body::Incoming;
 use hyper::header::HeaderValue;
 use hyper::{HeaderMap, Request, StatusCode};
 use saddlerelay_coordinator::format::{EngineReport, RunningStreams, WeightOrder};
 use saddlerelay_gateway_api::native::{ORDER_PATH, REPORT_PATH};
-use saddlerelay_http::body::{BodyInterrupted, LocalBody, Reply, full_reply, json, read_body};
+use saddlerelay_http::body::{BodyInterrupted, LocalBody, Reply, full_reply, json};
+use saddlerelay_http::limits::ListenerLimits;
+use saddlerelay_http::overload::OverloadManager;
+use saddlerelay_http::request_body::RequestBody;
 use saddlerelay_http::server::{HttpHandler, Shutdown, serve_until};
 use saddlerelay_runtime::signal::Signal;
 use saddlerelay_types::instance::{InstanceId, InstanceReport, LoadedModel};
@@ -174,7 +176,14 @@
             features,
         });
         let engine = Self { state };
-        compio::runtime::spawn(serve_until(listener, Rc::new(engine.clone()), Shutdown::default())).detach();
+        compio::runtime::spawn(serve_until(
+            listener,
+            Rc::new(engine.clone()),
+            ListenerLimits::default(),
+            OverloadManager::default(),
+            Shutdown::default(),
+        ))
+        .detach();
         Ok(engine)
     }
 
@@ -491,9 +500,9 @@
 }
 
 impl HttpHandler for Engine {
-    async fn handle(self: Rc<Self>, request: Request<Incoming>) -> Reply {
+    async fn handle(self: Rc<Self>, request: Request<RequestBody>) -> Reply {
         let (head, body) = request.into_parts();
-        let body = read_body(body).await.unwrap_or_default();
+        let body = body.read().await.unwrap_or_default();
         let expected = header(&head.headers, "saddlerelay-for-instance");
         if expected.is_some_and(|expected| expected != self.instance().name) {
             let id = header(&head.headers, "saddlerelay-request").unwrap_or_default().to_string();
--- a/crates/soak/src/platform.rs
+++ b/crates/soak/src/platform.rs
@@ -1,10 +1,12 @@
 //! A simulated platform that receives usage reports and sometimes does not respond in time.
 
 use crate::journal::Journal;
-use hyper::body::Incoming;
 use hyper::{HeaderMap, Request, StatusCode};
 use saddlerelay_gateway_api::native::{FENCE_HEADER, HOLDER_HEADER, USAGE_PATH};
-use saddlerelay_http::body::{Reply, full_reply, read_body};
+use saddlerelay_http::body::{Reply, full_reply};
+use saddlerelay_http::limits::ListenerLimits;
+use saddlerelay_http::overload::OverloadManager;
+use saddlerelay_http::request_body::RequestBody;
 use saddlerelay_http::server::{HttpHandler, Shutdown, serve_until};
 use saddlerelay_types::usage::{TenantCounts, UsageReport, UsageWindow};
 use std::cell::RefCell;
@@ -43,7 +45,14 @@
     pub async fn start(address: SocketAddr, journal: Journal) -> std::io::Result<Rc<Self>> {
         let listener = compio::net::TcpListener::bind(address).await?;
         let platform = Rc::new(Self { journal, received: RefCell::default() });
-        compio::runtime::spawn(serve_until(listener, platform.clone(), Shutdown::default())).detach();
+        compio::runtime::spawn(serve_until(
+            listener,
+            platform.clone(),
+            ListenerLimits::default(),
+            OverloadManager::default(),
+            Shutdown::default(),
+        ))
+        .detach();
         Ok(platform)
     }
 
@@ -74,9 +83,9 @@
 }
 
 impl HttpHandler for Platform {
-    async fn handle(self: Rc<Self>, request: Request<Incoming>) -> Reply {
+    async fn handle(self: Rc<Self>, request: Request<RequestBody>) -> Reply {
         let (head, body) = request.into_parts();
-        let body = read_body(body).await.unwrap_or_default();
+        let body = body.read().await.unwrap_or_default();
         let fence = text(&head.headers, FENCE_HEADER).parse();
         let report = serde_json::from_slice(&body);
         let (Ok(fence), Ok(report), USAGE_PATH) = (fence, report, head.uri.path()) else {
--- a/crates/standins/src/http/engine.rs
+++ b/crates/standins/src/http/engine.rs
@@ -3,12 +3,12 @@
 use crate::engine::{Engine, EngineFaults, Rejection, WeightSource};
 use futures::StreamExt;
 use futures::channel::mpsc;
-use hyper::body::Incoming;
 use hyper::{Method, Request, StatusCode};
 use saddlerelay_engine_client::wire::{
     COMPLETIONS_PATH, CompletionChunk, CompletionRequest, ErrorDetail, ErrorReply, ORDER_PATH, STATUS_PATH,
 };
-use saddlerelay_http::body::{Reply, full_reply, json, parse_json, read_body, streamed_reply};
+use saddlerelay_http::body::{Reply, full_reply, json, parse_json, streamed_reply};
+use saddlerelay_http::request_body::RequestBody;
 use saddlerelay_http::server::HttpHandler;
 use saddlerelay_http::sse;
 use saddlerelay_runtime::Runtime;
@@ -59,12 +59,12 @@
 }
 
 impl<P: Runtime, W: WeightSource> HttpHandler for EngineServer<P, W> {
-    async fn handle(self: Rc<Self>, request: Request<Incoming>) -> Reply {
+    async fn handle(self: Rc<Self>, request: Request<RequestBody>) -> Reply {
         let (head, body) = request.into_parts();
         if head.method == Method::GET && head.uri.path() == STATUS_PATH {
             return json(StatusCode::OK, &self.engine.status());
         }
-        let bytes = match read_body(body).await {
+        let bytes = match body.read().await {
             Ok(bytes) => bytes,
             Err(error) => return rejection(StatusCode::BAD_REQUEST, &Rejection(format!("{error:?}"))),
         };
--- a/crates/standins/src/http/process.rs
+++ b/crates/standins/src/http/process.rs
@@ -11,6 +11,7 @@
 use anyhow::{Context, Result, bail};
 use compio::net::TcpListener;
 use lexopt::prelude::*;
+use saddlerelay_http::limits::ListenerLimits;
 use saddlerelay_http::server::serve;
 use saddlerelay_runtime::Runtime;
 use saddlerelay_runtime_compio::CompioRuntime;
@@ -111,17 +112,17 @@
             "engine" => engine(&flags).await,
             "weight-store" => {
                 let store = WeightStore::new(flags.milliseconds("fetch-time-ms")?);
-                serve(listener(&flags).await?, Rc::new(store)).await;
+                serve(listener(&flags).await?, Rc::new(store), ListenerLimits::default()).await;
                 Ok(())
             }
             "platform" => {
                 let list = MachineList::new(flags.milliseconds("lag-ms")?);
-                serve(listener(&flags).await?, Rc::new(list)).await;
+                serve(listener(&flags).await?, Rc::new(list), ListenerLimits::default()).await;
                 Ok(())
             }
             "scorer" => {
                 let scorer = Scorer { time: flags.milliseconds("time-ms")? };
-                serve(listener(&flags).await?, Rc::new(scorer)).await;
+                serve(listener(&flags).await?, Rc::new(scorer), ListenerLimits::default()).await;
                 Ok(())
             }
             "trainer" => trainer(&flags).await,
@@ -159,7 +160,7 @@
     let platform = CompioRuntime::new(std::env::temp_dir());
     let listener = listener(flags).await?;
     let engine = Engine::start(platform, options, weights, recorder);
-    serve(listener, Rc::new(EngineServer { engine })).await;
+    serve(listener, Rc::new(EngineServer { engine }), ListenerLimits::default()).await;
     Ok(())
 }
 
--- a/crates/standins/src/http/services.rs
+++ b/crates/standins/src/http/services.rs
@@ -1,10 +1,10 @@
 //! The scorer, and the platform's machine list.
 
 use crate::tokens;
-use hyper::body::Incoming;
 use hyper::{Method, Request, StatusCode};
 use saddlerelay_engine_client::wire::{MACHINES_PATH, SCORE_PATH, ScoreReply, ScoreRequest};
-use saddlerelay_http::body::{Reply, full_reply, json, parse_json, read_body};
+use saddlerelay_http::body::{Reply, full_reply, json, parse_json};
+use saddlerelay_http::request_body::RequestBody;
 use saddlerelay_http::server::HttpHandler;
 use saddlerelay_types::membership::PlatformMachine;
 use std::cell::RefCell;
@@ -23,11 +23,11 @@
 }
 
 impl HttpHandler for Scorer {
-    async fn handle(self: Rc<Self>, request: Request<Incoming>) -> Reply {
+    async fn handle(self: Rc<Self>, request: Request<RequestBody>) -> Reply {
         if request.uri().path() != SCORE_PATH {
             return full_reply(StatusCode::NOT_FOUND, "text/plain", "no such path\n");
         }
-        let body = read_body(request.into_body()).await.unwrap_or_default();
+        let body = request.into_body().read().await.unwrap_or_default();
         let Ok(score_request) = parse_json::<ScoreRequest>(&body) else {
             return full_reply(StatusCode::BAD_REQUEST, "text/plain", "malformed\n");
         };
@@ -64,12 +64,12 @@
 }
 
 impl HttpHandler for MachineList {
-    async fn handle(self: Rc<Self>, request: Request<Incoming>) -> Reply {
+    async fn handle(self: Rc<Self>, request: Request<RequestBody>) -> Reply {
         if request.uri().path() != MACHINES_PATH {
             return full_reply(StatusCode::NOT_FOUND, "text/plain", "no such path\n");
         }
         if request.method() == Method::PUT {
-            let body = read_body(request.into_body()).await.unwrap_or_default();
+            let body = request.into_body().read().await.unwrap_or_default();
             let Ok(machines) = parse_json(&body) else {
                 return full_reply(StatusCode::BAD_REQUEST, "text/plain", "malformed\n");
             };
--- a/crates/standins/src/http/weights.rs
+++ b/crates/standins/src/http/weights.rs
@@ -2,10 +2,10 @@
 
 use crate::engine::WeightSource;
 use crate::trainer::WeightSink;
-use hyper::body::Incoming;
 use hyper::{Method, Request, StatusCode};
 use saddlerelay_http::body::{Reply, full_reply, json};
 use saddlerelay_http::client::call;
+use saddlerelay_http::request_body::RequestBody;
 use saddlerelay_http::server::HttpHandler;
 use saddlerelay_types::identity::{ModelName, TenantId, WeightVersion};
 use std::cell::{Cell, RefCell};
@@ -30,7 +30,7 @@
 }
 
 impl HttpHandler for WeightStore {
-    async fn handle(self: Rc<Self>, request: Request<Incoming>) -> Reply {
+    async fn handle(self: Rc<Self>, request: Request<RequestBody>) -> Reply {
         let path = request.uri().path().trim_matches('/').to_string();
         let Some((model, version)) = path.strip_prefix("weights/").and_then(|suffix| suffix.split_once('/')) else {
             return full_reply(StatusCode::NOT_FOUND, "text/plain", "no such path\n");
