Responses of engines take their memory from the budget for clients

What callers saw: nothing yet; engines' responses had a budget of 128 MiB of their own, more than the memory of the smallest machine, and it ended with the read: responses that clients do not read counted nowhere.

Fix: a gateway reads responses into memory of the same budget, which they keep until the connection has written them. Where there is none, the read waits until another response is delivered or a client that does not read gives way, at most until the request's deadline; a request that has run cannot be rejected.

--- a/crates/command-line/src/member.rs
+++ b/crates/command-line/src/member.rs
@@ -177,6 +177,7 @@
         seeds: seeds.clone(),
         names: formats.header_names(),
         config: GatewayConfig { admission: settings.scheduling.admission, ..GatewayConfig::default() },
+        clients: clients.manager.clone(),
         usage_window: settings.usage.map(|usage| usage.window),
     };
     let client_listener = listen(addresses.client_address).await?;
--- a/crates/gateway-api/tests/common/mod.rs
+++ b/crates/gateway-api/tests/common/mod.rs
@@ -145,6 +145,7 @@
         seeds: Rc::new(RefCell::new(vec![peer_address])),
         names: Default::default(),
         config,
+        clients: OverloadManager::default(),
         usage_window: Some(USAGE_WINDOW),
     };
     let gateway =
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -86,7 +86,7 @@
         });
         remove_hop_by_hop(&mut head.headers);
         head.headers.remove(CONTENT_LENGTH);
-        Reply::from_parts(head, LocalBody::Buffered(body.into()))
+        Reply::from_parts(head, LocalBody::Reserved(body.into()))
     }
 
     async fn run_attempts(
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -15,6 +15,7 @@
 use saddlerelay_control_client::suspicions::SuspicionSync;
 use saddlerelay_http::body::{BodyError, Reply};
 use saddlerelay_http::limits::ConnectionLimits;
+use saddlerelay_http::overload::OverloadManager;
 use saddlerelay_http::request_body::RequestBody;
 use saddlerelay_runtime::Runtime;
 use saddlerelay_runtime_compio::CompioRuntime;
@@ -31,7 +32,7 @@
 use std::time::Duration;
 
 /// Start-up options.
-#[derive(Clone, Debug)]
+#[derive(Clone)]
 pub struct GatewayOptions {
     /// The relay's name, as reported to the control group.
     pub name: String,
@@ -43,6 +44,8 @@
     pub names: HeaderNames,
     /// Limits and timeouts.
     pub config: GatewayConfig,
+    /// Holds the memory for clients' requests and for the responses to them.
+    pub clients: OverloadManager,
     /// Length of a usage window; `None` disables usage counting.
     pub usage_window: Option<Duration>,
 }
@@ -98,7 +101,8 @@
 impl Gateway {
     /// Creates the gateway and spawns the task that follows the control group.
     pub fn start(runtime: CompioRuntime, control: ControlClient<CompioRuntime>, options: GatewayOptions) -> Self {
-        let pool = Pool::new(Rc::new(options.names.clone()), options.config.connect_timeout);
+        let names = Rc::new(options.names.clone());
+        let pool = Pool::with_memory(names, options.config.connect_timeout, options.clients.clone());
         let offset = (runtime.random() % 1_000) as f64 / 1_000.0;
         let last_trial_pause = options.config.last_trial_pause;
         let suspicions = SuspicionSync::start(runtime.clone(), control.clone(), last_trial_pause);
--- a/crates/upstream/src/pool.rs
+++ b/crates/upstream/src/pool.rs
@@ -1,7 +1,7 @@
 //! Connection pool to engine instances, and calls over it.
 
 use crate::connection::Connection;
-use crate::limits::BodyBudget;
+use crate::limits::DEFAULT_BODY_BYTES;
 use crate::names::HeaderNames;
 use crate::response::{Failure, UpstreamResponse};
 use bytes::Bytes;
@@ -9,6 +9,7 @@
 use hyper::header::{HeaderMap, HeaderValue};
 use hyper::http::response::Parts;
 use hyper::{Method, Request, Uri};
+use saddlerelay_http::overload::OverloadManager;
 use saddlerelay_types::instance::InstanceId;
 use std::cell::RefCell;
 use std::collections::BTreeMap;
@@ -67,13 +68,19 @@
     names: Rc<HeaderNames>,
     idle: Rc<RefCell<BTreeMap<EngineTarget, Vec<Connection>>>>,
     connect_timeout: Duration,
-    budget: BodyBudget,
+    /// Memory for response bodies.
+    memory: OverloadManager,
 }
 
 impl Pool {
-    /// An empty pool with a connect timeout of `connect_timeout`.
+    /// An empty pool with a connect timeout of `connect_timeout` and a memory budget of its own.
     pub fn new(names: Rc<HeaderNames>, connect_timeout: Duration) -> Self {
-        Self { names, idle: Rc::default(), connect_timeout, budget: BodyBudget::default() }
+        Self::with_memory(names, connect_timeout, OverloadManager::new(DEFAULT_BODY_BYTES))
+    }
+
+    /// As [`Self::new`]; response bodies take their memory from `memory`, until the last clone of each is dropped.
+    pub fn with_memory(names: Rc<HeaderNames>, connect_timeout: Duration, memory: OverloadManager) -> Self {
+        Self { names, idle: Rc::default(), connect_timeout, memory }
     }
 
     /// The configured header names.
@@ -137,7 +144,7 @@
             }
             match connection.send(message).await {
                 Ok(response) => {
-                    let budget = self.budget.clone();
+                    let budget = self.memory.clone();
                     return UpstreamResponse::check(response, connection, budget, &self.names, &request.request_id);
                 }
                 Err(Failure::NotSent(_)) if connection.is_used() => reuse = Reuse::None,
--- a/crates/upstream/src/response.rs
+++ b/crates/upstream/src/response.rs
@@ -1,14 +1,14 @@
 //! Responses from engines, and failures to get one.
 
 use crate::connection::Connection;
-use crate::limits::BodyBudget;
 use crate::names::HeaderNames;
-use bytes::{Bytes, BytesMut};
+use bytes::Bytes;
 use http_body_util::BodyExt;
-use hyper::body::Incoming;
+use hyper::body::{Body, Incoming};
 use hyper::header::{CONNECTION, HeaderMap};
 use hyper::http::response::Parts;
 use hyper::{Response, StatusCode};
+use saddlerelay_http::overload::OverloadManager;
 use saddlerelay_scheduling::LoadReport;
 use std::fmt;
 use std::time::Duration;
@@ -47,7 +47,7 @@
     pub head: Parts,
     body: Incoming,
     connection: Connection,
-    budget: BodyBudget,
+    memory: OverloadManager,
 }
 
 impl UpstreamResponse {
@@ -55,7 +55,7 @@
     pub(crate) fn check(
         response: Response<Incoming>,
         connection: Connection,
-        budget: BodyBudget,
+        memory: OverloadManager,
         names: &HeaderNames,
         request_id: &str,
     ) -> Result<Self, Failure> {
@@ -69,7 +69,7 @@
         if !is_echoed && !own_rejection {
             return Err(Failure::PossiblyExecuted("response carries another request ID".to_string()));
         }
-        Ok(Self { head, body, connection, budget })
+        Ok(Self { head, body, connection, memory })
     }
 
     /// Whether the engine reported that it did not execute the request.
@@ -83,10 +83,11 @@
     }
 
     /// Reads the body, at most `limit` bytes. Also returns the connection if it can be reused. Fails if the body is
-    /// larger, or if the process reads too many large bodies at the same time; the connection is closed then.
+    /// larger; the connection is closed then. Waits while the process holds too many large bodies; the caller bounds the
+    /// wait.
     pub async fn read_body(self, limit: usize) -> Result<(Parts, Bytes, Option<Connection>), Failure> {
-        let Self { head, body, connection, budget } = self;
-        let body = read_limited(body, limit, &budget).await?;
+        let Self { head, body, connection, memory } = self;
+        let body = read_limited(body, limit, &memory).await?;
         let reusable = reusable(connection, idle_timeout(&head.headers)).await;
         Ok((head, body, reusable))
     }
@@ -98,23 +99,33 @@
     }
 }
 
-/// Reads a body of at most `limit` bytes.
-async fn read_limited(mut body: Incoming, limit: usize, budget: &BodyBudget) -> Result<Bytes, Failure> {
-    let mut reservation = budget.begin();
-    let mut received = BytesMut::new();
+/// Reads a body of at most `limit` bytes into memory that is reserved before it is used.
+async fn read_limited(mut body: Incoming, limit: usize, memory: &OverloadManager) -> Result<Bytes, Failure> {
+    let too_large = || Failure::PossiblyExecuted(format!("response body exceeds {limit} bytes"));
+    let mut reservation = memory.memory().begin();
+    let mut received: Vec<u8> = Vec::new();
+    let length = body.size_hint().exact().map_or(0, |length| usize::try_from(length).unwrap_or(usize::MAX));
+    if length > limit {
+        return Err(too_large());
+    }
+    memory.reserve_patiently(&mut reservation, length).await;
+    received.reserve_exact(length);
     while let Some(frame) = body.frame().await {
         let Ok(bytes) = frame.map_err(|error| interrupted(&error))?.into_data() else {
             continue;
         };
-        if received.len() + bytes.len() > limit {
-            return Err(Failure::PossiblyExecuted(format!("response body exceeds {limit} bytes")));
+        let needed = received.len() + bytes.len();
+        if needed > limit {
+            return Err(too_large());
         }
-        if !reservation.receive(bytes.len()) {
-            return Err(Failure::PossiblyExecuted("too many large response bodies at the same time".to_string()));
+        if needed > received.capacity() {
+            let capacity = needed.max((2 * received.capacity()).min(limit));
+            memory.reserve_patiently(&mut reservation, capacity).await;
+            received.reserve_exact(capacity - received.len());
         }
         received.extend_from_slice(&bytes);
     }
-    Ok(received.freeze())
+    Ok(reservation.attach(received))
 }
 
 /// The failure of a read of a response body that broke off.
