One large job at a time, four reads of a coordinator at a time

What callers saw: 100 complete jobs of 1.5 MiB at once made a gateway hold 449 MB, which a budget for bodies does not bound: decoding and forwarding a job takes a multiple of its size. 100 unread or pipelined reads of a 1 MiB routing document made a coordinator hold 158 and 325 MB: all were in flight to the leader at the same time, and their bytes counted nowhere.

Fix: jobs from 256 KiB are decoded and forwarded one at a time, and rejected if their turn does not come before the deadline; a coordinator forwards four reads at a time.

--- a/crates/command-line/src/member.rs
+++ b/crates/command-line/src/member.rs
@@ -187,7 +187,7 @@
     let limits_source = gateway.clone();
     runtime.spawn(serve_until(
         client_listener,
-        Rc::new(ClientApi { gateway: gateway.clone(), formats }),
+        Rc::new(ClientApi::new(gateway.clone(), formats)),
         clients.listener(Rc::new(move || limits_source.connection_limits())),
         clients.manager.clone(),
         shutdown.clone(),
--- a/crates/gateway-api/src/client.rs
+++ b/crates/gateway-api/src/client.rs
@@ -1,5 +1,6 @@
 //! HTTP handlers of a gateway: requests of clients and trainers, and the readiness probe.
 
+use crate::concurrency::ConcurrencyLimit;
 use crate::formats::{ClientCall, Formats, JobCall};
 use crate::responses;
 use hyper::header::{CONNECTION, HeaderValue};
@@ -22,12 +23,24 @@
 /// Timeout of one attempt at a single control replica.
 const ATTEMPT_TIMEOUT: Duration = Duration::from_millis(800);
 
+/// Size from which a job submission counts as large, in bytes. Large ones are decoded and forwarded one at a time, as
+/// that takes a multiple of their size.
+const LARGE_JOB_BYTES: usize = 256 * 1024;
+
 /// Serves requests of clients and trainers.
 pub struct ClientApi<F> {
     /// The gateway.
-    pub gateway: Gateway,
+    gateway: Gateway,
     /// The wire formats.
-    pub formats: F,
+    formats: F,
+    large_jobs: ConcurrencyLimit,
+}
+
+impl<F> ClientApi<F> {
+    /// Creates the handler.
+    pub fn new(gateway: Gateway, formats: F) -> Self {
+        Self { gateway, formats, large_jobs: ConcurrencyLimit::new(1) }
+    }
 }
 
 /// Serves the readiness probe: 200 while the gateway is ready, otherwise 503.
@@ -99,6 +112,14 @@
             Ok(body) => body,
             Err(refusal) => return self.gateway.refuse(request, refusal),
         };
+        let _permit = if body.len() >= LARGE_JOB_BYTES {
+            match self.large_jobs.enter(self.gateway.time_left(route, request)).await {
+                Some(permit) => Some(permit),
+                None => return self.gateway.refuse(request, Refusal::NoMemory),
+            }
+        } else {
+            None
+        };
         match self.formats.read_job(&request.id, &request.host, request.path(), &body) {
             Ok(mut job) => {
                 job.owner = request.caller.tenant().cloned();
--- a/crates/gateway-api/src/control.rs
+++ b/crates/gateway-api/src/control.rs
@@ -1,5 +1,6 @@
 //! HTTP handler of a coordinator for operators, trainers and engines.
 
+use crate::concurrency::ConcurrencyLimit;
 use crate::formats::{CallDecodeError, ControlCall, Formats};
 use crate::rejected_calls::RejectedCalls;
 use crate::responses;
@@ -31,6 +32,9 @@
 /// service yet.
 const MAX_REPORT_BYTES: usize = 16 * 1024;
 
+/// Maximum number of reads that are forwarded at the same time. Their responses may be as large as a routing document.
+const MAX_CONCURRENT_READS: usize = 4;
+
 /// Serves the control endpoints of a coordinator.
 pub struct ControlApi<F> {
     /// Sends requests to the control group's leader, which may be this process.
@@ -38,6 +42,7 @@
     reports: Rc<ReportBatcher<CompioRuntime>>,
     report_target: ReportTarget,
     formats: F,
+    reads: ConcurrencyLimit,
     rejected: RejectedCalls,
 }
 
@@ -55,7 +60,8 @@
         formats: F,
     ) -> Rc<Self> {
         let reports = ReportBatcher::start(runtime, control.clone(), report_interval);
-        Rc::new(Self { control, reports, report_target, formats, rejected: RejectedCalls::default() })
+        let reads = ConcurrencyLimit::new(MAX_CONCURRENT_READS);
+        Rc::new(Self { control, reports, report_target, formats, reads, rejected: RejectedCalls::default() })
     }
 }
 
@@ -76,7 +82,7 @@
         match self.formats.control_call(&head.method, head.uri.path(), &body) {
             Ok(ControlCall::Change(GatewayRequest::ReportInstance(report))) => self.handle_report(report).await,
             Ok(ControlCall::Change(request)) => responses::change(self.forward(request).await, StatusCode::OK),
-            Ok(ControlCall::Read(request)) => responses::read(&self.formats, self.forward(request).await),
+            Ok(ControlCall::Read(request)) => self.handle_read(request).await,
             Err(CallDecodeError::Unknown) => responses::not_found(),
             Err(CallDecodeError::Malformed(reason)) => {
                 self.rejected.record(&head.method, head.uri.path(), &reason);
@@ -96,6 +102,13 @@
         self.control.gateway(request, CALL_TIMEOUT, ATTEMPT_TIMEOUT).await
     }
 
+    async fn handle_read(&self, request: GatewayRequest) -> Reply {
+        match self.reads.enter(CALL_TIMEOUT).await {
+            Some(_permit) => responses::read(&self.formats, self.forward(request).await),
+            None => responses::unavailable(),
+        }
+    }
+
     async fn handle_report(&self, report: InstanceReport) -> Reply {
         let report_to = (self.report_target)(&report);
         match self.reports.report(report).await {
--- a/crates/gateway-api/src/lib.rs
+++ b/crates/gateway-api/src/lib.rs
@@ -4,6 +4,7 @@
 //! formats implement [`formats::Formats`]; `own` contains saddlerelay's native formats.
 
 pub mod client;
+mod concurrency;
 pub mod control;
 pub mod formats;
 pub mod native;
--- a/crates/gateway-api/src/responses.rs
+++ b/crates/gateway-api/src/responses.rs
@@ -63,7 +63,8 @@
     full_reply(StatusCode::NOT_FOUND, "text/plain", "there is no such thing")
 }
 
-fn unavailable() -> Reply {
+/// The response to a call that the control group did not take.
+pub fn unavailable() -> Reply {
     let mut reply = full_reply(StatusCode::SERVICE_UNAVAILABLE, "text/plain", "the control group cannot be asked");
     reply.headers_mut().insert(RETRY_AFTER, HeaderValue::from_static(RETRY_AFTER_SECONDS));
     reply
--- a/crates/gateway-api/tests/common/mod.rs
+++ b/crates/gateway-api/tests/common/mod.rs
@@ -151,7 +151,7 @@
     let gateway =
         Gateway::start(runtime.clone(), ControlClient::new(runtime.clone(), &[peer_address], SECRET), options);
     let (listener, client_address) = bind().await;
-    let api = Rc::new(ClientApi { gateway: gateway.clone(), formats: NativeFormats });
+    let api = Rc::new(ClientApi::new(gateway.clone(), NativeFormats));
     runtime.spawn(serve_until(
         listener,
         api,
