Count the memory of large replies: metrics and log lines of what a coordinator holds

A reply's memory is now reserved before it is built and released once it is written: pages of results, routing documents, segments for other replicas. Nothing is limited yet. The metrics show resident memory, the replies' part, its peak and who waits; a log line names content, peak and waiting requests each time the peak has doubled.

--- a/crates/command-line/src/lib.rs
+++ b/crates/command-line/src/lib.rs
@@ -8,6 +8,7 @@
 mod level_metrics;
 mod logs;
 pub mod member;
+mod memory_metrics;
 pub mod serve;
 mod signals;
 pub mod table;
--- a/crates/command-line/src/member.rs
+++ b/crates/command-line/src/member.rs
@@ -2,6 +2,7 @@
 
 use crate::clients::Clients;
 use crate::level_metrics::LevelMetrics;
+use crate::memory_metrics::MemoryMetrics;
 use crate::signals::{SIGHUP, SIGTERM, SignalListener};
 use crate::{CommandError, Exit, read_member_settings};
 use compio::net::TcpListener;
@@ -285,7 +286,10 @@
         shutdown.clone(),
     ));
     let levels = LevelMetrics::new(node.clone());
-    let metrics = move || coordinator.metrics().encode() + &duties.encode() + &api.metrics() + &levels.encode();
+    let memory = MemoryMetrics::new(node.clone());
+    let metrics = move || {
+        [coordinator.metrics().encode(), duties.encode(), api.metrics(), levels.encode(), memory.encode()].concat()
+    };
     serve_metrics(&runtime, &clients, settings.metrics_address, metrics).await?;
     let record = StoreRecord {
         name: settings.name.clone(),
--- a/crates/control-client/tests/may_have_run.rs
+++ b/crates/control-client/tests/may_have_run.rs
@@ -6,7 +6,7 @@
 use compio::net::TcpListener;
 use saddlerelay_control_client::{ControlClient, GatewayError};
 use saddlerelay_rpc::frame::Hello;
-use saddlerelay_rpc::server::Handler;
+use saddlerelay_rpc::server::{Handler, Response};
 use saddlerelay_runtime::{FrameListener, FrameReceiver, Runtime};
 use saddlerelay_runtime_compio::CompioRuntime;
 use saddlerelay_runtime_compio::connection::TcpFrameListener;
@@ -31,7 +31,7 @@
 }
 
 impl Handler for Silent {
-    async fn handle(self: Rc<Self>, _level: FeatureLevel, _body: Vec<u8>) -> Option<Vec<u8>> {
+    async fn handle(self: Rc<Self>, _level: FeatureLevel, _body: Vec<u8>) -> Option<Response> {
         self.received.set(self.received.get() + 1);
         std::future::pending().await
     }
--- a/crates/control-client/tests/search_order.rs
+++ b/crates/control-client/tests/search_order.rs
@@ -2,7 +2,7 @@
 
 use saddlerelay_control_client::ControlClient;
 use saddlerelay_control_client::search::LastResult;
-use saddlerelay_rpc::server::Handler;
+use saddlerelay_rpc::server::{Handler, Response};
 use saddlerelay_runtime::Runtime;
 use saddlerelay_runtime_compio::CompioRuntime;
 use saddlerelay_runtime_compio::connection::TcpFrameListener;
@@ -31,13 +31,13 @@
 struct Replica(Behavior);
 
 impl Handler for Replica {
-    async fn handle(self: Rc<Self>, _level: FeatureLevel, _body: Vec<u8>) -> Option<Vec<u8>> {
+    async fn handle(self: Rc<Self>, _level: FeatureLevel, _body: Vec<u8>) -> Option<Response> {
         let reply = match &self.0 {
             Behavior::Silent => return std::future::pending().await,
             Behavior::ReturnsPeers(peers) => ControlReply::NotLeader { leader: None, peers: peers.clone() },
             Behavior::Leads => ControlReply::Gateway(GatewayReply::Done),
         };
-        Some(bitcode::encode(&reply))
+        Some(bitcode::encode(&reply).into())
     }
 }
 
--- a/crates/control-client/tests/silent_replica.rs
+++ b/crates/control-client/tests/silent_replica.rs
@@ -1,7 +1,7 @@
 //! A replica that does not reply is skipped for a while, and replicas are tried in turn until one leads.
 
 use saddlerelay_control_client::ControlClient;
-use saddlerelay_rpc::server::Handler;
+use saddlerelay_rpc::server::{Handler, Response};
 use saddlerelay_runtime::Runtime;
 use saddlerelay_runtime_compio::CompioRuntime;
 use saddlerelay_runtime_compio::connection::TcpFrameListener;
@@ -37,7 +37,7 @@
 }
 
 impl Handler for Replica {
-    async fn handle(self: Rc<Self>, _level: FeatureLevel, _body: Vec<u8>) -> Option<Vec<u8>> {
+    async fn handle(self: Rc<Self>, _level: FeatureLevel, _body: Vec<u8>) -> Option<Response> {
         self.request_count.set(self.request_count.get() + 1);
         let reply = match &self.behavior {
             Behavior::Silent => return std::future::pending().await,
@@ -45,7 +45,7 @@
             Behavior::ReturnsPeers(peers) => ControlReply::NotLeader { leader: None, peers: peers.clone() },
             Behavior::Leads => ControlReply::Gateway(GatewayReply::Done),
         };
-        Some(bitcode::encode(&reply))
+        Some(bitcode::encode(&reply).into())
     }
 }
 
--- a/crates/control/src/config.rs
+++ b/crates/control/src/config.rs
@@ -49,6 +49,8 @@
     pub order_separation: Duration,
     /// Maximum time between proposing an order intent and sending the order.
     pub order_validity: Duration,
+    /// Memory that all large replies together may use, in bytes: pages of results, routing documents, segments.
+    pub reply_memory: usize,
 }
 
 impl Default for ControlConfig {
@@ -70,6 +72,7 @@
             job_retention: Duration::from_secs(150),
             order_separation: Duration::from_millis(4_000),
             order_validity: Duration::from_millis(400),
+            reply_memory: usize::MAX,
         }
     }
 }
--- a/crates/control/src/follow.rs
+++ b/crates/control/src/follow.rs
@@ -6,14 +6,17 @@
 //! sent. The time since that request is subtracted from the relay's lease, so that a lease from a follower ends no
 //! later than one from the leader would.
 
+use crate::large_replies::Content;
 use crate::node::ControlNode;
 use crate::state::ControlState;
 use crate::state::engine_subset::{RelayLocation, hash_position};
+use saddlerelay_rpc::reply_memory::Reservation;
 use saddlerelay_runtime::Runtime;
 use saddlerelay_runtime::backend::Backends;
 use saddlerelay_runtime::timeout::timeout;
 use saddlerelay_types::gateway::{FollowReply, FollowRequest, GatewayReply, RelayClock, RelayData};
 use saddlerelay_types::protocol::ControlReply;
+use saddlerelay_types::routing_update::EncodedRoutingUpdate;
 use saddlerelay_types::usage::RelayUsage;
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
@@ -100,14 +103,14 @@
 
 impl<P: Runtime, B: Backends> ControlNode<P, B> {
     /// Serves a poll of a relay: replies when there is an update for it, or after `long_poll_timeout`.
-    pub(crate) async fn follow(&self, follow: FollowRequest) -> ControlReply {
+    pub(crate) async fn follow(&self, follow: FollowRequest, reservation: &mut Reservation) -> ControlReply {
         if self.inner.replica.leading_term().is_none() && follow.at_follower {
-            return self.serve_as_follower(follow).await;
+            return self.serve_as_follower(follow, reservation).await;
         }
-        self.serve_as_leader(follow).await
+        self.serve_as_leader(follow, reservation).await
     }
 
-    async fn serve_as_leader(&self, mut follow: FollowRequest) -> ControlReply {
+    async fn serve_as_leader(&self, mut follow: FollowRequest, reservation: &mut Reservation) -> ControlReply {
         let platform = &self.inner.platform;
         self.inner.group_clock.borrow_mut().record_sample(&follow.relay, follow.unix_ms, platform.monotonic());
         if let Some(delta) = follow.usage.take() {
@@ -122,6 +125,12 @@
                 return self.not_leader();
             };
             drop(guard);
+            match self.reserve_update(&reply, reservation).await {
+                UpdateMemory::Held => {}
+                // Built again: the state may have changed meanwhile.
+                UpdateMemory::Acquired => continue,
+                UpdateMemory::Missing => return ControlReply::Gateway(GatewayReply::Unavailable),
+            }
             let remaining = deadline.saturating_sub(platform.monotonic());
             if remaining.is_zero() || has_updates(&reply) {
                 reply.group_unix_ms = self.group_unix_ms();
@@ -143,7 +152,7 @@
         }
     }
 
-    async fn serve_as_follower(&self, mut follow: FollowRequest) -> ControlReply {
+    async fn serve_as_follower(&self, mut follow: FollowRequest, reservation: &mut Reservation) -> ControlReply {
         let platform = &self.inner.platform;
         self.inner.follower_reads.borrow_mut().record_poll(&mut follow, platform.monotonic());
         let deadline = platform.monotonic() + self.inner.config.long_poll_timeout;
@@ -161,6 +170,11 @@
             let Some(mut reply) = reply else {
                 return self.not_leader();
             };
+            match self.reserve_update(&reply, reservation).await {
+                UpdateMemory::Held => {}
+                UpdateMemory::Acquired => continue,
+                UpdateMemory::Missing => return ControlReply::Gateway(GatewayReply::Unavailable),
+            }
             let remaining = deadline.saturating_sub(now);
             if remaining.is_zero() || has_updates(&reply) {
                 reply.follower = Some(self.inner.replica.address());
@@ -174,6 +188,16 @@
         }
     }
 
+    /// Reserves memory for the routing update in `reply`, unless `reservation` covers it.
+    async fn reserve_update(&self, reply: &FollowReply, reservation: &mut Reservation) -> UpdateMemory {
+        let bytes = reply.routing.as_ref().map_or(0, EncodedRoutingUpdate::len);
+        let held = reservation.bytes();
+        if !self.reserve_reply(reservation, Content::Routing, bytes, 0).await {
+            return UpdateMemory::Missing;
+        }
+        if reservation.bytes() == held { UpdateMemory::Held } else { UpdateMemory::Acquired }
+    }
+
     async fn wait_for_confirmation(&self) -> Option<Confirmation> {
         let platform = &self.inner.platform;
         let deadline = platform.monotonic() + MAX_CONFIRMATION_WAIT;
@@ -279,6 +303,16 @@
     }
 }
 
+/// Whether there is memory for a routing update.
+enum UpdateMemory {
+    /// It was reserved before, or the update is small.
+    Held,
+    /// It is reserved now; the reply may have waited.
+    Acquired,
+    /// There is none.
+    Missing,
+}
+
 /// Retry pause of relays that find no leader, in milliseconds.
 fn retry_pause_ms(relays: u32) -> u32 {
     relays * RETRY_PAUSE_US_PER_RELAY / 1_000
--- a/crates/control/src/gateway.rs
+++ b/crates/control/src/gateway.rs
@@ -2,11 +2,13 @@
 //! leader (usage reports and engine counts). Polls of relays are handled in `follow`, requests about batch jobs in
 //! `job_requests`.
 
+use crate::large_replies::Content;
 use crate::node::ControlNode;
 use crate::older_level::{filter_by_name, strip_start_times, unlogged_outcome};
 use crate::state::ControlState;
 use crate::state::stores::Retirement;
 use saddlerelay_replication::ProposeError;
+use saddlerelay_rpc::reply_memory::Reservation;
 use saddlerelay_runtime::Runtime;
 use saddlerelay_runtime::backend::Backends;
 use saddlerelay_runtime::signal::Signal;
@@ -80,9 +82,9 @@
 }
 
 impl<P: Runtime, B: Backends> ControlNode<P, B> {
-    pub(crate) async fn handle_gateway(&self, request: GatewayRequest) -> ControlReply {
+    pub(crate) async fn handle_gateway(&self, request: GatewayRequest, reservation: &mut Reservation) -> ControlReply {
         match request {
-            GatewayRequest::Follow(follow) => self.follow(follow).await,
+            GatewayRequest::Follow(follow) => self.follow(follow, reservation).await,
             GatewayRequest::ReportInstance(report) => {
                 self.report_instances(ReportBatch { changed: vec![report], heartbeats: Vec::new() }).await
             }
@@ -90,15 +92,15 @@
             GatewayRequest::Confirm(relay_data) => self.confirm(relay_data),
             GatewayRequest::RemoveInstance(id) => self.remove_instance(id).await,
             GatewayRequest::PutRouting(document) => self.put_routing(document).await,
-            GatewayRequest::ReadRouting => self.read_routing(),
+            GatewayRequest::ReadRouting => self.read_routing(reservation).await,
             GatewayRequest::PublishVersion(published) => self.publish_version(published).await,
             GatewayRequest::SubmitJob(job) => self.submit_job(job).await,
             GatewayRequest::ReadResults { job, after, wait_ms, caller } => {
-                self.read_results(&job, after, wait_ms, &caller).await
+                self.read_results(&job, after, wait_ms, &caller, reservation).await
             }
             GatewayRequest::ReadIndex => self.reply(self.inner.replica.read_index().map(GatewayReply::Position)),
             GatewayRequest::ReadResultsAt { position, job, after, wait_ms, caller } => {
-                self.read_results_at(position, &job, after, wait_ms, &caller).await
+                self.read_results_at(position, &job, after, wait_ms, &caller, reservation).await
             }
             GatewayRequest::ReadBody { job, item, caller } => self.read_body(&job, &item, &caller),
             GatewayRequest::EndJob { job, caller } => self.end_job(job, &caller).await,
@@ -237,7 +239,12 @@
         }
     }
 
-    fn read_routing(&self) -> ControlReply {
+    async fn read_routing(&self, reservation: &mut Reservation) -> ControlReply {
+        let bytes = self.read(|state| state.routing.current().map_or(0, |document| document.source.len()));
+        let bytes = bytes.unwrap_or_default();
+        if !self.reserve_reply(reservation, Content::Routing, bytes, 0).await {
+            return ControlReply::Gateway(GatewayReply::Unavailable);
+        }
         let source = self.read(|state| state.routing.current().map(|document| document.source.clone()));
         self.reply(source.map(GatewayReply::Routing))
     }
--- a/crates/control/src/job_requests.rs
+++ b/crates/control/src/job_requests.rs
@@ -1,9 +1,11 @@
 //! Requests about batch jobs: submission, reading results and bodies, ending.
 
+use crate::large_replies::Content;
 use crate::node::ControlNode;
 use crate::state::ControlState;
 use crate::state::jobs::Job;
-use crate::state::text_archive::{LoadedTexts, TextLocation};
+use crate::state::text_archive::{LoadedTexts, SEGMENT_BYTES, TextLocation};
+use saddlerelay_rpc::reply_memory::Reservation;
 use saddlerelay_runtime::Runtime;
 use saddlerelay_runtime::backend::Backends;
 use saddlerelay_runtime::timeout::timeout;
@@ -45,7 +47,14 @@
 
     /// Reads results at the leader. Replies when there is a result at `after`, when the job has ended, or after
     /// `wait_ms`.
-    pub(crate) async fn read_results(&self, job: &JobId, after: u64, wait_ms: u64, caller: &Caller) -> ControlReply {
+    pub(crate) async fn read_results(
+        &self,
+        job: &JobId,
+        after: u64,
+        wait_ms: u64,
+        caller: &Caller,
+        reservation: &mut Reservation,
+    ) -> ControlReply {
         let platform = &self.inner.platform;
         let deadline = platform.monotonic() + Duration::from_millis(wait_ms).min(MAX_READ_WAIT);
         loop {
@@ -58,7 +67,7 @@
             };
             let remaining = deadline.saturating_sub(platform.monotonic());
             if remaining.is_zero() || has_more {
-                return self.read_page(job, after).await;
+                return self.read_page(job, after, reservation).await;
             }
             timeout(platform, remaining, self.inner.job_results.changed(notified_count)).await;
         }
@@ -74,6 +83,7 @@
         after: u64,
         wait_ms: u64,
         caller: &Caller,
+        reservation: &mut Reservation,
     ) -> ControlReply {
         let platform = &self.inner.platform;
         let catch_up_deadline = platform.monotonic() + CATCH_UP_TIMEOUT;
@@ -89,14 +99,18 @@
                 return ControlReply::Gateway(GatewayReply::Unavailable);
             };
             if has_more || platform.monotonic() >= deadline {
-                return self.read_page(job, after).await;
+                return self.read_page(job, after, reservation).await;
             }
             platform.sleep(RESULT_POLL).await;
         }
     }
 
     /// A page of results from the locally applied state; texts evicted from memory are read from disk.
-    async fn read_page(&self, job: &JobId, after: u64) -> ControlReply {
+    async fn read_page(&self, job: &JobId, after: u64, reservation: &mut Reservation) -> ControlReply {
+        let bytes = self.read_applied(|state| state.jobs.page_bytes(job, after)).unwrap_or_default();
+        if !self.reserve_reply(reservation, Content::Results, bytes, SEGMENT_BYTES).await {
+            return ControlReply::Gateway(GatewayReply::Unavailable);
+        }
         let mut loaded = LoadedTexts::default();
         for _ in 0..MAX_PAGE_ATTEMPTS {
             let missing = match self.read_applied(|state| state.jobs.page(job, after, &loaded)) {
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod group_clock;
 pub mod instance_watch;
 mod job_requests;
+mod large_replies;
 pub mod machine;
 pub mod node;
 mod older_level;
--- a/crates/control/src/node.rs
+++ b/crates/control/src/node.rs
@@ -6,6 +6,7 @@
 use crate::gateway;
 use crate::group_clock::GroupClock;
 use crate::instance_watch::InstanceWatch;
+use crate::large_replies::LargeReplies;
 use crate::machine::ControlMachine;
 use crate::order_watch::OrderWatch;
 use crate::queries;
@@ -21,6 +22,7 @@
 use futures::lock::Mutex;
 use saddlerelay_replication::storage::StorageError;
 use saddlerelay_replication::{ProposeError, Replica, ReplicaOptions};
+use saddlerelay_rpc::reply_memory::Reservation;
 use saddlerelay_runtime::Runtime;
 use saddlerelay_runtime::backend::Backends;
 use saddlerelay_runtime::repeated_event::RepeatedEvent;
@@ -87,6 +89,8 @@
     pub job_results: Signal,
     /// Notified when a batch job was added or has ended, or when engines or routes have changed.
     pub job_work: Signal,
+    /// Memory of replies to other processes.
+    pub large_replies: LargeReplies,
     /// When this replica last received a request from an older build.
     pub older_build_request_at: Cell<Option<Duration>>,
 }
@@ -109,6 +113,7 @@
         let replica = Replica::open(platform.clone(), options, ControlMachine::default()).await?;
         replica.start();
         let renewals = RefCell::default();
+        let large_replies = LargeReplies::new(config.reply_memory);
         let inner = Rc::new(Inner {
             platform: platform.clone(),
             backends,
@@ -133,6 +138,7 @@
             usage_inbox: RefCell::default(),
             job_results: Signal::default(),
             job_work: Signal::default(),
+            large_replies,
             older_build_request_at: Cell::default(),
         });
         let node = Self { inner };
@@ -202,15 +208,17 @@
         }
     }
 
-    /// Handles a request.
-    pub async fn answer(&self, request: ControlRequest) -> ControlReply {
+    /// Handles a request. Memory for a large reply is reserved in `reservation`.
+    pub(crate) async fn answer(&self, request: ControlRequest, reservation: &mut Reservation) -> ControlReply {
         match request {
-            ControlRequest::Replication(bytes) => self.handle_replication(&bytes, FeatureLevel::NEWEST).await,
+            ControlRequest::Replication(bytes) => {
+                self.handle_replication(&bytes, FeatureLevel::NEWEST, reservation).await
+            }
             ControlRequest::Renew(renewal) => self.renew(renewal).await,
             ControlRequest::Execute(command) => self.execute(command).await,
             ControlRequest::Query(query) => self.query(&query),
             ControlRequest::Initialize => self.initialize().await,
-            ControlRequest::Gateway(request) => self.handle_gateway(request).await,
+            ControlRequest::Gateway(request) => self.handle_gateway(request, reservation).await,
         }
     }
 
--- a/crates/control/src/rpc_handler.rs
+++ b/crates/control/src/rpc_handler.rs
@@ -1,10 +1,13 @@
 //! Handles RPC requests of other processes. Requests and replies are encoded at the feature level of the connection.
 
+use crate::large_replies::{Content, shrink_to_encoded};
 use crate::node::ControlNode;
+use crate::state::text_archive::SEGMENT_BYTES;
 use saddlerelay_layouts::messages::{self, Request};
-use saddlerelay_replication::message::ReplicaRequest;
+use saddlerelay_replication::message::{ReplicaReply, ReplicaRequest};
 use saddlerelay_replication::message_codec;
-use saddlerelay_rpc::server::Handler;
+use saddlerelay_rpc::reply_memory::Reservation;
+use saddlerelay_rpc::server::{Handler, Response};
 use saddlerelay_runtime::Runtime;
 use saddlerelay_runtime::backend::Backends;
 use saddlerelay_types::feature_level::FeatureLevel;
@@ -13,15 +16,24 @@
 use std::rc::Rc;
 
 impl<P: Runtime, B: Backends> Handler for ControlNode<P, B> {
-    async fn handle(self: Rc<Self>, level: FeatureLevel, body: Vec<u8>) -> Option<Vec<u8>> {
+    async fn handle(self: Rc<Self>, level: FeatureLevel, body: Vec<u8>) -> Option<Response> {
         let request = messages::decode_request(&body, level)?;
-        self.handle_at_level(level, request).await
+        drop(body);
+        let mut reservation = self.reply_memory().begin();
+        let body = self.handle_at_level(level, request, &mut reservation).await?;
+        shrink_to_encoded(&mut reservation, body.len());
+        Some(Response { body, reservation: Some(reservation) })
     }
 }
 
 impl<P: Runtime, B: Backends> ControlNode<P, B> {
     /// Handles a request; request and reply are encoded at `level`.
-    async fn handle_at_level(&self, level: FeatureLevel, request: Request) -> Option<Vec<u8>> {
+    async fn handle_at_level(
+        &self,
+        level: FeatureLevel,
+        request: Request,
+        reservation: &mut Reservation,
+    ) -> Option<Vec<u8>> {
         let request = match request {
             Request::FollowOne(follow) => {
                 self.record_older_build_request();
@@ -30,17 +42,22 @@
             Request::Current(request) => request,
         };
         if let ControlRequest::Replication(bytes) = &request {
-            return messages::encode_reply(self.handle_replication(bytes, level).await, level);
+            return messages::encode_reply(self.handle_replication(bytes, level, reservation).await, level);
         }
         if level < FeatureLevel::NEWEST {
             self.record_older_build_request();
         }
-        let reply = self.answer(request).await;
+        let reply = self.answer(request, reservation).await;
         let fallback = || messages::encode_reply(ControlReply::Gateway(GatewayReply::Unavailable), level);
         messages::encode_reply(reply, level).or_else(fallback)
     }
 
-    pub(crate) async fn handle_replication(&self, bytes: &[u8], level: FeatureLevel) -> ControlReply {
+    pub(crate) async fn handle_replication(
+        &self,
+        bytes: &[u8],
+        level: FeatureLevel,
+        reservation: &mut Reservation,
+    ) -> ControlReply {
         let Some(request) = message_codec::decode_request(bytes, level) else {
             return ControlReply::Refused("malformed replication message".to_string());
         };
@@ -48,7 +65,11 @@
         if level < FeatureLevel::NEWEST && matches!(request, ReplicaRequest::Join { .. }) {
             self.record_older_build_request();
         }
-        let reply = self.inner.replica.handle(request, level).await;
+        let is_large = matches!(request, ReplicaRequest::ReadSegment { .. });
+        let reply = match !is_large || self.reserve_reply(reservation, Content::Segment, SEGMENT_BYTES, 0).await {
+            true => self.inner.replica.handle(request, level).await,
+            false => ReplicaReply::Rejected,
+        };
         ControlReply::Replication(message_codec::encode_reply(reply, level))
     }
 }
--- a/crates/control/src/state/jobs.rs
+++ b/crates/control/src/state/jobs.rs
@@ -209,6 +209,12 @@
         Some(Ok(ResultPage { total: job.submission.items.len() as u64, next, results }))
     }
 
+    /// Bytes of text in the page of results that starts at position `after`; `None` if there is no such job.
+    pub fn page_bytes(&self, id: &JobId, after: u64) -> Option<usize> {
+        let job = self.jobs.get(id)?;
+        Some(job.page(after).iter().map(|listed| listed.text.length()).sum())
+    }
+
     /// Jobs that have not ended.
     pub fn open(&self) -> impl Iterator<Item = (&JobId, &Job)> {
         self.jobs.iter().filter(|(_, job)| !job.ended)
--- a/crates/control/src/state/text_archive.rs
+++ b/crates/control/src/state/text_archive.rs
@@ -9,7 +9,7 @@
 use std::rc::Rc;
 
 /// Size in bytes at which the open segment is sealed.
-const SEGMENT_BYTES: usize = 1024 * 1024;
+pub const SEGMENT_BYTES: usize = 1024 * 1024;
 
 /// Maximum bytes of segments that stay in memory after they are written to disk, for reads of recent results.
 const CACHE_BYTES: u64 = 4 * 1024 * 1024;
--- a/crates/rpc/src/lib.rs
+++ b/crates/rpc/src/lib.rs
@@ -7,4 +7,5 @@
 mod call;
 pub mod client;
 pub mod frame;
+pub mod reply_memory;
 pub mod server;
--- a/crates/rpc/src/server.rs
+++ b/crates/rpc/src/server.rs
@@ -1,6 +1,7 @@
 //! The server side: one task for each connection.
 
 use crate::frame::{Envelope, Hello, MAGIC, Welcome};
+use crate::reply_memory::Reservation;
 use futures::channel::mpsc;
 use futures::future::Either;
 use futures::{StreamExt, future};
@@ -28,10 +29,30 @@
 /// Delay after a failed accept, for example when file descriptors are exhausted.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(100);
 
+/// An encoded response.
+pub struct Response {
+    /// The encoded message.
+    pub body: Vec<u8>,
+    /// Memory reserved for it; released once it is written to the connection or discarded.
+    pub reservation: Option<Reservation>,
+}
+
+impl From<Vec<u8>> for Response {
+    fn from(body: Vec<u8>) -> Self {
+        Self { body, reservation: None }
+    }
+}
+
 /// Handles the requests that a server receives.
 pub trait Handler: 'static {
     /// Returns the response to the request `body`, or `None` to close the connection. Both are encoded at `level`.
-    fn handle(self: Rc<Self>, level: FeatureLevel, body: Vec<u8>) -> impl Future<Output = Option<Vec<u8>>> + 'static;
+    fn handle(self: Rc<Self>, level: FeatureLevel, body: Vec<u8>) -> impl Future<Output = Option<Response>> + 'static;
+}
+
+/// A frame to write, and the memory reserved for it.
+struct QueuedFrame {
+    frame: Vec<u8>,
+    _reservation: Option<Reservation>,
 }
 
 /// Accepts connections until the process ends; at most [`MAX_PENDING_HANDSHAKES`] may be in their handshake.
@@ -189,7 +210,7 @@
     };
     let (responses, queue) = mpsc::unbounded();
     // Cannot fail, as the receiver still exists.
-    let _ = responses.unbounded_send(Welcome::new().frame());
+    let _ = responses.unbounded_send(QueuedFrame { frame: Welcome::new().frame(), _reservation: None });
     let read = read_requests(&platform, receiver, level, responses, handler);
     let write = write_responses(sender, queue);
     future::select(std::pin::pin!(read), std::pin::pin!(write)).await;
@@ -199,7 +220,7 @@
     platform: &P,
     mut receiver: impl FrameReceiver,
     level: FeatureLevel,
-    responses: mpsc::UnboundedSender<Vec<u8>>,
+    responses: mpsc::UnboundedSender<QueuedFrame>,
     handler: Rc<H>,
 ) {
     while let Ok(Some(frame)) = receiver.receive().await {
@@ -210,9 +231,10 @@
         let response = handler.clone().handle(level, envelope.body);
         platform.spawn(async move {
             match response.await {
-                Some(body) => {
+                Some(Response { body, reservation }) => {
+                    let frame = bitcode::encode(&Envelope { id: envelope.id, body });
                     // Fails if the connection is closed; the response is then discarded.
-                    let _ = responses.unbounded_send(bitcode::encode(&Envelope { id: envelope.id, body }));
+                    let _ = responses.unbounded_send(QueuedFrame { frame, _reservation: reservation });
                 }
                 None => responses.close_channel(),
             }
@@ -220,8 +242,8 @@
     }
 }
 
-async fn write_responses(mut sender: impl FrameSender, mut queue: mpsc::UnboundedReceiver<Vec<u8>>) {
-    while let Some(frame) = queue.next().await {
+async fn write_responses(mut sender: impl FrameSender, mut queue: mpsc::UnboundedReceiver<QueuedFrame>) {
+    while let Some(QueuedFrame { frame, _reservation }) = queue.next().await {
         if sender.send(frame).await.is_err() {
             return;
         }
--- a/crates/runtime-compio/tests/frames.rs
+++ b/crates/runtime-compio/tests/frames.rs
@@ -5,6 +5,7 @@
 use compio::io::{AsyncReadExt, AsyncWriteExt};
 use compio::net::TcpStream;
 use saddlerelay_rpc::client::EncodedReply;
+use saddlerelay_rpc::server::{Handler, Response};
 use saddlerelay_runtime::{FrameListener, FrameReceiver, FrameSender, MAX_FRAME_BYTES, Runtime};
 use saddlerelay_runtime_compio::CompioRuntime;
 use saddlerelay_runtime_compio::connection::TcpFrameListener;
@@ -84,9 +85,9 @@
 #[test]
 fn clients_with_an_invalid_handshake_are_disconnected_and_others_are_served() {
     struct Echo;
-    impl saddlerelay_rpc::server::Handler for Echo {
-        async fn handle(self: std::rc::Rc<Self>, _level: FeatureLevel, body: Vec<u8>) -> Option<Vec<u8>> {
-            (body != b"malformed").then_some(body)
+    impl Handler for Echo {
+        async fn handle(self: std::rc::Rc<Self>, _level: FeatureLevel, body: Vec<u8>) -> Option<Response> {
+            (body != b"malformed").then_some(body.into())
         }
     }
     block_on(async {
--- a/crates/settings/src/parse.rs
+++ b/crates/settings/src/parse.rs
@@ -135,6 +135,7 @@
         job_retention: default.job_retention,
         order_separation: default.order_separation,
         order_validity: default.order_validity,
+        reply_memory: default.reply_memory,
     };
     if config.relay_loss_timeout <= config.relay_lease {
         section.reject("relay_loss_ms", None, "must be longer than `relay_lease_ms`");
--- a/crates/simulator/tests/connection_levels.rs
+++ b/crates/simulator/tests/connection_levels.rs
@@ -4,7 +4,7 @@
 use futures::executor::LocalPool;
 use saddlerelay_rpc::client::{CallError, Client, LevelSelection};
 use saddlerelay_rpc::frame::{Envelope, Hello};
-use saddlerelay_rpc::server::Handler;
+use saddlerelay_rpc::server::{Handler, Response};
 use saddlerelay_runtime::{FrameListener, FrameReceiver, FrameSender, Runtime};
 use saddlerelay_simulator::platform::SimRuntime;
 use saddlerelay_simulator::world::{Process, World};
@@ -38,9 +38,9 @@
 }
 
 impl Handler for Echo {
-    async fn handle(self: Rc<Self>, level: FeatureLevel, body: Vec<u8>) -> Option<Vec<u8>> {
+    async fn handle(self: Rc<Self>, level: FeatureLevel, body: Vec<u8>) -> Option<Response> {
         self.requests.set(self.requests.get() + 1);
-        Some([body, vec![level.number() as u8]].concat())
+        Some([body, vec![level.number() as u8]].concat().into())
     }
 }
 
--- a/crates/simulator/tests/lease_safety.rs
+++ b/crates/simulator/tests/lease_safety.rs
@@ -7,7 +7,7 @@
 use saddlerelay_replication::message::{Header, ReplicaReply, ReplicaRequest};
 use saddlerelay_replication::storage::Storage;
 use saddlerelay_replication::{Replica, ReplicaOptions, StateMachine};
-use saddlerelay_rpc::server::Handler;
+use saddlerelay_rpc::server::{Handler, Response};
 use saddlerelay_runtime::Runtime;
 use saddlerelay_simulator::platform::SimRuntime;
 use saddlerelay_simulator::world::{Process, Sleep, World};
@@ -56,7 +56,7 @@
 }
 
 impl Handler for SimulatedPeer {
-    async fn handle(self: Rc<Self>, _level: FeatureLevel, body: Vec<u8>) -> Option<Vec<u8>> {
+    async fn handle(self: Rc<Self>, _level: FeatureLevel, body: Vec<u8>) -> Option<Response> {
         let ControlRequest::Replication(bytes) = bitcode::decode(&body).ok()? else {
             return None;
         };
@@ -69,7 +69,7 @@
             }
             _ => ReplicaReply::Rejected,
         };
-        Some(bitcode::encode(&ControlReply::Replication(bitcode::encode(&reply))))
+        Some(bitcode::encode(&ControlReply::Replication(bitcode::encode(&reply))).into())
     }
 }
 
--- a/crates/simulator/tests/members.rs
+++ b/crates/simulator/tests/members.rs
@@ -9,7 +9,7 @@
 use saddlerelay_replication::storage::Storage;
 use saddlerelay_replication::wal;
 use saddlerelay_replication::{Replica, ReplicaOptions, StateMachine};
-use saddlerelay_rpc::server::Handler;
+use saddlerelay_rpc::server::{Handler, Response};
 use saddlerelay_runtime::Disk as _;
 use saddlerelay_runtime::Runtime;
 use saddlerelay_simulator::platform::SimRuntime;
@@ -127,10 +127,10 @@
 struct RequestHandler(Node);
 
 impl Handler for RequestHandler {
-    async fn handle(self: Rc<Self>, level: FeatureLevel, body: Vec<u8>) -> Option<Vec<u8>> {
+    async fn handle(self: Rc<Self>, level: FeatureLevel, body: Vec<u8>) -> Option<Response> {
         let request = message_codec::decode_call(&body, level)?;
         let reply = self.0.handle(request, level).await;
-        message_codec::encode_call_reply(reply, level)
+        message_codec::encode_call_reply(reply, level).map(Response::from)
     }
 }
 
--- a/crates/simulator/tests/reports.rs
+++ b/crates/simulator/tests/reports.rs
@@ -4,7 +4,7 @@
 use futures::executor::LocalPool;
 use saddlerelay_control_client::ControlClient;
 use saddlerelay_control_client::reports::ReportBatcher;
-use saddlerelay_rpc::server::Handler;
+use saddlerelay_rpc::server::{Handler, Response};
 use saddlerelay_runtime::Runtime;
 use saddlerelay_simulator::platform::SimRuntime;
 use saddlerelay_simulator::world::{Process, Sleep, World};
@@ -43,7 +43,7 @@
 }
 
 impl Handler for Leader {
-    async fn handle(self: Rc<Self>, _level: FeatureLevel, body: Vec<u8>) -> Option<Vec<u8>> {
+    async fn handle(self: Rc<Self>, _level: FeatureLevel, body: Vec<u8>) -> Option<Response> {
         let Ok(ControlRequest::Gateway(GatewayRequest::ReportInstances(reports))) = bitcode::decode(&body) else {
             return None;
         };
@@ -69,7 +69,7 @@
         committed.extend(reports.changed.into_iter().map(|report| (report.id.clone(), report)));
         drop(committed);
         let reply = if missing.is_empty() { GatewayReply::Done } else { GatewayReply::ReportsMissing(missing) };
-        Some(bitcode::encode(&ControlReply::Gateway(reply)))
+        Some(bitcode::encode(&ControlReply::Gateway(reply)).into())
     }
 }
 
--- a/crates/simulator/tests/transfer_group/mod.rs
+++ b/crates/simulator/tests/transfer_group/mod.rs
@@ -8,7 +8,7 @@
 use saddlerelay_replication::message_codec;
 use saddlerelay_replication::segments::Segment;
 use saddlerelay_replication::{Replica, ReplicaOptions, StateMachine};
-use saddlerelay_rpc::server::Handler;
+use saddlerelay_rpc::server::{Handler, Response};
 use saddlerelay_runtime::Runtime;
 use saddlerelay_simulator::platform::SimRuntime;
 use saddlerelay_simulator::world::{Process, Sleep, World};
@@ -86,10 +86,10 @@
 struct RequestHandler(Node);
 
 impl Handler for RequestHandler {
-    async fn handle(self: Rc<Self>, level: FeatureLevel, body: Vec<u8>) -> Option<Vec<u8>> {
+    async fn handle(self: Rc<Self>, level: FeatureLevel, body: Vec<u8>) -> Option<Response> {
         let request = message_codec::decode_call(&body, level)?;
         let reply = self.0.handle(request, level).await;
-        message_codec::encode_call_reply(reply, level)
+        message_codec::encode_call_reply(reply, level).map(Response::from)
     }
 }
 
