--- a/bin/saddlerelay/tests/client_crowds/main.rs
+++ b/bin/saddlerelay/tests/client_crowds/main.rs
@@ -3,6 +3,7 @@
 //! the crowd's connections are still open. Tests run one at a time.
 
 mod crowd;
+mod gateways;
 mod processes;
 
 use crowd::{Crowd, Shape, Target, call};
--- a/bin/saddlerelay/tests/client_crowds/processes.rs
+++ b/bin/saddlerelay/tests/client_crowds/processes.rs
@@ -23,6 +23,9 @@
 const READINESS_PORT: u16 = 22_004;
 const METRICS_PORT: u16 = 22_005;
 
+/// Secret of the deployment's processes.
+pub const SHARED_SECRET: &str = "crowd-shared-secret-0123456789";
+
 /// Limits of the routing document: a body of 2 MiB, a head of 8 KiB.
 pub const MAX_BODY_BYTES: usize = 2 * 1024 * 1024;
 const MAX_HEADER_BYTES: u64 = 8 * 1024;
@@ -35,6 +38,12 @@
 /// Path of requests with large responses.
 pub const LARGE_PATH: &str = "/requests/large";
 
+/// Path of the items of batch jobs.
+pub const ITEM_PATH: &str = "/rollouts/items/";
+
+/// Size of the text of an item, in bytes.
+pub const ITEM_TEXT_BYTES: usize = 48 * 1024;
+
 /// Number of unused routes in the routing document, which make it about 1 MiB long.
 const UNUSED_ROUTES: usize = 4_000;
 
@@ -145,7 +154,7 @@
         let control = address(store, CONTROL_PORT);
         let shared = format!(
             "zone = \"north\"\nseeds = [\"{control}\"]\npeer_port = {PEER_PORT}\n\
-             shared_secret = \"crowd-shared-secret-0123456789\"\n"
+             shared_secret = \"{SHARED_SECRET}\"\n"
         );
         let bounds = "\n[bounds]\nreport_interval_ms = 60000\ntolerated_losses = 0\ngrace_s = 8\n";
         let coordinator_settings = format!(
@@ -252,7 +261,9 @@
         public: false,
         batch: BatchSettings::default(),
     };
-    let mut routes = vec![route("/requests/", RouteKind::Idempotent), route("/rollouts/", RouteKind::Rollout)];
+    let batch = BatchSettings { give_up_after_ms: 60_000, due_after_ms: 30_000, single_version: false };
+    let rollouts = Route { batch, ..route("/rollouts/", RouteKind::Rollout) };
+    let mut routes = vec![route("/requests/", RouteKind::Idempotent), rollouts];
     routes.extend((0..UNUSED_ROUTES).map(|number| route(&format!("/unused-{number}/"), RouteKind::Idempotent)));
     let service = Service {
         name: "web".to_string(),
@@ -304,10 +315,23 @@
     reader.read_exact(&mut body)?;
     if first_line.contains(LARGE_PATH) {
         body = vec![b'y'; LARGE_RESPONSE_BYTES];
+    } else if first_line.contains(ITEM_PATH) {
+        body = format!("id: 1\ndata: {}\n\n", incompressible_text(ITEM_TEXT_BYTES)).into_bytes();
     }
     let head = format!(
-        "HTTP/1.1 200 OK\r\nsaddlerelay-request: {id}\r\nsaddlerelay-stamp: engine-1\r\ncontent-length: {}\r\n\r\n",
+        "HTTP/1.1 200 OK\r\nsaddlerelay-request: {id}\r\nsaddlerelay-stamp: engine-1\r\n\
+         saddlerelay-version: 1\r\ncontent-length: {}\r\n\r\n",
         body.len()
     );
     stream.write_all(&[head.as_bytes(), &body].concat())
 }
+
+/// Text of `bytes` bytes that encodings between processes cannot make shorter.
+fn incompressible_text(bytes: usize) -> String {
+    let mut state = 1_u64;
+    let mut next = || {
+        state = state.wrapping_mul(6_364_136_223_846_793_005).wrapping_add(1_442_695_040_888_963_407);
+        char::from(b' ' + (state >> 33) as u8 % 95)
+    };
+    (0..bytes).map(|_| next()).collect()
+}
