Bound the memory of large replies to other processes

What callers saw: accepted jobs could not be read, as coordinators ended one after the other by their memory (LOST).

Cause: a replica served any number of reads of results and of polls for the document at once. A read copies texts from segments, builds a page of up to 1 MB, encodes it and queues it on the gateway's connection, without a limit on how many run or on what is queued; a gateway that gave up after 350 or 800 ms sent the same read to another replica, while the first kept its memory.

Now each large reply (results, routing documents, segments for replicas) reserves its memory before it is built, out of 15 % of the machine's memory for all of them, and keeps it until it is written. Requests wait in order for 200 ms, shorter than any caller's timeout, and are then rejected, which callers take as not served. A peer that does not read a large reply within 2 s is disconnected. A poll waits without the document and builds its reply once there is memory.

--- a/bin/saddlerelay/tests/client_crowds/gateways.rs
+++ b/bin/saddlerelay/tests/client_crowds/gateways.rs
@@ -171,7 +171,6 @@
 fn assert_within_machine(deployment: &mut Deployment) {
     assert!(deployment.coordinator.is_running(), "the coordinator ended");
     let peak = deployment.coordinator.peak_memory();
-    println!("{} MB at the peak", peak / 1_000_000);
     assert!(
         peak <= MACHINE_MEMORY_BYTES,
         "{} MB at the peak, the machine has {} MB",
--- a/crates/command-line/src/member.rs
+++ b/crates/command-line/src/member.rs
@@ -7,6 +7,7 @@
 use crate::{CommandError, Exit, read_member_settings};
 use compio::net::TcpListener;
 use futures::future::Either;
+use saddlerelay_control::config::ControlConfig;
 use saddlerelay_control::node::ControlNode;
 use saddlerelay_control_client::ControlClient;
 use saddlerelay_coordinator::{Coordinator, CoordinatorConfig, CoordinatorIdentity, EngineFormat};
@@ -243,8 +244,8 @@
     let peer_listener = peer_listener
         .map_err(|error| failed(format!("cannot listen on {}: {error}", addresses.peer_listen_address)))?;
     let control_listener = listen(addresses.control_address).await?;
-    let node =
-        ControlNode::start(runtime.clone(), backends, settings.bounds.control(), options).await.map_err(failed)?;
+    let config = ControlConfig { reply_memory: settings.clients.reply_memory_bytes(), ..settings.bounds.control() };
+    let node = ControlNode::start(runtime.clone(), backends, config, options).await.map_err(failed)?;
     let secret = settings.shared_secret.clone();
     let clients = Clients::new(&settings.clients);
     runtime.spawn(saddlerelay_rpc::server::serve_limited(
--- a/crates/command-line/src/serve.rs
+++ b/crates/command-line/src/serve.rs
@@ -6,6 +6,7 @@
 use compio::net::TcpListener;
 use saddlerelay_api::control::ControlApi;
 use saddlerelay_api::relay::RelayApi;
+use saddlerelay_control::config::ControlConfig;
 use saddlerelay_control::node::ControlNode;
 use saddlerelay_control_client::ControlClient;
 use saddlerelay_engine_client::{BackendAddresses, HttpBackends};
@@ -118,7 +119,8 @@
     let peer_listener = runtime.listen(control.peer_address).await;
     let peer_listener =
         peer_listener.map_err(|error| failed(format!("cannot listen on {}: {error}", control.peer_address)))?;
-    let node = ControlNode::start(runtime.clone(), backends, control.config, options).await.map_err(failed)?;
+    let config = ControlConfig { reply_memory: settings.clients.reply_memory_bytes(), ..control.config };
+    let node = ControlNode::start(runtime.clone(), backends, config, options).await.map_err(failed)?;
     let handler = Rc::new(node.clone());
     let secret = settings.shared_secret.clone();
     let clients = Clients::new(&settings.clients);
--- a/crates/control/src/config.rs
+++ b/crates/control/src/config.rs
@@ -7,6 +7,9 @@
 /// 0.3 of a core has served 250 relays beside its other work.
 const DEFAULT_LEADER_RELAYS: usize = 300;
 
+/// Default of [`ControlConfig::reply_memory`], in bytes.
+const DEFAULT_REPLY_MEMORY: usize = 12 * 1024 * 1024;
+
 /// Longest time from sending an order until it arrives; later it must not arrive any more. Enforced by the kernel and, for
 /// orders to engines, by the timeout of the call.
 pub const ORDER_DELIVERY_LIMIT: Duration = Duration::from_millis(800);
@@ -72,7 +75,7 @@
             job_retention: Duration::from_secs(150),
             order_separation: Duration::from_millis(4_000),
             order_validity: Duration::from_millis(400),
-            reply_memory: usize::MAX,
+            reply_memory: DEFAULT_REPLY_MEMORY,
         }
     }
 }
--- a/crates/control/src/follow.rs
+++ b/crates/control/src/follow.rs
@@ -6,7 +6,7 @@
 //! sent. The time since that request is subtracted from the relay's lease, so that a lease from a follower ends no
 //! later than one from the leader would.
 
-use crate::large_replies::Content;
+use crate::large_replies::{Content, covers_reply};
 use crate::node::ControlNode;
 use crate::state::ControlState;
 use crate::state::engine_subset::{RelayLocation, hash_position};
@@ -16,7 +16,6 @@
 use saddlerelay_runtime::timeout::timeout;
 use saddlerelay_types::gateway::{FollowReply, FollowRequest, GatewayReply, RelayClock, RelayData};
 use saddlerelay_types::protocol::ControlReply;
-use saddlerelay_types::routing_update::EncodedRoutingUpdate;
 use saddlerelay_types::usage::RelayUsage;
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
@@ -125,11 +124,13 @@
                 return self.not_leader();
             };
             drop(guard);
-            match self.reserve_update(&reply, reservation).await {
-                UpdateMemory::Held => {}
-                // Built again: the state may have changed meanwhile.
-                UpdateMemory::Acquired => continue,
-                UpdateMemory::Missing => return ControlReply::Gateway(GatewayReply::Unavailable),
+            if let Some(bytes) = uncovered_update_bytes(&reply, reservation) {
+                // Waits without the reply, and builds it again from the state as it is then.
+                drop(reply);
+                if !self.reserve_reply(reservation, Content::Routing, bytes, 0).await {
+                    return ControlReply::Gateway(GatewayReply::Unavailable);
+                }
+                continue;
             }
             let remaining = deadline.saturating_sub(platform.monotonic());
             if remaining.is_zero() || has_updates(&reply) {
@@ -170,10 +171,12 @@
             let Some(mut reply) = reply else {
                 return self.not_leader();
             };
-            match self.reserve_update(&reply, reservation).await {
-                UpdateMemory::Held => {}
-                UpdateMemory::Acquired => continue,
-                UpdateMemory::Missing => return ControlReply::Gateway(GatewayReply::Unavailable),
+            if let Some(bytes) = uncovered_update_bytes(&reply, reservation) {
+                drop(reply);
+                if !self.reserve_reply(reservation, Content::Routing, bytes, 0).await {
+                    return ControlReply::Gateway(GatewayReply::Unavailable);
+                }
+                continue;
             }
             let remaining = deadline.saturating_sub(now);
             if remaining.is_zero() || has_updates(&reply) {
@@ -188,16 +191,6 @@
         }
     }
 
-    /// Reserves memory for the routing update in `reply`, unless `reservation` covers it.
-    async fn reserve_update(&self, reply: &FollowReply, reservation: &mut Reservation) -> UpdateMemory {
-        let bytes = reply.routing.as_ref().map_or(0, EncodedRoutingUpdate::len);
-        let held = reservation.bytes();
-        if !self.reserve_reply(reservation, Content::Routing, bytes, 0).await {
-            return UpdateMemory::Missing;
-        }
-        if reservation.bytes() == held { UpdateMemory::Held } else { UpdateMemory::Acquired }
-    }
-
     async fn wait_for_confirmation(&self) -> Option<Confirmation> {
         let platform = &self.inner.platform;
         let deadline = platform.monotonic() + MAX_CONFIRMATION_WAIT;
@@ -303,14 +296,10 @@
     }
 }
 
-/// Whether there is memory for a routing update.
-enum UpdateMemory {
-    /// It was reserved before, or the update is small.
-    Held,
-    /// It is reserved now; the reply may have waited.
-    Acquired,
-    /// There is none.
-    Missing,
+/// Size of the routing update in `reply`, if memory must first be reserved for it.
+fn uncovered_update_bytes(reply: &FollowReply, reservation: &Reservation) -> Option<usize> {
+    let bytes = reply.routing.as_ref()?.len();
+    (!covers_reply(reservation, bytes)).then_some(bytes)
 }
 
 /// Retry pause of relays that find no leader, in milliseconds.
--- a/crates/control/src/large_replies.rs
+++ b/crates/control/src/large_replies.rs
@@ -21,6 +21,9 @@
 /// Longest wait of a request for memory. Shorter than the timeouts of those that call, so that they get the rejection.
 const MAX_WAIT: Duration = Duration::from_millis(200);
 
+/// Time in which a large reply must be written. Longer than the timeouts of those that call.
+pub(crate) const WRITE_LIMIT: Duration = Duration::from_secs(2);
+
 /// What a large reply contains.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum Content {
@@ -58,6 +61,11 @@
     }
 }
 
+/// Whether a reply of `bytes` bytes may be built: it is small, or its memory is reserved.
+pub(crate) fn covers_reply(reservation: &Reservation, bytes: usize) -> bool {
+    bytes <= SMALL_REPLY_BYTES || reservation.bytes() >= bytes * COPIES_WHILE_ENCODED
+}
+
 /// Lowers a reservation to what is held while a reply of `bytes` bytes is written.
 pub(crate) fn shrink_to_encoded(reservation: &mut Reservation, bytes: usize) {
     reservation.shrink_to(bytes * COPIES_WHILE_WRITTEN);
--- a/crates/control/src/rpc_handler.rs
+++ b/crates/control/src/rpc_handler.rs
@@ -1,6 +1,6 @@
 //! Handles RPC requests of other processes. Requests and replies are encoded at the feature level of the connection.
 
-use crate::large_replies::{Content, shrink_to_encoded};
+use crate::large_replies::{Content, WRITE_LIMIT, shrink_to_encoded};
 use crate::node::ControlNode;
 use crate::state::text_archive::SEGMENT_BYTES;
 use saddlerelay_layouts::messages::{self, Request};
@@ -19,10 +19,13 @@
     async fn handle(self: Rc<Self>, level: FeatureLevel, body: Vec<u8>) -> Option<Response> {
         let request = messages::decode_request(&body, level)?;
         drop(body);
+        // A segment may take long over a bad link; its receiver decides when to give up.
+        let is_replication = matches!(request, Request::Current(ControlRequest::Replication(_)));
         let mut reservation = self.reply_memory().begin();
         let body = self.handle_at_level(level, request, &mut reservation).await?;
         shrink_to_encoded(&mut reservation, body.len());
-        Some(Response { body, reservation: Some(reservation) })
+        let write_limit = (!is_replication && reservation.bytes() > 0).then_some(WRITE_LIMIT);
+        Some(Response { body, reservation: Some(reservation), write_limit })
     }
 }
 
--- a/crates/rpc/src/server.rs
+++ b/crates/rpc/src/server.rs
@@ -35,11 +35,14 @@
     pub body: Vec<u8>,
     /// Memory reserved for it; released once it is written to the connection or discarded.
     pub reservation: Option<Reservation>,
+    /// Time in which it must be written. Later the connection is closed, so that a peer that does not read holds no
+    /// memory.
+    pub write_limit: Option<Duration>,
 }
 
 impl From<Vec<u8>> for Response {
     fn from(body: Vec<u8>) -> Self {
-        Self { body, reservation: None }
+        Self { body, reservation: None, write_limit: None }
     }
 }
 
@@ -53,6 +56,7 @@
 struct QueuedFrame {
     frame: Vec<u8>,
     _reservation: Option<Reservation>,
+    write_limit: Option<Duration>,
 }
 
 /// Accepts connections until the process ends; at most [`MAX_PENDING_HANDSHAKES`] may be in their handshake.
@@ -210,9 +214,10 @@
     };
     let (responses, queue) = mpsc::unbounded();
     // Cannot fail, as the receiver still exists.
-    let _ = responses.unbounded_send(QueuedFrame { frame: Welcome::new().frame(), _reservation: None });
+    let _ =
+        responses.unbounded_send(QueuedFrame { frame: Welcome::new().frame(), _reservation: None, write_limit: None });
     let read = read_requests(&platform, receiver, level, responses, handler);
-    let write = write_responses(sender, queue);
+    let write = write_responses(&platform, sender, queue);
     future::select(std::pin::pin!(read), std::pin::pin!(write)).await;
 }
 
@@ -231,10 +236,10 @@
         let response = handler.clone().handle(level, envelope.body);
         platform.spawn(async move {
             match response.await {
-                Some(Response { body, reservation }) => {
+                Some(Response { body, reservation, write_limit }) => {
                     let frame = bitcode::encode(&Envelope { id: envelope.id, body });
                     // Fails if the connection is closed; the response is then discarded.
-                    let _ = responses.unbounded_send(QueuedFrame { frame, _reservation: reservation });
+                    let _ = responses.unbounded_send(QueuedFrame { frame, _reservation: reservation, write_limit });
                 }
                 None => responses.close_channel(),
             }
@@ -242,9 +247,17 @@
     }
 }
 
-async fn write_responses(mut sender: impl FrameSender, mut queue: mpsc::UnboundedReceiver<QueuedFrame>) {
-    while let Some(QueuedFrame { frame, _reservation }) = queue.next().await {
-        if sender.send(frame).await.is_err() {
+async fn write_responses<P: Runtime>(
+    platform: &P,
+    mut sender: impl FrameSender,
+    mut queue: mpsc::UnboundedReceiver<QueuedFrame>,
+) {
+    while let Some(QueuedFrame { frame, _reservation, write_limit }) = queue.next().await {
+        let written = match write_limit {
+            None => Some(sender.send(frame).await),
+            Some(limit) => timeout(platform, limit, sender.send(frame)).await,
+        };
+        if !matches!(written, Some(Ok(()))) {
             return;
         }
     }
--- a/crates/settings/src/clients.rs
+++ b/crates/settings/src/clients.rs
@@ -6,6 +6,9 @@
 /// Part of the machine's memory that is for clients' requests and responses, in percent.
 const CLIENT_MEMORY_PERCENT: u64 = 30;
 
+/// Part of the machine's memory that is for large replies to other processes of the deployment, in percent.
+const REPLY_MEMORY_PERCENT: u64 = 15;
+
 /// Memory of the connection to a client beside its requests and responses, in bytes: buffers and a head.
 const CONNECTION_BYTES: u64 = 32 * 1024;
 
@@ -33,7 +36,16 @@
 
     /// Memory that all clients together may make the process hold, in bytes.
     pub fn memory_bytes(&self) -> usize {
-        (self.machine_memory_mb * BYTES_PER_MEGABYTE * CLIENT_MEMORY_PERCENT / 100) as usize
+        self.share_of_memory(CLIENT_MEMORY_PERCENT)
+    }
+
+    /// Memory for large replies to other processes of the deployment, in bytes.
+    pub fn reply_memory_bytes(&self) -> usize {
+        self.share_of_memory(REPLY_MEMORY_PERCENT)
+    }
+
+    fn share_of_memory(&self, percent: u64) -> usize {
+        (self.machine_memory_mb * BYTES_PER_MEGABYTE * percent / 100) as usize
     }
 
     /// Maximum number of connections of clients: half of the descriptors, and no more than fit in as much memory as
