Interim responses without end no longer hold up the process that reads them

What callers saw: one engine that sends 1xx heads without end, as fast as they are read, kept the thread of the gateway or coordinator that had called it. No deadline fired, the readiness address gave no answer, and the requests of all other clients waited until the engine stopped.

Cause: hyper's client discards an interim response and reads on in the same poll. With compio's polling driver a read that finds bytes completes at once and suspends nobody, so the task never ended its turn. Nothing bounded the interim responses but the call's time, and the timer of that belongs to the same thread. The earlier test of interim responses ran its engine on the caller's thread, which made every flood pause.

Why the fix works: `ServerStream` ends a connection whose server has sent 256 KB since the request without the end of a response's head, however these bytes are split into heads; that is the largest head, what hyper reads ahead of a body, and room for interim responses. `CooperativeStream` counts the reads of a turn and then suspends its task once, so that no loop over ready reads keeps the thread, whatever it loops over; the streams of clients (`LimitedStream`) use it too. Both hold for every call over an upstream connection (requests, items, scores, orders, probes) and over `http::client`, whose heads are now bounded by 64 KB as well (400 KB before).

Also changed by the shared stream: what a client connection buffers for writing is bounded by 64 KB, as on the servers' side, instead of 64 MB (cyper-core's default). Read in the code, not measured.

Not covered: calls by cyper's pool (engine status, scores and machine list of `serve`).

--- a/crates/http/src/client.rs
+++ b/crates/http/src/client.rs
@@ -1,9 +1,9 @@
 //! HTTP client with one connection per call, so that errors before and after the request was sent are distinguishable.
 
 use crate::body::{BodyError, read_body};
+use crate::server_stream::{HeadLimit, MAX_HEAD_BYTES, ServerStream};
 use bytes::Bytes;
 use compio::net::TcpStream;
-use cyper_core::HyperStream;
 use http_body_util::Full;
 use hyper::body::Incoming;
 use hyper::client::conn::http1::{self, SendRequest};
@@ -36,6 +36,7 @@
 pub struct Connection {
     sender: SendRequest<Full<Bytes>>,
     address: SocketAddr,
+    head_limit: HeadLimit,
 }
 
 /// A response with its body buffered.
@@ -53,14 +54,15 @@
     pub async fn open(address: SocketAddr) -> Result<Self, HttpError> {
         let stream = TcpStream::connect(address).await.map_err(|error| HttpError::NotSent(error.to_string()))?;
         stream.set_nodelay(true).map_err(|error| HttpError::NotSent(error.to_string()))?;
-        let handshake = http1::handshake(HyperStream::new_plain(stream)).await;
+        let (stream, head_limit) = ServerStream::new(stream);
+        let handshake = http1::Builder::new().max_buf_size(MAX_HEAD_BYTES).handshake(stream).await;
         let (sender, connection) = handshake.map_err(|error| HttpError::NotSent(error.to_string()))?;
         compio::runtime::spawn(async move {
             // The pending request reports the connection's error.
             let _ = connection.await;
         })
         .detach();
-        Ok(Self { sender, address })
+        Ok(Self { sender, address, head_limit })
     }
 
     /// Waits until the connection can send another request; `false` if it is closed.
@@ -87,7 +89,11 @@
         }
         let request = builder.body(Full::new(body.into()));
         let request = request.map_err(|error| HttpError::NotSent(error.to_string()))?;
-        self.sender.send_request(request).await.map_err(|error| HttpError::Lost(error.to_string()))
+        self.head_limit.begin();
+        let response = self.sender.send_request(request).await;
+        let response = response.map_err(|error| HttpError::Lost(error.to_string()))?;
+        self.head_limit.end();
+        Ok(response)
     }
 }
 
--- a/crates/runtime/src/lib.rs
+++ b/crates/runtime/src/lib.rs
@@ -5,6 +5,7 @@
 #![allow(async_fn_in_trait)]
 
 pub mod backend;
+pub mod read_budget;
 pub mod repeated_event;
 pub mod signal;
 pub mod steps;
--- a/crates/upstream/src/connection.rs
+++ b/crates/upstream/src/connection.rs
@@ -6,12 +6,12 @@
 use bytes::Bytes;
 use compio::net::TcpStream;
 use compio::runtime::JoinHandle;
-use cyper_core::HyperStream;
 use http_body_util::Full;
 use hyper::body::Incoming;
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper::{Request, Response};
 use rustix::net::sockopt::{set_socket_linger, set_tcp_user_timeout};
+use saddlerelay_http::server_stream::{HeadLimit, ServerStream};
 use saddlerelay_runtime_compio::clock::boot_time;
 use std::future::poll_fn;
 use std::net::SocketAddr;
@@ -31,6 +31,7 @@
     sender: SendRequest<Full<Bytes>>,
     socket: TcpStream,
     driver: Driver,
+    head_limit: HeadLimit,
     /// Task that runs the driver.
     _task: JoinHandle<()>,
     /// Whether it has carried a request before.
@@ -55,7 +56,8 @@
         let socket = stream.clone();
         let mut builder = http1::Builder::new();
         builder.max_buf_size(MAX_HEAD_BYTES);
-        let handshake = builder.handshake(HyperStream::new_plain(stream)).await;
+        let (stream, head_limit) = ServerStream::new(stream);
+        let handshake = builder.handshake(stream).await;
         let (sender, io) = handshake.map_err(|error| Failure::NotSent(error.to_string()))?;
         let driver = Driver::new(async move {
             // The pending request receives the error as well.
@@ -63,7 +65,7 @@
         });
         let task = compio::runtime::spawn(driver.clone().run());
         let now = boot_time();
-        Ok(Self { sender, socket, driver, _task: task, used: false, idle_since: now, expires_at: now })
+        Ok(Self { sender, socket, driver, head_limit, _task: task, used: false, idle_since: now, expires_at: now })
     }
 
     /// Whether it has carried a request before.
@@ -112,6 +114,7 @@
     /// future yields for the first time: what the caller has checked immediately before still holds.
     pub async fn send(&mut self, request: Request<Full<Bytes>>) -> Result<Response<Incoming>, Failure> {
         set_socket_linger(&self.socket, Some(Duration::ZERO)).map_err(|error| Failure::NotSent(error.to_string()))?;
+        self.head_limit.begin();
         let mut response = pin!(self.sender.try_send_request(request));
         let mut is_driven = false;
         let response = poll_fn(|context| {
@@ -124,7 +127,10 @@
             response.as_mut().poll(context)
         });
         match response.await {
-            Ok(response) => Ok(response),
+            Ok(response) => {
+                self.head_limit.end();
+                Ok(response)
+            }
             Err(mut error) => match error.take_message() {
                 // hyper returns the message only if it has not begun to send it.
                 Some(_) => Err(Failure::NotSent(error.into_error().to_string())),
--- a/crates/upstream/src/limits.rs
+++ b/crates/upstream/src/limits.rs
@@ -1,7 +1,6 @@
 //! Limits on what an engine may send in a response, so that one that sends bytes without end exhausts no memory.
 
-/// Maximum size of a response head, and of the part of a body that is read at once, in bytes.
-pub const MAX_HEAD_BYTES: usize = 64 * 1024;
+pub use saddlerelay_http::server_stream::MAX_HEAD_BYTES;
 
 /// Maximum size of an event of a stream, in bytes.
 pub const MAX_EVENT_BYTES: usize = 256 * 1024;
