A peer that sends frames without end no longer keeps the thread

What would be seen: a process of the group that gets many small frames from a peer, faster than it takes them apart, serves nothing else until the peer pauses: no timer fires, so leases and timeouts are late.

A receive that finds bytes completes at once, and the reader of a connection is a loop over receives.

Why the fix works: the receiver counts its reads towards the budget of a turn, and suspends its task once the budget is spent. It waits before it takes the buffer for the read, so that a receive that is given up there loses nothing.

--- a/crates/runtime-compio/src/connection.rs
+++ b/crates/runtime-compio/src/connection.rs
@@ -3,6 +3,7 @@
 use compio::BufResult;
 use compio::io::{AsyncRead, AsyncWriteExt};
 use compio::net::{TcpListener, TcpStream};
+use saddlerelay_runtime::read_budget::ReadBudget;
 use saddlerelay_runtime::{FrameListener, FrameReceiver, FrameSender, MAX_FRAME_BYTES, Traffic};
 use std::cell::Cell;
 use std::io;
@@ -34,6 +35,7 @@
     consumed: usize,
     /// Buffer for one read, reused to avoid allocations.
     scratch: Vec<u8>,
+    budget: ReadBudget,
     traffic: TrafficCounter,
 }
 
@@ -53,6 +55,7 @@
         received: Vec::new(),
         consumed: 0,
         scratch: Vec::with_capacity(READ_BYTES),
+        budget: ReadBudget::default(),
         traffic: traffic.clone(),
     };
     Ok((TcpFrameSender { stream: write, traffic: traffic.clone() }, receiver))
@@ -130,13 +133,15 @@
             }
             self.received.drain(..self.consumed);
             self.consumed = 0;
+            self.budget.proceed().await;
             let mut scratch = std::mem::take(&mut self.scratch);
             scratch.clear();
             let BufResult(count, scratch) = self.stream.read(scratch).await;
-            let is_closed = count? == 0;
+            let count = count?;
+            self.budget.record(count);
             self.received.extend_from_slice(&scratch);
             self.scratch = scratch;
-            if is_closed {
+            if count == 0 {
                 return Ok(None);
             }
         }
--- a/crates/runtime-compio/tests/frames.rs
+++ b/crates/runtime-compio/tests/frames.rs
@@ -9,8 +9,12 @@
 use saddlerelay_runtime_compio::CompioRuntime;
 use saddlerelay_runtime_compio::connection::TcpFrameListener;
 use saddlerelay_types::feature_level::FeatureLevel;
+use std::cell::Cell;
 use std::future::Future;
+use std::io::Write;
 use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
 
 fn block_on<T>(future: impl Future<Output = T>) -> T {
     compio::runtime::Runtime::new().expect("the runtime starts").block_on(future)
@@ -80,6 +84,46 @@
     });
 }
 
+/// Guards against a thread that does nothing but receive the frames of one peer, which sends as fast as they are received.
+#[test]
+fn a_peer_that_sends_frames_without_end_holds_up_no_other_task() {
+    const SENDING_TIME: Duration = Duration::from_secs(1);
+    const TICK: Duration = Duration::from_millis(5);
+    const MAX_TASK_DELAY: Duration = Duration::from_millis(400);
+    let flood = |address: SocketAddr| {
+        let mut stream = std::net::TcpStream::connect(address).expect("the connection is established");
+        let frames = framed(&[0]).repeat(10_000);
+        let until = Instant::now() + SENDING_TIME;
+        while Instant::now() < until {
+            stream.write_all(&frames).expect("the receiver reads");
+        }
+    };
+    block_on(async {
+        let (mut listener, address) = listen().await;
+        let sender = std::thread::spawn(move || flood(address));
+        let (_sender, mut receiver) = listener.accept().await.expect("the connection is established");
+        let last_tick = Rc::new(Cell::new(Instant::now()));
+        let longest_gap = Rc::new(Cell::new(Duration::ZERO));
+        let (tick, gap) = (last_tick.clone(), longest_gap.clone());
+        let ticking = compio::runtime::spawn(async move {
+            loop {
+                compio::time::sleep(TICK).await;
+                gap.set(gap.get().max(tick.get().elapsed()));
+                tick.set(Instant::now());
+            }
+        });
+        let mut frames = 0;
+        while let Some(frame) = receiver.receive().await.expect("the receive succeeds") {
+            assert_eq!(frame, [0]);
+            frames += 1;
+        }
+        let gap = longest_gap.get().max(last_tick.get().elapsed());
+        drop(ticking);
+        sender.join().expect("the sender ends");
+        assert!(gap < MAX_TASK_DELAY, "no other task ran for {gap:?}, while {frames} frames were received");
+    });
+}
+
 /// Clients with an invalid handshake are disconnected, and other clients are still served.
 #[test]
 fn clients_with_an_invalid_handshake_are_disconnected_and_others_are_served() {
