Status, score and platform calls no longer read interim responses without end

These calls went through cyper's client, which opens its connections itself: they can be given neither the limit on what precedes a response nor the budget of a turn. hyper's callback for interim responses, the only other hook, can't end a connection.

Why the fix works: each call has a connection of its own through `http::client`, as generations and, through `upstream`, orders have; what it reads is bounded there. A connect that fails is now reported as `NotSent` instead of `Unknown`; the callers treat both alike. Redirects, which cyper followed, are errors now; no such server is known here.

The cost of a connect for each of these calls was not measured.

--- a/crates/command-line/src/member.rs
+++ b/crates/command-line/src/member.rs
@@ -237,7 +237,7 @@
         secret: settings.shared_secret.clone(),
         config: settings.bounds.replication(),
     };
-    let backends = HttpBackends::new(BackendAddresses { scorer: None, platform: None }).map_err(failed)?;
+    let backends = HttpBackends::new(BackendAddresses { scorer: None, platform: None });
     let peer_listener = runtime.listen(addresses.peer_listen_address).await;
     let peer_listener = peer_listener
         .map_err(|error| failed(format!("cannot listen on {}: {error}", addresses.peer_listen_address)))?;
--- a/crates/command-line/src/serve.rs
+++ b/crates/command-line/src/serve.rs
@@ -51,7 +51,7 @@
 async fn run(settings: Settings, log: Arc<RingSink>, terminate: &mut SignalListener) -> Result<(), CommandError> {
     let runtime = CompioRuntime::new(settings.data_folder.clone());
     let addresses = BackendAddresses { scorer: settings.scorer, platform: settings.platform };
-    let backends = HttpBackends::new(addresses).map_err(failed)?;
+    let backends = HttpBackends::new(addresses);
     spdlog::info!("start", kv: { name = settings.name.as_str(), zone = settings.zone.as_str() });
     match settings.role.clone() {
         Role::Relay(relay) => run_relay(settings, relay, runtime, backends, terminate).await,
--- a/crates/engine-client/src/lib.rs
+++ b/crates/engine-client/src/lib.rs
@@ -2,18 +2,17 @@
 //!
 //! Each generation uses its own hyper connection: a failed connect means that nothing was sent, and dropping the stream
 //! closes the connection, which cancels the generation. Orders have connections of their own too, which are reset if
-//! the order is given up. All other calls use cyper's connection pool.
+//! the order is given up, and so have all other calls. They do not use cyper's client: it bounds neither what precedes a
+//! response nor how long reads keep the thread.
 
 mod orders;
 pub mod wire;
 
-use bytes::BytesMut;
-use cyper::Client;
-use futures::StreamExt;
+use bytes::Bytes;
 use futures::channel::mpsc;
 use hyper::{Method, StatusCode};
-use saddlerelay_http::body::{MAX_BODY_BYTES, parse_json, read_body};
-use saddlerelay_http::client::{Connection, HttpError};
+use saddlerelay_http::body::{parse_json, read_body};
+use saddlerelay_http::client::{self, Connection, HttpError};
 use saddlerelay_http::sse::{DONE, EventReader};
 use saddlerelay_runtime::backend::{BackendError, Backends, EngineConnection, StreamEvent};
 use saddlerelay_runtime_compio::listening::has_terminated;
@@ -23,7 +22,6 @@
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 use std::net::SocketAddr;
-use std::pin::pin;
 use wire::{CompletionChunk, CompletionRequest, ScoreReply, ScoreRequest};
 
 /// Addresses of backends other than engines.
@@ -35,51 +33,44 @@
     pub platform: Option<SocketAddr>,
 }
 
-/// The HTTP client. Clones share the connection pool.
+/// The HTTP client.
 #[derive(Clone)]
 pub struct HttpBackends {
-    client: Client,
     addresses: BackendAddresses,
 }
 
 impl HttpBackends {
-    /// Creates a client; fails if the HTTP client cannot be built.
-    pub fn new(addresses: BackendAddresses) -> Result<Self, cyper::Error> {
-        Ok(Self { client: Client::builder().no_proxy().build()?, addresses })
+    /// Creates a client.
+    pub fn new(addresses: BackendAddresses) -> Self {
+        Self { addresses }
     }
+}
 
-    async fn get<T: DeserializeOwned>(&self, address: SocketAddr, path: &str) -> Result<T, BackendError> {
-        let request = self.client.get(format!("http://{address}{path}")).map_err(unknown)?;
-        let response = request.send().await.map_err(unknown)?;
-        read_response(response).await
-    }
+async fn get<T: DeserializeOwned>(address: SocketAddr, path: &str) -> Result<T, BackendError> {
+    call(address, Method::GET, path, Bytes::new()).await
+}
 
-    async fn post<T: DeserializeOwned>(
-        &self,
-        address: SocketAddr,
-        path: &str,
-        body: &impl Serialize,
-    ) -> Result<T, BackendError> {
-        let json = serde_json::to_vec(body).map_err(unknown)?;
-        let request = self.client.post(format!("http://{address}{path}")).map_err(unknown)?;
-        let request = request.header("content-type", "application/json").map_err(unknown)?;
-        read_response(request.body(json).send().await.map_err(unknown)?).await
-    }
+async fn post<T: DeserializeOwned>(address: SocketAddr, path: &str, body: &impl Serialize) -> Result<T, BackendError> {
+    let json = serde_json::to_vec(body).map_err(unknown)?;
+    call(address, Method::POST, path, json.into()).await
 }
 
-/// Reads and decodes a response of at most [`MAX_BODY_BYTES`].
-async fn read_response<T: DeserializeOwned>(response: cyper::Response) -> Result<T, BackendError> {
-    let status = response.status();
-    let mut body = BytesMut::new();
-    let mut chunks = pin!(response.bytes_stream());
-    while let Some(chunk) = chunks.next().await {
-        let chunk = chunk.map_err(unknown)?;
-        if body.len() + chunk.len() > MAX_BODY_BYTES {
-            return Err(BackendError::Unknown(format!("response body exceeds {MAX_BODY_BYTES} bytes")));
-        }
-        body.extend_from_slice(&chunk);
+/// Makes a call over a connection of its own and decodes the response, whose size is limited by `http`.
+async fn call<T: DeserializeOwned>(
+    address: SocketAddr,
+    method: Method,
+    path: &str,
+    body: Bytes,
+) -> Result<T, BackendError> {
+    let response = client::call(address, method, path, &[], body).await.map_err(backend_error)?;
+    decode(response.status, &response.body)
+}
+
+fn backend_error(error: HttpError) -> BackendError {
+    match error {
+        HttpError::NotSent(reason) => BackendError::NotSent(reason),
+        HttpError::Lost(reason) => BackendError::Unknown(reason),
     }
-    decode(status, &body)
 }
 
 pub(crate) fn unknown(error: impl std::fmt::Display) -> BackendError {
@@ -107,7 +98,7 @@
     }
 
     async fn status(&self, engine: &EngineDescription) -> Result<EngineStatus, BackendError> {
-        self.get(engine.address, wire::STATUS_PATH).await
+        get(engine.address, wire::STATUS_PATH).await
     }
 
     async fn order(&self, engine: &EngineDescription, order: EngineOrder) -> Result<(), BackendError> {
@@ -119,13 +110,13 @@
             return Ok(0);
         };
         let request = ScoreRequest { prompt: prompt.to_string(), text: generation.text.clone() };
-        let reply: ScoreReply = self.post(scorer, wire::SCORE_PATH, &request).await?;
+        let reply: ScoreReply = post(scorer, wire::SCORE_PATH, &request).await?;
         Ok(reply.reward_milli)
     }
 
     async fn machines(&self) -> Result<Vec<PlatformMachine>, BackendError> {
         match self.addresses.platform {
-            Some(platform) => self.get(platform, wire::MACHINES_PATH).await,
+            Some(platform) => get(platform, wire::MACHINES_PATH).await,
             None => Ok(Vec::new()),
         }
     }
@@ -142,10 +133,7 @@
         let attempt_id = request.attempt_id;
         let body = serde_json::to_vec(&CompletionRequest::new(self.model, request)).map_err(unknown)?;
         let response = self.connection.send(Method::POST, wire::COMPLETIONS_PATH, &[], body).await;
-        let response = response.map_err(|error| match error {
-            HttpError::NotSent(reason) => BackendError::NotSent(reason),
-            HttpError::Lost(reason) => BackendError::Unknown(reason),
-        })?;
+        let response = response.map_err(backend_error)?;
         let status = response.status();
         if !status.is_success() {
             return Err(engine_error(status, response).await);
--- a/crates/engine-client/tests/endless_responses.rs
+++ b/crates/engine-client/tests/endless_responses.rs
@@ -60,7 +60,7 @@
     let runtime = Runtime::new().expect("the runtime starts");
     let succeeded = runtime.block_on(async {
         let backends = HttpBackends::new(BackendAddresses { scorer: Some(address), platform: Some(address) });
-        let outcome = compio::time::timeout(CALL_LIMIT, call(backends.expect("the client starts"), address)).await;
+        let outcome = compio::time::timeout(CALL_LIMIT, call(backends, address)).await;
         // The connection is closed as soon as its task runs.
         compio::time::sleep(Duration::from_millis(200)).await;
         outcome.expect("the call did not end in time")
@@ -83,21 +83,49 @@
     assert!(!call(BODY, "1,", async |backends, address| backends.order(&engine(address), order).await.is_ok()));
 }
 
+const INTERIM_RESPONSE: &str = "HTTP/1.1 100 Continue\r\n\r\n";
+
+/// Guards against orders and generations that read interim responses for as long as the engine sends them.
+#[test]
+fn orders_and_generations_of_engines_that_send_interim_responses_without_end_fail() {
+    let order = EngineOrder { fence: Fence(1), action: EngineAction::LoadWeights(WeightVersion(2)) };
+    assert!(!call("", INTERIM_RESPONSE, async |backends, address| {
+        backends.order(&engine(address), order).await.is_ok()
+    }));
+    assert!(!call("", INTERIM_RESPONSE, async |backends, address| {
+        let connection = backends.connect(&engine(address)).await.expect("the engine accepts the connection");
+        connection.generate(request()).await.is_ok()
+    }));
+}
+
+/// Guards against status, score and platform calls that read interim responses for as long as the peer sends them.
+#[test]
+fn other_calls_to_peers_that_send_interim_responses_without_end_fail() {
+    assert!(!call("", INTERIM_RESPONSE, async |backends, address| backends.status(&engine(address)).await.is_ok()));
+    assert!(!call("", INTERIM_RESPONSE, async |backends, _| {
+        backends.score("a prompt", &Generation::empty()).await.is_ok()
+    }));
+    assert!(!call("", INTERIM_RESPONSE, async |backends, _| backends.machines().await.is_ok()));
+}
+
+fn request() -> EngineRequest {
+    EngineRequest {
+        attempt_id: 1,
+        prompt: "a prompt".to_string(),
+        resume_tokens: Vec::new(),
+        max_tokens: 8,
+        seed: 1,
+        priority: Priority::Rollout,
+    }
+}
+
 /// Guards against a generation whose stream has an event that never ends.
 #[test]
 fn a_generation_with_an_event_that_never_ends_breaks_off() {
     let head = "HTTP/1.1 200 OK\r\ncontent-type: text/event-stream\r\n\r\ndata: ";
     let succeeded = call(head, "an event that never ends", async |backends, address| {
         let connection = backends.connect(&engine(address)).await.expect("the engine accepts the connection");
-        let request = EngineRequest {
-            attempt_id: 1,
-            prompt: "a prompt".to_string(),
-            resume_tokens: Vec::new(),
-            max_tokens: 8,
-            seed: 1,
-            priority: Priority::Rollout,
-        };
-        let mut stream = connection.generate(request).await.expect("the engine responds");
+        let mut stream = connection.generate(request()).await.expect("the engine responds");
         stream.next().await.is_some_and(|event| event.is_ok())
     });
     assert!(!succeeded);
--- a/crates/engine-client/tests/given_up_orders.rs
+++ b/crates/engine-client/tests/given_up_orders.rs
@@ -56,7 +56,6 @@
         slots: 1,
     };
     let order = EngineOrder { fence: Fence(1), action: EngineAction::LoadWeights(WeightVersion(2)) };
-    let backends = backends.expect("the client starts");
     let outcome = compio::time::timeout(PATIENCE, backends.order(&engine, order)).await;
     assert!(outcome.is_err(), "the engine sent no response");
 }
--- a/crates/fleet/src/bench.rs
+++ b/crates/fleet/src/bench.rs
@@ -73,7 +73,7 @@
     let operator = new_operator(&fleet, &platform, &Recorder::new(drop), "bench");
     configure(&fleet, &operator).await?;
     let engine = fleet.plan.engines[0].clone();
-    let backends = HttpBackends::new(BackendAddresses { scorer: None, platform: None })?;
+    let backends = HttpBackends::new(BackendAddresses { scorer: None, platform: None });
     let access = fleet.access();
     let mut direct = Histogram::<u64>::new(3)?;
     let mut through_relay = Histogram::<u64>::new(3)?;
--- a/crates/fleet/src/scale/hollow.rs
+++ b/crates/fleet/src/scale/hollow.rs
@@ -169,7 +169,7 @@
     let folder = plan.data_folder.join(&name);
     std::fs::create_dir_all(&folder)?;
     let platform = CompioRuntime::new(folder);
-    let backends = HttpBackends::new(BackendAddresses { scorer: None, platform: None })?;
+    let backends = HttpBackends::new(BackendAddresses { scorer: None, platform: None });
     let options = RelayOptions {
         zone: plan.zones[index % plan.zones.len()].clone(),
         name,
--- a/crates/gateway-api/tests/common/mod.rs
+++ b/crates/gateway-api/tests/common/mod.rs
@@ -121,8 +121,7 @@
         },
     };
     let config = ControlConfig { order_separation: Duration::ZERO, ..ControlConfig::default() };
-    let backends =
-        HttpBackends::new(BackendAddresses { scorer: None, platform: None }).expect("failed to create the HTTP client");
+    let backends = HttpBackends::new(BackendAddresses { scorer: None, platform: None });
     let node = ControlNode::start(runtime.clone(), backends, config, options).await;
     let node = node.expect("failed to start the control replica");
     let listener = saddlerelay_runtime_compio::connection::TcpFrameListener::new(listener, Default::default());
