Upstream: a reset response without length is not taken as whole

What callers saw: a 200 with the engine's stamp and an empty or short body, with the length of what had arrived or as a stream that ended in order, although the engine's connection had been reset. Only responses without length and chunks, which end with their connection, and only while the request was still being uploaded.

Cause: after a reset the kernel reports the error to the first operation on the socket. If that is the write of the request, the pending read returns the end of the stream, and hyper takes the body as complete. The result of the connection's I/O, which holds the failed write, was dropped.

Fix: the driver keeps the result of the I/O. The end of a body that ends with its connection counts only if the I/O ended without an error, or if it ended because the engine had closed its side in order before it had read the whole request: such a socket still has a peer, a reset one has none.

--- a/crates/upstream/src/connection.rs
+++ b/crates/upstream/src/connection.rs
@@ -57,10 +57,7 @@
         builder.max_buf_size(MAX_HEAD_BYTES);
         let handshake = builder.handshake(HyperStream::new_plain(stream)).await;
         let (sender, io) = handshake.map_err(|error| Failure::NotSent(error.to_string()))?;
-        let driver = Driver::new(async move {
-            // The pending request receives the error as well.
-            let _ = io.await;
-        });
+        let driver = Driver::new(io);
         let task = compio::runtime::spawn(driver.clone().run());
         let now = boot_time();
         Ok(Self { sender, socket, driver, _task: task, used: false, idle_since: now, expires_at: now })
@@ -95,6 +92,16 @@
         let _ = set_socket_linger(&self.socket, None);
     }
 
+    /// Waits for the end of a connection whose last response ends with it; fails if the connection was reset.
+    pub async fn closed_in_order(&self) -> Result<(), Failure> {
+        match self.driver.ended().await {
+            Ok(()) => Ok(()),
+            // The engine closed the connection before it had read the whole request. A reset socket has no peer any more.
+            Err(error) if error.is_incomplete_message() && self.socket.peer_addr().is_ok() => Ok(()),
+            Err(error) => Err(Failure::ConnectionLost(format!("connection broke off: {error}"))),
+        }
+    }
+
     /// Marks the connection idle after a complete response; it may be reused for `idle_timeout`.
     pub fn mark_idle(&mut self, idle_timeout: Duration) {
         self.end_request();
--- a/crates/upstream/src/driver.rs
+++ b/crates/upstream/src/driver.rs
@@ -1,16 +1,24 @@
 //! The I/O of a connection, driven by a task of its own and, when a request is sent, by the sender.
 
 use std::cell::RefCell;
+use std::future::poll_fn;
 use std::pin::Pin;
 use std::rc::Rc;
 use std::task::{Context, Poll, Waker};
 
+/// How the I/O of a connection ended.
+type IoResult = Result<(), Rc<hyper::Error>>;
+
 /// State of a driver.
 struct Inner {
     /// The I/O of the connection; `None` once it has ended.
-    io: Option<Pin<Box<dyn Future<Output = ()>>>>,
+    io: Option<Pin<Box<dyn Future<Output = hyper::Result<()>>>>>,
+    /// Set once the I/O has ended by itself.
+    result: Option<IoResult>,
     /// Wakes the task that drives the I/O.
     task: Option<Waker>,
+    /// Wakes the caller that waits for the end of the I/O.
+    waiting: Option<Waker>,
 }
 
 /// Drives a connection's I/O. Clones share the connection.
@@ -20,13 +28,14 @@
 }
 
 impl Driver {
-    pub fn new(io: impl Future<Output = ()> + 'static) -> Self {
-        Self { inner: Rc::new(RefCell::new(Inner { io: Some(Box::pin(io)), task: None })) }
+    pub fn new(io: impl Future<Output = hyper::Result<()>> + 'static) -> Self {
+        let inner = Inner { io: Some(Box::pin(io)), result: None, task: None, waiting: None };
+        Self { inner: Rc::new(RefCell::new(inner)) }
     }
 
     /// Drives the I/O until it ends.
     pub async fn run(self) {
-        std::future::poll_fn(|context| {
+        poll_fn(|context| {
             self.inner.borrow_mut().task = Some(context.waker().clone());
             self.poll(context)
         })
@@ -43,6 +52,19 @@
         }
     }
 
+    /// Waits until the task has driven the I/O to its end. Pending for ever after `close`.
+    pub async fn ended(&self) -> IoResult {
+        poll_fn(|context| {
+            let mut inner = self.inner.borrow_mut();
+            if let Some(result) = &inner.result {
+                return Poll::Ready(result.clone());
+            }
+            inner.waiting = Some(context.waker().clone());
+            Poll::Pending
+        })
+        .await
+    }
+
     /// Drops the I/O. The socket is closed once the event loop has cancelled its pending read.
     pub fn close(&self) {
         let io = self.inner.borrow_mut().io.take();
@@ -54,10 +76,14 @@
         let Some(io) = inner.io.as_mut() else {
             return Poll::Ready(());
         };
-        let polled = io.as_mut().poll(context);
-        if polled.is_ready() {
-            inner.io = None;
+        let Poll::Ready(result) = io.as_mut().poll(context) else {
+            return Poll::Pending;
+        };
+        inner.io = None;
+        inner.result = Some(result.map_err(Rc::new));
+        if let Some(waiting) = inner.waiting.take() {
+            waiting.wake();
         }
-        polled
+        Poll::Ready(())
     }
 }
--- a/crates/upstream/src/response.rs
+++ b/crates/upstream/src/response.rs
@@ -5,7 +5,7 @@
 use bytes::Bytes;
 use http_body_util::BodyExt;
 use hyper::body::{Body, Incoming};
-use hyper::header::{CONNECTION, HeaderMap};
+use hyper::header::{CONNECTION, HeaderMap, TRANSFER_ENCODING};
 use hyper::http::response::Parts;
 use hyper::{Response, StatusCode};
 use saddlerelay_http::overload::OverloadManager;
@@ -86,34 +86,34 @@
     /// larger; the connection is closed then. Waits while the process holds too many large bodies; the caller bounds the
     /// wait.
     pub async fn read_body(self, limit: usize) -> Result<(Parts, Bytes, Option<Connection>), Failure> {
-        let Self { head, body, connection, memory } = self;
-        let body = read_limited(body, limit, &memory).await?;
-        let reusable = reusable(connection, idle_timeout(&head.headers)).await;
-        Ok((head, body, reusable))
+        let memory = self.memory.clone();
+        let (head, mut stream) = self.into_stream();
+        let body = read_limited(&mut stream, limit, &memory).await?;
+        Ok((head, body, stream.finish().await))
     }
 
     /// Returns the body as a stream. Dropping the stream closes the connection.
     pub fn into_stream(self) -> (Parts, ResponseStream) {
-        let idle = idle_timeout(&self.head.headers);
-        (self.head, ResponseStream { body: self.body, connection: self.connection, idle })
+        let Self { head, body, connection, .. } = self;
+        let idle = idle_timeout(&head.headers);
+        let ends_with_connection = body.size_hint().exact().is_none() && !is_chunked(&head.headers);
+        (head, ResponseStream { body, connection, idle, ends_with_connection })
     }
 }
 
 /// Reads a body of at most `limit` bytes into memory that is reserved before it is used.
-async fn read_limited(mut body: Incoming, limit: usize, memory: &OverloadManager) -> Result<Bytes, Failure> {
+async fn read_limited(stream: &mut ResponseStream, limit: usize, memory: &OverloadManager) -> Result<Bytes, Failure> {
     let too_large = || Failure::PossiblyExecuted(format!("response body exceeds {limit} bytes"));
     let mut reservation = memory.memory().begin();
     let mut received: Vec<u8> = Vec::new();
-    let length = body.size_hint().exact().map_or(0, |length| usize::try_from(length).unwrap_or(usize::MAX));
+    let length = stream.body.size_hint().exact().map_or(0, |length| usize::try_from(length).unwrap_or(usize::MAX));
     if length > limit {
         return Err(too_large());
     }
     memory.reserve_patiently(&mut reservation, length).await;
     received.reserve_exact(length);
-    while let Some(frame) = body.frame().await {
-        let Ok(bytes) = frame.map_err(|error| interrupted(&error))?.into_data() else {
-            continue;
-        };
+    while let Some(bytes) = stream.next().await {
+        let bytes = bytes?;
         let needed = received.len() + bytes.len();
         if needed > limit {
             return Err(too_large());
@@ -157,6 +157,13 @@
     advertised.map_or(Some(DEFAULT_IDLE_TIMEOUT), |advertised| advertised.checked_sub(KEEP_ALIVE_MARGIN))
 }
 
+/// Whether the body consists of chunks, the last of which marks its end.
+fn is_chunked(headers: &HeaderMap) -> bool {
+    let codings = headers.get_all(TRANSFER_ENCODING).iter().next_back().and_then(|codings| codings.to_str().ok());
+    let last = codings.and_then(|codings| codings.rsplit(',').next());
+    last.is_some_and(|coding| coding.trim().eq_ignore_ascii_case("chunked"))
+}
+
 fn keep_alive_timeout(value: &str) -> Option<Duration> {
     let parameters = value.split(',').map(str::trim);
     let seconds = parameters.filter_map(|parameter| parameter.strip_prefix("timeout=")).next()?;
@@ -168,6 +175,8 @@
     body: Incoming,
     connection: Connection,
     idle: Option<Duration>,
+    /// Whether the body has neither a length nor chunks, so that the end of the connection marks its end.
+    ends_with_connection: bool,
 }
 
 impl ResponseStream {
@@ -181,6 +190,9 @@
     pub async fn next(&mut self) -> Option<Result<Bytes, Failure>> {
         loop {
             let Some(frame) = self.body.frame().await else {
+                if let Err(failure) = self.check_end().await {
+                    return Some(Err(failure));
+                }
                 self.connection.end_request();
                 return None;
             };
@@ -194,4 +206,14 @@
             }
         }
     }
+
+    /// Checks that the end of the connection marks the end of the body, if nothing else does.
+    async fn check_end(&self) -> Result<(), Failure> {
+        if !self.ends_with_connection {
+            return Ok(());
+        }
+        // After a reset, only the first operation on the socket fails. If that is a write of the request, the body ends as
+        // after an orderly close.
+        self.connection.closed_in_order().await
+    }
 }
