Upstream: a success that ends between head and body is not whole

What callers saw: an engine that stopped after the empty line of its head and closed its connection made a 200 with its stamp and an empty body, framed as whole; a stream without any event, or with the events up to the change of engines, that ended as complete; and an item that was `completed` with the events from before the continuation only.

Cause: a response without length and chunks ends with its connection (RFC 9112, 6.3). hyper takes the end of the stream as the end of the body, wherever it comes, so also directly behind the head. For items, only a text without any event counted as broken off; a continued text has events already.

Fix: the body of a success that ends with its connection counts as lost unless at least one byte of it has arrived. What RFC 9112 takes as whole beyond that stays whole: a close in order in the middle of such a body can't be told from its end. Empty bodies with a length or chunks, of HEAD requests, of 204 and of other statuses than 2xx are not touched.

--- a/crates/upstream/src/response.rs
+++ b/crates/upstream/src/response.rs
@@ -97,7 +97,8 @@
         let Self { head, body, connection, .. } = self;
         let idle = idle_timeout(&head.headers);
         let ends_with_connection = body.size_hint().exact().is_none() && !is_chunked(&head.headers);
-        (head, ResponseStream { body, connection, idle, ends_with_connection })
+        let lacks_body = ends_with_connection && head.status.is_success();
+        (head, ResponseStream { body, connection, idle, ends_with_connection, lacks_body })
     }
 }
 
@@ -177,6 +178,8 @@
     idle: Option<Duration>,
     /// Whether the body has neither a length nor chunks, so that the end of the connection marks its end.
     ends_with_connection: bool,
+    /// Whether such a body of a success has no byte yet.
+    lacks_body: bool,
 }
 
 impl ResponseStream {
@@ -199,6 +202,7 @@
             match frame {
                 Ok(frame) => {
                     if let Ok(bytes) = frame.into_data() {
+                        self.lacks_body &= bytes.is_empty();
                         return Some(Ok(bytes));
                     }
                 }
@@ -214,6 +218,11 @@
         }
         // After a reset, only the first operation on the socket fails. If that is a write of the request, the body ends as
         // after an orderly close.
-        self.connection.closed_in_order().await
+        self.connection.closed_in_order().await?;
+        // An engine that stops before its body closes the connection in order too.
+        if self.lacks_body {
+            return Err(Failure::ConnectionLost("connection closed between head and body".to_string()));
+        }
+        Ok(())
     }
 }
--- a/crates/upstream/tests/interrupted_responses.rs
+++ b/crates/upstream/tests/interrupted_responses.rs
@@ -1,5 +1,5 @@
 //! Engines that break a response off, at each of its bytes: no part of a response may be taken for a whole one. A response
-//! without length and chunks is whole if its connection is closed in order.
+//! without length and chunks is whole if its connection is closed in order after at least one byte of its body.
 
 use bytes::Bytes;
 use compio::runtime::Runtime;
@@ -233,6 +233,19 @@
     }
 }
 
+/// Guards against a response without length and chunks that appears whole and empty although its engine stopped between
+/// its head and its body.
+#[test]
+fn an_unframed_response_that_ends_with_its_head_is_not_taken_as_whole() {
+    for response in UNFRAMED {
+        let cut = length_of_head(response);
+        for kind in [Kind::Buffered, Kind::BufferedOnUsedConnection, Kind::Streamed] {
+            let results = read_cut(response, &[cut], kind, End::Close);
+            assert_possibly_executed(&results[0], &format!("{kind:?}, {}", cut_of(response, cut)));
+        }
+    }
+}
+
 /// Guards against a response without length and chunks that appears whole although its connection was reset.
 #[test]
 fn an_unframed_response_whose_connection_is_reset_is_not_taken_as_whole() {
