Gateway: a stream from an engine of HTTP/1.0 is framed with chunks

What callers saw: on a stream whose engine had answered with HTTP/1.0 and then broke off, in its first response or in the one that continued it, a 200 of HTTP/1.0 whose body ended with the connection, closed in order: a stream that appears complete before its last event.

Cause: the gateway passed the version of the engine's response on to its own server. hyper writes no chunks into a response of HTTP/1.0, so that the only mark of the end was the close of the connection, which comes at the end of a stream and when it breaks off alike.

Fix: the version, like hop-by-hop headers and the length, is a matter of one connection; the gateway answers with HTTP/1.1 (RFC 9110, 6.2), and a stream that breaks off lacks its last chunk. A client that itself asks with HTTP/1.0 still gets a response that ends with the connection.

Bodies read to their end had a length already, and did not fail.

--- a/crates/gateway-api/tests/interrupted_responses.rs
+++ b/crates/gateway-api/tests/interrupted_responses.rs
@@ -8,7 +8,7 @@
 use compio::io::{AsyncRead, AsyncWriteExt};
 use compio::net::{TcpListener, TcpStream};
 use http_body_util::BodyExt;
-use hyper::{Method, StatusCode};
+use hyper::{Method, StatusCode, Version};
 use saddlerelay_http::client::Connection;
 use saddlerelay_types::instance::InstanceReport;
 use saddlerelay_types::job::ItemEnd;
@@ -33,9 +33,11 @@
     Chunks,
     /// By closing the connection.
     Close,
+    /// By closing the connection, with a status line of HTTP/1.0.
+    Http10Close,
 }
 
-const FRAMINGS: [Framing; 2] = [Framing::Chunks, Framing::Close];
+const FRAMINGS: [Framing; 3] = [Framing::Chunks, Framing::Close, Framing::Http10Close];
 
 /// How an engine ends a connection.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -83,9 +85,10 @@
 
 impl Part {
     fn head(self, id: &str) -> String {
+        let version = if self.framing == Framing::Http10Close { "HTTP/1.0" } else { "HTTP/1.1" };
         let framing = if self.framing == Framing::Chunks { "transfer-encoding: chunked\r\n" } else { "" };
         let stamp = "saddlerelay-stamp: engine\r\nsaddlerelay-version: 1\r\n";
-        format!("HTTP/1.1 200 OK\r\nsaddlerelay-request: {id}\r\n{stamp}{framing}\r\n")
+        format!("{version} 200 OK\r\nsaddlerelay-request: {id}\r\n{stamp}{framing}\r\n")
     }
 
     /// The bytes of the response to a request whose last received event is `after`.
@@ -243,6 +246,7 @@
 /// What a client received.
 struct Received {
     status: Option<StatusCode>,
+    version: Option<Version>,
     body: String,
     /// Whether the end of the response arrived.
     is_complete: bool,
@@ -261,7 +265,7 @@
 
 /// Requests an event stream and reads it to its end.
 async fn read_stream(client_address: SocketAddr, id: &str) -> Received {
-    let mut received = Received { status: None, body: String::new(), is_complete: false };
+    let mut received = Received { status: None, version: None, body: String::new(), is_complete: false };
     let mut connection = Connection::open(client_address).await.expect("failed to connect to the gateway");
     let headers = [("saddlerelay-request", id), ("host", HOST), ("events", "3"), ("accept", "text/event-stream")];
     // A stream that breaks off before its first event may end without a response head.
@@ -269,6 +273,7 @@
         return received;
     };
     received.status = Some(response.status());
+    received.version = Some(response.version());
     loop {
         match response.body_mut().frame().await {
             Some(Ok(frame)) => {
@@ -313,7 +318,8 @@
     }
 }
 
-/// Guards against a stream that appears complete before its last event.
+/// Guards against a stream that appears complete before its last event: in particular, a response of HTTP/1.0 has no chunks,
+/// so that a client would take the end of the connection for the end of the stream.
 #[test]
 fn a_stream_that_breaks_off_does_not_appear_complete() {
     block_on(async {
@@ -330,7 +336,7 @@
             engines.follow(move |_| Part { framing, ..WHOLE });
             let received = read_stream(deployment.client_address, &format!("whole-{framing:?}")).await;
             assert!(received.is_whole_success(), "{framing:?}");
-            assert_eq!(received.ids(), [1, 2, 3], "{framing:?}");
+            assert_eq!((received.version, received.ids()), (Some(Version::HTTP_11), vec![1, 2, 3]), "{framing:?}");
         }
     });
 }
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -11,6 +11,7 @@
 use futures::future::{self, Either};
 use futures::stream::FuturesUnordered;
 use futures::{FutureExt, StreamExt};
+use hyper::Version;
 use hyper::header::CONTENT_LENGTH;
 use hyper::http::response::Parts;
 use saddlerelay_http::body::{LocalBody, Reply};
@@ -45,6 +46,14 @@
     }
 }
 
+/// Removes from a response's head what concerns the engine's connection only: hop-by-hop headers, framing and HTTP version.
+/// A response of HTTP/1.0 would have no chunks, so that a stream that breaks off would appear complete.
+pub(crate) fn remove_connection_details(head: &mut Parts) {
+    remove_hop_by_hop(&mut head.headers);
+    head.headers.remove(CONTENT_LENGTH);
+    head.version = Version::HTTP_11;
+}
+
 impl Gateway {
     /// Forwards a request, with retries and hedging as its route allows, and returns the final response.
     pub(crate) async fn forward(&self, chosen: &ChosenRoute, request: &ClientRequest, body: Bytes) -> Reply {
@@ -84,8 +93,7 @@
             status = head.status.as_u16(),
             held_ms = elapsed.as_millis() as u64
         });
-        remove_hop_by_hop(&mut head.headers);
-        head.headers.remove(CONTENT_LENGTH);
+        remove_connection_details(&mut head);
         Reply::from_parts(head, LocalBody::Reserved(body.into()))
     }
 
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -2,15 +2,16 @@
 //! within the same response.
 
 use crate::attempt::{AttemptOutcome, PossibleRuns};
+use crate::forward::remove_connection_details;
 use crate::gateway::{ChosenRoute, Gateway};
 use crate::lost_connections::RequestedWork;
 use crate::refusal::Refusal;
-use crate::request::{ClientRequest, remove_hop_by_hop};
+use crate::request::ClientRequest;
 use crate::suspicions::SuspectRequest;
 use crate::usage::UsageGuard;
 use bytes::Bytes;
 use futures::Stream;
-use hyper::header::{CONTENT_LENGTH, HeaderValue};
+use hyper::header::HeaderValue;
 use hyper::http::response::Parts;
 use saddlerelay_http::body::{BodyInterrupted, LocalBody, Reply};
 use saddlerelay_runtime::timeout::timeout;
@@ -89,8 +90,7 @@
         };
         drop(usage);
         let (mut head, stream) = response.into_stream();
-        remove_hop_by_hop(&mut head.headers);
-        head.headers.remove(CONTENT_LENGTH);
+        remove_connection_details(&mut head);
         self.log_stream_started(&request, chosen, &head);
         let forwarded = ForwardedStream {
             gateway: self.clone(),
