Large replies: a share for each content, a time limit for pages and for writing, receive buffers given back

A reviewer of the fix found that reads of results, documents and segments shared one queue, so that transfers of segments over bad links could keep relays from the document for longer than their lease; that a page of a damaged segment kept its memory without a time limit; that replies below 64 KiB were written without one; that the size of segments and of many small results was assumed; and that the buffer of a connection kept the size of its largest frame. The test of a peer that does not read now requires the release before the kernel's own timeout.

--- a/crates/command-line/src/memory_metrics.rs
+++ b/crates/command-line/src/memory_metrics.rs
@@ -12,23 +12,40 @@
     node: ControlNode<P, B>,
     registry: MetricRegistry,
     resident: Gauge,
-    replies: Gauge,
-    replies_peak: Gauge,
-    replies_waiting: Gauge,
-    replies_rejected: Gauge,
+    /// One for each content of large replies, in the order of [`ControlNode::reply_memory`].
+    replies: Vec<ReplyGauges>,
+}
+
+struct ReplyGauges {
+    used: Gauge,
+    peak: Gauge,
+    waiting: Gauge,
+    rejected: Gauge,
+}
+
+impl ReplyGauges {
+    fn register(registry: &mut MetricRegistry, content: &str) -> Self {
+        let mut gauge = |name: &str, help: &str| {
+            registry.gauge(&format!("reply_{content}_{name}"), &format!("Large replies with {content}: {help}"))
+        };
+        Self {
+            used: gauge("bytes", "memory reserved"),
+            peak: gauge("peak_bytes", "most memory reserved at any time"),
+            waiting: gauge("waiting", "requests that wait for memory"),
+            rejected: gauge("rejected", "requests that found no memory"),
+        }
+    }
 }
 
 impl<P: Runtime, B: Backends> MemoryMetrics<P, B> {
     /// Registers the gauges of `node`.
     pub fn new(node: ControlNode<P, B>) -> Self {
         let mut registry = MetricRegistry::new("saddlerelay_memory");
+        let contents: Vec<&str> = node.reply_memory().into_iter().map(|(content, _)| content).collect();
         Self {
             resident: registry
                 .gauge("resident_bytes", "Resident memory of the process; 0 where the system does not say"),
-            replies: registry.gauge("reply_bytes", "Memory reserved for large replies"),
-            replies_peak: registry.gauge("reply_peak_bytes", "Most memory reserved for large replies at any time"),
-            replies_waiting: registry.gauge("replies_waiting", "Requests that wait for memory for their reply"),
-            replies_rejected: registry.gauge("replies_rejected", "Requests that found no memory for their reply"),
+            replies: contents.iter().map(|content| ReplyGauges::register(&mut registry, content)).collect(),
             node,
             registry,
         }
@@ -36,12 +53,13 @@
 
     /// Encodes the gauges in the OpenMetrics text format.
     pub fn encode(&self) -> String {
-        let memory = self.node.reply_memory();
         self.resident.set(resident_bytes().unwrap_or_default());
-        self.replies.set(memory.used() as i64);
-        self.replies_peak.set(memory.peak() as i64);
-        self.replies_waiting.set(memory.waiting() as i64);
-        self.replies_rejected.set(memory.timed_out() as i64);
+        for ((_, memory), gauges) in self.node.reply_memory().into_iter().zip(&self.replies) {
+            gauges.used.set(memory.used() as i64);
+            gauges.peak.set(memory.peak() as i64);
+            gauges.waiting.set(memory.waiting() as i64);
+            gauges.rejected.set(memory.timed_out() as i64);
+        }
         self.registry.encode()
     }
 }
--- a/crates/control/src/follow.rs
+++ b/crates/control/src/follow.rs
@@ -102,14 +102,14 @@
 
 impl<P: Runtime, B: Backends> ControlNode<P, B> {
     /// Serves a poll of a relay: replies when there is an update for it, or after `long_poll_timeout`.
-    pub(crate) async fn follow(&self, follow: FollowRequest, reservation: &mut Reservation) -> ControlReply {
+    pub(crate) async fn follow(&self, follow: FollowRequest, reservation: &mut Option<Reservation>) -> ControlReply {
         if self.inner.replica.leading_term().is_none() && follow.at_follower {
             return self.serve_as_follower(follow, reservation).await;
         }
         self.serve_as_leader(follow, reservation).await
     }
 
-    async fn serve_as_leader(&self, mut follow: FollowRequest, reservation: &mut Reservation) -> ControlReply {
+    async fn serve_as_leader(&self, mut follow: FollowRequest, reservation: &mut Option<Reservation>) -> ControlReply {
         let platform = &self.inner.platform;
         self.inner.group_clock.borrow_mut().record_sample(&follow.relay, follow.unix_ms, platform.monotonic());
         if let Some(delta) = follow.usage.take() {
@@ -153,7 +153,11 @@
         }
     }
 
-    async fn serve_as_follower(&self, mut follow: FollowRequest, reservation: &mut Reservation) -> ControlReply {
+    async fn serve_as_follower(
+        &self,
+        mut follow: FollowRequest,
+        reservation: &mut Option<Reservation>,
+    ) -> ControlReply {
         let platform = &self.inner.platform;
         self.inner.follower_reads.borrow_mut().record_poll(&mut follow, platform.monotonic());
         let deadline = platform.monotonic() + self.inner.config.long_poll_timeout;
@@ -297,7 +301,7 @@
 }
 
 /// Size of the routing update in `reply`, if memory must first be reserved for it.
-fn uncovered_update_bytes(reply: &FollowReply, reservation: &Reservation) -> Option<usize> {
+fn uncovered_update_bytes(reply: &FollowReply, reservation: &Option<Reservation>) -> Option<usize> {
     let bytes = reply.routing.as_ref()?.len();
     (!covers_reply(reservation, bytes)).then_some(bytes)
 }
--- a/crates/control/src/gateway.rs
+++ b/crates/control/src/gateway.rs
@@ -82,7 +82,11 @@
 }
 
 impl<P: Runtime, B: Backends> ControlNode<P, B> {
-    pub(crate) async fn handle_gateway(&self, request: GatewayRequest, reservation: &mut Reservation) -> ControlReply {
+    pub(crate) async fn handle_gateway(
+        &self,
+        request: GatewayRequest,
+        reservation: &mut Option<Reservation>,
+    ) -> ControlReply {
         match request {
             GatewayRequest::Follow(follow) => self.follow(follow, reservation).await,
             GatewayRequest::ReportInstance(report) => {
@@ -239,7 +243,7 @@
         }
     }
 
-    async fn read_routing(&self, reservation: &mut Reservation) -> ControlReply {
+    async fn read_routing(&self, reservation: &mut Option<Reservation>) -> ControlReply {
         let bytes = self.read(|state| state.routing.current().map_or(0, |document| document.source.len()));
         let bytes = bytes.unwrap_or_default();
         if !self.reserve_reply(reservation, Content::Routing, bytes, 0).await {
--- a/crates/control/src/job_requests.rs
+++ b/crates/control/src/job_requests.rs
@@ -28,6 +28,9 @@
 /// Pause between checks for results at a follower, where no signal announces them.
 const RESULT_POLL: Duration = Duration::from_millis(25);
 
+/// Maximum time to build a page of results: the callers' timeout of a read.
+const PAGE_TIMEOUT: Duration = Duration::from_millis(800);
+
 /// Maximum attempts to build a page of results: texts may be evicted from memory while others are read from disk.
 const MAX_PAGE_ATTEMPTS: usize = 4;
 
@@ -53,7 +56,7 @@
         after: u64,
         wait_ms: u64,
         caller: &Caller,
-        reservation: &mut Reservation,
+        reservation: &mut Option<Reservation>,
     ) -> ControlReply {
         let platform = &self.inner.platform;
         let deadline = platform.monotonic() + Duration::from_millis(wait_ms).min(MAX_READ_WAIT);
@@ -83,7 +86,7 @@
         after: u64,
         wait_ms: u64,
         caller: &Caller,
-        reservation: &mut Reservation,
+        reservation: &mut Option<Reservation>,
     ) -> ControlReply {
         let platform = &self.inner.platform;
         let catch_up_deadline = platform.monotonic() + CATCH_UP_TIMEOUT;
@@ -106,11 +109,16 @@
     }
 
     /// A page of results from the locally applied state; texts evicted from memory are read from disk.
-    async fn read_page(&self, job: &JobId, after: u64, reservation: &mut Reservation) -> ControlReply {
+    async fn read_page(&self, job: &JobId, after: u64, reservation: &mut Option<Reservation>) -> ControlReply {
         let bytes = self.read_applied(|state| state.jobs.page_bytes(job, after)).unwrap_or_default();
         if !self.reserve_reply(reservation, Content::Results, bytes, SEGMENT_BYTES).await {
             return ControlReply::Gateway(GatewayReply::Unavailable);
         }
+        let page = timeout(&self.inner.platform, PAGE_TIMEOUT, self.load_page(job, after)).await;
+        page.unwrap_or(ControlReply::Gateway(GatewayReply::Unavailable))
+    }
+
+    async fn load_page(&self, job: &JobId, after: u64) -> ControlReply {
         let mut loaded = LoadedTexts::default();
         for _ in 0..MAX_PAGE_ATTEMPTS {
             let missing = match self.read_applied(|state| state.jobs.page(job, after, &loaded)) {
--- a/crates/control/src/node.rs
+++ b/crates/control/src/node.rs
@@ -209,7 +209,7 @@
     }
 
     /// Handles a request. Memory for a large reply is reserved in `reservation`.
-    pub(crate) async fn answer(&self, request: ControlRequest, reservation: &mut Reservation) -> ControlReply {
+    pub(crate) async fn answer(&self, request: ControlRequest, reservation: &mut Option<Reservation>) -> ControlReply {
         match request {
             ControlRequest::Replication(bytes) => {
                 self.handle_replication(&bytes, FeatureLevel::NEWEST, reservation).await
--- a/crates/control/src/rpc_handler.rs
+++ b/crates/control/src/rpc_handler.rs
@@ -21,11 +21,11 @@
         drop(body);
         // A segment may take long over a bad link; its receiver decides when to give up.
         let is_replication = matches!(request, Request::Current(ControlRequest::Replication(_)));
-        let mut reservation = self.reply_memory().begin();
+        let mut reservation = None;
         let body = self.handle_at_level(level, request, &mut reservation).await?;
         shrink_to_encoded(&mut reservation, body.len());
-        let write_limit = (!is_replication && reservation.bytes() > 0).then_some(WRITE_LIMIT);
-        Some(Response { body, reservation: Some(reservation), write_limit })
+        let write_limit = (!is_replication).then_some(WRITE_LIMIT);
+        Some(Response { body, reservation, write_limit })
     }
 }
 
@@ -35,7 +35,7 @@
         &self,
         level: FeatureLevel,
         request: Request,
-        reservation: &mut Reservation,
+        reservation: &mut Option<Reservation>,
     ) -> Option<Vec<u8>> {
         let request = match request {
             Request::FollowOne(follow) => {
@@ -55,11 +55,18 @@
         messages::encode_reply(reply, level).or_else(fallback)
     }
 
+    /// Size of a segment; of an ordinary one if the state no longer refers to it.
+    fn segment_bytes(&self, number: u64) -> usize {
+        let segments = self.read_applied(|state| state.jobs.texts().segments());
+        let segment = segments.into_iter().find(|segment| segment.number == number);
+        segment.map_or(SEGMENT_BYTES, |segment| segment.bytes as usize)
+    }
+
     pub(crate) async fn handle_replication(
         &self,
         bytes: &[u8],
         level: FeatureLevel,
-        reservation: &mut Reservation,
+        reservation: &mut Option<Reservation>,
     ) -> ControlReply {
         let Some(request) = message_codec::decode_request(bytes, level) else {
             return ControlReply::Refused("malformed replication message".to_string());
@@ -68,8 +75,11 @@
         if level < FeatureLevel::NEWEST && matches!(request, ReplicaRequest::Join { .. }) {
             self.record_older_build_request();
         }
-        let is_large = matches!(request, ReplicaRequest::ReadSegment { .. });
-        let reply = match !is_large || self.reserve_reply(reservation, Content::Segment, SEGMENT_BYTES, 0).await {
+        let segment_bytes = match request {
+            ReplicaRequest::ReadSegment { number, .. } => self.segment_bytes(number),
+            _ => 0,
+        };
+        let reply = match self.reserve_reply(reservation, Content::Segment, segment_bytes, 0).await {
             true => self.inner.replica.handle(request, level).await,
             false => ReplicaReply::Rejected,
         };
--- a/crates/control/src/state/jobs.rs
+++ b/crates/control/src/state/jobs.rs
@@ -9,9 +9,12 @@
 };
 use std::collections::BTreeMap;
 
-/// Maximum bytes of text in one page of results, unless a single result is larger.
+/// Maximum bytes of one page of results, unless a single result is larger.
 const MAX_PAGE_BYTES: usize = 900_000;
 
+/// Counted for each result in a page beside its text: identifier, versions and score, in bytes.
+const RESULT_OVERHEAD_BYTES: usize = 128;
+
 /// Maximum number of ended jobs whose texts one later job may reuse.
 const MAX_PREDECESSORS: usize = 3;
 
@@ -115,7 +118,7 @@
         let mut bytes = 0;
         let fits = |result: &&ListedItem| {
             let is_first = bytes == 0;
-            bytes += result.text.length().max(1);
+            bytes += result.text.length() + RESULT_OVERHEAD_BYTES;
             is_first || bytes <= MAX_PAGE_BYTES
         };
         let count = self.results[start..].iter().take_while(fits).count();
@@ -209,10 +212,10 @@
         Some(Ok(ResultPage { total: job.submission.items.len() as u64, next, results }))
     }
 
-    /// Bytes of text in the page of results that starts at position `after`; `None` if there is no such job.
+    /// Size in bytes of the page of results that starts at position `after`; `None` if there is no such job.
     pub fn page_bytes(&self, id: &JobId, after: u64) -> Option<usize> {
         let job = self.jobs.get(id)?;
-        Some(job.page(after).iter().map(|listed| listed.text.length()).sum())
+        Some(job.page(after).iter().map(|listed| listed.text.length() + RESULT_OVERHEAD_BYTES).sum())
     }
 
     /// Jobs that have not ended.
--- a/crates/runtime-compio/src/connection.rs
+++ b/crates/runtime-compio/src/connection.rs
@@ -133,6 +133,10 @@
             }
             self.received.drain(..self.consumed);
             self.consumed = 0;
+            if self.received.is_empty() && self.received.capacity() > READ_BYTES {
+                // Gives back the memory of a large frame.
+                self.received = Vec::new();
+            }
             self.budget.proceed().await;
             let mut scratch = std::mem::take(&mut self.scratch);
             scratch.clear();
--- a/crates/runtime-compio/tests/reply_memory.rs
+++ b/crates/runtime-compio/tests/reply_memory.rs
@@ -123,7 +123,9 @@
             peer.write_all([length, frame].concat()).await.0.expect("the server reads");
         }
         eventually("the reply is being written", || memory.used() > 0).await;
+        let started_at = Instant::now();
         eventually("its memory is released", || memory.used() == 0).await;
+        assert!(started_at.elapsed() < Duration::from_secs(1), "released by the kernel's timeout of 1.5 s");
         drop(peer);
     });
 }
