A failing test: texts of items on an engine that sends large events without end

What callers would see: an engine that answers items with valid events of 32 KB without end makes the leader hold up to 8 MB for each of its items, and save the texts of all of them in the replicated state meanwhile. The process grows by hundreds of MB in seconds; a machine of 300 MB ends, and the next leader finds the saved texts and the same items to run.

The test's engine and the only replica run in the same process.

Cause, as far as read, not traced: MAX_TEXT_BYTES (coordinator/src/item.rs) bounds each text, nothing all of them together, and no budget counts them. `unsaved_parts` (coordinator/src/listing.rs) copies every unsaved text at each pass, `save_parts` copies the copies once more, and all commands of a pass are proposed at the same time; what is committed goes to the log and to the state of every replica.

--- a/crates/gateway-api/tests/endless_responses.rs
+++ b/crates/gateway-api/tests/endless_responses.rs
@@ -240,6 +240,25 @@
     }
 }
 
+/// Guards against a memory that grows with the number of items whose engine sends large events without end.
+#[test]
+fn many_items_on_an_engine_that_sends_large_events_without_end_are_held_in_bounded_memory() {
+    const ITEMS: u32 = 32;
+    const FLOOD_TIME: Duration = Duration::from_secs(6);
+    let _one_test = ONE_TEST.lock().unwrap_or_else(PoisonError::into_inner);
+    let repeated: &'static str = Box::leak(format!("data: {}\n\n", "x".repeat(32_000)).into_boxed_str());
+    let events = open_body("saddlerelay-version: 1\r\n\r\n", repeated);
+    block_on(async {
+        let fixture = Fixture::start("large-events", &[rollouts()], "llm", events).await;
+        // Enough tokens that their number doesn't end the texts first.
+        let submission = job("job", 0, 0, ITEMS, 100_000);
+        assert_eq!(fixture.deployment.submit(&submission).await, StatusCode::ACCEPTED);
+        eventually("the endless engine got items", async || fixture.endless.requests() > 0).await;
+        compio::time::sleep(FLOOD_TIME).await;
+        fixture.assert_memory("large-events");
+    });
+}
+
 /// Guards against an item that is running for ever, beyond its deadline, because its engine always sends another event.
 #[test]
 fn an_item_ends_at_its_deadline_although_its_engine_sends_on() {
