Requests that outlast a shutdown are answered instead of cut

What clients saw: when the time of a planned stop was over, the process ended under the requests still in progress, and their connections closed without a response; requests whose body was not complete likewise.

Cause: Shutdown::close waited for open connections up to its timeout and then only returned. Nothing told the connections that the time was over.

Fix: when the timeout passes, close() interrupts what is in progress and waits up to INTERRUPTED_RESPONSE_TIME for the last bytes. A request that a handler has begun gets 504 (it may have run), one that is still being received 503 with Retry-After (no handler has acted on it), each with Connection: close; a streamed body fails, so that the stream has no final chunk. It is done in the server, so it holds for every handler: gateways, coordinators, and both roles of `serve`. close() returns false as before.

--- a/crates/http/src/body.rs
+++ b/crates/http/src/body.rs
@@ -35,6 +35,11 @@
 }
 
 impl LocalBody {
+    /// Whether the body is sent as its source produces it.
+    pub fn is_streamed(&self) -> bool {
+        matches!(self, Self::Streamed(_) | Self::Fallible(_))
+    }
+
     /// Size of a buffered body, in bytes; zero for a streamed one.
     pub fn buffered_bytes(&self) -> usize {
         match self {
--- a/crates/http/src/refusal.rs
+++ b/crates/http/src/refusal.rs
@@ -1,9 +1,12 @@
 //! Ends connections in order: the client receives the refusal although its request is not read to its end.
 
+use crate::body::{Reply, full_reply};
 use crate::connection_state::{CloseReason, ConnectionState, Phase};
 use compio::io::{AsyncRead, AsyncWrite, AsyncWriteExt};
 use compio::net::TcpStream;
 use futures::future;
+use hyper::StatusCode;
+use hyper::header::{HeaderValue, RETRY_AFTER};
 use std::pin::pin;
 use std::time::{Duration, Instant};
 
@@ -38,6 +41,18 @@
     Some(format!("HTTP/1.1 {status}\r\nconnection: close\r\ncontent-length: 0\r\n{retry}\r\n"))
 }
 
+/// The response to a request that a handler has begun when the time for a shutdown is over.
+pub(crate) fn interrupted_by_shutdown() -> Reply {
+    full_reply(StatusCode::GATEWAY_TIMEOUT, "text/plain", "stopped before the request was complete; it may have run")
+}
+
+/// The response to a request that has not been received whole when the time for a shutdown is over.
+pub(crate) fn not_executed_before_shutdown() -> Reply {
+    let mut reply = full_reply(StatusCode::SERVICE_UNAVAILABLE, "text/plain", "stopping; the request has not run");
+    reply.headers_mut().insert(RETRY_AFTER, HeaderValue::from(RETRY_AFTER_SECONDS));
+    reply
+}
+
 /// Answers a client that the server has no place for; nothing was read from it.
 pub(crate) async fn refuse(mut socket: TcpStream) {
     if let Some(text) = response(CloseReason::ConnectionLimit, Phase::Head) {
--- a/crates/http/src/server.rs
+++ b/crates/http/src/server.rs
@@ -1,6 +1,6 @@
 //! HTTP server with one task per connection, limits on what clients may make it hold, and graceful shutdown.
 
-use crate::body::{LocalBody, Reply, full_reply};
+use crate::body::{BodyInterrupted, LocalBody, Reply, full_reply};
 use crate::connection_state::{CloseReason, ConnectionState, Phase};
 use crate::limited_stream::LimitedStream;
 use crate::limits::ListenerLimits;
@@ -10,7 +10,8 @@
 use crate::request_body::RequestBody;
 use bytes::Bytes;
 use compio::net::{TcpListener, TcpStream};
-use futures::future::{self, Either};
+use futures::FutureExt;
+use futures::future::{self, Either, LocalBoxFuture};
 use hyper::body::{Body, Frame, Incoming};
 use hyper::header::{CONNECTION, HeaderValue, RETRY_AFTER};
 use hyper::service::service_fn;
@@ -33,6 +34,9 @@
 /// How long a server that is shutting down waits for the first request of a connection, counted from its accept.
 const FIRST_REQUEST_WAIT: Duration = Duration::from_millis(300);
 
+/// Time for the responses to requests that a shutdown interrupts, and for the ends of their connections.
+pub const INTERRUPTED_RESPONSE_TIME: Duration = Duration::from_millis(200);
+
 /// Interval at which [`Shutdown::close`] checks whether all connections are closed.
 const CLOSE_POLL_INTERVAL: Duration = Duration::from_millis(10);
 
@@ -60,6 +64,8 @@
 #[derive(Default)]
 struct ShutdownState {
     closing: Signal,
+    /// The time for requests in progress is over.
+    interrupted: Signal,
     /// Number of listeners that still accept.
     active_listeners: Cell<usize>,
     /// Number of open connections.
@@ -75,8 +81,20 @@
 impl Shutdown {
     /// Stops accepting connections and waits, for at most `timeout`, until requests in progress have completed and all
     /// connections are closed. Returns whether all were closed in time.
+    ///
+    /// Requests that outlast `timeout` are interrupted: a client receives a response that tells whether its request may
+    /// have been executed, or the end of an incomplete stream. This takes up to [`INTERRUPTED_RESPONSE_TIME`] more.
     pub async fn close(&self, timeout: Duration) -> bool {
         self.inner.closing.notify();
+        if self.wait_until_closed(timeout).await {
+            return true;
+        }
+        self.inner.interrupted.notify();
+        self.wait_until_closed(INTERRUPTED_RESPONSE_TIME).await;
+        false
+    }
+
+    async fn wait_until_closed(&self, timeout: Duration) -> bool {
         let deadline = Instant::now() + timeout;
         while !self.inner.is_closed() && Instant::now() < deadline {
             compio::time::sleep(CLOSE_POLL_INTERVAL).await;
@@ -88,6 +106,14 @@
         self.inner.closing.changed(0).await;
     }
 
+    async fn interrupted(&self) {
+        self.inner.interrupted.changed(0).await;
+    }
+
+    fn is_interrupted(&self) -> bool {
+        self.inner.interrupted.count() > 0
+    }
+
     fn track_connection(&self) -> CountedConnection {
         self.inner.open.set(self.inner.open.get() + 1);
         CountedConnection(self.inner.clone())
@@ -264,10 +290,31 @@
             return TrackedBody::track(closing(reply), state, None);
         }
         let request = request.map(|body| RequestBody::new(body, state.clone(), self.manager.clone(), limits));
-        let reply = self.handler.clone().handle(request).await;
+        let reply = self.handle(request, &state).await;
         let (reply, reservation) = self.reserve_reply(&method, reply).await;
         let reply = if state.must_close() { closing(reply) } else { reply };
-        TrackedBody::track(reply, state, reservation)
+        let interruption = reply.body().is_streamed().then(|| self.clone().interruption());
+        let mut response = TrackedBody::track(reply, state, reservation);
+        response.body_mut().interruption = interruption;
+        response
+    }
+
+    /// Passes a request to the handler, and answers in its place once the time for a shutdown is over. A handler whose
+    /// request is still being received has not acted on it.
+    async fn handle(&self, request: Request<RequestBody>, state: &ConnectionState) -> Reply {
+        if self.shutdown.is_interrupted() {
+            return closing(refusal::not_executed_before_shutdown());
+        }
+        let handling = pin!(self.handler.clone().handle(request));
+        match future::select(handling, pin!(self.shutdown.interrupted())).await {
+            Either::Left((reply, _)) => reply,
+            Either::Right(_) if state.phase() == Phase::Body => closing(refusal::not_executed_before_shutdown()),
+            Either::Right(_) => closing(refusal::interrupted_by_shutdown()),
+        }
+    }
+
+    fn interruption(self: Rc<Self>) -> LocalBoxFuture<'static, ()> {
+        async move { self.shutdown.interrupted().await }.boxed_local()
     }
 
     /// Reserves memory for a buffered response. A large response to a read is replaced by a rejection if there is no
@@ -334,22 +381,30 @@
     state: Rc<ConnectionState>,
     /// Memory of a buffered body; tied to its bytes, which the connection keeps until they are written.
     reservation: Option<Reservation>,
+    /// Completes when a streamed body has to end before its source does.
+    interruption: Option<LocalBoxFuture<'static, ()>>,
 }
 
 impl TrackedBody {
     fn track(reply: Reply, state: Rc<ConnectionState>, reservation: Option<Reservation>) -> Response<Self> {
         state.enter(Phase::Response);
         state.set_held_bytes(reply.body().buffered_bytes());
-        reply.map(|body| Self { body, state, reservation })
+        reply.map(|body| Self { body, state, reservation, interruption: None })
     }
 }
 
 impl Body for TrackedBody {
     type Data = Bytes;
-    type Error = crate::body::BodyInterrupted;
+    type Error = BodyInterrupted;
 
     fn poll_frame(self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<Option<Result<Frame<Bytes>, Self::Error>>> {
         let this = self.get_mut();
+        if let Some(interruption) = &mut this.interruption
+            && interruption.as_mut().poll(context).is_ready()
+        {
+            this.interruption = None;
+            return Poll::Ready(Some(Err(BodyInterrupted)));
+        }
         let polled = Pin::new(&mut this.body).poll_frame(context);
         polled.map_ok(|frame| match this.reservation.take() {
             Some(reservation) => frame.map_data(|bytes| reservation.attach(bytes)),
