A gateway that stops refuses what it cannot complete, and answers the rest

What callers saw: in a planned stop of one gateway, requests that were read whole late in the grace period were passed on to an engine and cut at its end without a response, requests that may not be repeated among them.

Cause: draining only changed readiness and `Connection: close`. Nothing compared a request with the time left, and the process ended under those in progress.

Fix: `Gateway::drain` takes the time for which the gateway still works. - Before the first attempt, and before any further one while the request has not run, the expected duration is compared with the time left: the longest of the route's 16 most recent successful requests, its objective (or timeout) before the first one, and never more than the request's own deadline. One that does not fit is refused with 503 and Retry-After. - When the time is over, waiting for bodies, engines, permits, the control group and the next event of a stream ends: 504 if the request may have run (submissions: undecided), 503 if not, and streams end without their last chunk. - The member gives the server 100 ms more before it answers in the gateway's place; both fit into the margin that the grace period keeps for the exit.

Routes keep their durations across changes of the routing document.

--- a/bin/saddlerelay/tests/client_crowds/crowd.rs
+++ b/bin/saddlerelay/tests/client_crowds/crowd.rs
@@ -1,4 +1,5 @@
 //! Crowds of clients that hold connections open without completing what they began.
+#![allow(dead_code)]
 
 use saddlerelay_types::job::{ItemId, JobId, JobItem, JobSubmission};
 use std::io::{ErrorKind, Read, Write};
--- a/bin/saddlerelay/tests/client_crowds/processes.rs
+++ b/bin/saddlerelay/tests/client_crowds/processes.rs
@@ -1,4 +1,5 @@
 //! A coordinator and a gateway as processes of the product, and a stand-in engine behind them.
+#![allow(dead_code)]
 
 use super::crowd::call;
 use rustix::process::{Pid, Resource, Rlimit, Signal, getrlimit, kill_process, setrlimit};
@@ -35,6 +36,18 @@
 /// Path of requests with large responses.
 pub const LARGE_PATH: &str = "/requests/large";
 
+/// Path of requests that may not be repeated and that the engine works on for [`SLOW_TIME`].
+pub const SLOW_PATH: &str = "/orders/slow";
+
+/// Path of requests that may not be repeated and that the engine never completes.
+pub const ENDLESS_PATH: &str = "/orders/endless";
+
+/// How long the engine works on a request under [`SLOW_PATH`].
+pub const SLOW_TIME: Duration = Duration::from_secs(2);
+
+/// Time limit of a graceful shutdown in the settings.
+pub const GRACE: Duration = Duration::from_secs(8);
+
 /// Number of unused routes in the routing document, which make it about 1 MiB long.
 const UNUSED_ROUTES: usize = 4_000;
 
@@ -76,10 +89,29 @@
         self.child.try_wait().expect("failed to query the process").is_none()
     }
 
+    /// Asks the process to reload its settings.
+    pub fn reload(&self) {
+        self.signal(Signal::HUP);
+    }
+
+    /// Asks the process to stop.
+    pub fn begin_stop(&self) {
+        self.signal(Signal::TERM);
+    }
+
+    fn signal(&self, signal: Signal) {
+        let id = Pid::from_raw(self.child.id() as i32).expect("a process id is positive");
+        kill_process(id, signal).expect("failed to signal the process");
+    }
+
     /// Asks the process to stop and waits until it has; returns whether it reported success.
     pub fn stop(&mut self) -> bool {
-        let id = Pid::from_raw(self.child.id() as i32).expect("a process id is positive");
-        kill_process(id, Signal::TERM).expect("failed to signal the process");
+        self.begin_stop();
+        self.wait()
+    }
+
+    /// Waits until the process has ended; returns whether it reported success.
+    pub fn wait(&mut self) -> bool {
         eventually("the process has stopped", || !self.is_running());
         self.child.wait().expect("failed to query the process").success()
     }
@@ -147,7 +179,8 @@
             "zone = \"north\"\nseeds = [\"{control}\"]\npeer_port = {PEER_PORT}\n\
              shared_secret = \"crowd-shared-secret-0123456789\"\n"
         );
-        let bounds = "\n[bounds]\nreport_interval_ms = 60000\ntolerated_losses = 0\ngrace_s = 8\n";
+        let grace_s = GRACE.as_secs();
+        let bounds = format!("\n[bounds]\nreport_interval_ms = 60000\ntolerated_losses = 0\ngrace_s = {grace_s}\n");
         let coordinator_settings = format!(
             "role = \"coordinator\"\nname = \"store\"\ncontrol_address = \"{control}\"\npeer_address = \"{}\"\n\
              metrics_address = \"{}\"\ndata_folder = \"{}\"\nfirst_start = true\n{shared}{bounds}",
@@ -252,7 +285,11 @@
         public: false,
         batch: BatchSettings::default(),
     };
-    let mut routes = vec![route("/requests/", RouteKind::Idempotent), route("/rollouts/", RouteKind::Rollout)];
+    let mut routes = vec![
+        route("/requests/", RouteKind::Idempotent),
+        route("/rollouts/", RouteKind::Rollout),
+        route("/orders/", RouteKind::NonIdempotent),
+    ];
     routes.extend((0..UNUSED_ROUTES).map(|number| route(&format!("/unused-{number}/"), RouteKind::Idempotent)));
     let service = Service {
         name: "web".to_string(),
@@ -305,6 +342,12 @@
     if first_line.contains(LARGE_PATH) {
         body = vec![b'y'; LARGE_RESPONSE_BYTES];
     }
+    if first_line.contains(SLOW_PATH) {
+        std::thread::sleep(SLOW_TIME);
+    }
+    if first_line.contains(ENDLESS_PATH) {
+        std::thread::sleep(HANG_LIMIT);
+    }
     let head = format!(
         "HTTP/1.1 200 OK\r\nsaddlerelay-request: {id}\r\nsaddlerelay-stamp: engine-1\r\ncontent-length: {}\r\n\r\n",
         body.len()
--- a/crates/command-line/src/member.rs
+++ b/crates/command-line/src/member.rs
@@ -38,9 +38,13 @@
 /// How long a gateway still accepts connections after SIGTERM, until load balancers have seen the readiness probe fail.
 const READINESS_PROPAGATION_TIME: Duration = Duration::from_millis(2_600);
 
-/// Part of the grace period left after connections are closed, for the exit of the process.
+/// Part of the grace period left after the work on requests has ended, for the last responses and the exit of the
+/// process.
 const GRACE_MARGIN: Duration = Duration::from_millis(700);
 
+/// Time for a gateway's responses to the requests that a stop ends, before the server answers in its place.
+const LAST_RESPONSE_TIME: Duration = Duration::from_millis(100);
+
 /// Interval at which the settings file is checked for changes.
 const SETTINGS_CHECK_INTERVAL: Duration = Duration::from_secs(2);
 
@@ -208,10 +212,11 @@
     runtime.spawn(reload_settings(runtime.clone(), file, signals.reload, seeds, apply_seeds));
     signals.stop.received().await.map_err(failed)?;
     spdlog::info!("planned stop", kv: { grace_ms = settings.bounds.grace.as_millis() as u64 });
-    gateway.drain();
     let propagation_time = READINESS_PROPAGATION_TIME.min(settings.bounds.grace / 2);
+    let closing_time = settings.bounds.grace.saturating_sub(propagation_time + GRACE_MARGIN);
+    gateway.drain(propagation_time + closing_time);
     runtime.sleep(propagation_time).await;
-    let closed = shutdown.close(settings.bounds.grace.saturating_sub(propagation_time + GRACE_MARGIN)).await;
+    let closed = shutdown.close(closing_time + LAST_RESPONSE_TIME).await;
     spdlog::info!("connections closed", kv: { all = closed });
     Ok(())
 }
--- a/crates/gateway-api/src/client.rs
+++ b/crates/gateway-api/src/client.rs
@@ -84,7 +84,8 @@
         match call {
             JobCall::ReadResults { job, after, wait_ms } => {
                 let wait = Duration::from_millis(wait_ms);
-                responses::read(&self.formats, self.gateway.read_results(job, after, wait, caller).await)
+                let reading = self.gateway.read_results(job, after, wait, caller);
+                responses::read(&self.formats, self.until_stopped(reading).await)
             }
             JobCall::ReadBody { job, item } => {
                 responses::read(&self.formats, self.forward(GatewayRequest::ReadBody { job, item, caller }).await)
@@ -113,9 +114,11 @@
             Err(refusal) => return self.gateway.refuse(request, refusal),
         };
         let _permit = if body.len() >= LARGE_JOB_BYTES {
-            match self.large_jobs.enter(self.gateway.time_left(route, request)).await {
-                Some(permit) => Some(permit),
-                None => return self.gateway.refuse(request, Refusal::NoMemory),
+            let waiting = self.large_jobs.enter(self.gateway.time_left(route, request));
+            match self.gateway.until_stopped(waiting).await {
+                Some(Some(permit)) => Some(permit),
+                Some(None) => return self.gateway.refuse(request, Refusal::NoMemory),
+                None => return self.gateway.refuse(request, Refusal::Stopping),
             }
         } else {
             None
@@ -153,6 +156,17 @@
     }
 
     async fn forward(&self, request: GatewayRequest) -> Result<GatewayReply, GatewayError> {
-        self.gateway.control().gateway(request, CALL_TIMEOUT, ATTEMPT_TIMEOUT).await
+        self.until_stopped(self.gateway.control().gateway(request, CALL_TIMEOUT, ATTEMPT_TIMEOUT)).await
+    }
+
+    /// Runs a call to the control group until the gateway stops. A call that is given up then may still be executed.
+    async fn until_stopped(
+        &self,
+        call: impl Future<Output = Result<GatewayReply, GatewayError>>,
+    ) -> Result<GatewayReply, GatewayError> {
+        if self.gateway.has_stopped() {
+            return Err(GatewayError::NotDone);
+        }
+        self.gateway.until_stopped(call).await.unwrap_or(Err(GatewayError::Undecided))
     }
 }
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -15,7 +15,6 @@
 use hyper::http::response::Parts;
 use saddlerelay_http::body::{LocalBody, Reply};
 use saddlerelay_runtime::Runtime;
-use saddlerelay_runtime::timeout::timeout;
 use saddlerelay_scheduling::LoadReport;
 use saddlerelay_types::instance::InstanceId;
 use saddlerelay_types::routing::RouteKind;
@@ -56,13 +55,16 @@
         self.count_hedgeable_request(service);
         let _usage = UsageGuard::new(self, &request.caller, &context.possible_runs);
         let outgoing = request.outgoing(body);
-        let remaining = deadline.saturating_sub(self.now());
-        let result = timeout(&self.inner.runtime, remaining, self.run_attempts(&context, &outgoing)).await;
-        match result {
-            Some(Ok((head, body))) => self.client_response(request, chosen, head, body),
-            Some(Err(refusal)) => self.refuse(request, refusal),
-            None if context.possible_runs.may_have_run() => self.refuse(request, Refusal::Timeout),
-            None => self.refuse(request, Refusal::SendTimeout),
+        let started_at = self.now();
+        match self.run_until(deadline, self.run_attempts(&context, &outgoing)).await {
+            Ok(Ok((head, body))) => {
+                if head.status.is_success() {
+                    chosen.table.record_duration(chosen.index, self.now().saturating_sub(started_at));
+                }
+                self.client_response(request, chosen, head, body)
+            }
+            Ok(Err(refusal)) => self.refuse(request, refusal),
+            Err(expiry) => self.refuse(request, expiry.refusal(context.possible_runs.may_have_run())),
         }
     }
 
@@ -109,6 +111,9 @@
                 tried.len() - not_executed_by.len() < max_runs && tried.len() < max_runs + EXTRA_ENGINES;
             if running.is_empty() {
                 self.check_suspicion(&context.suspect(), context.possible_runs.may_have_run()).await?;
+                if !context.possible_runs.may_have_run() {
+                    self.check_completion(context.chosen, context.deadline)?;
+                }
                 let engine = if may_start_attempt { self.admit_to_engine(context, &tried)? } else { None };
                 let engine = engine.filter(|engine| !not_executed_by.contains(&engine.target.instance));
                 let Some(engine) = engine else {
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -1,6 +1,7 @@
 //! The gateway's entry points and shared state.
 
 use crate::config::GatewayConfig;
+use crate::drain::Drain;
 use crate::follower::AssignedReplica;
 use crate::metrics::GatewayMetrics;
 use crate::refusal::Refusal;
@@ -69,7 +70,7 @@
     pub metrics: GatewayMetrics,
     /// Random start position (0 to 1) in the weighted round-robin of each route's targets.
     pub offset: f64,
-    pub draining: Cell<bool>,
+    pub drain: Drain,
     /// The control replica that serves this relay's follow requests in place of the leader.
     pub assigned_replica: AssignedReplica,
     /// A control replica in the relay's zone, if there is one.
@@ -122,7 +123,7 @@
             termination_checks: TerminationChecks::default(),
             metrics: GatewayMetrics::default(),
             offset,
-            draining: Cell::new(false),
+            drain: Drain::default(),
             assigned_replica: AssignedReplica::default(),
             nearest_replica: Cell::new(None),
             nearest_skipped_until: Cell::new(Duration::ZERO),
@@ -155,7 +156,7 @@
     /// Whether the gateway accepts requests: it has a valid lease and a route table, and is not draining.
     pub fn is_ready(&self) -> bool {
         let view = self.inner.view.borrow();
-        !self.inner.draining.get() && view.is_leased(self.now()) && view.table().is_some()
+        !self.is_draining() && view.is_leased(self.now()) && view.table().is_some()
     }
 
     /// Number of ready engines of a service in the current view.
@@ -173,16 +174,6 @@
         self.inner.suspicions.suspected_count()
     }
 
-    /// Starts draining: the gateway is no longer ready, and responses ask clients to reconnect elsewhere.
-    pub fn drain(&self) {
-        self.inner.draining.set(true);
-    }
-
-    /// Whether the gateway is draining.
-    pub fn is_draining(&self) -> bool {
-        self.inner.draining.get()
-    }
-
     /// Finds the route for a host and path; requires a valid lease.
     pub fn choose_route(&self, host: &str, path: &str) -> Result<ChosenRoute, Refusal> {
         let view = self.inner.view.borrow();
@@ -201,11 +192,11 @@
     }
 
     /// Reads the body of a request on a route, up to the size limit of the current routing document and until the
-    /// request's deadline.
+    /// request's deadline or the stop of the gateway.
     pub async fn read_body(&self, route: &Route, request: &ClientRequest, body: RequestBody) -> Result<Bytes, Refusal> {
         let time_left = self.time_left(route, request);
-        let read = body.read_within(self.connection_limits().max_body_bytes, time_left).await;
-        read.map_err(|error| match error {
+        let reading = body.read_within(self.connection_limits().max_body_bytes, time_left);
+        self.until_stopped(reading).await.ok_or(Refusal::Stopping)?.map_err(|error| match error {
             BodyError::TooLarge => Refusal::TooLarge,
             BodyError::Lost | BodyError::Malformed(_) => Refusal::Malformed,
             BodyError::Timeout => Refusal::BodyTimeout,
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -7,6 +7,7 @@
 //!   that `follower` selects.
 //! - `admission` authenticates requests by their key.
 //! - `forward` handles buffered responses, `stream` handles event streams.
+//! - `drain` decides what a gateway that is stopped still passes on, by the `durations` of requests, and ends the rest.
 //! - `service_load` chooses engines by the load that they report, where that is active.
 //! - `lost_connections` detects engine processes that terminated during a request; `suspicions` limits or rejects
 //!   requests whose work has crashed engines before.
@@ -15,6 +16,8 @@
 pub mod admission;
 pub mod attempt;
 pub mod config;
+pub mod drain;
+pub mod durations;
 pub mod follow;
 pub mod follower;
 pub mod forward;
--- a/crates/gateway/src/refusal.rs
+++ b/crates/gateway/src/refusal.rs
@@ -31,6 +31,10 @@
     SendTimeout,
     /// The deadline passed; the request may have executed.
     Timeout,
+    /// The gateway is being stopped and would not complete the request before.
+    Stopping,
+    /// The gateway stopped before the engine answered; the request may have executed.
+    Stopped,
     /// The engine failed; the request may have executed.
     EngineFailed,
     /// The work is suspected of crashing engines; it can be retried after this time.
@@ -53,8 +57,9 @@
             | Self::Overloaded(_)
             | Self::NoMemory
             | Self::SendTimeout
+            | Self::Stopping
             | Self::Suspected(_) => StatusCode::SERVICE_UNAVAILABLE,
-            Self::Timeout => StatusCode::GATEWAY_TIMEOUT,
+            Self::Timeout | Self::Stopped => StatusCode::GATEWAY_TIMEOUT,
             Self::EngineFailed | Self::Quarantined => StatusCode::BAD_GATEWAY,
         }
     }
@@ -74,6 +79,8 @@
             Self::Overloaded(Rejection { reason: RejectReason::Late, .. }) => "no engine expected to answer in time",
             Self::SendTimeout => "time over before any engine was given it",
             Self::Timeout => "time over",
+            Self::Stopping => "not sent on: this relay is stopping",
+            Self::Stopped => "this relay stopped before the engine answered",
             Self::EngineFailed => "engine failed",
             Self::Suspected(_) => "not sent on for now: engines have ended under this work",
             Self::Quarantined => "not sent on: engines have ended under this work",
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -2,6 +2,7 @@
 //! within the same response.
 
 use crate::attempt::{AttemptOutcome, PossibleRuns};
+use crate::drain::Expiry;
 use crate::gateway::{ChosenRoute, Gateway};
 use crate::lost_connections::RequestedWork;
 use crate::refusal::Refusal;
@@ -13,7 +14,6 @@
 use hyper::header::{CONTENT_LENGTH, HeaderValue};
 use hyper::http::response::Parts;
 use saddlerelay_http::body::{BodyInterrupted, LocalBody, Reply};
-use saddlerelay_runtime::timeout::timeout;
 use saddlerelay_types::instance::InstanceId;
 use saddlerelay_upstream::events::{EventParser, EventTooLong};
 use saddlerelay_upstream::response::ResponseStream;
@@ -28,6 +28,7 @@
     outgoing: OutgoingRequest,
     work: RequestedWork,
     service: String,
+    started_at: Duration,
     deadline: Duration,
     /// Engines tried so far; the last one is streaming.
     tried: Vec<EngineTarget>,
@@ -73,19 +74,18 @@
         let mut tried = Vec::new();
         let possible_runs = PossibleRuns::default();
         let usage = UsageGuard::new(self, &request.caller, &possible_runs);
-        let remaining = deadline.saturating_sub(self.now());
+        let started_at = self.now();
         let context = StreamContext { request: &request, work: &work, chosen, service: &service, deadline };
         let starting = self.start_stream(&context, &outgoing, &mut tried, &possible_runs);
-        let response = match timeout(&self.inner.runtime, remaining, starting).await {
-            Some(StreamStart::Response(response)) => {
+        let response = match self.run_until(deadline, starting).await {
+            Ok(StreamStart::Response(response)) => {
                 // Engines send the response head together with the first event.
                 usage.set_started_at(self.now());
                 response
             }
-            Some(StreamStart::Buffered(head, body)) => return self.client_response(&request, chosen, head, body),
-            Some(StreamStart::Refused(refusal)) => return self.refuse(&request, refusal),
-            None if possible_runs.may_have_run() => return self.refuse(&request, Refusal::Timeout),
-            None => return self.refuse(&request, Refusal::SendTimeout),
+            Ok(StreamStart::Buffered(head, body)) => return self.client_response(&request, chosen, head, body),
+            Ok(StreamStart::Refused(refusal)) => return self.refuse(&request, refusal),
+            Err(expiry) => return self.refuse(&request, expiry.refusal(possible_runs.may_have_run())),
         };
         drop(usage);
         let (mut head, stream) = response.into_stream();
@@ -100,6 +100,7 @@
             outgoing,
             work,
             service,
+            started_at,
             deadline,
             tried,
             last_event_id: None,
@@ -137,6 +138,9 @@
             if let Err(refusal) = self.check_suspicion(&context.suspect(), may_have_run).await {
                 return StreamStart::Refused(refusal);
             }
+            if !may_have_run && let Err(refusal) = self.check_completion(context.chosen, context.deadline) {
+                return StreamStart::Refused(refusal);
+            }
             let instances: Vec<InstanceId> = tried.iter().map(|target| target.instance.clone()).collect();
             let Some(engine) = self.choose_engine(context.service, route.kind, &instances) else {
                 break;
@@ -220,9 +224,11 @@
     async fn next_chunk(&mut self) -> Option<Result<Bytes, BodyInterrupted>> {
         while !self.ended {
             // An engine that always has bytes ready would otherwise keep the stream alive beyond its deadline.
-            let remaining = self.deadline.saturating_sub(self.gateway.now());
-            if remaining.is_zero() {
-                return self.finish("stream deadline exceeded", Some(Err(BodyInterrupted)));
+            if self.gateway.now() >= self.deadline {
+                return self.give_up(Expiry::Deadline);
+            }
+            if self.gateway.has_stopped() {
+                return self.give_up(Expiry::Stop);
             }
             match self.parser.next_event() {
                 Ok(Some(event)) => {
@@ -232,41 +238,55 @@
                 Ok(None) => {}
                 Err(error) => {
                     self.log_unusable(&error);
-                    if !self.continue_elsewhere(remaining).await {
+                    if !self.continue_elsewhere().await {
                         return self.finish("stream broke off", Some(Err(BodyInterrupted)));
                     }
                     continue;
                 }
             }
-            let received = timeout(&self.gateway.inner.runtime, remaining, self.body.next()).await;
+            let received = self.gateway.run_until(self.deadline, self.body.next()).await;
             match received {
-                Some(Some(Ok(bytes))) => self.parser.push(&bytes),
-                Some(None) if !self.parser.is_mid_event() => {
-                    self.gateway.record_served(&self.request, &self.work);
+                Ok(Some(Ok(bytes))) => self.parser.push(&bytes),
+                Ok(None) if !self.parser.is_mid_event() => {
+                    self.record_completion();
                     return self.finish("stream ended", None);
                 }
-                Some(interrupted) => {
+                Ok(interrupted) => {
                     if matches!(interrupted, Some(Err(Failure::ConnectionLost(_)))) {
                         self.check_lost_connection().await;
                     }
-                    let remaining = self.deadline.saturating_sub(self.gateway.now());
-                    if !self.continue_elsewhere(remaining).await {
+                    if !self.continue_elsewhere().await {
                         return self.finish("stream broke off", Some(Err(BodyInterrupted)));
                     }
                 }
-                None => return self.finish("stream deadline exceeded", Some(Err(BodyInterrupted))),
+                Err(expiry) => return self.give_up(expiry),
             }
         }
         None
     }
 
-    /// Resumes the stream at another engine within `limit`, if the route allows it; returns whether it goes on.
-    async fn continue_elsewhere(&mut self, limit: Duration) -> bool {
+    fn record_completion(&self) {
+        self.gateway.record_served(&self.request, &self.work);
+        let duration = self.gateway.now().saturating_sub(self.started_at);
+        self.chosen.table.record_duration(self.chosen.index, duration);
+    }
+
+    /// Ends a stream that is not complete.
+    fn give_up(&mut self, expiry: Expiry) -> Option<Result<Bytes, BodyInterrupted>> {
+        let event = match expiry {
+            Expiry::Deadline => "stream deadline exceeded",
+            Expiry::Stop => "stream interrupted by the stop of the relay",
+        };
+        self.finish(event, Some(Err(BodyInterrupted)))
+    }
+
+    /// Resumes the stream at another engine before its deadline, if the route allows it; returns whether it goes on.
+    async fn continue_elsewhere(&mut self) -> bool {
         if !self.may_resume() {
             return false;
         }
-        let runtime = self.gateway.inner.runtime.clone();
-        timeout(&runtime, limit, self.resume()).await.unwrap_or(false)
+        let (gateway, deadline) = (self.gateway.clone(), self.deadline);
+        gateway.run_until(deadline, self.resume()).await.unwrap_or(false)
     }
 
     fn log_unusable(&self, reason: &EventTooLong) {
--- a/crates/gateway/src/table.rs
+++ b/crates/gateway/src/table.rs
@@ -1,5 +1,6 @@
 //! Matches requests to routes, and picks a service among a route's weighted targets.
 
+use crate::durations::RecentDurations;
 use crate::keys::ApiKeyIndex;
 use saddlerelay_types::identity::TenantId;
 use saddlerelay_types::routing::{Route, RoutingDocument};
@@ -8,6 +9,7 @@
 use std::cell::RefCell;
 use std::collections::BTreeMap;
 use std::rc::Rc;
+use std::time::Duration;
 
 /// Fractional part of the golden ratio. The fractional parts of its multiples are evenly distributed between 0 and 1.
 const GOLDEN_RATIO: f64 = 0.618_033_988_749_895;
@@ -22,6 +24,8 @@
     by_host: BTreeMap<String, Vec<usize>>,
     /// Weighted round-robin state of each route.
     round_robins: RefCell<Vec<WeightedRoundRobin>>,
+    /// Durations of each route's requests, shared with the tables of other documents.
+    durations: Vec<Rc<RecentDurations>>,
     /// The tenants' API keys; `None` if authentication is disabled.
     keys: Option<Rc<ApiKeyIndex>>,
     has_public_routes: bool,
@@ -51,34 +55,39 @@
         let tenants = document.tenants.iter().flatten();
         let tenant_priorities = tenants.filter_map(|tenant| Some((tenant.name.clone(), tenant.priority?))).collect();
         let round_robins = RefCell::new(round_robins);
-        Self { document, by_host, round_robins, keys, has_public_routes, tenant_priorities }
+        let durations = document.routes.iter().map(|_| Rc::default()).collect();
+        Self { document, by_host, round_robins, durations, keys, has_public_routes, tenant_priorities }
     }
 
-    /// Indexes a document that replaces that of `previous`. Routes with unchanged targets keep their round-robin state.
-    /// Other routes start at a position that varies with the version: with frequent updates, a fixed start would send
-    /// most requests to the same target. The index of unchanged keys is reused.
+    /// Indexes a document that replaces that of `previous`. Routes keep their durations, and with unchanged targets
+    /// their round-robin state. Other routes start at a position that varies with the version: with frequent updates, a
+    /// fixed start would send most requests to the same target. The index of unchanged keys is reused.
     pub fn replacing(document: RoutingDocument, previous: Option<&Self>, offset: f64) -> Self {
         let start = (offset + (document.version % VERSION_CYCLE) as f64 * GOLDEN_RATIO).fract();
         let Some(previous) = previous else {
             return Self::new(document, start);
         };
-        let table = if document.tenants == previous.document.tenants {
+        let mut table = if document.tenants == previous.document.tenants {
             Self::with_keys(document, start, previous.keys.clone())
         } else {
             Self::new(document, start)
         };
-        table.copy_round_robins_from(previous);
+        table.copy_route_state_from(previous);
         table
     }
 
-    fn copy_round_robins_from(&self, previous: &Self) {
+    fn copy_route_state_from(&mut self, previous: &Self) {
         let previous_round_robins = previous.round_robins.borrow();
         let location = |route: &Route| (route.host.clone(), route.path_prefix.clone());
         let indexes: BTreeMap<_, usize> =
             previous.document.routes.iter().enumerate().map(|(index, route)| (location(route), index)).collect();
-        for (round_robin, route) in self.round_robins.borrow_mut().iter_mut().zip(&self.document.routes) {
-            let index = indexes.get(&location(route)).copied();
-            if let Some(index) = index.filter(|index| previous.document.routes[*index].targets == route.targets) {
+        let states = self.round_robins.get_mut().iter_mut().zip(&mut self.durations);
+        for ((round_robin, durations), route) in states.zip(&self.document.routes) {
+            let Some(index) = indexes.get(&location(route)).copied() else {
+                continue;
+            };
+            *durations = previous.durations[index].clone();
+            if previous.document.routes[index].targets == route.targets {
                 round_robin.clone_from(&previous_round_robins[index]);
             }
         }
@@ -117,6 +126,19 @@
         own.copied().unwrap_or(self.route(index).priority)
     }
 
+    /// Records how long a successful request on a route took.
+    pub fn record_duration(&self, index: usize, duration: Duration) {
+        self.durations[index].record(duration);
+    }
+
+    /// How long a request on a route is expected to take: as long as the longest recent one. Before the first one it is
+    /// the route's objective, or its timeout if it has none.
+    pub fn expected_duration(&self, index: usize) -> Duration {
+        let route = self.route(index);
+        let configured_ms = if route.objective_ms == 0 { route.timeout_ms } else { route.objective_ms };
+        self.durations[index].longest().unwrap_or(Duration::from_millis(configured_ms))
+    }
+
     /// Picks the next service of a route by weighted round-robin.
     pub fn next_service(&self, index: usize) -> &str {
         let targets = &self.document.routes[index].targets;
--- a/crates/gateway/tests/choice.rs
+++ b/crates/gateway/tests/choice.rs
@@ -88,6 +88,26 @@
     assert!((15..=25).contains(&counts[1]), "{counts:?}");
 }
 
+// Guards against requests that are passed on late in a planned stop because nothing is known of their duration.
+#[test]
+fn a_request_is_expected_to_take_as_long_as_the_longest_recent_one_on_its_route() {
+    let unlimited = Route { objective_ms: 0, ..route("b", "/", &[1]) };
+    let table = RouteTable::new(document(1, vec![route("a", "/", &[1]), unlimited]), 0.0);
+    let at = Duration::from_millis;
+    assert_eq!([table.expected_duration(0), table.expected_duration(1)], [at(100), at(1_000)]);
+    for milliseconds in [20, 700, 30] {
+        table.record_duration(0, at(milliseconds));
+    }
+    assert_eq!([table.expected_duration(0), table.expected_duration(1)], [at(700), at(1_000)]);
+    let other_weights = document(2, vec![route("a", "/", &[1, 2])]);
+    let table = RouteTable::replacing(other_weights, Some(&table), 0.0);
+    assert_eq!(table.expected_duration(0), at(700), "a change of the document forgets the durations");
+    for _ in 0..1_000 {
+        table.record_duration(0, at(20));
+    }
+    assert_eq!(table.expected_duration(0), at(20), "a single long request counts forever");
+}
+
 fn update(base: Option<&RoutingDocument>, version: u64) -> EncodedRoutingUpdate {
     EncodedRoutingUpdate::encode(&RoutingUpdate::between(base, &document(version, Vec::new())))
 }
