--- a/crates/engine-client/tests/interrupted_responses.rs
+++ b/crates/engine-client/tests/interrupted_responses.rs
@@ -105,7 +105,7 @@
         for cut in 0..=response.len() {
             // A pool of its own, so that each call opens a connection.
             let addresses = BackendAddresses { scorer: Some(address), platform: Some(address) };
-            let backends = HttpBackends::new(addresses).expect("the client starts");
+            let backends = HttpBackends::new(addresses);
             let result = compio::time::timeout(TEST_TIMEOUT, call(&backends, &engine(address))).await;
             results.push((cut, result.expect("the call ends")));
         }
--- a/crates/gateway/src/drain.rs
+++ b/crates/gateway/src/drain.rs
@@ -5,6 +5,7 @@
 use futures::future::{self, Either};
 use saddlerelay_runtime::Runtime;
 use saddlerelay_runtime::signal::Signal;
+use saddlerelay_runtime::timeout::timeout;
 use std::cell::Cell;
 use std::pin::pin;
 use std::time::Duration;
@@ -74,7 +75,7 @@
     /// Runs `work` until `deadline` in monotonic time, and no longer than the gateway works on requests.
     pub(crate) async fn run_until<F: Future>(&self, deadline: Duration, work: F) -> Result<F::Output, Expiry> {
         let remaining = deadline.saturating_sub(self.now());
-        let limited = saddlerelay_runtime::timeout::timeout(&self.inner.runtime, remaining, work);
+        let limited = timeout(&self.inner.runtime, remaining, work);
         self.until_stopped(limited).await.ok_or(Expiry::Stop)?.ok_or(Expiry::Deadline)
     }
 
