Bound the texts of all items together, and what is saved of them at once

What callers would see: an engine that answers items with valid events without end makes the leader hold up to 8 MB for each of its items and save all of them in the replicated state; the process ends by its memory, and the next leader takes over the same items and texts.

Cause: each text was bounded, all together were not; every 300 ms all unsaved text was copied twice and proposed at the same time.

Now the texts of open jobs share 15 % of the machine's memory: when a text has grown by another 64 KiB while they hold more, its attempt ends, the text is discarded, also where it is saved, and the engine is left alone for a while. Texts are saved in rounds of 1 MiB, four at each interval, beginning after the last item saved; results are proposed eight commands at a time.

--- a/crates/command-line/src/member.rs
+++ b/crates/command-line/src/member.rs
@@ -271,6 +271,7 @@
         CoordinatorConfig {
             batch_order: settings.scheduling.batch_order,
             placement: settings.scheduling.placement,
+            text_memory: settings.clients.text_memory_bytes(),
             ..CoordinatorConfig::default()
         },
     );
--- a/crates/coordinator/src/config.rs
+++ b/crates/coordinator/src/config.rs
@@ -4,6 +4,9 @@
 use saddlerelay_scheduling::Activation;
 use std::time::Duration;
 
+/// Default of [`CoordinatorConfig::text_memory`], in bytes.
+const DEFAULT_TEXT_MEMORY: usize = 12 * 1024 * 1024;
+
 /// Timeouts and limits.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct CoordinatorConfig {
@@ -23,6 +26,8 @@
     pub item_deadline_margin: Duration,
     /// Interval at which texts of running items are saved.
     pub save_interval: Duration,
+    /// Memory for the texts of all items of open jobs, in bytes.
+    pub text_memory: usize,
     /// Timeout of an order or a report request, at most `ORDER_DELIVERY_LIMIT`.
     pub order_timeout: Duration,
     /// Expected duration of a weight load; the first poll for completion follows after it.
@@ -52,6 +57,7 @@
             engine_backoff: Duration::from_millis(400),
             item_deadline_margin: Duration::from_millis(2_000),
             save_interval: Duration::from_millis(300),
+            text_memory: DEFAULT_TEXT_MEMORY,
             order_timeout: ORDER_DELIVERY_LIMIT,
             expected_load_time: Duration::from_millis(1_010),
             load_poll_interval: Duration::from_millis(110),
--- a/crates/coordinator/src/item.rs
+++ b/crates/coordinator/src/item.rs
@@ -24,6 +24,9 @@
 /// Maximum size of a text, in bytes.
 const MAX_TEXT_BYTES: usize = 8 * 1024 * 1024;
 
+/// Growth of a text after which the texts of all items are added up, in bytes.
+const TEXT_CHECK_BYTES: usize = 64 * 1024;
+
 /// Result of an attempt.
 #[derive(Clone, Debug, PartialEq, Eq)]
 enum AttemptEnd {
@@ -49,6 +52,8 @@
     UnfitVersion(u64),
     /// The text exceeds what the item can have; the engine does not end it.
     TooLong,
+    /// The text has grown while the texts of all items hold too much memory.
+    NoTextMemory,
     /// The item's deadline passed while the engine was still generating.
     DeadlineExceeded,
 }
@@ -224,12 +229,17 @@
                 Err(error) => return AttemptEnd::BrokeOff(error.to_string()),
             };
             version = event.extra_value.as_ref().and_then(|value| value.parse().ok()).unwrap_or(version);
+            let previous_bytes = start.text.borrow().bytes();
             if let Some(end) = append_event(start, &event, version) {
                 return end;
             }
             if exceeds_limits(start) {
                 return AttemptEnd::TooLong;
             }
+            let is_check_due = previous_bytes / TEXT_CHECK_BYTES != start.text.borrow().bytes() / TEXT_CHECK_BYTES;
+            if is_check_due && coordinator.text_bytes() > inner.config.text_memory {
+                return AttemptEnd::NoTextMemory;
+            }
             let now = coordinator.now();
             if now >= start.item_deadline {
                 return AttemptEnd::DeadlineExceeded;
@@ -282,6 +292,12 @@
 }
 
 impl<B: Backends> Coordinator<B> {
+    /// Size of the texts of all items of open jobs, in bytes.
+    fn text_bytes(&self) -> usize {
+        let jobs = self.inner.jobs.borrow();
+        jobs.values().flat_map(|job| &job.items).map(|item| item.text.borrow().bytes()).sum()
+    }
+
     /// Ends the item's wait, after an engine responded with a success status.
     fn record_response_start(&self, start: &PlannedAttempt) {
         let mut jobs = self.inner.jobs.borrow_mut();
@@ -333,10 +349,10 @@
                 run.avoid = None;
             }
             AttemptEnd::OtherVersion(version) => self.record_other_version(start, version, backoff_until),
-            AttemptEnd::UnfitVersion(_) => *start.text.borrow_mut() = text::ItemText::default(),
-            AttemptEnd::TooLong => {
+            AttemptEnd::UnfitVersion(_) => start.text.borrow_mut().discard(),
+            AttemptEnd::TooLong | AttemptEnd::NoTextMemory => {
                 // It is not known from which event on the text is wrong.
-                *start.text.borrow_mut() = text::ItemText::default();
+                start.text.borrow_mut().discard();
                 inner.fleet.back_off_until(&start.target.instance, backoff_until);
             }
             // The next plan aborts the item.
--- a/crates/coordinator/src/listing.rs
+++ b/crates/coordinator/src/listing.rs
@@ -3,12 +3,15 @@
 use crate::coordinator::Coordinator;
 use crate::job_run::Phase;
 use crate::text::ItemText;
+use futures::StreamExt;
 use futures::future::join_all;
+use futures::stream;
 use saddlerelay_replication::ProposeError;
 use saddlerelay_runtime::Runtime;
 use saddlerelay_runtime::backend::Backends;
 use saddlerelay_types::gateway::{GatewayCommand, GatewayOutcome};
 use saddlerelay_types::job::{ItemOutcome, JobId, TextPart};
+use std::collections::BTreeMap;
 use std::time::Duration;
 
 /// How long results are collected into a batch.
@@ -20,6 +23,16 @@
 /// No further entry is added to a command once it has this many bytes of text.
 const MAX_COMMAND_BYTES: usize = 128 * 1024;
 
+/// Maximum number of commands with results or texts that are proposed at the same time.
+const MAX_CONCURRENT_COMMANDS: usize = 8;
+
+/// Text that is copied from running items at once, in bytes; the last one may exceed it.
+const MAX_ROUND_BYTES: usize = MAX_CONCURRENT_COMMANDS * MAX_COMMAND_BYTES;
+
+/// Maximum number of rounds in which texts are saved at each interval: the texts of engines that send faster than this are
+/// saved later, or with the results.
+const MAX_ROUNDS: usize = 4;
+
 /// Minimum number of unsaved bytes for which the text of a running item is saved.
 const MIN_PART_BYTES: usize = 2 * 1024;
 
@@ -30,20 +43,37 @@
         self.inner.outcomes_queued.notify();
     }
 
-    /// Unsaved parts of the texts of running items.
-    fn unsaved_parts(&self) -> Vec<(JobId, Vec<TextPart>)> {
+    /// Running items whose text has a part to be saved, beginning after `last`.
+    fn items_to_save(&self, last: &Option<(JobId, u32)>) -> Vec<(JobId, u32)> {
         let jobs = self.inner.jobs.borrow();
-        let unsaved = jobs.iter().map(|(id, run)| {
+        let unsaved = jobs.iter().flat_map(|(id, run)| {
             let not_ended = run.items.iter().enumerate().filter(|(_, item)| !matches!(item.phase, Phase::Ended));
-            let parts = not_ended.filter_map(|(index, item)| {
-                let text = item.text.borrow();
-                // A complete text is always saved, so that the next leader can score it without generating it again.
-                let should_save = text.unsaved_bytes() >= MIN_PART_BYTES || text.is_completion_unsaved();
-                should_save.then(|| text.unsaved_part(index as u32))
-            });
-            (id.clone(), parts.collect::<Vec<_>>())
+            let to_save = not_ended.filter(|(_, item)| should_save(&item.text.borrow()));
+            to_save.map(|(index, _)| (id.clone(), index as u32))
         });
-        unsaved.filter(|(_, parts)| !parts.is_empty()).collect()
+        let mut to_save: Vec<(JobId, u32)> = unsaved.collect();
+        let first = to_save.partition_point(|item| last.as_ref().is_some_and(|last| item <= last));
+        to_save.rotate_left(first);
+        to_save
+    }
+
+    /// Takes items from `to_save` and copies the unsaved parts of their texts, up to [`MAX_ROUND_BYTES`].
+    fn next_round(&self, to_save: &mut impl Iterator<Item = (JobId, u32)>) -> Round {
+        let jobs = self.inner.jobs.borrow();
+        let mut round = Round::default();
+        let mut bytes = 0;
+        while bytes < MAX_ROUND_BYTES
+            && let Some((job, index)) = to_save.next()
+        {
+            let item = jobs.get(&job).and_then(|run| run.items.get(index as usize));
+            if let Some(item) = item.filter(|item| !matches!(item.phase, Phase::Ended)) {
+                let part = item.text.borrow().unsaved_part(index);
+                bytes += part.data.len();
+                round.parts.entry(job.clone()).or_default().push(part);
+            }
+            round.last = Some((job, index));
+        }
+        round
     }
 
     fn mark_saved(&self, job: &JobId, parts: &[TextPart]) {
@@ -74,23 +104,48 @@
             parts.into_iter().map(move |part| (job.clone(), part))
         });
         // Proposed concurrently, so that the log can batch them.
-        join_all(parts.map(|(job, part)| commit_outcomes(&coordinator, job, part))).await;
+        let commits = stream::iter(parts)
+            .for_each_concurrent(MAX_CONCURRENT_COMMANDS, |(job, part)| commit_outcomes(&coordinator, job, part));
+        commits.await;
     }
 }
 
 /// Periodically saves the texts of running items, so that the next leader can resume them; runs until the process ends.
 pub(crate) async fn save_partial_texts<B: Backends>(coordinator: Coordinator<B>) {
     let inner = &coordinator.inner;
+    let mut last = None;
     loop {
         inner.runtime.sleep(inner.config.save_interval).await;
-        let unsaved = coordinator.unsaved_parts().into_iter().flat_map(|(job, parts)| {
-            let commands = split_into_commands(parts, |part| part.data.len());
-            commands.into_iter().map(move |parts| (job.clone(), parts))
-        });
-        join_all(unsaved.map(|(job, parts)| save_parts(&coordinator, job, parts))).await;
+        let mut to_save = coordinator.items_to_save(&last).into_iter().peekable();
+        for _ in 0..MAX_ROUNDS {
+            if to_save.peek().is_none() {
+                break;
+            }
+            let round = coordinator.next_round(&mut to_save);
+            last = round.last;
+            let commands = round.parts.into_iter().flat_map(|(job, parts)| {
+                let commands = split_into_commands(parts, |part| part.data.len());
+                commands.into_iter().map(move |parts| (job.clone(), parts))
+            });
+            join_all(commands.map(|(job, parts)| save_parts(&coordinator, job, parts))).await;
+        }
     }
 }
 
+/// Parts of texts that are saved at the same time.
+#[derive(Default)]
+struct Round {
+    parts: BTreeMap<JobId, Vec<TextPart>>,
+    /// The last item that was looked at.
+    last: Option<(JobId, u32)>,
+}
+
+/// Whether a part of the text is to be saved. A complete text is always saved, so that the next leader can score it without
+/// generating it again.
+fn should_save(text: &ItemText) -> bool {
+    text.unsaved_bytes() >= MIN_PART_BYTES || text.is_completion_unsaved() || text.replaces_saved()
+}
+
 async fn save_parts<B: Backends>(coordinator: &Coordinator<B>, job: JobId, parts: Vec<TextPart>) {
     let command = GatewayCommand::SaveTexts { job: job.clone(), parts: parts.clone() };
     if coordinator.inner.node.commit_gateway(command).await == Ok(GatewayOutcome::Done) {
--- a/crates/coordinator/src/text.rs
+++ b/crates/coordinator/src/text.rs
@@ -17,6 +17,8 @@
     complete: bool,
     /// Whether the replicated state has the text marked as complete.
     saved_as_complete: bool,
+    /// Whether the replicated state has an earlier text of the item, which was discarded.
+    replaces_saved: bool,
 }
 
 impl ItemText {
@@ -35,9 +37,16 @@
             saved: 0,
             complete: partial.whole,
             saved_as_complete: false,
+            replaces_saved: false,
         }
     }
 
+    /// Discards the text. What is saved of it is replaced with the next save, even if that is empty.
+    pub fn discard(&mut self) {
+        let replaces_saved = self.saved > 0 || self.replaces_saved;
+        *self = Self { replaces_saved, ..Self::default() };
+    }
+
     /// A complete text copied from the result of an item of another job; nothing of it is saved for this item.
     pub fn copied_complete(text: &[u8], versions: &[u64]) -> Self {
         Self {
@@ -96,6 +105,11 @@
         self.data.len() - self.saved
     }
 
+    /// Whether the replicated state still has a text that was discarded.
+    pub fn replaces_saved(&self) -> bool {
+        self.replaces_saved
+    }
+
     /// Whether the text is complete but not yet saved as such.
     pub fn is_completion_unsaved(&self) -> bool {
         self.complete && !self.saved_as_complete
@@ -121,6 +135,7 @@
         if is_same_text && self.saved == part.offset as usize {
             self.saved = end;
             self.saved_as_complete = part.whole;
+            self.replaces_saved = false;
         }
     }
 
--- a/crates/settings/src/clients.rs
+++ b/crates/settings/src/clients.rs
@@ -9,6 +9,9 @@
 /// Part of the machine's memory that is for large replies to other processes of the deployment, in percent.
 const REPLY_MEMORY_PERCENT: u64 = 15;
 
+/// Part of the machine's memory that is for the texts of items of open jobs, in percent.
+const TEXT_MEMORY_PERCENT: u64 = 15;
+
 /// Memory of the connection to a client beside its requests and responses, in bytes: buffers and a head.
 const CONNECTION_BYTES: u64 = 32 * 1024;
 
@@ -44,6 +47,11 @@
         self.share_of_memory(REPLY_MEMORY_PERCENT)
     }
 
+    /// Memory for the texts of items of open jobs, in bytes.
+    pub fn text_memory_bytes(&self) -> usize {
+        self.share_of_memory(TEXT_MEMORY_PERCENT)
+    }
+
     fn share_of_memory(&self, percent: u64) -> usize {
         (self.machine_memory_mb * BYTES_PER_MEGABYTE * percent / 100) as usize
     }
