--- a/bin/saddlerelay/tests/client_crowds/crowd.rs
+++ b/bin/saddlerelay/tests/client_crowds/crowd.rs
@@ -1,5 +1,4 @@
 //! Crowds of clients that hold connections open without completing what they began.
-#![allow(dead_code)]
 
 use saddlerelay_types::job::{ItemId, JobId, JobItem, JobSubmission};
 use std::io::{ErrorKind, Read, Write};
--- a/bin/saddlerelay/tests/client_crowds/main.rs
+++ b/bin/saddlerelay/tests/client_crowds/main.rs
@@ -4,6 +4,7 @@
 
 mod crowd;
 mod gateways;
+#[allow(dead_code, reason = "shared with other test programs")]
 mod processes;
 
 use crowd::{Crowd, Shape, Target, call};
--- a/bin/saddlerelay/tests/client_crowds/processes.rs
+++ b/bin/saddlerelay/tests/client_crowds/processes.rs
@@ -1,5 +1,4 @@
 //! A coordinator and a gateway as processes of the product, and a stand-in engine behind them.
-#![allow(dead_code)]
 
 use super::crowd::call;
 use rustix::process::{Pid, Resource, Rlimit, Signal, getrlimit, kill_process, setrlimit};
--- a/bin/saddlerelay/tests/planned_stop.rs
+++ b/bin/saddlerelay/tests/planned_stop.rs
@@ -1,7 +1,9 @@
 //! A planned stop of a gateway as a real process, with requests that may not be repeated.
 
+#[allow(dead_code, reason = "each test program uses its own shapes")]
 #[path = "client_crowds/crowd.rs"]
 mod crowd;
+#[allow(dead_code, reason = "each test program uses its own parts of a deployment")]
 #[path = "client_crowds/processes.rs"]
 mod processes;
 
