A saved text that is replaced gives the memory of the longer one back

A partial text in the replicated state kept the capacity of the longest text that its item ever had, also after it was discarded: with items that engines send large events to, each kept megabytes at every replica. Replacing from the start now takes a buffer of the new part's size.

--- a/crates/types/src/job.rs
+++ b/crates/types/src/job.rs
@@ -210,8 +210,13 @@
         if offset > self.data.len() {
             return false;
         }
-        self.data.truncate(offset);
-        self.data.extend_from_slice(&part.data);
+        if offset == 0 {
+            // Gives back the memory of a longer text.
+            self.data = part.data.clone();
+        } else {
+            self.data.truncate(offset);
+            self.data.extend_from_slice(&part.data);
+        }
         self.events = part.events;
         self.last_event = part.last_event;
         self.versions.clone_from(&part.versions);
