An item's stream is not read on while too much of its text is unsaved

An engine that sends without end outran what the group saves, so that the parts to be saved grew to megabytes, several copies each.

--- a/crates/coordinator/src/item.rs
+++ b/crates/coordinator/src/item.rs
@@ -8,6 +8,7 @@
 use crate::waits::WaitReason;
 use hyper::header::{HOST, HeaderMap, HeaderName, HeaderValue};
 use hyper::{Method, StatusCode};
+use saddlerelay_runtime::Runtime;
 use saddlerelay_runtime::backend::Backends;
 use saddlerelay_scheduling::LoadReport;
 use saddlerelay_types::identity::TenantId;
@@ -27,6 +28,12 @@
 /// Growth of a text after which the texts of all items are added up, in bytes.
 const TEXT_CHECK_BYTES: usize = 64 * 1024;
 
+/// Size of the unsaved part of a text beyond which its stream is not read on, in bytes.
+const MAX_UNSAVED_BYTES: usize = 256 * 1024;
+
+/// Interval at which an attempt checks whether its text has been saved.
+const SAVE_POLL_INTERVAL: Duration = Duration::from_millis(20);
+
 /// Result of an attempt.
 #[derive(Clone, Debug, PartialEq, Eq)]
 enum AttemptEnd {
@@ -208,6 +215,10 @@
     let mut last_event_at = None;
     let mut event_due_at = coordinator.now() + inner.config.event_timeout;
     loop {
+        match wait_until_saved(coordinator, start).await {
+            Ok(waited) => event_due_at += waited,
+            Err(end) => return end,
+        }
         // The timeout is that of a whole event: bytes that never make one must not extend it.
         let remaining = event_due_at.saturating_sub(coordinator.now());
         if remaining.is_zero() {
@@ -264,6 +275,22 @@
     AttemptEnd::Whole
 }
 
+/// Waits until no more than [`MAX_UNSAVED_BYTES`] of the text are unsaved, so that an engine sends no faster than the group can
+/// save. Returns how long that took.
+async fn wait_until_saved<B: Backends>(
+    coordinator: &Coordinator<B>,
+    start: &PlannedAttempt,
+) -> Result<Duration, AttemptEnd> {
+    let began_at = coordinator.now();
+    while start.text.borrow().unsaved_bytes() > MAX_UNSAVED_BYTES {
+        if coordinator.now() >= start.item_deadline {
+            return Err(AttemptEnd::DeadlineExceeded);
+        }
+        coordinator.inner.runtime.sleep(SAVE_POLL_INTERVAL).await;
+    }
+    Ok(coordinator.now().saturating_sub(began_at))
+}
+
 /// Whether the text has more events than its request allows tokens, or is too large for a result.
 fn exceeds_limits(start: &PlannedAttempt) -> bool {
     let text = start.text.borrow();
