--- a/crates/upstream/src/response.rs
+++ b/crates/upstream/src/response.rs
@@ -13,6 +13,9 @@
 use std::fmt;
 use std::time::Duration;
 
+/// Longest wait for a connection to be ready for its next request after a complete response.
+const REUSE_WAIT: Duration = Duration::from_millis(20);
+
 /// Idle timeout of a connection if the engine sends no `Keep-Alive` timeout.
 const DEFAULT_IDLE_TIMEOUT: Duration = Duration::from_millis(2_500);
 
@@ -134,11 +137,12 @@
     Failure::ConnectionLost(format!("response interrupted: {error}"))
 }
 
-/// Returns the connection after a complete response, if it can be reused.
+/// Returns the connection after a complete response, if it can be reused. A response may be complete before its request is
+/// sent; it does not wait for the rest of the request.
 async fn reusable(mut connection: Connection, idle: Option<Duration>) -> Option<Connection> {
     connection.end_request();
     let idle = idle?;
-    if !connection.is_ready().await {
+    if compio::time::timeout(REUSE_WAIT, connection.is_ready()).await != Ok(true) {
         return None;
     }
     connection.mark_idle(idle);
