Tests: one order, one engine, one generation and one read of a head for the test programs that use them

The new tests of responses without end and of responses that break off had written them again. No check is changed; the order of expired_permission now carries a request identifier, which it did not look at.

--- a/crates/engine-client/tests/endless_responses.rs
+++ b/crates/engine-client/tests/endless_responses.rs
@@ -1,12 +1,15 @@
 //! Engines and scorers that send a body without end: each call ends with an error, and its connection is closed.
 
+mod common;
+
+use common::{engine, generation_request};
 use compio::runtime::Runtime;
 use futures::StreamExt;
 use saddlerelay_engine_client::{BackendAddresses, HttpBackends};
 use saddlerelay_runtime::backend::{Backends, EngineConnection};
-use saddlerelay_types::engine::{EngineAction, EngineDescription, EngineOrder, EngineRequest};
-use saddlerelay_types::identity::{EngineId, Fence, ModelName, WeightVersion, Zone};
-use saddlerelay_types::request::{Generation, Priority};
+use saddlerelay_types::engine::{EngineAction, EngineOrder};
+use saddlerelay_types::identity::{Fence, WeightVersion};
+use saddlerelay_types::request::Generation;
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpListener};
 use std::thread::JoinHandle;
@@ -40,16 +43,6 @@
     (address, server)
 }
 
-fn engine(address: SocketAddr) -> EngineDescription {
-    EngineDescription {
-        id: EngineId("engine-1".to_string()),
-        address,
-        zone: Zone::new("north"),
-        model: ModelName::new("notes"),
-        slots: 1,
-    }
-}
-
 /// Runs `call` against a server that sends without end; returns whether the call succeeded.
 fn call<F: Future<Output = bool>>(
     head: &'static str,
@@ -94,7 +87,7 @@
     }));
     assert!(!call("", INTERIM_RESPONSE, async |backends, address| {
         let connection = backends.connect(&engine(address)).await.expect("the engine accepts the connection");
-        connection.generate(request()).await.is_ok()
+        connection.generate(generation_request()).await.is_ok()
     }));
 }
 
@@ -108,24 +101,13 @@
     assert!(!call("", INTERIM_RESPONSE, async |backends, _| backends.machines().await.is_ok()));
 }
 
-fn request() -> EngineRequest {
-    EngineRequest {
-        attempt_id: 1,
-        prompt: "a prompt".to_string(),
-        resume_tokens: Vec::new(),
-        max_tokens: 8,
-        seed: 1,
-        priority: Priority::Rollout,
-    }
-}
-
 /// Guards against a generation whose stream has an event that never ends.
 #[test]
 fn a_generation_with_an_event_that_never_ends_breaks_off() {
     let head = "HTTP/1.1 200 OK\r\ncontent-type: text/event-stream\r\n\r\ndata: ";
     let succeeded = call(head, "an event that never ends", async |backends, address| {
         let connection = backends.connect(&engine(address)).await.expect("the engine accepts the connection");
-        let mut stream = connection.generate(request()).await.expect("the engine responds");
+        let mut stream = connection.generate(generation_request()).await.expect("the engine responds");
         stream.next().await.is_some_and(|event| event.is_ok())
     });
     assert!(!succeeded);
--- a/crates/engine-client/tests/given_up_orders.rs
+++ b/crates/engine-client/tests/given_up_orders.rs
@@ -1,10 +1,13 @@
 //! An order that its sender gives up is taken back as far as it has not reached the engine.
 
+mod common;
+
+use common::engine;
 use compio::runtime::Runtime;
 use saddlerelay_engine_client::{BackendAddresses, HttpBackends};
 use saddlerelay_runtime::backend::Backends;
-use saddlerelay_types::engine::{EngineAction, EngineDescription, EngineOrder};
-use saddlerelay_types::identity::{EngineId, Fence, ModelName, WeightVersion, Zone};
+use saddlerelay_types::engine::{EngineAction, EngineOrder};
+use saddlerelay_types::identity::{Fence, WeightVersion};
 use std::cell::Cell;
 use std::future::poll_fn;
 use std::io::{ErrorKind, Read};
@@ -48,15 +51,8 @@
 /// Sends an order and gives it up after `PATIENCE`, as the leader does.
 async fn give_up_order(address: SocketAddr) {
     let backends = HttpBackends::new(BackendAddresses { scorer: None, platform: None });
-    let engine = EngineDescription {
-        id: EngineId("engine-1".to_string()),
-        address,
-        zone: Zone::new("north"),
-        model: ModelName::new("notes"),
-        slots: 1,
-    };
     let order = EngineOrder { fence: Fence(1), action: EngineAction::LoadWeights(WeightVersion(2)) };
-    let outcome = compio::time::timeout(PATIENCE, backends.order(&engine, order)).await;
+    let outcome = compio::time::timeout(PATIENCE, backends.order(&engine(address), order)).await;
     assert!(outcome.is_err(), "the engine sent no response");
 }
 
--- a/crates/engine-client/tests/interrupted_responses.rs
+++ b/crates/engine-client/tests/interrupted_responses.rs
@@ -1,13 +1,16 @@
 //! Engines and scorers that break a response off, at each of its bytes: no part of a response may be taken for a whole one,
 //! and a generation has exactly the chunks that have arrived whole.
 
+mod common;
+
+use common::{engine, generation_request};
 use compio::runtime::Runtime;
 use futures::StreamExt;
 use saddlerelay_engine_client::{BackendAddresses, HttpBackends};
 use saddlerelay_runtime::backend::{Backends, EngineConnection};
-use saddlerelay_types::engine::{EngineAction, EngineDescription, EngineOrder, EngineRequest};
-use saddlerelay_types::identity::{EngineId, Fence, ModelName, WeightVersion, Zone};
-use saddlerelay_types::request::{Generation, Priority};
+use saddlerelay_types::engine::{EngineAction, EngineDescription, EngineOrder};
+use saddlerelay_types::identity::{Fence, WeightVersion};
+use saddlerelay_types::request::Generation;
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpListener};
 use std::thread::JoinHandle;
@@ -81,16 +84,6 @@
     (address, server)
 }
 
-fn engine(address: SocketAddr) -> EngineDescription {
-    EngineDescription {
-        id: EngineId("engine-1".to_string()),
-        address,
-        zone: Zone::new("north"),
-        model: ModelName::new("notes"),
-        slots: 1,
-    }
-}
-
 /// Breaks `response` off after each number of its bytes, the whole response included; returns what `call` made of each part.
 fn read_each_part<T>(
     response: &str,
@@ -172,15 +165,7 @@
 /// The sequence numbers of the chunks that a generation received, each with whether it ended the text.
 async fn generate(backends: &HttpBackends, engine: &EngineDescription) -> Vec<(u32, bool)> {
     let connection = backends.connect(engine).await.expect("the engine accepts the connection");
-    let request = EngineRequest {
-        attempt_id: 1,
-        prompt: "a prompt".to_string(),
-        resume_tokens: Vec::new(),
-        max_tokens: 8,
-        seed: 1,
-        priority: Priority::Rollout,
-    };
-    let Ok(mut stream) = connection.generate(request).await else {
+    let Ok(mut stream) = connection.generate(generation_request()).await else {
         return Vec::new();
     };
     let mut chunks = Vec::new();
--- a/crates/gateway-api/tests/common/endless.rs
+++ b/crates/gateway-api/tests/common/endless.rs
@@ -97,6 +97,13 @@
 
 /// Reads a request's head; returns its identifier.
 async fn read_request_id(stream: &mut TcpStream) -> Option<String> {
+    let head = read_head(stream).await?;
+    let id = head.lines().find_map(|line| line.strip_prefix("saddlerelay-request: "));
+    Some(id.unwrap_or_default().trim().to_string())
+}
+
+/// Reads the head of a request, and what has arrived with it; `None` if the connection ends before.
+pub async fn read_head(stream: &mut TcpStream) -> Option<String> {
     let mut received: Vec<u8> = Vec::new();
     loop {
         let BufResult(count, buffer) = stream.read(Vec::with_capacity(4_096)).await;
@@ -106,8 +113,7 @@
         received.extend_from_slice(&buffer);
         let text = String::from_utf8_lossy(&received);
         if text.contains("\r\n\r\n") {
-            let id = text.lines().find_map(|line| line.strip_prefix("saddlerelay-request: "));
-            return Some(id.unwrap_or_default().trim().to_string());
+            return Some(text.into_owned());
         }
     }
 }
--- a/crates/gateway-api/tests/interrupted_responses.rs
+++ b/crates/gateway-api/tests/interrupted_responses.rs
@@ -3,9 +3,9 @@
 
 mod common;
 
+use common::endless::read_head;
 use common::{Deployment, HOST, block_on, document, instance, job, notes, report, rollouts, route};
-use compio::BufResult;
-use compio::io::{AsyncRead, AsyncWriteExt};
+use compio::io::AsyncWriteExt;
 use compio::net::{TcpListener, TcpStream};
 use http_body_util::BodyExt;
 use hyper::{Method, StatusCode, Version};
@@ -196,26 +196,14 @@
 
 /// Reads a request with an empty or a short body.
 async fn read_request(stream: &mut TcpStream) -> Option<ReceivedRequest> {
-    let mut received: Vec<u8> = Vec::new();
-    loop {
-        let BufResult(count, buffer) = stream.read(Vec::with_capacity(4_096)).await;
-        if !matches!(count, Ok(count) if count > 0) {
-            return None;
-        }
-        received.extend_from_slice(&buffer);
-        let text = String::from_utf8_lossy(&received);
-        if !text.contains("\r\n\r\n") {
-            continue;
-        }
-        let header = |name: &str| text.lines().find_map(|line| line.strip_prefix(name)).map(|value| value.trim());
-        let path = text.split(' ').nth(1).unwrap_or_default().to_string();
-        return Some(ReceivedRequest {
-            id: header("saddlerelay-request:").unwrap_or_default().to_string(),
-            path,
-            after: header("last-event-id:").map_or(0, |id| id.parse().expect("the id is a number")),
-            earlier: 0,
-        });
-    }
+    let head = read_head(stream).await?;
+    let header = |name: &str| head.lines().find_map(|line| line.strip_prefix(name)).map(|value| value.trim());
+    Some(ReceivedRequest {
+        id: header("saddlerelay-request:").unwrap_or_default().to_string(),
+        path: head.split(' ').nth(1).unwrap_or_default().to_string(),
+        after: header("last-event-id:").map_or(0, |id| id.parse().expect("the id is a number")),
+        earlier: 0,
+    })
 }
 
 async fn start(name: &str, route: Route, engines: usize) -> (Deployment, InterruptedEngines) {
--- a/crates/upstream/tests/completed_calls.rs
+++ b/crates/upstream/tests/completed_calls.rs
@@ -1,12 +1,11 @@
 //! A connection whose response is complete is closed in order: a reset would tell the peer that the call was given up.
 
-use bytes::Bytes;
-use hyper::{HeaderMap, Method};
-use saddlerelay_types::instance::InstanceId;
-use saddlerelay_upstream::{EngineTarget, HeaderNames, OutgoingRequest, Pool, Reuse};
+mod common;
+
+use common::order;
+use saddlerelay_upstream::Reuse;
 use std::io::{ErrorKind, Read, Write};
 use std::net::{SocketAddr, TcpListener};
-use std::rc::Rc;
 use std::thread::JoinHandle;
 use std::time::Duration;
 
@@ -36,24 +35,11 @@
     (address, server)
 }
 
-fn order(address: SocketAddr) -> (Pool, EngineTarget, OutgoingRequest) {
-    let pool = Pool::new(Rc::new(HeaderNames::default()), TEST_TIMEOUT);
-    let target = EngineTarget { instance: InstanceId::without_start_time("engine-1"), address };
-    let request = OutgoingRequest {
-        method: Method::POST,
-        uri: "/v1/weights".parse().expect("the path is valid"),
-        headers: HeaderMap::new(),
-        body: Bytes::from_static(b"load"),
-        request_id: "r-1".to_string(),
-    };
-    (pool, target, request)
-}
-
 /// Guards against control calls that end in a reset although they have completed.
 #[test]
 fn a_completed_control_call_is_closed_in_order() {
     let (address, server) = serve(KEPT_OPEN);
-    let (pool, target, request) = order(address);
+    let (pool, target, request) = order(address, TEST_TIMEOUT);
     let runtime = compio::runtime::Runtime::new().expect("the runtime starts");
     let response = runtime.block_on(pool.call(&target, &request, TEST_TIMEOUT, || true));
     assert_eq!(response.expect("the server responds").1, "ok");
@@ -63,7 +49,7 @@
 
 fn check_forwarded_request(response: &'static str, streamed: bool) {
     let (address, server) = serve(response);
-    let (pool, target, request) = order(address);
+    let (pool, target, request) = order(address, TEST_TIMEOUT);
     let runtime = compio::runtime::Runtime::new().expect("the runtime starts");
     runtime.block_on(async {
         let response = pool.send(&target, &request, Reuse::None, || TEST_TIMEOUT, || true).await;
@@ -105,7 +91,7 @@
 #[test]
 fn a_completed_stream_that_is_dropped_is_closed_in_order() {
     let (address, server) = serve(KEPT_OPEN);
-    let (pool, target, request) = order(address);
+    let (pool, target, request) = order(address, TEST_TIMEOUT);
     let runtime = compio::runtime::Runtime::new().expect("the runtime starts");
     runtime.block_on(async {
         let response = pool.send(&target, &request, Reuse::None, || TEST_TIMEOUT, || true).await;
--- a/crates/upstream/tests/endless_interim_responses.rs
+++ b/crates/upstream/tests/endless_interim_responses.rs
@@ -1,12 +1,14 @@
 //! An engine that sends interim responses without end: its calls fail in time and the caller's other tasks keep running.
 
+mod common;
+
 use bytes::Bytes;
+use common::order;
 use http_body_util::Full;
-use hyper::{HeaderMap, Method, Request};
-use saddlerelay_types::instance::InstanceId;
+use hyper::Request;
 use saddlerelay_upstream::connection::Connection;
 use saddlerelay_upstream::limits::MAX_HEAD_BYTES;
-use saddlerelay_upstream::{EngineTarget, Failure, HeaderNames, OutgoingRequest, Pool, Reuse};
+use saddlerelay_upstream::{Failure, Reuse};
 use std::cell::Cell;
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
@@ -78,19 +80,6 @@
     (address, server)
 }
 
-fn call(address: SocketAddr) -> (Pool, EngineTarget, OutgoingRequest) {
-    let pool = Pool::new(Rc::new(HeaderNames::default()), CALL_TIMEOUT);
-    let target = EngineTarget { instance: InstanceId::without_start_time("engine-1"), address };
-    let request = OutgoingRequest {
-        method: Method::POST,
-        uri: "/v1/weights".parse().expect("the path is valid"),
-        headers: HeaderMap::new(),
-        body: Bytes::from_static(b"load"),
-        request_id: "r-1".to_string(),
-    };
-    (pool, target, request)
-}
-
 /// Runs `future` beside a task that is to run at each tick; also returns the longest time for which that task waited.
 fn with_ticking_task<T>(future: impl Future<Output = T>) -> (T, Duration) {
     let runtime = compio::runtime::Runtime::new().expect("the runtime starts");
@@ -122,7 +111,7 @@
 fn requests_to_an_engine_that_sends_interim_responses_without_end_fail_and_hold_up_no_other_task() {
     const REQUESTS: usize = 4;
     let (address, server) = serve(REQUESTS, flood);
-    let (pool, target, request) = call(address);
+    let (pool, target, request) = order(address, CALL_TIMEOUT);
     let started_at = Instant::now();
     let (failures, gap) = with_ticking_task(futures::future::join_all((0..REQUESTS).map(async |_| {
         let sending = pool.send(&target, &request, Reuse::None, || CALL_TIMEOUT, || true);
@@ -139,7 +128,7 @@
 #[test]
 fn a_control_call_to_an_engine_that_sends_interim_responses_without_end_fails() {
     let (address, server) = serve(1, flood);
-    let (pool, target, request) = call(address);
+    let (pool, target, request) = order(address, CALL_TIMEOUT);
     let started_at = Instant::now();
     let (result, gap) = with_ticking_task(pool.call(&target, &request, CALL_TIMEOUT, || true));
     let elapsed = started_at.elapsed();
@@ -164,7 +153,7 @@
 #[test]
 fn a_response_after_interim_responses_is_received() {
     let (address, server) = serve(1, respond_after_interim_responses);
-    let (pool, target, request) = call(address);
+    let (pool, target, request) = order(address, CALL_TIMEOUT);
     let (response, _) = with_ticking_task(pool.call(&target, &request, CALL_TIMEOUT, || true));
     assert_eq!(response.expect("the engine responds").1, "ok");
     server.join().expect("the engine ends");
--- a/crates/upstream/tests/expired_permission.rs
+++ b/crates/upstream/tests/expired_permission.rs
@@ -1,12 +1,12 @@
 //! No byte of a call is sent once its permission has ended, however long this process takes between the check of the
 //! permission and the write.
 
-use bytes::Bytes;
+mod common;
+
+use common::order;
 use futures::future::LocalBoxFuture;
-use hyper::{HeaderMap, Method};
 use saddlerelay_runtime_compio::clock::boot_time;
-use saddlerelay_types::instance::InstanceId;
-use saddlerelay_upstream::{EngineTarget, HeaderNames, OutgoingRequest, Pool, Reuse};
+use saddlerelay_upstream::{EngineTarget, OutgoingRequest, Pool, Reuse};
 use std::cell::Cell;
 use std::future::poll_fn;
 use std::io::Read;
@@ -53,19 +53,6 @@
     (address, received)
 }
 
-fn order(address: SocketAddr) -> (Pool, EngineTarget, OutgoingRequest) {
-    let pool = Pool::new(Rc::new(HeaderNames::default()), RECEIVE_TIMEOUT);
-    let target = EngineTarget { instance: InstanceId::without_start_time("engine-1"), address };
-    let request = OutgoingRequest {
-        method: Method::POST,
-        uri: "/v1/weights".parse().expect("the path is valid"),
-        headers: HeaderMap::new(),
-        body: Bytes::from_static(b"load"),
-        request_id: String::new(),
-    };
-    (pool, target, request)
-}
-
 /// Permission until `valid_until`. Once it has been checked, `delay` runs before any task that the check's caller wakes.
 fn permission(valid_until: Duration, delay: impl Fn() + 'static) -> impl Fn() -> bool {
     let checked = Rc::new(Cell::new(false));
@@ -92,7 +79,7 @@
 fn check_delayed_call(call: Call) {
     let (address, received) = receive();
     let valid_until = boot_time() + VALIDITY;
-    let (pool, target, request) = order(address);
+    let (pool, target, request) = order(address, RECEIVE_TIMEOUT);
     let runtime = compio::runtime::Runtime::new().expect("the runtime starts");
     runtime.block_on(call(pool, target, request, valid_until));
     drop(runtime);
@@ -147,7 +134,7 @@
 #[test]
 fn a_control_call_within_its_permission_arrives() {
     let (address, received) = receive();
-    let (pool, target, request) = order(address);
+    let (pool, target, request) = order(address, RECEIVE_TIMEOUT);
     let runtime = compio::runtime::Runtime::new().expect("the runtime starts");
     let call = async {
         let may_send = permission(boot_time() + RECEIVE_TIMEOUT, || {});
@@ -171,7 +158,7 @@
 
 /// The paused process of the test below: it is paused between the check of its permission and the write.
 fn run_paused_caller(address: SocketAddr) {
-    let (pool, target, request) = order(address);
+    let (pool, target, request) = order(address, RECEIVE_TIMEOUT);
     let runtime = compio::runtime::Runtime::new().expect("the runtime starts");
     let call = async {
         let may_send = permission(boot_time() + VALIDITY, pause_this_process);
