Large replies: a reservation is made whole or not at all, and what stands twice stands once

A reservation was begun empty and raised; it is now what reserving returns, so that nothing is held while a request waits. Where a reply outgrew its reservation, it had waited for memory that it held itself: the earlier one is released first. The queue of a connection holds responses instead of a second type with the same fields; the size of a segment comes from the replica's own look-up, that of a result from one function; a limit that nobody used is gone. Rounds of saved texts end where nothing is left.

--- a/crates/control/src/large_replies.rs
+++ b/crates/control/src/large_replies.rs
@@ -133,15 +133,16 @@
             return true;
         }
         let needed = bytes * COPIES_WHILE_ENCODED + scratch;
-        let mut acquired = self.inner.large_replies.memory(content).begin();
-        let is_reserved = acquired.reserve(&self.inner.platform, needed, MAX_WAIT).await;
-        *reservation = is_reserved.then_some(acquired);
-        if is_reserved {
+        // Released first, so that waiting requests never hold what others wait for.
+        *reservation = None;
+        let memory = self.inner.large_replies.memory(content);
+        *reservation = memory.reserve(&self.inner.platform, needed, MAX_WAIT).await;
+        if reservation.is_some() {
             self.log_peak(content);
         } else {
             self.log_rejection(content, needed);
         }
-        is_reserved
+        reservation.is_some()
     }
 
     /// Logs that the memory of replies has reached a new peak, each time that it has doubled.
--- a/crates/control/src/rpc_handler.rs
+++ b/crates/control/src/rpc_handler.rs
@@ -57,9 +57,7 @@
 
     /// Size of a segment; of an ordinary one if the state no longer refers to it.
     fn segment_bytes(&self, number: u64) -> usize {
-        let segments = self.read_applied(|state| state.jobs.texts().segments());
-        let segment = segments.into_iter().find(|segment| segment.number == number);
-        segment.map_or(SEGMENT_BYTES, |segment| segment.bytes as usize)
+        self.inner.replica.segment(number).map_or(SEGMENT_BYTES, |segment| segment.bytes as usize)
     }
 
     pub(crate) async fn handle_replication(
--- a/crates/control/src/state/jobs.rs
+++ b/crates/control/src/state/jobs.rs
@@ -43,6 +43,13 @@
     pub score: Option<String>,
 }
 
+impl ListedItem {
+    /// Size in bytes in a page of results.
+    fn page_bytes(&self) -> usize {
+        self.text.length() + RESULT_OVERHEAD_BYTES
+    }
+}
+
 /// Counts the events of a text, which are separated by line feeds.
 fn count_events(text: &[u8]) -> u32 {
     if text.is_empty() { 0 } else { text.iter().filter(|byte| **byte == b'\n').count() as u32 + 1 }
@@ -118,7 +125,7 @@
         let mut bytes = 0;
         let fits = |result: &&ListedItem| {
             let is_first = bytes == 0;
-            bytes += result.text.length() + RESULT_OVERHEAD_BYTES;
+            bytes += result.page_bytes();
             is_first || bytes <= MAX_PAGE_BYTES
         };
         let count = self.results[start..].iter().take_while(fits).count();
@@ -215,7 +222,7 @@
     /// Size in bytes of the page of results that starts at position `after`; `None` if there is no such job.
     pub fn page_bytes(&self, id: &JobId, after: u64) -> Option<usize> {
         let job = self.jobs.get(id)?;
-        Some(job.page(after).iter().map(|listed| listed.text.length() + RESULT_OVERHEAD_BYTES).sum())
+        Some(job.page(after).iter().map(ListedItem::page_bytes).sum())
     }
 
     /// Jobs that have not ended.
--- a/crates/coordinator/src/listing.rs
+++ b/crates/coordinator/src/listing.rs
@@ -116,12 +116,12 @@
     let mut last = None;
     loop {
         inner.runtime.sleep(inner.config.save_interval).await;
-        let mut to_save = coordinator.items_to_save(&last).into_iter().peekable();
+        let mut to_save = coordinator.items_to_save(&last).into_iter();
         for _ in 0..MAX_ROUNDS {
-            if to_save.peek().is_none() {
+            let round = coordinator.next_round(&mut to_save);
+            if round.last.is_none() {
                 break;
             }
-            let round = coordinator.next_round(&mut to_save);
             last = round.last;
             let commands = round.parts.into_iter().flat_map(|(job, parts)| {
                 let commands = split_into_commands(parts, |part| part.data.len());
@@ -136,7 +136,7 @@
 #[derive(Default)]
 struct Round {
     parts: BTreeMap<JobId, Vec<TextPart>>,
-    /// The last item that was looked at.
+    /// The last item that was looked at; `None` if none was left.
     last: Option<(JobId, u32)>,
 }
 
--- a/crates/replication/src/segments.rs
+++ b/crates/replication/src/segments.rs
@@ -134,7 +134,7 @@
     }
 
     /// The segment with this number, if the state refers to it.
-    pub(crate) fn segment(&self, number: u64) -> Option<Segment> {
+    pub fn segment(&self, number: u64) -> Option<Segment> {
         let segments = self.inner.state.borrow().state_machine.segments();
         segments.into_iter().find(|segment| segment.number == number)
     }
--- a/crates/rpc/src/reply_memory.rs
+++ b/crates/rpc/src/reply_memory.rs
@@ -43,11 +43,6 @@
         Self { inner: Rc::new(inner) }
     }
 
-    /// No limit: reservations are only counted.
-    pub fn unlimited() -> Self {
-        Self::new(usize::MAX)
-    }
-
     /// The limit, in bytes.
     pub fn capacity(&self) -> usize {
         self.inner.capacity
@@ -73,9 +68,17 @@
         self.inner.timed_out.get()
     }
 
-    /// A reservation of no bytes.
-    pub fn begin(&self) -> Reservation {
-        Reservation { memory: self.clone(), bytes: 0 }
+    /// Reserves `bytes`; waits at most `limit` until they are free. `None` if they are not free by then.
+    pub async fn reserve<P: Runtime>(&self, platform: &P, bytes: usize, limit: Duration) -> Option<Reservation> {
+        let has_turn = (self.waiting() == 0 && self.fits(bytes))
+            || timeout(platform, limit, wait_for_turn(self, bytes)).await.is_some();
+        if !has_turn {
+            self.inner.timed_out.set(self.timed_out() + 1);
+            return None;
+        }
+        let mut reservation = Reservation { memory: self.clone(), bytes: 0 };
+        reservation.set(bytes);
+        Some(reservation)
     }
 
     /// Whether `bytes` are free. If nothing is reserved, any number is: the largest reply is sent when it is the only
@@ -98,24 +101,6 @@
         self.bytes
     }
 
-    /// Raises the reservation to `bytes`; waits at most `limit` until they are free. Returns whether they are reserved.
-    /// What is reserved already is released first, so that waiting requests never hold what others wait for.
-    pub async fn reserve<P: Runtime>(&mut self, platform: &P, bytes: usize, limit: Duration) -> bool {
-        if bytes <= self.bytes {
-            return true;
-        }
-        self.set(0);
-        let memory = self.memory.clone();
-        let has_turn = (memory.waiting() == 0 && memory.fits(bytes))
-            || timeout(platform, limit, wait_for_turn(&memory, bytes)).await.is_some();
-        if has_turn {
-            self.set(bytes);
-        } else {
-            memory.inner.timed_out.set(memory.timed_out() + 1);
-        }
-        has_turn
-    }
-
     /// Lowers the reservation to `bytes`, if it is larger.
     pub fn shrink_to(&mut self, bytes: usize) {
         if bytes < self.bytes {
--- a/crates/rpc/src/server.rs
+++ b/crates/rpc/src/server.rs
@@ -29,7 +29,7 @@
 /// Delay after a failed accept, for example when file descriptors are exhausted.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(100);
 
-/// An encoded response.
+/// An encoded response, and in the queue of a connection the frame that contains it.
 pub struct Response {
     /// The encoded message.
     pub body: Vec<u8>,
@@ -52,13 +52,6 @@
     fn handle(self: Rc<Self>, level: FeatureLevel, body: Vec<u8>) -> impl Future<Output = Option<Response>> + 'static;
 }
 
-/// A frame to write, and the memory reserved for it.
-struct QueuedFrame {
-    frame: Vec<u8>,
-    _reservation: Option<Reservation>,
-    write_limit: Option<Duration>,
-}
-
 /// Accepts connections until the process ends; at most [`MAX_PENDING_HANDSHAKES`] may be in their handshake.
 pub async fn serve<P: Runtime, H: Handler>(platform: P, listener: P::Listener, secret: String, handler: Rc<H>) {
     serve_limited(platform, listener, secret, handler, MAX_PENDING_HANDSHAKES).await;
@@ -214,8 +207,7 @@
     };
     let (responses, queue) = mpsc::unbounded();
     // Cannot fail, as the receiver still exists.
-    let _ =
-        responses.unbounded_send(QueuedFrame { frame: Welcome::new().frame(), _reservation: None, write_limit: None });
+    let _ = responses.unbounded_send(Welcome::new().frame().into());
     let read = read_requests(&platform, receiver, level, responses, handler);
     let write = write_responses(&platform, sender, queue);
     future::select(std::pin::pin!(read), std::pin::pin!(write)).await;
@@ -225,7 +217,7 @@
     platform: &P,
     mut receiver: impl FrameReceiver,
     level: FeatureLevel,
-    responses: mpsc::UnboundedSender<QueuedFrame>,
+    responses: mpsc::UnboundedSender<Response>,
     handler: Rc<H>,
 ) {
     while let Ok(Some(frame)) = receiver.receive().await {
@@ -239,7 +231,7 @@
                 Some(Response { body, reservation, write_limit }) => {
                     let frame = bitcode::encode(&Envelope { id: envelope.id, body });
                     // Fails if the connection is closed; the response is then discarded.
-                    let _ = responses.unbounded_send(QueuedFrame { frame, _reservation: reservation, write_limit });
+                    let _ = responses.unbounded_send(Response { body: frame, reservation, write_limit });
                 }
                 None => responses.close_channel(),
             }
@@ -250,9 +242,9 @@
 async fn write_responses<P: Runtime>(
     platform: &P,
     mut sender: impl FrameSender,
-    mut queue: mpsc::UnboundedReceiver<QueuedFrame>,
+    mut queue: mpsc::UnboundedReceiver<Response>,
 ) {
-    while let Some(QueuedFrame { frame, _reservation, write_limit }) = queue.next().await {
+    while let Some(Response { body: frame, reservation: _reservation, write_limit }) = queue.next().await {
         let written = match write_limit {
             None => Some(sender.send(frame).await),
             Some(limit) => timeout(platform, limit, sender.send(frame)).await,
--- a/crates/runtime-compio/tests/reply_memory.rs
+++ b/crates/runtime-compio/tests/reply_memory.rs
@@ -40,14 +40,13 @@
 fn requests_get_memory_in_the_order_of_their_arrival() {
     block_on(async {
         let memory = ReplyMemory::new(100);
-        let mut first = memory.begin();
-        assert!(first.reserve(&runtime(), 60, HANG_LIMIT).await);
+        let first = memory.reserve(&runtime(), 60, HANG_LIMIT).await.expect("the memory is free");
         let order = Rc::new(RefCell::new(Vec::new()));
         for bytes in [80, 10] {
             let (memory, order) = (memory.clone(), order.clone());
             compio::runtime::spawn(async move {
-                let mut reservation = memory.begin();
-                assert!(reservation.reserve(&runtime(), bytes, HANG_LIMIT).await);
+                let _reservation =
+                    memory.reserve(&runtime(), bytes, HANG_LIMIT).await.expect("the memory becomes free");
                 order.borrow_mut().push(bytes);
             })
             .detach();
@@ -64,12 +63,9 @@
 fn a_request_without_memory_is_rejected_and_holds_up_no_other() {
     block_on(async {
         let memory = ReplyMemory::new(100);
-        let mut held = memory.begin();
-        assert!(held.reserve(&runtime(), 60, HANG_LIMIT).await);
-        let mut large = memory.begin();
-        assert!(!large.reserve(&runtime(), 80, Duration::from_millis(20)).await);
-        let mut small = memory.begin();
-        assert!(small.reserve(&runtime(), 40, Duration::from_millis(20)).await);
+        let _held = memory.reserve(&runtime(), 60, HANG_LIMIT).await.expect("the memory is free");
+        assert!(memory.reserve(&runtime(), 80, Duration::from_millis(20)).await.is_none());
+        let _small = memory.reserve(&runtime(), 40, Duration::from_millis(20)).await.expect("40 bytes are left");
         assert_eq!((memory.used(), memory.timed_out()), (100, 1));
     });
 }
@@ -79,11 +75,11 @@
 fn a_reply_larger_than_the_limit_is_sent_alone() {
     block_on(async {
         let memory = ReplyMemory::new(100);
-        let mut huge = memory.begin();
-        assert!(huge.reserve(&runtime(), 1_000, Duration::from_millis(20)).await);
-        assert!(!memory.begin().reserve(&runtime(), 1, Duration::from_millis(20)).await);
+        let huge = memory.reserve(&runtime(), 1_000, Duration::from_millis(20)).await;
+        let mut huge = huge.expect("nothing else is reserved");
+        assert!(memory.reserve(&runtime(), 1, Duration::from_millis(20)).await.is_none());
         huge.shrink_to(50);
-        assert!(memory.begin().reserve(&runtime(), 1, Duration::from_millis(20)).await);
+        assert!(memory.reserve(&runtime(), 1, Duration::from_millis(20)).await.is_some());
     });
 }
 
@@ -96,11 +92,10 @@
 
 impl Handler for LargeReplies {
     async fn handle(self: Rc<Self>, _level: FeatureLevel, _body: Vec<u8>) -> Option<Response> {
-        let mut reservation = self.memory.begin();
-        assert!(reservation.reserve(&runtime(), LARGE_REPLY_BYTES, HANG_LIMIT).await);
+        let reservation = self.memory.reserve(&runtime(), LARGE_REPLY_BYTES, HANG_LIMIT).await;
         Some(Response {
             body: vec![1; LARGE_REPLY_BYTES],
-            reservation: Some(reservation),
+            reservation: Some(reservation.expect("the memory becomes free")),
             write_limit: Some(Duration::from_millis(200)),
         })
     }
